--- /dev/null
+++ b/src/jujubeslip/kernel/__init__.py
@@ -0,0 +1,53 @@
+"""What every part of a process uses: errors, deadlines, plug-ins, tasks, settings."""
+
+from jujubeslip.kernel._checks import (
+    CheckLevel,
+    CheckMessage,
+    register_check,
+    run_checks,
+)
+from jujubeslip.kernel._deadlines import Deadline
+from jujubeslip.kernel._errors import (
+    ConfigurationInvalidError,
+    JujubeslipError,
+    PeerUnavailableError,
+    Ran,
+    RequestRefusedError,
+)
+from jujubeslip.kernel._lifecycle import Process, new_incarnation
+from jujubeslip.kernel._registry import Registry, load_plugins
+from jujubeslip.kernel._settings import (
+    ControlSettings,
+    EntrySettings,
+    PeerAddress,
+    SettingsProblem,
+    TelemetrySettings,
+    load_control_settings,
+    load_entry_settings,
+    read_toml_as,
+)
+
+__all__ = [
+    "CheckLevel",
+    "CheckMessage",
+    "ConfigurationInvalidError",
+    "ControlSettings",
+    "Deadline",
+    "EntrySettings",
+    "JujubeslipError",
+    "PeerAddress",
+    "PeerUnavailableError",
+    "Process",
+    "Ran",
+    "Registry",
+    "RequestRefusedError",
+    "SettingsProblem",
+    "TelemetrySettings",
+    "load_control_settings",
+    "load_entry_settings",
+    "load_plugins",
+    "new_incarnation",
+    "read_toml_as",
+    "register_check",
+    "run_checks",
+]
--- /dev/null
+++ b/src/jujubeslip/kernel/_deadlines.py
@@ -0,0 +1,46 @@
+"""Deadlines as instants of this process's monotonic clock."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+
+MILLISECONDS_PER_SECOND = 1000
+
+
+@dataclass(frozen=True, order=True)
+class Deadline:
+    """An instant of this process's monotonic clock, in seconds.
+
+    Clocks of two hosts are never compared: a message carries what remains, and the
+    receiver makes its own Deadline from that.
+    """
+
+    instant: float
+
+    @classmethod
+    def after(cls, seconds: float) -> Deadline:
+        """Return the deadline that lies this many seconds ahead."""
+        return cls(time.monotonic() + seconds)
+
+    @classmethod
+    def from_remaining_ms(cls, remaining_ms: int, in_transit_ms: int = 0) -> Deadline:
+        """Return the receiver's deadline for a message, less its time on the way."""
+        return cls.after((remaining_ms - in_transit_ms) / MILLISECONDS_PER_SECOND)
+
+    @property
+    def expired(self) -> bool:
+        """Say whether the instant has passed."""
+        return time.monotonic() >= self.instant
+
+    def remaining(self) -> float:
+        """Return the seconds left, never below zero."""
+        return max(0.0, self.instant - time.monotonic())
+
+    def remaining_ms(self) -> int:
+        """Return the whole milliseconds left, never below zero."""
+        return int(self.remaining() * MILLISECONDS_PER_SECOND)
+
+    def earlier_of(self, other: Deadline) -> Deadline:
+        """Return whichever of the two comes first."""
+        return min(self, other)
--- /dev/null
+++ b/src/jujubeslip/kernel/_errors.py
@@ -0,0 +1,66 @@
+"""Typed errors; each has a stable id, a message and a remedy."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Ran(enum.Enum):
+    """Whether a refused request may have run at an endpoint."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+
+
+class JujubeslipError(Exception):
+    """The base of every error that an operator or a client can meet."""
+
+    error_id = "internal"
+    default_remedy = "Report it with the request id and the log lines around it."
+
+    def __init__(self, message: str, remedy: str | None = None) -> None:
+        self.message = message
+        self.remedy = remedy or self.default_remedy
+        super().__init__(f"{message} {self.remedy}")
+
+
+class ConfigurationInvalidError(JujubeslipError):
+    """A settings file or a declaration that can't be used."""
+
+    error_id = "configuration_invalid"
+    default_remedy = "Correct the named key, then run `jujubeslip check` on the file."
+
+
+class PeerUnavailableError(JujubeslipError):
+    """A host that could not be reached, also over a fresh connection."""
+
+    error_id = "peer_unavailable"
+    default_remedy = "Check that the host runs and that its peer port can be reached."
+
+
+class RequestRefusedError(JujubeslipError):
+    """A client's request that ends without an answer, said at once.
+
+    `ran` is NO only while no byte of the request has left for an endpoint, or the
+    endpoint itself said that it refused before it ran. `retry_after` is in seconds;
+    None means that asking again will not help.
+    """
+
+    error_id = "refused"
+    default_remedy = "Ask again after the time given in Retry-After."
+
+    def __init__(
+        self,
+        error_id: str,
+        message: str,
+        *,
+        status: int = 503,
+        ran: Ran = Ran.NO,
+        retry_after: float | None = None,
+        remedy: str | None = None,
+    ) -> None:
+        super().__init__(message, remedy)
+        self.error_id = error_id
+        self.status = status
+        self.ran = ran
+        self.retry_after = retry_after
--- /dev/null
+++ b/src/jujubeslip/kernel/_lifecycle.py
@@ -0,0 +1,81 @@
+"""The life of one process: its tasks, its stop, and its exit status."""
+
+from __future__ import annotations
+
+import logging
+import os
+import signal
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+
+logger = logging.getLogger(__name__)
+
+MAXIMUM_TASKS = 1024
+
+
+def new_incarnation() -> int:
+    """Return a number that is larger at each start of the same host, in microseconds.
+
+    It only tells starts of one host apart and orders them; no deadline uses it.
+    """
+    return time.time_ns() // 1000
+
+
+class Process:
+    """Tasks of one process on one executor, and the event that stops them.
+
+    A thread of the executor is a daemon only in effect: `run` ends the process when
+    the stop is complete, so that a peer that never answers can't hold the exit.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.stopping = threading.Event()
+        self.stopped = threading.Event()
+        self._executor = ThreadPoolExecutor(MAXIMUM_TASKS, thread_name_prefix=name)
+
+    def start_task(self, task: Callable[..., None], *arguments: object) -> Future[None]:
+        """Start a task; an error that leaves it is logged, never lost."""
+        future = self._executor.submit(task, *arguments)
+        future.add_done_callback(_log_failure)
+        return future
+
+    def repeat(self, interval: float, step: Callable[[], None]) -> None:
+        """Run the step each interval seconds in a task of its own until the stop."""
+        self.start_task(self._repeat, interval, step)
+
+    def _repeat(self, interval: float, step: Callable[[], None]) -> None:
+        while not self.stopped.wait(interval):
+            try:
+                step()
+            except Exception:
+                logger.exception("periodic task failed", extra={"task": str(step)})
+
+    def request_stop(self) -> None:
+        """Begin the graceful stop; a second call changes nothing."""
+        self.stopping.set()
+
+    def run(self, drain: Callable[[], None]) -> None:
+        """Wait for SIGTERM or SIGINT, run `drain`, and exit with status 0.
+
+        `drain` returns once no request is in flight. Later signals change nothing.
+        """
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self.request_stop())
+        while not self.stopping.wait(0.5):
+            continue
+        logger.info("stopping", extra={"process_name": self.name})
+        drain()
+        self.stopped.set()
+        logging.shutdown()
+        os._exit(0)
+
+
+def _log_failure(future: Future[None]) -> None:
+    if future.cancelled():
+        return
+    error = future.exception()
+    if error is not None:
+        logger.error("task failed", exc_info=error)
--- /dev/null
+++ b/src/jujubeslip/kernel/_settings.py
@@ -0,0 +1,180 @@
+"""Settings of a process: one TOML file, validated whole before anything opens."""
+
+from __future__ import annotations
+
+import difflib
+import tomllib
+from dataclasses import field
+from dataclasses import fields as dataclass_fields
+from pathlib import Path
+from typing import Annotated, Any, TypeVar, get_args, get_type_hints
+
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
+from pydantic.dataclasses import dataclass
+from returns.result import Failure, Result, Success
+
+T = TypeVar("T")
+
+STRICT = ConfigDict(extra="forbid")
+
+Address = Annotated[
+    str, Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$", description="IP:port")
+]
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+
+
+@dataclass(frozen=True)
+class SettingsProblem:
+    """One thing wrong in a file: which file, which key, what, and the remedy."""
+
+    file: str
+    key: str
+    message: str
+    remedy: str
+
+    def __str__(self) -> str:
+        return f"{self.file}: {self.key}: {self.message} {self.remedy}"
+
+
+@dataclass(frozen=True, config=STRICT)
+class PeerAddress:
+    """Where another process of the system listens for peers."""
+
+    host_id: Name
+    address: Address
+
+
+@dataclass(frozen=True, config=STRICT)
+class TelemetrySettings:
+    """Where logs, metrics and spans go."""
+
+    log_format: Annotated[str, Field(pattern="^(json|text)$")] = "json"
+    log_level: Annotated[str, Field(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
+    otlp_endpoint: str = ""
+    export_interval_ms: Annotated[int, Field(ge=100)] = 10_000
+
+
+@dataclass(frozen=True, config=STRICT)
+class EntrySettings:
+    """Settings of `jujubeslip entry`; times in milliseconds, sizes in bytes."""
+
+    host_id: Name
+    availability_zone: Name
+    region: Name
+    http_address: Address
+    peer_address: Address
+    peer_secret: Annotated[str, Field(min_length=8)]
+    endpoint_secret: Annotated[str, Field(min_length=8)]
+    entry_peers: tuple[PeerAddress, ...] = ()
+    control_peers: tuple[PeerAddress, ...] = ()
+    http_threads: Annotated[int, Field(ge=8, le=1000)] = 160
+    reserved_threads: Annotated[int, Field(ge=1)] = 16
+    maximum_connections: Annotated[int, Field(ge=16)] = 3000
+    maximum_body_bytes: Annotated[int, Field(ge=1024)] = 4_194_304
+    receive_timeout_ms: Annotated[int, Field(ge=100)] = 10_000
+    policy: Name = "home"
+    telemetry: TelemetrySettings = field(default_factory=TelemetrySettings)
+
+
+@dataclass(frozen=True, config=STRICT)
+class ControlSettings:
+    """Settings of `jujubeslip control`, on a host that has a disk."""
+
+    host_id: Name
+    availability_zone: Name
+    region: Name
+    peer_address: Address
+    peer_secret: Annotated[str, Field(min_length=8)]
+    data_folder: Path
+    replicas: tuple[PeerAddress, ...] = ()
+    election_timeout_ms: Annotated[int, Field(ge=50)] = 1000
+    heartbeat_ms: Annotated[int, Field(ge=10)] = 200
+    snapshot_every: Annotated[int, Field(ge=10)] = 1000
+    telemetry: TelemetrySettings = field(default_factory=TelemetrySettings)
+
+
+def load_entry_settings(
+    path: Path,
+) -> Result[EntrySettings, tuple[SettingsProblem, ...]]:
+    """Read the settings of an entry host, or say everything that is wrong."""
+    return read_toml_as(EntrySettings, path)
+
+
+def load_control_settings(
+    path: Path,
+) -> Result[ControlSettings, tuple[SettingsProblem, ...]]:
+    """Read the settings of a control host, or say everything that is wrong."""
+    return read_toml_as(ControlSettings, path)
+
+
+def read_toml_as(
+    kind: type[T], path: Path, text: str | None = None
+) -> Result[T, tuple[SettingsProblem, ...]]:
+    """Read a TOML file, or the given text in its place, as a validated data class."""
+    try:
+        content = path.read_text() if text is None else text
+        values = tomllib.loads(content)
+    except OSError as error:
+        reason = error.strerror or "not readable"
+        return Failure((_problem(path, "-", reason, "Give the path of the file."),))
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        remedy = "Correct the TOML syntax."
+        return Failure((_problem(path, "-", f"{error}.", remedy),))
+    try:
+        return Success(TypeAdapter(kind).validate_python(values))
+    except ValidationError as error:
+        return Failure(tuple(_explain(kind, path, item) for item in error.errors()))
+
+
+def _problem(path: Path, key: str, message: str, remedy: str) -> SettingsProblem:
+    return SettingsProblem(str(path), key, message, remedy)
+
+
+def _explain(kind: type, path: Path, item: Any) -> SettingsProblem:
+    location = item["loc"]
+    key = _key_path(location)
+    if item["type"] == "unexpected_keyword_argument":
+        return _explain_unknown_key(kind, path, location)
+    if item["type"] == "missing":
+        remedy = "Add the key; docs/reference/settings.md describes it."
+        return _problem(path, key, "This key is required.", remedy)
+    remedy = f"The value is {item['input']!r}; change it so that it fits."
+    if "secret" in key:
+        remedy = "Change the value so that it fits."
+    return _problem(path, key, f"{item['msg']}.", remedy)
+
+
+def _explain_unknown_key(
+    kind: type, path: Path, location: tuple[str | int, ...]
+) -> SettingsProblem:
+    known = known_keys(kind, location[:-1])
+    near = difflib.get_close_matches(str(location[-1]), known, n=1, cutoff=0.0)
+    remedy = f"Did you mean {near[0]!r}?" if near else "Remove the key."
+    return _problem(path, _key_path(location), "There is no such key.", remedy)
+
+
+def known_keys(kind: Any, location: tuple[str | int, ...]) -> list[str]:
+    """Return the keys that may stand in the table at this place of the file."""
+    table = _strip(kind)
+    for part in location:
+        if isinstance(part, int):
+            continue
+        table = _strip(get_type_hints(table).get(part))
+    if not hasattr(table, "__dataclass_fields__"):
+        return []
+    return [item.name for item in dataclass_fields(table)]
+
+
+def _strip(kind: Any) -> Any:
+    """Return the data class inside `tuple[X, ...]`, `X | None` or an annotation."""
+    while not hasattr(kind, "__dataclass_fields__"):
+        inner = [item for item in get_args(kind) if item not in (Ellipsis, type(None))]
+        if not inner:
+            return kind
+        kind = inner[0]
+    return kind
+
+
+def _key_path(location: tuple[str | int, ...]) -> str:
+    parts = [f"[{part}]" if isinstance(part, int) else f".{part}" for part in location]
+    return "".join(parts).lstrip(".") or "-"
--- /dev/null
+++ b/src/jujubeslip/peers/_client.py
@@ -0,0 +1,123 @@
+"""The calling side of one peer: pooled connections, each call with a deadline."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from thrift.protocol import TBinaryProtocol
+from thrift.Thrift import TException
+from thrift.transport import TSocket, TTransport
+
+from jujubeslip.kernel import Deadline, PeerUnavailableError
+from jujubeslip.peers.gen.ttypes import NotLeader, PeerIdentity, PeerRefusal
+
+T = TypeVar("T")
+
+MAXIMUM_IDLE_CONNECTIONS = 32
+
+
+class _Connection:
+    """One authenticated connection to a peer."""
+
+    def __init__(
+        self, client_type: type, address: str, identity: PeerIdentity, timeout: float
+    ) -> None:
+        host, port = address.rsplit(":", 1)
+        self.socket = TSocket.TSocket(host, int(port))
+        self.set_timeout(timeout)
+        self._transport = TTransport.TFramedTransport(self.socket)
+        protocol = TBinaryProtocol.TBinaryProtocolAccelerated(self._transport)
+        self.client: Any = client_type(protocol)
+        try:
+            self._transport.open()
+            self.client.hello(identity)
+        except BaseException:
+            self.close()
+            raise
+
+    def set_timeout(self, seconds: float) -> None:
+        self.socket.setTimeout(max(1, int(seconds * 1000)))
+
+    def close(self) -> None:
+        self._transport.close()
+
+
+class PeerClient:
+    """Calls to one peer address.
+
+    Every call of the system's protocols is idempotent by its ids, so a call that
+    fails on a pooled connection is sent again over a fresh one. That guards against
+    connections that something between the hosts has lost track of: they go silent
+    for good while new ones work, which shows as a timeout. Only when the fresh one
+    fails too is the peer reported as unavailable.
+    """
+
+    def __init__(self, client_type: type, address: str, identity: PeerIdentity) -> None:
+        self.address = address
+        self._client_type = client_type
+        self._identity = identity
+        self._idle: list[_Connection] = []
+        self._lock = threading.Lock()
+
+    def call(self, operation: Callable[[Any], T], timeout: float) -> T:
+        """Run the operation with a client; `timeout` in seconds bounds each try.
+
+        Raises PeerRefusal or NotLeader as the peer sent them, and PeerUnavailableError
+        when neither a pooled nor a fresh connection brought an answer.
+        """
+        pooled = self._take_idle()
+        if pooled is not None:
+            try:
+                return self._call_on(pooled, operation, timeout)
+            except (TException, OSError, EOFError) as error:
+                if isinstance(error, PeerRefusal | NotLeader):
+                    raise
+        deadline = Deadline.after(timeout)
+        try:
+            fresh = _Connection(
+                self._client_type, self.address, self._identity, timeout
+            )
+            return self._call_on(fresh, operation, max(0.05, deadline.remaining()))
+        except (TException, OSError, EOFError) as error:
+            if isinstance(error, PeerRefusal | NotLeader):
+                raise
+            self.close()
+            raise PeerUnavailableError(
+                f"No answer from {self.address}: {error}."
+            ) from error
+
+    def close(self) -> None:
+        """Close the pooled connections; later calls open fresh ones."""
+        with self._lock:
+            idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.close()
+
+    def _call_on(
+        self, connection: _Connection, operation: Callable[[Any], T], timeout: float
+    ) -> T:
+        connection.set_timeout(timeout)
+        try:
+            result = operation(connection.client)
+        except (PeerRefusal, NotLeader):
+            self._put_idle(connection)
+            raise
+        except BaseException:
+            # A late answer could still arrive here and be read as the next call's.
+            connection.close()
+            raise
+        self._put_idle(connection)
+        return result
+
+    def _take_idle(self) -> _Connection | None:
+        with self._lock:
+            return self._idle.pop() if self._idle else None
+
+    def _put_idle(self, connection: _Connection) -> None:
+        with self._lock:
+            if len(self._idle) < MAXIMUM_IDLE_CONNECTIONS:
+                self._idle.append(connection)
+                return
+        connection.close()
--- /dev/null
+++ b/src/jujubeslip/peers/gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'EntryPeer', 'ControlPeer']
--- /dev/null
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -0,0 +1,232 @@
+// Messages between jujubeslip processes.
+//
+// Two hosts never compare clocks: a field named remaining_ms is the time left
+// until a deadline, and the receiver turns it into an instant of its own clock.
+
+namespace py peers_gen
+
+enum HostStatus {
+  ALIVE = 1,
+  SUSPECT = 2,
+  LEAVING = 3,
+  DEAD = 4,
+}
+
+enum EndpointRole {
+  PREFILL = 1,
+  DECODE = 2,
+  PLAIN = 3,
+}
+
+enum ReserveStatus {
+  GRANTED = 1,
+  PENDING = 2,
+  REFUSED = 3,
+}
+
+enum KeyStatus {
+  FIRST = 1,
+  RUNNING = 2,
+  FINISHED = 3,
+  CONFLICT = 4,
+}
+
+// Who is on the other end of a connection; sent first on each connection.
+struct PeerIdentity {
+  1: string host_id,
+  2: i64 incarnation,
+  3: string secret,
+}
+
+// Every refusal between processes: a stable id, a message, what to do about it.
+exception PeerRefusal {
+  1: string error_id,
+  2: string message,
+  3: string remedy,
+  4: i64 retry_after_ms,
+}
+
+// The asked replica does not lead; `leader_address` is empty when unknown.
+exception NotLeader {
+  1: string leader_id,
+  2: string leader_address,
+}
+
+struct HostState {
+  1: string host_id,
+  2: i64 incarnation,
+  3: string address,
+  4: string availability_zone,
+  5: HostStatus status,
+  6: i64 heartbeat,
+  7: i64 configuration_revision,
+}
+
+struct GossipMessage {
+  1: string sender_id,
+  2: list<HostState> hosts,
+  3: i64 configuration_revision,
+}
+
+struct Announcement {
+  1: string endpoint_id,
+  2: i64 incarnation,
+  3: string address,
+  4: string availability_zone,
+  5: string service_name,
+  6: EndpointRole role,
+  7: string model,
+  8: i32 slots,
+  9: bool leaving,
+}
+
+struct ReserveRequest {
+  1: string request_id,
+  2: i32 attempt,
+  3: string owner,
+  4: string service_name,
+  5: i32 priority,
+  6: i64 first_token_remaining_ms,
+  7: i64 wait_remaining_ms,
+  8: i32 prompt_tokens,
+  9: i32 output_tokens,
+  10: list<string> prefix_hashes,
+  11: list<string> avoid_endpoint_ids,
+  12: string prefill_endpoint_id,
+  13: string traceparent,
+}
+
+struct EndpointRef {
+  1: string endpoint_id,
+  2: i64 incarnation,
+  3: string address,
+}
+
+struct Grant {
+  1: string grant_id,
+  2: optional EndpointRef prefill,
+  3: EndpointRef decode,
+  4: i32 cached_tokens,
+}
+
+struct ReserveReply {
+  1: ReserveStatus status,
+  2: optional Grant grant,
+  3: string reason,
+  4: i64 retry_after_ms,
+}
+
+// What became of a grant, so that its home frees each part as early as it can.
+struct GrantProgress {
+  1: string grant_id,
+  2: bool prefill_finished,
+  3: bool transfer_finished,
+  4: bool released,
+  5: i32 prefill_tokens,
+  6: i32 output_tokens,
+  7: string failed_endpoint_id,
+}
+
+struct KeyClaim {
+  1: string client,
+  2: string key,
+  3: string request_id,
+  4: string owner,
+  5: string fingerprint,
+}
+
+struct KeyReply {
+  1: KeyStatus status,
+  2: string request_id,
+  3: string owner,
+  4: optional binary outcome,
+}
+
+struct Configuration {
+  1: i64 revision,
+  2: string declaration,
+  3: string change_id,
+  4: string operator_name,
+}
+
+struct ApplyRequest {
+  1: string change_id,
+  2: i64 base_revision,
+  3: string declaration,
+  4: string operator_name,
+}
+
+struct ApplyReply {
+  1: bool accepted,
+  2: i64 revision,
+  3: string winner_change_id,
+  4: string winner_operator,
+  5: string winner_declaration,
+}
+
+struct EntryStatus {
+  1: string host_id,
+  2: i64 incarnation,
+  3: i64 configuration_revision,
+  4: i32 open_requests,
+  5: bool stopping,
+  6: list<HostState> hosts,
+  7: list<PoolStatus> pools,
+}
+
+struct PoolStatus {
+  1: string service_name,
+  2: i32 endpoints,
+  3: i32 usable_endpoints,
+  4: i32 decode_slots,
+  5: i32 granted,
+  6: i32 queued,
+}
+
+// Served by each entry host to the other processes of the system.
+service EntryPeer {
+  void hello(1: PeerIdentity identity) throws (1: PeerRefusal refusal),
+  GossipMessage gossip(1: GossipMessage message) throws (1: PeerRefusal refusal),
+  void announce(1: Announcement announcement) throws (1: PeerRefusal refusal),
+  ReserveReply reserve(1: ReserveRequest request) throws (1: PeerRefusal refusal),
+  void progress(1: GrantProgress progress) throws (1: PeerRefusal refusal),
+  KeyReply claim_key(1: KeyClaim claim) throws (1: PeerRefusal refusal),
+  void finish_key(1: KeyClaim claim, 2: binary outcome) throws (1: PeerRefusal refusal),
+  Configuration get_configuration(1: i64 known_revision) throws (1: PeerRefusal refusal),
+  EntryStatus status() throws (1: PeerRefusal refusal),
+}
+
+struct ReplicaStatus {
+  1: string replica_id,
+  2: string address,
+  3: bool voter,
+  4: i64 match_index,
+}
+
+struct ControlStatus {
+  1: string replica_id,
+  2: string leader_id,
+  3: i64 term,
+  4: i64 commit_index,
+  5: i64 applied_index,
+  6: i64 configuration_revision,
+  7: list<ReplicaStatus> replicas,
+}
+
+// Served by each control host to entry hosts and operators.
+service ControlPeer {
+  void hello(1: PeerIdentity identity) throws (1: PeerRefusal refusal),
+  // Answers at once when the revision is newer than known_revision, else when a
+  // newer one is committed or wait_ms has passed.
+  Configuration get_configuration(1: i64 known_revision, 2: i32 wait_ms)
+    throws (1: PeerRefusal refusal),
+  ApplyReply apply_configuration(1: ApplyRequest request)
+    throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
+  // Durable claim of (client, key); committed by a quorum before the answer.
+  KeyReply claim_key(1: KeyClaim claim, 2: i64 remaining_ms)
+    throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
+  void finish_key(1: KeyClaim claim, 2: binary outcome, 3: i64 remaining_ms)
+    throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
+  list<Configuration> history(1: i32 limit) throws (1: PeerRefusal refusal),
+  ControlStatus status() throws (1: PeerRefusal refusal),
+}
--- /dev/null
+++ b/src/jujubeslip/rules/_checks.py
@@ -0,0 +1,61 @@
+"""Warnings about rules that can never match."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import fields
+
+from jujubeslip.declaration import Condition, Declaration
+from jujubeslip.kernel import CheckLevel, CheckMessage, register_check
+
+
+@register_check(Declaration)
+def check_rules_can_match(subject: object) -> Iterator[CheckMessage]:
+    """Warn about rules that an earlier rule always matches before."""
+    assert isinstance(subject, Declaration)
+    for position, rule in enumerate(subject.rule):
+        for earlier in subject.rule[:position]:
+            if covers(earlier.when, rule.when):
+                yield CheckMessage(
+                    "rules.W001",
+                    CheckLevel.WARNING,
+                    f"rule {rule.name}",
+                    f"It can never match: rule {earlier.name!r} matches first.",
+                    f"Move it before {earlier.name!r}, or narrow that rule.",
+                )
+                break
+
+
+@register_check(Declaration)
+def check_last_rule_matches_everything(subject: object) -> Iterator[CheckMessage]:
+    """Warn when some requests match no rule and would be refused."""
+    assert isinstance(subject, Declaration)
+    if any(covers(rule.when, Condition()) for rule in subject.rule):
+        return
+    yield CheckMessage(
+        "rules.W002",
+        CheckLevel.WARNING,
+        "rule",
+        "No rule matches every request; the others are refused with id no_rule.",
+        "Add a last rule without conditions that says what to do.",
+    )
+
+
+def covers(general: Condition, special: Condition) -> bool:
+    """Say whether `general` holds for every request for which `special` holds."""
+    return all(
+        _key_covers(item.name, getattr(general, item.name), getattr(special, item.name))
+        for item in fields(general)
+    )
+
+
+def _key_covers(key: str, general: object, special: object) -> bool:
+    if general is None:
+        return True
+    if special is None:
+        return False
+    if key.endswith("_min"):
+        return bool(special >= general)  # type: ignore[operator]
+    if key.endswith("_max"):
+        return bool(special <= general)  # type: ignore[operator]
+    return general == special
--- /dev/null
+++ b/src/jujubeslip/rules/_match.py
@@ -0,0 +1,65 @@
+"""Matching of a request against the ordered rules."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, fields
+
+from jujubeslip.declaration import Condition, PriorityClass, Rule
+
+
+@dataclass(frozen=True)
+class RequestFacts:
+    """What rules can ask about a request; `queue_wait_ms` and `load` are forecasts."""
+
+    service: str
+    model: str
+    adapter: str
+    client: str
+    priority: PriorityClass
+    prompt_tokens: int
+    repeatable: bool
+    queue_wait_ms: int
+    load: float
+    availability_zone: str
+
+
+@dataclass(frozen=True)
+class Explanation:
+    """Why a rule does or does not match: the keys that don't fit."""
+
+    rule: Rule
+    matches: bool
+    unmet: tuple[str, ...]
+
+
+def first_match(rules: Sequence[Rule], facts: RequestFacts) -> Rule | None:
+    """Return the first rule whose condition holds, or None."""
+    for rule in rules:
+        if next(_unmet_keys(rule.when, facts), None) is None:
+            return rule
+    return None
+
+
+def explain(rules: Sequence[Rule], facts: RequestFacts) -> tuple[Explanation, ...]:
+    """Return for each rule, in order, whether it matches and why not."""
+    explanations = []
+    for rule in rules:
+        unmet = tuple(_unmet_keys(rule.when, facts))
+        explanations.append(Explanation(rule, not unmet, unmet))
+    return tuple(explanations)
+
+
+def _unmet_keys(condition: Condition, facts: RequestFacts) -> Iterator[str]:
+    for item in fields(condition):
+        wanted = getattr(condition, item.name)
+        if wanted is not None and not _holds(item.name, wanted, facts):
+            yield item.name
+
+
+def _holds(key: str, wanted: object, facts: RequestFacts) -> bool:
+    if key.endswith("_min"):
+        return bool(getattr(facts, key.removesuffix("_min")) >= wanted)
+    if key.endswith("_max"):
+        return bool(getattr(facts, key.removesuffix("_max")) <= wanted)
+    return bool(getattr(facts, key) == wanted)
