--- /dev/null
+++ b/src/jujubeslip/cli/_change_commands.py
@@ -0,0 +1,177 @@
+"""Commands that change and show the declaration in force."""
+
+from __future__ import annotations
+
+import difflib
+import sys
+import time
+import uuid
+from pathlib import Path
+
+import click
+
+from jujubeslip.cli._check_commands import read_declaration
+from jujubeslip.cli._connection import (
+    control_options,
+    json_option,
+    open_control,
+    open_entry,
+    operator_name,
+)
+from jujubeslip.cli._output import (
+    EXIT_REFUSED,
+    exit_refused,
+    print_fields,
+    thrift_fields,
+)
+from jujubeslip.kernel import Deadline, JujubeslipError
+from jujubeslip.peers import ApplyReply, ApplyRequest, HostStatus, PeerRefusal
+
+APPLY_SECONDS = 10.0
+ENTRY_TIMEOUT = 1.0
+LOOK_INTERVAL = 0.1
+
+
+@click.command()
+@click.argument("path", type=click.Path(path_type=Path))
+@control_options
+@click.option(
+    "--base",
+    type=int,
+    help="Revision that the file was made from; the one in force if not given.",
+)
+@click.option(
+    "--change-id",
+    help="Id of this change; give the same one again after a lost answer.",
+)
+@click.option(
+    "--wait",
+    "entry",
+    metavar="IP:PORT",
+    help="Wait until the change is in force on the hosts that this entry host knows.",
+)
+@click.option("--wait-seconds", default=6.0, show_default=True)
+@json_option
+def apply(
+    path: Path,
+    control_addresses: tuple[str, ...],
+    peer_secret: str,
+    base: int | None,
+    change_id: str | None,
+    entry: str | None,
+    wait_seconds: float,
+    as_json: bool,
+) -> None:
+    """Apply a declaration; exactly one of two with the same base is accepted."""
+    text, _ = read_declaration(path)
+    control = open_control(control_addresses, peer_secret)
+    change_id = change_id or uuid.uuid4().hex
+    click.echo(f"change id: {change_id}", err=True)
+    try:
+        if base is None:
+            base = control.get_configuration(-1, 0).revision
+        request = ApplyRequest(change_id, base, text, operator_name())
+        reply = control.apply_configuration(request, Deadline.after(APPLY_SECONDS))
+    except (JujubeslipError, PeerRefusal) as error:
+        exit_refused(error)
+    if not reply.accepted:
+        _exit_lost(text, reply)
+    fields = {"accepted": True, "revision": reply.revision, "change_id": change_id}
+    if entry:
+        fields.update(_wait(entry, peer_secret, reply.revision, wait_seconds))
+    print_fields(fields, as_json)
+
+
+def _exit_lost(text: str, reply: ApplyReply) -> None:
+    click.echo(
+        f"not accepted: revision {reply.revision} by {reply.winner_operator} (change "
+        f"{reply.winner_change_id}) came first. Make the change from it and apply "
+        "again. It differs from this file:",
+        err=True,
+    )
+    difference = difflib.unified_diff(
+        reply.winner_declaration.splitlines(),
+        text.splitlines(),
+        f"revision {reply.revision}",
+        "this file",
+        lineterm="",
+    )
+    click.echo("\n".join(difference), err=True)
+    sys.exit(EXIT_REFUSED)
+
+
+def _wait(
+    entry: str, peer_secret: str, revision: int, seconds: float
+) -> dict[str, object]:
+    """Return how many living hosts have the revision, and which don't."""
+    client = open_entry(entry, peer_secret)
+    deadline = Deadline.after(seconds)
+    while True:
+        try:
+            status = client.call(lambda peer: peer.status(), ENTRY_TIMEOUT)
+        except (JujubeslipError, PeerRefusal) as error:
+            exit_refused(error)
+        living = [host for host in status.hosts if host.status is HostStatus.ALIVE]
+        behind = [
+            host.host_id for host in living if host.configuration_revision < revision
+        ]
+        if not behind or deadline.expired:
+            return {
+                "hosts": len(living),
+                "in_force": len(living) - len(behind),
+                "not_in_force": behind,
+            }
+        time.sleep(LOOK_INTERVAL)
+
+
+@click.command()
+@control_options
+@json_option
+def show(control_addresses: tuple[str, ...], peer_secret: str, as_json: bool) -> None:
+    """Show the declaration in force."""
+    control = open_control(control_addresses, peer_secret)
+    try:
+        configuration = control.get_configuration(-1, 0)
+    except (JujubeslipError, PeerRefusal) as error:
+        exit_refused(error)
+    if as_json:
+        print_fields(thrift_fields(configuration), as_json)
+        return
+    click.echo(f"# revision {configuration.revision}")
+    click.echo(configuration.declaration)
+
+
+@click.command()
+@control_options
+@click.option("--limit", default=20, show_default=True, help="How many to show.")
+@click.option("--diff", "with_diff", is_flag=True, help="Show what each one changed.")
+@json_option
+def history(
+    control_addresses: tuple[str, ...],
+    peer_secret: str,
+    limit: int,
+    with_diff: bool,
+    as_json: bool,
+) -> None:
+    """Show the latest revisions, the newest first."""
+    control = open_control(control_addresses, peer_secret)
+    try:
+        changes = control.history(limit)
+    except (JujubeslipError, PeerRefusal) as error:
+        exit_refused(error)
+    changes = sorted(changes, key=lambda change: -change.revision)
+    if as_json:
+        print_fields({"changes": [thrift_fields(item) for item in changes]}, as_json)
+        return
+    for position, change in enumerate(changes):
+        click.echo(f"{change.revision}  {change.operator_name}  {change.change_id}")
+        if with_diff and position + 1 < len(changes):
+            earlier = changes[position + 1]
+            lines = difflib.unified_diff(
+                earlier.declaration.splitlines(),
+                change.declaration.splitlines(),
+                f"revision {earlier.revision}",
+                f"revision {change.revision}",
+                lineterm="",
+            )
+            click.echo("\n".join(lines))
--- /dev/null
+++ b/src/jujubeslip/cli/_connection.py
@@ -0,0 +1,60 @@
+"""Options by which operators' commands find and prove themselves to the system."""
+
+from __future__ import annotations
+
+import getpass
+from collections.abc import Callable
+from typing import Any
+
+import click
+
+from jujubeslip.control import ControlClient
+from jujubeslip.kernel import PeerAddress, new_incarnation
+from jujubeslip.peers import EntryPeer, PeerClient, PeerIdentity
+
+json_option = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+
+secret_option = click.option(
+    "--peer-secret",
+    envvar="JUJUBESLIP_PEER_SECRET",
+    required=True,
+    help="The peer_secret of the settings; better given by the environment variable "
+    "JUJUBESLIP_PEER_SECRET.",
+)
+
+
+def control_options(command: Callable[..., Any]) -> Callable[..., Any]:
+    """Add the options that name the control hosts."""
+    control = click.option(
+        "--control",
+        "control_addresses",
+        multiple=True,
+        required=True,
+        metavar="IP:PORT",
+        help="Peer address of a control host; give it for each.",
+    )
+    return control(secret_option(command))
+
+
+def operator_name() -> str:
+    """Return the name by which a change is recorded."""
+    return getpass.getuser()
+
+
+def operator_identity(peer_secret: str) -> PeerIdentity:
+    """Return the identity of this command."""
+    return PeerIdentity(f"operator-{operator_name()}", new_incarnation(), peer_secret)
+
+
+def open_control(addresses: tuple[str, ...], peer_secret: str) -> ControlClient:
+    """Return a client of the control hosts at these addresses."""
+    peers = tuple(
+        PeerAddress(host_id=f"control-{number}", address=address)
+        for number, address in enumerate(addresses, start=1)
+    )
+    return ControlClient(peers, operator_identity(peer_secret))
+
+
+def open_entry(address: str, peer_secret: str) -> PeerClient:
+    """Return a client of the entry host at this peer address."""
+    return PeerClient(EntryPeer.Client, address, operator_identity(peer_secret))
--- /dev/null
+++ b/src/jujubeslip/cli/_main.py
@@ -0,0 +1,25 @@
+"""The command group; each module of commands adds its own."""
+
+from __future__ import annotations
+
+import click
+
+from jujubeslip import __version__
+from jujubeslip.cli._change_commands import apply, history, show
+from jujubeslip.cli._check_commands import check, explain
+from jujubeslip.cli._run_commands import control, entry
+from jujubeslip.cli._status_commands import drain, status
+
+
+@click.group()
+@click.version_option(__version__)
+def main() -> None:
+    """Route requests to separate prefill and decode pools.
+
+    Exit codes: 0 done; 1 refused or not reached, with the remedy on standard error;
+    2 the command line was wrong; 3 a file was not valid.
+    """
+
+
+for command in (entry, control, check, explain, apply, show, history, status, drain):
+    main.add_command(command)
--- /dev/null
+++ b/src/jujubeslip/cli/_output.py
@@ -0,0 +1,68 @@
+"""Output for people and, with --json, for scripts."""
+
+from __future__ import annotations
+
+import enum
+import json
+import sys
+from collections.abc import Iterable
+from typing import Any, NoReturn
+
+import click
+
+from jujubeslip.kernel import JujubeslipError, SettingsProblem
+from jujubeslip.peers import PeerRefusal
+
+EXIT_REFUSED = 1
+EXIT_FILE_INVALID = 3
+
+
+def print_fields(fields: dict[str, Any], as_json: bool) -> None:
+    """Print one object, as `key: value` lines or as one line of JSON."""
+    if as_json:
+        click.echo(json.dumps(fields, default=_plain))
+        return
+    for key, value in fields.items():
+        click.echo(f"{key}: {_text(value)}")
+
+
+def thrift_fields(message: object) -> dict[str, Any]:
+    """Return a Thrift message as a plain object for output."""
+    return {key: _plain(value) for key, value in vars(message).items()}
+
+
+def _plain(value: Any) -> Any:
+    if isinstance(value, enum.Enum):
+        return value.name.lower()
+    if isinstance(value, bytes):
+        return value.decode(errors="replace")
+    if isinstance(value, list):
+        return [_plain(item) for item in value]
+    if hasattr(value, "thrift_spec"):
+        return thrift_fields(value)
+    return value
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, list):
+        return str(value)
+    return "".join(f"\n  - {_item_text(item)}" for item in value) or "none"
+
+
+def _item_text(item: Any) -> str:
+    if isinstance(item, dict):
+        return ", ".join(f"{key} {value}" for key, value in item.items())
+    return str(item)
+
+
+def exit_with_problems(problems: Iterable[SettingsProblem]) -> NoReturn:
+    """Print what is wrong in a file, a line each, and exit."""
+    for problem in problems:
+        click.echo(str(problem), err=True)
+    sys.exit(EXIT_FILE_INVALID)
+
+
+def exit_refused(error: JujubeslipError | PeerRefusal) -> NoReturn:
+    """Print a refusal with its remedy and exit."""
+    click.echo(f"{error.error_id}: {error.message} {error.remedy}", err=True)
+    sys.exit(EXIT_REFUSED)
--- /dev/null
+++ b/src/jujubeslip/cli/_run_commands.py
@@ -0,0 +1,64 @@
+"""Commands that run a process of the system."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TypeVar
+
+import click
+from returns.result import Failure, Result
+
+from jujubeslip.cli._output import exit_refused, exit_with_problems
+from jujubeslip.kernel import (
+    JujubeslipError,
+    SettingsProblem,
+    load_control_settings,
+    load_entry_settings,
+)
+
+T = TypeVar("T")
+
+settings_option = click.option(
+    "--settings",
+    "settings_path",
+    required=True,
+    type=click.Path(path_type=Path),
+    help="TOML file with the settings of this process.",
+)
+
+
+@click.command()
+@settings_option
+def entry(settings_path: Path) -> None:
+    """Run an entry host: HTTP to clients, routing, grants of endpoints' capacity.
+
+    SIGTERM stops it gracefully: it takes no new request and ends when the last open
+    one has ended.
+    """
+    settings = settings_or_exit(load_entry_settings(settings_path))
+    from jujubeslip.entry import run_entry
+
+    try:
+        run_entry(settings)
+    except JujubeslipError as error:
+        exit_refused(error)
+
+
+@click.command()
+@settings_option
+def control(settings_path: Path) -> None:
+    """Run a control host: the replicated log, on a host that has a disk."""
+    settings = settings_or_exit(load_control_settings(settings_path))
+    from jujubeslip.control import run_control
+
+    try:
+        run_control(settings)
+    except JujubeslipError as error:
+        exit_refused(error)
+
+
+def settings_or_exit(result: Result[T, tuple[SettingsProblem, ...]]) -> T:
+    """Return the settings, or print everything that is wrong and exit."""
+    if isinstance(result, Failure):
+        exit_with_problems(result.failure())
+    return result.unwrap()
--- /dev/null
+++ b/src/jujubeslip/cli/_status_commands.py
@@ -0,0 +1,76 @@
+"""Commands that ask a running host about itself."""
+
+from __future__ import annotations
+
+import os
+import signal
+import time
+
+import click
+
+from jujubeslip.cli._connection import (
+    json_option,
+    open_control,
+    open_entry,
+    secret_option,
+)
+from jujubeslip.cli._output import exit_refused, print_fields, thrift_fields
+from jujubeslip.kernel import JujubeslipError
+from jujubeslip.peers import PeerRefusal
+
+TIMEOUT = 2.0
+LOOK_INTERVAL = 0.5
+
+
+@click.command()
+@click.option("--entry", metavar="IP:PORT", help="Peer address of an entry host.")
+@click.option(
+    "--control",
+    "control_addresses",
+    multiple=True,
+    metavar="IP:PORT",
+    help="Peer address of a control host; give it for each.",
+)
+@secret_option
+@json_option
+def status(
+    entry: str | None,
+    control_addresses: tuple[str, ...],
+    peer_secret: str,
+    as_json: bool,
+) -> None:
+    """Show what an entry host, or the control hosts, say of themselves."""
+    if not entry and not control_addresses:
+        raise click.UsageError("Give --entry or --control.")
+    try:
+        if entry:
+            client = open_entry(entry, peer_secret)
+            answer = client.call(lambda peer: peer.status(), TIMEOUT)
+            print_fields(thrift_fields(answer), as_json)
+        if control_addresses:
+            control = open_control(control_addresses, peer_secret)
+            print_fields(thrift_fields(control.status()), as_json)
+    except (JujubeslipError, PeerRefusal) as error:
+        exit_refused(error)
+
+
+@click.command()
+@click.option("--pid", type=int, required=True, help="Process id of the entry host.")
+@click.option(
+    "--entry", required=True, metavar="IP:PORT", help="Its peer address, to watch it."
+)
+@secret_option
+def drain(pid: int, entry: str, peer_secret: str) -> None:
+    """Stop an entry host on this machine gracefully; show what is still open."""
+    os.kill(pid, signal.SIGTERM)
+    client = open_entry(entry, peer_secret)
+    while True:
+        try:
+            answer = client.call(lambda peer: peer.status(), TIMEOUT)
+        except JujubeslipError:
+            click.echo("stopped")
+            return
+        except PeerRefusal as error:
+            exit_refused(error)
+        click.echo(f"open requests: {answer.open_requests}")
+        time.sleep(LOOK_INTERVAL)
--- a/src/jujubeslip/declaration/_models.py
+++ b/src/jujubeslip/declaration/_models.py
@@ -47,7 +47,7 @@
 
 
 class Spread(enum.Enum):
-    """Which endpoints a request may use."""
+    """How far apart the endpoints of a pool, or of one request's choice, may be."""
 
     ZONE = "zone"
     REGION = "region"
@@ -66,6 +66,7 @@
     maximum_output_tokens: Tokens = 8_192
     retry_budget_share: Annotated[float, Field(ge=0.0, le=1.0)] = 0.1
     path: str = "/"
+    pooling: Spread = Spread.REGION
 
 
 @dataclass(frozen=True, config=STRICT)
--- /dev/null
+++ b/src/jujubeslip/endpoints/__init__.py
@@ -0,0 +1,43 @@
+"""Endpoints: their announcements, their state as read, and the engines' wire format."""
+
+from jujubeslip.endpoints._adapter import EngineAdapter
+from jujubeslip.endpoints._announcements import announcement_from_json
+from jujubeslip.endpoints._errors import (
+    AnswerCutError,
+    CallerGoneError,
+    EndpointAnswerError,
+    EndpointError,
+    EndpointRefusedError,
+    EndpointTimeoutError,
+    EndpointUnreachableError,
+)
+from jujubeslip.endpoints._http import never_interrupted
+from jujubeslip.endpoints._models import (
+    CacheEvent,
+    EndpointStatus,
+    HeldItem,
+    PlainAnswer,
+    PrefillResult,
+    RequestRef,
+)
+from jujubeslip.endpoints._plain import call_plain_service
+
+__all__ = [
+    "AnswerCutError",
+    "CacheEvent",
+    "CallerGoneError",
+    "EndpointAnswerError",
+    "EndpointError",
+    "EndpointRefusedError",
+    "EndpointStatus",
+    "EndpointTimeoutError",
+    "EndpointUnreachableError",
+    "EngineAdapter",
+    "HeldItem",
+    "PlainAnswer",
+    "PrefillResult",
+    "RequestRef",
+    "announcement_from_json",
+    "call_plain_service",
+    "never_interrupted",
+]
--- /dev/null
+++ b/src/jujubeslip/endpoints/_adapter.py
@@ -0,0 +1,238 @@
+"""The engines' wire format (docs/reference/engine-interface.md), and only here."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from jujubeslip.endpoints._errors import (
+    AnswerCutError,
+    EndpointAnswerError,
+    EndpointRefusedError,
+)
+from jujubeslip.endpoints._http import (
+    Call,
+    Interrupted,
+    exchange_json,
+    never_interrupted,
+    parse_object,
+)
+from jujubeslip.endpoints._models import (
+    CacheEvent,
+    EndpointStatus,
+    HeldItem,
+    PrefillResult,
+    RequestRef,
+)
+from jujubeslip.kernel import Deadline
+from jujubeslip.peers import EndpointRole
+
+HTTP_OK = 200
+ROLE_BY_NAME = {
+    "prefill": EndpointRole.PREFILL,
+    "decode": EndpointRole.DECODE,
+    "plain": EndpointRole.PLAIN,
+}
+
+
+class EngineAdapter:
+    """Calls to one engine; every answer is checked to be for the asked attempt."""
+
+    def __init__(self, address: str, interrupted: Interrupted = never_interrupted):
+        self.address = address
+        self._interrupted = interrupted
+
+    def prefill(
+        self,
+        ref: RequestRef,
+        model: str,
+        prompt: str,
+        priority: int,
+        deadline: Deadline,
+        traceparent: str = "",
+    ) -> PrefillResult:
+        """Compute a prompt and return where its KV cache is held."""
+        message = {"model": model, "prompt": prompt, "priority": priority}
+        answer = self._ask(ref, "/v1/prefill", message, deadline, traceparent)
+        return PrefillResult(
+            kv_id=str(answer["kv_id"]),
+            prompt_tokens=int(answer["prompt_tokens"]),
+            cached_tokens=int(answer["cached_tokens"]),
+            computed_tokens=int(answer["computed_tokens"]),
+        )
+
+    def import_kv(
+        self,
+        ref: RequestRef,
+        source: str,
+        kv_id: str,
+        priority: int,
+        deadline: Deadline,
+        traceparent: str = "",
+    ) -> str:
+        """Fetch a KV cache from a prefill engine; return its id at this engine."""
+        message = {"source": source, "kv_id": kv_id, "priority": priority}
+        answer = self._ask(ref, "/v1/import", message, deadline, traceparent)
+        return str(answer["kv_id"])
+
+    def decode(
+        self,
+        ref: RequestRef,
+        kv_id: str,
+        offset: int,
+        max_tokens: int,
+        deadline: Deadline,
+        silence: float,
+        traceparent: str = "",
+    ) -> Iterator[str]:
+        """Yield the tokens from `offset` on; return only after the end marker.
+
+        Raises AnswerCutError when the stream ends without its end marker, so that a
+        cut stream is never taken for a short answer.
+        """
+        call = Call(self.address, deadline, self._interrupted)
+        message = _with_ref(ref, {"kv_id": kv_id, "offset": offset})
+        message["max_tokens"] = max_tokens
+        try:
+            call.send(
+                "POST", "/v1/decode", json.dumps(message).encode(), _head(traceparent)
+            )
+            response = call.response()
+            if response.status != HTTP_OK:
+                raise _refusal(response.status, call.read_rest(), self.address)
+            yield from self._tokens(ref, call.lines(silence), offset)
+        finally:
+            call.close()
+
+    def _tokens(
+        self, ref: RequestRef, lines: Iterator[bytes], offset: int
+    ) -> Iterator[str]:
+        expected = offset
+        for line in lines:
+            item = parse_object(line, self.address)
+            _check_ref(item, ref, self.address)
+            if item.get("end"):
+                if item.get("tokens") != expected:
+                    raise EndpointAnswerError(f"{self.address}: tokens are missing.")
+                return
+            if "token" not in item:
+                continue
+            if item.get("index") != expected:
+                raise EndpointAnswerError(f"{self.address}: a token is out of order.")
+            expected += 1
+            yield str(item["token"])
+        raise AnswerCutError(f"{self.address}: the stream ended without its end.")
+
+    def cancel(self, request_id: str, attempt: int, deadline: Deadline) -> None:
+        """Free everything that is held for an attempt; raises unless acknowledged."""
+        ref = RequestRef(request_id, attempt, "")
+        self._ask(ref, "/v1/cancel", {}, deadline)
+
+    def status(self, deadline: Deadline) -> EndpointStatus:
+        """Return the endpoint's own account of itself."""
+        status, answer = exchange_json(
+            self.address, "/v1/status", None, deadline, self._interrupted
+        )
+        if status != HTTP_OK:
+            raise EndpointRefusedError(status, "status", may_have_run=False)
+        try:
+            return _status_from_json(answer)
+        except (KeyError, TypeError, ValueError) as error:
+            raise EndpointAnswerError(f"{self.address}: status: {error!r}.") from error
+
+    def events(
+        self, after: int, deadline: Deadline
+    ) -> tuple[tuple[CacheEvent, ...], int]:
+        """Return the cache events after a number, and the number to ask after next."""
+        _, answer = exchange_json(
+            self.address, f"/v1/events?after={after}", None, deadline
+        )
+        events = tuple(
+            CacheEvent(
+                int(item["number"]),
+                item["kind"] == "stored",
+                str(item["prefix_hash"]),
+                int(item["tokens"]),
+            )
+            for item in answer.get("events", [])
+        )
+        return events, int(answer.get("next", after))
+
+    def _ask(
+        self,
+        ref: RequestRef,
+        path: str,
+        message: Mapping[str, Any],
+        deadline: Deadline,
+        traceparent: str = "",
+    ) -> dict[str, Any]:
+        status, answer = exchange_json(
+            self.address,
+            path,
+            _with_ref(ref, message),
+            deadline,
+            self._interrupted,
+            _head(traceparent),
+        )
+        if status != HTTP_OK:
+            raise _refusal_from(status, answer)
+        _check_ref(answer, ref, self.address)
+        return answer
+
+
+def _head(traceparent: str) -> dict[str, str]:
+    return {"traceparent": traceparent} if traceparent else {}
+
+
+def _with_ref(ref: RequestRef, message: Mapping[str, Any]) -> dict[str, Any]:
+    return {
+        "request_id": ref.request_id,
+        "attempt": ref.attempt,
+        "owner": ref.owner,
+        **message,
+    }
+
+
+def _check_ref(answer: Mapping[str, Any], ref: RequestRef, address: str) -> None:
+    """Refuse an answer to another request, or a late one to an earlier attempt.
+
+    Crossed or late replies would otherwise reach the wrong client: they show as a
+    well-formed answer with another id. Engines echo both ids on every answer.
+    """
+    given = (answer.get("request_id"), answer.get("attempt"))
+    if given != (ref.request_id, ref.attempt):
+        raise EndpointAnswerError(f"{address}: the answer is for another attempt.")
+
+
+def _refusal(status: int, body: bytes, address: str) -> EndpointRefusedError:
+    return _refusal_from(status, parse_object(body, address))
+
+
+def _refusal_from(status: int, answer: Mapping[str, Any]) -> EndpointRefusedError:
+    reason = str(answer.get("reason", "no reason given"))
+    return EndpointRefusedError(status, reason, may_have_run=answer.get("ran") != "no")
+
+
+def _status_from_json(answer: Mapping[str, Any]) -> EndpointStatus:
+    load = answer.get("load", {})
+    return EndpointStatus(
+        endpoint_id=str(answer["endpoint_id"]),
+        incarnation=int(answer["incarnation"]),
+        role=ROLE_BY_NAME[answer["role"]],
+        leaving=bool(answer["leaving"]),
+        slots=int(answer["slots"]),
+        held=tuple(
+            HeldItem(
+                str(item["request_id"]),
+                int(item["attempt"]),
+                str(item["owner"]),
+                str(item["phase"]),
+                int(item.get("tokens", 0)),
+                int(item.get("age_ms", 0)),
+            )
+            for item in answer["held"]
+        ),
+        queued=int(load.get("queued", 0)),
+        running=int(load.get("running", 0)),
+    )
--- /dev/null
+++ b/src/jujubeslip/endpoints/_errors.py
@@ -0,0 +1,62 @@
+"""What can go wrong on the way to an endpoint, by what it says about the run."""
+
+from __future__ import annotations
+
+from jujubeslip.kernel import JujubeslipError
+
+
+class EndpointError(JujubeslipError):
+    """A call to an endpoint that brought no answer.
+
+    `may_have_run` is False only if no byte left for the endpoint, or the endpoint
+    itself said that it refused before it ran.
+    """
+
+    error_id = "endpoint_failed"
+    default_remedy = "Look at the endpoint's own log at this time."
+    may_have_run = True
+
+
+class EndpointUnreachableError(EndpointError):
+    """No connection could be opened, so nothing was sent."""
+
+    error_id = "endpoint_unreachable"
+    default_remedy = "Check that the endpoint runs and that its port can be reached."
+    may_have_run = False
+
+
+class EndpointTimeoutError(EndpointError):
+    """The endpoint did not answer before the deadline."""
+
+    error_id = "endpoint_timeout"
+
+
+class AnswerCutError(EndpointError):
+    """The answer ended before its end marker."""
+
+    error_id = "answer_cut"
+
+
+class EndpointAnswerError(EndpointError):
+    """An answer that is not for this request and attempt, or can't be read."""
+
+    error_id = "endpoint_answer_invalid"
+
+
+class EndpointRefusedError(EndpointError):
+    """The endpoint answered with a refusal and its reason."""
+
+    error_id = "endpoint_refused"
+
+    def __init__(self, status: int, reason: str, may_have_run: bool) -> None:
+        super().__init__(f"The endpoint refused with {status}: {reason}.")
+        self.status = status
+        self.reason = reason
+        self.may_have_run = may_have_run
+
+
+class CallerGoneError(JujubeslipError):
+    """The client closed its connection; what is held for it must be freed."""
+
+    error_id = "caller_gone"
+    default_remedy = "None: nobody waits for the answer."
--- /dev/null
+++ b/src/jujubeslip/endpoints/_http.py
@@ -0,0 +1,181 @@
+"""Calls over HTTP that end at a deadline or when the caller goes."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import select
+import socket
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any
+
+from jujubeslip.endpoints._errors import (
+    AnswerCutError,
+    CallerGoneError,
+    EndpointAnswerError,
+    EndpointTimeoutError,
+    EndpointUnreachableError,
+)
+from jujubeslip.kernel import Deadline
+
+CONNECT_SECONDS = 1.0
+# How often a wait looks whether the caller is still there, in seconds.
+LOOK_INTERVAL = 0.05
+READ_SIZE = 65536
+MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024
+
+Interrupted = Callable[[], bool]
+
+
+def never_interrupted() -> bool:
+    """Stand for a caller that doesn't go, such as a task of the system."""
+    return False
+
+
+class Call:
+    """One HTTP exchange on a connection of its own.
+
+    A connection is never used twice: an answer that comes late, or that was read in
+    part, would otherwise be taken for the answer to the next request.
+    """
+
+    def __init__(
+        self, address: str, deadline: Deadline, interrupted: Interrupted
+    ) -> None:
+        host, port = address.rsplit(":", 1)
+        self.address = address
+        self._deadline = deadline
+        self._interrupted = interrupted
+        self._connection = http.client.HTTPConnection(
+            host, int(port), timeout=min(CONNECT_SECONDS, deadline.remaining() or 0.001)
+        )
+        self._socket: socket.socket | None = None
+        self._response: http.client.HTTPResponse | None = None
+
+    def send(
+        self, method: str, path: str, body: bytes, headers: Mapping[str, str]
+    ) -> None:
+        """Open the connection and send the request whole."""
+        try:
+            self._connection.connect()
+        except OSError as error:
+            self.close()
+            raise EndpointUnreachableError(f"{self.address}: {error}.") from error
+        # http.client forgets its socket when the answer says that it will close.
+        sock = self._socket = self._connection.sock
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(max(0.001, self._deadline.remaining()))
+        try:
+            self._connection.request(
+                method, path, body, {"Connection": "close", **headers}
+            )
+        except OSError as error:
+            self.close()
+            raise AnswerCutError(f"{self.address}: sending failed: {error}.") from error
+
+    def response(self) -> http.client.HTTPResponse:
+        """Wait for the answer's head."""
+        self._wait_readable()
+        try:
+            self._response = self._connection.getresponse()
+        except (OSError, http.client.HTTPException) as error:
+            self.close()
+            raise AnswerCutError(f"{self.address}: no answer: {error!r}.") from error
+        return self._response
+
+    def read_some(self) -> bytes:
+        """Return the next bytes of the body, or nothing at its end."""
+        assert self._response is not None
+        try:
+            return self._response.read1(READ_SIZE)
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            raise AnswerCutError(f"{self.address}: {error!r}.") from error
+
+    def read_rest(self) -> bytes:
+        """Return the rest of the body, of which the head gives the length."""
+        assert self._response is not None
+        parts = []
+        size = 0
+        while not self._response.isclosed():
+            part = self.read_some()
+            if not part:
+                break
+            parts.append(part)
+            size += len(part)
+            if size > MAXIMUM_ANSWER_BYTES:
+                raise EndpointAnswerError(f"{self.address}: the answer is too long.")
+        if self._response.length:
+            raise AnswerCutError(f"{self.address}: the answer is shorter than said.")
+        return b"".join(parts)
+
+    def lines(self, silence: float) -> Iterator[bytes]:
+        """Yield the body's lines; `silence` seconds without a byte are a timeout.
+
+        A silent connection is how a stream looks whose connection something between
+        the hosts has lost track of: it would otherwise be waited for until the
+        request's deadline.
+        """
+        pending = b""
+        while True:
+            part = self.read_some()
+            if not part:
+                if pending:
+                    raise AnswerCutError(f"{self.address}: the last line is cut.")
+                return
+            *whole, pending = (pending + part).split(b"\n")
+            yield from whole
+            self._wait_readable(silence)
+
+    def _wait_readable(self, silence: float | None = None) -> None:
+        """Wait for bytes, looking at the deadline and for the caller meanwhile."""
+        if self._socket is None or self._socket.fileno() < 0:
+            return
+        limit = self._deadline
+        if silence is not None:
+            limit = limit.earlier_of(Deadline.after(silence))
+        poller = select.poll()
+        poller.register(self._socket, select.POLLIN)
+        while not poller.poll(int(min(LOOK_INTERVAL, limit.remaining()) * 1000) + 1):
+            if self._interrupted():
+                raise CallerGoneError("The client closed its connection.")
+            if limit.expired:
+                raise EndpointTimeoutError(f"{self.address}: no answer in time.")
+
+    def close(self) -> None:
+        """Close the connection, read or not."""
+        if self._response is not None:
+            self._response.close()
+        self._connection.close()
+
+
+def exchange_json(
+    address: str,
+    path: str,
+    message: Mapping[str, Any] | None,
+    deadline: Deadline,
+    interrupted: Interrupted = never_interrupted,
+    headers: Mapping[str, str] | None = None,
+) -> tuple[int, dict[str, Any]]:
+    """POST a JSON message, or GET without one; return the status and the answer."""
+    call = Call(address, deadline, interrupted)
+    try:
+        method = "GET" if message is None else "POST"
+        body = b"" if message is None else json.dumps(message).encode()
+        call.send(
+            method, path, body, {"Content-Type": "application/json", **(headers or {})}
+        )
+        status = call.response().status
+        return status, parse_object(call.read_rest(), address)
+    finally:
+        call.close()
+
+
+def parse_object(line: bytes, address: str) -> dict[str, Any]:
+    """Return the JSON object in the bytes."""
+    try:
+        value = json.loads(line)
+    except ValueError as error:
+        raise EndpointAnswerError(f"{address}: the answer is not JSON.") from error
+    if not isinstance(value, dict):
+        raise EndpointAnswerError(f"{address}: the answer is not an object.")
+    return value
--- /dev/null
+++ b/src/jujubeslip/endpoints/_plain.py
@@ -0,0 +1,49 @@
+"""Calls to plain services."""
+
+from __future__ import annotations
+
+from jujubeslip.endpoints._errors import EndpointAnswerError, EndpointRefusedError
+from jujubeslip.endpoints._http import Call, Interrupted
+from jujubeslip.endpoints._models import PlainAnswer, RequestRef
+from jujubeslip.kernel import Deadline
+
+HTTP_UNAVAILABLE = 503
+HTTP_SERVER_ERROR = 500
+
+
+def call_plain_service(
+    address: str,
+    path: str,
+    ref: RequestRef,
+    body: bytes,
+    idempotency_key: str,
+    deadline: Deadline,
+    interrupted: Interrupted,
+) -> PlainAnswer:
+    """Send the client's body and return the service's answer whole.
+
+    Raises EndpointRefusedError with `may_have_run` False when the service says so.
+    """
+    headers = {
+        "Content-Type": "application/json",
+        "X-Request-Id": ref.request_id,
+        "X-Attempt": str(ref.attempt),
+    }
+    if idempotency_key:
+        headers["Idempotency-Key"] = idempotency_key
+    call = Call(address, deadline, interrupted)
+    try:
+        call.send("POST", path, body, headers)
+        response = call.response()
+        answer = call.read_rest()
+    finally:
+        call.close()
+    echoed = (response.getheader("X-Request-Id"), response.getheader("X-Attempt"))
+    if echoed != (ref.request_id, str(ref.attempt)):
+        raise EndpointAnswerError(f"{address}: the answer is for another attempt.")
+    if response.status == HTTP_UNAVAILABLE and response.getheader("X-Ran") == "no":
+        raise EndpointRefusedError(response.status, "not run", may_have_run=False)
+    if response.status >= HTTP_SERVER_ERROR:
+        raise EndpointRefusedError(response.status, "failed", may_have_run=True)
+    content_type = response.getheader("Content-Type") or "application/octet-stream"
+    return PlainAnswer(response.status, content_type, answer)
--- /dev/null
+++ b/src/jujubeslip/entry/_peer_handler.py
@@ -0,0 +1,96 @@
+"""What an entry host answers to the other processes of the system."""
+
+from __future__ import annotations
+
+from jujubeslip.entry._configuration import ConfigurationFollower
+from jujubeslip.homes import Homes
+from jujubeslip.kernel import Process
+from jujubeslip.membership import Gossip, HostDirectory
+from jujubeslip.peers import (
+    Announcement,
+    Configuration,
+    EntryStatus,
+    GossipMessage,
+    GrantProgress,
+    HeldRequest,
+    KeyClaim,
+    KeyReply,
+    ReserveReply,
+    ReserveRequest,
+)
+from jujubeslip.requests import KeyKeeper, OpenRequests
+
+
+class PeerHandler:
+    """The EntryPeer service; each method passes on to the part that knows."""
+
+    def __init__(
+        self,
+        process: Process,
+        directory: HostDirectory,
+        gossip: Gossip,
+        homes: Homes,
+        keeper: KeyKeeper,
+        open_requests: OpenRequests,
+        configuration: ConfigurationFollower,
+    ) -> None:
+        self._process = process
+        self._directory = directory
+        self._gossip = gossip
+        self._homes = homes
+        self._keeper = keeper
+        self._open_requests = open_requests
+        self._configuration = configuration
+
+    def gossip(self, message: GossipMessage) -> GossipMessage:
+        """Exchange views of the entry hosts."""
+        return self._gossip.receive(message)
+
+    def announce(self, announcement: Announcement) -> None:
+        """Take an endpoint's announcement, as the home of its pool."""
+        self._homes.announce(announcement)
+
+    def reserve(self, request: ReserveRequest) -> ReserveReply:
+        """Grant, refuse, or say that the request waits."""
+        return self._homes.reserve(request)
+
+    def progress(self, progress: GrantProgress) -> None:
+        """Note what became of a grant."""
+        self._homes.progress(progress)
+
+    def claim_key(self, claim: KeyClaim) -> KeyReply:
+        """Claim an idempotency key, as its keeper."""
+        return self._keeper.claim(claim)
+
+    def finish_key(self, claim: KeyClaim, outcome: bytes) -> None:
+        """Record the answer of a key's run."""
+        self._keeper.finish(claim, outcome)
+
+    def abandon_key(self, claim: KeyClaim) -> None:
+        """Free a key whose run ended without an answer."""
+        self._keeper.abandon(claim)
+
+    def closed_requests(
+        self, incarnation: int, held: list[HeldRequest]
+    ) -> list[HeldRequest]:
+        """Return which of an engine's held requests this process does not serve."""
+        if incarnation != self._directory.own.incarnation:
+            return held
+        return self._open_requests.closed_among(held)
+
+    def get_configuration(self, known_revision: int) -> Configuration:
+        """Return the configuration in force here."""
+        return self._configuration.configuration
+
+    def status(self) -> EntryStatus:
+        """Return this host's account of itself, for operators."""
+        own = self._directory.own
+        return EntryStatus(
+            own.host_id,
+            own.incarnation,
+            self._configuration.revision,
+            self._open_requests.count,
+            self._process.stopping.is_set(),
+            self._directory.states(),
+            self._homes.statuses(),
+        )
--- /dev/null
+++ b/src/jujubeslip/entry/_process.py
@@ -0,0 +1,171 @@
+"""The wiring of an entry process."""
+
+from __future__ import annotations
+
+import logging
+
+from jujubeslip.control import ControlClient
+from jujubeslip.entry._configuration import ConfigurationFollower
+from jujubeslip.entry._http_app import HttpApp
+from jujubeslip.entry._http_server import HttpServer
+from jujubeslip.entry._peer_handler import PeerHandler
+from jujubeslip.homes import Homes, SchedulerOptions
+from jujubeslip.kernel import EntrySettings, Process, load_plugins, new_incarnation
+from jujubeslip.membership import Gossip, HostDirectory, PeerClients
+from jujubeslip.peers import (
+    EntryPeer,
+    HostState,
+    HostStatus,
+    PeerIdentity,
+    PeerServer,
+)
+from jujubeslip.requests import (
+    Canceller,
+    ControlKeys,
+    KeeperKeys,
+    KeyKeeper,
+    ModelPath,
+    OpenRequests,
+    PlainPath,
+    RequestService,
+)
+from jujubeslip.routing import (
+    ClientLimits,
+    HomeRouter,
+    LocalRouter,
+    RetryBudgets,
+    Router,
+    local_policies,
+)
+from jujubeslip.telemetry import Meters, configure_logging, configure_telemetry
+
+logger = logging.getLogger(__name__)
+
+HOME_POLICY = "home"
+# How long others need to hear that this host is leaving, in seconds.
+LEAVE_SECONDS = 1.0
+
+
+class EntryProcess:
+    """Everything that an entry host runs, built in the order in which it is used."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self._settings = settings
+        self._process = Process("entry")
+        incarnation = new_incarnation()
+        self._identity = PeerIdentity(
+            settings.host_id, incarnation, settings.peer_secret
+        )
+        self._owner = f"{settings.host_id}/{incarnation}"
+        self._telemetry = configure_telemetry(
+            settings.telemetry, settings.host_id, settings.availability_zone
+        )
+        self._meters = Meters()
+        self._clients = PeerClients(self._identity)
+        self._control = ControlClient(settings.control_peers, self._identity)
+        self._configuration = ConfigurationFollower(self._control, self._clients)
+        self._directory = HostDirectory(self._own_state(incarnation))
+        self._gossip = Gossip(
+            self._directory,
+            self._clients,
+            tuple(peer.address for peer in settings.entry_peers),
+            lambda: self._configuration.revision,
+            self._configuration.fetch_from_peer,
+        )
+        self._homes = Homes(
+            self._directory, self._clients, self._process, SchedulerOptions()
+        )
+        self._router = self._build_router()
+        self._open_requests = OpenRequests()
+        self._keeper = KeyKeeper(self._directory)
+        self._http = HttpServer(settings, self._build_app())
+        self._peers = PeerServer(
+            settings.peer_address,
+            EntryPeer.Processor,
+            self._build_peer_handler(),
+            settings.peer_secret,
+            self._process,
+        )
+
+    def _own_state(self, incarnation: int) -> HostState:
+        settings = self._settings
+        return HostState(
+            settings.host_id,
+            incarnation,
+            settings.peer_address,
+            settings.availability_zone,
+            HostStatus.ALIVE,
+            0,
+            0,
+            settings.region,
+        )
+
+    def _build_router(self) -> Router:
+        if self._settings.policy == HOME_POLICY:
+            return HomeRouter(
+                self._directory, self._clients, self._homes, self._process
+            )
+        policy = local_policies.get(self._settings.policy)
+        return LocalRouter(self._directory, self._clients, self._homes, policy)
+
+    def _build_app(self) -> HttpApp:
+        budgets = RetryBudgets()
+        canceller = Canceller(self._process)
+        service = RequestService(
+            self._owner,
+            self._settings.availability_zone,
+            lambda: self._configuration.declaration,
+            self._router,
+            ClientLimits(lambda: len(self._directory.live_hosts())),
+            ModelPath(self._owner, self._router, canceller, budgets, self._meters),
+            PlainPath(self._owner, self._router, budgets, self._meters),
+            KeeperKeys(self._directory, self._clients, self._keeper),
+            ControlKeys(self._control),
+        )
+        return HttpApp(
+            self._settings,
+            self._process,
+            self._configuration,
+            service,
+            self._router,
+            self._open_requests,
+            self._meters,
+        )
+
+    def _build_peer_handler(self) -> PeerHandler:
+        return PeerHandler(
+            self._process,
+            self._directory,
+            self._gossip,
+            self._homes,
+            self._keeper,
+            self._open_requests,
+            self._configuration,
+        )
+
+    def run(self) -> None:
+        """Serve until SIGTERM, then finish what is open and exit with status 0."""
+        self._peers.start()
+        self._gossip.start(self._process)
+        self._configuration.start(self._process)
+        self._homes.start()
+        self._http.start(self._process)
+        extra = {"http": self._settings.http_address, "peers": self._peers.address}
+        logger.info("entry host serves", extra=extra)
+        self._process.run(self._drain)
+
+    def _drain(self) -> None:
+        """Take no new request, hand the homes over, finish what is open."""
+        self._directory.leave()
+        self._http.stop_listening()
+        self._process.stopped.wait(LEAVE_SECONDS)
+        self._open_requests.wait_until_none()
+        self._http.wait_until_flushed()
+        self._telemetry.shutdown()
+
+
+def run_entry(settings: EntrySettings) -> None:
+    """Run an entry host until it is stopped."""
+    configure_logging(settings.telemetry)
+    load_plugins()
+    EntryProcess(settings).run()
--- /dev/null
+++ b/src/jujubeslip/homes/_records.py
@@ -0,0 +1,163 @@
+"""What a home keeps for each endpoint, each grant and each waiting request."""
+
+from __future__ import annotations
+
+import threading
+import time
+from dataclasses import dataclass, field
+
+from jujubeslip.endpoints import EndpointStatus
+from jujubeslip.homes._estimates import MovingAverage
+from jujubeslip.kernel import Deadline
+from jujubeslip.peers import (
+    Announcement,
+    EndpointRef,
+    EndpointRole,
+    ReserveReply,
+    ReserveRequest,
+)
+
+# A status is relied on for this long, in seconds. A leaving endpoint must get no new
+# work after 3 s even when nobody tells its home, so this stays below that.
+STATUS_LIFETIME = 2.0
+ANNOUNCEMENT_LIFETIME = 5.0
+# A failed endpoint is passed over for this long, doubled on each further failure.
+EJECTION_SECONDS = 0.5
+MAXIMUM_EJECTION_SECONDS = 10.0
+MAXIMUM_PREFIXES = 4096
+START_PREFILL_SECONDS_PER_TOKEN = 0.0001
+
+
+class EndpointRecord:
+    """One endpoint as its home knows it; changed under the pool's lock only."""
+
+    def __init__(self, announcement: Announcement) -> None:
+        self.announcement = announcement
+        self.announced_until = Deadline.after(ANNOUNCEMENT_LIFETIME)
+        self.usable_until = Deadline.after(0)
+        self.status: EndpointStatus | None = None
+        self.status_asked_at = 0.0
+        self.prefill_seconds_per_token = MovingAverage(START_PREFILL_SECONDS_PER_TOKEN)
+        self.last_prefill_finished_at = 0.0
+        self.tokens_by_prefix_hash: dict[str, int] = {}
+        self.failures = 0
+        self.ejected_until = Deadline.after(0)
+
+    @property
+    def endpoint_id(self) -> str:
+        """Return the endpoint's id."""
+        return self.announcement.endpoint_id
+
+    @property
+    def role(self) -> EndpointRole:
+        """Return the role that the endpoint itself last reported."""
+        return self.status.role if self.status else self.announcement.role
+
+    @property
+    def slots(self) -> int:
+        """Return how many requests the endpoint's memory holds."""
+        return self.status.slots if self.status else self.announcement.slots
+
+    @property
+    def reference(self) -> EndpointRef:
+        """Return what an entry host needs to call the endpoint."""
+        return EndpointRef(
+            self.endpoint_id, self.announcement.incarnation, self.announcement.address
+        )
+
+    @property
+    def usable(self) -> bool:
+        """Say whether new work may go there.
+
+        The endpoint itself must have said so lately: an old announcement that arrives
+        after the endpoint left can't bring it back, since its status says "leaving"
+        or there is none.
+        """
+        return not self.announcement.leaving and not self.usable_until.expired
+
+    def observe(self, status: EndpointStatus, asked_at: float) -> None:
+        """Take over a status; its lifetime counts from when it was asked for."""
+        self.status = status
+        self.status_asked_at = asked_at
+        if status.leaving or status.incarnation != self.announcement.incarnation:
+            self.usable_until = Deadline(asked_at)
+            return
+        self.usable_until = Deadline(asked_at + STATUS_LIFETIME)
+
+    def failed(self) -> None:
+        """Pass the endpoint over for a while; longer after each failure in a row."""
+        self.failures += 1
+        seconds = EJECTION_SECONDS * 2 ** (self.failures - 1)
+        self.ejected_until = Deadline.after(min(seconds, MAXIMUM_EJECTION_SECONDS))
+
+    def succeeded(self) -> None:
+        """Forget one failure; the way back is as gradual as the way out."""
+        self.failures = max(0, self.failures - 1)
+
+    def cached_tokens(self, prefix_hashes: list[str]) -> int:
+        """Return how much of a prompt is in this endpoint's prefix cache."""
+        known = self.tokens_by_prefix_hash
+        return max((known.get(item, 0) for item in prefix_hashes), default=0)
+
+    def remember_prefixes(self, prefix_hashes: list[str], prompt_tokens: int) -> None:
+        """Note the prefixes that a finished prefill left in the cache.
+
+        The endpoint's own events come late and some are lost, so a home notes its own
+        grants at once and forgets the oldest beyond a bound.
+        """
+        for power, prefix_hash in enumerate(prefix_hashes):
+            self.tokens_by_prefix_hash.pop(prefix_hash, None)
+            tokens = min(64 * 2**power, prompt_tokens)
+            self.tokens_by_prefix_hash[prefix_hash] = tokens
+        while len(self.tokens_by_prefix_hash) > MAXIMUM_PREFIXES:
+            self.tokens_by_prefix_hash.pop(next(iter(self.tokens_by_prefix_hash)))
+
+
+@dataclass
+class GrantRecord:
+    """Capacity given to one attempt; instants are of the monotonic clock."""
+
+    grant_id: str
+    request: ReserveRequest
+    prefill_id: str
+    decode_id: str
+    prefill_ends: Deadline
+    releases: Deadline
+    prefill_finished: bool = False
+    transfer_finished_at: float = 0.0
+    granted_at: float = field(default_factory=time.monotonic)
+    progressed_at: float = field(default_factory=time.monotonic)
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Return the attempt that the grant is for."""
+        return (self.request.request_id, self.request.attempt)
+
+
+class Waiter:
+    """A request in the home's queue, and the reply once there is one."""
+
+    def __init__(self, request: ReserveRequest) -> None:
+        self.request = request
+        self.first_token_by = Deadline.from_remaining_ms(
+            request.first_token_remaining_ms
+        )
+        self.wait_until = Deadline.from_remaining_ms(request.wait_remaining_ms)
+        self.asked_until = Deadline.after(0)
+        self.arrived_at = time.monotonic()
+        self.reply: ReserveReply | None = None
+        self.answered = threading.Event()
+
+    @property
+    def order(self) -> tuple[int, float, float]:
+        """Return the place in the queue: priority, then deadline, then arrival."""
+        return (
+            self.request.priority,
+            self.first_token_by.instant,
+            self.arrived_at,
+        )
+
+    def answer(self, reply: ReserveReply) -> None:
+        """Set the reply and wake the task that waits for it."""
+        self.reply = reply
+        self.answered.set()
--- /dev/null
+++ b/src/jujubeslip/homes/_tracker.py
@@ -0,0 +1,146 @@
+"""One task for each endpoint: asks for its status and sweeps its orphans."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections import defaultdict
+from collections.abc import Sequence
+
+from jujubeslip.endpoints import (
+    CacheEvent,
+    EndpointError,
+    EndpointStatus,
+    EngineAdapter,
+    HeldItem,
+)
+from jujubeslip.homes._pool import Pool
+from jujubeslip.homes._records import EndpointRecord
+from jujubeslip.kernel import Deadline, PeerUnavailableError, Process
+from jujubeslip.membership import HostDirectory, PeerClients
+from jujubeslip.peers import EndpointRole, HeldRequest, HostStatus, PeerRefusal
+
+logger = logging.getLogger(__name__)
+
+STATUS_INTERVAL = 0.5
+STATUS_TIMEOUT = 1.0
+# What is younger than this, in milliseconds, is not asked about: its entry host may
+# only just have opened it.
+SWEEP_AGE_MS = 1500
+SWEEP_INTERVAL = 1.0
+OWNER_TIMEOUT = 0.6
+CANCEL_TIMEOUT = 1.0
+
+
+class EndpointTracker:
+    """Keeps one endpoint's record fresh while it announces itself here."""
+
+    def __init__(
+        self,
+        pool: Pool,
+        record: EndpointRecord,
+        directory: HostDirectory,
+        clients: PeerClients,
+        sweeps: bool,
+    ) -> None:
+        self._pool = pool
+        self._record = record
+        self._directory = directory
+        self._clients = clients
+        self._sweeps = sweeps
+        self._next_sweep = Deadline.after(0)
+        self._next_event = 0
+
+    def run(self, process: Process) -> None:
+        """Ask until the endpoint stops announcing itself, or the process stops."""
+        while not process.stopped.wait(STATUS_INTERVAL):
+            if self._record.announced_until.expired:
+                break
+            self.step()
+        self._pool.forget(self._record)
+
+    def step(self) -> None:
+        """Ask once; an endpoint that doesn't answer is used no more when it's due."""
+        asked_at = time.monotonic()
+        adapter = EngineAdapter(self._record.announcement.address)
+        try:
+            status = adapter.status(Deadline.after(STATUS_TIMEOUT))
+        except EndpointError as error:
+            logger.debug("no status", extra={"error": str(error)})
+            return
+        if status.endpoint_id != self._record.endpoint_id:
+            logger.warning(
+                "another endpoint answers at this address",
+                extra={"endpoint": self._record.endpoint_id},
+            )
+            return
+        self._pool.observe(self._record.endpoint_id, status, asked_at)
+        self._read_events(adapter, status)
+        if self._sweeps and self._next_sweep.expired:
+            self._next_sweep = Deadline.after(SWEEP_INTERVAL)
+            self._sweep(adapter, status)
+
+    def _read_events(self, adapter: EngineAdapter, status: EndpointStatus) -> None:
+        if status.role is not EndpointRole.PREFILL:
+            return
+        try:
+            deadline = Deadline.after(STATUS_TIMEOUT)
+            events, self._next_event = adapter.events(self._next_event, deadline)
+        except EndpointError:
+            return
+        _apply_events(self._record, events)
+
+    def _sweep(self, adapter: EngineAdapter, status: EndpointStatus) -> None:
+        """Free what the engine holds for entry processes that serve it no more.
+
+        An entry process that is killed can't cancel what it started, and the engine
+        would hold its memory for good. The home asks each living owner; what a dead
+        incarnation owned, or what the owner does not know, is cancelled.
+        """
+        held_by_owner: dict[str, list[HeldItem]] = defaultdict(list)
+        for item in status.held:
+            if item.age_ms >= SWEEP_AGE_MS:
+                held_by_owner[item.owner].append(item)
+        for owner, items in held_by_owner.items():
+            for request in self._orphans(owner, items):
+                self._cancel(adapter, request)
+
+    def _orphans(self, owner: str, items: Sequence[HeldItem]) -> list[HeldRequest]:
+        requests = [HeldRequest(item.request_id, item.attempt) for item in items]
+        host_id, _, incarnation_text = owner.rpartition("/")
+        if not host_id or not incarnation_text.isdigit():
+            return []
+        incarnation = int(incarnation_text)
+        status = self._directory.status_of(host_id, incarnation)
+        address = self._directory.address_of(host_id)
+        dead = status is HostStatus.DEAD
+        if address is None:
+            return requests if dead else []
+        try:
+            closed: list[HeldRequest] = self._clients.get(address).call(
+                lambda client: client.closed_requests(incarnation, requests),
+                OWNER_TIMEOUT,
+            )
+        except (PeerUnavailableError, PeerRefusal):
+            # Suspicion is not enough: its callers may be living ones.
+            return requests if dead else []
+        return closed
+
+    def _cancel(self, adapter: EngineAdapter, request: HeldRequest) -> None:
+        extra = {"request_id": request.request_id, "attempt": request.attempt}
+        logger.info("cancelling an orphaned request", extra=extra)
+        try:
+            adapter.cancel(
+                request.request_id, request.attempt, Deadline.after(CANCEL_TIMEOUT)
+            )
+        except EndpointError as error:
+            # It is still in the engine's list, so the next sweep asks again.
+            logger.info("cancel failed", extra={**extra, "error": str(error)})
+
+
+def _apply_events(record: EndpointRecord, events: Sequence[CacheEvent]) -> None:
+    for event in events:
+        if event.stored:
+            record.tokens_by_prefix_hash[event.prefix_hash] = event.tokens
+        else:
+            record.tokens_by_prefix_hash.pop(event.prefix_hash, None)
--- /dev/null
+++ b/src/jujubeslip/membership/__init__.py
@@ -0,0 +1,8 @@
+"""Which entry hosts live, learned by gossip, and which of them owns what."""
+
+from jujubeslip.membership._directory import HostDirectory
+from jujubeslip.membership._gossip import Gossip
+from jujubeslip.membership._peers import PeerClients
+from jujubeslip.membership._rendezvous import rendezvous_order
+
+__all__ = ["Gossip", "HostDirectory", "PeerClients", "rendezvous_order"]
--- a/src/jujubeslip/peers/gen/ControlPeer.py
+++ b/src/jujubeslip/peers/gen/ControlPeer.py
@@ -64,6 +64,15 @@
         """
         pass
 
+    def abandon_key(self, claim, remaining_ms):
+        """
+        Parameters:
+         - claim
+         - remaining_ms
+
+        """
+        pass
+
     def history(self, limit):
         """
         Parameters:
@@ -263,6 +272,42 @@
             raise result.not_leader
         return
 
+    def abandon_key(self, claim, remaining_ms):
+        """
+        Parameters:
+         - claim
+         - remaining_ms
+
+        """
+        self.send_abandon_key(claim, remaining_ms)
+        self.recv_abandon_key()
+
+    def send_abandon_key(self, claim, remaining_ms):
+        self._oprot.writeMessageBegin('abandon_key', TMessageType.CALL, self._seqid)
+        args = abandon_key_args()
+        args.claim = claim
+        args.remaining_ms = remaining_ms
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_abandon_key(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = abandon_key_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.refusal is not None:
+            raise result.refusal
+        if result.not_leader is not None:
+            raise result.not_leader
+        return
+
     def history(self, limit):
         """
         Parameters:
@@ -335,6 +380,7 @@
         self._processMap["apply_configuration"] = Processor.process_apply_configuration
         self._processMap["claim_key"] = Processor.process_claim_key
         self._processMap["finish_key"] = Processor.process_finish_key
+        self._processMap["abandon_key"] = Processor.process_abandon_key
         self._processMap["history"] = Processor.process_history
         self._processMap["status"] = Processor.process_status
         self._on_message_begin = None
@@ -498,6 +544,35 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_abandon_key(self, seqid, iprot, oprot):
+        args = abandon_key_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = abandon_key_result()
+        try:
+            self._handler.abandon_key(args.claim, args.remaining_ms)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except NotLeader as not_leader:
+            msg_type = TMessageType.REPLY
+            result.not_leader = not_leader
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("abandon_key", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_history(self, seqid, iprot, oprot):
         args = history_args()
         args.read(iprot)
@@ -1297,6 +1372,155 @@
 )
 
 
+class abandon_key_args(object):
+    """
+    Attributes:
+     - claim
+     - remaining_ms
+
+    """
+
+
+    def __init__(self, claim=None, remaining_ms=None,):
+        self.claim = claim
+        self.remaining_ms = remaining_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.claim = KeyClaim()
+                    self.claim.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.remaining_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('abandon_key_args')
+        if self.claim is not None:
+            oprot.writeFieldBegin('claim', TType.STRUCT, 1)
+            self.claim.write(oprot)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I64, 2)
+            oprot.writeI64(self.remaining_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(abandon_key_args)
+abandon_key_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'claim', [KeyClaim, None], None, ),  # 1
+    (2, TType.I64, 'remaining_ms', None, None, ),  # 2
+)
+
+
+class abandon_key_result(object):
+    """
+    Attributes:
+     - refusal
+     - not_leader
+
+    """
+
+
+    def __init__(self, refusal=None, not_leader=None,):
+        self.refusal = refusal
+        self.not_leader = not_leader
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.not_leader = NotLeader.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('abandon_key_result')
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        if self.not_leader is not None:
+            oprot.writeFieldBegin('not_leader', TType.STRUCT, 2)
+            self.not_leader.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(abandon_key_result)
+abandon_key_result.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+    (2, TType.STRUCT, 'not_leader', [NotLeader, None], None, ),  # 2
+)
+
+
 class history_args(object):
     """
     Attributes:
@@ -1384,11 +1608,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = Configuration()
-                        _elem47.read(iprot)
-                        self.success.append(_elem47)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = Configuration()
+                        _elem61.read(iprot)
+                        self.success.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1410,8 +1634,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter48 in self.success:
-                iter48.write(oprot)
+            for iter62 in self.success:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
--- a/src/jujubeslip/peers/gen/EntryPeer.py
+++ b/src/jujubeslip/peers/gen/EntryPeer.py
@@ -77,6 +77,23 @@
         """
         pass
 
+    def abandon_key(self, claim):
+        """
+        Parameters:
+         - claim
+
+        """
+        pass
+
+    def closed_requests(self, incarnation, held):
+        """
+        Parameters:
+         - incarnation
+         - held
+
+        """
+        pass
+
     def get_configuration(self, known_revision):
         """
         Parameters:
@@ -328,6 +345,74 @@
             raise result.refusal
         return
 
+    def abandon_key(self, claim):
+        """
+        Parameters:
+         - claim
+
+        """
+        self.send_abandon_key(claim)
+        self.recv_abandon_key()
+
+    def send_abandon_key(self, claim):
+        self._oprot.writeMessageBegin('abandon_key', TMessageType.CALL, self._seqid)
+        args = abandon_key_args()
+        args.claim = claim
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_abandon_key(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = abandon_key_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.refusal is not None:
+            raise result.refusal
+        return
+
+    def closed_requests(self, incarnation, held):
+        """
+        Parameters:
+         - incarnation
+         - held
+
+        """
+        self.send_closed_requests(incarnation, held)
+        return self.recv_closed_requests()
+
+    def send_closed_requests(self, incarnation, held):
+        self._oprot.writeMessageBegin('closed_requests', TMessageType.CALL, self._seqid)
+        args = closed_requests_args()
+        args.incarnation = incarnation
+        args.held = held
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_closed_requests(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = closed_requests_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.refusal is not None:
+            raise result.refusal
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "closed_requests failed: unknown result")
+
     def get_configuration(self, known_revision):
         """
         Parameters:
@@ -402,6 +487,8 @@
         self._processMap["progress"] = Processor.process_progress
         self._processMap["claim_key"] = Processor.process_claim_key
         self._processMap["finish_key"] = Processor.process_finish_key
+        self._processMap["abandon_key"] = Processor.process_abandon_key
+        self._processMap["closed_requests"] = Processor.process_closed_requests
         self._processMap["get_configuration"] = Processor.process_get_configuration
         self._processMap["status"] = Processor.process_status
         self._on_message_begin = None
@@ -608,6 +695,58 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_abandon_key(self, seqid, iprot, oprot):
+        args = abandon_key_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = abandon_key_result()
+        try:
+            self._handler.abandon_key(args.claim)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("abandon_key", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_closed_requests(self, seqid, iprot, oprot):
+        args = closed_requests_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = closed_requests_result()
+        try:
+            result.success = self._handler.closed_requests(args.incarnation, args.held)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("closed_requests", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_get_configuration(self, seqid, iprot, oprot):
         args = get_configuration_args()
         args.read(iprot)
@@ -1586,6 +1725,296 @@
 )
 
 
+class abandon_key_args(object):
+    """
+    Attributes:
+     - claim
+
+    """
+
+
+    def __init__(self, claim=None,):
+        self.claim = claim
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.claim = KeyClaim()
+                    self.claim.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('abandon_key_args')
+        if self.claim is not None:
+            oprot.writeFieldBegin('claim', TType.STRUCT, 1)
+            self.claim.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(abandon_key_args)
+abandon_key_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'claim', [KeyClaim, None], None, ),  # 1
+)
+
+
+class abandon_key_result(object):
+    """
+    Attributes:
+     - refusal
+
+    """
+
+
+    def __init__(self, refusal=None,):
+        self.refusal = refusal
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('abandon_key_result')
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(abandon_key_result)
+abandon_key_result.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+)
+
+
+class closed_requests_args(object):
+    """
+    Attributes:
+     - incarnation
+     - held
+
+    """
+
+
+    def __init__(self, incarnation=None, held=None,):
+        self.incarnation = incarnation
+        self.held = held
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.held = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = HeldRequest()
+                        _elem47.read(iprot)
+                        self.held.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('closed_requests_args')
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 1)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.held))
+            for iter48 in self.held:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(closed_requests_args)
+closed_requests_args.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'incarnation', None, None, ),  # 1
+    (2, TType.LIST, 'held', (TType.STRUCT, [HeldRequest, None], False), None, ),  # 2
+)
+
+
+class closed_requests_result(object):
+    """
+    Attributes:
+     - success
+     - refusal
+
+    """
+
+
+    def __init__(self, success=None, refusal=None,):
+        self.success = success
+        self.refusal = refusal
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.LIST:
+                    self.success = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = HeldRequest()
+                        _elem54.read(iprot)
+                        self.success.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('closed_requests_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.LIST, 0)
+            oprot.writeListBegin(TType.STRUCT, len(self.success))
+            for iter55 in self.success:
+                iter55.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(closed_requests_result)
+closed_requests_result.thrift_spec = (
+    (0, TType.LIST, 'success', (TType.STRUCT, [HeldRequest, None], False), None, ),  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+)
+
+
 class get_configuration_args(object):
     """
     Attributes:
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -334,11 +334,12 @@
      - status
      - heartbeat
      - configuration_revision
+     - region
 
     """
 
 
-    def __init__(self, host_id=None, incarnation=None, address=None, availability_zone=None, status=None, heartbeat=None, configuration_revision=None,):
+    def __init__(self, host_id=None, incarnation=None, address=None, availability_zone=None, status=None, heartbeat=None, configuration_revision=None, region=None,):
         self.host_id = host_id
         self.incarnation = incarnation
         self.address = address
@@ -346,6 +347,7 @@
         self.status = status
         self.heartbeat = heartbeat
         self.configuration_revision = configuration_revision
+        self.region = region
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -391,6 +393,11 @@
                     self.configuration_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -429,6 +436,10 @@
             oprot.writeFieldBegin('configuration_revision', TType.I64, 7)
             oprot.writeI64(self.configuration_revision)
             oprot.writeFieldEnd()
+        if self.region is not None:
+            oprot.writeFieldBegin('region', TType.STRING, 8)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -547,11 +558,12 @@
      - model
      - slots
      - leaving
+     - place
 
     """
 
 
-    def __init__(self, endpoint_id=None, incarnation=None, address=None, availability_zone=None, service_name=None, role=None, model=None, slots=None, leaving=None,):
+    def __init__(self, endpoint_id=None, incarnation=None, address=None, availability_zone=None, service_name=None, role=None, model=None, slots=None, leaving=None, place=None,):
         self.endpoint_id = endpoint_id
         self.incarnation = incarnation
         self.address = address
@@ -561,6 +573,7 @@
         self.model = model
         self.slots = slots
         self.leaving = leaving
+        self.place = place
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -616,6 +629,11 @@
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.place = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -662,6 +680,10 @@
             oprot.writeFieldBegin('leaving', TType.BOOL, 9)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
+        if self.place is not None:
+            oprot.writeFieldBegin('place', TType.STRING, 10)
+            oprot.writeString(self.place.encode('utf-8') if sys.version_info[0] == 2 else self.place)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -696,11 +718,13 @@
      - avoid_endpoint_ids
      - prefill_endpoint_id
      - traceparent
+     - place
+     - plain
 
     """
 
 
-    def __init__(self, request_id=None, attempt=None, owner=None, service_name=None, priority=None, first_token_remaining_ms=None, wait_remaining_ms=None, prompt_tokens=None, output_tokens=None, prefix_hashes=None, avoid_endpoint_ids=None, prefill_endpoint_id=None, traceparent=None,):
+    def __init__(self, request_id=None, attempt=None, owner=None, service_name=None, priority=None, first_token_remaining_ms=None, wait_remaining_ms=None, prompt_tokens=None, output_tokens=None, prefix_hashes=None, avoid_endpoint_ids=None, prefill_endpoint_id=None, traceparent=None, place=None, plain=None,):
         self.request_id = request_id
         self.attempt = attempt
         self.owner = owner
@@ -714,6 +738,8 @@
         self.avoid_endpoint_ids = avoid_endpoint_ids
         self.prefill_endpoint_id = prefill_endpoint_id
         self.traceparent = traceparent
+        self.place = place
+        self.plain = plain
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -799,6 +825,16 @@
                     self.traceparent = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRING:
+                    self.place = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.BOOL:
+                    self.plain = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -867,6 +903,14 @@
             oprot.writeFieldBegin('traceparent', TType.STRING, 13)
             oprot.writeString(self.traceparent.encode('utf-8') if sys.version_info[0] == 2 else self.traceparent)
             oprot.writeFieldEnd()
+        if self.place is not None:
+            oprot.writeFieldBegin('place', TType.STRING, 14)
+            oprot.writeString(self.place.encode('utf-8') if sys.version_info[0] == 2 else self.place)
+            oprot.writeFieldEnd()
+        if self.plain is not None:
+            oprot.writeFieldBegin('plain', TType.BOOL, 15)
+            oprot.writeBool(self.plain)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1063,15 +1107,19 @@
      - grant
      - reason
      - retry_after_ms
+     - queue_wait_ms
+     - load
 
     """
 
 
-    def __init__(self, status=None, grant=None, reason=None, retry_after_ms=None,):
+    def __init__(self, status=None, grant=None, reason=None, retry_after_ms=None, queue_wait_ms=None, load=None,):
         self.status = status
         self.grant = grant
         self.reason = reason
         self.retry_after_ms = retry_after_ms
+        self.queue_wait_ms = queue_wait_ms
+        self.load = load
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1103,6 +1151,16 @@
                     self.retry_after_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.queue_wait_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.load = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1129,6 +1187,14 @@
             oprot.writeFieldBegin('retry_after_ms', TType.I64, 4)
             oprot.writeI64(self.retry_after_ms)
             oprot.writeFieldEnd()
+        if self.queue_wait_ms is not None:
+            oprot.writeFieldBegin('queue_wait_ms', TType.I64, 5)
+            oprot.writeI64(self.queue_wait_ms)
+            oprot.writeFieldEnd()
+        if self.load is not None:
+            oprot.writeFieldBegin('load', TType.DOUBLE, 6)
+            oprot.writeDouble(self.load)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1270,6 +1336,74 @@
         return not (self == other)
 
 
+class HeldRequest(object):
+    """
+    Attributes:
+     - request_id
+     - attempt
+
+    """
+
+
+    def __init__(self, request_id=None, attempt=None,):
+        self.request_id = request_id
+        self.attempt = attempt
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HeldRequest')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 1)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 2)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class KeyClaim(object):
     """
     Attributes:
@@ -2246,6 +2380,7 @@
     (5, TType.I32, 'status', None, None, ),  # 5
     (6, TType.I64, 'heartbeat', None, None, ),  # 6
     (7, TType.I64, 'configuration_revision', None, None, ),  # 7
+    (8, TType.STRING, 'region', 'UTF8', None, ),  # 8
 )
 all_structs.append(GossipMessage)
 GossipMessage.thrift_spec = (
@@ -2266,6 +2401,7 @@
     (7, TType.STRING, 'model', 'UTF8', None, ),  # 7
     (8, TType.I32, 'slots', None, None, ),  # 8
     (9, TType.BOOL, 'leaving', None, None, ),  # 9
+    (10, TType.STRING, 'place', 'UTF8', None, ),  # 10
 )
 all_structs.append(ReserveRequest)
 ReserveRequest.thrift_spec = (
@@ -2283,6 +2419,8 @@
     (11, TType.LIST, 'avoid_endpoint_ids', (TType.STRING, 'UTF8', False), None, ),  # 11
     (12, TType.STRING, 'prefill_endpoint_id', 'UTF8', None, ),  # 12
     (13, TType.STRING, 'traceparent', 'UTF8', None, ),  # 13
+    (14, TType.STRING, 'place', 'UTF8', None, ),  # 14
+    (15, TType.BOOL, 'plain', None, None, ),  # 15
 )
 all_structs.append(EndpointRef)
 EndpointRef.thrift_spec = (
@@ -2306,6 +2444,8 @@
     (2, TType.STRUCT, 'grant', [Grant, None], None, ),  # 2
     (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
     (4, TType.I64, 'retry_after_ms', None, None, ),  # 4
+    (5, TType.I64, 'queue_wait_ms', None, None, ),  # 5
+    (6, TType.DOUBLE, 'load', None, None, ),  # 6
 )
 all_structs.append(GrantProgress)
 GrantProgress.thrift_spec = (
@@ -2318,6 +2458,12 @@
     (6, TType.I32, 'output_tokens', None, None, ),  # 6
     (7, TType.STRING, 'failed_endpoint_id', 'UTF8', None, ),  # 7
 )
+all_structs.append(HeldRequest)
+HeldRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'attempt', None, None, ),  # 2
+)
 all_structs.append(KeyClaim)
 KeyClaim.thrift_spec = (
     None,  # 0
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -60,6 +60,7 @@
   5: HostStatus status,
   6: i64 heartbeat,
   7: i64 configuration_revision,
+  8: string region,
 }
 
 struct GossipMessage {
@@ -78,6 +79,7 @@
   7: string model,
   8: i32 slots,
   9: bool leaving,
+  10: string place,
 }
 
 struct ReserveRequest {
@@ -94,6 +96,10 @@
   11: list<string> avoid_endpoint_ids,
   12: string prefill_endpoint_id,
   13: string traceparent,
+  // The zone or region whose endpoints serve the request.
+  14: string place,
+  // A plain service's request needs one slot and no prefill.
+  15: bool plain,
 }
 
 struct EndpointRef {
@@ -114,6 +120,9 @@
   2: optional Grant grant,
   3: string reason,
   4: i64 retry_after_ms,
+  // The home's present forecast, which rules can ask about.
+  5: i64 queue_wait_ms,
+  6: double load,
 }
 
 // What became of a grant, so that its home frees each part as early as it can.
@@ -127,6 +136,12 @@
   7: string failed_endpoint_id,
 }
 
+// One thing that an engine holds in memory for an entry process.
+struct HeldRequest {
+  1: string request_id,
+  2: i32 attempt,
+}
+
 struct KeyClaim {
   1: string client,
   2: string key,
@@ -192,6 +207,11 @@
   void progress(1: GrantProgress progress) throws (1: PeerRefusal refusal),
   KeyReply claim_key(1: KeyClaim claim) throws (1: PeerRefusal refusal),
   void finish_key(1: KeyClaim claim, 2: binary outcome) throws (1: PeerRefusal refusal),
+  // Ends a run without an outcome, so that a resend may run.
+  void abandon_key(1: KeyClaim claim) throws (1: PeerRefusal refusal),
+  // Which of these requests this process is not serving any more.
+  list<HeldRequest> closed_requests(1: i64 incarnation, 2: list<HeldRequest> held)
+    throws (1: PeerRefusal refusal),
   Configuration get_configuration(1: i64 known_revision) throws (1: PeerRefusal refusal),
   EntryStatus status() throws (1: PeerRefusal refusal),
 }
@@ -227,6 +247,9 @@
     throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
   void finish_key(1: KeyClaim claim, 2: binary outcome, 3: i64 remaining_ms)
     throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
+  // Frees a claim whose request surely did not run; others are left alone.
+  void abandon_key(1: KeyClaim claim, 2: i64 remaining_ms)
+    throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
   list<Configuration> history(1: i32 limit) throws (1: PeerRefusal refusal),
   ControlStatus status() throws (1: PeerRefusal refusal),
 }
--- /dev/null
+++ b/src/jujubeslip/requests/__init__.py
@@ -0,0 +1,32 @@
+"""One request's path: parse, match, reserve, prefill, transfer, decode, resume."""
+
+from jujubeslip.requests._answers import ModelAnswer, PlainServiceAnswer
+from jujubeslip.requests._authentication import authenticate, require_secret
+from jujubeslip.requests._cancellation import Canceller
+from jujubeslip.requests._key_keeper import KeyKeeper
+from jujubeslip.requests._keys import ControlKeys, KeeperKeys, Keys
+from jujubeslip.requests._model_path import ModelPath
+from jujubeslip.requests._models import ClientRequest, RequestContext
+from jujubeslip.requests._open_requests import OpenRequests
+from jujubeslip.requests._parse import parse_request
+from jujubeslip.requests._plain_path import PlainPath
+from jujubeslip.requests._service import RequestService
+
+__all__ = [
+    "Canceller",
+    "ClientRequest",
+    "ControlKeys",
+    "KeeperKeys",
+    "KeyKeeper",
+    "Keys",
+    "ModelAnswer",
+    "ModelPath",
+    "OpenRequests",
+    "PlainPath",
+    "PlainServiceAnswer",
+    "RequestContext",
+    "RequestService",
+    "authenticate",
+    "parse_request",
+    "require_secret",
+]
--- /dev/null
+++ b/src/jujubeslip/requests/_authentication.py
@@ -0,0 +1,45 @@
+"""Authentication of client accounts by key; keys are known by their hashes only."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+
+from jujubeslip.declaration import Client, Declaration
+from jujubeslip.kernel import RequestRefusedError
+
+BEARER = "Bearer "
+
+
+def bearer_token(authorization: str) -> str:
+    """Return the token of an Authorization header, or an empty string."""
+    if not authorization.startswith(BEARER):
+        return ""
+    return authorization.removeprefix(BEARER).strip()
+
+
+def authenticate(declaration: Declaration, authorization: str) -> Client:
+    """Return the client account that the key belongs to, or refuse."""
+    key = bearer_token(authorization)
+    key_hash = hashlib.sha256(key.encode()).hexdigest()
+    client = declaration.client_by_key_hash.get(key_hash)
+    if not key or client is None:
+        raise RequestRefusedError(
+            "client_unknown",
+            "The key belongs to no client account.",
+            status=401,
+            remedy="Send `Authorization: Bearer KEY` with the account's key.",
+        )
+    return client
+
+
+def require_secret(authorization: str, secret: str) -> None:
+    """Refuse unless the header carries this secret."""
+    if hmac.compare_digest(bearer_token(authorization).encode(), secret.encode()):
+        return
+    raise RequestRefusedError(
+        "not_authorized",
+        "The secret is wrong.",
+        status=401,
+        remedy="Send `Authorization: Bearer SECRET` with the secret of the settings.",
+    )
--- /dev/null
+++ b/src/jujubeslip/requests/_keys.py
@@ -0,0 +1,160 @@
+"""Claims of idempotency keys: in memory at two keepers, or durable in control."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from jujubeslip.control import ControlClient
+from jujubeslip.kernel import (
+    Deadline,
+    PeerUnavailableError,
+    Ran,
+    RequestRefusedError,
+)
+from jujubeslip.membership import HostDirectory, PeerClients
+from jujubeslip.peers import HostState, KeyClaim, KeyReply, KeyStatus, PeerRefusal
+from jujubeslip.requests._key_keeper import KeyKeeper
+
+KEEPERS = 2
+KEEPER_TIMEOUT = 0.8
+DURABLE_TIMEOUT = 3.0
+RETRY_SECONDS = 1.0
+
+
+class Keys(Protocol):
+    """Where a key is claimed; the first claim runs, the others get its answer."""
+
+    def claim(self, claim: KeyClaim) -> KeyReply:
+        """Return FIRST to the one that may run, else what is known of the run."""
+
+    def finish(self, claim: KeyClaim, outcome: bytes) -> None:
+        """Record the whole answer."""
+
+    def abandon(self, claim: KeyClaim) -> None:
+        """Free the key when the run ended with `ran` NO or its caller went away."""
+
+
+class KeeperKeys:
+    """Keys of repeatable requests, at the two hosts that rendezvous hashing names.
+
+    The first keeper decides. The second is asked as well: a first keeper that was
+    restarted has forgotten, and would let a second run begin.
+    """
+
+    def __init__(
+        self, directory: HostDirectory, clients: PeerClients, keeper: KeyKeeper
+    ) -> None:
+        self._directory = directory
+        self._clients = clients
+        self._keeper = keeper
+
+    def claim(self, claim: KeyClaim) -> KeyReply:
+        """Claim at both keepers; what either knows of another run counts."""
+        first, *others = self._keepers(claim)
+        try:
+            reply = self._claim_at(first, claim)
+        except (PeerUnavailableError, PeerRefusal) as error:
+            raise _keepers_unavailable() from error
+        if reply.status is not KeyStatus.FIRST:
+            return reply
+        for keeper in others:
+            try:
+                other = self._claim_at(keeper, claim)
+            except (PeerUnavailableError, PeerRefusal):
+                continue
+            if other.status is not KeyStatus.FIRST:
+                self._abandon_at(first, claim)
+                return other
+        return reply
+
+    def finish(self, claim: KeyClaim, outcome: bytes) -> None:
+        """Record the answer at each keeper that can be reached."""
+        for keeper in self._keepers(claim):
+            try:
+                self._finish_at(keeper, claim, outcome)
+            except (PeerUnavailableError, PeerRefusal):
+                continue
+
+    def abandon(self, claim: KeyClaim) -> None:
+        """Free the key at each keeper that can be reached."""
+        for keeper in self._keepers(claim):
+            self._abandon_at(keeper, claim)
+
+    def _keepers(self, claim: KeyClaim) -> list[HostState]:
+        return self._directory.keepers_of(f"{claim.client}/{claim.key}", KEEPERS)
+
+    def _is_own(self, keeper: HostState) -> bool:
+        return bool(keeper.host_id == self._directory.own.host_id)
+
+    def _claim_at(self, keeper: HostState, claim: KeyClaim) -> KeyReply:
+        if self._is_own(keeper):
+            return self._keeper.claim(claim)
+        reply: KeyReply = self._clients.get(keeper.address).call(
+            lambda peer: peer.claim_key(claim), KEEPER_TIMEOUT
+        )
+        return reply
+
+    def _finish_at(self, keeper: HostState, claim: KeyClaim, outcome: bytes) -> None:
+        if self._is_own(keeper):
+            self._keeper.finish(claim, outcome)
+            return
+        self._clients.get(keeper.address).call(
+            lambda peer: peer.finish_key(claim, outcome), KEEPER_TIMEOUT
+        )
+
+    def _abandon_at(self, keeper: HostState, claim: KeyClaim) -> None:
+        if self._is_own(keeper):
+            self._keeper.abandon(claim)
+            return
+        try:
+            self._clients.get(keeper.address).call(
+                lambda peer: peer.abandon_key(claim), KEEPER_TIMEOUT
+            )
+        except (PeerUnavailableError, PeerRefusal):
+            return
+
+
+class ControlKeys:
+    """Keys of requests that are not repeatable, committed by a quorum and synced.
+
+    A claim is freed only when its request surely did not run: running it again is
+    worse than not answering.
+    """
+
+    def __init__(self, control: ControlClient) -> None:
+        self._control = control
+
+    def claim(self, claim: KeyClaim) -> KeyReply:
+        """Claim the key durably, or refuse with `ran` NO."""
+        try:
+            return self._control.claim_key(claim, Deadline.after(DURABLE_TIMEOUT))
+        except (PeerUnavailableError, PeerRefusal) as error:
+            raise RequestRefusedError(
+                "claim_unavailable",
+                "The request was not started: no quorum can record it.",
+                ran=Ran.NO,
+                retry_after=RETRY_SECONDS,
+            ) from error
+
+    def finish(self, claim: KeyClaim, outcome: bytes) -> None:
+        """Record the answer durably."""
+        self._control.finish_key(claim, outcome, Deadline.after(DURABLE_TIMEOUT))
+
+    def abandon(self, claim: KeyClaim) -> None:
+        """Free the key, for a request that surely did not run.
+
+        If control can't be reached the claim stays, and a resend hears `ran` UNKNOWN.
+        """
+        try:
+            self._control.abandon_key(claim, Deadline.after(DURABLE_TIMEOUT))
+        except (PeerUnavailableError, PeerRefusal):
+            return
+
+
+def _keepers_unavailable() -> RequestRefusedError:
+    return RequestRefusedError(
+        "key_unavailable",
+        "The request was not started: the keeper of its key does not answer.",
+        ran=Ran.NO,
+        retry_after=RETRY_SECONDS,
+    )
--- /dev/null
+++ b/src/jujubeslip/requests/_service.py
@@ -0,0 +1,219 @@
+"""A request from its rule to its whole answer, with its key claimed in between."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable, Iterator
+
+from jujubeslip.declaration import Declaration, ServiceKind
+from jujubeslip.endpoints import CallerGoneError
+from jujubeslip.kernel import (
+    Deadline,
+    JujubeslipError,
+    Ran,
+    RequestRefusedError,
+)
+from jujubeslip.peers import KeyClaim, KeyReply, KeyStatus
+from jujubeslip.requests._answers import (
+    Answer,
+    ModelAnswer,
+    PlainServiceAnswer,
+    decode_answer,
+    encode_answer,
+)
+from jujubeslip.requests._keys import Keys
+from jujubeslip.requests._model_path import ModelPath
+from jujubeslip.requests._models import ClientRequest, RequestContext
+from jujubeslip.requests._plain_path import PlainPath
+from jujubeslip.routing import ClientLimits, Router
+from jujubeslip.rules import RequestFacts, first_match
+
+logger = logging.getLogger(__name__)
+
+JOIN_INTERVAL = 0.1
+MAXIMUM_OUTCOME_BYTES = 1_000_000
+
+Step = str | PlainServiceAnswer
+
+
+class RequestService:
+    """Serves one request: rule, limits, key, path, and the record of the answer."""
+
+    def __init__(
+        self,
+        owner: str,
+        availability_zone: str,
+        declaration: Callable[[], Declaration],
+        router: Router,
+        limits: ClientLimits,
+        model_path: ModelPath,
+        plain_path: PlainPath,
+        keeper_keys: Keys,
+        durable_keys: Keys,
+    ) -> None:
+        self._owner = owner
+        self._availability_zone = availability_zone
+        self._declaration = declaration
+        self._router = router
+        self._limits = limits
+        self._model_path = model_path
+        self._plain_path = plain_path
+        self._keeper_keys = keeper_keys
+        self._durable_keys = durable_keys
+
+    def decide(
+        self, request: ClientRequest, interrupted: Callable[[], bool]
+    ) -> RequestContext:
+        """Return what the first matching rule decides, or raise its refusal."""
+        rule = first_match(self._declaration().rule, self.facts(request))
+        if rule is None:
+            raise RequestRefusedError(
+                "no_rule",
+                "No rule matches the request.",
+                status=403,
+                remedy="Ask the operators for a rule that covers it.",
+            )
+        action = rule.then
+        if action.refuse:
+            raise RequestRefusedError(
+                "refused_by_rule",
+                f"Rule {rule.name!r} refuses: {action.refuse}.",
+                status=403,
+                remedy="Ask the operators about this rule.",
+            )
+        self._limits.admit(request.client, request.prompt_tokens + request.max_tokens)
+        return RequestContext(
+            request=request,
+            rule_name=rule.name,
+            action=action,
+            first_token_by=Deadline.after(action.first_token_ms / 1000),
+            wait_until=Deadline.after(action.wait_ms / 1000),
+            end_by=Deadline.after(request.service.maximum_duration_ms / 1000),
+            interrupted=interrupted,
+        )
+
+    def facts(self, request: ClientRequest) -> RequestFacts:
+        """Return what rules can ask about the request."""
+        forecast = self._router.forecast(request.service.name)
+        return RequestFacts(
+            service=request.service.name,
+            model=request.model,
+            adapter=request.adapter,
+            client=request.client.name,
+            priority=request.priority,
+            prompt_tokens=request.prompt_tokens,
+            repeatable=request.repeatable,
+            queue_wait_ms=forecast.queue_wait_ms,
+            load=forecast.load,
+            availability_zone=self._availability_zone,
+        )
+
+    def steps(self, context: RequestContext) -> Iterator[Step]:
+        """Yield the tokens, or a plain service's one answer; return when it's whole."""
+        if not context.request.idempotency_key:
+            yield from self._run(context)
+            return
+        claim = self._claim_of(context.request)
+        keys = self._keys_for(context.request)
+        reply = self._claim_or_join(keys, claim, context)
+        if reply.status is KeyStatus.FIRST:
+            yield from self._run_and_record(context, keys, claim)
+            return
+        yield from _replay(decode_answer(reply.outcome))
+
+    def _keys_for(self, request: ClientRequest) -> Keys:
+        return self._keeper_keys if request.repeatable else self._durable_keys
+
+    def _claim_of(self, request: ClientRequest) -> KeyClaim:
+        return KeyClaim(
+            request.client.name,
+            request.idempotency_key,
+            request.request_id,
+            self._owner,
+            request.fingerprint,
+        )
+
+    def _claim_or_join(
+        self, keys: Keys, claim: KeyClaim, context: RequestContext
+    ) -> KeyReply:
+        """Return FIRST, or FINISHED once the run that holds the key has ended."""
+        while True:
+            reply = keys.claim(claim)
+            if reply.status is KeyStatus.CONFLICT:
+                raise RequestRefusedError(
+                    "key_conflict",
+                    "The Idempotency-Key was used for a different request.",
+                    status=409,
+                    remedy="Use a new key for each different request.",
+                )
+            if reply.status is not KeyStatus.RUNNING:
+                return reply
+            if context.interrupted():
+                raise CallerGoneError("The client closed its connection.")
+            if context.wait_until.expired:
+                raise _still_running(context.request)
+            time.sleep(JOIN_INTERVAL)
+
+    def _run(self, context: RequestContext) -> Iterator[Step]:
+        if context.request.service.kind is ServiceKind.PLAIN:
+            yield self._plain_path.answer(context)
+            return
+        yield from self._model_path.tokens(context)
+
+    def _run_and_record(
+        self, context: RequestContext, keys: Keys, claim: KeyClaim
+    ) -> Iterator[Step]:
+        steps = []
+        try:
+            for step in self._run(context):
+                if isinstance(step, PlainServiceAnswer):
+                    # Recorded first: the caller may be gone, its resend is not.
+                    self._record(keys, claim, step)
+                steps.append(step)
+                yield step
+        except BaseException as error:
+            # Also when the caller goes, which closes this generator.
+            if context.request.repeatable or _surely_not_run(error):
+                keys.abandon(claim)
+            raise
+        if not (steps and isinstance(steps[0], PlainServiceAnswer)):
+            tokens = tuple(str(step) for step in steps)
+            self._record(keys, claim, ModelAnswer(tokens, context.rule_name))
+
+    def _record(self, keys: Keys, claim: KeyClaim, answer: Answer) -> None:
+        outcome = encode_answer(answer)
+        if len(outcome) > MAXIMUM_OUTCOME_BYTES:
+            extra = {"request_id": claim.request_id}
+            logger.warning("answer too long to be recorded", extra=extra)
+            keys.abandon(claim)
+            return
+        try:
+            keys.finish(claim, outcome)
+        except JujubeslipError as error:
+            extra = {"request_id": claim.request_id, "error": str(error)}
+            logger.warning("answer not recorded", extra=extra)
+
+
+def _surely_not_run(error: BaseException) -> bool:
+    if isinstance(error, CallerGoneError):
+        return True
+    return isinstance(error, RequestRefusedError) and error.ran is Ran.NO
+
+
+def _replay(answer: Answer) -> Iterator[Step]:
+    if isinstance(answer, PlainServiceAnswer):
+        yield answer
+        return
+    yield from answer.tokens
+
+
+def _still_running(request: ClientRequest) -> RequestRefusedError:
+    return RequestRefusedError(
+        "key_running",
+        "A request with this Idempotency-Key was started and has no outcome yet.",
+        status=409,
+        ran=Ran.UNKNOWN,
+        retry_after=1.0 if request.repeatable else 5.0,
+        remedy="Ask again with the same key to get its outcome.",
+    )
--- /dev/null
+++ b/src/jujubeslip/routing/__init__.py
@@ -0,0 +1,21 @@
+"""Where a request goes: policies, limits of client accounts, retry budgets."""
+
+from jujubeslip.routing import _policies as _policies
+from jujubeslip.routing._home_router import HomeRouter
+from jujubeslip.routing._limits import ClientLimits
+from jujubeslip.routing._local_router import LocalRouter
+from jujubeslip.routing._models import Forecast, Reservation, ReservationRequest, Router
+from jujubeslip.routing._policies import local_policies
+from jujubeslip.routing._retries import RetryBudgets
+
+__all__ = [
+    "ClientLimits",
+    "Forecast",
+    "HomeRouter",
+    "LocalRouter",
+    "Reservation",
+    "ReservationRequest",
+    "RetryBudgets",
+    "Router",
+    "local_policies",
+]
--- /dev/null
+++ b/src/jujubeslip/routing/_home_router.py
@@ -0,0 +1,169 @@
+"""Routing by grants from the home of the service's endpoints."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterator
+
+from jujubeslip.declaration import Spread
+from jujubeslip.endpoints import CallerGoneError
+from jujubeslip.homes import Homes
+from jujubeslip.kernel import (
+    Deadline,
+    PeerUnavailableError,
+    Process,
+    Ran,
+    RequestRefusedError,
+)
+from jujubeslip.membership import HostDirectory, PeerClients
+from jujubeslip.peers import (
+    Announcement,
+    GrantProgress,
+    HostState,
+    PeerRefusal,
+    ReserveReply,
+    ReserveRequest,
+    ReserveStatus,
+)
+from jujubeslip.routing._models import (
+    Forecast,
+    Reservation,
+    ReservationRequest,
+    to_message,
+)
+
+logger = logging.getLogger(__name__)
+
+# A home answers within its poll time; beyond this the connection is taken for silent.
+RESERVE_TIMEOUT = 1.0
+REPORT_TIMEOUT = 1.0
+REPORT_TRIES = 3
+ANNOUNCE_TIMEOUT = 0.8
+FORECAST_LIFETIME = 2.0
+RETRY_SECONDS = 1.0
+
+
+class HomeRouter:
+    """Asks the home of the nearest place first, then the others that may serve."""
+
+    def __init__(
+        self,
+        directory: HostDirectory,
+        clients: PeerClients,
+        homes: Homes,
+        process: Process,
+    ) -> None:
+        self._directory = directory
+        self._clients = clients
+        self._homes = homes
+        self._process = process
+        self._forecast_by_service: dict[str, tuple[Deadline, Forecast]] = {}
+        own = directory.own
+        self._owner = f"{own.host_id}/{own.incarnation}"
+
+    def reserve(
+        self, request: ReservationRequest, interrupted: Callable[[], bool]
+    ) -> Reservation:
+        """Return the grant of the first place that gives one."""
+        refusal: ReserveReply | None = None
+        for place in self._places(request):
+            reply, home = self._ask_until_answered(request, place, interrupted)
+            if reply.status is ReserveStatus.GRANTED:
+                return Reservation(reply.grant, home.address)
+            if refusal is None or reply.retry_after_ms < refusal.retry_after_ms:
+                refusal = reply
+        assert refusal is not None
+        raise RequestRefusedError(
+            "no_capacity",
+            f"The request was not started: {refusal.reason}.",
+            ran=Ran.NO,
+            retry_after=refusal.retry_after_ms / 1000,
+        )
+
+    def _places(self, request: ReservationRequest) -> Iterator[str]:
+        own = self._directory.own
+        if request.service.pooling is Spread.REGION:
+            yield own.region
+            return
+        yield own.availability_zone
+        if request.spread is Spread.ZONE:
+            return
+        zones = {
+            state.availability_zone
+            for state in self._directory.live_hosts()
+            if state.region == own.region
+        }
+        yield from sorted(zones - {own.availability_zone})
+
+    def _ask_until_answered(
+        self,
+        request: ReservationRequest,
+        place: str,
+        interrupted: Callable[[], bool],
+    ) -> tuple[ReserveReply, HostState]:
+        """Ask the home until it grants or refuses; a home that moved is asked anew."""
+        while True:
+            home = self._directory.home_of(request.service.name, place)
+            try:
+                reply = self._ask(home, to_message(request, self._owner, place))
+            except (PeerUnavailableError, PeerRefusal) as error:
+                logger.info("home unavailable", extra={"error": str(error)})
+                reply = ReserveReply(ReserveStatus.PENDING, None, "", 0, 0, 0.0)
+            self._note_forecast(request.service.name, reply)
+            if reply.status is not ReserveStatus.PENDING:
+                return reply, home
+            if interrupted():
+                raise CallerGoneError("The client closed its connection.")
+            if request.wait_until.expired:
+                reason = "the home of the endpoints does not answer"
+                retry_ms = int(RETRY_SECONDS * 1000)
+                refusal = ReserveReply(ReserveStatus.REFUSED, None, reason, retry_ms)
+                return refusal, home
+
+    def _ask(self, home: HostState, message: ReserveRequest) -> ReserveReply:
+        if home.host_id == self._directory.own.host_id:
+            return self._homes.reserve(message)
+        client = self._clients.get(home.address)
+        reply: ReserveReply = client.call(
+            lambda peer: peer.reserve(message), RESERVE_TIMEOUT
+        )
+        return reply
+
+    def _note_forecast(self, service_name: str, reply: ReserveReply) -> None:
+        if reply.queue_wait_ms is None:
+            return
+        forecast = Forecast(reply.queue_wait_ms, reply.load or 0.0)
+        until = Deadline.after(FORECAST_LIFETIME)
+        self._forecast_by_service[service_name] = (until, forecast)
+
+    def forecast(self, service_name: str) -> Forecast:
+        """Return the last forecast heard of, if it is not too old."""
+        until, forecast = self._forecast_by_service.get(
+            service_name, (Deadline(0), Forecast(0, 0.0))
+        )
+        return Forecast(0, 0.0) if until.expired else forecast
+
+    def report(self, reservation: Reservation, progress: GrantProgress) -> None:
+        """Tell the home in a task of its own, so that no token waits for it."""
+        if reservation.home_address == self._directory.own.address:
+            self._homes.progress(progress)
+            return
+        self._process.start_task(self._send_report, reservation, progress)
+
+    def _send_report(self, reservation: Reservation, progress: GrantProgress) -> None:
+        client = self._clients.get(reservation.home_address)
+        for _ in range(REPORT_TRIES):
+            try:
+                client.call(lambda peer: peer.progress(progress), REPORT_TIMEOUT)
+                return
+            except (PeerUnavailableError, PeerRefusal) as error:
+                logger.info("report failed", extra={"error": str(error)})
+
+    def announce(self, announcement: Announcement) -> None:
+        """Send the announcement to the home of the endpoint's pool."""
+        home = self._directory.home_of(announcement.service_name, announcement.place)
+        if home.host_id == self._directory.own.host_id:
+            self._homes.announce(announcement)
+            return
+        client = self._clients.get(home.address)
+        client.call(lambda peer: peer.announce(announcement), ANNOUNCE_TIMEOUT)
--- /dev/null
+++ b/src/jujubeslip/telemetry/__init__.py
@@ -0,0 +1,20 @@
+"""Structured logs, OpenTelemetry metrics, and a span for each hop."""
+
+from jujubeslip.telemetry._logs import configure_logging
+from jujubeslip.telemetry._meters import Meters
+from jujubeslip.telemetry._setup import Telemetry, configure_telemetry
+from jujubeslip.telemetry._spans import (
+    context_from_traceparent,
+    current_traceparent,
+    tracer,
+)
+
+__all__ = [
+    "Meters",
+    "Telemetry",
+    "configure_logging",
+    "configure_telemetry",
+    "context_from_traceparent",
+    "current_traceparent",
+    "tracer",
+]
