--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The load tool: offers load to a running system and measures the answers."""
--- a/tests/fakes/__init__.py
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines, plain services, networks and collectors, for tests."""
