--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks."""
--- /dev/null
+++ b/bench/control/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the control host."""
--- a/src/jujubeslip/peers/gen/ControlPeer.py
+++ b/src/jujubeslip/peers/gen/ControlPeer.py
@@ -75,6 +75,76 @@
     def status(self):
         pass
 
+    def describe(self):
+        pass
+
+    def pre_vote(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        pass
+
+    def request_vote(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        pass
+
+    def append_entries(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        pass
+
+    def install_snapshot(self, piece):
+        """
+        Parameters:
+         - piece
+
+        """
+        pass
+
+    def start_election(self, target_id, term):
+        """
+        Parameters:
+         - target_id
+         - term
+
+        """
+        pass
+
+    def join(self, replica):
+        """
+        Parameters:
+         - replica
+
+        """
+        pass
+
+    def add_replica(self, host_id, remaining_ms):
+        """
+        Parameters:
+         - host_id
+         - remaining_ms
+
+        """
+        pass
+
+    def remove_replica(self, host_id, remaining_ms):
+        """
+        Parameters:
+         - host_id
+         - remaining_ms
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -325,186 +395,360 @@
             raise result.refusal
         raise TApplicationException(TApplicationException.MISSING_RESULT, "status failed: unknown result")
 
+    def describe(self):
+        self.send_describe()
+        return self.recv_describe()
 
-class Processor(Iface, TProcessor):
-    def __init__(self, handler):
-        self._handler = handler
-        self._processMap = {}
-        self._processMap["hello"] = Processor.process_hello
-        self._processMap["get_configuration"] = Processor.process_get_configuration
-        self._processMap["apply_configuration"] = Processor.process_apply_configuration
-        self._processMap["claim_key"] = Processor.process_claim_key
-        self._processMap["finish_key"] = Processor.process_finish_key
-        self._processMap["history"] = Processor.process_history
-        self._processMap["status"] = Processor.process_status
-        self._on_message_begin = None
-
-    def on_message_begin(self, func):
-        self._on_message_begin = func
+    def send_describe(self):
+        self._oprot.writeMessageBegin('describe', TMessageType.CALL, self._seqid)
+        args = describe_args()
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
 
-    def process(self, iprot, oprot):
-        (name, type, seqid) = iprot.readMessageBegin()
-        if self._on_message_begin:
-            self._on_message_begin(name, type, seqid)
-        if name not in self._processMap:
-            iprot.skip(TType.STRUCT)
+    def recv_describe(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
             iprot.readMessageEnd()
-            x = TApplicationException(TApplicationException.UNKNOWN_METHOD, 'Unknown function %s' % (name))
-            oprot.writeMessageBegin(name, TMessageType.EXCEPTION, seqid)
-            x.write(oprot)
-            oprot.writeMessageEnd()
-            oprot.trans.flush()
-            return
-        else:
-            self._processMap[name](self, seqid, iprot, oprot)
-        return True
-
-    def process_hello(self, seqid, iprot, oprot):
-        args = hello_args()
-        args.read(iprot)
+            raise x
+        result = describe_result()
+        result.read(iprot)
         iprot.readMessageEnd()
-        result = hello_result()
-        try:
-            self._handler.hello(args.identity)
-            msg_type = TMessageType.REPLY
-        except TTransport.TTransportException:
-            raise
-        except PeerRefusal as refusal:
-            msg_type = TMessageType.REPLY
-            result.refusal = refusal
-        except TApplicationException as ex:
-            logging.exception('TApplication exception in handler')
-            msg_type = TMessageType.EXCEPTION
-            result = ex
-        except Exception:
-            logging.exception('Unexpected exception in handler')
-            msg_type = TMessageType.EXCEPTION
-            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
-        oprot.writeMessageBegin("hello", msg_type, seqid)
-        result.write(oprot)
-        oprot.writeMessageEnd()
-        oprot.trans.flush()
+        if result.success is not None:
+            return result.success
+        if result.refusal is not None:
+            raise result.refusal
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "describe failed: unknown result")
 
-    def process_get_configuration(self, seqid, iprot, oprot):
-        args = get_configuration_args()
-        args.read(iprot)
-        iprot.readMessageEnd()
-        result = get_configuration_result()
-        try:
-            result.success = self._handler.get_configuration(args.known_revision, args.wait_ms)
-            msg_type = TMessageType.REPLY
-        except TTransport.TTransportException:
-            raise
-        except PeerRefusal as refusal:
-            msg_type = TMessageType.REPLY
-            result.refusal = refusal
-        except TApplicationException as ex:
-            logging.exception('TApplication exception in handler')
-            msg_type = TMessageType.EXCEPTION
-            result = ex
-        except Exception:
-            logging.exception('Unexpected exception in handler')
-            msg_type = TMessageType.EXCEPTION
-            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
-        oprot.writeMessageBegin("get_configuration", msg_type, seqid)
-        result.write(oprot)
-        oprot.writeMessageEnd()
-        oprot.trans.flush()
+    def pre_vote(self, request):
+        """
+        Parameters:
+         - request
 
-    def process_apply_configuration(self, seqid, iprot, oprot):
-        args = apply_configuration_args()
-        args.read(iprot)
-        iprot.readMessageEnd()
-        result = apply_configuration_result()
-        try:
-            result.success = self._handler.apply_configuration(args.request)
-            msg_type = TMessageType.REPLY
-        except TTransport.TTransportException:
-            raise
-        except PeerRefusal as refusal:
-            msg_type = TMessageType.REPLY
-            result.refusal = refusal
-        except NotLeader as not_leader:
-            msg_type = TMessageType.REPLY
-            result.not_leader = not_leader
-        except TApplicationException as ex:
-            logging.exception('TApplication exception in handler')
-            msg_type = TMessageType.EXCEPTION
-            result = ex
-        except Exception:
-            logging.exception('Unexpected exception in handler')
-            msg_type = TMessageType.EXCEPTION
-            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
-        oprot.writeMessageBegin("apply_configuration", msg_type, seqid)
-        result.write(oprot)
-        oprot.writeMessageEnd()
-        oprot.trans.flush()
+        """
+        self.send_pre_vote(request)
+        return self.recv_pre_vote()
 
-    def process_claim_key(self, seqid, iprot, oprot):
-        args = claim_key_args()
-        args.read(iprot)
-        iprot.readMessageEnd()
-        result = claim_key_result()
-        try:
-            result.success = self._handler.claim_key(args.claim, args.remaining_ms)
-            msg_type = TMessageType.REPLY
-        except TTransport.TTransportException:
-            raise
-        except PeerRefusal as refusal:
-            msg_type = TMessageType.REPLY
-            result.refusal = refusal
-        except NotLeader as not_leader:
-            msg_type = TMessageType.REPLY
-            result.not_leader = not_leader
-        except TApplicationException as ex:
-            logging.exception('TApplication exception in handler')
-            msg_type = TMessageType.EXCEPTION
-            result = ex
-        except Exception:
-            logging.exception('Unexpected exception in handler')
-            msg_type = TMessageType.EXCEPTION
-            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
-        oprot.writeMessageBegin("claim_key", msg_type, seqid)
-        result.write(oprot)
-        oprot.writeMessageEnd()
-        oprot.trans.flush()
+    def send_pre_vote(self, request):
+        self._oprot.writeMessageBegin('pre_vote', TMessageType.CALL, self._seqid)
+        args = pre_vote_args()
+        args.request = request
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
 
-    def process_finish_key(self, seqid, iprot, oprot):
-        args = finish_key_args()
-        args.read(iprot)
+    def recv_pre_vote(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = pre_vote_result()
+        result.read(iprot)
         iprot.readMessageEnd()
-        result = finish_key_result()
-        try:
-            self._handler.finish_key(args.claim, args.outcome, args.remaining_ms)
-            msg_type = TMessageType.REPLY
-        except TTransport.TTransportException:
-            raise
-        except PeerRefusal as refusal:
-            msg_type = TMessageType.REPLY
-            result.refusal = refusal
-        except NotLeader as not_leader:
-            msg_type = TMessageType.REPLY
-            result.not_leader = not_leader
-        except TApplicationException as ex:
-            logging.exception('TApplication exception in handler')
-            msg_type = TMessageType.EXCEPTION
-            result = ex
-        except Exception:
-            logging.exception('Unexpected exception in handler')
-            msg_type = TMessageType.EXCEPTION
-            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
-        oprot.writeMessageBegin("finish_key", msg_type, seqid)
-        result.write(oprot)
-        oprot.writeMessageEnd()
-        oprot.trans.flush()
+        if result.success is not None:
+            return result.success
+        if result.refusal is not None:
+            raise result.refusal
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "pre_vote failed: unknown result")
 
-    def process_history(self, seqid, iprot, oprot):
-        args = history_args()
-        args.read(iprot)
-        iprot.readMessageEnd()
-        result = history_result()
+    def request_vote(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        self.send_request_vote(request)
+        return self.recv_request_vote()
+
+    def send_request_vote(self, request):
+        self._oprot.writeMessageBegin('request_vote', TMessageType.CALL, self._seqid)
+        args = request_vote_args()
+        args.request = request
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_request_vote(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = request_vote_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.refusal is not None:
+            raise result.refusal
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "request_vote failed: unknown result")
+
+    def append_entries(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        self.send_append_entries(request)
+        return self.recv_append_entries()
+
+    def send_append_entries(self, request):
+        self._oprot.writeMessageBegin('append_entries', TMessageType.CALL, self._seqid)
+        args = append_entries_args()
+        args.request = request
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_append_entries(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = append_entries_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.refusal is not None:
+            raise result.refusal
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "append_entries failed: unknown result")
+
+    def install_snapshot(self, piece):
+        """
+        Parameters:
+         - piece
+
+        """
+        self.send_install_snapshot(piece)
+        return self.recv_install_snapshot()
+
+    def send_install_snapshot(self, piece):
+        self._oprot.writeMessageBegin('install_snapshot', TMessageType.CALL, self._seqid)
+        args = install_snapshot_args()
+        args.piece = piece
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_install_snapshot(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = install_snapshot_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.refusal is not None:
+            raise result.refusal
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "install_snapshot failed: unknown result")
+
+    def start_election(self, target_id, term):
+        """
+        Parameters:
+         - target_id
+         - term
+
+        """
+        self.send_start_election(target_id, term)
+        self.recv_start_election()
+
+    def send_start_election(self, target_id, term):
+        self._oprot.writeMessageBegin('start_election', TMessageType.CALL, self._seqid)
+        args = start_election_args()
+        args.target_id = target_id
+        args.term = term
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_start_election(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = start_election_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.refusal is not None:
+            raise result.refusal
+        return
+
+    def join(self, replica):
+        """
+        Parameters:
+         - replica
+
+        """
+        self.send_join(replica)
+        self.recv_join()
+
+    def send_join(self, replica):
+        self._oprot.writeMessageBegin('join', TMessageType.CALL, self._seqid)
+        args = join_args()
+        args.replica = replica
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_join(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = join_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.refusal is not None:
+            raise result.refusal
+        if result.not_leader is not None:
+            raise result.not_leader
+        return
+
+    def add_replica(self, host_id, remaining_ms):
+        """
+        Parameters:
+         - host_id
+         - remaining_ms
+
+        """
+        self.send_add_replica(host_id, remaining_ms)
+        self.recv_add_replica()
+
+    def send_add_replica(self, host_id, remaining_ms):
+        self._oprot.writeMessageBegin('add_replica', TMessageType.CALL, self._seqid)
+        args = add_replica_args()
+        args.host_id = host_id
+        args.remaining_ms = remaining_ms
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_add_replica(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = add_replica_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.refusal is not None:
+            raise result.refusal
+        if result.not_leader is not None:
+            raise result.not_leader
+        return
+
+    def remove_replica(self, host_id, remaining_ms):
+        """
+        Parameters:
+         - host_id
+         - remaining_ms
+
+        """
+        self.send_remove_replica(host_id, remaining_ms)
+        self.recv_remove_replica()
+
+    def send_remove_replica(self, host_id, remaining_ms):
+        self._oprot.writeMessageBegin('remove_replica', TMessageType.CALL, self._seqid)
+        args = remove_replica_args()
+        args.host_id = host_id
+        args.remaining_ms = remaining_ms
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_remove_replica(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = remove_replica_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.refusal is not None:
+            raise result.refusal
+        if result.not_leader is not None:
+            raise result.not_leader
+        return
+
+
+class Processor(Iface, TProcessor):
+    def __init__(self, handler):
+        self._handler = handler
+        self._processMap = {}
+        self._processMap["hello"] = Processor.process_hello
+        self._processMap["get_configuration"] = Processor.process_get_configuration
+        self._processMap["apply_configuration"] = Processor.process_apply_configuration
+        self._processMap["claim_key"] = Processor.process_claim_key
+        self._processMap["finish_key"] = Processor.process_finish_key
+        self._processMap["history"] = Processor.process_history
+        self._processMap["status"] = Processor.process_status
+        self._processMap["describe"] = Processor.process_describe
+        self._processMap["pre_vote"] = Processor.process_pre_vote
+        self._processMap["request_vote"] = Processor.process_request_vote
+        self._processMap["append_entries"] = Processor.process_append_entries
+        self._processMap["install_snapshot"] = Processor.process_install_snapshot
+        self._processMap["start_election"] = Processor.process_start_election
+        self._processMap["join"] = Processor.process_join
+        self._processMap["add_replica"] = Processor.process_add_replica
+        self._processMap["remove_replica"] = Processor.process_remove_replica
+        self._on_message_begin = None
+
+    def on_message_begin(self, func):
+        self._on_message_begin = func
+
+    def process(self, iprot, oprot):
+        (name, type, seqid) = iprot.readMessageBegin()
+        if self._on_message_begin:
+            self._on_message_begin(name, type, seqid)
+        if name not in self._processMap:
+            iprot.skip(TType.STRUCT)
+            iprot.readMessageEnd()
+            x = TApplicationException(TApplicationException.UNKNOWN_METHOD, 'Unknown function %s' % (name))
+            oprot.writeMessageBegin(name, TMessageType.EXCEPTION, seqid)
+            x.write(oprot)
+            oprot.writeMessageEnd()
+            oprot.trans.flush()
+            return
+        else:
+            self._processMap[name](self, seqid, iprot, oprot)
+        return True
+
+    def process_hello(self, seqid, iprot, oprot):
+        args = hello_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = hello_result()
         try:
-            result.success = self._handler.history(args.limit)
+            self._handler.hello(args.identity)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
@@ -519,50 +763,1554 @@
             logging.exception('Unexpected exception in handler')
             msg_type = TMessageType.EXCEPTION
             result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
-        oprot.writeMessageBegin("history", msg_type, seqid)
+        oprot.writeMessageBegin("hello", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_get_configuration(self, seqid, iprot, oprot):
+        args = get_configuration_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = get_configuration_result()
+        try:
+            result.success = self._handler.get_configuration(args.known_revision, args.wait_ms)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("get_configuration", msg_type, seqid)
         result.write(oprot)
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
-    def process_status(self, seqid, iprot, oprot):
-        args = status_args()
-        args.read(iprot)
-        iprot.readMessageEnd()
-        result = status_result()
-        try:
-            result.success = self._handler.status()
-            msg_type = TMessageType.REPLY
-        except TTransport.TTransportException:
-            raise
-        except PeerRefusal as refusal:
-            msg_type = TMessageType.REPLY
-            result.refusal = refusal
-        except TApplicationException as ex:
-            logging.exception('TApplication exception in handler')
-            msg_type = TMessageType.EXCEPTION
-            result = ex
-        except Exception:
-            logging.exception('Unexpected exception in handler')
-            msg_type = TMessageType.EXCEPTION
-            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
-        oprot.writeMessageBegin("status", msg_type, seqid)
-        result.write(oprot)
-        oprot.writeMessageEnd()
-        oprot.trans.flush()
+    def process_apply_configuration(self, seqid, iprot, oprot):
+        args = apply_configuration_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = apply_configuration_result()
+        try:
+            result.success = self._handler.apply_configuration(args.request)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except NotLeader as not_leader:
+            msg_type = TMessageType.REPLY
+            result.not_leader = not_leader
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("apply_configuration", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_claim_key(self, seqid, iprot, oprot):
+        args = claim_key_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = claim_key_result()
+        try:
+            result.success = self._handler.claim_key(args.claim, args.remaining_ms)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except NotLeader as not_leader:
+            msg_type = TMessageType.REPLY
+            result.not_leader = not_leader
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("claim_key", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_finish_key(self, seqid, iprot, oprot):
+        args = finish_key_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = finish_key_result()
+        try:
+            self._handler.finish_key(args.claim, args.outcome, args.remaining_ms)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except NotLeader as not_leader:
+            msg_type = TMessageType.REPLY
+            result.not_leader = not_leader
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("finish_key", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_history(self, seqid, iprot, oprot):
+        args = history_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = history_result()
+        try:
+            result.success = self._handler.history(args.limit)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("history", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_status(self, seqid, iprot, oprot):
+        args = status_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = status_result()
+        try:
+            result.success = self._handler.status()
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("status", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_describe(self, seqid, iprot, oprot):
+        args = describe_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = describe_result()
+        try:
+            result.success = self._handler.describe()
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("describe", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_pre_vote(self, seqid, iprot, oprot):
+        args = pre_vote_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = pre_vote_result()
+        try:
+            result.success = self._handler.pre_vote(args.request)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("pre_vote", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_request_vote(self, seqid, iprot, oprot):
+        args = request_vote_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = request_vote_result()
+        try:
+            result.success = self._handler.request_vote(args.request)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("request_vote", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_append_entries(self, seqid, iprot, oprot):
+        args = append_entries_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = append_entries_result()
+        try:
+            result.success = self._handler.append_entries(args.request)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("append_entries", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_install_snapshot(self, seqid, iprot, oprot):
+        args = install_snapshot_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = install_snapshot_result()
+        try:
+            result.success = self._handler.install_snapshot(args.piece)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("install_snapshot", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_start_election(self, seqid, iprot, oprot):
+        args = start_election_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = start_election_result()
+        try:
+            self._handler.start_election(args.target_id, args.term)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("start_election", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_join(self, seqid, iprot, oprot):
+        args = join_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = join_result()
+        try:
+            self._handler.join(args.replica)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except NotLeader as not_leader:
+            msg_type = TMessageType.REPLY
+            result.not_leader = not_leader
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("join", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_add_replica(self, seqid, iprot, oprot):
+        args = add_replica_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = add_replica_result()
+        try:
+            self._handler.add_replica(args.host_id, args.remaining_ms)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except NotLeader as not_leader:
+            msg_type = TMessageType.REPLY
+            result.not_leader = not_leader
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("add_replica", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_remove_replica(self, seqid, iprot, oprot):
+        args = remove_replica_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = remove_replica_result()
+        try:
+            self._handler.remove_replica(args.host_id, args.remaining_ms)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except NotLeader as not_leader:
+            msg_type = TMessageType.REPLY
+            result.not_leader = not_leader
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("remove_replica", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+# HELPER FUNCTIONS AND STRUCTURES
+
+
+class hello_args(object):
+    """
+    Attributes:
+     - identity
+
+    """
+
+
+    def __init__(self, identity=None,):
+        self.identity = identity
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.identity = PeerIdentity()
+                    self.identity.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('hello_args')
+        if self.identity is not None:
+            oprot.writeFieldBegin('identity', TType.STRUCT, 1)
+            self.identity.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(hello_args)
+hello_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'identity', [PeerIdentity, None], None, ),  # 1
+)
+
+
+class hello_result(object):
+    """
+    Attributes:
+     - refusal
+
+    """
+
+
+    def __init__(self, refusal=None,):
+        self.refusal = refusal
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('hello_result')
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(hello_result)
+hello_result.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+)
+
+
+class get_configuration_args(object):
+    """
+    Attributes:
+     - known_revision
+     - wait_ms
+
+    """
+
+
+    def __init__(self, known_revision=None, wait_ms=None,):
+        self.known_revision = known_revision
+        self.wait_ms = wait_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.known_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('get_configuration_args')
+        if self.known_revision is not None:
+            oprot.writeFieldBegin('known_revision', TType.I64, 1)
+            oprot.writeI64(self.known_revision)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 2)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(get_configuration_args)
+get_configuration_args.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'known_revision', None, None, ),  # 1
+    (2, TType.I32, 'wait_ms', None, None, ),  # 2
+)
+
+
+class get_configuration_result(object):
+    """
+    Attributes:
+     - success
+     - refusal
+
+    """
+
+
+    def __init__(self, success=None, refusal=None,):
+        self.success = success
+        self.refusal = refusal
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = Configuration()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('get_configuration_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(get_configuration_result)
+get_configuration_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [Configuration, None], None, ),  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+)
+
+
+class apply_configuration_args(object):
+    """
+    Attributes:
+     - request
+
+    """
+
+
+    def __init__(self, request=None,):
+        self.request = request
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.request = ApplyRequest()
+                    self.request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('apply_configuration_args')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRUCT, 1)
+            self.request.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(apply_configuration_args)
+apply_configuration_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'request', [ApplyRequest, None], None, ),  # 1
+)
+
+
+class apply_configuration_result(object):
+    """
+    Attributes:
+     - success
+     - refusal
+     - not_leader
+
+    """
+
+
+    def __init__(self, success=None, refusal=None, not_leader=None,):
+        self.success = success
+        self.refusal = refusal
+        self.not_leader = not_leader
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = ApplyReply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.not_leader = NotLeader.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('apply_configuration_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        if self.not_leader is not None:
+            oprot.writeFieldBegin('not_leader', TType.STRUCT, 2)
+            self.not_leader.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(apply_configuration_result)
+apply_configuration_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [ApplyReply, None], None, ),  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+    (2, TType.STRUCT, 'not_leader', [NotLeader, None], None, ),  # 2
+)
+
+
+class claim_key_args(object):
+    """
+    Attributes:
+     - claim
+     - remaining_ms
+
+    """
+
+
+    def __init__(self, claim=None, remaining_ms=None,):
+        self.claim = claim
+        self.remaining_ms = remaining_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.claim = KeyClaim()
+                    self.claim.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.remaining_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('claim_key_args')
+        if self.claim is not None:
+            oprot.writeFieldBegin('claim', TType.STRUCT, 1)
+            self.claim.write(oprot)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I64, 2)
+            oprot.writeI64(self.remaining_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(claim_key_args)
+claim_key_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'claim', [KeyClaim, None], None, ),  # 1
+    (2, TType.I64, 'remaining_ms', None, None, ),  # 2
+)
+
+
+class claim_key_result(object):
+    """
+    Attributes:
+     - success
+     - refusal
+     - not_leader
+
+    """
+
+
+    def __init__(self, success=None, refusal=None, not_leader=None,):
+        self.success = success
+        self.refusal = refusal
+        self.not_leader = not_leader
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = KeyReply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.not_leader = NotLeader.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('claim_key_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        if self.not_leader is not None:
+            oprot.writeFieldBegin('not_leader', TType.STRUCT, 2)
+            self.not_leader.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(claim_key_result)
+claim_key_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [KeyReply, None], None, ),  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+    (2, TType.STRUCT, 'not_leader', [NotLeader, None], None, ),  # 2
+)
+
+
+class finish_key_args(object):
+    """
+    Attributes:
+     - claim
+     - outcome
+     - remaining_ms
+
+    """
+
+
+    def __init__(self, claim=None, outcome=None, remaining_ms=None,):
+        self.claim = claim
+        self.outcome = outcome
+        self.remaining_ms = remaining_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.claim = KeyClaim()
+                    self.claim.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.outcome = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.remaining_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('finish_key_args')
+        if self.claim is not None:
+            oprot.writeFieldBegin('claim', TType.STRUCT, 1)
+            self.claim.write(oprot)
+            oprot.writeFieldEnd()
+        if self.outcome is not None:
+            oprot.writeFieldBegin('outcome', TType.STRING, 2)
+            oprot.writeBinary(self.outcome)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I64, 3)
+            oprot.writeI64(self.remaining_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(finish_key_args)
+finish_key_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'claim', [KeyClaim, None], None, ),  # 1
+    (2, TType.STRING, 'outcome', 'BINARY', None, ),  # 2
+    (3, TType.I64, 'remaining_ms', None, None, ),  # 3
+)
+
+
+class finish_key_result(object):
+    """
+    Attributes:
+     - refusal
+     - not_leader
+
+    """
+
+
+    def __init__(self, refusal=None, not_leader=None,):
+        self.refusal = refusal
+        self.not_leader = not_leader
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.not_leader = NotLeader.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('finish_key_result')
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        if self.not_leader is not None:
+            oprot.writeFieldBegin('not_leader', TType.STRUCT, 2)
+            self.not_leader.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(finish_key_result)
+finish_key_result.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+    (2, TType.STRUCT, 'not_leader', [NotLeader, None], None, ),  # 2
+)
+
+
+class history_args(object):
+    """
+    Attributes:
+     - limit
+
+    """
+
+
+    def __init__(self, limit=None,):
+        self.limit = limit
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.limit = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('history_args')
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.I32, 1)
+            oprot.writeI32(self.limit)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(history_args)
+history_args.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'limit', None, None, ),  # 1
+)
+
+
+class history_result(object):
+    """
+    Attributes:
+     - success
+     - refusal
+
+    """
+
+
+    def __init__(self, success=None, refusal=None,):
+        self.success = success
+        self.refusal = refusal
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.LIST:
+                    self.success = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = Configuration()
+                        _elem89.read(iprot)
+                        self.success.append(_elem89)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('history_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.LIST, 0)
+            oprot.writeListBegin(TType.STRUCT, len(self.success))
+            for iter90 in self.success:
+                iter90.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(history_result)
+history_result.thrift_spec = (
+    (0, TType.LIST, 'success', (TType.STRUCT, [Configuration, None], False), None, ),  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+)
+
+
+class status_args(object):
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('status_args')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(status_args)
+status_args.thrift_spec = (
+)
+
+
+class status_result(object):
+    """
+    Attributes:
+     - success
+     - refusal
+
+    """
+
+
+    def __init__(self, success=None, refusal=None,):
+        self.success = success
+        self.refusal = refusal
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = ControlStatus()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('status_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(status_result)
+status_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [ControlStatus, None], None, ),  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+)
+
+
+class describe_args(object):
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('describe_args')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(describe_args)
+describe_args.thrift_spec = (
+)
+
+
+class describe_result(object):
+    """
+    Attributes:
+     - success
+     - refusal
+
+    """
+
+
+    def __init__(self, success=None, refusal=None,):
+        self.success = success
+        self.refusal = refusal
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = ReplicaDescription()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('describe_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
 
-# HELPER FUNCTIONS AND STRUCTURES
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
 
-class hello_args(object):
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(describe_result)
+describe_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [ReplicaDescription, None], None, ),  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+)
+
+
+class pre_vote_args(object):
     """
     Attributes:
-     - identity
+     - request
 
     """
 
 
-    def __init__(self, identity=None,):
-        self.identity = identity
+    def __init__(self, request=None,):
+        self.request = request
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -575,8 +2323,8 @@
                 break
             if fid == 1:
                 if ftype == TType.STRUCT:
-                    self.identity = PeerIdentity()
-                    self.identity.read(iprot)
+                    self.request = VoteRequest()
+                    self.request.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -588,10 +2336,10 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('hello_args')
-        if self.identity is not None:
-            oprot.writeFieldBegin('identity', TType.STRUCT, 1)
-            self.identity.write(oprot)
+        oprot.writeStructBegin('pre_vote_args')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRUCT, 1)
+            self.request.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -609,22 +2357,24 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(hello_args)
-hello_args.thrift_spec = (
+all_structs.append(pre_vote_args)
+pre_vote_args.thrift_spec = (
     None,  # 0
-    (1, TType.STRUCT, 'identity', [PeerIdentity, None], None, ),  # 1
+    (1, TType.STRUCT, 'request', [VoteRequest, None], None, ),  # 1
 )
 
 
-class hello_result(object):
+class pre_vote_result(object):
     """
     Attributes:
+     - success
      - refusal
 
     """
 
 
-    def __init__(self, refusal=None,):
+    def __init__(self, success=None, refusal=None,):
+        self.success = success
         self.refusal = refusal
 
     def read(self, iprot):
@@ -636,7 +2386,13 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
-            if fid == 1:
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = VoteReply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
                 if ftype == TType.STRUCT:
                     self.refusal = PeerRefusal.read(iprot)
                 else:
@@ -650,7 +2406,11 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('hello_result')
+        oprot.writeStructBegin('pre_vote_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
         if self.refusal is not None:
             oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
             self.refusal.write(oprot)
@@ -671,25 +2431,23 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(hello_result)
-hello_result.thrift_spec = (
-    None,  # 0
+all_structs.append(pre_vote_result)
+pre_vote_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [VoteReply, None], None, ),  # 0
     (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
 )
 
 
-class get_configuration_args(object):
+class request_vote_args(object):
     """
     Attributes:
-     - known_revision
-     - wait_ms
+     - request
 
     """
 
 
-    def __init__(self, known_revision=None, wait_ms=None,):
-        self.known_revision = known_revision
-        self.wait_ms = wait_ms
+    def __init__(self, request=None,):
+        self.request = request
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -701,13 +2459,79 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I64:
-                    self.known_revision = iprot.readI64()
+                if ftype == TType.STRUCT:
+                    self.request = VoteRequest()
+                    self.request.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I32:
-                    self.wait_ms = iprot.readI32()
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('request_vote_args')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRUCT, 1)
+            self.request.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(request_vote_args)
+request_vote_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'request', [VoteRequest, None], None, ),  # 1
+)
+
+
+class request_vote_result(object):
+    """
+    Attributes:
+     - success
+     - refusal
+
+    """
+
+
+    def __init__(self, success=None, refusal=None,):
+        self.success = success
+        self.refusal = refusal
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = VoteReply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -719,14 +2543,77 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('get_configuration_args')
-        if self.known_revision is not None:
-            oprot.writeFieldBegin('known_revision', TType.I64, 1)
-            oprot.writeI64(self.known_revision)
+        oprot.writeStructBegin('request_vote_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
             oprot.writeFieldEnd()
-        if self.wait_ms is not None:
-            oprot.writeFieldBegin('wait_ms', TType.I32, 2)
-            oprot.writeI32(self.wait_ms)
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(request_vote_result)
+request_vote_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [VoteReply, None], None, ),  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+)
+
+
+class append_entries_args(object):
+    """
+    Attributes:
+     - request
+
+    """
+
+
+    def __init__(self, request=None,):
+        self.request = request
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.request = AppendRequest()
+                    self.request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('append_entries_args')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRUCT, 1)
+            self.request.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -744,15 +2631,14 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(get_configuration_args)
-get_configuration_args.thrift_spec = (
+all_structs.append(append_entries_args)
+append_entries_args.thrift_spec = (
     None,  # 0
-    (1, TType.I64, 'known_revision', None, None, ),  # 1
-    (2, TType.I32, 'wait_ms', None, None, ),  # 2
+    (1, TType.STRUCT, 'request', [AppendRequest, None], None, ),  # 1
 )
 
 
-class get_configuration_result(object):
+class append_entries_result(object):
     """
     Attributes:
      - success
@@ -776,7 +2662,7 @@
                 break
             if fid == 0:
                 if ftype == TType.STRUCT:
-                    self.success = Configuration()
+                    self.success = AppendReply()
                     self.success.read(iprot)
                 else:
                     iprot.skip(ftype)
@@ -794,7 +2680,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('get_configuration_result')
+        oprot.writeStructBegin('append_entries_result')
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.STRUCT, 0)
             self.success.write(oprot)
@@ -819,23 +2705,23 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(get_configuration_result)
-get_configuration_result.thrift_spec = (
-    (0, TType.STRUCT, 'success', [Configuration, None], None, ),  # 0
+all_structs.append(append_entries_result)
+append_entries_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [AppendReply, None], None, ),  # 0
     (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
 )
 
 
-class apply_configuration_args(object):
+class install_snapshot_args(object):
     """
     Attributes:
-     - request
+     - piece
 
     """
 
 
-    def __init__(self, request=None,):
-        self.request = request
+    def __init__(self, piece=None,):
+        self.piece = piece
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -848,8 +2734,8 @@
                 break
             if fid == 1:
                 if ftype == TType.STRUCT:
-                    self.request = ApplyRequest()
-                    self.request.read(iprot)
+                    self.piece = SnapshotPiece()
+                    self.piece.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -861,10 +2747,10 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('apply_configuration_args')
-        if self.request is not None:
-            oprot.writeFieldBegin('request', TType.STRUCT, 1)
-            self.request.write(oprot)
+        oprot.writeStructBegin('install_snapshot_args')
+        if self.piece is not None:
+            oprot.writeFieldBegin('piece', TType.STRUCT, 1)
+            self.piece.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -882,27 +2768,25 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(apply_configuration_args)
-apply_configuration_args.thrift_spec = (
+all_structs.append(install_snapshot_args)
+install_snapshot_args.thrift_spec = (
     None,  # 0
-    (1, TType.STRUCT, 'request', [ApplyRequest, None], None, ),  # 1
+    (1, TType.STRUCT, 'piece', [SnapshotPiece, None], None, ),  # 1
 )
 
 
-class apply_configuration_result(object):
+class install_snapshot_result(object):
     """
     Attributes:
      - success
      - refusal
-     - not_leader
 
     """
 
 
-    def __init__(self, success=None, refusal=None, not_leader=None,):
+    def __init__(self, success=None, refusal=None,):
         self.success = success
         self.refusal = refusal
-        self.not_leader = not_leader
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -915,7 +2799,7 @@
                 break
             if fid == 0:
                 if ftype == TType.STRUCT:
-                    self.success = ApplyReply()
+                    self.success = SnapshotReply()
                     self.success.read(iprot)
                 else:
                     iprot.skip(ftype)
@@ -924,11 +2808,6 @@
                     self.refusal = PeerRefusal.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRUCT:
-                    self.not_leader = NotLeader.read(iprot)
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -938,7 +2817,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('apply_configuration_result')
+        oprot.writeStructBegin('install_snapshot_result')
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.STRUCT, 0)
             self.success.write(oprot)
@@ -947,10 +2826,6 @@
             oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
             self.refusal.write(oprot)
             oprot.writeFieldEnd()
-        if self.not_leader is not None:
-            oprot.writeFieldBegin('not_leader', TType.STRUCT, 2)
-            self.not_leader.write(oprot)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -967,26 +2842,25 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(apply_configuration_result)
-apply_configuration_result.thrift_spec = (
-    (0, TType.STRUCT, 'success', [ApplyReply, None], None, ),  # 0
+all_structs.append(install_snapshot_result)
+install_snapshot_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [SnapshotReply, None], None, ),  # 0
     (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
-    (2, TType.STRUCT, 'not_leader', [NotLeader, None], None, ),  # 2
 )
 
 
-class claim_key_args(object):
+class start_election_args(object):
     """
     Attributes:
-     - claim
-     - remaining_ms
+     - target_id
+     - term
 
     """
 
 
-    def __init__(self, claim=None, remaining_ms=None,):
-        self.claim = claim
-        self.remaining_ms = remaining_ms
+    def __init__(self, target_id=None, term=None,):
+        self.target_id = target_id
+        self.term = term
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -998,14 +2872,13 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.claim = KeyClaim()
-                    self.claim.read(iprot)
+                if ftype == TType.STRING:
+                    self.target_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.I64:
-                    self.remaining_ms = iprot.readI64()
+                    self.term = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1017,14 +2890,14 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('claim_key_args')
-        if self.claim is not None:
-            oprot.writeFieldBegin('claim', TType.STRUCT, 1)
-            self.claim.write(oprot)
+        oprot.writeStructBegin('start_election_args')
+        if self.target_id is not None:
+            oprot.writeFieldBegin('target_id', TType.STRING, 1)
+            oprot.writeString(self.target_id.encode('utf-8') if sys.version_info[0] == 2 else self.target_id)
             oprot.writeFieldEnd()
-        if self.remaining_ms is not None:
-            oprot.writeFieldBegin('remaining_ms', TType.I64, 2)
-            oprot.writeI64(self.remaining_ms)
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 2)
+            oprot.writeI64(self.term)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1042,28 +2915,24 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(claim_key_args)
-claim_key_args.thrift_spec = (
+all_structs.append(start_election_args)
+start_election_args.thrift_spec = (
     None,  # 0
-    (1, TType.STRUCT, 'claim', [KeyClaim, None], None, ),  # 1
-    (2, TType.I64, 'remaining_ms', None, None, ),  # 2
+    (1, TType.STRING, 'target_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'term', None, None, ),  # 2
 )
 
 
-class claim_key_result(object):
+class start_election_result(object):
     """
     Attributes:
-     - success
      - refusal
-     - not_leader
 
     """
 
 
-    def __init__(self, success=None, refusal=None, not_leader=None,):
-        self.success = success
+    def __init__(self, refusal=None,):
         self.refusal = refusal
-        self.not_leader = not_leader
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1074,22 +2943,11 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
-            if fid == 0:
-                if ftype == TType.STRUCT:
-                    self.success = KeyReply()
-                    self.success.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 1:
+            if fid == 1:
                 if ftype == TType.STRUCT:
                     self.refusal = PeerRefusal.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRUCT:
-                    self.not_leader = NotLeader.read(iprot)
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1099,19 +2957,11 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('claim_key_result')
-        if self.success is not None:
-            oprot.writeFieldBegin('success', TType.STRUCT, 0)
-            self.success.write(oprot)
-            oprot.writeFieldEnd()
+        oprot.writeStructBegin('start_election_result')
         if self.refusal is not None:
             oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
             self.refusal.write(oprot)
             oprot.writeFieldEnd()
-        if self.not_leader is not None:
-            oprot.writeFieldBegin('not_leader', TType.STRUCT, 2)
-            self.not_leader.write(oprot)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1128,28 +2978,23 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(claim_key_result)
-claim_key_result.thrift_spec = (
-    (0, TType.STRUCT, 'success', [KeyReply, None], None, ),  # 0
+all_structs.append(start_election_result)
+start_election_result.thrift_spec = (
+    None,  # 0
     (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
-    (2, TType.STRUCT, 'not_leader', [NotLeader, None], None, ),  # 2
 )
 
 
-class finish_key_args(object):
+class join_args(object):
     """
     Attributes:
-     - claim
-     - outcome
-     - remaining_ms
+     - replica
 
     """
 
 
-    def __init__(self, claim=None, outcome=None, remaining_ms=None,):
-        self.claim = claim
-        self.outcome = outcome
-        self.remaining_ms = remaining_ms
+    def __init__(self, replica=None,):
+        self.replica = replica
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1162,18 +3007,8 @@
                 break
             if fid == 1:
                 if ftype == TType.STRUCT:
-                    self.claim = KeyClaim()
-                    self.claim.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.outcome = iprot.readBinary()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I64:
-                    self.remaining_ms = iprot.readI64()
+                    self.replica = ReplicaDescription()
+                    self.replica.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -1185,18 +3020,10 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('finish_key_args')
-        if self.claim is not None:
-            oprot.writeFieldBegin('claim', TType.STRUCT, 1)
-            self.claim.write(oprot)
-            oprot.writeFieldEnd()
-        if self.outcome is not None:
-            oprot.writeFieldBegin('outcome', TType.STRING, 2)
-            oprot.writeBinary(self.outcome)
-            oprot.writeFieldEnd()
-        if self.remaining_ms is not None:
-            oprot.writeFieldBegin('remaining_ms', TType.I64, 3)
-            oprot.writeI64(self.remaining_ms)
+        oprot.writeStructBegin('join_args')
+        if self.replica is not None:
+            oprot.writeFieldBegin('replica', TType.STRUCT, 1)
+            self.replica.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1214,16 +3041,14 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(finish_key_args)
-finish_key_args.thrift_spec = (
+all_structs.append(join_args)
+join_args.thrift_spec = (
     None,  # 0
-    (1, TType.STRUCT, 'claim', [KeyClaim, None], None, ),  # 1
-    (2, TType.STRING, 'outcome', 'BINARY', None, ),  # 2
-    (3, TType.I64, 'remaining_ms', None, None, ),  # 3
+    (1, TType.STRUCT, 'replica', [ReplicaDescription, None], None, ),  # 1
 )
 
 
-class finish_key_result(object):
+class join_result(object):
     """
     Attributes:
      - refusal
@@ -1264,7 +3089,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('finish_key_result')
+        oprot.writeStructBegin('join_result')
         if self.refusal is not None:
             oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
             self.refusal.write(oprot)
@@ -1289,24 +3114,26 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(finish_key_result)
-finish_key_result.thrift_spec = (
+all_structs.append(join_result)
+join_result.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
     (2, TType.STRUCT, 'not_leader', [NotLeader, None], None, ),  # 2
 )
 
 
-class history_args(object):
+class add_replica_args(object):
     """
     Attributes:
-     - limit
+     - host_id
+     - remaining_ms
 
     """
 
 
-    def __init__(self, limit=None,):
-        self.limit = limit
+    def __init__(self, host_id=None, remaining_ms=None,):
+        self.host_id = host_id
+        self.remaining_ms = remaining_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1318,8 +3145,13 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I32:
-                    self.limit = iprot.readI32()
+                if ftype == TType.STRING:
+                    self.host_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.remaining_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1331,10 +3163,14 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('history_args')
-        if self.limit is not None:
-            oprot.writeFieldBegin('limit', TType.I32, 1)
-            oprot.writeI32(self.limit)
+        oprot.writeStructBegin('add_replica_args')
+        if self.host_id is not None:
+            oprot.writeFieldBegin('host_id', TType.STRING, 1)
+            oprot.writeString(self.host_id.encode('utf-8') if sys.version_info[0] == 2 else self.host_id)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I64, 2)
+            oprot.writeI64(self.remaining_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1352,25 +3188,26 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(history_args)
-history_args.thrift_spec = (
+all_structs.append(add_replica_args)
+add_replica_args.thrift_spec = (
     None,  # 0
-    (1, TType.I32, 'limit', None, None, ),  # 1
+    (1, TType.STRING, 'host_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'remaining_ms', None, None, ),  # 2
 )
 
 
-class history_result(object):
+class add_replica_result(object):
     """
     Attributes:
-     - success
      - refusal
+     - not_leader
 
     """
 
 
-    def __init__(self, success=None, refusal=None,):
-        self.success = success
+    def __init__(self, refusal=None, not_leader=None,):
         self.refusal = refusal
+        self.not_leader = not_leader
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1381,20 +3218,14 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
-            if fid == 0:
-                if ftype == TType.LIST:
-                    self.success = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = Configuration()
-                        _elem47.read(iprot)
-                        self.success.append(_elem47)
-                    iprot.readListEnd()
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 1:
+            elif fid == 2:
                 if ftype == TType.STRUCT:
-                    self.refusal = PeerRefusal.read(iprot)
+                    self.not_leader = NotLeader.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -1406,18 +3237,15 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('history_result')
-        if self.success is not None:
-            oprot.writeFieldBegin('success', TType.LIST, 0)
-            oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter48 in self.success:
-                iter48.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
+        oprot.writeStructBegin('add_replica_result')
         if self.refusal is not None:
             oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
             self.refusal.write(oprot)
             oprot.writeFieldEnd()
+        if self.not_leader is not None:
+            oprot.writeFieldBegin('not_leader', TType.STRUCT, 2)
+            self.not_leader.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1434,15 +3262,26 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(history_result)
-history_result.thrift_spec = (
-    (0, TType.LIST, 'success', (TType.STRUCT, [Configuration, None], False), None, ),  # 0
+all_structs.append(add_replica_result)
+add_replica_result.thrift_spec = (
+    None,  # 0
     (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+    (2, TType.STRUCT, 'not_leader', [NotLeader, None], None, ),  # 2
 )
 
 
-class status_args(object):
+class remove_replica_args(object):
+    """
+    Attributes:
+     - host_id
+     - remaining_ms
+
+    """
+
 
+    def __init__(self, host_id=None, remaining_ms=None,):
+        self.host_id = host_id
+        self.remaining_ms = remaining_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1453,6 +3292,16 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.remaining_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1462,7 +3311,15 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('status_args')
+        oprot.writeStructBegin('remove_replica_args')
+        if self.host_id is not None:
+            oprot.writeFieldBegin('host_id', TType.STRING, 1)
+            oprot.writeString(self.host_id.encode('utf-8') if sys.version_info[0] == 2 else self.host_id)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I64, 2)
+            oprot.writeI64(self.remaining_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1479,23 +3336,26 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(status_args)
-status_args.thrift_spec = (
+all_structs.append(remove_replica_args)
+remove_replica_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'remaining_ms', None, None, ),  # 2
 )
 
 
-class status_result(object):
+class remove_replica_result(object):
     """
     Attributes:
-     - success
      - refusal
+     - not_leader
 
     """
 
 
-    def __init__(self, success=None, refusal=None,):
-        self.success = success
+    def __init__(self, refusal=None, not_leader=None,):
         self.refusal = refusal
+        self.not_leader = not_leader
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1506,15 +3366,14 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
-            if fid == 0:
+            if fid == 1:
                 if ftype == TType.STRUCT:
-                    self.success = ControlStatus()
-                    self.success.read(iprot)
+                    self.refusal = PeerRefusal.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 1:
+            elif fid == 2:
                 if ftype == TType.STRUCT:
-                    self.refusal = PeerRefusal.read(iprot)
+                    self.not_leader = NotLeader.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -1526,15 +3385,15 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('status_result')
-        if self.success is not None:
-            oprot.writeFieldBegin('success', TType.STRUCT, 0)
-            self.success.write(oprot)
-            oprot.writeFieldEnd()
+        oprot.writeStructBegin('remove_replica_result')
         if self.refusal is not None:
             oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
             self.refusal.write(oprot)
             oprot.writeFieldEnd()
+        if self.not_leader is not None:
+            oprot.writeFieldBegin('not_leader', TType.STRUCT, 2)
+            self.not_leader.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1551,10 +3410,11 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(status_result)
-status_result.thrift_spec = (
-    (0, TType.STRUCT, 'success', [ControlStatus, None], None, ),  # 0
+all_structs.append(remove_replica_result)
+remove_replica_result.thrift_spec = (
+    None,  # 0
     (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+    (2, TType.STRUCT, 'not_leader', [NotLeader, None], None, ),  # 2
 )
 fix_spec(all_structs)
 del all_structs
