--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -47,6 +47,15 @@
 
 
 
+class EntryKind(IntEnum):
+    NO_OP = 1
+    CONFIGURATION = 2
+    CLAIM = 3
+    FINISH = 4
+    MEMBERSHIP = 5
+
+
+
 class PeerIdentity(object):
     """
     Attributes:
@@ -2095,11 +2104,15 @@
      - applied_index
      - configuration_revision
      - replicas
+     - failure
+     - claims
+     - snapshot_index
+     - first_index
 
     """
 
 
-    def __init__(self, replica_id=None, leader_id=None, term=None, commit_index=None, applied_index=None, configuration_revision=None, replicas=None,):
+    def __init__(self, replica_id=None, leader_id=None, term=None, commit_index=None, applied_index=None, configuration_revision=None, replicas=None, failure=None, claims=None, snapshot_index=None, first_index=None,):
         self.replica_id = replica_id
         self.leader_id = leader_id
         self.term = term
@@ -2107,6 +2120,10 @@
         self.applied_index = applied_index
         self.configuration_revision = configuration_revision
         self.replicas = replicas
+        self.failure = failure
+        self.claims = claims
+        self.snapshot_index = snapshot_index
+        self.first_index = first_index
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2158,6 +2175,26 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.failure = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.claims = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.snapshot_index = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.first_index = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2199,6 +2236,22 @@
                 iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.failure is not None:
+            oprot.writeFieldBegin('failure', TType.STRING, 8)
+            oprot.writeString(self.failure.encode('utf-8') if sys.version_info[0] == 2 else self.failure)
+            oprot.writeFieldEnd()
+        if self.claims is not None:
+            oprot.writeFieldBegin('claims', TType.I64, 9)
+            oprot.writeI64(self.claims)
+            oprot.writeFieldEnd()
+        if self.snapshot_index is not None:
+            oprot.writeFieldBegin('snapshot_index', TType.I64, 10)
+            oprot.writeI64(self.snapshot_index)
+            oprot.writeFieldEnd()
+        if self.first_index is not None:
+            oprot.writeFieldBegin('first_index', TType.I64, 11)
+            oprot.writeI64(self.first_index)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2215,190 +2268,2097 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(PeerIdentity)
-PeerIdentity.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'host_id', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'incarnation', None, None, ),  # 2
-    (3, TType.STRING, 'secret', 'UTF8', None, ),  # 3
-)
-all_structs.append(PeerRefusal)
-PeerRefusal.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'error_id', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'message', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'remedy', 'UTF8', None, ),  # 3
-    (4, TType.I64, 'retry_after_ms', None, None, ),  # 4
-)
-all_structs.append(NotLeader)
-NotLeader.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'leader_id', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'leader_address', 'UTF8', None, ),  # 2
-)
-all_structs.append(HostState)
-HostState.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'host_id', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'incarnation', None, None, ),  # 2
-    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 4
-    (5, TType.I32, 'status', None, None, ),  # 5
-    (6, TType.I64, 'heartbeat', None, None, ),  # 6
-    (7, TType.I64, 'configuration_revision', None, None, ),  # 7
-)
-all_structs.append(GossipMessage)
-GossipMessage.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'sender_id', 'UTF8', None, ),  # 1
-    (2, TType.LIST, 'hosts', (TType.STRUCT, [HostState, None], False), None, ),  # 2
-    (3, TType.I64, 'configuration_revision', None, None, ),  # 3
-)
-all_structs.append(Announcement)
-Announcement.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'incarnation', None, None, ),  # 2
-    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 4
-    (5, TType.STRING, 'service_name', 'UTF8', None, ),  # 5
-    (6, TType.I32, 'role', None, None, ),  # 6
-    (7, TType.STRING, 'model', 'UTF8', None, ),  # 7
-    (8, TType.I32, 'slots', None, None, ),  # 8
-    (9, TType.BOOL, 'leaving', None, None, ),  # 9
-)
-all_structs.append(ReserveRequest)
-ReserveRequest.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'attempt', None, None, ),  # 2
-    (3, TType.STRING, 'owner', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'service_name', 'UTF8', None, ),  # 4
-    (5, TType.I32, 'priority', None, None, ),  # 5
-    (6, TType.I64, 'first_token_remaining_ms', None, None, ),  # 6
-    (7, TType.I64, 'wait_remaining_ms', None, None, ),  # 7
-    (8, TType.I32, 'prompt_tokens', None, None, ),  # 8
-    (9, TType.I32, 'output_tokens', None, None, ),  # 9
-    (10, TType.LIST, 'prefix_hashes', (TType.STRING, 'UTF8', False), None, ),  # 10
-    (11, TType.LIST, 'avoid_endpoint_ids', (TType.STRING, 'UTF8', False), None, ),  # 11
-    (12, TType.STRING, 'prefill_endpoint_id', 'UTF8', None, ),  # 12
-    (13, TType.STRING, 'traceparent', 'UTF8', None, ),  # 13
-)
-all_structs.append(EndpointRef)
-EndpointRef.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'incarnation', None, None, ),  # 2
-    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
-)
-all_structs.append(Grant)
-Grant.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'grant_id', 'UTF8', None, ),  # 1
-    (2, TType.STRUCT, 'prefill', [EndpointRef, None], None, ),  # 2
-    (3, TType.STRUCT, 'decode', [EndpointRef, None], None, ),  # 3
-    (4, TType.I32, 'cached_tokens', None, None, ),  # 4
-)
-all_structs.append(ReserveReply)
-ReserveReply.thrift_spec = (
-    None,  # 0
-    (1, TType.I32, 'status', None, None, ),  # 1
-    (2, TType.STRUCT, 'grant', [Grant, None], None, ),  # 2
-    (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
-    (4, TType.I64, 'retry_after_ms', None, None, ),  # 4
-)
-all_structs.append(GrantProgress)
-GrantProgress.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'grant_id', 'UTF8', None, ),  # 1
-    (2, TType.BOOL, 'prefill_finished', None, None, ),  # 2
-    (3, TType.BOOL, 'transfer_finished', None, None, ),  # 3
-    (4, TType.BOOL, 'released', None, None, ),  # 4
-    (5, TType.I32, 'prefill_tokens', None, None, ),  # 5
-    (6, TType.I32, 'output_tokens', None, None, ),  # 6
-    (7, TType.STRING, 'failed_endpoint_id', 'UTF8', None, ),  # 7
-)
-all_structs.append(KeyClaim)
-KeyClaim.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'client', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'key', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'request_id', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'owner', 'UTF8', None, ),  # 4
-    (5, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 5
-)
-all_structs.append(KeyReply)
-KeyReply.thrift_spec = (
-    None,  # 0
-    (1, TType.I32, 'status', None, None, ),  # 1
-    (2, TType.STRING, 'request_id', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'owner', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'outcome', 'BINARY', None, ),  # 4
-)
-all_structs.append(Configuration)
-Configuration.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'revision', None, None, ),  # 1
-    (2, TType.STRING, 'declaration', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'change_id', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'operator_name', 'UTF8', None, ),  # 4
-)
-all_structs.append(ApplyRequest)
-ApplyRequest.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'change_id', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'base_revision', None, None, ),  # 2
-    (3, TType.STRING, 'declaration', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'operator_name', 'UTF8', None, ),  # 4
-)
-all_structs.append(ApplyReply)
-ApplyReply.thrift_spec = (
-    None,  # 0
-    (1, TType.BOOL, 'accepted', None, None, ),  # 1
-    (2, TType.I64, 'revision', None, None, ),  # 2
-    (3, TType.STRING, 'winner_change_id', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'winner_operator', 'UTF8', None, ),  # 4
-    (5, TType.STRING, 'winner_declaration', 'UTF8', None, ),  # 5
-)
-all_structs.append(EntryStatus)
-EntryStatus.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'host_id', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'incarnation', None, None, ),  # 2
-    (3, TType.I64, 'configuration_revision', None, None, ),  # 3
-    (4, TType.I32, 'open_requests', None, None, ),  # 4
-    (5, TType.BOOL, 'stopping', None, None, ),  # 5
-    (6, TType.LIST, 'hosts', (TType.STRUCT, [HostState, None], False), None, ),  # 6
-    (7, TType.LIST, 'pools', (TType.STRUCT, [PoolStatus, None], False), None, ),  # 7
-)
-all_structs.append(PoolStatus)
-PoolStatus.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'endpoints', None, None, ),  # 2
-    (3, TType.I32, 'usable_endpoints', None, None, ),  # 3
-    (4, TType.I32, 'decode_slots', None, None, ),  # 4
-    (5, TType.I32, 'granted', None, None, ),  # 5
-    (6, TType.I32, 'queued', None, None, ),  # 6
-)
-all_structs.append(ReplicaStatus)
-ReplicaStatus.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'replica_id', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
-    (3, TType.BOOL, 'voter', None, None, ),  # 3
-    (4, TType.I64, 'match_index', None, None, ),  # 4
-)
-all_structs.append(ControlStatus)
-ControlStatus.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'replica_id', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'leader_id', 'UTF8', None, ),  # 2
-    (3, TType.I64, 'term', None, None, ),  # 3
-    (4, TType.I64, 'commit_index', None, None, ),  # 4
-    (5, TType.I64, 'applied_index', None, None, ),  # 5
-    (6, TType.I64, 'configuration_revision', None, None, ),  # 6
-    (7, TType.LIST, 'replicas', (TType.STRUCT, [ReplicaStatus, None], False), None, ),  # 7
+
+
+class LogEntry(object):
+    """
+    Attributes:
+     - index
+     - term
+     - stamp_ms
+     - kind
+     - payload
+
+    """
+
+
+    def __init__(self, index=None, term=None, stamp_ms=None, kind=None, payload=None,):
+        self.index = index
+        self.term = term
+        self.stamp_ms = stamp_ms
+        self.kind = kind
+        self.payload = payload
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.index = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.stamp_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.kind = EntryKind(iprot.readI32()).name
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.payload = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LogEntry')
+        if self.index is not None:
+            oprot.writeFieldBegin('index', TType.I64, 1)
+            oprot.writeI64(self.index)
+            oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 2)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.stamp_ms is not None:
+            oprot.writeFieldBegin('stamp_ms', TType.I64, 3)
+            oprot.writeI64(self.stamp_ms)
+            oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.I32, 4)
+            oprot.writeI32(EntryKind[self.kind].value)
+            oprot.writeFieldEnd()
+        if self.payload is not None:
+            oprot.writeFieldBegin('payload', TType.STRING, 5)
+            oprot.writeBinary(self.payload)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class FinishCommand(object):
+    """
+    Attributes:
+     - claim
+     - outcome
+
+    """
+
+
+    def __init__(self, claim=None, outcome=None,):
+        self.claim = claim
+        self.outcome = outcome
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.claim = KeyClaim()
+                    self.claim.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.outcome = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FinishCommand')
+        if self.claim is not None:
+            oprot.writeFieldBegin('claim', TType.STRUCT, 1)
+            self.claim.write(oprot)
+            oprot.writeFieldEnd()
+        if self.outcome is not None:
+            oprot.writeFieldBegin('outcome', TType.STRING, 2)
+            oprot.writeBinary(self.outcome)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Member(object):
+    """
+    Attributes:
+     - replica_id
+     - host_id
+     - address
+     - voter
+
+    """
+
+
+    def __init__(self, replica_id=None, host_id=None, address=None, voter=None,):
+        self.replica_id = replica_id
+        self.host_id = host_id
+        self.address = address
+        self.voter = voter
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.replica_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.host_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.voter = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Member')
+        if self.replica_id is not None:
+            oprot.writeFieldBegin('replica_id', TType.STRING, 1)
+            oprot.writeString(self.replica_id.encode('utf-8') if sys.version_info[0] == 2 else self.replica_id)
+            oprot.writeFieldEnd()
+        if self.host_id is not None:
+            oprot.writeFieldBegin('host_id', TType.STRING, 2)
+            oprot.writeString(self.host_id.encode('utf-8') if sys.version_info[0] == 2 else self.host_id)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 3)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.voter is not None:
+            oprot.writeFieldBegin('voter', TType.BOOL, 4)
+            oprot.writeBool(self.voter)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Membership(object):
+    """
+    Attributes:
+     - cluster_id
+     - members
+     - admitted_host_ids
+
+    """
+
+
+    def __init__(self, cluster_id=None, members=None, admitted_host_ids=None,):
+        self.cluster_id = cluster_id
+        self.members = members
+        self.admitted_host_ids = admitted_host_ids
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.cluster_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = Member()
+                        _elem47.read(iprot)
+                        self.members.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.admitted_host_ids = []
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.admitted_host_ids.append(_elem53)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Membership')
+        if self.cluster_id is not None:
+            oprot.writeFieldBegin('cluster_id', TType.STRING, 1)
+            oprot.writeString(self.cluster_id.encode('utf-8') if sys.version_info[0] == 2 else self.cluster_id)
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter54 in self.members:
+                iter54.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.admitted_host_ids is not None:
+            oprot.writeFieldBegin('admitted_host_ids', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.admitted_host_ids))
+            for iter55 in self.admitted_host_ids:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ReplicaIdentity(object):
+    """
+    Attributes:
+     - host_id
+     - disk_id
+
+    """
+
+
+    def __init__(self, host_id=None, disk_id=None,):
+        self.host_id = host_id
+        self.disk_id = disk_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.disk_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReplicaIdentity')
+        if self.host_id is not None:
+            oprot.writeFieldBegin('host_id', TType.STRING, 1)
+            oprot.writeString(self.host_id.encode('utf-8') if sys.version_info[0] == 2 else self.host_id)
+            oprot.writeFieldEnd()
+        if self.disk_id is not None:
+            oprot.writeFieldBegin('disk_id', TType.STRING, 2)
+            oprot.writeString(self.disk_id.encode('utf-8') if sys.version_info[0] == 2 else self.disk_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ReplicaMetadata(object):
+    """
+    Attributes:
+     - cluster_id
+     - term
+     - voted_for
+
+    """
+
+
+    def __init__(self, cluster_id=None, term=None, voted_for=None,):
+        self.cluster_id = cluster_id
+        self.term = term
+        self.voted_for = voted_for
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.cluster_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.voted_for = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReplicaMetadata')
+        if self.cluster_id is not None:
+            oprot.writeFieldBegin('cluster_id', TType.STRING, 1)
+            oprot.writeString(self.cluster_id.encode('utf-8') if sys.version_info[0] == 2 else self.cluster_id)
+            oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 2)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.voted_for is not None:
+            oprot.writeFieldBegin('voted_for', TType.STRING, 3)
+            oprot.writeString(self.voted_for.encode('utf-8') if sys.version_info[0] == 2 else self.voted_for)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SyncedMark(object):
+    """
+    Attributes:
+     - first_index
+     - length
+
+    """
+
+
+    def __init__(self, first_index=None, length=None,):
+        self.first_index = first_index
+        self.length = length
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.first_index = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.length = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SyncedMark')
+        if self.first_index is not None:
+            oprot.writeFieldBegin('first_index', TType.I64, 1)
+            oprot.writeI64(self.first_index)
+            oprot.writeFieldEnd()
+        if self.length is not None:
+            oprot.writeFieldBegin('length', TType.I64, 2)
+            oprot.writeI64(self.length)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SnapshotHeader(object):
+    """
+    Attributes:
+     - last_index
+     - last_term
+     - stamp_ms
+     - membership
+
+    """
+
+
+    def __init__(self, last_index=None, last_term=None, stamp_ms=None, membership=None,):
+        self.last_index = last_index
+        self.last_term = last_term
+        self.stamp_ms = stamp_ms
+        self.membership = membership
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.last_index = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.last_term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.stamp_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.membership = Membership()
+                    self.membership.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SnapshotHeader')
+        if self.last_index is not None:
+            oprot.writeFieldBegin('last_index', TType.I64, 1)
+            oprot.writeI64(self.last_index)
+            oprot.writeFieldEnd()
+        if self.last_term is not None:
+            oprot.writeFieldBegin('last_term', TType.I64, 2)
+            oprot.writeI64(self.last_term)
+            oprot.writeFieldEnd()
+        if self.stamp_ms is not None:
+            oprot.writeFieldBegin('stamp_ms', TType.I64, 3)
+            oprot.writeI64(self.stamp_ms)
+            oprot.writeFieldEnd()
+        if self.membership is not None:
+            oprot.writeFieldBegin('membership', TType.STRUCT, 4)
+            self.membership.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ChangeRecord(object):
+    """
+    Attributes:
+     - change_id
+     - digest
+     - accepted
+     - revision
+
+    """
+
+
+    def __init__(self, change_id=None, digest=None, accepted=None, revision=None,):
+        self.change_id = change_id
+        self.digest = digest
+        self.accepted = accepted
+        self.revision = revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.change_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.accepted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ChangeRecord')
+        if self.change_id is not None:
+            oprot.writeFieldBegin('change_id', TType.STRING, 1)
+            oprot.writeString(self.change_id.encode('utf-8') if sys.version_info[0] == 2 else self.change_id)
+            oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 2)
+            oprot.writeBinary(self.digest)
+            oprot.writeFieldEnd()
+        if self.accepted is not None:
+            oprot.writeFieldBegin('accepted', TType.BOOL, 3)
+            oprot.writeBool(self.accepted)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 4)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ClaimRecord(object):
+    """
+    Attributes:
+     - digest
+     - request_id
+     - owner
+     - fingerprint
+     - stamp_ms
+     - finished
+     - outcome
+
+    """
+
+
+    def __init__(self, digest=None, request_id=None, owner=None, fingerprint=None, stamp_ms=None, finished=None, outcome=None,):
+        self.digest = digest
+        self.request_id = request_id
+        self.owner = owner
+        self.fingerprint = fingerprint
+        self.stamp_ms = stamp_ms
+        self.finished = finished
+        self.outcome = outcome
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.owner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.stamp_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.finished = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.outcome = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ClaimRecord')
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 1)
+            oprot.writeBinary(self.digest)
+            oprot.writeFieldEnd()
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 2)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.owner is not None:
+            oprot.writeFieldBegin('owner', TType.STRING, 3)
+            oprot.writeString(self.owner.encode('utf-8') if sys.version_info[0] == 2 else self.owner)
+            oprot.writeFieldEnd()
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 4)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.stamp_ms is not None:
+            oprot.writeFieldBegin('stamp_ms', TType.I64, 5)
+            oprot.writeI64(self.stamp_ms)
+            oprot.writeFieldEnd()
+        if self.finished is not None:
+            oprot.writeFieldBegin('finished', TType.BOOL, 6)
+            oprot.writeBool(self.finished)
+            oprot.writeFieldEnd()
+        if self.outcome is not None:
+            oprot.writeFieldBegin('outcome', TType.STRING, 7)
+            oprot.writeBinary(self.outcome)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SnapshotPart(object):
+    """
+    Attributes:
+     - configurations
+     - changes
+     - claims
+     - end
+
+    """
+
+
+    def __init__(self, configurations=None, changes=None, claims=None, end=None,):
+        self.configurations = configurations
+        self.changes = changes
+        self.claims = claims
+        self.end = end
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.configurations = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = Configuration()
+                        _elem61.read(iprot)
+                        self.configurations.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.changes = []
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = ChangeRecord()
+                        _elem67.read(iprot)
+                        self.changes.append(_elem67)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.claims = []
+                    (_etype71, _size68) = iprot.readListBegin()
+                    for _i72 in range(_size68):
+                        _elem73 = ClaimRecord()
+                        _elem73.read(iprot)
+                        self.claims.append(_elem73)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.end = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SnapshotPart')
+        if self.configurations is not None:
+            oprot.writeFieldBegin('configurations', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.configurations))
+            for iter74 in self.configurations:
+                iter74.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.changes is not None:
+            oprot.writeFieldBegin('changes', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.changes))
+            for iter75 in self.changes:
+                iter75.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.claims is not None:
+            oprot.writeFieldBegin('claims', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.claims))
+            for iter76 in self.claims:
+                iter76.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.end is not None:
+            oprot.writeFieldBegin('end', TType.BOOL, 4)
+            oprot.writeBool(self.end)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ReplicaDescription(object):
+    """
+    Attributes:
+     - replica_id
+     - host_id
+     - address
+     - cluster_id
+
+    """
+
+
+    def __init__(self, replica_id=None, host_id=None, address=None, cluster_id=None,):
+        self.replica_id = replica_id
+        self.host_id = host_id
+        self.address = address
+        self.cluster_id = cluster_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.replica_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.host_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.cluster_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReplicaDescription')
+        if self.replica_id is not None:
+            oprot.writeFieldBegin('replica_id', TType.STRING, 1)
+            oprot.writeString(self.replica_id.encode('utf-8') if sys.version_info[0] == 2 else self.replica_id)
+            oprot.writeFieldEnd()
+        if self.host_id is not None:
+            oprot.writeFieldBegin('host_id', TType.STRING, 2)
+            oprot.writeString(self.host_id.encode('utf-8') if sys.version_info[0] == 2 else self.host_id)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 3)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.cluster_id is not None:
+            oprot.writeFieldBegin('cluster_id', TType.STRING, 4)
+            oprot.writeString(self.cluster_id.encode('utf-8') if sys.version_info[0] == 2 else self.cluster_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class VoteRequest(object):
+    """
+    Attributes:
+     - cluster_id
+     - target_id
+     - candidate_id
+     - term
+     - last_index
+     - last_term
+     - transfer
+
+    """
+
+
+    def __init__(self, cluster_id=None, target_id=None, candidate_id=None, term=None, last_index=None, last_term=None, transfer=None,):
+        self.cluster_id = cluster_id
+        self.target_id = target_id
+        self.candidate_id = candidate_id
+        self.term = term
+        self.last_index = last_index
+        self.last_term = last_term
+        self.transfer = transfer
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.cluster_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.target_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.candidate_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.last_index = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.last_term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.transfer = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('VoteRequest')
+        if self.cluster_id is not None:
+            oprot.writeFieldBegin('cluster_id', TType.STRING, 1)
+            oprot.writeString(self.cluster_id.encode('utf-8') if sys.version_info[0] == 2 else self.cluster_id)
+            oprot.writeFieldEnd()
+        if self.target_id is not None:
+            oprot.writeFieldBegin('target_id', TType.STRING, 2)
+            oprot.writeString(self.target_id.encode('utf-8') if sys.version_info[0] == 2 else self.target_id)
+            oprot.writeFieldEnd()
+        if self.candidate_id is not None:
+            oprot.writeFieldBegin('candidate_id', TType.STRING, 3)
+            oprot.writeString(self.candidate_id.encode('utf-8') if sys.version_info[0] == 2 else self.candidate_id)
+            oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 4)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.last_index is not None:
+            oprot.writeFieldBegin('last_index', TType.I64, 5)
+            oprot.writeI64(self.last_index)
+            oprot.writeFieldEnd()
+        if self.last_term is not None:
+            oprot.writeFieldBegin('last_term', TType.I64, 6)
+            oprot.writeI64(self.last_term)
+            oprot.writeFieldEnd()
+        if self.transfer is not None:
+            oprot.writeFieldBegin('transfer', TType.BOOL, 7)
+            oprot.writeBool(self.transfer)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class VoteReply(object):
+    """
+    Attributes:
+     - term
+     - granted
+
+    """
+
+
+    def __init__(self, term=None, granted=None,):
+        self.term = term
+        self.granted = granted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.granted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('VoteReply')
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 1)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.BOOL, 2)
+            oprot.writeBool(self.granted)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AppendRequest(object):
+    """
+    Attributes:
+     - cluster_id
+     - target_id
+     - leader_id
+     - leader_address
+     - term
+     - previous_index
+     - previous_term
+     - entries
+     - commit_index
+
+    """
+
+
+    def __init__(self, cluster_id=None, target_id=None, leader_id=None, leader_address=None, term=None, previous_index=None, previous_term=None, entries=None, commit_index=None,):
+        self.cluster_id = cluster_id
+        self.target_id = target_id
+        self.leader_id = leader_id
+        self.leader_address = leader_address
+        self.term = term
+        self.previous_index = previous_index
+        self.previous_term = previous_term
+        self.entries = entries
+        self.commit_index = commit_index
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.cluster_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.target_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.leader_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.leader_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.previous_index = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.previous_term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.entries = []
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = LogEntry()
+                        _elem82.read(iprot)
+                        self.entries.append(_elem82)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.commit_index = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AppendRequest')
+        if self.cluster_id is not None:
+            oprot.writeFieldBegin('cluster_id', TType.STRING, 1)
+            oprot.writeString(self.cluster_id.encode('utf-8') if sys.version_info[0] == 2 else self.cluster_id)
+            oprot.writeFieldEnd()
+        if self.target_id is not None:
+            oprot.writeFieldBegin('target_id', TType.STRING, 2)
+            oprot.writeString(self.target_id.encode('utf-8') if sys.version_info[0] == 2 else self.target_id)
+            oprot.writeFieldEnd()
+        if self.leader_id is not None:
+            oprot.writeFieldBegin('leader_id', TType.STRING, 3)
+            oprot.writeString(self.leader_id.encode('utf-8') if sys.version_info[0] == 2 else self.leader_id)
+            oprot.writeFieldEnd()
+        if self.leader_address is not None:
+            oprot.writeFieldBegin('leader_address', TType.STRING, 4)
+            oprot.writeString(self.leader_address.encode('utf-8') if sys.version_info[0] == 2 else self.leader_address)
+            oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 5)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.previous_index is not None:
+            oprot.writeFieldBegin('previous_index', TType.I64, 6)
+            oprot.writeI64(self.previous_index)
+            oprot.writeFieldEnd()
+        if self.previous_term is not None:
+            oprot.writeFieldBegin('previous_term', TType.I64, 7)
+            oprot.writeI64(self.previous_term)
+            oprot.writeFieldEnd()
+        if self.entries is not None:
+            oprot.writeFieldBegin('entries', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.entries))
+            for iter83 in self.entries:
+                iter83.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.commit_index is not None:
+            oprot.writeFieldBegin('commit_index', TType.I64, 9)
+            oprot.writeI64(self.commit_index)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AppendReply(object):
+    """
+    Attributes:
+     - term
+     - accepted
+     - match_index
+
+    """
+
+
+    def __init__(self, term=None, accepted=None, match_index=None,):
+        self.term = term
+        self.accepted = accepted
+        self.match_index = match_index
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.accepted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.match_index = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AppendReply')
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 1)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.accepted is not None:
+            oprot.writeFieldBegin('accepted', TType.BOOL, 2)
+            oprot.writeBool(self.accepted)
+            oprot.writeFieldEnd()
+        if self.match_index is not None:
+            oprot.writeFieldBegin('match_index', TType.I64, 3)
+            oprot.writeI64(self.match_index)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SnapshotPiece(object):
+    """
+    Attributes:
+     - cluster_id
+     - target_id
+     - leader_id
+     - leader_address
+     - term
+     - last_index
+     - last_term
+     - checksum
+     - total_bytes
+     - offset
+     - data
+
+    """
+
+
+    def __init__(self, cluster_id=None, target_id=None, leader_id=None, leader_address=None, term=None, last_index=None, last_term=None, checksum=None, total_bytes=None, offset=None, data=None,):
+        self.cluster_id = cluster_id
+        self.target_id = target_id
+        self.leader_id = leader_id
+        self.leader_address = leader_address
+        self.term = term
+        self.last_index = last_index
+        self.last_term = last_term
+        self.checksum = checksum
+        self.total_bytes = total_bytes
+        self.offset = offset
+        self.data = data
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.cluster_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.target_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.leader_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.leader_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.last_index = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.last_term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.checksum = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.total_bytes = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.data = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SnapshotPiece')
+        if self.cluster_id is not None:
+            oprot.writeFieldBegin('cluster_id', TType.STRING, 1)
+            oprot.writeString(self.cluster_id.encode('utf-8') if sys.version_info[0] == 2 else self.cluster_id)
+            oprot.writeFieldEnd()
+        if self.target_id is not None:
+            oprot.writeFieldBegin('target_id', TType.STRING, 2)
+            oprot.writeString(self.target_id.encode('utf-8') if sys.version_info[0] == 2 else self.target_id)
+            oprot.writeFieldEnd()
+        if self.leader_id is not None:
+            oprot.writeFieldBegin('leader_id', TType.STRING, 3)
+            oprot.writeString(self.leader_id.encode('utf-8') if sys.version_info[0] == 2 else self.leader_id)
+            oprot.writeFieldEnd()
+        if self.leader_address is not None:
+            oprot.writeFieldBegin('leader_address', TType.STRING, 4)
+            oprot.writeString(self.leader_address.encode('utf-8') if sys.version_info[0] == 2 else self.leader_address)
+            oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 5)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.last_index is not None:
+            oprot.writeFieldBegin('last_index', TType.I64, 6)
+            oprot.writeI64(self.last_index)
+            oprot.writeFieldEnd()
+        if self.last_term is not None:
+            oprot.writeFieldBegin('last_term', TType.I64, 7)
+            oprot.writeI64(self.last_term)
+            oprot.writeFieldEnd()
+        if self.checksum is not None:
+            oprot.writeFieldBegin('checksum', TType.STRING, 8)
+            oprot.writeString(self.checksum.encode('utf-8') if sys.version_info[0] == 2 else self.checksum)
+            oprot.writeFieldEnd()
+        if self.total_bytes is not None:
+            oprot.writeFieldBegin('total_bytes', TType.I64, 9)
+            oprot.writeI64(self.total_bytes)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 10)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.data is not None:
+            oprot.writeFieldBegin('data', TType.STRING, 11)
+            oprot.writeBinary(self.data)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SnapshotReply(object):
+    """
+    Attributes:
+     - term
+     - next_offset
+     - installed
+
+    """
+
+
+    def __init__(self, term=None, next_offset=None, installed=None,):
+        self.term = term
+        self.next_offset = next_offset
+        self.installed = installed
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.next_offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.installed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SnapshotReply')
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 1)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.next_offset is not None:
+            oprot.writeFieldBegin('next_offset', TType.I64, 2)
+            oprot.writeI64(self.next_offset)
+            oprot.writeFieldEnd()
+        if self.installed is not None:
+            oprot.writeFieldBegin('installed', TType.BOOL, 3)
+            oprot.writeBool(self.installed)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(PeerIdentity)
+PeerIdentity.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.STRING, 'secret', 'UTF8', None, ),  # 3
+)
+all_structs.append(PeerRefusal)
+PeerRefusal.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'error_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'message', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'remedy', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'retry_after_ms', None, None, ),  # 4
+)
+all_structs.append(NotLeader)
+NotLeader.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'leader_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'leader_address', 'UTF8', None, ),  # 2
+)
+all_structs.append(HostState)
+HostState.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'status', None, None, ),  # 5
+    (6, TType.I64, 'heartbeat', None, None, ),  # 6
+    (7, TType.I64, 'configuration_revision', None, None, ),  # 7
+)
+all_structs.append(GossipMessage)
+GossipMessage.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'sender_id', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'hosts', (TType.STRUCT, [HostState, None], False), None, ),  # 2
+    (3, TType.I64, 'configuration_revision', None, None, ),  # 3
+)
+all_structs.append(Announcement)
+Announcement.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'service_name', 'UTF8', None, ),  # 5
+    (6, TType.I32, 'role', None, None, ),  # 6
+    (7, TType.STRING, 'model', 'UTF8', None, ),  # 7
+    (8, TType.I32, 'slots', None, None, ),  # 8
+    (9, TType.BOOL, 'leaving', None, None, ),  # 9
+)
+all_structs.append(ReserveRequest)
+ReserveRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'attempt', None, None, ),  # 2
+    (3, TType.STRING, 'owner', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'service_name', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'priority', None, None, ),  # 5
+    (6, TType.I64, 'first_token_remaining_ms', None, None, ),  # 6
+    (7, TType.I64, 'wait_remaining_ms', None, None, ),  # 7
+    (8, TType.I32, 'prompt_tokens', None, None, ),  # 8
+    (9, TType.I32, 'output_tokens', None, None, ),  # 9
+    (10, TType.LIST, 'prefix_hashes', (TType.STRING, 'UTF8', False), None, ),  # 10
+    (11, TType.LIST, 'avoid_endpoint_ids', (TType.STRING, 'UTF8', False), None, ),  # 11
+    (12, TType.STRING, 'prefill_endpoint_id', 'UTF8', None, ),  # 12
+    (13, TType.STRING, 'traceparent', 'UTF8', None, ),  # 13
+)
+all_structs.append(EndpointRef)
+EndpointRef.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+)
+all_structs.append(Grant)
+Grant.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'grant_id', 'UTF8', None, ),  # 1
+    (2, TType.STRUCT, 'prefill', [EndpointRef, None], None, ),  # 2
+    (3, TType.STRUCT, 'decode', [EndpointRef, None], None, ),  # 3
+    (4, TType.I32, 'cached_tokens', None, None, ),  # 4
+)
+all_structs.append(ReserveReply)
+ReserveReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'status', None, None, ),  # 1
+    (2, TType.STRUCT, 'grant', [Grant, None], None, ),  # 2
+    (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'retry_after_ms', None, None, ),  # 4
+)
+all_structs.append(GrantProgress)
+GrantProgress.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'grant_id', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'prefill_finished', None, None, ),  # 2
+    (3, TType.BOOL, 'transfer_finished', None, None, ),  # 3
+    (4, TType.BOOL, 'released', None, None, ),  # 4
+    (5, TType.I32, 'prefill_tokens', None, None, ),  # 5
+    (6, TType.I32, 'output_tokens', None, None, ),  # 6
+    (7, TType.STRING, 'failed_endpoint_id', 'UTF8', None, ),  # 7
+)
+all_structs.append(KeyClaim)
+KeyClaim.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'client', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'key', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'request_id', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'owner', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 5
+)
+all_structs.append(KeyReply)
+KeyReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'status', None, None, ),  # 1
+    (2, TType.STRING, 'request_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'owner', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'outcome', 'BINARY', None, ),  # 4
+)
+all_structs.append(Configuration)
+Configuration.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.STRING, 'declaration', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'change_id', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'operator_name', 'UTF8', None, ),  # 4
+)
+all_structs.append(ApplyRequest)
+ApplyRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'change_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'base_revision', None, None, ),  # 2
+    (3, TType.STRING, 'declaration', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'operator_name', 'UTF8', None, ),  # 4
+)
+all_structs.append(ApplyReply)
+ApplyReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'accepted', None, None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.STRING, 'winner_change_id', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'winner_operator', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'winner_declaration', 'UTF8', None, ),  # 5
+)
+all_structs.append(EntryStatus)
+EntryStatus.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I64, 'configuration_revision', None, None, ),  # 3
+    (4, TType.I32, 'open_requests', None, None, ),  # 4
+    (5, TType.BOOL, 'stopping', None, None, ),  # 5
+    (6, TType.LIST, 'hosts', (TType.STRUCT, [HostState, None], False), None, ),  # 6
+    (7, TType.LIST, 'pools', (TType.STRUCT, [PoolStatus, None], False), None, ),  # 7
+)
+all_structs.append(PoolStatus)
+PoolStatus.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'endpoints', None, None, ),  # 2
+    (3, TType.I32, 'usable_endpoints', None, None, ),  # 3
+    (4, TType.I32, 'decode_slots', None, None, ),  # 4
+    (5, TType.I32, 'granted', None, None, ),  # 5
+    (6, TType.I32, 'queued', None, None, ),  # 6
+)
+all_structs.append(ReplicaStatus)
+ReplicaStatus.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'replica_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'voter', None, None, ),  # 3
+    (4, TType.I64, 'match_index', None, None, ),  # 4
+)
+all_structs.append(ControlStatus)
+ControlStatus.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'replica_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'leader_id', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'term', None, None, ),  # 3
+    (4, TType.I64, 'commit_index', None, None, ),  # 4
+    (5, TType.I64, 'applied_index', None, None, ),  # 5
+    (6, TType.I64, 'configuration_revision', None, None, ),  # 6
+    (7, TType.LIST, 'replicas', (TType.STRUCT, [ReplicaStatus, None], False), None, ),  # 7
+    (8, TType.STRING, 'failure', 'UTF8', None, ),  # 8
+    (9, TType.I64, 'claims', None, None, ),  # 9
+    (10, TType.I64, 'snapshot_index', None, None, ),  # 10
+    (11, TType.I64, 'first_index', None, None, ),  # 11
+)
+all_structs.append(LogEntry)
+LogEntry.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'index', None, None, ),  # 1
+    (2, TType.I64, 'term', None, None, ),  # 2
+    (3, TType.I64, 'stamp_ms', None, None, ),  # 3
+    (4, TType.I32, 'kind', None, None, ),  # 4
+    (5, TType.STRING, 'payload', 'BINARY', None, ),  # 5
+)
+all_structs.append(FinishCommand)
+FinishCommand.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'claim', [KeyClaim, None], None, ),  # 1
+    (2, TType.STRING, 'outcome', 'BINARY', None, ),  # 2
+)
+all_structs.append(Member)
+Member.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'replica_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'host_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (4, TType.BOOL, 'voter', None, None, ),  # 4
+)
+all_structs.append(Membership)
+Membership.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'cluster_id', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 2
+    (3, TType.LIST, 'admitted_host_ids', (TType.STRING, 'UTF8', False), None, ),  # 3
+)
+all_structs.append(ReplicaIdentity)
+ReplicaIdentity.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'disk_id', 'UTF8', None, ),  # 2
+)
+all_structs.append(ReplicaMetadata)
+ReplicaMetadata.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'cluster_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'term', None, None, ),  # 2
+    (3, TType.STRING, 'voted_for', 'UTF8', None, ),  # 3
+)
+all_structs.append(SyncedMark)
+SyncedMark.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'first_index', None, None, ),  # 1
+    (2, TType.I64, 'length', None, None, ),  # 2
+)
+all_structs.append(SnapshotHeader)
+SnapshotHeader.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'last_index', None, None, ),  # 1
+    (2, TType.I64, 'last_term', None, None, ),  # 2
+    (3, TType.I64, 'stamp_ms', None, None, ),  # 3
+    (4, TType.STRUCT, 'membership', [Membership, None], None, ),  # 4
+)
+all_structs.append(ChangeRecord)
+ChangeRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'change_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'digest', 'BINARY', None, ),  # 2
+    (3, TType.BOOL, 'accepted', None, None, ),  # 3
+    (4, TType.I64, 'revision', None, None, ),  # 4
+)
+all_structs.append(ClaimRecord)
+ClaimRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'digest', 'BINARY', None, ),  # 1
+    (2, TType.STRING, 'request_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'owner', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'stamp_ms', None, None, ),  # 5
+    (6, TType.BOOL, 'finished', None, None, ),  # 6
+    (7, TType.STRING, 'outcome', 'BINARY', None, ),  # 7
+)
+all_structs.append(SnapshotPart)
+SnapshotPart.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'configurations', (TType.STRUCT, [Configuration, None], False), None, ),  # 1
+    (2, TType.LIST, 'changes', (TType.STRUCT, [ChangeRecord, None], False), None, ),  # 2
+    (3, TType.LIST, 'claims', (TType.STRUCT, [ClaimRecord, None], False), None, ),  # 3
+    (4, TType.BOOL, 'end', None, None, ),  # 4
+)
+all_structs.append(ReplicaDescription)
+ReplicaDescription.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'replica_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'host_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'cluster_id', 'UTF8', None, ),  # 4
+)
+all_structs.append(VoteRequest)
+VoteRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'cluster_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'target_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'candidate_id', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'term', None, None, ),  # 4
+    (5, TType.I64, 'last_index', None, None, ),  # 5
+    (6, TType.I64, 'last_term', None, None, ),  # 6
+    (7, TType.BOOL, 'transfer', None, None, ),  # 7
+)
+all_structs.append(VoteReply)
+VoteReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'term', None, None, ),  # 1
+    (2, TType.BOOL, 'granted', None, None, ),  # 2
+)
+all_structs.append(AppendRequest)
+AppendRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'cluster_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'target_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'leader_id', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'leader_address', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'term', None, None, ),  # 5
+    (6, TType.I64, 'previous_index', None, None, ),  # 6
+    (7, TType.I64, 'previous_term', None, None, ),  # 7
+    (8, TType.LIST, 'entries', (TType.STRUCT, [LogEntry, None], False), None, ),  # 8
+    (9, TType.I64, 'commit_index', None, None, ),  # 9
+)
+all_structs.append(AppendReply)
+AppendReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'term', None, None, ),  # 1
+    (2, TType.BOOL, 'accepted', None, None, ),  # 2
+    (3, TType.I64, 'match_index', None, None, ),  # 3
+)
+all_structs.append(SnapshotPiece)
+SnapshotPiece.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'cluster_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'target_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'leader_id', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'leader_address', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'term', None, None, ),  # 5
+    (6, TType.I64, 'last_index', None, None, ),  # 6
+    (7, TType.I64, 'last_term', None, None, ),  # 7
+    (8, TType.STRING, 'checksum', 'UTF8', None, ),  # 8
+    (9, TType.I64, 'total_bytes', None, None, ),  # 9
+    (10, TType.I64, 'offset', None, None, ),  # 10
+    (11, TType.STRING, 'data', 'BINARY', None, ),  # 11
+)
+all_structs.append(SnapshotReply)
+SnapshotReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'term', None, None, ),  # 1
+    (2, TType.I64, 'next_offset', None, None, ),  # 2
+    (3, TType.BOOL, 'installed', None, None, ),  # 3
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/jujubeslip/peers/generate.sh
+++ b/src/jujubeslip/peers/generate.sh
@@ -8,4 +8,4 @@
 mv "$out/peers_gen" gen
 rm -f gen/*-remote
 sed -i 's/[ \t]*$//' gen/*.py
-rmdir "$out"
+rm -r "$out"
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -211,6 +211,166 @@
   5: i64 applied_index,
   6: i64 configuration_revision,
   7: list<ReplicaStatus> replicas,
+  // Empty while the replica can promise; else why it does not.
+  8: string failure,
+  9: i64 claims,
+  10: i64 snapshot_index,
+  11: i64 first_index,
+}
+
+enum EntryKind {
+  NO_OP = 1,
+  CONFIGURATION = 2,
+  CLAIM = 3,
+  FINISH = 4,
+  MEMBERSHIP = 5,
+}
+
+// One entry of the replicated log. `stamp_ms` is log time: it only grows, and
+// only while a leader runs. `payload` is the Thrift form of the kind's struct.
+struct LogEntry {
+  1: i64 index,
+  2: i64 term,
+  3: i64 stamp_ms,
+  4: EntryKind kind,
+  5: binary payload,
+}
+
+// Payload of FINISH.
+struct FinishCommand {
+  1: KeyClaim claim,
+  2: optional binary outcome,
+}
+
+// `replica_id` is HOST/DISK: a host that lost its disk is another replica.
+struct Member {
+  1: string replica_id,
+  2: string host_id,
+  3: string address,
+  4: bool voter,
+}
+
+// Payload of MEMBERSHIP. An admitted host may join, but has not done so yet.
+struct Membership {
+  1: string cluster_id,
+  2: list<Member> members,
+  3: list<string> admitted_host_ids,
+}
+
+// Which replica a data folder belongs to; written once, before anything else.
+struct ReplicaIdentity {
+  1: string host_id,
+  2: string disk_id,
+}
+
+// The promises of a replica outside its log.
+struct ReplicaMetadata {
+  1: string cluster_id,
+  2: i64 term,
+  3: string voted_for,
+}
+
+// What is durable for sure in a log segment; written after the sync.
+struct SyncedMark {
+  1: i64 first_index,
+  2: i64 length,
+}
+
+struct SnapshotHeader {
+  1: i64 last_index,
+  2: i64 last_term,
+  3: i64 stamp_ms,
+  4: Membership membership,
+}
+
+// A change that was answered: the reply that its resend gets again.
+struct ChangeRecord {
+  1: string change_id,
+  2: binary digest,
+  3: bool accepted,
+  4: i64 revision,
+}
+
+struct ClaimRecord {
+  1: binary digest,
+  2: string request_id,
+  3: string owner,
+  4: string fingerprint,
+  5: i64 stamp_ms,
+  6: bool finished,
+  7: optional binary outcome,
+}
+
+// One part of a snapshot file; the last part has `end` set.
+struct SnapshotPart {
+  1: list<Configuration> configurations,
+  2: list<ChangeRecord> changes,
+  3: list<ClaimRecord> claims,
+  4: bool end,
+}
+
+// What a replica is, asked by one that has no cluster yet.
+struct ReplicaDescription {
+  1: string replica_id,
+  2: string host_id,
+  3: string address,
+  4: string cluster_id,
+}
+
+struct VoteRequest {
+  1: string cluster_id,
+  2: string target_id,
+  3: string candidate_id,
+  4: i64 term,
+  5: i64 last_index,
+  6: i64 last_term,
+  // The leader gave up its lease and asked for this election.
+  7: bool transfer,
+}
+
+struct VoteReply {
+  1: i64 term,
+  2: bool granted,
+}
+
+struct AppendRequest {
+  1: string cluster_id,
+  2: string target_id,
+  3: string leader_id,
+  4: string leader_address,
+  5: i64 term,
+  6: i64 previous_index,
+  7: i64 previous_term,
+  8: list<LogEntry> entries,
+  9: i64 commit_index,
+}
+
+// When not accepted, `match_index` is where the leader should try next.
+struct AppendReply {
+  1: i64 term,
+  2: bool accepted,
+  3: i64 match_index,
+}
+
+// A piece of a snapshot file; an empty one asks where to resume.
+struct SnapshotPiece {
+  1: string cluster_id,
+  2: string target_id,
+  3: string leader_id,
+  4: string leader_address,
+  5: i64 term,
+  6: i64 last_index,
+  7: i64 last_term,
+  8: string checksum,
+  9: i64 total_bytes,
+  10: i64 offset,
+  11: binary data,
+}
+
+struct SnapshotReply {
+  1: i64 term,
+  2: i64 next_offset,
+  3: bool installed,
 }
 
 // Served by each control host to entry hosts and operators.
@@ -229,4 +389,23 @@
     throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
   list<Configuration> history(1: i32 limit) throws (1: PeerRefusal refusal),
   ControlStatus status() throws (1: PeerRefusal refusal),
+
+  // Between replicas.
+  ReplicaDescription describe() throws (1: PeerRefusal refusal),
+  VoteReply pre_vote(1: VoteRequest request) throws (1: PeerRefusal refusal),
+  VoteReply request_vote(1: VoteRequest request) throws (1: PeerRefusal refusal),
+  AppendReply append_entries(1: AppendRequest request)
+    throws (1: PeerRefusal refusal),
+  SnapshotReply install_snapshot(1: SnapshotPiece piece)
+    throws (1: PeerRefusal refusal),
+  void start_election(1: string target_id, 2: i64 term)
+    throws (1: PeerRefusal refusal),
+  void join(1: ReplicaDescription replica)
+    throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
+
+  // From operators: one change of the replicas at a time.
+  void add_replica(1: string host_id, 2: i64 remaining_ms)
+    throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
+  void remove_replica(1: string host_id, 2: i64 remaining_ms)
+    throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
 }
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test suites, a folder per concern."""
--- a/tests/fakes/__init__.py
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for what lies outside the system."""
