--- /dev/null
+++ b/src/jujubeslip/control/_claims.py
@@ -0,0 +1,199 @@
+"""Claims of (client, key): who runs a request that must run at most once."""
+
+from __future__ import annotations
+
+import hashlib
+import sys
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+
+from jujubeslip.peers import ClaimRecord, FinishCommand, KeyClaim, KeyReply, KeyStatus
+
+# How long a claim is kept, in log time; a resend after that runs again.
+CLAIM_RETENTION_MS = 24 * 3600 * 1000
+# New claims beyond these are refused, since dropping old ones could run a key twice.
+MAXIMUM_CLAIMS = 50_000
+# Longer outcomes, and the oldest beyond the total, are dropped; their claims are not.
+MAXIMUM_OUTCOME_BYTES = 64 * 1024
+MAXIMUM_TOTAL_OUTCOME_BYTES = 8 * 1024 * 1024
+DIGEST_BYTES = 16
+
+
+@dataclass(frozen=True)
+class ClaimsFull:
+    """The answer to a claim for which there is no room before `retry_after_ms`."""
+
+    retry_after_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """A claim and, once finished, its outcome; `stamp_ms` is log time.
+
+    `outcome_number` orders the outcomes that are kept; 0 means none is.
+    """
+
+    request_id: str
+    owner: str
+    fingerprint: str
+    stamp_ms: int
+    finished: bool = False
+    outcome: bytes | None = None
+    outcome_number: int = 0
+
+
+class ClaimTable:
+    """The claims by a digest of client and key, oldest first."""
+
+    def __init__(self, maximum_claims: int = MAXIMUM_CLAIMS) -> None:
+        self._maximum_claims = maximum_claims
+        self._claim_by_digest: dict[bytes, Claim] = {}
+        self._digests_by_age: deque[bytes] = deque()
+        self._outcomes_by_number: deque[tuple[int, bytes]] = deque()
+        self._outcome_bytes = 0
+        self._last_outcome_number = 0
+
+    def __len__(self) -> int:
+        return len(self._claim_by_digest)
+
+    def claim(self, claim: KeyClaim, stamp_ms: int) -> KeyReply | ClaimsFull:
+        """Give the key to the first that claims it; answer the others what became.
+
+        The same request id and owner gets FIRST again while it runs, so that a claim
+        can be sent again after a lost answer.
+        """
+        self._expire(stamp_ms)
+        known = self.find(claim)
+        if known is not None:
+            return known
+        if len(self._claim_by_digest) >= self._maximum_claims:
+            return ClaimsFull(self._until_next_expiry(stamp_ms))
+        digest = _digest(claim)
+        self._claim_by_digest[digest] = Claim(
+            claim.request_id, sys.intern(claim.owner), claim.fingerprint, stamp_ms
+        )
+        self._digests_by_age.append(digest)
+        return KeyReply(KeyStatus.FIRST, claim.request_id, claim.owner, None)
+
+    def find(self, claim: KeyClaim) -> KeyReply | None:
+        """Return what is known of the key, None when nobody has claimed it."""
+        found = self._claim_by_digest.get(_digest(claim))
+        if found is None:
+            return None
+        status = _status(found, claim)
+        outcome = found.outcome if status is KeyStatus.FINISHED else None
+        return KeyReply(status, found.request_id, found.owner, outcome)
+
+    def finish(self, command: FinishCommand) -> None:
+        """Record the outcome for the request that holds the claim; the first stays."""
+        digest = _digest(command.claim)
+        found = self._claim_by_digest.get(digest)
+        if found is None or found.finished:
+            return
+        if found.request_id != command.claim.request_id:
+            return
+        finished = replace(found, finished=True)
+        self._claim_by_digest[digest] = finished
+        if command.outcome and len(command.outcome) <= MAXIMUM_OUTCOME_BYTES:
+            self._keep_outcome(digest, finished, command.outcome)
+
+    def records(self) -> Iterator[ClaimRecord]:
+        """Return the claims, oldest first, as they were when called."""
+        digests = list(self._digests_by_age)
+        claims = dict(self._claim_by_digest)
+        return (_to_record(digest, claims[digest]) for digest in digests)
+
+    def load(self, record: ClaimRecord) -> None:
+        """Take over a claim from a snapshot, in order."""
+        outcome = record.outcome or b""
+        self._claim_by_digest[record.digest] = Claim(
+            record.request_id,
+            sys.intern(record.owner),
+            record.fingerprint,
+            record.stamp_ms,
+            record.finished,
+            record.outcome,
+            record.outcome_number,
+        )
+        self._digests_by_age.append(record.digest)
+        self._outcome_bytes += len(outcome)
+        if outcome:
+            self._outcomes_by_number.append((record.outcome_number, record.digest))
+
+    def finish_load(self) -> None:
+        """Restore the order of outcomes once a snapshot is loaded."""
+        self._outcomes_by_number = deque(sorted(self._outcomes_by_number))
+        if self._outcomes_by_number:
+            self._last_outcome_number = self._outcomes_by_number[-1][0]
+
+    def _expire(self, now_ms: int) -> None:
+        while self._digests_by_age:
+            digest = self._digests_by_age[0]
+            claim = self._claim_by_digest[digest]
+            if claim.stamp_ms + CLAIM_RETENTION_MS > now_ms:
+                break
+            self._digests_by_age.popleft()
+            del self._claim_by_digest[digest]
+            self._outcome_bytes -= len(claim.outcome or b"")
+        self._forget_expired_outcomes()
+
+    def _until_next_expiry(self, now_ms: int) -> int:
+        oldest = self._claim_by_digest[self._digests_by_age[0]]
+        return max(1, oldest.stamp_ms + CLAIM_RETENTION_MS - now_ms)
+
+    def _keep_outcome(self, digest: bytes, claim: Claim, outcome: bytes) -> None:
+        """Keep the outcome, and drop the oldest ones beyond the total."""
+        self._last_outcome_number += 1
+        number = self._last_outcome_number
+        self._claim_by_digest[digest] = replace(
+            claim, outcome=outcome, outcome_number=number
+        )
+        self._outcomes_by_number.append((number, digest))
+        self._outcome_bytes += len(outcome)
+        while self._outcome_bytes > MAXIMUM_TOTAL_OUTCOME_BYTES:
+            self._drop_oldest_outcome()
+
+    def _drop_oldest_outcome(self) -> None:
+        number, digest = self._outcomes_by_number.popleft()
+        claim = self._claim_by_digest.get(digest)
+        if claim is None or claim.outcome_number != number:
+            return
+        self._outcome_bytes -= len(claim.outcome or b"")
+        self._claim_by_digest[digest] = replace(claim, outcome=None, outcome_number=0)
+
+    def _forget_expired_outcomes(self) -> None:
+        while self._outcomes_by_number:
+            number, digest = self._outcomes_by_number[0]
+            claim = self._claim_by_digest.get(digest)
+            if claim is not None and claim.outcome_number == number:
+                return
+            self._outcomes_by_number.popleft()
+
+
+def _status(found: Claim, claim: KeyClaim) -> KeyStatus:
+    if found.fingerprint != claim.fingerprint:
+        return KeyStatus.CONFLICT
+    if found.finished:
+        return KeyStatus.FINISHED
+    if (found.request_id, found.owner) == (claim.request_id, claim.owner):
+        return KeyStatus.FIRST
+    return KeyStatus.RUNNING
+
+
+def _digest(claim: KeyClaim) -> bytes:
+    content = f"{len(claim.client)}:{claim.client}{claim.key}"
+    return hashlib.sha256(content.encode()).digest()[:DIGEST_BYTES]
+
+
+def _to_record(digest: bytes, claim: Claim) -> ClaimRecord:
+    return ClaimRecord(
+        digest,
+        claim.request_id,
+        claim.owner,
+        claim.fingerprint,
+        claim.stamp_ms,
+        claim.finished,
+        claim.outcome,
+        claim.outcome_number,
+    )
--- /dev/null
+++ b/src/jujubeslip/control/_configurations.py
@@ -0,0 +1,168 @@
+"""Accepted configurations, and the answers that each change got."""
+
+from __future__ import annotations
+
+import hashlib
+import zlib
+from collections import OrderedDict
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from jujubeslip.peers import ApplyReply, ApplyRequest, ChangeRecord, Configuration
+
+# How many answers to changes are kept for resends.
+MAXIMUM_CHANGES = 10_000
+# How many configurations are kept, and how many bytes of them. The bytes are counted
+# before compression, whose result may differ between two hosts' libraries: all
+# replicas must drop the same ones.
+MAXIMUM_HISTORY = 1000
+MAXIMUM_HISTORY_BYTES = 32 * 1024 * 1024
+DIGEST_BYTES = 16
+
+
+@dataclass(frozen=True)
+class ChangeIdReused:
+    """The answer to a change whose id an earlier, different change has used."""
+
+    change_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class _StoredConfiguration:
+    revision: int
+    packed_declaration: bytes
+    length: int
+    change_id: str
+    operator_name: str
+
+    def unpack(self) -> Configuration:
+        declaration = zlib.decompress(self.packed_declaration).decode()
+        return Configuration(
+            self.revision, declaration, self.change_id, self.operator_name
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    digest: bytes
+    accepted: bool
+    revision: int
+
+
+class ConfigurationTable:
+    """The configuration in force, its history, and one answer for each change id."""
+
+    def __init__(self) -> None:
+        self.current = Configuration(0, "", "", "")
+        self._stored_by_revision: OrderedDict[int, _StoredConfiguration] = OrderedDict()
+        self._answer_by_change_id: OrderedDict[str, _Answer] = OrderedDict()
+        self._history_bytes = 0
+
+    def apply(self, request: ApplyRequest) -> ApplyReply | ChangeIdReused:
+        """Accept the change if it was made from the current revision.
+
+        A change id that was answered before gets that answer again. This guards
+        against a resend after a lost answer, which would lose against itself.
+        """
+        answered = self.find_answer(request)
+        if answered is not None:
+            return answered
+        accepted = request.base_revision == self.current.revision
+        if accepted:
+            revision = self.current.revision + 1
+            self._store(
+                Configuration(
+                    revision,
+                    request.declaration,
+                    request.change_id,
+                    request.operator_name,
+                )
+            )
+        answer = _Answer(_digest(request), accepted, self.current.revision)
+        self._remember(request.change_id, answer)
+        return self._reply(answer)
+
+    def find_answer(self, request: ApplyRequest) -> ApplyReply | ChangeIdReused | None:
+        """Return what this change was answered before, None if it was not."""
+        answer = self._answer_by_change_id.get(request.change_id)
+        if answer is None:
+            return None
+        if answer.digest != _digest(request):
+            return ChangeIdReused(request.change_id)
+        return self._reply(answer)
+
+    def history(self, limit: int) -> list[Configuration]:
+        """Return the newest configurations, newest first."""
+        newest = reversed(self._stored_by_revision.values())
+        return [
+            stored.unpack() for stored, _ in zip(newest, range(limit), strict=False)
+        ]
+
+    def configurations(self) -> list[_StoredConfiguration]:
+        """Return the kept configurations in order, packed."""
+        return list(self._stored_by_revision.values())
+
+    def changes(self) -> Iterator[ChangeRecord]:
+        """Return the kept answers in order, as they were when called."""
+        answers = list(self._answer_by_change_id.items())
+        return (
+            ChangeRecord(change_id, answer.digest, answer.accepted, answer.revision)
+            for change_id, answer in answers
+        )
+
+    def load_configuration(self, configuration: Configuration) -> None:
+        """Take over a configuration from a snapshot, in order."""
+        self._store(configuration)
+
+    def load_change(self, record: ChangeRecord) -> None:
+        """Take over an answer from a snapshot, in order."""
+        answer = _Answer(record.digest, record.accepted, record.revision)
+        self._remember(record.change_id, answer)
+
+    def _reply(self, answer: _Answer) -> ApplyReply:
+        """Return the answer with the change that holds its revision."""
+        stored = self._stored_by_revision.get(answer.revision)
+        if stored is None:
+            return ApplyReply(answer.accepted, answer.revision, "", "", "")
+        winner = stored.unpack()
+        declaration = "" if answer.accepted else winner.declaration
+        return ApplyReply(
+            answer.accepted,
+            answer.revision,
+            winner.change_id,
+            winner.operator_name,
+            declaration,
+        )
+
+    def _store(self, configuration: Configuration) -> None:
+        content = configuration.declaration.encode()
+        self._stored_by_revision[configuration.revision] = _StoredConfiguration(
+            configuration.revision,
+            zlib.compress(content),
+            len(content),
+            configuration.change_id,
+            configuration.operator_name,
+        )
+        self._history_bytes += len(content)
+        self.current = configuration
+        while self._history_is_full():
+            _, oldest = self._stored_by_revision.popitem(last=False)
+            self._history_bytes -= oldest.length
+
+    def _history_is_full(self) -> bool:
+        if len(self._stored_by_revision) <= 1:
+            return False
+        return (
+            len(self._stored_by_revision) > MAXIMUM_HISTORY
+            or self._history_bytes > MAXIMUM_HISTORY_BYTES
+        )
+
+    def _remember(self, change_id: str, answer: _Answer) -> None:
+        self._answer_by_change_id[change_id] = answer
+        if len(self._answer_by_change_id) > MAXIMUM_CHANGES:
+            self._answer_by_change_id.popitem(last=False)
+
+
+def _digest(request: ApplyRequest) -> bytes:
+    content = f"{request.base_revision}\0{request.declaration}"
+    return hashlib.sha256(content.encode()).digest()[:DIGEST_BYTES]
--- /dev/null
+++ b/src/jujubeslip/control/_machine.py
@@ -0,0 +1,104 @@
+"""The state that the log carries: every replica applies the same entries in order."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from functools import singledispatchmethod
+from itertools import islice
+from typing import Any, TypeAlias, TypeVar
+
+from jujubeslip.control._claims import ClaimsFull, ClaimTable
+from jujubeslip.control._commands import NoOp, command_of
+from jujubeslip.control._configurations import ChangeIdReused, ConfigurationTable
+from jujubeslip.peers import (
+    ApplyReply,
+    ApplyRequest,
+    FinishCommand,
+    KeyClaim,
+    KeyReply,
+    LogEntry,
+    Membership,
+    SnapshotPart,
+)
+
+T = TypeVar("T")
+
+PART_SIZE = 500
+# Configurations are long: a part of a snapshot holds few of them.
+CONFIGURATION_PART_SIZE = 16
+
+Outcome: TypeAlias = ApplyReply | ChangeIdReused | KeyReply | ClaimsFull | None
+
+
+class StateMachine:
+    """Configurations and claims; equal on all replicas at the same index."""
+
+    def __init__(self) -> None:
+        self.configurations = ConfigurationTable()
+        self.claims = ClaimTable()
+        self.stamp_ms = 0
+
+    def apply(self, entry: LogEntry) -> Outcome:
+        """Apply one committed entry and return its outcome for who proposed it."""
+        self.stamp_ms = max(self.stamp_ms, entry.stamp_ms)
+        return self._apply(command_of(entry))
+
+    @singledispatchmethod
+    def _apply(self, command: Any) -> Outcome:
+        raise TypeError(f"{type(command).__name__} can't be applied")
+
+    @_apply.register(NoOp)
+    @_apply.register(Membership)
+    def _(self, command: NoOp | Membership) -> Outcome:
+        return None
+
+    @_apply.register(ApplyRequest)
+    def _(self, command: ApplyRequest) -> Outcome:
+        return self.configurations.apply(command)
+
+    @_apply.register(KeyClaim)
+    def _(self, command: KeyClaim) -> Outcome:
+        return self.claims.claim(command, self.stamp_ms)
+
+    @_apply.register(FinishCommand)
+    def _(self, command: FinishCommand) -> Outcome:
+        self.claims.finish(command)
+        return None
+
+    def parts(self) -> Iterator[SnapshotPart]:
+        """Return the state as parts of a snapshot, as it was when called."""
+        configurations = self.configurations.configurations()
+        changes = self.configurations.changes()
+        claims = self.claims.records()
+        return _to_parts(
+            (stored.unpack() for stored in configurations), changes, claims
+        )
+
+    def load_part(self, part: SnapshotPart) -> None:
+        """Take over a part of a snapshot, in order."""
+        for configuration in part.configurations:
+            self.configurations.load_configuration(configuration)
+        for change in part.changes:
+            self.configurations.load_change(change)
+        for claim in part.claims:
+            self.claims.load(claim)
+        if part.end:
+            self.claims.finish_load()
+
+
+def _to_parts(
+    configurations: Iterator[Any], changes: Iterator[Any], claims: Iterator[Any]
+) -> Iterator[SnapshotPart]:
+    for batch in _batches(configurations, CONFIGURATION_PART_SIZE):
+        yield SnapshotPart(batch, [], [], False)
+    for batch in _batches(changes, PART_SIZE):
+        yield SnapshotPart([], batch, [], False)
+    for batch in _batches(claims, PART_SIZE):
+        yield SnapshotPart([], [], batch, False)
+    yield SnapshotPart([], [], [], True)
+
+
+def _batches(items: Iterable[T], size: int) -> Iterator[list[T]]:
+    iterator = iter(items)
+    while batch := list(islice(iterator, size)):
+        yield batch
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -3032,11 +3032,12 @@
      - stamp_ms
      - finished
      - outcome
+     - outcome_number
 
     """
 
 
-    def __init__(self, digest=None, request_id=None, owner=None, fingerprint=None, stamp_ms=None, finished=None, outcome=None,):
+    def __init__(self, digest=None, request_id=None, owner=None, fingerprint=None, stamp_ms=None, finished=None, outcome=None, outcome_number=None,):
         self.digest = digest
         self.request_id = request_id
         self.owner = owner
@@ -3044,6 +3045,7 @@
         self.stamp_ms = stamp_ms
         self.finished = finished
         self.outcome = outcome
+        self.outcome_number = outcome_number
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3089,6 +3091,11 @@
                     self.outcome = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.outcome_number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3127,6 +3134,10 @@
             oprot.writeFieldBegin('outcome', TType.STRING, 7)
             oprot.writeBinary(self.outcome)
             oprot.writeFieldEnd()
+        if self.outcome_number is not None:
+            oprot.writeFieldBegin('outcome_number', TType.I64, 8)
+            oprot.writeI64(self.outcome_number)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4284,6 +4295,7 @@
     (5, TType.I64, 'stamp_ms', None, None, ),  # 5
     (6, TType.BOOL, 'finished', None, None, ),  # 6
     (7, TType.STRING, 'outcome', 'BINARY', None, ),  # 7
+    (8, TType.I64, 'outcome_number', None, None, ),  # 8
 )
 all_structs.append(SnapshotPart)
 SnapshotPart.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -299,6 +299,7 @@
   5: i64 stamp_ms,
   6: bool finished,
   7: optional binary outcome,
+  8: i64 outcome_number,
 }
 
 // One part of a snapshot file; the last part has `end` set.
