--- a/src/jujubeslip/control/__init__.py
+++ b/src/jujubeslip/control/__init__.py
@@ -1,9 +1,21 @@
 """The replicated log on the hosts with a disk, and the state that it carries."""
 
+from jujubeslip.control._client import ControlClient
 from jujubeslip.control._errors import (
     DataFolderInUseError,
+    LeadershipLostError,
     StorageDamagedError,
     StorageFailedError,
 )
+from jujubeslip.control._leadership import Fence
+from jujubeslip.control._run import run_control
 
-__all__ = ["DataFolderInUseError", "StorageDamagedError", "StorageFailedError"]
+__all__ = [
+    "ControlClient",
+    "DataFolderInUseError",
+    "Fence",
+    "LeadershipLostError",
+    "StorageDamagedError",
+    "StorageFailedError",
+    "run_control",
+]
--- /dev/null
+++ b/src/jujubeslip/control/_changes.py
@@ -0,0 +1,186 @@
+"""Changes of the membership, one replica at a time, by the leader."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+
+from jujubeslip.control._members import (
+    find_member,
+    members_of_host,
+    voters,
+    with_admitted,
+    with_learner,
+    with_promoted,
+    without_host,
+    without_replica,
+)
+from jujubeslip.control._replica import Replica
+from jujubeslip.kernel import Deadline
+from jujubeslip.peers import (
+    Member,
+    Membership,
+    NotLeader,
+    PeerRefusal,
+    ReplicaDescription,
+)
+
+logger = logging.getLogger(__name__)
+
+CHANGE_SECONDS = 5.0
+RETRY_AFTER_MS = 500
+# One more than is planned for, so that a host can be added before one is removed.
+MAXIMUM_HOSTS = 6
+# A replica that has not answered for this many election timeouts counts as gone.
+GONE_TIMEOUTS = 2.0
+
+
+class MembershipChanges:
+    """Adds and removes replicas through the log.
+
+    Each change waits for the one before it: with only one replica of difference, any
+    majority before shares a replica with any majority after, so that two leaders
+    can't be elected by two memberships.
+    """
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+
+    def join(self, joining: ReplicaDescription) -> None:
+        """Take in a replica as a learner; it gets entries but no vote."""
+
+        def learner_added(membership: Membership) -> Membership:
+            if find_member(membership, joining.replica_id) is not None:
+                return membership
+            self._check_may_join(membership, joining)
+            learner = Member(
+                joining.replica_id, joining.host_id, joining.address, False
+            )
+            return with_learner(membership, learner)
+
+        self._change(learner_added, Deadline.after(CHANGE_SECONDS))
+
+    def add_host(self, host_id: str, deadline: Deadline) -> None:
+        """Let a new host join with an empty data folder."""
+
+        def admitted(membership: Membership) -> Membership:
+            if members_of_host(membership, host_id):
+                return membership
+            hosts = {member.host_id for member in membership.members}
+            if len(hosts | {*membership.admitted_host_ids, host_id}) > MAXIMUM_HOSTS:
+                raise _refusal(
+                    "too_many_replicas",
+                    f"There are {len(hosts)} hosts already.",
+                    "Remove one first; three or five are enough.",
+                )
+            return with_admitted(membership, host_id)
+
+        self._change(admitted, deadline)
+
+    def remove_host(self, host_id: str, deadline: Deadline) -> None:
+        """Remove a host's replicas, unless the others would be without a quorum."""
+
+        def removed(membership: Membership) -> Membership:
+            left = without_host(membership, host_id)
+            self._check_quorum_left(left)
+            return left
+
+        self._change(removed, deadline)
+
+    def promote_learners(self) -> None:
+        """Take the next step for a learner that has caught up, if there is one.
+
+        The replica with the lost disk is removed before its successor votes. The
+        removal commits on a majority of the others, and with it every earlier entry:
+        what only the lost disk and one other held is on a majority again before a
+        second loss can meet a smaller one.
+        """
+        try:
+            self._change(self._next_step, Deadline.after(CHANGE_SECONDS))
+        except (NotLeader, PeerRefusal) as refusal:
+            logger.debug("no membership step", extra={"reason": str(refusal)})
+
+    def _next_step(self, membership: Membership) -> Membership:
+        for learner in membership.members:
+            if learner.voter or not self._has_caught_up(learner):
+                continue
+            for other in members_of_host(membership, learner.host_id):
+                if other.voter:
+                    return without_replica(membership, other.replica_id)
+            return with_promoted(membership, learner.replica_id)
+        return membership
+
+    def _has_caught_up(self, learner: Member) -> bool:
+        leadership = self._replica.require_leader()
+        progress = leadership.progress_by_id[learner.replica_id]
+        answered = time.monotonic() - progress.acknowledged_at
+        recent = answered < self._replica.election_seconds
+        return recent and progress.match_index >= self._replica.commit_index
+
+    def _change(
+        self, next_of: Callable[[Membership], Membership], deadline: Deadline
+    ) -> None:
+        """Commit the next membership; nothing if it equals the current one."""
+        replica = self._replica
+        with replica.lock:
+            leadership = replica.require_leader()
+            following = next_of(replica.membership)
+            if following == replica.membership:
+                return
+            # Also the leader's first entry: before it commits, an earlier leader's
+            # change could still be in force elsewhere.
+            newest = max(replica.memberships.current_index, leadership.first_index)
+            if newest > replica.commit_index:
+                raise _refusal(
+                    "change_in_progress",
+                    "Another change of the replicas is not committed yet.",
+                    "Ask again in a second.",
+                )
+            logger.warning("changing the replicas", extra={"to": str(following)})
+            waiting = replica.submit(following)
+        replica.wait_for(waiting, deadline)
+
+    def _check_may_join(
+        self, membership: Membership, joining: ReplicaDescription
+    ) -> None:
+        known = members_of_host(membership, joining.host_id)
+        if not known and joining.host_id not in membership.admitted_host_ids:
+            raise _refusal(
+                "host_not_admitted",
+                f"Host {joining.host_id!r} is not one of the replicas.",
+                f"Run `jujubeslip replica add {joining.host_id}` first.",
+            )
+        if any(member.voter and not self._is_gone(member) for member in known):
+            raise _refusal(
+                "replica_still_answers",
+                f"Host {joining.host_id!r} still answers from another data folder.",
+                "Stop the other process, or correct host_id in the settings.",
+            )
+
+    def _is_gone(self, member: Member) -> bool:
+        if member.replica_id == self._replica.replica_id:
+            return False
+        leadership = self._replica.require_leader()
+        progress = leadership.progress_by_id[member.replica_id]
+        last_seen = max(progress.acknowledged_at, leadership.started_at)
+        silence = time.monotonic() - last_seen
+        return silence > GONE_TIMEOUTS * self._replica.election_seconds
+
+    def _check_quorum_left(self, left: Membership) -> None:
+        answering = [
+            member
+            for member in voters(left)
+            if member.replica_id == self._replica.replica_id
+            or not self._is_gone(member)
+        ]
+        if len(answering) <= len(voters(left)) // 2:
+            raise _refusal(
+                "quorum_would_be_lost",
+                "Too few of the remaining replicas answer.",
+                "Bring one of them back first.",
+            )
+
+
+def _refusal(error_id: str, message: str, remedy: str) -> PeerRefusal:
+    return PeerRefusal(error_id, message, remedy, RETRY_AFTER_MS)
--- /dev/null
+++ b/src/jujubeslip/control/_election.py
@@ -0,0 +1,190 @@
+"""Elections: one task that campaigns when no leader is heard, and gives up a lead."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from dataclasses import dataclass
+
+from jujubeslip.control._members import quorum_size, voters
+from jujubeslip.control._peers import ReplicaClients
+from jujubeslip.control._replica import Replica, Role
+from jujubeslip.kernel import Deadline, PeerUnavailableError
+from jujubeslip.peers import (
+    Member,
+    PeerRefusal,
+    ReplicaMetadata,
+    VoteReply,
+    VoteRequest,
+)
+
+logger = logging.getLogger(__name__)
+
+# How long a campaign waits for votes, as a share of the election timeout.
+BALLOT_SHARE = 0.5
+IDLE_SECONDS = 1.0
+
+
+class Ballot:
+    """Votes that come in from the tasks that ask for them."""
+
+    def __init__(self, needed: int) -> None:
+        self._missing = needed
+        self._changed = threading.Condition()
+
+    def grant(self) -> None:
+        """Count one vote."""
+        with self._changed:
+            self._missing -= 1
+            self._changed.notify_all()
+
+    def won(self, deadline: Deadline) -> bool:
+        """Wait until the votes are enough; False when the deadline passes first."""
+        with self._changed:
+            return self._changed.wait_for(
+                lambda: self._missing <= 0, deadline.remaining()
+            )
+
+
+@dataclass(frozen=True)
+class Campaign:
+    """What a candidate asks the others: a pre-vote changes nothing at the voter."""
+
+    request: VoteRequest
+    pre_vote: bool
+    others: tuple[Member, ...]
+    needed: int
+
+
+class Elections:
+    """Campaigns when the election deadline passes; steps down without a quorum."""
+
+    def __init__(self, replica: Replica, clients: ReplicaClients) -> None:
+        self._replica = replica
+        self._clients = clients
+
+    def run(self) -> None:
+        """Run until the process stops."""
+        while not self._replica.process.stopped.is_set():
+            if self._wait():
+                self._campaign()
+
+    def _wait(self) -> bool:
+        """Wait for the next deadline; say whether it is time to campaign."""
+        replica = self._replica
+        with replica.lock:
+            deadline = self._next_deadline()
+            if not deadline.expired:
+                replica.role_changed.wait(deadline.remaining())
+                return False
+            if replica.leadership is not None:
+                # Cut off from a majority, which may have another leader by now.
+                replica.step_down("no quorum has answered")
+                return False
+            if not replica.may_campaign:
+                replica.election_deadline = replica.random_election_deadline()
+                return False
+            return True
+
+    def _next_deadline(self) -> Deadline:
+        replica = self._replica
+        if replica.leadership is not None:
+            return replica.leadership.quorum_deadline(
+                replica.membership, replica.election_seconds
+            )
+        if not replica.may_campaign:
+            return Deadline.after(IDLE_SECONDS)
+        return replica.election_deadline
+
+    def _campaign(self) -> None:
+        """Ask for pre-votes, then for votes, and lead if a majority gives them.
+
+        The pre-vote guards against a replica that was cut off: its term would grow
+        with each try, and on its return it would depose a leader that works.
+        """
+        with self._replica.lock:
+            transfer, self._replica.transferring = self._replica.transferring, False
+            self._replica.election_deadline = self._replica.random_election_deadline()
+            pre_vote = self._prepare(self._replica.term + 1, True, transfer)
+            logger.info("no leader heard", extra={"term": self._replica.term})
+        if not transfer and not self._wins(pre_vote):
+            return
+        try:
+            campaign = self._begin_term(transfer)
+        except PeerRefusal:
+            return
+        if self._wins(campaign):
+            self._lead(campaign.request.term)
+
+    def _prepare(self, term: int, pre_vote: bool, transfer: bool) -> Campaign:
+        replica = self._replica
+        request = VoteRequest(
+            replica.cluster_id,
+            "",
+            replica.replica_id,
+            term,
+            replica.log.last_index,
+            replica.log.last_term,
+            transfer,
+        )
+        others = tuple(
+            member
+            for member in voters(replica.membership)
+            if member.replica_id != replica.replica_id
+        )
+        return Campaign(request, pre_vote, others, quorum_size(replica.membership) - 1)
+
+    def _begin_term(self, transfer: bool) -> Campaign:
+        """Vote for itself in the next term, durably before anyone is asked."""
+        replica = self._replica
+        with replica.disk_lock, replica.lock, replica.promising():
+            replica.write_pending()
+            term = replica.term + 1
+            replica.save_metadata(
+                ReplicaMetadata(replica.cluster_id, term, replica.replica_id)
+            )
+            replica.role = Role.CANDIDATE
+            logger.info("campaigning", extra={"term": term})
+            return self._prepare(term, False, transfer)
+
+    def _wins(self, campaign: Campaign) -> bool:
+        ballot = Ballot(campaign.needed)
+        for member in campaign.others:
+            self._replica.process.start_task(self._ask, campaign, member, ballot)
+        seconds = self._replica.election_seconds * BALLOT_SHARE
+        return ballot.won(Deadline.after(seconds))
+
+    def _ask(self, campaign: Campaign, member: Member, ballot: Ballot) -> None:
+        asked = campaign.request
+        request = VoteRequest(
+            asked.cluster_id,
+            member.replica_id,
+            asked.candidate_id,
+            asked.term,
+            asked.last_index,
+            asked.last_term,
+            asked.transfer,
+        )
+        timeout = self._replica.election_seconds * BALLOT_SHARE
+        method = "pre_vote" if campaign.pre_vote else "request_vote"
+        try:
+            reply: VoteReply = self._clients.to_member(member).call(
+                lambda client: getattr(client, method)(request), timeout
+            )
+        except (PeerUnavailableError, PeerRefusal) as error:
+            logger.debug("no vote", extra={"member": member.replica_id, "why": error})
+            return
+        if reply.granted:
+            ballot.grant()
+            return
+        try:
+            self._replica.observe_term(reply.term)
+        except PeerRefusal:
+            return
+
+    def _lead(self, term: int) -> None:
+        replica = self._replica
+        with replica.lock:
+            still_candidate = replica.role is Role.CANDIDATE and replica.term == term
+            if still_candidate and not replica.failure:
+                replica.lead()
--- /dev/null
+++ b/src/jujubeslip/control/_handler.py
@@ -0,0 +1,218 @@
+"""The ControlPeer service: what entry hosts, operators and replicas call."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import Any
+
+from jujubeslip.control._changes import MembershipChanges
+from jujubeslip.control._claims import ClaimsFull
+from jujubeslip.control._commands import NoOp
+from jujubeslip.control._configurations import ChangeIdReused
+from jujubeslip.control._joining import own_description
+from jujubeslip.control._receiver import Receiver
+from jujubeslip.control._replica import Replica
+from jujubeslip.control._validation import check_declaration
+from jujubeslip.kernel import Deadline
+from jujubeslip.peers import (
+    AppendReply,
+    AppendRequest,
+    ApplyReply,
+    ApplyRequest,
+    Configuration,
+    ControlStatus,
+    FinishCommand,
+    KeyClaim,
+    KeyReply,
+    PeerRefusal,
+    ReplicaDescription,
+    ReplicaStatus,
+    SnapshotPiece,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+
+APPLY_SECONDS = 5.0
+READ_SECONDS = 2.0
+MAXIMUM_WAIT_SECONDS = 30.0
+MAXIMUM_HISTORY_REPLY = 100
+
+
+class ControlHandler:
+    """Answers calls on this replica; what changes state goes through the log."""
+
+    def __init__(
+        self, replica: Replica, receiver: Receiver, changes: MembershipChanges
+    ) -> None:
+        self._replica = replica
+        self._receiver = receiver
+        self._changes = changes
+
+    def get_configuration(self, known_revision: int, wait_ms: int) -> Configuration:
+        """Return the configuration applied here, once it is newer than the known one.
+
+        Any replica answers, since a caller only ever moves to a higher revision. With
+        a negative known_revision the leader alone answers, with the newest one.
+        """
+        if known_revision < 0:
+            self._ensure_reads_are_current()
+        wait = Deadline.from_remaining_ms(wait_ms)
+        deadline = wait.earlier_of(Deadline.after(MAXIMUM_WAIT_SECONDS))
+        replica = self._replica
+        with replica.lock:
+            replica.configuration_changed.wait_for(
+                lambda: self._current().revision > known_revision, deadline.remaining()
+            )
+            return self._current()
+
+    def apply_configuration(self, request: ApplyRequest) -> ApplyReply:
+        """Accept or refuse a change of the configuration, once and for all."""
+        replica = self._replica
+        with replica.lock:
+            replica.require_leader()
+            if replica.reads_are_current():
+                answered = replica.machine.configurations.find_answer(request)
+                if answered is not None:
+                    return to_reply(answered)
+        check_declaration(request)
+        return to_reply(replica.propose(request, Deadline.after(APPLY_SECONDS)))
+
+    def claim_key(self, claim: KeyClaim, remaining_ms: int) -> KeyReply:
+        """Claim (client, key), durably on a quorum before the answer."""
+        deadline = Deadline.from_remaining_ms(remaining_ms)
+        replica = self._replica
+        with replica.lock:
+            replica.require_leader()
+            if replica.reads_are_current():
+                known = replica.machine.claims.find(claim)
+                if known is not None:
+                    return known
+        return to_reply(replica.propose(claim, deadline))
+
+    def finish_key(self, claim: KeyClaim, outcome: bytes, remaining_ms: int) -> None:
+        """Record the outcome of a claim, durably on a quorum before the answer."""
+        command = FinishCommand(claim, outcome)
+        self._replica.propose(command, Deadline.from_remaining_ms(remaining_ms))
+
+    def history(self, limit: int) -> list[Configuration]:
+        """Return the newest configurations applied here, newest first."""
+        with self._replica.lock:
+            count = min(limit, MAXIMUM_HISTORY_REPLY)
+            return self._replica.machine.configurations.history(count)
+
+    def status(self) -> ControlStatus:
+        """Return how this replica sees the cluster; a leader only within its lease."""
+        replica = self._replica
+        with replica.lock:
+            snapshot = replica.snapshot
+            return ControlStatus(
+                replica.replica_id,
+                self._known_leader_id(),
+                replica.term,
+                replica.commit_index,
+                replica.applied_index,
+                self._current().revision,
+                self._replica_statuses(),
+                replica.failure,
+                len(replica.machine.claims),
+                snapshot.header.last_index if snapshot else 0,
+                replica.log.base_index + 1,
+            )
+
+    def describe(self) -> ReplicaDescription:
+        """Return which replica this is and which cluster it belongs to."""
+        return own_description(self._replica)
+
+    def pre_vote(self, request: VoteRequest) -> VoteReply:
+        """See Receiver.pre_vote."""
+        return self._receiver.pre_vote(request)
+
+    def request_vote(self, request: VoteRequest) -> VoteReply:
+        """See Receiver.request_vote."""
+        return self._receiver.request_vote(request)
+
+    def append_entries(self, request: AppendRequest) -> AppendReply:
+        """See Receiver.append_entries."""
+        return self._receiver.append_entries(request)
+
+    def install_snapshot(self, piece: SnapshotPiece) -> SnapshotReply:
+        """See Receiver.install_snapshot."""
+        return self._receiver.install_snapshot(piece)
+
+    def start_election(self, target_id: str, term: int) -> None:
+        """See Receiver.start_election."""
+        self._receiver.start_election(target_id, term)
+
+    def join(self, replica: ReplicaDescription) -> None:
+        """See MembershipChanges.join."""
+        self._changes.join(replica)
+
+    def add_replica(self, host_id: str, remaining_ms: int) -> None:
+        """See MembershipChanges.add_host."""
+        self._changes.add_host(host_id, Deadline.from_remaining_ms(remaining_ms))
+
+    def remove_replica(self, host_id: str, remaining_ms: int) -> None:
+        """See MembershipChanges.remove_host."""
+        self._changes.remove_host(host_id, Deadline.from_remaining_ms(remaining_ms))
+
+    def _current(self) -> Configuration:
+        return self._replica.machine.configurations.current
+
+    def _ensure_reads_are_current(self) -> None:
+        """Commit an entry first when the lease alone does not prove the lead."""
+        with self._replica.lock:
+            self._replica.require_leader()
+            if self._replica.reads_are_current():
+                return
+        self._replica.propose(NoOp(), Deadline.after(READ_SECONDS))
+
+    def _known_leader_id(self) -> str:
+        replica = self._replica
+        if replica.leadership is not None:
+            return "" if replica.lease().expired else replica.replica_id
+        return replica.leader.replica_id if replica.hears_leader else ""
+
+    def _replica_statuses(self) -> list[ReplicaStatus]:
+        replica = self._replica
+        progress_by_id = (
+            replica.leadership.progress_by_id if replica.leadership is not None else {}
+        )
+        statuses = []
+        for member in replica.membership.members:
+            progress = progress_by_id.get(member.replica_id)
+            match_index = progress.match_index if progress else 0
+            if member.replica_id == replica.replica_id:
+                match_index = replica.written_index
+            statuses.append(
+                ReplicaStatus(
+                    member.replica_id, member.address, member.voter, match_index
+                )
+            )
+        return statuses
+
+
+@singledispatch
+def to_reply(outcome: Any) -> Any:
+    """Return the outcome of a command as the answer, or raise it as a refusal."""
+    return outcome
+
+
+@to_reply.register
+def _(outcome: ChangeIdReused) -> Any:
+    raise PeerRefusal(
+        "change_id_reused",
+        f"Another change has used the id {outcome.change_id!r}.",
+        "Give each change an id of its own.",
+        0,
+    )
+
+
+@to_reply.register
+def _(outcome: ClaimsFull) -> Any:
+    raise PeerRefusal(
+        "claims_full",
+        "There is no room for another claim; the request was not run.",
+        "Ask again later, or let fewer requests be not repeatable.",
+        outcome.retry_after_ms,
+    )
--- /dev/null
+++ b/src/jujubeslip/control/_leadership.py
@@ -0,0 +1,122 @@
+"""What a leader knows for one term: its followers, its lease, its proposals."""
+
+from __future__ import annotations
+
+import time
+from concurrent.futures import Future
+from dataclasses import dataclass
+
+from jujubeslip.control._errors import LeadershipLostError
+from jujubeslip.control._machine import Outcome
+from jujubeslip.control._members import quorum_size, voters
+from jujubeslip.kernel import Deadline
+from jujubeslip.peers import Membership
+
+NEVER = float("-inf")
+
+
+@dataclass
+class Progress:
+    """How far a follower is; `acknowledged_at` is when its last answer was asked for.
+
+    The instant of asking counts, not that of the answer: the follower may have
+    answered at any time after it, and its promise not to vote began no earlier.
+    """
+
+    next_index: int
+    match_index: int = 0
+    acknowledged_at: float = NEVER
+
+
+@dataclass(frozen=True)
+class Fence:
+    """What an order carries: a number that grows with each leader, and its lease.
+
+    An order whose answer could come after the lease must not be sent.
+    """
+
+    number: int
+    lease: Deadline
+
+
+class Leadership:
+    """One term of this replica as leader; guarded by the replica's lock."""
+
+    def __init__(
+        self, term: int, replica_id: str, last_index: int, stamp_ms: int
+    ) -> None:
+        self.term = term
+        self.first_index = last_index + 1
+        self.started_at = time.monotonic()
+        self.progress_by_id: dict[str, Progress] = {}
+        self._replica_id = replica_id
+        self._stamp_ms = stamp_ms
+        self._waiter_by_index: dict[int, Future[Outcome]] = {}
+
+    def stamp_ms(self) -> int:
+        """Return log time: the last leader's, and the time since this one leads.
+
+        Clocks of hosts are not compared, and time without a leader does not count,
+        so that retention is never shorter than it says.
+        """
+        return self._stamp_ms + int((time.monotonic() - self.started_at) * 1000)
+
+    def follow_membership(self, membership: Membership, last_index: int) -> None:
+        """Begin to track new members and forget those that left."""
+        for member in membership.members:
+            if member.replica_id != self._replica_id:
+                self.progress_by_id.setdefault(
+                    member.replica_id, Progress(last_index + 1)
+                )
+        kept = {member.replica_id for member in membership.members}
+        for replica_id in self.progress_by_id.keys() - kept:
+            del self.progress_by_id[replica_id]
+
+    def lease(self, membership: Membership, seconds: float) -> Deadline:
+        """Return until when no other leader can have been elected."""
+        return Deadline(self._quorum_instant(membership, NEVER) + seconds)
+
+    def quorum_deadline(self, membership: Membership, seconds: float) -> Deadline:
+        """Return when the leader has gone without a quorum for this long."""
+        return Deadline(self._quorum_instant(membership, self.started_at) + seconds)
+
+    def committable(self, membership: Membership, durable_index: int) -> int:
+        """Return the highest index that a majority of the voters has synced."""
+        matches = []
+        for member in voters(membership):
+            if member.replica_id == self._replica_id:
+                matches.append(durable_index)
+            else:
+                matches.append(self.progress_by_id[member.replica_id].match_index)
+        matches.sort(reverse=True)
+        return matches[quorum_size(membership) - 1]
+
+    def add_waiter(self, index: int) -> Future[Outcome]:
+        """Return the future that gets the outcome of the entry with this index."""
+        future: Future[Outcome] = Future()
+        self._waiter_by_index[index] = future
+        return future
+
+    def answer_waiter(self, index: int, outcome: Outcome) -> None:
+        """Hand the outcome of an applied entry to who proposed it."""
+        future = self._waiter_by_index.pop(index, None)
+        if future is not None:
+            future.set_result(outcome)
+
+    def end(self) -> None:
+        """Tell all who wait that this replica can't say what becomes of it."""
+        error = LeadershipLostError("This replica no longer leads.")
+        for future in self._waiter_by_index.values():
+            future.set_exception(error)
+        self._waiter_by_index.clear()
+
+    def _quorum_instant(self, membership: Membership, earliest: float) -> float:
+        instants = []
+        for member in voters(membership):
+            if member.replica_id == self._replica_id:
+                instants.append(time.monotonic())
+            else:
+                progress = self.progress_by_id[member.replica_id]
+                instants.append(max(earliest, progress.acknowledged_at))
+        instants.sort(reverse=True)
+        return instants[quorum_size(membership) - 1]
--- a/src/jujubeslip/control/_log_files.py
+++ b/src/jujubeslip/control/_log_files.py
@@ -69,6 +69,7 @@
                 raise StorageDamagedError(f"A log segment before {path.name} is lost.")
             entries.extend(self._load_segment(segment, last=path is paths[-1]))
             self._segments.append(segment)
+        self._check_mark()
         if self._segments:
             self._open(self._segments[-1])
         return entries
@@ -92,21 +93,23 @@
         """Make all appended entries durable; only then may they be promised."""
         segment = self._segments[-1]
         sync_file(self._open_descriptor(), segment.path.name)
-        self._write_mark(segment)
+        self._write_mark(segment.first_index, segment.length)
 
     def truncate_from(self, index: int) -> None:
         """Remove the entry with this index and all behind it, durably."""
-        while self._segments and self._segments[-1].first_index > index:
-            self._remove(self._segments.pop())
-        if not self._segments:
+        kept = sum(item.first_index <= index for item in self._segments)
+        if kept == 0:
+            self.drop_all()
             return
-        segment = self._segments[-1]
-        self._open(segment)
+        segment = self._segments[kept - 1]
         del segment.ends[max(0, index - segment.first_index) :]
         # The mark goes back first: a mark behind the end would look like damage.
-        self._write_mark(segment)
+        self._write_mark(segment.first_index, segment.length)
+        self._sync_mark()
+        while self._segments[-1] is not segment:
+            self._remove(self._segments.pop())
+        self._open(segment)
         try:
-            os.fsync(self._mark)
             os.ftruncate(self._open_descriptor(), segment.length)
         except OSError as error:
             raise storage_failed(segment.path.name, error) from error
@@ -120,6 +123,11 @@
         sync_folder(self._folder)
         self._segments.append(segment)
 
+    def roll(self) -> None:
+        """Go on in a new segment if the last one holds any entry."""
+        if self._segments and self._segments[-1].ends:
+            self.start_segment(self._segments[-1].last_index + 1)
+
     def drop_before(self, index: int) -> int:
         """Remove segments wholly below the index; return the first index kept.
 
@@ -132,6 +140,8 @@
     def drop_all(self) -> None:
         """Remove every segment: a snapshot has taken the place of the whole log."""
         self._close_descriptor()
+        self._write_mark(0, 0)
+        self._sync_mark()
         for segment in reversed(self._segments):
             self._remove(segment)
         self._segments.clear()
@@ -165,20 +175,33 @@
         damaged last entry, which was promised, from the torn tail of a write, which
         was not. After a power loss it may be old, which only makes it say less.
         """
+        mark = self._read_mark()
+        return mark.length if mark.first_index == first_index else 0
+
+    def _check_mark(self) -> None:
+        """Refuse a folder whose newest segments were removed."""
+        mark = self._read_mark()
+        newest = self._segments[-1].first_index if self._segments else 0
+        if mark.length > 0 and mark.first_index > newest:
+            raise StorageDamagedError("The newest log segment is lost.")
+
+    def _read_mark(self) -> SyncedMark:
         size = os.fstat(self._mark).st_size
         record = record_at(os.pread(self._mark, size, 0), 0)
         if record is None:
-            return 0
-        mark = decode(MARK_NAME, SyncedMark, record.body)
-        return mark.length if mark.first_index == first_index else 0
+            return SyncedMark(0, 0)
+        return decode(MARK_NAME, SyncedMark, record.body)
 
-    def _write_mark(self, segment: Segment) -> None:
-        body = to_bytes(SyncedMark(segment.first_index, segment.length))
+    def _write_mark(self, first_index: int, length: int) -> None:
+        body = to_bytes(SyncedMark(first_index, length))
         try:
             os.pwrite(self._mark, frame(body), 0)
         except OSError as error:
             raise storage_failed(MARK_NAME, error) from error
 
+    def _sync_mark(self) -> None:
+        sync_file(self._mark, MARK_NAME)
+
     def _open(self, segment: Segment, flags: int = 0) -> None:
         self._close_descriptor()
         try:
--- /dev/null
+++ b/src/jujubeslip/control/_peers.py
@@ -0,0 +1,48 @@
+"""Connections from this replica to the others."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Iterator
+
+from jujubeslip.kernel import ControlSettings, PeerAddress, new_incarnation
+from jujubeslip.peers import ControlPeer, Member, PeerClient, PeerIdentity
+
+
+class ReplicaClients:
+    """One client for each address; an address in the settings goes first.
+
+    A host is reached at the address that this host's own settings give for it, and
+    only when they don't name it, at the one that it gave itself when it joined.
+    """
+
+    def __init__(self, settings: ControlSettings) -> None:
+        self._settings = settings
+        self._identity = PeerIdentity(
+            settings.host_id, new_incarnation(), settings.peer_secret
+        )
+        self._address_by_host = {
+            peer.host_id: peer.address for peer in settings.replicas
+        }
+        self._client_by_address: dict[str, PeerClient] = {}
+        self._lock = threading.Lock()
+
+    def to_member(self, member: Member) -> PeerClient:
+        """Return the client for a member."""
+        address = self._address_by_host.get(member.host_id, member.address)
+        return self.to_address(address)
+
+    def to_address(self, address: str) -> PeerClient:
+        """Return the client for an address."""
+        with self._lock:
+            client = self._client_by_address.get(address)
+            if client is None:
+                client = PeerClient(ControlPeer.Client, address, self._identity)
+                self._client_by_address[address] = client
+            return client
+
+    def others(self) -> Iterator[PeerAddress]:
+        """Yield the other hosts of the settings."""
+        for peer in self._settings.replicas:
+            if peer.host_id != self._settings.host_id:
+                yield peer
--- /dev/null
+++ b/src/jujubeslip/control/_receiver.py
@@ -0,0 +1,199 @@
+"""What a replica answers to candidates and to its leader."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from jujubeslip.control._machine import StateMachine
+from jujubeslip.control._members import MembershipLog
+from jujubeslip.control._replica import LeaderContact, Replica
+from jujubeslip.control._snapshots import (
+    SnapshotFile,
+    SnapshotReceiver,
+    remove_older_snapshots,
+)
+from jujubeslip.kernel import Deadline
+from jujubeslip.peers import (
+    AppendReply,
+    AppendRequest,
+    PeerRefusal,
+    ReplicaMetadata,
+    SnapshotPiece,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+
+logger = logging.getLogger(__name__)
+
+
+class Receiver:
+    """Handles calls between replicas; each promise is durable before its answer."""
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+        self._snapshots = SnapshotReceiver(replica.storage.folder)
+
+    def pre_vote(self, request: VoteRequest) -> VoteReply:
+        """Say whether this replica would vote for the candidate; changes nothing."""
+        replica = self._replica
+        with self._addressed(request):
+            granted = (
+                not self._must_wait(request)
+                and request.term > replica.term
+                and self._is_up_to_date(request)
+            )
+            return VoteReply(replica.term, granted)
+
+    def request_vote(self, request: VoteRequest) -> VoteReply:
+        """Vote at most once in each term, for a candidate whose log is as new."""
+        replica = self._replica
+        with self._addressed(request):
+            if self._must_wait(request):
+                return VoteReply(replica.term, False)
+            replica.adopt_term(request.term)
+            granted = request.term == replica.term and self._may_vote_for(request)
+            if granted:
+                replica.save_metadata(
+                    ReplicaMetadata(
+                        replica.cluster_id, replica.term, request.candidate_id
+                    )
+                )
+                replica.election_deadline = replica.random_election_deadline()
+            return VoteReply(replica.term, granted)
+
+    def append_entries(self, request: AppendRequest) -> AppendReply:
+        """Take over the leader's entries, synced before the answer."""
+        replica = self._replica
+        with self._addressed(request):
+            if request.term < replica.term:
+                return AppendReply(replica.term, False, 0)
+            leader = LeaderContact(request.leader_id, request.leader_address)
+            replica.follow(request.term, leader)
+            replica.write_pending()
+            if not self._fits(request):
+                return AppendReply(replica.term, False, self._next_try(request))
+            last_index = self._store(request)
+            replica.commit_to(min(request.commit_index, last_index))
+            return AppendReply(replica.term, True, last_index)
+
+    def install_snapshot(self, piece: SnapshotPiece) -> SnapshotReply:
+        """Take over a piece of the leader's snapshot; the last one installs it."""
+        replica = self._replica
+        with self._addressed(piece):
+            if piece.term < replica.term:
+                return SnapshotReply(replica.term, 0, False)
+            leader = LeaderContact(piece.leader_id, piece.leader_address)
+            replica.follow(piece.term, leader)
+            if replica.log.term_at(piece.last_index) == piece.last_term:
+                # The log holds all of it, and maybe more that was acknowledged.
+                replica.commit_to(piece.last_index)
+            if piece.last_index <= replica.commit_index:
+                return SnapshotReply(replica.term, piece.total_bytes, True)
+            offset = self._snapshots.receive(piece)
+            if offset < piece.total_bytes:
+                return SnapshotReply(replica.term, offset, False)
+            received = self._snapshots.finish(piece)
+            if received is None:
+                return SnapshotReply(replica.term, 0, False)
+            self._install(*received)
+            return SnapshotReply(replica.term, offset, True)
+
+    def start_election(self, target_id: str, term: int) -> None:
+        """Campaign at once: the leader has given up its lease for this replica."""
+        replica = self._replica
+        with replica.lock:
+            if target_id == replica.replica_id and term == replica.term:
+                replica.transferring = True
+                replica.election_deadline = Deadline.after(0)
+                replica.role_changed.notify_all()
+
+    @contextmanager
+    def _addressed(
+        self, message: VoteRequest | AppendRequest | SnapshotPiece
+    ) -> Iterator[None]:
+        """Hold both locks for a message that is meant for this replica.
+
+        A replica with a new disk is not the one that its leader knew at this address:
+        it must neither vote nor acknowledge in that one's name.
+        """
+        replica = self._replica
+        with replica.disk_lock, replica.lock, replica.promising():
+            if message.target_id != replica.replica_id:
+                raise PeerRefusal(
+                    "wrong_replica",
+                    f"This is {replica.replica_id}, not {message.target_id}.",
+                    "A replica whose disk was lost joins anew by itself.",
+                    0,
+                )
+            if not replica.cluster_id:
+                replica.save_metadata(
+                    ReplicaMetadata(message.cluster_id, replica.term, "")
+                )
+            if message.cluster_id != replica.cluster_id:
+                raise PeerRefusal(
+                    "wrong_cluster",
+                    f"{replica.replica_id} belongs to another cluster.",
+                    "Empty the data folder of the host that should join the other.",
+                    0,
+                )
+            yield
+
+    def _must_wait(self, request: VoteRequest) -> bool:
+        """Say whether a live leader's lease forbids any vote."""
+        return self._replica.hears_leader and not request.transfer
+
+    def _may_vote_for(self, request: VoteRequest) -> bool:
+        voted_for = self._replica.storage.metadata.voted_for
+        return voted_for in ("", request.candidate_id) and self._is_up_to_date(request)
+
+    def _is_up_to_date(self, request: VoteRequest) -> bool:
+        log = self._replica.log
+        theirs = (request.last_term, request.last_index)
+        return theirs >= (log.last_term, log.last_index)
+
+    def _fits(self, request: AppendRequest) -> bool:
+        """Say whether the log holds the entry before the leader's first one."""
+        replica = self._replica
+        if request.previous_index <= replica.commit_index:
+            return True
+        return replica.log.term_at(request.previous_index) == request.previous_term
+
+    def _next_try(self, request: AppendRequest) -> int:
+        """Return the last index that may fit: below the whole conflicting term."""
+        replica = self._replica
+        if request.previous_index > replica.log.last_index:
+            return replica.log.last_index
+        first = replica.log.first_of_term(request.previous_index)
+        return max(first - 1, replica.commit_index)
+
+    def _store(self, request: AppendRequest) -> int:
+        """Add the entries that are new, after removing those that conflict."""
+        replica = self._replica
+        for entry in request.entries:
+            if entry.index <= replica.commit_index:
+                continue
+            if replica.log.term_at(entry.index) == entry.term:
+                continue
+            if entry.index <= replica.log.last_index:
+                replica.truncate_from(entry.index)
+            replica.append_entry(entry)
+        replica.write_pending()
+        return int(request.previous_index + len(request.entries))
+
+    def _install(self, snapshot: SnapshotFile, machine: StateMachine) -> None:
+        replica = self._replica
+        header = snapshot.header
+        replica.storage.log.drop_all()
+        replica.log.reset(header.last_index, header.last_term)
+        replica.written_index = header.last_index
+        replica.commit_index = replica.applied_index = header.last_index
+        replica.memberships = MembershipLog(header.last_index, header.membership)
+        replica.machine = machine
+        replica.snapshot = snapshot
+        remove_older_snapshots(snapshot)
+        replica.membership_changed()
+        replica.configuration_changed.notify_all()
+        logger.info("snapshot installed", extra={"index": header.last_index})
--- /dev/null
+++ b/src/jujubeslip/control/_replication.py
@@ -0,0 +1,243 @@
+"""Replication: one task for each follower, which sends it entries or a snapshot."""
+
+from __future__ import annotations
+
+import logging
+import time
+from functools import singledispatchmethod
+from typing import Any
+
+from jujubeslip.control._leadership import Leadership, Progress
+from jujubeslip.control._members import find_member
+from jujubeslip.control._peers import ReplicaClients
+from jujubeslip.control._replica import MILLISECONDS, Replica
+from jujubeslip.control._snapshots import SnapshotReader
+from jujubeslip.kernel import Deadline, PeerUnavailableError
+from jujubeslip.peers import (
+    AppendReply,
+    AppendRequest,
+    Member,
+    PeerRefusal,
+    SnapshotPiece,
+    SnapshotReply,
+)
+
+logger = logging.getLogger(__name__)
+
+PIECE_BYTES = 256 * 1024
+# How long a follower may take over an append, as a share of the election timeout,
+# and over a piece of a snapshot, in seconds: its last piece loads the whole state.
+APPEND_SHARE = 0.5
+PIECE_SECONDS = 5.0
+
+
+class Replicator:
+    """Brings one follower up to date while this replica leads."""
+
+    def __init__(
+        self, replica: Replica, clients: ReplicaClients, member: Member
+    ) -> None:
+        self._replica = replica
+        self._member = member
+        self._client = clients.to_member(member)
+        self._heartbeat_seconds = replica.settings.heartbeat_ms / MILLISECONDS
+        self._next_contact = Deadline.after(0)
+        self._reachable = True
+        self._reader: SnapshotReader | None = None
+        self._offset = 0
+
+    def run(self) -> None:
+        """Run until the member leaves the membership or the process stops."""
+        replica = self._replica
+        while not replica.process.stopped.is_set():
+            with replica.lock:
+                if find_member(replica.membership, self._member.replica_id) is None:
+                    break
+                leadership = self._wait_for_work()
+                if leadership is None:
+                    continue
+                message = self._next_message(leadership)
+            self._exchange(leadership, message)
+        self._drop_reader()
+
+    def _wait_for_work(self) -> Leadership | None:
+        """Wait for entries to send or the next heartbeat; None if there is neither."""
+        replica = self._replica
+        leadership = replica.leadership
+        if leadership is None:
+            self._drop_reader()
+            self._next_contact = Deadline.after(0)
+            replica.work.wait(1.0)
+            return None
+        if self._next_contact.expired or (self._reachable and self._has_entries()):
+            self._next_contact = Deadline.after(self._heartbeat_seconds)
+            return leadership
+        replica.work.wait(self._next_contact.remaining())
+        return None
+
+    def _has_entries(self) -> bool:
+        progress = self._progress()
+        return progress.next_index <= self._replica.log.last_index
+
+    def _progress(self) -> Progress:
+        assert self._replica.leadership is not None
+        return self._replica.leadership.progress_by_id[self._member.replica_id]
+
+    def _next_message(self, leadership: Leadership) -> AppendRequest | SnapshotPiece:
+        replica = self._replica
+        previous_index = self._progress().next_index - 1
+        previous_term = replica.log.term_at(previous_index)
+        if previous_term is None and replica.snapshot is not None:
+            return self._next_piece(leadership)
+        self._drop_reader()
+        return AppendRequest(
+            replica.cluster_id,
+            self._member.replica_id,
+            replica.replica_id,
+            replica.settings.peer_address,
+            leadership.term,
+            previous_index,
+            previous_term or 0,
+            replica.log.batch_from(previous_index + 1),
+            replica.commit_index,
+        )
+
+    def _next_piece(self, leadership: Leadership) -> SnapshotPiece:
+        """Return the next piece of the newest snapshot; the first one is empty.
+
+        The follower answers the empty one with how much it holds already.
+        """
+        replica = self._replica
+        snapshot = replica.snapshot
+        assert snapshot is not None
+        if self._reader is None:
+            self._reader = SnapshotReader(snapshot)
+            self._offset = -1
+        snapshot = self._reader.snapshot
+        start = max(0, self._offset)
+        data = b"" if self._offset < 0 else self._reader.read(start, PIECE_BYTES)
+        return SnapshotPiece(
+            replica.cluster_id,
+            self._member.replica_id,
+            replica.replica_id,
+            replica.settings.peer_address,
+            leadership.term,
+            snapshot.header.last_index,
+            snapshot.header.last_term,
+            snapshot.checksum,
+            snapshot.length,
+            start,
+            data,
+        )
+
+    def _exchange(self, leadership: Leadership, message: Any) -> None:
+        sent_at = time.monotonic()
+        try:
+            reply = self._send(message)
+            self._replica.observe_term(reply.term)
+        except (PeerUnavailableError, PeerRefusal) as error:
+            self._note_reachable(False, error)
+            return
+        self._note_reachable(True)
+        with self._replica.lock:
+            current = self._replica.leadership is leadership
+            if current and reply.term == leadership.term:
+                self._take_reply(reply, message, sent_at)
+
+    @singledispatchmethod
+    def _send(self, message: Any) -> Any:
+        raise TypeError(f"{type(message).__name__} is no message to a follower")
+
+    @_send.register(AppendRequest)
+    def _(self, message: AppendRequest) -> AppendReply:
+        timeout = self._replica.election_seconds * APPEND_SHARE
+        return self._client.call(lambda peer: peer.append_entries(message), timeout)
+
+    @_send.register(SnapshotPiece)
+    def _(self, message: SnapshotPiece) -> SnapshotReply:
+        return self._client.call(
+            lambda peer: peer.install_snapshot(message), PIECE_SECONDS
+        )
+
+    def _take_reply(self, reply: Any, message: Any, sent_at: float) -> None:
+        progress = self._replica.leadership and (
+            self._replica.leadership.progress_by_id.get(self._member.replica_id)
+        )
+        if not progress:
+            return
+        progress.acknowledged_at = max(progress.acknowledged_at, sent_at)
+        if isinstance(message, SnapshotPiece):
+            self._take_piece_reply(progress, reply, message)
+        else:
+            self._take_append_reply(progress, reply, message)
+        # The answer may have extended the lease that the election task watches.
+        self._replica.advance_commit()
+
+    def _take_append_reply(
+        self, progress: Progress, reply: AppendReply, message: AppendRequest
+    ) -> None:
+        if reply.accepted:
+            progress.match_index = max(progress.match_index, reply.match_index)
+            progress.next_index = progress.match_index + 1
+            return
+        # It lacks the entry before: go back, but never behind what it acknowledged.
+        tried = min(message.previous_index - 1, reply.match_index)
+        progress.next_index = max(progress.match_index, tried) + 1
+        self._next_contact = Deadline.after(0)
+
+    def _take_piece_reply(
+        self, progress: Progress, reply: SnapshotReply, message: SnapshotPiece
+    ) -> None:
+        self._next_contact = Deadline.after(0)
+        self._offset = reply.next_offset
+        if not reply.installed:
+            return
+        progress.match_index = max(progress.match_index, message.last_index)
+        progress.next_index = progress.match_index + 1
+        self._drop_reader()
+
+    def _note_reachable(self, reachable: bool, error: Exception | None = None) -> None:
+        if reachable != self._reachable:
+            logger.info(
+                "replica answers" if reachable else "replica does not answer",
+                extra={"replica": self._member.replica_id, "error": str(error or "")},
+            )
+        self._reachable = reachable
+
+    def _drop_reader(self) -> None:
+        if self._reader is not None:
+            self._reader.close()
+            self._reader = None
+
+
+class Replication:
+    """Starts a replicator for each member as the membership grows."""
+
+    def __init__(self, replica: Replica, clients: ReplicaClients) -> None:
+        self._replica = replica
+        self._clients = clients
+        self._running_ids: set[str] = set()
+
+    def run(self) -> None:
+        """Run until the process stops."""
+        replica = self._replica
+        while not replica.process.stopped.is_set():
+            with replica.lock:
+                self._start_missing()
+                replica.role_changed.wait()
+
+    def _start_missing(self) -> None:
+        replica = self._replica
+        for member in replica.membership.members:
+            is_self = member.replica_id == replica.replica_id
+            if not is_self and member.replica_id not in self._running_ids:
+                self._running_ids.add(member.replica_id)
+                replica.process.start_task(self._replicate, member)
+
+    def _replicate(self, member: Member) -> None:
+        try:
+            Replicator(self._replica, self._clients, member).run()
+        finally:
+            with self._replica.lock:
+                self._running_ids.discard(member.replica_id)
+                self._replica.role_changed.notify_all()
--- a/src/jujubeslip/control/_snapshots.py
+++ b/src/jujubeslip/control/_snapshots.py
@@ -117,9 +117,12 @@
 
 
 def remove_older_snapshots(kept: SnapshotFile) -> None:
-    """Remove every snapshot and partial file but the given one."""
+    """Remove the other snapshots and partial files.
+
+    One that is still being written stays: its writer renames it at its end.
+    """
     for path in kept.path.parent.glob(f"{SNAPSHOT_PREFIX}*"):
-        if path != kept.path:
+        if path != kept.path and path.suffix != UNFINISHED_SUFFIX:
             path.unlink(missing_ok=True)
     sync_folder(kept.path.parent)
 
--- a/src/jujubeslip/control/_storage.py
+++ b/src/jujubeslip/control/_storage.py
@@ -15,6 +15,7 @@
 )
 from jujubeslip.control._log_files import SEGMENT_PREFIX, LogFiles
 from jujubeslip.control._records import read_file, sync_folder, write_file_atomically
+from jujubeslip.control._snapshots import SnapshotFile, newest_snapshot
 from jujubeslip.peers import LogEntry, ReplicaIdentity, ReplicaMetadata
 
 logger = logging.getLogger(__name__)
@@ -45,9 +46,32 @@
             raise
         self.replica_id = f"{self.identity.host_id}/{self.identity.disk_id}"
 
-    def load_entries(self) -> list[LogEntry]:
-        """Return the entries of the log; see LogFiles.load."""
-        return self.log.load()
+    def load_snapshot(self) -> SnapshotFile | None:
+        """Return the newest snapshot, None without one; see newest_snapshot."""
+        return newest_snapshot(self.folder)
+
+    def load_entries(self, snapshot_index: int, snapshot_term: int) -> list[LogEntry]:
+        """Return the entries of the log that go with the snapshot.
+
+        Raises StorageDamagedError when entries between the two are lost.
+        """
+        entries = self.log.load()
+        if not entries:
+            return []
+        first, last = entries[0].index, entries[-1].index
+        if first > snapshot_index + 1:
+            raise StorageDamagedError("The log begins behind the snapshot's end.")
+        if last < snapshot_index:
+            return self._drop_log()
+        at_snapshot = snapshot_index - first
+        if at_snapshot >= 0 and entries[at_snapshot].term != snapshot_term:
+            return self._drop_log()
+        return entries
+
+    def _drop_log(self) -> list[LogEntry]:
+        """Finish the installation of a snapshot that a crash has interrupted."""
+        self.log.drop_all()
+        return []
 
     def save_metadata(self, metadata: ReplicaMetadata) -> None:
         """Make a term, vote and cluster durable before they are acted on."""
--- a/src/jujubeslip/peers/gen/ControlPeer.py
+++ b/src/jujubeslip/peers/gen/ControlPeer.py
@@ -219,6 +219,8 @@
             return result.success
         if result.refusal is not None:
             raise result.refusal
+        if result.not_leader is not None:
+            raise result.not_leader
         raise TApplicationException(TApplicationException.MISSING_RESULT, "get_configuration failed: unknown result")
 
     def apply_configuration(self, request):
@@ -781,6 +783,9 @@
         except PeerRefusal as refusal:
             msg_type = TMessageType.REPLY
             result.refusal = refusal
+        except NotLeader as not_leader:
+            msg_type = TMessageType.REPLY
+            result.not_leader = not_leader
         except TApplicationException as ex:
             logging.exception('TApplication exception in handler')
             msg_type = TMessageType.EXCEPTION
@@ -1383,13 +1388,15 @@
     Attributes:
      - success
      - refusal
+     - not_leader
 
     """
 
 
-    def __init__(self, success=None, refusal=None,):
+    def __init__(self, success=None, refusal=None, not_leader=None,):
         self.success = success
         self.refusal = refusal
+        self.not_leader = not_leader
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1411,6 +1418,11 @@
                     self.refusal = PeerRefusal.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.not_leader = NotLeader.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1429,6 +1441,10 @@
             oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
             self.refusal.write(oprot)
             oprot.writeFieldEnd()
+        if self.not_leader is not None:
+            oprot.writeFieldBegin('not_leader', TType.STRUCT, 2)
+            self.not_leader.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1449,6 +1465,7 @@
 get_configuration_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [Configuration, None], None, ),  # 0
     (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+    (2, TType.STRUCT, 'not_leader', [NotLeader, None], None, ),  # 2
 )
 
 
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -378,9 +378,10 @@
 service ControlPeer {
   void hello(1: PeerIdentity identity) throws (1: PeerRefusal refusal),
   // Answers at once when the revision is newer than known_revision, else when a
-  // newer one is committed or wait_ms has passed.
+  // newer one is committed or wait_ms has passed. Any replica answers what it has
+  // applied; with a negative known_revision only the leader answers, with the newest.
   Configuration get_configuration(1: i64 known_revision, 2: i32 wait_ms)
-    throws (1: PeerRefusal refusal),
+    throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
   ApplyReply apply_configuration(1: ApplyRequest request)
     throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
   // Durable claim of (client, key); committed by a quorum before the answer.
--- /dev/null
+++ b/tests/control/cluster.py
@@ -0,0 +1,246 @@
+"""Real control processes for tests, each pair of replicas linked by a relay."""
+
+from __future__ import annotations
+
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from types import TracebackType
+from typing import Any, TypeVar
+
+from jujubeslip.control import ControlClient
+from jujubeslip.kernel import Deadline, PeerAddress, PeerUnavailableError
+from jujubeslip.peers import (
+    ApplyReply,
+    ApplyRequest,
+    ControlPeer,
+    ControlStatus,
+    KeyClaim,
+    KeyReply,
+    NotLeader,
+    PeerClient,
+    PeerIdentity,
+    PeerRefusal,
+)
+from tests.control.relay import Relay
+
+T = TypeVar("T")
+
+SECRET = "secret-of-tests"
+BOUND_SECONDS = 20.0
+ELECTION_TIMEOUT_MS = 400
+HEARTBEAT_MS = 80
+
+
+def wait_for(condition: Callable[[], T | None], what: str) -> T:
+    """Return the condition's first true value; fail after a generous bound."""
+    deadline = Deadline.after(BOUND_SECONDS)
+    while not deadline.expired:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.02)
+    raise AssertionError(f"not within {BOUND_SECONDS} s: {what}")
+
+
+def free_address() -> str:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return "{}:{}".format(*listener.getsockname())
+
+
+class ControlHost:
+    """One control process: its settings, its data folder, its log."""
+
+    def __init__(self, folder: Path, host_id: str, address: str) -> None:
+        self.host_id = host_id
+        self.address = address
+        self.data_folder = folder / host_id
+        self.settings_path = folder / f"{host_id}.toml"
+        self.log_path = folder / f"{host_id}.log"
+        self.process: subprocess.Popen[bytes] | None = None
+        self.client = PeerClient(
+            ControlPeer.Client, address, PeerIdentity("test", 1, SECRET)
+        )
+
+    def write_settings(self, replicas: list[PeerAddress], extra: str) -> None:
+        tables = "".join(
+            f'[[replicas]]\nhost_id = "{peer.host_id}"\naddress = "{peer.address}"\n'
+            for peer in replicas
+        )
+        self.settings_path.write_text(
+            f'host_id = "{self.host_id}"\navailability_zone = "zone"\n'
+            f'region = "region"\npeer_address = "{self.address}"\n'
+            f'peer_secret = "{SECRET}"\ndata_folder = "{self.data_folder}"\n'
+            f"{extra}\n{tables}"
+        )
+
+    def start(self) -> None:
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "jujubeslip.control", str(self.settings_path)],
+                stderr=log,
+            )
+
+    def signal(self, number: int) -> None:
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    def kill(self) -> None:
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+            self.process = None
+
+    def freeze(self) -> None:
+        """Stop the process and wait until the kernel has stopped each thread."""
+        self.signal(signal.SIGSTOP)
+        assert self.process is not None
+        os.waitid(os.P_PID, self.process.pid, os.WSTOPPED)
+
+    def lose_disk(self) -> None:
+        shutil.rmtree(self.data_folder)
+
+    def call(self, operation: Callable[[Any], T], timeout: float = 1.0) -> T:
+        return self.client.call(operation, timeout)
+
+    def status(self) -> ControlStatus | None:
+        try:
+            return self.call(lambda peer: peer.status())
+        except (PeerUnavailableError, PeerRefusal):
+            return None
+
+
+class ControlCluster:
+    """Control hosts named control-1, control-2, ...; stops them all at its end."""
+
+    def __init__(self, folder: Path, count: int, **settings: int) -> None:
+        self.folder = folder
+        defaults = {
+            "election_timeout_ms": ELECTION_TIMEOUT_MS,
+            "heartbeat_ms": HEARTBEAT_MS,
+        }
+        self._extra = "\n".join(f"{k} = {v}" for k, v in (defaults | settings).items())
+        self.host_by_id: dict[str, ControlHost] = {}
+        self.relay_by_pair: dict[tuple[str, str], Relay] = {}
+        for number in range(1, count + 1):
+            self.create_host(f"control-{number}")
+        self.link()
+        for host in self.hosts:
+            host.start()
+
+    def __enter__(self) -> ControlCluster:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for host in self.hosts:
+            host.kill()
+        for relay in self.relay_by_pair.values():
+            relay.close()
+        if error is not None:
+            for host in self.hosts:
+                print(f"--- {host.host_id}\n{host.log_path.read_text()[-4000:]}")
+
+    @property
+    def hosts(self) -> list[ControlHost]:
+        return list(self.host_by_id.values())
+
+    @property
+    def client(self) -> ControlClient:
+        addresses = [PeerAddress(host.host_id, host.address) for host in self.hosts]
+        return ControlClient(addresses, PeerIdentity("test", 1, SECRET))
+
+    def create_host(self, host_id: str) -> ControlHost:
+        host = ControlHost(self.folder, host_id, free_address())
+        self.host_by_id[host_id] = host
+        return host
+
+    def link(self) -> None:
+        """Write all settings; each host reaches the others through relays."""
+        for source in self.hosts:
+            peers = []
+            for target in self.hosts:
+                if source is target:
+                    peers.append(PeerAddress(target.host_id, target.address))
+                    continue
+                pair = (source.host_id, target.host_id)
+                if pair not in self.relay_by_pair:
+                    self.relay_by_pair[pair] = Relay(target.address)
+                peers.append(
+                    PeerAddress(target.host_id, self.relay_by_pair[pair].address)
+                )
+            source.write_settings(peers, self._extra)
+
+    def relays_of(self, host: ControlHost) -> list[Relay]:
+        return [
+            relay for pair, relay in self.relay_by_pair.items() if host.host_id in pair
+        ]
+
+    def cut(self, host: ControlHost) -> None:
+        for relay in self.relays_of(host):
+            relay.cut(requests=True, replies=True)
+
+    def heal(self) -> None:
+        for relay in self.relay_by_pair.values():
+            relay.heal()
+
+    def leader(self, among: list[ControlHost] | None = None) -> ControlHost:
+        """Return the host that leads by its own word, once there is one."""
+
+        def find() -> ControlHost | None:
+            for host in among or self.hosts:
+                status = host.status() if host.process is not None else None
+                if status is not None and status.leader_id == status.replica_id:
+                    return host
+            return None
+
+        return wait_for(find, "a leader")
+
+    def others(self, *hosts: ControlHost) -> list[ControlHost]:
+        return [host for host in self.hosts if host not in hosts]
+
+    def apply(self, number: int, base: int) -> ApplyReply:
+        request = make_change(number, base)
+        return self.client.apply_configuration(request, Deadline.after(BOUND_SECONDS))
+
+    def claim(self, key: str, request: str = "r1") -> KeyReply:
+        deadline = Deadline.after(BOUND_SECONDS)
+        return self.client.claim_key(make_claim(key, request), deadline)
+
+    def voter_ids(self) -> set[str]:
+        status = self.leader().status()
+        assert status is not None
+        return {item.replica_id for item in status.replicas if item.voter}
+
+    def wait_applied(self, host: ControlHost, revision: int) -> None:
+        def applied() -> bool:
+            status = host.status()
+            return status is not None and status.configuration_revision >= revision
+
+        wait_for(applied, f"revision {revision} on {host.host_id}")
+
+
+def make_change(number: int, base: int, operator: str = "operator") -> ApplyRequest:
+    return ApplyRequest(f"change-{number}", base, f"# change {number}", operator)
+
+
+def make_claim(key: str, request: str = "r1") -> KeyClaim:
+    return KeyClaim("client", key, request, "entry-1/1", "fingerprint")
+
+
+def ask_directly(host: ControlHost, operation: Callable[[Any], T]) -> T | None:
+    """Return the host's own answer, None when it refuses or does not lead."""
+    try:
+        return host.call(operation, 2.0)
+    except (NotLeader, PeerRefusal, PeerUnavailableError):
+        return None
--- /dev/null
+++ b/tests/control/test_leader_loss.py
@@ -0,0 +1,157 @@
+"""Tests of leaders that die, freeze, or are cut off, with real processes."""
+
+from __future__ import annotations
+
+import signal
+from pathlib import Path
+
+from jujubeslip.kernel import Deadline
+from jujubeslip.peers import KeyStatus
+from tests.control.cluster import (
+    ControlCluster,
+    ControlHost,
+    ask_directly,
+    make_change,
+    make_claim,
+    wait_for,
+)
+
+
+class TestKilledLeader:
+    """What was answered outlives the leader."""
+
+    def test_kill_right_after_the_answer(self, tmp_path: Path) -> None:
+        """An operator's change is confirmed, then the leader's host dies.
+
+        The kill follows the answer at once, before the next heartbeat could tell the
+        followers that the change is committed. They must hold it all the same.
+        """
+        with ControlCluster(tmp_path, 3) as cluster:
+            for revision in range(3):
+                leader = cluster.leader()
+                reply = cluster.apply(revision, revision)
+                claim = cluster.claim(f"key-{revision}")
+                leader.signal(signal.SIGKILL)
+                assert (reply.accepted, reply.revision) == (True, revision + 1)
+                assert claim.status == KeyStatus.FIRST
+                leader.kill()
+                assert cluster.apply(revision, revision) == reply
+                again = cluster.claim(f"key-{revision}", "r2")
+                assert again.status == KeyStatus.RUNNING
+                leader.start()
+                cluster.wait_applied(leader, revision + 1)
+
+    def test_planned_stop_hands_over(self, tmp_path: Path) -> None:
+        """Requests pause for less than an election timeout at a planned stop."""
+        with ControlCluster(tmp_path, 3, election_timeout_ms=5000) as cluster:
+            cluster.apply(1, 0)
+            leader = cluster.leader()
+            leader.signal(signal.SIGTERM)
+            assert leader.process is not None
+            deadline = Deadline.after(4.0)
+            claim = cluster.client.claim_key(make_claim("key"), deadline)
+            assert claim.status == KeyStatus.FIRST
+            assert leader.process.wait(10) == 0
+
+
+class TestFrozenLeader:
+    """A leader that was frozen serves nothing stale when it wakes."""
+
+    def test_wakes_after_a_successor_was_elected(self, tmp_path: Path) -> None:
+        """A client's shift is confirmed twice, an operator sees an old revision.
+
+        The leader's process is frozen for longer than its lease. Another is elected
+        and answers. The old one wakes, still believing that it leads.
+        """
+        with ControlCluster(tmp_path, 3) as cluster:
+            cluster.apply(1, 0)
+            frozen = cluster.leader()
+            frozen.freeze()
+            cluster.leader(cluster.others(frozen))
+            assert cluster.apply(2, 1).revision == 2
+            assert cluster.claim("key", "r1").status == KeyStatus.FIRST
+            frozen.signal(signal.SIGCONT)
+            read = ask_directly(frozen, lambda peer: peer.get_configuration(-1, 0))
+            assert read is None or read.revision == 2
+            claim = ask_directly(
+                frozen, lambda peer: peer.claim_key(make_claim("key", "r2"), 500)
+            )
+            assert claim is None or claim.status == KeyStatus.RUNNING
+            cluster.wait_applied(frozen, 2)
+
+
+class TestCutOffLeader:
+    """A leader without a quorum promises nothing and steps down by itself."""
+
+    def test_cut_in_both_directions(self, tmp_path: Path) -> None:
+        """A control host is cut off silently while entry hosts still reach it."""
+        with ControlCluster(tmp_path, 3) as cluster:
+            cluster.apply(1, 0)
+            old = cluster.leader()
+            cluster.cut(old)
+            lost = ask_directly(
+                old, lambda peer: peer.claim_key(make_claim("key", "r2"), 300)
+            )
+            assert lost is None
+            assert cluster.claim("key", "r1").status == KeyStatus.FIRST
+            assert cluster.apply(2, 1).revision == 2
+            wait_for(lambda: leader_of(old) == "", "the old leader steps down")
+            cluster.heal()
+            cluster.wait_applied(old, 2)
+            assert cluster.claim("key", "r2").status == KeyStatus.RUNNING
+
+    def test_cut_in_one_direction(self, tmp_path: Path) -> None:
+        """The leader is heard but can't hear, then the other way round.
+
+        In the first case its followers hear heartbeats and elect nobody, until it
+        notices by itself that no answer comes.
+        """
+        with ControlCluster(tmp_path, 3) as cluster:
+            cluster.apply(1, 0)
+            for revision, requests in ((1, False), (2, True)):
+                old = cluster.leader()
+                for (source, _), relay in cluster.relay_by_pair.items():
+                    if source == old.host_id:
+                        relay.cut(requests=requests, replies=not requests)
+                assert cluster.apply(revision + 1, revision).revision == revision + 1
+                cluster.heal()
+                cluster.wait_applied(old, revision + 1)
+
+    def test_cut_off_follower_does_not_depose_the_leader(self, tmp_path: Path) -> None:
+        """A host returns after a cut, and requests pause for an election.
+
+        Without the pre-vote its term would have grown with each try during the cut.
+        """
+        with ControlCluster(tmp_path, 3) as cluster:
+            cluster.apply(1, 0)
+            leader = cluster.leader()
+            follower = cluster.others(leader)[0]
+            before = leader.status()
+            cluster.cut(follower)
+            wait_for(
+                lambda: follower.log_path.read_text().count("no leader heard") >= 3,
+                "the cut follower tries three times",
+            )
+            campaigns = follower.log_path.read_text().count("campaigning")
+            cluster.apply(2, 1)
+            cluster.heal()
+            cluster.wait_applied(follower, 2)
+            after = leader.status()
+            assert before is not None and after is not None
+            assert after.term == before.term
+            assert follower.log_path.read_text().count("campaigning") == campaigns
+
+    def test_open_connections_go_silent(self, tmp_path: Path) -> None:
+        """Something between the hosts forgets connections; new ones work."""
+        with ControlCluster(tmp_path, 3) as cluster:
+            cluster.apply(1, 0)
+            for relay in cluster.relay_by_pair.values():
+                relay.silence_open_connections()
+            change = make_change(2, 1)
+            deadline = Deadline.after(10.0)
+            assert cluster.client.apply_configuration(change, deadline).accepted
+
+
+def leader_of(host: ControlHost) -> str | None:
+    status = host.status()
+    return None if status is None else status.leader_id
