Make a grant's cost hardly grow with the number of endpoints

Cause: each choice counted all grants for each endpoint, and listed all endpoints anew. Change: grants are counted at their endpoints, prefixes are indexed by hash, usable endpoints are listed every 50 ms or on a change, and of more than 16 candidates a sample is looked at first. The forecast plays the queue once a tick instead of once for each waiting request. Prefill and transfer times are fitted as a fixed part and a part for each token: one mean took the fixed part of short prompts for the speed of long ones. A slot that was released no longer counts as used until the endpoint's next status.

--- /dev/null
+++ b/bench/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the choice itself, without any process around it."""
--- a/src/jujubeslip/homes/_estimates.py
+++ b/src/jujubeslip/homes/_estimates.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 # The weight of a new sample in the moving averages.
-WEIGHT = 0.2
+WEIGHT = 0.1
+# A spread of sizes below this share of their mean tells nothing about the slope.
+MINIMUM_SPREAD_SHARE = 0.05
 
 
 class MovingAverage:
@@ -20,21 +22,57 @@
         self.value += weight * (sample - self.value)
 
 
+class LinearEstimate:
+    """Seconds as a fixed part and a part for each token, fitted to recent samples.
+
+    A mean of seconds per token would not do: the fixed part of many short prompts
+    would be taken for the speed at which a long one is computed.
+    """
+
+    def __init__(self, start_seconds_per_token: float) -> None:
+        self._start = start_seconds_per_token
+        self._size = MovingAverage(0.0)
+        self._seconds = MovingAverage(0.0)
+        self._size_squared = MovingAverage(0.0)
+        self._product = MovingAverage(0.0)
+
+    def add(self, tokens: int, seconds: float) -> None:
+        """Take a measured duration for a size into the fit."""
+        self._size.add(tokens)
+        self._seconds.add(seconds)
+        self._size_squared.add(tokens * tokens)
+        self._product.add(tokens * seconds)
+
+    @property
+    def seconds_per_token(self) -> float:
+        """Return the slope."""
+        if self._size.samples == 0:
+            return self._start
+        mean = self._size.value
+        variance = self._size_squared.value - mean * mean
+        if variance <= (MINIMUM_SPREAD_SHARE * mean) ** 2:
+            return self._seconds.value / max(1.0, mean)
+        slope = (self._product.value - mean * self._seconds.value) / variance
+        return min(max(slope, 0.0), self._seconds.value / max(1.0, mean))
+
+    def of(self, tokens: int) -> float:
+        """Return the seconds for a size."""
+        slope = self.seconds_per_token
+        fixed = max(0.0, self._seconds.value - slope * self._size.value)
+        return fixed + slope * tokens
+
+
 class Estimates:
-    """Speeds of one pool, in seconds per token; optimistic until measured."""
+    """Speeds of one pool; optimistic until measured."""
 
     def __init__(self) -> None:
-        self.decode_seconds_per_token = MovingAverage(0.02)
-        self.transfer_seconds_per_token = MovingAverage(0.00001)
+        self.decode_seconds = LinearEstimate(0.01)
+        self.transfer_seconds = LinearEstimate(0.000001)
         self.output_share = MovingAverage(1.0)
         self.urgent_seconds = MovingAverage(0.0)
         self.urgent_target_seconds = MovingAverage(0.0)
 
-    def decode_seconds(self, output_tokens: int) -> float:
+    def hold_seconds(self, output_tokens: int) -> float:
         """Return how long a request with this limit holds its decode slot."""
         tokens = output_tokens * min(1.0, self.output_share.value)
-        return tokens * self.decode_seconds_per_token.value
-
-    def transfer_seconds(self, prompt_tokens: int) -> float:
-        """Return how long a prompt's KV cache is on the way."""
-        return prompt_tokens * self.transfer_seconds_per_token.value
+        return self.decode_seconds.of(round(tokens))
--- /dev/null
+++ b/src/jujubeslip/homes/_forecast.py
@@ -0,0 +1,91 @@
+"""The forecast of when waiting requests get their first token."""
+
+from __future__ import annotations
+
+import heapq
+import time
+from collections.abc import Iterable, Iterator
+
+from jujubeslip.homes._records import EndpointRecord, Waiter
+from jujubeslip.homes._scheduler import Scheduler
+from jujubeslip.peers import EndpointRole
+
+# How long a slot that this home did not grant is taken to last, in seconds.
+STRANGER_SECONDS = 10.0
+
+
+class Forecast:
+    """Plays a queue through the pool's prefill turns and decode slots.
+
+    Each request takes the turn and the slot that are free first, in the order in
+    which they are granted. The cost is one step of two heaps for each request.
+    """
+
+    def __init__(self, scheduler: Scheduler, plain: bool) -> None:
+        self._scheduler = scheduler
+        self._estimates = scheduler.estimates
+        self._plain = plain
+        self._now = time.monotonic()
+        role = EndpointRole.PLAIN if plain else EndpointRole.DECODE
+        decodes = scheduler.candidates(role)
+        prefills = [] if plain else scheduler.candidates(EndpointRole.PREFILL)
+        self._slots = self._slot_instants(decodes)
+        self._turns = [self._now + item.prefill_backlog(self._now) for item in prefills]
+        heapq.heapify(self._slots)
+        heapq.heapify(self._turns)
+        # Endpoints of one pool are alike: the middle one stands for all.
+        prefills.sort(key=lambda item: item.prefill_seconds.seconds_per_token)
+        self._typical = prefills[len(prefills) // 2] if prefills else None
+
+    @property
+    def possible(self) -> bool:
+        """Say whether there is any endpoint of each role that is needed."""
+        return bool(self._slots) and (self._plain or bool(self._turns))
+
+    def first_tokens(self, waiters: Iterable[Waiter]) -> Iterator[tuple[Waiter, float]]:
+        """Yield each request with the instant of its first token."""
+        for waiter in waiters:
+            yield waiter, self._play(waiter)
+
+    def first_token(self, waiter: Waiter, ahead: Iterable[Waiter]) -> float:
+        """Return the instant of a request's first token, behind those ahead of it."""
+        for other in ahead:
+            self._play(other)
+        return self._play(waiter)
+
+    def _slot_instants(self, records: list[EndpointRecord]) -> list[float]:
+        instants: list[float] = []
+        for record in records:
+            used = [
+                grant.release_instant(self._now)
+                for grant in record.decode_grants.values()
+            ]
+            used.extend([self._now + STRANGER_SECONDS] * record.strangers)
+            used.sort()
+            free = max(0, record.slots - len(used))
+            instants.extend(used[-record.slots :] if record.slots else [])
+            instants.extend([self._now] * free)
+        return instants
+
+    def _play(self, waiter: Waiter) -> float:
+        slot = heapq.heappop(self._slots)
+        if self._plain:
+            hold = self._estimates.hold_seconds(1)
+            heapq.heappush(self._slots, slot + hold)
+            return slot
+        turn = heapq.heappop(self._turns)
+        prefill = self._prefill_seconds(waiter)
+        transfer = self._estimates.transfer_seconds.of(waiter.request.prompt_tokens)
+        start = max(turn, slot - prefill - transfer)
+        ready = start + prefill + transfer
+        hold = self._estimates.hold_seconds(waiter.request.output_tokens)
+        heapq.heappush(self._turns, start + prefill)
+        heapq.heappush(self._slots, ready + hold)
+        return ready + self._estimates.decode_seconds.seconds_per_token
+
+    def _prefill_seconds(self, waiter: Waiter) -> float:
+        request = waiter.request
+        if request.prefill_endpoint_id or self._typical is None:
+            return 0.0
+        cached = max(self._scheduler.cached_tokens(waiter).values(), default=0)
+        return self._typical.prefill_seconds.of(request.prompt_tokens - cached)
--- a/src/jujubeslip/homes/_pool.py
+++ b/src/jujubeslip/homes/_pool.py
@@ -6,15 +6,18 @@
 import itertools
 import threading
 import time
+from collections.abc import Sequence
 
-from jujubeslip.endpoints import EndpointStatus
+from jujubeslip.endpoints import CacheEvent, EndpointStatus
+from jujubeslip.homes._forecast import Forecast
+from jujubeslip.homes._progress import note_progress
 from jujubeslip.homes._records import (
     ANNOUNCEMENT_LIFETIME,
     EndpointRecord,
     GrantRecord,
     Waiter,
 )
-from jujubeslip.homes._scheduler import URGENT, Choice, Scheduler, SchedulerOptions
+from jujubeslip.homes._scheduler import Choice, Scheduler, SchedulerOptions
 from jujubeslip.kernel import Deadline
 from jujubeslip.peers import (
     Announcement,
@@ -35,6 +38,7 @@
 # A grant that neither moved on nor shows on its endpoints is dropped after this time.
 GRANT_SILENCE_SECONDS = 3.0
 MINIMUM_RETRY_SECONDS = 0.2
+NO_ENDPOINT_WAIT_SECONDS = 3600.0
 # A home that has just taken over hears of all its endpoints within this time, since
 # they announce themselves each second; until then it can't say that there are none.
 LEARNING_SECONDS = 2.5
@@ -62,24 +66,25 @@
     def announce(self, announcement: Announcement) -> EndpointRecord:
         """Enter or renew an endpoint; leaving is final for an incarnation."""
         with self._lock:
-            record_by_id = self.scheduler.record_by_id
-            record = record_by_id.get(announcement.endpoint_id)
-            if record is None:
-                record = EndpointRecord(announcement)
-                record_by_id[announcement.endpoint_id] = record
-                return record
-            known = record.announcement
+            known = self.scheduler.record_by_id.get(announcement.endpoint_id)
+            if known is None or announcement.incarnation > known.incarnation:
+                return self._enter_endpoint(announcement)
             if announcement.incarnation < known.incarnation:
-                return record
-            if announcement.incarnation > known.incarnation:
-                record = EndpointRecord(announcement)
-                record_by_id[announcement.endpoint_id] = record
-                return record
-            if known.leaving:
+                return known
+            if known.announcement.leaving:
                 announcement.leaving = True
-            record.announcement = announcement
-            record.announced_until = Deadline.after(ANNOUNCEMENT_LIFETIME)
-            return record
+            known.announcement = announcement
+            known.announced_until = Deadline.after(ANNOUNCEMENT_LIFETIME)
+            if announcement.leaving:
+                self.scheduler.endpoints_changed()
+            return known
+
+    def _enter_endpoint(self, announcement: Announcement) -> EndpointRecord:
+        record = EndpointRecord(announcement)
+        self.scheduler.record_by_id[record.endpoint_id] = record
+        self.scheduler.prefixes.forget_endpoint(record.endpoint_id)
+        self.scheduler.endpoints_changed()
+        return record
 
     def observe(
         self, endpoint_id: str, status: EndpointStatus, asked_at: float
@@ -89,28 +94,39 @@
             record = self.scheduler.record_by_id.get(endpoint_id)
             if record is None:
                 return
+            before = (record.usable, record.role)
             record.observe(status, asked_at)
-            self._drop_silent_grants(asked_at)
+            if before != (record.usable, record.role):
+                self.scheduler.endpoints_changed()
+            self.scheduler.count_strangers(record)
+            self._drop_silent_grants(record)
             self._dispatch()
 
+    def note_events(self, endpoint_id: str, events: Sequence[CacheEvent]) -> None:
+        """Take over an endpoint's cache events."""
+        with self._lock:
+            self.scheduler.prefixes.apply(endpoint_id, events)
+
     def forget(self, record: EndpointRecord) -> None:
         """Drop an endpoint that announces itself no more, but no later incarnation."""
         with self._lock:
             record_by_id = self.scheduler.record_by_id
             if record_by_id.get(record.endpoint_id) is record:
                 del record_by_id[record.endpoint_id]
+                self.scheduler.prefixes.forget_endpoint(record.endpoint_id)
+                self.scheduler.endpoints_changed()
 
-    def _drop_silent_grants(self, asked_at: float) -> None:
+    def _drop_silent_grants(self, record: EndpointRecord) -> None:
         """Drop grants whose release was lost, as when their entry host died.
 
         Such a grant would hold a slot that the engine has long freed. It is dropped
         once both endpoints, asked later than its last progress, don't hold it.
         """
-        for grant in list(self.scheduler.grant_by_id.values()):
-            if asked_at - grant.progressed_at < GRANT_SILENCE_SECONDS:
-                continue
-            if not self._is_held(grant):
-                del self.scheduler.grant_by_id[grant.grant_id]
+        grants = [*record.prefill_grants.values(), *record.decode_grants.values()]
+        for grant in grants:
+            silent = record.status_asked_at - grant.progressed_at
+            if silent >= GRANT_SILENCE_SECONDS and not self._is_held(grant):
+                self.scheduler.remove_grant(grant)
 
     def _is_held(self, grant: GrantRecord) -> bool:
         for endpoint_id in (grant.prefill_id, grant.decode_id):
@@ -131,8 +147,8 @@
         waiter = self._enter(request)
         waiter.answered.wait(min(POLL_SECONDS, waiter.wait_until.remaining() + 0.01))
         with self._lock:
-            if waiter.reply is None:
-                self._refuse_if_hopeless(waiter)
+            if waiter.reply is None and waiter.wait_until.expired:
+                self._refuse_late(waiter)
             reply = waiter.reply or ReserveReply(ReserveStatus.PENDING, None, "", 0)
             reply.queue_wait_ms = self.queue_wait_ms
             reply.load = self.load
@@ -157,7 +173,7 @@
             self._queue.append(waiter)
         self._dispatch()
         if waiter.reply is None:
-            self._refuse_if_hopeless(waiter)
+            self._refuse_new_if_hopeless(waiter)
 
     def progress(self, progress: GrantProgress) -> None:
         """Note what became of a grant, learn from it, and grant what came free."""
@@ -166,68 +182,14 @@
             if progress.failed_endpoint_id:
                 self._note_failure(progress.failed_endpoint_id)
             if grant is not None:
-                self._note_progress(grant, progress)
+                note_progress(self.scheduler, grant, progress)
             self._dispatch()
 
     def _note_failure(self, endpoint_id: str) -> None:
         record = self.scheduler.record_by_id.get(endpoint_id)
         if record is not None:
             record.failed()
-
-    def _note_progress(self, grant: GrantRecord, progress: GrantProgress) -> None:
-        now = time.monotonic()
-        if progress.prefill_finished and not grant.prefill_finished:
-            self._note_prefill(grant, progress.prefill_tokens, now)
-        if progress.transfer_finished and not grant.transfer_finished_at:
-            self._note_transfer(grant, now)
-        if progress.released:
-            self._note_release(grant, progress, now)
-        grant.progressed_at = now
-
-    def _note_prefill(
-        self, grant: GrantRecord, computed_tokens: int, now: float
-    ) -> None:
-        grant.prefill_finished = True
-        record = self.scheduler.record_by_id.get(grant.prefill_id)
-        if record is None:
-            return
-        started = max(grant.granted_at, record.last_prefill_finished_at)
-        record.last_prefill_finished_at = now
-        if computed_tokens > 0:
-            record.prefill_seconds_per_token.add((now - started) / computed_tokens)
-        record.remember_prefixes(
-            grant.request.prefix_hashes, grant.request.prompt_tokens
-        )
-        record.succeeded()
-
-    def _note_transfer(self, grant: GrantRecord, now: float) -> None:
-        grant.transfer_finished_at = now
-        estimates = self.scheduler.estimates
-        if grant.prefill_finished:
-            seconds = now - max(grant.progressed_at, grant.granted_at)
-            estimates.transfer_seconds_per_token.add(
-                seconds / max(1, grant.request.prompt_tokens)
-            )
-        hold = estimates.decode_seconds(grant.request.output_tokens)
-        grant.releases = Deadline(now + hold)
-
-    def _note_release(
-        self, grant: GrantRecord, progress: GrantProgress, now: float
-    ) -> None:
-        del self.scheduler.grant_by_id[grant.grant_id]
-        estimates = self.scheduler.estimates
-        if progress.output_tokens <= 0 or not grant.transfer_finished_at:
-            return
-        seconds = now - grant.transfer_finished_at
-        estimates.decode_seconds_per_token.add(seconds / progress.output_tokens)
-        estimates.output_share.add(
-            progress.output_tokens / max(1, grant.request.output_tokens)
-        )
-        if grant.request.priority == URGENT:
-            estimates.urgent_seconds.add(now - grant.granted_at)
-        record = self.scheduler.record_by_id.get(grant.decode_id)
-        if record is not None:
-            record.succeeded()
+            self.scheduler.endpoints_changed()
 
     # Queue
 
@@ -237,9 +199,11 @@
             for waiter in list(self._waiter_by_key.values()):
                 if waiter.asked_until.expired:
                     self._remove(waiter)
-                elif waiter.reply is None:
-                    self._refuse_if_hopeless(waiter)
+                elif waiter.reply is None and waiter.wait_until.expired:
+                    self._refuse_late(waiter)
+            self._refuse_hopeless()
             self._dispatch()
+            self.scheduler.forget_released()
             self._publish()
 
     def _publish(self) -> None:
@@ -269,7 +233,7 @@
     def _grant(self, waiter: Waiter, choice: Choice) -> None:
         self._queue.remove(waiter)
         grant_id = f"{waiter.request.request_id}/{next(self._numbers)}"
-        self.scheduler.grant_by_id[grant_id] = GrantRecord(
+        record = GrantRecord(
             grant_id,
             waiter.request,
             choice.prefill.endpoint_id if choice.prefill else "",
@@ -277,6 +241,7 @@
             choice.prefill_ends,
             choice.releases,
         )
+        self.scheduler.add_grant(record)
         grant = Grant(
             grant_id,
             choice.prefill.reference if choice.prefill else None,
@@ -285,34 +250,40 @@
         )
         waiter.answer(ReserveReply(ReserveStatus.GRANTED, grant, "", 0))
 
-    def _refuse_if_hopeless(self, waiter: Waiter) -> None:
-        """Refuse at once what would miss its first-token target; say when to return."""
-        if waiter.wait_until.expired:
-            self._refuse(waiter, "the wait limit has passed", MINIMUM_RETRY_SECONDS)
+    def _refuse_hopeless(self) -> None:
+        """Refuse at once what would miss its first-token target."""
+        if not self._queue or not self.scheduler.options.early_refusal:
             return
+        forecast = Forecast(self.scheduler, self._is_plain())
+        if not forecast.possible:
+            for waiter in list(self._queue):
+                self._refuse_without_endpoints(waiter)
+            return
+        for waiter, instant in forecast.first_tokens(list(self._queue)):
+            self._refuse_if_late(waiter, instant)
+
+    def _refuse_new_if_hopeless(self, waiter: Waiter) -> None:
+        """Refuse a request on its arrival if its first token would be late."""
         if not self.scheduler.options.early_refusal:
             return
+        forecast = Forecast(self.scheduler, self._is_plain())
+        if not forecast.possible:
+            self._refuse_without_endpoints(waiter)
+            return
         ahead = itertools.takewhile(lambda item: item is not waiter, self._queue)
-        forecast = self.scheduler.forecast_first_token(waiter, ahead)
-        late = forecast - waiter.first_token_by.remaining()
-        if forecast == float("inf"):
-            if self._has_usable_endpoints() or not self.learned_by.expired:
-                return
-            self._refuse(waiter, "no endpoint is usable", 1.0)
-        elif late > 0:
+        self._refuse_if_late(waiter, forecast.first_token(waiter, ahead))
+
+    def _refuse_if_late(self, waiter: Waiter, first_token: float) -> None:
+        late = first_token - waiter.first_token_by.instant
+        if late > 0:
             self._refuse(waiter, "the first token would be late", late)
 
-    def _has_usable_endpoints(self) -> bool:
-        if self._is_plain():
-            return bool(self.scheduler.candidates(EndpointRole.PLAIN, []))
-        return all(
-            self.scheduler.candidates(role, [])
-            for role in (EndpointRole.PREFILL, EndpointRole.DECODE)
-        )
+    def _refuse_without_endpoints(self, waiter: Waiter) -> None:
+        if self.learned_by.expired:
+            self._refuse(waiter, "no endpoint is usable", 1.0)
 
-    def _is_plain(self) -> bool:
-        records = self.scheduler.record_by_id.values()
-        return any(record.role == EndpointRole.PLAIN for record in records)
+    def _refuse_late(self, waiter: Waiter) -> None:
+        self._refuse(waiter, "the wait limit has passed", MINIMUM_RETRY_SECONDS)
 
     def _refuse(self, waiter: Waiter, reason: str, retry_after: float) -> None:
         if waiter in self._queue:
@@ -320,6 +291,10 @@
         milliseconds = int(max(MINIMUM_RETRY_SECONDS, retry_after) * 1000)
         waiter.answer(ReserveReply(ReserveStatus.REFUSED, None, reason, milliseconds))
 
+    def _is_plain(self) -> bool:
+        records = self.scheduler.record_by_id.values()
+        return any(record.role == EndpointRole.PLAIN for record in records)
+
     def _remove(self, waiter: Waiter) -> None:
         if waiter in self._queue:
             self._queue.remove(waiter)
@@ -334,6 +309,10 @@
             return self.scheduler.candidates(role, [])
 
     def _forecast_wait(self) -> float:
+        """Return the forecast wait of a short standard request, in seconds."""
+        forecast = Forecast(self.scheduler, self._is_plain())
+        if not forecast.possible:
+            return NO_ENDPOINT_WAIT_SECONDS
         request = ReserveRequest(
             request_id="",
             attempt=0,
@@ -345,10 +324,9 @@
             prefix_hashes=[],
             avoid_endpoint_ids=[],
             prefill_endpoint_id="",
-            plain=self._is_plain(),
         )
-        forecast = self.scheduler.forecast_first_token(Waiter(request), self._queue)
-        return 3600.0 if forecast == float("inf") else forecast
+        instant = forecast.first_token(Waiter(request), self._queue)
+        return max(0.0, instant - time.monotonic())
 
     def status(self) -> PoolStatus:
         """Return counts for operators."""
--- /dev/null
+++ b/src/jujubeslip/homes/_progress.py
@@ -0,0 +1,68 @@
+"""What a home learns from the progress of its grants."""
+
+from __future__ import annotations
+
+import time
+
+from jujubeslip.homes._records import GrantRecord
+from jujubeslip.homes._scheduler import URGENT, Scheduler
+from jujubeslip.kernel import Deadline
+from jujubeslip.peers import GrantProgress
+
+
+def note_progress(
+    scheduler: Scheduler, grant: GrantRecord, progress: GrantProgress
+) -> None:
+    """Move a grant on, and learn the speeds of its endpoints from it."""
+    now = time.monotonic()
+    if progress.prefill_finished and not grant.prefill_finished:
+        _note_prefill(scheduler, grant, progress.prefill_tokens, now)
+    if progress.transfer_finished and not grant.transfer_finished_at:
+        _note_transfer(scheduler, grant, now)
+    if progress.released:
+        _note_release(scheduler, grant, progress, now)
+    grant.progressed_at = now
+
+
+def _note_prefill(
+    scheduler: Scheduler, grant: GrantRecord, computed_tokens: int, now: float
+) -> None:
+    scheduler.finish_prefill(grant)
+    record = scheduler.record_by_id.get(grant.prefill_id)
+    if record is None:
+        return
+    started = max(grant.granted_at, record.last_prefill_finished_at)
+    record.last_prefill_finished_at = now
+    record.prefill_seconds.add(computed_tokens, now - started)
+    scheduler.prefixes.note_prefill(grant.prefill_id, grant.request.prefix_hashes)
+    record.succeeded()
+
+
+def _note_transfer(scheduler: Scheduler, grant: GrantRecord, now: float) -> None:
+    grant.transfer_finished_at = now
+    estimates = scheduler.estimates
+    if grant.prefill_finished:
+        seconds = now - max(grant.progressed_at, grant.granted_at)
+        estimates.transfer_seconds.add(grant.request.prompt_tokens, seconds)
+    hold = estimates.hold_seconds(grant.request.output_tokens)
+    grant.releases = Deadline(now + hold)
+
+
+def _note_release(
+    scheduler: Scheduler, grant: GrantRecord, progress: GrantProgress, now: float
+) -> None:
+    scheduler.remove_grant(grant)
+    if progress.output_tokens <= 0:
+        return
+    started = grant.granted_at if grant.request.plain else grant.transfer_finished_at
+    if not started:
+        return
+    estimates = scheduler.estimates
+    estimates.decode_seconds.add(progress.output_tokens, now - started)
+    limit = max(1, grant.request.output_tokens)
+    estimates.output_share.add(progress.output_tokens / limit)
+    if grant.request.priority == URGENT:
+        estimates.urgent_seconds.add(now - grant.granted_at)
+    record = scheduler.record_by_id.get(grant.decode_id)
+    if record is not None:
+        record.succeeded()
--- a/src/jujubeslip/homes/_records.py
+++ b/src/jujubeslip/homes/_records.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from jujubeslip.endpoints import EndpointStatus
-from jujubeslip.homes._estimates import MovingAverage
+from jujubeslip.homes._estimates import LinearEstimate
 from jujubeslip.kernel import Deadline
 from jujubeslip.peers import (
     Announcement,
@@ -24,7 +24,8 @@
 # A failed endpoint is passed over for this long, doubled on each further failure.
 EJECTION_SECONDS = 0.5
 MAXIMUM_EJECTION_SECONDS = 10.0
-MAXIMUM_PREFIXES = 4096
+OVERDUE_SHARE = 0.25
+MINIMUM_OVERDUE_SECONDS = 0.05
 START_PREFILL_SECONDS_PER_TOKEN = 0.0001
 
 
@@ -37,9 +38,12 @@
         self.usable_until = Deadline.after(0)
         self.status: EndpointStatus | None = None
         self.status_asked_at = 0.0
-        self.prefill_seconds_per_token = MovingAverage(START_PREFILL_SECONDS_PER_TOKEN)
+        self.prefill_seconds = LinearEstimate(START_PREFILL_SECONDS_PER_TOKEN)
         self.last_prefill_finished_at = 0.0
-        self.tokens_by_prefix_hash: dict[str, int] = {}
+        self.prefill_grants: dict[str, GrantRecord] = {}
+        self.decode_grants: dict[str, GrantRecord] = {}
+        # What it holds that no grant of this home accounts for.
+        self.strangers = 0
         self.failures = 0
         self.ejected_until = Deadline.after(0)
 
@@ -48,6 +52,11 @@
         """Return the endpoint's id."""
         return self.announcement.endpoint_id
 
+    @property
+    def incarnation(self) -> int:
+        """Return the endpoint's incarnation."""
+        return int(self.announcement.incarnation)
+
     @property
     def role(self) -> EndpointRole:
         """Return the role that the endpoint itself last reported."""
@@ -55,7 +64,7 @@
 
     @property
     def slots(self) -> int:
-        """Return how many requests the endpoint's memory holds."""
+        """Return how many requests the endpoint's memory has room for."""
         return self.status.slots if self.status else self.announcement.slots
 
     @property
@@ -67,13 +76,34 @@
 
     @property
     def usable(self) -> bool:
-        """Say whether new work may go there.
+        """Say whether new work may go there now."""
+        return self.is_usable(time.monotonic())
+
+    def is_usable(self, now: float) -> bool:
+        """Say whether new work may go there at an instant.
 
         The endpoint itself must have said so lately: an old announcement that arrives
         after the endpoint left can't bring it back, since its status says "leaving"
         or there is none.
         """
-        return not self.announcement.leaving and not self.usable_until.expired
+        return not self.announcement.leaving and self.usable_until.instant > now
+
+    def prefill_backlog(self, now: float) -> float:
+        """Return the seconds until the granted prefills are forecast to end."""
+        if not self.prefill_grants:
+            return 0.0
+        latest = max(
+            grant.prefill_ends.instant for grant in self.prefill_grants.values()
+        )
+        return max(0.0, latest - now)
+
+    def free_slots_at(self, instant: float, now: float) -> int:
+        """Return how many slots are forecast to be free at an instant."""
+        used = self.strangers
+        for grant in self.decode_grants.values():
+            if grant.release_instant(now) > instant:
+                used += 1
+        return self.slots - used
 
     def observe(self, status: EndpointStatus, asked_at: float) -> None:
         """Take over a status; its lifetime counts from when it was asked for."""
@@ -94,24 +124,6 @@
         """Forget one failure; the way back is as gradual as the way out."""
         self.failures = max(0, self.failures - 1)
 
-    def cached_tokens(self, prefix_hashes: list[str]) -> int:
-        """Return how much of a prompt is in this endpoint's prefix cache."""
-        known = self.tokens_by_prefix_hash
-        return max((known.get(item, 0) for item in prefix_hashes), default=0)
-
-    def remember_prefixes(self, prefix_hashes: list[str], prompt_tokens: int) -> None:
-        """Note the prefixes that a finished prefill left in the cache.
-
-        The endpoint's own events come late and some are lost, so a home notes its own
-        grants at once and forgets the oldest beyond a bound.
-        """
-        for power, prefix_hash in enumerate(prefix_hashes):
-            self.tokens_by_prefix_hash.pop(prefix_hash, None)
-            tokens = min(64 * 2**power, prompt_tokens)
-            self.tokens_by_prefix_hash[prefix_hash] = tokens
-        while len(self.tokens_by_prefix_hash) > MAXIMUM_PREFIXES:
-            self.tokens_by_prefix_hash.pop(next(iter(self.tokens_by_prefix_hash)))
-
 
 @dataclass
 class GrantRecord:
@@ -128,6 +140,16 @@
     granted_at: float = field(default_factory=time.monotonic)
     progressed_at: float = field(default_factory=time.monotonic)
 
+    def release_instant(self, now: float) -> float:
+        """Return when the decode slot is forecast to be free.
+
+        A grant that passed its forecast is expected to last a share longer, each time.
+        """
+        if self.releases.instant > now:
+            return self.releases.instant
+        planned = self.releases.instant - self.granted_at
+        return now + max(MINIMUM_OVERDUE_SECONDS, OVERDUE_SHARE * planned)
+
     @property
     def key(self) -> tuple[str, int]:
         """Return the attempt that the grant is for."""
--- a/src/jujubeslip/homes/_scheduler.py
+++ b/src/jujubeslip/homes/_scheduler.py
@@ -1,13 +1,15 @@
-"""The choice of endpoints for a waiting request, and the forecast of its wait."""
+"""The choice of endpoints for a waiting request."""
 
 from __future__ import annotations
 
-import heapq
+import itertools
+import random
 import time
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass
 
 from jujubeslip.homes._estimates import Estimates
+from jujubeslip.homes._prefixes import PrefixIndex
 from jujubeslip.homes._records import EndpointRecord, GrantRecord, Waiter
 from jujubeslip.kernel import Deadline
 from jujubeslip.peers import EndpointRole
@@ -16,9 +18,14 @@
 # A prefill endpoint gets its next turn when the current one ends within this time,
 # so that it does not idle for the round trip between the two.
 NEXT_TURN_SECONDS = 0.05
-# A grant that passed its forecast release is expected to last this share longer.
-OVERDUE_SHARE = 0.25
-MINIMUM_OVERDUE_SECONDS = 0.05
+# Among more candidates than this a sample is looked at first; all of them only if the
+# sample has no room. The cost of a choice then hardly grows with the pool.
+SAMPLE_SIZE = 16
+# How long a list of usable endpoints is kept, in seconds, unless one of them changes.
+CANDIDATES_LIFETIME = 0.05
+# How long a released grant's attempt is remembered: statuses that were read before
+# the release still list it, and would show a slot in use that is free.
+RELEASED_SECONDS = 5.0
 
 
 @dataclass(frozen=True)
@@ -30,7 +37,6 @@
     urgent_headroom: bool = True
     early_refusal: bool = True
     prefix_affinity: bool = True
-    joint_choice: bool = True
 
 
 @dataclass(frozen=True)
@@ -47,153 +53,213 @@
     cached_tokens: int
 
 
-@dataclass(frozen=True)
-class Occupancy:
-    """How one endpoint is used: when each held place is forecast to be free."""
-
-    endpoint: EndpointRecord
-    free_instants: tuple[float, ...]
-
-    def free_slots_at(self, instant: float) -> int:
-        """Return how many slots are forecast to be free then."""
-        used = sum(1 for free in self.free_instants if free > instant)
-        return self.endpoint.slots - used
-
-
 class Scheduler:
     """Chooses for one pool; every method is called under the pool's lock."""
 
     def __init__(self, options: SchedulerOptions) -> None:
         self.options = options
         self.estimates = Estimates()
+        self.prefixes = PrefixIndex()
         self.record_by_id: dict[str, EndpointRecord] = {}
         self.grant_by_id: dict[str, GrantRecord] = {}
+        self._usable_by_role: dict[EndpointRole, tuple[float, list[EndpointRecord]]]
+        self._usable_by_role = {}
+        self._known_until_by_key: dict[tuple[str, int], float] = {}
+        self._ejected_until = 0.0
+        self._urgent_grants = 0
         self._last_urgent_at = 0.0
         self._urgent_interval = 0.0
 
-    # Endpoints
+    # Grants
+
+    def add_grant(self, grant: GrantRecord) -> None:
+        """Count a grant at its endpoints."""
+        self.grant_by_id[grant.grant_id] = grant
+        self._known_until_by_key[grant.key] = float("inf")
+        if grant.request.priority == URGENT:
+            self._urgent_grants += 1
+        prefill = self.record_by_id.get(grant.prefill_id)
+        if prefill is not None and not grant.prefill_finished:
+            prefill.prefill_grants[grant.grant_id] = grant
+        decode = self.record_by_id.get(grant.decode_id)
+        if decode is not None:
+            decode.decode_grants[grant.grant_id] = grant
+
+    def finish_prefill(self, grant: GrantRecord) -> None:
+        """Give the prefill endpoint's turn back."""
+        grant.prefill_finished = True
+        record = self.record_by_id.get(grant.prefill_id)
+        if record is not None:
+            record.prefill_grants.pop(grant.grant_id, None)
+
+    def remove_grant(self, grant: GrantRecord) -> None:
+        """Give everything back."""
+        if self.grant_by_id.pop(grant.grant_id, None) is None:
+            return
+        self.finish_prefill(grant)
+        record = self.record_by_id.get(grant.decode_id)
+        if record is not None:
+            record.decode_grants.pop(grant.grant_id, None)
+        if grant.request.priority == URGENT:
+            self._urgent_grants -= 1
+        self._known_until_by_key[grant.key] = time.monotonic() + RELEASED_SECONDS
+
+    def count_strangers(self, record: EndpointRecord) -> None:
+        """Count what an endpoint holds that this home did not grant.
+
+        It was granted by an earlier home, or by one beyond a network partition, and
+        takes a slot until the endpoint's own list shows that it is gone.
+        """
+        held = record.status.held if record.status else ()
+        record.strangers = sum(
+            1
+            for item in held
+            if (item.request_id, item.attempt) not in self._known_until_by_key
+        )
 
-    def candidates(self, role: EndpointRole, avoid: list[str]) -> list[EndpointRecord]:
+    def forget_released(self) -> None:
+        """Forget attempts whose release is long past."""
+        now = time.monotonic()
+        for key, until in list(self._known_until_by_key.items()):
+            if until < now:
+                del self._known_until_by_key[key]
+
+    # Candidates
+
+    def candidates(
+        self, role: EndpointRole, avoid: Collection[str] = ()
+    ) -> list[EndpointRecord]:
         """Return the usable endpoints of a role, without failing ones if others do."""
-        usable = [
-            record
-            for record in self.record_by_id.values()
-            if record.role is role and record.usable
-        ]
+        now = time.monotonic()
+        usable = self._usable(role, now)
+        if not avoid and not self._any_ejected(now):
+            return usable
         wanted = [record for record in usable if record.endpoint_id not in avoid]
-        healthy = [record for record in wanted if record.ejected_until.expired]
+        healthy = [record for record in wanted if record.ejected_until.instant <= now]
         # Never all: a pool whose endpoints all failed lately is tried all the same.
         return healthy or wanted or usable
 
-    def prefill_backlog(self, record: EndpointRecord, now: float) -> tuple[int, float]:
-        """Return how many granted prefills are unfinished there, and their seconds."""
-        open_grants = [
-            grant
-            for grant in self.grant_by_id.values()
-            if grant.prefill_id == record.endpoint_id and not grant.prefill_finished
+    def _usable(self, role: EndpointRole, now: float) -> list[EndpointRecord]:
+        until, records = self._usable_by_role.get(role, (0.0, []))
+        if now < until:
+            return records
+        records = [
+            record
+            for record in self.record_by_id.values()
+            if record.role == role and record.is_usable(now)
         ]
-        latest = max((grant.prefill_ends.instant for grant in open_grants), default=now)
-        return len(open_grants), max(0.0, latest - now)
+        # In no order, so that any slice of it is a sample.
+        random.shuffle(records)
+        self._usable_by_role[role] = (now + CANDIDATES_LIFETIME, records)
+        return records
+
+    def endpoints_changed(self) -> None:
+        """Forget the lists of usable endpoints, since one joined, left or failed."""
+        self._usable_by_role.clear()
+        self._ejected_until = max(
+            (record.ejected_until.instant for record in self.record_by_id.values()),
+            default=0.0,
+        )
+
+    def _any_ejected(self, now: float) -> bool:
+        return now < self._ejected_until
 
-    def prefill_seconds(self, record: EndpointRecord, waiter: Waiter) -> float:
+    def prefill_seconds(
+        self, record: EndpointRecord, waiter: Waiter, cached_by_id: dict[str, int]
+    ) -> float:
         """Return how long the endpoint computes for the request's prompt."""
-        request = waiter.request
-        cached = 0
-        if self.options.prefix_affinity:
-            cached = record.cached_tokens(request.prefix_hashes)
-        tokens = max(1, request.prompt_tokens - cached)
-        return tokens * record.prefill_seconds_per_token.value
-
-    def occupancy(self, record: EndpointRecord, now: float) -> Occupancy:
-        """Return the use of a decode endpoint: own grants, and what it holds beside.
-
-        What the endpoint holds without a grant of this home was granted by an earlier
-        home, or by one beyond a network partition; it counts until it is gone.
-        """
-        grants = [
-            grant
-            for grant in self.grant_by_id.values()
-            if grant.decode_id == record.endpoint_id
-        ]
-        instants = [self._release_instant(grant, now) for grant in grants]
-        known = {grant.key for grant in self.grant_by_id.values()}
-        held = record.status.held if record.status else ()
-        strangers = [
-            item for item in held if (item.request_id, item.attempt) not in known
-        ]
-        instants.extend(now + 3600 for _ in strangers)
-        return Occupancy(record, tuple(instants))
+        if record.endpoint_id == waiter.request.prefill_endpoint_id:
+            return 0.0
+        cached = cached_by_id.get(record.endpoint_id, 0)
+        return record.prefill_seconds.of(waiter.request.prompt_tokens - cached)
 
-    def _release_instant(self, grant: GrantRecord, now: float) -> float:
-        if grant.releases.instant > now:
-            return grant.releases.instant
-        planned = grant.releases.instant - grant.granted_at
-        overdue = max(MINIMUM_OVERDUE_SECONDS, OVERDUE_SHARE * planned)
-        return now + overdue
+    def cached_tokens(self, waiter: Waiter) -> dict[str, int]:
+        """Return how much of the request's prompt each endpoint has cached."""
+        if not self.options.prefix_affinity:
+            return {}
+        return self.prefixes.cached_tokens(waiter.request.prefix_hashes)
 
     # Choice
 
     def choose(self, waiter: Waiter) -> Choice | None:
         """Return endpoints that can take the request now, or None to let it wait."""
         now = time.monotonic()
-        if waiter.request.plain:
-            return self._choose_plain(waiter, now)
         avoid = waiter.request.avoid_endpoint_ids
-        prefills = self.candidates(EndpointRole.PREFILL, avoid)
-        decodes = self.candidates(EndpointRole.DECODE, avoid)
-        if not prefills or not decodes:
-            return None
-        prefill = self._choose_prefill(waiter, prefills, now)
+        if waiter.request.plain:
+            return self._choose_plain(self.candidates(EndpointRole.PLAIN, avoid), now)
+        cached_by_id = self.cached_tokens(waiter)
+        prefill = self._choose_prefill(waiter, cached_by_id, now)
         if prefill is None:
             return None
-        _, backlog = self.prefill_backlog(prefill, now)
-        ends = now + backlog + self._prefill_seconds_at(prefill, waiter)
-        ready = ends + self.estimates.transfer_seconds(waiter.request.prompt_tokens)
-        decode = self._choose_decode(waiter, decodes, ready, now)
+        seconds = self.prefill_seconds(prefill, waiter, cached_by_id)
+        ends = now + prefill.prefill_backlog(now) + seconds
+        ready = ends + self.estimates.transfer_seconds.of(waiter.request.prompt_tokens)
+        decode = self._choose_decode(waiter, ready, now)
         if decode is None:
             return None
-        releases = ready + self.estimates.decode_seconds(waiter.request.output_tokens)
-        cached = prefill.cached_tokens(waiter.request.prefix_hashes)
+        releases = ready + self.estimates.hold_seconds(waiter.request.output_tokens)
+        cached = cached_by_id.get(prefill.endpoint_id, 0)
         return Choice(prefill, decode, Deadline(ends), Deadline(releases), cached)
 
-    def _choose_plain(self, waiter: Waiter, now: float) -> Choice | None:
-        avoid = waiter.request.avoid_endpoint_ids
-        candidates = self.candidates(EndpointRole.PLAIN, avoid)
-        occupancies = [self.occupancy(record, now) for record in candidates]
-        free = [item for item in occupancies if item.free_slots_at(now) > 0]
+    def _choose_plain(
+        self, candidates: list[EndpointRecord], now: float
+    ) -> Choice | None:
+        free = [record for record in candidates if record.free_slots_at(now, now) > 0]
         if not free:
             return None
-        best = min(free, key=lambda item: len(item.free_instants))
-        releases = Deadline(now + self.estimates.decode_seconds(1))
-        return Choice(None, best.endpoint, Deadline(now), releases, 0)
-
-    def _prefill_seconds_at(self, record: EndpointRecord, waiter: Waiter) -> float:
-        if record.endpoint_id == waiter.request.prefill_endpoint_id:
-            return 0.0
-        return self.prefill_seconds(record, waiter)
+        best = min(free, key=lambda record: len(record.decode_grants))
+        releases = Deadline(now + self.estimates.hold_seconds(1))
+        return Choice(None, best, Deadline(now), releases, 0)
 
     def _choose_prefill(
-        self, waiter: Waiter, candidates: list[EndpointRecord], now: float
+        self, waiter: Waiter, cached_by_id: dict[str, int], now: float
     ) -> EndpointRecord | None:
-        for record in candidates:
+        candidates = self.candidates(
+            EndpointRole.PREFILL, waiter.request.avoid_endpoint_ids
+        )
+        earlier = self.record_by_id.get(waiter.request.prefill_endpoint_id)
+        if earlier is not None and earlier in candidates:
             # The KV cache of an earlier attempt is still there: it needs no turn.
-            if record.endpoint_id == waiter.request.prefill_endpoint_id:
-                return record
-        scored = []
-        for record in candidates:
-            count, backlog = self.prefill_backlog(record, now)
-            if count > 0 and backlog > NEXT_TURN_SECONDS or count > 1:
-                continue
-            seconds = backlog + self.prefill_seconds(record, waiter)
-            scored.append((seconds, record.endpoint_id, record))
-        if not scored:
+            return earlier
+        free = self._with_turn(candidates, cached_by_id, now)
+        if not free or self._must_leave_one_free(waiter, candidates, free):
             return None
-        if self._must_leave_a_prefill_free(waiter, candidates, len(scored)):
-            return None
-        return min(scored)[2]
+        return min(
+            free,
+            key=lambda record: (
+                record.prefill_backlog(now)
+                + self.prefill_seconds(record, waiter, cached_by_id)
+            ),
+        )
 
-    def _must_leave_a_prefill_free(
-        self, waiter: Waiter, candidates: list[EndpointRecord], free: int
+    def _with_turn(
+        self,
+        candidates: list[EndpointRecord],
+        cached_by_id: dict[str, int],
+        now: float,
+    ) -> list[EndpointRecord]:
+        """Return prefill endpoints with a turn to give; of many, a sample."""
+        if len(candidates) > SAMPLE_SIZE:
+            sample = _sample(candidates)
+            sample.extend(self._usable_among(cached_by_id, now))
+            free = [record for record in sample if _has_turn(record, now)]
+            if len(free) > 1:
+                return free
+        return [record for record in candidates if _has_turn(record, now)]
+
+    def _usable_among(
+        self, endpoint_ids: Iterable[str], now: float
+    ) -> Iterator[EndpointRecord]:
+        for endpoint_id in itertools.islice(endpoint_ids, SAMPLE_SIZE):
+            record = self.record_by_id.get(endpoint_id)
+            if record is not None and record.is_usable(now):
+                yield record
+
+    def _must_leave_one_free(
+        self,
+        waiter: Waiter,
+        candidates: list[EndpointRecord],
+        free: list[EndpointRecord],
     ) -> bool:
         """Keep one prefill endpoint free of prompts that an urgent one can't outwait.
 
@@ -203,35 +269,27 @@
         if not self.options.urgent_headroom or waiter.request.priority == URGENT:
             return False
         target = self.estimates.urgent_target_seconds.value
-        if target == 0.0 or len(candidates) < 2 or free > 1:
+        if target == 0.0 or len(candidates) < 2 or len(free) > 1:
             return False
-        shortest = min(self.prefill_seconds(record, waiter) for record in candidates)
-        return shortest > target / 2
+        return self.prefill_seconds(free[0], waiter, {}) > target / 2
 
     def _choose_decode(
-        self,
-        waiter: Waiter,
-        candidates: list[EndpointRecord],
-        ready: float,
-        now: float,
+        self, waiter: Waiter, ready: float, now: float
     ) -> EndpointRecord | None:
-        occupancies = [self.occupancy(record, now) for record in candidates]
-        if not self.options.reserve_decode_slot:
-            return min(occupancies, key=lambda item: len(item.free_instants)).endpoint
-        free_by_id = {
-            item.endpoint.endpoint_id: item.free_slots_at(ready) for item in occupancies
-        }
-        free = sum(max(0, count) for count in free_by_id.values())
-        if free <= self._headroom_for(waiter):
-            return None
-        best = max(
-            occupancies,
-            key=lambda item: (
-                free_by_id[item.endpoint.endpoint_id],
-                -len(item.free_instants),
-            ),
+        candidates = self.candidates(
+            EndpointRole.DECODE, waiter.request.avoid_endpoint_ids
         )
-        return best.endpoint
+        if not candidates:
+            return None
+        if not self.options.reserve_decode_slot:
+            return min(candidates, key=lambda record: len(record.decode_grants))
+        headroom = self._headroom_for(waiter)
+        if len(candidates) > SAMPLE_SIZE and headroom == 0:
+            best, free = _emptiest(_sample(candidates), ready, now)
+            if free > 0:
+                return best
+        best, free = _emptiest(candidates, ready, now)
+        return best if free > headroom else None
 
     def _headroom_for(self, waiter: Waiter) -> int:
         """Return how many decode slots a request must leave free for urgent ones."""
@@ -239,12 +297,9 @@
             return 0
         if self._urgent_interval == 0.0:
             return 0
-        in_use = sum(
-            1 for grant in self.grant_by_id.values() if grant.request.priority == URGENT
-        )
         quiet = max(self._urgent_interval, time.monotonic() - self._last_urgent_at)
         expected = self.estimates.urgent_seconds.value / quiet
-        return max(0, round(expected) - in_use)
+        return max(0, round(expected) - self._urgent_grants)
 
     def note_arrival(self, waiter: Waiter) -> None:
         """Learn how often urgent requests come and how long they can wait."""
@@ -259,63 +314,32 @@
             waiter.request.first_token_remaining_ms / 1000
         )
 
-    # Forecast
-
-    def forecast_first_token(self, waiter: Waiter, ahead: Iterable[Waiter]) -> float:
-        """Return the seconds until the request's first token is forecast.
-
-        Plays the queue through: each request takes the prefill endpoint and the decode
-        slot that are free first, in the order in which they would be granted.
-        """
-        now = time.monotonic()
-        prefill_free = self._prefill_instants(waiter, now)
-        slot_free = self._slot_instants(waiter, now)
-        if not slot_free or not (prefill_free or waiter.request.plain):
-            return float("inf")
-        for other in ahead:
-            self._play(other, prefill_free, slot_free)
-        return self._play(waiter, prefill_free, slot_free) - now
-
-    def _prefill_instants(self, waiter: Waiter, now: float) -> list[float]:
-        avoid = waiter.request.avoid_endpoint_ids
-        records = self.candidates(EndpointRole.PREFILL, avoid)
-        instants = [now + self.prefill_backlog(record, now)[1] for record in records]
-        heapq.heapify(instants)
-        return instants
 
-    def _slot_instants(self, waiter: Waiter, now: float) -> list[float]:
-        instants: list[float] = []
-        avoid = waiter.request.avoid_endpoint_ids
-        plain = waiter.request.plain
-        role = EndpointRole.PLAIN if plain else EndpointRole.DECODE
-        for record in self.candidates(role, avoid):
-            used = sorted(self.occupancy(record, now).free_instants)
-            used = used[-record.slots :] if record.slots else []
-            instants.extend(used)
-            instants.extend([now] * (record.slots - len(used)))
-        heapq.heapify(instants)
-        return instants
-
-    def _play(
-        self, waiter: Waiter, prefill_free: list[float], slot_free: list[float]
-    ) -> float:
-        if waiter.request.plain:
-            start = heapq.heappop(slot_free)
-            heapq.heappush(slot_free, start + self.estimates.decode_seconds(1))
-            return start
-        seconds = min(
-            (
-                self._prefill_seconds_at(record, waiter)
-                for record in self.candidates(EndpointRole.PREFILL, [])
-            ),
-            default=0.0,
-        )
-        transfer = self.estimates.transfer_seconds(waiter.request.prompt_tokens)
-        turn = heapq.heappop(prefill_free)
-        slot = heapq.heappop(slot_free)
-        start = max(turn, slot - seconds - transfer)
-        ready = start + seconds + transfer
-        decode = self.estimates.decode_seconds(waiter.request.output_tokens)
-        heapq.heappush(prefill_free, start + seconds)
-        heapq.heappush(slot_free, ready + decode)
-        return ready + self.estimates.decode_seconds_per_token.value
+def _sample(records: list[EndpointRecord]) -> list[EndpointRecord]:
+    """Return SAMPLE_SIZE records from a random place of a shuffled list."""
+    start = random.randrange(len(records) - SAMPLE_SIZE + 1)
+    return records[start : start + SAMPLE_SIZE]
+
+
+def _has_turn(record: EndpointRecord, now: float) -> bool:
+    """Say whether a prefill endpoint can be given another prompt now."""
+    open_grants = len(record.prefill_grants)
+    if open_grants == 0:
+        return True
+    return open_grants == 1 and record.prefill_backlog(now) <= NEXT_TURN_SECONDS
+
+
+def _emptiest(
+    records: list[EndpointRecord], ready: float, now: float
+) -> tuple[EndpointRecord, int]:
+    """Return the endpoint with the most free slots, and the free slots of all."""
+    best = records[0]
+    most = None
+    total = 0
+    for record in records:
+        free = record.free_slots_at(ready, now)
+        total += max(0, free)
+        rank = (free, -len(record.decode_grants))
+        if most is None or rank > most:
+            best, most = record, rank
+    return best, total
--- a/src/jujubeslip/homes/_tracker.py
+++ b/src/jujubeslip/homes/_tracker.py
@@ -8,7 +8,6 @@
 from collections.abc import Sequence
 
 from jujubeslip.endpoints import (
-    CacheEvent,
     EndpointError,
     EndpointStatus,
     EngineAdapter,
@@ -88,7 +87,7 @@
             events, self._next_event = adapter.events(self._next_event, deadline)
         except EndpointError:
             return
-        _apply_events(self._record, events)
+        self._pool.note_events(self._record.endpoint_id, events)
 
     def _sweep(self, adapter: EngineAdapter, status: EndpointStatus) -> None:
         """Free what the engine holds for entry processes that serve it no more.
@@ -136,11 +135,3 @@
         except EndpointError as error:
             # It is still in the engine's list, so the next sweep asks again.
             logger.info("cancel failed", extra={**extra, "error": str(error)})
-
-
-def _apply_events(record: EndpointRecord, events: Sequence[CacheEvent]) -> None:
-    for event in events:
-        if event.stored:
-            record.tokens_by_prefix_hash[event.prefix_hash] = event.tokens
-        else:
-            record.tokens_by_prefix_hash.pop(event.prefix_hash, None)
--- a/src/jujubeslip/requests/_plain_path.py
+++ b/src/jujubeslip/requests/_plain_path.py
@@ -45,8 +45,10 @@
         while True:
             reservation = self._reserve(context, attempt, avoid)
             failed = ""
+            whole = False
             try:
                 answer = self._call(context, attempt, reservation)
+                whole = True
                 return PlainServiceAnswer(
                     answer.status, answer.content_type, answer.body
                 )
@@ -55,7 +57,7 @@
                 ran = Ran.UNKNOWN if error.may_have_run else ran
                 self._check_retry(context, error, ran)
             finally:
-                self._release(reservation, failed)
+                self._release(reservation, failed, whole)
             avoid = (*avoid, failed)
             attempt += 1
 
@@ -113,9 +115,9 @@
             1, {"service": request.service.name, "cause": error.error_id}
         )
 
-    def _release(self, reservation: Reservation, failed: str) -> None:
+    def _release(self, reservation: Reservation, failed: str, whole: bool) -> None:
         grant_id = reservation.grant.grant_id
-        progress = GrantProgress(grant_id, False, False, True, 0, 0, failed)
+        progress = GrantProgress(grant_id, False, False, True, 0, int(whole), failed)
         self._router.report(reservation, progress)
 
 
