Add the load tool: open-loop load on both deployments, measured

A closed loop was ruled out, since it slows its arrivals when the system is slow and hides what callers see.

Some refused requests are sent again after their Retry-After, which shows whether it was true.

Before: no measure of a policy.

--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,13 @@
 
 clean:
 	rm -rf $(VENV) build dist
+
+SCENARIO ?= northvane
+POLICY ?= home
+LOAD ?= 1.0
+SEED ?= 1
+SECONDS ?= 30
+
+bench: $(VENV)/.installed
+	$(BIN)/python -m bench --scenario $(SCENARIO) --policy $(POLICY) \
+		--load $(LOAD) --seed $(SEED) --seconds $(SECONDS) $(if $(FAULTS),--faults)
--- /dev/null
+++ b/bench/_measure.py
@@ -0,0 +1,297 @@
+"""The figures of one run, from what callers saw and what engines recorded.
+
+- goodput: the share of all offered requests that are whole and meet both targets of
+  their class. The first-token time counts from the intended start; the between-token
+  target is met when the 95th percentile of the request's own gaps is within it.
+- wasted prefill: computed prefill tokens whose result no caller got a token of, over
+  all computed prefill tokens. A result counts as decoded when an engine streamed it
+  and the caller of that request got at least one token.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import asdict, dataclass
+
+from tests.fakes._records import answer_text
+
+from bench._outcomes import Outcome, RequestOutcome
+from bench._plan import PlannedRequest, make_prompt
+from bench._scenarios import RequestClass, Scenario
+
+
+@dataclass(frozen=True)
+class Percentiles:
+    """Percentiles in milliseconds; None without any value."""
+
+    p50: float | None
+    p95: float | None
+    p99: float | None
+
+    @classmethod
+    def of(cls, values: Iterable[float]) -> Percentiles:
+        """Return the percentiles by the nearest rank."""
+        ordered = sorted(values)
+        return cls(*(percentile(ordered, share) for share in (0.5, 0.95, 0.99)))
+
+
+@dataclass(frozen=True)
+class ClassFigures:
+    """The figures of one class; times in milliseconds."""
+
+    offered: int
+    goodput: float
+    whole: int
+    met_first_token: int
+    met_between_tokens: int
+    outcomes: Mapping[str, int]
+    errors: Mapping[str, int]
+    refusal_after_ms: Percentiles
+    ttft_ms: Percentiles
+    itl_ms: Percentiles
+    incomplete_begun: int
+
+
+@dataclass(frozen=True)
+class RetryAfterFigures:
+    """Whether refusals' Retry-After was true.
+
+    `answered` of the `probed` refused requests were served when sent again at the
+    time given.
+    """
+
+    given: int
+    missing: int
+    probed: int
+    answered: int
+    median_seconds: float | None
+
+
+@dataclass(frozen=True)
+class RunFigures:
+    """The figures of one run."""
+
+    goodput: float
+    wasted_prefill: float
+    ttft_p95: float | None
+    itl_p95: float | None
+    offered: int
+    refused: int
+    urgent_goodput: float
+    incomplete_begun: int
+    incomplete_long: int
+    wrong_answers: int
+    ran_twice: int
+    refused_but_ran: int
+    computed_tokens: int
+    wasted_tokens: int
+    client_late_ms_p99: float | None
+    retry_after: RetryAfterFigures
+    classes: Mapping[str, ClassFigures]
+
+
+def percentile(ordered: Sequence[float], share: float) -> float | None:
+    """Return the value at the nearest rank of sorted values, rounded."""
+    if not ordered:
+        return None
+    rank = min(len(ordered) - 1, int(share * len(ordered)))
+    return round(ordered[rank], 1)
+
+
+def meets_first_token(item: RequestClass, outcome: RequestOutcome) -> bool:
+    """Say whether the first token came within the class's target."""
+    first = outcome.first_token
+    return first is not None and first * 1000 <= item.first_token_ms
+
+
+def meets_between_tokens(item: RequestClass, outcome: RequestOutcome) -> bool:
+    """Say whether the 95th percentile of the gaps is within the class's target."""
+    gap = percentile(sorted(outcome.gaps_ms), 0.95)
+    return gap is None or gap <= item.between_tokens_ms
+
+
+def is_good(item: RequestClass, outcome: RequestOutcome) -> bool:
+    """Say whether a request counts for goodput."""
+    return (
+        outcome.outcome is Outcome.WHOLE
+        and meets_first_token(item, outcome)
+        and meets_between_tokens(item, outcome)
+    )
+
+
+class RunMeasure:
+    """Computes the figures of one run."""
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        planned: Sequence[PlannedRequest],
+        outcomes: Sequence[RequestOutcome],
+        records: Sequence[dict],
+    ) -> None:
+        self._class_by_name = scenario.class_by_name
+        self._planned = planned
+        self._outcomes = [item for item in outcomes if not item.probe]
+        self._probes = [item for item in outcomes if item.probe]
+        self._engine_runs = [
+            run for record in records for run in record["runs"] if "kind" in run
+        ]
+        self._plain_records = [item for item in records if "runs_by_key" in item]
+
+    def figures(self) -> RunFigures:
+        """Return the figures."""
+        computed, wasted = self._prefill_tokens()
+        refused = [item for item in self._outcomes if item.outcome is Outcome.REFUSED]
+        late = sorted(item.sent_late * 1000 for item in self._outcomes)
+        return RunFigures(
+            goodput=self._goodput(self._class_by_name),
+            wasted_prefill=_share(wasted, computed),
+            ttft_p95=_times(self._outcomes).p95,
+            itl_p95=_gaps(self._outcomes).p95,
+            offered=len(self._planned),
+            refused=len(refused),
+            urgent_goodput=self._goodput(self._names_of_priority("urgent")),
+            incomplete_begun=sum(map(_is_incomplete, self._outcomes)),
+            incomplete_long=sum(
+                _is_incomplete(item)
+                for item in self._outcomes
+                if self._class_by_name[item.class_name].long_answer
+            ),
+            wrong_answers=self._wrong_answers(),
+            ran_twice=self._ran_twice(),
+            refused_but_ran=self._refused_but_ran(refused),
+            computed_tokens=computed,
+            wasted_tokens=wasted,
+            client_late_ms_p99=percentile(late, 0.99),
+            retry_after=self._retry_after(refused),
+            classes={
+                name: self._class_figures(item)
+                for name, item in self._class_by_name.items()
+            },
+        )
+
+    def _names_of_priority(self, priority: str) -> set[str]:
+        return {
+            name
+            for name, item in self._class_by_name.items()
+            if item.priority == priority
+        }
+
+    def _goodput(self, class_names: Iterable[str]) -> float:
+        names = set(class_names)
+        offered = sum(item.class_name in names for item in self._planned)
+        good = sum(
+            is_good(self._class_by_name[item.class_name], item)
+            for item in self._outcomes
+            if item.class_name in names
+        )
+        return _share(good, offered)
+
+    def _prefill_tokens(self) -> tuple[int, int]:
+        """Return the computed prefill tokens, and those that no caller gained by."""
+        served = {item.request_id for item in self._all_outcomes() if item.begun}
+        decoded = {
+            run["kv_id"]
+            for run in self._engine_runs
+            if run["kind"] == "decode"
+            and run["request_id"] in served
+            and (run["last_index"] >= 0 or run["outcome"] == "running")
+        }
+        prefills = [run for run in self._engine_runs if run["kind"] == "prefill"]
+        computed = sum(run["computed_tokens"] for run in prefills)
+        used = sum(
+            run["computed_tokens"] for run in prefills if run["kv_id"] in decoded
+        )
+        return computed, computed - used
+
+    def _all_outcomes(self) -> list[RequestOutcome]:
+        return self._outcomes + self._probes
+
+    def _wrong_answers(self) -> int:
+        """Count answers whose text is not that of their own prompt."""
+        planned_by_id = {item.request_id: item for item in self._planned}
+        wrong = 0
+        for item in self._outcomes:
+            planned = planned_by_id.get(item.request_id)
+            if planned is None or not item.tokens:
+                continue
+            prompt = make_prompt(planned, self._class_by_name[item.class_name])
+            text = answer_text(prompt, item.tokens)
+            short = item.outcome is Outcome.WHOLE and (
+                item.tokens != planned.output_tokens
+            )
+            wrong += item.text != text or item.out_of_order or short
+        return wrong
+
+    def _ran_twice(self) -> int:
+        """Count idempotency keys that ran more than once at a plain service."""
+        runs: Counter[str] = Counter()
+        for record in self._plain_records:
+            runs.update(record["runs_by_key"])
+        return sum(count > 1 for count in runs.values())
+
+    def _refused_but_ran(self, refused: Sequence[RequestOutcome]) -> int:
+        """Count refusals that say "not run" of requests that an endpoint ran."""
+        ran = {run["request_id"] for run in self._engine_runs}
+        for record in self._plain_records:
+            ran |= set(record["runs_by_request_id"])
+        return sum(item.ran == "no" and item.request_id in ran for item in refused)
+
+    def _retry_after(self, refused: Sequence[RequestOutcome]) -> RetryAfterFigures:
+        given = sorted(
+            item.retry_after for item in refused if item.retry_after is not None
+        )
+        return RetryAfterFigures(
+            given=len(given),
+            missing=len(refused) - len(given),
+            probed=len(self._probes),
+            answered=sum(item.outcome is Outcome.WHOLE for item in self._probes),
+            median_seconds=percentile(given, 0.5),
+        )
+
+    def _class_figures(self, item: RequestClass) -> ClassFigures:
+        seen = [found for found in self._outcomes if found.class_name == item.name]
+        by_outcome: defaultdict[Outcome, list[RequestOutcome]] = defaultdict(list)
+        for found in seen:
+            by_outcome[found.outcome].append(found)
+        whole = by_outcome.get(Outcome.WHOLE, [])
+        refused = by_outcome.get(Outcome.REFUSED, [])
+        return ClassFigures(
+            offered=sum(planned.class_name == item.name for planned in self._planned),
+            goodput=self._goodput([item.name]),
+            whole=len(whole),
+            met_first_token=sum(meets_first_token(item, found) for found in whole),
+            met_between_tokens=sum(
+                meets_between_tokens(item, found) for found in whole
+            ),
+            outcomes={kind.value: len(found) for kind, found in by_outcome.items()},
+            errors=dict(Counter(found.error_id for found in seen if found.error_id)),
+            refusal_after_ms=Percentiles.of(found.finished * 1000 for found in refused),
+            ttft_ms=_times(seen),
+            itl_ms=_gaps(seen),
+            incomplete_begun=sum(map(_is_incomplete, seen)),
+        )
+
+
+def _is_incomplete(outcome: RequestOutcome) -> bool:
+    return outcome.begun and outcome.outcome is not Outcome.WHOLE
+
+
+def _times(outcomes: Iterable[RequestOutcome]) -> Percentiles:
+    return Percentiles.of(
+        item.first_token * 1000 for item in outcomes if item.first_token is not None
+    )
+
+
+def _gaps(outcomes: Iterable[RequestOutcome]) -> Percentiles:
+    return Percentiles.of(gap for item in outcomes for gap in item.gaps_ms)
+
+
+def _share(part: float, whole: float) -> float:
+    return round(part / whole, 4) if whole else 0.0
+
+
+def as_json(figures: RunFigures) -> dict:
+    """Return the figures as plain values."""
+    return asdict(figures)
--- /dev/null
+++ b/bench/_outcomes.py
@@ -0,0 +1,69 @@
+"""What became of each offered request, as its caller saw it."""
+
+from __future__ import annotations
+
+import enum
+import json
+from collections.abc import Iterable
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+
+class Outcome(enum.Enum):
+    """How a request ended for its caller."""
+
+    WHOLE = "whole"
+    REFUSED = "refused"
+    ERROR = "error"
+    CUT = "cut"
+    GAVE_UP = "gave_up"
+    UNREACHABLE = "unreachable"
+
+
+@dataclass(frozen=True)
+class RequestOutcome:
+    """One request's end; times in seconds after its intended start.
+
+    `first_token` is the time of the whole answer for a plain service. `probe` marks
+    a request that was sent again after the Retry-After of a refusal.
+    """
+
+    request_id: str
+    class_name: str
+    outcome: Outcome
+    status: int
+    sent_late: float
+    finished: float
+    first_token: float | None = None
+    gaps_ms: tuple[float, ...] = ()
+    tokens: int = 0
+    text: str = ""
+    error_id: str = ""
+    ran: str = ""
+    retry_after: float | None = None
+    out_of_order: bool = False
+    probe: bool = False
+
+    @property
+    def begun(self) -> bool:
+        """Say whether the caller got a first token."""
+        return self.tokens > 0
+
+
+def write_outcomes(path: Path, outcomes: Iterable[RequestOutcome]) -> None:
+    """Write outcomes, one JSON object a line."""
+    with path.open("w") as file:
+        for item in outcomes:
+            line = {**asdict(item), "outcome": item.outcome.value}
+            file.write(json.dumps(line) + "\n")
+
+
+def read_outcomes(path: Path) -> list[RequestOutcome]:
+    """Read outcomes that `write_outcomes` wrote."""
+    outcomes = []
+    for line in path.read_text().splitlines():
+        values = json.loads(line)
+        values["outcome"] = Outcome(values["outcome"])
+        values["gaps_ms"] = tuple(values["gaps_ms"])
+        outcomes.append(RequestOutcome(**values))
+    return outcomes
--- /dev/null
+++ b/bench/_run.py
@@ -0,0 +1,208 @@
+"""One run: start the system, offer the load, measure, stop the system."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import tempfile
+import time
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+
+from tests.fakes.cluster import Cluster
+from tests.fakes.processes import ManagedProcess, wait_until
+
+from bench._capacity import classes_of, pool_capacity
+from bench._client import ClientTask
+from bench._disturbances import Disturbances
+from bench._measure import RunMeasure, as_json
+from bench._outcomes import RequestOutcome, read_outcomes
+from bench._plan import PlannedRequest, plan_requests
+from bench._scenarios import SCENARIOS, Scenario
+from bench._system import build_cluster, key_of
+
+CLIENTS = 2
+LEAD_SECONDS = 2.0
+# Endpoints announce each second, and homes need a report of each before they grant.
+SETTLE_SECONDS = 2.5
+HELD_SECONDS = 15.0
+CLIENT_STOP_SECONDS = 30.0
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+
+
+@dataclass(frozen=True)
+class RunOptions:
+    """What to run."""
+
+    scenario: str
+    policy: str = "home"
+    load: float = 1.0
+    seed: int = 1
+    seconds: float = 30.0
+    faults: bool = False
+    probe_share: float = 0.1
+    logs: Path | None = None
+    label: str = ""
+    entry_options: dict[str, str | int | float | bool] = field(default_factory=dict)
+
+
+def run_once(options: RunOptions) -> dict:
+    """Run once and return the figures as one JSON object."""
+    if options.logs is not None:
+        options.logs.mkdir(parents=True, exist_ok=True)
+        return _run_in(options, options.logs)
+    with tempfile.TemporaryDirectory(prefix="bench-") as folder:
+        return _run_in(options, Path(folder))
+
+
+def _run_in(options: RunOptions, folder: Path) -> dict:
+    scenario = SCENARIOS[options.scenario]()
+    planned = plan_requests(scenario, options.load, options.seconds, options.seed)
+    cluster = build_cluster(
+        scenario,
+        options.policy,
+        folder,
+        faults=options.faults,
+        entry_options=options.entry_options,
+    )
+    with cluster:
+        time.sleep(SETTLE_SECONDS)
+        return _offer(options, scenario, planned, cluster, folder)
+
+
+def _offer(
+    options: RunOptions,
+    scenario: Scenario,
+    planned: tuple[PlannedRequest, ...],
+    cluster: Cluster,
+    folder: Path,
+) -> dict:
+    starts_at = time.monotonic() + LEAD_SECONDS
+    disturbances = Disturbances(scenario, cluster)
+    if options.faults:
+        disturbances.start(starts_at, options.seconds)
+    clients = _start_clients(options, scenario, planned, cluster, folder, starts_at)
+    limit = _drain_seconds(scenario) + options.seconds + CLIENT_STOP_SECONDS
+    outcomes = _wait_for_outcomes(clients, limit)
+    held = _held_after(cluster)
+    records = disturbances.records + [
+        cluster.endpoint_call(name, "GET", "/v1/records")
+        for name in _running_endpoints(cluster)
+    ]
+    figures = RunMeasure(scenario, planned, outcomes, records).figures()
+    return {
+        **as_json(figures),
+        "scenario": options.scenario,
+        "policy": options.label or options.policy,
+        "load": options.load,
+        "seed": options.seed,
+        "seconds": options.seconds,
+        "faults": disturbances.done,
+        "held_after_end": held,
+        "capacity_rps": _capacities(scenario),
+        "cpu_share": _cpu_shares(cluster, options.seconds),
+    }
+
+
+def _start_clients(
+    options: RunOptions,
+    scenario: Scenario,
+    planned: tuple[PlannedRequest, ...],
+    cluster: Cluster,
+    folder: Path,
+    starts_at: float,
+) -> list[tuple[ManagedProcess, Path]]:
+    clients = []
+    addresses = [cluster.client_address(host) for host in cluster.entry_ids]
+    for number in range(CLIENTS):
+        turn = number % len(addresses)
+        output = folder / f"client-{number}.jsonl"
+        task = ClientTask(
+            scenario=options.scenario,
+            addresses=tuple(addresses[turn:] + addresses[:turn]),
+            key_by_class={item.name: key_of(item) for item in scenario.classes},
+            starts_at=starts_at,
+            ends_after=options.seconds + _drain_seconds(scenario),
+            probe_share=options.probe_share,
+            output=str(output),
+            requests=planned[number::CLIENTS],
+        )
+        path = folder / f"client-{number}.json"
+        task.write(path)
+        name = f"client-{number}"
+        process = ManagedProcess(name, "bench._client", [str(path)], folder)
+        clients.append((process, output))
+    return clients
+
+
+def _drain_seconds(scenario: Scenario) -> float:
+    """Return how long answers may take after the last request was sent."""
+    return max(
+        (item.patience_ms + item.output.high * item.between_tokens_ms) / 1000
+        for item in scenario.classes
+    )
+
+
+def _wait_for_outcomes(
+    clients: list[tuple[ManagedProcess, Path]], limit: float
+) -> list[RequestOutcome]:
+    outcomes = []
+    for process, output in clients:
+        try:
+            status = process.wait(limit)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            raise
+        if status != 0:
+            raise RuntimeError(f"{process.name} failed: {process.output()}")
+        outcomes += read_outcomes(output)
+    return outcomes
+
+
+def _running_endpoints(cluster: Cluster) -> list[str]:
+    names = [item.endpoint_id for item in cluster.spec.endpoints]
+    return [name for name in names if cluster.process_by_name[name].running]
+
+
+def _held_after(cluster: Cluster) -> int:
+    """Return how many attempts still hold memory some time after the end."""
+    names = _running_endpoints(cluster)
+
+    def held() -> int:
+        return sum(len(cluster.held(name)) for name in names)
+
+    try:
+        wait_until(lambda: held() == 0, "nothing is held", HELD_SECONDS)
+    except TimeoutError:
+        return held()
+    return 0
+
+
+def _capacities(scenario: Scenario) -> dict[str, dict[str, float]]:
+    return {
+        pool.service: {
+            name: round(value, 2)
+            for name, value in asdict(
+                pool_capacity(pool, classes_of(scenario, pool.service))
+            ).items()
+        }
+        for pool in scenario.engine_pools
+    }
+
+
+def _cpu_shares(cluster: Cluster, seconds: float) -> dict[str, float]:
+    """Return each running process's processor time over the run's length.
+
+    It includes the process's start, and shows whether Python is the bottleneck: a
+    process near 1.0 is.
+    """
+    return {
+        name: round(_cpu_seconds(process.pid) / seconds, 2)
+        for name, process in cluster.process_by_name.items()
+        if process.running
+    }
+
+
+def _cpu_seconds(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
