Keep an abandoned claim from its own late copy; use the shared fault proxy

Cause: a claim that was given up could be taken again by a late copy of the same request's claim, and the key would wait in vain until its retention ends; dropping expired claims depended on how a replica had restarted. Test ports came from the range of outgoing connections, so that a process sometimes found its port taken, and once a replica of another test answered there. A refusal that left a generator became a TypeError, since Thrift's exceptions refused __traceback__. Ruled out: a tombstone table beside the claims (the claim itself can carry the mark). Conclusion: the tests of the control host stand on the shared stand-ins.

--- a/src/jujubeslip/control/_claims.py
+++ b/src/jujubeslip/control/_claims.py
@@ -7,8 +7,16 @@
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
+from itertools import takewhile
 
-from jujubeslip.peers import ClaimRecord, FinishCommand, KeyClaim, KeyReply, KeyStatus
+from jujubeslip.peers import (
+    AbandonCommand,
+    ClaimRecord,
+    FinishCommand,
+    KeyClaim,
+    KeyReply,
+    KeyStatus,
+)
 
 # How long a claim is kept, in log time; a resend after that runs again.
 CLAIM_RETENTION_MS = 24 * 3600 * 1000
@@ -18,6 +26,7 @@
 MAXIMUM_OUTCOME_BYTES = 64 * 1024
 MAXIMUM_TOTAL_OUTCOME_BYTES = 8 * 1024 * 1024
 DIGEST_BYTES = 16
+REMOVAL_INTERVAL_MS = 60_000
 
 
 @dataclass(frozen=True)
@@ -41,6 +50,7 @@
     finished: bool = False
     outcome: bytes | None = None
     outcome_number: int = 0
+    abandoned: bool = False
 
 
 class ClaimTable:
@@ -48,8 +58,8 @@
 
     def __init__(self, maximum_claims: int = MAXIMUM_CLAIMS) -> None:
         self._maximum_claims = maximum_claims
+        # In order of stamps: a key that is claimed anew moves to the end.
         self._claim_by_digest: dict[bytes, Claim] = {}
-        self._digests_by_age: deque[bytes] = deque()
         self._outcomes_by_number: deque[tuple[int, bytes]] = deque()
         self._outcome_bytes = 0
         self._last_outcome_number = 0
@@ -63,28 +73,53 @@
         The same request id and owner gets FIRST again while it runs, so that a claim
         can be sent again after a lost answer.
         """
-        self._expire(stamp_ms)
-        known = self.find(claim)
+        known = self.find(claim, stamp_ms)
         if known is not None:
             return known
+        digest = _digest(claim)
+        self._remove(digest)
+        if len(self._claim_by_digest) >= self._maximum_claims:
+            self._remove_expired(stamp_ms)
         if len(self._claim_by_digest) >= self._maximum_claims:
             return ClaimsFull(self._until_next_expiry(stamp_ms))
-        digest = _digest(claim)
         self._claim_by_digest[digest] = Claim(
             claim.request_id, sys.intern(claim.owner), claim.fingerprint, stamp_ms
         )
-        self._digests_by_age.append(digest)
         return KeyReply(KeyStatus.FIRST, claim.request_id, claim.owner, None)
 
-    def find(self, claim: KeyClaim) -> KeyReply | None:
-        """Return what is known of the key, None when nobody has claimed it."""
+    def pass_time(self, from_ms: int, to_ms: int) -> None:
+        """Free the memory of expired claims at each whole interval of log time.
+
+        All replicas do so at the same entry, since what is freed decides which
+        outcomes are dropped.
+        """
+        if from_ms // REMOVAL_INTERVAL_MS != to_ms // REMOVAL_INTERVAL_MS:
+            self._remove_expired(to_ms)
+
+    def find(self, claim: KeyClaim, now_ms: int) -> KeyReply | None:
+        """Return what is known of the key, None when it may be claimed."""
         found = self._claim_by_digest.get(_digest(claim))
-        if found is None:
+        if found is None or _has_expired(found, now_ms):
+            return None
+        if found.abandoned and found.request_id != claim.request_id:
             return None
         status = _status(found, claim)
         outcome = found.outcome if status == KeyStatus.FINISHED else None
         return KeyReply(status, found.request_id, found.owner, outcome)
 
+    def abandon(self, command: AbandonCommand) -> None:
+        """Let another request have the key; only its holder can give it up.
+
+        The claim itself stays for its own request id: a late copy of that claim,
+        from a connection that was given up, must not take the key again.
+        """
+        digest = _digest(command.claim)
+        found = self._claim_by_digest.get(digest)
+        if found is None or found.finished:
+            return
+        if found.request_id == command.claim.request_id:
+            self._claim_by_digest[digest] = replace(found, abandoned=True)
+
     def finish(self, command: FinishCommand) -> None:
         """Record the outcome for the request that holds the claim; the first stays."""
         digest = _digest(command.claim)
@@ -98,22 +133,10 @@
         if command.outcome and len(command.outcome) <= MAXIMUM_OUTCOME_BYTES:
             self._keep_outcome(digest, finished, command.outcome)
 
-    def abandon(self, claim: KeyClaim) -> None:
-        """Free a key for the request that holds it, unless it has ended."""
-        digest = _digest(claim)
-        found = self._claim_by_digest.get(digest)
-        if found is None or found.finished:
-            return
-        if (found.request_id, found.owner) != (claim.request_id, claim.owner):
-            return
-        del self._claim_by_digest[digest]
-        self._digests_by_age.remove(digest)
-
     def records(self) -> Iterator[ClaimRecord]:
         """Return the claims, oldest first, as they were when called."""
-        digests = list(self._digests_by_age)
-        claims = dict(self._claim_by_digest)
-        return (_to_record(digest, claims[digest]) for digest in digests)
+        claims = list(self._claim_by_digest.items())
+        return (_to_record(digest, claim) for digest, claim in claims)
 
     def load(self, record: ClaimRecord) -> None:
         """Take over a claim from a snapshot, in order."""
@@ -126,8 +149,8 @@
             record.finished,
             record.outcome,
             record.outcome_number,
+            record.abandoned,
         )
-        self._digests_by_age.append(record.digest)
         self._outcome_bytes += len(outcome)
         if outcome:
             self._outcomes_by_number.append((record.outcome_number, record.digest))
@@ -138,19 +161,24 @@
         if self._outcomes_by_number:
             self._last_outcome_number = self._outcomes_by_number[-1][0]
 
-    def _expire(self, now_ms: int) -> None:
-        while self._digests_by_age:
-            digest = self._digests_by_age[0]
-            claim = self._claim_by_digest[digest]
-            if claim.stamp_ms + CLAIM_RETENTION_MS > now_ms:
-                break
-            self._digests_by_age.popleft()
-            del self._claim_by_digest[digest]
+    def _remove_expired(self, now_ms: int) -> None:
+        expired = list(
+            takewhile(
+                lambda digest: _has_expired(self._claim_by_digest[digest], now_ms),
+                self._claim_by_digest,
+            )
+        )
+        for digest in expired:
+            self._remove(digest)
+        self._forget_removed_outcomes()
+
+    def _remove(self, digest: bytes) -> None:
+        claim = self._claim_by_digest.pop(digest, None)
+        if claim is not None:
             self._outcome_bytes -= len(claim.outcome or b"")
-        self._forget_expired_outcomes()
 
     def _until_next_expiry(self, now_ms: int) -> int:
-        oldest = self._claim_by_digest[self._digests_by_age[0]]
+        oldest = next(iter(self._claim_by_digest.values()))
         return max(1, oldest.stamp_ms + CLAIM_RETENTION_MS - now_ms)
 
     def _keep_outcome(self, digest: bytes, claim: Claim, outcome: bytes) -> None:
@@ -173,7 +201,7 @@
         self._outcome_bytes -= len(claim.outcome or b"")
         self._claim_by_digest[digest] = replace(claim, outcome=None, outcome_number=0)
 
-    def _forget_expired_outcomes(self) -> None:
+    def _forget_removed_outcomes(self) -> None:
         while self._outcomes_by_number:
             number, digest = self._outcomes_by_number[0]
             claim = self._claim_by_digest.get(digest)
@@ -182,12 +210,17 @@
             self._outcomes_by_number.popleft()
 
 
+def _has_expired(claim: Claim, now_ms: int) -> bool:
+    return claim.stamp_ms + CLAIM_RETENTION_MS <= now_ms
+
+
 def _status(found: Claim, claim: KeyClaim) -> KeyStatus:
     if found.fingerprint != claim.fingerprint:
         return KeyStatus.CONFLICT
     if found.finished:
         return KeyStatus.FINISHED
-    if (found.request_id, found.owner) == (claim.request_id, claim.owner):
+    is_holder = (found.request_id, found.owner) == (claim.request_id, claim.owner)
+    if is_holder and not found.abandoned:
         return KeyStatus.FIRST
     return KeyStatus.RUNNING
 
@@ -207,4 +240,5 @@
         claim.finished,
         claim.outcome,
         claim.outcome_number,
+        claim.abandoned,
     )
--- a/src/jujubeslip/control/_client.py
+++ b/src/jujubeslip/control/_client.py
@@ -98,7 +98,7 @@
         )
 
     def abandon_key(self, claim: KeyClaim, deadline: Deadline) -> None:
-        """Free the claim of a request that surely did not run."""
+        """Free a claim whose request surely did not run, so that a resend may run."""
         self._call_leader(
             lambda peer: peer.abandon_key(claim, deadline.remaining_ms()), deadline
         )
--- a/src/jujubeslip/control/_commands.py
+++ b/src/jujubeslip/control/_commands.py
@@ -31,8 +31,8 @@
     EntryKind.CONFIGURATION: ApplyRequest,
     EntryKind.CLAIM: KeyClaim,
     EntryKind.FINISH: FinishCommand,
-    EntryKind.ABANDON: AbandonCommand,
     EntryKind.MEMBERSHIP: Membership,
+    EntryKind.ABANDON: AbandonCommand,
 }
 
 
--- a/src/jujubeslip/control/_handler.py
+++ b/src/jujubeslip/control/_handler.py
@@ -86,7 +86,7 @@
         with replica.lock:
             replica.require_leader()
             if replica.reads_are_current():
-                known = replica.machine.claims.find(claim)
+                known = replica.machine.find_claim(claim)
                 if known is not None:
                     return known
         return to_reply(replica.propose(claim, deadline))
--- a/src/jujubeslip/control/_machine.py
+++ b/src/jujubeslip/control/_machine.py
@@ -41,7 +41,9 @@
 
     def apply(self, entry: LogEntry) -> Outcome:
         """Apply one committed entry and return its outcome for who proposed it."""
-        self.stamp_ms = max(self.stamp_ms, entry.stamp_ms)
+        now_ms = max(self.stamp_ms, entry.stamp_ms)
+        self.claims.pass_time(self.stamp_ms, now_ms)
+        self.stamp_ms = now_ms
         return self._apply(command_of(entry))
 
     @singledispatchmethod
@@ -68,9 +70,13 @@
 
     @_apply.register(AbandonCommand)
     def _(self, command: AbandonCommand) -> Outcome:
-        self.claims.abandon(command.claim)
+        self.claims.abandon(command)
         return None
 
+    def find_claim(self, claim: KeyClaim) -> KeyReply | None:
+        """Return what is known of a claimed key, None when it may be claimed."""
+        return self.claims.find(claim, self.stamp_ms)
+
     def parts(self) -> Iterator[SnapshotPart]:
         """Return the state as parts of a snapshot, as it was when called."""
         configurations = self.configurations.configurations()
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -153,12 +153,6 @@
         super(PeerRefusal, self).__setattr__('remedy', remedy)
         super(PeerRefusal, self).__setattr__('retry_after_ms', retry_after_ms)
 
-    def __setattr__(self, *args):
-        raise TypeError("can't modify immutable instance")
-
-    def __delattr__(self, *args):
-        raise TypeError("can't modify immutable instance")
-
     def __hash__(self):
         return hash(self.__class__) ^ hash((self.error_id, self.message, self.remedy, self.retry_after_ms, ))
 
@@ -261,12 +255,6 @@
         super(NotLeader, self).__setattr__('leader_id', leader_id)
         super(NotLeader, self).__setattr__('leader_address', leader_address)
 
-    def __setattr__(self, *args):
-        raise TypeError("can't modify immutable instance")
-
-    def __delattr__(self, *args):
-        raise TypeError("can't modify immutable instance")
-
     def __hash__(self):
         return hash(self.__class__) ^ hash((self.leader_id, self.leader_address, ))
 
@@ -3226,11 +3214,12 @@
      - finished
      - outcome
      - outcome_number
+     - abandoned
 
     """
 
 
-    def __init__(self, digest=None, request_id=None, owner=None, fingerprint=None, stamp_ms=None, finished=None, outcome=None, outcome_number=None,):
+    def __init__(self, digest=None, request_id=None, owner=None, fingerprint=None, stamp_ms=None, finished=None, outcome=None, outcome_number=None, abandoned=None,):
         self.digest = digest
         self.request_id = request_id
         self.owner = owner
@@ -3239,6 +3228,7 @@
         self.finished = finished
         self.outcome = outcome
         self.outcome_number = outcome_number
+        self.abandoned = abandoned
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3289,6 +3279,11 @@
                     self.outcome_number = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.abandoned = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3331,6 +3326,10 @@
             oprot.writeFieldBegin('outcome_number', TType.I64, 8)
             oprot.writeI64(self.outcome_number)
             oprot.writeFieldEnd()
+        if self.abandoned is not None:
+            oprot.writeFieldBegin('abandoned', TType.BOOL, 9)
+            oprot.writeBool(self.abandoned)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4506,6 +4505,7 @@
     (6, TType.BOOL, 'finished', None, None, ),  # 6
     (7, TType.STRING, 'outcome', 'BINARY', None, ),  # 7
     (8, TType.I64, 'outcome_number', None, None, ),  # 8
+    (9, TType.BOOL, 'abandoned', None, None, ),  # 9
 )
 all_structs.append(SnapshotPart)
 SnapshotPart.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -325,6 +325,7 @@
   6: bool finished,
   7: optional binary outcome,
   8: i64 outcome_number,
+  9: bool abandoned,
 }
 
 // One part of a snapshot file; the last part has `end` set.
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -1,14 +1,11 @@
-"""Real control processes for tests, each pair of replicas linked by a relay."""
+"""Real control processes for tests, each pair of replicas linked by a fault proxy."""
 
 from __future__ import annotations
 
 import os
+import secrets
 import shutil
 import signal
-import socket
-import subprocess
-import sys
-import time
 from collections.abc import Callable
 from pathlib import Path
 from types import TracebackType
@@ -28,45 +25,29 @@
     PeerIdentity,
     PeerRefusal,
 )
-from tests.control.relay import Relay
+from tests.fakes.fault_proxy import FaultProxy
+from tests.fakes.processes import ManagedProcess, free_address, wait_until
 
 T = TypeVar("T")
 
-SECRET = "secret-of-tests"
 BOUND_SECONDS = 20.0
 ELECTION_TIMEOUT_MS = 400
 HEARTBEAT_MS = 80
 
 
-def wait_for(condition: Callable[[], T | None], what: str) -> T:
-    """Return the condition's first true value; fail after a generous bound."""
-    deadline = Deadline.after(BOUND_SECONDS)
-    while not deadline.expired:
-        value = condition()
-        if value:
-            return value
-        time.sleep(0.02)
-    raise AssertionError(f"not within {BOUND_SECONDS} s: {what}")
-
-
-def free_address() -> str:
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return "{}:{}".format(*listener.getsockname())
-
-
 class ControlHost:
     """One control process: its settings, its data folder, its log."""
 
-    def __init__(self, folder: Path, host_id: str, address: str) -> None:
+    def __init__(self, folder: Path, host_id: str, secret: str) -> None:
         self.host_id = host_id
-        self.address = address
+        self.address = free_address()
+        self.folder = folder
         self.data_folder = folder / host_id
         self.settings_path = folder / f"{host_id}.toml"
-        self.log_path = folder / f"{host_id}.log"
-        self.process: subprocess.Popen[bytes] | None = None
-        self.client = PeerClient(
-            ControlPeer.Client, address, PeerIdentity("test", 1, SECRET)
-        )
+        self.process: ManagedProcess | None = None
+        self._secret = secret
+        identity = PeerIdentity("test", 1, secret)
+        self.client = PeerClient(ControlPeer.Client, self.address, identity)
 
     def write_settings(self, replicas: list[PeerAddress], extra: str) -> None:
         tables = "".join(
@@ -76,33 +57,38 @@
         self.settings_path.write_text(
             f'host_id = "{self.host_id}"\navailability_zone = "zone"\n'
             f'region = "region"\npeer_address = "{self.address}"\n'
-            f'peer_secret = "{SECRET}"\ndata_folder = "{self.data_folder}"\n'
+            f'peer_secret = "{self._secret}"\ndata_folder = "{self.data_folder}"\n'
             f"{extra}\n{tables}"
         )
 
     def start(self) -> None:
-        with self.log_path.open("ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "jujubeslip.control", str(self.settings_path)],
-                stderr=log,
-            )
+        arguments = [str(self.settings_path)]
+        self.process = ManagedProcess(
+            self.host_id, "jujubeslip.control", arguments, self.folder
+        )
+
+    @property
+    def running(self) -> bool:
+        return self.process is not None and self.process.running
 
-    def signal(self, number: int) -> None:
+    def signal(self, number: signal.Signals) -> None:
         assert self.process is not None
-        self.process.send_signal(number)
+        self.process.signal(number)
 
     def kill(self) -> None:
         if self.process is not None:
             self.process.kill()
-            self.process.wait()
             self.process = None
 
     def freeze(self) -> None:
         """Stop the process and wait until the kernel has stopped each thread."""
-        self.signal(signal.SIGSTOP)
         assert self.process is not None
+        self.process.signal(signal.SIGSTOP)
         os.waitid(os.P_PID, self.process.pid, os.WSTOPPED)
 
+    def output(self) -> str:
+        return (self.folder / f"{self.host_id}.log").read_text(errors="replace")
+
     def lose_disk(self) -> None:
         shutil.rmtree(self.data_folder)
 
@@ -127,7 +113,8 @@
         }
         self._extra = "\n".join(f"{k} = {v}" for k, v in (defaults | settings).items())
         self.host_by_id: dict[str, ControlHost] = {}
-        self.relay_by_pair: dict[tuple[str, str], Relay] = {}
+        self.proxy_by_pair: dict[tuple[str, str], FaultProxy] = {}
+        self.secret = secrets.token_hex(8)
         for number in range(1, count + 1):
             self.create_host(f"control-{number}")
         self.link()
@@ -145,11 +132,11 @@
     ) -> None:
         for host in self.hosts:
             host.kill()
-        for relay in self.relay_by_pair.values():
-            relay.close()
+        for proxy in self.proxy_by_pair.values():
+            proxy.stop()
         if error is not None:
             for host in self.hosts:
-                print(f"--- {host.host_id}\n{host.log_path.read_text()[-4000:]}")
+                print(f"--- {host.host_id}\n{host.output()[-4000:]}")
 
     @property
     def hosts(self) -> list[ControlHost]:
@@ -158,15 +145,15 @@
     @property
     def client(self) -> ControlClient:
         addresses = [PeerAddress(host.host_id, host.address) for host in self.hosts]
-        return ControlClient(addresses, PeerIdentity("test", 1, SECRET))
+        return ControlClient(addresses, PeerIdentity("test", 1, self.secret))
 
     def create_host(self, host_id: str) -> ControlHost:
-        host = ControlHost(self.folder, host_id, free_address())
+        host = ControlHost(self.folder, host_id, self.secret)
         self.host_by_id[host_id] = host
         return host
 
     def link(self) -> None:
-        """Write all settings; each host reaches the others through relays."""
+        """Write all settings; each host reaches the others through fault proxies."""
         for source in self.hosts:
             peers = []
             for target in self.hosts:
@@ -174,37 +161,35 @@
                     peers.append(PeerAddress(target.host_id, target.address))
                     continue
                 pair = (source.host_id, target.host_id)
-                if pair not in self.relay_by_pair:
-                    self.relay_by_pair[pair] = Relay(target.address)
-                peers.append(
-                    PeerAddress(target.host_id, self.relay_by_pair[pair].address)
-                )
+                if pair not in self.proxy_by_pair:
+                    self.proxy_by_pair[pair] = FaultProxy(target.address)
+                proxy = self.proxy_by_pair[pair]
+                peers.append(PeerAddress(target.host_id, proxy.address))
             source.write_settings(peers, self._extra)
 
-    def relays_of(self, host: ControlHost) -> list[Relay]:
-        return [
-            relay for pair, relay in self.relay_by_pair.items() if host.host_id in pair
-        ]
-
     def cut(self, host: ControlHost) -> None:
-        for relay in self.relays_of(host):
-            relay.cut(requests=True, replies=True)
+        """Cut the host off from the other replicas, not from clients."""
+        for pair, proxy in self.proxy_by_pair.items():
+            if host.host_id in pair:
+                proxy.cut()
 
     def heal(self) -> None:
-        for relay in self.relay_by_pair.values():
-            relay.heal()
+        for proxy in self.proxy_by_pair.values():
+            proxy.heal()
 
     def leader(self, among: list[ControlHost] | None = None) -> ControlHost:
         """Return the host that leads by its own word, once there is one."""
 
         def find() -> ControlHost | None:
             for host in among or self.hosts:
-                status = host.status() if host.process is not None else None
+                status = host.status() if host.running else None
                 if status is not None and status.leader_id == status.replica_id:
                     return host
             return None
 
-        return wait_for(find, "a leader")
+        leader = wait_until(find, "a leader", BOUND_SECONDS)
+        assert leader is not None
+        return leader
 
     def others(self, *hosts: ControlHost) -> list[ControlHost]:
         return [host for host in self.hosts if host not in hosts]
@@ -227,7 +212,8 @@
             status = host.status()
             return status is not None and status.configuration_revision >= revision
 
-        wait_for(applied, f"revision {revision} on {host.host_id}")
+        what = f"revision {revision} on {host.host_id}"
+        wait_until(applied, what, BOUND_SECONDS)
 
 
 def make_change(number: int, base: int, operator: str = "operator") -> ApplyRequest:
--- a/tests/control/test_leader_loss.py
+++ b/tests/control/test_leader_loss.py
@@ -13,8 +13,9 @@
     ask_directly,
     make_change,
     make_claim,
-    wait_for,
 )
+from tests.fakes.fault_proxy import Direction
+from tests.fakes.processes import wait_until
 
 
 class TestKilledLeader:
@@ -95,24 +96,24 @@
             assert lost is None
             assert cluster.claim("key", "r1").status == KeyStatus.FIRST
             assert cluster.apply(2, 1).revision == 2
-            wait_for(lambda: leader_of(old) == "", "the old leader steps down")
+            wait_until(lambda: leader_of(old) == "", "the old leader steps down")
             cluster.heal()
             cluster.wait_applied(old, 2)
             assert cluster.claim("key", "r2").status == KeyStatus.RUNNING
 
     def test_cut_in_one_direction(self, tmp_path: Path) -> None:
-        """The leader is heard but can't hear, then the other way round.
+        """The leader can't be heard but hears, then the other way round.
 
-        In the first case its followers hear heartbeats and elect nobody, until it
+        In the second case its followers hear heartbeats and elect nobody, until it
         notices by itself that no answer comes.
         """
         with ControlCluster(tmp_path, 3) as cluster:
             cluster.apply(1, 0)
-            for revision, requests in ((1, False), (2, True)):
+            for revision, direction in enumerate(Direction, 1):
                 old = cluster.leader()
-                for (source, _), relay in cluster.relay_by_pair.items():
+                for (source, _), proxy in cluster.proxy_by_pair.items():
                     if source == old.host_id:
-                        relay.cut(requests=requests, replies=not requests)
+                        proxy.cut(direction)
                 assert cluster.apply(revision + 1, revision).revision == revision + 1
                 cluster.heal()
                 cluster.wait_applied(old, revision + 1)
@@ -128,25 +129,25 @@
             follower = cluster.others(leader)[0]
             before = leader.status()
             cluster.cut(follower)
-            wait_for(
-                lambda: follower.log_path.read_text().count("no leader heard") >= 3,
+            wait_until(
+                lambda: follower.output().count("no leader heard") >= 3,
                 "the cut follower tries three times",
             )
-            campaigns = follower.log_path.read_text().count("campaigning")
+            campaigns = follower.output().count("campaigning")
             cluster.apply(2, 1)
             cluster.heal()
             cluster.wait_applied(follower, 2)
             after = leader.status()
             assert before is not None and after is not None
             assert after.term == before.term
-            assert follower.log_path.read_text().count("campaigning") == campaigns
+            assert follower.output().count("campaigning") == campaigns
 
     def test_open_connections_go_silent(self, tmp_path: Path) -> None:
         """Something between the hosts forgets connections; new ones work."""
         with ControlCluster(tmp_path, 3) as cluster:
             cluster.apply(1, 0)
-            for relay in cluster.relay_by_pair.values():
-                relay.silence_open_connections()
+            for proxy in cluster.proxy_by_pair.values():
+                proxy.freeze()
             change = make_change(2, 1)
             deadline = Deadline.after(10.0)
             assert cluster.client.apply_configuration(change, deadline).accepted
--- a/tests/control/test_machine.py
+++ b/tests/control/test_machine.py
@@ -19,6 +19,7 @@
     write_snapshot,
 )
 from jujubeslip.peers import (
+    AbandonCommand,
     ApplyReply,
     ApplyRequest,
     FinishCommand,
@@ -116,6 +117,22 @@
         assert isinstance(other, KeyReply)
         assert other.status == KeyStatus.FIRST
 
+    def test_abandoned_key_goes_to_another_request(self) -> None:
+        """A shift confirmation is refused before it ran, then sent again.
+
+        The first request gives its claim up. A late copy of that claim, from a
+        connection that was given up, arrives before the resend's: were it to take
+        the key again, nobody would run it and the resend would wait in vain.
+        """
+        applier = Applier()
+        applier.apply(claim("k", "r1"))
+        applier.apply(AbandonCommand(claim("k", "r2")))
+        assert status_of(applier.apply(claim("k", "r2"))) == KeyStatus.RUNNING
+        applier.apply(AbandonCommand(claim("k", "r1")))
+        assert status_of(applier.apply(claim("k", "r1"))) == KeyStatus.RUNNING
+        assert status_of(applier.apply(claim("k", "r2"))) == KeyStatus.FIRST
+        assert status_of(applier.apply(claim("k", "r3"))) == KeyStatus.RUNNING
+
     def test_claims_end_with_their_retention_only(self) -> None:
         table = ClaimTable(maximum_claims=2)
         table.claim(claim("a"), 0)
@@ -209,6 +226,11 @@
         assert restored.configurations.current.revision == 30
 
 
+def status_of(outcome: object) -> KeyStatus:
+    assert isinstance(outcome, KeyReply)
+    return KeyStatus(outcome.status)
+
+
 def replace_status(reply: KeyReply, status: KeyStatus) -> KeyReply:
     return KeyReply(status, reply.request_id, reply.owner, None)
 
--- a/tests/fakes/processes.py
+++ b/tests/fakes/processes.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -21,18 +22,27 @@
 READY_SECONDS = 30.0
 STOP_SECONDS = 15.0
 POLL_SECONDS = 0.02
+PORTS = (10_000, 32_000)
 
 _used_ports: set[int] = set()
 
 
 def free_address() -> str:
-    """Return a loopback address whose port was free and was not given out before."""
+    """Return a loopback address whose port was free and was not given out before.
+
+    It lies below the ports that the system gives to outgoing connections: one of
+    those could take it before the process that it is meant for listens.
+    """
     while True:
-        with socket.create_server(("127.0.0.1", 0)) as probe:
-            port = probe.getsockname()[1]
-        if port not in _used_ports:
-            _used_ports.add(port)
-            return f"127.0.0.1:{port}"
+        port = random.randrange(*PORTS)
+        if port in _used_ports:
+            continue
+        _used_ports.add(port)
+        try:
+            socket.create_server(("127.0.0.1", port)).close()
+        except OSError:
+            continue
+        return f"127.0.0.1:{port}"
 
 
 def wait_until(
