--- a/Makefile
+++ b/Makefile
@@ -29,5 +29,9 @@
 # Everything that CI runs.
 test: lint unit
 
+# One file that runs on a machine with Python 3.11 alone.
+binary: $(VENV)/.installed
+	$(BIN)/python -m tools.build_binary
+
 clean:
 	rm -rf $(VENV) build dist
