Add the measurements behind docs/CAPACITY.md

Cause: the capacity page needs slopes that were measured here, at three sizes or more, and nothing measured what an idle host, an endpoint, a request, a claim or a configuration change costs.

Ruled out: /proc/PID/io, which does not count sockets, and /proc/net/dev, which counts every process of the machine. So the hosts run under a wrapper that counts their sockets' payload and reports its own processor time.

--- /dev/null
+++ b/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements behind docs/CAPACITY.md: each prints one JSON line for each size."""
--- /dev/null
+++ b/bench/capacity/endpoints.py
@@ -0,0 +1,109 @@
+"""What endpoints cost their home and the entry hosts they announce themselves to.
+
+`python -m bench.capacity.endpoints [--sizes 8,32,64,128,600] [--seconds 6]`
+
+One service, three entry hosts, one of them the home of all its endpoints.
+"""
+
+from __future__ import annotations
+
+import argparse
+import tempfile
+import time
+from pathlib import Path
+
+from bench.capacity.fleet import (
+    RUNS,
+    CountedCluster,
+    Rates,
+    mean_of,
+    print_figures,
+    print_rates,
+    slope,
+)
+from tests.fakes.cluster import ENDPOINT_SECRET, EngineSpec
+from tests.fakes.processes import ManagedProcess, wait_until
+from tests.fakes.scenarios import small_system
+
+ENDPOINTS_PER_PROCESS = 150
+SETTLE_SECONDS = 4.0
+SERVICE = "summaries"
+
+
+def main() -> None:
+    """Measure each size and print the slopes."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sizes", default="8,32,64,128,600")
+    parser.add_argument("--slope-sizes", default="8,32,64,128")
+    parser.add_argument("--seconds", type=float, default=6.0)
+    options = parser.parse_args()
+    home_by_size: dict[int, Rates] = {}
+    other_by_size: dict[int, Rates] = {}
+    for size in map(int, options.sizes.split(",")):
+        home_by_size[size], other_by_size[size] = measure(size, options.seconds)
+    straight = [int(size) for size in options.slope_sizes.split(",")]
+    for role, rates_by_size in (("home", home_by_size), ("other", other_by_size)):
+        for key in ("core_percent", "rss_mb", "sent_kb", "received_kb", "threads"):
+            points = [(size, getattr(rates_by_size[size], key)) for size in straight]
+            per_endpoint, base = slope(points)
+            print_figures(
+                f"slope of {role} {key} by endpoints of the service",
+                per_endpoint=round(per_endpoint, 5),
+                base=round(base, 3),
+                sizes=straight,
+            )
+
+
+def measure(size: int, seconds: float) -> tuple[Rates, Rates]:
+    """Return the mean rates of the home and of another entry host."""
+    spec = small_system(endpoints=(), entries=3, controls=1)
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        CountedCluster(spec, Path(folder)) as cluster,
+    ):
+        home = cluster.home_id(EngineSpec("any", SERVICE, "decode"))
+        others = [name for name in cluster.entry_ids if name != home]
+        _start_stand_ins(cluster, size)
+        usable = _wait_usable(cluster, home, size)
+        time.sleep(SETTLE_SECONDS)
+        runs = [cluster.rates(cluster.entry_ids, seconds) for _ in range(RUNS)]
+        usable = min(usable, _usable(cluster, home))
+    fields = {"endpoints": size, "usable": usable}
+    homes = [run[home] for run in runs]
+    rest = [mean_of(run[name] for name in others) for run in runs]
+    print_rates("home of the endpoints", fields, homes)
+    print_rates("entry host that passes a third on", fields, rest)
+    return mean_of(homes), mean_of(rest)
+
+
+def _start_stand_ins(cluster: CountedCluster, size: int) -> None:
+    entries = ",".join(cluster.http_address_by_id.values())
+    for start in range(0, size, ENDPOINTS_PER_PROCESS):
+        count = min(ENDPOINTS_PER_PROCESS, size - start)
+        name = f"stand-ins-{start}"
+        arguments = ["--count", str(count), "--prefix", name, "--service", SERVICE]
+        arguments += ["--zone", "zone-1", "--endpoint-secret", ENDPOINT_SECRET]
+        arguments += ["--entries", entries]
+        process = ManagedProcess(
+            name, "bench.capacity.stand_ins", arguments, cluster.folder
+        )
+        cluster.process_by_name[name] = process
+        process.wait_ready()
+
+
+def _usable(cluster: CountedCluster, home: str) -> int:
+    pools = cluster.entry_status(home).pools
+    return sum(p.usable_endpoints for p in pools if p.service_name == SERVICE)
+
+
+def _wait_usable(cluster: CountedCluster, home: str, size: int) -> int:
+    """Return how many endpoints are usable; fewer than all at an overloaded home."""
+    try:
+        wait_until(lambda: _usable(cluster, home) >= size, "all are usable", 25)
+    except TimeoutError:
+        pass
+    return _usable(cluster, home)
+
+
+if __name__ == "__main__":
+    main()
