--- a/bench/_disturbances.py
+++ b/bench/_disturbances.py
@@ -12,10 +12,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from tests.fakes.cluster import Cluster
-
 from bench._scenarios import Scenario
 from bench._system import lost_decode_engine, lost_link
+from tests.fakes.cluster import Cluster
 
 ENGINE_KILLED_AT = 0.35
 ENTRY_KILLED_AT = 0.5
--- a/bench/_measure.py
+++ b/bench/_measure.py
@@ -14,11 +14,10 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import asdict, dataclass
 
-from tests.fakes._records import answer_text
-
 from bench._outcomes import Outcome, RequestOutcome
 from bench._plan import PlannedRequest, make_prompt
 from bench._scenarios import RequestClass, Scenario
+from tests.fakes._records import answer_text
 
 
 @dataclass(frozen=True)
--- a/bench/_run.py
+++ b/bench/_run.py
@@ -9,9 +9,6 @@
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
 
-from tests.fakes.cluster import Cluster
-from tests.fakes.processes import ManagedProcess, wait_until
-
 from bench._capacity import classes_of, pool_capacity
 from bench._client import ClientTask
 from bench._disturbances import Disturbances
@@ -20,6 +17,8 @@
 from bench._plan import PlannedRequest, plan_requests
 from bench._scenarios import SCENARIOS, Scenario
 from bench._system import build_cluster, key_of
+from tests.fakes.cluster import Cluster
+from tests.fakes.processes import ManagedProcess, wait_until
 
 CLIENTS = 2
 LEAD_SECONDS = 2.0
--- a/bench/_system.py
+++ b/bench/_system.py
@@ -6,9 +6,8 @@
 from dataclasses import asdict, dataclass
 from pathlib import Path
 
-from tests.fakes.cluster import Cluster, ClusterSpec, EngineSpec, PlainSpec, hash_of_key
-
 from bench._scenarios import MODEL, EnginePool, RequestClass, Scenario
+from tests.fakes.cluster import Cluster, ClusterSpec, EngineSpec, PlainSpec, hash_of_key
 
 ENGINE_OPTIONS = (
     "slots",
--- a/tests/bench/test_measure.py
+++ b/tests/bench/test_measure.py
@@ -10,7 +10,6 @@
 from bench._outcomes import Outcome, RequestOutcome
 from bench._plan import PlannedRequest, make_prompt, plan_requests
 from bench._scenarios import northvane
-
 from tests.fakes._records import answer_text
 
 SCENARIO = northvane()
