Refuse addresses that are none, and test what operators meet first

Ruled out: a check in each command; the address is one type of the command line now, the same one as in the settings.

Each key has its meaning in a docstring, for the reference pages.

--- a/src/jujubeslip/cli/_change_commands.py
+++ b/src/jujubeslip/cli/_change_commands.py
@@ -12,6 +12,7 @@
 
 from jujubeslip.cli._check_commands import read_declaration
 from jujubeslip.cli._connection import (
+    ADDRESS,
     control_options,
     json_option,
     open_control,
@@ -47,7 +48,7 @@
 @click.option(
     "--wait",
     "entry",
-    metavar="IP:PORT",
+    type=ADDRESS,
     help="Wait until the change is in force on the hosts that this entry host knows.",
 )
 @click.option("--wait-seconds", default=6.0, show_default=True)
--- a/src/jujubeslip/cli/_connection.py
+++ b/src/jujubeslip/cli/_connection.py
@@ -7,11 +7,30 @@
 from typing import Any
 
 import click
+from pydantic import TypeAdapter, ValidationError
 
 from jujubeslip.control import ControlClient
-from jujubeslip.kernel import PeerAddress, new_incarnation
+from jujubeslip.kernel import Address, PeerAddress, new_incarnation
 from jujubeslip.peers import EntryPeer, PeerClient, PeerIdentity
 
+
+class AddressType(click.ParamType):
+    """An IP:PORT on the command line, checked as in the settings."""
+
+    name = "IP:PORT"
+
+    def convert(
+        self, value: Any, param: click.Parameter | None, ctx: click.Context | None
+    ) -> str:
+        """Return the address, or end with a usage error."""
+        try:
+            return str(TypeAdapter(Address).validate_python(value))
+        except ValidationError:
+            self.fail(f"{value!r} is not IP:PORT; give the host's peer_address.")
+
+
+ADDRESS = AddressType()
+
 json_option = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 
 secret_option = click.option(
@@ -30,7 +49,7 @@
         "control_addresses",
         multiple=True,
         required=True,
-        metavar="IP:PORT",
+        type=ADDRESS,
         help="Peer address of a control host; give it for each.",
     )
     return control(secret_option(command))
--- a/src/jujubeslip/cli/_status_commands.py
+++ b/src/jujubeslip/cli/_status_commands.py
@@ -9,6 +9,7 @@
 import click
 
 from jujubeslip.cli._connection import (
+    ADDRESS,
     json_option,
     open_control,
     open_entry,
@@ -23,12 +24,12 @@
 
 
 @click.command()
-@click.option("--entry", metavar="IP:PORT", help="Peer address of an entry host.")
+@click.option("--entry", type=ADDRESS, help="Peer address of an entry host.")
 @click.option(
     "--control",
     "control_addresses",
     multiple=True,
-    metavar="IP:PORT",
+    type=ADDRESS,
     help="Peer address of a control host; give it for each.",
 )
 @secret_option
@@ -57,7 +58,7 @@
 @click.command()
 @click.option("--pid", type=int, required=True, help="Process id of the entry host.")
 @click.option(
-    "--entry", required=True, metavar="IP:PORT", help="Its peer address, to watch it."
+    "--entry", required=True, type=ADDRESS, help="Its peer address, to watch it."
 )
 @secret_option
 def drain(pid: int, entry: str, peer_secret: str) -> None:
--- a/src/jujubeslip/declaration/_models.py
+++ b/src/jujubeslip/declaration/_models.py
@@ -58,15 +58,25 @@
     """A service that clients call; times in milliseconds."""
 
     name: Name
+    """Name that clients call it by."""
     kind: ServiceKind = ServiceKind.MODEL
+    """`model` for prefill and decode engines, `plain` for an HTTP service."""
     model: str = ""
+    """Model that its engines hold; required for kind `model`."""
     adapter: str = ""
+    """Adapter to use when a request names none."""
     maximum_duration_ms: Milliseconds = 120_000
+    """Longest time from a request to the end of its answer."""
     maximum_prompt_tokens: Tokens = 100_000
+    """Longest prompt; a longer one is refused."""
     maximum_output_tokens: Tokens = 8_192
+    """Largest `max_tokens` that a request may ask for."""
     retry_budget_share: Annotated[float, Field(ge=0.0, le=1.0)] = 0.1
+    """Further attempts, as a share of the service's requests."""
     path: str = "/"
+    """Path of a plain service."""
     pooling: Spread = Spread.REGION
+    """Whether a zone's endpoints, or a region's, have one home and one queue."""
 
 
 @dataclass(frozen=True, config=STRICT)
@@ -74,16 +84,27 @@
     """When a rule holds: every key that is given must fit the request."""
 
     service: str | None = None
+    """Service that the request names."""
     model: str | None = None
+    """Model that the request is for."""
     adapter: str | None = None
+    """Adapter that the request is for."""
     client: str | None = None
+    """Client account that asks."""
     priority: PriorityClass | None = None
+    """Priority class that the request asks for."""
     prompt_tokens_min: int | None = None
+    """Prompts of this length or longer."""
     prompt_tokens_max: int | None = None
+    """Prompts of this length or shorter."""
     repeatable: bool | None = None
+    """Whether the request may be run more than once."""
     queue_wait_ms_min: int | None = None
+    """Forecast wait of the service's queue, this or longer."""
     load_min: float | None = None
+    """Share of the service's decode slots in use, this or more."""
     availability_zone: str | None = None
+    """Availability zone of the entry host that was asked."""
 
 
 @dataclass(frozen=True, config=STRICT)
@@ -91,12 +112,19 @@
     """What a rule does with a request that it matches; times in milliseconds."""
 
     priority: PriorityClass = PriorityClass.STANDARD
+    """Priority class that the request is served in."""
     first_token_ms: Milliseconds = 30_000
+    """Target for the first token; refused at once if out of reach."""
     between_tokens_ms: Milliseconds = 1_000
+    """Target between tokens."""
     wait_ms: Milliseconds = 30_000
+    """Longest wait for an endpoint."""
     refuse: str = ""
+    """Reason to refuse with; the other keys then have no use."""
     pool: str = ""
+    """Service whose endpoints serve it in place of its own; not in force yet."""
     spread: Spread = Spread.REGION
+    """Whether endpoints of the whole region may serve it, or its zone's."""
 
 
 @dataclass(frozen=True, config=STRICT)
@@ -104,8 +132,11 @@
     """When this holds, then do that; the first rule that matches decides."""
 
     name: Name
+    """Name that answers, logs and metrics give."""
     when: Condition = field(default_factory=Condition)
+    """Condition; a rule without one matches every request."""
     then: Action = field(default_factory=Action)
+    """What to do."""
 
 
 @dataclass(frozen=True, config=STRICT)
@@ -113,9 +144,13 @@
     """A client account; keys are kept as SHA-256 hashes in hexadecimal."""
 
     name: Name
+    """Name of the client account."""
     key_sha256: tuple[KeyHash, ...]
+    """SHA-256 of each of its keys, in hexadecimal."""
     requests_per_second: Annotated[float, Field(gt=0)] | None = None
+    """Limit of requests over all entry hosts."""
     tokens_per_second: Annotated[float, Field(gt=0)] | None = None
+    """Limit of prompt and asked-for tokens over all entry hosts."""
 
 
 @dataclass(frozen=True, config=STRICT)
@@ -123,9 +158,13 @@
     """How many engines of each role a service wants in each availability zone."""
 
     service: str
+    """Service that the engines serve."""
     model: str
+    """Model that they hold."""
     prefill: dict[str, int] = field(default_factory=dict)
+    """Prefill engines by availability zone."""
     decode: dict[str, int] = field(default_factory=dict)
+    """Decode engines by availability zone."""
 
 
 @dataclass(frozen=True, config=STRICT)
@@ -133,10 +172,15 @@
     """Everything that operators declare; in force everywhere at one revision."""
 
     service: tuple[Service, ...] = ()
+    """The services."""
     rule: tuple[Rule, ...] = ()
+    """The rules, in order."""
     client: tuple[Client, ...] = ()
+    """The client accounts."""
     placement: tuple[Placement, ...] = ()
+    """Where engines are wanted; checked, but no engine is ordered yet."""
     weight_loads_at_once: Annotated[int, Field(ge=1)] = 1
+    """Engines that load weights from the store at a time; not in force yet."""
 
     @cached_property
     def service_by_name(self) -> dict[str, Service]:
--- a/src/jujubeslip/kernel/__init__.py
+++ b/src/jujubeslip/kernel/__init__.py
@@ -17,6 +17,7 @@
 from jujubeslip.kernel._lifecycle import Process, new_incarnation
 from jujubeslip.kernel._registry import Registry, load_plugins
 from jujubeslip.kernel._settings import (
+    Address,
     ControlSettings,
     EntrySettings,
     PeerAddress,
@@ -28,6 +29,7 @@
 )
 
 __all__ = [
+    "Address",
     "CheckLevel",
     "CheckMessage",
     "ConfigurationInvalidError",
--- a/src/jujubeslip/kernel/_settings.py
+++ b/src/jujubeslip/kernel/_settings.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import difflib
+import ipaddress
 import tomllib
 from dataclasses import field
 from dataclasses import fields as dataclass_fields
 from pathlib import Path
 from typing import Annotated, Any, TypeVar, get_args, get_type_hints
 
-from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
+from pydantic import AfterValidator, ConfigDict, Field, TypeAdapter, ValidationError
 from pydantic.dataclasses import dataclass
 from returns.result import Failure, Result, Success
 
@@ -17,8 +18,22 @@
 
 STRICT = ConfigDict(extra="forbid")
 
+MAXIMUM_PORT = 65535
+
+
+def _checked_address(text: str) -> str:
+    """Return an address whose numbers are in range, which a pattern can't say."""
+    number, _, port = text.rpartition(":")
+    if not 0 < int(port) <= MAXIMUM_PORT:
+        raise ValueError(f"the port is not 1 to {MAXIMUM_PORT}")
+    ipaddress.IPv4Address(number)
+    return text
+
+
 Address = Annotated[
-    str, Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$", description="IP:port")
+    str,
+    Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$", description="IP:port"),
+    AfterValidator(_checked_address),
 ]
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
 
@@ -41,7 +56,9 @@
     """Where another process of the system listens for peers."""
 
     host_id: Name
+    """The other process's host_id."""
     address: Address
+    """Its peer_address."""
 
 
 @dataclass(frozen=True, config=STRICT)
@@ -49,9 +66,13 @@
     """Where logs, metrics and spans go."""
 
     log_format: Annotated[str, Field(pattern="^(json|text)$")] = "json"
+    """`json` or `text`, one line a record, on standard error."""
     log_level: Annotated[str, Field(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
+    """Least level that is written: DEBUG, INFO, WARNING or ERROR."""
     otlp_endpoint: str = ""
+    """Base URL of an OTLP/HTTP collector; nothing is recorded without."""
     export_interval_ms: Annotated[int, Field(ge=100)] = 10_000
+    """How often metrics and spans are exported."""
 
 
 @dataclass(frozen=True, config=STRICT)
@@ -59,21 +80,37 @@
     """Settings of `jujubeslip entry`; times in milliseconds, sizes in bytes."""
 
     host_id: Name
+    """Name of this host, unique among entry hosts; stable over restarts."""
     availability_zone: Name
+    """Availability zone that this host is in."""
     region: Name
+    """Region that its availability zone is in."""
     http_address: Address
+    """Where clients and endpoints reach it."""
     peer_address: Address
+    """Where the other processes of the system reach it."""
     peer_secret: Annotated[str, Field(min_length=8)]
+    """Secret of all processes of the system, and of operators."""
     endpoint_secret: Annotated[str, Field(min_length=8)]
+    """Secret that endpoints announce themselves with."""
     entry_peers: tuple[PeerAddress, ...] = ()
+    """Some other entry hosts; the rest is learned from them."""
     control_peers: tuple[PeerAddress, ...] = ()
+    """All control hosts."""
     http_threads: Annotated[int, Field(ge=8, le=1000)] = 160
+    """HTTP calls that are served at a time, a thread each."""
     reserved_threads: Annotated[int, Field(ge=1)] = 16
+    """Those of them kept for announcements and readiness."""
     maximum_connections: Annotated[int, Field(ge=16)] = 3000
+    """Open HTTP connections at most; further ones wait."""
     maximum_body_bytes: Annotated[int, Field(ge=1024)] = 4_194_304
+    """Longest body of a request; a longer one is refused with 413."""
     receive_timeout_ms: Annotated[int, Field(ge=100)] = 10_000
+    """A request that is not whole after this time is cut off."""
     policy: Name = "home"
+    """`home`, or a baseline to compare with."""
     telemetry: TelemetrySettings = field(default_factory=TelemetrySettings)
+    """The table [telemetry], see below."""
 
 
 @dataclass(frozen=True, config=STRICT)
@@ -81,16 +118,27 @@
     """Settings of `jujubeslip control`, on a host that has a disk."""
 
     host_id: Name
+    """Name of this host, unique among control hosts; stable over restarts."""
     availability_zone: Name
+    """Availability zone that this host is in."""
     region: Name
+    """Region that its availability zone is in."""
     peer_address: Address
+    """Where all other processes of the system reach it."""
     peer_secret: Annotated[str, Field(min_length=8)]
+    """Secret of all processes of the system, and of operators."""
     data_folder: Path
+    """Folder on the disk that survives; used by this process only."""
     replicas: tuple[PeerAddress, ...] = ()
+    """All control hosts, this one among them."""
     election_timeout_ms: Annotated[int, Field(ge=50)] = 1000
+    """A follower that hears nothing this long campaigns."""
     heartbeat_ms: Annotated[int, Field(ge=10)] = 200
+    """How often a leader renews its lease with each follower."""
     snapshot_every: Annotated[int, Field(ge=10)] = 1000
+    """Log entries between two snapshots."""
     telemetry: TelemetrySettings = field(default_factory=TelemetrySettings)
+    """The table [telemetry], see below."""
 
 
 def load_entry_settings(
--- /dev/null
+++ b/tests/cli/test_commands.py
@@ -0,0 +1,118 @@
+"""What operators and their scripts meet at the command line."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner, Result
+
+from jujubeslip.cli import main
+from tests.fakes.processes import ROOT, free_address
+
+EXAMPLES = ROOT / "examples"
+SECRET = {"JUJUBESLIP_PEER_SECRET": "a-secret-of-tests"}
+
+
+def run(*arguments: str | Path) -> Result:
+    return CliRunner().invoke(main, [str(item) for item in arguments], env=SECRET)
+
+
+class TestCheck:
+    @pytest.mark.parametrize("deployment", ["northvane", "glanmor"])
+    def test_finds_the_examples_well(self, deployment: str) -> None:
+        folder = EXAMPLES / deployment
+        assert run("check", folder / "declaration.toml").exit_code == 0
+        for kind in ("entry", "control"):
+            result = run("check", "--kind", kind, folder / f"{kind}-1.toml")
+            assert result.exit_code == 0, result.output
+
+    def test_exits_with_3_and_the_remedy(self, tmp_path: Path) -> None:
+        path = tmp_path / "declaration.toml"
+        path.write_text('[[rule]]\nname = "r"\nthn = {}\n')
+        result = run("check", path)
+        assert result.exit_code == 3
+        assert f"{path}: rule[0].thn: There is no such key." in result.stderr
+        assert "Did you mean 'then'?" in result.stderr
+
+    def test_exits_with_3_for_what_only_the_checks_find(self, tmp_path: Path) -> None:
+        path = tmp_path / "declaration.toml"
+        path.write_text('[[service]]\nname = "s"\n')
+        result = run("check", path)
+        assert result.exit_code == 3
+        assert "declaration.E004" in result.stderr
+
+    def test_a_warning_is_shown_and_passes(self, tmp_path: Path) -> None:
+        path = tmp_path / "declaration.toml"
+        path.write_text('[[rule]]\nname = "a"\n[[rule]]\nname = "b"\n')
+        result = run("check", path)
+        assert result.exit_code == 0
+        assert "warning rules.W001" in result.stderr
+
+    def test_a_file_of_another_kind_is_refused(self) -> None:
+        """An entry host started with a control host's settings would never serve."""
+        path = EXAMPLES / "northvane" / "control-1.toml"
+        assert run("check", "--kind", "entry", path).exit_code == 3
+
+    @pytest.mark.parametrize("name", ["missing.toml", "."])
+    def test_a_path_that_can_not_be_read(self, tmp_path: Path, name: str) -> None:
+        result = run("check", tmp_path / name)
+        assert result.exit_code == 3, result.output
+        assert "Name a readable file." in result.stderr
+
+
+class TestStart:
+    @pytest.mark.parametrize("command", ["entry", "control"])
+    def test_nothing_starts_from_a_file_with_an_error(
+        self, command: str, tmp_path: Path
+    ) -> None:
+        path = tmp_path / "settings.toml"
+        path.write_text("host_id = 3\n")
+        result = run(command, "--settings", path)
+        assert result.exit_code == 3
+        assert "peer_secret: This key is required." in result.stderr
+
+
+class TestExplain:
+    def explain(self, *arguments: str) -> Result:
+        path = EXAMPLES / "glanmor" / "declaration.toml"
+        return run("explain", path, *arguments)
+
+    def test_names_the_rule_and_why_not_the_earlier_ones(self) -> None:
+        result = self.explain("--service", "rota-llm", "--prompt-tokens", "9000")
+        assert result.exit_code == 0
+        assert "rule: contract-summaries" in result.output
+        assert "shift-cover: differs in prompt_tokens_max" in result.output
+
+    def test_prints_one_json_object(self) -> None:
+        result = self.explain("--service", "rota-desk", "--not-repeatable", "--json")
+        assert json.loads(result.stdout)["rule"] == "shift-confirmations"
+
+    def test_says_that_no_rule_matches(self, tmp_path: Path) -> None:
+        path = tmp_path / "declaration.toml"
+        path.write_text('[[rule]]\nname = "r"\nwhen = { client = "c" }\n')
+        result = run("explain", path, "--service", "s")
+        assert "none (refused as no_rule)" in result.output
+
+
+class TestExitCodes:
+    def test_a_wrong_command_line_is_2(self) -> None:
+        assert run("apply").exit_code == 2
+        assert run("status").exit_code == 2
+
+    def test_hosts_that_can_not_be_reached_are_1_with_a_remedy(self) -> None:
+        result = run("status", "--control", free_address())
+        assert result.exit_code == 1
+        assert result.stderr.startswith("peer_unavailable: ")
+        assert "Check that" in result.stderr
+
+    @pytest.mark.parametrize(
+        "arguments",
+        [("status", "--entry"), ("show", "--control"), ("history", "--control")],
+    )
+    def test_an_address_that_is_none_is_2(self, arguments: tuple[str, ...]) -> None:
+        """A host name or a forgotten port must not end in a Python traceback."""
+        result = run(*arguments, "regina-hall")
+        assert result.exit_code == 2, result.output
+        assert "IP:PORT" in result.output
