Give a prefill endpoint turns by their length, not by their number

Cause: at most two prompts were granted to a prefill endpoint at a time, so that short ones paid a round trip to the home each. Ruled out: the entry host's threads (the time between tokens was that of direct calls). Change: turns are given while the granted ones end within 50 ms, 16 at most.

--- a/src/jujubeslip/homes/_scheduler.py
+++ b/src/jujubeslip/homes/_scheduler.py
@@ -15,9 +15,10 @@
 from jujubeslip.peers import EndpointRole
 
 URGENT = 0
-# A prefill endpoint gets its next turn when the current one ends within this time,
-# so that it does not idle for the round trip between the two.
+# A prefill endpoint gets its next turn when the current ones end within this time,
+# so that it does not idle for the round trip between them.
 NEXT_TURN_SECONDS = 0.05
+MAXIMUM_TURNS = 16
 # Among more candidates than this a sample is looked at first; all of them only if the
 # sample has no room. The cost of a choice then hardly grows with the pool.
 SAMPLE_SIZE = 16
@@ -326,7 +327,9 @@
     open_grants = len(record.prefill_grants)
     if open_grants == 0:
         return True
-    return open_grants == 1 and record.prefill_backlog(now) <= NEXT_TURN_SECONDS
+    if open_grants >= MAXIMUM_TURNS:
+        return False
+    return record.prefill_backlog(now) <= NEXT_TURN_SECONDS
 
 
 def _emptiest(
