Replace lost disks, change replicas, recover; test disks and operators

Cause: hosts lose disks, are moved, and may lose their majority; each must end without losing what was accepted, or say what it risks.

Before: client waited up to 3 s on a frozen leader. After: 0.6 s a try. Conclusion: lost disk, second loss, full and damaged disk, restart after 500 changes, trim, addition, removal and recovery are tested with processes.

--- a/src/jujubeslip/control/__init__.py
+++ b/src/jujubeslip/control/__init__.py
@@ -8,6 +8,7 @@
     StorageFailedError,
 )
 from jujubeslip.control._leadership import Fence
+from jujubeslip.control._recovery import RecoveryReport, recover
 from jujubeslip.control._run import run_control
 
 __all__ = [
@@ -15,7 +16,9 @@
     "DataFolderInUseError",
     "Fence",
     "LeadershipLostError",
+    "RecoveryReport",
     "StorageDamagedError",
     "StorageFailedError",
+    "recover",
     "run_control",
 ]
--- a/src/jujubeslip/control/_changes.py
+++ b/src/jujubeslip/control/_changes.py
@@ -29,7 +29,9 @@
 logger = logging.getLogger(__name__)
 
 CHANGE_SECONDS = 5.0
+STEP_SECONDS = 1.0
 RETRY_AFTER_MS = 500
+POLL_SECONDS = 0.05
 # One more than is planned for, so that a host can be added before one is removed.
 MAXIMUM_HOSTS = 6
 # A replica that has not answered for this many election timeouts counts as gone.
@@ -83,7 +85,8 @@
 
         def removed(membership: Membership) -> Membership:
             left = without_host(membership, host_id)
-            self._check_quorum_left(left)
+            if not voters(left):
+                raise _no_quorum_left()
             return left
 
         self._change(removed, deadline)
@@ -97,7 +100,7 @@
         second loss can meet a smaller one.
         """
         try:
-            self._change(self._next_step, Deadline.after(CHANGE_SECONDS))
+            self._change(self._next_step, Deadline.after(STEP_SECONDS))
         except (NotLeader, PeerRefusal) as refusal:
             logger.debug("no membership step", extra={"reason": str(refusal)})
 
@@ -124,10 +127,31 @@
         """Commit the next membership; nothing if it equals the current one."""
         replica = self._replica
         with replica.lock:
+            patience = GONE_TIMEOUTS * replica.election_seconds
+            settling = deadline.earlier_of(Deadline.after(patience))
+            following = self._settle(next_of, settling)
+            if following is None:
+                return
+            logger.warning("changing the replicas", extra={"to": str(following)})
+            waiting = replica.submit(following)
+        replica.wait_for(waiting, deadline)
+
+    def _settle(
+        self, next_of: Callable[[Membership], Membership], deadline: Deadline
+    ) -> Membership | None:
+        """Wait until a majority of the next voters answers; return the membership.
+
+        A change that can't commit would leave the log without any quorum, since the
+        newest membership counts from the moment that it is in the log. A host that
+        died a moment ago shows only by not answering what is sent from now on.
+        """
+        replica = self._replica
+        started = time.monotonic()
+        while True:
             leadership = replica.require_leader()
             following = next_of(replica.membership)
             if following == replica.membership:
-                return
+                return None
             # Also the leader's first entry: before it commits, an earlier leader's
             # change could still be in force elsewhere.
             newest = max(replica.memberships.current_index, leadership.first_index)
@@ -137,9 +161,11 @@
                     "Another change of the replicas is not committed yet.",
                     "Ask again in a second.",
                 )
-            logger.warning("changing the replicas", extra={"to": str(following)})
-            waiting = replica.submit(following)
-        replica.wait_for(waiting, deadline)
+            if leadership.quorum_instant(following) >= started:
+                return following
+            if deadline.expired:
+                raise _no_quorum_left()
+            replica.role_changed.wait(POLL_SECONDS)
 
     def _check_may_join(
         self, membership: Membership, joining: ReplicaDescription
@@ -167,19 +193,13 @@
         silence = time.monotonic() - last_seen
         return silence > GONE_TIMEOUTS * self._replica.election_seconds
 
-    def _check_quorum_left(self, left: Membership) -> None:
-        answering = [
-            member
-            for member in voters(left)
-            if member.replica_id == self._replica.replica_id
-            or not self._is_gone(member)
-        ]
-        if len(answering) <= len(voters(left)) // 2:
-            raise _refusal(
-                "quorum_would_be_lost",
-                "Too few of the remaining replicas answer.",
-                "Bring one of them back first.",
-            )
+
+def _no_quorum_left() -> PeerRefusal:
+    return _refusal(
+        "quorum_would_be_lost",
+        "Too few of the remaining replicas answer.",
+        "Bring one of them back first.",
+    )
 
 
 def _refusal(error_id: str, message: str, remedy: str) -> PeerRefusal:
--- a/src/jujubeslip/control/_client.py
+++ b/src/jujubeslip/control/_client.py
@@ -23,13 +23,17 @@
 
 T = TypeVar("T")
 
-# A replica that does not answer in this time is left for the next one, in seconds.
-ATTEMPT_SECONDS = 1.5
+# A replica that does not answer in this time is left for the next one, in seconds,
+# and is not asked again for the same request before the others had their turn.
+ATTEMPT_SECONDS = 0.6
+UNANSWERED_SECONDS = 1.0
 # Between two rounds over all replicas, while an election goes on.
 PAUSE_SECONDS = 0.05
 READ_SECONDS = 3.0
-# Refusals that say nothing about the request: another replica may accept it.
-OF_REPLICA = frozenset({"storage_failed", "not_committed"})
+# A change of the replicas first waits for a majority of the next ones to answer.
+CHANGE_SECONDS = 6.0
+# Refusals that say nothing about the request: it may be accepted later, or elsewhere.
+PASSING = frozenset({"storage_failed", "not_committed", "change_in_progress"})
 
 
 class ControlClient:
@@ -123,52 +127,52 @@
     def add_replica(self, host_id: str, deadline: Deadline) -> None:
         """Let a new host join; start its process with an empty data folder then."""
         self._call_leader(
-            lambda peer: peer.add_replica(host_id, deadline.remaining_ms()), deadline
+            lambda peer: peer.add_replica(host_id, deadline.remaining_ms()),
+            deadline,
+            CHANGE_SECONDS,
         )
 
     def remove_replica(self, host_id: str, deadline: Deadline) -> None:
         """Remove a host from the replicas."""
         self._call_leader(
-            lambda peer: peer.remove_replica(host_id, deadline.remaining_ms()), deadline
+            lambda peer: peer.remove_replica(host_id, deadline.remaining_ms()),
+            deadline,
+            CHANGE_SECONDS,
         )
 
-    def _call_leader(self, operation: Callable[[Any], T], deadline: Deadline) -> T:
-        position = self._leader_position
+    def _call_leader(
+        self,
+        operation: Callable[[Any], T],
+        deadline: Deadline,
+        attempt_seconds: float = ATTEMPT_SECONDS,
+    ) -> T:
+        search = _LeaderSearch(self._leader_position, len(self._clients))
         failure = "no replica has been asked"
         while not deadline.expired:
             # Half of what is left: a client tries twice, the second time over a
             # fresh connection.
-            attempt = min(ATTEMPT_SECONDS, deadline.remaining() / 2)
+            attempt = min(attempt_seconds, deadline.remaining() / 2)
             try:
-                answer = self._clients[position].call(operation, attempt)
-                self._leader_position = position
+                answer = self._clients[search.position].call(operation, attempt)
+                self._leader_position = search.position
                 return answer
             except NotLeader as error:
                 failure = "no replica leads"
                 leader = self._position_of(error.leader_id, error.leader_address)
-                position = self._after(position, deadline, leader)
+                search.follow(leader, deadline)
             except PeerUnavailableError as error:
                 failure = error.message
-                position = self._after(position, deadline)
+                search.note_unanswered(deadline)
             except PeerRefusal as error:
-                if error.error_id not in OF_REPLICA:
+                if error.error_id not in PASSING:
                     raise
                 failure = error.message
-                position = self._after(position, deadline)
+                search.go_on(deadline)
         raise PeerUnavailableError(
             f"No leader of the control hosts answered in time: {failure}",
             "Check that a majority of the control hosts runs and can be reached.",
         )
 
-    def _after(
-        self, position: int, deadline: Deadline, leader: int | None = None
-    ) -> int:
-        """Return the replica to ask next, after a pause unless the leader is known."""
-        if leader is not None and leader != position:
-            return leader
-        time.sleep(min(PAUSE_SECONDS, deadline.remaining()))
-        return (position + 1) % len(self._clients)
-
     def _position_of(self, leader_id: str, leader_address: str) -> int | None:
         """Return which client reaches the leader; a host's own address goes first."""
         host_id = leader_id.rpartition("/")[0]
@@ -195,3 +199,40 @@
             f"No control host answered: {failure}",
             "Check that the control hosts run and can be reached.",
         )
+
+
+class _LeaderSearch:
+    """Which replica one request asks next.
+
+    A frozen leader is still named by its followers until they elect another: it is
+    passed over for a while, or the request would wait for it again and again.
+    """
+
+    def __init__(self, position: int, count: int) -> None:
+        self.position = position
+        self._count = count
+        self._passed_over_until: dict[int, Deadline] = {}
+
+    def follow(self, leader: int | None, deadline: Deadline) -> None:
+        """Go to the named leader, or on to the next replica."""
+        if leader is None or leader == self.position or self._is_passed_over(leader):
+            self.go_on(deadline)
+            return
+        self.position = leader
+
+    def note_unanswered(self, deadline: Deadline) -> None:
+        """Pass over the replica that did not answer."""
+        until = Deadline.after(UNANSWERED_SECONDS)
+        self._passed_over_until[self.position] = until
+        self.go_on(deadline)
+
+    def go_on(self, deadline: Deadline) -> None:
+        """Go on to the next replica, after a pause in which one may be elected."""
+        time.sleep(min(PAUSE_SECONDS, deadline.remaining()))
+        order = [(self.position + step) % self._count for step in range(1, self._count)]
+        fresh = [position for position in order if not self._is_passed_over(position)]
+        self.position = next(iter([*fresh, *order]), self.position)
+
+    def _is_passed_over(self, position: int) -> bool:
+        until = self._passed_over_until.get(position)
+        return until is not None and not until.expired
--- a/src/jujubeslip/control/_leadership.py
+++ b/src/jujubeslip/control/_leadership.py
@@ -74,11 +74,11 @@
 
     def lease(self, membership: Membership, seconds: float) -> Deadline:
         """Return until when no other leader can have been elected."""
-        return Deadline(self._quorum_instant(membership, NEVER) + seconds)
+        return Deadline(self.quorum_instant(membership) + seconds)
 
     def quorum_deadline(self, membership: Membership, seconds: float) -> Deadline:
         """Return when the leader has gone without a quorum for this long."""
-        return Deadline(self._quorum_instant(membership, self.started_at) + seconds)
+        return Deadline(self.quorum_instant(membership, self.started_at) + seconds)
 
     def committable(self, membership: Membership, durable_index: int) -> int:
         """Return the highest index that a majority of the voters has synced."""
@@ -110,7 +110,8 @@
             future.set_exception(error)
         self._waiter_by_index.clear()
 
-    def _quorum_instant(self, membership: Membership, earliest: float) -> float:
+    def quorum_instant(self, membership: Membership, earliest: float = NEVER) -> float:
+        """Return the latest instant since which a majority has answered."""
         instants = []
         for member in voters(membership):
             if member.replica_id == self._replica_id:
--- a/src/jujubeslip/control/_replica.py
+++ b/src/jujubeslip/control/_replica.py
@@ -18,12 +18,11 @@
 from dataclasses import dataclass
 
 from jujubeslip.control._commands import Command, NoOp, make_entry
-from jujubeslip.control._entries import EntryLog
 from jujubeslip.control._errors import LeadershipLostError, StorageFailedError
 from jujubeslip.control._leadership import Fence, Leadership
-from jujubeslip.control._machine import Outcome, StateMachine
-from jujubeslip.control._members import NO_MEMBERSHIP, MembershipLog, is_voter, voters
-from jujubeslip.control._snapshots import SnapshotFile, load_machine
+from jujubeslip.control._loading import load_state
+from jujubeslip.control._machine import Outcome
+from jujubeslip.control._members import is_voter, voters
 from jujubeslip.control._storage import Storage
 from jujubeslip.kernel import ControlSettings, Deadline, Process
 from jujubeslip.peers import (
@@ -78,32 +77,19 @@
         self.role_changed = threading.Condition(self.lock)
         # Notified when a newer configuration is applied.
         self.configuration_changed = threading.Condition(self.lock)
+        # Notified when enough was applied since the last snapshot.
+        self.snapshot_due = threading.Condition(self.lock)
         self.role = Role.FOLLOWER
         self.leader = LeaderContact()
         self.leadership: Leadership | None = None
         self.failure = ""
         self.transferring = False
-        self.snapshot: SnapshotFile | None = storage.load_snapshot()
-        self.machine = StateMachine()
-        self._load()
-
-    def _load(self) -> None:
-        index, term, membership = 0, 0, NO_MEMBERSHIP
-        if self.snapshot is not None:
-            header = self.snapshot.header
-            index, term = header.last_index, header.last_term
-            membership = header.membership
-            self.machine = load_machine(self.snapshot)
-        entries = self.storage.load_entries(index, term)
-        if entries and entries[0].index <= index:
-            self.log = EntryLog(entries, entries[0].index - 1, None)
-        else:
-            self.log = EntryLog(entries, index, term)
-        self.memberships = MembershipLog(index, membership)
-        for entry in entries:
-            if entry.index > index:
-                self.memberships.append(entry)
-        self.commit_index = self.applied_index = index
+        state = load_state(storage)
+        self.snapshot = state.snapshot
+        self.machine = state.machine
+        self.log = state.log
+        self.memberships = state.memberships
+        self.commit_index = self.applied_index = state.applied_index
         self.written_index = self.log.last_index
         self.heard_leader_until = self._first_vote_deadline()
         self.election_deadline = self._first_election_deadline()
@@ -135,6 +121,12 @@
         """Say whether this replica may become leader."""
         return not self.failure and is_voter(self.membership, self.replica_id)
 
+    @property
+    def needs_snapshot(self) -> bool:
+        """Say whether enough was applied since the last snapshot."""
+        taken = self.snapshot.header.last_index if self.snapshot else 0
+        return self.applied_index - taken >= self.settings.snapshot_every
+
     def lease(self) -> Deadline:
         """Return until when this leader's reads and orders are the only ones."""
         assert self.leadership is not None
@@ -333,6 +325,8 @@
                 self.leadership.answer_waiter(entry.index, outcome)
         if self.machine.configurations.current.revision != revision:
             self.configuration_changed.notify_all()
+        if self.needs_snapshot:
+            self.snapshot_due.notify_all()
         if self.role is Role.LEADER and self._is_removed():
             self.step_down("this replica was removed")
 
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -19,7 +19,6 @@
 
 logger = logging.getLogger(__name__)
 
-SNAPSHOT_CHECK_SECONDS = 0.5
 MEMBERSHIP_CHECK_SECONDS = 0.2
 HAND_OVER_SECONDS = 1.0
 
@@ -46,7 +45,7 @@
     server.start()
     upkeep = Upkeep(replica)
     process.start_task(upkeep.run_writes)
-    process.repeat(SNAPSHOT_CHECK_SECONDS, upkeep.snapshot_if_due)
+    process.start_task(upkeep.run_snapshots)
     process.start_task(Replication(replica, clients).run)
     process.start_task(Elections(replica, clients).run)
     process.start_task(Joining(replica, clients).run)
--- a/src/jujubeslip/control/_upkeep.py
+++ b/src/jujubeslip/control/_upkeep.py
@@ -35,19 +35,17 @@
         replica = self._replica
         return not replica.failure and replica.written_index < replica.log.last_index
 
-    def snapshot_if_due(self) -> None:
-        """Take a snapshot when enough was applied since the last one."""
+    def run_snapshots(self) -> None:
+        """Take a snapshot whenever enough was applied since the last one."""
         replica = self._replica
-        with replica.lock:
-            taken = replica.snapshot.header.last_index if replica.snapshot else 0
-            due = replica.applied_index - taken >= replica.settings.snapshot_every
-            if not due or replica.failure:
+        while not replica.process.stopped.is_set():
+            with replica.lock:
+                replica.snapshot_due.wait_for(lambda: replica.needs_snapshot)
+            try:
+                with replica.promising():
+                    self._take_snapshot()
+            except PeerRefusal:
                 return
-        try:
-            with replica.promising():
-                self._take_snapshot()
-        except PeerRefusal:
-            return
 
     def _take_snapshot(self) -> None:
         """Write a snapshot beside the log, then drop the entries before it.
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -101,6 +101,11 @@
         except (PeerUnavailableError, PeerRefusal):
             return None
 
+    def leads(self) -> bool:
+        """Say whether the host leads, by its own word."""
+        status = self.status()
+        return status is not None and status.leader_id == status.replica_id
+
 
 class ControlCluster:
     """Control hosts named control-1, control-2, ...; stops them all at its end."""
@@ -167,6 +172,11 @@
                 peers.append(PeerAddress(target.host_id, proxy.address))
             source.write_settings(peers, self._extra)
 
+    def link_alone(self, host: ControlHost) -> None:
+        """Write settings for a process that the others don't know of."""
+        peers = [PeerAddress(item.host_id, item.address) for item in self.others()]
+        host.write_settings(peers, self._extra)
+
     def cut(self, host: ControlHost) -> None:
         """Cut the host off from the other replicas, not from clients."""
         for pair, proxy in self.proxy_by_pair.items():
@@ -182,8 +192,7 @@
 
         def find() -> ControlHost | None:
             for host in among or self.hosts:
-                status = host.status() if host.running else None
-                if status is not None and status.leader_id == status.replica_id:
+                if host.running and host.leads():
                     return host
             return None
 
--- /dev/null
+++ b/tests/control/test_disks.py
@@ -0,0 +1,234 @@
+"""Tests of disks that are full, damaged or lost, with real processes."""
+
+from __future__ import annotations
+
+import resource
+import signal
+from pathlib import Path
+
+import pytest
+
+from jujubeslip.control import (
+    DataFolderInUseError,
+    StorageDamagedError,
+    recover,
+)
+from jujubeslip.kernel import load_control_settings
+from jujubeslip.peers import (
+    ApplyReply,
+    KeyStatus,
+    PeerRefusal,
+    ReplicaDescription,
+    VoteRequest,
+)
+from tests.control.cluster import (
+    BOUND_SECONDS,
+    ControlCluster,
+    ControlHost,
+)
+from tests.fakes.processes import wait_until
+
+
+class TestFullDisk:
+    def test_stops_promising_at_once(self, tmp_path: Path) -> None:
+        """The leader's disk is full, and changes are still accepted elsewhere.
+
+        Its next write fails in the middle. It must neither acknowledge, lead nor
+        vote from then on, since it can't tell what is durable; it says so in its
+        status until it is restarted.
+        """
+        with ControlCluster(tmp_path, 3) as cluster:
+            cluster.apply(1, 0)
+            full = cluster.leader()
+            limit_file_size(full)
+            assert cluster.apply(2, 1).revision == 2
+            status = wait_until(full.status, "the full host answers", BOUND_SECONDS)
+            assert status is not None
+            assert "log-" in status.failure
+            assert status.leader_id != status.replica_id
+            with pytest.raises(PeerRefusal) as refused:
+                full.call(lambda peer: peer.request_vote(vote_request(full)))
+            assert refused.value.error_id == "storage_failed"
+            full.kill()
+            full.start()
+            cluster.wait_applied(full, 2)
+
+
+class TestDamagedDisk:
+    def test_refuses_to_start_and_names_the_remedy(self, tmp_path: Path) -> None:
+        with ControlCluster(tmp_path, 1) as cluster:
+            for revision in range(3):
+                cluster.apply(revision, revision)
+            host = cluster.hosts[0]
+            host.kill()
+            path = max(host.data_folder.glob("log-*"))
+            content = bytearray(path.read_bytes())
+            content[len(content) // 2] ^= 0xFF
+            path.write_bytes(content)
+            host.start()
+            assert host.process is not None
+            assert host.process.wait() == 1
+            assert "storage_damaged" in host.output()
+            assert "replace-a-lost-disk" in host.output()
+
+
+class TestLostDisk:
+    def test_returns_as_a_learner_and_a_second_loss_loses_nothing(
+        self, tmp_path: Path
+    ) -> None:
+        """A host's disk is replaced; right after the repair another host burns.
+
+        Some changes were held by the lost disk and one other host only. The host
+        with the new disk must hold them all before it votes, and its old identity
+        must be gone.
+        """
+        with ControlCluster(tmp_path, 3, snapshot_every=20) as cluster:
+            leader = cluster.leader()
+            lagging, lost = cluster.others(leader)
+            lagging.freeze()
+            replies = [cluster.apply(number, number) for number in range(30)]
+            assert cluster.claim("key", "r1").status == KeyStatus.FIRST
+            old_ids = cluster.voter_ids()
+            lost.kill()
+            lost.lose_disk()
+            lagging.signal(signal.SIGCONT)
+            lost.start()
+            wait_until(
+                lambda: is_repaired(cluster, old_ids), "the repair", BOUND_SECONDS
+            )
+            burnt = cluster.leader()
+            burnt.kill()
+            burnt.lose_disk()
+            for number in (0, 17, 29):
+                assert cluster.apply(number, number) == replies[number]
+            assert cluster.claim("key", "r2").status == KeyStatus.RUNNING
+            assert cluster.apply(30, 30).revision == 31
+
+    def test_has_no_vote_under_its_old_identity(self, tmp_path: Path) -> None:
+        """Two hosts restart, one of them without its disk, the third stays down.
+
+        If the one without a disk voted as before, the two could elect a leader that
+        lacks what it and the third host had accepted.
+        """
+        with ControlCluster(tmp_path, 3) as cluster:
+            cluster.apply(1, 0)
+            down, lost, kept = cluster.hosts
+            for host in cluster.hosts:
+                host.kill()
+            lost.lose_disk()
+            lost.start()
+            kept.start()
+            wait_until(
+                lambda: kept.output().count("no leader heard") >= 4,
+                "some tries to be elected",
+                BOUND_SECONDS,
+            )
+            assert [host.leads() for host in (lost, kept)] == [False, False]
+            down.start()
+            assert cluster.apply(2, 1).revision == 2
+
+
+class TestRestart:
+    def test_all_hosts_killed_after_500_changes(self, tmp_path: Path) -> None:
+        """A power loss ends all control hosts; an operator resends an old change.
+
+        The log before the snapshot is gone, and 500 further changes were accepted.
+        """
+        with ControlCluster(tmp_path, 3, snapshot_every=100) as cluster:
+            first = cluster.apply(0, 0)
+            lost = cluster.apply(9999, 0)
+            assert lost == ApplyReply(False, 1, "change-0", "operator", "# change 0")
+            for number in range(1, 501):
+                cluster.apply(number, number)
+            assert cluster.claim("key", "r1").status == KeyStatus.FIRST
+            for host in cluster.hosts:
+                host.kill()
+            for host in cluster.hosts:
+                host.start()
+            assert cluster.apply(0, 0) == first
+            assert cluster.apply(9999, 0) == lost
+            assert cluster.claim("key", "r2").status == KeyStatus.RUNNING
+            status = cluster.leader().status()
+            assert status is not None
+            assert status.configuration_revision == 501
+            assert status.snapshot_index >= 300
+
+    def test_follower_behind_the_trim_gets_the_snapshot(self, tmp_path: Path) -> None:
+        with ControlCluster(tmp_path, 3, snapshot_every=10) as cluster:
+            cluster.apply(0, 0)
+            behind = cluster.others(cluster.leader())[0]
+            behind.kill()
+            for number in range(1, 80):
+                cluster.apply(number, number)
+            wait_until(lambda: trimmed(cluster) > 10, "the trim", BOUND_SECONDS)
+            behind.start()
+            cluster.wait_applied(behind, 80)
+            assert "snapshot installed" in behind.output()
+            others = cluster.others(behind)
+            others[0].kill()
+            assert cluster.apply(80, 80).revision == 81
+
+
+class TestDeclaredRecovery:
+    def test_one_survivor_goes_on_alone(self, tmp_path: Path) -> None:
+        """Two of three hosts are lost with their disks, and no quorum is left.
+
+        An operator declares the recovery on the survivor; the others come back with
+        empty disks and join.
+        """
+        with ControlCluster(tmp_path, 3) as cluster:
+            reply = cluster.apply(1, 0)
+            survivor, *lost = cluster.hosts
+            cluster.wait_applied(survivor, 1)
+            settings = load_control_settings(survivor.settings_path).unwrap()
+            with pytest.raises(DataFolderInUseError):
+                recover(settings, confirmed=True)
+            for host in cluster.hosts:
+                host.kill()
+            for host in lost:
+                host.lose_disk()
+            assert not recover(settings, confirmed=False).recovered
+            report = recover(settings, confirmed=True)
+            assert report.former_host_ids == ("control-2", "control-3")
+            for host in cluster.hosts:
+                host.start()
+            wait_until(
+                lambda: len(cluster.voter_ids()) == 3, "three voters", BOUND_SECONDS
+            )
+            assert cluster.apply(1, 0) == reply
+            cluster.leader().kill()
+            assert cluster.apply(2, 1).revision == 2
+
+    def test_empty_folder_is_not_recovered(self, tmp_path: Path) -> None:
+        with ControlCluster(tmp_path, 1) as cluster:
+            host = cluster.hosts[0]
+            cluster.apply(1, 0)
+            host.kill()
+            host.lose_disk()
+            settings = load_control_settings(host.settings_path).unwrap()
+            with pytest.raises(StorageDamagedError, match="no state"):
+                recover(settings, confirmed=True)
+
+
+def limit_file_size(host: ControlHost) -> None:
+    """Let the next growth of the host's log fail, as on a full disk."""
+    assert host.process is not None
+    size = max(host.data_folder.glob("log-*")).stat().st_size
+    resource.prlimit(host.process.pid, resource.RLIMIT_FSIZE, (size + 10, size + 10))
+
+
+def vote_request(host: ControlHost) -> VoteRequest:
+    described: ReplicaDescription = host.call(lambda peer: peer.describe())
+    return VoteRequest(
+        described.cluster_id, described.replica_id, "any", 99, 999, 99, True
+    )
+
+
+def is_repaired(cluster: ControlCluster, old_ids: set[str]) -> bool:
+    ids = cluster.voter_ids()
+    return len(ids) == 3 and len(ids & old_ids) == 2
+
+
+def trimmed(cluster: ControlCluster) -> int:
+    status = cluster.leader().status()
+    return 0 if status is None else status.first_index
--- /dev/null
+++ b/tests/control/test_operators.py
@@ -0,0 +1,135 @@
+"""Tests of changes and claims as operators and entry hosts send them."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import pytest
+
+from jujubeslip.kernel import Deadline, PeerUnavailableError
+from jujubeslip.peers import (
+    ApplyReply,
+    ApplyRequest,
+    KeyReply,
+    KeyStatus,
+    PeerRefusal,
+)
+from tests.control.cluster import (
+    BOUND_SECONDS,
+    ControlCluster,
+    make_change,
+    make_claim,
+)
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[ControlCluster]:
+    with ControlCluster(tmp_path_factory.mktemp("operators"), 3) as running:
+        running.apply(0, 0)
+        yield running
+
+
+class TestRacingOperators:
+    def test_exactly_one_of_equal_base_wins(self, cluster: ControlCluster) -> None:
+        """Operators change the rules at the same time from the same revision."""
+        base = current_revision(cluster)
+        barrier = threading.Barrier(6)
+
+        def race(number: int) -> tuple[int, ApplyReply]:
+            request = make_change(100 + number, base, f"operator-{number}")
+            barrier.wait(BOUND_SECONDS)
+            return number, cluster.client.apply_configuration(
+                request, Deadline.after(BOUND_SECONDS)
+            )
+
+        with ThreadPoolExecutor(6) as pool:
+            replies = list(pool.map(race, range(6)))
+        winners = [number for number, reply in replies if reply.accepted]
+        assert len(winners) == 1
+        for number, reply in replies:
+            assert reply.revision == base + 1
+            assert reply.winner_change_id == f"change-{100 + winners[0]}"
+            assert reply.winner_operator == f"operator-{winners[0]}"
+            if number != winners[0]:
+                declaration = f"# change {100 + winners[0]}"
+                assert reply.winner_declaration == declaration
+
+
+class TestValidation:
+    @pytest.mark.parametrize(
+        "declaration",
+        ["not toml", 'unknown = "key"', '[[service]]\nname = "a"\nkind = "model"'],
+    )
+    def test_invalid_declaration_is_never_proposed(
+        self, cluster: ControlCluster, declaration: str
+    ) -> None:
+        base = current_revision(cluster)
+        request = ApplyRequest(f"invalid {declaration}", base, declaration, "operator")
+        with pytest.raises(PeerRefusal) as refused:
+            cluster.client.apply_configuration(request, Deadline.after(BOUND_SECONDS))
+        assert refused.value.error_id == "configuration_invalid"
+        assert current_revision(cluster) == base
+
+
+class TestFollowing:
+    def test_followers_push_what_they_apply(self, cluster: ControlCluster) -> None:
+        base = current_revision(cluster)
+        followers = cluster.others(cluster.leader())
+        with ThreadPoolExecutor(len(followers)) as pool:
+            waiting = [
+                pool.submit(
+                    host.call, lambda peer: peer.get_configuration(base, 15_000), 20.0
+                )
+                for host in followers
+            ]
+            cluster.apply(200, base)
+            pushed = [future.result(BOUND_SECONDS) for future in waiting]
+        assert [item.revision for item in pushed] == [base + 1, base + 1]
+
+    def test_history_holds_each_revision(self, cluster: ControlCluster) -> None:
+        history = cluster.client.history(2)
+        newest = cluster.client.get_configuration(-1, 0)
+        assert history[0] == newest
+        assert history[1].revision == newest.revision - 1
+
+
+class TestClaims:
+    def test_many_entry_hosts_claim_one_key(self, cluster: ControlCluster) -> None:
+        """A school's cover request reaches all entry hosts at once."""
+
+        def claim(number: int) -> KeyReply:
+            request = make_claim("cover-request", f"request-{number}")
+            return cluster.client.claim_key(request, Deadline.after(BOUND_SECONDS))
+
+        with ThreadPoolExecutor(8) as pool:
+            replies = list(pool.map(claim, range(8)))
+        statuses = sorted(reply.status for reply in replies)
+        assert statuses == [KeyStatus.FIRST] + [KeyStatus.RUNNING] * 7
+
+    def test_outcome_reaches_a_resend(self, cluster: ControlCluster) -> None:
+        client = cluster.client
+        first = make_claim("confirmation", "r1")
+        deadline = Deadline.after(BOUND_SECONDS)
+        client.claim_key(first, deadline)
+        client.finish_key(first, b"confirmed", deadline)
+        reply = client.claim_key(make_claim("confirmation", "r2"), deadline)
+        assert (reply.status, reply.outcome) == (KeyStatus.FINISHED, b"confirmed")
+
+    def test_client_gives_up_by_its_deadline(self, tmp_path: Path) -> None:
+        with ControlCluster(tmp_path, 3) as alone:
+            alone.apply(1, 0)
+            leader = alone.leader()
+            for host in alone.others(leader):
+                host.kill()
+            deadline = Deadline.after(1.5)
+            with pytest.raises(PeerUnavailableError):
+                alone.client.claim_key(make_claim("key"), deadline)
+            assert deadline.expired
+            assert not Deadline(deadline.instant + 1.0).expired
+
+
+def current_revision(cluster: ControlCluster) -> int:
+    return cluster.client.get_configuration(-1, 0).revision
