--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from pathlib import Path
 from types import TracebackType
-from typing import Any, TypeVar
+from typing import Any, Self, TypeVar
 
 from jujubeslip.control import ControlClient
 from jujubeslip.kernel import Deadline, PeerAddress, PeerUnavailableError
@@ -126,7 +126,7 @@
         for host in self.hosts:
             host.start()
 
-    def __enter__(self) -> ControlCluster:
+    def __enter__(self) -> Self:
         return self
 
     def __exit__(
