Pace prefills by the link of their endpoint

Four contract summaries ended as kv_gone: their computed prompts waited for the crowded link behind other transfers and were evicted, and the second prefill met the same. Ruled out: lost decode slots (the engines' lists were empty at the end), retries by failure (no endpoint failed). Change: a prompt that is not urgent is computed only if the link of its prefill endpoint is forecast to be free within 0.1 s of the end; the forecast plays the link as well. Urgent prompts share the link, so an urgent one is not held for a long transfer.

--- a/src/jujubeslip/entry/_process.py
+++ b/src/jujubeslip/entry/_process.py
@@ -9,7 +9,7 @@
 from jujubeslip.entry._http_app import HttpApp
 from jujubeslip.entry._http_server import HttpServer
 from jujubeslip.entry._peer_handler import PeerHandler
-from jujubeslip.homes import Homes, SchedulerOptions
+from jujubeslip.homes import Homes
 from jujubeslip.kernel import EntrySettings, Process, load_plugins, new_incarnation
 from jujubeslip.membership import Gossip, HostDirectory, PeerClients
 from jujubeslip.peers import (
@@ -35,13 +35,14 @@
     LocalRouter,
     RetryBudgets,
     Router,
+    home_policies,
     local_policies,
+    scheduler_options,
 )
 from jujubeslip.telemetry import Meters, configure_logging, configure_telemetry
 
 logger = logging.getLogger(__name__)
 
-HOME_POLICY = "home"
 # How long others need to hear that this host is leaving, in seconds.
 LEAVE_SECONDS = 1.0
 
@@ -73,7 +74,10 @@
             self._configuration.fetch_from_peer,
         )
         self._homes = Homes(
-            self._directory, self._clients, self._process, SchedulerOptions()
+            self._directory,
+            self._clients,
+            self._process,
+            scheduler_options(settings.policy),
         )
         self._router = self._build_router()
         self._open_requests = OpenRequests()
@@ -101,7 +105,7 @@
         )
 
     def _build_router(self) -> Router:
-        if self._settings.policy == HOME_POLICY:
+        if self._settings.policy in home_policies.by_name:
             return HomeRouter(
                 self._directory, self._clients, self._homes, self._process
             )
--- a/src/jujubeslip/homes/_forecast.py
+++ b/src/jujubeslip/homes/_forecast.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable, Iterator
 
 from jujubeslip.homes._records import EndpointRecord, Waiter
-from jujubeslip.homes._scheduler import Scheduler
+from jujubeslip.homes._scheduler import LINK_WAIT_SECONDS, Scheduler
 from jujubeslip.peers import EndpointRole
 
 # How long a slot that this home did not grant is taken to last, in seconds.
@@ -30,7 +30,13 @@
         decodes = scheduler.candidates(role)
         prefills = [] if plain else scheduler.candidates(EndpointRole.PREFILL)
         self._slots = self._slot_instants(decodes)
-        self._turns = [self._now + item.prefill_backlog(self._now) for item in prefills]
+        self._turns = [
+            (
+                self._now + item.prefill_backlog(self._now),
+                item.link_free_instant(self._now),
+            )
+            for item in prefills
+        ]
         heapq.heapify(self._slots)
         heapq.heapify(self._turns)
         # Endpoints of one pool are alike: the middle one stands for all.
@@ -73,13 +79,17 @@
             hold = self._estimates.hold_seconds(1)
             heapq.heappush(self._slots, slot + hold)
             return slot
-        turn = heapq.heappop(self._turns)
+        turn, link_free = heapq.heappop(self._turns)
         prefill = self._prefill_seconds(waiter)
         transfer = self._estimates.transfer_seconds.of(waiter.request.prompt_tokens)
         start = max(turn, slot - prefill - transfer)
-        ready = start + prefill + transfer
+        if self._scheduler.is_paced(waiter):
+            start = max(start, link_free - prefill - LINK_WAIT_SECONDS)
+        ready = self._scheduler.transfer_ends(
+            waiter, start + prefill, link_free, transfer
+        )
         hold = self._estimates.hold_seconds(waiter.request.output_tokens)
-        heapq.heappush(self._turns, start + prefill)
+        heapq.heappush(self._turns, (start + prefill, max(link_free, ready)))
         heapq.heappush(self._slots, ready + hold)
         return ready + self._estimates.decode_seconds.seconds_per_token
 
--- a/src/jujubeslip/homes/_pool.py
+++ b/src/jujubeslip/homes/_pool.py
@@ -239,6 +239,7 @@
             choice.prefill.endpoint_id if choice.prefill else "",
             choice.decode.endpoint_id,
             choice.prefill_ends,
+            choice.transfer_seconds,
             choice.releases,
         )
         self.scheduler.add_grant(record)
--- a/src/jujubeslip/homes/_progress.py
+++ b/src/jujubeslip/homes/_progress.py
@@ -40,6 +40,7 @@
 
 def _note_transfer(scheduler: Scheduler, grant: GrantRecord, now: float) -> None:
     grant.transfer_finished_at = now
+    scheduler.finish_transfer(grant)
     estimates = scheduler.estimates
     if grant.prefill_finished:
         seconds = now - max(grant.progressed_at, grant.granted_at)
--- a/src/jujubeslip/homes/_records.py
+++ b/src/jujubeslip/homes/_records.py
@@ -41,6 +41,8 @@
         self.prefill_seconds = LinearEstimate(START_PREFILL_SECONDS_PER_TOKEN)
         self.last_prefill_finished_at = 0.0
         self.prefill_grants: dict[str, GrantRecord] = {}
+        # Those whose KV cache has not left this prefill endpoint yet.
+        self.transfer_grants: dict[str, GrantRecord] = {}
         self.decode_grants: dict[str, GrantRecord] = {}
         # What it holds that no grant of this home accounts for.
         self.strangers = 0
@@ -97,6 +99,14 @@
         )
         return max(0.0, latest - now)
 
+    def link_free_instant(self, now: float) -> float:
+        """Return when the endpoint's link is forecast to have sent what is granted."""
+        free = now
+        grants = self.transfer_grants.values()
+        for grant in sorted(grants, key=lambda item: item.prefill_ends):
+            free = max(free, grant.prefill_ends.instant) + grant.transfer_left(now)
+        return free
+
     def free_slots_at(self, instant: float, now: float) -> int:
         """Return how many slots are forecast to be free at an instant."""
         used = self.strangers
@@ -134,12 +144,19 @@
     prefill_id: str
     decode_id: str
     prefill_ends: Deadline
+    transfer_seconds: float
     releases: Deadline
     prefill_finished: bool = False
     transfer_finished_at: float = 0.0
     granted_at: float = field(default_factory=time.monotonic)
     progressed_at: float = field(default_factory=time.monotonic)
 
+    def transfer_left(self, now: float) -> float:
+        """Return the seconds that the transfer still takes once it has begun."""
+        if not self.prefill_finished:
+            return self.transfer_seconds
+        return max(0.0, self.progressed_at + self.transfer_seconds - now)
+
     def release_instant(self, now: float) -> float:
         """Return when the decode slot is forecast to be free.
 
--- a/src/jujubeslip/homes/_scheduler.py
+++ b/src/jujubeslip/homes/_scheduler.py
@@ -19,6 +19,8 @@
 # so that it does not idle for the round trip between them.
 NEXT_TURN_SECONDS = 0.05
 MAXIMUM_TURNS = 16
+# How long a computed prompt may wait for the link of its prefill endpoint.
+LINK_WAIT_SECONDS = 0.1
 # Among more candidates than this a sample is looked at first; all of them only if the
 # sample has no room. The cost of a choice then hardly grows with the pool.
 SAMPLE_SIZE = 16
@@ -38,6 +40,7 @@
     urgent_headroom: bool = True
     early_refusal: bool = True
     prefix_affinity: bool = True
+    link_pacing: bool = True
 
 
 @dataclass(frozen=True)
@@ -50,6 +53,7 @@
     prefill: EndpointRecord | None
     decode: EndpointRecord
     prefill_ends: Deadline
+    transfer_seconds: float
     releases: Deadline
     cached_tokens: int
 
@@ -80,8 +84,9 @@
         if grant.request.priority == URGENT:
             self._urgent_grants += 1
         prefill = self.record_by_id.get(grant.prefill_id)
-        if prefill is not None and not grant.prefill_finished:
+        if prefill is not None:
             prefill.prefill_grants[grant.grant_id] = grant
+            prefill.transfer_grants[grant.grant_id] = grant
         decode = self.record_by_id.get(grant.decode_id)
         if decode is not None:
             decode.decode_grants[grant.grant_id] = grant
@@ -93,11 +98,18 @@
         if record is not None:
             record.prefill_grants.pop(grant.grant_id, None)
 
+    def finish_transfer(self, grant: GrantRecord) -> None:
+        """Give the prefill endpoint's link back."""
+        record = self.record_by_id.get(grant.prefill_id)
+        if record is not None:
+            record.transfer_grants.pop(grant.grant_id, None)
+
     def remove_grant(self, grant: GrantRecord) -> None:
         """Give everything back."""
         if self.grant_by_id.pop(grant.grant_id, None) is None:
             return
         self.finish_prefill(grant)
+        self.finish_transfer(grant)
         record = self.record_by_id.get(grant.decode_id)
         if record is not None:
             record.decode_grants.pop(grant.grant_id, None)
@@ -194,13 +206,33 @@
             return None
         seconds = self.prefill_seconds(prefill, waiter, cached_by_id)
         ends = now + prefill.prefill_backlog(now) + seconds
-        ready = ends + self.estimates.transfer_seconds.of(waiter.request.prompt_tokens)
+        transfer = self.estimates.transfer_seconds.of(waiter.request.prompt_tokens)
+        link_free = prefill.link_free_instant(now)
+        ready = self.transfer_ends(waiter, ends, link_free, transfer)
         decode = self._choose_decode(waiter, ready, now)
         if decode is None:
             return None
         releases = ready + self.estimates.hold_seconds(waiter.request.output_tokens)
         cached = cached_by_id.get(prefill.endpoint_id, 0)
-        return Choice(prefill, decode, Deadline(ends), Deadline(releases), cached)
+        return Choice(
+            prefill, decode, Deadline(ends), transfer, Deadline(releases), cached
+        )
+
+    def is_paced(self, waiter: Waiter) -> bool:
+        """Say whether the request's transfer waits for those before it on the link.
+
+        Urgent prompts are short and share the link with a long transfer instead.
+        """
+        return self.options.link_pacing and waiter.request.priority != URGENT
+
+    def transfer_ends(
+        self, waiter: Waiter, computed: float, link_free: float, seconds: float
+    ) -> float:
+        """Return the instant at which a KV cache has arrived at its decode endpoint."""
+        if self.is_paced(waiter):
+            return max(computed, link_free) + seconds
+        shared = 2 if link_free > computed else 1
+        return computed + shared * seconds
 
     def _choose_plain(
         self, candidates: list[EndpointRecord], now: float
@@ -210,7 +242,7 @@
             return None
         best = min(free, key=lambda record: len(record.decode_grants))
         releases = Deadline(now + self.estimates.hold_seconds(1))
-        return Choice(None, best, Deadline(now), releases, 0)
+        return Choice(None, best, Deadline(now), 0.0, releases, 0)
 
     def _choose_prefill(
         self, waiter: Waiter, cached_by_id: dict[str, int], now: float
@@ -223,6 +255,7 @@
             # The KV cache of an earlier attempt is still there: it needs no turn.
             return earlier
         free = self._with_turn(candidates, cached_by_id, now)
+        free = [item for item in free if self._link_keeps_up(item, waiter, now)]
         if not free or self._must_leave_one_free(waiter, candidates, free):
             return None
         return min(
@@ -233,6 +266,21 @@
             ),
         )
 
+    def _link_keeps_up(
+        self, record: EndpointRecord, waiter: Waiter, now: float
+    ) -> bool:
+        """Say whether the endpoint's link can take the KV cache soon after prefill.
+
+        A computed prompt that waits for the link is soon evicted, and its prefill is
+        wasted.
+        """
+        if not self.is_paced(waiter) or not record.transfer_grants:
+            return True
+        cached_by_id = self.cached_tokens(waiter)
+        seconds = self.prefill_seconds(record, waiter, cached_by_id)
+        ends = now + record.prefill_backlog(now) + seconds
+        return record.link_free_instant(now) - ends <= LINK_WAIT_SECONDS
+
     def _with_turn(
         self,
         candidates: list[EndpointRecord],
--- a/src/jujubeslip/routing/__init__.py
+++ b/src/jujubeslip/routing/__init__.py
@@ -1,6 +1,6 @@
 """Where a request goes: policies, limits of client accounts, retry budgets."""
 
-from jujubeslip.routing import _policies as _policies
+from jujubeslip.routing._home_policies import home_policies, scheduler_options
 from jujubeslip.routing._home_router import HomeRouter
 from jujubeslip.routing._limits import ClientLimits
 from jujubeslip.routing._local_router import LocalRouter
@@ -17,5 +17,7 @@
     "ReservationRequest",
     "RetryBudgets",
     "Router",
+    "home_policies",
     "local_policies",
+    "scheduler_options",
 ]
--- /dev/null
+++ b/src/jujubeslip/routing/_home_policies.py
@@ -0,0 +1,26 @@
+"""The policy of grants at the endpoint's home, and it with one decision left out.
+
+The variants exist to be measured against the whole (docs/design/decisions.md).
+"""
+
+from __future__ import annotations
+
+from jujubeslip.homes import SchedulerOptions
+from jujubeslip.kernel import Registry
+
+home_policies: Registry[SchedulerOptions] = Registry("policy")
+
+home_policies.register("home")(SchedulerOptions())
+home_policies.register("home-no-reservation")(
+    SchedulerOptions(reserve_decode_slot=False)
+)
+home_policies.register("home-no-order")(SchedulerOptions(priority_order=False))
+home_policies.register("home-no-headroom")(SchedulerOptions(urgent_headroom=False))
+home_policies.register("home-no-early-refusal")(SchedulerOptions(early_refusal=False))
+home_policies.register("home-no-affinity")(SchedulerOptions(prefix_affinity=False))
+home_policies.register("home-no-pacing")(SchedulerOptions(link_pacing=False))
+
+
+def scheduler_options(policy: str) -> SchedulerOptions:
+    """Return the options of a home policy; a local one uses none of them."""
+    return home_policies.by_name.get(policy, SchedulerOptions())
