Mend the load tool's request ids, and keep a KV cache while it is exported

The router gives each request its own id, so answers were compared with no plan and "wrong answers" was always 0; the outcome now carries the planned id too. An engine with one entry host in its zone was lost with that host; it now announces to the others when none of its own zone answers. Answers that end with their killed entry host are counted apart from those that a living one left incomplete.

--- a/bench/_client.py
+++ b/bench/_client.py
@@ -70,6 +70,7 @@
         self.probe = probe
         self.sent_late = 0.0
         self.tries = 0
+        self.address = ""
         self.pending = content
         self.reader = AnswerReader()
         self.socket: socket.socket | None = None
@@ -145,7 +146,8 @@
         """Connect to the next entry host, as the platform's balancer would."""
         exchange.tries += 1
         exchange.pending = exchange.content
-        host, port = next(self._addresses).split(":")
+        exchange.address = next(self._addresses)
+        host, port = exchange.address.split(":")
         sock = exchange.socket = socket.socket()
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -257,10 +259,12 @@
     if outcome is Outcome.REFUSED:
         error = reader.body_as_json().get("error", {})
     gaps = (later - sooner for sooner, later in itertools.pairwise(times))
+    planned_id = exchange.request.request_id
+    heard_id = reader.parser.headers.get("x-request-id") or error.get("request_id")
     return RequestOutcome(
-        request_id=reader.parser.headers.get(
-            "x-request-id", exchange.request.request_id
-        ),
+        planned_id=planned_id,
+        request_id=str(heard_id or planned_id),
+        entry_address=exchange.address,
         class_name=exchange.request.class_name,
         outcome=outcome,
         status=reader.parser.status,
--- a/bench/_disturbances.py
+++ b/bench/_disturbances.py
@@ -39,6 +39,7 @@
         self._cluster = cluster
         self.records: list[dict] = []
         self.done: list[str] = []
+        self.lost_entry = ""
 
     def start(self, starts_at: float, seconds: float) -> None:
         """Begin to wait for the faults' instants, in a thread."""
@@ -68,6 +69,7 @@
 
     def _kill_entry(self) -> None:
         name = self._cluster.entry_ids[-1]
+        self.lost_entry = self._cluster.client_address(name)
         self._cluster.process_by_name[name].signal(signal.SIGKILL)
 
     def _cut_link(self) -> None:
--- a/bench/_measure.py
+++ b/bench/_measure.py
@@ -3,6 +3,8 @@
 - goodput: the share of all offered requests that are whole and meet both targets of
   their class. The first-token time counts from the intended start; the between-token
   target is met when the 95th percentile of the request's own gaps is within it.
+- incomplete answers: begun, but not finished. Those whose own entry host was killed
+  are counted apart as `cut_with_entry`: no other host holds the caller's connection.
 - wasted prefill: computed prefill tokens whose result no caller got a token of, over
   all computed prefill tokens. A result counts as decoded when an engine streamed it
   and the caller of that request got at least one token.
@@ -80,6 +82,7 @@
     urgent_goodput: float
     incomplete_begun: int
     incomplete_long: int
+    cut_with_entry: int
     wrong_answers: int
     ran_twice: int
     refused_but_ran: int
@@ -128,6 +131,7 @@
         planned: Sequence[PlannedRequest],
         outcomes: Sequence[RequestOutcome],
         records: Sequence[dict],
+        lost_entry: str = "",
     ) -> None:
         self._class_by_name = scenario.class_by_name
         self._planned = planned
@@ -136,6 +140,7 @@
         self._engine_runs = [
             run for record in records for run in record["runs"] if "kind" in run
         ]
+        self._lost_entry = lost_entry
         self._plain_records = [item for item in records if "runs_by_key" in item]
 
     def figures(self) -> RunFigures:
@@ -151,12 +156,16 @@
             offered=len(self._planned),
             refused=len(refused),
             urgent_goodput=self._goodput(self._names_of_priority("urgent")),
-            incomplete_begun=sum(map(_is_incomplete, self._outcomes)),
-            incomplete_long=sum(
-                _is_incomplete(item)
+            incomplete_begun=self._incomplete(self._outcomes),
+            incomplete_long=self._incomplete(
+                item
                 for item in self._outcomes
                 if self._class_by_name[item.class_name].long_answer
             ),
+            cut_with_entry=sum(
+                _is_incomplete(item) and item.entry_address == self._lost_entry
+                for item in self._outcomes
+            ),
             wrong_answers=self._wrong_answers(),
             ran_twice=self._ran_twice(),
             refused_but_ran=self._refused_but_ran(refused),
@@ -170,6 +179,13 @@
             },
         )
 
+    def _incomplete(self, outcomes: Iterable[RequestOutcome]) -> int:
+        """Count answers that were begun and not finished by a living entry host."""
+        return sum(
+            _is_incomplete(item) and item.entry_address != self._lost_entry
+            for item in outcomes
+        )
+
     def _names_of_priority(self, priority: str) -> set[str]:
         return {
             name
@@ -212,8 +228,8 @@
         planned_by_id = {item.request_id: item for item in self._planned}
         wrong = 0
         for item in self._outcomes:
-            planned = planned_by_id.get(item.request_id)
-            if planned is None or not item.tokens:
+            planned = planned_by_id[item.planned_id]
+            if not item.tokens:
                 continue
             prompt = make_prompt(planned, self._class_by_name[item.class_name])
             text = answer_text(prompt, item.tokens)
@@ -232,7 +248,9 @@
 
     def _refused_but_ran(self, refused: Sequence[RequestOutcome]) -> int:
         """Count refusals that say "not run" of requests that an endpoint ran."""
-        ran = {run["request_id"] for run in self._engine_runs}
+        ran = {
+            run["request_id"] for run in self._engine_runs if run["computed_tokens"] > 0
+        }
         for record in self._plain_records:
             ran |= set(record["runs_by_request_id"])
         return sum(item.ran == "no" and item.request_id in ran for item in refused)
@@ -269,7 +287,7 @@
             refusal_after_ms=Percentiles.of(found.finished * 1000 for found in refused),
             ttft_ms=_times(seen),
             itl_ms=_gaps(seen),
-            incomplete_begun=sum(map(_is_incomplete, seen)),
+            incomplete_begun=self._incomplete(seen),
         )
 
 
--- a/bench/_outcomes.py
+++ b/bench/_outcomes.py
@@ -24,11 +24,15 @@
 class RequestOutcome:
     """One request's end; times in seconds after its intended start.
 
+    `request_id` is the one that the system gave it, where the caller heard of it;
+    `entry_address` is the entry host that the caller was connected to last.
     `first_token` is the time of the whole answer for a plain service. `probe` marks
     a request that was sent again after the Retry-After of a refusal.
     """
 
+    planned_id: str
     request_id: str
+    entry_address: str
     class_name: str
     outcome: Outcome
     status: int
--- a/bench/_report.py
+++ b/bench/_report.py
@@ -41,6 +41,7 @@
 TABLE_ROWS = (
     *((panel.title, panel.value) for panel in PANELS),
     ("incomplete answers that were begun", lambda run: run["incomplete_begun"]),
+    ("answers cut with their entry host", lambda run: run["cut_with_entry"]),
     ("wrong answers", lambda run: run["wrong_answers"]),
     ("keys that ran twice", lambda run: run["ran_twice"]),
     ('refused as "not run" but ran', lambda run: run["refused_but_ran"]),
--- a/bench/_run.py
+++ b/bench/_run.py
@@ -88,7 +88,8 @@
         cluster.endpoint_call(name, "GET", "/v1/records")
         for name in _running_endpoints(cluster)
     ]
-    figures = RunMeasure(scenario, planned, outcomes, records).figures()
+    measure = RunMeasure(scenario, planned, outcomes, records, disturbances.lost_entry)
+    figures = measure.figures()
     return {
         **as_json(figures),
         "scenario": options.scenario,
--- a/tests/bench/test_measure.py
+++ b/tests/bench/test_measure.py
@@ -19,7 +19,9 @@
 def whole_outcome() -> RequestOutcome:
     prompt = make_prompt(PLANNED, SCENARIO.class_by_name["board-poll"])
     return RequestOutcome(
+        planned_id=PLANNED.request_id,
         request_id=PLANNED.request_id,
+        entry_address="127.0.0.1:1",
         class_name=PLANNED.class_name,
         outcome=Outcome.WHOLE,
         status=200,
--- a/tests/fakes/_prefill.py
+++ b/tests/fakes/_prefill.py
@@ -9,8 +9,8 @@
 import threading
 import time
 import uuid
-from collections import OrderedDict, deque
-from collections.abc import Iterator
+from collections import Counter, OrderedDict, deque
+from collections.abc import Generator
 from dataclasses import dataclass, replace
 
 from tests.fakes._faults import Faults
@@ -26,6 +26,8 @@
 MAXIMUM_EVENTS = 50_000
 CHUNKS_PER_SECOND = 50
 
+Chunks = Generator[bytes, None, None]
+
 
 @dataclass(frozen=True)
 class PrefillSpeed:
@@ -183,6 +185,7 @@
         self._queue: list[tuple[int, int, PrefillJob]] = []
         self._jobs: dict[tuple[str, int], PrefillJob] = {}
         self._held_by_kv_id: OrderedDict[str, HeldCache] = OrderedDict()
+        self._exports: Counter[str] = Counter()
         self._cache = PrefixCache(speed.cache_tokens, events)
         self._link = Link(speed.link_bytes_per_second)
         threading.Thread(target=self._serve, daemon=True).start()
@@ -255,16 +258,22 @@
         self._records.finish(job.run, "done", kv_id=kv_id, computed_tokens=computed)
 
     def _evict(self) -> None:
-        """Evict exported results first, then the least recently used."""
+        """Evict exported results first, then the least recently used.
+
+        A result whose export is under way stays, and so does the newest one.
+        """
         while self._held_tokens() > self._speed.held_tokens_limit:
-            exported = (item for item in self._held_by_kv_id.values() if item.exported)
-            victim = next(exported, next(iter(self._held_by_kv_id.values())))
-            del self._held_by_kv_id[victim.kv_id]
+            *older, _ = self._held_by_kv_id.values()
+            idle = [item for item in older if not self._exports[item.kv_id]]
+            if not idle:
+                return
+            exported = (item for item in idle if item.exported)
+            del self._held_by_kv_id[next(exported, idle[0]).kv_id]
 
     def _held_tokens(self) -> int:
         return sum(item.prompt_tokens for item in self._held_by_kv_id.values())
 
-    def export(self, kv_id: str) -> tuple[int, Iterator[bytes]]:
+    def export(self, kv_id: str) -> tuple[int, Chunks]:
         """Return the size of an export and its chunks, at the link's rate."""
         with self._changed:
             held = self._held_by_kv_id.get(kv_id)
@@ -280,8 +289,17 @@
         filler = self._speed.kv_bytes_per_token * held.prompt_tokens
         return len(first) + filler, self._chunks(held, first, filler)
 
-    def _chunks(self, held: HeldCache, first: bytes, filler: int) -> Iterator[bytes]:
-        yield first
+    def _chunks(self, held: HeldCache, first: bytes, filler: int) -> Chunks:
+        with self._changed:
+            self._exports[held.kv_id] += 1
+        try:
+            yield first
+            yield from self._filler(held, filler)
+        finally:
+            with self._changed:
+                self._exports[held.kv_id] -= 1
+
+    def _filler(self, held: HeldCache, filler: int) -> Chunks:
         truncated = self._faults.take("truncate_next_export")
         self._faults.wait_at_gate("transfer", lambda: self._holds(held))
         for start in range(0, filler, self._link.chunk_bytes):
--- a/tests/fakes/cluster.py
+++ b/tests/fakes/cluster.py
@@ -368,9 +368,10 @@
         return self.proxy_by_hop[hop].address
 
     def _entries_of_zone(self, zone: str) -> list[str]:
+        """Return the entry hosts to announce to, those of the zone first."""
         pairs = zip(self.entry_ids, self.spec.entry_zones, strict=True)
-        own = [host for host, entry_zone in pairs if entry_zone == zone]
-        return [self.http_address_by_id[host] for host in own or self.entry_ids]
+        ordered = sorted(pairs, key=lambda pair: pair[1] != zone)
+        return [self.http_address_by_id[host] for host, _ in ordered]
 
     def _start_host(
         self,
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import argparse
+import contextlib
 import itertools
 import threading
 import time
@@ -198,9 +199,10 @@
         size, chunks = self.engine.prefill.export(kv_id)
         self.start_stream("application/octet-stream", size)
         sent = 0
-        for chunk in chunks:
-            self.wfile.write(chunk)
-            sent += len(chunk)
+        with contextlib.closing(chunks):
+            for chunk in chunks:
+                self.wfile.write(chunk)
+                sent += len(chunk)
         self.close_connection = self.close_connection or sent < size
 
     def import_cache(self) -> None:
