Let the tests of the queue order learn no decode speed

The released grant reported 100 tokens in no time, so that the next slot was forecast to be free at once, and the bulk request was rightly granted too.

--- a/tests/homes/test_pool.py
+++ b/tests/homes/test_pool.py
@@ -106,14 +106,14 @@
 
 
 def release(pool: Pool, grant: Grant, failed: str = "") -> None:
-    pool.progress(GrantProgress(grant.grant_id, True, True, True, 100, 100, failed))
+    pool.progress(GrantProgress(grant.grant_id, True, True, True, 100, 0, failed))
 
 
 class TestReservation:
     def test_no_prefill_begins_without_a_decode_slot(self) -> None:
         """A prompt is computed and no decode slot takes it: the prefill is wasted.
 
-        Two prefill endpoints idle while the only decode slot is taken for half a minute.
+        Two prefill endpoints idle; the only decode slot is taken for half a minute.
         """
         pool = make_pool("p1", "p2", "d1")
         first = granted(reserve(pool, "a"))
