Let a standby grant while a pool's home does not answer

Cause: with an entry host killed in the middle of a run, requests to pools whose home it was found nobody to ask until membership called it dead, and urgent ones were refused or given up on by then. Ruled out: the endpoints' announcements (they reach the next home within a second). Change: the second host in the order of homes hears announcements and reads statuses too, and is asked at once when the home does not answer. A request whose caller goes while it waits is withdrawn, and with it a grant that nobody heard of.

--- a/src/jujubeslip/entry/_peer_handler.py
+++ b/src/jujubeslip/entry/_peer_handler.py
@@ -54,6 +54,10 @@
         """Grant, refuse, or say that the request waits."""
         return self._homes.reserve(request)
 
+    def withdraw(self, request: ReserveRequest) -> None:
+        """Forget a request whose caller is gone."""
+        self._homes.withdraw(request)
+
     def progress(self, progress: GrantProgress) -> None:
         """Note what became of a grant."""
         self._homes.progress(progress)
--- a/src/jujubeslip/homes/_homes.py
+++ b/src/jujubeslip/homes/_homes.py
@@ -89,6 +89,10 @@
         """Answer from the queue of the request's service and place."""
         return self.pool(request.service_name, request.place).reserve(request)
 
+    def withdraw(self, request: ReserveRequest) -> None:
+        """Take a request out of the queue of its service and place."""
+        self.pool(request.service_name, request.place).withdraw(request)
+
     def progress(self, progress: GrantProgress) -> None:
         """Pass progress on to the pool that made the grant."""
         with self._lock:
--- a/src/jujubeslip/homes/_pool.py
+++ b/src/jujubeslip/homes/_pool.py
@@ -32,7 +32,7 @@
 
 # A reserve call answers PENDING after this time, in seconds, and is asked again; so a
 # connection that went silent is found within one call.
-POLL_SECONDS = 0.4
+POLL_SECONDS = 0.25
 # A waiting request whose entry host stopped asking is dropped after this time.
 ASKED_LIFETIME = 2.0
 # A grant that neither moved on nor shows on its endpoints is dropped after this time.
@@ -175,6 +175,23 @@
         if waiter.reply is None:
             self._refuse_new_if_hopeless(waiter)
 
+    def withdraw(self, request: ReserveRequest) -> None:
+        """Forget a request whose caller is gone, and a grant that it never heard of.
+
+        Otherwise it would keep its place in the queue until it is found silent, and
+        what it is granted meanwhile would be held for nobody.
+        """
+        with self._lock:
+            waiter = self._waiter_by_key.get((request.request_id, request.attempt))
+            if waiter is None:
+                return
+            self._remove(waiter)
+            if waiter.reply is not None and waiter.reply.grant is not None:
+                grant = self.scheduler.grant_by_id.get(waiter.reply.grant.grant_id)
+                if grant is not None:
+                    self.scheduler.remove_grant(grant)
+            self._dispatch()
+
     def progress(self, progress: GrantProgress) -> None:
         """Note what became of a grant, learn from it, and grant what came free."""
         with self._lock:
--- a/src/jujubeslip/homes/_tracker.py
+++ b/src/jujubeslip/homes/_tracker.py
@@ -22,6 +22,7 @@
 logger = logging.getLogger(__name__)
 
 STATUS_INTERVAL = 0.5
+STANDBY_STATUS_INTERVAL = 1.0
 STATUS_TIMEOUT = 1.0
 # What is younger than this, in milliseconds, is not asked about: its entry host may
 # only just have opened it.
@@ -52,12 +53,18 @@
 
     def run(self, process: Process) -> None:
         """Ask until the endpoint stops announcing itself, or the process stops."""
-        while not process.stopped.wait(STATUS_INTERVAL):
+        while not process.stopped.wait(self._interval()):
             if self._record.announced_until.expired:
                 break
             self.step()
         self._pool.forget(self._record)
 
+    def _interval(self) -> float:
+        """Return the pause between statuses; a standby's view may be older."""
+        home = self._directory.home_of(self._pool.service_name, self._pool.place)
+        is_home = home.host_id == self._directory.own.host_id
+        return STATUS_INTERVAL if is_home else STANDBY_STATUS_INTERVAL
+
     def step(self) -> None:
         """Ask once; an endpoint that doesn't answer is used no more when it's due."""
         asked_at = time.monotonic()
--- a/src/jujubeslip/membership/_directory.py
+++ b/src/jujubeslip/membership/_directory.py
@@ -155,7 +155,11 @@
             return None if record is None else str(record.state.address)
 
     def home_of(self, service: str, place: str) -> HostState:
-        """Return the home of a service's endpoints in a zone or region.
+        """Return the home of a service's endpoints in a zone or region."""
+        return self.homes_of(service, place, 1)[0]
+
+    def homes_of(self, service: str, place: str, count: int) -> list[HostState]:
+        """Return the home of a service's endpoints and the next ones in order.
 
         Hosts of that place come first, so that a zone that is cut off keeps its homes.
         """
@@ -166,7 +170,7 @@
             if place in (state.availability_zone, state.region)
         ]
         order = rendezvous_order(f"home/{service}/{place}", in_place or state_by_id)
-        return state_by_id[order[0]]
+        return [state_by_id[host_id] for host_id in order[:count]]
 
     def keepers_of(self, key: str, count: int) -> list[HostState]:
         """Return the hosts that keep what is known of a client's key, owner first."""
--- a/src/jujubeslip/peers/gen/EntryPeer.py
+++ b/src/jujubeslip/peers/gen/EntryPeer.py
@@ -52,6 +52,14 @@
         """
         pass
 
+    def withdraw(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        pass
+
     def progress(self, progress):
         """
         Parameters:
@@ -245,6 +253,38 @@
             raise result.refusal
         raise TApplicationException(TApplicationException.MISSING_RESULT, "reserve failed: unknown result")
 
+    def withdraw(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        self.send_withdraw(request)
+        self.recv_withdraw()
+
+    def send_withdraw(self, request):
+        self._oprot.writeMessageBegin('withdraw', TMessageType.CALL, self._seqid)
+        args = withdraw_args()
+        args.request = request
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_withdraw(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = withdraw_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.refusal is not None:
+            raise result.refusal
+        return
+
     def progress(self, progress):
         """
         Parameters:
@@ -484,6 +524,7 @@
         self._processMap["gossip"] = Processor.process_gossip
         self._processMap["announce"] = Processor.process_announce
         self._processMap["reserve"] = Processor.process_reserve
+        self._processMap["withdraw"] = Processor.process_withdraw
         self._processMap["progress"] = Processor.process_progress
         self._processMap["claim_key"] = Processor.process_claim_key
         self._processMap["finish_key"] = Processor.process_finish_key
@@ -617,6 +658,32 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_withdraw(self, seqid, iprot, oprot):
+        args = withdraw_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = withdraw_result()
+        try:
+            self._handler.withdraw(args.request)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("withdraw", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_progress(self, seqid, iprot, oprot):
         args = progress_args()
         args.read(iprot)
@@ -1326,6 +1393,131 @@
 )
 
 
+class withdraw_args(object):
+    """
+    Attributes:
+     - request
+
+    """
+
+
+    def __init__(self, request=None,):
+        self.request = request
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.request = ReserveRequest()
+                    self.request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('withdraw_args')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRUCT, 1)
+            self.request.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(withdraw_args)
+withdraw_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'request', [ReserveRequest, None], None, ),  # 1
+)
+
+
+class withdraw_result(object):
+    """
+    Attributes:
+     - refusal
+
+    """
+
+
+    def __init__(self, refusal=None,):
+        self.refusal = refusal
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('withdraw_result')
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(withdraw_result)
+withdraw_result.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+)
+
+
 class progress_args(object):
     """
     Attributes:
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -204,6 +204,8 @@
   GossipMessage gossip(1: GossipMessage message) throws (1: PeerRefusal refusal),
   void announce(1: Announcement announcement) throws (1: PeerRefusal refusal),
   ReserveReply reserve(1: ReserveRequest request) throws (1: PeerRefusal refusal),
+  // Takes a waiting request out of the queue, and back what it was granted unheard.
+  void withdraw(1: ReserveRequest request) throws (1: PeerRefusal refusal),
   void progress(1: GrantProgress progress) throws (1: PeerRefusal refusal),
   KeyReply claim_key(1: KeyClaim claim) throws (1: PeerRefusal refusal),
   void finish_key(1: KeyClaim claim, 2: binary outcome) throws (1: PeerRefusal refusal),
--- a/src/jujubeslip/routing/_home_router.py
+++ b/src/jujubeslip/routing/_home_router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections.abc import Callable, Iterator
 
 from jujubeslip.declaration import Spread
@@ -35,12 +36,16 @@
 logger = logging.getLogger(__name__)
 
 # A home answers within its poll time; beyond this the connection is taken for silent.
-RESERVE_TIMEOUT = 1.0
+RESERVE_TIMEOUT = 0.8
+# The home of a pool and the standby that is asked when it does not answer.
+HOMES = 2
 REPORT_TIMEOUT = 1.0
 REPORT_TRIES = 3
 ANNOUNCE_TIMEOUT = 0.8
 FORECAST_LIFETIME = 2.0
 RETRY_SECONDS = 1.0
+# The pause before homes that did not answer are asked again.
+UNAVAILABLE_PAUSE = 0.05
 
 
 class HomeRouter:
@@ -103,16 +108,12 @@
     ) -> tuple[ReserveReply, HostState]:
         """Ask the home until it grants or refuses; a home that moved is asked anew."""
         while True:
-            home = self._directory.home_of(request.service.name, place)
-            try:
-                reply = self._ask(home, to_message(request, self._owner, place))
-            except (PeerUnavailableError, PeerRefusal) as error:
-                logger.info("home unavailable", extra={"error": str(error)})
-                reply = ReserveReply(ReserveStatus.PENDING, None, "", 0, 0, 0.0)
+            reply, home = self._ask_homes(request, place)
             self._note_forecast(request.service.name, reply)
             if reply.status != ReserveStatus.PENDING:
                 return reply, home
             if interrupted():
+                self._process.start_task(self._withdraw, request, place, home)
                 raise CallerGoneError("The client closed its connection.")
             if request.wait_until.expired:
                 reason = "the home of the endpoints does not answer"
@@ -120,6 +121,40 @@
                 refusal = ReserveReply(ReserveStatus.REFUSED, None, reason, retry_ms)
                 return refusal, home
 
+    def _ask_homes(
+        self, request: ReservationRequest, place: str
+    ) -> tuple[ReserveReply, HostState]:
+        """Ask the home, and the standby at once if the home does not answer.
+
+        A home that dies is found out by membership within seconds; until then urgent
+        requests would all be late. The standby hears each announcement as well and
+        reads what the endpoints hold, so it can grant. Should both grant for a moment,
+        an endpoint's memory is overcommitted and the engine lets the import wait.
+        """
+        homes = self._directory.homes_of(request.service.name, place, HOMES)
+        for home in homes:
+            try:
+                return self._ask(home, to_message(request, self._owner, place)), home
+            except (PeerUnavailableError, PeerRefusal) as error:
+                extra = {"home": home.host_id, "error": str(error)}
+                logger.info("home unavailable", extra=extra)
+        time.sleep(UNAVAILABLE_PAUSE)
+        return ReserveReply(ReserveStatus.PENDING, None, "", 0, 0, 0.0), homes[0]
+
+    def _withdraw(
+        self, request: ReservationRequest, place: str, home: HostState
+    ) -> None:
+        message = to_message(request, self._owner, place)
+        if home.host_id == self._directory.own.host_id:
+            self._homes.withdraw(message)
+            return
+        try:
+            client = self._clients.get(home.address)
+            client.call(lambda peer: peer.withdraw(message), REPORT_TIMEOUT)
+        except (PeerUnavailableError, PeerRefusal) as error:
+            # The home finds out by itself that nobody asks for the request any more.
+            logger.info("withdrawal failed", extra={"error": str(error)})
+
     def _ask(self, home: HostState, message: ReserveRequest) -> ReserveReply:
         if home.host_id == self._directory.own.host_id:
             return self._homes.reserve(message)
@@ -160,10 +195,29 @@
                 logger.info("report failed", extra={"error": str(error)})
 
     def announce(self, announcement: Announcement) -> None:
-        """Send the announcement to the home of the endpoint's pool."""
-        home = self._directory.home_of(announcement.service_name, announcement.place)
+        """Send the announcement to the home of the endpoint's pool and its standby.
+
+        Raises PeerUnavailableError or PeerRefusal if the home does not take it.
+        """
+        home, *standbys = self._directory.homes_of(
+            announcement.service_name, announcement.place, HOMES
+        )
+        for standby in standbys:
+            self._process.start_task(self._announce_to_standby, standby, announcement)
+        self._announce_to(home, announcement)
+
+    def _announce_to(self, home: HostState, announcement: Announcement) -> None:
         if home.host_id == self._directory.own.host_id:
             self._homes.announce(announcement)
             return
         client = self._clients.get(home.address)
         client.call(lambda peer: peer.announce(announcement), ANNOUNCE_TIMEOUT)
+
+    def _announce_to_standby(
+        self, standby: HostState, announcement: Announcement
+    ) -> None:
+        try:
+            self._announce_to(standby, announcement)
+        except (PeerUnavailableError, PeerRefusal) as error:
+            extra = {"standby": standby.host_id, "error": str(error)}
+            logger.info("standby not told", extra=extra)
--- a/tests/homes/test_pool.py
+++ b/tests/homes/test_pool.py
@@ -150,6 +150,16 @@
         first = granted(reserve(pool, "a"))
         assert granted(reserve(pool, "a")).grant_id == first.grant_id
 
+    def test_a_withdrawn_request_holds_nothing(self) -> None:
+        """A caller closes while its request waits, and the grant comes just then.
+
+        Nobody hears of the grant, and its slot would be held for nobody.
+        """
+        pool = make_pool("p1", "d1")
+        granted(reserve(pool, "a"))
+        pool.withdraw(ReserveRequest(request_id="a", attempt=1))
+        granted(reserve(pool, "b"))
+
     def test_a_grant_whose_owner_died_is_dropped(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
