Free the engine memory of callers that are gone, also of abandoned attempts

Change: HeldRequest names the endpoint, and an open request knows what it gave up (request, attempt, endpoint). Retries are jittered, none is begun that can't finish before its deadline at the pace seen so far, and what they say of the run covers all attempts. A call with a key to a plain service goes on when its caller goes, since a resend would run it again.

Ruled out: asking for attempts only. A prompt computed by attempt 1 is used by attempt 2, so the same attempt is needed at one engine and not at the other.

--- a/src/jujubeslip/endpoints/__init__.py
+++ b/src/jujubeslip/endpoints/__init__.py
@@ -11,7 +11,7 @@
     EndpointTimeoutError,
     EndpointUnreachableError,
 )
-from jujubeslip.endpoints._http import never_interrupted
+from jujubeslip.endpoints._http import Interrupted, never_interrupted
 from jujubeslip.endpoints._models import (
     CacheEvent,
     EndpointStatus,
@@ -34,6 +34,7 @@
     "EndpointUnreachableError",
     "EngineAdapter",
     "HeldItem",
+    "Interrupted",
     "PlainAnswer",
     "PrefillResult",
     "RequestRef",
--- a/src/jujubeslip/endpoints/_adapter.py
+++ b/src/jujubeslip/endpoints/_adapter.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Iterator, Mapping
+from functools import partial
 from typing import Any
 
 from jujubeslip.endpoints._errors import (
     AnswerCutError,
     EndpointAnswerError,
     EndpointRefusedError,
+    EndpointTimeoutError,
 )
 from jujubeslip.endpoints._http import (
     Call,
     Interrupted,
+    Probe,
     exchange_json,
     never_interrupted,
     parse_object,
@@ -29,6 +33,11 @@
 from jujubeslip.peers import EndpointRole
 
 HTTP_OK = 200
+PROBE_SECONDS = 1.0
+PREFILL_PHASES = frozenset({"queued", "prefill"})
+QUEUED = "queued"
+TRANSFER = "transfer"
+LEAVING = "leaving"
 ROLE_BY_NAME = {
     "prefill": EndpointRole.PREFILL,
     "decode": EndpointRole.DECODE,
@@ -54,13 +63,17 @@
     ) -> PrefillResult:
         """Compute a prompt and return where its KV cache is held."""
         message = {"model": model, "prompt": prompt, "priority": priority}
-        answer = self._ask(ref, "/v1/prefill", message, deadline, traceparent)
-        return PrefillResult(
-            kv_id=str(answer["kv_id"]),
-            prompt_tokens=int(answer["prompt_tokens"]),
-            cached_tokens=int(answer["cached_tokens"]),
-            computed_tokens=int(answer["computed_tokens"]),
-        )
+        probe = partial(self._check_phase, ref, PREFILL_PHASES)
+        answer = self._ask(ref, "/v1/prefill", message, deadline, traceparent, probe)
+        try:
+            return PrefillResult(
+                kv_id=str(answer["kv_id"]),
+                prompt_tokens=int(answer["prompt_tokens"]),
+                cached_tokens=int(answer["cached_tokens"]),
+                computed_tokens=int(answer["computed_tokens"]),
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            raise EndpointAnswerError(f"{self.address}: prefill: {error!r}.") from error
 
     def import_kv(
         self,
@@ -70,11 +83,17 @@
         priority: int,
         deadline: Deadline,
         traceparent: str = "",
+        transfer_limit: float = math.inf,
     ) -> str:
-        """Fetch a KV cache from a prefill engine; return its id at this engine."""
+        """Fetch a KV cache from a prefill engine; return its id at this engine.
+
+        Raises EndpointTimeoutError when the engine has a slot for it and the
+        transfer lasts longer than `transfer_limit` seconds: it has stalled.
+        """
         message = {"source": source, "kv_id": kv_id, "priority": priority}
-        answer = self._ask(ref, "/v1/import", message, deadline, traceparent)
-        return str(answer["kv_id"])
+        probe = _TransferProbe(self, ref, transfer_limit)
+        answer = self._ask(ref, "/v1/import", message, deadline, traceparent, probe)
+        return str(answer.get("kv_id", kv_id))
 
     def decode(
         self,
@@ -124,6 +143,24 @@
             yield str(item["token"])
         raise AnswerCutError(f"{self.address}: the stream ended without its end.")
 
+    def check_new_work(self, incarnation: int, deadline: Deadline) -> None:
+        """Return if this incarnation takes new work, else raise EndpointError."""
+        status = self.status(deadline)
+        if status.leaving or status.incarnation != incarnation:
+            raise EndpointRefusedError(409, LEAVING, may_have_run=False)
+
+    def phase_of(self, ref: RequestRef) -> str:
+        """Return the phase in which the engine holds the attempt, or nothing."""
+        status = EngineAdapter(self.address).status(Deadline.after(PROBE_SECONDS))
+        for item in status.held:
+            if (item.request_id, item.attempt) == (ref.request_id, ref.attempt):
+                return item.phase
+        return ""
+
+    def _check_phase(self, ref: RequestRef, phases: frozenset[str]) -> None:
+        if self.phase_of(ref) not in phases:
+            raise EndpointTimeoutError(f"{self.address}: the answer was lost.")
+
     def cancel(self, request_id: str, attempt: int, deadline: Deadline) -> None:
         """Free everything that is held for an attempt; raises unless acknowledged."""
         ref = RequestRef(request_id, attempt, "")
@@ -166,6 +203,7 @@
         message: Mapping[str, Any],
         deadline: Deadline,
         traceparent: str = "",
+        probe: Probe | None = None,
     ) -> dict[str, Any]:
         status, answer = exchange_json(
             self.address,
@@ -174,6 +212,7 @@
             deadline,
             self._interrupted,
             _head(traceparent),
+            probe,
         )
         if status != HTTP_OK:
             raise _refusal_from(status, answer)
@@ -181,6 +220,30 @@
         return answer
 
 
+class _TransferProbe:
+    """Asks after an import; a transfer that takes too long has stalled."""
+
+    def __init__(
+        self, adapter: EngineAdapter, ref: RequestRef, transfer_limit: float
+    ) -> None:
+        self._adapter = adapter
+        self._ref = ref
+        self._transfer_limit = transfer_limit
+        self._stalled_at: Deadline | None = None
+
+    def __call__(self) -> None:
+        phase = self._adapter.phase_of(self._ref)
+        if phase == QUEUED:
+            return
+        if phase != TRANSFER:
+            address = self._adapter.address
+            raise EndpointTimeoutError(f"{address}: the import's answer was lost.")
+        if self._stalled_at is None:
+            self._stalled_at = Deadline.after(self._transfer_limit)
+        if self._stalled_at.expired:
+            raise EndpointTimeoutError(f"{self._adapter.address}: a transfer stalled.")
+
+
 def _head(traceparent: str) -> dict[str, str]:
     return {"traceparent": traceparent} if traceparent else {}
 
--- a/src/jujubeslip/endpoints/_errors.py
+++ b/src/jujubeslip/endpoints/_errors.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from jujubeslip.kernel import JujubeslipError
+from jujubeslip.kernel import JujubeslipError, Ran
 
 
 class EndpointError(JujubeslipError):
@@ -56,7 +56,14 @@
 
 
 class CallerGoneError(JujubeslipError):
-    """The client closed its connection; what is held for it must be freed."""
+    """The client closed its connection; what is held for it must be freed.
+
+    `ran` says whether the request may have run by then.
+    """
 
     error_id = "caller_gone"
     default_remedy = "None: nobody waits for the answer."
+
+    def __init__(self, message: str, ran: Ran = Ran.NO) -> None:
+        super().__init__(message)
+        self.ran = ran
--- a/src/jujubeslip/endpoints/_http.py
+++ b/src/jujubeslip/endpoints/_http.py
@@ -13,6 +13,7 @@
     AnswerCutError,
     CallerGoneError,
     EndpointAnswerError,
+    EndpointError,
     EndpointTimeoutError,
     EndpointUnreachableError,
 )
@@ -22,9 +23,21 @@
 # How often a wait looks whether the caller is still there, in seconds.
 LOOK_INTERVAL = 0.05
 READ_SIZE = 65536
+# An answer that has begun, or a request on its way out, may not stand still for
+# longer than this, in seconds.
+STALL_SECONDS = 2.0
+SEND_SECONDS = 5.0
+# After this long without an answer the endpoint is asked whether it still works on
+# the attempt, and again each such time.
+PROBE_INTERVAL = 1.5
+# An answer can be on its way while the endpoint says that it holds the attempt no
+# more, and one probe can be lost, so one failed probe alone says nothing.
+FAILED_PROBES = 2
 MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024
 
 Interrupted = Callable[[], bool]
+# Returns if the endpoint still works on the attempt, else raises EndpointError.
+Probe = Callable[[], None]
 
 
 def never_interrupted() -> bool:
@@ -64,7 +77,7 @@
         # http.client forgets its socket when the answer says that it will close.
         sock = self._socket = self._connection.sock
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.settimeout(max(0.001, self._deadline.remaining()))
+        sock.settimeout(self._limited(SEND_SECONDS))
         try:
             self._connection.request(
                 method, path, body, {"Connection": "close", **headers}
@@ -73,9 +86,16 @@
             self.close()
             raise AnswerCutError(f"{self.address}: sending failed: {error}.") from error
 
-    def response(self) -> http.client.HTTPResponse:
-        """Wait for the answer's head."""
-        self._wait_readable()
+    def response(self, probe: Probe | None = None) -> http.client.HTTPResponse:
+        """Wait for the answer's head.
+
+        Nothing tells an answer that takes its time from a connection that something
+        between the hosts has lost track of, which stays silent for good. So `probe`
+        asks over a fresh connection whether there is an answer to wait for.
+        """
+        self._await_answer(probe)
+        assert self._socket is not None
+        self._socket.settimeout(self._limited(STALL_SECONDS))
         try:
             self._response = self._connection.getresponse()
         except (OSError, http.client.HTTPException) as error:
@@ -126,6 +146,29 @@
             yield from whole
             self._wait_readable(silence)
 
+    def _limited(self, seconds: float) -> float:
+        return max(0.001, min(seconds, self._deadline.remaining()))
+
+    def _await_answer(self, probe: Probe | None) -> None:
+        if probe is None:
+            self._wait_readable()
+            return
+        failed = 0
+        while True:
+            try:
+                self._wait_readable(PROBE_INTERVAL)
+                return
+            except EndpointTimeoutError:
+                if self._deadline.expired:
+                    raise
+            try:
+                probe()
+                failed = 0
+            except EndpointError:
+                failed += 1
+                if failed == FAILED_PROBES:
+                    raise
+
     def _wait_readable(self, silence: float | None = None) -> None:
         """Wait for bytes, looking at the deadline and for the caller meanwhile."""
         if self._socket is None or self._socket.fileno() < 0:
@@ -155,6 +198,7 @@
     deadline: Deadline,
     interrupted: Interrupted = never_interrupted,
     headers: Mapping[str, str] | None = None,
+    probe: Probe | None = None,
 ) -> tuple[int, dict[str, Any]]:
     """POST a JSON message, or GET without one; return the status and the answer."""
     call = Call(address, deadline, interrupted)
@@ -164,7 +208,7 @@
         call.send(
             method, path, body, {"Content-Type": "application/json", **(headers or {})}
         )
-        status = call.response().status
+        status = call.response(probe).status
         return status, parse_object(call.read_rest(), address)
     finally:
         call.close()
--- a/src/jujubeslip/endpoints/_plain.py
+++ b/src/jujubeslip/endpoints/_plain.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
-from jujubeslip.endpoints._errors import EndpointAnswerError, EndpointRefusedError
+from functools import partial
+
+from jujubeslip.endpoints._adapter import EngineAdapter
+from jujubeslip.endpoints._errors import (
+    EndpointAnswerError,
+    EndpointRefusedError,
+    EndpointTimeoutError,
+)
 from jujubeslip.endpoints._http import Call, Interrupted
 from jujubeslip.endpoints._models import PlainAnswer, RequestRef
 from jujubeslip.kernel import Deadline
 
+RUNNING = "run"
 HTTP_UNAVAILABLE = 503
 HTTP_SERVER_ERROR = 500
 
@@ -34,7 +42,7 @@
     call = Call(address, deadline, interrupted)
     try:
         call.send("POST", path, body, headers)
-        response = call.response()
+        response = call.response(partial(_check_running, address, ref))
         answer = call.read_rest()
     finally:
         call.close()
@@ -47,3 +55,8 @@
         raise EndpointRefusedError(response.status, "failed", may_have_run=True)
     content_type = response.getheader("Content-Type") or "application/octet-stream"
     return PlainAnswer(response.status, content_type, answer)
+
+
+def _check_running(address: str, ref: RequestRef) -> None:
+    if EngineAdapter(address).phase_of(ref) != RUNNING:
+        raise EndpointTimeoutError(f"{address}: the answer was lost.")
--- a/src/jujubeslip/entry/_process.py
+++ b/src/jujubeslip/entry/_process.py
@@ -28,6 +28,7 @@
     OpenRequests,
     PlainPath,
     RequestService,
+    RetryPolicy,
 )
 from jujubeslip.routing import (
     ClientLimits,
@@ -113,16 +114,16 @@
         return LocalRouter(self._directory, self._clients, self._homes, policy)
 
     def _build_app(self) -> HttpApp:
-        budgets = RetryBudgets()
-        canceller = Canceller(self._process)
+        retries = RetryPolicy(RetryBudgets(), self._meters)
+        canceller = Canceller(self._process, self._open_requests)
         service = RequestService(
             self._owner,
             self._settings.availability_zone,
             lambda: self._configuration.declaration,
             self._router,
             ClientLimits(lambda: len(self._directory.live_hosts())),
-            ModelPath(self._owner, self._router, canceller, budgets, self._meters),
-            PlainPath(self._owner, self._router, budgets, self._meters),
+            ModelPath(self._owner, self._router, canceller, retries, self._meters),
+            PlainPath(self._owner, self._router, retries),
             KeeperKeys(self._directory, self._clients, self._keeper),
             ControlKeys(self._control),
         )
--- a/src/jujubeslip/homes/_homes.py
+++ b/src/jujubeslip/homes/_homes.py
@@ -79,7 +79,7 @@
 
     def _track(self, tracker: EndpointTracker, tracked: tuple[str, int]) -> None:
         try:
-            tracker.step()
+            tracker.step(self._process)
             tracker.run(self._process)
         finally:
             with self._lock:
--- a/src/jujubeslip/homes/_tracker.py
+++ b/src/jujubeslip/homes/_tracker.py
@@ -6,6 +6,7 @@
 import time
 from collections import defaultdict
 from collections.abc import Sequence
+from concurrent.futures import Future
 
 from jujubeslip.endpoints import (
     EndpointError,
@@ -48,6 +49,7 @@
         self._clients = clients
         self._sweeps = sweeps
         self._next_sweep = Deadline.after(0)
+        self._sweep_task: Future[None] | None = None
         self._next_event = 0
 
     def run(self, process: Process) -> None:
@@ -55,10 +57,10 @@
         while not process.stopped.wait(STATUS_INTERVAL):
             if self._record.announced_until.expired:
                 break
-            self.step()
+            self.step(process)
         self._pool.forget(self._record)
 
-    def step(self) -> None:
+    def step(self, process: Process) -> None:
         """Ask once; an endpoint that doesn't answer is used no more when it's due."""
         asked_at = time.monotonic()
         adapter = EngineAdapter(self._record.announcement.address)
@@ -75,9 +77,7 @@
             return
         self._pool.observe(self._record.endpoint_id, status, asked_at)
         self._read_events(adapter, status)
-        if self._sweeps and self._next_sweep.expired:
-            self._next_sweep = Deadline.after(SWEEP_INTERVAL)
-            self._sweep(adapter, status)
+        self._start_sweep(process, adapter, status)
 
     def _read_events(self, adapter: EngineAdapter, status: EndpointStatus) -> None:
         if status.role != EndpointRole.PREFILL:
@@ -89,6 +89,21 @@
             return
         self._pool.note_events(self._record.endpoint_id, events)
 
+    def _start_sweep(
+        self, process: Process, adapter: EngineAdapter, status: EndpointStatus
+    ) -> None:
+        """Sweep in a task of its own, one at a time.
+
+        An owner that is cut off or frozen answers late. If the tracker waited for
+        it, the endpoint's status would age beyond its lifetime, and the endpoint
+        would be lost to every other entry host.
+        """
+        running = self._sweep_task is not None and not self._sweep_task.done()
+        if not self._sweeps or running or not self._next_sweep.expired:
+            return
+        self._next_sweep = Deadline.after(SWEEP_INTERVAL)
+        self._sweep_task = process.start_task(self._sweep, adapter, status)
+
     def _sweep(self, adapter: EngineAdapter, status: EndpointStatus) -> None:
         """Free what the engine holds for entry processes that serve it no more.
 
@@ -105,7 +120,10 @@
                 self._cancel(adapter, request)
 
     def _orphans(self, owner: str, items: Sequence[HeldItem]) -> list[HeldRequest]:
-        requests = [HeldRequest(item.request_id, item.attempt) for item in items]
+        endpoint_id = self._record.endpoint_id
+        requests = [
+            HeldRequest(item.request_id, item.attempt, endpoint_id) for item in items
+        ]
         host_id, _, incarnation_text = owner.rpartition("/")
         if not host_id or not incarnation_text.isdigit():
             return []
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -1339,13 +1339,15 @@
     Attributes:
      - request_id
      - attempt
+     - endpoint_id
 
     """
 
 
-    def __init__(self, request_id=None, attempt=None,):
+    def __init__(self, request_id=None, attempt=None, endpoint_id=None,):
         self.request_id = request_id
         self.attempt = attempt
+        self.endpoint_id = endpoint_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1366,6 +1368,11 @@
                     self.attempt = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1384,6 +1391,10 @@
             oprot.writeFieldBegin('attempt', TType.I32, 2)
             oprot.writeI32(self.attempt)
             oprot.writeFieldEnd()
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 3)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4337,6 +4348,7 @@
     None,  # 0
     (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
     (2, TType.I32, 'attempt', None, None, ),  # 2
+    (3, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 3
 )
 all_structs.append(KeyClaim)
 KeyClaim.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -140,6 +140,7 @@
 struct HeldRequest {
   1: string request_id,
   2: i32 attempt,
+  3: string endpoint_id,
 }
 
 struct KeyClaim {
--- a/src/jujubeslip/requests/__init__.py
+++ b/src/jujubeslip/requests/__init__.py
@@ -10,6 +10,7 @@
 from jujubeslip.requests._open_requests import OpenRequests
 from jujubeslip.requests._parse import parse_request
 from jujubeslip.requests._plain_path import PlainPath
+from jujubeslip.requests._retries import RetryPolicy
 from jujubeslip.requests._service import RequestService
 
 __all__ = [
@@ -26,6 +27,7 @@
     "PlainServiceAnswer",
     "RequestContext",
     "RequestService",
+    "RetryPolicy",
     "authenticate",
     "parse_request",
     "require_secret",
--- a/src/jujubeslip/requests/_plain_path.py
+++ b/src/jujubeslip/requests/_plain_path.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import logging
 from functools import partial
 
 from jujubeslip.endpoints import (
+    CallerGoneError,
     EndpointError,
+    Interrupted,
     PlainAnswer,
     RequestRef,
     call_plain_service,
@@ -16,34 +17,27 @@
 from jujubeslip.peers import GrantProgress
 from jujubeslip.requests._answers import PlainServiceAnswer
 from jujubeslip.requests._models import RequestContext
-from jujubeslip.routing import Reservation, ReservationRequest, RetryBudgets, Router
-from jujubeslip.telemetry import Meters, tracer
-
-logger = logging.getLogger(__name__)
-
-MINIMUM_RETRY_SECONDS = 0.1
+from jujubeslip.requests._retries import RetryPolicy, with_ran
+from jujubeslip.routing import Reservation, ReservationRequest, Router
+from jujubeslip.telemetry import tracer
 
 
 class PlainPath:
     """Runs one request at a plain service; at most once if it is not repeatable."""
 
-    def __init__(
-        self, owner: str, router: Router, budgets: RetryBudgets, meters: Meters
-    ) -> None:
+    def __init__(self, owner: str, router: Router, retries: RetryPolicy) -> None:
         self._owner = owner
         self._router = router
-        self._budgets = budgets
-        self._meters = meters
+        self._retries = retries
 
     def answer(self, context: RequestContext) -> PlainServiceAnswer:
         """Return the service's answer whole, or raise RequestRefusedError."""
-        service = context.request.service
-        self._budgets.note_request(service.name, service.retry_budget_share)
+        self._retries.note_request(context)
         attempt = 1
         avoid: tuple[str, ...] = ()
         ran = Ran.NO
         while True:
-            reservation = self._reserve(context, attempt, avoid)
+            reservation = self._reserve(context, attempt, avoid, ran)
             failed = ""
             whole = False
             try:
@@ -55,14 +49,17 @@
             except EndpointError as error:
                 failed = reservation.grant.decode.endpoint_id
                 ran = Ran.UNKNOWN if error.may_have_run else ran
-                self._check_retry(context, error, ran)
+                self._retries.allow_retry(context, attempt, error, ran)
+            except CallerGoneError as error:
+                raise CallerGoneError(error.message, Ran.UNKNOWN) from error
             finally:
                 self._release(reservation, failed, whole)
             avoid = (*avoid, failed)
             attempt += 1
+            self._retries.pause(context, attempt)
 
     def _reserve(
-        self, context: RequestContext, attempt: int, avoid: tuple[str, ...]
+        self, context: RequestContext, attempt: int, avoid: tuple[str, ...], ran: Ran
     ) -> Reservation:
         wish = ReservationRequest(
             request_id=context.request.request_id,
@@ -77,8 +74,13 @@
             avoid_endpoint_ids=avoid,
             plain=True,
         )
-        with tracer().start_as_current_span("reserve"):
-            return self._router.reserve(wish, context.interrupted)
+        try:
+            with tracer().start_as_current_span("reserve"):
+                return self._router.reserve(wish, context.interrupted)
+        except RequestRefusedError as refusal:
+            raise with_ran(refusal, ran) from refusal
+        except CallerGoneError as error:
+            raise CallerGoneError(error.message, ran) from error
 
     def _call(
         self, context: RequestContext, attempt: int, reservation: Reservation
@@ -93,39 +95,26 @@
             request.body,
             request.idempotency_key,
             context.end_by,
-            context.interrupted if request.repeatable else never_interrupted,
+            _interruption(context),
         )
         with tracer().start_as_current_span("call") as span:
             span.set_attribute("endpoint", endpoint.endpoint_id)
             return call()
 
-    def _check_retry(
-        self, context: RequestContext, error: EndpointError, ran: Ran
-    ) -> None:
-        request = context.request
-        extra = {"request_id": request.request_id, "error": str(error)}
-        logger.info("attempt failed", extra=extra)
-        if ran is Ran.UNKNOWN and not request.repeatable:
-            raise _failed(error, ran, "it is not repeatable") from error
-        if context.end_by.remaining() < MINIMUM_RETRY_SECONDS:
-            raise _failed(error, ran, "its deadline is near") from error
-        if not self._budgets.take(request.service.name):
-            raise _failed(error, ran, "the retry budget is spent") from error
-        self._meters.retries.add(
-            1, {"service": request.service.name, "cause": error.error_id}
-        )
-
     def _release(self, reservation: Reservation, failed: str, whole: bool) -> None:
         grant_id = reservation.grant.grant_id
         progress = GrantProgress(grant_id, False, False, True, 0, int(whole), failed)
         self._router.report(reservation, progress)
 
 
-def _failed(error: EndpointError, ran: Ran, reason: str) -> RequestRefusedError:
-    return RequestRefusedError(
-        error.error_id,
-        f"The request ended without an answer, and {reason}: {error.message}",
-        status=502,
-        ran=ran,
-        retry_after=1.0 if ran is Ran.NO else None,
-    )
+def _interruption(context: RequestContext) -> Interrupted:
+    """Return what ends the call early.
+
+    A call with an Idempotency-Key goes on when its caller goes: the service has
+    begun, and the caller's resend gets the recorded answer. If it ended with its
+    caller, the resend would run the request a second time.
+    """
+    request = context.request
+    if request.idempotency_key or not request.repeatable:
+        return never_interrupted
+    return context.interrupted
--- a/src/jujubeslip/requests/_service.py
+++ b/src/jujubeslip/requests/_service.py
@@ -196,9 +196,9 @@
 
 
 def _surely_not_run(error: BaseException) -> bool:
-    if isinstance(error, CallerGoneError):
-        return True
-    return isinstance(error, RequestRefusedError) and error.ran is Ran.NO
+    if not isinstance(error, CallerGoneError | RequestRefusedError):
+        return False
+    return error.ran is Ran.NO
 
 
 def _replay(answer: Answer) -> Iterator[Step]:
--- /dev/null
+++ b/tests/requests/test_held_memory.py
@@ -0,0 +1,241 @@
+"""No engine memory stays held for callers that are gone."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from tests.fakes.cluster import Cluster
+from tests.fakes.processes import wait_until
+from tests.fakes.scenarios import model_endpoints, small_system
+from tests.requests.support import (
+    DECODE_GATE_TOKENS,
+    PATIENT_DECLARATION,
+    PHASES,
+    assert_whole,
+    heal,
+    held_phases,
+    in_background,
+    open_call,
+    pause,
+    read_tokens,
+    resume,
+    wait_held,
+    wait_in_phase,
+    wait_not_held,
+)
+
+DECODES = ("decode-1", "decode-2")
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cluster]:
+    spec = small_system(
+        model_endpoints(prefills=2, decodes=2),
+        entries=3,
+        declaration=PATIENT_DECLARATION,
+        hops=frozenset(("*", name) for name in DECODES),
+    )
+    with Cluster(spec, tmp_path_factory.mktemp("held")) as cluster:
+        yield cluster
+
+
+@pytest.fixture
+def hosts(cluster: Cluster) -> tuple[str, str, str]:
+    """Return the home of the engines and the two other entry hosts."""
+    home = cluster.home_id(cluster.spec.endpoints[0])
+    first, second = (host for host in cluster.entry_ids if host != home)
+    return home, first, second
+
+
+@pytest.fixture(autouse=True)
+def _healed(cluster: Cluster) -> Iterator[None]:
+    yield
+    heal(cluster)
+
+
+class TestClientThatCloses:
+    """A caller hangs up while its request is in some phase.
+
+    Its entry host sees the close while it waits for the engine, cancels the attempt,
+    and the engine frees the memory; without that the engine holds it for good. The
+    request of a caller that waits in the same phase is left alone.
+    """
+
+    @pytest.mark.parametrize("phase", PHASES)
+    def test_frees_the_memory_in_each_phase(
+        self, cluster: Cluster, hosts: tuple[str, str, str], phase: str
+    ) -> None:
+        _, entry, other = hosts
+        gone, living = f"gone-{phase}", f"living-{phase}"
+        pause(cluster, phase)
+        going = open_call(cluster, entry, gone)
+        wait_in_phase(cluster, gone, phase)
+        staying = in_background(open_call(cluster, other, living).answer)
+        wait_held(cluster, living)
+        if phase == "decode":
+            read_tokens(going.events(), DECODE_GATE_TOKENS)
+        going.close()
+        wait_not_held(cluster, gone)
+        assert held_phases(cluster, living)
+        resume(cluster, phase)
+        assert_whole(staying.result())
+        cluster.wait_nothing_held()
+
+    def test_frees_what_waits_in_the_queue(
+        self, cluster: Cluster, hosts: tuple[str, str, str]
+    ) -> None:
+        _, entry, other = hosts
+        pause(cluster, "prefill")
+        ahead = [
+            in_background(open_call(cluster, other, f"ahead-{number}").answer)
+            for number in range(10)
+        ]
+        wait_until(lambda: _queued(cluster) > 0, "requests wait at the home")
+        queued = open_call(cluster, entry, "queued")
+        wait_until(lambda: _open_requests(cluster, entry) == 1, "the request is open")
+        queued.close()
+        wait_until(lambda: _open_requests(cluster, entry) == 0, "the request is closed")
+        wait_not_held(cluster, "queued")
+        resume(cluster, "prefill")
+        for future in ahead:
+            assert_whole(future.result())
+        cluster.wait_nothing_held()
+        assert held_phases(cluster, "queued") == []
+
+
+class TestEntryHostThatIsKilled:
+    """An entry host is killed with -9 while it serves a request.
+
+    It can't cancel any more, so its callers' requests would hold engine memory for
+    good. The home finds them in the engine's own list, asks after their owner, and
+    cancels what the dead incarnation owned. If the home dies too, the next home does.
+    """
+
+    @pytest.mark.parametrize("phase", PHASES)
+    def test_is_swept_in_each_phase(
+        self, cluster: Cluster, hosts: tuple[str, str, str], phase: str
+    ) -> None:
+        _, entry, other = hosts
+        self._check(cluster, phase, entry, other, (entry,))
+
+    @pytest.mark.parametrize("phase", PHASES)
+    def test_is_swept_when_the_home_dies_too(
+        self, cluster: Cluster, hosts: tuple[str, str, str], phase: str
+    ) -> None:
+        home, entry, other = hosts
+        self._check(cluster, phase, entry, other, (entry, home))
+
+    def _check(
+        self,
+        cluster: Cluster,
+        phase: str,
+        entry: str,
+        other: str,
+        killed: tuple[str, ...],
+    ) -> None:
+        gone, living = f"killed-{phase}", f"spared-{phase}"
+        pause(cluster, phase)
+        going = open_call(cluster, entry, gone)
+        wait_in_phase(cluster, gone, phase)
+        staying = in_background(open_call(cluster, other, living).answer)
+        wait_held(cluster, living)
+        for host in killed:
+            cluster.process_by_name[host].kill()
+        wait_not_held(cluster, gone)
+        assert held_phases(cluster, living)
+        resume(cluster, phase)
+        assert_whole(staying.result())
+        going.close()
+        cluster.wait_nothing_held()
+
+
+class TestEngineThatMissesTheCancel:
+    """A cancel does not reach the engine, or has no effect there.
+
+    The caller has gone and the entry host has cancelled, but the engine took no
+    notice, or was cut off by the network just then. The sweep sees the request in
+    the engine's list and asks again until it is gone.
+    """
+
+    def test_is_asked_again(
+        self, cluster: Cluster, hosts: tuple[str, str, str]
+    ) -> None:
+        _, entry, _ = hosts
+        pause(cluster, "decode")
+        call = open_call(cluster, entry, "ignored")
+        read_tokens(call.events(), DECODE_GATE_TOKENS)
+        for name in DECODES:
+            cluster.order_faults(name, ignore_cancel=3)
+        call.close()
+        wait_not_held(cluster, "ignored")
+        for name in DECODES:
+            cluster.order_faults(name, ignore_cancel=0)
+        resume(cluster, "decode")
+
+    def test_is_swept_when_it_comes_back_from_a_cut(
+        self, cluster: Cluster, hosts: tuple[str, str, str]
+    ) -> None:
+        _, entry, _ = hosts
+        pause(cluster, "decode")
+        call = open_call(cluster, entry, "cut")
+        read_tokens(call.events(), DECODE_GATE_TOKENS)
+        proxies = [cluster.proxy_by_hop[("*", name)] for name in DECODES]
+        for proxy in proxies:
+            proxy.cut()
+        cluster.process_by_name[entry].kill()
+        call.close()
+        assert "decode" in held_phases(cluster, "cut")
+        for proxy in proxies:
+            proxy.heal()
+        wait_not_held(cluster, "cut")
+
+
+class TestAbandonedAttempt:
+    """An engine ignores the cancel of an attempt whose request goes on elsewhere.
+
+    The first decode engine breaks the stream, the request is resumed on the second.
+    The request's owner lives and serves it still, so a sweep that asked only for the
+    request would leave the first attempt's memory held until the request ends.
+    """
+
+    def test_is_swept_while_the_request_goes_on(
+        self, cluster: Cluster, hosts: tuple[str, str, str]
+    ) -> None:
+        _, entry, _ = hosts
+        pause(cluster, "decode")
+        call = open_call(cluster, entry, "moved")
+        events = call.events()
+        tokens = read_tokens(events, DECODE_GATE_TOKENS)
+        (first,) = (
+            name
+            for name in DECODES
+            if any(item["phase"] == "decode" for item in cluster.held(name))
+        )
+        cluster.order_faults(first, ignore_cancel=3)
+        cluster.proxy_by_hop[("*", first)].reset()
+        (second,) = (name for name in DECODES if name != first)
+        wait_until(
+            lambda: any(
+                item["attempt"] == 2 and item["phase"] == "decode"
+                for item in cluster.held(second)
+            ),
+            "the second engine decodes",
+        )
+        wait_until(lambda: not cluster.held(first), "the first engine holds nothing")
+        cluster.order_faults(first, ignore_cancel=0)
+        resume(cluster, "decode")
+        tokens += [item.fields["token"] for item in events if item.name == "token"]
+        call.close()
+        assert len(tokens) == 8
+        cluster.wait_nothing_held()
+
+
+def _open_requests(cluster: Cluster, entry_id: str) -> int:
+    return int(cluster.entry_status(entry_id).open_requests)
+
+
+def _queued(cluster: Cluster) -> int:
+    home = cluster.home_id(cluster.spec.endpoints[0])
+    return sum(pool.queued for pool in cluster.entry_status(home).pools)
