--- a/src/jujubeslip/entry/_process.py
+++ b/src/jujubeslip/entry/_process.py
@@ -85,7 +85,7 @@
         self._keeper = KeyKeeper(self._directory)
         self._http = HttpServer(settings, self._build_app())
         self._peers = PeerServer(
-            settings.peer_address,
+            settings.peer_listen_address or settings.peer_address,
             EntryPeer.Processor,
             self._build_peer_handler(),
             settings.peer_secret,
--- a/src/jujubeslip/kernel/_settings.py
+++ b/src/jujubeslip/kernel/_settings.py
@@ -93,6 +93,8 @@
     """Secret of all processes of the system, and of operators."""
     endpoint_secret: Annotated[str, Field(min_length=8)]
     """Secret that endpoints announce themselves with."""
+    peer_listen_address: Address | None = None
+    """Where it listens for them, if that differs, as behind address translation."""
     entry_peers: tuple[PeerAddress, ...] = ()
     """Some other entry hosts; the rest is learned from them."""
     control_peers: tuple[PeerAddress, ...] = ()
--- a/tests/fakes/cluster.py
+++ b/tests/fakes/cluster.py
@@ -71,7 +71,8 @@
 
     `hops` puts a fault proxy on the way from one process to another: ("entry-1",
     "control-2"), ("control-1", "control-2"), ("entry-1", "entry-2") for the address
-    in the settings, ("client", "entry-1"), or ("*", "engine-1") in front of an
+    in the settings, ("*", "entry-1") for all that other processes of the system call
+    it by, ("client", "entry-1"), or ("*", "engine-1") in front of an
     endpoint, whose announced address is then the proxy's.
     """
 
@@ -164,7 +165,10 @@
             "availability_zone": self.spec.entry_zones[self.entry_ids.index(host_id)],
             "region": self.spec.region,
             "http_address": self.http_address_by_id[host_id],
-            "peer_address": self.peer_address_by_id[host_id],
+            "peer_address": self._address_for(
+                "*", host_id, self.peer_address_by_id[host_id]
+            ),
+            "peer_listen_address": self.peer_address_by_id[host_id],
             "peer_secret": PEER_SECRET,
             "endpoint_secret": ENDPOINT_SECRET,
             **self.spec.entry_options,
@@ -351,13 +355,18 @@
             {
                 "host_id": other,
                 "address": self._address_for(
-                    host_id, other, self.peer_address_by_id[other]
+                    self._hop_source(host_id, other),
+                    other,
+                    self.peer_address_by_id[other],
                 ),
             }
             for other in others
             if include_self or other != host_id
         ]
 
+    def _hop_source(self, source: str, target: str) -> str:
+        return "*" if ("*", target) in self.spec.hops else source
+
     def _address_for(self, source: str, target: str, address: str) -> str:
         """Return the target's address, or that of the proxy on the hop to it."""
         hop = (source, target)
