Finish every answer at a planned stop; let an operator abandon one

Cause: a request counted as ended before the HTTP library had written the end of its answer, so a stopping entry host could exit in between and cut the last answer off. SIGTERM between the first request and `run` ended the process at once (-15, seen once in tests/packaging). The signal handler set an event, whose lock the main thread may hold, so the process could wait for itself. Closing the listening socket reset who had connected already. A stop could only wait for the longest answer, or be killed.

Change: the server waits for its serving threads as well as for unsent bytes; signals are caught before anything listens, and noted without a lock; who has connected is accepted and told "not run". For that, an interrupted prefill counts as one that may have run; before, a caller's close during prefill let the claim of its key be freed. A request that is granted just as it is interrupted is not sent. A plain call that may not be repeated ends by `abandon` only, never by its caller.

Ruled out: to let the abandoning host exit after a pause; callers would read a cut connection and not know whether their requests ran.

Before and after, by taking a part out: threads not waited for, TestLastBytes fails; listening not stopped, the new connections go on for 12 s; interrupted prefill not counted, a request that ran is told "no"; no look before a plain call, the waiting confirmation is sent and told "unknown".

Taking out the wait for open requests alone shows no failure, since the wait for serving threads covers it for 10 s; no test stays open longer than that. An engine's SIGTERM was missed once by the stand-in, which waited without a bound; it looks for it now.

--- a/src/jujubeslip/cli/_status_commands.py
+++ b/src/jujubeslip/cli/_status_commands.py
@@ -16,11 +16,13 @@
     secret_option,
 )
 from jujubeslip.cli._output import exit_refused, print_fields, thrift_fields
-from jujubeslip.kernel import JujubeslipError
-from jujubeslip.peers import PeerRefusal
+from jujubeslip.kernel import Deadline, JujubeslipError
+from jujubeslip.peers import PeerClient, PeerRefusal
 
 TIMEOUT = 2.0
 LOOK_INTERVAL = 0.5
+ABANDON_INTERVAL = 0.05
+NOT_STOPPING = "not_stopping"
 
 
 @click.command()
@@ -60,11 +62,22 @@
 @click.option(
     "--entry", required=True, type=ADDRESS, help="Its peer address, to watch it."
 )
+@click.option(
+    "--abandon",
+    is_flag=True,
+    help="Do not wait for what is in flight: end it, and tell each client whether "
+    "its request may have run.",
+)
 @secret_option
-def drain(pid: int, entry: str, peer_secret: str) -> None:
+def drain(pid: int, entry: str, abandon: bool, peer_secret: str) -> None:
     """Stop an entry host on this machine gracefully; show what is still open."""
-    os.kill(pid, signal.SIGTERM)
+    try:
+        os.kill(pid, signal.SIGTERM)
+    except OSError as error:
+        raise click.UsageError(f"No signal reached process {pid}: {error}.") from error
     client = open_entry(entry, peer_secret)
+    if abandon:
+        _abandon(client)
     while True:
         try:
             answer = client.call(lambda peer: peer.status(), TIMEOUT)
@@ -75,3 +88,21 @@
             exit_refused(error)
         click.echo(f"open requests: {answer.open_requests}")
         time.sleep(LOOK_INTERVAL)
+
+
+def _abandon(client: PeerClient) -> None:
+    """End what is in flight, once the host has taken notice of the signal."""
+    deadline = Deadline.after(TIMEOUT)
+    while True:
+        try:
+            count = client.call(lambda peer: peer.abandon(), TIMEOUT)
+        except PeerRefusal as error:
+            if error.error_id != NOT_STOPPING or deadline.expired:
+                exit_refused(error)
+            time.sleep(ABANDON_INTERVAL)
+            continue
+        except JujubeslipError:
+            # It has stopped by itself.
+            return
+        click.echo(f"abandoned requests: {count}")
+        return
--- a/src/jujubeslip/entry/_client_call.py
+++ b/src/jujubeslip/entry/_client_call.py
@@ -21,7 +21,7 @@
     refuse,
     start_answer,
 )
-from jujubeslip.kernel import RequestRefusedError
+from jujubeslip.kernel import Ran, RequestRefusedError
 from jujubeslip.requests import (
     ClientRequest,
     OpenRequests,
@@ -33,15 +33,22 @@
 
 logger = logging.getLogger(__name__)
 
+RETRY_SECONDS = 1.0
+
 
 @dataclass(frozen=True)
 class CallServices:
-    """What every call needs; `places` bounds how many are served at a time."""
+    """What every call needs.
+
+    `places` bounds how many are served at a time; `abandoning` is set when an operator
+    ends the stop of the process early.
+    """
 
     service: RequestService
     open_requests: OpenRequests
     meters: Meters
     places: threading.Semaphore
+    abandoning: threading.Event
 
 
 class ClientCall:
@@ -52,7 +59,7 @@
     ) -> None:
         self._services = services
         self._request = request
-        self._interrupted = environ.get("waitress.client_disconnected", lambda: False)
+        self._gone = environ.get("waitress.client_disconnected", lambda: False)
         self._traceparent = environ.get("HTTP_TRACEPARENT", "")
         self._stack = ExitStack()
         self._started = time.monotonic()
@@ -63,7 +70,9 @@
         """Return the answer's body; a refusal before the first token has a status."""
         try:
             self._open()
-            context = self._services.service.decide(self._request, self._interrupted)
+            context = self._services.service.decide(
+                self._request, self._interrupted, self._services.abandoning.is_set
+            )
             self._rule_name = context.rule_name
             steps = self._services.service.steps(context)
             self._stack.callback(steps.close)  # type: ignore[attr-defined]
@@ -72,14 +81,40 @@
             self._note_refusal(refusal)
             self._close()
             return refuse(start_response, refusal, self._request.request_id)
-        except CallerGoneError:
+        except CallerGoneError as error:
             self._close()
-            return json_answer(start_response, 503, {})
+            return self._refuse_abandoned(start_response, error)
         except BaseException:
             self._close()
             raise
         return self._body(start_response, context, first, steps)
 
+    def _interrupted(self) -> bool:
+        return self._services.abandoning.is_set() or bool(self._gone())
+
+    def _refuse_abandoned(
+        self, start_response: StartResponse, error: CallerGoneError
+    ) -> Iterable[bytes]:
+        refusal = self._abandoned(error)
+        return refuse(start_response, refusal, self._request.request_id)
+
+    def _abandoned(self, error: CallerGoneError) -> RequestRefusedError:
+        """Return what became of a request that an operator abandoned.
+
+        A client that closed its connection itself reads it no more.
+        """
+        refusal = _abandoned_refusal(error.ran)
+        if self._services.abandoning.is_set():
+            self._note_refusal(refusal)
+        return refusal
+
+    def _until_abandoned(self, steps: Iterator[object]) -> Iterator[object]:
+        """Yield the steps; tokens that come fast leave no wait in which to look."""
+        for step in steps:
+            if self._services.abandoning.is_set():
+                raise CallerGoneError("The request was abandoned.", Ran.UNKNOWN)
+            yield step
+
     def _open(self) -> None:
         if not self._services.places.acquire(blocking=False):
             raise RequestRefusedError(
@@ -125,12 +160,13 @@
         headers: list[tuple[str, str]],
     ) -> Iterable[bytes]:
         try:
-            tokens = [str(first), *(str(step) for step in steps)]
+            rest = self._until_abandoned(steps)
+            tokens = [str(first), *(str(step) for step in rest)]
         except RequestRefusedError as refusal:
             self._note_refusal(refusal)
             return refuse(start_response, refusal, self._request.request_id)
-        except CallerGoneError:
-            return json_answer(start_response, 503, {})
+        except CallerGoneError as error:
+            return self._refuse_abandoned(start_response, error)
         else:
             self._outcome = "whole"
             body = {
@@ -149,14 +185,16 @@
             if first is not None:
                 yield event("token", {"index": 0, "token": str(first)})
                 count = 1
-            for step in steps:
+            for step in self._until_abandoned(steps):
                 yield event("token", {"index": count, "token": str(step)})
                 count += 1
         except RequestRefusedError as refusal:
             self._note_refusal(refusal)
             yield event("error", refusal_fields(refusal, self._request.request_id))
             return
-        except CallerGoneError:
+        except CallerGoneError as error:
+            told = self._abandoned(error)
+            yield event("error", refusal_fields(told, self._request.request_id))
             return
         self._outcome = "whole"
         self._note_gaps(count)
@@ -207,6 +245,21 @@
         )
 
 
+def _abandoned_refusal(ran: Ran) -> RequestRefusedError:
+    not_run = ran is Ran.NO
+    return RequestRefusedError(
+        "abandoned",
+        "An operator ended the stop of this entry host before the answer was whole.",
+        ran=ran,
+        retry_after=RETRY_SECONDS if not_run else None,
+        remedy=(
+            "Send the request again, to another entry host."
+            if not_run
+            else "It may have run: send it again only if it may be repeated."
+        ),
+    )
+
+
 class _Stream:
     """An event stream whose close, by either end, frees what the request holds."""
 
--- a/src/jujubeslip/entry/_http_app.py
+++ b/src/jujubeslip/entry/_http_app.py
@@ -47,7 +47,11 @@
         self._announcements = AnnouncementReceiver(settings, configuration, router)
         places = max(1, settings.http_threads - settings.reserved_threads)
         self._services = CallServices(
-            service, open_requests, meters, threading.Semaphore(places)
+            service,
+            open_requests,
+            meters,
+            threading.Semaphore(places),
+            process.abandoning,
         )
 
     def __call__(
--- a/src/jujubeslip/entry/_http_server.py
+++ b/src/jujubeslip/entry/_http_server.py
@@ -17,6 +17,9 @@
 MAXIMUM_HEADER_BYTES = 32_768
 FLUSH_SECONDS = 10.0
 FLUSH_LOOK_INTERVAL = 0.02
+# No call is served and no byte is unsent.
+FLUSHED = (0, 0)
+MAXIMUM_BACKLOG = 1024
 
 
 class HttpServer:
@@ -51,27 +54,44 @@
 
     def stop_listening(self) -> None:
         """Close the listening socket in the server's own task; connections go on."""
-        self._server.trigger.pull_trigger(
-            lambda: wasyncore.dispatcher.close(self._server)
-        )
+        self._server.trigger.pull_trigger(self._close_listener)
+
+    def _close_listener(self) -> None:
+        """Accept who has connected already, then close.
+
+        Closing resets the connections that wait to be accepted, and their clients
+        can't know whether their requests ran. Accepted, they are told "not run".
+        """
+        for _ in range(MAXIMUM_BACKLOG):
+            before = len(self._server.active_channels)
+            self._server.handle_accept()
+            if len(self._server.active_channels) == before:
+                break
+        wasyncore.dispatcher.close(self._server)
 
     def wait_until_flushed(self) -> None:
         """Wait until every answer has left for its client.
 
-        A client that takes nothing for FLUSH_SECONDS is not waited for any longer.
+        A request counts as ended before the server has written the end of its answer,
+        so the threads that serve calls are waited for too: a process that exits
+        earlier cuts the last answers off. A client that takes nothing for
+        FLUSH_SECONDS is not waited for any longer.
         """
         limit = Deadline.after(FLUSH_SECONDS)
-        left = self._unsent_bytes()
-        while left and not limit.expired:
+        left = self._unfinished()
+        while left != FLUSHED and not limit.expired:
             time.sleep(FLUSH_LOOK_INTERVAL)
-            now = self._unsent_bytes()
+            now = self._unfinished()
             if now < left:
                 limit = Deadline.after(FLUSH_SECONDS)
             left = now
 
-    def _unsent_bytes(self) -> int:
+    def _unfinished(self) -> tuple[int, int]:
+        """Return how many calls are not served to their end, and the unsent bytes."""
+        dispatcher = self._server.task_dispatcher
+        calls = dispatcher.active_count + len(dispatcher.queue)
         channels = list(self._server.active_channels.values())
-        return sum(channel.total_outbufs_len for channel in channels)
+        return calls, sum(channel.total_outbufs_len for channel in channels)
 
     def _close_slow_senders(self) -> None:
         """Close connections whose request is not whole after the receive timeout.
--- a/src/jujubeslip/entry/_peer_handler.py
+++ b/src/jujubeslip/entry/_peer_handler.py
@@ -15,6 +15,7 @@
     HeldRequest,
     KeyClaim,
     KeyReply,
+    PeerRefusal,
     ReserveReply,
     ReserveRequest,
 )
@@ -86,6 +87,21 @@
         """Return the configuration in force here."""
         return self._configuration.configuration
 
+    def abandon(self) -> int:
+        """End what a stopping host still serves; return how many requests that were.
+
+        Only an operator asks for it, when an answer takes longer than the stop may.
+        """
+        if not self._process.stopping.is_set():
+            raise PeerRefusal(
+                "not_stopping",
+                "This entry host is not stopping, so it abandons nothing.",
+                "Stop it with `jujubeslip drain`, then abandon what is left.",
+                0,
+            )
+        self._process.abandoning.set()
+        return self._open_requests.count
+
     def status(self) -> EntryStatus:
         """Return this host's account of itself, for operators."""
         own = self._directory.own
--- a/src/jujubeslip/entry/_process.py
+++ b/src/jujubeslip/entry/_process.py
@@ -150,6 +150,7 @@
 
     def run(self) -> None:
         """Serve until SIGTERM, then finish what is open and exit with status 0."""
+        self._process.catch_signals()
         self._peers.start()
         self._gossip.start(self._process)
         self._configuration.start(self._process)
--- a/src/jujubeslip/kernel/_lifecycle.py
+++ b/src/jujubeslip/kernel/_lifecycle.py
@@ -13,6 +13,8 @@
 logger = logging.getLogger(__name__)
 
 MAXIMUM_TASKS = 1024
+# How soon a signal is acted on, in seconds.
+SIGNAL_LOOK_INTERVAL = 0.1
 
 
 def new_incarnation() -> int:
@@ -33,7 +35,10 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.stopping = threading.Event()
+        # Set by an operator who ends a stop before what is in flight has finished.
+        self.abandoning = threading.Event()
         self.stopped = threading.Event()
+        self._signalled = False
         self._executor = ThreadPoolExecutor(MAXIMUM_TASKS, thread_name_prefix=name)
 
     def start_task(self, task: Callable[..., None], *arguments: object) -> Future[None]:
@@ -57,15 +62,32 @@
         """Begin the graceful stop; a second call changes nothing."""
         self.stopping.set()
 
+    def catch_signals(self) -> None:
+        """Let SIGTERM and SIGINT begin the graceful stop from now on.
+
+        Called before anything serves: a signal that came between the first request
+        and `run` would end the process at once, and cut that request off.
+        """
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._note_signal)
+
+    def _note_signal(self, *_: object) -> None:
+        """Note the signal without a lock.
+
+        Setting the event here takes its lock. If the signal came while the main
+        thread held that, in `run`, the process would wait for itself for good.
+        """
+        self._signalled = True
+
     def run(self, drain: Callable[[], None]) -> None:
         """Wait for SIGTERM or SIGINT, run `drain`, and exit with status 0.
 
         `drain` returns once no request is in flight. Later signals change nothing.
         """
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: self.request_stop())
-        while not self.stopping.wait(0.5):
+        self.catch_signals()
+        while not (self._signalled or self.stopping.wait(SIGNAL_LOOK_INTERVAL)):
             continue
+        self.request_stop()
         logger.info("stopping", extra={"process_name": self.name})
         drain()
         self.stopped.set()
--- a/src/jujubeslip/peers/gen/EntryPeer.py
+++ b/src/jujubeslip/peers/gen/EntryPeer.py
@@ -113,6 +113,9 @@
     def status(self):
         pass
 
+    def abandon(self):
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -515,6 +518,34 @@
             raise result.refusal
         raise TApplicationException(TApplicationException.MISSING_RESULT, "status failed: unknown result")
 
+    def abandon(self):
+        self.send_abandon()
+        return self.recv_abandon()
+
+    def send_abandon(self):
+        self._oprot.writeMessageBegin('abandon', TMessageType.CALL, self._seqid)
+        args = abandon_args()
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_abandon(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = abandon_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.refusal is not None:
+            raise result.refusal
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "abandon failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -532,6 +563,7 @@
         self._processMap["closed_requests"] = Processor.process_closed_requests
         self._processMap["get_configuration"] = Processor.process_get_configuration
         self._processMap["status"] = Processor.process_status
+        self._processMap["abandon"] = Processor.process_abandon
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -866,6 +898,32 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_abandon(self, seqid, iprot, oprot):
+        args = abandon_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = abandon_result()
+        try:
+            result.success = self._handler.abandon()
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("abandon", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -2458,5 +2516,121 @@
     (0, TType.STRUCT, 'success', [EntryStatus, None], None, ),  # 0
     (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
 )
+
+
+class abandon_args(object):
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('abandon_args')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(abandon_args)
+abandon_args.thrift_spec = (
+)
+
+
+class abandon_result(object):
+    """
+    Attributes:
+     - success
+     - refusal
+
+    """
+
+
+    def __init__(self, success=None, refusal=None,):
+        self.success = success
+        self.refusal = refusal
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.I32:
+                    self.success = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('abandon_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.I32, 0)
+            oprot.writeI32(self.success)
+            oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(abandon_result)
+abandon_result.thrift_spec = (
+    (0, TType.I32, 'success', None, None, ),  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -217,6 +217,8 @@
     throws (1: PeerRefusal refusal),
   Configuration get_configuration(1: i64 known_revision) throws (1: PeerRefusal refusal),
   EntryStatus status() throws (1: PeerRefusal refusal),
+  // Ends what a stopping host still serves; returns how many requests that were.
+  i32 abandon() throws (1: PeerRefusal refusal),
 }
 
 struct ReplicaStatus {
--- a/src/jujubeslip/requests/_model_attempt.py
+++ b/src/jujubeslip/requests/_model_attempt.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from jujubeslip.endpoints import (
+    CallerGoneError,
     EndpointError,
     EndpointRefusedError,
     EndpointUnreachableError,
@@ -98,6 +99,10 @@
     def _prefill(self) -> ComputedPrompt:
         endpoint = self._reservation.grant.prefill
         request = self._context.request
+        if self._context.interrupted():
+            # Granted just as its caller went: sent now, the prefill would be wasted
+            # and "not run" would be untrue.
+            raise CallerGoneError("The client closed its connection.")
         self._check_new_work(endpoint)
         adapter = self._adapter(endpoint)
         with tracer().start_as_current_span("prefill") as span:
@@ -111,6 +116,10 @@
                     self._context.end_by,
                     current_traceparent(),
                 )
+            except CallerGoneError:
+                # The engine may have begun, so "not run" would be untrue.
+                self._progress.ran = Ran.UNKNOWN
+                raise
             except EndpointError:
                 self._note_failed(endpoint.endpoint_id)
                 raise
--- a/src/jujubeslip/requests/_models.py
+++ b/src/jujubeslip/requests/_models.py
@@ -58,7 +58,11 @@
 
 @dataclass(frozen=True)
 class RequestContext:
-    """A request with what its rule decided; deadlines are instants of this process."""
+    """A request with what its rule decided; deadlines are instants of this process.
+
+    `interrupted` says that nobody waits for the answer any more, or that an operator
+    abandoned the request; `abandoned` only the latter.
+    """
 
     request: ClientRequest
     rule_name: str
@@ -67,3 +71,4 @@
     wait_until: Deadline
     end_by: Deadline
     interrupted: Callable[[], bool]
+    abandoned: Callable[[], bool] = lambda: False
--- a/src/jujubeslip/requests/_plain_path.py
+++ b/src/jujubeslip/requests/_plain_path.py
@@ -11,7 +11,6 @@
     PlainAnswer,
     RequestRef,
     call_plain_service,
-    never_interrupted,
 )
 from jujubeslip.kernel import Ran, RequestRefusedError
 from jujubeslip.peers import GrantProgress
@@ -41,7 +40,7 @@
             failed = ""
             whole = False
             try:
-                answer = self._call(context, attempt, reservation)
+                answer = self._call(context, attempt, reservation, ran)
                 whole = True
                 return PlainServiceAnswer(
                     answer.status, answer.content_type, answer.body
@@ -50,8 +49,6 @@
                 failed = reservation.grant.decode.endpoint_id
                 ran = Ran.UNKNOWN if error.may_have_run else ran
                 self._retries.allow_retry(context, attempt, error, ran)
-            except CallerGoneError as error:
-                raise CallerGoneError(error.message, Ran.UNKNOWN) from error
             finally:
                 self._release(reservation, failed, whole)
             avoid = (*avoid, failed)
@@ -83,8 +80,11 @@
             raise CallerGoneError(error.message, ran) from error
 
     def _call(
-        self, context: RequestContext, attempt: int, reservation: Reservation
+        self, context: RequestContext, attempt: int, reservation: Reservation, ran: Ran
     ) -> PlainAnswer:
+        if context.interrupted():
+            # Granted just as its caller went: nothing of this attempt was sent.
+            raise CallerGoneError("The client closed its connection.", ran)
         request = context.request
         endpoint = reservation.grant.decode
         call = partial(
@@ -99,7 +99,10 @@
         )
         with tracer().start_as_current_span("call") as span:
             span.set_attribute("endpoint", endpoint.endpoint_id)
-            return call()
+            try:
+                return call()
+            except CallerGoneError as error:
+                raise CallerGoneError(error.message, Ran.UNKNOWN) from error
 
     def _release(self, reservation: Reservation, failed: str, whole: bool) -> None:
         grant_id = reservation.grant.grant_id
@@ -112,9 +115,10 @@
 
     A call with an Idempotency-Key goes on when its caller goes: the service has
     begun, and the caller's resend gets the recorded answer. If it ended with its
-    caller, the resend would run the request a second time.
+    caller, the resend would run the request a second time. An operator may abandon
+    it all the same, and its caller is told that it may have run.
     """
     request = context.request
     if request.idempotency_key or not request.repeatable:
-        return never_interrupted
+        return context.abandoned
     return context.interrupted
--- a/src/jujubeslip/requests/_service.py
+++ b/src/jujubeslip/requests/_service.py
@@ -63,7 +63,10 @@
         self._durable_keys = durable_keys
 
     def decide(
-        self, request: ClientRequest, interrupted: Callable[[], bool]
+        self,
+        request: ClientRequest,
+        interrupted: Callable[[], bool],
+        abandoned: Callable[[], bool],
     ) -> RequestContext:
         """Return what the first matching rule decides, or raise its refusal."""
         rule = first_match(self._declaration().rule, self.facts(request))
@@ -91,6 +94,7 @@
             wait_until=Deadline.after(action.wait_ms / 1000),
             end_by=Deadline.after(request.service.maximum_duration_ms / 1000),
             interrupted=interrupted,
+            abandoned=abandoned,
         )
 
     def facts(self, request: ClientRequest) -> RequestFacts:
@@ -150,7 +154,8 @@
             if reply.status != KeyStatus.RUNNING:
                 return reply
             if context.interrupted():
-                raise CallerGoneError("The client closed its connection.")
+                # The run that holds the key has begun.
+                raise CallerGoneError("The client closed its connection.", Ran.UNKNOWN)
             if context.wait_until.expired:
                 raise _still_running(context.request)
             time.sleep(JOIN_INTERVAL)
--- a/tests/fakes/_announce.py
+++ b/tests/fakes/_announce.py
@@ -66,10 +66,12 @@
 
 def serve_until_stopped(leave: Callable[[], None], idle: Callable[[], bool]) -> None:
     """Wait for SIGTERM, leave, wait for the running work, and exit with status 0."""
-    stop = threading.Event()
+    signals: list[int] = []
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
-    stop.wait()
+        signal.signal(number, lambda received, _: signals.append(received))
+    # Looked for: a wait without a bound can miss a signal.
+    while not signals:
+        time.sleep(IDLE_POLL_SECONDS)
     leave()
     while not idle():
         time.sleep(IDLE_POLL_SECONDS)
