Refuse bad input with an id and a remedy, also what the HTTP library finds

Cause: over-long bodies and headers and what is no HTTP were answered by a page of text; half of a surrogate pair in a prompt and numbers beyond 64 bits or infinite in an announcement by "500 Internal Server Error". A client that reads `error_id` and `remedy` found neither. Announcements with no or negative slots, with an address out of range, or with `leaving` as a word were taken in; "maybe" counted as leaving.

Change: the HTTP library's errors are refusals of the same shape; what nobody foresaw is `internal`, `ran: unknown`, and is logged; prompts that are no text and values of announcements out of range are refused. tests/entry/test_bad_input.py.

Conclusion: each bad input is told what is wrong, nothing is held afterwards, another client is answered within a second beside 300 slow ones, and no key or secret is in the logs at DEBUG. Not shown: more slow clients than `maximum_connections`, and clients that read slowly.

--- a/src/jujubeslip/endpoints/_announcements.py
+++ b/src/jujubeslip/endpoints/_announcements.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
-import re
 from collections.abc import Mapping
 from typing import Any
 
+from pydantic import TypeAdapter, ValidationError
+
 from jujubeslip.endpoints._adapter import ROLE_BY_NAME
-from jujubeslip.kernel import RequestRefusedError
+from jujubeslip.kernel import Address, RequestRefusedError
 from jujubeslip.peers import Announcement
 
-_ADDRESS = re.compile(r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
+MAXIMUM_INCARNATION = 2**63 - 1
+MAXIMUM_SLOTS = 1_000_000
+_ADDRESS = TypeAdapter(Address)
 
 
 def announcement_from_json(message: Mapping[str, Any]) -> Announcement:
@@ -25,15 +28,31 @@
             role=ROLE_BY_NAME[message["role"]],
             model=str(message.get("model", "")),
             slots=int(message.get("slots", 1)),
-            leaving=bool(message.get("leaving", False)),
+            leaving=_flag(message.get("leaving", False)),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
         raise _invalid(f"A key is missing or has the wrong type: {error}.") from error
-    if not _ADDRESS.match(announcement.address):
-        raise _invalid("`address` is not IP:port.")
+    _check_ranges(announcement)
     return announcement
 
 
+def _flag(value: object) -> bool:
+    if not isinstance(value, bool):
+        raise TypeError("`leaving` is not true or false")
+    return value
+
+
+def _check_ranges(announcement: Announcement) -> None:
+    if not 0 <= announcement.incarnation <= MAXIMUM_INCARNATION:
+        raise _invalid("`incarnation` is not 0 to 2^63 - 1.")
+    if not 1 <= announcement.slots <= MAXIMUM_SLOTS:
+        raise _invalid(f"`slots` is not 1 to {MAXIMUM_SLOTS}.")
+    try:
+        _ADDRESS.validate_python(announcement.address)
+    except ValidationError as error:
+        raise _invalid("`address` is not IP:port.") from error
+
+
 def _invalid(message: str) -> RequestRefusedError:
     return RequestRefusedError(
         "announcement_invalid",
--- a/src/jujubeslip/entry/_client_call.py
+++ b/src/jujubeslip/entry/_client_call.py
@@ -15,6 +15,7 @@
     Environ,
     StartResponse,
     event,
+    internal_refusal,
     json_answer,
     plain_answer,
     refusal_fields,
@@ -196,6 +197,14 @@
             told = self._abandoned(error)
             yield event("error", refusal_fields(told, self._request.request_id))
             return
+        except Exception:
+            logger.exception(
+                "call failed", extra={"request_id": self._request.request_id}
+            )
+            failed = internal_refusal()
+            self._note_refusal(failed)
+            yield event("error", refusal_fields(failed, self._request.request_id))
+            return
         self._outcome = "whole"
         self._note_gaps(count)
         yield event(
--- a/src/jujubeslip/entry/_http_app.py
+++ b/src/jujubeslip/entry/_http_app.py
@@ -13,6 +13,7 @@
 from jujubeslip.entry._responses import (
     Environ,
     StartResponse,
+    internal_refusal,
     json_answer,
     refuse,
 )
@@ -68,6 +69,11 @@
             return self._request(environ, start_response, _service_name(path))
         except RequestRefusedError as refusal:
             return refuse(start_response, refusal, "")
+        except Exception:
+            # Left to the HTTP library, it would be a page of text that says nothing
+            # of the run.
+            logger.exception("call failed", extra={"path": path[:200]})
+            return refuse(start_response, internal_refusal(), "")
 
     def _ready(self, start_response: StartResponse) -> Iterable[bytes]:
         ready = self._configuration.revision > 0 and not self._process.stopping.is_set()
--- a/src/jujubeslip/entry/_http_server.py
+++ b/src/jujubeslip/entry/_http_server.py
@@ -9,6 +9,7 @@
 from waitress import wasyncore
 from waitress.server import create_server
 
+from jujubeslip.entry._http_errors import RefusingChannel
 from jujubeslip.kernel import Deadline, EntrySettings, Process
 
 logger = logging.getLogger(__name__)
@@ -45,6 +46,7 @@
             ident=None,
             clear_untrusted_proxy_headers=True,
         )
+        self._server.channel_class = RefusingChannel
         self._seen_at_by_parser: dict[int, float] = {}
 
     def start(self, process: Process) -> None:
--- a/src/jujubeslip/entry/_responses.py
+++ b/src/jujubeslip/entry/_responses.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from jujubeslip.kernel import RequestRefusedError
+from jujubeslip.kernel import Ran, RequestRefusedError
 from jujubeslip.requests import PlainServiceAnswer
 
 Environ = dict[str, Any]
@@ -14,6 +14,7 @@
 
 JSON_TYPE = "application/json"
 STREAM_TYPE = "text/event-stream"
+INTERNAL_STATUS = 500
 REASON_BY_STATUS = {
     200: "OK",
     400: "Bad Request",
@@ -23,6 +24,7 @@
     405: "Method Not Allowed",
     409: "Conflict",
     429: "Too Many Requests",
+    500: "Internal Server Error",
     502: "Bad Gateway",
     503: "Service Unavailable",
 }
@@ -92,3 +94,14 @@
 def event(name: str, fields: dict[str, object]) -> bytes:
     """Return one server-sent event."""
     return f"event: {name}\ndata: {json.dumps(fields)}\n\n".encode()
+
+
+def internal_refusal() -> RequestRefusedError:
+    """Return the refusal of a call that failed in a way nobody foresaw."""
+    return RequestRefusedError(
+        "internal",
+        "The entry host failed on this request.",
+        status=INTERNAL_STATUS,
+        ran=Ran.UNKNOWN,
+        remedy="Report it with the request id; the entry host's log says more.",
+    )
--- a/src/jujubeslip/requests/_parse.py
+++ b/src/jujubeslip/requests/_parse.py
@@ -99,6 +99,8 @@
     tokens = len(prompt.split())
     if tokens == 0:
         raise _invalid("'prompt' is empty.")
+    if not _is_text(prompt):
+        raise _invalid("'prompt' holds half of a surrogate pair, which is no text.")
     if tokens > service.maximum_prompt_tokens:
         raise _invalid(
             f"'prompt' has {tokens} tokens; the service takes "
@@ -107,6 +109,15 @@
     return prompt
 
 
+def _is_text(value: str) -> bool:
+    """Say whether the string can be encoded; JSON escapes can name what can't."""
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _max_tokens(message: dict[str, Any], service: Service) -> int:
     if service.kind is ServiceKind.PLAIN:
         return 1
--- /dev/null
+++ b/tests/entry/test_bad_input.py
@@ -0,0 +1,434 @@
+"""Bad input is refused clearly, holds nothing, and harms no other client."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import select
+import socket
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from jujubeslip.kernel import PeerUnavailableError
+from jujubeslip.peers import (
+    ControlPeer,
+    EntryPeer,
+    PeerClient,
+    PeerIdentity,
+    PeerRefusal,
+)
+from tests.fakes.client import ask
+from tests.fakes.cluster import (
+    CLIENT_KEY,
+    ENDPOINT_SECRET,
+    PEER_SECRET,
+    Cluster,
+    EngineSpec,
+    PlainSpec,
+)
+from tests.fakes.processes import ManagedProcess, wait_until
+from tests.fakes.scenarios import model_endpoints, small_system
+from tests.requests.support import (
+    SERVICE,
+    WAIT_SECONDS,
+    assert_whole,
+    engines,
+    model_message,
+    open_call,
+    wait_in_phase,
+)
+
+RECEIVE_MS = 2000
+BODY_BYTES = 100_000
+SLOW_CLIENTS = 300
+SLOW_BYTE_SECONDS = 1.0
+WRONG_KEY = "wrong-key-for-tests"
+REQUESTS = f"/v1/services/{SERVICE}/requests"
+ENDPOINTS = "/v1/endpoints"
+ANNOUNCEMENT = {
+    "endpoint_id": "stranger",
+    "incarnation": 1,
+    "address": "127.0.0.1:9",
+    "availability_zone": "zone-1",
+    "service": SERVICE,
+    "role": "decode",
+    "slots": 4,
+}
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cluster]:
+    plain = PlainSpec("plain-1", "confirmations")
+    endpoints: tuple[EngineSpec | PlainSpec, ...] = (*model_endpoints(), plain)
+    spec = small_system(
+        endpoints,
+        entries=2,
+        telemetry={"log_level": "DEBUG"},
+        entry_options={
+            "receive_timeout_ms": RECEIVE_MS,
+            "maximum_body_bytes": BODY_BYTES,
+        },
+    )
+    with Cluster(spec, tmp_path_factory.mktemp("bad-input")) as cluster:
+        yield cluster
+
+
+def send(
+    cluster: Cluster,
+    body: bytes,
+    path: str = REQUESTS,
+    key: str = CLIENT_KEY,
+    headers: dict[str, str] | None = None,
+    method: str = "POST",
+) -> tuple[int, dict]:
+    """Send a body as it is, and return the status and the error of the answer."""
+    address = cluster.http_address_by_id["entry-1"]
+    connection = http.client.HTTPConnection(address, timeout=WAIT_SECONDS)
+    head = {"Authorization": f"Bearer {key}", **(headers or {})}
+    try:
+        connection.request(method, path, body, head)
+        response = connection.getresponse()
+        return response.status, json.loads(response.read())["error"]
+    finally:
+        connection.close()
+
+
+def raw_head(length: int) -> bytes:
+    """Return the head of a request whose body has this many bytes."""
+    return (
+        f"POST {REQUESTS} HTTP/1.1\r\nHost: entry\r\n"
+        f"Authorization: Bearer {CLIENT_KEY}\r\nContent-Length: {length}\r\n\r\n"
+    ).encode()
+
+
+def connect(cluster: Cluster) -> socket.socket:
+    """Open a connection to an entry host's HTTP port."""
+    host, port = cluster.http_address_by_id["entry-1"].split(":")
+    return socket.create_connection((host, int(port)), WAIT_SECONDS)
+
+
+def check_unharmed(cluster: Cluster) -> None:
+    """Check that another client is served, and that nothing stays held."""
+    address = cluster.client_address("entry-1")
+    assert_whole(ask(address, SERVICE, model_message()))
+    wait_until(
+        lambda: cluster.entry_status("entry-1").open_requests == 0,
+        "no request is open",
+    )
+    cluster.wait_nothing_held()
+
+
+def check_error(error: dict, error_id: str) -> None:
+    """Check that an error says what happened and what to do about it."""
+    assert error["error_id"] == error_id, error
+    assert error["ran"] == "no"
+    assert error["message"]
+    assert error["remedy"]
+
+
+def body(**fields: object) -> bytes:
+    """Return a request with some of its fields replaced."""
+    return json.dumps({**model_message(), **fields}).encode()
+
+
+class TestRequestThatCanNotBeRead:
+    """A client sends what is no request; others stream from the same entry host.
+
+    The caller must learn what to correct, and not see a bare "500" that sends it to
+    the operators. No endpoint hears of it, and the streams go on.
+    """
+
+    @pytest.mark.parametrize(
+        "content",
+        [
+            b"",
+            b"{",
+            b"[]",
+            b"null",
+            b"\xff\xfe",
+            b"[" * 50_000,
+            b'{"prompt": "a", "max_tokens": ' + b"9" * 5000 + b"}",
+            body(unknown=1),
+            body(prompt=""),
+            body(prompt=7),
+            body(prompt="\ud800 " * 70),
+            body(prompt="word " * 20_000),
+            body(max_tokens=0),
+            body(max_tokens=-1),
+            body(max_tokens=10**30),
+            body(max_tokens=1.5),
+            body(max_tokens=True),
+            body(max_tokens=float("inf")),
+            body(max_tokens="8"),
+            body(priority="soon"),
+            body(priority=[]),
+            body(stream="no"),
+            body(repeatable=None),
+            body(model=["m"]),
+        ],
+        ids=lambda content: repr(content[-24:]),
+    )
+    def test_is_refused(self, cluster: Cluster, content: bytes) -> None:
+        status, error = send(cluster, content)
+        assert status in (400, 413)
+        known = {400: "request_invalid", 413: "body_too_long"}
+        check_error(error, known[status])
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            {"X-Request-Id": "a b"},
+            {"X-Request-Id": "x" * 200},
+            {"Idempotency-Key": "k" * 500},
+        ],
+        ids=str,
+    )
+    def test_is_refused_for_its_headers(
+        self, cluster: Cluster, headers: dict[str, str]
+    ) -> None:
+        status, error = send(cluster, body(), headers=headers)
+        assert status == 400
+        check_error(error, "request_invalid")
+
+    @pytest.mark.parametrize("accept", ["\u00e9", "*/*"])
+    def test_headers_that_say_nothing_do_no_harm(
+        self, cluster: Cluster, accept: str
+    ) -> None:
+        headers = {
+            "Accept": accept,
+            "X-Forwarded-For": "9" * 100,
+            "Traceparent": "garbage",
+            "Idempotency-Key": accept,
+            "X-Request-Id": "odd",
+        }
+        call = open_call(cluster, "entry-1", "odd")
+        assert_whole(call.answer())
+        address = cluster.client_address("entry-1")
+        assert_whole(ask(address, SERVICE, model_message(), headers))
+
+    def test_leaves_streams_alone_and_reaches_no_endpoint(
+        self, cluster: Cluster
+    ) -> None:
+        cluster.order_faults("prefill-1", pause_phase="prefill")
+        call = open_call(cluster, "entry-1", "beside")
+        wait_in_phase(cluster, "beside", "prefill")
+        before = self._runs(cluster)
+        for content in (b"{", body(max_tokens=10**30), body(unknown=1)):
+            send(cluster, content)
+        assert self._runs(cluster) == before
+        cluster.order_faults("prefill-1", resume_phase="prefill")
+        assert_whole(call.answer())
+        check_unharmed(cluster)
+
+    def _runs(self, cluster: Cluster) -> int:
+        return sum(
+            len(cluster.endpoint_call(name, "GET", "/v1/records")["runs"])
+            for name in engines(cluster)
+        )
+
+
+class TestRequestThatIsTooLong:
+    """A client sends more than an entry host takes: it is told which limit it met.
+
+    The HTTP library refuses it before the program sees it, with a page of text. A
+    client that reads `error_id` and `remedy` from each refusal would find none.
+    """
+
+    def test_in_its_body(self, cluster: Cluster) -> None:
+        status, error = send(cluster, body(prompt="w " * BODY_BYTES))
+        assert status == 413
+        check_error(error, "body_too_long")
+        check_unharmed(cluster)
+
+    def test_in_its_headers(self, cluster: Cluster) -> None:
+        status, error = send(cluster, body(), headers={"X-Long": "h" * 40_000})
+        assert status == 431
+        check_error(error, "headers_too_long")
+        check_unharmed(cluster)
+
+    def test_or_is_no_http(self, cluster: Cluster) -> None:
+        with connect(cluster) as connection:
+            connection.sendall(b"POST / HTTP/1.1\r\nContent-Length: many\r\n\r\n")
+            response = http.client.HTTPResponse(connection)
+            response.begin()
+            assert response.status == 400
+            check_error(json.loads(response.read())["error"], "http_invalid")
+        check_unharmed(cluster)
+
+
+class TestCallerThatIsNotKnown:
+    """Someone calls with a wrong key or secret, or for what is not there."""
+
+    @pytest.mark.parametrize("key", ["", WRONG_KEY, "\u00e9", ENDPOINT_SECRET])
+    def test_client_account(self, cluster: Cluster, key: str) -> None:
+        status, error = send(cluster, body(), key=key)
+        assert status == 401
+        check_error(error, "client_unknown")
+
+    def test_service(self, cluster: Cluster) -> None:
+        status, error = send(cluster, body(), "/v1/services/nowhere/requests")
+        assert status == 404
+        check_error(error, "service_unknown")
+
+    @pytest.mark.parametrize(
+        ("path", "method", "status", "error_id"),
+        [
+            ("/", "GET", 404, "path_unknown"),
+            ("/v1/services/%ff/requests/more", "POST", 404, "path_unknown"),
+            (REQUESTS, "DELETE", 405, "method_unknown"),
+            (ENDPOINTS, "GET", 405, "method_unknown"),
+        ],
+    )
+    def test_path_or_method(
+        self, cluster: Cluster, path: str, method: str, status: int, error_id: str
+    ) -> None:
+        given, error = send(cluster, b"", path, method=method)
+        assert given == status
+        check_error(error, error_id)
+
+    @pytest.mark.parametrize("secret", ["", WRONG_KEY, CLIENT_KEY, PEER_SECRET])
+    def test_endpoint(self, cluster: Cluster, secret: str) -> None:
+        content = json.dumps(ANNOUNCEMENT).encode()
+        status, error = send(cluster, content, ENDPOINTS, secret)
+        assert status == 401
+        check_error(error, "not_authorized")
+
+    @pytest.mark.parametrize("secret", ["", WRONG_KEY, CLIENT_KEY, ENDPOINT_SECRET])
+    def test_peer_or_operator(self, cluster: Cluster, secret: str) -> None:
+        identity = PeerIdentity("stranger", 1, secret)
+        for kind, host in ((EntryPeer, "entry-1"), (ControlPeer, "control-1")):
+            address = cluster.peer_address_by_id[host]
+            client = PeerClient(kind.Client, address, identity)
+            with pytest.raises(PeerRefusal) as refused:
+                client.call(lambda peer: peer.status(), WAIT_SECONDS)
+            client.close()
+            assert refused.value.error_id == "peer_not_authorized"
+            assert refused.value.remedy
+
+    def test_operator_on_the_command_line(self, cluster: Cluster) -> None:
+        address = cluster.peer_address_by_id["entry-1"]
+        arguments = ["status", "--entry", address, "--peer-secret", WRONG_KEY]
+        command = ManagedProcess(
+            "wrong-operator", "jujubeslip.cli", arguments, cluster.folder
+        )
+        assert command.wait() == 1
+        assert "peer_not_authorized" in command.output()
+
+    def test_peer_that_speaks_something_else(self, cluster: Cluster) -> None:
+        host, port = cluster.peer_address_by_id["entry-1"].split(":")
+        for content in (b"GET / HTTP/1.1\r\n\r\n", b"\xff" * 64, b"\0\0\0\x04abcd"):
+            with socket.create_connection((host, int(port))) as connection:
+                connection.sendall(content)
+        check_unharmed(cluster)
+
+
+class TestAnnouncementThatCanNotBeUsed:
+    """An endpoint with the right secret announces nonsense."""
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"incarnation": "first"},
+            {"incarnation": 10**30},
+            {"incarnation": float("inf")},
+            {"incarnation": None},
+            {"slots": -1},
+            {"slots": 10**12},
+            {"address": "here"},
+            {"address": "127.0.0.999:1"},
+            {"role": "cook"},
+            {"role": []},
+            {"leaving": "maybe"},
+        ],
+        ids=str,
+    )
+    def test_is_refused(self, cluster: Cluster, changes: dict) -> None:
+        content = json.dumps({**ANNOUNCEMENT, **changes}).encode()
+        status, error = send(cluster, content, ENDPOINTS, ENDPOINT_SECRET)
+        assert status == 400, error
+        check_error(error, "announcement_invalid")
+
+    def test_is_refused_for_an_unknown_service(self, cluster: Cluster) -> None:
+        content = json.dumps({**ANNOUNCEMENT, "service": "nowhere"}).encode()
+        status, error = send(cluster, content, ENDPOINTS, ENDPOINT_SECRET)
+        assert status == 404
+        check_error(error, "service_unknown")
+
+
+class TestRequestThatNeverArrivesWhole:
+    """A client stops half-way, or sends a byte a second, as some do by the hundred.
+
+    Each such connection would be held for hours, and no thread or connection would
+    be left for others. It is closed after the receive timeout; nothing has been
+    started for it.
+    """
+
+    def test_is_forgotten_when_the_client_goes(self, cluster: Cluster) -> None:
+        with connect(cluster) as connection:
+            connection.sendall(raw_head(100) + b'{"prompt": "half')
+        check_unharmed(cluster)
+
+    def test_is_closed_when_the_client_stands_still(self, cluster: Cluster) -> None:
+        with connect(cluster) as connection:
+            connection.sendall(raw_head(100) + b'{"prompt": "half')
+            assert connection.recv(100) == b""
+        check_unharmed(cluster)
+
+    def test_slow_clients_by_the_hundred_harm_no_other(self, cluster: Cluster) -> None:
+        clients = [connect(cluster) for _ in range(SLOW_CLIENTS)]
+        started = time.monotonic()
+        head = raw_head(100)
+        sent = 0
+        address = cluster.client_address("entry-1")
+        try:
+            while clients and time.monotonic() - started < 4 * RECEIVE_MS / 1000:
+                clients = self._send_byte(clients, head[sent : sent + 1])
+                sent += 1
+                next_byte = started + sent * SLOW_BYTE_SECONDS
+                while time.monotonic() < next_byte:
+                    asked = time.monotonic()
+                    assert_whole(ask(address, SERVICE, model_message()))
+                    assert time.monotonic() - asked < 1.0
+            assert clients == []
+        finally:
+            for client in clients:
+                client.close()
+        check_unharmed(cluster)
+
+    def _send_byte(
+        self, clients: list[socket.socket], byte: bytes
+    ) -> list[socket.socket]:
+        """Send a byte on each connection, and return those that are still open."""
+        still_open = []
+        for client in clients:
+            readable, _, _ = select.select([client], [], [], 0)
+            try:
+                if readable and not client.recv(100):
+                    raise ConnectionResetError
+                client.sendall(byte)
+            except OSError:
+                client.close()
+                continue
+            still_open.append(client)
+        return still_open
+
+
+class TestLogs:
+    """Keys and secrets are in no log, also at the level with the most detail."""
+
+    def test_hold_no_key(self, cluster: Cluster) -> None:
+        send(cluster, body(), key=WRONG_KEY)
+        send(cluster, b"{", ENDPOINTS, WRONG_KEY)
+        assert_whole(ask(cluster.client_address("entry-2"), SERVICE, model_message()))
+        identity = PeerIdentity("stranger", 1, WRONG_KEY)
+        address = cluster.peer_address_by_id["entry-1"]
+        client = PeerClient(EntryPeer.Client, address, identity)
+        with pytest.raises((PeerRefusal, PeerUnavailableError)):
+            client.call(lambda peer: peer.status(), WAIT_SECONDS)
+        for host in (*cluster.entry_ids, *cluster.control_ids):
+            log = cluster.process_by_name[host].output()
+            assert log or host in cluster.control_ids
+            for key in (CLIENT_KEY, WRONG_KEY, ENDPOINT_SECRET, PEER_SECRET):
+                assert key not in log, host
