Keep the state of a control host small; refuse what can't be applied

Cause: memory grew by about 750 bytes a claim and by 20 MB with long changes, beyond the 64 MB that a small host has. A claim with a missing or endless name would have failed on every replica when applied. Ruled out: a leak (tracemalloc shows 260 live bytes a claim); malloc arenas (MALLOC_ARENA_MAX=2 changed nothing). Thrift: the claim record's fingerprint is binary (regenerated).

--- a/src/jujubeslip/control/_claims.py
+++ b/src/jujubeslip/control/_claims.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import hashlib
-import sys
+import struct
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
-from itertools import takewhile
 
 from jujubeslip.peers import (
     AbandonCommand,
@@ -24,7 +23,7 @@
 MAXIMUM_CLAIMS = 50_000
 # Longer outcomes, and the oldest beyond the total, are dropped; their claims are not.
 MAXIMUM_OUTCOME_BYTES = 64 * 1024
-MAXIMUM_TOTAL_OUTCOME_BYTES = 8 * 1024 * 1024
+MAXIMUM_TOTAL_OUTCOME_BYTES = 4 * 1024 * 1024
 DIGEST_BYTES = 16
 REMOVAL_INTERVAL_MS = 60_000
 
@@ -45,7 +44,7 @@
 
     request_id: str
     owner: str
-    fingerprint: str
+    fingerprint: bytes
     stamp_ms: int
     finished: bool = False
     outcome: bytes | None = None
@@ -53,13 +52,84 @@
     abandoned: bool = False
 
 
+class _PackedClaims:
+    """Claims by digest, each packed into one byte string.
+
+    A claim as an object with its fields takes about three times the memory, and a
+    control host has little.
+    """
+
+    # Stamp, outcome number, finished, abandoned, fingerprint, lengths of two texts.
+    _HEAD = struct.Struct(f">QQ??{DIGEST_BYTES}sHH")
+
+    def __init__(self) -> None:
+        self._packed_by_digest: dict[bytes, bytes] = {}
+
+    def __len__(self) -> int:
+        return len(self._packed_by_digest)
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self._packed_by_digest)
+
+    def get(self, digest: bytes) -> Claim | None:
+        """Return the claim, None when there is none."""
+        packed = self._packed_by_digest.get(digest)
+        return None if packed is None else self._unpack(packed)
+
+    def put(self, digest: bytes, claim: Claim) -> None:
+        """Add the claim at the end, or replace it in its place."""
+        request_id, owner = claim.request_id.encode(), claim.owner.encode()
+        head = self._HEAD.pack(
+            claim.stamp_ms,
+            claim.outcome_number,
+            claim.finished,
+            claim.abandoned,
+            claim.fingerprint,
+            len(request_id),
+            len(owner),
+        )
+        parts = (head, request_id, owner, claim.outcome or b"")
+        self._packed_by_digest[digest] = b"".join(parts)
+
+    def pop(self, digest: bytes) -> Claim | None:
+        """Remove the claim and return it."""
+        packed = self._packed_by_digest.pop(digest, None)
+        return None if packed is None else self._unpack(packed)
+
+    def items(self) -> Iterator[tuple[bytes, Claim]]:
+        """Return all claims in order, as they were when called."""
+        # A copied dict is one block of memory; a list of pairs would be many small
+        # ones, between which the claims that stay are scattered.
+        packed_by_digest = self._packed_by_digest.copy()
+        return (
+            (digest, self._unpack(packed))
+            for digest, packed in packed_by_digest.items()
+        )
+
+    def _unpack(self, packed: bytes) -> Claim:
+        head = self._HEAD.unpack_from(packed)
+        stamp_ms, number, finished, abandoned, fingerprint, *lengths = head
+        owner_at = self._HEAD.size + lengths[0]
+        outcome_at = owner_at + lengths[1]
+        return Claim(
+            packed[self._HEAD.size : owner_at].decode(),
+            packed[owner_at:outcome_at].decode(),
+            fingerprint,
+            stamp_ms,
+            finished,
+            packed[outcome_at:] if number else None,
+            number,
+            abandoned,
+        )
+
+
 class ClaimTable:
     """The claims by a digest of client and key, oldest first."""
 
     def __init__(self, maximum_claims: int = MAXIMUM_CLAIMS) -> None:
         self._maximum_claims = maximum_claims
         # In order of stamps: a key that is claimed anew moves to the end.
-        self._claim_by_digest: dict[bytes, Claim] = {}
+        self._claim_by_digest = _PackedClaims()
         self._outcomes_by_number: deque[tuple[int, bytes]] = deque()
         self._outcome_bytes = 0
         self._last_outcome_number = 0
@@ -82,8 +152,9 @@
             self._remove_expired(stamp_ms)
         if len(self._claim_by_digest) >= self._maximum_claims:
             return ClaimsFull(self._until_next_expiry(stamp_ms))
-        self._claim_by_digest[digest] = Claim(
-            claim.request_id, sys.intern(claim.owner), claim.fingerprint, stamp_ms
+        fingerprint = _short_digest(claim.fingerprint)
+        self._claim_by_digest.put(
+            digest, Claim(claim.request_id, claim.owner, fingerprint, stamp_ms)
         )
         return KeyReply(KeyStatus.FIRST, claim.request_id, claim.owner, None)
 
@@ -118,7 +189,7 @@
         if found is None or found.finished:
             return
         if found.request_id == command.claim.request_id:
-            self._claim_by_digest[digest] = replace(found, abandoned=True)
+            self._claim_by_digest.put(digest, replace(found, abandoned=True))
 
     def finish(self, command: FinishCommand) -> None:
         """Record the outcome for the request that holds the claim; the first stays."""
@@ -129,21 +200,21 @@
         if found.request_id != command.claim.request_id:
             return
         finished = replace(found, finished=True)
-        self._claim_by_digest[digest] = finished
+        self._claim_by_digest.put(digest, finished)
         if command.outcome and len(command.outcome) <= MAXIMUM_OUTCOME_BYTES:
             self._keep_outcome(digest, finished, command.outcome)
 
     def records(self) -> Iterator[ClaimRecord]:
         """Return the claims, oldest first, as they were when called."""
-        claims = list(self._claim_by_digest.items())
+        claims = self._claim_by_digest.items()
         return (_to_record(digest, claim) for digest, claim in claims)
 
     def load(self, record: ClaimRecord) -> None:
         """Take over a claim from a snapshot, in order."""
         outcome = record.outcome or b""
-        self._claim_by_digest[record.digest] = Claim(
+        claim = Claim(
             record.request_id,
-            sys.intern(record.owner),
+            record.owner,
             record.fingerprint,
             record.stamp_ms,
             record.finished,
@@ -151,6 +222,7 @@
             record.outcome_number,
             record.abandoned,
         )
+        self._claim_by_digest.put(record.digest, claim)
         self._outcome_bytes += len(outcome)
         if outcome:
             self._outcomes_by_number.append((record.outcome_number, record.digest))
@@ -162,32 +234,31 @@
             self._last_outcome_number = self._outcomes_by_number[-1][0]
 
     def _remove_expired(self, now_ms: int) -> None:
-        expired = list(
-            takewhile(
-                lambda digest: _has_expired(self._claim_by_digest[digest], now_ms),
-                self._claim_by_digest,
-            )
-        )
+        expired = []
+        for digest, claim in self._claim_by_digest.items():
+            if not _has_expired(claim, now_ms):
+                break
+            expired.append(digest)
         for digest in expired:
             self._remove(digest)
         self._forget_removed_outcomes()
 
     def _remove(self, digest: bytes) -> None:
-        claim = self._claim_by_digest.pop(digest, None)
+        claim = self._claim_by_digest.pop(digest)
         if claim is not None:
             self._outcome_bytes -= len(claim.outcome or b"")
 
     def _until_next_expiry(self, now_ms: int) -> int:
-        oldest = next(iter(self._claim_by_digest.values()))
+        oldest = self._claim_by_digest.get(next(iter(self._claim_by_digest)))
+        assert oldest is not None
         return max(1, oldest.stamp_ms + CLAIM_RETENTION_MS - now_ms)
 
     def _keep_outcome(self, digest: bytes, claim: Claim, outcome: bytes) -> None:
         """Keep the outcome, and drop the oldest ones beyond the total."""
         self._last_outcome_number += 1
         number = self._last_outcome_number
-        self._claim_by_digest[digest] = replace(
-            claim, outcome=outcome, outcome_number=number
-        )
+        kept = replace(claim, outcome=outcome, outcome_number=number)
+        self._claim_by_digest.put(digest, kept)
         self._outcomes_by_number.append((number, digest))
         self._outcome_bytes += len(outcome)
         while self._outcome_bytes > MAXIMUM_TOTAL_OUTCOME_BYTES:
@@ -199,7 +270,8 @@
         if claim is None or claim.outcome_number != number:
             return
         self._outcome_bytes -= len(claim.outcome or b"")
-        self._claim_by_digest[digest] = replace(claim, outcome=None, outcome_number=0)
+        dropped = replace(claim, outcome=None, outcome_number=0)
+        self._claim_by_digest.put(digest, dropped)
 
     def _forget_removed_outcomes(self) -> None:
         while self._outcomes_by_number:
@@ -215,7 +287,7 @@
 
 
 def _status(found: Claim, claim: KeyClaim) -> KeyStatus:
-    if found.fingerprint != claim.fingerprint:
+    if found.fingerprint != _short_digest(claim.fingerprint):
         return KeyStatus.CONFLICT
     if found.finished:
         return KeyStatus.FINISHED
@@ -227,6 +299,10 @@
 
 def _digest(claim: KeyClaim) -> bytes:
     content = f"{len(claim.client)}:{claim.client}{claim.key}"
+    return _short_digest(content)
+
+
+def _short_digest(content: str) -> bytes:
     return hashlib.sha256(content.encode()).digest()[:DIGEST_BYTES]
 
 
--- a/src/jujubeslip/control/_configurations.py
+++ b/src/jujubeslip/control/_configurations.py
@@ -4,7 +4,6 @@
 
 import hashlib
 import zlib
-from collections import OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -54,8 +53,8 @@
 
     def __init__(self) -> None:
         self.current = Configuration(0, "", "", "")
-        self._stored_by_revision: OrderedDict[int, _StoredConfiguration] = OrderedDict()
-        self._answer_by_change_id: OrderedDict[str, _Answer] = OrderedDict()
+        self._stored_by_revision: dict[int, _StoredConfiguration] = {}
+        self._answer_by_change_id: dict[str, _Answer] = {}
         self._history_bytes = 0
 
     def apply(self, request: ApplyRequest) -> ApplyReply | ChangeIdReused:
@@ -104,10 +103,10 @@
 
     def changes(self) -> Iterator[ChangeRecord]:
         """Return the kept answers in order, as they were when called."""
-        answers = list(self._answer_by_change_id.items())
+        answers = self._answer_by_change_id.copy()
         return (
             ChangeRecord(change_id, answer.digest, answer.accepted, answer.revision)
-            for change_id, answer in answers
+            for change_id, answer in answers.items()
         )
 
     def load_configuration(self, configuration: Configuration) -> None:
@@ -146,7 +145,7 @@
         self._history_bytes += len(content)
         self.current = configuration
         while self._history_is_full():
-            _, oldest = self._stored_by_revision.popitem(last=False)
+            oldest = self._stored_by_revision.pop(next(iter(self._stored_by_revision)))
             self._history_bytes -= oldest.length
 
     def _history_is_full(self) -> bool:
@@ -160,7 +159,7 @@
     def _remember(self, change_id: str, answer: _Answer) -> None:
         self._answer_by_change_id[change_id] = answer
         if len(self._answer_by_change_id) > MAXIMUM_CHANGES:
-            self._answer_by_change_id.popitem(last=False)
+            self._answer_by_change_id.pop(next(iter(self._answer_by_change_id)))
 
 
 def _digest(request: ApplyRequest) -> bytes:
--- a/src/jujubeslip/control/_entries.py
+++ b/src/jujubeslip/control/_entries.py
@@ -63,6 +63,16 @@
         """Return all entries from the index on."""
         return self._entries[index - self.base_index - 1 :]
 
+    def first_within(self, last_index: int, count: int, size: int) -> int:
+        """Return where to begin to keep at most so many entries and bytes up to one."""
+        index = last_index + 1
+        while index - 1 > self.base_index and last_index - index + 1 < count:
+            size -= len(self.entry(index - 1).payload) + ENTRY_OVERHEAD_BYTES
+            if size < 0:
+                break
+            index -= 1
+        return index
+
     def append(self, entry: LogEntry) -> None:
         """Add the next entry."""
         assert entry.index == self.last_index + 1
--- a/src/jujubeslip/control/_handler.py
+++ b/src/jujubeslip/control/_handler.py
@@ -12,7 +12,7 @@
 from jujubeslip.control._joining import own_description
 from jujubeslip.control._receiver import Receiver
 from jujubeslip.control._replica import Replica
-from jujubeslip.control._validation import check_declaration
+from jujubeslip.control._validation import check_claim, check_declaration
 from jujubeslip.kernel import Deadline
 from jujubeslip.peers import (
     AbandonCommand,
@@ -81,6 +81,7 @@
 
     def claim_key(self, claim: KeyClaim, remaining_ms: int) -> KeyReply:
         """Claim (client, key), durably on a quorum before the answer."""
+        check_claim(claim)
         deadline = Deadline.from_remaining_ms(remaining_ms)
         replica = self._replica
         with replica.lock:
@@ -93,11 +94,13 @@
 
     def finish_key(self, claim: KeyClaim, outcome: bytes, remaining_ms: int) -> None:
         """Record the outcome of a claim, durably on a quorum before the answer."""
+        check_claim(claim)
         command = FinishCommand(claim, outcome)
         self._replica.propose(command, Deadline.from_remaining_ms(remaining_ms))
 
     def abandon_key(self, claim: KeyClaim, remaining_ms: int) -> None:
         """Free a claim whose request surely did not run."""
+        check_claim(claim)
         command = AbandonCommand(claim)
         self._replica.propose(command, Deadline.from_remaining_ms(remaining_ms))
 
--- a/src/jujubeslip/control/_log_files.py
+++ b/src/jujubeslip/control/_log_files.py
@@ -131,14 +131,10 @@
         if self._segments and self._segments[-1].ends:
             self.start_segment(self._segments[-1].last_index + 1)
 
-    def drop_before(self, index: int) -> int:
-        """Remove segments wholly below the index; return the first index kept.
-
-        Returns 0 when no entry is kept.
-        """
+    def drop_before(self, index: int) -> None:
+        """Remove segments that lie wholly below the index."""
         while len(self._segments) > 1 and self._segments[0].last_index < index:
             self._remove(self._segments.pop(0))
-        return self._segments[0].first_index if self._segments else 0
 
     def drop_all(self) -> None:
         """Remove every segment: a snapshot has taken the place of the whole log."""
--- a/src/jujubeslip/control/_machine.py
+++ b/src/jujubeslip/control/_machine.py
@@ -24,9 +24,9 @@
 
 T = TypeVar("T")
 
-PART_SIZE = 500
+PART_SIZE = 100
 # Configurations are long: a part of a snapshot holds few of them.
-CONFIGURATION_PART_SIZE = 16
+CONFIGURATION_PART_SIZE = 4
 
 Outcome: TypeAlias = ApplyReply | ChangeIdReused | KeyReply | ClaimsFull | None
 
--- a/src/jujubeslip/control/_receiver.py
+++ b/src/jujubeslip/control/_receiver.py
@@ -190,6 +190,7 @@
         replica.log.reset(header.last_index, header.last_term)
         replica.written_index = header.last_index
         replica.commit_index = replica.applied_index = header.last_index
+        replica.applied_bytes = 0
         replica.memberships = MembershipLog(header.last_index, header.membership)
         replica.machine = machine
         replica.snapshot = snapshot
--- a/src/jujubeslip/control/_records.py
+++ b/src/jujubeslip/control/_records.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Any, BinaryIO, TypeVar
 
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
 from thrift.Thrift import TException
@@ -80,6 +80,21 @@
     return ScannedRecord(position, end, body)
 
 
+def stream_records(file: BinaryIO) -> Iterator[bytes]:
+    """Yield the bodies of whole records; ends at the end or before damage.
+
+    Only one record is in memory at a time.
+    """
+    while len(head := file.read(HEADER.size)) == HEADER.size:
+        magic, length, checksum = HEADER.unpack(head)
+        if magic != MAGIC or length > MAXIMUM_BODY_BYTES:
+            return
+        body = file.read(length)
+        if len(body) != length or _checksum(body) != checksum:
+            return
+        yield body
+
+
 def has_record_after(data: bytes, position: int) -> bool:
     """Say whether a whole record begins anywhere behind the position.
 
--- a/src/jujubeslip/control/_replica.py
+++ b/src/jujubeslip/control/_replica.py
@@ -40,6 +40,8 @@
 LEASE_SHARE = 0.9
 MILLISECONDS = 1000
 RETRY_AFTER_MS = 200
+# A snapshot is taken after this many bytes, too: entries are kept in memory until then.
+SNAPSHOT_BYTES = 4 * 1024 * 1024
 
 
 class Role(enum.Enum):
@@ -90,6 +92,8 @@
         self.log = state.log
         self.memberships = state.memberships
         self.commit_index = self.applied_index = state.applied_index
+        # Since the last snapshot.
+        self.applied_bytes = 0
         self.written_index = self.log.last_index
         self.heard_leader_until = self._first_vote_deadline()
         self.election_deadline = self._first_election_deadline()
@@ -125,7 +129,11 @@
     def needs_snapshot(self) -> bool:
         """Say whether enough was applied since the last snapshot."""
         taken = self.snapshot.header.last_index if self.snapshot else 0
-        return self.applied_index - taken >= self.settings.snapshot_every
+        applied = self.applied_index - taken
+        return (
+            applied >= self.settings.snapshot_every
+            or self.applied_bytes >= SNAPSHOT_BYTES
+        )
 
     def lease(self) -> Deadline:
         """Return until when this leader's reads and orders are the only ones."""
@@ -321,6 +329,7 @@
             entry = self.log.entry(self.applied_index + 1)
             outcome = self.machine.apply(entry)
             self.applied_index = entry.index
+            self.applied_bytes += len(entry.payload)
             if self.leadership is not None:
                 self.leadership.answer_waiter(entry.index, outcome)
         if self.machine.configurations.current.revision != revision:
--- a/src/jujubeslip/control/_snapshots.py
+++ b/src/jujubeslip/control/_snapshots.py
@@ -5,7 +5,8 @@
 import hashlib
 import os
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from itertools import chain, islice
 from pathlib import Path
 
 from jujubeslip.control._errors import StorageDamagedError
@@ -13,9 +14,9 @@
 from jujubeslip.control._records import (
     decode,
     frame,
-    record_at,
     rename_durably,
     storage_failed,
+    stream_records,
     sync_file,
     sync_folder,
     to_bytes,
@@ -55,7 +56,7 @@
     except OSError as error:
         raise storage_failed(path.name, error) from error
     try:
-        for message in (header, *parts):
+        for message in chain([header], parts):
             data = frame(to_bytes(message))
             write_all(descriptor, data, path.name)
             digest.update(data)
@@ -84,12 +85,15 @@
 
 def describe_snapshot(path: Path) -> SnapshotFile:
     """Return what the file holds, or raise StorageDamagedError."""
-    data = path.read_bytes()
-    first = record_at(data, 0)
+    with path.open("rb") as file:
+        first = next(stream_records(file), None)
+        file.seek(0)
+        checksum = hashlib.file_digest(file, "sha256").hexdigest()
+        length = file.tell()
     if first is None:
         raise StorageDamagedError(f"The snapshot {path.name} is damaged.")
-    header = decode(path.name, SnapshotHeader, first.body)
-    return SnapshotFile(path, header, hashlib.sha256(data).hexdigest(), len(data))
+    header = decode(path.name, SnapshotHeader, first)
+    return SnapshotFile(path, header, checksum, length)
 
 
 def load_machine(snapshot: SnapshotFile) -> StateMachine:
@@ -102,17 +106,12 @@
 
 
 def _read_parts(path: Path) -> Iterator[SnapshotPart]:
-    data = path.read_bytes()
-    record = record_at(data, 0)
-    while record is not None:
-        position = record.end
-        record = record_at(data, position)
-        if record is None:
-            break
-        part = decode(path.name, SnapshotPart, record.body)
-        yield part
-        if part.end and record.end == len(data):
-            return
+    with path.open("rb") as file:
+        for body in islice(stream_records(file), 1, None):
+            part = decode(path.name, SnapshotPart, body)
+            yield part
+            if part.end and not file.read(1):
+                return
     raise StorageDamagedError(f"The snapshot {path.name} is damaged.")
 
 
@@ -180,14 +179,16 @@
         Returns None, and starts over, when the bytes don't have the leader's checksum.
         """
         partial = self._partial(piece)
-        data = partial.read_bytes()
-        if hashlib.sha256(data).hexdigest() != piece.checksum:
+        with partial.open("rb") as file:
+            checksum = hashlib.file_digest(file, "sha256").hexdigest()
+        if checksum != piece.checksum:
             partial.unlink()
             return None
-        machine = load_machine(describe_snapshot(partial))
+        received = describe_snapshot(partial)
+        machine = load_machine(received)
         path = _path(self._folder, piece.last_index)
         rename_durably(partial, path)
-        return describe_snapshot(path), machine
+        return replace(received, path=path), machine
 
     def _partial(self, piece: SnapshotPiece) -> Path:
         path = _path(self._folder, piece.last_index)
--- a/src/jujubeslip/control/_upkeep.py
+++ b/src/jujubeslip/control/_upkeep.py
@@ -10,6 +10,9 @@
 
 logger = logging.getLogger(__name__)
 
+# How many bytes of entries the log keeps behind a snapshot at most.
+KEPT_BYTES = 2 * 1024 * 1024
+
 
 class Upkeep:
     """Writes what the leader proposed, and replaces old entries by snapshots."""
@@ -50,7 +53,7 @@
     def _take_snapshot(self) -> None:
         """Write a snapshot beside the log, then drop the entries before it.
 
-        The log keeps as many entries again, so that a follower which lags a little
+        The log keeps some entries behind it, so that a follower which lags a little
         is not sent the whole state.
         """
         replica = self._replica
@@ -63,6 +66,7 @@
                 replica.memberships.at(index),
             )
             parts = replica.machine.parts()
+            replica.applied_bytes = 0
         snapshot = write_snapshot(replica.storage.folder, header, parts)
         with replica.disk_lock:
             if replica.commit_index < index or replica.failure:
@@ -73,10 +77,11 @@
                     return
                 replica.snapshot = snapshot
             remove_older_snapshots(snapshot)
-            replica.storage.log.roll()
-            first_kept = replica.storage.log.drop_before(
-                index - replica.settings.snapshot_every
+            first_kept = replica.log.first_within(
+                index, replica.settings.snapshot_every, KEPT_BYTES
             )
+            replica.storage.log.roll()
+            replica.storage.log.drop_before(first_kept)
             with replica.lock:
                 replica.log.trim_before(first_kept)
                 replica.memberships.trim(index)
--- a/src/jujubeslip/control/_validation.py
+++ b/src/jujubeslip/control/_validation.py
@@ -1,4 +1,8 @@
-"""Checks of a declaration before it is proposed."""
+"""Checks of requests before they are proposed.
+
+Every replica applies what is in the log: a request that can't be applied must be
+refused before it gets there, or each replica would fail on it for ever.
+"""
 
 from __future__ import annotations
 
@@ -8,16 +12,21 @@
 from jujubeslip import rules as rules
 from jujubeslip.declaration import parse_declaration
 from jujubeslip.kernel import CheckLevel, run_checks
-from jujubeslip.peers import ApplyRequest, PeerRefusal
+from jujubeslip.peers import ApplyRequest, KeyClaim, PeerRefusal
 
 MAXIMUM_DECLARATION_BYTES = 1024 * 1024
+MAXIMUM_NAME_LENGTH = 1024
 REMEDY = "Correct it and run `jujubeslip check` before `jujubeslip apply`."
 
 
 def check_declaration(request: ApplyRequest) -> None:
     """Raise PeerRefusal when the change must not be proposed at all."""
-    if not request.change_id or request.base_revision < 0:
-        raise _invalid("A change needs a change_id and a base revision.")
+    if not _are_names((request.change_id, request.operator_name)):
+        raise _invalid("A change needs a change_id and an operator's name.")
+    if request.base_revision is None or request.base_revision < 0:
+        raise _invalid("A change needs the revision that it was made from.")
+    if request.declaration is None:
+        raise _invalid("A change needs a declaration.")
     if len(request.declaration.encode()) > MAXIMUM_DECLARATION_BYTES:
         raise _invalid(f"It is longer than {MAXIMUM_DECLARATION_BYTES} bytes.")
     parsed = parse_declaration(request.declaration)
@@ -32,5 +41,22 @@
         raise _invalid(" ".join(errors))
 
 
+def check_claim(claim: KeyClaim) -> None:
+    """Raise PeerRefusal when the claim must not be proposed at all."""
+    names = (claim.client, claim.key, claim.request_id, claim.owner, claim.fingerprint)
+    if not _are_names(names):
+        raise PeerRefusal(
+            "claim_invalid",
+            "A claim needs a client, a key, a request id, an owner and a fingerprint, "
+            f"of at most {MAXIMUM_NAME_LENGTH} characters each.",
+            "Send a shorter Idempotency-Key.",
+            0,
+        )
+
+
+def _are_names(values: tuple[str | None, ...]) -> bool:
+    return all(value and len(value) <= MAXIMUM_NAME_LENGTH for value in values)
+
+
 def _invalid(message: str) -> PeerRefusal:
     return PeerRefusal("configuration_invalid", message, REMEDY, 0)
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -3256,7 +3256,7 @@
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.STRING:
-                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.fingerprint = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
@@ -3308,7 +3308,7 @@
             oprot.writeFieldEnd()
         if self.fingerprint is not None:
             oprot.writeFieldBegin('fingerprint', TType.STRING, 4)
-            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeBinary(self.fingerprint)
             oprot.writeFieldEnd()
         if self.stamp_ms is not None:
             oprot.writeFieldBegin('stamp_ms', TType.I64, 5)
@@ -4500,7 +4500,7 @@
     (1, TType.STRING, 'digest', 'BINARY', None, ),  # 1
     (2, TType.STRING, 'request_id', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'owner', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 4
+    (4, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 4
     (5, TType.I64, 'stamp_ms', None, None, ),  # 5
     (6, TType.BOOL, 'finished', None, None, ),  # 6
     (7, TType.STRING, 'outcome', 'BINARY', None, ),  # 7
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -320,7 +320,7 @@
   1: binary digest,
   2: string request_id,
   3: string owner,
-  4: string fingerprint,
+  4: binary fingerprint,
   5: i64 stamp_ms,
   6: bool finished,
   7: optional binary outcome,
--- a/tests/control/test_operators.py
+++ b/tests/control/test_operators.py
@@ -142,6 +142,14 @@
         reply = client.claim_key(make_claim("confirmation", "r2"), deadline)
         assert (reply.status, reply.outcome) == (KeyStatus.FINISHED, b"confirmed")
 
+    @pytest.mark.parametrize("key", ["", "k" * 2000])
+    def test_claim_that_can_not_be_applied_is_refused(
+        self, cluster: ControlCluster, key: str
+    ) -> None:
+        with pytest.raises(PeerRefusal) as refused:
+            cluster.claim(key)
+        assert refused.value.error_id == "claim_invalid"
+
     def test_client_gives_up_by_its_deadline(self, tmp_path: Path) -> None:
         with ControlCluster(tmp_path, 3) as alone:
             alone.apply(1, 0)
