--- a/bench/_run.py
+++ b/bench/_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import subprocess
 import tempfile
@@ -47,6 +48,8 @@
 
 def run_once(options: RunOptions) -> dict:
     """Run once and return the figures as one JSON object."""
+    # The library logs each try to reach a host that has not started yet.
+    logging.getLogger("thrift").setLevel(logging.CRITICAL)
     if options.logs is not None:
         options.logs.mkdir(parents=True, exist_ok=True)
         return _run_in(options, options.logs)
--- a/bench/sweep.py
+++ b/bench/sweep.py
@@ -10,6 +10,7 @@
 import itertools
 import json
 import sys
+from collections.abc import Iterator
 from pathlib import Path
 
 from bench._report import write_sweep_report
@@ -30,6 +31,7 @@
     add("--seconds", type=float, default=30.0)
     add("--faults", action="store_true")
     add("--out", type=Path, default=OUTPUT_FOLDER)
+    add("--resume", action="store_true", help="skip the runs that are there")
     add("--report-only", action="store_true", help="plot the runs that are there")
     return parser.parse_args(arguments)
 
@@ -43,34 +45,48 @@
     lines = base.with_suffix(".jsonl")
     if not options.report_only:
         _run_all(options, lines)
-    runs = [json.loads(line) for line in lines.read_text().splitlines()]
+    runs = _read_runs(lines)
     title = f"{options.scenario}, {kind}, {len(runs)} runs"
     write_sweep_report(runs, title, base)
     sys.stdout.write(f"{base.with_suffix('.html')}\n")
 
 
 def _run_all(options: argparse.Namespace, lines: Path) -> None:
-    combinations = itertools.product(
-        options.loads.split(","), options.seeds.split(","), options.policies.split(",")
-    )
-    with lines.open("w") as file:
-        for load, seed, policy in combinations:
-            run = run_once(
-                RunOptions(
-                    scenario=options.scenario,
-                    policy=policy,
-                    load=float(load),
-                    seed=int(seed),
-                    seconds=options.seconds,
-                    faults=options.faults,
-                )
-            )
+    done = _read_runs(lines) if options.resume else []
+    known = {(run["load"], run["seed"], run["policy"]) for run in done}
+    with lines.open("a" if options.resume else "w") as file:
+        for run_options in _combinations(options):
+            key = (run_options.load, run_options.seed, run_options.policy)
+            if key in known:
+                continue
+            run = run_once(run_options)
             file.write(json.dumps(run) + "\n")
             file.flush()
             sys.stdout.write(f"{_summary(run)}\n")
             sys.stdout.flush()
 
 
+def _combinations(options: argparse.Namespace) -> Iterator[RunOptions]:
+    combinations = itertools.product(
+        options.loads.split(","), options.seeds.split(","), options.policies.split(",")
+    )
+    for load, seed, policy in combinations:
+        yield RunOptions(
+            scenario=options.scenario,
+            policy=policy,
+            load=float(load),
+            seed=int(seed),
+            seconds=options.seconds,
+            faults=options.faults,
+        )
+
+
+def _read_runs(lines: Path) -> list[dict]:
+    if not lines.exists():
+        return []
+    return [json.loads(line) for line in lines.read_text().splitlines()]
+
+
 def _summary(run: dict) -> str:
     names = ("policy", "load", "seed", "goodput", "urgent_goodput", "wasted_prefill")
     return " ".join(f"{name}={run[name]}" for name in names)
