--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,10 @@
 binary: $(VENV)/.installed
 	$(BIN)/python -m tools.build_binary
 
+# The pages of docs/reference/ that come from the code.
+docs: $(VENV)/.installed
+	$(BIN)/python -m tools.generate_docs
+
 clean:
 	rm -rf $(VENV) build dist
 
--- /dev/null
+++ b/tests/packaging/test_pages.py
@@ -0,0 +1,38 @@
+"""The pages say what the code does, and lead where they say."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+from tests.fakes.processes import ROOT
+from tools.generate_docs import REFERENCE, pages
+
+LINK = re.compile(r"\[[^\]]*\]\(([^)#\s]+)(?:#[^)]*)?\)")
+PAGES = sorted([*ROOT.glob("*.md"), *(ROOT / "docs").rglob("*.md")])
+
+
+class TestGeneratedPages:
+    """An operator looks up an error id or a key and must find the one in force.
+
+    A key is added or renamed, the page keeps the old one, and the remedy that the
+    page names ends in "There is no such key."
+    """
+
+    @pytest.mark.parametrize("name", sorted(pages()))
+    def test_are_current(self, name: str) -> None:
+        text = (REFERENCE / name).read_text()
+        assert text == pages()[name], "run `make docs` and commit the pages"
+
+
+class TestLinks:
+    @pytest.mark.parametrize(
+        "page", PAGES, ids=lambda page: page.relative_to(ROOT).as_posix()
+    )
+    def test_lead_to_a_file(self, page: Path) -> None:
+        targets = LINK.findall(page.read_text())
+        local = [target for target in targets if "://" not in target]
+        missing = [target for target in local if not (page.parent / target).exists()]
+        assert not missing
--- /dev/null
+++ b/tools/generate_docs.py
@@ -0,0 +1,441 @@
+"""Write the pages of docs/reference/ that come from the code: `make docs`.
+
+The pages are committed; tests/packaging/test_pages.py fails when they are not current.
+"""
+
+from __future__ import annotations
+
+import ast
+import enum
+import inspect
+import sys
+from collections.abc import Iterator
+from dataclasses import MISSING, fields
+from pathlib import Path
+from typing import Annotated, Any, get_args, get_origin, get_type_hints
+
+import click
+from pydantic.fields import FieldInfo
+
+from jujubeslip import declaration
+from jujubeslip.cli import main as command_line
+from jujubeslip.declaration import Declaration
+from jujubeslip.kernel import (
+    ControlSettings,
+    EntrySettings,
+    PeerAddress,
+    TelemetrySettings,
+)
+
+ROOT = Path(__file__).parents[1]
+SOURCE = ROOT / "src" / "jujubeslip"
+REFERENCE = ROOT / "docs" / "reference"
+HEAD = (
+    "<!-- Written by `make docs` from the code; change the code, not this page. -->\n"
+)
+NAME_PATTERN = "letters, digits, `.`, `_`, `-`"
+
+
+def pages() -> dict[str, str]:
+    """Return the text of every generated page by its file name."""
+    return {
+        "settings.md": settings_page(),
+        "declaration.md": declaration_page(),
+        "cli.md": cli_page(),
+        "errors.md": errors_page(),
+        "metrics.md": metrics_page(),
+        "spans.md": spans_page(),
+    }
+
+
+# Data classes
+
+
+def settings_page() -> str:
+    """Return the page of both kinds of settings file."""
+    parts = [
+        HEAD,
+        "# Settings\n",
+        "Each process reads one TOML file, given by `--settings`. It is checked whole "
+        "before anything opens: each error names file, key, what is wrong and the "
+        "remedy, and an unknown key names the nearest known one. Check a file without "
+        "starting anything by `jujubeslip check --kind entry FILE` or `--kind "
+        "control`. Addresses are `IP:port`; names have up to 63 "
+        f"{NAME_PATTERN}. Times are in milliseconds, sizes in bytes. Whole examples "
+        "stand in `examples/`.\n",
+        "A process reads its settings at start only; restart it gracefully (SIGTERM) "
+        "to change them.\n",
+    ]
+    parts.append(_table("Entry host", EntrySettings))
+    parts.append(_table("Control host", ControlSettings))
+    parts.append(
+        _table("`[[entry_peers]]`, `[[control_peers]]`, `[[replicas]]`", PeerAddress)
+    )
+    parts.append(_table("`[telemetry]`", TelemetrySettings))
+    return "\n".join(parts)
+
+
+def declaration_page() -> str:
+    """Return the page of the declaration."""
+    parts = [
+        HEAD,
+        "# The declaration\n",
+        "What operators keep in version control and put in force by `jujubeslip "
+        "apply`. `jujubeslip check FILE` finds what is wrong with it first. How rules "
+        "decide is told in [topics/rules](../topics/rules.md).\n",
+    ]
+    for title, kind in (
+        ("Top level", Declaration),
+        ("`[[service]]`", declaration.Service),
+        ("`[[rule]]`", declaration.Rule),
+        ("`when` of a rule", declaration.Condition),
+        ("`then` of a rule", declaration.Action),
+        ("`[[client]]`", declaration.Client),
+        ("`[[placement]]`", declaration.Placement),
+    ):
+        parts.append(_table(title, kind))
+    parts.append(_checks_table())
+    return "\n".join(parts)
+
+
+def _table(title: str, kind: Any) -> str:
+    descriptions = key_descriptions(kind)
+    hints = get_type_hints(kind, include_extras=True)
+    rows = [f"## {title}\n", f"{kind.__doc__}\n"]
+    rows += ["| key | value | default | meaning |", "|---|---|---|---|"]
+    for field in fields(kind):
+        value, default = _type_text(hints[field.name]), _default_text(field)
+        meaning = descriptions[field.name]
+        rows.append(f"| `{field.name}` | {value} | {default} | {meaning} |")
+    return "\n".join(rows) + "\n"
+
+
+def key_descriptions(kind: type) -> dict[str, str]:
+    """Return the docstring that stands after each field of a data class."""
+    tree = ast.parse(inspect.getsource(kind)).body[0]
+    assert isinstance(tree, ast.ClassDef)
+    found = {}
+    for item, following in zip(tree.body, tree.body[1:], strict=False):
+        text = _docstring(following)
+        if isinstance(item, ast.AnnAssign) and text:
+            found[ast.unparse(item.target)] = text
+    missing = {field.name for field in fields(kind)} - set(found)  # type: ignore[arg-type]
+    if missing:
+        raise SystemExit(
+            f"{kind.__name__}: no docstring after {', '.join(sorted(missing))}."
+        )
+    return found
+
+
+def _docstring(node: ast.stmt) -> str:
+    if not isinstance(node, ast.Expr) or not isinstance(node.value, ast.Constant):
+        return ""
+    return " ".join(str(node.value.value).split())
+
+
+def _type_text(hint: Any) -> str:
+    if get_origin(hint) is Annotated:
+        inner, *details = get_args(hint)
+        bounds = [text for detail in details for text in _bounds(detail)]
+        return ", ".join([_type_text(inner), *bounds])
+    if inspect.isclass(hint) and issubclass(hint, enum.Enum):
+        return " or ".join(f"`{item.value}`" for item in hint)
+    names = {str: "text", int: "integer", float: "number", bool: "true or false"}
+    if hint in names:
+        return names[hint]
+    if hint is Path:
+        return "path"
+    arguments = [item for item in get_args(hint) if item not in (Ellipsis, type(None))]
+    if get_origin(hint) is tuple:
+        return f"list of {_type_text(arguments[0])}"
+    if get_origin(hint) is dict:
+        return "table of name = integer"
+    if arguments:
+        return _type_text(arguments[0])
+    return f"{hint.__name__} table"
+
+
+def _bounds(detail: object) -> Iterator[str]:
+    if not isinstance(detail, FieldInfo):
+        return
+    if detail.description:
+        yield detail.description
+        return
+    words = {
+        "ge": "at least",
+        "gt": "above",
+        "le": "at most",
+        "min_length": "length at least",
+    }
+    for bound in detail.metadata:
+        for key, word in words.items():
+            if getattr(bound, key, None) is not None:
+                yield f"{word} {getattr(bound, key)}"
+
+
+def _default_text(field: Any) -> str:
+    default = field.default
+    if default is MISSING and field.default_factory is MISSING:
+        return "required"
+    if isinstance(default, FieldInfo) or default is MISSING:
+        return "none"
+    if isinstance(default, enum.Enum):
+        return f"`{default.value}`"
+    if default in (None, "", ()):
+        return "none"
+    return f"`{default}`"
+
+
+# The command line
+
+
+def cli_page() -> str:
+    """Return the page of the commands, from their own help texts."""
+    context = click.Context(command_line, info_name="jujubeslip")
+    parts = [HEAD, "# The command line\n", _help_block(context)]
+    assert isinstance(command_line, click.Group)
+    for path, command in _commands(command_line, "jujubeslip"):
+        parts.append(f"## `{path}`\n")
+        parts.append(_help_block(click.Context(command, info_name=path)))
+    return "\n".join(parts)
+
+
+def _commands(group: click.Group, path: str) -> Iterator[tuple[str, click.Command]]:
+    for name, command in sorted(group.commands.items()):
+        yield f"{path} {name}", command
+        if isinstance(command, click.Group):
+            yield from _commands(command, f"{path} {name}")
+
+
+def _help_block(context: click.Context) -> str:
+    context.max_content_width = 84
+    context.terminal_width = 84
+    return f"```text\n{context.command.get_help(context)}\n```\n"
+
+
+# What the source says in calls and classes
+
+
+def source_trees() -> Iterator[tuple[Path, ast.Module]]:
+    """Yield each module of the source, without the generated code."""
+    for path in sorted(SOURCE.rglob("*.py")):
+        if "gen" not in path.relative_to(SOURCE).parts:
+            yield path, ast.parse(path.read_text())
+
+
+def calls_of(*names: str) -> Iterator[tuple[Path, ast.Call]]:
+    """Yield the calls of functions or methods with one of these names."""
+    for path, tree in source_trees():
+        for node in ast.walk(tree):
+            if isinstance(node, ast.Call) and _called_name(node) in names:
+                yield path, node
+
+
+def _called_name(call: ast.Call) -> str:
+    if isinstance(call.func, ast.Attribute):
+        return call.func.attr
+    return call.func.id if isinstance(call.func, ast.Name) else ""
+
+
+def _text(node: ast.expr | None) -> str:
+    """Return a text constant; parts that vary are shown as `…`."""
+    if isinstance(node, ast.Constant) and isinstance(node.value, str):
+        return node.value
+    if isinstance(node, ast.JoinedStr):
+        return "".join(_text(part) or "…" for part in node.values)
+    return ""
+
+
+def _argument(call: ast.Call, position: int, name: str) -> ast.expr | None:
+    for keyword in call.keywords:
+        if keyword.arg == name:
+            return keyword.value
+    return call.args[position] if position < len(call.args) else None
+
+
+def errors_page() -> str:
+    """Return the page of all error ids."""
+    parts = [
+        HEAD,
+        "# Errors\n",
+        "Every error has a stable id, a message and a remedy. A refusal to a client "
+        "says besides whether the request `ran` (`no`: surely not; `unknown`: it may "
+        "have) and, in `Retry-After`, when to ask again; "
+        "[topics/outcomes](../topics/outcomes.md) tells what that means. `…` stands "
+        "for what differs from case to case.\n",
+        "## Refusals to clients and endpoints\n",
+        "| id | status | ran | message | remedy |",
+        "|---|---|---|---|---|",
+        *sorted(set(_refusal_rows())),
+        "",
+        "The ids of the next table with `endpoint_` and `answer_cut` reach clients "
+        "too: status 502, and `ran: unknown` unless the endpoint surely did not run "
+        "it.\n",
+        "## Kinds of error\n",
+        "| id | meaning | remedy |",
+        "|---|---|---|",
+        *sorted(set(_class_rows())),
+        "",
+        "## Refusals between processes, and to operators\n",
+        "| id | message | remedy |",
+        "|---|---|---|",
+        *sorted(set(_peer_rows())),
+        "",
+    ]
+    return "\n".join(parts)
+
+
+def _refusal_rows() -> Iterator[str]:
+    default_remedy = "Ask again after the time given in Retry-After."
+    for _, call in calls_of("RequestRefusedError"):
+        error_id = _text(_argument(call, 0, "error_id"))
+        if not error_id:
+            continue
+        status = _argument(call, 9, "status")
+        ran = _argument(call, 9, "ran")
+        yield _row(
+            f"`{error_id}`",
+            ast.unparse(status) if status else "503",
+            ast.unparse(ran).removeprefix("Ran.").lower() if ran else "no",
+            _text(_argument(call, 1, "message")) or "says what is wrong",
+            _text(_argument(call, 9, "remedy")) or default_remedy,
+        )
+
+
+def _class_rows() -> Iterator[str]:
+    class_by_name = {
+        node.name: node
+        for _, tree in source_trees()
+        for node in ast.walk(tree)
+        if isinstance(node, ast.ClassDef)
+    }
+    for node in class_by_name.values():
+        error_id = _class_text(node, "error_id")
+        if not error_id or not node.name.endswith("Error"):
+            continue
+        meaning = (ast.get_docstring(node) or "").split("\n")[0]
+        remedy = _inherited_text(node, "default_remedy", class_by_name)
+        yield _row(f"`{error_id}`", meaning, remedy)
+
+
+def _class_text(node: ast.ClassDef, name: str) -> str:
+    for item in node.body:
+        if isinstance(item, ast.Assign) and ast.unparse(item.targets[0]) == name:
+            return _text(item.value)
+    return ""
+
+
+def _inherited_text(
+    node: ast.ClassDef, name: str, class_by_name: dict[str, ast.ClassDef]
+) -> str:
+    text = _class_text(node, name)
+    bases = [class_by_name.get(ast.unparse(base)) for base in node.bases]
+    for base in bases:
+        if not text and base is not None:
+            text = _inherited_text(base, name, class_by_name)
+    return text
+
+
+def _peer_rows() -> Iterator[str]:
+    for _, call in calls_of("PeerRefusal", "_refusal"):
+        error_id = _text(_argument(call, 0, "error_id"))
+        if not error_id:
+            continue
+        message = _text(_argument(call, 1, "message")) or "says what is wrong"
+        remedy = _text(_argument(call, 2, "remedy")) or "as in its message"
+        yield _row(f"`{error_id}`", message, remedy)
+
+
+def _checks_table() -> str:
+    rows = ["## What `check` finds besides\n"]
+    rows += ["| id | level | message | remedy |", "|---|---|---|---|"]
+    found = set()
+    for _, call in calls_of("CheckMessage"):
+        check_id, _, _, message, hint = (_text(item) for item in call.args[:5])
+        level = ast.unparse(call.args[1]).removeprefix("CheckLevel.").lower()
+        found.add(_row(f"`{check_id}`", level, message, hint))
+    return "\n".join([*rows, *sorted(found)]) + "\n"
+
+
+def _row(*cells: str) -> str:
+    return f"| {' | '.join(' '.join(cell.split()) for cell in cells)} |"
+
+
+def metrics_page() -> str:
+    """Return the page of the metrics."""
+    rows = []
+    for _, call in calls_of(
+        "create_counter", "create_histogram", "create_up_down_counter", "create_gauge",
+        "create_observable_gauge", "create_observable_counter",
+    ):  # fmt: skip
+        kind = _called_name(call).removeprefix("create_").replace("_", " ")
+        rows.append(
+            _row(
+                f"`{_text(_argument(call, 0, 'name'))}`",
+                kind,
+                _text(_argument(call, 9, "unit")) or "1",
+                _text(_argument(call, 9, "description")),
+            )
+        )
+    parts = [
+        HEAD,
+        "# Metrics\n",
+        "Exported by OTLP over HTTP to `otlp_endpoint` of the settings, each "
+        "`export_interval_ms`, with the resource attributes `service.name`, `host.id` "
+        "and `cloud.availability_zone`.\n",
+        "| name | kind | unit | meaning |",
+        "|---|---|---|---|",
+        *sorted(set(rows)),
+        "",
+    ]
+    return "\n".join(parts)
+
+
+SPAN_MEANINGS = {
+    "request": "a client's request, from its arrival to the end of its answer",
+    "reserve": "the wait for endpoints, granted by their home",
+    "prefill": "the prompt's computation at a prefill engine",
+    "transfer": "the KV cache's way to a decode engine",
+    "decode": "the stream of tokens from a decode engine",
+    "call": "a plain service's call",
+}
+
+
+def spans_page() -> str:
+    """Return the page of the spans."""
+    names: dict[str, set[str]] = {}
+    for path, call in calls_of("start_as_current_span", "start_span"):
+        name = _text(call.args[0])
+        names.setdefault(name, set()).add(path.relative_to(SOURCE).as_posix())
+    rows = [
+        _row(f"`{name}`", SPAN_MEANINGS.get(name, ""), ", ".join(sorted(paths)))
+        for name, paths in sorted(names.items())
+    ]
+    attributes = sorted(
+        {_text(call.args[0]) for _, call in calls_of("set_attribute") if call.args}
+    )
+    parts = [
+        HEAD,
+        "# Spans\n",
+        "One trace for each request, a span for each hop. A `traceparent` header of "
+        "the client's request is the parent; engines get one in turn. "
+        "[how-to/read-a-trace](../how-to/read-a-trace.md) goes through one.\n",
+        "| name | covers | made in |",
+        "|---|---|---|",
+        *rows,
+        "",
+        f"Attributes: {', '.join(f'`{name}`' for name in attributes)}.",
+        "",
+    ]
+    return "\n".join(parts)
+
+
+def main() -> int:
+    """Write the pages; return an exit status."""
+    for name, text in pages().items():
+        (REFERENCE / name).write_text(text)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
