Let operators change the replicas and recover by commands

Cause: the control hosts can add and remove replicas and recover from a lost majority, and their errors name `jujubeslip replica add`, but there was no such command. Besides, each command that could not reach a host wrote the Thrift library's own line before its error.

Ruled out: logging for operators' commands (their output is the error with its remedy, which scripts read).

The library's lines are off for commands.

Before and after: two lines on standard error, the first without a remedy; now one.

--- a/bench/capacity/control.py
+++ b/bench/capacity/control.py
@@ -21,15 +21,15 @@
     RUNS,
     CountedCluster,
     Rates,
+    control_client,
     print_figures,
     slope,
     spread_of,
 )
 from bench.capacity.tables import declaration_text
 from jujubeslip.control import ControlClient
-from jujubeslip.kernel import Deadline, PeerAddress
-from jujubeslip.peers import ApplyRequest, KeyClaim, KeyStatus, PeerIdentity
-from tests.fakes.cluster import PEER_SECRET
+from jujubeslip.kernel import Deadline
+from jujubeslip.peers import ApplyRequest, KeyClaim, KeyStatus
 from tests.fakes.processes import wait_until
 from tests.fakes.scenarios import small_system
 
@@ -67,7 +67,7 @@
             tempfile.TemporaryDirectory() as folder,
             CountedCluster(spec, Path(folder)) as cluster,
         ):
-            control = _control_client(cluster)
+            control = control_client(cluster)
             if claims:
                 measure_claims(cluster, control, claims)
                 claims = []
@@ -75,14 +75,6 @@
                 measure_changes(cluster, control, entries, size)
 
 
-def _control_client(cluster: CountedCluster) -> ControlClient:
-    peers = [
-        PeerAddress(host_id=name, address=cluster.peer_address_by_id[name])
-        for name in cluster.control_ids
-    ]
-    return ControlClient(peers, PeerIdentity("bench", 1, PEER_SECRET))
-
-
 def measure_claims(
     cluster: CountedCluster, control: ControlClient, sizes: list[int]
 ) -> None:
--- a/bench/capacity/fleet.py
+++ b/bench/capacity/fleet.py
@@ -9,7 +9,10 @@
 from dataclasses import asdict, dataclass
 from pathlib import Path
 
-from tests.fakes.cluster import Cluster
+from jujubeslip.control import ControlClient
+from jujubeslip.kernel import PeerAddress
+from jujubeslip.peers import PeerIdentity
+from tests.fakes.cluster import PEER_SECRET, Cluster
 from tests.fakes.processes import ManagedProcess
 
 COMMAND_LINE = "jujubeslip.cli"
@@ -60,6 +63,15 @@
         }
 
 
+def control_client(cluster: CountedCluster) -> ControlClient:
+    """Return a client of the cluster's control hosts."""
+    peers = [
+        PeerAddress(host_id=name, address=cluster.peer_address_by_id[name])
+        for name in cluster.control_ids
+    ]
+    return ControlClient(peers, PeerIdentity("bench", 1, PEER_SECRET))
+
+
 def rates_between(before: dict[str, float], after: dict[str, float]) -> Rates:
     """Return the rates between two snapshots of one process."""
     seconds = after["instant"] - before["instant"]
--- a/bench/capacity/pollers.py
+++ b/bench/capacity/pollers.py
@@ -16,7 +16,13 @@
 import uuid
 from pathlib import Path
 
-from bench.capacity.fleet import RUNS, CountedCluster, print_figures, print_rates
+from bench.capacity.fleet import (
+    RUNS,
+    CountedCluster,
+    control_client,
+    print_figures,
+    print_rates,
+)
 from bench.capacity.tables import declaration_text
 from jujubeslip.control import ControlClient
 from jujubeslip.kernel import Deadline, PeerAddress, PeerUnavailableError
@@ -88,7 +94,7 @@
         tempfile.TemporaryDirectory() as folder,
         CountedCluster(spec, Path(folder)) as cluster,
     ):
-        control = _control_client(cluster)
+        control = control_client(cluster)
         leader = str(control.status().leader_id).rpartition("/")[0]
         pollers = Pollers(cluster, leader, size)
         try:
@@ -104,14 +110,6 @@
             pollers.stop()
 
 
-def _control_client(cluster: CountedCluster) -> ControlClient:
-    peers = [
-        PeerAddress(host_id=name, address=cluster.peer_address_by_id[name])
-        for name in cluster.control_ids
-    ]
-    return ControlClient(peers, PeerIdentity("bench", 1, PEER_SECRET))
-
-
 def _change(control: ControlClient, pollers: Pollers, text: str) -> tuple[float, float]:
     """Apply a change; return the ms until it was accepted and until all have it."""
     base = control.get_configuration(-1, 0).revision
--- a/src/jujubeslip/cli/_main.py
+++ b/src/jujubeslip/cli/_main.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import logging
+
 import click
 
 from jujubeslip import __version__
 from jujubeslip.cli._change_commands import apply, history, show
 from jujubeslip.cli._check_commands import check, explain
+from jujubeslip.cli._replica_commands import replica
 from jujubeslip.cli._run_commands import control, entry
 from jujubeslip.cli._status_commands import drain, status
 
@@ -19,7 +22,21 @@
     Exit codes: 0 done; 1 refused or not reached, with the remedy on standard error;
     2 the command line was wrong; 3 a file was not valid.
     """
-
-
-for command in (entry, control, check, explain, apply, show, history, status, drain):
+    # The library writes a line for each try that fails, before the command's own
+    # error, which has the remedy.
+    logging.getLogger("thrift").setLevel(logging.CRITICAL)
+
+
+for command in (
+    entry,
+    control,
+    check,
+    explain,
+    apply,
+    show,
+    history,
+    status,
+    drain,
+    replica,
+):
     main.add_command(command)
--- /dev/null
+++ b/src/jujubeslip/cli/_replica_commands.py
@@ -0,0 +1,82 @@
+"""Commands that change which control hosts keep the replicated log."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import asdict
+from pathlib import Path
+
+import click
+
+from jujubeslip.cli._connection import control_options, json_option, open_control
+from jujubeslip.cli._output import exit_refused, print_fields
+from jujubeslip.cli._run_commands import settings_option, settings_or_exit
+from jujubeslip.control import ControlClient, recover
+from jujubeslip.kernel import Deadline, JujubeslipError, load_control_settings
+from jujubeslip.peers import PeerRefusal
+
+CHANGE_SECONDS = 15.0
+
+host_argument = click.argument("host_id")
+
+
+@click.group()
+def replica() -> None:
+    """Change which control hosts keep the replicated log, one at a time."""
+
+
+@replica.command()
+@host_argument
+@control_options
+def add(host_id: str, control_addresses: tuple[str, ...], peer_secret: str) -> None:
+    """Let a host join; then start it with an empty data folder."""
+
+    def change(control: ControlClient, deadline: Deadline) -> None:
+        control.add_replica(host_id, deadline)
+
+    _change(change, control_addresses, peer_secret)
+    click.echo(f"{host_id} may join; start it with an empty data folder.")
+
+
+@replica.command()
+@host_argument
+@control_options
+def remove(host_id: str, control_addresses: tuple[str, ...], peer_secret: str) -> None:
+    """Take a host out of the replicas, for good."""
+
+    def change(control: ControlClient, deadline: Deadline) -> None:
+        control.remove_replica(host_id, deadline)
+
+    _change(change, control_addresses, peer_secret)
+    click.echo(f"{host_id} is no replica any more.")
+
+
+def _change(
+    change: Callable[[ControlClient, Deadline], None],
+    control_addresses: tuple[str, ...],
+    peer_secret: str,
+) -> None:
+    control = open_control(control_addresses, peer_secret)
+    try:
+        change(control, Deadline.after(CHANGE_SECONDS))
+    except (JujubeslipError, PeerRefusal) as error:
+        exit_refused(error)
+
+
+@replica.command("recover")
+@settings_option
+@click.option("--confirm", is_flag=True, help="Do it; without, only show the state.")
+@json_option
+def recover_replica(settings_path: Path, confirm: bool, as_json: bool) -> None:
+    """Go on alone from this data folder, after a majority was lost for good.
+
+    Stop the process first. Without --confirm nothing changes: compare last_term, then
+    last_index, of all survivors, and take the highest. What only the lost hosts had
+    accepted is lost.
+    """
+    settings = settings_or_exit(load_control_settings(settings_path))
+    try:
+        report = recover(settings, confirmed=confirm)
+    except JujubeslipError as error:
+        exit_refused(error)
+    print_fields(asdict(report), as_json)
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import json
+import os
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -107,6 +110,17 @@
         assert result.stderr.startswith("peer_unavailable: ")
         assert "Check that" in result.stderr
 
+    def test_the_remedy_is_all_that_a_process_writes(self) -> None:
+        """A script that reads the first line must not get a library's message."""
+        command = [sys.executable, "-m", "jujubeslip.cli"]
+        command += ["status", "--entry", free_address()]
+        ended = subprocess.run(
+            command, env={**os.environ, **SECRET}, capture_output=True, text=True
+        )
+        assert ended.returncode == 1
+        assert ended.stderr.startswith("peer_unavailable: ")
+        assert ended.stderr.count("\n") == 1
+
     @pytest.mark.parametrize(
         "arguments",
         [("status", "--entry"), ("show", "--control"), ("history", "--control")],
