--- a/tests/control/test_operators.py
+++ b/tests/control/test_operators.py
@@ -112,6 +112,16 @@
             assert polls[0] == 1
             assert 2 in polls
 
+    def test_a_poll_without_news_brings_no_text(self, cluster: ControlCluster) -> None:
+        """Hundreds of entry hosts poll all day; few of their polls bring a change.
+
+        With the whole text in each answer, control and the links between zones are
+        busy with a declaration that nobody needs.
+        """
+        newest = cluster.client.get_configuration(-1, 0)
+        unchanged = cluster.client.get_configuration(newest.revision, 0)
+        assert (unchanged.revision, unchanged.declaration) == (newest.revision, "")
+
     def test_history_holds_each_revision(self, cluster: ControlCluster) -> None:
         cluster.apply(300, current_revision(cluster))
         newest = cluster.client.get_configuration(-1, 0)
