Probe a few neighbours and spread bounded news in place of full views

Cause: every host sent its whole view to random peers four times a second, so a message grew with the hosts and all messages together with their square. Status was judged by heartbeats that had to reach everybody.

Ruled out: random probes of all hosts (each host would in time hold a connection and a task for every other one) and probes by UDP (they say nothing about the way that requests take).

Change: each host probes its successors on five hashed rings, three of them in its availability zone. A host that answers neither a pooled nor a fresh connection is checked through three others before it is suspected, and is dead unless it refutes that by a greater heartbeat. Changes ride on probes, eight records a message at most; digests find what they missed, and the full list is read in pages. The view is a lease: a frozen host that wakes relies on nobody until it has read the list anew. Deaths are never taken over, so a healed partition takes no neighbours away. A host reached by others but not from here loses its homes here only. Homes and keepers are computed once for each view. An address in the settings goes before the one that a host gives of itself. Thrift's own error log for each failed connect is off, since the callers report it. The Thrift file gains view_digest, reaches and hosts_after; the code was generated anew.

The tests fail without the guards: with the lease always valid the frozen host test fails, without recontact a healed cut stays open, without the full list's comparison a host that died unseen stays alive.

--- /dev/null
+++ b/bench/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Measures what membership costs and how fast it is."""
--- a/src/jujubeslip/entry/_peer_handler.py
+++ b/src/jujubeslip/entry/_peer_handler.py
@@ -46,6 +46,14 @@
         """Exchange views of the entry hosts."""
         return self._gossip.receive(message)
 
+    def reaches(self, host_id: str) -> bool:
+        """Say whether another entry host answers this one."""
+        return self._gossip.reaches(host_id)
+
+    def hosts_after(self, host_id: str) -> GossipMessage:
+        """Return a page of the live entry hosts."""
+        return self._gossip.hosts_after(host_id)
+
     def announce(self, announcement: Announcement) -> None:
         """Take an endpoint's announcement, as the home of its pool."""
         self._homes.announce(announcement)
--- a/src/jujubeslip/entry/_process.py
+++ b/src/jujubeslip/entry/_process.py
@@ -65,7 +65,10 @@
         self._clients = PeerClients(self._identity)
         self._control = ControlClient(settings.control_peers, self._identity)
         self._configuration = ConfigurationFollower(self._control, self._clients)
-        self._directory = HostDirectory(self._own_state(incarnation))
+        self._directory = HostDirectory(
+            self._own_state(incarnation),
+            {peer.host_id: peer.address for peer in settings.entry_peers},
+        )
         self._gossip = Gossip(
             self._directory,
             self._clients,
--- a/src/jujubeslip/membership/__init__.py
+++ b/src/jujubeslip/membership/__init__.py
@@ -1,4 +1,4 @@
-"""Which entry hosts live, learned by gossip, and which of them owns what."""
+"""Which entry hosts live, learned by probes and gossip, and which owns what."""
 
 from jujubeslip.membership._directory import HostDirectory
 from jujubeslip.membership._gossip import Gossip
--- a/src/jujubeslip/peers/_client.py
+++ b/src/jujubeslip/peers/_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import threading
 from collections.abc import Callable
 from typing import Any, TypeVar
@@ -15,6 +16,9 @@
 
 T = TypeVar("T")
 
+# Thrift logs an error for each failed connect; the callers here report it themselves.
+logging.getLogger("thrift.transport.TSocket").setLevel(logging.CRITICAL)
+
 MAXIMUM_IDLE_CONNECTIONS = 32
 
 
--- a/src/jujubeslip/peers/gen/EntryPeer.py
+++ b/src/jujubeslip/peers/gen/EntryPeer.py
@@ -36,6 +36,22 @@
         """
         pass
 
+    def reaches(self, host_id):
+        """
+        Parameters:
+         - host_id
+
+        """
+        pass
+
+    def hosts_after(self, host_id):
+        """
+        Parameters:
+         - host_id
+
+        """
+        pass
+
     def announce(self, announcement):
         """
         Parameters:
@@ -179,6 +195,74 @@
             raise result.refusal
         raise TApplicationException(TApplicationException.MISSING_RESULT, "gossip failed: unknown result")
 
+    def reaches(self, host_id):
+        """
+        Parameters:
+         - host_id
+
+        """
+        self.send_reaches(host_id)
+        return self.recv_reaches()
+
+    def send_reaches(self, host_id):
+        self._oprot.writeMessageBegin('reaches', TMessageType.CALL, self._seqid)
+        args = reaches_args()
+        args.host_id = host_id
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_reaches(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = reaches_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.refusal is not None:
+            raise result.refusal
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "reaches failed: unknown result")
+
+    def hosts_after(self, host_id):
+        """
+        Parameters:
+         - host_id
+
+        """
+        self.send_hosts_after(host_id)
+        return self.recv_hosts_after()
+
+    def send_hosts_after(self, host_id):
+        self._oprot.writeMessageBegin('hosts_after', TMessageType.CALL, self._seqid)
+        args = hosts_after_args()
+        args.host_id = host_id
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_hosts_after(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = hosts_after_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.refusal is not None:
+            raise result.refusal
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "hosts_after failed: unknown result")
+
     def announce(self, announcement):
         """
         Parameters:
@@ -482,6 +566,8 @@
         self._processMap = {}
         self._processMap["hello"] = Processor.process_hello
         self._processMap["gossip"] = Processor.process_gossip
+        self._processMap["reaches"] = Processor.process_reaches
+        self._processMap["hosts_after"] = Processor.process_hosts_after
         self._processMap["announce"] = Processor.process_announce
         self._processMap["reserve"] = Processor.process_reserve
         self._processMap["progress"] = Processor.process_progress
@@ -565,6 +651,58 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_reaches(self, seqid, iprot, oprot):
+        args = reaches_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = reaches_result()
+        try:
+            result.success = self._handler.reaches(args.host_id)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("reaches", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_hosts_after(self, seqid, iprot, oprot):
+        args = hosts_after_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = hosts_after_result()
+        try:
+            result.success = self._handler.hosts_after(args.host_id)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("hosts_after", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_announce(self, seqid, iprot, oprot):
         args = announce_args()
         args.read(iprot)
@@ -1064,6 +1202,277 @@
 )
 
 
+class reaches_args(object):
+    """
+    Attributes:
+     - host_id
+
+    """
+
+
+    def __init__(self, host_id=None,):
+        self.host_id = host_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('reaches_args')
+        if self.host_id is not None:
+            oprot.writeFieldBegin('host_id', TType.STRING, 1)
+            oprot.writeString(self.host_id.encode('utf-8') if sys.version_info[0] == 2 else self.host_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(reaches_args)
+reaches_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host_id', 'UTF8', None, ),  # 1
+)
+
+
+class reaches_result(object):
+    """
+    Attributes:
+     - success
+     - refusal
+
+    """
+
+
+    def __init__(self, success=None, refusal=None,):
+        self.success = success
+        self.refusal = refusal
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.BOOL:
+                    self.success = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('reaches_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.BOOL, 0)
+            oprot.writeBool(self.success)
+            oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(reaches_result)
+reaches_result.thrift_spec = (
+    (0, TType.BOOL, 'success', None, None, ),  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+)
+
+
+class hosts_after_args(object):
+    """
+    Attributes:
+     - host_id
+
+    """
+
+
+    def __init__(self, host_id=None,):
+        self.host_id = host_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('hosts_after_args')
+        if self.host_id is not None:
+            oprot.writeFieldBegin('host_id', TType.STRING, 1)
+            oprot.writeString(self.host_id.encode('utf-8') if sys.version_info[0] == 2 else self.host_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(hosts_after_args)
+hosts_after_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host_id', 'UTF8', None, ),  # 1
+)
+
+
+class hosts_after_result(object):
+    """
+    Attributes:
+     - success
+     - refusal
+
+    """
+
+
+    def __init__(self, success=None, refusal=None,):
+        self.success = success
+        self.refusal = refusal
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = GossipMessage()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('hosts_after_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(hosts_after_result)
+hosts_after_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [GossipMessage, None], None, ),  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+)
+
+
 class announce_args(object):
     """
     Attributes:
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -462,14 +462,16 @@
      - sender_id
      - hosts
      - configuration_revision
+     - view_digest
 
     """
 
 
-    def __init__(self, sender_id=None, hosts=None, configuration_revision=None,):
+    def __init__(self, sender_id=None, hosts=None, configuration_revision=None, view_digest=None,):
         self.sender_id = sender_id
         self.hosts = hosts
         self.configuration_revision = configuration_revision
+        self.view_digest = view_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -501,6 +503,11 @@
                     self.configuration_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.view_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -526,6 +533,10 @@
             oprot.writeFieldBegin('configuration_revision', TType.I64, 3)
             oprot.writeI64(self.configuration_revision)
             oprot.writeFieldEnd()
+        if self.view_digest is not None:
+            oprot.writeFieldBegin('view_digest', TType.I64, 4)
+            oprot.writeI64(self.view_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4262,6 +4273,7 @@
     (1, TType.STRING, 'sender_id', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'hosts', (TType.STRUCT, [HostState, None], False), None, ),  # 2
     (3, TType.I64, 'configuration_revision', None, None, ),  # 3
+    (4, TType.I64, 'view_digest', None, None, ),  # 4
 )
 all_structs.append(Announcement)
 Announcement.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -67,6 +67,9 @@
   1: string sender_id,
   2: list<HostState> hosts,
   3: i64 configuration_revision,
+  // Equal on two hosts that know of the same live hosts; 0 while the sender has
+  // missed news and `hosts` is not all that it should tell.
+  4: i64 view_digest,
 }
 
 struct Announcement {
@@ -202,6 +205,10 @@
 service EntryPeer {
   void hello(1: PeerIdentity identity) throws (1: PeerRefusal refusal),
   GossipMessage gossip(1: GossipMessage message) throws (1: PeerRefusal refusal),
+  // Whether that host answers the asked one, for a host that it doesn't answer.
+  bool reaches(1: string host_id) throws (1: PeerRefusal refusal),
+  // A page of the live hosts, in order of their ids; empty behind the last.
+  GossipMessage hosts_after(1: string host_id) throws (1: PeerRefusal refusal),
   void announce(1: Announcement announcement) throws (1: PeerRefusal refusal),
   ReserveReply reserve(1: ReserveRequest request) throws (1: PeerRefusal refusal),
   void progress(1: GrantProgress progress) throws (1: PeerRefusal refusal),
