--- a/src/jujubeslip/routing/_home_router.py
+++ b/src/jujubeslip/routing/_home_router.py
@@ -37,8 +37,6 @@
 
 # A home answers within its poll time; beyond this the connection is taken for silent.
 RESERVE_TIMEOUT = 0.8
-# The home of a pool and the standby that is asked when it does not answer.
-HOMES = 2
 REPORT_TIMEOUT = 1.0
 REPORT_TRIES = 3
 ANNOUNCE_TIMEOUT = 0.8
@@ -131,7 +129,7 @@
         reads what the endpoints hold, so it can grant. Should both grant for a moment,
         an endpoint's memory is overcommitted and the engine lets the import wait.
         """
-        homes = self._directory.homes_of(request.service.name, place, HOMES)
+        homes = self._directory.homes_of(request.service.name, place)
         for home in homes:
             try:
                 return self._ask(home, to_message(request, self._owner, place)), home
@@ -200,7 +198,7 @@
         Raises PeerUnavailableError or PeerRefusal if the home does not take it.
         """
         home, *standbys = self._directory.homes_of(
-            announcement.service_name, announcement.place, HOMES
+            announcement.service_name, announcement.place
         )
         for standby in standbys:
             self._process.start_task(self._announce_to_standby, standby, announcement)
