--- a/bench/_run.py
+++ b/bench/_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import subprocess
 import tempfile
@@ -47,6 +48,8 @@
 
 def run_once(options: RunOptions) -> dict:
     """Run once and return the figures as one JSON object."""
+    # The library logs each try to reach a host that has not started yet.
+    logging.getLogger("thrift").setLevel(logging.CRITICAL)
     if options.logs is not None:
         options.logs.mkdir(parents=True, exist_ok=True)
         return _run_in(options, options.logs)
@@ -88,7 +91,8 @@
         cluster.endpoint_call(name, "GET", "/v1/records")
         for name in _running_endpoints(cluster)
     ]
-    figures = RunMeasure(scenario, planned, outcomes, records).figures()
+    measure = RunMeasure(scenario, planned, outcomes, records, disturbances.lost_entry)
+    figures = measure.figures()
     return {
         **as_json(figures),
         "scenario": options.scenario,
--- a/src/jujubeslip/entry/_process.py
+++ b/src/jujubeslip/entry/_process.py
@@ -9,7 +9,7 @@
 from jujubeslip.entry._http_app import HttpApp
 from jujubeslip.entry._http_server import HttpServer
 from jujubeslip.entry._peer_handler import PeerHandler
-from jujubeslip.homes import Homes, SchedulerOptions
+from jujubeslip.homes import Homes
 from jujubeslip.kernel import EntrySettings, Process, load_plugins, new_incarnation
 from jujubeslip.membership import Gossip, HostDirectory, PeerClients
 from jujubeslip.peers import (
@@ -28,6 +28,7 @@
     OpenRequests,
     PlainPath,
     RequestService,
+    RetryPolicy,
 )
 from jujubeslip.routing import (
     ClientLimits,
@@ -35,13 +36,14 @@
     LocalRouter,
     RetryBudgets,
     Router,
+    home_policies,
     local_policies,
+    scheduler_options,
 )
 from jujubeslip.telemetry import Meters, configure_logging, configure_telemetry
 
 logger = logging.getLogger(__name__)
 
-HOME_POLICY = "home"
 # How long others need to hear that this host is leaving, in seconds.
 LEAVE_SECONDS = 1.0
 
@@ -64,7 +66,10 @@
         self._clients = PeerClients(self._identity)
         self._control = ControlClient(settings.control_peers, self._identity)
         self._configuration = ConfigurationFollower(self._control, self._clients)
-        self._directory = HostDirectory(self._own_state(incarnation))
+        self._directory = HostDirectory(
+            self._own_state(incarnation),
+            {peer.host_id: peer.address for peer in settings.entry_peers},
+        )
         self._gossip = Gossip(
             self._directory,
             self._clients,
@@ -73,7 +78,10 @@
             self._configuration.fetch_from_peer,
         )
         self._homes = Homes(
-            self._directory, self._clients, self._process, SchedulerOptions()
+            self._directory,
+            self._clients,
+            self._process,
+            scheduler_options(settings.policy),
         )
         self._router = self._build_router()
         self._open_requests = OpenRequests()
@@ -101,7 +109,7 @@
         )
 
     def _build_router(self) -> Router:
-        if self._settings.policy == HOME_POLICY:
+        if self._settings.policy in home_policies.by_name:
             return HomeRouter(
                 self._directory, self._clients, self._homes, self._process
             )
@@ -109,16 +117,16 @@
         return LocalRouter(self._directory, self._clients, self._homes, policy)
 
     def _build_app(self) -> HttpApp:
-        budgets = RetryBudgets()
-        canceller = Canceller(self._process)
+        retries = RetryPolicy(RetryBudgets(), self._meters)
+        canceller = Canceller(self._process, self._open_requests)
         service = RequestService(
             self._owner,
             self._settings.availability_zone,
             lambda: self._configuration.declaration,
             self._router,
             ClientLimits(lambda: len(self._directory.live_hosts())),
-            ModelPath(self._owner, self._router, canceller, budgets, self._meters),
-            PlainPath(self._owner, self._router, budgets, self._meters),
+            ModelPath(self._owner, self._router, canceller, retries, self._meters),
+            PlainPath(self._owner, self._router, retries),
             KeeperKeys(self._directory, self._clients, self._keeper),
             ControlKeys(self._control),
         )
