--- a/src/jujubeslip/endpoints/__init__.py
+++ b/src/jujubeslip/endpoints/__init__.py
@@ -11,7 +11,7 @@
     EndpointTimeoutError,
     EndpointUnreachableError,
 )
-from jujubeslip.endpoints._http import never_interrupted
+from jujubeslip.endpoints._http import Interrupted, never_interrupted
 from jujubeslip.endpoints._models import (
     CacheEvent,
     EndpointStatus,
@@ -20,6 +20,7 @@
     PrefillResult,
     RequestRef,
 )
+from jujubeslip.endpoints._monitor import EndpointMonitor
 from jujubeslip.endpoints._plain import call_plain_service
 
 __all__ = [
@@ -29,11 +30,13 @@
     "EndpointAnswerError",
     "EndpointError",
     "EndpointRefusedError",
+    "EndpointMonitor",
     "EndpointStatus",
     "EndpointTimeoutError",
     "EndpointUnreachableError",
     "EngineAdapter",
     "HeldItem",
+    "Interrupted",
     "PlainAnswer",
     "PrefillResult",
     "RequestRef",
--- a/src/jujubeslip/endpoints/_adapter.py
+++ b/src/jujubeslip/endpoints/_adapter.py
@@ -3,37 +3,39 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Iterator, Mapping
+from functools import partial
 from typing import Any
 
 from jujubeslip.endpoints._errors import (
     AnswerCutError,
     EndpointAnswerError,
     EndpointRefusedError,
+    EndpointTimeoutError,
 )
 from jujubeslip.endpoints._http import (
     Call,
     Interrupted,
+    Probe,
     exchange_json,
     never_interrupted,
     parse_object,
 )
 from jujubeslip.endpoints._models import (
-    CacheEvent,
     EndpointStatus,
-    HeldItem,
     PrefillResult,
     RequestRef,
 )
+from jujubeslip.endpoints._status import status_from_json
 from jujubeslip.kernel import Deadline
-from jujubeslip.peers import EndpointRole
 
 HTTP_OK = 200
-ROLE_BY_NAME = {
-    "prefill": EndpointRole.PREFILL,
-    "decode": EndpointRole.DECODE,
-    "plain": EndpointRole.PLAIN,
-}
+PROBE_SECONDS = 1.0
+PREFILL_PHASES = frozenset({"queued", "prefill"})
+QUEUED = "queued"
+TRANSFER = "transfer"
+LEAVING = "leaving"
 
 
 class EngineAdapter:
@@ -54,13 +56,17 @@
     ) -> PrefillResult:
         """Compute a prompt and return where its KV cache is held."""
         message = {"model": model, "prompt": prompt, "priority": priority}
-        answer = self._ask(ref, "/v1/prefill", message, deadline, traceparent)
-        return PrefillResult(
-            kv_id=str(answer["kv_id"]),
-            prompt_tokens=int(answer["prompt_tokens"]),
-            cached_tokens=int(answer["cached_tokens"]),
-            computed_tokens=int(answer["computed_tokens"]),
-        )
+        probe = partial(self._check_phase, ref, PREFILL_PHASES)
+        answer = self._ask(ref, "/v1/prefill", message, deadline, traceparent, probe)
+        try:
+            return PrefillResult(
+                kv_id=str(answer["kv_id"]),
+                prompt_tokens=int(answer["prompt_tokens"]),
+                cached_tokens=int(answer["cached_tokens"]),
+                computed_tokens=int(answer["computed_tokens"]),
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            raise EndpointAnswerError(f"{self.address}: prefill: {error!r}.") from error
 
     def import_kv(
         self,
@@ -70,11 +76,17 @@
         priority: int,
         deadline: Deadline,
         traceparent: str = "",
+        transfer_limit: float = math.inf,
     ) -> str:
-        """Fetch a KV cache from a prefill engine; return its id at this engine."""
+        """Fetch a KV cache from a prefill engine; return its id at this engine.
+
+        Raises EndpointTimeoutError when the engine has a slot for it and the
+        transfer lasts longer than `transfer_limit` seconds: it has stalled.
+        """
         message = {"source": source, "kv_id": kv_id, "priority": priority}
-        answer = self._ask(ref, "/v1/import", message, deadline, traceparent)
-        return str(answer["kv_id"])
+        probe = _TransferProbe(self, ref, transfer_limit)
+        answer = self._ask(ref, "/v1/import", message, deadline, traceparent, probe)
+        return str(answer.get("kv_id", kv_id))
 
     def decode(
         self,
@@ -124,6 +136,24 @@
             yield str(item["token"])
         raise AnswerCutError(f"{self.address}: the stream ended without its end.")
 
+    def check_new_work(self, incarnation: int, deadline: Deadline) -> None:
+        """Return if this incarnation takes new work, else raise EndpointError."""
+        status = self.status(deadline)
+        if status.leaving or status.incarnation != incarnation:
+            raise EndpointRefusedError(409, LEAVING, may_have_run=False)
+
+    def phase_of(self, ref: RequestRef) -> str:
+        """Return the phase in which the engine holds the attempt, or nothing."""
+        status = EngineAdapter(self.address).status(Deadline.after(PROBE_SECONDS))
+        for item in status.held:
+            if (item.request_id, item.attempt) == (ref.request_id, ref.attempt):
+                return item.phase
+        return ""
+
+    def _check_phase(self, ref: RequestRef, phases: frozenset[str]) -> None:
+        if self.phase_of(ref) not in phases:
+            raise EndpointTimeoutError(f"{self.address}: the answer was lost.")
+
     def cancel(self, request_id: str, attempt: int, deadline: Deadline) -> None:
         """Free everything that is held for an attempt; raises unless acknowledged."""
         ref = RequestRef(request_id, attempt, "")
@@ -136,28 +166,7 @@
         )
         if status != HTTP_OK:
             raise EndpointRefusedError(status, "status", may_have_run=False)
-        try:
-            return _status_from_json(answer)
-        except (KeyError, TypeError, ValueError) as error:
-            raise EndpointAnswerError(f"{self.address}: status: {error!r}.") from error
-
-    def events(
-        self, after: int, deadline: Deadline
-    ) -> tuple[tuple[CacheEvent, ...], int]:
-        """Return the cache events after a number, and the number to ask after next."""
-        _, answer = exchange_json(
-            self.address, f"/v1/events?after={after}", None, deadline
-        )
-        events = tuple(
-            CacheEvent(
-                int(item["number"]),
-                item["kind"] == "stored",
-                str(item["prefix_hash"]),
-                int(item["tokens"]),
-            )
-            for item in answer.get("events", [])
-        )
-        return events, int(answer.get("next", after))
+        return status_from_json(answer, self.address)
 
     def _ask(
         self,
@@ -166,6 +175,7 @@
         message: Mapping[str, Any],
         deadline: Deadline,
         traceparent: str = "",
+        probe: Probe | None = None,
     ) -> dict[str, Any]:
         status, answer = exchange_json(
             self.address,
@@ -174,6 +184,7 @@
             deadline,
             self._interrupted,
             _head(traceparent),
+            probe,
         )
         if status != HTTP_OK:
             raise _refusal_from(status, answer)
@@ -181,6 +192,30 @@
         return answer
 
 
+class _TransferProbe:
+    """Asks after an import; a transfer that takes too long has stalled."""
+
+    def __init__(
+        self, adapter: EngineAdapter, ref: RequestRef, transfer_limit: float
+    ) -> None:
+        self._adapter = adapter
+        self._ref = ref
+        self._transfer_limit = transfer_limit
+        self._stalled_at: Deadline | None = None
+
+    def __call__(self) -> None:
+        phase = self._adapter.phase_of(self._ref)
+        if phase == QUEUED:
+            return
+        if phase != TRANSFER:
+            address = self._adapter.address
+            raise EndpointTimeoutError(f"{address}: the import's answer was lost.")
+        if self._stalled_at is None:
+            self._stalled_at = Deadline.after(self._transfer_limit)
+        if self._stalled_at.expired:
+            raise EndpointTimeoutError(f"{self._adapter.address}: a transfer stalled.")
+
+
 def _head(traceparent: str) -> dict[str, str]:
     return {"traceparent": traceparent} if traceparent else {}
 
@@ -212,27 +247,3 @@
 def _refusal_from(status: int, answer: Mapping[str, Any]) -> EndpointRefusedError:
     reason = str(answer.get("reason", "no reason given"))
     return EndpointRefusedError(status, reason, may_have_run=answer.get("ran") != "no")
-
-
-def _status_from_json(answer: Mapping[str, Any]) -> EndpointStatus:
-    load = answer.get("load", {})
-    return EndpointStatus(
-        endpoint_id=str(answer["endpoint_id"]),
-        incarnation=int(answer["incarnation"]),
-        role=ROLE_BY_NAME[answer["role"]],
-        leaving=bool(answer["leaving"]),
-        slots=int(answer["slots"]),
-        held=tuple(
-            HeldItem(
-                str(item["request_id"]),
-                int(item["attempt"]),
-                str(item["owner"]),
-                str(item["phase"]),
-                int(item.get("tokens", 0)),
-                int(item.get("age_ms", 0)),
-            )
-            for item in answer["held"]
-        ),
-        queued=int(load.get("queued", 0)),
-        running=int(load.get("running", 0)),
-    )
--- a/src/jujubeslip/membership/_directory.py
+++ b/src/jujubeslip/membership/_directory.py
@@ -175,7 +175,11 @@
 
         Hosts of that place come first, so that a zone that is cut off keeps its homes.
         """
-        return self._current_view().home_of(service, place)
+        return self.homes_of(service, place)[0]
+
+    def homes_of(self, service: str, place: str) -> list[HostState]:
+        """Return the home of a service's endpoints, and its standby if there is one."""
+        return self._current_view().homes_of(service, place)
 
     def keepers_of(self, key: str, count: int) -> list[HostState]:
         """Return the hosts that keep what is known of a client's key, owner first."""
--- a/src/jujubeslip/membership/_view.py
+++ b/src/jujubeslip/membership/_view.py
@@ -10,6 +10,8 @@
 # Keys of one group have the same keepers, so that their order is computed once for a
 # view and not for each request.
 KEY_GROUPS = 4096
+# The home of a pool, and the standby that grants while the home does not answer.
+HOMES = 2
 
 
 class LiveView:
@@ -29,23 +31,23 @@
             if host_id not in unreachable
         }
         self._keepers_by_group: dict[tuple[int, int], list[HostState]] = {}
-        self._home_by_pool: dict[tuple[str, str], HostState] = {}
+        self._homes_by_pool: dict[tuple[str, str], list[HostState]] = {}
 
     @property
     def reachable(self) -> list[HostState]:
         """Return the live hosts that this host can reach, itself among them."""
         return list(self._reachable_by_id.values())
 
-    def home_of(self, service: str, place: str) -> HostState:
-        """Return the home of a pool, among the hosts of its place if there are any."""
+    def homes_of(self, service: str, place: str) -> list[HostState]:
+        """Return a pool's home and standby, of its place if that has any host."""
         pool = (service, place)
-        home = self._home_by_pool.get(pool)
-        if home is None:
-            home = self._find_home(service, place)
-            self._home_by_pool[pool] = home
-        return home
+        homes = self._homes_by_pool.get(pool)
+        if homes is None:
+            homes = self._find_homes(service, place)
+            self._homes_by_pool[pool] = homes
+        return homes
 
-    def _find_home(self, service: str, place: str) -> HostState:
+    def _find_homes(self, service: str, place: str) -> list[HostState]:
         in_place = [
             host_id
             for host_id, state in self._reachable_by_id.items()
@@ -53,7 +55,8 @@
         ]
         candidates = in_place or list(self._reachable_by_id)
         key = f"home/{service}/{place}"
-        return self._live_by_id[first_in_rendezvous_order(key, candidates, 1)[0]]
+        order = first_in_rendezvous_order(key, candidates, HOMES)
+        return [self._live_by_id[host_id] for host_id in order]
 
     def keepers_of(self, key: str, count: int) -> list[HostState]:
         """Return the hosts that keep what is known of a client's key, owner first."""
