Log when a process's tasks are all in use

Cause: a home of 600 endpoints used up its 1,024 tasks; endpoints dropped out one by one, accepted connections were never answered, and no line of the log said why.

Ruled out: a larger bound.

Change: the first task that has to wait is logged, once until tasks are free again; tests for that, for an error that leaves a task and for a repeated step that fails.

Before and after: nothing; now one line at ERROR.

--- a/src/jujubeslip/kernel/_lifecycle.py
+++ b/src/jujubeslip/kernel/_lifecycle.py
@@ -35,13 +35,34 @@
         self.stopping = threading.Event()
         self.stopped = threading.Event()
         self._executor = ThreadPoolExecutor(MAXIMUM_TASKS, thread_name_prefix=name)
+        self._open_tasks = 0
+        self._is_full = False
+        self._lock = threading.Lock()
 
     def start_task(self, task: Callable[..., None], *arguments: object) -> Future[None]:
-        """Start a task; an error that leaves it is logged, never lost."""
+        """Start a task; an error that leaves it is logged, never lost.
+
+        Beyond MAXIMUM_TASKS a task waits until another one ends. That shows as peers
+        that time out though this process runs, so it is logged, once each time.
+        """
+        self._note_open(1)
         future = self._executor.submit(task, *arguments)
-        future.add_done_callback(_log_failure)
+        future.add_done_callback(self._end_task)
         return future
 
+    def _end_task(self, future: Future[None]) -> None:
+        self._note_open(-1)
+        _log_failure(future)
+
+    def _note_open(self, change: int) -> None:
+        with self._lock:
+            self._open_tasks += change
+            was_full, self._is_full = self._is_full, self._open_tasks > MAXIMUM_TASKS
+            begins = self._is_full and not was_full
+        if begins:
+            extra = {"process_name": self.name, "maximum_tasks": MAXIMUM_TASKS}
+            logger.error("new tasks wait: all are in use", extra=extra)
+
     def repeat(self, interval: float, step: Callable[[], None]) -> None:
         """Run the step each interval seconds in a task of its own until the stop."""
         self.start_task(self._repeat, interval, step)
--- /dev/null
+++ b/tests/kernel/test_lifecycle.py
@@ -0,0 +1,72 @@
+"""Tasks of a process: none fails or waits unseen."""
+
+from __future__ import annotations
+
+import logging
+import threading
+
+import pytest
+
+from jujubeslip.kernel import Process, _lifecycle
+
+BOUND_SECONDS = 20.0
+
+
+def messages(caplog: pytest.LogCaptureFixture) -> list[str]:
+    return [record.message for record in caplog.records]
+
+
+class TestTasks:
+    def test_an_error_is_logged(self, caplog: pytest.LogCaptureFixture) -> None:
+        def fail() -> None:
+            raise ValueError("as planned")
+
+        future = Process("test").start_task(fail)
+        # Callbacks run in order, so the one that logs has run before this one.
+        logged = threading.Event()
+        future.add_done_callback(lambda _: logged.set())
+        assert logged.wait(BOUND_SECONDS)
+        assert "task failed" in messages(caplog)
+
+    def test_waiting_tasks_are_logged_once(
+        self, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A home of 600 endpoints uses up its tasks.
+
+        Endpoints are no longer asked and drop out one by one, connections are
+        accepted and never answered, and no line of the log says why.
+        """
+        monkeypatch.setattr(_lifecycle, "MAXIMUM_TASKS", 2)
+        process = Process("test")
+        gate = threading.Event()
+        with caplog.at_level(logging.ERROR):
+            futures = [process.start_task(lambda: _wait(gate)) for _ in range(2)]
+            assert messages(caplog) == []
+            futures += [process.start_task(lambda: _wait(gate)) for _ in range(3)]
+            gate.set()
+            for future in futures:
+                future.result(BOUND_SECONDS)
+        assert messages(caplog) == ["new tasks wait: all are in use"]
+
+
+class TestRepeatedSteps:
+    def test_a_step_that_fails_is_run_again(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """One bad message must not end a host's gossip for good."""
+        process = Process("test")
+        ran = threading.Semaphore(0)
+
+        def step() -> None:
+            ran.release()
+            raise ValueError("as planned")
+
+        process.repeat(0.001, step)
+        for _ in range(3):
+            assert ran.acquire(timeout=BOUND_SECONDS)
+        process.stopped.set()
+        assert "periodic task failed" in messages(caplog)
+
+
+def _wait(gate: threading.Event) -> None:
+    gate.wait(BOUND_SECONDS)
