Give a remedy for what stops a start, and mend what a newcomer stumbles over

Cause: an address that is taken, or a data folder that can't be written, ended in a Python traceback; drain with the id of a process that has ended did too. The control host, started by the command line, ignored [telemetry] for its logs.

Ruled out: checks of the address before the start, which race with the start.

Change: start_failed with its remedy; usage errors for drain; the control command sets up logging.

Before and after: tracebacks; now exit status 1 or 2 and one line with the remedy.

--- a/src/jujubeslip/cli/_change_commands.py
+++ b/src/jujubeslip/cli/_change_commands.py
@@ -21,12 +21,12 @@
 )
 from jujubeslip.cli._output import (
     EXIT_REFUSED,
-    exit_refused,
+    exit_on_refusal,
     print_fields,
     thrift_fields,
 )
-from jujubeslip.kernel import Deadline, JujubeslipError
-from jujubeslip.peers import ApplyReply, ApplyRequest, HostStatus, PeerRefusal
+from jujubeslip.kernel import Deadline
+from jujubeslip.peers import ApplyReply, ApplyRequest, HostStatus
 
 APPLY_SECONDS = 10.0
 ENTRY_TIMEOUT = 1.0
@@ -68,13 +68,11 @@
     control = open_control(control_addresses, peer_secret)
     change_id = change_id or uuid.uuid4().hex
     click.echo(f"change id: {change_id}", err=True)
-    try:
+    with exit_on_refusal():
         if base is None:
             base = control.get_configuration(-1, 0).revision
         request = ApplyRequest(change_id, base, text, operator_name())
         reply = control.apply_configuration(request, Deadline.after(APPLY_SECONDS))
-    except (JujubeslipError, PeerRefusal) as error:
-        exit_refused(error)
     if not reply.accepted:
         _exit_lost(text, reply)
     fields = {"accepted": True, "revision": reply.revision, "change_id": change_id}
@@ -108,10 +106,8 @@
     client = open_entry(entry, peer_secret)
     deadline = Deadline.after(seconds)
     while True:
-        try:
+        with exit_on_refusal():
             status = client.call(lambda peer: peer.status(), ENTRY_TIMEOUT)
-        except (JujubeslipError, PeerRefusal) as error:
-            exit_refused(error)
         living = [host for host in status.hosts if host.status == HostStatus.ALIVE]
         behind = [
             host.host_id for host in living if host.configuration_revision < revision
@@ -131,10 +127,8 @@
 def show(control_addresses: tuple[str, ...], peer_secret: str, as_json: bool) -> None:
     """Show the declaration in force."""
     control = open_control(control_addresses, peer_secret)
-    try:
+    with exit_on_refusal():
         configuration = control.get_configuration(-1, 0)
-    except (JujubeslipError, PeerRefusal) as error:
-        exit_refused(error)
     if as_json:
         print_fields(thrift_fields(configuration), as_json)
         return
@@ -156,10 +150,8 @@
 ) -> None:
     """Show the latest revisions, the newest first."""
     control = open_control(control_addresses, peer_secret)
-    try:
+    with exit_on_refusal():
         changes = control.history(limit)
-    except (JujubeslipError, PeerRefusal) as error:
-        exit_refused(error)
     changes = sorted(changes, key=lambda change: -change.revision)
     if as_json:
         print_fields({"changes": [thrift_fields(item) for item in changes]}, as_json)
--- a/src/jujubeslip/cli/_output.py
+++ b/src/jujubeslip/cli/_output.py
@@ -5,7 +5,8 @@
 import enum
 import json
 import sys
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
 from typing import Any, NoReturn
 
 import click
@@ -65,7 +66,11 @@
     sys.exit(EXIT_FILE_INVALID)
 
 
-def exit_refused(error: JujubeslipError | PeerRefusal) -> NoReturn:
-    """Print a refusal with its remedy and exit."""
-    click.echo(f"{error.error_id}: {error.message} {error.remedy}", err=True)
-    sys.exit(EXIT_REFUSED)
+@contextmanager
+def exit_on_refusal() -> Iterator[None]:
+    """Print a refusal that leaves the block, with its remedy, and exit."""
+    try:
+        yield
+    except (JujubeslipError, PeerRefusal) as error:
+        click.echo(f"{error.error_id}: {error.message} {error.remedy}", err=True)
+        sys.exit(EXIT_REFUSED)
--- a/src/jujubeslip/cli/_replica_commands.py
+++ b/src/jujubeslip/cli/_replica_commands.py
@@ -9,11 +9,10 @@
 import click
 
 from jujubeslip.cli._connection import control_options, json_option, open_control
-from jujubeslip.cli._output import exit_refused, print_fields
+from jujubeslip.cli._output import exit_on_refusal, print_fields
 from jujubeslip.cli._run_commands import settings_option, settings_or_exit
 from jujubeslip.control import ControlClient, recover
-from jujubeslip.kernel import Deadline, JujubeslipError, load_control_settings
-from jujubeslip.peers import PeerRefusal
+from jujubeslip.kernel import Deadline, load_control_settings
 
 CHANGE_SECONDS = 15.0
 
@@ -57,10 +56,8 @@
     peer_secret: str,
 ) -> None:
     control = open_control(control_addresses, peer_secret)
-    try:
+    with exit_on_refusal():
         change(control, Deadline.after(CHANGE_SECONDS))
-    except (JujubeslipError, PeerRefusal) as error:
-        exit_refused(error)
 
 
 @replica.command("recover")
@@ -75,8 +72,6 @@
     accepted is lost.
     """
     settings = settings_or_exit(load_control_settings(settings_path))
-    try:
+    with exit_on_refusal():
         report = recover(settings, confirmed=confirm)
-    except JujubeslipError as error:
-        exit_refused(error)
     print_fields(asdict(report), as_json)
--- a/src/jujubeslip/cli/_run_commands.py
+++ b/src/jujubeslip/cli/_run_commands.py
@@ -2,19 +2,22 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import TypeVar
 
 import click
 from returns.result import Failure, Result
 
-from jujubeslip.cli._output import exit_refused, exit_with_problems
+from jujubeslip.cli._output import exit_on_refusal, exit_with_problems
 from jujubeslip.kernel import (
-    JujubeslipError,
     SettingsProblem,
+    StartFailedError,
     load_control_settings,
     load_entry_settings,
 )
+from jujubeslip.telemetry import configure_logging
 
 T = TypeVar("T")
 
@@ -38,10 +41,8 @@
     settings = settings_or_exit(load_entry_settings(settings_path))
     from jujubeslip.entry import run_entry
 
-    try:
+    with exit_on_refusal(), _start_errors():
         run_entry(settings)
-    except JujubeslipError as error:
-        exit_refused(error)
 
 
 @click.command()
@@ -51,10 +52,18 @@
     settings = settings_or_exit(load_control_settings(settings_path))
     from jujubeslip.control import run_control
 
-    try:
+    configure_logging(settings.telemetry)
+    with exit_on_refusal(), _start_errors():
         run_control(settings)
-    except JujubeslipError as error:
-        exit_refused(error)
+
+
+@contextmanager
+def _start_errors() -> Iterator[None]:
+    """Raise StartFailedError for what the operating system refuses at the start."""
+    try:
+        yield
+    except OSError as error:
+        raise StartFailedError(f"{error.strerror or error}.") from error
 
 
 def settings_or_exit(result: Result[T, tuple[SettingsProblem, ...]]) -> T:
--- a/src/jujubeslip/cli/_status_commands.py
+++ b/src/jujubeslip/cli/_status_commands.py
@@ -15,9 +15,9 @@
     open_entry,
     secret_option,
 )
-from jujubeslip.cli._output import exit_refused, print_fields, thrift_fields
-from jujubeslip.kernel import JujubeslipError
-from jujubeslip.peers import PeerRefusal
+from jujubeslip.cli._output import exit_on_refusal, print_fields, thrift_fields
+from jujubeslip.kernel import PeerUnavailableError
+from jujubeslip.peers import PeerClient
 
 TIMEOUT = 2.0
 LOOK_INTERVAL = 0.5
@@ -43,7 +43,7 @@
     """Show what an entry host, or the control hosts, say of themselves."""
     if not entry and not control_addresses:
         raise click.UsageError("Give --entry or --control.")
-    try:
+    with exit_on_refusal():
         if entry:
             client = open_entry(entry, peer_secret)
             answer = client.call(lambda peer: peer.status(), TIMEOUT)
@@ -51,8 +51,6 @@
         if control_addresses:
             control = open_control(control_addresses, peer_secret)
             print_fields(thrift_fields(control.status()), as_json)
-    except (JujubeslipError, PeerRefusal) as error:
-        exit_refused(error)
 
 
 @click.command()
@@ -63,15 +61,29 @@
 @secret_option
 def drain(pid: int, entry: str, peer_secret: str) -> None:
     """Stop an entry host on this machine gracefully; show what is still open."""
-    os.kill(pid, signal.SIGTERM)
+    _request_stop(pid)
     client = open_entry(entry, peer_secret)
-    while True:
-        try:
-            answer = client.call(lambda peer: peer.status(), TIMEOUT)
-        except JujubeslipError:
-            click.echo("stopped")
-            return
-        except PeerRefusal as error:
-            exit_refused(error)
-        click.echo(f"open requests: {answer.open_requests}")
-        time.sleep(LOOK_INTERVAL)
+    with exit_on_refusal():
+        while (count := _open_requests(client)) is not None:
+            click.echo(f"open requests: {count}")
+            time.sleep(LOOK_INTERVAL)
+    click.echo("stopped")
+
+
+def _open_requests(client: PeerClient) -> int | None:
+    """Return how many requests are open, or None once the process has ended."""
+    try:
+        return int(client.call(lambda peer: peer.status(), TIMEOUT).open_requests)
+    except PeerUnavailableError:
+        return None
+
+
+def _request_stop(pid: int) -> None:
+    try:
+        os.kill(pid, signal.SIGTERM)
+    except ProcessLookupError as error:
+        message = f"no process on this machine has the id {pid}."
+        raise click.BadParameter(message, param_hint="--pid") from error
+    except PermissionError as error:
+        message = f"process {pid} belongs to another account; run this as that one."
+        raise click.BadParameter(message, param_hint="--pid") from error
--- a/src/jujubeslip/declaration/_models.py
+++ b/src/jujubeslip/declaration/_models.py
@@ -12,7 +12,7 @@
 from pydantic.dataclasses import dataclass
 from returns.result import Result
 
-from jujubeslip.kernel._settings import STRICT, Name, SettingsProblem, read_toml_as
+from jujubeslip.kernel import STRICT, Name, SettingsProblem, read_toml_as
 
 Milliseconds = Annotated[int, Field(ge=1, le=3_600_000)]
 Tokens = Annotated[int, Field(ge=1, le=10_000_000)]
--- a/src/jujubeslip/kernel/__init__.py
+++ b/src/jujubeslip/kernel/__init__.py
@@ -13,13 +13,16 @@
     PeerUnavailableError,
     Ran,
     RequestRefusedError,
+    StartFailedError,
 )
 from jujubeslip.kernel._lifecycle import Process, new_incarnation
 from jujubeslip.kernel._registry import Registry, load_plugins
 from jujubeslip.kernel._settings import (
+    STRICT,
     Address,
     ControlSettings,
     EntrySettings,
+    Name,
     PeerAddress,
     SettingsProblem,
     TelemetrySettings,
@@ -29,6 +32,7 @@
 )
 
 __all__ = [
+    "STRICT",
     "Address",
     "CheckLevel",
     "CheckMessage",
@@ -37,6 +41,7 @@
     "Deadline",
     "EntrySettings",
     "JujubeslipError",
+    "Name",
     "PeerAddress",
     "PeerUnavailableError",
     "Process",
@@ -44,6 +49,7 @@
     "Registry",
     "RequestRefusedError",
     "SettingsProblem",
+    "StartFailedError",
     "TelemetrySettings",
     "load_control_settings",
     "load_entry_settings",
--- a/src/jujubeslip/kernel/_errors.py
+++ b/src/jujubeslip/kernel/_errors.py
@@ -31,6 +31,16 @@
     default_remedy = "Correct the named key, then run `jujubeslip check` on the file."
 
 
+class StartFailedError(JujubeslipError):
+    """A process that the operating system did not let start."""
+
+    error_id = "start_failed"
+    default_remedy = (
+        "Check that the settings' addresses are this host's own, that no other process "
+        "listens on them, and that the data_folder can be written."
+    )
+
+
 class PeerUnavailableError(JujubeslipError):
     """A host that could not be reached, also over a fresh connection."""
 
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -76,6 +77,24 @@
         assert result.exit_code == 3
         assert "peer_secret: This key is required." in result.stderr
 
+    def test_an_address_that_is_taken_is_1_with_a_remedy(self, tmp_path: Path) -> None:
+        """A host is started twice: the second one must say what to look at."""
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            address = "{}:{}".format(*taken.getsockname())
+            text = (EXAMPLES / "northvane" / "entry-1.toml").read_text()
+            path = tmp_path / "entry.toml"
+            path.write_text(
+                text.replace("127.0.0.1:8101", free_address()).replace(
+                    "127.0.0.1:8201", address
+                )
+            )
+            command = [sys.executable, "-m", "jujubeslip.cli"]
+            command += ["entry", "--settings", str(path)]
+            ended = subprocess.run(command, capture_output=True, text=True, timeout=30)
+        assert ended.returncode == 1
+        last_line = ended.stderr.splitlines()[-1]
+        assert last_line.startswith("start_failed: Address already in use")
+
 
 class TestExplain:
     def explain(self, *arguments: str) -> Result:
@@ -104,6 +123,14 @@
         assert run("apply").exit_code == 2
         assert run("status").exit_code == 2
 
+    def test_a_process_that_is_none_is_2(self) -> None:
+        """The id of a process that ended already, taken from an old file."""
+        ended = subprocess.Popen([sys.executable, "-c", ""])
+        ended.wait()
+        result = run("drain", "--pid", str(ended.pid), "--entry", free_address())
+        assert result.exit_code == 2, result.output
+        assert "no process on this machine" in result.stderr
+
     def test_hosts_that_can_not_be_reached_are_1_with_a_remedy(self) -> None:
         result = run("status", "--control", free_address())
         assert result.exit_code == 1
--- a/tools/generate_docs.py
+++ b/tools/generate_docs.py
@@ -26,9 +26,16 @@
     PeerAddress,
     TelemetrySettings,
 )
+from tools.source import (
+    SOURCE,
+    argument_of,
+    called_name,
+    calls_of,
+    source_trees,
+    text_of,
+)
 
 ROOT = Path(__file__).parents[1]
-SOURCE = ROOT / "src" / "jujubeslip"
 REFERENCE = ROOT / "docs" / "reference"
 HEAD = (
     "<!-- Written by `make docs` from the code; change the code, not this page. -->\n"
@@ -216,43 +223,6 @@
 # What the source says in calls and classes
 
 
-def source_trees() -> Iterator[tuple[Path, ast.Module]]:
-    """Yield each module of the source, without the generated code."""
-    for path in sorted(SOURCE.rglob("*.py")):
-        if "gen" not in path.relative_to(SOURCE).parts:
-            yield path, ast.parse(path.read_text())
-
-
-def calls_of(*names: str) -> Iterator[tuple[Path, ast.Call]]:
-    """Yield the calls of functions or methods with one of these names."""
-    for path, tree in source_trees():
-        for node in ast.walk(tree):
-            if isinstance(node, ast.Call) and _called_name(node) in names:
-                yield path, node
-
-
-def _called_name(call: ast.Call) -> str:
-    if isinstance(call.func, ast.Attribute):
-        return call.func.attr
-    return call.func.id if isinstance(call.func, ast.Name) else ""
-
-
-def _text(node: ast.expr | None) -> str:
-    """Return a text constant; parts that vary are shown as `…`."""
-    if isinstance(node, ast.Constant) and isinstance(node.value, str):
-        return node.value
-    if isinstance(node, ast.JoinedStr):
-        return "".join(_text(part) or "…" for part in node.values)
-    return ""
-
-
-def _argument(call: ast.Call, position: int, name: str) -> ast.expr | None:
-    for keyword in call.keywords:
-        if keyword.arg == name:
-            return keyword.value
-    return call.args[position] if position < len(call.args) else None
-
-
 def errors_page() -> str:
     """Return the page of all error ids."""
     parts = [
@@ -288,17 +258,17 @@
 def _refusal_rows() -> Iterator[str]:
     default_remedy = "Ask again after the time given in Retry-After."
     for _, call in calls_of("RequestRefusedError"):
-        error_id = _text(_argument(call, 0, "error_id"))
+        error_id = text_of(argument_of(call, 0, "error_id"))
         if not error_id:
             continue
-        status = _argument(call, 9, "status")
-        ran = _argument(call, 9, "ran")
+        status = argument_of(call, 9, "status")
+        ran = argument_of(call, 9, "ran")
         yield _row(
             f"`{error_id}`",
             ast.unparse(status) if status else "503",
             ast.unparse(ran).removeprefix("Ran.").lower() if ran else "no",
-            _text(_argument(call, 1, "message")) or "says what is wrong",
-            _text(_argument(call, 9, "remedy")) or default_remedy,
+            text_of(argument_of(call, 1, "message")) or "says what is wrong",
+            text_of(argument_of(call, 9, "remedy")) or default_remedy,
         )
 
 
@@ -321,7 +291,7 @@
 def _class_text(node: ast.ClassDef, name: str) -> str:
     for item in node.body:
         if isinstance(item, ast.Assign) and ast.unparse(item.targets[0]) == name:
-            return _text(item.value)
+            return text_of(item.value)
     return ""
 
 
@@ -338,11 +308,11 @@
 
 def _peer_rows() -> Iterator[str]:
     for _, call in calls_of("PeerRefusal", "_refusal"):
-        error_id = _text(_argument(call, 0, "error_id"))
+        error_id = text_of(argument_of(call, 0, "error_id"))
         if not error_id:
             continue
-        message = _text(_argument(call, 1, "message")) or "says what is wrong"
-        remedy = _text(_argument(call, 2, "remedy")) or "as in its message"
+        message = text_of(argument_of(call, 1, "message")) or "says what is wrong"
+        remedy = text_of(argument_of(call, 2, "remedy")) or "as in its message"
         yield _row(f"`{error_id}`", message, remedy)
 
 
@@ -351,7 +321,7 @@
     rows += ["| id | level | message | remedy |", "|---|---|---|---|"]
     found = set()
     for _, call in calls_of("CheckMessage"):
-        check_id, _, _, message, hint = (_text(item) for item in call.args[:5])
+        check_id, _, _, message, hint = (text_of(item) for item in call.args[:5])
         level = ast.unparse(call.args[1]).removeprefix("CheckLevel.").lower()
         found.add(_row(f"`{check_id}`", level, message, hint))
     return "\n".join([*rows, *sorted(found)]) + "\n"
@@ -368,13 +338,13 @@
         "create_counter", "create_histogram", "create_up_down_counter", "create_gauge",
         "create_observable_gauge", "create_observable_counter",
     ):  # fmt: skip
-        kind = _called_name(call).removeprefix("create_").replace("_", " ")
+        kind = called_name(call).removeprefix("create_").replace("_", " ")
         rows.append(
             _row(
-                f"`{_text(_argument(call, 0, 'name'))}`",
+                f"`{text_of(argument_of(call, 0, 'name'))}`",
                 kind,
-                _text(_argument(call, 9, "unit")) or "1",
-                _text(_argument(call, 9, "description")),
+                text_of(argument_of(call, 9, "unit")) or "1",
+                text_of(argument_of(call, 9, "description")),
             )
         )
     parts = [
@@ -405,14 +375,14 @@
     """Return the page of the spans."""
     names: dict[str, set[str]] = {}
     for path, call in calls_of("start_as_current_span", "start_span"):
-        name = _text(call.args[0])
+        name = text_of(call.args[0])
         names.setdefault(name, set()).add(path.relative_to(SOURCE).as_posix())
     rows = [
         _row(f"`{name}`", SPAN_MEANINGS.get(name, ""), ", ".join(sorted(paths)))
         for name, paths in sorted(names.items())
     ]
     attributes = sorted(
-        {_text(call.args[0]) for _, call in calls_of("set_attribute") if call.args}
+        {text_of(call.args[0]) for _, call in calls_of("set_attribute") if call.args}
     )
     parts = [
         HEAD,
