--- a/src/jujubeslip/entry/_process.py
+++ b/src/jujubeslip/entry/_process.py
@@ -23,6 +23,7 @@
     Canceller,
     ControlKeys,
     KeeperKeys,
+    KeyCopies,
     KeyKeeper,
     ModelPath,
     OpenRequests,
@@ -125,7 +126,8 @@
             ModelPath(self._owner, self._router, canceller, retries, self._meters),
             PlainPath(self._owner, self._router, retries),
             KeeperKeys(self._directory, self._clients, self._keeper),
-            ControlKeys(self._control),
+            ControlKeys(self._control, self._process),
+            self._directory,
         )
         return HttpApp(
             self._settings,
@@ -154,16 +156,22 @@
         self._gossip.start(self._process)
         self._configuration.start(self._process)
         self._homes.start()
+        KeyCopies(self._directory, self._clients, self._keeper).start(self._process)
         self._http.start(self._process)
         extra = {"http": self._settings.http_address, "peers": self._peers.address}
         logger.info("entry host serves", extra=extra)
         self._process.run(self._drain)
 
     def _drain(self) -> None:
-        """Take no new request, hand the homes over, finish what is open."""
+        """Take no new request, hand the homes over, finish what is open.
+
+        The port is closed only after LEAVE_SECONDS. Until then new requests are
+        refused with a truthful "not run"; a port that closes at once resets the
+        connections that wait to be accepted.
+        """
         self._directory.leave()
-        self._http.stop_listening()
         self._process.stopped.wait(LEAVE_SECONDS)
+        self._http.stop_listening()
         self._open_requests.wait_until_none()
         self._http.wait_until_flushed()
         self._telemetry.shutdown()
--- a/src/jujubeslip/requests/__init__.py
+++ b/src/jujubeslip/requests/__init__.py
@@ -3,6 +3,7 @@
 from jujubeslip.requests._answers import ModelAnswer, PlainServiceAnswer
 from jujubeslip.requests._authentication import authenticate, require_secret
 from jujubeslip.requests._cancellation import Canceller
+from jujubeslip.requests._key_copies import KeyCopies
 from jujubeslip.requests._key_keeper import KeyKeeper
 from jujubeslip.requests._keys import ControlKeys, KeeperKeys, Keys
 from jujubeslip.requests._model_path import ModelPath
@@ -18,6 +19,7 @@
     "ClientRequest",
     "ControlKeys",
     "KeeperKeys",
+    "KeyCopies",
     "KeyKeeper",
     "Keys",
     "ModelAnswer",
--- a/src/jujubeslip/requests/_answers.py
+++ b/src/jujubeslip/requests/_answers.py
@@ -25,7 +25,14 @@
     body: bytes
 
 
-Answer = ModelAnswer | PlainServiceAnswer
+@dataclass(frozen=True)
+class UnknownAnswer:
+    """The run ended and nobody knows whether it ran; `reason` is for the caller."""
+
+    reason: str
+
+
+Answer = ModelAnswer | PlainServiceAnswer | UnknownAnswer
 
 
 @singledispatch
@@ -51,10 +58,17 @@
     return json.dumps(fields).encode()
 
 
+@encode_answer.register
+def _(answer: UnknownAnswer) -> bytes:
+    return json.dumps({"kind": "unknown", "reason": answer.reason}).encode()
+
+
 def decode_answer(record: bytes) -> Answer:
     """Return the answer that `encode_answer` made the bytes from."""
     fields = json.loads(record)
     if fields["kind"] == "model":
         return ModelAnswer(tuple(fields["tokens"]), fields["rule"])
+    if fields["kind"] == "unknown":
+        return UnknownAnswer(fields["reason"])
     body = base64.b64decode(fields["body"])
     return PlainServiceAnswer(fields["status"], fields["content_type"], body)
--- a/src/jujubeslip/requests/_key_keeper.py
+++ b/src/jujubeslip/requests/_key_keeper.py
@@ -15,7 +15,9 @@
 
 
 @dataclass(frozen=True)
-class _Entry:
+class KeyRecord:
+    """What is known of one key; `outcome` is None while its run goes on."""
+
     claim: KeyClaim
     outcome: bytes | None
     kept_until: Deadline
@@ -26,7 +28,7 @@
 
     def __init__(self, directory: HostDirectory) -> None:
         self._directory = directory
-        self._entry_by_key: dict[tuple[str, str], _Entry] = {}
+        self._entry_by_key: dict[tuple[str, str], KeyRecord] = {}
         self._lock = threading.Lock()
 
     def claim(self, claim: KeyClaim) -> KeyReply:
@@ -35,7 +37,7 @@
         with self._lock:
             entry = self._entry_by_key.get(key)
             if entry is None or entry.kept_until.expired or self._is_orphan(entry):
-                self._store(key, _Entry(claim, None, _keep()))
+                self._store(key, KeyRecord(claim, None, _keep()))
                 return KeyReply(KeyStatus.FIRST, claim.request_id, claim.owner)
             return _reply(entry, claim)
 
@@ -46,7 +48,7 @@
             entry = self._entry_by_key.get(key)
             if entry is not None and not _same_run(entry.claim, claim):
                 return
-            self._store(key, _Entry(claim, outcome, _keep()))
+            self._store(key, KeyRecord(claim, outcome, _keep()))
 
     def abandon(self, claim: KeyClaim) -> None:
         """Free the key: its run ended without an answer that anybody got."""
@@ -56,7 +58,13 @@
             if entry and entry.outcome is None and _same_run(entry.claim, claim):
                 del self._entry_by_key[key]
 
-    def _is_orphan(self, entry: _Entry) -> bool:
+    def records(self) -> list[KeyRecord]:
+        """Return all that is known and not too old, to be copied."""
+        with self._lock:
+            entries = list(self._entry_by_key.values())
+        return [entry for entry in entries if not entry.kept_until.expired]
+
+    def _is_orphan(self, entry: KeyRecord) -> bool:
         """Say whether the run's entry process died before the run ended.
 
         Its client's connection died with it, so nobody got the answer and a resend
@@ -68,7 +76,7 @@
         status = self._directory.status_of(host_id, int(incarnation))
         return status == HostStatus.DEAD
 
-    def _store(self, key: tuple[str, str], entry: _Entry) -> None:
+    def _store(self, key: tuple[str, str], entry: KeyRecord) -> None:
         self._entry_by_key.pop(key, None)
         self._entry_by_key[key] = entry
         while len(self._entry_by_key) > MAXIMUM_ENTRIES:
@@ -83,7 +91,7 @@
     return bool((one.request_id, one.owner) == (other.request_id, other.owner))
 
 
-def _reply(entry: _Entry, claim: KeyClaim) -> KeyReply:
+def _reply(entry: KeyRecord, claim: KeyClaim) -> KeyReply:
     known = entry.claim
     if known.fingerprint != claim.fingerprint:
         return KeyReply(KeyStatus.CONFLICT, known.request_id, known.owner)
--- a/src/jujubeslip/requests/_keys.py
+++ b/src/jujubeslip/requests/_keys.py
@@ -2,22 +2,27 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 from jujubeslip.control import ControlClient
 from jujubeslip.kernel import (
     Deadline,
     PeerUnavailableError,
+    Process,
     Ran,
     RequestRefusedError,
 )
 from jujubeslip.membership import HostDirectory, PeerClients
 from jujubeslip.peers import HostState, KeyClaim, KeyReply, KeyStatus, PeerRefusal
+from jujubeslip.requests._key_copies import KEEPERS
 from jujubeslip.requests._key_keeper import KeyKeeper
 
-KEEPERS = 2
 KEEPER_TIMEOUT = 0.8
 DURABLE_TIMEOUT = 3.0
+# How long what could not be recorded is sent again, in seconds.
+RECORD_AGAIN_FOR = 120.0
+RECORD_PAUSE = 0.5
 RETRY_SECONDS = 1.0
 
 
@@ -121,14 +126,17 @@
     worse than not answering.
     """
 
-    def __init__(self, control: ControlClient) -> None:
+    def __init__(self, control: ControlClient, process: Process) -> None:
         self._control = control
+        self._process = process
 
     def claim(self, claim: KeyClaim) -> KeyReply:
         """Claim the key durably, or refuse with `ran` NO."""
         try:
             return self._control.claim_key(claim, Deadline.after(DURABLE_TIMEOUT))
         except (PeerUnavailableError, PeerRefusal) as error:
+            # The claim may be recorded all the same, and would block the key.
+            self.abandon(claim)
             raise RequestRefusedError(
                 "claim_unavailable",
                 "The request was not started: no quorum can record it.",
@@ -137,18 +145,32 @@
             ) from error
 
     def finish(self, claim: KeyClaim, outcome: bytes) -> None:
-        """Record the answer durably."""
-        self._control.finish_key(claim, outcome, Deadline.after(DURABLE_TIMEOUT))
+        """Record the answer durably; if control can't be reached, as soon as it can."""
+
+        def record() -> None:
+            deadline = Deadline.after(DURABLE_TIMEOUT)
+            self._control.finish_key(claim, outcome, deadline)
+
+        if not _try(record):
+            self._process.start_task(self._record_again, record)
 
     def abandon(self, claim: KeyClaim) -> None:
         """Free the key, for a request that surely did not run.
 
-        If control can't be reached the claim stays, and a resend hears `ran` UNKNOWN.
+        While control can't be reached the claim stays, and a resend hears `ran`
+        UNKNOWN. No caller waits for it.
         """
-        try:
+
+        def free() -> None:
             self._control.abandon_key(claim, Deadline.after(DURABLE_TIMEOUT))
-        except (PeerUnavailableError, PeerRefusal):
-            return
+
+        self._process.start_task(self._record_again, free)
+
+    def _record_again(self, operation: Callable[[], None]) -> None:
+        until = Deadline.after(RECORD_AGAIN_FOR)
+        while not _try(operation) and not until.expired:
+            if self._process.stopped.wait(RECORD_PAUSE):
+                return
 
 
 def _keepers_unavailable() -> RequestRefusedError:
@@ -158,3 +180,11 @@
         ran=Ran.NO,
         retry_after=RETRY_SECONDS,
     )
+
+
+def _try(operation: Callable[[], None]) -> bool:
+    try:
+        operation()
+    except (PeerUnavailableError, PeerRefusal):
+        return False
+    return True
--- a/src/jujubeslip/requests/_service.py
+++ b/src/jujubeslip/requests/_service.py
@@ -14,11 +14,13 @@
     Ran,
     RequestRefusedError,
 )
-from jujubeslip.peers import KeyClaim, KeyReply, KeyStatus
+from jujubeslip.membership import HostDirectory
+from jujubeslip.peers import HostStatus, KeyClaim, KeyReply, KeyStatus
 from jujubeslip.requests._answers import (
     Answer,
     ModelAnswer,
     PlainServiceAnswer,
+    UnknownAnswer,
     decode_answer,
     encode_answer,
 )
@@ -51,7 +53,9 @@
         plain_path: PlainPath,
         keeper_keys: Keys,
         durable_keys: Keys,
+        directory: HostDirectory,
     ) -> None:
+        self._directory = directory
         self._owner = owner
         self._availability_zone = availability_zone
         self._declaration = declaration
@@ -151,10 +155,17 @@
                 return reply
             if context.interrupted():
                 raise CallerGoneError("The client closed its connection.")
+            if not context.request.repeatable and self._is_dead(reply.owner):
+                raise _outcome_unknown("The entry host that ran it died.")
             if context.wait_until.expired:
                 raise _still_running(context.request)
             time.sleep(JOIN_INTERVAL)
 
+    def _is_dead(self, owner: str) -> bool:
+        host_id, _, incarnation = owner.rpartition("/")
+        status = self._directory.status_of(host_id, int(incarnation))
+        return bool(status == HostStatus.DEAD)
+
     def _run(self, context: RequestContext) -> Iterator[Step]:
         if context.request.service.kind is ServiceKind.PLAIN:
             yield self._plain_path.answer(context)
@@ -176,6 +187,9 @@
             # Also when the caller goes, which closes this generator.
             if context.request.repeatable or _surely_not_run(error):
                 keys.abandon(claim)
+            else:
+                # Resends are told at once, instead of waiting for a run that ended.
+                self._record(keys, claim, UnknownAnswer(_reason(error)))
             raise
         if not (steps and isinstance(steps[0], PlainServiceAnswer)):
             tokens = tuple(str(step) for step in steps)
@@ -201,7 +215,25 @@
     return error.ran is Ran.NO
 
 
+def _reason(error: BaseException) -> str:
+    if isinstance(error, JujubeslipError):
+        return error.message
+    return "The caller went before the answer was whole."
+
+
+def _outcome_unknown(reason: str) -> RequestRefusedError:
+    return RequestRefusedError(
+        "outcome_unknown",
+        f"A request with this Idempotency-Key may have run. {reason}",
+        status=409,
+        ran=Ran.UNKNOWN,
+        remedy="Find out at the service whether it ran; to run it again use a new key.",
+    )
+
+
 def _replay(answer: Answer) -> Iterator[Step]:
+    if isinstance(answer, UnknownAnswer):
+        raise _outcome_unknown(answer.reason)
     if isinstance(answer, PlainServiceAnswer):
         yield answer
         return
--- a/tests/fakes/client.py
+++ b/tests/fakes/client.py
@@ -145,7 +145,7 @@
         headers,
         str(fields.get("text", "")) if isinstance(fields, dict) else "",
         0,
-        not refused,
+        not refused and "content-length" in headers,
         "",
         fields.get("error", {}) if refused and isinstance(fields, dict) else {},
         body,
--- /dev/null
+++ b/tests/requests/test_keys.py
@@ -0,0 +1,310 @@
+"""A resend with the same key is answered, and its request is not run twice."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+import pytest
+
+from jujubeslip.membership import rendezvous_order
+from tests.fakes.client import ClientAnswer, OpenCall
+from tests.fakes.cluster import Cluster, EngineSpec, PlainSpec
+from tests.fakes.processes import wait_until
+from tests.fakes.scenarios import model_endpoints, small_system
+from tests.requests.support import (
+    DECODE_GATE_TOKENS,
+    PATIENT_DECLARATION,
+    assert_whole,
+    engines,
+    heal,
+    in_background,
+    open_call,
+    pause,
+    read_tokens,
+    resume,
+    runs_named,
+)
+
+CLIENT = "northvane"
+PLAIN = "confirmations"
+ENDPOINTS: tuple[EngineSpec | PlainSpec, ...] = (
+    *model_endpoints(),
+    PlainSpec("plain-1", PLAIN),
+    PlainSpec("plain-2", PLAIN),
+)
+COVER_REQUEST: Mapping[str, Any] = {"surgery": "Pontcanna", "repeatable": True}
+CONFIRMATION: Mapping[str, Any] = {"shift": 7, "repeatable": False}
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cluster]:
+    spec = small_system(
+        ENDPOINTS, entries=3, controls=3, declaration=PATIENT_DECLARATION
+    )
+    with Cluster(spec, tmp_path_factory.mktemp("keys")) as cluster:
+        yield cluster
+
+
+@pytest.fixture(autouse=True)
+def _healed(cluster: Cluster) -> Iterator[None]:
+    yield
+    heal(cluster)
+
+
+def keepers(cluster: Cluster, key: str) -> list[str]:
+    """Return the entry hosts in the order in which they keep the key."""
+    return rendezvous_order(f"key/{CLIENT}/{key}", cluster.entry_ids)
+
+
+def plain_call(
+    cluster: Cluster, entry: str, key: str, message: Mapping[str, Any] = COVER_REQUEST
+) -> OpenCall:
+    return open_call(cluster, entry, f"plain-{entry}", message, PLAIN, key)
+
+
+def ask_until_answered(
+    cluster: Cluster, entry: str, key: str, message: Mapping[str, Any]
+) -> ClientAnswer:
+    """Resend as a client does, who heard that nothing ran, until it is answered."""
+
+    def attempt() -> ClientAnswer | None:
+        answer = plain_call(cluster, entry, key, message).answer()
+        if answer.status == 503:
+            assert answer.ran == "no"
+            return None
+        return answer
+
+    answer = wait_until(attempt, f"{entry} answers")
+    assert answer is not None
+    return answer
+
+
+def plain_runs(cluster: Cluster, key: str) -> int:
+    """Return how often the services ran a key, by their own count."""
+    return sum(
+        cluster.endpoint_call(name, "GET", "/v1/records")["runs_by_key"].get(key, 0)
+        for name in engines(cluster, "plain")
+    )
+
+
+def pause_plain(cluster: Cluster, phase: str) -> None:
+    for name in engines(cluster, "plain"):
+        cluster.order_faults(name, pause_phase=phase)
+
+
+def resume_plain(cluster: Cluster, phase: str) -> None:
+    for name in engines(cluster, "plain"):
+        cluster.order_faults(name, resume_phase=phase)
+
+
+def copies_made(cluster: Cluster, entry: str, hosts: int) -> int:
+    """Return how often an entry host copied its keys to so many living hosts."""
+    output = cluster.process_by_name[entry].output().splitlines()
+    lines = [line for line in output if "keys copied" in line]
+    return sum(1 for line in lines if line.count("entry-") == hosts)
+
+
+class TestResendOfAModelRequest:
+    """A client that hears nothing sends its request again through another host.
+
+    The first run may still go on, or have ended with its answer lost on the way. If
+    each host ran it, the board would show a line twice; it must join the first run.
+    """
+
+    def test_joins_the_run_that_goes_on(self, cluster: Cluster) -> None:
+        pause(cluster, "decode")
+        first, *others = cluster.entry_ids
+        running = open_call(cluster, first, "first", key="joined")
+        events = running.events()
+        tokens = read_tokens(events, DECODE_GATE_TOKENS)
+        resends = [
+            in_background(open_call(cluster, host, "again", key="joined").answer)
+            for host in others
+        ]
+        resume(cluster, "decode")
+        tokens += [item.fields["token"] for item in events if item.name == "token"]
+        for answer in resends:
+            assert_whole(answer.result())
+        assert "".join(tokens) == resends[0].result().text
+        self._assert_not_run(cluster, "again")
+
+    def test_gets_the_recorded_answer_afterwards(self, cluster: Cluster) -> None:
+        first, *others = cluster.entry_ids
+        assert_whole(open_call(cluster, first, "done", key="ended").answer())
+        for host in others:
+            assert_whole(open_call(cluster, host, "later", key="ended").answer())
+        self._assert_not_run(cluster, "later")
+
+    @staticmethod
+    def _assert_not_run(cluster: Cluster, name: str) -> None:
+        for engine in engines(cluster, "prefill"):
+            assert runs_named(cluster, engine, name) == []
+
+
+class TestResendOfACoverRequest:
+    """A cover request is sent again; doubled, two cleaners would go to one surgery.
+
+    It is repeatable, so no durable claim guards it: the two keepers of its key do,
+    also while one of them dies, comes back, and then the other one dies.
+    """
+
+    def test_joins_the_run_whose_caller_went(self, cluster: Cluster) -> None:
+        pause_plain(cluster, "after")
+        first, second, _ = cluster.entry_ids
+        going = plain_call(cluster, first, "went")
+        wait_until(lambda: plain_runs(cluster, "went") == 1, "the service runs it")
+        without_key = open_call(cluster, first, "unkeyed", COVER_REQUEST, PLAIN)
+        wait_until(lambda: _open_requests(cluster, first) == 2, "both are open")
+        going.close()
+        without_key.close()
+        # Once the host has seen the later close, it has seen the earlier one too.
+        wait_until(lambda: _open_requests(cluster, first) < 2, "the close is seen")
+        resend = in_background(plain_call(cluster, second, "went").answer)
+        resume_plain(cluster, "after")
+        assert resend.result().status == 200
+        assert plain_runs(cluster, "went") == 1
+
+    def test_is_not_run_again_when_a_keeper_died(self, cluster: Cluster) -> None:
+        first, second, third = keepers(cluster, "keeper")
+        assert plain_call(cluster, third, "keeper").answer().status == 200
+        cluster.process_by_name[first].kill()
+        for host in (second, third):
+            answer = ask_until_answered(cluster, host, "keeper", COVER_REQUEST)
+            assert answer.status == 200
+        assert plain_runs(cluster, "keeper") == 1
+
+    def test_is_not_run_again_when_the_second_keeper_dies_after_the_first_is_back(
+        self, cluster: Cluster
+    ) -> None:
+        first, second, third = keepers(cluster, "both")
+        assert plain_call(cluster, third, "both").answer().status == 200
+        before = copies_made(cluster, second, 3)
+        cluster.process_by_name[first].kill()
+        wait_until(lambda: copies_made(cluster, second, 2), "two hosts have the key")
+        cluster.start_entry(first)
+        wait_until(
+            lambda: copies_made(cluster, second, 3) > before, "the first has it again"
+        )
+        cluster.process_by_name[second].kill()
+        for host in (first, third):
+            answer = ask_until_answered(cluster, host, "both", COVER_REQUEST)
+            assert answer.status == 200
+        assert plain_runs(cluster, "both") == 1
+
+
+class TestConfirmationThatRunsAtMostOnce:
+    """A shift confirmation is marked as not repeatable.
+
+    The service, its answer, or the control leader is lost at any point, and the
+    client sends it again through each entry host. By the service's own count it runs
+    at most once, and what the client is told about that is true.
+    """
+
+    def test_is_not_run_again_through_any_host(self, cluster: Cluster) -> None:
+        for host in cluster.entry_ids:
+            answer = plain_call(cluster, host, "confirmed", CONFIRMATION).answer()
+            assert answer.status == 200
+        assert plain_runs(cluster, "confirmed") == 1
+
+    @pytest.mark.parametrize("phase", ["before", "after"])
+    def test_is_unknown_when_the_service_dies(
+        self, cluster: Cluster, phase: str
+    ) -> None:
+        key = f"dies-{phase}"
+        pause_plain(cluster, phase)
+        first, *others = cluster.entry_ids
+        call = in_background(plain_call(cluster, first, key, CONFIRMATION).answer)
+        names = engines(cluster, "plain")
+        wait_until(
+            lambda: any(cluster.held(name) for name in names), "the service has it"
+        )
+        (busy,) = (name for name in names if cluster.held(name))
+        (idle,) = (name for name in names if name != busy)
+        cluster.process_by_name[busy].kill()
+        answer = call.result()
+        assert (answer.status, answer.ran) == (502, "unknown")
+        resume_plain(cluster, phase)
+        for host in others:
+            resend = plain_call(cluster, host, key, CONFIRMATION)
+            answer = resend.answer()
+            assert (answer.status, answer.ran) == (409, "unknown")
+        assert plain_runs(cluster, key) == 0, f"{idle} ran it as well"
+
+    def test_runs_later_when_the_service_refused_it(self, cluster: Cluster) -> None:
+        for name in engines(cluster, "plain"):
+            cluster.order_faults(name, refuse_next=20)
+        first, second, _ = cluster.entry_ids
+        refused = plain_call(cluster, first, "refused", CONFIRMATION).answer()
+        assert refused.ran == "no"
+        for name in engines(cluster, "plain"):
+            cluster.order_faults(name, refuse_next=0)
+        answer = ask_until_answered(cluster, second, "refused", CONFIRMATION)
+        assert answer.status == 200
+        assert plain_runs(cluster, "refused") == 1
+
+    def test_is_recorded_when_its_entry_host_and_the_leader_die(
+        self, cluster: Cluster
+    ) -> None:
+        pause_plain(cluster, "before")
+        first, second, third = cluster.entry_ids
+        call = in_background(_outcome, plain_call(cluster, first, "lost", CONFIRMATION))
+        names = engines(cluster, "plain")
+        wait_until(
+            lambda: any(cluster.held(name) for name in names), "the service has it"
+        )
+        leader = _leader(cluster)
+        cluster.process_by_name[leader].kill()
+        cluster.process_by_name[first].kill()
+        call.result()
+        resume_plain(cluster, "before")
+        wait_until(lambda: plain_runs(cluster, "lost") == 1, "the service ran it")
+        for host in (second, third):
+            answer = ask_until_answered(cluster, host, "lost", CONFIRMATION)
+            assert answer.ran == "unknown"
+        assert plain_runs(cluster, "lost") == 1
+        cluster.start_control(leader)
+
+    def test_is_refused_without_a_quorum_and_runs_later(self, cluster: Cluster) -> None:
+        leader = _leader(cluster)
+        stopped = [leader, next(host for host in cluster.control_ids if host != leader)]
+        for host in stopped:
+            cluster.process_by_name[host].kill()
+        first, second, _ = cluster.entry_ids
+        refused = plain_call(cluster, first, "quorum", CONFIRMATION).answer()
+        assert (refused.status, refused.ran) == (503, "no")
+        assert plain_runs(cluster, "quorum") == 0
+        for host in stopped:
+            cluster.start_control(host)
+        answer = ask_until_answered(cluster, second, "quorum", CONFIRMATION)
+        assert answer.status == 200
+        assert plain_runs(cluster, "quorum") == 1
+
+
+def _outcome(call: OpenCall) -> str:
+    """Return what a caller sees whose entry host may die."""
+    try:
+        return str(call.answer().status)
+    except (OSError, ValueError):
+        return "cut"
+
+
+def _leader(cluster: Cluster) -> str:
+    def leading() -> str:
+        for host in cluster.control_ids:
+            if not cluster.process_by_name[host].running:
+                continue
+            client = cluster.control_client(host)
+            try:
+                status = client.call(lambda peer: peer.status(), 3.0)
+            finally:
+                client.close()
+            if status.leader_id == status.replica_id:
+                return host
+        return ""
+
+    return wait_until(leading, "a control host leads")
+
+
+def _open_requests(cluster: Cluster, entry: str) -> int:
+    return int(cluster.entry_status(entry).open_requests)
