Count only requests between a warm-up and a cool-down

A run's last requests met a system whose arrivals had ended, which serves more than its capacity for as long as its queue is.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from bench._report import plot_run
-from bench._run import RunOptions, run_once
+from bench._run import RunOptions, end_runs_on_sigterm, run_once
 from bench._scenarios import SCENARIOS
 
 OUTPUT_FOLDER = Path(__file__).parent / "out"
@@ -24,7 +24,9 @@
     add("--policy", default="home", help="the entry hosts' policy")
     add("--load", type=float, default=1.0, help="offered load over capacity")
     add("--seed", type=int, default=1)
-    add("--seconds", type=float, default=30.0)
+    add("--seconds", type=float, default=30.0, help="how long requests count")
+    add("--warm-up", type=float, default=5.0, help="seconds of load before them")
+    add("--cool-down", type=float, default=10.0, help="seconds of load after them")
     add("--faults", action="store_true", help="lose an engine, an entry host, a link")
     add("--probe-share", type=float, default=0.1)
     add("--logs", type=Path, default=None, help="keep settings and logs in this folder")
@@ -41,6 +43,7 @@
 def main() -> None:
     """Run once; the JSON line is the last line of the output."""
     options, output_folder = parse_options()
+    end_runs_on_sigterm()
     figures = run_once(options)
     output_folder.mkdir(parents=True, exist_ok=True)
     name = f"{options.scenario}-{figures['policy']}-{options.load}-{options.seed}"
--- a/bench/_measure.py
+++ b/bench/_measure.py
@@ -1,5 +1,9 @@
 """The figures of one run, from what callers saw and what engines recorded.
 
+Goodput, latencies and refusals are those of the counted requests, without those of
+the warm-up and the cool-down; faults, such as wrong answers, are counted over all,
+and so is wasted prefill.
+
 - goodput: the share of all offered requests that are whole and meet both targets of
   their class. The first-token time counts from the intended start; the between-token
   target is met when the 95th percentile of the request's own gaps is within it.
@@ -131,11 +135,14 @@
         planned: Sequence[PlannedRequest],
         outcomes: Sequence[RequestOutcome],
         records: Sequence[dict],
+        counted: frozenset[str],
         lost_entry: str = "",
     ) -> None:
         self._class_by_name = scenario.class_by_name
-        self._planned = planned
-        self._outcomes = [item for item in outcomes if not item.probe]
+        self._planned_by_id = {item.request_id: item for item in planned}
+        self._planned = [item for item in planned if item.request_id in counted]
+        self._all = [item for item in outcomes if not item.probe]
+        self._counted = [item for item in self._all if item.planned_id in counted]
         self._probes = [item for item in outcomes if item.probe]
         self._engine_runs = [
             run for record in records for run in record["runs"] if "kind" in run
@@ -146,29 +153,29 @@
     def figures(self) -> RunFigures:
         """Return the figures."""
         computed, wasted = self._prefill_tokens()
-        refused = [item for item in self._outcomes if item.outcome is Outcome.REFUSED]
-        late = sorted(item.sent_late * 1000 for item in self._outcomes)
+        refused = _refused(self._counted)
+        late = sorted(item.sent_late * 1000 for item in self._all)
         return RunFigures(
             goodput=self._goodput(self._class_by_name),
             wasted_prefill=_share(wasted, computed),
-            ttft_p95=_times(self._outcomes).p95,
-            itl_p95=_gaps(self._outcomes).p95,
+            ttft_p95=_times(self._counted).p95,
+            itl_p95=_gaps(self._counted).p95,
             offered=len(self._planned),
             refused=len(refused),
             urgent_goodput=self._goodput(self._names_of_priority("urgent")),
-            incomplete_begun=self._incomplete(self._outcomes),
+            incomplete_begun=self._incomplete(self._all),
             incomplete_long=self._incomplete(
                 item
-                for item in self._outcomes
+                for item in self._all
                 if self._class_by_name[item.class_name].long_answer
             ),
             cut_with_entry=sum(
                 _is_incomplete(item) and item.entry_address == self._lost_entry
-                for item in self._outcomes
+                for item in self._all
             ),
             wrong_answers=self._wrong_answers(),
             ran_twice=self._ran_twice(),
-            refused_but_ran=self._refused_but_ran(refused),
+            refused_but_ran=self._refused_but_ran(),
             computed_tokens=computed,
             wasted_tokens=wasted,
             client_late_ms_p99=percentile(late, 0.99),
@@ -198,7 +205,7 @@
         offered = sum(item.class_name in names for item in self._planned)
         good = sum(
             is_good(self._class_by_name[item.class_name], item)
-            for item in self._outcomes
+            for item in self._counted
             if item.class_name in names
         )
         return _share(good, offered)
@@ -221,14 +228,13 @@
         return computed, computed - used
 
     def _all_outcomes(self) -> list[RequestOutcome]:
-        return self._outcomes + self._probes
+        return self._all + self._probes
 
     def _wrong_answers(self) -> int:
         """Count answers whose text is not that of their own prompt."""
-        planned_by_id = {item.request_id: item for item in self._planned}
         wrong = 0
-        for item in self._outcomes:
-            planned = planned_by_id[item.planned_id]
+        for item in self._all:
+            planned = self._planned_by_id[item.planned_id]
             if not item.tokens:
                 continue
             prompt = make_prompt(planned, self._class_by_name[item.class_name])
@@ -246,14 +252,16 @@
             runs.update(record["runs_by_key"])
         return sum(count > 1 for count in runs.values())
 
-    def _refused_but_ran(self, refused: Sequence[RequestOutcome]) -> int:
+    def _refused_but_ran(self) -> int:
         """Count refusals that say "not run" of requests that an endpoint ran."""
         ran = {
             run["request_id"] for run in self._engine_runs if run["computed_tokens"] > 0
         }
         for record in self._plain_records:
             ran |= set(record["runs_by_request_id"])
-        return sum(item.ran == "no" and item.request_id in ran for item in refused)
+        return sum(
+            item.ran == "no" and item.request_id in ran for item in _refused(self._all)
+        )
 
     def _retry_after(self, refused: Sequence[RequestOutcome]) -> RetryAfterFigures:
         given = sorted(
@@ -268,7 +276,7 @@
         )
 
     def _class_figures(self, item: RequestClass) -> ClassFigures:
-        seen = [found for found in self._outcomes if found.class_name == item.name]
+        seen = [found for found in self._counted if found.class_name == item.name]
         by_outcome: defaultdict[Outcome, list[RequestOutcome]] = defaultdict(list)
         for found in seen:
             by_outcome[found.outcome].append(found)
@@ -291,6 +299,10 @@
         )
 
 
+def _refused(outcomes: Iterable[RequestOutcome]) -> list[RequestOutcome]:
+    return [item for item in outcomes if item.outcome is Outcome.REFUSED]
+
+
 def _is_incomplete(outcome: RequestOutcome) -> bool:
     return outcome.begun and outcome.outcome is not Outcome.WHOLE
 
--- a/bench/_run.py
+++ b/bench/_run.py
@@ -4,7 +4,8 @@
 
 import logging
 import os
-import subprocess
+import signal
+import sys
 import tempfile
 import time
 from dataclasses import asdict, dataclass, field
@@ -32,19 +33,41 @@
 
 @dataclass(frozen=True)
 class RunOptions:
-    """What to run."""
+    """What to run.
+
+    Load is offered for `warm_up` seconds before and `cool_down` seconds after the
+    `seconds` whose requests are counted: else the first ones would meet an empty
+    system, and the last ones a system whose arrivals have ended, which serves twice
+    its capacity for as long as its queue is.
+    """
 
     scenario: str
     policy: str = "home"
     load: float = 1.0
     seed: int = 1
     seconds: float = 30.0
+    warm_up: float = 5.0
+    cool_down: float = 10.0
     faults: bool = False
     probe_share: float = 0.1
     logs: Path | None = None
     label: str = ""
     entry_options: dict[str, str | int | float | bool] = field(default_factory=dict)
 
+    @property
+    def offered_seconds(self) -> float:
+        """Return how long load is offered."""
+        return self.warm_up + self.seconds + self.cool_down
+
+    def counts(self, request: PlannedRequest) -> bool:
+        """Say whether the request is one of those counted."""
+        return 0 <= request.at - self.warm_up < self.seconds
+
+
+def end_runs_on_sigterm() -> None:
+    """Let SIGTERM unwind a run, so that it ends the processes that it started."""
+    signal.signal(signal.SIGTERM, lambda number, _: sys.exit(128 + number))
+
 
 def run_once(options: RunOptions) -> dict:
     """Run once and return the figures as one JSON object."""
@@ -59,7 +82,9 @@
 
 def _run_in(options: RunOptions, folder: Path) -> dict:
     scenario = SCENARIOS[options.scenario]()
-    planned = plan_requests(scenario, options.load, options.seconds, options.seed)
+    planned = plan_requests(
+        scenario, options.load, options.offered_seconds, options.seed
+    )
     cluster = build_cluster(
         scenario,
         options.policy,
@@ -82,16 +107,23 @@
     starts_at = time.monotonic() + LEAD_SECONDS
     disturbances = Disturbances(scenario, cluster)
     if options.faults:
-        disturbances.start(starts_at, options.seconds)
+        disturbances.start(starts_at + options.warm_up, options.seconds)
     clients = _start_clients(options, scenario, planned, cluster, folder, starts_at)
-    limit = _drain_seconds(scenario) + options.seconds + CLIENT_STOP_SECONDS
+    limit = _drain_seconds(scenario) + options.offered_seconds + CLIENT_STOP_SECONDS
     outcomes = _wait_for_outcomes(clients, limit)
     held = _held_after(cluster)
     records = disturbances.records + [
         cluster.endpoint_call(name, "GET", "/v1/records")
         for name in _running_endpoints(cluster)
     ]
-    measure = RunMeasure(scenario, planned, outcomes, records, disturbances.lost_entry)
+    measure = RunMeasure(
+        scenario,
+        planned,
+        outcomes,
+        records,
+        counted=frozenset(item.request_id for item in planned if options.counts(item)),
+        lost_entry=disturbances.lost_entry,
+    )
     figures = measure.figures()
     return {
         **as_json(figures),
@@ -100,10 +132,12 @@
         "load": options.load,
         "seed": options.seed,
         "seconds": options.seconds,
+        "warm_up": options.warm_up,
+        "cool_down": options.cool_down,
         "faults": disturbances.done,
         "held_after_end": held,
         "capacity_rps": _capacities(scenario),
-        "cpu_share": _cpu_shares(cluster, options.seconds),
+        "cpu_share": _cpu_shares(cluster, options.offered_seconds),
     }
 
 
@@ -125,7 +159,7 @@
             addresses=tuple(addresses[turn:] + addresses[:turn]),
             key_by_class={item.name: key_of(item) for item in scenario.classes},
             starts_at=starts_at,
-            ends_after=options.seconds + _drain_seconds(scenario),
+            ends_after=options.offered_seconds + _drain_seconds(scenario),
             probe_share=options.probe_share,
             output=str(output),
             requests=planned[number::CLIENTS],
@@ -149,17 +183,24 @@
 def _wait_for_outcomes(
     clients: list[tuple[ManagedProcess, Path]], limit: float
 ) -> list[RequestOutcome]:
-    outcomes = []
-    for process, output in clients:
-        try:
-            status = process.wait(limit)
-        except subprocess.TimeoutExpired:
+    try:
+        return [
+            outcome
+            for process, output in clients
+            for outcome in _outcomes_of(process, output, limit)
+        ]
+    finally:
+        for process, _ in clients:
             process.kill()
-            raise
-        if status != 0:
-            raise RuntimeError(f"{process.name} failed: {process.output()}")
-        outcomes += read_outcomes(output)
-    return outcomes
+
+
+def _outcomes_of(
+    process: ManagedProcess, output: Path, limit: float
+) -> list[RequestOutcome]:
+    status = process.wait(limit)
+    if status != 0:
+        raise RuntimeError(f"{process.name} failed: {process.output()}")
+    return read_outcomes(output)
 
 
 def _running_endpoints(cluster: Cluster) -> list[str]:
--- a/bench/sweep.py
+++ b/bench/sweep.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 from bench._report import write_sweep_report
-from bench._run import RunOptions, run_once
+from bench._run import RunOptions, end_runs_on_sigterm, run_once
 from bench._scenarios import SCENARIOS
 
 OUTPUT_FOLDER = Path(__file__).parent / "out"
@@ -39,6 +39,7 @@
 def main() -> None:
     """Run the sweep, then write its report."""
     options = parse_options()
+    end_runs_on_sigterm()
     options.out.mkdir(parents=True, exist_ok=True)
     kind = "faults" if options.faults else "loads"
     base = options.out / f"{options.scenario}-{kind}"
--- a/tests/bench/test_measure.py
+++ b/tests/bench/test_measure.py
@@ -46,7 +46,8 @@
 
 
 def measure(outcome: RequestOutcome, runs: list[dict]) -> RunMeasure:
-    return RunMeasure(SCENARIO, [PLANNED], [outcome], [{"runs": runs}])
+    counted = frozenset({PLANNED.request_id})
+    return RunMeasure(SCENARIO, [PLANNED], [outcome], [{"runs": runs}], counted)
 
 
 class TestGoodput:
@@ -64,6 +65,18 @@
         ):
             assert measure(bad, []).figures().goodput == 0.0
 
+    def test_a_request_of_the_warm_up_is_not_counted(self) -> None:
+        early = replace(PLANNED, request_id="board-poll-1-1", at=0.1)
+        late = replace(whole_outcome(), planned_id=early.request_id, first_token=9.0)
+        figures = RunMeasure(
+            SCENARIO,
+            [early, PLANNED],
+            [late, whole_outcome()],
+            [],
+            counted=frozenset({PLANNED.request_id}),
+        ).figures()
+        assert (figures.offered, figures.goodput) == (1, 1.0)
+
     def test_the_text_of_another_prompt_is_a_wrong_answer(self) -> None:
         crossed = replace(whole_outcome(), text=answer_text("another prompt", 3))
         assert measure(crossed, []).figures().wrong_answers == 1
