--- a/src/jujubeslip/control/_handler.py
+++ b/src/jujubeslip/control/_handler.py
@@ -12,7 +12,7 @@
 from jujubeslip.control._joining import own_description
 from jujubeslip.control._receiver import Receiver
 from jujubeslip.control._replica import Replica
-from jujubeslip.control._validation import check_declaration
+from jujubeslip.control._validation import check_claim, check_declaration
 from jujubeslip.kernel import Deadline
 from jujubeslip.peers import (
     AbandonCommand,
@@ -54,7 +54,8 @@
         """Return the configuration applied here, once it is newer than the known one.
 
         Any replica answers, since a caller only ever moves to a higher revision. With
-        a negative known_revision the leader alone answers, with the newest one.
+        a negative known_revision the leader alone answers, with the newest one. When
+        there is nothing newer, the answer has the revision without the text.
         """
         if known_revision < 0:
             self._ensure_reads_are_current()
@@ -65,7 +66,12 @@
             replica.configuration_changed.wait_for(
                 lambda: self._current().revision > known_revision, deadline.remaining()
             )
-            return self._current()
+            held = self._current()
+        if held.revision > known_revision:
+            return held
+        # Nothing new. With the text, each idle poll of each entry host would bring
+        # the whole declaration: 49 KB a second for one of 98 KB.
+        return Configuration(held.revision, "", held.change_id, held.operator_name)
 
     def apply_configuration(self, request: ApplyRequest) -> ApplyReply:
         """Accept or refuse a change of the configuration, once and for all."""
@@ -81,6 +87,7 @@
 
     def claim_key(self, claim: KeyClaim, remaining_ms: int) -> KeyReply:
         """Claim (client, key), durably on a quorum before the answer."""
+        check_claim(claim)
         deadline = Deadline.from_remaining_ms(remaining_ms)
         replica = self._replica
         with replica.lock:
@@ -93,11 +100,13 @@
 
     def finish_key(self, claim: KeyClaim, outcome: bytes, remaining_ms: int) -> None:
         """Record the outcome of a claim, durably on a quorum before the answer."""
+        check_claim(claim)
         command = FinishCommand(claim, outcome)
         self._replica.propose(command, Deadline.from_remaining_ms(remaining_ms))
 
     def abandon_key(self, claim: KeyClaim, remaining_ms: int) -> None:
         """Free a claim whose request surely did not run."""
+        check_claim(claim)
         command = AbandonCommand(claim)
         self._replica.propose(command, Deadline.from_remaining_ms(remaining_ms))
 
--- a/src/jujubeslip/homes/_tracker.py
+++ b/src/jujubeslip/homes/_tracker.py
@@ -6,9 +6,11 @@
 import time
 from collections import defaultdict
 from collections.abc import Sequence
+from concurrent.futures import Future
 
 from jujubeslip.endpoints import (
     EndpointError,
+    EndpointMonitor,
     EndpointStatus,
     EngineAdapter,
     HeldItem,
@@ -22,6 +24,8 @@
 logger = logging.getLogger(__name__)
 
 STATUS_INTERVAL = 0.5
+QUIET_STATUS_INTERVAL = 1.0
+EVENTS_INTERVAL = 1.0
 STATUS_TIMEOUT = 1.0
 # What is younger than this, in milliseconds, is not asked about: its entry host may
 # only just have opened it.
@@ -48,22 +52,38 @@
         self._clients = clients
         self._sweeps = sweeps
         self._next_sweep = Deadline.after(0)
+        self._sweep_task: Future[None] | None = None
         self._next_event = 0
+        self._events_due = Deadline.after(0)
+        self._monitor = EndpointMonitor(record.announcement.address)
 
     def run(self, process: Process) -> None:
         """Ask until the endpoint stops announcing itself, or the process stops."""
-        while not process.stopped.wait(STATUS_INTERVAL):
+        while not process.stopped.wait(self._interval()):
             if self._record.announced_until.expired:
                 break
-            self.step()
+            self.step(process)
+        self._monitor.close()
         self._pool.forget(self._record)
 
-    def step(self) -> None:
+    def _interval(self) -> float:
+        """Return the pause between statuses, longer where nothing depends on it.
+
+        Asking is most of a home's own cost. A standby's view may be older, and that
+        of an endpoint that holds nothing too.
+        """
+        home = self._directory.home_of(self._pool.service_name, self._pool.place)
+        is_home = home.host_id == self._directory.own.host_id
+        if is_home and self._record.in_use:
+            return STATUS_INTERVAL
+        return QUIET_STATUS_INTERVAL
+
+    def step(self, process: Process) -> None:
         """Ask once; an endpoint that doesn't answer is used no more when it's due."""
         asked_at = time.monotonic()
-        adapter = EngineAdapter(self._record.announcement.address)
+        monitor = self._monitor_of_address()
         try:
-            status = adapter.status(Deadline.after(STATUS_TIMEOUT))
+            status = monitor.status(Deadline.after(STATUS_TIMEOUT))
         except EndpointError as error:
             logger.debug("no status", extra={"error": str(error)})
             return
@@ -74,21 +94,43 @@
             )
             return
         self._pool.observe(self._record.endpoint_id, status, asked_at)
-        self._read_events(adapter, status)
-        if self._sweeps and self._next_sweep.expired:
-            self._next_sweep = Deadline.after(SWEEP_INTERVAL)
-            self._sweep(adapter, status)
+        self._read_events(monitor, status)
+        self._start_sweep(process, EngineAdapter(monitor.address), status)
 
-    def _read_events(self, adapter: EngineAdapter, status: EndpointStatus) -> None:
-        if status.role != EndpointRole.PREFILL:
+    def _monitor_of_address(self) -> EndpointMonitor:
+        """Return the monitor of the address that the endpoint last announced."""
+        address = self._record.announcement.address
+        if self._monitor.address != address:
+            self._monitor.close()
+            self._monitor = EndpointMonitor(address)
+        return self._monitor
+
+    def _read_events(self, monitor: EndpointMonitor, status: EndpointStatus) -> None:
+        if status.role != EndpointRole.PREFILL or not self._events_due.expired:
             return
+        self._events_due = Deadline.after(EVENTS_INTERVAL)
         try:
             deadline = Deadline.after(STATUS_TIMEOUT)
-            events, self._next_event = adapter.events(self._next_event, deadline)
+            events, self._next_event = monitor.events(self._next_event, deadline)
         except EndpointError:
             return
         self._pool.note_events(self._record.endpoint_id, events)
 
+    def _start_sweep(
+        self, process: Process, adapter: EngineAdapter, status: EndpointStatus
+    ) -> None:
+        """Sweep in a task of its own, one at a time.
+
+        An owner that is cut off or frozen answers late. If the tracker waited for
+        it, the endpoint's status would age beyond its lifetime, and the endpoint
+        would be lost to every other entry host.
+        """
+        running = self._sweep_task is not None and not self._sweep_task.done()
+        if not self._sweeps or running or not self._next_sweep.expired:
+            return
+        self._next_sweep = Deadline.after(SWEEP_INTERVAL)
+        self._sweep_task = process.start_task(self._sweep, adapter, status)
+
     def _sweep(self, adapter: EngineAdapter, status: EndpointStatus) -> None:
         """Free what the engine holds for entry processes that serve it no more.
 
@@ -105,7 +147,10 @@
                 self._cancel(adapter, request)
 
     def _orphans(self, owner: str, items: Sequence[HeldItem]) -> list[HeldRequest]:
-        requests = [HeldRequest(item.request_id, item.attempt) for item in items]
+        endpoint_id = self._record.endpoint_id
+        requests = [
+            HeldRequest(item.request_id, item.attempt, endpoint_id) for item in items
+        ]
         host_id, _, incarnation_text = owner.rpartition("/")
         if not host_id or not incarnation_text.isdigit():
             return []
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -462,14 +462,16 @@
      - sender_id
      - hosts
      - configuration_revision
+     - view_digest
 
     """
 
 
-    def __init__(self, sender_id=None, hosts=None, configuration_revision=None,):
+    def __init__(self, sender_id=None, hosts=None, configuration_revision=None, view_digest=None,):
         self.sender_id = sender_id
         self.hosts = hosts
         self.configuration_revision = configuration_revision
+        self.view_digest = view_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -501,6 +503,11 @@
                     self.configuration_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.view_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -526,6 +533,10 @@
             oprot.writeFieldBegin('configuration_revision', TType.I64, 3)
             oprot.writeI64(self.configuration_revision)
             oprot.writeFieldEnd()
+        if self.view_digest is not None:
+            oprot.writeFieldBegin('view_digest', TType.I64, 4)
+            oprot.writeI64(self.view_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1339,13 +1350,15 @@
     Attributes:
      - request_id
      - attempt
+     - endpoint_id
 
     """
 
 
-    def __init__(self, request_id=None, attempt=None,):
+    def __init__(self, request_id=None, attempt=None, endpoint_id=None,):
         self.request_id = request_id
         self.attempt = attempt
+        self.endpoint_id = endpoint_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1366,6 +1379,11 @@
                     self.attempt = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1384,6 +1402,10 @@
             oprot.writeFieldBegin('attempt', TType.I32, 2)
             oprot.writeI32(self.attempt)
             oprot.writeFieldEnd()
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 3)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3256,7 +3278,7 @@
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.STRING:
-                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.fingerprint = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
@@ -3308,7 +3330,7 @@
             oprot.writeFieldEnd()
         if self.fingerprint is not None:
             oprot.writeFieldBegin('fingerprint', TType.STRING, 4)
-            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeBinary(self.fingerprint)
             oprot.writeFieldEnd()
         if self.stamp_ms is not None:
             oprot.writeFieldBegin('stamp_ms', TType.I64, 5)
@@ -4262,6 +4284,7 @@
     (1, TType.STRING, 'sender_id', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'hosts', (TType.STRUCT, [HostState, None], False), None, ),  # 2
     (3, TType.I64, 'configuration_revision', None, None, ),  # 3
+    (4, TType.I64, 'view_digest', None, None, ),  # 4
 )
 all_structs.append(Announcement)
 Announcement.thrift_spec = (
@@ -4337,6 +4360,7 @@
     None,  # 0
     (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
     (2, TType.I32, 'attempt', None, None, ),  # 2
+    (3, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 3
 )
 all_structs.append(KeyClaim)
 KeyClaim.thrift_spec = (
@@ -4500,7 +4524,7 @@
     (1, TType.STRING, 'digest', 'BINARY', None, ),  # 1
     (2, TType.STRING, 'request_id', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'owner', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 4
+    (4, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 4
     (5, TType.I64, 'stamp_ms', None, None, ),  # 5
     (6, TType.BOOL, 'finished', None, None, ),  # 6
     (7, TType.STRING, 'outcome', 'BINARY', None, ),  # 7
--- a/src/jujubeslip/requests/__init__.py
+++ b/src/jujubeslip/requests/__init__.py
@@ -3,6 +3,7 @@
 from jujubeslip.requests._answers import ModelAnswer, PlainServiceAnswer
 from jujubeslip.requests._authentication import authenticate, require_secret
 from jujubeslip.requests._cancellation import Canceller
+from jujubeslip.requests._key_copies import KeyCopies
 from jujubeslip.requests._key_keeper import KeyKeeper
 from jujubeslip.requests._keys import ControlKeys, KeeperKeys, Keys
 from jujubeslip.requests._model_path import ModelPath
@@ -10,6 +11,7 @@
 from jujubeslip.requests._open_requests import OpenRequests
 from jujubeslip.requests._parse import parse_request
 from jujubeslip.requests._plain_path import PlainPath
+from jujubeslip.requests._retries import RetryPolicy
 from jujubeslip.requests._service import RequestService
 
 __all__ = [
@@ -17,6 +19,7 @@
     "ClientRequest",
     "ControlKeys",
     "KeeperKeys",
+    "KeyCopies",
     "KeyKeeper",
     "Keys",
     "ModelAnswer",
@@ -26,6 +29,7 @@
     "PlainServiceAnswer",
     "RequestContext",
     "RequestService",
+    "RetryPolicy",
     "authenticate",
     "parse_request",
     "require_secret",
--- a/tests/control/test_operators.py
+++ b/tests/control/test_operators.py
@@ -9,12 +9,14 @@
 
 import pytest
 
-from jujubeslip.kernel import Deadline, PeerUnavailableError
+from jujubeslip.control import ControlClient
+from jujubeslip.kernel import Deadline, PeerAddress, PeerUnavailableError
 from jujubeslip.peers import (
     ApplyReply,
     ApplyRequest,
     KeyReply,
     KeyStatus,
+    PeerIdentity,
     PeerRefusal,
 )
 from tests.control.cluster import (
@@ -89,9 +91,41 @@
             pushed = [future.result(BOUND_SECONDS) for future in waiting]
         assert [item.revision for item in pushed] == [base + 1, base + 1]
 
+    def test_client_leaves_a_replica_that_has_no_news(self, tmp_path: Path) -> None:
+        """An entry host keeps an old configuration though two replicas are newer.
+
+        The replica that it polls is cut off from the leader and answers each poll,
+        always with the old revision.
+        """
+        with ControlCluster(tmp_path, 3) as cluster:
+            cluster.apply(1, 0)
+            stale = cluster.others(cluster.leader())[0]
+            cluster.wait_applied(stale, 1)
+            stale_first = [stale, *cluster.others(stale)]
+            client = ControlClient(
+                [PeerAddress(host.host_id, host.address) for host in stale_first],
+                PeerIdentity("test", 1, cluster.secret),
+            )
+            cluster.cut(stale)
+            cluster.apply(2, 1)
+            polls = [client.get_configuration(1, 200).revision for _ in range(3)]
+            assert polls[0] == 1
+            assert 2 in polls
+
+    def test_a_poll_without_news_brings_no_text(self, cluster: ControlCluster) -> None:
+        """Hundreds of entry hosts poll all day; few of their polls bring a change.
+
+        With the whole text in each answer, control and the links between zones are
+        busy with a declaration that nobody needs.
+        """
+        newest = cluster.client.get_configuration(-1, 0)
+        unchanged = cluster.client.get_configuration(newest.revision, 0)
+        assert (unchanged.revision, unchanged.declaration) == (newest.revision, "")
+
     def test_history_holds_each_revision(self, cluster: ControlCluster) -> None:
-        history = cluster.client.history(2)
+        cluster.apply(300, current_revision(cluster))
         newest = cluster.client.get_configuration(-1, 0)
+        history = cluster.client.history(2)
         assert history[0] == newest
         assert history[1].revision == newest.revision - 1
 
@@ -118,6 +152,14 @@
         reply = client.claim_key(make_claim("confirmation", "r2"), deadline)
         assert (reply.status, reply.outcome) == (KeyStatus.FINISHED, b"confirmed")
 
+    @pytest.mark.parametrize("key", ["", "k" * 2000])
+    def test_claim_that_can_not_be_applied_is_refused(
+        self, cluster: ControlCluster, key: str
+    ) -> None:
+        with pytest.raises(PeerRefusal) as refused:
+            cluster.claim(key)
+        assert refused.value.error_id == "claim_invalid"
+
     def test_client_gives_up_by_its_deadline(self, tmp_path: Path) -> None:
         with ControlCluster(tmp_path, 3) as alone:
             alone.apply(1, 0)
