Forecast with the requests that will pass, and say an honest Retry-After

Cause (found by the load tool): at twice the capacity bulk requests were refused only near their wait limit, since the forecast did not know of the urgent ones that come later and pass them; and Retry-After was the lateness at that moment, 0.2 s, though as many requests kept coming. Ruled out: the tick (refusals leave within 0.1 s of the decision). Change: a pool counts the slot time that is asked for by priority (decaying over 5 s). The queued part of a forecast, and the time to come back, are divided by the share that higher priorities (for coming back, the own one too) leave free, at least a tenth. The Retry-After header is rounded up, never down.

--- a/src/jujubeslip/entry/_http_app.py
+++ b/src/jujubeslip/entry/_http_app.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import math
 import threading
 import time
 from collections.abc import Callable, Iterable, Iterator
@@ -432,7 +433,7 @@
 ) -> Iterable[bytes]:
     headers = []
     if refusal.retry_after is not None:
-        headers.append(("Retry-After", f"{max(1, round(refusal.retry_after))}"))
+        headers.append(("Retry-After", f"{max(1, math.ceil(refusal.retry_after))}"))
     if refusal.status == 401:
         headers.append(("WWW-Authenticate", "Bearer"))
     fields = {"error": _refusal_fields(refusal, request_id)}
--- a/src/jujubeslip/homes/_forecast.py
+++ b/src/jujubeslip/homes/_forecast.py
@@ -12,6 +12,10 @@
 
 # How long a slot that this home did not grant is taken to last, in seconds.
 STRANGER_SECONDS = 10.0
+# However much is asked for, a share of the slots comes free for what waits.
+MINIMUM_FREE_SHARE = 0.1
+MINIMUM_RETRY_SECONDS = 0.2
+MAXIMUM_RETRY_SECONDS = 60.0
 
 
 class Forecast:
@@ -30,6 +34,7 @@
         decodes = scheduler.candidates(role)
         prefills = [] if plain else scheduler.candidates(EndpointRole.PREFILL)
         self._slots = self._slot_instants(decodes)
+        self._slot_count = len(self._slots)
         self._turns = [
             (
                 self._now + item.prefill_backlog(self._now),
@@ -51,13 +56,39 @@
     def first_tokens(self, waiters: Iterable[Waiter]) -> Iterator[tuple[Waiter, float]]:
         """Yield each request with the instant of its first token."""
         for waiter in waiters:
-            yield waiter, self._play(waiter)
+            yield waiter, self._with_later_arrivals(waiter, self._play(waiter))
 
     def first_token(self, waiter: Waiter, ahead: Iterable[Waiter]) -> float:
         """Return the instant of a request's first token, behind those ahead of it."""
         for other in ahead:
             self._play(other)
-        return self._play(waiter)
+        return self._with_later_arrivals(waiter, self._play(waiter))
+
+    def _with_later_arrivals(self, waiter: Waiter, instant: float) -> float:
+        """Return the instant with what will pass this request while it waits.
+
+        Requests of higher priority that come later are served first. Without them the
+        forecast of a bulk request stays hopeful until its wait limit, and it is
+        refused only then.
+        """
+        free = 1 - self._demand_up_to(waiter.request.priority - 1)
+        transfer = self._estimates.transfer_seconds.of(waiter.request.prompt_tokens)
+        served = self._prefill_seconds(waiter) + transfer
+        queued = max(0.0, instant - served - self._now)
+        return instant - queued + queued / max(MINIMUM_FREE_SHARE, free)
+
+    def retry_seconds(self, waiter: Waiter, late: float) -> float:
+        """Return when it is worth asking again, for a request that is so late.
+
+        What waits must shrink by as much while further requests come, so the time
+        grows with what this priority and higher ones ask for.
+        """
+        free = 1 - self._demand_up_to(waiter.request.priority)
+        seconds = max(MINIMUM_RETRY_SECONDS, late) / max(MINIMUM_FREE_SHARE, free)
+        return min(MAXIMUM_RETRY_SECONDS, seconds)
+
+    def _demand_up_to(self, priority: int) -> float:
+        return self._scheduler.demand.share_up_to(priority, self._slot_count)
 
     def _slot_instants(self, records: list[EndpointRecord]) -> list[float]:
         instants: list[float] = []
--- a/src/jujubeslip/homes/_pool.py
+++ b/src/jujubeslip/homes/_pool.py
@@ -37,7 +37,6 @@
 ASKED_LIFETIME = 2.0
 # A grant that neither moved on nor shows on its endpoints is dropped after this time.
 GRANT_SILENCE_SECONDS = 3.0
-MINIMUM_RETRY_SECONDS = 0.2
 NO_ENDPOINT_WAIT_SECONDS = 3600.0
 # A home that has just taken over hears of all its endpoints within this time, since
 # they announce themselves each second; until then it can't say that there are none.
@@ -278,7 +277,7 @@
                 self._refuse_without_endpoints(waiter)
             return
         for waiter, instant in forecast.first_tokens(list(self._queue)):
-            self._refuse_if_late(waiter, instant)
+            self._refuse_if_late(waiter, instant, forecast)
 
     def _refuse_new_if_hopeless(self, waiter: Waiter) -> None:
         """Refuse a request on its arrival if its first token would be late."""
@@ -289,24 +288,30 @@
             self._refuse_without_endpoints(waiter)
             return
         ahead = itertools.takewhile(lambda item: item is not waiter, self._queue)
-        self._refuse_if_late(waiter, forecast.first_token(waiter, ahead))
+        instant = forecast.first_token(waiter, ahead)
+        self._refuse_if_late(waiter, instant, forecast)
 
-    def _refuse_if_late(self, waiter: Waiter, first_token: float) -> None:
+    def _refuse_if_late(
+        self, waiter: Waiter, first_token: float, forecast: Forecast
+    ) -> None:
         late = first_token - waiter.first_token_by.instant
         if late > 0:
-            self._refuse(waiter, "the first token would be late", late)
+            retry = forecast.retry_seconds(waiter, late)
+            self._refuse(waiter, "the first token would be late", retry)
 
     def _refuse_without_endpoints(self, waiter: Waiter) -> None:
         if self.learned_by.expired:
             self._refuse(waiter, "no endpoint is usable", 1.0)
 
     def _refuse_late(self, waiter: Waiter) -> None:
-        self._refuse(waiter, "the wait limit has passed", MINIMUM_RETRY_SECONDS)
+        forecast = Forecast(self.scheduler, self._is_plain())
+        retry = forecast.retry_seconds(waiter, 0.0)
+        self._refuse(waiter, "the wait limit has passed", retry)
 
     def _refuse(self, waiter: Waiter, reason: str, retry_after: float) -> None:
         if waiter in self._queue:
             self._queue.remove(waiter)
-        milliseconds = int(max(MINIMUM_RETRY_SECONDS, retry_after) * 1000)
+        milliseconds = int(retry_after * 1000)
         waiter.answer(ReserveReply(ReserveStatus.REFUSED, None, reason, milliseconds))
 
     def _is_plain(self) -> bool:
--- a/src/jujubeslip/homes/_scheduler.py
+++ b/src/jujubeslip/homes/_scheduler.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass
 
+from jujubeslip.homes._demand import Demand
 from jujubeslip.homes._estimates import Estimates
 from jujubeslip.homes._prefixes import PrefixIndex
 from jujubeslip.homes._records import EndpointRecord, GrantRecord, Waiter
@@ -65,6 +66,7 @@
         self.options = options
         self.estimates = Estimates()
         self.prefixes = PrefixIndex()
+        self.demand = Demand()
         self.record_by_id: dict[str, EndpointRecord] = {}
         self.grant_by_id: dict[str, GrantRecord] = {}
         self._usable_by_role: dict[EndpointRole, tuple[float, list[EndpointRecord]]]
@@ -351,7 +353,9 @@
         return max(0, round(expected) - self._urgent_grants)
 
     def note_arrival(self, waiter: Waiter) -> None:
-        """Learn how often urgent requests come and how long they can wait."""
+        """Learn how much is asked for, and how long urgent requests can wait."""
+        hold = self.estimates.hold_seconds(waiter.request.output_tokens)
+        self.demand.note(waiter.request.priority, hold)
         if waiter.request.priority != URGENT:
             return
         now = time.monotonic()
