--- a/bench/control/measure.py
+++ b/bench/control/measure.py
@@ -26,6 +26,8 @@
 RECOVERY_ROUNDS = 10
 SYSTEM_SETTINGS = {"election_timeout_ms": 1000, "heartbeat_ms": 200}
 MANY = 1_000_000_000
+# So short that 10,000 changes stay below the bytes that bring a snapshot.
+CHANGE_BYTES = 200
 
 
 class Direct(ControlCluster):
@@ -122,7 +124,7 @@
         path.mkdir()
         with Direct(path, 1, snapshot_every=every) as cluster:
             host = cluster.hosts[0]
-            apply_changes(cluster.client, 0, 10_000, 1000)
+            apply_changes(cluster.client, 0, 10_000, CHANGE_BYTES)
             host.kill()
             size = sum(item.stat().st_size for item in host.data_folder.iterdir())
             seconds = []
--- a/tests/control/test_history.py
+++ b/tests/control/test_history.py
@@ -1,7 +1,7 @@
 """Random faults on real processes, and a check of everything that was answered.
 
-`CHAOS_SECONDS` and `CHAOS_SEED` set how long and which; the faults and the clients'
-choices follow the seed, their timing follows the machine.
+`CHAOS_SECONDS`, `CHAOS_SEED` and `CHAOS_REPLICAS` set how long, which, and on how many;
+the faults and the clients' choices follow the seed, their timing follows the machine.
 """
 
 from __future__ import annotations
@@ -23,6 +23,7 @@
 
 SECONDS = float(os.environ.get("CHAOS_SECONDS", "8"))
 SEED = int(os.environ.get("CHAOS_SEED", "1"))
+REPLICAS = int(os.environ.get("CHAOS_REPLICAS", "3"))
 FAULT_SECONDS = (0.2, 1.5)
 
 
@@ -141,7 +142,7 @@
         accepted change is lost or reverted, no revision has two winners, no key is
         given to two requests, and no read at the leader is older than an answer.
         """
-        with ControlCluster(tmp_path, 3, snapshot_every=50) as cluster:
+        with ControlCluster(tmp_path, REPLICAS, snapshot_every=50) as cluster:
             cluster.leader()
             history = History()
             faults = Faults(cluster, SEED)
