--- a/src/jujubeslip/control/_snapshots.py
+++ b/src/jujubeslip/control/_snapshots.py
@@ -120,9 +120,12 @@
 
     One that is still being written stays: its writer renames it at its end.
     """
-    for path in kept.path.parent.glob(f"{SNAPSHOT_PREFIX}*"):
-        if path != kept.path and path.suffix != UNFINISHED_SUFFIX:
-            path.unlink(missing_ok=True)
+    try:
+        for path in kept.path.parent.glob(f"{SNAPSHOT_PREFIX}*"):
+            if path != kept.path and path.suffix != UNFINISHED_SUFFIX:
+                path.unlink(missing_ok=True)
+    except OSError as error:
+        raise storage_failed(kept.path.name, error) from error
     sync_folder(kept.path.parent)
 
 
