Look only at the keys that a rule gives

Change: a condition keeps the keys that it gives; matching and the check go through those. A deadline's unused time on the way is gone.

--- a/src/jujubeslip/declaration/_models.py
+++ b/src/jujubeslip/declaration/_models.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import field
+from dataclasses import field, fields
 from functools import cached_property
 from pathlib import Path
 from typing import Annotated
@@ -106,6 +106,12 @@
     availability_zone: str | None = None
     """Availability zone of the entry host that was asked."""
 
+    @cached_property
+    def wanted_by_key(self) -> dict[str, object]:
+        """Return the keys that are given, with what each asks for."""
+        values = {item.name: getattr(self, item.name) for item in fields(self)}
+        return {key: value for key, value in values.items() if value is not None}
+
 
 @dataclass(frozen=True, config=STRICT)
 class Action:
--- a/src/jujubeslip/kernel/_deadlines.py
+++ b/src/jujubeslip/kernel/_deadlines.py
@@ -24,9 +24,9 @@
         return cls(time.monotonic() + seconds)
 
     @classmethod
-    def from_remaining_ms(cls, remaining_ms: int, in_transit_ms: int = 0) -> Deadline:
-        """Return the receiver's deadline for a message, less its time on the way."""
-        return cls.after((remaining_ms - in_transit_ms) / MILLISECONDS_PER_SECOND)
+    def from_remaining_ms(cls, remaining_ms: int) -> Deadline:
+        """Return the receiver's deadline for what a message says is left."""
+        return cls.after(remaining_ms / MILLISECONDS_PER_SECOND)
 
     @property
     def expired(self) -> bool:
--- a/src/jujubeslip/rules/_checks.py
+++ b/src/jujubeslip/rules/_checks.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import fields
 
 from jujubeslip.declaration import Condition, Declaration
 from jujubeslip.kernel import CheckLevel, CheckMessage, register_check
@@ -43,15 +42,14 @@
 
 def covers(general: Condition, special: Condition) -> bool:
     """Say whether `general` holds for every request for which `special` holds."""
+    special_by_key = special.wanted_by_key
     return all(
-        _key_covers(item.name, getattr(general, item.name), getattr(special, item.name))
-        for item in fields(general)
+        _key_covers(key, wanted, special_by_key.get(key))
+        for key, wanted in general.wanted_by_key.items()
     )
 
 
 def _key_covers(key: str, general: object, special: object) -> bool:
-    if general is None:
-        return True
     if special is None:
         return False
     if key.endswith("_min"):
--- a/src/jujubeslip/rules/_match.py
+++ b/src/jujubeslip/rules/_match.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass, fields
+from dataclasses import dataclass
 
 from jujubeslip.declaration import Condition, PriorityClass, Rule
 
@@ -51,10 +51,9 @@
 
 
 def _unmet_keys(condition: Condition, facts: RequestFacts) -> Iterator[str]:
-    for item in fields(condition):
-        wanted = getattr(condition, item.name)
-        if wanted is not None and not _holds(item.name, wanted, facts):
-            yield item.name
+    for key, wanted in condition.wanted_by_key.items():
+        if not _holds(key, wanted, facts):
+            yield key
 
 
 def _holds(key: str, wanted: object, facts: RequestFacts) -> bool:
