Send endpoints on when their entry host hears no other one

Cause: an endpoint announces itself to one entry host for as long as that one answers. A host that is cut off from the other entry hosts, but not from the endpoints, takes each announcement as their home and answers that it was accepted. Five seconds later the others refuse every request with "no endpoint is usable".

Ruled out: refusing the announcement on a cut-off host. The only host of a cut-off zone would stop serving.

Change: a host that hears no other one takes the announcement and answers that the home is unavailable, so the endpoint announces itself to the next host too.

Found and not mended: a home that takes over grants from statuses that are up to half a second old. If it takes over within that time of a stream's start, it gives the slot once more; the request then waits at the engine with its prefill done, in place of at the home, until the slot is free.

--- a/src/jujubeslip/membership/_directory.py
+++ b/src/jujubeslip/membership/_directory.py
@@ -42,6 +42,12 @@
         """Say whether this host may have missed news and needs a full exchange."""
         return self._lease.lapsed
 
+    @property
+    def alone(self) -> bool:
+        """Say whether this host knows others and hears none of them."""
+        with self._lock:
+            return bool(self._table.record_by_id) and not self._lease.valid
+
     @property
     def superseded(self) -> bool:
         """Say whether a later incarnation of this host runs, so that this must stop."""
--- a/src/jujubeslip/routing/_home_router.py
+++ b/src/jujubeslip/routing/_home_router.py
@@ -203,6 +203,11 @@
         for standby in standbys:
             self._process.start_task(self._announce_to_standby, standby, announcement)
         self._announce_to(home, announcement)
+        if self._directory.alone:
+            # Cut off from the other entry hosts, this one takes the endpoint for
+            # itself. They would never hear of it while this one answers, so the
+            # endpoint is sent on to announce itself to another one as well.
+            raise PeerUnavailableError("This host hears no other entry host.")
 
     def _announce_to(self, home: HostState, announcement: Announcement) -> None:
         if home.host_id == self._directory.own.host_id:
