Share client limits by recent demand in place of fixed shares

Cause: each host enforced the limit divided by the number of hosts. An account whose requests arrive mostly at one host was refused at a fraction of its limit.

Without an answer for three seconds a host goes back to the equal share. The Thrift file gains LimitUsage, LimitShare and report_usage; the code was generated anew.

--- /dev/null
+++ b/bench/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Compares fixed shares of client limits with a shared quota."""
--- a/src/jujubeslip/entry/_peer_handler.py
+++ b/src/jujubeslip/entry/_peer_handler.py
@@ -15,10 +15,13 @@
     HeldRequest,
     KeyClaim,
     KeyReply,
+    LimitShare,
+    LimitUsage,
     ReserveReply,
     ReserveRequest,
 )
 from jujubeslip.requests import KeyKeeper, OpenRequests
+from jujubeslip.routing import LimitReports
 
 
 class PeerHandler:
@@ -33,6 +36,7 @@
         keeper: KeyKeeper,
         open_requests: OpenRequests,
         configuration: ConfigurationFollower,
+        limit_reports: LimitReports,
     ) -> None:
         self._process = process
         self._directory = directory
@@ -41,6 +45,7 @@
         self._keeper = keeper
         self._open_requests = open_requests
         self._configuration = configuration
+        self._limit_reports = limit_reports
 
     def gossip(self, message: GossipMessage) -> GossipMessage:
         """Exchange views of the entry hosts."""
@@ -94,6 +99,10 @@
         """Return the configuration in force here."""
         return self._configuration.configuration
 
+    def report_usage(self, host_id: str, usages: list[LimitUsage]) -> list[LimitShare]:
+        """Return a host's shares of limits, as their keeper."""
+        return self._limit_reports.answer(host_id, usages)
+
     def status(self) -> EntryStatus:
         """Return this host's account of itself, for operators."""
         own = self._directory.own
--- a/src/jujubeslip/entry/_process.py
+++ b/src/jujubeslip/entry/_process.py
@@ -34,6 +34,7 @@
 from jujubeslip.routing import (
     ClientLimits,
     HomeRouter,
+    LimitReports,
     LocalRouter,
     RetryBudgets,
     Router,
@@ -85,6 +86,8 @@
             scheduler_options(settings.policy),
         )
         self._router = self._build_router()
+        self._limits = ClientLimits(lambda: len(self._directory.live_hosts()))
+        self._limit_reports = LimitReports(self._directory, self._clients, self._limits)
         self._open_requests = OpenRequests()
         self._keeper = KeyKeeper(self._directory)
         self._http = HttpServer(settings, self._build_app())
@@ -125,7 +128,7 @@
             self._settings.availability_zone,
             lambda: self._configuration.declaration,
             self._router,
-            ClientLimits(lambda: len(self._directory.live_hosts())),
+            self._limits,
             ModelPath(self._owner, self._router, canceller, retries, self._meters),
             PlainPath(self._owner, self._router, retries),
             KeeperKeys(self._directory, self._clients, self._keeper),
@@ -151,6 +154,7 @@
             self._keeper,
             self._open_requests,
             self._configuration,
+            self._limit_reports,
         )
 
     def run(self) -> None:
@@ -159,6 +163,7 @@
         self._gossip.start(self._process)
         self._configuration.start(self._process)
         self._homes.start()
+        self._limit_reports.start(self._process)
         KeyCopies(self._directory, self._clients, self._keeper).start(self._process)
         self._http.start(self._process)
         extra = {"http": self._settings.http_address, "peers": self._peers.address}
--- a/src/jujubeslip/peers/gen/ControlPeer.py
+++ b/src/jujubeslip/peers/gen/ControlPeer.py
@@ -2251,11 +2251,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = Configuration()
-                        _elem103.read(iprot)
-                        self.success.append(_elem103)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = Configuration()
+                        _elem117.read(iprot)
+                        self.success.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2277,8 +2277,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter104 in self.success:
-                iter104.write(oprot)
+            for iter118 in self.success:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
--- a/src/jujubeslip/peers/gen/EntryPeer.py
+++ b/src/jujubeslip/peers/gen/EntryPeer.py
@@ -126,6 +126,15 @@
         """
         pass
 
+    def report_usage(self, host_id, usages):
+        """
+        Parameters:
+         - host_id
+         - usages
+
+        """
+        pass
+
     def status(self):
         pass
 
@@ -571,6 +580,42 @@
             raise result.refusal
         raise TApplicationException(TApplicationException.MISSING_RESULT, "get_configuration failed: unknown result")
 
+    def report_usage(self, host_id, usages):
+        """
+        Parameters:
+         - host_id
+         - usages
+
+        """
+        self.send_report_usage(host_id, usages)
+        return self.recv_report_usage()
+
+    def send_report_usage(self, host_id, usages):
+        self._oprot.writeMessageBegin('report_usage', TMessageType.CALL, self._seqid)
+        args = report_usage_args()
+        args.host_id = host_id
+        args.usages = usages
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_report_usage(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = report_usage_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.refusal is not None:
+            raise result.refusal
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "report_usage failed: unknown result")
+
     def status(self):
         self.send_status()
         return self.recv_status()
@@ -617,6 +662,7 @@
         self._processMap["abandon_key"] = Processor.process_abandon_key
         self._processMap["closed_requests"] = Processor.process_closed_requests
         self._processMap["get_configuration"] = Processor.process_get_configuration
+        self._processMap["report_usage"] = Processor.process_report_usage
         self._processMap["status"] = Processor.process_status
         self._on_message_begin = None
 
@@ -978,6 +1024,32 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_report_usage(self, seqid, iprot, oprot):
+        args = report_usage_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = report_usage_result()
+        try:
+            result.success = self._handler.report_usage(args.host_id, args.usages)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("report_usage", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_status(self, seqid, iprot, oprot):
         args = status_args()
         args.read(iprot)
@@ -2752,6 +2824,171 @@
 )
 
 
+class report_usage_args(object):
+    """
+    Attributes:
+     - host_id
+     - usages
+
+    """
+
+
+    def __init__(self, host_id=None, usages=None,):
+        self.host_id = host_id
+        self.usages = usages
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.usages = []
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = LimitUsage()
+                        _elem103.read(iprot)
+                        self.usages.append(_elem103)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('report_usage_args')
+        if self.host_id is not None:
+            oprot.writeFieldBegin('host_id', TType.STRING, 1)
+            oprot.writeString(self.host_id.encode('utf-8') if sys.version_info[0] == 2 else self.host_id)
+            oprot.writeFieldEnd()
+        if self.usages is not None:
+            oprot.writeFieldBegin('usages', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.usages))
+            for iter104 in self.usages:
+                iter104.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(report_usage_args)
+report_usage_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host_id', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'usages', (TType.STRUCT, [LimitUsage, None], False), None, ),  # 2
+)
+
+
+class report_usage_result(object):
+    """
+    Attributes:
+     - success
+     - refusal
+
+    """
+
+
+    def __init__(self, success=None, refusal=None,):
+        self.success = success
+        self.refusal = refusal
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.LIST:
+                    self.success = []
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = LimitShare()
+                        _elem110.read(iprot)
+                        self.success.append(_elem110)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('report_usage_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.LIST, 0)
+            oprot.writeListBegin(TType.STRUCT, len(self.success))
+            for iter111 in self.success:
+                iter111.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(report_usage_result)
+report_usage_result.thrift_spec = (
+    (0, TType.LIST, 'success', (TType.STRUCT, [LimitShare, None], False), None, ),  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+)
+
+
 class status_args(object):
 
 
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -555,6 +555,186 @@
         return not (self == other)
 
 
+class LimitUsage(object):
+    """
+    Attributes:
+     - client
+     - kind
+     - demand
+     - limit
+
+    """
+
+
+    def __init__(self, client=None, kind=None, demand=None, limit=None,):
+        self.client = client
+        self.kind = kind
+        self.demand = demand
+        self.limit = limit
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.client = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.demand = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.limit = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LimitUsage')
+        if self.client is not None:
+            oprot.writeFieldBegin('client', TType.STRING, 1)
+            oprot.writeString(self.client.encode('utf-8') if sys.version_info[0] == 2 else self.client)
+            oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 2)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.demand is not None:
+            oprot.writeFieldBegin('demand', TType.DOUBLE, 3)
+            oprot.writeDouble(self.demand)
+            oprot.writeFieldEnd()
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.DOUBLE, 4)
+            oprot.writeDouble(self.limit)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LimitShare(object):
+    """
+    Attributes:
+     - client
+     - kind
+     - shared
+     - rate
+
+    """
+
+
+    def __init__(self, client=None, kind=None, shared=None, rate=None,):
+        self.client = client
+        self.kind = kind
+        self.shared = shared
+        self.rate = rate
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.client = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.shared = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LimitShare')
+        if self.client is not None:
+            oprot.writeFieldBegin('client', TType.STRING, 1)
+            oprot.writeString(self.client.encode('utf-8') if sys.version_info[0] == 2 else self.client)
+            oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 2)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.shared is not None:
+            oprot.writeFieldBegin('shared', TType.BOOL, 3)
+            oprot.writeBool(self.shared)
+            oprot.writeFieldEnd()
+        if self.rate is not None:
+            oprot.writeFieldBegin('rate', TType.DOUBLE, 4)
+            oprot.writeDouble(self.rate)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Announcement(object):
     """
     Attributes:
@@ -4286,6 +4466,22 @@
     (3, TType.I64, 'configuration_revision', None, None, ),  # 3
     (4, TType.I64, 'view_digest', None, None, ),  # 4
 )
+all_structs.append(LimitUsage)
+LimitUsage.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'client', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'kind', 'UTF8', None, ),  # 2
+    (3, TType.DOUBLE, 'demand', None, None, ),  # 3
+    (4, TType.DOUBLE, 'limit', None, None, ),  # 4
+)
+all_structs.append(LimitShare)
+LimitShare.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'client', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'kind', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'shared', None, None, ),  # 3
+    (4, TType.DOUBLE, 'rate', None, None, ),  # 4
+)
 all_structs.append(Announcement)
 Announcement.thrift_spec = (
     None,  # 0
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -72,6 +72,22 @@
   4: i64 view_digest,
 }
 
+// What a host's clients asked for lately of one limit of an account, a second.
+struct LimitUsage {
+  1: string client,
+  2: string kind,
+  3: double demand,
+  4: double limit,
+}
+
+// A host's share of one limit, a second; `shared` is false while there is none.
+struct LimitShare {
+  1: string client,
+  2: string kind,
+  3: bool shared,
+  4: double rate,
+}
+
 struct Announcement {
   1: string endpoint_id,
   2: i64 incarnation,
@@ -223,6 +239,9 @@
   list<HeldRequest> closed_requests(1: i64 incarnation, 2: list<HeldRequest> held)
     throws (1: PeerRefusal refusal),
   Configuration get_configuration(1: i64 known_revision) throws (1: PeerRefusal refusal),
+  // To the keeper of the accounts' limits; the answer has the shares for the asker.
+  list<LimitShare> report_usage(1: string host_id, 2: list<LimitUsage> usages)
+    throws (1: PeerRefusal refusal),
   EntryStatus status() throws (1: PeerRefusal refusal),
 }
 
--- a/src/jujubeslip/routing/__init__.py
+++ b/src/jujubeslip/routing/__init__.py
@@ -2,6 +2,7 @@
 
 from jujubeslip.routing._home_policies import home_policies, scheduler_options
 from jujubeslip.routing._home_router import HomeRouter
+from jujubeslip.routing._limit_reports import LimitReports
 from jujubeslip.routing._limits import ClientLimits
 from jujubeslip.routing._local_router import LocalRouter
 from jujubeslip.routing._models import Forecast, Reservation, ReservationRequest, Router
@@ -12,6 +13,7 @@
     "ClientLimits",
     "Forecast",
     "HomeRouter",
+    "LimitReports",
     "LocalRouter",
     "Reservation",
     "ReservationRequest",
--- a/src/jujubeslip/routing/_limits.py
+++ b/src/jujubeslip/routing/_limits.py
@@ -1,62 +1,81 @@
-"""Limits of client accounts: requests and tokens a second."""
+"""Limits of client accounts: requests and tokens a second, over all hosts."""
 
 from __future__ import annotations
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from jujubeslip.declaration import Client
 from jujubeslip.kernel import Ran, RequestRefusedError
+from jujubeslip.peers import LimitShare, LimitUsage
+from jujubeslip.routing._token_buckets import TokenBucket
 
-# A bucket holds this many seconds of its rate, so that a burst passes.
-BURST_SECONDS = 2.0
+# How often the hosts report what their clients ask for, in seconds.
+REPORT_SECONDS = 1.0
+# A share counts for this long without a new answer of the keeper, in seconds.
+SHARE_LIFETIME = 3.0
+# An account that nobody used for this long is not reported, in seconds.
+IDLE_AFTER = 5.0
 
+LimitKey = tuple[str, str]
 
-class TokenBucket:
-    """A rate with a burst; `take` says how long to wait, in seconds, or zero."""
 
-    def __init__(self) -> None:
-        self._level: float | None = None
-        self._filled_at = time.monotonic()
+@dataclass(frozen=True)
+class _Share:
+    """A rate that a host may admit, and the instant until which that counts."""
 
-    def take(self, amount: float, rate: float) -> float:
-        """Take the amount, or return the seconds until it is there."""
-        now = time.monotonic()
-        capacity = max(1.0, rate * BURST_SECONDS)
-        level = capacity if self._level is None else self._level
-        level = min(capacity, level + (now - self._filled_at) * rate)
-        self._filled_at = now
-        needed = min(amount, capacity)
-        if level < needed:
-            self._level = level
-            return (needed - level) / rate
-        self._level = level - amount
-        return 0.0
+    rate: float
+    until: float
+
+
+class _Meter:
+    """One limit of one account on this host."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.bucket = TokenBucket(clock)
+        self.limit = 0.0
+        self.asked = 0.0
+        self.asked_at = clock()
+        self.measured_at = clock()
+        self.share: _Share | None = None
 
 
 class ClientLimits:
-    """Each host enforces its fixed share of an account's limits."""
+    """Admits freely while an account is far from its limit, else by this host's share.
+
+    Without an answer of the limit's keeper, as in a network partition, each host
+    enforces an equal share of the hosts that it sees.
+    """
 
-    def __init__(self, host_count: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        host_count: Callable[[], int],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._host_count = host_count
-        self._bucket_by_key: dict[tuple[str, str], TokenBucket] = {}
+        self._clock = clock
+        self._meter_by_key: dict[LimitKey, _Meter] = {}
         self._lock = threading.Lock()
 
     def admit(self, client: Client, tokens: int) -> None:
         """Count a request of this many tokens, or refuse it with when to return."""
-        share = 1 / max(1, self._host_count())
-        self._take(client.name, "requests", 1, client.requests_per_second, share)
-        self._take(client.name, "tokens", tokens, client.tokens_per_second, share)
+        self._take(client.name, "requests", 1, client.requests_per_second)
+        self._take(client.name, "tokens", tokens, client.tokens_per_second)
 
-    def _take(
-        self, client: str, kind: str, amount: float, rate: float | None, share: float
-    ) -> None:
-        if rate is None:
+    def _take(self, client: str, kind: str, amount: float, limit: float | None) -> None:
+        if limit is None:
             return
         with self._lock:
-            bucket = self._bucket_by_key.setdefault((client, kind), TokenBucket())
-            wait = bucket.take(amount, rate * share)
+            meter = self._meter_by_key.get((client, kind))
+            if meter is None:
+                meter = _Meter(self._clock)
+                self._meter_by_key[client, kind] = meter
+            meter.limit = limit
+            meter.asked += amount
+            meter.asked_at = self._clock()
+            wait = meter.bucket.take(amount, self._rate(meter))
         if wait > 0:
             raise RequestRefusedError(
                 "client_limit",
@@ -65,3 +84,39 @@
                 ran=Ran.NO,
                 retry_after=wait,
             )
+
+    def _rate(self, meter: _Meter) -> float:
+        if meter.share is not None and meter.share.until > self._clock():
+            return min(meter.limit, meter.share.rate)
+        return meter.limit / max(1, self._host_count())
+
+    def usages(self) -> list[LimitUsage]:
+        """Return what this host's clients asked for since the last call, a second.
+
+        What was refused counts as well: it shows where the demand is.
+        """
+        now = self._clock()
+        with self._lock:
+            for key, meter in list(self._meter_by_key.items()):
+                if now - meter.asked_at > IDLE_AFTER:
+                    del self._meter_by_key[key]
+            return [
+                LimitUsage(client, kind, self._measure(meter, now), meter.limit)
+                for (client, kind), meter in self._meter_by_key.items()
+            ]
+
+    def _measure(self, meter: _Meter, now: float) -> float:
+        seconds = max(REPORT_SECONDS / 2, now - meter.measured_at)
+        demand = meter.asked / seconds
+        meter.asked = 0.0
+        meter.measured_at = now
+        return demand
+
+    def take_shares(self, shares: Iterable[LimitShare]) -> None:
+        """Take over the keeper's answer to a report."""
+        until = self._clock() + SHARE_LIFETIME
+        with self._lock:
+            for share in shares:
+                meter = self._meter_by_key.get((share.client, share.kind))
+                if meter is not None:
+                    meter.share = _Share(share.rate, until)
--- /dev/null
+++ b/src/jujubeslip/routing/_token_buckets.py
@@ -0,0 +1,34 @@
+"""A token bucket: a rate with a burst."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+# A bucket holds this many seconds of its rate, so that a burst passes.
+BURST_SECONDS = 2.0
+
+
+class TokenBucket:
+    """A rate with a burst; `take` says how long to wait, in seconds, or zero."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._level: float | None = None
+        self._filled_at = clock()
+
+    def take(self, amount: float, rate: float) -> float:
+        """Take the amount, or return the seconds until it is there.
+
+        A bucket whose rate went down keeps no more than the new burst.
+        """
+        now = self._clock()
+        capacity = max(1.0, rate * BURST_SECONDS)
+        level = capacity if self._level is None else self._level
+        level = min(capacity, level + (now - self._filled_at) * rate)
+        self._filled_at = now
+        needed = min(amount, capacity)
+        if level < needed:
+            self._level = level
+            return (needed - level) / rate
+        self._level = level - amount
+        return 0.0
--- /dev/null
+++ b/tests/routing/test_limits.py
@@ -0,0 +1,107 @@
+"""Limits of client accounts over several hosts, on a clock that the tests move."""
+
+from __future__ import annotations
+
+import pytest
+
+from jujubeslip.declaration import Client
+from jujubeslip.kernel import Ran, RequestRefusedError
+from jujubeslip.routing._limits import SHARE_LIFETIME, ClientLimits
+from jujubeslip.routing._quotas import QuotaKeeper
+
+HOSTS = 4
+LIMIT = 40.0
+CLIENT = Client("account", ("0" * 64,), requests_per_second=LIMIT)
+
+
+class Hosts:
+    """Hosts with one keeper; nothing is reported unless a test says so."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.keeper = QuotaKeeper(self.read)
+        self.limits = [ClientLimits(lambda: HOSTS, self.read) for _ in range(HOSTS)]
+
+    def read(self) -> float:
+        return self.now
+
+    def ask(self, host: int, requests: int) -> int:
+        """Send requests to a host and return how many it admits."""
+        admitted = 0
+        for _ in range(requests):
+            try:
+                self.limits[host].admit(CLIENT, 0)
+                admitted += 1
+            except RequestRefusedError as refusal:
+                assert refusal.ran is Ran.NO
+                assert refusal.retry_after is not None and refusal.retry_after > 0
+        return admitted
+
+    def second(self, requests: list[int], report: bool = True) -> list[int]:
+        """Send what arrives at each host in a second, then report."""
+        admitted = [0] * HOSTS
+        for _ in range(10):
+            self.now += 0.1
+            for host in range(HOSTS):
+                admitted[host] += self.ask(host, requests[host] // 10)
+        if report:
+            for host, limits in enumerate(self.limits):
+                shares = self.keeper.report(str(host), limits.usages(), HOSTS)
+                limits.take_shares(shares)
+        return admitted
+
+
+@pytest.fixture
+def hosts() -> Hosts:
+    return Hosts()
+
+
+class TestSharedQuota:
+    def test_one_host_may_use_what_the_others_leave(self, hosts: Hosts) -> None:
+        """The balancer sends nearly all of an account's requests to one host.
+
+        With a fixed share it would be refused at a quarter of its limit.
+        """
+        for _ in range(5):
+            hosts.second([20, 0, 0, 0])
+        assert hosts.second([20, 0, 0, 0])[0] == 20
+
+    def test_the_sum_stays_near_the_limit(self, hosts: Hosts) -> None:
+        for _ in range(10):
+            hosts.second([60, 30, 20, 10])
+        admitted = sum(sum(hosts.second([60, 30, 20, 10])) for _ in range(10))
+        assert 0.8 * 10 * LIMIT <= admitted <= 1.1 * 10 * LIMIT
+
+    def test_shares_follow_the_demand(self, hosts: Hosts) -> None:
+        for _ in range(10):
+            hosts.second([60, 10, 10, 10])
+        for _ in range(10):
+            hosts.second([10, 10, 10, 60])
+        admitted = hosts.second([10, 10, 10, 60])
+        assert admitted[3] > admitted[0] + admitted[1]
+
+
+class TestCutOffHost:
+    def test_falls_back_to_an_equal_share(self, hosts: Hosts) -> None:
+        """A host that may use all of a limit is cut off from the limit's keeper.
+
+        Every host in its place would go on to admit the whole limit, and the account
+        would get it as many times as there are hosts.
+        """
+        for _ in range(5):
+            hosts.second([20, 0, 0, 0])
+        for _ in range(int(SHARE_LIFETIME) + 2):
+            hosts.second([60, 0, 0, 0], report=False)
+        admitted = hosts.second([60, 0, 0, 0], report=False)
+        assert admitted[0] <= LIMIT / HOSTS + 1
+
+    def test_demand_of_a_lost_host_is_forgotten(self, hosts: Hosts) -> None:
+        for _ in range(5):
+            hosts.second([60, 60, 0, 0])
+        limits = hosts.limits[0]
+        for _ in range(6):
+            hosts.now += 1.0
+            hosts.ask(0, 20)
+            limits.take_shares(hosts.keeper.report("0", limits.usages(), HOSTS))
+        shares = hosts.keeper.report("0", limits.usages(), HOSTS)
+        assert not shares[0].shared
