--- a/src/jujubeslip/homes/_homes.py
+++ b/src/jujubeslip/homes/_homes.py
@@ -98,7 +98,7 @@
         with self._lock:
             pools = list(self._pool_by_place.values())
         for pool in pools:
-            if progress.grant_id in pool.scheduler.grant_by_id:
+            if progress.grant_id in pool.scheduler.grants.by_id:
                 pool.progress(progress)
                 return
 
--- a/src/jujubeslip/homes/_pool.py
+++ b/src/jujubeslip/homes/_pool.py
@@ -97,7 +97,7 @@
             record.observe(status, asked_at)
             if before != (record.usable, record.role):
                 self.scheduler.endpoints_changed()
-            self.scheduler.count_strangers(record)
+            self.scheduler.grants.count_strangers(record)
             self._drop_silent_grants(record)
             self._dispatch()
 
@@ -125,7 +125,7 @@
         for grant in grants:
             silent = record.status_asked_at - grant.progressed_at
             if silent >= GRANT_SILENCE_SECONDS and not self._is_held(grant):
-                self.scheduler.remove_grant(grant)
+                self.scheduler.grants.remove(grant)
 
     def _is_held(self, grant: GrantRecord) -> bool:
         for endpoint_id in (grant.prefill_id, grant.decode_id):
@@ -186,15 +186,15 @@
                 return
             self._remove(waiter)
             if waiter.reply is not None and waiter.reply.grant is not None:
-                grant = self.scheduler.grant_by_id.get(waiter.reply.grant.grant_id)
+                grant = self.scheduler.grants.by_id.get(waiter.reply.grant.grant_id)
                 if grant is not None:
-                    self.scheduler.remove_grant(grant)
+                    self.scheduler.grants.remove(grant)
             self._dispatch()
 
     def progress(self, progress: GrantProgress) -> None:
         """Note what became of a grant, learn from it, and grant what came free."""
         with self._lock:
-            grant = self.scheduler.grant_by_id.get(progress.grant_id)
+            grant = self.scheduler.grants.by_id.get(progress.grant_id)
             if progress.failed_endpoint_id:
                 self._note_failure(progress.failed_endpoint_id)
             if grant is not None:
@@ -219,14 +219,14 @@
                     self._refuse_late(waiter)
             self._refuse_hopeless()
             self._dispatch()
-            self.scheduler.forget_released()
+            self.scheduler.grants.forget_released()
             self._publish()
 
     def _publish(self) -> None:
         """Refresh the forecast that rules ask about."""
         self.queue_wait_ms = int(1000 * self._forecast_wait())
         slots = self._usable_slots()
-        grants = len(self.scheduler.grant_by_id)
+        grants = len(self.scheduler.grants.by_id)
         self.load = grants / slots if slots else 1.0
 
     def _usable_slots(self) -> int:
@@ -258,7 +258,7 @@
             choice.transfer_seconds,
             choice.releases,
         )
-        self.scheduler.add_grant(record)
+        self.scheduler.grants.add(record)
         grant = Grant(
             grant_id,
             choice.prefill.reference if choice.prefill else None,
@@ -360,6 +360,6 @@
                 len(records),
                 sum(1 for record in records if record.usable),
                 self._usable_slots(),
-                len(self.scheduler.grant_by_id),
+                len(self.scheduler.grants.by_id),
                 len(self._queue),
             )
--- a/src/jujubeslip/homes/_progress.py
+++ b/src/jujubeslip/homes/_progress.py
@@ -4,8 +4,8 @@
 
 import time
 
-from jujubeslip.homes._records import GrantRecord
-from jujubeslip.homes._scheduler import URGENT, Scheduler
+from jujubeslip.homes._records import URGENT, GrantRecord
+from jujubeslip.homes._scheduler import Scheduler
 from jujubeslip.kernel import Deadline
 from jujubeslip.peers import GrantProgress
 
@@ -27,7 +27,7 @@
 def _note_prefill(
     scheduler: Scheduler, grant: GrantRecord, computed_tokens: int, now: float
 ) -> None:
-    scheduler.finish_prefill(grant)
+    scheduler.grants.finish_prefill(grant)
     record = scheduler.record_by_id.get(grant.prefill_id)
     if record is None:
         return
@@ -40,7 +40,7 @@
 
 def _note_transfer(scheduler: Scheduler, grant: GrantRecord, now: float) -> None:
     grant.transfer_finished_at = now
-    scheduler.finish_transfer(grant)
+    scheduler.grants.finish_transfer(grant)
     estimates = scheduler.estimates
     if grant.prefill_finished:
         seconds = now - max(grant.progressed_at, grant.granted_at)
@@ -52,7 +52,7 @@
 def _note_release(
     scheduler: Scheduler, grant: GrantRecord, progress: GrantProgress, now: float
 ) -> None:
-    scheduler.remove_grant(grant)
+    scheduler.grants.remove(grant)
     if progress.output_tokens <= 0:
         return
     started = grant.granted_at if grant.request.plain else grant.transfer_finished_at
--- a/src/jujubeslip/homes/_records.py
+++ b/src/jujubeslip/homes/_records.py
@@ -17,6 +17,8 @@
     ReserveRequest,
 )
 
+# The priority that is served first.
+URGENT = 0
 # A status is relied on for this long, in seconds. A leaving endpoint must get no new
 # work after 3 s even when nobody tells its home, so this stays below that.
 STATUS_LIFETIME = 2.0
--- a/src/jujubeslip/homes/_scheduler.py
+++ b/src/jujubeslip/homes/_scheduler.py
@@ -10,12 +10,12 @@
 
 from jujubeslip.homes._demand import Demand
 from jujubeslip.homes._estimates import Estimates
+from jujubeslip.homes._grants import GrantBook
 from jujubeslip.homes._prefixes import PrefixIndex
-from jujubeslip.homes._records import EndpointRecord, GrantRecord, Waiter
+from jujubeslip.homes._records import URGENT, EndpointRecord, Waiter
 from jujubeslip.kernel import Deadline
 from jujubeslip.peers import EndpointRole
 
-URGENT = 0
 # A prefill endpoint gets its next turn when the current ones end within this time,
 # so that it does not idle for the round trip between them.
 NEXT_TURN_SECONDS = 0.05
@@ -27,9 +27,6 @@
 SAMPLE_SIZE = 16
 # How long a list of usable endpoints is kept, in seconds, unless one of them changes.
 CANDIDATES_LIFETIME = 0.05
-# How long a released grant's attempt is remembered: statuses that were read before
-# the release still list it, and would show a slot in use that is free.
-RELEASED_SECONDS = 5.0
 
 
 @dataclass(frozen=True)
@@ -68,77 +65,13 @@
         self.prefixes = PrefixIndex()
         self.demand = Demand()
         self.record_by_id: dict[str, EndpointRecord] = {}
-        self.grant_by_id: dict[str, GrantRecord] = {}
+        self.grants = GrantBook(self.record_by_id)
         self._usable_by_role: dict[EndpointRole, tuple[float, list[EndpointRecord]]]
         self._usable_by_role = {}
-        self._known_until_by_key: dict[tuple[str, int], float] = {}
         self._ejected_until = 0.0
-        self._urgent_grants = 0
         self._last_urgent_at = 0.0
         self._urgent_interval = 0.0
 
-    # Grants
-
-    def add_grant(self, grant: GrantRecord) -> None:
-        """Count a grant at its endpoints."""
-        self.grant_by_id[grant.grant_id] = grant
-        self._known_until_by_key[grant.key] = float("inf")
-        if grant.request.priority == URGENT:
-            self._urgent_grants += 1
-        prefill = self.record_by_id.get(grant.prefill_id)
-        if prefill is not None:
-            prefill.prefill_grants[grant.grant_id] = grant
-            prefill.transfer_grants[grant.grant_id] = grant
-        decode = self.record_by_id.get(grant.decode_id)
-        if decode is not None:
-            decode.decode_grants[grant.grant_id] = grant
-
-    def finish_prefill(self, grant: GrantRecord) -> None:
-        """Give the prefill endpoint's turn back."""
-        grant.prefill_finished = True
-        record = self.record_by_id.get(grant.prefill_id)
-        if record is not None:
-            record.prefill_grants.pop(grant.grant_id, None)
-
-    def finish_transfer(self, grant: GrantRecord) -> None:
-        """Give the prefill endpoint's link back."""
-        record = self.record_by_id.get(grant.prefill_id)
-        if record is not None:
-            record.transfer_grants.pop(grant.grant_id, None)
-
-    def remove_grant(self, grant: GrantRecord) -> None:
-        """Give everything back."""
-        if self.grant_by_id.pop(grant.grant_id, None) is None:
-            return
-        self.finish_prefill(grant)
-        self.finish_transfer(grant)
-        record = self.record_by_id.get(grant.decode_id)
-        if record is not None:
-            record.decode_grants.pop(grant.grant_id, None)
-        if grant.request.priority == URGENT:
-            self._urgent_grants -= 1
-        self._known_until_by_key[grant.key] = time.monotonic() + RELEASED_SECONDS
-
-    def count_strangers(self, record: EndpointRecord) -> None:
-        """Count what an endpoint holds that this home did not grant.
-
-        It was granted by an earlier home, or by one beyond a network partition, and
-        takes a slot until the endpoint's own list shows that it is gone.
-        """
-        held = record.status.held if record.status else ()
-        record.strangers = sum(
-            1
-            for item in held
-            if (item.request_id, item.attempt) not in self._known_until_by_key
-        )
-
-    def forget_released(self) -> None:
-        """Forget attempts whose release is long past."""
-        now = time.monotonic()
-        for key, until in list(self._known_until_by_key.items()):
-            if until < now:
-                del self._known_until_by_key[key]
-
     # Candidates
 
     def candidates(
@@ -350,7 +283,7 @@
             return 0
         quiet = max(self._urgent_interval, time.monotonic() - self._last_urgent_at)
         expected = self.estimates.urgent_seconds.value / quiet
-        return max(0, round(expected) - self._urgent_grants)
+        return max(0, round(expected) - self.grants.urgent)
 
     def note_arrival(self, waiter: Waiter) -> None:
         """Learn how much is asked for, and how long urgent requests can wait."""
--- a/tests/homes/test_pool.py
+++ b/tests/homes/test_pool.py
@@ -118,7 +118,7 @@
         pool = make_pool("p1", "p2", "d1")
         first = granted(reserve(pool, "a"))
         pool.progress(GrantProgress(first.grant_id, True, True, False, 100, 0, ""))
-        record = pool.scheduler.grant_by_id[first.grant_id]
+        record = pool.scheduler.grants.by_id[first.grant_id]
         record.releases = _in_half_a_minute()
         assert reserve(pool, "b").status == ReserveStatus.PENDING
         release(pool, first)
@@ -179,7 +179,7 @@
     def test_urgent_requests_pass_those_that_wait(self) -> None:
         pool = make_pool("p1", "d1")
         first = granted(reserve(pool, "a"))
-        pool.scheduler.grant_by_id[first.grant_id].releases = _in_half_a_minute()
+        pool.scheduler.grants.by_id[first.grant_id].releases = _in_half_a_minute()
         assert reserve(pool, "bulk", BULK).status == ReserveStatus.PENDING
         assert reserve(pool, "urgent", URGENT).status == ReserveStatus.PENDING
         release(pool, first)
@@ -189,7 +189,7 @@
     def test_the_earlier_deadline_is_first_within_a_class(self) -> None:
         pool = make_pool("p1", "d1")
         first = granted(reserve(pool, "a"))
-        pool.scheduler.grant_by_id[first.grant_id].releases = _in_half_a_minute()
+        pool.scheduler.grants.by_id[first.grant_id].releases = _in_half_a_minute()
         reserve(pool, "late", first_token_ms=600_000)
         reserve(pool, "soon", first_token_ms=300_000)
         release(pool, first)
@@ -201,7 +201,7 @@
         """A caller waits for a first token that can't come in time any more."""
         pool = make_pool("p1", "d1")
         first = granted(reserve(pool, "a"))
-        pool.scheduler.grant_by_id[first.grant_id].releases = _in_half_a_minute()
+        pool.scheduler.grants.by_id[first.grant_id].releases = _in_half_a_minute()
         reply = reserve(pool, "b", first_token_ms=1000)
         assert reply.status == ReserveStatus.REFUSED
         # 29 s late, while two requests in 5 s ask for 40% of the slot.
