--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -4,9 +4,7 @@
 
 import http.client
 import json
-import select
 import socket
-import time
 from collections.abc import Iterator
 
 import pytest
@@ -19,17 +17,24 @@
     PeerIdentity,
     PeerRefusal,
 )
+from tests.entry.support import (
+    BODY_BYTES,
+    REQUESTS,
+    body,
+    check_error,
+    check_unharmed,
+    connect,
+    send,
+    strict_system,
+)
 from tests.fakes.client import ask
 from tests.fakes.cluster import (
     CLIENT_KEY,
     ENDPOINT_SECRET,
     PEER_SECRET,
     Cluster,
-    EngineSpec,
-    PlainSpec,
 )
-from tests.fakes.processes import ManagedProcess, wait_until
-from tests.fakes.scenarios import model_endpoints, small_system
+from tests.fakes.processes import ManagedProcess
 from tests.requests.support import (
     SERVICE,
     WAIT_SECONDS,
@@ -40,12 +45,7 @@
     wait_in_phase,
 )
 
-RECEIVE_MS = 2000
-BODY_BYTES = 100_000
-SLOW_CLIENTS = 300
-SLOW_BYTE_SECONDS = 1.0
 WRONG_KEY = "wrong-key-for-tests"
-REQUESTS = f"/v1/services/{SERVICE}/requests"
 ENDPOINTS = "/v1/endpoints"
 ANNOUNCEMENT = {
     "endpoint_id": "stranger",
@@ -60,79 +60,10 @@
 
 @pytest.fixture(scope="module")
 def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cluster]:
-    plain = PlainSpec("plain-1", "confirmations")
-    endpoints: tuple[EngineSpec | PlainSpec, ...] = (*model_endpoints(), plain)
-    spec = small_system(
-        endpoints,
-        entries=2,
-        telemetry={"log_level": "DEBUG"},
-        entry_options={
-            "receive_timeout_ms": RECEIVE_MS,
-            "maximum_body_bytes": BODY_BYTES,
-        },
-    )
-    with Cluster(spec, tmp_path_factory.mktemp("bad-input")) as cluster:
+    with Cluster(strict_system(), tmp_path_factory.mktemp("bad-input")) as cluster:
         yield cluster
 
 
-def send(
-    cluster: Cluster,
-    body: bytes,
-    path: str = REQUESTS,
-    key: str = CLIENT_KEY,
-    headers: dict[str, str] | None = None,
-    method: str = "POST",
-) -> tuple[int, dict]:
-    """Send a body as it is, and return the status and the error of the answer."""
-    address = cluster.http_address_by_id["entry-1"]
-    connection = http.client.HTTPConnection(address, timeout=WAIT_SECONDS)
-    head = {"Authorization": f"Bearer {key}", **(headers or {})}
-    try:
-        connection.request(method, path, body, head)
-        response = connection.getresponse()
-        return response.status, json.loads(response.read())["error"]
-    finally:
-        connection.close()
-
-
-def raw_head(length: int) -> bytes:
-    """Return the head of a request whose body has this many bytes."""
-    return (
-        f"POST {REQUESTS} HTTP/1.1\r\nHost: entry\r\n"
-        f"Authorization: Bearer {CLIENT_KEY}\r\nContent-Length: {length}\r\n\r\n"
-    ).encode()
-
-
-def connect(cluster: Cluster) -> socket.socket:
-    """Open a connection to an entry host's HTTP port."""
-    host, port = cluster.http_address_by_id["entry-1"].split(":")
-    return socket.create_connection((host, int(port)), WAIT_SECONDS)
-
-
-def check_unharmed(cluster: Cluster) -> None:
-    """Check that another client is served, and that nothing stays held."""
-    address = cluster.client_address("entry-1")
-    assert_whole(ask(address, SERVICE, model_message()))
-    wait_until(
-        lambda: cluster.entry_status("entry-1").open_requests == 0,
-        "no request is open",
-    )
-    cluster.wait_nothing_held()
-
-
-def check_error(error: dict, error_id: str) -> None:
-    """Check that an error says what happened and what to do about it."""
-    assert error["error_id"] == error_id, error
-    assert error["ran"] == "no"
-    assert error["message"]
-    assert error["remedy"]
-
-
-def body(**fields: object) -> bytes:
-    """Return a request with some of its fields replaced."""
-    return json.dumps({**model_message(), **fields}).encode()
-
-
 class TestRequestThatCanNotBeRead:
     """A client sends what is no request; others stream from the same entry host.
 
@@ -357,64 +288,6 @@
         check_error(error, "service_unknown")
 
 
-class TestRequestThatNeverArrivesWhole:
-    """A client stops half-way, or sends a byte a second, as some do by the hundred.
-
-    Each such connection would be held for hours, and no thread or connection would
-    be left for others. It is closed after the receive timeout; nothing has been
-    started for it.
-    """
-
-    def test_is_forgotten_when_the_client_goes(self, cluster: Cluster) -> None:
-        with connect(cluster) as connection:
-            connection.sendall(raw_head(100) + b'{"prompt": "half')
-        check_unharmed(cluster)
-
-    def test_is_closed_when_the_client_stands_still(self, cluster: Cluster) -> None:
-        with connect(cluster) as connection:
-            connection.sendall(raw_head(100) + b'{"prompt": "half')
-            assert connection.recv(100) == b""
-        check_unharmed(cluster)
-
-    def test_slow_clients_by_the_hundred_harm_no_other(self, cluster: Cluster) -> None:
-        clients = [connect(cluster) for _ in range(SLOW_CLIENTS)]
-        started = time.monotonic()
-        head = raw_head(100)
-        sent = 0
-        address = cluster.client_address("entry-1")
-        try:
-            while clients and time.monotonic() - started < 4 * RECEIVE_MS / 1000:
-                clients = self._send_byte(clients, head[sent : sent + 1])
-                sent += 1
-                next_byte = started + sent * SLOW_BYTE_SECONDS
-                while time.monotonic() < next_byte:
-                    asked = time.monotonic()
-                    assert_whole(ask(address, SERVICE, model_message()))
-                    assert time.monotonic() - asked < 1.0
-            assert clients == []
-        finally:
-            for client in clients:
-                client.close()
-        check_unharmed(cluster)
-
-    def _send_byte(
-        self, clients: list[socket.socket], byte: bytes
-    ) -> list[socket.socket]:
-        """Send a byte on each connection, and return those that are still open."""
-        still_open = []
-        for client in clients:
-            readable, _, _ = select.select([client], [], [], 0)
-            try:
-                if readable and not client.recv(100):
-                    raise ConnectionResetError
-                client.sendall(byte)
-            except OSError:
-                client.close()
-                continue
-            still_open.append(client)
-        return still_open
-
-
 class TestLogs:
     """Keys and secrets are in no log, also at the level with the most detail."""
 
--- /dev/null
+++ b/tests/entry/test_slow_clients.py
@@ -0,0 +1,88 @@
+"""Requests that never arrive whole hold nothing and harm no other client."""
+
+from __future__ import annotations
+
+import select
+import socket
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from tests.entry.support import (
+    RECEIVE_MS,
+    check_unharmed,
+    connect,
+    raw_head,
+    strict_system,
+)
+from tests.fakes.client import ask
+from tests.fakes.cluster import Cluster
+from tests.requests.support import SERVICE, assert_whole, model_message
+
+SLOW_CLIENTS = 300
+SLOW_BYTE_SECONDS = 1.0
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cluster]:
+    with Cluster(strict_system(), tmp_path_factory.mktemp("slow-clients")) as cluster:
+        yield cluster
+
+
+class TestRequestThatNeverArrivesWhole:
+    """A client stops half-way, or sends a byte a second, as some do by the hundred.
+
+    Each such connection would be held for hours, and no thread or connection would
+    be left for others. It is closed after the receive timeout; nothing has been
+    started for it.
+    """
+
+    def test_is_forgotten_when_the_client_goes(self, cluster: Cluster) -> None:
+        with connect(cluster) as connection:
+            connection.sendall(raw_head(100) + b'{"prompt": "half')
+        check_unharmed(cluster)
+
+    def test_is_closed_when_the_client_stands_still(self, cluster: Cluster) -> None:
+        with connect(cluster) as connection:
+            connection.sendall(raw_head(100) + b'{"prompt": "half')
+            assert connection.recv(100) == b""
+        check_unharmed(cluster)
+
+    def test_slow_clients_by_the_hundred_harm_no_other(self, cluster: Cluster) -> None:
+        clients = [connect(cluster) for _ in range(SLOW_CLIENTS)]
+        started = time.monotonic()
+        head = raw_head(100)
+        sent = 0
+        address = cluster.client_address("entry-1")
+        try:
+            while clients and time.monotonic() - started < 4 * RECEIVE_MS / 1000:
+                clients = self._send_byte(clients, head[sent : sent + 1])
+                sent += 1
+                next_byte = started + sent * SLOW_BYTE_SECONDS
+                while time.monotonic() < next_byte:
+                    asked = time.monotonic()
+                    assert_whole(ask(address, SERVICE, model_message()))
+                    assert time.monotonic() - asked < 1.0
+            assert clients == []
+        finally:
+            for client in clients:
+                client.close()
+        check_unharmed(cluster)
+
+    def _send_byte(
+        self, clients: list[socket.socket], byte: bytes
+    ) -> list[socket.socket]:
+        """Send a byte on each connection, and return those that are still open."""
+        still_open = []
+        for client in clients:
+            readable, _, _ = select.select([client], [], [], 0)
+            try:
+                if readable and not client.recv(100):
+                    raise ConnectionResetError
+                client.sendall(byte)
+            except OSError:
+                client.close()
+                continue
+            still_open.append(client)
+        return still_open
