--- a/bench/limits/measure.py
+++ b/bench/limits/measure.py
@@ -1,9 +1,10 @@
 """Replays uneven load on one account's limit, with two policies and an ideal.
 
 Run as `python -m bench.limits.measure`. It uses the product's limits on a clock that
-is stepped; reports reach the keeper once a second and are answered at once. The ideal
-is one token bucket that sees every request. A refusal is wrong if the ideal admits the
-request; the overshoot is what is admitted in any 5 s beyond the limit and its burst.
+is stepped; reports reach the keeper once a second, or early when demand surges, and are
+answered at once. The ideal is one token bucket that sees every request. A refusal is
+wrong if the ideal admits the request; the overshoot is what is admitted in any 5 s
+beyond the limit and its burst.
 """
 
 from __future__ import annotations
@@ -103,24 +104,35 @@
     keeper = QuotaKeeper(clock.read)
     ideal = TokenBucket(clock.read)
     next_report = [REPORT_SECONDS * host / HOSTS for host in range(HOSTS)]
-    offered = wrong = 0
+    offered = wrong = reports = 0
     admitted: list[float] = []
     for at, host in arrivals(scenario, seed):
         for other in range(HOSTS):
             while shared and next_report[other] <= at:
                 clock.now = next_report[other]
                 next_report[other] += REPORT_SECONDS
-                usages = limits[other].usages()
-                shares = keeper.report(str(other), usages, HOSTS)
-                limits[other].take_shares(shares)
+                _report(keeper, other, limits[other])
+                reports += 1
         clock.now = at
+        if shared and limits[host].wait_for_surge(0):
+            next_report[host] = at + REPORT_SECONDS
+            _report(keeper, host, limits[host])
+            reports += 1
         offered += 1
         ideal_admits = ideal.take(1, LIMIT) == 0
         if _admits(limits[host]):
             admitted.append(at)
         elif ideal_admits:
             wrong += 1
-    return {"wrong": wrong / offered, "overshoot": _overshoot(admitted)}
+    return {
+        "wrong": wrong / offered,
+        "overshoot": _overshoot(admitted),
+        "reports": reports / HOSTS / SECONDS,
+    }
+
+
+def _report(keeper: QuotaKeeper, host: int, limits: ClientLimits) -> None:
+    limits.take_shares(keeper.report(str(host), limits.usages(), HOSTS))
 
 
 def _admits(limits: ClientLimits) -> bool:
@@ -156,6 +168,8 @@
                 line[f"{key}_percent_mean"] = round(statistics.mean(values), 2)
                 line[f"{key}_percent_min"] = round(min(values), 2)
                 line[f"{key}_percent_max"] = round(max(values), 2)
+            reports = statistics.mean(run["reports"] for run in runs)
+            line["reports_per_host_and_second"] = round(reports, 2)
             sys.stdout.write(json.dumps(line) + "\n")
 
 
--- a/src/jujubeslip/routing/_limit_reports.py
+++ b/src/jujubeslip/routing/_limit_reports.py
@@ -14,6 +14,8 @@
 logger = logging.getLogger(__name__)
 
 REPORT_TIMEOUT = 0.5
+# Two reports are at least this far apart, in seconds, however demand grows.
+PAUSE_SECONDS = 0.05
 
 
 class LimitReports:
@@ -33,7 +35,11 @@
 
     def start(self, process: Process) -> None:
         """Start the task that reports."""
-        process.repeat(REPORT_SECONDS, self.report)
+        process.repeat(PAUSE_SECONDS, self._report_when_due)
+
+    def _report_when_due(self) -> None:
+        self._limits.wait_for_surge(REPORT_SECONDS)
+        self.report()
 
     def answer(self, host_id: str, usages: list[LimitUsage]) -> list[LimitShare]:
         """Return the shares of a host that reports its usage."""
--- a/src/jujubeslip/routing/_limits.py
+++ b/src/jujubeslip/routing/_limits.py
@@ -14,6 +14,10 @@
 
 # How often the hosts report what their clients ask for, in seconds.
 REPORT_SECONDS = 1.0
+# A report is sent at once when this many times the demand that was reported last, or
+# that part of a second's limit, was asked for since then.
+SURGE_FACTOR = 1.5
+SURGE_PART = 0.1
 # A share counts for this long without a new answer of the keeper, in seconds.
 SHARE_LIFETIME = 3.0
 # An account that nobody used for this long is not reported, in seconds.
@@ -37,10 +41,17 @@
         self.bucket = TokenBucket(clock)
         self.limit = 0.0
         self.asked = 0.0
+        self.reported = 0.0
         self.asked_at = clock()
         self.measured_at = clock()
         self.share: _Share | None = None
 
+    @property
+    def surging(self) -> bool:
+        """Say whether far more is asked for than the keeper knows of."""
+        expected = max(self.reported * REPORT_SECONDS, SURGE_PART * self.limit)
+        return self.asked > SURGE_FACTOR * expected
+
 
 class ClientLimits:
     """Admits freely while an account is far from its limit, else by this host's share.
@@ -58,6 +69,16 @@
         self._clock = clock
         self._meter_by_key: dict[LimitKey, _Meter] = {}
         self._lock = threading.Lock()
+        self._surge = threading.Event()
+
+    def wait_for_surge(self, seconds: float) -> bool:
+        """Wait until a report should go out early, at most this long; say if so.
+
+        While an account is quiet each host may admit its whole limit. A burst at all
+        hosts at once would get it as many times as there are hosts until the next
+        regular reports.
+        """
+        return self._surge.wait(seconds)
 
     def admit(self, client: Client, tokens: int) -> None:
         """Count a request of this many tokens, or refuse it with when to return."""
@@ -76,6 +97,8 @@
             meter.asked += amount
             meter.asked_at = self._clock()
             wait = meter.bucket.take(amount, self._rate(meter))
+            if meter.surging:
+                self._surge.set()
         if wait > 0:
             raise RequestRefusedError(
                 "client_limit",
@@ -97,6 +120,7 @@
         """
         now = self._clock()
         with self._lock:
+            self._surge.clear()
             for key, meter in list(self._meter_by_key.items()):
                 if now - meter.asked_at > IDLE_AFTER:
                     del self._meter_by_key[key]
@@ -108,6 +132,7 @@
     def _measure(self, meter: _Meter, now: float) -> float:
         seconds = max(REPORT_SECONDS / 2, now - meter.measured_at)
         demand = meter.asked / seconds
+        meter.reported = demand
         meter.asked = 0.0
         meter.measured_at = now
         return demand
--- a/tests/routing/test_limits.py
+++ b/tests/routing/test_limits.py
@@ -80,6 +80,20 @@
         admitted = hosts.second([10, 10, 10, 60])
         assert admitted[3] > admitted[0] + admitted[1]
 
+    def test_a_surge_is_reported_before_the_next_second(self, hosts: Hosts) -> None:
+        """A quiet account sends far more than its limit to all hosts at once.
+
+        Each of them may admit the whole limit until the keeper knows of the demand.
+        """
+        for _ in range(5):
+            hosts.second([1, 1, 1, 1])
+        limits = hosts.limits[0]
+        assert not limits.wait_for_surge(0)
+        hosts.ask(0, 10)
+        assert limits.wait_for_surge(0)
+        limits.take_shares(hosts.keeper.report("0", limits.usages(), HOSTS))
+        assert not limits.wait_for_surge(0)
+
 
 class TestCutOffHost:
     def test_falls_back_to_an_equal_share(self, hosts: Hosts) -> None:
