--- a/src/jujubeslip/homes/_pool.py
+++ b/src/jujubeslip/homes/_pool.py
@@ -37,7 +37,6 @@
 ASKED_LIFETIME = 2.0
 # A grant that neither moved on nor shows on its endpoints is dropped after this time.
 GRANT_SILENCE_SECONDS = 3.0
-MINIMUM_RETRY_SECONDS = 0.2
 NO_ENDPOINT_WAIT_SECONDS = 3600.0
 # A home that has just taken over hears of all its endpoints within this time, since
 # they announce themselves each second; until then it can't say that there are none.
@@ -98,7 +97,7 @@
             record.observe(status, asked_at)
             if before != (record.usable, record.role):
                 self.scheduler.endpoints_changed()
-            self.scheduler.count_strangers(record)
+            self.scheduler.grants.count_strangers(record)
             self._drop_silent_grants(record)
             self._dispatch()
 
@@ -126,7 +125,7 @@
         for grant in grants:
             silent = record.status_asked_at - grant.progressed_at
             if silent >= GRANT_SILENCE_SECONDS and not self._is_held(grant):
-                self.scheduler.remove_grant(grant)
+                self.scheduler.grants.remove(grant)
 
     def _is_held(self, grant: GrantRecord) -> bool:
         for endpoint_id in (grant.prefill_id, grant.decode_id):
@@ -187,15 +186,15 @@
                 return
             self._remove(waiter)
             if waiter.reply is not None and waiter.reply.grant is not None:
-                grant = self.scheduler.grant_by_id.get(waiter.reply.grant.grant_id)
+                grant = self.scheduler.grants.by_id.get(waiter.reply.grant.grant_id)
                 if grant is not None:
-                    self.scheduler.remove_grant(grant)
+                    self.scheduler.grants.remove(grant)
             self._dispatch()
 
     def progress(self, progress: GrantProgress) -> None:
         """Note what became of a grant, learn from it, and grant what came free."""
         with self._lock:
-            grant = self.scheduler.grant_by_id.get(progress.grant_id)
+            grant = self.scheduler.grants.by_id.get(progress.grant_id)
             if progress.failed_endpoint_id:
                 self._note_failure(progress.failed_endpoint_id)
             if grant is not None:
@@ -220,14 +219,14 @@
                     self._refuse_late(waiter)
             self._refuse_hopeless()
             self._dispatch()
-            self.scheduler.forget_released()
+            self.scheduler.grants.forget_released()
             self._publish()
 
     def _publish(self) -> None:
         """Refresh the forecast that rules ask about."""
         self.queue_wait_ms = int(1000 * self._forecast_wait())
         slots = self._usable_slots()
-        grants = len(self.scheduler.grant_by_id)
+        grants = len(self.scheduler.grants.by_id)
         self.load = grants / slots if slots else 1.0
 
     def _usable_slots(self) -> int:
@@ -259,7 +258,7 @@
             choice.transfer_seconds,
             choice.releases,
         )
-        self.scheduler.add_grant(record)
+        self.scheduler.grants.add(record)
         grant = Grant(
             grant_id,
             choice.prefill.reference if choice.prefill else None,
@@ -278,7 +277,7 @@
                 self._refuse_without_endpoints(waiter)
             return
         for waiter, instant in forecast.first_tokens(list(self._queue)):
-            self._refuse_if_late(waiter, instant)
+            self._refuse_if_late(waiter, instant, forecast)
 
     def _refuse_new_if_hopeless(self, waiter: Waiter) -> None:
         """Refuse a request on its arrival if its first token would be late."""
@@ -289,24 +288,30 @@
             self._refuse_without_endpoints(waiter)
             return
         ahead = itertools.takewhile(lambda item: item is not waiter, self._queue)
-        self._refuse_if_late(waiter, forecast.first_token(waiter, ahead))
+        instant = forecast.first_token(waiter, ahead)
+        self._refuse_if_late(waiter, instant, forecast)
 
-    def _refuse_if_late(self, waiter: Waiter, first_token: float) -> None:
+    def _refuse_if_late(
+        self, waiter: Waiter, first_token: float, forecast: Forecast
+    ) -> None:
         late = first_token - waiter.first_token_by.instant
         if late > 0:
-            self._refuse(waiter, "the first token would be late", late)
+            retry = forecast.retry_seconds(waiter, late)
+            self._refuse(waiter, "the first token would be late", retry)
 
     def _refuse_without_endpoints(self, waiter: Waiter) -> None:
         if self.learned_by.expired:
             self._refuse(waiter, "no endpoint is usable", 1.0)
 
     def _refuse_late(self, waiter: Waiter) -> None:
-        self._refuse(waiter, "the wait limit has passed", MINIMUM_RETRY_SECONDS)
+        forecast = Forecast(self.scheduler, self._is_plain())
+        retry = forecast.retry_seconds(waiter, 0.0)
+        self._refuse(waiter, "the wait limit has passed", retry)
 
     def _refuse(self, waiter: Waiter, reason: str, retry_after: float) -> None:
         if waiter in self._queue:
             self._queue.remove(waiter)
-        milliseconds = int(max(MINIMUM_RETRY_SECONDS, retry_after) * 1000)
+        milliseconds = int(retry_after * 1000)
         waiter.answer(ReserveReply(ReserveStatus.REFUSED, None, reason, milliseconds))
 
     def _is_plain(self) -> bool:
@@ -355,6 +360,6 @@
                 len(records),
                 sum(1 for record in records if record.usable),
                 self._usable_slots(),
-                len(self.scheduler.grant_by_id),
+                len(self.scheduler.grants.by_id),
                 len(self._queue),
             )
