Put the reading of data classes for the pages into a module of its own

Cause: the generator of the pages had grown to 411 lines. Ruled out: a template library, for six short pages. Change: one module for data classes, one for calls and classes of the source, one for the pages.

--- a/tools/generate_docs.py
+++ b/tools/generate_docs.py
@@ -6,16 +6,13 @@
 from __future__ import annotations
 
 import ast
-import enum
-import inspect
 import sys
 from collections.abc import Iterator
-from dataclasses import MISSING, fields
+from dataclasses import fields
 from pathlib import Path
-from typing import Annotated, Any, get_args, get_origin, get_type_hints
+from typing import Any, get_type_hints
 
 import click
-from pydantic.fields import FieldInfo
 
 from jujubeslip import declaration
 from jujubeslip.cli import main as command_line
@@ -26,6 +23,7 @@
     PeerAddress,
     TelemetrySettings,
 )
+from tools.data_classes import default_text, key_descriptions, type_text
 from tools.source import (
     SOURCE,
     argument_of,
@@ -111,88 +109,12 @@
     rows = [f"## {title}\n", f"{kind.__doc__}\n"]
     rows += ["| key | value | default | meaning |", "|---|---|---|---|"]
     for field in fields(kind):
-        value, default = _type_text(hints[field.name]), _default_text(field)
+        value, default = type_text(hints[field.name]), default_text(field)
         meaning = descriptions[field.name]
         rows.append(f"| `{field.name}` | {value} | {default} | {meaning} |")
     return "\n".join(rows) + "\n"
 
 
-def key_descriptions(kind: type) -> dict[str, str]:
-    """Return the docstring that stands after each field of a data class."""
-    tree = ast.parse(inspect.getsource(kind)).body[0]
-    assert isinstance(tree, ast.ClassDef)
-    found = {}
-    for item, following in zip(tree.body, tree.body[1:], strict=False):
-        text = _docstring(following)
-        if isinstance(item, ast.AnnAssign) and text:
-            found[ast.unparse(item.target)] = text
-    missing = {field.name for field in fields(kind)} - set(found)  # type: ignore[arg-type]
-    if missing:
-        raise SystemExit(
-            f"{kind.__name__}: no docstring after {', '.join(sorted(missing))}."
-        )
-    return found
-
-
-def _docstring(node: ast.stmt) -> str:
-    if not isinstance(node, ast.Expr) or not isinstance(node.value, ast.Constant):
-        return ""
-    return " ".join(str(node.value.value).split())
-
-
-def _type_text(hint: Any) -> str:
-    if get_origin(hint) is Annotated:
-        inner, *details = get_args(hint)
-        bounds = [text for detail in details for text in _bounds(detail)]
-        return ", ".join([_type_text(inner), *bounds])
-    if inspect.isclass(hint) and issubclass(hint, enum.Enum):
-        return " or ".join(f"`{item.value}`" for item in hint)
-    names = {str: "text", int: "integer", float: "number", bool: "true or false"}
-    if hint in names:
-        return names[hint]
-    if hint is Path:
-        return "path"
-    arguments = [item for item in get_args(hint) if item not in (Ellipsis, type(None))]
-    if get_origin(hint) is tuple:
-        return f"list of {_type_text(arguments[0])}"
-    if get_origin(hint) is dict:
-        return "table of name = integer"
-    if arguments:
-        return _type_text(arguments[0])
-    return f"{hint.__name__} table"
-
-
-def _bounds(detail: object) -> Iterator[str]:
-    if not isinstance(detail, FieldInfo):
-        return
-    if detail.description:
-        yield detail.description
-        return
-    words = {
-        "ge": "at least",
-        "gt": "above",
-        "le": "at most",
-        "min_length": "length at least",
-    }
-    for bound in detail.metadata:
-        for key, word in words.items():
-            if getattr(bound, key, None) is not None:
-                yield f"{word} {getattr(bound, key)}"
-
-
-def _default_text(field: Any) -> str:
-    default = field.default
-    if default is MISSING and field.default_factory is MISSING:
-        return "required"
-    if isinstance(default, FieldInfo) or default is MISSING:
-        return "none"
-    if isinstance(default, enum.Enum):
-        return f"`{default.value}`"
-    if default in (None, "", ()):
-        return "none"
-    return f"`{default}`"
-
-
 # The command line
 
 
