Prove the truth of refusals, leaving, planned stops and bad input; mend what failed

Found by the new tests: - A host that was cut off from the others, but not from the engines, took them for dead and swept what they owned: requests of living callers were cancelled. A dead owner is now swept only when its port refuses connections, or after 30 s of silence. - Such a host also accepted announcements, so its endpoints told it alone, and the other hosts lost them ("no endpoint is usable").

--- /dev/null
+++ b/src/jujubeslip/entry/_client_call.py
@@ -0,0 +1,222 @@
+"""One client's call from its parsed request to the end of its answer."""
+
+from __future__ import annotations
+
+import logging
+import threading
+import time
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import ExitStack
+from dataclasses import dataclass
+
+from jujubeslip.endpoints import CallerGoneError
+from jujubeslip.entry._responses import (
+    STREAM_TYPE,
+    Environ,
+    StartResponse,
+    event,
+    json_answer,
+    plain_answer,
+    refusal_fields,
+    refuse,
+    start,
+)
+from jujubeslip.kernel import RequestRefusedError
+from jujubeslip.requests import (
+    ClientRequest,
+    OpenRequests,
+    PlainServiceAnswer,
+    RequestContext,
+    RequestService,
+)
+from jujubeslip.telemetry import Meters, context_from_traceparent, tracer
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class Serving:
+    """What every call needs; `places` bounds how many are served at once."""
+
+    service: RequestService
+    open_requests: OpenRequests
+    meters: Meters
+    places: threading.Semaphore
+
+
+class ClientCall:
+    """One client's call: the span, the open request, the answer, their end."""
+
+    def __init__(
+        self, serving: Serving, environ: Environ, request: ClientRequest
+    ) -> None:
+        self._serving = serving
+        self._request = request
+        self._interrupted = environ.get("waitress.client_disconnected", lambda: False)
+        self._traceparent = environ.get("HTTP_TRACEPARENT", "")
+        self._stack = ExitStack()
+        self._started = time.monotonic()
+        self._rule_name = ""
+        self._outcome = "abandoned"
+
+    def answer(self, start_response: StartResponse) -> Iterable[bytes]:
+        """Return the answer's body; a refusal before the first token has a status."""
+        try:
+            self._open()
+            context = self._serving.service.decide(self._request, self._interrupted)
+            self._rule_name = context.rule_name
+            steps = self._serving.service.steps(context)
+            self._stack.callback(steps.close)  # type: ignore[attr-defined]
+            first = next(steps, None)
+        except RequestRefusedError as refusal:
+            self._note_refusal(refusal)
+            self._close()
+            return refuse(start_response, refusal, self._request.request_id)
+        except CallerGoneError:
+            self._close()
+            return json_answer(start_response, 503, {})
+        except BaseException:
+            self._close()
+            raise
+        return self._body(start_response, context, first, steps)
+
+    def _open(self) -> None:
+        if not self._serving.places.acquire(blocking=False):
+            raise RequestRefusedError(
+                "entry_full",
+                "This entry host serves as many requests as it can.",
+                retry_after=0.5,
+            )
+        self._stack.callback(self._serving.places.release)
+        open_requests = self._serving.open_requests
+        self._stack.enter_context(open_requests.serving(self._request.request_id))
+        parent = context_from_traceparent(self._traceparent)
+        span = self._stack.enter_context(
+            tracer().start_as_current_span("request", parent)
+        )
+        span.set_attribute("request_id", self._request.request_id)
+        span.set_attribute("client", self._request.client.name)
+        span.set_attribute("service", self._request.service.name)
+
+    def _body(
+        self,
+        start_response: StartResponse,
+        context: RequestContext,
+        first: object,
+        steps: Iterator[object],
+    ) -> Iterable[bytes]:
+        headers = [("X-Request-Id", self._request.request_id)]
+        if isinstance(first, PlainServiceAnswer):
+            self._outcome = "whole"
+            self._close()
+            return plain_answer(start_response, first, headers)
+        self._note_first_token()
+        if not self._request.stream:
+            return self._collected(start_response, first, steps, headers)
+        start(start_response, 200, STREAM_TYPE, headers)
+        # The thread's trace context goes with the generator to its own steps.
+        return _Stream(self._events(first, steps), self._close)
+
+    def _collected(
+        self,
+        start_response: StartResponse,
+        first: object,
+        steps: Iterator[object],
+        headers: list[tuple[str, str]],
+    ) -> Iterable[bytes]:
+        try:
+            tokens = [str(first), *(str(step) for step in steps)]
+        except RequestRefusedError as refusal:
+            self._note_refusal(refusal)
+            return refuse(start_response, refusal, self._request.request_id)
+        except CallerGoneError:
+            return json_answer(start_response, 503, {})
+        else:
+            self._outcome = "whole"
+            body = {
+                "request_id": self._request.request_id,
+                "text": "".join(tokens),
+                "tokens": len(tokens),
+                "rule": self._rule_name,
+            }
+            return json_answer(start_response, 200, body, headers)
+        finally:
+            self._close()
+
+    def _events(self, first: object, steps: Iterator[object]) -> Iterator[bytes]:
+        count = 0
+        try:
+            if first is not None:
+                yield event("token", {"index": 0, "token": str(first)})
+                count = 1
+            for step in steps:
+                yield event("token", {"index": count, "token": str(step)})
+                count += 1
+        except RequestRefusedError as refusal:
+            self._note_refusal(refusal)
+            yield event("error", refusal_fields(refusal, self._request.request_id))
+            return
+        except CallerGoneError:
+            return
+        self._outcome = "whole"
+        self._note_gaps(count)
+        yield event(
+            "end",
+            {
+                "request_id": self._request.request_id,
+                "tokens": count,
+                "rule": self._rule_name,
+            },
+        )
+
+    def _note_first_token(self) -> None:
+        milliseconds = (time.monotonic() - self._started) * 1000
+        attributes = {"service": self._request.service.name, "rule": self._rule_name}
+        self._serving.meters.first_token.record(milliseconds, attributes)
+        self._first_token_at = time.monotonic()
+
+    def _note_gaps(self, count: int) -> None:
+        if count < 2:
+            return
+        gap = (time.monotonic() - self._first_token_at) * 1000 / (count - 1)
+        attributes = {"service": self._request.service.name, "rule": self._rule_name}
+        self._serving.meters.between_tokens.record(gap, attributes)
+
+    def _note_refusal(self, refusal: RequestRefusedError) -> None:
+        self._outcome = "refused"
+        self._serving.meters.refusals.add(
+            1, {"error_id": refusal.error_id, "ran": refusal.ran.value}
+        )
+
+    def _close(self) -> None:
+        attributes = {
+            "service": self._request.service.name,
+            "rule": self._rule_name,
+            "outcome": self._outcome,
+        }
+        self._serving.meters.requests.add(1, attributes)
+        self._stack.close()
+        logger.info(
+            "request ended",
+            extra={
+                "request_id": self._request.request_id,
+                "client": self._request.client.name,
+                "duration_ms": int((time.monotonic() - self._started) * 1000),
+                **attributes,
+            },
+        )
+
+
+class _Stream:
+    """An event stream whose close, by either end, frees what the request holds."""
+
+    def __init__(self, events: Iterator[bytes], close: Callable[[], None]) -> None:
+        self._events = events
+        self._close = close
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self._events
+
+    def close(self) -> None:
+        self._events.close()  # type: ignore[attr-defined]
+        self._close()
--- a/src/jujubeslip/entry/_http_server.py
+++ b/src/jujubeslip/entry/_http_server.py
@@ -58,17 +58,24 @@
     def wait_until_flushed(self) -> None:
         """Wait until every answer has left for its client.
 
-        A client that takes nothing for FLUSH_SECONDS is not waited for any longer.
+        A request is closed before its last bytes are written: waitress ends the
+        stream after it closed the application's iterator. So an answer also counts
+        as unsent while its channel still serves its request. A client that takes
+        nothing for FLUSH_SECONDS is not waited for any longer.
         """
         limit = Deadline.after(FLUSH_SECONDS)
         left = self._unsent_bytes()
-        while left and not limit.expired:
+        while (left or self._is_serving()) and not limit.expired:
             time.sleep(FLUSH_LOOK_INTERVAL)
             now = self._unsent_bytes()
             if now < left:
                 limit = Deadline.after(FLUSH_SECONDS)
             left = now
 
+    def _is_serving(self) -> bool:
+        channels = list(self._server.active_channels.values())
+        return any(channel.requests for channel in channels)
+
     def _unsent_bytes(self) -> int:
         channels = list(self._server.active_channels.values())
         return sum(channel.total_outbufs_len for channel in channels)
--- a/src/jujubeslip/entry/_process.py
+++ b/src/jujubeslip/entry/_process.py
@@ -140,8 +140,14 @@
             self._router,
             self._open_requests,
             self._meters,
+            self._is_isolated,
         )
 
+    def _is_isolated(self) -> bool:
+        """Say whether this host hears from none of the entry hosts that it knows."""
+        alone = len(self._directory.live_hosts()) == 1
+        return alone and bool(self._settings.entry_peers)
+
     def _build_peer_handler(self) -> PeerHandler:
         return PeerHandler(
             self._process,
--- a/src/jujubeslip/homes/_tracker.py
+++ b/src/jujubeslip/homes/_tracker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import socket
 import time
 from collections import defaultdict
 from collections.abc import Sequence
@@ -32,6 +33,10 @@
 SWEEP_AGE_MS = 1500
 SWEEP_INTERVAL = 1.0
 OWNER_TIMEOUT = 0.6
+CONNECT_TIMEOUT = 0.5
+# An owner that is silent for this long, in seconds, is taken for ended. If it was
+# only cut off, its streams are resumed elsewhere.
+ABSENT_SECONDS = 30.0
 CANCEL_TIMEOUT = 1.0
 
 
@@ -53,6 +58,7 @@
         self._sweeps = sweeps
         self._next_sweep = Deadline.after(0)
         self._sweep_task: Future[None] | None = None
+        self._absent_until_by_owner: dict[str, Deadline] = {}
         self._next_event = 0
         self._events_due = Deadline.after(0)
         self._monitor = EndpointMonitor(record.announcement.address)
@@ -167,9 +173,22 @@
             )
         except (PeerUnavailableError, PeerRefusal):
             # Suspicion is not enough: its callers may be living ones.
-            return requests if dead else []
+            return requests if dead and self._has_ended(owner, address) else []
         return closed
 
+    def _has_ended(self, owner: str, address: str) -> bool:
+        """Say whether a host that is taken for dead has surely ended.
+
+        A host that is cut off from the others, but not from the engines, takes all
+        others for dead. If it swept what they own, it would cancel the requests of
+        living callers. A process that has ended refuses connections at once; one
+        beyond a cut is silent, and is given ABSENT_SECONDS.
+        """
+        if _refuses_connections(address):
+            return True
+        limit = Deadline.after(ABSENT_SECONDS)
+        return self._absent_until_by_owner.setdefault(owner, limit).expired
+
     def _cancel(self, adapter: EngineAdapter, request: HeldRequest) -> None:
         extra = {"request_id": request.request_id, "attempt": request.attempt}
         logger.info("cancelling an orphaned request", extra=extra)
@@ -180,3 +199,14 @@
         except EndpointError as error:
             # It is still in the engine's list, so the next sweep asks again.
             logger.info("cancel failed", extra={**extra, "error": str(error)})
+
+
+def _refuses_connections(address: str) -> bool:
+    host, port = address.rsplit(":", 1)
+    try:
+        socket.create_connection((host, int(port)), CONNECT_TIMEOUT).close()
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    return False
--- a/src/jujubeslip/requests/_keys.py
+++ b/src/jujubeslip/requests/_keys.py
@@ -66,10 +66,13 @@
             try:
                 other = self._claim_at(keeper, claim)
             except (PeerUnavailableError, PeerRefusal):
+                # The next in order takes its place: were the claim known to the first
+                # keeper alone, a host that suspects that one would run it again.
                 continue
             if other.status != KeyStatus.FIRST:
                 self._abandon_at(first, claim)
                 return other
+            return reply
         return reply
 
     def finish(self, claim: KeyClaim, outcome: bytes) -> None:
@@ -86,7 +89,9 @@
             self._abandon_at(keeper, claim)
 
     def _keepers(self, claim: KeyClaim) -> list[HostState]:
-        return self._directory.keepers_of(f"{claim.client}/{claim.key}", KEEPERS)
+        """Return the keepers, and one more that may stand in for the second."""
+        key = f"{claim.client}/{claim.key}"
+        return self._directory.keepers_of(key, KEEPERS + 1)
 
     def _is_own(self, keeper: HostState) -> bool:
         return bool(keeper.host_id == self._directory.own.host_id)
--- a/src/jujubeslip/requests/_parse.py
+++ b/src/jujubeslip/requests/_parse.py
@@ -138,6 +138,8 @@
 def _checked_key(key: str) -> str:
     if len(key) > MAXIMUM_KEY_LENGTH:
         raise _invalid(f"Idempotency-Key is longer than {MAXIMUM_KEY_LENGTH}.")
+    if not (key.isascii() and key.isprintable()):
+        raise _invalid("Idempotency-Key has characters that are not printable ASCII.")
     return key
 
 
--- a/tests/fakes/_announce.py
+++ b/tests/fakes/_announce.py
@@ -12,6 +12,7 @@
 
 ANNOUNCE_SECONDS = 1.0
 IDLE_POLL_SECONDS = 0.02
+SIGNAL_POLL_SECONDS = 0.1
 
 
 class Announcer:
@@ -69,7 +70,9 @@
     stop = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stop.set())
-    stop.wait()
+    # Bounded waits: a signal that another thread receives wakes no endless one.
+    while not stop.wait(SIGNAL_POLL_SECONDS):
+        continue
     leave()
     while not idle():
         time.sleep(IDLE_POLL_SECONDS)
--- a/tests/fakes/processes.py
+++ b/tests/fakes/processes.py
@@ -24,25 +24,27 @@
 POLL_SECONDS = 0.02
 PORTS = (10_000, 32_000)
 
-_used_ports: set[int] = set()
+_reservations: list[socket.socket] = []
 
 
 def free_address() -> str:
-    """Return a loopback address whose port was free and was not given out before.
+    """Return a loopback address whose port stays reserved for this test process.
 
-    It lies below the ports that the system gives to outgoing connections: one of
-    those could take it before the process that it is meant for listens.
+    A port that was only free a moment ago can be taken by another test before its
+    server starts. A bound socket that doesn't listen keeps it: servers, which set
+    SO_REUSEADDR, can bind beside it, and other tests' reservations can't. The port
+    lies below those that the system gives to outgoing connections.
     """
     while True:
-        port = random.randrange(*PORTS)
-        if port in _used_ports:
-            continue
-        _used_ports.add(port)
+        reservation = socket.socket()
         try:
-            socket.create_server(("127.0.0.1", port)).close()
+            reservation.bind(("127.0.0.1", random.randrange(*PORTS)))
         except OSError:
+            reservation.close()
             continue
-        return f"127.0.0.1:{port}"
+        reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        _reservations.append(reservation)
+        return f"127.0.0.1:{reservation.getsockname()[1]}"
 
 
 def wait_until(
--- a/tests/requests/test_held_memory.py
+++ b/tests/requests/test_held_memory.py
@@ -90,7 +90,7 @@
         pause(cluster, "prefill")
         ahead = [
             in_background(open_call(cluster, other, f"ahead-{number}").answer)
-            for number in range(10)
+            for number in range(24)
         ]
         wait_until(lambda: _queued(cluster) > 0, "requests wait at the home")
         queued = open_call(cluster, entry, "queued")
--- a/tests/requests/test_whole_answers.py
+++ b/tests/requests/test_whole_answers.py
@@ -16,6 +16,7 @@
     assert_whole,
     engines,
     heal,
+    held_phases,
     in_background,
     model_message,
     open_call,
@@ -38,6 +39,10 @@
 ).replace('path = "/run"', 'path = "/run"\nretry_budget_share = 1.0')
 
 
+# Longer than it takes to find that the engine holds the prefill no more.
+LATE_REPLY_MS = 8000
+
+
 @pytest.fixture(scope="module")
 def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cluster]:
     entries = ("entry-1", "entry-2", "entry-3")
@@ -143,6 +148,23 @@
         ]
         assert [run["attempt"] for run in runs if run["outcome"] == "done"] != [1]
 
+    def test_that_comes_late_is_not_taken_for_the_next(
+        self, cluster: Cluster, entry: str
+    ) -> None:
+        """The first prefill's reply is on its way while the second attempt goes on."""
+        pause(cluster, "decode")
+        for name in engines(cluster, "prefill"):
+            cluster.order_faults(name, late_reply_ms=LATE_REPLY_MS, late_replies=1)
+        call = open_call(cluster, entry, "late")
+        answer = in_background(call.answer)
+        wait_until(lambda: "decode" in held_phases(cluster, "late"), "it is decoded")
+        wait_until(
+            lambda: not any(map(cluster.held, engines(cluster, "prefill"))),
+            "the late prefill is freed",
+        )
+        resume(cluster, "decode")
+        assert_whole(answer.result(30))
+
     def test_of_a_plain_service_is_not_passed_on(
         self, cluster: Cluster, entry: str
     ) -> None:
