--- a/src/jujubeslip/peers/_client.py
+++ b/src/jujubeslip/peers/_client.py
@@ -78,6 +78,9 @@
             except (TException, OSError, EOFError) as error:
                 if isinstance(error, PeerRefusal | NotLeader):
                     raise
+                # The other pooled ones are as old and likely as silent; each would
+                # cost a timeout, and a few in a row make a living host a suspect.
+                self.close()
         deadline = Deadline.after(timeout)
         try:
             fresh = _Connection(
--- a/src/jujubeslip/requests/_keys.py
+++ b/src/jujubeslip/requests/_keys.py
@@ -52,10 +52,19 @@
         self._directory = directory
         self._clients = clients
         self._keeper = keeper
+        self._keepers_by_request_id: dict[str, list[HostState]] = {}
 
     def claim(self, claim: KeyClaim) -> KeyReply:
         """Claim at both keepers; what either knows of another run counts."""
-        first, *others = self._keepers(claim)
+        keepers = self._keepers(claim)
+        self._keepers_by_request_id[claim.request_id] = keepers
+        reply = self._claim_at_all(claim, keepers)
+        if reply.status != KeyStatus.FIRST:
+            del self._keepers_by_request_id[claim.request_id]
+        return reply
+
+    def _claim_at_all(self, claim: KeyClaim, keepers: list[HostState]) -> KeyReply:
+        first, *others = keepers
         try:
             reply = self._claim_at(first, claim)
         except (PeerUnavailableError, PeerRefusal) as error:
@@ -77,7 +86,7 @@
 
     def finish(self, claim: KeyClaim, outcome: bytes) -> None:
         """Record the answer at each keeper that can be reached."""
-        for keeper in self._keepers(claim):
+        for keeper in self._keepers_of_run(claim):
             try:
                 self._finish_at(keeper, claim, outcome)
             except (PeerUnavailableError, PeerRefusal):
@@ -85,9 +94,19 @@
 
     def abandon(self, claim: KeyClaim) -> None:
         """Free the key at each keeper that can be reached."""
-        for keeper in self._keepers(claim):
+        for keeper in self._keepers_of_run(claim):
             self._abandon_at(keeper, claim)
 
+    def _keepers_of_run(self, claim: KeyClaim) -> list[HostState]:
+        """Return the hosts that took the claim, and those that keep it by now.
+
+        This host may have lost sight of the others for a moment. If it told only
+        those that it sees, the first keepers would hear nothing of the answer.
+        """
+        claimed = self._keepers_by_request_id.pop(claim.request_id, [])
+        by_id = {keeper.host_id: keeper for keeper in claimed + self._keepers(claim)}
+        return list(by_id.values())
+
     def _keepers(self, claim: KeyClaim) -> list[HostState]:
         """Return the keepers, and one more that may stand in for the second."""
         key = f"{claim.client}/{claim.key}"
