--- a/src/jujubeslip/entry/_process.py
+++ b/src/jujubeslip/entry/_process.py
@@ -131,7 +131,12 @@
             self._limits,
             ModelPath(self._owner, self._router, canceller, retries, self._meters),
             PlainPath(self._owner, self._router, retries),
-            KeeperKeys(self._directory, self._clients, self._keeper),
+            KeeperKeys(
+                self._directory,
+                self._clients,
+                self._keeper,
+                has_peers=bool(self._settings.entry_peers),
+            ),
             ControlKeys(self._control, self._process),
             self._directory,
         )
--- a/src/jujubeslip/membership/_directory.py
+++ b/src/jujubeslip/membership/_directory.py
@@ -42,6 +42,12 @@
         """Say whether this host may have missed news and needs a full exchange."""
         return self._lease.lapsed
 
+    @property
+    def hears_others(self) -> bool:
+        """Say whether this host's view of the others may be relied on now."""
+        with self._lock:
+            return self._lease.valid
+
     @property
     def alone(self) -> bool:
         """Say whether this host knows others and hears none of them."""
--- a/src/jujubeslip/requests/_keys.py
+++ b/src/jujubeslip/requests/_keys.py
@@ -44,18 +44,38 @@
 
     The first keeper decides. The second is asked as well: a first keeper that was
     restarted has forgotten, and would let a second run begin.
+
+    A host that hears none of the others, for a moment or beyond a cut, would be the
+    keeper of every key by its own view, and a resend that reached it would run again
+    beside the first run. It refuses requests with a key, truthfully as not run; those
+    without one it serves.
     """
 
     def __init__(
-        self, directory: HostDirectory, clients: PeerClients, keeper: KeyKeeper
+        self,
+        directory: HostDirectory,
+        clients: PeerClients,
+        keeper: KeyKeeper,
+        has_peers: bool,
     ) -> None:
         self._directory = directory
         self._clients = clients
         self._keeper = keeper
+        self._has_peers = has_peers
+        self._keepers_by_request_id: dict[str, list[HostState]] = {}
 
     def claim(self, claim: KeyClaim) -> KeyReply:
         """Claim at both keepers; what either knows of another run counts."""
-        first, *others = self._keepers(claim)
+        if self._has_peers and not self._directory.hears_others:
+            raise _host_alone()
+        keepers = self._keepers(claim)
+        reply = self._claim_at_all(claim, keepers)
+        if reply.status == KeyStatus.FIRST:
+            self._keepers_by_request_id[claim.request_id] = keepers
+        return reply
+
+    def _claim_at_all(self, claim: KeyClaim, keepers: list[HostState]) -> KeyReply:
+        first, *others = keepers
         try:
             reply = self._claim_at(first, claim)
         except (PeerUnavailableError, PeerRefusal) as error:
@@ -66,15 +86,18 @@
             try:
                 other = self._claim_at(keeper, claim)
             except (PeerUnavailableError, PeerRefusal):
+                # The next in order takes its place: were the claim known to the first
+                # keeper alone, a host that suspects that one would run it again.
                 continue
             if other.status != KeyStatus.FIRST:
                 self._abandon_at(first, claim)
                 return other
+            return reply
         return reply
 
     def finish(self, claim: KeyClaim, outcome: bytes) -> None:
         """Record the answer at each keeper that can be reached."""
-        for keeper in self._keepers(claim):
+        for keeper in self._keepers_of_run(claim):
             try:
                 self._finish_at(keeper, claim, outcome)
             except (PeerUnavailableError, PeerRefusal):
@@ -82,11 +105,23 @@
 
     def abandon(self, claim: KeyClaim) -> None:
         """Free the key at each keeper that can be reached."""
-        for keeper in self._keepers(claim):
+        for keeper in self._keepers_of_run(claim):
             self._abandon_at(keeper, claim)
 
+    def _keepers_of_run(self, claim: KeyClaim) -> list[HostState]:
+        """Return the hosts that took the claim, and those that keep it by now.
+
+        This host may have lost sight of the others for a moment. If it told only
+        those that it sees, the first keepers would hear nothing of the answer.
+        """
+        claimed = self._keepers_by_request_id.pop(claim.request_id, [])
+        by_id = {keeper.host_id: keeper for keeper in claimed + self._keepers(claim)}
+        return list(by_id.values())
+
     def _keepers(self, claim: KeyClaim) -> list[HostState]:
-        return self._directory.keepers_of(f"{claim.client}/{claim.key}", KEEPERS)
+        """Return the keepers, and one more that may stand in for the second."""
+        key = f"{claim.client}/{claim.key}"
+        return self._directory.keepers_of(key, KEEPERS + 1)
 
     def _is_own(self, keeper: HostState) -> bool:
         return bool(keeper.host_id == self._directory.own.host_id)
@@ -173,6 +208,17 @@
                 return
 
 
+def _host_alone() -> RequestRefusedError:
+    return RequestRefusedError(
+        "key_unavailable",
+        "The request was not started: this entry host hears none of the others, so it "
+        "can't know whether a request with this key runs.",
+        ran=Ran.NO,
+        retry_after=RETRY_SECONDS,
+        remedy="Ask another entry host, or send the request without a key.",
+    )
+
+
 def _keepers_unavailable() -> RequestRefusedError:
     return RequestRefusedError(
         "key_unavailable",
