--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -62,9 +62,9 @@
         )
 
     def start(self) -> None:
-        arguments = [str(self.settings_path)]
+        arguments = ["control", "--settings", str(self.settings_path)]
         self.process = ManagedProcess(
-            self.host_id, "jujubeslip.control", arguments, self.folder
+            self.host_id, "jujubeslip.cli", arguments, self.folder
         )
 
     @property
