Look a prompt's cached prefixes up once for each choice

They were looked up again for each prefill endpoint whose link was asked about, though the choice had them at hand.

--- a/src/jujubeslip/homes/_scheduler.py
+++ b/src/jujubeslip/homes/_scheduler.py
@@ -190,7 +190,11 @@
             # The KV cache of an earlier attempt is still there: it needs no turn.
             return earlier
         free = self._with_turn(candidates, cached_by_id, now)
-        free = [item for item in free if self._link_keeps_up(item, waiter, now)]
+        free = [
+            item
+            for item in free
+            if self._link_keeps_up(item, waiter, cached_by_id, now)
+        ]
         if not free or self._must_leave_one_free(waiter, candidates, free):
             return None
         return min(
@@ -202,7 +206,11 @@
         )
 
     def _link_keeps_up(
-        self, record: EndpointRecord, waiter: Waiter, now: float
+        self,
+        record: EndpointRecord,
+        waiter: Waiter,
+        cached_by_id: dict[str, int],
+        now: float,
     ) -> bool:
         """Say whether the endpoint's link can take the KV cache soon after prefill.
 
@@ -211,7 +219,6 @@
         """
         if not self.is_paced(waiter) or not record.transfer_grants:
             return True
-        cached_by_id = self.cached_tokens(waiter)
         seconds = self.prefill_seconds(record, waiter, cached_by_id)
         ends = now + record.prefill_backlog(now) + seconds
         return record.link_free_instant(now) - ends <= LINK_WAIT_SECONDS
