--- /dev/null
+++ b/src/jujubeslip/platform/_requests.py
@@ -0,0 +1,91 @@
+"""Clients' requests, and the refusals that they get."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from jujubeslip.interfaces import EncodedRefusal
+from jujubeslip.kernel import Deadline, RequestRefusedError
+from jujubeslip.platform._headers import HOP_BY_HOP, SET_BY_SYSTEM
+from jujubeslip.routes import ForwardedRequest, PromptPart, PromptShape
+
+# WSGI's keys of headers that don't begin with HTTP_.
+NAME_BY_KEY = {"CONTENT_TYPE": "Content-Type"}
+HEADER_KEY = "HTTP_"
+
+
+def read_request(environ: dict[str, Any]) -> ForwardedRequest:
+    """Return a client's request with the headers that are passed on."""
+    dropped = HOP_BY_HOP | SET_BY_SYSTEM | _named_by_connection(environ)
+    headers = tuple(
+        (name, value)
+        for name, value in _headers(environ)
+        if name.lower() not in dropped and name.lower() != "host"
+    )
+    return ForwardedRequest(
+        request_id=environ.get("HTTP_REQUEST_ID", ""),
+        method=environ["REQUEST_METHOD"],
+        target=environ["REQUEST_URI"],
+        host=environ.get("HTTP_HOST", "").partition(":")[0].lower(),
+        headers=(("Host", environ.get("HTTP_HOST", "")), *headers),
+        body=environ["wsgi.input"].read(),
+        client_deadline=_deadline(environ.get("HTTP_DEADLINE_MS", "")),
+        last_event_id=environ.get("HTTP_LAST_EVENT_ID", ""),
+        prompt=_prompt(environ),
+    )
+
+
+def encode_refusal(refusal: RequestRefusedError, request_id: str) -> EncodedRefusal:
+    """Return a refusal; clients take Retry-After with fractions of a second."""
+    headers = [("Content-Type", "application/json")]
+    if refusal.retry_after is not None:
+        headers.append(("Retry-After", f"{refusal.retry_after:.2f}"))
+    body = {
+        "error": refusal.error_id,
+        "message": refusal.message,
+        "remedy": refusal.remedy,
+        "ran": refusal.ran.value,
+        "request": request_id,
+    }
+    return EncodedRefusal(refusal.status, headers, json.dumps(body).encode())
+
+
+def _headers(environ: dict[str, Any]) -> list[tuple[str, str]]:
+    headers = []
+    for key, value in environ.items():
+        if key.startswith(HEADER_KEY):
+            name = key.removeprefix(HEADER_KEY).replace("_", "-").title()
+            headers.append((name, value))
+        elif key in NAME_BY_KEY and value:
+            headers.append((NAME_BY_KEY[key], value))
+    return headers
+
+
+def _named_by_connection(environ: dict[str, Any]) -> set[str]:
+    """Return the headers that the client says to be for this connection only."""
+    named = environ.get("HTTP_CONNECTION", "").split(",")
+    return {name.strip().lower() for name in named}
+
+
+def _deadline(text: str) -> Deadline | None:
+    return Deadline.from_remaining_ms(int(text)) if text.isdigit() else None
+
+
+def _prompt(environ: dict[str, Any]) -> PromptShape | None:
+    """Return the lengths that the client gives, None without or with unusable ones."""
+    try:
+        given = environ.get("HTTP_TOKEN_COUNT", "").split(",")
+        prompt_tokens, output_tokens = (int(count) for count in given)
+        return PromptShape(prompt_tokens, output_tokens, _parts(environ))
+    except ValueError:
+        return None
+
+
+def _parts(environ: dict[str, Any]) -> tuple[PromptPart, ...]:
+    parts = []
+    for item in environ.get("HTTP_PROMPT_PREFIX", "").split(","):
+        part_id, _, tokens = item.strip().partition(":")
+        if part_id:
+            parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
--- a/src/jujubeslip/requests/_model_path.py
+++ b/src/jujubeslip/requests/_model_path.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Iterator
 
 from jujubeslip.endpoints import CallerGoneError, EndpointError
-from jujubeslip.kernel import Ran, RequestRefusedError
+from jujubeslip.kernel import Ran, RequestRefusedError, steady_seconds
 from jujubeslip.requests._cancellation import Cancellation, Canceller
 from jujubeslip.requests._model_attempt import ModelAttempt, ModelProgress
 from jujubeslip.requests._models import RequestContext
@@ -86,7 +85,7 @@
             progress,
             reservation,
         )
-        started = time.monotonic()
+        started = steady_seconds()
         before = progress.tokens
         try:
             yield from attempt.tokens()
@@ -94,7 +93,7 @@
             attempt.finish()
             made = progress.tokens - before
             if made:
-                progress.seconds_per_token = (time.monotonic() - started) / made
+                progress.seconds_per_token = (steady_seconds() - started) / made
 
     def _reserve(self, context: RequestContext, progress: ModelProgress) -> Reservation:
         request = context.request
--- /dev/null
+++ b/src/jujubeslip/routes/_models.py
@@ -0,0 +1,169 @@
+"""Routes, and the requests that are forwarded by them."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+from functools import cached_property
+
+from jujubeslip.kernel import Deadline
+
+
+class RouteKind(enum.Enum):
+    """What may be repeated of a route's requests."""
+
+    SAFE = "safe"
+    """May run more than once."""
+    UNSAFE = "unsafe"
+    """Runs at most once."""
+    STREAM = "stream"
+    """Answered by a series of events; repeated only where it is resumable."""
+
+
+@dataclass(frozen=True)
+class ServiceShare:
+    """A service that a route sends requests to, and its share of them."""
+
+    service_name: str
+    weight: int
+
+
+@dataclass(frozen=True)
+class Route:
+    """Which requests go where, and what is promised to their clients."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    shares: tuple[ServiceShare, ...]
+    timeout_ms: int
+    """A client is answered by then at the latest."""
+    target_ms: int
+    """An answer, or the first event of one, is in time until then."""
+    priority: int
+    """Rank among routes; 0 is the most urgent."""
+    maximum_attempts: int
+    """Endpoints that may run one request."""
+    resumable: bool = False
+    """Whether a stream may go on at another endpoint."""
+    maximum_gap_ms: int = 0
+    """Longest pause between two events of a stream that is still in time."""
+
+    @property
+    def repeatable(self) -> bool:
+        """Say whether a request may run at a second endpoint."""
+        if self.kind is RouteKind.STREAM:
+            return self.resumable
+        return self.kind is RouteKind.SAFE
+
+
+@dataclass(frozen=True)
+class EngineService:
+    """What the engines of a service can do."""
+
+    slots: int
+    """Requests that an engine works on at a time."""
+    memory_tokens: int
+    """Tokens of running requests and cached prompts that fit into its memory."""
+    handle_seconds: float
+    """How long an engine keeps the memory of a prompt that it has read for another."""
+
+
+@dataclass(frozen=True)
+class ForwardService:
+    """A service that routes name."""
+
+    name: str
+    maximum_connections: int
+    """Connections that one endpoint accepts from all hosts together."""
+    engine: EngineService | None = None
+    """None for a plain service."""
+
+
+@dataclass(frozen=True)
+class ClientBounds:
+    """What a client may send, and how long it may take."""
+
+    maximum_header_bytes: int
+    maximum_body_bytes: int
+    header_timeout_ms: int
+    idle_timeout_ms: int
+
+
+@dataclass(frozen=True)
+class RouteTable:
+    """A configuration: its version, its routes, the services that they name."""
+
+    version: int
+    routes: tuple[Route, ...]
+    service_by_name: dict[str, ForwardService]
+    bounds: ClientBounds
+
+    @cached_property
+    def routes_by_host(self) -> dict[str, tuple[Route, ...]]:
+        """Return the routes of each host as ordered rules, longest prefix first."""
+        routes_by_host: dict[str, list[Route]] = {}
+        for route in self.routes:
+            routes_by_host.setdefault(route.host, []).append(route)
+        return {
+            host: tuple(sorted(routes, key=lambda item: -len(item.path_prefix)))
+            for host, routes in routes_by_host.items()
+        }
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the first route that matches: the longest prefix of this host."""
+        for route in self.routes_by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+
+@dataclass(frozen=True)
+class PromptPart:
+    """A part of a prompt that other requests may share."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclass(frozen=True)
+class PromptShape:
+    """How long a request's prompt and answer are, in tokens."""
+
+    prompt_tokens: int
+    maximum_output_tokens: int
+    parts: tuple[PromptPart, ...] = ()
+
+
+@dataclass(frozen=True)
+class ForwardedRequest:
+    """A client's request, which is passed on as it came."""
+
+    request_id: str
+    method: str
+    target: str
+    """Path and query as they were sent."""
+    host: str
+    headers: tuple[tuple[str, str], ...]
+    """Those that concern more than the client's connection."""
+    body: bytes
+    client_deadline: Deadline | None
+    """When the client gives up, if it said so."""
+    last_event_id: str = ""
+    """The event after which a resumed stream goes on, empty from its start."""
+    prompt: PromptShape | None = None
+    arrived: Deadline = field(default_factory=lambda: Deadline.after(0))
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.partition("?")[0]
+
+
+@dataclass(frozen=True)
+class PrefilledPrompt:
+    """A prompt that an engine has read and keeps for another one."""
+
+    handle: str
+    tokens: int
--- a/src/jujubeslip/routing/_limits.py
+++ b/src/jujubeslip/routing/_limits.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from jujubeslip.declaration import Client
-from jujubeslip.kernel import Ran, RequestRefusedError
+from jujubeslip.kernel import Ran, RequestRefusedError, steady_seconds
 from jujubeslip.peers import LimitShare, LimitUsage
 from jujubeslip.routing._token_buckets import TokenBucket
 
@@ -63,7 +62,7 @@
     def __init__(
         self,
         host_count: Callable[[], int],
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = steady_seconds,
     ) -> None:
         self._host_count = host_count
         self._clock = clock
--- a/src/jujubeslip/routing/_quotas.py
+++ b/src/jujubeslip/routing/_quotas.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable, Iterable
 
+from jujubeslip.kernel import steady_seconds
 from jujubeslip.peers import LimitShare, LimitUsage
 
 # Below this part of a limit no host has a share of its own.
@@ -20,7 +20,7 @@
 class QuotaKeeper:
     """Sums up what the hosts report of each limit and answers with their shares."""
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, clock: Callable[[], float] = steady_seconds) -> None:
         self._clock = clock
         self._reports: dict[tuple[str, str], dict[str, tuple[float, float]]] = {}
         self._lock = threading.Lock()
--- a/tests/entry/test_planned_stops.py
+++ b/tests/entry/test_planned_stops.py
@@ -11,7 +11,8 @@
 import pytest
 from waitress import wasyncore
 
-from jujubeslip.entry._http_server import HttpServer
+from jujubeslip.entry._process import http_options
+from jujubeslip.http_server import HttpServer
 from jujubeslip.kernel import EntrySettings, Process
 from jujubeslip.peers import EntryPeer, PeerClient, PeerIdentity, PeerRefusal
 from tests.fakes.client import ClientAnswer, ask
@@ -184,7 +185,7 @@
             return Body()
 
         address = free_address()
-        server = HttpServer(_settings(address), app)
+        server = HttpServer(http_options(_settings(address)), app)
         process = Process("test")
         server.start(process)
         answer = in_background(_read, address)
--- a/tests/homes/test_pool.py
+++ b/tests/homes/test_pool.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 
@@ -11,7 +10,7 @@
 from jujubeslip.endpoints import EndpointStatus, HeldItem
 from jujubeslip.homes import Pool, SchedulerOptions
 from jujubeslip.homes import _pool as pool_module
-from jujubeslip.kernel import Deadline
+from jujubeslip.kernel import Deadline, steady_seconds
 from jujubeslip.peers import (
     Announcement,
     EndpointRole,
@@ -70,7 +69,7 @@
 ) -> None:
     role = ROLE_BY_LETTER[name[0]]
     status = EndpointStatus(name, incarnation, role, leaving, slots, tuple(held), 0, 0)
-    pool.observe(name, status, time.monotonic())
+    pool.observe(name, status, steady_seconds())
 
 
 def reserve(
@@ -294,7 +293,7 @@
 
         with ThreadPoolExecutor(16) as executor:
             list(executor.map(ask, range(64)))
-        now = time.monotonic()
+        now = steady_seconds()
         for record in pool.scheduler.record_by_id.values():
             assert record.free_slots_at(now, now) >= 0
 
--- a/tests/membership/test_directory.py
+++ b/tests/membership/test_directory.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import time
-from types import SimpleNamespace
-
 import pytest
 
 from jujubeslip.kernel import _deadlines
@@ -15,21 +12,19 @@
 
 
 class Clock:
-    """A monotonic clock that stands still unless it is moved."""
+    """A steady clock that stands still unless it is moved."""
 
     def __init__(self) -> None:
         self.now = 1000.0
 
-    def monotonic(self) -> float:
+    def steady_seconds(self) -> float:
         return self.now
 
 
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
     clock = Clock()
-    monkeypatch.setattr(
-        _deadlines, "time", SimpleNamespace(monotonic=clock.monotonic, time=time.time)
-    )
+    monkeypatch.setattr(_deadlines, "steady_seconds", clock.steady_seconds)
     return clock
 
 
