Take room at the answering engine before its prompt is read

Change: an engine's memory is forecast from its report, and a reservation of that size tests for room, is kept while the prompt is read, and given back before the run.

--- /dev/null
+++ b/src/jujubeslip/forwarding/_engine_reports.py
@@ -0,0 +1,59 @@
+"""Reports of engines' state, asked for when they are needed and kept for a while."""
+
+from __future__ import annotations
+
+import threading
+from dataclasses import dataclass
+
+from jujubeslip.discovery import Endpoint
+from jujubeslip.endpoints import EndpointError
+from jujubeslip.forwarding._models import Attempts, ForwardContext
+from jujubeslip.forwarding._sending import Sending
+from jujubeslip.kernel import Deadline
+from jujubeslip.routes import EngineReport
+
+# How long a report is used, in seconds. It is up to a second old when it comes, in
+# which an engine's answers change little; asking more often has its price.
+KEPT_SECONDS = 0.5
+# How long an engine may take to report, in seconds; it needs a millisecond or two.
+ANSWER_SECONDS = 0.4
+
+
+@dataclass(frozen=True)
+class _Kept:
+    report: EngineReport
+    usable_until: Deadline
+
+
+class EngineReports:
+    """The latest report of each engine."""
+
+    def __init__(self, sending: Sending) -> None:
+        self._sending = sending
+        self._kept_by_endpoint: dict[str, _Kept] = {}
+        self._lock = threading.Lock()
+
+    def get(self, context: ForwardContext, endpoint: Endpoint) -> EngineReport | None:
+        """Return a report that is not too old, None if the engine gives none."""
+        with self._lock:
+            kept = self._kept_by_endpoint.get(endpoint.endpoint_id)
+        if kept is not None and not kept.usable_until.expired:
+            return kept.report
+        report = self._ask(context, endpoint)
+        if report is not None:
+            usable_until = Deadline.after(KEPT_SECONDS)
+            with self._lock:
+                self._kept_by_endpoint[endpoint.endpoint_id] = _Kept(
+                    report, usable_until
+                )
+        return report
+
+    def _ask(self, context: ForwardContext, endpoint: Endpoint) -> EngineReport | None:
+        question = self._sending.interface.ask_report(endpoint.endpoint_id)
+        try:
+            with self._sending.exchange(context, endpoint) as exchange:
+                status, body = exchange.ask(question, Deadline.after(ANSWER_SECONDS))
+        except EndpointError as error:
+            self._sending.note_error(Attempts(), endpoint, error)
+            return None
+        return self._sending.interface.read_report(body) if status == 200 else None
--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -54,6 +54,7 @@
 class Attempts:
     """The sends of one request, for the budget, its bounds, and its log line."""
 
+    started: Deadline = field(default_factory=lambda: Deadline.after(0))
     sends: int = 0
     runs: int = 0
     """Sends that may have run."""
@@ -62,10 +63,22 @@
     trail: list[str] = field(default_factory=list)
     """What became of each send, in order."""
     last_error: EndpointError | None = None
+    events: int = 0
+    """Pieces of a stream that were passed on."""
+    longest_gap_ms: int = 0
+    """Longest pause between two of them."""
+    found_no_room: bool = False
+    """Whether engines were there and had no room while there was time."""
 
     def note(self, endpoint_id: str, outcome: str) -> None:
-        """Add a step to the trail."""
-        self.trail.append(f"{endpoint_id}:{outcome}")
+        """Add a step to the trail, with the milliseconds since the request came."""
+        elapsed_ms = int(self.started.overdue() * 1000)
+        self.trail.append(f"{elapsed_ms} ms {endpoint_id}: {outcome}")
+
+    def note_events(self, gap: float) -> None:
+        """Note a piece of a stream that came this many seconds after the last."""
+        self.events += 1
+        self.longest_gap_ms = max(self.longest_gap_ms, int(gap * 1000))
 
     def note_error(self, endpoint_id: str, error: EndpointError) -> None:
         """Note a send that brought no answer."""
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -14,6 +14,8 @@
 from jujubeslip.forwarding._connections import ConnectionPool
 from jujubeslip.forwarding._health import EndpointHealth
 from jujubeslip.forwarding._plain_path import PlainPath
+from jujubeslip.forwarding._prompts import PromptReader
+from jujubeslip.forwarding._reservations import Reservations
 from jujubeslip.forwarding._routes_follower import RoutesFollower
 from jujubeslip.forwarding._sending import Sending
 from jujubeslip.forwarding._service import ForwardService
@@ -71,7 +73,11 @@
         service = ForwardService(
             self._routes,
             PlainPath(sending),
-            StreamPath(sending, settings.reads_prompts_apart),
+            StreamPath(
+                sending,
+                PromptReader(sending, settings.reads_prompts_apart),
+                Reservations(sending, settings.memory_margin),
+            ),
         )
         self._http = HttpServer(
             HttpServerOptions(
--- /dev/null
+++ b/src/jujubeslip/forwarding/_prompts.py
@@ -0,0 +1,67 @@
+"""Prompts that one engine reads for another."""
+
+from __future__ import annotations
+
+from jujubeslip.discovery import Endpoint
+from jujubeslip.endpoints import EndpointAnswerError, EndpointError
+from jujubeslip.forwarding._exchange import SUCCESS
+from jujubeslip.forwarding._models import Attempts, ForwardContext
+from jujubeslip.forwarding._sending import Sending
+from jujubeslip.interfaces import EndpointCall
+from jujubeslip.kernel import Deadline
+from jujubeslip.peers import EndpointRole
+
+# How long an engine may take to read a prompt for another one, in seconds: some ten
+# times what the longest prompts take. After that the answering engine reads it itself.
+PREFILL_SECONDS = 1.5
+
+
+class PromptReader:
+    """Has prompts read by the engines that only do that."""
+
+    def __init__(self, sending: Sending, reads_apart: bool) -> None:
+        self._sending = sending
+        self._reads_apart = reads_apart
+
+    def read(self, context: ForwardContext, attempts: Attempts) -> str:
+        """Have an engine read the prompt; return where it is, nothing if it isn't.
+
+        One engine is asked, once: asking another costs the budget, and the answering
+        engine can read the prompt itself.
+        """
+        if not self._reads_apart or context.request.prompt is None:
+            return ""
+        endpoint = self._sending.choose(context, EndpointRole.PREFILL, ())
+        if endpoint is None:
+            return ""
+        try:
+            handle = self._ask(context, endpoint)
+        except EndpointError as error:
+            self._note_unread(attempts, endpoint, error)
+            return ""
+        self._sending.health.note_success(endpoint.endpoint_id)
+        attempts.note(endpoint.endpoint_id, "prompt read")
+        return f"{endpoint.address}/{handle}"
+
+    def _ask(self, context: ForwardContext, endpoint: Endpoint) -> str:
+        """Return the handle of the prompt that the endpoint has read."""
+        remaining = context.end_by.remaining_ms()
+        call = EndpointCall(endpoint.endpoint_id, remaining, reads_prompt_only=True)
+        deadline = context.end_by.earlier_of(Deadline.after(PREFILL_SECONDS))
+        working = self._sending.health.working(endpoint.endpoint_id)
+        with working, self._sending.exchange(context, endpoint) as exchange:
+            head = exchange.call(call, deadline)
+            body = exchange.read_rest()
+        prefilled = self._sending.interface.read_prefilled(body)
+        if head.status not in SUCCESS or prefilled is None:
+            raise EndpointAnswerError(
+                f"{endpoint.address}: the prompt was not read: {head.status}."
+            )
+        return prefilled.handle
+
+    def _note_unread(
+        self, attempts: Attempts, endpoint: Endpoint, error: EndpointError
+    ) -> None:
+        """Note that a prompt was not read: that is no run of the request."""
+        self._sending.note_error(Attempts(), endpoint, error)
+        attempts.note(endpoint.endpoint_id, f"prompt not read, {error.error_id}")
--- /dev/null
+++ b/src/jujubeslip/forwarding/_reservations.py
@@ -0,0 +1,222 @@
+"""A slot and memory at the engine that is to answer, before the prompt is read.
+
+The engines' memory is what runs out first. A prompt that was read for an engine which
+has no room is read in vain, and a request that is let in without room pushes another
+one out in the middle of its answer, whose prompt is then read again.
+"""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, replace
+
+from jujubeslip.discovery import Endpoint
+from jujubeslip.endpoints import CallerGoneError, EndpointError, never_interrupted
+from jujubeslip.forwarding._engine_reports import EngineReports
+from jujubeslip.forwarding._memory_forecast import AnswerLimits, room_needed
+from jujubeslip.forwarding._models import Attempts, ForwardContext
+from jujubeslip.forwarding._sending import Sending
+from jujubeslip.kernel import Deadline, Ran, steady_seconds
+from jujubeslip.peers import EndpointRole
+from jujubeslip.routes import EngineService, PromptShape
+
+logger = logging.getLogger(__name__)
+
+# How long an engine may take to answer, in seconds; it needs a millisecond or two.
+ANSWER_SECONDS = 0.4
+# Between two rounds over the engines while all are full, in seconds.
+PAUSE_SECONDS = 0.05
+# How often one that waits for its turn looks whether its caller is still there.
+LOOK_SECONDS = 0.1
+# Engines that are asked in one round.
+ENGINES_A_ROUND = 3
+# A request that has less time left than this can't be answered whole any more.
+LEAST_RUN_SECONDS = 1.5
+
+
+@dataclass(frozen=True)
+class Reservation:
+    """A slot and memory at an engine, for a while; `token` is the engine's name."""
+
+    endpoint: Endpoint
+    token: str
+
+
+class _Waiting:
+    """Requests of one service that wait for room, of which one at a time asks.
+
+    Those that can still be answered in time go first, the earliest target before the
+    others; late ones follow. All would otherwise ask again and again, and the engines
+    would spend their time on refusing.
+    """
+
+    def __init__(self) -> None:
+        self._targets_by_turn: dict[int, float] = {}
+        self._last_turn = 0
+        self._changed = threading.Condition()
+
+    @contextmanager
+    def turn(self, context: ForwardContext) -> Iterator[None]:
+        """Wait until this request is the next one; let others on at the end."""
+        arrived = context.request.arrived.instant
+        target = arrived + context.route.target_ms / 1000
+        with self._changed:
+            self._last_turn += 1
+            own = self._last_turn
+            self._targets_by_turn[own] = target
+        try:
+            self._wait(own, context)
+            yield
+        finally:
+            with self._changed:
+                del self._targets_by_turn[own]
+                self._changed.notify_all()
+
+    def _wait(self, own: int, context: ForwardContext) -> None:
+        with self._changed:
+            while not self._is_next(own):
+                self._changed.wait(LOOK_SECONDS)
+                if context.gone():
+                    raise CallerGoneError("The client closed its connection.", Ran.NO)
+                if context.end_by.remaining() < LEAST_RUN_SECONDS:
+                    return
+
+    def _is_next(self, own: int) -> bool:
+        now = steady_seconds()
+        ranked = min(
+            (_rank(target, now), turn) for turn, target in self._targets_by_turn.items()
+        )
+        return ranked[1] == own
+
+
+def _rank(target: float, now: float) -> tuple[bool, float]:
+    """Return what orders waiting requests: those still in time first."""
+    return (now > target, target)
+
+
+class Reservations:
+    """Takes reservations for requests, in order, until there is room."""
+
+    def __init__(self, sending: Sending, memory_margin: float) -> None:
+        self._sending = sending
+        self._memory_margin = memory_margin
+        self._reports = EngineReports(sending)
+        self._waiting_by_service: dict[str, _Waiting] = {}
+        self._lock = threading.Lock()
+
+    def take(
+        self,
+        context: ForwardContext,
+        attempts: Attempts,
+        engine: EngineService,
+        prompt: PromptShape,
+    ) -> Reservation | None:
+        """Return room for the request, None if there is none while it has time."""
+        with self._lock:
+            waiting = self._waiting_by_service.setdefault(
+                context.service_name, _Waiting()
+            )
+        while True:
+            with waiting.turn(context):
+                if self._has_no_engine(context, attempts):
+                    return None
+                found = self._ask_round(context, attempts, engine, prompt)
+                if found is not None:
+                    attempts.note(found.endpoint.endpoint_id, "room")
+                    return found
+                if context.end_by.remaining() < LEAST_RUN_SECONDS:
+                    attempts.note("-", "no room in time")
+                    attempts.found_no_room = True
+                    return None
+                if context.gone():
+                    raise CallerGoneError("The client closed its connection.", Ran.NO)
+                self._pause()
+
+    def release(self, context: ForwardContext, reservation: Reservation) -> None:
+        """Give back what was reserved and not used."""
+        endpoint = reservation.endpoint
+        # Also for a caller who is gone.
+        context = replace(context, gone=never_interrupted)
+        question = self._sending.interface.release(
+            endpoint.endpoint_id, reservation.token
+        )
+        try:
+            with self._sending.exchange(context, endpoint) as exchange:
+                exchange.ask(question, Deadline.after(ANSWER_SECONDS))
+        except (EndpointError, CallerGoneError) as error:
+            # It lapses by itself; until then the engine has less room for others.
+            extra = {
+                "request_id": context.request.request_id,
+                "endpoint_id": endpoint.endpoint_id,
+                "error": str(error),
+            }
+            logger.info("reservation not given back", extra=extra)
+
+    def _has_no_engine(self, context: ForwardContext, attempts: Attempts) -> bool:
+        role = EndpointRole.DECODE
+        return self._sending.choose(context, role, attempts.tried) is None
+
+    def _pause(self) -> None:
+        threading.Event().wait(PAUSE_SECONDS)
+
+    def _ask_round(
+        self,
+        context: ForwardContext,
+        attempts: Attempts,
+        engine: EngineService,
+        prompt: PromptShape,
+    ) -> Reservation | None:
+        asked = set(attempts.tried)
+        for _ in range(ENGINES_A_ROUND):
+            endpoint = self._sending.choose(context, EndpointRole.DECODE, asked)
+            if endpoint is None:
+                return None
+            asked.add(endpoint.endpoint_id)
+            tokens = self._tokens_needed(context, endpoint, engine, prompt)
+            token = self._ask(context, endpoint, tokens, engine.reservation_ms)
+            if token:
+                return Reservation(endpoint, token)
+        return None
+
+    def _tokens_needed(
+        self,
+        context: ForwardContext,
+        endpoint: Endpoint,
+        engine: EngineService,
+        prompt: PromptShape,
+    ) -> int:
+        """Return what must be free for the answer and the growth of all others."""
+        longest = max(1, prompt.maximum_output_tokens // engine.event_tokens)
+        limits = AnswerLimits(engine.event_tokens, longest)
+        report = self._reports.get(context, endpoint)
+        if report is None:
+            return prompt.prompt_tokens + prompt.maximum_output_tokens
+        needed = room_needed(report, prompt.prompt_tokens, limits)
+        margin = int(self._memory_margin * engine.memory_tokens)
+        return max(prompt.prompt_tokens, needed + margin)
+
+    def _ask(
+        self, context: ForwardContext, endpoint: Endpoint, tokens: int, ttl_ms: int
+    ) -> str:
+        """Return the reservation's name, nothing where the engine has no room."""
+        question = self._sending.interface.reserve(endpoint.endpoint_id, tokens, ttl_ms)
+        try:
+            with self._sending.exchange(context, endpoint) as exchange:
+                status, body = exchange.ask(question, Deadline.after(ANSWER_SECONDS))
+        except EndpointError as error:
+            self._sending.note_error(Attempts(), endpoint, error)
+            return ""
+        if status == 200:
+            return self._sending.interface.read_reservation(body)
+        extra = {
+            "request_id": context.request.request_id,
+            "endpoint_id": endpoint.endpoint_id,
+            "status": status,
+            "tokens": tokens,
+            "body": body[:100].decode("latin-1"),
+        }
+        logger.info("no room at the engine", extra=extra)
+        return ""
--- a/src/jujubeslip/forwarding/_service.py
+++ b/src/jujubeslip/forwarding/_service.py
@@ -110,6 +110,8 @@
                 "ran": "unknown" if attempts.may_have_run else "no",
                 "sends": attempts.trail,
                 "duration_ms": int((steady_seconds() - started.instant) * 1000),
+                "events": attempts.events,
+                "longest_gap_ms": attempts.longest_gap_ms,
                 "version": context.table.version,
                 "version_age_s": round(self._routes.age_seconds, 1),
             },
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -1,8 +1,7 @@
-"""Requests to engines: the prompt is read, then the answer streams."""
+"""Requests to engines: room, the prompt, then the answer that streams."""
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Iterator
 from contextlib import ExitStack
 from dataclasses import dataclass
@@ -10,7 +9,6 @@
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import (
     AnswerCutError,
-    EndpointAnswerError,
     EndpointError,
     EndpointRefusedError,
     EndpointUnreachableError,
@@ -25,29 +23,35 @@
     WholeAnswer,
     refusal_of,
 )
+from jujubeslip.forwarding._prompts import PromptReader
+from jujubeslip.forwarding._reservations import Reservation, Reservations
 from jujubeslip.forwarding._sending import MISDIRECTED, Sending
 from jujubeslip.interfaces import EndpointCall, EndpointHead
-from jujubeslip.kernel import Deadline
+from jujubeslip.kernel import (
+    Deadline,
+    JujubeslipError,
+    RequestRefusedError,
+    steady_seconds,
+)
 from jujubeslip.peers import EndpointRole
 
-logger = logging.getLogger(__name__)
-
-# How long an engine may take to read a prompt for another one, in seconds: some ten
-# times what the longest prompts take. After that the answering engine reads it itself.
-PREFILL_SECONDS = 1.5
 # A stream that can go on elsewhere is left after this many of the longest pauses that
 # are in time, and in any case not before LEAST_SILENCE_SECONDS.
 SILENCE_GAPS = 4.0
 LEAST_SILENCE_SECONDS = 1.0
 # How long a repeatable request waits for its first event, in targets.
 PATIENCE_TARGETS = 2.0
+# When a client should come back whose request found no room, in seconds: about as long
+# as it takes for one answer in ten to end.
+NO_ROOM_RETRY_SECONDS = 0.7
 
 
-def _left_prompt(error: EndpointError) -> bool:
-    """Say whether a prompt's memory, which can be taken once, was surely left."""
-    if isinstance(error, EndpointRefusedError):
-        return error.status == MISDIRECTED
-    return isinstance(error, EndpointUnreachableError)
+@dataclass(frozen=True)
+class _Place:
+    """Where a run is to start."""
+
+    endpoint: Endpoint
+    reservation: Reservation | None
 
 
 @dataclass
@@ -63,11 +67,14 @@
 
 
 class StreamPath:
-    """Has the prompt read by one engine and the answer made by another."""
+    """Takes room at an engine, has the prompt read, and passes the answer on."""
 
-    def __init__(self, sending: Sending, reads_apart: bool) -> None:
+    def __init__(
+        self, sending: Sending, prompts: PromptReader, reservations: Reservations
+    ) -> None:
         self._sending = sending
-        self._reads_apart = reads_apart
+        self._prompts = prompts
+        self._reservations = reservations
 
     def answer(self, context: ForwardContext, attempts: Attempts) -> Answer:
         """Return the answer once its first events are there."""
@@ -77,86 +84,82 @@
         events = self._events(context, attempts, started)
         return StreamedAnswer(started.head.status, started.head.headers, events)
 
+    # The start of a run
+
     def _start(
         self, context: ForwardContext, attempts: Attempts, resume_after: str
     ) -> _Run | WholeAnswer:
         """Start the run at some engine, or raise the refusal that is true."""
         failed: WholeAnswer | None = None
-        prompt_at = self._read_prompt(context, attempts) if not resume_after else ""
-        while True:
-            role = EndpointRole.DECODE
-            endpoint = self._sending.choose(context, role, attempts.tried)
-            if endpoint is None or not self._sending.may_send(context, attempts):
+        # Not read yet, or empty once the answering engine has to read it itself.
+        prompt_at: str | None = "" if resume_after else None
+        while (place := self._find_place(context, attempts)) is not None:
+            if prompt_at is None:
+                prompt_at = self._read_prompt(context, attempts, place)
+            # Given back first: it holds room for the growth of other answers, too.
+            self._give_back(context, place)
+            if not self._sending.may_send(context, attempts):
                 break
-            call = EndpointCall(
-                endpoint.endpoint_id,
-                context.end_by.remaining_ms(),
-                prompt_at=prompt_at,
-                resume_after=resume_after,
-            )
+            call = _call(context, place, prompt_at, resume_after)
             try:
-                started = self._run(context, attempts, endpoint, call)
+                started = self._run(context, attempts, place.endpoint, call)
             except EndpointError as error:
-                self._sending.note_error(attempts, endpoint, error)
-                if prompt_at and not _left_prompt(error):
-                    prompt_at = ""
-                    if not error.may_have_run:
-                        # What was refused may be the prompt's memory, which lapses.
-                        # The engine can read the prompt itself.
-                        attempts.tried.discard(endpoint.endpoint_id)
+                self._note_error(attempts, place.endpoint, error)
+                prompt_at = prompt_at if _left_prompt(error) else ""
                 continue
             if isinstance(started, _Run):
                 return started
             failed = started
-            attempts.runs += 1
-            attempts.tried.add(endpoint.endpoint_id)
-            self._sending.health.note_failure(endpoint.endpoint_id)
+            self._note_failed(attempts, place.endpoint)
         if failed is not None:
             return failed
         raise refusal_of(attempts, context.end_by)
 
-    # The prompt
+    def _read_prompt(
+        self, context: ForwardContext, attempts: Attempts, place: _Place
+    ) -> str:
+        """Have the prompt read while room for it is kept."""
+        try:
+            return self._prompts.read(context, attempts)
+        except JujubeslipError:
+            self._give_back(context, place)
+            raise
 
-    def _read_prompt(self, context: ForwardContext, attempts: Attempts) -> str:
-        """Have an engine read the prompt; return where it is, nothing if it isn't.
+    def _give_back(self, context: ForwardContext, place: _Place) -> None:
+        if place.reservation is not None:
+            self._reservations.release(context, place.reservation)
 
-        One engine is asked, once: asking another costs the budget, and the answering
-        engine can read the prompt itself.
-        """
-        if not self._reads_apart or context.request.prompt is None:
-            return ""
-        endpoint = self._sending.choose(context, EndpointRole.PREFILL, ())
-        if endpoint is None:
-            return ""
-        remaining = context.end_by.remaining_ms()
-        call = EndpointCall(endpoint.endpoint_id, remaining, reads_prompt_only=True)
-        deadline = context.end_by.earlier_of(Deadline.after(PREFILL_SECONDS))
-        working = self._sending.health.working(endpoint.endpoint_id)
-        try:
-            with working, self._sending.exchange(context, endpoint) as exchange:
-                head = exchange.call(call, deadline)
-                body = exchange.read_rest()
-            prefilled = self._sending.interface.read_prefilled(body)
-            if head.status not in SUCCESS or prefilled is None:
-                raise EndpointAnswerError(
-                    f"{endpoint.address}: the prompt was not read: {head.status}."
-                )
-        except EndpointError as error:
-            self._note_unread(attempts, endpoint, error)
-            return ""
-        self._sending.health.note_success(endpoint.endpoint_id)
-        attempts.note(endpoint.endpoint_id, "prompt read")
-        return f"{endpoint.address}/{prefilled.handle}"
-
-    def _note_unread(
+    def _note_error(
         self, attempts: Attempts, endpoint: Endpoint, error: EndpointError
     ) -> None:
-        """Note that a prompt was not read: that is no run of the request."""
-        unread = Attempts()
-        self._sending.note_error(unread, endpoint, error)
-        attempts.note(endpoint.endpoint_id, f"prompt not read, {error.error_id}")
+        self._sending.note_error(attempts, endpoint, error)
+        if _refused_here(error):
+            attempts.tried.discard(endpoint.endpoint_id)
+
+    def _find_place(self, context: ForwardContext, attempts: Attempts) -> _Place | None:
+        """Return an engine with room, None if none is usable.
+
+        Raises RequestRefusedError when engines are there and have no room in time.
+        """
+        service = context.table.service_by_name[context.service_name]
+        prompt = context.request.prompt
+        if service.engine is None or not service.engine.reservation_ms or not prompt:
+            endpoint = self._sending.choose(
+                context, EndpointRole.DECODE, attempts.tried
+            )
+            return None if endpoint is None else _Place(endpoint, None)
+        found = self._reservations.take(context, attempts, service.engine, prompt)
+        if found is not None:
+            return _Place(found.endpoint, found)
+        if attempts.found_no_room and not attempts.may_have_run:
+            raise _no_room()
+        return None
 
-    # The run
+    def _note_failed(self, attempts: Attempts, endpoint: Endpoint) -> None:
+        """Note an engine's own failure: the request has run."""
+        attempts.runs += 1
+        attempts.tried.add(endpoint.endpoint_id)
+        self._sending.health.note_failure(endpoint.endpoint_id)
 
     def _run(
         self,
@@ -192,6 +195,8 @@
         patience = Deadline.after(PATIENCE_TARGETS * route.target_ms / 1000)
         return context.end_by.earlier_of(patience)
 
+    # The events
+
     def _events(
         self, context: ForwardContext, attempts: Attempts, started: _Run
     ) -> Iterator[bytes]:
@@ -199,7 +204,7 @@
         run = started
         while True:
             try:
-                yield from self._events_of(context, run)
+                yield from self._events_of(context, attempts, run)
                 self._sending.health.note_success(run.endpoint.endpoint_id)
                 return
             except EndpointError as error:
@@ -214,9 +219,12 @@
                 raise AnswerCutError("The stream broke off and was not resumed.")
             run = resumed
 
-    def _events_of(self, context: ForwardContext, run: _Run) -> Iterator[bytes]:
+    def _events_of(
+        self, context: ForwardContext, attempts: Attempts, run: _Run
+    ) -> Iterator[bytes]:
         """Yield the events of one run until its proper end."""
         yield run.first
+        latest = steady_seconds()
         while True:
             run.exchange.watch(self._next_deadline(context))
             part = run.exchange.read_some()
@@ -224,6 +232,9 @@
                 break
             whole = run.splitter.take(part)
             if whole:
+                now = steady_seconds()
+                attempts.note_events(now - latest)
+                latest = now
                 yield whole
         if run.splitter.has_rest:
             raise AnswerCutError(f"{run.endpoint.address}: the last event is cut.")
@@ -235,3 +246,38 @@
             return context.end_by
         silence = max(LEAST_SILENCE_SECONDS, SILENCE_GAPS * route.maximum_gap_ms / 1000)
         return context.end_by.earlier_of(Deadline.after(silence))
+
+
+def _call(
+    context: ForwardContext, place: _Place, prompt_at: str, resume_after: str
+) -> EndpointCall:
+    return EndpointCall(
+        place.endpoint.endpoint_id,
+        context.end_by.remaining_ms(),
+        prompt_at=prompt_at,
+        resume_after=resume_after,
+    )
+
+
+def _left_prompt(error: EndpointError) -> bool:
+    """Say whether a prompt's memory, which can be taken once, was surely left."""
+    if isinstance(error, EndpointRefusedError):
+        return error.status == MISDIRECTED
+    return isinstance(error, EndpointUnreachableError)
+
+
+def _refused_here(error: EndpointError) -> bool:
+    """Say whether the same engine may be asked again.
+
+    What it refused may be the prompt's memory, which lapses. It can read the prompt
+    itself.
+    """
+    return isinstance(error, EndpointRefusedError) and error.status != MISDIRECTED
+
+
+def _no_room() -> RequestRefusedError:
+    return RequestRefusedError(
+        "no_room",
+        "No engine has had room for the request in time.",
+        retry_after=NO_ROOM_RETRY_SECONDS,
+    )
--- a/src/jujubeslip/interfaces/_models.py
+++ b/src/jujubeslip/interfaces/_models.py
@@ -10,6 +10,7 @@
 
 from jujubeslip.kernel import Registry, RequestRefusedError
 from jujubeslip.routes import (
+    EngineReport,
     ForwardedRequest,
     PrefilledPrompt,
     RouteTable,
@@ -35,6 +36,8 @@
     """Read the prompt and keep it, for another endpoint to take."""
     prompt_at: str = ""
     """Address and handle of the endpoint that has read the prompt."""
+    reservation: str = ""
+    """The slot and memory that were reserved for the request."""
     resume_after: str = ""
     """The last event that the client has; the answer goes on behind it."""
 
@@ -58,6 +61,16 @@
     """Those that the client gets."""
 
 
+@dataclass(frozen=True)
+class EndpointQuestion:
+    """A call to an endpoint that is no request of a client."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes = b""
+
+
 @dataclass(frozen=True)
 class EncodedRefusal:
     """A refusal as the client gets it."""
@@ -92,6 +105,21 @@
     def read_prefilled(self, body: bytes) -> PrefilledPrompt | None:
         """Return what an endpoint says of a prompt that it has read."""
 
+    def reserve(self, endpoint_id: str, tokens: int, ttl_ms: int) -> EndpointQuestion:
+        """Return the question for a slot and this much memory of an endpoint."""
+
+    def read_reservation(self, body: bytes) -> str:
+        """Return the id of what was reserved, empty if unusable."""
+
+    def ask_report(self, endpoint_id: str) -> EndpointQuestion:
+        """Return the question for an engine's state."""
+
+    def read_report(self, body: bytes) -> EngineReport | None:
+        """Return an engine's state, None if unusable."""
+
+    def release(self, endpoint_id: str, reservation: str) -> EndpointQuestion:
+        """Return the call that gives back what was reserved."""
+
     def refusal(self, refusal: RequestRefusedError, request_id: str) -> EncodedRefusal:
         """Return a refusal as the client gets it."""
 
--- a/src/jujubeslip/kernel/_settings.py
+++ b/src/jujubeslip/kernel/_settings.py
@@ -210,6 +210,8 @@
     """`least-cost`, or a baseline to compare with."""
     reads_prompts_apart: bool = True
     """Whether prefill engines read prompts, or decode engines do it themselves."""
+    memory_margin: Annotated[float, Field(ge=-1, le=1)] = 0.12
+    """Share of an engine's memory that the forecast leaves free, see docs/design."""
     telemetry: TelemetrySettings = field(default_factory=TelemetrySettings)
     """The table [telemetry], see below."""
 
--- a/src/jujubeslip/platform/_configurations.py
+++ b/src/jujubeslip/platform/_configurations.py
@@ -86,6 +86,8 @@
         slots=_integer(fields["slots"]),
         memory_tokens=_integer(fields["kvTokens"]),
         handle_seconds=float(fields["kvTtlS"]),
+        event_tokens=_integer(fields.get("stride", 1)),
+        reservation_ms=int(fields.get("holdMs", 0)),
     )
 
 
--- a/src/jujubeslip/platform/_endpoint_calls.py
+++ b/src/jujubeslip/platform/_endpoint_calls.py
@@ -6,9 +6,19 @@
 import re
 from collections.abc import Iterable
 
-from jujubeslip.interfaces import EndpointCall, EndpointHead, Headers
+from jujubeslip.interfaces import (
+    EndpointCall,
+    EndpointHead,
+    EndpointQuestion,
+    Headers,
+)
 from jujubeslip.platform import _headers as names
-from jujubeslip.routes import ForwardedRequest, PrefilledPrompt
+from jujubeslip.routes import (
+    EngineReport,
+    ForwardedRequest,
+    PrefilledPrompt,
+    RunningAnswer,
+)
 
 PREFILL_STAGE = "prefill"
 MISDIRECTED = 421
@@ -25,6 +35,8 @@
         headers.append((names.STAGE, PREFILL_STAGE))
     if call.prompt_at:
         headers.append((names.PROMPT_AT, call.prompt_at))
+    if call.reservation:
+        headers.append((names.RESERVATION, call.reservation))
     if call.resume_after:
         headers.append((names.LAST_EVENT_ID, call.resume_after))
     return headers
@@ -57,6 +69,54 @@
         return None
 
 
+def reserve(endpoint_id: str, tokens: int, ttl_ms: int) -> EndpointQuestion:
+    """Return the question for a slot and this much memory of an endpoint."""
+    body = json.dumps({"tokens": tokens, "ttl_ms": ttl_ms}).encode()
+    headers = [("Content-Type", "application/json")]
+    return EndpointQuestion(
+        "POST", "/hold-take", [*headers, (names.EXPECTED_ENDPOINT, endpoint_id)], body
+    )
+
+
+def read_reservation(body: bytes) -> str:
+    """Return the id of what was reserved, empty if unusable."""
+    try:
+        return str(json.loads(body)["hold"])
+    except (ValueError, KeyError, TypeError):
+        return ""
+
+
+def ask_report(endpoint_id: str) -> EndpointQuestion:
+    """Return the question for an engine's state."""
+    return EndpointQuestion("GET", "/report", [(names.EXPECTED_ENDPOINT, endpoint_id)])
+
+
+def read_report(body: bytes) -> EngineReport | None:
+    """Return an engine's state, None if unusable.
+
+    An item of "runs" is [request id, tokens in memory, events made, priority].
+    """
+    try:
+        fields = json.loads(body)
+        running = tuple(
+            RunningAnswer(int(item[1]), int(item[2])) for item in fields["runs"]
+        )
+        return EngineReport(
+            capacity_tokens=int(fields["kvCapacity"]),
+            used_tokens=int(fields["kvUsed"]),
+            waiting=int(fields["queued"]),
+            running=running,
+        )
+    except (ValueError, KeyError, TypeError, IndexError):
+        return None
+
+
+def release(endpoint_id: str, reservation: str) -> EndpointQuestion:
+    """Return the call that gives back what was reserved."""
+    headers = [(names.EXPECTED_ENDPOINT, endpoint_id)]
+    return EndpointQuestion("DELETE", f"/hold-drop/{reservation}", headers)
+
+
 def _idle_seconds(keep_alive: str) -> float | None:
     found = _KEEP_ALIVE_TIMEOUT.search(keep_alive)
     return float(found.group(1)) if found else None
--- a/src/jujubeslip/platform/_headers.py
+++ b/src/jujubeslip/platform/_headers.py
@@ -20,7 +20,8 @@
 ORIGIN_MARK = "Server-Stamp"
 # An endpoint says that it refused before it ran the request.
 NOT_RUN = "Not-Run"
-PRIORITY = "Request-Priority"
+# The slot and memory that were reserved for the request.
+RESERVATION = "Kv-Hold"
 CONTENT_ENCODING = "Content-Encoding"
 KEEP_ALIVE = "Keep-Alive"
 CONNECTION = "Connection"
--- a/src/jujubeslip/platform/_plugin.py
+++ b/src/jujubeslip/platform/_plugin.py
@@ -12,6 +12,7 @@
     EncodedRefusal,
     EndpointCall,
     EndpointHead,
+    EndpointQuestion,
     Headers,
     WsgiApp,
     interfaces,
@@ -20,12 +21,22 @@
 from jujubeslip.platform._configurations import read_routes
 from jujubeslip.platform._control_app import ControlApp
 from jujubeslip.platform._endpoint_calls import (
+    ask_report,
     endpoint_headers,
     read_head,
     read_prefilled,
+    read_report,
+    read_reservation,
+    release,
+    reserve,
 )
 from jujubeslip.platform._requests import encode_refusal, read_request
-from jujubeslip.routes import ForwardedRequest, PrefilledPrompt, RouteTable
+from jujubeslip.routes import (
+    EngineReport,
+    ForwardedRequest,
+    PrefilledPrompt,
+    RouteTable,
+)
 
 
 class PlatformInterface:
@@ -59,6 +70,26 @@
         """See Interface."""
         return read_prefilled(body)
 
+    def reserve(self, endpoint_id: str, tokens: int, ttl_ms: int) -> EndpointQuestion:
+        """See Interface."""
+        return reserve(endpoint_id, tokens, ttl_ms)
+
+    def read_reservation(self, body: bytes) -> str:
+        """See Interface."""
+        return read_reservation(body)
+
+    def ask_report(self, endpoint_id: str) -> EndpointQuestion:
+        """See Interface."""
+        return ask_report(endpoint_id)
+
+    def read_report(self, body: bytes) -> EngineReport | None:
+        """See Interface."""
+        return read_report(body)
+
+    def release(self, endpoint_id: str, reservation: str) -> EndpointQuestion:
+        """See Interface."""
+        return release(endpoint_id, reservation)
+
     def refusal(self, refusal: RequestRefusedError, request_id: str) -> EncodedRefusal:
         """See Interface."""
         return encode_refusal(refusal, request_id)
--- a/src/jujubeslip/routes/__init__.py
+++ b/src/jujubeslip/routes/__init__.py
@@ -3,6 +3,7 @@
 from jujubeslip.routes._checks import find_problem
 from jujubeslip.routes._models import (
     ClientBounds,
+    EngineReport,
     EngineService,
     ForwardedRequest,
     ForwardService,
@@ -12,11 +13,13 @@
     Route,
     RouteKind,
     RouteTable,
+    RunningAnswer,
     ServiceShare,
 )
 
 __all__ = [
     "ClientBounds",
+    "EngineReport",
     "EngineService",
     "ForwardService",
     "ForwardedRequest",
@@ -26,6 +29,7 @@
     "Route",
     "RouteKind",
     "RouteTable",
+    "RunningAnswer",
     "ServiceShare",
     "find_problem",
 ]
--- a/src/jujubeslip/routes/_models.py
+++ b/src/jujubeslip/routes/_models.py
@@ -68,6 +68,10 @@
     """Tokens of running requests and cached prompts that fit into its memory."""
     handle_seconds: float
     """How long an engine keeps the memory of a prompt that it has read for another."""
+    event_tokens: int = 1
+    """Tokens that one event of an answer holds at most."""
+    reservation_ms: int = 0
+    """How long a slot and memory may be reserved at most; 0 if not at all."""
 
 
 @dataclass(frozen=True)
@@ -161,6 +165,28 @@
         return self.target.partition("?")[0]
 
 
+@dataclass(frozen=True)
+class RunningAnswer:
+    """An answer that an engine is making."""
+
+    memory_tokens: int
+    """What its prompt and the answer so far take of the engine's memory."""
+    events: int
+    """Events made so far."""
+
+
+@dataclass(frozen=True)
+class EngineReport:
+    """An engine's state, some hundred milliseconds ago."""
+
+    capacity_tokens: int
+    used_tokens: int
+    """What running answers and reservations take."""
+    waiting: int
+    """Requests that it has taken and not begun."""
+    running: tuple[RunningAnswer, ...]
+
+
 @dataclass(frozen=True)
 class PrefilledPrompt:
     """A prompt that an engine has read and keeps for another one."""
