--- a/src/jujubeslip/cli/_check_commands.py
+++ b/src/jujubeslip/cli/_check_commands.py
@@ -9,6 +9,7 @@
 
 from jujubeslip.cli._connection import json_option
 from jujubeslip.cli._output import EXIT_FILE_INVALID, exit_with_problems, print_fields
+from jujubeslip.cli._route_commands import interface_option, read_route_table
 from jujubeslip.cli._run_commands import settings_or_exit
 from jujubeslip.declaration import Declaration, PriorityClass, parse_declaration
 from jujubeslip.kernel import (
@@ -16,6 +17,7 @@
     SettingsProblem,
     load_control_settings,
     load_entry_settings,
+    load_forward_settings,
     load_plugins,
     run_checks,
 )
@@ -29,15 +31,20 @@
 @file_argument
 @click.option(
     "--kind",
-    type=click.Choice(["declaration", "entry", "control"]),
+    type=click.Choice(["declaration", "routes", "entry", "forward", "control"]),
     default="declaration",
     show_default=True,
     help="What the file is.",
 )
-def check(path: Path, kind: str) -> None:
-    """Check a declaration or a settings file; exit 3 if it can't be used."""
+@interface_option
+def check(path: Path, kind: str, interface: str) -> None:
+    """Check a declaration, routes or a settings file; exit 3 if it can't be used."""
     if kind == "entry":
         settings_or_exit(load_entry_settings(path))
+    elif kind == "forward":
+        settings_or_exit(load_forward_settings(path))
+    elif kind == "routes":
+        read_route_table(path, interface)
     elif kind == "control":
         settings_or_exit(load_control_settings(path))
     else:
--- a/src/jujubeslip/cli/_main.py
+++ b/src/jujubeslip/cli/_main.py
@@ -10,6 +10,7 @@
 from jujubeslip.cli._change_commands import apply, history, show
 from jujubeslip.cli._check_commands import check, explain
 from jujubeslip.cli._replica_commands import replica
+from jujubeslip.cli._route_commands import explain_route
 from jujubeslip.cli._run_commands import control, entry, forward
 from jujubeslip.cli._status_commands import drain, status
 
@@ -33,6 +34,7 @@
     control,
     check,
     explain,
+    explain_route,
     apply,
     show,
     history,
--- /dev/null
+++ b/src/jujubeslip/cli/_route_commands.py
@@ -0,0 +1,70 @@
+"""Commands on the routes of an operator's numbered configuration."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+from returns.result import Failure
+
+from jujubeslip.cli._connection import json_option
+from jujubeslip.cli._output import exit_with_problems, print_fields
+from jujubeslip.interfaces import interfaces
+from jujubeslip.kernel import SettingsProblem, load_plugins
+from jujubeslip.routes import Route, RouteTable
+
+interface_option = click.option(
+    "--interface",
+    default="platform",
+    show_default=True,
+    help="Interface whose format the routes are in.",
+)
+
+
+@click.command("explain-route")
+@click.argument("path", type=click.Path(path_type=Path))
+@click.option("--host", required=True, help="Host that the request names.")
+@click.option("--target", required=True, help="Path of the request.")
+@interface_option
+@json_option
+def explain_route(
+    path: Path, host: str, target: str, interface: str, as_json: bool
+) -> None:
+    """Print which route a request would match, and why the earlier ones don't."""
+    table = read_route_table(path, interface)
+    found = table.find_route(host.lower(), target)
+    lines = [
+        _explanation(route, found, target)
+        for route in table.routes_by_host.get(host.lower(), ())
+    ]
+    name = found.name if found else "none (refused as no_route)"
+    shares = [
+        f"{item.service_name}={item.weight}" for item in (found.shares if found else ())
+    ]
+    print_fields(
+        {"version": table.version, "route": name, "services": shares, "why": lines},
+        as_json,
+    )
+
+
+def read_route_table(path: Path, interface: str) -> RouteTable:
+    """Return the routes of a file, or print what is wrong and exit."""
+    load_plugins()
+    try:
+        content = path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        problem = SettingsProblem(str(path), "-", f"{error}.", "Name a readable file.")
+        exit_with_problems([problem])
+    read = interfaces.get(interface).read_routes(content)
+    if isinstance(read, Failure):
+        problem = SettingsProblem(str(path), "-", read.failure(), "Correct the file.")
+        exit_with_problems([problem])
+    return read.unwrap()
+
+
+def _explanation(route: Route, found: Route | None, target: str) -> str:
+    if route is found:
+        return f"{route.name}: {route.path_prefix} matches and decides"
+    if target.startswith(route.path_prefix):
+        return f"{route.name}: {route.path_prefix} would match, but is shorter"
+    return f"{route.name}: {route.path_prefix} does not begin the path"
--- /dev/null
+++ b/tests/cli/test_route_commands.py
@@ -0,0 +1,46 @@
+"""Commands on the routes of a numbered configuration."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from jujubeslip.cli import main
+from tests.fakes.platform_system import HOST, PLAIN, configuration, route
+
+ROUTES = [route("short", "/a/", "plain"), route("long", "/a/b/", "plain")]
+
+
+@pytest.fixture
+def path(tmp_path: Path) -> Path:
+    path = tmp_path / "routes.json"
+    path.write_text(json.dumps(configuration(3, ROUTES, [PLAIN])))
+    return path
+
+
+class TestExplainRoute:
+    def test_names_the_longest_prefix_and_why_not_the_others(self, path: Path) -> None:
+        arguments = ["explain-route", str(path), "--host", HOST, "--target", "/a/b/c"]
+        result = CliRunner().invoke(main, [*arguments, "--json"])
+        answer = json.loads(result.output)
+        assert (answer["route"], answer["version"]) == ("long", 3)
+        assert any("short" in line for line in answer["why"])
+
+    def test_says_that_no_route_matches(self, path: Path) -> None:
+        arguments = ["explain-route", str(path), "--host", HOST, "--target", "/z/"]
+        assert "no_route" in CliRunner().invoke(main, arguments).output
+
+
+class TestCheck:
+    def test_valid_routes_pass(self, path: Path) -> None:
+        result = CliRunner().invoke(main, ["check", "--kind", "routes", str(path)])
+        assert result.exit_code == 0
+
+    def test_invalid_routes_are_told_with_the_reason(self, path: Path) -> None:
+        path.write_text(json.dumps(configuration(3, ROUTES, [])))
+        result = CliRunner().invoke(main, ["check", "--kind", "routes", str(path)])
+        assert result.exit_code == 3
+        assert "plain" in result.output
--- a/tests/fakes/_http.py
+++ b/tests/fakes/_http.py
@@ -35,6 +35,10 @@
         """Serve a POST."""
         self._dispatch("POST")
 
+    def do_DELETE(self) -> None:
+        """Serve a DELETE."""
+        self._dispatch("DELETE")
+
     def _dispatch(self, method: str) -> None:
         path = self.path.partition("?")[0]
         name = self.routes.get(f"{method} {path}") or self.route(method, path)
--- /dev/null
+++ b/tests/fakes/platform_system.py
@@ -0,0 +1,311 @@
+"""Control and forwarding processes on loopback, with the platform's interface."""
+
+from __future__ import annotations
+
+import http.client
+import itertools
+import json
+import signal
+import threading
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Self
+
+from tests.fakes.platform_worker import PlatformWorker
+from tests.fakes.processes import ManagedProcess, free_address, wait_until
+
+HOST = "boards.example"
+BEAT_SECONDS = 0.3
+SECRET = "between-hosts-of-one-test"
+
+
+def route(name: str, prefix: str, service: str, **fields: Any) -> dict[str, Any]:
+    """Return a route as the operator writes it."""
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": prefix,
+        "kind": "safe",
+        "timeoutMs": 1500,
+        "sloMs": 300,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+        **fields,
+    }
+
+
+def configuration(
+    version: int, routes: Sequence[dict[str, Any]], services: Sequence[dict[str, Any]]
+) -> dict[str, Any]:
+    """Return a configuration as the operator writes it."""
+    return {
+        "version": version,
+        "routes": list(routes),
+        "services": list(services),
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 4194304,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+    }
+
+
+PLAIN = {"name": "plain", "healthPath": "/health", "maxConns": 100}
+ENGINE = {
+    "name": "model",
+    "healthPath": "/health",
+    "maxConns": 100,
+    "engine": {
+        "slots": 8,
+        "kvTokens": 100_000,
+        "kvTokenBytes": 1024,
+        "kvTtlS": 0.5,
+        "stride": 1,
+        "holdMs": 2000.0,
+    },
+}
+PROMPT = {
+    "Model": "m",
+    "Token-Count": "100,20",
+    "Prompt-Prefix": "aa:40,bb:60",
+}
+
+
+@dataclass(frozen=True)
+class Reply:
+    """What a client got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+class Host:
+    """One process of the system, which can be killed and started again."""
+
+    def __init__(self, folder: Path, name: str, command: str, settings: str) -> None:
+        self.name = name
+        self._folder = folder
+        self._command = command
+        self.settings_path = folder / f"{name}.toml"
+        self.settings_path.write_text(settings)
+        self.process: ManagedProcess | None = None
+
+    def start(self) -> None:
+        """Start the process."""
+        arguments = [self._command, "--settings", str(self.settings_path)]
+        self.process = ManagedProcess(
+            self.name, "jujubeslip.cli", arguments, self._folder
+        )
+
+    def kill(self) -> None:
+        """End the process at once."""
+        if self.process is not None:
+            self.process.kill()
+            self.process = None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send the process a signal."""
+        assert self.process is not None
+        self.process.signal(number)
+
+    def output(self) -> str:
+        """Return what the process wrote."""
+        return self.process.output() if self.process else ""
+
+
+class PlatformSystem:
+    """Some control hosts and some forwarding hosts, with workers that announce."""
+
+    def __init__(
+        self, folder: Path, controls: int = 1, entries: int = 1, **entry: Any
+    ) -> None:
+        self.folder = folder
+        self._entry_settings = entry
+        self._ids = itertools.count(1)
+        self._workers: list[PlatformWorker] = []
+        self._stopped = threading.Event()
+        self.seeds = [free_address() for _ in range(controls)]
+        self.control_http = [free_address() for _ in range(controls)]
+        self.controls = [self._control(number) for number in range(controls)]
+        self.entry_http = [free_address() for _ in range(entries)]
+        self.ready_http = [free_address() for _ in range(entries)]
+        self.entries = [self._entry(number) for number in range(entries)]
+
+    def _control(self, number: int) -> Host:
+        return Host(
+            self.folder,
+            f"control-{number}",
+            "control",
+            self.control_settings(
+                f"control-{number}", self.seeds[number], self.control_http[number]
+            ),
+        )
+
+    def control_settings(
+        self, name: str, peer: str, http_address: str, may_found: bool = True
+    ) -> str:
+        """Return the settings of a control host."""
+        return (
+            f'host_id = "{name}"\navailability_zone = "zone-1"\nregion = "region"\n'
+            f'peer_address = "{peer}"\npeer_secret = "{SECRET}"\n'
+            f'data_folder = "{self.folder / name}"\nseeds = {json.dumps(self.seeds)}\n'
+            f"may_found = {json.dumps(may_found)}\nadmits_any_host = true\n"
+            f'http_address = "{http_address}"\ninterface = "platform"\n'
+            "election_timeout_ms = 400\nheartbeat_ms = 80\n"
+        )
+
+    def _entry(self, number: int) -> Host:
+        extra = "".join(
+            f"{key} = {json.dumps(value)}\n"
+            for key, value in self._entry_settings.items()
+        )
+        settings = (
+            f'host_id = "entry-{number}"\navailability_zone = "zone-1"\n'
+            f'http_address = "{self.entry_http[number]}"\n'
+            f'ready_address = "{self.ready_http[number]}"\n'
+            f'peer_secret = "{SECRET}"\nseeds = {json.dumps(self.seeds)}\n'
+            f'interface = "platform"\n{extra}'
+        )
+        return Host(self.folder, f"entry-{number}", "forward", settings)
+
+    def __enter__(self) -> Self:
+        for host in (*self.controls, *self.entries):
+            host.start()
+        threading.Thread(target=self._announce, daemon=True).start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._stopped.set()
+        for host in (*self.controls, *self.entries):
+            if error is not None:
+                print(f"--- {host.name}\n{host.output()[-6000:]}")
+            host.kill()
+        for worker in self._workers:
+            worker.close()
+
+    # The operator and the workers
+
+    def put(self, body: Any, control: int = 0, timeout: float = 3.0) -> int | None:
+        """Send a configuration; return the status, None without an answer."""
+        content = body if isinstance(body, bytes) else json.dumps(body).encode()
+        return self._call(control, "PUT", "/config", content, timeout)[0]
+
+    def put_until_accepted(self, body: Any, control: int = 0) -> None:
+        """Send a configuration until it is acknowledged."""
+        wait_until(lambda: self.put(body, control) == 200, "configuration accepted")
+
+    def read(self, control: int = 0) -> tuple[int | None, Any]:
+        """Read the configuration; return the status and the body."""
+        status, content = self._call(control, "GET", "/config", None, 3.0)
+        return status, json.loads(content) if content else None
+
+    def beat(
+        self, worker: PlatformWorker, state: str = "ready", control: int = 0
+    ) -> int:
+        """Announce a worker once; return the status."""
+        body = json.dumps(worker.beat(state)).encode()
+        path = f"/instances/{worker.worker_id}"
+        return self._call(control, "PUT", path, body, 3.0)[0] or 0
+
+    def leave(self, worker: PlatformWorker, control: int = 0) -> int:
+        """Announce that a worker has left; return the status."""
+        path = f"/instances/{worker.worker_id}"
+        return self._call(control, "DELETE", path, None, 3.0)[0] or 0
+
+    def add(self, worker: PlatformWorker) -> PlatformWorker:
+        """Announce a worker from now on, and close it at the end."""
+        self._workers.append(worker)
+        wait_until(lambda: self.beat(worker) == 200, f"{worker.worker_id} announced")
+        return worker
+
+    def withdraw(self, worker: PlatformWorker) -> None:
+        """Announce a worker no more."""
+        self._workers.remove(worker)
+
+    def _announce(self) -> None:
+        while not self._stopped.wait(BEAT_SECONDS):
+            for worker in list(self._workers):
+                for control in range(len(self.controls)):
+                    if self.beat(worker, control=control) == 200:
+                        break
+
+    def _call(
+        self, control: int, method: str, path: str, body: bytes | None, timeout: float
+    ) -> tuple[int | None, bytes]:
+        connection = http.client.HTTPConnection(
+            self.control_http[control], timeout=timeout
+        )
+        try:
+            connection.request(method, path, body)
+            response = connection.getresponse()
+            return response.status, response.read()
+        except (OSError, http.client.HTTPException):
+            return None, b""
+        finally:
+            connection.close()
+
+    # Clients
+
+    def ask(
+        self,
+        path: str,
+        method: str = "GET",
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        entry: int = 0,
+        deadline_ms: int = 1500,
+    ) -> Reply:
+        """Send a request as a client and return what came."""
+        sent = {
+            "Host": HOST,
+            "Request-Id": f"{next(self._ids):016x}",
+            "Deadline-Ms": str(deadline_ms),
+            **(headers or {}),
+        }
+        connection = http.client.HTTPConnection(self.entry_http[entry], timeout=20)
+        try:
+            connection.request(method, path, body, sent)
+            response = connection.getresponse()
+            parts: list[bytes] = []
+            whole = True
+            try:
+                while part := response.read1():
+                    parts.append(part)
+            except (OSError, http.client.HTTPException):
+                whole = False
+            names = {name.lower(): value for name, value in response.getheaders()}
+            return Reply(response.status, names, b"".join(parts), whole)
+        finally:
+            connection.close()
+
+    def ready(self, entry: int = 0) -> bool:
+        """Say whether an entry host says that it takes requests."""
+        connection = http.client.HTTPConnection(self.ready_http[entry], timeout=2)
+        try:
+            connection.request("GET", "/ready")
+            return connection.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            connection.close()
+
+    def wait_ready(self) -> None:
+        """Wait until all entry hosts take requests."""
+        for entry in range(len(self.entries)):
+            wait_until(lambda entry=entry: self.ready(entry), "entry host ready")  # type: ignore[misc]
+
+    def wait_served(self, path: str, **request: Any) -> None:
+        """Wait until a request on the path is answered with 200."""
+        self.wait_ready()
+        wait_until(lambda: self.ask(path, **request).status == 200, f"{path} is served")
--- /dev/null
+++ b/tests/fakes/platform_worker.py
@@ -0,0 +1,271 @@
+"""A stand-in for a worker of the users' platform, served by threads of the test.
+
+It speaks what the platform's workers speak: ids, refusals that say "not run", stages
+with handles, reservations, reports, event streams. A test orders faults by setting the
+attributes of `WorkerFaults`, and reads what ran from `runs`.
+"""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+from dataclasses import dataclass, field
+from types import TracebackType
+from typing import Any, Self
+
+from tests.fakes._http import JsonHandler, StandInServer, listen
+
+EVENT_PAUSE_SECONDS = 0.01
+
+
+@dataclass(frozen=True)
+class WorkerRun:
+    """A request that the worker began to work on."""
+
+    request_id: str
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass
+class WorkerFaults:
+    """What the worker does wrong, each for so many of its next requests."""
+
+    refuse: int = 0
+    """Say "not run" with 503."""
+    fail: int = 0
+    """Run, and answer 500."""
+    lose: int = 0
+    """Run, and close without an answer."""
+    cut: int = 0
+    """Run, and close in the middle of the answer."""
+    answer_twice: int = 0
+    """Send a second whole answer behind the first."""
+    unframed: int = 0
+    """Give no length: the answer ends with its connection."""
+    hang: int = 0
+    """Run, and answer nothing until the worker is closed."""
+    lapse: int = 0
+    """Have lost the memory of a prompt that was read elsewhere."""
+    no_room: int = 0
+    """Refuse reservations."""
+    cut_stream_after: int = 0
+    """Close a stream after so many events, once."""
+
+    def take(self, name: str) -> bool:
+        """Count one of the named faults down; say whether there was one."""
+        left = getattr(self, name)
+        if left:
+            setattr(self, name, left - 1)
+        return bool(left)
+
+
+@dataclass
+class PlatformWorker:
+    """A worker on a port of its own; `stage` is empty for a plain service."""
+
+    worker_id: str
+    service: str
+    stage: str = ""
+    zone: str = "zone-1"
+    answer: bytes = b"answer"
+    events: int = 5
+    run_seconds: float = 0.0
+    capacity: int = 100_000
+    faults: WorkerFaults = field(default_factory=WorkerFaults)
+    runs: list[WorkerRun] = field(default_factory=list)
+    prompts_read: list[str] = field(default_factory=list)
+    questions: list[str] = field(default_factory=list)
+    gone_clients: list[str] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.closed = threading.Event()
+        self.sequence = 0
+        self.reservations: dict[str, int] = {}
+        self.handles: set[str] = set()
+        handler = type("BoundHandler", (WorkerHandler,), {"worker": self})
+        self._server: StandInServer = listen("127.0.0.1:0", handler)
+        host, port = self._server.server_address[:2]
+        self.address = f"{host!s}:{port}"
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Stop serving."""
+        self.closed.set()
+        self._server.shutdown()
+        self._server.server_close()
+
+    def beat(self, state: str = "ready") -> dict[str, Any]:
+        """Return the next announcement."""
+        self.sequence += 1
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "coldLeftMs": 0,
+            "stage": self.stage,
+            "models": [{"name": "m", "version": 1, "adapters": []}],
+            "seq": self.sequence,
+        }
+
+    def run_ids(self) -> list[str]:
+        """Return the ids of the requests that ran, in order."""
+        return [run.request_id for run in self.runs]
+
+
+class WorkerHandler(JsonHandler):
+    """The calls of a worker."""
+
+    worker: PlatformWorker
+
+    def _dispatch(self, method: str) -> None:
+        body = self.read_body()
+        expected = self.headers.get("Expect-Instance", self.worker.worker_id)
+        try:
+            if expected != self.worker.worker_id:
+                headers = {"Instance-Id": self.worker.worker_id}
+                self.reply(421, {}, headers)
+            elif self.path == "/hold-take":
+                self._reserve(json.loads(body))
+            elif self.path.startswith("/hold-drop/"):
+                self.worker.reservations.pop(self.path.rpartition("/")[2], None)
+                self.reply(200, {})
+            elif self.path == "/report":
+                self._report()
+            else:
+                self._request(method, body)
+        except OSError:
+            self.close_connection = True
+
+    def _reserve(self, fields: dict[str, Any]) -> None:
+        self.worker.questions.append("reserve")
+        if self.worker.faults.take("no_room"):
+            self.reply(503, {})
+            return
+        name = f"r{len(self.worker.questions)}"
+        self.worker.reservations[name] = fields["tokens"]
+        self.reply(200, {"hold": name})
+
+    def _report(self) -> None:
+        self.worker.questions.append("report")
+        used = sum(self.worker.reservations.values())
+        self.reply(
+            200,
+            {
+                "stage": self.worker.stage,
+                "queued": 0,
+                "running": 0,
+                "kvUsed": used,
+                "kvCapacity": self.worker.capacity,
+                "runs": [],
+            },
+        )
+
+    def _request(self, method: str, body: bytes) -> None:
+        faults = self.worker.faults
+        if faults.take("refuse"):
+            self.reply(503, {}, {"Not-Run": "1"})
+            return
+        if self.headers.get("Stage") == "prefill":
+            self._read_prompt()
+            return
+        if self.headers.get("Kv-From") and faults.take("lapse"):
+            self.reply(503, {}, {"Not-Run": "1"})
+            return
+        request_id = self.headers.get("Request-Id", "")
+        self.worker.runs.append(
+            WorkerRun(request_id, method, self.path, dict(self.headers.items()), body)
+        )
+        if self.worker.stage:
+            self._stream(request_id)
+        else:
+            self._answer(request_id)
+
+    def _read_prompt(self) -> None:
+        request_id = self.headers.get("Request-Id", "")
+        self.worker.prompts_read.append(request_id)
+        self.reply(
+            200,
+            {"kvHandle": f"h-{request_id}", "tokens": 10, "version": 1},
+            {"Request-Id": request_id},
+        )
+
+    def _answer(self, request_id: str) -> None:
+        faults = self.worker.faults
+        if faults.take("hang"):
+            while not self.worker.closed.wait(0.02):
+                if not self.peer_is_open():
+                    self.worker.gone_clients.append(request_id)
+                    break
+            self.close_connection = True
+            return
+        time.sleep(self.worker.run_seconds)
+        if faults.take("lose"):
+            self.close_connection = True
+            return
+        status = 500 if faults.take("fail") else 200
+        content = self.worker.answer
+        if faults.take("cut"):
+            self.close_connection = True
+            self.wfile.write(self._head(status, request_id, len(content)) + content[:2])
+            return
+        if faults.take("unframed"):
+            self.close_connection = True
+            self.wfile.write(self._head(status, request_id, None) + content)
+            return
+        whole = self._head(status, request_id, len(content)) + content
+        twice = faults.take("answer_twice")
+        self.wfile.write(whole * 2 if twice else whole)
+
+    def _head(self, status: int, request_id: str, length: int | None) -> bytes:
+        lines = [
+            f"HTTP/1.1 {status} Status",
+            f"Request-Id: {request_id}",
+            f"Server-Stamp: {self.worker.worker_id}.{request_id}",
+            "Keep-Alive: timeout=5",
+        ]
+        if length is not None:
+            lines.append(f"Content-Length: {length}")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+    def _stream(self, request_id: str) -> None:
+        """Stream events 1 to `events`, or go on behind Last-Event-Id."""
+        worker = self.worker
+        first = int(self.headers.get("Last-Event-Id") or 0) + 1
+        head = self._head(200, request_id, None).removesuffix(b"\r\n")
+        self.wfile.write(
+            head
+            + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        cut_after = worker.faults.cut_stream_after
+        worker.faults.cut_stream_after = 0
+        for number in range(first, worker.events + 1):
+            event = f"id: {number}\ndata: token-{number}\n\n".encode()
+            if cut_after and number > cut_after:
+                self.wfile.write(b"%x\r\n" % len(event) + event[:6])
+                self.close_connection = True
+                return
+            self.wfile.write(b"%x\r\n" % len(event) + event + b"\r\n")
+            if not self.peer_is_open():
+                worker.gone_clients.append(request_id)
+                self.close_connection = True
+                return
+            time.sleep(EVENT_PAUSE_SECONDS)
+        self.wfile.write(b"0\r\n\r\n")
--- /dev/null
+++ b/tests/forwarding/test_streams.py
@@ -0,0 +1,203 @@
+"""Streams: room first, then the prompt, then events in order to their end."""
+
+from __future__ import annotations
+
+import http.client
+import itertools
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import pytest
+
+from tests.fakes.platform_system import (
+    ENGINE,
+    HOST,
+    PROMPT,
+    PlatformSystem,
+    Reply,
+    configuration,
+    route,
+)
+from tests.fakes.platform_worker import PlatformWorker
+from tests.fakes.processes import wait_until
+
+NUMBERS = itertools.count()
+STREAM, RESUMED = "/stream/x", "/resumed/x"
+
+
+@pytest.fixture(scope="module")
+def system(tmp_path_factory: pytest.TempPathFactory) -> Iterator[PlatformSystem]:
+    shape = {"kind": "stream", "timeoutMs": 8000, "sloMs": 900, "gapSloMs": 300}
+    routes = [
+        route("stream", "/stream/", "model", **shape, maxAttempts=1),
+        route("resumed", "/resumed/", "model", **shape, resumable=True),
+    ]
+    folder = tmp_path_factory.mktemp("streams")
+    with PlatformSystem(folder, retry_allowance=500) as running:
+        running.put_until_accepted(configuration(1, routes, [ENGINE]))
+        running.wait_ready()
+        yield running
+
+
+@dataclass(frozen=True)
+class Engines:
+    """One engine that reads prompts, and two that answer."""
+
+    prefill: PlatformWorker
+    decode: tuple[PlatformWorker, PlatformWorker]
+
+    @property
+    def all(self) -> tuple[PlatformWorker, ...]:
+        return (self.prefill, *self.decode)
+
+    def runs(self) -> list[str]:
+        return [run for worker in self.decode for run in worker.run_ids()]
+
+
+@pytest.fixture
+def engines(system: PlatformSystem) -> Iterator[Engines]:
+    added = [
+        system.add(PlatformWorker(f"e-{next(NUMBERS)}", "model", stage))
+        for stage in ("prefill", "decode", "decode")
+    ]
+    group = Engines(added[0], (added[1], added[2]))
+    wait_until(
+        lambda: (
+            ask(system).status == 200
+            and all(worker.runs for worker in group.decode)
+            and group.prefill.prompts_read
+        ),
+        "all engines are used",
+    )
+    for worker in group.all:
+        worker.runs.clear()
+        worker.prompts_read.clear()
+        worker.questions.clear()
+    yield group
+    for worker in group.all:
+        system.withdraw(worker)
+        assert system.leave(worker) == 200
+        worker.close()
+
+
+def ask(system: PlatformSystem, path: str = STREAM) -> Reply:
+    return system.ask(path, "POST", b"prompt", headers=PROMPT, deadline_ms=8000)
+
+
+def event_ids(reply: Reply) -> list[int]:
+    lines = reply.body.decode().splitlines()
+    return [int(line[4:]) for line in lines if line.startswith("id: ")]
+
+
+class TestWholePath:
+    def test_room_is_taken_before_the_prompt_is_read(
+        self, system: PlatformSystem, engines: Engines
+    ) -> None:
+        reply = ask(system)
+        assert reply.whole and event_ids(reply) == [1, 2, 3, 4, 5]
+        assert len(engines.prefill.prompts_read) == 1
+        runner = next(worker for worker in engines.decode if worker.runs)
+        assert "reserve" in runner.questions
+        assert runner.runs[0].headers["Kv-From"].startswith(engines.prefill.address)
+
+    def test_no_prompt_is_read_while_no_engine_has_room(
+        self, system: PlatformSystem, engines: Engines
+    ) -> None:
+        """A prompt that is read for an engine without room is read in vain."""
+        for worker in engines.decode:
+            worker.faults.no_room = 3
+        reply = ask(system)
+        assert reply.whole
+        assert len(engines.prefill.prompts_read) == 1
+
+    def test_room_that_was_reserved_is_given_back(
+        self, system: PlatformSystem, engines: Engines
+    ) -> None:
+        ask(system)
+        assert [worker.reservations for worker in engines.decode] == [{}, {}]
+
+
+class TestPromptThatLapsed:
+    """The memory of a prompt is gone when the answering engine fetches it.
+
+    The request has not run; the engine can read the prompt itself, more slowly.
+    """
+
+    def test_answering_engine_reads_it_itself(
+        self, system: PlatformSystem, engines: Engines
+    ) -> None:
+        for worker in engines.decode:
+            worker.faults.lapse = 1
+        reply = ask(system)
+        assert reply.whole and event_ids(reply) == [1, 2, 3, 4, 5]
+        run = [run for worker in engines.decode for run in worker.runs][0]
+        assert "Kv-From" not in run.headers
+
+
+class TestStreamThatBreaksOff:
+    """An engine dies in the middle of an event of a rider summary.
+
+    A client that took the rest of that event from another engine, or an event twice,
+    would show garbled text; one that took the cut for the end would lose the detour.
+    """
+
+    def test_goes_on_behind_the_last_whole_event(
+        self, system: PlatformSystem, engines: Engines
+    ) -> None:
+        for worker in engines.decode:
+            worker.faults.cut_stream_after = 2
+        reply = ask(system, RESUMED)
+        for worker in engines.decode:
+            worker.faults.cut_stream_after = 0
+        assert reply.whole and event_ids(reply) == [1, 2, 3, 4, 5] or not reply.whole
+        assert event_ids(reply) == sorted(set(event_ids(reply)))
+
+    def test_other_engine_finishes_it(
+        self, system: PlatformSystem, engines: Engines
+    ) -> None:
+        finished = 0
+        for _ in range(4):
+            engines.decode[0].faults.cut_stream_after = 3
+            reply = ask(system, RESUMED)
+            engines.decode[0].faults.cut_stream_after = 0
+            assert reply.whole and event_ids(reply) == [1, 2, 3, 4, 5]
+            finished += len(engines.runs()) == 2
+            for worker in engines.decode:
+                worker.runs.clear()
+        assert finished
+
+    def test_does_not_look_complete_where_it_may_not_go_on(
+        self, system: PlatformSystem, engines: Engines
+    ) -> None:
+        for worker in engines.decode:
+            worker.faults.cut_stream_after = 2
+        reply = ask(system)
+        assert not reply.whole
+        assert event_ids(reply) == [1, 2]
+        assert len(engines.runs()) == 1
+
+
+class TestClientThatLeaves:
+    """A dispatcher closes the page while the summary is being written.
+
+    The engine's memory must not stay held for a caller who is gone.
+    """
+
+    def test_engine_stops_within_half_a_second(
+        self, system: PlatformSystem, engines: Engines
+    ) -> None:
+        for worker in engines.decode:
+            worker.events = 2000
+        connection = http.client.HTTPConnection(system.entry_http[0], timeout=10)
+        headers = {**PROMPT, "Host": HOST, "Request-Id": "left", "Deadline-Ms": "8000"}
+        connection.request("POST", STREAM, b"prompt", headers)
+        response = connection.getresponse()
+        assert response.read1(10)
+        response.close()
+        connection.close()
+        wait_until(
+            lambda: any("left" in worker.gone_clients for worker in engines.decode),
+            "the engine sees its caller go",
+        )
+        for worker in engines.decode:
+            worker.events = 5
--- /dev/null
+++ b/tests/platform/test_configurations.py
@@ -0,0 +1,156 @@
+"""The operator's configurations: which are refused, which is in force, which stays."""
+
+from __future__ import annotations
+
+import copy
+import json
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from returns.result import Failure
+
+from jujubeslip.platform._configurations import read_routes
+from jujubeslip.routes import RouteKind
+from tests.fakes.platform_system import PLAIN, PlatformSystem, configuration, route
+from tests.fakes.platform_worker import PlatformWorker
+from tests.fakes.processes import wait_until
+
+ROUTES = [route("a", "/a/", "plain"), route("b", "/a/b/", "plain")]
+VALID = configuration(7, ROUTES, [PLAIN])
+
+
+def changed(**route_fields: Any) -> dict[str, Any]:
+    """Return the valid configuration with another first route."""
+    result = copy.deepcopy(VALID)
+    result["routes"][0].update(route_fields)
+    return result
+
+
+INVALID = {
+    "unknown service": changed(service="nobody"),
+    "same place": changed(pathPrefix="/a/b/"),
+    "no weight": changed(split=[{"service": "plain", "weight": 0}]),
+    "no timeout": changed(timeoutMs=0),
+    "text for a number": changed(timeoutMs="1500"),
+    "unknown kind": changed(kind="maybe"),
+    "version zero": {**VALID, "version": 0},
+    "no version": {name: VALID[name] for name in VALID if name != "version"},
+    "no routes": {name: VALID[name] for name in VALID if name != "routes"},
+    "list": [VALID],
+}
+
+
+class TestReadRoutes:
+    def test_valid_one_is_read(self) -> None:
+        table = read_routes(json.dumps(VALID)).unwrap()
+        assert table.version == 7
+        assert table.routes[0].kind is RouteKind.SAFE
+
+    def test_longest_prefix_decides(self) -> None:
+        table = read_routes(json.dumps(VALID)).unwrap()
+        found = [table.find_route("boards.example", path) for path in ("/a/b/c", "/a/")]
+        assert [item.name for item in found if item] == ["b", "a"]
+        assert table.find_route("boards.example", "/b/") is None
+        assert table.find_route("other.example", "/a/b/c") is None
+
+    def test_unknown_fields_are_passed_over(self) -> None:
+        fields = {**changed(newField=1), "another": {}}
+        assert read_routes(json.dumps(fields)).unwrap().version == 7
+
+    @pytest.mark.parametrize("name", INVALID)
+    def test_invalid_one_is_refused_with_a_reason(self, name: str) -> None:
+        refused = read_routes(json.dumps(INVALID[name]))
+        assert isinstance(refused, Failure)
+        assert refused.failure()
+
+    def test_one_that_was_cut_short_is_refused(self) -> None:
+        content = json.dumps(VALID)
+        assert isinstance(read_routes(content[: len(content) // 2]), Failure)
+
+
+@pytest.fixture(scope="module")
+def system(tmp_path_factory: pytest.TempPathFactory) -> Iterator[PlatformSystem]:
+    with PlatformSystem(tmp_path_factory.mktemp("configurations"), 3, 1) as running:
+        running.add(PlatformWorker("w-1", "plain"))
+        yield running
+
+
+class TestAcceptedConfiguration:
+    """Operators number their changes, race each other, and send them again.
+
+    The highest number that was acknowledged is in force, on every host, for good.
+    """
+
+    def test_host_without_configuration_promises_that_nothing_ran(
+        self, system: PlatformSystem
+    ) -> None:
+        wait_until(lambda: "serves" in system.entries[0].output(), "entry host starts")
+        reply = system.ask("/a/x")
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) > 0
+        assert not system.ready()
+
+    def test_highest_version_is_in_force_and_stays(
+        self, system: PlatformSystem
+    ) -> None:
+        system.put_until_accepted(configuration(20, ROUTES, [PLAIN]))
+        system.wait_served("/a/x")
+        other = configuration(20, ROUTES[:1], [PLAIN])
+        older = configuration(19, ROUTES[:1], [PLAIN])
+        for control in range(3):
+            assert system.put(other, control) == 200
+            assert system.put(older, control) == 200
+            assert system.read(control) == (200, configuration(20, ROUTES, [PLAIN]))
+
+    def test_invalid_one_leaves_nothing_behind(self, system: PlatformSystem) -> None:
+        before = system.read()
+        for fields in INVALID.values():
+            assert system.put(fields, 1) == 400
+        assert system.put(b'{"version": 900, "rou', 2) == 400
+        assert system.read() == before
+
+    def test_is_in_force_on_the_entry_host_at_once(
+        self, system: PlatformSystem
+    ) -> None:
+        added = [*ROUTES, route("c", "/c/", "plain")]
+        assert system.ask("/c/x").status == 404
+        system.put_until_accepted(configuration(30, added, [PLAIN]), 2)
+        wait_until(lambda: system.ask("/c/x").status == 200, "new route in force", 2)
+
+    def test_survives_the_death_of_all_control_hosts(
+        self, system: PlatformSystem
+    ) -> None:
+        system.put_until_accepted(configuration(40, ROUTES, [PLAIN]), 1)
+        for host in system.controls:
+            host.kill()
+        assert system.ask("/a/x").status == 200
+        for host in system.controls:
+            host.start()
+        wait_until(lambda: system.read()[0] == 200, "configuration read")
+        assert system.read()[1]["version"] == 40
+
+    def test_host_that_is_not_sure_answers_no_read(
+        self, system: PlatformSystem
+    ) -> None:
+        """Cut off from the majority, it can't know of newer versions."""
+        for host in system.controls[1:]:
+            host.kill()
+        wait_until(lambda: system.read()[0] == 503, "no read without a majority")
+        assert system.put(configuration(50, ROUTES, [PLAIN])) in (503, None)
+        for host in system.controls[1:]:
+            host.start()
+        wait_until(lambda: system.read()[0] == 200, "configuration read again")
+
+
+class TestMalformedAnnouncement:
+    def test_is_refused_and_changes_nothing(self, tmp_path: Path) -> None:
+        with PlatformSystem(tmp_path) as system:
+            worker = PlatformWorker("w-1", "plain")
+            system.put_until_accepted(configuration(1, ROUTES, [PLAIN]))
+            system.wait_ready()
+            for body in (b"{", b"[]", b"{}", b'{"service": "plain"}'):
+                assert system._call(0, "PUT", "/instances/w-1", body, 3)[0] == 400
+            assert system.ask("/a/x").status == 503
+            worker.close()
--- a/tools/generate_docs.py
+++ b/tools/generate_docs.py
@@ -20,6 +20,7 @@
 from jujubeslip.kernel import (
     ControlSettings,
     EntrySettings,
+    ForwardSettings,
     PeerAddress,
     TelemetrySettings,
 )
@@ -57,21 +58,22 @@
 
 
 def settings_page() -> str:
-    """Return the page of both kinds of settings file."""
+    """Return the page of each kind of settings file."""
     parts = [
         HEAD,
         "# Settings\n",
         "Each process reads one TOML file, given by `--settings`. It is checked whole "
         "before anything opens: each error names file, key, what is wrong and the "
         "remedy, and an unknown key names the nearest known one. Check a file without "
-        "starting anything by `jujubeslip check --kind entry FILE` or `--kind "
-        "control`. Addresses are `IP:port`; names have up to 63 "
+        "starting anything by `jujubeslip check --kind entry FILE`, `--kind "
+        "forward` or `--kind control`. Addresses are `IP:port`; names have up to 63 "
         f"{NAME_PATTERN}. Times are in milliseconds, sizes in bytes. Whole examples "
         "stand in `examples/`.\n",
         "A process reads its settings at start only; restart it gracefully (SIGTERM) "
         "to change them.\n",
     ]
     parts.append(_table("Entry host", EntrySettings))
+    parts.append(_table("Forwarding host", ForwardSettings))
     parts.append(_table("Control host", ControlSettings))
     parts.append(
         _table("`[[entry_peers]]`, `[[control_peers]]`, `[[replicas]]`", PeerAddress)
