--- a/src/jujubeslip/forwarding/_memory_forecast.py
+++ b/src/jujubeslip/forwarding/_memory_forecast.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -26,34 +27,53 @@
     """Events of the longest answer."""
 
 
+@dataclass(frozen=True)
+class MemoryOptions:
+    """How careful the forecast is."""
+
+    margin: float
+    """Share of the engine's memory that is left free."""
+    caution: float
+    """Standard deviations above the mean that have to fit."""
+
+
 def forecast_peak(
-    running: Sequence[RunningAnswer], limits: AnswerLimits
-) -> tuple[float, float]:
-    """Return the tokens in use at the expected peak, and those in use now.
+    running: Sequence[RunningAnswer], limits: AnswerLimits, caution: float = 0.0
+) -> float:
+    """Return the tokens in use at the peak, `caution` deviations above the mean.
 
     Each answer's end is taken to be equally likely at each event up to the longest;
     all answers of an engine go on at the same pace.
     """
-    now = float(sum(answer.memory_tokens for answer in running))
     step = max(1, limits.maximum_events // (INSTANTS - 1))
-    peak = now
-    for ahead in range(step, limits.maximum_events + 1, step):
-        expected = sum(_expected(answer, ahead, limits) for answer in running)
-        peak = max(peak, expected)
-    return peak, now
+    instants = range(0, limits.maximum_events + 1, step)
+    return max(_tokens_at(running, ahead, limits, caution) for ahead in instants)
 
 
-def room_needed(report: EngineReport, prompt_tokens: int, limits: AnswerLimits) -> int:
+def room_needed(
+    report: EngineReport,
+    prompt_tokens: int,
+    limits: AnswerLimits,
+    options: MemoryOptions,
+) -> int:
     """Return the tokens that must be free now for one more answer."""
     candidate = RunningAnswer(prompt_tokens, 0)
-    peak, now = forecast_peak((*report.running, candidate), limits)
-    return prompt_tokens + int(peak - now)
+    running = (*report.running, candidate)
+    now = sum(answer.memory_tokens for answer in running)
+    peak = forecast_peak(running, limits, options.caution)
+    margin = options.margin * report.capacity_tokens
+    return prompt_tokens + int(peak - now + margin)
 
 
-def _expected(answer: RunningAnswer, ahead: int, limits: AnswerLimits) -> float:
-    """Return the expected tokens of an answer this many events ahead."""
-    left = limits.maximum_events - answer.events
-    if ahead >= left:
-        return 0.0
-    grown = answer.memory_tokens + ahead * limits.event_tokens
-    return grown * (left - ahead) / left
+def _tokens_at(
+    running: Sequence[RunningAnswer], ahead: int, limits: AnswerLimits, caution: float
+) -> float:
+    """Return the tokens in use this many events ahead."""
+    mean = variance = 0.0
+    for answer in running:
+        left = max(1, limits.maximum_events - answer.events)
+        runs_still = max(0.0, (left - ahead) / left)
+        grown = answer.memory_tokens + ahead * limits.event_tokens
+        mean += runs_still * grown
+        variance += runs_still * (1 - runs_still) * grown**2
+    return mean + caution * math.sqrt(variance)
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -13,6 +13,7 @@
 from jujubeslip.forwarding._choice import Chooser, policies
 from jujubeslip.forwarding._connections import ConnectionPool
 from jujubeslip.forwarding._health import EndpointHealth
+from jujubeslip.forwarding._memory_forecast import MemoryOptions
 from jujubeslip.forwarding._plain_path import PlainPath
 from jujubeslip.forwarding._prompts import PromptReader
 from jujubeslip.forwarding._reservations import Reservations
@@ -76,7 +77,10 @@
             StreamPath(
                 sending,
                 PromptReader(sending, settings.reads_prompts_apart),
-                Reservations(sending, settings.memory_margin),
+                Reservations(
+                    sending,
+                    MemoryOptions(settings.memory_margin, settings.memory_caution),
+                ),
             ),
         )
         self._http = HttpServer(
--- a/src/jujubeslip/forwarding/_reservations.py
+++ b/src/jujubeslip/forwarding/_reservations.py
@@ -16,7 +16,11 @@
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import CallerGoneError, EndpointError, never_interrupted
 from jujubeslip.forwarding._engine_reports import EngineReports
-from jujubeslip.forwarding._memory_forecast import AnswerLimits, room_needed
+from jujubeslip.forwarding._memory_forecast import (
+    AnswerLimits,
+    MemoryOptions,
+    room_needed,
+)
 from jujubeslip.forwarding._models import Attempts, ForwardContext
 from jujubeslip.forwarding._sending import Sending
 from jujubeslip.kernel import Deadline, Ran, steady_seconds
@@ -119,9 +123,9 @@
 class Reservations:
     """Takes reservations for requests, in order, until there is room."""
 
-    def __init__(self, sending: Sending, memory_margin: float) -> None:
+    def __init__(self, sending: Sending, options: MemoryOptions) -> None:
         self._sending = sending
-        self._memory_margin = memory_margin
+        self._options = options
         self._reports = EngineReports(sending)
         self._waiting_by_service: dict[str, _Waiting] = {}
         self._lock = threading.Lock()
@@ -214,9 +218,7 @@
         report = self._reports.get(context, endpoint)
         if report is None:
             return prompt.prompt_tokens + prompt.maximum_output_tokens
-        needed = room_needed(report, prompt.prompt_tokens, limits)
-        margin = int(self._memory_margin * engine.memory_tokens)
-        return max(prompt.prompt_tokens, needed + margin)
+        return room_needed(report, prompt.prompt_tokens, limits, self._options)
 
     def _ask(
         self, context: ForwardContext, endpoint: Endpoint, tokens: int, ttl_ms: int
--- a/src/jujubeslip/kernel/_settings.py
+++ b/src/jujubeslip/kernel/_settings.py
@@ -210,8 +210,10 @@
     """`least-cost`, or a baseline to compare with."""
     reads_prompts_apart: bool = True
     """Whether prefill engines read prompts, or decode engines do it themselves."""
-    memory_margin: Annotated[float, Field(ge=-1, le=1)] = 0.12
+    memory_margin: Annotated[float, Field(ge=-1, le=1)] = 0.05
     """Share of an engine's memory that the forecast leaves free, see docs/design."""
+    memory_caution: Annotated[float, Field(ge=0, le=5)] = 1.5
+    """How many standard deviations above its mean the forecast has to fit."""
     telemetry: TelemetrySettings = field(default_factory=TelemetrySettings)
     """The table [telemetry], see below."""
 
--- a/tests/forwarding/test_memory_forecast.py
+++ b/tests/forwarding/test_memory_forecast.py
@@ -4,12 +4,15 @@
 
 from jujubeslip.forwarding._memory_forecast import (
     AnswerLimits,
+    MemoryOptions,
     forecast_peak,
     room_needed,
 )
 from jujubeslip.routes import EngineReport, RunningAnswer
 
 LIMITS = AnswerLimits(event_tokens=65, maximum_events=130)
+PLAIN = MemoryOptions(margin=0.0, caution=0.0)
+CAREFUL = MemoryOptions(margin=0.05, caution=1.0)
 
 
 def report(*running: RunningAnswer) -> EngineReport:
@@ -20,13 +23,11 @@
 class TestPeak:
     def test_young_answers_need_more_than_they_have(self) -> None:
         young = [RunningAnswer(5000, 0)] * 10
-        peak, now = forecast_peak(young, LIMITS)
-        assert now == 50_000
-        assert peak > 53_000
+        assert forecast_peak(young, LIMITS) > 53_000
 
     def test_answers_near_their_end_need_no_more(self) -> None:
         old = [RunningAnswer(13_000, 128)] * 5
-        assert forecast_peak(old, LIMITS) == (65_000.0, 65_000.0)
+        assert forecast_peak(old, LIMITS) == 65_000
 
 
 class TestRoom:
@@ -35,11 +36,19 @@
 
         Room for their prompts alone would push the newest out a second later.
         """
-        alone = room_needed(report(), 5000, LIMITS)
-        among = room_needed(report(*[RunningAnswer(5000, 2)] * 10), 5000, LIMITS)
+        alone = room_needed(report(), 5000, LIMITS, PLAIN)
+        among = room_needed(report(*[RunningAnswer(5000, 2)] * 10), 5000, LIMITS, PLAIN)
         assert among > alone > 5000
 
     def test_is_less_among_old_answers(self) -> None:
-        young = room_needed(report(*[RunningAnswer(5000, 2)] * 10), 5000, LIMITS)
-        old = room_needed(report(*[RunningAnswer(12_000, 110)] * 10), 5000, LIMITS)
+        young = room_needed(report(*[RunningAnswer(5000, 2)] * 10), 5000, LIMITS, PLAIN)
+        old = room_needed(
+            report(*[RunningAnswer(12_000, 110)] * 10), 5000, LIMITS, PLAIN
+        )
         assert old < young
+
+    def test_careful_forecast_leaves_room_for_answers_that_get_long(self) -> None:
+        """A dozen answers that all happen to get long would push the newest out."""
+        busy = report(*[RunningAnswer(7000, 40)] * 12)
+        plain = room_needed(busy, 5000, LIMITS, PLAIN)
+        assert room_needed(busy, 5000, LIMITS, CAREFUL) > plain + 5000
