Refuse by a forecast of the wait for room; keep those that wait in a module of their own

Change: each host knows the interval at which its waiting requests find room, and refuses at once what would not.

--- a/src/jujubeslip/forwarding/_reservations.py
+++ b/src/jujubeslip/forwarding/_reservations.py
@@ -9,8 +9,6 @@
 
 import logging
 import threading
-from collections.abc import Iterator
-from contextlib import contextmanager
 from dataclasses import dataclass, replace
 
 from jujubeslip.discovery import Endpoint
@@ -23,7 +21,8 @@
 )
 from jujubeslip.forwarding._models import Attempts, ForwardContext
 from jujubeslip.forwarding._sending import Sending
-from jujubeslip.kernel import Deadline, Ran, steady_seconds
+from jujubeslip.forwarding._waiting import Waiting
+from jujubeslip.kernel import Deadline, Ran
 from jujubeslip.peers import EndpointRole
 from jujubeslip.routes import EngineService, PromptShape
 
@@ -33,8 +32,6 @@
 ANSWER_SECONDS = 0.4
 # Between two rounds over the engines while all are full, in seconds.
 PAUSE_SECONDS = 0.05
-# How often one that waits for its turn looks whether its caller is still there.
-LOOK_SECONDS = 0.1
 # Engines that are asked in one round.
 ENGINES_A_ROUND = 3
 # A request that has less time left than this can't be answered whole any more.
@@ -54,57 +51,6 @@
     token: str
 
 
-class _Waiting:
-    """Requests of one service that wait for room, of which one at a time asks.
-
-    Those that can still be answered in time go first, the earliest target before the
-    others; late ones follow. All would otherwise ask again and again, and the engines
-    would spend their time on refusing.
-    """
-
-    def __init__(self) -> None:
-        self._targets_by_turn: dict[int, float] = {}
-        self._last_turn = 0
-        self._changed = threading.Condition()
-
-    @contextmanager
-    def turn(self, context: ForwardContext, limit: Deadline) -> Iterator[None]:
-        """Wait until this request is the next one; let others on at the end."""
-        target = context.target_by.instant
-        with self._changed:
-            self._last_turn += 1
-            own = self._last_turn
-            self._targets_by_turn[own] = target
-        try:
-            self._wait(own, context, limit)
-            yield
-        finally:
-            with self._changed:
-                del self._targets_by_turn[own]
-                self._changed.notify_all()
-
-    def _wait(self, own: int, context: ForwardContext, limit: Deadline) -> None:
-        with self._changed:
-            while not self._is_next(own):
-                self._changed.wait(LOOK_SECONDS)
-                if context.gone():
-                    raise CallerGoneError("The client closed its connection.", Ran.NO)
-                if limit.expired:
-                    return
-
-    def _is_next(self, own: int) -> bool:
-        now = steady_seconds()
-        ranked = min(
-            (_rank(target, now), turn) for turn, target in self._targets_by_turn.items()
-        )
-        return ranked[1] == own
-
-
-def _rank(target: float, now: float) -> tuple[bool, float]:
-    """Return what orders waiting requests: those still in time first."""
-    return (now > target, target)
-
-
 def _wait_limit(context: ForwardContext) -> Deadline:
     """Return until when a request waits for room before it is refused.
 
@@ -127,7 +73,7 @@
         self._sending = sending
         self._options = options
         self._reports = EngineReports(sending)
-        self._waiting_by_service: dict[str, _Waiting] = {}
+        self._waiting_by_service: dict[str, Waiting] = {}
         self._lock = threading.Lock()
 
     def take(
@@ -138,26 +84,38 @@
         prompt: PromptShape,
     ) -> Reservation | None:
         """Return room for the request, None if there is none while it has time."""
-        with self._lock:
-            waiting = self._waiting_by_service.setdefault(
-                context.service_name, _Waiting()
-            )
+        waiting = self._waiting_for(context.service_name)
         limit = _wait_limit(context)
-        while True:
-            with waiting.turn(context, limit):
+        forecast = waiting.forecast(context)
+        if forecast > limit.remaining():
+            # Told at once: held until then, it would be refused all the same.
+            self._note_no_room(attempts, forecast)
+            return None
+        with waiting.place(context) as place:
+            while waiting.wait_for_turn(place, context, limit):
                 if self._has_no_engine(context, attempts):
                     return None
                 found = self._ask_round(context, attempts, engine, prompt)
                 if found is not None:
+                    waiting.note_room()
                     attempts.note(found.endpoint.endpoint_id, "room")
                     return found
                 if limit.expired:
-                    attempts.note("-", "no room in time")
-                    attempts.found_no_room = True
-                    return None
+                    break
                 if context.gone():
-                    raise CallerGoneError("The client closed its connection.", Ran.NO)
+                    message = "The client closed its connection."
+                    raise CallerGoneError(message, Ran.NO)
                 self._pause()
+        self._note_no_room(attempts, forecast)
+        return None
+
+    def _waiting_for(self, service_name: str) -> Waiting:
+        with self._lock:
+            return self._waiting_by_service.setdefault(service_name, Waiting())
+
+    def _note_no_room(self, attempts: Attempts, forecast: float) -> None:
+        attempts.note("-", f"no room in time, forecast {forecast:.2f} s")
+        attempts.found_no_room = True
 
     def release(self, context: ForwardContext, reservation: Reservation) -> None:
         """Give back what was reserved and not used."""
