--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -14,6 +14,7 @@
 from jujubeslip.control._receiver import Receiver
 from jujubeslip.control._replica import Replica
 from jujubeslip.control._replication import Replication
+from jujubeslip.control._roles import LOOK_SECONDS, RoleKeeper
 from jujubeslip.control._storage import Storage
 from jujubeslip.control._upkeep import Upkeep
 from jujubeslip.control._watches import Watches
@@ -108,6 +109,7 @@
             self._followers.learn(self._settings.seed_addresses)
             process.repeat(MEMBERSHIP_CHECK_SECONDS, self._follow_members)
             self._http.start(process)
+            self._start_role_keeper()
         logger.info(
             "control host started",
             extra={
@@ -117,6 +119,19 @@
         )
         process.run(self._stop)
 
+    def _start_role_keeper(self) -> None:
+        settings = self._settings
+        if not settings.changes_roles:
+            return
+        keeper = RoleKeeper(
+            self._replica,
+            self._book,
+            self._watches,
+            interfaces.get(settings.interface),
+            settings.order_lease_ms / 1000,
+        )
+        self._process.repeat(LOOK_SECONDS, keeper.look)
+
     def _control_addresses(self) -> list[str]:
         """Return the members' peer addresses, and this host's own."""
         with self._replica.lock:
--- a/src/jujubeslip/control/_watches.py
+++ b/src/jujubeslip/control/_watches.py
@@ -9,7 +9,7 @@
 from jujubeslip.control._replica import Replica
 from jujubeslip.discovery import EndpointBook, to_record
 from jujubeslip.kernel import Deadline, steady_seconds
-from jujubeslip.peers import WatchReply, WatchRequest
+from jujubeslip.peers import ServicePressure, WatchReply, WatchRequest
 
 MAXIMUM_WAIT_SECONDS = 5.0
 # A watcher asks about once a second. One that has not asked for this long is cut off
@@ -22,6 +22,7 @@
     asked_at: float
     known_version: int
     is_entry_host: bool
+    pressures: tuple[ServicePressure, ...]
 
 
 class Watches:
@@ -91,10 +92,28 @@
     def _note(self, request: WatchRequest, known_version: int) -> None:
         with self._changed:
             self._watcher_by_id[request.watcher_id] = _Watcher(
-                steady_seconds(), known_version, request.is_entry_host
+                steady_seconds(),
+                known_version,
+                request.is_entry_host,
+                tuple(request.pressures or ()),
             )
             self._changed.notify_all()
 
+    def pressure_of(self, service_name: str) -> ServicePressure:
+        """Return the sum of what all live entry hosts met at a service's engines."""
+        with self._changed:
+            told = [
+                pressure
+                for watcher in self._live()
+                for pressure in watcher.pressures
+                if pressure.service_name == service_name
+            ]
+        return ServicePressure(
+            service_name,
+            sum(pressure.waited for pressure in told),
+            sum(pressure.prompt_ms_per_second for pressure in told),
+        )
+
     def _all_know(self, version: int) -> bool:
         return all(watcher.known_version >= version for watcher in self._live())
 
--- a/src/jujubeslip/discovery/_follower.py
+++ b/src/jujubeslip/discovery/_follower.py
@@ -20,6 +20,7 @@
     PeerClient,
     PeerIdentity,
     PeerRefusal,
+    ServicePressure,
     WatchReply,
     WatchRequest,
 )
@@ -74,6 +75,7 @@
         on_news: Callable[[News], None],
         own_address: str = "",
         is_entry_host: bool = False,
+        pressures: Callable[[], list[ServicePressure]] = list,
     ) -> None:
         self._process = process
         self._identity = identity
@@ -81,6 +83,7 @@
         self._on_news = on_news
         self._own_address = own_address
         self._is_entry_host = is_entry_host
+        self._pressures = pressures
         self._follower_by_address: dict[str, _Follower] = {}
         self._lock = threading.Lock()
 
@@ -130,6 +133,7 @@
             self._is_entry_host,
             watcher_id,
             known.configuration_version,
+            self._pressures(),
         )
 
     def take(self, address: str, reply: WatchReply) -> None:
--- a/src/jujubeslip/endpoints/__init__.py
+++ b/src/jujubeslip/endpoints/__init__.py
@@ -2,12 +2,15 @@
 
 from jujubeslip.endpoints._adapter import EngineAdapter
 from jujubeslip.endpoints._announcements import announcement_from_json
+from jujubeslip.endpoints._connections import ConnectionPool, EndpointConnection
 from jujubeslip.endpoints._errors import (
     AnswerCutError,
     CallerGoneError,
     EndpointAnswerError,
     EndpointError,
     EndpointRefusedError,
+    EndpointReplacedError,
+    EndpointRoleError,
     EndpointTimeoutError,
     EndpointUnreachableError,
 )
@@ -27,9 +30,13 @@
     "AnswerCutError",
     "CacheEvent",
     "CallerGoneError",
+    "ConnectionPool",
     "EndpointAnswerError",
+    "EndpointConnection",
     "EndpointError",
     "EndpointRefusedError",
+    "EndpointReplacedError",
+    "EndpointRoleError",
     "EndpointMonitor",
     "EndpointStatus",
     "EndpointTimeoutError",
--- a/src/jujubeslip/forwarding/_connections.py
+++ b/src/jujubeslip/endpoints/_connections.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from jujubeslip.endpoints import (
+from jujubeslip.endpoints._errors import (
     AnswerCutError,
     CallerGoneError,
     EndpointAnswerError,
--- a/src/jujubeslip/endpoints/_errors.py
+++ b/src/jujubeslip/endpoints/_errors.py
@@ -55,6 +55,24 @@
         self.may_have_run = may_have_run
 
 
+class EndpointReplacedError(EndpointRefusedError):
+    """Another endpoint, or another start of it, answers at the address."""
+
+    error_id = "endpoint_replaced"
+
+    def __init__(self, answered_by: str) -> None:
+        super().__init__(421, f"{answered_by} has the address", False)
+
+
+class EndpointRoleError(EndpointRefusedError):
+    """The endpoint has another role by now."""
+
+    error_id = "endpoint_role_changed"
+
+    def __init__(self) -> None:
+        super().__init__(421, "it has another role", False)
+
+
 class CallerGoneError(JujubeslipError):
     """The client closed its connection; what is held for it must be freed.
 
--- a/src/jujubeslip/forwarding/_budget.py
+++ b/src/jujubeslip/forwarding/_budget.py
@@ -63,6 +63,11 @@
             sends.further.append(steady_seconds())
             return True
 
+    def charge(self, service_name: str) -> None:
+        """Count a further send that has happened, whether one was left or not."""
+        with self._lock:
+            self._sends(service_name).further.append(steady_seconds())
+
     def _limit(self, sends: _Sends) -> float:
         share = self._options.allowance / max(1, self._entry_hosts())
         if steady_seconds() < self._full_from:
--- a/src/jujubeslip/forwarding/_choice.py
+++ b/src/jujubeslip/forwarding/_choice.py
@@ -107,7 +107,20 @@
         One that can't be reached, or was not heard for long, is only taken when there
         is no other: a host that is cut off goes on with what it knows.
         """
-        usable = [
+        usable = self._usable(service_name, role, excluded)
+        if not usable:
+            return None
+        return self._policy.choose(self._sound(usable) or usable)
+
+    def choose_sound(self, service_name: str, role: EndpointRole) -> Endpoint | None:
+        """Return an endpoint that was heard and answers, None without one."""
+        sound = self._sound(self._usable(service_name, role, ()))
+        return self._policy.choose(sound) if sound else None
+
+    def _usable(
+        self, service_name: str, role: EndpointRole, excluded: Collection[str]
+    ) -> list[Endpoint]:
+        return [
             endpoint
             for endpoint in self._book.endpoints()
             if endpoint.service_name == service_name
@@ -115,9 +128,6 @@
             and not endpoint.leaving
             and endpoint.endpoint_id not in excluded
         ]
-        if not usable:
-            return None
-        return self._policy.choose(self._sound(usable) or usable)
 
     def _sound(self, usable: Sequence[Endpoint]) -> list[Endpoint]:
         heard_since = steady_seconds() - self._silence_seconds
--- a/src/jujubeslip/forwarding/_exchange.py
+++ b/src/jujubeslip/forwarding/_exchange.py
@@ -6,14 +6,14 @@
 
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import (
-    EndpointAnswerError,
-    EndpointRefusedError,
-)
-from jujubeslip.forwarding._connections import (
     ConnectionPool,
+    EndpointAnswerError,
     EndpointConnection,
-    Gone,
+    EndpointRefusedError,
+    EndpointReplacedError,
+    EndpointRoleError,
 )
+from jujubeslip.forwarding._models import Gone
 from jujubeslip.interfaces import (
     EndpointCall,
     EndpointHead,
@@ -70,7 +70,7 @@
         head = self._read_own_head(connection)
         if head.not_run:
             self.read_rest()
-            raise EndpointRefusedError(head.status, _refusal_reason(head), False)
+            raise _refusal(head, self._endpoint)
         if head.status in SUCCESS and not head.proves_origin:
             if not call.reads_prompt_only:
                 raise EndpointAnswerError(
@@ -142,5 +142,9 @@
                 )
 
 
-def _refusal_reason(head: EndpointHead) -> str:
-    return "another endpoint has the address" if head.misdirected else "not run"
+def _refusal(head: EndpointHead, endpoint: Endpoint) -> EndpointRefusedError:
+    if not head.misdirected:
+        return EndpointRefusedError(head.status, "not run", False)
+    if head.answered_by in ("", endpoint.endpoint_id):
+        return EndpointRoleError()
+    return EndpointReplacedError(head.answered_by)
--- a/src/jujubeslip/forwarding/_memory_forecast.py
+++ b/src/jujubeslip/forwarding/_memory_forecast.py
@@ -50,19 +50,19 @@
     return max(_tokens_at(running, ahead, limits, caution) for ahead in instants)
 
 
-def room_needed(
+def growth_of(
     report: EngineReport,
     prompt_tokens: int,
     limits: AnswerLimits,
     options: MemoryOptions,
 ) -> int:
-    """Return the tokens that must be free now for one more answer."""
+    """Return what an engine's answers will grow by, with one more, in tokens."""
     candidate = RunningAnswer(prompt_tokens, 0)
     running = (*report.running, candidate)
     now = sum(answer.memory_tokens for answer in running)
     peak = forecast_peak(running, limits, options.caution)
     margin = options.margin * report.capacity_tokens
-    return prompt_tokens + int(peak - now + margin)
+    return max(1, int(peak - now + margin))
 
 
 def _tokens_at(
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -8,13 +8,14 @@
 from returns.result import Failure
 
 from jujubeslip.discovery import ControlFollowers, EndpointBook, News
+from jujubeslip.endpoints import ConnectionPool
 from jujubeslip.forwarding._app import ForwardApp, OpenRequests, ReadyApp
 from jujubeslip.forwarding._budget import BudgetOptions, RetryBudgets
 from jujubeslip.forwarding._choice import Chooser, policies
-from jujubeslip.forwarding._connections import ConnectionPool
 from jujubeslip.forwarding._health import EndpointHealth
 from jujubeslip.forwarding._memory_forecast import MemoryOptions
 from jujubeslip.forwarding._plain_path import PlainPath
+from jujubeslip.forwarding._pressure import Pressures
 from jujubeslip.forwarding._prompts import PromptReader
 from jujubeslip.forwarding._reservations import Reservations
 from jujubeslip.forwarding._routes_follower import RoutesFollower
@@ -61,12 +62,18 @@
         )
         interface = interfaces.get(settings.interface)
         self._entry_hosts = 1
+        self._pool = ConnectionPool()
+        self._pressures = Pressures()
         self._book = EndpointBook()
         self._routes = RoutesFollower(interface, identity)
         self._followers = ControlFollowers(
-            self._process, identity, self._book, self._take_news, is_entry_host=True
+            self._process,
+            identity,
+            self._book,
+            self._take_news,
+            is_entry_host=True,
+            pressures=self._pressures.told,
         )
-        self._pool = ConnectionPool()
         sending = self._build_sending()
         self._open_requests = OpenRequests(
             max(1, settings.http_threads - settings.reserved_threads)
@@ -76,10 +83,11 @@
             PlainPath(sending),
             StreamPath(
                 sending,
-                PromptReader(sending, settings.reads_prompts_apart),
+                PromptReader(sending, settings.reads_prompts_apart, self._pressures),
                 Reservations(
                     sending,
                     MemoryOptions(settings.memory_margin, settings.memory_caution),
+                    self._pressures,
                 ),
             ),
         )
--- a/src/jujubeslip/forwarding/_prompts.py
+++ b/src/jujubeslip/forwarding/_prompts.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 from jujubeslip.discovery import Endpoint
-from jujubeslip.endpoints import EndpointAnswerError, EndpointError
+from jujubeslip.endpoints import (
+    EndpointAnswerError,
+    EndpointError,
+    EndpointRefusedError,
+)
 from jujubeslip.forwarding._exchange import SUCCESS
 from jujubeslip.forwarding._models import Attempts, ForwardContext
+from jujubeslip.forwarding._pressure import Pressures
 from jujubeslip.forwarding._sending import Sending
 from jujubeslip.interfaces import EndpointCall
-from jujubeslip.kernel import Deadline
+from jujubeslip.kernel import Deadline, steady_seconds
 from jujubeslip.peers import EndpointRole
 
 # How long an engine may take to read a prompt for another one, in seconds: some ten
@@ -19,9 +24,12 @@
 class PromptReader:
     """Has prompts read by the engines that only do that."""
 
-    def __init__(self, sending: Sending, reads_apart: bool) -> None:
+    def __init__(
+        self, sending: Sending, reads_apart: bool, pressures: Pressures
+    ) -> None:
         self._sending = sending
         self._reads_apart = reads_apart
+        self._pressures = pressures
 
     def read(self, context: ForwardContext, attempts: Attempts) -> str:
         """Have an engine read the prompt; return where it is, nothing if it isn't.
@@ -31,14 +39,20 @@
         """
         if not self._reads_apart or context.request.prompt is None:
             return ""
-        endpoint = self._sending.choose(context, EndpointRole.PREFILL, ())
+        endpoint = self._sending.chooser.choose_sound(
+            context.service_name, EndpointRole.PREFILL
+        )
         if endpoint is None:
             return ""
+        started = steady_seconds()
         try:
             handle = self._ask(context, endpoint)
         except EndpointError as error:
-            self._note_unread(attempts, endpoint, error)
+            self._note_unread(context, attempts, endpoint, error)
             return ""
+        finally:
+            taken = steady_seconds() - started
+            self._pressures.note_prompt(context.service_name, taken)
         self._sending.health.note_success(endpoint.endpoint_id)
         attempts.note(endpoint.endpoint_id, "prompt read")
         return f"{endpoint.address}/{handle}"
@@ -60,8 +74,19 @@
         return prefilled.handle
 
     def _note_unread(
-        self, attempts: Attempts, endpoint: Endpoint, error: EndpointError
+        self,
+        context: ForwardContext,
+        attempts: Attempts,
+        endpoint: Endpoint,
+        error: EndpointError,
     ) -> None:
-        """Note that a prompt was not read: that is no run of the request."""
+        """Note that a prompt was not read: that is no run of the request.
+
+        Only a call that an engine accepts is free: others count for the budget.
+        """
+        self._sending.budgets.charge(context.service_name)
         self._sending.note_error(Attempts(), endpoint, error)
+        if isinstance(error, EndpointRefusedError):
+            # Full, or changing its role: others are asked for a while.
+            self._sending.health.note_unreachable(endpoint.endpoint_id)
         attempts.note(endpoint.endpoint_id, f"prompt not read, {error.error_id}")
--- a/src/jujubeslip/forwarding/_reservations.py
+++ b/src/jujubeslip/forwarding/_reservations.py
@@ -17,9 +17,10 @@
 from jujubeslip.forwarding._memory_forecast import (
     AnswerLimits,
     MemoryOptions,
-    room_needed,
+    growth_of,
 )
 from jujubeslip.forwarding._models import Attempts, ForwardContext
+from jujubeslip.forwarding._pressure import WAITED_SECONDS, Pressures
 from jujubeslip.forwarding._sending import Sending
 from jujubeslip.forwarding._waiting import Waiting
 from jujubeslip.kernel import Deadline, Ran
@@ -45,10 +46,13 @@
 
 @dataclass(frozen=True)
 class Reservation:
-    """A slot and memory at an engine, for a while; `token` is the engine's name."""
+    """Room at an engine, in two parts by the engine's names for them."""
 
     endpoint: Endpoint
-    token: str
+    prompt_token: str
+    """A slot and memory for the prompt, which the request takes with it."""
+    growth_token: str
+    """Memory that the running answers will grow into, given back once it runs."""
 
 
 def _wait_limit(context: ForwardContext) -> Deadline:
@@ -69,9 +73,12 @@
 class Reservations:
     """Takes reservations for requests, in order, until there is room."""
 
-    def __init__(self, sending: Sending, options: MemoryOptions) -> None:
+    def __init__(
+        self, sending: Sending, options: MemoryOptions, pressures: Pressures
+    ) -> None:
         self._sending = sending
         self._options = options
+        self._pressures = pressures
         self._reports = EngineReports(sending)
         self._waiting_by_service: dict[str, Waiting] = {}
         self._lock = threading.Lock()
@@ -89,7 +96,7 @@
         forecast = waiting.forecast(context)
         if forecast > limit.remaining():
             # Told at once: held until then, it would be refused all the same.
-            self._note_no_room(attempts, forecast)
+            self._note_no_room(context, attempts, forecast)
             return None
         with waiting.place(context) as place:
             while waiting.wait_for_turn(place, context, limit):
@@ -98,6 +105,9 @@
                 found = self._ask_round(context, attempts, engine, prompt)
                 if found is not None:
                     waiting.note_room()
+                    self._pressures.note_wait(
+                        context.service_name, context.request.arrived.overdue()
+                    )
                     attempts.note(found.endpoint.endpoint_id, "room")
                     return found
                 if limit.expired:
@@ -106,25 +116,33 @@
                     message = "The client closed its connection."
                     raise CallerGoneError(message, Ran.NO)
                 self._pause()
-        self._note_no_room(attempts, forecast)
+        self._note_no_room(context, attempts, forecast)
         return None
 
     def _waiting_for(self, service_name: str) -> Waiting:
         with self._lock:
             return self._waiting_by_service.setdefault(service_name, Waiting())
 
-    def _note_no_room(self, attempts: Attempts, forecast: float) -> None:
+    def _note_no_room(
+        self, context: ForwardContext, attempts: Attempts, forecast: float
+    ) -> None:
+        self._pressures.note_wait(context.service_name, WAITED_SECONDS)
         attempts.note("-", f"no room in time, forecast {forecast:.2f} s")
         attempts.found_no_room = True
 
     def release(self, context: ForwardContext, reservation: Reservation) -> None:
-        """Give back what was reserved and not used."""
-        endpoint = reservation.endpoint
+        """Give back what was reserved for a request that doesn't run."""
+        self.release_growth(context, reservation)
+        self._release(context, reservation.endpoint, reservation.prompt_token)
+
+    def release_growth(self, context: ForwardContext, reservation: Reservation) -> None:
+        """Give back what was kept free for growth, for a request that runs."""
+        self._release(context, reservation.endpoint, reservation.growth_token)
+
+    def _release(self, context: ForwardContext, endpoint: Endpoint, token: str) -> None:
         # Also for a caller who is gone.
         context = replace(context, gone=never_interrupted)
-        question = self._sending.interface.release(
-            endpoint.endpoint_id, reservation.token
-        )
+        question = self._sending.interface.release(endpoint.endpoint_id, token)
         try:
             with self._sending.exchange(context, endpoint) as exchange:
                 exchange.ask(question, Deadline.after(ANSWER_SECONDS))
@@ -157,26 +175,50 @@
             if endpoint is None:
                 return None
             asked.add(endpoint.endpoint_id)
-            tokens = self._tokens_needed(context, endpoint, engine, prompt)
-            token = self._ask(context, endpoint, tokens, engine.reservation_ms)
-            if token:
-                return Reservation(endpoint, token)
+            found = self._reserve(context, endpoint, engine, prompt)
+            if found is not None:
+                return found
         return None
 
-    def _tokens_needed(
+    def _reserve(
+        self,
+        context: ForwardContext,
+        endpoint: Endpoint,
+        engine: EngineService,
+        prompt: PromptShape,
+    ) -> Reservation | None:
+        """Reserve both parts, or none.
+
+        The growth goes first, since that is what an engine that is nearly full lacks.
+        The prompt's part stays with the request until it runs: given back before, it
+        could be another's by then, and the prompt would have been read in vain.
+        """
+        ttl_ms = engine.reservation_ms
+        growth = self._growth(context, endpoint, engine, prompt)
+        growth_token = self._ask(context, endpoint, growth, ttl_ms)
+        if not growth_token:
+            return None
+        tokens = prompt.prompt_tokens + engine.event_tokens
+        prompt_token = self._ask(context, endpoint, tokens, ttl_ms)
+        if not prompt_token:
+            self._release(context, endpoint, growth_token)
+            return None
+        return Reservation(endpoint, prompt_token, growth_token)
+
+    def _growth(
         self,
         context: ForwardContext,
         endpoint: Endpoint,
         engine: EngineService,
         prompt: PromptShape,
     ) -> int:
-        """Return what must be free for the answer and the growth of all others."""
+        """Return what all answers of the engine will grow by, with this one."""
         longest = max(1, prompt.maximum_output_tokens // engine.event_tokens)
         limits = AnswerLimits(engine.event_tokens, longest)
         report = self._reports.get(context, endpoint)
         if report is None:
-            return prompt.prompt_tokens + prompt.maximum_output_tokens
-        return room_needed(report, prompt.prompt_tokens, limits, self._options)
+            return prompt.maximum_output_tokens
+        return growth_of(report, prompt.prompt_tokens, limits, self._options)
 
     def _ask(
         self, context: ForwardContext, endpoint: Endpoint, tokens: int, ttl_ms: int
--- a/src/jujubeslip/forwarding/_sending.py
+++ b/src/jujubeslip/forwarding/_sending.py
@@ -8,14 +8,16 @@
 
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import (
+    ConnectionPool,
     EndpointError,
     EndpointRefusedError,
+    EndpointReplacedError,
+    EndpointRoleError,
     EndpointTimeoutError,
     EndpointUnreachableError,
 )
 from jujubeslip.forwarding._budget import RetryBudgets
 from jujubeslip.forwarding._choice import Chooser
-from jujubeslip.forwarding._connections import ConnectionPool
 from jujubeslip.forwarding._exchange import Exchange
 from jujubeslip.forwarding._health import EndpointHealth
 from jujubeslip.forwarding._models import Attempts, ForwardContext
@@ -24,7 +26,6 @@
 
 logger = logging.getLogger(__name__)
 
-MISDIRECTED = 421
 # Sends of one request at most, those that endpoints refused included: more would only
 # spend the budget that other requests need.
 MAXIMUM_SENDS = 4
@@ -80,10 +81,12 @@
         attempts.note_error(endpoint.endpoint_id, error)
         if isinstance(error, EndpointUnreachableError):
             self.health.note_unreachable(endpoint.endpoint_id)
-        elif isinstance(error, EndpointRefusedError):
-            if error.status == MISDIRECTED:
-                self.health.note_replaced(endpoint.endpoint_id)
-        else:
+        elif isinstance(error, EndpointReplacedError):
+            self.health.note_replaced(endpoint.endpoint_id)
+        elif isinstance(error, EndpointRoleError):
+            # Its next announcement tells the new role.
+            self.health.note_unreachable(endpoint.endpoint_id)
+        elif not isinstance(error, EndpointRefusedError):
             self.health.note_failure(endpoint.endpoint_id)
             if isinstance(error, EndpointTimeoutError):
                 self.health.note_unreachable(endpoint.endpoint_id)
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -11,6 +11,8 @@
     AnswerCutError,
     EndpointError,
     EndpointRefusedError,
+    EndpointReplacedError,
+    EndpointRoleError,
     EndpointUnreachableError,
 )
 from jujubeslip.forwarding._events import EventSplitter
@@ -25,11 +27,10 @@
 )
 from jujubeslip.forwarding._prompts import PromptReader
 from jujubeslip.forwarding._reservations import Reservation, Reservations
-from jujubeslip.forwarding._sending import MISDIRECTED, Sending
+from jujubeslip.forwarding._sending import Sending
 from jujubeslip.interfaces import EndpointCall, EndpointHead
 from jujubeslip.kernel import (
     Deadline,
-    JujubeslipError,
     RequestRefusedError,
     steady_seconds,
 )
@@ -94,19 +95,20 @@
         # Not read yet, or empty once the answering engine has to read it itself.
         prompt_at: str | None = "" if resume_after else None
         while (place := self._find_place(context, attempts)) is not None:
-            if prompt_at is None:
-                prompt_at = self._read_prompt(context, attempts, place)
-            # Given back first: it holds room for the growth of other answers, too.
-            self._give_back(context, place)
-            if not self._sending.may_send(context, attempts):
-                break
-            call = _call(context, place, prompt_at, resume_after)
-            try:
-                started = self._run(context, attempts, place.endpoint, call)
-            except EndpointError as error:
-                self._note_error(attempts, place.endpoint, error)
-                prompt_at = prompt_at if _left_prompt(error) else ""
-                continue
+            with self._kept(context, place) as kept:
+                if prompt_at is None:
+                    prompt_at = self._prompts.read(context, attempts)
+                if not self._sending.may_send(context, attempts):
+                    break
+                call = _call(context, place, prompt_at, resume_after)
+                try:
+                    started = self._run(context, attempts, place.endpoint, call)
+                except EndpointError as error:
+                    self._note_error(attempts, place, prompt_at, error)
+                    prompt_at = prompt_at if _left_prompt(error) else ""
+                    continue
+                kept.pop_all()
+            self._give_back_growth(context, place)
             if isinstance(started, _Run):
                 return started
             failed = started
@@ -115,26 +117,25 @@
             return failed
         raise refusal_of(attempts, context.end_by)
 
-    def _read_prompt(
-        self, context: ForwardContext, attempts: Attempts, place: _Place
-    ) -> str:
-        """Have the prompt read while room for it is kept."""
-        try:
-            return self._prompts.read(context, attempts)
-        except JujubeslipError:
-            self._give_back(context, place)
-            raise
-
-    def _give_back(self, context: ForwardContext, place: _Place) -> None:
-        if place.reservation is not None:
-            self._reservations.release(context, place.reservation)
-
     def _note_error(
-        self, attempts: Attempts, endpoint: Endpoint, error: EndpointError
+        self, attempts: Attempts, place: _Place, prompt_at: str, error: EndpointError
     ) -> None:
-        self._sending.note_error(attempts, endpoint, error)
-        if _refused_here(error):
-            attempts.tried.discard(endpoint.endpoint_id)
+        self._sending.note_error(attempts, place.endpoint, error)
+        if prompt_at and isinstance(error, EndpointRefusedError):
+            # What it refused may be the prompt's memory, which lapses; the same engine
+            # can read the prompt itself.
+            attempts.tried.discard(place.endpoint.endpoint_id)
+
+    def _kept(self, context: ForwardContext, place: _Place) -> ExitStack:
+        """Return a context at whose end what is reserved is given back."""
+        stack = ExitStack()
+        if place.reservation is not None:
+            stack.callback(self._reservations.release, context, place.reservation)
+        return stack
+
+    def _give_back_growth(self, context: ForwardContext, place: _Place) -> None:
+        if place.reservation is not None:
+            self._reservations.release_growth(context, place.reservation)
 
     def _find_place(self, context: ForwardContext, attempts: Attempts) -> _Place | None:
         """Return an engine with room, None if none is usable.
@@ -255,24 +256,15 @@
         place.endpoint.endpoint_id,
         context.end_by.remaining_ms(),
         prompt_at=prompt_at,
+        reservation=place.reservation.prompt_token if place.reservation else "",
         resume_after=resume_after,
     )
 
 
 def _left_prompt(error: EndpointError) -> bool:
     """Say whether a prompt's memory, which can be taken once, was surely left."""
-    if isinstance(error, EndpointRefusedError):
-        return error.status == MISDIRECTED
-    return isinstance(error, EndpointUnreachableError)
-
-
-def _refused_here(error: EndpointError) -> bool:
-    """Say whether the same engine may be asked again.
-
-    What it refused may be the prompt's memory, which lapses. It can read the prompt
-    itself.
-    """
-    return isinstance(error, EndpointRefusedError) and error.status != MISDIRECTED
+    kinds = (EndpointUnreachableError, EndpointReplacedError, EndpointRoleError)
+    return isinstance(error, kinds)
 
 
 def _no_room() -> RequestRefusedError:
--- a/src/jujubeslip/interfaces/__init__.py
+++ b/src/jujubeslip/interfaces/__init__.py
@@ -8,6 +8,7 @@
     Environ,
     Headers,
     Interface,
+    RoleOrder,
     WsgiApp,
     interfaces,
 )
@@ -20,6 +21,7 @@
     "Environ",
     "Headers",
     "Interface",
+    "RoleOrder",
     "WsgiApp",
     "interfaces",
 ]
--- a/src/jujubeslip/interfaces/_models.py
+++ b/src/jujubeslip/interfaces/_models.py
@@ -9,6 +9,7 @@
 from returns.result import Result
 
 from jujubeslip.kernel import Registry, RequestRefusedError
+from jujubeslip.peers import EndpointRole
 from jujubeslip.routes import (
     EngineReport,
     ForwardedRequest,
@@ -51,8 +52,10 @@
     """The request that it answers, empty if it doesn't say."""
     not_run: bool
     """Whether the endpoint says that it did not run the request."""
+    answered_by: str
+    """The start of the endpoint that answered, empty if it doesn't say."""
     misdirected: bool
-    """Whether another endpoint, or another start of it, has the address."""
+    """Whether the call was not for the endpoint, or not for the role it has now."""
     proves_origin: bool
     """Whether it bears the mark that only endpoints give."""
     idle_seconds: float | None
@@ -71,6 +74,20 @@
     body: bytes = b""
 
 
+@dataclass(frozen=True)
+class RoleOrder:
+    """An order to an engine to take another role."""
+
+    endpoint_id: str
+    role: EndpointRole
+    holder: str
+    """The host that gives orders."""
+    fencing_number: int
+    """Grows with each host that gives orders."""
+    known_orders: int
+    """How many orders the engine has accepted; with another number it refuses."""
+
+
 @dataclass(frozen=True)
 class EncodedRefusal:
     """A refusal as the client gets it."""
@@ -117,6 +134,9 @@
     def read_report(self, body: bytes) -> EngineReport | None:
         """Return an engine's state, None if unusable."""
 
+    def order_role(self, order: RoleOrder) -> EndpointQuestion:
+        """Return the order that gives an engine another role."""
+
     def release(self, endpoint_id: str, reservation: str) -> EndpointQuestion:
         """Return the call that gives back what was reserved."""
 
--- a/src/jujubeslip/kernel/_settings.py
+++ b/src/jujubeslip/kernel/_settings.py
@@ -148,6 +148,10 @@
     """Where operators and endpoints reach it over HTTP, if `interface` has that."""
     interface: Name = "native"
     """What is spoken at http_address."""
+    order_lease_ms: Annotated[int, Field(ge=0)] = 3000
+    """How long the orders of one leader to engines exclude those of the next."""
+    changes_roles: bool = True
+    """Whether engines are ordered to change role when one role runs short."""
     election_timeout_ms: Annotated[int, Field(ge=50)] = 1000
     """A follower that hears nothing this long campaigns."""
     heartbeat_ms: Annotated[int, Field(ge=10)] = 200
--- a/src/jujubeslip/peers/gen/ControlPeer.py
+++ b/src/jujubeslip/peers/gen/ControlPeer.py
@@ -2694,11 +2694,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = Configuration()
-                        _elem131.read(iprot)
-                        self.success.append(_elem131)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = Configuration()
+                        _elem138.read(iprot)
+                        self.success.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2720,8 +2720,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter132 in self.success:
-                iter132.write(oprot)
+            for iter139 in self.success:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -3048,6 +3048,85 @@
         return not (self == other)
 
 
+class ServicePressure(object):
+    """
+    Attributes:
+     - service_name
+     - waited
+     - prompt_ms_per_second
+
+    """
+
+
+    def __init__(self, service_name=None, waited=None, prompt_ms_per_second=None,):
+        self.service_name = service_name
+        self.waited = waited
+        self.prompt_ms_per_second = prompt_ms_per_second
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.waited = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.prompt_ms_per_second = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServicePressure')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.waited is not None:
+            oprot.writeFieldBegin('waited', TType.I32, 2)
+            oprot.writeI32(self.waited)
+            oprot.writeFieldEnd()
+        if self.prompt_ms_per_second is not None:
+            oprot.writeFieldBegin('prompt_ms_per_second', TType.I32, 3)
+            oprot.writeI32(self.prompt_ms_per_second)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class WatchRequest(object):
     """
     Attributes:
@@ -3057,17 +3136,19 @@
      - is_entry_host
      - watcher_id
      - known_configuration_version
+     - pressures
 
     """
 
 
-    def __init__(self, book_id=None, known_version=None, wait_ms=None, is_entry_host=None, watcher_id=None, known_configuration_version=None,):
+    def __init__(self, book_id=None, known_version=None, wait_ms=None, is_entry_host=None, watcher_id=None, known_configuration_version=None, pressures=None,):
         self.book_id = book_id
         self.known_version = known_version
         self.wait_ms = wait_ms
         self.is_entry_host = is_entry_host
         self.watcher_id = watcher_id
         self.known_configuration_version = known_configuration_version
+        self.pressures = pressures
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3108,6 +3189,17 @@
                     self.known_configuration_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.pressures = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = ServicePressure()
+                        _elem47.read(iprot)
+                        self.pressures.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3142,6 +3234,13 @@
             oprot.writeFieldBegin('known_configuration_version', TType.I64, 6)
             oprot.writeI64(self.known_configuration_version)
             oprot.writeFieldEnd()
+        if self.pressures is not None:
+            oprot.writeFieldBegin('pressures', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.pressures))
+            for iter48 in self.pressures:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3203,11 +3302,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.endpoints = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = EndpointRecord()
-                        _elem47.read(iprot)
-                        self.endpoints.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = EndpointRecord()
+                        _elem54.read(iprot)
+                        self.endpoints.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3219,10 +3318,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.control_addresses = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.control_addresses.append(_elem53)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.control_addresses.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3252,8 +3351,8 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
-            for iter54 in self.endpoints:
-                iter54.write(oprot)
+            for iter61 in self.endpoints:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -3263,8 +3362,8 @@
         if self.control_addresses is not None:
             oprot.writeFieldBegin('control_addresses', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.control_addresses))
-            for iter55 in self.control_addresses:
-                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            for iter62 in self.control_addresses:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entry_hosts is not None:
@@ -3411,21 +3510,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = Member()
-                        _elem61.read(iprot)
-                        self.members.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = Member()
+                        _elem68.read(iprot)
+                        self.members.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.admitted_host_ids = []
-                    (_etype65, _size62) = iprot.readListBegin()
-                    for _i66 in range(_size62):
-                        _elem67 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.admitted_host_ids.append(_elem67)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.admitted_host_ids.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3446,15 +3545,15 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter68 in self.members:
-                iter68.write(oprot)
+            for iter75 in self.members:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_host_ids is not None:
             oprot.writeFieldBegin('admitted_host_ids', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.admitted_host_ids))
-            for iter69 in self.admitted_host_ids:
-                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            for iter76 in self.admitted_host_ids:
+                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4045,33 +4144,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.configurations = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = Configuration()
-                        _elem75.read(iprot)
-                        self.configurations.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = Configuration()
+                        _elem82.read(iprot)
+                        self.configurations.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype79, _size76) = iprot.readListBegin()
-                    for _i80 in range(_size76):
-                        _elem81 = ChangeRecord()
-                        _elem81.read(iprot)
-                        self.changes.append(_elem81)
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = ChangeRecord()
+                        _elem88.read(iprot)
+                        self.changes.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.claims = []
-                    (_etype85, _size82) = iprot.readListBegin()
-                    for _i86 in range(_size82):
-                        _elem87 = ClaimRecord()
-                        _elem87.read(iprot)
-                        self.claims.append(_elem87)
+                    (_etype92, _size89) = iprot.readListBegin()
+                    for _i93 in range(_size89):
+                        _elem94 = ClaimRecord()
+                        _elem94.read(iprot)
+                        self.claims.append(_elem94)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4093,22 +4192,22 @@
         if self.configurations is not None:
             oprot.writeFieldBegin('configurations', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.configurations))
-            for iter88 in self.configurations:
-                iter88.write(oprot)
+            for iter95 in self.configurations:
+                iter95.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter89 in self.changes:
-                iter89.write(oprot)
+            for iter96 in self.changes:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.claims is not None:
             oprot.writeFieldBegin('claims', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.claims))
-            for iter90 in self.claims:
-                iter90.write(oprot)
+            for iter97 in self.claims:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.end is not None:
@@ -4488,11 +4587,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = LogEntry()
-                        _elem96.read(iprot)
-                        self.entries.append(_elem96)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = LogEntry()
+                        _elem103.read(iprot)
+                        self.entries.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4542,8 +4641,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter97 in self.entries:
-                iter97.write(oprot)
+            for iter104 in self.entries:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commit_index is not None:
@@ -5150,6 +5249,13 @@
     (9, TType.I64, 'silent_ms', None, None, ),  # 9
     (10, TType.I64, 'cold_remaining_ms', None, None, ),  # 10
 )
+all_structs.append(ServicePressure)
+ServicePressure.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'waited', None, None, ),  # 2
+    (3, TType.I32, 'prompt_ms_per_second', None, None, ),  # 3
+)
 all_structs.append(WatchRequest)
 WatchRequest.thrift_spec = (
     None,  # 0
@@ -5159,6 +5265,7 @@
     (4, TType.BOOL, 'is_entry_host', None, None, ),  # 4
     (5, TType.STRING, 'watcher_id', 'UTF8', None, ),  # 5
     (6, TType.I64, 'known_configuration_version', None, None, ),  # 6
+    (7, TType.LIST, 'pressures', (TType.STRUCT, [ServicePressure, None], False), None, ),  # 7
 )
 all_structs.append(WatchReply)
 WatchReply.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -324,6 +324,15 @@
   10: i64 cold_remaining_ms,
 }
 
+// What one entry host met at the engines of a service in the last seconds.
+struct ServicePressure {
+  1: string service_name,
+  // Requests that waited for room, or found none.
+  2: i32 waited,
+  // Milliseconds that engines took to read prompts, a second.
+  3: i32 prompt_ms_per_second,
+}
+
 // Asks a control host for what is new there since `known_version` of its book.
 // `book_id` names the start of the control host that the version belongs to.
 struct WatchRequest {
@@ -335,6 +344,7 @@
   5: string watcher_id,
   // The version that the host told of last, whether the watcher has it yet or not.
   6: i64 known_configuration_version,
+  7: list<ServicePressure> pressures,
 }
 
 struct WatchReply {
--- a/src/jujubeslip/platform/_endpoint_calls.py
+++ b/src/jujubeslip/platform/_endpoint_calls.py
@@ -11,7 +11,9 @@
     EndpointHead,
     EndpointQuestion,
     Headers,
+    RoleOrder,
 )
+from jujubeslip.peers import EndpointRole
 from jujubeslip.platform import _headers as names
 from jujubeslip.routes import (
     EngineReport,
@@ -21,6 +23,7 @@
 )
 
 PREFILL_STAGE = "prefill"
+STAGE_BY_ROLE = {EndpointRole.PREFILL: PREFILL_STAGE, EndpointRole.DECODE: "decode"}
 MISDIRECTED = 421
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
@@ -52,6 +55,7 @@
         status=status,
         request_id=value_by_name.get(names.REQUEST_ID.lower(), ""),
         not_run=names.NOT_RUN.lower() in value_by_name or status == MISDIRECTED,
+        answered_by=value_by_name.get(names.ENDPOINT_ID.lower(), ""),
         misdirected=status == MISDIRECTED,
         proves_origin=names.ORIGIN_MARK.lower() in value_by_name
         and names.CONTENT_ENCODING.lower() not in value_by_name,
@@ -106,11 +110,29 @@
             used_tokens=int(fields["kvUsed"]),
             waiting=int(fields["queued"]),
             running=running,
+            orders=int(fields.get("seq", 0)),
+            busy=bool(fields.get("busy", False)),
         )
     except (ValueError, KeyError, TypeError, IndexError):
         return None
 
 
+def order_role(order: RoleOrder) -> EndpointQuestion:
+    """Return the order that gives an engine another role."""
+    body = {
+        "op": "stage",
+        "stage": STAGE_BY_ROLE[order.role],
+        "holder": order.holder,
+        "fence": order.fencing_number,
+        "expect": order.known_orders,
+    }
+    headers = [
+        ("Content-Type", "application/json"),
+        (names.EXPECTED_ENDPOINT, order.endpoint_id),
+    ]
+    return EndpointQuestion("POST", "/order", headers, json.dumps(body).encode())
+
+
 def release(endpoint_id: str, reservation: str) -> EndpointQuestion:
     """Return the call that gives back what was reserved."""
     headers = [(names.EXPECTED_ENDPOINT, endpoint_id)]
--- a/src/jujubeslip/platform/_headers.py
+++ b/src/jujubeslip/platform/_headers.py
@@ -13,6 +13,8 @@
 LAST_EVENT_ID = "Last-Event-Id"
 # The start of an endpoint that alone may answer; others answer 421.
 EXPECTED_ENDPOINT = "Expect-Instance"
+# The start of the endpoint that answers.
+ENDPOINT_ID = "Instance-Id"
 STAGE = "Stage"
 # Where a prompt's memory is fetched: "IP:port/handle".
 PROMPT_AT = "Kv-From"
--- a/src/jujubeslip/platform/_plugin.py
+++ b/src/jujubeslip/platform/_plugin.py
@@ -14,6 +14,7 @@
     EndpointHead,
     EndpointQuestion,
     Headers,
+    RoleOrder,
     WsgiApp,
     interfaces,
 )
@@ -23,6 +24,7 @@
 from jujubeslip.platform._endpoint_calls import (
     ask_report,
     endpoint_headers,
+    order_role,
     read_head,
     read_prefilled,
     read_report,
@@ -86,6 +88,10 @@
         """See Interface."""
         return read_report(body)
 
+    def order_role(self, order: RoleOrder) -> EndpointQuestion:
+        """See Interface."""
+        return order_role(order)
+
     def release(self, endpoint_id: str, reservation: str) -> EndpointQuestion:
         """See Interface."""
         return release(endpoint_id, reservation)
--- a/src/jujubeslip/routes/_models.py
+++ b/src/jujubeslip/routes/_models.py
@@ -187,6 +187,10 @@
     waiting: int
     """Requests that it has taken and not begun."""
     running: tuple[RunningAnswer, ...]
+    orders: int = 0
+    """Orders that the engine has accepted since its start."""
+    busy: bool = False
+    """Whether it is carrying one out."""
 
 
 @dataclass(frozen=True)
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -190,6 +190,8 @@
             self.reply(503, {}, {"Not-Run": "1"})
             return
         request_id = self.headers.get("Request-Id", "")
+        # A reservation can be used once.
+        self.worker.reservations.pop(self.headers.get("Kv-Hold", ""), None)
         self.worker.runs.append(
             WorkerRun(request_id, method, self.path, dict(self.headers.items()), body)
         )
