--- a/src/jujubeslip/kernel/_settings.py
+++ b/src/jujubeslip/kernel/_settings.py
@@ -66,7 +66,9 @@
     """Where logs, metrics and spans go."""
 
     log_format: Annotated[str, Field(pattern="^(json|text)$")] = "json"
-    """`json` or `text`, one line a record, on standard error."""
+    """`json` or `text`, one line a record."""
+    log_stream: Annotated[str, Field(pattern="^(stdout|stderr)$")] = "stderr"
+    """Where log lines go: `stdout` or `stderr`."""
     log_level: Annotated[str, Field(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
     """Least level that is written: DEBUG, INFO, WARNING or ERROR."""
     otlp_endpoint: str = ""
--- /dev/null
+++ b/tests/platform/test_deployment.py
@@ -0,0 +1,103 @@
+"""The deploy file, its templates and the settings that they make."""
+
+from __future__ import annotations
+
+import json
+import re
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+from returns.result import Success
+
+from jujubeslip.kernel import load_control_settings, load_forward_settings
+from tests.fakes.processes import ROOT
+
+DEPLOY = ROOT / "deploy"
+# What the platform tells a process; the shapes are those of its pages, the values not.
+TOLD: dict[str, Any] = {
+    "nodeName": "core-north-1",
+    "ip": "10.9.0.1",
+    "zone": "north",
+    "region": "west",
+    "portRange": [7001, 7016],
+    "seeds": ["10.9.0.1:9000", "10.9.1.1:9000"],
+    "bootstrap": True,
+    "dataDir": "/data/x",
+    "listen": {
+        "front": "10.9.0.1:8001",
+        "readyAddr": "10.9.0.1:8002",
+        "control": "10.9.0.1:9000",
+    },
+    "tolerate": {"machines": 2, "zones": 1},
+    "bounds": {
+        "graceS": 8,
+        "retryRatio": 0.2,
+        "retryWindowS": 10,
+        "retrySlack": 54,
+        "leaseMs": 3000,
+    },
+}
+
+
+def filled(name: str, told: dict[str, Any] = TOLD) -> str:
+    """Return a template with its placeholders filled as the platform does."""
+
+    def value(match: re.Match[str]) -> str:
+        path, _, form = match.group(1).partition("|")
+        found: Any = told
+        for part in path.split("."):
+            found = found[int(part)] if part.isdigit() else found[part]
+        if form == "json" or isinstance(found, bool):
+            return json.dumps(found)
+        return str(found)
+
+    return re.sub(r"\{\{([^}]+)\}\}", value, (DEPLOY / name).read_text())
+
+
+class TestTemplates:
+    def test_entry_hosts_settings_are_read(self, tmp_path: Path) -> None:
+        path = tmp_path / "entry.toml"
+        path.write_text(filled("entry.toml"))
+        read = load_forward_settings(path)
+        assert isinstance(read, Success), read
+        settings = read.unwrap()
+        assert settings.seed_addresses == ("10.9.0.1:7001", "10.9.1.1:7001")
+        assert (settings.stop_limit_ms, settings.retry_window_ms) == (8000, 10_000)
+
+    @pytest.mark.parametrize("founds", [True, False])
+    def test_control_hosts_settings_are_read(
+        self, tmp_path: Path, founds: bool
+    ) -> None:
+        path = tmp_path / "control.toml"
+        path.write_text(filled("control.toml", {**TOLD, "bootstrap": founds}))
+        read = load_control_settings(path)
+        assert isinstance(read, Success), read
+        settings = read.unwrap()
+        assert settings.may_found is founds
+        assert settings.tolerated_losses == 2
+        assert settings.peer_address in settings.seed_addresses
+
+    def test_setting_that_is_missing_is_named_with_the_remedy(
+        self, tmp_path: Path
+    ) -> None:
+        path = tmp_path / "entry.toml"
+        lines = filled("entry.toml").splitlines()
+        path.write_text("\n".join(line for line in lines if "http_add" not in line))
+        problem = load_forward_settings(path).failure()[0]
+        assert (problem.file, problem.key) == (str(path), "http_address")
+        assert problem.remedy
+
+
+class TestDeployFile:
+    def test_names_templates_that_are_there(self) -> None:
+        system = tomllib.loads((DEPLOY / "system.toml").read_text())
+        assert set(system["roles"]) == {"entry", "control"}
+        for role in system["roles"].values():
+            assert (ROOT / role["template"]).is_file()
+
+    def test_libraries_are_those_that_the_tests_run_with(self) -> None:
+        locked = set((ROOT / "requirements.lock").read_text().splitlines())
+        deployed = (DEPLOY / "requirements.lock").read_text().splitlines()
+        assert deployed and set(deployed) <= locked
