End a stop within its limit; end a broken stream without a stack trace

Streams that broke off were logged as exceptions with their stack. Change: both waits share the limit; a broken answer ends its connection by an error of its own. The test hangs a worker and stops the host.

--- a/src/jujubeslip/forwarding/_app.py
+++ b/src/jujubeslip/forwarding/_app.py
@@ -11,8 +11,9 @@
 from jujubeslip.endpoints import CallerGoneError
 from jujubeslip.forwarding._models import StreamedAnswer
 from jujubeslip.forwarding._service import ForwardService
+from jujubeslip.http_server import AnswerAbandonedError
 from jujubeslip.interfaces import Environ, Interface
-from jujubeslip.kernel import Ran, RequestRefusedError
+from jujubeslip.kernel import JujubeslipError, Ran, RequestRefusedError
 
 logger = logging.getLogger(__name__)
 
@@ -125,7 +126,10 @@
         self._open = True
 
     def __iter__(self) -> Iterator[bytes]:
-        return self._events
+        try:
+            yield from self._events
+        except JujubeslipError as error:
+            raise AnswerAbandonedError(error.message) from error
 
     def close(self) -> None:
         """Stop the run, if it has not ended."""
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -43,8 +43,10 @@
 # A balancer needs two unanswered questions, a second apart, to send no more; new
 # connections are taken until then, in seconds.
 BALANCER_SECONDS = 2.6
-# What is left of the stop's limit for the last answers to leave, in seconds.
-FLUSH_SECONDS = 0.6
+# How long the last answers may take to leave, in seconds, and what is kept of the
+# stop's limit for that and for the process to end.
+FLUSH_SECONDS = 0.5
+END_SECONDS = 1.0
 
 
 class ForwardProcess:
@@ -158,13 +160,13 @@
         Each answer from now on says that its connection closes, so that clients don't
         send their next request on it.
         """
-        limit = Deadline.after(self._settings.stop_limit_ms / 1000 - FLUSH_SECONDS)
+        limit = Deadline.after(self._settings.stop_limit_ms / 1000 - END_SECONDS)
         self._http.announce_close()
         self._process.stopped.wait(BALANCER_SECONDS)
         self._open_requests.wait_until_none(limit.remaining())
         self._http.stop_listening()
         self._open_requests.wait_until_none(limit.remaining())
-        self._http.wait_until_flushed()
+        self._http.wait_until_flushed(FLUSH_SECONDS)
         self._telemetry.shutdown()
 
 
--- a/src/jujubeslip/http_server/__init__.py
+++ b/src/jujubeslip/http_server/__init__.py
@@ -1,5 +1,9 @@
 """The HTTP server that every process uses."""
 
-from jujubeslip.http_server._server import HttpServer, HttpServerOptions
+from jujubeslip.http_server._server import (
+    AnswerAbandonedError,
+    HttpServer,
+    HttpServerOptions,
+)
 
-__all__ = ["HttpServer", "HttpServerOptions"]
+__all__ = ["AnswerAbandonedError", "HttpServer", "HttpServerOptions"]
--- a/src/jujubeslip/http_server/_server.py
+++ b/src/jujubeslip/http_server/_server.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from waitress import wasyncore
-from waitress.channel import HTTPChannel
+from waitress.channel import ClientDisconnected, HTTPChannel
 from waitress.server import create_server
 from waitress.task import WSGITask
 
@@ -25,6 +25,13 @@
 MAXIMUM_BACKLOG = 1024
 
 
+class AnswerAbandonedError(ClientDisconnected):
+    """Raised by an answer's iterator: the connection ends without the answer's end.
+
+    The client must see that the answer is not whole.
+    """
+
+
 class ClosingTask(WSGITask):
     """Says with its answer that the connection closes, once the server is to stop."""
 
@@ -116,21 +123,23 @@
                 break
         wasyncore.dispatcher.close(self._server)
 
-    def wait_until_flushed(self) -> None:
+    def wait_until_flushed(self, limit_seconds: float = float("inf")) -> None:
         """Wait until every answer has left for its client.
 
         A request counts as ended before the server has written the end of its answer,
         so the threads that serve calls are waited for too: a process that exits
         earlier cuts the last answers off. A client that takes nothing for
-        FLUSH_SECONDS is not waited for any longer.
+        FLUSH_SECONDS is not waited for any longer, nor any client after the limit: the
+        platform kills a process whose stop takes too long.
         """
-        limit = Deadline.after(FLUSH_SECONDS)
+        end = Deadline.after(limit_seconds)
+        limit = end.earlier_of(Deadline.after(FLUSH_SECONDS))
         left = self._unfinished()
         while left != FLUSHED and not limit.expired:
             time.sleep(FLUSH_LOOK_INTERVAL)
             now = self._unfinished()
             if now < left:
-                limit = Deadline.after(FLUSH_SECONDS)
+                limit = end.earlier_of(Deadline.after(FLUSH_SECONDS))
             left = now
 
     def _unfinished(self) -> tuple[int, int]:
--- a/tests/forwarding/test_stops.py
+++ b/tests/forwarding/test_stops.py
@@ -10,7 +10,7 @@
 from tests.fakes.platform_worker import PlatformWorker
 from tests.fakes.processes import wait_until
 
-ROUTES = [route("slow", "/slow/", "plain", timeoutMs=8000, maxAttempts=1)]
+ROUTES = [route("slow", "/slow/", "plain", timeoutMs=60_000, maxAttempts=1)]
 
 
 class TestPlannedStop:
@@ -43,6 +43,24 @@
             process = system.entries[0].process
             assert process is not None and process.wait() == 0
 
+    def test_ends_within_its_limit_though_a_request_hangs(self, tmp_path: Path) -> None:
+        """A worker is silent; the platform would kill the process at its limit.
+
+        Killed, it would cut off all other answers that are still on their way.
+        """
+        with PlatformSystem(tmp_path, stop_limit_ms=4000) as system:
+            system.put_until_accepted(configuration(1, ROUTES, [PLAIN]))
+            worker = system.add(PlatformWorker("w-1", "plain"))
+            system.wait_served("/slow/x")
+            worker.faults.hang = 1
+            before = len(worker.runs)
+            with ThreadPoolExecutor() as pool:
+                pool.submit(system.ask, "/slow/x", deadline_ms=30_000)
+                wait_until(lambda: len(worker.runs) > before, "the request runs")
+                system.entries[0].signal(signal.SIGTERM)
+                process = system.entries[0].process
+                assert process is not None and process.wait() == 0
+
     def test_reload_signal_ends_nothing(self, tmp_path: Path) -> None:
         with PlatformSystem(tmp_path) as system:
             system.put_until_accepted(configuration(1, ROUTES, [PLAIN]))
