--- a/src/jujubeslip/forwarding/_sending.py
+++ b/src/jujubeslip/forwarding/_sending.py
@@ -57,22 +57,27 @@
         """Count one more send; say whether the bounds and the budget allow it."""
         if attempts.sends == 0:
             self.budgets.note_request(context.service_name)
-        elif not self._may_repeat(context, attempts):
+        elif not self.is_open(context, attempts):
+            return False
+        elif not self.budgets.take(context.service_name):
+            attempts.note("-", "no retry budget left")
             return False
         attempts.sends += 1
         return True
 
-    def _may_repeat(self, context: ForwardContext, attempts: Attempts) -> bool:
+    def is_open(self, context: ForwardContext, attempts: Attempts) -> bool:
+        """Say whether the bounds of the route allow one more send.
+
+        Asked before anything is waited for: a request that can't be sent again is
+        answered at once.
+        """
+        if attempts.sends == 0:
+            return True
         if attempts.sends >= MAXIMUM_SENDS or context.end_by.expired:
             return False
         if attempts.may_have_run and not context.route.repeatable:
             return False
-        if attempts.runs >= context.route.maximum_attempts:
-            return False
-        if self.budgets.take(context.service_name):
-            return True
-        attempts.note("-", "no retry budget left")
-        return False
+        return attempts.runs < context.route.maximum_attempts
 
     def note_error(
         self, attempts: Attempts, endpoint: Endpoint, error: EndpointError
--- a/src/jujubeslip/forwarding/_service.py
+++ b/src/jujubeslip/forwarding/_service.py
@@ -108,7 +108,7 @@
                 "route": context.route.name,
                 "service": context.service_name,
                 "outcome": outcome,
-                "ran": "unknown" if attempts.may_have_run else "no",
+                "ran": _ran(attempts, outcome),
                 "sends": attempts.trail,
                 "duration_ms": int((steady_seconds() - started.instant) * 1000),
                 "events": attempts.events,
@@ -119,6 +119,13 @@
         )
 
 
+def _ran(attempts: Attempts, outcome: str) -> str:
+    """Return whether an endpoint ran the request, as far as this host can know."""
+    if outcome in ("whole", "left") or outcome.isdigit():
+        return "yes"
+    return "unknown" if attempts.may_have_run else "no"
+
+
 def _draw_service(route: Route) -> str:
     """Return one of the route's services by lot, in proportion to the weights."""
     if len(route.shares) == 1:
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -94,7 +94,10 @@
         failed: WholeAnswer | None = None
         # Not read yet, or empty once the answering engine has to read it itself.
         prompt_at: str | None = "" if resume_after else None
-        while (place := self._find_place(context, attempts)) is not None:
+        while self._sending.is_open(context, attempts):
+            place = self._find_place(context, attempts)
+            if place is None:
+                break
             with self._kept(context, place) as kept:
                 if prompt_at is None:
                     prompt_at = self._prompts.read(context, attempts)
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -195,7 +195,9 @@
         self.worker.runs.append(
             WorkerRun(request_id, method, self.path, dict(self.headers.items()), body)
         )
-        if self.worker.stage:
+        if self.worker.stage and faults.take("lose"):
+            self.close_connection = True
+        elif self.worker.stage:
             self._stream(request_id)
         else:
             self._answer(request_id)
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -177,6 +177,24 @@
         assert len(engines.runs()) == 1
 
 
+class TestRunThatLosesItsAnswer:
+    """An engine closes before the first event, while the others have no room.
+
+    The request may have run and may not run again. Its client must not wait for room
+    that it can't use.
+    """
+
+    def test_is_answered_without_asking_for_room_again(
+        self, system: PlatformSystem, engines: Engines
+    ) -> None:
+        for worker in engines.decode:
+            worker.faults.lose = 1
+        reply = ask(system)
+        assert reply.status == 502
+        asked = [worker.questions.count("reserve") for worker in engines.decode]
+        assert sum(asked) == 2
+
+
 class TestClientThatLeaves:
     """A dispatcher closes the page while the summary is being written.
 
