Wait for a stream that stands still; leave no answer that can't be had elsewhere

Change: silence alone ends no stream; a plain request is left for another endpoint only while the budget has a send for it. The test stands an engine still for 2 s and fails without the change.

--- a/src/jujubeslip/forwarding/_budget.py
+++ b/src/jujubeslip/forwarding/_budget.py
@@ -58,16 +58,25 @@
         """Spend one further send if there is one left."""
         with self._lock:
             sends = self._sends(service_name)
-            if len(sends.further) + 1 > self._limit(sends):
+            if not self._has_one(sends):
                 return False
             sends.further.append(steady_seconds())
             return True
 
+    def has_one(self, service_name: str) -> bool:
+        """Say whether a further send is left, without spending it."""
+        with self._lock:
+            sends = self._sends(service_name)
+            return self._has_one(sends)
+
     def charge(self, service_name: str) -> None:
         """Count a further send that has happened, whether one was left or not."""
         with self._lock:
             self._sends(service_name).further.append(steady_seconds())
 
+    def _has_one(self, sends: _Sends) -> bool:
+        return len(sends.further) + 1 <= self._limit(sends)
+
     def _limit(self, sends: _Sends) -> float:
         share = self._options.allowance / max(1, self._entry_hosts())
         if steady_seconds() < self._full_from:
--- a/src/jujubeslip/forwarding/_plain_path.py
+++ b/src/jujubeslip/forwarding/_plain_path.py
@@ -71,5 +71,8 @@
         route = context.route
         if not route.repeatable or attempts.runs + 1 >= route.maximum_attempts:
             return context.end_by
+        if not self._sending.budgets.has_one(context.service_name):
+            # Left, it could not be sent to another one, and its answer would be lost.
+            return context.end_by
         patience = Deadline.after(PATIENCE_TARGETS * route.target_ms / 1000)
         return context.end_by.earlier_of(patience)
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -30,18 +30,11 @@
 from jujubeslip.forwarding._sending import Sending
 from jujubeslip.interfaces import EndpointCall, EndpointHead
 from jujubeslip.kernel import (
-    Deadline,
     RequestRefusedError,
     steady_seconds,
 )
 from jujubeslip.peers import EndpointRole
 
-# A stream that can go on elsewhere is left after this many of the longest pauses that
-# are in time, and in any case not before LEAST_SILENCE_SECONDS.
-SILENCE_GAPS = 4.0
-LEAST_SILENCE_SECONDS = 1.0
-# How long a repeatable request waits for its first event, in targets.
-PATIENCE_TARGETS = 2.0
 # When a client should come back whose request found no room, in seconds: a third of
 # the running answers have ended by then.
 NO_ROOM_RETRY_SECONDS = 1.5
@@ -177,7 +170,9 @@
             health = self._sending.health
             stack.enter_context(health.working(endpoint.endpoint_id))
             exchange = stack.enter_context(self._sending.exchange(context, endpoint))
-            head = exchange.call(call, self._first_deadline(context, attempts))
+            # Silence is no reason to leave an engine: it may be reading the prompt
+            # again, and no other one may have room.
+            head = exchange.call(call, context.end_by)
             if head.status not in SUCCESS:
                 attempts.note(endpoint.endpoint_id, str(head.status))
                 return WholeAnswer(head.status, head.headers, exchange.read_rest())
@@ -192,13 +187,6 @@
             kept = stack.pop_all()
         return _Run(endpoint, head, exchange, first, splitter, kept)
 
-    def _first_deadline(self, context: ForwardContext, attempts: Attempts) -> Deadline:
-        route = context.route
-        if not route.repeatable or attempts.runs + 1 >= route.maximum_attempts:
-            return context.end_by
-        patience = Deadline.after(PATIENCE_TARGETS * route.target_ms / 1000)
-        return context.end_by.earlier_of(patience)
-
     # The events
 
     def _events(
@@ -230,7 +218,6 @@
         yield run.first
         latest = steady_seconds()
         while True:
-            run.exchange.watch(self._next_deadline(context))
             part = run.exchange.read_some()
             if not part:
                 break
@@ -244,13 +231,6 @@
             raise AnswerCutError(f"{run.endpoint.address}: the last event is cut.")
         run.exchange.keep()
 
-    def _next_deadline(self, context: ForwardContext) -> Deadline:
-        route = context.route
-        if not route.resumable:
-            return context.end_by
-        silence = max(LEAST_SILENCE_SECONDS, SILENCE_GAPS * route.maximum_gap_ms / 1000)
-        return context.end_by.earlier_of(Deadline.after(silence))
-
 
 def _call(
     context: ForwardContext, place: _Place, prompt_at: str, resume_after: str
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -52,6 +52,8 @@
     """Have lost the memory of a prompt that was read elsewhere."""
     no_room: int = 0
     """Refuse reservations."""
+    pause_stream_seconds: float = 0.0
+    """Stand still so long after the second event of a stream, once."""
     cut_stream_after: int = 0
     """Close a stream after so many events, once."""
 
@@ -267,6 +269,9 @@
                 self.close_connection = True
                 return
             self.wfile.write(b"%x\r\n" % len(event) + event + b"\r\n")
+            if number == first + 1 and worker.faults.pause_stream_seconds:
+                time.sleep(worker.faults.pause_stream_seconds)
+                worker.faults.pause_stream_seconds = 0.0
             if not self.peer_is_open():
                 worker.gone_clients.append(request_id)
                 self.close_connection = True
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -195,6 +195,21 @@
         assert sum(asked) == 2
 
 
+class TestStreamThatStandsStill:
+    """An engine pushes a summary out of its memory and reads its prompt again.
+
+    The stream is silent for a second or two; no other engine has room. Left for that
+    silence, the summary would be lost though its engine goes on with it.
+    """
+
+    def test_is_waited_for(self, system: PlatformSystem, engines: Engines) -> None:
+        for worker in engines.decode:
+            worker.faults.pause_stream_seconds = 2.0
+        reply = ask(system, RESUMED)
+        assert reply.whole and event_ids(reply) == [1, 2, 3, 4, 5]
+        assert len(engines.runs()) == 1
+
+
 class TestClientThatLeaves:
     """A dispatcher closes the page while the summary is being written.
 
