--- a/src/jujubeslip/forwarding/_prompts.py
+++ b/src/jujubeslip/forwarding/_prompts.py
@@ -6,7 +6,7 @@
 from jujubeslip.endpoints import (
     EndpointAnswerError,
     EndpointError,
-    EndpointRefusedError,
+    EndpointUnreachableError,
 )
 from jujubeslip.forwarding._exchange import SUCCESS
 from jujubeslip.forwarding._models import Attempts, ForwardContext
@@ -19,6 +19,8 @@
 # How long an engine may take to read a prompt for another one, in seconds: some ten
 # times what the longest prompts take. After that the answering engine reads it itself.
 PREFILL_SECONDS = 1.5
+# Engines that are asked to read one prompt at most.
+ENGINES_ASKED = 2
 
 
 class PromptReader:
@@ -34,16 +36,28 @@
     def read(self, context: ForwardContext, attempts: Attempts) -> str:
         """Have an engine read the prompt; return where it is, nothing if it isn't.
 
-        One engine is asked, once: asking another costs the budget, and the answering
-        engine can read the prompt itself.
+        A second engine is asked if the budget has a call for it. An engine that answers
+        can read the prompt itself, but all its answers stand still while it does.
         """
         if not self._reads_apart or context.request.prompt is None:
             return ""
-        endpoint = self._sending.chooser.choose_sound(
-            context.service_name, EndpointRole.PREFILL
-        )
-        if endpoint is None:
-            return ""
+        for number in range(ENGINES_ASKED):
+            if number and not self._sending.budgets.has_one(context.service_name):
+                return ""
+            endpoint = self._sending.chooser.choose_sound(
+                context.service_name, EndpointRole.PREFILL
+            )
+            if endpoint is None:
+                return ""
+            handle = self._read_at(context, attempts, endpoint)
+            if handle:
+                return f"{endpoint.address}/{handle}"
+        return ""
+
+    def _read_at(
+        self, context: ForwardContext, attempts: Attempts, endpoint: Endpoint
+    ) -> str:
+        """Return the handle of the prompt at this engine, nothing if it isn't read."""
         started = steady_seconds()
         try:
             handle = self._ask(context, endpoint)
@@ -55,7 +69,7 @@
             self._pressures.note_prompt(context.service_name, taken)
         self._sending.health.note_success(endpoint.endpoint_id)
         attempts.note(endpoint.endpoint_id, "prompt read")
-        return f"{endpoint.address}/{handle}"
+        return handle
 
     def _ask(self, context: ForwardContext, endpoint: Endpoint) -> str:
         """Return the handle of the prompt that the endpoint has read."""
@@ -82,11 +96,11 @@
     ) -> None:
         """Note that a prompt was not read: that is no run of the request.
 
-        Only a call that an engine accepts is free: others count for the budget.
+        Only the first call that an engine accepts is free: others count for the
+        budget. The engine is passed over for a while, so that another one is asked.
         """
         self._sending.budgets.charge(context.service_name)
         self._sending.note_error(Attempts(), endpoint, error)
-        if isinstance(error, EndpointRefusedError):
-            # Full, or changing its role: others are asked for a while.
+        if not isinstance(error, EndpointUnreachableError):
             self._sending.health.note_unreachable(endpoint.endpoint_id)
         attempts.note(endpoint.endpoint_id, f"prompt not read, {error.error_id}")
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -117,6 +117,31 @@
         assert [worker.reservations for worker in engines.decode] == [{}, {}]
 
 
+class TestEngineThatChangesItsRole:
+    """An engine is ordered to answer, and refuses prompts until the change is done.
+
+    Read by an engine that answers, the prompt would make all its answers stand still.
+    """
+
+    def test_another_engine_reads_the_prompt(
+        self, system: PlatformSystem, engines: Engines
+    ) -> None:
+        other = PlatformWorker(f"e-{next(NUMBERS)}", "model", "prefill")
+        system.add(other)
+        wait_until(
+            lambda: ask(system).whole and other.prompts_read, "the other one is used"
+        )
+        engines.prefill.faults.refuse = 1000
+        for _ in range(6):
+            assert ask(system).whole
+        runs = [run for worker in engines.decode for run in worker.runs]
+        engines.prefill.faults.refuse = 0
+        system.withdraw(other)
+        system.leave(other)
+        other.close()
+        assert all("Kv-From" in run.headers for run in runs[-6:])
+
+
 class TestPromptThatLapsed:
     """The memory of a prompt is gone when the answering engine fetches it.
 
