Give the room back whole before the run again

Ruled out: reservations that outlast their use (an engine's report shows them less what the run takes). Why more are pushed out is not traced.

--- a/src/jujubeslip/forwarding/_reservations.py
+++ b/src/jujubeslip/forwarding/_reservations.py
@@ -46,13 +46,10 @@
 
 @dataclass(frozen=True)
 class Reservation:
-    """Room at an engine, in two parts by the engine's names for them."""
+    """Room at an engine, by the engine's name for it."""
 
     endpoint: Endpoint
-    prompt_token: str
-    """A slot and memory for the prompt, which the request takes with it."""
-    growth_token: str
-    """Memory that the running answers will grow into, given back once it runs."""
+    token: str
 
 
 def _wait_limit(context: ForwardContext) -> Deadline:
@@ -131,18 +128,13 @@
         attempts.found_no_room = True
 
     def release(self, context: ForwardContext, reservation: Reservation) -> None:
-        """Give back what was reserved for a request that doesn't run."""
-        self.release_growth(context, reservation)
-        self._release(context, reservation.endpoint, reservation.prompt_token)
-
-    def release_growth(self, context: ForwardContext, reservation: Reservation) -> None:
-        """Give back what was kept free for growth, for a request that runs."""
-        self._release(context, reservation.endpoint, reservation.growth_token)
-
-    def _release(self, context: ForwardContext, endpoint: Endpoint, token: str) -> None:
+        """Give back what was reserved."""
+        endpoint = reservation.endpoint
         # Also for a caller who is gone.
         context = replace(context, gone=never_interrupted)
-        question = self._sending.interface.release(endpoint.endpoint_id, token)
+        question = self._sending.interface.release(
+            endpoint.endpoint_id, reservation.token
+        )
         try:
             with self._sending.exchange(context, endpoint) as exchange:
                 exchange.ask(question, Deadline.after(ANSWER_SECONDS))
@@ -175,36 +167,13 @@
             if endpoint is None:
                 return None
             asked.add(endpoint.endpoint_id)
-            found = self._reserve(context, endpoint, engine, prompt)
-            if found is not None:
-                return found
+            growth = self._growth(context, endpoint, engine, prompt)
+            tokens = prompt.prompt_tokens + growth
+            token = self._ask(context, endpoint, tokens, engine.reservation_ms)
+            if token:
+                return Reservation(endpoint, token)
         return None
 
-    def _reserve(
-        self,
-        context: ForwardContext,
-        endpoint: Endpoint,
-        engine: EngineService,
-        prompt: PromptShape,
-    ) -> Reservation | None:
-        """Reserve both parts, or none.
-
-        The growth goes first, since that is what an engine that is nearly full lacks.
-        The prompt's part stays with the request until it runs: given back before, it
-        could be another's by then, and the prompt would have been read in vain.
-        """
-        ttl_ms = engine.reservation_ms
-        growth = self._growth(context, endpoint, engine, prompt)
-        growth_token = self._ask(context, endpoint, growth, ttl_ms)
-        if not growth_token:
-            return None
-        tokens = prompt.prompt_tokens + engine.event_tokens
-        prompt_token = self._ask(context, endpoint, tokens, ttl_ms)
-        if not prompt_token:
-            self._release(context, endpoint, growth_token)
-            return None
-        return Reservation(endpoint, prompt_token, growth_token)
-
     def _growth(
         self,
         context: ForwardContext,
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -96,6 +96,9 @@
                     prompt_at = self._prompts.read(context, attempts)
                 if not self._sending.may_send(context, attempts):
                     break
+                # Given back before the run: what a run holds beyond its need counts as
+                # full until its end, and would push other answers out.
+                kept.close()
                 call = _call(context, place, prompt_at, resume_after)
                 try:
                     started = self._run(context, attempts, place.endpoint, call)
@@ -103,8 +106,6 @@
                     self._note_error(attempts, place, prompt_at, error)
                     prompt_at = prompt_at if _left_prompt(error) else ""
                     continue
-                kept.pop_all()
-            self._give_back_growth(context, place)
             if isinstance(started, _Run):
                 return started
             failed = started
@@ -129,10 +130,6 @@
             stack.callback(self._reservations.release, context, place.reservation)
         return stack
 
-    def _give_back_growth(self, context: ForwardContext, place: _Place) -> None:
-        if place.reservation is not None:
-            self._reservations.release_growth(context, place.reservation)
-
     def _find_place(self, context: ForwardContext, attempts: Attempts) -> _Place | None:
         """Return an engine with room, None if none is usable.
 
@@ -239,7 +236,6 @@
         place.endpoint.endpoint_id,
         context.end_by.remaining_ms(),
         prompt_at=prompt_at,
-        reservation=place.reservation.prompt_token if place.reservation else "",
         resume_after=resume_after,
     )
 
