Claim idempotency keys at a quorum of their keepers

Cause: a claim held once one keeper took it. After all open connections between entry hosts went silent, a host suspects the others for a moment, and suspected hosts were no keepers by its view: it claimed the key at itself alone, and a resend that reached another host asked two keepers that knew of no run.

Ruled out: the owner taken for dead. Its port answers on fresh connections, and a suspicion is refuted within a second.

Change: suspected hosts stay keepers; a key has three, and a claim holds with a majority of them, never with one while there are other hosts. What a refused claim may have left is given back without the caller waiting for silent hosts.

--- a/src/jujubeslip/entry/_process.py
+++ b/src/jujubeslip/entry/_process.py
@@ -136,6 +136,7 @@
                 self._directory,
                 self._clients,
                 self._keeper,
+                self._process,
                 has_peers=bool(self._settings.entry_peers),
             ),
             ControlKeys(self._control, self._process),
--- a/src/jujubeslip/membership/_directory.py
+++ b/src/jujubeslip/membership/_directory.py
@@ -153,12 +153,13 @@
         records = self._table.record_by_id.values()
         seen = [own, *(record.seen() for record in records if not record.dead)]
         live = [state for state in seen if state.status == HostStatus.ALIVE]
+        suspected = [state for state in seen if state.status == HostStatus.SUSPECT]
         unreachable = {
             record.state.host_id
             for record in records
             if record.unreachable_until is not None
         }
-        self._view = LiveView(live or [own], unreachable)
+        self._view = LiveView(live or [own], unreachable, suspected)
         self._view_alone = LiveView([own], set())
         self._digest = self._table.digest()
         self._successor_by_ring = successors(own, seen[1:])
--- a/src/jujubeslip/membership/_view.py
+++ b/src/jujubeslip/membership/_view.py
@@ -19,12 +19,20 @@
 
     Homes are looked for among the hosts that this host can reach: two hosts that
     differ there give out too much at worst, and the engine's own limit holds. Keepers
-    are looked for among all live hosts, since two hosts that differ there could run
-    one key twice.
+    are looked for among all hosts that aren't known to be dead or leaving, suspected
+    ones too, since two hosts that differ there could run one key twice.
     """
 
-    def __init__(self, live: Iterable[HostState], unreachable: set[str]) -> None:
+    def __init__(
+        self,
+        live: Iterable[HostState],
+        unreachable: set[str],
+        suspected: Iterable[HostState] = (),
+    ) -> None:
         self._live_by_id = {state.host_id: state for state in live}
+        self._possible_by_id = self._live_by_id | {
+            state.host_id: state for state in suspected
+        }
         self._reachable_by_id = {
             host_id: state
             for host_id, state in self._live_by_id.items()
@@ -64,8 +72,8 @@
         keepers = self._keepers_by_group.get(group)
         if keepers is None:
             order = first_in_rendezvous_order(
-                f"keys/{group[0]}", self._live_by_id, count
+                f"keys/{group[0]}", self._possible_by_id, count
             )
-            keepers = [self._live_by_id[host_id] for host_id in order]
+            keepers = [self._possible_by_id[host_id] for host_id in order]
             self._keepers_by_group[group] = keepers
         return keepers
--- a/src/jujubeslip/requests/_key_copies.py
+++ b/src/jujubeslip/requests/_key_copies.py
@@ -11,7 +11,9 @@
 
 logger = logging.getLogger(__name__)
 
-KEEPERS = 2
+# Hosts that keep a key. A claim holds with more than half of them, so that one may be
+# lost, and two claims of one key meet at one of them at least.
+KEEPERS = 3
 LOOK_INTERVAL = 0.25
 COPY_TIMEOUT = 0.8
 
@@ -20,8 +22,8 @@
     """Hands what this host knows of keys to their present keepers.
 
     Hosts come and go, one after the other in a planned restart of all, and with
-    them the two keepers of a key. If nothing was copied, both first keepers would
-    be gone after two changes, and a resend of the key would run a second time.
+    them the keepers of a key. If nothing was copied, the first keepers would
+    be gone after some changes, and a resend of the key would run a second time.
     """
 
     def __init__(
--- a/src/jujubeslip/requests/_key_keeper.py
+++ b/src/jujubeslip/requests/_key_keeper.py
@@ -24,7 +24,7 @@
 
 
 class KeyKeeper:
-    """Decides who runs a key first; kept by two hosts, so that one may be lost."""
+    """Decides, with the other keepers of a key, who runs it first."""
 
     def __init__(self, directory: HostDirectory) -> None:
         self._directory = directory
--- a/src/jujubeslip/requests/_keys.py
+++ b/src/jujubeslip/requests/_keys.py
@@ -1,7 +1,8 @@
-"""Claims of idempotency keys: in memory at two keepers, or durable in control."""
+"""Claims of idempotency keys: in memory at a quorum, or durable in control."""
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 from typing import Protocol
 
@@ -18,6 +19,8 @@
 from jujubeslip.requests._key_copies import KEEPERS
 from jujubeslip.requests._key_keeper import KeyKeeper
 
+logger = logging.getLogger(__name__)
+
 KEEPER_TIMEOUT = 0.8
 DURABLE_TIMEOUT = 3.0
 # How long what could not be recorded is sent again, in seconds.
@@ -40,15 +43,16 @@
 
 
 class KeeperKeys:
-    """Keys of repeatable requests, at the two hosts that rendezvous hashing names.
+    """Keys of repeatable requests, at the hosts that rendezvous hashing names.
 
-    The first keeper decides. The second is asked as well: a first keeper that was
-    restarted has forgotten, and would let a second run begin.
+    A claim holds once a majority of the key's keepers took it: hosts whose views differ
+    for a moment, as after the loss of all open connections, still meet at one keeper.
+    With one keeper alone, a resend that reached another host would run again beside
+    the first run.
 
     A host that hears none of the others, for a moment or beyond a cut, would be the
-    keeper of every key by its own view, and a resend that reached it would run again
-    beside the first run. It refuses requests with a key, truthfully as not run; those
-    without one it serves.
+    only keeper of every key by its own view. It refuses requests with a key, truthfully
+    as not run; those without one it serves.
     """
 
     def __init__(
@@ -56,44 +60,57 @@
         directory: HostDirectory,
         clients: PeerClients,
         keeper: KeyKeeper,
+        process: Process,
         has_peers: bool,
     ) -> None:
         self._directory = directory
         self._clients = clients
         self._keeper = keeper
+        self._process = process
         self._has_peers = has_peers
         self._keepers_by_request_id: dict[str, list[HostState]] = {}
 
     def claim(self, claim: KeyClaim) -> KeyReply:
-        """Claim at both keepers; what either knows of another run counts."""
+        """Claim at a quorum of keepers; what any of them knows of a run counts."""
         if self._has_peers and not self._directory.hears_others:
             raise _host_alone()
         keepers = self._keepers(claim)
-        reply = self._claim_at_all(claim, keepers)
+        reply = self._claim_at_quorum(claim, keepers)
         if reply.status == KeyStatus.FIRST:
             self._keepers_by_request_id[claim.request_id] = keepers
         return reply
 
-    def _claim_at_all(self, claim: KeyClaim, keepers: list[HostState]) -> KeyReply:
-        first, *others = keepers
-        try:
-            reply = self._claim_at(first, claim)
-        except (PeerUnavailableError, PeerRefusal) as error:
-            raise _keepers_unavailable() from error
-        if reply.status != KeyStatus.FIRST:
-            return reply
-        for keeper in others:
+    def _claim_at_quorum(self, claim: KeyClaim, keepers: list[HostState]) -> KeyReply:
+        taken_at: list[HostState] = []
+        for keeper in keepers:
             try:
-                other = self._claim_at(keeper, claim)
-            except (PeerUnavailableError, PeerRefusal):
-                # The next in order takes its place: were the claim known to the first
-                # keeper alone, a host that suspects that one would run it again.
+                reply = self._claim_at(keeper, claim)
+            except (PeerUnavailableError, PeerRefusal) as error:
+                extra = {
+                    "request_id": claim.request_id,
+                    "peer": keeper.host_id,
+                    "error": str(error),
+                }
+                logger.info("key not claimed at keeper", extra=extra)
                 continue
-            if other.status != KeyStatus.FIRST:
-                self._abandon_at(first, claim)
-                return other
-            return reply
-        return reply
+            if reply.status != KeyStatus.FIRST:
+                self._abandon_at_all(taken_at, claim)
+                return reply
+            taken_at.append(keeper)
+            if len(taken_at) == self._quorum(keepers):
+                return reply
+        # Also where no answer came: the claim may be known there, and would block the
+        # key. The caller doesn't wait for hosts that may be silent.
+        self._process.start_task(self._abandon_at_all, keepers, claim)
+        raise _keepers_unavailable()
+
+    def _quorum(self, keepers: list[HostState]) -> int:
+        """Return how many keepers have to take a claim: a majority, and never one.
+
+        A host that has others, and knows of none that lives, may just have missed them.
+        """
+        majority = len(keepers) // 2 + 1
+        return max(majority, 2) if self._has_peers else majority
 
     def finish(self, claim: KeyClaim, outcome: bytes) -> None:
         """Record the answer at each keeper that can be reached."""
@@ -105,7 +122,10 @@
 
     def abandon(self, claim: KeyClaim) -> None:
         """Free the key at each keeper that can be reached."""
-        for keeper in self._keepers_of_run(claim):
+        self._abandon_at_all(self._keepers_of_run(claim), claim)
+
+    def _abandon_at_all(self, keepers: list[HostState], claim: KeyClaim) -> None:
+        for keeper in keepers:
             self._abandon_at(keeper, claim)
 
     def _keepers_of_run(self, claim: KeyClaim) -> list[HostState]:
@@ -119,9 +139,8 @@
         return list(by_id.values())
 
     def _keepers(self, claim: KeyClaim) -> list[HostState]:
-        """Return the keepers, and one more that may stand in for the second."""
         key = f"{claim.client}/{claim.key}"
-        return self._directory.keepers_of(key, KEEPERS + 1)
+        return self._directory.keepers_of(key, KEEPERS)
 
     def _is_own(self, keeper: HostState) -> bool:
         return bool(keeper.host_id == self._directory.own.host_id)
@@ -222,7 +241,7 @@
 def _keepers_unavailable() -> RequestRefusedError:
     return RequestRefusedError(
         "key_unavailable",
-        "The request was not started: the keeper of its key does not answer.",
+        "The request was not started: too few keepers of its key answer.",
         ran=Ran.NO,
         retry_after=RETRY_SECONDS,
     )
--- /dev/null
+++ b/tests/requests/test_key_quorum.py
@@ -0,0 +1,165 @@
+"""A key's claim holds with a quorum of its keepers, whatever each host sees."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from jujubeslip.kernel import (
+    PeerUnavailableError,
+    RequestRefusedError,
+    steady_seconds,
+)
+from jujubeslip.membership import HostDirectory
+from jujubeslip.peers import HostState, HostStatus, KeyClaim, KeyStatus
+from jujubeslip.requests._key_keeper import KeyKeeper
+from jujubeslip.requests._keys import KeeperKeys
+
+HOST_IDS = ("entry-1", "entry-2", "entry-3")
+
+
+def _state(host_id: str) -> HostState:
+    return HostState(
+        host_id, 1, f"{host_id}:7000", "zone-1", HostStatus.ALIVE, 0, 0, "region-1"
+    )
+
+
+class Hosts:
+    """Three entry hosts, each with its own view and its own memory of keys."""
+
+    def __init__(self) -> None:
+        self.lost: set[str] = set()
+        self.directory_by_id = {host_id: _directory(host_id) for host_id in HOST_IDS}
+        self.keeper_by_id = {
+            host_id: KeyKeeper(self.directory_by_id[host_id]) for host_id in HOST_IDS
+        }
+
+    def keys_of(self, host_id: str) -> KeeperKeys:
+        clients: Any = _Clients(self)
+        process: Any = _TasksAtOnce()
+        return KeeperKeys(
+            self.directory_by_id[host_id],
+            clients,
+            self.keeper_by_id[host_id],
+            process,
+            has_peers=True,
+        )
+
+    def suspect_others(self, host_id: str) -> None:
+        for other in HOST_IDS:
+            if other != host_id:
+                self.directory_by_id[host_id].suspect(other)
+
+
+def _directory(host_id: str) -> HostDirectory:
+    others = [_state(other) for other in HOST_IDS if other != host_id]
+    directory = HostDirectory(_state(host_id))
+    directory.merge(others)
+    directory.take_full_list(others, steady_seconds(), complete=True)
+    return directory
+
+
+class _TasksAtOnce:
+    """A process whose tasks are done at the call, so that a test needs no wait."""
+
+    def start_task(self, task: Callable[..., None], *arguments: object) -> None:
+        task(*arguments)
+
+
+class _Clients:
+    """Calls keepers without a network; those of lost hosts don't answer."""
+
+    def __init__(self, hosts: Hosts) -> None:
+        self._hosts = hosts
+
+    def get(self, address: str) -> _Client:
+        return _Client(self._hosts, address.partition(":")[0])
+
+
+class _Client:
+    def __init__(self, hosts: Hosts, host_id: str) -> None:
+        self._hosts = hosts
+        self._host_id = host_id
+
+    def call(self, operation: Callable[[Any], Any], timeout: float) -> Any:
+        if self._host_id in self._hosts.lost:
+            raise PeerUnavailableError(f"No answer from {self._host_id}.")
+        return operation(_Peer(self._hosts.keeper_by_id[self._host_id]))
+
+
+class _Peer:
+    """The calls of a keeper under their names between hosts."""
+
+    def __init__(self, keeper: KeyKeeper) -> None:
+        self.claim_key = keeper.claim
+        self.finish_key = keeper.finish
+        self.abandon_key = keeper.abandon
+
+
+def _claim(owner: str, number: int = 0) -> KeyClaim:
+    return KeyClaim(
+        "northvane", f"key-{number}", f"request-{owner}", f"{owner}/1", "same"
+    )
+
+
+class TestClaimByHostThatLostSightOfOthers:
+    """A client gets no answer, asks another host with its key, and runs twice.
+
+    All open connections between the entry hosts went silent. For a moment the first
+    host suspects both others, and would claim the key at itself alone; the second host
+    asks the two others, which know of no run.
+    """
+
+    @pytest.mark.parametrize("number", range(8))
+    def test_is_met_by_resend_at_another_host(self, number: int) -> None:
+        hosts = Hosts()
+        hosts.suspect_others("entry-1")
+        first = hosts.keys_of("entry-1").claim(_claim("entry-1", number))
+        assert first.status == KeyStatus.FIRST
+        for other in ("entry-2", "entry-3"):
+            resend = hosts.keys_of(other).claim(_claim(other, number))
+            assert resend.status == KeyStatus.RUNNING
+            assert resend.owner == "entry-1/1"
+
+    def test_is_refused_when_no_other_keeper_answers(self) -> None:
+        hosts = Hosts()
+        hosts.lost = {"entry-2", "entry-3"}
+        with pytest.raises(RequestRefusedError, match="too few keepers") as caught:
+            hosts.keys_of("entry-1").claim(_claim("entry-1"))
+        assert caught.value.error_id == "key_unavailable"
+
+
+class TestClaimBesideLostKeeper:
+    """One keeper is dead and not yet known to be: requests with keys go on."""
+
+    @pytest.mark.parametrize("lost", HOST_IDS[1:])
+    def test_holds_with_the_others(self, lost: str) -> None:
+        hosts = Hosts()
+        hosts.lost = {lost}
+        claim = _claim("entry-1")
+        keys = hosts.keys_of("entry-1")
+        assert keys.claim(claim).status == KeyStatus.FIRST
+        left = next(host for host in HOST_IDS[1:] if host != lost)
+        resend = hosts.keys_of(left).claim(_claim(left))
+        assert resend.status == KeyStatus.RUNNING
+        keys.finish(claim, b"answer")
+        assert hosts.keys_of(left).claim(_claim(left)).outcome == b"answer"
+
+
+class TestClaimThatIsRefused:
+    """A claim that only one keeper took is given back there.
+
+    Otherwise the key would stay blocked: each resend would hear of a run that never
+    began, until the record is forgotten.
+    """
+
+    def test_leaves_the_key_free(self) -> None:
+        hosts = Hosts()
+        hosts.lost = {"entry-2", "entry-3"}
+        with pytest.raises(RequestRefusedError):
+            hosts.keys_of("entry-1").claim(_claim("entry-1"))
+        hosts.lost = set()
+        again = hosts.keys_of("entry-2").claim(_claim("entry-2"))
+        assert again.status == KeyStatus.FIRST
