--- /dev/null
+++ b/src/jujubeslip/admission/__init__.py
@@ -0,0 +1,25 @@
+"""Places for requests at engines: who gets one, where, and when.
+
+One control host, the leader, gives them for all entry hosts. It knows of each place
+the moment it gives it, where an engine's own report is up to a second old, and it lets
+the requests of all hosts wait in one order.
+"""
+
+from jujubeslip.admission._home import AdmissionHome
+from jujubeslip.admission._lengths import AnswerLengths, lengths_of
+from jujubeslip.admission._memory_forecast import (
+    GrowingAnswer,
+    MemoryOptions,
+    forecast_peak,
+    growth_of,
+)
+
+__all__ = [
+    "AdmissionHome",
+    "AnswerLengths",
+    "GrowingAnswer",
+    "MemoryOptions",
+    "forecast_peak",
+    "growth_of",
+    "lengths_of",
+]
--- /dev/null
+++ b/src/jujubeslip/admission/_engine_memory.py
@@ -0,0 +1,174 @@
+"""What an engine is making, from its last report and from the places given since."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from jujubeslip.admission._lengths import lengths_of
+from jujubeslip.admission._memory_forecast import GrowingAnswer
+from jujubeslip.admission._models import Admitted, Applicant
+from jujubeslip.kernel import steady_seconds
+from jujubeslip.routes import EngineReport, RunningAnswer
+
+# How old an engine's report is when it comes, in seconds, as engines are known to lag.
+REPORT_LAG_SECONDS = 0.5
+# A request that has had its place for longer than this and is in no report has ended
+# without its host's word, in seconds: prompts are read within 1.5, reports lag by one.
+UNSEEN_SECONDS = 4.0
+# Reports that still list a request that has ended are behind by no more than this.
+ENDED_SECONDS = 4.0
+# Events that an engine adds to each answer in a second, before two reports showed it,
+# and how much the latest two count.
+FIRST_PACE = 15.0
+PACE_WEIGHT = 0.2
+# How old a report may be, in seconds, for the engine to be given requests.
+USABLE_SECONDS = 1.5
+
+
+class EngineMemory:
+    """One engine's answers; guarded by its pool's lock."""
+
+    def __init__(self, endpoint_id: str) -> None:
+        self.endpoint_id = endpoint_id
+        self._report: EngineReport | None = None
+        self._reported_at = float("-inf")
+        self._pace = FIRST_PACE
+        self._admitted_by_id: dict[str, Admitted] = {}
+        self._ended_at_by_id: dict[str, float] = {}
+        self._reading: set[str] = set()
+
+    @property
+    def report_age(self) -> float:
+        """Return how long ago the last report came, in seconds."""
+        return steady_seconds() - self._reported_at
+
+    @property
+    def usable(self) -> bool:
+        """Say whether enough is known of the engine to give it requests."""
+        report = self._report
+        if report is None or self.report_age >= USABLE_SECONDS:
+            return False
+        return not report.busy and not report.reads_prompts
+
+    @property
+    def reads_prompt(self) -> bool:
+        """Say whether it reads a prompt by itself, while its answers stand still."""
+        return bool(self._reading)
+
+    @property
+    def capacity_tokens(self) -> int:
+        """Return the tokens that fit, less what something other than answers takes."""
+        report = self._report
+        if report is None:
+            return 0
+        listed = sum(item.memory_tokens for item in report.running)
+        return report.capacity_tokens - max(0, report.used_tokens - listed)
+
+    def take_report(self, report: EngineReport) -> None:
+        """Take over what the engine says."""
+        now = steady_seconds()
+        if self._report is not None:
+            self._learn_pace(self._report, report, now - self._reported_at)
+        self._report = report
+        self._reported_at = now
+        self._reading -= {item.request_id for item in report.running if item.events}
+        self._forget_ended(now)
+
+    def admit(self, admitted: Admitted) -> None:
+        """Note a request that was given a place."""
+        request_id = admitted.applicant.request_id
+        self._ended_at_by_id.pop(request_id, None)
+        self._admitted_by_id[request_id] = admitted
+        if not admitted.place.reader_id:
+            self._reading.add(request_id)
+
+    def note_read(self, request_id: str) -> None:
+        """Note that the prompt of a request has been read."""
+        self._reading.discard(request_id)
+
+    def find(self, request_id: str, attempt: int) -> Admitted | None:
+        """Return the place that was given here for this attempt of a request."""
+        admitted = self._admitted_by_id.get(request_id)
+        if admitted is None or admitted.applicant.attempt != attempt:
+            return None
+        return admitted
+
+    def end(self, request_id: str, attempt: int) -> None:
+        """Note that a request has ended, if it had its place here."""
+        if self.find(request_id, attempt) is None:
+            return
+        del self._admitted_by_id[request_id]
+        self._reading.discard(request_id)
+        self._ended_at_by_id[request_id] = steady_seconds()
+
+    def answers(self, asking: Applicant) -> list[GrowingAnswer]:
+        """Return what the engine makes now, and is about to make beside one who asks.
+
+        What another host let in is taken to be of the kind of the one who asks.
+        """
+        now = steady_seconds()
+        running = self._report.running if self._report else ()
+        reported = {item.request_id: item for item in running}
+        since_state = now - self._reported_at + REPORT_LAG_SECONDS
+        answers = [
+            self._reported(item, since_state, asking)
+            for item in running
+            if item.request_id not in self._ended_at_by_id
+        ]
+        unseen = [
+            admitted
+            for request_id, admitted in self._admitted_by_id.items()
+            if request_id not in reported
+        ]
+        return answers + [self._unseen(admitted, now) for admitted in unseen]
+
+    def _reported(
+        self, item: RunningAnswer, since_state: float, asking: Applicant
+    ) -> GrowingAnswer:
+        admitted = self._admitted_by_id.get(item.request_id)
+        if admitted is None:
+            lengths = lengths_of(asking.lengths.maximum)
+            event_tokens = asking.event_tokens
+        else:
+            lengths = admitted.applicant.lengths
+            event_tokens = admitted.applicant.event_tokens
+        events = min(item.events + int(self._pace * since_state), lengths.maximum - 1)
+        grown = max(0, events - item.events) * event_tokens
+        return GrowingAnswer(item.memory_tokens + grown, events, event_tokens, lengths)
+
+    def _unseen(self, admitted: Admitted, now: float) -> GrowingAnswer:
+        """Return an answer that no report shows yet."""
+        applicant = admitted.applicant
+        events = int(self._pace * max(0.0, now - admitted.since - REPORT_LAG_SECONDS))
+        events = min(events, applicant.lengths.maximum - 1)
+        memory = applicant.prompt_tokens + events * applicant.event_tokens
+        return GrowingAnswer(memory, events, applicant.event_tokens, applicant.lengths)
+
+    def _learn_pace(
+        self, before: EngineReport, after: EngineReport, seconds: float
+    ) -> None:
+        events_before = {item.request_id: item.events for item in before.running}
+        made = [
+            item.events - events_before[item.request_id]
+            for item in after.running
+            if item.request_id in events_before
+        ]
+        if made and seconds > 0:
+            latest = sum(made) / len(made) / seconds
+            self._pace += PACE_WEIGHT * (latest - self._pace)
+
+    def _forget_ended(self, now: float) -> None:
+        self._ended_at_by_id = {
+            request_id: ended_at
+            for request_id, ended_at in self._ended_at_by_id.items()
+            if now - ended_at < ENDED_SECONDS
+        }
+        listed = _request_ids(self._report.running if self._report else ())
+        for request_id, admitted in list(self._admitted_by_id.items()):
+            if request_id not in listed and now - admitted.since > UNSEEN_SECONDS:
+                del self._admitted_by_id[request_id]
+                self._reading.discard(request_id)
+
+
+def _request_ids(running: Iterable[RunningAnswer]) -> set[str]:
+    return {item.request_id for item in running}
--- /dev/null
+++ b/src/jujubeslip/admission/_home.py
@@ -0,0 +1,192 @@
+"""The home of all admissions, on the control host that leads."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections.abc import Callable, Sequence
+
+from jujubeslip.admission._engine_follower import EngineFollower
+from jujubeslip.admission._memory_forecast import MemoryOptions
+from jujubeslip.admission._models import read_applicant
+from jujubeslip.admission._pool import Decision, EnginePool
+from jujubeslip.discovery import Endpoint, EndpointBook
+from jujubeslip.interfaces import Interface
+from jujubeslip.kernel import Deadline, Process, steady_seconds
+from jujubeslip.peers import (
+    AdmissionNews,
+    AdmissionReply,
+    AdmissionRequest,
+    AdmissionStatus,
+    AdmissionStep,
+    EndpointRole,
+    PeerRefusal,
+)
+from jujubeslip.routes import EngineReport
+
+logger = logging.getLogger(__name__)
+
+# How often the home looks which engines there are, in seconds.
+LOOK_SECONDS = 0.25
+# Engines are asked for reports while requests came within this time, in seconds.
+ACTIVE_SECONDS = 5.0
+# An engine that was not heard for this long is given nothing, in seconds.
+SILENT_SECONDS = 5.0
+MAXIMUM_WAIT_SECONDS = 2.0
+
+
+class AdmissionHome:
+    """Gives places at all services' engines while this host leads.
+
+    Two hosts that both think they lead give too many places at worst: an engine that
+    is full refuses, and its report shows what the other one gave.
+    """
+
+    def __init__(
+        self,
+        process: Process,
+        book: EndpointBook,
+        interface: Interface,
+        options: MemoryOptions,
+        leads: Callable[[], bool],
+    ) -> None:
+        self._process = process
+        self._book = book
+        self._interface = interface
+        self._options = options
+        self._leads = leads
+        self._pool_by_service: dict[str, EnginePool] = {}
+        self._follower_by_endpoint: dict[str, EngineFollower] = {}
+        self._asked_at = float("-inf")
+        self._lock = threading.Lock()
+
+    def start(self) -> None:
+        """Follow the engines until the process stops."""
+        self._process.repeat(LOOK_SECONDS, self.look)
+
+    def admit(self, request: AdmissionRequest) -> AdmissionReply:
+        """Answer once the request has a place or will get none, or to ask again."""
+        wait = Deadline.from_remaining_ms(request.wait_ms)
+        until = wait.earlier_of(Deadline.after(MAXIMUM_WAIT_SECONDS))
+        self._asked_at = steady_seconds()
+        pool = self._pool(request.service_name)
+        if not pool.usable:
+            self.look()
+            raise _no_engine_known()
+        applicant = read_applicant(request)
+        decision = pool.ask(applicant, request.avoided_endpoint_ids or (), until)
+        self._log(request, decision)
+        return _reply(decision)
+
+    def take(self, told: Sequence[AdmissionNews]) -> None:
+        """Note how far requests with places have come."""
+        with self._lock:
+            pools = list(self._pool_by_service.values())
+        for news in told:
+            for pool in pools:
+                if news.step == AdmissionStep.ENDED:
+                    pool.end(news.request_id, news.attempt)
+                else:
+                    pool.note_read(news.request_id)
+
+    def look(self) -> None:
+        """Follow the engines that there are now, if this host is asked."""
+        active = steady_seconds() - self._asked_at < ACTIVE_SECONDS
+        engines = self._engines() if active and self._leads() else []
+        with self._lock:
+            self._follow(engines)
+        services = {engine.service_name for engine in engines}
+        for service_name in services | self._pool_by_service.keys():
+            self._pool(service_name).set_engines(
+                _ids_of(engines, service_name, EndpointRole.DECODE),
+                _ids_of(engines, service_name, EndpointRole.PREFILL),
+            )
+
+    def _follow(self, engines: Sequence[Endpoint]) -> None:
+        wanted = {engine.endpoint_id for engine in engines}
+        for endpoint_id in self._follower_by_endpoint.keys() - wanted:
+            self._follower_by_endpoint.pop(endpoint_id).stop()
+        for engine in engines:
+            if engine.endpoint_id in self._follower_by_endpoint:
+                continue
+            follower = EngineFollower(
+                engine, self._interface, self._process, self._take_report
+            )
+            self._follower_by_endpoint[engine.endpoint_id] = follower
+            self._process.start_task(follower.run)
+
+    def _take_report(self, engine: Endpoint, report: EngineReport) -> None:
+        self._pool(engine.service_name).take_report(engine.endpoint_id, report)
+
+    def _engines(self) -> list[Endpoint]:
+        heard_since = steady_seconds() - SILENT_SECONDS
+        return [
+            endpoint
+            for endpoint in self._book.endpoints()
+            if endpoint.role != EndpointRole.PLAIN
+            and not endpoint.leaving
+            and endpoint.heard_at >= heard_since
+        ]
+
+    def _pool(self, service_name: str) -> EnginePool:
+        with self._lock:
+            pool = self._pool_by_service.get(service_name)
+            if pool is None:
+                pool = EnginePool(service_name, self._options)
+                self._pool_by_service[service_name] = pool
+            return pool
+
+    def _log(self, request: AdmissionRequest, decision: Decision) -> None:
+        if decision.place is None and not decision.refused:
+            return
+        extra: dict[str, object] = {
+            "request_id": request.request_id,
+            "service": request.service_name,
+            "prompt_tokens": request.prompt_tokens,
+            "expected_events": request.expected_events,
+            "forecast_ms": int(decision.forecast * 1000),
+        }
+        if decision.place is None:
+            logger.info("no place at an engine", extra=extra)
+            return
+        extra["endpoint_id"] = decision.place.endpoint_id
+        extra["reader_id"] = decision.place.reader_id
+        extra["fill"] = round(decision.place.fill, 3)
+        extra["report_age_ms"] = decision.place.report_age_ms
+        logger.info("place at an engine", extra=extra)
+
+
+def _ids_of(
+    engines: Sequence[Endpoint], service_name: str, role: EndpointRole
+) -> list[str]:
+    return [
+        engine.endpoint_id
+        for engine in engines
+        if engine.service_name == service_name and engine.role == role
+    ]
+
+
+def _reply(decision: Decision) -> AdmissionReply:
+    forecast_ms = int(decision.forecast * 1000)
+    if decision.place is not None:
+        place = decision.place
+        return AdmissionReply(
+            AdmissionStatus.ADMITTED,
+            place.endpoint_id,
+            forecast_ms,
+            place.fill,
+            place.report_age_ms,
+            place.reader_id,
+        )
+    refused = decision.refused
+    status = AdmissionStatus.REFUSED if refused else AdmissionStatus.WAITING
+    return AdmissionReply(status, "", forecast_ms, 0.0, 0, "")
+
+
+def _no_engine_known() -> PeerRefusal:
+    return PeerRefusal(
+        "engines_unknown",
+        "This host has no engine's report yet.",
+        "Ask the engines for room, as without a leader.",
+        0,
+    )
--- /dev/null
+++ b/src/jujubeslip/admission/_lengths.py
@@ -0,0 +1,65 @@
+"""How long an answer will get, as far as that can be known while it is made."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from functools import lru_cache
+
+# How far the client's own estimate is off, as the standard deviation of its logarithm.
+# Measured over the answers of a day: docs/design/admission.md.
+ESTIMATE_DEVIATION = 0.5
+# Estimates are rounded to this many events, so that few distributions are computed.
+ESTIMATE_STEP = 5
+REMEMBERED_DISTRIBUTIONS = 512
+
+
+@dataclass(frozen=True)
+class AnswerLengths:
+    """The distribution of an answer's length, in events."""
+
+    longer_than: tuple[float, ...]
+    """Probability by number of events that the answer has more than these."""
+
+    @property
+    def maximum(self) -> int:
+        """Return the events of the longest answer."""
+        return len(self.longer_than) - 1
+
+    def still_runs(self, events: int, ahead: int) -> float:
+        """Return how likely an answer of this many events has `ahead` further ones."""
+        now = self.longer_than[min(events, self.maximum - 1)]
+        later = self.longer_than[min(events + ahead, self.maximum)]
+        return later / now if now > 0 else 0.0
+
+
+def lengths_of(maximum_events: int, expected_events: int = 0) -> AnswerLengths:
+    """Return the distribution for an answer, with the client's estimate if it gave one.
+
+    Without one, each length up to the longest is equally likely.
+    """
+    rounded = ESTIMATE_STEP * round(expected_events / ESTIMATE_STEP)
+    if expected_events > 0:
+        rounded = max(ESTIMATE_STEP, rounded)
+    return _lengths(max(1, maximum_events), rounded)
+
+
+@lru_cache(maxsize=REMEMBERED_DISTRIBUTIONS)
+def _lengths(maximum_events: int, expected_events: int) -> AnswerLengths:
+    weights = [
+        _weight(length, expected_events) for length in range(1, maximum_events + 1)
+    ]
+    left = total = sum(weights)
+    longer_than = [1.0]
+    for weight in weights:
+        left -= weight
+        longer_than.append(max(0.0, left / total))
+    longer_than[-1] = 0.0
+    return AnswerLengths(tuple(longer_than))
+
+
+def _weight(length: int, expected_events: int) -> float:
+    if not expected_events:
+        return 1.0
+    off = math.log(expected_events / length) / ESTIMATE_DEVIATION
+    return math.exp(-off * off / 2)
--- /dev/null
+++ b/src/jujubeslip/admission/_models.py
@@ -0,0 +1,67 @@
+"""What the parts of admission hand to one another."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from jujubeslip.admission._lengths import AnswerLengths, lengths_of
+from jujubeslip.kernel import Deadline
+from jujubeslip.peers import AdmissionRequest
+
+
+@dataclass(frozen=True)
+class Applicant:
+    """A request that needs a place at an engine."""
+
+    request_id: str
+    attempt: int
+    """Grows with each place that the request needs."""
+    prompt_tokens: int
+    event_tokens: int
+    lengths: AnswerLengths
+    slots: int
+    """Requests that an engine works on at a time."""
+    target_by: Deadline
+    """Until when its first event is in time."""
+    limit: Deadline
+    """Until when it waits for a place."""
+    reads_itself: bool
+    """Whether the engine that answers has to read the prompt, too."""
+
+
+@dataclass(frozen=True)
+class Place:
+    """A place at an engine that a request was given."""
+
+    endpoint_id: str
+    fill: float
+    """Share of the engine's memory that its answers are expected to need at most."""
+    report_age_ms: int
+    """How old the engine's report is that this was decided by."""
+    reader_id: str = ""
+    """The engine that reads the prompt, empty where the answering one does."""
+
+
+@dataclass(frozen=True)
+class Admitted:
+    """A request that has a place at an engine."""
+
+    applicant: Applicant
+    place: Place
+    since: float
+    """When it got the place, by the steady clock in seconds."""
+
+
+def read_applicant(request: AdmissionRequest) -> Applicant:
+    """Return the request that an entry host asks for."""
+    return Applicant(
+        request.request_id,
+        request.attempt,
+        request.prompt_tokens,
+        max(1, request.event_tokens),
+        lengths_of(request.maximum_events, request.expected_events),
+        request.slots,
+        Deadline.from_remaining_ms(request.target_remaining_ms),
+        Deadline.from_remaining_ms(request.limit_remaining_ms),
+        bool(request.reads_itself),
+    )
--- /dev/null
+++ b/src/jujubeslip/admission/_pool.py
@@ -0,0 +1,294 @@
+"""The engines of one service that answer, and the requests that wait for them."""
+
+from __future__ import annotations
+
+import logging
+import random
+import threading
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, replace
+from typing import TypeVar
+
+from jujubeslip.admission._engine_memory import EngineMemory
+from jujubeslip.admission._memory_forecast import (
+    GrowingAnswer,
+    MemoryOptions,
+    forecast_peak,
+)
+from jujubeslip.admission._models import Admitted, Applicant, Place
+from jujubeslip.admission._prompt_queue import PromptQueue
+from jujubeslip.kernel import Deadline, steady_seconds
+from jujubeslip.routes import EngineReport
+
+logger = logging.getLogger(__name__)
+
+T = TypeVar("T")
+
+# A request whose host has not asked again for this long is waited for no more, in
+# seconds: hosts ask several times as often.
+ASKED_SECONDS = 1.0
+# How often one that waits looks again by itself, in seconds: places come free with
+# reports and with ends, which wake it.
+LOOK_SECONDS = 0.05
+# How much the latest interval between two requests that got a place counts, and what
+# is assumed before the first one, in seconds.
+INTERVAL_WEIGHT = 0.2
+FIRST_INTERVAL_SECONDS = 0.1
+
+
+@dataclass(frozen=True)
+class Decision:
+    """What a request gets: a place, or none, or to ask again where both are None."""
+
+    place: Place | None
+    refused: bool
+    forecast: float
+    """How long it was expected to wait when it came, in seconds."""
+
+
+@dataclass
+class _Waiting:
+    applicant: Applicant
+    avoided: frozenset[str]
+    asked_at: float
+    forecast: float
+    in_vain: bool
+    """Whether it was expected to get no place before its limit."""
+    decision: Decision | None = None
+    asking: int = 0
+    """Calls that wait for it at this moment."""
+
+
+class EnginePool:
+    """Gives places in order: requests still in time first, the earliest target before.
+
+    All hosts' requests wait in one queue. Each host by itself would ask the engines
+    again and again, and whoever asked at the right moment would go first.
+    """
+
+    def __init__(self, service_name: str, options: MemoryOptions) -> None:
+        self._service_name = service_name
+        self._options = options
+        self._engine_by_id: dict[str, EngineMemory] = {}
+        self._reader_by_id: dict[str, PromptQueue] = {}
+        self._waiting_by_id: dict[str, _Waiting] = {}
+        self._interval = FIRST_INTERVAL_SECONDS
+        self._busy_since = steady_seconds()
+        self._changed = threading.Condition()
+
+    # Engines
+
+    def set_engines(
+        self, answering_ids: Collection[str], reading_ids: Collection[str]
+    ) -> None:
+        """Give places at the first ones, and prompts to the second ones, only."""
+        with self._changed:
+            _keep_only(self._engine_by_id, answering_ids, EngineMemory)
+            _keep_only(self._reader_by_id, reading_ids, PromptQueue)
+
+    def take_report(self, endpoint_id: str, report: EngineReport) -> None:
+        """Take over what an engine says of itself."""
+        with self._changed:
+            engine = self._engine_by_id.get(endpoint_id)
+            if engine is not None:
+                engine.take_report(report)
+            reader = self._reader_by_id.get(endpoint_id)
+            if reader is not None:
+                reader.take_report(report)
+            self._changed.notify_all()
+
+    @property
+    def usable(self) -> bool:
+        """Say whether any engine is known well enough to be given requests."""
+        with self._changed:
+            return any(engine.usable for engine in self._engine_by_id.values())
+
+    # Requests
+
+    def ask(
+        self, applicant: Applicant, avoided: Collection[str], until: Deadline
+    ) -> Decision:
+        """Return a place as soon as there is one, before the given instant."""
+        with self._changed:
+            place = self._given_before(applicant)
+            if place is not None:
+                return Decision(place, False, 0.0)
+            waiting = self._enter(applicant, frozenset(avoided))
+            waiting.asking += 1
+            try:
+                return self._wait(waiting, until)
+            finally:
+                waiting.asking -= 1
+                waiting.asked_at = steady_seconds()
+
+    def note_read(self, request_id: str) -> None:
+        """Note that a request's prompt was read, or won't be where it was to be."""
+        with self._changed:
+            self._note_read(request_id)
+            self._changed.notify_all()
+
+    def end(self, request_id: str, attempt: int) -> None:
+        """Note that a request has ended, or will not be sent."""
+        with self._changed:
+            waiting = self._waiting_by_id.get(request_id)
+            if waiting is not None and waiting.applicant.attempt == attempt:
+                self._decide(waiting, Decision(None, True, waiting.forecast))
+            self._note_read(request_id)
+            for engine in self._engine_by_id.values():
+                engine.end(request_id, attempt)
+            self._changed.notify_all()
+
+    def _given_before(self, applicant: Applicant) -> Place | None:
+        """Return the place of a request that asks again after a lost answer."""
+        for engine in self._engine_by_id.values():
+            admitted = engine.find(applicant.request_id, applicant.attempt)
+            if admitted is not None:
+                return admitted.place
+        return None
+
+    def _note_read(self, request_id: str) -> None:
+        for reader in self._reader_by_id.values():
+            reader.note_read(request_id)
+        for engine in self._engine_by_id.values():
+            engine.note_read(request_id)
+
+    def _enter(self, applicant: Applicant, avoided: frozenset[str]) -> _Waiting:
+        now = steady_seconds()
+        known = self._waiting_by_id.get(applicant.request_id)
+        if known is not None and known.applicant.attempt == applicant.attempt:
+            known.avoided = avoided
+            return known
+        if known is not None:
+            self._decide(known, Decision(None, True, known.forecast))
+        if not self._waiting_by_id:
+            self._busy_since = now
+        forecast = self._forecast(applicant, now)
+        in_vain = forecast > applicant.limit.remaining()
+        waiting = _Waiting(applicant, avoided, now, forecast, in_vain)
+        self._waiting_by_id[applicant.request_id] = waiting
+        return waiting
+
+    def _forecast(self, applicant: Applicant, now: float) -> float:
+        own = _rank(applicant, now)
+        ahead = sum(
+            _rank(item.applicant, now) <= own for item in self._waiting_by_id.values()
+        )
+        return (ahead + 1) * self._interval
+
+    def _wait(self, waiting: _Waiting, until: Deadline) -> Decision:
+        applicant = waiting.applicant
+        while waiting.decision is None:
+            self._forget_silent()
+            if self._is_next(waiting):
+                place = self._find_place(waiting)
+                if place is not None:
+                    return self._admit(waiting, place)
+            # Told at once that its wait would be in vain, a client comes back when
+            # others have ended; held until its limit, it would be refused all the same.
+            if waiting.in_vain or applicant.limit.expired:
+                return self._decide(waiting, Decision(None, True, waiting.forecast))
+            if until.expired:
+                return Decision(None, False, waiting.forecast)
+            left = min(until.remaining(), applicant.limit.remaining(), LOOK_SECONDS)
+            self._changed.wait(max(0.001, left))
+        return waiting.decision
+
+    def _decide(self, waiting: _Waiting, decision: Decision) -> Decision:
+        """Let all calls for the request end with this decision."""
+        waiting.decision = decision
+        self._waiting_by_id.pop(waiting.applicant.request_id, None)
+        self._changed.notify_all()
+        return decision
+
+    def _admit(self, waiting: _Waiting, place: Place) -> Decision:
+        now = steady_seconds()
+        applicant = waiting.applicant
+        self._engine_by_id[place.endpoint_id].admit(Admitted(applicant, place, now))
+        if place.reader_id:
+            self._reader_by_id[place.reader_id].give(applicant)
+        self._interval += INTERVAL_WEIGHT * (now - self._busy_since - self._interval)
+        self._busy_since = now
+        return self._decide(waiting, Decision(place, False, waiting.forecast))
+
+    def _forget_silent(self) -> None:
+        """Drop requests whose hosts ask no more, which would hold up all others."""
+        oldest = steady_seconds() - ASKED_SECONDS
+        for request_id, waiting in list(self._waiting_by_id.items()):
+            if not waiting.asking and waiting.asked_at < oldest:
+                self._decide(waiting, Decision(None, True, waiting.forecast))
+                extra = {"request_id": request_id, "service": self._service_name}
+                logger.info("request waits no more for a place", extra=extra)
+
+    def _is_next(self, waiting: _Waiting) -> bool:
+        now = steady_seconds()
+        first = min(
+            self._waiting_by_id.values(), key=lambda item: _rank(item.applicant, now)
+        )
+        return first is waiting
+
+    def _find_place(self, waiting: _Waiting) -> Place | None:
+        """Return a place at the engine that will be emptiest, None if all are full.
+
+        An engine that reads a prompt by itself stops all its answers meanwhile. That
+        is done only while no engine reads for others, and one prompt at a time: two in
+        a row would stop the answers for longer than they may pause.
+        """
+        reader = None
+        if not waiting.applicant.reads_itself:
+            readers = self._readers(waiting)
+            reader = min(
+                readers,
+                key=lambda item: (item.seconds_left, random.random()),
+                default=None,
+            )
+            if reader is not None and not reader.has_room:
+                return None
+        places = [
+            place
+            for engine in self._engine_by_id.values()
+            if engine.usable and engine.endpoint_id not in waiting.avoided
+            if reader is not None or not engine.reads_prompt
+            if (place := self._place_at(engine, waiting.applicant)) is not None
+        ]
+        found = min(places, key=lambda item: (item.fill, random.random()), default=None)
+        if found is None or reader is None:
+            return found
+        return replace(found, reader_id=reader.endpoint_id)
+
+    def _readers(self, waiting: _Waiting) -> list[PromptQueue]:
+        return [
+            reader
+            for reader in self._reader_by_id.values()
+            if reader.usable and reader.endpoint_id not in waiting.avoided
+        ]
+
+    def _place_at(self, engine: EngineMemory, applicant: Applicant) -> Place | None:
+        answers = engine.answers(applicant)
+        if len(answers) >= applicant.slots:
+            return None
+        answers.append(
+            GrowingAnswer(
+                applicant.prompt_tokens, 0, applicant.event_tokens, applicant.lengths
+            )
+        )
+        capacity = max(1, engine.capacity_tokens)
+        fill = forecast_peak(answers, self._options.caution) / capacity
+        if fill > 1 - self._options.margin:
+            return None
+        return Place(engine.endpoint_id, fill, int(engine.report_age * 1000))
+
+
+def _rank(applicant: Applicant, now: float) -> tuple[bool, float, str]:
+    """Return what orders waiting requests: those still in time first."""
+    target = applicant.target_by.instant
+    return (now > target, target, applicant.request_id)
+
+
+def _keep_only(
+    by_id: dict[str, T], wanted: Collection[str], create: Callable[[str], T]
+) -> None:
+    for endpoint_id in by_id.keys() - set(wanted):
+        del by_id[endpoint_id]
+    for endpoint_id in wanted:
+        if endpoint_id not in by_id:
+            by_id[endpoint_id] = create(endpoint_id)
--- /dev/null
+++ b/src/jujubeslip/admission/_prompt_queue.py
@@ -0,0 +1,97 @@
+"""What an engine that reads prompts for others still has to read."""
+
+from __future__ import annotations
+
+from jujubeslip.admission._models import Applicant
+from jujubeslip.kernel import steady_seconds
+from jujubeslip.routes import EngineReport
+
+# Tokens that an engine reads in a second before prompts have shown it.
+FIRST_TOKENS_PER_SECOND = 40_000.0
+# What prompts count for in the speed once as many seconds of reading came after them.
+# Sums are kept and not single speeds: of prompts that are read together, the last one
+# seems to take no time.
+SPEED_SECONDS = 2.0
+# A prompt that was not told to be read after this long is forgotten, in seconds: its
+# host asks no engine for longer.
+LOST_SECONDS = 3.0
+# An engine gets a further prompt when it has no more than this left to read, in
+# seconds: enough to bridge the way to its next host, and little to wait for.
+READ_AHEAD_SECONDS = 0.1
+# How old a report may be, in seconds, for the engine to be given prompts.
+USABLE_SECONDS = 1.5
+
+
+class PromptQueue:
+    """One engine that reads prompts; guarded by its pool's lock.
+
+    Prompts wait at the home and not at the engine: there, the most urgent one goes
+    first, and none holds another engine's memory while it waits.
+    """
+
+    def __init__(self, endpoint_id: str) -> None:
+        self.endpoint_id = endpoint_id
+        self._tokens_by_request: dict[str, int] = {}
+        self._given_at_by_request: dict[str, float] = {}
+        self._read_seconds = SPEED_SECONDS
+        self._read_tokens = FIRST_TOKENS_PER_SECOND * SPEED_SECONDS
+        self._free_since = steady_seconds()
+        self._reported_at = float("-inf")
+        self._takes_prompts = False
+
+    @property
+    def usable(self) -> bool:
+        """Say whether the engine answers and reads prompts for others now."""
+        fresh = steady_seconds() - self._reported_at < USABLE_SECONDS
+        return fresh and self._takes_prompts
+
+    @property
+    def seconds_left(self) -> float:
+        """Return how long it will take to read what it was given."""
+        if not self._tokens_by_request:
+            return 0.0
+        speed = self._read_tokens / self._read_seconds
+        whole = sum(self._tokens_by_request.values()) / speed
+        return max(0.0, whole - (steady_seconds() - self._free_since))
+
+    @property
+    def has_room(self) -> bool:
+        """Say whether it should be given a further prompt now."""
+        return self.seconds_left <= READ_AHEAD_SECONDS
+
+    def take_report(self, report: EngineReport) -> None:
+        """Take over what the engine says."""
+        self._reported_at = steady_seconds()
+        self._takes_prompts = report.reads_prompts and not report.busy
+        self._forget_lost()
+
+    def give(self, applicant: Applicant) -> None:
+        """Note a prompt that the engine is to read."""
+        now = steady_seconds()
+        if not self._tokens_by_request:
+            self._free_since = now
+        self._tokens_by_request[applicant.request_id] = applicant.prompt_tokens
+        self._given_at_by_request[applicant.request_id] = now
+
+    def note_read(self, request_id: str, learns: bool = True) -> None:
+        """Note that a prompt was read, or won't be."""
+        tokens = self._tokens_by_request.pop(request_id, None)
+        if tokens is None:
+            return
+        given_at = self._given_at_by_request.pop(request_id)
+        now = steady_seconds()
+        seconds = now - max(given_at, self._free_since)
+        if learns:
+            self._learn(tokens, seconds)
+        self._free_since = now
+
+    def _learn(self, tokens: int, seconds: float) -> None:
+        kept = SPEED_SECONDS / (SPEED_SECONDS + seconds)
+        self._read_seconds = kept * (self._read_seconds + seconds)
+        self._read_tokens = kept * (self._read_tokens + tokens)
+
+    def _forget_lost(self) -> None:
+        oldest = steady_seconds() - LOST_SECONDS
+        for request_id, given_at in list(self._given_at_by_request.items()):
+            if given_at < oldest:
+                self.note_read(request_id, learns=False)
--- a/src/jujubeslip/control/_handler.py
+++ b/src/jujubeslip/control/_handler.py
@@ -5,6 +5,7 @@
 from functools import singledispatch
 from typing import Any
 
+from jujubeslip.admission import AdmissionHome
 from jujubeslip.control._changes import MembershipChanges
 from jujubeslip.control._claims import ClaimsFull
 from jujubeslip.control._commands import NoOp
@@ -21,6 +22,9 @@
 from jujubeslip.kernel import Deadline
 from jujubeslip.peers import (
     AbandonCommand,
+    AdmissionNews,
+    AdmissionReply,
+    AdmissionRequest,
     AppendReply,
     AppendRequest,
     ApplyReply,
@@ -57,11 +61,13 @@
         receiver: Receiver,
         changes: MembershipChanges,
         watches: Watches,
+        admissions: AdmissionHome | None = None,
     ) -> None:
         self._replica = replica
         self._receiver = receiver
         self._changes = changes
         self._watches = watches
+        self._admissions = admissions
 
     def get_configuration(self, known_revision: int, wait_ms: int) -> Configuration:
         """Return the configuration applied here, once it is newer than the known one.
@@ -120,6 +126,23 @@
         """See Watches.answer."""
         return self._watches.answer(request)
 
+    def admit(self, request: AdmissionRequest) -> AdmissionReply:
+        """See AdmissionHome.admit; only the leader gives places."""
+        return self._leading_admissions().admit(request)
+
+    def tell_admissions(self, news: list[AdmissionNews]) -> None:
+        """See AdmissionHome.take."""
+        self._leading_admissions().take(news)
+
+    def _leading_admissions(self) -> AdmissionHome:
+        """Return what gives places, or raise NotLeader.
+
+        Without a valid lease another host may lead, and give the same places.
+        """
+        if self._admissions is None or self._replica.fence() is None:
+            raise self._replica.not_leader()
+        return self._admissions
+
     def claim_key(self, claim: KeyClaim, remaining_ms: int) -> KeyReply:
         """Claim (client, key), durably on a quorum before the answer."""
         check_claim(claim)
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -14,12 +14,13 @@
 from jujubeslip.control._replica import Replica
 from jujubeslip.control._watches import Watches
 from jujubeslip.discovery import Endpoint, EndpointBook
-from jujubeslip.endpoints import (
-    EndpointConnection,
-    EndpointError,
-    never_interrupted,
+from jujubeslip.endpoints import ConnectionPool, EndpointError
+from jujubeslip.interfaces import (
+    EndpointQuestion,
+    Interface,
+    RoleOrder,
+    ask_endpoint,
 )
-from jujubeslip.interfaces import EndpointQuestion, Interface, RoleOrder
 from jujubeslip.kernel import Deadline, steady_seconds
 from jujubeslip.peers import EndpointRole, ServicePressure
 
@@ -98,6 +99,7 @@
         self._watches = watches
         self._interface = interface
         self._order_lease_seconds = order_lease_seconds
+        self._connections = ConnectionPool()
         self._short_since_by_service: dict[str, float] = {}
         self._next_order_by_service: dict[str, Deadline] = {}
 
@@ -201,15 +203,10 @@
         return report.orders
 
     def _ask(self, endpoint: Endpoint, question: EndpointQuestion) -> tuple[int, bytes]:
-        connection = EndpointConnection(endpoint.address)
-        try:
-            headers = [("Host", endpoint.address), *question.headers]
-            connection.send(question.method, question.target, headers, question.body)
-            connection.watch(Deadline.after(ANSWER_SECONDS), never_interrupted)
-            response = connection.read_head()
-            return response.status, connection.read_rest(response)
-        finally:
-            connection.close()
+        deadline = Deadline.after(ANSWER_SECONDS)
+        return ask_endpoint(
+            self._connections, self._interface, endpoint, question, deadline
+        )
 
 
 def _with_role(
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -4,6 +4,7 @@
 
 import logging
 
+from jujubeslip.admission import AdmissionHome, MemoryOptions
 from jujubeslip.control._changes import MembershipChanges
 from jujubeslip.control._client import ControlClient
 from jujubeslip.control._election import Elections
@@ -68,8 +69,13 @@
             self._pass_over,
             settings.peer_address,
         )
+        self._admissions = self._build_admissions()
         handler = ControlHandler(
-            self._replica, Receiver(self._replica), self._changes, self._watches
+            self._replica,
+            Receiver(self._replica),
+            self._changes,
+            self._watches,
+            self._admissions,
         )
         self._server = PeerServer(
             settings.peer_address,
@@ -80,6 +86,19 @@
         )
         self._http = self._build_http()
 
+    def _build_admissions(self) -> AdmissionHome | None:
+        """Return the home of admissions, where endpoints announce themselves here."""
+        settings = self._settings
+        if settings.http_address is None or not settings.gives_places:
+            return None
+        return AdmissionHome(
+            self._process,
+            self._book,
+            interfaces.get(settings.interface),
+            MemoryOptions(settings.memory_margin, settings.memory_caution),
+            lambda: self._replica.fence() is not None,
+        )
+
     def _build_http(self) -> HttpServer | None:
         settings = self._settings
         if settings.http_address is None:
@@ -110,6 +129,8 @@
             process.repeat(MEMBERSHIP_CHECK_SECONDS, self._follow_members)
             self._http.start(process)
             self._start_role_keeper()
+        if self._admissions is not None:
+            self._admissions.start()
         logger.info(
             "control host started",
             extra={
--- a/src/jujubeslip/control/_watches.py
+++ b/src/jujubeslip/control/_watches.py
@@ -62,6 +62,7 @@
             self._configuration_version(),
             self._addresses(),
             self._count_entry_hosts(),
+            self._leader_address(),
         )
 
     def follow_configuration(self) -> None:
@@ -128,6 +129,13 @@
         with self._changed:
             return sum(watcher.is_entry_host for watcher in self._live())
 
+    def _leader_address(self) -> str:
+        replica = self._replica
+        with replica.lock:
+            if replica.leadership is not None:
+                return str(replica.settings.peer_address)
+            return str(replica.leader.address) if replica.hears_leader else ""
+
     def _configuration_version(self) -> int:
         # Without the replica's lock: those who wait ask this inside the book's.
         return int(self._replica.machine.configurations.current.revision)
--- a/src/jujubeslip/discovery/_follower.py
+++ b/src/jujubeslip/discovery/_follower.py
@@ -49,6 +49,8 @@
     configuration_version: int
     entry_hosts: int
     """How many entry hosts ask it; it knows no other way to count them."""
+    leader_address: str = ""
+    """Peer address of the control host that leads, empty while none is known."""
 
 
 @dataclass(frozen=True)
@@ -105,12 +107,11 @@
                     self._process.start_task(follower.run)
             follower.note_named()
 
-    def answered_within(self, seconds: float) -> bool:
-        """Say whether any control host has answered this lately."""
-        since = steady_seconds() - seconds
+    def reaches(self, address: str) -> bool:
+        """Say whether the control host at this address answered when last asked."""
         with self._lock:
-            followers = list(self._follower_by_address.values())
-        return any(follower.answered_at >= since for follower in followers)
+            follower = self._follower_by_address.get(address)
+        return follower is not None and follower.reachable
 
     # For the followers.
 
@@ -140,7 +141,13 @@
         """Take over an answer."""
         self._book.take(endpoint_from_record(record) for record in reply.endpoints)
         self.learn(reply.control_addresses)
-        self._on_news(News(address, reply.configuration_version, reply.entry_hosts))
+        news = News(
+            address,
+            reply.configuration_version,
+            reply.entry_hosts,
+            reply.leader_address or "",
+        )
+        self._on_news(news)
 
     def forget(self, address: str) -> None:
         """Ask the host at this address no more."""
@@ -157,7 +164,7 @@
         self._client = owner.client_of(address)
         self._known = Known()
         self._retry_seconds = RETRY_SECONDS
-        self._reachable = False
+        self.reachable = False
         self._named_at = steady_seconds()
         self.answered_at = float("-inf")
 
@@ -194,14 +201,14 @@
         self._known = Known(reply.book_id, reply.version, reply.configuration_version)
 
     def _note_answered(self, asked_at: float) -> None:
-        if not self._reachable:
+        if not self.reachable:
             logger.info("control host answers", extra={"address": self._address})
-        self._reachable = True
+        self.reachable = True
         self._retry_seconds = RETRY_SECONDS
         self.answered_at = asked_at
 
     def _note_lost(self, error: Exception) -> None:
-        if self._reachable:
+        if self.reachable:
             extra = {"address": self._address, "error": str(error)}
             logger.warning("control host lost", extra=extra)
-        self._reachable = False
+        self.reachable = False
--- a/src/jujubeslip/endpoints/_connections.py
+++ b/src/jujubeslip/endpoints/_connections.py
@@ -258,6 +258,14 @@
         for connection in expired:
             connection.close()
 
+    def close_all(self) -> None:
+        """Close all idle connections."""
+        with self._lock:
+            idle = [item for kept in self._idle_by_endpoint.values() for item in kept]
+            self._idle_by_endpoint.clear()
+        for connection in idle:
+            connection.close()
+
     def _pop(self, endpoint_id: str) -> EndpointConnection | None:
         with self._lock:
             idle = self._idle_by_endpoint.get(endpoint_id)
--- a/src/jujubeslip/forwarding/_engine_reports.py
+++ b/src/jujubeslip/forwarding/_engine_reports.py
@@ -51,8 +51,9 @@
     def _ask(self, context: ForwardContext, endpoint: Endpoint) -> EngineReport | None:
         question = self._sending.interface.ask_report(endpoint.endpoint_id)
         try:
-            with self._sending.exchange(context, endpoint) as exchange:
-                status, body = exchange.ask(question, Deadline.after(ANSWER_SECONDS))
+            status, body = self._sending.ask(
+                endpoint, question, Deadline.after(ANSWER_SECONDS), context.gone
+            )
         except EndpointError as error:
             self._sending.note_error(Attempts(), endpoint, error)
             return None
--- a/src/jujubeslip/forwarding/_exchange.py
+++ b/src/jujubeslip/forwarding/_exchange.py
@@ -17,7 +17,6 @@
 from jujubeslip.interfaces import (
     EndpointCall,
     EndpointHead,
-    EndpointQuestion,
     Interface,
 )
 from jujubeslip.kernel import Deadline
@@ -78,18 +77,6 @@
                 )
         return head
 
-    def ask(self, question: EndpointQuestion, deadline: Deadline) -> tuple[int, bytes]:
-        """Ask the endpoint something that is no request; return status and body."""
-        endpoint = self._endpoint
-        connection = self._pool.take(endpoint.endpoint_id, endpoint.address)
-        self._connection = connection
-        headers = [("Host", endpoint.address), *question.headers]
-        connection.send(question.method, question.target, headers, question.body)
-        connection.watch(deadline, self._gone)
-        response = self._response = connection.read_head()
-        self._head = self._interface.read_head(response.status, response.getheaders())
-        return response.status, self.read_rest()
-
     def watch(self, deadline: Deadline) -> None:
         """Bound the reads from now on."""
         assert self._connection is not None
--- /dev/null
+++ b/src/jujubeslip/forwarding/_places.py
@@ -0,0 +1,159 @@
+"""A place at an engine for each request: from the leader, else from the engines."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+from jujubeslip.discovery import Endpoint, EndpointBook
+from jujubeslip.forwarding._admissions import Admissions, PlaceFound
+from jujubeslip.forwarding._models import Attempts, ForwardContext
+from jujubeslip.forwarding._pressure import WAITED_SECONDS, Pressures
+from jujubeslip.forwarding._reservations import Reservations
+from jujubeslip.forwarding._sending import Sending
+from jujubeslip.kernel import Deadline
+from jujubeslip.peers import EndpointRole
+from jujubeslip.routes import EngineService, PromptShape
+
+logger = logging.getLogger(__name__)
+
+# A request that has less time left than this can't be answered whole any more.
+LEAST_RUN_SECONDS = 1.5
+# From room to the first event, in seconds: the prompt is read and its memory moved in
+# a quarter of a second nine times in ten.
+START_SECONDS = 0.25
+# How long before its client would leave a request is refused, in seconds.
+LEAVING_SECONDS = 0.4
+
+
+def _nothing() -> None:
+    """Give nothing back."""
+
+
+@dataclass(frozen=True)
+class Place:
+    """Where a run is to start."""
+
+    endpoint: Endpoint
+    reader: Endpoint | None = None
+    """The engine that is to read the prompt, None if any may."""
+    reads_itself: bool = False
+    """Whether the engine that answers is to read the prompt, too."""
+    before_run: Callable[[], None] = _nothing
+    """Gives back what is not to be kept during the run."""
+    prompt_read: Callable[[], None] = _nothing
+    """Tells that the prompt was read, or that it is read elsewhere."""
+    at_end: Callable[[], None] = _nothing
+    """Gives back the rest, once the run has ended or will not start."""
+
+
+class Places:
+    """Finds places; of what it gives, all has to be given back."""
+
+    def __init__(
+        self,
+        sending: Sending,
+        book: EndpointBook,
+        pressures: Pressures,
+        reservations: Reservations,
+        admissions: Admissions | None,
+    ) -> None:
+        self._sending = sending
+        self._book = book
+        self._pressures = pressures
+        self._reservations = reservations
+        self._admissions = admissions
+
+    def find(
+        self, context: ForwardContext, attempts: Attempts, reads_itself: bool
+    ) -> Place | None:
+        """Return a place; None where no engine is usable, or none has room in time.
+
+        `attempts.found_no_room` tells the two apart. `reads_itself` says that no other
+        engine can read the prompt for it.
+        """
+        service = context.table.service_by_name[context.service_name]
+        prompt = context.request.prompt
+        if service.engine is None or not service.engine.reservation_ms or not prompt:
+            endpoint = self._sending.choose(
+                context, EndpointRole.DECODE, attempts.tried
+            )
+            return None if endpoint is None else Place(endpoint)
+        place = self._find_room(context, attempts, service.engine, prompt, reads_itself)
+        waited = context.request.arrived.overdue() if place else WAITED_SECONDS
+        self._pressures.note_wait(context.service_name, waited)
+        return place
+
+    def _find_room(
+        self,
+        context: ForwardContext,
+        attempts: Attempts,
+        engine: EngineService,
+        prompt: PromptShape,
+        reads_itself: bool,
+    ) -> Place | None:
+        limit = wait_limit(context)
+        if self._admissions is not None:
+            found = self._admissions.ask(
+                context, attempts, engine, prompt, limit, reads_itself
+            )
+            if found is not None and not found.endpoint_id:
+                forecast = f"forecast {found.forecast:.2f} s"
+                attempts.note("-", f"no place in time, {forecast}")
+                attempts.found_no_room = True
+                return None
+            if found is not None:
+                place = self._given(context, attempts, self._admissions, found)
+                if place is not None:
+                    return place
+        reservation = self._reservations.take(context, attempts, engine, prompt, limit)
+        if reservation is None:
+            return None
+        # Kept during the run, what it holds beyond its need would count as full until
+        # its end, and push other answers out.
+        give_back = partial(self._reservations.release, context, reservation)
+        return Place(
+            reservation.endpoint, reads_itself=reads_itself, before_run=give_back
+        )
+
+    def _given(
+        self,
+        context: ForwardContext,
+        attempts: Attempts,
+        admissions: Admissions,
+        found: PlaceFound,
+    ) -> Place | None:
+        """Return the place that the leader gave, None if it isn't known here yet."""
+        request_id = context.request.request_id
+        attempt = attempts.places_asked
+        endpoint = self._book.find(found.endpoint_id)
+        if endpoint is None or endpoint.leaving:
+            extra = {"request_id": request_id, "endpoint_id": found.endpoint_id}
+            logger.info("place at an engine that is not used here", extra=extra)
+            admissions.end(request_id, attempt)
+            return None
+        attempts.note(found.endpoint_id, "place")
+        return Place(
+            endpoint,
+            reader=self._book.find(found.reader_id) if found.reader_id else None,
+            reads_itself=not found.reader_id,
+            prompt_read=partial(admissions.note_read, request_id, attempt),
+            at_end=partial(admissions.end, request_id, attempt),
+        )
+
+
+def wait_limit(context: ForwardContext) -> Deadline:
+    """Return until when a request waits for room before it is refused.
+
+    One that can't be in time any more is told so at once, and comes back when others
+    have ended; held until its client leaves, it would be lost. One that has come back
+    waits almost as long as its client does: it won't come again.
+    """
+    end = Deadline(context.end_by.instant - LEAST_RUN_SECONDS)
+    if not context.came_back:
+        start = Deadline(context.target_by.instant - START_SECONDS)
+        return end.earlier_of(start)
+    patience = context.route.patience_ms / 1000 - LEAVING_SECONDS
+    return end.earlier_of(Deadline(context.request.arrived.instant + patience))
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -7,13 +7,15 @@
 
 from returns.result import Failure
 
+from jujubeslip.admission import MemoryOptions
 from jujubeslip.discovery import ControlFollowers, EndpointBook, News
 from jujubeslip.endpoints import ConnectionPool
+from jujubeslip.forwarding._admissions import Admissions
 from jujubeslip.forwarding._app import ForwardApp, OpenRequests, ReadyApp
 from jujubeslip.forwarding._budget import BudgetOptions, RetryBudgets
 from jujubeslip.forwarding._choice import Chooser, policies
 from jujubeslip.forwarding._health import EndpointHealth
-from jujubeslip.forwarding._memory_forecast import MemoryOptions
+from jujubeslip.forwarding._places import Places
 from jujubeslip.forwarding._plain_path import PlainPath
 from jujubeslip.forwarding._pressure import Pressures
 from jujubeslip.forwarding._prompts import PromptReader
@@ -77,6 +79,17 @@
             pressures=self._pressures.told,
         )
         sending = self._build_sending()
+        self._admissions = (
+            Admissions(
+                self._process,
+                identity,
+                self._book,
+                sending.health,
+                self._followers.reaches,
+            )
+            if settings.asks_leader
+            else None
+        )
         self._open_requests = OpenRequests(
             max(1, settings.http_threads - settings.reserved_threads)
         )
@@ -86,10 +99,15 @@
             StreamPath(
                 sending,
                 PromptReader(sending, settings.reads_prompts_apart, self._pressures),
-                Reservations(
+                Places(
                     sending,
-                    MemoryOptions(settings.memory_margin, settings.memory_caution),
+                    self._book,
                     self._pressures,
+                    Reservations(
+                        sending,
+                        MemoryOptions(settings.memory_margin, settings.memory_caution),
+                    ),
+                    self._admissions,
                 ),
             ),
         )
@@ -130,6 +148,8 @@
         process.reload_with(self._reload)
         self._followers.learn(self._settings.seed_addresses)
         process.repeat(CLEANUP_SECONDS, self._pool.close_expired)
+        if self._admissions is not None:
+            self._admissions.start()
         self._http.start(process)
         self._ready_http.start(process)
         extra = {"http": self._settings.http_address, "host": self._settings.host_id}
@@ -139,6 +159,8 @@
     def _take_news(self, news: News) -> None:
         self._entry_hosts = max(self._entry_hosts, news.entry_hosts)
         self._routes.take(news)
+        if self._admissions is not None:
+            self._admissions.take(news)
 
     def _is_ready(self) -> bool:
         return self._routes.version > 0 and not self._process.stopping.is_set()
--- a/src/jujubeslip/forwarding/_prompts.py
+++ b/src/jujubeslip/forwarding/_prompts.py
@@ -33,20 +33,24 @@
         self._reads_apart = reads_apart
         self._pressures = pressures
 
-    def read(self, context: ForwardContext, attempts: Attempts) -> str:
+    def read(
+        self,
+        context: ForwardContext,
+        attempts: Attempts,
+        reader: Endpoint | None = None,
+    ) -> str:
         """Have an engine read the prompt; return where it is, nothing if it isn't.
 
-        A second engine is asked if the budget has a call for it. An engine that answers
-        can read the prompt itself, but all its answers stand still while it does.
+        `reader` is asked first, where it is given. A second engine is asked if the
+        budget has a call for it. An engine that answers can read the prompt itself, but
+        all its answers stand still while it does.
         """
         if not self._reads_apart or context.request.prompt is None:
             return ""
         for number in range(ENGINES_ASKED):
             if number and not self._sending.budgets.has_one(context.service_name):
                 return ""
-            endpoint = self._sending.chooser.choose_sound(
-                context.service_name, EndpointRole.PREFILL
-            )
+            endpoint = reader if reader and not number else self._choose(context)
             if endpoint is None:
                 return ""
             handle = self._read_at(context, attempts, endpoint)
@@ -54,6 +58,10 @@
                 return f"{endpoint.address}/{handle}"
         return ""
 
+    def _choose(self, context: ForwardContext) -> Endpoint | None:
+        chooser = self._sending.chooser
+        return chooser.choose_sound(context.service_name, EndpointRole.PREFILL)
+
     def _read_at(
         self, context: ForwardContext, attempts: Attempts, endpoint: Endpoint
     ) -> str:
--- a/src/jujubeslip/forwarding/_reservations.py
+++ b/src/jujubeslip/forwarding/_reservations.py
@@ -9,18 +9,13 @@
 
 import logging
 import threading
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
+from jujubeslip.admission import MemoryOptions, growth_of
 from jujubeslip.discovery import Endpoint
-from jujubeslip.endpoints import CallerGoneError, EndpointError, never_interrupted
+from jujubeslip.endpoints import CallerGoneError, EndpointError
 from jujubeslip.forwarding._engine_reports import EngineReports
-from jujubeslip.forwarding._memory_forecast import (
-    AnswerLimits,
-    MemoryOptions,
-    growth_of,
-)
 from jujubeslip.forwarding._models import Attempts, ForwardContext
-from jujubeslip.forwarding._pressure import WAITED_SECONDS, Pressures
 from jujubeslip.forwarding._sending import Sending
 from jujubeslip.forwarding._waiting import Waiting
 from jujubeslip.kernel import Deadline, Ran
@@ -35,13 +30,6 @@
 PAUSE_SECONDS = 0.05
 # Engines that are asked in one round.
 ENGINES_A_ROUND = 3
-# A request that has less time left than this can't be answered whole any more.
-LEAST_RUN_SECONDS = 1.5
-# From room to the first event, in seconds: the prompt is read and its memory moved in
-# a quarter of a second nine times in ten.
-START_SECONDS = 0.25
-# How long before its client would leave a request is refused, in seconds.
-LEAVING_SECONDS = 0.4
 
 
 @dataclass(frozen=True)
@@ -52,30 +40,12 @@
     token: str
 
 
-def _wait_limit(context: ForwardContext) -> Deadline:
-    """Return until when a request waits for room before it is refused.
-
-    One that can't be in time any more is told so at once, and comes back when others
-    have ended; held until its client leaves, it would be lost. One that has come back
-    waits almost as long as its client does: it won't come again.
-    """
-    end = Deadline(context.end_by.instant - LEAST_RUN_SECONDS)
-    if not context.came_back:
-        start = Deadline(context.target_by.instant - START_SECONDS)
-        return end.earlier_of(start)
-    patience = context.route.patience_ms / 1000 - LEAVING_SECONDS
-    return end.earlier_of(Deadline(context.request.arrived.instant + patience))
-
-
 class Reservations:
     """Takes reservations for requests, in order, until there is room."""
 
-    def __init__(
-        self, sending: Sending, options: MemoryOptions, pressures: Pressures
-    ) -> None:
+    def __init__(self, sending: Sending, options: MemoryOptions) -> None:
         self._sending = sending
         self._options = options
-        self._pressures = pressures
         self._reports = EngineReports(sending)
         self._waiting_by_service: dict[str, Waiting] = {}
         self._lock = threading.Lock()
@@ -86,14 +56,14 @@
         attempts: Attempts,
         engine: EngineService,
         prompt: PromptShape,
+        limit: Deadline,
     ) -> Reservation | None:
-        """Return room for the request, None if there is none while it has time."""
+        """Return room for the request, None if there is none before the limit."""
         waiting = self._waiting_for(context.service_name)
-        limit = _wait_limit(context)
         forecast = waiting.forecast(context)
         if forecast > limit.remaining():
             # Told at once: held until then, it would be refused all the same.
-            self._note_no_room(context, attempts, forecast)
+            _note_no_room(attempts, forecast)
             return None
         with waiting.place(context) as place:
             while waiting.wait_for_turn(place, context, limit):
@@ -102,9 +72,6 @@
                 found = self._ask_round(context, attempts, engine, prompt)
                 if found is not None:
                     waiting.note_room()
-                    self._pressures.note_wait(
-                        context.service_name, context.request.arrived.overdue()
-                    )
                     attempts.note(found.endpoint.endpoint_id, "room")
                     return found
                 if limit.expired:
@@ -113,32 +80,23 @@
                     message = "The client closed its connection."
                     raise CallerGoneError(message, Ran.NO)
                 self._pause()
-        self._note_no_room(context, attempts, forecast)
+        _note_no_room(attempts, forecast)
         return None
 
     def _waiting_for(self, service_name: str) -> Waiting:
         with self._lock:
             return self._waiting_by_service.setdefault(service_name, Waiting())
 
-    def _note_no_room(
-        self, context: ForwardContext, attempts: Attempts, forecast: float
-    ) -> None:
-        self._pressures.note_wait(context.service_name, WAITED_SECONDS)
-        attempts.note("-", f"no room in time, forecast {forecast:.2f} s")
-        attempts.found_no_room = True
-
     def release(self, context: ForwardContext, reservation: Reservation) -> None:
         """Give back what was reserved."""
         endpoint = reservation.endpoint
-        # Also for a caller who is gone.
-        context = replace(context, gone=never_interrupted)
         question = self._sending.interface.release(
             endpoint.endpoint_id, reservation.token
         )
         try:
-            with self._sending.exchange(context, endpoint) as exchange:
-                exchange.ask(question, Deadline.after(ANSWER_SECONDS))
-        except (EndpointError, CallerGoneError) as error:
+            # Also for a caller who is gone.
+            self._sending.ask(endpoint, question, Deadline.after(ANSWER_SECONDS))
+        except EndpointError as error:
             # It lapses by itself; until then the engine has less room for others.
             extra = {
                 "request_id": context.request.request_id,
@@ -183,11 +141,12 @@
     ) -> int:
         """Return what all answers of the engine will grow by, with this one."""
         longest = max(1, prompt.maximum_output_tokens // engine.event_tokens)
-        limits = AnswerLimits(engine.event_tokens, longest)
         report = self._reports.get(context, endpoint)
         if report is None:
             return prompt.maximum_output_tokens
-        return growth_of(report, prompt.prompt_tokens, limits, self._options)
+        return growth_of(
+            report, prompt.prompt_tokens, engine.event_tokens, longest, self._options
+        )
 
     def _ask(
         self, context: ForwardContext, endpoint: Endpoint, tokens: int, ttl_ms: int
@@ -195,8 +154,9 @@
         """Return the reservation's name, nothing where the engine has no room."""
         question = self._sending.interface.reserve(endpoint.endpoint_id, tokens, ttl_ms)
         try:
-            with self._sending.exchange(context, endpoint) as exchange:
-                status, body = exchange.ask(question, Deadline.after(ANSWER_SECONDS))
+            status, body = self._sending.ask(
+                endpoint, question, Deadline.after(ANSWER_SECONDS), context.gone
+            )
         except EndpointError as error:
             self._sending.note_error(Attempts(), endpoint, error)
             return ""
@@ -211,3 +171,8 @@
         }
         logger.info("no room at the engine", extra=extra)
         return ""
+
+
+def _note_no_room(attempts: Attempts, forecast: float) -> None:
+    attempts.note("-", f"no room in time, forecast {forecast:.2f} s")
+    attempts.found_no_room = True
--- a/src/jujubeslip/forwarding/_sending.py
+++ b/src/jujubeslip/forwarding/_sending.py
@@ -15,13 +15,15 @@
     EndpointRoleError,
     EndpointTimeoutError,
     EndpointUnreachableError,
+    never_interrupted,
 )
 from jujubeslip.forwarding._budget import RetryBudgets
 from jujubeslip.forwarding._choice import Chooser
 from jujubeslip.forwarding._exchange import Exchange
 from jujubeslip.forwarding._health import EndpointHealth
-from jujubeslip.forwarding._models import Attempts, ForwardContext
-from jujubeslip.interfaces import Interface
+from jujubeslip.forwarding._models import Attempts, ForwardContext, Gone
+from jujubeslip.interfaces import EndpointQuestion, Interface, ask_endpoint
+from jujubeslip.kernel import Deadline
 from jujubeslip.peers import EndpointRole
 
 logger = logging.getLogger(__name__)
@@ -53,6 +55,18 @@
             self.pool, self.interface, endpoint, context.request, context.gone
         )
 
+    def ask(
+        self,
+        endpoint: Endpoint,
+        question: EndpointQuestion,
+        deadline: Deadline,
+        gone: Gone = never_interrupted,
+    ) -> tuple[int, bytes]:
+        """Ask the endpoint something that is no request; return status and body."""
+        return ask_endpoint(
+            self.pool, self.interface, endpoint, question, deadline, gone
+        )
+
     def may_send(self, context: ForwardContext, attempts: Attempts) -> bool:
         """Count one more send; say whether the bounds and the budget allow it."""
         if attempts.sends == 0:
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -25,29 +25,20 @@
     WholeAnswer,
     refusal_of,
 )
+from jujubeslip.forwarding._places import Place, Places
 from jujubeslip.forwarding._prompts import PromptReader
-from jujubeslip.forwarding._reservations import Reservation, Reservations
 from jujubeslip.forwarding._sending import Sending
 from jujubeslip.interfaces import EndpointCall, EndpointHead
 from jujubeslip.kernel import (
     RequestRefusedError,
     steady_seconds,
 )
-from jujubeslip.peers import EndpointRole
 
 # When a client should come back whose request found no room, in seconds: a third of
 # the running answers have ended by then.
 NO_ROOM_RETRY_SECONDS = 1.5
 
 
-@dataclass(frozen=True)
-class _Place:
-    """Where a run is to start."""
-
-    endpoint: Endpoint
-    reservation: Reservation | None
-
-
 @dataclass
 class _Run:
     """A run at an engine whose first events have come."""
@@ -63,12 +54,10 @@
 class StreamPath:
     """Takes room at an engine, has the prompt read, and passes the answer on."""
 
-    def __init__(
-        self, sending: Sending, prompts: PromptReader, reservations: Reservations
-    ) -> None:
+    def __init__(self, sending: Sending, prompts: PromptReader, places: Places) -> None:
         self._sending = sending
         self._prompts = prompts
-        self._reservations = reservations
+        self._places = places
 
     def answer(self, context: ForwardContext, attempts: Attempts) -> Answer:
         """Return the answer once its first events are there."""
@@ -88,25 +77,29 @@
         # Not read yet, or empty once the answering engine has to read it itself.
         prompt_at: str | None = "" if resume_after else None
         while self._sending.is_open(context, attempts):
-            place = self._find_place(context, attempts)
+            place = self._find_place(context, attempts, prompt_at == "")
             if place is None:
                 break
-            with self._kept(context, place) as kept:
-                if prompt_at is None:
-                    prompt_at = self._prompts.read(context, attempts)
-                if not self._sending.may_send(context, attempts):
-                    break
-                # Given back before the run: what a run holds beyond its need counts as
-                # full until its end, and would push other answers out.
-                kept.close()
-                call = _call(context, place, prompt_at, resume_after)
+            with ExitStack() as kept:
+                kept.callback(place.at_end)
+                with ExitStack() as before_run:
+                    before_run.callback(place.before_run)
+                    if prompt_at is None and not place.reads_itself:
+                        prompt_at = self._prompts.read(context, attempts, place.reader)
+                    if not place.reads_itself:
+                        place.prompt_read()
+                    if not self._sending.may_send(context, attempts):
+                        break
+                call = _call(context, place, prompt_at or "", resume_after)
                 try:
-                    started = self._run(context, attempts, place.endpoint, call)
+                    started = self._run(context, attempts, place.endpoint, call, kept)
                 except EndpointError as error:
                     self._note_error(attempts, place, prompt_at, error)
-                    prompt_at = prompt_at if _left_prompt(error) else ""
+                    if prompt_at and not _left_prompt(error):
+                        prompt_at = ""
                     continue
             if isinstance(started, _Run):
+                place.prompt_read()
                 return started
             failed = started
             self._note_failed(attempts, place.endpoint)
@@ -115,7 +108,11 @@
         raise refusal_of(attempts, context.end_by)
 
     def _note_error(
-        self, attempts: Attempts, place: _Place, prompt_at: str, error: EndpointError
+        self,
+        attempts: Attempts,
+        place: Place,
+        prompt_at: str | None,
+        error: EndpointError,
     ) -> None:
         self._sending.note_error(attempts, place.endpoint, error)
         if prompt_at and isinstance(error, EndpointRefusedError):
@@ -123,31 +120,17 @@
             # can read the prompt itself.
             attempts.tried.discard(place.endpoint.endpoint_id)
 
-    def _kept(self, context: ForwardContext, place: _Place) -> ExitStack:
-        """Return a context at whose end what is reserved is given back."""
-        stack = ExitStack()
-        if place.reservation is not None:
-            stack.callback(self._reservations.release, context, place.reservation)
-        return stack
-
-    def _find_place(self, context: ForwardContext, attempts: Attempts) -> _Place | None:
-        """Return an engine with room, None if none is usable.
+    def _find_place(
+        self, context: ForwardContext, attempts: Attempts, reads_itself: bool
+    ) -> Place | None:
+        """Return a place at an engine, None if none is usable.
 
         Raises RequestRefusedError when engines are there and have no room in time.
         """
-        service = context.table.service_by_name[context.service_name]
-        prompt = context.request.prompt
-        if service.engine is None or not service.engine.reservation_ms or not prompt:
-            endpoint = self._sending.choose(
-                context, EndpointRole.DECODE, attempts.tried
-            )
-            return None if endpoint is None else _Place(endpoint, None)
-        found = self._reservations.take(context, attempts, service.engine, prompt)
-        if found is not None:
-            return _Place(found.endpoint, found)
-        if attempts.found_no_room and not attempts.may_have_run:
+        place = self._places.find(context, attempts, reads_itself)
+        if place is None and attempts.found_no_room and not attempts.may_have_run:
             raise _no_room()
-        return None
+        return place
 
     def _note_failed(self, attempts: Attempts, endpoint: Endpoint) -> None:
         """Note an engine's own failure: the request has run."""
@@ -161,8 +144,12 @@
         attempts: Attempts,
         endpoint: Endpoint,
         call: EndpointCall,
+        kept: ExitStack,
     ) -> _Run | WholeAnswer:
-        """Return the run once its first events have come, or the engine's failure."""
+        """Return the run once its first events have come, or the engine's failure.
+
+        What is kept for the run passes to it when it is returned.
+        """
         with ExitStack() as stack:
             health = self._sending.health
             stack.enter_context(health.working(endpoint.endpoint_id))
@@ -181,8 +168,9 @@
                     raise AnswerCutError(f"{endpoint.address}: a stream of no event.")
                 first = splitter.take(part)
             attempts.note(endpoint.endpoint_id, "streams")
-            kept = stack.pop_all()
-        return _Run(endpoint, head, exchange, first, splitter, kept)
+            stack.push(kept.pop_all())
+            held = stack.pop_all()
+        return _Run(endpoint, head, exchange, first, splitter, held)
 
     # The events
 
@@ -230,7 +218,7 @@
 
 
 def _call(
-    context: ForwardContext, place: _Place, prompt_at: str, resume_after: str
+    context: ForwardContext, place: Place, prompt_at: str, resume_after: str
 ) -> EndpointCall:
     return EndpointCall(
         place.endpoint.endpoint_id,
--- a/src/jujubeslip/interfaces/__init__.py
+++ b/src/jujubeslip/interfaces/__init__.py
@@ -12,6 +12,7 @@
     WsgiApp,
     interfaces,
 )
+from jujubeslip.interfaces._questions import ask_endpoint
 
 __all__ = [
     "EncodedRefusal",
@@ -23,5 +24,6 @@
     "Interface",
     "RoleOrder",
     "WsgiApp",
+    "ask_endpoint",
     "interfaces",
 ]
--- a/src/jujubeslip/peers/__init__.py
+++ b/src/jujubeslip/peers/__init__.py
@@ -9,6 +9,11 @@
 from jujubeslip.peers.gen import ControlPeer, EntryPeer
 from jujubeslip.peers.gen.ttypes import (
     AbandonCommand,
+    AdmissionNews,
+    AdmissionReply,
+    AdmissionRequest,
+    AdmissionStatus,
+    AdmissionStep,
     Announcement,
     AppendReply,
     AppendRequest,
@@ -64,6 +69,11 @@
 
 __all__ = [
     "AbandonCommand",
+    "AdmissionNews",
+    "AdmissionReply",
+    "AdmissionRequest",
+    "AdmissionStatus",
+    "AdmissionStep",
     "Announcement",
     "AppendReply",
     "AppendRequest",
--- a/src/jujubeslip/peers/gen/ControlPeer.py
+++ b/src/jujubeslip/peers/gen/ControlPeer.py
@@ -90,6 +90,22 @@
         """
         pass
 
+    def admit(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        pass
+
+    def tell_admissions(self, news):
+        """
+        Parameters:
+         - news
+
+        """
+        pass
+
     def history(self, limit):
         """
         Parameters:
@@ -469,6 +485,76 @@
             raise result.refusal
         raise TApplicationException(TApplicationException.MISSING_RESULT, "watch failed: unknown result")
 
+    def admit(self, request):
+        """
+        Parameters:
+         - request
+
+        """
+        self.send_admit(request)
+        return self.recv_admit()
+
+    def send_admit(self, request):
+        self._oprot.writeMessageBegin('admit', TMessageType.CALL, self._seqid)
+        args = admit_args()
+        args.request = request
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_admit(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = admit_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.refusal is not None:
+            raise result.refusal
+        if result.not_leader is not None:
+            raise result.not_leader
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "admit failed: unknown result")
+
+    def tell_admissions(self, news):
+        """
+        Parameters:
+         - news
+
+        """
+        self.send_tell_admissions(news)
+        self.recv_tell_admissions()
+
+    def send_tell_admissions(self, news):
+        self._oprot.writeMessageBegin('tell_admissions', TMessageType.CALL, self._seqid)
+        args = tell_admissions_args()
+        args.news = news
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_tell_admissions(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = tell_admissions_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.refusal is not None:
+            raise result.refusal
+        if result.not_leader is not None:
+            raise result.not_leader
+        return
+
     def history(self, limit):
         """
         Parameters:
@@ -848,6 +934,8 @@
         self._processMap["abandon_key"] = Processor.process_abandon_key
         self._processMap["put_version"] = Processor.process_put_version
         self._processMap["watch"] = Processor.process_watch
+        self._processMap["admit"] = Processor.process_admit
+        self._processMap["tell_admissions"] = Processor.process_tell_admissions
         self._processMap["history"] = Processor.process_history
         self._processMap["status"] = Processor.process_status
         self._processMap["describe"] = Processor.process_describe
@@ -1107,6 +1195,64 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_admit(self, seqid, iprot, oprot):
+        args = admit_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = admit_result()
+        try:
+            result.success = self._handler.admit(args.request)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except NotLeader as not_leader:
+            msg_type = TMessageType.REPLY
+            result.not_leader = not_leader
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("admit", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_tell_admissions(self, seqid, iprot, oprot):
+        args = tell_admissions_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = tell_admissions_result()
+        try:
+            self._handler.tell_admissions(args.news)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except NotLeader as not_leader:
+            msg_type = TMessageType.REPLY
+            result.not_leader = not_leader
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("tell_admissions", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_history(self, seqid, iprot, oprot):
         args = history_args()
         args.read(iprot)
@@ -2607,6 +2753,300 @@
 )
 
 
+class admit_args(object):
+    """
+    Attributes:
+     - request
+
+    """
+
+
+    def __init__(self, request=None,):
+        self.request = request
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.request = AdmissionRequest()
+                    self.request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('admit_args')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRUCT, 1)
+            self.request.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(admit_args)
+admit_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'request', [AdmissionRequest, None], None, ),  # 1
+)
+
+
+class admit_result(object):
+    """
+    Attributes:
+     - success
+     - refusal
+     - not_leader
+
+    """
+
+
+    def __init__(self, success=None, refusal=None, not_leader=None,):
+        self.success = success
+        self.refusal = refusal
+        self.not_leader = not_leader
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = AdmissionReply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.not_leader = NotLeader.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('admit_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        if self.not_leader is not None:
+            oprot.writeFieldBegin('not_leader', TType.STRUCT, 2)
+            self.not_leader.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(admit_result)
+admit_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [AdmissionReply, None], None, ),  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+    (2, TType.STRUCT, 'not_leader', [NotLeader, None], None, ),  # 2
+)
+
+
+class tell_admissions_args(object):
+    """
+    Attributes:
+     - news
+
+    """
+
+
+    def __init__(self, news=None,):
+        self.news = news
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.news = []
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = AdmissionNews()
+                        _elem145.read(iprot)
+                        self.news.append(_elem145)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('tell_admissions_args')
+        if self.news is not None:
+            oprot.writeFieldBegin('news', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.news))
+            for iter146 in self.news:
+                iter146.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(tell_admissions_args)
+tell_admissions_args.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'news', (TType.STRUCT, [AdmissionNews, None], False), None, ),  # 1
+)
+
+
+class tell_admissions_result(object):
+    """
+    Attributes:
+     - refusal
+     - not_leader
+
+    """
+
+
+    def __init__(self, refusal=None, not_leader=None,):
+        self.refusal = refusal
+        self.not_leader = not_leader
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.not_leader = NotLeader.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('tell_admissions_result')
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        if self.not_leader is not None:
+            oprot.writeFieldBegin('not_leader', TType.STRUCT, 2)
+            self.not_leader.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(tell_admissions_result)
+tell_admissions_result.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+    (2, TType.STRUCT, 'not_leader', [NotLeader, None], None, ),  # 2
+)
+
+
 class history_args(object):
     """
     Attributes:
@@ -2694,11 +3134,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = Configuration()
-                        _elem138.read(iprot)
-                        self.success.append(_elem138)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = Configuration()
+                        _elem152.read(iprot)
+                        self.success.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2720,8 +3160,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter139 in self.success:
-                iter139.write(oprot)
+            for iter153 in self.success:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -39,6 +39,13 @@
 
 
 
+class AdmissionStatus(IntEnum):
+    ADMITTED = 1
+    WAITING = 2
+    REFUSED = 3
+
+
+
 class KeyStatus(IntEnum):
     FIRST = 1
     RUNNING = 2
@@ -58,6 +65,12 @@
 
 
 
+class AdmissionStep(IntEnum):
+    PROMPT_READ = 1
+    ENDED = 2
+
+
+
 class PeerIdentity(object):
     """
     Attributes:
@@ -3127,6 +3140,394 @@
         return not (self == other)
 
 
+class AdmissionRequest(object):
+    """
+    Attributes:
+     - request_id
+     - service_name
+     - prompt_tokens
+     - maximum_events
+     - event_tokens
+     - expected_events
+     - slots
+     - target_remaining_ms
+     - limit_remaining_ms
+     - wait_ms
+     - avoided_endpoint_ids
+     - reads_itself
+     - attempt
+
+    """
+
+
+    def __init__(self, request_id=None, service_name=None, prompt_tokens=None, maximum_events=None, event_tokens=None, expected_events=None, slots=None, target_remaining_ms=None, limit_remaining_ms=None, wait_ms=None, avoided_endpoint_ids=None, reads_itself=None, attempt=None,):
+        self.request_id = request_id
+        self.service_name = service_name
+        self.prompt_tokens = prompt_tokens
+        self.maximum_events = maximum_events
+        self.event_tokens = event_tokens
+        self.expected_events = expected_events
+        self.slots = slots
+        self.target_remaining_ms = target_remaining_ms
+        self.limit_remaining_ms = limit_remaining_ms
+        self.wait_ms = wait_ms
+        self.avoided_endpoint_ids = avoided_endpoint_ids
+        self.reads_itself = reads_itself
+        self.attempt = attempt
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.prompt_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.maximum_events = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.event_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.expected_events = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.target_remaining_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.limit_remaining_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.avoided_endpoint_ids = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.avoided_endpoint_ids.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.reads_itself = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AdmissionRequest')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 1)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.prompt_tokens is not None:
+            oprot.writeFieldBegin('prompt_tokens', TType.I32, 3)
+            oprot.writeI32(self.prompt_tokens)
+            oprot.writeFieldEnd()
+        if self.maximum_events is not None:
+            oprot.writeFieldBegin('maximum_events', TType.I32, 4)
+            oprot.writeI32(self.maximum_events)
+            oprot.writeFieldEnd()
+        if self.event_tokens is not None:
+            oprot.writeFieldBegin('event_tokens', TType.I32, 5)
+            oprot.writeI32(self.event_tokens)
+            oprot.writeFieldEnd()
+        if self.expected_events is not None:
+            oprot.writeFieldBegin('expected_events', TType.I32, 6)
+            oprot.writeI32(self.expected_events)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 7)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.target_remaining_ms is not None:
+            oprot.writeFieldBegin('target_remaining_ms', TType.I64, 8)
+            oprot.writeI64(self.target_remaining_ms)
+            oprot.writeFieldEnd()
+        if self.limit_remaining_ms is not None:
+            oprot.writeFieldBegin('limit_remaining_ms', TType.I64, 9)
+            oprot.writeI64(self.limit_remaining_ms)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 10)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        if self.avoided_endpoint_ids is not None:
+            oprot.writeFieldBegin('avoided_endpoint_ids', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRING, len(self.avoided_endpoint_ids))
+            for iter48 in self.avoided_endpoint_ids:
+                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.reads_itself is not None:
+            oprot.writeFieldBegin('reads_itself', TType.BOOL, 12)
+            oprot.writeBool(self.reads_itself)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 13)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AdmissionReply(object):
+    """
+    Attributes:
+     - status
+     - endpoint_id
+     - forecast_ms
+     - fill
+     - report_age_ms
+     - reader_endpoint_id
+
+    """
+
+
+    def __init__(self, status=None, endpoint_id=None, forecast_ms=None, fill=None, report_age_ms=None, reader_endpoint_id=None,):
+        self.status = status
+        self.endpoint_id = endpoint_id
+        self.forecast_ms = forecast_ms
+        self.fill = fill
+        self.report_age_ms = report_age_ms
+        self.reader_endpoint_id = reader_endpoint_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.status = AdmissionStatus(iprot.readI32()).name
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.forecast_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.fill = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.report_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.reader_endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AdmissionReply')
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.I32, 1)
+            oprot.writeI32(AdmissionStatus[self.status].value)
+            oprot.writeFieldEnd()
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 2)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.forecast_ms is not None:
+            oprot.writeFieldBegin('forecast_ms', TType.I32, 3)
+            oprot.writeI32(self.forecast_ms)
+            oprot.writeFieldEnd()
+        if self.fill is not None:
+            oprot.writeFieldBegin('fill', TType.DOUBLE, 4)
+            oprot.writeDouble(self.fill)
+            oprot.writeFieldEnd()
+        if self.report_age_ms is not None:
+            oprot.writeFieldBegin('report_age_ms', TType.I32, 5)
+            oprot.writeI32(self.report_age_ms)
+            oprot.writeFieldEnd()
+        if self.reader_endpoint_id is not None:
+            oprot.writeFieldBegin('reader_endpoint_id', TType.STRING, 6)
+            oprot.writeString(self.reader_endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.reader_endpoint_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AdmissionNews(object):
+    """
+    Attributes:
+     - request_id
+     - attempt
+     - step
+
+    """
+
+
+    def __init__(self, request_id=None, attempt=None, step=None,):
+        self.request_id = request_id
+        self.attempt = attempt
+        self.step = step
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.step = AdmissionStep(iprot.readI32()).name
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AdmissionNews')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 1)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 2)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        if self.step is not None:
+            oprot.writeFieldBegin('step', TType.I32, 3)
+            oprot.writeI32(AdmissionStep[self.step].value)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class WatchRequest(object):
     """
     Attributes:
@@ -3192,11 +3593,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.pressures = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = ServicePressure()
-                        _elem47.read(iprot)
-                        self.pressures.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = ServicePressure()
+                        _elem54.read(iprot)
+                        self.pressures.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3237,8 +3638,8 @@
         if self.pressures is not None:
             oprot.writeFieldBegin('pressures', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.pressures))
-            for iter48 in self.pressures:
-                iter48.write(oprot)
+            for iter55 in self.pressures:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3268,17 +3669,19 @@
      - configuration_version
      - control_addresses
      - entry_hosts
+     - leader_address
 
     """
 
 
-    def __init__(self, book_id=None, version=None, endpoints=None, configuration_version=None, control_addresses=None, entry_hosts=None,):
+    def __init__(self, book_id=None, version=None, endpoints=None, configuration_version=None, control_addresses=None, entry_hosts=None, leader_address=None,):
         self.book_id = book_id
         self.version = version
         self.endpoints = endpoints
         self.configuration_version = configuration_version
         self.control_addresses = control_addresses
         self.entry_hosts = entry_hosts
+        self.leader_address = leader_address
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3302,11 +3705,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.endpoints = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = EndpointRecord()
-                        _elem54.read(iprot)
-                        self.endpoints.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = EndpointRecord()
+                        _elem61.read(iprot)
+                        self.endpoints.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3318,10 +3721,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.control_addresses = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.control_addresses.append(_elem60)
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.control_addresses.append(_elem67)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3330,6 +3733,11 @@
                     self.entry_hosts = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.leader_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3351,8 +3759,8 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
-            for iter61 in self.endpoints:
-                iter61.write(oprot)
+            for iter68 in self.endpoints:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -3362,14 +3770,18 @@
         if self.control_addresses is not None:
             oprot.writeFieldBegin('control_addresses', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.control_addresses))
-            for iter62 in self.control_addresses:
-                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            for iter69 in self.control_addresses:
+                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entry_hosts is not None:
             oprot.writeFieldBegin('entry_hosts', TType.I32, 6)
             oprot.writeI32(self.entry_hosts)
             oprot.writeFieldEnd()
+        if self.leader_address is not None:
+            oprot.writeFieldBegin('leader_address', TType.STRING, 7)
+            oprot.writeString(self.leader_address.encode('utf-8') if sys.version_info[0] == 2 else self.leader_address)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3510,21 +3922,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = Member()
-                        _elem68.read(iprot)
-                        self.members.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = Member()
+                        _elem75.read(iprot)
+                        self.members.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.admitted_host_ids = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.admitted_host_ids.append(_elem74)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.admitted_host_ids.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3545,15 +3957,15 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter75 in self.members:
-                iter75.write(oprot)
+            for iter82 in self.members:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_host_ids is not None:
             oprot.writeFieldBegin('admitted_host_ids', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.admitted_host_ids))
-            for iter76 in self.admitted_host_ids:
-                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
+            for iter83 in self.admitted_host_ids:
+                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4144,33 +4556,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.configurations = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = Configuration()
-                        _elem82.read(iprot)
-                        self.configurations.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = Configuration()
+                        _elem89.read(iprot)
+                        self.configurations.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = ChangeRecord()
-                        _elem88.read(iprot)
-                        self.changes.append(_elem88)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = ChangeRecord()
+                        _elem95.read(iprot)
+                        self.changes.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.claims = []
-                    (_etype92, _size89) = iprot.readListBegin()
-                    for _i93 in range(_size89):
-                        _elem94 = ClaimRecord()
-                        _elem94.read(iprot)
-                        self.claims.append(_elem94)
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = ClaimRecord()
+                        _elem101.read(iprot)
+                        self.claims.append(_elem101)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4192,22 +4604,22 @@
         if self.configurations is not None:
             oprot.writeFieldBegin('configurations', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.configurations))
-            for iter95 in self.configurations:
-                iter95.write(oprot)
+            for iter102 in self.configurations:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter96 in self.changes:
-                iter96.write(oprot)
+            for iter103 in self.changes:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.claims is not None:
             oprot.writeFieldBegin('claims', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.claims))
-            for iter97 in self.claims:
-                iter97.write(oprot)
+            for iter104 in self.claims:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.end is not None:
@@ -4587,11 +4999,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = LogEntry()
-                        _elem103.read(iprot)
-                        self.entries.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = LogEntry()
+                        _elem110.read(iprot)
+                        self.entries.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4641,8 +5053,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter104 in self.entries:
-                iter104.write(oprot)
+            for iter111 in self.entries:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commit_index is not None:
@@ -5256,6 +5668,40 @@
     (2, TType.I32, 'waited', None, None, ),  # 2
     (3, TType.I32, 'prompt_ms_per_second', None, None, ),  # 3
 )
+all_structs.append(AdmissionRequest)
+AdmissionRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'prompt_tokens', None, None, ),  # 3
+    (4, TType.I32, 'maximum_events', None, None, ),  # 4
+    (5, TType.I32, 'event_tokens', None, None, ),  # 5
+    (6, TType.I32, 'expected_events', None, None, ),  # 6
+    (7, TType.I32, 'slots', None, None, ),  # 7
+    (8, TType.I64, 'target_remaining_ms', None, None, ),  # 8
+    (9, TType.I64, 'limit_remaining_ms', None, None, ),  # 9
+    (10, TType.I32, 'wait_ms', None, None, ),  # 10
+    (11, TType.LIST, 'avoided_endpoint_ids', (TType.STRING, 'UTF8', False), None, ),  # 11
+    (12, TType.BOOL, 'reads_itself', None, None, ),  # 12
+    (13, TType.I32, 'attempt', None, None, ),  # 13
+)
+all_structs.append(AdmissionReply)
+AdmissionReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'status', None, None, ),  # 1
+    (2, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'forecast_ms', None, None, ),  # 3
+    (4, TType.DOUBLE, 'fill', None, None, ),  # 4
+    (5, TType.I32, 'report_age_ms', None, None, ),  # 5
+    (6, TType.STRING, 'reader_endpoint_id', 'UTF8', None, ),  # 6
+)
+all_structs.append(AdmissionNews)
+AdmissionNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'attempt', None, None, ),  # 2
+    (3, TType.I32, 'step', None, None, ),  # 3
+)
 all_structs.append(WatchRequest)
 WatchRequest.thrift_spec = (
     None,  # 0
@@ -5276,6 +5722,7 @@
     (4, TType.I64, 'configuration_version', None, None, ),  # 4
     (5, TType.LIST, 'control_addresses', (TType.STRING, 'UTF8', False), None, ),  # 5
     (6, TType.I32, 'entry_hosts', None, None, ),  # 6
+    (7, TType.STRING, 'leader_address', 'UTF8', None, ),  # 7
 )
 all_structs.append(Member)
 Member.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -24,6 +24,15 @@
   REFUSED = 3,
 }
 
+enum AdmissionStatus {
+  // The request has a place at the engine that is named.
+  ADMITTED = 1,
+  // It keeps its place in the queue for a while, and is to ask again.
+  WAITING = 2,
+  // No engine will have room for it in time.
+  REFUSED = 3,
+}
+
 enum KeyStatus {
   FIRST = 1,
   RUNNING = 2,
@@ -333,6 +342,57 @@
   3: i32 prompt_ms_per_second,
 }
 
+// Asks the leader for a place at an engine that answers.
+struct AdmissionRequest {
+  1: string request_id,
+  2: string service_name,
+  3: i32 prompt_tokens,
+  // Events that its answer has at most, and the tokens of one.
+  4: i32 maximum_events,
+  5: i32 event_tokens,
+  // How many events the client expects, 0 where it doesn't say.
+  6: i32 expected_events,
+  // Requests that an engine works on at a time.
+  7: i32 slots,
+  // Until when the first event is in time, and until when the request waits.
+  8: i64 target_remaining_ms,
+  9: i64 limit_remaining_ms,
+  // How long this call may wait. The request keeps its place for the next call.
+  10: i32 wait_ms,
+  // Engines that have refused it, or don't answer its host.
+  11: list<string> avoided_endpoint_ids,
+  // Its prompt was read by another engine and lost: the one that answers reads it.
+  12: bool reads_itself,
+  // Grows with each place that the request needs; asked again, a call changes nothing.
+  13: i32 attempt,
+}
+
+struct AdmissionReply {
+  1: AdmissionStatus status,
+  2: string endpoint_id,
+  // How long the request was expected to wait, when it was asked for first.
+  3: i32 forecast_ms,
+  // Share of the engine's memory that its answers are expected to need at most.
+  4: double fill,
+  // How old the engine's report is that this was decided by.
+  5: i32 report_age_ms,
+  // The engine that reads the prompt; empty where the answering one does.
+  6: string reader_endpoint_id,
+}
+
+enum AdmissionStep {
+  // The prompt was read, or will not be read where it was to be.
+  PROMPT_READ = 1,
+  // The request has ended, or was not sent to its engine.
+  ENDED = 2,
+}
+
+struct AdmissionNews {
+  1: string request_id,
+  2: i32 attempt,
+  3: AdmissionStep step,
+}
+
 // Asks a control host for what is new there since `known_version` of its book.
 // `book_id` names the start of the control host that the version belongs to.
 struct WatchRequest {
@@ -355,6 +415,8 @@
   // Peer addresses of the control hosts that the teller knows.
   5: list<string> control_addresses,
   6: i32 entry_hosts,
+  // Peer address of the control host that leads, empty while the teller knows none.
+  7: string leader_address,
 }
 
 // `replica_id` is HOST/DISK: a host that lost its disk is another replica.
@@ -516,6 +578,12 @@
   // what is known, or wait_ms has passed. Asking again tells it that the answer
   // before has arrived.
   WatchReply watch(1: WatchRequest request) throws (1: PeerRefusal refusal),
+  // Answers once the request has a place, will get none, or wait_ms has passed.
+  AdmissionReply admit(1: AdmissionRequest request)
+    throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
+  // How far requests with places have come.
+  void tell_admissions(1: list<AdmissionNews> news)
+    throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
   list<Configuration> history(1: i32 limit) throws (1: PeerRefusal refusal),
   ControlStatus status() throws (1: PeerRefusal refusal),
 
--- a/src/jujubeslip/platform/_endpoint_calls.py
+++ b/src/jujubeslip/platform/_endpoint_calls.py
@@ -103,7 +103,8 @@
     try:
         fields = json.loads(body)
         running = tuple(
-            RunningAnswer(int(item[1]), int(item[2])) for item in fields["runs"]
+            RunningAnswer(int(item[1]), int(item[2]), str(item[0]))
+            for item in fields["runs"]
         )
         return EngineReport(
             capacity_tokens=int(fields["kvCapacity"]),
@@ -112,6 +113,7 @@
             running=running,
             orders=int(fields.get("seq", 0)),
             busy=bool(fields.get("busy", False)),
+            reads_prompts=fields.get("stage") == PREFILL_STAGE,
         )
     except (ValueError, KeyError, TypeError, IndexError):
         return None
--- a/src/jujubeslip/platform/_requests.py
+++ b/src/jujubeslip/platform/_requests.py
@@ -77,7 +77,13 @@
     try:
         given = environ.get("HTTP_TOKEN_COUNT", "").split(",")
         prompt_tokens, output_tokens = (int(count) for count in given)
-        return PromptShape(prompt_tokens, output_tokens, _parts(environ))
+        expected = environ.get("HTTP_LENGTH_HINT", "")
+        return PromptShape(
+            prompt_tokens,
+            output_tokens,
+            _parts(environ),
+            int(expected) if expected.isdigit() else 0,
+        )
     except ValueError:
         return None
 
--- a/src/jujubeslip/routes/_models.py
+++ b/src/jujubeslip/routes/_models.py
@@ -140,6 +140,8 @@
     prompt_tokens: int
     maximum_output_tokens: int
     parts: tuple[PromptPart, ...] = ()
+    expected_output_tokens: int = 0
+    """What the client expects, 0 where it doesn't say."""
 
 
 @dataclass(frozen=True)
@@ -175,6 +177,7 @@
     """What its prompt and the answer so far take of the engine's memory."""
     events: int
     """Events made so far."""
+    request_id: str = ""
 
 
 @dataclass(frozen=True)
@@ -191,6 +194,8 @@
     """Orders that the engine has accepted since its start."""
     busy: bool = False
     """Whether it is carrying one out."""
+    reads_prompts: bool = False
+    """Whether it reads prompts for others now, and answers nobody."""
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/tests/admission/test_pool.py
@@ -0,0 +1,263 @@
+"""Who gets a place at an engine, and who reads the prompt."""
+
+from __future__ import annotations
+
+from concurrent.futures import Future, ThreadPoolExecutor
+
+import pytest
+
+from jujubeslip.admission._lengths import lengths_of
+from jujubeslip.admission._memory_forecast import MemoryOptions
+from jujubeslip.admission._models import Applicant
+from jujubeslip.admission._pool import Decision, EnginePool
+from jujubeslip.kernel import Deadline
+from jujubeslip.routes import EngineReport, RunningAnswer
+from tests.fakes.processes import wait_until
+
+CAPACITY = 100_000
+EVENT_TOKENS, MAXIMUM_EVENTS = 65, 130
+READER = EngineReport(CAPACITY, 0, 0, (), reads_prompts=True)
+
+
+def engine_report(*running: RunningAnswer, busy: bool = False) -> EngineReport:
+    used = sum(item.memory_tokens for item in running)
+    return EngineReport(CAPACITY, used, 0, running, busy=busy)
+
+
+FULL = engine_report(*[RunningAnswer(9_000, 60, f"old-{n}") for n in range(11)])
+
+
+def applicant(
+    request_id: str,
+    *,
+    target: float = 0.9,
+    limit: float = 30.0,
+    attempt: int = 1,
+    reads_itself: bool = False,
+) -> Applicant:
+    return Applicant(
+        request_id,
+        attempt,
+        prompt_tokens=5000,
+        event_tokens=EVENT_TOKENS,
+        lengths=lengths_of(MAXIMUM_EVENTS),
+        slots=64,
+        target_by=Deadline.after(target),
+        limit=Deadline.after(limit),
+        reads_itself=reads_itself,
+    )
+
+
+def at_once() -> Deadline:
+    return Deadline.after(0)
+
+
+def ask_now(
+    pool: EnginePool, request_id: str, *avoided: str, attempt: int = 1
+) -> Decision:
+    """Ask for a place that is there now; without one the request doesn't wait."""
+    return pool.ask(applicant(request_id, attempt=attempt, limit=0), avoided, at_once())
+
+
+def pool_of(*engines: str, readers: tuple[str, ...] = ("reader",)) -> EnginePool:
+    pool = EnginePool("model", MemoryOptions(margin=0.05, caution=1.5))
+    pool.set_engines(engines, readers)
+    for endpoint_id in engines:
+        pool.take_report(endpoint_id, engine_report())
+    for endpoint_id in readers:
+        pool.take_report(endpoint_id, READER)
+    return pool
+
+
+def endpoint_of(decision: Decision) -> str:
+    return decision.place.endpoint_id if decision.place else ""
+
+
+class Callers:
+    """Entry hosts that wait for an answer, each in a thread of its own."""
+
+    def __init__(self, pool: EnginePool) -> None:
+        self._pool = pool
+        self._threads = ThreadPoolExecutor(8)
+
+    def ask(self, asking: Applicant, wait: float = 30.0) -> Future[Decision]:
+        waiting = len(self._pool._waiting_by_id)
+        future = self._threads.submit(self._pool.ask, asking, (), Deadline.after(wait))
+        wait_until(
+            lambda: future.done() or len(self._pool._waiting_by_id) > waiting,
+            "the request waits",
+        )
+        return future
+
+
+@pytest.fixture
+def full() -> EnginePool:
+    """Return a pool whose one engine has no room."""
+    pool = pool_of("engine")
+    pool.take_report("engine", FULL)
+    return pool
+
+
+class TestPlaces:
+    def test_go_to_the_emptiest_engine(self) -> None:
+        pool = pool_of("busy", "idle")
+        pool.take_report("busy", engine_report(RunningAnswer(9000, 10, "other")))
+        assert endpoint_of(ask_now(pool, "a")) == "idle"
+
+    def test_count_before_any_report_shows_them(self) -> None:
+        """A burst comes within the time that a report is old.
+
+        Each host by itself would find the engine empty, and all answers would grow
+        together until the newest are pushed out.
+        """
+        pool = pool_of("engine", readers=("r1", "r2", "r3"))
+        given = 0
+        for number in range(30):
+            request_id = f"request-{number}"
+            decision = ask_now(pool, request_id)
+            pool.note_read(request_id)
+            given += decision.place is not None
+        # By their prompts alone, nineteen would fit.
+        assert 8 <= given <= 15
+
+    def test_are_not_given_at_engines_that_change_their_role(self) -> None:
+        pool = pool_of("engine")
+        pool.take_report("engine", engine_report(busy=True))
+        assert not pool.usable
+        assert ask_now(pool, "a").place is None
+
+    def test_are_not_given_at_avoided_engines(self) -> None:
+        pool = pool_of("one", "two")
+        for number in range(4):
+            asking = applicant(f"request-{number}", reads_itself=True)
+            decision = pool.ask(asking, ("one",), at_once())
+            pool.note_read(f"request-{number}")
+            assert endpoint_of(decision) == "two"
+
+    def test_come_free_with_the_end_of_a_request(self, full: EnginePool) -> None:
+        waiting = Callers(full).ask(applicant("a"))
+        full.take_report("engine", engine_report())
+        assert endpoint_of(waiting.result(10)) == "engine"
+
+    def test_of_requests_that_ended_are_free_before_reports_say_so(self) -> None:
+        pool = pool_of("engine", readers=("r1", "r2", "r3"))
+        ids = [f"request-{number}" for number in range(30)]
+        given = []
+        for request_id in ids:
+            if ask_now(pool, request_id).place:
+                given.append(request_id)
+            pool.note_read(request_id)
+        pool.take_report(
+            "engine", engine_report(*[RunningAnswer(5000, 1, item) for item in given])
+        )
+        assert ask_now(pool, "next").place is None
+        for request_id in given:
+            pool.end(request_id, 1)
+        assert ask_now(pool, "last").place is not None
+
+
+class TestOrder:
+    def test_earliest_target_goes_first(self, full: EnginePool) -> None:
+        callers = Callers(full)
+        later = callers.ask(applicant("later", target=20))
+        earlier = callers.ask(applicant("earlier", target=10))
+        late = callers.ask(applicant("late", target=-1))
+        room = [RunningAnswer(9_000, 60, f"old-{n}") for n in range(8)]
+        full.take_report("engine", engine_report(*room))
+        assert endpoint_of(earlier.result(10)) == "engine"
+        full.note_read("earlier")
+        full.take_report("engine", engine_report())
+        assert endpoint_of(later.result(10)) == "engine"
+        full.note_read("later")
+        assert endpoint_of(late.result(10)) == "engine"
+
+    def test_host_that_died_holds_nobody_up(self, full: EnginePool) -> None:
+        """Its request is first in the queue, and nobody asks for it any more."""
+        gone = full.ask(applicant("gone", target=1), (), at_once())
+        assert gone.place is None and not gone.refused
+        waiting = Callers(full).ask(applicant("next", target=20))
+        full.take_report("engine", engine_report())
+        assert endpoint_of(waiting.result(10)) == "engine"
+
+
+class TestRefusal:
+    def test_comes_at_the_limit(self, full: EnginePool) -> None:
+        decision = full.ask(applicant("a", limit=0.3), (), Deadline.after(30))
+        assert decision.refused
+
+    def test_comes_at_once_where_the_wait_would_be_in_vain(
+        self, full: EnginePool
+    ) -> None:
+        """Five requests wait; the next one could not be in time any more.
+
+        Held until its target, it would be refused all the same, and its client would
+        come back later than it need.
+        """
+        callers = Callers(full)
+        for number in range(5):
+            callers.ask(applicant(f"ahead-{number}", target=5))
+        decision = full.ask(
+            applicant("next", target=6, limit=0.5), (), Deadline.after(30)
+        )
+        assert decision.refused
+        assert decision.forecast > 0.5
+
+    def test_of_a_request_whose_client_left_ends_its_wait(
+        self, full: EnginePool
+    ) -> None:
+        waiting = Callers(full).ask(applicant("a"))
+        full.end("a", 1)
+        assert waiting.result(10).refused
+
+
+class TestLostAnswer:
+    """The leader's answer is lost on its way, and the host asks again.
+
+    A second place for the same request would be held until its end, for nothing.
+    """
+
+    def test_is_given_again(self) -> None:
+        pool = pool_of("one", "two")
+        first = ask_now(pool, "a")
+        again = ask_now(pool, "a")
+        assert first.place is not None and again.place == first.place
+
+    def test_further_place_is_another_one(self) -> None:
+        pool = pool_of("one", "two")
+        first = ask_now(pool, "a")
+        pool.note_read("a")
+        second = pool.ask(applicant("a", attempt=2), (endpoint_of(first),), at_once())
+        assert {endpoint_of(first), endpoint_of(second)} == {"one", "two"}
+        # What is heard late of the first one takes nothing from the second.
+        pool.end("a", 1)
+        again = ask_now(pool, "a", attempt=2)
+        assert again.place is not None and again.place == second.place
+
+
+class TestPrompts:
+    def test_wait_here_while_their_reader_is_busy(self) -> None:
+        """Prompts that queue at the engine would hold memory at another one."""
+        pool = pool_of("engine")
+        given = [ask_now(pool, f"request-{n}").place for n in range(4)]
+        assert given[0] is not None and given[3] is None
+        pool.note_read("request-0")
+        pool.note_read("request-1")
+        assert ask_now(pool, "next").place is not None
+
+    def test_are_read_by_the_engine_itself_one_at_a_time(self) -> None:
+        """No engine reads prompts for others. All answers stand still meanwhile.
+
+        Two prompts in a row would stop them for longer than they may pause.
+        """
+        pool = pool_of("engine", readers=())
+        first = ask_now(pool, "a")
+        assert first.place is not None and first.place.reader_id == ""
+        assert ask_now(pool, "b").place is None
+        pool.note_read("a")
+        assert ask_now(pool, "c").place is not None
+
+    def test_reader_that_changes_its_role_gets_none(self) -> None:
+        pool = pool_of("engine", readers=("one", "two"))
+        pool.take_report("one", EngineReport(CAPACITY, 0, 0, (), busy=True))
+        decision = ask_now(pool, "a")
+        assert decision.place is not None and decision.place.reader_id == "two"
--- /dev/null
+++ b/tests/admission/test_prompt_queue.py
@@ -0,0 +1,88 @@
+"""How much an engine that reads prompts still has to read."""
+
+from __future__ import annotations
+
+import pytest
+
+from jujubeslip.admission import _prompt_queue
+from jujubeslip.admission._lengths import lengths_of
+from jujubeslip.admission._models import Applicant
+from jujubeslip.admission._prompt_queue import PromptQueue
+from jujubeslip.kernel import Deadline
+
+
+class Clock:
+    """A steady clock that stands still unless it is moved."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def steady_seconds(self) -> float:
+        return self.now
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    clock = Clock()
+    monkeypatch.setattr(_prompt_queue, "steady_seconds", clock.steady_seconds)
+    return clock
+
+
+def prompt(request_id: str, tokens: int) -> Applicant:
+    return Applicant(
+        request_id,
+        1,
+        tokens,
+        65,
+        lengths_of(130),
+        64,
+        Deadline.after(1),
+        Deadline.after(1),
+        False,
+    )
+
+
+class TestTimeLeft:
+    def test_learns_how_fast_the_engine_reads(self, clock: Clock) -> None:
+        queue = PromptQueue("reader")
+        for number in range(60):
+            queue.give(prompt(str(number), 5000))
+            clock.now += 0.5
+            queue.note_read(str(number))
+        queue.give(prompt("next", 5000))
+        assert 0.4 < queue.seconds_left < 0.55
+
+    def test_is_not_misled_by_prompts_that_end_together(self, clock: Clock) -> None:
+        """An engine reads prompts side by side, and both end at the same moment.
+
+        Taken by itself the second one seems to take no time, and the engine would be
+        given far more than it can read.
+        """
+        queue = PromptQueue("reader")
+        for number in range(60):
+            queue.give(prompt(f"{number}-a", 5000))
+            queue.give(prompt(f"{number}-b", 5000))
+            clock.now += 1.0
+            queue.note_read(f"{number}-a")
+            queue.note_read(f"{number}-b")
+        queue.give(prompt("next", 5000))
+        assert 0.35 < queue.seconds_left < 0.55
+
+    def test_gets_less_while_the_engine_reads(self, clock: Clock) -> None:
+        queue = PromptQueue("reader")
+        queue.give(prompt("a", 20_000))
+        assert not queue.has_room
+        clock.now += 0.45
+        assert queue.has_room
+
+    def test_forgets_prompts_of_hosts_that_died(self, clock: Clock) -> None:
+        queue = PromptQueue("reader")
+        queue.give(prompt("a", 1_000_000))
+        clock.now += 4
+        assert not queue.has_room
+        queue.take_report(_report())
+        assert queue.has_room
+
+
+def _report() -> _prompt_queue.EngineReport:
+    return _prompt_queue.EngineReport(100_000, 0, 0, (), reads_prompts=True)
--- a/tests/fakes/platform_system.py
+++ b/tests/fakes/platform_system.py
@@ -289,6 +289,13 @@
         finally:
             connection.close()
 
+    def logged(self, message: str) -> list[dict[str, Any]]:
+        """Return the lines with this message that the control hosts have written."""
+        texts = [host.output() for host in self.controls]
+        lines = [line for text in texts for line in text.splitlines()]
+        found = [json.loads(line) for line in lines if f'"{message}"' in line]
+        return [item for item in found if item["message"] == message]
+
     def ready(self, entry: int = 0) -> bool:
         """Say whether an entry host says that it takes requests."""
         connection = http.client.HTTPConnection(self.ready_http[entry], timeout=2)
--- /dev/null
+++ b/tests/forwarding/test_leader_lost.py
@@ -0,0 +1,60 @@
+"""Streams go on while nobody gives places at engines."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from tests.fakes.platform_system import (
+    ENGINE,
+    PROMPT,
+    PlatformSystem,
+    Reply,
+    configuration,
+    route,
+)
+from tests.fakes.platform_worker import PlatformWorker
+from tests.fakes.processes import wait_until
+
+
+@pytest.fixture
+def system(tmp_path_factory: pytest.TempPathFactory) -> Iterator[PlatformSystem]:
+    shape = {"kind": "stream", "timeoutMs": 8000, "sloMs": 900, "gapSloMs": 300}
+    routes = [route("stream", "/stream/", "model", **shape, maxAttempts=1)]
+    folder = tmp_path_factory.mktemp("leader")
+    with PlatformSystem(folder) as running:
+        running.put_until_accepted(configuration(1, routes, [ENGINE]))
+        for name, stage in (("reader", "prefill"), ("engine", "decode")):
+            running.add(PlatformWorker(name, "model", stage))
+        running.wait_served("/stream/x", method="POST", headers=PROMPT)
+        yield running
+
+
+def ask(system: PlatformSystem) -> Reply:
+    return system.ask("/stream/x", "POST", b"prompt", PROMPT, deadline_ms=8000)
+
+
+def wait_for_places(system: PlatformSystem) -> None:
+    given = len(system.logged("place at an engine"))
+    wait_until(
+        lambda: ask(system).whole and len(system.logged("place at an engine")) > given,
+        "the leader gives places",
+    )
+
+
+class TestLeaderThatDies:
+    """The control host that gives places is killed while summaries are asked for.
+
+    Its entry hosts know the engines from before, and ask them for room by themselves;
+    after its restart it learns from the engines' reports what runs there.
+    """
+
+    def test_streams_are_served_all_the_while(self, system: PlatformSystem) -> None:
+        wait_for_places(system)
+        system.controls[0].kill()
+        for _ in range(5):
+            reply = ask(system)
+            assert reply.status == 200 and reply.whole
+        system.controls[0].start()
+        wait_for_places(system)
