Keep answers in their zone, long prompts off busy engines, elections short

(2) With no engine that reads prompts in reach, engines read them themselves; a long one stopped a dozen answers for longer than they may pause. (3) After all hosts were killed, processes served 0.1 s after their start and a leader came 1.5 s later. (4) An engine that reads prompts and loses two of five answers was passed over, and the others read the prompts.

Changes: (1) an engine in the entry host's own zone may be fuller by a quarter of its memory. (2) An engine reads a prompt beside other answers only where that takes no longer than an answer may pause, one at a time. (3) Replicas campaign within 0.4 of the election timeout of each other, not within one; 0.7 s and 0.14 s in the deployment. (4) A prompt whose answer was cut is asked for again where it was read; one that nobody read needs a grant of its own. A grant is called that throughout; it was a place.

Ruled out for (3): loading the disk; control hosts listen 0.1 s after their start.

--- a/src/jujubeslip/admission/__init__.py
+++ b/src/jujubeslip/admission/__init__.py
@@ -1,6 +1,6 @@
-"""Places for requests at engines: who gets one, where, and when.
+"""Grants at engines: which request gets one, where, and when.
 
-One control host, the leader, gives them for all entry hosts. It knows of each place
+One control host, the leader, gives them for all entry hosts. It knows of each grant
 the moment it gives it, where an engine's own report is up to a second old, and it lets
 the requests of all hosts wait in one order.
 """
--- a/src/jujubeslip/admission/_engine_memory.py
+++ b/src/jujubeslip/admission/_engine_memory.py
@@ -1,4 +1,4 @@
-"""What an engine is making, from its last report and from the places given since."""
+"""What an engine is making, from its last report and from the grants given since."""
 
 from __future__ import annotations
 
@@ -7,12 +7,13 @@
 from jujubeslip.admission._lengths import lengths_of
 from jujubeslip.admission._memory_forecast import GrowingAnswer
 from jujubeslip.admission._models import Admitted, Applicant
+from jujubeslip.discovery import Endpoint
 from jujubeslip.kernel import steady_seconds
 from jujubeslip.routes import EngineReport, RunningAnswer
 
 # How old an engine's report is when it comes, in seconds, as engines are known to lag.
 REPORT_LAG_SECONDS = 0.5
-# A request that has had its place for longer than this and is in no report has ended
+# A request that has had its grant for longer than this and is in no report has ended
 # without its host's word, in seconds: prompts are read within 1.5, reports lag by one.
 UNSEEN_SECONDS = 4.0
 # Reports that still list a request that has ended are behind by no more than this.
@@ -28,8 +29,9 @@
 class EngineMemory:
     """One engine's answers; guarded by its pool's lock."""
 
-    def __init__(self, endpoint_id: str) -> None:
-        self.endpoint_id = endpoint_id
+    def __init__(self, endpoint: Endpoint) -> None:
+        self.endpoint_id = endpoint.endpoint_id
+        self.availability_zone = endpoint.availability_zone
         self._report: EngineReport | None = None
         self._reported_at = float("-inf")
         self._pace = FIRST_PACE
@@ -75,11 +77,11 @@
         self._forget_ended(now)
 
     def admit(self, admitted: Admitted) -> None:
-        """Note a request that was given a place."""
+        """Note a request that was given a grant."""
         request_id = admitted.applicant.request_id
         self._ended_at_by_id.pop(request_id, None)
         self._admitted_by_id[request_id] = admitted
-        if not admitted.place.reader_id:
+        if not admitted.grant.reader_id:
             self._reading.add(request_id)
 
     def note_read(self, request_id: str) -> None:
@@ -87,14 +89,14 @@
         self._reading.discard(request_id)
 
     def find(self, request_id: str, attempt: int) -> Admitted | None:
-        """Return the place that was given here for this attempt of a request."""
+        """Return the grant that was given here for this attempt of a request."""
         admitted = self._admitted_by_id.get(request_id)
         if admitted is None or admitted.applicant.attempt != attempt:
             return None
         return admitted
 
     def end(self, request_id: str, attempt: int) -> None:
-        """Note that a request has ended, if it had its place here."""
+        """Note that a request has ended, if it had its grant here."""
         if self.find(request_id, attempt) is None:
             return
         del self._admitted_by_id[request_id]
--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -36,9 +36,9 @@
 
 
 class AdmissionHome:
-    """Gives places at all services' engines while this host leads.
+    """Gives grants at all services' engines while this host leads.
 
-    Two hosts that both think they lead give too many places at worst: an engine that
+    Two hosts that both think they lead give too many grants at worst: an engine that
     is full refuses, and its report shows what the other one gave.
     """
 
@@ -65,7 +65,7 @@
         self._process.repeat(LOOK_SECONDS, self.look)
 
     def admit(self, request: AdmissionRequest) -> AdmissionReply:
-        """Answer once the request has a place or will get none, or to ask again."""
+        """Answer once the request has a grant or will get none, or to ask again."""
         wait = Deadline.from_remaining_ms(request.wait_ms)
         until = wait.earlier_of(Deadline.after(MAXIMUM_WAIT_SECONDS))
         self._asked_at = steady_seconds()
@@ -79,7 +79,7 @@
         return _reply(decision)
 
     def take(self, told: Sequence[AdmissionNews]) -> None:
-        """Note how far requests with places have come."""
+        """Note how far requests with grants have come."""
         with self._lock:
             pools = list(self._pool_by_service.values())
         for news in told:
@@ -98,8 +98,8 @@
         services = {engine.service_name for engine in engines}
         for service_name in services | self._pool_by_service.keys():
             self._pool(service_name).set_engines(
-                _ids_of(engines, service_name, EndpointRole.DECODE),
-                _ids_of(engines, service_name, EndpointRole.PREFILL),
+                _with_role(engines, service_name, EndpointRole.DECODE),
+                _with_role(engines, service_name, EndpointRole.PREFILL),
             )
 
     def _follow(self, engines: Sequence[Endpoint]) -> None:
@@ -137,7 +137,7 @@
             return pool
 
     def _log(self, request: AdmissionRequest, decision: Decision) -> None:
-        if decision.place is None and not decision.refused:
+        if decision.grant is None and not decision.refused:
             return
         extra: dict[str, object] = {
             "request_id": request.request_id,
@@ -146,21 +146,21 @@
             "expected_events": request.expected_events,
             "forecast_ms": int(decision.forecast * 1000),
         }
-        if decision.place is None:
-            logger.info("no place at an engine", extra=extra)
+        if decision.grant is None:
+            logger.info("no grant at an engine", extra=extra)
             return
-        extra["endpoint_id"] = decision.place.endpoint_id
-        extra["reader_id"] = decision.place.reader_id
-        extra["fill"] = round(decision.place.fill, 3)
-        extra["report_age_ms"] = decision.place.report_age_ms
-        logger.info("place at an engine", extra=extra)
+        extra["endpoint_id"] = decision.grant.endpoint_id
+        extra["reader_id"] = decision.grant.reader_id
+        extra["fill"] = round(decision.grant.fill, 3)
+        extra["report_age_ms"] = decision.grant.report_age_ms
+        logger.info("grant at an engine", extra=extra)
 
 
-def _ids_of(
+def _with_role(
     engines: Sequence[Endpoint], service_name: str, role: EndpointRole
-) -> list[str]:
+) -> list[Endpoint]:
     return [
-        engine.endpoint_id
+        engine
         for engine in engines
         if engine.service_name == service_name and engine.role == role
     ]
@@ -168,15 +168,15 @@
 
 def _reply(decision: Decision) -> AdmissionReply:
     forecast_ms = int(decision.forecast * 1000)
-    if decision.place is not None:
-        place = decision.place
+    if decision.grant is not None:
+        grant = decision.grant
         return AdmissionReply(
             AdmissionStatus.ADMITTED,
-            place.endpoint_id,
+            grant.endpoint_id,
             forecast_ms,
-            place.fill,
-            place.report_age_ms,
-            place.reader_id,
+            grant.fill,
+            grant.report_age_ms,
+            grant.reader_id,
         )
     refused = decision.refused
     status = AdmissionStatus.REFUSED if refused else AdmissionStatus.WAITING
--- a/src/jujubeslip/admission/_pool.py
+++ b/src/jujubeslip/admission/_pool.py
@@ -15,8 +15,9 @@
     MemoryOptions,
     forecast_peak,
 )
-from jujubeslip.admission._models import Admitted, Applicant, Place
-from jujubeslip.admission._prompt_queue import PromptQueue
+from jujubeslip.admission._models import Admitted, Applicant, Grant
+from jujubeslip.admission._prompt_queue import FIRST_TOKENS_PER_SECOND, PromptQueue
+from jujubeslip.discovery import Endpoint
 from jujubeslip.kernel import Deadline, steady_seconds
 from jujubeslip.routes import EngineReport
 
@@ -24,13 +25,22 @@
 
 T = TypeVar("T")
 
+# How much fuller an engine in the entry host's own availability zone may be than one
+# in another zone, as a share of its memory. When a zone is cut off, the answers that
+# cross its border are lost.
+OTHER_ZONE_FILL = 0.25
+# How fast an engine that answers reads prompts, beside one that only does that.
+OWN_SPEED_SHARE = 0.5
+# How long a full engine takes for an event, in seconds: a pause lasts for that, too.
+EVENT_SECONDS = 0.08
+
 # A request whose host has not asked again for this long is waited for no more, in
 # seconds: hosts ask several times as often.
 ASKED_SECONDS = 1.0
-# How often one that waits looks again by itself, in seconds: places come free with
+# How often one that waits looks again by itself, in seconds: grants come free with
 # reports and with ends, which wake it.
 LOOK_SECONDS = 0.05
-# How much the latest interval between two requests that got a place counts, and what
+# How much the latest interval between two requests that got a grant counts, and what
 # is assumed before the first one, in seconds.
 INTERVAL_WEIGHT = 0.2
 FIRST_INTERVAL_SECONDS = 0.1
@@ -38,9 +48,9 @@
 
 @dataclass(frozen=True)
 class Decision:
-    """What a request gets: a place, or none, or to ask again where both are None."""
+    """What a request gets: a grant, or none, or to ask again where both are None."""
 
-    place: Place | None
+    grant: Grant | None
     refused: bool
     forecast: float
     """How long it was expected to wait when it came, in seconds."""
@@ -53,14 +63,14 @@
     asked_at: float
     forecast: float
     in_vain: bool
-    """Whether it was expected to get no place before its limit."""
+    """Whether it was expected to get no grant before its limit."""
     decision: Decision | None = None
     asking: int = 0
     """Calls that wait for it at this moment."""
 
 
 class EnginePool:
-    """Gives places in order: requests still in time first, the earliest target before.
+    """Gives grants in order: requests still in time first, the earliest target before.
 
     All hosts' requests wait in one queue. Each host by itself would ask the engines
     again and again, and whoever asked at the right moment would go first.
@@ -72,6 +82,7 @@
         self._engine_by_id: dict[str, EngineMemory] = {}
         self._reader_by_id: dict[str, PromptQueue] = {}
         self._waiting_by_id: dict[str, _Waiting] = {}
+        self._read_speed = FIRST_TOKENS_PER_SECOND
         self._interval = FIRST_INTERVAL_SECONDS
         self._busy_since = steady_seconds()
         self._changed = threading.Condition()
@@ -79,12 +90,12 @@
     # Engines
 
     def set_engines(
-        self, answering_ids: Collection[str], reading_ids: Collection[str]
+        self, answering: Collection[Endpoint], reading: Collection[Endpoint]
     ) -> None:
-        """Give places at the first ones, and prompts to the second ones, only."""
+        """Give grants at the first ones, and prompts to the second ones, only."""
         with self._changed:
-            _keep_only(self._engine_by_id, answering_ids, EngineMemory)
-            _keep_only(self._reader_by_id, reading_ids, PromptQueue)
+            _keep_only(self._engine_by_id, answering, EngineMemory)
+            _keep_only(self._reader_by_id, reading, PromptQueue)
 
     def take_report(self, endpoint_id: str, report: EngineReport) -> None:
         """Take over what an engine says of itself."""
@@ -95,6 +106,7 @@
             reader = self._reader_by_id.get(endpoint_id)
             if reader is not None:
                 reader.take_report(report)
+                self._read_speed = reader.speed
             self._changed.notify_all()
 
     @property
@@ -108,11 +120,11 @@
     def ask(
         self, applicant: Applicant, avoided: Collection[str], until: Deadline
     ) -> Decision:
-        """Return a place as soon as there is one, before the given instant."""
+        """Return a grant as soon as there is one, before the given instant."""
         with self._changed:
-            place = self._given_before(applicant)
-            if place is not None:
-                return Decision(place, False, 0.0)
+            grant = self._given_before(applicant)
+            if grant is not None:
+                return Decision(grant, False, 0.0)
             waiting = self._enter(applicant, frozenset(avoided))
             waiting.asking += 1
             try:
@@ -138,12 +150,12 @@
                 engine.end(request_id, attempt)
             self._changed.notify_all()
 
-    def _given_before(self, applicant: Applicant) -> Place | None:
-        """Return the place of a request that asks again after a lost answer."""
+    def _given_before(self, applicant: Applicant) -> Grant | None:
+        """Return the grant of a request that asks again after a lost answer."""
         for engine in self._engine_by_id.values():
             admitted = engine.find(applicant.request_id, applicant.attempt)
             if admitted is not None:
-                return admitted.place
+                return admitted.grant
         return None
 
     def _note_read(self, request_id: str) -> None:
@@ -180,9 +192,9 @@
         while waiting.decision is None:
             self._forget_silent()
             if self._is_next(waiting):
-                place = self._find_place(waiting)
-                if place is not None:
-                    return self._admit(waiting, place)
+                grant = self._find_grant(waiting)
+                if grant is not None:
+                    return self._admit(waiting, grant)
             # Told at once that its wait would be in vain, a client comes back when
             # others have ended; held until its limit, it would be refused all the same.
             if waiting.in_vain or applicant.limit.expired:
@@ -200,15 +212,15 @@
         self._changed.notify_all()
         return decision
 
-    def _admit(self, waiting: _Waiting, place: Place) -> Decision:
+    def _admit(self, waiting: _Waiting, grant: Grant) -> Decision:
         now = steady_seconds()
         applicant = waiting.applicant
-        self._engine_by_id[place.endpoint_id].admit(Admitted(applicant, place, now))
-        if place.reader_id:
-            self._reader_by_id[place.reader_id].give(applicant)
+        self._engine_by_id[grant.endpoint_id].admit(Admitted(applicant, grant, now))
+        if grant.reader_id:
+            self._reader_by_id[grant.reader_id].give(applicant)
         self._interval += INTERVAL_WEIGHT * (now - self._busy_since - self._interval)
         self._busy_since = now
-        return self._decide(waiting, Decision(place, False, waiting.forecast))
+        return self._decide(waiting, Decision(grant, False, waiting.forecast))
 
     def _forget_silent(self) -> None:
         """Drop requests whose hosts ask no more, which would hold up all others."""
@@ -217,7 +229,7 @@
             if not waiting.asking and waiting.asked_at < oldest:
                 self._decide(waiting, Decision(None, True, waiting.forecast))
                 extra = {"request_id": request_id, "service": self._service_name}
-                logger.info("request waits no more for a place", extra=extra)
+                logger.info("request waits no more for a grant", extra=extra)
 
     def _is_next(self, waiting: _Waiting) -> bool:
         now = steady_seconds()
@@ -226,12 +238,11 @@
         )
         return first is waiting
 
-    def _find_place(self, waiting: _Waiting) -> Place | None:
-        """Return a place at the engine that will be emptiest, None if all are full.
+    def _find_grant(self, waiting: _Waiting) -> Grant | None:
+        """Return the best grant, None if all engines are full.
 
         An engine that reads a prompt by itself stops all its answers meanwhile. That
-        is done only while no engine reads for others, and one prompt at a time: two in
-        a row would stop the answers for longer than they may pause.
+        is done only while no engine reads for others.
         """
         reader = None
         if not waiting.applicant.reads_itself:
@@ -243,18 +254,28 @@
             )
             if reader is not None and not reader.has_room:
                 return None
-        places = [
-            place
+        grants = [
+            grant
             for engine in self._engine_by_id.values()
             if engine.usable and engine.endpoint_id not in waiting.avoided
-            if reader is not None or not engine.reads_prompt
-            if (place := self._place_at(engine, waiting.applicant)) is not None
+            if reader is not None or self._may_read(engine, waiting.applicant)
+            if (grant := self._grant_at(engine, waiting.applicant)) is not None
         ]
-        found = min(places, key=lambda item: (item.fill, random.random()), default=None)
+        own_zone = waiting.applicant.availability_zone
+        found = min(
+            grants,
+            key=lambda item: (self._cost(item, own_zone), random.random()),
+            default=None,
+        )
         if found is None or reader is None:
             return found
         return replace(found, reader_id=reader.endpoint_id)
 
+    def _cost(self, grant: Grant, own_zone: str) -> float:
+        engine = self._engine_by_id[grant.endpoint_id]
+        is_near = engine.availability_zone == own_zone
+        return grant.fill + (0.0 if is_near else OTHER_ZONE_FILL)
+
     def _readers(self, waiting: _Waiting) -> list[PromptQueue]:
         return [
             reader
@@ -262,7 +283,19 @@
             if reader.usable and reader.endpoint_id not in waiting.avoided
         ]
 
-    def _place_at(self, engine: EngineMemory, applicant: Applicant) -> Place | None:
+    def _may_read(self, engine: EngineMemory, applicant: Applicant) -> bool:
+        """Say whether the engine may read the prompt beside its other answers.
+
+        One prompt at a time, and none that takes too long: its answers, a dozen of
+        them, would pause for longer than they may, and all be late.
+        """
+        if engine.reads_prompt:
+            return False
+        seconds = applicant.prompt_tokens / (self._read_speed * OWN_SPEED_SHARE)
+        longest = max(0.0, applicant.maximum_gap - EVENT_SECONDS)
+        return seconds <= longest or not engine.answers(applicant)
+
+    def _grant_at(self, engine: EngineMemory, applicant: Applicant) -> Grant | None:
         answers = engine.answers(applicant)
         if len(answers) >= applicant.slots:
             return None
@@ -275,7 +308,7 @@
         fill = forecast_peak(answers, self._options.caution) / capacity
         if fill > 1 - self._options.margin:
             return None
-        return Place(engine.endpoint_id, fill, int(engine.report_age * 1000))
+        return Grant(engine.endpoint_id, fill, int(engine.report_age * 1000))
 
 
 def _rank(applicant: Applicant, now: float) -> tuple[bool, float, str]:
@@ -285,10 +318,10 @@
 
 
 def _keep_only(
-    by_id: dict[str, T], wanted: Collection[str], create: Callable[[str], T]
+    by_id: dict[str, T], wanted: Collection[Endpoint], create: Callable[[Endpoint], T]
 ) -> None:
-    for endpoint_id in by_id.keys() - set(wanted):
+    for endpoint_id in by_id.keys() - {endpoint.endpoint_id for endpoint in wanted}:
         del by_id[endpoint_id]
-    for endpoint_id in wanted:
-        if endpoint_id not in by_id:
-            by_id[endpoint_id] = create(endpoint_id)
+    for endpoint in wanted:
+        if endpoint.endpoint_id not in by_id:
+            by_id[endpoint.endpoint_id] = create(endpoint)
--- a/src/jujubeslip/admission/_prompt_queue.py
+++ b/src/jujubeslip/admission/_prompt_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from jujubeslip.admission._models import Applicant
+from jujubeslip.discovery import Endpoint
 from jujubeslip.kernel import steady_seconds
 from jujubeslip.routes import EngineReport
 
@@ -29,8 +30,9 @@
     first, and none holds another engine's memory while it waits.
     """
 
-    def __init__(self, endpoint_id: str) -> None:
-        self.endpoint_id = endpoint_id
+    def __init__(self, endpoint: Endpoint) -> None:
+        self.endpoint_id = endpoint.endpoint_id
+        self.availability_zone = endpoint.availability_zone
         self._tokens_by_request: dict[str, int] = {}
         self._given_at_by_request: dict[str, float] = {}
         self._read_seconds = SPEED_SECONDS
@@ -45,13 +47,17 @@
         fresh = steady_seconds() - self._reported_at < USABLE_SECONDS
         return fresh and self._takes_prompts
 
+    @property
+    def speed(self) -> float:
+        """Return how many tokens the engine reads in a second."""
+        return self._read_tokens / self._read_seconds
+
     @property
     def seconds_left(self) -> float:
         """Return how long it will take to read what it was given."""
         if not self._tokens_by_request:
             return 0.0
-        speed = self._read_tokens / self._read_seconds
-        whole = sum(self._tokens_by_request.values()) / speed
+        whole = sum(self._tokens_by_request.values()) / self.speed
         return max(0.0, whole - (steady_seconds() - self._free_since))
 
     @property
--- a/src/jujubeslip/control/_handler.py
+++ b/src/jujubeslip/control/_handler.py
@@ -127,7 +127,7 @@
         return self._watches.answer(request)
 
     def admit(self, request: AdmissionRequest) -> AdmissionReply:
-        """See AdmissionHome.admit; only the leader gives places."""
+        """See AdmissionHome.admit; only the leader grants engines."""
         return self._leading_admissions().admit(request)
 
     def tell_admissions(self, news: list[AdmissionNews]) -> None:
@@ -135,9 +135,9 @@
         self._leading_admissions().take(news)
 
     def _leading_admissions(self) -> AdmissionHome:
-        """Return what gives places, or raise NotLeader.
+        """Return what grants engines, or raise NotLeader.
 
-        Without a valid lease another host may lead, and give the same places.
+        Without a valid lease another host may lead, and grant the same room.
         """
         if self._admissions is None or self._replica.fence() is None:
             raise self._replica.not_leader()
--- a/src/jujubeslip/control/_replica.py
+++ b/src/jujubeslip/control/_replica.py
@@ -38,6 +38,10 @@
 # A lease ends this share before followers may elect another leader, which bounds how
 # much two clocks may differ in rate.
 LEASE_SHARE = 0.9
+# How far apart replicas campaign, as a share of the election timeout. A campaign takes
+# some ten milliseconds, so that two seldom meet; after a restart of all hosts nothing
+# is served until one has won.
+ELECTION_SPREAD = 0.4
 MILLISECONDS = 1000
 RETRY_AFTER_MS = 200
 # A snapshot is taken after this many bytes, too: entries are kept in memory until then.
@@ -217,7 +221,8 @@
 
     def random_election_deadline(self) -> Deadline:
         """Return when to campaign unless a leader is heard; differs by replica."""
-        return Deadline.after(self.election_seconds * random.uniform(1.0, 2.0))
+        spread = random.uniform(1.0, 1.0 + ELECTION_SPREAD)
+        return Deadline.after(self.election_seconds * spread)
 
     def _first_vote_deadline(self) -> Deadline:
         """Return until when a fresh process gives no vote.
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -89,7 +89,7 @@
     def _build_admissions(self) -> AdmissionHome | None:
         """Return the home of admissions, where endpoints announce themselves here."""
         settings = self._settings
-        if settings.http_address is None or not settings.gives_places:
+        if settings.http_address is None or not settings.grants_engines:
             return None
         return AdmissionHome(
             self._process,
--- a/src/jujubeslip/forwarding/_admissions.py
+++ b/src/jujubeslip/forwarding/_admissions.py
@@ -1,4 +1,4 @@
-"""Places at engines that the control host which leads gives to this host."""
+"""Grants at engines that the control host which leads gives to this host."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 
 logger = logging.getLogger(__name__)
 
-# How long one call may wait for a place, in milliseconds. Between two calls this host
+# How long one call may wait for a grant, in milliseconds. Between two calls this host
 # looks whether the client is still there.
 WAIT_MS = 200
 # How much longer than that an answer may take, in seconds. The way between zones takes
@@ -45,8 +45,8 @@
 
 
 @dataclass(frozen=True)
-class PlaceFound:
-    """What the leader answered: a place, or that there will be none in time."""
+class AdmissionAnswer:
+    """What the leader answered: a grant, or that there will be none in time."""
 
     endpoint_id: str
     """Empty where there will be none."""
@@ -57,7 +57,7 @@
 
 
 class Admissions:
-    """Asks the leader for places, and tells it how their requests go on.
+    """Asks the leader for grants, and tells it how their requests go on.
 
     Without a leader that answers, callers fall back on what engines say themselves.
     """
@@ -66,12 +66,14 @@
         self,
         process: Process,
         identity: PeerIdentity,
+        availability_zone: str,
         book: EndpointBook,
         health: EndpointHealth,
         reaches: Callable[[str], bool],
     ) -> None:
         self._process = process
         self._identity = identity
+        self._availability_zone = availability_zone
         self._book = book
         self._health = health
         self._reaches = reaches
@@ -98,12 +100,12 @@
         prompt: PromptShape,
         limit: Deadline,
         reads_itself: bool,
-    ) -> PlaceFound | None:
+    ) -> AdmissionAnswer | None:
         """Return what the leader decides, None without a leader that answers.
 
         Raises CallerGoneError when the client goes before that.
         """
-        attempts.places_asked += 1
+        attempts.grants_asked += 1
         while (address := self._leader()) is not None:
             request = self._request(context, attempts, engine, prompt, limit)
             request.reads_itself = reads_itself
@@ -113,9 +115,9 @@
             forecast = reply.forecast_ms / 1000
             if reply.status == AdmissionStatus.ADMITTED:
                 reader_id = reply.reader_endpoint_id or ""
-                return PlaceFound(reply.endpoint_id, reader_id, forecast)
+                return AdmissionAnswer(reply.endpoint_id, reader_id, forecast)
             if reply.status == AdmissionStatus.REFUSED:
-                return PlaceFound("", "", forecast)
+                return AdmissionAnswer("", "", forecast)
             if context.gone():
                 self.end(request.request_id, request.attempt)
                 raise CallerGoneError("The client closed its connection.", Ran.NO)
@@ -126,7 +128,7 @@
         self._news.put(AdmissionNews(request_id, attempt, AdmissionStep.PROMPT_READ))
 
     def end(self, request_id: str, attempt: int) -> None:
-        """Let the leader know that a request needs its place no more."""
+        """Let the leader know that a request needs its grant no more."""
         self._news.put(AdmissionNews(request_id, attempt, AdmissionStep.ENDED))
 
     def _request(
@@ -150,7 +152,9 @@
             limit.remaining_ms(),
             WAIT_MS,
             [*attempts.tried, *self._paused_endpoints()],
-            attempt=attempts.places_asked,
+            attempt=attempts.grants_asked,
+            availability_zone=self._availability_zone,
+            maximum_gap_ms=context.route.maximum_gap_ms,
         )
 
     def _paused_endpoints(self) -> list[str]:
@@ -185,7 +189,7 @@
             "request_id": request.request_id,
             "reason": reason,
         }
-        logger.info("leader gives no places", extra=extra)
+        logger.info("leader gives no grants", extra=extra)
 
     def _leader(self) -> str | None:
         """Return the address that most control hosts name, None if none may be asked.
--- a/src/jujubeslip/forwarding/_places.py
+++ b/src/jujubeslip/forwarding/_grants.py
@@ -1,4 +1,4 @@
-"""A place at an engine for each request: from the leader, else from the engines."""
+"""A grant at an engine for each request: from the leader, else from the engines."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from functools import partial
 
 from jujubeslip.discovery import Endpoint, EndpointBook
-from jujubeslip.forwarding._admissions import Admissions, PlaceFound
+from jujubeslip.forwarding._admissions import AdmissionAnswer, Admissions
 from jujubeslip.forwarding._models import Attempts, ForwardContext
 from jujubeslip.forwarding._pressure import WAITED_SECONDS, Pressures
 from jujubeslip.forwarding._reservations import Reservations
@@ -33,7 +33,7 @@
 
 
 @dataclass(frozen=True)
-class Place:
+class Grant:
     """Where a run is to start."""
 
     endpoint: Endpoint
@@ -49,8 +49,8 @@
     """Gives back the rest, once the run has ended or will not start."""
 
 
-class Places:
-    """Finds places; of what it gives, all has to be given back."""
+class Grants:
+    """Finds grants; of what it gives, all has to be given back."""
 
     def __init__(
         self,
@@ -68,8 +68,8 @@
 
     def find(
         self, context: ForwardContext, attempts: Attempts, reads_itself: bool
-    ) -> Place | None:
-        """Return a place; None where no engine is usable, or none has room in time.
+    ) -> Grant | None:
+        """Return a grant; None where no engine is usable, or none has room in time.
 
         `attempts.found_no_room` tells the two apart. `reads_itself` says that no other
         engine can read the prompt for it.
@@ -80,11 +80,11 @@
             endpoint = self._sending.choose(
                 context, EndpointRole.DECODE, attempts.tried
             )
-            return None if endpoint is None else Place(endpoint)
-        place = self._find_room(context, attempts, service.engine, prompt, reads_itself)
-        waited = context.request.arrived.overdue() if place else WAITED_SECONDS
+            return None if endpoint is None else Grant(endpoint)
+        grant = self._find_room(context, attempts, service.engine, prompt, reads_itself)
+        waited = context.request.arrived.overdue() if grant else WAITED_SECONDS
         self._pressures.note_wait(context.service_name, waited)
-        return place
+        return grant
 
     def _find_room(
         self,
@@ -93,7 +93,7 @@
         engine: EngineService,
         prompt: PromptShape,
         reads_itself: bool,
-    ) -> Place | None:
+    ) -> Grant | None:
         limit = wait_limit(context)
         if self._admissions is not None:
             found = self._admissions.ask(
@@ -101,20 +101,20 @@
             )
             if found is not None and not found.endpoint_id:
                 forecast = f"forecast {found.forecast:.2f} s"
-                attempts.note("-", f"no place in time, {forecast}")
+                attempts.note("-", f"no grant in time, {forecast}")
                 attempts.found_no_room = True
                 return None
             if found is not None:
-                place = self._given(context, attempts, self._admissions, found)
-                if place is not None:
-                    return place
+                grant = self._given(context, attempts, self._admissions, found)
+                if grant is not None:
+                    return grant
         reservation = self._reservations.take(context, attempts, engine, prompt, limit)
         if reservation is None:
             return None
         # Kept during the run, what it holds beyond its need would count as full until
         # its end, and push other answers out.
         give_back = partial(self._reservations.release, context, reservation)
-        return Place(
+        return Grant(
             reservation.endpoint, reads_itself=reads_itself, before_run=give_back
         )
 
@@ -123,19 +123,19 @@
         context: ForwardContext,
         attempts: Attempts,
         admissions: Admissions,
-        found: PlaceFound,
-    ) -> Place | None:
-        """Return the place that the leader gave, None if it isn't known here yet."""
+        found: AdmissionAnswer,
+    ) -> Grant | None:
+        """Return the grant that the leader gave, None if it isn't known here yet."""
         request_id = context.request.request_id
-        attempt = attempts.places_asked
+        attempt = attempts.grants_asked
         endpoint = self._book.find(found.endpoint_id)
         if endpoint is None or endpoint.leaving:
             extra = {"request_id": request_id, "endpoint_id": found.endpoint_id}
-            logger.info("place at an engine that is not used here", extra=extra)
+            logger.info("grant at an engine that is not used here", extra=extra)
             admissions.end(request_id, attempt)
             return None
-        attempts.note(found.endpoint_id, "place")
-        return Place(
+        attempts.note(found.endpoint_id, "grant")
+        return Grant(
             endpoint,
             reader=self._book.find(found.reader_id) if found.reader_id else None,
             reads_itself=not found.reader_id,
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -14,8 +14,8 @@
 from jujubeslip.forwarding._app import ForwardApp, OpenRequests, ReadyApp
 from jujubeslip.forwarding._budget import BudgetOptions, RetryBudgets
 from jujubeslip.forwarding._choice import Chooser, policies
+from jujubeslip.forwarding._grants import Grants
 from jujubeslip.forwarding._health import EndpointHealth
-from jujubeslip.forwarding._places import Places
 from jujubeslip.forwarding._plain_path import PlainPath
 from jujubeslip.forwarding._pressure import Pressures
 from jujubeslip.forwarding._prompts import PromptReader
@@ -83,6 +83,7 @@
             Admissions(
                 self._process,
                 identity,
+                settings.availability_zone,
                 self._book,
                 sending.health,
                 self._followers.reaches,
@@ -99,7 +100,7 @@
             StreamPath(
                 sending,
                 PromptReader(sending, settings.reads_prompts_apart, self._pressures),
-                Places(
+                Grants(
                     sending,
                     self._book,
                     self._pressures,
--- a/src/jujubeslip/forwarding/_prompts.py
+++ b/src/jujubeslip/forwarding/_prompts.py
@@ -4,6 +4,7 @@
 
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import (
+    AnswerCutError,
     EndpointAnswerError,
     EndpointError,
     EndpointUnreachableError,
@@ -105,10 +106,11 @@
         """Note that a prompt was not read: that is no run of the request.
 
         Only the first call that an engine accepts is free: others count for the
-        budget. The engine is passed over for a while, so that another one is asked.
+        budget. The engine is passed over for a while, so that another one is asked. One
+        whose answer was cut has read the prompt and still has it: ask it again.
         """
         self._sending.budgets.charge(context.service_name)
         self._sending.note_error(Attempts(), endpoint, error)
-        if not isinstance(error, EndpointUnreachableError):
+        if not isinstance(error, EndpointUnreachableError | AnswerCutError):
             self._sending.health.note_unreachable(endpoint.endpoint_id)
         attempts.note(endpoint.endpoint_id, f"prompt not read, {error.error_id}")
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -17,6 +17,7 @@
 )
 from jujubeslip.forwarding._events import EventSplitter
 from jujubeslip.forwarding._exchange import SUCCESS, Exchange
+from jujubeslip.forwarding._grants import Grant, Grants
 from jujubeslip.forwarding._models import (
     Answer,
     Attempts,
@@ -25,7 +26,6 @@
     WholeAnswer,
     refusal_of,
 )
-from jujubeslip.forwarding._places import Place, Places
 from jujubeslip.forwarding._prompts import PromptReader
 from jujubeslip.forwarding._sending import Sending
 from jujubeslip.interfaces import EndpointCall, EndpointHead
@@ -54,10 +54,10 @@
 class StreamPath:
     """Takes room at an engine, has the prompt read, and passes the answer on."""
 
-    def __init__(self, sending: Sending, prompts: PromptReader, places: Places) -> None:
+    def __init__(self, sending: Sending, prompts: PromptReader, grants: Grants) -> None:
         self._sending = sending
         self._prompts = prompts
-        self._places = places
+        self._grants = grants
 
     def answer(self, context: ForwardContext, attempts: Attempts) -> Answer:
         """Return the answer once its first events are there."""
@@ -77,60 +77,76 @@
         # Not read yet, or empty once the answering engine has to read it itself.
         prompt_at: str | None = "" if resume_after else None
         while self._sending.is_open(context, attempts):
-            place = self._find_place(context, attempts, prompt_at == "")
-            if place is None:
+            grant = self._find_grant(context, attempts, prompt_at == "")
+            if grant is None:
                 break
             with ExitStack() as kept:
-                kept.callback(place.at_end)
+                kept.callback(grant.at_end)
                 with ExitStack() as before_run:
-                    before_run.callback(place.before_run)
-                    if prompt_at is None and not place.reads_itself:
-                        prompt_at = self._prompts.read(context, attempts, place.reader)
-                    if not place.reads_itself:
-                        place.prompt_read()
+                    before_run.callback(grant.before_run)
+                    prompt_at = self._prompt_for(context, attempts, grant, prompt_at)
+                    if prompt_at == "" and grant.reader is not None:
+                        # Nobody has read it. The leader has to know which engine does
+                        # now: its answers stand still meanwhile.
+                        continue
                     if not self._sending.may_send(context, attempts):
                         break
-                call = _call(context, place, prompt_at or "", resume_after)
+                call = _call(context, grant, prompt_at or "", resume_after)
                 try:
-                    started = self._run(context, attempts, place.endpoint, call, kept)
+                    started = self._run(context, attempts, grant.endpoint, call, kept)
                 except EndpointError as error:
-                    self._note_error(attempts, place, prompt_at, error)
+                    self._note_error(attempts, grant, prompt_at, error)
                     if prompt_at and not _left_prompt(error):
                         prompt_at = ""
                     continue
             if isinstance(started, _Run):
-                place.prompt_read()
+                grant.prompt_read()
                 return started
             failed = started
-            self._note_failed(attempts, place.endpoint)
+            self._note_failed(attempts, grant.endpoint)
         if failed is not None:
             return failed
         raise refusal_of(attempts, context.end_by)
 
+    def _prompt_for(
+        self,
+        context: ForwardContext,
+        attempts: Attempts,
+        grant: Grant,
+        prompt_at: str | None,
+    ) -> str | None:
+        """Return where the prompt is, after having it read if nobody has tried yet."""
+        if grant.reads_itself:
+            return prompt_at
+        if prompt_at is None:
+            prompt_at = self._prompts.read(context, attempts, grant.reader)
+        grant.prompt_read()
+        return prompt_at
+
     def _note_error(
         self,
         attempts: Attempts,
-        place: Place,
+        grant: Grant,
         prompt_at: str | None,
         error: EndpointError,
     ) -> None:
-        self._sending.note_error(attempts, place.endpoint, error)
+        self._sending.note_error(attempts, grant.endpoint, error)
         if prompt_at and isinstance(error, EndpointRefusedError):
             # What it refused may be the prompt's memory, which lapses; the same engine
             # can read the prompt itself.
-            attempts.tried.discard(place.endpoint.endpoint_id)
+            attempts.tried.discard(grant.endpoint.endpoint_id)
 
-    def _find_place(
+    def _find_grant(
         self, context: ForwardContext, attempts: Attempts, reads_itself: bool
-    ) -> Place | None:
-        """Return a place at an engine, None if none is usable.
+    ) -> Grant | None:
+        """Return a grant at an engine, None if none is usable.
 
         Raises RequestRefusedError when engines are there and have no room in time.
         """
-        place = self._places.find(context, attempts, reads_itself)
-        if place is None and attempts.found_no_room and not attempts.may_have_run:
+        grant = self._grants.find(context, attempts, reads_itself)
+        if grant is None and attempts.found_no_room and not attempts.may_have_run:
             raise _no_room()
-        return place
+        return grant
 
     def _note_failed(self, attempts: Attempts, endpoint: Endpoint) -> None:
         """Note an engine's own failure: the request has run."""
@@ -218,10 +234,10 @@
 
 
 def _call(
-    context: ForwardContext, place: Place, prompt_at: str, resume_after: str
+    context: ForwardContext, grant: Grant, prompt_at: str, resume_after: str
 ) -> EndpointCall:
     return EndpointCall(
-        place.endpoint.endpoint_id,
+        grant.endpoint.endpoint_id,
         context.end_by.remaining_ms(),
         prompt_at=prompt_at,
         resume_after=resume_after,
--- a/src/jujubeslip/kernel/_settings.py
+++ b/src/jujubeslip/kernel/_settings.py
@@ -154,8 +154,8 @@
     """How long the orders of one leader to engines exclude those of the next."""
     changes_roles: bool = True
     """Whether engines are ordered to change role when one role runs short."""
-    gives_places: bool = True
-    """Whether the leader gives requests their places at engines, for all hosts."""
+    grants_engines: bool = True
+    """Whether the leader grants requests their engines, for all hosts."""
     memory_margin: Annotated[float, Field(ge=-1, le=1)] = 0.05
     """Share of an engine's memory that the leader leaves free."""
     memory_caution: Annotated[float, Field(ge=0, le=5)] = 1.5
@@ -221,7 +221,7 @@
     policy: Name = "least-cost"
     """`least-cost`, or a baseline to compare with."""
     asks_leader: bool = True
-    """Whether the control host that leads is asked for places at engines."""
+    """Whether the control host that leads is asked for grants at engines."""
     reads_prompts_apart: bool = True
     """Whether prefill engines read prompts, or decode engines do it themselves."""
     memory_margin: Annotated[float, Field(ge=-1, le=1)] = 0.05
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -3156,11 +3156,13 @@
      - avoided_endpoint_ids
      - reads_itself
      - attempt
+     - availability_zone
+     - maximum_gap_ms
 
     """
 
 
-    def __init__(self, request_id=None, service_name=None, prompt_tokens=None, maximum_events=None, event_tokens=None, expected_events=None, slots=None, target_remaining_ms=None, limit_remaining_ms=None, wait_ms=None, avoided_endpoint_ids=None, reads_itself=None, attempt=None,):
+    def __init__(self, request_id=None, service_name=None, prompt_tokens=None, maximum_events=None, event_tokens=None, expected_events=None, slots=None, target_remaining_ms=None, limit_remaining_ms=None, wait_ms=None, avoided_endpoint_ids=None, reads_itself=None, attempt=None, availability_zone=None, maximum_gap_ms=None,):
         self.request_id = request_id
         self.service_name = service_name
         self.prompt_tokens = prompt_tokens
@@ -3174,6 +3176,8 @@
         self.avoided_endpoint_ids = avoided_endpoint_ids
         self.reads_itself = reads_itself
         self.attempt = attempt
+        self.availability_zone = availability_zone
+        self.maximum_gap_ms = maximum_gap_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3254,6 +3258,16 @@
                     self.attempt = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRING:
+                    self.availability_zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I32:
+                    self.maximum_gap_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3319,6 +3333,14 @@
             oprot.writeFieldBegin('attempt', TType.I32, 13)
             oprot.writeI32(self.attempt)
             oprot.writeFieldEnd()
+        if self.availability_zone is not None:
+            oprot.writeFieldBegin('availability_zone', TType.STRING, 14)
+            oprot.writeString(self.availability_zone.encode('utf-8') if sys.version_info[0] == 2 else self.availability_zone)
+            oprot.writeFieldEnd()
+        if self.maximum_gap_ms is not None:
+            oprot.writeFieldBegin('maximum_gap_ms', TType.I32, 15)
+            oprot.writeI32(self.maximum_gap_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5684,6 +5706,8 @@
     (11, TType.LIST, 'avoided_endpoint_ids', (TType.STRING, 'UTF8', False), None, ),  # 11
     (12, TType.BOOL, 'reads_itself', None, None, ),  # 12
     (13, TType.I32, 'attempt', None, None, ),  # 13
+    (14, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 14
+    (15, TType.I32, 'maximum_gap_ms', None, None, ),  # 15
 )
 all_structs.append(AdmissionReply)
 AdmissionReply.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -25,7 +25,7 @@
 }
 
 enum AdmissionStatus {
-  // The request has a place at the engine that is named.
+  // The request has a grant at the engine that is named.
   ADMITTED = 1,
   // It keeps its place in the queue for a while, and is to ask again.
   WAITING = 2,
@@ -342,7 +342,7 @@
   3: i32 prompt_ms_per_second,
 }
 
-// Asks the leader for a place at an engine that answers.
+// Asks the leader for a grant at an engine that answers.
 struct AdmissionRequest {
   1: string request_id,
   2: string service_name,
@@ -363,8 +363,11 @@
   11: list<string> avoided_endpoint_ids,
   // Its prompt was read by another engine and lost: the one that answers reads it.
   12: bool reads_itself,
-  // Grows with each place that the request needs; asked again, a call changes nothing.
+  // Grows with each grant that the request needs; asked again, a call changes nothing.
   13: i32 attempt,
+  14: string availability_zone,
+  // Longest pause between two events of an answer that is still in time.
+  15: i32 maximum_gap_ms,
 }
 
 struct AdmissionReply {
@@ -578,10 +581,10 @@
   // what is known, or wait_ms has passed. Asking again tells it that the answer
   // before has arrived.
   WatchReply watch(1: WatchRequest request) throws (1: PeerRefusal refusal),
-  // Answers once the request has a place, will get none, or wait_ms has passed.
+  // Answers once the request has a grant, will get none, or wait_ms has passed.
   AdmissionReply admit(1: AdmissionRequest request)
     throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
-  // How far requests with places have come.
+  // How far requests with grants have come.
   void tell_admissions(1: list<AdmissionNews> news)
     throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
   list<Configuration> history(1: i32 limit) throws (1: PeerRefusal refusal),
