Serve metrics as text; explain a request from its hosts' lines

Cause: the users' engineers on call have only logs and metrics. There was no metrics address, a request's lines had to be gathered by hand, and an engine that was passed over left no line.

`jujubeslip trace ID FILE...` puts the lines of several hosts about one request in order and says its cause in a sentence. docs/reference/logs.md lists all kinds of lines, read from the calls that write them. A request's last line has the times of its grant and first event, and what was allowed.

Tests: three failures caused with real processes and explained by the command from the captured lines alone; metrics read over HTTP; a taken port.

--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -8,6 +8,7 @@
 
 from jujubeslip.admission._engine_follower import EngineFollower
 from jujubeslip.admission._memory_forecast import MemoryOptions
+from jujubeslip.admission._meters import AdmissionMeters
 from jujubeslip.admission._models import read_applicant
 from jujubeslip.admission._pool import Decision, EnginePool
 from jujubeslip.discovery import Endpoint, EndpointBook
@@ -58,6 +59,7 @@
         self._pool_by_service: dict[str, EnginePool] = {}
         self._follower_by_endpoint: dict[str, EngineFollower] = {}
         self._asked_at = float("-inf")
+        self._meters = AdmissionMeters()
         self._lock = threading.Lock()
 
     def start(self) -> None:
@@ -75,6 +77,7 @@
             raise _no_engine_known()
         applicant = read_applicant(request)
         decision = pool.ask(applicant, request.avoided_endpoint_ids or (), until)
+        self._meters.note(request.service_name, decision)
         self._log(request, decision)
         return _reply(decision)
 
--- a/src/jujubeslip/cli/_main.py
+++ b/src/jujubeslip/cli/_main.py
@@ -13,6 +13,7 @@
 from jujubeslip.cli._route_commands import explain_route
 from jujubeslip.cli._run_commands import control, entry, forward
 from jujubeslip.cli._status_commands import drain, status
+from jujubeslip.cli._trace_commands import trace
 
 
 @click.group()
@@ -41,5 +42,6 @@
     status,
     drain,
     replica,
+    trace,
 ):
     main.add_command(command)
--- /dev/null
+++ b/src/jujubeslip/cli/_trace_commands.py
@@ -0,0 +1,34 @@
+"""The command that puts what several hosts wrote about one request in order."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import click
+
+from jujubeslip.cli._output import exit_with_problems
+from jujubeslip.kernel import SettingsProblem
+from jujubeslip.tracing import Line, cause_of, lines_about
+
+
+@click.command("trace")
+@click.argument("request_id")
+@click.argument("files", nargs=-1, required=True, type=click.Path(path_type=Path))
+def trace(request_id: str, files: tuple[Path, ...]) -> None:
+    """Print the lines about a request from the logs of several hosts, and its cause."""
+    try:
+        lines = lines_about(request_id, files)
+    except OSError as error:
+        problem = SettingsProblem(
+            str(error.filename), "-", f"{error}.", "Name files that can be read."
+        )
+        exit_with_problems([problem])
+    for line in lines:
+        click.echo(_as_text(line))
+    click.echo(f"cause: {cause_of(lines)}")
+
+
+def _as_text(line: Line) -> str:
+    fields = " ".join(f"{key}={json.dumps(item)}" for key, item in line.fields.items())
+    return f"{line.time} {line.source} {line.message}: {fields}"
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -11,6 +11,7 @@
 from jujubeslip.control._gateway import ControlGateway
 from jujubeslip.control._handler import ControlHandler
 from jujubeslip.control._joining import Joining
+from jujubeslip.control._meters import observe_replica
 from jujubeslip.control._peers import ReplicaClients
 from jujubeslip.control._receiver import Receiver
 from jujubeslip.control._replica import Replica
@@ -37,6 +38,7 @@
     PeerRefusal,
     PeerServer,
 )
+from jujubeslip.telemetry import configure_telemetry, serve_metrics
 
 logger = logging.getLogger(__name__)
 
@@ -53,6 +55,10 @@
     def __init__(self, settings: ControlSettings) -> None:
         self._settings = settings
         self._process = Process("control")
+        # Before the instruments are made: one that is made earlier records nothing.
+        self._telemetry = configure_telemetry(
+            settings.telemetry, settings.host_id, settings.availability_zone
+        )
         storage = Storage(settings.data_folder, settings.host_id)
         self._replica = Replica(settings, storage, self._process)
         self._clients = ReplicaClients(settings)
@@ -115,6 +121,8 @@
         """Run until SIGTERM; does not return."""
         process = self._process
         process.catch_signals()
+        observe_replica(self._replica, self._book)
+        serve_metrics(self._settings.telemetry, self._telemetry, process)
         self._server.start()
         upkeep = Upkeep(self._replica)
         process.start_task(upkeep.run_writes)
@@ -168,6 +176,7 @@
 
     def _stop(self) -> None:
         hand_over(self._replica, self._clients)
+        self._telemetry.shutdown()
         if self._http is not None:
             self._http.stop_listening()
             self._http.wait_until_flushed()
--- a/src/jujubeslip/discovery/_follower.py
+++ b/src/jujubeslip/discovery/_follower.py
@@ -113,6 +113,12 @@
             follower = self._follower_by_address.get(address)
         return follower is not None and follower.reachable
 
+    def count_reachable(self) -> int:
+        """Return how many control hosts answered when last asked."""
+        with self._lock:
+            followers = list(self._follower_by_address.values())
+        return sum(follower.reachable for follower in followers)
+
     # For the followers.
 
     @property
--- a/src/jujubeslip/endpoints/_connections.py
+++ b/src/jujubeslip/endpoints/_connections.py
@@ -244,6 +244,12 @@
         with self._lock:
             self._idle_by_endpoint.setdefault(endpoint_id, []).append(connection)
 
+    @property
+    def idle_count(self) -> int:
+        """Return how many connections are idle."""
+        with self._lock:
+            return sum(map(len, self._idle_by_endpoint.values()))
+
     def close_expired(self) -> None:
         """Close connections that have been idle for too long."""
         expired = []
--- a/src/jujubeslip/forwarding/_budget.py
+++ b/src/jujubeslip/forwarding/_budget.py
@@ -69,6 +69,15 @@
             sends = self._sends(service_name)
             return self._has_one(sends)
 
+    def left_by_service(self) -> dict[str, float]:
+        """Return how many further sends are left, by service."""
+        with self._lock:
+            return {
+                name: self._limit(sends) - len(sends.further)
+                for name in list(self._sends_by_service)
+                if (sends := self._sends(name))
+            }
+
     def charge(self, service_name: str) -> None:
         """Count a further send that has happened, whether one was left or not."""
         with self._lock:
--- a/src/jujubeslip/forwarding/_grants.py
+++ b/src/jujubeslip/forwarding/_grants.py
@@ -82,6 +82,8 @@
             )
             return None if endpoint is None else Grant(endpoint)
         grant = self._find_room(context, attempts, service.engine, prompt, reads_itself)
+        if grant is not None and attempts.granted_ms is None:
+            attempts.granted_ms = attempts.elapsed_ms
         waited = context.request.arrived.overdue() if grant else WAITED_SECONDS
         self._pressures.note_wait(context.service_name, waited)
         return grant
--- a/src/jujubeslip/forwarding/_health.py
+++ b/src/jujubeslip/forwarding/_health.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import threading
 from collections.abc import Iterator
 from contextlib import AbstractContextManager, contextmanager
@@ -9,6 +10,8 @@
 
 from jujubeslip.kernel import Deadline
 
+logger = logging.getLogger(__name__)
+
 # How long an endpoint that can't be reached is passed over, in seconds; doubled with
 # each further failure in a row. One that restarts at once is found again soon, and
 # one that is dead costs a connect timeout only now and then.
@@ -80,6 +83,12 @@
                 failures_in_a_row=failures,
                 paused_until=Deadline.after(pause),
             )
+        extra = {
+            "endpoint_id": endpoint_id,
+            "seconds": pause,
+            "failures_in_a_row": failures,
+        }
+        logger.info("endpoint passed over", extra=extra)
 
     def note_replaced(self, endpoint_id: str) -> None:
         """Never use this start again: another one answers at its address."""
@@ -87,6 +96,8 @@
             self._health_by_id[endpoint_id] = replace(
                 self._get(endpoint_id), paused_until=Deadline.after(NEVER_SECONDS)
             )
+        extra = {"endpoint_id": endpoint_id}
+        logger.info("another endpoint answers at its address", extra=extra)
 
     def _get(self, endpoint_id: str) -> _Health:
         return self._health_by_id.get(endpoint_id, _Health())
--- /dev/null
+++ b/src/jujubeslip/forwarding/_meters.py
@@ -0,0 +1,147 @@
+"""The metrics of a forwarding host; docs/reference/metrics.md lists them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from opentelemetry import metrics
+from opentelemetry.metrics import CallbackOptions, Observation
+
+from jujubeslip.forwarding._models import Attempts, ForwardContext
+from jujubeslip.kernel import steady_seconds
+from jujubeslip.routes import RouteKind
+from jujubeslip.telemetry import MILLISECOND_BUCKETS
+
+
+@dataclass(frozen=True)
+class HostState:
+    """What is read off the host whenever its metrics are."""
+
+    open_requests: int
+    idle_connections: int
+    """Connections to endpoints that wait for the next request."""
+    control_hosts: int
+    """Control hosts that answered when last asked."""
+    configuration_version: int
+    configuration_age_seconds: float
+    retries_left_by_service: dict[str, float]
+    """Further sends that the budget of this host still has."""
+
+
+class ForwardMeters:
+    """Counts requests and what became of them; times in milliseconds."""
+
+    def __init__(self) -> None:
+        meter = metrics.get_meter("jujubeslip.forwarding")
+        self._requests = meter.create_counter(
+            "jujubeslip.forward.requests",
+            description="Requests by kind of route, service and outcome.",
+        )
+        self._sends = meter.create_counter(
+            "jujubeslip.forward.sends",
+            description="Sends of requests to endpoints, by service.",
+        )
+        self._retries = meter.create_counter(
+            "jujubeslip.forward.retries",
+            description="Sends of requests that had been sent before, by service.",
+        )
+        self._wasted_prompts = meter.create_counter(
+            "jujubeslip.forward.wasted_prompt_tokens",
+            description="Prompt tokens read for an engine that refused the request.",
+        )
+        self._duration = meter.create_histogram(
+            "jujubeslip.forward.duration",
+            unit="ms",
+            description="From a request's arrival to its end, by kind of route.",
+            explicit_bucket_boundaries_advisory=MILLISECOND_BUCKETS,
+        )
+        self._grant_wait = meter.create_histogram(
+            "jujubeslip.forward.grant_wait",
+            unit="ms",
+            description="From a request's arrival to its grant at an engine.",
+            explicit_bucket_boundaries_advisory=MILLISECOND_BUCKETS,
+        )
+        self._first_event = meter.create_histogram(
+            "jujubeslip.forward.first_event",
+            unit="ms",
+            description="From a request's arrival to the first event of its answer.",
+            explicit_bucket_boundaries_advisory=MILLISECOND_BUCKETS,
+        )
+        self._pause = meter.create_histogram(
+            "jujubeslip.forward.longest_pause",
+            unit="ms",
+            description="Longest pause between two events of an answer.",
+            explicit_bucket_boundaries_advisory=MILLISECOND_BUCKETS,
+        )
+
+    def note_request(
+        self, context: ForwardContext, attempts: Attempts, outcome: str
+    ) -> None:
+        """Count a request that has ended."""
+        kind = context.route.kind
+        service = {"service": context.service_name}
+        labels = {"kind": kind.value, **service, "outcome": outcome}
+        duration = steady_seconds() - context.request.arrived.instant
+        self._requests.add(1, labels)
+        self._duration.record(duration * 1000, {"kind": kind.value})
+        self._sends.add(attempts.sends, service)
+        if attempts.sends > 1:
+            self._retries.add(attempts.sends - 1, service)
+        if kind is RouteKind.STREAM:
+            self._note_stream(attempts, service)
+
+    def _note_stream(self, attempts: Attempts, service: dict[str, str]) -> None:
+        if attempts.wasted_prompt_tokens:
+            self._wasted_prompts.add(attempts.wasted_prompt_tokens, service)
+        if attempts.granted_ms is not None:
+            self._grant_wait.record(attempts.granted_ms, service)
+        if attempts.first_event_ms is not None:
+            self._first_event.record(attempts.first_event_ms, service)
+            self._pause.record(attempts.longest_gap_ms, service)
+
+
+def observe_host(read: Callable[[], HostState]) -> None:
+    """Offer the host's state as gauges, read whenever the metrics are."""
+    meter = metrics.get_meter("jujubeslip.forwarding")
+    meter.create_observable_gauge(
+        "jujubeslip.forward.open_requests",
+        [_observed(lambda: read().open_requests)],
+        description="Requests that are being served.",
+    )
+    meter.create_observable_gauge(
+        "jujubeslip.forward.idle_connections",
+        [_observed(lambda: read().idle_connections)],
+        description="Idle connections to endpoints.",
+    )
+    meter.create_observable_gauge(
+        "jujubeslip.forward.control_hosts",
+        [_observed(lambda: read().control_hosts)],
+        description="Control hosts that answered when last asked.",
+    )
+    meter.create_observable_gauge(
+        "jujubeslip.forward.configuration_version",
+        [_observed(lambda: read().configuration_version)],
+        description="Version of the configuration in force.",
+    )
+    meter.create_observable_gauge(
+        "jujubeslip.forward.configuration_age_seconds",
+        [_observed(lambda: read().configuration_age_seconds)],
+        description="How long that version has been in force here.",
+    )
+
+    def retries_left(_: CallbackOptions) -> Iterable[Observation]:
+        left = read().retries_left_by_service
+        return [Observation(value, {"service": name}) for name, value in left.items()]
+
+    meter.create_observable_gauge(
+        "jujubeslip.forward.retries_left",
+        [retries_left],
+        description="Further sends that this host's budget has, by service.",
+    )
+
+
+def _observed(
+    value: Callable[[], float],
+) -> Callable[[CallbackOptions], Iterable[Observation]]:
+    return lambda _: [Observation(value())]
--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -79,15 +79,25 @@
     """Pieces of a stream that were passed on."""
     longest_gap_ms: int = 0
     """Longest pause between two of them."""
+    granted_ms: int | None = None
+    """When it got its first grant at an engine, from its start."""
+    first_event_ms: int | None = None
+    """When its first event came, from its start."""
+    wasted_prompt_tokens: int = 0
+    """Tokens of prompts that were read for engines which refused it."""
     grants_asked: int = 0
     """Grants that the leader was asked for."""
     found_no_room: bool = False
     """Whether engines were there and had no room while there was time."""
 
+    @property
+    def elapsed_ms(self) -> int:
+        """Return the milliseconds since the request came."""
+        return int(self.started.overdue() * 1000)
+
     def note(self, endpoint_id: str, outcome: str) -> None:
         """Add a step to the trail, with the milliseconds since the request came."""
-        elapsed_ms = int(self.started.overdue() * 1000)
-        self.trail.append(f"{elapsed_ms} ms {endpoint_id}: {outcome}")
+        self.trail.append(f"{self.elapsed_ms} ms {endpoint_id}: {outcome}")
 
     def note_events(self, gap: float) -> None:
         """Note a piece of a stream that came this many seconds after the last."""
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -16,6 +16,7 @@
 from jujubeslip.forwarding._choice import Chooser, policies
 from jujubeslip.forwarding._grants import Grants
 from jujubeslip.forwarding._health import EndpointHealth
+from jujubeslip.forwarding._meters import ForwardMeters, HostState, observe_host
 from jujubeslip.forwarding._plain_path import PlainPath
 from jujubeslip.forwarding._pressure import Pressures
 from jujubeslip.forwarding._prompts import PromptReader
@@ -35,7 +36,11 @@
     new_incarnation,
 )
 from jujubeslip.peers import PeerIdentity
-from jujubeslip.telemetry import configure_logging, configure_telemetry
+from jujubeslip.telemetry import (
+    configure_logging,
+    configure_telemetry,
+    serve_metrics,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -111,6 +116,7 @@
                     self._admissions,
                 ),
             ),
+            ForwardMeters(),
         )
         self._http = HttpServer(
             HttpServerOptions(
@@ -125,6 +131,16 @@
             ReadyApp(self._is_ready),
         )
 
+    def _state(self) -> HostState:
+        return HostState(
+            self._open_requests.count,
+            self._pool.idle_count,
+            self._followers.count_reachable(),
+            self._routes.version,
+            self._routes.age_seconds,
+            self._budgets.left_by_service(),
+        )
+
     def _build_sending(self) -> Sending:
         settings = self._settings
         health = EndpointHealth()
@@ -134,12 +150,13 @@
             settings.retry_window_ms / 1000,
             settings.retry_allowance,
         )
+        self._budgets = RetryBudgets(budget, lambda: self._entry_hosts)
         return Sending(
             interfaces.get(settings.interface),
             self._pool,
             Chooser(self._book, health, policy, settings.endpoint_silence_ms / 1000),
             health,
-            RetryBudgets(budget, lambda: self._entry_hosts),
+            self._budgets,
         )
 
     def run(self) -> None:
@@ -151,6 +168,8 @@
         process.repeat(CLEANUP_SECONDS, self._pool.close_expired)
         if self._admissions is not None:
             self._admissions.start()
+        observe_host(self._state)
+        serve_metrics(self._settings.telemetry, self._telemetry, process)
         self._http.start(process)
         self._ready_http.start(process)
         extra = {"http": self._settings.http_address, "host": self._settings.host_id}
--- a/src/jujubeslip/forwarding/_service.py
+++ b/src/jujubeslip/forwarding/_service.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Iterator
 
+from jujubeslip.forwarding._meters import ForwardMeters
 from jujubeslip.forwarding._models import (
     Answer,
     Attempts,
@@ -34,8 +35,13 @@
     """Finds the route, sends the request on its path, and logs what became of it."""
 
     def __init__(
-        self, routes: RoutesFollower, plain_path: PlainPath, stream_path: StreamPath
+        self,
+        routes: RoutesFollower,
+        plain_path: PlainPath,
+        stream_path: StreamPath,
+        meters: ForwardMeters,
     ) -> None:
+        self._meters = meters
         self._routes = routes
         self._plain_path = plain_path
         self._stream_path = stream_path
@@ -100,6 +106,7 @@
             self._log(context, attempts, outcome)
 
     def _log(self, context: ForwardContext, attempts: Attempts, outcome: str) -> None:
+        self._meters.note_request(context, attempts, outcome)
         started = context.request.arrived
         logger.info(
             "request ended",
@@ -111,8 +118,12 @@
                 "ran": _ran(attempts, outcome),
                 "sends": attempts.trail,
                 "duration_ms": int((steady_seconds() - started.instant) * 1000),
+                "granted_ms": attempts.granted_ms,
+                "first_event_ms": attempts.first_event_ms,
+                "target_ms": context.route.target_ms,
                 "events": attempts.events,
                 "longest_gap_ms": attempts.longest_gap_ms,
+                "maximum_gap_ms": context.route.maximum_gap_ms,
                 "version": context.table.version,
                 "version_age_s": round(self._routes.age_seconds, 1),
             },
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -95,7 +95,7 @@
                 try:
                     started = self._run(context, attempts, grant.endpoint, call, kept)
                 except EndpointError as error:
-                    self._note_error(attempts, grant, prompt_at, error)
+                    self._note_error(context, attempts, grant, prompt_at, error)
                     if prompt_at and not _left_prompt(error):
                         prompt_at = ""
                     continue
@@ -125,6 +125,7 @@
 
     def _note_error(
         self,
+        context: ForwardContext,
         attempts: Attempts,
         grant: Grant,
         prompt_at: str | None,
@@ -135,6 +136,8 @@
             # What it refused may be the prompt's memory, which lapses; the same engine
             # can read the prompt itself.
             attempts.tried.discard(grant.endpoint.endpoint_id)
+            if context.request.prompt is not None:
+                attempts.wasted_prompt_tokens += context.request.prompt.prompt_tokens
 
     def _find_grant(
         self, context: ForwardContext, attempts: Attempts, reads_itself: bool
@@ -184,6 +187,8 @@
                     raise AnswerCutError(f"{endpoint.address}: a stream of no event.")
                 first = splitter.take(part)
             attempts.note(endpoint.endpoint_id, "streams")
+            if attempts.first_event_ms is None:
+                attempts.first_event_ms = attempts.elapsed_ms
             stack.push(kept.pop_all())
             held = stack.pop_all()
         return _Run(endpoint, head, exchange, first, splitter, held)
--- a/src/jujubeslip/kernel/_settings.py
+++ b/src/jujubeslip/kernel/_settings.py
@@ -71,6 +71,8 @@
     """Where log lines go: `stdout` or `stderr`."""
     log_level: Annotated[str, Field(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
     """Least level that is written: DEBUG, INFO, WARNING or ERROR."""
+    metrics_address: Address | None = None
+    """Where the metrics are served as text; not served without."""
     otlp_endpoint: str = ""
     """Base URL of an OTLP/HTTP collector; nothing is recorded without."""
     export_interval_ms: Annotated[int, Field(ge=100)] = 10_000
--- a/src/jujubeslip/telemetry/__init__.py
+++ b/src/jujubeslip/telemetry/__init__.py
@@ -1,7 +1,8 @@
 """Structured logs, OpenTelemetry metrics, and a span for each hop."""
 
 from jujubeslip.telemetry._logs import configure_logging
-from jujubeslip.telemetry._meters import Meters
+from jujubeslip.telemetry._meters import MILLISECOND_BUCKETS, Meters
+from jujubeslip.telemetry._metrics_server import serve_metrics
 from jujubeslip.telemetry._setup import Telemetry, configure_telemetry
 from jujubeslip.telemetry._spans import (
     context_from_traceparent,
@@ -10,11 +11,13 @@
 )
 
 __all__ = [
+    "MILLISECOND_BUCKETS",
     "Meters",
     "Telemetry",
     "configure_logging",
     "configure_telemetry",
     "context_from_traceparent",
     "current_traceparent",
+    "serve_metrics",
     "tracer",
 ]
--- /dev/null
+++ b/src/jujubeslip/telemetry/_metrics_text.py
@@ -0,0 +1,73 @@
+"""Metrics as text: a line for each value, as collectors read it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Any
+
+from opentelemetry.sdk.metrics.export import (
+    Gauge,
+    Histogram,
+    HistogramDataPoint,
+    Metric,
+    MetricsData,
+    Sum,
+)
+
+
+def metrics_as_text(data: MetricsData | None) -> str:
+    """Return all metrics, each with its description; empty before the first value."""
+    if data is None:
+        return ""
+    lines: list[str] = []
+    for resource in data.resource_metrics:
+        for scope in resource.scope_metrics:
+            for metric in scope.metrics:
+                lines += _lines_of(metric)
+    return "\n".join([*lines, ""])
+
+
+def _lines_of(metric: Metric) -> Iterator[str]:
+    name = metric.name.replace(".", "_")
+    if metric.unit and metric.unit != "1":
+        name = f"{name}_{metric.unit}"
+    if isinstance(metric.data, Sum) and metric.data.is_monotonic:
+        name = f"{name}_total"
+    yield f"# HELP {name} {metric.description}"
+    yield f"# TYPE {name} {_type_of(metric)}"
+    if isinstance(metric.data, Histogram):
+        for point in metric.data.data_points:
+            yield from _histogram_lines(name, point)
+    elif isinstance(metric.data, Sum | Gauge):
+        for value in metric.data.data_points:
+            yield f"{name}{_labels(value.attributes)} {value.value}"
+
+
+def _type_of(metric: Metric) -> str:
+    if isinstance(metric.data, Histogram):
+        return "histogram"
+    if isinstance(metric.data, Sum) and metric.data.is_monotonic:
+        return "counter"
+    return "gauge"
+
+
+def _histogram_lines(name: str, point: HistogramDataPoint) -> Iterator[str]:
+    count = 0
+    bounds: Iterable[object] = [*point.explicit_bounds, "+Inf"]
+    for bound, bucket in zip(bounds, point.bucket_counts, strict=True):
+        count += bucket
+        yield f"{name}_bucket{_labels(point.attributes, le=str(bound))} {count}"
+    yield f"{name}_sum{_labels(point.attributes)} {point.sum}"
+    yield f"{name}_count{_labels(point.attributes)} {point.count}"
+
+
+def _labels(attributes: Mapping[str, Any] | None, **more: str) -> str:
+    labels = {**(attributes or {}), **more}
+    if not labels:
+        return ""
+    pairs = [f'{key}="{_escaped(str(value))}"' for key, value in labels.items()]
+    return "{" + ",".join(pairs) + "}"
+
+
+def _escaped(value: str) -> str:
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/tests/fakes/platform_system.py
+++ b/tests/fakes/platform_system.py
@@ -128,13 +128,16 @@
         self.folder = folder
         self._entry_settings = entry
         self._ids = itertools.count(1)
+        self.last_request_id = ""
         self._workers: list[PlatformWorker] = []
         self._stopped = threading.Event()
         self.seeds = [free_address() for _ in range(controls)]
         self.control_http = [free_address() for _ in range(controls)]
+        self.control_metrics = [free_address() for _ in range(controls)]
         self.controls = [self._control(number) for number in range(controls)]
         self.entry_http = [free_address() for _ in range(entries)]
         self.ready_http = [free_address() for _ in range(entries)]
+        self.entry_metrics = [free_address() for _ in range(entries)]
         self.entries = [self._entry(number) for number in range(entries)]
 
     def _control(self, number: int) -> Host:
@@ -144,7 +147,8 @@
             "control",
             self.control_settings(
                 f"control-{number}", self.seeds[number], self.control_http[number]
-            ),
+            )
+            + f'[telemetry]\nmetrics_address = "{self.control_metrics[number]}"\n',
         )
 
     def control_settings(
@@ -171,6 +175,7 @@
             f'ready_address = "{self.ready_http[number]}"\n'
             f'peer_secret = "{SECRET}"\nseeds = {json.dumps(self.seeds)}\n'
             f'interface = "platform"\n{extra}'
+            f'[telemetry]\nmetrics_address = "{self.entry_metrics[number]}"\n'
         )
         return Host(self.folder, f"entry-{number}", "forward", settings)
 
@@ -273,6 +278,7 @@
             "Deadline-Ms": str(deadline_ms),
             **(headers or {}),
         }
+        self.last_request_id = sent["Request-Id"]
         connection = http.client.HTTPConnection(self.entry_http[entry], timeout=20)
         try:
             connection.request(method, path, body, sent)
@@ -296,6 +302,18 @@
         found = [json.loads(line) for line in lines if f'"{message}"' in line]
         return [item for item in found if item["message"] == message]
 
+    def metrics(self, address: str) -> dict[str, float]:
+        """Return the metrics that a process serves, by name and labels."""
+        connection = http.client.HTTPConnection(address, timeout=5)
+        try:
+            connection.request("GET", "/metrics")
+            text = connection.getresponse().read().decode()
+        finally:
+            connection.close()
+        lines = [line for line in text.splitlines() if not line.startswith("#")]
+        pairs = [line.rsplit(" ", 1) for line in lines]
+        return {name: float(value) for name, value in pairs}
+
     def ready(self, entry: int = 0) -> bool:
         """Say whether an entry host says that it takes requests."""
         connection = http.client.HTTPConnection(self.ready_http[entry], timeout=2)
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -256,6 +256,7 @@
 
     def _stream(self, request_id: str) -> None:
         """Stream events 1 to `events`, or go on behind Last-Event-Id."""
+        time.sleep(self.worker.run_seconds)
         worker = self.worker
         first = int(self.headers.get("Last-Event-Id") or 0) + 1
         head = self._head(200, request_id, None).removesuffix(b"\r\n")
--- a/tools/generate_docs.py
+++ b/tools/generate_docs.py
@@ -25,6 +25,7 @@
     TelemetrySettings,
 )
 from tools.data_classes import default_text, key_descriptions, type_text
+from tools.logs_page import logs_page
 from tools.source import (
     SOURCE,
     argument_of,
@@ -49,6 +50,7 @@
         "declaration.md": declaration_page(),
         "cli.md": cli_page(),
         "errors.md": errors_page(),
+        "logs.md": logs_page(HEAD),
         "metrics.md": metrics_page(),
         "spans.md": spans_page(),
     }
@@ -274,9 +276,11 @@
     parts = [
         HEAD,
         "# Metrics\n",
-        "Exported by OTLP over HTTP to `otlp_endpoint` of the settings, each "
-        "`export_interval_ms`, with the resource attributes `service.name`, `host.id` "
-        "and `cloud.availability_zone`.\n",
+        "Served as text at `metrics_address` of the settings, where dots become "
+        "underscores, units are added, and counters end in `_total`. Also exported by "
+        "OTLP over HTTP to `otlp_endpoint`, each `export_interval_ms`, with the "
+        "resource attributes `service.name`, `host.id` and "
+        "`cloud.availability_zone`.\n",
         "| name | kind | unit | meaning |",
         "|---|---|---|---|",
         *sorted(set(rows)),
