Leave an engine that reads a prompt too long; say what a client left behind

(2) Of a client that left while its request was at an engine the last line said ran=no; it may have run.

Changes: (1) the leader says how long reading should take; the engine may take three times as long, 0.6 s at least. (2) The line says unknown.

Ruled out: a shorter wait everywhere: hosts that ask without a leader queue at the engine, and took up to 0.76 s.

Tests: TestReaderThatGoesDark; the pool's test of how long reading should take.

--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -180,10 +180,11 @@
             grant.fill,
             grant.report_age_ms,
             grant.reader_id,
+            int(grant.read_seconds * 1000),
         )
     refused = decision.refused
     status = AdmissionStatus.REFUSED if refused else AdmissionStatus.WAITING
-    return AdmissionReply(status, "", forecast_ms, 0.0, 0, "")
+    return AdmissionReply(status, "", forecast_ms, 0.0, 0, "", 0)
 
 
 def _no_engine_known() -> PeerRefusal:
--- a/src/jujubeslip/admission/_models.py
+++ b/src/jujubeslip/admission/_models.py
@@ -44,6 +44,8 @@
     """How old the engine's report is that this was decided by."""
     reader_id: str = ""
     """The engine that reads the prompt, empty where the answering one does."""
+    read_seconds: float = 0.0
+    """How long that should take."""
 
 
 @dataclass(frozen=True)
--- a/src/jujubeslip/admission/_pool.py
+++ b/src/jujubeslip/admission/_pool.py
@@ -269,7 +269,11 @@
         )
         if found is None or reader is None:
             return found
-        return replace(found, reader_id=reader.endpoint_id)
+        return replace(
+            found,
+            reader_id=reader.endpoint_id,
+            read_seconds=reader.seconds_for(waiting.applicant.prompt_tokens),
+        )
 
     def _cost(self, grant: Grant, own_zone: str) -> float:
         engine = self._engine_by_id[grant.endpoint_id]
--- a/src/jujubeslip/admission/_prompt_queue.py
+++ b/src/jujubeslip/admission/_prompt_queue.py
@@ -60,6 +60,10 @@
         whole = sum(self._tokens_by_request.values()) / self.speed
         return max(0.0, whole - (steady_seconds() - self._free_since))
 
+    def seconds_for(self, prompt_tokens: int) -> float:
+        """Return how long it would take to read one more prompt."""
+        return self.seconds_left + prompt_tokens / self.speed
+
     @property
     def has_room(self) -> bool:
         """Say whether it should be given a further prompt now."""
--- a/src/jujubeslip/forwarding/_admissions.py
+++ b/src/jujubeslip/forwarding/_admissions.py
@@ -54,6 +54,8 @@
     """The engine that is to read the prompt, empty where the answering one does."""
     forecast: float
     """How long the request was expected to wait, in seconds."""
+    read_seconds: float = 0.0
+    """How long reading the prompt should take."""
 
 
 class Admissions:
@@ -115,7 +117,10 @@
             forecast = reply.forecast_ms / 1000
             if reply.status == AdmissionStatus.ADMITTED:
                 reader_id = reply.reader_endpoint_id or ""
-                return AdmissionAnswer(reply.endpoint_id, reader_id, forecast)
+                read_seconds = (reply.read_ms or 0) / 1000
+                return AdmissionAnswer(
+                    reply.endpoint_id, reader_id, forecast, read_seconds
+                )
             if reply.status == AdmissionStatus.REFUSED:
                 return AdmissionAnswer("", "", forecast)
             if context.gone():
--- a/src/jujubeslip/forwarding/_grants.py
+++ b/src/jujubeslip/forwarding/_grants.py
@@ -39,6 +39,8 @@
     endpoint: Endpoint
     reader: Endpoint | None = None
     """The engine that is to read the prompt, None if any may."""
+    read_seconds: float = 0.0
+    """How long that should take, 0 where nobody knows."""
     reads_itself: bool = False
     """Whether the engine that answers is to read the prompt, too."""
     before_run: Callable[[], None] = _nothing
@@ -140,6 +142,7 @@
         return Grant(
             endpoint,
             reader=self._book.find(found.reader_id) if found.reader_id else None,
+            read_seconds=found.read_seconds,
             reads_itself=not found.reader_id,
             prompt_read=partial(admissions.note_read, request_id, attempt),
             at_end=partial(admissions.end, request_id, attempt),
--- a/src/jujubeslip/forwarding/_prompts.py
+++ b/src/jujubeslip/forwarding/_prompts.py
@@ -20,6 +20,11 @@
 # How long an engine may take to read a prompt for another one, in seconds: some ten
 # times what the longest prompts take. After that the answering engine reads it itself.
 PREFILL_SECONDS = 1.5
+# Where the leader says how long reading should take, an engine may take so many times
+# as long, and this long at least, in seconds: of 12,000 prompts one in a thousand took
+# half a second. An engine that went dark costs no request its time then.
+PATIENCE = 3.0
+LEAST_SECONDS = 0.6
 # Engines that are asked to read one prompt at most.
 ENGINES_ASKED = 2
 
@@ -39,10 +44,12 @@
         context: ForwardContext,
         attempts: Attempts,
         reader: Endpoint | None = None,
+        read_seconds: float = 0.0,
     ) -> str:
         """Have an engine read the prompt; return where it is, nothing if it isn't.
 
-        `reader` is asked first, where it is given. A second engine is asked if the
+        `reader` is asked first, where it is given, and should need `read_seconds`. A
+        second engine is asked if the
         budget has a call for it. An engine that answers can read the prompt itself, but
         all its answers stand still while it does.
         """
@@ -51,10 +58,12 @@
         for number in range(ENGINES_ASKED):
             if number and not self._sending.budgets.has_one(context.service_name):
                 return ""
-            endpoint = reader if reader and not number else self._choose(context)
+            is_given = reader is not None and not number
+            endpoint = reader if is_given else self._choose(context)
             if endpoint is None:
                 return ""
-            handle = self._read_at(context, attempts, endpoint)
+            limit = _limit(read_seconds if is_given else 0.0)
+            handle = self._read_at(context, attempts, endpoint, limit)
             if handle:
                 return f"{endpoint.address}/{handle}"
         return ""
@@ -64,12 +73,16 @@
         return chooser.choose_sound(context.service_name, EndpointRole.PREFILL)
 
     def _read_at(
-        self, context: ForwardContext, attempts: Attempts, endpoint: Endpoint
+        self,
+        context: ForwardContext,
+        attempts: Attempts,
+        endpoint: Endpoint,
+        limit: Deadline,
     ) -> str:
         """Return the handle of the prompt at this engine, nothing if it isn't read."""
         started = steady_seconds()
         try:
-            handle = self._ask(context, endpoint)
+            handle = self._ask(context, endpoint, limit)
         except EndpointError as error:
             self._note_unread(context, attempts, endpoint, error)
             return ""
@@ -80,11 +93,11 @@
         attempts.note(endpoint.endpoint_id, "prompt read")
         return handle
 
-    def _ask(self, context: ForwardContext, endpoint: Endpoint) -> str:
+    def _ask(self, context: ForwardContext, endpoint: Endpoint, limit: Deadline) -> str:
         """Return the handle of the prompt that the endpoint has read."""
         remaining = context.end_by.remaining_ms()
         call = EndpointCall(endpoint.endpoint_id, remaining, reads_prompt_only=True)
-        deadline = context.end_by.earlier_of(Deadline.after(PREFILL_SECONDS))
+        deadline = context.end_by.earlier_of(limit)
         working = self._sending.health.working(endpoint.endpoint_id)
         with working, self._sending.exchange(context, endpoint) as exchange:
             head = exchange.call(call, deadline)
@@ -114,3 +127,10 @@
         if not isinstance(error, EndpointUnreachableError | AnswerCutError):
             self._sending.health.note_unreachable(endpoint.endpoint_id)
         attempts.note(endpoint.endpoint_id, f"prompt not read, {error.error_id}")
+
+
+def _limit(read_seconds: float) -> Deadline:
+    """Return until when an engine may take that should need so long; 0 if unknown."""
+    if not read_seconds:
+        return Deadline.after(PREFILL_SECONDS)
+    return Deadline.after(max(LEAST_SECONDS, PATIENCE * read_seconds))
--- a/src/jujubeslip/forwarding/_service.py
+++ b/src/jujubeslip/forwarding/_service.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Iterator
 
+from jujubeslip.endpoints import CallerGoneError
 from jujubeslip.forwarding._meters import ForwardMeters
 from jujubeslip.forwarding._models import (
     Answer,
@@ -134,7 +135,9 @@
     """Return whether an endpoint ran the request, as far as this host can know."""
     if outcome in ("whole", "left") or outcome.isdigit():
         return "yes"
-    return "unknown" if attempts.may_have_run else "no"
+    # A client that leaves while its request is at an endpoint: that may have run it.
+    left_midway = outcome == CallerGoneError.error_id and attempts.sends > 0
+    return "unknown" if attempts.may_have_run or left_midway else "no"
 
 
 def _draw_service(route: Route) -> str:
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -119,7 +119,9 @@
         if grant.reads_itself:
             return prompt_at
         if prompt_at is None:
-            prompt_at = self._prompts.read(context, attempts, grant.reader)
+            prompt_at = self._prompts.read(
+                context, attempts, grant.reader, grant.read_seconds
+            )
         grant.prompt_read()
         return prompt_at
 
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -3368,17 +3368,19 @@
      - fill
      - report_age_ms
      - reader_endpoint_id
+     - read_ms
 
     """
 
 
-    def __init__(self, status=None, endpoint_id=None, forecast_ms=None, fill=None, report_age_ms=None, reader_endpoint_id=None,):
+    def __init__(self, status=None, endpoint_id=None, forecast_ms=None, fill=None, report_age_ms=None, reader_endpoint_id=None, read_ms=None,):
         self.status = status
         self.endpoint_id = endpoint_id
         self.forecast_ms = forecast_ms
         self.fill = fill
         self.report_age_ms = report_age_ms
         self.reader_endpoint_id = reader_endpoint_id
+        self.read_ms = read_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3419,6 +3421,11 @@
                     self.reader_endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.read_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3453,6 +3460,10 @@
             oprot.writeFieldBegin('reader_endpoint_id', TType.STRING, 6)
             oprot.writeString(self.reader_endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.reader_endpoint_id)
             oprot.writeFieldEnd()
+        if self.read_ms is not None:
+            oprot.writeFieldBegin('read_ms', TType.I32, 7)
+            oprot.writeI32(self.read_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5718,6 +5729,7 @@
     (4, TType.DOUBLE, 'fill', None, None, ),  # 4
     (5, TType.I32, 'report_age_ms', None, None, ),  # 5
     (6, TType.STRING, 'reader_endpoint_id', 'UTF8', None, ),  # 6
+    (7, TType.I32, 'read_ms', None, None, ),  # 7
 )
 all_structs.append(AdmissionNews)
 AdmissionNews.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -381,6 +381,8 @@
   5: i32 report_age_ms,
   // The engine that reads the prompt; empty where the answering one does.
   6: string reader_endpoint_id,
+  // How long that should take.
+  7: i32 read_ms,
 }
 
 enum AdmissionStep {
--- a/tests/admission/test_pool.py
+++ b/tests/admission/test_pool.py
@@ -269,6 +269,13 @@
         pool.note_read("request-1")
         assert ask_now(pool, "next").grant is not None
 
+    def test_come_with_how_long_their_reading_should_take(self) -> None:
+        pool = pool_of("engine")
+        first = ask_now(pool, "a").grant
+        second = ask_now(pool, "b").grant
+        assert first is not None and second is not None
+        assert 0.05 < first.read_seconds < second.read_seconds < 0.3
+
     def test_are_read_by_the_engine_itself_one_at_a_time(self) -> None:
         """No engine reads prompts for others. All answers stand still meanwhile.
 
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -210,20 +210,27 @@
         if self.worker.faults.take("lose"):
             self.close_connection = True
             return
+        if self.worker.faults.take("hang"):
+            self._wait_for_the_end(request_id)
+            return
         self.reply(
             200,
             {"kvHandle": f"h-{request_id}", "tokens": 10, "version": 1},
             {"Request-Id": request_id},
         )
 
+    def _wait_for_the_end(self, request_id: str) -> None:
+        """Answer nothing until the client or the worker is closed."""
+        while not self.worker.closed.wait(0.02):
+            if not self.peer_is_open():
+                self.worker.gone_clients.append(request_id)
+                break
+        self.close_connection = True
+
     def _answer(self, request_id: str) -> None:
         faults = self.worker.faults
         if faults.take("hang"):
-            while not self.worker.closed.wait(0.02):
-                if not self.peer_is_open():
-                    self.worker.gone_clients.append(request_id)
-                    break
-            self.close_connection = True
+            self._wait_for_the_end(request_id)
             return
         time.sleep(self.worker.run_seconds)
         if faults.take("lose"):
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -179,6 +179,21 @@
         assert "Kv-From" in run.headers
 
 
+class TestReaderThatGoesDark:
+    """An engine takes a prompt and says nothing any more; its address still connects.
+
+    Waited for as long as reading could take at worst, the summary's first words would
+    be late. It is left, and told so by the closed connection.
+    """
+
+    def test_is_left_before_the_answer_is_late(
+        self, system: PlatformSystem, engines: Engines
+    ) -> None:
+        engines.prefill.faults.hang = 1
+        assert ask(system).whole
+        assert len(engines.prefill.gone_clients) == 1
+
+
 class TestPromptThatNobodyReads:
     """Each answer of the only engine that reads prompts is lost.
 
