Refuse what reaches a host in the last moment of its stop

Change: after the last look the host takes no request any more. One that still comes is refused with 503, which is true, and told to ask again at once.

Ruled out: closing idle connections instead: the request may be on its way already.

--- a/src/jujubeslip/forwarding/_app.py
+++ b/src/jujubeslip/forwarding/_app.py
@@ -20,6 +20,8 @@
 StartResponse = Callable[..., Any]
 # When a client should come back that met a host with no thread left, in seconds.
 FULL_RETRY_SECONDS = 0.5
+# When one should that met a host in its last moment: another host can take it at once.
+STOPPING_RETRY_SECONDS = 0.05
 
 
 class OpenRequests:
@@ -28,6 +30,7 @@
     def __init__(self, maximum: int) -> None:
         self._maximum = maximum
         self._count = 0
+        self._closed = False
         self._changed = threading.Condition()
 
     @property
@@ -35,10 +38,20 @@
         """Return how many requests are being served."""
         return self._count
 
+    @property
+    def closed(self) -> bool:
+        """Say whether no more are served."""
+        return self._closed
+
+    def close(self) -> None:
+        """Serve no more from now on."""
+        with self._changed:
+            self._closed = True
+
     def try_enter(self) -> bool:
-        """Count one more, unless there are as many as may be."""
+        """Count one more, unless there are as many as may be, or none are served."""
         with self._changed:
-            if self._count >= self._maximum:
+            if self._closed or self._count >= self._maximum:
                 return False
             self._count += 1
             return True
@@ -74,7 +87,8 @@
         """Answer one request."""
         request_id = environ.get("HTTP_REQUEST_ID", "")
         if not self._open_requests.try_enter():
-            return self._refuse(start_response, _full(), request_id)
+            refusal = _stopping() if self._open_requests.closed else _full()
+            return self._refuse(start_response, refusal, request_id)
         left = False
         try:
             body = self._answer(environ, start_response, request_id)
@@ -174,6 +188,14 @@
     )
 
 
+def _stopping() -> RequestRefusedError:
+    return RequestRefusedError(
+        "entry_stopping",
+        "This host is about to stop.",
+        retry_after=STOPPING_RETRY_SECONDS,
+    )
+
+
 def _gone(error: CallerGoneError) -> RequestRefusedError:
     """Return what nobody reads: the client has closed its connection."""
     return RequestRefusedError(
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -208,6 +208,10 @@
         self._open_requests.wait_until_none(limit.remaining())
         self._http.stop_listening()
         self._open_requests.wait_until_none(limit.remaining())
+        # A request that comes over an open connection at this moment would be cut off
+        # at an endpoint by the end of this process. Refused, it has not run.
+        self._open_requests.close()
+        self._open_requests.wait_until_none(limit.remaining())
         self._http.wait_until_flushed(FLUSH_SECONDS)
         self._telemetry.shutdown()
 
