--- a/src/jujubeslip/admission/_pool.py
+++ b/src/jujubeslip/admission/_pool.py
@@ -48,7 +48,7 @@
 
 @dataclass(frozen=True)
 class Decision:
-    """What a request gets: a grant, or none, or to ask again where both are None."""
+    """What a request gets: a grant, a refusal, or neither where it is to ask again."""
 
     grant: Grant | None
     refused: bool
--- a/src/jujubeslip/forwarding/_admissions.py
+++ b/src/jujubeslip/forwarding/_admissions.py
@@ -109,8 +109,9 @@
         """
         attempts.grants_asked += 1
         while (address := self._leader()) is not None:
-            request = self._request(context, attempts, engine, prompt, limit)
-            request.reads_itself = reads_itself
+            request = self._request(
+                context, attempts, engine, prompt, limit, reads_itself
+            )
             reply = self._call(address, request)
             if reply is None:
                 continue
@@ -143,6 +144,7 @@
         engine: EngineService,
         prompt: PromptShape,
         limit: Deadline,
+        reads_itself: bool,
     ) -> AdmissionRequest:
         event_tokens = engine.event_tokens
         return AdmissionRequest(
@@ -157,6 +159,7 @@
             limit.remaining_ms(),
             WAIT_MS,
             [*attempts.tried, *self._paused_endpoints()],
+            reads_itself=reads_itself,
             attempt=attempts.grants_asked,
             availability_zone=self._availability_zone,
             maximum_gap_ms=context.route.maximum_gap_ms,
@@ -194,7 +197,7 @@
             "request_id": request.request_id,
             "reason": reason,
         }
-        logger.info("leader gives no grants", extra=extra)
+        logger.info("leader grants no engines", extra=extra)
 
     def _leader(self) -> str | None:
         """Return the address that most control hosts name, None if none may be asked.
--- a/src/jujubeslip/forwarding/_choice.py
+++ b/src/jujubeslip/forwarding/_choice.py
@@ -41,7 +41,7 @@
         self._availability_zone = availability_zone
 
     def choose(self, candidates: Sequence[Endpoint]) -> Endpoint:
-        """Return the cheapest; equal ones by lot, so that hosts don't flock."""
+        """Return the cheapest; equal ones by lot, so that hosts choose several."""
         return min(candidates, key=lambda item: (self._cost(item), random.random()))
 
     def _cost(self, endpoint: Endpoint) -> float:
--- a/src/jujubeslip/forwarding/_grants.py
+++ b/src/jujubeslip/forwarding/_grants.py
@@ -132,8 +132,8 @@
         """Return the grant that the leader gave, None if it isn't known here yet."""
         request_id = context.request.request_id
         attempt = attempts.grants_asked
-        endpoint = self._book.find(found.endpoint_id)
-        if endpoint is None or endpoint.leaving:
+        endpoint = self._usable(found.endpoint_id)
+        if endpoint is None:
             extra = {"request_id": request_id, "endpoint_id": found.endpoint_id}
             logger.info("grant at an engine that is not used here", extra=extra)
             admissions.end(request_id, attempt)
@@ -141,13 +141,22 @@
         attempts.note(found.endpoint_id, "grant")
         return Grant(
             endpoint,
-            reader=self._book.find(found.reader_id) if found.reader_id else None,
+            reader=self._usable(found.reader_id),
             read_seconds=found.read_seconds,
             reads_itself=not found.reader_id,
             prompt_read=partial(admissions.note_read, request_id, attempt),
             at_end=partial(admissions.end, request_id, attempt),
         )
 
+    def _usable(self, endpoint_id: str) -> Endpoint | None:
+        """Return an endpoint that isn't known here to leave.
+
+        The leader may not have heard of that yet: an endpoint that leaves would get a
+        request, or a prompt, after its leaving was acknowledged.
+        """
+        endpoint = self._book.find(endpoint_id)
+        return None if endpoint is None or endpoint.leaving else endpoint
+
 
 def wait_limit(context: ForwardContext) -> Deadline:
     """Return until when a request waits for room before it is refused.
--- a/src/jujubeslip/http_server/_server.py
+++ b/src/jujubeslip/http_server/_server.py
@@ -129,8 +129,8 @@
         A request counts as ended before the server has written the end of its answer,
         so the threads that serve calls are waited for too: a process that exits
         earlier cuts the last answers off. A client that takes nothing for
-        FLUSH_SECONDS is not waited for any longer, nor any client after the limit: the
-        platform kills a process whose stop takes too long.
+        FLUSH_SECONDS is not waited for any longer, nor any client after the limit: a
+        process whose stop takes too long is killed.
         """
         end = Deadline.after(limit_seconds)
         limit = end.earlier_of(Deadline.after(FLUSH_SECONDS))
