Take no further requests once the balancer knows that a host stops

Ruled out: refusing only what needs longer than is left. How long that is nobody knows.

Test: forwarding/test_stops.py, TestRequestOverAnIdleConnection.

--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -205,13 +205,14 @@
         limit = Deadline.after(self._settings.stop_limit_ms / 1000 - END_SECONDS)
         self._http.announce_close()
         self._process.stopped.wait(BALANCER_SECONDS)
-        self._open_requests.wait_until_none(limit.remaining())
-        self._http.stop_listening()
-        self._open_requests.wait_until_none(limit.remaining())
-        # A request that comes over an open connection at this moment would be cut off
-        # at an endpoint by the end of this process. Refused, it has not run.
+        # A client may still ask over a connection that was idle all the while. Taken,
+        # its request would be cut off by the end of this process: a stream needs longer
+        # than is left. Refused, it has not run, and another host takes it at once.
         self._open_requests.close()
+        extra = {"open_requests": self._open_requests.count}
+        logger.info("no further requests are taken", extra=extra)
         self._open_requests.wait_until_none(limit.remaining())
+        self._http.stop_listening()
         self._http.wait_until_flushed(FLUSH_SECONDS)
         self._telemetry.shutdown()
 
--- a/tests/forwarding/test_stops.py
+++ b/tests/forwarding/test_stops.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import json
 import signal
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -24,6 +25,39 @@
 ROUTES = [route("slow", "/slow/", "plain", timeoutMs=60_000, maxAttempts=1)]
 
 
+class TestRequestOverAnIdleConnection:
+    """A dispatcher's connection was idle when its host was told to stop.
+
+    Six seconds later, while the host still finishes an open stream, a new summary is
+    asked for over it. The host takes it, and ends a second later in its middle.
+    """
+
+    def test_is_refused_once_the_balancer_knows(self, tmp_path: Path) -> None:
+        with PlatformSystem(tmp_path) as system:
+            system.put_until_accepted(configuration(1, ROUTES, [PLAIN]))
+            worker = system.add(PlatformWorker("w-1", "plain"))
+            system.wait_served("/slow/x")
+            idle = http.client.HTTPConnection(system.entry_http[0], timeout=20)
+            idle.connect()
+            worker.run_seconds = 6.0
+            with ThreadPoolExecutor() as pool:
+                before = len(worker.runs)
+                pool.submit(system.ask, "/slow/x", deadline_ms=20_000)
+                wait_until(lambda: len(worker.runs) > before, "the request runs")
+                system.entries[0].signal(signal.SIGTERM)
+                wait_until(
+                    lambda: "no further requests" in system.entries[0].output(),
+                    "the host takes no more",
+                )
+                idle.request("GET", "/slow/x", headers={"Host": HOST})
+                response = idle.getresponse()
+                refusal = json.loads(response.read())
+                assert len(worker.runs) == before + 1
+            idle.close()
+            assert response.status == 503
+            assert (refusal["error"], refusal["ran"]) == ("entry_stopping", "no")
+
+
 class TestRequestInTheLastMoment:
     """A board polls over a kept connection while its host ends.
 
