--- a/src/jujubeslip/forwarding/_prompts.py
+++ b/src/jujubeslip/forwarding/_prompts.py
@@ -23,7 +23,7 @@
 # Where the leader says how long reading should take, an engine may take so many times
 # as long, and this long at least, in seconds: of 12,000 prompts one in a thousand took
 # half a second. An engine that has stopped answering costs no request all its time.
-PATIENCE = 3.0
+EXPECTED_TIMES = 3.0
 LEAST_SECONDS = 0.6
 # Engines that are asked to read one prompt at most.
 ENGINES_ASKED = 2
@@ -49,9 +49,8 @@
         """Have an engine read the prompt; return where it is, nothing if it isn't.
 
         `reader` is asked first, where it is given, and should need `read_seconds`. A
-        second engine is asked if the
-        budget has a call for it. An engine that answers can read the prompt itself, but
-        all its answers stand still while it does.
+        second engine is asked if the budget has a call for it. An engine that answers
+        can read the prompt itself, but all its answers stand still while it does.
         """
         if not self._reads_apart or context.request.prompt is None:
             return ""
@@ -133,4 +132,4 @@
     """Return until when an engine may take that should need so long; 0 if unknown."""
     if not read_seconds:
         return Deadline.after(PREFILL_SECONDS)
-    return Deadline.after(max(LEAST_SECONDS, PATIENCE * read_seconds))
+    return Deadline.after(max(LEAST_SECONDS, EXPECTED_TIMES * read_seconds))
