--- a/tests/forwarding/test_grants.py
+++ b/tests/forwarding/test_grants.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from jujubeslip.discovery import EndpointBook
+from jujubeslip.discovery import Endpoint, EndpointBook
 from jujubeslip.forwarding._admissions import AdmissionAnswer
 from jujubeslip.forwarding._grants import Grant, Grants
 from jujubeslip.forwarding._models import Attempts
@@ -16,8 +16,13 @@
 from jujubeslip.peers import EndpointRole
 from tests.fakes.engines import engine
 
-READER = engine("reader", EndpointRole.PREFILL)
-ENGINE = engine("engine", EndpointRole.DECODE)
+
+def reader(leaving: bool = False) -> Endpoint:
+    return replace(engine("reader", EndpointRole.PREFILL), leaving=leaving)
+
+
+def answering(leaving: bool = False) -> Endpoint:
+    return replace(engine("engine", EndpointRole.DECODE), leaving=leaving)
 
 
 class Leader:
@@ -65,13 +70,13 @@
 
     def test_is_given_back(self) -> None:
         book, leader = EndpointBook(), Leader()
-        book.take([READER, replace(ENGINE, leaving=True)])
+        book.take([reader(), answering(leaving=True)])
         assert find(book, leader) is None
         assert leader.ended == [("r-1", 0)]
 
     def test_reader_is_not_asked(self) -> None:
         book, leader = EndpointBook(), Leader()
-        book.take([replace(READER, leaving=True), ENGINE])
+        book.take([reader(leaving=True), answering()])
         grant = find(book, leader)
         assert grant is not None and grant.endpoint.endpoint_id == "engine"
         assert grant.reader is None
@@ -79,14 +84,16 @@
     @pytest.mark.parametrize("missing", ["reader", "engine"])
     def test_that_is_not_known_is_not_used(self, missing: str) -> None:
         book, leader = EndpointBook(), Leader()
-        book.take([item for item in (READER, ENGINE) if item.endpoint_id != missing])
+        book.take(
+            [item for item in (reader(), answering()) if item.endpoint_id != missing]
+        )
         grant = find(book, leader)
         assert grant is None if missing == "engine" else grant is not None
         assert grant is None or grant.reader is None
 
     def test_of_engines_that_stay_is_used(self) -> None:
         book, leader = EndpointBook(), Leader()
-        book.take([READER, ENGINE])
+        book.take([reader(), answering()])
         grant = find(book, leader)
         assert grant is not None and grant.reader == book.find("reader")
         assert grant.read_seconds == 0.1
--- a/tests/requests/test_whole_answers.py
+++ b/tests/requests/test_whole_answers.py
@@ -259,7 +259,10 @@
         other = next(host for host in cluster.entry_ids if host != entry)
         pause(cluster, "decode")
         silent = open_call(cluster, entry, "silent-client", key="key-client")
-        read_tokens(silent.events(), DECODE_GATE_TOKENS)
+        # Kept until the end: dropped, it would close the connection, and a request
+        # whose client left may run again.
+        events = silent.events()
+        read_tokens(events, DECODE_GATE_TOKENS)
         cluster.proxy_by_hop[("client", entry)].freeze()
         resend = open_call(cluster, other, "resend", key="key-client")
         answer = in_background(resend.answer)
