Count a replaced control host for no majority

Cause: a successor voted beside a predecessor that was silent but not yet gone, and an even number of voters kept the dead one for 8 s of one leader's time, anew after each election. Of four voters a majority then needs the three that are left; a disk lost in that time leaves two of four for ever: no change is accepted any more, and hosts that restart get no configuration. A planned stop left its vote behind in the same way.

Weighed and left: three voters and a standby without a vote in place of four voters; a fourth host has to vote, tests/control/test_seeds.py.

Change: a module for who votes next. A successor waits while a voter is silent and takes its place once it is gone; an even number of voters gives up one that is gone at once; the steps of a replacement follow one another; a voter that stops has itself removed by the leader first, where enough remain; a replica that joins asks the first host that answers, in place of waiting for each seed that is gone.

--- a/src/jujubeslip/control/_changes.py
+++ b/src/jujubeslip/control/_changes.py
@@ -11,11 +11,11 @@
     voters,
     with_admitted,
     with_learner,
-    with_promoted,
     without_host,
     without_replica,
 )
 from jujubeslip.control._replica import Replica
+from jujubeslip.control._succession import Succession, is_spare
 from jujubeslip.kernel import Deadline, steady_seconds
 from jujubeslip.peers import (
     Member,
@@ -29,15 +29,12 @@
 
 CHANGE_SECONDS = 5.0
 STEP_SECONDS = 1.0
+# A replacement takes two steps; the rest waits for the next look.
+MAXIMUM_STEPS = 4
 RETRY_AFTER_MS = 500
 POLL_SECONDS = 0.05
 # One more than is planned for, so that a host can be added before one is removed.
 MAXIMUM_HOSTS = 6
-# A replica that has not answered for this many election timeouts counts as gone.
-GONE_TIMEOUTS = 2.0
-# A replica that nothing was heard of for this long counts as dead, in seconds: longer
-# than a restart or a short cut, which it should outlast without being copied anew.
-DEAD_SECONDS = 8.0
 
 
 class MembershipChanges:
@@ -50,6 +47,7 @@
 
     def __init__(self, replica: Replica) -> None:
         self._replica = replica
+        self._succession = Succession(replica)
 
     def join(self, joining: ReplicaDescription) -> None:
         """Take in a replica as a learner; it gets entries but no vote."""
@@ -93,84 +91,45 @@
 
         self._change(removed, deadline)
 
+    def leave(self, replica_id: str) -> None:
+        """Remove a replica that is about to stop, if the others are enough."""
+
+        def left(membership: Membership) -> Membership:
+            if not is_spare(membership, replica_id, self._replica.settings):
+                return membership
+            return without_replica(membership, replica_id)
+
+        self._change(left, Deadline.after(STEP_SECONDS))
+
     def promote_learners(self) -> None:
-        """Take the next step for a learner that has caught up, if there is one.
+        """Promote learners and remove who is gone, one step right after the other.
 
-        The replica with the lost disk is removed before its successor votes. The
-        removal commits on a majority of the others, and with it every earlier entry:
-        what only the lost disk and one other held is on a majority again before a
-        second loss can meet a smaller one.
+        Between the removal of a replica and the promotion of its successor each
+        majority needs all that are left: that state is kept as short as it can be.
         """
         try:
-            self._change(self._next_step, Deadline.after(STEP_SECONDS))
+            for _ in range(MAXIMUM_STEPS):
+                deadline = Deadline.after(STEP_SECONDS)
+                if not self._change(self._succession.next_step, deadline):
+                    return
         except (NotLeader, PeerRefusal) as refusal:
             logger.debug("no membership step", extra={"reason": str(refusal)})
 
-    def _next_step(self, membership: Membership) -> Membership:
-        for learner in membership.members:
-            if learner.voter or not self._has_caught_up(learner):
-                continue
-            for other in members_of_host(membership, learner.host_id):
-                if other.voter:
-                    return without_replica(membership, other.replica_id)
-            replaced = self._longest_gone(membership, self._gone_seconds())
-            if replaced is not None and self._admits_any_host():
-                return without_replica(membership, replaced.replica_id)
-            return with_promoted(membership, learner.replica_id)
-        return self._without_dead_voter(membership)
-
-    def _without_dead_voter(self, membership: Membership) -> Membership:
-        """Remove a voter that is gone for long, if enough remain without it.
-
-        A host that was replaced for good would count for every majority: of four
-        voters, one of them such a host, no other may be lost. One that comes back
-        after all joins anew.
-        """
-        settings = self._replica.settings
-        enough = 2 * settings.tolerated_losses + 1
-        if not settings.admits_any_host or len(voters(membership)) <= enough:
-            return membership
-        dead = self._longest_gone(membership, DEAD_SECONDS)
-        if dead is None:
-            return membership
-        return without_replica(membership, dead.replica_id)
-
-    def _admits_any_host(self) -> bool:
-        return self._replica.settings.admits_any_host
-
-    def _longest_gone(self, membership: Membership, seconds: float) -> Member | None:
-        """Return the voter that has been silent longest, beyond these seconds."""
-        silences = [
-            (self._silence_of(member), member)
-            for member in voters(membership)
-            if member.replica_id != self._replica.replica_id
-        ]
-        if not silences:
-            return None
-        silence, member = max(silences, key=lambda item: item[0])
-        return member if silence > seconds else None
-
-    def _has_caught_up(self, learner: Member) -> bool:
-        leadership = self._replica.require_leader()
-        progress = leadership.progress_by_id[learner.replica_id]
-        answered = steady_seconds() - progress.acknowledged_at
-        recent = answered < self._replica.election_seconds
-        return recent and progress.match_index >= self._replica.commit_index
-
     def _change(
         self, next_of: Callable[[Membership], Membership], deadline: Deadline
-    ) -> None:
-        """Commit the next membership; nothing if it equals the current one."""
+    ) -> bool:
+        """Commit the next membership; False if it equals the current one."""
         replica = self._replica
         with replica.lock:
-            patience = GONE_TIMEOUTS * replica.election_seconds
+            patience = self._succession.gone_seconds
             settling = deadline.earlier_of(Deadline.after(patience))
             following = self._settle(next_of, settling)
             if following is None:
-                return
+                return False
             logger.warning("changing the replicas", extra={"to": str(following)})
             waiting = replica.submit(following)
         replica.wait_for(waiting, deadline)
+        return True
 
     def _settle(
         self, next_of: Callable[[Membership], Membership], deadline: Deadline
@@ -218,28 +177,15 @@
                 f"Host {joining.host_id!r} is not one of the replicas.",
                 f"Run `jujubeslip replica add {joining.host_id}` first.",
             )
-        if any(member.voter and not self._is_gone(member) for member in known):
+        if any(
+            member.voter and not self._succession.is_gone(member) for member in known
+        ):
             raise _refusal(
                 "replica_still_answers",
                 f"Host {joining.host_id!r} still answers from another data folder.",
                 "Stop the other process, or correct host_id in the settings.",
             )
 
-    def _is_gone(self, member: Member) -> bool:
-        if member.replica_id == self._replica.replica_id:
-            return False
-        return self._silence_of(member) > self._gone_seconds()
-
-    def _gone_seconds(self) -> float:
-        return GONE_TIMEOUTS * self._replica.election_seconds
-
-    def _silence_of(self, member: Member) -> float:
-        """Return for how long this leader has not heard the other replica."""
-        leadership = self._replica.require_leader()
-        progress = leadership.progress_by_id[member.replica_id]
-        last_seen = max(progress.acknowledged_at, leadership.started_at)
-        return steady_seconds() - last_seen
-
 
 def _no_quorum_left() -> PeerRefusal:
     return _refusal(
--- a/src/jujubeslip/control/_handler.py
+++ b/src/jujubeslip/control/_handler.py
@@ -221,6 +221,10 @@
         """See MembershipChanges.join."""
         self._changes.join(replica)
 
+    def leave(self, replica_id: str) -> None:
+        """See MembershipChanges.leave."""
+        self._changes.leave(replica_id)
+
     def add_replica(self, host_id: str, remaining_ms: int) -> None:
         """See MembershipChanges.add_host."""
         self._changes.add_host(host_id, Deadline.from_remaining_ms(remaining_ms))
--- a/src/jujubeslip/control/_joining.py
+++ b/src/jujubeslip/control/_joining.py
@@ -24,7 +24,7 @@
 CALL_SECONDS = 1.0
 # A member that has heard no leader for this many election timeouts asks to be taken
 # in: it may have been replaced while it was away.
-UNHEARD_TIMEOUTS = 4.0
+UNHEARD_TIMEOUTS = 2.0
 CLUSTER_ID_BYTES = 8
 
 
@@ -61,19 +61,26 @@
 
     def _try_once(self) -> None:
         others = self._clients.others()
-        descriptions = [self._describe(address) for address in others]
-        known = [item for item in descriptions if item is not None]
-        if any(item.cluster_id for item in known) or self._replica.cluster_id:
+        if self._replica.cluster_id:
             self._join([*others, *self._member_addresses()])
-        elif len(known) == len(others) and self._founds(known):
-            self._found(known)
-        elif len(known) < len(others):
-            missing = [
-                address
-                for address, item in zip(others, descriptions, strict=True)
-                if item is None
-            ]
+            return
+        known: list[ReplicaDescription] = []
+        missing: list[str] = []
+        for address in others:
+            item = self._describe(address)
+            if item is None:
+                missing.append(address)
+            elif item.cluster_id:
+                # Asked first, and no other is described before: each seed that is
+                # gone for good would hold the successor up for CALL_SECONDS.
+                self._join([address, *others])
+                return
+            else:
+                known.append(item)
+        if missing:
             logger.info("waiting to found the cluster", extra={"missing": missing})
+        elif self._founds(known):
+            self._found(known)
 
     def _member_addresses(self) -> list[str]:
         replica = self._replica
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -17,6 +17,7 @@
 from jujubeslip.control._replica import Replica
 from jujubeslip.control._replication import Replication
 from jujubeslip.control._roles import LOOK_SECONDS, RoleKeeper
+from jujubeslip.control._stopping import hand_over, leave
 from jujubeslip.control._storage import Storage
 from jujubeslip.control._upkeep import Upkeep
 from jujubeslip.control._watches import Watches
@@ -26,24 +27,16 @@
 from jujubeslip.kernel import (
     ControlSettings,
     PeerAddress,
-    PeerUnavailableError,
     Process,
     load_plugins,
     new_incarnation,
 )
-from jujubeslip.peers import (
-    ControlPeer,
-    Member,
-    PeerIdentity,
-    PeerRefusal,
-    PeerServer,
-)
+from jujubeslip.peers import ControlPeer, PeerIdentity, PeerServer
 from jujubeslip.telemetry import configure_telemetry, serve_metrics
 
 logger = logging.getLogger(__name__)
 
 MEMBERSHIP_CHECK_SECONDS = 0.2
-HAND_OVER_SECONDS = 1.0
 # Calls over HTTP that are served at a time: announcements that wait for confirmation,
 # and up to eight orders of an operator.
 HTTP_THREADS = 24
@@ -176,6 +169,7 @@
 
     def _stop(self) -> None:
         hand_over(self._replica, self._clients)
+        leave(self._replica, self._clients)
         self._telemetry.shutdown()
         if self._http is not None:
             self._http.stop_listening()
@@ -190,41 +184,3 @@
     """
     load_plugins()
     ControlProcess(settings).run()
-
-
-def hand_over(replica: Replica, clients: ReplicaClients) -> None:
-    """Give the lead to the follower that is furthest on, if this replica leads.
-
-    The lease ends first: the follower campaigns at once, without waiting it out.
-    """
-    with replica.lock:
-        leadership = replica.leadership
-        if leadership is None:
-            return
-        progress_by_id = leadership.progress_by_id
-        followers = [
-            member
-            for member in replica.membership.members
-            if member.voter and member.replica_id in progress_by_id
-        ]
-
-        def match_index(member: Member) -> int:
-            return progress_by_id[member.replica_id].match_index
-
-        followers.sort(key=match_index, reverse=True)
-        replica.step_down("the process stops")
-    for member in followers:
-        if _start_election(clients, member, leadership.term):
-            return
-
-
-def _start_election(clients: ReplicaClients, member: Member, term: int) -> bool:
-    client = clients.to_member(member)
-    try:
-        client.call(
-            lambda peer: peer.start_election(member.replica_id, term),
-            HAND_OVER_SECONDS,
-        )
-    except (PeerUnavailableError, PeerRefusal):
-        return False
-    return True
--- a/src/jujubeslip/peers/gen/ControlPeer.py
+++ b/src/jujubeslip/peers/gen/ControlPeer.py
@@ -169,6 +169,14 @@
         """
         pass
 
+    def leave(self, replica_id):
+        """
+        Parameters:
+         - replica_id
+
+        """
+        pass
+
     def add_replica(self, host_id, remaining_ms):
         """
         Parameters:
@@ -849,6 +857,40 @@
             raise result.not_leader
         return
 
+    def leave(self, replica_id):
+        """
+        Parameters:
+         - replica_id
+
+        """
+        self.send_leave(replica_id)
+        self.recv_leave()
+
+    def send_leave(self, replica_id):
+        self._oprot.writeMessageBegin('leave', TMessageType.CALL, self._seqid)
+        args = leave_args()
+        args.replica_id = replica_id
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_leave(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = leave_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.refusal is not None:
+            raise result.refusal
+        if result.not_leader is not None:
+            raise result.not_leader
+        return
+
     def add_replica(self, host_id, remaining_ms):
         """
         Parameters:
@@ -945,6 +987,7 @@
         self._processMap["install_snapshot"] = Processor.process_install_snapshot
         self._processMap["start_election"] = Processor.process_start_election
         self._processMap["join"] = Processor.process_join
+        self._processMap["leave"] = Processor.process_leave
         self._processMap["add_replica"] = Processor.process_add_replica
         self._processMap["remove_replica"] = Processor.process_remove_replica
         self._on_message_begin = None
@@ -1490,6 +1533,35 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_leave(self, seqid, iprot, oprot):
+        args = leave_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = leave_result()
+        try:
+            self._handler.leave(args.replica_id)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except NotLeader as not_leader:
+            msg_type = TMessageType.REPLY
+            result.not_leader = not_leader
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("leave", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_add_replica(self, seqid, iprot, oprot):
         args = add_replica_args()
         args.read(iprot)
@@ -4246,6 +4318,142 @@
 )
 
 
+class leave_args(object):
+    """
+    Attributes:
+     - replica_id
+
+    """
+
+
+    def __init__(self, replica_id=None,):
+        self.replica_id = replica_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.replica_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('leave_args')
+        if self.replica_id is not None:
+            oprot.writeFieldBegin('replica_id', TType.STRING, 1)
+            oprot.writeString(self.replica_id.encode('utf-8') if sys.version_info[0] == 2 else self.replica_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(leave_args)
+leave_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'replica_id', 'UTF8', None, ),  # 1
+)
+
+
+class leave_result(object):
+    """
+    Attributes:
+     - refusal
+     - not_leader
+
+    """
+
+
+    def __init__(self, refusal=None, not_leader=None,):
+        self.refusal = refusal
+        self.not_leader = not_leader
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.not_leader = NotLeader.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('leave_result')
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        if self.not_leader is not None:
+            oprot.writeFieldBegin('not_leader', TType.STRUCT, 2)
+            self.not_leader.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(leave_result)
+leave_result.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+    (2, TType.STRUCT, 'not_leader', [NotLeader, None], None, ),  # 2
+)
+
+
 class add_replica_args(object):
     """
     Attributes:
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -600,6 +600,9 @@
     throws (1: PeerRefusal refusal),
   void join(1: ReplicaDescription replica)
     throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
+  // From a replica that is about to stop: removes it if the others are enough.
+  void leave(1: string replica_id)
+    throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
 
   // From operators: one change of the replicas at a time.
   void add_replica(1: string host_id, 2: i64 remaining_ms)
