Give the gateway's type a package below admission, control and interfaces

Cause: the interface's method control_app takes control's gateway, so that interfaces imported control for the type, control imports admission, and admission imports interfaces.

Ruled out: the type within interfaces. It is what control offers, not a translation; an adapter would have to import it from beside its own protocol. An import within the function hides the circle as TYPE_CHECKING did.

Change: jujubeslip.gateway has ControlGateway as a protocol; control's LeaderGateway fulfils it, which mypy checks where control_app is called. control gives the class out no more, since nobody outside named it but for its type.

--- a/src/jujubeslip/control/__init__.py
+++ b/src/jujubeslip/control/__init__.py
@@ -7,14 +7,12 @@
     StorageDamagedError,
     StorageFailedError,
 )
-from jujubeslip.control._gateway import ControlGateway
 from jujubeslip.control._leadership import Fence
 from jujubeslip.control._recovery import RecoveryReport, recover
 from jujubeslip.control._run import run_control
 
 __all__ = [
     "ControlClient",
-    "ControlGateway",
     "DataFolderInUseError",
     "Fence",
     "LeadershipLostError",
--- a/src/jujubeslip/control/_gateway.py
+++ b/src/jujubeslip/control/_gateway.py
@@ -18,8 +18,8 @@
 CONFIRM_SECONDS = 0.6
 
 
-class ControlGateway:
-    """Serves operators and endpoints on any control host, whichever leads."""
+class LeaderGateway:
+    """Has configurations confirmed by the leader, and takes announcements itself."""
 
     def __init__(
         self, client: ControlClient, book: EndpointBook, watches: Watches
@@ -29,27 +29,20 @@
         self._watches = watches
 
     def put_configuration(self, version: int, content: str) -> int:
-        """Commit a numbered configuration; return the version in force then.
-
-        Raises PeerUnavailableError when no majority has confirmed it in time: it may
-        be in force or not, and the same call may be made again anywhere.
-        """
+        """See ControlGateway."""
         command = VersionedCommand(version, content)
         return self._client.put_version(command, Deadline.after(ANSWER_SECONDS))
 
     def newest_configuration(self) -> Configuration:
-        """Return what is in force, confirmed by the leader.
-
-        Raises PeerUnavailableError when no leader is sure of it.
-        """
+        """See ControlGateway."""
         return self._client.newest_configuration(Deadline.after(ANSWER_SECONDS))
 
     def announce(self, endpoint: Endpoint) -> None:
-        """Take an endpoint's announcement; return once it may be acknowledged."""
+        """See ControlGateway."""
         self._confirm(self._book.take([endpoint]), [endpoint.endpoint_id])
 
     def note_left(self, endpoint_id: str) -> None:
-        """Note that an endpoint has left; return once that may be acknowledged."""
+        """See ControlGateway."""
         self._confirm(self._book.note_left(endpoint_id), [endpoint_id])
 
     def _confirm(self, version: int, endpoint_ids: Iterable[str]) -> None:
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -8,7 +8,7 @@
 from jujubeslip.control._changes import MembershipChanges
 from jujubeslip.control._client import ControlClient
 from jujubeslip.control._election import Elections
-from jujubeslip.control._gateway import ControlGateway
+from jujubeslip.control._gateway import LeaderGateway
 from jujubeslip.control._handler import ControlHandler
 from jujubeslip.control._joining import Joining
 from jujubeslip.control._meters import observe_replica
@@ -112,7 +112,7 @@
         own = PeerAddress(settings.host_id, settings.peer_address)
         client = ControlClient([own], self._identity)
         client.learn(settings.seed_addresses)
-        gateway = ControlGateway(client, self._book, self._watches)
+        gateway = LeaderGateway(client, self._book, self._watches)
         app = interfaces.get(settings.interface).control_app(gateway)
         options = HttpServerOptions(settings.http_address, threads=HTTP_THREADS)
         return HttpServer(options, app)
--- a/src/jujubeslip/interfaces/_models.py
+++ b/src/jujubeslip/interfaces/_models.py
@@ -4,10 +4,11 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import Any, Protocol
 
 from returns.result import Result
 
+from jujubeslip.gateway import ControlGateway
 from jujubeslip.kernel import Registry, RequestRefusedError
 from jujubeslip.peers import EndpointRole
 from jujubeslip.routes import (
@@ -17,9 +18,6 @@
     RouteTable,
 )
 
-if TYPE_CHECKING:
-    from jujubeslip.control import ControlGateway
-
 Environ = dict[str, Any]
 WsgiApp = Callable[[Environ, Callable[..., Any]], Iterable[bytes]]
 Headers = list[tuple[str, str]]
--- a/src/jujubeslip/platform/_control_app.py
+++ b/src/jujubeslip/platform/_control_app.py
@@ -10,7 +10,7 @@
 
 from returns.result import Failure
 
-from jujubeslip.control import ControlGateway
+from jujubeslip.gateway import ControlGateway
 from jujubeslip.kernel import PeerUnavailableError
 from jujubeslip.peers import PeerRefusal
 from jujubeslip.platform._announcements import read_announcement
--- a/src/jujubeslip/platform/_plugin.py
+++ b/src/jujubeslip/platform/_plugin.py
@@ -7,7 +7,7 @@
 
 from returns.result import Result
 
-from jujubeslip.control import ControlGateway
+from jujubeslip.gateway import ControlGateway
 from jujubeslip.interfaces import (
     EncodedRefusal,
     EndpointCall,
