Name the check whether a caller has gone once: Interrupted

Cause: endpoints/_connections.py and forwarding/_models.py each had Gone, and endpoints/_http.py had Interrupted, all for a call that says whether the caller wants the answer no more.

Ruled out: the name Gone for all. requests hands in a call that also ends where an operator abandons a request, and its caller hasn't gone then.

Change: endpoints' Interrupted is the one type, with never_interrupted in place of a second function of the same kind. Parameters keep their names. No logic is changed.

--- a/src/jujubeslip/endpoints/_connections.py
+++ b/src/jujubeslip/endpoints/_connections.py
@@ -6,7 +6,7 @@
 import io
 import socket
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Any
 
 from jujubeslip.endpoints._errors import (
@@ -16,6 +16,7 @@
     EndpointTimeoutError,
     EndpointUnreachableError,
 )
+from jujubeslip.endpoints._http import Interrupted, never_interrupted
 from jujubeslip.kernel import Deadline, Ran
 
 # A connection is opened within two round trips. An endpoint that takes longer is cut
@@ -34,8 +35,6 @@
 # request that crosses the close may have run or not.
 IDLE_MARGIN_SECONDS = 0.7
 
-Gone = Callable[[], bool]
-
 
 class _WatchedSocket(io.RawIOBase):
     """The bytes of a connection; a read ends at a deadline or when the caller goes."""
@@ -43,9 +42,9 @@
     def __init__(self, sock: socket.socket) -> None:
         self._socket = sock
         self._deadline = Deadline.after(0)
-        self._gone: Gone = lambda: False
+        self._gone: Interrupted = never_interrupted
 
-    def watch(self, deadline: Deadline, gone: Gone) -> None:
+    def watch(self, deadline: Deadline, gone: Interrupted) -> None:
         """Bound the reads from now on."""
         self._deadline = deadline
         self._gone = gone
@@ -142,7 +141,7 @@
         finally:
             http_call.sock = None
 
-    def watch(self, deadline: Deadline, gone: Gone) -> None:
+    def watch(self, deadline: Deadline, gone: Interrupted) -> None:
         """Bound the reads from now on."""
         self._raw.watch(deadline, gone)
 
--- a/src/jujubeslip/endpoints/_http.py
+++ b/src/jujubeslip/endpoints/_http.py
@@ -35,6 +35,7 @@
 FAILED_PROBES = 2
 MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024
 
+# Says whether the caller wants the answer no more.
 Interrupted = Callable[[], bool]
 # Returns if the endpoint still works on the attempt, else raises EndpointError.
 Probe = Callable[[], None]
--- a/src/jujubeslip/forwarding/_exchange.py
+++ b/src/jujubeslip/forwarding/_exchange.py
@@ -12,8 +12,8 @@
     EndpointRefusedError,
     EndpointReplacedError,
     EndpointRoleError,
+    Interrupted,
 )
-from jujubeslip.forwarding._models import Gone
 from jujubeslip.interfaces import (
     EndpointCall,
     EndpointHead,
@@ -38,7 +38,7 @@
         interface: Interface,
         endpoint: Endpoint,
         request: ForwardedRequest,
-        gone: Gone,
+        gone: Interrupted,
     ) -> None:
         self._pool = pool
         self._interface = interface
--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from jujubeslip.endpoints import EndpointError
+from jujubeslip.endpoints import EndpointError, Interrupted
 from jujubeslip.kernel import Deadline, Ran, RequestRefusedError
 from jujubeslip.routes import ForwardedRequest, Route, RouteTable
 
-Gone = Callable[[], bool]
-
 # A client that has this much less time than its route gives has asked before, in
 # seconds. The way from a client takes some milliseconds.
 CAME_BACK_SECONDS = 0.25
@@ -26,7 +24,7 @@
     service_name: str
     end_by: Deadline
     """When the client is answered at the latest."""
-    gone: Gone
+    gone: Interrupted
     """Whether the client has closed its connection."""
     target_by: Deadline
     """Until when the answer, or its first event, is in time."""
--- a/src/jujubeslip/forwarding/_sending.py
+++ b/src/jujubeslip/forwarding/_sending.py
@@ -15,13 +15,14 @@
     EndpointRoleError,
     EndpointTimeoutError,
     EndpointUnreachableError,
+    Interrupted,
     never_interrupted,
 )
 from jujubeslip.forwarding._budget import RetryBudgets
 from jujubeslip.forwarding._choice import Chooser
 from jujubeslip.forwarding._exchange import Exchange
 from jujubeslip.forwarding._health import EndpointHealth
-from jujubeslip.forwarding._models import Attempts, ForwardContext, Gone
+from jujubeslip.forwarding._models import Attempts, ForwardContext
 from jujubeslip.interfaces import EndpointQuestion, Interface, ask_endpoint
 from jujubeslip.kernel import Deadline
 from jujubeslip.peers import EndpointRole
@@ -60,7 +61,7 @@
         endpoint: Endpoint,
         question: EndpointQuestion,
         deadline: Deadline,
-        gone: Gone = never_interrupted,
+        gone: Interrupted = never_interrupted,
     ) -> tuple[int, bytes]:
         """Ask the endpoint something that is no request; return status and body."""
         return ask_endpoint(
--- a/src/jujubeslip/forwarding/_service.py
+++ b/src/jujubeslip/forwarding/_service.py
@@ -6,13 +6,12 @@
 import random
 from collections.abc import Iterator
 
-from jujubeslip.endpoints import CallerGoneError
+from jujubeslip.endpoints import CallerGoneError, Interrupted
 from jujubeslip.forwarding._meters import ForwardMeters
 from jujubeslip.forwarding._models import (
     Answer,
     Attempts,
     ForwardContext,
-    Gone,
     StreamedAnswer,
 )
 from jujubeslip.forwarding._plain_path import PlainPath
@@ -47,7 +46,7 @@
         self._plain_path = plain_path
         self._stream_path = stream_path
 
-    def answer(self, request: ForwardedRequest, gone: Gone) -> Answer:
+    def answer(self, request: ForwardedRequest, gone: Interrupted) -> Answer:
         """Return the answer, or raise RequestRefusedError or CallerGoneError."""
         context = self._context(request, gone)
         attempts = Attempts()
@@ -65,7 +64,7 @@
         self._log(context, attempts, str(answer.status))
         return answer
 
-    def _context(self, request: ForwardedRequest, gone: Gone) -> ForwardContext:
+    def _context(self, request: ForwardedRequest, gone: Interrupted) -> ForwardContext:
         table = self._routes.table
         if table is None:
             raise RequestRefusedError(
