Test which unusable fields of a configuration are refused

Cause: fields of the configuration are decoded and used by nobody. Decoding them refuses a configuration in which they are missing or of another type, and no test shows that.

Ruled out: to let the refusals go with the fields. An operator who mistypes a limit would learn of it only where something begins to use it.

Change: the table of invalid configurations has a priority, a number of connections, the time that a prompt is kept, and the limits of what clients may send; each is refused by read_routes and over HTTP. A service of engines that is read shows that the refusals come from the changed field.

--- a/tests/platform/test_configurations.py
+++ b/tests/platform/test_configurations.py
@@ -13,7 +13,13 @@
 
 from jujubeslip.platform._configurations import read_routes
 from jujubeslip.routes import RouteKind
-from tests.fakes.platform_system import PLAIN, PlatformSystem, configuration, route
+from tests.fakes.platform_system import (
+    ENGINE,
+    PLAIN,
+    PlatformSystem,
+    configuration,
+    route,
+)
 from tests.fakes.platform_worker import PlatformWorker
 from tests.fakes.processes import wait_until
 
@@ -28,7 +34,19 @@
     return result
 
 
-INVALID = {
+def with_engine(**engine_fields: Any) -> dict[str, Any]:
+    """Return the valid configuration with a service of engines, changed."""
+    service: dict[str, Any] = copy.deepcopy(ENGINE)
+    service["engine"].update(engine_fields)
+    return {**VALID, "services": [PLAIN, service]}
+
+
+def with_limit(name: str, value: Any) -> dict[str, Any]:
+    """Return the valid configuration with another limit of what clients may send."""
+    return {**VALID, "limits": {**VALID["limits"], name: value}}
+
+
+INVALID: dict[str, Any] = {
     "unknown service": changed(service="nobody"),
     "same place": changed(pathPrefix="/a/b/"),
     "no weight": changed(split=[{"service": "plain", "weight": 0}]),
@@ -39,6 +57,11 @@
     "no version": {name: VALID[name] for name in VALID if name != "version"},
     "no routes": {name: VALID[name] for name in VALID if name != "routes"},
     "list": [VALID],
+    "text for a priority": changed(priority="high"),
+    "fraction of a connection": {**VALID, "services": [{**PLAIN, "maxConns": 0.5}]},
+    "no time for a prompt": with_engine(kvTtlS=None),
+    "no limits": {name: VALID[name] for name in VALID if name != "limits"},
+    **{f"text for {name}": with_limit(name, "1") for name in VALID["limits"]},
 }
 
 
@@ -48,6 +71,11 @@
         assert table.version == 7
         assert table.routes[0].kind is RouteKind.SAFE
 
+    def test_service_of_engines_is_read(self) -> None:
+        table = read_routes(json.dumps(with_engine(slots=5))).unwrap()
+        engine = table.service_by_name["model"].engine
+        assert engine is not None and engine.slots == 5
+
     def test_longest_prefix_decides(self) -> None:
         table = read_routes(json.dumps(VALID)).unwrap()
         found = [table.find_route("boards.example", path) for path in ("/a/b/c", "/a/")]
