Drop what is decoded of configurations and used by nobody

Cause: ClientBounds, ForwardService.maximum_connections, EngineService.handle_seconds and memory_tokens, and Route.priority are filled and never read; a reader takes the limits for being kept. Three header names have no caller.

Ruled out: to drop the checks with the fields, which would accept configurations that were refused.

Change: the fields go from routes. platform/_configurations.py still refuses a configuration in which they are missing or of another type, in _check_unused.

Conclusion: the same configurations are refused; where several fields are wrong, another one of them may be named first.

--- a/src/jujubeslip/platform/_configurations.py
+++ b/src/jujubeslip/platform/_configurations.py
@@ -8,7 +8,6 @@
 from returns.result import Failure, Result, Success
 
 from jujubeslip.routes import (
-    ClientBounds,
     EngineService,
     ForwardService,
     Route,
@@ -23,6 +22,9 @@
 # longest pauses that are in time, whichever is longest; so the platform's pages say.
 LEAST_PATIENCE_MS = 2000
 
+# What clients may send, and how long they may take, in bytes and milliseconds.
+CLIENT_LIMITS = ("maxHeaderBytes", "maxBodyBytes", "headerTimeoutMs", "idleTimeoutMs")
+
 
 def read_routes(content: str) -> Result[RouteTable, str]:
     """Return the routes of a configuration, or what is wrong with it.
@@ -30,7 +32,9 @@
     Fields that are not known here are passed over.
     """
     try:
-        table = _table(json.loads(content))
+        fields = json.loads(content)
+        table = _table(fields)
+        _check_unused(fields)
     except KeyError as error:
         return Failure(f"The field {error} is missing; add it.")
     except (ValueError, TypeError, AttributeError) as error:
@@ -45,7 +49,6 @@
         version=_integer(fields["version"]),
         routes=tuple(_route(item) for item in fields["routes"]),
         service_by_name={service.name: service for service in services},
-        bounds=_bounds(fields["limits"]),
     )
 
 
@@ -60,7 +63,6 @@
         shares=_shares(fields),
         timeout_ms=_integer(fields["timeoutMs"]),
         target_ms=target_ms,
-        priority=_integer(fields.get("priority", 0)),
         maximum_attempts=_integer(fields.get("maxAttempts", 1)),
         resumable=bool(fields.get("resumable", False)),
         patience_ms=max(LEAST_PATIENCE_MS, 4 * target_ms, 8 * gap_ms),
@@ -82,7 +84,6 @@
     engine = fields.get("engine")
     return ForwardService(
         name=str(fields["name"]),
-        maximum_connections=_integer(fields.get("maxConns", 0)),
         engine=None if engine is None else _engine(engine),
     )
 
@@ -90,20 +91,27 @@
 def _engine(fields: dict[str, Any]) -> EngineService:
     return EngineService(
         slots=_integer(fields["slots"]),
-        memory_tokens=_integer(fields["kvTokens"]),
-        handle_seconds=float(fields["kvTtlS"]),
         event_tokens=_integer(fields.get("stride", 1)),
         reservation_ms=int(fields.get("holdMs", 0)),
     )
 
 
-def _bounds(fields: dict[str, Any]) -> ClientBounds:
-    return ClientBounds(
-        maximum_header_bytes=_integer(fields["maxHeaderBytes"]),
-        maximum_body_bytes=_integer(fields["maxBodyBytes"]),
-        header_timeout_ms=_integer(fields["headerTimeoutMs"]),
-        idle_timeout_ms=_integer(fields["idleTimeoutMs"]),
-    )
+def _check_unused(fields: dict[str, Any]) -> None:
+    """Raise an error where a field that the product doesn't use can't be read.
+
+    Its operator learns of the mistake at once, and not from what the field harms once
+    something uses it.
+    """
+    for route in fields["routes"]:
+        _integer(route.get("priority", 0))
+    for service in fields["services"]:
+        _integer(service.get("maxConns", 0))
+        engine = service.get("engine")
+        if engine is not None:
+            _integer(engine["kvTokens"])
+            float(engine["kvTtlS"])
+    for name in CLIENT_LIMITS:
+        _integer(fields["limits"][name])
 
 
 def _integer(value: Any) -> int:
--- a/src/jujubeslip/platform/_headers.py
+++ b/src/jujubeslip/platform/_headers.py
@@ -5,11 +5,6 @@
 REQUEST_ID = "Request-Id"
 # Milliseconds that the sender will wait, counted from when it sends.
 DEADLINE = "Deadline-Ms"
-MODEL = "Model"
-# "prompt tokens,output tokens at most".
-TOKEN_COUNT = "Token-Count"
-# "part id:tokens" of each part of the prompt, in order.
-PROMPT_PREFIX = "Prompt-Prefix"
 LAST_EVENT_ID = "Last-Event-Id"
 # The start of an endpoint that alone may answer; others answer 421.
 EXPECTED_ENDPOINT = "Expect-Instance"
--- a/src/jujubeslip/routes/__init__.py
+++ b/src/jujubeslip/routes/__init__.py
@@ -2,7 +2,6 @@
 
 from jujubeslip.routes._checks import find_problem
 from jujubeslip.routes._models import (
-    ClientBounds,
     EngineReport,
     EngineService,
     ForwardedRequest,
@@ -18,7 +17,6 @@
 )
 
 __all__ = [
-    "ClientBounds",
     "EngineReport",
     "EngineService",
     "ForwardService",
--- a/src/jujubeslip/routes/_models.py
+++ b/src/jujubeslip/routes/_models.py
@@ -41,8 +41,6 @@
     """A client is answered by then at the latest."""
     target_ms: int
     """An answer, or the first event of one, is in time until then."""
-    priority: int
-    """Rank among routes; 0 is the most urgent."""
     maximum_attempts: int
     """Endpoints that may run one request."""
     resumable: bool = False
@@ -66,10 +64,6 @@
 
     slots: int
     """Requests that an engine works on at a time."""
-    memory_tokens: int
-    """Tokens of running requests and cached prompts that fit into its memory."""
-    handle_seconds: float
-    """How long an engine keeps the memory of a prompt that it has read for another."""
     event_tokens: int = 1
     """Tokens that one event of an answer holds at most."""
     reservation_ms: int = 0
@@ -81,22 +75,10 @@
     """A service that routes name."""
 
     name: str
-    maximum_connections: int
-    """Connections that one endpoint accepts from all hosts together."""
     engine: EngineService | None = None
     """None for a plain service."""
 
 
-@dataclass(frozen=True)
-class ClientBounds:
-    """What a client may send, and how long it may take."""
-
-    maximum_header_bytes: int
-    maximum_body_bytes: int
-    header_timeout_ms: int
-    idle_timeout_ms: int
-
-
 @dataclass(frozen=True)
 class RouteTable:
     """A configuration: its version, its routes, the services that they name."""
@@ -104,7 +86,6 @@
     version: int
     routes: tuple[Route, ...]
     service_by_name: dict[str, ForwardService]
-    bounds: ClientBounds
 
     @cached_property
     def routes_by_host(self) -> dict[str, tuple[Route, ...]]:
--- a/tests/platform/test_configurations.py
+++ b/tests/platform/test_configurations.py
@@ -59,6 +59,7 @@
     "list": [VALID],
     "text for a priority": changed(priority="high"),
     "fraction of a connection": {**VALID, "services": [{**PLAIN, "maxConns": 0.5}]},
+    "text for an engine's memory": with_engine(kvTokens="100"),
     "no time for a prompt": with_engine(kvTtlS=None),
     "no limits": {name: VALID[name] for name in VALID if name != "limits"},
     **{f"text for {name}": with_limit(name, "1") for name in VALID["limits"]},
