Test that commands on routes name no interface by themselves

With a second interface the commands would go on reading routes in the first one's format.

Ruled out: that deploy's settings are concerned. They name the interface as the value of a setting, and those settings have no such default.

--- a/tests/cli/test_route_commands.py
+++ b/tests/cli/test_route_commands.py
@@ -9,6 +9,8 @@
 from click.testing import CliRunner
 
 from jujubeslip.cli import main
+from jujubeslip.interfaces import interfaces
+from jujubeslip.kernel import load_plugins
 from tests.fakes.platform_system import HOST, PLAIN, configuration, route
 
 ROUTES = [route("short", "/a/", "plain"), route("long", "/a/b/", "plain")]
@@ -34,6 +36,34 @@
         assert "no_route" in CliRunner().invoke(main, arguments).output
 
 
+class TestInterfaceOption:
+    @pytest.fixture
+    def another(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Let there be a second interface."""
+        load_plugins()
+        (only,) = interfaces.by_name.values()
+        monkeypatch.setitem(interfaces.by_name, "another", only)
+
+    @pytest.mark.usefixtures("another")
+    def test_is_needed_where_there_are_several(self, path: Path) -> None:
+        result = CliRunner().invoke(main, ["check", "--kind", "routes", str(path)])
+        assert result.exit_code == 2
+        assert "--interface" in result.output and "another" in result.output
+
+    @pytest.mark.usefixtures("another")
+    def test_names_the_one_that_reads_the_routes(self, path: Path) -> None:
+        arguments = ["check", "--kind", "routes", "--interface", "another", str(path)]
+        assert CliRunner().invoke(main, arguments).exit_code == 0
+
+    def test_has_no_name_of_an_interface_as_its_default(self) -> None:
+        assert [
+            parameter.default
+            for name in ("check", "explain-route")
+            for parameter in main.commands[name].params
+            if parameter.name == "interface"
+        ] == [None, None]
+
+
 class TestCheck:
     def test_valid_routes_pass(self, path: Path) -> None:
         result = CliRunner().invoke(main, ["check", "--kind", "routes", str(path)])
