Move the choice of an engine out of the pool

Cause: admission/_pool.py, of 335 lines, has two jobs: the order in which requests wait and get their turn, and which engine suits the one whose turn it is.

Ruled out: a module for the queue instead. The queue is bound to the pool's condition, on which its callers wait; the engines need its lock only.

Change: admission/_engines.py has ServiceEngines, with the engines that answer, those that read prompts, and the best grant for one request. EnginePool keeps the order, the waits, the forecast and the lock. The steps are moved as they stood, under the same lock; a grant's instant is taken in ServiceEngines now, by the same clock.

--- a/src/jujubeslip/admission/_pool.py
+++ b/src/jujubeslip/admission/_pool.py
@@ -1,22 +1,15 @@
-"""The engines of one service that answer, and the requests that wait for them."""
+"""The requests that wait for grants at the engines of one service, and their order."""
 
 from __future__ import annotations
 
 import logging
-import random
 import threading
-from collections.abc import Callable, Collection
-from dataclasses import dataclass, replace
-from typing import TypeVar
+from collections.abc import Collection
+from dataclasses import dataclass
 
-from jujubeslip.admission._engine_memory import EngineMemory
-from jujubeslip.admission._memory_forecast import (
-    GrowingAnswer,
-    MemoryOptions,
-    forecast_peak,
-)
-from jujubeslip.admission._models import Admitted, Applicant, Grant
-from jujubeslip.admission._prompt_queue import FIRST_TOKENS_PER_SECOND, PromptQueue
+from jujubeslip.admission._engines import ServiceEngines
+from jujubeslip.admission._memory_forecast import MemoryOptions
+from jujubeslip.admission._models import Applicant, Grant
 from jujubeslip.admission._urgency import urgency
 from jujubeslip.discovery import Endpoint
 from jujubeslip.kernel import Deadline, steady_seconds
@@ -24,20 +17,6 @@
 
 logger = logging.getLogger(__name__)
 
-T = TypeVar("T")
-
-# How much fuller an engine in the entry host's own availability zone may be than one
-# in another zone, as a share of its memory. When a zone is cut off, the answers that
-# cross its border are lost. With this and the bound on prompts that an engine reads
-# beside its answers, 49 to 61 of 100 streams were in time meanwhile, 39 to 54 without.
-OTHER_ZONE_FILL = 0.25
-# How fast an engine that answers reads prompts, as a share of the speed of one that
-# only does that, as engines are specified.
-OWN_SPEED_SHARE = 0.5
-# How long a full engine takes for an event, in seconds, as measured: a pause lasts for
-# that, too.
-EVENT_SECONDS = 0.08
-
 # A request whose host has not asked again for this long is waited for no more, in
 # seconds: hosts ask several times as often.
 ASKED_SECONDS = 1.0
@@ -82,11 +61,8 @@
 
     def __init__(self, service_name: str, options: MemoryOptions) -> None:
         self._service_name = service_name
-        self._options = options
-        self._engine_by_id: dict[str, EngineMemory] = {}
-        self._reader_by_id: dict[str, PromptQueue] = {}
+        self._engines = ServiceEngines(options)
         self._waiting_by_id: dict[str, _Waiting] = {}
-        self._read_speed = FIRST_TOKENS_PER_SECOND
         self._interval = FIRST_INTERVAL_SECONDS
         self._busy_since = steady_seconds()
         self._changed = threading.Condition()
@@ -98,26 +74,19 @@
     ) -> None:
         """Give grants at the first ones, and prompts to the second ones, only."""
         with self._changed:
-            _keep_only(self._engine_by_id, answering, EngineMemory)
-            _keep_only(self._reader_by_id, reading, PromptQueue)
+            self._engines.keep_only(answering, reading)
 
     def take_report(self, endpoint_id: str, report: EngineReport) -> None:
         """Take over what an engine says of itself."""
         with self._changed:
-            engine = self._engine_by_id.get(endpoint_id)
-            if engine is not None:
-                engine.take_report(report)
-            reader = self._reader_by_id.get(endpoint_id)
-            if reader is not None:
-                reader.take_report(report)
-                self._read_speed = reader.speed
+            self._engines.take_report(endpoint_id, report)
             self._changed.notify_all()
 
     @property
     def usable(self) -> bool:
         """Say whether any engine is known well enough to be given requests."""
         with self._changed:
-            return any(engine.usable for engine in self._engine_by_id.values())
+            return self._engines.usable
 
     # Requests
 
@@ -126,7 +95,7 @@
     ) -> Decision:
         """Return a grant as soon as there is one, before the given instant."""
         with self._changed:
-            grant = self._given_before(applicant)
+            grant = self._engines.given_before(applicant)
             if grant is not None:
                 return Decision(grant, False, 0.0)
             waiting = self._enter(applicant, frozenset(avoided))
@@ -140,7 +109,7 @@
     def note_read(self, request_id: str) -> None:
         """Note that a request's prompt was read, or won't be where it was to be."""
         with self._changed:
-            self._note_read(request_id)
+            self._engines.note_read(request_id)
             self._changed.notify_all()
 
     def end(self, request_id: str, attempt: int) -> None:
@@ -149,25 +118,9 @@
             waiting = self._waiting_by_id.get(request_id)
             if waiting is not None and waiting.applicant.attempt == attempt:
                 self._decide(waiting, Decision(None, True, waiting.forecast))
-            self._note_read(request_id)
-            for engine in self._engine_by_id.values():
-                engine.end(request_id, attempt)
+            self._engines.end(request_id, attempt)
             self._changed.notify_all()
 
-    def _given_before(self, applicant: Applicant) -> Grant | None:
-        """Return the grant of a request that asks again after a lost answer."""
-        for engine in self._engine_by_id.values():
-            admitted = engine.find(applicant.request_id, applicant.attempt)
-            if admitted is not None:
-                return admitted.grant
-        return None
-
-    def _note_read(self, request_id: str) -> None:
-        for reader in self._reader_by_id.values():
-            reader.note_read(request_id)
-        for engine in self._engine_by_id.values():
-            engine.note_read(request_id)
-
     def _enter(self, applicant: Applicant, avoided: frozenset[str]) -> _Waiting:
         now = steady_seconds()
         known = self._waiting_by_id.get(applicant.request_id)
@@ -196,7 +149,7 @@
         while waiting.decision is None:
             self._forget_silent()
             if self._is_next(waiting):
-                grant = self._find_grant(waiting)
+                grant = self._engines.find_grant(applicant, waiting.avoided)
                 if grant is not None:
                     return self._admit(waiting, grant)
             # Told at once that its wait would be in vain, a client comes back when
@@ -218,10 +171,7 @@
 
     def _admit(self, waiting: _Waiting, grant: Grant) -> Decision:
         now = steady_seconds()
-        applicant = waiting.applicant
-        self._engine_by_id[grant.endpoint_id].admit(Admitted(applicant, grant, now))
-        if grant.reader_id:
-            self._reader_by_id[grant.reader_id].give(applicant)
+        self._engines.admit(waiting.applicant, grant)
         self._interval += INTERVAL_WEIGHT * (now - self._busy_since - self._interval)
         self._busy_since = now
         return self._decide(waiting, Decision(grant, False, waiting.forecast))
@@ -242,94 +192,7 @@
         )
         return first is waiting
 
-    def _find_grant(self, waiting: _Waiting) -> Grant | None:
-        """Return the best grant, None if all engines are full.
-
-        An engine that reads a prompt by itself stops all its answers meanwhile. That
-        is done only while no engine reads for others.
-        """
-        reader = None
-        if not waiting.applicant.reads_itself:
-            readers = self._readers(waiting)
-            ready = [item for item in readers if item.has_room]
-            if readers and not ready:
-                return None
-            reader = min(
-                ready,
-                key=lambda item: (item.seconds_left, random.random()),
-                default=None,
-            )
-        grants = [
-            grant
-            for engine in self._engine_by_id.values()
-            if engine.usable and engine.endpoint_id not in waiting.avoided
-            if reader is not None or self._may_read(engine, waiting.applicant)
-            if (grant := self._grant_at(engine, waiting.applicant)) is not None
-        ]
-        own_zone = waiting.applicant.availability_zone
-        found = min(
-            grants,
-            key=lambda item: (self._cost(item, own_zone), random.random()),
-            default=None,
-        )
-        if found is None or reader is None:
-            return found
-        return replace(
-            found,
-            reader_id=reader.endpoint_id,
-            read_seconds=reader.seconds_for(waiting.applicant.prompt_tokens),
-        )
-
-    def _cost(self, grant: Grant, own_zone: str) -> float:
-        engine = self._engine_by_id[grant.endpoint_id]
-        is_near = engine.availability_zone == own_zone
-        return grant.fill + (0.0 if is_near else OTHER_ZONE_FILL)
-
-    def _readers(self, waiting: _Waiting) -> list[PromptQueue]:
-        return [
-            reader
-            for reader in self._reader_by_id.values()
-            if reader.usable and reader.endpoint_id not in waiting.avoided
-        ]
-
-    def _may_read(self, engine: EngineMemory, applicant: Applicant) -> bool:
-        """Say whether the engine may read the prompt beside its other answers.
-
-        One prompt at a time, and none that takes too long: its answers, a dozen of
-        them, would pause for longer than they may, and all be late.
-        """
-        if engine.reads_prompt:
-            return False
-        seconds = applicant.prompt_tokens / (self._read_speed * OWN_SPEED_SHARE)
-        longest = max(0.0, applicant.maximum_gap - EVENT_SECONDS)
-        return seconds <= longest or not engine.answers(applicant)
-
-    def _grant_at(self, engine: EngineMemory, applicant: Applicant) -> Grant | None:
-        answers = engine.answers(applicant)
-        if len(answers) >= applicant.slots:
-            return None
-        answers.append(
-            GrowingAnswer(
-                applicant.prompt_tokens, 0, applicant.event_tokens, applicant.lengths
-            )
-        )
-        capacity = max(1, engine.capacity_tokens)
-        fill = forecast_peak(answers, self._options.caution) / capacity
-        if fill > 1 - self._options.margin:
-            return None
-        return Grant(engine.endpoint_id, fill, int(engine.report_age * 1000))
-
 
 def _rank(applicant: Applicant, now: float) -> tuple[bool, float, str]:
     """Return what orders waiting requests, equal ones by their ids."""
     return (*urgency(applicant.target_by.instant, now), applicant.request_id)
-
-
-def _keep_only(
-    by_id: dict[str, T], wanted: Collection[Endpoint], create: Callable[[Endpoint], T]
-) -> None:
-    for endpoint_id in by_id.keys() - {endpoint.endpoint_id for endpoint in wanted}:
-        del by_id[endpoint_id]
-    for endpoint in wanted:
-        if endpoint.endpoint_id not in by_id:
-            by_id[endpoint.endpoint_id] = create(endpoint)
