Keep the clients of control hosts in one class

Cause: control/_peers.py, forwarding/_admissions.py and forwarding/_routes_follower.py each open and keep a client of a control host by its address, with the same lines.

Ruled out: membership's PeerClients for all. It is for entry hosts, and reports each failed call to the prober. control/_client.py keeps an order beside its clients, and the followers of discovery one client each; neither is the same logic.

Change: peers.ControlClients opens and keeps them; the three use it. Its lock is its own: admissions no more hold theirs while a client is made.

--- a/src/jujubeslip/control/_peers.py
+++ b/src/jujubeslip/control/_peers.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-import threading
-
 from jujubeslip.kernel import ControlSettings, new_incarnation
-from jujubeslip.peers import ControlPeer, Member, PeerClient, PeerIdentity
+from jujubeslip.peers import ControlClients, Member, PeerClient, PeerIdentity
 
 
 class ReplicaClients:
@@ -17,14 +15,12 @@
 
     def __init__(self, settings: ControlSettings) -> None:
         self._settings = settings
-        self._identity = PeerIdentity(
-            settings.host_id, new_incarnation(), settings.peer_secret
+        self._clients = ControlClients(
+            PeerIdentity(settings.host_id, new_incarnation(), settings.peer_secret)
         )
         self._address_by_host = {
             peer.host_id: peer.address for peer in settings.replicas
         }
-        self._client_by_address: dict[str, PeerClient] = {}
-        self._lock = threading.Lock()
 
     def to_member(self, member: Member) -> PeerClient:
         """Return the client for a member."""
@@ -33,12 +29,7 @@
 
     def to_address(self, address: str) -> PeerClient:
         """Return the client for an address."""
-        with self._lock:
-            client = self._client_by_address.get(address)
-            if client is None:
-                client = PeerClient(ControlPeer.Client, address, self._identity)
-                self._client_by_address[address] = client
-            return client
+        return self._clients.get(address)
 
     def others(self) -> list[str]:
         """Return the peer addresses of the other hosts that the settings name."""
--- a/src/jujubeslip/forwarding/_admissions.py
+++ b/src/jujubeslip/forwarding/_admissions.py
@@ -21,9 +21,8 @@
     AdmissionRequest,
     AdmissionStatus,
     AdmissionStep,
-    ControlPeer,
+    ControlClients,
     NotLeader,
-    PeerClient,
     PeerIdentity,
     PeerRefusal,
 )
@@ -74,12 +73,11 @@
         reaches: Callable[[str], bool],
     ) -> None:
         self._process = process
-        self._identity = identity
         self._availability_zone = availability_zone
         self._book = book
         self._health = health
         self._reaches = reaches
-        self._client_by_address: dict[str, PeerClient] = {}
+        self._clients = ControlClients(identity)
         self._leader_by_teller: dict[str, str] = {}
         self._paused_until_by_address: dict[str, Deadline] = {}
         self._news: queue.SimpleQueue[AdmissionNews] = queue.SimpleQueue()
@@ -175,7 +173,7 @@
     def _call(self, address: str, request: AdmissionRequest) -> AdmissionReply | None:
         """Return the leader's answer; None if this host is to ask another one."""
         try:
-            reply: AdmissionReply = self._client(address).call(
+            reply: AdmissionReply = self._clients.get(address).call(
                 lambda peer: peer.admit(request), WAIT_MS / 1000 + ANSWER_SECONDS
             )
         except NotLeader as error:
@@ -218,14 +216,6 @@
         paused = self._paused_until_by_address.get(address)
         return paused is not None and not paused.expired
 
-    def _client(self, address: str) -> PeerClient:
-        with self._lock:
-            client = self._client_by_address.get(address)
-            if client is None:
-                client = PeerClient(ControlPeer.Client, address, self._identity)
-                self._client_by_address[address] = client
-            return client
-
     def _tell(self) -> None:
         while not self._process.stopped.is_set():
             news = self._take_news()
@@ -238,7 +228,7 @@
         error = "no leader is known"
         if address is not None:
             try:
-                self._client(address).call(
+                self._clients.get(address).call(
                     lambda peer: peer.tell_admissions(news), TELL_SECONDS
                 )
                 return
--- a/src/jujubeslip/forwarding/_routes_follower.py
+++ b/src/jujubeslip/forwarding/_routes_follower.py
@@ -10,7 +10,7 @@
 from jujubeslip.discovery import News
 from jujubeslip.interfaces import Interface
 from jujubeslip.kernel import PeerUnavailableError, steady_seconds
-from jujubeslip.peers import ControlPeer, PeerClient, PeerIdentity, PeerRefusal
+from jujubeslip.peers import ControlClients, PeerIdentity, PeerRefusal
 from jujubeslip.routes import RouteTable
 
 logger = logging.getLogger(__name__)
@@ -28,8 +28,7 @@
 
     def __init__(self, interface: Interface, identity: PeerIdentity) -> None:
         self._interface = interface
-        self._identity = identity
-        self._client_by_address: dict[str, PeerClient] = {}
+        self._clients = ControlClients(identity)
         self._lock = threading.Lock()
         self._table: RouteTable | None = None
         self._in_force_since = steady_seconds()
@@ -57,13 +56,9 @@
                 self._fetch(news.address)
 
     def _fetch(self, address: str) -> None:
-        client = self._client_by_address.get(address)
-        if client is None:
-            client = PeerClient(ControlPeer.Client, address, self._identity)
-            self._client_by_address[address] = client
         version = self.version
         try:
-            found = client.call(
+            found = self._clients.get(address).call(
                 lambda peer: peer.get_configuration(version, 0), FETCH_SECONDS
             )
         except (PeerUnavailableError, PeerRefusal) as error:
--- a/src/jujubeslip/peers/__init__.py
+++ b/src/jujubeslip/peers/__init__.py
@@ -4,7 +4,7 @@
 compared with `==`, never with `is`.
 """
 
-from jujubeslip.peers._client import PeerClient
+from jujubeslip.peers._client import ControlClients, PeerClient
 from jujubeslip.peers._server import PeerServer
 from jujubeslip.peers.gen import ControlPeer, EntryPeer
 from jujubeslip.peers.gen.ttypes import (
@@ -82,6 +82,7 @@
     "ChangeRecord",
     "ClaimRecord",
     "Configuration",
+    "ControlClients",
     "ControlPeer",
     "ControlStatus",
     "EndpointRecord",
--- a/src/jujubeslip/peers/_client.py
+++ b/src/jujubeslip/peers/_client.py
@@ -12,6 +12,7 @@
 from thrift.transport import TSocket, TTransport
 
 from jujubeslip.kernel import Deadline, PeerUnavailableError
+from jujubeslip.peers.gen import ControlPeer
 from jujubeslip.peers.gen.ttypes import NotLeader, PeerIdentity, PeerRefusal
 
 T = TypeVar("T")
@@ -128,3 +129,21 @@
                 self._idle.append(connection)
                 return
         connection.close()
+
+
+class ControlClients:
+    """Opens and keeps a client for each control host; may be used by threads."""
+
+    def __init__(self, identity: PeerIdentity) -> None:
+        self._identity = identity
+        self._client_by_address: dict[str, PeerClient] = {}
+        self._lock = threading.Lock()
+
+    def get(self, address: str) -> PeerClient:
+        """Return the client for this peer address."""
+        with self._lock:
+            client = self._client_by_address.get(address)
+            if client is None:
+                client = PeerClient(ControlPeer.Client, address, self._identity)
+                self._client_by_address[address] = client
+            return client
