Break each field of what endpoints send, in tests (red)

Cause: announcements, reports and answers of endpoints are converted by hand; '1', true and 1.5 become numbers, an unknown state means ready, and a sequence beyond 64 bits or half of a character is kept in the book, so that no answer to the hosts that watch can be encoded any more.

The stand-in worker now reports busy and seq, and announces stage and models for engines only, as the platform's pages say.

--- a/tests/admission/test_home.py
+++ b/tests/admission/test_home.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -59,7 +60,9 @@
         process: Any = TasksAtOnce()
         interface: Any = None
         options = MemoryOptions(margin=0.05, caution=1.5)
-        home = AdmissionHome(process, book, interface, options, leads=lambda: True)
+        home = AdmissionHome(
+            process, book, interface, options, lambda: True, lambda: {"model"}
+        )
         request = AdmissionRequest(
             "r-1", "model", 100, 130, 65, 0, 64, 900, 600, 0, [], attempt=1
         )
@@ -68,3 +71,34 @@
         reply = home.admit(request)
         assert reply.status == AdmissionStatus.ADMITTED
         assert (reply.endpoint_id, reply.reader_endpoint_id) == ("engine", "reader")
+
+
+class TestEnginesOfAnotherWriter:
+    """Another program announces an engine of a service that no configuration names.
+
+    Asked for a report four times a second, it would be used, and could be any address.
+    """
+
+    def test_are_not_followed(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        followed: list[str] = []
+
+        class Follower(FollowerThatHearsAtOnce):
+            def run(self) -> None:
+                followed.append(self._engine.endpoint_id)
+
+        monkeypatch.setattr(_home, "EngineFollower", Follower)
+        book = EndpointBook()
+        book.take([engine("foreign")])
+        book.take([replace(engine("known"), service_name="named")])
+        process: Any = TasksAtOnce()
+        interface: Any = None
+        options = MemoryOptions(margin=0.05, caution=1.5)
+        home = AdmissionHome(
+            process, book, interface, options, lambda: True, lambda: {"named"}
+        )
+        request = AdmissionRequest(
+            "r-1", "model", 100, 130, 65, 0, 64, 900, 600, 0, [], attempt=1
+        )
+        with pytest.raises(PeerRefusal):
+            home.admit(request)
+        assert followed == ["known"]
--- a/tests/control/test_roles.py
+++ b/tests/control/test_roles.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import pytest
+from returns.result import Failure
 
 from jujubeslip.control._leadership import Fence
 from jujubeslip.control._roles import Engines, RoleKeeper, wanted_change
@@ -74,9 +75,9 @@
         }
         assert ("Expect-Instance", "e-1") in question.headers
 
-    def test_report_that_lacks_fields_is_none(self) -> None:
+    def test_report_that_lacks_fields_is_refused(self) -> None:
         for body in (b"", b"[]", b"{}", b'{"runs": [[1]]}'):
-            assert read_report(body) is None
+            assert isinstance(read_report(body), Failure)
 
 
 class Asked:
@@ -101,9 +102,44 @@
     "kvCapacity": 100,
     "runs": [],
     "seq": 0,
+    "busy": False,
 }
 
 
+class TestEnginesOfAnotherWriter:
+    """Another program announces three engines of a service that no configuration names.
+
+    Ordered to take another role, they would do work that nobody asked of them. So would
+    those that say to answer for a service that is configured without engines.
+    """
+
+    @pytest.mark.parametrize(("named", "orders"), [(set(), 0), ({"model"}, 1)])
+    def test_get_orders_only_for_a_configured_service(
+        self, monkeypatch: pytest.MonkeyPatch, named: set[str], orders: int
+    ) -> None:
+        book = EndpointBook()
+        book.take(engines(0, 3).decode)
+        keeper, asked = role_keeper(monkeypatch, book, named)
+        monkeypatch.setattr(keeper, "_fence", lambda: Fence(1, Deadline.after(10)))
+        keeper.look()
+        assert asked.orders == orders
+
+
+def role_keeper(
+    monkeypatch: pytest.MonkeyPatch, book: EndpointBook, named: set[str]
+) -> tuple[RoleKeeper, Asked]:
+    """Return a keeper of these services' roles, and what engines are asked by it."""
+    watches: Any = SimpleNamespace(pressure_of=lambda name: pressure())
+    replica: Any = SimpleNamespace(settings=SimpleNamespace(host_id="control-1"))
+    interface: Any = SimpleNamespace(
+        ask_report=ask_report, read_report=read_report, order_role=order_role
+    )
+    keeper = RoleKeeper(replica, book, watches, interface, 3.0, lambda: named)
+    asked = Asked()
+    monkeypatch.setattr(keeper, "_ask", asked)
+    return keeper, asked
+
+
 class TestOrderThatIsNotSent:
     """The leader's lease is about to end when an engine is to be ordered.
 
@@ -115,14 +151,7 @@
         group = engines(2, 2)
         book = EndpointBook()
         book.take([*group.prefill, *group.decode])
-        watches: Any = SimpleNamespace(pressure_of=lambda name: pressure())
-        replica: Any = SimpleNamespace(settings=SimpleNamespace(host_id="control-1"))
-        interface: Any = SimpleNamespace(
-            ask_report=ask_report, read_report=read_report, order_role=order_role
-        )
-        keeper = RoleKeeper(replica, book, watches, interface, 3.0)
-        asked = Asked()
-        monkeypatch.setattr(keeper, "_ask", asked)
+        keeper, asked = role_keeper(monkeypatch, book, {"model"})
         monkeypatch.setattr(keeper, "_short_for", lambda name, told: 2.0)
         leases = [Deadline.after(0.1), Deadline.after(10), Deadline.after(10)]
         monkeypatch.setattr(keeper, "_fence", lambda: Fence(1, leases.pop(0)))
--- /dev/null
+++ b/tests/control/test_watches.py
@@ -0,0 +1,73 @@
+"""What a control host makes of the watches of other hosts."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from jujubeslip.control._watches import Watches
+from jujubeslip.discovery import EndpointBook
+from jujubeslip.kernel import Deadline
+from jujubeslip.peers import ServicePressure, WatchRequest
+from tests.fakes.broken_fields import received
+from tests.fakes.engines import engine
+
+BROKEN = [
+    ServicePressure(None, 1, 1),
+    ServicePressure("", 1, 1),
+    ServicePressure("model", None, 1),
+    ServicePressure("model", 1, None),
+    ServicePressure("model", -5, 1),
+    ServicePressure("model", 1, -5),
+]
+
+
+@pytest.fixture
+def watches() -> Watches:
+    """Return the watches of a host that knows one endpoint."""
+    book = EndpointBook()
+    book.take([engine("a")])
+    current = SimpleNamespace(revision=3)
+    replica: Any = SimpleNamespace(
+        machine=SimpleNamespace(configurations=SimpleNamespace(current=current)),
+        lock=EndpointBook()._changed,
+        leadership=None,
+        hears_leader=False,
+    )
+    return Watches(replica, book, lambda: ["10.0.0.1:7000"])
+
+
+def ask(watches: Watches, *pressures: ServicePressure, **fields: Any) -> int:
+    """Ask as a host that knows nothing; return how many endpoints it is told of."""
+    request = WatchRequest(0, 0, 0, True, "entry-1/1", 0, list(pressures))
+    for name, value in fields.items():
+        setattr(request, name, value)
+    return len(watches.answer(received(request)).endpoints)
+
+
+class TestBrokenLoad:
+    """An entry host of another version tells of its load without one of the fields.
+
+    The sum over all hosts would fail, and with it the look at the engines of every
+    service: no engine is ordered to another role while that host watches.
+    """
+
+    @pytest.mark.parametrize("broken", BROKEN, ids=repr)
+    def test_is_left_out_of_the_sum(
+        self, watches: Watches, broken: ServicePressure
+    ) -> None:
+        sound = ServicePressure("model", 4, 500)
+        assert ask(watches, broken, sound) == 1
+        assert watches.pressure_of("model") == sound
+
+
+class TestWatchThatLacksFields:
+    @pytest.mark.parametrize(
+        "name",
+        ["known_version", "wait_ms", "known_configuration_version", "pressures"],
+    )
+    def test_is_told_all_and_holds_nobody_up(self, watches: Watches, name: str) -> None:
+        assert ask(watches, **{name: None}) == 1
+        assert not watches.wait_until_told(1, Deadline.after(0))
--- /dev/null
+++ b/tests/fakes/broken_fields.py
@@ -0,0 +1,154 @@
+"""Ways in which another program's messages can be wrong, field by field."""
+
+from __future__ import annotations
+
+import copy
+import json
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from hypothesis import strategies as st
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
+from thrift.TSerialization import deserialize, serialize
+
+
+class Missing(Enum):
+    """Stands for a field that is left out."""
+
+    MISSING = "missing"
+
+
+MISSING = Missing.MISSING
+# JSON can name half of a character; no UTF-8 text holds it, and no host can tell it.
+HALF_CHARACTER = "\ud800"
+
+NO_NUMBER: tuple[Any, ...] = (
+    "1",
+    "",
+    True,
+    False,
+    None,
+    [],
+    [1],
+    {},
+    1.5,
+    1.0,
+    1e300,
+    float("nan"),
+    -1,
+    2**63,
+    10**30,
+)
+NO_TEXT: tuple[Any, ...] = (
+    "",
+    1,
+    0,
+    True,
+    None,
+    [],
+    ["text"],
+    {},
+    1.5,
+    HALF_CHARACTER,
+    "x" * 100_000,
+)
+NO_FLAG: tuple[Any, ...] = ("true", "", 0, 1, None, [], {}, 1.5)
+NO_LIST: tuple[Any, ...] = ("", "[]", 1, True, None, {}, [1], [None], [[]])
+UNKNOWN_WORD: tuple[Any, ...] = (*NO_TEXT, "Ready", "READY", "ready ", "unknown")
+NO_ADDRESS: tuple[Any, ...] = (
+    *NO_TEXT,
+    "10.0.0.1",
+    "10.0.0.1:",
+    ":80",
+    "10.0.0.1:0",
+    "10.0.0.1:65536",
+    "10.0.0.1:\u0668\u0660",
+    "10.0.0.256:80",
+    "10.0.0.1:80\r\nX: y",
+    "10.0.0.1:80\n",
+    "host.example:80",
+)
+# Bodies that hold no fields at all.
+UNREADABLE: tuple[bytes, ...] = (
+    b"",
+    b"\xff\xfe\x00",
+    b"null",
+    b"1",
+    b'"text"',
+    b"[]",
+    b"{",
+    b'{"seq": 1',
+    b"{}{}",
+    b"[" * 100_000,
+    b'{"a":' * 100_000,
+    b"\x00" * 1000,
+)
+
+
+@dataclass(frozen=True)
+class Break:
+    """One field that is wrong in one way."""
+
+    path: tuple[str | int, ...]
+    value: Any
+
+    def __str__(self) -> str:
+        """Return a short name for a test's id."""
+        return f"{'.'.join(map(str, self.path))}={ascii(self.value)[:24]}"
+
+    @property
+    def field(self) -> str:
+        """Return the name of the field at the top level."""
+        return str(self.path[0])
+
+    def apply(self, message: dict[str, Any]) -> bytes:
+        """Return the message with this field wrong."""
+        broken = copy.deepcopy(message)
+        holder: Any = broken
+        for key in self.path[:-1]:
+            holder = holder[key]
+        if self.value is MISSING:
+            del holder[self.path[-1]]
+        else:
+            holder[self.path[-1]] = self.value
+        return json.dumps(broken).encode()
+
+
+def breaks(
+    values_by_path: dict[tuple[str | int, ...], tuple[Any, ...]],
+    optional: frozenset[str] = frozenset(),
+) -> list[Break]:
+    """Return each field in each way; none that is optional is left out."""
+    found = [
+        Break(path, value)
+        for path, values in values_by_path.items()
+        for value in values
+    ]
+    found += [
+        Break(path, MISSING)
+        for path in values_by_path
+        if isinstance(path[-1], str) and path[-1] not in optional
+    ]
+    return found
+
+
+def received(message: Any) -> Any:
+    """Return a message between hosts as the other one reads it from a connection."""
+    protocol = TBinaryProtocolAcceleratedFactory()
+    return deserialize(type(message)(), serialize(message, protocol), protocol)
+
+
+# Values of fields that no version of the platform's pages names yet.
+json_values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False)
+    | st.text(st.characters(codec="utf-8"), max_size=10),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(st.characters(codec="utf-8"), max_size=5), inner)
+    ),
+    max_leaves=5,
+)
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -114,6 +114,8 @@
     def beat(self, state: str = "ready") -> dict[str, Any]:
         """Return the next announcement."""
         self.sequence += 1
+        models = [{"name": "m", "version": 1, "adapters": []}]
+        engine = {"stage": self.stage, "models": models} if self.stage else {}
         return {
             "service": self.service,
             "address": self.address,
@@ -122,8 +124,7 @@
             "slots": 8,
             "state": state,
             "coldLeftMs": 0,
-            "stage": self.stage,
-            "models": [{"name": "m", "version": 1, "adapters": []}],
+            **engine,
             "seq": self.sequence,
         }
 
@@ -172,6 +173,8 @@
             200,
             {
                 "stage": self.worker.stage,
+                "busy": False,
+                "seq": 0,
                 "queued": 0,
                 "running": 0,
                 "kvUsed": used,
--- /dev/null
+++ b/tests/platform/test_announcements.py
@@ -0,0 +1,266 @@
+"""Announcements of endpoints that another program wrote, or that were damaged.
+
+Whatever one writer sends, the other endpoints must go on being known and used.
+"""
+
+from __future__ import annotations
+
+import io
+import json
+import logging
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from jujubeslip.control import ControlGateway
+from jujubeslip.discovery import Endpoint, EndpointBook, to_record
+from jujubeslip.peers import EndpointRole
+from jujubeslip.platform._control_app import ControlApp
+from tests.fakes.broken_fields import (
+    MISSING,
+    NO_ADDRESS,
+    NO_LIST,
+    NO_NUMBER,
+    NO_TEXT,
+    UNKNOWN_WORD,
+    UNREADABLE,
+    Break,
+    breaks,
+    json_values,
+    received,
+)
+
+ENGINE: dict[str, Any] = {
+    "service": "model",
+    "address": "10.0.0.9:8080",
+    "zone": "zone-1",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "stage": "decode",
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "born": 1_700_000_000_000,
+    "seq": 4,
+}
+PLAIN = {
+    key: value
+    for key, value in ENGINE.items()
+    if key not in ("stage", "models", "born")
+}
+OPTIONAL = frozenset({"stage", "models", "born"})
+BREAKS = breaks(
+    {
+        ("service",): NO_TEXT,
+        ("address",): NO_ADDRESS,
+        ("zone",): NO_TEXT,
+        ("version",): NO_TEXT,
+        ("slots",): (*NO_NUMBER, 0, 2**31),
+        ("state",): UNKNOWN_WORD,
+        ("coldLeftMs",): NO_NUMBER,
+        ("stage",): UNKNOWN_WORD,
+        ("models",): NO_LIST,
+        ("models", 0, "name"): NO_TEXT,
+        ("models", 0, "version"): NO_NUMBER,
+        ("models", 0, "adapters"): ("", 1, True, None, {}),
+        ("born",): NO_NUMBER,
+        ("seq",): NO_NUMBER,
+    },
+    OPTIONAL,
+)
+# Those that don't reach into a field.
+WHOLE_FIELDS = [broken for broken in BREAKS if len(broken.path) == 1]
+BAD_IDS = ("", "a b", "a\r\nX: y", "a/b", "\xff", "x" * 1000)
+
+
+class Host:
+    """What a control host answers to endpoints, and what it then knows."""
+
+    def __init__(self) -> None:
+        self.book = EndpointBook()
+        watches: Any = SimpleNamespace(wait_until_told=lambda *_: True)
+        client: Any = None
+        self._app = ControlApp(ControlGateway(client, self.book, watches))
+        self.status = 0
+
+    def put(self, endpoint_id: str, body: bytes, method: str = "PUT") -> str:
+        """Send an announcement; return the body of the answer."""
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": f"/instances/{endpoint_id}",
+            "CONTENT_LENGTH": str(len(body)),
+            "wsgi.input": io.BytesIO(body),
+        }
+
+        def start_response(status: str, headers: object) -> None:
+            self.status = int(status.split()[0])
+
+        return b"".join(self._app(environ, start_response)).decode()
+
+    def announce(self, endpoint_id: str, **fields: Any) -> None:
+        """Send a sound announcement."""
+        self.put(endpoint_id, json.dumps({**ENGINE, **fields}).encode())
+        assert self.status == 200
+
+    def told(self) -> dict[str, Endpoint]:
+        """Return what the host tells others, passed over a connection."""
+        for endpoint in self.book.changes_since(0)[1]:
+            assert received(to_record(endpoint)).endpoint_id == endpoint.endpoint_id
+        return {item.endpoint_id: item for item in self.book.endpoints()}
+
+
+@pytest.fixture(scope="module")
+def host() -> Host:
+    """Return a host that knows three endpoints."""
+    host = Host()
+    host.announce("engine", seq=4)
+    host.announce("reader", seq=7, stage="prefill", address="10.0.0.10:8080")
+    host.put("plain", json.dumps({**PLAIN, "service": "plain"}).encode())
+    assert host.status == 200
+    return host
+
+
+class TestBrokenField:
+    """One writer sends a sequence of seventy bits, or half of a character as a name.
+
+    The control host acknowledges it and keeps it. No answer to the hosts that watch can
+    be encoded any more, so none of them hears of any endpoint: those that come are not
+    used, and those that leave are sent requests until they exit.
+    """
+
+    @pytest.mark.parametrize("broken", BREAKS, ids=str)
+    def test_names_no_endpoint_and_harms_none(self, host: Host, broken: Break) -> None:
+        before = host.told()
+        answer = host.put("foreign", broken.apply(ENGINE))
+        assert 400 <= host.status < 500
+        assert f"'{broken.field}" in json.loads(answer)["error"]
+        assert host.told() == before
+
+    @pytest.mark.parametrize("broken", BREAKS, ids=str)
+    def test_of_a_known_start_leaves_what_was_known(
+        self, host: Host, broken: Break
+    ) -> None:
+        before = host.told()
+        host.put("engine", broken.apply({**ENGINE, "seq": 1000}))
+        assert host.status == 400
+        assert host.told() == before
+
+    @given(several=st.lists(st.sampled_from(WHOLE_FIELDS), min_size=2, max_size=6))
+    @settings(deadline=None, max_examples=60)
+    def test_among_others_is_refused_all_the_same(
+        self, host: Host, several: list[Break]
+    ) -> None:
+        before = host.told()
+        body = dict(ENGINE)
+        for broken in several:
+            body[broken.field] = broken.value
+        kept = {key: value for key, value in body.items() if value is not MISSING}
+        host.put("foreign", json.dumps(kept).encode())
+        assert host.status == 400
+        assert host.told() == before
+
+
+class TestUnreadableBody:
+    @pytest.mark.parametrize("body", UNREADABLE, ids=lambda body: ascii(body[:12]))
+    def test_is_refused(self, host: Host, body: bytes) -> None:
+        before = host.told()
+        assert json.loads(host.put("foreign", body))["error"]
+        assert host.status == 400
+        assert host.told() == before
+
+    @given(body=st.binary(max_size=200))
+    @settings(deadline=None, max_examples=100)
+    def test_of_any_bytes_is_refused(self, host: Host, body: bytes) -> None:
+        before = host.told()
+        host.put("foreign", body)
+        assert host.status == 400
+        assert host.told() == before
+
+    def test_of_a_megabyte_is_refused_without_reading_it(self, host: Host) -> None:
+        before = host.told()
+        body = json.dumps({**ENGINE, "padding": "x" * 1_000_000}).encode()
+        answer = host.put("foreign", body)
+        assert host.status == 413
+        assert "65536" in json.loads(answer)["error"]
+        assert host.told() == before
+
+
+class TestId:
+    """An id with a line break would put a header of its own into each request."""
+
+    @pytest.mark.parametrize("endpoint_id", BAD_IDS, ids=lambda name: ascii(name[:9]))
+    def test_that_is_no_name_is_refused(self, host: Host, endpoint_id: str) -> None:
+        before = host.told()
+        answer = host.put(endpoint_id, json.dumps(ENGINE).encode())
+        assert host.status == 400
+        assert "id" in json.loads(answer)["error"]
+        host.put(endpoint_id, b"", method="DELETE")
+        assert host.status == 400
+        assert host.told() == before
+
+    @pytest.mark.parametrize("told", ["engine", "", 1, True, None, [], {}], ids=repr)
+    def test_that_is_not_the_path_s_is_refused(self, host: Host, told: Any) -> None:
+        before = host.told()
+        answer = host.put("foreign", json.dumps({**ENGINE, "id": told}).encode())
+        assert host.status == 400
+        assert "'id'" in json.loads(answer)["error"]
+        assert host.told() == before
+
+    def test_that_is_the_path_s_is_taken(self) -> None:
+        host = Host()
+        host.announce("e-1", id="e-1")
+        assert list(host.told()) == ["e-1"]
+
+
+class TestSoundAnnouncement:
+    def test_of_an_engine_is_taken(self) -> None:
+        host = Host()
+        host.announce("e-1", state="draining")
+        told = host.told()["e-1"]
+        assert told.leaving
+        assert (told.role, told.sequence, told.slots) == (EndpointRole.DECODE, 4, 64)
+
+    @pytest.mark.parametrize("absent", [{"born"}, {"models"}, {"born", "models"}])
+    def test_may_lack_what_is_optional(self, absent: set[str]) -> None:
+        host = Host()
+        body = {key: value for key, value in ENGINE.items() if key not in absent}
+        host.put("e-1", json.dumps(body).encode())
+        assert host.status == 200
+
+    def test_without_a_stage_is_a_plain_service_s(self) -> None:
+        host = Host()
+        host.put("e-1", json.dumps(PLAIN).encode())
+        assert host.told()["e-1"].role is EndpointRole.PLAIN
+
+    @given(name=st.text(st.characters(codec="utf-8"), max_size=8), value=json_values)
+    @settings(deadline=None, max_examples=60)
+    def test_may_have_fields_that_are_new(self, name: str, value: Any) -> None:
+        host = Host()
+        host.put("e-1", json.dumps({f"new{name}": value, **ENGINE}).encode())
+        assert host.status == 200
+        assert host.told()["e-1"].service_name == "model"
+
+    def test_behind_a_broken_one_is_taken(self) -> None:
+        host = Host()
+        host.announce("e-1", seq=4)
+        host.put("e-1", json.dumps({**ENGINE, "seq": 5, "slots": "8"}).encode())
+        host.announce("e-1", seq=6, slots=8)
+        assert host.told()["e-1"].slots == 8
+
+
+class TestLogLine:
+    def test_tells_the_endpoint_and_the_field_and_is_short(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        host = Host()
+        everything_wrong = {name: "x" * 20_000 for name in ENGINE}
+        with caplog.at_level(logging.INFO):
+            host.put("e-1", json.dumps({**everything_wrong, "seq": "4"}).encode())
+        [line] = [item for item in caplog.records if "accepted" in item.message]
+        fields = vars(line)
+        assert fields["endpoint_id"] == "e-1"
+        assert "'service'" in fields["reason"]
+        assert len(fields["reason"]) <= 300
--- /dev/null
+++ b/tests/platform/test_endpoint_answers.py
@@ -0,0 +1,135 @@
+"""Answers of endpoints to the system's own questions, broken field by field."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Result, Success
+
+from jujubeslip.platform._endpoint_calls import (
+    read_prefilled,
+    read_report,
+    read_reservation,
+)
+from jujubeslip.routes import EngineReport, PrefilledPrompt, RunningAnswer
+from tests.fakes.broken_fields import (
+    NO_FLAG,
+    NO_LIST,
+    NO_NUMBER,
+    NO_TEXT,
+    UNKNOWN_WORD,
+    UNREADABLE,
+    Break,
+    breaks,
+    json_values,
+)
+
+REPORT: dict[str, Any] = {
+    "stage": "decode",
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "busy": False,
+    "seq": 2,
+    "queued": 1,
+    "running": 1,
+    "kvUsed": 41_000,
+    "kvCapacity": 90_000,
+    "kvHandles": 0,
+    "runs": [["9c41", 1500, 3, 5]],
+}
+PREFILLED = {"kvHandle": "3fa09c41b7d5", "tokens": 1460, "version": 1}
+RESERVED = {"hold": "r-1"}
+NO_RUNS = (*NO_LIST, [["9c41"]], [["9c41", 1500]], [{"9c41": 1}])
+
+Reader = Callable[[bytes], Result[Any, str]]
+CASES: list[tuple[Reader, dict[str, Any], list[Break]]] = [
+    (
+        read_report,
+        REPORT,
+        breaks(
+            {
+                ("stage",): UNKNOWN_WORD,
+                ("busy",): NO_FLAG,
+                ("seq",): NO_NUMBER,
+                ("queued",): NO_NUMBER,
+                ("kvUsed",): NO_NUMBER,
+                ("kvCapacity",): NO_NUMBER,
+                ("runs",): NO_RUNS,
+                ("runs", 0, 0): NO_TEXT,
+                ("runs", 0, 1): NO_NUMBER,
+                ("runs", 0, 2): NO_NUMBER,
+            }
+        ),
+    ),
+    (
+        read_prefilled,
+        PREFILLED,
+        breaks({("kvHandle",): (*NO_TEXT, "a\r\nX: y"), ("tokens",): NO_NUMBER}),
+    ),
+    (read_reservation, RESERVED, breaks({("hold",): (*NO_TEXT, "a\r\nX: y", "a/b")})),
+]
+READERS = [read for read, _, _ in CASES]
+BROKEN = [
+    pytest.param(read, sound, item, id=f"{read.__name__}-{item}")
+    for read, sound, items in CASES
+    for item in items
+]
+
+
+class TestBrokenAnswer:
+    """An engine reports its memory in text, or a run of minus one token.
+
+    Read as a number, it would draw each request of its service, and an answer that is
+    no report would end the task that asks, for that engine and for those behind it.
+    """
+
+    @pytest.mark.parametrize(("read", "sound", "broken"), BROKEN)
+    def test_is_refused_and_names_its_field(
+        self, read: Reader, sound: dict[str, Any], broken: Break
+    ) -> None:
+        found = read(broken.apply(sound))
+        assert isinstance(found, Failure)
+        assert f"'{broken.field}" in found.failure()
+        assert len(found.failure()) < 1000
+
+    @pytest.mark.parametrize("read", READERS)
+    @pytest.mark.parametrize("body", UNREADABLE, ids=lambda body: ascii(body[:12]))
+    def test_that_can_t_be_read_is_refused(self, read: Reader, body: bytes) -> None:
+        assert isinstance(read(body), Failure)
+
+    @pytest.mark.parametrize("read", READERS)
+    @given(body=st.binary(max_size=200))
+    @settings(deadline=None, max_examples=60)
+    def test_of_any_bytes_is_refused(self, read: Reader, body: bytes) -> None:
+        assert isinstance(read(body), Failure)
+
+
+class TestSoundAnswer:
+    def test_that_reports_a_state_is_read(self) -> None:
+        assert read_report(json.dumps(REPORT).encode()) == Success(
+            EngineReport(
+                capacity_tokens=90_000,
+                used_tokens=41_000,
+                waiting=1,
+                running=(RunningAnswer(1500, 3, "9c41"),),
+                orders=2,
+                busy=False,
+                reads_prompts=False,
+            )
+        )
+
+    def test_that_reserves_or_reads_a_prompt_is_read(self) -> None:
+        assert read_reservation(json.dumps(RESERVED).encode()) == Success("r-1")
+        prefilled = read_prefilled(json.dumps(PREFILLED).encode())
+        assert prefilled == Success(PrefilledPrompt("3fa09c41b7d5", 1460))
+
+    @given(name=st.text(st.characters(codec="utf-8"), max_size=8), value=json_values)
+    @settings(deadline=None, max_examples=60)
+    def test_may_have_what_is_new(self, name: str, value: Any) -> None:
+        longer = {f"new{name}": value, **REPORT, "runs": [["9c41", 1500, 3, 5, value]]}
+        found = read_report(json.dumps(longer).encode())
+        assert isinstance(found, Success)
