Decode what endpoints send into strict types

Cause: announcements, reports and answers were converted by hand, so that text, truth values and fractions became numbers, an unknown state meant ready, and values that no message between hosts can hold were kept and told. One such entry ended what all hosts that watch hear of all endpoints.

Ruled out: catching the error where an answer is encoded. The entry would stay known on the host that took it and be used by nobody, with no word to its writer.

Change: kernel/_strict.py reads bytes and fields with pydantic validators that are built at import; platform/_announcements.py and _endpoint_answers.py hold the messages. A wrong field is named in a 400 and in one line of at most 300 characters; a body beyond 64 KiB gets 413; an id must be visible ASCII without a slash, since it becomes a header's value. Records and loads between hosts are checked one by one (discovery/_records.py, control/_watches.py), and absent fields of an answer no longer end its follower. The leader asks and orders only engines of services that the configuration names as such (control/_engine_services.py).

A test that was changed: a report that lacks fields is now a Failure that names the field, in place of None, which is stricter.

Tests: tests/platform/test_announcements.py, test_endpoint_answers.py, tests/discovery, tests/control/test_watches.py, test_roles.py, tests/admission/test_home.py pass.

--- a/src/jujubeslip/admission/_engine_follower.py
+++ b/src/jujubeslip/admission/_engine_follower.py
@@ -6,6 +6,8 @@
 import threading
 from collections.abc import Callable
 
+from returns.result import Failure
+
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import ConnectionPool, EndpointError
 from jujubeslip.interfaces import Interface, ask_endpoint
@@ -60,12 +62,15 @@
         except EndpointError as error:
             self._note(False, str(error))
             return
-        report = self._interface.read_report(body) if status == 200 else None
-        if report is None:
+        if status != 200:
             self._note(False, f"the answer {status} is no report")
             return
+        read = self._interface.read_report(body)
+        if isinstance(read, Failure):
+            self._note(False, read.failure())
+            return
         self._note(True, "")
-        self._on_report(engine, report)
+        self._on_report(engine, read.unwrap())
 
     def _note(self, answers: bool, error: str) -> None:
         if answers is self._answers:
--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -50,12 +50,14 @@
         interface: Interface,
         options: MemoryOptions,
         leads: Callable[[], bool],
+        configured_services: Callable[[], Collection[str]],
     ) -> None:
         self._process = process
         self._book = book
         self._interface = interface
         self._options = options
         self._leads = leads
+        self._configured_services = configured_services
         self._pool_by_service: dict[str, EnginePool] = {}
         self._follower_by_endpoint: dict[str, EngineFollower] = {}
         self._asked_at = float("-inf")
@@ -95,7 +97,7 @@
     def look(self) -> None:
         """Follow the engines that there are now, if this host is asked."""
         active = steady_seconds() - self._asked_at < ACTIVE_SECONDS
-        services = self._book.engine_services() if active and self._leads() else set()
+        services = self._services() if active and self._leads() else set()
         followed: list[Endpoint] = []
         for service_name in services | self._pool_by_service.keys():
             answering, reading = self._engines(service_name, services)
@@ -107,6 +109,14 @@
         for follower in added:
             self._process.start_task(follower.run)
 
+    def _services(self) -> set[str]:
+        """Return the services of engines that a configuration names as such.
+
+        Any program may announce an engine, of any service and at any address: one that
+        no configuration names must not be asked for reports.
+        """
+        return self._book.engine_services().intersection(self._configured_services())
+
     def _engines(
         self, service_name: str, services: Collection[str]
     ) -> tuple[list[Endpoint], list[Endpoint]]:
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -8,8 +8,11 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
+from returns.result import Failure
+
 from jujubeslip.control._leadership import Fence
 from jujubeslip.control._replica import Replica
 from jujubeslip.control._watches import Watches
@@ -93,12 +96,14 @@
         watches: Watches,
         interface: Interface,
         order_lease_seconds: float,
+        configured_services: Callable[[], Collection[str]],
     ) -> None:
         self._replica = replica
         self._book = book
         self._watches = watches
         self._interface = interface
         self._order_lease_seconds = order_lease_seconds
+        self._configured_services = configured_services
         self._connections = ConnectionPool()
         self._short_since_by_service: dict[str, float] = {}
         self._next_order_by_service: dict[str, Deadline] = {}
@@ -142,12 +147,19 @@
         return now - self._short_since_by_service.setdefault(service_name, now)
 
     def _engines_by_service(self) -> dict[str, Engines]:
+        """Return the engines of the services that are configured to have some.
+
+        Any program may announce an engine, of any service: one that no configuration
+        names must get no order.
+        """
+        configured = self._configured_services()
         return {
             name: Engines(
                 self._with_role(name, EndpointRole.PREFILL),
                 self._with_role(name, EndpointRole.DECODE),
             )
             for name in self._book.engine_services()
+            if name in configured
         }
 
     def _with_role(self, service_name: str, role: EndpointRole) -> tuple[Endpoint, ...]:
@@ -199,10 +211,18 @@
         """Return how many orders the engine has accepted, None while it is at one."""
         question = self._interface.ask_report(endpoint.endpoint_id)
         status, body = self._ask(endpoint, question)
-        report = self._interface.read_report(body) if status == 200 else None
-        if report is None or report.busy:
+        if status != 200:
+            return None
+        read = self._interface.read_report(body)
+        if isinstance(read, Failure):
+            extra = {
+                "endpoint_id": endpoint.endpoint_id,
+                "problem": read.failure(),
+            }
+            logger.info("engine's report not usable", extra=extra)
             return None
-        return report.orders
+        report = read.unwrap()
+        return None if report.busy else report.orders
 
     def _ask(self, endpoint: Endpoint, question: EndpointQuestion) -> tuple[int, bytes]:
         deadline = Deadline.after(ANSWER_SECONDS)
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -8,6 +8,7 @@
 from jujubeslip.control._changes import MembershipChanges
 from jujubeslip.control._client import ControlClient
 from jujubeslip.control._election import Elections
+from jujubeslip.control._engine_services import EngineServices
 from jujubeslip.control._gateway import ControlGateway
 from jujubeslip.control._handler import ControlHandler
 from jujubeslip.control._joining import Joining
@@ -103,6 +104,7 @@
             interfaces.get(settings.interface),
             MemoryOptions(settings.memory_margin, settings.memory_caution),
             lambda: self._replica.fence() is not None,
+            self._engine_services().names,
         )
 
     def _build_http(self) -> HttpServer | None:
@@ -158,9 +160,16 @@
             self._watches,
             interfaces.get(settings.interface),
             settings.order_lease_ms / 1000,
+            self._engine_services().names,
         )
         self._process.repeat(LOOK_SECONDS, keeper.look)
 
+    def _engine_services(self) -> EngineServices:
+        return EngineServices(
+            lambda: self._replica.machine.configurations,
+            interfaces.get(self._settings.interface).read_routes,
+        )
+
     def _control_addresses(self) -> list[str]:
         """Return the members' peer addresses, and this host's own."""
         with self._replica.lock:
--- a/src/jujubeslip/control/_watches.py
+++ b/src/jujubeslip/control/_watches.py
@@ -2,15 +2,27 @@
 
 from __future__ import annotations
 
+import logging
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from returns.result import Success
+
 from jujubeslip.control._replica import Replica
 from jujubeslip.discovery import EndpointBook, to_record
-from jujubeslip.kernel import Deadline, steady_seconds
+from jujubeslip.kernel import (
+    Deadline,
+    StrictModel,
+    Text,
+    Whole,
+    read_fields,
+    steady_seconds,
+)
 from jujubeslip.peers import ServicePressure, WatchReply, WatchRequest
 
+logger = logging.getLogger(__name__)
+
 MAXIMUM_WAIT_SECONDS = 5.0
 # A watcher asks about once a second. One that has not asked for this long is cut off
 # or gone, and is neither counted nor waited for, in seconds.
@@ -25,6 +37,33 @@
     pressures: tuple[ServicePressure, ...]
 
 
+class _ToldPressure(StrictModel):
+    """The fields of a load, none of which Thrift itself insists on."""
+
+    service_name: Text
+    waited: Whole
+    prompt_ms_per_second: Whole
+
+
+def usable_pressures(
+    watcher_id: str, told: Sequence[ServicePressure]
+) -> list[ServicePressure]:
+    """Return the loads that can be summed; each other one is logged.
+
+    A host of another version may leave a field out. The sum over all hosts would fail,
+    and no engine of any service be ordered to another role.
+    """
+    usable = []
+    for pressure in told:
+        read = read_fields(_ToldPressure, vars(pressure))
+        if isinstance(read, Success):
+            usable.append(pressure)
+            continue
+        extra = {"watcher_id": watcher_id, "problem": read.failure()}
+        logger.warning("host's load not usable", extra=extra)
+    return usable
+
+
 class Watches:
     """Answers watches of this host's book of endpoints and its configuration."""
 
@@ -45,10 +84,11 @@
 
         A watcher that names an older start of this host, or none, is told all.
         """
-        known = request.known_version if request.book_id == self._book.book_id else 0
+        known_version = request.known_version or 0
+        known = known_version if request.book_id == self._book.book_id else 0
         self._note(request, known)
-        wait = Deadline.from_remaining_ms(request.wait_ms)
-        known_configuration = request.known_configuration_version
+        wait = Deadline.from_remaining_ms(request.wait_ms or 0)
+        known_configuration = request.known_configuration_version or 0
         self._book.wait_for_news(
             known,
             lambda: self._configuration_version() > known_configuration,
@@ -91,12 +131,13 @@
             )
 
     def _note(self, request: WatchRequest, known_version: int) -> None:
+        pressures = usable_pressures(request.watcher_id, request.pressures or ())
         with self._changed:
             self._watcher_by_id[request.watcher_id] = _Watcher(
                 steady_seconds(),
                 known_version,
                 request.is_entry_host,
-                tuple(request.pressures or ()),
+                tuple(pressures),
             )
             self._changed.notify_all()
 
--- a/src/jujubeslip/discovery/_follower.py
+++ b/src/jujubeslip/discovery/_follower.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from jujubeslip.discovery._book import EndpointBook
-from jujubeslip.discovery._models import endpoint_from_record
+from jujubeslip.discovery._records import usable_endpoints
 from jujubeslip.kernel import (
     Deadline,
     PeerUnavailableError,
@@ -145,12 +145,12 @@
 
     def take(self, address: str, reply: WatchReply) -> None:
         """Take over an answer."""
-        self._book.take(endpoint_from_record(record) for record in reply.endpoints)
-        self.learn(reply.control_addresses)
+        self._book.take(list(usable_endpoints(address, reply.endpoints or ())))
+        self.learn(reply.control_addresses or ())
         news = News(
             address,
-            reply.configuration_version,
-            reply.entry_hosts,
+            reply.configuration_version or 0,
+            reply.entry_hosts or 0,
             reply.leader_address or "",
         )
         self._on_news(news)
@@ -204,7 +204,9 @@
             return
         self._note_answered(started.instant)
         self._owner.take(self._address, reply)
-        self._known = Known(reply.book_id, reply.version, reply.configuration_version)
+        self._known = Known(
+            reply.book_id or 0, reply.version or 0, reply.configuration_version or 0
+        )
 
     def _note_answered(self, asked_at: float) -> None:
         if not self.reachable:
--- a/src/jujubeslip/forwarding/_engine_reports.py
+++ b/src/jujubeslip/forwarding/_engine_reports.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import logging
 import threading
 from dataclasses import dataclass
 
+from returns.result import Success
+
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import EndpointError
 from jujubeslip.forwarding._models import Attempts, ForwardContext
@@ -12,6 +15,8 @@
 from jujubeslip.kernel import Deadline
 from jujubeslip.routes import EngineReport
 
+logger = logging.getLogger(__name__)
+
 # How long a report is used, in seconds. It is up to a second old when it comes, in
 # which an engine's answers change little; asking more often has its price.
 KEPT_SECONDS = 0.5
@@ -21,7 +26,8 @@
 
 @dataclass(frozen=True)
 class _Kept:
-    report: EngineReport
+    report: EngineReport | None
+    """None where what came is no report: asking again at once brings no other."""
     usable_until: Deadline
 
 
@@ -39,16 +45,15 @@
             kept = self._kept_by_endpoint.get(endpoint.endpoint_id)
         if kept is not None and not kept.usable_until.expired:
             return kept.report
-        report = self._ask(context, endpoint)
-        if report is not None:
-            usable_until = Deadline.after(KEPT_SECONDS)
-            with self._lock:
-                self._kept_by_endpoint[endpoint.endpoint_id] = _Kept(
-                    report, usable_until
-                )
-        return report
-
-    def _ask(self, context: ForwardContext, endpoint: Endpoint) -> EngineReport | None:
+        asked = self._ask(context, endpoint)
+        if asked is None:
+            return None
+        with self._lock:
+            self._kept_by_endpoint[endpoint.endpoint_id] = asked
+        return asked.report
+
+    def _ask(self, context: ForwardContext, endpoint: Endpoint) -> _Kept | None:
+        """Return what the engine answered, None if it gave no answer."""
         question = self._sending.interface.ask_report(endpoint.endpoint_id)
         try:
             status, body = self._sending.ask(
@@ -57,4 +62,16 @@
         except EndpointError as error:
             self._sending.note_error(Attempts(), endpoint, error)
             return None
-        return self._sending.interface.read_report(body) if status == 200 else None
+        if status != 200:
+            return None
+        usable_until = Deadline.after(KEPT_SECONDS)
+        read = self._sending.interface.read_report(body)
+        if isinstance(read, Success):
+            return _Kept(read.unwrap(), usable_until)
+        extra = {
+            "request_id": context.request.request_id,
+            "endpoint_id": endpoint.endpoint_id,
+            "problem": read.failure(),
+        }
+        logger.info("engine's report not usable", extra=extra)
+        return _Kept(None, usable_until)
--- a/src/jujubeslip/forwarding/_prompts.py
+++ b/src/jujubeslip/forwarding/_prompts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from returns.result import Failure
+
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import (
     AnswerCutError,
@@ -101,12 +103,14 @@
         with working, self._sending.exchange(context, endpoint) as exchange:
             head = exchange.call(call, deadline)
             body = exchange.read_rest()
-        prefilled = self._sending.interface.read_prefilled(body)
-        if head.status not in SUCCESS or prefilled is None:
+        if head.status not in SUCCESS:
             raise EndpointAnswerError(
                 f"{endpoint.address}: the prompt was not read: {head.status}."
             )
-        return prefilled.handle
+        prefilled = self._sending.interface.read_prefilled(body)
+        if isinstance(prefilled, Failure):
+            raise EndpointAnswerError(f"{endpoint.address}: {prefilled.failure()}")
+        return prefilled.unwrap().handle
 
     def _note_unread(
         self,
--- a/src/jujubeslip/forwarding/_reservations.py
+++ b/src/jujubeslip/forwarding/_reservations.py
@@ -11,6 +11,8 @@
 import threading
 from dataclasses import dataclass
 
+from returns.result import Success
+
 from jujubeslip.admission import MemoryOptions, growth_of
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import CallerGoneError, EndpointError
@@ -160,14 +162,19 @@
         except EndpointError as error:
             self._sending.note_error(Attempts(), endpoint, error)
             return ""
-        if status == 200:
-            return self._sending.interface.read_reservation(body)
-        extra = {
+        extra: dict[str, object] = {
             "request_id": context.request.request_id,
             "endpoint_id": endpoint.endpoint_id,
             "status": status,
             "tokens": tokens,
             "body": body[:100].decode("latin-1"),
         }
+        if status == 200:
+            read = self._sending.interface.read_reservation(body)
+            if isinstance(read, Success):
+                return read.unwrap()
+            extra["problem"] = read.failure()
+            logger.info("reservation not usable", extra=extra)
+            return ""
         logger.info("no room at the engine", extra=extra)
         return ""
--- a/src/jujubeslip/interfaces/_models.py
+++ b/src/jujubeslip/interfaces/_models.py
@@ -119,20 +119,20 @@
     ) -> EndpointHead:
         """Return what the head of an endpoint's answer says."""
 
-    def read_prefilled(self, body: bytes) -> PrefilledPrompt | None:
-        """Return what an endpoint says of a prompt that it has read."""
+    def read_prefilled(self, body: bytes) -> Result[PrefilledPrompt, str]:
+        """Return what an endpoint says of a prompt it has read, or what is wrong."""
 
     def reserve(self, endpoint_id: str, tokens: int, ttl_ms: int) -> EndpointQuestion:
         """Return the question for a slot and this much memory of an endpoint."""
 
-    def read_reservation(self, body: bytes) -> str:
-        """Return the id of what was reserved, empty if unusable."""
+    def read_reservation(self, body: bytes) -> Result[str, str]:
+        """Return the id of what was reserved, or what is wrong with the answer."""
 
     def ask_report(self, endpoint_id: str) -> EndpointQuestion:
         """Return the question for an engine's state."""
 
-    def read_report(self, body: bytes) -> EngineReport | None:
-        """Return an engine's state, None if unusable."""
+    def read_report(self, body: bytes) -> Result[EngineReport, str]:
+        """Return an engine's state, or what is wrong with its report."""
 
     def order_role(self, order: RoleOrder) -> EndpointQuestion:
         """Return the order that gives an engine another role."""
--- a/src/jujubeslip/kernel/__init__.py
+++ b/src/jujubeslip/kernel/__init__.py
@@ -33,8 +33,26 @@
     load_forward_settings,
     read_toml_as,
 )
+from jujubeslip.kernel._strict import (
+    MAXIMUM_WHOLE,
+    Id,
+    NotNull,
+    StrictModel,
+    Text,
+    Whole,
+    read_fields,
+    read_json,
+)
 
 __all__ = [
+    "MAXIMUM_WHOLE",
+    "Id",
+    "NotNull",
+    "StrictModel",
+    "Text",
+    "Whole",
+    "read_fields",
+    "read_json",
     "STRICT",
     "Address",
     "CheckLevel",
--- a/src/jujubeslip/kernel/_settings.py
+++ b/src/jujubeslip/kernel/_settings.py
@@ -32,7 +32,7 @@
 
 Address = Annotated[
     str,
-    Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$", description="IP:port"),
+    Field(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$", description="IP:port"),
     AfterValidator(_checked_address),
 ]
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
--- a/src/jujubeslip/platform/_announcements.py
+++ b/src/jujubeslip/platform/_announcements.py
@@ -2,47 +2,92 @@
 
 from __future__ import annotations
 
-import json
-from typing import Any
+from typing import Annotated, Any, Literal
 
+from pydantic import Field
 from returns.result import Failure, Result, Success
 
-from jujubeslip.discovery import Endpoint
-from jujubeslip.kernel import Deadline, steady_seconds
+from jujubeslip.discovery import Endpoint, Slots
+from jujubeslip.kernel import (
+    Address,
+    Deadline,
+    Id,
+    NotNull,
+    StrictModel,
+    Text,
+    Whole,
+    read_fields,
+    read_json,
+    steady_seconds,
+)
 from jujubeslip.peers import EndpointRole
 
 # A plain endpoint names no stage.
 ROLE_BY_STAGE = {
     "prefill": EndpointRole.PREFILL,
     "decode": EndpointRole.DECODE,
-    "": EndpointRole.PLAIN,
+    None: EndpointRole.PLAIN,
 }
 LEAVING_STATE = "draining"
+# Longest body that is read, in bytes; an announcement with one model has some 300.
+MAXIMUM_BYTES = 65_536
+
+
+class _WireModel(StrictModel):
+    name: Text
+    version: Whole
+    adapters: list[Any]
+
+
+class _WireAnnouncement(StrictModel):
+    id: Annotated[Id | None, NotNull] = None
+    """Its id once more; the path's is the one that counts."""
+    service: Text
+    address: Address
+    zone: Text
+    version: Text
+    """Of its software."""
+    slots: Slots
+    state: Literal["ready", "draining"]
+    cold_left_ms: Whole = Field(alias="coldLeftMs")
+    """For how much longer it is slow after its start."""
+    stage: Annotated[Literal["prefill", "decode"] | None, NotNull] = None
+    models: Annotated[tuple[_WireModel, ...] | None, NotNull] = None
+    born: Annotated[Whole | None, NotNull] = None
+    """When it started, in milliseconds of Unix time."""
+    seq: Whole
+
+
+class _WirePath(StrictModel):
+    id: Id
+
+
+def read_endpoint_id(text: str) -> Result[str, str]:
+    """Return the id in the path of an endpoint's call, or what is wrong with it."""
+    return read_fields(_WirePath, {"id": text}).map(lambda path: path.id)
 
 
 def read_announcement(endpoint_id: str, body: bytes) -> Result[Endpoint, str]:
-    """Return what an endpoint says of itself, or what is wrong with it."""
-    try:
-        return Success(_endpoint(endpoint_id, json.loads(body)))
-    except KeyError as error:
-        return Failure(f"The field {error} is missing or not known; correct it.")
-    except (ValueError, TypeError, AttributeError) as error:
-        return Failure(f"The announcement can't be read: {error}.")
-
-
-def _endpoint(endpoint_id: str, fields: dict[str, Any]) -> Endpoint:
-    host, _, port = fields["address"].rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError("the address is not IP:port")
-    return Endpoint(
-        endpoint_id=endpoint_id,
-        service_name=str(fields["service"]),
-        address=fields["address"],
-        availability_zone=str(fields["zone"]),
-        sequence=int(fields["seq"]),
-        leaving=fields["state"] == LEAVING_STATE,
-        slots=int(fields.get("slots", 1)),
-        role=ROLE_BY_STAGE[fields.get("stage") or ""],
-        heard_at=steady_seconds(),
-        slow_until=Deadline.from_remaining_ms(int(fields.get("coldLeftMs", 0))),
+    """Return what an endpoint says of itself, or which fields are wrong."""
+    return read_json(_WireAnnouncement, body).bind(
+        lambda told: _endpoint(endpoint_id, told)
+    )
+
+
+def _endpoint(endpoint_id: str, told: _WireAnnouncement) -> Result[Endpoint, str]:
+    if told.id not in (None, endpoint_id):
+        return Failure("'id': it is not the path's; send the path's, or none.")
+    return Success(
+        Endpoint(
+            endpoint_id=endpoint_id,
+            service_name=told.service,
+            address=told.address,
+            availability_zone=told.zone,
+            sequence=told.seq,
+            leaving=told.state == LEAVING_STATE,
+            slots=told.slots,
+            role=ROLE_BY_STAGE[told.stage],
+            heard_at=steady_seconds(),
+            slow_until=Deadline.from_remaining_ms(told.cold_left_ms),
+        )
     )
--- a/src/jujubeslip/platform/_control_app.py
+++ b/src/jujubeslip/platform/_control_app.py
@@ -13,7 +13,11 @@
 from jujubeslip.control import ControlGateway
 from jujubeslip.kernel import PeerUnavailableError
 from jujubeslip.peers import PeerRefusal
-from jujubeslip.platform._announcements import read_announcement
+from jujubeslip.platform._announcements import (
+    MAXIMUM_BYTES,
+    read_announcement,
+    read_endpoint_id,
+)
 from jujubeslip.platform._configurations import read_routes
 
 logger = logging.getLogger(__name__)
@@ -25,6 +29,7 @@
     400: "Bad Request",
     404: "Not Found",
     405: "Method Not Allowed",
+    413: "Content Too Large",
     503: "Service Unavailable",
 }
 MAXIMUM_LOGGED = 300
@@ -71,15 +76,23 @@
                 self._get_configuration() if method == "GET" else _failed(405, method)
             )
         if path.startswith(ENDPOINT_PREFIX):
-            endpoint_id = path.removeprefix(ENDPOINT_PREFIX)
-            if method == "PUT":
-                return self._announce(endpoint_id, environ["wsgi.input"].read())
-            if method == "DELETE":
-                self._gateway.note_left(endpoint_id)
-                return Reply(200)
-            return _failed(405, method)
+            return self._endpoint_call(path.removeprefix(ENDPOINT_PREFIX), environ)
         return _failed(404, path)
 
+    def _endpoint_call(self, named: str, environ: dict[str, Any]) -> Reply:
+        """Answer a call of an endpoint that gives this name as its id."""
+        method = environ["REQUEST_METHOD"]
+        if method not in ("PUT", "DELETE"):
+            return _failed(405, method)
+        endpoint_id = read_endpoint_id(named)
+        if isinstance(endpoint_id, Failure):
+            return _failed(400, endpoint_id.failure(), named)
+        if method == "PUT":
+            body = environ["wsgi.input"].read(MAXIMUM_BYTES + 1)
+            return self._announce(endpoint_id.unwrap(), body)
+        self._gateway.note_left(endpoint_id.unwrap())
+        return Reply(200)
+
     def _put_configuration(self, body: bytes) -> Reply:
         try:
             content = body.decode()
@@ -101,14 +114,19 @@
         return Reply(200, newest.declaration.encode())
 
     def _announce(self, endpoint_id: str, body: bytes) -> Reply:
+        if len(body) > MAXIMUM_BYTES:
+            reason = f"The body is longer than {MAXIMUM_BYTES} bytes; shorten it."
+            return _failed(413, reason, endpoint_id)
         read = read_announcement(endpoint_id, body)
         if isinstance(read, Failure):
-            return _failed(400, read.failure())
+            return _failed(400, read.failure(), endpoint_id)
         self._gateway.announce(read.unwrap())
         return Reply(200)
 
 
-def _failed(status: int, reason: str) -> Reply:
-    extra = {"status": status, "reason": reason[:MAXIMUM_LOGGED]}
+def _failed(status: int, reason: str, endpoint_id: str = "") -> Reply:
+    extra: dict[str, object] = {"status": status, "reason": reason[:MAXIMUM_LOGGED]}
+    if endpoint_id:
+        extra["endpoint_id"] = endpoint_id[:MAXIMUM_LOGGED]
     logger.info("call not accepted", extra=extra)
     return Reply(status, json.dumps({"error": reason}).encode())
--- a/src/jujubeslip/platform/_endpoint_calls.py
+++ b/src/jujubeslip/platform/_endpoint_calls.py
@@ -15,12 +15,7 @@
 )
 from jujubeslip.peers import EndpointRole
 from jujubeslip.platform import _headers as names
-from jujubeslip.routes import (
-    EngineReport,
-    ForwardedRequest,
-    PrefilledPrompt,
-    RunningAnswer,
-)
+from jujubeslip.routes import ForwardedRequest
 
 PREFILL_STAGE = "prefill"
 STAGE_BY_ROLE = {EndpointRole.PREFILL: PREFILL_STAGE, EndpointRole.DECODE: "decode"}
@@ -64,15 +59,6 @@
     )
 
 
-def read_prefilled(body: bytes) -> PrefilledPrompt | None:
-    """Return what an endpoint says of a prompt that it has read, None if unusable."""
-    try:
-        fields = json.loads(body)
-        return PrefilledPrompt(str(fields["kvHandle"]), int(fields["tokens"]))
-    except (ValueError, KeyError, TypeError):
-        return None
-
-
 def reserve(endpoint_id: str, tokens: int, ttl_ms: int) -> EndpointQuestion:
     """Return the question for a slot and this much memory of an endpoint."""
     body = json.dumps({"tokens": tokens, "ttl_ms": ttl_ms}).encode()
@@ -82,43 +68,11 @@
     )
 
 
-def read_reservation(body: bytes) -> str:
-    """Return the id of what was reserved, empty if unusable."""
-    try:
-        return str(json.loads(body)["hold"])
-    except (ValueError, KeyError, TypeError):
-        return ""
-
-
 def ask_report(endpoint_id: str) -> EndpointQuestion:
     """Return the question for an engine's state."""
     return EndpointQuestion("GET", "/report", [(names.EXPECTED_ENDPOINT, endpoint_id)])
 
 
-def read_report(body: bytes) -> EngineReport | None:
-    """Return an engine's state, None if unusable.
-
-    An item of "runs" is [request id, tokens in memory, events made, priority].
-    """
-    try:
-        fields = json.loads(body)
-        running = tuple(
-            RunningAnswer(int(item[1]), int(item[2]), str(item[0]))
-            for item in fields["runs"]
-        )
-        return EngineReport(
-            capacity_tokens=int(fields["kvCapacity"]),
-            used_tokens=int(fields["kvUsed"]),
-            waiting=int(fields["queued"]),
-            running=running,
-            orders=int(fields.get("seq", 0)),
-            busy=bool(fields.get("busy", False)),
-            reads_prompts=fields.get("stage") == PREFILL_STAGE,
-        )
-    except (ValueError, KeyError, TypeError, IndexError):
-        return None
-
-
 def order_role(order: RoleOrder) -> EndpointQuestion:
     """Return the order that gives an engine another role."""
     body = {
--- a/src/jujubeslip/platform/_plugin.py
+++ b/src/jujubeslip/platform/_plugin.py
@@ -21,14 +21,16 @@
 from jujubeslip.kernel import RequestRefusedError
 from jujubeslip.platform._configurations import read_routes
 from jujubeslip.platform._control_app import ControlApp
+from jujubeslip.platform._endpoint_answers import (
+    read_prefilled,
+    read_report,
+    read_reservation,
+)
 from jujubeslip.platform._endpoint_calls import (
     ask_report,
     endpoint_headers,
     order_role,
     read_head,
-    read_prefilled,
-    read_report,
-    read_reservation,
     release,
     reserve,
 )
@@ -68,7 +70,7 @@
         """See Interface."""
         return read_head(status, headers)
 
-    def read_prefilled(self, body: bytes) -> PrefilledPrompt | None:
+    def read_prefilled(self, body: bytes) -> Result[PrefilledPrompt, str]:
         """See Interface."""
         return read_prefilled(body)
 
@@ -76,7 +78,7 @@
         """See Interface."""
         return reserve(endpoint_id, tokens, ttl_ms)
 
-    def read_reservation(self, body: bytes) -> str:
+    def read_reservation(self, body: bytes) -> Result[str, str]:
         """See Interface."""
         return read_reservation(body)
 
@@ -84,7 +86,7 @@
         """See Interface."""
         return ask_report(endpoint_id)
 
-    def read_report(self, body: bytes) -> EngineReport | None:
+    def read_report(self, body: bytes) -> Result[EngineReport, str]:
         """See Interface."""
         return read_report(body)
 
--- a/tests/control/test_roles.py
+++ b/tests/control/test_roles.py
@@ -15,7 +15,8 @@
 from jujubeslip.interfaces import EndpointQuestion, RoleOrder
 from jujubeslip.kernel import Deadline
 from jujubeslip.peers import EndpointRole, ServicePressure
-from jujubeslip.platform._endpoint_calls import ask_report, order_role, read_report
+from jujubeslip.platform._endpoint_answers import read_report
+from jujubeslip.platform._endpoint_calls import ask_report, order_role
 from tests.fakes.engines import engine
 
 
