Play a writer of broken announcements beside the whole system

Cause: the fault showed only beyond the host that took the entry, in the hosts that watch it, so a test with processes stands beside those of each field.

Ruled out: nothing; the story was seen as told.

Change: tests/platform/test_foreign_writers.py, also with a worker that announces itself before the configuration that names its service.

Conclusion: such an entry is refused, and all others stay in use.

--- /dev/null
+++ b/tests/platform/test_foreign_writers.py
@@ -0,0 +1,88 @@
+"""The whole system beside a program that announces what can't be used."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+from tests.fakes.broken_fields import NO_NUMBER, NO_TEXT, UNKNOWN_WORD, breaks
+from tests.fakes.platform_system import (
+    PLAIN,
+    PlatformSystem,
+    configuration,
+    route,
+)
+from tests.fakes.platform_worker import PlatformWorker
+from tests.fakes.processes import wait_until
+
+# A few of each kind: each field in each way is tested without processes.
+BREAKS = breaks(
+    {
+        ("service",): NO_TEXT,
+        ("slots",): NO_NUMBER,
+        ("state",): UNKNOWN_WORD,
+        ("seq",): NO_NUMBER,
+    }
+)
+
+
+def announce(system: PlatformSystem, endpoint_id: str, body: bytes) -> int | None:
+    """Announce an endpoint at the first control host; return the status."""
+    return system._call(0, "PUT", f"/instances/{endpoint_id}", body, 3.0)[0]
+
+
+class TestEntriesOfAnotherWriter:
+    """Another program sends announcements that can't be used, one after the other.
+
+    One sequence of seventy bits is enough: the answers to all hosts that watch can't be
+    encoded any more. A worker that starts afterwards is never sent a request, and one
+    that says that it leaves goes on being sent some.
+    """
+
+    def test_leave_the_others_in_use(self, tmp_path: Path) -> None:
+        with PlatformSystem(tmp_path, controls=2, entries=1) as system:
+            with PlatformWorker("foreign", "plain") as foreign:
+                system.add(PlatformWorker("first", "plain"))
+                first_configuration = configuration(
+                    1, [route("r", "/a/", "plain", maxAttempts=1)], [PLAIN]
+                )
+                system.put_until_accepted(first_configuration)
+                system.wait_served("/a/x")
+                beat = foreign.beat()
+                statuses = {
+                    announce(system, "foreign", broken.apply(beat)) for broken in BREAKS
+                }
+                later = system.add(PlatformWorker("later", "plain"))
+                wait_until(lambda: self._reaches(system, later), "later is used")
+                assert foreign.runs == []
+                assert statuses == {400}
+                lines = system.logged("call not accepted")
+                assert {item["endpoint_id"] for item in lines} == {"foreign"}
+
+    def _reaches(self, system: PlatformSystem, worker: PlatformWorker) -> bool:
+        assert system.ask("/a/x").status == 200
+        return bool(worker.runs)
+
+
+class TestServiceThatIsNotConfigured:
+    """A worker announces itself before the configuration that names its service.
+
+    Dropped, it would lose a heartbeat or more; taken for another service's, it would be
+    sent requests that it may not run.
+    """
+
+    def test_is_kept_and_used_once_it_is_named(self, tmp_path: Path) -> None:
+        with PlatformSystem(tmp_path) as system:
+            known = system.add(PlatformWorker("known", "plain"))
+            early = system.add(PlatformWorker("early", "later"))
+            routes: list[dict[str, Any]] = [route("r", "/a/", "plain")]
+            system.put_until_accepted(configuration(1, routes, [PLAIN]))
+            system.wait_served("/a/x")
+            for _ in range(10):
+                assert system.ask("/a/x").status == 200
+            assert early.runs == [] and known.runs
+            routes.append(route("later", "/b/", "later"))
+            services = [PLAIN, {**PLAIN, "name": "later"}]
+            system.put_until_accepted(configuration(2, routes, services))
+            system.wait_served("/b/x")
+            assert early.runs
