--- a/src/jujubeslip/discovery/_records.py
+++ b/src/jujubeslip/discovery/_records.py
@@ -10,7 +10,7 @@
 from returns.result import Failure
 
 from jujubeslip.discovery._models import Endpoint, endpoint_from_record
-from jujubeslip.kernel import Address, Id, StrictModel, Text, Whole, read_fields
+from jujubeslip.kernel import EndpointAddress, Id, StrictModel, Text, Whole, read_fields
 from jujubeslip.peers import EndpointRecord, EndpointRole
 
 logger = logging.getLogger(__name__)
@@ -29,7 +29,7 @@
 
     endpoint_id: Id
     service_name: Text
-    address: Address
+    address: EndpointAddress
     availability_zone: Text
     sequence: Whole
     leaving: bool
--- a/src/jujubeslip/kernel/__init__.py
+++ b/src/jujubeslip/kernel/__init__.py
@@ -35,6 +35,7 @@
 )
 from jujubeslip.kernel._strict import (
     MAXIMUM_WHOLE,
+    EndpointAddress,
     Id,
     NotNull,
     StrictModel,
@@ -46,6 +47,7 @@
 
 __all__ = [
     "MAXIMUM_WHOLE",
+    "EndpointAddress",
     "Id",
     "NotNull",
     "StrictModel",
--- a/src/jujubeslip/kernel/_strict.py
+++ b/src/jujubeslip/kernel/_strict.py
@@ -36,6 +36,17 @@
     str, StringConstraints(pattern=rf"^[!-.0-~]{{1,{MAXIMUM_ID}}}$", strict=True)
 ]
 
+_OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
+_PORT = (
+    "([1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]"
+    "|6553[0-5])"
+)
+# IP:port in one pattern. With a check in Python, as settings have it, an announcement
+# takes 22 µs to read, and 12 with this (`python -m bench.reading_messages`).
+EndpointAddress = Annotated[
+    str, StringConstraints(pattern=rf"^{_OCTET}(\.{_OCTET}){{3}}:{_PORT}$")
+]
+
 Model = TypeVar("Model", bound=BaseModel)
 
 
--- a/src/jujubeslip/platform/_announcements.py
+++ b/src/jujubeslip/platform/_announcements.py
@@ -9,8 +9,8 @@
 
 from jujubeslip.discovery import Endpoint, Slots
 from jujubeslip.kernel import (
-    Address,
     Deadline,
+    EndpointAddress,
     Id,
     NotNull,
     StrictModel,
@@ -43,7 +43,7 @@
     id: Annotated[Id | None, NotNull] = None
     """Its id once more; the path's is the one that counts."""
     service: Text
-    address: Address
+    address: EndpointAddress
     zone: Text
     version: Text
     """Of its software."""
--- a/tests/discovery/test_told_records.py
+++ b/tests/discovery/test_told_records.py
@@ -9,6 +9,8 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
+from thrift.TSerialization import deserialize, serialize
 
 from jujubeslip.discovery import (
     ControlFollowers,
@@ -101,6 +103,16 @@
         told.take(broken_record(("sequence", 1000), *several))
         assert told.by_id() == before
 
+    def test_whose_text_is_no_utf_8_is_left_out(self) -> None:
+        protocol = TBinaryProtocolAcceleratedFactory()
+        sound = serialize(to_record(engine("foreign")), protocol)
+        broken = deserialize(
+            EndpointRecord(), sound.replace(b"foreign", b"\xff\xfereign"), protocol
+        )
+        told = Told()
+        told.take(to_record(engine("a")), broken, to_record(engine("b")))
+        assert set(told.by_id()) == {"a", "b"}
+
     @pytest.mark.parametrize("role", list(EndpointRole))
     def test_is_not_what_each_known_role_is(self, role: EndpointRole) -> None:
         told = Told()
