Take only announcements that every other host takes

Cause: a slow start of 2^53 - 1 ms was accepted here; what is left of it, in seconds and back, could round to one more, which the hosts that are told refuse.

Ruled out: looser bounds between hosts; the two would drift apart again.

Conclusion: what is acknowledged is usable by all.

--- a/src/jujubeslip/platform/_announcements.py
+++ b/src/jujubeslip/platform/_announcements.py
@@ -31,6 +31,9 @@
 LEAVING_STATE = "draining"
 # Longest body that is read, in bytes; an announcement with one model has some 300.
 MAXIMUM_BYTES = 65_536
+# How long an endpoint may say that it stays slow, in milliseconds: a day. The other
+# hosts are told what is left, which must stay in the bounds of what they take.
+MAXIMUM_COLD_MS = 24 * 3600 * 1000
 
 
 class _WireModel(StrictModel):
@@ -49,7 +52,7 @@
     """Of its software."""
     slots: Slots
     state: Literal["ready", "draining"]
-    cold_left_ms: Whole = Field(alias="coldLeftMs")
+    cold_left_ms: int = Field(alias="coldLeftMs", ge=0, le=MAXIMUM_COLD_MS)
     """For how much longer it is slow after its start."""
     stage: Annotated[Literal["prefill", "decode"] | None, NotNull] = None
     models: Annotated[tuple[_WireModel, ...] | None, NotNull] = None
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -16,7 +16,12 @@
 from hypothesis import strategies as st
 
 from jujubeslip.control import ControlGateway
-from jujubeslip.discovery import Endpoint, EndpointBook, to_record
+from jujubeslip.discovery import (
+    Endpoint,
+    EndpointBook,
+    to_record,
+    usable_endpoints,
+)
 from jujubeslip.peers import EndpointRole
 from jujubeslip.platform._control_app import ControlApp
 from tests.fakes.broken_fields import (
@@ -76,6 +81,11 @@
 BAD_IDS = ("", "a b", "a\r\nX: y", "a/b", "\xff", "x" * 1000)
 
 
+def numbers(least: int, most: int) -> st.SearchStrategy[int]:
+    """Return whole numbers in these bounds, often at one of them."""
+    return st.sampled_from([least, most, most - 1]) | st.integers(least, most)
+
+
 class Host:
     """What a control host answers to endpoints, and what it then knows."""
 
@@ -215,6 +225,36 @@
         assert list(host.told()) == ["e-1"]
 
 
+class TestWhatIsAccepted:
+    """A number is just small enough for the host that takes the announcement.
+
+    It is acknowledged; the hosts that are told of it refuse it, and never use it.
+    """
+
+    @given(
+        service=st.text(st.characters(codec="utf-8"), min_size=1, max_size=255),
+        slots=numbers(1, 1_000_000),
+        seq=numbers(0, 2**53 - 1),
+        cold_ms=numbers(0, 24 * 3600 * 1000),
+    )
+    @settings(deadline=None, max_examples=100)
+    def test_is_usable_for_all_hosts(
+        self, service: str, slots: int, seq: int, cold_ms: int
+    ) -> None:
+        host = Host()
+        host.announce("e", service=service, slots=slots, seq=seq, coldLeftMs=cold_ms)
+        [kept] = host.book.endpoints()
+        [told] = usable_endpoints("host", [received(to_record(kept))])
+        assert (told.service_name, told.slots, told.sequence) == (service, slots, seq)
+
+    def test_is_no_longer_than_a_day_of_a_slow_start(self, host: Host) -> None:
+        before = host.told()
+        body = json.dumps({**ENGINE, "coldLeftMs": 24 * 3600 * 1000 + 1}).encode()
+        assert "'coldLeftMs'" in host.put("foreign", body)
+        assert host.status == 400
+        assert host.told() == before
+
+
 class TestSoundAnnouncement:
     def test_of_an_engine_is_taken(self) -> None:
         host = Host()
