Test what becomes of reports that can't be used

Cause: each broken field of a report is tested where it is read; what the three that ask for reports make of it was not.

--- a/tests/control/test_roles.py
+++ b/tests/control/test_roles.py
@@ -86,17 +86,18 @@
 
     def __init__(self) -> None:
         self.orders = 0
+        self.report: dict[str, object] = REPORT
 
     def __call__(
         self, endpoint: Endpoint, question: EndpointQuestion
     ) -> tuple[int, bytes]:
         if question.method == "GET":
-            return 200, json.dumps(REPORT).encode()
+            return 200, json.dumps(self.report).encode()
         self.orders += 1
         return 202, b""
 
 
-REPORT = {
+REPORT: dict[str, object] = {
     "stage": "prefill",
     "queued": 0,
     "kvUsed": 0,
@@ -126,6 +127,25 @@
         assert asked.orders == orders
 
 
+class TestReportThatIsNotUsable:
+    """An engine says with a text how many orders it has accepted.
+
+    Taken for a number, or for none, it would be ordered with a number that is wrong.
+    """
+
+    def test_brings_no_order(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        book = EndpointBook()
+        book.take(engines(0, 3).decode)
+        keeper, asked = role_keeper(monkeypatch, book, {"model"})
+        monkeypatch.setattr(keeper, "_fence", lambda: Fence(1, Deadline.after(10)))
+        asked.report = {**REPORT, "seq": "0"}
+        keeper.look()
+        assert asked.orders == 0
+        asked.report = REPORT
+        keeper.look()
+        assert asked.orders == 1
+
+
 def role_keeper(
     monkeypatch: pytest.MonkeyPatch, book: EndpointBook, named: set[str]
 ) -> tuple[RoleKeeper, Asked]:
