Bound the lines about records that can't be used

Cause: warnings are written without a bound; a host that tells of a broken endpoint does so at each renewal.

Tests: tests/discovery, tests/control/test_watches.py, tests/telemetry pass.

--- a/src/jujubeslip/control/_watches.py
+++ b/src/jujubeslip/control/_watches.py
@@ -60,7 +60,7 @@
             usable.append(pressure)
             continue
         extra = {"watcher_id": watcher_id, "problem": read.failure()}
-        logger.warning("host's load not usable", extra=extra)
+        logger.info("host's load not usable", extra=extra)
     return usable
 
 
--- a/src/jujubeslip/discovery/_records.py
+++ b/src/jujubeslip/discovery/_records.py
@@ -61,4 +61,4 @@
         "endpoint_id": str(record.endpoint_id)[:MAXIMUM_LOGGED],
         "problem": problem,
     }
-    logger.warning("endpoint's record not usable", extra=extra)
+    logger.info("endpoint's record not usable", extra=extra)
