Catch SIGHUP before a host's libraries are loaded

Cause: Python ends a process without a handler at SIGHUP, and ours was set after the imports, about half a second after the start on a small machine.

Change: a module without imports notes the signal, for the commands that run a host; the process acts on it once it can. Left: the interpreter's own start, some 20 ms.

--- a/src/jujubeslip/kernel/_lifecycle.py
+++ b/src/jujubeslip/kernel/_lifecycle.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 
+from jujubeslip._reload_signal import reload_was_asked
+
 logger = logging.getLogger(__name__)
 
 MAXIMUM_TASKS = 1024
@@ -100,6 +102,9 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._note_signal)
         signal.signal(signal.SIGHUP, self._note_reload)
+        if reload_was_asked():
+            # Before this, while settings may have been read already.
+            self._reload_wanted = True
 
     def _note_signal(self, *_: object) -> None:
         """Note the signal without a lock.
