--- a/tests/fakes/platform_system.py
+++ b/tests/fakes/platform_system.py
@@ -219,21 +219,33 @@
         self, worker: PlatformWorker, state: str = "ready", control: int = 0
     ) -> int:
         """Announce a worker once; return the status."""
-        body = json.dumps(worker.beat(state)).encode()
-        path = f"/instances/{worker.worker_id}"
-        return self._call(control, "PUT", path, body, 3.0)[0] or 0
+        return self.tell(worker.worker_id, worker.beat(state), control)
+
+    def tell(self, worker_id: str, beat: dict[str, Any], control: int = 0) -> int:
+        """Let an announcement arrive, which may be an old one; return the status."""
+        path = f"/instances/{worker_id}"
+        return self._call(control, "PUT", path, json.dumps(beat).encode(), 3.0)[0] or 0
 
     def leave(self, worker: PlatformWorker, control: int = 0) -> int:
         """Announce that a worker has left; return the status."""
         path = f"/instances/{worker.worker_id}"
         return self._call(control, "DELETE", path, None, 3.0)[0] or 0
 
-    def add(self, worker: PlatformWorker) -> PlatformWorker:
+    def add(self, worker: PlatformWorker, control: int = 0) -> PlatformWorker:
         """Announce a worker from now on, and close it at the end."""
         self._workers.append(worker)
-        wait_until(lambda: self.beat(worker) == 200, f"{worker.worker_id} announced")
+        wait_until(
+            lambda: self.beat(worker, control=control) == 200,
+            f"{worker.worker_id} announced",
+        )
         return worker
 
+    def restart(self, worker: PlatformWorker, **changed: Any) -> PlatformWorker:
+        """Kill a worker and announce its next start; return that."""
+        self.withdraw(worker)
+        started_at_ms = (worker.started_at_ms or 0) + 5000
+        return self.add(worker.killed_and_back(started_at_ms, **changed))
+
     def withdraw(self, worker: PlatformWorker) -> None:
         """Announce a worker no more."""
         self._workers.remove(worker)
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -2,12 +2,15 @@
 
 It speaks what the platform's workers speak: ids, refusals that say "not run", stages
 with handles, reservations, reports, event streams. A test orders faults by setting the
-attributes of `WorkerFaults`, and reads what ran from `runs`.
+attributes of `WorkerFaults`, and reads what ran from `runs`. `killed_and_back` gives
+the next start of a worker, which knows nothing of the one before.
 """
 
 from __future__ import annotations
 
+import contextlib
 import json
+import socket
 import threading
 import time
 from dataclasses import dataclass, field
@@ -77,6 +80,9 @@
     events: int = 5
     run_seconds: float = 0.0
     capacity: int = 100_000
+    started_at_ms: int | None = None
+    """The start that it tells of itself, None if it doesn't tell."""
+    listens_at: str = "127.0.0.1:0"
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     runs: list[WorkerRun] = field(default_factory=list)
     prompts_read: list[str] = field(default_factory=list)
@@ -86,10 +92,12 @@
     def __post_init__(self) -> None:
         self.closed = threading.Event()
         self.sequence = 0
+        self.orders = 0
+        self.sockets: set[socket.socket] = set()
         self.reservations: dict[str, int] = {}
         self.handles: set[str] = set()
         handler = type("BoundHandler", (WorkerHandler,), {"worker": self})
-        self._server: StandInServer = listen("127.0.0.1:0", handler)
+        self._server: StandInServer = listen(self.listens_at, handler)
         host, port = self._server.server_address[:2]
         self.address = f"{host!s}:{port}"
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
@@ -111,10 +119,34 @@
         self._server.shutdown()
         self._server.server_close()
 
+    def kill(self) -> None:
+        """Stop serving, and break off all connections as a killed process does."""
+        self.close()
+        for sock in list(self.sockets):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+    def killed_and_back(
+        self,
+        started_at_ms: int,
+        same_address: bool = True,
+        stage: str | None = None,
+    ) -> PlatformWorker:
+        """Kill this start, and return the next one under the same id."""
+        self.kill()
+        return PlatformWorker(
+            self.worker_id,
+            self.service,
+            self.stage if stage is None else stage,
+            started_at_ms=started_at_ms,
+            listens_at=self.address if same_address else "127.0.0.1:0",
+        )
+
     def beat(self, state: str = "ready") -> dict[str, Any]:
         """Return the next announcement."""
         self.sequence += 1
         return {
+            **self.told_start(),
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
@@ -127,6 +159,10 @@
             "seq": self.sequence,
         }
 
+    def told_start(self) -> dict[str, Any]:
+        """Return what all that it says of itself says of its start."""
+        return {} if self.started_at_ms is None else {"born": self.started_at_ms}
+
     def run_ids(self) -> list[str]:
         """Return the ids of the requests that ran, in order."""
         return [run.request_id for run in self.runs]
@@ -137,6 +173,16 @@
 
     worker: PlatformWorker
 
+    def setup(self) -> None:
+        """Note the connection, which ends with the worker."""
+        super().setup()
+        self.worker.sockets.add(self.connection)
+
+    def finish(self) -> None:
+        """Forget the connection."""
+        self.worker.sockets.discard(self.connection)
+        super().finish()
+
     def _dispatch(self, method: str) -> None:
         body = self.read_body()
         expected = self.headers.get("Expect-Instance", self.worker.worker_id)
@@ -171,7 +217,9 @@
         self.reply(
             200,
             {
+                **self.worker.told_start(),
                 "stage": self.worker.stage,
+                "seq": self.worker.orders,
                 "queued": 0,
                 "running": 0,
                 "kvUsed": used,
