--- a/src/jujubeslip/admission/_engine_follower.py
+++ b/src/jujubeslip/admission/_engine_follower.py
@@ -64,6 +64,11 @@
         if report is None:
             self._note(False, f"the answer {status} is no report")
             return
+        # At the address of a start that is gone, the next one answers by the same id:
+        # its report would be taken for that of answers which have ended.
+        if not engine.may_be(report.started_at_ms):
+            self._note(False, "another start answers at its address")
+            return
         self._note(True, "")
         self._on_report(engine, report)
 
--- a/src/jujubeslip/admission/_engine_memory.py
+++ b/src/jujubeslip/admission/_engine_memory.py
@@ -26,11 +26,10 @@
 
 
 class EngineMemory:
-    """One engine's answers; guarded by its pool's lock."""
+    """The answers of one start of an engine; guarded by its pool's lock."""
 
     def __init__(self, endpoint: Endpoint) -> None:
-        self.endpoint_id = endpoint.endpoint_id
-        self.availability_zone = endpoint.availability_zone
+        self.endpoint = endpoint
         self._report: EngineReport | None = None
         self._reported_at = float("-inf")
         self._pace = FIRST_PACE
@@ -84,7 +83,7 @@
         request_id = admitted.applicant.request_id
         self._ended_at_by_id.pop(request_id, None)
         self._admitted_by_id[request_id] = admitted
-        if not admitted.grant.reader_id:
+        if admitted.grant.reader is None:
             self._reading.add(request_id)
 
     def note_read(self, request_id: str) -> None:
--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -57,7 +57,7 @@
         self._options = options
         self._leads = leads
         self._pool_by_service: dict[str, EnginePool] = {}
-        self._follower_by_endpoint: dict[str, EngineFollower] = {}
+        self._follower_by_start: dict[str, EngineFollower] = {}
         self._asked_at = float("-inf")
         self._meters = AdmissionMeters()
         self._lock = threading.Lock()
@@ -76,7 +76,7 @@
             self.look()
             raise _no_engine_known()
         applicant = read_applicant(request)
-        decision = pool.ask(applicant, request.avoided_endpoint_ids or (), until)
+        decision = pool.ask(applicant, request.avoided_start_ids or (), until)
         self._meters.note(request.service_name, decision)
         self._log(request, decision)
         return _reply(decision)
@@ -119,22 +119,22 @@
         )
 
     def _follow(self, engines: Sequence[Endpoint]) -> list[EngineFollower]:
-        """Follow these engines and no others; return the followers that are new."""
-        wanted = {engine.endpoint_id for engine in engines}
-        for endpoint_id in self._follower_by_endpoint.keys() - wanted:
-            self._follower_by_endpoint.pop(endpoint_id).stop()
+        """Follow these starts and no others; return the followers that are new."""
+        wanted = {engine.start_id for engine in engines}
+        for start_id in self._follower_by_start.keys() - wanted:
+            self._follower_by_start.pop(start_id).stop()
         added = []
         for engine in engines:
-            if engine.endpoint_id not in self._follower_by_endpoint:
+            if engine.start_id not in self._follower_by_start:
                 follower = EngineFollower(
                     engine, self._interface, self._process, self._take_report
                 )
-                self._follower_by_endpoint[engine.endpoint_id] = follower
+                self._follower_by_start[engine.start_id] = follower
                 added.append(follower)
         return added
 
     def _take_report(self, engine: Endpoint, report: EngineReport) -> None:
-        self._pool(engine.service_name).take_report(engine.endpoint_id, report)
+        self._pool(engine.service_name).take_report(engine.start_id, report)
 
     def _pool(self, service_name: str) -> EnginePool:
         with self._lock:
@@ -157,8 +157,10 @@
         if decision.grant is None:
             logger.info("no grant at an engine", extra=extra)
             return
-        extra["endpoint_id"] = decision.grant.endpoint_id
-        extra["reader_id"] = decision.grant.reader_id
+        reader = decision.grant.reader
+        extra["endpoint_id"] = decision.grant.endpoint.endpoint_id
+        extra["started_at_ms"] = decision.grant.endpoint.started_at_ms
+        extra["reader_id"] = reader.endpoint_id if reader else ""
         extra["fill"] = round(decision.grant.fill, 3)
         extra["report_age_ms"] = decision.grant.report_age_ms
         logger.info("grant at an engine", extra=extra)
@@ -170,9 +172,9 @@
         grant = decision.grant
         return AdmissionReply(
             AdmissionStatus.ADMITTED,
-            grant.endpoint_id,
+            grant.endpoint.start_id,
             forecast_ms,
-            grant.reader_id,
+            grant.reader.start_id if grant.reader else "",
             int(grant.read_seconds * 1000),
         )
     refused = decision.refused
--- a/src/jujubeslip/admission/_models.py
+++ b/src/jujubeslip/admission/_models.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from jujubeslip.admission._lengths import AnswerLengths, lengths_of
+from jujubeslip.discovery import Endpoint
 from jujubeslip.kernel import Deadline
 from jujubeslip.peers import AdmissionRequest
 
@@ -41,13 +42,14 @@
 class Grant:
     """A grant at an engine that a request was given."""
 
-    endpoint_id: str
+    endpoint: Endpoint
+    """The engine that answers."""
     fill: float
     """Share of the engine's memory that its answers are expected to need at most."""
     report_age_ms: int
     """How old the engine's report is that this was decided by."""
-    reader_id: str = ""
-    """The engine that reads the prompt, empty where the answering one does."""
+    reader: Endpoint | None = None
+    """The engine that reads the prompt, None where the answering one does."""
     read_seconds: float = 0.0
     """How long that should take."""
 
--- a/src/jujubeslip/admission/_pool.py
+++ b/src/jujubeslip/admission/_pool.py
@@ -83,8 +83,8 @@
     def __init__(self, service_name: str, options: MemoryOptions) -> None:
         self._service_name = service_name
         self._options = options
-        self._engine_by_id: dict[str, EngineMemory] = {}
-        self._reader_by_id: dict[str, PromptQueue] = {}
+        self._engine_by_start: dict[str, EngineMemory] = {}
+        self._reader_by_start: dict[str, PromptQueue] = {}
         self._waiting_by_id: dict[str, _Waiting] = {}
         self._read_speed = FIRST_TOKENS_PER_SECOND
         self._interval = FIRST_INTERVAL_SECONDS
@@ -96,18 +96,22 @@
     def set_engines(
         self, answering: Collection[Endpoint], reading: Collection[Endpoint]
     ) -> None:
-        """Give grants at the first ones, and prompts to the second ones, only."""
+        """Give grants at the first ones, and prompts to the second ones, only.
+
+        What was given at a start that is gone goes with it: its next one begins with
+        nothing, and late ends of requests at the one before change nothing there.
+        """
         with self._changed:
-            _keep_only(self._engine_by_id, answering, EngineMemory)
-            _keep_only(self._reader_by_id, reading, PromptQueue)
+            _keep_only(self._engine_by_start, answering, EngineMemory)
+            _keep_only(self._reader_by_start, reading, PromptQueue)
 
-    def take_report(self, endpoint_id: str, report: EngineReport) -> None:
-        """Take over what an engine says of itself."""
+    def take_report(self, start_id: str, report: EngineReport) -> None:
+        """Take over what a start of an engine says of itself."""
         with self._changed:
-            engine = self._engine_by_id.get(endpoint_id)
+            engine = self._engine_by_start.get(start_id)
             if engine is not None:
                 engine.take_report(report)
-            reader = self._reader_by_id.get(endpoint_id)
+            reader = self._reader_by_start.get(start_id)
             if reader is not None:
                 reader.take_report(report)
                 self._read_speed = reader.speed
@@ -117,7 +121,7 @@
     def usable(self) -> bool:
         """Say whether any engine is known well enough to be given requests."""
         with self._changed:
-            return any(engine.usable for engine in self._engine_by_id.values())
+            return any(engine.usable for engine in self._engine_by_start.values())
 
     # Requests
 
@@ -150,22 +154,22 @@
             if waiting is not None and waiting.applicant.attempt == attempt:
                 self._decide(waiting, Decision(None, True, waiting.forecast))
             self._note_read(request_id)
-            for engine in self._engine_by_id.values():
+            for engine in self._engine_by_start.values():
                 engine.end(request_id, attempt)
             self._changed.notify_all()
 
     def _given_before(self, applicant: Applicant) -> Grant | None:
         """Return the grant of a request that asks again after a lost answer."""
-        for engine in self._engine_by_id.values():
+        for engine in self._engine_by_start.values():
             admitted = engine.find(applicant.request_id, applicant.attempt)
             if admitted is not None:
                 return admitted.grant
         return None
 
     def _note_read(self, request_id: str) -> None:
-        for reader in self._reader_by_id.values():
+        for reader in self._reader_by_start.values():
             reader.note_read(request_id)
-        for engine in self._engine_by_id.values():
+        for engine in self._engine_by_start.values():
             engine.note_read(request_id)
 
     def _enter(self, applicant: Applicant, avoided: frozenset[str]) -> _Waiting:
@@ -219,9 +223,11 @@
     def _admit(self, waiting: _Waiting, grant: Grant) -> Decision:
         now = steady_seconds()
         applicant = waiting.applicant
-        self._engine_by_id[grant.endpoint_id].admit(Admitted(applicant, grant, now))
-        if grant.reader_id:
-            self._reader_by_id[grant.reader_id].give(applicant)
+        self._engine_by_start[grant.endpoint.start_id].admit(
+            Admitted(applicant, grant, now)
+        )
+        if grant.reader is not None:
+            self._reader_by_start[grant.reader.start_id].give(applicant)
         self._interval += INTERVAL_WEIGHT * (now - self._busy_since - self._interval)
         self._busy_since = now
         return self._decide(waiting, Decision(grant, False, waiting.forecast))
@@ -261,8 +267,8 @@
             )
         grants = [
             grant
-            for engine in self._engine_by_id.values()
-            if engine.usable and engine.endpoint_id not in waiting.avoided
+            for engine in self._engine_by_start.values()
+            if engine.usable and engine.endpoint.start_id not in waiting.avoided
             if reader is not None or self._may_read(engine, waiting.applicant)
             if (grant := self._grant_at(engine, waiting.applicant)) is not None
         ]
@@ -276,20 +282,19 @@
             return found
         return replace(
             found,
-            reader_id=reader.endpoint_id,
+            reader=reader.endpoint,
             read_seconds=reader.seconds_for(waiting.applicant.prompt_tokens),
         )
 
     def _cost(self, grant: Grant, own_zone: str) -> float:
-        engine = self._engine_by_id[grant.endpoint_id]
-        is_near = engine.availability_zone == own_zone
+        is_near = grant.endpoint.availability_zone == own_zone
         return grant.fill + (0.0 if is_near else OTHER_ZONE_FILL)
 
     def _readers(self, waiting: _Waiting) -> list[PromptQueue]:
         return [
             reader
-            for reader in self._reader_by_id.values()
-            if reader.usable and reader.endpoint_id not in waiting.avoided
+            for reader in self._reader_by_start.values()
+            if reader.usable and reader.endpoint.start_id not in waiting.avoided
         ]
 
     def _may_read(self, engine: EngineMemory, applicant: Applicant) -> bool:
@@ -317,7 +322,7 @@
         fill = forecast_peak(answers, self._options.caution) / capacity
         if fill > 1 - self._options.margin:
             return None
-        return Grant(engine.endpoint_id, fill, int(engine.report_age * 1000))
+        return Grant(engine.endpoint, fill, int(engine.report_age * 1000))
 
 
 def _rank(applicant: Applicant, now: float) -> tuple[bool, float, str]:
@@ -326,10 +331,12 @@
 
 
 def _keep_only(
-    by_id: dict[str, T], wanted: Collection[Endpoint], create: Callable[[Endpoint], T]
+    by_start: dict[str, T],
+    wanted: Collection[Endpoint],
+    create: Callable[[Endpoint], T],
 ) -> None:
-    for endpoint_id in by_id.keys() - {endpoint.endpoint_id for endpoint in wanted}:
-        del by_id[endpoint_id]
+    for start_id in by_start.keys() - {endpoint.start_id for endpoint in wanted}:
+        del by_start[start_id]
     for endpoint in wanted:
-        if endpoint.endpoint_id not in by_id:
-            by_id[endpoint.endpoint_id] = create(endpoint)
+        if endpoint.start_id not in by_start:
+            by_start[endpoint.start_id] = create(endpoint)
--- a/src/jujubeslip/admission/_prompt_queue.py
+++ b/src/jujubeslip/admission/_prompt_queue.py
@@ -22,14 +22,14 @@
 
 
 class PromptQueue:
-    """One engine that reads prompts; guarded by its pool's lock.
+    """One start of an engine that reads prompts; guarded by its pool's lock.
 
     Prompts wait at the home and not at the engine: there, the most urgent one goes
     first, and none holds another engine's memory while it waits.
     """
 
     def __init__(self, endpoint: Endpoint) -> None:
-        self.endpoint_id = endpoint.endpoint_id
+        self.endpoint = endpoint
         self._tokens_by_request: dict[str, int] = {}
         self._given_at_by_request: dict[str, float] = {}
         self._read_seconds = SPEED_SECONDS
--- a/src/jujubeslip/control/_gateway.py
+++ b/src/jujubeslip/control/_gateway.py
@@ -48,12 +48,16 @@
         """Take an endpoint's announcement; return once it may be acknowledged."""
         self._confirm(self._book.take([endpoint]), [endpoint.endpoint_id])
 
-    def note_left(self, endpoint_id: str) -> None:
-        """Note that an endpoint has left; return once that may be acknowledged."""
-        self._confirm(self._book.note_left(endpoint_id), [endpoint_id])
+    def note_left(self, endpoint_id: str, started_at_ms: int = 0) -> None:
+        """Note that an endpoint has left; return once that may be acknowledged.
+
+        `started_at_ms` is the start that said so, 0 if it didn't say which.
+        """
+        version = self._book.note_left(endpoint_id, started_at_ms)
+        self._confirm(version, [endpoint_id])
 
     def _confirm(self, version: int, endpoint_ids: Iterable[str]) -> None:
         """Wait for the watchers where an endpoint leaves, not at each renewal."""
         known = [self._book.find(endpoint_id) for endpoint_id in endpoint_ids]
-        if any(endpoint is not None and endpoint.leaving for endpoint in known):
+        if any(endpoint is not None and not endpoint.stays for endpoint in known):
             self._watches.wait_until_told(version, Deadline.after(CONFIRM_SECONDS))
--- a/src/jujubeslip/control/_meters.py
+++ b/src/jujubeslip/control/_meters.py
@@ -44,7 +44,7 @@
 
     def endpoints(_: CallbackOptions) -> Iterable[Observation]:
         known = Counter(
-            (item.service_name, item.role.name.lower(), str(item.leaving).lower())
+            (item.service_name, item.role.name.lower(), str(not item.stays).lower())
             for item in book.endpoints()
         )
         return [
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -202,6 +202,10 @@
         report = self._interface.read_report(body) if status == 200 else None
         if report is None or report.busy:
             return None
+        # Of another start it would count that one's orders: an order that expects them
+        # could be carried out by a start whose role nobody has weighed.
+        if not endpoint.may_be(report.started_at_ms):
+            return None
         return report.orders
 
     def _ask(self, endpoint: Endpoint, question: EndpointQuestion) -> tuple[int, bytes]:
--- a/src/jujubeslip/discovery/_book.py
+++ b/src/jujubeslip/discovery/_book.py
@@ -17,6 +17,16 @@
 # longer than any announcement can be delayed, so that a late one of an endpoint that
 # left can't bring it back.
 REMEMBERED_SECONDS = 300.0
+# A start that was not heard for this long gives way to one with an earlier time, in
+# seconds. The clock of an endpoint may go back between two starts: the new one would
+# be kept out for as long as the one before is remembered. It is longer than an
+# announcement of a start that is gone can be on its way, delayed for some seconds or
+# behind a network partition, in all but rare cases; what is lost in those is
+# that a dead start is tried until it was not heard for some seconds again.
+GIVES_WAY_SECONDS = 30.0
+# Two hosts know of the same removal by clocks that differ by the time that a message
+# takes. Instants that are closer than this are the same removal, in seconds.
+SAME_REMOVAL_SECONDS = 1.0
 # An engine that was not heard for this long is given nothing by the leader, in seconds:
 # engines announce themselves about once a second, at times some seconds late.
 SILENT_SECONDS = 5.0
@@ -29,12 +39,15 @@
 
 
 class EndpointBook:
-    """What is known of each endpoint's start; may be used by many threads.
+    """What is known of each endpoint's latest start; may be used by many threads.
 
     Announcements reach different hosts, late and out of order, so two rules hold for
-    each endpoint id. Only a higher sequence brings newer facts. And `leaving` is never
-    taken back: an older "ready" that arrives after it would otherwise send work to an
+    each start. Only a higher sequence brings newer facts. And `leaving` is never taken
+    back: an older "ready" that arrives after it would otherwise send work to an
     endpoint that is about to exit.
+
+    Of two starts under one id the later one counts, by the time that the endpoint
+    tells; nothing that the earlier one said, or says late, holds for it.
     """
 
     def __init__(self) -> None:
@@ -74,16 +87,27 @@
             endpoint
             for endpoint in self.endpoints()
             if endpoint.role != EndpointRole.PLAIN
-            and not endpoint.leaving
+            and endpoint.stays
             and endpoint.heard_at >= heard_since
         ]
 
     def find(self, endpoint_id: str) -> Endpoint | None:
-        """Return what is known of this start of an endpoint."""
+        """Return what is known of an endpoint's latest start."""
         with self._changed:
             entry = self._entry_by_id.get(endpoint_id)
             return entry.endpoint if entry else None
 
+    def find_start(self, start_id: str) -> Endpoint | None:
+        """Return what is known of a start, None if it is not the latest one."""
+        return next(
+            (item for item in self.endpoints() if item.start_id == start_id), None
+        )
+
+    def is_over(self, endpoint: Endpoint) -> bool:
+        """Say whether another start is known to have taken this one's place."""
+        latest = self.find(endpoint.endpoint_id)
+        return latest is not None and latest.start_id != endpoint.start_id
+
     def take(self, told: Iterable[Endpoint]) -> int:
         """Take over what is newer, and return the version that includes it."""
         with self._changed:
@@ -91,12 +115,15 @@
                 self._take_one(endpoint)
             return self._version
 
-    def note_left(self, endpoint_id: str) -> int:
-        """Note that an endpoint has left, and return the version that includes it."""
+    def note_left(self, endpoint_id: str, started_at_ms: int = 0) -> int:
+        """Note that an endpoint has left, and return the version that includes it.
+
+        One that says which start it is for is final, and nothing to other starts.
+        """
         with self._changed:
             known = self._entry_by_id.get(endpoint_id)
             if known is not None and not known.endpoint.leaving:
-                self._store(replace(known.endpoint, leaving=True), material=True)
+                self._remove(known.endpoint, started_at_ms)
             return self._version
 
     def changes_since(self, version: int) -> tuple[int, list[Endpoint]]:
@@ -133,13 +160,25 @@
             self._store(told, material=True)
             return
         older = known.endpoint
-        leaving = older.leaving or told.leaving
-        if told.sequence > older.sequence:
-            newer = replace(told, leaving=leaving)
-            newer = replace(newer, heard_at=max(older.heard_at, told.heard_at))
+        same_start = told.started_at_ms == older.started_at_ms
+        newer = _merged(older, told) if same_start else _latest(older, told)
+        if newer != older:
             self._store(newer, material=_differs(older, newer))
-        elif leaving and not older.leaving:
-            self._store(replace(older, leaving=True), material=True)
+
+    def _remove(self, known: Endpoint, started_at_ms: int) -> None:
+        if not known.may_be(started_at_ms):
+            extra = {
+                "endpoint_id": known.endpoint_id,
+                "started_at_ms": known.started_at_ms,
+                "removed_start_ms": started_at_ms,
+            }
+            logger.info("removal of another start", extra=extra)
+            return
+        if started_at_ms:
+            removed = replace(known, leaving=True)
+        else:
+            removed = replace(known, removed_at=steady_seconds())
+        self._store(removed, material=_differs(known, removed))
 
     def _store(self, endpoint: Endpoint, material: bool) -> None:
         self._version += 1
@@ -156,8 +195,9 @@
                 "service": endpoint.service_name,
                 "address": endpoint.address,
                 "role": endpoint.role.name,
+                "started_at_ms": endpoint.started_at_ms,
                 "sequence": endpoint.sequence,
-                "leaving": endpoint.leaving,
+                "leaving": not endpoint.stays,
                 "book_version": self._version,
             },
         )
@@ -169,10 +209,44 @@
                 del self._entry_by_id[endpoint_id]
 
 
+def _merged(older: Endpoint, told: Endpoint) -> Endpoint:
+    """Return what is known of one start after a further account of it."""
+    newer = older
+    if told.sequence > older.sequence:
+        newer = replace(told, heard_at=max(older.heard_at, told.heard_at))
+    return replace(
+        newer,
+        leaving=older.leaving or told.leaving,
+        restarted=older.restarted or told.restarted,
+        removed_at=_latest_removal(older.removed_at, told.removed_at),
+    )
+
+
+def _latest(older: Endpoint, told: Endpoint) -> Endpoint:
+    """Return the start that counts of two that differ.
+
+    Decided by the two alone, so that hosts which hear of them in another order, or
+    tell each other, end with the same one.
+    """
+    heard_since = steady_seconds() - GIVES_WAY_SECONDS
+    latest = max(
+        (older, told),
+        key=lambda item: (item.heard_at > heard_since, item.started_at_ms),
+    )
+    return replace(latest, restarted=True)
+
+
+def _latest_removal(known: float | None, told: float | None) -> float | None:
+    if known is None or told is None:
+        return told if known is None else known
+    return told if told > known + SAME_REMOVAL_SECONDS else known
+
+
 def _differs(older: Endpoint, newer: Endpoint) -> bool:
     """Say whether more than a renewal has changed."""
     return (
-        older.leaving != newer.leaving
+        older.started_at_ms != newer.started_at_ms
+        or older.stays != newer.stays
         or older.address != newer.address
         or older.role != newer.role
         or older.service_name != newer.service_name
--- a/src/jujubeslip/endpoints/_connections.py
+++ b/src/jujubeslip/endpoints/_connections.py
@@ -210,18 +210,22 @@
 
 
 class ConnectionPool:
-    """Keeps idle connections by the endpoint's id, the latest used first."""
+    """Keeps idle connections by the endpoint's start, the latest used first.
+
+    By the id alone, a request for a new start could be sent over a connection to the
+    start before: it would be lost, and nobody could say that it has not run.
+    """
 
     def __init__(self) -> None:
-        self._idle_by_endpoint: dict[str, list[EndpointConnection]] = {}
+        self._idle_by_start: dict[str, list[EndpointConnection]] = {}
         self._lock = threading.Lock()
 
-    def take(self, endpoint_id: str, address: str) -> EndpointConnection:
+    def take(self, start_id: str, address: str) -> EndpointConnection:
         """Return an idle connection that is sound, else a new one.
 
         Raises EndpointUnreachableError when no connection can be opened.
         """
-        while (kept := self._pop(endpoint_id)) is not None:
+        while (kept := self._pop(start_id)) is not None:
             if not kept.idle_until.expired and kept.is_clean():
                 return kept
             kept.close()
@@ -229,7 +233,7 @@
 
     def give_back(
         self,
-        endpoint_id: str,
+        start_id: str,
         connection: EndpointConnection,
         idle_seconds: float | None,
     ) -> None:
@@ -242,37 +246,37 @@
         connection.used = True
         connection.idle_until = Deadline.after(usable)
         with self._lock:
-            self._idle_by_endpoint.setdefault(endpoint_id, []).append(connection)
+            self._idle_by_start.setdefault(start_id, []).append(connection)
 
     @property
     def idle_count(self) -> int:
         """Return how many connections are idle."""
         with self._lock:
-            return sum(map(len, self._idle_by_endpoint.values()))
+            return sum(map(len, self._idle_by_start.values()))
 
     def close_expired(self) -> None:
         """Close connections that have been idle for too long."""
         expired = []
         with self._lock:
-            for endpoint_id, idle in list(self._idle_by_endpoint.items()):
+            for start_id, idle in list(self._idle_by_start.items()):
                 kept = [item for item in idle if not item.idle_until.expired]
                 expired += [item for item in idle if item.idle_until.expired]
                 if kept:
-                    self._idle_by_endpoint[endpoint_id] = kept
+                    self._idle_by_start[start_id] = kept
                 else:
-                    del self._idle_by_endpoint[endpoint_id]
+                    del self._idle_by_start[start_id]
         for connection in expired:
             connection.close()
 
     def close_all(self) -> None:
         """Close all idle connections."""
         with self._lock:
-            idle = [item for kept in self._idle_by_endpoint.values() for item in kept]
-            self._idle_by_endpoint.clear()
+            idle = [item for kept in self._idle_by_start.values() for item in kept]
+            self._idle_by_start.clear()
         for connection in idle:
             connection.close()
 
-    def _pop(self, endpoint_id: str) -> EndpointConnection | None:
+    def _pop(self, start_id: str) -> EndpointConnection | None:
         with self._lock:
-            idle = self._idle_by_endpoint.get(endpoint_id)
+            idle = self._idle_by_start.get(start_id)
             return idle.pop() if idle else None
--- a/src/jujubeslip/forwarding/_admissions.py
+++ b/src/jujubeslip/forwarding/_admissions.py
@@ -48,10 +48,10 @@
 class AdmissionAnswer:
     """What the leader answered: a grant, or that there will be none in time."""
 
-    endpoint_id: str
-    """Empty where there will be none."""
-    reader_id: str
-    """The engine that is to read the prompt, empty where the answering one does."""
+    start_id: str
+    """The start of the engine that answers, empty where there will be none."""
+    reader_start_id: str
+    """The one that is to read the prompt, empty where the answering one does."""
     forecast: float
     """How long the request was expected to wait, in seconds."""
     read_seconds: float = 0.0
@@ -117,10 +117,10 @@
                 continue
             forecast = reply.forecast_ms / 1000
             if reply.status == AdmissionStatus.ADMITTED:
-                reader_id = reply.reader_endpoint_id or ""
+                reader_start_id = reply.reader_start_id or ""
                 read_seconds = (reply.read_ms or 0) / 1000
                 return AdmissionAnswer(
-                    reply.endpoint_id, reader_id, forecast, read_seconds
+                    reply.start_id, reader_start_id, forecast, read_seconds
                 )
             if reply.status == AdmissionStatus.REFUSED:
                 return AdmissionAnswer("", "", forecast)
@@ -158,18 +158,18 @@
             context.target_by.remaining_ms(),
             limit.remaining_ms(),
             WAIT_MS,
-            [*attempts.tried, *self._paused_endpoints()],
+            [*attempts.tried, *self._paused_starts()],
             reads_itself=reads_itself,
             attempt=attempts.grants_asked,
             availability_zone=self._availability_zone,
             maximum_gap_ms=context.route.maximum_gap_ms,
         )
 
-    def _paused_endpoints(self) -> list[str]:
+    def _paused_starts(self) -> list[str]:
         return [
-            endpoint.endpoint_id
+            endpoint.start_id
             for endpoint in self._book.endpoints()
-            if self._health.is_paused(endpoint.endpoint_id)
+            if self._health.is_paused(endpoint.start_id)
         ]
 
     def _call(self, address: str, request: AdmissionRequest) -> AdmissionReply | None:
--- a/src/jujubeslip/forwarding/_choice.py
+++ b/src/jujubeslip/forwarding/_choice.py
@@ -45,12 +45,12 @@
         return min(candidates, key=lambda item: (self._cost(item), random.random()))
 
     def _cost(self, endpoint: Endpoint) -> float:
-        cost = float(self._health.open_requests(endpoint.endpoint_id))
+        cost = float(self._health.open_requests(endpoint.start_id))
         if endpoint.availability_zone != self._availability_zone:
             cost += OTHER_ZONE_COST
         if not endpoint.slow_until.expired:
             cost += SLOW_START_COST
-        return cost + FAILURE_COST * self._health.failure_share(endpoint.endpoint_id)
+        return cost + FAILURE_COST * self._health.failure_share(endpoint.start_id)
 
 
 @policies.register("least-loaded")
@@ -65,7 +65,7 @@
         return min(
             candidates,
             key=lambda item: (
-                self._health.open_requests(item.endpoint_id),
+                self._health.open_requests(item.start_id),
                 random.random(),
             ),
         )
@@ -102,7 +102,7 @@
     def choose(
         self, service_name: str, role: EndpointRole, excluded: Collection[str]
     ) -> Endpoint | None:
-        """Return an endpoint that isn't excluded by its id, None without one.
+        """Return an endpoint whose start isn't excluded, None without one.
 
         One that can't be reached, or was not heard for long, is only taken when there
         is no other: a host that is cut off goes on with what it knows.
@@ -117,6 +117,10 @@
         sound = self._sound(self._usable(service_name, role, ()))
         return self._policy.choose(sound) if sound else None
 
+    def is_over(self, endpoint: Endpoint) -> bool:
+        """Say whether another start is known to have taken this one's place."""
+        return self._book.is_over(endpoint)
+
     def _usable(
         self, service_name: str, role: EndpointRole, excluded: Collection[str]
     ) -> list[Endpoint]:
@@ -125,8 +129,8 @@
             for endpoint in self._book.endpoints()
             if endpoint.service_name == service_name
             and endpoint.role == role
-            and not endpoint.leaving
-            and endpoint.endpoint_id not in excluded
+            and endpoint.stays
+            and endpoint.start_id not in excluded
         ]
 
     def _sound(self, usable: Sequence[Endpoint]) -> list[Endpoint]:
@@ -135,5 +139,5 @@
             endpoint
             for endpoint in usable
             if endpoint.heard_at >= heard_since
-            and not self._health.is_paused(endpoint.endpoint_id)
+            and not self._health.is_paused(endpoint.start_id)
         ]
--- a/src/jujubeslip/forwarding/_engine_reports.py
+++ b/src/jujubeslip/forwarding/_engine_reports.py
@@ -26,26 +26,24 @@
 
 
 class EngineReports:
-    """The latest report of each engine."""
+    """The latest report of each engine's start."""
 
     def __init__(self, sending: Sending) -> None:
         self._sending = sending
-        self._kept_by_endpoint: dict[str, _Kept] = {}
+        self._kept_by_start: dict[str, _Kept] = {}
         self._lock = threading.Lock()
 
     def get(self, context: ForwardContext, endpoint: Endpoint) -> EngineReport | None:
         """Return a report that is not too old, None if the engine gives none."""
         with self._lock:
-            kept = self._kept_by_endpoint.get(endpoint.endpoint_id)
+            kept = self._kept_by_start.get(endpoint.start_id)
         if kept is not None and not kept.usable_until.expired:
             return kept.report
         report = self._ask(context, endpoint)
         if report is not None:
             usable_until = Deadline.after(KEPT_SECONDS)
             with self._lock:
-                self._kept_by_endpoint[endpoint.endpoint_id] = _Kept(
-                    report, usable_until
-                )
+                self._kept_by_start[endpoint.start_id] = _Kept(report, usable_until)
         return report
 
     def _ask(self, context: ForwardContext, endpoint: Endpoint) -> EngineReport | None:
@@ -57,4 +55,7 @@
         except EndpointError as error:
             self._sending.note_error(Attempts(), endpoint, error)
             return None
-        return self._sending.interface.read_report(body) if status == 200 else None
+        report = self._sending.interface.read_report(body) if status == 200 else None
+        if report is None or not endpoint.may_be(report.started_at_ms):
+            return None
+        return report
--- a/src/jujubeslip/forwarding/_exchange.py
+++ b/src/jujubeslip/forwarding/_exchange.py
@@ -60,7 +60,7 @@
 
         Raises EndpointRefusedError when the endpoint says that it did not run it.
         """
-        connection = self._pool.take(self._endpoint.endpoint_id, self._endpoint.address)
+        connection = self._pool.take(self._endpoint.start_id, self._endpoint.address)
         self._connection = connection
         request = self._request
         headers = self._interface.endpoint_headers(request, call)
@@ -102,7 +102,7 @@
             connection.close()
             return
         idle_seconds = self._head.idle_seconds if self._head else None
-        self._pool.give_back(self._endpoint.endpoint_id, connection, idle_seconds)
+        self._pool.give_back(self._endpoint.start_id, connection, idle_seconds)
 
     def close(self) -> None:
         """Close the connection, unless it was kept."""
--- a/src/jujubeslip/forwarding/_grants.py
+++ b/src/jujubeslip/forwarding/_grants.py
@@ -103,7 +103,7 @@
             found = self._admissions.ask(
                 context, attempts, engine, prompt, limit, reads_itself
             )
-            if found is not None and not found.endpoint_id:
+            if found is not None and not found.start_id:
                 attempts.note_no_room("no grant in time", found.forecast)
                 return None
             if found is not None:
@@ -130,30 +130,31 @@
         """Return the grant that the leader gave, None if it isn't known here yet."""
         request_id = context.request.request_id
         attempt = attempts.grants_asked
-        endpoint = self._usable(found.endpoint_id)
+        endpoint = self._usable(found.start_id)
         if endpoint is None:
-            extra = {"request_id": request_id, "endpoint_id": found.endpoint_id}
+            extra = {"request_id": request_id, "start_id": found.start_id}
             logger.info("grant at an engine that is not used here", extra=extra)
             admissions.end(request_id, attempt)
             return None
-        attempts.note(found.endpoint_id, "grant")
+        attempts.note(found.start_id, "grant")
         return Grant(
             endpoint,
-            reader=self._usable(found.reader_id),
+            reader=self._usable(found.reader_start_id),
             read_seconds=found.read_seconds,
-            reads_itself=not found.reader_id,
+            reads_itself=not found.reader_start_id,
             prompt_read=partial(admissions.note_read, request_id, attempt),
             at_end=partial(admissions.end, request_id, attempt),
         )
 
-    def _usable(self, endpoint_id: str) -> Endpoint | None:
-        """Return an endpoint that isn't known here to leave.
+    def _usable(self, start_id: str) -> Endpoint | None:
+        """Return a start of an endpoint that isn't known here to leave.
 
         The leader may not have heard of that yet: an endpoint that leaves would get a
-        request, or a prompt, after its leaving was acknowledged.
+        request, or a prompt, after its leaving was acknowledged. Nor may it have heard
+        of a later start, which knows nothing of what the leader counts on.
         """
-        endpoint = self._book.find(endpoint_id)
-        return None if endpoint is None or endpoint.leaving else endpoint
+        endpoint = self._book.find_start(start_id)
+        return endpoint if endpoint is not None and endpoint.stays else None
 
 
 def _wait_limit(context: ForwardContext) -> Deadline:
--- a/src/jujubeslip/forwarding/_health.py
+++ b/src/jujubeslip/forwarding/_health.py
@@ -19,7 +19,7 @@
 MAXIMUM_PAUSE_SECONDS = 8.0
 # How much the latest answer counts for the share of failures: about the last ten do.
 FAILURE_WEIGHT = 0.1
-# An endpoint id that another one's address answered for is never used again.
+# A start whose address another endpoint answers at is never used again, in seconds.
 NEVER_SECONDS = 3600.0
 
 
@@ -32,95 +32,99 @@
 
 
 class EndpointHealth:
-    """Open requests, failures and pauses by endpoint id; may be used by threads."""
+    """Open requests, failures and pauses by start; may be used by threads.
+
+    What was seen of one start says nothing of the next one under its id: passed over
+    for the one before, a new start would get nothing for seconds, or for an hour.
+    """
 
     def __init__(self) -> None:
-        self._health_by_id: dict[str, _Health] = {}
+        self._health_by_start: dict[str, _Health] = {}
         self._lock = threading.Lock()
 
-    def open_requests(self, endpoint_id: str) -> int:
+    def open_requests(self, start_id: str) -> int:
         """Return how many requests of this host the endpoint works on."""
-        return self._get(endpoint_id).open_requests
+        return self._get(start_id).open_requests
 
-    def failure_share(self, endpoint_id: str) -> float:
+    def failure_share(self, start_id: str) -> float:
         """Return the share of requests that failed there lately, 0 to 1."""
-        return self._get(endpoint_id).failure_share
+        return self._get(start_id).failure_share
 
-    def is_paused(self, endpoint_id: str) -> bool:
+    def is_paused(self, start_id: str) -> bool:
         """Say whether the endpoint is passed over for now."""
-        return not self._get(endpoint_id).paused_until.expired
+        return not self._get(start_id).paused_until.expired
 
-    def working(self, endpoint_id: str) -> AbstractContextManager[None]:
+    def working(self, start_id: str) -> AbstractContextManager[None]:
         """Return a context in which the endpoint works on one more request."""
-        return self._working(endpoint_id)
+        return self._working(start_id)
 
     @contextmanager
-    def _working(self, endpoint_id: str) -> Iterator[None]:
-        self._add_open(endpoint_id, 1)
+    def _working(self, start_id: str) -> Iterator[None]:
+        self._add_open(start_id, 1)
         try:
             yield
         finally:
-            self._add_open(endpoint_id, -1)
+            self._add_open(start_id, -1)
 
-    def note_success(self, endpoint_id: str) -> None:
+    def note_success(self, start_id: str) -> None:
         """Note a whole answer."""
-        self._note(endpoint_id, failed=False)
+        self._note(start_id, failed=False)
 
-    def note_failure(self, endpoint_id: str) -> None:
+    def note_failure(self, start_id: str) -> None:
         """Note an answer that failed or did not come whole."""
-        self._note(endpoint_id, failed=True)
+        self._note(start_id, failed=True)
 
-    def note_unreachable(self, endpoint_id: str) -> None:
+    def note_unreachable(self, start_id: str) -> None:
         """Pass the endpoint over for a while, longer after each time in a row.
 
         Failures while it is passed over are of requests that were on their way before:
         counted, a dozen of them at one moment would keep it out for the longest time.
         """
         with self._lock:
-            health = self._get(endpoint_id)
+            health = self._get(start_id)
             if not health.paused_until.expired:
                 return
             failures = health.failures_in_a_row + 1
             pause = min(
                 FIRST_PAUSE_SECONDS * 2 ** (failures - 1), MAXIMUM_PAUSE_SECONDS
             )
-            self._health_by_id[endpoint_id] = replace(
+            self._health_by_start[start_id] = replace(
                 health,
                 failures_in_a_row=failures,
                 paused_until=Deadline.after(pause),
             )
         extra = {
-            "endpoint_id": endpoint_id,
+            "start_id": start_id,
             "seconds": pause,
             "failures_in_a_row": failures,
         }
         logger.info("endpoint passed over", extra=extra)
 
-    def note_replaced(self, endpoint_id: str) -> None:
+    def note_replaced(self, start_id: str) -> None:
         """Never use this start again: another one answers at its address."""
         with self._lock:
-            self._health_by_id[endpoint_id] = replace(
-                self._get(endpoint_id), paused_until=Deadline.after(NEVER_SECONDS)
+            self._health_by_start[start_id] = replace(
+                self._get(start_id), paused_until=Deadline.after(NEVER_SECONDS)
             )
-        extra = {"endpoint_id": endpoint_id}
+        extra = {"start_id": start_id}
         logger.info("another endpoint answers at its address", extra=extra)
 
-    def _get(self, endpoint_id: str) -> _Health:
-        return self._health_by_id.get(endpoint_id, _Health())
+    def _get(self, start_id: str) -> _Health:
+        return self._health_by_start.get(start_id, _Health())
 
-    def _add_open(self, endpoint_id: str, change: int) -> None:
+    def _add_open(self, start_id: str, change: int) -> None:
         with self._lock:
-            health = self._get(endpoint_id)
-            self._health_by_id[endpoint_id] = replace(
+            health = self._get(start_id)
+            self._health_by_start[start_id] = replace(
                 health, open_requests=health.open_requests + change
             )
 
-    def _note(self, endpoint_id: str, failed: bool) -> None:
+    def _note(self, start_id: str, failed: bool) -> None:
         with self._lock:
-            health = self._get(endpoint_id)
+            health = self._get(start_id)
             share = health.failure_share
             share += FAILURE_WEIGHT * ((1.0 if failed else 0.0) - share)
-            self._health_by_id[endpoint_id] = replace(
+            self._health_by_start[start_id] = replace(
                 health,
                 failure_share=share,
                 failures_in_a_row=health.failures_in_a_row if failed else 0,
--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -71,7 +71,7 @@
     runs: int = 0
     """Sends that may have run."""
     tried: set[str] = field(default_factory=set)
-    """Endpoint ids that are not to be asked again."""
+    """Starts of endpoints that are not to be asked again."""
     trail: list[str] = field(default_factory=list)
     """What became of each send, in order."""
     last_error: EndpointError | None = None
@@ -95,9 +95,9 @@
         """Return the milliseconds since the request came."""
         return int(self.started.overdue() * 1000)
 
-    def note(self, endpoint_id: str, outcome: str) -> None:
+    def note(self, start_id: str, outcome: str) -> None:
         """Add a step to the trail, with the milliseconds since the request came."""
-        self.trail.append(f"{self.elapsed_ms} ms {endpoint_id}: {outcome}")
+        self.trail.append(f"{self.elapsed_ms} ms {start_id}: {outcome}")
 
     def note_events(self, gap: float) -> None:
         """Note a piece of a stream that came this many seconds after the last."""
@@ -109,12 +109,12 @@
         self.note("-", f"{outcome}, forecast {forecast:.2f} s")
         self.found_no_room = True
 
-    def note_error(self, endpoint_id: str, error: EndpointError) -> None:
+    def note_error(self, start_id: str, error: EndpointError) -> None:
         """Note a send that brought no answer."""
-        self.tried.add(endpoint_id)
+        self.tried.add(start_id)
         self.last_error = error
         self.runs += error.may_have_run
-        self.note(endpoint_id, f"{error.error_id} ran={error.may_have_run}")
+        self.note(start_id, f"{error.error_id} ran={error.may_have_run}")
 
     @property
     def may_have_run(self) -> bool:
--- a/src/jujubeslip/forwarding/_plain_path.py
+++ b/src/jujubeslip/forwarding/_plain_path.py
@@ -40,7 +40,7 @@
                 self._sending.note_error(attempts, endpoint, error)
                 continue
             if answer.status < SERVER_ERROR:
-                self._sending.health.note_success(endpoint.endpoint_id)
+                self._sending.health.note_success(endpoint.start_id)
                 return answer
             failed = answer
             self._note_failed(attempts, endpoint)
@@ -51,19 +51,19 @@
     def _note_failed(self, attempts: Attempts, endpoint: Endpoint) -> None:
         """Note an endpoint's own failure: the request has run."""
         attempts.runs += 1
-        attempts.tried.add(endpoint.endpoint_id)
-        self._sending.health.note_failure(endpoint.endpoint_id)
+        attempts.tried.add(endpoint.start_id)
+        self._sending.health.note_failure(endpoint.start_id)
 
     def _send(
         self, context: ForwardContext, attempts: Attempts, endpoint: Endpoint
     ) -> WholeAnswer:
         deadline = self._deadline(context, attempts)
         call = EndpointCall(endpoint.endpoint_id, context.end_by.remaining_ms())
-        working = self._sending.health.working(endpoint.endpoint_id)
+        working = self._sending.health.working(endpoint.start_id)
         with working, self._sending.exchange(context, endpoint) as exchange:
             head = exchange.call(call, deadline)
             body = exchange.read_rest()
-        attempts.note(endpoint.endpoint_id, str(head.status))
+        attempts.note(endpoint.start_id, str(head.status))
         return WholeAnswer(head.status, head.headers, body)
 
     def _deadline(self, context: ForwardContext, attempts: Attempts) -> Deadline:
--- a/src/jujubeslip/forwarding/_prompts.py
+++ b/src/jujubeslip/forwarding/_prompts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import (
     AnswerCutError,
@@ -29,6 +31,24 @@
 ENGINES_ASKED = 2
 
 
+@dataclass(frozen=True)
+class PromptPlace:
+    """Where a prompt is that was read ahead."""
+
+    reader: Endpoint | None = None
+    """The start of the engine that has it, None where none has."""
+    handle: str = ""
+    """The engine's name for it."""
+
+    @property
+    def location(self) -> str:
+        """Return what the engine that answers is told, empty where nobody has it."""
+        return f"{self.reader.address}/{self.handle}" if self.reader else ""
+
+
+NOT_READ = PromptPlace()
+
+
 class PromptReader:
     """Has prompts read by the engines that only do that."""
 
@@ -45,27 +65,37 @@
         attempts: Attempts,
         reader: Endpoint | None = None,
         read_seconds: float = 0.0,
-    ) -> str:
-        """Have an engine read the prompt; return where it is, nothing if it isn't.
+    ) -> PromptPlace:
+        """Have an engine read the prompt; return where it is, NOT_READ if it isn't.
 
         `reader` is asked first, where it is given, and should need `read_seconds`. A
         second engine is asked if the budget has a call for it. An engine that answers
         can read the prompt itself, but all its answers stand still while it does.
         """
         if not self._reads_apart or context.request.prompt is None:
-            return ""
+            return NOT_READ
         for number in range(ENGINES_ASKED):
             if number and not self._sending.budgets.has_one(context.service_name):
-                return ""
+                return NOT_READ
             is_given = reader is not None and not number
             endpoint = reader if is_given else self._choose(context)
             if endpoint is None:
-                return ""
+                return NOT_READ
             limit = _limit(read_seconds if is_given else 0.0)
             handle = self._read_at(context, attempts, endpoint, limit)
             if handle:
-                return f"{endpoint.address}/{handle}"
-        return ""
+                return PromptPlace(endpoint, handle)
+        return NOT_READ
+
+    def is_lost(self, place: PromptPlace) -> bool:
+        """Say whether the engine that read the prompt has started again since.
+
+        The memory ended with the earlier start. The next one names what it keeps anew:
+        by the same handle, the answer would be made from another request's prompt, and
+        no engine checks whose it is.
+        """
+        reader = place.reader
+        return reader is not None and self._sending.chooser.is_over(reader)
 
     def _choose(self, context: ForwardContext) -> Endpoint | None:
         chooser = self._sending.chooser
@@ -88,8 +118,8 @@
         finally:
             taken = steady_seconds() - started
             self._pressures.note_prompt(context.service_name, taken)
-        self._sending.health.note_success(endpoint.endpoint_id)
-        attempts.note(endpoint.endpoint_id, "prompt read")
+        self._sending.health.note_success(endpoint.start_id)
+        attempts.note(endpoint.start_id, "prompt read")
         return handle
 
     def _ask(self, context: ForwardContext, endpoint: Endpoint, limit: Deadline) -> str:
@@ -97,7 +127,7 @@
         remaining = context.end_by.remaining_ms()
         call = EndpointCall(endpoint.endpoint_id, remaining, reads_prompt_only=True)
         deadline = context.end_by.earlier_of(limit)
-        working = self._sending.health.working(endpoint.endpoint_id)
+        working = self._sending.health.working(endpoint.start_id)
         with working, self._sending.exchange(context, endpoint) as exchange:
             head = exchange.call(call, deadline)
             body = exchange.read_rest()
@@ -124,8 +154,8 @@
         self._sending.budgets.charge(context.service_name)
         self._sending.note_error(Attempts(), endpoint, error)
         if not isinstance(error, EndpointUnreachableError | AnswerCutError):
-            self._sending.health.note_unreachable(endpoint.endpoint_id)
-        attempts.note(endpoint.endpoint_id, f"prompt not read, {error.error_id}")
+            self._sending.health.note_unreachable(endpoint.start_id)
+        attempts.note(endpoint.start_id, f"prompt not read, {error.error_id}")
 
 
 def _limit(read_seconds: float) -> Deadline:
--- a/src/jujubeslip/forwarding/_reservations.py
+++ b/src/jujubeslip/forwarding/_reservations.py
@@ -72,7 +72,7 @@
                 found = self._ask_round(context, attempts, engine, prompt)
                 if found is not None:
                     waiting.note_room()
-                    attempts.note(found.endpoint.endpoint_id, "room")
+                    attempts.note(found.endpoint.start_id, "room")
                     return found
                 if limit.expired:
                     break
@@ -88,8 +88,14 @@
             return self._waiting_by_service.setdefault(service_name, Waiting())
 
     def release(self, context: ForwardContext, reservation: Reservation) -> None:
-        """Give back what was reserved."""
+        """Give back what was reserved.
+
+        What a start held ended with it. The next one at its address counts its
+        reservations anew, and the same name may be that of another request's.
+        """
         endpoint = reservation.endpoint
+        if self._sending.chooser.is_over(endpoint):
+            return
         question = self._sending.interface.release(
             endpoint.endpoint_id, reservation.token
         )
@@ -124,7 +130,7 @@
             endpoint = self._sending.choose(context, EndpointRole.DECODE, asked)
             if endpoint is None:
                 return None
-            asked.add(endpoint.endpoint_id)
+            asked.add(endpoint.start_id)
             growth = self._growth(context, endpoint, engine, prompt)
             tokens = prompt.prompt_tokens + growth
             token = self._ask(context, endpoint, tokens, engine.reservation_ms)
--- a/src/jujubeslip/forwarding/_sending.py
+++ b/src/jujubeslip/forwarding/_sending.py
@@ -97,15 +97,15 @@
         self, attempts: Attempts, endpoint: Endpoint, error: EndpointError
     ) -> None:
         """Learn from a send that brought no answer."""
-        attempts.note_error(endpoint.endpoint_id, error)
+        attempts.note_error(endpoint.start_id, error)
         if isinstance(error, EndpointUnreachableError):
-            self.health.note_unreachable(endpoint.endpoint_id)
+            self.health.note_unreachable(endpoint.start_id)
         elif isinstance(error, EndpointReplacedError):
-            self.health.note_replaced(endpoint.endpoint_id)
+            self.health.note_replaced(endpoint.start_id)
         elif isinstance(error, EndpointRoleError):
             # Its next announcement tells the new role.
-            self.health.note_unreachable(endpoint.endpoint_id)
+            self.health.note_unreachable(endpoint.start_id)
         elif not isinstance(error, EndpointRefusedError):
-            self.health.note_failure(endpoint.endpoint_id)
+            self.health.note_failure(endpoint.start_id)
             if isinstance(error, EndpointTimeoutError):
-                self.health.note_unreachable(endpoint.endpoint_id)
+                self.health.note_unreachable(endpoint.start_id)
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -26,7 +26,7 @@
     WholeAnswer,
     refusal_of,
 )
-from jujubeslip.forwarding._prompts import PromptReader
+from jujubeslip.forwarding._prompts import NOT_READ, PromptPlace, PromptReader
 from jujubeslip.forwarding._sending import Sending
 from jujubeslip.interfaces import EndpointCall, EndpointHead
 from jujubeslip.kernel import (
@@ -74,10 +74,11 @@
     ) -> _Run | WholeAnswer:
         """Start the run at some engine, or raise the refusal that is true."""
         failed: WholeAnswer | None = None
-        # Not read yet, or empty once the answering engine has to read it itself.
-        prompt_at: str | None = "" if resume_after else None
+        # None before anybody was asked to read it; NOT_READ once the answering engine
+        # has to read it itself.
+        prompt_at = NOT_READ if resume_after else None
         while self._sending.is_open(context, attempts):
-            grant = self._find_grant(context, attempts, prompt_at == "")
+            grant = self._find_grant(context, attempts, prompt_at == NOT_READ)
             if grant is None:
                 break
             with ExitStack() as kept:
@@ -85,19 +86,23 @@
                 with ExitStack() as before_run:
                     before_run.callback(grant.before_run)
                     prompt_at = self._prompt_for(context, attempts, grant, prompt_at)
-                    if prompt_at == "" and grant.reader is not None:
+                    if self._sending.chooser.is_over(grant.endpoint):
+                        # It started again while the prompt was read.
+                        attempts.tried.add(grant.endpoint.start_id)
+                        continue
+                    if prompt_at == NOT_READ and grant.reader is not None:
                         # Nobody has read it. The leader has to know which engine does
                         # now: its answers stand still meanwhile.
                         continue
                     if not self._sending.may_send(context, attempts):
                         break
-                call = _call(context, grant, prompt_at or "", resume_after)
+                call = _call(context, grant, prompt_at, resume_after)
                 try:
                     started = self._run(context, attempts, grant.endpoint, call, kept)
                 except EndpointError as error:
                     self._note_error(context, attempts, grant, prompt_at, error)
-                    if prompt_at and not _left_prompt(error):
-                        prompt_at = ""
+                    if prompt_at is not None and not _left_prompt(error):
+                        prompt_at = NOT_READ
                     continue
             if isinstance(started, _Run):
                 grant.prompt_read()
@@ -113,9 +118,12 @@
         context: ForwardContext,
         attempts: Attempts,
         grant: Grant,
-        prompt_at: str | None,
-    ) -> str | None:
+        prompt_at: PromptPlace | None,
+    ) -> PromptPlace | None:
         """Return where the prompt is, after having it read if nobody has tried yet."""
+        if prompt_at is not None and self._prompts.is_lost(prompt_at):
+            attempts.note("-", "prompt lost with its engine")
+            prompt_at = NOT_READ
         if grant.reads_itself:
             return prompt_at
         if prompt_at is None:
@@ -130,14 +138,15 @@
         context: ForwardContext,
         attempts: Attempts,
         grant: Grant,
-        prompt_at: str | None,
+        prompt_at: PromptPlace | None,
         error: EndpointError,
     ) -> None:
         self._sending.note_error(attempts, grant.endpoint, error)
-        if prompt_at and isinstance(error, EndpointRefusedError):
+        was_read = prompt_at is not None and prompt_at != NOT_READ
+        if was_read and isinstance(error, EndpointRefusedError):
             # What it refused may be the prompt's memory, which lapses; the same engine
             # can read the prompt itself.
-            attempts.tried.discard(grant.endpoint.endpoint_id)
+            attempts.tried.discard(grant.endpoint.start_id)
             if context.request.prompt is not None:
                 attempts.wasted_prompt_tokens += context.request.prompt.prompt_tokens
 
@@ -156,8 +165,8 @@
     def _note_failed(self, attempts: Attempts, endpoint: Endpoint) -> None:
         """Note an engine's own failure: the request has run."""
         attempts.runs += 1
-        attempts.tried.add(endpoint.endpoint_id)
-        self._sending.health.note_failure(endpoint.endpoint_id)
+        attempts.tried.add(endpoint.start_id)
+        self._sending.health.note_failure(endpoint.start_id)
 
     def _run(
         self,
@@ -173,13 +182,13 @@
         """
         with ExitStack() as stack:
             health = self._sending.health
-            stack.enter_context(health.working(endpoint.endpoint_id))
+            stack.enter_context(health.working(endpoint.start_id))
             exchange = stack.enter_context(self._sending.exchange(context, endpoint))
             # Silence is no reason to leave an engine: it may be reading the prompt
             # again, and no other one may have room.
             head = exchange.call(call, context.end_by)
             if head.status not in SUCCESS:
-                attempts.note(endpoint.endpoint_id, str(head.status))
+                attempts.note(endpoint.start_id, str(head.status))
                 return WholeAnswer(head.status, head.headers, exchange.read_rest())
             splitter = EventSplitter()
             first = b""
@@ -188,7 +197,7 @@
                 if not part:
                     raise AnswerCutError(f"{endpoint.address}: a stream of no event.")
                 first = splitter.take(part)
-            attempts.note(endpoint.endpoint_id, "streams")
+            attempts.note(endpoint.start_id, "streams")
             if attempts.first_event_ms is None:
                 attempts.first_event_ms = attempts.elapsed_ms
             stack.push(kept.pop_all())
@@ -205,7 +214,7 @@
         while True:
             try:
                 yield from self._events_of(context, attempts, run)
-                self._sending.health.note_success(run.endpoint.endpoint_id)
+                self._sending.health.note_success(run.endpoint.start_id)
                 return
             except EndpointError as error:
                 self._sending.note_error(attempts, run.endpoint, error)
@@ -241,12 +250,15 @@
 
 
 def _call(
-    context: ForwardContext, grant: Grant, prompt_at: str, resume_after: str
+    context: ForwardContext,
+    grant: Grant,
+    prompt_at: PromptPlace | None,
+    resume_after: str,
 ) -> EndpointCall:
     return EndpointCall(
         grant.endpoint.endpoint_id,
         context.end_by.remaining_ms(),
-        prompt_at=prompt_at,
+        prompt_at=prompt_at.location if prompt_at else "",
         resume_after=resume_after,
     )
 
--- a/src/jujubeslip/interfaces/_questions.py
+++ b/src/jujubeslip/interfaces/_questions.py
@@ -21,7 +21,7 @@
     Raises EndpointError when no answer comes in time, and CallerGoneError once `gone`
     says that nobody waits for it any more.
     """
-    connection = pool.take(endpoint.endpoint_id, endpoint.address)
+    connection = pool.take(endpoint.start_id, endpoint.address)
     whole = False
     try:
         headers = [("Host", endpoint.address), *question.headers]
@@ -36,5 +36,5 @@
         if not whole:
             connection.close()
     if whole:
-        pool.give_back(endpoint.endpoint_id, connection, head.idle_seconds)
+        pool.give_back(endpoint.start_id, connection, head.idle_seconds)
     return response.status, body
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -2918,11 +2918,14 @@
      - role
      - silent_ms
      - cold_remaining_ms
+     - started_at_ms
+     - restarted
+     - removed_ago_ms
 
     """
 
 
-    def __init__(self, endpoint_id=None, service_name=None, address=None, availability_zone=None, sequence=None, leaving=None, slots=None, role=None, silent_ms=None, cold_remaining_ms=None,):
+    def __init__(self, endpoint_id=None, service_name=None, address=None, availability_zone=None, sequence=None, leaving=None, slots=None, role=None, silent_ms=None, cold_remaining_ms=None, started_at_ms=None, restarted=None, removed_ago_ms=None,):
         self.endpoint_id = endpoint_id
         self.service_name = service_name
         self.address = address
@@ -2933,6 +2936,9 @@
         self.role = role
         self.silent_ms = silent_ms
         self.cold_remaining_ms = cold_remaining_ms
+        self.started_at_ms = started_at_ms
+        self.restarted = restarted
+        self.removed_ago_ms = removed_ago_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2993,6 +2999,21 @@
                     self.cold_remaining_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.started_at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.restarted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.removed_ago_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3043,6 +3064,18 @@
             oprot.writeFieldBegin('cold_remaining_ms', TType.I64, 10)
             oprot.writeI64(self.cold_remaining_ms)
             oprot.writeFieldEnd()
+        if self.started_at_ms is not None:
+            oprot.writeFieldBegin('started_at_ms', TType.I64, 11)
+            oprot.writeI64(self.started_at_ms)
+            oprot.writeFieldEnd()
+        if self.restarted is not None:
+            oprot.writeFieldBegin('restarted', TType.BOOL, 12)
+            oprot.writeBool(self.restarted)
+            oprot.writeFieldEnd()
+        if self.removed_ago_ms is not None:
+            oprot.writeFieldBegin('removed_ago_ms', TType.I64, 13)
+            oprot.writeI64(self.removed_ago_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3153,7 +3186,7 @@
      - target_remaining_ms
      - limit_remaining_ms
      - wait_ms
-     - avoided_endpoint_ids
+     - avoided_start_ids
      - reads_itself
      - attempt
      - availability_zone
@@ -3162,7 +3195,7 @@
     """
 
 
-    def __init__(self, request_id=None, service_name=None, prompt_tokens=None, maximum_events=None, event_tokens=None, expected_events=None, slots=None, target_remaining_ms=None, limit_remaining_ms=None, wait_ms=None, avoided_endpoint_ids=None, reads_itself=None, attempt=None, availability_zone=None, maximum_gap_ms=None,):
+    def __init__(self, request_id=None, service_name=None, prompt_tokens=None, maximum_events=None, event_tokens=None, expected_events=None, slots=None, target_remaining_ms=None, limit_remaining_ms=None, wait_ms=None, avoided_start_ids=None, reads_itself=None, attempt=None, availability_zone=None, maximum_gap_ms=None,):
         self.request_id = request_id
         self.service_name = service_name
         self.prompt_tokens = prompt_tokens
@@ -3173,7 +3206,7 @@
         self.target_remaining_ms = target_remaining_ms
         self.limit_remaining_ms = limit_remaining_ms
         self.wait_ms = wait_ms
-        self.avoided_endpoint_ids = avoided_endpoint_ids
+        self.avoided_start_ids = avoided_start_ids
         self.reads_itself = reads_itself
         self.attempt = attempt
         self.availability_zone = availability_zone
@@ -3240,11 +3273,11 @@
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
-                    self.avoided_endpoint_ids = []
+                    self.avoided_start_ids = []
                     (_etype45, _size42) = iprot.readListBegin()
                     for _i46 in range(_size42):
                         _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.avoided_endpoint_ids.append(_elem47)
+                        self.avoided_start_ids.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3318,10 +3351,10 @@
             oprot.writeFieldBegin('wait_ms', TType.I32, 10)
             oprot.writeI32(self.wait_ms)
             oprot.writeFieldEnd()
-        if self.avoided_endpoint_ids is not None:
-            oprot.writeFieldBegin('avoided_endpoint_ids', TType.LIST, 11)
-            oprot.writeListBegin(TType.STRING, len(self.avoided_endpoint_ids))
-            for iter48 in self.avoided_endpoint_ids:
+        if self.avoided_start_ids is not None:
+            oprot.writeFieldBegin('avoided_start_ids', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRING, len(self.avoided_start_ids))
+            for iter48 in self.avoided_start_ids:
                 oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -3363,19 +3396,19 @@
     """
     Attributes:
      - status
-     - endpoint_id
+     - start_id
      - forecast_ms
-     - reader_endpoint_id
+     - reader_start_id
      - read_ms
 
     """
 
 
-    def __init__(self, status=None, endpoint_id=None, forecast_ms=None, reader_endpoint_id=None, read_ms=None,):
+    def __init__(self, status=None, start_id=None, forecast_ms=None, reader_start_id=None, read_ms=None,):
         self.status = status
-        self.endpoint_id = endpoint_id
+        self.start_id = start_id
         self.forecast_ms = forecast_ms
-        self.reader_endpoint_id = reader_endpoint_id
+        self.reader_start_id = reader_start_id
         self.read_ms = read_ms
 
     def read(self, iprot):
@@ -3394,7 +3427,7 @@
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.start_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
@@ -3404,7 +3437,7 @@
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.STRING:
-                    self.reader_endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.reader_start_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
@@ -3426,17 +3459,17 @@
             oprot.writeFieldBegin('status', TType.I32, 1)
             oprot.writeI32(AdmissionStatus[self.status].value)
             oprot.writeFieldEnd()
-        if self.endpoint_id is not None:
-            oprot.writeFieldBegin('endpoint_id', TType.STRING, 2)
-            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+        if self.start_id is not None:
+            oprot.writeFieldBegin('start_id', TType.STRING, 2)
+            oprot.writeString(self.start_id.encode('utf-8') if sys.version_info[0] == 2 else self.start_id)
             oprot.writeFieldEnd()
         if self.forecast_ms is not None:
             oprot.writeFieldBegin('forecast_ms', TType.I32, 3)
             oprot.writeI32(self.forecast_ms)
             oprot.writeFieldEnd()
-        if self.reader_endpoint_id is not None:
-            oprot.writeFieldBegin('reader_endpoint_id', TType.STRING, 4)
-            oprot.writeString(self.reader_endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.reader_endpoint_id)
+        if self.reader_start_id is not None:
+            oprot.writeFieldBegin('reader_start_id', TType.STRING, 4)
+            oprot.writeString(self.reader_start_id.encode('utf-8') if sys.version_info[0] == 2 else self.reader_start_id)
             oprot.writeFieldEnd()
         if self.read_ms is not None:
             oprot.writeFieldBegin('read_ms', TType.I32, 5)
@@ -5671,6 +5704,9 @@
     (8, TType.I32, 'role', None, None, ),  # 8
     (9, TType.I64, 'silent_ms', None, None, ),  # 9
     (10, TType.I64, 'cold_remaining_ms', None, None, ),  # 10
+    (11, TType.I64, 'started_at_ms', None, None, ),  # 11
+    (12, TType.BOOL, 'restarted', None, None, ),  # 12
+    (13, TType.I64, 'removed_ago_ms', None, None, ),  # 13
 )
 all_structs.append(ServicePressure)
 ServicePressure.thrift_spec = (
@@ -5692,7 +5728,7 @@
     (8, TType.I64, 'target_remaining_ms', None, None, ),  # 8
     (9, TType.I64, 'limit_remaining_ms', None, None, ),  # 9
     (10, TType.I32, 'wait_ms', None, None, ),  # 10
-    (11, TType.LIST, 'avoided_endpoint_ids', (TType.STRING, 'UTF8', False), None, ),  # 11
+    (11, TType.LIST, 'avoided_start_ids', (TType.STRING, 'UTF8', False), None, ),  # 11
     (12, TType.BOOL, 'reads_itself', None, None, ),  # 12
     (13, TType.I32, 'attempt', None, None, ),  # 13
     (14, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 14
@@ -5702,9 +5738,9 @@
 AdmissionReply.thrift_spec = (
     None,  # 0
     (1, TType.I32, 'status', None, None, ),  # 1
-    (2, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 2
+    (2, TType.STRING, 'start_id', 'UTF8', None, ),  # 2
     (3, TType.I32, 'forecast_ms', None, None, ),  # 3
-    (4, TType.STRING, 'reader_endpoint_id', 'UTF8', None, ),  # 4
+    (4, TType.STRING, 'reader_start_id', 'UTF8', None, ),  # 4
     (5, TType.I32, 'read_ms', None, None, ),  # 5
 )
 all_structs.append(AdmissionNews)
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -316,7 +316,7 @@
   2: string content,
 }
 
-// What one host knows of an endpoint's start. `sequence` grows with each
+// What one host knows of an endpoint's latest start. `sequence` grows with each
 // announcement of that start; `leaving` stays true once it is true.
 struct EndpointRecord {
   1: string endpoint_id,
@@ -331,6 +331,12 @@
   9: i64 silent_ms,
   // For how much longer the endpoint says that it is slow after its start.
   10: i64 cold_remaining_ms,
+  // When it started, in milliseconds of its own clock since 1970; 0 if it doesn't say.
+  11: i64 started_at_ms,
+  // Whether an earlier start under the same id is known.
+  12: bool restarted,
+  // How long ago a removal of the id came that did not say which start it was for.
+  13: optional i64 removed_ago_ms,
 }
 
 // What one entry host met at the engines of a service in the last seconds.
@@ -359,8 +365,8 @@
   9: i64 limit_remaining_ms,
   // How long this call may wait. The request keeps its place for the next call.
   10: i32 wait_ms,
-  // Engines that have refused it, or don't answer its host.
-  11: list<string> avoided_endpoint_ids,
+  // Starts of engines that have refused it, or don't answer its host.
+  11: list<string> avoided_start_ids,
   // Its prompt was read by another engine and lost: the one that answers reads it.
   12: bool reads_itself,
   // Grows with each grant that the request needs; asked again, a call changes nothing.
@@ -372,11 +378,12 @@
 
 struct AdmissionReply {
   1: AdmissionStatus status,
-  2: string endpoint_id,
+  // The start of the engine that answers.
+  2: string start_id,
   // How long the request was expected to wait, when it was asked for first.
   3: i32 forecast_ms,
-  // The engine that reads the prompt; empty where the answering one does.
-  4: string reader_endpoint_id,
+  // The start of the one that reads the prompt; empty where the answering one does.
+  4: string reader_start_id,
   // How long that should take.
   5: i32 read_ms,
 }
--- a/src/jujubeslip/platform/_announcements.py
+++ b/src/jujubeslip/platform/_announcements.py
@@ -18,6 +18,7 @@
     "": EndpointRole.PLAIN,
 }
 LEAVING_STATE = "draining"
+STARTED_AT_FIELD = "born"
 
 
 def read_announcement(endpoint_id: str, body: bytes) -> Result[Endpoint, str]:
@@ -45,4 +46,27 @@
         role=ROLE_BY_STAGE[fields.get("stage") or ""],
         heard_at=steady_seconds(),
         slow_until=Deadline.from_remaining_ms(int(fields.get("coldLeftMs", 0))),
+        started_at_ms=read_started_at(fields),
     )
+
+
+def read_started_at(fields: dict[str, Any]) -> int:
+    """Return the start that an endpoint tells of itself, 0 where it tells none.
+
+    Raises ValueError for what is no whole number of milliseconds.
+    """
+    started_at_ms = fields.get(STARTED_AT_FIELD, 0)
+    if type(started_at_ms) is not int or started_at_ms < 0:
+        raise ValueError(f"{STARTED_AT_FIELD} is no whole number")
+    return started_at_ms
+
+
+def read_removal(body: bytes) -> Result[int, str]:
+    """Return the start that is removed, 0 where the removal names none."""
+    if not body:
+        return Success(0)
+    try:
+        fields = json.loads(body)
+        return Success(read_started_at(fields) if isinstance(fields, dict) else 0)
+    except ValueError as error:
+        return Failure(f"The removal can't be read: {error}.")
--- a/src/jujubeslip/platform/_control_app.py
+++ b/src/jujubeslip/platform/_control_app.py
@@ -13,7 +13,7 @@
 from jujubeslip.control import ControlGateway
 from jujubeslip.kernel import PeerUnavailableError
 from jujubeslip.peers import PeerRefusal
-from jujubeslip.platform._announcements import read_announcement
+from jujubeslip.platform._announcements import read_announcement, read_removal
 from jujubeslip.platform._configurations import read_routes
 
 logger = logging.getLogger(__name__)
@@ -75,8 +75,7 @@
             if method == "PUT":
                 return self._announce(endpoint_id, environ["wsgi.input"].read())
             if method == "DELETE":
-                self._gateway.note_left(endpoint_id)
-                return Reply(200)
+                return self._note_left(endpoint_id, environ["wsgi.input"].read())
             return _failed(405, method)
         return _failed(404, path)
 
@@ -107,6 +106,13 @@
         self._gateway.announce(read.unwrap())
         return Reply(200)
 
+    def _note_left(self, endpoint_id: str, body: bytes) -> Reply:
+        read = read_removal(body)
+        if isinstance(read, Failure):
+            return _failed(400, read.failure())
+        self._gateway.note_left(endpoint_id, read.unwrap())
+        return Reply(200)
+
 
 def _failed(status: int, reason: str) -> Reply:
     extra = {"status": status, "reason": reason[:MAXIMUM_LOGGED]}
--- a/src/jujubeslip/platform/_endpoint_calls.py
+++ b/src/jujubeslip/platform/_endpoint_calls.py
@@ -15,6 +15,7 @@
 )
 from jujubeslip.peers import EndpointRole
 from jujubeslip.platform import _headers as names
+from jujubeslip.platform._announcements import read_started_at
 from jujubeslip.routes import (
     EngineReport,
     ForwardedRequest,
@@ -114,6 +115,7 @@
             orders=int(fields.get("seq", 0)),
             busy=bool(fields.get("busy", False)),
             reads_prompts=fields.get("stage") == PREFILL_STAGE,
+            started_at_ms=read_started_at(fields),
         )
     except (ValueError, KeyError, TypeError, IndexError):
         return None
--- a/src/jujubeslip/routes/_models.py
+++ b/src/jujubeslip/routes/_models.py
@@ -196,6 +196,8 @@
     """Whether it is carrying one out."""
     reads_prompts: bool = False
     """Whether it reads prompts for others now, and answers nobody."""
+    started_at_ms: int = 0
+    """The start of the engine that reports, 0 if it doesn't say."""
 
 
 @dataclass(frozen=True)
--- a/tests/admission/test_home.py
+++ b/tests/admission/test_home.py
@@ -67,4 +67,4 @@
             home.admit(request)
         reply = home.admit(request)
         assert reply.status == AdmissionStatus.ADMITTED
-        assert (reply.endpoint_id, reply.reader_endpoint_id) == ("engine", "reader")
+        assert (reply.start_id, reply.reader_start_id) == ("engine", "reader")
--- a/tests/admission/test_pool.py
+++ b/tests/admission/test_pool.py
@@ -77,7 +77,12 @@
 
 
 def endpoint_of(decision: Decision) -> str:
-    return decision.grant.endpoint_id if decision.grant else ""
+    return decision.grant.endpoint.endpoint_id if decision.grant else ""
+
+
+def reader_of(decision: Decision) -> str:
+    assert decision.grant is not None
+    return decision.grant.reader.endpoint_id if decision.grant.reader else ""
 
 
 class Callers:
@@ -288,14 +293,12 @@
         waiting = Callers(pool).ask(applicant("a"))
         assert not waiting.done()
         pool.take_report("reader", READER)
-        granted = waiting.result(10).grant
-        assert granted is not None and granted.reader_id == "reader"
+        assert reader_of(waiting.result(10)) == "reader"
 
     def test_do_not_wait_for_it_beside_one_that_has(self) -> None:
         pool = pool_of("engine")
         pool.set_engines([engine("engine")], [engine("reader"), engine("young")])
-        granted = ask_now(pool, "a").grant
-        assert granted is not None and granted.reader_id == "reader"
+        assert reader_of(ask_now(pool, "a")) == "reader"
 
     def test_are_read_by_the_engine_itself_one_at_a_time(self) -> None:
         """No engine reads prompts for others. All answers stand still meanwhile.
@@ -304,7 +307,7 @@
         """
         pool = pool_of("engine", readers=())
         first = ask_now(pool, "a")
-        assert first.grant is not None and first.grant.reader_id == ""
+        assert first.grant is not None and first.grant.reader is None
         assert ask_now(pool, "b").grant is None
         pool.note_read("a")
         assert ask_now(pool, "c").grant is not None
@@ -327,5 +330,4 @@
     def test_reader_that_changes_its_role_gets_none(self) -> None:
         pool = pool_of("engine", readers=("one", "two"))
         pool.take_report("one", EngineReport(CAPACITY, 0, 0, (), busy=True))
-        decision = ask_now(pool, "a")
-        assert decision.grant is not None and decision.grant.reader_id == "two"
+        assert reader_of(ask_now(pool, "a")) == "two"
--- a/tests/forwarding/test_restarts.py
+++ b/tests/forwarding/test_restarts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import json
 import time
 from collections.abc import Iterator
 
@@ -12,6 +13,7 @@
     ENGINE,
     PLAIN,
     PROMPT,
+    Host,
     PlatformSystem,
     configuration,
     route,
@@ -45,7 +47,7 @@
 
 @pytest.fixture
 def started(system: PlatformSystem) -> Iterator[list[PlatformWorker]]:
-    """What a test has announced; all of it leaves with the test."""
+    """Collect what a test announces; all of it leaves with the test."""
     workers: list[PlatformWorker] = []
     yield workers
     for worker in workers:
@@ -106,6 +108,19 @@
     wait_until(lambda: is_used(system, worker, path), "the new start is used", within)
 
 
+def granted_by(system: PlatformSystem, worker: PlatformWorker) -> list[Host]:
+    """Return the control hosts that gave a grant at the worker."""
+    return [
+        host
+        for host in system.controls
+        if any(
+            line["message"] == "grant at an engine"
+            and line["endpoint_id"] == worker.worker_id
+            for line in map(json.loads, host.output().splitlines())
+        )
+    ]
+
+
 class TestKilledAndBackAtOnce:
     """An operator's container is killed, and its supervisor starts it again at once.
 
@@ -241,18 +256,17 @@
     ) -> None:
         add(system, started, "prefill", "model")
         earlier = add(system, started, "decode", "model")
-        wait_used(system, earlier, STREAM, within=8.0)
-        leader = next(
-            number
-            for number, host in enumerate(system.controls)
-            if '"grant at an engine"' in host.output()
+        wait_until(
+            lambda: is_used(system, earlier, STREAM) and granted_by(system, earlier),
+            "the leader grants the engine",
         )
-        system.controls[leader].kill()
+        leader = granted_by(system, earlier)[0]
+        leader.kill()
         later = earlier.killed_and_back(FIRST_START_MS + 5000, same_address=False)
         system.withdraw(earlier)
-        other = (leader + 1) % len(system.controls)
+        other = (system.controls.index(leader) + 1) % len(system.controls)
         started.append(system.add(later, other))
         try:
             wait_used(system, later, STREAM, within=8.0)
         finally:
-            system.controls[leader].start()
+            leader.start()
