Count a prompt as read by the attempt that it was given for

Cause: news that a prompt was read named the request and its attempt, and only the request was looked at. After a restart the same request has a further grant at the next start; late news of the first one freed the reader, which got a second prompt to read beside.

Change: the queue of prompts and the engine's memory compare the attempt.

--- a/src/jujubeslip/admission/_engine_memory.py
+++ b/src/jujubeslip/admission/_engine_memory.py
@@ -86,9 +86,10 @@
         if admitted.grant.reader is None:
             self._reading.add(request_id)
 
-    def note_read(self, request_id: str) -> None:
-        """Note that the prompt of a request has been read."""
-        self._reading.discard(request_id)
+    def note_read(self, request_id: str, attempt: int) -> None:
+        """Note that the prompt of this attempt of a request has been read."""
+        if self.find(request_id, attempt) is not None:
+            self._reading.discard(request_id)
 
     def find(self, request_id: str, attempt: int) -> Admitted | None:
         """Return the grant that was given here for this attempt of a request."""
--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -90,7 +90,7 @@
                 if news.step == AdmissionStep.ENDED:
                     pool.end(news.request_id, news.attempt)
                 else:
-                    pool.note_read(news.request_id)
+                    pool.note_read(news.request_id, news.attempt)
 
     def look(self) -> None:
         """Follow the engines that there are now, if this host is asked."""
--- a/src/jujubeslip/admission/_pool.py
+++ b/src/jujubeslip/admission/_pool.py
@@ -141,10 +141,10 @@
                 waiting.asking -= 1
                 waiting.asked_at = steady_seconds()
 
-    def note_read(self, request_id: str) -> None:
+    def note_read(self, request_id: str, attempt: int) -> None:
         """Note that a request's prompt was read, or won't be where it was to be."""
         with self._changed:
-            self._note_read(request_id)
+            self._note_read(request_id, attempt)
             self._changed.notify_all()
 
     def end(self, request_id: str, attempt: int) -> None:
@@ -153,7 +153,7 @@
             waiting = self._waiting_by_id.get(request_id)
             if waiting is not None and waiting.applicant.attempt == attempt:
                 self._decide(waiting, Decision(None, True, waiting.forecast))
-            self._note_read(request_id)
+            self._note_read(request_id, attempt)
             for engine in self._engine_by_start.values():
                 engine.end(request_id, attempt)
             self._changed.notify_all()
@@ -166,11 +166,11 @@
                 return admitted.grant
         return None
 
-    def _note_read(self, request_id: str) -> None:
+    def _note_read(self, request_id: str, attempt: int) -> None:
         for reader in self._reader_by_start.values():
-            reader.note_read(request_id)
+            reader.note_read(request_id, attempt)
         for engine in self._engine_by_start.values():
-            engine.note_read(request_id)
+            engine.note_read(request_id, attempt)
 
     def _enter(self, applicant: Applicant, avoided: frozenset[str]) -> _Waiting:
         now = steady_seconds()
--- a/src/jujubeslip/admission/_prompt_queue.py
+++ b/src/jujubeslip/admission/_prompt_queue.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from jujubeslip.admission._models import USABLE_SECONDS, Applicant
 from jujubeslip.discovery import Endpoint
 from jujubeslip.kernel import steady_seconds
@@ -21,6 +23,15 @@
 READ_AHEAD_SECONDS = 0.1
 
 
+@dataclass(frozen=True)
+class _GivenPrompt:
+    """A prompt that the engine is to read."""
+
+    attempt: int
+    tokens: int
+    given_at: float
+
+
 class PromptQueue:
     """One start of an engine that reads prompts; guarded by its pool's lock.
 
@@ -30,8 +41,7 @@
 
     def __init__(self, endpoint: Endpoint) -> None:
         self.endpoint = endpoint
-        self._tokens_by_request: dict[str, int] = {}
-        self._given_at_by_request: dict[str, float] = {}
+        self._given_by_request: dict[str, _GivenPrompt] = {}
         self._read_seconds = SPEED_SECONDS
         self._read_tokens = FIRST_TOKENS_PER_SECOND * SPEED_SECONDS
         self._free_since = steady_seconds()
@@ -57,9 +67,10 @@
     @property
     def seconds_left(self) -> float:
         """Return how long it will take to read what it was given."""
-        if not self._tokens_by_request:
+        if not self._given_by_request:
             return 0.0
-        whole = sum(self._tokens_by_request.values()) / self.speed
+        tokens = sum(given.tokens for given in self._given_by_request.values())
+        whole = tokens / self.speed
         return max(0.0, whole - (steady_seconds() - self._free_since))
 
     def seconds_for(self, prompt_tokens: int) -> float:
@@ -81,21 +92,26 @@
     def give(self, applicant: Applicant) -> None:
         """Note a prompt that the engine is to read."""
         now = steady_seconds()
-        if not self._tokens_by_request:
+        if not self._given_by_request:
             self._free_since = now
-        self._tokens_by_request[applicant.request_id] = applicant.prompt_tokens
-        self._given_at_by_request[applicant.request_id] = now
+        self._given_by_request[applicant.request_id] = _GivenPrompt(
+            applicant.attempt, applicant.prompt_tokens, now
+        )
+
+    def note_read(self, request_id: str, attempt: int, learns: bool = True) -> None:
+        """Note that the prompt of this attempt was read, or won't be.
 
-    def note_read(self, request_id: str, learns: bool = True) -> None:
-        """Note that a prompt was read, or won't be."""
-        tokens = self._tokens_by_request.pop(request_id, None)
-        if tokens is None:
+        Late news of an earlier attempt, whose reader was another start, would let a
+        further prompt in beside the one that is still read.
+        """
+        given = self._given_by_request.get(request_id)
+        if given is None or given.attempt != attempt:
             return
-        given_at = self._given_at_by_request.pop(request_id)
+        del self._given_by_request[request_id]
         now = steady_seconds()
-        seconds = now - max(given_at, self._free_since)
+        seconds = now - max(given.given_at, self._free_since)
         if learns:
-            self._learn(tokens, seconds)
+            self._learn(given.tokens, seconds)
         self._free_since = now
 
     def _learn(self, tokens: int, seconds: float) -> None:
@@ -105,6 +121,6 @@
 
     def _forget_lost(self) -> None:
         oldest = steady_seconds() - LOST_SECONDS
-        for request_id, given_at in list(self._given_at_by_request.items()):
-            if given_at < oldest:
-                self.note_read(request_id, learns=False)
+        for request_id, given in list(self._given_by_request.items()):
+            if given.given_at < oldest:
+                self.note_read(request_id, given.attempt, learns=False)
--- a/tests/admission/test_pool.py
+++ b/tests/admission/test_pool.py
@@ -127,7 +127,7 @@
         for number in range(30):
             request_id = f"request-{number}"
             decision = ask_now(pool, request_id)
-            pool.note_read(request_id)
+            pool.note_read(request_id, 1)
             given += decision.grant is not None
         # By their prompts alone, twenty-three would fit.
         assert 9 <= given <= 17
@@ -143,7 +143,7 @@
         for number in range(4):
             asking = applicant(f"request-{number}", reads_itself=True)
             decision = pool.ask(asking, ("one",), at_once())
-            pool.note_read(f"request-{number}")
+            pool.note_read(f"request-{number}", 1)
             assert endpoint_of(decision) == "two"
 
     def test_are_given_in_the_own_availability_zone_first(self) -> None:
@@ -176,7 +176,7 @@
         for request_id in ids:
             if ask_now(pool, request_id).grant:
                 given.append(request_id)
-            pool.note_read(request_id)
+            pool.note_read(request_id, 1)
         pool.take_report(
             "engine", engine_report(*[RunningAnswer(4000, 1, item) for item in given])
         )
@@ -195,10 +195,10 @@
         room = [RunningAnswer(9_000, 60, f"old-{n}") for n in range(8)]
         full.take_report("engine", engine_report(*room))
         assert endpoint_of(earlier.result(10)) == "engine"
-        full.note_read("earlier")
+        full.note_read("earlier", 1)
         full.take_report("engine", engine_report())
         assert endpoint_of(later.result(10)) == "engine"
-        full.note_read("later")
+        full.note_read("later", 1)
         assert endpoint_of(late.result(10)) == "engine"
 
     def test_host_that_died_holds_nobody_up(self, full: EnginePool) -> None:
@@ -255,7 +255,7 @@
     def test_further_place_is_another_one(self) -> None:
         pool = pool_of("one", "two")
         first = ask_now(pool, "a")
-        pool.note_read("a")
+        pool.note_read("a", 1)
         second = pool.ask(applicant("a", attempt=2), (endpoint_of(first),), at_once())
         assert {endpoint_of(first), endpoint_of(second)} == {"one", "two"}
         # What is heard late of the first one takes nothing from the second.
@@ -270,8 +270,8 @@
         pool = pool_of("engine")
         given = [ask_now(pool, f"request-{n}").grant for n in range(4)]
         assert given[0] is not None and given[3] is None
-        pool.note_read("request-0")
-        pool.note_read("request-1")
+        pool.note_read("request-0", 1)
+        pool.note_read("request-1", 1)
         assert ask_now(pool, "next").grant is not None
 
     def test_come_with_how_long_their_reading_should_take(self) -> None:
@@ -309,7 +309,7 @@
         first = ask_now(pool, "a")
         assert first.grant is not None and first.grant.reader is None
         assert ask_now(pool, "b").grant is None
-        pool.note_read("a")
+        pool.note_read("a", 1)
         assert ask_now(pool, "c").grant is not None
 
     def test_that_are_long_are_not_read_beside_other_answers(self) -> None:
--- a/tests/admission/test_prompt_queue.py
+++ b/tests/admission/test_prompt_queue.py
@@ -40,7 +40,7 @@
         for number in range(60):
             queue.give(prompt(str(number), 5000))
             clock.now += 0.5
-            queue.note_read(str(number))
+            queue.note_read(str(number), 1)
         queue.give(prompt("next", 5000))
         assert 0.4 < queue.seconds_left < 0.55
 
@@ -55,8 +55,8 @@
             queue.give(prompt(f"{number}-a", 5000))
             queue.give(prompt(f"{number}-b", 5000))
             clock.now += 1.0
-            queue.note_read(f"{number}-a")
-            queue.note_read(f"{number}-b")
+            queue.note_read(f"{number}-a", 1)
+            queue.note_read(f"{number}-b", 1)
         queue.give(prompt("next", 5000))
         assert 0.35 < queue.seconds_left < 0.55
 
--- /dev/null
+++ b/tests/admission/test_starts.py
@@ -0,0 +1,120 @@
+"""Engines that start again under their id, as the leader's grants see them."""
+
+from __future__ import annotations
+
+from jujubeslip.admission._memory_forecast import MemoryOptions
+from jujubeslip.admission._pool import EnginePool
+from jujubeslip.discovery import Endpoint
+from jujubeslip.peers import EndpointRole
+from jujubeslip.routes import EngineReport, RunningAnswer
+from tests.admission.test_pool import (
+    CAPACITY,
+    FULL,
+    READER,
+    applicant,
+    ask_now,
+    at_once,
+    endpoint_of,
+    engine_report,
+    reader_of,
+)
+from tests.fakes.engines import engine
+
+FIRST, SECOND = 1_700_000_000_000, 1_700_000_005_000
+
+
+def answering(started_at_ms: int) -> Endpoint:
+    return engine("engine", started_at_ms=started_at_ms)
+
+
+def reading(started_at_ms: int) -> Endpoint:
+    return engine("reader", EndpointRole.PREFILL, started_at_ms=started_at_ms)
+
+
+def pool_at(engine_start: int, reader_start: int) -> EnginePool:
+    pool = EnginePool("model", MemoryOptions(margin=0.05, caution=1.5))
+    set_starts(pool, engine_start, reader_start)
+    return pool
+
+
+def set_starts(pool: EnginePool, engine_start: int, reader_start: int) -> None:
+    """Let the engines be there with these starts, which have nothing to do."""
+    pool.set_engines([answering(engine_start)], [reading(reader_start)])
+    pool.take_report(answering(engine_start).start_id, engine_report())
+    pool.take_report(reading(reader_start).start_id, READER)
+
+
+class TestMemoryOfTheEarlierStart:
+    """An engine is killed with a dozen answers, and is back with none.
+
+    Counted on, those answers would keep requests off an empty engine for seconds.
+    """
+
+    def test_is_free_at_the_new_start(self) -> None:
+        pool = pool_at(FIRST, FIRST)
+        pool.take_report(answering(FIRST).start_id, FULL)
+        assert ask_now(pool, "before").grant is None
+        set_starts(pool, SECOND, FIRST)
+        granted = ask_now(pool, "after").grant
+        assert granted is not None and granted.endpoint.started_at_ms == SECOND
+
+    def test_new_start_is_not_used_before_its_own_report(self) -> None:
+        pool = pool_at(FIRST, FIRST)
+        pool.set_engines([answering(SECOND)], [reading(FIRST)])
+        assert not pool.usable
+
+    def test_late_report_of_it_fills_nothing(self) -> None:
+        pool = pool_at(FIRST, FIRST)
+        set_starts(pool, SECOND, FIRST)
+        pool.take_report(answering(FIRST).start_id, FULL)
+        assert endpoint_of(ask_now(pool, "a")) == "engine"
+
+
+class TestGrantOfTheEarlierStart:
+    """An engine is killed over a request; its host asks for a further grant.
+
+    What is heard of the first grant comes late, after the second one was given.
+    """
+
+    def test_is_given_back_once(self) -> None:
+        pool = pool_at(FIRST, FIRST)
+        ask_now(pool, "a")
+        set_starts(pool, SECOND, SECOND)
+        second = pool.ask(applicant("a", attempt=2), (), at_once())
+        pool.end("a", 1)
+        pool.note_read("a", 1)
+        again = pool.ask(applicant("a", attempt=2), (), at_once())
+        assert again.grant is not None and again.grant == second.grant
+
+    def test_its_prompt_takes_none_of_the_reader_from_the_next(self) -> None:
+        """A second prompt would be read beside the one that the reader has."""
+        pool = pool_at(FIRST, FIRST)
+        ask_now(pool, "a")
+        set_starts(pool, SECOND, SECOND)
+        long = applicant("a", attempt=2, prompt_tokens=9_000)
+        assert reader_of(pool.ask(long, (), at_once())) == "reader"
+        pool.note_read("a", 1)
+        assert ask_now(pool, "b").grant is None
+        pool.note_read("a", 2)
+        assert ask_now(pool, "c").grant is not None
+
+    def test_start_that_refused_is_avoided_and_the_next_is_not(self) -> None:
+        pool = pool_at(FIRST, FIRST)
+        refused = answering(FIRST).start_id
+        assert ask_now(pool, "a", refused).grant is None
+        set_starts(pool, SECOND, FIRST)
+        assert endpoint_of(ask_now(pool, "b", refused)) == "engine"
+
+
+class TestEngineThatComesBackInAnotherRole:
+    def test_reads_prompts_and_gets_no_answers(self) -> None:
+        pool = pool_at(FIRST, FIRST)
+        back = engine("engine", EndpointRole.PREFILL, started_at_ms=SECOND)
+        stays = engine("stays")
+        pool.set_engines([stays], [back])
+        pool.take_report("stays", engine_report(RunningAnswer(10, 1, "old")))
+        pool.take_report(
+            back.start_id, EngineReport(CAPACITY, 0, 0, (), reads_prompts=True)
+        )
+        decision = ask_now(pool, "a")
+        assert (endpoint_of(decision), reader_of(decision)) == ("stays", "engine")
--- a/tests/fakes/engines.py
+++ b/tests/fakes/engines.py
@@ -11,6 +11,7 @@
     endpoint_id: str,
     role: EndpointRole = EndpointRole.DECODE,
     availability_zone: str = "zone-1",
+    started_at_ms: int = 0,
 ) -> Endpoint:
     """Return an engine of the service `model` that was heard just now."""
     return Endpoint(
@@ -24,4 +25,5 @@
         leaving=False,
         heard_at=steady_seconds(),
         slow_until=Deadline.after(0),
+        started_at_ms=started_at_ms,
     )
