--- a/tests/admission/test_starts.py
+++ b/tests/admission/test_starts.py
@@ -2,9 +2,19 @@
 
 from __future__ import annotations
 
+import threading
+from dataclasses import replace
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from jujubeslip.admission._engine_follower import EngineFollower
 from jujubeslip.admission._memory_forecast import MemoryOptions
 from jujubeslip.admission._pool import EnginePool
 from jujubeslip.discovery import Endpoint
+from jujubeslip.interfaces import interfaces
+from jujubeslip.kernel import load_plugins
 from jujubeslip.peers import EndpointRole
 from jujubeslip.routes import EngineReport, RunningAnswer
 from tests.admission.test_pool import (
@@ -19,6 +29,8 @@
     reader_of,
 )
 from tests.fakes.engines import engine
+from tests.fakes.platform_worker import PlatformWorker
+from tests.fakes.processes import wait_until
 
 FIRST, SECOND = 1_700_000_000_000, 1_700_000_005_000
 
@@ -106,6 +118,34 @@
         assert endpoint_of(ask_now(pool, "b", refused)) == "engine"
 
 
+class TestFollowerOfTheEarlierStart:
+    """The next start answers at the same address, by the same id, with nothing to do.
+
+    Taken for the start before, its report would say that all answers there ended.
+    """
+
+    @pytest.mark.parametrize("reports", [FIRST, SECOND, None])
+    def test_takes_no_report_of_the_next(self, reports: int | None) -> None:
+        load_plugins()
+        worker = PlatformWorker("engine", "model", "decode", started_at_ms=reports)
+        taken: list[EngineReport] = []
+        with worker:
+            followed = replace(answering(FIRST), address=worker.address)
+            process: Any = SimpleNamespace(stopped=threading.Event())
+            follower = EngineFollower(
+                followed,
+                interfaces.get("platform"),
+                process,
+                lambda _, report: taken.append(report),
+            )
+            thread = threading.Thread(target=follower.run)
+            thread.start()
+            wait_until(lambda: worker.questions.count("report") > 1, "it is asked")
+            follower.stop()
+            thread.join()
+        assert bool(taken) is (reports != SECOND)
+
+
 class TestEngineThatComesBackInAnotherRole:
     def test_reads_prompts_and_gets_no_answers(self) -> None:
         pool = pool_at(FIRST, FIRST)
--- a/tests/control/test_roles.py
+++ b/tests/control/test_roles.py
@@ -82,14 +82,15 @@
 class Asked:
     """Stands in for the engines: counts the orders that reach them."""
 
-    def __init__(self) -> None:
+    def __init__(self, report: dict[str, Any] | None = None) -> None:
+        self._report = report or REPORT
         self.orders = 0
 
     def __call__(
         self, endpoint: Endpoint, question: EndpointQuestion
     ) -> tuple[int, bytes]:
         if question.method == "GET":
-            return 200, json.dumps(REPORT).encode()
+            return 200, json.dumps(self._report).encode()
         self.orders += 1
         return 202, b""
 
@@ -132,3 +133,32 @@
         assert asked.orders == 1
         keeper.look()
         assert asked.orders == 1
+
+
+class TestOrderAcrossARestart:
+    """An engine starts again between the announcement and the order.
+
+    Its next start answers for the report by the same id, with no orders accepted. The
+    order was weighed for the role of the start before, and would be carried out.
+    """
+
+    @pytest.mark.parametrize(("reports", "orders"), [(5, 1), (9, 0), (None, 1)])
+    def test_start_that_was_not_weighed_is_not_ordered(
+        self, monkeypatch: pytest.MonkeyPatch, reports: int | None, orders: int
+    ) -> None:
+        ordered = engine("p-0", EndpointRole.PREFILL, started_at_ms=5)
+        book = EndpointBook()
+        book.take([ordered, *engines(0, 2).decode, *engines(2, 0).prefill[1:]])
+        watches: Any = SimpleNamespace(pressure_of=lambda name: pressure())
+        replica: Any = SimpleNamespace(settings=SimpleNamespace(host_id="control-1"))
+        interface: Any = SimpleNamespace(
+            ask_report=ask_report, read_report=read_report, order_role=order_role
+        )
+        keeper = RoleKeeper(replica, book, watches, interface, 3.0)
+        told = {} if reports is None else {"born": reports}
+        asked = Asked({**REPORT, **told})
+        monkeypatch.setattr(keeper, "_ask", asked)
+        monkeypatch.setattr(keeper, "_short_for", lambda name, told: 2.0)
+        monkeypatch.setattr(keeper, "_fence", lambda: Fence(1, Deadline.after(10)))
+        keeper.look()
+        assert asked.orders == orders
--- /dev/null
+++ b/tests/platform/test_announcements.py
@@ -0,0 +1,71 @@
+"""The start that an endpoint tells of itself, as it is read."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from returns.result import Failure, Success
+
+from jujubeslip.platform._announcements import read_announcement, read_removal
+from jujubeslip.platform._endpoint_calls import read_report
+
+STARTED_AT_MS = 1_700_000_000_123
+ANNOUNCEMENT = {
+    "service": "plain",
+    "address": "10.0.0.1:80",
+    "zone": "zone-1",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "stage": "decode",
+    "models": [],
+    "seq": 1,
+}
+REPORT = {"stage": "decode", "queued": 0, "kvUsed": 0, "kvCapacity": 9, "runs": []}
+NO_WHOLE_NUMBERS = [1.5, 1e3, "1700000000123", None, True, -1, [], {}]
+
+
+def body(fields: dict[str, Any], **more: Any) -> bytes:
+    return json.dumps({**fields, **more}).encode()
+
+
+class TestStartOfAnAnnouncement:
+    def test_is_read(self) -> None:
+        read = read_announcement("e", body(ANNOUNCEMENT, born=STARTED_AT_MS))
+        assert read.unwrap().started_at_ms == STARTED_AT_MS
+
+    def test_that_is_missing_is_none(self) -> None:
+        assert read_announcement("e", body(ANNOUNCEMENT)).unwrap().started_at_ms == 0
+
+    @pytest.mark.parametrize("told", NO_WHOLE_NUMBERS)
+    def test_that_is_no_whole_number_is_refused(self, told: Any) -> None:
+        """Taken for none, it would be an announcement of before all others."""
+        assert isinstance(
+            read_announcement("e", body(ANNOUNCEMENT, born=told)), Failure
+        )
+
+
+class TestStartOfAReport:
+    @pytest.mark.parametrize(("told", "read"), [({"born": 7}, 7), ({}, 0)])
+    def test_is_read(self, told: dict[str, int], read: int) -> None:
+        report = read_report(body(REPORT, **told))
+        assert report is not None and report.started_at_ms == read
+
+    @pytest.mark.parametrize("told", NO_WHOLE_NUMBERS)
+    def test_that_is_no_whole_number_makes_it_unusable(self, told: Any) -> None:
+        assert read_report(body(REPORT, born=told)) is None
+
+
+class TestRemoval:
+    @pytest.mark.parametrize(
+        ("content", "read"), [(b"", 0), (b"{}", 0), (b'{"born": 7}', 7), (b"[]", 0)]
+    )
+    def test_names_a_start_or_none(self, content: bytes, read: int) -> None:
+        assert read_removal(content) == Success(read)
+
+    @pytest.mark.parametrize("content", [b"{", b'{"born": "7"}', b"\xff"])
+    def test_that_cannot_be_read_is_refused(self, content: bytes) -> None:
+        assert isinstance(read_removal(content), Failure)
