--- a/tests/forwarding/test_starts.py
+++ b/tests/forwarding/test_starts.py
@@ -157,6 +157,16 @@
             fresh.close()
             kept.close()
 
+    def test_is_kept_for_that_one_alone(self) -> None:
+        with PlatformWorker("engine", "model", "decode") as worker:
+            ways = sending(book_of())
+            for started_at_ms in (FIRST, FIRST, SECOND):
+                asked = start(started_at_ms, address=worker.address)
+                question = ways.interface.ask_report("engine")
+                ways.ask(asked, question, Deadline.after(2))
+            assert ways.pool.idle_count == len(worker.sockets) == 2
+            ways.pool.close_all()
+
 
 class FailingExchange:
     """Notes the call, lets something happen, and reaches nobody."""
