Say which start of an endpoint counts, and test streams across a restart

Tests: an engine is killed in the middle of a stream and is back at once; the stream runs once where it can't be resumed, and goes on behind its last event where it can. The stand-in no longer prints a trace when a kill cuts the body of a call.

--- a/src/jujubeslip/interfaces/_models.py
+++ b/src/jujubeslip/interfaces/_models.py
@@ -30,7 +30,7 @@
     """What a call to an endpoint says beside the client's own request."""
 
     endpoint_id: str
-    """The start of the endpoint that alone may answer."""
+    """The endpoint that alone may answer; any start of it will."""
     remaining_ms: int
     """How long the endpoint may take."""
     reads_prompt_only: bool = False
@@ -53,7 +53,7 @@
     not_run: bool
     """Whether the endpoint says that it did not run the request."""
     answered_by: str
-    """The start of the endpoint that answered, empty if it doesn't say."""
+    """The endpoint that answered, empty if it doesn't say."""
     misdirected: bool
     """Whether the call was not for the endpoint, or not for the role it has now."""
     proves_origin: bool
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -138,6 +138,7 @@
             self.worker_id,
             self.service,
             self.stage if stage is None else stage,
+            events=self.events,
             started_at_ms=started_at_ms,
             listens_at=self.address if same_address else "127.0.0.1:0",
         )
@@ -184,9 +185,9 @@
         super().finish()
 
     def _dispatch(self, method: str) -> None:
-        body = self.read_body()
         expected = self.headers.get("Expect-Instance", self.worker.worker_id)
         try:
+            body = self.read_body()
             if expected != self.worker.worker_id:
                 headers = {"Instance-Id": self.worker.worker_id}
                 self.reply(421, {}, headers)
--- a/tests/forwarding/test_restarts.py
+++ b/tests/forwarding/test_restarts.py
@@ -6,6 +6,7 @@
 import json
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -15,6 +16,7 @@
     PROMPT,
     Host,
     PlatformSystem,
+    Reply,
     configuration,
     route,
 )
@@ -23,7 +25,9 @@
 
 NUMBERS = itertools.count()
 FIRST_START_MS = 1_700_000_000_000
-SAFE, UNSAFE, STREAM = "/safe/x", "/unsafe/x", "/stream/x"
+SAFE, UNSAFE, STREAM, RESUMED = "/safe/x", "/unsafe/x", "/stream/x", "/resumed/x"
+# Events of a stream that lasts for about a second.
+LONG_STREAM = 80
 # A start that has announced itself is used within this, in seconds.
 FOUND_SECONDS = 3.0
 # Announcements that a worker made before it started again.
@@ -37,6 +41,7 @@
         route("safe", "/safe/", "plain"),
         route("unsafe", "/unsafe/", "plain", kind="unsafe"),
         route("stream", "/stream/", "model", **shape, maxAttempts=1),
+        route("resumed", "/resumed/", "model", **shape, resumable=True),
     ]
     folder = tmp_path_factory.mktemp("restarts")
     with PlatformSystem(folder, controls=3, retry_allowance=500) as running:
@@ -121,6 +126,11 @@
     ]
 
 
+def event_ids(reply: Reply) -> list[int]:
+    lines = reply.body.decode().splitlines()
+    return [int(line[4:]) for line in lines if line.startswith("id: ")]
+
+
 class TestKilledAndBackAtOnce:
     """An operator's container is killed, and its supervisor starts it again at once.
 
@@ -245,6 +255,68 @@
         assert [ran.count(f"once-{number}") for number in range(4)] == [1] * 4
 
 
+class TestStreamInProgress:
+    """An engine is killed in the middle of a summary, and is back at once.
+
+    Its next start knows nothing of the summary. Begun anew there, its reader would see
+    the same lines twice.
+    """
+
+    def stream_over_a_restart(
+        self, system: PlatformSystem, started: list[PlatformWorker], path: str
+    ) -> tuple[Reply, PlatformWorker, PlatformWorker]:
+        """Kill the engine in the middle of a stream; return it, and its next start."""
+        add(system, started, "prefill", "model")
+        engine = add(system, started, "decode", "model")
+        engine.events = LONG_STREAM
+        wait_used(system, engine, STREAM, within=8.0)
+        engine.runs.clear()
+        other = add(system, started, "decode", "model")
+        other.events = LONG_STREAM
+        with ThreadPoolExecutor() as clients:
+            replies = [
+                clients.submit(
+                    system.ask, path, "POST", b"x", headers=PROMPT, deadline_ms=8000
+                )
+                for _ in range(4)
+            ]
+            wait_until(lambda: engine.runs, "a stream runs at the engine")
+            run = engine.runs[0].request_id
+            time.sleep(0.2)
+            later = restart(system, started, engine)
+            by_id = {
+                reply.result().headers["request-id"]: reply.result()
+                for reply in replies
+                if reply.result().status == 200
+            }
+        return by_id[run], engine, later
+
+    def test_runs_once_where_it_cannot_be_resumed(
+        self, system: PlatformSystem, started: list[PlatformWorker]
+    ) -> None:
+        reply, engine, later = self.stream_over_a_restart(system, started, STREAM)
+        request_id = reply.headers["request-id"]
+        assert not reply.whole
+        assert event_ids(reply) == list(range(1, len(event_ids(reply)) + 1))
+        ran = [run for worker in started for run in worker.run_ids()]
+        assert ran.count(request_id) == 1
+
+    def test_goes_on_behind_its_last_event_where_it_can(
+        self, system: PlatformSystem, started: list[PlatformWorker]
+    ) -> None:
+        reply, engine, later = self.stream_over_a_restart(system, started, RESUMED)
+        assert reply.whole
+        assert event_ids(reply) == list(range(1, LONG_STREAM + 1))
+        request_id = reply.headers["request-id"]
+        resumed = [
+            run
+            for worker in started
+            for run in worker.runs
+            if run.request_id == request_id and worker is not engine
+        ]
+        assert [bool(run.headers.get("Last-Event-Id")) for run in resumed] == [True]
+
+
 class TestLeaderThatChanges:
     """The control host that leads dies just as an engine starts again.
 
