--- a/src/jujubeslip/discovery/_book.py
+++ b/src/jujubeslip/discovery/_book.py
@@ -19,11 +19,10 @@
 REMEMBERED_SECONDS = 300.0
 # A start that was not heard for this long gives way to one with an earlier time, in
 # seconds. The clock of an endpoint may go back between two starts: the new one would
-# be kept out for as long as the one before is remembered. It is longer than an
-# announcement of a start that is gone can be on its way, delayed for some seconds or
-# behind a network partition, in all but rare cases; what is lost in those is
-# that a dead start is tried until it was not heard for some seconds again.
-GIVES_WAY_SECONDS = 30.0
+# be kept out for as long as the one before is remembered. Entry hosts pass a start over
+# by then, so that little is lost where it is only cut off; an announcement of a start
+# that is gone would have to be delayed for longer to be tried.
+GIVES_WAY_SECONDS = 10.0
 # Two hosts know of the same removal by clocks that differ by the time that a message
 # takes. Instants that are closer than this are the same removal, in seconds.
 SAME_REMOVAL_SECONDS = 1.0
