--- a/tests/discovery/test_starts.py
+++ b/tests/discovery/test_starts.py
@@ -212,6 +212,14 @@
         assert known(book).stays
 
 
+def tell_each_other(books: tuple[EndpointBook, EndpointBook]) -> None:
+    for _ in range(2):
+        for teller, hearer in (books, books[::-1]):
+            hearer.take(
+                endpoint_from_record(to_record(item)) for item in teller.endpoints()
+            )
+
+
 class TestHostsThatTellEachOther:
     def test_record_carries_the_start_and_its_removal(self, clock: Clock) -> None:
         book = EndpointBook()
@@ -245,14 +253,33 @@
         chance.shuffle(events)
         for event in events:
             chance.choice(books).take([event])
-        for _ in range(2):
-            for teller, hearer in (books, books[::-1]):
-                hearer.take(
-                    endpoint_from_record(to_record(item)) for item in teller.endpoints()
-                )
+        tell_each_other(books)
         for book in books:
             latest = known(book)
             assert latest.started_at_ms == THIRD
             assert latest.sequence == 3 and latest.stays
         version = books[0].version
         assert books[0].take(books[1].endpoints()) == version
+
+    @pytest.mark.parametrize("seed", range(50))
+    def test_agree_on_removals_that_come_late(self, clock: Clock, seed: int) -> None:
+        """Removals of earlier starts arrive at either host, among announcements."""
+        chance = random.Random(seed)
+        books = (EndpointBook(), EndpointBook())
+        calls: list[Endpoint | None] = [None, None]
+        calls += [told(clock, start, 2) for start in (FIRST, SECOND, THIRD)]
+        chance.shuffle(calls)
+        for call in calls:
+            clock.now += chance.random()
+            book = chance.choice(books)
+            if call is None:
+                book.note_left("e")
+            else:
+                book.take([replace(call, heard_at=clock.now)])
+        tell_each_other(books)
+        assert known(books[0]).stays == known(books[1]).stays
+        clock.now += _models.REMOVAL_SECONDS + 1
+        chance.choice(books).take([told(clock, THIRD, 3)])
+        tell_each_other(books)
+        for book in books:
+            assert known(book).started_at_ms == THIRD and known(book).stays
--- a/tests/fakes/platform_system.py
+++ b/tests/fakes/platform_system.py
@@ -226,10 +226,13 @@
         path = f"/instances/{worker_id}"
         return self._call(control, "PUT", path, json.dumps(beat).encode(), 3.0)[0] or 0
 
-    def leave(self, worker: PlatformWorker, control: int = 0) -> int:
+    def leave(
+        self, worker: PlatformWorker, control: int = 0, tells_start: bool = False
+    ) -> int:
         """Announce that a worker has left; return the status."""
         path = f"/instances/{worker.worker_id}"
-        return self._call(control, "DELETE", path, None, 3.0)[0] or 0
+        body = json.dumps(worker.told_start()).encode() if tells_start else None
+        return self._call(control, "DELETE", path, body, 3.0)[0] or 0
 
     def add(self, worker: PlatformWorker, control: int = 0) -> PlatformWorker:
         """Announce a worker from now on, and close it at the end."""
--- a/tests/forwarding/test_restarts.py
+++ b/tests/forwarding/test_restarts.py
@@ -221,6 +221,16 @@
         assert not is_used(system, later)
         wait_used(system, later, within=16.0)
 
+    def test_removal_that_tells_its_start_changes_nothing(
+        self, system: PlatformSystem, started: list[PlatformWorker]
+    ) -> None:
+        earlier = plain_worker(system, started)
+        later = restart(system, started, earlier)
+        wait_used(system, later)
+        assert system.leave(earlier, control=1, tells_start=True) == 200
+        time.sleep(0.3)
+        assert [is_used(system, later) for _ in range(5)] == [True] * 5
+
     def test_own_removal_of_the_new_start_counts(
         self, system: PlatformSystem, started: list[PlatformWorker]
     ) -> None:
