Refuse a start that hosts can't tell each other

Cause: a start of 2**63 or more was taken and could not be written as a 64-bit number: each answer to a watch that had it would fail, for all endpoints. Its tests failed first.

--- a/src/jujubeslip/platform/_announcements.py
+++ b/src/jujubeslip/platform/_announcements.py
@@ -19,6 +19,9 @@
 }
 LEAVING_STATE = "draining"
 STARTED_AT_FIELD = "born"
+# Hosts tell each other a start in 64 bits. A larger number, once taken, could not be
+# told, nor could any other endpoint in the same answer.
+STARTED_AT_BITS = 63
 
 
 def read_announcement(endpoint_id: str, body: bytes) -> Result[Endpoint, str]:
@@ -56,8 +59,8 @@
     Raises ValueError for what is no whole number of milliseconds.
     """
     started_at_ms = fields.get(STARTED_AT_FIELD, 0)
-    if type(started_at_ms) is not int or started_at_ms < 0:
-        raise ValueError(f"{STARTED_AT_FIELD} is no whole number")
+    if type(started_at_ms) is not int or not 0 <= started_at_ms < 2**STARTED_AT_BITS:
+        raise ValueError(f"{STARTED_AT_FIELD} is no whole number of milliseconds")
     return started_at_ms
 
 
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -25,7 +25,7 @@
     "seq": 1,
 }
 REPORT = {"stage": "decode", "queued": 0, "kvUsed": 0, "kvCapacity": 9, "runs": []}
-NO_WHOLE_NUMBERS = [1.5, 1e3, "1700000000123", None, True, -1, [], {}]
+NO_WHOLE_NUMBERS = [1.5, 1e3, "1700000000123", None, True, -1, 2**63, [], {}]
 
 
 def body(fields: dict[str, Any], **more: Any) -> bytes:
