--- a/tests/admission/test_starts.py
+++ b/tests/admission/test_starts.py
@@ -147,6 +147,11 @@
 
 
 class TestEngineThatComesBackInAnotherRole:
+    """An engine that answered is killed, and reads prompts from its next start on.
+
+    Granted as before, it would refuse each request after its prompt was read.
+    """
+
     def test_reads_prompts_and_gets_no_answers(self) -> None:
         pool = pool_at(FIRST, FIRST)
         back = engine("engine", EndpointRole.PREFILL, started_at_ms=SECOND)
--- a/tests/forwarding/test_starts.py
+++ b/tests/forwarding/test_starts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from types import SimpleNamespace, TracebackType
 from typing import Any, Self
 
@@ -44,7 +45,7 @@
     endpoint_id: str = "engine",
 ) -> Endpoint:
     told = engine(endpoint_id, role, started_at_ms=started_at_ms)
-    return Endpoint(**{**told.__dict__, "address": address})
+    return replace(told, address=address)
 
 
 def book_of(*endpoints: Endpoint) -> EndpointBook:
@@ -93,7 +94,11 @@
 
 
 class TestGrantAtAnotherStart:
-    """The leader and this host have not heard of the same starts of an engine."""
+    """The leader and this host have not heard of the same starts of an engine.
+
+    Sent there all the same, the request would go to an address of before, or to a
+    start whose memory the leader has counted for the one before.
+    """
 
     @pytest.mark.parametrize(("granted", "heard"), [(FIRST, SECOND), (SECOND, FIRST)])
     def test_is_given_back(self, granted: int, heard: int) -> None:
@@ -244,6 +249,12 @@
 
 
 class TestEngineThatStartsAgainWhileThePromptIsRead:
+    """An engine is granted, and is back at another address before the prompt is read.
+
+    Sent to the address of before, the request waits for a connection in vain, or
+    reaches whoever has that address now.
+    """
+
     def test_gets_nothing_at_its_earlier_address(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
