--- a/src/jujubeslip/admission/_engine_follower.py
+++ b/src/jujubeslip/admission/_engine_follower.py
@@ -69,8 +69,14 @@
         if isinstance(read, Failure):
             self._note(False, read.failure())
             return
+        report = read.unwrap()
+        # At the address of a start that is gone, the next one answers by the same id:
+        # its report would be taken for that of answers which have ended.
+        if not engine.may_be(report.started_at_ms):
+            self._note(False, "another start answers at its address")
+            return
         self._note(True, "")
-        self._on_report(engine, read.unwrap())
+        self._on_report(engine, report)
 
     def _note(self, answers: bool, error: str) -> None:
         if answers is self._answers:
--- a/src/jujubeslip/admission/_engines.py
+++ b/src/jujubeslip/admission/_engines.py
@@ -42,23 +42,26 @@
 
     def __init__(self, options: MemoryOptions) -> None:
         self._options = options
-        self._engine_by_id: dict[str, EngineMemory] = {}
-        self._reader_by_id: dict[str, PromptQueue] = {}
+        self._engine_by_start: dict[str, EngineMemory] = {}
+        self._reader_by_start: dict[str, PromptQueue] = {}
         self._read_speed = FIRST_TOKENS_PER_SECOND
 
     def keep_only(
         self, answering: Collection[Endpoint], reading: Collection[Endpoint]
     ) -> None:
-        """Give grants at the first ones, and prompts to the second ones, only."""
-        _keep_only(self._engine_by_id, answering, EngineMemory)
-        _keep_only(self._reader_by_id, reading, PromptQueue)
+        """Give grants at the first ones, and prompts to the second ones, only.
 
-    def take_report(self, endpoint_id: str, report: EngineReport) -> None:
-        """Take over what an engine says of itself."""
-        engine = self._engine_by_id.get(endpoint_id)
+        What was given at a start that is gone goes with it.
+        """
+        _keep_only(self._engine_by_start, answering, EngineMemory)
+        _keep_only(self._reader_by_start, reading, PromptQueue)
+
+    def take_report(self, start_id: str, report: EngineReport) -> None:
+        """Take over what a start of an engine says of itself."""
+        engine = self._engine_by_start.get(start_id)
         if engine is not None:
             engine.take_report(report)
-        reader = self._reader_by_id.get(endpoint_id)
+        reader = self._reader_by_start.get(start_id)
         if reader is not None:
             reader.take_report(report)
             self._read_speed = reader.speed
@@ -66,34 +69,34 @@
     @property
     def usable(self) -> bool:
         """Say whether any engine is known well enough to be given requests."""
-        return any(engine.usable for engine in self._engine_by_id.values())
+        return any(engine.usable for engine in self._engine_by_start.values())
 
     def admit(self, applicant: Applicant, grant: Grant) -> None:
         """Note that a request was given a grant."""
         admitted = Admitted(applicant, grant, steady_seconds())
-        self._engine_by_id[grant.endpoint_id].admit(admitted)
-        if grant.reader_id:
-            self._reader_by_id[grant.reader_id].give(applicant)
+        self._engine_by_start[grant.endpoint.start_id].admit(admitted)
+        if grant.reader is not None:
+            self._reader_by_start[grant.reader.start_id].give(applicant)
 
     def given_before(self, applicant: Applicant) -> Grant | None:
         """Return the grant of a request that asks again after a lost answer."""
-        for engine in self._engine_by_id.values():
+        for engine in self._engine_by_start.values():
             admitted = engine.find(applicant.request_id, applicant.attempt)
             if admitted is not None:
                 return admitted.grant
         return None
 
-    def note_read(self, request_id: str) -> None:
+    def note_read(self, request_id: str, attempt: int) -> None:
         """Note that a request's prompt was read, or won't be where it was to be."""
-        for reader in self._reader_by_id.values():
-            reader.note_read(request_id)
-        for engine in self._engine_by_id.values():
-            engine.note_read(request_id)
+        for reader in self._reader_by_start.values():
+            reader.note_read(request_id, attempt)
+        for engine in self._engine_by_start.values():
+            engine.note_read(request_id, attempt)
 
     def end(self, request_id: str, attempt: int) -> None:
         """Note that a request has ended, or will not be sent."""
-        self.note_read(request_id)
-        for engine in self._engine_by_id.values():
+        self.note_read(request_id, attempt)
+        for engine in self._engine_by_start.values():
             engine.end(request_id, attempt)
 
     def find_grant(
@@ -117,8 +120,8 @@
             )
         grants = [
             grant
-            for engine in self._engine_by_id.values()
-            if engine.usable and engine.endpoint_id not in avoided
+            for engine in self._engine_by_start.values()
+            if engine.usable and engine.endpoint.start_id not in avoided
             if reader is not None or self._may_read(engine, applicant)
             if (grant := self._grant_at(engine, applicant)) is not None
         ]
@@ -132,20 +135,19 @@
             return found
         return replace(
             found,
-            reader_id=reader.endpoint_id,
+            reader=reader.endpoint,
             read_seconds=reader.seconds_for(applicant.prompt_tokens),
         )
 
     def _cost(self, grant: Grant, own_zone: str) -> float:
-        engine = self._engine_by_id[grant.endpoint_id]
-        is_near = engine.availability_zone == own_zone
+        is_near = grant.endpoint.availability_zone == own_zone
         return grant.fill + (0.0 if is_near else OTHER_ZONE_FILL)
 
     def _readers(self, avoided: Collection[str]) -> list[PromptQueue]:
         return [
             reader
-            for reader in self._reader_by_id.values()
-            if reader.usable and reader.endpoint_id not in avoided
+            for reader in self._reader_by_start.values()
+            if reader.usable and reader.endpoint.start_id not in avoided
         ]
 
     def _may_read(self, engine: EngineMemory, applicant: Applicant) -> bool:
@@ -173,14 +175,16 @@
         fill = forecast_peak(answers, self._options.caution) / capacity
         if fill > 1 - self._options.margin:
             return None
-        return Grant(engine.endpoint_id, fill, int(engine.report_age * 1000))
+        return Grant(engine.endpoint, fill, int(engine.report_age * 1000))
 
 
 def _keep_only(
-    by_id: dict[str, T], wanted: Collection[Endpoint], create: Callable[[Endpoint], T]
+    by_start: dict[str, T],
+    wanted: Collection[Endpoint],
+    create: Callable[[Endpoint], T],
 ) -> None:
-    for endpoint_id in by_id.keys() - {endpoint.endpoint_id for endpoint in wanted}:
-        del by_id[endpoint_id]
+    for start_id in by_start.keys() - {endpoint.start_id for endpoint in wanted}:
+        del by_start[start_id]
     for endpoint in wanted:
-        if endpoint.endpoint_id not in by_id:
-            by_id[endpoint.endpoint_id] = create(endpoint)
+        if endpoint.start_id not in by_start:
+            by_start[endpoint.start_id] = create(endpoint)
--- a/src/jujubeslip/admission/_pool.py
+++ b/src/jujubeslip/admission/_pool.py
@@ -72,14 +72,18 @@
     def set_engines(
         self, answering: Collection[Endpoint], reading: Collection[Endpoint]
     ) -> None:
-        """Give grants at the first ones, and prompts to the second ones, only."""
+        """Give grants at the first ones, and prompts to the second ones, only.
+
+        What was given at a start that is gone goes with it: its next one begins with
+        nothing, and late ends of requests at the one before change nothing there.
+        """
         with self._changed:
             self._engines.keep_only(answering, reading)
 
-    def take_report(self, endpoint_id: str, report: EngineReport) -> None:
-        """Take over what an engine says of itself."""
+    def take_report(self, start_id: str, report: EngineReport) -> None:
+        """Take over what a start of an engine says of itself."""
         with self._changed:
-            self._engines.take_report(endpoint_id, report)
+            self._engines.take_report(start_id, report)
             self._changed.notify_all()
 
     @property
@@ -106,10 +110,10 @@
                 waiting.asking -= 1
                 waiting.asked_at = steady_seconds()
 
-    def note_read(self, request_id: str) -> None:
+    def note_read(self, request_id: str, attempt: int) -> None:
         """Note that a request's prompt was read, or won't be where it was to be."""
         with self._changed:
-            self._engines.note_read(request_id)
+            self._engines.note_read(request_id, attempt)
             self._changed.notify_all()
 
     def end(self, request_id: str, attempt: int) -> None:
--- a/src/jujubeslip/control/_gateway.py
+++ b/src/jujubeslip/control/_gateway.py
@@ -41,12 +41,13 @@
         """See ControlGateway."""
         self._confirm(self._book.take([endpoint]), [endpoint.endpoint_id])
 
-    def note_left(self, endpoint_id: str) -> None:
+    def note_left(self, endpoint_id: str, started_at_ms: int = 0) -> None:
         """See ControlGateway."""
-        self._confirm(self._book.note_left(endpoint_id), [endpoint_id])
+        version = self._book.note_left(endpoint_id, started_at_ms)
+        self._confirm(version, [endpoint_id])
 
     def _confirm(self, version: int, endpoint_ids: Iterable[str]) -> None:
         """Wait for the watchers where an endpoint leaves, not at each renewal."""
         known = [self._book.find(endpoint_id) for endpoint_id in endpoint_ids]
-        if any(endpoint is not None and endpoint.leaving for endpoint in known):
+        if any(endpoint is not None and not endpoint.stays for endpoint in known):
             self._watches.wait_until_told(version, Deadline.after(CONFIRM_SECONDS))
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -222,7 +222,11 @@
             logger.info("engine's report not usable", extra=extra)
             return None
         report = read.unwrap()
-        return None if report.busy else report.orders
+        # Of another start it would count that one's orders: an order that expects them
+        # could be carried out by a start whose role nobody has weighed.
+        if report.busy or not endpoint.may_be(report.started_at_ms):
+            return None
+        return report.orders
 
     def _ask(self, endpoint: Endpoint, question: EndpointQuestion) -> tuple[int, bytes]:
         deadline = Deadline.after(ANSWER_SECONDS)
--- a/src/jujubeslip/discovery/_records.py
+++ b/src/jujubeslip/discovery/_records.py
@@ -37,6 +37,10 @@
     role: Annotated[int, Field(ge=min(EndpointRole), le=max(EndpointRole))]
     silent_ms: Whole
     cold_remaining_ms: Whole
+    # Hosts of an earlier version don't tell these.
+    started_at_ms: Whole | None
+    restarted: bool | None
+    removed_ago_ms: Whole | None
 
 
 def usable_endpoints(
--- a/src/jujubeslip/forwarding/_engine_reports.py
+++ b/src/jujubeslip/forwarding/_engine_reports.py
@@ -32,24 +32,24 @@
 
 
 class EngineReports:
-    """The latest report of each engine."""
+    """The latest report of each engine's start."""
 
     def __init__(self, sending: Sending) -> None:
         self._sending = sending
-        self._kept_by_endpoint: dict[str, _Kept] = {}
+        self._kept_by_start: dict[str, _Kept] = {}
         self._lock = threading.Lock()
 
     def get(self, context: ForwardContext, endpoint: Endpoint) -> EngineReport | None:
         """Return a report that is not too old, None if the engine gives none."""
         with self._lock:
-            kept = self._kept_by_endpoint.get(endpoint.endpoint_id)
+            kept = self._kept_by_start.get(endpoint.start_id)
         if kept is not None and not kept.usable_until.expired:
             return kept.report
         asked = self._ask(context, endpoint)
         if asked is None:
             return None
         with self._lock:
-            self._kept_by_endpoint[endpoint.endpoint_id] = asked
+            self._kept_by_start[endpoint.start_id] = asked
         return asked.report
 
     def _ask(self, context: ForwardContext, endpoint: Endpoint) -> _Kept | None:
@@ -67,7 +67,9 @@
         usable_until = Deadline.after(KEPT_SECONDS)
         read = self._sending.interface.read_report(body)
         if isinstance(read, Success):
-            return _Kept(read.unwrap(), usable_until)
+            report = read.unwrap()
+            own = endpoint.may_be(report.started_at_ms)
+            return _Kept(report, usable_until) if own else None
         extra = {
             "request_id": context.request.request_id,
             "endpoint_id": endpoint.endpoint_id,
--- a/src/jujubeslip/platform/_announcements.py
+++ b/src/jujubeslip/platform/_announcements.py
@@ -61,6 +61,11 @@
     seq: Whole
 
 
+class _WireRemoval(StrictModel):
+    born: Annotated[Whole | None, NotNull] = None
+    """When the removed start began, in milliseconds of Unix time."""
+
+
 class _WirePath(StrictModel):
     id: Id
 
@@ -92,5 +97,13 @@
             role=ROLE_BY_STAGE[told.stage],
             heard_at=steady_seconds(),
             slow_until=Deadline.from_remaining_ms(told.cold_left_ms),
+            started_at_ms=told.born or 0,
         )
     )
+
+
+def read_removal(body: bytes) -> Result[int, str]:
+    """Return the start that is removed, 0 where the removal names none."""
+    if not body:
+        return Success(0)
+    return read_json(_WireRemoval, body).map(lambda told: told.born or 0)
--- a/src/jujubeslip/platform/_control_app.py
+++ b/src/jujubeslip/platform/_control_app.py
@@ -17,6 +17,7 @@
     MAXIMUM_BYTES,
     read_announcement,
     read_endpoint_id,
+    read_removal,
 )
 from jujubeslip.platform._configurations import read_routes
 
@@ -87,11 +88,13 @@
         endpoint_id = read_endpoint_id(named)
         if isinstance(endpoint_id, Failure):
             return _failed(400, endpoint_id.failure(), named)
+        body = environ["wsgi.input"].read(MAXIMUM_BYTES + 1)
+        if len(body) > MAXIMUM_BYTES:
+            reason = f"The body is longer than {MAXIMUM_BYTES} bytes; shorten it."
+            return _failed(413, reason, named)
         if method == "PUT":
-            body = environ["wsgi.input"].read(MAXIMUM_BYTES + 1)
             return self._announce(endpoint_id.unwrap(), body)
-        self._gateway.note_left(endpoint_id.unwrap())
-        return Reply(200)
+        return self._note_left(endpoint_id.unwrap(), body)
 
     def _put_configuration(self, body: bytes) -> Reply:
         try:
@@ -114,15 +117,19 @@
         return Reply(200, newest.declaration.encode())
 
     def _announce(self, endpoint_id: str, body: bytes) -> Reply:
-        if len(body) > MAXIMUM_BYTES:
-            reason = f"The body is longer than {MAXIMUM_BYTES} bytes; shorten it."
-            return _failed(413, reason, endpoint_id)
         read = read_announcement(endpoint_id, body)
         if isinstance(read, Failure):
             return _failed(400, read.failure(), endpoint_id)
         self._gateway.announce(read.unwrap())
         return Reply(200)
 
+    def _note_left(self, endpoint_id: str, body: bytes) -> Reply:
+        read = read_removal(body)
+        if isinstance(read, Failure):
+            return _failed(400, read.failure(), endpoint_id)
+        self._gateway.note_left(endpoint_id, read.unwrap())
+        return Reply(200)
+
 
 def _failed(status: int, reason: str, endpoint_id: str = "") -> Reply:
     extra: dict[str, object] = {"status": status, "reason": reason[:MAXIMUM_LOGGED]}
--- a/src/jujubeslip/platform/_endpoint_answers.py
+++ b/src/jujubeslip/platform/_endpoint_answers.py
@@ -7,7 +7,7 @@
 from pydantic import BeforeValidator, Field
 from returns.result import Result
 
-from jujubeslip.kernel import Id, StrictModel, Whole, read_json
+from jujubeslip.kernel import Id, NotNull, StrictModel, Whole, read_json
 from jujubeslip.platform._endpoint_calls import PREFILL_STAGE
 from jujubeslip.routes import EngineReport, PrefilledPrompt, RunningAnswer
 
@@ -33,6 +33,8 @@
     """Memory of running answers and reservations, in tokens."""
     kv_capacity: Whole = Field(alias="kvCapacity")
     runs: tuple[_WireRun, ...]
+    born: Annotated[Whole | None, NotNull] = None
+    """When it started, in milliseconds of Unix time."""
 
 
 class _WirePrefilled(StrictModel):
@@ -73,4 +75,5 @@
         orders=told.seq,
         busy=told.busy,
         reads_prompts=told.stage == PREFILL_STAGE,
+        started_at_ms=told.born or 0,
     )
--- a/tests/control/test_roles.py
+++ b/tests/control/test_roles.py
@@ -182,3 +182,25 @@
         assert asked.orders == 1
         keeper.look()
         assert asked.orders == 1
+
+
+class TestOrderAcrossARestart:
+    """An engine starts again between the announcement and the order.
+
+    Its next start answers for the report by the same id, with no orders accepted. The
+    order was weighed for the role of the start before, and would be carried out.
+    """
+
+    @pytest.mark.parametrize(("reports", "orders"), [(5, 1), (9, 0), (None, 1)])
+    def test_start_that_was_not_weighed_is_not_ordered(
+        self, monkeypatch: pytest.MonkeyPatch, reports: int | None, orders: int
+    ) -> None:
+        ordered = engine("p-0", EndpointRole.PREFILL, started_at_ms=5)
+        book = EndpointBook()
+        book.take([ordered, *engines(0, 2).decode, *engines(2, 0).prefill[1:]])
+        keeper, asked = role_keeper(monkeypatch, book, {"model"})
+        asked.report = REPORT if reports is None else {**REPORT, "born": reports}
+        monkeypatch.setattr(keeper, "_short_for", lambda name, told: 2.0)
+        monkeypatch.setattr(keeper, "_fence", lambda: Fence(1, Deadline.after(10)))
+        keeper.look()
+        assert asked.orders == orders
