Show votes that stay behind: two hosts that stop at once, two that are gone

Cause: a host that leads while it stops is removed by nobody and hands over once only; an odd number of voters keeps each gone one for 8 s, also where two are gone.

--- /dev/null
+++ b/tests/control/test_leaving.py
@@ -0,0 +1,115 @@
+"""Control hosts that stop at the same moment, or that lead again while they stop."""
+
+from __future__ import annotations
+
+import signal
+from pathlib import Path
+
+from jujubeslip.control._commands import make_entry
+from jujubeslip.control._peers import ReplicaClients
+from jujubeslip.control._replica import Replica
+from jujubeslip.control._stopping import leave
+from jujubeslip.control._storage import Storage
+from jujubeslip.kernel import ControlSettings, Process
+from jujubeslip.peers import ControlStatus, Member, Membership, ReplicaMetadata
+from tests.control.test_replacement import lose_disk
+from tests.control.test_seeds import ROUTES, join, status, voters
+from tests.fakes.platform_system import PLAIN, Host, PlatformSystem, configuration
+from tests.fakes.processes import wait_until
+
+SUCCESSORS = ("control-8", "control-9")
+OLD = ("control-0", "control-1", "control-2")
+
+
+def leader_status(system: PlatformSystem) -> ControlStatus | None:
+    """Return what the host that leads says of itself."""
+    for seed in system.seeds:
+        known = status(seed)
+        if known is not None and known.leader_id == known.replica_id:
+            return known
+    return None
+
+
+def first_two(known: ControlStatus) -> list[str]:
+    """Return the host that leads and the first of the others, as it lists them."""
+    leader = known.leader_id.partition("/")[0]
+    names = [item.replica_id.partition("/")[0] for item in known.replicas]
+    return [leader, next(name for name in names if name != leader)]
+
+
+class TestTwoThatStopAtOnce:
+    """Old hosts are switched off together, and a disk is lost: no change is accepted.
+
+    Two successors vote, and the leader and another old host get SIGTERM. The leader
+    hands the lead to the other one, which is past its own handing over and waits to be
+    removed; a leader removes no leader. It ends after 2 s, still leading and voting.
+    Of four voters one is gone, and the disk that is lost next leaves two for good.
+    """
+
+    def test_disk_lost_right_after_is_borne(self, tmp_path: Path) -> None:
+        with PlatformSystem(tmp_path, 3, 0) as system:
+            system.put_until_accepted(configuration(1, ROUTES, [PLAIN]))
+            for name in SUCCESSORS:
+                join(system, name)
+                wait_until(
+                    lambda name=name: name in voters(system.seeds[0]),  # type: ignore[misc]
+                    f"{name} votes",
+                )
+            known = wait_until(lambda: leader_status(system), "an old host leads")
+            assert known is not None
+            host_by_name = {host.name: host for host in system.controls}
+            stopping: list[Host] = [host_by_name[name] for name in first_two(known)]
+            for host in stopping:
+                host.signal(signal.SIGTERM)
+            for host in stopping:
+                assert host.process is not None
+                wait_until(lambda host=host: not host.process.running, "it has ended")  # type: ignore[misc]
+            gone = {host.name for host in stopping}
+            staying = next(name for name in OLD if name not in gone)
+            lose_disk(system, OLD.index(staying))
+            successor = system.controls.index(host_by_name[SUCCESSORS[0]])
+            wait_until(
+                lambda: (
+                    system.put(configuration(2, ROUTES, [PLAIN]), control=successor)
+                    == 200
+                ),
+                "a change is accepted",
+            )
+
+
+class TestLeaderThatLeaves:
+    """A stopping host that leads again ends without a word, and nobody leads.
+
+    Its first handing over went to a host that was stopping too, or that did not win.
+    Elected while it waited to be removed, it asked nobody, since it knew no other
+    leader, and ended 2 s later with its lead and its vote.
+    """
+
+    def test_gives_the_lead_up_first(self, tmp_path: Path) -> None:
+        settings = ControlSettings(
+            host_id="control-1",
+            availability_zone="zone",
+            region="region",
+            peer_address="127.0.0.1:1",
+            peer_secret="secret-of-tests",
+            data_folder=tmp_path / "data",
+            election_timeout_ms=1000,
+            admits_any_host=True,
+            tolerated_losses=1,
+        )
+        storage = Storage(tmp_path / "data", "control-1")
+        replica = Replica(settings, storage, Process("test"))
+        members = [Member(replica.replica_id, "control-1", "", True)]
+        members += [
+            Member(f"control-{number}/disk", f"control-{number}", "127.0.0.1:1", True)
+            for number in (2, 3, 4)
+        ]
+        with replica.disk_lock, replica.lock:
+            replica.save_metadata(ReplicaMetadata("cluster", 1, ""))
+            membership = Membership("cluster", members, [])
+            replica.append_entry(make_entry(1, 1, 0, membership))
+            replica.write_pending()
+            replica.lead()
+        leave(replica, ReplicaClients(settings))
+        assert replica.leadership is None
+        storage.close()
--- a/tests/control/test_succession.py
+++ b/tests/control/test_succession.py
@@ -126,6 +126,21 @@
         assert subject.next_voter_ids() == subject.voter_ids() - {"control-5/disk"}
         subject.replica.storage.close()
 
+    def test_goes_at_once_where_another_is_gone_too(self, tmp_path: Path) -> None:
+        """Five vote, two are switched off, a disk is lost: no change is accepted.
+
+        Old hosts were switched off one after the other, beside successors that had
+        voted for long. The first one gone is kept for 8 s, since five is odd, and the
+        second one with it. Three are left, which is a majority; the disk that is lost
+        meanwhile leaves two of five for good.
+        """
+        subject = Subject(tmp_path / "data", election_seconds=1.0)
+        subject.lead(5)
+        subject.silence("control-4/disk", DEAD_SECONDS - 3)
+        subject.silence("control-5/disk", 2.5)
+        assert subject.next_voter_ids() == subject.voter_ids() - {"control-4/disk"}
+        subject.replica.storage.close()
+
     def test_is_left_to_operators_who_admit_each_host(self, tmp_path: Path) -> None:
         subject = Subject(tmp_path / "data", admits_any_host=False)
         subject.lead(4)
