Leave no vote behind when hosts stop at once, or several are gone

Change: a stopping replica is elected no more and refuses the lead, hands it over again while it waits to be removed, and takes 2.5 s at most for all that; a gone voter is removed at once where the rest would not bear the tolerated losses; a replica that has heard no leader since its start asks its members at once, and asks nobody while it stops.

--- a/src/jujubeslip/control/_joining.py
+++ b/src/jujubeslip/control/_joining.py
@@ -43,18 +43,25 @@
     def run(self) -> None:
         """Run until the process stops."""
         replica = self._replica
-        while not replica.process.stopped.is_set():
+        # Taken in again while it stops, it would leave a vote behind.
+        while not replica.process.stopping.is_set():
             if self._is_outside():
                 self._try_once()
             with replica.lock:
                 replica.role_changed.wait(RETRY_SECONDS)
 
     def _is_outside(self) -> bool:
-        """Say whether this replica has no cluster, or none that still knows it."""
+        """Say whether this replica has no cluster, or none that still knows it.
+
+        One that has heard no leader since its start may have been removed before; a
+        member that asks in vain changes nothing.
+        """
         replica = self._replica
         with replica.lock:
             if not replica.membership.members:
                 return True
+            if replica.leadership is None and not replica.leader.replica_id:
+                return True
             unheard = replica.heard_leader_until.overdue()
             limit = UNHEARD_TIMEOUTS * replica.election_seconds
             return replica.leadership is None and unheard > limit
@@ -62,7 +69,8 @@
     def _try_once(self) -> None:
         others = self._clients.others()
         if self._replica.cluster_id:
-            self._join([*others, *self._member_addresses()])
+            # Members first: seeds may be gone, and each costs a timeout then.
+            self._join([*self._member_addresses(), *others])
             return
         known: list[ReplicaDescription] = []
         missing: list[str] = []
--- a/src/jujubeslip/control/_receiver.py
+++ b/src/jujubeslip/control/_receiver.py
@@ -102,8 +102,18 @@
             return SnapshotReply(replica.term, offset, True)
 
     def start_election(self, target_id: str, term: int) -> None:
-        """Campaign at once: the leader has given up its lease for this replica."""
+        """Campaign at once: the leader has given up its lease for this replica.
+
+        Raises PeerRefusal where this replica may not lead.
+        """
         replica = self._replica
+        if not replica.may_campaign:
+            raise PeerRefusal(
+                "may_not_lead",
+                f"{replica.replica_id} stops, has a failed disk, or does not vote.",
+                "Hand the lead to another replica.",
+                0,
+            )
         with replica.lock:
             if target_id == replica.replica_id and term == replica.term:
                 replica.transferring = True
--- a/src/jujubeslip/control/_replica.py
+++ b/src/jujubeslip/control/_replica.py
@@ -125,8 +125,13 @@
 
     @property
     def may_campaign(self) -> bool:
-        """Say whether this replica may become leader."""
-        return not self.failure and is_voter(self.membership, self.replica_id)
+        """Say whether this replica may become leader.
+
+        One that stops may not: it would take its lead and its vote along.
+        """
+        if self.failure or self.process.stopping.is_set():
+            return False
+        return is_voter(self.membership, self.replica_id)
 
     @property
     def needs_snapshot(self) -> bool:
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -18,7 +18,7 @@
 from jujubeslip.control._replica import Replica
 from jujubeslip.control._replication import Replication
 from jujubeslip.control._roles import LOOK_SECONDS, RoleKeeper
-from jujubeslip.control._stopping import hand_over, leave
+from jujubeslip.control._stopping import step_aside
 from jujubeslip.control._storage import Storage
 from jujubeslip.control._upkeep import Upkeep
 from jujubeslip.control._watches import Watches
@@ -177,8 +177,7 @@
         """Leave configurations to the log: it brings them to every replica."""
 
     def _stop(self) -> None:
-        hand_over(self._replica, self._clients)
-        leave(self._replica, self._clients)
+        step_aside(self._replica, self._clients)
         self._telemetry.shutdown()
         if self._http is not None:
             self._http.stop_listening()
--- a/src/jujubeslip/control/_stopping.py
+++ b/src/jujubeslip/control/_stopping.py
@@ -12,17 +12,33 @@
 
 logger = logging.getLogger(__name__)
 
-HAND_OVER_SECONDS = 1.0
-# How long a stop waits for the leader to remove this replica, in seconds: an election
-# that was handed over and a change of the replicas take a tenth of it on an idle host.
-LEAVE_SECONDS = 2.0
+# How long a stop takes over the lead and the vote, in seconds: an election that is
+# handed over and a change of the replicas take a tenth of it on an idle host, and the
+# process has some seconds until it is killed.
+STOP_SECONDS = 2.5
+# How long it waits for one host's answer, in seconds. A host that is frozen doesn't
+# answer; there is time for another one then.
+ANSWER_SECONDS = 0.4
 POLL_SECONDS = 0.05
 
 
-def hand_over(replica: Replica, clients: ReplicaClients) -> None:
+def step_aside(replica: Replica, clients: ReplicaClients) -> None:
+    """Give the lead to another replica, and have this one counted on no more.
+
+    A host that is replaced for good stops like any other. Until the leader took it
+    for gone, the loss of another one would leave no majority. A process that starts
+    again joins anew.
+    """
+    deadline = Deadline.after(STOP_SECONDS)
+    hand_over(replica, clients, deadline)
+    leave(replica, clients, deadline)
+
+
+def hand_over(replica: Replica, clients: ReplicaClients, deadline: Deadline) -> None:
     """Give the lead to the follower that is furthest on, if this replica leads.
 
-    The lease ends first: the follower campaigns at once, without waiting it out.
+    The lease ends first: the follower campaigns at once, without waiting it out. One
+    that is stopping, too, refuses, and the next one is asked.
     """
     with replica.lock:
         leadership = replica.leadership
@@ -41,35 +57,32 @@
         followers.sort(key=match_index, reverse=True)
         replica.step_down("the process stops")
     for member in followers:
-        if _start_election(clients, member, leadership.term):
+        if deadline.expired or _start_election(clients, member, leadership.term):
             return
 
 
-def leave(replica: Replica, clients: ReplicaClients) -> None:
-    """Have the leader count on this replica no more, if the others are enough.
-
-    A host that is replaced for good stops like any other. Until the leader took it
-    for gone, the loss of another one would leave no majority. A process that starts
-    again joins anew.
-    """
-    deadline = Deadline.after(LEAVE_SECONDS)
+def leave(replica: Replica, clients: ReplicaClients, deadline: Deadline) -> None:
+    """Have the leader remove this replica, if the others are enough."""
     while not deadline.expired:
+        # It may have been elected before it began to stop, by a vote that came late.
+        hand_over(replica, clients, deadline)
         with replica.lock:
             if not is_spare(replica.membership, replica.replica_id, replica.settings):
                 return
             leader_address = replica.not_leader().leader_address
-        if leader_address and _has_left(replica, clients, leader_address):
-            logger.info("left the replicas", extra={"leader": leader_address})
+        if leader_address and _was_heard(replica, clients, leader_address):
+            logger.info("asked to be removed", extra={"leader": leader_address})
             return
         with replica.lock:
             replica.role_changed.wait(POLL_SECONDS)
     logger.warning("not removed in time", extra={"replica": replica.replica_id})
 
 
-def _has_left(replica: Replica, clients: ReplicaClients, address: str) -> bool:
+def _was_heard(replica: Replica, clients: ReplicaClients, address: str) -> bool:
+    """Say whether the leader removed this replica, or needs it too much for that."""
     try:
         clients.to_address(address).call(
-            lambda peer: peer.leave(replica.replica_id), LEAVE_SECONDS
+            lambda peer: peer.leave(replica.replica_id), ANSWER_SECONDS
         )
     except (NotLeader, PeerRefusal, PeerUnavailableError) as error:
         logger.debug("not removed yet", extra={"reason": str(error)})
@@ -81,8 +94,7 @@
     client = clients.to_member(member)
     try:
         client.call(
-            lambda peer: peer.start_election(member.replica_id, term),
-            HAND_OVER_SECONDS,
+            lambda peer: peer.start_election(member.replica_id, term), ANSWER_SECONDS
         )
     except (PeerUnavailableError, PeerRefusal):
         return False
--- a/src/jujubeslip/control/_succession.py
+++ b/src/jujubeslip/control/_succession.py
@@ -6,6 +6,7 @@
 from jujubeslip.control._members import (
     is_voter,
     members_of_host,
+    quorum_size,
     voters,
     with_promoted,
     without_replica,
@@ -16,8 +17,8 @@
 
 # A replica that has not answered for this many election timeouts counts as gone.
 GONE_TIMEOUTS = 2.0
-# How long an odd number of voters keeps one that is silent, in seconds: longer than a
-# restart or a short cut, which it should outlast without joining anew.
+# How long a silent voter is kept where the others bear further losses, in seconds:
+# longer than a restart or a short cut, which it should outlast without joining anew.
 DEAD_SECONDS = 8.0
 
 
@@ -64,11 +65,12 @@
         settings = self._replica.settings
         if not settings.admits_any_host:
             return with_promoted(membership, learner.replica_id)
+        if len(voters(membership)) < _enough_voters(settings):
+            return with_promoted(membership, learner.replica_id)
         gone = self._longest_silent(membership, self.gone_seconds)
         if gone is not None:
             return without_replica(membership, gone.replica_id)
-        enough_vote = len(voters(membership)) >= _enough_voters(settings)
-        if enough_vote and not all(map(self._answers, self._other_voters(membership))):
+        if not all(map(self._answers, self._other_voters(membership))):
             return membership
         return with_promoted(membership, learner.replica_id)
 
@@ -77,19 +79,27 @@
 
         A host that was replaced for good would count for every majority: of four
         voters, one of them such a host, no other may be lost, and a disk that is lost
-        meanwhile leaves no majority for ever. So an even number, whose majority is as
-        large as that of the odd number above it, gives up a silent voter at once. One
-        that comes back after all joins anew.
+        meanwhile leaves no majority for ever. Where those that are left would not bear
+        the tolerated losses, one that is gone is removed at once; else it has time to
+        come back. One that comes back after all joins anew.
         """
         if not _has_spare(membership, self._replica.settings):
             return membership
-        even = len(voters(membership)) % 2 == 0
-        patience = self.gone_seconds if even else DEAD_SECONDS
+        patience = self.gone_seconds
+        if self._bears_losses(membership):
+            patience = max(patience, DEAD_SECONDS)
         silent = self._longest_silent(membership, patience)
         if silent is None:
             return membership
         return without_replica(membership, silent.replica_id)
 
+    def _bears_losses(self, membership: Membership) -> bool:
+        """Say whether the voters that are there are a majority after more losses."""
+        gone = sum(map(self.is_gone, self._other_voters(membership)))
+        left = len(voters(membership)) - gone
+        tolerated = self._replica.settings.tolerated_losses
+        return left - tolerated >= quorum_size(membership)
+
     def _other_voters(self, membership: Membership) -> list[Member]:
         own_id = self._replica.replica_id
         return [item for item in voters(membership) if item.replica_id != own_id]
--- a/tests/control/test_leaving.py
+++ b/tests/control/test_leaving.py
@@ -10,7 +10,7 @@
 from jujubeslip.control._replica import Replica
 from jujubeslip.control._stopping import leave
 from jujubeslip.control._storage import Storage
-from jujubeslip.kernel import ControlSettings, Process
+from jujubeslip.kernel import ControlSettings, Deadline, Process
 from jujubeslip.peers import ControlStatus, Member, Membership, ReplicaMetadata
 from tests.control.test_replacement import lose_disk
 from tests.control.test_seeds import ROUTES, join, status, voters
@@ -110,6 +110,6 @@
             replica.append_entry(make_entry(1, 1, 0, membership))
             replica.write_pending()
             replica.lead()
-        leave(replica, ReplicaClients(settings))
+        leave(replica, ReplicaClients(settings), Deadline.after(2.0))
         assert replica.leadership is None
         storage.close()
