Start a control host anew once its failed disk takes writes again

Cause: after a failed write a replica promises nothing until its process is restarted, and nobody restarts it.

Ruled out: going on in the process, since it is unknown what of the failed write is there; the restart reads it back, as it always did.

In the tests' full disk the limit of file sizes is a soft one now, since a hard one can't be lifted again; the process never raises it, so the checks see the same.

--- a/src/jujubeslip/control/_replica.py
+++ b/src/jujubeslip/control/_replica.py
@@ -379,7 +379,7 @@
 
         After a full disk or a sync error it is unknown what is durable. The process
         keeps answering reads, but votes, acknowledges and leads no more until it is
-        restarted and has read back what the disk holds.
+        restarted and has read back what the disk holds; see DiskProbe.
         """
         if self.failure:
             raise _storage_refusal(self.failure)
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -7,6 +7,7 @@
 from jujubeslip.admission import AdmissionHome, MemoryOptions
 from jujubeslip.control._changes import MembershipChanges
 from jujubeslip.control._client import ControlClient
+from jujubeslip.control._disk_probe import PROBE_SECONDS, DiskProbe
 from jujubeslip.control._election import Elections
 from jujubeslip.control._engine_services import EngineServices
 from jujubeslip.control._gateway import LeaderGateway
@@ -127,6 +128,7 @@
         process.start_task(Joining(self._replica, self._clients).run)
         process.start_task(self._watches.follow_configuration)
         process.repeat(MEMBERSHIP_CHECK_SECONDS, self._changes.promote_learners)
+        process.repeat(PROBE_SECONDS, DiskProbe(self._replica).look)
         if self._http is not None:
             self._followers.learn(self._settings.seed_addresses)
             process.repeat(MEMBERSHIP_CHECK_SECONDS, self._follow_members)
--- a/src/jujubeslip/kernel/__init__.py
+++ b/src/jujubeslip/kernel/__init__.py
@@ -16,7 +16,7 @@
     RequestRefusedError,
     StartFailedError,
 )
-from jujubeslip.kernel._lifecycle import Process, new_incarnation
+from jujubeslip.kernel._lifecycle import RESTART_STATUS, Process, new_incarnation
 from jujubeslip.kernel._registry import Registry, load_plugins
 from jujubeslip.kernel._settings import (
     STRICT,
@@ -47,6 +47,7 @@
 
 __all__ = [
     "MAXIMUM_WHOLE",
+    "RESTART_STATUS",
     "EndpointAddress",
     "Id",
     "NotNull",
--- a/src/jujubeslip/kernel/_lifecycle.py
+++ b/src/jujubeslip/kernel/_lifecycle.py
@@ -15,6 +15,9 @@
 logger = logging.getLogger(__name__)
 
 MAXIMUM_TASKS = 1024
+# Exit status of a process that asks to be started again: a temporary failure, as
+# sysexits.h numbers it.
+RESTART_STATUS = 75
 # How soon a signal is acted on, in seconds.
 SIGNAL_LOOK_INTERVAL = 0.1
 
@@ -125,6 +128,16 @@
         except Exception:
             logger.exception("reload failed; the settings before it stay in force")
 
+    def end_to_start_anew(self, reason: str) -> None:
+        """End the process at once, for its supervisor to start it again.
+
+        Does not return. Only for a process that serves nothing which could be lost.
+        """
+        extra = {"process_name": self.name, "reason": reason}
+        logger.critical("ending to start anew", extra=extra)
+        logging.shutdown()
+        os._exit(RESTART_STATUS)
+
     def run(self, drain: Callable[[], None]) -> None:
         """Wait for SIGTERM or SIGINT, run `drain`, and exit with status 0.
 
--- a/tests/control/test_disks.py
+++ b/tests/control/test_disks.py
@@ -13,7 +13,7 @@
     StorageDamagedError,
     recover,
 )
-from jujubeslip.kernel import load_control_settings
+from jujubeslip.kernel import RESTART_STATUS, load_control_settings
 from jujubeslip.peers import (
     ApplyReply,
     KeyStatus,
@@ -54,6 +54,30 @@
             cluster.wait_applied(full, 2)
 
 
+class TestDisksThatAreFullInTurn:
+    """Two disks are full for some seconds, one after the other, and have room again.
+
+    Each host promised nothing from its first failed write on, until somebody restarted
+    it. Nobody did: with the second one the majority was gone for good, hours after the
+    disks had room. The log said "promises nothing any more" and no further line.
+    """
+
+    def test_hosts_start_anew_once_they_have_room(self, tmp_path: Path) -> None:
+        with ControlCluster(tmp_path, 3) as cluster:
+            cluster.apply(1, 0)
+            for revision in (2, 3):
+                full = cluster.leader()
+                limit_file_size(full)
+                assert cluster.apply(revision, revision - 1).revision == revision
+                set_file_size(full, resource.RLIM_INFINITY)
+                assert full.process is not None
+                assert full.process.wait() == RESTART_STATUS
+                # As the supervisor does that watches the process.
+                full.start()
+                cluster.wait_applied(full, revision)
+            assert cluster.apply(4, 3).revision == 4
+
+
 class TestDamagedDisk:
     def test_refuses_to_start_and_names_the_remedy(self, tmp_path: Path) -> None:
         with ControlCluster(tmp_path, 1) as cluster:
@@ -212,9 +236,14 @@
 
 def limit_file_size(host: ControlHost) -> None:
     """Let the next growth of the host's log fail, as on a full disk."""
-    assert host.process is not None
     size = max(host.data_folder.glob("log-*")).stat().st_size
-    resource.prlimit(host.process.pid, resource.RLIMIT_FSIZE, (size + 10, size + 10))
+    set_file_size(host, size + 10)
+
+
+def set_file_size(host: ControlHost, limit: int) -> None:
+    assert host.process is not None
+    limits = (limit, resource.RLIM_INFINITY)
+    resource.prlimit(host.process.pid, resource.RLIMIT_FSIZE, limits)
 
 
 def vote_request(host: ControlHost) -> VoteRequest:
