Keep the removal of an endpoint that is not heard of yet

Cause: a control host that has started anew acknowledged a removal and forgot it; the announcement of before came from another host and brought the endpoint back as ready.

Change: the removal is kept and applied to the first start that is heard under the id; of one that tells its start it ends as other removals do.

--- a/src/jujubeslip/discovery/_book.py
+++ b/src/jujubeslip/discovery/_book.py
@@ -26,6 +26,9 @@
 # Two hosts know of the same removal by clocks that differ by the time that a message
 # takes. Instants that are closer than this are the same removal, in seconds.
 SAME_REMOVAL_SECONDS = 1.0
+# How many removals of endpoints that were never heard of are kept: far more than leave
+# within REMEMBERED_SECONDS, and few enough for whoever sends removals at random.
+MAXIMUM_EARLY_REMOVALS = 10_000
 # An engine that was not heard for this long is given nothing by the leader, in seconds:
 # engines announce themselves about once a second, at times some seconds late.
 SILENT_SECONDS = 5.0
@@ -37,6 +40,25 @@
     version: int
 
 
+@dataclass(frozen=True)
+class _EarlyRemoval:
+    """A removal of an endpoint that this host has not heard of."""
+
+    removed_at: float
+    started_at_ms: int
+    """The start that it is for, 0 where it names none."""
+
+    def apply_to(self, endpoint: Endpoint) -> Endpoint:
+        """Return the endpoint as it is after the removal."""
+        if not endpoint.may_be(self.started_at_ms):
+            return endpoint
+        if self.started_at_ms:
+            return replace(endpoint, leaving=True)
+        # Of one that tells its start, it may have been the start before that left.
+        restarted = endpoint.restarted or endpoint.started_at_ms > 0
+        return replace(endpoint, removed_at=self.removed_at, restarted=restarted)
+
+
 class EndpointBook:
     """What is known of each endpoint's latest start; may be used by many threads.
 
@@ -52,6 +74,7 @@
     def __init__(self) -> None:
         self.book_id = new_incarnation()
         self._entry_by_id: dict[str, _Entry] = {}
+        self._early_removal_by_id: dict[str, _EarlyRemoval] = {}
         self._version = 0
         self._changed = threading.Condition()
         # Grows only when a caller should be told at once, not at each renewal.
@@ -121,7 +144,9 @@
         """
         with self._changed:
             known = self._entry_by_id.get(endpoint_id)
-            if known is not None and not known.endpoint.leaving:
+            if known is None:
+                self._note_early(endpoint_id, started_at_ms)
+            elif not known.endpoint.leaving:
                 self._remove(known.endpoint, started_at_ms)
             return self._version
 
@@ -156,7 +181,9 @@
     def _take_one(self, told: Endpoint) -> None:
         known = self._entry_by_id.get(told.endpoint_id)
         if known is None:
-            self._store(told, material=True)
+            early = self._early_removal_by_id.pop(told.endpoint_id, None)
+            first = told if early is None else early.apply_to(told)
+            self._store(first, material=True)
             return
         older = known.endpoint
         same_start = told.started_at_ms == older.started_at_ms
@@ -164,6 +191,25 @@
         if newer != older:
             self._store(newer, material=_differs(older, newer))
 
+    def _note_early(self, endpoint_id: str, started_at_ms: int) -> None:
+        """Keep a removal until the endpoint is heard of, by another way.
+
+        A host that has started anew, or hears of endpoints from other hosts alone, is
+        the first to be told. Acknowledged and forgotten, the removal would be undone by
+        the announcement that comes after it: requests go to an endpoint that exits.
+        """
+        removals = self._early_removal_by_id
+        removals.pop(endpoint_id, None)
+        removals[endpoint_id] = _EarlyRemoval(steady_seconds(), started_at_ms)
+        oldest = steady_seconds() - REMEMBERED_SECONDS
+        while (
+            len(removals) > MAXIMUM_EARLY_REMOVALS
+            or next(iter(removals.values())).removed_at < oldest
+        ):
+            del removals[next(iter(removals))]
+        extra = {"endpoint_id": endpoint_id, "removed_start_ms": started_at_ms}
+        logger.info("removal of an endpoint not heard of", extra=extra)
+
     def _remove(self, known: Endpoint, started_at_ms: int) -> None:
         if not known.may_be(started_at_ms):
             extra = {
--- a/tests/discovery/test_book.py
+++ b/tests/discovery/test_book.py
@@ -4,7 +4,8 @@
 
 from dataclasses import replace
 
-from jujubeslip.discovery import Endpoint, EndpointBook
+from jujubeslip.discovery import Endpoint, EndpointBook, _book
+from jujubeslip.discovery._models import REMOVAL_SECONDS
 from jujubeslip.kernel import Deadline, steady_seconds
 from jujubeslip.peers import EndpointRole
 
@@ -54,6 +55,57 @@
         assert [item.leaving for item in book.endpoints()] == [True, False]
 
 
+class TestRemovalOfOneThatWasNotHeardOf:
+    """A control host has started anew, and an endpoint signs off with it.
+
+    It is acknowledged. What the endpoint announced before comes from another host a
+    moment later, and requests are sent to an endpoint that is about to exit: a removal
+    was acknowledged at 13.35 s, requests came from 16.85 to 17.99 s.
+    """
+
+    def test_holds_for_the_announcement_that_comes_after_it(self) -> None:
+        book = EndpointBook()
+        book.note_left("e")
+        book.take([endpoint(4), endpoint(5)])
+        assert [item.stays for item in book.endpoints()] == [False]
+
+    def test_is_told_to_other_hosts(self) -> None:
+        book, other = EndpointBook(), EndpointBook()
+        book.note_left("e")
+        other.take([endpoint(4)])
+        book.take(other.changes_since(0)[1])
+        other.take(book.changes_since(0)[1])
+        assert [item.stays for item in other.endpoints()] == [False]
+
+    def test_says_nothing_of_another_start(self) -> None:
+        book = EndpointBook()
+        book.note_left("e", started_at_ms=7)
+        book.take([replace(endpoint(1), started_at_ms=8)])
+        assert [item.stays for item in book.endpoints()] == [True]
+
+    def test_ends_for_a_start_that_goes_on_announcing_itself(self) -> None:
+        """The removal may have been the last word of the start before it."""
+        book = EndpointBook()
+        book.note_left("e")
+        started = replace(endpoint(1), started_at_ms=8)
+        book.take([started])
+        assert not book.endpoints()[0].stays
+        later = started.heard_at + REMOVAL_SECONDS + 1
+        book.take([replace(started, sequence=2, heard_at=later)])
+        assert book.endpoints()[0].stays
+
+    def test_is_kept_for_so_many_only(self) -> None:
+        book = EndpointBook()
+        for number in range(_book.MAXIMUM_EARLY_REMOVALS + 1):
+            book.note_left(f"e-{number}")
+        first, last = f"e-{0}", f"e-{_book.MAXIMUM_EARLY_REMOVALS}"
+        book.take([endpoint(1, endpoint_id=name) for name in (first, last)])
+        assert {item.endpoint_id: item.stays for item in book.endpoints()} == {
+            first: True,
+            last: False,
+        }
+
+
 class TestNews:
     def test_renewal_wakes_nobody(self) -> None:
         book = EndpointBook()
