--- /dev/null
+++ b/soak/_endpoints.py
@@ -0,0 +1,206 @@
+"""Endpoints that announce themselves, leave, crash and come back."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import random
+import threading
+import time
+from collections.abc import Iterator
+from typing import Any
+
+from soak._observations import Departure, Observations, Run
+from soak._schedule import CONTROLS, DECODE_ENDPOINTS, PREFILL_ENDPOINTS
+from soak._system import SoakSystem
+from tests.fakes.fault_proxy import FaultProxy
+from tests.fakes.platform_worker import PlatformWorker, WorkerRun
+
+BEAT_SECONDS = 0.3
+# How long an endpoint waits for an acknowledgement before it asks another host.
+BEAT_ANSWER_SECONDS = 1.0
+# How long one that leaves tries to be acknowledged, and serves on after that, in
+# seconds: longer than the bound in which it may still get requests.
+LEAVE_TRIES_SECONDS = 5.0
+LEAVE_SERVES_SECONDS = 4.0
+# When an announcement from before it left arrives, after the acknowledgement.
+LATE_BEAT_SECONDS = 0.7
+# A stream lasts for one and a half seconds: longer than a host may take to see that
+# its client has left.
+STREAM_EVENTS = 150
+PLAIN_RUN_SECONDS = (0.002, 0.02, 0.25)
+
+
+class _RunLog(list[WorkerRun]):
+    """Notes each run as the endpoint begins it."""
+
+    def __init__(self, endpoint: SoakEndpoint, endpoint_id: str) -> None:
+        super().__init__()
+        self._endpoint = endpoint
+        self._endpoint_id = endpoint_id
+
+    def append(self, run: WorkerRun) -> None:
+        """Note a run."""
+        endpoint = self._endpoint
+        noted = Run(
+            run.request_id,
+            self._endpoint_id,
+            endpoint.slot,
+            endpoint.service,
+            time.monotonic(),
+            "Last-Event-Id" in run.headers,
+        )
+        endpoint.observations.runs.append(noted)
+
+
+class _GoneLog(list[str]):
+    """Notes each request whose caller the endpoint has seen leave."""
+
+    def __init__(self, observations: Observations) -> None:
+        super().__init__()
+        self._observations = observations
+
+    def append(self, request_id: str) -> None:
+        """Note a request."""
+        self._observations.gone_by_request_id.setdefault(request_id, time.monotonic())
+
+
+class SoakEndpoint:
+    """A place of an endpoint, each start of which has another id and address."""
+
+    def __init__(self, slot: str, number: int, system: SoakSystem, seed: int) -> None:
+        self.slot = slot
+        self.service = "plain" if slot.startswith("plain") else "model"
+        self.observations = system.observations
+        self._number = number
+        self._system = system
+        self._chance = random.Random(f"{seed}/{slot}")
+        self._generation = 0
+        self._silent = threading.Event()
+        self.lock = threading.Lock()
+        """Held while a fault acts on it: one at a time."""
+        self.worker = self._start()
+
+    def _start(self) -> PlatformWorker:
+        self._generation += 1
+        endpoint_id = f"{self.slot}-{self._generation}"
+        stage = ""
+        if self.slot in PREFILL_ENDPOINTS:
+            stage = "prefill"
+        if self.slot in DECODE_ENDPOINTS:
+            stage = "decode"
+        answer = f"the whole answer of {endpoint_id}; ".encode() * 8
+        worker = PlatformWorker(
+            endpoint_id,
+            self.service,
+            stage,
+            answer=answer,
+            events=STREAM_EVENTS,
+            run_seconds=PLAIN_RUN_SECONDS[self._number % 3] if not stage else 0.0,
+            runs=_RunLog(self, endpoint_id),
+            gone_clients=_GoneLog(self.observations),
+        )
+        self.observations.answer_by_endpoint[endpoint_id] = answer
+        link = f"entry>{self.slot}"
+        former = self._system.proxy_by_link.get(link)
+        proxy = FaultProxy(worker.address)
+        self._system.proxy_by_link[link] = proxy
+        if former is not None:
+            former.stop()
+        # What it announces: entry hosts reach it through the proxy alone.
+        worker.address = proxy.address
+        self._silent.clear()
+        return worker
+
+    def close(self) -> None:
+        """Serve no more; the connections to it end."""
+        self._silent.set()
+        proxy = self._system.proxy_by_link[f"entry>{self.slot}"]
+        proxy.refuse()
+        proxy.reset()
+        self.worker.close()
+
+    def announce(self) -> None:
+        """Announce the endpoint until the soak ends."""
+        while not self._system.stopping.wait(BEAT_SECONDS):
+            if not self._silent.is_set():
+                self._tell(self.worker.beat())
+
+    def crash(self, seconds: float) -> None:
+        """End without a word; start anew after these seconds."""
+        self.close()
+        self._system.stopping.wait(seconds)
+        self.worker = self._start()
+
+    def leave(self, seconds: float, what: str) -> None:
+        """Leave, serve on for a while, end, and start anew after these seconds.
+
+        It serves as well as ever until it ends; only then is it disturbed.
+        """
+        self._silent.set()
+        worker = self.worker
+        earlier = worker.beat()
+        draining = worker.beat("draining")
+        manner = self._chance.choice(("draining", "DELETE"))
+        deadline = time.monotonic() + LEAVE_TRIES_SECONDS
+        control = ""
+        while not control and time.monotonic() < deadline:
+            control = self._tell(draining if manner == "draining" else None)
+        if control:
+            departure = Departure(
+                worker.worker_id, self.slot, control, manner, time.monotonic()
+            )
+            self.observations.departures.append(departure)
+            self._system.stopping.wait(LATE_BEAT_SECONDS)
+            # One from before, which was held up on its way.
+            self._tell(earlier)
+        self._system.stopping.wait(LEAVE_SERVES_SECONDS)
+        with self.observations.disturbing(what, self.slot):
+            self.crash(seconds)
+
+    def spoil(self, fault: str, count: int) -> None:
+        """Do something wrong with so many of the next requests."""
+        faults = self.worker.faults
+        setattr(faults, fault, count)
+
+    def spoiled(self, fault: str) -> bool:
+        """Say whether requests are left that a fault is meant for."""
+        return bool(getattr(self.worker.faults, fault))
+
+    def _tell(self, beat: dict[str, Any] | None) -> str:
+        """Announce, or sign off without one; return the control host that took it."""
+        body = None if beat is None else json.dumps(beat)
+        method = "DELETE" if beat is None else "PUT"
+        path = f"/instances/{self.worker.worker_id}"
+        for slot in self._chance.sample(CONTROLS, len(CONTROLS)):
+            proxy = self._system.proxy_by_link[f"operator>{slot}"]
+            if call(proxy.address, method, path, body, BEAT_ANSWER_SECONDS)[0] == 200:
+                return slot
+            if self._system.stopping.is_set():
+                break
+        return ""
+
+
+def call(
+    address: str, method: str, path: str, body: str | None, timeout: float
+) -> tuple[int | None, str]:
+    """Make one HTTP call; return status and body, None without an answer."""
+    connection = http.client.HTTPConnection(address, timeout=timeout)
+    try:
+        connection.request(method, path, body)
+        response = connection.getresponse()
+        return response.status, response.read().decode()
+    except (OSError, http.client.HTTPException):
+        return None, ""
+    finally:
+        connection.close()
+
+
+def start_endpoints(
+    slots: tuple[str, ...], system: SoakSystem, seed: int
+) -> Iterator[SoakEndpoint]:
+    """Start the endpoints, each with a thread that announces it."""
+    for number, slot in enumerate(slots):
+        endpoint = SoakEndpoint(slot, number, system, seed)
+        threading.Thread(target=endpoint.announce, daemon=True).start()
+        yield endpoint
--- /dev/null
+++ b/soak/_faults.py
@@ -0,0 +1,231 @@
+"""Carries out the faults of a schedule."""
+
+from __future__ import annotations
+
+import signal
+import time
+from collections.abc import Mapping
+from functools import singledispatch
+
+from soak._endpoints import SoakEndpoint
+from soak._observations import Observations
+from soak._schedule import (
+    AllKilled,
+    AnswersSpoiled,
+    DiskFull,
+    DiskLost,
+    EndpointCrashed,
+    EndpointFault,
+    EndpointLeaves,
+    Fault,
+    HostFault,
+    HostKilled,
+    HostPaused,
+    HostReplaced,
+    HostStopped,
+    LinkCut,
+    LinkDelayed,
+    LinkFault,
+    LinkReset,
+    LinkSilenced,
+    describe,
+)
+from soak._system import SoakSystem
+from tests.fakes.fault_proxy import Direction, FaultProxy
+
+# How long requests may take to meet a fault that is meant for them, in seconds.
+SPOILED_SECONDS = 4.0
+POLL_SECONDS = 0.05
+
+
+class Faults:
+    """Carries out faults on a system; several threads may, each for one track."""
+
+    def __init__(
+        self, system: SoakSystem, endpoint_by_slot: Mapping[str, SoakEndpoint]
+    ) -> None:
+        self.system = system
+        self.endpoint_by_slot = endpoint_by_slot
+        self.observations: Observations = system.observations
+
+    def run_track(self, faults: list[Fault], starts_at: float, ends_at: float) -> None:
+        """Carry out the faults of one track, each at its time or after the last."""
+        for fault in faults:
+            wait = max(0.0, starts_at + fault.at - time.monotonic())
+            if self.system.stopping.wait(wait):
+                return
+            if fault.track == "control" and not self._is_whole_again(fault):
+                return
+            if time.monotonic() > ends_at:
+                return
+            print(f"{self.observations.offset(time.monotonic())}: {describe(fault)}")
+            carry_out(fault, self)
+
+    def pause(self, seconds: float) -> None:
+        """Wait, unless the soak ends."""
+        self.system.stopping.wait(seconds)
+
+    def _is_whole_again(self, fault: Fault) -> bool:
+        """Wait until another control host may be disturbed."""
+        try:
+            self.system.wait_whole()
+        except TimeoutError as error:
+            now = self.observations.offset(time.monotonic())
+            self.observations.unrecovered.append(f"{now}, before {fault}: {error}")
+            return False
+        return not self.system.stopping.is_set()
+
+
+@singledispatch
+def carry_out(fault: Fault, faults: Faults) -> None:
+    """Carry out one fault; returns when it is over."""
+    raise TypeError(f"no way to carry out {fault}")
+
+
+@carry_out.register
+def _(fault: HostFault, faults: Faults) -> None:
+    system = faults.system
+    place = system.host_by_slot[fault.host]
+    disturbing = faults.observations.disturbing(
+        describe(fault), fault.host, planned=isinstance(fault, HostStopped)
+    )
+    with place.lock, disturbing:
+        disturb_host(fault, faults)
+
+
+@singledispatch
+def disturb_host(fault: HostFault, faults: Faults) -> None:
+    """Do to a host's process what the fault says."""
+    raise TypeError(f"no way to carry out {fault}")
+
+
+@disturb_host.register
+def _(fault: HostStopped, faults: Faults) -> None:
+    faults.system.stop(fault.host)
+    faults.pause(fault.seconds)
+    faults.system.start(fault.host)
+
+
+@disturb_host.register
+def _(fault: HostKilled, faults: Faults) -> None:
+    faults.system.kill(fault.host)
+    faults.pause(fault.seconds)
+    faults.system.start(fault.host)
+
+
+@disturb_host.register
+def _(fault: HostPaused, faults: Faults) -> None:
+    faults.system.send_signal(fault.host, signal.SIGSTOP)
+    faults.pause(fault.seconds)
+    faults.system.send_signal(fault.host, signal.SIGCONT)
+
+
+@disturb_host.register
+def _(fault: DiskLost, faults: Faults) -> None:
+    faults.system.kill(fault.host)
+    faults.system.lose_disk(fault.host)
+    faults.pause(fault.seconds)
+    faults.system.start(fault.host)
+
+
+@disturb_host.register
+def _(fault: DiskFull, faults: Faults) -> None:
+    faults.system.fill_disk(fault.host)
+    faults.pause(fault.seconds)
+    faults.system.kill(fault.host)
+    faults.system.start(fault.host)
+
+
+@disturb_host.register
+def _(fault: HostReplaced, faults: Faults) -> None:
+    faults.system.kill(fault.host)
+    faults.pause(fault.seconds)
+    faults.system.replace_control(fault.host)
+
+
+@carry_out.register
+def _(fault: AllKilled, faults: Faults) -> None:
+    system = faults.system
+    slots = tuple(system.host_by_slot)
+    with system.all_locks(), faults.observations.disturbing(describe(fault), *slots):
+        for slot in slots:
+            system.kill(slot)
+        faults.pause(fault.seconds)
+        for slot in slots:
+            system.start(slot)
+
+
+@carry_out.register
+def _(fault: LinkFault, faults: Faults) -> None:
+    proxy = faults.system.proxy_by_link[fault.link]
+    with faults.observations.disturbing(describe(fault), fault.link):
+        disturb_link(fault, proxy)
+        faults.pause(fault.seconds)
+        proxy.heal()
+
+
+@singledispatch
+def disturb_link(fault: LinkFault, proxy: FaultProxy) -> None:
+    """Do to a link what the fault says."""
+    raise TypeError(f"no way to carry out {fault}")
+
+
+@disturb_link.register
+def _(fault: LinkDelayed, proxy: FaultProxy) -> None:
+    proxy.delay(fault.delay)
+
+
+@disturb_link.register
+def _(fault: LinkCut, proxy: FaultProxy) -> None:
+    proxy.cut(Direction(fault.direction) if fault.direction else None)
+
+
+@disturb_link.register
+def _(fault: LinkReset, proxy: FaultProxy) -> None:
+    proxy.reset()
+
+
+@disturb_link.register
+def _(fault: LinkSilenced, proxy: FaultProxy) -> None:
+    proxy.freeze()
+
+
+@carry_out.register
+def _(fault: EndpointFault, faults: Faults) -> None:
+    endpoint = faults.endpoint_by_slot[fault.endpoint]
+    with endpoint.lock:
+        disturb_endpoint(fault, endpoint, faults.observations)
+
+
+@singledispatch
+def disturb_endpoint(
+    fault: EndpointFault, endpoint: SoakEndpoint, observations: Observations
+) -> None:
+    """Do to an endpoint what the fault says."""
+    raise TypeError(f"no way to carry out {fault}")
+
+
+@disturb_endpoint.register
+def _(
+    fault: EndpointCrashed, endpoint: SoakEndpoint, observations: Observations
+) -> None:
+    with observations.disturbing(describe(fault), endpoint.slot):
+        endpoint.crash(fault.seconds)
+
+
+@disturb_endpoint.register
+def _(
+    fault: EndpointLeaves, endpoint: SoakEndpoint, observations: Observations
+) -> None:
+    endpoint.leave(fault.seconds, describe(fault))
+
+
+@carry_out.register
+def _(fault: AnswersSpoiled, faults: Faults) -> None:
+    endpoint = faults.endpoint_by_slot[fault.endpoint]
+    with endpoint.lock, faults.observations.disturbing(describe(fault), endpoint.slot):
+        endpoint.spoil(fault.fault, fault.count)
+        deadline = time.monotonic() + SPOILED_SECONDS
+        while endpoint.spoiled(fault.fault) and time.monotonic() < deadline:
+            faults.pause(POLL_SECONDS)
+        endpoint.spoil(fault.fault, 0)
--- /dev/null
+++ b/soak/_observations.py
@@ -0,0 +1,218 @@
+"""What callers, operators and endpoints have seen; times are monotonic seconds."""
+
+from __future__ import annotations
+
+import enum
+import math
+import threading
+import time
+from collections import defaultdict
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field, replace
+
+
+class Kind(enum.Enum):
+    """What may be repeated of a request."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+    RESUMABLE = "resumable"
+    PROBE = "probe"
+    """A safe request on the route that a version of the configuration added."""
+
+    @property
+    def is_stream(self) -> bool:
+        """Say whether its answer is a stream of events."""
+        return self in (Kind.STREAM, Kind.RESUMABLE)
+
+    @property
+    def runs_once(self) -> bool:
+        """Say whether it may run once at most."""
+        return self in (Kind.STREAM, Kind.UNSAFE)
+
+
+class Outcome(enum.Enum):
+    """How a call ended for its client."""
+
+    ANSWERED = "answered"
+    CUT = "cut"
+    """The connection ended before the answer was whole."""
+    SILENT = "silent"
+    """Nothing came within the client's patience."""
+    LEFT = "left"
+    """The client closed its connection, as it had planned."""
+    UNCONNECTED = "unconnected"
+
+
+@dataclass(frozen=True)
+class ClientCall:
+    """One request of a client, and what it got."""
+
+    request_id: str
+    kind: Kind
+    entry: str
+    boot: int
+    """Which start of the entry host's process was asked, 0 if that changed."""
+    sent_at: float
+    ended_at: float
+    outcome: Outcome
+    status: int = 0
+    echoed_id: str = ""
+    stamp: str = ""
+    body: bytes = b""
+    version: int = 0
+    """Of a probe: the version of the configuration that added its route."""
+    connected_at: float = 0.0
+    error: str = ""
+
+
+@dataclass(frozen=True)
+class Run:
+    """A request that an endpoint began to work on."""
+
+    request_id: str
+    endpoint_id: str
+    slot: str
+    service: str
+    started_at: float
+    resumed: bool
+
+
+@dataclass(frozen=True)
+class Disturbance:
+    """A fault on a host, an endpoint or a link while it lasts."""
+
+    target: str
+    what: str
+    planned: bool
+    """Whether it is a planned stop, around which nothing may be lost."""
+    begun_at: float
+    ended_at: float = math.inf
+
+
+@dataclass(frozen=True)
+class Departure:
+    """An endpoint that said that it leaves, and when that was acknowledged."""
+
+    endpoint_id: str
+    slot: str
+    control: str
+    manner: str
+    acknowledged_at: float
+
+
+@dataclass(frozen=True)
+class ConfigurationPut:
+    """A configuration that was sent; acknowledged never if that is infinite."""
+
+    version: int
+    content: str
+    acknowledged_at: float = math.inf
+
+
+@dataclass(frozen=True)
+class ConfigurationRead:
+    """A configuration that a control host gave as the one in force."""
+
+    control: str
+    begun_at: float
+    ended_at: float
+    version: int
+    content: str
+
+
+@dataclass(frozen=True)
+class ProcessEnd:
+    """The end of a host's process; `asked_at` is None if nobody asked for it."""
+
+    host: str
+    asked_at: float | None
+    ended_at: float
+    status: int | None
+
+
+@dataclass(frozen=True)
+class Violation:
+    """A promise that was not kept, with what shows it."""
+
+    promise: str
+    subject: str
+    message: str
+
+
+@dataclass
+class Observations:
+    """Everything that was seen so far; may be added to by many threads."""
+
+    started_at: float = field(default_factory=time.monotonic)
+    calls: list[ClientCall] = field(default_factory=list)
+    runs: list[Run] = field(default_factory=list)
+    departures: list[Departure] = field(default_factory=list)
+    reads: list[ConfigurationRead] = field(default_factory=list)
+    ends: list[ProcessEnd] = field(default_factory=list)
+    stalls: list[tuple[float, float]] = field(default_factory=list)
+    gone_by_request_id: dict[str, float] = field(default_factory=dict)
+    answer_by_endpoint: dict[str, bytes] = field(default_factory=dict)
+    put_by_version: dict[int, ConfigurationPut] = field(default_factory=dict)
+    unrecovered: list[str] = field(default_factory=list)
+    _disturbances: list[Disturbance] = field(default_factory=list)
+    _lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def offset(self, instant: float) -> str:
+        """Return an instant as seconds since the start of the run."""
+        return f"{instant - self.started_at:.2f} s"
+
+    @contextmanager
+    def disturbing(
+        self, what: str, *targets: str, planned: bool = False
+    ) -> Iterator[None]:
+        """Note that the targets are disturbed as long as the context lasts."""
+        now = time.monotonic()
+        with self._lock:
+            first = len(self._disturbances)
+            begun = [Disturbance(target, what, planned, now) for target in targets]
+            self._disturbances.extend(begun)
+        try:
+            yield
+        finally:
+            with self._lock:
+                for position, item in enumerate(begun, first):
+                    ended = replace(item, ended_at=time.monotonic())
+                    self._disturbances[position] = ended
+
+    def disturbed(
+        self, target: str, begun_at: float, ended_at: float, *, planned: bool = True
+    ) -> bool:
+        """Say whether the target was disturbed at any moment between these.
+
+        Planned stops count as well, unless they are told not to.
+        """
+        with self._lock:
+            return any(
+                item.target == target
+                and item.begun_at <= ended_at
+                and item.ended_at >= begun_at
+                and (planned or not item.planned)
+                for item in self._disturbances
+            )
+
+    def note_disturbance(self, disturbance: Disturbance) -> None:
+        """Note a disturbance whose end is known."""
+        with self._lock:
+            self._disturbances.append(disturbance)
+
+    def stall(self, begun_at: float, ended_at: float) -> float:
+        """Return the longest time that a thread of the soak was late by, in seconds."""
+        found = [
+            late for at, late in list(self.stalls) if begun_at <= at <= ended_at + late
+        ]
+        return max(found, default=0.0)
+
+    def runs_by_request_id(self) -> dict[str, list[Run]]:
+        """Return the runs of each request."""
+        runs: dict[str, list[Run]] = defaultdict(list)
+        for run in list(self.runs):
+            runs[run.request_id].append(run)
+        return runs
--- /dev/null
+++ b/soak/_operator.py
@@ -0,0 +1,123 @@
+"""An operator that puts configurations in force and reads them back."""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+from dataclasses import replace
+
+from soak._endpoints import call
+from soak._observations import ConfigurationPut, ConfigurationRead, Observations
+from soak._schedule import CONTROLS
+from soak._system import SoakSystem
+from tests.fakes.platform_system import ENGINE, PLAIN, configuration, route
+
+STREAM_TIMEOUT_MS = 6000
+PLAIN_TIMEOUT_MS = 2500
+# Sends of one request to endpoints that may run it, where it may be repeated.
+MAXIMUM_ATTEMPTS = 2
+PAUSE_SECONDS = (0.2, 2.0)
+READ_PAUSE_SECONDS = 0.05
+# How long one call may take, and one version is sent before the next, in seconds.
+CALL_SECONDS = 2.0
+VERSION_SECONDS = 6.0
+# How often a version that is in force is sent again, with its content or another.
+RESEND_SHARE = 0.2
+
+
+def make_configuration(version: int) -> str:
+    """Return the content of a version, which adds a route to the one before."""
+    stream = {"timeoutMs": STREAM_TIMEOUT_MS, "sloMs": 900, "gapSloMs": 300}
+    plain = {"timeoutMs": PLAIN_TIMEOUT_MS, "maxAttempts": MAXIMUM_ATTEMPTS}
+    once = {**stream, "kind": "stream", "maxAttempts": 1}
+    again = {**stream, "kind": "stream", "maxAttempts": 2, "resumable": True}
+    unsafe = {**plain, "kind": "unsafe"}
+    routes = [
+        route("safe", "/safe/", "plain", **plain),
+        route("unsafe", "/unsafe/", "plain", **unsafe),
+        route("stream", "/stream/", "model", **once),
+        route("resumable", "/resumable/", "model", **again),
+    ]
+    for added in range(1, version + 1):
+        routes.append(route(f"since-{added}", f"/since-{added}/", "plain", **plain))
+    return json.dumps(configuration(version, routes, [PLAIN, ENGINE]))
+
+
+class Operator:
+    """Sends versions that grow, and reads what is in force."""
+
+    def __init__(self, system: SoakSystem, seed: int) -> None:
+        self._system = system
+        self._observations: Observations = system.observations
+        self._chance = random.Random(f"{seed}/operator")
+        self._reader_chance = random.Random(f"{seed}/reader")
+
+    def put_first(self) -> None:
+        """Put the first version in force."""
+        while not self._put(1, make_configuration(1)):
+            time.sleep(READ_PAUSE_SECONDS)
+
+    def run(self) -> None:
+        """Put one version after the other in force until the soak ends."""
+        version = 1
+        while not self._system.stopping.wait(self._chance.uniform(*PAUSE_SECONDS)):
+            version += 1
+            self._put_until_acknowledged(version)
+            if self._chance.random() < RESEND_SHARE:
+                self._send_again()
+
+    def read(self) -> None:
+        """Read the configuration at any control host until the soak ends."""
+        while not self._system.stopping.wait(READ_PAUSE_SECONDS):
+            self.read_once(self._reader_chance.choice(CONTROLS))
+
+    def read_once(self, slot: str) -> bool:
+        """Read the configuration at a control host; say whether it came."""
+        begun_at = time.monotonic()
+        status, content = call(
+            self._address(slot), "GET", "/config", None, CALL_SECONDS
+        )
+        if status != 200:
+            return False
+        version = json.loads(content)["version"]
+        ended_at = time.monotonic()
+        found = ConfigurationRead(slot, begun_at, ended_at, version, content)
+        self._observations.reads.append(found)
+        return True
+
+    def _put_until_acknowledged(self, version: int) -> None:
+        content = make_configuration(version)
+        deadline = time.monotonic() + VERSION_SECONDS
+        while time.monotonic() < deadline and not self._system.stopping.is_set():
+            if self._put(version, content):
+                return
+            time.sleep(READ_PAUSE_SECONDS)
+
+    def _put(self, version: int, content: str) -> bool:
+        """Send a version; note it before, and when it is acknowledged."""
+        puts = self._observations.put_by_version
+        puts.setdefault(version, ConfigurationPut(version, content))
+        address = self._address(self._chance.choice(CONTROLS))
+        status, _ = call(address, "PUT", "/config", content, CALL_SECONDS)
+        if status != 200:
+            return False
+        puts[version] = replace(puts[version], acknowledged_at=time.monotonic())
+        return True
+
+    def _send_again(self) -> None:
+        """Send an acknowledged version with another content, which must not count."""
+        held = [
+            put
+            for put in self._observations.put_by_version.values()
+            if put.acknowledged_at < time.monotonic()
+        ]
+        if not held:
+            return
+        put = self._chance.choice(held)
+        content = put.content.replace('"maxConns": 100', '"maxConns": 99')
+        address = self._address(self._chance.choice(CONTROLS))
+        call(address, "PUT", "/config", content, CALL_SECONDS)
+
+    def _address(self, slot: str) -> str:
+        return self._system.proxy_by_link[f"operator>{slot}"].address
--- /dev/null
+++ b/soak/_run.py
@@ -0,0 +1,196 @@
+"""One run of the soak: the processes, the load, the faults, the checks."""
+
+from __future__ import annotations
+
+import shutil
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+from soak._checks import find_violations
+from soak._clients import Client, start_clients
+from soak._endpoints import SoakEndpoint, start_endpoints
+from soak._faults import Faults
+from soak._observations import Kind, Observations, Outcome, Violation
+from soak._operator import Operator
+from soak._schedule import (
+    CONTROLS,
+    ENDPOINTS,
+    ENTRIES,
+    GAP_SECONDS,
+    describe,
+    make_schedule,
+)
+from soak._system import SoakSystem
+from tests.fakes.processes import wait_until
+
+CHECK_SECONDS = 3.0
+STALL_LOOK_SECONDS = 0.05
+# How long the whole system may take to serve again after the last fault, in seconds.
+RECOVERY_SECONDS = 60.0
+# What the last answers and the news of clients that left may take, in seconds.
+SETTLE_SECONDS = 4.5
+FAULT_END_SECONDS = 60.0
+
+
+@dataclass(frozen=True)
+class SoakOptions:
+    """What a run is started with."""
+
+    seed: int
+    seconds: float
+    folder: Path
+    """Where the logs of the processes go; removed when every promise was kept."""
+
+
+class _Soak:
+    def __init__(self, options: SoakOptions, system: SoakSystem) -> None:
+        self._options = options
+        self._system = system
+        self._seen = system.observations
+        self._operator = Operator(system, options.seed)
+        self._found: dict[tuple[str, str], Violation] = {}
+
+    def run(self) -> list[Violation]:
+        """Run the load and the faults; return the promises that were not kept."""
+        endpoint_by_slot = self._start_load()
+        self._run_faults(Faults(self._system, endpoint_by_slot))
+        print(f"{self._seen.offset(time.monotonic())}: the faults are over")
+        self._recover()
+        print(f"{self._seen.offset(time.monotonic())}: everything is served again")
+        time.sleep(SETTLE_SECONDS)
+        self._check()
+        self._system.stopping.set()
+        for endpoint in endpoint_by_slot.values():
+            endpoint.close()
+        return list(self._found.values())
+
+    def _start_load(self) -> dict[str, SoakEndpoint]:
+        system = self._system
+        endpoints = start_endpoints(ENDPOINTS, system, self._options.seed)
+        endpoint_by_slot = {endpoint.slot: endpoint for endpoint in endpoints}
+        self._operator.put_first()
+        self._wait_served("before")
+        for task in (self._operator.run, self._operator.read, self._watch_stalls):
+            self._start(task)
+        start_clients(system, self._options.seed)
+        return endpoint_by_slot
+
+    @staticmethod
+    def _start(task: Callable[[], None]) -> threading.Thread:
+        thread = threading.Thread(target=task, daemon=True)
+        thread.start()
+        return thread
+
+    def _run_faults(self, faults: Faults) -> None:
+        schedule = make_schedule(self._options.seed, self._options.seconds)
+        starts_at = time.monotonic()
+        ends_at = starts_at + self._options.seconds
+        self._seen.started_at = starts_at
+        tracks = [
+            self._start(
+                lambda own=own: faults.run_track(own, starts_at, ends_at)  # type: ignore[misc]
+            )
+            for track in GAP_SECONDS
+            if (own := [fault for fault in schedule if fault.track == track])
+        ]
+        while time.monotonic() < ends_at + FAULT_END_SECONDS:
+            time.sleep(CHECK_SECONDS)
+            self._check()
+            if not any(track.is_alive() for track in tracks):
+                return
+        self._seen.unrecovered.append("the last faults did not end")
+
+    def _check(self) -> None:
+        self._system.look_for_ended()
+        for violation in find_violations(self._seen):
+            key = (violation.promise, violation.subject)
+            if key not in self._found:
+                self._found[key] = violation
+                now = self._seen.offset(time.monotonic())
+                print(
+                    f"BROKEN after {now}: {violation.promise}: {violation.subject}: "
+                    f"{violation.message}",
+                    flush=True,
+                )
+
+    def _recover(self) -> None:
+        """Wait until all that the faults have taken is back."""
+        try:
+            self._system.wait_whole()
+            self._wait_served("after")
+            for slot in CONTROLS:
+                wait_until(
+                    lambda slot=slot: self._operator.read_once(slot),  # type: ignore[misc]
+                    f"the configuration at {slot}",
+                    RECOVERY_SECONDS,
+                )
+        except TimeoutError as error:
+            self._seen.unrecovered.append(str(error))
+
+    def _wait_served(self, phase: str) -> None:
+        """Wait until each entry host serves each kind of request."""
+
+        def wait(kind: Kind, entry: str) -> None:
+            name = f"{phase}-{entry}"
+            client = Client(name, kind, self._system, self._options.seed)
+            wait_until(
+                lambda: client.ask_now(entry).status == 200,
+                f"{entry} serves {kind.value}",
+                RECOVERY_SECONDS,
+            )
+
+        with ThreadPoolExecutor(len(Kind) * len(ENTRIES)) as pool:
+            kinds = [kind for kind in Kind for _ in ENTRIES]
+            list(pool.map(wait, kinds, ENTRIES * len(Kind)))
+
+    def _watch_stalls(self) -> None:
+        """Measure how late a thread of the soak is woken."""
+        while not self._system.stopping.is_set():
+            before = time.monotonic()
+            time.sleep(STALL_LOOK_SECONDS)
+            late = time.monotonic() - before - STALL_LOOK_SECONDS
+            if late > STALL_LOOK_SECONDS:
+                self._seen.stalls.append((before, late))
+
+
+def run_soak(options: SoakOptions) -> list[Violation]:
+    """Run the soak once; return the promises that were not kept."""
+    schedule = make_schedule(options.seed, options.seconds)
+    print(f"seed {options.seed}, {options.seconds} s, {len(schedule)} faults")
+    for fault in schedule:
+        print(f"  {describe(fault)} ({fault.track})")
+    shutil.rmtree(options.folder, ignore_errors=True)
+    options.folder.mkdir(parents=True)
+    seen = Observations()
+    with SoakSystem(options.folder, seen) as system:
+        found = _Soak(options, system).run()
+    _print_summary(options, seen, found)
+    if not found:
+        shutil.rmtree(options.folder)
+    return found
+
+
+def _print_summary(
+    options: SoakOptions, seen: Observations, found: list[Violation]
+) -> None:
+    counts = Counter(
+        f"{call.kind.value} {call.status if answered else call.outcome.value}"
+        for call in seen.calls
+        if (answered := call.outcome is Outcome.ANSWERED) or True
+    )
+    print(", ".join(f"{name}: {count}" for name, count in sorted(counts.items())))
+    stalled = max((late for _, late in seen.stalls), default=0.0)
+    print(
+        f"{len(seen.calls)} calls, {len(seen.runs)} runs, "
+        f"{len(seen.put_by_version)} versions, {len(seen.reads)} reads, "
+        f"{len(seen.departures)} departures, {len(seen.ends)} stops, "
+        f"{len(seen.gone_by_request_id)} endpoints told of clients that left, "
+        f"longest stall {stalled:.2f} s"
+    )
+    verdict = f"{len(found)} BROKEN, logs in {options.folder}" if found else "kept"
+    print(f"seed {options.seed}, {options.seconds} s: {verdict}", flush=True)
--- a/tests/fakes/_http.py
+++ b/tests/fakes/_http.py
@@ -8,6 +8,7 @@
 import sys
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
 
 from tests.fakes._faults import Faults
 from tests.fakes._records import RefusalError
@@ -19,6 +20,11 @@
     daemon_threads = True
     request_queue_size = 512
 
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Pass over a connection that its other end has broken off."""
+        if not isinstance(sys.exc_info()[1], ConnectionError):
+            super().handle_error(request, client_address)
+
 
 class JsonHandler(BaseHTTPRequestHandler):
     """Reads and writes JSON bodies; `routes` maps "METHOD /path" to a method name."""
