--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # other on a small machine.
 TEST_JOBS ?= 3
 
-.PHONY: demo test lint unit binary docs clean
+.PHONY: demo test lint unit binary docs clean bench soak soak-regressions
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -49,3 +49,12 @@
 bench: $(VENV)/.installed
 	$(BIN)/python -m bench --scenario $(SCENARIO) --policy $(POLICY) \
 		--load $(LOAD) --seed $(SEED) --seconds $(SECONDS) $(if $(FAULTS),--faults)
+
+# Real processes on loopback under faults that the seed draws, and checks of what is
+# promised; the logs of a run that broke a promise stay in build/soak/.
+soak: $(VENV)/.installed
+	$(BIN)/python -m soak --seed $(SEED) --seconds $(SECONDS)
+
+# Each seed that failed once.
+soak-regressions: $(VENV)/.installed
+	$(BIN)/python -m soak --regressions
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from types import FrameType
 
-from soak import SoakOptions, run_soak
+from soak import SoakOptions, read_regressions, run_soak
 
 FOLDER = Path("build/soak")
 
@@ -20,15 +20,31 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--folder", type=Path, help="where logs of a failed run stay")
+    parser.add_argument("--regressions", action="store_true", help="run the list")
     arguments = parser.parse_args()
-    folder = arguments.folder or FOLDER / f"seed-{arguments.seed}"
     # Hosts that are down are asked again and again; that is no news for a reader.
     logging.getLogger("thrift").setLevel(logging.CRITICAL)
     signal.signal(signal.SIGTERM, _interrupt)
+    if arguments.regressions:
+        return _run_regressions()
+    folder = arguments.folder or FOLDER / f"seed-{arguments.seed}"
     found = run_soak(SoakOptions(arguments.seed, arguments.seconds, folder.resolve()))
     return 1 if found else 0
 
 
+def _run_regressions() -> int:
+    """Run each seed that failed once; return 0 if those that are mended are kept."""
+    broken = 0
+    for item in read_regressions():
+        folder = (FOLDER / f"seed-{item.seed}").resolve()
+        found = run_soak(SoakOptions(item.seed, item.seconds, folder))
+        broken += bool(found) and not item.open
+        verdict = "broken" if found else "kept"
+        state = "open" if item.open else "mended"
+        print(f"REGRESSION seed {item.seed} ({state}): {verdict}; {item.cause}")
+    return 1 if broken else 0
+
+
 def _interrupt(number: int, frame: FrameType | None) -> None:
     """End as after Ctrl-C: every process that was started is ended first."""
     raise KeyboardInterrupt
