--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -11,7 +11,13 @@
 from typing import Any
 
 from soak._observations import Departure, Observations, Run
-from soak._schedule import CONTROLS, DECODE_ENDPOINTS, PREFILL_ENDPOINTS
+from soak._schedule import (
+    CONTROLS,
+    DECODE_ENDPOINTS,
+    LATE_BEAT_SECONDS,
+    LEAVE_SERVES_SECONDS,
+    PREFILL_ENDPOINTS,
+)
 from soak._system import SoakSystem
 from tests.fakes.fault_proxy import FaultProxy
 from tests.fakes.platform_worker import PlatformWorker, WorkerRun
@@ -19,12 +25,8 @@
 BEAT_SECONDS = 0.3
 # How long an endpoint waits for an acknowledgement before it asks another host.
 BEAT_ANSWER_SECONDS = 1.0
-# How long one that leaves tries to be acknowledged, and serves on after that, in
-# seconds: longer than the bound in which it may still get requests.
+# How long one that leaves tries to be acknowledged, in seconds.
 LEAVE_TRIES_SECONDS = 5.0
-LEAVE_SERVES_SECONDS = 4.0
-# When an announcement from before it left arrives, after the acknowledgement.
-LATE_BEAT_SECONDS = 0.7
 # A stream lasts for one and a half seconds: longer than a host may take to see that
 # its client has left.
 STREAM_EVENTS = 150
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -35,6 +35,11 @@
 # How long a host is down or paused, in seconds: shorter and longer than an election
 # and than the 1.2 s after which a silent connection is given up.
 DOWN_SECONDS = (0.0, 3.0)
+# An announcement from before it left arrives this long after the acknowledgement, and
+# the endpoint serves on for so long: longer than the bound in which it may still get
+# requests.
+LATE_BEAT_SECONDS = 0.7
+LEAVE_SERVES_SECONDS = 4.0
 # How long a link is disturbed, and by how much it delays, in seconds.
 LINK_SECONDS = (0.2, 4.0)
 DELAY_SECONDS = (0.02, 0.5)
@@ -158,6 +163,14 @@
     return f"{fault.at:6.2f} s {type(fault).__name__} {' '.join(shown)}"
 
 
+def lasts(fault: Fault) -> float:
+    """Return how long the fault takes, in seconds, as far as that is known."""
+    away = float(getattr(fault, "seconds", 0.0))
+    if isinstance(fault, EndpointLeaves):
+        return away + LATE_BEAT_SECONDS + LEAVE_SERVES_SECONDS
+    return away
+
+
 def _track(seed: int, track: str, seconds: float) -> Iterator[Fault]:
     chance = random.Random(f"{seed}/{track}")
     draw = _DRAW_BY_TRACK[track]
@@ -165,7 +178,7 @@
     while at < seconds:
         fault = draw(chance, round(at, 2), track)
         yield fault
-        at += getattr(fault, "seconds", 0.0) + chance.uniform(*GAP_SECONDS[track])
+        at += lasts(fault) + chance.uniform(*GAP_SECONDS[track])
 
 
 def _span(chance: random.Random, bounds: tuple[float, float]) -> float:
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -15,6 +15,7 @@
     LinkCut,
     LinkFault,
     describe,
+    lasts,
     make_schedule,
 )
 
@@ -22,10 +23,6 @@
 SEEDS = range(1, 31)
 
 
-def lasts(fault: Fault) -> float:
-    return float(getattr(fault, "seconds", 0.0))
-
-
 class TestSeed:
     def test_gives_the_same_faults_each_time(self) -> None:
         for seed in SEEDS:
