--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,6 +4,7 @@
 
 import argparse
 import logging
+import os
 import signal
 import sys
 from pathlib import Path
@@ -27,7 +28,7 @@
     signal.signal(signal.SIGTERM, _interrupt)
     if arguments.regressions:
         return _run_regressions()
-    folder = arguments.folder or FOLDER / f"seed-{arguments.seed}"
+    folder = arguments.folder or _default_folder(arguments.seed)
     found = run_soak(SoakOptions(arguments.seed, arguments.seconds, folder.resolve()))
     return 1 if found else 0
 
@@ -36,7 +37,7 @@
     """Run each seed that failed once; return 0 if those that are mended are kept."""
     broken = 0
     for item in read_regressions():
-        folder = (FOLDER / f"seed-{item.seed}").resolve()
+        folder = _default_folder(item.seed).resolve()
         found = run_soak(SoakOptions(item.seed, item.seconds, folder))
         broken += bool(found) and not item.open
         verdict = "broken" if found else "kept"
@@ -45,6 +46,11 @@
     return 1 if broken else 0
 
 
+def _default_folder(seed: int) -> Path:
+    """Return a folder that no other run of the same seed uses."""
+    return FOLDER / f"seed-{seed}-{os.getpid()}"
+
+
 def _interrupt(number: int, frame: FrameType | None) -> None:
     """End as after Ctrl-C: every process that was started is ended first."""
     raise KeyboardInterrupt
