--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -35,7 +35,7 @@
 # take milliseconds; the rest is for a busy machine, with what it is seen to stall.
 LEAVE_SECONDS = 1.5
 APPLY_SECONDS = 5.0
-STALL_FACTOR = 4.0
+STALL_FACTOR = 2.0
 # How long after its client has left an endpoint is told, in seconds; a stream that
 # lasts for longer must not be worked on to its end.
 GONE_SECONDS = 4.0
@@ -336,7 +336,7 @@
         if call.request_id in seen.gone_by_request_id:
             continue
         judged_by = call.ended_at + GONE_SECONDS
-        if seen.stall(call.sent_at, judged_by) * STALL_FACTOR > 1.0:
+        if seen.stall(call.sent_at, judged_by) * STALL_FACTOR > 0.5:
             continue
         if seen.disturbed(call.entry, call.sent_at - CONTACT_SECONDS, judged_by):
             continue
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -39,7 +39,7 @@
 # the endpoint serves on for so long: longer than the bound in which it may still get
 # requests.
 LATE_BEAT_SECONDS = 0.7
-LEAVE_SERVES_SECONDS = 4.0
+LEAVE_SERVES_SECONDS = 6.0
 # How long a link is disturbed, and by how much it delays, in seconds.
 LINK_SECONDS = (0.2, 4.0)
 DELAY_SECONDS = (0.02, 0.5)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -194,7 +194,7 @@
 
     def test_machine_that_stalls_stretches_it(self, seen: Observations) -> None:
         self.leave(seen, 0.1)
-        seen.stalls.append((LONG_AGO, 0.2))
+        seen.stalls.append((LONG_AGO, 0.1))
         assert promises(_checks.check_departures, seen) == []
 
 
