--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -166,15 +166,6 @@
         with self.observations.disturbing(what, self.slot):
             self.crash(seconds)
 
-    def spoil(self, fault: str, count: int) -> None:
-        """Do something wrong with so many of the next requests."""
-        faults = self.worker.faults
-        setattr(faults, fault, count)
-
-    def spoiled(self, fault: str) -> bool:
-        """Say whether requests are left that a fault is meant for."""
-        return bool(getattr(self.worker.faults, fault))
-
     def _tell(self, beat: dict[str, Any] | None) -> str:
         """Announce, or sign off without one; return the control host that took it."""
         body = None if beat is None else json.dumps(beat)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -7,29 +7,10 @@
 from collections.abc import Mapping
 from functools import singledispatch
 
+from soak import _schedule
 from soak._endpoints import SoakEndpoint
 from soak._observations import Observations
-from soak._schedule import (
-    AllKilled,
-    AnswersSpoiled,
-    DiskFull,
-    DiskLost,
-    EndpointCrashed,
-    EndpointFault,
-    EndpointLeaves,
-    Fault,
-    HostFault,
-    HostKilled,
-    HostPaused,
-    HostReplaced,
-    HostStopped,
-    LinkCut,
-    LinkDelayed,
-    LinkFault,
-    LinkReset,
-    LinkSilenced,
-    describe,
-)
+from soak._schedule import Fault, HostFault, LinkFault, describe
 from soak._system import SoakSystem
 from tests.fakes.fault_proxy import Direction, FaultProxy
 
@@ -87,7 +68,7 @@
     system = faults.system
     place = system.host_by_slot[fault.host]
     disturbing = faults.observations.disturbing(
-        describe(fault), fault.host, planned=isinstance(fault, HostStopped)
+        describe(fault), fault.host, planned=isinstance(fault, _schedule.HostStopped)
     )
     with place.lock, disturbing:
         disturb_host(fault, faults)
@@ -100,28 +81,28 @@
 
 
 @disturb_host.register
-def _(fault: HostStopped, faults: Faults) -> None:
+def _(fault: _schedule.HostStopped, faults: Faults) -> None:
     faults.system.stop(fault.host)
     faults.pause(fault.seconds)
     faults.system.start(fault.host)
 
 
 @disturb_host.register
-def _(fault: HostKilled, faults: Faults) -> None:
+def _(fault: _schedule.HostKilled, faults: Faults) -> None:
     faults.system.kill(fault.host)
     faults.pause(fault.seconds)
     faults.system.start(fault.host)
 
 
 @disturb_host.register
-def _(fault: HostPaused, faults: Faults) -> None:
+def _(fault: _schedule.HostPaused, faults: Faults) -> None:
     faults.system.send_signal(fault.host, signal.SIGSTOP)
     faults.pause(fault.seconds)
     faults.system.send_signal(fault.host, signal.SIGCONT)
 
 
 @disturb_host.register
-def _(fault: DiskLost, faults: Faults) -> None:
+def _(fault: _schedule.DiskLost, faults: Faults) -> None:
     faults.system.kill(fault.host)
     faults.system.lose_disk(fault.host)
     faults.pause(fault.seconds)
@@ -129,7 +110,7 @@
 
 
 @disturb_host.register
-def _(fault: DiskFull, faults: Faults) -> None:
+def _(fault: _schedule.DiskFull, faults: Faults) -> None:
     faults.system.fill_disk(fault.host)
     faults.pause(fault.seconds)
     faults.system.kill(fault.host)
@@ -137,14 +118,14 @@
 
 
 @disturb_host.register
-def _(fault: HostReplaced, faults: Faults) -> None:
+def _(fault: _schedule.HostReplaced, faults: Faults) -> None:
     faults.system.kill(fault.host)
     faults.pause(fault.seconds)
     faults.system.replace_control(fault.host)
 
 
 @carry_out.register
-def _(fault: AllKilled, faults: Faults) -> None:
+def _(fault: _schedule.AllKilled, faults: Faults) -> None:
     system = faults.system
     slots = tuple(system.host_by_slot)
     with system.all_locks(), faults.observations.disturbing(describe(fault), *slots):
@@ -171,61 +152,46 @@
 
 
 @disturb_link.register
-def _(fault: LinkDelayed, proxy: FaultProxy) -> None:
+def _(fault: _schedule.LinkDelayed, proxy: FaultProxy) -> None:
     proxy.delay(fault.delay)
 
 
 @disturb_link.register
-def _(fault: LinkCut, proxy: FaultProxy) -> None:
+def _(fault: _schedule.LinkCut, proxy: FaultProxy) -> None:
     proxy.cut(Direction(fault.direction) if fault.direction else None)
 
 
 @disturb_link.register
-def _(fault: LinkReset, proxy: FaultProxy) -> None:
+def _(fault: _schedule.LinkReset, proxy: FaultProxy) -> None:
     proxy.reset()
 
 
 @disturb_link.register
-def _(fault: LinkSilenced, proxy: FaultProxy) -> None:
+def _(fault: _schedule.LinkSilenced, proxy: FaultProxy) -> None:
     proxy.freeze()
 
 
 @carry_out.register
-def _(fault: EndpointFault, faults: Faults) -> None:
+def _(fault: _schedule.EndpointCrashed, faults: Faults) -> None:
     endpoint = faults.endpoint_by_slot[fault.endpoint]
-    with endpoint.lock:
-        disturb_endpoint(fault, endpoint, faults.observations)
-
-
-@singledispatch
-def disturb_endpoint(
-    fault: EndpointFault, endpoint: SoakEndpoint, observations: Observations
-) -> None:
-    """Do to an endpoint what the fault says."""
-    raise TypeError(f"no way to carry out {fault}")
-
-
-@disturb_endpoint.register
-def _(
-    fault: EndpointCrashed, endpoint: SoakEndpoint, observations: Observations
-) -> None:
-    with observations.disturbing(describe(fault), endpoint.slot):
+    with endpoint.lock, faults.observations.disturbing(describe(fault), endpoint.slot):
         endpoint.crash(fault.seconds)
 
 
-@disturb_endpoint.register
-def _(
-    fault: EndpointLeaves, endpoint: SoakEndpoint, observations: Observations
-) -> None:
-    endpoint.leave(fault.seconds, describe(fault))
+@carry_out.register
+def _(fault: _schedule.EndpointLeaves, faults: Faults) -> None:
+    endpoint = faults.endpoint_by_slot[fault.endpoint]
+    with endpoint.lock:
+        endpoint.leave(fault.seconds, describe(fault))
 
 
 @carry_out.register
-def _(fault: AnswersSpoiled, faults: Faults) -> None:
+def _(fault: _schedule.AnswersSpoiled, faults: Faults) -> None:
     endpoint = faults.endpoint_by_slot[fault.endpoint]
     with endpoint.lock, faults.observations.disturbing(describe(fault), endpoint.slot):
-        endpoint.spoil(fault.fault, fault.count)
+        orders = endpoint.worker.faults
+        setattr(orders, fault.fault, fault.count)
         deadline = time.monotonic() + SPOILED_SECONDS
-        while endpoint.spoiled(fault.fault) and time.monotonic() < deadline:
+        while getattr(orders, fault.fault) and time.monotonic() < deadline:
             faults.pause(POLL_SECONDS)
-        endpoint.spoil(fault.fault, 0)
+        setattr(orders, fault.fault, 0)
--- a/soak/_observations.py
+++ b/soak/_observations.py
@@ -159,7 +159,7 @@
     answer_by_endpoint: dict[str, bytes] = field(default_factory=dict)
     put_by_version: dict[int, ConfigurationPut] = field(default_factory=dict)
     unrecovered: list[str] = field(default_factory=list)
-    _disturbances: list[Disturbance] = field(default_factory=list)
+    disturbances: list[Disturbance] = field(default_factory=list)
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
     def offset(self, instant: float) -> str:
@@ -173,16 +173,16 @@
         """Note that the targets are disturbed as long as the context lasts."""
         now = time.monotonic()
         with self._lock:
-            first = len(self._disturbances)
+            first = len(self.disturbances)
             begun = [Disturbance(target, what, planned, now) for target in targets]
-            self._disturbances.extend(begun)
+            self.disturbances.extend(begun)
         try:
             yield
         finally:
             with self._lock:
                 for position, item in enumerate(begun, first):
                     ended = replace(item, ended_at=time.monotonic())
-                    self._disturbances[position] = ended
+                    self.disturbances[position] = ended
 
     def disturbed(
         self, target: str, begun_at: float, ended_at: float, *, planned: bool = True
@@ -197,14 +197,9 @@
                 and item.begun_at <= ended_at
                 and item.ended_at >= begun_at
                 and (planned or not item.planned)
-                for item in self._disturbances
+                for item in self.disturbances
             )
 
-    def note_disturbance(self, disturbance: Disturbance) -> None:
-        """Note a disturbance whose end is known."""
-        with self._lock:
-            self._disturbances.append(disturbance)
-
     def stall(self, begun_at: float, ended_at: float) -> float:
         """Return the longest time that a thread of the soak was late by, in seconds."""
         found = [
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -15,7 +15,7 @@
 from soak._clients import Client, start_clients
 from soak._endpoints import SoakEndpoint, start_endpoints
 from soak._faults import Faults
-from soak._observations import Kind, Observations, Outcome, Violation
+from soak._observations import Kind, Observations, Violation
 from soak._operator import Operator
 from soak._schedule import (
     CONTROLS,
@@ -179,9 +179,7 @@
     options: SoakOptions, seen: Observations, found: list[Violation]
 ) -> None:
     counts = Counter(
-        f"{call.kind.value} {call.status if answered else call.outcome.value}"
-        for call in seen.calls
-        if (answered := call.outcome is Outcome.ANSWERED) or True
+        f"{call.kind.value} {call.outcome.value} {call.status}" for call in seen.calls
     )
     print(", ".join(f"{name}: {count}" for name, count in sorted(counts.items())))
     stalled = max((late for _, late in seen.stalls), default=0.0)
--- a/soak/_system.py
+++ b/soak/_system.py
@@ -14,8 +14,8 @@
 import threading
 import time
 from contextlib import ExitStack
+from dataclasses import dataclass, field
 from pathlib import Path
-from types import TracebackType
 from typing import Self
 
 from jujubeslip.kernel import PeerUnavailableError
@@ -45,19 +45,19 @@
 STATUS_SECONDS = 1.0
 
 
+@dataclass
 class SoakHost:
     """A place of a host: its process, which may be started again and again."""
 
-    def __init__(self, slot: str, host: Host, address: str) -> None:
-        self.slot = slot
-        self.host = host
-        self.address = address
-        """Where clients reach an entry host, and peers a control host."""
-        self.lock = threading.RLock()
-        """Held while its process is ended and started."""
-        self.boot = 0
-        self.wanted = False
-        """Whether its process should run."""
+    slot: str
+    host: Host
+    address: str
+    """Where clients reach an entry host, and peers a control host."""
+    boot: int = 0
+    wanted: bool = False
+    """Whether its process should run."""
+    lock: threading.RLock = field(default_factory=threading.RLock)
+    """Held while its process is ended and started."""
 
 
 class SoakSystem:
@@ -110,12 +110,7 @@
             raise
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self.close()
 
     def close(self) -> None:
@@ -173,10 +168,9 @@
             return None
 
     def send_signal(self, slot: str, number: signal.Signals) -> None:
-        """Send the host's process a signal."""
-        process = self.host_by_slot[slot].host.process
-        if process is not None:
-            process.signal(number)
+        """Send the host's process a signal, if there is one."""
+        if self.host_by_slot[slot].host.process is not None:
+            self.host_by_slot[slot].host.signal(number)
 
     def _wait_to_handle(self, slot: str, number: signal.Signals) -> None:
         """Wait until the host's process has got so far as to handle the signal.
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,8 +13,8 @@
 from soak import read_regressions
 from tests.fakes.processes import ROOT, wait_until
 
-# Between them they have most faults, a replaced control host among them; a lost disk and
-# all hosts killed at once come in longer runs.
+# Between them they have most faults, a replaced control host among them; a lost disk
+# and all hosts killed at once come in longer runs.
 FIXED = [(8, 12.0), (23, 12.0)]
 SHORT = [(item.seed, item.seconds) for item in read_regressions() if item.ci]
 LIMIT_SECONDS = 400.0
