--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -212,11 +212,9 @@
     stalled = STALL_FACTOR * seen.stall(acknowledged_at, run.started_at)
     if run.started_at < acknowledged_at + LEAVE_SECONDS + stalled:
         return False
-    begun_at = acknowledged_at - CONTACT_SECONDS
-    return not any(
-        seen.disturbed(target, begun_at, run.started_at)
-        for target in (call.entry, f"entry>{run.slot}")
-    )
+    in_touch_from = run.started_at - CONTACT_SECONDS
+    held_up = seen.disturbed(f"entry>{run.slot}", call.sent_at, run.started_at)
+    return not (held_up or seen.disturbed(call.entry, in_touch_from, run.started_at))
 
 
 def check_configurations(seen: Observations) -> Iterator[Violation]:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -192,6 +192,23 @@
         self.leave(seen, 0.1)
         assert promises(_checks.check_departures, seen) == ["nothing after leaving"]
 
+    @pytest.mark.parametrize(
+        ("target", "ended_at", "expected"),
+        [
+            ("entry-0", LONG_AGO - 2, ["nothing after leaving"]),
+            ("entry-0", LONG_AGO, []),
+            ("entry>plain-0", LONG_AGO - 0.1, ["nothing after leaving"]),
+            ("entry>plain-0", LONG_AGO + 0.1, []),
+        ],
+    )
+    def test_fault_counts_only_where_it_explains_the_request(
+        self, seen: Observations, target: str, ended_at: float, expected: list[str]
+    ) -> None:
+        self.leave(seen, 0.1)
+        fault = Disturbance(target, "a fault", False, ended_at - 1, ended_at)
+        seen.disturbances.append(fault)
+        assert promises(_checks.check_departures, seen) == expected
+
     def test_machine_that_stalls_stretches_it(self, seen: Observations) -> None:
         self.leave(seen, 0.1)
         seen.stalls.append((LONG_AGO, 0.1))
