--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,7 +25,8 @@
     arguments = parser.parse_args()
     # Hosts that are down are asked again and again; that is no news for a reader.
     logging.getLogger("thrift").setLevel(logging.CRITICAL)
-    signal.signal(signal.SIGTERM, _interrupt)
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, _interrupt)
     if arguments.regressions:
         return _run_regressions()
     folder = arguments.folder or _default_folder(arguments.seed)
@@ -52,7 +53,9 @@
 
 
 def _interrupt(number: int, frame: FrameType | None) -> None:
-    """End as after Ctrl-C: every process that was started is ended first."""
+    """End once every process that was started has ended, whatever comes meanwhile."""
+    for ignored in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(ignored, signal.SIG_IGN)
     raise KeyboardInterrupt
 
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -7,7 +7,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -57,6 +57,7 @@
 
     def run(self) -> list[Violation]:
         """Run the load and the faults; return the promises that were not kept."""
+        self._system.start_all()
         endpoint_by_slot = self._start_load()
         self._run_faults(Faults(self._system, endpoint_by_slot))
         print(f"{self._seen.offset(time.monotonic())}: the faults are over")
@@ -168,13 +169,31 @@
     options.folder.mkdir(parents=True)
     seen = Observations()
     with SoakSystem(options.folder, seen) as system:
-        found = _Soak(options, system).run()
+        found = _run_apart(_Soak(options, system).run)
     _print_summary(options, seen, found)
     if not found:
         shutil.rmtree(options.folder)
     return found
 
 
+def _run_apart(task: Callable[[], list[Violation]]) -> list[Violation]:
+    """Run the task in a thread of its own, and return its result.
+
+    An interrupt comes to the main thread. There it could come between the start of a
+    process and the note of its id, and that process would be left behind.
+    """
+    result: Future[list[Violation]] = Future()
+
+    def run() -> None:
+        try:
+            result.set_result(task())
+        except BaseException as error:
+            result.set_exception(error)
+
+    threading.Thread(target=run, daemon=True).start()
+    return result.result()
+
+
 def _print_summary(
     options: SoakOptions, seen: Observations, found: list[Violation]
 ) -> None:
--- a/soak/_system.py
+++ b/soak/_system.py
@@ -93,26 +93,24 @@
         self._link_controls()
 
     def __enter__(self) -> Self:
-        """Start all processes; return once the control hosts are one cluster."""
-        try:
-            for slot in self.host_by_slot:
-                self.start(slot)
-            self.wait_whole()
-            # Founded by the real addresses, the hosts go on through the proxies.
-            for slot in CONTROLS:
-                self.kill(slot)
-                self._write_control_settings(slot)
-            for slot in CONTROLS:
-                self.start(slot)
-            self.wait_whole()
-        except BaseException:
-            self.close()
-            raise
         return self
 
     def __exit__(self, *_: object) -> None:
         self.close()
 
+    def start_all(self) -> None:
+        """Start all processes; return once the control hosts are one cluster."""
+        for slot in self.host_by_slot:
+            self.start(slot)
+        self.wait_whole()
+        # Founded by the real addresses, the hosts go on through the proxies.
+        for slot in CONTROLS:
+            self.kill(slot)
+            self._write_control_settings(slot)
+        for slot in CONTROLS:
+            self.start(slot)
+        self.wait_whole()
+
     def close(self) -> None:
         """End every process that was started, whatever state it is in."""
         self.stopping.set()
