--- a/soak/_clients.py
+++ b/soak/_clients.py
@@ -5,7 +5,6 @@
 import http.client
 import math
 import random
-import threading
 import time
 from dataclasses import dataclass, replace
 
@@ -191,14 +190,3 @@
             outcome = Outcome.CUT
             problem = repr(error)
         return replace(noted, body=body, outcome=outcome, error=problem)
-
-
-def start_clients(system: SoakSystem, seed: int) -> list[threading.Thread]:
-    """Start all clients; return their threads."""
-    threads = []
-    for number, kind in enumerate(CLIENTS):
-        client = Client(str(number), kind, system, seed)
-        threads.append(threading.Thread(target=client.run, daemon=True))
-    for thread in threads:
-        thread.start()
-    return threads
--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -7,7 +7,6 @@
 import random
 import threading
 import time
-from collections.abc import Iterator
 from typing import Any
 
 from soak._observations import Departure, Observations, Run
@@ -193,13 +192,3 @@
         return None, ""
     finally:
         connection.close()
-
-
-def start_endpoints(
-    slots: tuple[str, ...], system: SoakSystem, seed: int
-) -> Iterator[SoakEndpoint]:
-    """Start the endpoints, each with a thread that announces it."""
-    for number, slot in enumerate(slots):
-        endpoint = SoakEndpoint(slot, number, system, seed)
-        threading.Thread(target=endpoint.announce, daemon=True).start()
-        yield endpoint
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -8,12 +8,13 @@
 from collections import Counter
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
+from contextlib import closing
 from dataclasses import dataclass
 from pathlib import Path
 
 from soak._checks import find_violations
-from soak._clients import Client, start_clients
-from soak._endpoints import SoakEndpoint, start_endpoints
+from soak._clients import CLIENTS, Client
+from soak._endpoints import SoakEndpoint
 from soak._faults import Faults
 from soak._observations import Kind, Observations, Violation
 from soak._operator import Operator
@@ -71,14 +72,18 @@
         return list(self._found.values())
 
     def _start_load(self) -> dict[str, SoakEndpoint]:
-        system = self._system
-        endpoints = start_endpoints(ENDPOINTS, system, self._options.seed)
-        endpoint_by_slot = {endpoint.slot: endpoint for endpoint in endpoints}
+        system, seed = self._system, self._options.seed
+        endpoint_by_slot = {}
+        for number, slot in enumerate(ENDPOINTS):
+            endpoint = SoakEndpoint(slot, number, system, seed)
+            endpoint_by_slot[slot] = endpoint
+            self._start(endpoint.announce)
         self._operator.put_first()
         self._wait_served("before")
         for task in (self._operator.run, self._operator.read, self._watch_stalls):
             self._start(task)
-        start_clients(system, self._options.seed)
+        for number, kind in enumerate(CLIENTS):
+            self._start(Client(str(number), kind, system, seed).run)
         return endpoint_by_slot
 
     @staticmethod
@@ -168,7 +173,7 @@
     shutil.rmtree(options.folder, ignore_errors=True)
     options.folder.mkdir(parents=True)
     seen = Observations()
-    with SoakSystem(options.folder, seen) as system:
+    with closing(SoakSystem(options.folder, seen)) as system:
         found = _run_apart(_Soak(options, system).run)
     _print_summary(options, seen, found)
     if not found:
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -24,9 +24,7 @@
 # recovery, so that many of them meet a system that has not come to rest.
 GAP_SECONDS = {
     "control": (1.5, 5.0),
-    "entry-0": (2.0, 9.0),
-    "entry-1": (2.0, 9.0),
-    "entry-2": (2.0, 9.0),
+    **dict.fromkeys(ENTRIES, (2.0, 9.0)),
     "plain": (0.5, 3.0),
     "engines": (0.5, 3.0),
     "answers": (0.3, 2.5),
@@ -245,9 +243,7 @@
 
 _DRAW_BY_TRACK: dict[str, Callable[[random.Random, float, str], Fault]] = {
     "control": _control_fault,
-    "entry-0": _entry_fault,
-    "entry-1": _entry_fault,
-    "entry-2": _entry_fault,
+    **dict.fromkeys(ENTRIES, _entry_fault),
     "plain": _endpoint_fault,
     "engines": _endpoint_fault,
     "answers": _answer_fault,
--- a/soak/_system.py
+++ b/soak/_system.py
@@ -13,10 +13,9 @@
 import subprocess
 import threading
 import time
-from contextlib import ExitStack
+from contextlib import ExitStack, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Self
 
 from jujubeslip.kernel import PeerUnavailableError
 from jujubeslip.peers import (
@@ -92,12 +91,6 @@
             self.proxy_by_link[f"client>{slot}"] = FaultProxy(address)
         self._link_controls()
 
-    def __enter__(self) -> Self:
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self.close()
-
     def start_all(self) -> None:
         """Start all processes; return once the control hosts are one cluster."""
         for slot in self.host_by_slot:
@@ -151,20 +144,14 @@
             place.wanted = False
             asked_at = time.monotonic()
             process.terminate()
-            status = self._wait_for_end(place)
+            status: int | None = None
+            with suppress(subprocess.TimeoutExpired):
+                status = process.wait(STOP_SECONDS)
             if not self.stopping.is_set():
                 end = ProcessEnd(slot, asked_at, time.monotonic(), status)
                 self.observations.ends.append(end)
             place.host.kill()
 
-    def _wait_for_end(self, place: SoakHost) -> int | None:
-        process = place.host.process
-        assert process is not None
-        try:
-            return process.wait(STOP_SECONDS)
-        except subprocess.TimeoutExpired:
-            return None
-
     def send_signal(self, slot: str, number: signal.Signals) -> None:
         """Send the host's process a signal, if there is one."""
         if self.host_by_slot[slot].host.process is not None:
