--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -293,7 +293,7 @@
 
 def check_budget(seen: Observations) -> Iterator[Violation]:
     """Check that further sends stay within the ratio and the allowance."""
-    requests = {"plain": [], "model": []}  # type: dict[str, list[float]]
+    requests: dict[str, list[float]] = {"plain": [], "model": []}
     for call in list(seen.calls):
         service = "model" if call.kind.is_stream else "plain"
         requests[service].append(call.sent_at)
