--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,63 @@
+"""The command line of the soak: `python -m soak --seed 1 --seconds 60`."""
+
+from __future__ import annotations
+
+import argparse
+import logging
+import os
+import signal
+import sys
+from pathlib import Path
+from types import FrameType
+
+from soak import SoakOptions, read_regressions, run_soak
+
+FOLDER = Path("build/soak")
+
+
+def main() -> int:
+    """Run the soak; return 0 if every promise was kept."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=60.0)
+    parser.add_argument("--folder", type=Path, help="where logs of a failed run stay")
+    parser.add_argument("--regressions", action="store_true", help="run the list")
+    arguments = parser.parse_args()
+    # Hosts that are down are asked again and again; that is no news for a reader.
+    logging.getLogger("thrift").setLevel(logging.CRITICAL)
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, _interrupt)
+    if arguments.regressions:
+        return _run_regressions()
+    folder = arguments.folder or _default_folder(arguments.seed)
+    found = run_soak(SoakOptions(arguments.seed, arguments.seconds, folder.resolve()))
+    return 1 if found else 0
+
+
+def _run_regressions() -> int:
+    """Run each seed that failed once; return 0 if those that are mended are kept."""
+    broken = 0
+    for item in read_regressions():
+        folder = _default_folder(item.seed).resolve()
+        found = run_soak(SoakOptions(item.seed, item.seconds, folder))
+        broken += bool(found) and not item.open
+        verdict = "broken" if found else "kept"
+        state = "open" if item.open else "mended"
+        print(f"REGRESSION seed {item.seed} ({state}): {verdict}; {item.cause}")
+    return 1 if broken else 0
+
+
+def _default_folder(seed: int) -> Path:
+    """Return a folder that no other run of the same seed uses."""
+    return FOLDER / f"seed-{seed}-{os.getpid()}"
+
+
+def _interrupt(number: int, frame: FrameType | None) -> None:
+    """End once every process that was started has ended, whatever comes meanwhile."""
+    for ignored in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(ignored, signal.SIG_IGN)
+    raise KeyboardInterrupt
+
+
+if __name__ == "__main__":
+    sys.exit(main())
