--- /dev/null
+++ b/tools/troubles/__main__.py
@@ -0,0 +1,91 @@
+"""Write, play and list days with one kind of trouble each."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+
+from tools.troubles import (
+    KINDS,
+    KindsError,
+    Player,
+    PlayError,
+    days_of,
+    read_kinds,
+    read_plays,
+    table_of,
+)
+
+# Plays at once; each has some ten processes, and takes about one core.
+DEFAULT_JOBS = 6
+
+
+@click.group(help=__doc__)
+@click.option("--kinds", default=KINDS, type=click.Path(path_type=Path, exists=True))
+@click.pass_context
+def main(context: click.Context, kinds: Path) -> None:
+    """Read the table of kinds."""
+    try:
+        context.obj = tuple(days_of(read_kinds(kinds)))
+    except KindsError as error:
+        raise click.ClickException(str(error)) from None
+
+
+@main.command()
+@click.argument("directory", type=click.Path(path_type=Path))
+@click.pass_context
+def write(context: click.Context, directory: Path) -> None:
+    """Write all day files to DIRECTORY."""
+    directory.mkdir(parents=True, exist_ok=True)
+    for day in context.obj:
+        (directory / f"{day.name}.toml").write_text(day.text)
+
+
+@main.command()
+@click.argument("program", type=click.Path(path_type=Path, exists=True))
+@click.argument("sites", nargs=-1, required=True, type=click.Path(path_type=Path))
+@click.option("--seed", "seeds", multiple=True, default=[1], show_default=True)
+@click.option("--jobs", default=DEFAULT_JOBS, show_default=True, help="Plays at once.")
+@click.option("--only", default="", help="Days whose names begin so.")
+@click.option(
+    "--directory",
+    default=Path("target/troubles"),
+    show_default=True,
+    type=click.Path(path_type=Path),
+    help="For day files, reports and results.",
+)
+@click.pass_context
+def play(
+    context: click.Context,
+    program: Path,
+    sites: tuple[Path, ...],
+    seeds: tuple[int, ...],
+    jobs: int,
+    only: str,
+    directory: Path,
+) -> None:
+    """Play all days on SITES with PROGRAM, then print the table.
+
+    Days that have a result in the directory are left out, so that a run that was
+    stopped goes on.
+    """
+    days = [day for day in context.obj if day.name.startswith(only)]
+    results = directory / "results.jsonl"
+    player = Player(program=program, directory=directory, results=results, jobs=jobs)
+    try:
+        player.play_all(days, sites, seeds)
+    except PlayError as error:
+        raise click.ClickException(str(error)) from None
+    click.echo(table_of(read_plays(results)))
+
+
+@main.command()
+@click.argument("results", type=click.Path(path_type=Path, exists=True))
+def table(results: Path) -> None:
+    """Print the table of the plays in RESULTS."""
+    click.echo(table_of(read_plays(results)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/troubles/_kinds.py
@@ -0,0 +1,68 @@
+"""The table of kinds of trouble."""
+
+from __future__ import annotations
+
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+KINDS = Path(__file__).parent / "kinds.toml"
+KEYS = frozenset({"name", "on", "planned", "closing", "fields", "variants"})
+
+
+class KindsError(Exception):
+    """A table of kinds that can't be used, with what to do."""
+
+
+@dataclass(frozen=True)
+class Trouble:
+    """One variant of one kind of trouble."""
+
+    kind: str
+    variant: str = ""
+    # The class of hosts that it strikes; empty for the usual one.
+    on: str = ""
+    planned: bool = False
+    # Whether it strikes at the end of a day, and only there.
+    closing: bool = False
+    fields: tuple[tuple[str, Any], ...] = ()
+
+    @property
+    def name(self) -> str:
+        """The kind and the class of hosts, as the table of plays shows them."""
+        return f"{self.kind} ({self.on})" if self.on else self.kind
+
+
+def read_kinds(path: Path) -> tuple[Trouble, ...]:
+    """Return all variants of all kinds, in the order of the file."""
+    try:
+        entries = tomllib.loads(path.read_text())["kind"]
+    except (tomllib.TOMLDecodeError, KeyError) as error:
+        raise KindsError(
+            f"{path.name}: write a list of [[kind]] ({error!r})."
+        ) from None
+    troubles = [trouble for entry in entries for trouble in _variants(path, entry)]
+    if len({(one.name, one.variant) for one in troubles}) < len(troubles):
+        raise KindsError(f"{path.name}: a variant stands there twice; remove one.")
+    return tuple(troubles)
+
+
+def _variants(path: Path, entry: dict[str, Any]) -> list[Trouble]:
+    unknown = sorted(set(entry) - KEYS)
+    if unknown or "name" not in entry:
+        raise KindsError(
+            f"{path.name}: an entry has a name and keys of {sorted(KEYS)}, "
+            f"not {unknown or 'no name'}."
+        )
+    return [
+        Trouble(
+            kind=entry["name"],
+            variant=variant,
+            on=entry.get("on", ""),
+            planned=entry.get("planned", False),
+            closing=entry.get("closing", False),
+            fields=tuple(entry.get("fields", {}).items()),
+        )
+        for variant in entry.get("variants", [""])
+    ]
