--- /dev/null
+++ b/tests/tools/test_troubles.py
@@ -0,0 +1,292 @@
+"""Days with one kind of trouble each: their content, their plays, and the table."""
+
+from __future__ import annotations
+
+import json
+import sys
+import tomllib
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from tools.troubles import (
+    KINDS,
+    Day,
+    KindsError,
+    Play,
+    Player,
+    PlayError,
+    Trouble,
+    days_of,
+    read_kinds,
+    read_plays,
+    table_of,
+)
+from tools.troubles.__main__ import main
+
+TABLE = """
+[[kind]]
+name = "crash"
+fields = { share = 0.3, service = "@s0" }
+variants = ["", "dark cold"]
+
+[[kind]]
+name = "crash"
+on = "core"
+
+[[kind]]
+name = "rollout"
+planned = true
+
+[[kind]]
+name = "blackout"
+closing = true
+"""
+
+# Stands for the program that plays days: it counts its calls, and answers by the day's
+# file: a broken rule for those with `dark`, no result for those with `core`.
+PROGRAM = """#!{python}
+import json, sys
+from pathlib import Path
+calls = Path({folder!r}) / "calls"
+with calls.open("a") as file:
+    file.write(" ".join(sys.argv) + "\\n")
+day = Path(sys.argv[3]).stem
+if "core" in day:
+    sys.exit("no such host here")
+entry = format(abs(hash(tuple(sys.argv))), "x")
+result = {{"rules": {{"LOST": 1}} if "dark" in day else {{}}, "fault": None, "G": 0.5}}
+journal = Path({folder!r}) / "journal"
+journal.mkdir(exist_ok=True)
+path = journal / f"20260101-{{entry}}.json"
+path.write_text(json.dumps({{"days": [result], "error": None}}))
+print("worth 0.5\\nsnapshot " + entry)
+"""
+
+
+@pytest.fixture
+def kinds(tmp_path: Path) -> Path:
+    path = tmp_path / "kinds.toml"
+    path.write_text(TABLE)
+    return path
+
+
+@pytest.fixture
+def player(tmp_path: Path) -> Player:
+    program = tmp_path / "program"
+    program.write_text(PROGRAM.format(python=sys.executable, folder=str(tmp_path)))
+    program.chmod(0o700)
+    return Player(
+        program=program,
+        directory=tmp_path / "days",
+        results=tmp_path / "days" / "results.jsonl",
+        jobs=1,
+        journal=tmp_path / "journal",
+    )
+
+
+def calls_of(player: Player) -> list[str]:
+    path = player.program.parent / "calls"
+    return path.read_text().splitlines() if path.exists() else []
+
+
+def content_of(day: Day) -> dict[str, Any]:
+    (content,) = tomllib.loads(day.text)["day"]
+    return content
+
+
+def play_of(**changes: Any) -> Play:
+    play = Play(
+        site="north", day="crash-once", kind="crash", variant="", strikes=1, seed=1
+    )
+    return replace(play, **changes)
+
+
+class TestKinds:
+    def test_each_variant_is_a_trouble(self, kinds: Path) -> None:
+        names = [(one.name, one.variant) for one in read_kinds(kinds)]
+        assert names == [
+            ("crash", ""),
+            ("crash", "dark cold"),
+            ("crash (core)", ""),
+            ("rollout", ""),
+            ("blackout", ""),
+        ]
+
+    def test_unknown_key_is_named(self, kinds: Path) -> None:
+        kinds.write_text('[[kind]]\nname = "crash"\nvariant = "dark"\n')
+        with pytest.raises(KindsError, match="'variant'"):
+            read_kinds(kinds)
+
+    def test_name_is_required(self, kinds: Path) -> None:
+        kinds.write_text('[[kind]]\non = "core"\n')
+        with pytest.raises(KindsError, match="no name"):
+            read_kinds(kinds)
+
+    def test_same_variant_twice_is_refused(self, kinds: Path) -> None:
+        kinds.write_text('[[kind]]\nname = "crash"\n[[kind]]\nname = "crash"\n')
+        with pytest.raises(KindsError, match="twice"):
+            read_kinds(kinds)
+
+    def test_other_toml_is_refused(self, kinds: Path) -> None:
+        kinds.write_text("name = 1\n")
+        with pytest.raises(KindsError, match="kind"):
+            read_kinds(kinds)
+
+
+class TestDays:
+    def test_committed_table_gives_days_with_names_of_their_own(self) -> None:
+        days = list(days_of(read_kinds(KINDS)))
+        assert len({day.name for day in days}) == len(days)
+        for day in days:
+            assert content_of(day)["name"] == day.name
+
+    def test_trouble_strikes_once_or_twice_with_its_fields(self) -> None:
+        trouble = Trouble("crash", "dark", fields=(("share", 0.3),))
+        once, twice = days_of([trouble])
+        assert content_of(once)["faults"] == [
+            {"at": 4.0, "kind": "crash", "how": "dark", "share": 0.3}
+        ]
+        strikes = content_of(twice)["faults"]
+        assert [strike.pop("at") for strike in strikes] == [4.0, 8.5]
+        assert strikes[0] == strikes[1]
+
+    def test_planned_work_stands_in_the_plan(self) -> None:
+        once, _ = days_of([Trouble("rollout", planned=True)])
+        content = content_of(once)
+        assert content["faults"] == []
+        assert content["plan"][-1] == {"at": 4.0, "kind": "rollout"}
+
+    def test_what_strikes_at_the_end_strikes_there_alone(self) -> None:
+        (day,) = days_of([Trouble("blackout", closing=True)])
+        content = content_of(day)
+        assert content["closing"] == {"kind": "blackout", "down_s": 1.0}
+        assert content["faults"] == []
+        assert {entry["kind"] for entry in content["plan"]} == {"config_change"}
+
+    def test_class_of_hosts_is_in_the_entry(self) -> None:
+        once, _ = days_of([Trouble("crash", on="core")])
+        assert once.name == "crash-core-once"
+        assert content_of(once)["faults"][0]["on"] == "core"
+
+
+class TestPlayer:
+    def test_broken_rule_is_kept_with_its_seed(self, player: Player) -> None:
+        days = days_of([Trouble("crash", "dark")])
+        player.play_all(days, [Path("north.toml")], [7])
+        plays = read_plays(player.results)
+        assert [(play.day, play.seed, play.rules) for play in plays] == [
+            ("crash-dark-once", 7, ("LOST",)),
+            ("crash-dark-twice", 7, ("LOST",)),
+        ]
+
+    def test_each_day_is_played_on_each_site(self, player: Player) -> None:
+        days = days_of([Trouble("crash")])
+        player.play_all(days, [Path("north.toml"), Path("south.toml")], [1])
+        sites = [(play.day, play.site) for play in read_plays(player.results)]
+        assert sites == [
+            ("crash-once", "north"),
+            ("crash-once", "south"),
+            ("crash-twice", "north"),
+            ("crash-twice", "south"),
+        ]
+
+    def test_stopped_run_goes_on_with_what_is_left(self, player: Player) -> None:
+        once, twice = days_of([Trouble("crash")])
+        player.play_all([once], [Path("north.toml")], [1])
+        player.play_all([once, twice], [Path("north.toml")], [1])
+        assert len(calls_of(player)) == 2
+        assert len(read_plays(player.results)) == 2
+
+    def test_day_without_a_result_says_why(self, player: Player) -> None:
+        player.play_all(days_of([Trouble("crash", on="core")]), [Path("n.toml")], [1])
+        assert {play.not_played for play in read_plays(player.results)} == {
+            "no such host here"
+        }
+
+    def test_missing_journal_is_an_error(self, player: Player, tmp_path: Path) -> None:
+        elsewhere = Player(
+            program=player.program,
+            directory=player.directory,
+            results=player.results,
+            jobs=1,
+            journal=tmp_path / "nowhere",
+        )
+        with pytest.raises(PlayError, match="has no entry"):
+            elsewhere.play_all(days_of([Trouble("crash")]), [Path("n.toml")], [1])
+
+    def test_invalid_day_keeps_its_fault(self, player: Player) -> None:
+        program = player.program
+        program.write_text(
+            program.read_text().replace('"fault": None', '"fault": "too slow"')
+        )
+        player.play_all(days_of([Trouble("crash")]), [Path("n.toml")], [1])
+        assert {play.fault for play in read_plays(player.results)} == {"too slow"}
+
+
+class TestTable:
+    def test_row_counts_plays_and_names_what_broke(self) -> None:
+        plays = [
+            play_of(),
+            play_of(site="south", rules=("BUDGET", "LOST")),
+            play_of(day="crash-twice", strikes=2, seed=4, fault="too slow"),
+        ]
+        row = table_of(plays).splitlines()[-1]
+        assert row == (
+            "| `crash` | plain | 2, 1 | BUDGET, LOST: south, `crash-once`, seed 1; "
+            "too slow: north, `crash-twice`, seed 4 |"
+        )
+
+    def test_clean_row(self) -> None:
+        assert table_of([play_of(variant="dark")]).endswith(
+            "| `crash` | `dark` | 1, 0 | none |"
+        )
+
+    def test_day_that_was_not_played_is_not_counted(self) -> None:
+        row = table_of([play_of(not_played="no such host")]).splitlines()[-1]
+        assert row == (
+            "| `crash` | plain | 0, 0 | not played (no such host): "
+            "north, `crash-once`, seed 1 |"
+        )
+
+
+class TestCommand:
+    def test_write_gives_a_file_for_each_day(self, kinds: Path, tmp_path: Path) -> None:
+        folder = tmp_path / "out"
+        result = CliRunner().invoke(main, ["--kinds", str(kinds), "write", str(folder)])
+        assert result.exit_code == 0, result.output
+        assert {path.stem for path in folder.iterdir()} == {
+            "crash-once",
+            "crash-twice",
+            "crash-dark-cold-once",
+            "crash-dark-cold-twice",
+            "crash-core-once",
+            "crash-core-twice",
+            "rollout-once",
+            "rollout-twice",
+            "blackout-once",
+        }
+
+    def test_play_prints_the_table(
+        self,
+        kinds: Path,
+        player: Player,
+        tmp_path: Path,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        monkeypatch.chdir(tmp_path)
+        arguments = ["--kinds", str(kinds), "play", str(player.program), "north.toml"]
+        result = CliRunner().invoke(
+            main, [*arguments, "--only", "crash-dark", "--jobs", "1"]
+        )
+        assert result.exit_code == 0, result.output
+        assert "| `crash` | `dark cold` | 1, 1 | LOST" in result.output
+
+    def test_table_of_earlier_plays(self, tmp_path: Path) -> None:
+        results = tmp_path / "results.jsonl"
+        results.write_text(json.dumps(play_of().__dict__) + "\n")
+        result = CliRunner().invoke(main, ["table", str(results)])
+        assert "| `crash` | plain | 1, 0 | none |" in result.output
--- a/tools/troubles/_plays.py
+++ b/tools/troubles/_plays.py
@@ -7,7 +7,7 @@
 import subprocess
 from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 from pathlib import Path
 from threading import Lock
 
@@ -113,15 +113,15 @@
     """Return the play with what its journal entry says."""
     found = ENTRY_PATTERN.search(report)
     if not found:
-        return _replaced(play, not_played=_last_line(report))
+        return replace(play, not_played=_last_line(report))
     entries = list(journal.glob(f"*-{found[1]}.json"))
     if not entries:
         raise PlayError(f"{journal} has no entry {found[1]}; run this at the root.")
     entry = json.loads(entries[0].read_text())
     if not entry["days"]:
-        return _replaced(play, not_played=entry["error"] or _last_line(report))
+        return replace(play, not_played=entry["error"] or _last_line(report))
     result = entry["days"][0]
-    return _replaced(
+    return replace(
         play,
         rules=tuple(sorted(result["rules"])),
         fault=result["fault"] or "",
@@ -129,10 +129,6 @@
     )
 
 
-def _replaced(play: Play, **changes: object) -> Play:
-    return Play(**asdict(play) | changes)
-
-
 def _last_line(report: str) -> str:
     lines = report.strip().splitlines()
     return lines[-1] if lines else "no output"
--- a/tools/troubles/_table.py
+++ b/tools/troubles/_table.py
@@ -14,10 +14,11 @@
 
 def table_of(plays: Iterable[Play]) -> str:
     """Return the table, rows in the order in which the kinds were first played."""
-    rows: dict[tuple[str, str], list[Play]] = {}
+    plays_by_variant: dict[tuple[str, str], list[Play]] = {}
     for play in plays:
-        rows.setdefault((play.kind, play.variant), []).append(play)
-    return "\n".join([*HEAD, *(_row(*key, row) for key, row in rows.items())])
+        plays_by_variant.setdefault((play.kind, play.variant), []).append(play)
+    rows = [_row(*key, row) for key, row in plays_by_variant.items()]
+    return "\n".join([*HEAD, *rows])
 
 
 def _row(kind: str, variant: str, plays: list[Play]) -> str:
