--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # other on a small machine.
 TEST_JOBS ?= 3
 
-.PHONY: demo test lint unit binary docs clean
+.PHONY: demo test lint unit binary docs troubles clean
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -37,6 +37,11 @@
 docs: $(VENV)/.installed
 	$(BIN)/python -m tools.generate_docs
 
+# Days with one kind of trouble each, on SITES with the program PLAYER; see
+# docs/reference/days.md.
+troubles: $(VENV)/.installed
+	$(BIN)/python -m tools.troubles play $(PLAYER) $(SITES)
+
 clean:
 	rm -rf $(VENV) build dist
 
