--- a/tests/tools/test_troubles.py
+++ b/tests/tools/test_troubles.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import subprocess
 import sys
 import tomllib
 from dataclasses import replace
@@ -20,7 +21,9 @@
     Player,
     PlayError,
     Trouble,
+    bring_journal,
     days_of,
+    make_copies,
     read_kinds,
     read_plays,
     table_of,
@@ -51,17 +54,15 @@
 PROGRAM = """#!{python}
 import json, sys
 from pathlib import Path
-calls = Path({folder!r}) / "calls"
-with calls.open("a") as file:
+with Path("calls").open("a") as file:
     file.write(" ".join(sys.argv) + "\\n")
 day = Path(sys.argv[3]).stem
 if "core" in day:
     sys.exit("no such host here")
 entry = format(abs(hash(tuple(sys.argv))), "x")
 result = {{"rules": {{"LOST": 1}} if "dark" in day else {{}}, "fault": None, "G": 0.5}}
-journal = Path({folder!r}) / "journal"
-journal.mkdir(exist_ok=True)
-path = journal / f"20260101-{{entry}}.json"
+Path("journal").mkdir(exist_ok=True)
+path = Path("journal") / f"20260101-{{entry}}.json"
 path.write_text(json.dumps({{"days": [result], "error": None}}))
 print("worth 0.5\\nsnapshot " + entry)
 """
@@ -75,21 +76,44 @@
 
 
 @pytest.fixture
-def player(tmp_path: Path) -> Player:
-    program = tmp_path / "program"
-    program.write_text(PROGRAM.format(python=sys.executable, folder=str(tmp_path)))
-    program.chmod(0o700)
+def program(tmp_path: Path) -> Path:
+    path = tmp_path / "program"
+    path.write_text(PROGRAM.format(python=sys.executable))
+    path.chmod(0o700)
+    return path
+
+
+@pytest.fixture
+def player(tmp_path: Path, program: Path) -> Player:
+    copies = (tmp_path / "copy-1",)
+    for copy in copies:
+        copy.mkdir()
     return Player(
         program=program,
+        root=tmp_path / "root",
+        copies=copies,
         directory=tmp_path / "days",
-        results=tmp_path / "days" / "results.jsonl",
-        jobs=1,
-        journal=tmp_path / "journal",
     )
 
 
-def calls_of(player: Player) -> list[str]:
-    path = player.program.parent / "calls"
+@pytest.fixture
+def repository(tmp_path: Path) -> Path:
+    """Return a repository with one committed file and the libraries of a build."""
+    root = tmp_path / "repository"
+    root.mkdir()
+    (root / "committed").write_text("as committed")
+    (root / ".gitignore").write_text("target/\n")
+    git = ["git", "-C", str(root), "-c", "user.name=test", "-c", "user.email=test@test"]
+    for command in (["init", "--quiet"], ["add", "-A"], ["commit", "-qm", "first"]):
+        subprocess.run([*git, *command], check=True)
+    libraries = root / "target" / "deps"
+    libraries.mkdir(parents=True)
+    (libraries / "library.py").write_text("")
+    return root
+
+
+def calls_of(copy: Path) -> list[str]:
+    path = copy / "calls"
     return path.read_text().splitlines() if path.exists() else []
 
 
@@ -198,7 +222,7 @@
         once, twice = days_of([Trouble("crash")])
         player.play_all([once], [Path("north.toml")], [1])
         player.play_all([once, twice], [Path("north.toml")], [1])
-        assert len(calls_of(player)) == 2
+        assert len(calls_of(player.copies[0])) == 2
         assert len(read_plays(player.results)) == 2
 
     def test_day_without_a_result_says_why(self, player: Player) -> None:
@@ -207,19 +231,38 @@
             "no such host here"
         }
 
-    def test_missing_journal_is_an_error(self, player: Player, tmp_path: Path) -> None:
-        elsewhere = Player(
-            program=player.program,
-            directory=player.directory,
-            results=player.results,
-            jobs=1,
-            journal=tmp_path / "nowhere",
+    def test_entry_that_is_not_there_is_an_error(
+        self, player: Player, program: Path
+    ) -> None:
+        program.write_text("#!/bin/sh\necho snapshot 0abc\n")
+        with pytest.raises(PlayError, match="has no entry 0abc"):
+            player.play_all(days_of([Trouble("crash")]), [Path("n.toml")], [1])
+
+    def test_entries_are_brought_home(self, player: Player) -> None:
+        player.play_all(days_of([Trouble("crash")]), [Path("n.toml")], [1])
+        assert len(list((player.root / "journal").iterdir())) == 2
+
+    def test_copy_has_one_play_at_a_time(
+        self, player: Player, tmp_path: Path, program: Path
+    ) -> None:
+        """The program fails where another one runs in its folder."""
+        program.write_text(
+            program.read_text().replace(
+                "day =",
+                'import time\nPath("busy").mkdir()\ntime.sleep(0.1)\n'
+                'Path("busy").rmdir()\nday =',
+                1,
+            )
         )
-        with pytest.raises(PlayError, match="has no entry"):
-            elsewhere.play_all(days_of([Trouble("crash")]), [Path("n.toml")], [1])
+        second = tmp_path / "copy-2"
+        second.mkdir()
+        busy = replace(player, copies=(*player.copies, second))
+        busy.play_all(days_of([Trouble("crash")]), [Path("n.toml")], [1, 2, 3])
+        plays = read_plays(player.results)
+        assert [play.not_played for play in plays] == [""] * 6
+        assert all(calls_of(copy) for copy in busy.copies)
 
-    def test_invalid_day_keeps_its_fault(self, player: Player) -> None:
-        program = player.program
+    def test_invalid_day_keeps_its_fault(self, player: Player, program: Path) -> None:
         program.write_text(
             program.read_text().replace('"fault": None', '"fault": "too slow"')
         )
@@ -227,6 +270,34 @@
         assert {play.fault for play in read_plays(player.results)} == {"too slow"}
 
 
+class TestCopies:
+    def test_hold_what_is_committed_and_the_libraries(
+        self, repository: Path, tmp_path: Path
+    ) -> None:
+        (repository / "committed").write_text("changed since")
+        (copy,) = make_copies(repository, tmp_path / "copies", 1)
+        assert (copy / "committed").read_text() == "as committed"
+        assert (copy / "target" / "deps" / "library.py").exists()
+
+    def test_replace_earlier_ones(self, repository: Path, tmp_path: Path) -> None:
+        (copy,) = make_copies(repository, tmp_path / "copies", 1)
+        (copy / "left").write_text("")
+        copies = make_copies(repository, tmp_path / "copies", 2)
+        assert copies[0] == copy
+        assert not (copy / "left").exists()
+
+    def test_journal_keeps_what_it_has(self, tmp_path: Path) -> None:
+        copy, root = tmp_path / "copy", tmp_path / "root"
+        for folder in (copy / "journal" / "blobs", root / "journal"):
+            folder.mkdir(parents=True)
+        (copy / "journal" / "blobs" / "new").write_text("new")
+        (copy / "journal" / "old").write_text("the copy's")
+        (root / "journal" / "old").write_text("ours")
+        bring_journal(copy, root)
+        assert (root / "journal" / "blobs" / "new").read_text() == "new"
+        assert (root / "journal" / "old").read_text() == "ours"
+
+
 class TestTable:
     def test_row_counts_plays_and_names_what_broke(self) -> None:
         plays = [
@@ -273,17 +344,18 @@
     def test_play_prints_the_table(
         self,
         kinds: Path,
-        player: Player,
-        tmp_path: Path,
+        program: Path,
+        repository: Path,
         monkeypatch: pytest.MonkeyPatch,
     ) -> None:
-        monkeypatch.chdir(tmp_path)
-        arguments = ["--kinds", str(kinds), "play", str(player.program), "north.toml"]
+        monkeypatch.chdir(repository)
+        arguments = ["--kinds", str(kinds), "play", str(program), "north.toml"]
         result = CliRunner().invoke(
             main, [*arguments, "--only", "crash-dark", "--jobs", "1"]
         )
         assert result.exit_code == 0, result.output
         assert "| `crash` | `dark cold` | 1, 1 | LOST" in result.output
+        assert len(list((repository / "journal").iterdir())) == 2
 
     def test_table_of_earlier_plays(self, tmp_path: Path) -> None:
         results = tmp_path / "results.jsonl"
--- a/tools/troubles/__main__.py
+++ b/tools/troubles/__main__.py
@@ -12,6 +12,7 @@
     Player,
     PlayError,
     days_of,
+    make_copies,
     read_kinds,
     read_plays,
     table_of,
@@ -67,17 +68,23 @@
 ) -> None:
     """Play all days on SITES with PROGRAM, then print the table.
 
-    Days that have a result in the directory are left out, so that a run that was
-    stopped goes on.
+    Run it at the root of the repository; what is committed there is played. Days that
+    have a result in the directory are left out, so that a run that was stopped goes on.
     """
     days = [day for day in context.obj if day.name.startswith(only)]
-    results = directory / "results.jsonl"
-    player = Player(program=program, directory=directory, results=results, jobs=jobs)
+    root = Path.cwd()
+    directory = directory.absolute()
+    player = Player(
+        program=program.absolute(),
+        root=root,
+        copies=make_copies(root, directory / "copies", jobs),
+        directory=directory,
+    )
     try:
-        player.play_all(days, sites, seeds)
+        player.play_all(days, [site.absolute() for site in sites], seeds)
     except PlayError as error:
         raise click.ClickException(str(error)) from None
-    click.echo(table_of(read_plays(results)))
+    click.echo(table_of(read_plays(player.results)))
 
 
 @main.command()
--- /dev/null
+++ b/tools/troubles/_copies.py
@@ -0,0 +1,37 @@
+"""Copies of the repository to play in, one for each play at once.
+
+A play builds the program into the repository that it runs in. Two plays in one
+repository, and a process of one that starts while the other builds, ends at once: its
+modules are missing.
+"""
+
+from __future__ import annotations
+
+import shutil
+import subprocess
+from pathlib import Path
+
+# The program's libraries; a build that finds them installs none.
+LIBRARIES = Path("target") / "deps"
+JOURNAL = Path("journal")
+
+
+def make_copies(root: Path, directory: Path, count: int) -> tuple[Path, ...]:
+    """Clone what is committed in the repository, in place of earlier copies."""
+    copies = tuple(directory / str(number) for number in range(1, count + 1))
+    for copy in copies:
+        shutil.rmtree(copy, ignore_errors=True)
+        clone = ["git", "clone", "--quiet", "--local", str(root), str(copy)]
+        subprocess.run(clone, check=True)
+        if (root / LIBRARIES).exists():
+            shutil.copytree(root / LIBRARIES, copy / LIBRARIES)
+    return copies
+
+
+def bring_journal(copy: Path, root: Path) -> None:
+    """Copy the journal's new entries to the repository, with what they refer to."""
+    for path in (copy / JOURNAL).rglob("*"):
+        target = root / path.relative_to(copy)
+        if path.is_file() and not target.exists():
+            target.parent.mkdir(parents=True, exist_ok=True)
+            shutil.copy2(path, target)
--- a/tools/troubles/_plays.py
+++ b/tools/troubles/_plays.py
@@ -8,14 +8,16 @@
 from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import asdict, dataclass, replace
+from itertools import product
 from pathlib import Path
+from queue import SimpleQueue
 from threading import Lock
 
+from tools.troubles._copies import JOURNAL, bring_journal
 from tools.troubles._days import Day
 
 # Where a play's report names its entry in the journal.
 ENTRY_PATTERN = re.compile(r"^snapshot ([0-9a-f]+)$", re.MULTILINE)
-JOURNAL = Path("journal")
 
 
 class PlayError(Exception):
@@ -51,11 +53,17 @@
     """Plays days with a given program, and keeps each result as a line of a file."""
 
     program: Path
-    # Where day files and reports go.
+    # The repository whose journal takes the entries.
+    root: Path
+    # Copies of it to play in, one for each play at once.
+    copies: tuple[Path, ...]
+    # Where day files, reports and results go.
     directory: Path
-    results: Path
-    jobs: int
-    journal: Path = JOURNAL
+
+    @property
+    def results(self) -> Path:
+        """The file with a line for each play."""
+        return self.directory / "results.jsonl"
 
     def play_all(
         self, days: Iterable[Day], sites: Iterable[Path], seeds: Iterable[int]
@@ -65,31 +73,42 @@
         self.directory.mkdir(parents=True, exist_ok=True)
         wanted = [
             (day, site, seed)
-            for seed in seeds
-            for day in days
-            for site in sites
+            for seed, day, site in product(seeds, days, sites)
             if (site.stem, day.name, seed) not in known
         ]
+        free: SimpleQueue[Path] = SimpleQueue()
+        for copy in self.copies:
+            free.put(copy)
         lock = Lock()
-        with ThreadPoolExecutor(self.jobs) as executor:
-            return tuple(executor.map(lambda one: self._play(one, lock), wanted))
 
-    def _play(self, wanted: tuple[Day, Path, int], lock: Lock) -> Play:
-        play = self._result_of(*wanted)
-        with lock, self.results.open("a") as file:
-            file.write(json.dumps(asdict(play)) + "\n")
-        return play
+        def played(one: tuple[Day, Path, int]) -> Play:
+            copy = free.get()
+            try:
+                play = self._play(copy, *one)
+            finally:
+                free.put(copy)
+            with lock, self.results.open("a") as file:
+                file.write(json.dumps(asdict(play)) + "\n")
+            return play
+
+        with ThreadPoolExecutor(len(self.copies)) as executor:
+            return tuple(executor.map(played, wanted))
 
-    def _result_of(self, day: Day, site: Path, seed: int) -> Play:
+    def _play(self, copy: Path, day: Day, site: Path, seed: int) -> Play:
         file = self.directory / f"{day.name}.toml"
         file.write_text(day.text)
         command = [str(self.program), "run", str(site), str(file), "--seed", str(seed)]
         command += ["--why", f"each kind of trouble by itself: {day.name}"]
         done = subprocess.run(
-            command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
+            command,
+            cwd=copy,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
         )
         report = self.directory / f"{day.name}-{site.stem}-{seed}.txt"
         report.write_text(done.stdout)
+        bring_journal(copy, self.root)
         play = Play(
             site=site.stem,
             day=day.name,
@@ -98,7 +117,7 @@
             strikes=day.strikes,
             seed=seed,
         )
-        return _with_result(play, done.stdout, self.journal)
+        return _with_result(play, done.stdout, copy / JOURNAL)
 
 
 def read_plays(results: Path) -> tuple[Play, ...]:
@@ -116,7 +135,7 @@
         return replace(play, not_played=_last_line(report))
     entries = list(journal.glob(f"*-{found[1]}.json"))
     if not entries:
-        raise PlayError(f"{journal} has no entry {found[1]}; run this at the root.")
+        raise PlayError(f"{journal} has no entry {found[1]}; see the play's report.")
     entry = json.loads(entries[0].read_text())
     if not entry["days"]:
         return replace(play, not_played=entry["error"] or _last_line(report))
