--- a/tests/tools/test_troubles.py
+++ b/tests/tools/test_troubles.py
@@ -191,6 +191,17 @@
         assert content["faults"] == []
         assert {entry["kind"] for entry in content["plan"]} == {"config_change"}
 
+    def test_first_variants_come_first(self, kinds: Path) -> None:
+        """Plays that are cut short have seen each kind."""
+        names = [day.name for day in days_of(read_kinds(kinds)) if day.strikes == 1]
+        assert names == [
+            "crash-once",
+            "crash-core-once",
+            "rollout-once",
+            "blackout-once",
+            "crash-dark-cold-once",
+        ]
+
     def test_class_of_hosts_is_in_the_entry(self) -> None:
         once, _ = days_of([Trouble("crash", on="core")])
         assert once.name == "crash-core-once"
@@ -311,6 +322,15 @@
             "too slow: north, `crash-twice`, seed 4 |"
         )
 
+    def test_rows_are_sorted(self) -> None:
+        plays = [play_of(kind="rollout"), play_of(variant="dark"), play_of()]
+        rows = table_of(plays).splitlines()[2:]
+        assert [row.split(" | ")[:2] for row in rows] == [
+            ["| `crash`", "plain"],
+            ["| `crash`", "`dark`"],
+            ["| `rollout`", "plain"],
+        ]
+
     def test_clean_row(self) -> None:
         assert table_of([play_of(variant="dark")]).endswith(
             "| `crash` | `dark` | 1, 0 | none |"
--- a/tools/troubles/_days.py
+++ b/tools/troubles/_days.py
@@ -56,8 +56,11 @@
 
 
 def days_of(troubles: Iterable[Trouble]) -> Iterator[Day]:
-    """Yield the days of each trouble: alone, and twice over where that can be."""
-    for trouble in troubles:
+    """Yield the days of each trouble: alone, and twice over where that can be.
+
+    First variants come first, so that plays that are cut short have seen each kind.
+    """
+    for trouble in sorted(troubles, key=lambda one: one.rank):
         yield Day(trouble, 1)
         if not trouble.closing:
             yield Day(trouble, 2)
--- a/tools/troubles/_kinds.py
+++ b/tools/troubles/_kinds.py
@@ -27,6 +27,8 @@
     # Whether it strikes at the end of a day, and only there.
     closing: bool = False
     fields: tuple[tuple[str, Any], ...] = ()
+    # Its place among the variants of its kind.
+    rank: int = 0
 
     @property
     def name(self) -> str:
@@ -63,6 +65,7 @@
             planned=entry.get("planned", False),
             closing=entry.get("closing", False),
             fields=tuple(entry.get("fields", {}).items()),
+            rank=rank,
         )
-        for variant in entry.get("variants", [""])
+        for rank, variant in enumerate(entry.get("variants", [""]))
     ]
--- a/tools/troubles/_table.py
+++ b/tools/troubles/_table.py
@@ -13,11 +13,11 @@
 
 
 def table_of(plays: Iterable[Play]) -> str:
-    """Return the table, rows in the order in which the kinds were first played."""
+    """Return the table, sorted by kind and variant."""
     plays_by_variant: dict[tuple[str, str], list[Play]] = {}
     for play in plays:
         plays_by_variant.setdefault((play.kind, play.variant), []).append(play)
-    rows = [_row(*key, row) for key, row in plays_by_variant.items()]
+    rows = [_row(*key, row) for key, row in sorted(plays_by_variant.items())]
     return "\n".join([*HEAD, *rows])
 
 
