--- a/src/jujubeslip/control/_election.py
+++ b/src/jujubeslip/control/_election.py
@@ -6,9 +6,10 @@
 import threading
 from dataclasses import dataclass
 
+from jujubeslip.control._leadership import Role
 from jujubeslip.control._members import quorum_size, voters
 from jujubeslip.control._peers import ReplicaClients
-from jujubeslip.control._replica import Replica, Role
+from jujubeslip.control._replica import Replica
 from jujubeslip.kernel import Deadline, PeerUnavailableError
 from jujubeslip.peers import (
     Member,
--- a/src/jujubeslip/control/_leadership.py
+++ b/src/jujubeslip/control/_leadership.py
@@ -1,7 +1,8 @@
-"""What a leader knows for one term: its followers, its lease, its proposals."""
+"""Roles, and what a leader knows for one term: followers, lease, proposals."""
 
 from __future__ import annotations
 
+import enum
 from concurrent.futures import Future
 from dataclasses import dataclass
 
@@ -14,6 +15,22 @@
 NEVER = float("-inf")
 
 
+class Role(enum.Enum):
+    """What a replica does in the current term."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(frozen=True)
+class LeaderContact:
+    """The leader that a follower last heard."""
+
+    replica_id: str = ""
+    address: str = ""
+
+
 @dataclass
 class Progress:
     """How far a follower is; `acknowledged_at` is when its last answer was asked for.
--- a/src/jujubeslip/control/_receiver.py
+++ b/src/jujubeslip/control/_receiver.py
@@ -6,9 +6,10 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+from jujubeslip.control._leadership import LeaderContact
 from jujubeslip.control._machine import StateMachine
 from jujubeslip.control._members import MembershipLog
-from jujubeslip.control._replica import LeaderContact, Replica
+from jujubeslip.control._replica import Replica
 from jujubeslip.control._snapshots import (
     SnapshotFile,
     SnapshotReceiver,
--- a/src/jujubeslip/control/_replica.py
+++ b/src/jujubeslip/control/_replica.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import enum
 import logging
 import random
 import threading
@@ -15,11 +14,10 @@
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from contextlib import contextmanager
-from dataclasses import dataclass
 
 from jujubeslip.control._commands import Command, NoOp, make_entry
 from jujubeslip.control._errors import LeadershipLostError, StorageFailedError
-from jujubeslip.control._leadership import Fence, Leadership
+from jujubeslip.control._leadership import Fence, LeaderContact, Leadership, Role
 from jujubeslip.control._loading import load_state
 from jujubeslip.control._machine import Outcome
 from jujubeslip.control._members import is_voter, voters
@@ -47,22 +45,6 @@
 SNAPSHOT_BYTES = 4 * 1024 * 1024
 
 
-class Role(enum.Enum):
-    """What a replica does in the current term."""
-
-    FOLLOWER = "follower"
-    CANDIDATE = "candidate"
-    LEADER = "leader"
-
-
-@dataclass(frozen=True)
-class LeaderContact:
-    """The leader that a follower last heard."""
-
-    replica_id: str = ""
-    address: str = ""
-
-
 class Replica:
     """The shared state of one replica; tasks and handlers work on it."""
 
