--- a/tests/forwarding/test_health.py
+++ b/tests/forwarding/test_health.py
@@ -9,11 +9,15 @@
 from jujubeslip.kernel import _deadlines
 from tests.fakes.clock import Clock
 
+# In which what was seen of failures counts half as much.
+HALF_LIFE_SECONDS = 5.0
+
 
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
     clock = Clock()
     monkeypatch.setattr(_deadlines, "steady_seconds", clock.steady_seconds)
+    monkeypatch.setattr(_health, "steady_seconds", clock.steady_seconds, raising=False)
     return clock
 
 
@@ -40,3 +44,28 @@
         assert health.is_paused("engine")
         clock.now += _health.FIRST_PAUSE_SECONDS
         assert not health.is_paused("engine")
+
+
+class TestShareOfFailures:
+    def test_fades_without_answers(self, clock: Clock) -> None:
+        """One question to an engine times out, and its neighbour gets all requests.
+
+        The share of failures fell with the engine's answers alone, and it was given
+        nothing to answer: for 29 s all 313 requests went to the other one.
+        """
+        health = EndpointHealth()
+        for _ in range(5):
+            health.note_failure("engine")
+        before = health.failure_share("engine")
+        clock.now += HALF_LIFE_SECONDS
+        assert health.failure_share("engine") == pytest.approx(before / 2)
+        clock.now += 20 * HALF_LIFE_SECONDS
+        assert health.failure_share("engine") < 0.001
+
+    def test_grows_from_what_is_left_of_it(self, clock: Clock) -> None:
+        health = EndpointHealth()
+        health.note_failure("engine")
+        clock.now += 20 * HALF_LIFE_SECONDS
+        health.note_failure("engine")
+        once = _health.FAILURE_WEIGHT
+        assert health.failure_share("engine") == pytest.approx(once, rel=0.01)
