Let an endpoint's share of failures fade with time

Cause: the share fell with the endpoint's own answers alone, so that one that had failed and was given nothing stayed dearer than its neighbour for good, where load is low.

Change: it counts half as much after five seconds without an answer.

--- a/src/jujubeslip/forwarding/_health.py
+++ b/src/jujubeslip/forwarding/_health.py
@@ -8,7 +8,7 @@
 from contextlib import AbstractContextManager, contextmanager
 from dataclasses import dataclass, replace
 
-from jujubeslip.kernel import Deadline
+from jujubeslip.kernel import Deadline, steady_seconds
 
 logger = logging.getLogger(__name__)
 
@@ -19,6 +19,10 @@
 MAXIMUM_PAUSE_SECONDS = 8.0
 # How much the latest answer counts for the share of failures: about the last ten do.
 FAILURE_WEIGHT = 0.1
+# In which the share counts half as much, without further answers, in seconds: about as
+# long as ten answers take at an endpoint that one host sends two requests a second.
+# Else an endpoint that failed once is given nothing that could show it to be sound.
+FAILURE_HALF_LIFE_SECONDS = 5.0
 # A start whose address another endpoint answers at is never used again, in seconds.
 NEVER_SECONDS = 3600.0
 
@@ -28,6 +32,8 @@
     failures_in_a_row: int = 0
     paused_until: Deadline = Deadline(float("-inf"))
     failure_share: float = 0.0
+    answered_at: float = float("-inf")
+    """When the share was noted."""
     open_requests: int = 0
 
 
@@ -48,7 +54,7 @@
 
     def failure_share(self, start_id: str) -> float:
         """Return the share of requests that failed there lately, 0 to 1."""
-        return self._get(start_id).failure_share
+        return _faded_share(self._get(start_id), steady_seconds())
 
     def is_paused(self, start_id: str) -> bool:
         """Say whether the endpoint is passed over for now."""
@@ -122,10 +128,18 @@
     def _note(self, start_id: str, failed: bool) -> None:
         with self._lock:
             health = self._get(start_id)
-            share = health.failure_share
+            now = steady_seconds()
+            share = _faded_share(health, now)
             share += FAILURE_WEIGHT * ((1.0 if failed else 0.0) - share)
             self._health_by_start[start_id] = replace(
                 health,
                 failure_share=share,
+                answered_at=now,
                 failures_in_a_row=health.failures_in_a_row if failed else 0,
             )
+
+
+def _faded_share(health: _Health, now: float) -> float:
+    """Return what the share of failures counts at this instant."""
+    age = now - health.answered_at
+    return float(health.failure_share * 0.5 ** (age / FAILURE_HALF_LIFE_SECONDS))
