--- a/src/jujubeslip/control/_changes.py
+++ b/src/jujubeslip/control/_changes.py
@@ -27,7 +27,9 @@
 
 logger = logging.getLogger(__name__)
 
+# How long a joining replica waits for its change, in seconds: an election and a commit.
 CHANGE_SECONDS = 5.0
+# The same for one step of the leader's own, which is tried again at the next look.
 STEP_SECONDS = 1.0
 # A replacement takes two steps; the rest waits for the next look.
 MAXIMUM_STEPS = 4
--- a/src/jujubeslip/control/_stopping.py
+++ b/src/jujubeslip/control/_stopping.py
@@ -19,6 +19,8 @@
 # How long it waits for one host's answer, in seconds. A host that is frozen doesn't
 # answer; there is time for another one then.
 ANSWER_SECONDS = 0.4
+# How often it looks for the new leader, in seconds: an election takes some ten
+# milliseconds, and most changes wake it earlier.
 POLL_SECONDS = 0.05
 
 
