Save a vote with its term, and count votes until the next campaign

Cause: a voter saved a later term and then its vote, two files with two syncs each, while the candidate stopped listening after half an election timeout. On a busy disk campaigns won their pre-votes and lost their ballots, term after term. Ruled out: the pre-vote (it saves nothing, and was won each time); the stopping hosts' own campaigns (may_campaign refuses them). Change: one save for both; votes are waited for until the candidate's next campaign, in which it would only ask the same voters to save another term.

--- a/src/jujubeslip/control/_election.py
+++ b/src/jujubeslip/control/_election.py
@@ -21,8 +21,9 @@
 
 logger = logging.getLogger(__name__)
 
-# How long a campaign waits for votes, as a share of the election timeout.
-BALLOT_SHARE = 0.5
+# How long a campaign waits for pre-votes, which cost the voters no disk, as a share of
+# the election timeout.
+PRE_VOTE_SHARE = 0.5
 IDLE_SECONDS = 1.0
 
 
@@ -55,6 +56,8 @@
     pre_vote: bool
     others: tuple[Member, ...]
     needed: int
+    until: Deadline
+    """How long votes are waited for."""
 
 
 class Elections:
@@ -105,19 +108,24 @@
         """
         with self._replica.lock:
             transfer, self._replica.transferring = self._replica.transferring, False
-            self._replica.election_deadline = self._replica.random_election_deadline()
-            pre_vote = self._prepare(self._replica.term + 1, True, transfer)
+            next_campaign = self._replica.random_election_deadline()
+            self._replica.election_deadline = next_campaign
+            until = Deadline.after(self._replica.election_seconds * PRE_VOTE_SHARE)
+            term = self._replica.term + 1
+            pre_vote = self._prepare(term, True, transfer, until)
             logger.info("no leader heard", extra={"term": self._replica.term})
         if not transfer and not self._wins(pre_vote):
             return
         try:
-            campaign = self._begin_term(transfer)
+            campaign = self._begin_term(transfer, next_campaign)
         except PeerRefusal:
             return
         if self._wins(campaign):
             self._lead(campaign.request.term)
 
-    def _prepare(self, term: int, pre_vote: bool, transfer: bool) -> Campaign:
+    def _prepare(
+        self, term: int, pre_vote: bool, transfer: bool, until: Deadline
+    ) -> Campaign:
         replica = self._replica
         request = VoteRequest(
             replica.cluster_id,
@@ -133,10 +141,16 @@
             for member in voters(replica.membership)
             if member.replica_id != replica.replica_id
         )
-        return Campaign(request, pre_vote, others, quorum_size(replica.membership) - 1)
+        needed = quorum_size(replica.membership) - 1
+        return Campaign(request, pre_vote, others, needed, until)
 
-    def _begin_term(self, transfer: bool) -> Campaign:
-        """Vote for itself in the next term, durably before anyone is asked."""
+    def _begin_term(self, transfer: bool, next_campaign: Deadline) -> Campaign:
+        """Vote for itself in the next term, durably before anyone is asked.
+
+        Votes are waited for until the next campaign. A voter saves its vote first,
+        which takes long on a busy disk; left earlier, each campaign would ask for
+        another term to be saved, and none would be won.
+        """
         replica = self._replica
         with replica.disk_lock, replica.lock, replica.promising():
             replica.write_pending()
@@ -146,14 +160,13 @@
             )
             replica.role = Role.CANDIDATE
             logger.info("campaigning", extra={"term": term})
-            return self._prepare(term, False, transfer)
+            return self._prepare(term, False, transfer, next_campaign)
 
     def _wins(self, campaign: Campaign) -> bool:
         ballot = Ballot(campaign.needed)
         for member in campaign.others:
             self._replica.process.start_task(self._ask, campaign, member, ballot)
-        seconds = self._replica.election_seconds * BALLOT_SHARE
-        return ballot.won(Deadline.after(seconds))
+        return ballot.won(campaign.until)
 
     def _ask(self, campaign: Campaign, member: Member, ballot: Ballot) -> None:
         asked = campaign.request
@@ -166,7 +179,7 @@
             asked.last_term,
             asked.transfer,
         )
-        timeout = self._replica.election_seconds * BALLOT_SHARE
+        timeout = campaign.until.remaining()
         method = "pre_vote" if campaign.pre_vote else "request_vote"
         try:
             reply: VoteReply = self._clients.to_member(member).call(
--- a/src/jujubeslip/control/_receiver.py
+++ b/src/jujubeslip/control/_receiver.py
@@ -54,14 +54,9 @@
         with self._addressed(request):
             if self._must_wait(request):
                 return VoteReply(replica.term, False)
-            replica.adopt_term(request.term)
-            granted = request.term == replica.term and self._may_vote_for(request)
+            granted = self._may_vote_for(request)
+            replica.adopt_term(request.term, request.candidate_id if granted else "")
             if granted:
-                replica.save_metadata(
-                    ReplicaMetadata(
-                        replica.cluster_id, replica.term, request.candidate_id
-                    )
-                )
                 replica.election_deadline = replica.random_election_deadline()
             return VoteReply(replica.term, granted)
 
@@ -157,8 +152,11 @@
         return self._replica.hears_leader and not request.transfer
 
     def _may_vote_for(self, request: VoteRequest) -> bool:
-        voted_for = self._replica.storage.metadata.voted_for
-        return voted_for in ("", request.candidate_id) and self._is_up_to_date(request)
+        known = self._replica.storage.metadata
+        if request.term < known.term or not self._is_up_to_date(request):
+            return False
+        is_new_term = request.term > known.term
+        return is_new_term or known.voted_for in ("", request.candidate_id)
 
     def _is_up_to_date(self, request: VoteRequest) -> bool:
         log = self._replica.log
--- a/src/jujubeslip/control/_replica.py
+++ b/src/jujubeslip/control/_replica.py
@@ -151,12 +151,17 @@
 
     # Roles.
 
-    def adopt_term(self, term: int) -> None:
-        """Move on to a higher term; needs both locks."""
-        if term <= self.term:
-            return
-        self.save_metadata(ReplicaMetadata(self.cluster_id, term, ""))
-        self.step_down("another replica has a higher term")
+    def adopt_term(self, term: int, voted_for: str = "") -> None:
+        """Move on to a higher term, with a vote in it if one is given.
+
+        Needs both locks. Term and vote are saved together: each save waits for the
+        disk, and on a busy one the candidate would stop listening before the second.
+        """
+        is_later = term > self.term
+        if is_later or voted_for:
+            self.save_metadata(ReplicaMetadata(self.cluster_id, term, voted_for))
+        if is_later:
+            self.step_down("another replica has a higher term")
 
     def observe_term(self, term: int) -> None:
         """Move on to a term that an answer carried, if it is higher."""
