Start threads for HTTP calls only when calls come

Cause: waitress starts all threads of a server with it, 112 on a forwarding host. Ruled out: a smaller fixed pool; a host needs its threads in its worst moment, and refuses calls beyond them. Change: CallThreads hands calls to an executor that starts a thread only when none is idle. The bound stays.

--- a/src/jujubeslip/http_server/_server.py
+++ b/src/jujubeslip/http_server/_server.py
@@ -12,6 +12,7 @@
 from waitress.server import create_server
 from waitress.task import WSGITask
 
+from jujubeslip.http_server._threads import CallThreads
 from jujubeslip.kernel import Deadline, Process, steady_seconds
 
 logger = logging.getLogger(__name__)
@@ -60,7 +61,7 @@
     address: str
     """IP:port to listen at."""
     threads: int
-    """Calls that are served at a time."""
+    """Calls that are served at a time; each thread is started when it is needed."""
     maximum_connections: int = 1000
     """Open connections at most; further ones wait."""
     maximum_body_bytes: int = 16 * 1024 * 1024
@@ -77,11 +78,12 @@
     def __init__(self, options: HttpServerOptions, app: Any) -> None:
         host, port = options.address.rsplit(":", 1)
         self._receive_seconds = options.receive_seconds
+        self._threads = CallThreads(options.threads)
         self._server = create_server(
             app,
             host=host,
             port=int(port),
-            threads=options.threads,
+            _dispatcher=self._threads,
             connection_limit=options.maximum_connections,
             max_request_body_size=options.maximum_body_bytes,
             max_request_header_size=MAXIMUM_HEADER_BYTES,
@@ -144,10 +146,9 @@
 
     def _unfinished(self) -> tuple[int, int]:
         """Return how many calls are not served to their end, and the unsent bytes."""
-        dispatcher = self._server.task_dispatcher
-        calls = dispatcher.active_count + len(dispatcher.queue)
         channels = list(self._server.active_channels.values())
-        return calls, sum(channel.total_outbufs_len for channel in channels)
+        unsent = sum(channel.total_outbufs_len for channel in channels)
+        return self._threads.open_count, unsent
 
     def _close_slow_senders(self) -> None:
         """Close connections whose request is not whole after the receive timeout.
--- /dev/null
+++ b/tests/http_server/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the HTTP server."""
