Give an engine that can't be reached nothing until it reports

Cause: an engine that ended kept getting grants until its last report was 1.5 s old. Change: the leader's follower tells an engine lost at its second silence in a row, the second question being asked at once over a new connection; engine and reader get nothing until their next report. Test first in its file; it could not fail by itself before, since there was no such word to the pool.

--- a/src/jujubeslip/admission/_engine_follower.py
+++ b/src/jujubeslip/admission/_engine_follower.py
@@ -9,7 +9,11 @@
 from returns.result import Failure
 
 from jujubeslip.discovery import Endpoint
-from jujubeslip.endpoints import ConnectionPool, EndpointError
+from jujubeslip.endpoints import (
+    ConnectionPool,
+    EndpointError,
+    EndpointReplacedError,
+)
 from jujubeslip.interfaces import Interface, ask_endpoint
 from jujubeslip.kernel import Deadline, Process
 from jujubeslip.routes import EngineReport
@@ -20,10 +24,18 @@
 REPORT_SECONDS = 0.25
 # How long an engine may take to report, in seconds; it needs a millisecond or two.
 ANSWER_SECONDS = 0.4
+# What an endpoint answers to a question that names another one, or another start.
+MISDIRECTED_STATUS = 421
 
 
 class EngineFollower:
-    """Keeps one engine's state up to date; says when it answers no more."""
+    """Keeps one engine's state up to date; says when it can't be reached any more.
+
+    An engine that has ended looks like the emptiest of all, since its answers have
+    ended with it: for as long as it counts as usable, it draws all requests. So it is
+    told lost at its second silence in a row, the second question being asked at once
+    and over a new connection: the kept one may just have been dropped.
+    """
 
     def __init__(
         self,
@@ -31,14 +43,17 @@
         interface: Interface,
         process: Process,
         on_report: Callable[[Endpoint, EngineReport], None],
+        on_lost: Callable[[Endpoint], None],
     ) -> None:
         self._engine = engine
         self._interface = interface
         self._process = process
         self._on_report = on_report
+        self._on_lost = on_lost
         self._connections = ConnectionPool()
         self._stopped = threading.Event()
         self._answers = True
+        self._is_lost = False
 
     def stop(self) -> None:
         """Ask no more."""
@@ -47,36 +62,54 @@
     def run(self) -> None:
         """Ask until told to stop, or until the process stops."""
         while not self._stopped.is_set() and not self._process.stopped.is_set():
-            self._ask()
+            self._look()
             self._stopped.wait(REPORT_SECONDS)
         self._connections.close_all()
 
-    def _ask(self) -> None:
-        engine = self._engine
-        question = self._interface.ask_report(engine.endpoint_id)
-        deadline = Deadline.after(ANSWER_SECONDS)
+    def _look(self) -> None:
+        if self._ask():
+            self._is_lost = False
+        elif not self._is_lost and not self._ask():
+            self._is_lost = True
+            self._on_lost(self._engine)
+
+    def _ask(self) -> bool:
+        """Ask for a report; say whether this start of the engine was reached."""
         try:
-            status, body = ask_endpoint(
-                self._connections, self._interface, engine, question, deadline
-            )
+            status, body = self._answer()
         except EndpointError as error:
             self._note(False, str(error))
-            return
+            return False
         if status != 200:
             self._note(False, f"the answer {status} is no report")
-            return
+            return True
         read = self._interface.read_report(body)
         if isinstance(read, Failure):
             self._note(False, read.failure())
-            return
+            return True
         report = read.unwrap()
         # At the address of a start that is gone, the next one answers by the same id:
         # its report would be taken for that of answers which have ended.
-        if not engine.may_be(report.started_at_ms):
+        if not self._engine.may_be(report.started_at_ms):
             self._note(False, "another start answers at its address")
-            return
+            return False
         self._note(True, "")
-        self._on_report(engine, report)
+        self._on_report(self._engine, report)
+        return True
+
+    def _answer(self) -> tuple[int, bytes]:
+        """Return status and body of the engine's answer, or raise EndpointError."""
+        engine = self._engine
+        status, body = ask_endpoint(
+            self._connections,
+            self._interface,
+            engine,
+            self._interface.ask_report(engine.endpoint_id),
+            Deadline.after(ANSWER_SECONDS),
+        )
+        if status == MISDIRECTED_STATUS:
+            raise EndpointReplacedError("another endpoint")
+        return status, body
 
     def _note(self, answers: bool, error: str) -> None:
         if answers is self._answers:
--- a/src/jujubeslip/admission/_engine_memory.py
+++ b/src/jujubeslip/admission/_engine_memory.py
@@ -36,6 +36,7 @@
         self._admitted_by_id: dict[str, Admitted] = {}
         self._ended_at_by_id: dict[str, float] = {}
         self._reading: set[str] = set()
+        self._is_lost = False
 
     @property
     def report_age(self) -> float:
@@ -50,7 +51,7 @@
         and each would have its prompt read in vain.
         """
         report = self._report
-        if report is None or self.report_age >= USABLE_SECONDS:
+        if report is None or self._is_lost or self.report_age >= USABLE_SECONDS:
             return False
         return not report.busy and not report.reads_prompts
 
@@ -75,9 +76,14 @@
             self._learn_pace(self._report, report, now - self._reported_at)
         self._report = report
         self._reported_at = now
+        self._is_lost = False
         self._reading -= {item.request_id for item in report.running if item.events}
         self._forget_ended(now)
 
+    def note_lost(self) -> None:
+        """Note that the engine can't be reached; it is not used until it reports."""
+        self._is_lost = True
+
     def admit(self, admitted: Admitted) -> None:
         """Note a request that was given a grant."""
         request_id = admitted.applicant.request_id
--- a/src/jujubeslip/admission/_engines.py
+++ b/src/jujubeslip/admission/_engines.py
@@ -66,6 +66,15 @@
             reader.take_report(report)
             self._read_speed = reader.speed
 
+    def note_lost(self, start_id: str) -> None:
+        """Give a start of an engine that can't be reached nothing until it reports."""
+        engine = self._engine_by_start.get(start_id)
+        if engine is not None:
+            engine.note_lost()
+        reader = self._reader_by_start.get(start_id)
+        if reader is not None:
+            reader.note_lost()
+
     @property
     def usable(self) -> bool:
         """Say whether any engine is known well enough to be given requests."""
--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -137,7 +137,11 @@
         for engine in engines:
             if engine.start_id not in self._follower_by_start:
                 follower = EngineFollower(
-                    engine, self._interface, self._process, self._take_report
+                    engine,
+                    self._interface,
+                    self._process,
+                    self._take_report,
+                    self._note_lost,
                 )
                 self._follower_by_start[engine.start_id] = follower
                 added.append(follower)
@@ -146,6 +150,11 @@
     def _take_report(self, engine: Endpoint, report: EngineReport) -> None:
         self._pool(engine.service_name).take_report(engine.start_id, report)
 
+    def _note_lost(self, engine: Endpoint) -> None:
+        self._pool(engine.service_name).note_lost(engine.start_id)
+        extra = {"endpoint_id": engine.endpoint_id, "service": engine.service_name}
+        logger.warning("engine is given nothing until it reports", extra=extra)
+
     def _pool(self, service_name: str) -> EnginePool:
         with self._lock:
             pool = self._pool_by_service.get(service_name)
--- a/src/jujubeslip/admission/_pool.py
+++ b/src/jujubeslip/admission/_pool.py
@@ -86,6 +86,11 @@
             self._engines.take_report(start_id, report)
             self._changed.notify_all()
 
+    def note_lost(self, start_id: str) -> None:
+        """Give a start of an engine that can't be reached nothing until it reports."""
+        with self._changed:
+            self._engines.note_lost(start_id)
+
     @property
     def usable(self) -> bool:
         """Say whether any engine is known well enough to be given requests."""
--- a/src/jujubeslip/admission/_prompt_queue.py
+++ b/src/jujubeslip/admission/_prompt_queue.py
@@ -48,6 +48,7 @@
         self._heard_at = steady_seconds()
         self._has_reported = False
         self._takes_prompts = True
+        self._is_lost = False
 
     @property
     def usable(self) -> bool:
@@ -57,7 +58,7 @@
         prompts meanwhile, and stop all their answers for that.
         """
         fresh = steady_seconds() - self._heard_at < USABLE_SECONDS
-        return fresh and self._takes_prompts
+        return fresh and self._takes_prompts and not self._is_lost
 
     @property
     def speed(self) -> float:
@@ -86,9 +87,14 @@
         """Take over what the engine says."""
         self._heard_at = steady_seconds()
         self._has_reported = True
+        self._is_lost = False
         self._takes_prompts = report.reads_prompts and not report.busy
         self._forget_lost()
 
+    def note_lost(self) -> None:
+        """Note that the engine can't be reached; it is not used until it reports."""
+        self._is_lost = True
+
     def give(self, applicant: Applicant) -> None:
         """Note a prompt that the engine is to read."""
         now = steady_seconds()
--- a/tests/admission/test_engine_follower.py
+++ b/tests/admission/test_engine_follower.py
@@ -11,6 +11,7 @@
 
 from jujubeslip.admission import _engine_follower
 from jujubeslip.admission._engine_follower import EngineFollower
+from jujubeslip.endpoints import AnswerCutError, EndpointUnreachableError
 from jujubeslip.platform._endpoint_answers import read_report
 from jujubeslip.platform._endpoint_calls import ask_report
 from jujubeslip.routes import EngineReport
@@ -48,7 +49,11 @@
         process: Any = None
         taken: list[EngineReport] = []
         follower = EngineFollower(
-            engine("e"), interface, process, lambda _, report: taken.append(report)
+            engine("e"),
+            interface,
+            process,
+            lambda _, report: taken.append(report),
+            lambda _: pytest.fail("the engine was reached"),
         )
         with caplog.at_level(logging.INFO):
             for _ in range(3):
@@ -57,3 +62,81 @@
         first, second = caplog.records
         assert "'kvCapacity'" in vars(first)["error"]
         assert second.message == "engine reports again"
+
+
+class TestEngineThatEnds:
+    """Two of five engines crash in a burst, and half of the summaries are refused.
+
+    Their answers end with them, so that they look empty: `grant at an engine` names no
+    others, with a fill of 0.1 and a report up to 1.5 s old. Prompts are read for them
+    in vain (0.067 of a day's worth), and by the time that the send is refused
+    (`endpoint_unreachable`, later `endpoint_replaced`) their target has passed.
+    """
+
+    @pytest.fixture
+    def lost(self) -> list[str]:
+        return []
+
+    @pytest.fixture
+    def follower(
+        self, monkeypatch: pytest.MonkeyPatch, lost: list[str]
+    ) -> EngineFollower:
+        monkeypatch.setattr(_engine_follower, "ask_endpoint", self.answer)
+        self.answers: list[object] = []
+        interface: Any = SimpleNamespace(ask_report=ask_report, read_report=read_report)
+        process: Any = None
+        return EngineFollower(
+            engine("e", started_at_ms=7),
+            interface,
+            process,
+            lambda *_: None,
+            lambda ended: lost.append(ended.endpoint_id),
+        )
+
+    def answer(self, *_: object) -> tuple[int, bytes]:
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        assert isinstance(answer, tuple)
+        return answer
+
+    GOOD = (200, json.dumps(REPORT).encode())
+    OTHER_START = (200, json.dumps({**REPORT, "born": 8}).encode())
+    MISDIRECTED = (421, b"")
+    REFUSED = EndpointUnreachableError("connection refused")
+    DROPPED = AnswerCutError("the kept connection was reset")
+
+    @pytest.mark.parametrize(
+        "answers",
+        [(DROPPED, REFUSED), (REFUSED, REFUSED), (MISDIRECTED, MISDIRECTED)],
+        ids=["reset, then refused", "refused", "another endpoint has the address"],
+    )
+    def test_is_told_lost_at_the_first_look(
+        self, follower: EngineFollower, lost: list[str], answers: tuple[object, ...]
+    ) -> None:
+        self.answers += answers
+        follower._look()
+        assert lost == ["e"]
+
+    def test_is_told_lost_when_another_start_answers(
+        self, follower: EngineFollower, lost: list[str]
+    ) -> None:
+        self.answers += [self.OTHER_START, self.OTHER_START]
+        follower._look()
+        assert lost == ["e"]
+
+    def test_is_kept_when_only_a_connection_was_dropped(
+        self, follower: EngineFollower, lost: list[str]
+    ) -> None:
+        self.answers += [self.DROPPED, self.GOOD]
+        follower._look()
+        assert lost == []
+
+    def test_is_told_lost_once_each_time(
+        self, follower: EngineFollower, lost: list[str]
+    ) -> None:
+        self.answers += [self.REFUSED] * 3 + [self.GOOD] + [self.REFUSED] * 2
+        for _ in range(4):
+            follower._look()
+        assert lost == ["e", "e"]
+        assert self.answers == []
--- a/tests/admission/test_home.py
+++ b/tests/admission/test_home.py
@@ -36,6 +36,7 @@
         interface: object,
         process: object,
         on_report: Callable[[Endpoint, EngineReport], None],
+        on_lost: Callable[[Endpoint], None],
     ) -> None:
         self._engine = followed
         self._on_report = on_report
--- a/tests/admission/test_pool.py
+++ b/tests/admission/test_pool.py
@@ -331,3 +331,39 @@
         pool = pool_of("engine", readers=("one", "two"))
         pool.take_report("one", EngineReport(CAPACITY, 0, 0, (), busy=True))
         assert reader_of(ask_now(pool, "a")) == "two"
+
+
+class TestEngineThatEnded:
+    """An engine has crashed: its answers are gone, and it looks like the emptiest.
+
+    Each request of a burst is granted there until its last report is 1.5 s old, its
+    prompt is read in vain, and there is no time left for another engine.
+    """
+
+    def engine_for(self, pool: EnginePool, request_id: str) -> str:
+        """Return where a request is granted whose prompt is read at once."""
+        decision = ask_now(pool, request_id)
+        pool.note_read(request_id, 1)
+        return endpoint_of(decision)
+
+    def test_gets_no_grant_until_it_reports(self) -> None:
+        pool = pool_of("ended", "other")
+        pool.take_report("other", engine_report(RunningAnswer(9_000, 60, "old")))
+        assert self.engine_for(pool, "r-1") == "ended"
+        pool.note_lost("ended")
+        assert self.engine_for(pool, "r-2") == "other"
+        pool.take_report("ended", engine_report())
+        assert self.engine_for(pool, "r-3") == "ended"
+
+    def test_reads_no_prompt_until_it_reports(self) -> None:
+        pool = pool_of("engine", readers=("ended", "other"))
+        pool.note_lost("ended")
+        for number in range(4):
+            decision = ask_now(pool, f"r-{number}")
+            assert reader_of(decision) == "other"
+            pool.note_read(f"r-{number}", 1)
+
+    def test_that_is_the_only_one_leaves_none_usable(self) -> None:
+        pool = pool_of("ended")
+        pool.note_lost("ended")
+        assert not pool.usable
--- a/tests/admission/test_starts.py
+++ b/tests/admission/test_starts.py
@@ -137,6 +137,7 @@
                 interfaces.get("platform"),
                 process,
                 lambda _, report: taken.append(report),
+                lambda _: None,
             )
             thread = threading.Thread(target=follower.run)
             thread.start()
