Test that a request which no engine can take holds nobody up, red

Cause: the queue for grants tries its first request only. The same holds for one that avoids the engines with room, and, more mildly, for one that waits for memory. The tests can't import PASSED_SECONDS before the change; with it defined in the old pool all three fail.

--- a/tests/admission/test_pool.py
+++ b/tests/admission/test_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from concurrent.futures import Future, ThreadPoolExecutor
 
 import pytest
@@ -9,7 +10,7 @@
 from jujubeslip.admission._lengths import lengths_of
 from jujubeslip.admission._memory_forecast import MemoryOptions
 from jujubeslip.admission._models import Applicant
-from jujubeslip.admission._pool import Decision, EnginePool
+from jujubeslip.admission._pool import PASSED_SECONDS, Decision, EnginePool
 from jujubeslip.kernel import Deadline
 from jujubeslip.routes import EngineReport, RunningAnswer
 from tests.fakes.engines import engine
@@ -210,6 +211,67 @@
         assert endpoint_of(waiting.result(10)) == "engine"
 
 
+class TestRequestThatNoEngineCanTake:
+    """One request stands first in the queue for three seconds, and all behind it wait.
+
+    Its reader refused the prompt while it changed its role, so the engine that answers
+    has to read it: 5,169 tokens, which stop all its other answers for 0.31 s where 0.3
+    are allowed. `grant at an engine` told a fill of 0.43 at most while seventeen
+    requests waited 2 to 3 s behind it, until its limit came.
+    """
+
+    LONG = 5_169
+
+    @pytest.fixture
+    def answering(self) -> EnginePool:
+        """Return a pool whose engines answer somebody and have room for more."""
+        pool = pool_of("one", "two", readers=("r1", "r2"))
+        for name in ("one", "two"):
+            pool.take_report(name, engine_report(RunningAnswer(5_000, 10, "other")))
+        return pool
+
+    def test_holds_nobody_up(self, answering: EnginePool) -> None:
+        callers = Callers(answering)
+        alone = callers.ask(
+            applicant("alone", reads_itself=True, prompt_tokens=self.LONG, target=20)
+        )
+        behind = [
+            answering.ask(applicant(f"behind-{n}", target=21), (), Deadline.after(1))
+            for n in range(2)
+        ]
+        assert all(decision.grant is not None for decision in behind)
+        assert not alone.done()
+
+    def test_holds_nobody_up_when_it_avoids_the_engines_with_room(
+        self, answering: EnginePool
+    ) -> None:
+        """Its host can't reach them, which says nothing of other hosts."""
+        asking = applicant("cut off", target=20)
+        first = answering.ask(asking, ("one", "two"), Deadline.after(0.4))
+        assert first.grant is None
+        following = applicant("next", target=21)
+        assert answering.ask(following, (), Deadline.after(0.5)).grant
+
+    def test_waits_for_memory_and_is_passed_for_a_moment_only(
+        self, answering: EnginePool
+    ) -> None:
+        """Small requests take each room that comes free; a large one never fits.
+
+        Passed for good, the largest tenth of requests would be served to nobody.
+        """
+        for name in ("one", "two"):
+            old = [RunningAnswer(9_000, 60, f"{name}-{n}") for n in range(6)]
+            answering.take_report(name, engine_report(*old))
+        large = applicant("large", prompt_tokens=60_000, target=5)
+        waiting = Callers(answering).ask(large)
+        small = answering.ask(applicant("early", target=6), (), at_once())
+        assert small.grant is not None
+        answering.note_read("early", 1)
+        time.sleep(PASSED_SECONDS)
+        assert ask_now(answering, "late").grant is None
+        assert not waiting.done()
+
+
 class TestRefusal:
     def test_comes_at_the_limit(self, full: EnginePool) -> None:
         decision = full.ask(applicant("a", limit=0.3), (), Deadline.after(30))
