Decide for all that wait at once, and let nobody hold up those behind

Besides, each engine's report woke all requests that waited, each looked through all others whether it was next, and the next one forecast the memory of every engine anew: the cost of a report grew with the square of the queue, times the engines. Ruled out: the engines' own speed (fill 0.43 while seventeen waited). Change: whoever brings news decides for those that go first and wakes just the decided ones. A request that no engine can take now is passed; one that waits for memory is passed for 0.3 s, then holds up the others, so that large ones find room. The order is a sorted list without clock, thread or engine; an engine's forecast is kept for 0.1 s and until its next report, grant or end.

--- /dev/null
+++ b/bench/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Cost of the decision which request gets which engine."""
--- a/src/jujubeslip/admission/_engine_memory.py
+++ b/src/jujubeslip/admission/_engine_memory.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from jujubeslip.admission._lengths import lengths_of
-from jujubeslip.admission._memory_forecast import GrowingAnswer
+from jujubeslip.admission._memory_forecast import (
+    GrowingAnswer,
+    MemoryProfile,
+    profile_of,
+)
 from jujubeslip.admission._models import USABLE_SECONDS, Admitted, Applicant
 from jujubeslip.discovery import Endpoint
-from jujubeslip.kernel import steady_seconds
+from jujubeslip.kernel import Deadline, steady_seconds
 from jujubeslip.routes import EngineReport, RunningAnswer
 
 # How old an engine's report is when it comes, in seconds. With it, what the leader
@@ -19,12 +24,29 @@
 UNSEEN_SECONDS = 4.0
 # Reports that still list a request that has ended are behind by no more than this.
 ENDED_SECONDS = 4.0
+# How long a forecast of the same answers is used again, in seconds: an answer grows by
+# two events meanwhile.
+PROFILE_SECONDS = 0.1
 # Events that an engine adds to each answer in a second, before two reports showed it
 # (with a dozen answers, 15 to 18 were measured), and how much the latest two count.
 FIRST_PACE = 15.0
 PACE_WEIGHT = 0.2
 
 
+@dataclass(frozen=True)
+class _ProfileKey:
+    """What a forecast depends on beside the engine's own answers."""
+
+    longest: int
+    event_tokens: int
+
+
+@dataclass(frozen=True)
+class _KnownProfile:
+    profile: MemoryProfile
+    until: Deadline
+
+
 class EngineMemory:
     """The answers of one start of an engine; guarded by its pool's lock."""
 
@@ -37,6 +59,7 @@
         self._ended_at_by_id: dict[str, float] = {}
         self._reading: set[str] = set()
         self._is_lost = False
+        self._profile_by_key: dict[_ProfileKey, _KnownProfile] = {}
 
     @property
     def report_age(self) -> float:
@@ -77,6 +100,7 @@
         self._report = report
         self._reported_at = now
         self._is_lost = False
+        self._profile_by_key.clear()
         self._reading -= {item.request_id for item in report.running if item.events}
         self._forget_ended(now)
 
@@ -89,6 +113,7 @@
         request_id = admitted.applicant.request_id
         self._ended_at_by_id.pop(request_id, None)
         self._admitted_by_id[request_id] = admitted
+        self._profile_by_key.clear()
         if admitted.grant.reader is None:
             self._reading.add(request_id)
 
@@ -111,6 +136,20 @@
         del self._admitted_by_id[request_id]
         self._reading.discard(request_id)
         self._ended_at_by_id[request_id] = steady_seconds()
+        self._profile_by_key.clear()
+
+    def profile(self, asking: Applicant) -> MemoryProfile:
+        """Return how the memory of its answers grows, without the one who asks.
+
+        Kept for a moment: in a burst, every request looks at every engine.
+        """
+        key = _ProfileKey(asking.lengths.maximum, asking.event_tokens)
+        known = self._profile_by_key.get(key)
+        if known is None or known.until.expired:
+            profile = profile_of(self.answers(asking), asking.lengths.maximum)
+            known = _KnownProfile(profile, Deadline.after(PROFILE_SECONDS))
+            self._profile_by_key[key] = known
+        return known.profile
 
     def answers(self, asking: Applicant) -> list[GrowingAnswer]:
         """Return what the engine makes now, and is about to make beside one who asks.
--- a/src/jujubeslip/admission/_engines.py
+++ b/src/jujubeslip/admission/_engines.py
@@ -11,7 +11,8 @@
 from jujubeslip.admission._memory_forecast import (
     GrowingAnswer,
     MemoryOptions,
-    forecast_peak,
+    MemoryProfile,
+    profile_of,
 )
 from jujubeslip.admission._models import Admitted, Applicant, Grant
 from jujubeslip.admission._prompt_queue import FIRST_TOKENS_PER_SECOND, PromptQueue
@@ -127,12 +128,13 @@
                 key=lambda item: (item.seconds_left, random.random()),
                 default=None,
             )
+        own = _OwnProfiles(applicant)
         grants = [
             grant
             for engine in self._engine_by_start.values()
             if engine.usable and engine.endpoint.start_id not in avoided
             if reader is not None or self._may_read(engine, applicant)
-            if (grant := self._grant_at(engine, applicant)) is not None
+            if (grant := self._grant_at(engine, applicant, own)) is not None
         ]
         own_zone = applicant.availability_zone
         found = min(
@@ -169,24 +171,43 @@
             return False
         seconds = applicant.prompt_tokens / (self._read_speed * OWN_SPEED_SHARE)
         longest = max(0.0, applicant.maximum_gap - EVENT_SECONDS)
-        return seconds <= longest or not engine.answers(applicant)
+        return seconds <= longest or not engine.profile(applicant).answers
 
-    def _grant_at(self, engine: EngineMemory, applicant: Applicant) -> Grant | None:
-        answers = engine.answers(applicant)
-        if len(answers) >= applicant.slots:
+    def _grant_at(
+        self, engine: EngineMemory, applicant: Applicant, own: _OwnProfiles
+    ) -> Grant | None:
+        profile = engine.profile(applicant)
+        if profile.answers >= applicant.slots:
             return None
-        answers.append(
-            GrowingAnswer(
-                applicant.prompt_tokens, 0, applicant.event_tokens, applicant.lengths
-            )
-        )
         capacity = max(1, engine.capacity_tokens)
-        fill = forecast_peak(answers, self._options.caution) / capacity
+        own_profile = own.over(profile.longest)
+        fill = profile.peak_with(own_profile, self._options.caution) / capacity
         if fill > 1 - self._options.margin:
             return None
         return Grant(engine.endpoint, fill, int(engine.report_age * 1000))
 
 
+class _OwnProfiles:
+    """How the memory of one request's answer will grow, computed once for all engines.
+
+    Engines whose longest answers differ look at different instants.
+    """
+
+    def __init__(self, applicant: Applicant) -> None:
+        self._answer = GrowingAnswer(
+            applicant.prompt_tokens, 0, applicant.event_tokens, applicant.lengths
+        )
+        self._profile_by_longest: dict[int, MemoryProfile] = {}
+
+    def over(self, longest: int) -> MemoryProfile:
+        """Return the profile at the instants of an engine with this longest answer."""
+        found = self._profile_by_longest.get(longest)
+        if found is None:
+            found = profile_of([self._answer], longest)
+            self._profile_by_longest[longest] = found
+        return found
+
+
 def _keep_only(
     by_start: dict[str, T],
     wanted: Collection[Endpoint],
--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -29,6 +29,9 @@
 
 # How often the home looks which engines there are, in seconds.
 LOOK_SECONDS = 0.25
+# How often waiting requests are looked at without news of their engines, in seconds: a
+# reader that was busy has time for a further prompt by then.
+DECIDE_SECONDS = 0.05
 # Engines are asked for reports while requests came within this time, in seconds.
 ACTIVE_SECONDS = 5.0
 # How long a call may wait at most, in seconds, whatever its host asks for: each one
@@ -67,6 +70,7 @@
     def start(self) -> None:
         """Follow the engines until the process stops."""
         self._process.repeat(LOOK_SECONDS, self.look)
+        self._process.repeat(DECIDE_SECONDS, self._decide)
 
     def admit(self, request: AdmissionRequest) -> AdmissionReply:
         """Answer once the request has a grant or will get none, or to ask again."""
@@ -85,8 +89,7 @@
 
     def take(self, told: Sequence[AdmissionNews]) -> None:
         """Note how far requests with grants have come."""
-        with self._lock:
-            pools = list(self._pool_by_service.values())
+        pools = self._pools()
         for news in told:
             for pool in pools:
                 if news.step == AdmissionStep.ENDED:
@@ -109,6 +112,14 @@
         for follower in added:
             self._process.start_task(follower.run)
 
+    def _decide(self) -> None:
+        for pool in self._pools():
+            pool.look_again()
+
+    def _pools(self) -> list[EnginePool]:
+        with self._lock:
+            return list(self._pool_by_service.values())
+
     def _services(self) -> set[str]:
         """Return the services of engines that a configuration names as such.
 
--- a/src/jujubeslip/admission/_memory_forecast.py
+++ b/src/jujubeslip/admission/_memory_forecast.py
@@ -43,15 +43,50 @@
     """Standard deviations above the mean that have to fit."""
 
 
-def forecast_peak(answers: Sequence[GrowingAnswer], caution: float = 0.0) -> float:
-    """Return the tokens in use at the peak, `caution` deviations above the mean.
-
-    All answers of an engine go on at the same pace.
+@dataclass(frozen=True)
+class MemoryProfile:
+    """What answers are expected to take together at each instant of the future."""
+
+    answers: int
+    longest: int
+    """Events of the longest answer, over which the instants are spread."""
+    means: tuple[float, ...]
+    variances: tuple[float, ...]
+
+    def peak(self, caution: float) -> float:
+        """Return the tokens in use at the peak, `caution` deviations above the mean."""
+        parts = zip(self.means, self.variances, strict=True)
+        return max(mean + caution * math.sqrt(variance) for mean, variance in parts)
+
+    def peak_with(self, other: MemoryProfile, caution: float) -> float:
+        """Return the peak with further answers, whose instants are the same."""
+        return max(
+            mean + more + caution * math.sqrt(variance + further)
+            for mean, more, variance, further in zip(
+                self.means, other.means, self.variances, other.variances, strict=True
+            )
+        )
+
+
+def profile_of(answers: Sequence[GrowingAnswer], longest: int = 0) -> MemoryProfile:
+    """Return how the memory of answers grows, which all go on at the same pace.
+
+    The instants are spread over the longest of them, or over `longest` events if that
+    is more.
     """
-    longest = max((answer.lengths.maximum for answer in answers), default=0)
+    longest = max([longest, *(answer.lengths.maximum for answer in answers)])
     step = max(1, longest // (INSTANTS - 1))
-    instants = range(0, longest + 1, step)
-    return max(_tokens_at(answers, ahead, caution) for ahead in instants)
+    means, variances = [], []
+    for ahead in range(0, longest + 1, step):
+        mean, variance = _moments_at(answers, ahead)
+        means.append(mean)
+        variances.append(variance)
+    return MemoryProfile(len(answers), longest, tuple(means), tuple(variances))
+
+
+def forecast_peak(answers: Sequence[GrowingAnswer], caution: float = 0.0) -> float:
+    """Return the tokens in use at the peak, `caution` deviations above the mean."""
+    return profile_of(answers).peak(caution)
 
 
 def growth_of(
@@ -77,12 +112,12 @@
     return max(1, int(peak - now + margin))
 
 
-def _tokens_at(answers: Sequence[GrowingAnswer], ahead: int, caution: float) -> float:
-    """Return the tokens in use this many events ahead."""
+def _moments_at(answers: Sequence[GrowingAnswer], ahead: int) -> tuple[float, float]:
+    """Return mean and variance of the tokens in use this many events ahead."""
     mean = variance = 0.0
     for answer in answers:
         still_runs = answer.lengths.still_runs(answer.events, ahead)
         grown = answer.memory_tokens + ahead * answer.event_tokens
         mean += still_runs * grown
         variance += still_runs * (1 - still_runs) * grown**2
-    return mean + caution * math.sqrt(variance)
+    return mean, variance
--- a/src/jujubeslip/admission/_pool.py
+++ b/src/jujubeslip/admission/_pool.py
@@ -1,16 +1,17 @@
-"""The requests that wait for grants at the engines of one service, and their order."""
+"""The requests that wait for grants at the engines of one service."""
 
 from __future__ import annotations
 
 import logging
+import math
 import threading
 from collections.abc import Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from jujubeslip.admission._engines import ServiceEngines
 from jujubeslip.admission._memory_forecast import MemoryOptions
 from jujubeslip.admission._models import Applicant, Grant
-from jujubeslip.admission._urgency import urgency
+from jujubeslip.admission._order import Turn, WaitingOrder
 from jujubeslip.discovery import Endpoint
 from jujubeslip.kernel import Deadline, steady_seconds
 from jujubeslip.routes import EngineReport
@@ -20,9 +21,12 @@
 # A request whose host has not asked again for this long is waited for no more, in
 # seconds: hosts ask several times as often.
 ASKED_SECONDS = 1.0
-# How often one that waits looks again by itself, in seconds: grants come free with
-# reports and with ends, which wake it.
-LOOK_SECONDS = 0.05
+# How long a request that waits for memory may be passed by others, in seconds: a third
+# of the usual target. Small ones use the room that it can't meanwhile; passed for good,
+# a large one would never find room.
+PASSED_SECONDS = 0.3
+# How many requests are tried at one look: beyond them, none is likely to find room.
+TRIED_AT_MOST = 16
 # How much the latest interval between two requests that got a grant counts, and what
 # is assumed before the first one, in seconds.
 INTERVAL_WEIGHT = 0.2
@@ -43,29 +47,57 @@
 class _Waiting:
     applicant: Applicant
     avoided: frozenset[str]
+    since: float
     asked_at: float
     forecast: float
     in_vain: bool
     """Whether it was expected to get no grant before its limit."""
     decision: Decision | None = None
+    decided: threading.Event = field(default_factory=threading.Event)
     asking: int = 0
     """Calls that wait for it at this moment."""
 
+    @property
+    def turn(self) -> Turn:
+        return Turn(self.applicant.target_by.instant, self.applicant.request_id)
+
+    @property
+    def prompt_tokens(self) -> int:
+        return self.applicant.prompt_tokens
+
+    @property
+    def takes_any_engine(self) -> bool:
+        """Say whether it waits for what all others wait for.
+
+        One that avoids engines, or asks for one that reads its prompt itself, may wait
+        for seconds while there is room for everybody else.
+        """
+        return not self.avoided and not self.applicant.reads_itself
+
+    def holds_others_up(self, now: float) -> bool:
+        """Say whether nobody may be granted what comes free before this one."""
+        return self.takes_any_engine and now - self.since >= PASSED_SECONDS
+
 
 class EnginePool:
     """Gives grants in order: requests still in time first, the earliest target before.
 
     All hosts' requests wait in one queue. Each host by itself would ask the engines
     again and again, and whoever asked at the right moment would go first.
+
+    Whoever brings news of the engines decides for all that wait, and wakes just those
+    that were decided: hundreds of hosts wait in a burst, and engines report hundreds of
+    times a second. What comes free by time alone is found by `look_again`.
     """
 
     def __init__(self, service_name: str, options: MemoryOptions) -> None:
         self._service_name = service_name
         self._engines = ServiceEngines(options)
         self._waiting_by_id: dict[str, _Waiting] = {}
+        self._order = WaitingOrder()
         self._interval = FIRST_INTERVAL_SECONDS
         self._busy_since = steady_seconds()
-        self._changed = threading.Condition()
+        self._lock = threading.Lock()
 
     # Engines
 
@@ -77,24 +109,24 @@
         What was given at a start that is gone goes with it: its next one begins with
         nothing, and late ends of requests at the one before change nothing there.
         """
-        with self._changed:
+        with self._lock:
             self._engines.keep_only(answering, reading)
 
     def take_report(self, start_id: str, report: EngineReport) -> None:
         """Take over what a start of an engine says of itself."""
-        with self._changed:
+        with self._lock:
             self._engines.take_report(start_id, report)
-            self._changed.notify_all()
+            self._decide_all()
 
     def note_lost(self, start_id: str) -> None:
         """Give a start of an engine that can't be reached nothing until it reports."""
-        with self._changed:
+        with self._lock:
             self._engines.note_lost(start_id)
 
     @property
     def usable(self) -> bool:
         """Say whether any engine is known well enough to be given requests."""
-        with self._changed:
+        with self._lock:
             return self._engines.usable
 
     # Requests
@@ -103,32 +135,41 @@
         self, applicant: Applicant, avoided: Collection[str], until: Deadline
     ) -> Decision:
         """Return a grant as soon as there is one, before the given instant."""
-        with self._changed:
+        with self._lock:
             grant = self._engines.given_before(applicant)
             if grant is not None:
                 return Decision(grant, False, 0.0)
             waiting = self._enter(applicant, frozenset(avoided))
             waiting.asking += 1
-            try:
-                return self._wait(waiting, until)
-            finally:
+            self._decide_all()
+        try:
+            return self._wait(waiting, until)
+        finally:
+            with self._lock:
                 waiting.asking -= 1
                 waiting.asked_at = steady_seconds()
 
     def note_read(self, request_id: str, attempt: int) -> None:
         """Note that a request's prompt was read, or won't be where it was to be."""
-        with self._changed:
+        with self._lock:
             self._engines.note_read(request_id, attempt)
-            self._changed.notify_all()
+            self._decide_all()
 
     def end(self, request_id: str, attempt: int) -> None:
         """Note that a request has ended, or will not be sent."""
-        with self._changed:
+        with self._lock:
             waiting = self._waiting_by_id.get(request_id)
             if waiting is not None and waiting.applicant.attempt == attempt:
-                self._decide(waiting, Decision(None, True, waiting.forecast))
+                self._refuse(waiting)
             self._engines.end(request_id, attempt)
-            self._changed.notify_all()
+            self._decide_all()
+
+    def look_again(self) -> None:
+        """Decide for those that wait: a reader that was busy has time by itself."""
+        with self._lock:
+            self._decide_all()
+
+    # Those that wait; each method needs the lock.
 
     def _enter(self, applicant: Applicant, avoided: frozenset[str]) -> _Waiting:
         now = steady_seconds()
@@ -137,71 +178,78 @@
             known.avoided = avoided
             return known
         if known is not None:
-            self._decide(known, Decision(None, True, known.forecast))
+            self._refuse(known)
         if not self._waiting_by_id:
             self._busy_since = now
         forecast = self._forecast(applicant, now)
         in_vain = forecast > applicant.limit.remaining()
-        waiting = _Waiting(applicant, avoided, now, forecast, in_vain)
+        waiting = _Waiting(applicant, avoided, now, now, forecast, in_vain)
         self._waiting_by_id[applicant.request_id] = waiting
+        self._order.add(waiting.turn)
         return waiting
 
     def _forecast(self, applicant: Applicant, now: float) -> float:
-        own = _rank(applicant, now)
-        ahead = sum(
-            _rank(item.applicant, now) <= own for item in self._waiting_by_id.values()
-        )
-        return (ahead + 1) * self._interval
+        turn = Turn(applicant.target_by.instant, applicant.request_id)
+        return (self._order.count_ahead(turn, now) + 1) * self._interval
 
-    def _wait(self, waiting: _Waiting, until: Deadline) -> Decision:
-        applicant = waiting.applicant
-        while waiting.decision is None:
-            self._forget_silent()
-            if self._is_next(waiting):
-                grant = self._engines.find_grant(applicant, waiting.avoided)
-                if grant is not None:
-                    return self._admit(waiting, grant)
-            # Told at once that its wait would be in vain, a client comes back when
-            # others have ended; held until its limit, it would be refused all the same.
-            if waiting.in_vain or applicant.limit.expired:
-                return self._decide(waiting, Decision(None, True, waiting.forecast))
-            if until.expired:
-                return Decision(None, False, waiting.forecast)
-            left = min(until.remaining(), applicant.limit.remaining(), LOOK_SECONDS)
-            self._changed.wait(max(0.001, left))
-        return waiting.decision
-
-    def _decide(self, waiting: _Waiting, decision: Decision) -> Decision:
-        """Let all calls for the request end with this decision."""
-        waiting.decision = decision
-        self._waiting_by_id.pop(waiting.applicant.request_id, None)
-        self._changed.notify_all()
-        return decision
-
-    def _admit(self, waiting: _Waiting, grant: Grant) -> Decision:
+    def _decide_all(self) -> None:
+        """Give grants to those that go first, as far as there is room."""
         now = steady_seconds()
+        too_large = math.inf
+        for turn in self._order.first_ones(now, TRIED_AT_MOST):
+            waiting = self._waiting_by_id[turn.request_id]
+            if self._is_over(waiting, now) or waiting.prompt_tokens >= too_large:
+                continue
+            grant = self._engines.find_grant(waiting.applicant, waiting.avoided)
+            if grant is not None:
+                self._admit(waiting, grant, now)
+            elif waiting.holds_others_up(now):
+                return
+            elif waiting.takes_any_engine:
+                too_large = waiting.prompt_tokens
+
+    def _is_over(self, waiting: _Waiting, now: float) -> bool:
+        """Drop a request whose host asks no more, which would hold up all others."""
+        if waiting.asking or waiting.asked_at >= now - ASKED_SECONDS:
+            return False
+        self._refuse(waiting)
+        extra = {
+            "request_id": waiting.applicant.request_id,
+            "service": self._service_name,
+        }
+        logger.info("request waits no more for a grant", extra=extra)
+        return True
+
+    def _admit(self, waiting: _Waiting, grant: Grant, now: float) -> None:
         self._engines.admit(waiting.applicant, grant)
         self._interval += INTERVAL_WEIGHT * (now - self._busy_since - self._interval)
         self._busy_since = now
-        return self._decide(waiting, Decision(grant, False, waiting.forecast))
-
-    def _forget_silent(self) -> None:
-        """Drop requests whose hosts ask no more, which would hold up all others."""
-        oldest = steady_seconds() - ASKED_SECONDS
-        for request_id, waiting in list(self._waiting_by_id.items()):
-            if not waiting.asking and waiting.asked_at < oldest:
-                self._decide(waiting, Decision(None, True, waiting.forecast))
-                extra = {"request_id": request_id, "service": self._service_name}
-                logger.info("request waits no more for a grant", extra=extra)
-
-    def _is_next(self, waiting: _Waiting) -> bool:
-        now = steady_seconds()
-        first = min(
-            self._waiting_by_id.values(), key=lambda item: _rank(item.applicant, now)
-        )
-        return first is waiting
+        self._decide(waiting, Decision(grant, False, waiting.forecast))
 
+    def _refuse(self, waiting: _Waiting) -> None:
+        self._decide(waiting, Decision(None, True, waiting.forecast))
 
-def _rank(applicant: Applicant, now: float) -> tuple[bool, float, str]:
-    """Return what orders waiting requests, equal ones by their ids."""
-    return (*urgency(applicant.target_by.instant, now), applicant.request_id)
+    def _decide(self, waiting: _Waiting, decision: Decision) -> None:
+        """Let all calls for the request end with this decision."""
+        waiting.decision = decision
+        del self._waiting_by_id[waiting.applicant.request_id]
+        self._order.remove(waiting.turn)
+        waiting.decided.set()
+
+    # The call of one host.
+
+    def _wait(self, waiting: _Waiting, until: Deadline) -> Decision:
+        """Return the decision; none of both where it is not there in time."""
+        limit = waiting.applicant.limit
+        while True:
+            with self._lock:
+                # Told at once that its wait would be in vain, a client comes back when
+                # others have ended; held until its limit, it would be refused as well.
+                is_late = waiting.in_vain or limit.expired
+                if waiting.decision is None and is_late:
+                    self._refuse(waiting)
+                if waiting.decision is not None:
+                    return waiting.decision
+                if until.expired:
+                    return Decision(None, False, waiting.forecast)
+            waiting.decided.wait(min(until.remaining(), limit.remaining()))
--- a/tests/admission/test_pool.py
+++ b/tests/admission/test_pool.py
@@ -268,7 +268,8 @@
         assert small.grant is not None
         answering.note_read("early", 1)
         time.sleep(PASSED_SECONDS)
-        assert ask_now(answering, "late").grant is None
+        late = answering.ask(applicant("late", target=6), (), at_once())
+        assert late.grant is None
         assert not waiting.done()
 
 
