Let the leader name the next reader of a prompt that was refused

Ruled out: the budget (calls were left), the leader's knowledge (it had idle readers all the while). Change: after a refusal the host asks the leader again, which passes over the reader that this host has just found refusing. A reader whose answer was cut has read the prompt and is asked again, as before.

--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -83,6 +83,10 @@
     """When its first event came, from its start."""
     wasted_prompt_tokens: int = 0
     """Tokens of prompts that were read for engines which refused it."""
+    prompts_asked: int = 0
+    """Calls to engines to read the prompt for another one."""
+    prompt_error: EndpointError | None = None
+    """Why the latest of them brought nothing."""
     grants_asked: int = 0
     """Grants that the leader was asked for."""
     found_no_room: bool = False
--- a/src/jujubeslip/forwarding/_prompts.py
+++ b/src/jujubeslip/forwarding/_prompts.py
@@ -70,25 +70,34 @@
     ) -> PromptPlace:
         """Have an engine read the prompt; return where it is, NOT_READ if it isn't.
 
-        `reader` is asked first, where it is given, and should need `read_seconds`. A
-        second engine is asked if the budget has a call for it. An engine that answers
-        can read the prompt itself, but all its answers stand still while it does.
+        `reader` is asked where it is given, and should need `read_seconds`. Otherwise
+        some engine is, and a second one if the first does not read it. An engine that
+        answers can read the prompt itself, but all its answers stand still meanwhile.
         """
         if not self._reads_apart or context.request.prompt is None:
             return NOT_READ
-        for number in range(ENGINES_ASKED):
-            if number and not self._sending.budgets.has_one(context.service_name):
-                return NOT_READ
-            is_given = reader is not None and not number
-            endpoint = reader if is_given else self._choose(context)
+        if reader is not None:
+            return self._read_at_granted(context, attempts, reader, read_seconds)
+        while self.may_ask(context, attempts):
+            endpoint = self._choose(context)
             if endpoint is None:
-                return NOT_READ
-            limit = _limit(read_seconds if is_given else 0.0)
-            handle = self._read_at(context, attempts, endpoint, limit)
-            if handle:
-                return PromptPlace(endpoint, handle)
+                break
+            place = self._read_at(context, attempts, endpoint, _limit(0.0))
+            if place != NOT_READ:
+                return place
         return NOT_READ
 
+    def may_ask(self, context: ForwardContext, attempts: Attempts) -> bool:
+        """Say whether an engine may be asked to read the prompt, or one more.
+
+        The first call is free; a further one needs the budget for it.
+        """
+        if not attempts.prompts_asked:
+            return True
+        if attempts.prompts_asked >= ENGINES_ASKED:
+            return False
+        return self._sending.budgets.has_one(context.service_name)
+
     def is_lost(self, place: PromptPlace) -> bool:
         """Say whether the engine that read the prompt has started again since.
 
@@ -99,6 +108,23 @@
         reader = place.reader
         return reader is not None and self._sending.chooser.is_over(reader)
 
+    def _read_at_granted(
+        self,
+        context: ForwardContext,
+        attempts: Attempts,
+        reader: Endpoint,
+        read_seconds: float,
+    ) -> PromptPlace:
+        """Have this reader read the prompt; ask again where its answer was cut.
+
+        It has read the prompt then, and still has it.
+        """
+        place = self._read_at(context, attempts, reader, _limit(read_seconds))
+        was_cut = isinstance(attempts.prompt_error, AnswerCutError)
+        if place == NOT_READ and was_cut and self.may_ask(context, attempts):
+            return self._read_at(context, attempts, reader, _limit(read_seconds))
+        return place
+
     def _choose(self, context: ForwardContext) -> Endpoint | None:
         chooser = self._sending.chooser
         return chooser.choose_sound(context.service_name, EndpointRole.PREFILL)
@@ -109,20 +135,23 @@
         attempts: Attempts,
         endpoint: Endpoint,
         limit: Deadline,
-    ) -> str:
-        """Return the handle of the prompt at this engine, nothing if it isn't read."""
+    ) -> PromptPlace:
+        """Have this engine read the prompt; return NOT_READ if it doesn't."""
+        attempts.prompts_asked += 1
+        attempts.prompt_error = None
         started = steady_seconds()
         try:
             handle = self._ask(context, endpoint, limit)
         except EndpointError as error:
+            attempts.prompt_error = error
             self._note_unread(context, attempts, endpoint, error)
-            return ""
+            return NOT_READ
         finally:
             taken = steady_seconds() - started
             self._pressures.note_prompt(context.service_name, taken)
         self._sending.health.note_success(endpoint.start_id)
         attempts.note(endpoint.start_id, "prompt read")
-        return handle
+        return PromptPlace(endpoint, handle)
 
     def _ask(self, context: ForwardContext, endpoint: Endpoint, limit: Deadline) -> str:
         """Return the handle of the prompt that the endpoint has read."""
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -90,9 +90,10 @@
                         # It started again while the prompt was read.
                         attempts.tried.add(grant.endpoint.start_id)
                         continue
-                    if prompt_at == NOT_READ and grant.reader is not None:
-                        # Nobody has read it. The leader has to know which engine does
-                        # now: its answers stand still meanwhile.
+                    if prompt_at in (None, NOT_READ) and grant.reader is not None:
+                        # Nobody has read it. The leader knows of another reader, or
+                        # else has to know which engine that answers reads it now: its
+                        # answers stand still meanwhile.
                         continue
                     if not self._sending.may_send(context, attempts):
                         break
@@ -120,19 +121,32 @@
         grant: Grant,
         prompt_at: PromptPlace | None,
     ) -> PromptPlace | None:
-        """Return where the prompt is, after having it read if nobody has tried yet."""
+        """Return where the prompt is, after having it read if nobody has tried yet.
+
+        None where the granted reader did not read it, and another one may be asked. The
+        leader has to grant that one: a reader that this host chooses may be the next
+        one that refuses, and the engine that answers would read the prompt, which stops
+        its other answers.
+        """
         if prompt_at is not None and self._prompts.is_lost(prompt_at):
             attempts.note("-", "prompt lost with its engine")
             prompt_at = NOT_READ
         if grant.reads_itself:
             return prompt_at
         if prompt_at is None:
-            prompt_at = self._prompts.read(
-                context, attempts, grant.reader, grant.read_seconds
-            )
+            prompt_at = self._read_prompt(context, attempts, grant)
         grant.prompt_read()
         return prompt_at
 
+    def _read_prompt(
+        self, context: ForwardContext, attempts: Attempts, grant: Grant
+    ) -> PromptPlace | None:
+        reader = grant.reader
+        place = self._prompts.read(context, attempts, reader, grant.read_seconds)
+        is_unread = place == NOT_READ and reader is not None
+        asks_again = is_unread and self._prompts.may_ask(context, attempts)
+        return None if asks_again else place
+
     def _note_error(
         self,
         context: ForwardContext,
