Order readers to answer that would be idle in a burst

Cause: engines come in a fixed proportion of the two roles. Ruled out: who goes next (in-time ones did), engines' speed (45 ms an event), the wait for readers (4 ms). Change: the leader watches how many readers the granted prompts keep busy, by tokens and by the speed that readers showed, for six seconds; readers beyond 1.25 times the busiest moment, and beyond two, are ordered to answer at once. One is ordered back when prompts took the readers' whole time for three seconds. An engine that was ordered gets no prompts from that moment; its own reports show the change a second later. The decision stands apart from the orders.

--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -54,7 +54,9 @@
         options: MemoryOptions,
         leads: Callable[[], bool],
         configured_services: Callable[[], Collection[str]],
+        ordered_role: Callable[[Endpoint], EndpointRole | None] = lambda _: None,
     ) -> None:
+        self._ordered_role = ordered_role
         self._process = process
         self._book = book
         self._interface = interface
@@ -97,6 +99,10 @@
                 else:
                     pool.note_read(news.request_id, news.attempt)
 
+    def busy_readers(self, service_name: str) -> float:
+        """Return how many of a service's readers its prompts keep busy lately."""
+        return self._pool(service_name).busy_readers
+
     def look(self) -> None:
         """Follow the engines that there are now, if this host is asked."""
         active = steady_seconds() - self._asked_at < ACTIVE_SECONDS
@@ -135,10 +141,18 @@
         if service_name not in services:
             return [], []
         return (
-            self._book.engines(service_name, EndpointRole.DECODE),
-            self._book.engines(service_name, EndpointRole.PREFILL),
+            self._with_role(service_name, EndpointRole.DECODE),
+            self._with_role(service_name, EndpointRole.PREFILL),
         )
 
+    def _with_role(self, service_name: str, role: EndpointRole) -> list[Endpoint]:
+        """Return the engines of a role that aren't ordered to another one."""
+        return [
+            engine
+            for engine in self._book.engines(service_name, role)
+            if self._ordered_role(engine) in (None, role)
+        ]
+
     def _follow(self, engines: Sequence[Endpoint]) -> list[EngineFollower]:
         """Follow these starts and no others; return the followers that are new."""
         wanted = {engine.start_id for engine in engines}
--- a/src/jujubeslip/admission/_pool.py
+++ b/src/jujubeslip/admission/_pool.py
@@ -129,6 +129,12 @@
         with self._lock:
             return self._engines.usable
 
+    @property
+    def busy_readers(self) -> float:
+        """Return how many readers the prompts of the last seconds keep busy."""
+        with self._lock:
+            return self._engines.busy_readers
+
     # Requests
 
     def ask(
--- /dev/null
+++ b/src/jujubeslip/control/_given_orders.py
@@ -0,0 +1,54 @@
+"""The orders that engines may still be carrying out."""
+
+from __future__ import annotations
+
+import threading
+from dataclasses import dataclass
+
+from jujubeslip.discovery import Endpoint
+from jujubeslip.kernel import Deadline
+from jujubeslip.peers import EndpointRole
+
+# How long an order may take to be carried out, in seconds: one without an answer may
+# still be, up to twelve seconds later.
+ORDER_SECONDS = 13.0
+
+
+@dataclass(frozen=True)
+class _Order:
+    role: EndpointRole
+    until: Deadline
+
+
+class GivenOrders:
+    """The role that each start of an engine was ordered to lately.
+
+    The engine's own reports show a change about a second after it has begun. Prompts
+    that are sent there meanwhile are refused, and their requests wait anew.
+    """
+
+    def __init__(self) -> None:
+        self._order_by_start: dict[str, _Order] = {}
+        self._lock = threading.Lock()
+
+    def note(self, endpoint: Endpoint, role: EndpointRole) -> None:
+        """Note an order that is about to be sent."""
+        order = _Order(role, Deadline.after(ORDER_SECONDS))
+        with self._lock:
+            self._order_by_start[endpoint.start_id] = order
+
+    def drop(self, endpoint: Endpoint) -> None:
+        """Note that the engine has refused its order."""
+        with self._lock:
+            self._order_by_start.pop(endpoint.start_id, None)
+
+    def role_of(self, endpoint: Endpoint) -> EndpointRole | None:
+        """Return the role that this start was ordered to, None without an order."""
+        with self._lock:
+            order = self._order_by_start.get(endpoint.start_id)
+            if order is None:
+                return None
+            if order.until.expired:
+                del self._order_by_start[endpoint.start_id]
+                return None
+            return order.role
--- /dev/null
+++ b/src/jujubeslip/control/_role_balance.py
@@ -0,0 +1,118 @@
+"""How many engines read prompts and how many answer: the decision alone.
+
+The load that it answers: reading a prompt takes an engine a tenth of a second, and its
+answer holds another engine's memory for seconds. Engines come in a fixed proportion of
+the two roles, which fits some model and some length of prompts. Where it leaves readers
+idle, answers wait for memory in each burst; where readers are lost, prompts wait.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter, deque
+from dataclasses import dataclass
+
+from jujubeslip.discovery import Endpoint
+from jujubeslip.peers import EndpointRole, ServicePressure
+
+# How long engines must be short of memory before one is ordered, in seconds: longer
+# than a moment's queue, and short beside the change itself, which takes seconds.
+SHORT_SECONDS = 1.5
+# Share of the remaining engines' time that reading prompts may take after a change.
+PROMPT_SHARE = 0.85
+# Engines that answer, for each that reads prompts: a prompt of some 5,000 tokens takes
+# an engine 0.09 s, and its answer a thirteenth of an engine for 3.7 s.
+DECODE_PER_PREFILL = 3
+# Prompts are watched for this long before a reader is taken for idle, in seconds: long
+# enough to see the load go up and down, short enough to act before the next burst.
+WATCHED_SECONDS = 6.0
+# Readers are kept for so many times the busiest moment that was watched: a burst that
+# is a quarter higher still finds them with time to spare.
+SPARE_TIMES = 1.25
+# Readers that stay whatever the load, so that the loss of one leaves another.
+LEAST_READERS = 2
+# Readers are short while prompts took this share of their time for that long, in
+# seconds: a change takes several seconds itself, and a burst may be over by then.
+BUSY_SHARE = 0.9
+BUSY_SECONDS = 3.0
+
+
+@dataclass(frozen=True)
+class Engines:
+    """The engines of a service that were heard lately, by role."""
+
+    prefill: tuple[Endpoint, ...]
+    decode: tuple[Endpoint, ...]
+
+
+class PromptLoad:
+    """How busy the readers of one service were lately."""
+
+    def __init__(self) -> None:
+        self._samples: deque[tuple[float, float]] = deque()
+        self._begun_at: float | None = None
+
+    def note(self, now: float, busy_readers: float) -> None:
+        """Note how many readers' whole time prompts take at this moment."""
+        if self._begun_at is None and busy_readers > 0:
+            self._begun_at = now
+        self._samples.append((now, busy_readers))
+        while self._samples[0][0] < now - WATCHED_SECONDS:
+            self._samples.popleft()
+
+    def busiest(self, now: float) -> float | None:
+        """Return the most readers that were busy, None before it was watched enough."""
+        if self._begun_at is None or now - self._begun_at < WATCHED_SECONDS:
+            return None
+        return max(busy for _, busy in self._samples)
+
+    def least(self, now: float) -> float:
+        """Return how many readers were busy all the time lately."""
+        recent = [busy for at, busy in self._samples if at > now - BUSY_SECONDS]
+        return min(recent, default=0.0)
+
+
+def wanted_change(
+    engines: Engines, pressure: ServicePressure, short_for: float
+) -> tuple[Endpoint, EndpointRole] | None:
+    """Return the engine to order and its new role, None if all is well.
+
+    `short_for` is for how long answers have lacked memory, in seconds.
+    """
+    if not engines.prefill and len(engines.decode) > 2:
+        # Engines that answer read prompts at half the speed, and stall while they do.
+        return engines.decode[0], EndpointRole.PREFILL
+    if short_for < SHORT_SECONDS or len(engines.prefill) < 2:
+        return None
+    remaining = len(engines.prefill) - 1
+    if len(engines.decode) + 1 > DECODE_PER_PREFILL * remaining:
+        return None
+    if pressure.prompt_ms_per_second > 1000 * remaining * PROMPT_SHARE:
+        return None
+    return engines.prefill[0], EndpointRole.DECODE
+
+
+def idle_readers(engines: Engines, busiest: float) -> tuple[Endpoint, ...]:
+    """Return the readers that are better ordered to answer.
+
+    Those of the zones with most readers go first: a zone that is cut off needs one.
+    """
+    needed = max(LEAST_READERS, math.ceil(busiest * SPARE_TIMES))
+    left = list(engines.prefill)
+    idle: list[Endpoint] = []
+    while len(left) > needed:
+        readers_in = Counter(reader.availability_zone for reader in left)
+        chosen = max(left, key=lambda item: readers_in[item.availability_zone])
+        left.remove(chosen)
+        idle.append(chosen)
+    return tuple(idle)
+
+
+def lacks_reader(engines: Engines, least: float) -> bool:
+    """Say whether prompts have taken the readers' whole time for long.
+
+    An engine that answers is then better ordered to read, if enough others answer.
+    """
+    readers = len(engines.prefill)
+    enough_answer = len(engines.decode) > DECODE_PER_PREFILL * readers
+    return readers > 0 and enough_answer and least >= BUSY_SHARE * readers
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -1,20 +1,26 @@
-"""Which engines read prompts and which answer, changed by order when one runs short.
+"""Orders to engines to change between reading prompts and answering.
 
-Answers hold an engine's memory for seconds; prompts are read in a tenth of one. When
-engines are lost, those that answer can run out of memory while others, which only read
-prompts, have time to spare. The leader then orders one of them to answer.
+Which engine is ordered is decided in `_role_balance`; here are the right to order, and
+what orders are on their way.
 """
 
 from __future__ import annotations
 
 import logging
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
 
 from returns.result import Failure
 
+from jujubeslip.control._given_orders import ORDER_SECONDS, GivenOrders
 from jujubeslip.control._leadership import Fence
 from jujubeslip.control._replica import Replica
+from jujubeslip.control._role_balance import (
+    Engines,
+    PromptLoad,
+    idle_readers,
+    lacks_reader,
+    wanted_change,
+)
 from jujubeslip.control._watches import Watches
 from jujubeslip.discovery import Endpoint, EndpointBook
 from jujubeslip.endpoints import ConnectionPool, EndpointError
@@ -31,19 +37,8 @@
 
 # How often the leader looks, in seconds.
 LOOK_SECONDS = 0.5
-# How long engines must be short of memory before one is ordered, in seconds: longer
-# than a moment's queue, and short beside the change itself, which takes seconds.
-SHORT_SECONDS = 1.5
 # Entry hosts that waited for room lately, over all hosts, to call that short.
 WAITED_REQUESTS = 3
-# Share of the remaining engines' time that reading prompts may take after a change.
-PROMPT_SHARE = 0.85
-# Engines that answer, for each that reads prompts: a prompt of some 5,000 tokens takes
-# an engine 0.09 s, and its answer a thirteenth of an engine for 3.7 s.
-DECODE_PER_PREFILL = 3
-# At least as long between two orders of a service, in seconds. An order without an
-# answer may still be carried out, up to twelve seconds later.
-BETWEEN_ORDERS_SECONDS = 13.0
 # How much longer than the holder's lease a new leader waits, in seconds, for orders of
 # the one before that are still on their way.
 TAKEOVER_SECONDS = 2.0
@@ -53,34 +48,6 @@
 ACCEPTED = (200, 202)
 
 
-@dataclass(frozen=True)
-class Engines:
-    """The engines of a service that were heard lately, by role."""
-
-    prefill: tuple[Endpoint, ...]
-    decode: tuple[Endpoint, ...]
-
-
-def wanted_change(
-    engines: Engines, pressure: ServicePressure, short_for: float
-) -> tuple[Endpoint, EndpointRole] | None:
-    """Return the engine to order and its new role, None if all is well.
-
-    `short_for` is for how long answers have lacked memory, in seconds.
-    """
-    if not engines.prefill and len(engines.decode) > 2:
-        # Engines that answer read prompts at half the speed, and stall while they do.
-        return engines.decode[0], EndpointRole.PREFILL
-    if short_for < SHORT_SECONDS or len(engines.prefill) < 2:
-        return None
-    remaining = len(engines.prefill) - 1
-    if len(engines.decode) + 1 > DECODE_PER_PREFILL * remaining:
-        return None
-    if pressure.prompt_ms_per_second > 1000 * remaining * PROMPT_SHARE:
-        return None
-    return engines.prefill[0], EndpointRole.DECODE
-
-
 class RoleKeeper:
     """Gives the orders, on the leader only.
 
@@ -97,7 +64,13 @@
         interface: Interface,
         order_lease_seconds: float,
         configured_services: Callable[[], Collection[str]],
+        orders: GivenOrders,
+        busy_readers: Callable[[str], float],
+        on_order: Callable[[], None],
     ) -> None:
+        self._orders = orders
+        self._busy_readers = busy_readers
+        self._on_order = on_order
         self._replica = replica
         self._book = book
         self._watches = watches
@@ -107,15 +80,20 @@
         self._connections = ConnectionPool()
         self._short_since_by_service: dict[str, float] = {}
         self._next_order_by_service: dict[str, Deadline] = {}
+        self._load_by_service: dict[str, PromptLoad] = {}
 
     def look(self) -> None:
-        """Order one engine of each service that needs it, if this host leads."""
+        """Order the engines of each service that are to change, if this host leads."""
         fence = self._fence()
         if fence is None:
             self._short_since_by_service.clear()
+            self._load_by_service.clear()
             return
-        for service_name, engines in self._engines_by_service().items():
-            self._look_at(service_name, engines, fence)
+        for name in self._services():
+            self._load(name).note(steady_seconds(), self._busy_readers(name))
+            pressure = self._watches.pressure_of(name)
+            self._order_idle_readers(name, pressure, fence)
+            self._order_what_is_short(name, pressure, fence)
 
     def _fence(self) -> Fence | None:
         """Return the right to give orders, None before a takeover is complete."""
@@ -127,17 +105,33 @@
             led_for = steady_seconds() - leadership.started_at
         return fence if led_for > self._order_lease_seconds + TAKEOVER_SECONDS else None
 
-    def _look_at(self, service_name: str, engines: Engines, fence: Fence) -> None:
-        pressure = self._watches.pressure_of(service_name)
+    def _order_idle_readers(
+        self, service_name: str, pressure: ServicePressure, fence: Fence
+    ) -> None:
+        """Order readers to answer that would be idle in a burst, all at once."""
+        busiest = self._load(service_name).busiest(steady_seconds())
+        if busiest is None:
+            return
+        for reader in idle_readers(self._engines(service_name), busiest):
+            extra = {"endpoint_id": reader.endpoint_id, "busy_readers": busiest}
+            logger.info("reader would be idle in a burst", extra=extra)
+            self._order(reader, EndpointRole.DECODE, fence, pressure)
+
+    def _order_what_is_short(
+        self, service_name: str, pressure: ServicePressure, fence: Fence
+    ) -> None:
+        """Order one engine where readers or answering engines run short."""
         short_for = self._short_for(service_name, pressure)
+        engines = self._engines(service_name)
         wanted = wanted_change(engines, pressure, short_for)
+        least = self._load(service_name).least(steady_seconds())
+        if wanted is None and lacks_reader(engines, least):
+            wanted = engines.decode[0], EndpointRole.PREFILL
         paused = self._next_order_by_service.get(service_name)
         if wanted is None or (paused is not None and not paused.expired):
             return
         if self._order(*wanted, fence, pressure):
-            self._next_order_by_service[service_name] = Deadline.after(
-                BETWEEN_ORDERS_SECONDS
-            )
+            self._next_order_by_service[service_name] = Deadline.after(ORDER_SECONDS)
 
     def _short_for(self, service_name: str, pressure: ServicePressure) -> float:
         now = steady_seconds()
@@ -146,21 +140,28 @@
             return 0.0
         return now - self._short_since_by_service.setdefault(service_name, now)
 
-    def _engines_by_service(self) -> dict[str, Engines]:
-        """Return the engines of the services that are configured to have some.
+    def _services(self) -> set[str]:
+        """Return the services that are configured to have engines, and have some.
 
         Any program may announce an engine, of any service: one that no configuration
         names must get no order.
         """
-        configured = self._configured_services()
-        return {
-            name: Engines(
-                self._with_role(name, EndpointRole.PREFILL),
-                self._with_role(name, EndpointRole.DECODE),
-            )
-            for name in self._book.engine_services()
-            if name in configured
-        }
+        return self._book.engine_services().intersection(self._configured_services())
+
+    def _load(self, service_name: str) -> PromptLoad:
+        return self._load_by_service.setdefault(service_name, PromptLoad())
+
+    def _engines(self, service_name: str) -> Engines:
+        """Return a service's engines by the roles that they have or are ordered to."""
+        prefill = self._with_role(service_name, EndpointRole.PREFILL)
+        decode = self._with_role(service_name, EndpointRole.DECODE)
+        changing = tuple(
+            item
+            for item in prefill
+            if self._orders.role_of(item) == EndpointRole.DECODE
+        )
+        staying = tuple(item for item in prefill if item not in changing)
+        return Engines(staying, decode + changing)
 
     def _with_role(self, service_name: str, role: EndpointRole) -> tuple[Endpoint, ...]:
         """Return the engines in an order that is the same at each look."""
@@ -175,6 +176,9 @@
         pressure: ServicePressure,
     ) -> bool:
         """Order an engine to change its role; say whether it may have heard of it."""
+        if self._orders.role_of(endpoint) is not None:
+            # The order before may still be carried out, after this one.
+            return False
         sent = False
         extra = {
             "endpoint_id": endpoint.endpoint_id,
@@ -196,11 +200,15 @@
                 known_orders,
             )
             sent = True
+            self._orders.note(endpoint, role)
+            self._on_order()
             status, _ = self._ask(endpoint, self._interface.order_role(order))
         except EndpointError as error:
             logger.warning("order not answered", extra={**extra, "error": str(error)})
             return sent
         accepted = status in ACCEPTED
+        if not accepted:
+            self._orders.drop(endpoint)
         logger.info(
             "engine ordered" if accepted else "order refused",
             extra={**extra, "status": status},
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -11,6 +11,7 @@
 from jujubeslip.control._election import Elections
 from jujubeslip.control._engine_services import EngineServices
 from jujubeslip.control._gateway import LeaderGateway
+from jujubeslip.control._given_orders import GivenOrders
 from jujubeslip.control._handler import ControlHandler
 from jujubeslip.control._joining import Joining
 from jujubeslip.control._meters import observe_replica
@@ -70,6 +71,7 @@
             self._pass_over,
             settings.peer_address,
         )
+        self._orders = GivenOrders()
         self._admissions = self._build_admissions()
         handler = ControlHandler(
             self._replica,
@@ -99,6 +101,7 @@
             MemoryOptions(settings.memory_margin, settings.memory_caution),
             lambda: self._replica.fence() is not None,
             self._engine_services().names,
+            self._orders.role_of,
         )
 
     def _build_http(self) -> HttpServer | None:
@@ -149,6 +152,7 @@
         settings = self._settings
         if not settings.changes_roles:
             return
+        admissions = self._admissions
         keeper = RoleKeeper(
             self._replica,
             self._book,
@@ -156,6 +160,9 @@
             interfaces.get(settings.interface),
             settings.order_lease_ms / 1000,
             self._engine_services().names,
+            self._orders,
+            admissions.busy_readers if admissions else lambda _: 0.0,
+            admissions.look if admissions else lambda: None,
         )
         self._process.repeat(LOOK_SECONDS, keeper.look)
 
--- a/tests/admission/test_home.py
+++ b/tests/admission/test_home.py
@@ -11,8 +11,10 @@
 from jujubeslip.admission import AdmissionHome, MemoryOptions, _home
 from jujubeslip.discovery import Endpoint, EndpointBook
 from jujubeslip.peers import (
+    AdmissionNews,
     AdmissionRequest,
     AdmissionStatus,
+    AdmissionStep,
     EndpointRole,
     PeerRefusal,
 )
@@ -103,3 +105,56 @@
         with pytest.raises(PeerRefusal):
             home.admit(request)
         assert followed == ["known"]
+
+
+class TestReaderThatIsOrderedToAnswer:
+    """A reader is ordered to answer and refuses prompts from that moment on.
+
+    Its reports show that about a second later. Five prompts of a calm moment were sent
+    there meanwhile and refused, and their requests had to wait anew.
+    """
+
+    def home(
+        self, monkeypatch: pytest.MonkeyPatch, role: EndpointRole | None
+    ) -> AdmissionHome:
+        """Return a home of one engine and two readers, one of which has an order."""
+        monkeypatch.setattr(_home, "EngineFollower", FollowerThatHearsAtOnce)
+        book = EndpointBook()
+        readers = [engine(name, EndpointRole.PREFILL) for name in ("ordered", "other")]
+        book.take([engine("engine"), *readers])
+        process: Any = TasksAtOnce()
+        interface: Any = None
+        return AdmissionHome(
+            process,
+            book,
+            interface,
+            MemoryOptions(margin=0.05, caution=1.5),
+            lambda: True,
+            lambda: {"model"},
+            lambda asked: role if asked.endpoint_id == "ordered" else None,
+        )
+
+    def readers(self, home: AdmissionHome) -> set[str]:
+        """Return the readers of some requests whose prompts are read at once."""
+        found = set()
+        for number in range(8):
+            request = AdmissionRequest(
+                f"r-{number}", "model", 100, 130, 65, 0, 64, 900, 600, 0, [], attempt=1
+            )
+            try:
+                found.add(home.admit(request).reader_start_id)
+            except PeerRefusal:
+                # The first call finds the engines.
+                continue
+            home.take([AdmissionNews(f"r-{number}", 1, AdmissionStep.PROMPT_READ)])
+        return found
+
+    def test_gets_no_prompts(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        home = self.home(monkeypatch, EndpointRole.DECODE)
+        assert self.readers(home) == {"other"}
+
+    @pytest.mark.parametrize("role", [None, EndpointRole.PREFILL])
+    def test_others_get_them(
+        self, monkeypatch: pytest.MonkeyPatch, role: EndpointRole | None
+    ) -> None:
+        assert self.readers(self.home(monkeypatch, role)) == {"ordered", "other"}
--- /dev/null
+++ b/tests/control/loads/__init__.py
@@ -0,0 +1,1 @@
+"""Recorded loads, to be replayed against decisions."""
--- a/tests/control/test_roles.py
+++ b/tests/control/test_roles.py
@@ -9,6 +9,7 @@
 import pytest
 from returns.result import Failure
 
+from jujubeslip.control._given_orders import GivenOrders
 from jujubeslip.control._leadership import Fence
 from jujubeslip.control._roles import Engines, RoleKeeper, wanted_change
 from jujubeslip.discovery import Endpoint, EndpointBook
@@ -86,6 +87,7 @@
 
     def __init__(self) -> None:
         self.orders = 0
+        self.status = 202
         self.report: dict[str, object] = REPORT
 
     def __call__(
@@ -94,7 +96,7 @@
         if question.method == "GET":
             return 200, json.dumps(self.report).encode()
         self.orders += 1
-        return 202, b""
+        return self.status, b""
 
 
 REPORT: dict[str, object] = {
@@ -155,7 +157,17 @@
     interface: Any = SimpleNamespace(
         ask_report=ask_report, read_report=read_report, order_role=order_role
     )
-    keeper = RoleKeeper(replica, book, watches, interface, 3.0, lambda: named)
+    keeper = RoleKeeper(
+        replica,
+        book,
+        watches,
+        interface,
+        3.0,
+        lambda: named,
+        GivenOrders(),
+        lambda _: 0.0,
+        lambda: None,
+    )
     asked = Asked()
     monkeypatch.setattr(keeper, "_ask", asked)
     return keeper, asked
@@ -204,3 +216,44 @@
         monkeypatch.setattr(keeper, "_fence", lambda: Fence(1, Deadline.after(10)))
         keeper.look()
         assert asked.orders == orders
+
+
+class TestReadersThatWouldBeIdle:
+    """Two of four readers are idle; each order is given once, and weighed as done.
+
+    Given to a third and a fourth reader, while the first two still change, orders would
+    leave nobody who reads.
+    """
+
+    def test_are_ordered_once(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        group = engines(4, 5)
+        book = EndpointBook()
+        book.take([*group.prefill, *group.decode])
+        keeper, asked = role_keeper(monkeypatch, book, {"model"})
+        monkeypatch.setattr(keeper, "_fence", lambda: Fence(1, Deadline.after(10)))
+        load = SimpleNamespace(
+            note=lambda *_: None, busiest=lambda _: 1.0, least=lambda _: 0.0
+        )
+        monkeypatch.setattr(keeper, "_load", lambda _: load)
+        for _ in range(3):
+            keeper.look()
+        assert asked.orders == 2
+
+    def test_are_weighed_anew_after_a_refusal(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        group = engines(3, 5)
+        book = EndpointBook()
+        book.take([*group.prefill, *group.decode])
+        keeper, asked = role_keeper(monkeypatch, book, {"model"})
+        monkeypatch.setattr(keeper, "_fence", lambda: Fence(1, Deadline.after(10)))
+        load = SimpleNamespace(
+            note=lambda *_: None, busiest=lambda _: 1.0, least=lambda _: 0.0
+        )
+        monkeypatch.setattr(keeper, "_load", lambda _: load)
+        asked.status = 409
+        keeper.look()
+        asked.status = 202
+        keeper.look()
+        keeper.look()
+        assert asked.orders == 2
