Tell clients that found no room to come back one after another

Cause: each request that found no room was told 1.5 s. Change: Retry-After follows the forecast that the refusal was decided by, from 1.5 to 4 s, and is spread by a quarter either way.

--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -91,6 +91,8 @@
     """Grants that the leader was asked for."""
     found_no_room: bool = False
     """Whether engines were there and had no room while there was time."""
+    no_room_forecast: float = 0.0
+    """How long it was expected to wait for room then, in seconds."""
 
     @property
     def elapsed_ms(self) -> int:
@@ -110,6 +112,7 @@
         """Note that engines are there and have no room in time."""
         self.note("-", f"{outcome}, forecast {forecast:.2f} s")
         self.found_no_room = True
+        self.no_room_forecast = forecast
 
     def note_error(self, start_id: str, error: EndpointError) -> None:
         """Note a send that brought no answer."""
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -27,6 +27,7 @@
     refusal_of,
 )
 from jujubeslip.forwarding._prompts import NOT_READ, PromptPlace, PromptReader
+from jujubeslip.forwarding._return_times import return_seconds
 from jujubeslip.forwarding._sending import Sending
 from jujubeslip.interfaces import EndpointCall, EndpointHead
 from jujubeslip.kernel import (
@@ -34,10 +35,6 @@
     steady_seconds,
 )
 
-# When a client should come back whose request found no room, in seconds: a third of
-# the running answers have ended by then.
-NO_ROOM_RETRY_SECONDS = 1.5
-
 
 @dataclass
 class _Run:
@@ -173,7 +170,7 @@
         """
         grant = self._grants.find(context, attempts, reads_itself)
         if grant is None and attempts.found_no_room and not attempts.may_have_run:
-            raise _no_room()
+            raise no_room(attempts)
         return grant
 
     def _note_failed(self, attempts: Attempts, endpoint: Endpoint) -> None:
@@ -283,9 +280,10 @@
     return isinstance(error, kinds)
 
 
-def _no_room() -> RequestRefusedError:
+def no_room(attempts: Attempts) -> RequestRefusedError:
+    """Return the refusal of a request that has not run for want of room."""
     return RequestRefusedError(
         "no_room",
         "No engine has had room for the request in time.",
-        retry_after=NO_ROOM_RETRY_SECONDS,
+        retry_after=return_seconds(attempts.no_room_forecast),
     )
