Use a lost engine only once it has announced itself; give more to answers when short

Cause 1: reports name nobody. Change 1: after a loss, a report counts only once the engine has announced itself since. Test: the pool's TestEngineThatEnded, red before. Change 2: while answers lack memory, readers stay for the mean load, else for the busiest moment; the load is watched for 4 s, and from the start of a lead on, before orders may be given.

--- a/src/jujubeslip/admission/_engine_memory.py
+++ b/src/jujubeslip/admission/_engine_memory.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from jujubeslip.admission._contact import EngineContact
 from jujubeslip.admission._lengths import lengths_of
 from jujubeslip.admission._memory_forecast import (
     GrowingAnswer,
@@ -51,16 +52,20 @@
     """The answers of one start of an engine; guarded by its pool's lock."""
 
     def __init__(self, endpoint: Endpoint) -> None:
-        self.endpoint = endpoint
+        self.contact = EngineContact(endpoint)
         self._report: EngineReport | None = None
         self._reported_at = float("-inf")
         self._pace = FIRST_PACE
         self._admitted_by_id: dict[str, Admitted] = {}
         self._ended_at_by_id: dict[str, float] = {}
         self._reading: set[str] = set()
-        self._is_lost = False
         self._profile_by_key: dict[_ProfileKey, _KnownProfile] = {}
 
+    @property
+    def endpoint(self) -> Endpoint:
+        """Return the start, as it announced itself last."""
+        return self.contact.endpoint
+
     @property
     def report_age(self) -> float:
         """Return how long ago the last report came, in seconds."""
@@ -74,7 +79,9 @@
         and each would have its prompt read in vain.
         """
         report = self._report
-        if report is None or self._is_lost or self.report_age >= USABLE_SECONDS:
+        if report is None or self.contact.is_lost:
+            return False
+        if self.report_age >= USABLE_SECONDS:
             return False
         return not report.busy and not report.reads_prompts
 
@@ -99,15 +106,11 @@
             self._learn_pace(self._report, report, now - self._reported_at)
         self._report = report
         self._reported_at = now
-        self._is_lost = False
+        self.contact.note_report()
         self._profile_by_key.clear()
         self._reading -= {item.request_id for item in report.running if item.events}
         self._forget_ended(now)
 
-    def note_lost(self) -> None:
-        """Note that the engine can't be reached; it is not used until it reports."""
-        self._is_lost = True
-
     def admit(self, admitted: Admitted) -> None:
         """Note a request that was given a grant."""
         request_id = admitted.applicant.request_id
--- a/src/jujubeslip/admission/_engines.py
+++ b/src/jujubeslip/admission/_engines.py
@@ -21,7 +21,7 @@
 from jujubeslip.kernel import steady_seconds
 from jujubeslip.routes import EngineReport
 
-T = TypeVar("T")
+T = TypeVar("T", EngineMemory, PromptQueue)
 
 # How much fuller an engine in the entry host's own availability zone may be than one
 # in another zone, as a share of its memory. When a zone is cut off, the answers that
@@ -96,13 +96,13 @@
             self._given_prompts.popleft()
 
     def note_lost(self, start_id: str) -> None:
-        """Give a start of an engine that can't be reached nothing until it reports."""
+        """Give a start of an engine that can't be reached nothing until it is back."""
         engine = self._engine_by_start.get(start_id)
         if engine is not None:
-            engine.note_lost()
+            engine.contact.note_lost()
         reader = self._reader_by_start.get(start_id)
         if reader is not None:
-            reader.note_lost()
+            reader.contact.note_lost()
 
     @property
     def usable(self) -> bool:
@@ -247,5 +247,8 @@
     for start_id in by_start.keys() - {endpoint.start_id for endpoint in wanted}:
         del by_start[start_id]
     for endpoint in wanted:
-        if endpoint.start_id not in by_start:
+        known = by_start.get(endpoint.start_id)
+        if known is None:
             by_start[endpoint.start_id] = create(endpoint)
+        else:
+            known.contact.endpoint = endpoint
--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -178,7 +178,7 @@
     def _note_lost(self, engine: Endpoint) -> None:
         self._pool(engine.service_name).note_lost(engine.start_id)
         extra = {"endpoint_id": engine.endpoint_id, "service": engine.service_name}
-        logger.warning("engine is given nothing until it reports", extra=extra)
+        logger.warning("engine is given nothing until it is back", extra=extra)
 
     def _pool(self, service_name: str) -> EnginePool:
         with self._lock:
--- a/src/jujubeslip/admission/_pool.py
+++ b/src/jujubeslip/admission/_pool.py
@@ -119,7 +119,7 @@
             self._decide_all()
 
     def note_lost(self, start_id: str) -> None:
-        """Give a start of an engine that can't be reached nothing until it reports."""
+        """Give a start of an engine that can't be reached nothing until it is back."""
         with self._lock:
             self._engines.note_lost(start_id)
 
--- a/src/jujubeslip/admission/_prompt_queue.py
+++ b/src/jujubeslip/admission/_prompt_queue.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from jujubeslip.admission._contact import EngineContact
 from jujubeslip.admission._models import USABLE_SECONDS, Applicant
 from jujubeslip.discovery import Endpoint
 from jujubeslip.kernel import steady_seconds
@@ -40,7 +41,7 @@
     """
 
     def __init__(self, endpoint: Endpoint) -> None:
-        self.endpoint = endpoint
+        self.contact = EngineContact(endpoint)
         self._given_by_request: dict[str, _GivenPrompt] = {}
         self._read_seconds = SPEED_SECONDS
         self._read_tokens = FIRST_TOKENS_PER_SECOND * SPEED_SECONDS
@@ -48,7 +49,11 @@
         self._heard_at = steady_seconds()
         self._has_reported = False
         self._takes_prompts = True
-        self._is_lost = False
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """Return the start, as it announced itself last."""
+        return self.contact.endpoint
 
     @property
     def usable(self) -> bool:
@@ -58,7 +63,7 @@
         prompts meanwhile, and stop all their answers for that.
         """
         fresh = steady_seconds() - self._heard_at < USABLE_SECONDS
-        return fresh and self._takes_prompts and not self._is_lost
+        return fresh and self._takes_prompts and not self.contact.is_lost
 
     @property
     def speed(self) -> float:
@@ -87,14 +92,10 @@
         """Take over what the engine says."""
         self._heard_at = steady_seconds()
         self._has_reported = True
-        self._is_lost = False
+        self.contact.note_report()
         self._takes_prompts = report.reads_prompts and not report.busy
         self._forget_lost()
 
-    def note_lost(self) -> None:
-        """Note that the engine can't be reached; it is not used until it reports."""
-        self._is_lost = True
-
     def give(self, applicant: Applicant) -> None:
         """Note a prompt that the engine is to read."""
         now = steady_seconds()
--- a/src/jujubeslip/control/_role_balance.py
+++ b/src/jujubeslip/control/_role_balance.py
@@ -25,7 +25,7 @@
 DECODE_PER_PREFILL = 3
 # Prompts are watched for this long before a reader is taken for idle, in seconds: long
 # enough to see the load go up and down, short enough to act before the next burst.
-WATCHED_SECONDS = 6.0
+WATCHED_SECONDS = 4.0
 # Readers are kept for so many times the busiest moment that was watched: a burst that
 # is a quarter higher still finds them with time to spare.
 SPARE_TIMES = 1.25
@@ -66,6 +66,11 @@
             return None
         return max(busy for _, busy in self._samples)
 
+    def mean(self) -> float:
+        """Return how many readers were busy in the mean, while it was watched."""
+        busy = [readers for _, readers in self._samples]
+        return sum(busy) / len(busy) if busy else 0.0
+
     def least(self, now: float) -> float:
         """Return how many readers were busy all the time lately."""
         recent = [busy for at, busy in self._samples if at > now - BUSY_SECONDS]
@@ -92,12 +97,25 @@
     return engines.prefill[0], EndpointRole.DECODE
 
 
-def idle_readers(engines: Engines, busiest: float) -> tuple[Endpoint, ...]:
-    """Return the readers that are better ordered to answer.
+def needed_readers(load: PromptLoad, now: float, short_for: float) -> int | None:
+    """Return how many readers are to stay, None before the load was watched enough.
+
+    While answers lack memory, a reader that prompts leave idle some of the time serves
+    more requests by answering, although prompts then wait for a moment in a burst.
+    """
+    busiest = load.busiest(now)
+    if busiest is None:
+        return None
+    if short_for >= SHORT_SECONDS:
+        return max(LEAST_READERS, math.ceil(load.mean() / PROMPT_SHARE))
+    return max(LEAST_READERS, math.ceil(busiest * SPARE_TIMES))
+
+
+def idle_readers(engines: Engines, needed: int) -> tuple[Endpoint, ...]:
+    """Return the readers beyond those needed, which are better ordered to answer.
 
     Those of the zones with most readers go first: a zone that is cut off needs one.
     """
-    needed = max(LEAST_READERS, math.ceil(busiest * SPARE_TIMES))
     left = list(engines.prefill)
     idle: list[Endpoint] = []
     while len(left) > needed:
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -19,6 +19,7 @@
     PromptLoad,
     idle_readers,
     lacks_reader,
+    needed_readers,
     wanted_change,
 )
 from jujubeslip.control._watches import Watches
@@ -84,16 +85,19 @@
 
     def look(self) -> None:
         """Order the engines of each service that are to change, if this host leads."""
+        services = self._services()
+        for name in services:
+            # Also before this host may order: it knows the load by then.
+            self._load(name).note(steady_seconds(), self._busy_readers(name))
         fence = self._fence()
         if fence is None:
             self._short_since_by_service.clear()
-            self._load_by_service.clear()
             return
-        for name in self._services():
-            self._load(name).note(steady_seconds(), self._busy_readers(name))
+        for name in services:
             pressure = self._watches.pressure_of(name)
-            self._order_idle_readers(name, pressure, fence)
-            self._order_what_is_short(name, pressure, fence)
+            short_for = self._short_for(name, pressure)
+            self._order_idle_readers(name, short_for, pressure, fence)
+            self._order_what_is_short(name, short_for, pressure, fence)
 
     def _fence(self) -> Fence | None:
         """Return the right to give orders, None before a takeover is complete."""
@@ -106,22 +110,36 @@
         return fence if led_for > self._order_lease_seconds + TAKEOVER_SECONDS else None
 
     def _order_idle_readers(
-        self, service_name: str, pressure: ServicePressure, fence: Fence
+        self,
+        service_name: str,
+        short_for: float,
+        pressure: ServicePressure,
+        fence: Fence,
     ) -> None:
         """Order readers to answer that would be idle in a burst, all at once."""
-        busiest = self._load(service_name).busiest(steady_seconds())
-        if busiest is None:
+        load, now = self._load(service_name), steady_seconds()
+        needed = needed_readers(load, now, short_for)
+        if needed is None:
             return
-        for reader in idle_readers(self._engines(service_name), busiest):
-            extra = {"endpoint_id": reader.endpoint_id, "busy_readers": busiest}
+        for reader in idle_readers(self._engines(service_name), needed):
+            extra = {
+                "endpoint_id": reader.endpoint_id,
+                "needed_readers": needed,
+                "busiest_readers": load.busiest(now),
+                "mean_readers": load.mean(),
+                "short_seconds": short_for,
+            }
             logger.info("reader would be idle in a burst", extra=extra)
             self._order(reader, EndpointRole.DECODE, fence, pressure)
 
     def _order_what_is_short(
-        self, service_name: str, pressure: ServicePressure, fence: Fence
+        self,
+        service_name: str,
+        short_for: float,
+        pressure: ServicePressure,
+        fence: Fence,
     ) -> None:
         """Order one engine where readers or answering engines run short."""
-        short_for = self._short_for(service_name, pressure)
         engines = self._engines(service_name)
         wanted = wanted_change(engines, pressure, short_for)
         least = self._load(service_name).least(steady_seconds())
