Take a client's own patience for no sign that it has asked before

Cause: clients wait for 85 to 100 % of the route's timeout, and what was missing counted as time since a first try. Change: only a client that has lost more than a fifth of the timeout has asked before; refused ones are told to come back after 2.8 s at the earliest, which shows it. The line of a request tells what its client waits for. Left: a client that comes back at once, against what it was told, counts as new; the leader could know it by its prompt's last part.

--- a/src/jujubeslip/forwarding/_return_times.py
+++ b/src/jujubeslip/forwarding/_return_times.py
@@ -9,13 +9,15 @@
 
 import random
 
-# The earliest return, in seconds: a third of the running answers have ended by then.
-LEAST_SECONDS = 1.5
-# The latest one, in seconds: a client has fourteen for a summary, and one that comes
-# back later would have too few left for the answer itself.
-MOST_SECONDS = 4.0
+# The earliest return, in seconds: as long as an answer takes, so that the room of all
+# that run now is free by then. A client that has lost more of its time than its own
+# patience explains is known to have asked before.
+LEAST_SECONDS = 3.5
+# The latest one, in seconds: a client has fourteen for a summary, and heeds a third of
+# what it has left.
+MOST_SECONDS = 4.5
 # How far the times told at one moment are spread, as a share of them.
-SPREAD_SHARE = 0.25
+SPREAD_SHARE = 0.2
 
 
 def return_seconds(forecast: float, lot: float | None = None) -> float:
--- a/src/jujubeslip/forwarding/_service.py
+++ b/src/jujubeslip/forwarding/_service.py
@@ -9,6 +9,7 @@
 from jujubeslip.endpoints import CallerGoneError, Interrupted
 from jujubeslip.forwarding._meters import ForwardMeters
 from jujubeslip.forwarding._models import (
+    CAME_BACK_SHARE,
     Answer,
     Attempts,
     ForwardContext,
@@ -89,7 +90,7 @@
             service_name=_draw_service(route),
             end_by=_end_of(request, route),
             gone=gone,
-            target_by=_target_of(request, route),
+            target_by=target_of(request, route),
         )
 
     def _logged(
@@ -121,6 +122,9 @@
                 "granted_ms": attempts.granted_ms,
                 "first_event_ms": attempts.first_event_ms,
                 "target_ms": context.route.target_ms,
+                "timeout_ms": context.route.timeout_ms,
+                "client_waits_ms": _client_waits_ms(context.request),
+                "came_back": context.came_back,
                 "events": attempts.events,
                 "longest_gap_ms": attempts.longest_gap_ms,
                 "maximum_gap_ms": context.route.maximum_gap_ms,
@@ -130,6 +134,13 @@
         )
 
 
+def _client_waits_ms(request: ForwardedRequest) -> int | None:
+    """Return how long the client said that it would wait, None if it didn't."""
+    if request.client_deadline is None:
+        return None
+    return int((request.client_deadline.instant - request.arrived.instant) * 1000)
+
+
 def _ran(attempts: Attempts, outcome: str) -> str:
     """Return whether an endpoint ran the request, as far as this host can know."""
     if outcome in ("whole", "left") or outcome.isdigit():
@@ -148,18 +159,21 @@
     return random.choices(names, weights)[0]
 
 
-def _target_of(request: ForwardedRequest, route: Route) -> Deadline:
+def target_of(request: ForwardedRequest, route: Route) -> Deadline:
     """Return until when the answer is in time, counted from the client's first try.
 
     A client that comes back after a refusal says how much time it has left of the
-    route's timeout: what is missing has passed since it asked first.
+    route's timeout: what is missing has passed since it asked first. A little that is
+    missing is the client's own patience.
     """
     target = Deadline(request.arrived.instant + route.target_ms / 1000)
     if request.client_deadline is None:
         return target
-    since_first = (route.target_ms - route.timeout_ms) / 1000
-    first = Deadline(request.client_deadline.instant + since_first)
-    return target.earlier_of(first)
+    left = request.client_deadline.instant - request.arrived.instant
+    missing = route.timeout_ms / 1000 - left
+    if missing <= CAME_BACK_SHARE * route.timeout_ms / 1000:
+        return target
+    return Deadline(target.instant - missing)
 
 
 def _end_of(request: ForwardedRequest, route: Route) -> Deadline:
