Keep readers for a burst, and tell waiting for readers from short memory

Ruled out: the leader's processor (0.58 of 1.29 cores at most). Change: twice the busiest moment, to the nearest whole reader; a wait counts as short memory only while prompts leave the readers idle time; then the busiest moment counts, not the mean, which falls with what is granted.

--- a/src/jujubeslip/control/_role_balance.py
+++ b/src/jujubeslip/control/_role_balance.py
@@ -18,7 +18,7 @@
 # How long engines must be short of memory before one is ordered, in seconds: longer
 # than a moment's queue, and short beside the change itself, which takes seconds.
 SHORT_SECONDS = 1.5
-# Share of the remaining engines' time that reading prompts may take after a change.
+# Share of the remaining readers' time that prompts may take after a change.
 PROMPT_SHARE = 0.85
 # Engines that answer, for each that reads prompts: a prompt of some 5,000 tokens takes
 # an engine 0.09 s, and its answer a thirteenth of an engine for 3.7 s.
@@ -26,9 +26,9 @@
 # Prompts are watched for this long before a reader is taken for idle, in seconds: long
 # enough to see the load go up and down, short enough to act before the next burst.
 WATCHED_SECONDS = 4.0
-# Readers are kept for so many times the busiest moment that was watched: a burst that
-# is a quarter higher still finds them with time to spare.
-SPARE_TIMES = 1.25
+# Readers are kept for about so many times the busiest moment that was watched: requests
+# come twice as often in a burst, and a change back takes longer than a burst.
+SPARE_TIMES = 2.0
 # Readers that stay whatever the load, so that the loss of one leaves another.
 LEAST_READERS = 2
 # Readers are short while prompts took this share of their time for that long, in
@@ -66,11 +66,6 @@
             return None
         return max(busy for _, busy in self._samples)
 
-    def mean(self) -> float:
-        """Return how many readers were busy in the mean, while it was watched."""
-        busy = [readers for _, readers in self._samples]
-        return sum(busy) / len(busy) if busy else 0.0
-
     def least(self, now: float) -> float:
         """Return how many readers were busy all the time lately."""
         recent = [busy for at, busy in self._samples if at > now - BUSY_SECONDS]
@@ -97,7 +92,7 @@
     return engines.prefill[0], EndpointRole.DECODE
 
 
-def needed_readers(load: PromptLoad, now: float, short_for: float) -> int | None:
+def needed_readers(load: PromptLoad, now: float, lacks_memory: bool) -> int | None:
     """Return how many readers are to stay, None before the load was watched enough.
 
     While answers lack memory, a reader that prompts leave idle some of the time serves
@@ -106,9 +101,22 @@
     busiest = load.busiest(now)
     if busiest is None:
         return None
-    if short_for >= SHORT_SECONDS:
-        return max(LEAST_READERS, math.ceil(load.mean() / PROMPT_SHARE))
-    return max(LEAST_READERS, math.ceil(busiest * SPARE_TIMES))
+    if lacks_memory:
+        return max(LEAST_READERS, math.ceil(busiest / PROMPT_SHARE))
+    return max(LEAST_READERS, round(busiest * SPARE_TIMES))
+
+
+def answers_lack_memory(
+    engines: Engines, pressure: ServicePressure, short_for: float
+) -> bool:
+    """Say whether requests wait for engines that answer, and not for readers.
+
+    Prompts that take more than the readers' whole time wait at them. Requests wait for
+    readers then; with one reader less they would wait longer, which looks like a
+    shortage of memory again, until hardly a reader is left.
+    """
+    readers_busy = pressure.prompt_ms_per_second / 1000
+    return short_for >= SHORT_SECONDS and readers_busy < len(engines.prefill)
 
 
 def idle_readers(engines: Engines, needed: int) -> tuple[Endpoint, ...]:
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -17,6 +17,7 @@
 from jujubeslip.control._role_balance import (
     Engines,
     PromptLoad,
+    answers_lack_memory,
     idle_readers,
     lacks_reader,
     needed_readers,
@@ -118,16 +119,17 @@
     ) -> None:
         """Order readers to answer that would be idle in a burst, all at once."""
         load, now = self._load(service_name), steady_seconds()
-        needed = needed_readers(load, now, short_for)
+        engines = self._engines(service_name)
+        lacks_memory = answers_lack_memory(engines, pressure, short_for)
+        needed = needed_readers(load, now, lacks_memory)
         if needed is None:
             return
-        for reader in idle_readers(self._engines(service_name), needed):
+        for reader in idle_readers(engines, needed):
             extra = {
                 "endpoint_id": reader.endpoint_id,
                 "needed_readers": needed,
                 "busiest_readers": load.busiest(now),
-                "mean_readers": load.mean(),
-                "short_seconds": short_for,
+                "lacks_memory": lacks_memory,
             }
             logger.info("reader would be idle in a burst", extra=extra)
             self._order(reader, EndpointRole.DECODE, fence, pressure)
