Let requests wait for a host's first configuration

Requests were refused with 0.5 s to come back, met hosts that were no further, and were lost: nothing was served from 40 to 44 s, 56 of 58 requests ended refused in the last window. No line told of such a refusal. Ruled out: the balancer (all hosts not ready, so it uses all), the engines. Change: a request waits up to 1 s for the first configuration, a third of its client's time at most, then is refused and may come back after 1 s; a line tells which.

--- a/src/jujubeslip/forwarding/_routes_follower.py
+++ b/src/jujubeslip/forwarding/_routes_follower.py
@@ -9,7 +9,7 @@
 
 from jujubeslip.discovery import News
 from jujubeslip.interfaces import Interface
-from jujubeslip.kernel import PeerUnavailableError, steady_seconds
+from jujubeslip.kernel import Deadline, PeerUnavailableError, steady_seconds
 from jujubeslip.peers import ControlClients, PeerIdentity, PeerRefusal
 from jujubeslip.routes import RouteTable
 
@@ -31,6 +31,7 @@
         self._clients = ControlClients(identity)
         self._lock = threading.Lock()
         self._table: RouteTable | None = None
+        self._has_table = threading.Event()
         self._in_force_since = steady_seconds()
 
     @property
@@ -38,6 +39,11 @@
         """Return the table in force, None before the first one."""
         return self._table
 
+    def first_table(self, deadline: Deadline) -> RouteTable | None:
+        """Return the table in force, after waiting for the first one if need be."""
+        self._has_table.wait(deadline.remaining())
+        return self._table
+
     @property
     def version(self) -> int:
         """Return the version in force, 0 before the first one."""
@@ -75,6 +81,7 @@
             logger.error("configuration not usable", extra=extra)
             return
         self._table = read.unwrap()
+        self._has_table.set()
         self._in_force_since = steady_seconds()
         extra = {"version": version, "routes": len(self._table.routes)}
         logger.info("configuration in force", extra=extra)
--- a/src/jujubeslip/forwarding/_service.py
+++ b/src/jujubeslip/forwarding/_service.py
@@ -24,12 +24,18 @@
     RequestRefusedError,
     steady_seconds,
 )
-from jujubeslip.routes import ForwardedRequest, Route, RouteKind
+from jujubeslip.routes import ForwardedRequest, Route, RouteKind, RouteTable
 
 logger = logging.getLogger(__name__)
 
-# When a client should come back that met a host which has no configuration yet.
-NO_CONFIGURATION_RETRY_SECONDS = 0.5
+# How long a request waits for the configuration of a host that has just started, in
+# seconds: control hosts that started with it have a leader by then. Most clients come
+# back once, and would meet a host that is no further.
+CONFIGURATION_SECONDS = 1.0
+# At most this share of its client's time, so that enough is left for the answer.
+CONFIGURATION_SHARE = 1 / 3
+# When a client should come back whose request has waited in vain, in seconds.
+NO_CONFIGURATION_RETRY_SECONDS = 1.0
 
 
 class ForwardService:
@@ -66,13 +72,7 @@
         return answer
 
     def _context(self, request: ForwardedRequest, gone: Interrupted) -> ForwardContext:
-        table = self._routes.table
-        if table is None:
-            raise RequestRefusedError(
-                "no_configuration",
-                "This host has no configuration yet.",
-                retry_after=NO_CONFIGURATION_RETRY_SECONDS,
-            )
+        table = self._table_for(request)
         route = table.find_route(request.host, request.path)
         if route is None:
             extra = {"request_id": request.request_id, "version": table.version}
@@ -93,6 +93,30 @@
             target_by=target_of(request, route),
         )
 
+    def _table_for(self, request: ForwardedRequest) -> RouteTable:
+        """Return the routes in force; a host that has just started gets them soon."""
+        table = self._routes.table
+        if table is not None:
+            return table
+        limit = Deadline.after(CONFIGURATION_SECONDS)
+        if request.client_deadline is not None:
+            share = request.client_deadline.remaining() * CONFIGURATION_SHARE
+            limit = limit.earlier_of(Deadline.after(share))
+        table = self._routes.first_table(limit)
+        extra = {
+            "request_id": request.request_id,
+            "waited_ms": int(request.arrived.overdue() * 1000),
+            "found": table is not None,
+        }
+        logger.info("request waited for the first configuration", extra=extra)
+        if table is not None:
+            return table
+        raise RequestRefusedError(
+            "no_configuration",
+            "This host has no configuration yet.",
+            retry_after=NO_CONFIGURATION_RETRY_SECONDS,
+        )
+
     def _logged(
         self, context: ForwardContext, attempts: Attempts, events: Iterator[bytes]
     ) -> Iterator[bytes]:
