--- a/tests/control/test_roles.py
+++ b/tests/control/test_roles.py
@@ -225,18 +225,23 @@
     leave nobody who reads.
     """
 
-    def test_are_ordered_once(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        group = engines(4, 5)
+    def keeper(
+        self, monkeypatch: pytest.MonkeyPatch, readers: int
+    ) -> tuple[RoleKeeper, Asked]:
+        """Return a keeper that may order, of readers of which one is busy."""
+        group = engines(readers, 5)
         book = EndpointBook()
         book.take([*group.prefill, *group.decode])
         keeper, asked = role_keeper(monkeypatch, book, {"model"})
         monkeypatch.setattr(keeper, "_fence", lambda: Fence(1, Deadline.after(10)))
         load = SimpleNamespace(
-            note=lambda *_: None,
-            busiest=lambda _: 1.0,
-            least=lambda _: 0.0,
+            note=lambda *_: None, busiest=lambda _: 1.0, least=lambda _: 0.0
         )
         monkeypatch.setattr(keeper, "_load", lambda _: load)
+        return keeper, asked
+
+    def test_are_ordered_once(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        keeper, asked = self.keeper(monkeypatch, readers=4)
         for _ in range(3):
             keeper.look()
         assert asked.orders == 2
@@ -244,17 +249,7 @@
     def test_are_weighed_anew_after_a_refusal(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        group = engines(3, 5)
-        book = EndpointBook()
-        book.take([*group.prefill, *group.decode])
-        keeper, asked = role_keeper(monkeypatch, book, {"model"})
-        monkeypatch.setattr(keeper, "_fence", lambda: Fence(1, Deadline.after(10)))
-        load = SimpleNamespace(
-            note=lambda *_: None,
-            busiest=lambda _: 1.0,
-            least=lambda _: 0.0,
-        )
-        monkeypatch.setattr(keeper, "_load", lambda _: load)
+        keeper, asked = self.keeper(monkeypatch, readers=3)
         asked.status = 409
         keeper.look()
         asked.status = 202
--- a/tests/forwarding/test_targets.py
+++ b/tests/forwarding/test_targets.py
@@ -39,7 +39,7 @@
 
     A client waits as long as it likes, here for 11.9 to 14 s of the route's 14. What
     was missing counted as time that had passed since a first try: 187 of 216 requests
-    that came for the first time (one play's log) were taken for late ones, waited
+    that came for the first time (a log of twelve seconds) were taken for late ones, waited
     behind those that seemed in time, up to 3.2 s, and were granted an engine late.
     """
 
