--- a/tests/forwarding/test_targets.py
+++ b/tests/forwarding/test_targets.py
@@ -38,9 +38,10 @@
     """Five of six summaries are late in a burst, though half of them could be in time.
 
     A client waits as long as it likes, here for 11.9 to 14 s of the route's 14. What
-    was missing counted as time that had passed since a first try: 187 of 216 requests
-    that came for the first time (a log of twelve seconds) were taken for late ones, waited
-    behind those that seemed in time, up to 3.2 s, and were granted an engine late.
+    was missing counted as time that had passed since a first try: of 216 requests in a
+    log of twelve seconds, all but a few of which came for the first time, 187 were taken
+    for late ones, waited behind those that seemed in time, up to 3.2 s, and were
+    granted an engine late.
     """
 
     @pytest.mark.parametrize("waits_ms", [14_000, 13_700, 12_800, 11_900])
