--- a/tests/forwarding/test_targets.py
+++ b/tests/forwarding/test_targets.py
@@ -39,8 +39,8 @@
 
     A client waits as long as it likes, here for 11.9 to 14 s of the route's 14. What
     was missing counted as time that had passed since a first try: of 216 requests in a
-    log of twelve seconds, all but a few of which came for the first time, 187 were taken
-    for late ones, waited behind those that seemed in time, up to 3.2 s, and were
+    log of twelve seconds, all but a few of which came for the first time, 187 were
+    taken for late ones, waited behind those that seemed in time, up to 3.2 s, and were
     granted an engine late.
     """
 
