Count the load of readers from what requests ask for

Cause: busy_readers summed the prompts of grants. The role balance then fed on itself: fewer grants, a lower load, fewer readers.

Change: admission/_prompt_demand.py counts each request that asks for a reader once in two seconds, whether it is granted, waits or is refused; it takes time as an argument.

--- a/src/jujubeslip/admission/_engines.py
+++ b/src/jujubeslip/admission/_engines.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 import random
-from collections import deque
 from collections.abc import Callable, Collection
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import TypeVar
 
 from jujubeslip.admission._engine_memory import EngineMemory
@@ -16,6 +15,7 @@
     profile_of,
 )
 from jujubeslip.admission._models import Admitted, Applicant, Grant
+from jujubeslip.admission._prompt_demand import PromptDemand
 from jujubeslip.admission._prompt_queue import FIRST_TOKENS_PER_SECOND, PromptQueue
 from jujubeslip.discovery import Endpoint
 from jujubeslip.kernel import steady_seconds
@@ -34,16 +34,6 @@
 # How long a full engine takes for an event, in seconds, as measured: a pause lasts for
 # that, too.
 EVENT_SECONDS = 0.08
-# Span over which the load of prompts is told, in seconds: some ten prompts of a reader.
-LOAD_SECONDS = 2.0
-
-
-@dataclass(frozen=True)
-class _GivenTokens:
-    """A prompt that a reader was given."""
-
-    given_at: float
-    tokens: int
 
 
 class ServiceEngines:
@@ -57,7 +47,7 @@
         self._engine_by_start: dict[str, EngineMemory] = {}
         self._reader_by_start: dict[str, PromptQueue] = {}
         self._read_speed = FIRST_TOKENS_PER_SECOND
-        self._given_prompts: deque[_GivenTokens] = deque()
+        self._demand = PromptDemand()
 
     def keep_only(
         self, answering: Collection[Endpoint], reading: Collection[Endpoint]
@@ -81,19 +71,19 @@
 
     @property
     def busy_readers(self) -> float:
-        """Return how many readers the prompts of the last seconds keep busy.
+        """Return how many readers the prompts of the last seconds would keep busy.
 
-        By the speed that readers showed. How long prompts took would count the time
-        that they waited at a reader, and make the load of a burst look twice as high.
+        By what requests ask for and the speed that readers showed. How long prompts
+        took would count the time that they waited at a reader, and make the load of a
+        burst look twice as high.
         """
-        self._forget_old_prompts()
-        tokens = sum(given.tokens for given in self._given_prompts)
-        return tokens / LOAD_SECONDS / self._read_speed
+        return self._demand.tokens_per_second(steady_seconds()) / self._read_speed
 
-    def _forget_old_prompts(self) -> None:
-        oldest = steady_seconds() - LOAD_SECONDS
-        while self._given_prompts and self._given_prompts[0].given_at < oldest:
-            self._given_prompts.popleft()
+    def note_asked(self, applicant: Applicant) -> None:
+        """Note a request that asks for a grant."""
+        if not applicant.reads_itself:
+            tokens = applicant.prompt_tokens
+            self._demand.note(applicant.request_id, tokens, steady_seconds())
 
     def note_lost(self, start_id: str) -> None:
         """Give a start of an engine that can't be reached nothing until it is back."""
@@ -115,9 +105,6 @@
         self._engine_by_start[grant.endpoint.start_id].admit(admitted)
         if grant.reader is not None:
             self._reader_by_start[grant.reader.start_id].give(applicant)
-            given = _GivenTokens(admitted.since, applicant.prompt_tokens)
-            self._given_prompts.append(given)
-            self._forget_old_prompts()
 
     def given_before(self, applicant: Applicant) -> Grant | None:
         """Return the grant of a request that asks again after a lost answer."""
--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -100,7 +100,7 @@
                     pool.note_read(news.request_id, news.attempt)
 
     def busy_readers(self, service_name: str) -> float:
-        """Return how many of a service's readers its prompts keep busy lately."""
+        """Return how many readers the prompts that a service got would keep busy."""
         return self._pool(service_name).busy_readers
 
     def look(self) -> None:
--- a/src/jujubeslip/admission/_pool.py
+++ b/src/jujubeslip/admission/_pool.py
@@ -131,7 +131,7 @@
 
     @property
     def busy_readers(self) -> float:
-        """Return how many readers the prompts of the last seconds keep busy."""
+        """Return how many readers the prompts asked for lately would keep busy."""
         with self._lock:
             return self._engines.busy_readers
 
@@ -145,6 +145,7 @@
             grant = self._engines.given_before(applicant)
             if grant is not None:
                 return Decision(grant, False, 0.0)
+            self._engines.note_asked(applicant)
             waiting = self._enter(applicant, frozenset(avoided))
             waiting.asking += 1
             self._decide_all()
