--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -86,6 +86,8 @@
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     runs: list[WorkerRun] = field(default_factory=list)
     prompts_read: list[str] = field(default_factory=list)
+    prompt_headers: list[dict[str, str]] = field(default_factory=list)
+    """Headers of the calls that had a prompt read, in order."""
     questions: list[str] = field(default_factory=list)
     gone_clients: list[str] = field(default_factory=list)
 
@@ -258,6 +260,7 @@
     def _read_prompt(self) -> None:
         request_id = self.headers.get("Request-Id", "")
         self.worker.prompts_read.append(request_id)
+        self.worker.prompt_headers.append(dict(self.headers.items()))
         if self.worker.faults.take("lose"):
             self.close_connection = True
             return
--- a/tests/platform/test_configurations.py
+++ b/tests/platform/test_configurations.py
@@ -46,7 +46,36 @@
     return {**VALID, "limits": {**VALID["limits"], name: value}}
 
 
+def with_accounts(*accounts: Any) -> dict[str, Any]:
+    """Return the valid configuration with client accounts."""
+    return {**VALID, "tenants": list(accounts)}
+
+
+ACCOUNT = {"name": "boards", "apiKeys": ["k1"]}
+INVALID_ACCOUNTS: dict[str, Any] = {
+    "accounts that share a key": with_accounts(ACCOUNT, {**ACCOUNT, "name": "desks"}),
+    "an account twice": with_accounts(ACCOUNT, {"name": "boards", "apiKeys": ["k2"]}),
+    "an empty key": with_accounts({**ACCOUNT, "apiKeys": [""]}),
+    "a number for a key": with_accounts({**ACCOUNT, "apiKeys": [1]}),
+    "text for the keys": with_accounts({**ACCOUNT, "apiKeys": "k1"}),
+    "no keys": with_accounts({"name": "boards"}),
+    "no name": with_accounts({"apiKeys": ["k1"]}),
+    "an empty name": with_accounts({**ACCOUNT, "name": ""}),
+    "a name that ends its header": with_accounts({**ACCOUNT, "name": "a\r\nb"}),
+    "a number for a name": with_accounts({**ACCOUNT, "name": 7}),
+    "text for an account": with_accounts("boards"),
+    "accounts that are no list": {**VALID, "tenants": 3},
+    "a rate below 0": with_accounts({**ACCOUNT, "ratePerS": -1}),
+    "a rate that is not finite": with_accounts({**ACCOUNT, "ratePerS": float("inf")}),
+    "a rate that is no number": with_accounts({**ACCOUNT, "ratePerS": float("nan")}),
+    "a burst below 0": with_accounts({**ACCOUNT, "ratePerS": 1, "burst": -1}),
+    "text for a rate": with_accounts({**ACCOUNT, "ratePerS": "9"}),
+    "truth for a rate": with_accounts({**ACCOUNT, "ratePerS": True}),
+    "text for a priority of an account": with_accounts({**ACCOUNT, "priority": "1"}),
+    "fewer than 0 tokens": with_accounts({**ACCOUNT, "plainTokens": -1}),
+}
 INVALID: dict[str, Any] = {
+    **INVALID_ACCOUNTS,
     "unknown service": changed(service="nobody"),
     "same place": changed(pathPrefix="/a/b/"),
     "no weight": changed(split=[{"service": "plain", "weight": 0}]),
@@ -77,6 +106,28 @@
         engine = table.service_by_name["model"].engine
         assert engine is not None and engine.slots == 5
 
+    def test_accounts_are_read_without_their_keys(self) -> None:
+        limited = {**ACCOUNT, "unit": "tokens", "plainTokens": 200, "ratePerS": 9.5}
+        fields = with_accounts(limited, {"name": "desks", "apiKeys": ["k2", "k3"]})
+        accounts = read_routes(json.dumps(fields)).unwrap().accounts
+        assert accounts is not None
+        first, second = accounts.accounts
+        assert first.limit is not None and first.limit.per_second == 9.5
+        assert first.counts_tokens and first.plain_tokens == 200
+        assert second.limit is None
+        assert accounts.holder_of("k3") is second
+        assert accounts.holder_of("") is None
+        assert "k3" not in repr(accounts)
+
+    def test_without_accounts_no_key_is_asked_for(self) -> None:
+        assert read_routes(json.dumps(VALID)).unwrap().accounts is None
+        assert read_routes(json.dumps(with_accounts())).unwrap().accounts is not None
+
+    @pytest.mark.parametrize("name", INVALID_ACCOUNTS)
+    def test_problem_of_an_account_names_no_key(self, name: str) -> None:
+        fields = json.loads(json.dumps(INVALID_ACCOUNTS[name]))
+        assert "k1" not in read_routes(json.dumps(fields)).failure()
+
     def test_longest_prefix_decides(self) -> None:
         table = read_routes(json.dumps(VALID)).unwrap()
         found = [table.find_route("boards.example", path) for path in ("/a/b/c", "/a/")]
