Tell endpoints whose request it is, and refuse unknown keys

Cause: the forwarding path knew no client accounts: Authorization was passed on like any header, and keys were compared with nothing. Ruled out: doing it in the adapter alone, which decides nothing, and knows no configuration.

Change: accounts/ holds accounts and hashed keys, for both entry paths; the adapter reads them once. forwarding/_identification.py finds the account by the configuration in force: without a valid key 401 at once, on any route that isn't public; the endpoint gets the account's name and never the key, on the call that reads the prompt, too; a client's own account header is dropped, with accounts and without. A key that is taken away is refused also for a request that waited and has not run. Checks of a configuration name accounts, never keys. A configuration without accounts passes Authorization on as before.

--- /dev/null
+++ b/src/jujubeslip/accounts/_keys.py
@@ -0,0 +1,22 @@
+"""Keys of client accounts, which are compared as hashes only."""
+
+from __future__ import annotations
+
+import hashlib
+
+from jujubeslip.kernel import RequestRefusedError
+
+
+def hash_key(key: str) -> str:
+    """Return what a key is known by: its SHA-256, in hexadecimal."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def unknown_key(remedy: str) -> RequestRefusedError:
+    """Return the refusal of a request whose key no account holds."""
+    return RequestRefusedError(
+        "client_unknown",
+        "The key belongs to no client account.",
+        status=401,
+        remedy=remedy,
+    )
--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
+from jujubeslip.accounts import ClientAccount
 from jujubeslip.endpoints import EndpointError, Interrupted
 from jujubeslip.kernel import Deadline, Ran, RequestRefusedError
 from jujubeslip.routes import ForwardedRequest, Route, RouteTable
@@ -15,6 +16,10 @@
 CAME_BACK_SHARE = 0.2
 
 
+def _always_accepted() -> None:
+    pass
+
+
 @dataclass(frozen=True)
 class ForwardContext:
     """A request with what its route decides."""
@@ -29,6 +34,10 @@
     """Whether the client has closed its connection."""
     target_by: Deadline
     """Until when the answer, or its first event, is in time."""
+    account: ClientAccount | None = None
+    """The client account that asks, if it is known."""
+    check_account: Callable[[], None] = _always_accepted
+    """Raises RequestRefusedError once the account's key was taken away."""
 
     @property
     def came_back(self) -> bool:
--- a/src/jujubeslip/forwarding/_plain_path.py
+++ b/src/jujubeslip/forwarding/_plain_path.py
@@ -32,7 +32,11 @@
         failed: WholeAnswer | None = None
         while True:
             endpoint = self._sending.choose(context, EndpointRole.PLAIN, attempts.tried)
-            if endpoint is None or not self._sending.may_send(context, attempts):
+            if endpoint is None:
+                break
+            if not attempts.may_have_run:
+                context.check_account()
+            if not self._sending.may_send(context, attempts):
                 break
             try:
                 answer = self._send(context, attempts, endpoint)
--- a/src/jujubeslip/forwarding/_service.py
+++ b/src/jujubeslip/forwarding/_service.py
@@ -5,8 +5,10 @@
 import logging
 import random
 from collections.abc import Iterator
+from functools import partial
 
 from jujubeslip.endpoints import CallerGoneError, Interrupted
+from jujubeslip.forwarding._identification import check_account, identify
 from jujubeslip.forwarding._meters import ForwardMeters
 from jujubeslip.forwarding._models import (
     CAME_BACK_SHARE,
@@ -83,6 +85,7 @@
                 status=404,
                 remedy="Ask the operators for a route.",
             )
+        request, account = identify(table, route, request)
         return ForwardContext(
             request=request,
             table=table,
@@ -91,6 +94,10 @@
             end_by=_end_of(request, route),
             gone=gone,
             target_by=target_of(request, route),
+            account=account,
+            check_account=partial(
+                check_account, lambda: self._routes.table, route, request
+            ),
         )
 
     def _table_for(self, request: ForwardedRequest) -> RouteTable:
@@ -138,6 +145,7 @@
             extra={
                 "request_id": context.request.request_id,
                 "route": context.route.name,
+                "account": context.request.account_name,
                 "service": context.service_name,
                 "outcome": outcome,
                 "ran": _ran(attempts, outcome),
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -171,8 +171,19 @@
         grant = self._grants.find(context, attempts, reads_itself)
         if grant is None and attempts.found_no_room and not attempts.may_have_run:
             raise no_room(attempts)
+        if grant is not None and not attempts.may_have_run:
+            self._check_account(context, grant)
         return grant
 
+    def _check_account(self, context: ForwardContext, grant: Grant) -> None:
+        """Give the grant back if the account's key was taken away in the queue."""
+        try:
+            context.check_account()
+        except RequestRefusedError:
+            grant.before_run()
+            grant.at_end()
+            raise
+
     def _note_failed(self, attempts: Attempts, endpoint: Endpoint) -> None:
         """Note an engine's own failure: the request has run."""
         attempts.runs += 1
--- a/src/jujubeslip/platform/_configurations.py
+++ b/src/jujubeslip/platform/_configurations.py
@@ -7,6 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
+from jujubeslip.platform._accounts import read_accounts
 from jujubeslip.routes import (
     EngineService,
     ForwardService,
@@ -49,6 +50,7 @@
         version=_integer(fields["version"]),
         routes=tuple(_route(item) for item in fields["routes"]),
         service_by_name={service.name: service for service in services},
+        accounts=read_accounts(fields),
     )
 
 
@@ -67,6 +69,7 @@
         resumable=bool(fields.get("resumable", False)),
         patience_ms=max(LEAST_PATIENCE_MS, 4 * target_ms, 8 * gap_ms),
         maximum_gap_ms=gap_ms,
+        public=bool(fields.get("public", False)),
     )
 
 
--- a/src/jujubeslip/platform/_endpoint_calls.py
+++ b/src/jujubeslip/platform/_endpoint_calls.py
@@ -27,6 +27,10 @@
     """Return the client's headers with those of this call."""
     dropped = {names.LAST_EVENT_ID.lower()} if call.resume_after else set()
     headers = [item for item in request.headers if item[0].lower() not in dropped]
+    if request.authorization:
+        headers.append((names.AUTHORIZATION, request.authorization))
+    if request.account_name:
+        headers.append((names.ACCOUNT, request.account_name))
     headers.append((names.DEADLINE, str(max(1, call.remaining_ms))))
     headers.append((names.EXPECTED_ENDPOINT, call.endpoint_id))
     if call.reads_prompt_only:
--- a/src/jujubeslip/platform/_headers.py
+++ b/src/jujubeslip/platform/_headers.py
@@ -19,6 +19,10 @@
 NOT_RUN = "Not-Run"
 # The slot and memory that were reserved for the request.
 RESERVATION = "Kv-Hold"
+# The client's key, for this system alone.
+AUTHORIZATION = "Authorization"
+# The client account that holds the key, for endpoints.
+ACCOUNT = "Tenant"
 CONTENT_ENCODING = "Content-Encoding"
 KEEP_ALIVE = "Keep-Alive"
 CONNECTION = "Connection"
@@ -40,7 +44,7 @@
     }
 )
 # Headers that only this system may set: a client that sets one could take another's
-# memory at an endpoint, or hold capacity there.
+# memory at an endpoint, hold capacity there, or pass for another client account.
 SET_BY_SYSTEM = frozenset(
     {
         "deadline-ms",
@@ -53,5 +57,6 @@
         "pin-ms",
         "request-priority",
         "stage",
+        "tenant",
     }
 )
--- a/src/jujubeslip/platform/_requests.py
+++ b/src/jujubeslip/platform/_requests.py
@@ -7,7 +7,8 @@
 
 from jujubeslip.interfaces import EncodedRefusal
 from jujubeslip.kernel import Deadline, RequestRefusedError
-from jujubeslip.platform._headers import HOP_BY_HOP, SET_BY_SYSTEM
+from jujubeslip.platform._accounts import read_key
+from jujubeslip.platform._headers import AUTHORIZATION, HOP_BY_HOP, SET_BY_SYSTEM
 from jujubeslip.routes import ForwardedRequest, PromptPart, PromptShape
 
 # WSGI's keys of headers that don't begin with HTTP_.
@@ -18,10 +19,11 @@
 def read_request(environ: dict[str, Any]) -> ForwardedRequest:
     """Return a client's request with the headers that are passed on."""
     dropped = HOP_BY_HOP | SET_BY_SYSTEM | _named_by_connection(environ)
+    authorization = environ.get("HTTP_AUTHORIZATION", "")
     headers = tuple(
         (name, value)
         for name, value in _headers(environ)
-        if name.lower() not in dropped and name.lower() != "host"
+        if name.lower() not in dropped | {"host", AUTHORIZATION.lower()}
     )
     return ForwardedRequest(
         request_id=environ.get("HTTP_REQUEST_ID", ""),
@@ -33,6 +35,8 @@
         client_deadline=_deadline(environ.get("HTTP_DEADLINE_MS", "")),
         last_event_id=environ.get("HTTP_LAST_EVENT_ID", ""),
         prompt=_prompt(environ),
+        authorization=authorization,
+        api_key=read_key(authorization),
     )
 
 
--- a/src/jujubeslip/requests/_authentication.py
+++ b/src/jujubeslip/requests/_authentication.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import hashlib
 import hmac
 
+from jujubeslip.accounts import hash_key, unknown_key
 from jujubeslip.declaration import Client, Declaration
 from jujubeslip.kernel import RequestRefusedError
 
@@ -21,15 +21,9 @@
 def authenticate(declaration: Declaration, authorization: str) -> Client:
     """Return the client account that the key belongs to, or refuse."""
     key = bearer_token(authorization)
-    key_hash = hashlib.sha256(key.encode()).hexdigest()
-    client = declaration.client_by_key_hash.get(key_hash)
+    client = declaration.client_by_key_hash.get(hash_key(key))
     if not key or client is None:
-        raise RequestRefusedError(
-            "client_unknown",
-            "The key belongs to no client account.",
-            status=401,
-            remedy="Send `Authorization: Bearer KEY` with the account's key.",
-        )
+        raise unknown_key("Send `Authorization: Bearer KEY` with the account's key.")
     return client
 
 
--- a/src/jujubeslip/routes/_checks.py
+++ b/src/jujubeslip/routes/_checks.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 
+from jujubeslip import accounts
 from jujubeslip.routes._models import Route, RouteTable
 
 
@@ -25,6 +26,10 @@
                 "host and path prefix; remove one of them."
             )
         place_by_route[place] = route.name
+    if table.accounts is not None:
+        problem = accounts.find_problem(table.accounts)
+        if problem:
+            yield problem
 
 
 def _problems_of(route: Route, table: RouteTable) -> Iterator[str]:
--- a/src/jujubeslip/routes/_models.py
+++ b/src/jujubeslip/routes/_models.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from functools import cached_property
 
+from jujubeslip.accounts import ClientAccounts
 from jujubeslip.kernel import Deadline
 
 
@@ -49,6 +50,8 @@
     """How long a client waits for an event, the first one too, before it leaves."""
     maximum_gap_ms: int = 0
     """Longest pause between two events of a stream that is still in time."""
+    public: bool = False
+    """Whether requests need no client account's key."""
 
     @property
     def repeatable(self) -> bool:
@@ -86,6 +89,8 @@
     version: int
     routes: tuple[Route, ...]
     service_by_name: dict[str, ForwardService]
+    accounts: ClientAccounts | None = None
+    """None where requests need no key."""
 
     @cached_property
     def routes_by_host(self) -> dict[str, tuple[Route, ...]]:
@@ -143,6 +148,12 @@
     """The event after which a resumed stream goes on, empty from its start."""
     prompt: PromptShape | None = None
     arrived: Deadline = field(default_factory=lambda: Deadline.after(0))
+    authorization: str = field(default="", repr=False)
+    """The header as the client sent it; passed on only where there are no accounts."""
+    api_key: str = field(default="", repr=False)
+    """The key in it, empty where it holds no single one."""
+    account_name: str = ""
+    """The client account that holds the key, which the endpoint is told."""
 
     @property
     def path(self) -> str:
