--- /dev/null
+++ b/bench/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of client accounts over many hosts, replayed with faults."""
--- a/src/jujubeslip/accounts/__init__.py
+++ b/src/jujubeslip/accounts/__init__.py
@@ -1,14 +1,25 @@
 """Client accounts: their keys, and what they may ask for."""
 
+from jujubeslip.accounts._bounds import LimitBounds
 from jujubeslip.accounts._checks import find_problem
 from jujubeslip.accounts._keys import hash_key, unknown_key
+from jujubeslip.accounts._ledger import AccountLedger, LedgerAnswer
 from jujubeslip.accounts._models import ClientAccount, ClientAccounts, TokenLimit
+from jujubeslip.accounts._refusals import limit_reached
+from jujubeslip.accounts._spending import HostSpending, SpendAnswer, Spent
 
 __all__ = [
+    "AccountLedger",
     "ClientAccount",
     "ClientAccounts",
+    "HostSpending",
+    "LedgerAnswer",
+    "LimitBounds",
+    "SpendAnswer",
+    "Spent",
     "TokenLimit",
     "find_problem",
     "hash_key",
+    "limit_reached",
     "unknown_key",
 ]
--- /dev/null
+++ b/src/jujubeslip/accounts/_ledger.py
@@ -0,0 +1,90 @@
+"""What is left of each account's limit, at the leader; knows no clock or thread.
+
+The load that it answers: one account sends many times its usual, at one host or at
+all, while others stay far below their limits. Streams are charged here before they run,
+which costs no call of its own, as they ask the leader for an engine anyway. Plain
+requests are small: hosts spend first and tell later, until the account is near its
+limit.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from jujubeslip.accounts._bounds import LimitBounds
+from jujubeslip.accounts._models import TokenLimit
+
+# An account is near its limit with less left than this share of its burst: hosts then
+# ask before each request. Half a second's use of the whole limit is left at that point,
+# in which every host hears of it.
+NEAR_SHARE = 0.5
+
+
+@dataclass(frozen=True)
+class LedgerAnswer:
+    """What the leader says of an account."""
+
+    wait: float
+    """When to come back, in seconds; 0 where the request may run."""
+    near_limit: bool
+    """Whether to ask before each request from now on."""
+
+
+@dataclass
+class _Level:
+    amount: float
+    filled_at: float
+
+
+class AccountLedger:
+    """The levels of all accounts' limits, for one lead of this host.
+
+    A level is below nothing once hosts have told more than was left; nothing is charged
+    until it has come free.
+    """
+
+    def __init__(self, bounds: LimitBounds, began_at: float) -> None:
+        self._bounds = bounds
+        self._began_at = began_at
+        self._level_by_name: dict[str, _Level] = {}
+
+    def charge(
+        self, name: str, limit: TokenLimit, cost: float, now: float
+    ) -> LedgerAnswer:
+        """Charge a request before it runs, if it is within the limit."""
+        level = self._filled(name, limit, now)
+        needed = min(cost, self._capacity(limit))
+        if level.amount < needed:
+            return LedgerAnswer((needed - level.amount) / limit.per_second, True)
+        level.amount -= cost
+        return LedgerAnswer(0.0, self._is_near(level, limit))
+
+    def settle(
+        self, name: str, limit: TokenLimit, spent: float, now: float
+    ) -> LedgerAnswer:
+        """Take what a host has spent; below 0 it gives something back."""
+        level = self._filled(name, limit, now)
+        level.amount = min(level.amount - spent, self._capacity(limit))
+        wait = max(0.0, -level.amount / limit.per_second)
+        return LedgerAnswer(wait, self._is_near(level, limit))
+
+    def left(self, name: str, limit: TokenLimit, now: float) -> float:
+        """Return what is left of an account's limit, below 0 if too much was told."""
+        return self._filled(name, limit, now).amount
+
+    def _filled(self, name: str, limit: TokenLimit, now: float) -> _Level:
+        level = self._level_by_name.get(name)
+        if level is None:
+            level = _Level(self._bounds.start, self._began_at)
+            self._level_by_name[name] = level
+        come_free = max(0.0, now - level.filled_at) * limit.per_second
+        # A limit that was lowered leaves no more than its own burst.
+        level.amount = min(self._capacity(limit), level.amount + come_free)
+        level.filled_at = max(level.filled_at, now)
+        return level
+
+    def _capacity(self, limit: TokenLimit) -> float:
+        return limit.burst + self._bounds.lump
+
+    def _is_near(self, level: _Level, limit: TokenLimit) -> bool:
+        return level.amount < NEAR_SHARE * limit.burst
--- a/src/jujubeslip/accounts/_models.py
+++ b/src/jujubeslip/accounts/_models.py
@@ -34,6 +34,12 @@
     priority: int | None = None
     """Goes before its routes' priority, None where it has none; 0 is the highest."""
 
+    def cost_of(self, tokens: int | None) -> float:
+        """Return what a request of so many tokens counts, None if it says none."""
+        if not self.counts_tokens:
+            return 1.0
+        return float(self.plain_tokens if tokens is None else tokens)
+
 
 @dataclass(frozen=True)
 class ClientAccounts:
--- /dev/null
+++ b/src/jujubeslip/accounts/_refusals.py
@@ -0,0 +1,19 @@
+"""Refusals of requests beyond an account's limit."""
+
+from __future__ import annotations
+
+from jujubeslip.kernel import Ran, RequestRefusedError
+
+
+def limit_reached(kind: str, wait: float) -> RequestRefusedError:
+    """Return the refusal of a request that may come back after so many seconds.
+
+    `kind` is what the limit counts.
+    """
+    return RequestRefusedError(
+        "client_limit",
+        f"The client account's limit of {kind} a second is reached.",
+        status=429,
+        ran=Ran.NO,
+        retry_after=wait,
+    )
--- /dev/null
+++ b/src/jujubeslip/accounts/_spending.py
@@ -0,0 +1,141 @@
+"""What one host has spent of accounts' limits; knows no clock, thread or leader."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from jujubeslip.accounts._bounds import LimitBounds
+from jujubeslip.accounts._ledger import LedgerAnswer
+from jujubeslip.accounts._models import TokenLimit
+
+
+@dataclass(frozen=True)
+class Spent:
+    """What was spent of an account's limit since it was told last."""
+
+    account_name: str
+    amount: float
+
+
+@dataclass(frozen=True)
+class SpendAnswer:
+    """Whether a request may run by what this host knows."""
+
+    asks_leader: bool = False
+    """Whether the leader has to be asked first."""
+    wait: float = 0.0
+    """When to come back, in seconds; 0 where it need not."""
+
+
+@dataclass
+class _Account:
+    draw: float
+    """Which part of a large request this host has to have, by lot, to run it alone."""
+    untold: float = 0.0
+    telling: float = 0.0
+    """What a call on its way to the leader tells; it may never arrive."""
+    near_limit: bool = False
+    refused_until: float = 0.0
+
+    @property
+    def unsettled(self) -> float:
+        return self.untold + self.telling
+
+
+class HostSpending:
+    """Lets small requests run at once, as far as the leader's ledger allows for it.
+
+    What is not told yet is bounded, with a leader and without one, so that the sum over
+    all hosts holds through a network partition, and when the leader is lost. A host
+    that has just started asks for each request: its process before may have spent its
+    part and ended untold, and one that starts again and again would have many parts.
+    """
+
+    def __init__(
+        self,
+        bounds: LimitBounds,
+        hosts: Callable[[], int],
+        began_at: float,
+        draw: Callable[[], float] = random.random,
+    ) -> None:
+        self._bounds = bounds
+        self._hosts = hosts
+        self._has_part_from = began_at + bounds.window_seconds
+        self._draw = draw
+        self._by_name: dict[str, _Account] = {}
+
+    def spend(self, name: str, cost: float, now: float) -> SpendAnswer:
+        """Spend for a request that runs now, unless the leader is to say so."""
+        account = self._account(name)
+        if account.refused_until > now:
+            return SpendAnswer(wait=account.refused_until - now)
+        has_part = now >= self._has_part_from
+        most = self._bounds.untold(self._hosts()) if has_part else 0.0
+        if account.near_limit or account.unsettled + cost > most:
+            return SpendAnswer(asks_leader=True)
+        account.untold += cost
+        return SpendAnswer()
+
+    def spend_alone(
+        self, name: str, limit: TokenLimit, cost: float, now: float
+    ) -> bool:
+        """Spend without a leader; say whether the request may run.
+
+        A host's part is less than a large request. By lot, as many hosts may run one
+        as the parts add up to; the lot is drawn anew only once the leader knows of it,
+        or an account that asks often enough would win at every host.
+        """
+        if now < self._has_part_from:
+            return False
+        account = self._account(name)
+        hosts = self._hosts()
+        part = self._bounds.untold(hosts) + self._bounds.alone(limit, hosts)
+        needed = cost if cost <= part else cost * account.draw
+        if account.unsettled + needed > part:
+            return False
+        account.untold += cost
+        return True
+
+    def give_back(self, name: str, cost: float) -> None:
+        """Take back what was spent for a request that has not run."""
+        self._account(name).untold -= cost
+
+    def take_answer(self, name: str, answer: LedgerAnswer, now: float) -> None:
+        """Note what the leader said of an account."""
+        account = self._account(name)
+        account.near_limit = answer.near_limit
+        account.refused_until = now + answer.wait
+
+    def take_untold(self) -> list[Spent]:
+        """Return what is to be told; it is unsettled until that is confirmed."""
+        told = []
+        for name, account in self._by_name.items():
+            if account.untold and not account.telling:
+                told.append(Spent(name, account.untold))
+                account.telling, account.untold = account.untold, 0.0
+        return told
+
+    def confirm(self, told: list[Spent]) -> None:
+        """Note that the leader has heard of this."""
+        for spent in told:
+            account = self._account(spent.account_name)
+            account.telling = 0.0
+            account.draw = self._draw()
+
+    def put_back(self, told: list[Spent]) -> None:
+        """Note that the leader may not have heard of this: it is told once more.
+
+        Told twice, it makes the account's limit look nearer than it is for a moment.
+        """
+        for spent in told:
+            account = self._account(spent.account_name)
+            account.untold += account.telling
+            account.telling = 0.0
+
+    def _account(self, name: str) -> _Account:
+        account = self._by_name.get(name)
+        if account is None:
+            account = self._by_name[name] = _Account(self._draw())
+        return account
--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import logging
+import math
 import threading
 from collections.abc import Callable, Collection, Sequence
+from typing import Protocol
 
 from jujubeslip.admission._engine_follower import EngineFollower
 from jujubeslip.admission._memory_forecast import MemoryOptions
@@ -15,6 +17,7 @@
 from jujubeslip.interfaces import Interface
 from jujubeslip.kernel import Deadline, Process, steady_seconds
 from jujubeslip.peers import (
+    AccountSpending,
     AdmissionNews,
     AdmissionReply,
     AdmissionRequest,
@@ -39,6 +42,16 @@
 MAXIMUM_WAIT_SECONDS = 2.0
 
 
+class AccountCharges(Protocol):
+    """What keeps the limits of client accounts."""
+
+    def charge_once(self, request_id: str, spending: AccountSpending) -> float:
+        """Charge a request; return when it may come back, 0 where it may run."""
+
+    def give_back(self, request_id: str) -> None:
+        """Take back the charge of a request that will not run."""
+
+
 class AdmissionHome:
     """Gives grants at all services' engines while this host leads.
 
@@ -55,7 +68,9 @@
         leads: Callable[[], bool],
         configured_services: Callable[[], Collection[str]],
         ordered_role: Callable[[Endpoint], EndpointRole | None] = lambda _: None,
+        charges: AccountCharges | None = None,
     ) -> None:
+        self._charges = charges
         self._ordered_role = ordered_role
         self._process = process
         self._book = book
@@ -83,19 +98,37 @@
         if not pool.usable:
             self.look()
             raise _no_engine_known()
+        over_limit = self._charge(request)
+        if over_limit > 0:
+            wait_ms = math.ceil(over_limit * 1000)
+            return AdmissionReply(AdmissionStatus.OVER_LIMIT, "", wait_ms, "", 0)
         applicant = read_applicant(request)
         decision = pool.ask(applicant, request.avoided_start_ids or (), until)
+        if decision.refused and self._charges is not None:
+            self._charges.give_back(request.request_id)
         self._meters.note(request.service_name, decision)
         self._log(request, decision)
         return _reply(decision)
 
+    def _charge(self, request: AdmissionRequest) -> float:
+        """Charge the request's account; return when it may come back, 0 for now.
+
+        Before it waits for an engine: one beyond its limit takes nobody's turn.
+        """
+        if self._charges is None or not request.account_name:
+            return 0.0
+        spending = AccountSpending(request.account_name, request.account_cost or 0.0)
+        return self._charges.charge_once(request.request_id, spending)
+
     def take(self, told: Sequence[AdmissionNews]) -> None:
         """Note how far requests with grants have come."""
         pools = self._pools()
         for news in told:
             for pool in pools:
                 if news.step == AdmissionStep.ENDED:
-                    pool.end(news.request_id, news.attempt)
+                    was_waiting = pool.end(news.request_id, news.attempt)
+                    if was_waiting and self._charges is not None:
+                        self._charges.give_back(news.request_id)
                 else:
                     pool.note_read(news.request_id, news.attempt)
 
--- a/src/jujubeslip/admission/_pool.py
+++ b/src/jujubeslip/admission/_pool.py
@@ -162,14 +162,16 @@
             self._engines.note_read(request_id, attempt)
             self._decide_all()
 
-    def end(self, request_id: str, attempt: int) -> None:
-        """Note that a request has ended, or will not be sent."""
+    def end(self, request_id: str, attempt: int) -> bool:
+        """Note that a request has ended, or will not be sent; say if it waited."""
         with self._lock:
             waiting = self._waiting_by_id.get(request_id)
-            if waiting is not None and waiting.applicant.attempt == attempt:
+            waited = waiting is not None and waiting.applicant.attempt == attempt
+            if waiting is not None and waited:
                 self._refuse(waiting)
             self._engines.end(request_id, attempt)
             self._decide_all()
+        return waited
 
     def look_again(self) -> None:
         """Decide for those that wait: a reader that was busy has time by itself."""
--- a/src/jujubeslip/control/_handler.py
+++ b/src/jujubeslip/control/_handler.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from jujubeslip.admission import AdmissionHome
+from jujubeslip.control._account_keeper import AccountKeeper
 from jujubeslip.control._changes import MembershipChanges
 from jujubeslip.control._claims import ClaimsFull
 from jujubeslip.control._commands import NoOp
@@ -22,6 +23,8 @@
 from jujubeslip.kernel import Deadline
 from jujubeslip.peers import (
     AbandonCommand,
+    AccountSpending,
+    AccountState,
     AdmissionNews,
     AdmissionReply,
     AdmissionRequest,
@@ -62,7 +65,9 @@
         changes: MembershipChanges,
         watches: Watches,
         admissions: AdmissionHome | None = None,
+        accounts: AccountKeeper | None = None,
     ) -> None:
+        self._accounts = accounts
         self._replica = replica
         self._receiver = receiver
         self._changes = changes
@@ -134,6 +139,23 @@
         """See AdmissionHome.take."""
         self._leading_admissions().take(news)
 
+    def charge_account(self, spending: AccountSpending) -> AccountState:
+        """See AccountKeeper.charge; only the leader knows what is left."""
+        return self._leading_accounts().charge(spending)
+
+    def settle_accounts(self, spent: list[AccountSpending]) -> list[AccountState]:
+        """See AccountKeeper.settle."""
+        return self._leading_accounts().settle(spent)
+
+    def _leading_accounts(self) -> AccountKeeper:
+        """Return what keeps accounts' limits, or raise NotLeader.
+
+        Without a valid lease another host may lead, and let run as much once more.
+        """
+        if self._accounts is None or self._replica.fence() is None:
+            raise self._replica.not_leader()
+        return self._accounts
+
     def _leading_admissions(self) -> AdmissionHome:
         """Return what grants engines, or raise NotLeader.
 
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -4,12 +4,13 @@
 
 import logging
 
+from jujubeslip.accounts import LimitBounds
 from jujubeslip.admission import AdmissionHome, MemoryOptions
+from jujubeslip.control._account_keeper import AccountKeeper
 from jujubeslip.control._changes import MembershipChanges
 from jujubeslip.control._client import ControlClient
 from jujubeslip.control._disk_probe import PROBE_SECONDS, DiskProbe
 from jujubeslip.control._election import Elections
-from jujubeslip.control._engine_services import EngineServices
 from jujubeslip.control._gateway import LeaderGateway
 from jujubeslip.control._given_orders import GivenOrders
 from jujubeslip.control._handler import ControlHandler
@@ -20,6 +21,7 @@
 from jujubeslip.control._replica import Replica
 from jujubeslip.control._replication import Replication
 from jujubeslip.control._roles import LOOK_SECONDS, RoleKeeper
+from jujubeslip.control._routes_in_force import RoutesInForce
 from jujubeslip.control._stopping import step_aside
 from jujubeslip.control._storage import Storage
 from jujubeslip.control._upkeep import Upkeep
@@ -72,6 +74,19 @@
             settings.peer_address,
         )
         self._orders = GivenOrders()
+        self._routes = RoutesInForce(
+            lambda: self._replica.machine.configurations,
+            interfaces.get(settings.interface).read_routes,
+        )
+        self._accounts = AccountKeeper(
+            LimitBounds(
+                settings.limit_window_ms / 1000,
+                settings.limit_overage,
+                settings.limit_slack,
+            ),
+            self._routes.accounts,
+            self._lead_began_at,
+        )
         self._admissions = self._build_admissions()
         handler = ControlHandler(
             self._replica,
@@ -79,6 +94,7 @@
             self._changes,
             self._watches,
             self._admissions,
+            self._accounts,
         )
         self._server = PeerServer(
             settings.peer_address,
@@ -100,8 +116,9 @@
             interfaces.get(settings.interface),
             MemoryOptions(settings.memory_margin, settings.memory_caution),
             lambda: self._replica.fence() is not None,
-            self._engine_services().names,
+            self._routes.engine_services,
             self._orders.role_of,
+            self._accounts,
         )
 
     def _build_http(self) -> HttpServer | None:
@@ -159,18 +176,18 @@
             self._watches,
             interfaces.get(settings.interface),
             settings.order_lease_ms / 1000,
-            self._engine_services().names,
+            self._routes.engine_services,
             self._orders,
             admissions.busy_readers if admissions else lambda _: 0.0,
             admissions.look if admissions else lambda: None,
         )
         self._process.repeat(LOOK_SECONDS, keeper.look)
 
-    def _engine_services(self) -> EngineServices:
-        return EngineServices(
-            lambda: self._replica.machine.configurations,
-            interfaces.get(self._settings.interface).read_routes,
-        )
+    def _lead_began_at(self) -> float | None:
+        """Return since when this host leads, None while it doesn't."""
+        with self._replica.lock:
+            leadership = self._replica.leadership
+        return leadership.started_at if leadership is not None else None
 
     def _control_addresses(self) -> list[str]:
         """Return the members' peer addresses, and this host's own."""
--- a/src/jujubeslip/forwarding/_admissions.py
+++ b/src/jujubeslip/forwarding/_admissions.py
@@ -5,26 +5,21 @@
 import contextlib
 import logging
 import queue
-import threading
-from collections import Counter
-from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
-from jujubeslip.discovery import EndpointBook, News
+from jujubeslip.discovery import EndpointBook
 from jujubeslip.endpoints import CallerGoneError
 from jujubeslip.forwarding._health import EndpointHealth
+from jujubeslip.forwarding._leader_contact import LeaderContact
 from jujubeslip.forwarding._models import Attempts, ForwardContext
-from jujubeslip.kernel import Deadline, PeerUnavailableError, Process, Ran
+from jujubeslip.kernel import Deadline, Process, Ran
 from jujubeslip.peers import (
     AdmissionNews,
     AdmissionReply,
     AdmissionRequest,
     AdmissionStatus,
     AdmissionStep,
-    ControlClients,
-    NotLeader,
-    PeerIdentity,
-    PeerRefusal,
 )
 from jujubeslip.routes import EngineService, PromptShape
 
@@ -36,8 +31,6 @@
 # How much longer than that an answer may take, in seconds. The way between zones takes
 # some milliseconds; a host that is busy or slow is better left than waited for.
 ANSWER_SECONDS = 0.25
-# How long a host that did not answer, or does not lead, is not asked, in seconds.
-PAUSE_SECONDS = 0.7
 # News that are told in one call at most, and how long that may take, in seconds.
 NEWS_A_CALL = 50
 TELL_SECONDS = 0.5
@@ -55,6 +48,8 @@
     """How long the request was expected to wait, in seconds."""
     read_seconds: float = 0.0
     """How long reading the prompt should take."""
+    over_limit_seconds: float = 0.0
+    """When its client may come back whose account has used its limit; else 0."""
 
 
 class Admissions:
@@ -66,32 +61,22 @@
     def __init__(
         self,
         process: Process,
-        identity: PeerIdentity,
+        leader: LeaderContact,
         availability_zone: str,
         book: EndpointBook,
         health: EndpointHealth,
-        reaches: Callable[[str], bool],
     ) -> None:
         self._process = process
         self._availability_zone = availability_zone
         self._book = book
         self._health = health
-        self._reaches = reaches
-        self._clients = ControlClients(identity)
-        self._leader_by_teller: dict[str, str] = {}
-        self._paused_until_by_address: dict[str, Deadline] = {}
+        self._leader = leader
         self._news: queue.SimpleQueue[AdmissionNews] = queue.SimpleQueue()
-        self._lock = threading.Lock()
 
     def start(self) -> None:
         """Tell the leader how requests go on until the process stops."""
         self._process.start_task(self._tell)
 
-    def take(self, news: News) -> None:
-        """Note who leads, as one control host sees it."""
-        with self._lock:
-            self._leader_by_teller[news.address] = news.leader_address
-
     def ask(
         self,
         context: ForwardContext,
@@ -106,7 +91,7 @@
         Raises CallerGoneError when the client goes before that.
         """
         attempts.grants_asked += 1
-        while (address := self._leader()) is not None:
+        while (address := self._leader.address()) is not None:
             request = self._request(
                 context, attempts, engine, prompt, limit, reads_itself
             )
@@ -120,6 +105,8 @@
                 return AdmissionAnswer(
                     reply.start_id, reader_start_id, forecast, read_seconds
                 )
+            if reply.status == AdmissionStatus.OVER_LIMIT:
+                return AdmissionAnswer("", "", 0.0, over_limit_seconds=forecast)
             if reply.status == AdmissionStatus.REFUSED:
                 return AdmissionAnswer("", "", forecast)
             if context.gone():
@@ -145,6 +132,8 @@
         reads_itself: bool,
     ) -> AdmissionRequest:
         event_tokens = engine.event_tokens
+        is_limited = context.cost and not attempts.is_charged
+        account_name = context.request.account_name if is_limited else ""
         return AdmissionRequest(
             context.request.request_id,
             context.service_name,
@@ -161,6 +150,8 @@
             attempt=attempts.grants_asked,
             availability_zone=self._availability_zone,
             maximum_gap_ms=context.route.maximum_gap_ms,
+            account_name=account_name,
+            account_cost=context.cost,
         )
 
     def _paused_starts(self) -> list[str]:
@@ -172,50 +163,11 @@
 
     def _call(self, address: str, request: AdmissionRequest) -> AdmissionReply | None:
         """Return the leader's answer; None if this host is to ask another one."""
-        try:
-            reply: AdmissionReply = self._clients.get(address).call(
-                lambda peer: peer.admit(request), WAIT_MS / 1000 + ANSWER_SECONDS
-            )
-        except NotLeader as error:
-            self._pause(address, request, "it does not lead")
-            if error.leader_address:
-                with self._lock:
-                    self._leader_by_teller[address] = error.leader_address
-            return None
-        except (PeerUnavailableError, PeerRefusal) as error:
-            self._pause(address, request, str(error))
-            return None
+        timeout = WAIT_MS / 1000 + ANSWER_SECONDS
+        call = partial(self._leader.call, address, request.request_id, timeout)
+        reply: AdmissionReply | None = call(lambda peer: peer.admit(request))
         return reply
 
-    def _pause(self, address: str, request: AdmissionRequest, reason: str) -> None:
-        with self._lock:
-            self._paused_until_by_address[address] = Deadline.after(PAUSE_SECONDS)
-        extra = {
-            "address": address,
-            "request_id": request.request_id,
-            "reason": reason,
-        }
-        logger.info("leader grants no engines", extra=extra)
-
-    def _leader(self) -> str | None:
-        """Return the address that most control hosts name, None if none may be asked.
-
-        One that is cut off from the others may still name the leader of before.
-        """
-        with self._lock:
-            named = Counter(
-                address
-                for address in self._leader_by_teller.values()
-                if address and not self._is_paused(address)
-            )
-            # Each request would wait anew for a host beyond a network partition.
-            named = Counter({key: n for key, n in named.items() if self._reaches(key)})
-        return named.most_common(1)[0][0] if named else None
-
-    def _is_paused(self, address: str) -> bool:
-        paused = self._paused_until_by_address.get(address)
-        return paused is not None and not paused.expired
-
     def _tell(self) -> None:
         while not self._process.stopped.is_set():
             news = self._take_news()
@@ -224,18 +176,10 @@
 
     def _tell_leader(self, news: list[AdmissionNews]) -> None:
         """Tell the leader; what it doesn't hear it learns from the engines' reports."""
-        address = self._leader()
-        error = "no leader is known"
-        if address is not None:
-            try:
-                self._clients.get(address).call(
-                    lambda peer: peer.tell_admissions(news), TELL_SECONDS
-                )
-                return
-            except (PeerUnavailableError, PeerRefusal, NotLeader) as failure:
-                error = str(failure)
-        extra = {"address": address, "news": len(news), "error": error}
-        logger.info("leader not told of requests", extra=extra)
+        error = self._leader.tell(lambda peer: peer.tell_admissions(news), TELL_SECONDS)
+        if error:
+            extra = {"news": len(news), "error": error}
+            logger.info("leader not told of requests", extra=extra)
 
     def _take_news(self) -> list[AdmissionNews]:
         """Return what is to be told since the last time, after waiting for some."""
--- a/src/jujubeslip/forwarding/_grants.py
+++ b/src/jujubeslip/forwarding/_grants.py
@@ -8,6 +8,7 @@
 from functools import partial
 
 from jujubeslip.discovery import Endpoint, EndpointBook
+from jujubeslip.forwarding._account_limits import AccountLimits
 from jujubeslip.forwarding._admissions import AdmissionAnswer, Admissions
 from jujubeslip.forwarding._models import Attempts, ForwardContext
 from jujubeslip.forwarding._pressure import WAITED_SECONDS, Pressures
@@ -61,7 +62,9 @@
         pressures: Pressures,
         reservations: Reservations,
         admissions: Admissions | None,
+        limits: AccountLimits | None = None,
     ) -> None:
+        self._limits = limits
         self._sending = sending
         self._book = book
         self._pressures = pressures
@@ -79,6 +82,8 @@
         service = context.table.service_by_name[context.service_name]
         prompt = context.request.prompt
         if service.engine is None or not service.engine.reservation_ms or not prompt:
+            if self._limits is not None:
+                self._limits.charge(context, attempts)
             endpoint = self._sending.choose(
                 context, EndpointRole.DECODE, attempts.tried
             )
@@ -100,16 +105,17 @@
     ) -> Grant | None:
         limit = _wait_limit(context)
         if self._admissions is not None:
-            found = self._admissions.ask(
-                context, attempts, engine, prompt, limit, reads_itself
-            )
+            found = self._ask(context, attempts, engine, prompt, limit, reads_itself)
             if found is not None and not found.start_id:
                 attempts.note_no_room("no grant in time", found.forecast)
                 return None
             if found is not None:
+                attempts.is_charged = True
                 grant = self._given(context, attempts, self._admissions, found)
                 if grant is not None:
                     return grant
+        if self._limits is not None:
+            self._charge_without_grant(self._limits, context, attempts)
         reservation = self._reservations.take(context, attempts, engine, prompt, limit)
         if reservation is None:
             return None
@@ -120,6 +126,51 @@
             reservation.endpoint, reads_itself=reads_itself, before_run=give_back
         )
 
+    def _ask(
+        self,
+        context: ForwardContext,
+        attempts: Attempts,
+        engine: EngineService,
+        prompt: PromptShape,
+        limit: Deadline,
+        reads_itself: bool,
+    ) -> AdmissionAnswer | None:
+        """Return what the leader decides, None without a leader that grants engines.
+
+        Raises RequestRefusedError where the client account has used its limit. A
+        request of an account with a limit waits for a leader that can charge it: only
+        that one knows what is left, and hosts by themselves may let run little.
+        """
+        assert self._admissions is not None
+        ask = partial(
+            self._admissions.ask,
+            context,
+            attempts,
+            engine,
+            prompt,
+            limit,
+            reads_itself,
+        )
+        found = ask()
+        limits = self._limits
+        if limits is None or not context.cost or attempts.is_charged:
+            return found
+        while found is None and not limits.charge_at_leader(context, attempts):
+            if not limits.wait_for_leader(context, limit):
+                break
+            found = ask()
+        if found is not None and found.over_limit_seconds > 0:
+            raise limits.over_limit(context, found.over_limit_seconds)
+        return found
+
+    def _charge_without_grant(
+        self, limits: AccountLimits, context: ForwardContext, attempts: Attempts
+    ) -> None:
+        if self._admissions is None:
+            limits.charge(context, attempts)
+        else:
+            limits.charge_alone(context, attempts)
+
     def _given(
         self,
         context: ForwardContext,
--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -39,6 +39,16 @@
     check_account: Callable[[], None] = _always_accepted
     """Raises RequestRefusedError once the account's key was taken away."""
 
+    @property
+    def cost(self) -> float:
+        """Return what the request counts against its account's limit, 0 without one."""
+        if self.account is None or self.account.limit is None:
+            return 0.0
+        prompt = self.request.prompt
+        if prompt is None:
+            return self.account.cost_of(None)
+        return self.account.cost_of(prompt.prompt_tokens + prompt.maximum_output_tokens)
+
     @property
     def came_back(self) -> bool:
         """Say whether the client asks again after a refusal: it has waited before."""
@@ -97,6 +107,10 @@
     """Calls to engines to read the prompt for another one."""
     prompt_error: EndpointError | None = None
     """Why the latest of them brought nothing."""
+    is_charged: bool = False
+    """Whether its account's limit was charged, or it has none."""
+    spent_here: float = 0.0
+    """What this host let its account spend for it, without asking the leader."""
     grants_asked: int = 0
     """Grants that the leader was asked for."""
     found_no_room: bool = False
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -7,15 +7,18 @@
 
 from returns.result import Failure
 
+from jujubeslip.accounts import HostSpending, LimitBounds
 from jujubeslip.admission import MemoryOptions
 from jujubeslip.discovery import ControlFollowers, EndpointBook, News
 from jujubeslip.endpoints import ConnectionPool
+from jujubeslip.forwarding._account_limits import AccountLimits
 from jujubeslip.forwarding._admissions import Admissions
 from jujubeslip.forwarding._app import ForwardApp, OpenRequests, ReadyApp
 from jujubeslip.forwarding._budget import BudgetOptions, RetryBudgets
 from jujubeslip.forwarding._choice import Chooser, policies
 from jujubeslip.forwarding._grants import Grants
 from jujubeslip.forwarding._health import EndpointHealth
+from jujubeslip.forwarding._leader_contact import LeaderContact
 from jujubeslip.forwarding._meters import ForwardMeters, HostState, observe_host
 from jujubeslip.forwarding._plain_path import PlainPath
 from jujubeslip.forwarding._pressure import Pressures
@@ -34,6 +37,7 @@
     load_forward_settings,
     load_plugins,
     new_incarnation,
+    steady_seconds,
 )
 from jujubeslip.peers import PeerIdentity
 from jujubeslip.telemetry import (
@@ -84,14 +88,18 @@
             pressures=self._pressures.told,
         )
         sending = self._build_sending()
+        self._leader = LeaderContact(identity, self._followers.reaches)
+        # With pauses of its own: a leader that knows no engines yet, and is not asked
+        # for grants for a moment, does know the accounts' limits.
+        self._limit_leader = LeaderContact(identity, self._followers.reaches)
+        self._limits = self._build_limits()
         self._admissions = (
             Admissions(
                 self._process,
-                identity,
+                self._leader,
                 settings.availability_zone,
                 self._book,
                 sending.health,
-                self._followers.reaches,
             )
             if settings.asks_leader
             else None
@@ -114,9 +122,11 @@
                         MemoryOptions(settings.memory_margin, settings.memory_caution),
                     ),
                     self._admissions,
+                    self._limits,
                 ),
             ),
             ForwardMeters(),
+            self._limits,
         )
         self._http = HttpServer(
             HttpServerOptions(
@@ -159,6 +169,16 @@
             self._budgets,
         )
 
+    def _build_limits(self) -> AccountLimits:
+        settings = self._settings
+        bounds = LimitBounds(
+            settings.limit_window_ms / 1000,
+            settings.limit_overage,
+            settings.limit_slack,
+        )
+        spending = HostSpending(bounds, lambda: self._entry_hosts, steady_seconds())
+        return AccountLimits(self._process, self._limit_leader, spending)
+
     def run(self) -> None:
         """Serve until SIGTERM, then finish what is open and exit with status 0."""
         process = self._process
@@ -166,6 +186,7 @@
         process.reload_with(self._reload)
         self._followers.learn(self._settings.seed_addresses)
         process.repeat(CLEANUP_SECONDS, self._pool.close_expired)
+        self._limits.start()
         if self._admissions is not None:
             self._admissions.start()
         observe_host(self._state)
@@ -179,8 +200,8 @@
     def _take_news(self, news: News) -> None:
         self._entry_hosts = max(self._entry_hosts, news.entry_hosts)
         self._routes.take(news)
-        if self._admissions is not None:
-            self._admissions.take(news)
+        self._leader.take(news)
+        self._limit_leader.take(news)
 
     def _is_ready(self) -> bool:
         return self._routes.version > 0 and not self._process.stopping.is_set()
--- a/src/jujubeslip/forwarding/_service.py
+++ b/src/jujubeslip/forwarding/_service.py
@@ -8,6 +8,7 @@
 from functools import partial
 
 from jujubeslip.endpoints import CallerGoneError, Interrupted
+from jujubeslip.forwarding._account_limits import AccountLimits
 from jujubeslip.forwarding._identification import check_account, identify
 from jujubeslip.forwarding._meters import ForwardMeters
 from jujubeslip.forwarding._models import (
@@ -49,7 +50,9 @@
         plain_path: PlainPath,
         stream_path: StreamPath,
         meters: ForwardMeters,
+        limits: AccountLimits | None = None,
     ) -> None:
+        self._limits = limits
         self._meters = meters
         self._routes = routes
         self._plain_path = plain_path
@@ -63,8 +66,10 @@
             if context.route.kind is RouteKind.STREAM:
                 answer = self._stream_path.answer(context, attempts)
             else:
-                answer = self._plain_path.answer(context, attempts)
+                answer = self._answer_plain(context, attempts)
         except JujubeslipError as error:
+            if self._limits is not None:
+                self._limits.give_back(context, attempts)
             self._log(context, attempts, error.error_id)
             raise
         if isinstance(answer, StreamedAnswer):
@@ -73,6 +78,11 @@
         self._log(context, attempts, str(answer.status))
         return answer
 
+    def _answer_plain(self, context: ForwardContext, attempts: Attempts) -> Answer:
+        if self._limits is not None:
+            self._limits.charge(context, attempts)
+        return self._plain_path.answer(context, attempts)
+
     def _context(self, request: ForwardedRequest, gone: Interrupted) -> ForwardContext:
         table = self._table_for(request)
         route = table.find_route(request.host, request.path)
--- a/src/jujubeslip/kernel/_settings.py
+++ b/src/jujubeslip/kernel/_settings.py
@@ -162,6 +162,12 @@
     """Share of an engine's memory that the leader leaves free."""
     memory_caution: Annotated[float, Field(ge=0, le=5)] = 1.5
     """How many standard deviations above its mean the memory's forecast has to fit."""
+    limit_window_ms: Annotated[int, Field(ge=100)] = 8000
+    """Span in which an account's limit has to hold, over all hosts."""
+    limit_overage: Annotated[float, Field(ge=0)] = 0.1
+    """Share of the limit that may run beyond it in such a span."""
+    limit_slack: Annotated[float, Field(ge=0)] = 0.0
+    """Amount that may run beyond that, in the limit's unit."""
     election_timeout_ms: Annotated[int, Field(ge=50)] = 1000
     """A follower that hears nothing this long campaigns."""
     heartbeat_ms: Annotated[int, Field(ge=10)] = 200
@@ -218,6 +224,12 @@
     """Span over which further sends are counted."""
     retry_allowance: Annotated[float, Field(ge=0)] = 50.0
     """Further sends in the window beyond the ratio, over all hosts."""
+    limit_window_ms: Annotated[int, Field(ge=100)] = 8000
+    """Span in which an account's limit has to hold, over all hosts."""
+    limit_overage: Annotated[float, Field(ge=0)] = 0.1
+    """Share of the limit that may run beyond it in such a span."""
+    limit_slack: Annotated[float, Field(ge=0)] = 0.0
+    """Amount that may run beyond that, in the limit's unit."""
     endpoint_silence_ms: Annotated[int, Field(ge=100)] = 10_000
     """An endpoint that was not heard for this long is only used when no other is."""
     policy: Name = "least-cost"
--- a/src/jujubeslip/peers/__init__.py
+++ b/src/jujubeslip/peers/__init__.py
@@ -9,6 +9,8 @@
 from jujubeslip.peers.gen import ControlPeer, EntryPeer
 from jujubeslip.peers.gen.ttypes import (
     AbandonCommand,
+    AccountSpending,
+    AccountState,
     AdmissionNews,
     AdmissionReply,
     AdmissionRequest,
@@ -69,6 +71,8 @@
 
 __all__ = [
     "AbandonCommand",
+    "AccountSpending",
+    "AccountState",
     "AdmissionNews",
     "AdmissionReply",
     "AdmissionRequest",
--- a/src/jujubeslip/peers/gen/ControlPeer.py
+++ b/src/jujubeslip/peers/gen/ControlPeer.py
@@ -106,6 +106,22 @@
         """
         pass
 
+    def charge_account(self, spending):
+        """
+        Parameters:
+         - spending
+
+        """
+        pass
+
+    def settle_accounts(self, spent):
+        """
+        Parameters:
+         - spent
+
+        """
+        pass
+
     def history(self, limit):
         """
         Parameters:
@@ -563,6 +579,78 @@
             raise result.not_leader
         return
 
+    def charge_account(self, spending):
+        """
+        Parameters:
+         - spending
+
+        """
+        self.send_charge_account(spending)
+        return self.recv_charge_account()
+
+    def send_charge_account(self, spending):
+        self._oprot.writeMessageBegin('charge_account', TMessageType.CALL, self._seqid)
+        args = charge_account_args()
+        args.spending = spending
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_charge_account(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = charge_account_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.refusal is not None:
+            raise result.refusal
+        if result.not_leader is not None:
+            raise result.not_leader
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "charge_account failed: unknown result")
+
+    def settle_accounts(self, spent):
+        """
+        Parameters:
+         - spent
+
+        """
+        self.send_settle_accounts(spent)
+        return self.recv_settle_accounts()
+
+    def send_settle_accounts(self, spent):
+        self._oprot.writeMessageBegin('settle_accounts', TMessageType.CALL, self._seqid)
+        args = settle_accounts_args()
+        args.spent = spent
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_settle_accounts(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = settle_accounts_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.refusal is not None:
+            raise result.refusal
+        if result.not_leader is not None:
+            raise result.not_leader
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "settle_accounts failed: unknown result")
+
     def history(self, limit):
         """
         Parameters:
@@ -978,6 +1066,8 @@
         self._processMap["watch"] = Processor.process_watch
         self._processMap["admit"] = Processor.process_admit
         self._processMap["tell_admissions"] = Processor.process_tell_admissions
+        self._processMap["charge_account"] = Processor.process_charge_account
+        self._processMap["settle_accounts"] = Processor.process_settle_accounts
         self._processMap["history"] = Processor.process_history
         self._processMap["status"] = Processor.process_status
         self._processMap["describe"] = Processor.process_describe
@@ -1296,6 +1386,64 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_charge_account(self, seqid, iprot, oprot):
+        args = charge_account_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = charge_account_result()
+        try:
+            result.success = self._handler.charge_account(args.spending)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except NotLeader as not_leader:
+            msg_type = TMessageType.REPLY
+            result.not_leader = not_leader
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("charge_account", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_settle_accounts(self, seqid, iprot, oprot):
+        args = settle_accounts_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = settle_accounts_result()
+        try:
+            result.success = self._handler.settle_accounts(args.spent)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except NotLeader as not_leader:
+            msg_type = TMessageType.REPLY
+            result.not_leader = not_leader
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("settle_accounts", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_history(self, seqid, iprot, oprot):
         args = history_args()
         args.read(iprot)
@@ -3119,6 +3267,320 @@
 )
 
 
+class charge_account_args(object):
+    """
+    Attributes:
+     - spending
+
+    """
+
+
+    def __init__(self, spending=None,):
+        self.spending = spending
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.spending = AccountSpending()
+                    self.spending.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('charge_account_args')
+        if self.spending is not None:
+            oprot.writeFieldBegin('spending', TType.STRUCT, 1)
+            self.spending.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(charge_account_args)
+charge_account_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'spending', [AccountSpending, None], None, ),  # 1
+)
+
+
+class charge_account_result(object):
+    """
+    Attributes:
+     - success
+     - refusal
+     - not_leader
+
+    """
+
+
+    def __init__(self, success=None, refusal=None, not_leader=None,):
+        self.success = success
+        self.refusal = refusal
+        self.not_leader = not_leader
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = AccountState()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.not_leader = NotLeader.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('charge_account_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        if self.not_leader is not None:
+            oprot.writeFieldBegin('not_leader', TType.STRUCT, 2)
+            self.not_leader.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(charge_account_result)
+charge_account_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [AccountState, None], None, ),  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+    (2, TType.STRUCT, 'not_leader', [NotLeader, None], None, ),  # 2
+)
+
+
+class settle_accounts_args(object):
+    """
+    Attributes:
+     - spent
+
+    """
+
+
+    def __init__(self, spent=None,):
+        self.spent = spent
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.spent = []
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = AccountSpending()
+                        _elem152.read(iprot)
+                        self.spent.append(_elem152)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('settle_accounts_args')
+        if self.spent is not None:
+            oprot.writeFieldBegin('spent', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.spent))
+            for iter153 in self.spent:
+                iter153.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(settle_accounts_args)
+settle_accounts_args.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'spent', (TType.STRUCT, [AccountSpending, None], False), None, ),  # 1
+)
+
+
+class settle_accounts_result(object):
+    """
+    Attributes:
+     - success
+     - refusal
+     - not_leader
+
+    """
+
+
+    def __init__(self, success=None, refusal=None, not_leader=None,):
+        self.success = success
+        self.refusal = refusal
+        self.not_leader = not_leader
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.LIST:
+                    self.success = []
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = AccountState()
+                        _elem159.read(iprot)
+                        self.success.append(_elem159)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.not_leader = NotLeader.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('settle_accounts_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.LIST, 0)
+            oprot.writeListBegin(TType.STRUCT, len(self.success))
+            for iter160 in self.success:
+                iter160.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        if self.not_leader is not None:
+            oprot.writeFieldBegin('not_leader', TType.STRUCT, 2)
+            self.not_leader.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(settle_accounts_result)
+settle_accounts_result.thrift_spec = (
+    (0, TType.LIST, 'success', (TType.STRUCT, [AccountState, None], False), None, ),  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+    (2, TType.STRUCT, 'not_leader', [NotLeader, None], None, ),  # 2
+)
+
+
 class history_args(object):
     """
     Attributes:
@@ -3206,11 +3668,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = Configuration()
-                        _elem152.read(iprot)
-                        self.success.append(_elem152)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = Configuration()
+                        _elem166.read(iprot)
+                        self.success.append(_elem166)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3232,8 +3694,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter153 in self.success:
-                iter153.write(oprot)
+            for iter167 in self.success:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -43,6 +43,7 @@
     ADMITTED = 1
     WAITING = 2
     REFUSED = 3
+    OVER_LIMIT = 4
 
 
 
@@ -3191,11 +3192,13 @@
      - attempt
      - availability_zone
      - maximum_gap_ms
+     - account_name
+     - account_cost
 
     """
 
 
-    def __init__(self, request_id=None, service_name=None, prompt_tokens=None, maximum_events=None, event_tokens=None, expected_events=None, slots=None, target_remaining_ms=None, limit_remaining_ms=None, wait_ms=None, avoided_start_ids=None, reads_itself=None, attempt=None, availability_zone=None, maximum_gap_ms=None,):
+    def __init__(self, request_id=None, service_name=None, prompt_tokens=None, maximum_events=None, event_tokens=None, expected_events=None, slots=None, target_remaining_ms=None, limit_remaining_ms=None, wait_ms=None, avoided_start_ids=None, reads_itself=None, attempt=None, availability_zone=None, maximum_gap_ms=None, account_name=None, account_cost=None,):
         self.request_id = request_id
         self.service_name = service_name
         self.prompt_tokens = prompt_tokens
@@ -3211,6 +3214,8 @@
         self.attempt = attempt
         self.availability_zone = availability_zone
         self.maximum_gap_ms = maximum_gap_ms
+        self.account_name = account_name
+        self.account_cost = account_cost
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3301,6 +3306,16 @@
                     self.maximum_gap_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRING:
+                    self.account_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.DOUBLE:
+                    self.account_cost = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3374,6 +3389,14 @@
             oprot.writeFieldBegin('maximum_gap_ms', TType.I32, 15)
             oprot.writeI32(self.maximum_gap_ms)
             oprot.writeFieldEnd()
+        if self.account_name is not None:
+            oprot.writeFieldBegin('account_name', TType.STRING, 16)
+            oprot.writeString(self.account_name.encode('utf-8') if sys.version_info[0] == 2 else self.account_name)
+            oprot.writeFieldEnd()
+        if self.account_cost is not None:
+            oprot.writeFieldBegin('account_cost', TType.DOUBLE, 17)
+            oprot.writeDouble(self.account_cost)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3493,6 +3516,153 @@
         return not (self == other)
 
 
+class AccountSpending(object):
+    """
+    Attributes:
+     - account_name
+     - amount
+
+    """
+
+
+    def __init__(self, account_name=None, amount=None,):
+        self.account_name = account_name
+        self.amount = amount
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.amount = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AccountSpending')
+        if self.account_name is not None:
+            oprot.writeFieldBegin('account_name', TType.STRING, 1)
+            oprot.writeString(self.account_name.encode('utf-8') if sys.version_info[0] == 2 else self.account_name)
+            oprot.writeFieldEnd()
+        if self.amount is not None:
+            oprot.writeFieldBegin('amount', TType.DOUBLE, 2)
+            oprot.writeDouble(self.amount)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AccountState(object):
+    """
+    Attributes:
+     - account_name
+     - wait_seconds
+     - near_limit
+
+    """
+
+
+    def __init__(self, account_name=None, wait_seconds=None, near_limit=None,):
+        self.account_name = account_name
+        self.wait_seconds = wait_seconds
+        self.near_limit = near_limit
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.wait_seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.near_limit = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AccountState')
+        if self.account_name is not None:
+            oprot.writeFieldBegin('account_name', TType.STRING, 1)
+            oprot.writeString(self.account_name.encode('utf-8') if sys.version_info[0] == 2 else self.account_name)
+            oprot.writeFieldEnd()
+        if self.wait_seconds is not None:
+            oprot.writeFieldBegin('wait_seconds', TType.DOUBLE, 2)
+            oprot.writeDouble(self.wait_seconds)
+            oprot.writeFieldEnd()
+        if self.near_limit is not None:
+            oprot.writeFieldBegin('near_limit', TType.BOOL, 3)
+            oprot.writeBool(self.near_limit)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class AdmissionNews(object):
     """
     Attributes:
@@ -5733,6 +5903,8 @@
     (13, TType.I32, 'attempt', None, None, ),  # 13
     (14, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 14
     (15, TType.I32, 'maximum_gap_ms', None, None, ),  # 15
+    (16, TType.STRING, 'account_name', 'UTF8', None, ),  # 16
+    (17, TType.DOUBLE, 'account_cost', None, None, ),  # 17
 )
 all_structs.append(AdmissionReply)
 AdmissionReply.thrift_spec = (
@@ -5743,6 +5915,19 @@
     (4, TType.STRING, 'reader_start_id', 'UTF8', None, ),  # 4
     (5, TType.I32, 'read_ms', None, None, ),  # 5
 )
+all_structs.append(AccountSpending)
+AccountSpending.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account_name', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'amount', None, None, ),  # 2
+)
+all_structs.append(AccountState)
+AccountState.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account_name', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'wait_seconds', None, None, ),  # 2
+    (3, TType.BOOL, 'near_limit', None, None, ),  # 3
+)
 all_structs.append(AdmissionNews)
 AdmissionNews.thrift_spec = (
     None,  # 0
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -31,6 +31,8 @@
   WAITING = 2,
   // No engine will have room for it in time.
   REFUSED = 3,
+  // Its client account has used its limit; it may come back when the forecast is over.
+  OVER_LIMIT = 4,
 }
 
 enum KeyStatus {
@@ -374,6 +376,10 @@
   14: string availability_zone,
   // Longest pause between two events of an answer that is still in time.
   15: i32 maximum_gap_ms,
+  // The client account that asks, and what the request counts against its limit;
+  // empty where it has no limit, or was charged before.
+  16: string account_name,
+  17: double account_cost,
 }
 
 struct AdmissionReply {
@@ -388,6 +394,20 @@
   5: i32 read_ms,
 }
 
+// What a host let an account spend, in the limit's unit; below 0 it gives back.
+struct AccountSpending {
+  1: string account_name,
+  2: double amount,
+}
+
+struct AccountState {
+  1: string account_name,
+  // When the account may spend again; 0 where it may now.
+  2: double wait_seconds,
+  // Whether hosts are to ask before each of its requests.
+  3: bool near_limit,
+}
+
 enum AdmissionStep {
   // The prompt was read, or will not be read where it was to be.
   PROMPT_READ = 1,
@@ -592,6 +612,12 @@
   // How far requests with grants have come.
   void tell_admissions(1: list<AdmissionNews> news)
     throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
+  // Charges a request before it runs, if its account's limit allows it.
+  AccountState charge_account(1: AccountSpending spending)
+    throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
+  // Takes what hosts have let run; only a charge before that can refuse it.
+  list<AccountState> settle_accounts(1: list<AccountSpending> spent)
+    throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
   list<Configuration> history(1: i32 limit) throws (1: PeerRefusal refusal),
   ControlStatus status() throws (1: PeerRefusal refusal),
 
--- a/src/jujubeslip/routing/_limits.py
+++ b/src/jujubeslip/routing/_limits.py
@@ -6,8 +6,9 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from jujubeslip.accounts import limit_reached
 from jujubeslip.declaration import Client
-from jujubeslip.kernel import Ran, RequestRefusedError, steady_seconds
+from jujubeslip.kernel import steady_seconds
 from jujubeslip.peers import LimitShare, LimitUsage
 from jujubeslip.routing._token_buckets import TokenBucket
 
@@ -99,13 +100,7 @@
             if meter.surging:
                 self._surge.set()
         if wait > 0:
-            raise RequestRefusedError(
-                "client_limit",
-                f"The client account's limit of {kind} a second is reached.",
-                status=429,
-                ran=Ran.NO,
-                retry_after=wait,
-            )
+            raise limit_reached(kind, wait)
 
     def _rate(self, meter: _Meter) -> float:
         if meter.share is not None and meter.share.until > self._clock():
--- a/tests/control/test_engine_services.py
+++ b/tests/control/test_routes_in_force.py
@@ -1,4 +1,4 @@
-"""The services that have engines, as the configuration in force says."""
+"""What the configuration in force says of services and client accounts."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from typing import Any
 
 from jujubeslip.control._configurations import ConfigurationTable
-from jujubeslip.control._engine_services import EngineServices
+from jujubeslip.control._routes_in_force import RoutesInForce
 from jujubeslip.peers import VersionedCommand
 from jujubeslip.platform._configurations import read_routes
 from tests.fakes.platform_system import ENGINE, PLAIN, configuration
@@ -19,20 +19,23 @@
 
 class TestNames:
     def test_are_none_before_the_first_configuration(self) -> None:
-        assert EngineServices(ConfigurationTable, read_routes).names() == frozenset()
+        assert (
+            RoutesInForce(ConfigurationTable, read_routes).engine_services()
+            == frozenset()
+        )
 
     def test_are_those_with_engines_in_the_newest(self) -> None:
         table = ConfigurationTable()
-        services = EngineServices(lambda: table, read_routes)
+        services = RoutesInForce(lambda: table, read_routes)
         put(table, 1, PLAIN, ENGINE)
-        assert services.names() == {"model"}
+        assert services.engine_services() == {"model"}
         put(table, 5, PLAIN, {**ENGINE, "name": "other"})
-        assert services.names() == {"other"}
+        assert services.engine_services() == {"other"}
 
     def test_stay_when_a_configuration_can_t_be_read(self) -> None:
         table = ConfigurationTable()
-        services = EngineServices(lambda: table, read_routes)
+        services = RoutesInForce(lambda: table, read_routes)
         put(table, 1, ENGINE)
-        assert services.names() == {"model"}
+        assert services.engine_services() == {"model"}
         table.put(VersionedCommand(2, "{"))
-        assert services.names() == {"model"}
+        assert services.engine_services() == {"model"}
--- /dev/null
+++ b/tests/forwarding/test_account_limits.py
@@ -0,0 +1,123 @@
+"""What an account may ask for over all hosts, with real processes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import pytest
+
+from tests.fakes.platform_system import PROMPT, PlatformSystem, Reply
+from tests.fakes.platform_worker import PlatformWorker
+from tests.fakes.processes import wait_until
+from tests.forwarding.test_accounts import (
+    CLOSED,
+    MODEL,
+    OPEN,
+    account,
+    key,
+    with_accounts,
+)
+
+# PROMPT counts 120 tokens, a plain request 100.
+LIMITED = {"unit": "tokens", "plainTokens": 100, "ratePerS": 100.0, "burst": 600}
+HOSTS = 2
+
+
+def accounts(**hot_fields: Any) -> list[dict[str, Any]]:
+    return [
+        account("hot", "k-hot", **{**LIMITED, **hot_fields}),
+        account("streams", "k-streams", **LIMITED),
+        account("filled", "k-filled", **{**LIMITED, "plainTokens": 400}),
+        account("free", "k-free"),
+    ]
+
+
+@pytest.fixture(scope="module")
+def system(tmp_path_factory: pytest.TempPathFactory) -> Iterator[PlatformSystem]:
+    with PlatformSystem(tmp_path_factory.mktemp("limits"), entries=HOSTS) as running:
+        running.put_until_accepted(with_accounts(1, accounts()))
+        running.wait_ready()
+        running.add(PlatformWorker("plain-1", "plain"))
+        running.add(PlatformWorker("reads-1", "model", stage="prefill"))
+        running.add(PlatformWorker("answers-1", "model", stage="decode"))
+        for path in (OPEN, MODEL):
+            headers = {**key("k-free"), **(PROMPT if path == MODEL else {})}
+            running.wait_served(path, headers=headers, deadline_ms=5000)
+        # A new leader's accounts fill from nothing, as the slack is 0.
+        wait_until(
+            lambda: running.ask(CLOSED, headers=key("k-filled")).status == 200,
+            "accounts have filled",
+        )
+        yield running
+
+
+def ask_many(
+    system: PlatformSystem, path: str, api_key: str, count: int
+) -> list[Reply]:
+    """Ask so many times at once, at all hosts in turn."""
+    headers = {**key(api_key), **(PROMPT if path == MODEL else {})}
+
+    def ask(number: int) -> Reply:
+        return system.ask(path, headers=headers, entry=number % HOSTS, deadline_ms=5000)
+
+    with ThreadPoolExecutor(count) as threads:
+        return list(threads.map(ask, range(count)))
+
+
+class TestAccountBeyondItsLimit:
+    """One account asks for many times its limit, at two hosts at once."""
+
+    @pytest.mark.parametrize(
+        ("path", "api_key"), [(CLOSED, "k-hot"), (MODEL, "k-streams")]
+    )
+    def test_is_refused_at_once_and_told_when_to_come_back(
+        self, system: PlatformSystem, path: str, api_key: str
+    ) -> None:
+        replies = ask_many(system, path, api_key, 24)
+        served = [reply for reply in replies if reply.status == 200]
+        refused = [reply for reply in replies if reply.status == 429]
+        assert len(served) + len(refused) == len(replies)
+        # 600 tokens at once, and 100 for each second that the requests took.
+        assert 1 <= len(served) <= 10
+        for reply in refused:
+            assert 0 < float(reply.headers["retry-after"]) < 15
+            assert b'"ran": "no"' in reply.body
+            assert b"tokens" in reply.body
+
+    def test_takes_nothing_from_others(self, system: PlatformSystem) -> None:
+        ask_many(system, CLOSED, "k-hot", 12)
+        replies = ask_many(system, CLOSED, "k-free", 12)
+        assert {reply.status for reply in replies} == {200}
+
+    def test_may_ask_again_after_that_time(self, system: PlatformSystem) -> None:
+        ask_many(system, CLOSED, "k-hot", 12)
+        wait_until(
+            lambda: system.ask(CLOSED, headers=key("k-hot")).status == 200,
+            "the account may ask again",
+        )
+
+    def test_is_named_in_the_logs(self, system: PlatformSystem) -> None:
+        ask_many(system, CLOSED, "k-hot", 12)
+        message = "request not within its account's limit"
+        output = "".join(host.output() for host in system.entries)
+        assert message in output
+        told = system.logged("account has used its limit")
+        assert "hot" in {line["account"] for line in told}
+        assert {line["per_second"] for line in told} == {100}
+
+
+class TestChangeOfALimit:
+    """An operator raises an account's limit, or takes it away."""
+
+    def test_is_in_force_soon(self, system: PlatformSystem) -> None:
+        ask_many(system, CLOSED, "k-hot", 12)
+        system.put_until_accepted(with_accounts(5, accounts(ratePerS=0)))
+        wait_until(
+            lambda: (
+                {reply.status for reply in ask_many(system, CLOSED, "k-hot", 12)}
+                == {200}
+            ),
+            "no limit is in force",
+        )
--- a/tests/platform/test_deployment.py
+++ b/tests/platform/test_deployment.py
@@ -44,16 +44,28 @@
 def filled(name: str, told: dict[str, Any] = TOLD) -> str:
     """Return a template with its placeholders filled as the platform does."""
 
-    def value(match: re.Match[str]) -> str:
-        path, _, form = match.group(1).partition("|")
+    def look_up(path: str) -> Any:
         found: Any = told
         for part in path.split("."):
             found = found[int(part)] if part.isdigit() else found[part]
+        return found
+
+    def section(match: re.Match[str]) -> str:
+        try:
+            return match.group(2) if look_up(match.group(1)) else ""
+        except KeyError:
+            return ""
+
+    def value(match: re.Match[str]) -> str:
+        path, _, form = match.group(1).partition("|")
+        found = look_up(path)
         if form == "json" or isinstance(found, bool):
             return json.dumps(found)
         return str(found)
 
-    return re.sub(r"\{\{([^}]+)\}\}", value, (DEPLOY / name).read_text())
+    text = (DEPLOY / name).read_text()
+    text = re.sub(r"\{\{#([^}]+)\}\}(.*?)\{\{/\1\}\}", section, text, flags=re.S)
+    return re.sub(r"\{\{([^}]+)\}\}", value, text)
 
 
 class TestTemplates:
@@ -79,6 +91,22 @@
         assert settings.tolerated_losses == 2
         assert settings.peer_address in settings.seed_addresses
 
+    @pytest.mark.parametrize("name", ["entry.toml", "control.toml"])
+    def test_bounds_of_limits_are_those_of_the_platform(
+        self, tmp_path: Path, name: str
+    ) -> None:
+        path = tmp_path / name
+        load = load_forward_settings if "entry" in name else load_control_settings
+        quota = {"quotaWindowS": 6, "quotaOverage": 0.2, "quotaSlack": 5000}
+        path.write_text(filled(name, {**TOLD, "bounds": {**TOLD["bounds"], **quota}}))
+        with_limits: Any = load(path)
+        path.write_text(filled(name))
+        without: Any = load(path)
+        read = with_limits.unwrap()
+        assert read.limit_window_ms == 6000
+        assert (read.limit_overage, read.limit_slack) == (0.2, 5000)
+        assert without.unwrap().limit_slack == 0
+
     def test_setting_that_is_missing_is_named_with_the_remedy(
         self, tmp_path: Path
     ) -> None:
