Tell why a key or a limit refused a request, and what is left of a limit

trace names the cause of 401, 429 and of a limit that no leader knows; status of a control host lists what is left of each account that asked; counters by account, 200 names at most. Cause of the change: an account that says it was refused wrongly had no line to go by.

--- a/src/jujubeslip/accounts/_ledger.py
+++ b/src/jujubeslip/accounts/_ledger.py
@@ -68,6 +68,11 @@
         wait = max(0.0, -level.amount / limit.per_second)
         return LedgerAnswer(wait, self._is_near(level, limit))
 
+    @property
+    def names(self) -> list[str]:
+        """Return the accounts that asked in this lead."""
+        return list(self._level_by_name)
+
     def left(self, name: str, limit: TokenLimit, now: float) -> float:
         """Return what is left of an account's limit, below 0 if too much was told."""
         return self._filled(name, limit, now).amount
--- a/src/jujubeslip/control/_account_keeper.py
+++ b/src/jujubeslip/control/_account_keeper.py
@@ -16,7 +16,7 @@
     TokenLimit,
 )
 from jujubeslip.kernel import steady_seconds
-from jujubeslip.peers import AccountSpending, AccountState
+from jujubeslip.peers import AccountSpending, AccountState, AccountUse
 
 logger = logging.getLogger(__name__)
 
@@ -105,6 +105,19 @@
                 states.append(_state(item.account_name, answer))
         return states
 
+    def uses(self) -> list[AccountUse]:
+        """Return what is left of each account's limit, of those that asked."""
+        with self._lock:
+            ledger, now = self._current_ledger(), steady_seconds()
+            limit_by_name = {name: self._limit_of(name) for name in ledger.names}
+            return [
+                AccountUse(
+                    name, limit.per_second, limit.burst, ledger.left(name, limit, now)
+                )
+                for name, limit in limit_by_name.items()
+                if limit is not None
+            ]
+
     def _charge(
         self, ledger: AccountLedger, spending: AccountSpending, now: float
     ) -> LedgerAnswer:
--- a/src/jujubeslip/control/_handler.py
+++ b/src/jujubeslip/control/_handler.py
@@ -25,6 +25,7 @@
     AbandonCommand,
     AccountSpending,
     AccountState,
+    AccountUse,
     AdmissionNews,
     AdmissionReply,
     AdmissionRequest,
@@ -199,6 +200,7 @@
     def status(self) -> ControlStatus:
         """Return how this replica sees the cluster; a leader only within its lease."""
         replica = self._replica
+        account_uses = self._account_uses()
         with replica.lock:
             snapshot = replica.snapshot
             return ControlStatus(
@@ -213,8 +215,13 @@
                 len(replica.machine.claims),
                 snapshot.header.last_index if snapshot else 0,
                 replica.log.base_index + 1,
+                account_uses,
             )
 
+    def _account_uses(self) -> list[AccountUse]:
+        leads = self._replica.fence() is not None
+        return self._accounts.uses() if leads and self._accounts is not None else []
+
     def describe(self) -> ReplicaDescription:
         """Return which replica this is and which cluster it belongs to."""
         return own_description(self._replica)
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -185,8 +185,8 @@
 
     def _lead_began_at(self) -> float | None:
         """Return since when this host leads, None while it doesn't."""
-        with self._replica.lock:
-            leadership = self._replica.leadership
+        # Without the replica's lock: who asks holds one of its own.
+        leadership = self._replica.leadership
         return leadership.started_at if leadership is not None else None
 
     def _control_addresses(self) -> list[str]:
--- a/src/jujubeslip/forwarding/_meters.py
+++ b/src/jujubeslip/forwarding/_meters.py
@@ -13,6 +13,12 @@
 from jujubeslip.routes import RouteKind
 from jujubeslip.telemetry import MILLISECOND_BUCKETS, observed
 
+# Accounts that have metrics of their own; each one is kept for good, and configurations
+# may bring new ones for years.
+MOST_ACCOUNTS = 200
+OTHER_ACCOUNTS = "other"
+LIMIT_OUTCOMES = ("client_limit", "limit_unknown")
+
 
 @dataclass(frozen=True)
 class HostState:
@@ -50,6 +56,15 @@
             "jujubeslip.forward.wasted_prompt_tokens",
             description="Prompt tokens read for an engine that refused the request.",
         )
+        self._account_cost = meter.create_counter(
+            "jujubeslip.forward.account_cost",
+            description="What accounts' requests counted against their limits.",
+        )
+        self._account_refusals = meter.create_counter(
+            "jujubeslip.forward.account_refusals",
+            description="Requests refused for their account's limit, by account.",
+        )
+        self._named_accounts: set[str] = set()
         self._duration = meter.create_histogram(
             "jujubeslip.forward.duration",
             unit="ms",
@@ -90,6 +105,21 @@
             self._retries.add(attempts.sends - 1, service)
         if kind is RouteKind.STREAM:
             self._note_stream(attempts, service)
+        if context.cost:
+            self._note_account(context, outcome)
+
+    def _note_account(self, context: ForwardContext, outcome: str) -> None:
+        label = {"account": self._account_label(context.request.account_name)}
+        if outcome in LIMIT_OUTCOMES:
+            self._account_refusals.add(1, label)
+        else:
+            self._account_cost.add(context.cost, label)
+
+    def _account_label(self, name: str) -> str:
+        """Return an account's name, of a bounded number of them."""
+        if len(self._named_accounts) < MOST_ACCOUNTS:
+            self._named_accounts.add(name)
+        return name if name in self._named_accounts else OTHER_ACCOUNTS
 
     def _note_stream(self, attempts: Attempts, service: dict[str, str]) -> None:
         if attempts.wasted_prompt_tokens:
--- a/src/jujubeslip/peers/gen/ControlPeer.py
+++ b/src/jujubeslip/peers/gen/ControlPeer.py
@@ -3145,11 +3145,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.news = []
-                    (_etype143, _size140) = iprot.readListBegin()
-                    for _i144 in range(_size140):
-                        _elem145 = AdmissionNews()
-                        _elem145.read(iprot)
-                        self.news.append(_elem145)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = AdmissionNews()
+                        _elem152.read(iprot)
+                        self.news.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3166,8 +3166,8 @@
         if self.news is not None:
             oprot.writeFieldBegin('news', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.news))
-            for iter146 in self.news:
-                iter146.write(oprot)
+            for iter153 in self.news:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3439,11 +3439,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.spent = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = AccountSpending()
-                        _elem152.read(iprot)
-                        self.spent.append(_elem152)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = AccountSpending()
+                        _elem159.read(iprot)
+                        self.spent.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3460,8 +3460,8 @@
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.spent))
-            for iter153 in self.spent:
-                iter153.write(oprot)
+            for iter160 in self.spent:
+                iter160.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3514,11 +3514,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype157, _size154) = iprot.readListBegin()
-                    for _i158 in range(_size154):
-                        _elem159 = AccountState()
-                        _elem159.read(iprot)
-                        self.success.append(_elem159)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = AccountState()
+                        _elem166.read(iprot)
+                        self.success.append(_elem166)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3545,8 +3545,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter160 in self.success:
-                iter160.write(oprot)
+            for iter167 in self.success:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
@@ -3668,11 +3668,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = Configuration()
-                        _elem166.read(iprot)
-                        self.success.append(_elem166)
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = Configuration()
+                        _elem173.read(iprot)
+                        self.success.append(_elem173)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3694,8 +3694,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter167 in self.success:
-                iter167.write(oprot)
+            for iter174 in self.success:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
--- a/src/jujubeslip/peers/gen/EntryPeer.py
+++ b/src/jujubeslip/peers/gen/EntryPeer.py
@@ -2611,11 +2611,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = HeldRequest()
-                        _elem117.read(iprot)
-                        self.held.append(_elem117)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = HeldRequest()
+                        _elem124.read(iprot)
+                        self.held.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2636,8 +2636,8 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter118 in self.held:
-                iter118.write(oprot)
+            for iter125 in self.held:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2689,11 +2689,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = HeldRequest()
-                        _elem124.read(iprot)
-                        self.success.append(_elem124)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = HeldRequest()
+                        _elem131.read(iprot)
+                        self.success.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2715,8 +2715,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter125 in self.success:
-                iter125.write(oprot)
+            for iter132 in self.success:
+                iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
@@ -2912,11 +2912,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.usages = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = LimitUsage()
-                        _elem131.read(iprot)
-                        self.usages.append(_elem131)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = LimitUsage()
+                        _elem138.read(iprot)
+                        self.usages.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2937,8 +2937,8 @@
         if self.usages is not None:
             oprot.writeFieldBegin('usages', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.usages))
-            for iter132 in self.usages:
-                iter132.write(oprot)
+            for iter139 in self.usages:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2990,11 +2990,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = LimitShare()
-                        _elem138.read(iprot)
-                        self.success.append(_elem138)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = LimitShare()
+                        _elem145.read(iprot)
+                        self.success.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3016,8 +3016,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter139 in self.success:
-                iter139.write(oprot)
+            for iter146 in self.success:
+                iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -2434,6 +2434,96 @@
         return not (self == other)
 
 
+class AccountUse(object):
+    """
+    Attributes:
+     - account_name
+     - per_second
+     - burst
+     - left
+
+    """
+
+
+    def __init__(self, account_name=None, per_second=None, burst=None, left=None,):
+        self.account_name = account_name
+        self.per_second = per_second
+        self.burst = burst
+        self.left = left
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.per_second = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.burst = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.left = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AccountUse')
+        if self.account_name is not None:
+            oprot.writeFieldBegin('account_name', TType.STRING, 1)
+            oprot.writeString(self.account_name.encode('utf-8') if sys.version_info[0] == 2 else self.account_name)
+            oprot.writeFieldEnd()
+        if self.per_second is not None:
+            oprot.writeFieldBegin('per_second', TType.DOUBLE, 2)
+            oprot.writeDouble(self.per_second)
+            oprot.writeFieldEnd()
+        if self.burst is not None:
+            oprot.writeFieldBegin('burst', TType.DOUBLE, 3)
+            oprot.writeDouble(self.burst)
+            oprot.writeFieldEnd()
+        if self.left is not None:
+            oprot.writeFieldBegin('left', TType.DOUBLE, 4)
+            oprot.writeDouble(self.left)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ControlStatus(object):
     """
     Attributes:
@@ -2448,11 +2538,12 @@
      - claims
      - snapshot_index
      - first_index
+     - accounts
 
     """
 
 
-    def __init__(self, replica_id=None, leader_id=None, term=None, commit_index=None, applied_index=None, configuration_revision=None, replicas=None, failure=None, claims=None, snapshot_index=None, first_index=None,):
+    def __init__(self, replica_id=None, leader_id=None, term=None, commit_index=None, applied_index=None, configuration_revision=None, replicas=None, failure=None, claims=None, snapshot_index=None, first_index=None, accounts=None,):
         self.replica_id = replica_id
         self.leader_id = leader_id
         self.term = term
@@ -2464,6 +2555,7 @@
         self.claims = claims
         self.snapshot_index = snapshot_index
         self.first_index = first_index
+        self.accounts = accounts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2535,6 +2627,17 @@
                     self.first_index = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.accounts = []
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = AccountUse()
+                        _elem46.read(iprot)
+                        self.accounts.append(_elem46)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2572,8 +2675,8 @@
         if self.replicas is not None:
             oprot.writeFieldBegin('replicas', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.replicas))
-            for iter41 in self.replicas:
-                iter41.write(oprot)
+            for iter47 in self.replicas:
+                iter47.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.failure is not None:
@@ -2592,6 +2695,13 @@
             oprot.writeFieldBegin('first_index', TType.I64, 11)
             oprot.writeI64(self.first_index)
             oprot.writeFieldEnd()
+        if self.accounts is not None:
+            oprot.writeFieldBegin('accounts', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.accounts))
+            for iter48 in self.accounts:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3279,10 +3389,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.avoided_start_ids = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.avoided_start_ids.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.avoided_start_ids.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3369,8 +3479,8 @@
         if self.avoided_start_ids is not None:
             oprot.writeFieldBegin('avoided_start_ids', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.avoided_start_ids))
-            for iter48 in self.avoided_start_ids:
-                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            for iter55 in self.avoided_start_ids:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reads_itself is not None:
@@ -3807,11 +3917,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.pressures = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = ServicePressure()
-                        _elem54.read(iprot)
-                        self.pressures.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = ServicePressure()
+                        _elem61.read(iprot)
+                        self.pressures.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3852,8 +3962,8 @@
         if self.pressures is not None:
             oprot.writeFieldBegin('pressures', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.pressures))
-            for iter55 in self.pressures:
-                iter55.write(oprot)
+            for iter62 in self.pressures:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3919,11 +4029,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.endpoints = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = EndpointRecord()
-                        _elem61.read(iprot)
-                        self.endpoints.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = EndpointRecord()
+                        _elem68.read(iprot)
+                        self.endpoints.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3935,10 +4045,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.control_addresses = []
-                    (_etype65, _size62) = iprot.readListBegin()
-                    for _i66 in range(_size62):
-                        _elem67 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.control_addresses.append(_elem67)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.control_addresses.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3973,8 +4083,8 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
-            for iter68 in self.endpoints:
-                iter68.write(oprot)
+            for iter75 in self.endpoints:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -3984,8 +4094,8 @@
         if self.control_addresses is not None:
             oprot.writeFieldBegin('control_addresses', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.control_addresses))
-            for iter69 in self.control_addresses:
-                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            for iter76 in self.control_addresses:
+                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entry_hosts is not None:
@@ -4136,21 +4246,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = Member()
-                        _elem75.read(iprot)
-                        self.members.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = Member()
+                        _elem82.read(iprot)
+                        self.members.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.admitted_host_ids = []
-                    (_etype79, _size76) = iprot.readListBegin()
-                    for _i80 in range(_size76):
-                        _elem81 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.admitted_host_ids.append(_elem81)
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.admitted_host_ids.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4171,15 +4281,15 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter82 in self.members:
-                iter82.write(oprot)
+            for iter89 in self.members:
+                iter89.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_host_ids is not None:
             oprot.writeFieldBegin('admitted_host_ids', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.admitted_host_ids))
-            for iter83 in self.admitted_host_ids:
-                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
+            for iter90 in self.admitted_host_ids:
+                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4770,33 +4880,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.configurations = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = Configuration()
-                        _elem89.read(iprot)
-                        self.configurations.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = Configuration()
+                        _elem96.read(iprot)
+                        self.configurations.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype93, _size90) = iprot.readListBegin()
-                    for _i94 in range(_size90):
-                        _elem95 = ChangeRecord()
-                        _elem95.read(iprot)
-                        self.changes.append(_elem95)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = ChangeRecord()
+                        _elem102.read(iprot)
+                        self.changes.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.claims = []
-                    (_etype99, _size96) = iprot.readListBegin()
-                    for _i100 in range(_size96):
-                        _elem101 = ClaimRecord()
-                        _elem101.read(iprot)
-                        self.claims.append(_elem101)
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = ClaimRecord()
+                        _elem108.read(iprot)
+                        self.claims.append(_elem108)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4818,22 +4928,22 @@
         if self.configurations is not None:
             oprot.writeFieldBegin('configurations', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.configurations))
-            for iter102 in self.configurations:
-                iter102.write(oprot)
+            for iter109 in self.configurations:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter103 in self.changes:
-                iter103.write(oprot)
+            for iter110 in self.changes:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.claims is not None:
             oprot.writeFieldBegin('claims', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.claims))
-            for iter104 in self.claims:
-                iter104.write(oprot)
+            for iter111 in self.claims:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.end is not None:
@@ -5213,11 +5323,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = LogEntry()
-                        _elem110.read(iprot)
-                        self.entries.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = LogEntry()
+                        _elem117.read(iprot)
+                        self.entries.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5267,8 +5377,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter111 in self.entries:
-                iter111.write(oprot)
+            for iter118 in self.entries:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commit_index is not None:
@@ -5820,6 +5930,14 @@
     (3, TType.BOOL, 'voter', None, None, ),  # 3
     (4, TType.I64, 'match_index', None, None, ),  # 4
 )
+all_structs.append(AccountUse)
+AccountUse.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account_name', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'per_second', None, None, ),  # 2
+    (3, TType.DOUBLE, 'burst', None, None, ),  # 3
+    (4, TType.DOUBLE, 'left', None, None, ),  # 4
+)
 all_structs.append(ControlStatus)
 ControlStatus.thrift_spec = (
     None,  # 0
@@ -5834,6 +5952,7 @@
     (9, TType.I64, 'claims', None, None, ),  # 9
     (10, TType.I64, 'snapshot_index', None, None, ),  # 10
     (11, TType.I64, 'first_index', None, None, ),  # 11
+    (12, TType.LIST, 'accounts', (TType.STRUCT, [AccountUse, None], False), None, ),  # 12
 )
 all_structs.append(LogEntry)
 LogEntry.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -265,6 +265,16 @@
   4: i64 match_index,
 }
 
+// What is left of a client account's limit at the leader, in the limit's unit.
+struct AccountUse {
+  1: string account_name,
+  // What comes free each second, and what may be used at once beyond that.
+  2: double per_second,
+  3: double burst,
+  // Below 0 where hosts have told more than was left.
+  4: double left,
+}
+
 struct ControlStatus {
   1: string replica_id,
   2: string leader_id,
@@ -278,6 +288,8 @@
   9: i64 claims,
   10: i64 snapshot_index,
   11: i64 first_index,
+  // Of accounts that asked since this host leads.
+  12: list<AccountUse> accounts,
 }
 
 enum EntryKind {
--- a/src/jujubeslip/tracing/_causes.py
+++ b/src/jujubeslip/tracing/_causes.py
@@ -9,6 +9,8 @@
 
 END_MESSAGE = "request ended"
 REFUSAL_MESSAGE = "no grant at an engine"
+KEY_MESSAGE = "key not accepted"
+LIMIT_MESSAGE = "request not within its account's limit"
 _STEP = re.compile(r"(?P<ms>\d+) ms (?P<endpoint>\S+): (?P<what>.*)")
 
 Explain = Callable[[RequestEnd, Sequence[Line]], str]
@@ -27,12 +29,41 @@
 def _without_end(lines: Sequence[Line]) -> str:
     if not lines:
         return "No line names this request: it reached none of these hosts."
+    refusals = [line for line in lines if line.message == KEY_MESSAGE]
+    if refusals:
+        return _unknown_key(refusals[-1])
     return (
         "No host wrote its end: it is being served, its host stopped, or the line was "
         "left out (see left_out_before and dropped_before of later lines)."
     )
 
 
+def _unknown_key(line: Line) -> str:
+    fields = line.fields
+    sent = "It sent a key" if fields.get("has_key") else "It sent no single key"
+    return (
+        f"Refused with 401, not run: {fields.get('reason')} in configuration "
+        f"{fields.get('version')}. {sent}, and its route is not public."
+    )
+
+
+def _key_taken(end: RequestEnd, lines: Sequence[Line]) -> str:
+    refusals = [line for line in lines if line.message == KEY_MESSAGE]
+    return _unknown_key(refusals[-1]) if refusals else _other(end, lines)
+
+
+def _over_limit(end: RequestEnd, lines: Sequence[Line]) -> str:
+    refusals = [line for line in lines if line.message == LIMIT_MESSAGE]
+    if not refusals:
+        return "Refused, not run: its account's limit; no line says what was left."
+    fields = refusals[-1].fields
+    return (
+        f"Refused, not run: it counts {fields.get('cost')} against the limit of "
+        f"account {fields.get('account')!r}, and {fields.get('reason')}; enough would "
+        f"be free after {fields.get('wait_ms')} ms."
+    )
+
+
 def _no_room(end: RequestEnd, lines: Sequence[Line]) -> str:
     refusals = [line for line in lines if line.message == REFUSAL_MESSAGE]
     if refusals:
@@ -159,6 +190,9 @@
 
 _EXPLAIN_BY_OUTCOME: dict[str, Explain] = {
     "no_room": _no_room,
+    "client_unknown": _key_taken,
+    "client_limit": _over_limit,
+    "limit_unknown": _over_limit,
     "answer_lost": _answer_lost,
     "no_answer_in_time": _no_answer,
     "endpoints_refused": _refused_by_endpoints,
--- a/tests/forwarding/test_account_limits.py
+++ b/tests/forwarding/test_account_limits.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 from typing import Any
 
 import pytest
+from click.testing import CliRunner
 
-from tests.fakes.platform_system import PROMPT, PlatformSystem, Reply
+from jujubeslip.cli import main
+from jujubeslip.tracing import cause_of, lines_about
+from tests.fakes.platform_system import PROMPT, SECRET, PlatformSystem, Reply
 from tests.fakes.platform_worker import PlatformWorker
 from tests.fakes.processes import wait_until
 from tests.forwarding.test_accounts import (
@@ -108,6 +113,48 @@
         assert {line["per_second"] for line in told} == {100}
 
 
+class TestCauseOfARefusal:
+    """An account says that it was refused wrongly."""
+
+    def cause(self, system: PlatformSystem, folder: Path) -> str:
+        """Return what trace says of the last request, from the hosts' lines."""
+        paths = []
+        for host in (*system.controls, *system.entries):
+            paths.append(folder / f"{host.name}.log")
+            paths[-1].write_text(host.output())
+        return cause_of(lines_about(system.last_request_id, paths))
+
+    def test_is_told_for_a_key(self, system: PlatformSystem, tmp_path: Path) -> None:
+        assert system.ask(CLOSED, headers=key("nobody's")).status == 401
+        wait_until(
+            lambda: "no account holds the key" in self.cause(system, tmp_path),
+            "the cause",
+        )
+
+    def test_is_told_for_a_limit(self, system: PlatformSystem, tmp_path: Path) -> None:
+        wait_until(
+            lambda: system.ask(CLOSED, headers=key("k-hot")).status == 429,
+            "the limit is used",
+        )
+        wait_until(lambda: "account 'hot'" in self.cause(system, tmp_path), "the cause")
+        assert "its limit is used" in self.cause(system, tmp_path)
+
+    def test_what_is_left_is_shown(self, system: PlatformSystem) -> None:
+        address = system.seeds[0]
+        command = ["status", "--control", address, "--peer-secret", SECRET, "--json"]
+        told = CliRunner().invoke(main, command)
+        uses = {use["account_name"]: use for use in json.loads(told.output)["accounts"]}
+        assert uses["hot"]["per_second"] == 100
+        assert uses["hot"]["left"] <= 600
+
+    def test_is_counted_by_account(self, system: PlatformSystem) -> None:
+        metrics = [system.metrics(address) for address in system.entry_metrics]
+        names = {
+            name for item in metrics for name in item if "account_refusals" in name
+        }
+        assert any('account="hot"' in name for name in names)
+
+
 class TestChangeOfALimit:
     """An operator raises an account's limit, or takes it away."""
 
