Let plain requests of a host that has just started run without the leader

Change: such a host may spend its untold part, not the part for a lost leader; the untold part is halved, so that two starts of each host in a window fit into the slack.

--- a/src/jujubeslip/accounts/_bounds.py
+++ b/src/jujubeslip/accounts/_bounds.py
@@ -7,9 +7,10 @@
 from jujubeslip.accounts._models import TokenLimit
 
 # What hosts may have spent and not told the leader, as a share of the slack. It counts
-# twice: at the end of a window it is not charged yet, and told all at once it takes the
-# ledger as far below nothing.
-UNTOLD_SHARE = 0.25
+# four times: at the end of a window it is not charged yet; told all at once it takes
+# the ledger as far below nothing; and it is lost with each start of a host, of which a
+# window has two at most, as for a process that is killed just after its start.
+UNTOLD_SHARE = 0.125
 # What a ledger holds beyond the burst, as a share of the slack: requests of thousands
 # of tokens come in lumps, and an account below its limit is not to be refused for that.
 LUMP_SHARE = 0.125
--- a/src/jujubeslip/accounts/_spending.py
+++ b/src/jujubeslip/accounts/_spending.py
@@ -49,8 +49,8 @@
 
     What is not told yet is bounded, with a leader and without one, so that the sum over
     all hosts holds through a network partition, and when the leader is lost. A host
-    that has just started asks for each request: its process before may have spent its
-    part and ended untold, and one that starts again and again would have many parts.
+    that has just started has no part to spend alone: its process before may have spent
+    it and ended untold, and one that starts again and again would have many parts.
     """
 
     def __init__(
@@ -62,7 +62,7 @@
     ) -> None:
         self._bounds = bounds
         self._hosts = hosts
-        self._has_part_from = began_at + bounds.window_seconds
+        self._may_be_alone_from = began_at + bounds.window_seconds
         self._draw = draw
         self._by_name: dict[str, _Account] = {}
 
@@ -71,8 +71,7 @@
         account = self._account(name)
         if account.refused_until > now:
             return SpendAnswer(wait=account.refused_until - now)
-        has_part = now >= self._has_part_from
-        most = self._bounds.untold(self._hosts()) if has_part else 0.0
+        most = self._bounds.untold(self._hosts())
         if account.near_limit or account.unsettled + cost > most:
             return SpendAnswer(asks_leader=True)
         account.untold += cost
@@ -87,11 +86,11 @@
         as the parts add up to; the lot is drawn anew only once the leader knows of it,
         or an account that asks often enough would win at every host.
         """
-        if now < self._has_part_from:
-            return False
         account = self._account(name)
         hosts = self._hosts()
-        part = self._bounds.untold(hosts) + self._bounds.alone(limit, hosts)
+        part = self._bounds.untold(hosts)
+        if now >= self._may_be_alone_from:
+            part += self._bounds.alone(limit, hosts)
         needed = cost if cost <= part else cost * account.draw
         if account.unsettled + needed > part:
             return False
