--- /dev/null
+++ b/bench/accounts/plot.py
@@ -0,0 +1,57 @@
+"""Draws the rows of `bench.accounts.measure`.
+
+Run as `python -m bench.accounts.plot ROWS.jsonl PICTURE.svg`: for each way, requests
+that are wrongly refused, and the most tokens in any window as a share of the bound.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+import matplotlib
+
+matplotlib.use("svg")
+# The same rows give the same file, to the byte.
+matplotlib.rcParams["svg.hashsalt"] = "rows"
+
+from matplotlib import pyplot  # noqa: E402
+
+HOSTS = 65
+BAR_HEIGHT = 0.27
+FIGURES = (
+    ("wrong_percent", "wrongly refused, %"),
+    ("worst_of_bound", "most in any window, share of the bound"),
+)
+
+
+def draw(rows: list[dict[str, Any]], picture: Path) -> None:
+    """Draw one panel a figure, one bar a way, of the rows at 65 hosts."""
+    shown = [row for row in rows if row["hosts"] == HOSTS]
+    names = list(dict.fromkeys(f"{row['size']}: {row['load']}" for row in shown))
+    ways = list(dict.fromkeys(row["way"] for row in shown))
+    _, panels = pyplot.subplots(1, 2, figsize=(12, 8), sharey=True)
+    for panel, (key, title) in zip(panels, FIGURES, strict=True):
+        for number, way in enumerate(ways):
+            values = [row[key] for row in shown if row["way"] == way]
+            places = [place + number * BAR_HEIGHT for place in range(len(names))]
+            panel.barh(places, values, BAR_HEIGHT, label=way)
+        panel.set_xlabel(title)
+    panels[1].axvline(1.0, color="black", linewidth=1)
+    panels[0].set_yticks([place + BAR_HEIGHT for place in range(len(names))], names)
+    panels[0].invert_yaxis()
+    panels[0].legend(loc="lower right")
+    pyplot.tight_layout()
+    pyplot.savefig(picture, metadata={"Date": None})
+
+
+def main() -> None:
+    """Read the rows and draw them."""
+    lines = Path(sys.argv[1]).read_text().splitlines()
+    draw([json.loads(line) for line in lines], Path(sys.argv[2]))
+
+
+if __name__ == "__main__":
+    main()
