Let hosts that find no leader spend their parts of a limit together

Ruled out: larger parts, which the bound doesn't allow.

Change: hosts without a leader lend their parts to the first control host that they reach (accounts/_alone_pool.py), each to one pool in a window, before requests come; a request is charged there. The lots are gone. A new leader begins with twice as much, the pool with half, which 23 refusals just after a start of all hosts asked for.

--- a/src/jujubeslip/accounts/__init__.py
+++ b/src/jujubeslip/accounts/__init__.py
@@ -1,5 +1,6 @@
 """Client accounts: their keys, and what they may ask for."""
 
+from jujubeslip.accounts._alone_pool import AlonePool
 from jujubeslip.accounts._bounds import LimitBounds
 from jujubeslip.accounts._checks import find_problem
 from jujubeslip.accounts._keys import hash_key, unknown_key
@@ -10,6 +11,7 @@
 
 __all__ = [
     "AccountLedger",
+    "AlonePool",
     "ClientAccount",
     "ClientAccounts",
     "HostSpending",
--- a/src/jujubeslip/accounts/_bounds.py
+++ b/src/jujubeslip/accounts/_bounds.py
@@ -16,10 +16,10 @@
 LUMP_SHARE = 0.125
 # What a new leader's ledger starts with, as a share of the slack: it knows nothing of
 # what the one before let run, and refuses little with this until more has come free.
-START_SHARE = 0.125
-# What hosts without a leader may spend by themselves, as a share of the slack, beside
-# all of the overage. With the shares above the whole margin is given out.
-ALONE_SHARE = 0.25
+START_SHARE = 0.25
+# What hosts that find no leader may spend together, as a share of the slack, beside all
+# of the overage. With the shares above the whole margin is given out.
+ALONE_SHARE = 0.125
 
 
 @dataclass(frozen=True)
@@ -47,7 +47,7 @@
         return self.slack * UNTOLD_SHARE / max(1, hosts)
 
     def alone(self, limit: TokenLimit, hosts: int) -> float:
-        """Return what each of so many hosts may spend while it finds no leader."""
+        """Return the part of each of so many hosts while they find no leader."""
         allowed = limit.per_second * self.window_seconds + limit.burst
         kept_back = self.overage * allowed + ALONE_SHARE * self.slack
         return kept_back / max(1, hosts)
--- a/src/jujubeslip/accounts/_spending.py
+++ b/src/jujubeslip/accounts/_spending.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from jujubeslip.accounts._bounds import LimitBounds
 from jujubeslip.accounts._ledger import LedgerAnswer
-from jujubeslip.accounts._models import TokenLimit
 
 
 @dataclass(frozen=True)
@@ -31,8 +29,6 @@
 
 @dataclass
 class _Account:
-    draw: float
-    """Which part of a large request this host has to have, by lot, to run it alone."""
     untold: float = 0.0
     telling: float = 0.0
     """What a call on its way to the leader tells; it may never arrive."""
@@ -48,23 +44,17 @@
     """Lets small requests run at once, as far as the leader's ledger allows for it.
 
     What is not told yet is bounded, with a leader and without one, so that the sum over
-    all hosts holds through a network partition, and when the leader is lost. A host
-    that has just started has no part to spend alone: its process before may have spent
-    it and ended untold, and one that starts again and again would have many parts.
+    all hosts holds through a network partition, and when the leader is lost.
     """
 
     def __init__(
-        self,
-        bounds: LimitBounds,
-        hosts: Callable[[], int],
-        began_at: float,
-        draw: Callable[[], float] = random.random,
+        self, bounds: LimitBounds, hosts: Callable[[], int], began_at: float
     ) -> None:
         self._bounds = bounds
         self._hosts = hosts
-        self._may_be_alone_from = began_at + bounds.window_seconds
-        self._draw = draw
         self._by_name: dict[str, _Account] = {}
+        self._lent_to = ""
+        self._lent_until = began_at + bounds.window_seconds
 
     def spend(self, name: str, cost: float, now: float) -> SpendAnswer:
         """Spend for a request that runs now, unless the leader is to say so."""
@@ -77,26 +67,27 @@
         account.untold += cost
         return SpendAnswer()
 
-    def spend_alone(
-        self, name: str, limit: TokenLimit, cost: float, now: float
-    ) -> bool:
-        """Spend without a leader; say whether the request may run.
-
-        A host's part is less than a large request. By lot, as many hosts may run one
-        as the parts add up to; the lot is drawn anew only once the leader knows of it,
-        or an account that asks often enough would win at every host.
-        """
+    def spend_alone(self, name: str, cost: float) -> bool:
+        """Spend without a leader; say whether the request may run."""
         account = self._account(name)
-        hosts = self._hosts()
-        part = self._bounds.untold(hosts)
-        if now >= self._may_be_alone_from:
-            part += self._bounds.alone(limit, hosts)
-        needed = cost if cost <= part else cost * account.draw
-        if account.unsettled + needed > part:
+        if account.unsettled + cost > self._bounds.untold(self._hosts()):
             return False
         account.untold += cost
         return True
 
+    def lend(self, pool: str, now: float) -> bool:
+        """Lend the parts for a lost leader to a pool; say whether it may have them.
+
+        They are in one pool at a time: another one may have them once a window has
+        passed. A host that has just started has none to lend, since its process before
+        may have lent them.
+        """
+        if now < self._lent_until and pool != self._lent_to:
+            return False
+        self._lent_to = pool
+        self._lent_until = now + self._bounds.window_seconds
+        return True
+
     def give_back(self, name: str, cost: float) -> None:
         """Take back what was spent for a request that has not run."""
         self._account(name).untold -= cost
@@ -121,7 +112,6 @@
         for spent in told:
             account = self._account(spent.account_name)
             account.telling = 0.0
-            account.draw = self._draw()
 
     def put_back(self, told: list[Spent]) -> None:
         """Note that the leader may not have heard of this: it is told once more.
@@ -134,7 +124,4 @@
             account.telling = 0.0
 
     def _account(self, name: str) -> _Account:
-        account = self._by_name.get(name)
-        if account is None:
-            account = self._by_name[name] = _Account(self._draw())
-        return account
+        return self._by_name.setdefault(name, _Account())
--- a/src/jujubeslip/control/_account_keeper.py
+++ b/src/jujubeslip/control/_account_keeper.py
@@ -10,6 +10,7 @@
 
 from jujubeslip.accounts import (
     AccountLedger,
+    AlonePool,
     ClientAccounts,
     LedgerAnswer,
     LimitBounds,
@@ -54,6 +55,7 @@
         self._lead_began_at = lead_began_at
         self._ledger = AccountLedger(bounds, steady_seconds())
         self._ledger_began_at: float | None = None
+        self._alone_pool = AlonePool(bounds)
         self._charged_by_request: OrderedDict[str, _Charged] = OrderedDict()
         self._logged_at_by_name: dict[str, float] = {}
         self._lock = threading.Lock()
@@ -105,6 +107,31 @@
                 states.append(_state(item.account_name, answer))
         return states
 
+    def charge_alone(
+        self, host_id: str, entry_hosts: int, spending: AccountSpending
+    ) -> bool:
+        """Charge a request of a host that finds no leader; say whether it may run.
+
+        The host lends its parts with that; without an amount it does nothing else.
+        """
+        with self._lock:
+            now = steady_seconds()
+            self._alone_pool.join(host_id, now)
+            limit = self._limit_of(spending.account_name)
+            if not spending.amount:
+                return True
+            may_run = limit is None or self._alone_pool.charge(
+                spending.account_name, limit, spending.amount, entry_hosts, now
+            )
+        extra = {
+            "host_id": host_id,
+            "account": spending.account_name,
+            "cost": spending.amount,
+            "may_run": may_run,
+        }
+        logger.info("request charged without a leader", extra=extra)
+        return may_run
+
     def uses(self) -> list[AccountUse]:
         """Return what is left of each account's limit, of those that asked."""
         with self._lock:
--- a/src/jujubeslip/control/_handler.py
+++ b/src/jujubeslip/control/_handler.py
@@ -148,6 +148,19 @@
         """See AccountKeeper.settle."""
         return self._leading_accounts().settle(spent)
 
+    def charge_alone(
+        self, host_id: str, entry_hosts: int, spending: AccountSpending
+    ) -> bool:
+        """See AccountKeeper.charge_alone; any control host answers."""
+        if self._accounts is None:
+            raise PeerRefusal(
+                "limits_not_kept",
+                "This host keeps no limits of client accounts.",
+                "Ask another control host.",
+                0,
+            )
+        return self._accounts.charge_alone(host_id, entry_hosts, spending)
+
     def _leading_accounts(self) -> AccountKeeper:
         """Return what keeps accounts' limits, or raise NotLeader.
 
--- a/src/jujubeslip/forwarding/_leader_contact.py
+++ b/src/jujubeslip/forwarding/_leader_contact.py
@@ -73,6 +73,23 @@
             self._pause(address, request_id, str(error))
         return None
 
+    def call_other(
+        self, address: str, timeout: float, ask: Callable[[Any], T]
+    ) -> T | None:
+        """Return the answer of a control host that need not lead, None without one."""
+        try:
+            return self._clients.get(address).call(ask, timeout)
+        except (PeerUnavailableError, PeerRefusal) as error:
+            extra = {"address": address, "error": str(error)}
+            logger.info("control host not asked", extra=extra)
+            return None
+
+    def first_reachable(self) -> str | None:
+        """Return the control host that hosts with the same view agree on."""
+        with self._lock:
+            tellers = sorted(self._leader_by_teller)
+        return next((item for item in tellers if self._reaches(item)), None)
+
     def tell(self, say: Callable[[Any], Any], timeout: float) -> str:
         """Tell the leader something; return why it may not know, empty if it does."""
         address = self.address()
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -177,7 +177,14 @@
             settings.limit_slack,
         )
         spending = HostSpending(bounds, lambda: self._entry_hosts, steady_seconds())
-        return AccountLimits(self._process, self._limit_leader, spending)
+        return AccountLimits(
+            self._process,
+            self._limit_leader,
+            spending,
+            settings.host_id,
+            lambda: self._entry_hosts,
+            self._routes.has_accounts,
+        )
 
     def run(self) -> None:
         """Serve until SIGTERM, then finish what is open and exit with status 0."""
--- a/src/jujubeslip/forwarding/_routes_follower.py
+++ b/src/jujubeslip/forwarding/_routes_follower.py
@@ -39,6 +39,11 @@
         """Return the table in force, None before the first one."""
         return self._table
 
+    def has_accounts(self) -> bool:
+        """Say whether the configuration in force has client accounts."""
+        table = self._table
+        return table is not None and table.accounts is not None
+
     def first_table(self, deadline: Deadline) -> RouteTable | None:
         """Return the table in force, after waiting for the first one if need be."""
         self._has_table.wait(deadline.remaining())
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -630,6 +630,10 @@
   // Takes what hosts have let run; only a charge before that can refuse it.
   list<AccountState> settle_accounts(1: list<AccountSpending> spent)
     throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
+  // Lends a host's parts to the pool of those that find no leader, and charges a request
+  // there; without an amount it only lends. Any control host answers.
+  bool charge_alone(1: string host_id, 2: i32 entry_hosts, 3: AccountSpending spending)
+    throws (1: PeerRefusal refusal),
   list<Configuration> history(1: i32 limit) throws (1: PeerRefusal refusal),
   ControlStatus status() throws (1: PeerRefusal refusal),
 
