--- a/soak/_clients.py
+++ b/soak/_clients.py
@@ -8,7 +8,7 @@
 import time
 from dataclasses import dataclass, replace
 
-from soak._endpoints import REQUEST_BODY
+from soak._endpoints import API_KEY, REQUEST_BODY
 from soak._observations import ClientCall, Kind, Outcome
 from soak._operator import PLAIN_TIMEOUT_MS, STREAM_TIMEOUT_MS
 from soak._schedule import ENTRIES
@@ -153,6 +153,9 @@
             "Host": HOST,
             "Request-Id": request_id,
             "Deadline-Ms": str(deadline_ms),
+            "Authorization": f"Token {API_KEY}",
+            # A client that passes for another account is not believed.
+            "Tenant": "another",
             **(PROMPT if streams else {}),
         }
         connection.request("POST", plan.path, REQUEST_BODY, headers)
--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -32,9 +32,19 @@
 # What clients ask for, and the calls of the system that are no requests.
 REQUEST_BODY = b"what is asked"
 SYSTEM_TARGETS = ("/order", "/health")
+# The client account of all clients, and its key, which no endpoint may see.
+ACCOUNT = "soaking"
+API_KEY = "k-soak-5a27"
 PLAIN_RUN_SECONDS = (0.002, 0.02, 0.25)
 
 
+def _is_identified(run: WorkerRun) -> bool:
+    """Say whether the endpoint was told the client account, and not its key."""
+    value_by_name = {name.lower(): value for name, value in run.headers.items()}
+    named = value_by_name.get("tenant") == ACCOUNT
+    return named and API_KEY not in str(value_by_name)
+
+
 class _RunLog(list[WorkerRun]):
     """Notes each run as the endpoint begins it."""
 
@@ -58,7 +68,7 @@
             endpoint.service,
             time.monotonic(),
             "Last-Event-Id" in run.headers,
-            (run.method, run.body) == ("POST", REQUEST_BODY),
+            (run.method, run.body) == ("POST", REQUEST_BODY) and _is_identified(run),
         )
         endpoint.observations.runs.append(noted)
 
--- a/soak/_observations.py
+++ b/soak/_observations.py
@@ -79,7 +79,7 @@
     started_at: float
     resumed: bool
     intact: bool = True
-    """Whether method and body are those that clients send."""
+    """Whether method and body are those that clients send, and the account theirs."""
 
 
 @dataclass(frozen=True)
--- a/soak/_operator.py
+++ b/soak/_operator.py
@@ -7,7 +7,7 @@
 import time
 from dataclasses import replace
 
-from soak._endpoints import call
+from soak._endpoints import ACCOUNT, API_KEY, call
 from soak._observations import ConfigurationPut, ConfigurationRead, Observations
 from soak._schedule import CONTROLS
 from soak._system import SoakSystem
@@ -41,7 +41,9 @@
     ]
     for added in range(1, version + 1):
         routes.append(route(f"since-{added}", f"/since-{added}/", "plain", **plain))
-    return json.dumps(configuration(version, routes, [PLAIN, ENGINE]))
+    fields = configuration(version, routes, [PLAIN, ENGINE])
+    account = {"name": ACCOUNT, "apiKeys": [API_KEY], "priority": 1}
+    return json.dumps({**fields, "tenants": [account]})
 
 
 class Operator:
