Pass what a request needs of an engine as one type

Six values went through four methods in the same order, twice each. No change of behaviour: tests/forwarding of grants, streams, limits and lost leaders pass.

--- a/src/jujubeslip/forwarding/_admissions.py
+++ b/src/jujubeslip/forwarding/_admissions.py
@@ -12,8 +12,8 @@
 from jujubeslip.endpoints import CallerGoneError
 from jujubeslip.forwarding._health import EndpointHealth
 from jujubeslip.forwarding._leader_contact import LeaderContact
-from jujubeslip.forwarding._models import Attempts, ForwardContext
-from jujubeslip.kernel import Deadline, Process, Ran
+from jujubeslip.forwarding._models import RoomRequest
+from jujubeslip.kernel import Process, Ran
 from jujubeslip.peers import (
     AdmissionNews,
     AdmissionReply,
@@ -21,7 +21,6 @@
     AdmissionStatus,
     AdmissionStep,
 )
-from jujubeslip.routes import EngineService, PromptShape
 
 logger = logging.getLogger(__name__)
 
@@ -77,24 +76,15 @@
         """Tell the leader how requests go on until the process stops."""
         self._process.start_task(self._tell)
 
-    def ask(
-        self,
-        context: ForwardContext,
-        attempts: Attempts,
-        engine: EngineService,
-        prompt: PromptShape,
-        limit: Deadline,
-        reads_itself: bool,
-    ) -> AdmissionAnswer | None:
+    def ask(self, room: RoomRequest) -> AdmissionAnswer | None:
         """Return what the leader decides, None without a leader that answers.
 
         Raises CallerGoneError when the client goes before that.
         """
+        context, attempts = room.context, room.attempts
         attempts.grants_asked += 1
         while (address := self._leader.address()) is not None:
-            request = self._request(
-                context, attempts, engine, prompt, limit, reads_itself
-            )
+            request = self._request(room)
             reply = self._call(address, request)
             if reply is None:
                 continue
@@ -122,15 +112,9 @@
         """Let the leader know that a request needs its grant no more."""
         self._news.put(AdmissionNews(request_id, attempt, AdmissionStep.ENDED))
 
-    def _request(
-        self,
-        context: ForwardContext,
-        attempts: Attempts,
-        engine: EngineService,
-        prompt: PromptShape,
-        limit: Deadline,
-        reads_itself: bool,
-    ) -> AdmissionRequest:
+    def _request(self, room: RoomRequest) -> AdmissionRequest:
+        context, attempts = room.context, room.attempts
+        engine, prompt = room.engine, room.prompt
         event_tokens = engine.event_tokens
         is_limited = context.cost and not attempts.is_charged
         account_name = context.request.account_name if is_limited else ""
@@ -143,10 +127,10 @@
             prompt.expected_output_tokens // event_tokens,
             engine.slots,
             context.target_by.remaining_ms(),
-            limit.remaining_ms(),
+            room.limit.remaining_ms(),
             WAIT_MS,
             [*attempts.tried, *self._paused_starts()],
-            reads_itself=reads_itself,
+            reads_itself=room.reads_itself,
             attempt=attempts.grants_asked,
             availability_zone=self._availability_zone,
             maximum_gap_ms=context.route.maximum_gap_ms,
--- a/src/jujubeslip/forwarding/_grants.py
+++ b/src/jujubeslip/forwarding/_grants.py
@@ -10,13 +10,12 @@
 from jujubeslip.discovery import Endpoint, EndpointBook
 from jujubeslip.forwarding._account_limits import AccountLimits
 from jujubeslip.forwarding._admissions import AdmissionAnswer, Admissions
-from jujubeslip.forwarding._models import Attempts, ForwardContext
+from jujubeslip.forwarding._models import Attempts, ForwardContext, RoomRequest
 from jujubeslip.forwarding._pressure import WAITED_SECONDS, Pressures
 from jujubeslip.forwarding._reservations import Reservations
 from jujubeslip.forwarding._sending import Sending
 from jujubeslip.kernel import Deadline
 from jujubeslip.peers import EndpointRole
-from jujubeslip.routes import EngineService, PromptShape
 
 logger = logging.getLogger(__name__)
 
@@ -88,24 +87,21 @@
                 context, EndpointRole.DECODE, attempts.tried
             )
             return None if endpoint is None else Grant(endpoint)
-        grant = self._find_room(context, attempts, service.engine, prompt, reads_itself)
+        limit = _wait_limit(context)
+        room = RoomRequest(
+            context, attempts, service.engine, prompt, limit, reads_itself
+        )
+        grant = self._find_room(room)
         if grant is not None and attempts.granted_ms is None:
             attempts.granted_ms = attempts.elapsed_ms
         waited = context.request.arrived.overdue() if grant else WAITED_SECONDS
         self._pressures.note_wait(context.service_name, waited)
         return grant
 
-    def _find_room(
-        self,
-        context: ForwardContext,
-        attempts: Attempts,
-        engine: EngineService,
-        prompt: PromptShape,
-        reads_itself: bool,
-    ) -> Grant | None:
-        limit = _wait_limit(context)
+    def _find_room(self, room: RoomRequest) -> Grant | None:
+        context, attempts = room.context, room.attempts
         if self._admissions is not None:
-            found = self._ask(context, attempts, engine, prompt, limit, reads_itself)
+            found = self._ask(self._admissions, room)
             if found is not None and not found.start_id:
                 attempts.note_no_room("no grant in time", found.forecast)
                 return None
@@ -116,49 +112,33 @@
                     return grant
         if self._limits is not None:
             self._charge_without_grant(self._limits, context, attempts)
-        reservation = self._reservations.take(context, attempts, engine, prompt, limit)
+        reservation = self._reservations.take(
+            context, attempts, room.engine, room.prompt, room.limit
+        )
         if reservation is None:
             return None
         # Kept during the run, what it holds beyond its need would count as full until
         # its end, and push other answers out.
         give_back = partial(self._reservations.release, context, reservation)
         return Grant(
-            reservation.endpoint, reads_itself=reads_itself, before_run=give_back
+            reservation.endpoint, reads_itself=room.reads_itself, before_run=give_back
         )
 
-    def _ask(
-        self,
-        context: ForwardContext,
-        attempts: Attempts,
-        engine: EngineService,
-        prompt: PromptShape,
-        limit: Deadline,
-        reads_itself: bool,
-    ) -> AdmissionAnswer | None:
+    def _ask(self, admissions: Admissions, room: RoomRequest) -> AdmissionAnswer | None:
         """Return what the leader decides, None without a leader that grants engines.
 
         Raises RequestRefusedError where the client account has used its limit. A
         request of an account with a limit waits for a leader that can charge it: only
         that one knows what is left, and hosts by themselves may let run little.
         """
-        assert self._admissions is not None
-        ask = partial(
-            self._admissions.ask,
-            context,
-            attempts,
-            engine,
-            prompt,
-            limit,
-            reads_itself,
-        )
-        found = ask()
-        limits = self._limits
+        context, attempts, limits = room.context, room.attempts, self._limits
+        found = admissions.ask(room)
         if limits is None or not context.cost or attempts.is_charged:
             return found
         while found is None and not limits.charge_at_leader(context, attempts):
-            if not limits.wait_for_leader(context, limit):
+            if not limits.wait_for_leader(context, room.limit):
                 break
-            found = ask()
+            found = admissions.ask(room)
         if found is not None and found.over_limit_seconds > 0:
             raise limits.over_limit(context, found.over_limit_seconds)
         return found
--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -8,7 +8,13 @@
 from jujubeslip.accounts import ClientAccount
 from jujubeslip.endpoints import EndpointError, Interrupted
 from jujubeslip.kernel import Deadline, Ran, RequestRefusedError
-from jujubeslip.routes import ForwardedRequest, Route, RouteTable
+from jujubeslip.routes import (
+    EngineService,
+    ForwardedRequest,
+    PromptShape,
+    Route,
+    RouteTable,
+)
 
 # A client that has less time than its route's timeout by more than this share of it has
 # asked before. Clients wait as long as they like, five sixths of the timeout and more;
@@ -151,6 +157,20 @@
         return self.runs > 0
 
 
+@dataclass(frozen=True)
+class RoomRequest:
+    """A request that needs room at an engine."""
+
+    context: ForwardContext
+    attempts: Attempts
+    engine: EngineService
+    prompt: PromptShape
+    limit: Deadline
+    """Until when it waits for room."""
+    reads_itself: bool
+    """Whether the engine that answers has to read the prompt, too."""
+
+
 # When a client should come back, in seconds: after a moment in which an endpoint comes
 # free, and after one in which endpoints that have just started announce themselves.
 BUSY_RETRY_SECONDS = 0.3
