Give a zone that is cut off its part of the limits' rate

Ruled out: more of the margin, which is all given out.

Change: hosts that have been alone for 3.5 s bring their even part of the rate into the pool; the leader, which misses a host after 3 s, keeps the rate of those back that it doesn't hear, for ten minutes. The sum of both is the rate.

Tests: a zone that is cut off for long, hosts that are not heard.

--- a/bench/accounts/model.py
+++ b/bench/accounts/model.py
@@ -34,6 +34,8 @@
 STREAM_SHARE = 0.85
 SETTLE_SECONDS = 1.0
 JOIN_SECONDS = 0.25
+# How long the leader takes to miss a host that is cut off, in seconds.
+MISSED_SECONDS = 3.0
 FIRST_LEAD_SECONDS = 30.0
 
 
@@ -196,6 +198,7 @@
         ]
         self._restarted_at = 0.0
         self._join_at = 0.0
+        self._hosts = range(load.hosts)
         self._pools = {cut: AlonePool(load.bounds) for cut in (False, True)}
         self.calls = 0
 
@@ -271,6 +274,10 @@
         if led_from > self._led_from:
             self._led_from = led_from
             self._ledger = AccountLedger(self._load.bounds, led_from)
+        missed = self._load.cut_off.holds(now - MISSED_SECONDS)
+        missed = missed and self._load.cut_off.holds(now)
+        heard = [not (missed and is_cut(self._load, host, now)) for host in self._hosts]
+        self._ledger.set_heard_share(sum(heard) / len(heard), now)
         return self._ledger
 
     def _restart_some(self, now: float) -> None:
--- a/src/jujubeslip/accounts/_alone_pool.py
+++ b/src/jujubeslip/accounts/_alone_pool.py
@@ -13,11 +13,22 @@
 from jujubeslip.accounts._bounds import LimitBounds
 from jujubeslip.accounts._models import TokenLimit
 
+# How long a host must have been alone before its even part of the rate counts, in
+# seconds: the leader misses it by then, and keeps that part back. And for how long it
+# counts: shorter than the leader keeps it back for a host that it doesn't hear.
+MISSED_SECONDS = 3.5
+RATE_SECONDS = 300.0
 # A host that has not joined again for this long is counted no more, in seconds: it
 # joins several times as often, and lends its part to no other pool for a whole window.
 JOINED_SECONDS = 2.0
 
 
+@dataclass
+class _Joined:
+    since: float
+    latest: float
+
+
 @dataclass(frozen=True)
 class _Spent:
     at: float
@@ -28,17 +39,20 @@
     """The parts of the hosts that have joined, and what was spent of them.
 
     What runs in any window is at most what the parts add up to: each host's part is in
-    one pool at a time, and what was spent stays spent for a window.
+    one pool at a time, and what was spent stays spent for a window. Hosts that have
+    been alone for longer bring their even part of the limit's rate, too.
     """
 
     def __init__(self, bounds: LimitBounds) -> None:
         self._bounds = bounds
-        self._joined_at_by_host: dict[str, float] = {}
+        self._joined_by_host: dict[str, _Joined] = {}
         self._spent_by_name: dict[str, deque[_Spent]] = {}
 
     def join(self, host_id: str, now: float) -> None:
         """Take a host's parts of all accounts' margins in."""
-        self._joined_at_by_host[host_id] = now
+        self._forget_gone(now)
+        joined = self._joined_by_host.setdefault(host_id, _Joined(now, now))
+        joined.latest = now
 
     def charge(
         self, name: str, limit: TokenLimit, cost: float, hosts: int, now: float
@@ -47,15 +61,26 @@
         spent = self._spent_by_name.setdefault(name, deque())
         while spent and spent[0].at < now - self._bounds.window_seconds:
             spent.popleft()
-        parts = self._count_joined(now) * self._bounds.alone(limit, hosts)
-        if sum(item.cost for item in spent) + cost > parts:
+        self._forget_gone(now)
+        parts = len(self._joined_by_host) * self._bounds.alone(limit, hosts)
+        rates = limit.per_second / max(1, hosts) * self._seconds_of_rate(now)
+        if sum(item.cost for item in spent) + cost > parts + rates:
             return False
         spent.append(_Spent(now, cost))
         return True
 
-    def _count_joined(self, now: float) -> int:
+    def _seconds_of_rate(self, now: float) -> float:
+        """Return for how long hosts' parts of the rate count in this window, summed."""
+        window = self._bounds.window_seconds
+        seconds = 0.0
+        for joined in self._joined_by_host.values():
+            alone_for = now - joined.since
+            if alone_for < RATE_SECONDS:
+                seconds += min(window, max(0.0, alone_for - MISSED_SECONDS))
+        return seconds
+
+    def _forget_gone(self, now: float) -> None:
         oldest = now - JOINED_SECONDS
-        for host_id, joined_at in list(self._joined_at_by_host.items()):
-            if joined_at < oldest:
-                del self._joined_at_by_host[host_id]
-        return len(self._joined_at_by_host)
+        for host_id, joined in list(self._joined_by_host.items()):
+            if joined.latest < oldest:
+                del self._joined_by_host[host_id]
--- a/src/jujubeslip/accounts/_ledger.py
+++ b/src/jujubeslip/accounts/_ledger.py
@@ -34,6 +34,13 @@
 class _Level:
     amount: float
     filled_at: float
+    per_second: float
+
+    def unfilled(self, now: float) -> float:
+        """Return what would come free since the level was filled, and note that."""
+        seconds = max(0.0, now - self.filled_at)
+        self.filled_at += seconds
+        return seconds * self.per_second
 
 
 class AccountLedger:
@@ -46,8 +53,21 @@
     def __init__(self, bounds: LimitBounds, began_at: float) -> None:
         self._bounds = bounds
         self._began_at = began_at
+        self._heard_share = 1.0
         self._level_by_name: dict[str, _Level] = {}
 
+    def set_heard_share(self, share: float, now: float) -> None:
+        """Note which share of the hosts the leader hears.
+
+        The others may be cut off and spend their even part of the rate together: what
+        comes free here is less by that.
+        """
+        if share == self._heard_share:
+            return
+        for level in self._level_by_name.values():
+            level.amount += level.unfilled(now) * self._heard_share
+        self._heard_share = share
+
     def charge(
         self, name: str, limit: TokenLimit, cost: float, now: float
     ) -> LedgerAnswer:
@@ -80,12 +100,12 @@
     def _filled(self, name: str, limit: TokenLimit, now: float) -> _Level:
         level = self._level_by_name.get(name)
         if level is None:
-            level = _Level(self._bounds.start, self._began_at)
+            level = _Level(self._bounds.start, self._began_at, limit.per_second)
             self._level_by_name[name] = level
-        come_free = max(0.0, now - level.filled_at) * limit.per_second
+        level.per_second = limit.per_second
+        level.amount += level.unfilled(now) * self._heard_share
         # A limit that was lowered leaves no more than its own burst.
-        level.amount = min(self._capacity(limit), level.amount + come_free)
-        level.filled_at = max(level.filled_at, now)
+        level.amount = min(self._capacity(limit), level.amount)
         return level
 
     def _capacity(self, limit: TokenLimit) -> float:
--- a/src/jujubeslip/control/_account_keeper.py
+++ b/src/jujubeslip/control/_account_keeper.py
@@ -49,7 +49,9 @@
         bounds: LimitBounds,
         accounts: Callable[[], ClientAccounts | None],
         lead_began_at: Callable[[], float | None],
+        heard_share: Callable[[], float] = lambda: 1.0,
     ) -> None:
+        self._heard_share = heard_share
         self._bounds = bounds
         self._accounts = accounts
         self._lead_began_at = lead_began_at
@@ -179,6 +181,7 @@
             self._ledger = AccountLedger(self._bounds, began_at)
             self._ledger_began_at = began_at
             self._charged_by_request.clear()
+        self._ledger.set_heard_share(self._heard_share(), steady_seconds())
         return self._ledger
 
     def _forget_old(self, now: float) -> None:
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -86,6 +86,7 @@
             ),
             self._routes.accounts,
             self._lead_began_at,
+            self._watches.heard_share,
         )
         self._admissions = self._build_admissions()
         handler = ControlHandler(
--- a/src/jujubeslip/control/_watches.py
+++ b/src/jujubeslip/control/_watches.py
@@ -27,6 +27,9 @@
 # A watcher asks about once a second. One that has not asked for this long is cut off
 # or gone, and is neither counted nor waited for, in seconds.
 WATCHER_SECONDS = 3.0
+# For how long an entry host that is not heard counts as cut off, in seconds; after that
+# it was taken away.
+KNOWN_SECONDS = 600.0
 
 
 @dataclass(frozen=True)
@@ -77,6 +80,7 @@
         self._book = book
         self._addresses = addresses
         self._watcher_by_id: dict[str, _Watcher] = {}
+        self._entry_asked_at_by_host: dict[str, float] = {}
         self._changed = threading.Condition()
 
     def answer(self, request: WatchRequest) -> WatchReply:
@@ -139,8 +143,25 @@
                 request.is_entry_host,
                 tuple(pressures),
             )
+            if request.is_entry_host:
+                # Each start of a process watches under another name.
+                host_id = request.watcher_id.partition("/")[0]
+                self._entry_asked_at_by_host[host_id] = steady_seconds()
             self._changed.notify_all()
 
+    def heard_share(self) -> float:
+        """Return the share of the entry hosts known that are heard now."""
+        now = steady_seconds()
+        with self._changed:
+            asked_at_by_host = self._entry_asked_at_by_host
+            for host_id, asked_at in list(asked_at_by_host.items()):
+                if asked_at < now - KNOWN_SECONDS:
+                    del asked_at_by_host[host_id]
+            if not asked_at_by_host:
+                return 1.0
+            asked = asked_at_by_host.values()
+            return sum(at > now - WATCHER_SECONDS for at in asked) / len(asked)
+
     def pressure_of(self, service_name: str) -> ServicePressure:
         """Return the sum of what all live entry hosts met at a service's engines."""
         with self._changed:
--- a/tests/accounts/test_ledger.py
+++ b/tests/accounts/test_ledger.py
@@ -47,6 +47,15 @@
         assert ledger.left("a", LIMIT, 10) == 1000
         assert ledger.left("a", TokenLimit(100, 100), 10) == 100
 
+    def test_keeps_back_the_rate_of_hosts_that_it_does_not_hear(self) -> None:
+        """They may be cut off, and spend it together."""
+        ledger = AccountLedger(EXACT, began_at=0)
+        assert ledger.charge("a", LIMIT, 1000, 10).wait == 0
+        ledger.set_heard_share(0.6, 10)
+        assert ledger.left("a", LIMIT, 11) == pytest.approx(600)
+        ledger.set_heard_share(1.0, 11)
+        assert ledger.left("a", LIMIT, 11.2) == pytest.approx(800)
+
     def test_lets_one_run_that_is_larger_than_the_burst(self) -> None:
         ledger = AccountLedger(EXACT, began_at=0)
         assert ledger.charge("a", LIMIT, 5000, 10).wait == 0
@@ -129,12 +138,23 @@
         assert pool.charge("b", LIMIT, 900, 100, 11)
 
     def test_what_was_spent_stays_spent_for_a_window(self) -> None:
+        pool, burst_only = self.pool(50), TokenLimit(per_second=1e-6, burst=8000)
+        assert pool.charge("a", burst_only, 900, 100, 11)
+        for now in range(12, 30):
+            for host in range(50):
+                pool.join(str(host), now)
+            assert pool.charge("a", burst_only, 900, 100, now) is (now in (20, 29))
+
+    def test_rate_counts_once_the_leader_has_missed_the_hosts(self) -> None:
+        """In a zone that is cut off for long, the parts alone served half of it."""
         pool = self.pool(50)
         assert pool.charge("a", LIMIT, 900, 100, 11)
-        for now in range(12, 30):
+        for now in range(11, 16):
             for host in range(50):
                 pool.join(str(host), now)
-            assert pool.charge("a", LIMIT, 900, 100, now) is (now in (20, 29))
+        # Two and a half seconds of half of the rate.
+        assert not pool.charge("a", LIMIT, 1350, 100, 16)
+        assert pool.charge("a", LIMIT, 1250, 100, 16)
 
     def test_hosts_that_join_no_more_are_not_counted(self) -> None:
         assert not self.pool(50).charge("a", LIMIT, 900, 100, 13)
--- a/tests/control/test_watches.py
+++ b/tests/control/test_watches.py
@@ -7,11 +7,13 @@
 
 import pytest
 
-from jujubeslip.control._watches import Watches
+from jujubeslip.control import _watches
+from jujubeslip.control._watches import KNOWN_SECONDS, WATCHER_SECONDS, Watches
 from jujubeslip.discovery import EndpointBook
 from jujubeslip.kernel import Deadline
 from jujubeslip.peers import ServicePressure, WatchRequest
 from tests.fakes.broken_fields import received
+from tests.fakes.clock import Clock
 from tests.fakes.engines import engine
 
 BROKEN = [
@@ -71,3 +73,41 @@
     def test_is_told_all_and_holds_nobody_up(self, watches: Watches, name: str) -> None:
         assert ask(watches, **{name: None}) == 1
         assert not watches.wait_until_told(1, Deadline.after(0))
+
+
+class TestHostsThatAreNotHeard:
+    """A zone of hosts is cut off, and spends its part of accounts' limits by itself.
+
+    A leader that let run the whole rate meanwhile would break the limits' bound.
+    """
+
+    def test_lower_the_share_until_they_are_back(
+        self, watches: Watches, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        clock = Clock()
+        monkeypatch.setattr(_watches, "steady_seconds", clock.steady_seconds)
+        assert watches.heard_share() == 1
+        for host in ("near", "far"):
+            ask(watches, watcher_id=f"{host}/1")
+        clock.now += WATCHER_SECONDS - 0.5
+        ask(watches, watcher_id="near/1")
+        assert watches.heard_share() == 1
+        clock.now += 1
+        assert watches.heard_share() == 0.5
+        # Another start of the same host.
+        ask(watches, watcher_id="far/2")
+        assert watches.heard_share() == 1
+
+    def test_are_forgotten_when_they_were_taken_away(
+        self, watches: Watches, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        clock = Clock()
+        monkeypatch.setattr(_watches, "steady_seconds", clock.steady_seconds)
+        ask(watches, watcher_id="removed/1")
+        clock.now += KNOWN_SECONDS + 1
+        ask(watches, watcher_id="near/1")
+        assert watches.heard_share() == 1
+
+    def test_do_not_count_control_hosts(self, watches: Watches) -> None:
+        ask(watches, watcher_id="control/1", is_entry_host=False)
+        assert watches.heard_share() == 1
