Let a host's untold part grow over the first window after its start

Cause: read in the diff: a forwarding host takes itself for the only one until control hosts tell how many there are, so that many that start at once had the part of the only one each. And each start of a process that ends again and again lost a part.

Change: the part grows from nothing over a window. TokenLimit, which also counts requests, is RateLimit. Tests: test_ledger.py (a part that grows).

--- a/bench/accounts/measure.py
+++ b/bench/accounts/measure.py
@@ -22,18 +22,18 @@
     random_load,
     replay,
 )
-from jujubeslip.accounts import LimitBounds, TokenLimit
+from jujubeslip.accounts import LimitBounds, RateLimit
 
 SEEDS = 20
 BOUNDS = LimitBounds(window_seconds=8, overage=0.1, slack=120_000)
 LIMIT_BY_SIZE = {
-    "small": TokenLimit(29_000, 29_000),
-    "large": TokenLimit(96_000, 96_000),
+    "small": RateLimit(29_000, 29_000),
+    "large": RateLimit(96_000, 96_000),
 }
 SECONDS = 30.0
 
 
-def loads(hosts: int, limit: TokenLimit) -> dict[str, Load]:
+def loads(hosts: int, limit: RateLimit) -> dict[str, Load]:
     """Return the loads by name, at this many hosts."""
     base = Load(hosts, limit, BOUNDS, SECONDS, usual=0.55)
     surge = replace(base, surge=7.5, surging=Span(8, 16))
--- a/bench/accounts/model.py
+++ b/bench/accounts/model.py
@@ -19,7 +19,7 @@
     AlonePool,
     HostSpending,
     LimitBounds,
-    TokenLimit,
+    RateLimit,
 )
 from jujubeslip.declaration import Client
 from jujubeslip.kernel import RequestRefusedError
@@ -56,7 +56,7 @@
     """What an account asks for, and what fails meanwhile."""
 
     hosts: int
-    limit: TokenLimit
+    limit: RateLimit
     bounds: LimitBounds
     seconds: float
     usual: float
@@ -214,7 +214,7 @@
             if not answer.asks_leader:
                 return answer.wait == 0
         if not reaches_leader(self._load, arrival.host, now):
-            if spending.spend_alone(ACCOUNT, arrival.cost):
+            if spending.spend_alone(ACCOUNT, arrival.cost, now):
                 return True
             return self._charge_at_pool(arrival.host, arrival.cost, now)
         self.calls += not arrival.is_stream
@@ -360,7 +360,7 @@
     again = Span(lost.ends + source.uniform(0.2, 4), lost.ends + 6)
     return Load(
         hosts=source.choice((7, 65, 195, 300)),
-        limit=TokenLimit(limit_per_second, limit_per_second * source.choice((0.5, 1))),
+        limit=RateLimit(limit_per_second, limit_per_second * source.choice((0.5, 1))),
         bounds=LimitBounds(8, 0.1, source.choice((20_000, 120_000))),
         seconds=24,
         usual=source.uniform(0.2, 1.2),
--- a/src/jujubeslip/accounts/__init__.py
+++ b/src/jujubeslip/accounts/__init__.py
@@ -5,7 +5,7 @@
 from jujubeslip.accounts._checks import find_problem
 from jujubeslip.accounts._keys import hash_key, unknown_key
 from jujubeslip.accounts._ledger import AccountLedger, LedgerAnswer
-from jujubeslip.accounts._models import ClientAccount, ClientAccounts, TokenLimit
+from jujubeslip.accounts._models import ClientAccount, ClientAccounts, RateLimit
 from jujubeslip.accounts._refusals import limit_reached
 from jujubeslip.accounts._spending import HostSpending, SpendAnswer, Spent
 
@@ -19,7 +19,7 @@
     "LimitBounds",
     "SpendAnswer",
     "Spent",
-    "TokenLimit",
+    "RateLimit",
     "find_problem",
     "hash_key",
     "limit_reached",
--- a/src/jujubeslip/accounts/_alone_pool.py
+++ b/src/jujubeslip/accounts/_alone_pool.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from jujubeslip.accounts._bounds import LimitBounds
-from jujubeslip.accounts._models import TokenLimit
+from jujubeslip.accounts._models import RateLimit
 
 # How long a host must have been alone before its even part of the rate counts, in
 # seconds: the leader misses it by then, and keeps that part back. And for how long it
@@ -55,7 +55,7 @@
         joined.latest = now
 
     def charge(
-        self, name: str, limit: TokenLimit, cost: float, hosts: int, now: float
+        self, name: str, limit: RateLimit, cost: float, hosts: int, now: float
     ) -> bool:
         """Charge a request, if the parts allow it; `hosts` is how many share them."""
         spent = self._spent_by_name.setdefault(name, deque())
--- a/src/jujubeslip/accounts/_bounds.py
+++ b/src/jujubeslip/accounts/_bounds.py
@@ -4,12 +4,12 @@
 
 from dataclasses import dataclass
 
-from jujubeslip.accounts._models import TokenLimit
+from jujubeslip.accounts._models import RateLimit
 
 # What hosts may have spent and not told the leader, as a share of the slack. It counts
 # four times: at the end of a window it is not charged yet; told all at once it takes
-# the ledger as far below nothing; and it is lost with each start of a host, of which a
-# window has two at most, as for a process that is killed just after its start.
+# the ledger as far below nothing; it is lost with a host's process; and the processes
+# that it starts in a window lose as much at most together, as their parts grow slowly.
 UNTOLD_SHARE = 0.125
 # What a ledger holds beyond the burst, as a share of the slack: requests of thousands
 # of tokens come in lumps, and an account below its limit is not to be refused for that.
@@ -46,13 +46,13 @@
         """Return what each of so many hosts may have spent and not told."""
         return self.slack * UNTOLD_SHARE / max(1, hosts)
 
-    def alone(self, limit: TokenLimit, hosts: int) -> float:
+    def alone(self, limit: RateLimit, hosts: int) -> float:
         """Return the part of each of so many hosts while they find no leader."""
         allowed = limit.per_second * self.window_seconds + limit.burst
         kept_back = self.overage * allowed + ALONE_SHARE * self.slack
         return kept_back / max(1, hosts)
 
-    def most(self, limit: TokenLimit) -> float:
+    def most(self, limit: RateLimit) -> float:
         """Return what may run at most in any window."""
         allowed = limit.per_second * self.window_seconds + limit.burst
         return (1 + self.overage) * allowed + self.slack
--- a/src/jujubeslip/accounts/_ledger.py
+++ b/src/jujubeslip/accounts/_ledger.py
@@ -12,11 +12,11 @@
 from dataclasses import dataclass
 
 from jujubeslip.accounts._bounds import LimitBounds
-from jujubeslip.accounts._models import TokenLimit
+from jujubeslip.accounts._models import RateLimit
 
 # An account is near its limit with less left than this share of its burst: hosts then
-# ask before each request. Half a second's use of the whole limit is left at that point,
-# in which every host hears of it.
+# ask before each request. With a burst of a second's rate, half a second's use of the
+# whole limit is left at that point, in which every host hears of it.
 NEAR_SHARE = 0.5
 
 
@@ -69,7 +69,7 @@
         self._heard_share = share
 
     def charge(
-        self, name: str, limit: TokenLimit, cost: float, now: float
+        self, name: str, limit: RateLimit, cost: float, now: float
     ) -> LedgerAnswer:
         """Charge a request before it runs, if it is within the limit."""
         level = self._filled(name, limit, now)
@@ -80,7 +80,7 @@
         return LedgerAnswer(0.0, self._is_near(level, limit))
 
     def settle(
-        self, name: str, limit: TokenLimit, spent: float, now: float
+        self, name: str, limit: RateLimit, spent: float, now: float
     ) -> LedgerAnswer:
         """Take what a host has spent; below 0 it gives something back."""
         level = self._filled(name, limit, now)
@@ -93,11 +93,11 @@
         """Return the accounts that asked in this lead."""
         return list(self._level_by_name)
 
-    def left(self, name: str, limit: TokenLimit, now: float) -> float:
+    def left(self, name: str, limit: RateLimit, now: float) -> float:
         """Return what is left of an account's limit, below 0 if too much was told."""
         return self._filled(name, limit, now).amount
 
-    def _filled(self, name: str, limit: TokenLimit, now: float) -> _Level:
+    def _filled(self, name: str, limit: RateLimit, now: float) -> _Level:
         level = self._level_by_name.get(name)
         if level is None:
             level = _Level(self._bounds.start, self._began_at, limit.per_second)
@@ -108,8 +108,8 @@
         level.amount = min(self._capacity(limit), level.amount)
         return level
 
-    def _capacity(self, limit: TokenLimit) -> float:
+    def _capacity(self, limit: RateLimit) -> float:
         return limit.burst + self._bounds.lump
 
-    def _is_near(self, level: _Level, limit: TokenLimit) -> bool:
+    def _is_near(self, level: _Level, limit: RateLimit) -> bool:
         return level.amount < NEAR_SHARE * limit.burst
--- a/src/jujubeslip/accounts/_models.py
+++ b/src/jujubeslip/accounts/_models.py
@@ -9,13 +9,13 @@
 
 
 @dataclass(frozen=True)
-class TokenLimit:
-    """How much an account may ask for, over all hosts."""
+class RateLimit:
+    """How much an account may ask for, over all hosts; in tokens or in requests."""
 
     per_second: float
-    """Tokens that come free each second."""
+    """What comes free each second."""
     burst: float
-    """Tokens that it may use at once beyond that."""
+    """What it may use at once beyond that."""
 
 
 @dataclass(frozen=True)
@@ -25,7 +25,7 @@
     name: str
     key_hashes: tuple[str, ...] = field(repr=False)
     """What its keys are known by; see hash_key."""
-    limit: TokenLimit | None = None
+    limit: RateLimit | None = None
     """None where it may ask for as much as it likes."""
     counts_tokens: bool = True
     """Whether its limit is in tokens, or in requests."""
--- a/src/jujubeslip/accounts/_spending.py
+++ b/src/jujubeslip/accounts/_spending.py
@@ -44,7 +44,10 @@
     """Lets small requests run at once, as far as the leader's ledger allows for it.
 
     What is not told yet is bounded, with a leader and without one, so that the sum over
-    all hosts holds through a network partition, and when the leader is lost.
+    all hosts holds through a network partition, and when the leader is lost. The bound
+    grows over the first window after a start: a host that starts again and again loses
+    what it had not told each time, and one of many that start at once does not know yet
+    how many they are.
     """
 
     def __init__(
@@ -53,6 +56,7 @@
         self._bounds = bounds
         self._hosts = hosts
         self._by_name: dict[str, _Account] = {}
+        self._began_at = began_at
         self._lent_to = ""
         self._lent_until = began_at + bounds.window_seconds
 
@@ -61,16 +65,15 @@
         account = self._account(name)
         if account.refused_until > now:
             return SpendAnswer(wait=account.refused_until - now)
-        most = self._bounds.untold(self._hosts())
-        if account.near_limit or account.unsettled + cost > most:
+        if account.near_limit or account.unsettled + cost > self._untold_part(now):
             return SpendAnswer(asks_leader=True)
         account.untold += cost
         return SpendAnswer()
 
-    def spend_alone(self, name: str, cost: float) -> bool:
+    def spend_alone(self, name: str, cost: float, now: float) -> bool:
         """Spend without a leader; say whether the request may run."""
         account = self._account(name)
-        if account.unsettled + cost > self._bounds.untold(self._hosts()):
+        if account.unsettled + cost > self._untold_part(now):
             return False
         account.untold += cost
         return True
@@ -123,5 +126,9 @@
             account.untold += account.telling
             account.telling = 0.0
 
+    def _untold_part(self, now: float) -> float:
+        grown = min(1.0, (now - self._began_at) / self._bounds.window_seconds)
+        return grown * self._bounds.untold(self._hosts())
+
     def _account(self, name: str) -> _Account:
         return self._by_name.setdefault(name, _Account())
--- a/src/jujubeslip/control/_account_keeper.py
+++ b/src/jujubeslip/control/_account_keeper.py
@@ -14,7 +14,7 @@
     ClientAccounts,
     LedgerAnswer,
     LimitBounds,
-    TokenLimit,
+    RateLimit,
 )
 from jujubeslip.kernel import steady_seconds
 from jujubeslip.peers import AccountSpending, AccountState, AccountUse
@@ -170,7 +170,7 @@
     def _logged_at(self, name: str) -> float:
         return self._logged_at_by_name.get(name, float("-inf"))
 
-    def _limit_of(self, name: str) -> TokenLimit | None:
+    def _limit_of(self, name: str) -> RateLimit | None:
         accounts = self._accounts()
         account = accounts.by_name.get(name) if accounts is not None else None
         return account.limit if account is not None else None
--- a/src/jujubeslip/forwarding/_account_limits.py
+++ b/src/jujubeslip/forwarding/_account_limits.py
@@ -109,7 +109,7 @@
             return
         name = context.request.account_name
         with self._lock:
-            may_run = self._spending.spend_alone(name, context.cost)
+            may_run = self._spending.spend_alone(name, context.cost, steady_seconds())
         if not may_run:
             if self._charge_at_pool(AccountSpending(name, context.cost)):
                 attempts.is_charged = True
--- a/src/jujubeslip/platform/_accounts.py
+++ b/src/jujubeslip/platform/_accounts.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from jujubeslip.accounts import ClientAccount, ClientAccounts, TokenLimit, hash_key
+from jujubeslip.accounts import ClientAccount, ClientAccounts, RateLimit, hash_key
 
 # The word before the key in a request's Authorization header, in lower case.
 KEY_SCHEME = "token"
@@ -45,11 +45,11 @@
     )
 
 
-def _limit(fields: dict[str, Any]) -> TokenLimit | None:
+def _limit(fields: dict[str, Any]) -> RateLimit | None:
     per_second = _number(fields.get("ratePerS", 0))
     burst = _number(fields.get("burst", 0))
     # A rate of 0 means that there is no limit, not that nothing is allowed.
-    return TokenLimit(per_second, burst) if per_second else None
+    return RateLimit(per_second, burst) if per_second else None
 
 
 def _text(value: Any) -> str:
--- a/tests/accounts/test_ledger.py
+++ b/tests/accounts/test_ledger.py
@@ -10,10 +10,10 @@
     HostSpending,
     LedgerAnswer,
     LimitBounds,
-    TokenLimit,
+    RateLimit,
 )
 
-LIMIT = TokenLimit(per_second=1000, burst=1000)
+LIMIT = RateLimit(per_second=1000, burst=1000)
 EXACT = LimitBounds(8, 0, 0)
 BOUNDS = LimitBounds(8, 0.1, 8000)
 
@@ -29,7 +29,7 @@
 
     def test_begins_a_lead_with_little(self) -> None:
         """The leader before may have let run all that there was."""
-        limit = TokenLimit(per_second=1000, burst=5000)
+        limit = RateLimit(per_second=1000, burst=5000)
         ledger = AccountLedger(BOUNDS, began_at=10)
         assert ledger.charge("a", limit, 2100, 10).wait > 0
         assert ledger.charge("a", limit, 1900, 10).wait == 0
@@ -45,7 +45,7 @@
     def test_leaves_the_new_burst_of_a_limit_that_is_lowered(self) -> None:
         ledger = AccountLedger(EXACT, began_at=0)
         assert ledger.left("a", LIMIT, 10) == 1000
-        assert ledger.left("a", TokenLimit(100, 100), 10) == 100
+        assert ledger.left("a", RateLimit(100, 100), 10) == 100
 
     def test_keeps_back_the_rate_of_hosts_that_it_does_not_hear(self) -> None:
         """They may be cut off, and spend it together."""
@@ -100,8 +100,16 @@
 
     def test_small_request_runs_without_a_leader(self) -> None:
         host = self.host()
-        assert host.spend_alone("a", 200)
-        assert not host.spend_alone("a", 200)
+        assert host.spend_alone("a", 200, 9)
+        assert not host.spend_alone("a", 200, 9)
+
+    def test_part_grows_after_a_start(self) -> None:
+        """Hosts that start at once each took themselves for the only one."""
+        host = self.host()
+        assert host.spend("a", 100, 2).asks_leader
+        assert not host.spend("a", 100, 4).asks_leader
+        assert not host.spend_alone("a", 100, 6)
+        assert host.spend_alone("a", 100, 7)
 
     def test_parts_are_lent_to_one_pool_at_a_time(self) -> None:
         host = self.host()
@@ -138,7 +146,7 @@
         assert pool.charge("b", LIMIT, 900, 100, 11)
 
     def test_what_was_spent_stays_spent_for_a_window(self) -> None:
-        pool, burst_only = self.pool(50), TokenLimit(per_second=1e-6, burst=8000)
+        pool, burst_only = self.pool(50), RateLimit(per_second=1e-6, burst=8000)
         assert pool.charge("a", burst_only, 900, 100, 11)
         for now in range(12, 30):
             for host in range(50):
--- a/tests/accounts/test_limits_model.py
+++ b/tests/accounts/test_limits_model.py
@@ -13,7 +13,7 @@
     random_load,
     replay,
 )
-from jujubeslip.accounts import LimitBounds, TokenLimit
+from jujubeslip.accounts import LimitBounds, RateLimit
 
 SEEDS = range(12)
 
@@ -75,7 +75,7 @@
 
     def test_keeps_the_limit_itself(self) -> None:
         exact = LimitBounds(8, 0, 0)
-        limit = TokenLimit(29_000, 29_000)
+        limit = RateLimit(29_000, 29_000)
         load = Load(65, limit, exact, 20, usual=2, without_leader=(Span(8, 9),))
         assert replay(load, 1, ChargedAtLeader).worst_share <= 1
         assert BOUNDS.most(limit) > exact.most(limit)
