Build the keeper of accounts only where operators number configurations

Since a control host asked the registry for its interface at its start, also where it has none over HTTP; the product's own is not registered there, and the process ended. Change: asked for at first use, as before; no keeper without an HTTP interface. Test: tests/entry (red on: 'the declaration is applied' after 40 s, passes now).

--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -4,6 +4,8 @@
 
 import logging
 
+from returns.result import Result
+
 from jujubeslip.accounts import LimitBounds
 from jujubeslip.admission import AdmissionHome, MemoryOptions
 from jujubeslip.control._account_keeper import AccountKeeper
@@ -37,6 +39,7 @@
     new_incarnation,
 )
 from jujubeslip.peers import ControlPeer, PeerIdentity, PeerServer
+from jujubeslip.routes import RouteTable
 from jujubeslip.telemetry import configure_telemetry, serve_metrics
 
 logger = logging.getLogger(__name__)
@@ -75,19 +78,9 @@
         )
         self._orders = GivenOrders()
         self._routes = RoutesInForce(
-            lambda: self._replica.machine.configurations,
-            interfaces.get(settings.interface).read_routes,
-        )
-        self._accounts = AccountKeeper(
-            LimitBounds(
-                settings.limit_window_ms / 1000,
-                settings.limit_overage,
-                settings.limit_slack,
-            ),
-            self._routes.accounts,
-            self._lead_began_at,
-            self._watches.heard_share,
+            lambda: self._replica.machine.configurations, self._read_routes
         )
+        self._accounts = self._build_accounts()
         self._admissions = self._build_admissions()
         handler = ControlHandler(
             self._replica,
@@ -106,6 +99,30 @@
         )
         self._http = self._build_http()
 
+    def _read_routes(self, content: str) -> Result[RouteTable, str]:
+        """Read a configuration by this host's interface, asked for at first use.
+
+        The product's own interface is none of the registered ones, and has no routes.
+        """
+        return interfaces.get(self._settings.interface).read_routes(content)
+
+    def _build_accounts(self) -> AccountKeeper | None:
+        """Return what keeps accounts' limits, where operators number configurations."""
+        settings = self._settings
+        if settings.http_address is None:
+            return None
+        bounds = LimitBounds(
+            settings.limit_window_ms / 1000,
+            settings.limit_overage,
+            settings.limit_slack,
+        )
+        return AccountKeeper(
+            bounds,
+            self._routes.accounts,
+            self._lead_began_at,
+            self._watches.heard_share,
+        )
+
     def _build_admissions(self) -> AdmissionHome | None:
         """Return the home of admissions, where endpoints announce themselves here."""
         settings = self._settings
