--- a/tests/forwarding/test_refused_prompts.py
+++ b/tests/forwarding/test_refused_prompts.py
@@ -81,6 +81,7 @@
             end_by=Deadline.after(5),
             service_name="model",
             request=SimpleNamespace(prompt="a prompt"),
+            check_account=lambda: None,
         )
         with pytest.raises(SentError):
             self._path.answer(context, Attempts())
--- a/tests/forwarding/test_starts.py
+++ b/tests/forwarding/test_starts.py
@@ -234,7 +234,9 @@
         )
         grants: Any = SimpleNamespace(find=grant)
         context: Any = SimpleNamespace(
-            end_by=Deadline.after(5), request=SimpleNamespace(prompt=None)
+            end_by=Deadline.after(5),
+            request=SimpleNamespace(prompt=None),
+            check_account=lambda: None,
         )
         path = StreamPath(stubbed, prompts, grants)
         with pytest.raises(RequestRefusedError):
@@ -287,7 +289,9 @@
         )
         grants: Any = SimpleNamespace(find=lambda *_: given.pop(0))
         context: Any = SimpleNamespace(
-            end_by=Deadline.after(5), request=SimpleNamespace(prompt=None)
+            end_by=Deadline.after(5),
+            request=SimpleNamespace(prompt=None),
+            check_account=lambda: None,
         )
         with pytest.raises(RequestRefusedError):
             StreamPath(stubbed, prompts, grants).answer(context, Attempts())
