Look only at engines whose room has changed, from the cheapest on

Cause: at each report the leader tried sixteen requests at all engines, with a forecast of each engine's memory made anew every tenth of a second. With 70 engines that report four times a second its whole processor went into it, hosts' calls waited for the same lock, and hosts that had no answer in 0.45 s decided by themselves beside it.

Change: a request that found no room remembers the latest change of room, and looks only at engines that changed since; engines are looked at from a lower bound of their cost on, so that the same one is found as before; forecasts are kept until something begins, ends or is reported; grants are found by their request, not by asking each engine; readers are ranked once a look.

--- a/bench/admission/measure.py
+++ b/bench/admission/measure.py
@@ -31,7 +31,8 @@
 SAFE_TARGET_SECONDS = 60.0
 
 
-def _engine(name: str, role: EndpointRole) -> Endpoint:
+def engine(name: str, role: EndpointRole) -> Endpoint:
+    """Return a start of an engine."""
     return Endpoint(
         endpoint_id=name,
         service_name="model",
@@ -46,7 +47,8 @@
     )
 
 
-def _applicant(request_id: str) -> Applicant:
+def applicant(request_id: str) -> Applicant:
+    """Return a request that waits for as long as the burst lasts."""
     return Applicant(
         request_id,
         1,
@@ -61,7 +63,8 @@
     )
 
 
-def _full(name: str, answers: int) -> EngineReport:
+def full(name: str, answers: int) -> EngineReport:
+    """Return the report of an engine that makes so many answers."""
     running = tuple(
         RunningAnswer(PROMPT_TOKENS + EVENT_TOKENS * 60, 60, f"{name}-{number}")
         for number in range(answers)
@@ -79,11 +82,11 @@
         self._readers = readers
         self.pool = EnginePool("model", MemoryOptions(0.05, 1.5))
         self.pool.set_engines(
-            [_engine(name, EndpointRole.DECODE) for name in self._engines],
-            [_engine(name, EndpointRole.PREFILL) for name in readers],
+            [engine(name, EndpointRole.DECODE) for name in self._engines],
+            [engine(name, EndpointRole.PREFILL) for name in readers],
         )
         for name in self._engines:
-            self.pool.take_report(name, _full(name, ANSWERS + 2))
+            self.pool.take_report(name, full(name, ANSWERS + 2))
         self.report_readers()
         self._threads = ThreadPoolExecutor(waiting)
         self._room_at = steady_seconds()
@@ -102,9 +105,9 @@
         while not self._stopped.is_set():
             tries += 1
             request_id = f"request-{number}-{tries}"
-            decision = self.pool.ask(_applicant(request_id), (), Deadline.after(0.2))
+            decision = self.pool.ask(applicant(request_id), (), Deadline.after(0.2))
             while decision.grant is None and not self._stopped.is_set():
-                asking = _applicant(request_id)
+                asking = applicant(request_id)
                 decision = self.pool.ask(asking, (), Deadline.after(0.2))
             self.delays.append(steady_seconds() - self._room_at)
             self.pool.note_read(request_id, 1)
@@ -119,9 +122,9 @@
         while not end.expired:
             for name in self._engines:
                 self._room_at = steady_seconds()
-                self.pool.take_report(name, _full(name, ANSWERS))
+                self.pool.take_report(name, full(name, ANSWERS))
                 time.sleep(pause)
-                self.pool.take_report(name, _full(name, ANSWERS + 2))
+                self.pool.take_report(name, full(name, ANSWERS + 2))
             self.report_readers()
             look_again()
         self._stopped.set()
--- a/src/jujubeslip/admission/_engine_memory.py
+++ b/src/jujubeslip/admission/_engine_memory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from typing import NamedTuple
 
 from jujubeslip.admission._contact import EngineContact
 from jujubeslip.admission._lengths import lengths_of
@@ -14,7 +14,7 @@
 )
 from jujubeslip.admission._models import USABLE_SECONDS, Admitted, Applicant
 from jujubeslip.discovery import Endpoint
-from jujubeslip.kernel import Deadline, steady_seconds
+from jujubeslip.kernel import steady_seconds
 from jujubeslip.routes import EngineReport, RunningAnswer
 
 # How old an engine's report is when it comes, in seconds. With it, what the leader
@@ -25,29 +25,19 @@
 UNSEEN_SECONDS = 4.0
 # Reports that still list a request that has ended are behind by no more than this.
 ENDED_SECONDS = 4.0
-# How long a forecast of the same answers is used again, in seconds: an answer grows by
-# two events meanwhile.
-PROFILE_SECONDS = 0.1
 # Events that an engine adds to each answer in a second, before two reports showed it
 # (with a dozen answers, 15 to 18 were measured), and how much the latest two count.
 FIRST_PACE = 15.0
 PACE_WEIGHT = 0.2
 
 
-@dataclass(frozen=True)
-class _ProfileKey:
+class _ProfileKey(NamedTuple):
     """What a forecast depends on beside the engine's own answers."""
 
     longest: int
     event_tokens: int
 
 
-@dataclass(frozen=True)
-class _KnownProfile:
-    profile: MemoryProfile
-    until: Deadline
-
-
 class EngineMemory:
     """The answers of one start of an engine; guarded by its pool's lock."""
 
@@ -55,11 +45,13 @@
         self.contact = EngineContact(endpoint)
         self._report: EngineReport | None = None
         self._reported_at = float("-inf")
+        self.capacity_tokens = 0
+        """Tokens that fit, less what something other than answers takes."""
         self._pace = FIRST_PACE
         self._admitted_by_id: dict[str, Admitted] = {}
         self._ended_at_by_id: dict[str, float] = {}
         self._reading: set[str] = set()
-        self._profile_by_key: dict[_ProfileKey, _KnownProfile] = {}
+        self._profile_by_key: dict[_ProfileKey, MemoryProfile] = {}
 
     @property
     def endpoint(self) -> Endpoint:
@@ -90,15 +82,6 @@
         """Say whether it reads a prompt by itself, while its answers stand still."""
         return bool(self._reading)
 
-    @property
-    def capacity_tokens(self) -> int:
-        """Return the tokens that fit, less what something other than answers takes."""
-        report = self._report
-        if report is None:
-            return 0
-        listed = sum(item.memory_tokens for item in report.running)
-        return report.capacity_tokens - max(0, report.used_tokens - listed)
-
     def take_report(self, report: EngineReport) -> None:
         """Take over what the engine says."""
         now = steady_seconds()
@@ -106,6 +89,10 @@
             self._learn_pace(self._report, report, now - self._reported_at)
         self._report = report
         self._reported_at = now
+        listed = sum(item.memory_tokens for item in report.running)
+        self.capacity_tokens = report.capacity_tokens - max(
+            0, report.used_tokens - listed
+        )
         self.contact.note_report()
         self._profile_by_key.clear()
         self._reading -= {item.request_id for item in report.running if item.events}
@@ -144,15 +131,15 @@
     def profile(self, asking: Applicant) -> MemoryProfile:
         """Return how the memory of its answers grows, without the one who asks.
 
-        Kept for a moment: in a burst, every request looks at every engine.
+        Kept until something begins or ends here, or the engine reports: in a burst,
+        every request looks at every engine.
         """
         key = _ProfileKey(asking.lengths.maximum, asking.event_tokens)
         known = self._profile_by_key.get(key)
-        if known is None or known.until.expired:
-            profile = profile_of(self.answers(asking), asking.lengths.maximum)
-            known = _KnownProfile(profile, Deadline.after(PROFILE_SECONDS))
+        if known is None:
+            known = profile_of(self.answers(asking), asking.lengths.maximum)
             self._profile_by_key[key] = known
-        return known.profile
+        return known
 
     def answers(self, asking: Applicant) -> list[GrowingAnswer]:
         """Return what the engine makes now, and is about to make beside one who asks.
--- a/src/jujubeslip/admission/_engines.py
+++ b/src/jujubeslip/admission/_engines.py
@@ -2,21 +2,20 @@
 
 from __future__ import annotations
 
+import math
 import random
-from collections.abc import Callable, Collection
-from dataclasses import replace
-from typing import TypeVar
+from collections.abc import Callable, Collection, Iterator
+from dataclasses import dataclass, replace
+from functools import cached_property
+from typing import NamedTuple, TypeVar
 
 from jujubeslip.admission._engine_memory import EngineMemory
-from jujubeslip.admission._memory_forecast import (
-    GrowingAnswer,
-    MemoryOptions,
-    MemoryProfile,
-    profile_of,
-)
+from jujubeslip.admission._memory_forecast import MemoryOptions, MemoryProfile
 from jujubeslip.admission._models import Admitted, Applicant, Grant
 from jujubeslip.admission._prompt_demand import PromptDemand
 from jujubeslip.admission._prompt_queue import FIRST_TOKENS_PER_SECOND, PromptQueue
+from jujubeslip.admission._room_changes import RoomChanges
+from jujubeslip.admission._room_search import RoomSearch
 from jujubeslip.discovery import Endpoint
 from jujubeslip.kernel import steady_seconds
 from jujubeslip.routes import EngineReport
@@ -36,6 +35,13 @@
 EVENT_SECONDS = 0.08
 
 
+class _GrantKey(NamedTuple):
+    """One of the grants that a request was given."""
+
+    request_id: str
+    attempt: int
+
+
 class ServiceEngines:
     """The engines that answer and those that read prompts; guarded by the pool's lock.
 
@@ -46,6 +52,8 @@
         self._options = options
         self._engine_by_start: dict[str, EngineMemory] = {}
         self._reader_by_start: dict[str, PromptQueue] = {}
+        self._room_changes = RoomChanges()
+        self._grant_by_key: dict[_GrantKey, Grant] = {}
         self._read_speed = FIRST_TOKENS_PER_SECOND
         self._demand = PromptDemand()
 
@@ -58,12 +66,22 @@
         """
         _keep_only(self._engine_by_start, answering, EngineMemory)
         _keep_only(self._reader_by_start, reading, PromptQueue)
+        self._room_changes.keep_only(self._engine_by_start)
+        self._forget_grants()
+
+    def _forget_grants(self) -> None:
+        """Forget grants at starts that are gone or no longer know of them."""
+        for key, grant in list(self._grant_by_key.items()):
+            engine = self._engine_by_start.get(grant.endpoint.start_id)
+            if engine is None or engine.find(key.request_id, key.attempt) is None:
+                del self._grant_by_key[key]
 
     def take_report(self, start_id: str, report: EngineReport) -> None:
         """Take over what a start of an engine says of itself."""
         engine = self._engine_by_start.get(start_id)
         if engine is not None:
             engine.take_report(report)
+            self._room_changes.note(start_id)
         reader = self._reader_by_start.get(start_id)
         if reader is not None:
             reader.take_report(report)
@@ -105,61 +123,63 @@
         self._engine_by_start[grant.endpoint.start_id].admit(admitted)
         if grant.reader is not None:
             self._reader_by_start[grant.reader.start_id].give(applicant)
+        self._grant_by_key[_GrantKey(applicant.request_id, applicant.attempt)] = grant
 
     def given_before(self, applicant: Applicant) -> Grant | None:
         """Return the grant of a request that asks again after a lost answer."""
-        for engine in self._engine_by_start.values():
-            admitted = engine.find(applicant.request_id, applicant.attempt)
-            if admitted is not None:
-                return admitted.grant
-        return None
+        grant = self._grant_by_key.get(
+            _GrantKey(applicant.request_id, applicant.attempt)
+        )
+        if grant is None:
+            return None
+        engine = self._engine_by_start.get(grant.endpoint.start_id)
+        held = engine and engine.find(applicant.request_id, applicant.attempt)
+        return grant if held else None
 
     def note_read(self, request_id: str, attempt: int) -> None:
         """Note that a request's prompt was read, or won't be where it was to be."""
-        for reader in self._reader_by_start.values():
-            reader.note_read(request_id, attempt)
-        for engine in self._engine_by_start.values():
+        grant = self._grant_by_key.get(_GrantKey(request_id, attempt))
+        if grant is None:
+            return
+        engine = self._engine_by_start.get(grant.endpoint.start_id)
+        if engine is not None:
             engine.note_read(request_id, attempt)
+        if grant.reader is None:
+            return
+        reader = self._reader_by_start.get(grant.reader.start_id)
+        if reader is not None:
+            reader.note_read(request_id, attempt)
 
     def end(self, request_id: str, attempt: int) -> None:
         """Note that a request has ended, or will not be sent."""
         self.note_read(request_id, attempt)
-        for engine in self._engine_by_start.values():
+        grant = self._grant_by_key.pop(_GrantKey(request_id, attempt), None)
+        if grant is None:
+            return
+        engine = self._engine_by_start.get(grant.endpoint.start_id)
+        if engine is not None:
             engine.end(request_id, attempt)
+            self._room_changes.note(grant.endpoint.start_id)
+
+    def readers_now(self) -> ReadersNow:
+        """Return the readers that may be given prompts, until the next grant."""
+        return ReadersNow(tuple(self._reader_by_start.values()))
 
-    def find_grant(
-        self, applicant: Applicant, avoided: Collection[str]
-    ) -> Grant | None:
+    def find_grant(self, search: RoomSearch, readers: ReadersNow) -> Grant | None:
         """Return the best grant, None if all engines are full.
 
         An engine that reads a prompt by itself stops all its answers meanwhile. That
         is done only while no engine reads for others.
         """
+        if search.tried_at == self._room_changes.latest:
+            return None
+        applicant = search.applicant
         reader = None
         if not applicant.reads_itself:
-            readers = self._readers(avoided)
-            ready = [item for item in readers if item.has_room]
-            if readers and not ready:
+            reader = readers.next_but(search.avoided)
+            if reader is None and readers.any_but(search.avoided):
                 return None
-            reader = min(
-                ready,
-                key=lambda item: (item.seconds_left, random.random()),
-                default=None,
-            )
-        own = _OwnProfiles(applicant)
-        grants = [
-            grant
-            for engine in self._engine_by_start.values()
-            if engine.usable and engine.endpoint.start_id not in avoided
-            if reader is not None or self._may_read(engine, applicant)
-            if (grant := self._grant_at(engine, applicant, own)) is not None
-        ]
-        own_zone = applicant.availability_zone
-        found = min(
-            grants,
-            key=lambda item: (self._cost(item, own_zone), random.random()),
-            default=None,
-        )
+        found = self._cheapest(search, reader is None)
         if found is None or reader is None:
             return found
         return replace(
@@ -168,16 +188,54 @@
             read_seconds=reader.seconds_for(applicant.prompt_tokens),
         )
 
-    def _cost(self, grant: Grant, own_zone: str) -> float:
-        is_near = grant.endpoint.availability_zone == own_zone
-        return grant.fill + (0.0 if is_near else OTHER_ZONE_FILL)
+    def _cheapest(self, search: RoomSearch, reads_itself: bool) -> Grant | None:
+        """Return the grant at the engine that costs least.
 
-    def _readers(self, avoided: Collection[str]) -> list[PromptQueue]:
-        return [
-            reader
-            for reader in self._reader_by_start.values()
-            if reader.usable and reader.endpoint.start_id not in avoided
-        ]
+        Engines are looked at from the lowest bound of their cost on, until no further
+        one can cost less than the best that was found.
+        """
+        best: Grant | None = None
+        best_cost = math.inf
+        for bound in sorted(self._bounds(search, reads_itself)):
+            if bound.cost >= best_cost:
+                break
+            grant = self._grant_at(bound, search)
+            if grant is None:
+                continue
+            cost = bound.zone_cost + grant.fill
+            if cost < best_cost:
+                best, best_cost = grant, cost
+        # One that may not read now may do so before anything ends there.
+        if best is None and not reads_itself:
+            search.note_no_room(self._room_changes.latest)
+        return best
+
+    def _bounds(self, search: RoomSearch, reads_itself: bool) -> Iterator[_Bound]:
+        """Yield the engines that may have room, with the least that each can cost.
+
+        Left out are those that had none when the request was last tried, and those
+        that are full with its prompt: a peak is no less than what is in use now.
+        """
+        applicant = search.applicant
+        for engine in self._changed_since(search):
+            if reads_itself and not self._may_read(engine, applicant):
+                continue
+            profile = engine.profile(applicant)
+            capacity = max(1, engine.capacity_tokens)
+            fill = (profile.means[0] + applicant.prompt_tokens) / capacity
+            if fill > 1 - self._options.margin or profile.answers >= applicant.slots:
+                continue
+            is_near = engine.endpoint.availability_zone == applicant.availability_zone
+            zone_cost = 0.0 if is_near else OTHER_ZONE_FILL
+            yield _Bound(fill + zone_cost, random.random(), zone_cost, engine, profile)
+
+    def _changed_since(self, search: RoomSearch) -> Iterator[EngineMemory]:
+        for start_id in self._room_changes.since(search.tried_at):
+            engine = self._engine_by_start.get(start_id)
+            if engine is None or start_id in search.avoided:
+                continue
+            if engine.usable:
+                yield engine
 
     def _may_read(self, engine: EngineMemory, applicant: Applicant) -> bool:
         """Say whether the engine may read the prompt beside its other answers.
@@ -191,39 +249,64 @@
         longest = max(0.0, applicant.maximum_gap - EVENT_SECONDS)
         return seconds <= longest or not engine.profile(applicant).answers
 
-    def _grant_at(
-        self, engine: EngineMemory, applicant: Applicant, own: _OwnProfiles
-    ) -> Grant | None:
-        profile = engine.profile(applicant)
-        if profile.answers >= applicant.slots:
-            return None
+    def _grant_at(self, bound: _Bound, search: RoomSearch) -> Grant | None:
+        engine, profile = bound.engine, bound.profile
         capacity = max(1, engine.capacity_tokens)
-        own_profile = own.over(profile.longest)
-        fill = profile.peak_with(own_profile, self._options.caution) / capacity
-        if fill > 1 - self._options.margin:
+        limit = (1 - self._options.margin) * capacity
+        own = search.own_profile(profile.longest)
+        peak = profile.peak_with(own, self._options.caution, limit)
+        if peak is None:
             return None
-        return Grant(engine.endpoint, fill, int(engine.report_age * 1000))
+        return Grant(engine.endpoint, peak / capacity, int(engine.report_age * 1000))
 
 
-class _OwnProfiles:
-    """How the memory of one request's answer will grow, computed once for all engines.
+@dataclass(frozen=True)
+class ReadersNow:
+    """The engines that read prompts for others, as they are when first asked for."""
 
-    Engines whose longest answers differ look at different instants.
-    """
+    known: tuple[PromptQueue, ...]
 
-    def __init__(self, applicant: Applicant) -> None:
-        self._answer = GrowingAnswer(
-            applicant.prompt_tokens, 0, applicant.event_tokens, applicant.lengths
-        )
-        self._profile_by_longest: dict[int, MemoryProfile] = {}
-
-    def over(self, longest: int) -> MemoryProfile:
-        """Return the profile at the instants of an engine with this longest answer."""
-        found = self._profile_by_longest.get(longest)
-        if found is None:
-            found = profile_of([self._answer], longest)
-            self._profile_by_longest[longest] = found
-        return found
+    @cached_property
+    def usable(self) -> tuple[PromptQueue, ...]:
+        """Return those that can be given prompts, be it later."""
+        return tuple(item for item in self.known if item.usable)
+
+    @cached_property
+    def ready(self) -> tuple[PromptQueue, ...]:
+        """Return those that should be given one, that with the least to read first."""
+        turns = [
+            _ReaderTurn(item.seconds_left, random.random(), item)
+            for item in self.usable
+            if item.has_room
+        ]
+        return tuple(turn.reader for turn in sorted(turns))
+
+    def next_but(self, avoided: Collection[str]) -> PromptQueue | None:
+        """Return the reader whose turn it is, None if all have enough to read."""
+        turns = (item for item in self.ready if item.endpoint.start_id not in avoided)
+        return next(turns, None)
+
+    def any_but(self, avoided: Collection[str]) -> bool:
+        """Say whether any reader is there, be it with a prompt to read."""
+        return any(item.endpoint.start_id not in avoided for item in self.usable)
+
+
+class _ReaderTurn(NamedTuple):
+    """A reader, ordered by what it has left to read, equal ones by lot."""
+
+    seconds_left: float
+    lot: float
+    reader: PromptQueue
+
+
+class _Bound(NamedTuple):
+    """An engine, ordered by the least that it can cost, equal ones by lot."""
+
+    cost: float
+    lot: float
+    zone_cost: float
+    engine: EngineMemory
+    profile: MemoryProfile
 
 
 def _keep_only(
--- a/src/jujubeslip/admission/_lengths.py
+++ b/src/jujubeslip/admission/_lengths.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from functools import lru_cache
 
@@ -29,9 +30,19 @@
 
     def still_runs(self, events: int, ahead: int) -> float:
         """Return how likely an answer of this many events has `ahead` further ones."""
-        now = self.longer_than[min(events, self.maximum - 1)]
-        later = self.longer_than[min(events + ahead, self.maximum)]
-        return later / now if now > 0 else 0.0
+        return next(iter(self.chances(events, (ahead,))), 0.0)
+
+    def chances(self, events: int, instants: Iterable[int]) -> Iterator[float]:
+        """Yield how likely an answer of this many events still runs at each instant.
+
+        The instants are in events ahead and grow. Ends where no answer gets so long.
+        """
+        longer_than, maximum = self.longer_than, self.maximum
+        now = longer_than[min(events, maximum - 1)]
+        for ahead in instants:
+            if events + ahead >= maximum or now <= 0:
+                return
+            yield longer_than[events + ahead] / now
 
 
 def lengths_of(maximum_events: int, expected_events: int = 0) -> AnswerLengths:
--- a/src/jujubeslip/admission/_memory_forecast.py
+++ b/src/jujubeslip/admission/_memory_forecast.py
@@ -58,14 +58,23 @@
         parts = zip(self.means, self.variances, strict=True)
         return max(mean + caution * math.sqrt(variance) for mean, variance in parts)
 
-    def peak_with(self, other: MemoryProfile, caution: float) -> float:
-        """Return the peak with further answers, whose instants are the same."""
-        return max(
-            mean + more + caution * math.sqrt(variance + further)
-            for mean, more, variance, further in zip(
-                self.means, other.means, self.variances, other.variances, strict=True
-            )
-        )
+    def peak_with(
+        self, other: MemoryProfile, caution: float, limit: float
+    ) -> float | None:
+        """Return the peak with further answers, whose instants are the same.
+
+        None where it lies beyond the limit, at the first instant that shows so: in a
+        burst nearly all engines are full.
+        """
+        peak = 0.0
+        for mean, more, variance, further in zip(
+            self.means, other.means, self.variances, other.variances, strict=True
+        ):
+            tokens = mean + more + caution * math.sqrt(variance + further)
+            if tokens > limit:
+                return None
+            peak = max(peak, tokens)
+        return peak
 
 
 def profile_of(answers: Sequence[GrowingAnswer], longest: int = 0) -> MemoryProfile:
@@ -76,11 +85,10 @@
     """
     longest = max([longest, *(answer.lengths.maximum for answer in answers)])
     step = max(1, longest // (INSTANTS - 1))
-    means, variances = [], []
-    for ahead in range(0, longest + 1, step):
-        mean, variance = _moments_at(answers, ahead)
-        means.append(mean)
-        variances.append(variance)
+    instants = range(0, longest + 1, step)
+    means, variances = [0.0] * len(instants), [0.0] * len(instants)
+    for answer in answers:
+        _add(answer, instants, means, variances)
     return MemoryProfile(len(answers), longest, tuple(means), tuple(variances))
 
 
@@ -112,12 +120,17 @@
     return max(1, int(peak - now + margin))
 
 
-def _moments_at(answers: Sequence[GrowingAnswer], ahead: int) -> tuple[float, float]:
-    """Return mean and variance of the tokens in use this many events ahead."""
-    mean = variance = 0.0
-    for answer in answers:
-        still_runs = answer.lengths.still_runs(answer.events, ahead)
-        grown = answer.memory_tokens + ahead * answer.event_tokens
-        mean += still_runs * grown
-        variance += still_runs * (1 - still_runs) * grown**2
-    return mean, variance
+def _add(
+    answer: GrowingAnswer,
+    instants: range,
+    means: list[float],
+    variances: list[float],
+) -> None:
+    """Add the mean and variance of an answer's tokens at instants, in events ahead."""
+    chances = answer.lengths.chances(answer.events, instants)
+    grown = answer.memory_tokens
+    grows_by = answer.event_tokens * instants.step
+    for index, still_runs in enumerate(chances):
+        means[index] += still_runs * grown
+        variances[index] += still_runs * (1 - still_runs) * grown * grown
+        grown += grows_by
--- a/src/jujubeslip/admission/_pool.py
+++ b/src/jujubeslip/admission/_pool.py
@@ -12,6 +12,7 @@
 from jujubeslip.admission._memory_forecast import MemoryOptions
 from jujubeslip.admission._models import Applicant, Grant
 from jujubeslip.admission._order import Turn, WaitingOrder
+from jujubeslip.admission._room_search import RoomSearch
 from jujubeslip.discovery import Endpoint
 from jujubeslip.kernel import Deadline, steady_seconds
 from jujubeslip.routes import EngineReport
@@ -46,7 +47,7 @@
 @dataclass
 class _Waiting:
     applicant: Applicant
-    avoided: frozenset[str]
+    search: RoomSearch
     since: float
     asked_at: float
     forecast: float
@@ -72,7 +73,7 @@
         One that avoids engines, or asks for one that reads its prompt itself, may wait
         for seconds while there is room for everybody else.
         """
-        return not self.avoided and not self.applicant.reads_itself
+        return not self.search.avoided and not self.applicant.reads_itself
 
     def holds_others_up(self, now: float) -> bool:
         """Say whether nobody may be granted what comes free before this one."""
@@ -146,9 +147,14 @@
             if grant is not None:
                 return Decision(grant, False, 0.0)
             self._engines.note_asked(applicant)
-            waiting = self._enter(applicant, frozenset(avoided))
+            waiting = self._known(applicant)
+            asks_on = waiting and waiting.search.avoided == frozenset(avoided)
+            if waiting is None or not asks_on:
+                waiting = self._enter(waiting, applicant, avoided)
             waiting.asking += 1
-            self._decide_all()
+            # For one that only asks on, nothing has changed.
+            if not asks_on:
+                self._decide_all()
         try:
             return self._wait(waiting, until)
         finally:
@@ -180,19 +186,28 @@
 
     # Those that wait; each method needs the lock.
 
-    def _enter(self, applicant: Applicant, avoided: frozenset[str]) -> _Waiting:
-        now = steady_seconds()
+    def _known(self, applicant: Applicant) -> _Waiting | None:
+        """Return the entry of a request that waits already; end an earlier attempt."""
         known = self._waiting_by_id.get(applicant.request_id)
-        if known is not None and known.applicant.attempt == applicant.attempt:
-            known.avoided = avoided
+        if known is None or known.applicant.attempt == applicant.attempt:
             return known
+        self._refuse(known)
+        return None
+
+    def _enter(
+        self, known: _Waiting | None, applicant: Applicant, avoided: Collection[str]
+    ) -> _Waiting:
+        """Let a request wait, or go on with other engines left out."""
         if known is not None:
-            self._refuse(known)
+            known.search.avoid(avoided)
+            return known
+        now = steady_seconds()
         if not self._waiting_by_id:
             self._busy_since = now
         forecast = self._forecast(applicant, now)
         in_vain = forecast > applicant.limit.remaining()
-        waiting = _Waiting(applicant, avoided, now, now, forecast, in_vain)
+        search = RoomSearch(applicant, avoided)
+        waiting = _Waiting(applicant, search, now, now, forecast, in_vain)
         self._waiting_by_id[applicant.request_id] = waiting
         self._order.add(waiting.turn)
         return waiting
@@ -203,15 +218,19 @@
 
     def _decide_all(self) -> None:
         """Give grants to those that go first, as far as there is room."""
+        if not self._waiting_by_id:
+            return
         now = steady_seconds()
+        readers = self._engines.readers_now()
         too_large = math.inf
         for turn in self._order.first_ones(now, TRIED_AT_MOST):
             waiting = self._waiting_by_id[turn.request_id]
             if self._is_over(waiting, now) or waiting.prompt_tokens >= too_large:
                 continue
-            grant = self._engines.find_grant(waiting.applicant, waiting.avoided)
+            grant = self._engines.find_grant(waiting.search, readers)
             if grant is not None:
                 self._admit(waiting, grant, now)
+                readers = self._engines.readers_now()
             elif waiting.holds_others_up(now):
                 return
             elif waiting.takes_any_engine:
--- a/src/jujubeslip/admission/_prompt_queue.py
+++ b/src/jujubeslip/admission/_prompt_queue.py
@@ -43,6 +43,7 @@
     def __init__(self, endpoint: Endpoint) -> None:
         self.contact = EngineContact(endpoint)
         self._given_by_request: dict[str, _GivenPrompt] = {}
+        self._given_tokens = 0
         self._read_seconds = SPEED_SECONDS
         self._read_tokens = FIRST_TOKENS_PER_SECOND * SPEED_SECONDS
         self._free_since = steady_seconds()
@@ -75,8 +76,7 @@
         """Return how long it will take to read what it was given."""
         if not self._given_by_request:
             return 0.0
-        tokens = sum(given.tokens for given in self._given_by_request.values())
-        whole = tokens / self.speed
+        whole = self._given_tokens / self.speed
         return max(0.0, whole - (steady_seconds() - self._free_since))
 
     def seconds_for(self, prompt_tokens: int) -> float:
@@ -101,9 +101,11 @@
         now = steady_seconds()
         if not self._given_by_request:
             self._free_since = now
+        self._take_out(applicant.request_id)
         self._given_by_request[applicant.request_id] = _GivenPrompt(
             applicant.attempt, applicant.prompt_tokens, now
         )
+        self._given_tokens += applicant.prompt_tokens
 
     def note_read(self, request_id: str, attempt: int, learns: bool = True) -> None:
         """Note that the prompt of this attempt was read, or won't be.
@@ -114,13 +116,18 @@
         given = self._given_by_request.get(request_id)
         if given is None or given.attempt != attempt:
             return
-        del self._given_by_request[request_id]
+        self._take_out(request_id)
         now = steady_seconds()
         seconds = now - max(given.given_at, self._free_since)
         if learns:
             self._learn(given.tokens, seconds)
         self._free_since = now
 
+    def _take_out(self, request_id: str) -> None:
+        given = self._given_by_request.pop(request_id, None)
+        if given is not None:
+            self._given_tokens -= given.tokens
+
     def _learn(self, tokens: int, seconds: float) -> None:
         kept = SPEED_SECONDS / (SPEED_SECONDS + seconds)
         self._read_seconds = kept * (self._read_seconds + seconds)
--- /dev/null
+++ b/src/jujubeslip/admission/_room_search.py
@@ -0,0 +1,47 @@
+"""What one waiting request needs, and when it last found no room."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from jujubeslip.admission._memory_forecast import (
+    GrowingAnswer,
+    MemoryProfile,
+    profile_of,
+)
+from jujubeslip.admission._models import Applicant
+
+
+class RoomSearch:
+    """The search for room of one request, over all the times that it is tried."""
+
+    def __init__(self, applicant: Applicant, avoided: Collection[str]) -> None:
+        self.applicant = applicant
+        self.avoided = frozenset(avoided)
+        """Starts of engines that are not to be given."""
+        self.tried_at = 0
+        """The latest change of room before which no engine had any, 0 for none."""
+        self._answer = GrowingAnswer(
+            applicant.prompt_tokens, 0, applicant.event_tokens, applicant.lengths
+        )
+        self._profile_by_longest: dict[int, MemoryProfile] = {}
+
+    def avoid(self, avoided: Collection[str]) -> None:
+        """Leave out these engines from now on, and no others."""
+        self.avoided = frozenset(avoided)
+        self.tried_at = 0
+
+    def note_no_room(self, change: int) -> None:
+        """Note that no engine has room as they are after this change."""
+        self.tried_at = change
+
+    def own_profile(self, longest: int) -> MemoryProfile:
+        """Return how its answer's memory grows, at the instants of such an engine.
+
+        Engines whose longest answers differ look at different instants.
+        """
+        found = self._profile_by_longest.get(longest)
+        if found is None:
+            found = profile_of([self._answer], longest)
+            self._profile_by_longest[longest] = found
+        return found
