Take an endpoint for gone once another one has its address

Change: of two endpoints at one address the one that came first is gone, unless it is heard later than an announcement can be delayed (discovery/_addresses.py); what answered for another endpoint is no candidate in any case.

--- a/src/jujubeslip/discovery/_book.py
+++ b/src/jujubeslip/discovery/_book.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
+from jujubeslip.discovery._addresses import AddressClaim, has_lost_address
 from jujubeslip.discovery._models import Endpoint
 from jujubeslip.kernel import Deadline, new_incarnation, steady_seconds
 from jujubeslip.peers import EndpointRole
@@ -36,9 +37,14 @@
 
 @dataclass(frozen=True)
 class _Entry:
-    endpoint: Endpoint
+    claim: AddressClaim
     version: int
 
+    @property
+    def endpoint(self) -> Endpoint:
+        """Return the latest start that is known."""
+        return self.claim.endpoint
+
 
 @dataclass(frozen=True)
 class _EarlyRemoval:
@@ -74,8 +80,12 @@
     def __init__(self) -> None:
         self.book_id = new_incarnation()
         self._entry_by_id: dict[str, _Entry] = {}
+        self._ids_by_address: dict[str, set[str]] = {}
         self._early_removal_by_id: dict[str, _EarlyRemoval] = {}
         self._version = 0
+        # When the latest announcements were taken over; those that one host tells
+        # together are known since the same instant.
+        self._taken_at = steady_seconds()
         self._changed = threading.Condition()
         # Grows only when a caller should be told at once, not at each renewal.
         self._material_version = 0
@@ -87,9 +97,16 @@
             return self._version
 
     def endpoints(self) -> list[Endpoint]:
-        """Return all that are known, those that leave among them."""
+        """Return all that are known, those that leave among them.
+
+        Left out are those whose address another one has taken.
+        """
         with self._changed:
-            return [entry.endpoint for entry in self._entry_by_id.values()]
+            return [
+                entry.endpoint
+                for entry in self._entry_by_id.values()
+                if not self._has_lost_address(entry)
+            ]
 
     def engines(self, service_name: str, role: EndpointRole) -> list[Endpoint]:
         """Return a service's engines of a role that stay and were heard lately."""
@@ -126,13 +143,18 @@
         )
 
     def is_over(self, endpoint: Endpoint) -> bool:
-        """Say whether another start is known to have taken this one's place."""
-        latest = self.find(endpoint.endpoint_id)
-        return latest is not None and latest.start_id != endpoint.start_id
+        """Say whether another start, or another endpoint, has taken its place."""
+        with self._changed:
+            entry = self._entry_by_id.get(endpoint.endpoint_id)
+            if entry is None:
+                return False
+            is_later = entry.endpoint.start_id != endpoint.start_id
+            return is_later or self._has_lost_address(entry)
 
     def take(self, told: Iterable[Endpoint]) -> int:
         """Take over what is newer, and return the version that includes it."""
         with self._changed:
+            self._taken_at = steady_seconds()
             for endpoint in told:
                 self._take_one(endpoint)
             return self._version
@@ -225,9 +247,45 @@
             removed = replace(known, removed_at=steady_seconds())
         self._store(removed, material=_differs(known, removed))
 
+    def _has_lost_address(self, entry: _Entry) -> bool:
+        ids = self._ids_by_address[entry.endpoint.address]
+        if len(ids) == 1:
+            return False
+        claims = [self._entry_by_id[endpoint_id].claim for endpoint_id in ids]
+        return has_lost_address(entry.claim, claims)
+
+    def _known_since(self, endpoint: Endpoint) -> float:
+        """Return since when this start is known at its address, which is noted."""
+        known = self._entry_by_id.get(endpoint.endpoint_id)
+        if known is not None:
+            earlier = known.endpoint
+            if (earlier.start_id, earlier.address) == (
+                endpoint.start_id,
+                endpoint.address,
+            ):
+                return known.claim.since
+            self._forget_address(earlier)
+        ids = self._ids_by_address.setdefault(endpoint.address, set())
+        ids.add(endpoint.endpoint_id)
+        if len(ids) > 1:
+            extra = {
+                "address": endpoint.address,
+                "endpoint_id": endpoint.endpoint_id,
+                "earlier_ids": sorted(ids - {endpoint.endpoint_id}),
+            }
+            logger.info("address announced by another endpoint", extra=extra)
+        return self._taken_at
+
+    def _forget_address(self, endpoint: Endpoint) -> None:
+        ids = self._ids_by_address[endpoint.address]
+        ids.discard(endpoint.endpoint_id)
+        if not ids:
+            del self._ids_by_address[endpoint.address]
+
     def _store(self, endpoint: Endpoint, material: bool) -> None:
         self._version += 1
-        self._entry_by_id[endpoint.endpoint_id] = _Entry(endpoint, self._version)
+        claim = AddressClaim(endpoint, self._known_since(endpoint))
+        self._entry_by_id[endpoint.endpoint_id] = _Entry(claim, self._version)
         if not material:
             return
         self._material_version = self._version
@@ -252,6 +310,7 @@
         for endpoint_id, entry in list(self._entry_by_id.items()):
             if entry.endpoint.heard_at < oldest:
                 del self._entry_by_id[endpoint_id]
+                self._forget_address(entry.endpoint)
 
 
 def _merged(older: Endpoint, told: Endpoint) -> Endpoint:
--- a/src/jujubeslip/forwarding/_choice.py
+++ b/src/jujubeslip/forwarding/_choice.py
@@ -105,7 +105,8 @@
         """Return an endpoint whose start isn't excluded, None without one.
 
         One that can't be reached, or was not heard for long, is only taken when there
-        is no other: a host that is cut off goes on with what it knows.
+        is no other: a host that is cut off goes on with what it knows. One that is
+        known to be gone is never taken: prompts would be read for it in vain.
         """
         usable = self._usable(service_name, role, excluded)
         if not usable:
@@ -131,6 +132,7 @@
             and endpoint.role == role
             and endpoint.stays
             and endpoint.start_id not in excluded
+            and not self._health.is_replaced(endpoint.start_id)
         ]
 
     def _sound(self, usable: Sequence[Endpoint]) -> list[Endpoint]:
--- a/src/jujubeslip/forwarding/_health.py
+++ b/src/jujubeslip/forwarding/_health.py
@@ -23,8 +23,6 @@
 # long as ten answers take at an endpoint that one host sends two requests a second.
 # Else an endpoint that failed once is given nothing that could show it to be sound.
 FAILURE_HALF_LIFE_SECONDS = 5.0
-# A start whose address another endpoint answers at is never used again, in seconds.
-NEVER_SECONDS = 3600.0
 
 
 @dataclass(frozen=True)
@@ -35,6 +33,8 @@
     answered_at: float = float("-inf")
     """When the share was noted."""
     open_requests: int = 0
+    is_replaced: bool = False
+    """Whether another endpoint has answered at its address."""
 
 
 class EndpointHealth:
@@ -58,7 +58,12 @@
 
     def is_paused(self, start_id: str) -> bool:
         """Say whether the endpoint is passed over for now."""
-        return not self._get(start_id).paused_until.expired
+        health = self._get(start_id)
+        return health.is_replaced or not health.paused_until.expired
+
+    def is_replaced(self, start_id: str) -> bool:
+        """Say whether another endpoint has answered at its address: it is gone."""
+        return self._get(start_id).is_replaced
 
     def working(self, start_id: str) -> AbstractContextManager[None]:
         """Return a context in which the endpoint works on one more request."""
@@ -110,7 +115,7 @@
         """Never use this start again: another one answers at its address."""
         with self._lock:
             self._health_by_start[start_id] = replace(
-                self._get(start_id), paused_until=Deadline.after(NEVER_SECONDS)
+                self._get(start_id), is_replaced=True
             )
         extra = {"start_id": start_id}
         logger.info("another endpoint answers at its address", extra=extra)
