Let an engine that answers read a prompt that waits for a reader, as a setting

A change of role takes ten seconds: answers run out first, then the engine is away for 6.

Change: reader_wait_ms, after which an engine that answers, and has room, reads the prompt itself, one at a time, no prompt that would make its other answers late, and not two in a row. passed_ms was a constant. Both as before by default.

--- a/src/jujubeslip/admission/__init__.py
+++ b/src/jujubeslip/admission/__init__.py
@@ -13,6 +13,7 @@
     forecast_peak,
     growth_of,
 )
+from jujubeslip.admission._models import WaitingOptions
 from jujubeslip.admission._urgency import urgency
 
 __all__ = [
@@ -20,6 +21,7 @@
     "AnswerLengths",
     "GrowingAnswer",
     "MemoryOptions",
+    "WaitingOptions",
     "forecast_peak",
     "growth_of",
     "lengths_of",
--- a/src/jujubeslip/admission/_engine_memory.py
+++ b/src/jujubeslip/admission/_engine_memory.py
@@ -25,6 +25,9 @@
 UNSEEN_SECONDS = 4.0
 # Reports that still list a request that has ended are behind by no more than this.
 ENDED_SECONDS = 4.0
+# How long an engine makes answers between two prompts that it reads, in seconds: each
+# of its answers has some events in it.
+REST_SECONDS = 0.3
 # Events that an engine adds to each answer in a second, before two reports showed it
 # (with a dozen answers, 15 to 18 were measured), and how much the latest two count.
 FIRST_PACE = 15.0
@@ -51,6 +54,7 @@
         self._admitted_by_id: dict[str, Admitted] = {}
         self._ended_at_by_id: dict[str, float] = {}
         self._reading: set[str] = set()
+        self._read_at = float("-inf")
         self._profile_by_key: dict[_ProfileKey, MemoryProfile] = {}
 
     @property
@@ -82,6 +86,14 @@
         """Say whether it reads a prompt by itself, while its answers stand still."""
         return bool(self._reading)
 
+    @property
+    def has_rested(self) -> bool:
+        """Say whether its answers have gone on since the last prompt that it read.
+
+        Two prompts in a row are one pause, for which all of its answers are late.
+        """
+        return steady_seconds() - self._read_at >= REST_SECONDS
+
     def take_report(self, report: EngineReport) -> None:
         """Take over what the engine says."""
         now = steady_seconds()
@@ -95,7 +107,9 @@
         )
         self.contact.note_report()
         self._profile_by_key.clear()
-        self._reading -= {item.request_id for item in report.running if item.events}
+        for item in report.running:
+            if item.events:
+                self._end_reading(item.request_id)
         self._forget_ended(now)
 
     def admit(self, admitted: Admitted) -> None:
@@ -110,7 +124,12 @@
     def note_read(self, request_id: str, attempt: int) -> None:
         """Note that the prompt of this attempt of a request has been read."""
         if self.find(request_id, attempt) is not None:
+            self._end_reading(request_id)
+
+    def _end_reading(self, request_id: str) -> None:
+        if request_id in self._reading:
             self._reading.discard(request_id)
+            self._read_at = steady_seconds()
 
     def find(self, request_id: str, attempt: int) -> Admitted | None:
         """Return the grant that was given here for this attempt of a request."""
@@ -124,7 +143,7 @@
         if self.find(request_id, attempt) is None:
             return
         del self._admitted_by_id[request_id]
-        self._reading.discard(request_id)
+        self._end_reading(request_id)
         self._ended_at_by_id[request_id] = steady_seconds()
         self._profile_by_key.clear()
 
--- a/src/jujubeslip/admission/_engines.py
+++ b/src/jujubeslip/admission/_engines.py
@@ -11,7 +11,7 @@
 
 from jujubeslip.admission._engine_memory import EngineMemory
 from jujubeslip.admission._memory_forecast import MemoryOptions, MemoryProfile
-from jujubeslip.admission._models import Admitted, Applicant, Grant
+from jujubeslip.admission._models import Admitted, Applicant, Grant, Lack
 from jujubeslip.admission._prompt_demand import PromptDemand
 from jujubeslip.admission._prompt_queue import FIRST_TOKENS_PER_SECOND, PromptQueue
 from jujubeslip.admission._room_changes import RoomChanges
@@ -21,6 +21,7 @@
 from jujubeslip.routes import EngineReport
 
 T = TypeVar("T", EngineMemory, PromptQueue)
+MayRead = Callable[[EngineMemory, Applicant], bool]
 
 # How much fuller an engine in the entry host's own availability zone may be than one
 # in another zone, as a share of its memory. When a zone is cut off, the answers that
@@ -165,21 +166,32 @@
         """Return the readers that may be given prompts, until the next grant."""
         return ReadersNow(tuple(self._reader_by_start.values()))
 
-    def find_grant(self, search: RoomSearch, readers: ReadersNow) -> Grant | None:
+    def find_grant(
+        self, search: RoomSearch, readers: ReadersNow, reads_beside: bool = False
+    ) -> Grant | None:
         """Return the best grant, None if all engines are full.
 
         An engine that reads a prompt by itself stops all its answers meanwhile. That
-        is done only while no engine reads for others.
+        is done only while no engine reads for others, or with `reads_beside`, while
+        those that do have enough to read.
         """
+        search.lacks = Lack.MEMORY
         if search.tried_at == self._room_changes.latest:
             return None
         applicant = search.applicant
         reader = None
         if not applicant.reads_itself:
             reader = readers.next_but(search.avoided)
-            if reader is None and readers.any_but(search.avoided):
+            has_readers = readers.any_but(search.avoided)
+            if reader is None and has_readers and not reads_beside:
+                search.lacks = Lack.READER
                 return None
-        found = self._cheapest(search, reader is None)
+        if reads_beside and reader is None:
+            found = self._cheapest(search, self._may_read_beside)
+        elif reader is None:
+            found = self._cheapest(search, self._may_read)
+        else:
+            found = self._cheapest(search)
         if found is None or reader is None:
             return found
         return replace(
@@ -188,15 +200,18 @@
             read_seconds=reader.seconds_for(applicant.prompt_tokens),
         )
 
-    def _cheapest(self, search: RoomSearch, reads_itself: bool) -> Grant | None:
+    def _cheapest(
+        self, search: RoomSearch, may_read: MayRead | None = None
+    ) -> Grant | None:
         """Return the grant at the engine that costs least.
 
         Engines are looked at from the lowest bound of their cost on, until no further
-        one can cost less than the best that was found.
+        one can cost less than the best that was found. `may_read` says which of them
+        may read the prompt, None where another engine does.
         """
         best: Grant | None = None
         best_cost = math.inf
-        for bound in sorted(self._bounds(search, reads_itself)):
+        for bound in sorted(self._bounds(search, may_read)):
             if bound.cost >= best_cost:
                 break
             grant = self._grant_at(bound, search)
@@ -206,11 +221,11 @@
             if cost < best_cost:
                 best, best_cost = grant, cost
         # One that may not read now may do so before anything ends there.
-        if best is None and not reads_itself:
+        if best is None and may_read is None:
             search.note_no_room(self._room_changes.latest)
         return best
 
-    def _bounds(self, search: RoomSearch, reads_itself: bool) -> Iterator[_Bound]:
+    def _bounds(self, search: RoomSearch, may_read: MayRead | None) -> Iterator[_Bound]:
         """Yield the engines that may have room, with the least that each can cost.
 
         Left out are those that had none when the request was last tried, and those
@@ -218,7 +233,7 @@
         """
         applicant = search.applicant
         for engine in self._changed_since(search):
-            if reads_itself and not self._may_read(engine, applicant):
+            if may_read is not None and not may_read(engine, applicant):
                 continue
             profile = engine.profile(applicant)
             capacity = max(1, engine.capacity_tokens)
@@ -237,6 +252,10 @@
             if engine.usable:
                 yield engine
 
+    def _may_read_beside(self, engine: EngineMemory, applicant: Applicant) -> bool:
+        """Say whether it may do so while other engines read, which others wait for."""
+        return engine.has_rested and self._may_read(engine, applicant)
+
     def _may_read(self, engine: EngineMemory, applicant: Applicant) -> bool:
         """Say whether the engine may read the prompt beside its other answers.
 
--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -11,7 +11,7 @@
 from jujubeslip.admission._engine_follower import EngineFollower
 from jujubeslip.admission._memory_forecast import MemoryOptions
 from jujubeslip.admission._meters import AdmissionMeters
-from jujubeslip.admission._models import read_applicant
+from jujubeslip.admission._models import DEFAULT_WAITING, WaitingOptions, read_applicant
 from jujubeslip.admission._pool import Decision, EnginePool
 from jujubeslip.discovery import Endpoint, EndpointBook
 from jujubeslip.interfaces import Interface
@@ -69,6 +69,7 @@
         configured_services: Callable[[], Collection[str]],
         ordered_role: Callable[[Endpoint], EndpointRole | None] = lambda _: None,
         charges: AccountCharges | None = None,
+        waiting: WaitingOptions = DEFAULT_WAITING,
     ) -> None:
         self._charges = charges
         self._ordered_role = ordered_role
@@ -76,6 +77,7 @@
         self._book = book
         self._interface = interface
         self._options = options
+        self._waiting = waiting
         self._leads = leads
         self._configured_services = configured_services
         self._pool_by_service: dict[str, EnginePool] = {}
@@ -217,7 +219,7 @@
         with self._lock:
             pool = self._pool_by_service.get(service_name)
             if pool is None:
-                pool = EnginePool(service_name, self._options)
+                pool = EnginePool(service_name, self._options, self._waiting)
                 self._pool_by_service[service_name] = pool
             return pool
 
@@ -232,6 +234,7 @@
             "forecast_ms": int(decision.forecast * 1000),
         }
         if decision.grant is None:
+            extra["lacked"] = decision.lacked
             logger.info("no grant at an engine", extra=extra)
             return
         reader = decision.grant.reader
--- a/src/jujubeslip/admission/_models.py
+++ b/src/jujubeslip/admission/_models.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
+from enum import StrEnum
 
 from jujubeslip.admission._lengths import AnswerLengths, lengths_of
 from jujubeslip.discovery import Endpoint
@@ -14,6 +16,33 @@
 USABLE_SECONDS = 1.5
 
 
+@dataclass(frozen=True)
+class WaitingOptions:
+    """How requests wait for grants."""
+
+    passed_seconds: float = 0.3
+    """How long one that waits for memory may be passed by others, in seconds.
+
+    Small ones use the room that it can't meanwhile; passed for good, a large one would
+    never find room.
+    """
+    reader_seconds: float = math.inf
+    """How long one waits for a reader before an engine that answers reads its prompt.
+
+    In seconds. Other answers of that engine pause meanwhile.
+    """
+
+
+DEFAULT_WAITING = WaitingOptions()
+
+
+class Lack(StrEnum):
+    """What a request that waits has not found."""
+
+    READER = "reader"
+    MEMORY = "memory"
+
+
 @dataclass(frozen=True)
 class Applicant:
     """A request that needs a grant at an engine."""
--- a/src/jujubeslip/admission/_pool.py
+++ b/src/jujubeslip/admission/_pool.py
@@ -10,7 +10,13 @@
 
 from jujubeslip.admission._engines import ServiceEngines
 from jujubeslip.admission._memory_forecast import MemoryOptions
-from jujubeslip.admission._models import Applicant, Grant
+from jujubeslip.admission._models import (
+    DEFAULT_WAITING,
+    Applicant,
+    Grant,
+    Lack,
+    WaitingOptions,
+)
 from jujubeslip.admission._order import Turn, WaitingOrder
 from jujubeslip.admission._room_search import RoomSearch
 from jujubeslip.discovery import Endpoint
@@ -22,10 +28,6 @@
 # A request whose host has not asked again for this long is waited for no more, in
 # seconds: hosts ask several times as often.
 ASKED_SECONDS = 1.0
-# How long a request that waits for memory may be passed by others, in seconds: a third
-# of the usual target. Small ones use the room that it can't meanwhile; passed for good,
-# a large one would never find room.
-PASSED_SECONDS = 0.3
 # How many requests are tried at one look: beyond them, none is likely to find room.
 TRIED_AT_MOST = 16
 # How much the latest interval between two requests that got a grant counts, and what
@@ -42,6 +44,8 @@
     refused: bool
     forecast: float
     """How long it was expected to wait when it came, in seconds."""
+    lacked: Lack | None = None
+    """What it did not find, where it is refused."""
 
 
 @dataclass
@@ -75,9 +79,9 @@
         """
         return not self.search.avoided and not self.applicant.reads_itself
 
-    def holds_others_up(self, now: float) -> bool:
+    def holds_others_up(self, now: float, passed_seconds: float) -> bool:
         """Say whether nobody may be granted what comes free before this one."""
-        return self.takes_any_engine and now - self.since >= PASSED_SECONDS
+        return self.takes_any_engine and now - self.since >= passed_seconds
 
 
 class EnginePool:
@@ -91,8 +95,14 @@
     times a second. What comes free by time alone is found by `look_again`.
     """
 
-    def __init__(self, service_name: str, options: MemoryOptions) -> None:
+    def __init__(
+        self,
+        service_name: str,
+        options: MemoryOptions,
+        waiting: WaitingOptions = DEFAULT_WAITING,
+    ) -> None:
         self._service_name = service_name
+        self._options = waiting
         self._engines = ServiceEngines(options)
         self._waiting_by_id: dict[str, _Waiting] = {}
         self._order = WaitingOrder()
@@ -227,11 +237,12 @@
             waiting = self._waiting_by_id[turn.request_id]
             if self._is_over(waiting, now) or waiting.prompt_tokens >= too_large:
                 continue
-            grant = self._engines.find_grant(waiting.search, readers)
+            reads_beside = now - waiting.since >= self._options.reader_seconds
+            grant = self._engines.find_grant(waiting.search, readers, reads_beside)
             if grant is not None:
                 self._admit(waiting, grant, now)
                 readers = self._engines.readers_now()
-            elif waiting.holds_others_up(now):
+            elif waiting.holds_others_up(now, self._options.passed_seconds):
                 return
             elif waiting.takes_any_engine:
                 too_large = waiting.prompt_tokens
@@ -255,7 +266,8 @@
         self._decide(waiting, Decision(grant, False, waiting.forecast))
 
     def _refuse(self, waiting: _Waiting) -> None:
-        self._decide(waiting, Decision(None, True, waiting.forecast))
+        lacked = waiting.search.lacks
+        self._decide(waiting, Decision(None, True, waiting.forecast, lacked))
 
     def _decide(self, waiting: _Waiting, decision: Decision) -> None:
         """Let all calls for the request end with this decision."""
--- a/src/jujubeslip/admission/_room_search.py
+++ b/src/jujubeslip/admission/_room_search.py
@@ -9,7 +9,7 @@
     MemoryProfile,
     profile_of,
 )
-from jujubeslip.admission._models import Applicant
+from jujubeslip.admission._models import Applicant, Lack
 
 
 class RoomSearch:
@@ -21,6 +21,8 @@
         """Starts of engines that are not to be given."""
         self.tried_at = 0
         """The latest change of room before which no engine had any, 0 for none."""
+        self.lacks = Lack.MEMORY
+        """What was not there when it was last tried."""
         self._answer = GrowingAnswer(
             applicant.prompt_tokens, 0, applicant.event_tokens, applicant.lengths
         )
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -7,7 +7,7 @@
 from returns.result import Result
 
 from jujubeslip.accounts import LimitBounds
-from jujubeslip.admission import AdmissionHome, MemoryOptions
+from jujubeslip.admission import AdmissionHome, MemoryOptions, WaitingOptions
 from jujubeslip.control._account_keeper import AccountKeeper
 from jujubeslip.control._changes import MembershipChanges
 from jujubeslip.control._client import ControlClient
@@ -137,6 +137,7 @@
             self._routes.engine_services,
             self._orders.role_of,
             self._accounts,
+            WaitingOptions(settings.passed_ms / 1000, settings.reader_wait_ms / 1000),
         )
 
     def _build_http(self) -> HttpServer | None:
--- a/src/jujubeslip/kernel/_settings.py
+++ b/src/jujubeslip/kernel/_settings.py
@@ -162,6 +162,11 @@
     """Share of an engine's memory that the leader leaves free."""
     memory_caution: Annotated[float, Field(ge=0, le=5)] = 1.5
     """How many standard deviations above its mean the memory's forecast has to fit."""
+    passed_ms: Annotated[int, Field(ge=0)] = 300
+    """How long a request that waits for memory may be passed by smaller ones."""
+    reader_wait_ms: Annotated[int, Field(ge=0)] = 60_000
+    """How long one waits for a prefill engine before a decode engine reads its
+    prompt, which stops its other answers meanwhile."""
     limit_window_ms: Annotated[int, Field(ge=100)] = 8000
     """Span in which an account's limit has to hold, over all hosts."""
     limit_overage: Annotated[float, Field(ge=0)] = 0.1
--- a/tests/admission/test_pool.py
+++ b/tests/admission/test_pool.py
@@ -7,10 +7,11 @@
 
 import pytest
 
+from jujubeslip.admission._engine_memory import REST_SECONDS
 from jujubeslip.admission._lengths import lengths_of
 from jujubeslip.admission._memory_forecast import MemoryOptions
-from jujubeslip.admission._models import Applicant
-from jujubeslip.admission._pool import PASSED_SECONDS, Decision, EnginePool
+from jujubeslip.admission._models import DEFAULT_WAITING, Applicant, WaitingOptions
+from jujubeslip.admission._pool import Decision, EnginePool
 from jujubeslip.kernel import Deadline
 from jujubeslip.routes import EngineReport, RunningAnswer
 from tests.fakes.engines import engine
@@ -267,7 +268,7 @@
         small = answering.ask(applicant("early", target=6), (), at_once())
         assert small.grant is not None
         answering.note_read("early", 1)
-        time.sleep(PASSED_SECONDS)
+        time.sleep(DEFAULT_WAITING.passed_seconds)
         late = answering.ask(applicant("late", target=6), (), at_once())
         assert late.grant is None
         assert not waiting.done()
@@ -457,3 +458,72 @@
         pool = pool_of("ended")
         pool.note_lost("ended")
         assert not pool.usable
+
+
+class TestRequestWhoseAnswerBrokeOff:
+    """Its client has a part of the answer, and leaves after a pause of 3.6 seconds.
+
+    Late since its first target, it stood behind all new requests of a burst, and none
+    of those that were cut came to their end.
+    """
+
+    def test_keeps_its_place_before_new_ones(self, full: EnginePool) -> None:
+        broke_off = applicant("broke off", target=0.1, attempt=2, reads_itself=True)
+        full.ask(broke_off, (), at_once())
+        time.sleep(0.15)
+        full.ask(applicant("new", target=0.6), (), at_once())
+        again = applicant("broke off", target=0.3, attempt=2, reads_itself=True)
+        full.ask(again, (), at_once())
+        now = time.clock_gettime(time.CLOCK_BOOTTIME)
+        first = full._order.first_ones(now, 1)
+        assert [turn.request_id for turn in first] == ["broke off"]
+
+
+class TestReaderThatIsLost:
+    """One of two readers is lost in a burst; the other can read half of the prompts.
+
+    Engines that answer had room meanwhile (fill 0.7), and a third of the requests was
+    refused for want of a reader, while a change of role takes ten seconds.
+    """
+
+    @pytest.fixture
+    def pool(self) -> EnginePool:
+        """Return a pool whose one reader has enough to read."""
+        options = WaitingOptions(reader_seconds=0.1)
+        pool = EnginePool("model", MemoryOptions(margin=0.05, caution=1.5), options)
+        pool.set_engines([engine("engine")], [engine("reader")])
+        pool.take_report("engine", engine_report())
+        pool.take_report("reader", READER)
+        pool.ask(applicant("is read", prompt_tokens=30_000), (), at_once())
+        return pool
+
+    def ask(self, pool: EnginePool, request_id: str) -> Decision:
+        return pool.ask(applicant(request_id, prompt_tokens=2000), (), at_once())
+
+    def test_prompt_that_waits_is_read_beside_answers(self, pool: EnginePool) -> None:
+        assert self.ask(pool, "waits").grant is None
+        time.sleep(0.11)
+        pool.look_again()
+        decision = self.ask(pool, "waits")
+        assert decision.grant is not None and decision.grant.reader is None
+
+    def test_two_are_not_read_in_a_row(self, pool: EnginePool) -> None:
+        """The pauses of the other answers would be one, and all of them late."""
+        for request_id in ("first", "second"):
+            self.ask(pool, request_id)
+        time.sleep(0.11)
+        pool.look_again()
+        assert self.ask(pool, "first").grant is not None
+        pool.note_read("first", 1)
+        pool.look_again()
+        assert self.ask(pool, "second").grant is None
+        time.sleep(REST_SECONDS)
+        pool.look_again()
+        assert self.ask(pool, "second").grant is not None
+
+    def test_large_prompt_waits_for_the_reader(self, pool: EnginePool) -> None:
+        large = applicant("large", prompt_tokens=8000)
+        pool.ask(large, (), at_once())
+        time.sleep(0.11)
+        pool.look_again()
+        assert pool.ask(large, (), at_once()).grant is None
--- a/tools/ablation/_plays.py
+++ b/tools/ablation/_plays.py
@@ -133,7 +133,7 @@
             late=total.get("late", 0),
             refused=total.get("refused", 0),
             failed=total.get("failed", 0),
-            read_for_nothing=prices.get("1,000 tokens prefilled for nothing", 0.0),
+            read_for_nothing=prices.get("1,000 tokens read for nothing", 0.0),
             rules=tuple(sorted(told.get("breaks", ()))),
         )
 
