Count an engine that is ordered to read among the readers

Only engines ordered to answer were weighed by their order.

Change: engines are weighed by the role that they are ordered to, both ways.

--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+from collections import defaultdict
 from collections.abc import Callable, Collection
 
 from returns.result import Failure
@@ -203,16 +204,17 @@
         return self._load_by_service.setdefault(service_name, PromptLoad())
 
     def _engines(self, service_name: str) -> Engines:
-        """Return a service's engines by the roles that they have or are ordered to."""
-        prefill = self._with_role(service_name, EndpointRole.PREFILL)
-        decode = self._with_role(service_name, EndpointRole.DECODE)
-        changing = tuple(
-            item
-            for item in prefill
-            if self._orders.role_of(item) == EndpointRole.DECODE
+        """Return a service's engines by the roles that they have or are ordered to.
+
+        One that was ordered shows its new role seconds later. Weighed by the one that
+        it shows, it would be chosen again at each look, and no other one be ordered.
+        """
+        by_role = defaultdict(list)
+        for engine in self._all_engines(service_name):
+            by_role[self._orders.role_of(engine) or engine.role].append(engine)
+        return Engines(
+            tuple(by_role[EndpointRole.PREFILL]), tuple(by_role[EndpointRole.DECODE])
         )
-        staying = tuple(item for item in prefill if item not in changing)
-        return Engines(staying, decode + changing)
 
     def _all_engines(self, service_name: str) -> tuple[Endpoint, ...]:
         return self._with_role(service_name, EndpointRole.PREFILL) + self._with_role(
--- a/tests/control/test_roles.py
+++ b/tests/control/test_roles.py
@@ -284,6 +284,35 @@
         assert asked.orders == 4
 
 
+class TestReadersThatAreMissing:
+    """One engine was ordered to read, and takes ten seconds to begin.
+
+    Prompts need one more by then. The leader wrote "prompts need a further reader" at
+    eight looks in a row, each time for the engine that was ordered already.
+    """
+
+    def test_are_ordered_beside_one_that_still_changes(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        group = engines(2, 12)
+        book = EndpointBook()
+        book.take([*group.prefill, *group.decode])
+        keeper, asked = role_keeper(monkeypatch, book, {"model"})
+        monkeypatch.setattr(keeper, "_fence", lambda: Fence(1, Deadline.after(10)))
+        least = [2.0]
+        load = SimpleNamespace(
+            note=lambda *_: None, busiest=lambda _: None, least=lambda _: least[0]
+        )
+        monkeypatch.setattr(keeper, "_load", lambda _: load)
+        keeper.look()
+        assert asked.orders == 1
+        keeper.look()
+        assert asked.orders == 1
+        least[0] = 4.0
+        keeper.look()
+        assert asked.orders == 2
+
+
 class TestLeadThatComesBack:
     """A control host leads, loses its lease in a network partition, and leads again.
 
