Let a request whose answer broke off wait as long as its client, before new ones

Change: with a part of its answer a client waits for its patience from then on; after a lost grant, from its arrival. Its host tells a target of 300 ms at each call, so that it goes before new requests.

--- a/src/jujubeslip/admission/_pool.py
+++ b/src/jujubeslip/admission/_pool.py
@@ -28,6 +28,8 @@
 # A request whose host has not asked again for this long is waited for no more, in
 # seconds: hosts ask several times as often.
 ASKED_SECONDS = 1.0
+# How much later a target has to be for another turn, in seconds.
+LATER_TARGET_SECONDS = 0.05
 # How many requests are tried at one look: beyond them, none is likely to find room.
 TRIED_AT_MOST = 16
 # How much the latest interval between two requests that got a grant counts, and what
@@ -199,11 +201,26 @@
     def _known(self, applicant: Applicant) -> _Waiting | None:
         """Return the entry of a request that waits already; end an earlier attempt."""
         known = self._waiting_by_id.get(applicant.request_id)
-        if known is None or known.applicant.attempt == applicant.attempt:
+        if known is None:
+            return None
+        if known.applicant.attempt == applicant.attempt:
+            self._move(known, applicant)
             return known
         self._refuse(known)
         return None
 
+    def _move(self, known: _Waiting, applicant: Applicant) -> None:
+        """Give a request another turn whose host tells a later target than before.
+
+        What is told takes a moment on its way, which is no other target.
+        """
+        later = applicant.target_by.instant - known.applicant.target_by.instant
+        if later < LATER_TARGET_SECONDS:
+            return
+        self._order.remove(known.turn)
+        known.applicant = applicant
+        self._order.add(known.turn)
+
     def _enter(
         self, known: _Waiting | None, applicant: Applicant, avoided: Collection[str]
     ) -> _Waiting:
--- a/src/jujubeslip/forwarding/_admissions.py
+++ b/src/jujubeslip/forwarding/_admissions.py
@@ -27,6 +27,9 @@
 # How long one call may wait for a grant, in milliseconds. Between two calls this host
 # looks whether the client is still there.
 WAIT_MS = 200
+# The target that is told for a request whose answer broke off, in milliseconds from
+# each call: it goes before nearly all others that wait.
+URGENT_MS = 300
 # How much longer than that an answer may take, in seconds. The way between zones takes
 # some milliseconds; a host that is busy or slow is better left than waited for.
 ANSWER_SECONDS = 0.25
@@ -126,7 +129,7 @@
             event_tokens,
             prompt.expected_output_tokens // event_tokens,
             engine.slots,
-            context.target_by.remaining_ms(),
+            URGENT_MS if room.goes_first else context.target_by.remaining_ms(),
             room.limit.remaining_ms(),
             WAIT_MS,
             [*attempts.tried, *self._paused_starts()],
--- a/src/jujubeslip/forwarding/_grants.py
+++ b/src/jujubeslip/forwarding/_grants.py
@@ -87,9 +87,14 @@
                 context, EndpointRole.DECODE, attempts.tried
             )
             return None if endpoint is None else Grant(endpoint)
-        limit = _wait_limit(context)
         room = RoomRequest(
-            context, attempts, service.engine, prompt, limit, reads_itself
+            context,
+            attempts,
+            service.engine,
+            prompt,
+            _wait_limit(context, attempts),
+            reads_itself,
+            goes_first=attempts.may_have_run,
         )
         grant = self._find_room(room)
         if grant is not None and attempts.granted_ms is None:
@@ -188,16 +193,21 @@
         return endpoint if endpoint is not None and endpoint.stays else None
 
 
-def _wait_limit(context: ForwardContext) -> Deadline:
+def _wait_limit(context: ForwardContext, attempts: Attempts) -> Deadline:
     """Return until when a request waits for room before it is refused.
 
     One that can't be in time any more is told so at once, and comes back when others
-    have ended; held until its client leaves, it would be lost. One that has come back
-    waits almost as long as its client does: it won't come again.
+    have ended; held until its client leaves, it would be lost. One that has come back,
+    or has had a grant and lost its engine, waits almost as long as its client does: it
+    won't come again, or has a part of its answer.
     """
     end = Deadline(context.end_by.instant - LEAST_RUN_SECONDS)
-    if not context.came_back:
+    is_first_try = not context.came_back and attempts.granted_ms is None
+    if is_first_try and not attempts.may_have_run:
         start = Deadline(context.target_by.instant - START_SECONDS)
         return end.earlier_of(start)
+    # A client that has a part of the answer counts its patience from there.
+    now = Deadline.after(0)
+    waits_since = now if attempts.may_have_run else context.request.arrived
     patience = context.route.patience_ms / 1000 - LEAVING_SECONDS
-    return end.earlier_of(Deadline(context.request.arrived.instant + patience))
+    return end.earlier_of(Deadline(waits_since.instant + patience))
--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -169,6 +169,9 @@
     """Until when it waits for room."""
     reads_itself: bool
     """Whether the engine that answers has to read the prompt, too."""
+    goes_first: bool = False
+    """Whether its answer broke off: its client has part of it, and leaves after a
+    pause, with which the engine's work so far would be lost."""
 
 
 # When a client should come back, in seconds: after a moment in which an endpoint comes
--- a/tests/forwarding/test_grants.py
+++ b/tests/forwarding/test_grants.py
@@ -10,7 +10,7 @@
 
 from jujubeslip.discovery import Endpoint, EndpointBook
 from jujubeslip.forwarding._admissions import AdmissionAnswer
-from jujubeslip.forwarding._grants import Grant, Grants
+from jujubeslip.forwarding._grants import Grant, Grants, _wait_limit
 from jujubeslip.forwarding._models import Attempts
 from jujubeslip.kernel import Deadline
 from jujubeslip.peers import EndpointRole
@@ -97,3 +97,42 @@
         grant = find(book, leader)
         assert grant is not None and grant.reader == book.find("reader")
         assert grant.read_seconds == 0.1
+
+
+class TestLimitOfWaiting:
+    """An engine crashes in the middle of an answer that may be resumed.
+
+    Its client would wait for three seconds more. The request was refused within four
+    milliseconds, since the target of its first event had passed long ago ("1254 ms
+    answer_cut, 1257 ms no grant in time, forecast 0.04 s"): its client got a failure.
+    """
+
+    PATIENCE_SECONDS = 3.6
+
+    def limit(self, attempts: Attempts, came_back: bool = False) -> float:
+        """Return for how long a request waits that came 1.2 s ago."""
+        arrived = Deadline.after(-1.2)
+        context: Any = SimpleNamespace(
+            request=SimpleNamespace(arrived=arrived),
+            route=SimpleNamespace(patience_ms=int(1000 * self.PATIENCE_SECONDS)),
+            came_back=came_back,
+            end_by=Deadline.after(12),
+            target_by=Deadline(arrived.instant + 0.9),
+        )
+        limit = _wait_limit(context, attempts)
+        return limit.instant - Deadline.after(0).instant
+
+    def test_of_a_first_try_ends_before_its_target(self) -> None:
+        assert self.limit(Attempts()) < 0
+
+    def test_of_one_whose_answer_broke_off_is_its_clients_patience(self) -> None:
+        assert self.limit(Attempts(runs=1, granted_ms=20)) == pytest.approx(
+            3.2, abs=0.1
+        )
+
+    def test_of_one_whose_engine_was_lost_before_counts_from_its_start(self) -> None:
+        assert self.limit(Attempts(granted_ms=20)) == pytest.approx(2.0, abs=0.1)
+
+    def test_of_one_that_came_back_counts_from_its_start(self) -> None:
+        waits = self.limit(Attempts(), came_back=True)
+        assert waits == pytest.approx(2.0, abs=0.1)
