Elect a leader at once where all control hosts have just started

Control hosts hear each other at 42.69 s and wait for the first election deadline until 43.45 s; the leader's first configuration reaches hosts at 43.47 s; 71 requests of those seconds are late or lost.

Ruled out: a shorter election timeout, which would end living leaders' leases; a vote at once, since a voter may have answered a leader before its restart.

Change: a voter says in a pre-vote that it has heard no leader since its start, with a number of that start. Where all other voters say so, none leads, and the leader of before has started anew, too: its lease has ended. The vote names the start that was told; a voter that has met a leader or started again since waits as before. One voter that is down, frozen or cut off, or a newer log anywhere, leaves it at the usual elections.

--- a/src/jujubeslip/control/_election.py
+++ b/src/jujubeslip/control/_election.py
@@ -4,8 +4,10 @@
 
 import logging
 import threading
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
 
+from jujubeslip.control._fresh_election import FreshElection
 from jujubeslip.control._leadership import Role
 from jujubeslip.control._members import quorum_size, voters
 from jujubeslip.control._peers import ReplicaClients
@@ -58,6 +60,8 @@
     needed: int
     until: Deadline
     """How long votes are waited for."""
+    fresh_start_by_id: Mapping[str, int] = field(default_factory=dict)
+    """The start of each voter, where all of them have just started."""
 
 
 class Elections:
@@ -69,6 +73,7 @@
 
     def run(self) -> None:
         """Run until the process stops."""
+        FreshElection(self._replica, self._clients, self.campaign_fresh).run()
         while not self._replica.process.stopped.is_set():
             if self._wait():
                 self._campaign()
@@ -123,6 +128,18 @@
         if self._wins(campaign):
             self._lead(campaign.request.term)
 
+    def campaign_fresh(self, start_by_id: Mapping[str, int]) -> None:
+        """Campaign without a wait: all voters have told that they just started."""
+        with self._replica.lock:
+            next_campaign = self._replica.random_election_deadline()
+            self._replica.election_deadline = next_campaign
+        try:
+            campaign = self._begin_term(False, next_campaign)
+        except PeerRefusal:
+            return
+        if self._wins(replace(campaign, fresh_start_by_id=start_by_id)):
+            self._lead(campaign.request.term)
+
     def _prepare(
         self, term: int, pre_vote: bool, transfer: bool, until: Deadline
     ) -> Campaign:
@@ -178,6 +195,7 @@
             asked.last_index,
             asked.last_term,
             asked.transfer,
+            campaign.fresh_start_by_id.get(member.replica_id),
         )
         timeout = campaign.until.remaining()
         method = "pre_vote" if campaign.pre_vote else "request_vote"
--- a/src/jujubeslip/control/_receiver.py
+++ b/src/jujubeslip/control/_receiver.py
@@ -41,12 +41,10 @@
         """Say whether this replica would vote for the candidate; changes nothing."""
         replica = self._replica
         with self._addressed(request):
-            granted = (
-                not self._must_wait(request)
-                and request.term > replica.term
-                and self._is_up_to_date(request)
-            )
-            return VoteReply(replica.term, granted)
+            would_vote = request.term > replica.term and self._is_up_to_date(request)
+            granted = would_vote and not self._must_wait(request)
+            fresh_start = replica.start_number if replica.is_fresh else None
+            return VoteReply(replica.term, granted, fresh_start if would_vote else None)
 
     def request_vote(self, request: VoteRequest) -> VoteReply:
         """Vote at most once in each term, for a candidate whose log is as new."""
@@ -148,8 +146,17 @@
             yield
 
     def _must_wait(self, request: VoteRequest) -> bool:
-        """Say whether a live leader's lease forbids any vote."""
-        return self._replica.hears_leader and not request.transfer
+        """Say whether a live leader's lease forbids any vote.
+
+        Where all replicas have just started, no leader is left, and its lease has ended
+        with it. The vote that follows has to meet the same start of this process: the
+        next one may have answered a new leader before it started.
+        """
+        replica = self._replica
+        is_same_start = request.fresh_start == replica.start_number
+        if replica.is_fresh and is_same_start:
+            return False
+        return replica.hears_leader and not request.transfer
 
     def _may_vote_for(self, request: VoteRequest) -> bool:
         known = self._replica.storage.metadata
--- a/src/jujubeslip/control/_replica.py
+++ b/src/jujubeslip/control/_replica.py
@@ -22,7 +22,7 @@
 from jujubeslip.control._machine import Outcome
 from jujubeslip.control._members import is_voter, voters
 from jujubeslip.control._storage import Storage
-from jujubeslip.kernel import ControlSettings, Deadline, Process
+from jujubeslip.kernel import ControlSettings, Deadline, Process, new_incarnation
 from jujubeslip.peers import (
     LogEntry,
     Membership,
@@ -80,6 +80,10 @@
         # Since the last snapshot.
         self.applied_bytes = 0
         self.written_index = self.log.last_index
+        self.start_number = new_incarnation()
+        """Tells this start of the process from others."""
+        self.is_fresh = True
+        """Whether no leader was heard since the start, this replica among them."""
         self.heard_leader_until = self._first_vote_deadline()
         self.election_deadline = self._first_election_deadline()
 
@@ -193,12 +197,14 @@
         if leader != self.leader:
             logger.info("following", extra={"leader": leader.replica_id, "term": term})
         self.leader = leader
+        self.is_fresh = False
         self.heard_leader_until = Deadline.after(self.election_seconds)
         self.election_deadline = self.random_election_deadline()
 
     def lead(self) -> None:
         """Begin to lead the current term; needs `lock`."""
         last_index = self.log.last_index
+        self.is_fresh = False
         self.role = Role.LEADER
         self.leader = LeaderContact(self.replica_id, self.settings.peer_address)
         stamp_ms = self.machine.stamp_ms
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -5068,11 +5068,12 @@
      - last_index
      - last_term
      - transfer
+     - fresh_start
 
     """
 
 
-    def __init__(self, cluster_id=None, target_id=None, candidate_id=None, term=None, last_index=None, last_term=None, transfer=None,):
+    def __init__(self, cluster_id=None, target_id=None, candidate_id=None, term=None, last_index=None, last_term=None, transfer=None, fresh_start=None,):
         self.cluster_id = cluster_id
         self.target_id = target_id
         self.candidate_id = candidate_id
@@ -5080,6 +5081,7 @@
         self.last_index = last_index
         self.last_term = last_term
         self.transfer = transfer
+        self.fresh_start = fresh_start
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5125,6 +5127,11 @@
                     self.transfer = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.fresh_start = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5163,6 +5170,10 @@
             oprot.writeFieldBegin('transfer', TType.BOOL, 7)
             oprot.writeBool(self.transfer)
             oprot.writeFieldEnd()
+        if self.fresh_start is not None:
+            oprot.writeFieldBegin('fresh_start', TType.I64, 8)
+            oprot.writeI64(self.fresh_start)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5186,13 +5197,15 @@
     Attributes:
      - term
      - granted
+     - fresh_start
 
     """
 
 
-    def __init__(self, term=None, granted=None,):
+    def __init__(self, term=None, granted=None, fresh_start=None,):
         self.term = term
         self.granted = granted
+        self.fresh_start = fresh_start
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5213,6 +5226,11 @@
                     self.granted = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.fresh_start = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5231,6 +5249,10 @@
             oprot.writeFieldBegin('granted', TType.BOOL, 2)
             oprot.writeBool(self.granted)
             oprot.writeFieldEnd()
+        if self.fresh_start is not None:
+            oprot.writeFieldBegin('fresh_start', TType.I64, 3)
+            oprot.writeI64(self.fresh_start)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6165,12 +6187,14 @@
     (5, TType.I64, 'last_index', None, None, ),  # 5
     (6, TType.I64, 'last_term', None, None, ),  # 6
     (7, TType.BOOL, 'transfer', None, None, ),  # 7
+    (8, TType.I64, 'fresh_start', None, None, ),  # 8
 )
 all_structs.append(VoteReply)
 VoteReply.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'term', None, None, ),  # 1
     (2, TType.BOOL, 'granted', None, None, ),  # 2
+    (3, TType.I64, 'fresh_start', None, None, ),  # 3
 )
 all_structs.append(AppendRequest)
 AppendRequest.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -545,11 +545,17 @@
   6: i64 last_term,
   // The leader gave up its lease and asked for this election.
   7: bool transfer,
+  // The voter's start, as it told in a pre-vote, where all voters told one: no lease
+  // lasts, since none of them leads or has heard a leader since it started.
+  8: optional i64 fresh_start,
 }
 
 struct VoteReply {
   1: i64 term,
   2: bool granted,
+  // In a pre-vote: the voter's start, if it would vote but for a leader that it may
+  // have answered before that.
+  3: optional i64 fresh_start,
 }
 
 struct AppendRequest {
--- /dev/null
+++ b/tests/control/test_fresh_election.py
@@ -0,0 +1,157 @@
+"""How soon there is a leader after all control hosts have started anew."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from jujubeslip.control._election import Elections
+from jujubeslip.control._leadership import LeaderContact
+from jujubeslip.control._receiver import Receiver
+from jujubeslip.control._replica import Replica
+from jujubeslip.kernel import Deadline, PeerUnavailableError
+from jujubeslip.peers import VoteReply, VoteRequest
+from tests.control.cluster import ControlCluster
+from tests.control.test_votes import (
+    CANDIDATE,
+    ELECTION_SECONDS,
+    SlowDisk,
+    request,
+    voter,
+)
+
+START = 4711
+
+
+@pytest.fixture
+def storage(tmp_path: Path) -> Iterator[SlowDisk]:
+    found = SlowDisk(tmp_path / "data", "control-1")
+    yield found
+    found.close()
+
+
+@pytest.fixture
+def replica(tmp_path: Path, storage: SlowDisk) -> Replica:
+    """Return a voter that has just started, and votes for nobody yet."""
+    started = voter(tmp_path, storage)
+    started.heard_leader_until = Deadline.after(ELECTION_SECONDS)
+    return started
+
+
+class TestVoterThatHasJustStarted:
+    """All hosts lose power at once, and are back within a second.
+
+    The control hosts heard each other at 42.69 s, and stood still until 43.45 s, when
+    the first election deadline passed: seventy requests waited for a configuration
+    meanwhile, and were late. The wait is for a leader whose lease lasts on; there was
+    none, since it had started anew with the others.
+    """
+
+    def test_tells_its_start_and_does_not_vote(self, replica: Replica) -> None:
+        reply = Receiver(replica).pre_vote(request(replica, 2))
+        assert (reply.granted, reply.fresh_start) == (False, replica.start_number)
+        assert not Receiver(replica).request_vote(request(replica, 2)).granted
+
+    def test_votes_where_all_told_that(self, replica: Replica) -> None:
+        asked = request(replica, 2)
+        asked.fresh_start = replica.start_number
+        assert Receiver(replica).request_vote(asked).granted
+
+    def test_does_not_vote_for_one_that_met_an_earlier_start(
+        self, replica: Replica
+    ) -> None:
+        asked = request(replica, 2)
+        asked.fresh_start = replica.start_number + 1
+        assert not Receiver(replica).request_vote(asked).granted
+
+    def test_waits_once_it_has_heard_a_leader(self, replica: Replica) -> None:
+        with replica.disk_lock, replica.lock:
+            replica.follow(1, LeaderContact(CANDIDATE, "127.0.0.1:2"))
+        asked = request(replica, 2)
+        asked.fresh_start = replica.start_number
+        receiver = Receiver(replica)
+        assert receiver.pre_vote(request(replica, 2)).fresh_start is None
+        assert not receiver.request_vote(asked).granted
+
+    def test_tells_nothing_to_one_whose_log_is_behind(self, replica: Replica) -> None:
+        behind = request(replica, 2, last_index=0)
+        assert Receiver(replica).pre_vote(behind).fresh_start is None
+
+
+class Voter:
+    """Stands in for the other voter of two."""
+
+    def __init__(self, fresh_start: int | None, answers: bool = True) -> None:
+        self._fresh_start = fresh_start
+        self._answers = answers
+        self.votes: list[VoteRequest] = []
+
+    def to_member(self, member: object) -> Voter:
+        return self
+
+    def call(self, operation: Any, timeout: float) -> VoteReply:
+        if not self._answers:
+            raise PeerUnavailableError("It is down.")
+        reply: VoteReply = operation(self)
+        return reply
+
+    def pre_vote(self, asked: VoteRequest) -> VoteReply:
+        return VoteReply(asked.term - 1, False, self._fresh_start)
+
+    def request_vote(self, asked: VoteRequest) -> VoteReply:
+        self.votes.append(asked)
+        return VoteReply(asked.term, asked.fresh_start == self._fresh_start)
+
+
+class TestReplicaThatHasJustStarted:
+    def elected(self, replica: Replica, other: Voter) -> bool:
+        """Say whether it leads well before the first election deadline."""
+        clients: Any = other
+        replica.process.start_task(Elections(replica, clients).run)
+        deadline = Deadline.after(0.5 * ELECTION_SECONDS)
+        with replica.lock:
+            replica.role_changed.wait_for(
+                lambda: replica.leadership is not None, deadline.remaining()
+            )
+            leads = replica.leadership is not None
+        replica.process.stopped.set()
+        return leads
+
+    def test_leads_at_once_where_all_have(self, replica: Replica) -> None:
+        other = Voter(START)
+        assert self.elected(replica, other)
+        assert [asked.fresh_start for asked in other.votes] == [START]
+
+    def test_waits_where_one_has_met_a_leader(self, replica: Replica) -> None:
+        other = Voter(None)
+        assert not self.elected(replica, other)
+        assert other.votes == []
+
+    def test_waits_where_one_is_down(self, replica: Replica) -> None:
+        """It may be the leader, behind a cut, and its lease may last."""
+        assert not self.elected(replica, Voter(START, answers=False))
+
+
+class TestAllProcessesKilled:
+    ELECTION_TIMEOUT_MS = 8_000
+
+    def test_have_a_leader_before_the_election_timeout(self, tmp_path: Path) -> None:
+        timeout_ms = self.ELECTION_TIMEOUT_MS
+        with ControlCluster(tmp_path, 3, election_timeout_ms=timeout_ms) as cluster:
+            cluster.leader()
+            for host in cluster.hosts:
+                host.kill()
+            for host in cluster.hosts:
+                host.start()
+            cluster.leader()
+            logs = [host.output() for host in cluster.hosts]
+        assert any("all voters have just started" in log for log in logs)
+        assert not any("no leader heard" in _after_restart(log) for log in logs)
+
+
+def _after_restart(log: str) -> str:
+    """Return what a process wrote since its latest start."""
+    return log.rpartition("control host started")[2]
