Try a peer's connection again after a quarter of a second

Entry hosts start 0.4 s before control hosts; the packets that open their connections meet machines without power, and the system sends them again after a second: hosts served from 42.25 s on and first reached a control host at 43.25 s.

Change: a connection that is not there in 0.25 s is given up for a new one, as long as the call may last. Refused ones are an answer, as before.

--- a/src/jujubeslip/peers/_client.py
+++ b/src/jujubeslip/peers/_client.py
@@ -21,6 +21,12 @@
 logging.getLogger("thrift.transport.TSocket").setLevel(logging.CRITICAL)
 
 MAXIMUM_IDLE_CONNECTIONS = 32
+# How long a connection may take to be there before another one is tried, in seconds.
+# The packet that opens it is lost where the peer's machine is about to start or its
+# queue is full; the system sends it again only after a second.
+CONNECT_SECONDS = 0.25
+# What a call gets at least once it is connected, in seconds.
+LEAST_SECONDS = 0.05
 
 
 class _Connection:
@@ -31,17 +37,30 @@
     ) -> None:
         host, port = address.rsplit(":", 1)
         self.socket = TSocket.TSocket(host, int(port))
-        self.set_timeout(timeout)
+        deadline = Deadline.after(timeout)
+        self.set_timeout(min(timeout, CONNECT_SECONDS))
         self._transport = TTransport.TFramedTransport(self.socket)
         protocol = TBinaryProtocol.TBinaryProtocolAccelerated(self._transport)
         self.client: Any = client_type(protocol)
         try:
-            self._transport.open()
+            self._open(deadline)
+            self.set_timeout(max(LEAST_SECONDS, deadline.remaining()))
             self.client.hello(identity)
         except BaseException:
             self.close()
             raise
 
+    def _open(self, deadline: Deadline) -> None:
+        """Connect, with a new packet where the first one got no answer."""
+        while True:
+            try:
+                self._transport.open()
+            except TTransport.TTransportException as error:
+                if not isinstance(error.inner, TimeoutError) or deadline.expired:
+                    raise
+            else:
+                return
+
     def set_timeout(self, seconds: float) -> None:
         self.socket.setTimeout(max(1, int(seconds * 1000)))
 
@@ -87,7 +106,9 @@
             fresh = _Connection(
                 self._client_type, self.address, self._identity, timeout
             )
-            return self._call_on(fresh, operation, max(0.05, deadline.remaining()))
+            return self._call_on(
+                fresh, operation, max(LEAST_SECONDS, deadline.remaining())
+            )
         except (TException, OSError, EOFError) as error:
             if isinstance(error, PeerRefusal | NotLeader):
                 raise
