Keep no more readers than answers can keep up with

Readers were kept for twice the busiest moment of the last four seconds, and each burst made that three.

Ruled out: more readers for bursts. A reader reads 10 prompts a second and an engine that answers serves 2.8: beyond two readers of nine, answers lack memory before prompts lack a reader, whatever is asked for.

Change: the share of engines that read is that of what granted prompts take of a reader against what answers take of other engines, both as observed over eight seconds (EngineShares); readers beyond it are ordered to answer, and none is ordered to read beyond it.

--- a/src/jujubeslip/admission/_engines.py
+++ b/src/jujubeslip/admission/_engines.py
@@ -11,7 +11,13 @@
 
 from jujubeslip.admission._engine_memory import EngineMemory
 from jujubeslip.admission._memory_forecast import MemoryOptions, MemoryProfile
-from jujubeslip.admission._models import Admitted, Applicant, Grant, Lack
+from jujubeslip.admission._models import (
+    Admitted,
+    Applicant,
+    EngineUse,
+    Grant,
+    Lack,
+)
 from jujubeslip.admission._prompt_demand import PromptDemand
 from jujubeslip.admission._prompt_queue import FIRST_TOKENS_PER_SECOND, PromptQueue
 from jujubeslip.admission._room_changes import RoomChanges
@@ -28,6 +34,9 @@
 # cross its border are lost. With this and the bound on prompts that an engine reads
 # beside its answers, 49 to 61 of 100 streams were in time meanwhile, 39 to 54 without.
 OTHER_ZONE_FILL = 0.25
+# Share of its memory that an engine has in use when it has no room for one more: what
+# its answers may still grow by is left free.
+FULL_SHARE = 0.8
 # How fast an engine that answers reads prompts, as a share of the speed of one that
 # only does that, as engines are specified.
 OWN_SPEED_SHARE = 0.5
@@ -57,6 +66,7 @@
         self._grant_by_key: dict[_GrantKey, Grant] = {}
         self._read_speed = FIRST_TOKENS_PER_SECOND
         self._demand = PromptDemand()
+        self._granted = PromptDemand()
 
     def keep_only(
         self, answering: Collection[Endpoint], reading: Collection[Endpoint]
@@ -98,6 +108,13 @@
         """
         return self._demand.tokens_per_second(steady_seconds()) / self._read_speed
 
+    @property
+    def use(self) -> EngineUse:
+        """Return how many engines the requests granted lately keep busy."""
+        tokens = self._granted.tokens_per_second(steady_seconds())
+        shares = sum(engine.used_share for engine in self._engine_by_start.values())
+        return EngineUse(tokens / self._read_speed, shares / FULL_SHARE)
+
     def note_asked(self, applicant: Applicant) -> None:
         """Note a request that asks for a grant."""
         if not applicant.reads_itself:
@@ -120,7 +137,10 @@
 
     def admit(self, applicant: Applicant, grant: Grant) -> None:
         """Note that a request was given a grant."""
-        admitted = Admitted(applicant, grant, steady_seconds())
+        now = steady_seconds()
+        admitted = Admitted(applicant, grant, now)
+        granted_id = f"{applicant.request_id}/{applicant.attempt}"
+        self._granted.note(granted_id, applicant.prompt_tokens, now)
         self._engine_by_start[grant.endpoint.start_id].admit(admitted)
         if grant.reader is not None:
             self._reader_by_start[grant.reader.start_id].give(applicant)
--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -11,7 +11,12 @@
 from jujubeslip.admission._engine_follower import EngineFollower
 from jujubeslip.admission._memory_forecast import MemoryOptions
 from jujubeslip.admission._meters import AdmissionMeters
-from jujubeslip.admission._models import DEFAULT_WAITING, WaitingOptions, read_applicant
+from jujubeslip.admission._models import (
+    DEFAULT_WAITING,
+    EngineUse,
+    WaitingOptions,
+    read_applicant,
+)
 from jujubeslip.admission._pool import Decision, EnginePool
 from jujubeslip.discovery import Endpoint, EndpointBook
 from jujubeslip.interfaces import Interface
@@ -138,6 +143,10 @@
         """Return how many readers the prompts that a service got would keep busy."""
         return self._pool(service_name).busy_readers
 
+    def engine_use(self, service_name: str) -> EngineUse:
+        """Return how many engines a service's granted requests keep busy."""
+        return self._pool(service_name).use
+
     def look(self) -> None:
         """Follow the engines that there are now, if this host is asked."""
         active = steady_seconds() - self._asked_at < ACTIVE_SECONDS
--- a/src/jujubeslip/admission/_models.py
+++ b/src/jujubeslip/admission/_models.py
@@ -36,6 +36,14 @@
 DEFAULT_WAITING = WaitingOptions()
 
 
+@dataclass(frozen=True)
+class EngineUse:
+    """How many engines granted requests keep busy, by role."""
+
+    reading: float
+    answering: float
+
+
 class Lack(StrEnum):
     """What a request that waits has not found."""
 
--- a/src/jujubeslip/admission/_pool.py
+++ b/src/jujubeslip/admission/_pool.py
@@ -13,6 +13,7 @@
 from jujubeslip.admission._models import (
     DEFAULT_WAITING,
     Applicant,
+    EngineUse,
     Grant,
     Lack,
     WaitingOptions,
@@ -148,6 +149,12 @@
         with self._lock:
             return self._engines.busy_readers
 
+    @property
+    def use(self) -> EngineUse:
+        """Return how many engines the requests granted lately keep busy."""
+        with self._lock:
+            return self._engines.use
+
     # Requests
 
     def ask(
--- a/src/jujubeslip/control/_role_balance.py
+++ b/src/jujubeslip/control/_role_balance.py
@@ -12,6 +12,7 @@
 from collections import Counter, deque
 from dataclasses import dataclass
 
+from jujubeslip.admission import EngineUse
 from jujubeslip.discovery import Endpoint
 from jujubeslip.peers import EndpointRole, ServicePressure
 
@@ -35,6 +36,9 @@
 # seconds: a change takes several seconds itself, and a burst may be over by then.
 BUSY_SHARE = 0.9
 BUSY_SECONDS = 3.0
+# How long what engines did counts for the share of readers, in seconds: about three
+# answers in a row.
+SHARES_SECONDS = 8.0
 # Engines that may be changing at once, as a share of a service's engines, and where
 # there are few: one whose order got no answer serves in neither role for seconds, and
 # callers can miss a tenth of the engines for that long.
@@ -81,6 +85,44 @@
         return min(recent, default=0.0)
 
 
+class EngineShares:
+    """How many engines answer for each that reads, by what requests keep busy.
+
+    Both are observed: the time that a prompt takes of a reader, and the memory and time
+    that its answer takes of another engine.
+    """
+
+    def __init__(self) -> None:
+        self._reading = 0.0
+        self._answering = 0.0
+        self._begun_at: float | None = None
+        self._noted_at = 0.0
+
+    def note(self, now: float, use: EngineUse) -> None:
+        """Note how many engines were busy at this moment."""
+        if self._begun_at is None:
+            if use.reading <= 0:
+                return
+            self._begun_at = self._noted_at = now
+        kept = math.exp((self._noted_at - now) / SHARES_SECONDS)
+        self._reading = kept * self._reading + (1 - kept) * use.reading
+        self._answering = kept * self._answering + (1 - kept) * use.answering
+        self._noted_at = now
+
+    def useful_readers(self, engines: Engines, now: float) -> int | None:
+        """Return the most readers for whose prompts answers find memory.
+
+        With more of them, answers would wait for memory sooner than prompts for a
+        reader, whatever is asked for. None before enough was seen.
+        """
+        begun_at = self._begun_at
+        if begun_at is None or now - begun_at < WATCHED_SECONDS or not self._reading:
+            return None
+        known = len(engines.prefill) + len(engines.decode)
+        share = self._reading / (self._reading + self._answering)
+        return max(LEAST_READERS, round(known * share))
+
+
 def wanted_change(
     engines: Engines, pressure: ServicePressure, short_for: float
 ) -> tuple[Endpoint, EndpointRole] | None:
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -12,11 +12,13 @@
 
 from returns.result import Failure
 
+from jujubeslip.admission import EngineUse
 from jujubeslip.control._given_orders import ORDER_SECONDS, GivenOrders
 from jujubeslip.control._leadership import Fence
 from jujubeslip.control._replica import Replica
 from jujubeslip.control._role_balance import (
     Engines,
+    EngineShares,
     PromptLoad,
     allowed_changes,
     answers_lack_memory,
@@ -71,7 +73,10 @@
         orders: GivenOrders,
         busy_readers: Callable[[str], float],
         on_order: Callable[[], None],
+        engine_use: Callable[[str], EngineUse],
     ) -> None:
+        self._engine_use = engine_use
+        self._shares_by_service: dict[str, EngineShares] = {}
         self._orders = orders
         self._busy_readers = busy_readers
         self._on_order = on_order
@@ -91,12 +96,15 @@
         if not self._leads():
             # What it saw before says nothing of the load when it leads again.
             self._load_by_service.clear()
+            self._shares_by_service.clear()
             self._short_since_by_service.clear()
             return
         services = self._services()
         for name in services:
             # Also before this host may order: it knows the load by then.
-            self._load(name).note(steady_seconds(), self._busy_readers(name))
+            now = steady_seconds()
+            self._load(name).note(now, self._busy_readers(name))
+            self._shares(name).note(now, self._engine_use(name))
             self._orders.settle(self._all_engines(name))
         fence = self._fence()
         if fence is None:
@@ -137,12 +145,15 @@
         needed = needed_readers(load, now, lacks_memory)
         if needed is None:
             return
+        useful = self._shares(service_name).useful_readers(engines, now)
+        needed = needed if useful is None else min(needed, useful)
         allowed = self._allowed_changes(service_name, engines)
         for reader in idle_readers(engines, needed)[:allowed]:
             extra = {
                 "endpoint_id": reader.endpoint_id,
                 "needed_readers": needed,
                 "busiest_readers": load.busiest(now),
+                "useful_readers": useful,
                 "lacks_memory": lacks_memory,
             }
             logger.info("reader would be idle in a burst", extra=extra)
@@ -155,6 +166,9 @@
         engines = self._engines(service_name)
         least = self._load(service_name).least(steady_seconds())
         missing = missing_readers(engines, least)
+        useful = self._shares(service_name).useful_readers(engines, steady_seconds())
+        if useful is not None:
+            missing = min(missing, max(0, useful - len(engines.prefill)))
         allowed = self._allowed_changes(service_name, engines)
         for answering in engines.decode[: min(missing, allowed)]:
             extra = {
@@ -203,6 +217,9 @@
     def _load(self, service_name: str) -> PromptLoad:
         return self._load_by_service.setdefault(service_name, PromptLoad())
 
+    def _shares(self, service_name: str) -> EngineShares:
+        return self._shares_by_service.setdefault(service_name, EngineShares())
+
     def _engines(self, service_name: str) -> Engines:
         """Return a service's engines by the roles that they have or are ordered to.
 
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -7,7 +7,12 @@
 from returns.result import Result
 
 from jujubeslip.accounts import LimitBounds
-from jujubeslip.admission import AdmissionHome, MemoryOptions, WaitingOptions
+from jujubeslip.admission import (
+    AdmissionHome,
+    EngineUse,
+    MemoryOptions,
+    WaitingOptions,
+)
 from jujubeslip.control._account_keeper import AccountKeeper
 from jujubeslip.control._changes import MembershipChanges
 from jujubeslip.control._client import ControlClient
@@ -199,6 +204,7 @@
             self._orders,
             admissions.busy_readers if admissions else lambda _: 0.0,
             admissions.look if admissions else lambda: None,
+            admissions.engine_use if admissions else lambda _: EngineUse(0.0, 0.0),
         )
         self._process.repeat(LOOK_SECONDS, keeper.look)
 
--- a/tests/control/test_role_balance.py
+++ b/tests/control/test_role_balance.py
@@ -4,11 +4,13 @@
 
 import pytest
 
+from jujubeslip.admission import EngineUse
 from jujubeslip.control._role_balance import (
     BUSY_SECONDS,
     LEAST_READERS,
     WATCHED_SECONDS,
     Engines,
+    EngineShares,
     PromptLoad,
     allowed_changes,
     answers_lack_memory,
@@ -213,3 +215,36 @@
             load.note(now, 0.0)
             now += bursts.STEP_SECONDS
         assert needed_readers(load, now, lacks_memory=False) is None
+
+
+class TestReadersThatAnswersCanKeepUpWith:
+    """A burst asks for 2.5 of nine engines' time to read, and for eight to answer.
+
+    Four readers stayed, since prompts come twice as often in a burst; answers lacked
+    memory for half a minute, also between bursts, and readers were idle half the time.
+    """
+
+    def shares(self, use: EngineUse, seconds: float = 20.0) -> EngineShares:
+        shares, now = EngineShares(), 0.0
+        while now <= seconds:
+            shares.note(now, use)
+            now += 0.5
+        return shares
+
+    def test_are_two_of_nine_where_answers_take_four_times_as_long(self) -> None:
+        shares = self.shares(EngineUse(reading=1.0, answering=4.0))
+        assert shares.useful_readers(engines(4, 5), 20.0) == 2
+
+    def test_do_not_depend_on_how_much_is_asked_for(self) -> None:
+        for times in (0.5, 1.0, 1.7):
+            shares = self.shares(EngineUse(1.0 * times, 4.0 * times))
+            assert shares.useful_readers(engines(24, 46), 20.0) == 14
+
+    def test_are_more_where_prompts_take_longer(self) -> None:
+        shares = self.shares(EngineUse(reading=3.0, answering=3.0))
+        assert shares.useful_readers(engines(4, 5), 20.0) == 4
+
+    def test_are_not_known_at_first(self) -> None:
+        shares = self.shares(EngineUse(1.0, 0.2), seconds=1.0)
+        assert shares.useful_readers(engines(4, 5), 1.0) is None
+        assert EngineShares().useful_readers(engines(4, 5), 20.0) is None
--- a/tests/control/test_roles.py
+++ b/tests/control/test_roles.py
@@ -11,6 +11,7 @@
 import pytest
 from returns.result import Failure
 
+from jujubeslip.admission import EngineUse
 from jujubeslip.control._given_orders import GivenOrders
 from jujubeslip.control._leadership import Fence
 from jujubeslip.control._role_balance import WATCHED_SECONDS
@@ -174,6 +175,7 @@
         GivenOrders(),
         lambda _: 0.0,
         lambda: None,
+        lambda _: EngineUse(0.0, 0.0),
     )
     asked = Asked()
     monkeypatch.setattr(keeper, "_ask", asked)
