--- a/tests/tools/test_losses.py
+++ b/tests/tools/test_losses.py
@@ -8,7 +8,7 @@
 
 from tools.losses import Cause, cause_of, read_ended, table_of
 
-STREAM = {
+STREAM: dict[str, object] = {
     "message": "request ended",
     "request_id": "r-1",
     "outcome": "whole",
@@ -21,7 +21,10 @@
     "longest_gap_ms": 90,
     "maximum_gap_ms": 300,
 }
-REFUSED = {"outcome": "no_room", "sends": ["652 ms -: no grant in time"]}
+REFUSED: dict[str, object] = {
+    "outcome": "no_room",
+    "sends": ["652 ms -: no grant in time"],
+}
 
 
 def line(told: dict[str, object]) -> str:
@@ -59,12 +62,17 @@
         assert cause(change) is found
 
     def test_is_told_by_what_was_lacked(self) -> None:
-        lacked = {"message": "no grant at an engine", "lacked": "reader"}
+        lacked: dict[str, object] = {
+            "message": "no grant at an engine",
+            "lacked": "reader",
+        }
         assert cause(lacked, REFUSED) is Cause.NO_READER
 
     def test_is_told_by_the_wait_for_a_configuration(self) -> None:
-        waited = {"message": "request waited for the first configuration"}
-        late = {"first_event_ms": 1200, "granted_ms": 1000}
+        waited: dict[str, object] = {
+            "message": "request waited for the first configuration"
+        }
+        late: dict[str, object] = {"first_event_ms": 1200, "granted_ms": 1000}
         assert cause(waited, late) is Cause.NO_CONFIGURATION
 
 
