--- a/src/jujubeslip/admission/_engines.py
+++ b/src/jujubeslip/admission/_engines.py
@@ -5,8 +5,7 @@
 import math
 import random
 from collections.abc import Callable, Collection, Iterator
-from dataclasses import dataclass, replace
-from functools import cached_property
+from dataclasses import replace
 from typing import NamedTuple, TypeVar
 
 from jujubeslip.admission._engine_memory import EngineMemory
@@ -20,6 +19,7 @@
 )
 from jujubeslip.admission._prompt_demand import PromptDemand
 from jujubeslip.admission._prompt_queue import FIRST_TOKENS_PER_SECOND, PromptQueue
+from jujubeslip.admission._readers_now import ReadersNow
 from jujubeslip.admission._room_changes import RoomChanges
 from jujubeslip.admission._room_search import RoomSearch
 from jujubeslip.discovery import Endpoint
@@ -299,45 +299,6 @@
         return Grant(engine.endpoint, peak / capacity, int(engine.report_age * 1000))
 
 
-@dataclass(frozen=True)
-class ReadersNow:
-    """The engines that read prompts for others, as they are when first asked for."""
-
-    known: tuple[PromptQueue, ...]
-
-    @cached_property
-    def usable(self) -> tuple[PromptQueue, ...]:
-        """Return those that can be given prompts, be it later."""
-        return tuple(item for item in self.known if item.usable)
-
-    @cached_property
-    def ready(self) -> tuple[PromptQueue, ...]:
-        """Return those that should be given one, that with the least to read first."""
-        turns = [
-            _ReaderTurn(item.seconds_left, random.random(), item)
-            for item in self.usable
-            if item.has_room
-        ]
-        return tuple(turn.reader for turn in sorted(turns))
-
-    def next_but(self, avoided: Collection[str]) -> PromptQueue | None:
-        """Return the reader whose turn it is, None if all have enough to read."""
-        turns = (item for item in self.ready if item.endpoint.start_id not in avoided)
-        return next(turns, None)
-
-    def any_but(self, avoided: Collection[str]) -> bool:
-        """Say whether any reader is there, be it with a prompt to read."""
-        return any(item.endpoint.start_id not in avoided for item in self.usable)
-
-
-class _ReaderTurn(NamedTuple):
-    """A reader, ordered by what it has left to read, equal ones by lot."""
-
-    seconds_left: float
-    lot: float
-    reader: PromptQueue
-
-
 class _Bound(NamedTuple):
     """An engine, ordered by the least that it can cost, equal ones by lot."""
 
