Send entry hosts their configuration compressed

One of two thousand routes is 451 KB as text; a forwarding host's link of 5 Mbit/s needs 0.72 s for it, and a fetch may take 0.6 s: it never comes in time, is fetched again, and requests wait behind it.

Ruled out: the leader (0.40 of a core at most), reading it (36 ms of a core).

Change: control hosts tell forwarding hosts the compressed form that they store, 32 KB for those routes (get_packed_configuration). Control hosts are rolled out first, as before.

--- a/src/jujubeslip/control/_configurations.py
+++ b/src/jujubeslip/control/_configurations.py
@@ -12,6 +12,7 @@
     ApplyRequest,
     ChangeRecord,
     Configuration,
+    PackedConfiguration,
     VersionedCommand,
 )
 
@@ -126,6 +127,14 @@
             for change_id, answer in answers.items()
         )
 
+    def packed_current(self) -> PackedConfiguration:
+        """Return the configuration in force as it is stored, compressed."""
+        revision = self.current.revision
+        stored = self._stored_by_revision.get(revision)
+        return PackedConfiguration(
+            revision, stored.packed_declaration if stored else b""
+        )
+
     def load_configuration(self, configuration: Configuration) -> None:
         """Take over a configuration from a snapshot, in order."""
         self._store(configuration)
--- a/src/jujubeslip/control/_handler.py
+++ b/src/jujubeslip/control/_handler.py
@@ -38,6 +38,7 @@
     FinishCommand,
     KeyClaim,
     KeyReply,
+    PackedConfiguration,
     PeerRefusal,
     ReplicaDescription,
     ReplicaStatus,
@@ -98,6 +99,14 @@
         # the whole declaration: 49 KB a second for one of 98 KB.
         return Configuration(held.revision, "", held.change_id, held.operator_name)
 
+    def get_packed_configuration(self, known_revision: int) -> PackedConfiguration:
+        """Return the configuration applied here, if it is newer than the known one."""
+        with self._replica.lock:
+            held = self._replica.machine.configurations.packed_current()
+        if held.revision > known_revision:
+            return held
+        return PackedConfiguration(held.revision, b"")
+
     def apply_configuration(self, request: ApplyRequest) -> ApplyReply:
         """Accept or refuse a change of the configuration, once and for all."""
         replica = self._replica
--- a/src/jujubeslip/forwarding/_routes_follower.py
+++ b/src/jujubeslip/forwarding/_routes_follower.py
@@ -4,6 +4,7 @@
 
 import logging
 import threading
+import zlib
 
 from returns.result import Failure
 
@@ -70,14 +71,21 @@
         version = self.version
         try:
             found = self._clients.get(address).call(
-                lambda peer: peer.get_configuration(version, 0), FETCH_SECONDS
+                lambda peer: peer.get_packed_configuration(version), FETCH_SECONDS
             )
         except (PeerUnavailableError, PeerRefusal) as error:
             extra = {"address": address, "error": str(error)}
             logger.warning("configuration not fetched", extra=extra)
             return
-        if found.revision > version:
-            self._put_in_force(found.revision, found.declaration)
+        if found.revision <= version:
+            return
+        try:
+            content = zlib.decompress(found.packed_declaration).decode()
+        except (zlib.error, UnicodeDecodeError) as error:
+            extra = {"address": address, "error": str(error)}
+            logger.warning("configuration not unpacked", extra=extra)
+            return
+        self._put_in_force(found.revision, content)
 
     def _put_in_force(self, version: int, content: str) -> None:
         read = self._interface.read_routes(content)
--- a/src/jujubeslip/peers/gen/ControlPeer.py
+++ b/src/jujubeslip/peers/gen/ControlPeer.py
@@ -37,6 +37,14 @@
         """
         pass
 
+    def get_packed_configuration(self, known_revision):
+        """
+        Parameters:
+         - known_revision
+
+        """
+        pass
+
     def apply_configuration(self, request):
         """
         Parameters:
@@ -299,6 +307,40 @@
             raise result.not_leader
         raise TApplicationException(TApplicationException.MISSING_RESULT, "get_configuration failed: unknown result")
 
+    def get_packed_configuration(self, known_revision):
+        """
+        Parameters:
+         - known_revision
+
+        """
+        self.send_get_packed_configuration(known_revision)
+        return self.recv_get_packed_configuration()
+
+    def send_get_packed_configuration(self, known_revision):
+        self._oprot.writeMessageBegin('get_packed_configuration', TMessageType.CALL, self._seqid)
+        args = get_packed_configuration_args()
+        args.known_revision = known_revision
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_get_packed_configuration(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = get_packed_configuration_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.refusal is not None:
+            raise result.refusal
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "get_packed_configuration failed: unknown result")
+
     def apply_configuration(self, request):
         """
         Parameters:
@@ -1106,6 +1148,7 @@
         self._processMap = {}
         self._processMap["hello"] = Processor.process_hello
         self._processMap["get_configuration"] = Processor.process_get_configuration
+        self._processMap["get_packed_configuration"] = Processor.process_get_packed_configuration
         self._processMap["apply_configuration"] = Processor.process_apply_configuration
         self._processMap["claim_key"] = Processor.process_claim_key
         self._processMap["finish_key"] = Processor.process_finish_key
@@ -1206,6 +1249,32 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_get_packed_configuration(self, seqid, iprot, oprot):
+        args = get_packed_configuration_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = get_packed_configuration_result()
+        try:
+            result.success = self._handler.get_packed_configuration(args.known_revision)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("get_packed_configuration", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_apply_configuration(self, seqid, iprot, oprot):
         args = apply_configuration_args()
         args.read(iprot)
@@ -2131,6 +2200,142 @@
 )
 
 
+class get_packed_configuration_args(object):
+    """
+    Attributes:
+     - known_revision
+
+    """
+
+
+    def __init__(self, known_revision=None,):
+        self.known_revision = known_revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.known_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('get_packed_configuration_args')
+        if self.known_revision is not None:
+            oprot.writeFieldBegin('known_revision', TType.I64, 1)
+            oprot.writeI64(self.known_revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(get_packed_configuration_args)
+get_packed_configuration_args.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'known_revision', None, None, ),  # 1
+)
+
+
+class get_packed_configuration_result(object):
+    """
+    Attributes:
+     - success
+     - refusal
+
+    """
+
+
+    def __init__(self, success=None, refusal=None,):
+        self.success = success
+        self.refusal = refusal
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = PackedConfiguration()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('get_packed_configuration_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(get_packed_configuration_result)
+get_packed_configuration_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [PackedConfiguration, None], None, ),  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+)
+
+
 class apply_configuration_args(object):
     """
     Attributes:
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -1900,6 +1900,74 @@
         return not (self == other)
 
 
+class PackedConfiguration(object):
+    """
+    Attributes:
+     - revision
+     - packed_declaration
+
+    """
+
+
+    def __init__(self, revision=None, packed_declaration=None,):
+        self.revision = revision
+        self.packed_declaration = packed_declaration
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.packed_declaration = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PackedConfiguration')
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 1)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.packed_declaration is not None:
+            oprot.writeFieldBegin('packed_declaration', TType.STRING, 2)
+            oprot.writeBinary(self.packed_declaration)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ApplyRequest(object):
     """
     Attributes:
@@ -5906,6 +5974,12 @@
     (3, TType.STRING, 'change_id', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'operator_name', 'UTF8', None, ),  # 4
 )
+all_structs.append(PackedConfiguration)
+PackedConfiguration.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.STRING, 'packed_declaration', 'BINARY', None, ),  # 2
+)
 all_structs.append(ApplyRequest)
 ApplyRequest.thrift_spec = (
     None,  # 0
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -195,6 +195,14 @@
   4: string operator_name,
 }
 
+// A configuration as entry hosts fetch it: one of two thousand routes takes 450 KB as
+// text, and most of a second of a host's link at 5 Mbit/s.
+struct PackedConfiguration {
+  1: i64 revision,
+  // The declaration, compressed by zlib; empty where it is not newer.
+  2: binary packed_declaration,
+}
+
 struct ApplyRequest {
   1: string change_id,
   2: i64 base_revision,
@@ -606,6 +614,9 @@
   // applied; with a negative known_revision only the leader answers, with the newest.
   Configuration get_configuration(1: i64 known_revision, 2: i32 wait_ms)
     throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
+  // What this replica has applied, if that is newer than known_revision.
+  PackedConfiguration get_packed_configuration(1: i64 known_revision)
+    throws (1: PeerRefusal refusal),
   ApplyReply apply_configuration(1: ApplyRequest request)
     throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
   // Durable claim of (client, key); committed by a quorum before the answer.
