Let what is observed decide how many engines may read, once it is known

Found on reading the change: the usual proportion of three engines that answer for one that reads still bounded orders to read, and took readers away while memory was short, though it fits one kind of work. It holds now only until requests have shown their own.

--- a/bench/replay/_engines.py
+++ b/bench/replay/_engines.py
@@ -1,4 +1,4 @@
-"""Simulated engines, by what plays have shown of their speed."""
+"""Simulated engines: many answers at a time, and one prompt."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 from jujubeslip.routes import EngineReport, RunningAnswer
 
-# Events a second of one answer beside n others, fitted to 1,250 answers.
+# Events a second of an answer, less this for each that the engine makes.
 PACE_ALONE, PACE_LESS_BY = 25.8, 0.65
 PROMPT_TOKENS_A_SECOND = 33_333.0
 # An engine that answers reads at half the speed, and its answers wait meanwhile.
--- a/src/jujubeslip/control/_role_balance.py
+++ b/src/jujubeslip/control/_role_balance.py
@@ -21,8 +21,7 @@
 SHORT_SECONDS = 1.5
 # Share of the remaining readers' time that prompts may take after a change.
 PROMPT_SHARE = 0.85
-# Engines that answer, for each that reads prompts: a prompt of some 5,000 tokens takes
-# an engine 0.09 s, and its answer a thirteenth of an engine for 3.7 s.
+# Engines that answer, for each that reads prompts, before requests have shown it.
 DECODE_PER_PREFILL = 3
 # Prompts are watched for this long before a reader is taken for idle, in seconds: long
 # enough to see the load go up and down, short enough to act before the next burst.
@@ -124,16 +123,20 @@
 
 
 def wanted_change(
-    engines: Engines, pressure: ServicePressure, short_for: float
+    engines: Engines,
+    pressure: ServicePressure,
+    short_for: float,
+    useful: int | None = None,
 ) -> tuple[Endpoint, EndpointRole] | None:
     """Return the engine to order and its new role, None if all is well.
 
-    `short_for` is for how long answers have lacked memory, in seconds.
+    `short_for` is for how long answers have lacked memory, in seconds. Once it is known
+    how many readers are useful, those beyond them are ordered for that alone.
     """
     if not engines.prefill and len(engines.decode) > 2:
         # Engines that answer read prompts at half the speed, and stall while they do.
         return engines.decode[0], EndpointRole.PREFILL
-    if short_for < SHORT_SECONDS or len(engines.prefill) < 2:
+    if useful is not None or short_for < SHORT_SECONDS or len(engines.prefill) < 2:
         return None
     remaining = len(engines.prefill) - 1
     if len(engines.decode) + 1 > DECODE_PER_PREFILL * remaining:
@@ -185,32 +188,37 @@
     return tuple(idle)
 
 
-def lacks_reader(engines: Engines, least: float) -> bool:
+def most_readers(engines: Engines, useful: int | None) -> int:
+    """Return how many engines may read, so that enough others answer.
+
+    As many as are useful; before that is known, by a usual proportion.
+    """
+    if useful is not None:
+        return useful
+    known = len(engines.prefill) + len(engines.decode)
+    return math.ceil(known / (1 + DECODE_PER_PREFILL))
+
+
+def lacks_reader(engines: Engines, least: float, useful: int | None = None) -> bool:
     """Say whether prompts have taken the readers' whole time for long.
 
     An engine that answers is then better ordered to read, if enough others answer.
     """
     readers = len(engines.prefill)
-    enough_answer = len(engines.decode) > DECODE_PER_PREFILL * readers
+    enough_answer = readers < most_readers(engines, useful)
     return readers > 0 and enough_answer and least >= BUSY_SHARE * readers
 
 
-def missing_readers(engines: Engines, least: float) -> int:
+def missing_readers(engines: Engines, least: float, useful: int | None = None) -> int:
     """Return how many engines that answer are better ordered to read.
 
     As many as prompts need that ask for more than the readers' whole time for long;
     enough others have to answer still.
     """
-    if not lacks_reader(engines, least):
+    if not lacks_reader(engines, least, useful):
         return 0
-    readers, answering = len(engines.prefill), len(engines.decode)
     needed = math.ceil(least / PROMPT_SHARE)
-    missing = 0
-    while readers + missing < needed:
-        if answering - missing <= DECODE_PER_PREFILL * (readers + missing):
-            break
-        missing += 1
-    return missing
+    return min(needed, most_readers(engines, useful)) - len(engines.prefill)
 
 
 def allowed_changes(engines: Engines, changing: int) -> int:
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -145,7 +145,7 @@
         needed = needed_readers(load, now, lacks_memory)
         if needed is None:
             return
-        useful = self._shares(service_name).useful_readers(engines, now)
+        useful = self._useful_readers(service_name, engines)
         needed = needed if useful is None else min(needed, useful)
         allowed = self._allowed_changes(service_name, engines)
         for reader in idle_readers(engines, needed)[:allowed]:
@@ -165,10 +165,8 @@
         """Order engines to read that prompts need for long, several at once."""
         engines = self._engines(service_name)
         least = self._load(service_name).least(steady_seconds())
-        missing = missing_readers(engines, least)
-        useful = self._shares(service_name).useful_readers(engines, steady_seconds())
-        if useful is not None:
-            missing = min(missing, max(0, useful - len(engines.prefill)))
+        useful = self._useful_readers(service_name, engines)
+        missing = missing_readers(engines, least, useful)
         allowed = self._allowed_changes(service_name, engines)
         for answering in engines.decode[: min(missing, allowed)]:
             extra = {
@@ -192,7 +190,8 @@
     ) -> None:
         """Order one engine where all readers are gone, or memory is short."""
         engines = self._engines(service_name)
-        wanted = wanted_change(engines, pressure, short_for)
+        useful = self._useful_readers(service_name, engines)
+        wanted = wanted_change(engines, pressure, short_for, useful)
         paused = self._next_order_by_service.get(service_name)
         if wanted is None or (paused is not None and not paused.expired):
             return
@@ -217,6 +216,9 @@
     def _load(self, service_name: str) -> PromptLoad:
         return self._load_by_service.setdefault(service_name, PromptLoad())
 
+    def _useful_readers(self, service_name: str, engines: Engines) -> int | None:
+        return self._shares(service_name).useful_readers(engines, steady_seconds())
+
     def _shares(self, service_name: str) -> EngineShares:
         return self._shares_by_service.setdefault(service_name, EngineShares())
 
--- a/src/jujubeslip/discovery/_book.py
+++ b/src/jujubeslip/discovery/_book.py
@@ -254,27 +254,25 @@
         claims = [self._entry_by_id[endpoint_id].claim for endpoint_id in ids]
         return has_lost_address(entry.claim, claims)
 
-    def _known_since(self, endpoint: Endpoint) -> float:
-        """Return since when this start is known at its address, which is noted."""
+    def _claim(self, endpoint: Endpoint) -> AddressClaim:
+        """Take an address for the endpoint, now unless its start has it already."""
         known = self._entry_by_id.get(endpoint.endpoint_id)
         if known is not None:
             earlier = known.endpoint
-            if (earlier.start_id, earlier.address) == (
-                endpoint.start_id,
-                endpoint.address,
-            ):
-                return known.claim.since
+            is_same_start = earlier.start_id == endpoint.start_id
+            if is_same_start and earlier.address == endpoint.address:
+                return AddressClaim(endpoint, known.claim.since)
             self._forget_address(earlier)
         ids = self._ids_by_address.setdefault(endpoint.address, set())
-        ids.add(endpoint.endpoint_id)
-        if len(ids) > 1:
+        if ids:
             extra = {
                 "address": endpoint.address,
                 "endpoint_id": endpoint.endpoint_id,
-                "earlier_ids": sorted(ids - {endpoint.endpoint_id}),
+                "earlier_ids": sorted(ids),
             }
             logger.info("address announced by another endpoint", extra=extra)
-        return self._taken_at
+        ids.add(endpoint.endpoint_id)
+        return AddressClaim(endpoint, self._taken_at)
 
     def _forget_address(self, endpoint: Endpoint) -> None:
         ids = self._ids_by_address[endpoint.address]
@@ -284,7 +282,7 @@
 
     def _store(self, endpoint: Endpoint, material: bool) -> None:
         self._version += 1
-        claim = AddressClaim(endpoint, self._known_since(endpoint))
+        claim = self._claim(endpoint)
         self._entry_by_id[endpoint.endpoint_id] = _Entry(claim, self._version)
         if not material:
             return
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -195,8 +195,8 @@
   4: string operator_name,
 }
 
-// A configuration as entry hosts fetch it: one of two thousand routes takes 450 KB as
-// text, and most of a second of a host's link at 5 Mbit/s.
+// A configuration as entry hosts fetch it. As text, one of thousands of routes would
+// fill a slow host's link, and requests wait behind it.
 struct PackedConfiguration {
   1: i64 revision,
   // The declaration, compressed by zlib; empty where it is not newer.
--- a/tests/control/test_balance_replay.py
+++ b/tests/control/test_balance_replay.py
@@ -6,9 +6,11 @@
 
 import pytest
 
+from jujubeslip.admission import EngineUse
 from jujubeslip.admission._prompt_demand import PromptDemand
 from jujubeslip.control._role_balance import (
     Engines,
+    EngineShares,
     PromptLoad,
     allowed_changes,
     idle_readers,
@@ -75,6 +77,21 @@
         for answering in group.decode[:missing]:
             self._move(answering, self.answering, self.reading, now)
 
+    def order_idle(self, load: PromptLoad, shares: EngineShares, now: float) -> None:
+        """Order readers to answer that are no use, as the leader does at each look."""
+        for changed_at, changed in list(self.changing.values()):
+            if changed_at <= now:
+                del self.changing[changed.endpoint_id]
+        group = Engines(tuple(self.reading), tuple(self.answering))
+        needed = needed_readers(load, now, lacks_memory=False)
+        if needed is None:
+            return
+        useful = shares.useful_readers(group, now)
+        needed = needed if useful is None else min(needed, useful)
+        allowed = allowed_changes(group, len(self.changing))
+        for reader in idle_readers(group, needed)[:allowed]:
+            self._move(reader, self.reading, self.answering, now)
+
     def usable_readers(self) -> int:
         """Return how many read now: one under order reads for nobody."""
         return sum(item.endpoint_id not in self.changing for item in self.reading)
@@ -139,3 +156,47 @@
         latest = 3 + STEP_SECONDS + max(1, changes) * CHANGE_SECONDS
         late = [readers for now, readers in seen if now > latest]
         assert late[0] >= needed - 1
+
+
+class TestBurstsThatAnswersCannotServe:
+    """Nine engines, four of which read, and a burst every nine seconds, from the start.
+
+    A prompt takes a reader a fourth of what its answer takes of another engine. Three
+    readers were kept for the bursts and stood idle half of their time, while answers
+    had no memory for half a minute, between bursts, too.
+    """
+
+    READERS, ANSWERING, TIMES = 4, 5, 4.0
+    USUAL, BURST = 1.0, 2.3
+    BURST_SECONDS, EVERY_SECONDS = 5.0, 9.0
+
+    def played(self, knows_shares: bool) -> tuple[float, int]:
+        """Return how many requests were served, and how many engines read at most.
+
+        A request is what takes a reader one second; readers are counted from the
+        third burst on.
+        """
+        fleet, load, shares = (
+            Fleet.of(self.READERS, self.ANSWERING),
+            PromptLoad(),
+            EngineShares(),
+        )
+        served, now, most = 0.0, 0.0, 0
+        while now < SECONDS:
+            burst = now % self.EVERY_SECONDS < self.BURST_SECONDS
+            asked = self.BURST if burst else self.USUAL
+            answering = len(fleet.answering) - len(fleet.changing)
+            granted = min(asked, fleet.usable_readers(), answering / self.TIMES)
+            load.note(now, asked)
+            shares.note(now, EngineUse(granted, granted * self.TIMES))
+            fleet.order_idle(load, shares if knows_shares else EngineShares(), now)
+            served += granted * STEP_SECONDS
+            most = max(most, len(fleet.reading)) if now > 2 * self.EVERY_SECONDS else 0
+            now += STEP_SECONDS
+        return served, most
+
+    def test_serve_more_with_no_more_readers_than_answers_keep_up_with(self) -> None:
+        before, readers_before = self.played(knows_shares=False)
+        now, readers_now = self.played(knows_shares=True)
+        assert readers_now == 2 < readers_before
+        assert now > 1.05 * before
--- a/tests/control/test_role_balance.py
+++ b/tests/control/test_role_balance.py
@@ -18,6 +18,7 @@
     lacks_reader,
     missing_readers,
     needed_readers,
+    wanted_change,
 )
 from jujubeslip.peers import EndpointRole, ServicePressure
 from tests.control.loads import bursts_of_prompts as bursts
@@ -248,3 +249,13 @@
         shares = self.shares(EngineUse(1.0, 0.2), seconds=1.0)
         assert shares.useful_readers(engines(4, 5), 1.0) is None
         assert EngineShares().useful_readers(engines(4, 5), 20.0) is None
+
+    def test_bound_what_is_ordered_to_read(self) -> None:
+        """Prompts that take as long as answers want half of the engines."""
+        assert missing_readers(engines(4, 14), least=12.0, useful=9) == 5
+        assert missing_readers(engines(4, 46), least=12.0, useful=4) == 0
+
+    def test_are_not_ordered_to_answer_for_want_of_memory(self) -> None:
+        pressure = ServicePressure("model", 10, 500)
+        assert wanted_change(engines(4, 5), pressure, short_for=2.0) is not None
+        assert wanted_change(engines(4, 5), pressure, 2.0, useful=4) is None
