--- a/tools/ablation/_plays.py
+++ b/tools/ablation/_plays.py
@@ -5,14 +5,11 @@
 import json
 import subprocess
 from collections.abc import Iterable
-from concurrent.futures import ThreadPoolExecutor
 from dataclasses import asdict, dataclass
 from itertools import product
 from pathlib import Path
-from queue import SimpleQueue
-from threading import Lock
 
-from tools.troubles import bring_journal
+from tools.troubles import bring_journal, play_in_copies
 
 
 @dataclass(frozen=True)
@@ -86,24 +83,15 @@
             for seed, day in product(seeds, days)
             if (site.stem, day, seed) not in known
         ]
-        free: SimpleQueue[Path] = SimpleQueue()
         for copy in self.copies:
             self.way.write_to(copy)
-            free.put(copy)
-        lock = Lock()
-
-        def played(one: tuple[str, int]) -> Row:
-            copy = free.get()
-            try:
-                row = self._play(copy, site, *one)
-            finally:
-                free.put(copy)
-            with lock, self.results.open("a") as file:
-                file.write(json.dumps(asdict(row)) + "\n")
-            return row
-
-        with ThreadPoolExecutor(len(self.copies)) as executor:
-            return tuple(executor.map(played, wanted))
+        return play_in_copies(
+            self.copies,
+            wanted,
+            lambda copy, one: self._play(copy, site, *one),
+            self.results,
+            lambda row: json.dumps(asdict(row)),
+        )
 
     def _play(self, copy: Path, site: Path, day: str, seed: int) -> Row:
         name = f"{self.way.name}-{self.revision}-{site.stem}-{day}-{seed}"
--- a/tools/troubles/_copies.py
+++ b/tools/troubles/_copies.py
@@ -9,7 +9,15 @@
 
 import shutil
 import subprocess
+from collections.abc import Callable, Iterable, Sequence
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from queue import SimpleQueue
+from threading import Lock
+from typing import TypeVar
+
+Wanted = TypeVar("Wanted")
+Result = TypeVar("Result")
 
 # The program's libraries; a build that finds them installs none.
 LIBRARIES = Path("target") / "deps"
@@ -35,3 +43,34 @@
         if path.is_file() and not target.exists():
             target.parent.mkdir(parents=True, exist_ok=True)
             shutil.copy2(path, target)
+
+
+def play_in_copies(
+    copies: Sequence[Path],
+    wanted: Iterable[Wanted],
+    play: Callable[[Path, Wanted], Result],
+    results: Path,
+    line_of: Callable[[Result], str],
+) -> tuple[Result, ...]:
+    """Play all that is wanted, one play at a time in each copy.
+
+    Each result is added to the file as a line at once, so that a run that was cut can
+    go on.
+    """
+    free: SimpleQueue[Path] = SimpleQueue()
+    for copy in copies:
+        free.put(copy)
+    lock = Lock()
+
+    def played(one: Wanted) -> Result:
+        copy = free.get()
+        try:
+            result = play(copy, one)
+        finally:
+            free.put(copy)
+        with lock, results.open("a") as file:
+            file.write(line_of(result) + "\n")
+        return result
+
+    with ThreadPoolExecutor(len(copies)) as executor:
+        return tuple(executor.map(played, wanted))
--- a/tools/troubles/_plays.py
+++ b/tools/troubles/_plays.py
@@ -6,14 +6,11 @@
 import re
 import subprocess
 from collections.abc import Iterable
-from concurrent.futures import ThreadPoolExecutor
 from dataclasses import asdict, dataclass, replace
 from itertools import product
 from pathlib import Path
-from queue import SimpleQueue
-from threading import Lock
 
-from tools.troubles._copies import JOURNAL, bring_journal
+from tools.troubles._copies import JOURNAL, bring_journal, play_in_copies
 from tools.troubles._days import Day
 
 # Where a play's report names its entry in the journal.
@@ -76,23 +73,13 @@
             for seed, day, site in product(seeds, days, sites)
             if (site.stem, day.name, seed) not in known
         ]
-        free: SimpleQueue[Path] = SimpleQueue()
-        for copy in self.copies:
-            free.put(copy)
-        lock = Lock()
-
-        def played(one: tuple[Day, Path, int]) -> Play:
-            copy = free.get()
-            try:
-                play = self._play(copy, *one)
-            finally:
-                free.put(copy)
-            with lock, self.results.open("a") as file:
-                file.write(json.dumps(asdict(play)) + "\n")
-            return play
-
-        with ThreadPoolExecutor(len(self.copies)) as executor:
-            return tuple(executor.map(played, wanted))
+        return play_in_copies(
+            self.copies,
+            wanted,
+            lambda copy, one: self._play(copy, *one),
+            self.results,
+            lambda play: json.dumps(asdict(play)),
+        )
 
     def _play(self, copy: Path, day: Day, site: Path, seed: int) -> Play:
         file = self.directory / f"{day.name}.toml"
