Order idle readers by what the first requests are expected to need

The leader watched the load for four seconds and ordered two of them at 4.3 to 8.6 s; a change takes seven, so that they answered from 11.3 to 15.6 s on, after the first burst (6 to 11 s).

Change: what a request takes of a reader and of an engine that answers is expected from its prompt, its client's estimate, the pace and the memory of engines; after eight requests the useful number of readers is known, and those beyond are ordered for that alone. What answers show takes its place after four seconds, as before.

--- a/src/jujubeslip/admission/__init__.py
+++ b/src/jujubeslip/admission/__init__.py
@@ -13,12 +13,13 @@
     forecast_peak,
     growth_of,
 )
-from jujubeslip.admission._models import EngineUse, WaitingOptions
+from jujubeslip.admission._models import EngineNeed, EngineUse, WaitingOptions
 from jujubeslip.admission._urgency import urgency
 
 __all__ = [
     "AdmissionHome",
     "AnswerLengths",
+    "EngineNeed",
     "EngineUse",
     "GrowingAnswer",
     "MemoryOptions",
--- a/src/jujubeslip/admission/_engine_memory.py
+++ b/src/jujubeslip/admission/_engine_memory.py
@@ -81,6 +81,11 @@
             return False
         return not report.busy and not report.reads_prompts
 
+    @property
+    def pace(self) -> float:
+        """Return the events that it adds to each answer in a second."""
+        return self._pace
+
     @property
     def reads_prompt(self) -> bool:
         """Say whether it reads a prompt by itself, while its answers stand still."""
--- a/src/jujubeslip/admission/_engines.py
+++ b/src/jujubeslip/admission/_engines.py
@@ -13,6 +13,7 @@
 from jujubeslip.admission._models import (
     Admitted,
     Applicant,
+    EngineNeed,
     EngineUse,
     Grant,
     Lack,
@@ -20,6 +21,7 @@
 from jujubeslip.admission._prompt_demand import PromptDemand
 from jujubeslip.admission._prompt_queue import FIRST_TOKENS_PER_SECOND, PromptQueue
 from jujubeslip.admission._readers_now import ReadersNow
+from jujubeslip.admission._request_needs import RequestNeeds
 from jujubeslip.admission._room_changes import RoomChanges
 from jujubeslip.admission._room_search import RoomSearch
 from jujubeslip.discovery import Endpoint
@@ -64,7 +66,9 @@
         self._read_speed = FIRST_TOKENS_PER_SECOND
         self._demand = PromptDemand()
         self._granted = PromptDemand()
+        self._needs = RequestNeeds()
         self._latest: Applicant | None = None
+        self._latest_to_report: EngineMemory | None = None
 
     def keep_only(
         self, answering: Collection[Endpoint], reading: Collection[Endpoint]
@@ -90,6 +94,7 @@
         engine = self._engine_by_start.get(start_id)
         if engine is not None:
             engine.take_report(report)
+            self._latest_to_report = engine
             self._room_changes.note(start_id)
         reader = self._reader_by_start.get(start_id)
         if reader is not None:
@@ -112,15 +117,16 @@
 
         An engine is as busy as its memory is expected to get full.
         """
+        usual_need = self._needs.usual
         if self._latest is None:
-            return EngineUse(0.0, 0.0)
+            return EngineUse(0.0, 0.0, usual_need)
         tokens = self._granted.tokens_per_second(steady_seconds())
         answering = sum(
             self._busy_share(engine, self._latest)
             for engine in self._engine_by_start.values()
             if engine.usable
         )
-        return EngineUse(tokens / self._read_speed, answering)
+        return EngineUse(tokens / self._read_speed, answering, usual_need)
 
     def _busy_share(self, engine: EngineMemory, asking: Applicant) -> float:
         limit = (1 - self._options.margin) * max(1, engine.capacity_tokens)
@@ -128,9 +134,24 @@
 
     def note_asked(self, applicant: Applicant) -> None:
         """Note a request that asks for a grant."""
-        if not applicant.reads_itself:
-            tokens = applicant.prompt_tokens
-            self._demand.note(applicant.request_id, tokens, steady_seconds())
+        if applicant.reads_itself:
+            return
+        tokens, now = applicant.prompt_tokens, steady_seconds()
+        is_new = self._demand.note(applicant.request_id, tokens, now)
+        engine = self._latest_to_report
+        if is_new and engine is not None and engine.usable:
+            self._needs.note(self._need_of(applicant, engine))
+
+    def _need_of(self, applicant: Applicant, engine: EngineMemory) -> EngineNeed:
+        """Return what a request is expected to take of engines like this one."""
+        events = applicant.lengths.mean
+        grown_by = events * applicant.event_tokens
+        limit = (1 - self._options.margin) * max(1, engine.capacity_tokens)
+        memory_share = (applicant.prompt_tokens + grown_by / 2) / limit
+        return EngineNeed(
+            applicant.prompt_tokens / self._read_speed,
+            memory_share * events / max(1.0, engine.pace),
+        )
 
     def note_lost(self, start_id: str) -> None:
         """Give a start of an engine that can't be reached nothing until it is back."""
--- a/src/jujubeslip/admission/_lengths.py
+++ b/src/jujubeslip/admission/_lengths.py
@@ -28,6 +28,11 @@
         """Return the events of the longest answer."""
         return len(self.longer_than) - 1
 
+    @property
+    def mean(self) -> float:
+        """Return the events that it has in the mean."""
+        return sum(self.longer_than)
+
     def still_runs(self, events: int, ahead: int) -> float:
         """Return how likely an answer of this many events has `ahead` further ones."""
         return next(iter(self.chances(events, (ahead,))), 0.0)
--- a/src/jujubeslip/admission/_models.py
+++ b/src/jujubeslip/admission/_models.py
@@ -36,12 +36,23 @@
 DEFAULT_WAITING = WaitingOptions()
 
 
+@dataclass(frozen=True)
+class EngineNeed:
+    """What one request takes of engines in either role, in seconds of a whole one."""
+
+    reading_seconds: float
+    answering_seconds: float
+    """How long its answer takes, times the share of the memory that it holds."""
+
+
 @dataclass(frozen=True)
 class EngineUse:
     """How many engines granted requests keep busy, by role."""
 
     reading: float
     answering: float
+    usual_need: EngineNeed | None = None
+    """What requests are expected to take, None before enough have come."""
 
 
 class Lack(StrEnum):
--- a/src/jujubeslip/admission/_prompt_demand.py
+++ b/src/jujubeslip/admission/_prompt_demand.py
@@ -28,13 +28,17 @@
         self._asked_by_request: OrderedDict[str, _AskedPrompt] = OrderedDict()
         self._tokens = 0
 
-    def note(self, request_id: str, tokens: int, now: float) -> None:
-        """Note a request that asks for a reader; `now` is the steady clock's."""
+    def note(self, request_id: str, tokens: int, now: float) -> bool:
+        """Note a request that asks for a reader; say if it hadn't asked lately.
+
+        `now` is the steady clock's.
+        """
         self._forget_old(now)
         if request_id in self._asked_by_request:
-            return
+            return False
         self._asked_by_request[request_id] = _AskedPrompt(now, tokens)
         self._tokens += tokens
+        return True
 
     def tokens_per_second(self, now: float) -> float:
         """Return the tokens that were asked for, a second."""
--- a/src/jujubeslip/control/_role_balance.py
+++ b/src/jujubeslip/control/_role_balance.py
@@ -12,7 +12,7 @@
 from collections import Counter, deque
 from dataclasses import dataclass
 
-from jujubeslip.admission import EngineUse
+from jujubeslip.admission import EngineNeed, EngineUse
 from jujubeslip.discovery import Endpoint
 from jujubeslip.peers import EndpointRole, ServicePressure
 
@@ -88,17 +88,21 @@
     """How many engines answer for each that reads, by what requests keep busy.
 
     Both are observed: the time that a prompt takes of a reader, and the memory and time
-    that its answer takes of another engine.
+    that its answer takes of another engine. Before answers have run long enough to show
+    that, it is what the first requests are expected to take: a change of role takes
+    seconds, and the first burst may come before.
     """
 
     def __init__(self) -> None:
         self._reading = 0.0
         self._answering = 0.0
+        self._usual_need: EngineNeed | None = None
         self._begun_at: float | None = None
         self._noted_at = 0.0
 
     def note(self, now: float, use: EngineUse) -> None:
         """Note how many engines were busy at this moment."""
+        self._usual_need = use.usual_need
         if self._begun_at is None:
             if use.reading <= 0:
                 return
@@ -114,13 +118,22 @@
         With more of them, answers would wait for memory sooner than prompts for a
         reader, whatever is asked for. None before enough was seen.
         """
-        begun_at = self._begun_at
-        if begun_at is None or now - begun_at < WATCHED_SECONDS or not self._reading:
+        share = self._reading_share(now)
+        if share is None:
             return None
         known = len(engines.prefill) + len(engines.decode)
-        share = self._reading / (self._reading + self._answering)
         return max(LEAST_READERS, round(known * share))
 
+    def _reading_share(self, now: float) -> float | None:
+        """Return the share of engines that reads while the others answer."""
+        begun_at, need = self._begun_at, self._usual_need
+        is_watched = begun_at is not None and now - begun_at >= WATCHED_SECONDS
+        if is_watched and self._reading:
+            return self._reading / (self._reading + self._answering)
+        if need is None:
+            return None
+        return need.reading_seconds / (need.reading_seconds + need.answering_seconds)
+
 
 def wanted_change(
     engines: Engines,
@@ -160,6 +173,16 @@
     return max(LEAST_READERS, round(busiest * SPARE_TIMES))
 
 
+def readers_to_keep(needed: int | None, useful: int | None) -> int | None:
+    """Return how many readers stay, None while nothing is known.
+
+    No more than are useful, also before the load was watched: whatever it is, answers
+    would wait for memory sooner than prompts for a further reader.
+    """
+    known = [count for count in (needed, useful) if count is not None]
+    return min(known, default=None)
+
+
 def answers_lack_memory(
     engines: Engines, pressure: ServicePressure, short_for: float
 ) -> bool:
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -25,6 +25,7 @@
     idle_readers,
     missing_readers,
     needed_readers,
+    readers_to_keep,
     wanted_change,
 )
 from jujubeslip.control._watches import Watches
@@ -142,16 +143,15 @@
         load, now = self._load(service_name), steady_seconds()
         engines = self._engines(service_name)
         lacks_memory = answers_lack_memory(engines, pressure, short_for)
-        needed = needed_readers(load, now, lacks_memory)
-        if needed is None:
-            return
         useful = self._useful_readers(service_name, engines)
-        needed = needed if useful is None else min(needed, useful)
+        kept = readers_to_keep(needed_readers(load, now, lacks_memory), useful)
+        if kept is None:
+            return
         allowed = self._allowed_changes(service_name, engines)
-        for reader in idle_readers(engines, needed)[:allowed]:
+        for reader in idle_readers(engines, kept)[:allowed]:
             extra = {
                 "endpoint_id": reader.endpoint_id,
-                "needed_readers": needed,
+                "kept_readers": kept,
                 "busiest_readers": load.busiest(now),
                 "useful_readers": useful,
                 "lacks_memory": lacks_memory,
--- a/tests/control/test_balance_replay.py
+++ b/tests/control/test_balance_replay.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from jujubeslip.admission import EngineUse
+from jujubeslip.admission import EngineNeed, EngineUse
 from jujubeslip.admission._prompt_demand import PromptDemand
 from jujubeslip.control._role_balance import (
     Engines,
@@ -16,6 +16,7 @@
     idle_readers,
     missing_readers,
     needed_readers,
+    readers_to_keep,
 )
 from jujubeslip.discovery import Endpoint
 from jujubeslip.peers import EndpointRole
@@ -84,12 +85,11 @@
                 del self.changing[changed.endpoint_id]
         group = Engines(tuple(self.reading), tuple(self.answering))
         needed = needed_readers(load, now, lacks_memory=False)
-        if needed is None:
+        kept = readers_to_keep(needed, shares.useful_readers(group, now))
+        if kept is None:
             return
-        useful = shares.useful_readers(group, now)
-        needed = needed if useful is None else min(needed, useful)
         allowed = allowed_changes(group, len(self.changing))
-        for reader in idle_readers(group, needed)[:allowed]:
+        for reader in idle_readers(group, kept)[:allowed]:
             self._move(reader, self.reading, self.answering, now)
 
     def usable_readers(self) -> int:
@@ -200,3 +200,55 @@
         now, readers_now = self.played(knows_shares=True)
         assert readers_now == 2 < readers_before
         assert now > 1.05 * before
+
+
+class TestBurstSoonAfterTheFirstRequests:
+    """A burst six seconds after the first request finds four of nine engines reading.
+
+    The leader watched the load for four seconds, `engine ordered` stood in its log at
+    4.3 s, and the two engines answered from 11.3 s on: the burst was over by then. Of
+    78 requests in it 25 were refused, and came back late.
+    """
+
+    READERS, ANSWERING, TIMES = 4, 5, 4.0
+    USUAL, BURST = 1.0, 1.8
+    BURST_SPAN = (6.0, 11.0)
+    FIRST_NEED_AT = 1.0
+    """When enough requests have come to tell what one needs."""
+
+    def played(self, tells_needs: bool) -> tuple[float, float]:
+        """Return the share of the burst that was served, and when the change is done.
+
+        A request is what takes a reader one second.
+        """
+        fleet, load, shares = (
+            Fleet.of(self.READERS, self.ANSWERING),
+            PromptLoad(),
+            EngineShares(),
+        )
+        need = EngineNeed(reading_seconds=0.1, answering_seconds=0.1 * self.TIMES)
+        served, asked_for, now, changed_at = 0.0, 0.0, 0.0, 0.0
+        while now < self.BURST_SPAN[1]:
+            is_burst = within(now, self.BURST_SPAN)
+            asked = self.BURST if is_burst else self.USUAL
+            answering = len(fleet.answering) - len(fleet.changing)
+            granted = min(asked, fleet.usable_readers(), answering / self.TIMES)
+            load.note(now, asked)
+            is_known = tells_needs and now >= self.FIRST_NEED_AT
+            use = EngineUse(granted, granted * self.TIMES, need if is_known else None)
+            shares.note(now, use)
+            fleet.order_idle(load, shares, now)
+            changed_at = max([changed_at, *(at for at, _ in fleet.changing.values())])
+            if is_burst:
+                served, asked_for = served + granted, asked_for + asked
+            now += STEP_SECONDS
+        return served / asked_for, changed_at
+
+    def test_finds_the_engines_answering(self) -> None:
+        _, changed_at = self.played(tells_needs=True)
+        assert changed_at <= self.FIRST_NEED_AT + STEP_SECONDS + CHANGE_SECONDS
+
+    def test_is_served_more_than_after_a_watch_of_the_load(self) -> None:
+        before, _ = self.played(tells_needs=False)
+        now, _ = self.played(tells_needs=True)
+        assert now > 1.15 * before
--- a/tests/control/test_role_balance.py
+++ b/tests/control/test_role_balance.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from jujubeslip.admission import EngineUse
+from jujubeslip.admission import EngineNeed, EngineUse
 from jujubeslip.control._role_balance import (
     BUSY_SECONDS,
     LEAST_READERS,
@@ -18,6 +18,7 @@
     lacks_reader,
     missing_readers,
     needed_readers,
+    readers_to_keep,
     wanted_change,
 )
 from jujubeslip.peers import EndpointRole, ServicePressure
@@ -250,6 +251,25 @@
         assert shares.useful_readers(engines(4, 5), 1.0) is None
         assert EngineShares().useful_readers(engines(4, 5), 20.0) is None
 
+    def test_are_what_the_first_requests_are_expected_to_need(self) -> None:
+        need = EngineNeed(reading_seconds=0.1, answering_seconds=0.4)
+        shares = self.shares(EngineUse(0.1, 0.0, need), seconds=1.0)
+        assert shares.useful_readers(engines(24, 46), 1.0) == 14
+
+    def test_are_what_answers_show_once_those_were_watched(self) -> None:
+        need = EngineNeed(reading_seconds=0.1, answering_seconds=0.4)
+        shares = self.shares(EngineUse(3.0, 3.0, need))
+        assert shares.useful_readers(engines(24, 46), 20.0) == 35
+
+    @pytest.mark.parametrize(
+        ("needed", "useful", "kept"),
+        [(None, None, None), (4, None, 4), (None, 3, 3), (2, 3, 2), (5, 3, 3)],
+    )
+    def test_bound_those_that_stay(
+        self, needed: int | None, useful: int | None, kept: int | None
+    ) -> None:
+        assert readers_to_keep(needed, useful) == kept
+
     def test_bound_what_is_ordered_to_read(self) -> None:
         """Prompts that take as long as answers want half of the engines."""
         assert missing_readers(engines(4, 14), least=12.0, useful=9) == 5
