Refuse at once only what surely waits in vain

The forecast counts all that stand before it as served, at the pace of the latest grants; many of them are refused at their own limit, and the pace changes with each engine lost.

--- a/src/jujubeslip/admission/__init__.py
+++ b/src/jujubeslip/admission/__init__.py
@@ -15,6 +15,7 @@
 )
 from jujubeslip.admission._models import EngineNeed, EngineUse, WaitingOptions
 from jujubeslip.admission._urgency import urgency
+from jujubeslip.admission._vain_waits import waits_in_vain
 
 __all__ = [
     "AdmissionHome",
@@ -28,4 +29,5 @@
     "growth_of",
     "lengths_of",
     "urgency",
+    "waits_in_vain",
 ]
--- a/src/jujubeslip/admission/_pool.py
+++ b/src/jujubeslip/admission/_pool.py
@@ -20,6 +20,7 @@
 )
 from jujubeslip.admission._order import Turn, WaitingOrder
 from jujubeslip.admission._room_search import RoomSearch
+from jujubeslip.admission._vain_waits import waits_in_vain
 from jujubeslip.discovery import Endpoint
 from jujubeslip.kernel import Deadline, steady_seconds
 from jujubeslip.routes import EngineReport
@@ -59,7 +60,7 @@
     asked_at: float
     forecast: float
     in_vain: bool
-    """Whether it was expected to get no grant before its limit."""
+    """Whether it surely gets no grant before its limit."""
     decision: Decision | None = None
     decided: threading.Event = field(default_factory=threading.Event)
     asking: int = 0
@@ -230,7 +231,7 @@
         if not self._waiting_by_id:
             self._busy_since = now
         forecast = self._forecast(applicant, now)
-        in_vain = forecast > applicant.limit.remaining()
+        in_vain = waits_in_vain(forecast, applicant.limit.remaining())
         search = RoomSearch(applicant, avoided)
         waiting = _Waiting(applicant, search, now, now, forecast, in_vain)
         self._waiting_by_id[applicant.request_id] = waiting
--- a/src/jujubeslip/forwarding/_reservations.py
+++ b/src/jujubeslip/forwarding/_reservations.py
@@ -13,7 +13,7 @@
 
 from returns.result import Success
 
-from jujubeslip.admission import MemoryOptions, growth_of
+from jujubeslip.admission import MemoryOptions, growth_of, waits_in_vain
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import CallerGoneError, EndpointError
 from jujubeslip.forwarding._engine_reports import EngineReports
@@ -63,7 +63,7 @@
         """Return room for the request, None if there is none before the limit."""
         waiting = self._waiting_for(context.service_name)
         forecast = waiting.forecast(context)
-        if forecast > limit.remaining():
+        if waits_in_vain(forecast, limit.remaining()):
             # Told at once: held until then, it would be refused all the same.
             attempts.note_no_room("no room in time", forecast)
             return None
--- a/tests/bench/test_replay.py
+++ b/tests/bench/test_replay.py
@@ -5,9 +5,11 @@
 import statistics
 from collections.abc import Iterable
 
+import pytest
+
 from bench.replay._patterns import PATTERNS
 from bench.replay._play import Outcome, Play, Ways
-from jujubeslip.admission import MemoryOptions, WaitingOptions
+from jujubeslip.admission import MemoryOptions, WaitingOptions, _vain_waits
 
 PATTERN_BY_NAME = {pattern.name: pattern for pattern in PATTERNS}
 SEEDS = range(1, 5)
@@ -66,3 +68,25 @@
         usual = self.played(1.0)
         pushed_out = sum(item.pushed_out for item in usual)
         assert pushed_out <= 0.01 * sum(item.asked for item in usual)
+
+
+class TestForecastsThatAreALittleTooLong:
+    """Half of the refusals in a burst come at once, with a forecast near the limit.
+
+    Requests could wait for 0.65 s, and were refused for forecasts of 0.65 to 0.8 s. Of
+    those that stood before them many were refused as well, and their room stayed free.
+    """
+
+    @pytest.mark.parametrize(
+        "name", ["engines lost in a burst", "both lost in a burst"]
+    )
+    def test_are_no_reason_to_refuse(
+        self, name: str, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        ways = Ways(MemoryOptions(0.05, 1.0), READS_BESIDE)
+        monkeypatch.setattr(_vain_waits, "CERTAIN_TIMES", 1.0)
+        before = outcomes(name, ways)
+        monkeypatch.undo()
+        now = outcomes(name, ways)
+        assert worth(now) > worth(before) + 0.005
+        assert sum(item.late for item in now) < sum(item.late for item in before)
