Let requests of a host that has just started wait for the first endpoints

Ruled out: restoring endpoints from the control hosts' disks: one that left just before would have to be kept off durably before each acknowledgement.

Change: in the first three seconds of a host a request waits for an endpoint of its service, up to a second and a third of its client's time. Later, what can't be served is refused at once as before.

--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -16,6 +16,7 @@
 from jujubeslip.forwarding._app import ForwardApp, OpenRequests, ReadyApp
 from jujubeslip.forwarding._budget import BudgetOptions, RetryBudgets
 from jujubeslip.forwarding._choice import Chooser, policies
+from jujubeslip.forwarding._first_endpoints import FirstEndpoints
 from jujubeslip.forwarding._grants import Grants
 from jujubeslip.forwarding._health import EndpointHealth
 from jujubeslip.forwarding._leader_contact import LeaderContact
@@ -127,6 +128,7 @@
             ),
             ForwardMeters(),
             self._limits,
+            FirstEndpoints(self._book),
         )
         self._http = HttpServer(
             HttpServerOptions(
--- a/src/jujubeslip/forwarding/_service.py
+++ b/src/jujubeslip/forwarding/_service.py
@@ -9,6 +9,7 @@
 
 from jujubeslip.endpoints import CallerGoneError, Interrupted
 from jujubeslip.forwarding._account_limits import AccountLimits
+from jujubeslip.forwarding._first_endpoints import FirstEndpoints
 from jujubeslip.forwarding._identification import check_account, identify
 from jujubeslip.forwarding._meters import ForwardMeters
 from jujubeslip.forwarding._models import (
@@ -51,8 +52,10 @@
         stream_path: StreamPath,
         meters: ForwardMeters,
         limits: AccountLimits | None = None,
+        first_endpoints: FirstEndpoints | None = None,
     ) -> None:
         self._limits = limits
+        self._first_endpoints = first_endpoints
         self._meters = meters
         self._routes = routes
         self._plain_path = plain_path
@@ -63,6 +66,8 @@
         context = self._context(request, gone)
         attempts = Attempts()
         try:
+            if self._first_endpoints is not None:
+                self._first_endpoints.wait_for(context)
             if context.route.kind is RouteKind.STREAM:
                 answer = self._stream_path.answer(context, attempts)
             else:
