--- a/src/jujubeslip/admission/_engines.py
+++ b/src/jujubeslip/admission/_engines.py
@@ -8,20 +8,18 @@
 from dataclasses import replace
 from typing import NamedTuple, TypeVar
 
+from jujubeslip.admission._engine_demand import EngineDemand
 from jujubeslip.admission._engine_memory import EngineMemory
 from jujubeslip.admission._memory_forecast import MemoryOptions, MemoryProfile
 from jujubeslip.admission._models import (
     Admitted,
     Applicant,
-    EngineNeed,
     EngineUse,
     Grant,
     Lack,
 )
-from jujubeslip.admission._prompt_demand import PromptDemand
-from jujubeslip.admission._prompt_queue import FIRST_TOKENS_PER_SECOND, PromptQueue
+from jujubeslip.admission._prompt_queue import PromptQueue
 from jujubeslip.admission._readers_now import ReadersNow
-from jujubeslip.admission._request_needs import RequestNeeds
 from jujubeslip.admission._room_changes import RoomChanges
 from jujubeslip.admission._room_search import RoomSearch
 from jujubeslip.discovery import Endpoint
@@ -63,12 +61,7 @@
         self._reader_by_start: dict[str, PromptQueue] = {}
         self._room_changes = RoomChanges()
         self._grant_by_key: dict[_GrantKey, Grant] = {}
-        self._read_speed = FIRST_TOKENS_PER_SECOND
-        self._demand = PromptDemand()
-        self._granted = PromptDemand()
-        self._needs = RequestNeeds()
-        self._latest: Applicant | None = None
-        self._latest_to_report: EngineMemory | None = None
+        self._demand = EngineDemand(options)
 
     def keep_only(
         self, answering: Collection[Endpoint], reading: Collection[Endpoint]
@@ -94,64 +87,26 @@
         engine = self._engine_by_start.get(start_id)
         if engine is not None:
             engine.take_report(report)
-            self._latest_to_report = engine
+            self._demand.note_report(engine)
             self._room_changes.note(start_id)
         reader = self._reader_by_start.get(start_id)
         if reader is not None:
             reader.take_report(report)
-            self._read_speed = reader.speed
+            self._demand.read_speed = reader.speed
 
     @property
     def busy_readers(self) -> float:
-        """Return how many readers the prompts of the last seconds would keep busy.
-
-        By what requests ask for and the speed that readers showed. How long prompts
-        took would count the time that they waited at a reader, and make the load of a
-        burst look twice as high.
-        """
-        return self._demand.tokens_per_second(steady_seconds()) / self._read_speed
+        """Return how many readers the prompts of the last seconds would keep busy."""
+        return self._demand.busy_readers
 
     @property
     def use(self) -> EngineUse:
-        """Return how many engines the requests granted lately keep busy.
-
-        An engine is as busy as its memory is expected to get full.
-        """
-        usual_need = self._needs.usual
-        if self._latest is None:
-            return EngineUse(0.0, 0.0, usual_need)
-        tokens = self._granted.tokens_per_second(steady_seconds())
-        answering = sum(
-            self._busy_share(engine, self._latest)
-            for engine in self._engine_by_start.values()
-            if engine.usable
-        )
-        return EngineUse(tokens / self._read_speed, answering, usual_need)
-
-    def _busy_share(self, engine: EngineMemory, asking: Applicant) -> float:
-        limit = (1 - self._options.margin) * max(1, engine.capacity_tokens)
-        return engine.profile(asking).peak(self._options.caution) / limit
+        """Return how many engines the requests granted lately keep busy."""
+        return self._demand.use_of(self._engine_by_start.values())
 
     def note_asked(self, applicant: Applicant) -> None:
         """Note a request that asks for a grant."""
-        if applicant.reads_itself:
-            return
-        tokens, now = applicant.prompt_tokens, steady_seconds()
-        is_new = self._demand.note(applicant.request_id, tokens, now)
-        engine = self._latest_to_report
-        if is_new and engine is not None and engine.usable:
-            self._needs.note(self._need_of(applicant, engine))
-
-    def _need_of(self, applicant: Applicant, engine: EngineMemory) -> EngineNeed:
-        """Return what a request is expected to take of engines like this one."""
-        events = applicant.lengths.mean
-        grown_by = events * applicant.event_tokens
-        limit = (1 - self._options.margin) * max(1, engine.capacity_tokens)
-        memory_share = (applicant.prompt_tokens + grown_by / 2) / limit
-        return EngineNeed(
-            applicant.prompt_tokens / self._read_speed,
-            memory_share * events / max(1.0, engine.pace),
-        )
+        self._demand.note_asked(applicant)
 
     def note_lost(self, start_id: str) -> None:
         """Give a start of an engine that can't be reached nothing until it is back."""
@@ -169,11 +124,9 @@
 
     def admit(self, applicant: Applicant, grant: Grant) -> None:
         """Note that a request was given a grant."""
-        self._latest = applicant
         now = steady_seconds()
+        self._demand.note_granted(applicant, now)
         admitted = Admitted(applicant, grant, now)
-        granted_id = f"{applicant.request_id}/{applicant.attempt}"
-        self._granted.note(granted_id, applicant.prompt_tokens, now)
         self._engine_by_start[grant.endpoint.start_id].admit(admitted)
         if grant.reader is not None:
             self._reader_by_start[grant.reader.start_id].give(applicant)
@@ -311,7 +264,7 @@
         """
         if engine.reads_prompt:
             return False
-        seconds = applicant.prompt_tokens / (self._read_speed * OWN_SPEED_SHARE)
+        seconds = applicant.prompt_tokens / (self._demand.read_speed * OWN_SPEED_SHARE)
         longest = max(0.0, applicant.maximum_gap - EVENT_SECONDS)
         return seconds <= longest or not engine.profile(applicant).answers
 
