Wait for a silent leader once, and let one request ask it again

Its hosts know at 38.5 s that the leader is lost. Until then requests asked it over a pooled connection (0.45 s) and a fresh one (0.5 s), and then engines by themselves: nine of fourteen streams had room after 0.80 to 0.95 s and were late for that alone; after each pause of 0.7 s the same again.

Ruled out: leaving after the first host that is silent, whoever else is named: a leader that was elected since would not be asked.

Change: a request's question to the leader has 0.45 s for both connections. After a silence, once the pause is over, one request asks and the others go on by themselves until it is answered.

--- a/src/jujubeslip/forwarding/_admissions.py
+++ b/src/jujubeslip/forwarding/_admissions.py
@@ -151,7 +151,7 @@
     def _call(self, address: str, request: AdmissionRequest) -> AdmissionReply | None:
         """Return the leader's answer; None if this host is to ask another one."""
         timeout = WAIT_MS / 1000 + ANSWER_SECONDS
-        call = partial(self._leader.call, address, request.request_id, timeout)
+        call = partial(self._leader.call_within, address, request.request_id, timeout)
         reply: AdmissionReply | None = call(lambda peer: peer.admit(request))
         return reply
 
--- a/src/jujubeslip/forwarding/_leader_contact.py
+++ b/src/jujubeslip/forwarding/_leader_contact.py
@@ -28,6 +28,8 @@
         self._clients = ControlClients(identity)
         self._leader_by_teller: dict[str, str] = {}
         self._paused_until_by_address: dict[str, Deadline] = {}
+        self._silent_addresses: set[str] = set()
+        """Hosts that did not answer when last asked."""
         self._lock = threading.Lock()
 
     def take(self, news: News) -> None:
@@ -60,18 +62,53 @@
         """Return the answer of the host at this address, None if it doesn't lead.
 
         One that does not answer in time, in seconds, or refuses, is not asked for a
-        while either.
+        while either. A connection that stays silent is followed by a fresh one, which
+        gets as long.
         """
+        client = self._clients.get(address)
+        return self._answer(
+            address, request_id, timeout, lambda: client.call(ask, timeout)
+        )
+
+    def call_within(
+        self,
+        address: str,
+        request_id: str,
+        timeout: float,
+        ask: Callable[[Any], T],
+    ) -> T | None:
+        """Do the same in this time, in seconds, whatever connections do.
+
+        For requests that go on without the leader: beyond a network partition both
+        connections are silent, and two waits would take all of a stream's target.
+        """
+        client = self._clients.get(address)
+        return self._answer(
+            address, request_id, timeout, lambda: client.call_within(ask, timeout)
+        )
+
+    def _answer(
+        self, address: str, request_id: str, timeout: float, ask: Callable[[], T]
+    ) -> T | None:
+        self._note_asked(address, timeout)
         try:
-            return self._clients.get(address).call(ask, timeout)
+            answer = ask()
         except NotLeader as error:
             self._pause(address, request_id, "it does not lead")
             if error.leader_address:
                 with self._lock:
                     self._leader_by_teller[address] = error.leader_address
-        except (PeerUnavailableError, PeerRefusal) as error:
+            return None
+        except PeerRefusal as error:
+            self._pause(address, request_id, str(error))
+            return None
+        except PeerUnavailableError as error:
             self._pause(address, request_id, str(error))
-        return None
+            with self._lock:
+                self._silent_addresses.add(address)
+            return None
+        self._note_answered(address)
+        return answer
 
     def call_other(
         self, address: str, timeout: float, ask: Callable[[Any], T]
@@ -101,6 +138,22 @@
             return f"{address}: {failure}"
         return ""
 
+    def _note_asked(self, address: str, timeout: float) -> None:
+        """Let nobody else ask a silent host while one request waits for its answer.
+
+        A host beyond a network partition is known to be lost after two seconds. Until
+        then each request that comes once its pause is over would wait in vain.
+        """
+        with self._lock:
+            if address in self._silent_addresses:
+                self._paused_until_by_address[address] = Deadline.after(timeout)
+
+    def _note_answered(self, address: str) -> None:
+        with self._lock:
+            if address in self._silent_addresses:
+                self._silent_addresses.discard(address)
+                self._paused_until_by_address.pop(address, None)
+
     def _pause(self, address: str, request_id: str, reason: str) -> None:
         with self._lock:
             self._paused_until_by_address[address] = Deadline.after(PAUSE_SECONDS)
--- a/src/jujubeslip/peers/_client.py
+++ b/src/jujubeslip/peers/_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import threading
 from collections.abc import Callable
@@ -38,7 +39,6 @@
         host, port = address.rsplit(":", 1)
         self.socket = TSocket.TSocket(host, int(port))
         deadline = Deadline.after(timeout)
-        self.set_timeout(min(timeout, CONNECT_SECONDS))
         self._transport = TTransport.TFramedTransport(self.socket)
         protocol = TBinaryProtocol.TBinaryProtocolAccelerated(self._transport)
         self.client: Any = client_type(protocol)
@@ -53,6 +53,8 @@
     def _open(self, deadline: Deadline) -> None:
         """Connect, with a new packet where the first one got no answer."""
         while True:
+            left = max(LEAST_SECONDS, deadline.remaining())
+            self.set_timeout(min(left, CONNECT_SECONDS))
             try:
                 self._transport.open()
             except TTransport.TTransportException as error:
@@ -92,15 +94,41 @@
         when neither a pooled nor a fresh connection brought an answer.
         """
         pooled = self._take_idle()
+        if pooled is not None:
+            with contextlib.suppress(PeerUnavailableError):
+                return self._call_pooled(pooled, operation, timeout)
+        return self._call_fresh(operation, timeout)
+
+    def call_within(self, operation: Callable[[Any], T], timeout: float) -> T:
+        """Run the operation with a client; `timeout` in seconds bounds all tries.
+
+        For a caller who has another way to go on: where the peer's zone was cut off,
+        the pooled connection is silent, and so would a fresh one be.
+        """
+        deadline = Deadline.after(timeout)
+        pooled = self._take_idle()
         if pooled is not None:
             try:
-                return self._call_on(pooled, operation, timeout)
-            except (TException, OSError, EOFError) as error:
-                if isinstance(error, PeerRefusal | NotLeader):
+                return self._call_pooled(pooled, operation, timeout)
+            except PeerUnavailableError:
+                if deadline.expired:
                     raise
-                # The other pooled ones are as old and likely as silent; each would
-                # cost a timeout, and a few in a row make a living host a suspect.
-                self.close()
+        return self._call_fresh(operation, deadline.remaining())
+
+    def _call_pooled(
+        self, pooled: _Connection, operation: Callable[[Any], T], timeout: float
+    ) -> T:
+        try:
+            return self._call_on(pooled, operation, timeout)
+        except (TException, OSError, EOFError) as error:
+            if isinstance(error, PeerRefusal | NotLeader):
+                raise
+            # The other pooled ones are as old and likely as silent; each would cost a
+            # timeout, and a few in a row make a living host a suspect.
+            self.close()
+            raise self._unavailable(error) from error
+
+    def _call_fresh(self, operation: Callable[[Any], T], timeout: float) -> T:
         deadline = Deadline.after(timeout)
         try:
             fresh = _Connection(
@@ -113,9 +141,10 @@
             if isinstance(error, PeerRefusal | NotLeader):
                 raise
             self.close()
-            raise PeerUnavailableError(
-                f"No answer from {self.address}: {error}."
-            ) from error
+            raise self._unavailable(error) from error
+
+    def _unavailable(self, error: Exception) -> PeerUnavailableError:
+        return PeerUnavailableError(f"No answer from {self.address}: {error}.")
 
     def close(self) -> None:
         """Close the pooled connections; later calls open fresh ones."""
--- a/tests/peers/test_connecting.py
+++ b/tests/peers/test_connecting.py
@@ -5,10 +5,11 @@
 import socket
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import pytest
 
+from jujubeslip.kernel import PeerUnavailableError
 from jujubeslip.peers import PeerClient, PeerIdentity
 
 IDENTITY = PeerIdentity("test", 1, "secret-of-tests")
@@ -24,6 +25,22 @@
         self.greeted += 1
 
 
+@pytest.fixture
+def listener() -> Iterator[socket.socket]:
+    """Return a listener that drops what opens further connections."""
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        held = [socket.socket() for _ in range(4)]
+        for connection in held:
+            connection.setblocking(False)
+            connection.connect_ex(listener.getsockname())
+        time.sleep(0.05)
+        yield listener
+        for connection in held:
+            connection.close()
+
+
 class TestPeerWhoseQueueIsFull:
     """All hosts lose power, and entry hosts are back 0.4 s before control hosts.
 
@@ -32,21 +49,6 @@
     hosts served from 42.7 s on, and what came meanwhile was late.
     """
 
-    @pytest.fixture
-    def listener(self) -> Iterator[socket.socket]:
-        """Return a listener that drops what opens further connections."""
-        with socket.socket() as listener:
-            listener.bind(("127.0.0.1", 0))
-            listener.listen(0)
-            held = [socket.socket() for _ in range(4)]
-            for connection in held:
-                connection.setblocking(False)
-                connection.connect_ex(listener.getsockname())
-            time.sleep(0.05)
-            yield listener
-            for connection in held:
-                connection.close()
-
     def test_is_reached_as_soon_as_it_takes_connections(
         self, listener: socket.socket
     ) -> None:
@@ -76,3 +78,58 @@
         client.close()
         assert greeted == 1
         assert 0.25 < taken < 0.9
+
+
+class TestPeerThatFallsSilent:
+    """A zone is cut off, and its hosts ask a leader beyond its border for grants.
+
+    The pooled connection was silent for 0.45 s, a fresh one was tried for half a second
+    more, and streams with a target of 0.9 s asked engines by themselves after 0.95 s.
+    """
+
+    TIMEOUT = 0.2
+
+    @pytest.fixture
+    def client(self) -> Iterator[PeerClient]:
+        """Return a client with a pooled connection to a peer."""
+        with socket.socket() as listener:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(8)
+            host, port = listener.getsockname()
+            client = PeerClient(Peer, f"{host}:{port}", IDENTITY)
+            assert client.call(lambda peer: peer.greeted, self.TIMEOUT) == 1
+            yield client
+            client.close()
+
+    def tries(self, call: Callable[..., object], error: Exception, wait: float) -> int:
+        """Return on how many connections a peer was asked that never answers."""
+        tries = []
+
+        def ask(peer: Peer) -> None:
+            tries.append(peer)
+            time.sleep(wait)
+            raise error
+
+        with pytest.raises(PeerUnavailableError):
+            call(ask, self.TIMEOUT)
+        return len(tries)
+
+    def test_is_asked_once_where_the_time_is_bounded(self, client: PeerClient) -> None:
+        tries = self.tries(client.call_within, TimeoutError(), wait=self.TIMEOUT)
+        assert tries == 1
+
+    def test_is_asked_again_after_a_reset(self, client: PeerClient) -> None:
+        assert self.tries(client.call_within, ConnectionResetError(), wait=0.0) == 2
+
+    def test_is_asked_twice_by_those_who_need_it(self, client: PeerClient) -> None:
+        assert self.tries(client.call, TimeoutError(), wait=self.TIMEOUT) == 2
+
+    def test_is_left_in_time_where_it_takes_no_connection(
+        self, listener: socket.socket
+    ) -> None:
+        host, port = listener.getsockname()
+        client = PeerClient(Peer, f"{host}:{port}", IDENTITY)
+        began = time.monotonic()
+        with pytest.raises(PeerUnavailableError):
+            client.call_within(lambda peer: peer.greeted, timeout=0.35)
+        assert time.monotonic() - began < 0.5
