--- a/tests/tools/test_losses.py
+++ b/tests/tools/test_losses.py
@@ -75,6 +75,14 @@
         late: dict[str, object] = {"first_event_ms": 1200, "granted_ms": 1000}
         assert cause(waited, late) is Cause.NO_CONFIGURATION
 
+    def test_is_told_by_the_wait_for_the_first_endpoints(self) -> None:
+        waited: dict[str, object] = {
+            "message": "request waited for the first endpoints"
+        }
+        late: dict[str, object] = {"first_event_ms": 1200, "granted_ms": 1000}
+        assert cause(waited, late) is Cause.NO_ENDPOINT
+        assert cause({"outcome": "no_endpoint", "sends": []}) is Cause.NO_ENDPOINT
+
 
 class TestTable:
     def test_has_a_row_for_each_cause(self) -> None:
--- a/tools/losses.py
+++ b/tools/losses.py
@@ -12,7 +12,7 @@
 import re
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 from pathlib import Path
 
@@ -33,6 +33,7 @@
     REPLACED = "an engine that is gone was asked"
     ENGINE_LOST = "the engine was lost or refused after the prompt was read"
     NO_CONFIGURATION = "late as no configuration was there"
+    NO_ENDPOINT = "late as no endpoint had announced itself"
     CAME_BACK = "late as it was refused and came back"
     WAITED = "late as it waited for room"
     PAUSED = "late by a pause between events"
@@ -63,6 +64,7 @@
     is_stream: bool
     waited_for_configuration: bool
     lacked: str
+    waited_for_endpoints: bool = False
 
     def has_step(self, text: str) -> bool:
         """Say whether a send ended so."""
@@ -88,6 +90,7 @@
 SERVED: tuple[tuple[Test, Cause], ...] = (
     (lambda ended: ended.came_back, Cause.CAME_BACK),
     (lambda ended: ended.waited_for_configuration, Cause.NO_CONFIGURATION),
+    (lambda ended: ended.waited_for_endpoints, Cause.NO_ENDPOINT),
     (lambda ended: not ended.is_late and ended.has_paused, Cause.PAUSED),
     (lambda ended: ended.has_step("endpoint_replaced"), Cause.REPLACED),
     (lambda ended: ended.has_step("ran=False"), Cause.ENGINE_LOST),
@@ -109,6 +112,7 @@
     (lambda ended: ended.has_step("no room in time"), Cause.NO_LEADER),
     (lambda ended: ended.has_step("no grant in time"), Cause.NO_MEMORY),
     (lambda ended: ended.outcome == "no_configuration", Cause.NO_CONFIGURATION),
+    (lambda ended: ended.outcome == "no_endpoint", Cause.NO_ENDPOINT),
     (lambda _: True, Cause.UNKNOWN),
 )
 
@@ -129,6 +133,7 @@
 def read_ended(lines: Iterable[str]) -> Iterator[Ended]:
     """Yield the ends of attempts that the lines tell, in their order."""
     waited: set[str] = set()
+    waited_for_endpoints: set[str] = set()
     lacked_by_id: dict[str, str] = {}
     for line in lines:
         found = LINE_PATTERN.match(line)
@@ -138,12 +143,17 @@
         request_id = str(told.get("request_id", ""))
         if told.get("message") == "request waited for the first configuration":
             waited.add(request_id)
+        elif told.get("message") == "request waited for the first endpoints":
+            waited_for_endpoints.add(request_id)
         elif told.get("message") == "no grant at an engine":
             lacked_by_id[request_id] = str(told.get("lacked") or "")
         elif told.get("message") == "request ended":
             is_waited = request_id in waited
             lacked = lacked_by_id.get(request_id, "")
-            yield _ended(float(found[1]), told, is_waited, lacked)
+            ended = _ended(float(found[1]), told, is_waited, lacked)
+            yield replace(
+                ended, waited_for_endpoints=request_id in waited_for_endpoints
+            )
 
 
 def _ended(at: float, told: Mapping[str, object], waited: bool, lacked: str) -> Ended:
