Go on elsewhere with a stream whose engine has been silent for long

Cause: a zone is cut off without a reset, or an engine loses answers: its connection stays open and silent, and the client leaves after 3.6 s.

Ruled out: a wait of a third of that pause: an engine that pushed a stream out reads its prompt again in a second or two, and the test for that stays.

Change: a stream that may be resumed, with a run and budget left, waits for two thirds of its client's pause, and goes on at another engine, before its first event, too.

--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -31,10 +31,16 @@
 from jujubeslip.forwarding._sending import Sending
 from jujubeslip.interfaces import EndpointCall, EndpointHead
 from jujubeslip.kernel import (
+    Deadline,
     RequestRefusedError,
     steady_seconds,
 )
 
+# Share of the pause that its client bears for which an engine may be silent before
+# another one goes on with a stream that may be resumed. An engine that reads a prompt
+# again is silent for a second or two; what is left is enough to start elsewhere.
+SILENCE_SHARE = 2 / 3
+
 
 @dataclass
 class _Run:
@@ -206,9 +212,7 @@
             health = self._sending.health
             stack.enter_context(health.working(endpoint.start_id))
             exchange = stack.enter_context(self._sending.exchange(context, endpoint))
-            # Silence is no reason to leave an engine: it may be reading the prompt
-            # again, and no other one may have room.
-            head = exchange.call(call, context.end_by)
+            head = exchange.call(call, self._silent_by(context, attempts))
             if head.status not in SUCCESS:
                 attempts.note(endpoint.start_id, str(head.status))
                 return WholeAnswer(head.status, head.headers, exchange.read_rest())
@@ -226,6 +230,20 @@
             held = stack.pop_all()
         return _Run(endpoint, head, exchange, first, splitter, held)
 
+    def _silent_by(self, context: ForwardContext, attempts: Attempts) -> Deadline:
+        """Return until when an engine may be silent now.
+
+        Beyond a network partition, or with its answer lost, an engine is silent until
+        the client leaves. Where the stream may not go on elsewhere, or not for want of
+        budget, silence is no reason to end it sooner.
+        """
+        route = context.route
+        may_go_on = attempts.runs + 1 < route.maximum_attempts and route.repeatable
+        if not may_go_on or not self._sending.budgets.has_one(context.service_name):
+            return context.end_by
+        seconds = SILENCE_SHARE * route.patience_ms / 1000
+        return context.end_by.earlier_of(Deadline.after(seconds))
+
     # The events
 
     def _events(
@@ -257,6 +275,7 @@
         yield run.first
         latest = steady_seconds()
         while True:
+            run.exchange.watch(self._silent_by(context, attempts))
             part = run.exchange.read_some()
             if not part:
                 break
--- a/tests/forwarding/test_starts.py
+++ b/tests/forwarding/test_starts.py
@@ -236,6 +236,7 @@
         context: Any = SimpleNamespace(
             end_by=Deadline.after(5),
             request=SimpleNamespace(prompt=None),
+            route=SimpleNamespace(repeatable=False, maximum_attempts=1),
             check_account=lambda: None,
         )
         path = StreamPath(stubbed, prompts, grants)
@@ -291,6 +292,7 @@
         context: Any = SimpleNamespace(
             end_by=Deadline.after(5),
             request=SimpleNamespace(prompt=None),
+            route=SimpleNamespace(repeatable=False, maximum_attempts=1),
             check_account=lambda: None,
         )
         with pytest.raises(RequestRefusedError):
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -4,6 +4,7 @@
 
 import http.client
 import itertools
+import time
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -323,6 +324,58 @@
         assert len(engines.runs()) == 1
 
 
+class TestEngineThatFallsSilent:
+    """A zone is cut off, and an engine beyond its border sends no more events.
+
+    Its connection stays open. Waited for, the client leaves after a pause of 3.6 s: in
+    one cut nine streams ended so, six of which another engine could have gone on with.
+    """
+
+    SILENT_SECONDS = 6.0
+
+    def test_is_left_while_the_client_still_waits(
+        self, system: PlatformSystem, engines: Engines
+    ) -> None:
+        def is_finished_elsewhere() -> bool:
+            """Ask once; say whether the engine that falls silent had the stream."""
+            for worker in engines.decode:
+                worker.runs.clear()
+            silent = engines.decode[0]
+            silent.faults.pause_stream_seconds = self.SILENT_SECONDS
+            began = time.monotonic()
+            reply = ask(system, RESUMED)
+            silent.faults.pause_stream_seconds = 0.0
+            assert reply.whole and event_ids(reply) == [1, 2, 3, 4, 5]
+            assert time.monotonic() - began < self.SILENT_SECONDS
+            return len(engines.runs()) == 2
+
+        wait_until(is_finished_elsewhere, "a stream goes on at the other engine")
+
+    def test_is_left_before_its_first_event(
+        self, system: PlatformSystem, engines: Engines
+    ) -> None:
+        def is_answered_elsewhere() -> bool:
+            """Ask once; say whether the engine that falls silent had the stream."""
+            for worker in engines.decode:
+                worker.runs.clear()
+            engines.decode[0].run_seconds = self.SILENT_SECONDS
+            reply = ask(system, RESUMED)
+            engines.decode[0].run_seconds = 0.0
+            assert reply.whole and event_ids(reply) == [1, 2, 3, 4, 5]
+            return len(engines.runs()) == 2
+
+        wait_until(is_answered_elsewhere, "the stream starts at the other engine")
+
+    def test_is_waited_for_where_its_stream_may_not_go_on(
+        self, system: PlatformSystem, engines: Engines
+    ) -> None:
+        for worker in engines.decode:
+            worker.faults.pause_stream_seconds = 3.0
+        reply = ask(system)
+        assert reply.whole and event_ids(reply) == [1, 2, 3, 4, 5]
+        assert len(engines.runs()) == 1
+
+
 class TestClientThatLeaves:
     """A dispatcher closes the page while the summary is being written.
 
