Ask an engine that is passed over for room where no other is left

An engine that gave no report was left for the round, also where it had been passed over before and is the last one: a host whose zone is back would have asked nobody until the pause, of up to eight seconds, was over. Found in reading the diff; its test fails on the code before.

--- a/src/jujubeslip/forwarding/_reservations.py
+++ b/src/jujubeslip/forwarding/_reservations.py
@@ -138,8 +138,9 @@
             if endpoint is None:
                 return None
             asked.add(endpoint.start_id)
+            was_paused = self._sending.health.is_paused(endpoint.start_id)
             growth = self._growth(context, endpoint, engine, prompt)
-            if self._sending.health.is_paused(endpoint.start_id):
+            if not was_paused and self._sending.health.is_paused(endpoint.start_id):
                 # It gave no report just now; asked for room, it would be as silent.
                 continue
             tokens = prompt.prompt_tokens + growth
--- a/tests/forwarding/test_reservations.py
+++ b/tests/forwarding/test_reservations.py
@@ -15,7 +15,7 @@
 from jujubeslip.discovery import Endpoint, EndpointBook
 from jujubeslip.forwarding._models import Attempts
 from jujubeslip.forwarding._reservations import Reservation, Reservations
-from jujubeslip.kernel import Deadline
+from jujubeslip.kernel import Deadline, load_plugins
 from jujubeslip.peers import EndpointRole
 from jujubeslip.routes import EngineService, PromptShape
 from tests.fakes.engines import engine
@@ -27,6 +27,11 @@
 PROMPT = PromptShape(prompt_tokens=100, maximum_output_tokens=20)
 
 
+@pytest.fixture(autouse=True, scope="module")
+def plugins() -> None:
+    load_plugins()
+
+
 def at(address: str, name: str, zone: str) -> Endpoint:
     """Return an engine that answers at this address."""
     return replace(engine(name, EndpointRole.DECODE, zone), address=address)
@@ -49,7 +54,7 @@
 
 
 def reserve(
-    *endpoints: Endpoint, busy: str = "", seconds: float = 0.65
+    *endpoints: Endpoint, busy: str = "", paused: str = "", seconds: float = 0.65
 ) -> tuple[Reservation | None, float]:
     """Return the room that a request finds, and how long that took."""
     book = EndpointBook()
@@ -66,6 +71,8 @@
     limit = Deadline.after(seconds)
     for _ in range(5 if busy else 0):
         ways.health._add_open(busy, 1)
+    if paused:
+        ways.health.note_unreachable(paused)
     began = time.monotonic()
     found = reservations.take(context, Attempts(), engine_service, PROMPT, limit)
     return found, time.monotonic() - began
@@ -98,6 +105,14 @@
         assert found is not None and found.endpoint.endpoint_id == "near"
         assert seconds < 0.4
 
+    def test_one_that_is_passed_over_is_asked_where_no_other_is_left(
+        self, near: PlatformWorker
+    ) -> None:
+        """The cut has ended, and all that were silent are still passed over."""
+        own = at(near.address, "near", OWN_ZONE)
+        found, seconds = reserve(own, paused=own.start_id, seconds=0.3)
+        assert found is not None and seconds < 0.2
+
     def test_others_are_asked_where_the_own_zone_has_none(
         self, near: PlatformWorker
     ) -> None:
