Order no engine to read that answers can't keep up with, nor a reader away meanwhile

Change: readers are not ordered to answer while an engine still changes to read; and before an engine is ordered to read, two readers are no least: as many as answers can keep up with.

--- a/src/jujubeslip/control/_role_balance.py
+++ b/src/jujubeslip/control/_role_balance.py
@@ -112,17 +112,20 @@
         self._answering = kept * self._answering + (1 - kept) * use.answering
         self._noted_at = now
 
-    def useful_readers(self, engines: Engines, now: float) -> int | None:
+    def useful_readers(
+        self, engines: Engines, now: float, least: int = LEAST_READERS
+    ) -> int | None:
         """Return the most readers for whose prompts answers find memory.
 
         With more of them, answers would wait for memory sooner than prompts for a
-        reader, whatever is asked for. None before enough was seen.
+        reader, whatever is asked for. None before enough was seen. `least` are kept
+        whatever is useful: one that reads already is there if another is lost.
         """
         share = self._reading_share(now)
         if share is None:
             return None
         known = len(engines.prefill) + len(engines.decode)
-        return max(LEAST_READERS, round(known * share))
+        return max(least, round(known * share))
 
     def _reading_share(self, now: float) -> float | None:
         """Return the share of engines that reads while the others answer."""
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -139,7 +139,13 @@
         pressure: ServicePressure,
         fence: Fence,
     ) -> None:
-        """Order readers to answer that would be idle in a burst, several at once."""
+        """Order readers to answer that would be idle in a burst, several at once.
+
+        None while an engine still changes to read: it reads for nobody yet, and may be
+        replaced before it does. The one that prompts rely on meanwhile would be gone.
+        """
+        if self._changes_to(service_name, EndpointRole.PREFILL):
+            return
         load, now = self._load(service_name), steady_seconds()
         engines = self._engines(service_name)
         lacks_memory = answers_lack_memory(engines, pressure, short_for)
@@ -164,8 +170,10 @@
     ) -> None:
         """Order engines to read that prompts need for long, several at once."""
         engines = self._engines(service_name)
-        least = self._load(service_name).least(steady_seconds())
-        useful = self._useful_readers(service_name, engines)
+        now = steady_seconds()
+        least = self._load(service_name).least(now)
+        # Of few engines, one that answers is worth more than a spare reader.
+        useful = self._shares(service_name).useful_readers(engines, now, least=1)
         missing = missing_readers(engines, least, useful)
         allowed = self._allowed_changes(service_name, engines)
         for answering in engines.decode[: min(missing, allowed)]:
@@ -177,6 +185,11 @@
             logger.info("prompts need a further reader", extra=extra)
             self._order(answering, EndpointRole.PREFILL, fence, pressure)
 
+    def _changes_to(self, service_name: str, role: EndpointRole) -> bool:
+        """Say whether any engine may still be carrying out an order to this role."""
+        engines = self._all_engines(service_name)
+        return any(self._orders.role_of(engine) is role for engine in engines)
+
     def _allowed_changes(self, service_name: str, engines: Engines) -> int:
         changing = self._orders.count(self._all_engines(service_name))
         return allowed_changes(engines, changing)
--- a/tests/control/test_role_balance.py
+++ b/tests/control/test_role_balance.py
@@ -270,6 +270,19 @@
     ) -> None:
         assert readers_to_keep(needed, useful) == kept
 
+    def test_are_one_of_four_before_another_is_ordered_to_read(self) -> None:
+        """One of five engines leaves and one of two readers crashes.
+
+        Prompts kept the other one busy, and answers lacked memory already; two of the
+        three engines that answered were ordered to read, and every second stream of
+        the next half minute was refused.
+        """
+        shares = self.shares(EngineUse(reading=1.0, answering=4.0))
+        useful = shares.useful_readers(engines(1, 3), 20.0, least=1)
+        assert useful == 1
+        assert missing_readers(engines(1, 3), least=1.5, useful=useful) == 0
+        assert shares.useful_readers(engines(2, 2), 20.0) == LEAST_READERS
+
     def test_bound_what_is_ordered_to_read(self) -> None:
         """Prompts that take as long as answers want half of the engines."""
         assert missing_readers(engines(4, 14), least=12.0, useful=9) == 5
--- a/tests/control/test_roles.py
+++ b/tests/control/test_roles.py
@@ -286,6 +286,42 @@
         assert asked.orders == 4
 
 
+class TestReaderThatIsBackWhileAnotherChanges:
+    """One of two readers crashes, and an engine that answers is ordered to read.
+
+    Half a second later the crashed one is back. With three readers by their orders, the
+    one that was left was ordered to answer; the other two were replaced, and four
+    engines had no reader for thirteen seconds: 215 of 573 streams were refused.
+    """
+
+    @pytest.mark.parametrize(("changes", "orders"), [(True, 1), (False, 2)])
+    def test_leaves_the_readers_that_read(
+        self, monkeypatch: pytest.MonkeyPatch, changes: bool, orders: int
+    ) -> None:
+        group = engines(1, 6)
+        book = EndpointBook()
+        book.take([*group.prefill, *group.decode])
+        keeper, asked = role_keeper(monkeypatch, book, {"model"})
+        monkeypatch.setattr(keeper, "_fence", lambda: Fence(1, Deadline.after(10)))
+        busy = [1.0]
+        load = SimpleNamespace(
+            note=lambda *_: None, busiest=lambda _: 1.0, least=lambda _: busy[0]
+        )
+        monkeypatch.setattr(keeper, "_load", lambda _: load)
+        keeper.look()
+        assert asked.orders == 1
+        busy[0] = 0.0
+        back = engine("back", EndpointRole.PREFILL)
+        book.take([replace(back, address="127.0.0.1:2")])
+        if not changes:
+            ordered = next(
+                item for item in group.decode if keeper._orders.role_of(item)
+            )
+            book.take([replace(ordered, role=EndpointRole.PREFILL, sequence=9)])
+        keeper.look()
+        assert asked.orders == orders
+
+
 class TestReadersThatAreMissing:
     """One engine was ordered to read, and takes ten seconds to begin.
 
