Log whether an endpoint ended while it ran a request, and which content the request had

Callers saw 502 for a request that crashes its endpoints, and for each stream that ran beside it. The logs had `answer_cut` for an endpoint that had ended, for an answer that was lost and for a reset connection, and nothing that tells whether two requests are the same: the hypotheses of docs/incidents/crashing-requests.md (the same content comes again, or endpoints end by themselves) could not be told apart.

A run that is cut off now has a line `run cut off` with the fingerprint of its content, with whether its endpoint has ended (another start is known, or its port refuses connections), and how long ago it was sent; a counter by service. Only requests that were cut off pay for it: a hash of their content, and one connection attempt. No decision depends on it yet.

Tests: the line at an endpoint that ends, at one that only loses answers, and for equal requests. They fail before: there is no such line.

--- a/src/jujubeslip/endpoints/__init__.py
+++ b/src/jujubeslip/endpoints/__init__.py
@@ -2,7 +2,11 @@
 
 from jujubeslip.endpoints._adapter import EngineAdapter
 from jujubeslip.endpoints._announcements import announcement_from_json
-from jujubeslip.endpoints._connections import ConnectionPool, EndpointConnection
+from jujubeslip.endpoints._connections import (
+    ConnectionPool,
+    EndpointConnection,
+    has_ended,
+)
 from jujubeslip.endpoints._errors import (
     AnswerCutError,
     CallerGoneError,
@@ -49,5 +53,6 @@
     "RequestRef",
     "announcement_from_json",
     "call_plain_service",
+    "has_ended",
     "never_interrupted",
 ]
--- a/src/jujubeslip/endpoints/_connections.py
+++ b/src/jujubeslip/endpoints/_connections.py
@@ -208,6 +208,18 @@
         self._http.close()
 
 
+def has_ended(address: str) -> bool:
+    """Say whether the endpoint's process has ended: nothing listens at its address.
+
+    One that can't be reached at all may still run.
+    """
+    try:
+        EndpointConnection(address).close()
+    except EndpointUnreachableError as error:
+        return isinstance(error.__cause__, ConnectionError)
+    return False
+
+
 class ConnectionPool:
     """Keeps idle connections by the endpoint's start, the latest used first.
 
--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -4,10 +4,12 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from jujubeslip.accounts import ClientAccount
 from jujubeslip.endpoints import EndpointError, Interrupted
 from jujubeslip.kernel import Deadline, Ran, RequestRefusedError
+from jujubeslip.quarantine import fingerprint_of
 from jujubeslip.routes import (
     EngineService,
     ForwardedRequest,
@@ -55,6 +57,18 @@
             return self.account.cost_of(None)
         return self.account.cost_of(prompt.prompt_tokens + prompt.maximum_output_tokens)
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """Return what the request has in common with others of the same content."""
+        request = self.request
+        return fingerprint_of(
+            request.account_name,
+            request.method,
+            request.host,
+            request.target,
+            request.body,
+        )
+
     @property
     def came_back(self) -> bool:
         """Say whether the client asks again after a refusal: it has waited before."""
@@ -92,6 +106,8 @@
 
     started: Deadline = field(default_factory=lambda: Deadline.after(0))
     sends: int = 0
+    latest_sent_at: Deadline = field(default_factory=lambda: Deadline.after(0))
+    """When the latest of them began."""
     runs: int = 0
     """Sends that may have run."""
     tried: set[str] = field(default_factory=set)
--- a/src/jujubeslip/forwarding/_plain_path.py
+++ b/src/jujubeslip/forwarding/_plain_path.py
@@ -41,7 +41,7 @@
             try:
                 answer = self._send(context, attempts, endpoint)
             except EndpointError as error:
-                self._sending.note_error(attempts, endpoint, error)
+                self._sending.note_lost(context, attempts, endpoint, error)
                 continue
             if answer.status < SERVER_ERROR:
                 self._sending.health.note_success(endpoint.start_id)
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -16,6 +16,7 @@
 from jujubeslip.forwarding._app import ForwardApp, OpenRequests, ReadyApp
 from jujubeslip.forwarding._budget import BudgetOptions, RetryBudgets
 from jujubeslip.forwarding._choice import Chooser, policies
+from jujubeslip.forwarding._crashes import CrashWatch
 from jujubeslip.forwarding._first_endpoints import FirstEndpoints
 from jujubeslip.forwarding._grants import Grants
 from jujubeslip.forwarding._health import EndpointHealth
@@ -170,6 +171,7 @@
             Chooser(self._book, health, policy, settings.endpoint_silence_ms / 1000),
             health,
             self._budgets,
+            CrashWatch(self._book),
         )
 
     def _build_limits(self) -> AccountLimits:
--- a/src/jujubeslip/forwarding/_prompts.py
+++ b/src/jujubeslip/forwarding/_prompts.py
@@ -144,7 +144,7 @@
             handle = self._ask(context, endpoint, limit)
         except EndpointError as error:
             attempts.prompt_error = error
-            self._note_unread(context, attempts, endpoint, error)
+            self._note_unread(context, attempts, endpoint, error, started)
             return NOT_READ
         finally:
             taken = steady_seconds() - started
@@ -177,6 +177,7 @@
         attempts: Attempts,
         endpoint: Endpoint,
         error: EndpointError,
+        asked_at: float,
     ) -> None:
         """Note that a prompt was not read: that is no run of the request.
 
@@ -185,7 +186,8 @@
         whose answer was cut has read the prompt and still has it: ask it again.
         """
         self._sending.budgets.charge(context.service_name)
-        self._sending.note_error(Attempts(), endpoint, error)
+        call = Attempts(latest_sent_at=Deadline(asked_at))
+        self._sending.note_lost(context, call, endpoint, error)
         if not isinstance(error, EndpointUnreachableError | AnswerCutError):
             self._sending.health.note_unreachable(endpoint.start_id)
         attempts.note(endpoint.start_id, f"prompt not read, {error.error_id}")
--- a/src/jujubeslip/forwarding/_sending.py
+++ b/src/jujubeslip/forwarding/_sending.py
@@ -8,6 +8,7 @@
 
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import (
+    AnswerCutError,
     ConnectionPool,
     EndpointError,
     EndpointRefusedError,
@@ -20,6 +21,7 @@
 )
 from jujubeslip.forwarding._budget import RetryBudgets
 from jujubeslip.forwarding._choice import Chooser
+from jujubeslip.forwarding._crashes import CrashWatch
 from jujubeslip.forwarding._exchange import Exchange
 from jujubeslip.forwarding._health import EndpointHealth
 from jujubeslip.forwarding._models import Attempts, ForwardContext
@@ -43,6 +45,7 @@
     chooser: Chooser
     health: EndpointHealth
     budgets: RetryBudgets
+    crashes: CrashWatch
 
     def choose(
         self, context: ForwardContext, role: EndpointRole, excluded: Collection[str]
@@ -78,6 +81,7 @@
             attempts.note("-", "no retry budget left")
             return False
         attempts.sends += 1
+        attempts.latest_sent_at = Deadline.after(0)
         return True
 
     def is_open(self, context: ForwardContext, attempts: Attempts) -> bool:
@@ -94,10 +98,22 @@
             return False
         return attempts.runs < context.route.maximum_attempts
 
+    def note_lost(
+        self,
+        context: ForwardContext,
+        attempts: Attempts,
+        endpoint: Endpoint,
+        error: EndpointError,
+    ) -> None:
+        """Learn from a request that an endpoint may have run without an answer."""
+        if isinstance(error, AnswerCutError):
+            self.crashes.note_cut(context, attempts, endpoint)
+        self.note_error(attempts, endpoint, error)
+
     def note_error(
         self, attempts: Attempts, endpoint: Endpoint, error: EndpointError
     ) -> None:
-        """Learn from a send that brought no answer."""
+        """Learn from a call to an endpoint that brought no answer."""
         attempts.note_error(endpoint.start_id, error)
         if isinstance(error, EndpointUnreachableError):
             self.health.note_unreachable(endpoint.start_id)
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -158,7 +158,7 @@
         prompt_at: PromptPlace | None,
         error: EndpointError,
     ) -> None:
-        self._sending.note_error(attempts, grant.endpoint, error)
+        self._sending.note_lost(context, attempts, grant.endpoint, error)
         was_read = prompt_at is not None and prompt_at != NOT_READ
         if was_read and isinstance(error, EndpointRefusedError):
             # What it refused may be the prompt's memory, which lapses; the same engine
@@ -257,7 +257,7 @@
                 self._sending.health.note_success(run.endpoint.start_id)
                 return
             except EndpointError as error:
-                self._sending.note_error(attempts, run.endpoint, error)
+                self._sending.note_lost(context, attempts, run.endpoint, error)
                 last_event_id = run.splitter.last_event_id
             finally:
                 run.stack.close()
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -20,6 +20,8 @@
 from tests.fakes._http import JsonHandler, StandInServer, listen
 
 EVENT_PAUSE_SECONDS = 0.01
+# How often the server looks whether it is to stop.
+POLL_SECONDS = 0.05
 
 
 @dataclass(frozen=True)
@@ -83,6 +85,8 @@
     started_at_ms: int | None = None
     """The start that it tells of itself, None if it doesn't tell."""
     listens_at: str = "127.0.0.1:0"
+    crashes_on: bytes = b""
+    """A request whose body holds this ends the worker; none does if it is empty."""
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     runs: list[WorkerRun] = field(default_factory=list)
     prompts_read: list[str] = field(default_factory=list)
@@ -93,6 +97,7 @@
 
     def __post_init__(self) -> None:
         self.closed = threading.Event()
+        self.killed = threading.Event()
         self.sequence = 0
         self.orders = 0
         self.sockets: set[socket.socket] = set()
@@ -102,7 +107,9 @@
         self._server: StandInServer = listen(self.listens_at, handler)
         host, port = self._server.server_address[:2]
         self.address = f"{host!s}:{port}"
-        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        threading.Thread(
+            target=self._server.serve_forever, args=(POLL_SECONDS,), daemon=True
+        ).start()
 
     def __enter__(self) -> Self:
         return self
@@ -127,6 +134,7 @@
         for sock in list(self.sockets):
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
+        self.killed.set()
 
     def killed_and_back(
         self,
@@ -250,7 +258,12 @@
         self.worker.runs.append(
             WorkerRun(request_id, method, self.path, dict(self.headers.items()), body)
         )
-        if self.worker.stage and faults.take("lose"):
+        if self.worker.crashes_on and self.worker.crashes_on in body:
+            self.close_connection = True
+            # A thread of its own: the server waits for this one when it is closed.
+            threading.Thread(target=self.worker.kill).start()
+            self.worker.killed.wait()
+        elif self.worker.stage and faults.take("lose"):
             self.close_connection = True
         elif self.worker.stage:
             self._stream(request_id)
--- a/tests/forwarding/test_refused_prompts.py
+++ b/tests/forwarding/test_refused_prompts.py
@@ -80,7 +80,8 @@
         context: Any = SimpleNamespace(
             end_by=Deadline.after(5),
             service_name="model",
-            request=SimpleNamespace(prompt="a prompt"),
+            request=SimpleNamespace(prompt="a prompt", request_id="r-1"),
+            fingerprint="f-1",
             check_account=lambda: None,
         )
         with pytest.raises(SentError):
--- a/tests/forwarding/test_starts.py
+++ b/tests/forwarding/test_starts.py
@@ -14,6 +14,7 @@
 from jujubeslip.forwarding._admissions import AdmissionAnswer
 from jujubeslip.forwarding._budget import BudgetOptions, RetryBudgets
 from jujubeslip.forwarding._choice import Chooser, LeastCost
+from jujubeslip.forwarding._crashes import CrashWatch
 from jujubeslip.forwarding._engine_reports import EngineReports
 from jujubeslip.forwarding._grants import Grant
 from jujubeslip.forwarding._health import EndpointHealth
@@ -62,6 +63,7 @@
         Chooser(book, health, LeastCost(health, "zone-1"), 10.0),
         health,
         RetryBudgets(BudgetOptions(0.1, 10.0, 100), lambda: 1),
+        CrashWatch(book),
     )
 
 
@@ -229,7 +231,7 @@
             may_send=lambda *_: True,
             chooser=ways.chooser,
             health=ways.health,
-            note_error=ways.note_error,
+            note_lost=ways.note_lost,
             exchange=lambda *_: FailingExchange(calls, happens),
         )
         grants: Any = SimpleNamespace(find=grant)
@@ -285,7 +287,7 @@
             may_send=lambda *_: True,
             chooser=ways.chooser,
             health=ways.health,
-            note_error=ways.note_error,
+            note_lost=ways.note_lost,
             exchange=exchange,
         )
         grants: Any = SimpleNamespace(find=lambda *_: given.pop(0))
