--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 from collections.abc import Iterator
 from typing import Any
 
@@ -23,6 +24,11 @@
 
 FATAL = b"this ends the process"
 ENTRIES = 3
+# Crashes of one content after which the hosts hold it back, and how often it may still
+# reach an endpoint once they have had time to tell each other, in seconds.
+CRASHES = 3
+FURTHER_RUNS = 3
+CONTACT_SECONDS = 2.0
 
 
 @pytest.fixture(scope="module")
@@ -111,3 +117,55 @@
             line["fingerprint"] for line in lines(system, 1, "run cut off")[-3:]
         )
         assert first == second != third
+
+
+class Repeated:
+    """One content, sent again and again to one entry host after another."""
+
+    def __init__(self, system: PlatformSystem, fleet: Fleet, target: str) -> None:
+        self._system = system
+        self._fleet = fleet
+        self._target = target
+        self._sent_at_by_id: dict[str, float] = {}
+        self._sends = 0
+
+    def send(self, entry: int | None = None) -> Reply:
+        """Send it once more, to the next entry host unless one is given."""
+        self._sends += 1
+        chosen = self._sends % ENTRIES if entry is None else entry
+        sent_at = time.monotonic()
+        reply = send(self._system, self._target, entry=chosen)
+        self._sent_at_by_id[self._system.last_request_id] = sent_at
+        return reply
+
+    def send_until(self, count: int, what: str) -> None:
+        """Send it until it has crashed so many endpoints."""
+
+        def crashed() -> bool:
+            self.send()
+            return len(self.runs()) >= count
+
+        wait_until(crashed, what)
+
+    def runs(self) -> list[float]:
+        """Return when those that reached an endpoint were sent, in order."""
+        ran = set(self._fleet.run_ids())
+        return sorted(at for name, at in self._sent_at_by_id.items() if name in ran)
+
+
+class TestRequestThatCrashesEndpoints:
+    """Guards against one content that ends endpoint after endpoint at all hosts."""
+
+    @pytest.mark.parametrize("prefix", ["/unsafe/", "/stream/"])
+    def test_reaches_few_more_at_any_host(
+        self, system: PlatformSystem, prefix: str
+    ) -> None:
+        fleet = system.fleets[prefix]  # type: ignore[attr-defined]
+        fatal = Repeated(system, fleet, f"{prefix}fatal")
+        fatal.send_until(CRASHES, "three endpoints ended")
+        known_from = time.monotonic() + CONTACT_SECONDS
+        while time.monotonic() < known_from + 4.0:
+            fatal.send()
+            time.sleep(0.1)
+        late = [sent_at for sent_at in fatal.runs() if sent_at > known_from]
+        assert len(late) <= FURTHER_RUNS
