--- a/src/jujubeslip/cli/_main.py
+++ b/src/jujubeslip/cli/_main.py
@@ -9,6 +9,7 @@
 from jujubeslip import __version__
 from jujubeslip.cli._change_commands import apply, history, show
 from jujubeslip.cli._check_commands import check, explain
+from jujubeslip.cli._quarantine_commands import quarantine
 from jujubeslip.cli._replica_commands import replica
 from jujubeslip.cli._route_commands import explain_route
 from jujubeslip.cli._run_commands import control, entry, forward
@@ -42,6 +43,7 @@
     status,
     drain,
     replica,
+    quarantine,
     trace,
 ):
     main.add_command(command)
--- a/src/jujubeslip/control/_client.py
+++ b/src/jujubeslip/control/_client.py
@@ -14,6 +14,7 @@
     Configuration,
     ControlPeer,
     ControlStatus,
+    CrashRecord,
     KeyClaim,
     KeyReply,
     NotLeader,
@@ -150,6 +151,14 @@
         """Return the cluster as its leader sees it, or else some replica."""
         return self._call_leader_or_any(lambda peer: peer.status())
 
+    def quarantined(self) -> list[CrashRecord]:
+        """Return the contents of requests that some control host holds back."""
+        return self._call_any(lambda peer: peer.quarantined(), 0)
+
+    def lift_quarantine(self, fingerprint: str) -> bool:
+        """Let a content run again; return False where no crash of it is known."""
+        return self._call_any(lambda peer: peer.lift_quarantine(fingerprint), 0)
+
     def add_replica(self, host_id: str, deadline: Deadline) -> None:
         """Let a new host join; start its process with an empty data folder then."""
         self._call_leader(
--- a/src/jujubeslip/control/_handler.py
+++ b/src/jujubeslip/control/_handler.py
@@ -35,6 +35,7 @@
     ApplyRequest,
     Configuration,
     ControlStatus,
+    CrashRecord,
     FinishCommand,
     KeyClaim,
     KeyReply,
@@ -50,6 +51,7 @@
     WatchReply,
     WatchRequest,
 )
+from jujubeslip.quarantine import CrashBook, to_crash_record
 
 APPLY_SECONDS = 5.0
 READ_SECONDS = 2.0
@@ -68,7 +70,9 @@
         watches: Watches,
         admissions: AdmissionHome | None = None,
         accounts: AccountKeeper | None = None,
+        crash_book: CrashBook | None = None,
     ) -> None:
+        self._crash_book = crash_book or CrashBook()
         self._accounts = accounts
         self._replica = replica
         self._receiver = receiver
@@ -213,6 +217,14 @@
         command = AbandonCommand(claim)
         self._replica.propose(command, Deadline.from_remaining_ms(remaining_ms))
 
+    def quarantined(self) -> list[CrashRecord]:
+        """Return the contents that are held back, as this host knows them."""
+        return [to_crash_record(history) for history in self._crash_book.held_back()]
+
+    def lift_quarantine(self, fingerprint: str) -> bool:
+        """Let a content run again; return False where no crash of it is known."""
+        return self._crash_book.clear(fingerprint)
+
     def history(self, limit: int) -> list[Configuration]:
         """Return the newest configurations applied here, newest first."""
         with self._replica.lock:
--- a/src/jujubeslip/control/_meters.py
+++ b/src/jujubeslip/control/_meters.py
@@ -10,10 +10,13 @@
 
 from jujubeslip.control._replica import Replica
 from jujubeslip.discovery import EndpointBook
+from jujubeslip.quarantine import CrashBook
 from jujubeslip.telemetry import observed
 
 
-def observe_replica(replica: Replica, book: EndpointBook) -> None:
+def observe_replica(
+    replica: Replica, book: EndpointBook, crash_book: CrashBook
+) -> None:
     """Offer the replica's state as gauges, read whenever the metrics are."""
     meter = metrics.get_meter("jujubeslip.control")
     meter.create_observable_gauge(
@@ -42,6 +45,12 @@
         description="1 once a write has failed and nothing is promised any more.",
     )
 
+    meter.create_observable_gauge(
+        "jujubeslip.control.quarantined_contents",
+        [observed(lambda: len(crash_book.held_back()))],
+        description="Contents of requests that are held back, as they crash endpoints.",
+    )
+
     def endpoints(_: CallbackOptions) -> Iterable[Observation]:
         known = Counter(
             (item.service_name, item.role.name.lower(), str(not item.stays).lower())
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -44,12 +44,15 @@
     new_incarnation,
 )
 from jujubeslip.peers import ControlPeer, PeerIdentity, PeerServer
+from jujubeslip.quarantine import CrashBook
 from jujubeslip.routes import RouteTable
 from jujubeslip.telemetry import configure_telemetry, serve_metrics
 
 logger = logging.getLogger(__name__)
 
 MEMBERSHIP_CHECK_SECONDS = 0.2
+# How often contents whose quarantine has ended are looked for, in seconds.
+FORGET_SECONDS = 10.0
 # Calls over HTTP that are served at a time: announcements that wait for confirmation,
 # and up to eight orders of an operator.
 HTTP_THREADS = 24
@@ -70,7 +73,10 @@
         self._clients = ReplicaClients(settings)
         self._changes = MembershipChanges(self._replica)
         self._book = EndpointBook()
-        self._watches = Watches(self._replica, self._book, self._control_addresses)
+        self._crash_book = CrashBook(on_news=self._book.wake)
+        self._watches = Watches(
+            self._replica, self._book, self._control_addresses, self._crash_book
+        )
         self._identity = PeerIdentity(
             settings.host_id, new_incarnation(), settings.peer_secret
         )
@@ -80,6 +86,7 @@
             self._book,
             self._pass_over,
             settings.peer_address,
+            crash_book=self._crash_book,
         )
         self._orders = GivenOrders()
         self._routes = RoutesInForce(
@@ -94,6 +101,7 @@
             self._watches,
             self._admissions,
             self._accounts,
+            self._crash_book,
         )
         self._server = PeerServer(
             settings.peer_address,
@@ -161,7 +169,7 @@
         """Run until SIGTERM; does not return."""
         process = self._process
         process.catch_signals()
-        observe_replica(self._replica, self._book)
+        observe_replica(self._replica, self._book, self._crash_book)
         serve_metrics(self._settings.telemetry, self._telemetry, process)
         self._server.start()
         upkeep = Upkeep(self._replica)
@@ -173,6 +181,7 @@
         process.start_task(self._watches.follow_configuration)
         process.repeat(MEMBERSHIP_CHECK_SECONDS, self._changes.promote_learners)
         process.repeat(PROBE_SECONDS, DiskProbe(self._replica).look)
+        process.repeat(FORGET_SECONDS, self._crash_book.forget_old)
         if self._http is not None:
             self._followers.learn(self._settings.seed_addresses)
             process.repeat(MEMBERSHIP_CHECK_SECONDS, self._follow_members)
--- a/src/jujubeslip/control/_watches.py
+++ b/src/jujubeslip/control/_watches.py
@@ -20,6 +20,7 @@
     steady_seconds,
 )
 from jujubeslip.peers import ServicePressure, WatchReply, WatchRequest
+from jujubeslip.quarantine import CrashBook, to_crash_record, usable_histories
 
 logger = logging.getLogger(__name__)
 
@@ -75,7 +76,9 @@
         replica: Replica,
         book: EndpointBook,
         addresses: Callable[[], list[str]],
+        crash_book: CrashBook | None = None,
     ) -> None:
+        self._crash_book = crash_book or CrashBook()
         self._replica = replica
         self._book = book
         self._addresses = addresses
@@ -88,17 +91,26 @@
 
         A watcher that names an older start of this host, or none, is told all.
         """
-        known_version = request.known_version or 0
-        known = known_version if request.book_id == self._book.book_id else 0
+        is_same_start = request.book_id == self._book.book_id
+        known = (request.known_version or 0) if is_same_start else 0
+        known_crashes = (request.known_crash_version or 0) if is_same_start else 0
         self._note(request, known)
+        told = usable_histories(request.watcher_id, request.crashes or ())
+        self._crash_book.take(told)
         wait = Deadline.from_remaining_ms(request.wait_ms or 0)
         known_configuration = request.known_configuration_version or 0
         self._book.wait_for_news(
             known,
-            lambda: self._configuration_version() > known_configuration,
+            lambda: (
+                self._configuration_version() > known_configuration
+                or self._crash_version(request) > known_crashes
+            ),
             wait.earlier_of(Deadline.after(MAXIMUM_WAIT_SECONDS)),
         )
         version, changed = self._book.changes_since(known)
+        crash_version, crashes = self._crash_book.changes_since(
+            known_crashes, suspects_only=bool(request.is_entry_host)
+        )
         return WatchReply(
             self._book.book_id,
             version,
@@ -107,8 +119,15 @@
             self._addresses(),
             self._count_entry_hosts(),
             self._leader_address(),
+            crash_version,
+            [to_crash_record(history) for history in crashes],
         )
 
+    def _crash_version(self, request: WatchRequest) -> int:
+        """Return the version of the newest crash that concerns the watcher."""
+        book = self._crash_book
+        return book.suspects_version if request.is_entry_host else book.version
+
     def follow_configuration(self) -> None:
         """Wake those who wait whenever a newer configuration is applied here."""
         replica = self._replica
--- a/src/jujubeslip/discovery/_follower.py
+++ b/src/jujubeslip/discovery/_follower.py
@@ -24,6 +24,7 @@
     WatchReply,
     WatchRequest,
 )
+from jujubeslip.quarantine import CrashBook, to_crash_record, usable_histories
 
 logger = logging.getLogger(__name__)
 
@@ -60,6 +61,7 @@
     book_id: int = 0
     book_version: int = 0
     configuration_version: int = 0
+    crash_version: int = 0
 
 
 class ControlFollowers:
@@ -78,7 +80,9 @@
         own_address: str = "",
         is_entry_host: bool = False,
         pressures: Callable[[], list[ServicePressure]] = list,
+        crash_book: CrashBook | None = None,
     ) -> None:
+        self._crash_book = crash_book or CrashBook()
         self._process = process
         self._identity = identity
         self._book = book
@@ -130,10 +134,13 @@
         """Return a client of the control host at this address."""
         return PeerClient(ControlPeer.Client, address, self._identity)
 
-    def request(self, known: Known) -> WatchRequest:
-        """Return what to ask next."""
+    def request(
+        self, known: Known, told_crash_version: int
+    ) -> tuple[WatchRequest, int]:
+        """Return what to ask next, and the version of the crash book that it tells."""
         watcher_id = f"{self._identity.host_id}/{self._identity.incarnation}"
-        return WatchRequest(
+        crash_version, crashes = self._crash_book.changes_since(told_crash_version)
+        request = WatchRequest(
             known.book_id,
             known.book_version,
             WAIT_MS,
@@ -141,11 +148,15 @@
             watcher_id,
             known.configuration_version,
             self._pressures(),
+            known.crash_version,
+            [to_crash_record(history) for history in crashes],
         )
+        return request, crash_version
 
     def take(self, address: str, reply: WatchReply) -> None:
         """Take over an answer."""
         self._book.take(list(usable_endpoints(address, reply.endpoints or ())))
+        self._crash_book.take(usable_histories(address, reply.crashes or ()))
         self.learn(reply.control_addresses or ())
         news = News(
             address,
@@ -169,6 +180,8 @@
         self._address = address
         self._client = owner.client_of(address)
         self._known = Known()
+        self._told_crash_version = 0
+        """Of the own crash book, as far as this start of the control host has it."""
         self._retry_seconds = RETRY_SECONDS
         self.reachable = False
         self._named_at = steady_seconds()
@@ -192,7 +205,9 @@
         return steady_seconds() - latest > FORGOTTEN_SECONDS
 
     def _ask(self) -> None:
-        request = self._owner.request(self._known)
+        request, crash_version = self._owner.request(
+            self._known, self._told_crash_version
+        )
         timeout = WAIT_MS / 1000 + ANSWER_SECONDS
         started = Deadline.after(0)
         try:
@@ -204,8 +219,13 @@
             return
         self._note_answered(started.instant)
         self._owner.take(self._address, reply)
+        is_same_start = reply.book_id == self._known.book_id
+        self._told_crash_version = crash_version if is_same_start else 0
         self._known = Known(
-            reply.book_id or 0, reply.version or 0, reply.configuration_version or 0
+            reply.book_id or 0,
+            reply.version or 0,
+            reply.configuration_version or 0,
+            reply.crash_version or 0,
         )
 
     def _note_answered(self, asked_at: float) -> None:
--- a/src/jujubeslip/forwarding/_crashes.py
+++ b/src/jujubeslip/forwarding/_crashes.py
@@ -9,15 +9,22 @@
 from jujubeslip.discovery import Endpoint, EndpointBook
 from jujubeslip.endpoints import has_ended
 from jujubeslip.forwarding._models import Attempts, ForwardContext
+from jujubeslip.kernel import steady_seconds
+from jujubeslip.quarantine import Crash, CrashBook
 
 logger = logging.getLogger(__name__)
 
+# A request that has been answered for longer than this has not crashed its endpoint by
+# what it asks for, in seconds.
+BEGIN_SECONDS = 2.0
+
 
 class CrashWatch:
     """Tells endpoints that have ended from answers that were lost on their way."""
 
-    def __init__(self, book: EndpointBook) -> None:
+    def __init__(self, book: EndpointBook, crash_book: CrashBook) -> None:
         self._book = book
+        self._crash_book = crash_book
         self._crashes = metrics.get_meter("jujubeslip.forwarding").create_counter(
             "jujubeslip.forward.endpoint_crashes",
             description="Requests whose endpoint ended while it ran them, by service.",
@@ -30,12 +37,16 @@
         crashed = self._book.is_over(endpoint) or has_ended(endpoint.address)
         if crashed:
             self._crashes.add(1, {"service": context.service_name})
+        if crashed and attempts.answered_seconds < BEGIN_SECONDS:
+            sent_at = attempts.latest_sent_at.instant
+            crash = Crash(endpoint.start_id, sent_at, steady_seconds())
+            self._crash_book.note_crash(context.fingerprint, crash)
         extra = {
             "request_id": context.request.request_id,
             "fingerprint": context.fingerprint,
             "start_id": endpoint.start_id,
             "endpoint_ended": crashed,
             "sent_ago_ms": int(attempts.latest_sent_at.overdue() * 1000),
-            "events": attempts.events,
+            "answered_ms": int(attempts.answered_seconds * 1000),
         }
         logger.info("run cut off", extra=extra)
--- a/src/jujubeslip/forwarding/_meters.py
+++ b/src/jujubeslip/forwarding/_meters.py
@@ -33,6 +33,8 @@
     configuration_age_seconds: float
     retries_left_by_service: dict[str, float]
     """Further sends that the budget of this host still has."""
+    quarantined_contents: int
+    """Contents of requests that are held back."""
 
 
 class ForwardMeters:
@@ -160,6 +162,12 @@
         description="How long that version has been in force here.",
     )
 
+    meter.create_observable_gauge(
+        "jujubeslip.forward.quarantined_contents",
+        [observed(lambda: read().quarantined_contents)],
+        description="Contents of requests that are held back, as they crash endpoints.",
+    )
+
     def retries_left(_: CallbackOptions) -> Iterable[Observation]:
         left = read().retries_left_by_service
         return [Observation(value, {"service": name}) for name, value in left.items()]
--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -108,6 +108,8 @@
     sends: int = 0
     latest_sent_at: Deadline = field(default_factory=lambda: Deadline.after(0))
     """When the latest of them began."""
+    answered_from: Deadline | None = None
+    """When its endpoint began to answer, None before that."""
     runs: int = 0
     """Sends that may have run."""
     tried: set[str] = field(default_factory=set)
@@ -140,6 +142,11 @@
     no_room_forecast: float = 0.0
     """How long it was expected to wait for room then, in seconds."""
 
+    @property
+    def answered_seconds(self) -> float:
+        """Return for how long the latest send has been answered."""
+        return self.answered_from.overdue() if self.answered_from else 0.0
+
     @property
     def elapsed_ms(self) -> int:
         """Return the milliseconds since the request came."""
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -25,6 +25,7 @@
 from jujubeslip.forwarding._plain_path import PlainPath
 from jujubeslip.forwarding._pressure import Pressures
 from jujubeslip.forwarding._prompts import PromptReader
+from jujubeslip.forwarding._quarantine import Quarantine
 from jujubeslip.forwarding._reservations import Reservations
 from jujubeslip.forwarding._routes_follower import RoutesFollower
 from jujubeslip.forwarding._sending import Sending
@@ -42,6 +43,7 @@
     steady_seconds,
 )
 from jujubeslip.peers import PeerIdentity
+from jujubeslip.quarantine import CrashBook
 from jujubeslip.telemetry import (
     configure_logging,
     configure_telemetry,
@@ -52,6 +54,8 @@
 
 # How often idle connections to endpoints are looked through, in seconds.
 CLEANUP_SECONDS = 1.0
+# How often contents whose quarantine has ended are looked for, in seconds.
+FORGET_SECONDS = 10.0
 READY_THREADS = 2
 # A balancer needs two unanswered questions, a second apart, to send no more; new
 # connections are taken until then, in seconds.
@@ -80,6 +84,8 @@
         self._pool = ConnectionPool()
         self._pressures = Pressures()
         self._book = EndpointBook()
+        self._crash_book = CrashBook()
+        quarantine = Quarantine(self._crash_book)
         self._routes = RoutesFollower(interface, identity)
         self._followers = ControlFollowers(
             self._process,
@@ -88,8 +94,9 @@
             self._take_news,
             is_entry_host=True,
             pressures=self._pressures.told,
+            crash_book=self._crash_book,
         )
-        sending = self._build_sending()
+        sending = self._build_sending(quarantine)
         self._leader = LeaderContact(identity, self._followers.reaches)
         # With pauses of its own: a leader that knows no engines yet, and is not asked
         # for grants for a moment, does know the accounts' limits.
@@ -131,6 +138,7 @@
             ForwardMeters(),
             self._limits,
             FirstEndpoints(self._book),
+            quarantine,
         )
         self._http = HttpServer(
             HttpServerOptions(
@@ -153,9 +161,10 @@
             self._routes.version,
             self._routes.age_seconds,
             self._budgets.left_by_service(),
+            len(self._crash_book.held_back()),
         )
 
-    def _build_sending(self) -> Sending:
+    def _build_sending(self, quarantine: Quarantine) -> Sending:
         settings = self._settings
         health = EndpointHealth()
         policy = policies.get(settings.policy)(health, settings.availability_zone)
@@ -171,7 +180,8 @@
             Chooser(self._book, health, policy, settings.endpoint_silence_ms / 1000),
             health,
             self._budgets,
-            CrashWatch(self._book),
+            CrashWatch(self._book, self._crash_book),
+            quarantine,
         )
 
     def _build_limits(self) -> AccountLimits:
@@ -198,6 +208,7 @@
         process.reload_with(self._reload)
         self._followers.learn(self._settings.seed_addresses)
         process.repeat(CLEANUP_SECONDS, self._pool.close_expired)
+        process.repeat(FORGET_SECONDS, self._crash_book.forget_old)
         self._limits.start()
         if self._admissions is not None:
             self._admissions.start()
--- a/src/jujubeslip/forwarding/_sending.py
+++ b/src/jujubeslip/forwarding/_sending.py
@@ -25,6 +25,7 @@
 from jujubeslip.forwarding._exchange import Exchange
 from jujubeslip.forwarding._health import EndpointHealth
 from jujubeslip.forwarding._models import Attempts, ForwardContext
+from jujubeslip.forwarding._quarantine import Quarantine
 from jujubeslip.interfaces import EndpointQuestion, Interface, ask_endpoint
 from jujubeslip.kernel import Deadline
 from jujubeslip.peers import EndpointRole
@@ -46,6 +47,7 @@
     health: EndpointHealth
     budgets: RetryBudgets
     crashes: CrashWatch
+    quarantine: Quarantine
 
     def choose(
         self, context: ForwardContext, role: EndpointRole, excluded: Collection[str]
@@ -72,7 +74,12 @@
         )
 
     def may_send(self, context: ForwardContext, attempts: Attempts) -> bool:
-        """Count one more send; say whether the bounds and the budget allow it."""
+        """Count one more send; say whether the bounds and the budget allow it.
+
+        Raises RequestRefusedError where the request has not run and is quarantined.
+        """
+        if not attempts.may_have_run:
+            self.quarantine.check(context)
         if attempts.sends == 0:
             self.budgets.note_request(context.service_name)
         elif not self.is_open(context, attempts):
@@ -82,6 +89,7 @@
             return False
         attempts.sends += 1
         attempts.latest_sent_at = Deadline.after(0)
+        attempts.answered_from = None
         return True
 
     def is_open(self, context: ForwardContext, attempts: Attempts) -> bool:
@@ -96,6 +104,8 @@
             return False
         if attempts.may_have_run and not context.route.repeatable:
             return False
+        if attempts.may_have_run and self.quarantine.holds(context):
+            return False
         return attempts.runs < context.route.maximum_attempts
 
     def note_lost(
--- a/src/jujubeslip/forwarding/_service.py
+++ b/src/jujubeslip/forwarding/_service.py
@@ -19,7 +19,8 @@
     ForwardContext,
     StreamedAnswer,
 )
-from jujubeslip.forwarding._plain_path import PlainPath
+from jujubeslip.forwarding._plain_path import SERVER_ERROR, PlainPath
+from jujubeslip.forwarding._quarantine import Quarantine
 from jujubeslip.forwarding._routes_follower import RoutesFollower
 from jujubeslip.forwarding._stream_path import StreamPath
 from jujubeslip.kernel import (
@@ -28,6 +29,7 @@
     RequestRefusedError,
     steady_seconds,
 )
+from jujubeslip.quarantine import CrashBook
 from jujubeslip.routes import ForwardedRequest, Route, RouteKind, RouteTable
 
 logger = logging.getLogger(__name__)
@@ -53,7 +55,9 @@
         meters: ForwardMeters,
         limits: AccountLimits | None = None,
         first_endpoints: FirstEndpoints | None = None,
+        quarantine: Quarantine | None = None,
     ) -> None:
+        self._quarantine = quarantine or Quarantine(CrashBook())
         self._limits = limits
         self._first_endpoints = first_endpoints
         self._meters = meters
@@ -66,6 +70,7 @@
         context = self._context(request, gone)
         attempts = Attempts()
         try:
+            self._quarantine.check(context)
             if self._first_endpoints is not None:
                 self._first_endpoints.wait_for(context)
             if context.route.kind is RouteKind.STREAM:
@@ -80,6 +85,8 @@
         if isinstance(answer, StreamedAnswer):
             events = self._logged(context, attempts, answer.events)
             return StreamedAnswer(answer.status, answer.headers, events)
+        if answer.status < SERVER_ERROR:
+            self._quarantine.note_whole(context)
         self._log(context, attempts, str(answer.status))
         return answer
 
@@ -146,6 +153,7 @@
         try:
             yield from events
             outcome = "whole"
+            self._quarantine.note_whole(context)
         except JujubeslipError as error:
             outcome = error.error_id
             raise
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -178,13 +178,17 @@
         if grant is None and attempts.found_no_room and not attempts.may_have_run:
             raise no_room(attempts)
         if grant is not None and not attempts.may_have_run:
-            self._check_account(context, grant)
+            self._check_again(context, grant)
         return grant
 
-    def _check_account(self, context: ForwardContext, grant: Grant) -> None:
-        """Give the grant back if the account's key was taken away in the queue."""
+    def _check_again(self, context: ForwardContext, grant: Grant) -> None:
+        """Give the grant back if the request was disallowed while it waited.
+
+        Its account's key may have been taken away, or its content quarantined.
+        """
         try:
             context.check_account()
+            self._sending.quarantine.check(context)
         except RequestRefusedError:
             grant.before_run()
             grant.at_end()
@@ -224,6 +228,7 @@
                     raise AnswerCutError(f"{endpoint.address}: a stream of no event.")
                 first = splitter.take(part)
             attempts.note(endpoint.start_id, "streams")
+            attempts.answered_from = Deadline.after(0)
             if attempts.first_event_ms is None:
                 attempts.first_event_ms = attempts.elapsed_ms
             stack.push(kept.pop_all())
--- a/src/jujubeslip/peers/gen/ControlPeer.py
+++ b/src/jujubeslip/peers/gen/ControlPeer.py
@@ -140,6 +140,17 @@
         """
         pass
 
+    def quarantined(self):
+        pass
+
+    def lift_quarantine(self, fingerprint):
+        """
+        Parameters:
+         - fingerprint
+
+        """
+        pass
+
     def history(self, limit):
         """
         Parameters:
@@ -741,6 +752,68 @@
             raise result.refusal
         raise TApplicationException(TApplicationException.MISSING_RESULT, "charge_alone failed: unknown result")
 
+    def quarantined(self):
+        self.send_quarantined()
+        return self.recv_quarantined()
+
+    def send_quarantined(self):
+        self._oprot.writeMessageBegin('quarantined', TMessageType.CALL, self._seqid)
+        args = quarantined_args()
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_quarantined(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = quarantined_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.refusal is not None:
+            raise result.refusal
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "quarantined failed: unknown result")
+
+    def lift_quarantine(self, fingerprint):
+        """
+        Parameters:
+         - fingerprint
+
+        """
+        self.send_lift_quarantine(fingerprint)
+        return self.recv_lift_quarantine()
+
+    def send_lift_quarantine(self, fingerprint):
+        self._oprot.writeMessageBegin('lift_quarantine', TMessageType.CALL, self._seqid)
+        args = lift_quarantine_args()
+        args.fingerprint = fingerprint
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_lift_quarantine(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = lift_quarantine_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.refusal is not None:
+            raise result.refusal
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "lift_quarantine failed: unknown result")
+
     def history(self, limit):
         """
         Parameters:
@@ -1160,6 +1233,8 @@
         self._processMap["charge_account"] = Processor.process_charge_account
         self._processMap["settle_accounts"] = Processor.process_settle_accounts
         self._processMap["charge_alone"] = Processor.process_charge_alone
+        self._processMap["quarantined"] = Processor.process_quarantined
+        self._processMap["lift_quarantine"] = Processor.process_lift_quarantine
         self._processMap["history"] = Processor.process_history
         self._processMap["status"] = Processor.process_status
         self._processMap["describe"] = Processor.process_describe
@@ -1588,6 +1663,58 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_quarantined(self, seqid, iprot, oprot):
+        args = quarantined_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = quarantined_result()
+        try:
+            result.success = self._handler.quarantined()
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("quarantined", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_lift_quarantine(self, seqid, iprot, oprot):
+        args = lift_quarantine_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = lift_quarantine_result()
+        try:
+            result.success = self._handler.lift_quarantine(args.fingerprint)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("lift_quarantine", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_history(self, seqid, iprot, oprot):
         args = history_args()
         args.read(iprot)
@@ -3425,11 +3552,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.news = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = AdmissionNews()
-                        _elem152.read(iprot)
-                        self.news.append(_elem152)
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = AdmissionNews()
+                        _elem173.read(iprot)
+                        self.news.append(_elem173)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3446,8 +3573,8 @@
         if self.news is not None:
             oprot.writeFieldBegin('news', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.news))
-            for iter153 in self.news:
-                iter153.write(oprot)
+            for iter174 in self.news:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3719,11 +3846,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.spent = []
-                    (_etype157, _size154) = iprot.readListBegin()
-                    for _i158 in range(_size154):
-                        _elem159 = AccountSpending()
-                        _elem159.read(iprot)
-                        self.spent.append(_elem159)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = AccountSpending()
+                        _elem180.read(iprot)
+                        self.spent.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3740,8 +3867,8 @@
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.spent))
-            for iter160 in self.spent:
-                iter160.write(oprot)
+            for iter181 in self.spent:
+                iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3794,11 +3921,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = AccountState()
-                        _elem166.read(iprot)
-                        self.success.append(_elem166)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = AccountState()
+                        _elem187.read(iprot)
+                        self.success.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3825,8 +3952,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter167 in self.success:
-                iter167.write(oprot)
+            for iter188 in self.success:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
@@ -4021,6 +4148,266 @@
 )
 
 
+class quarantined_args(object):
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('quarantined_args')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(quarantined_args)
+quarantined_args.thrift_spec = (
+)
+
+
+class quarantined_result(object):
+    """
+    Attributes:
+     - success
+     - refusal
+
+    """
+
+
+    def __init__(self, success=None, refusal=None,):
+        self.success = success
+        self.refusal = refusal
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.LIST:
+                    self.success = []
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = CrashRecord()
+                        _elem194.read(iprot)
+                        self.success.append(_elem194)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('quarantined_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.LIST, 0)
+            oprot.writeListBegin(TType.STRUCT, len(self.success))
+            for iter195 in self.success:
+                iter195.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(quarantined_result)
+quarantined_result.thrift_spec = (
+    (0, TType.LIST, 'success', (TType.STRUCT, [CrashRecord, None], False), None, ),  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+)
+
+
+class lift_quarantine_args(object):
+    """
+    Attributes:
+     - fingerprint
+
+    """
+
+
+    def __init__(self, fingerprint=None,):
+        self.fingerprint = fingerprint
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('lift_quarantine_args')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(lift_quarantine_args)
+lift_quarantine_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+)
+
+
+class lift_quarantine_result(object):
+    """
+    Attributes:
+     - success
+     - refusal
+
+    """
+
+
+    def __init__(self, success=None, refusal=None,):
+        self.success = success
+        self.refusal = refusal
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.BOOL:
+                    self.success = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('lift_quarantine_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.BOOL, 0)
+            oprot.writeBool(self.success)
+            oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(lift_quarantine_result)
+lift_quarantine_result.thrift_spec = (
+    (0, TType.BOOL, 'success', None, None, ),  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+)
+
+
 class history_args(object):
     """
     Attributes:
@@ -4108,11 +4495,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype171, _size168) = iprot.readListBegin()
-                    for _i172 in range(_size168):
-                        _elem173 = Configuration()
-                        _elem173.read(iprot)
-                        self.success.append(_elem173)
+                    (_etype199, _size196) = iprot.readListBegin()
+                    for _i200 in range(_size196):
+                        _elem201 = Configuration()
+                        _elem201.read(iprot)
+                        self.success.append(_elem201)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4134,8 +4521,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter174 in self.success:
-                iter174.write(oprot)
+            for iter202 in self.success:
+                iter202.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -3920,6 +3920,173 @@
         return not (self == other)
 
 
+class RequestCrash(object):
+    """
+    Attributes:
+     - start_id
+     - sent_ago_ms
+     - crashed_ago_ms
+
+    """
+
+
+    def __init__(self, start_id=None, sent_ago_ms=None, crashed_ago_ms=None,):
+        self.start_id = start_id
+        self.sent_ago_ms = sent_ago_ms
+        self.crashed_ago_ms = crashed_ago_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.start_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.sent_ago_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.crashed_ago_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RequestCrash')
+        if self.start_id is not None:
+            oprot.writeFieldBegin('start_id', TType.STRING, 1)
+            oprot.writeString(self.start_id.encode('utf-8') if sys.version_info[0] == 2 else self.start_id)
+            oprot.writeFieldEnd()
+        if self.sent_ago_ms is not None:
+            oprot.writeFieldBegin('sent_ago_ms', TType.I64, 2)
+            oprot.writeI64(self.sent_ago_ms)
+            oprot.writeFieldEnd()
+        if self.crashed_ago_ms is not None:
+            oprot.writeFieldBegin('crashed_ago_ms', TType.I64, 3)
+            oprot.writeI64(self.crashed_ago_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CrashRecord(object):
+    """
+    Attributes:
+     - fingerprint
+     - crashes
+     - cleared_ago_ms
+
+    """
+
+
+    def __init__(self, fingerprint=None, crashes=None, cleared_ago_ms=None,):
+        self.fingerprint = fingerprint
+        self.crashes = crashes
+        self.cleared_ago_ms = cleared_ago_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = RequestCrash()
+                        _elem61.read(iprot)
+                        self.crashes.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.cleared_ago_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashRecord')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter62 in self.crashes:
+                iter62.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.cleared_ago_ms is not None:
+            oprot.writeFieldBegin('cleared_ago_ms', TType.I64, 3)
+            oprot.writeI64(self.cleared_ago_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class WatchRequest(object):
     """
     Attributes:
@@ -3930,11 +4097,13 @@
      - watcher_id
      - known_configuration_version
      - pressures
+     - known_crash_version
+     - crashes
 
     """
 
 
-    def __init__(self, book_id=None, known_version=None, wait_ms=None, is_entry_host=None, watcher_id=None, known_configuration_version=None, pressures=None,):
+    def __init__(self, book_id=None, known_version=None, wait_ms=None, is_entry_host=None, watcher_id=None, known_configuration_version=None, pressures=None, known_crash_version=None, crashes=None,):
         self.book_id = book_id
         self.known_version = known_version
         self.wait_ms = wait_ms
@@ -3942,6 +4111,8 @@
         self.watcher_id = watcher_id
         self.known_configuration_version = known_configuration_version
         self.pressures = pressures
+        self.known_crash_version = known_crash_version
+        self.crashes = crashes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3985,11 +4156,27 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.pressures = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = ServicePressure()
-                        _elem61.read(iprot)
-                        self.pressures.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = ServicePressure()
+                        _elem68.read(iprot)
+                        self.pressures.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.known_crash_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = CrashRecord()
+                        _elem74.read(iprot)
+                        self.crashes.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4030,8 +4217,19 @@
         if self.pressures is not None:
             oprot.writeFieldBegin('pressures', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.pressures))
-            for iter62 in self.pressures:
-                iter62.write(oprot)
+            for iter75 in self.pressures:
+                iter75.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.known_crash_version is not None:
+            oprot.writeFieldBegin('known_crash_version', TType.I64, 8)
+            oprot.writeI64(self.known_crash_version)
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter76 in self.crashes:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4062,11 +4260,13 @@
      - control_addresses
      - entry_hosts
      - leader_address
+     - crash_version
+     - crashes
 
     """
 
 
-    def __init__(self, book_id=None, version=None, endpoints=None, configuration_version=None, control_addresses=None, entry_hosts=None, leader_address=None,):
+    def __init__(self, book_id=None, version=None, endpoints=None, configuration_version=None, control_addresses=None, entry_hosts=None, leader_address=None, crash_version=None, crashes=None,):
         self.book_id = book_id
         self.version = version
         self.endpoints = endpoints
@@ -4074,6 +4274,8 @@
         self.control_addresses = control_addresses
         self.entry_hosts = entry_hosts
         self.leader_address = leader_address
+        self.crash_version = crash_version
+        self.crashes = crashes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4097,11 +4299,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.endpoints = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = EndpointRecord()
-                        _elem68.read(iprot)
-                        self.endpoints.append(_elem68)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = EndpointRecord()
+                        _elem82.read(iprot)
+                        self.endpoints.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4113,10 +4315,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.control_addresses = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.control_addresses.append(_elem74)
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.control_addresses.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4130,6 +4332,22 @@
                     self.leader_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.crash_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype92, _size89) = iprot.readListBegin()
+                    for _i93 in range(_size89):
+                        _elem94 = CrashRecord()
+                        _elem94.read(iprot)
+                        self.crashes.append(_elem94)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4151,8 +4369,8 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
-            for iter75 in self.endpoints:
-                iter75.write(oprot)
+            for iter95 in self.endpoints:
+                iter95.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -4162,8 +4380,8 @@
         if self.control_addresses is not None:
             oprot.writeFieldBegin('control_addresses', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.control_addresses))
-            for iter76 in self.control_addresses:
-                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
+            for iter96 in self.control_addresses:
+                oprot.writeString(iter96.encode('utf-8') if sys.version_info[0] == 2 else iter96)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entry_hosts is not None:
@@ -4174,6 +4392,17 @@
             oprot.writeFieldBegin('leader_address', TType.STRING, 7)
             oprot.writeString(self.leader_address.encode('utf-8') if sys.version_info[0] == 2 else self.leader_address)
             oprot.writeFieldEnd()
+        if self.crash_version is not None:
+            oprot.writeFieldBegin('crash_version', TType.I64, 8)
+            oprot.writeI64(self.crash_version)
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter97 in self.crashes:
+                iter97.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4314,21 +4543,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = Member()
-                        _elem82.read(iprot)
-                        self.members.append(_elem82)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = Member()
+                        _elem103.read(iprot)
+                        self.members.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.admitted_host_ids = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.admitted_host_ids.append(_elem88)
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.admitted_host_ids.append(_elem109)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4349,15 +4578,15 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter89 in self.members:
-                iter89.write(oprot)
+            for iter110 in self.members:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_host_ids is not None:
             oprot.writeFieldBegin('admitted_host_ids', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.admitted_host_ids))
-            for iter90 in self.admitted_host_ids:
-                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
+            for iter111 in self.admitted_host_ids:
+                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4948,33 +5177,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.configurations = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = Configuration()
-                        _elem96.read(iprot)
-                        self.configurations.append(_elem96)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = Configuration()
+                        _elem117.read(iprot)
+                        self.configurations.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = ChangeRecord()
-                        _elem102.read(iprot)
-                        self.changes.append(_elem102)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = ChangeRecord()
+                        _elem123.read(iprot)
+                        self.changes.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.claims = []
-                    (_etype106, _size103) = iprot.readListBegin()
-                    for _i107 in range(_size103):
-                        _elem108 = ClaimRecord()
-                        _elem108.read(iprot)
-                        self.claims.append(_elem108)
+                    (_etype127, _size124) = iprot.readListBegin()
+                    for _i128 in range(_size124):
+                        _elem129 = ClaimRecord()
+                        _elem129.read(iprot)
+                        self.claims.append(_elem129)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4996,22 +5225,22 @@
         if self.configurations is not None:
             oprot.writeFieldBegin('configurations', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.configurations))
-            for iter109 in self.configurations:
-                iter109.write(oprot)
+            for iter130 in self.configurations:
+                iter130.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter110 in self.changes:
-                iter110.write(oprot)
+            for iter131 in self.changes:
+                iter131.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.claims is not None:
             oprot.writeFieldBegin('claims', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.claims))
-            for iter111 in self.claims:
-                iter111.write(oprot)
+            for iter132 in self.claims:
+                iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.end is not None:
@@ -5413,11 +5642,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = LogEntry()
-                        _elem117.read(iprot)
-                        self.entries.append(_elem117)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = LogEntry()
+                        _elem138.read(iprot)
+                        self.entries.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5467,8 +5696,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter118 in self.entries:
-                iter118.write(oprot)
+            for iter139 in self.entries:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commit_index is not None:
@@ -6150,6 +6379,20 @@
     (2, TType.I32, 'attempt', None, None, ),  # 2
     (3, TType.I32, 'step', None, None, ),  # 3
 )
+all_structs.append(RequestCrash)
+RequestCrash.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'start_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'sent_ago_ms', None, None, ),  # 2
+    (3, TType.I64, 'crashed_ago_ms', None, None, ),  # 3
+)
+all_structs.append(CrashRecord)
+CrashRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'crashes', (TType.STRUCT, [RequestCrash, None], False), None, ),  # 2
+    (3, TType.I64, 'cleared_ago_ms', None, None, ),  # 3
+)
 all_structs.append(WatchRequest)
 WatchRequest.thrift_spec = (
     None,  # 0
@@ -6160,6 +6403,8 @@
     (5, TType.STRING, 'watcher_id', 'UTF8', None, ),  # 5
     (6, TType.I64, 'known_configuration_version', None, None, ),  # 6
     (7, TType.LIST, 'pressures', (TType.STRUCT, [ServicePressure, None], False), None, ),  # 7
+    (8, TType.I64, 'known_crash_version', None, None, ),  # 8
+    (9, TType.LIST, 'crashes', (TType.STRUCT, [CrashRecord, None], False), None, ),  # 9
 )
 all_structs.append(WatchReply)
 WatchReply.thrift_spec = (
@@ -6171,6 +6416,8 @@
     (5, TType.LIST, 'control_addresses', (TType.STRING, 'UTF8', False), None, ),  # 5
     (6, TType.I32, 'entry_hosts', None, None, ),  # 6
     (7, TType.STRING, 'leader_address', 'UTF8', None, ),  # 7
+    (8, TType.I64, 'crash_version', None, None, ),  # 8
+    (9, TType.LIST, 'crashes', (TType.STRUCT, [CrashRecord, None], False), None, ),  # 9
 )
 all_structs.append(Member)
 Member.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -441,6 +441,22 @@
   3: AdmissionStep step,
 }
 
+// The end of an endpoint's start while it ran a request.
+struct RequestCrash {
+  1: string start_id,
+  // How long ago the request was sent there, and how long ago the start ended.
+  2: i64 sent_ago_ms,
+  3: i64 crashed_ago_ms,
+}
+
+// The crashes during requests of one content, since it was answered whole.
+struct CrashRecord {
+  1: string fingerprint,
+  2: list<RequestCrash> crashes,
+  // How long ago a request of it was answered whole, or its quarantine lifted.
+  3: optional i64 cleared_ago_ms,
+}
+
 // Asks a control host for what is new there since `known_version` of its book.
 // `book_id` names the start of the control host that the version belongs to.
 struct WatchRequest {
@@ -453,6 +469,10 @@
   // The version that the host told of last, whether the watcher has it yet or not.
   6: i64 known_configuration_version,
   7: list<ServicePressure> pressures,
+  // The version of the host's crash histories that the watcher has, and what is new in
+  // the watcher's own.
+  8: i64 known_crash_version,
+  9: list<CrashRecord> crashes,
 }
 
 struct WatchReply {
@@ -465,6 +485,9 @@
   6: i32 entry_hosts,
   // Peer address of the control host that leads, empty while the teller knows none.
   7: string leader_address,
+  // An entry host is told of crash histories that are suspect, a control host of all.
+  8: i64 crash_version,
+  9: list<CrashRecord> crashes,
 }
 
 // `replica_id` is HOST/DISK: a host that lost its disk is another replica.
@@ -651,6 +674,10 @@
   // there; without an amount it only lends. Any control host answers.
   bool charge_alone(1: string host_id, 2: i32 entry_hosts, 3: AccountSpending spending)
     throws (1: PeerRefusal refusal),
+  // The contents that are held back, as this host knows them; any one answers.
+  list<CrashRecord> quarantined() throws (1: PeerRefusal refusal),
+  // Lets a content run again; false where no crash of it is known.
+  bool lift_quarantine(1: string fingerprint) throws (1: PeerRefusal refusal),
   list<Configuration> history(1: i32 limit) throws (1: PeerRefusal refusal),
   ControlStatus status() throws (1: PeerRefusal refusal),
 
--- a/src/jujubeslip/quarantine/__init__.py
+++ b/src/jujubeslip/quarantine/__init__.py
@@ -1,5 +1,19 @@
-"""Requests that crash the endpoints which run them."""
+"""Contents of requests that crash the endpoints which run them.
 
+Each host keeps a book of crashes, and hosts tell each other what is new in it when
+they watch control hosts. It needs no leader and no majority.
+"""
+
+from jujubeslip.quarantine._book import CrashBook
 from jujubeslip.quarantine._fingerprints import fingerprint_of
+from jujubeslip.quarantine._models import Crash, CrashHistory
+from jujubeslip.quarantine._records import to_crash_record, usable_histories
 
-__all__ = ["fingerprint_of"]
+__all__ = [
+    "Crash",
+    "CrashBook",
+    "CrashHistory",
+    "fingerprint_of",
+    "to_crash_record",
+    "usable_histories",
+]
--- a/src/jujubeslip/tracing/_causes.py
+++ b/src/jujubeslip/tracing/_causes.py
@@ -11,6 +11,8 @@
 REFUSAL_MESSAGE = "no grant at an engine"
 KEY_MESSAGE = "key not accepted"
 LIMIT_MESSAGE = "request not within its account's limit"
+QUARANTINE_MESSAGE = "request quarantined"
+CUT_MESSAGE = "run cut off"
 _STEP = re.compile(r"(?P<ms>\d+) ms (?P<endpoint>\S+): (?P<what>.*)")
 
 Explain = Callable[[RequestEnd, Sequence[Line]], str]
@@ -64,6 +66,21 @@
     )
 
 
+def _quarantined(end: RequestEnd, lines: Sequence[Line]) -> str:
+    refusals = [line for line in lines if line.message == QUARANTINE_MESSAGE]
+    if not refusals:
+        return (
+            "Refused, not run: its content is in quarantine; no line says since when."
+        )
+    fields = refusals[-1].fields
+    return (
+        f"Refused, not run: its content {fields.get('fingerprint')} is in quarantine "
+        f"for {fields.get('held_for_ms')} ms more, since equal requests have ended "
+        f"{fields.get('crashes')} endpoints one after another; "
+        "`jujubeslip quarantine lift` ends that."
+    )
+
+
 def _no_room(end: RequestEnd, lines: Sequence[Line]) -> str:
     refusals = [line for line in lines if line.message == REFUSAL_MESSAGE]
     if refusals:
@@ -82,12 +99,19 @@
 def _answer_lost(end: RequestEnd, lines: Sequence[Line]) -> str:
     endpoint, what = _failed_step(end)
     return (
-        f"Its answer was lost: endpoint {endpoint} took it and ended with {what}. It "
-        "may have run there, and was not sent again, since its route does not allow "
-        "that or nothing was left for it."
+        f"Its answer was lost: endpoint {endpoint} took it and ended with {what}"
+        f"{_crash(lines)}. It may have run there, and was not sent again, since its "
+        "route does not allow that or nothing was left for it."
     )
 
 
+def _crash(lines: Sequence[Line]) -> str:
+    cuts = [line for line in lines if line.message == CUT_MESSAGE]
+    if not cuts or not cuts[-1].fields.get("endpoint_ended"):
+        return ""
+    return f", as its process had ended (content {cuts[-1].fields.get('fingerprint')})"
+
+
 def _no_answer(end: RequestEnd, lines: Sequence[Line]) -> str:
     endpoint, _ = _failed_step(end)
     return (
@@ -190,6 +214,7 @@
 
 _EXPLAIN_BY_OUTCOME: dict[str, Explain] = {
     "no_room": _no_room,
+    "request_quarantined": _quarantined,
     "client_unknown": _key_taken,
     "client_limit": _over_limit,
     "limit_unknown": _over_limit,
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -3,17 +3,23 @@
 from __future__ import annotations
 
 import json
+import threading
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 import pytest
+from click.testing import CliRunner
 
+from jujubeslip.cli import main
+from jujubeslip.tracing import cause_of, lines_about
 from tests.fakes.fleet import Fleet
 from tests.fakes.platform_system import (
     ENGINE,
     PLAIN,
     PROMPT,
+    SECRET,
     PlatformSystem,
     Reply,
     configuration,
@@ -169,3 +175,180 @@
             time.sleep(0.1)
         late = [sent_at for sent_at in fatal.runs() if sent_at > known_from]
         assert len(late) <= FURTHER_RUNS
+
+    def test_is_refused_with_the_time_when_it_is_tried_again(
+        self, system: PlatformSystem
+    ) -> None:
+        fatal = quarantined(system, "/unsafe/refused")
+        reply = fatal.send()
+        told = json.loads(reply.body)
+        assert reply.status == 503
+        assert (told["error"], told["ran"]) == ("request_quarantined", "no")
+        assert float(reply.headers["retry-after"]) > 60
+        assert "Server-Stamp" not in reply.headers
+
+    def test_another_body_on_its_path_is_served(self, system: PlatformSystem) -> None:
+        quarantined(system, "/unsafe/held")
+        wait_until(
+            lambda: send(system, "/unsafe/held", b"harmless").status == 200,
+            "another request is served",
+        )
+
+
+class TestRequestsBesideOneThatCrashes:
+    """Guards against refusing what only ran at an endpoint that another one ended."""
+
+    def test_polls_and_a_long_request_are_served_on(
+        self, system: PlatformSystem
+    ) -> None:
+        fleet = system.fleets["/unsafe/"]  # type: ignore[attr-defined]
+        for worker in fleet.starts:
+            worker.run_seconds = 0.02
+        fatal = Repeated(system, fleet, "/unsafe/beside")
+        ended = threading.Event()
+        with ThreadPoolExecutor(4) as pool:
+            polls = [pool.submit(poll, system, entry, ended) for entry in range(3)]
+            long = pool.submit(send_until_served, system, ended)
+            fatal.send_until(CRASHES, "three endpoints ended")
+            wait_until(lambda: fatal.send().status == 503, "it is refused")
+            ended.set()
+            errors = [error for found in polls for error in found.result()]
+            assert "request_quarantined" not in errors
+            assert "request_quarantined" not in long.result()
+        for entry in range(ENTRIES):
+            wait_until(
+                lambda entry=entry: (
+                    send(system, "/unsafe/poll", b"p", entry).status  # type: ignore[misc]
+                    == 200
+                ),
+                "the poll is served",
+            )
+
+
+def poll(system: PlatformSystem, entry: int, ended: threading.Event) -> list[str]:
+    """Send equal requests until the end; return the errors that they got."""
+    errors = []
+    while not ended.wait(0.01):
+        reply = send(system, "/unsafe/poll", b"p", entry)
+        if reply.status != 200:
+            errors.append(json.loads(reply.body)["error"])
+    return errors
+
+
+def send_until_served(system: PlatformSystem, ended: threading.Event) -> list[str]:
+    """Send a stream that lasts, again whenever it is lost; return the errors."""
+    errors = []
+    while not ended.is_set():
+        reply = send(system, "/stream/long", b"harmless", 1)
+        if reply.status != 200:
+            errors.append(json.loads(reply.body)["error"])
+    return errors
+
+
+def quarantined(system: PlatformSystem, target: str) -> Repeated:
+    """Send a content that crashes endpoints until every host refuses it."""
+    fleet = system.fleets["/unsafe/"]  # type: ignore[attr-defined]
+    fatal = Repeated(system, fleet, target)
+    fatal.send_until(CRASHES, "three endpoints ended")
+    for entry in range(ENTRIES):
+        wait_until(lambda entry=entry: is_held(fatal, entry), "it is refused")  # type: ignore[misc]
+    return fatal
+
+
+def is_held(fatal: Repeated, entry: int) -> bool:
+    reply = fatal.send(entry)
+    return b"request_quarantined" in reply.body
+
+
+class TestHostsThatComeAndGo:
+    """Guards against a quarantine that ends with a host, a leader or a majority."""
+
+    def test_a_host_that_starts_again_refuses_it(self, system: PlatformSystem) -> None:
+        fatal = quarantined(system, "/unsafe/restart")
+        runs = len(fatal.runs())
+        system.entries[1].kill()
+        system.entries[1].start()
+        wait_until(lambda: system.ready(1), "the host is ready")
+        wait_until(lambda: is_held(fatal, 1), "it is refused")
+        assert len(fatal.runs()) <= runs + 1
+
+    def test_control_hosts_that_all_start_again_hear_of_it(
+        self, system: PlatformSystem
+    ) -> None:
+        fatal = quarantined(system, "/unsafe/amnesia")
+        for host in system.controls:
+            host.kill()
+        for host in system.controls:
+            host.start()
+        wait_until(lambda: system.put(newest(system)) == 200, "a leader is there")
+        system.entries[2].kill()
+        system.entries[2].start()
+        wait_until(lambda: system.ready(2), "the host is ready")
+        runs = len(fatal.runs())
+        wait_until(lambda: is_held(fatal, 2), "it is refused")
+        assert len(fatal.runs()) <= runs + FURTHER_RUNS
+
+    def test_it_is_found_out_without_a_leader(self, system: PlatformSystem) -> None:
+        for host in system.controls[1:]:
+            host.kill()
+        try:
+            # The fleets announce themselves to the host that is left.
+            wait_until(
+                lambda: send(system, "/unsafe/x", b"harmless").status == 200,
+                "requests are served without a leader",
+            )
+            fatal = quarantined(system, "/unsafe/alone")
+            runs = len(fatal.runs())
+            for entry in range(ENTRIES):
+                assert is_held(fatal, entry)
+            assert len(fatal.runs()) == runs
+        finally:
+            for host in system.controls[1:]:
+                host.start()
+        wait_until(lambda: system.put(newest(system)) == 200, "a leader is there")
+
+
+def newest(system: PlatformSystem) -> Any:
+    """Return the configuration in force, to be sent again."""
+    return wait_until(lambda: system.read()[1], "the configuration is read")
+
+
+class TestOperatorWhoLiftsIt:
+    def test_sees_the_content_and_lets_it_run(self, system: PlatformSystem) -> None:
+        fatal = quarantined(system, "/unsafe/lifted")
+        options = ["--peer-secret", SECRET]
+        for address in system.seeds:
+            options += ["--control", address]
+        request_id = system.last_request_id
+        line = wait_until(
+            lambda: lines(system, 2, "request quarantined"), "the line of a refusal"
+        )[-1]
+        shown = CliRunner().invoke(main, ["quarantine", "list", *options, "--json"])
+        assert shown.exit_code == 0, shown.output
+        contents = json.loads(shown.stdout)["contents"]
+        assert line["fingerprint"] in {item["fingerprint"] for item in contents}
+        assert line["request_id"] == request_id
+        command = ["quarantine", "lift", line["fingerprint"], *options]
+        lifted = CliRunner().invoke(main, command)
+        assert lifted.exit_code == 0, lifted.output
+        for entry in range(ENTRIES):
+            wait_until(lambda entry=entry: not is_held(fatal, entry), "it runs again")  # type: ignore[misc]
+
+    def test_is_told_where_no_crash_is_known(self, system: PlatformSystem) -> None:
+        options = ["--peer-secret", SECRET, "--control", system.seeds[0]]
+        command = ["quarantine", "lift", "0123456789abcdef", *options]
+        refused = CliRunner().invoke(main, command)
+        assert refused.exit_code == 1
+        assert "quarantine list" in refused.output
+
+    def test_trace_says_why_it_was_refused(self, system: PlatformSystem) -> None:
+        quarantined(system, "/unsafe/traced")
+        request_id = system.last_request_id
+        path = system.folder / "traced.log"
+
+        def cause() -> str:
+            path.write_text(system.entries[2].output())
+            return cause_of(lines_about(request_id, [path]))
+
+        wait_until(lambda: "quarantine" in cause(), "the cause")
+        assert "3 endpoints" in cause()
--- a/tests/forwarding/test_starts.py
+++ b/tests/forwarding/test_starts.py
@@ -21,12 +21,14 @@
 from jujubeslip.forwarding._models import Attempts
 from jujubeslip.forwarding._pressure import Pressures
 from jujubeslip.forwarding._prompts import PromptPlace, PromptReader
+from jujubeslip.forwarding._quarantine import Quarantine
 from jujubeslip.forwarding._reservations import Reservation, Reservations
 from jujubeslip.forwarding._sending import Sending
 from jujubeslip.forwarding._stream_path import StreamPath
 from jujubeslip.interfaces import EndpointCall, interfaces
 from jujubeslip.kernel import Deadline, RequestRefusedError, load_plugins
 from jujubeslip.peers import EndpointRole
+from jujubeslip.quarantine import CrashBook
 from tests.fakes.engines import engine
 from tests.fakes.platform_worker import PlatformWorker
 from tests.forwarding.test_grants import Leader, find
@@ -57,13 +59,15 @@
 
 def sending(book: EndpointBook) -> Sending:
     health = EndpointHealth()
+    crash_book = CrashBook()
     return Sending(
         interfaces.get("platform"),
         ConnectionPool(),
         Chooser(book, health, LeastCost(health, "zone-1"), 10.0),
         health,
         RetryBudgets(BudgetOptions(0.1, 10.0, 100), lambda: 1),
-        CrashWatch(book),
+        CrashWatch(book, crash_book),
+        Quarantine(crash_book),
     )
 
 
@@ -232,6 +236,7 @@
             chooser=ways.chooser,
             health=ways.health,
             note_lost=ways.note_lost,
+            quarantine=ways.quarantine,
             exchange=lambda *_: FailingExchange(calls, happens),
         )
         grants: Any = SimpleNamespace(find=grant)
@@ -288,6 +293,7 @@
             chooser=ways.chooser,
             health=ways.health,
             note_lost=ways.note_lost,
+            quarantine=ways.quarantine,
             exchange=exchange,
         )
         grants: Any = SimpleNamespace(find=lambda *_: given.pop(0))
--- /dev/null
+++ b/tests/quarantine/test_book.py
@@ -0,0 +1,222 @@
+"""Which contents are held back, by the crashes that hosts know of."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Sequence
+
+import pytest
+
+from jujubeslip.peers import RequestCrash
+from jujubeslip.quarantine import (
+    Crash,
+    CrashBook,
+    CrashHistory,
+    _book,
+    to_crash_record,
+    usable_histories,
+)
+from jujubeslip.quarantine._book import MAXIMUM_CONTENTS, MAXIMUM_CRASHES
+from jujubeslip.quarantine._models import QUARANTINE_SECONDS, REMEMBERED_SECONDS
+from tests.fakes.broken_fields import received
+from tests.fakes.clock import Clock
+
+FATAL = "f" * 16
+OTHER = "0" * 16
+RUN_SECONDS = 0.1
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    clock = Clock()
+    for module in (
+        _book,
+        "jujubeslip.kernel._deadlines",
+        "jujubeslip.quarantine._records",
+    ):
+        target = module if isinstance(module, str) else module.__name__
+        monkeypatch.setattr(f"{target}.steady_seconds", clock.steady_seconds)
+    return clock
+
+
+def crash(start_id: str, crashed_at: float, ran_for: float = RUN_SECONDS) -> Crash:
+    return Crash(start_id, crashed_at - ran_for, crashed_at)
+
+
+def crashes(count: int, first_at: float, pause: float = 1.0) -> list[Crash]:
+    return [crash(f"start-{n}", first_at + n * pause) for n in range(count)]
+
+
+def note_all(book: CrashBook, found: Sequence[Crash], content: str = FATAL) -> None:
+    for item in found:
+        book.note_crash(content, item)
+
+
+def held(book: CrashBook) -> list[str]:
+    return [history.fingerprint for history in book.held_back()]
+
+
+class TestContentThatCrashesEndpoints:
+    def test_is_held_back_from_the_third_crash_on(self, clock: Clock) -> None:
+        book = CrashBook()
+        first, second, third = crashes(3, clock.now)
+        note_all(book, [first, second])
+        assert held(book) == []
+        note_all(book, [third])
+        assert held(book) == [FATAL]
+
+    def test_is_tried_again_in_the_end(self, clock: Clock) -> None:
+        book = CrashBook()
+        note_all(book, crashes(3, clock.now))
+        clock.now += QUARANTINE_SECONDS + 3
+        assert held(book) == []
+        book.note_crash(FATAL, crash("late", clock.now))
+        assert held(book) == [FATAL]
+
+    def test_is_forgotten_in_the_end(self, clock: Clock) -> None:
+        book = CrashBook()
+        note_all(book, crashes(3, clock.now))
+        clock.now += REMEMBERED_SECONDS + 3
+        book.forget_old()
+        assert book.is_empty
+
+
+class TestHarmlessContent:
+    """Guards against holding back what only ran beside a content that crashes."""
+
+    def test_two_crashes_are_not_enough(self, clock: Clock) -> None:
+        book = CrashBook()
+        note_all(book, crashes(2, clock.now))
+        assert held(book) == []
+
+    def test_a_whole_answer_clears_it(self, clock: Clock) -> None:
+        book = CrashBook()
+        note_all(book, crashes(2, clock.now))
+        clock.now += 2
+        assert book.clear(FATAL)
+        note_all(
+            book, [crash("start-8", clock.now + 1), crash("start-9", clock.now + 2)]
+        )
+        assert held(book) == []
+
+    def test_equal_requests_at_many_endpoints_that_end_together_count_once(
+        self, clock: Clock
+    ) -> None:
+        book = CrashBook()
+        note_all(book, [crash(f"start-{n}", clock.now + n / 1000) for n in range(5)])
+        assert held(book) == []
+
+    def test_hosts_that_report_one_crash_count_once(self, clock: Clock) -> None:
+        book = CrashBook()
+        for late in range(5):
+            book.note_crash(FATAL, crash("start-1", clock.now + late, ran_for=0.0))
+        assert held(book) == []
+
+    def test_a_late_report_from_before_its_whole_answer_does_not_count(
+        self, clock: Clock
+    ) -> None:
+        book = CrashBook()
+        found = crashes(3, clock.now)
+        note_all(book, found)
+        clock.now += 5
+        book.clear(FATAL)
+        note_all(book, found)
+        assert held(book) == []
+
+
+class TestBound:
+    def test_contents_are_limited_and_the_held_one_stays(self, clock: Clock) -> None:
+        book = CrashBook()
+        note_all(book, crashes(3, clock.now))
+        for number in range(2 * MAXIMUM_CONTENTS):
+            book.note_crash(f"{number:016x}", crash("start-1", clock.now + number))
+        assert len(book.changes_since(0)[1]) == MAXIMUM_CONTENTS
+        assert held(book) == [FATAL]
+
+    def test_crashes_of_a_content_are_limited(self, clock: Clock) -> None:
+        book = CrashBook()
+        note_all(book, crashes(50, clock.now))
+        history = book.find(FATAL)
+        assert history is not None
+        assert len(history.crashes) == MAXIMUM_CRASHES
+
+
+class TestHostsThatTellEachOther:
+    def test_end_with_the_same_in_any_order(self, clock: Clock) -> None:
+        told = [CrashHistory(FATAL, (item,)) for item in crashes(4, clock.now)]
+        told.append(CrashHistory(FATAL, cleared_at=clock.now + 0.5))
+        known = set()
+        for order in itertools.permutations(told):
+            book = CrashBook()
+            book.take(order)
+            history = book.find(FATAL)
+            assert history is not None
+            known.add(history.crashes)
+        # A clearing of what is not known changes nothing; it then misses one crash.
+        assert {len(found) for found in known} <= {3, 4}
+
+    def test_stop_when_nothing_is_new(self, clock: Clock) -> None:
+        """Guards against histories that go round between hosts for ever."""
+        books = [CrashBook() for _ in range(3)]
+        note_all(books[0], crashes(2, clock.now))
+        clock.now += 3
+        for _ in range(3):
+            exchange(books, clock, 0.05)
+        books[2].clear(FATAL)
+        for _ in range(3):
+            exchange(books, clock, 0.05)
+        versions = [book.version for book in books]
+        for _ in range(10):
+            exchange(books, clock, 0.05)
+        assert [book.version for book in books] == versions
+
+    def test_entry_hosts_are_told_of_suspects_alone(self, clock: Clock) -> None:
+        book = CrashBook()
+        note_all(book, crashes(1, clock.now), OTHER)
+        note_all(book, crashes(2, clock.now))
+        assert book.suspects_version == book.version
+        found = book.changes_since(0, suspects_only=True)[1]
+        assert [history.fingerprint for history in found] == [FATAL]
+        assert len(book.changes_since(0)[1]) == 2
+
+    def test_a_record_survives_the_way(self, clock: Clock) -> None:
+        book = CrashBook()
+        note_all(book, crashes(3, clock.now))
+        clock.now += 10
+        history = book.find(FATAL)
+        assert history is not None
+        record = received(to_crash_record(history))
+        (told,) = usable_histories("host", [record])
+        assert told.count == 3
+        assert told.latest_at == pytest.approx(history.latest_at, abs=0.002)
+
+    @pytest.mark.parametrize(
+        ("name", "value"),
+        [
+            ("fingerprint", None),
+            ("fingerprint", "no hexadecimal"),
+            ("crashes", [RequestCrash(None, 1, 1)]),
+            ("crashes", [RequestCrash("start-1", 1, -1)]),
+            ("cleared_ago_ms", -1),
+        ],
+    )
+    def test_a_record_that_is_not_usable_costs_no_other(
+        self, clock: Clock, name: str, value: object
+    ) -> None:
+        book = CrashBook()
+        note_all(book, crashes(3, clock.now))
+        history = book.find(FATAL)
+        assert history is not None
+        sound, broken = to_crash_record(history), to_crash_record(history)
+        setattr(broken, name, value)
+        found = list(usable_histories("host", [broken, sound]))
+        assert [item.fingerprint for item in found] == [FATAL]
+
+
+def exchange(books: Sequence[CrashBook], clock: Clock, delay: float) -> None:
+    """Let each book tell each other one all that it knows, with a delay in seconds."""
+    for teller, hearer in itertools.permutations(books, 2):
+        _, histories = teller.changes_since(0)
+        records = [to_crash_record(history) for history in histories]
+        clock.now += delay
+        hearer.take(usable_histories("host", records))
