Log the limits that endpoints name, and when they lift them

An endpoint in need says in its answers how many requests a second it takes from all hosts together.

The adapter reads the header; a host notes it for the endpoint's start, with a line when it is named, changes or is lifted, and a gauge. An answer without a limit lifts it only if its request was sent after the limit was named, since answers may overtake each other. Nothing is decided by it yet.

--- a/src/jujubeslip/forwarding/_exchange.py
+++ b/src/jujubeslip/forwarding/_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+from collections.abc import Callable
 
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import (
@@ -19,7 +20,7 @@
     EndpointHead,
     Interface,
 )
-from jujubeslip.kernel import Deadline
+from jujubeslip.kernel import Deadline, steady_seconds
 from jujubeslip.routes import ForwardedRequest
 
 SUCCESS = range(200, 300)
@@ -29,7 +30,8 @@
     """Sends a request to one endpoint and reads its answer.
 
     Used as a context: a connection whose answer was not read whole is closed, which
-    also tells the endpoint to stop working on it.
+    also tells the endpoint to stop working on it. `on_answer` gets the head of each
+    answer of the endpoint itself, and when its request was sent.
     """
 
     def __init__(
@@ -39,7 +41,9 @@
         endpoint: Endpoint,
         request: ForwardedRequest,
         gone: Interrupted,
+        on_answer: Callable[[Endpoint, EndpointHead, float], None],
     ) -> None:
+        self._on_answer = on_answer
         self._pool = pool
         self._interface = interface
         self._endpoint = endpoint
@@ -64,9 +68,12 @@
         self._connection = connection
         request = self._request
         headers = self._interface.endpoint_headers(request, call)
+        sent_at = steady_seconds()
         connection.send(request.method, request.target, headers, request.body)
         connection.watch(deadline, self._gone)
         head = self._read_own_head(connection)
+        if not head.misdirected:
+            self._on_answer(self._endpoint, head, sent_at)
         if head.not_run:
             self.read_rest()
             raise _refusal(head, self._endpoint)
--- a/src/jujubeslip/forwarding/_meters.py
+++ b/src/jujubeslip/forwarding/_meters.py
@@ -35,6 +35,8 @@
     """Further sends that the budget of this host still has."""
     quarantined_contents: int
     """Contents of requests that are held back."""
+    limited_endpoints: int
+    """Endpoints that have named a limit."""
 
 
 class ForwardMeters:
@@ -168,6 +170,12 @@
         description="Contents of requests that are held back, as they crash endpoints.",
     )
 
+    meter.create_observable_gauge(
+        "jujubeslip.forward.limited_endpoints",
+        [observed(lambda: read().limited_endpoints)],
+        description="Endpoints that have named a limit of requests a second.",
+    )
+
     def retries_left(_: CallbackOptions) -> Iterable[Observation]:
         left = read().retries_left_by_service
         return [Observation(value, {"service": name}) for name, value in left.items()]
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -17,6 +17,7 @@
 from jujubeslip.forwarding._budget import BudgetOptions, RetryBudgets
 from jujubeslip.forwarding._choice import Chooser, policies
 from jujubeslip.forwarding._crashes import CrashWatch
+from jujubeslip.forwarding._endpoint_limits import EndpointLimits
 from jujubeslip.forwarding._first_endpoints import FirstEndpoints
 from jujubeslip.forwarding._grants import Grants
 from jujubeslip.forwarding._health import EndpointHealth
@@ -54,7 +55,7 @@
 
 # How often idle connections to endpoints are looked through, in seconds.
 CLEANUP_SECONDS = 1.0
-# How often contents whose quarantine has ended are looked for, in seconds.
+# How often contents and limits that count no more are looked for, in seconds.
 FORGET_SECONDS = 10.0
 READY_THREADS = 2
 # A balancer needs two unanswered questions, a second apart, to send no more; new
@@ -85,6 +86,7 @@
         self._pressures = Pressures()
         self._book = EndpointBook()
         self._crash_book = CrashBook()
+        self._endpoint_limits = EndpointLimits()
         quarantine = Quarantine(self._crash_book)
         self._routes = RoutesFollower(interface, identity)
         self._followers = ControlFollowers(
@@ -162,6 +164,7 @@
             self._routes.age_seconds,
             self._budgets.left_by_service(),
             len(self._crash_book.held_back()),
+            self._endpoint_limits.count,
         )
 
     def _build_sending(self, quarantine: Quarantine) -> Sending:
@@ -182,6 +185,7 @@
             self._budgets,
             CrashWatch(self._book, self._crash_book),
             quarantine,
+            self._endpoint_limits,
         )
 
     def _build_limits(self) -> AccountLimits:
@@ -209,6 +213,7 @@
         self._followers.learn(self._settings.seed_addresses)
         process.repeat(CLEANUP_SECONDS, self._pool.close_expired)
         process.repeat(FORGET_SECONDS, self._crash_book.forget_old)
+        process.repeat(FORGET_SECONDS, self._endpoint_limits.forget_old)
         self._limits.start()
         if self._admissions is not None:
             self._admissions.start()
--- a/src/jujubeslip/forwarding/_sending.py
+++ b/src/jujubeslip/forwarding/_sending.py
@@ -22,6 +22,7 @@
 from jujubeslip.forwarding._budget import RetryBudgets
 from jujubeslip.forwarding._choice import Chooser
 from jujubeslip.forwarding._crashes import CrashWatch
+from jujubeslip.forwarding._endpoint_limits import EndpointLimits
 from jujubeslip.forwarding._exchange import Exchange
 from jujubeslip.forwarding._health import EndpointHealth
 from jujubeslip.forwarding._models import Attempts, ForwardContext
@@ -48,6 +49,7 @@
     budgets: RetryBudgets
     crashes: CrashWatch
     quarantine: Quarantine
+    limits: EndpointLimits
 
     def choose(
         self, context: ForwardContext, role: EndpointRole, excluded: Collection[str]
@@ -58,7 +60,12 @@
     def exchange(self, context: ForwardContext, endpoint: Endpoint) -> Exchange:
         """Return a call to the endpoint, to be used as a context."""
         return Exchange(
-            self.pool, self.interface, endpoint, context.request, context.gone
+            self.pool,
+            self.interface,
+            endpoint,
+            context.request,
+            context.gone,
+            self.limits.note_answer,
         )
 
     def ask(
--- a/src/jujubeslip/interfaces/_models.py
+++ b/src/jujubeslip/interfaces/_models.py
@@ -60,6 +60,8 @@
     """How long the connection may be idle, None if it doesn't say."""
     headers: tuple[tuple[str, str], ...]
     """Those that the client gets."""
+    limit_per_second: float | None = None
+    """Requests that the endpoint takes from all hosts together, None without limit."""
 
 
 @dataclass(frozen=True)
--- a/src/jujubeslip/platform/_endpoint_calls.py
+++ b/src/jujubeslip/platform/_endpoint_calls.py
@@ -20,6 +20,10 @@
 PREFILL_STAGE = "prefill"
 STAGE_BY_ROLE = {EndpointRole.PREFILL: PREFILL_STAGE, EndpointRole.DECODE: "decode"}
 MISDIRECTED = 421
+# An endpoint that takes nothing still gets a request now and then, which shows when it
+# takes some again, in requests a second.
+LEAST_LIMIT = 0.05
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
 
@@ -60,6 +64,7 @@
         and names.CONTENT_ENCODING.lower() not in value_by_name,
         idle_seconds=_idle_seconds(value_by_name.get(names.KEEP_ALIVE.lower(), "")),
         headers=tuple(item for item in held if item[0].lower() not in dropped),
+        limit_per_second=_limit(value_by_name.get(names.ENDPOINT_LIMIT.lower(), "")),
     )
 
 
@@ -99,6 +104,13 @@
     return EndpointQuestion("DELETE", f"/hold-drop/{reservation}", headers)
 
 
+def _limit(text: str) -> float | None:
+    """Return an endpoint's limit, None where it names none that can be read."""
+    if not _DECIMAL.fullmatch(text.strip()):
+        return None
+    return max(LEAST_LIMIT, float(text))
+
+
 def _idle_seconds(keep_alive: str) -> float | None:
     found = _KEEP_ALIVE_TIMEOUT.search(keep_alive)
     return float(found.group(1)) if found else None
--- a/src/jujubeslip/platform/_headers.py
+++ b/src/jujubeslip/platform/_headers.py
@@ -23,6 +23,8 @@
 AUTHORIZATION = "Authorization"
 # The client account that holds the key, for endpoints.
 ACCOUNT = "Tenant"
+# Requests a second that an endpoint in need takes from all hosts together.
+ENDPOINT_LIMIT = "Server-Limit"
 CONTENT_ENCODING = "Content-Encoding"
 KEEP_ALIVE = "Keep-Alive"
 CONNECTION = "Connection"
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -85,6 +85,8 @@
     started_at_ms: int | None = None
     """The start that it tells of itself, None if it doesn't tell."""
     listens_at: str = "127.0.0.1:0"
+    limit: str = ""
+    """Requests a second that it says it takes, empty without a limit."""
     crashes_on: bytes = b""
     """A request whose body holds this ends the worker; none does if it is empty."""
     faults: WorkerFaults = field(default_factory=WorkerFaults)
@@ -244,7 +246,7 @@
     def _request(self, method: str, body: bytes) -> None:
         faults = self.worker.faults
         if faults.take("refuse"):
-            self.reply(503, {}, {"Not-Run": "1"})
+            self.reply(503, {}, {"Not-Run": "1", **self._limit()})
             return
         if self.headers.get("Stage") == "prefill":
             self._read_prompt()
@@ -283,9 +285,12 @@
         self.reply(
             200,
             {"kvHandle": f"h-{request_id}", "tokens": 10, "version": 1},
-            {"Request-Id": request_id},
+            {"Request-Id": request_id, **self._limit()},
         )
 
+    def _limit(self) -> dict[str, str]:
+        return {"Server-Limit": self.worker.limit} if self.worker.limit else {}
+
     def _wait_for_the_end(self, request_id: str) -> None:
         """Answer nothing until the client or the worker is closed."""
         while not self.worker.closed.wait(0.02):
@@ -324,6 +329,8 @@
             f"Server-Stamp: {self.worker.worker_id}.{request_id}",
             "Keep-Alive: timeout=5",
         ]
+        if self.worker.limit:
+            lines.append(f"Server-Limit: {self.worker.limit}")
         if length is not None:
             lines.append(f"Content-Length: {length}")
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
--- /dev/null
+++ b/tests/forwarding/test_endpoint_limits.py
@@ -0,0 +1,149 @@
+"""Endpoints that say how many requests a second they take, with real processes."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import threading
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+from typing import Any
+
+import pytest
+
+from tests.fakes.platform_system import (
+    ENGINE,
+    PLAIN,
+    PROMPT,
+    PlatformSystem,
+    Reply,
+    configuration,
+    route,
+)
+from tests.fakes.platform_worker import PlatformWorker
+from tests.fakes.processes import wait_until
+
+ENTRIES = 4
+LIMIT = 3.0
+WINDOW_SECONDS = 4.0
+CONTACT_SECONDS = 3.0
+# What an endpoint may get in a window at most, and what it is offered a second.
+MOST = 1.5 * LIMIT * WINDOW_SECONDS + 5
+OFFERED = 30
+PAUSE_SECONDS = ENTRIES / OFFERED
+NUMBERS = itertools.count()
+
+
+class Arrivals(list[Any]):
+    """Notes when each request reached a worker, in seconds."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.at: list[float] = []
+
+    def append(self, item: Any) -> None:
+        """Note a request."""
+        self.at.append(time.monotonic())
+        super().append(item)
+
+    def most_in_a_window(self, since: float) -> int:
+        """Return how many came in any window that ends later than an instant."""
+        found = list(self.at)
+        ends = [end for end in found if end > since]
+        return max(
+            (sum(end - WINDOW_SECONDS < at <= end for at in found) for end in ends),
+            default=0,
+        )
+
+
+@pytest.fixture(scope="module")
+def system(tmp_path_factory: pytest.TempPathFactory) -> Iterator[PlatformSystem]:
+    shape = {"kind": "stream", "timeoutMs": 4000, "sloMs": 900, "gapSloMs": 300}
+    routes = [
+        route("safe", "/safe/", "plain"),
+        route("unsafe", "/unsafe/", "plain", kind="unsafe", maxAttempts=1),
+        route("stream", "/stream/", "model", **shape, maxAttempts=1),
+    ]
+    folder = tmp_path_factory.mktemp("named-limits")
+    with PlatformSystem(folder, controls=3, entries=ENTRIES) as running:
+        running.put_until_accepted(configuration(1, routes, [PLAIN, ENGINE]))
+        running.wait_ready()
+        yield running
+
+
+@contextmanager
+def workers(
+    system: PlatformSystem, count: int, service: str = "plain", stage: str = ""
+) -> Iterator[list[PlatformWorker]]:
+    """Announce workers; they leave at the end."""
+    added = [
+        system.add(
+            PlatformWorker(f"w-{next(NUMBERS)}", service, stage, runs=Arrivals())
+        )
+        for _ in range(count)
+    ]
+    try:
+        yield added
+    finally:
+        for worker in added:
+            system.withdraw(worker)
+            system.beat(worker, "draining")
+            worker.close()
+
+
+def ask(system: PlatformSystem, target: str, entry: int) -> Reply:
+    headers = PROMPT if target.startswith("/stream/") else {}
+    return system.ask(target, "POST", b"p", headers, entry, deadline_ms=4000)
+
+
+def offer(system: PlatformSystem, target: str, seconds: float) -> list[Reply]:
+    """Send requests to all entry hosts at a steady rate; return the answers."""
+    ended = threading.Event()
+
+    def send_to(entry: int) -> list[Reply]:
+        replies = []
+        while not ended.wait(PAUSE_SECONDS):
+            replies.append(ask(system, target, entry))
+        return replies
+
+    with ThreadPoolExecutor(ENTRIES) as pool:
+        found = [pool.submit(send_to, entry) for entry in range(ENTRIES)]
+        time.sleep(seconds)
+        ended.set()
+        return [reply for future in found for reply in future.result()]
+
+
+def lines(system: PlatformSystem, entry: int, message: str) -> list[dict[str, Any]]:
+    found = [json.loads(line) for line in system.entries[entry].output().splitlines()]
+    return [line for line in found if line.get("message") == message]
+
+
+class TestLimitThatIsNamed:
+    """Guards against logs that can't tell when a host knew of a limit."""
+
+    def test_is_logged_when_it_comes_and_goes(self, system: PlatformSystem) -> None:
+        with workers(system, 1) as (worker,):
+            system.wait_served("/unsafe/x", method="POST", body=b"p")
+            worker.limit = "2.5"
+            wait_until(lambda: ask(system, "/unsafe/x", 0).status == 200, "served")
+            wait_until(lambda: lines(system, 0, "endpoint named a limit"), "the line")
+            line = lines(system, 0, "endpoint named a limit")[-1]
+            assert line["start_id"] == worker.worker_id
+            assert line["per_second"] == 2.5
+            worker.limit = ""
+            wait_until(
+                lambda: (
+                    ask(system, "/unsafe/x", 0).status == 200
+                    and lines(system, 0, "endpoint lifted its limit")
+                ),
+                "the line of its end",
+            )
+
+    def test_is_passed_on_to_the_client(self, system: PlatformSystem) -> None:
+        with workers(system, 1) as (worker,):
+            system.wait_served("/unsafe/x", method="POST", body=b"p")
+            worker.limit = "2.5"
+            reply = ask(system, "/unsafe/x", 1)
+            assert (reply.status, reply.headers["server-limit"]) == (200, "2.5")
--- a/tests/forwarding/test_starts.py
+++ b/tests/forwarding/test_starts.py
@@ -15,6 +15,7 @@
 from jujubeslip.forwarding._budget import BudgetOptions, RetryBudgets
 from jujubeslip.forwarding._choice import Chooser, LeastCost
 from jujubeslip.forwarding._crashes import CrashWatch
+from jujubeslip.forwarding._endpoint_limits import EndpointLimits
 from jujubeslip.forwarding._engine_reports import EngineReports
 from jujubeslip.forwarding._grants import Grant
 from jujubeslip.forwarding._health import EndpointHealth
@@ -68,6 +69,7 @@
         RetryBudgets(BudgetOptions(0.1, 10.0, 100), lambda: 1),
         CrashWatch(book, crash_book),
         Quarantine(crash_book),
+        EndpointLimits(),
     )
 
 
