Reproduce: an endpoint that named a limit gets as much as before from four hosts

One endpoint names a limit of 3 a second; later than three seconds after that it got 58 requests in four seconds, where 23 (one and a half times the limit, and five) are allowed.

--- a/tests/forwarding/test_endpoint_limits.py
+++ b/tests/forwarding/test_endpoint_limits.py
@@ -147,3 +147,26 @@
             worker.limit = "2.5"
             reply = ask(system, "/unsafe/x", 1)
             assert (reply.status, reply.headers["server-limit"]) == (200, "2.5")
+
+
+class TestLimitOverAllHosts:
+    """Guards against a limit that each host keeps by itself, or not at all."""
+
+    def test_holds_for_the_sum_while_others_take_the_rest(
+        self, system: PlatformSystem
+    ) -> None:
+        with workers(system, 2) as (limited, free):
+            system.wait_served("/unsafe/x", method="POST", body=b"p")
+            limited.limit = str(LIMIT)
+            named_at = time.monotonic()
+            replies = offer(system, "/unsafe/x", CONTACT_SECONDS + 6.0)
+            known_from = named_at + CONTACT_SECONDS
+            assert arrivals(limited).most_in_a_window(known_from) <= MOST
+            assert arrivals(free).most_in_a_window(known_from) > MOST
+            served = sum(reply.status == 200 for reply in replies)
+            assert served > 0.95 * len(replies)
+
+
+def arrivals(worker: PlatformWorker) -> Arrivals:
+    assert isinstance(worker.runs, Arrivals)
+    return worker.runs
