--- a/src/jujubeslip/accounts/__init__.py
+++ b/src/jujubeslip/accounts/__init__.py
@@ -1,8 +1,12 @@
-"""Client accounts: their keys, and what they may ask for."""
+"""Client accounts: their keys, and what they may ask for.
+
+The limits that endpoints name are shared by the same means.
+"""
 
 from jujubeslip.accounts._alone_pool import AlonePool
 from jujubeslip.accounts._bounds import LimitBounds
 from jujubeslip.accounts._checks import find_problem
+from jujubeslip.accounts._endpoint_bounds import ENDPOINT_BOUNDS, endpoint_limit
 from jujubeslip.accounts._keys import hash_key, unknown_key
 from jujubeslip.accounts._ledger import AccountLedger, LedgerAnswer
 from jujubeslip.accounts._models import ClientAccount, ClientAccounts, RateLimit
@@ -10,6 +14,7 @@
 from jujubeslip.accounts._spending import HostSpending, SpendAnswer, Spent
 
 __all__ = [
+    "ENDPOINT_BOUNDS",
     "AccountLedger",
     "AlonePool",
     "ClientAccount",
@@ -20,6 +25,7 @@
     "SpendAnswer",
     "Spent",
     "RateLimit",
+    "endpoint_limit",
     "find_problem",
     "hash_key",
     "limit_reached",
--- a/src/jujubeslip/accounts/_alone_pool.py
+++ b/src/jujubeslip/accounts/_alone_pool.py
@@ -69,6 +69,10 @@
         spent.append(_Spent(now, cost))
         return True
 
+    def forget(self, name: str) -> None:
+        """Drop what was spent of a limit."""
+        self._spent_by_name.pop(name, None)
+
     def _seconds_of_rate(self, now: float) -> float:
         """Return for how long hosts' parts of the rate count in this window, summed."""
         window = self._bounds.window_seconds
--- a/src/jujubeslip/accounts/_ledger.py
+++ b/src/jujubeslip/accounts/_ledger.py
@@ -88,6 +88,10 @@
         wait = max(0.0, -level.amount / limit.per_second)
         return LedgerAnswer(wait, self._is_near(level, limit))
 
+    def forget(self, name: str) -> None:
+        """Drop a limit's level; it begins anew if it is charged again."""
+        self._level_by_name.pop(name, None)
+
     @property
     def names(self) -> list[str]:
         """Return the accounts that asked in this lead."""
--- a/src/jujubeslip/accounts/_spending.py
+++ b/src/jujubeslip/accounts/_spending.py
@@ -95,6 +95,15 @@
         """Take back what was spent for a request that has not run."""
         self._account(name).untold -= cost
 
+    def wait_for(self, name: str, now: float) -> float:
+        """Return for how long the leader refuses more, in seconds; 0 if it doesn't."""
+        account = self._by_name.get(name)
+        return max(0.0, account.refused_until - now) if account else 0.0
+
+    def forget(self, name: str) -> None:
+        """Drop what is known of a limit that is no more."""
+        self._by_name.pop(name, None)
+
     def take_answer(self, name: str, answer: LedgerAnswer, now: float) -> None:
         """Note what the leader said of an account."""
         account = self._account(name)
--- a/src/jujubeslip/control/_handler.py
+++ b/src/jujubeslip/control/_handler.py
@@ -11,6 +11,7 @@
 from jujubeslip.control._claims import ClaimsFull
 from jujubeslip.control._commands import NoOp
 from jujubeslip.control._configurations import ChangeIdReused
+from jujubeslip.control._endpoint_limit_keeper import EndpointLimitKeeper
 from jujubeslip.control._joining import own_description
 from jujubeslip.control._receiver import Receiver
 from jujubeslip.control._replica import Replica
@@ -36,6 +37,8 @@
     Configuration,
     ControlStatus,
     CrashRecord,
+    EndpointLimitState,
+    EndpointSpending,
     FinishCommand,
     KeyClaim,
     KeyReply,
@@ -71,7 +74,9 @@
         admissions: AdmissionHome | None = None,
         accounts: AccountKeeper | None = None,
         crash_book: CrashBook | None = None,
+        endpoint_limits: EndpointLimitKeeper | None = None,
     ) -> None:
+        self._endpoint_limits = endpoint_limits
         self._crash_book = crash_book or CrashBook()
         self._accounts = accounts
         self._replica = replica
@@ -166,14 +171,23 @@
     ) -> bool:
         """See AccountKeeper.charge_alone; any control host answers."""
         if self._accounts is None:
-            raise PeerRefusal(
-                "limits_not_kept",
-                "This host keeps no limits of client accounts.",
-                "Ask another control host.",
-                0,
-            )
+            raise _limits_not_kept()
         return self._accounts.charge_alone(host_id, entry_hosts, spending)
 
+    def charge_endpoint(self, spending: EndpointSpending) -> EndpointLimitState:
+        """See EndpointLimitKeeper.charge; only the leader knows what is left."""
+        if self._endpoint_limits is None or self._replica.fence() is None:
+            raise self._replica.not_leader()
+        return self._endpoint_limits.charge(spending)
+
+    def charge_endpoint_alone(
+        self, host_id: str, entry_hosts: int, spending: EndpointSpending
+    ) -> bool:
+        """See EndpointLimitKeeper.charge_alone; any control host answers."""
+        if self._endpoint_limits is None:
+            raise _limits_not_kept()
+        return self._endpoint_limits.charge_alone(host_id, entry_hosts, spending)
+
     def _leading_accounts(self) -> AccountKeeper:
         """Return what keeps accounts' limits, or raise NotLeader.
 
@@ -332,6 +346,15 @@
         return statuses
 
 
+def _limits_not_kept() -> PeerRefusal:
+    return PeerRefusal(
+        "limits_not_kept",
+        "This host keeps no limits that hosts share.",
+        "Ask another control host.",
+        0,
+    )
+
+
 @singledispatch
 def to_reply(outcome: Any) -> Any:
     """Return the outcome of a command as the answer, or raise it as a refusal."""
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -18,6 +18,7 @@
 from jujubeslip.control._client import ControlClient
 from jujubeslip.control._disk_probe import PROBE_SECONDS, DiskProbe
 from jujubeslip.control._election import Elections
+from jujubeslip.control._endpoint_limit_keeper import EndpointLimitKeeper
 from jujubeslip.control._gateway import LeaderGateway
 from jujubeslip.control._given_orders import GivenOrders
 from jujubeslip.control._handler import ControlHandler
@@ -51,7 +52,7 @@
 logger = logging.getLogger(__name__)
 
 MEMBERSHIP_CHECK_SECONDS = 0.2
-# How often contents whose quarantine has ended are looked for, in seconds.
+# How often contents and limits that count no more are looked for, in seconds.
 FORGET_SECONDS = 10.0
 # Calls over HTTP that are served at a time: announcements that wait for confirmation,
 # and up to eight orders of an operator.
@@ -93,6 +94,9 @@
             lambda: self._replica.machine.configurations, self._read_routes
         )
         self._accounts = self._build_accounts()
+        self._endpoint_limits = EndpointLimitKeeper(
+            self._lead_began_at, self._watches.heard_share
+        )
         self._admissions = self._build_admissions()
         handler = ControlHandler(
             self._replica,
@@ -102,6 +106,7 @@
             self._admissions,
             self._accounts,
             self._crash_book,
+            self._endpoint_limits,
         )
         self._server = PeerServer(
             settings.peer_address,
@@ -182,6 +187,7 @@
         process.repeat(MEMBERSHIP_CHECK_SECONDS, self._changes.promote_learners)
         process.repeat(PROBE_SECONDS, DiskProbe(self._replica).look)
         process.repeat(FORGET_SECONDS, self._crash_book.forget_old)
+        process.repeat(FORGET_SECONDS, self._endpoint_limits.forget_old)
         if self._http is not None:
             self._followers.learn(self._settings.seed_addresses)
             process.repeat(MEMBERSHIP_CHECK_SECONDS, self._follow_members)
--- a/src/jujubeslip/forwarding/_account_limits.py
+++ b/src/jujubeslip/forwarding/_account_limits.py
@@ -4,7 +4,6 @@
 
 import logging
 import random
-import threading
 from collections.abc import Callable
 
 from jujubeslip.accounts import (
@@ -16,6 +15,11 @@
 from jujubeslip.endpoints import CallerGoneError
 from jujubeslip.forwarding._leader_contact import LeaderContact
 from jujubeslip.forwarding._models import Attempts, ForwardContext
+from jujubeslip.forwarding._shared_charges import (
+    ANSWER_SECONDS,
+    JOIN_SECONDS,
+    SharedCharges,
+)
 from jujubeslip.kernel import (
     Deadline,
     Process,
@@ -30,12 +34,8 @@
 # How often the leader is told what was spent, in seconds. What may be untold is bounded
 # by itself; told more often, each plain request would cost a call.
 SETTLE_SECONDS = 1.0
-# How long the leader may take to answer, in seconds; it needs a few milliseconds.
-ANSWER_SECONDS = 0.25
-# How often a host that has no leader to ask looks for one, in seconds, and how often it
-# then joins the pool of those without one: all have joined before most requests come.
+# How often a host that has no leader to ask looks for one, in seconds.
 LEADER_LOOK_SECONDS = 0.1
-JOIN_SECONDS = 0.25
 # When a client should come back whose request found no leader, in seconds: a new one is
 # elected in about a second, and a retry finds another host.
 NO_LEADER_RETRY_SECONDS = 0.7
@@ -62,8 +62,9 @@
         self._has_accounts = has_accounts
         self._process = process
         self._leader = leader
+        self._charges = SharedCharges(leader, spending)
         self._spending = spending
-        self._lock = threading.Lock()
+        self._lock = self._charges.lock
 
     def start(self) -> None:
         """Tell the leader what was spent until the process stops."""
@@ -148,40 +149,27 @@
         """
         name = context.request.account_name
         spending = AccountSpending(name, context.cost)
-        while (address := self._leader.address()) is not None:
-            state: AccountState | None = self._leader.call(
-                address,
-                context.request.request_id,
-                ANSWER_SECONDS,
-                lambda peer: peer.charge_account(spending),
-            )
-            if state is not None:
-                self._take(state)
-                if state.wait_seconds > 0:
-                    raise self.over_limit(context, state.wait_seconds)
-                attempts.is_charged = True
-                return True
-        return False
+        state: AccountState | None = self._charges.at_leader(
+            context.request.request_id, lambda peer: peer.charge_account(spending)
+        )
+        if state is None:
+            return False
+        self._take(state)
+        if state.wait_seconds > 0:
+            raise self.over_limit(context, state.wait_seconds)
+        attempts.is_charged = True
+        return True
 
     def _join_pool(self) -> None:
         """Lend this host's parts while it finds no leader, before they are needed."""
-        if self._has_accounts() and self._leader.address() is None:
+        if self._has_accounts() and not self._charges.has_leader:
             self._charge_at_pool(AccountSpending("", 0.0))
 
     def _charge_at_pool(self, spending: AccountSpending) -> bool:
         """Charge a request at the pool; say whether it may run."""
-        address = self._leader.first_reachable()
-        if address is None:
-            return False
-        with self._lock:
-            if not self._spending.lend(address, steady_seconds()):
-                return False
-        answer: bool | None = self._leader.call_other(
-            address,
-            ANSWER_SECONDS,
-            lambda peer: peer.charge_alone(self._host_id, self._hosts(), spending),
+        return self._charges.at_pool(
+            lambda peer: peer.charge_alone(self._host_id, self._hosts(), spending)
         )
-        return bool(answer)
 
     def _settle(self) -> None:
         with self._lock:
--- a/src/jujubeslip/forwarding/_admissions.py
+++ b/src/jujubeslip/forwarding/_admissions.py
@@ -10,6 +10,7 @@
 
 from jujubeslip.discovery import EndpointBook
 from jujubeslip.endpoints import CallerGoneError
+from jujubeslip.forwarding._endpoint_limits import EndpointLimits
 from jujubeslip.forwarding._health import EndpointHealth
 from jujubeslip.forwarding._leader_contact import LeaderContact
 from jujubeslip.forwarding._models import RoomRequest
@@ -67,7 +68,9 @@
         availability_zone: str,
         book: EndpointBook,
         health: EndpointHealth,
+        limits: EndpointLimits,
     ) -> None:
+        self._limits = limits
         self._process = process
         self._availability_zone = availability_zone
         self._book = book
@@ -132,7 +135,7 @@
             URGENT_MS if room.goes_first else context.target_by.remaining_ms(),
             room.limit.remaining_ms(),
             WAIT_MS,
-            [*attempts.tried, *self._paused_starts()],
+            [*attempts.tried, *self._passed_over_starts()],
             reads_itself=room.reads_itself,
             attempt=attempts.grants_asked,
             availability_zone=self._availability_zone,
@@ -141,11 +144,12 @@
             account_cost=context.cost,
         )
 
-    def _paused_starts(self) -> list[str]:
+    def _passed_over_starts(self) -> list[str]:
         return [
             endpoint.start_id
             for endpoint in self._book.endpoints()
             if self._health.is_paused(endpoint.start_id)
+            or self._limits.wait_for(endpoint.start_id)
         ]
 
     def _call(self, address: str, request: AdmissionRequest) -> AdmissionReply | None:
--- a/src/jujubeslip/forwarding/_choice.py
+++ b/src/jujubeslip/forwarding/_choice.py
@@ -93,7 +93,9 @@
         health: EndpointHealth,
         policy: Policy,
         silence_seconds: float,
+        limit_wait: Callable[[str], float] = lambda _: 0.0,
     ) -> None:
+        self._limit_wait = limit_wait
         self._book = book
         self._health = health
         self._policy = policy
@@ -130,6 +132,17 @@
         near = [item for item in sound if item.availability_zone == availability_zone]
         return self._policy.choose(near) if near else None
 
+    def wait_for_limits(self, service_name: str, role: EndpointRole) -> float | None:
+        """Return when an endpoint that named a limit takes a request again, in seconds.
+
+        None where no endpoint is passed over for its limit now.
+        """
+        waits = [
+            self._limit_wait(endpoint.start_id)
+            for endpoint in self._known(service_name, role)
+        ]
+        return min((wait for wait in waits if wait > 0), default=None)
+
     def is_over(self, endpoint: Endpoint) -> bool:
         """Say whether another start is known to have taken this one's place."""
         return self._book.is_over(endpoint)
@@ -137,13 +150,20 @@
     def _usable(
         self, service_name: str, role: EndpointRole, excluded: Collection[str]
     ) -> list[Endpoint]:
+        return [
+            endpoint
+            for endpoint in self._known(service_name, role)
+            if endpoint.start_id not in excluded
+            and not self._limit_wait(endpoint.start_id)
+        ]
+
+    def _known(self, service_name: str, role: EndpointRole) -> list[Endpoint]:
         return [
             endpoint
             for endpoint in self._book.endpoints()
             if endpoint.service_name == service_name
             and endpoint.role == role
             and endpoint.stays
-            and endpoint.start_id not in excluded
             and not self._health.is_replaced(endpoint.start_id)
         ]
 
--- a/src/jujubeslip/forwarding/_plain_path.py
+++ b/src/jujubeslip/forwarding/_plain_path.py
@@ -4,12 +4,7 @@
 
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import EndpointError
-from jujubeslip.forwarding._models import (
-    Attempts,
-    ForwardContext,
-    WholeAnswer,
-    refusal_of,
-)
+from jujubeslip.forwarding._models import Attempts, ForwardContext, WholeAnswer
 from jujubeslip.forwarding._sending import Sending
 from jujubeslip.interfaces import EndpointCall
 from jujubeslip.kernel import Deadline
@@ -36,6 +31,8 @@
                 break
             if not attempts.may_have_run:
                 context.check_account()
+            if not self._sending.within_limit(context, attempts, endpoint):
+                continue
             if not self._sending.may_send(context, attempts):
                 break
             try:
@@ -50,7 +47,7 @@
             self._note_failed(attempts, endpoint)
         if failed is not None:
             return failed
-        raise refusal_of(attempts, context.end_by)
+        raise self._sending.refusal(context, attempts, EndpointRole.PLAIN)
 
     def _note_failed(self, attempts: Attempts, endpoint: Endpoint) -> None:
         """Note an endpoint's own failure: the request has run."""
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -7,7 +7,7 @@
 
 from returns.result import Failure
 
-from jujubeslip.accounts import HostSpending, LimitBounds
+from jujubeslip.accounts import ENDPOINT_BOUNDS, HostSpending, LimitBounds
 from jujubeslip.admission import MemoryOptions
 from jujubeslip.discovery import ControlFollowers, EndpointBook, News
 from jujubeslip.endpoints import ConnectionPool
@@ -31,6 +31,7 @@
 from jujubeslip.forwarding._routes_follower import RoutesFollower
 from jujubeslip.forwarding._sending import Sending
 from jujubeslip.forwarding._service import ForwardService
+from jujubeslip.forwarding._shared_charges import SharedCharges
 from jujubeslip.forwarding._stream_path import StreamPath
 from jujubeslip.http_server import HttpServer, HttpServerOptions
 from jujubeslip.interfaces import interfaces
@@ -55,7 +56,7 @@
 
 # How often idle connections to endpoints are looked through, in seconds.
 CLEANUP_SECONDS = 1.0
-# How often contents and limits that count no more are looked for, in seconds.
+# How often contents whose quarantine has ended are looked for, in seconds.
 FORGET_SECONDS = 10.0
 READY_THREADS = 2
 # A balancer needs two unanswered questions, a second apart, to send no more; new
@@ -86,7 +87,6 @@
         self._pressures = Pressures()
         self._book = EndpointBook()
         self._crash_book = CrashBook()
-        self._endpoint_limits = EndpointLimits()
         quarantine = Quarantine(self._crash_book)
         self._routes = RoutesFollower(interface, identity)
         self._followers = ControlFollowers(
@@ -98,11 +98,12 @@
             pressures=self._pressures.told,
             crash_book=self._crash_book,
         )
-        sending = self._build_sending(quarantine)
         self._leader = LeaderContact(identity, self._followers.reaches)
         # With pauses of its own: a leader that knows no engines yet, and is not asked
-        # for grants for a moment, does know the accounts' limits.
+        # for grants for a moment, does know the limits.
         self._limit_leader = LeaderContact(identity, self._followers.reaches)
+        self._endpoint_limits = self._build_endpoint_limits()
+        sending = self._build_sending(quarantine)
         self._limits = self._build_limits()
         self._admissions = (
             Admissions(
@@ -111,6 +112,7 @@
                 settings.availability_zone,
                 self._book,
                 sending.health,
+                self._endpoint_limits,
             )
             if settings.asks_leader
             else None
@@ -180,7 +182,13 @@
         return Sending(
             interfaces.get(settings.interface),
             self._pool,
-            Chooser(self._book, health, policy, settings.endpoint_silence_ms / 1000),
+            Chooser(
+                self._book,
+                health,
+                policy,
+                settings.endpoint_silence_ms / 1000,
+                self._endpoint_limits.wait_for,
+            ),
             health,
             self._budgets,
             CrashWatch(self._book, self._crash_book),
@@ -188,6 +196,14 @@
             self._endpoint_limits,
         )
 
+    def _build_endpoint_limits(self) -> EndpointLimits:
+        spending = HostSpending(
+            ENDPOINT_BOUNDS, lambda: self._entry_hosts, steady_seconds()
+        )
+        charges = SharedCharges(self._limit_leader, spending)
+        host_id = self._settings.host_id
+        return EndpointLimits(charges, host_id, lambda: self._entry_hosts)
+
     def _build_limits(self) -> AccountLimits:
         settings = self._settings
         bounds = LimitBounds(
@@ -213,8 +229,8 @@
         self._followers.learn(self._settings.seed_addresses)
         process.repeat(CLEANUP_SECONDS, self._pool.close_expired)
         process.repeat(FORGET_SECONDS, self._crash_book.forget_old)
-        process.repeat(FORGET_SECONDS, self._endpoint_limits.forget_old)
         self._limits.start()
+        self._endpoint_limits.start(process)
         if self._admissions is not None:
             self._admissions.start()
         observe_host(self._state)
--- a/src/jujubeslip/forwarding/_prompts.py
+++ b/src/jujubeslip/forwarding/_prompts.py
@@ -139,6 +139,8 @@
         """Have this engine read the prompt; return NOT_READ if it doesn't."""
         attempts.prompts_asked += 1
         attempts.prompt_error = None
+        if not self._sending.within_limit(context, attempts, endpoint):
+            return NOT_READ
         started = steady_seconds()
         try:
             handle = self._ask(context, endpoint, limit)
--- a/src/jujubeslip/forwarding/_sending.py
+++ b/src/jujubeslip/forwarding/_sending.py
@@ -25,10 +25,10 @@
 from jujubeslip.forwarding._endpoint_limits import EndpointLimits
 from jujubeslip.forwarding._exchange import Exchange
 from jujubeslip.forwarding._health import EndpointHealth
-from jujubeslip.forwarding._models import Attempts, ForwardContext
+from jujubeslip.forwarding._models import Attempts, ForwardContext, refusal_of
 from jujubeslip.forwarding._quarantine import Quarantine
 from jujubeslip.interfaces import EndpointQuestion, Interface, ask_endpoint
-from jujubeslip.kernel import Deadline
+from jujubeslip.kernel import Deadline, RequestRefusedError
 from jujubeslip.peers import EndpointRole
 
 logger = logging.getLogger(__name__)
@@ -36,6 +36,8 @@
 # Sends of one request at most, those that endpoints refused included: more would only
 # spend the budget that other requests need.
 MAXIMUM_SENDS = 4
+# The least that a client is told to stay away for an endpoint's limit, in seconds.
+LEAST_RETRY_SECONDS = 0.1
 
 
 @dataclass(frozen=True)
@@ -80,6 +82,28 @@
             self.pool, self.interface, endpoint, question, deadline, gone
         )
 
+    def within_limit(
+        self, context: ForwardContext, attempts: Attempts, endpoint: Endpoint
+    ) -> bool:
+        """Charge a send to an endpoint with a limit; say whether it may go."""
+        wait = self.limits.take(context.request.request_id, endpoint.start_id)
+        if wait > 0:
+            attempts.note(endpoint.start_id, "its limit is used")
+        return wait == 0
+
+    def refusal(
+        self, context: ForwardContext, attempts: Attempts, role: EndpointRole
+    ) -> RequestRefusedError:
+        """Return the refusal that is true of what was tried."""
+        wait = self.chooser.wait_for_limits(context.service_name, role)
+        if wait is None or attempts.may_have_run:
+            return refusal_of(attempts, context.end_by)
+        return RequestRefusedError(
+            "endpoint_limit",
+            "The endpoints take no more requests now, by the limits that they named.",
+            retry_after=max(LEAST_RETRY_SECONDS, wait),
+        )
+
     def may_send(self, context: ForwardContext, attempts: Attempts) -> bool:
         """Count one more send; say whether the bounds and the budget allow it.
 
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -24,7 +24,6 @@
     ForwardContext,
     StreamedAnswer,
     WholeAnswer,
-    refusal_of,
 )
 from jujubeslip.forwarding._prompts import NOT_READ, PromptPlace, PromptReader
 from jujubeslip.forwarding._return_times import return_seconds
@@ -35,6 +34,7 @@
     RequestRefusedError,
     steady_seconds,
 )
+from jujubeslip.peers import EndpointRole
 
 # Share of the pause that its client bears for which an engine may be silent before
 # another one goes on with a stream that may be resumed. An engine that reads a prompt
@@ -88,15 +88,12 @@
                 kept.callback(grant.at_end)
                 with ExitStack() as before_run:
                     before_run.callback(grant.before_run)
-                    prompt_at = self._prompt_for(context, attempts, grant, prompt_at)
-                    if self._sending.chooser.is_over(grant.endpoint):
-                        # It started again while the prompt was read.
-                        attempts.tried.add(grant.endpoint.start_id)
+                    if not self._sending.within_limit(
+                        context, attempts, grant.endpoint
+                    ):
                         continue
-                    if prompt_at in (None, NOT_READ) and grant.reader is not None:
-                        # Nobody has read it. The leader knows of another reader, or
-                        # else has to know which engine that answers reads it now: its
-                        # answers stand still meanwhile.
+                    prompt_at = self._prompt_for(context, attempts, grant, prompt_at)
+                    if not self._is_prepared(attempts, grant, prompt_at):
                         continue
                     if not self._sending.may_send(context, attempts):
                         break
@@ -115,7 +112,21 @@
             self._note_failed(attempts, grant.endpoint)
         if failed is not None:
             return failed
-        raise refusal_of(attempts, context.end_by)
+        raise self._sending.refusal(context, attempts, EndpointRole.DECODE)
+
+    def _is_prepared(
+        self, attempts: Attempts, grant: Grant, prompt_at: PromptPlace | None
+    ) -> bool:
+        """Say whether the run can begin at the granted engine now."""
+        if self._sending.chooser.is_over(grant.endpoint):
+            # It started again while the prompt was read.
+            attempts.tried.add(grant.endpoint.start_id)
+            return False
+        # Where the granted reader has not read it, the leader knows of another one, or
+        # else has to know which engine that answers reads it now: its answers stand
+        # still meanwhile.
+        is_unread = prompt_at in (None, NOT_READ)
+        return not (is_unread and grant.reader is not None)
 
     def _prompt_for(
         self,
--- a/src/jujubeslip/peers/gen/ControlPeer.py
+++ b/src/jujubeslip/peers/gen/ControlPeer.py
@@ -140,6 +140,24 @@
         """
         pass
 
+    def charge_endpoint(self, spending):
+        """
+        Parameters:
+         - spending
+
+        """
+        pass
+
+    def charge_endpoint_alone(self, host_id, entry_hosts, spending):
+        """
+        Parameters:
+         - host_id
+         - entry_hosts
+         - spending
+
+        """
+        pass
+
     def quarantined(self):
         pass
 
@@ -752,6 +770,80 @@
             raise result.refusal
         raise TApplicationException(TApplicationException.MISSING_RESULT, "charge_alone failed: unknown result")
 
+    def charge_endpoint(self, spending):
+        """
+        Parameters:
+         - spending
+
+        """
+        self.send_charge_endpoint(spending)
+        return self.recv_charge_endpoint()
+
+    def send_charge_endpoint(self, spending):
+        self._oprot.writeMessageBegin('charge_endpoint', TMessageType.CALL, self._seqid)
+        args = charge_endpoint_args()
+        args.spending = spending
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_charge_endpoint(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = charge_endpoint_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.refusal is not None:
+            raise result.refusal
+        if result.not_leader is not None:
+            raise result.not_leader
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "charge_endpoint failed: unknown result")
+
+    def charge_endpoint_alone(self, host_id, entry_hosts, spending):
+        """
+        Parameters:
+         - host_id
+         - entry_hosts
+         - spending
+
+        """
+        self.send_charge_endpoint_alone(host_id, entry_hosts, spending)
+        return self.recv_charge_endpoint_alone()
+
+    def send_charge_endpoint_alone(self, host_id, entry_hosts, spending):
+        self._oprot.writeMessageBegin('charge_endpoint_alone', TMessageType.CALL, self._seqid)
+        args = charge_endpoint_alone_args()
+        args.host_id = host_id
+        args.entry_hosts = entry_hosts
+        args.spending = spending
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_charge_endpoint_alone(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = charge_endpoint_alone_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.refusal is not None:
+            raise result.refusal
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "charge_endpoint_alone failed: unknown result")
+
     def quarantined(self):
         self.send_quarantined()
         return self.recv_quarantined()
@@ -1233,6 +1325,8 @@
         self._processMap["charge_account"] = Processor.process_charge_account
         self._processMap["settle_accounts"] = Processor.process_settle_accounts
         self._processMap["charge_alone"] = Processor.process_charge_alone
+        self._processMap["charge_endpoint"] = Processor.process_charge_endpoint
+        self._processMap["charge_endpoint_alone"] = Processor.process_charge_endpoint_alone
         self._processMap["quarantined"] = Processor.process_quarantined
         self._processMap["lift_quarantine"] = Processor.process_lift_quarantine
         self._processMap["history"] = Processor.process_history
@@ -1663,6 +1757,61 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_charge_endpoint(self, seqid, iprot, oprot):
+        args = charge_endpoint_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = charge_endpoint_result()
+        try:
+            result.success = self._handler.charge_endpoint(args.spending)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except NotLeader as not_leader:
+            msg_type = TMessageType.REPLY
+            result.not_leader = not_leader
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("charge_endpoint", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_charge_endpoint_alone(self, seqid, iprot, oprot):
+        args = charge_endpoint_alone_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = charge_endpoint_alone_result()
+        try:
+            result.success = self._handler.charge_endpoint_alone(args.host_id, args.entry_hosts, args.spending)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("charge_endpoint_alone", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_quarantined(self, seqid, iprot, oprot):
         args = quarantined_args()
         args.read(iprot)
@@ -4148,6 +4297,315 @@
 )
 
 
+class charge_endpoint_args(object):
+    """
+    Attributes:
+     - spending
+
+    """
+
+
+    def __init__(self, spending=None,):
+        self.spending = spending
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.spending = EndpointSpending()
+                    self.spending.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('charge_endpoint_args')
+        if self.spending is not None:
+            oprot.writeFieldBegin('spending', TType.STRUCT, 1)
+            self.spending.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(charge_endpoint_args)
+charge_endpoint_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'spending', [EndpointSpending, None], None, ),  # 1
+)
+
+
+class charge_endpoint_result(object):
+    """
+    Attributes:
+     - success
+     - refusal
+     - not_leader
+
+    """
+
+
+    def __init__(self, success=None, refusal=None, not_leader=None,):
+        self.success = success
+        self.refusal = refusal
+        self.not_leader = not_leader
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = EndpointLimitState()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.not_leader = NotLeader.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('charge_endpoint_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        if self.not_leader is not None:
+            oprot.writeFieldBegin('not_leader', TType.STRUCT, 2)
+            self.not_leader.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(charge_endpoint_result)
+charge_endpoint_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [EndpointLimitState, None], None, ),  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+    (2, TType.STRUCT, 'not_leader', [NotLeader, None], None, ),  # 2
+)
+
+
+class charge_endpoint_alone_args(object):
+    """
+    Attributes:
+     - host_id
+     - entry_hosts
+     - spending
+
+    """
+
+
+    def __init__(self, host_id=None, entry_hosts=None, spending=None,):
+        self.host_id = host_id
+        self.entry_hosts = entry_hosts
+        self.spending = spending
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.entry_hosts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.spending = EndpointSpending()
+                    self.spending.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('charge_endpoint_alone_args')
+        if self.host_id is not None:
+            oprot.writeFieldBegin('host_id', TType.STRING, 1)
+            oprot.writeString(self.host_id.encode('utf-8') if sys.version_info[0] == 2 else self.host_id)
+            oprot.writeFieldEnd()
+        if self.entry_hosts is not None:
+            oprot.writeFieldBegin('entry_hosts', TType.I32, 2)
+            oprot.writeI32(self.entry_hosts)
+            oprot.writeFieldEnd()
+        if self.spending is not None:
+            oprot.writeFieldBegin('spending', TType.STRUCT, 3)
+            self.spending.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(charge_endpoint_alone_args)
+charge_endpoint_alone_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'entry_hosts', None, None, ),  # 2
+    (3, TType.STRUCT, 'spending', [EndpointSpending, None], None, ),  # 3
+)
+
+
+class charge_endpoint_alone_result(object):
+    """
+    Attributes:
+     - success
+     - refusal
+
+    """
+
+
+    def __init__(self, success=None, refusal=None,):
+        self.success = success
+        self.refusal = refusal
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.BOOL:
+                    self.success = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('charge_endpoint_alone_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.BOOL, 0)
+            oprot.writeBool(self.success)
+            oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(charge_endpoint_alone_result)
+charge_endpoint_alone_result.thrift_spec = (
+    (0, TType.BOOL, 'success', None, None, ),  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+)
+
+
 class quarantined_args(object):
 
 
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -3841,6 +3841,186 @@
         return not (self == other)
 
 
+class EndpointSpending(object):
+    """
+    Attributes:
+     - start_id
+     - amount
+     - per_second
+     - named_ago_ms
+
+    """
+
+
+    def __init__(self, start_id=None, amount=None, per_second=None, named_ago_ms=None,):
+        self.start_id = start_id
+        self.amount = amount
+        self.per_second = per_second
+        self.named_ago_ms = named_ago_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.start_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.amount = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.per_second = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.named_ago_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointSpending')
+        if self.start_id is not None:
+            oprot.writeFieldBegin('start_id', TType.STRING, 1)
+            oprot.writeString(self.start_id.encode('utf-8') if sys.version_info[0] == 2 else self.start_id)
+            oprot.writeFieldEnd()
+        if self.amount is not None:
+            oprot.writeFieldBegin('amount', TType.DOUBLE, 2)
+            oprot.writeDouble(self.amount)
+            oprot.writeFieldEnd()
+        if self.per_second is not None:
+            oprot.writeFieldBegin('per_second', TType.DOUBLE, 3)
+            oprot.writeDouble(self.per_second)
+            oprot.writeFieldEnd()
+        if self.named_ago_ms is not None:
+            oprot.writeFieldBegin('named_ago_ms', TType.I64, 4)
+            oprot.writeI64(self.named_ago_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EndpointLimitState(object):
+    """
+    Attributes:
+     - start_id
+     - per_second
+     - named_ago_ms
+     - wait_seconds
+
+    """
+
+
+    def __init__(self, start_id=None, per_second=None, named_ago_ms=None, wait_seconds=None,):
+        self.start_id = start_id
+        self.per_second = per_second
+        self.named_ago_ms = named_ago_ms
+        self.wait_seconds = wait_seconds
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.start_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.per_second = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.named_ago_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.wait_seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointLimitState')
+        if self.start_id is not None:
+            oprot.writeFieldBegin('start_id', TType.STRING, 1)
+            oprot.writeString(self.start_id.encode('utf-8') if sys.version_info[0] == 2 else self.start_id)
+            oprot.writeFieldEnd()
+        if self.per_second is not None:
+            oprot.writeFieldBegin('per_second', TType.DOUBLE, 2)
+            oprot.writeDouble(self.per_second)
+            oprot.writeFieldEnd()
+        if self.named_ago_ms is not None:
+            oprot.writeFieldBegin('named_ago_ms', TType.I64, 3)
+            oprot.writeI64(self.named_ago_ms)
+            oprot.writeFieldEnd()
+        if self.wait_seconds is not None:
+            oprot.writeFieldBegin('wait_seconds', TType.DOUBLE, 4)
+            oprot.writeDouble(self.wait_seconds)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class AdmissionNews(object):
     """
     Attributes:
@@ -6372,6 +6552,22 @@
     (2, TType.DOUBLE, 'wait_seconds', None, None, ),  # 2
     (3, TType.BOOL, 'near_limit', None, None, ),  # 3
 )
+all_structs.append(EndpointSpending)
+EndpointSpending.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'start_id', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'amount', None, None, ),  # 2
+    (3, TType.DOUBLE, 'per_second', None, None, ),  # 3
+    (4, TType.I64, 'named_ago_ms', None, None, ),  # 4
+)
+all_structs.append(EndpointLimitState)
+EndpointLimitState.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'start_id', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'per_second', None, None, ),  # 2
+    (3, TType.I64, 'named_ago_ms', None, None, ),  # 3
+    (4, TType.DOUBLE, 'wait_seconds', None, None, ),  # 4
+)
 all_structs.append(AdmissionNews)
 AdmissionNews.thrift_spec = (
     None,  # 0
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -428,6 +428,24 @@
   3: bool near_limit,
 }
 
+// A request that a host is about to send to an endpoint which has named a limit.
+struct EndpointSpending {
+  1: string start_id,
+  2: double amount,
+  // The limit as the host knows it, in requests a second; 0 where it was lifted.
+  3: double per_second,
+  4: i64 named_ago_ms,
+}
+
+struct EndpointLimitState {
+  1: string start_id,
+  // The limit as the leader knows it; 0 where it was lifted.
+  2: double per_second,
+  3: i64 named_ago_ms,
+  // When the host may ask again; 0 where the request may be sent now.
+  4: double wait_seconds,
+}
+
 enum AdmissionStep {
   // The prompt was read, or will not be read where it was to be.
   PROMPT_READ = 1,
@@ -674,6 +692,13 @@
   // there; without an amount it only lends. Any control host answers.
   bool charge_alone(1: string host_id, 2: i32 entry_hosts, 3: AccountSpending spending)
     throws (1: PeerRefusal refusal),
+  // Charges a request before it is sent, if the limit that its endpoint has named
+  // allows it.
+  EndpointLimitState charge_endpoint(1: EndpointSpending spending)
+    throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
+  // Does for the limits of endpoints what charge_alone does for those of accounts.
+  bool charge_endpoint_alone(1: string host_id, 2: i32 entry_hosts,
+    3: EndpointSpending spending) throws (1: PeerRefusal refusal),
   // The contents that are held back, as this host knows them; any one answers.
   list<CrashRecord> quarantined() throws (1: PeerRefusal refusal),
   // Lets a content run again; false where no crash of it is known.
--- a/src/jujubeslip/tracing/_causes.py
+++ b/src/jujubeslip/tracing/_causes.py
@@ -11,6 +11,7 @@
 REFUSAL_MESSAGE = "no grant at an engine"
 KEY_MESSAGE = "key not accepted"
 LIMIT_MESSAGE = "request not within its account's limit"
+ENDPOINT_LIMIT_MESSAGE = "request not within its endpoint's limit"
 QUARANTINE_MESSAGE = "request quarantined"
 CUT_MESSAGE = "run cut off"
 _STEP = re.compile(r"(?P<ms>\d+) ms (?P<endpoint>\S+): (?P<what>.*)")
@@ -66,6 +67,24 @@
     )
 
 
+def _over_endpoint_limit(end: RequestEnd, lines: Sequence[Line]) -> str:
+    refusals = [line for line in lines if line.message == ENDPOINT_LIMIT_MESSAGE]
+    if not refusals:
+        return (
+            "Refused, not run: the limits that the endpoints of its service named were "
+            "used a moment before; see `request not within its endpoint's limit` of "
+            "other requests on this host."
+        )
+    fields = refusals[-1].fields
+    asked = "the leader" if fields.get("leader") else "the hosts without a leader"
+    return (
+        f"Refused, not run: endpoint {fields.get('start_id')} takes "
+        f"{fields.get('per_second')} requests a second from all hosts, as it said "
+        f"{fields.get('named_ago_ms')} ms before, and {asked} had none left for "
+        f"{fields.get('wait_ms')} ms."
+    )
+
+
 def _quarantined(end: RequestEnd, lines: Sequence[Line]) -> str:
     refusals = [line for line in lines if line.message == QUARANTINE_MESSAGE]
     if not refusals:
@@ -215,6 +234,7 @@
 _EXPLAIN_BY_OUTCOME: dict[str, Explain] = {
     "no_room": _no_room,
     "request_quarantined": _quarantined,
+    "endpoint_limit": _over_endpoint_limit,
     "client_unknown": _key_taken,
     "client_limit": _over_limit,
     "limit_unknown": _over_limit,
--- a/tests/forwarding/test_endpoint_limits.py
+++ b/tests/forwarding/test_endpoint_limits.py
@@ -6,13 +6,14 @@
 import json
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
 from typing import Any
 
 import pytest
 
+from jujubeslip.tracing import cause_of, lines_about
 from tests.fakes.platform_system import (
     ENGINE,
     PLAIN,
@@ -98,8 +99,13 @@
     return system.ask(target, "POST", b"p", headers, entry, deadline_ms=4000)
 
 
-def offer(system: PlatformSystem, target: str, seconds: float) -> list[Reply]:
-    """Send requests to all entry hosts at a steady rate; return the answers."""
+def offer(
+    system: PlatformSystem,
+    target: str,
+    seconds: float,
+    entries: Sequence[int] = range(ENTRIES),
+) -> list[Reply]:
+    """Send requests to entry hosts at a steady rate; return the answers."""
     ended = threading.Event()
 
     def send_to(entry: int) -> list[Reply]:
@@ -109,7 +115,7 @@
         return replies
 
     with ThreadPoolExecutor(ENTRIES) as pool:
-        found = [pool.submit(send_to, entry) for entry in range(ENTRIES)]
+        found = [pool.submit(send_to, entry) for entry in entries]
         time.sleep(seconds)
         ended.set()
         return [reply for future in found for reply in future.result()]
@@ -166,6 +172,107 @@
             served = sum(reply.status == 200 for reply in replies)
             assert served > 0.95 * len(replies)
 
+    def test_is_used_where_all_endpoints_have_one(self, system: PlatformSystem) -> None:
+        with workers(system, 2) as limited:
+            system.wait_served("/unsafe/x", method="POST", body=b"p")
+            for worker in limited:
+                worker.limit = str(LIMIT)
+            offer(system, "/unsafe/x", CONTACT_SECONDS)
+            known_from = time.monotonic()
+            replies = offer(system, "/unsafe/x", 6.0)
+            for worker in limited:
+                assert arrivals(worker).most_in_a_window(known_from) <= MOST
+                reached = sum(at > known_from for at in arrivals(worker).at)
+                assert reached > 0.6 * LIMIT * 6.0
+        refused = [reply for reply in replies if reply.status != 200]
+        for reply in refused:
+            told = json.loads(reply.body)
+            assert reply.status == 503
+            assert (told["error"], told["ran"]) == ("endpoint_limit", "no")
+            assert float(reply.headers["retry-after"]) > 0
+
+    def test_holds_while_there_is_no_leader(self, system: PlatformSystem) -> None:
+        with workers(system, 1) as (limited,):
+            system.wait_served("/unsafe/x", method="POST", body=b"p")
+            limited.limit = str(LIMIT)
+            offer(system, "/unsafe/x", CONTACT_SECONDS)
+            for host in system.controls[1:]:
+                host.kill()
+            known_from = time.monotonic()
+            try:
+                offer(system, "/unsafe/x", 10.0)
+            finally:
+                for host in system.controls[1:]:
+                    host.start()
+            wait_until(lambda: system.put(system.read()[1]) == 200, "a leader is there")
+            offer(system, "/unsafe/x", 5.0)
+            assert arrivals(limited).most_in_a_window(known_from) <= MOST
+            reached = sum(at > known_from for at in arrivals(limited).at)
+            assert reached > 5
+
+    def test_holds_for_a_host_that_starts_again(self, system: PlatformSystem) -> None:
+        with workers(system, 1) as (limited,):
+            system.wait_served("/unsafe/x", method="POST", body=b"p")
+            limited.limit = str(LIMIT)
+            offer(system, "/unsafe/x", CONTACT_SECONDS)
+            known_from = time.monotonic()
+            with ThreadPoolExecutor(1) as pool:
+                offered = pool.submit(offer, system, "/unsafe/x", 6.0, (0, 1, 2))
+                system.entries[3].kill()
+                system.entries[3].start()
+                wait_until(lambda: system.ready(3), "the host is ready")
+                offered.result()
+            assert arrivals(limited).most_in_a_window(known_from) <= MOST
+
+    def test_is_lifted_at_all_hosts(self, system: PlatformSystem) -> None:
+        with workers(system, 1) as (limited,):
+            system.wait_served("/unsafe/x", method="POST", body=b"p")
+            limited.limit = str(LIMIT)
+            offer(system, "/unsafe/x", CONTACT_SECONDS)
+            limited.limit = ""
+            offer(system, "/unsafe/x", CONTACT_SECONDS)
+            replies = offer(system, "/unsafe/x", 2.0)
+            assert {reply.status for reply in replies} == {200}
+
+    def test_holds_for_engines_and_those_that_read_prompts(
+        self, system: PlatformSystem
+    ) -> None:
+        with (
+            workers(system, 2, "model", "decode") as (limited, free),
+            workers(system, 2, "model", "prefill") as readers,
+        ):
+            system.wait_served("/stream/x", method="POST", headers=PROMPT, body=b"p")
+            limited.limit = str(LIMIT)
+            readers[0].prompts_read = Arrivals()
+            readers[0].limit = str(LIMIT)
+            offer(system, "/stream/x", CONTACT_SECONDS)
+            known_from = time.monotonic()
+            replies = offer(system, "/stream/x", 6.0)
+            assert arrivals(limited).most_in_a_window(known_from) <= MOST
+            read = readers[0].prompts_read
+            assert isinstance(read, Arrivals)
+            assert read.most_in_a_window(known_from) <= MOST
+            assert arrivals(free).most_in_a_window(known_from) > MOST
+            served = sum(reply.status == 200 for reply in replies)
+            assert served > 0.9 * len(replies)
+
+
+class TestTraceOfARefusal:
+    def test_names_the_limit(self, system: PlatformSystem) -> None:
+        with workers(system, 1) as (limited,):
+            system.wait_served("/unsafe/x", method="POST", body=b"p")
+            limited.limit = "0.1"
+            path = system.folder / "limited.log"
+
+            def cause() -> str:
+                if ask(system, "/unsafe/x", 0).status == 200:
+                    return ""
+                request_id = system.last_request_id
+                path.write_text(system.entries[0].output())
+                return cause_of(lines_about(request_id, [path]))
+
+            wait_until(lambda: "takes 0.1 requests a second" in cause(), "the cause")
+
 
 def arrivals(worker: PlatformWorker) -> Arrivals:
     assert isinstance(worker.runs, Arrivals)
--- a/tests/forwarding/test_starts.py
+++ b/tests/forwarding/test_starts.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from jujubeslip.accounts import ENDPOINT_BOUNDS, HostSpending
 from jujubeslip.admission import MemoryOptions
 from jujubeslip.discovery import Endpoint, EndpointBook
 from jujubeslip.endpoints import ConnectionPool, EndpointUnreachableError
@@ -19,16 +20,18 @@
 from jujubeslip.forwarding._engine_reports import EngineReports
 from jujubeslip.forwarding._grants import Grant
 from jujubeslip.forwarding._health import EndpointHealth
+from jujubeslip.forwarding._leader_contact import LeaderContact
 from jujubeslip.forwarding._models import Attempts
 from jujubeslip.forwarding._pressure import Pressures
 from jujubeslip.forwarding._prompts import PromptPlace, PromptReader
 from jujubeslip.forwarding._quarantine import Quarantine
 from jujubeslip.forwarding._reservations import Reservation, Reservations
 from jujubeslip.forwarding._sending import Sending
+from jujubeslip.forwarding._shared_charges import SharedCharges
 from jujubeslip.forwarding._stream_path import StreamPath
 from jujubeslip.interfaces import EndpointCall, interfaces
 from jujubeslip.kernel import Deadline, RequestRefusedError, load_plugins
-from jujubeslip.peers import EndpointRole
+from jujubeslip.peers import EndpointRole, PeerIdentity
 from jujubeslip.quarantine import CrashBook
 from tests.fakes.engines import engine
 from tests.fakes.platform_worker import PlatformWorker
@@ -61,6 +64,8 @@
 def sending(book: EndpointBook) -> Sending:
     health = EndpointHealth()
     crash_book = CrashBook()
+    contact = LeaderContact(PeerIdentity("host", 1, "secret"), lambda _: False)
+    charges = SharedCharges(contact, HostSpending(ENDPOINT_BOUNDS, lambda: 1, 0.0))
     return Sending(
         interfaces.get("platform"),
         ConnectionPool(),
@@ -69,7 +74,7 @@
         RetryBudgets(BudgetOptions(0.1, 10.0, 100), lambda: 1),
         CrashWatch(book, crash_book),
         Quarantine(crash_book),
-        EndpointLimits(),
+        EndpointLimits(charges, "host", lambda: 1),
     )
 
 
@@ -239,11 +244,14 @@
             health=ways.health,
             note_lost=ways.note_lost,
             quarantine=ways.quarantine,
+            within_limit=lambda *_: True,
+            refusal=ways.refusal,
             exchange=lambda *_: FailingExchange(calls, happens),
         )
         grants: Any = SimpleNamespace(find=grant)
         context: Any = SimpleNamespace(
             end_by=Deadline.after(5),
+            service_name="model",
             request=SimpleNamespace(prompt=None),
             route=SimpleNamespace(repeatable=False, maximum_attempts=1),
             check_account=lambda: None,
@@ -296,11 +304,14 @@
             health=ways.health,
             note_lost=ways.note_lost,
             quarantine=ways.quarantine,
+            within_limit=lambda *_: True,
+            refusal=ways.refusal,
             exchange=exchange,
         )
         grants: Any = SimpleNamespace(find=lambda *_: given.pop(0))
         context: Any = SimpleNamespace(
             end_by=Deadline.after(5),
+            service_name="model",
             request=SimpleNamespace(prompt=None),
             route=SimpleNamespace(repeatable=False, maximum_attempts=1),
             check_account=lambda: None,
