Count a host's part of a limit's rate anew once it has found a leader between

The same class stood open for accounts ("a second change of the leader within one window").

Cause: hosts that find no leader join a pool, and bring their part of the rate once they have been alone for 3.5 s, as the leader keeps it back by then. A host that had found a leader for less than two seconds counted as alone all the while, so that its part of the rate was in the pool at once, in the same window in which the leader gave out the rate.

Change: a host that joins again after more than a second begins to be alone anew; it joins four times a second. What it lends of the margin counts as before.

--- a/src/jujubeslip/accounts/_alone_pool.py
+++ b/src/jujubeslip/accounts/_alone_pool.py
@@ -21,6 +21,9 @@
 # A host that has not joined again for this long is counted no more, in seconds: it
 # joins several times as often, and lends its part to no other pool for a whole window.
 JOINED_SECONDS = 2.0
+# A host that joins again after a longer pause than this has not been alone all the
+# while, in seconds: it joins several times as often.
+RESUMED_SECONDS = 1.0
 
 
 @dataclass
@@ -52,6 +55,9 @@
         """Take a host's parts of all accounts' margins in."""
         self._forget_gone(now)
         joined = self._joined_by_host.setdefault(host_id, _Joined(now, now))
+        if joined.latest < now - RESUMED_SECONDS:
+            # It had a leader meanwhile, which gave out the whole rate.
+            joined.since = now
         joined.latest = now
 
     def charge(
--- a/tests/accounts/test_endpoint_limits_model.py
+++ b/tests/accounts/test_endpoint_limits_model.py
@@ -38,7 +38,7 @@
 class TestSumOverAllHosts:
     """Guards against more at an endpoint in need than it said that it takes."""
 
-    @pytest.mark.parametrize("seed", range(60))
+    @pytest.mark.parametrize("seed", [*range(60), 600, 691, 1683])
     def test_keeps_the_bound(self, seed: int) -> None:
         load = endpoint_load(seed)
         outcome = replay(load, seed, ChargedAtLeader)
--- a/tests/accounts/test_ledger.py
+++ b/tests/accounts/test_ledger.py
@@ -12,6 +12,7 @@
     LimitBounds,
     RateLimit,
 )
+from jujubeslip.accounts._alone_pool import RESUMED_SECONDS
 
 LIMIT = RateLimit(per_second=1000, burst=1000)
 EXACT = LimitBounds(8, 0, 0)
@@ -166,3 +167,16 @@
 
     def test_hosts_that_join_no_more_are_not_counted(self) -> None:
         assert not self.pool(50).charge("a", LIMIT, 900, 100, 13)
+
+
+class TestHostThatFoundALeaderBetween:
+    """Guards against a rate that counts twice, at a leader and in the pool."""
+
+    def test_begins_its_part_of_the_rate_anew(self) -> None:
+        bounds = LimitBounds(8.0, 0.0, 8.0)
+        limit = RateLimit(10.0, 0.0)
+        pool = AlonePool(bounds)
+        for tenth in range(100):
+            pool.join("host", tenth / 10)
+        pool.join("host", 9.9 + RESUMED_SECONDS + 0.5)
+        assert not pool.charge("account", limit, 20.0, 1, 11.5)
