Ask for a tenth of a second at most whether an endpoint has ended

A request that was cut off asks whether its endpoint's port refuses connections. Where the endpoint can't be reached at all (a zone is cut off with its connections reset) that took 0.4 s, the bound of a connection for a request, and held up the second send of a stream beyond the pause that its client bears. A port whose process has ended refuses within a round trip. Found by reading the change; the test of an endpoint that is silent guards it.

--- a/src/jujubeslip/endpoints/_connections.py
+++ b/src/jujubeslip/endpoints/_connections.py
@@ -22,6 +22,8 @@
 # A connection is opened within two round trips. An endpoint that takes longer is cut
 # off or dead, and nothing has been sent to it yet, in seconds.
 CONNECT_SECONDS = 0.4
+# A machine whose process has ended refuses connections within a round trip, in seconds.
+ENDED_SECONDS = 0.1
 # How long a request may take on its way out, in seconds.
 SEND_SECONDS = 2.0
 # How often a wait looks whether the caller is still there, in seconds. What works for
@@ -213,10 +215,13 @@
 
     One that can't be reached at all may still run.
     """
+    host, port = address.rsplit(":", 1)
     try:
-        EndpointConnection(address).close()
-    except EndpointUnreachableError as error:
-        return isinstance(error.__cause__, ConnectionError)
+        socket.create_connection((host, int(port)), ENDED_SECONDS).close()
+    except ConnectionError:
+        return True
+    except OSError:
+        return False
     return False
 
 
