Wait for the line of the refusal itself, which may be written after its answer

The test read the newest line of the host, which was that of an earlier refusal once in four runs: lines are written by a thread of their own.

--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -321,9 +321,14 @@
         for address in system.seeds:
             options += ["--control", address]
         request_id = system.last_request_id
-        line = wait_until(
-            lambda: lines(system, 2, "request quarantined"), "the line of a refusal"
-        )[-1]
+        wait_until(
+            lambda: any(
+                line["request_id"] == request_id
+                for line in lines(system, 2, "request quarantined")
+            ),
+            "the line of the refusal",
+        )
+        line = lines(system, 2, "request quarantined")[-1]
         shown = CliRunner().invoke(main, ["quarantine", "list", *options, "--json"])
         assert shown.exit_code == 0, shown.output
         contents = json.loads(shown.stdout)["contents"]
