Soak: contents that end endpoints, and endpoints that name limits

A fatal content ends each stand-in endpoint that begins to run it, with its port closed first, and comes again at any entry host; an endpoint names a limit for 4 to 12 s. Two checks hold the promises as they are worded: at most three further runs of a content, later than hosts are in touch after its third crash (hosts that were disturbed, and what was known before all processes were killed at once, are left out); at most one and a half times the limit and five in any four seconds, over the hosts that were told. No harmless request may be refused as quarantined.

--- a/soak/_clients.py
+++ b/soak/_clients.py
@@ -8,7 +8,7 @@
 import time
 from dataclasses import dataclass, replace
 
-from soak._endpoints import API_KEY, REQUEST_BODY
+from soak._endpoints import API_KEY, FATAL_BODY, REQUEST_BODY
 from soak._observations import ClientCall, Kind, Outcome
 from soak._operator import PLAIN_TIMEOUT_MS, STREAM_TIMEOUT_MS
 from soak._schedule import ENTRIES
@@ -51,7 +51,10 @@
 class Client:
     """Sends requests of one kind, one after the other."""
 
-    def __init__(self, name: str, kind: Kind, system: SoakSystem, seed: int) -> None:
+    def __init__(
+        self, name: str, kind: Kind, system: SoakSystem, seed: int, fatal: bool = False
+    ) -> None:
+        self._body = FATAL_BODY if fatal else REQUEST_BODY
         self._name = f"{kind.value}-{name}"
         self._kind = kind
         self._system = system
@@ -91,6 +94,10 @@
         """Send one request at an entry host and wait for its whole answer."""
         return self.ask(replace(self._plan(), entry=entry, leaves_after=math.inf))
 
+    def ask_anywhere(self) -> ClientCall:
+        """Send one request at some entry host and wait for its whole answer."""
+        return self.ask_now(self._chance.choice(ENTRIES))
+
     def _plan(self) -> _Plan:
         entry = self._chance.choice(ENTRIES)
         if self._kind is Kind.PROBE:
@@ -143,9 +150,11 @@
         if connection is not None:
             connection.close()
 
-    @staticmethod
     def _send(
-        connection: http.client.HTTPConnection, plan: _Plan, request_id: str
+        self,
+        connection: http.client.HTTPConnection,
+        plan: _Plan,
+        request_id: str,
     ) -> http.client.HTTPResponse:
         streams = plan.kind.is_stream
         deadline_ms = STREAM_TIMEOUT_MS if streams else PLAIN_TIMEOUT_MS
@@ -158,7 +167,7 @@
             "Tenant": "another",
             **(PROMPT if streams else {}),
         }
-        connection.request("POST", plan.path, REQUEST_BODY, headers)
+        connection.request("POST", plan.path, self._body, headers)
         return connection.getresponse()
 
     @staticmethod
--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -9,7 +9,7 @@
 import time
 from typing import Any
 
-from soak._observations import Departure, Observations, Run
+from soak._observations import Departure, EndpointEnd, Observations, Run
 from soak._schedule import (
     CONTROLS,
     DECODE_ENDPOINTS,
@@ -31,6 +31,9 @@
 STREAM_EVENTS = 150
 # What clients ask for, and the calls of the system that are no requests.
 REQUEST_BODY = b"what is asked"
+FATAL_BODY = b"what ends its endpoint"
+# How long an endpoint is down that such a request has ended, in seconds.
+ENDED_SECONDS = 0.5
 SYSTEM_TARGETS = ("/order", "/health")
 # The client account of all clients, and its key, which no endpoint may see.
 ACCOUNT = "soaking"
@@ -68,7 +71,9 @@
             endpoint.service,
             time.monotonic(),
             "Last-Event-Id" in run.headers,
-            (run.method, run.body) == ("POST", REQUEST_BODY) and _is_identified(run),
+            run.method == "POST"
+            and run.body in (REQUEST_BODY, FATAL_BODY)
+            and _is_identified(run),
         )
         endpoint.observations.runs.append(noted)
 
@@ -117,6 +122,8 @@
             answer=answer,
             events=STREAM_EVENTS,
             run_seconds=PLAIN_RUN_SECONDS[self._number % 3] if not stage else 0.0,
+            crashes_on=FATAL_BODY,
+            on_crash=self._end_by_request,
             runs=_RunLog(self, endpoint_id),
             gone_clients=_GoneLog(self.observations),
         )
@@ -152,6 +159,22 @@
         self._system.stopping.wait(seconds)
         self.worker = self._start()
 
+    def _end_by_request(self) -> bool:
+        """End as a crashed process does, unless a fault is acting on it just now."""
+        if not self.lock.acquire(blocking=False):
+            return False
+        kind = "stream" if self.service == "model" else "unsafe"
+        self.observations.endpoint_ends.append(EndpointEnd(kind, time.monotonic()))
+        threading.Thread(target=self._start_again, daemon=True).start()
+        return True
+
+    def _start_again(self) -> None:
+        try:
+            with self.observations.disturbing("ended by a request", self.slot):
+                self.crash(ENDED_SECONDS)
+        finally:
+            self.lock.release()
+
     def leave(self, seconds: float, what: str) -> None:
         """Leave, serve on for a while, end, and start anew after these seconds.
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -5,11 +5,13 @@
 import signal
 import time
 from collections.abc import Mapping
+from dataclasses import replace
 from functools import singledispatch
 
 from soak import _schedule
+from soak._clients import Client
 from soak._endpoints import SoakEndpoint
-from soak._observations import Observations
+from soak._observations import Kind, NamedLimit, Observations
 from soak._schedule import Fault, HostFault, LinkFault, describe
 from soak._system import SoakSystem
 from tests.fakes.fault_proxy import Direction, FaultProxy
@@ -17,6 +19,8 @@
 # How long requests may take to meet a fault that is meant for them, in seconds.
 SPOILED_SECONDS = 4.0
 POLL_SECONDS = 0.05
+# Between two requests of a fatal content, in seconds.
+FATAL_PAUSE_SECONDS = 0.3
 
 
 class Faults:
@@ -28,6 +32,10 @@
         self.system = system
         self.endpoint_by_slot = endpoint_by_slot
         self.observations: Observations = system.observations
+        self.fatal_client_by_kind = {
+            name: Client("fatal", Kind(name), system, 0, fatal=True)
+            for name in _schedule.FATAL_KINDS
+        }
 
     def run_track(self, faults: list[Fault], starts_at: float, ends_at: float) -> None:
         """Carry out the faults of one track, each at its time or after the last."""
@@ -195,3 +203,25 @@
         while getattr(orders, fault.fault) and time.monotonic() < deadline:
             faults.pause(POLL_SECONDS)
         setattr(orders, fault.fault, 0)
+
+
+@carry_out.register
+def _(fault: _schedule.FatalRequests, faults: Faults) -> None:
+    for _ in range(fault.count):
+        faults.fatal_client_by_kind[fault.kind].ask_anywhere()
+        faults.pause(FATAL_PAUSE_SECONDS)
+
+
+@carry_out.register
+def _(fault: _schedule.LimitNamed, faults: Faults) -> None:
+    endpoint, limits = (
+        faults.endpoint_by_slot[fault.endpoint],
+        faults.observations.limits,
+    )
+    worker = endpoint.worker
+    limit = NamedLimit(worker.worker_id, fault.per_second, time.monotonic())
+    worker.limit = str(fault.per_second)
+    limits.append(limit)
+    faults.pause(fault.seconds)
+    worker.limit = ""
+    limits[limits.index(limit)] = replace(limit, ended_at=time.monotonic())
--- a/soak/_observations.py
+++ b/soak/_observations.py
@@ -105,6 +105,28 @@
     acknowledged_at: float
 
 
+@dataclass(frozen=True)
+class EndpointEnd:
+    """The end of an endpoint by a request of a fatal content."""
+
+    content: str
+    ended_at: float
+
+
+@dataclass(frozen=True)
+class NamedLimit:
+    """A limit that an endpoint named, in requests a second."""
+
+    endpoint_id: str
+    per_second: float
+    begun_at: float
+    ended_at: float = math.inf
+
+    def holds(self, instant: float) -> bool:
+        """Say whether it is in force."""
+        return self.begun_at <= instant <= self.ended_at
+
+
 @dataclass(frozen=True)
 class ConfigurationPut:
     """A configuration that was sent; acknowledged never if that is infinite."""
@@ -154,6 +176,8 @@
     departures: list[Departure] = field(default_factory=list)
     reads: list[ConfigurationRead] = field(default_factory=list)
     ends: list[ProcessEnd] = field(default_factory=list)
+    endpoint_ends: list[EndpointEnd] = field(default_factory=list)
+    limits: list[NamedLimit] = field(default_factory=list)
     stalls: list[tuple[float, float]] = field(default_factory=list)
     gone_by_request_id: dict[str, float] = field(default_factory=dict)
     answer_by_endpoint: dict[str, bytes] = field(default_factory=dict)
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -29,6 +29,8 @@
     "engines": (0.5, 3.0),
     "answers": (0.3, 2.5),
     "links": (0.5, 3.0),
+    "fatal": (0.3, 2.0),
+    "limits": (1.0, 6.0),
 }
 # How long a host is down or paused, in seconds: shorter and longer than an election
 # and than the 1.2 s after which a silent connection is given up.
@@ -38,6 +40,12 @@
 # requests.
 LATE_BEAT_SECONDS = 0.7
 LEAVE_SERVES_SECONDS = 6.0
+# Contents that end each endpoint which runs them, by the kind of their requests.
+FATAL_KINDS = ("unsafe", "stream")
+# How long an endpoint that named a limit keeps it, and how many requests a second it
+# takes then.
+LIMIT_SECONDS = (4.0, 12.0)
+LIMITS = (2.0, 5.0)
 # How long a link is disturbed, and by how much it delays, in seconds.
 LINK_SECONDS = (0.2, 4.0)
 DELAY_SECONDS = (0.02, 0.5)
@@ -145,6 +153,21 @@
     count: int
 
 
+@dataclass(frozen=True)
+class FatalRequests(Fault):
+    """Clients send one content that ends each endpoint which runs it."""
+
+    kind: str
+    count: int
+
+
+@dataclass(frozen=True)
+class LimitNamed(EndpointFault):
+    """It says for these seconds that it takes no more than so many a second."""
+
+    per_second: float
+
+
 def make_schedule(seed: int, seconds: float) -> tuple[Fault, ...]:
     """Return the faults of a run of this length, in order of their time."""
     faults = [fault for track in GAP_SECONDS for fault in _track(seed, track, seconds)]
@@ -241,6 +264,16 @@
     return LinkSilenced(at, track, link, seconds)
 
 
+def _fatal_requests(chance: random.Random, at: float, track: str) -> Fault:
+    return FatalRequests(at, track, chance.choice(FATAL_KINDS), chance.randint(1, 6))
+
+
+def _limit(chance: random.Random, at: float, track: str) -> Fault:
+    seconds = _span(chance, LIMIT_SECONDS)
+    endpoint = chance.choice((*PLAIN_ENDPOINTS, *DECODE_ENDPOINTS))
+    return LimitNamed(at, track, endpoint, seconds, chance.choice(LIMITS))
+
+
 _DRAW_BY_TRACK: dict[str, Callable[[random.Random, float, str], Fault]] = {
     "control": _control_fault,
     **dict.fromkeys(ENTRIES, _entry_fault),
@@ -248,4 +281,6 @@
     "engines": _endpoint_fault,
     "answers": _answer_fault,
     "links": _any_link_fault,
+    "fatal": _fatal_requests,
+    "limits": _limit,
 }
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -13,6 +13,7 @@
 import socket
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from types import TracebackType
 from typing import Any, Self
@@ -89,6 +90,8 @@
     """Requests a second that it says it takes, empty without a limit."""
     crashes_on: bytes = b""
     """A request whose body holds this ends the worker; none does if it is empty."""
+    on_crash: Callable[[], bool] = lambda: True
+    """Called before that; where it returns false, only the request is lost."""
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     runs: list[WorkerRun] = field(default_factory=list)
     prompts_read: list[str] = field(default_factory=list)
@@ -262,6 +265,8 @@
         )
         if self.worker.crashes_on and self.worker.crashes_on in body:
             self.close_connection = True
+            if not self.worker.on_crash():
+                return
             # A thread of its own: the server waits for this one when it is closed.
             threading.Thread(target=self.worker.kill).start()
             self.worker.killed.wait()
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -18,7 +18,9 @@
     ConfigurationRead,
     Departure,
     Disturbance,
+    EndpointEnd,
     Kind,
+    NamedLimit,
     Observations,
     Outcome,
     ProcessEnd,
@@ -315,3 +317,31 @@
     def test_what_did_not_come_back(self, seen: Observations) -> None:
         seen.unrecovered.append("entry-0 serves stream")
         assert promises(_checks.check_recovery, seen) == ["recovery"]
+
+
+class TestContentsThatEndEndpoints:
+    def test_one_that_goes_on_reaching_them(self, seen: Observations) -> None:
+        seen.endpoint_ends = [EndpointEnd("unsafe", at) for at in (70.0, 71.0, 72.0)]
+        for number in range(4):
+            name = f"unsafe-fatal-{number}"
+            seen.calls.append(call(name, Kind.UNSAFE, status=502))
+            assert promises(_checks.check_fatal_contents, seen) == []
+            seen.runs.append(run(name))
+        assert promises(_checks.check_fatal_contents, seen) == [
+            "contents that end endpoints"
+        ]
+
+    def test_harmless_one_that_is_held_back(self, seen: Observations) -> None:
+        refusal = b'{"error": "request_quarantined"}'
+        seen.calls.append(call("safe-7", Kind.SAFE, status=503, body=refusal))
+        assert promises(_checks.check_fatal_contents, seen) == ["harmless contents"]
+
+
+class TestLimits:
+    def test_endpoint_that_gets_more_than_it_said(self, seen: Observations) -> None:
+        seen.limits = [NamedLimit("plain-0-1", 2.0, LONG_AGO - 10)]
+        seen.runs.append(run("safe-1", LONG_AGO - 9))
+        for _ in range(17):
+            assert promises(_checks.check_limits, seen) == []
+            seen.runs.append(run("safe-1"))
+        assert promises(_checks.check_limits, seen) == ["limits of endpoints"]
