Quarantine no content that endpoints have run without harm

Callers would have got 503 for ten minutes for a request that only ran beside one that ends endpoints.

Cause: a stream takes longer than a fatal content needs to come again. Equal requests that come often run at each engine that ends, and in a series of crashes none is answered whole, which alone cleared a content. Once held back, none could run to clear it. Ruled out: one crash counted more than once (the starts differ), fatal requests that were answered.

Change: a content that an endpoint has run on this host within the last minute is harmless: it is not blamed for a crash, and clears a quarantine that other hosts found. A stream counts as run once it has been answered for half a second, since what crashes an endpoint as it begins never is; the same half second replaces the two after which a crash is not blamed on a request. 1,000 contents are kept at most.

A test with eight fatal contents in a row beside equal streams did not end before (three runs of 200 s, stopped: what it met there was not read) and passes now.

--- a/src/jujubeslip/forwarding/_crashes.py
+++ b/src/jujubeslip/forwarding/_crashes.py
@@ -10,21 +10,24 @@
 from jujubeslip.endpoints import has_ended
 from jujubeslip.forwarding._models import Attempts, ForwardContext
 from jujubeslip.kernel import steady_seconds
-from jujubeslip.quarantine import Crash, CrashBook
+from jujubeslip.quarantine import Crash, CrashBook, HarmlessContents
 
 logger = logging.getLogger(__name__)
 
-# A request that has been answered for longer than this has not crashed its endpoint by
-# what it asks for, in seconds.
-BEGIN_SECONDS = 2.0
+# A request that has been answered for this long has not crashed its endpoint by what it
+# asks for, in seconds.
+BEGIN_SECONDS = 0.5
 
 
 class CrashWatch:
     """Tells endpoints that have ended from answers that were lost on their way."""
 
-    def __init__(self, book: EndpointBook, crash_book: CrashBook) -> None:
+    def __init__(
+        self, book: EndpointBook, crash_book: CrashBook, harmless: HarmlessContents
+    ) -> None:
         self._book = book
         self._crash_book = crash_book
+        self._harmless = harmless
         self._crashes = metrics.get_meter("jujubeslip.forwarding").create_counter(
             "jujubeslip.forward.endpoint_crashes",
             description="Requests whose endpoint ended while it ran them, by service.",
@@ -37,7 +40,8 @@
         crashed = self._book.is_over(endpoint) or has_ended(endpoint.address)
         if crashed:
             self._crashes.add(1, {"service": context.service_name})
-        if crashed and attempts.answered_seconds < BEGIN_SECONDS:
+        is_harmless = self._harmless.holds(context.fingerprint)
+        if crashed and not is_harmless and attempts.answered_seconds < BEGIN_SECONDS:
             sent_at = attempts.latest_sent_at.instant
             crash = Crash(endpoint.start_id, sent_at, steady_seconds())
             self._crash_book.note_crash(context.fingerprint, crash)
@@ -46,6 +50,7 @@
             "fingerprint": context.fingerprint,
             "start_id": endpoint.start_id,
             "endpoint_ended": crashed,
+            "harmless": is_harmless,
             "sent_ago_ms": int(attempts.latest_sent_at.overdue() * 1000),
             "answered_ms": int(attempts.answered_seconds * 1000),
         }
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -45,7 +45,7 @@
     steady_seconds,
 )
 from jujubeslip.peers import PeerIdentity
-from jujubeslip.quarantine import CrashBook
+from jujubeslip.quarantine import CrashBook, HarmlessContents
 from jujubeslip.telemetry import (
     configure_logging,
     configure_telemetry,
@@ -87,7 +87,8 @@
         self._pressures = Pressures()
         self._book = EndpointBook()
         self._crash_book = CrashBook()
-        quarantine = Quarantine(self._crash_book)
+        self._harmless = HarmlessContents()
+        quarantine = Quarantine(self._crash_book, self._harmless)
         self._routes = RoutesFollower(interface, identity)
         self._followers = ControlFollowers(
             self._process,
@@ -191,7 +192,7 @@
             ),
             health,
             self._budgets,
-            CrashWatch(self._book, self._crash_book),
+            CrashWatch(self._book, self._crash_book, self._harmless),
             quarantine,
             self._endpoint_limits,
         )
--- a/src/jujubeslip/forwarding/_quarantine.py
+++ b/src/jujubeslip/forwarding/_quarantine.py
@@ -6,7 +6,7 @@
 
 from jujubeslip.forwarding._models import ForwardContext
 from jujubeslip.kernel import RequestRefusedError
-from jujubeslip.quarantine import CrashBook, CrashHistory
+from jujubeslip.quarantine import CrashBook, CrashHistory, HarmlessContents
 
 logger = logging.getLogger(__name__)
 
@@ -14,8 +14,9 @@
 class Quarantine:
     """Refuses requests of quarantined contents, and clears those that are harmless."""
 
-    def __init__(self, crash_book: CrashBook) -> None:
+    def __init__(self, crash_book: CrashBook, harmless: HarmlessContents) -> None:
         self._crash_book = crash_book
+        self._harmless = harmless
 
     def holds(self, context: ForwardContext) -> bool:
         """Say whether the request's content is held back now."""
@@ -42,8 +43,9 @@
             f"run `jujubeslip quarantine lift {history.fingerprint}`.",
         )
 
-    def note_whole(self, context: ForwardContext) -> None:
-        """Note that the request was answered whole, by an endpoint that goes on."""
+    def note_harmless(self, context: ForwardContext) -> None:
+        """Note that an endpoint has run the request, and goes on."""
+        self._harmless.note(context.fingerprint)
         if not self._crash_book.is_empty:
             self._crash_book.clear(context.fingerprint)
 
@@ -53,4 +55,8 @@
         history = self._crash_book.find(context.fingerprint)
         if history is None or history.held_until is None:
             return None
+        if self._harmless.ran_at(history.fingerprint) > history.crashes[0].crashed_at:
+            # Other hosts saw it crash alone, and may not have heard of this run.
+            self._crash_book.clear(history.fingerprint)
+            return None
         return None if history.held_until.expired else history
--- a/src/jujubeslip/forwarding/_service.py
+++ b/src/jujubeslip/forwarding/_service.py
@@ -29,7 +29,7 @@
     RequestRefusedError,
     steady_seconds,
 )
-from jujubeslip.quarantine import CrashBook
+from jujubeslip.quarantine import CrashBook, HarmlessContents
 from jujubeslip.routes import ForwardedRequest, Route, RouteKind, RouteTable
 
 logger = logging.getLogger(__name__)
@@ -57,7 +57,7 @@
         first_endpoints: FirstEndpoints | None = None,
         quarantine: Quarantine | None = None,
     ) -> None:
-        self._quarantine = quarantine or Quarantine(CrashBook())
+        self._quarantine = quarantine or Quarantine(CrashBook(), HarmlessContents())
         self._limits = limits
         self._first_endpoints = first_endpoints
         self._meters = meters
@@ -86,7 +86,7 @@
             events = self._logged(context, attempts, answer.events)
             return StreamedAnswer(answer.status, answer.headers, events)
         if answer.status < SERVER_ERROR:
-            self._quarantine.note_whole(context)
+            self._quarantine.note_harmless(context)
         self._log(context, attempts, str(answer.status))
         return answer
 
@@ -153,7 +153,7 @@
         try:
             yield from events
             outcome = "whole"
-            self._quarantine.note_whole(context)
+            self._quarantine.note_harmless(context)
         except JujubeslipError as error:
             outcome = error.error_id
             raise
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -15,6 +15,7 @@
     EndpointRoleError,
     EndpointUnreachableError,
 )
+from jujubeslip.forwarding._crashes import BEGIN_SECONDS
 from jujubeslip.forwarding._events import EventSplitter
 from jujubeslip.forwarding._exchange import SUCCESS, Exchange
 from jujubeslip.forwarding._grants import Grant, Grants
@@ -290,6 +291,7 @@
         """Yield the events of one run until its proper end."""
         yield run.first
         latest = steady_seconds()
+        is_harmless = False
         while True:
             run.exchange.watch(self._silent_by(context, attempts))
             part = run.exchange.read_some()
@@ -300,6 +302,9 @@
                 now = steady_seconds()
                 attempts.note_events(now - latest)
                 latest = now
+                if not is_harmless and attempts.answered_seconds >= BEGIN_SECONDS:
+                    self._sending.quarantine.note_harmless(context)
+                    is_harmless = True
                 yield whole
         if run.splitter.has_rest:
             raise AnswerCutError(f"{run.endpoint.address}: the last event is cut.")
--- a/src/jujubeslip/quarantine/__init__.py
+++ b/src/jujubeslip/quarantine/__init__.py
@@ -6,6 +6,7 @@
 
 from jujubeslip.quarantine._book import CrashBook
 from jujubeslip.quarantine._fingerprints import fingerprint_of
+from jujubeslip.quarantine._harmless import HarmlessContents
 from jujubeslip.quarantine._models import Crash, CrashHistory
 from jujubeslip.quarantine._records import to_crash_record, usable_histories
 
@@ -13,6 +14,7 @@
     "Crash",
     "CrashBook",
     "CrashHistory",
+    "HarmlessContents",
     "fingerprint_of",
     "to_crash_record",
     "usable_histories",
--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -36,6 +36,10 @@
 CRASHES = 3
 FURTHER_RUNS = 3
 CONTACT_SECONDS = 2.0
+# Events of a stream that lasts for more than a second.
+LONG_STREAM = 130
+# Contents that end endpoints in a storm, one after the other.
+FATAL_CONTENTS = 8
 
 
 @pytest.fixture(scope="module")
@@ -45,26 +49,41 @@
         route("safe", "/safe/", "plain"),
         route("unsafe", "/unsafe/", "plain", kind="unsafe", maxAttempts=1),
         route("stream", "/stream/", "model", **shape, maxAttempts=1),
+        route("long", "/long/", "long-model", **shape, maxAttempts=1),
     ]
+    long_model = {**ENGINE, "name": "long-model"}
     folder = tmp_path_factory.mktemp("crashing")
     with PlatformSystem(folder, controls=3, entries=ENTRIES) as running:
-        running.put_until_accepted(configuration(1, routes, [PLAIN, ENGINE]))
+        running.put_until_accepted(
+            configuration(1, routes, [PLAIN, ENGINE, long_model])
+        )
         running.wait_ready()
         with (
             Fleet(running, 3, crashes_on=FATAL) as fleet,
             Fleet(running, 3, "model", stage="decode", crashes_on=FATAL) as engines,
+            Fleet(
+                *(running, 3, "long-model"),
+                stage="decode",
+                crashes_on=FATAL,
+                events=LONG_STREAM,
+            ) as long_engines,
         ):
             running.add(PlatformWorker("reader", "model", "prefill"))
+            running.add(PlatformWorker("long-reader", "long-model", "prefill"))
             running.wait_served("/unsafe/x", method="POST", body=b"harmless")
             running.wait_served("/stream/x", method="POST", headers=PROMPT)
-            running.fleets = {"/unsafe/": fleet, "/stream/": engines}  # type: ignore[attr-defined]
+            running.fleets = {  # type: ignore[attr-defined]
+                "/unsafe/": fleet,
+                "/stream/": engines,
+                "/long/": long_engines,
+            }
             yield running
 
 
 def send(
     system: PlatformSystem, target: str, body: bytes = FATAL, entry: int = 0
 ) -> Reply:
-    headers = PROMPT if target.startswith("/stream/") else {}
+    headers = {} if target.startswith("/unsafe/") else PROMPT
     return system.ask(target, "POST", body, headers, entry, deadline_ms=4000)
 
 
@@ -210,9 +229,11 @@
         with ThreadPoolExecutor(4) as pool:
             polls = [pool.submit(poll, system, entry, ended) for entry in range(3)]
             long = pool.submit(send_until_served, system, ended)
-            fatal.send_until(CRASHES, "three endpoints ended")
-            wait_until(lambda: fatal.send().status == 503, "it is refused")
-            ended.set()
+            try:
+                fatal.send_until(CRASHES, "three endpoints ended")
+                wait_until(lambda: fatal.send().status == 503, "it is refused")
+            finally:
+                ended.set()
             errors = [error for found in polls for error in found.result()]
             assert "request_quarantined" not in errors
             assert "request_quarantined" not in long.result()
@@ -226,11 +247,44 @@
             )
 
 
-def poll(system: PlatformSystem, entry: int, ended: threading.Event) -> list[str]:
+class TestEqualStreamsBesideOneThatCrashes:
+    """Guards against refusing a content of which no answer gets whole in a storm."""
+
+    def test_are_served_on(self, system: PlatformSystem) -> None:
+        fleet = system.fleets["/long/"]  # type: ignore[attr-defined]
+        for entry in range(ENTRIES):
+            assert send(system, "/long/poll", b"p", entry).status == 200
+        ended = threading.Event()
+        with ThreadPoolExecutor(ENTRIES) as pool:
+            polls = [
+                pool.submit(poll, system, entry, ended, "/long/poll")
+                for entry in range(ENTRIES)
+            ]
+            try:
+                for number in range(FATAL_CONTENTS):
+                    fatal = Repeated(system, fleet, f"/long/fatal-{number}")
+                    fatal.send_until(CRASHES, "three endpoints ended")
+            finally:
+                ended.set()
+            errors = [error for found in polls for error in found.result()]
+        assert "request_quarantined" not in errors
+        for entry in range(ENTRIES):
+            wait_until(
+                lambda entry=entry: send(system, "/long/poll", b"p", entry).whole,  # type: ignore[misc]
+                "the stream is served",
+            )
+
+
+def poll(
+    system: PlatformSystem,
+    entry: int,
+    ended: threading.Event,
+    target: str = "/unsafe/poll",
+) -> list[str]:
     """Send equal requests until the end; return the errors that they got."""
     errors = []
     while not ended.wait(0.01):
-        reply = send(system, "/unsafe/poll", b"p", entry)
+        reply = send(system, target, b"p", entry)
         if reply.status != 200:
             errors.append(json.loads(reply.body)["error"])
     return errors
--- a/tests/forwarding/test_starts.py
+++ b/tests/forwarding/test_starts.py
@@ -32,7 +32,7 @@
 from jujubeslip.interfaces import EndpointCall, interfaces
 from jujubeslip.kernel import Deadline, RequestRefusedError, load_plugins
 from jujubeslip.peers import EndpointRole, PeerIdentity
-from jujubeslip.quarantine import CrashBook
+from jujubeslip.quarantine import CrashBook, HarmlessContents
 from tests.fakes.engines import engine
 from tests.fakes.platform_worker import PlatformWorker
 from tests.forwarding.test_grants import Leader, find
@@ -63,7 +63,7 @@
 
 def sending(book: EndpointBook) -> Sending:
     health = EndpointHealth()
-    crash_book = CrashBook()
+    crash_book, harmless = CrashBook(), HarmlessContents()
     contact = LeaderContact(PeerIdentity("host", 1, "secret"), lambda _: False)
     charges = SharedCharges(contact, HostSpending(ENDPOINT_BOUNDS, lambda: 1, 0.0))
     return Sending(
@@ -72,8 +72,8 @@
         Chooser(book, health, LeastCost(health, "zone-1"), 10.0),
         health,
         RetryBudgets(BudgetOptions(0.1, 10.0, 100), lambda: 1),
-        CrashWatch(book, crash_book),
-        Quarantine(crash_book),
+        CrashWatch(book, crash_book, harmless),
+        Quarantine(crash_book, harmless),
         EndpointLimits(charges, "host", lambda: 1),
     )
 
