Ask for another grant while a request that may have run is refused for a moment

Callers lost a request that they could not send again safely.

Cause: a host that was stopped while it held a grant wakes, finds that the granted engine leaves, and asks for another grant. By then it knows no other host and no endpoint, and is refused at once ("no_capacity"). A request whose prompt was not computed says "not run" and comes back; for the one whose prompt was, that would be untrue. Evidence: the refusal of the failed run, and the home that answers it is the host itself. Ruled out: the refusal of the leaving engine (409), which is followed by another attempt as it should be.

Change: where an earlier attempt may have run, a refusal of the grant is not final for three seconds, or until the request's own time is over; the host finds the others again in that time. What has not run is refused at once as before.

--- a/src/jujubeslip/requests/_model_path.py
+++ b/src/jujubeslip/requests/_model_path.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Iterator
 
 from jujubeslip.endpoints import CallerGoneError, EndpointError
-from jujubeslip.kernel import Ran, RequestRefusedError, steady_seconds
+from jujubeslip.kernel import Deadline, Ran, RequestRefusedError, steady_seconds
 from jujubeslip.requests._cancellation import Cancellation, Canceller
 from jujubeslip.requests._model_attempt import ModelAttempt, ModelProgress
 from jujubeslip.requests._models import RequestContext
@@ -13,6 +14,12 @@
 from jujubeslip.routing import Reservation, ReservationRequest, Router
 from jujubeslip.telemetry import Meters, tracer
 
+# How long a request that may have run asks for another grant although it is refused,
+# and how often, in seconds. A host that was suspended takes about as long to find the
+# other hosts and their endpoints.
+REDISCOVERY_SECONDS = 3.0
+REDISCOVERY_PAUSE_SECONDS = 0.1
+
 
 class ModelPath:
     """Runs one model request; the attempts share what was already paid for."""
@@ -115,7 +122,29 @@
             ),
         )
         with tracer().start_as_current_span("reserve"):
-            return self._router.reserve(wish, context.interrupted)
+            return self._reserve_as(wish, context, progress)
+
+    def _reserve_as(
+        self,
+        wish: ReservationRequest,
+        context: RequestContext,
+        progress: ModelProgress,
+    ) -> Reservation:
+        """Return a grant; a request that may have run is refused less soon.
+
+        Its client can't send it again safely, and it may be refused only because this
+        host was suspended and knows no other one for a moment.
+        """
+        limit = wish.wait_until.earlier_of(Deadline.after(REDISCOVERY_SECONDS))
+        while True:
+            try:
+                return self._router.reserve(wish, context.interrupted)
+            except RequestRefusedError:
+                if progress.ran is Ran.NO or limit.expired:
+                    raise
+            if context.interrupted():
+                raise CallerGoneError("The client closed its connection.")
+            time.sleep(REDISCOVERY_PAUSE_SECONDS)
 
     def _free_prompt(self, context: RequestContext, progress: ModelProgress) -> None:
         """Free a computed prompt that was kept for an attempt that never came.
--- /dev/null
+++ b/tests/requests/test_rediscovery.py
@@ -0,0 +1,54 @@
+"""Requests whose host knows no endpoint for a moment."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from jujubeslip.kernel import Deadline, Ran, RequestRefusedError
+from jujubeslip.requests import _model_path
+from jujubeslip.requests._model_attempt import ModelProgress
+from jujubeslip.requests._model_path import ModelPath
+
+
+class Router:
+    """Refuses some times before it grants."""
+
+    def __init__(self, refusals: int) -> None:
+        self.left = refusals
+
+    def reserve(self, *_: Any) -> str:
+        self.left -= 1
+        if self.left >= 0:
+            raise RequestRefusedError("no_capacity", "Nobody is known.")
+        return "granted"
+
+
+def reserve(refusals: int, ran: Ran, wait_seconds: float = 5.0) -> Any:
+    unused: Any = None
+    router: Any = Router(refusals)
+    path = ModelPath("owner", router, unused, unused, unused)
+    wish: Any = SimpleNamespace(wait_until=Deadline.after(wait_seconds))
+    context: Any = SimpleNamespace(interrupted=lambda: False)
+    return path._reserve_as(wish, context, ModelProgress(ran=ran))
+
+
+class TestRefusalAfterAnAttempt:
+    """Guards against losing a request whose prompt was computed before a suspension."""
+
+    @pytest.fixture(autouse=True)
+    def _short_pause(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(_model_path, "REDISCOVERY_PAUSE_SECONDS", 0.001)
+
+    def test_one_that_may_have_run_asks_again(self) -> None:
+        assert reserve(3, Ran.UNKNOWN) == "granted"
+
+    def test_one_that_has_not_run_is_refused_at_once(self) -> None:
+        with pytest.raises(RequestRefusedError):
+            reserve(1, Ran.NO)
+
+    def test_one_whose_time_is_over_is_refused(self) -> None:
+        with pytest.raises(RequestRefusedError):
+            reserve(10_000, Ran.UNKNOWN, wait_seconds=0.05)
