--- a/tests/forwarding/test_crashing_requests.py
+++ b/tests/forwarding/test_crashing_requests.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+import signal
 import threading
 import time
 from collections.abc import Iterator
@@ -362,6 +363,39 @@
                 host.start()
         wait_until(lambda: system.put(newest(system)) == 200, "a leader is there")
 
+    def test_a_zone_that_is_cut_off_tells_the_others_afterwards(
+        self, system: PlatformSystem
+    ) -> None:
+        # Suspended, the other control hosts are silent, as beyond a partition.
+        for host in system.controls[1:]:
+            host.signal(signal.SIGSTOP)
+        try:
+            fatal = quarantined(system, "/unsafe/cut")
+        finally:
+            for host in system.controls[1:]:
+                host.signal(signal.SIGCONT)
+        fatal.send(0)
+        request_id = system.last_request_id
+        wait_until(
+            lambda: request_id in str(lines(system, 0, "request quarantined")),
+            "the line of the refusal",
+        )
+        fingerprint = lines(system, 0, "request quarantined")[-1]["fingerprint"]
+        for address in system.seeds[1:]:
+            wait_until(
+                lambda address=address: fingerprint in shown(address),  # type: ignore[misc]
+                "the others know it",
+            )
+
+
+def shown(*addresses: str) -> str:
+    """Return what the control hosts say is held back."""
+    options = ["--peer-secret", SECRET]
+    for address in addresses:
+        options += ["--control", address]
+    result = CliRunner().invoke(main, ["quarantine", "list", *options, "--json"])
+    return result.stdout if result.exit_code == 0 else ""
+
 
 def newest(system: PlatformSystem) -> Any:
     """Return the configuration in force, to be sent again."""
