Log the rests that endpoints ask for, and that they leave

No line of any log told that it had asked, of whom or for how long, so that logs could not tell a rest that nobody reads from one that is kept too short.

What endpoints say of themselves in the heads of their answers is now kept in one place, the package notices: limits (moved there from forwarding/_endpoint_limits, their behaviour as it was), rests, and that they leave. It holds by start, never by id alone, and is bounded: what counts no more is dropped, and what an unknown start said, a minute later. Answers to reservations, reports and orders are read as well; control hosts keep notices of their own.

Nothing is decided by it yet. The fake follower of tests/admission/test_home.py takes one argument more; no check is changed.

--- a/src/jujubeslip/admission/_engine_follower.py
+++ b/src/jujubeslip/admission/_engine_follower.py
@@ -13,9 +13,11 @@
     ConnectionPool,
     EndpointError,
     EndpointReplacedError,
+    never_interrupted,
 )
 from jujubeslip.interfaces import Interface, ask_endpoint
 from jujubeslip.kernel import Deadline, Process
+from jujubeslip.notices import EndpointNotices
 from jujubeslip.routes import EngineReport
 
 logger = logging.getLogger(__name__)
@@ -44,7 +46,9 @@
         process: Process,
         on_report: Callable[[Endpoint, EngineReport], None],
         on_lost: Callable[[Endpoint], None],
+        notices: EndpointNotices | None = None,
     ) -> None:
+        self._notices = notices or EndpointNotices()
         self._engine = engine
         self._interface = interface
         self._process = process
@@ -106,6 +110,8 @@
             engine,
             self._interface.ask_report(engine.endpoint_id),
             Deadline.after(ANSWER_SECONDS),
+            never_interrupted,
+            self._notices.note_other_answer,
         )
         if status == MISDIRECTED_STATUS:
             raise EndpointReplacedError("another endpoint")
--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -21,6 +21,7 @@
 from jujubeslip.discovery import Endpoint, EndpointBook
 from jujubeslip.interfaces import Interface
 from jujubeslip.kernel import Deadline, Process, steady_seconds
+from jujubeslip.notices import EndpointNotices
 from jujubeslip.peers import (
     AccountSpending,
     AdmissionNews,
@@ -75,7 +76,9 @@
         ordered_role: Callable[[Endpoint], EndpointRole | None] = lambda _: None,
         charges: AccountCharges | None = None,
         waiting: WaitingOptions = DEFAULT_WAITING,
+        notices: EndpointNotices | None = None,
     ) -> None:
+        self._notices = notices or EndpointNotices()
         self._charges = charges
         self._ordered_role = ordered_role
         self._process = process
@@ -211,6 +214,7 @@
                     self._process,
                     self._take_report,
                     self._note_lost,
+                    self._notices,
                 )
                 self._follower_by_start[engine.start_id] = follower
                 added.append(follower)
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -30,7 +30,7 @@
 )
 from jujubeslip.control._watches import Watches
 from jujubeslip.discovery import Endpoint, EndpointBook
-from jujubeslip.endpoints import ConnectionPool, EndpointError
+from jujubeslip.endpoints import ConnectionPool, EndpointError, never_interrupted
 from jujubeslip.interfaces import (
     EndpointQuestion,
     Interface,
@@ -38,6 +38,7 @@
     ask_endpoint,
 )
 from jujubeslip.kernel import Deadline, steady_seconds
+from jujubeslip.notices import EndpointNotices
 from jujubeslip.peers import EndpointRole, ServicePressure
 
 logger = logging.getLogger(__name__)
@@ -75,7 +76,9 @@
         busy_readers: Callable[[str], float],
         on_order: Callable[[], None],
         engine_use: Callable[[str], EngineUse],
+        notices: EndpointNotices | None = None,
     ) -> None:
+        self._notices = notices or EndpointNotices()
         self._engine_use = engine_use
         self._shares_by_service: dict[str, EngineShares] = {}
         self._orders = orders
@@ -329,5 +332,11 @@
     def _ask(self, endpoint: Endpoint, question: EndpointQuestion) -> tuple[int, bytes]:
         deadline = Deadline.after(ANSWER_SECONDS)
         return ask_endpoint(
-            self._connections, self._interface, endpoint, question, deadline
+            self._connections,
+            self._interface,
+            endpoint,
+            question,
+            deadline,
+            never_interrupted,
+            self._notices.note_other_answer,
         )
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -44,6 +44,7 @@
     load_plugins,
     new_incarnation,
 )
+from jujubeslip.notices import EndpointNotices
 from jujubeslip.peers import ControlPeer, PeerIdentity, PeerServer
 from jujubeslip.quarantine import CrashBook
 from jujubeslip.routes import RouteTable
@@ -74,6 +75,7 @@
         self._clients = ReplicaClients(settings)
         self._changes = MembershipChanges(self._replica)
         self._book = EndpointBook()
+        self._notices = EndpointNotices(self._book)
         self._crash_book = CrashBook(on_news=self._book.wake)
         self._watches = Watches(
             self._replica, self._book, self._control_addresses, self._crash_book
@@ -156,6 +158,7 @@
             self._orders.role_of,
             self._accounts,
             WaitingOptions(settings.passed_ms / 1000, settings.reader_wait_ms / 1000),
+            self._notices,
         )
 
     def _build_http(self) -> HttpServer | None:
@@ -188,6 +191,7 @@
         process.repeat(PROBE_SECONDS, DiskProbe(self._replica).look)
         process.repeat(FORGET_SECONDS, self._crash_book.forget_old)
         process.repeat(FORGET_SECONDS, self._endpoint_limits.forget_old)
+        process.repeat(FORGET_SECONDS, self._forget_notices)
         if self._http is not None:
             self._followers.learn(self._settings.seed_addresses)
             process.repeat(MEMBERSHIP_CHECK_SECONDS, self._follow_members)
@@ -220,9 +224,13 @@
             admissions.busy_readers if admissions else lambda _: 0.0,
             admissions.look if admissions else lambda: None,
             admissions.engine_use if admissions else lambda _: EngineUse(0.0, 0.0),
+            self._notices,
         )
         self._process.repeat(LOOK_SECONDS, keeper.look)
 
+    def _forget_notices(self) -> None:
+        self._notices.forget_old()
+
     def _lead_began_at(self) -> float | None:
         """Return since when this host leads, None while it doesn't."""
         # Without the replica's lock: who asks holds one of its own.
--- a/src/jujubeslip/forwarding/_endpoint_limits.py
+++ b/src/jujubeslip/forwarding/_endpoint_limits.py
@@ -1,29 +1,23 @@
-"""Limits that endpoints in need name in their answers, as this host knows them."""
+"""What a host may send to endpoints that named a limit, asked for rest, or leave."""
 
 from __future__ import annotations
 
 import logging
 import random
-import threading
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
 from jujubeslip.accounts import LedgerAnswer
-from jujubeslip.discovery import Endpoint
 from jujubeslip.forwarding._shared_charges import JOIN_SECONDS, SharedCharges
-from jujubeslip.interfaces import EndpointHead
 from jujubeslip.kernel import Deadline, Process, steady_seconds
+from jujubeslip.notices import EndpointNotices, Hold, HoldReason
 from jujubeslip.peers import EndpointLimitState, EndpointSpending
 
 logger = logging.getLogger(__name__)
 
 MILLISECONDS = 1000
 
-# How long a limit is kept that the endpoint neither names again nor lifts, in seconds:
-# far longer than a limited endpoint goes without a request.
-KEPT_SECONDS = 60.0
 # How often the leader is told of limits that were lifted, in seconds.
 TELL_SECONDS = 0.5
 # How often limits that count no more are looked for, in seconds.
@@ -35,20 +29,6 @@
 ALONE_WAIT_SECONDS = 0.5
 
 
-@dataclass(frozen=True)
-class NamedLimit:
-    """How many requests an endpoint takes from all hosts together."""
-
-    per_second: float
-    named_at: float
-    """When an answer named it last, in seconds of this host's clock."""
-
-    @property
-    def forgotten_at(self) -> Deadline:
-        """Return when it counts no more, unless it is named again."""
-        return Deadline(self.named_at + KEPT_SECONDS)
-
-
 class EndpointLimits:
     """Lets as many requests go to an endpoint as its limit allows over all hosts.
 
@@ -57,15 +37,16 @@
     """
 
     def __init__(
-        self, charges: SharedCharges, host_id: str, hosts: Callable[[], int]
+        self,
+        charges: SharedCharges,
+        host_id: str,
+        hosts: Callable[[], int],
+        notices: EndpointNotices | None = None,
     ) -> None:
+        self.notices = notices or EndpointNotices()
         self._charges = charges
         self._host_id = host_id
         self._hosts = hosts
-        self._limit_by_start: dict[str, NamedLimit] = {}
-        self._lifted_at_by_start: dict[str, float] = {}
-        """Of limits that the leader is still to be told of."""
-        self._lock = threading.Lock()
 
     def start(self, process: Process) -> None:
         """Tell the leader of limits that end until the process stops."""
@@ -76,41 +57,26 @@
     @property
     def count(self) -> int:
         """Return how many starts have a limit."""
-        return len(self._limit_by_start)
+        return len(self.notices.limited_starts)
 
-    def note_answer(
-        self, endpoint: Endpoint, head: EndpointHead, sent_at: float
-    ) -> None:
-        """Note what the head of an answer says to a request sent at this instant.
-
-        An answer without a limit lifts the one that is known, unless its request was
-        sent before that was named.
-        """
-        if head.limit_per_second is None and not self._limit_by_start:
-            return
-        start_id = endpoint.start_id
-        with self._lock:
-            known = self._limit_by_start.get(start_id)
-            if head.limit_per_second is not None:
-                limit = NamedLimit(head.limit_per_second, steady_seconds())
-                self._limit_by_start[start_id] = limit
-            elif known is not None and sent_at > known.named_at:
-                del self._limit_by_start[start_id]
-                self._lifted_at_by_start[start_id] = steady_seconds()
-            else:
-                return
-        self._log(start_id, known, head.limit_per_second)
+    def hold_of(self, start_id: str) -> Hold | None:
+        """Return why a start is given no requests now, None if it may be."""
+        hold = self.notices.hold_of(start_id)
+        if hold is not None:
+            return hold
+        wait = self.wait_for(start_id)
+        return Hold(HoldReason.LIMIT, Deadline.after(wait)) if wait > 0 else None
 
     def wait_for(self, start_id: str) -> float:
         """Return for how long a start takes no more requests, in seconds."""
-        if start_id not in self._limit_by_start:
+        if self.notices.limit_of(start_id) is None:
             return 0.0
         with self._charges.lock:
             return self._charges.spending.wait_for(start_id, steady_seconds())
 
     def take(self, request_id: str, start_id: str) -> float:
         """Charge a request to be sent there; return when to ask again, 0 if it may."""
-        limit = self._limit_by_start.get(start_id)
+        limit = self.notices.limit_of(start_id)
         if limit is None:
             return 0.0
         with self._charges.lock:
@@ -136,11 +102,8 @@
 
     def forget_old(self) -> None:
         """Drop limits of starts that have not been heard for long."""
-        with self._lock:
-            for start_id, limit in list(self._limit_by_start.items()):
-                if limit.forgotten_at.expired:
-                    del self._limit_by_start[start_id]
-                    self._forget_spending(start_id)
+        for start_id in self.notices.forget_old():
+            self._forget_spending(start_id)
 
     def _take(self, state: EndpointLimitState) -> float:
         """Return what the leader's answer means for the request."""
@@ -174,33 +137,23 @@
 
     def _drop_lifted(self, start_id: str, lifted_at: float) -> None:
         """Drop a limit that the endpoint has lifted in an answer to another host."""
-        with self._lock:
-            known = self._limit_by_start.get(start_id)
-            if known is None or known.named_at > lifted_at:
-                return
-            del self._limit_by_start[start_id]
-        self._forget_spending(start_id)
-        self._log(start_id, known, None)
+        if self.notices.drop_limit(start_id, lifted_at):
+            self._forget_spending(start_id)
 
     def _forget_spending(self, start_id: str) -> None:
         with self._charges.lock:
             self._charges.spending.forget(start_id)
 
     def _tell_lifted(self) -> None:
-        with self._lock:
-            lifted = dict(self._lifted_at_by_start)
-        for start_id, lifted_at in lifted.items():
+        # Told once: the other hosts are sent answers without the limit, too.
+        for start_id, lifted_at in self.notices.take_lifted().items():
             self._forget_spending(start_id)
             told = _spending(start_id, 0.0, 0.0, lifted_at)
             self._charges.at_leader("", partial(_charge, told))
-        # Told once: the other hosts are sent answers without the limit, too.
-        with self._lock:
-            for start_id in lifted:
-                self._lifted_at_by_start.pop(start_id, None)
 
     def _join_pool(self) -> None:
         """Lend this host's parts while it finds no leader, before they are needed."""
-        if self._limit_by_start and not self._charges.has_leader:
+        if self.notices.limited_starts and not self._charges.has_leader:
             nothing = EndpointSpending("", 0.0, 0.0, 0)
             self._charges.at_pool(
                 lambda peer: peer.charge_endpoint_alone(
@@ -208,19 +161,6 @@
                 )
             )
 
-    def _log(
-        self, start_id: str, known: NamedLimit | None, per_second: float | None
-    ) -> None:
-        extra = {
-            "start_id": start_id,
-            "per_second": per_second,
-            "per_second_before": known.per_second if known else None,
-        }
-        if per_second is None:
-            logger.info("endpoint lifted its limit", extra=extra)
-        elif known is None or known.per_second != per_second:
-            logger.info("endpoint named a limit", extra=extra)
-
 
 def _charge(told: EndpointSpending, peer: Any) -> EndpointLimitState:
     answer: EndpointLimitState = peer.charge_endpoint(told)
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -44,6 +44,7 @@
     new_incarnation,
     steady_seconds,
 )
+from jujubeslip.notices import EndpointNotices
 from jujubeslip.peers import PeerIdentity
 from jujubeslip.quarantine import CrashBook, HarmlessContents
 from jujubeslip.telemetry import (
@@ -203,7 +204,8 @@
         )
         charges = SharedCharges(self._limit_leader, spending)
         host_id = self._settings.host_id
-        return EndpointLimits(charges, host_id, lambda: self._entry_hosts)
+        notices = EndpointNotices(self._book)
+        return EndpointLimits(charges, host_id, lambda: self._entry_hosts, notices)
 
     def _build_limits(self) -> AccountLimits:
         settings = self._settings
--- a/src/jujubeslip/forwarding/_sending.py
+++ b/src/jujubeslip/forwarding/_sending.py
@@ -67,7 +67,7 @@
             endpoint,
             context.request,
             context.gone,
-            self.limits.note_answer,
+            self.limits.notices.note_answer,
         )
 
     def ask(
@@ -79,7 +79,13 @@
     ) -> tuple[int, bytes]:
         """Ask the endpoint something that is no request; return status and body."""
         return ask_endpoint(
-            self.pool, self.interface, endpoint, question, deadline, gone
+            self.pool,
+            self.interface,
+            endpoint,
+            question,
+            deadline,
+            gone,
+            self.limits.notices.note_other_answer,
         )
 
     def within_limit(
--- a/src/jujubeslip/platform/_headers.py
+++ b/src/jujubeslip/platform/_headers.py
@@ -25,6 +25,10 @@
 ACCOUNT = "Tenant"
 # Requests a second that an endpoint in need takes from all hosts together.
 ENDPOINT_LIMIT = "Server-Limit"
+# Seconds for which an endpoint that refuses a request wants none from this host.
+RETRY_AFTER = "Retry-After"
+# An endpoint says that it is shutting down.
+ENDPOINT_LEAVING = "Server-Leaving"
 CONTENT_ENCODING = "Content-Encoding"
 KEEP_ALIVE = "Keep-Alive"
 CONNECTION = "Connection"
--- a/tests/admission/test_home.py
+++ b/tests/admission/test_home.py
@@ -37,6 +37,7 @@
         process: object,
         on_report: Callable[[Endpoint, EngineReport], None],
         on_lost: Callable[[Endpoint], None],
+        *_: object,
     ) -> None:
         self._engine = followed
         self._on_report = on_report
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -36,6 +36,20 @@
     body: bytes
 
 
+@dataclass(frozen=True)
+class Arrival:
+    """A call that reached the worker, and how it began to answer."""
+
+    at: float
+    """Seconds of the test's steady clock."""
+    sender: str
+    """The host that sent it, where its client told that in `X-Entry`."""
+    target: str
+    rest: str
+    """The rest that the worker asked for in its answer, empty without one."""
+    told_leaving: bool
+
+
 @dataclass
 class WorkerFaults:
     """What the worker does wrong, each for so many of its next requests."""
@@ -88,6 +102,10 @@
     listens_at: str = "127.0.0.1:0"
     limit: str = ""
     """Requests a second that it says it takes, empty without a limit."""
+    rest: str = ""
+    """The seconds of rest that it asks for; it turns all requests away meanwhile."""
+    leaves: bool = False
+    """Whether all its answers say that it leaves."""
     crashes_on: bytes = b""
     """A request whose body holds this ends the worker; none does if it is empty."""
     on_crash: Callable[[], bool] = lambda: True
@@ -99,6 +117,8 @@
     """Headers of the calls that had a prompt read, in order."""
     questions: list[str] = field(default_factory=list)
     gone_clients: list[str] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    """All calls but those for a report, also those that it turned away."""
 
     def __post_init__(self) -> None:
         self.closed = threading.Event()
@@ -208,6 +228,7 @@
                 headers = {"Instance-Id": self.worker.worker_id}
                 self.reply(421, {}, headers)
             elif self.path == "/hold-take":
+                self._arrive()
                 self._reserve(json.loads(body))
             elif self.path.startswith("/hold-drop/"):
                 self.worker.reservations.pop(self.path.rpartition("/")[2], None)
@@ -221,12 +242,12 @@
 
     def _reserve(self, fields: dict[str, Any]) -> None:
         self.worker.questions.append("reserve")
-        if self.worker.faults.take("no_room"):
-            self.reply(503, {})
+        if self.worker.rest or self.worker.faults.take("no_room"):
+            self.reply(503, {}, self._said_of_itself(turns_away=True))
             return
         name = f"r{len(self.worker.questions)}"
         self.worker.reservations[name] = fields["tokens"]
-        self.reply(200, {"hold": name})
+        self.reply(200, {"hold": name}, self._said_of_itself())
 
     def _report(self) -> None:
         self.worker.questions.append("report")
@@ -244,12 +265,26 @@
                 "kvCapacity": self.worker.capacity,
                 "runs": [],
             },
+            self._said_of_itself(),
         )
 
+    def _arrive(self) -> None:
+        """Note a call, before it is answered."""
+        arrival = Arrival(
+            time.monotonic(),
+            self.headers.get("X-Entry", ""),
+            self.path,
+            self.worker.rest,
+            self.worker.leaves,
+        )
+        self.worker.arrivals.append(arrival)
+
     def _request(self, method: str, body: bytes) -> None:
         faults = self.worker.faults
-        if faults.take("refuse"):
-            self.reply(503, {}, {"Not-Run": "1", **self._limit()})
+        self._arrive()
+        if self.worker.rest or faults.take("refuse"):
+            said = self._said_of_itself(turns_away=True)
+            self.reply(503, {}, {"Not-Run": "1", **said})
             return
         if self.headers.get("Stage") == "prefill":
             self._read_prompt()
@@ -290,11 +325,18 @@
         self.reply(
             200,
             {"kvHandle": f"h-{request_id}", "tokens": 10, "version": 1},
-            {"Request-Id": request_id, **self._limit()},
+            {"Request-Id": request_id, **self._said_of_itself()},
         )
 
-    def _limit(self) -> dict[str, str]:
-        return {"Server-Limit": self.worker.limit} if self.worker.limit else {}
+    def _said_of_itself(self, turns_away: bool = False) -> dict[str, str]:
+        """Return the headers in which the worker speaks of itself."""
+        worker = self.worker
+        said = {
+            "Server-Limit": worker.limit,
+            "Server-Leaving": "1" if worker.leaves else "",
+            "Retry-After": worker.rest if turns_away else "",
+        }
+        return {name: value for name, value in said.items() if value}
 
     def _wait_for_the_end(self, request_id: str) -> None:
         """Answer nothing until the client or the worker is closed."""
@@ -334,8 +376,7 @@
             f"Server-Stamp: {self.worker.worker_id}.{request_id}",
             "Keep-Alive: timeout=5",
         ]
-        if self.worker.limit:
-            lines.append(f"Server-Limit: {self.worker.limit}")
+        lines += [f"{name}: {value}" for name, value in self._said_of_itself().items()]
         if length is not None:
             lines.append(f"Content-Length: {length}")
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
--- /dev/null
+++ b/tests/notices/test_book.py
@@ -0,0 +1,141 @@
+"""What endpoints say of themselves in answers, and how long it counts."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from jujubeslip.discovery import Endpoint, EndpointBook
+from jujubeslip.interfaces import EndpointHead
+from jujubeslip.notices import EndpointNotices, HoldReason, _book, _models
+from jujubeslip.platform._endpoint_calls import MAXIMUM_REST_SECONDS, read_head
+from tests.fakes.engines import engine
+
+ENDPOINT = engine("e", started_at_ms=7)
+NEXT_START = engine("e", started_at_ms=8)
+
+
+def head(status: int = 503, **headers: str) -> EndpointHead:
+    named = [(name.replace("_", "-"), value) for name, value in headers.items()]
+    return read_head(status, named)
+
+
+@pytest.fixture
+def now(monkeypatch: pytest.MonkeyPatch) -> list[float]:
+    """Return a list whose only item is the instant of all clocks."""
+    instant = [1000.0]
+    for module in (_book, _models):
+        monkeypatch.setattr(module, "steady_seconds", lambda: instant[0], raising=False)
+    monkeypatch.setattr(
+        "jujubeslip.kernel._deadlines.steady_seconds", lambda: instant[0]
+    )
+    return instant
+
+
+def after_refusal(rest: str, known: Endpoint = ENDPOINT) -> EndpointNotices:
+    book = EndpointBook()
+    book.take([known])
+    notices = EndpointNotices(book)
+    notices.note_answer(ENDPOINT, head(Retry_After=rest), 999.0)
+    return notices
+
+
+class TestRest:
+    """Guards against an endpoint that is asked before the rest it wanted is over."""
+
+    @pytest.mark.parametrize("rest", [("3", 3.0), ("0.25", 0.25), (".5", 0.5)])
+    def test_holds_until_it_ends(
+        self, now: list[float], rest: tuple[str, float]
+    ) -> None:
+        text, seconds = rest
+        notices = after_refusal(text)
+        now[0] += seconds - 0.01
+        hold = notices.hold_of(ENDPOINT.start_id)
+        assert hold is not None and hold.reason is HoldReason.REST
+        assert hold.until is not None and hold.until.remaining() == pytest.approx(0.01)
+        now[0] += 0.02
+        assert notices.hold_of(ENDPOINT.start_id) is None
+
+    @pytest.mark.parametrize(
+        "rest", ["", "-1", "0", "nan", "inf", "1e9", "soon", "3, 5", "٣"]
+    )
+    def test_is_none_where_no_seconds_are_told(
+        self, now: list[float], rest: str
+    ) -> None:
+        assert after_refusal(rest).hold_of(ENDPOINT.start_id) is None
+
+    @pytest.mark.parametrize("rest", ["99999999", "9" * 400, "100000.5"])
+    def test_of_an_absurd_length_ends_all_the_same(
+        self, now: list[float], rest: str
+    ) -> None:
+        notices = after_refusal(rest)
+        now[0] += MAXIMUM_REST_SECONDS - 1
+        assert notices.hold_of(ENDPOINT.start_id) is not None
+        now[0] += 2
+        assert notices.hold_of(ENDPOINT.start_id) is None
+
+    def test_is_not_shortened_by_a_later_answer(self, now: list[float]) -> None:
+        notices = after_refusal("3")
+        notices.note_answer(ENDPOINT, head(Retry_After="0.1"), 1000.0)
+        notices.note_answer(ENDPOINT, head(200), 1000.0)
+        now[0] += 2.9
+        assert notices.hold_of(ENDPOINT.start_id) is not None
+
+    def test_is_told_by_refusals_alone(self, now: list[float]) -> None:
+        notices = EndpointNotices()
+        for status in (200, 429, 500):
+            notices.note_answer(ENDPOINT, head(status, Retry_After="3"), 999.0)
+        assert notices.hold_of(ENDPOINT.start_id) is None
+
+    def test_is_heard_in_answers_to_questions(self, now: list[float]) -> None:
+        notices = EndpointNotices()
+        notices.note_other_answer(ENDPOINT, head(Retry_After="3"))
+        assert notices.hold_of(ENDPOINT.start_id) is not None
+
+    def test_ends_with_its_start(self, now: list[float]) -> None:
+        assert after_refusal("3").hold_of(NEXT_START.start_id) is None
+
+
+class TestLeaving:
+    """Guards against requests to an endpoint that has said that it leaves."""
+
+    def test_is_never_taken_back(self, now: list[float]) -> None:
+        notices = EndpointNotices()
+        notices.note_answer(ENDPOINT, head(200, Server_Leaving="1"), 999.0)
+        notices.note_answer(ENDPOINT, head(200), 1000.0)
+        now[0] += 10_000
+        notices.forget_old()
+        hold = notices.hold_of(ENDPOINT.start_id)
+        assert hold is not None and hold.reason is HoldReason.LEAVING
+        assert notices.hold_of(NEXT_START.start_id) is None
+
+    @pytest.mark.parametrize("value", ["0", "", "no"])
+    def test_is_not_read_from_other_values(self, value: str) -> None:
+        assert not head(200, Server_Leaving=value).is_leaving
+
+
+class TestWhatIsKept:
+    """Guards against notices that outlast the endpoints that gave them."""
+
+    def test_ends_with_what_counts(self, now: list[float]) -> None:
+        notices = after_refusal("3")
+        now[0] += 4
+        notices.forget_old()
+        assert not notices._notice_by_start
+
+    def test_ends_after_the_endpoint_is_unknown(self, now: list[float]) -> None:
+        notices = after_refusal("5000", known=replace(NEXT_START, started_at_ms=9))
+        notices.note_answer(ENDPOINT, head(200, Server_Leaving="1"), 999.0)
+        now[0] += _models.KEPT_SECONDS - 1
+        notices.forget_old()
+        assert notices.hold_of(ENDPOINT.start_id) is not None
+        now[0] += 2
+        notices.forget_old()
+        assert not notices._notice_by_start
+
+    def test_nothing_is_kept_of_answers_that_say_nothing(self) -> None:
+        notices = EndpointNotices()
+        notices.note_answer(ENDPOINT, head(200), 999.0)
+        notices.note_other_answer(ENDPOINT, head(503))
+        assert not notices._notice_by_start
