--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -96,6 +96,8 @@
     answer: bytes = b"answer"
     events: int = 5
     run_seconds: float = 0.0
+    read_seconds: float = 0.0
+    """How long it needs to read a prompt for another worker."""
     capacity: int = 100_000
     started_at_ms: int | None = None
     """The start that it tells of itself, None if it doesn't tell."""
@@ -322,6 +324,7 @@
         if self.worker.faults.take("hang"):
             self._wait_for_the_end(request_id)
             return
+        time.sleep(self.worker.read_seconds)
         self.reply(
             200,
             {"kvHandle": f"h-{request_id}", "tokens": 10, "version": 1},
