Send an endpoint nothing within the rest that it asked for

What callers saw: nothing, as second sends reached other endpoints; seven of 47 requests of one host were refused where those were used up.

Cause: nothing read Retry-After in an endpoint's refusal. The class: what an endpoint says of itself in an answer holds for no further request.

Change: one question, whether an endpoint is on hold and until when, is asked by all that choose or send: the choice of endpoints, the list that the leader is told not to grant, the last look before a run, before a prompt is read, and after a connection has been opened. It is the question that limits were asked by; they are one of its answers. A grant at an engine that rests goes back, and a prompt that was read for it is used by another one. Where all endpoints rest, a request that has not run is refused at once (endpoint_rest, with the end of the first rest and up to half a second of spread), also one that waits for a grant. Where only some are held, the refusal is that of the others: a client need not wait for the end of a rest. Control hosts don't ask an engine for reports or order it within a rest that it asked them for.

Stubs in forwarding/test_starts.py have the method that is asked now.

Why it works: the notice is stored before the answer is passed on, so that each choice made after it sees it, and each request that was chosen before looks once more when its connection is there. It is kept by start, so that a new start owes nothing.

--- a/src/jujubeslip/admission/_engine_follower.py
+++ b/src/jujubeslip/admission/_engine_follower.py
@@ -71,6 +71,8 @@
         self._connections.close_all()
 
     def _look(self) -> None:
+        if self._notices.rests(self._engine.start_id):
+            return
         if self._ask():
             self._is_lost = False
         elif not self._is_lost and not self._ask():
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -30,7 +30,12 @@
 )
 from jujubeslip.control._watches import Watches
 from jujubeslip.discovery import Endpoint, EndpointBook
-from jujubeslip.endpoints import ConnectionPool, EndpointError, never_interrupted
+from jujubeslip.endpoints import (
+    ConnectionPool,
+    EndpointError,
+    EndpointOnHoldError,
+    never_interrupted,
+)
 from jujubeslip.interfaces import (
     EndpointQuestion,
     Interface,
@@ -330,6 +335,8 @@
         return report.orders
 
     def _ask(self, endpoint: Endpoint, question: EndpointQuestion) -> tuple[int, bytes]:
+        if self._notices.rests(endpoint.start_id):
+            raise EndpointOnHoldError("rest")
         deadline = Deadline.after(ANSWER_SECONDS)
         return ask_endpoint(
             self._connections,
--- a/src/jujubeslip/endpoints/_errors.py
+++ b/src/jujubeslip/endpoints/_errors.py
@@ -73,6 +73,16 @@
         super().__init__(421, "it has another role", False)
 
 
+class EndpointOnHoldError(EndpointRefusedError):
+    """The endpoint wants no requests from this host now; nothing was sent."""
+
+    error_id = "endpoint_on_hold"
+    default_remedy = "See what the endpoint said of itself shortly before."
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(503, f"it is held, {reason}", False)
+
+
 class CallerGoneError(JujubeslipError):
     """The client closed its connection; what is held for it must be freed.
 
--- a/src/jujubeslip/forwarding/_admissions.py
+++ b/src/jujubeslip/forwarding/_admissions.py
@@ -14,7 +14,7 @@
 from jujubeslip.forwarding._health import EndpointHealth
 from jujubeslip.forwarding._leader_contact import LeaderContact
 from jujubeslip.forwarding._models import RoomRequest
-from jujubeslip.kernel import Process, Ran
+from jujubeslip.kernel import Process, Ran, RequestRefusedError
 from jujubeslip.peers import (
     AdmissionNews,
     AdmissionReply,
@@ -85,11 +85,13 @@
     def ask(self, room: RoomRequest) -> AdmissionAnswer | None:
         """Return what the leader decides, None without a leader that answers.
 
-        Raises CallerGoneError when the client goes before that.
+        Raises CallerGoneError when the client goes before that, and RequestRefusedError
+        once all engines rest.
         """
         context, attempts = room.context, room.attempts
         attempts.grants_asked += 1
         while (address := self._leader.address()) is not None:
+            self._check_rests(room)
             request = self._request(room)
             reply = self._call(address, request)
             if reply is None:
@@ -110,6 +112,13 @@
                 raise CallerGoneError("The client closed its connection.", Ran.NO)
         return None
 
+    def _check_rests(self, room: RoomRequest) -> None:
+        try:
+            room.check_rests()
+        except RequestRefusedError:
+            self.end(room.context.request.request_id, room.attempts.grants_asked)
+            raise
+
     def note_read(self, request_id: str, attempt: int) -> None:
         """Let the leader know that a prompt was read, or is read elsewhere."""
         self._news.put(AdmissionNews(request_id, attempt, AdmissionStep.PROMPT_READ))
@@ -149,7 +158,7 @@
             endpoint.start_id
             for endpoint in self._book.endpoints()
             if self._health.is_paused(endpoint.start_id)
-            or self._limits.wait_for(endpoint.start_id)
+            or self._limits.hold_of(endpoint.start_id)
         ]
 
     def _call(self, address: str, request: AdmissionRequest) -> AdmissionReply | None:
--- a/src/jujubeslip/forwarding/_choice.py
+++ b/src/jujubeslip/forwarding/_choice.py
@@ -10,6 +10,7 @@
 from jujubeslip.discovery import Endpoint, EndpointBook
 from jujubeslip.forwarding._health import EndpointHealth
 from jujubeslip.kernel import Registry, steady_seconds
+from jujubeslip.notices import Hold, HoldReason
 from jujubeslip.peers import EndpointRole
 
 # What another availability zone costs, in open requests: bytes between zones are paid
@@ -20,6 +21,9 @@
 # What an endpoint costs that says it is slow after its start, in open requests.
 SLOW_START_COST = 1.0
 
+# Starts that one log line names at most.
+LISTED_STARTS = 8
+
 
 class Policy(Protocol):
     """Chooses among usable endpoints, of which there is at least one."""
@@ -93,9 +97,9 @@
         health: EndpointHealth,
         policy: Policy,
         silence_seconds: float,
-        limit_wait: Callable[[str], float] = lambda _: 0.0,
+        hold_of: Callable[[str], Hold | None] = lambda _: None,
     ) -> None:
-        self._limit_wait = limit_wait
+        self._hold_of = hold_of
         self._book = book
         self._health = health
         self._policy = policy
@@ -132,16 +136,29 @@
         near = [item for item in sound if item.availability_zone == availability_zone]
         return self._policy.choose(near) if near else None
 
-    def wait_for_limits(self, service_name: str, role: EndpointRole) -> float | None:
-        """Return when an endpoint that named a limit takes a request again, in seconds.
+    def first_to_return(self, service_name: str, role: EndpointRole) -> Hold | None:
+        """Return the hold that ends first, where all endpoints that stay are held.
 
-        None where no endpoint is passed over for its limit now.
+        None where some endpoint may be asked, or none will be.
         """
-        waits = [
-            self._limit_wait(endpoint.start_id)
+        holds = [
+            self._hold_of(endpoint.start_id)
             for endpoint in self._known(service_name, role)
         ]
-        return min((wait for wait in waits if wait > 0), default=None)
+        ends = [hold.until for hold in holds if hold is not None and hold.until]
+        if not ends or None in holds:
+            return None
+        return next(hold for hold in holds if hold and hold.until == min(ends))
+
+    def resting(self, service_name: str, role: EndpointRole) -> list[str]:
+        """Return starts that rest, some of them where they are many."""
+        known = self._known(service_name, role)
+        found = [item.start_id for item in known if self._rests(item.start_id)]
+        return found[:LISTED_STARTS]
+
+    def _rests(self, start_id: str) -> bool:
+        hold = self._hold_of(start_id)
+        return hold is not None and hold.reason is HoldReason.REST
 
     def is_over(self, endpoint: Endpoint) -> bool:
         """Say whether another start is known to have taken this one's place."""
@@ -154,7 +171,7 @@
             endpoint
             for endpoint in self._known(service_name, role)
             if endpoint.start_id not in excluded
-            and not self._limit_wait(endpoint.start_id)
+            and self._hold_of(endpoint.start_id) is None
         ]
 
     def _known(self, service_name: str, role: EndpointRole) -> list[Endpoint]:
--- a/src/jujubeslip/forwarding/_exchange.py
+++ b/src/jujubeslip/forwarding/_exchange.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import http.client
-from collections.abc import Callable
 
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import (
     ConnectionPool,
     EndpointAnswerError,
     EndpointConnection,
+    EndpointOnHoldError,
     EndpointRefusedError,
     EndpointReplacedError,
     EndpointRoleError,
@@ -21,6 +21,7 @@
     Interface,
 )
 from jujubeslip.kernel import Deadline, steady_seconds
+from jujubeslip.notices import EndpointNotices
 from jujubeslip.routes import ForwardedRequest
 
 SUCCESS = range(200, 300)
@@ -30,8 +31,8 @@
     """Sends a request to one endpoint and reads its answer.
 
     Used as a context: a connection whose answer was not read whole is closed, which
-    also tells the endpoint to stop working on it. `on_answer` gets the head of each
-    answer of the endpoint itself, and when its request was sent.
+    also tells the endpoint to stop working on it. What an endpoint has said of itself
+    is looked up once its connection is there: opening one may take long.
     """
 
     def __init__(
@@ -41,9 +42,9 @@
         endpoint: Endpoint,
         request: ForwardedRequest,
         gone: Interrupted,
-        on_answer: Callable[[Endpoint, EndpointHead, float], None],
+        notices: EndpointNotices,
     ) -> None:
-        self._on_answer = on_answer
+        self._notices = notices
         self._pool = pool
         self._interface = interface
         self._endpoint = endpoint
@@ -62,9 +63,15 @@
     def call(self, call: EndpointCall, deadline: Deadline) -> EndpointHead:
         """Send the request and return the head of its answer.
 
-        Raises EndpointRefusedError when the endpoint says that it did not run it.
+        Raises EndpointRefusedError when the endpoint says that it did not run it, or
+        that it wants no requests.
         """
-        connection = self._pool.take(self._endpoint.start_id, self._endpoint.address)
+        start_id = self._endpoint.start_id
+        connection = self._pool.take(start_id, self._endpoint.address)
+        hold = self._notices.hold_of(start_id)
+        if hold is not None:
+            self._pool.give_back(start_id, connection, None)
+            raise EndpointOnHoldError(hold.reason.value)
         self._connection = connection
         request = self._request
         headers = self._interface.endpoint_headers(request, call)
@@ -73,7 +80,7 @@
         connection.watch(deadline, self._gone)
         head = self._read_own_head(connection)
         if not head.misdirected:
-            self._on_answer(self._endpoint, head, sent_at)
+            self._notices.note_answer(self._endpoint, head, sent_at)
         if head.not_run:
             self.read_rest()
             raise _refusal(head, self._endpoint)
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -189,7 +189,7 @@
                 health,
                 policy,
                 settings.endpoint_silence_ms / 1000,
-                self._endpoint_limits.wait_for,
+                self._endpoint_limits.hold_of,
             ),
             health,
             self._budgets,
--- a/src/jujubeslip/forwarding/_prompts.py
+++ b/src/jujubeslip/forwarding/_prompts.py
@@ -11,6 +11,7 @@
     AnswerCutError,
     EndpointAnswerError,
     EndpointError,
+    EndpointOnHoldError,
     EndpointUnreachableError,
 )
 from jujubeslip.forwarding._exchange import SUCCESS
@@ -31,6 +32,12 @@
 LEAST_SECONDS = 0.6
 # Engines that are asked to read one prompt at most.
 ENGINES_ASKED = 2
+# Errors for which a reader is not passed over: it is by then, or has read the prompt.
+_SAYS_NOTHING_OF_LATER = (
+    EndpointUnreachableError,
+    EndpointOnHoldError,
+    AnswerCutError,
+)
 
 
 @dataclass(frozen=True)
@@ -137,8 +144,10 @@
         limit: Deadline,
     ) -> PromptPlace:
         """Have this engine read the prompt; return NOT_READ if it doesn't."""
-        attempts.prompts_asked += 1
         attempts.prompt_error = None
+        if self._sending.is_on_hold(attempts, endpoint):
+            return NOT_READ
+        attempts.prompts_asked += 1
         if not self._sending.within_limit(context, attempts, endpoint):
             return NOT_READ
         started = steady_seconds()
@@ -190,7 +199,7 @@
         self._sending.budgets.charge(context.service_name)
         call = Attempts(latest_sent_at=Deadline(asked_at))
         self._sending.note_lost(context, call, endpoint, error)
-        if not isinstance(error, EndpointUnreachableError | AnswerCutError):
+        if not isinstance(error, _SAYS_NOTHING_OF_LATER):
             self._sending.health.note_unreachable(endpoint.start_id)
         attempts.note(endpoint.start_id, f"prompt not read, {error.error_id}")
 
--- a/src/jujubeslip/forwarding/_reservations.py
+++ b/src/jujubeslip/forwarding/_reservations.py
@@ -65,7 +65,10 @@
         prompt: PromptShape,
         limit: Deadline,
     ) -> Reservation | None:
-        """Return room for the request, None if there is none before the limit."""
+        """Return room for the request, None if there is none before the limit.
+
+        Raises RequestRefusedError once all engines rest.
+        """
         waiting = self._waiting_for(context.service_name)
         forecast = waiting.forecast(context)
         if waits_in_vain(forecast, limit.remaining()):
@@ -74,6 +77,7 @@
             return None
         with waiting.place(context) as place:
             while waiting.wait_for_turn(place, context, limit):
+                self._sending.check_rests(context, attempts, EndpointRole.DECODE)
                 if self._has_no_engine(context, attempts):
                     return None
                 found = self._ask_round(context, attempts, engine, prompt)
--- a/src/jujubeslip/forwarding/_sending.py
+++ b/src/jujubeslip/forwarding/_sending.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 from collections.abc import Collection
 from dataclasses import dataclass
 
@@ -29,6 +30,7 @@
 from jujubeslip.forwarding._quarantine import Quarantine
 from jujubeslip.interfaces import EndpointQuestion, Interface, ask_endpoint
 from jujubeslip.kernel import Deadline, RequestRefusedError
+from jujubeslip.notices import Hold, HoldReason
 from jujubeslip.peers import EndpointRole
 
 logger = logging.getLogger(__name__)
@@ -38,6 +40,8 @@
 MAXIMUM_SENDS = 4
 # The least that a client is told to stay away for an endpoint's limit, in seconds.
 LEAST_RETRY_SECONDS = 0.1
+# How far the clients that are told of a rest are spread behind its end, in seconds.
+REST_SPREAD_SECONDS = 0.5
 
 
 @dataclass(frozen=True)
@@ -67,7 +71,7 @@
             endpoint,
             context.request,
             context.gone,
-            self.limits.notices.note_answer,
+            self.limits.notices,
         )
 
     def ask(
@@ -91,23 +95,73 @@
     def within_limit(
         self, context: ForwardContext, attempts: Attempts, endpoint: Endpoint
     ) -> bool:
-        """Charge a send to an endpoint with a limit; say whether it may go."""
+        """Charge a send to an endpoint with a limit; say whether it may go.
+
+        It may not to an endpoint that rests or leaves, whatever its limit.
+        """
+        if self.is_on_hold(attempts, endpoint):
+            return False
         wait = self.limits.take(context.request.request_id, endpoint.start_id)
         if wait > 0:
             attempts.note(endpoint.start_id, "its limit is used")
         return wait == 0
 
+    def is_on_hold(self, attempts: Attempts, endpoint: Endpoint) -> bool:
+        """Say whether an endpoint that was chosen rests or leaves by now."""
+        hold = self.limits.notices.hold_of(endpoint.start_id)
+        if hold is not None:
+            attempts.note(endpoint.start_id, f"on hold, {hold.reason.value}")
+        return hold is not None
+
     def refusal(
         self, context: ForwardContext, attempts: Attempts, role: EndpointRole
     ) -> RequestRefusedError:
         """Return the refusal that is true of what was tried."""
-        wait = self.chooser.wait_for_limits(context.service_name, role)
-        if wait is None or attempts.may_have_run:
+        hold = self.chooser.first_to_return(context.service_name, role)
+        if hold is None or hold.until is None or attempts.may_have_run:
             return refusal_of(attempts, context.end_by)
+        return self._refusal_until(context, role, hold, hold.until)
+
+    def check_rests(
+        self, context: ForwardContext, attempts: Attempts, role: EndpointRole
+    ) -> None:
+        """Raise the refusal of a request that has not run while all endpoints rest.
+
+        Limits leave room within moments; a rest lasts for seconds.
+        """
+        if attempts.may_have_run:
+            return
+        hold = self.chooser.first_to_return(context.service_name, role)
+        if hold is not None and hold.until and hold.reason is HoldReason.REST:
+            raise self._refusal_until(context, role, hold, hold.until)
+
+    def _refusal_until(
+        self,
+        context: ForwardContext,
+        role: EndpointRole,
+        hold: Hold,
+        until: Deadline,
+    ) -> RequestRefusedError:
+        """Return the refusal while all endpoints are held, the first until then."""
+        wait = max(LEAST_RETRY_SECONDS, until.remaining())
+        if hold.reason is HoldReason.LIMIT:
+            return RequestRefusedError(
+                "endpoint_limit",
+                "The endpoints take no more requests now, by the limits that they "
+                "named.",
+                retry_after=wait,
+            )
+        extra = {
+            "request_id": context.request.request_id,
+            "service": context.service_name,
+            "wait_ms": until.remaining_ms(),
+            "start_ids": self.chooser.resting(context.service_name, role),
+        }
+        logger.info("request refused while endpoints rest", extra=extra)
         return RequestRefusedError(
-            "endpoint_limit",
-            "The endpoints take no more requests now, by the limits that they named.",
-            retry_after=max(LEAST_RETRY_SECONDS, wait),
+            "endpoint_rest",
+            "The endpoints of the service have asked for a rest.",
+            retry_after=wait + random.uniform(0, REST_SPREAD_SECONDS),
         )
 
     def may_send(self, context: ForwardContext, attempts: Attempts) -> bool:
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -10,6 +10,7 @@
 from jujubeslip.endpoints import (
     AnswerCutError,
     EndpointError,
+    EndpointOnHoldError,
     EndpointRefusedError,
     EndpointReplacedError,
     EndpointRoleError,
@@ -123,6 +124,8 @@
             # It started again while the prompt was read.
             attempts.tried.add(grant.endpoint.start_id)
             return False
+        if self._sending.is_on_hold(attempts, grant.endpoint):
+            return False
         # Where the granted reader has not read it, the leader knows of another one, or
         # else has to know which engine that answers reads it now: its answers stand
         # still meanwhile.
@@ -172,6 +175,8 @@
     ) -> None:
         self._sending.note_lost(context, attempts, grant.endpoint, error)
         was_read = prompt_at is not None and prompt_at != NOT_READ
+        if isinstance(error, EndpointOnHoldError):
+            return
         if was_read and isinstance(error, EndpointRefusedError):
             # What it refused may be the prompt's memory, which lapses; the same engine
             # can read the prompt itself.
@@ -327,7 +332,12 @@
 
 def _left_prompt(error: EndpointError) -> bool:
     """Say whether a prompt's memory, which can be taken once, was surely left."""
-    kinds = (EndpointUnreachableError, EndpointReplacedError, EndpointRoleError)
+    kinds = (
+        EndpointUnreachableError,
+        EndpointReplacedError,
+        EndpointRoleError,
+        EndpointOnHoldError,
+    )
     return isinstance(error, kinds)
 
 
--- a/src/jujubeslip/notices/_book.py
+++ b/src/jujubeslip/notices/_book.py
@@ -8,7 +8,7 @@
 from jujubeslip.discovery import Endpoint, EndpointBook
 from jujubeslip.interfaces import EndpointHead
 from jujubeslip.kernel import steady_seconds
-from jujubeslip.notices._models import Hold, NamedLimit, Notice
+from jujubeslip.notices._models import Hold, HoldReason, NamedLimit, Notice
 
 logger = logging.getLogger(__name__)
 
@@ -73,6 +73,11 @@
         """Return why a start may not be asked, None if only its limit may say so."""
         return self._get(start_id).hold
 
+    def rests(self, start_id: str) -> bool:
+        """Say whether a start wants no requests from this host for a while."""
+        hold = self.hold_of(start_id)
+        return hold is not None and hold.reason is HoldReason.REST
+
     def limit_of(self, start_id: str) -> NamedLimit | None:
         """Return the limit that a start has named, None without one."""
         return self._get(start_id).limit
--- a/tests/forwarding/test_starts.py
+++ b/tests/forwarding/test_starts.py
@@ -245,6 +245,7 @@
             note_lost=ways.note_lost,
             quarantine=ways.quarantine,
             within_limit=lambda *_: True,
+            is_on_hold=lambda *_: False,
             refusal=ways.refusal,
             exchange=lambda *_: FailingExchange(calls, happens),
         )
@@ -305,6 +306,7 @@
             note_lost=ways.note_lost,
             quarantine=ways.quarantine,
             within_limit=lambda *_: True,
+            is_on_hold=lambda *_: False,
             refusal=ways.refusal,
             exchange=exchange,
         )
