Read only whole lines of the logs of a test's hosts

The test read a log while its last line was being written. Host.output leaves such a line out; whoever waits for a line sees it a moment later. The new test fails on the code before: it got the half line.

--- a/tests/fakes/platform_system.py
+++ b/tests/fakes/platform_system.py
@@ -115,8 +115,9 @@
         self.process.signal(number)
 
     def output(self) -> str:
-        """Return what the process wrote."""
-        return self.process.output() if self.process else ""
+        """Return the lines that the process wrote, but for one that isn't whole yet."""
+        written = self.process.output() if self.process else ""
+        return written[: written.rfind("\n") + 1]
 
 
 class PlatformSystem:
--- /dev/null
+++ b/tests/fakes/test_platform_system.py
@@ -0,0 +1,19 @@
+"""The processes of a test, as the test reads them."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+from tests.fakes.platform_system import Host
+
+
+class TestLineThatIsBeingWritten:
+    """Guards against tests that fail on a log line of which they read the first half."""
+
+    def test_is_left_out(self, tmp_path: Path) -> None:
+        host = Host(tmp_path, "host", "forward", "")
+        process: Any = SimpleNamespace(output=lambda: '{"message": "a"}\n{"mess')
+        host.process = process
+        assert host.output() == '{"message": "a"}\n'
