Send an endpoint nothing after it has said in an answer that it leaves

What a caller would see: a request that ends with its endpoint, as in each planned replacement whose announcement is late or lost.

Cause: as for rests, the header was passed on and read by nobody. Leaving was known from announcements alone, which reach hosts by way of control hosts.

Change: a start that has said so is on hold for good. Control hosts read it in reports: the leader grants nothing there and orders it to no other role. Where no other endpoint is left, requests are refused at once as no_endpoint. A later start under the same id is used.

--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -193,11 +193,12 @@
         )
 
     def _with_role(self, service_name: str, role: EndpointRole) -> list[Endpoint]:
-        """Return the engines of a role that aren't ordered to another one."""
+        """Return the engines of a role that stay and aren't ordered to another one."""
         return [
             engine
             for engine in self._book.engines(service_name, role)
             if self._ordered_role(engine) in (None, role)
+            and not self._notices.leaves(engine.start_id)
         ]
 
     def _follow(self, engines: Sequence[Endpoint]) -> list[EngineFollower]:
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -262,8 +262,12 @@
         )
 
     def _with_role(self, service_name: str, role: EndpointRole) -> tuple[Endpoint, ...]:
-        """Return the engines in an order that is the same at each look."""
-        found = self._book.engines(service_name, role)
+        """Return the engines that stay, in an order that is the same at each look."""
+        found = [
+            engine
+            for engine in self._book.engines(service_name, role)
+            if not self._notices.leaves(engine.start_id)
+        ]
         return tuple(sorted(found, key=lambda endpoint: endpoint.endpoint_id))
 
     def _order(
--- a/src/jujubeslip/forwarding/_choice.py
+++ b/src/jujubeslip/forwarding/_choice.py
@@ -136,19 +136,24 @@
         near = [item for item in sound if item.availability_zone == availability_zone]
         return self._policy.choose(near) if near else None
 
+    def all_on_hold(self, service_name: str, role: EndpointRole) -> bool:
+        """Say whether no endpoint may be asked now, of some that stay."""
+        holds = self._holds(service_name, role)
+        return bool(holds) and None not in holds
+
     def first_to_return(self, service_name: str, role: EndpointRole) -> Hold | None:
-        """Return the hold that ends first, where all endpoints that stay are held.
+        """Return the hold that ends first, None where none is held that comes back."""
+        holds = self._holds(service_name, role)
+        ends = [hold.until for hold in holds if hold is not None and hold.until]
+        if not ends:
+            return None
+        return next(hold for hold in holds if hold and hold.until == min(ends))
 
-        None where some endpoint may be asked, or none will be.
-        """
-        holds = [
+    def _holds(self, service_name: str, role: EndpointRole) -> list[Hold | None]:
+        return [
             self._hold_of(endpoint.start_id)
             for endpoint in self._known(service_name, role)
         ]
-        ends = [hold.until for hold in holds if hold is not None and hold.until]
-        if not ends or None in holds:
-            return None
-        return next(hold for hold in holds if hold and hold.until == min(ends))
 
     def resting(self, service_name: str, role: EndpointRole) -> list[str]:
         """Return starts that rest, some of them where they are many."""
--- a/src/jujubeslip/forwarding/_sending.py
+++ b/src/jujubeslip/forwarding/_sending.py
@@ -116,10 +116,17 @@
     def refusal(
         self, context: ForwardContext, attempts: Attempts, role: EndpointRole
     ) -> RequestRefusedError:
-        """Return the refusal that is true of what was tried."""
+        """Return the refusal that is true of what was tried.
+
+        Where an endpoint was tried and refused, it may take the request in a moment:
+        the client need not wait until others are held no more.
+        """
         hold = self.chooser.first_to_return(context.service_name, role)
         if hold is None or hold.until is None or attempts.may_have_run:
             return refusal_of(attempts, context.end_by)
+        was_refused = attempts.last_error is not None
+        if was_refused and not self.chooser.all_on_hold(context.service_name, role):
+            return refusal_of(attempts, context.end_by)
         return self._refusal_until(context, role, hold, hold.until)
 
     def check_rests(
@@ -131,6 +138,8 @@
         """
         if attempts.may_have_run:
             return
+        if not self.chooser.all_on_hold(context.service_name, role):
+            return
         hold = self.chooser.first_to_return(context.service_name, role)
         if hold is not None and hold.until and hold.reason is HoldReason.REST:
             raise self._refusal_until(context, role, hold, hold.until)
--- a/src/jujubeslip/notices/_book.py
+++ b/src/jujubeslip/notices/_book.py
@@ -78,6 +78,10 @@
         hold = self.hold_of(start_id)
         return hold is not None and hold.reason is HoldReason.REST
 
+    def leaves(self, start_id: str) -> bool:
+        """Say whether a start has said that it is shutting down."""
+        return self._get(start_id).is_leaving
+
     def limit_of(self, start_id: str) -> NamedLimit | None:
         """Return the limit that a start has named, None without one."""
         return self._get(start_id).limit
--- a/src/jujubeslip/notices/_models.py
+++ b/src/jujubeslip/notices/_models.py
@@ -80,6 +80,8 @@
     @property
     def hold(self) -> Hold | None:
         """Return why the endpoint may not be asked whatever its limit, if so."""
+        if self.is_leaving:
+            return Hold(HoldReason.LEAVING, None)
         if not self.rest_until.expired:
             return Hold(HoldReason.REST, self.rest_until)
         return None
--- a/tests/admission/test_home.py
+++ b/tests/admission/test_home.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
@@ -10,15 +11,19 @@
 
 from jujubeslip.admission import AdmissionHome, MemoryOptions, _home
 from jujubeslip.discovery import Endpoint, EndpointBook
+from jujubeslip.notices import EndpointNotices
 from jujubeslip.peers import (
     AdmissionRequest,
     AdmissionStatus,
     EndpointRole,
     PeerRefusal,
 )
+from jujubeslip.platform._endpoint_calls import read_head
 from jujubeslip.routes import EngineReport
 from tests.fakes.engines import engine
 
+REQUEST_NUMBERS = itertools.count()
+
 
 class TasksAtOnce:
     """A process whose tasks run at their start, before anything else goes on."""
@@ -42,6 +47,9 @@
         self._engine = followed
         self._on_report = on_report
 
+    def stop(self) -> None:
+        pass
+
     def run(self) -> None:
         reads = self._engine.role == EndpointRole.PREFILL
         report = EngineReport(100_000, 0, 0, (), reads_prompts=reads)
@@ -106,6 +114,45 @@
         assert followed == ["known"]
 
 
+def home_of_two_readers(
+    monkeypatch: pytest.MonkeyPatch,
+    ordered_role: Callable[[Endpoint], EndpointRole | None],
+    notices: EndpointNotices | None = None,
+) -> AdmissionHome:
+    """Return a home of one engine and two readers."""
+    monkeypatch.setattr(_home, "EngineFollower", FollowerThatHearsAtOnce)
+    book = EndpointBook()
+    readers = [engine(name, EndpointRole.PREFILL) for name in ("first", "other")]
+    book.take([engine("engine"), *readers])
+    process: Any = TasksAtOnce()
+    interface: Any = None
+    return AdmissionHome(
+        process,
+        book,
+        interface,
+        MemoryOptions(margin=0.05, caution=1.5),
+        lambda: True,
+        lambda: {"model"},
+        ordered_role,
+        notices=notices,
+    )
+
+
+def readers_given(home: AdmissionHome) -> set[str]:
+    """Return the readers of some requests; the one with less to read is next."""
+    found = set()
+    for number in itertools.islice(REQUEST_NUMBERS, 8):
+        request = AdmissionRequest(
+            f"r-{number}", "model", 100, 130, 65, 0, 64, 900, 600, 0, [], attempt=1
+        )
+        try:
+            found.add(home.admit(request).reader_start_id)
+        except PeerRefusal:
+            # The first call finds the engines.
+            continue
+    return found
+
+
 class TestReaderThatIsOrderedToAnswer:
     """A reader is ordered to answer and refuses prompts from that moment on.
 
@@ -117,42 +164,29 @@
         self, monkeypatch: pytest.MonkeyPatch, role: EndpointRole | None
     ) -> AdmissionHome:
         """Return a home of one engine and two readers, one of which has an order."""
-        monkeypatch.setattr(_home, "EngineFollower", FollowerThatHearsAtOnce)
-        book = EndpointBook()
-        readers = [engine(name, EndpointRole.PREFILL) for name in ("ordered", "other")]
-        book.take([engine("engine"), *readers])
-        process: Any = TasksAtOnce()
-        interface: Any = None
-        return AdmissionHome(
-            process,
-            book,
-            interface,
-            MemoryOptions(margin=0.05, caution=1.5),
-            lambda: True,
-            lambda: {"model"},
-            lambda asked: role if asked.endpoint_id == "ordered" else None,
+        return home_of_two_readers(
+            monkeypatch, lambda asked: role if asked.endpoint_id == "first" else None
         )
 
-    def readers(self, home: AdmissionHome) -> set[str]:
-        """Return the readers of some requests; the one with less to read is next."""
-        found = set()
-        for number in range(8):
-            request = AdmissionRequest(
-                f"r-{number}", "model", 100, 130, 65, 0, 64, 900, 600, 0, [], attempt=1
-            )
-            try:
-                found.add(home.admit(request).reader_start_id)
-            except PeerRefusal:
-                # The first call finds the engines.
-                continue
-        return found
-
     def test_gets_no_prompts(self, monkeypatch: pytest.MonkeyPatch) -> None:
         home = self.home(monkeypatch, EndpointRole.DECODE)
-        assert self.readers(home) == {"other"}
+        assert readers_given(home) == {"other"}
 
     @pytest.mark.parametrize("role", [None, EndpointRole.PREFILL])
     def test_others_get_them(
         self, monkeypatch: pytest.MonkeyPatch, role: EndpointRole | None
     ) -> None:
-        assert self.readers(self.home(monkeypatch, role)) == {"ordered", "other"}
+        assert readers_given(self.home(monkeypatch, role)) == {"first", "other"}
+
+
+class TestEngineThatSaysItLeaves:
+    """Guards against grants at engines whose reports say that they leave."""
+
+    def test_is_not_granted(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        notices = EndpointNotices()
+        home = home_of_two_readers(monkeypatch, lambda _: None, notices)
+        assert readers_given(home) == {"first", "other"}
+        leaving = engine("first", EndpointRole.PREFILL)
+        notices.note_other_answer(leaving, read_head(200, [("Server-Leaving", "1")]))
+        home.look()
+        assert readers_given(home) == {"other"}
--- a/tests/control/test_roles.py
+++ b/tests/control/test_roles.py
@@ -17,11 +17,13 @@
 from jujubeslip.control._role_balance import WATCHED_SECONDS
 from jujubeslip.control._roles import Engines, RoleKeeper, wanted_change
 from jujubeslip.discovery import Endpoint, EndpointBook
+from jujubeslip.endpoints import EndpointOnHoldError
 from jujubeslip.interfaces import EndpointQuestion, RoleOrder
 from jujubeslip.kernel import Deadline
+from jujubeslip.notices import EndpointNotices
 from jujubeslip.peers import EndpointRole, ServicePressure
 from jujubeslip.platform._endpoint_answers import read_report
-from jujubeslip.platform._endpoint_calls import ask_report, order_role
+from jujubeslip.platform._endpoint_calls import ask_report, order_role, read_head
 from tests.fakes.engines import engine
 
 
@@ -153,7 +155,10 @@
 
 
 def role_keeper(
-    monkeypatch: pytest.MonkeyPatch, book: EndpointBook, named: set[str]
+    monkeypatch: pytest.MonkeyPatch,
+    book: EndpointBook,
+    named: set[str],
+    notices: EndpointNotices | None = None,
 ) -> tuple[RoleKeeper, Asked]:
     """Return a keeper of these services' roles, and what engines are asked by it."""
     watches: Any = SimpleNamespace(pressure_of=lambda name: pressure())
@@ -176,6 +181,7 @@
         lambda _: 0.0,
         lambda: None,
         lambda _: EngineUse(0.0, 0.0),
+        notices,
     )
     asked = Asked()
     monkeypatch.setattr(keeper, "_ask", asked)
@@ -366,3 +372,27 @@
         keeper.look()
         assert keeper._load("model").busiest(WATCHED_SECONDS) is None
         assert asked.orders == 0
+
+
+class TestEngineThatLeavesOrRests:
+    """Guards against orders to engines that said they leave, or asked for a rest."""
+
+    def test_is_given_no_order(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        group = engines(0, 3)
+        book, notices = EndpointBook(), EndpointNotices()
+        book.take(group.decode)
+        for leaving in group.decode:
+            head = read_head(200, [("Server-Leaving", "1")])
+            notices.note_other_answer(leaving, head)
+        keeper, asked = role_keeper(monkeypatch, book, {"model"}, notices)
+        monkeypatch.setattr(keeper, "_fence", lambda: Fence(1, Deadline.after(10)))
+        keeper.look()
+        assert asked.orders == 0
+
+    def test_is_asked_nothing(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        notices, resting = EndpointNotices(), engine("resting")
+        notices.note_other_answer(resting, read_head(503, [("Retry-After", "9")]))
+        keeper, _ = role_keeper(monkeypatch, EndpointBook(), {"model"}, notices)
+        monkeypatch.undo()
+        with pytest.raises(EndpointOnHoldError):
+            keeper._ask(resting, ask_report("resting"))
--- a/tests/fakes/test_platform_system.py
+++ b/tests/fakes/test_platform_system.py
@@ -10,7 +10,7 @@
 
 
 class TestLineThatIsBeingWritten:
-    """Guards against tests that fail on a log line of which they read the first half."""
+    """Guards against tests that fail on a log line that is half written."""
 
     def test_is_left_out(self, tmp_path: Path) -> None:
         host = Host(tmp_path, "host", "forward", "")
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -3,12 +3,27 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import Any
+
+import pytest
 
 from jujubeslip.discovery import Endpoint, EndpointBook
+from jujubeslip.endpoints import (
+    ConnectionPool,
+    EndpointConnection,
+    EndpointOnHoldError,
+    never_interrupted,
+)
 from jujubeslip.forwarding._choice import Chooser, LeastCost
+from jujubeslip.forwarding._exchange import Exchange
 from jujubeslip.forwarding._health import EndpointHealth
+from jujubeslip.interfaces import EndpointCall, interfaces
+from jujubeslip.kernel import Deadline, load_plugins
+from jujubeslip.notices import EndpointNotices, Hold, HoldReason
 from jujubeslip.peers import EndpointRole
+from jujubeslip.platform._endpoint_calls import read_head
 from tests.fakes.engines import engine
+from tests.fakes.platform_worker import PlatformWorker
 
 SILENCE_SECONDS = 5.0
 
@@ -43,3 +58,62 @@
         health.note_replaced("gone")
         assert health.is_paused("gone")
         assert chooser.choose("model", EndpointRole.DECODE, ()) is None
+
+
+class TestEndpointsOnHold:
+    """Guards against waits for an endpoint that rests while another one is free."""
+
+    @staticmethod
+    def chooser_of(**holds: Hold | None) -> Chooser:
+        book, health = EndpointBook(), EndpointHealth()
+        book.take(
+            replace(engine(name), address=f"10.0.0.{number}:80")
+            for number, name in enumerate(holds)
+        )
+        policy = LeastCost(health, "zone-1")
+        return Chooser(book, health, policy, SILENCE_SECONDS, holds.__getitem__)
+
+    def test_the_hold_that_ends_first_is_told(self) -> None:
+        long = Hold(HoldReason.REST, Deadline.after(9))
+        short = Hold(HoldReason.LIMIT, Deadline.after(1))
+        gone = Hold(HoldReason.LEAVING, None)
+        chooser = self.chooser_of(a=long, b=short, c=gone)
+        assert chooser.first_to_return("model", EndpointRole.DECODE) is short
+        assert chooser.all_on_hold("model", EndpointRole.DECODE)
+
+    def test_not_all_are_held_while_one_may_be_asked(self) -> None:
+        chooser = self.chooser_of(a=Hold(HoldReason.REST, Deadline.after(9)), b=None)
+        assert not chooser.all_on_hold("model", EndpointRole.DECODE)
+
+    def test_none_returns_where_all_leave(self) -> None:
+        chooser = self.chooser_of(a=Hold(HoldReason.LEAVING, None))
+        assert chooser.first_to_return("model", EndpointRole.DECODE) is None
+
+
+class TestHoldThatBeginsWhileAConnectionIsOpened:
+    """Guards against requests that are placed in the moment in which a rest begins."""
+
+    def test_nothing_is_sent(self) -> None:
+        load_plugins()
+        with PlatformWorker("w", "plain") as worker:
+            endpoint = replace(engine("w"), address=worker.address)
+            notices = EndpointNotices()
+
+            class SlowPool(ConnectionPool):
+                def take(self, *where: str) -> EndpointConnection:
+                    refusal = read_head(503, [("Retry-After", "3")])
+                    notices.note_answer(endpoint, refusal, 0.0)
+                    return super().take(*where)
+
+            request: Any = None
+            pool = SlowPool()
+            interface = interfaces.get("platform")
+            call = EndpointCall("w", 1000)
+            exchange = Exchange(
+                pool, interface, endpoint, request, never_interrupted, notices
+            )
+            with exchange, pytest.raises(EndpointOnHoldError) as raised:
+                exchange.call(call, Deadline.after(1))
+            assert not raised.value.may_have_run
+            assert pool.idle_count == 1
+            assert not worker.arrivals
