--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -30,7 +30,12 @@
 )
 from jujubeslip.control._watches import Watches
 from jujubeslip.discovery import Endpoint, EndpointBook
-from jujubeslip.endpoints import ConnectionPool, EndpointError
+from jujubeslip.endpoints import (
+    ConnectionPool,
+    EndpointError,
+    EndpointOnHoldError,
+    never_interrupted,
+)
 from jujubeslip.interfaces import (
     EndpointQuestion,
     Interface,
@@ -38,6 +43,7 @@
     ask_endpoint,
 )
 from jujubeslip.kernel import Deadline, steady_seconds
+from jujubeslip.notices import EndpointNotices
 from jujubeslip.peers import EndpointRole, ServicePressure
 
 logger = logging.getLogger(__name__)
@@ -75,7 +81,9 @@
         busy_readers: Callable[[str], float],
         on_order: Callable[[], None],
         engine_use: Callable[[str], EngineUse],
+        notices: EndpointNotices | None = None,
     ) -> None:
+        self._notices = notices or EndpointNotices()
         self._engine_use = engine_use
         self._shares_by_service: dict[str, EngineShares] = {}
         self._orders = orders
@@ -254,8 +262,12 @@
         )
 
     def _with_role(self, service_name: str, role: EndpointRole) -> tuple[Endpoint, ...]:
-        """Return the engines in an order that is the same at each look."""
-        found = self._book.engines(service_name, role)
+        """Return the engines that stay, in an order that is the same at each look."""
+        found = [
+            engine
+            for engine in self._book.engines(service_name, role)
+            if not self._notices.leaves(engine.start_id)
+        ]
         return tuple(sorted(found, key=lambda endpoint: endpoint.endpoint_id))
 
     def _order(
@@ -327,7 +339,15 @@
         return report.orders
 
     def _ask(self, endpoint: Endpoint, question: EndpointQuestion) -> tuple[int, bytes]:
+        if self._notices.rests(endpoint.start_id):
+            raise EndpointOnHoldError("rest")
         deadline = Deadline.after(ANSWER_SECONDS)
         return ask_endpoint(
-            self._connections, self._interface, endpoint, question, deadline
+            self._connections,
+            self._interface,
+            endpoint,
+            question,
+            deadline,
+            never_interrupted,
+            self._notices.note_other_answer,
         )
