Soak: endpoints that ask for rests, or say that they leave

A further track and two checks, worded as the users' rules are: two requests of one host at most between half a second after a refusal that asks for a rest and its end, and none sent later than 2 s after an answer said that its endpoint leaves; a restart, pause or cut of the host excuses them. Bounds that the checks share stand in a module of their own.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -10,7 +10,9 @@
 from collections.abc import Callable, Iterator
 from itertools import pairwise
 
+from soak._bounds import CONTACT_SECONDS, STALL_FACTOR
 from soak._endpoints import STREAM_EVENTS
+from soak._hold_checks import check_leaving, check_rests
 from soak._observations import (
     ClientCall,
     Departure,
@@ -29,15 +31,11 @@
     STOP_LIMIT_MS,
 )
 
-# A host is in touch with the others if it was not disturbed for this long, in seconds:
-# longer than a silent connection goes unnoticed, and than a start takes.
-CONTACT_SECONDS = 3.0
 # How long after the acknowledgement of its leaving an endpoint may still be sent
 # requests, and a configuration may be unknown to a host in touch, in seconds. Both
 # take milliseconds; the rest is for a busy machine, with what it is seen to stall.
 LEAVE_SECONDS = 1.5
 APPLY_SECONDS = 5.0
-STALL_FACTOR = 2.0
 # How long after its client has left an endpoint is told, in seconds; a stream that
 # lasts for longer must not be worked on to its end.
 GONE_SECONDS = 4.0
@@ -475,5 +473,7 @@
     check_ends,
     check_fatal_contents,
     check_limits,
+    check_rests,
+    check_leaving,
     check_recovery,
 )
--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -9,7 +9,13 @@
 import time
 from typing import Any
 
-from soak._observations import Departure, EndpointEnd, Observations, Run
+from soak._observations import (
+    Departure,
+    EndpointArrival,
+    EndpointEnd,
+    Observations,
+    Run,
+)
 from soak._schedule import (
     CONTROLS,
     DECODE_ENDPOINTS,
@@ -19,7 +25,7 @@
 )
 from soak._system import SoakSystem
 from tests.fakes.fault_proxy import FaultProxy
-from tests.fakes.platform_worker import PlatformWorker, WorkerRun
+from tests.fakes.platform_worker import Arrival, PlatformWorker, WorkerRun
 
 BEAT_SECONDS = 0.3
 # How long an endpoint waits for an acknowledgement before it asks another host.
@@ -90,6 +96,29 @@
         self._observations.gone_by_request_id.setdefault(request_id, time.monotonic())
 
 
+class _ArrivalLog(list[Arrival]):
+    """Notes each request that reaches the endpoint, also one that it turns away."""
+
+    def __init__(self, endpoint: SoakEndpoint, endpoint_id: str) -> None:
+        super().__init__()
+        self._endpoint = endpoint
+        self._endpoint_id = endpoint_id
+
+    def append(self, arrival: Arrival) -> None:
+        """Note a request; what has no id is a call of the system's own."""
+        if not arrival.request_id:
+            return
+        noted = EndpointArrival(
+            arrival.request_id,
+            self._endpoint_id,
+            self._endpoint.slot,
+            arrival.at,
+            float(arrival.rest or 0),
+            arrival.told_leaving,
+        )
+        self._endpoint.observations.arrivals.append(noted)
+
+
 class SoakEndpoint:
     """A place of an endpoint, each start of which has another id and address."""
 
@@ -126,6 +155,7 @@
             on_crash=self._end_by_request,
             runs=_RunLog(self, endpoint_id),
             gone_clients=_GoneLog(self.observations),
+            arrivals=_ArrivalLog(self, endpoint_id),
         )
         self.observations.answer_by_endpoint[endpoint_id] = answer
         link = f"entry>{self.slot}"
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -225,3 +225,22 @@
     faults.pause(fault.seconds)
     worker.limit = ""
     limits[limits.index(limit)] = replace(limit, ended_at=time.monotonic())
+
+
+@carry_out.register
+def _(fault: _schedule.RestAsked, faults: Faults) -> None:
+    worker = faults.endpoint_by_slot[fault.endpoint].worker
+    worker.rest = fault.rest
+    faults.pause(fault.seconds)
+    worker.rest = ""
+
+
+@carry_out.register
+def _(fault: _schedule.LeavingSaid, faults: Faults) -> None:
+    endpoint = faults.endpoint_by_slot[fault.endpoint]
+    worker = endpoint.worker
+    worker.leaves = True
+    faults.pause(fault.seconds)
+    with endpoint.lock, faults.observations.disturbing(describe(fault), endpoint.slot):
+        if endpoint.worker is worker:
+            endpoint.crash(0.0)
--- /dev/null
+++ b/soak/_hold_checks.py
@@ -0,0 +1,93 @@
+"""What endpoints asked for in their answers, checked on what reached them."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator, Mapping
+
+from soak._bounds import CONTACT_SECONDS, STALL_FACTOR
+from soak._observations import ClientCall, EndpointArrival, Observations, Violation
+
+# A host may send so many requests to an endpoint that has asked it for a rest, those of
+# the first moments not counted.
+REST_REQUESTS = 2
+REST_SLACK_SECONDS = 0.5
+# From when on an endpoint that has said that it leaves gets nothing, in seconds.
+DRAIN_SECONDS = 2.0
+
+Sender = tuple[str, str]
+"""An endpoint's id, and the entry host that sent it requests."""
+
+
+def check_rests(seen: Observations) -> Iterator[Violation]:
+    """Check that an endpoint gets no requests within a rest that it asked for."""
+    for sender, arrivals in _by_sender(seen).items():
+        for told in arrivals:
+            if not told.rest_seconds:
+                continue
+            until = told.at + told.rest_seconds
+            since = told.at + REST_SLACK_SECONDS
+            since += STALL_FACTOR * seen.stall(told.at, until)
+            late = [item for item in arrivals if since < item.at < until]
+            if len(late) <= REST_REQUESTS or _is_excused(seen, sender, told, until):
+                continue
+            yield Violation(
+                "rests of endpoints",
+                f"{sender[0]} from {sender[1]}, {seen.offset(told.at)}",
+                f"it asked for {told.rest_seconds} s and got {_shown(seen, late)}",
+            )
+
+
+def check_leaving(seen: Observations) -> Iterator[Violation]:
+    """Check that an endpoint gets nothing after it has said that it leaves."""
+    call_by_id = _calls(seen)
+    for sender, arrivals in _by_sender(seen).items():
+        told = next((item for item in arrivals if item.told_leaving), None)
+        if told is None:
+            continue
+        stalled = STALL_FACTOR * seen.stall(told.at, arrivals[-1].at)
+        drained_at = told.at + DRAIN_SECONDS + stalled
+        late = [
+            item
+            for item in arrivals
+            if call_by_id[item.request_id].sent_at > drained_at
+            and not _is_excused(seen, sender, told, item.at)
+        ]
+        if late:
+            yield Violation(
+                "nothing after it said that it leaves",
+                f"{sender[0]} from {sender[1]}",
+                f"it said so at {seen.offset(told.at)} and got {_shown(seen, late)}",
+            )
+
+
+def _by_sender(seen: Observations) -> Mapping[Sender, list[EndpointArrival]]:
+    """Return what each endpoint got from each host, in order."""
+    call_by_id = _calls(seen)
+    found = defaultdict(list)
+    for arrival in sorted(list(seen.arrivals), key=lambda item: item.at):
+        call = call_by_id.get(arrival.request_id)
+        if call is not None:
+            found[arrival.endpoint_id, call.entry].append(arrival)
+    return found
+
+
+def _calls(seen: Observations) -> dict[str, ClientCall]:
+    return {call.request_id: call for call in list(seen.calls)}
+
+
+def _is_excused(
+    seen: Observations, sender: Sender, told: EndpointArrival, until: float
+) -> bool:
+    """Say whether the host or its link was disturbed since before it was told."""
+    begun_at = told.at - CONTACT_SECONDS
+    link = f"entry>{told.slot}"
+    return seen.disturbed(sender[1], begun_at, until) or seen.disturbed(
+        link, begun_at, until
+    )
+
+
+def _shown(seen: Observations, arrivals: list[EndpointArrival]) -> str:
+    return ", ".join(
+        f"{item.request_id} at {seen.offset(item.at)}" for item in arrivals
+    )
--- a/soak/_observations.py
+++ b/soak/_observations.py
@@ -127,6 +127,19 @@
         return self.begun_at <= instant <= self.ended_at
 
 
+@dataclass(frozen=True)
+class EndpointArrival:
+    """A request that reached an endpoint, and what its answer says of that."""
+
+    request_id: str
+    endpoint_id: str
+    slot: str
+    at: float
+    rest_seconds: float
+    """The rest that the endpoint asked for, 0 without one."""
+    told_leaving: bool
+
+
 @dataclass(frozen=True)
 class ConfigurationPut:
     """A configuration that was sent; acknowledged never if that is infinite."""
@@ -178,6 +191,7 @@
     ends: list[ProcessEnd] = field(default_factory=list)
     endpoint_ends: list[EndpointEnd] = field(default_factory=list)
     limits: list[NamedLimit] = field(default_factory=list)
+    arrivals: list[EndpointArrival] = field(default_factory=list)
     stalls: list[tuple[float, float]] = field(default_factory=list)
     gone_by_request_id: dict[str, float] = field(default_factory=dict)
     answer_by_endpoint: dict[str, bytes] = field(default_factory=dict)
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -31,6 +31,7 @@
     "links": (0.5, 3.0),
     "fatal": (0.3, 2.0),
     "limits": (1.0, 6.0),
+    "notices": (0.5, 4.0),
 }
 # How long a host is down or paused, in seconds: shorter and longer than an election
 # and than the 1.2 s after which a silent connection is given up.
@@ -46,6 +47,11 @@
 # takes then.
 LIMIT_SECONDS = (4.0, 12.0)
 LIMITS = (2.0, 5.0)
+# How long an endpoint turns all requests away, which rest it asks for then, and how
+# long it says that it leaves before it does, in seconds.
+RESTING_SECONDS = (0.5, 6.0)
+RESTS = ("1", "2.5", "4")
+SAID_SECONDS = (3.0, 6.0)
 # How long a link is disturbed, and by how much it delays, in seconds.
 LINK_SECONDS = (0.2, 4.0)
 DELAY_SECONDS = (0.02, 0.5)
@@ -168,6 +174,17 @@
     per_second: float
 
 
+@dataclass(frozen=True)
+class RestAsked(EndpointFault):
+    """It turns all requests away for these seconds, and asks for a rest each time."""
+
+    rest: str
+
+
+class LeavingSaid(EndpointFault):
+    """It says in answers that it leaves, announces that it is ready, and ends."""
+
+
 def make_schedule(seed: int, seconds: float) -> tuple[Fault, ...]:
     """Return the faults of a run of this length, in order of their time."""
     faults = [fault for track in GAP_SECONDS for fault in _track(seed, track, seconds)]
@@ -274,6 +291,14 @@
     return LimitNamed(at, track, endpoint, seconds, chance.choice(LIMITS))
 
 
+def _notice(chance: random.Random, at: float, track: str) -> Fault:
+    endpoint = chance.choice(ENDPOINTS)
+    if chance.random() < 0.3:
+        return LeavingSaid(at, track, endpoint, _span(chance, SAID_SECONDS))
+    seconds = _span(chance, RESTING_SECONDS)
+    return RestAsked(at, track, endpoint, seconds, chance.choice(RESTS))
+
+
 _DRAW_BY_TRACK: dict[str, Callable[[random.Random, float, str], Fault]] = {
     "control": _control_fault,
     **dict.fromkeys(ENTRIES, _entry_fault),
@@ -283,4 +308,5 @@
     "links": _any_link_fault,
     "fatal": _fatal_requests,
     "limits": _limit,
+    "notices": _notice,
 }
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -45,6 +45,8 @@
     sender: str
     """The host that sent it, where its client told that in `X-Entry`."""
     target: str
+    request_id: str
+    """Empty for a reservation."""
     rest: str
     """The rest that the worker asked for in its answer, empty without one."""
     told_leaving: bool
@@ -276,6 +278,7 @@
             time.monotonic(),
             self.headers.get("X-Entry", ""),
             self.path,
+            self.headers.get("Request-Id", ""),
             self.worker.rest,
             self.worker.leaves,
         )
