--- a/src/jujubeslip/forwarding/_meters.py
+++ b/src/jujubeslip/forwarding/_meters.py
@@ -37,6 +37,8 @@
     """Contents of requests that are held back."""
     limited_endpoints: int
     """Endpoints that have named a limit."""
+    held_endpoints: int
+    """Endpoints that rest, or have said that they leave."""
 
 
 class ForwardMeters:
@@ -176,6 +178,12 @@
         description="Endpoints that have named a limit of requests a second.",
     )
 
+    meter.create_observable_gauge(
+        "jujubeslip.forward.held_endpoints",
+        [observed(lambda: read().held_endpoints)],
+        description="Endpoints that rest, or have said that they leave.",
+    )
+
     def retries_left(_: CallbackOptions) -> Iterable[Observation]:
         left = read().retries_left_by_service
         return [Observation(value, {"service": name}) for name, value in left.items()]
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -169,6 +169,7 @@
             self._budgets.left_by_service(),
             len(self._crash_book.held_back()),
             self._endpoint_limits.count,
+            self._endpoint_limits.notices.held_count,
         )
 
     def _build_sending(self, quarantine: Quarantine) -> Sending:
