Soak: wait until the replicas themselves vote before another control host is disturbed

The soak took the host's name among the voters for its replica, and so took two disks of three at once, which nobody promises to survive. The leader's replica_still_answers was the proper wait for the earlier replica, and no fault.

--- a/soak/_system.py
+++ b/soak/_system.py
@@ -252,19 +252,24 @@
         wait_until(self._is_whole, "all control hosts vote", WHOLE_SECONDS)
 
     def _is_whole(self) -> bool:
+        """Say whether each host's replica votes, as it is now.
+
+        A host that has lost its disk is there again before its new replica votes; the
+        voter of its name is the one that is lost, until the leader has replaced it.
+        """
         if self.stopping.is_set():
             return True
-        names = {self.host_by_slot[slot].host.name for slot in CONTROLS}
-        for slot in CONTROLS:
-            known = self.status(slot)
-            if known is not None and known.leader_id == known.replica_id:
-                voters = {
-                    item.replica_id.partition("/")[0]
-                    for item in known.replicas
-                    if item.voter
-                }
-                return names <= voters and not known.failure
-        return False
+        known = [self.status(slot) for slot in CONTROLS]
+        answered = [status for status in known if status is not None]
+        if len(answered) < len(known):
+            return False
+        replicas = {status.replica_id for status in answered}
+        return any(
+            status.leader_id == status.replica_id
+            and replicas <= {item.replica_id for item in status.replicas if item.voter}
+            and not status.failure
+            for status in answered
+        )
 
     def _link_controls(self) -> None:
         for source in CONTROLS:
