Tell other control hosts of removals of endpoints that none has heard of

What callers would see: requests that end with their endpoint.

Cause, from the logs: its first announcement was held up, so that control-1 had never heard of it; it kept the removal for itself. It lost its disk 0.5 s later; the announcement from before reached control-0 0.7 s after the removal, and the endpoint was taken in by all. Ruled out: a removal that was overtaken at control-1 (its line 'removal of an endpoint not heard of' is the only one), a later start (one id, one start).

Change: such removals have a version in the book and are told to control hosts that watch (WatchReply.removals, at most 1,000 at a time); the acknowledgement waits for the watchers as it does for other removals. What is told counts for a start that is known already, as the removal would have counted had it been kept there.

Why it works: an acknowledgement now means that every control host in touch keeps the removal, so that it outlives the one that gave it, and whichever hears of the endpoint first applies it.

--- a/src/jujubeslip/control/_gateway.py
+++ b/src/jujubeslip/control/_gateway.py
@@ -47,7 +47,10 @@
         self._confirm(version, [endpoint_id])
 
     def _confirm(self, version: int, endpoint_ids: Iterable[str]) -> None:
-        """Wait for the watchers where an endpoint leaves, not at each renewal."""
+        """Wait for the watchers where an endpoint leaves, not at each renewal.
+
+        One that isn't known has left before it was heard of.
+        """
         known = [self._book.find(endpoint_id) for endpoint_id in endpoint_ids]
-        if any(endpoint is not None and not endpoint.stays for endpoint in known):
+        if any(endpoint is None or not endpoint.stays for endpoint in known):
             self._watches.wait_until_told(version, Deadline.after(CONFIRM_SECONDS))
--- a/src/jujubeslip/control/_watches.py
+++ b/src/jujubeslip/control/_watches.py
@@ -10,7 +10,7 @@
 from returns.result import Success
 
 from jujubeslip.control._replica import Replica
-from jujubeslip.discovery import EndpointBook, to_record
+from jujubeslip.discovery import EndpointBook, to_record, to_removal_record
 from jujubeslip.kernel import (
     Deadline,
     StrictModel,
@@ -108,6 +108,7 @@
             wait.earlier_of(Deadline.after(MAXIMUM_WAIT_SECONDS)),
         )
         version, changed = self._book.changes_since(known)
+        removals = [] if request.is_entry_host else self._book.removals_since(known)
         crash_version, crashes = self._crash_book.changes_since(
             known_crashes, suspects_only=bool(request.is_entry_host)
         )
@@ -121,6 +122,7 @@
             self._leader_address(),
             crash_version,
             [to_crash_record(history) for history in crashes],
+            [to_removal_record(removal) for removal in removals],
         )
 
     def _crash_version(self, request: WatchRequest) -> int:
--- a/src/jujubeslip/discovery/_book.py
+++ b/src/jujubeslip/discovery/_book.py
@@ -30,6 +30,8 @@
 # How many removals of endpoints that were never heard of are kept: far more than leave
 # within REMEMBERED_SECONDS, and few enough for whoever sends removals at random.
 MAXIMUM_EARLY_REMOVALS = 10_000
+# How many of them one host tells another at a time at most.
+MAXIMUM_TOLD_REMOVALS = 1_000
 # An engine that was not heard for this long is given nothing by the leader, in seconds:
 # engines announce themselves about once a second, at times some seconds late.
 SILENT_SECONDS = 5.0
@@ -47,12 +49,21 @@
 
 
 @dataclass(frozen=True)
-class _EarlyRemoval:
+class EarlyRemoval:
     """A removal of an endpoint that this host has not heard of."""
 
+    endpoint_id: str
     removed_at: float
     started_at_ms: int
     """The start that it is for, 0 where it names none."""
+    version: int = 0
+    """The version of the book since which it is known there."""
+
+    def is_same(self, other: EarlyRemoval | None) -> bool:
+        """Say whether the other one is the same removal, heard by another way."""
+        if other is None or other.started_at_ms != self.started_at_ms:
+            return False
+        return abs(other.removed_at - self.removed_at) <= SAME_REMOVAL_SECONDS
 
     def apply_to(self, endpoint: Endpoint) -> Endpoint:
         """Return the endpoint as it is after the removal."""
@@ -62,7 +73,8 @@
             return replace(endpoint, leaving=True)
         # Of one that tells its start, it may have been the start before that left.
         restarted = endpoint.restarted or endpoint.started_at_ms > 0
-        return replace(endpoint, removed_at=self.removed_at, restarted=restarted)
+        removed_at = _latest_removal(endpoint.removed_at, self.removed_at)
+        return replace(endpoint, removed_at=removed_at, restarted=restarted)
 
 
 class EndpointBook:
@@ -81,7 +93,7 @@
         self.book_id = new_incarnation()
         self._entry_by_id: dict[str, _Entry] = {}
         self._ids_by_address: dict[str, set[str]] = {}
-        self._early_removal_by_id: dict[str, _EarlyRemoval] = {}
+        self._early_removal_by_id: dict[str, EarlyRemoval] = {}
         self._version = 0
         # When the latest announcements were taken over; those that one host tells
         # together are known since the same instant.
@@ -166,12 +178,30 @@
         """
         with self._changed:
             known = self._entry_by_id.get(endpoint_id)
+            removal = EarlyRemoval(endpoint_id, steady_seconds(), started_at_ms)
             if known is None:
-                self._note_early(endpoint_id, started_at_ms)
+                self._note_early(removal)
             elif not known.endpoint.leaving:
-                self._remove(known.endpoint, started_at_ms)
+                self._remove(known.endpoint, removal)
             return self._version
 
+    def take_removals(self, told: Iterable[EarlyRemoval]) -> None:
+        """Take over removals that another host has kept, and not known of whom."""
+        with self._changed:
+            for removal in told:
+                known = self._entry_by_id.get(removal.endpoint_id)
+                if known is None:
+                    self._note_early(removal)
+                elif not known.endpoint.leaving:
+                    self._replace(known.endpoint, removal.apply_to(known.endpoint))
+
+    def removals_since(self, version: int) -> list[EarlyRemoval]:
+        """Return removals kept since a version, the latest where they are many."""
+        with self._changed:
+            kept = self._early_removal_by_id.values()
+            changed = [removal for removal in kept if removal.version > version]
+            return changed[-MAXIMUM_TOLD_REMOVALS:]
+
     def changes_since(self, version: int) -> tuple[int, list[Endpoint]]:
         """Return the newest version, and the endpoints changed since the given one."""
         with self._changed:
@@ -210,42 +240,55 @@
         older = known.endpoint
         same_start = told.started_at_ms == older.started_at_ms
         newer = _merged(older, told) if same_start else _latest(older, told)
-        if newer != older:
-            self._store(newer, material=_differs(older, newer))
+        self._replace(older, newer)
 
-    def _note_early(self, endpoint_id: str, started_at_ms: int) -> None:
+    def _note_early(self, removal: EarlyRemoval) -> None:
         """Keep a removal until the endpoint is heard of, by another way.
 
         A host that has started anew, or hears of endpoints from other hosts alone, is
         the first to be told. Acknowledged and forgotten, the removal would be undone by
         the announcement that comes after it: requests go to an endpoint that exits.
+        Other control hosts are told: that announcement may come to one of them, and
+        this host may have ended by then.
         """
         removals = self._early_removal_by_id
-        removals.pop(endpoint_id, None)
-        removals[endpoint_id] = _EarlyRemoval(steady_seconds(), started_at_ms)
+        if removal.is_same(removals.get(removal.endpoint_id)):
+            return
+        self._version += 1
+        self._material_version = self._version
+        removals.pop(removal.endpoint_id, None)
+        removals[removal.endpoint_id] = replace(removal, version=self._version)
         oldest = steady_seconds() - REMEMBERED_SECONDS
         while (
             len(removals) > MAXIMUM_EARLY_REMOVALS
             or next(iter(removals.values())).removed_at < oldest
         ):
             del removals[next(iter(removals))]
-        extra = {"endpoint_id": endpoint_id, "removed_start_ms": started_at_ms}
+        self._changed.notify_all()
+        extra = {
+            "endpoint_id": removal.endpoint_id,
+            "removed_start_ms": removal.started_at_ms,
+        }
         logger.info("removal of an endpoint not heard of", extra=extra)
 
-    def _remove(self, known: Endpoint, started_at_ms: int) -> None:
-        if not known.may_be(started_at_ms):
+    def _remove(self, known: Endpoint, removal: EarlyRemoval) -> None:
+        if not known.may_be(removal.started_at_ms):
             extra = {
                 "endpoint_id": known.endpoint_id,
                 "started_at_ms": known.started_at_ms,
-                "removed_start_ms": started_at_ms,
+                "removed_start_ms": removal.started_at_ms,
             }
             logger.info("removal of another start", extra=extra)
             return
-        if started_at_ms:
+        if removal.started_at_ms:
             removed = replace(known, leaving=True)
         else:
-            removed = replace(known, removed_at=steady_seconds())
-        self._store(removed, material=_differs(known, removed))
+            removed = replace(known, removed_at=removal.removed_at)
+        self._replace(known, removed)
+
+    def _replace(self, older: Endpoint, newer: Endpoint) -> None:
+        if newer != older:
+            self._store(newer, material=_differs(older, newer))
 
     def _has_lost_address(self, entry: _Entry) -> bool:
         ids = self._ids_by_address[entry.endpoint.address]
--- a/src/jujubeslip/discovery/_follower.py
+++ b/src/jujubeslip/discovery/_follower.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from jujubeslip.discovery._book import EndpointBook
-from jujubeslip.discovery._records import usable_endpoints
+from jujubeslip.discovery._records import usable_endpoints, usable_removals
 from jujubeslip.kernel import (
     Deadline,
     PeerUnavailableError,
@@ -156,6 +156,7 @@
     def take(self, address: str, reply: WatchReply) -> None:
         """Take over an answer."""
         self._book.take(list(usable_endpoints(address, reply.endpoints or ())))
+        self._book.take_removals(usable_removals(address, reply.removals or ()))
         self._crash_book.take(usable_histories(address, reply.crashes or ()))
         self.learn(reply.control_addresses or ())
         news = News(
--- a/src/jujubeslip/discovery/_records.py
+++ b/src/jujubeslip/discovery/_records.py
@@ -9,9 +9,22 @@
 from pydantic import Field
 from returns.result import Failure
 
-from jujubeslip.discovery._models import Endpoint, endpoint_from_record
-from jujubeslip.kernel import EndpointAddress, Id, StrictModel, Text, Whole, read_fields
-from jujubeslip.peers import EndpointRecord, EndpointRole
+from jujubeslip.discovery._book import EarlyRemoval
+from jujubeslip.discovery._models import (
+    MILLISECONDS,
+    Endpoint,
+    endpoint_from_record,
+)
+from jujubeslip.kernel import (
+    EndpointAddress,
+    Id,
+    StrictModel,
+    Text,
+    Whole,
+    read_fields,
+    steady_seconds,
+)
+from jujubeslip.peers import EndpointRecord, EndpointRemoval, EndpointRole
 
 logger = logging.getLogger(__name__)
 
@@ -43,6 +56,12 @@
     removed_ago_ms: Whole | None
 
 
+class _ToldRemoval(StrictModel):
+    endpoint_id: Id
+    started_at_ms: Whole
+    removed_ago_ms: Whole
+
+
 def usable_endpoints(
     teller: str, records: Sequence[EndpointRecord]
 ) -> Iterator[Endpoint]:
@@ -59,10 +78,34 @@
             yield endpoint_from_record(record)
 
 
-def _note_unusable(teller: str, record: EndpointRecord, problem: str) -> None:
+def _note_unusable(
+    teller: str, record: EndpointRecord | EndpointRemoval, problem: str
+) -> None:
     extra = {
         "teller": teller,
         "endpoint_id": str(record.endpoint_id)[:MAXIMUM_LOGGED],
         "problem": problem,
     }
     logger.info("endpoint's record not usable", extra=extra)
+
+
+def usable_removals(
+    teller: str, records: Sequence[EndpointRemoval]
+) -> Iterator[EarlyRemoval]:
+    """Yield the removals of an answer that can be used; each other one is logged."""
+    now = steady_seconds()
+    for record in records:
+        read = read_fields(_ToldRemoval, vars(record))
+        if isinstance(read, Failure):
+            _note_unusable(teller, record, read.failure())
+            continue
+        removed_at = now - record.removed_ago_ms / MILLISECONDS
+        yield EarlyRemoval(record.endpoint_id, removed_at, record.started_at_ms)
+
+
+def to_removal_record(removal: EarlyRemoval) -> EndpointRemoval:
+    """Return what this host tells others of a removal."""
+    removed_ago = max(0.0, steady_seconds() - removal.removed_at)
+    return EndpointRemoval(
+        removal.endpoint_id, removal.started_at_ms, int(removed_ago * MILLISECONDS)
+    )
--- a/src/jujubeslip/peers/gen/ControlPeer.py
+++ b/src/jujubeslip/peers/gen/ControlPeer.py
@@ -3701,11 +3701,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.news = []
-                    (_etype171, _size168) = iprot.readListBegin()
-                    for _i172 in range(_size168):
-                        _elem173 = AdmissionNews()
-                        _elem173.read(iprot)
-                        self.news.append(_elem173)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = AdmissionNews()
+                        _elem180.read(iprot)
+                        self.news.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3722,8 +3722,8 @@
         if self.news is not None:
             oprot.writeFieldBegin('news', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.news))
-            for iter174 in self.news:
-                iter174.write(oprot)
+            for iter181 in self.news:
+                iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3995,11 +3995,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.spent = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = AccountSpending()
-                        _elem180.read(iprot)
-                        self.spent.append(_elem180)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = AccountSpending()
+                        _elem187.read(iprot)
+                        self.spent.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4016,8 +4016,8 @@
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.spent))
-            for iter181 in self.spent:
-                iter181.write(oprot)
+            for iter188 in self.spent:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4070,11 +4070,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype185, _size182) = iprot.readListBegin()
-                    for _i186 in range(_size182):
-                        _elem187 = AccountState()
-                        _elem187.read(iprot)
-                        self.success.append(_elem187)
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = AccountState()
+                        _elem194.read(iprot)
+                        self.success.append(_elem194)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4101,8 +4101,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter188 in self.success:
-                iter188.write(oprot)
+            for iter195 in self.success:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
@@ -4674,11 +4674,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype192, _size189) = iprot.readListBegin()
-                    for _i193 in range(_size189):
-                        _elem194 = CrashRecord()
-                        _elem194.read(iprot)
-                        self.success.append(_elem194)
+                    (_etype199, _size196) = iprot.readListBegin()
+                    for _i200 in range(_size196):
+                        _elem201 = CrashRecord()
+                        _elem201.read(iprot)
+                        self.success.append(_elem201)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4700,8 +4700,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter195 in self.success:
-                iter195.write(oprot)
+            for iter202 in self.success:
+                iter202.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
@@ -4953,11 +4953,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype199, _size196) = iprot.readListBegin()
-                    for _i200 in range(_size196):
-                        _elem201 = Configuration()
-                        _elem201.read(iprot)
-                        self.success.append(_elem201)
+                    (_etype206, _size203) = iprot.readListBegin()
+                    for _i207 in range(_size203):
+                        _elem208 = Configuration()
+                        _elem208.read(iprot)
+                        self.success.append(_elem208)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4979,8 +4979,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter202 in self.success:
-                iter202.write(oprot)
+            for iter209 in self.success:
+                iter209.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -3273,6 +3273,85 @@
         return not (self == other)
 
 
+class EndpointRemoval(object):
+    """
+    Attributes:
+     - endpoint_id
+     - started_at_ms
+     - removed_ago_ms
+
+    """
+
+
+    def __init__(self, endpoint_id=None, started_at_ms=None, removed_ago_ms=None,):
+        self.endpoint_id = endpoint_id
+        self.started_at_ms = started_at_ms
+        self.removed_ago_ms = removed_ago_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.removed_ago_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointRemoval')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.started_at_ms is not None:
+            oprot.writeFieldBegin('started_at_ms', TType.I64, 2)
+            oprot.writeI64(self.started_at_ms)
+            oprot.writeFieldEnd()
+        if self.removed_ago_ms is not None:
+            oprot.writeFieldBegin('removed_ago_ms', TType.I64, 3)
+            oprot.writeI64(self.removed_ago_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ServicePressure(object):
     """
     Attributes:
@@ -4442,11 +4521,12 @@
      - leader_address
      - crash_version
      - crashes
+     - removals
 
     """
 
 
-    def __init__(self, book_id=None, version=None, endpoints=None, configuration_version=None, control_addresses=None, entry_hosts=None, leader_address=None, crash_version=None, crashes=None,):
+    def __init__(self, book_id=None, version=None, endpoints=None, configuration_version=None, control_addresses=None, entry_hosts=None, leader_address=None, crash_version=None, crashes=None, removals=None,):
         self.book_id = book_id
         self.version = version
         self.endpoints = endpoints
@@ -4456,6 +4536,7 @@
         self.leader_address = leader_address
         self.crash_version = crash_version
         self.crashes = crashes
+        self.removals = removals
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4528,6 +4609,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.removals = []
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = EndpointRemoval()
+                        _elem100.read(iprot)
+                        self.removals.append(_elem100)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4549,8 +4641,8 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
-            for iter95 in self.endpoints:
-                iter95.write(oprot)
+            for iter101 in self.endpoints:
+                iter101.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -4560,8 +4652,8 @@
         if self.control_addresses is not None:
             oprot.writeFieldBegin('control_addresses', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.control_addresses))
-            for iter96 in self.control_addresses:
-                oprot.writeString(iter96.encode('utf-8') if sys.version_info[0] == 2 else iter96)
+            for iter102 in self.control_addresses:
+                oprot.writeString(iter102.encode('utf-8') if sys.version_info[0] == 2 else iter102)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entry_hosts is not None:
@@ -4579,8 +4671,15 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter97 in self.crashes:
-                iter97.write(oprot)
+            for iter103 in self.crashes:
+                iter103.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.removals is not None:
+            oprot.writeFieldBegin('removals', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.removals))
+            for iter104 in self.removals:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4723,21 +4822,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = Member()
-                        _elem103.read(iprot)
-                        self.members.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = Member()
+                        _elem110.read(iprot)
+                        self.members.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.admitted_host_ids = []
-                    (_etype107, _size104) = iprot.readListBegin()
-                    for _i108 in range(_size104):
-                        _elem109 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.admitted_host_ids.append(_elem109)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.admitted_host_ids.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4758,15 +4857,15 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter110 in self.members:
-                iter110.write(oprot)
+            for iter117 in self.members:
+                iter117.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_host_ids is not None:
             oprot.writeFieldBegin('admitted_host_ids', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.admitted_host_ids))
-            for iter111 in self.admitted_host_ids:
-                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
+            for iter118 in self.admitted_host_ids:
+                oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5357,33 +5456,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.configurations = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = Configuration()
-                        _elem117.read(iprot)
-                        self.configurations.append(_elem117)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = Configuration()
+                        _elem124.read(iprot)
+                        self.configurations.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype121, _size118) = iprot.readListBegin()
-                    for _i122 in range(_size118):
-                        _elem123 = ChangeRecord()
-                        _elem123.read(iprot)
-                        self.changes.append(_elem123)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = ChangeRecord()
+                        _elem130.read(iprot)
+                        self.changes.append(_elem130)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.claims = []
-                    (_etype127, _size124) = iprot.readListBegin()
-                    for _i128 in range(_size124):
-                        _elem129 = ClaimRecord()
-                        _elem129.read(iprot)
-                        self.claims.append(_elem129)
+                    (_etype134, _size131) = iprot.readListBegin()
+                    for _i135 in range(_size131):
+                        _elem136 = ClaimRecord()
+                        _elem136.read(iprot)
+                        self.claims.append(_elem136)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5405,22 +5504,22 @@
         if self.configurations is not None:
             oprot.writeFieldBegin('configurations', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.configurations))
-            for iter130 in self.configurations:
-                iter130.write(oprot)
+            for iter137 in self.configurations:
+                iter137.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter131 in self.changes:
-                iter131.write(oprot)
+            for iter138 in self.changes:
+                iter138.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.claims is not None:
             oprot.writeFieldBegin('claims', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.claims))
-            for iter132 in self.claims:
-                iter132.write(oprot)
+            for iter139 in self.claims:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.end is not None:
@@ -5822,11 +5921,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = LogEntry()
-                        _elem138.read(iprot)
-                        self.entries.append(_elem138)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = LogEntry()
+                        _elem145.read(iprot)
+                        self.entries.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5876,8 +5975,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter139 in self.entries:
-                iter139.write(oprot)
+            for iter146 in self.entries:
+                iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commit_index is not None:
@@ -6502,6 +6601,13 @@
     (12, TType.BOOL, 'restarted', None, None, ),  # 12
     (13, TType.I64, 'removed_ago_ms', None, None, ),  # 13
 )
+all_structs.append(EndpointRemoval)
+EndpointRemoval.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_at_ms', None, None, ),  # 2
+    (3, TType.I64, 'removed_ago_ms', None, None, ),  # 3
+)
 all_structs.append(ServicePressure)
 ServicePressure.thrift_spec = (
     None,  # 0
@@ -6614,6 +6720,7 @@
     (7, TType.STRING, 'leader_address', 'UTF8', None, ),  # 7
     (8, TType.I64, 'crash_version', None, None, ),  # 8
     (9, TType.LIST, 'crashes', (TType.STRUCT, [CrashRecord, None], False), None, ),  # 9
+    (10, TType.LIST, 'removals', (TType.STRUCT, [EndpointRemoval, None], False), None, ),  # 10
 )
 all_structs.append(Member)
 Member.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -361,6 +361,14 @@
   13: optional i64 removed_ago_ms,
 }
 
+// A removal of an endpoint that the teller has not heard of.
+struct EndpointRemoval {
+  1: string endpoint_id,
+  // The start that it is for, 0 where it names none.
+  2: i64 started_at_ms,
+  3: i64 removed_ago_ms,
+}
+
 // What one entry host met at the engines of a service in the last seconds.
 struct ServicePressure {
   1: string service_name,
@@ -506,6 +514,8 @@
   // An entry host is told of crash histories that are suspect, a control host of all.
   8: i64 crash_version,
   9: list<CrashRecord> crashes,
+  // Control hosts are told of removals of endpoints that are not known yet.
+  10: list<EndpointRemoval> removals,
 }
 
 // `replica_id` is HOST/DISK: a host that lost its disk is another replica.
--- a/tests/discovery/test_book.py
+++ b/tests/discovery/test_book.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from jujubeslip.discovery import Endpoint, EndpointBook, _book
 from jujubeslip.discovery._models import REMOVAL_SECONDS
 from jujubeslip.kernel import Deadline, steady_seconds
@@ -77,6 +79,35 @@
         other.take(book.changes_since(0)[1])
         assert [item.stays for item in other.endpoints()] == [False]
 
+    @pytest.mark.parametrize("heard_first", [True, False])
+    def test_is_told_before_the_endpoint_is_heard_of(self, heard_first: bool) -> None:
+        book, other = EndpointBook(), EndpointBook()
+        book.note_left("e")
+        if heard_first:
+            other.take([endpoint(4)])
+        other.take_removals(book.removals_since(0))
+        other.take([endpoint(4), endpoint(5)])
+        assert [item.stays for item in other.endpoints()] == [False]
+
+    def test_is_told_once(self) -> None:
+        book, other = EndpointBook(), EndpointBook()
+        version = book.note_left("e")
+        other.take_removals(book.removals_since(0))
+        book.take_removals(other.removals_since(0))
+        assert book.removals_since(version) == []
+        assert book.version == version
+
+    def test_that_is_told_may_be_of_the_start_before(self) -> None:
+        book, other = EndpointBook(), EndpointBook()
+        book.note_left("e")
+        started = replace(endpoint(1), started_at_ms=8)
+        other.take([started])
+        other.take_removals(book.removals_since(0))
+        assert not other.endpoints()[0].stays
+        later = started.heard_at + REMOVAL_SECONDS + 1
+        other.take([replace(started, sequence=2, heard_at=later)])
+        assert other.endpoints()[0].stays
+
     def test_says_nothing_of_another_start(self) -> None:
         book = EndpointBook()
         book.note_left("e", started_at_ms=7)
--- a/tests/discovery/test_told_records.py
+++ b/tests/discovery/test_told_records.py
@@ -19,7 +19,13 @@
     News,
     to_record,
 )
-from jujubeslip.peers import EndpointRecord, EndpointRole, PeerIdentity, WatchReply
+from jujubeslip.peers import (
+    EndpointRecord,
+    EndpointRemoval,
+    EndpointRole,
+    PeerIdentity,
+    WatchReply,
+)
 from tests.fakes.broken_fields import received
 from tests.fakes.engines import engine
 
@@ -134,3 +140,23 @@
             0 if name == "configuration_version" else 3,
             0 if name == "entry_hosts" else 2,
         )
+
+
+class TestRemovalThatIsTold:
+    """Guards against a removal that cannot be read, and costs those beside it."""
+
+    @pytest.mark.parametrize(
+        ("name", "value"),
+        [
+            *(("endpoint_id", value) for value in (*NO_TEXT, "a b")),
+            *(("started_at_ms", value) for value in (None, -1)),
+            *(("removed_ago_ms", value) for value in (None, -1)),
+        ],
+    )
+    def test_others_are_taken_over(self, name: str, value: Any) -> None:
+        broken = EndpointRemoval("broken", 0, 5)
+        setattr(broken, name, value)
+        told = Told()
+        told.take(removals=[broken, EndpointRemoval("gone", 0, 5)])
+        told.take(to_record(engine("gone")))
+        assert not told.by_id()["gone"].stays
--- /dev/null
+++ b/tests/platform/test_early_removals.py
@@ -0,0 +1,34 @@
+"""Endpoints that leave before any control host has heard of them, with processes."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from tests.fakes.platform_system import (
+    PLAIN,
+    PlatformSystem,
+    configuration,
+    route,
+)
+from tests.fakes.platform_worker import PlatformWorker
+
+
+class TestControlHostThatIsLostAfterARemoval:
+    """Guards against an acknowledged removal that one control host alone has kept."""
+
+    def test_late_announcement_brings_nothing_back(self, tmp_path: Path) -> None:
+        with PlatformSystem(tmp_path, controls=3, entries=1) as system:
+            routes = [route("safe", "/safe/", "plain")]
+            system.put_until_accepted(configuration(1, routes, [PLAIN]))
+            other = system.add(PlatformWorker("other", "plain"), control=1)
+            system.wait_served("/safe/x")
+            leaving = PlatformWorker("leaving", "plain")
+            earlier = leaving.beat()
+            assert system.leave(leaving, control=0) == 200
+            system.controls[0].kill()
+            assert system.tell("leaving", earlier, control=1) == 200
+            other.runs.clear()
+            for _ in range(30):
+                system.ask("/safe/x")
+            assert leaving.runs == []
+            assert len(other.runs) == 30
