Let a reservation lapse at an engine that rests

Found by reading: a host that decides by itself gives back what it reserved, also at an engine that has asked it for a rest meanwhile, with a request of its own within the rest (BUDGET counts requests of each kind).

The test fails on the code before: the engine got the call.

--- a/src/jujubeslip/forwarding/_reservations.py
+++ b/src/jujubeslip/forwarding/_reservations.py
@@ -102,11 +102,14 @@
         """Give back what was reserved.
 
         What a start held ended with it. The next one at its address counts its
-        reservations anew, and the same name may be that of another request's.
+        reservations anew, and the same name may be that of another request's. At an
+        engine that rests or leaves the reservation lapses by itself.
         """
         endpoint = reservation.endpoint
         if self._sending.chooser.is_over(endpoint):
             return
+        if self._sending.limits.notices.hold_of(endpoint.start_id) is not None:
+            return
         question = self._sending.interface.release(
             endpoint.endpoint_id, reservation.token
         )
--- a/tests/forwarding/test_reservations.py
+++ b/tests/forwarding/test_reservations.py
@@ -17,6 +17,7 @@
 from jujubeslip.forwarding._reservations import Reservation, Reservations
 from jujubeslip.kernel import Deadline, load_plugins
 from jujubeslip.peers import EndpointRole
+from jujubeslip.platform._endpoint_calls import read_head
 from jujubeslip.routes import EngineService, PromptShape
 from tests.fakes.engines import engine
 from tests.fakes.platform_worker import PlatformWorker
@@ -129,3 +130,22 @@
                 at(near.address, "near", OTHER_ZONE),
             )
         assert found is not None and found.endpoint.endpoint_id == "near"
+
+
+class TestReservationAtAnEngineThatRests:
+    """Guards against reservations that are given back within an engine's rest."""
+
+    @pytest.mark.parametrize("rest", ["", "3"])
+    def test_lapses_by_itself(self, near: PlatformWorker, rest: str) -> None:
+        own = at(near.address, "near", OWN_ZONE)
+        book = EndpointBook()
+        book.take([own])
+        ways = sending(book)
+        reservations = Reservations(ways, OPTIONS, OWN_ZONE)
+        near.reservations["r1"] = 100
+        refusal = read_head(503, [("Retry-After", rest)])
+        ways.limits.notices.note_answer(own, refusal, 0.0)
+        request: Any = SimpleNamespace(request_id="r-1")
+        context: Any = SimpleNamespace(request=request)
+        reservations.release(context, Reservation(own, "r1"))
+        assert ("r1" in near.reservations) == bool(rest)
