--- a/tests/forwarding/test_endpoint_holds.py
+++ b/tests/forwarding/test_endpoint_holds.py
@@ -172,6 +172,21 @@
         )
 
 
+@contextmanager
+def restarted(
+    system: PlatformSystem, worker: PlatformWorker
+) -> Iterator[PlatformWorker]:
+    """Give the next start of a worker, which leaves at the end."""
+    later = system.restart(worker)
+    try:
+        yield later
+    finally:
+        system.withdraw(later)
+        system.beat(later, "draining")
+        later.close()
+        system.add(worker)
+
+
 class TestRestOfAPlainEndpoint:
     """Guards against requests to an endpoint within the rest that it asked for."""
 
@@ -244,14 +259,8 @@
             wait_until(lambda: ask(system, "/safe/x").reply.status == 200, "served")
             worker.rest = "60"
             offer(system, "/safe/x", 0.5)
-            later = system.restart(worker)
-            try:
+            with restarted(system, worker) as later:
                 end_rest(system, later, "/safe/x")
-            finally:
-                system.withdraw(later)
-                system.beat(later, "draining")
-                later.close()
-                system.add(worker)
 
 
 class TestWhereAllRest:
@@ -420,11 +429,5 @@
             wait_until(lambda: ask(system, "/safe/x").reply.status == 200, "served")
             leaving.leaves = True
             offer(system, "/safe/x", 0.5)
-            later = system.restart(leaving)
-            try:
+            with restarted(system, leaving) as later:
                 end_rest(system, later, "/safe/x")
-            finally:
-                system.withdraw(later)
-                system.beat(later, "draining")
-                later.close()
-                system.add(leaving)
