Take over no removal that is older than removals are kept

Found by reading the change that tells other control hosts of early removals: a host forgets old ones only when it hears of further ones, and tells a control host that has just started of all. The first one older than 300 s emptied the book of removals there, and the task that follows the teller ended with StopIteration: that host would have heard nothing more of endpoints from it.

The test fails on the code before, both cases (StopIteration).

--- a/src/jujubeslip/discovery/_book.py
+++ b/src/jujubeslip/discovery/_book.py
@@ -187,8 +187,11 @@
 
     def take_removals(self, told: Iterable[EarlyRemoval]) -> None:
         """Take over removals that another host has kept, and not known of whom."""
+        oldest = steady_seconds() - REMEMBERED_SECONDS
         with self._changed:
             for removal in told:
+                if removal.removed_at < oldest:
+                    continue
                 known = self._entry_by_id.get(removal.endpoint_id)
                 if known is None:
                     self._note_early(removal)
@@ -259,7 +262,7 @@
         removals.pop(removal.endpoint_id, None)
         removals[removal.endpoint_id] = replace(removal, version=self._version)
         oldest = steady_seconds() - REMEMBERED_SECONDS
-        while (
+        while removals and (
             len(removals) > MAXIMUM_EARLY_REMOVALS
             or next(iter(removals.values())).removed_at < oldest
         ):
--- a/tests/discovery/test_book.py
+++ b/tests/discovery/test_book.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from jujubeslip.discovery import Endpoint, EndpointBook, _book
+from jujubeslip.discovery import EarlyRemoval, Endpoint, EndpointBook, _book
 from jujubeslip.discovery._models import REMOVAL_SECONDS
 from jujubeslip.kernel import Deadline, steady_seconds
 from jujubeslip.peers import EndpointRole
@@ -97,6 +97,16 @@
         assert book.removals_since(version) == []
         assert book.version == version
 
+    @pytest.mark.parametrize("age", [_book.REMEMBERED_SECONDS + 1, 2.0**60])
+    def test_is_not_taken_over_once_it_is_old(self, age: float) -> None:
+        """The teller forgets old removals only when it hears of further ones."""
+        book = EndpointBook()
+        old = EarlyRemoval("e", steady_seconds() - age, 0)
+        book.take_removals([old, EarlyRemoval("f", steady_seconds(), 0)])
+        other = replace(endpoint(1, endpoint_id="f"), address="10.0.0.2:80")
+        book.take([endpoint(1), other])
+        assert [item.stays for item in book.endpoints()] == [True, False]
+
     def test_that_is_told_may_be_of_the_start_before(self) -> None:
         book, other = EndpointBook(), EndpointBook()
         book.note_left("e")
