--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -12,7 +12,7 @@
 
 from soak._bounds import CONTACT_SECONDS, STALL_FACTOR
 from soak._endpoints import STREAM_EVENTS
-from soak._hold_checks import check_leaving, check_rests
+from soak._hold_checks import check_backoff, check_leaving
 from soak._observations import (
     ClientCall,
     Departure,
@@ -473,7 +473,7 @@
     check_ends,
     check_fatal_contents,
     check_limits,
-    check_rests,
+    check_backoff,
     check_leaving,
     check_recovery,
 )
--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -113,7 +113,7 @@
             self._endpoint_id,
             self._endpoint.slot,
             arrival.at,
-            float(arrival.rest or 0),
+            float(arrival.backoff or 0),
             arrival.told_leaving,
         )
         self._endpoint.observations.arrivals.append(noted)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -228,11 +228,11 @@
 
 
 @carry_out.register
-def _(fault: _schedule.RestAsked, faults: Faults) -> None:
+def _(fault: _schedule.BackoffAsked, faults: Faults) -> None:
     worker = faults.endpoint_by_slot[fault.endpoint].worker
-    worker.rest = fault.rest
+    worker.backoff = fault.backoff
     faults.pause(fault.seconds)
-    worker.rest = ""
+    worker.backoff = ""
 
 
 @carry_out.register
--- a/soak/_hold_checks.py
+++ b/soak/_hold_checks.py
@@ -8,10 +8,10 @@
 from soak._bounds import CONTACT_SECONDS, STALL_FACTOR
 from soak._observations import ClientCall, EndpointArrival, Observations, Violation
 
-# A host may send so many requests to an endpoint that has asked it for a rest, those of
-# the first moments not counted.
-REST_REQUESTS = 2
-REST_SLACK_SECONDS = 0.5
+# A host may send so many requests to an endpoint that has asked it for backoff; those
+# of the first moments, in seconds, are not counted.
+BACKOFF_REQUESTS = 2
+BACKOFF_SLACK_SECONDS = 0.5
 # From when on an endpoint that has said that it leaves gets nothing, in seconds.
 DRAIN_SECONDS = 2.0
 
@@ -19,22 +19,22 @@
 """An endpoint's id, and the entry host that sent it requests."""
 
 
-def check_rests(seen: Observations) -> Iterator[Violation]:
-    """Check that an endpoint gets no requests within a rest that it asked for."""
+def check_backoff(seen: Observations) -> Iterator[Violation]:
+    """Check that an endpoint gets no requests within a backoff that it asked for."""
     for sender, arrivals in _by_sender(seen).items():
         for told in arrivals:
-            if not told.rest_seconds:
+            if not told.backoff_seconds:
                 continue
-            until = told.at + told.rest_seconds
-            since = told.at + REST_SLACK_SECONDS
+            until = told.at + told.backoff_seconds
+            since = told.at + BACKOFF_SLACK_SECONDS
             since += STALL_FACTOR * seen.stall(told.at, until)
             late = [item for item in arrivals if since < item.at < until]
-            if len(late) <= REST_REQUESTS or _is_excused(seen, sender, told, until):
+            if len(late) <= BACKOFF_REQUESTS or _is_excused(seen, sender, told, until):
                 continue
             yield Violation(
-                "rests of endpoints",
+                "backoff of endpoints",
                 f"{sender[0]} from {sender[1]}, {seen.offset(told.at)}",
-                f"it asked for {told.rest_seconds} s and got {_shown(seen, late)}",
+                f"it asked for {told.backoff_seconds} s and got {_shown(seen, late)}",
             )
 
 
--- a/soak/_observations.py
+++ b/soak/_observations.py
@@ -135,8 +135,8 @@
     endpoint_id: str
     slot: str
     at: float
-    rest_seconds: float
-    """The rest that the endpoint asked for, 0 without one."""
+    backoff_seconds: float
+    """The backoff that the endpoint asked for, 0 without one."""
     told_leaving: bool
 
 
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -47,10 +47,10 @@
 # takes then.
 LIMIT_SECONDS = (4.0, 12.0)
 LIMITS = (2.0, 5.0)
-# How long an endpoint turns all requests away, which rest it asks for then, and how
+# How long an endpoint refuses all requests, which backoff it asks for then, and how
 # long it says that it leaves before it does, in seconds.
-RESTING_SECONDS = (0.5, 6.0)
-RESTS = ("1", "2.5", "4")
+REFUSING_SECONDS = (0.5, 6.0)
+BACKOFFS = ("1", "2.5", "4")
 SAID_SECONDS = (3.0, 6.0)
 # How long a link is disturbed, and by how much it delays, in seconds.
 LINK_SECONDS = (0.2, 4.0)
@@ -175,10 +175,10 @@
 
 
 @dataclass(frozen=True)
-class RestAsked(EndpointFault):
-    """It turns all requests away for these seconds, and asks for a rest each time."""
+class BackoffAsked(EndpointFault):
+    """It refuses all requests for these seconds, and asks for backoff each time."""
 
-    rest: str
+    backoff: str
 
 
 class LeavingSaid(EndpointFault):
@@ -295,8 +295,8 @@
     endpoint = chance.choice(ENDPOINTS)
     if chance.random() < 0.3:
         return LeavingSaid(at, track, endpoint, _span(chance, SAID_SECONDS))
-    seconds = _span(chance, RESTING_SECONDS)
-    return RestAsked(at, track, endpoint, seconds, chance.choice(RESTS))
+    seconds = _span(chance, REFUSING_SECONDS)
+    return BackoffAsked(at, track, endpoint, seconds, chance.choice(BACKOFFS))
 
 
 _DRAW_BY_TRACK: dict[str, Callable[[random.Random, float, str], Fault]] = {
--- a/src/jujubeslip/admission/_engine_follower.py
+++ b/src/jujubeslip/admission/_engine_follower.py
@@ -12,8 +12,8 @@
 from jujubeslip.endpoints import (
     ConnectionPool,
     EndpointError,
+    EndpointOnHoldError,
     EndpointReplacedError,
-    never_interrupted,
 )
 from jujubeslip.interfaces import Interface, ask_endpoint
 from jujubeslip.kernel import Deadline, Process
@@ -71,8 +71,6 @@
         self._connections.close_all()
 
     def _look(self) -> None:
-        if self._notices.rests(self._engine.start_id):
-            return
         if self._ask():
             self._is_lost = False
         elif not self._is_lost and not self._ask():
@@ -83,6 +81,10 @@
         """Ask for a report; say whether this start of the engine was reached."""
         try:
             status, body = self._answer()
+        except EndpointOnHoldError as error:
+            # It runs, and wants no questions for a while.
+            self._note(False, str(error))
+            return True
         except EndpointError as error:
             self._note(False, str(error))
             return False
@@ -109,11 +111,10 @@
         status, body = ask_endpoint(
             self._connections,
             self._interface,
+            self._notices,
             engine,
             self._interface.ask_report(engine.endpoint_id),
             Deadline.after(ANSWER_SECONDS),
-            never_interrupted,
-            self._notices.note_other_answer,
         )
         if status == MISDIRECTED_STATUS:
             raise EndpointReplacedError("another endpoint")
--- a/src/jujubeslip/control/_endpoint_limit_keeper.py
+++ b/src/jujubeslip/control/_endpoint_limit_keeper.py
@@ -4,29 +4,16 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from jujubeslip.accounts import ENDPOINT_BOUNDS, RateLimit, endpoint_limit
 from jujubeslip.control._limit_keeper import LimitKeeper
-from jujubeslip.kernel import Deadline, steady_seconds
+from jujubeslip.kernel import steady_seconds
+from jujubeslip.notices import NamedLimit
 from jujubeslip.peers import EndpointLimitState, EndpointSpending
 
 logger = logging.getLogger(__name__)
 
 MILLISECONDS = 1000
-# How long a limit is kept that no host tells of again, in seconds.
-KEPT_SECONDS = 60.0
-
-
-@dataclass(frozen=True)
-class _Named:
-    per_second: float
-    """0 where the endpoint has lifted its limit."""
-    named_at: float
-
-    @property
-    def forgotten_at(self) -> Deadline:
-        return Deadline(self.named_at + KEPT_SECONDS)
 
 
 class EndpointLimitKeeper(LimitKeeper):
@@ -41,7 +28,7 @@
         heard_share: Callable[[], float] = lambda: 1.0,
     ) -> None:
         super().__init__(ENDPOINT_BOUNDS, lead_began_at, heard_share)
-        self._named_by_start: dict[str, _Named] = {}
+        self._named_by_start: dict[str, NamedLimit] = {}
 
     def charge(self, spending: EndpointSpending) -> EndpointLimitState:
         """Charge a request before it is sent; without an amount, only take the news."""
@@ -81,10 +68,10 @@
                     del self._named_by_start[start_id]
                     self._forget(start_id)
 
-    def _take(self, spending: EndpointSpending) -> _Named:
+    def _take(self, spending: EndpointSpending) -> NamedLimit:
         """Take what the host knows of the limit, if it is newer; return the newest."""
         named_at = steady_seconds() - (spending.named_ago_ms or 0) / MILLISECONDS
-        told = _Named(spending.per_second or 0.0, named_at)
+        told = NamedLimit(spending.per_second or 0.0, named_at)
         known = self._named_by_start.get(spending.start_id)
         if known is not None and known.named_at >= told.named_at:
             return known
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -30,12 +30,7 @@
 )
 from jujubeslip.control._watches import Watches
 from jujubeslip.discovery import Endpoint, EndpointBook
-from jujubeslip.endpoints import (
-    ConnectionPool,
-    EndpointError,
-    EndpointOnHoldError,
-    never_interrupted,
-)
+from jujubeslip.endpoints import ConnectionPool, EndpointError
 from jujubeslip.interfaces import (
     EndpointQuestion,
     Interface,
@@ -339,15 +334,12 @@
         return report.orders
 
     def _ask(self, endpoint: Endpoint, question: EndpointQuestion) -> tuple[int, bytes]:
-        if self._notices.rests(endpoint.start_id):
-            raise EndpointOnHoldError("rest")
         deadline = Deadline.after(ANSWER_SECONDS)
         return ask_endpoint(
             self._connections,
             self._interface,
+            self._notices,
             endpoint,
             question,
             deadline,
-            never_interrupted,
-            self._notices.note_other_answer,
         )
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -191,7 +191,7 @@
         process.repeat(PROBE_SECONDS, DiskProbe(self._replica).look)
         process.repeat(FORGET_SECONDS, self._crash_book.forget_old)
         process.repeat(FORGET_SECONDS, self._endpoint_limits.forget_old)
-        process.repeat(FORGET_SECONDS, self._forget_notices)
+        process.repeat(FORGET_SECONDS, self._notices.forget_old)
         if self._http is not None:
             self._followers.learn(self._settings.seed_addresses)
             process.repeat(MEMBERSHIP_CHECK_SECONDS, self._follow_members)
@@ -228,9 +228,6 @@
         )
         self._process.repeat(LOOK_SECONDS, keeper.look)
 
-    def _forget_notices(self) -> None:
-        self._notices.forget_old()
-
     def _lead_began_at(self) -> float | None:
         """Return since when this host leads, None while it doesn't."""
         # Without the replica's lock: who asks holds one of its own.
--- a/src/jujubeslip/discovery/_records.py
+++ b/src/jujubeslip/discovery/_records.py
@@ -57,6 +57,8 @@
 
 
 class _ToldRemoval(StrictModel):
+    """The fields of a told removal."""
+
     endpoint_id: Id
     started_at_ms: Whole
     removed_ago_ms: Whole
--- a/src/jujubeslip/endpoints/_errors.py
+++ b/src/jujubeslip/endpoints/_errors.py
@@ -73,14 +73,15 @@
         super().__init__(421, "it has another role", False)
 
 
-class EndpointOnHoldError(EndpointRefusedError):
-    """The endpoint wants no requests from this host now; nothing was sent."""
+class EndpointOnHoldError(EndpointError):
+    """The endpoint wants no requests from this host now, so nothing was sent."""
 
     error_id = "endpoint_on_hold"
     default_remedy = "See what the endpoint said of itself shortly before."
+    may_have_run = False
 
-    def __init__(self, reason: str) -> None:
-        super().__init__(503, f"it is held, {reason}", False)
+    def __init__(self, address: str) -> None:
+        super().__init__(f"{address}: it asked for backoff, or leaves.")
 
 
 class CallerGoneError(JujubeslipError):
--- a/src/jujubeslip/forwarding/_admissions.py
+++ b/src/jujubeslip/forwarding/_admissions.py
@@ -86,12 +86,12 @@
         """Return what the leader decides, None without a leader that answers.
 
         Raises CallerGoneError when the client goes before that, and RequestRefusedError
-        once all engines rest.
+        once all engines are in backoff.
         """
         context, attempts = room.context, room.attempts
         attempts.grants_asked += 1
         while (address := self._leader.address()) is not None:
-            self._check_rests(room)
+            self._check_backoff(room)
             request = self._request(room)
             reply = self._call(address, request)
             if reply is None:
@@ -112,9 +112,9 @@
                 raise CallerGoneError("The client closed its connection.", Ran.NO)
         return None
 
-    def _check_rests(self, room: RoomRequest) -> None:
+    def _check_backoff(self, room: RoomRequest) -> None:
         try:
-            room.check_rests()
+            room.check_backoff()
         except RequestRefusedError:
             self.end(room.context.request.request_id, room.attempts.grants_asked)
             raise
--- a/src/jujubeslip/forwarding/_choice.py
+++ b/src/jujubeslip/forwarding/_choice.py
@@ -10,7 +10,7 @@
 from jujubeslip.discovery import Endpoint, EndpointBook
 from jujubeslip.forwarding._health import EndpointHealth
 from jujubeslip.kernel import Registry, steady_seconds
-from jujubeslip.notices import Hold, HoldReason
+from jujubeslip.notices import Hold, ServiceHolds
 from jujubeslip.peers import EndpointRole
 
 # What another availability zone costs, in open requests: bytes between zones are paid
@@ -21,9 +21,6 @@
 # What an endpoint costs that says it is slow after its start, in open requests.
 SLOW_START_COST = 1.0
 
-# Starts that one log line names at most.
-LISTED_STARTS = 8
-
 
 class Policy(Protocol):
     """Chooses among usable endpoints, of which there is at least one."""
@@ -136,34 +133,10 @@
         near = [item for item in sound if item.availability_zone == availability_zone]
         return self._policy.choose(near) if near else None
 
-    def all_on_hold(self, service_name: str, role: EndpointRole) -> bool:
-        """Say whether no endpoint may be asked now, of some that stay."""
-        holds = self._holds(service_name, role)
-        return bool(holds) and None not in holds
-
-    def first_to_return(self, service_name: str, role: EndpointRole) -> Hold | None:
-        """Return the hold that ends first, None where none is held that comes back."""
-        holds = self._holds(service_name, role)
-        ends = [hold.until for hold in holds if hold is not None and hold.until]
-        if not ends:
-            return None
-        return next(hold for hold in holds if hold and hold.until == min(ends))
-
-    def _holds(self, service_name: str, role: EndpointRole) -> list[Hold | None]:
-        return [
-            self._hold_of(endpoint.start_id)
-            for endpoint in self._known(service_name, role)
-        ]
-
-    def resting(self, service_name: str, role: EndpointRole) -> list[str]:
-        """Return starts that rest, some of them where they are many."""
-        known = self._known(service_name, role)
-        found = [item.start_id for item in known if self._rests(item.start_id)]
-        return found[:LISTED_STARTS]
-
-    def _rests(self, start_id: str) -> bool:
-        hold = self._hold_of(start_id)
-        return hold is not None and hold.reason is HoldReason.REST
+    def holds(self, service_name: str, role: EndpointRole) -> ServiceHolds:
+        """Return which endpoints of a role that stay are on hold now."""
+        starts = (item.start_id for item in self._known(service_name, role))
+        return ServiceHolds({start_id: self._hold_of(start_id) for start_id in starts})
 
     def is_over(self, endpoint: Endpoint) -> bool:
         """Say whether another start is known to have taken this one's place."""
--- a/src/jujubeslip/forwarding/_endpoint_limits.py
+++ b/src/jujubeslip/forwarding/_endpoint_limits.py
@@ -1,4 +1,4 @@
-"""What a host may send to endpoints that named a limit, asked for rest, or leave."""
+"""Whether endpoints may be sent requests, by what they have said of themselves."""
 
 from __future__ import annotations
 
--- a/src/jujubeslip/forwarding/_exchange.py
+++ b/src/jujubeslip/forwarding/_exchange.py
@@ -63,15 +63,14 @@
     def call(self, call: EndpointCall, deadline: Deadline) -> EndpointHead:
         """Send the request and return the head of its answer.
 
-        Raises EndpointRefusedError when the endpoint says that it did not run it, or
-        that it wants no requests.
+        Raises EndpointRefusedError when the endpoint says that it did not run it, and
+        EndpointOnHoldError where it wants none by now.
         """
         start_id = self._endpoint.start_id
         connection = self._pool.take(start_id, self._endpoint.address)
-        hold = self._notices.hold_of(start_id)
-        if hold is not None:
+        if self._notices.hold_of(start_id) is not None:
             self._pool.give_back(start_id, connection, None)
-            raise EndpointOnHoldError(hold.reason.value)
+            raise EndpointOnHoldError(self._endpoint.address)
         self._connection = connection
         request = self._request
         headers = self._interface.endpoint_headers(request, call)
--- a/src/jujubeslip/forwarding/_grants.py
+++ b/src/jujubeslip/forwarding/_grants.py
@@ -95,7 +95,7 @@
             _wait_limit(context, attempts),
             reads_itself,
             goes_first=attempts.may_have_run,
-            check_rests=partial(self._check_rests, context, attempts),
+            check_backoff=partial(self._check_backoff, context, attempts),
         )
         grant = self._find_room(room)
         if grant is not None and attempts.granted_ms is None:
@@ -104,8 +104,8 @@
         self._pressures.note_wait(context.service_name, waited)
         return grant
 
-    def _check_rests(self, context: ForwardContext, attempts: Attempts) -> None:
-        self._sending.check_rests(context, attempts, EndpointRole.DECODE)
+    def _check_backoff(self, context: ForwardContext, attempts: Attempts) -> None:
+        self._sending.check_backoff(context, attempts, EndpointRole.DECODE)
 
     def _find_room(self, room: RoomRequest) -> Grant | None:
         context, attempts = room.context, room.attempts
--- a/src/jujubeslip/forwarding/_meters.py
+++ b/src/jujubeslip/forwarding/_meters.py
@@ -38,7 +38,7 @@
     limited_endpoints: int
     """Endpoints that have named a limit."""
     held_endpoints: int
-    """Endpoints that rest, or have said that they leave."""
+    """Endpoints that are in backoff, or have said that they leave."""
 
 
 class ForwardMeters:
@@ -181,7 +181,7 @@
     meter.create_observable_gauge(
         "jujubeslip.forward.held_endpoints",
         [observed(lambda: read().held_endpoints)],
-        description="Endpoints that rest, or have said that they leave.",
+        description="Endpoints that are in backoff, or have said that they leave.",
     )
 
     def retries_left(_: CallbackOptions) -> Iterable[Observation]:
--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -28,10 +28,6 @@
     pass
 
 
-def _nothing_to_check() -> None:
-    pass
-
-
 @dataclass(frozen=True)
 class ForwardContext:
     """A request with what its route decides."""
@@ -199,8 +195,8 @@
     goes_first: bool = False
     """Whether its answer broke off: its client has part of it, and leaves after a
     pause, with which the engine's work so far would be lost."""
-    check_rests: Callable[[], None] = _nothing_to_check
-    """Raises RequestRefusedError while all engines rest."""
+    check_backoff: Callable[[], None] = _always_accepted
+    """Raises RequestRefusedError while all engines are in backoff."""
 
 
 # When a client should come back, in seconds: after a moment in which an endpoint comes
--- a/src/jujubeslip/forwarding/_reservations.py
+++ b/src/jujubeslip/forwarding/_reservations.py
@@ -67,7 +67,7 @@
     ) -> Reservation | None:
         """Return room for the request, None if there is none before the limit.
 
-        Raises RequestRefusedError once all engines rest.
+        Raises RequestRefusedError once all engines are in backoff.
         """
         waiting = self._waiting_for(context.service_name)
         forecast = waiting.forecast(context)
@@ -77,7 +77,7 @@
             return None
         with waiting.place(context) as place:
             while waiting.wait_for_turn(place, context, limit):
-                self._sending.check_rests(context, attempts, EndpointRole.DECODE)
+                self._sending.check_backoff(context, attempts, EndpointRole.DECODE)
                 if self._has_no_engine(context, attempts):
                     return None
                 found = self._ask_round(context, attempts, engine, prompt)
@@ -102,14 +102,11 @@
         """Give back what was reserved.
 
         What a start held ended with it. The next one at its address counts its
-        reservations anew, and the same name may be that of another request's. At an
-        engine that rests or leaves the reservation lapses by itself.
+        reservations anew, and the same name may be that of another request's.
         """
         endpoint = reservation.endpoint
         if self._sending.chooser.is_over(endpoint):
             return
-        if self._sending.limits.notices.hold_of(endpoint.start_id) is not None:
-            return
         question = self._sending.interface.release(
             endpoint.endpoint_id, reservation.token
         )
--- a/src/jujubeslip/forwarding/_sending.py
+++ b/src/jujubeslip/forwarding/_sending.py
@@ -12,6 +12,7 @@
     AnswerCutError,
     ConnectionPool,
     EndpointError,
+    EndpointOnHoldError,
     EndpointRefusedError,
     EndpointReplacedError,
     EndpointRoleError,
@@ -30,7 +31,7 @@
 from jujubeslip.forwarding._quarantine import Quarantine
 from jujubeslip.interfaces import EndpointQuestion, Interface, ask_endpoint
 from jujubeslip.kernel import Deadline, RequestRefusedError
-from jujubeslip.notices import Hold, HoldReason
+from jujubeslip.notices import EndpointNotices, Hold, HoldReason, ServiceHolds
 from jujubeslip.peers import EndpointRole
 
 logger = logging.getLogger(__name__)
@@ -40,8 +41,11 @@
 MAXIMUM_SENDS = 4
 # The least that a client is told to stay away for an endpoint's limit, in seconds.
 LEAST_RETRY_SECONDS = 0.1
-# How far the clients that are told of a rest are spread behind its end, in seconds.
-REST_SPREAD_SECONDS = 0.5
+# How far the clients that are told of a backoff are spread behind its end, in seconds.
+BACKOFF_SPREAD_SECONDS = 0.5
+
+# Starts that one log line names at most.
+LISTED_STARTS = 8
 
 
 @dataclass(frozen=True)
@@ -57,6 +61,11 @@
     quarantine: Quarantine
     limits: EndpointLimits
 
+    @property
+    def notices(self) -> EndpointNotices:
+        """Return what endpoints have said of themselves."""
+        return self.limits.notices
+
     def choose(
         self, context: ForwardContext, role: EndpointRole, excluded: Collection[str]
     ) -> Endpoint | None:
@@ -71,7 +80,7 @@
             endpoint,
             context.request,
             context.gone,
-            self.limits.notices,
+            self.notices,
         )
 
     def ask(
@@ -85,11 +94,11 @@
         return ask_endpoint(
             self.pool,
             self.interface,
+            self.notices,
             endpoint,
             question,
             deadline,
             gone,
-            self.limits.notices.note_other_answer,
         )
 
     def within_limit(
@@ -97,7 +106,7 @@
     ) -> bool:
         """Charge a send to an endpoint with a limit; say whether it may go.
 
-        It may not to an endpoint that rests or leaves, whatever its limit.
+        It may not to an endpoint that is in backoff or leaves, whatever its limit.
         """
         if self.is_on_hold(attempts, endpoint):
             return False
@@ -107,8 +116,8 @@
         return wait == 0
 
     def is_on_hold(self, attempts: Attempts, endpoint: Endpoint) -> bool:
-        """Say whether an endpoint that was chosen rests or leaves by now."""
-        hold = self.limits.notices.hold_of(endpoint.start_id)
+        """Say whether an endpoint that was chosen is in backoff or leaves by now."""
+        hold = self.notices.hold_of(endpoint.start_id)
         if hold is not None:
             attempts.note(endpoint.start_id, f"on hold, {hold.reason.value}")
         return hold is not None
@@ -121,57 +130,28 @@
         Where an endpoint was tried and refused, it may take the request in a moment:
         the client need not wait until others are held no more.
         """
-        hold = self.chooser.first_to_return(context.service_name, role)
-        if hold is None or hold.until is None or attempts.may_have_run:
-            return refusal_of(attempts, context.end_by)
+        holds = self.chooser.holds(context.service_name, role)
+        first = holds.first_to_end
         was_refused = attempts.last_error is not None
-        if was_refused and not self.chooser.all_on_hold(context.service_name, role):
+        if first is None or attempts.may_have_run:
+            return refusal_of(attempts, context.end_by)
+        if was_refused and not holds.cover_all:
             return refusal_of(attempts, context.end_by)
-        return self._refusal_until(context, role, hold, hold.until)
+        return _refusal_until(context, holds, first)
 
-    def check_rests(
+    def check_backoff(
         self, context: ForwardContext, attempts: Attempts, role: EndpointRole
     ) -> None:
-        """Raise the refusal of a request that has not run while all endpoints rest.
+        """Raise the refusal of a request that has not run while all are in backoff.
 
-        Limits leave room within moments; a rest lasts for seconds.
+        Limits leave room within moments; a backoff lasts for seconds.
         """
         if attempts.may_have_run:
             return
-        if not self.chooser.all_on_hold(context.service_name, role):
-            return
-        hold = self.chooser.first_to_return(context.service_name, role)
-        if hold is not None and hold.until and hold.reason is HoldReason.REST:
-            raise self._refusal_until(context, role, hold, hold.until)
-
-    def _refusal_until(
-        self,
-        context: ForwardContext,
-        role: EndpointRole,
-        hold: Hold,
-        until: Deadline,
-    ) -> RequestRefusedError:
-        """Return the refusal while all endpoints are held, the first until then."""
-        wait = max(LEAST_RETRY_SECONDS, until.remaining())
-        if hold.reason is HoldReason.LIMIT:
-            return RequestRefusedError(
-                "endpoint_limit",
-                "The endpoints take no more requests now, by the limits that they "
-                "named.",
-                retry_after=wait,
-            )
-        extra = {
-            "request_id": context.request.request_id,
-            "service": context.service_name,
-            "wait_ms": until.remaining_ms(),
-            "start_ids": self.chooser.resting(context.service_name, role),
-        }
-        logger.info("request refused while endpoints rest", extra=extra)
-        return RequestRefusedError(
-            "endpoint_rest",
-            "The endpoints of the service have asked for a rest.",
-            retry_after=wait + random.uniform(0, REST_SPREAD_SECONDS),
-        )
+        holds = self.chooser.holds(context.service_name, role)
+        first = holds.first_to_end if holds.cover_all else None
+        if first is not None and first.reason is HoldReason.BACKOFF:
+            raise _refusal_until(context, holds, first)
 
     def may_send(self, context: ForwardContext, attempts: Attempts) -> bool:
         """Count one more send; say whether the bounds and the budget allow it.
@@ -232,7 +212,32 @@
         elif isinstance(error, EndpointRoleError):
             # Its next announcement tells the new role.
             self.health.note_unreachable(endpoint.start_id)
-        elif not isinstance(error, EndpointRefusedError):
+        elif not isinstance(error, EndpointRefusedError | EndpointOnHoldError):
             self.health.note_failure(endpoint.start_id)
             if isinstance(error, EndpointTimeoutError):
                 self.health.note_unreachable(endpoint.start_id)
+
+
+def _refusal_until(
+    context: ForwardContext, holds: ServiceHolds, first: Hold
+) -> RequestRefusedError:
+    """Return the refusal while endpoints are on hold, the first of them until then."""
+    wait = max(LEAST_RETRY_SECONDS, first.until.remaining())
+    if first.reason is HoldReason.LIMIT:
+        return RequestRefusedError(
+            "endpoint_limit",
+            "The endpoints take no more requests now, by the limits that they named.",
+            retry_after=wait,
+        )
+    extra = {
+        "request_id": context.request.request_id,
+        "service": context.service_name,
+        "wait_ms": first.until.remaining_ms(),
+        "start_ids": holds.starts_in_backoff[:LISTED_STARTS],
+    }
+    logger.info("request refused during backoff", extra=extra)
+    return RequestRefusedError(
+        "endpoint_backoff",
+        "The endpoints of the service have asked for backoff.",
+        retry_after=wait + random.uniform(0, BACKOFF_SPREAD_SECONDS),
+    )
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -175,8 +175,6 @@
     ) -> None:
         self._sending.note_lost(context, attempts, grant.endpoint, error)
         was_read = prompt_at is not None and prompt_at != NOT_READ
-        if isinstance(error, EndpointOnHoldError):
-            return
         if was_read and isinstance(error, EndpointRefusedError):
             # What it refused may be the prompt's memory, which lapses; the same engine
             # can read the prompt itself.
--- a/src/jujubeslip/interfaces/_models.py
+++ b/src/jujubeslip/interfaces/_models.py
@@ -62,7 +62,7 @@
     """Those that the client gets."""
     limit_per_second: float | None = None
     """Requests that the endpoint takes from all hosts together, None without limit."""
-    rest_seconds: float = 0.0
+    backoff_seconds: float = 0.0
     """For how long it wants no requests from this host, 0 if it doesn't say."""
     is_leaving: bool = False
     """Whether it says that it is shutting down."""
@@ -72,7 +72,7 @@
         """Say whether it tells anything that holds for further requests."""
         return (
             self.limit_per_second is not None
-            or self.rest_seconds > 0
+            or self.backoff_seconds > 0
             or self.is_leaving
         )
 
--- a/src/jujubeslip/interfaces/_questions.py
+++ b/src/jujubeslip/interfaces/_questions.py
@@ -2,33 +2,45 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from typing import Protocol
 
 from jujubeslip.discovery import Endpoint
-from jujubeslip.endpoints import ConnectionPool, Interrupted, never_interrupted
+from jujubeslip.endpoints import (
+    ConnectionPool,
+    EndpointOnHoldError,
+    Interrupted,
+    never_interrupted,
+)
 from jujubeslip.interfaces._models import EndpointHead, EndpointQuestion, Interface
 from jujubeslip.kernel import Deadline
 
 
-def _ignore(_: Endpoint, __: EndpointHead) -> None:
-    pass
+class Notices(Protocol):
+    """What endpoints have said of themselves."""
+
+    def in_backoff(self, start_id: str) -> bool:
+        """Say whether a start wants no requests from this host for a while."""
+
+    def note_other_answer(self, endpoint: Endpoint, head: EndpointHead) -> None:
+        """Note what an answer says that is no answer to a client's request."""
 
 
 def ask_endpoint(
     pool: ConnectionPool,
     interface: Interface,
+    notices: Notices,
     endpoint: Endpoint,
     question: EndpointQuestion,
     deadline: Deadline,
     gone: Interrupted = never_interrupted,
-    on_answer: Callable[[Endpoint, EndpointHead], None] = _ignore,
 ) -> tuple[int, bytes]:
     """Return status and body of an endpoint's answer; its connection is kept.
 
-    Raises EndpointError when no answer comes in time, and CallerGoneError once `gone`
-    says that nobody waits for it any more. `on_answer` gets the head of an answer of
-    the endpoint itself.
+    Raises EndpointError when no answer comes in time or the endpoint wants no
+    questions now, and CallerGoneError once `gone` says that nobody waits any more.
     """
+    if notices.in_backoff(endpoint.start_id):
+        raise EndpointOnHoldError(endpoint.address)
     connection = pool.take(endpoint.start_id, endpoint.address)
     whole = False
     try:
@@ -38,7 +50,7 @@
         response = connection.read_head()
         head = interface.read_head(response.status, response.getheaders())
         if not head.misdirected:
-            on_answer(endpoint, head)
+            notices.note_other_answer(endpoint, head)
         body = connection.read_rest(response)
         whole = not response.will_close
     finally:
--- a/src/jujubeslip/kernel/_lifecycle.py
+++ b/src/jujubeslip/kernel/_lifecycle.py
@@ -75,11 +75,11 @@
             extra = {"process_name": self.name, "maximum_tasks": MAXIMUM_TASKS}
             logger.error("new tasks wait: all are in use", extra=extra)
 
-    def repeat(self, interval: float, step: Callable[[], None]) -> None:
+    def repeat(self, interval: float, step: Callable[[], object]) -> None:
         """Run the step each interval seconds in a task of its own until the stop."""
         self.start_task(self._repeat, interval, step)
 
-    def _repeat(self, interval: float, step: Callable[[], None]) -> None:
+    def _repeat(self, interval: float, step: Callable[[], object]) -> None:
         while not self.stopped.wait(interval):
             try:
                 step()
--- a/src/jujubeslip/notices/__init__.py
+++ b/src/jujubeslip/notices/__init__.py
@@ -1,6 +1,19 @@
 """What endpoints say of themselves in the heads of their answers."""
 
 from jujubeslip.notices._book import EndpointNotices
-from jujubeslip.notices._models import Hold, HoldReason, NamedLimit, Notice
+from jujubeslip.notices._models import (
+    KEPT_SECONDS,
+    Hold,
+    HoldReason,
+    NamedLimit,
+    ServiceHolds,
+)
 
-__all__ = ["EndpointNotices", "Hold", "HoldReason", "NamedLimit", "Notice"]
+__all__ = [
+    "KEPT_SECONDS",
+    "EndpointNotices",
+    "Hold",
+    "HoldReason",
+    "NamedLimit",
+    "ServiceHolds",
+]
--- a/src/jujubeslip/notices/_book.py
+++ b/src/jujubeslip/notices/_book.py
@@ -73,10 +73,10 @@
         """Return why a start may not be asked, None if only its limit may say so."""
         return self._get(start_id).hold
 
-    def rests(self, start_id: str) -> bool:
+    def in_backoff(self, start_id: str) -> bool:
         """Say whether a start wants no requests from this host for a while."""
         hold = self.hold_of(start_id)
-        return hold is not None and hold.reason is HoldReason.REST
+        return hold is not None and hold.reason is HoldReason.BACKOFF
 
     def leaves(self, start_id: str) -> bool:
         """Say whether a start has said that it is shutting down."""
@@ -96,7 +96,7 @@
 
     @property
     def held_count(self) -> int:
-        """Return how many starts rest or leave."""
+        """Return how many starts are in backoff or leave."""
         with self._lock:
             return sum(told.hold is not None for told in self._notice_by_start.values())
 
@@ -143,12 +143,12 @@
     """Log what an answer has changed; most change nothing."""
     if known.limit != told.limit:
         _log_limit(start_id, known.limit, told.limit)
-    if told.rest_until > known.rest_until:
+    if told.backoff_until > known.backoff_until:
         extra: dict[str, object] = {
             "start_id": start_id,
-            "seconds": round(told.rest_until.remaining(), 3),
+            "seconds": round(told.backoff_until.remaining(), 3),
         }
-        logger.info("endpoint asked for a rest", extra=extra)
+        logger.info("endpoint asked for backoff", extra=extra)
     if told.is_leaving and not known.is_leaving:
         logger.info("endpoint said that it leaves", extra={"start_id": start_id})
 
--- a/src/jujubeslip/notices/_models.py
+++ b/src/jujubeslip/notices/_models.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from enum import Enum
 
 from jujubeslip.interfaces import EndpointHead
 from jujubeslip.kernel import Deadline
 
-# How long a limit is kept that the endpoint neither names again nor lifts, in seconds.
+# How long a limit is kept that is not named again, and what a start has said that
+# nobody knows any more, in seconds.
 KEPT_SECONDS = 60.0
+# The longest backoff that counts, in seconds: a mistaken value must not withdraw an
+# endpoint for good.
+LONGEST_BACKOFF_SECONDS = 86_400.0
 LONG_AGO = float("-inf")
+NEVER = Deadline(float("inf"))
 
 
 class HoldReason(Enum):
@@ -18,8 +24,8 @@
 
     LIMIT = "limit"
     """All hosts together have used the limit that it named."""
-    REST = "rest"
-    """It turned a request of this host away, and asked for a pause."""
+    BACKOFF = "backoff"
+    """It refused a request of this host, and asked it to send none for a while."""
     LEAVING = "leaving"
     """It said that it is shutting down."""
 
@@ -29,8 +35,36 @@
     """An endpoint is given no requests by this host now."""
 
     reason: HoldReason
-    until: Deadline | None
-    """When it may be asked again; None if this start never may."""
+    until: Deadline
+    """When it may be asked again; infinite if this start never may."""
+
+
+@dataclass(frozen=True)
+class ServiceHolds:
+    """Which of a service's endpoints are on hold, all seen at one moment."""
+
+    hold_by_start: Mapping[str, Hold | None]
+
+    @property
+    def cover_all(self) -> bool:
+        """Say whether no endpoint may be asked, where there are any."""
+        return bool(self.hold_by_start) and None not in self.hold_by_start.values()
+
+    @property
+    def first_to_end(self) -> Hold | None:
+        """Return the hold that ends first, None without one that ends."""
+        holds = [hold for hold in self.hold_by_start.values() if hold is not None]
+        first = min(holds, key=lambda hold: hold.until, default=None)
+        return first if first is not None and first.until < NEVER else None
+
+    @property
+    def starts_in_backoff(self) -> list[str]:
+        """Return the starts that have asked this host for backoff."""
+        return [
+            start_id
+            for start_id, hold in self.hold_by_start.items()
+            if hold is not None and hold.reason is HoldReason.BACKOFF
+        ]
 
 
 @dataclass(frozen=True)
@@ -38,6 +72,7 @@
     """How many requests an endpoint takes from all hosts together."""
 
     per_second: float
+    """0 where hosts have told that it was lifted."""
     named_at: float
     """When an answer named it last, in seconds of this host's clock."""
 
@@ -52,8 +87,8 @@
     """All that one start of an endpoint has said and not taken back."""
 
     limit: NamedLimit | None = None
-    rest_until: Deadline = Deadline(LONG_AGO)
-    """When the pause ends that it asked this host for."""
+    backoff_until: Deadline = Deadline(LONG_AGO)
+    """Until when it wants no requests from this host."""
     is_leaving: bool = False
     heard_at: float = LONG_AGO
     """When it last said any of this, in seconds of this host's clock."""
@@ -61,14 +96,15 @@
     def with_head(self, head: EndpointHead, now: float) -> Notice:
         """Return the notice with what an answer adds to it.
 
-        A pause is never shortened: it holds for as long as any answer asked for.
+        A backoff is never shortened: it holds for as long as any answer asked for.
         """
-        rest_until = Deadline(now + head.rest_seconds)
+        seconds = min(LONGEST_BACKOFF_SECONDS, head.backoff_seconds)
+        backoff_until = Deadline(now + seconds)
         return replace(
             self,
-            rest_until=max(self.rest_until, rest_until),
+            backoff_until=max(self.backoff_until, backoff_until),
             is_leaving=self.is_leaving or head.is_leaving,
-            heard_at=now if head.rest_seconds or head.is_leaving else self.heard_at,
+            heard_at=now if head.backoff_seconds or head.is_leaving else self.heard_at,
         )
 
     def with_limit(self, per_second: float | None, now: float) -> Notice:
@@ -81,9 +117,9 @@
     def hold(self) -> Hold | None:
         """Return why the endpoint may not be asked whatever its limit, if so."""
         if self.is_leaving:
-            return Hold(HoldReason.LEAVING, None)
-        if not self.rest_until.expired:
-            return Hold(HoldReason.REST, self.rest_until)
+            return Hold(HoldReason.LEAVING, NEVER)
+        if not self.backoff_until.expired:
+            return Hold(HoldReason.BACKOFF, self.backoff_until)
         return None
 
     def can_be_dropped(self, is_known: bool) -> bool:
--- a/src/jujubeslip/platform/_endpoint_calls.py
+++ b/src/jujubeslip/platform/_endpoint_calls.py
@@ -24,9 +24,6 @@
 # An endpoint that takes nothing still gets a request now and then, which shows when it
 # takes some again, in requests a second.
 LEAST_LIMIT = 0.05
-# The longest rest that an endpoint is given, in seconds: a mistaken value must not
-# withdraw it for good.
-MAXIMUM_REST_SECONDS = 86_400.0
 _SECONDS = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)", re.IGNORECASE)
@@ -70,7 +67,9 @@
         idle_seconds=_idle_seconds(value_by_name.get(names.KEEP_ALIVE.lower(), "")),
         headers=tuple(item for item in held if item[0].lower() not in dropped),
         limit_per_second=_limit(value_by_name.get(names.ENDPOINT_LIMIT.lower(), "")),
-        rest_seconds=_rest(status, value_by_name.get(names.RETRY_AFTER.lower(), "")),
+        backoff_seconds=_backoff(
+            status, value_by_name.get(names.RETRY_AFTER.lower(), "")
+        ),
         is_leaving=value_by_name.get(names.ENDPOINT_LEAVING.lower(), "").strip() == "1",
     )
 
@@ -118,11 +117,11 @@
     return max(LEAST_LIMIT, float(text))
 
 
-def _rest(status: int, text: str) -> float:
-    """Return the rest that a refusal asks for, 0 where it names none in seconds."""
+def _backoff(status: int, text: str) -> float:
+    """Return the seconds that a refusal asks for, 0 where it names none."""
     if status != UNAVAILABLE or not _SECONDS.fullmatch(text.strip()):
         return 0.0
-    return min(MAXIMUM_REST_SECONDS, float(text))
+    return float(text)
 
 
 def _idle_seconds(keep_alive: str) -> float | None:
--- a/src/jujubeslip/tracing/_causes.py
+++ b/src/jujubeslip/tracing/_causes.py
@@ -12,7 +12,7 @@
 KEY_MESSAGE = "key not accepted"
 LIMIT_MESSAGE = "request not within its account's limit"
 ENDPOINT_LIMIT_MESSAGE = "request not within its endpoint's limit"
-REST_MESSAGE = "request refused while endpoints rest"
+BACKOFF_MESSAGE = "request refused during backoff"
 QUARANTINE_MESSAGE = "request quarantined"
 CUT_MESSAGE = "run cut off"
 _STEP = re.compile(r"(?P<ms>\d+) ms (?P<endpoint>\S+): (?P<what>.*)")
@@ -86,18 +86,19 @@
     )
 
 
-def _endpoints_rest(end: RequestEnd, lines: Sequence[Line]) -> str:
-    refusals = [line for line in lines if line.message == REST_MESSAGE]
+def _endpoints_in_backoff(end: RequestEnd, lines: Sequence[Line]) -> str:
+    refusals = [line for line in lines if line.message == BACKOFF_MESSAGE]
     if not refusals:
         return (
-            "Refused, not run: all endpoints of its service rested; no line names them."
+            "Refused, not run: all endpoints of its service were in backoff; no line "
+            "names them."
         )
     fields = refusals[-1].fields
     named = ", ".join(fields.get("start_ids") or ["of its service"])
     return (
         f"Refused, not run: no endpoint may be asked, and {named} had asked this host "
-        f"for a rest, the first for {fields.get('wait_ms')} ms more; see its lines "
-        "`endpoint asked for a rest` before that."
+        f"for backoff, the first for {fields.get('wait_ms')} ms more; see its lines "
+        "`endpoint asked for backoff` before that."
     )
 
 
@@ -251,7 +252,7 @@
     "no_room": _no_room,
     "request_quarantined": _quarantined,
     "endpoint_limit": _over_endpoint_limit,
-    "endpoint_rest": _endpoints_rest,
+    "endpoint_backoff": _endpoints_in_backoff,
     "client_unknown": _key_taken,
     "client_limit": _over_limit,
     "limit_unknown": _over_limit,
--- a/tests/admission/test_engine_follower.py
+++ b/tests/admission/test_engine_follower.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import time
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any
 
@@ -13,11 +14,14 @@
 from jujubeslip.admission import _engine_follower
 from jujubeslip.admission._engine_follower import EngineFollower
 from jujubeslip.endpoints import AnswerCutError, EndpointUnreachableError
+from jujubeslip.interfaces import interfaces
+from jujubeslip.kernel import load_plugins
 from jujubeslip.notices import EndpointNotices
 from jujubeslip.platform._endpoint_answers import read_report
 from jujubeslip.platform._endpoint_calls import ask_report, read_head
 from jujubeslip.routes import EngineReport
 from tests.fakes.engines import engine
+from tests.fakes.platform_worker import PlatformWorker
 
 REPORT = {
     "stage": "decode",
@@ -144,35 +148,28 @@
         assert self.answers == []
 
 
-class TestEngineThatAskedForARest:
-    """Guards against reports that a control host asks for within an engine's rest."""
-
-    def test_is_asked_nothing_until_its_end(
-        self, monkeypatch: pytest.MonkeyPatch
-    ) -> None:
-        asked: list[object] = []
-
-        def answer(*call: Any) -> tuple[int, bytes]:
-            asked.append(call)
-            rest = [("Retry-After", "0.2")] if len(asked) == 1 else []
-            call[-1](followed, read_head(503, rest))
-            return 503, b""
-
-        monkeypatch.setattr(_engine_follower, "ask_endpoint", answer)
-        interface: Any = SimpleNamespace(ask_report=ask_report, read_report=read_report)
-        process: Any = None
-        followed = engine("e")
-        follower = EngineFollower(
-            followed,
-            interface,
-            process,
-            lambda *_: None,
-            lambda _: pytest.fail("the engine was reached"),
-            EndpointNotices(),
-        )
-        for _ in range(3):
+class TestEngineThatAskedForBackoff:
+    """Guards against reports that a control host asks an engine in backoff for."""
+
+    def test_is_asked_nothing_until_its_end(self) -> None:
+        load_plugins()
+        with PlatformWorker("e", "model", "decode") as worker:
+            followed = replace(engine("e"), address=worker.address)
+            notices = EndpointNotices()
+            process: Any = None
+            follower = EngineFollower(
+                followed,
+                interfaces.get("platform"),
+                process,
+                lambda *_: None,
+                lambda _: pytest.fail("the engine was reached"),
+                notices,
+            )
+            refusal = read_head(503, [("Retry-After", "0.3")])
+            notices.note_other_answer(followed, refusal)
+            for _ in range(3):
+                follower._look()
+            assert worker.questions == []
+            time.sleep(0.35)
             follower._look()
-        assert len(asked) == 1
-        time.sleep(0.25)
-        follower._look()
-        assert len(asked) == 2
+            assert worker.questions == ["report"]
--- a/tests/control/test_endpoint_limit_keeper.py
+++ b/tests/control/test_endpoint_limit_keeper.py
@@ -5,7 +5,8 @@
 import pytest
 
 from jujubeslip.control import _endpoint_limit_keeper, _limit_keeper
-from jujubeslip.control._endpoint_limit_keeper import KEPT_SECONDS, EndpointLimitKeeper
+from jujubeslip.control._endpoint_limit_keeper import EndpointLimitKeeper
+from jujubeslip.notices import KEPT_SECONDS
 from jujubeslip.peers import EndpointSpending
 from tests.fakes.clock import Clock
 
--- a/tests/control/test_roles.py
+++ b/tests/control/test_roles.py
@@ -374,8 +374,8 @@
         assert asked.orders == 0
 
 
-class TestEngineThatLeavesOrRests:
-    """Guards against orders to engines that said they leave, or asked for a rest."""
+class TestEngineThatLeavesOrAskedForBackoff:
+    """Guards against orders to engines that said they leave, or asked for backoff."""
 
     def test_is_given_no_order(self, monkeypatch: pytest.MonkeyPatch) -> None:
         group = engines(0, 3)
@@ -390,9 +390,9 @@
         assert asked.orders == 0
 
     def test_is_asked_nothing(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        notices, resting = EndpointNotices(), engine("resting")
-        notices.note_other_answer(resting, read_head(503, [("Retry-After", "9")]))
+        notices, refusing = EndpointNotices(), engine("refusing")
+        notices.note_other_answer(refusing, read_head(503, [("Retry-After", "9")]))
         keeper, _ = role_keeper(monkeypatch, EndpointBook(), {"model"}, notices)
         monkeypatch.undo()
         with pytest.raises(EndpointOnHoldError):
-            keeper._ask(resting, ask_report("resting"))
+            keeper._ask(refusing, ask_report("refusing"))
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -47,8 +47,8 @@
     target: str
     request_id: str
     """Empty for a reservation."""
-    rest: str
-    """The rest that the worker asked for in its answer, empty without one."""
+    backoff: str
+    """The seconds of backoff that its answer asks for, empty without one."""
     told_leaving: bool
 
 
@@ -106,8 +106,8 @@
     listens_at: str = "127.0.0.1:0"
     limit: str = ""
     """Requests a second that it says it takes, empty without a limit."""
-    rest: str = ""
-    """The seconds of rest that it asks for; it turns all requests away meanwhile."""
+    backoff: str = ""
+    """The seconds of backoff that it asks for; it refuses all requests meanwhile."""
     leaves: bool = False
     """Whether all its answers say that it leaves."""
     crashes_on: bytes = b""
@@ -122,7 +122,7 @@
     questions: list[str] = field(default_factory=list)
     gone_clients: list[str] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
-    """All calls but those for a report, also those that it turned away."""
+    """All calls but those for a report, also those that it refused."""
 
     def __post_init__(self) -> None:
         self.closed = threading.Event()
@@ -246,8 +246,8 @@
 
     def _reserve(self, fields: dict[str, Any]) -> None:
         self.worker.questions.append("reserve")
-        if self.worker.rest or self.worker.faults.take("no_room"):
-            self.reply(503, {}, self._said_of_itself(turns_away=True))
+        if self.worker.backoff or self.worker.faults.take("no_room"):
+            self.reply(503, {}, self._said_of_itself(is_refusal=True))
             return
         name = f"r{len(self.worker.questions)}"
         self.worker.reservations[name] = fields["tokens"]
@@ -279,7 +279,7 @@
             self.headers.get("X-Entry", ""),
             self.path,
             self.headers.get("Request-Id", ""),
-            self.worker.rest,
+            self.worker.backoff,
             self.worker.leaves,
         )
         self.worker.arrivals.append(arrival)
@@ -287,8 +287,8 @@
     def _request(self, method: str, body: bytes) -> None:
         faults = self.worker.faults
         self._arrive()
-        if self.worker.rest or faults.take("refuse"):
-            said = self._said_of_itself(turns_away=True)
+        if self.worker.backoff or faults.take("refuse"):
+            said = self._said_of_itself(is_refusal=True)
             self.reply(503, {}, {"Not-Run": "1", **said})
             return
         if self.headers.get("Stage") == "prefill":
@@ -334,13 +334,13 @@
             {"Request-Id": request_id, **self._said_of_itself()},
         )
 
-    def _said_of_itself(self, turns_away: bool = False) -> dict[str, str]:
+    def _said_of_itself(self, is_refusal: bool = False) -> dict[str, str]:
         """Return the headers in which the worker speaks of itself."""
         worker = self.worker
         said = {
             "Server-Limit": worker.limit,
             "Server-Leaving": "1" if worker.leaves else "",
-            "Retry-After": worker.rest if turns_away else "",
+            "Retry-After": worker.backoff if is_refusal else "",
         }
         return {name: value for name, value in said.items() if value}
 
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -20,6 +20,7 @@
 from jujubeslip.interfaces import EndpointCall, interfaces
 from jujubeslip.kernel import Deadline, load_plugins
 from jujubeslip.notices import EndpointNotices, Hold, HoldReason
+from jujubeslip.notices._models import NEVER
 from jujubeslip.peers import EndpointRole
 from jujubeslip.platform._endpoint_calls import read_head
 from tests.fakes.engines import engine
@@ -61,7 +62,7 @@
 
 
 class TestEndpointsOnHold:
-    """Guards against waits for an endpoint that rests while another one is free."""
+    """Guards against waits for an endpoint in backoff while another one is free."""
 
     @staticmethod
     def chooser_of(**holds: Hold | None) -> Chooser:
@@ -74,24 +75,26 @@
         return Chooser(book, health, policy, SILENCE_SECONDS, holds.__getitem__)
 
     def test_the_hold_that_ends_first_is_told(self) -> None:
-        long = Hold(HoldReason.REST, Deadline.after(9))
+        long = Hold(HoldReason.BACKOFF, Deadline.after(9))
         short = Hold(HoldReason.LIMIT, Deadline.after(1))
-        gone = Hold(HoldReason.LEAVING, None)
+        gone = Hold(HoldReason.LEAVING, NEVER)
         chooser = self.chooser_of(a=long, b=short, c=gone)
-        assert chooser.first_to_return("model", EndpointRole.DECODE) is short
-        assert chooser.all_on_hold("model", EndpointRole.DECODE)
+        holds = chooser.holds("model", EndpointRole.DECODE)
+        assert holds.first_to_end is short
+        assert holds.cover_all
+        assert holds.starts_in_backoff == ["a"]
 
     def test_not_all_are_held_while_one_may_be_asked(self) -> None:
-        chooser = self.chooser_of(a=Hold(HoldReason.REST, Deadline.after(9)), b=None)
-        assert not chooser.all_on_hold("model", EndpointRole.DECODE)
+        chooser = self.chooser_of(a=Hold(HoldReason.BACKOFF, Deadline.after(9)), b=None)
+        assert not chooser.holds("model", EndpointRole.DECODE).cover_all
 
     def test_none_returns_where_all_leave(self) -> None:
-        chooser = self.chooser_of(a=Hold(HoldReason.LEAVING, None))
-        assert chooser.first_to_return("model", EndpointRole.DECODE) is None
+        chooser = self.chooser_of(a=Hold(HoldReason.LEAVING, NEVER))
+        assert chooser.holds("model", EndpointRole.DECODE).first_to_end is None
 
 
 class TestHoldThatBeginsWhileAConnectionIsOpened:
-    """Guards against requests that are placed in the moment in which a rest begins."""
+    """Guards against requests that are placed just when a backoff begins."""
 
     def test_nothing_is_sent(self) -> None:
         load_plugins()
--- a/tests/forwarding/test_endpoint_holds.py
+++ b/tests/forwarding/test_endpoint_holds.py
@@ -1,4 +1,4 @@
-"""Endpoints that ask for a rest or say that they leave, with real processes."""
+"""Endpoints that ask for backoff or say that they leave, with real processes."""
 
 from __future__ import annotations
 
@@ -29,10 +29,10 @@
 from tests.forwarding.test_endpoint_limits import lines, workers
 
 ENTRIES = 4
-# What a host may still send an endpoint that has asked it for a rest: no more than so
+# What a host may still send an endpoint that has asked it for backoff: no more than so
 # many requests, those of the first moments not counted.
 SLACK_SECONDS = 0.5
-MOST_IN_A_REST = 2
+MOST_IN_A_BACKOFF = 2
 # From when on an endpoint that has said that it leaves must get nothing, in seconds.
 DRAIN_SECONDS = 2.0
 # What is known not to be served is refused within this time, in seconds.
@@ -136,14 +136,14 @@
     return found
 
 
-def most_in_a_rest(worker: PlatformWorker) -> int:
-    """Return how many requests of one host came at most within one rest."""
+def most_in_a_backoff(worker: PlatformWorker) -> int:
+    """Return how many requests of one host came at most within one backoff."""
     most = 0
     for arrivals in by_sender(worker).values():
         for told in arrivals:
-            if not told.rest:
+            if not told.backoff:
                 continue
-            since, until = told.at + SLACK_SECONDS, told.at + float(told.rest)
+            since, until = told.at + SLACK_SECONDS, told.at + float(told.backoff)
             most = max(most, sum(since < item.at < until for item in arrivals))
     return most
 
@@ -162,9 +162,11 @@
     return sum(item.reply.status == 200 for item in replies) / len(replies)
 
 
-def end_rest(system: PlatformSystem, worker: PlatformWorker, target: str) -> None:
-    """Wait until a worker that asks for no more rests is used by all entry hosts."""
-    worker.rest = ""
+def wait_used_again(
+    system: PlatformSystem, worker: PlatformWorker, target: str
+) -> None:
+    """Wait until a worker that asks for no more backoff is used by all entry hosts."""
+    worker.backoff = ""
     for entry in range(ENTRIES):
         wait_until(
             lambda entry=entry: ask(system, target, entry).reply.status == 200,  # type: ignore[misc]
@@ -187,84 +189,86 @@
         system.add(worker)
 
 
-class TestRestOfAPlainEndpoint:
-    """Guards against requests to an endpoint within the rest that it asked for."""
+class TestBackoffOfAPlainEndpoint:
+    """Guards against requests to an endpoint within the backoff that it asked for."""
 
-    @pytest.mark.parametrize("rest", ["3", "2.4"])
+    @pytest.mark.parametrize("backoff", ["3", "2.4"])
     @pytest.mark.parametrize("target", PLAIN_ROUTES)
     def test_is_kept_by_each_host_while_others_serve(
-        self, system: PlatformSystem, target: str, rest: str
+        self, system: PlatformSystem, target: str, backoff: str
     ) -> None:
-        with workers(system, 2) as (resting, free):
+        with workers(system, 2) as (refusing, free):
             system.wait_served(target, method="POST", body=b"p")
-            resting.rest = rest
+            refusing.backoff = backoff
             replies = offer(system, target, 4.0)
-            assert any(arrival.rest for arrival in resting.arrivals)
-            assert most_in_a_rest(resting) <= MOST_IN_A_REST
+            assert any(arrival.backoff for arrival in refusing.arrivals)
+            assert most_in_a_backoff(refusing) <= MOST_IN_A_BACKOFF
             assert served_share(replies) > 0.95
             assert len(free.arrivals) > 100
 
     def test_is_kept_by_second_sends(self, system: PlatformSystem) -> None:
-        with workers(system, 2) as (resting, failing):
+        with workers(system, 2) as (refusing, failing):
             system.wait_served("/safe/x", method="POST", body=b"p")
             failing.faults.fail = 1_000_000
-            resting.rest = "3"
+            refusing.backoff = "3"
             offer(system, "/safe/x", 4.0)
-            assert any(arrival.rest for arrival in resting.arrivals)
-            assert most_in_a_rest(resting) <= MOST_IN_A_REST
+            assert any(arrival.backoff for arrival in refusing.arrivals)
+            assert most_in_a_backoff(refusing) <= MOST_IN_A_BACKOFF
 
     def test_is_kept_without_a_leader(self, system: PlatformSystem) -> None:
-        with workers(system, 2) as (resting, _), without_leader(system):
-            resting.rest = "3"
+        with workers(system, 2) as (refusing, _), without_leader(system):
+            refusing.backoff = "3"
             replies = offer(system, "/safe/x", 4.0)
-            assert any(arrival.rest for arrival in resting.arrivals)
-            assert most_in_a_rest(resting) <= MOST_IN_A_REST
+            assert any(arrival.backoff for arrival in refusing.arrivals)
+            assert most_in_a_backoff(refusing) <= MOST_IN_A_BACKOFF
             assert served_share(replies) > 0.95
 
     def test_ends_when_it_was_to_end(self, system: PlatformSystem) -> None:
         with workers(system, 1) as (worker,):
             system.wait_served("/safe/x", method="POST", body=b"p")
-            worker.rest = "1.5"
-            wait_until(lambda: ask(system, "/safe/x").error == "endpoint_rest", "rest")
-            asked_at = next(item.at for item in worker.arrivals if item.rest)
-            worker.rest = ""
+            worker.backoff = "1.5"
+            wait_until(
+                lambda: ask(system, "/safe/x").error == "endpoint_backoff", "backoff"
+            )
+            asked_at = next(item.at for item in worker.arrivals if item.backoff)
+            worker.backoff = ""
             wait_until(lambda: ask(system, "/safe/x").reply.status == 200, "used")
             assert 1.5 <= worker.arrivals[-1].at - asked_at < 2.0
 
     def test_is_kept_however_long(self, system: PlatformSystem) -> None:
         with workers(system, 1) as (worker,):
             system.wait_served("/safe/x", method="POST", body=b"p")
-            worker.rest = "99999999999"
+            worker.backoff = "99999999999"
             offer(system, "/safe/x", 1.0)
             arrived = len(worker.arrivals)
-            worker.rest = ""
+            worker.backoff = ""
             replies = offer(system, "/safe/x", 2.0)
             assert len(worker.arrivals) == arrived
-            assert {item.error for item in replies} == {"endpoint_rest"}
+            assert {item.error for item in replies} == {"endpoint_backoff"}
 
-    @pytest.mark.parametrize("rest", ["soon", "-3", "0"])
+    @pytest.mark.parametrize("backoff", ["soon", "-3", "0"])
     def test_is_none_that_can_not_be_read(
-        self, system: PlatformSystem, rest: str
+        self, system: PlatformSystem, backoff: str
     ) -> None:
         with workers(system, 1) as (worker,):
             system.wait_served("/safe/x", method="POST", body=b"p")
-            worker.rest = rest
+            worker.backoff = backoff
             assert ask(system, "/safe/x").reply.status == 503
-            worker.rest = ""
+            worker.backoff = ""
             assert ask(system, "/safe/x").reply.status == 200
 
     def test_is_not_owed_by_the_next_start(self, system: PlatformSystem) -> None:
         with workers(system, 1) as (worker,):
             worker.started_at_ms = 1_700_000_000_000
             wait_until(lambda: ask(system, "/safe/x").reply.status == 200, "served")
-            worker.rest = "60"
+            worker.backoff = "60"
             offer(system, "/safe/x", 0.5)
             with restarted(system, worker) as later:
-                end_rest(system, later, "/safe/x")
+                wait_used_again(system, later, "/safe/x")
 
 
-class TestWhereAllRest:
-    """Guards against requests that wait in vain for endpoints that rest."""
+class TestWhereAllAreInBackoff:
+    """Guards against requests that wait in vain for endpoints in backoff."""
 
     @pytest.mark.parametrize("target", [*PLAIN_ROUTES, STREAM])
     @pytest.mark.parametrize("has_leader", [True, False])
@@ -272,55 +276,57 @@
         self, system: PlatformSystem, target: str, has_leader: bool
     ) -> None:
         service, stage = ("model", "decode") if target == STREAM else ("plain", "")
-        with workers(system, 2, service, stage) as resting:
+        with workers(system, 2, service, stage) as refusing:
             headers = PROMPT if target == STREAM else {}
             system.wait_served(target, method="POST", body=b"p", headers=headers)
-            for worker in resting:
-                worker.rest = "20"
+            for worker in refusing:
+                worker.backoff = "20"
             replies = offer_with(system, target, 2.0, has_leader)
-            for worker in resting:
-                assert most_in_a_rest(worker) <= MOST_IN_A_REST
+            for worker in refusing:
+                assert most_in_a_backoff(worker) <= MOST_IN_A_BACKOFF
             latest = replies[len(replies) // 2 :]
-            assert {item.error for item in latest} == {"endpoint_rest"}
+            assert {item.error for item in latest} == {"endpoint_backoff"}
             for item in latest:
                 told = json.loads(item.reply.body)
                 assert (item.reply.status, told["ran"]) == (503, "no")
                 assert 16 < float(item.reply.headers["retry-after"]) < 21
             assert sorted(item.seconds for item in latest)[-3] < AT_ONCE_SECONDS
 
-    def test_a_trace_names_the_rests(self, system: PlatformSystem) -> None:
+    def test_a_trace_names_them(self, system: PlatformSystem) -> None:
         with workers(system, 1) as (worker,):
             system.wait_served("/safe/x", method="POST", body=b"p")
-            worker.rest = "20"
-            wait_until(lambda: ask(system, "/safe/x").error == "endpoint_rest", "rest")
+            worker.backoff = "20"
+            wait_until(
+                lambda: ask(system, "/safe/x").error == "endpoint_backoff", "backoff"
+            )
             ask(system, "/safe/x")
-            path = system.folder / "resting.log"
+            path = system.folder / "backoff.log"
             path.write_text(system.entries[0].output())
             cause = cause_of(lines_about(system.last_request_id, [path]))
-            assert "asked this host for a rest" in cause
+            assert "asked this host for backoff" in cause
             assert worker.worker_id in cause
-            asked = lines(system, 0, "endpoint asked for a rest")[-1]
+            asked = lines(system, 0, "endpoint asked for backoff")[-1]
             assert asked["start_id"] == worker.worker_id
             assert 19 < asked["seconds"] <= 20
 
 
-class TestRestOfAnEngine:
-    """Guards against prompts, answers and reservations within an engine's rest."""
+class TestBackoffOfAnEngine:
+    """Guards against prompts, answers and reservations within an engine's backoff."""
 
     @pytest.mark.parametrize("has_leader", [True, False])
     def test_is_kept_by_those_that_answer_and_those_that_read(
         self, system: PlatformSystem, has_leader: bool
     ) -> None:
         with (
-            workers(system, 2, "model", "decode") as (resting, _),
-            workers(system, 2, "model", "prefill") as (resting_reader, _),
+            workers(system, 2, "model", "decode") as (refusing, _),
+            workers(system, 2, "model", "prefill") as (refusing_reader, _),
         ):
             system.wait_served(STREAM, method="POST", headers=PROMPT, body=b"p")
-            resting.rest = resting_reader.rest = "3"
+            refusing.backoff = refusing_reader.backoff = "3"
             replies = offer_with(system, STREAM, 4.0, has_leader)
-            for worker in (resting, resting_reader):
-                assert any(arrival.rest for arrival in worker.arrivals)
-                assert most_in_a_rest(worker) <= MOST_IN_A_REST
+            for worker in (refusing, refusing_reader):
+                assert any(arrival.backoff for arrival in worker.arrivals)
+                assert most_in_a_backoff(worker) <= MOST_IN_A_BACKOFF
             assert served_share(replies) > 0.9
 
     def test_is_kept_by_requests_that_wait_for_room(
@@ -332,17 +338,21 @@
             with ThreadPoolExecutor(1) as pool:
                 offered = pool.submit(offer, system, STREAM, 5.0, range(ENTRIES), 6)
                 time.sleep(1.0)
-                engine.rest = "3"
+                engine.backoff = "3"
                 replies = offered.result()
-            assert any(arrival.rest for arrival in engine.arrivals)
-            assert most_in_a_rest(engine) <= MOST_IN_A_REST
-            assert {item.error for item in replies} <= {"", "endpoint_rest", "no_room"}
+            assert any(arrival.backoff for arrival in engine.arrivals)
+            assert most_in_a_backoff(engine) <= MOST_IN_A_BACKOFF
+            assert {item.error for item in replies} <= {
+                "",
+                "endpoint_backoff",
+                "no_room",
+            }
 
     def test_is_kept_by_an_answer_whose_prompt_was_being_read(
         self, system: PlatformSystem
     ) -> None:
         with (
-            workers(system, 2, "model", "decode") as (resting, _),
+            workers(system, 2, "model", "decode") as (refusing, _),
             workers(system, 1, "model", "prefill") as (reader,),
         ):
             system.wait_served(STREAM, method="POST", headers=PROMPT, body=b"p")
@@ -350,15 +360,15 @@
             with ThreadPoolExecutor(1) as pool:
                 offered = pool.submit(offer, system, STREAM, 5.0, [0], 6)
                 time.sleep(1.0)
-                resting.rest = "3"
+                refusing.backoff = "3"
                 offered.result()
-            assert most_in_a_rest(resting) <= MOST_IN_A_REST
+            assert most_in_a_backoff(refusing) <= MOST_IN_A_BACKOFF
 
     def test_is_kept_by_a_stream_that_goes_on(self, system: PlatformSystem) -> None:
-        with workers(system, 3, "model", "decode") as (cutting, resting, free):
+        with workers(system, 3, "model", "decode") as (cutting, refusing, free):
             target = "/resumed/x"
             wait_until(lambda: ask(system, target).reply.status == 200, "served")
-            resting.rest = "3"
+            refusing.backoff = "3"
             cutting.events = free.events = 20
             ended = Event()
 
@@ -370,8 +380,8 @@
                 pool.submit(cut)
                 replies = offer(system, target, 4.0)
                 ended.set()
-            assert any(arrival.rest for arrival in resting.arrivals)
-            assert most_in_a_rest(resting) <= MOST_IN_A_REST
+            assert any(arrival.backoff for arrival in refusing.arrivals)
+            assert most_in_a_backoff(refusing) <= MOST_IN_A_BACKOFF
             assert sum(item.reply.whole for item in replies) > 0.9 * len(replies)
 
 
@@ -430,4 +440,4 @@
             leaving.leaves = True
             offer(system, "/safe/x", 0.5)
             with restarted(system, leaving) as later:
-                end_rest(system, later, "/safe/x")
+                wait_used_again(system, later, "/safe/x")
--- a/tests/forwarding/test_reservations.py
+++ b/tests/forwarding/test_reservations.py
@@ -132,20 +132,20 @@
         assert found is not None and found.endpoint.endpoint_id == "near"
 
 
-class TestReservationAtAnEngineThatRests:
-    """Guards against reservations that are given back within an engine's rest."""
+class TestReservationAtAnEngineInBackoff:
+    """Guards against reservations that are given back within an engine's backoff."""
 
-    @pytest.mark.parametrize("rest", ["", "3"])
-    def test_lapses_by_itself(self, near: PlatformWorker, rest: str) -> None:
+    @pytest.mark.parametrize("backoff", ["", "3"])
+    def test_lapses_by_itself(self, near: PlatformWorker, backoff: str) -> None:
         own = at(near.address, "near", OWN_ZONE)
         book = EndpointBook()
         book.take([own])
         ways = sending(book)
         reservations = Reservations(ways, OPTIONS, OWN_ZONE)
         near.reservations["r1"] = 100
-        refusal = read_head(503, [("Retry-After", rest)])
+        refusal = read_head(503, [("Retry-After", backoff)])
         ways.limits.notices.note_answer(own, refusal, 0.0)
         request: Any = SimpleNamespace(request_id="r-1")
         context: Any = SimpleNamespace(request=request)
         reservations.release(context, Reservation(own, "r1"))
-        assert ("r1" in near.reservations) == bool(rest)
+        assert ("r1" in near.reservations) == bool(backoff)
--- a/tests/notices/test_book.py
+++ b/tests/notices/test_book.py
@@ -9,7 +9,8 @@
 from jujubeslip.discovery import Endpoint, EndpointBook
 from jujubeslip.interfaces import EndpointHead
 from jujubeslip.notices import EndpointNotices, HoldReason, _book, _models
-from jujubeslip.platform._endpoint_calls import MAXIMUM_REST_SECONDS, read_head
+from jujubeslip.notices._models import LONGEST_BACKOFF_SECONDS
+from jujubeslip.platform._endpoint_calls import read_head
 from tests.fakes.engines import engine
 
 ENDPOINT = engine("e", started_at_ms=7)
@@ -33,44 +34,44 @@
     return instant
 
 
-def after_refusal(rest: str, known: Endpoint = ENDPOINT) -> EndpointNotices:
+def after_refusal(backoff: str, known: Endpoint = ENDPOINT) -> EndpointNotices:
     book = EndpointBook()
     book.take([known])
     notices = EndpointNotices(book)
-    notices.note_answer(ENDPOINT, head(Retry_After=rest), 999.0)
+    notices.note_answer(ENDPOINT, head(Retry_After=backoff), 999.0)
     return notices
 
 
-class TestRest:
-    """Guards against an endpoint that is asked before the rest it wanted is over."""
+class TestBackoff:
+    """Guards against an endpoint that is asked before the backoff it wanted is over."""
 
-    @pytest.mark.parametrize("rest", [("3", 3.0), ("0.25", 0.25), (".5", 0.5)])
+    @pytest.mark.parametrize("backoff", [("3", 3.0), ("0.25", 0.25), (".5", 0.5)])
     def test_holds_until_it_ends(
-        self, now: list[float], rest: tuple[str, float]
+        self, now: list[float], backoff: tuple[str, float]
     ) -> None:
-        text, seconds = rest
+        text, seconds = backoff
         notices = after_refusal(text)
         now[0] += seconds - 0.01
         hold = notices.hold_of(ENDPOINT.start_id)
-        assert hold is not None and hold.reason is HoldReason.REST
+        assert hold is not None and hold.reason is HoldReason.BACKOFF
         assert hold.until is not None and hold.until.remaining() == pytest.approx(0.01)
         now[0] += 0.02
         assert notices.hold_of(ENDPOINT.start_id) is None
 
     @pytest.mark.parametrize(
-        "rest", ["", "-1", "0", "nan", "inf", "1e9", "soon", "3, 5", "٣"]
+        "backoff", ["", "-1", "0", "nan", "inf", "1e9", "soon", "3, 5", "٣"]
     )
     def test_is_none_where_no_seconds_are_told(
-        self, now: list[float], rest: str
+        self, now: list[float], backoff: str
     ) -> None:
-        assert after_refusal(rest).hold_of(ENDPOINT.start_id) is None
+        assert after_refusal(backoff).hold_of(ENDPOINT.start_id) is None
 
-    @pytest.mark.parametrize("rest", ["99999999", "9" * 400, "100000.5"])
+    @pytest.mark.parametrize("backoff", ["99999999", "9" * 400, "100000.5"])
     def test_of_an_absurd_length_ends_all_the_same(
-        self, now: list[float], rest: str
+        self, now: list[float], backoff: str
     ) -> None:
-        notices = after_refusal(rest)
-        now[0] += MAXIMUM_REST_SECONDS - 1
+        notices = after_refusal(backoff)
+        now[0] += LONGEST_BACKOFF_SECONDS - 1
         assert notices.hold_of(ENDPOINT.start_id) is not None
         now[0] += 2
         assert notices.hold_of(ENDPOINT.start_id) is None
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -12,7 +12,7 @@
 from soak import _checks
 from soak._checks import Check, find_violations
 from soak._endpoints import STREAM_EVENTS
-from soak._hold_checks import check_leaving, check_rests
+from soak._hold_checks import check_backoff, check_leaving
 from soak._observations import (
     ClientCall,
     ConfigurationPut,
@@ -340,7 +340,7 @@
 
 
 class TestHolds:
-    """Endpoints that asked for a rest, or said that they leave, and got requests."""
+    """Endpoints that asked for backoff, or said that they leave, and got requests."""
 
     def arrive(self, seen: Observations, *told: EndpointArrival, count: int) -> None:
         """Let an endpoint say something, and get requests after that."""
@@ -348,23 +348,23 @@
             replace(told[0], request_id=f"safe-{number}", at=told[0].at + 2.5)
             for number in range(10, 10 + count)
         ]
-        seen.arrivals = [*told, *(replace(item, rest_seconds=0.0) for item in later)]
+        seen.arrivals = [*told, *(replace(item, backoff_seconds=0.0) for item in later)]
         for item in seen.arrivals:
             seen.calls.append(call(item.request_id, Kind.SAFE, sent_at=item.at))
 
-    def told(self, rest: float = 0.0, leaving: bool = False) -> EndpointArrival:
+    def told(self, backoff: float = 0.0, leaving: bool = False) -> EndpointArrival:
         return EndpointArrival(
-            "safe-9", "plain-0-1", "plain-0", LONG_AGO, rest, leaving
+            "safe-9", "plain-0-1", "plain-0", LONG_AGO, backoff, leaving
         )
 
     @pytest.mark.parametrize(
-        ("rest", "count", "found"), [(3.0, 3, 1), (3.0, 2, 0), (2.4, 9, 0)]
+        ("backoff", "count", "found"), [(3.0, 3, 1), (3.0, 2, 0), (2.4, 9, 0)]
     )
-    def test_requests_within_a_rest(
-        self, seen: Observations, rest: float, count: int, found: int
+    def test_requests_within_a_backoff(
+        self, seen: Observations, backoff: float, count: int, found: int
     ) -> None:
-        self.arrive(seen, self.told(rest=rest), count=count)
-        assert promises(check_rests, seen) == ["rests of endpoints"] * found
+        self.arrive(seen, self.told(backoff=backoff), count=count)
+        assert promises(check_backoff, seen) == ["backoff of endpoints"] * found
 
     def test_requests_after_it_said_that_it_leaves(self, seen: Observations) -> None:
         self.arrive(seen, self.told(leaving=True), count=0)
@@ -376,7 +376,7 @@
     def test_host_that_was_disturbed(self, seen: Observations, target: str) -> None:
         self.arrive(seen, self.told(3.0, True), count=3)
         seen.disturbances = [Disturbance(target, "", False, LONG_AGO, LONG_AGO + 1)]
-        assert promises(check_rests, seen) == []
+        assert promises(check_backoff, seen) == []
         assert promises(check_leaving, seen) == []
 
 
