Keep removals of unknown endpoints in a module of their own

What was called an early removal is a Removal; its bounds, its age and what it does to an endpoint stand together.

--- a/src/jujubeslip/discovery/__init__.py
+++ b/src/jujubeslip/discovery/__init__.py
@@ -1,6 +1,6 @@
 """Endpoints and control hosts, as control hosts and entry hosts know them."""
 
-from jujubeslip.discovery._book import EarlyRemoval, EndpointBook
+from jujubeslip.discovery._book import EndpointBook
 from jujubeslip.discovery._follower import ControlFollowers, News
 from jujubeslip.discovery._models import Endpoint, endpoint_from_record, to_record
 from jujubeslip.discovery._records import (
@@ -9,13 +9,14 @@
     usable_endpoints,
     usable_removals,
 )
+from jujubeslip.discovery._removals import Removal
 
 __all__ = [
     "ControlFollowers",
-    "EarlyRemoval",
     "Endpoint",
     "EndpointBook",
     "News",
+    "Removal",
     "Slots",
     "endpoint_from_record",
     "to_record",
--- a/src/jujubeslip/discovery/_book.py
+++ b/src/jujubeslip/discovery/_book.py
@@ -4,34 +4,28 @@
 
 import logging
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, replace
 
 from jujubeslip.discovery._addresses import AddressClaim, has_lost_address
 from jujubeslip.discovery._models import Endpoint
+from jujubeslip.discovery._removals import (
+    REMEMBERED_SECONDS,
+    KeptRemovals,
+    Removal,
+    latest_removal,
+)
 from jujubeslip.kernel import Deadline, new_incarnation, steady_seconds
 from jujubeslip.peers import EndpointRole
 
 logger = logging.getLogger(__name__)
 
-# How long an endpoint that was not heard of is remembered, in seconds. It is far
-# longer than any announcement can be delayed, so that a late one of an endpoint that
-# left can't bring it back.
-REMEMBERED_SECONDS = 300.0
 # A start that was not heard for this long gives way to one with an earlier time, in
 # seconds. The clock of an endpoint may go back between two starts: the new one would
 # be kept out for as long as the one before is remembered. Entry hosts pass a start over
 # by then, so that little is lost where it is only cut off; an announcement of a start
 # that is gone would have to be delayed for longer to be tried.
 GIVES_WAY_SECONDS = 10.0
-# Two hosts know of the same removal by clocks that differ by the time that a message
-# takes. Instants that are closer than this are the same removal, in seconds.
-SAME_REMOVAL_SECONDS = 1.0
-# How many removals of endpoints that were never heard of are kept: far more than leave
-# within REMEMBERED_SECONDS, and few enough for whoever sends removals at random.
-MAXIMUM_EARLY_REMOVALS = 10_000
-# How many of them one host tells another at a time at most.
-MAXIMUM_TOLD_REMOVALS = 1_000
 # An engine that was not heard for this long is given nothing by the leader, in seconds:
 # engines announce themselves about once a second, at times some seconds late.
 SILENT_SECONDS = 5.0
@@ -48,35 +42,6 @@
         return self.claim.endpoint
 
 
-@dataclass(frozen=True)
-class EarlyRemoval:
-    """A removal of an endpoint that this host has not heard of."""
-
-    endpoint_id: str
-    removed_at: float
-    started_at_ms: int
-    """The start that it is for, 0 where it names none."""
-    version: int = 0
-    """The version of the book since which it is known there."""
-
-    def is_same(self, other: EarlyRemoval | None) -> bool:
-        """Say whether the other one is the same removal, heard by another way."""
-        if other is None or other.started_at_ms != self.started_at_ms:
-            return False
-        return abs(other.removed_at - self.removed_at) <= SAME_REMOVAL_SECONDS
-
-    def apply_to(self, endpoint: Endpoint) -> Endpoint:
-        """Return the endpoint as it is after the removal."""
-        if not endpoint.may_be(self.started_at_ms):
-            return endpoint
-        if self.started_at_ms:
-            return replace(endpoint, leaving=True)
-        # Of one that tells its start, it may have been the start before that left.
-        restarted = endpoint.restarted or endpoint.started_at_ms > 0
-        removed_at = _latest_removal(endpoint.removed_at, self.removed_at)
-        return replace(endpoint, removed_at=removed_at, restarted=restarted)
-
-
 class EndpointBook:
     """What is known of each endpoint's latest start; may be used by many threads.
 
@@ -93,7 +58,7 @@
         self.book_id = new_incarnation()
         self._entry_by_id: dict[str, _Entry] = {}
         self._ids_by_address: dict[str, set[str]] = {}
-        self._early_removal_by_id: dict[str, EarlyRemoval] = {}
+        self._removals = KeptRemovals()
         self._version = 0
         # When the latest announcements were taken over; those that one host tells
         # together are known since the same instant.
@@ -178,32 +143,27 @@
         """
         with self._changed:
             known = self._entry_by_id.get(endpoint_id)
-            removal = EarlyRemoval(endpoint_id, steady_seconds(), started_at_ms)
+            removal = Removal(endpoint_id, steady_seconds(), started_at_ms)
             if known is None:
-                self._note_early(removal)
+                self._keep(removal)
             elif not known.endpoint.leaving:
                 self._remove(known.endpoint, removal)
             return self._version
 
-    def take_removals(self, told: Iterable[EarlyRemoval]) -> None:
-        """Take over removals that another host has kept, and not known of whom."""
-        oldest = steady_seconds() - REMEMBERED_SECONDS
+    def take_removals(self, told: Iterable[Removal]) -> None:
+        """Take over removals that another host keeps."""
         with self._changed:
             for removal in told:
-                if removal.removed_at < oldest:
-                    continue
                 known = self._entry_by_id.get(removal.endpoint_id)
                 if known is None:
-                    self._note_early(removal)
-                elif not known.endpoint.leaving:
+                    self._keep(removal)
+                elif not known.endpoint.leaving and not removal.is_old:
                     self._replace(known.endpoint, removal.apply_to(known.endpoint))
 
-    def removals_since(self, version: int) -> list[EarlyRemoval]:
+    def removals_since(self, version: int) -> Sequence[Removal]:
         """Return removals kept since a version, the latest where they are many."""
         with self._changed:
-            kept = self._early_removal_by_id.values()
-            changed = [removal for removal in kept if removal.version > version]
-            return changed[-MAXIMUM_TOLD_REMOVALS:]
+            return self._removals.since(version)
 
     def changes_since(self, version: int) -> tuple[int, list[Endpoint]]:
         """Return the newest version, and the endpoints changed since the given one."""
@@ -236,7 +196,7 @@
     def _take_one(self, told: Endpoint) -> None:
         known = self._entry_by_id.get(told.endpoint_id)
         if known is None:
-            early = self._early_removal_by_id.pop(told.endpoint_id, None)
+            early = self._removals.take(told.endpoint_id)
             first = told if early is None else early.apply_to(told)
             self._store(first, material=True)
             return
@@ -245,7 +205,7 @@
         newer = _merged(older, told) if same_start else _latest(older, told)
         self._replace(older, newer)
 
-    def _note_early(self, removal: EarlyRemoval) -> None:
+    def _keep(self, removal: Removal) -> None:
         """Keep a removal until the endpoint is heard of, by another way.
 
         A host that has started anew, or hears of endpoints from other hosts alone, is
@@ -254,19 +214,10 @@
         Other control hosts are told: that announcement may come to one of them, and
         this host may have ended by then.
         """
-        removals = self._early_removal_by_id
-        if removal.is_same(removals.get(removal.endpoint_id)):
+        if not self._removals.keep(replace(removal, version=self._version + 1)):
             return
         self._version += 1
         self._material_version = self._version
-        removals.pop(removal.endpoint_id, None)
-        removals[removal.endpoint_id] = replace(removal, version=self._version)
-        oldest = steady_seconds() - REMEMBERED_SECONDS
-        while removals and (
-            len(removals) > MAXIMUM_EARLY_REMOVALS
-            or next(iter(removals.values())).removed_at < oldest
-        ):
-            del removals[next(iter(removals))]
         self._changed.notify_all()
         extra = {
             "endpoint_id": removal.endpoint_id,
@@ -274,7 +225,7 @@
         }
         logger.info("removal of an endpoint not heard of", extra=extra)
 
-    def _remove(self, known: Endpoint, removal: EarlyRemoval) -> None:
+    def _remove(self, known: Endpoint, removal: Removal) -> None:
         if not known.may_be(removal.started_at_ms):
             extra = {
                 "endpoint_id": known.endpoint_id,
@@ -366,7 +317,7 @@
         newer,
         leaving=older.leaving or told.leaving,
         restarted=older.restarted or told.restarted,
-        removed_at=_latest_removal(older.removed_at, told.removed_at),
+        removed_at=latest_removal(older.removed_at, told.removed_at),
     )
 
 
@@ -384,12 +335,6 @@
     return replace(latest, restarted=True)
 
 
-def _latest_removal(known: float | None, told: float | None) -> float | None:
-    if known is None or told is None:
-        return told if known is None else known
-    return told if told > known + SAME_REMOVAL_SECONDS else known
-
-
 def _differs(older: Endpoint, newer: Endpoint) -> bool:
     """Say whether more than a renewal has changed."""
     return (
--- a/src/jujubeslip/discovery/_records.py
+++ b/src/jujubeslip/discovery/_records.py
@@ -9,12 +9,12 @@
 from pydantic import Field
 from returns.result import Failure
 
-from jujubeslip.discovery._book import EarlyRemoval
 from jujubeslip.discovery._models import (
     MILLISECONDS,
     Endpoint,
     endpoint_from_record,
 )
+from jujubeslip.discovery._removals import Removal
 from jujubeslip.kernel import (
     EndpointAddress,
     Id,
@@ -93,7 +93,7 @@
 
 def usable_removals(
     teller: str, records: Sequence[EndpointRemoval]
-) -> Iterator[EarlyRemoval]:
+) -> Iterator[Removal]:
     """Yield the removals of an answer that can be used; each other one is logged."""
     now = steady_seconds()
     for record in records:
@@ -102,10 +102,10 @@
             _note_unusable(teller, record, read.failure())
             continue
         removed_at = now - record.removed_ago_ms / MILLISECONDS
-        yield EarlyRemoval(record.endpoint_id, removed_at, record.started_at_ms)
+        yield Removal(record.endpoint_id, removed_at, record.started_at_ms)
 
 
-def to_removal_record(removal: EarlyRemoval) -> EndpointRemoval:
+def to_removal_record(removal: Removal) -> EndpointRemoval:
     """Return what this host tells others of a removal."""
     removed_ago = max(0.0, steady_seconds() - removal.removed_at)
     return EndpointRemoval(
--- a/tests/discovery/test_book.py
+++ b/tests/discovery/test_book.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from jujubeslip.discovery import EarlyRemoval, Endpoint, EndpointBook, _book
+from jujubeslip.discovery import Endpoint, EndpointBook, Removal, _removals
 from jujubeslip.discovery._models import REMOVAL_SECONDS
 from jujubeslip.kernel import Deadline, steady_seconds
 from jujubeslip.peers import EndpointRole
@@ -97,12 +97,12 @@
         assert book.removals_since(version) == []
         assert book.version == version
 
-    @pytest.mark.parametrize("age", [_book.REMEMBERED_SECONDS + 1, 2.0**60])
+    @pytest.mark.parametrize("age", [_removals.REMEMBERED_SECONDS + 1, 2.0**60])
     def test_is_not_taken_over_once_it_is_old(self, age: float) -> None:
         """The teller forgets old removals only when it hears of further ones."""
         book = EndpointBook()
-        old = EarlyRemoval("e", steady_seconds() - age, 0)
-        book.take_removals([old, EarlyRemoval("f", steady_seconds(), 0)])
+        old = Removal("e", steady_seconds() - age, 0)
+        book.take_removals([old, Removal("f", steady_seconds(), 0)])
         other = replace(endpoint(1, endpoint_id="f"), address="10.0.0.2:80")
         book.take([endpoint(1), other])
         assert [item.stays for item in book.endpoints()] == [True, False]
@@ -137,9 +137,9 @@
 
     def test_is_kept_for_so_many_only(self) -> None:
         book = EndpointBook()
-        for number in range(_book.MAXIMUM_EARLY_REMOVALS + 1):
+        for number in range(_removals.MAXIMUM_KEPT + 1):
             book.note_left(f"e-{number}")
-        first, last = f"e-{0}", f"e-{_book.MAXIMUM_EARLY_REMOVALS}"
+        first, last = f"e-{0}", f"e-{_removals.MAXIMUM_KEPT}"
         book.take([endpoint(1, endpoint_id=name) for name in (first, last)])
         assert {item.endpoint_id: item.stays for item in book.endpoints()} == {
             first: True,
