Test leaving on each way that backoff is tested on; split the checks of the soak

Requests that are under way when an endpoint asks for backoff, or says that it leaves: second sends, those that wait for room, those whose prompt is being read, streams that go on. For leaving only first sends, prompts and answers were played.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -5,14 +5,13 @@
 import math
 import re
 import time
-from bisect import bisect_left, bisect_right
 from collections import defaultdict
 from collections.abc import Callable, Iterator
-from itertools import pairwise
 
-from soak._bounds import CONTACT_SECONDS, STALL_FACTOR
+from soak._bounds import CONTACT_SECONDS, STALL_FACTOR, count_between
+from soak._crash_checks import check_fatal_contents, is_fatal
 from soak._endpoints import STREAM_EVENTS
-from soak._hold_checks import check_backoff, check_leaving
+from soak._hold_checks import check_backoff, check_leaving, check_limits
 from soak._observations import (
     ClientCall,
     Departure,
@@ -23,7 +22,6 @@
     Violation,
 )
 from soak._operator import MAXIMUM_ATTEMPTS
-from soak._schedule import FATAL_KINDS
 from soak._system import (
     RETRY_ALLOWANCE,
     RETRY_RATIO,
@@ -47,16 +45,6 @@
 NOT_RUN = frozenset({408, 421, 429, 503})
 EVENT = re.compile(rb"id: (\d+)\ndata: token-(\d+)\n\n")
 WINDOW_SECONDS = RETRY_WINDOW_MS / 1000
-# Endpoints that a content ends before it is held back, and runs of it after that.
-FATAL_ENDS = 3
-FATAL_RUNS = 3
-# What an endpoint gets beyond its limit at most, and how long after the first request
-# that a host sends to it the host keeps it, in seconds.
-LIMIT_WINDOW_SECONDS = 4.0
-LIMIT_SHARE = 1.5
-LIMIT_SLACK = 5
-TOLD_SECONDS = 1.0
-
 Check = Callable[[Observations], Iterator[Violation]]
 
 
@@ -151,7 +139,7 @@
     runs_by_id = seen.runs_by_request_id()
     for call in list(seen.calls):
         runs = runs_by_id.get(call.request_id, [])
-        if call.outcome not in (Outcome.CUT, Outcome.SILENT) or _is_fatal(call):
+        if call.outcome not in (Outcome.CUT, Outcome.SILENT) or is_fatal(call):
             continue
         if call.outcome is Outcome.CUT and not runs:
             continue
@@ -313,9 +301,9 @@
         times.sort()
         sent = sorted(requests[service])
         for until in times:
-            count = _count(times, until - WINDOW_SECONDS, until)
+            count = count_between(times, until - WINDOW_SECONDS, until)
             most = max(
-                _count(sent, until - back - WINDOW_SECONDS, until - back)
+                count_between(sent, until - back - WINDOW_SECONDS, until - back)
                 for back in (0.0, WINDOW_SECONDS / 2, WINDOW_SECONDS)
             )
             if count > RETRY_RATIO * most + RETRY_ALLOWANCE:
@@ -327,11 +315,6 @@
                 break
 
 
-def _count(times: list[float], begun_at: float, ended_at: float) -> int:
-    """Return how many of the sorted instants lie between these."""
-    return bisect_right(times, ended_at) - bisect_left(times, begun_at)
-
-
 def check_gone(seen: Observations) -> Iterator[Violation]:
     """Check that no endpoint works to the end for a client that has left."""
     runs_by_id = seen.runs_by_request_id()
@@ -377,77 +360,6 @@
             )
 
 
-def check_fatal_contents(seen: Observations) -> Iterator[Violation]:
-    """Check that what ends endpoints is held back, and nothing else is."""
-    forgotten_at = {
-        item.ended_at for item in list(seen.disturbances) if "AllKilled" in item.what
-    }
-    bounds = [-math.inf, *sorted(forgotten_at), math.inf]
-    for kind in FATAL_KINDS:
-        for begun_at, until in pairwise(bounds):
-            ends = [
-                end.ended_at
-                for end in list(seen.endpoint_ends)
-                if end.content == kind and begun_at < end.ended_at < until
-            ]
-            if len(ends) >= FATAL_ENDS:
-                yield from _late_fatal_runs(seen, kind, sorted(ends), until)
-    for call in list(seen.calls):
-        if b"request_quarantined" in call.body and not _is_fatal(call):
-            yield Violation("harmless contents", call.request_id, "it was held back")
-
-
-def _late_fatal_runs(
-    seen: Observations, kind: str, ends: list[float], until: float
-) -> Iterator[Violation]:
-    third = ends[FATAL_ENDS - 1]
-    stalled = STALL_FACTOR * seen.stall(third, third + CONTACT_SECONDS)
-    known_from = third + CONTACT_SECONDS + stalled
-    ran = seen.runs_by_request_id()
-    late = [
-        call.request_id
-        for call in list(seen.calls)
-        if _is_fatal(call)
-        and call.kind.value == kind
-        and known_from < call.sent_at < until
-        and call.request_id in ran
-        and not seen.disturbed(
-            call.entry, call.sent_at - CONTACT_SECONDS, call.ended_at
-        )
-    ]
-    if len(late) > FATAL_RUNS:
-        message = f"after {seen.offset(known_from)} endpoints ran {', '.join(late)}"
-        yield Violation("contents that end endpoints", f"{kind} {third}", message)
-
-
-def _is_fatal(call: ClientCall) -> bool:
-    return "-fatal-" in call.request_id
-
-
-def check_limits(seen: Observations) -> Iterator[Violation]:
-    """Check that an endpoint gets no more than it said, of hosts that it has told."""
-    entry_by_id = {call.request_id: call.entry for call in list(seen.calls)}
-    for limit in list(seen.limits):
-        told_at_by_entry: dict[str, float] = {}
-        times = []
-        for run in sorted(list(seen.runs), key=lambda item: item.started_at):
-            entry = entry_by_id.get(run.request_id, "")
-            if run.endpoint_id != limit.endpoint_id or not limit.holds(run.started_at):
-                continue
-            told_at = told_at_by_entry.setdefault(entry, run.started_at)
-            was_disturbed = seen.disturbed(entry, limit.begun_at, run.started_at)
-            if run.started_at > told_at + TOLD_SECONDS and not was_disturbed:
-                times.append(run.started_at)
-        most = LIMIT_SHARE * limit.per_second * LIMIT_WINDOW_SECONDS + LIMIT_SLACK
-        for until in times:
-            count = _count(times, until - LIMIT_WINDOW_SECONDS, until)
-            if until > limit.begun_at + CONTACT_SECONDS and count > most:
-                message = f"{count} in {LIMIT_WINDOW_SECONDS} s, {most} are allowed"
-                when = f"{limit.endpoint_id} until {seen.offset(until)}"
-                yield Violation("limits of endpoints", when, message)
-                break
-
-
 def check_recovery(seen: Observations) -> Iterator[Violation]:
     """Check that everything is served again once the faults are over."""
     for problem in list(seen.unrecovered):
--- a/soak/_hold_checks.py
+++ b/soak/_hold_checks.py
@@ -5,7 +5,7 @@
 from collections import defaultdict
 from collections.abc import Iterator, Mapping
 
-from soak._bounds import CONTACT_SECONDS, STALL_FACTOR
+from soak._bounds import CONTACT_SECONDS, STALL_FACTOR, count_between
 from soak._observations import ClientCall, EndpointArrival, Observations, Violation
 
 # A host may send so many requests to an endpoint that has asked it for backoff; those
@@ -15,10 +15,41 @@
 # From when on an endpoint that has said that it leaves gets nothing, in seconds.
 DRAIN_SECONDS = 2.0
 
+# What an endpoint gets beyond its limit at most, and how long after the first request
+# that a host sends to it the host keeps it, in seconds.
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_SHARE = 1.5
+LIMIT_SLACK = 5
+TOLD_SECONDS = 1.0
+
 Sender = tuple[str, str]
 """An endpoint's id, and the entry host that sent it requests."""
 
 
+def check_limits(seen: Observations) -> Iterator[Violation]:
+    """Check that an endpoint gets no more than it said, of hosts that it has told."""
+    entry_by_id = {call.request_id: call.entry for call in list(seen.calls)}
+    for limit in list(seen.limits):
+        told_at_by_entry: dict[str, float] = {}
+        times = []
+        for run in sorted(list(seen.runs), key=lambda item: item.started_at):
+            entry = entry_by_id.get(run.request_id, "")
+            if run.endpoint_id != limit.endpoint_id or not limit.holds(run.started_at):
+                continue
+            told_at = told_at_by_entry.setdefault(entry, run.started_at)
+            was_disturbed = seen.disturbed(entry, limit.begun_at, run.started_at)
+            if run.started_at > told_at + TOLD_SECONDS and not was_disturbed:
+                times.append(run.started_at)
+        most = LIMIT_SHARE * limit.per_second * LIMIT_WINDOW_SECONDS + LIMIT_SLACK
+        for until in times:
+            count = count_between(times, until - LIMIT_WINDOW_SECONDS, until)
+            if until > limit.begun_at + CONTACT_SECONDS and count > most:
+                message = f"{count} in {LIMIT_WINDOW_SECONDS} s, {most} are allowed"
+                when = f"{limit.endpoint_id} until {seen.offset(until)}"
+                yield Violation("limits of endpoints", when, message)
+                break
+
+
 def check_backoff(seen: Observations) -> Iterator[Violation]:
     """Check that an endpoint gets no requests within a backoff that it asked for."""
     for sender, arrivals in _by_sender(seen).items():
--- a/tests/forwarding/test_endpoint_holds.py
+++ b/tests/forwarding/test_endpoint_holds.py
@@ -3,41 +3,45 @@
 from __future__ import annotations
 
 import json
-import signal
 import time
-from collections import defaultdict
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
-from contextlib import contextmanager
-from dataclasses import dataclass
 from threading import Event
 
 import pytest
 
 from jujubeslip.tracing import cause_of, lines_about
+from tests.fakes.endpoint_holds import (
+    AT_ONCE_SECONDS,
+    DRAIN_SECONDS,
+    ENTRIES,
+    MOST_IN_A_BACKOFF,
+    ask,
+    ask_for_backoff,
+    by_sender,
+    is_spared,
+    late_after_leaving,
+    most_in_a_backoff,
+    offer,
+    offer_with,
+    restarted,
+    say_leaving,
+    served_share,
+    wait_used_again,
+    without_leader,
+)
 from tests.fakes.platform_system import (
     ENGINE,
     PLAIN,
     PROMPT,
     PlatformSystem,
-    Reply,
     configuration,
     route,
 )
-from tests.fakes.platform_worker import Arrival, PlatformWorker
+from tests.fakes.platform_worker import PlatformWorker
 from tests.fakes.processes import wait_until
 from tests.forwarding.test_endpoint_limits import lines, workers
 
-ENTRIES = 4
-# What a host may still send an endpoint that has asked it for backoff: no more than so
-# many requests, those of the first moments not counted.
-SLACK_SECONDS = 0.5
-MOST_IN_A_BACKOFF = 2
-# From when on an endpoint that has said that it leaves must get nothing, in seconds.
-DRAIN_SECONDS = 2.0
-# What is known not to be served is refused within this time, in seconds.
-AT_ONCE_SECONDS = 0.4
-PAUSE_SECONDS = 0.05
 STREAM = "/stream/x"
 PLAIN_ROUTES = ("/safe/x", "/unsafe/x")
 
@@ -58,137 +62,6 @@
         yield running
 
 
-@contextmanager
-def without_leader(system: PlatformSystem) -> Iterator[None]:
-    """Leave the entry hosts one control host, which can't lead by itself."""
-    for host in system.controls[1:]:
-        host.signal(signal.SIGSTOP)
-    try:
-        yield
-    finally:
-        for host in system.controls[1:]:
-            host.signal(signal.SIGCONT)
-        wait_until(lambda: system.put(system.read()[1]) == 200, "a leader is there")
-
-
-@dataclass(frozen=True)
-class Timed:
-    """An answer, and how long it took."""
-
-    reply: Reply
-    seconds: float
-
-    @property
-    def error(self) -> str:
-        return "" if self.reply.status == 200 else json.loads(self.reply.body)["error"]
-
-
-def ask(system: PlatformSystem, target: str, entry: int = 0) -> Timed:
-    shape = PROMPT if target.startswith(("/stream/", "/resumed/")) else {}
-    headers = {"X-Entry": str(entry), **shape}
-    began = time.monotonic()
-    reply = system.ask(target, "POST", b"p", headers, entry, deadline_ms=4000)
-    return Timed(reply, time.monotonic() - began)
-
-
-def offer(
-    system: PlatformSystem,
-    target: str,
-    seconds: float,
-    entries: Sequence[int] = range(ENTRIES),
-    clients: int = 1,
-) -> list[Timed]:
-    """Send requests to entry hosts, some clients at each; return the answers."""
-    ended = Event()
-
-    def send_to(entry: int) -> list[Timed]:
-        replies = []
-        while not ended.wait(PAUSE_SECONDS):
-            replies.append(ask(system, target, entry))
-        return replies
-
-    with ThreadPoolExecutor(len(entries) * clients) as pool:
-        found = [pool.submit(send_to, entry) for entry in list(entries) * clients]
-        time.sleep(seconds)
-        ended.set()
-        return [timed for future in found for timed in future.result()]
-
-
-def offer_with(
-    system: PlatformSystem, target: str, seconds: float, has_leader: bool
-) -> list[Timed]:
-    """Send requests to all entry hosts, or without a leader to the first one."""
-    if has_leader:
-        return offer(system, target, seconds)
-    with without_leader(system):
-        return offer(system, target, seconds, [0], clients=ENTRIES)
-
-
-def by_sender(worker: PlatformWorker) -> dict[str, list[Arrival]]:
-    """Return what came from each host; reservations, which don't tell, from the first.
-
-    Hosts ask for reservations without a leader alone, where only the first is offered
-    requests that need any.
-    """
-    found = defaultdict(list)
-    for arrival in list(worker.arrivals):
-        found[arrival.sender or "0"].append(arrival)
-    return found
-
-
-def most_in_a_backoff(worker: PlatformWorker) -> int:
-    """Return how many requests of one host came at most within one backoff."""
-    most = 0
-    for arrivals in by_sender(worker).values():
-        for told in arrivals:
-            if not told.backoff:
-                continue
-            since, until = told.at + SLACK_SECONDS, told.at + float(told.backoff)
-            most = max(most, sum(since < item.at < until for item in arrivals))
-    return most
-
-
-def late_after_leaving(worker: PlatformWorker) -> int:
-    """Return how many requests came too late after the worker had said it leaves."""
-    late = 0
-    for arrivals in by_sender(worker).values():
-        told = [item.at for item in arrivals if item.told_leaving]
-        if told:
-            late += sum(item.at > told[0] + DRAIN_SECONDS for item in arrivals)
-    return late
-
-
-def served_share(replies: Sequence[Timed]) -> float:
-    return sum(item.reply.status == 200 for item in replies) / len(replies)
-
-
-def wait_used_again(
-    system: PlatformSystem, worker: PlatformWorker, target: str
-) -> None:
-    """Wait until a worker that asks for no more backoff is used by all entry hosts."""
-    worker.backoff = ""
-    for entry in range(ENTRIES):
-        wait_until(
-            lambda entry=entry: ask(system, target, entry).reply.status == 200,  # type: ignore[misc]
-            "used again",
-        )
-
-
-@contextmanager
-def restarted(
-    system: PlatformSystem, worker: PlatformWorker
-) -> Iterator[PlatformWorker]:
-    """Give the next start of a worker, which leaves at the end."""
-    later = system.restart(worker)
-    try:
-        yield later
-    finally:
-        system.withdraw(later)
-        system.beat(later, "draining")
-        later.close()
-        system.add(worker)
-
-
 class TestBackoffOfAPlainEndpoint:
     """Guards against requests to an endpoint within the backoff that it asked for."""
 
@@ -206,15 +79,6 @@
             assert served_share(replies) > 0.95
             assert len(free.arrivals) > 100
 
-    def test_is_kept_by_second_sends(self, system: PlatformSystem) -> None:
-        with workers(system, 2) as (refusing, failing):
-            system.wait_served("/safe/x", method="POST", body=b"p")
-            failing.faults.fail = 1_000_000
-            refusing.backoff = "3"
-            offer(system, "/safe/x", 4.0)
-            assert any(arrival.backoff for arrival in refusing.arrivals)
-            assert most_in_a_backoff(refusing) <= MOST_IN_A_BACKOFF
-
     def test_is_kept_without_a_leader(self, system: PlatformSystem) -> None:
         with workers(system, 2) as (refusing, _), without_leader(system):
             refusing.backoff = "3"
@@ -329,30 +193,41 @@
                 assert most_in_a_backoff(worker) <= MOST_IN_A_BACKOFF
             assert served_share(replies) > 0.9
 
-    def test_is_kept_by_requests_that_wait_for_room(
-        self, system: PlatformSystem
+
+@pytest.mark.parametrize("speak", [ask_for_backoff, say_leaving])
+class TestRequestsThatAreUnderWay:
+    """Guards against sends of requests that were chosen, granted or begun before."""
+
+    def test_second_sends(
+        self, system: PlatformSystem, speak: Callable[[PlatformWorker], None]
     ) -> None:
-        with workers(system, 1, "model", "decode") as (engine,):
+        with workers(system, 2) as (held, failing):
+            system.wait_served("/safe/x", method="POST", body=b"p")
+            failing.faults.fail = 1_000_000
+            speak(held)
+            offer(system, "/safe/x", 4.0)
+            assert is_spared(held)
+
+    def test_those_that_wait_for_room(
+        self, system: PlatformSystem, speak: Callable[[PlatformWorker], None]
+    ) -> None:
+        with workers(system, 1, "model", "decode") as (held,):
             system.wait_served(STREAM, method="POST", headers=PROMPT, body=b"p")
-            engine.run_seconds = 0.3
+            held.run_seconds = 0.3
             with ThreadPoolExecutor(1) as pool:
                 offered = pool.submit(offer, system, STREAM, 5.0, range(ENTRIES), 6)
                 time.sleep(1.0)
-                engine.backoff = "3"
+                speak(held)
                 replies = offered.result()
-            assert any(arrival.backoff for arrival in engine.arrivals)
-            assert most_in_a_backoff(engine) <= MOST_IN_A_BACKOFF
-            assert {item.error for item in replies} <= {
-                "",
-                "endpoint_backoff",
-                "no_room",
-            }
-
-    def test_is_kept_by_an_answer_whose_prompt_was_being_read(
-        self, system: PlatformSystem
+            assert is_spared(held)
+            errors = {item.error for item in replies}
+            assert errors <= {"", "endpoint_backoff", "no_room", "no_endpoint"}
+
+    def test_those_whose_prompt_is_being_read(
+        self, system: PlatformSystem, speak: Callable[[PlatformWorker], None]
     ) -> None:
         with (
-            workers(system, 2, "model", "decode") as (refusing, _),
+            workers(system, 2, "model", "decode") as (held, _),
             workers(system, 1, "model", "prefill") as (reader,),
         ):
             system.wait_served(STREAM, method="POST", headers=PROMPT, body=b"p")
@@ -360,16 +235,19 @@
             with ThreadPoolExecutor(1) as pool:
                 offered = pool.submit(offer, system, STREAM, 5.0, [0], 6)
                 time.sleep(1.0)
-                refusing.backoff = "3"
+                speak(held)
                 offered.result()
-            assert most_in_a_backoff(refusing) <= MOST_IN_A_BACKOFF
+            assert most_in_a_backoff(held) <= MOST_IN_A_BACKOFF
+            assert late_after_leaving(held) == 0
 
-    def test_is_kept_by_a_stream_that_goes_on(self, system: PlatformSystem) -> None:
-        with workers(system, 3, "model", "decode") as (cutting, refusing, free):
+    def test_streams_that_go_on(
+        self, system: PlatformSystem, speak: Callable[[PlatformWorker], None]
+    ) -> None:
+        with workers(system, 3, "model", "decode") as (cutting, held, free):
             target = "/resumed/x"
             wait_until(lambda: ask(system, target).reply.status == 200, "served")
-            refusing.backoff = "3"
-            cutting.events = free.events = 20
+            speak(held)
+            cutting.events = free.events = held.events = 20
             ended = Event()
 
             def cut() -> None:
@@ -380,8 +258,7 @@
                 pool.submit(cut)
                 replies = offer(system, target, 4.0)
                 ended.set()
-            assert any(arrival.backoff for arrival in refusing.arrivals)
-            assert most_in_a_backoff(refusing) <= MOST_IN_A_BACKOFF
+            assert is_spared(held)
             assert sum(item.reply.whole for item in replies) > 0.9 * len(replies)
 
 
--- a/tests/forwarding/test_endpoint_limits.py
+++ b/tests/forwarding/test_endpoint_limits.py
@@ -4,7 +4,6 @@
 
 import itertools
 import json
-import threading
 import time
 from collections.abc import Iterator, Sequence
 from concurrent.futures import ThreadPoolExecutor
@@ -14,6 +13,7 @@
 import pytest
 
 from jujubeslip.tracing import cause_of, lines_about
+from tests.fakes import steady_load
 from tests.fakes.platform_system import (
     ENGINE,
     PLAIN,
@@ -106,19 +106,9 @@
     entries: Sequence[int] = range(ENTRIES),
 ) -> list[Reply]:
     """Send requests to entry hosts at a steady rate; return the answers."""
-    ended = threading.Event()
-
-    def send_to(entry: int) -> list[Reply]:
-        replies = []
-        while not ended.wait(PAUSE_SECONDS):
-            replies.append(ask(system, target, entry))
-        return replies
-
-    with ThreadPoolExecutor(ENTRIES) as pool:
-        found = [pool.submit(send_to, entry) for entry in entries]
-        time.sleep(seconds)
-        ended.set()
-        return [reply for future in found for reply in future.result()]
+    return steady_load.offer(
+        lambda entry: ask(system, target, entry), seconds, entries, PAUSE_SECONDS
+    )
 
 
 def lines(system: PlatformSystem, entry: int, message: str) -> list[dict[str, Any]]:
