Send events of the stand-in's streams by instants, so that a busy machine does not make them longer

Nine streams that began just after the faults were cut after 6.0 to 6.6 s, each with 130 to 142 of its 150 events. No promise of the product was broken.

Cause: the stand-in for a worker slept 10 ms after each event. A thread of the soak, whose stand-ins, proxies and clients share one process, is woken later the busier the machine and the process are, and each delay was added to the stream. With ten streams at once and a busy machine a stream of 1.5 s took over 6 s, its route's timeout, and its host ended it as it has to.

Ruled out: an endpoint that was ended or disturbed, a stop or a lost leader (none was then), a host that was slow (its longest gap is that of the stand-in).

Change: each event has an instant, and a thread that is late catches up. No check and no bound of the soak is touched.

--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -399,6 +399,7 @@
         )
         cut_after = worker.faults.cut_stream_after
         worker.faults.cut_stream_after = 0
+        due_at = time.monotonic()
         for number in range(first, worker.events + 1):
             event = f"id: {number}\ndata: token-{number}\n\n".encode()
             if cut_after and number > cut_after:
@@ -408,10 +409,13 @@
             self.wfile.write(b"%x\r\n" % len(event) + event + b"\r\n")
             if number == first + 1 and worker.faults.pause_stream_seconds:
                 time.sleep(worker.faults.pause_stream_seconds)
+                due_at += worker.faults.pause_stream_seconds
                 worker.faults.pause_stream_seconds = 0.0
             if not self.peer_is_open():
                 worker.gone_clients.append(request_id)
                 self.close_connection = True
                 return
-            time.sleep(EVENT_PAUSE_SECONDS)
+            # By instants, so that a thread that is woken late catches up.
+            due_at += EVENT_PAUSE_SECONDS
+            time.sleep(max(0.0, due_at - time.monotonic()))
         self.wfile.write(b"0\r\n\r\n")
