Ask a leader again whose answer was late, and count its charge once

Cause: a host waits 0.25 s for the leader. After one late answer it asks the pool of hosts without a leader, which at two hosts and no slack has nothing, and refuses. Streams wait for a leader in that case; plain requests did not. Behind it a second fault: the late call had been charged, and the same request charged again once it was sent again, since a charge had no id.

Ruled out: a longer time for the answer (each request of a cut-off zone would wait for it).

Change: where the leader is reachable and was only late, the request waits until it may be asked again, for a second at most. Charges have an id that their host makes; the leader counts it once, and charges without one (hosts of an earlier version) each time.

--- a/src/jujubeslip/control/_account_keeper.py
+++ b/src/jujubeslip/control/_account_keeper.py
@@ -17,6 +17,8 @@
 # How long a charged request is remembered, in seconds: longer than clients wait for an
 # answer, so that one that asks again, or for a further engine, is not charged twice.
 CHARGED_SECONDS = 30.0
+# What is answered to a charge that counts already: the host goes on asking.
+CHARGED = LedgerAnswer(0.0, near_limit=True)
 
 
 @dataclass(frozen=True)
@@ -38,26 +40,32 @@
     ) -> None:
         super().__init__(bounds, lead_began_at, heard_share)
         self._accounts = accounts
-        self._charged_by_request: OrderedDict[str, _Charged] = OrderedDict()
+        self._charged_by_id: OrderedDict[str, _Charged] = OrderedDict()
 
     def charge_once(self, request_id: str, spending: AccountSpending) -> float:
         """Charge a request; return when it may come back, 0 where it may run."""
         with self._lock:
-            ledger = self._current_ledger()
-            now = steady_seconds()
-            self._forget_old(now)
-            if request_id in self._charged_by_request:
-                return 0.0
-            name, cost = spending.account_name, spending.amount
-            answer = self._charge(ledger, name, cost, now)
-            if answer.wait == 0:
-                self._charged_by_request[request_id] = _Charged(name, cost, now)
-        return answer.wait
+            return self._charge_once(request_id, spending).wait
+
+    def _charge_once(
+        self, charge_id: str | None, spending: AccountSpending
+    ) -> LedgerAnswer:
+        """Charge what has not been charged under this id; hosts may send none."""
+        ledger = self._current_ledger()
+        now = steady_seconds()
+        self._forget_old(now)
+        if charge_id in self._charged_by_id:
+            return CHARGED
+        name, cost = spending.account_name, spending.amount
+        answer = self._charge(ledger, name, cost, now)
+        if answer.wait == 0 and charge_id:
+            self._charged_by_id[charge_id] = _Charged(name, cost, now)
+        return answer
 
     def give_back(self, request_id: str) -> None:
         """Take back the charge of a request that will not run."""
         with self._lock:
-            charged = self._charged_by_request.pop(request_id, None)
+            charged = self._charged_by_id.pop(request_id, None)
             if charged is None:
                 return
             limit = self._limit_of(charged.account_name)
@@ -69,9 +77,7 @@
     def charge(self, spending: AccountSpending) -> AccountState:
         """Charge a request of a host that asks for this alone."""
         with self._lock:
-            ledger = self._current_ledger()
-            name, cost = spending.account_name, spending.amount
-            answer = self._charge(ledger, name, cost, steady_seconds())
+            answer = self._charge_once(spending.charge_id, spending)
         return _state(spending.account_name, answer)
 
     def settle(self, spent: Sequence[AccountSpending]) -> list[AccountState]:
@@ -141,14 +147,14 @@
         return account.limit if account is not None else None
 
     def _note_new_lead(self) -> None:
-        self._charged_by_request.clear()
+        self._charged_by_id.clear()
 
     def _forget_old(self, now: float) -> None:
-        while self._charged_by_request:
-            request_id, charged = next(iter(self._charged_by_request.items()))
+        while self._charged_by_id:
+            request_id, charged = next(iter(self._charged_by_id.items()))
             if charged.at > now - CHARGED_SECONDS:
                 return
-            del self._charged_by_request[request_id]
+            del self._charged_by_id[request_id]
 
 
 def _state(name: str, answer: LedgerAnswer) -> AccountState:
--- a/src/jujubeslip/forwarding/_account_limits.py
+++ b/src/jujubeslip/forwarding/_account_limits.py
@@ -39,6 +39,9 @@
 # When a client should come back whose request found no leader, in seconds: a new one is
 # elected in about a second, and a retry finds another host.
 NO_LEADER_RETRY_SECONDS = 0.7
+# How long a request waits for a leader that was late with an answer, in seconds: until
+# it is asked again. Refused, its client would come back no sooner.
+LATE_LEADER_SECONDS = 1.0
 # The least that a client is told to stay away, in seconds, and how much longer by lot:
 # together, all that were refused would find the limit used up by the first.
 LEAST_RETRY_SECONDS = 0.1
@@ -85,10 +88,21 @@
             raise self.over_limit(context, answer.wait)
         if not answer.asks_leader:
             self._note_spent(context, attempts)
-        elif not self.charge_at_leader(context, attempts):
-            self.charge_alone(context, attempts)
+        else:
+            self._charge_with_patience(context, attempts)
         attempts.is_charged = True
 
+    def _charge_with_patience(
+        self, context: ForwardContext, attempts: Attempts
+    ) -> None:
+        """Charge at the leader, which may be late once, or without one."""
+        limit = context.end_by.earlier_of(Deadline.after(LATE_LEADER_SECONDS))
+        while not self.charge_at_leader(context, attempts):
+            if self._charged_alone(context, attempts):
+                return
+            if not self._leader.is_late or not self.wait_for_leader(context, limit):
+                raise self._limit_unknown(context)
+
     def wait_for_leader(self, context: ForwardContext, limit: Deadline) -> bool:
         """Wait for a leader to ask; say whether there may be one.
 
@@ -108,22 +122,29 @@
         """
         if not context.cost or attempts.is_charged:
             return
+        if not self._charged_alone(context, attempts):
+            raise self._limit_unknown(context)
+
+    def _charged_alone(self, context: ForwardContext, attempts: Attempts) -> bool:
         name = context.request.account_name
         with self._lock:
             may_run = self._spending.spend_alone(name, context.cost, steady_seconds())
-        if not may_run:
-            if self._charge_at_pool(AccountSpending(name, context.cost)):
-                attempts.is_charged = True
-                return
-            self._log_refusal(context, "no leader knows what is left")
-            raise RequestRefusedError(
-                "limit_unknown",
-                "No control host that leads can say whether the client account's "
-                "limit allows the request.",
-                retry_after=NO_LEADER_RETRY_SECONDS,
-            )
-        self._note_spent(context, attempts)
+        if may_run:
+            self._note_spent(context, attempts)
+        elif not self._charge_at_pool(AccountSpending(name, context.cost)):
+            return False
         attempts.is_charged = True
+        return True
+
+    def _limit_unknown(self, context: ForwardContext) -> RequestRefusedError:
+        """Return the refusal of a request that no leader could charge."""
+        self._log_refusal(context, "no leader knows what is left")
+        return RequestRefusedError(
+            "limit_unknown",
+            "No control host that leads can say whether the client account's "
+            "limit allows the request.",
+            retry_after=NO_LEADER_RETRY_SECONDS,
+        )
 
     def give_back(self, context: ForwardContext, attempts: Attempts) -> None:
         """Take back what was spent here for a request that has not run."""
@@ -148,7 +169,7 @@
         Raises RequestRefusedError where the account has used it.
         """
         name = context.request.account_name
-        spending = AccountSpending(name, context.cost)
+        spending = AccountSpending(name, context.cost, attempts.charge_id)
         state: AccountState | None = self._charges.at_leader(
             context.request.request_id, lambda peer: peer.charge_account(spending)
         )
--- a/src/jujubeslip/forwarding/_leader_contact.py
+++ b/src/jujubeslip/forwarding/_leader_contact.py
@@ -37,6 +37,16 @@
         with self._lock:
             self._leader_by_teller[news.address] = news.leader_address
 
+    @property
+    def is_late(self) -> bool:
+        """Say whether a leader is there that is not asked, for an answer came late.
+
+        It is soon asked again. Beyond a network partition none is there.
+        """
+        with self._lock:
+            named = set(self._leader_by_teller.values()) & self._silent_addresses
+            return any(self._reaches(address) for address in named)
+
     def address(self) -> str | None:
         """Return the address that most control hosts name, None if none may be asked.
 
--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from functools import cached_property
+from secrets import token_hex
 
 from jujubeslip.accounts import ClientAccount
 from jujubeslip.endpoints import EndpointError, Interrupted
@@ -22,6 +23,7 @@
 # asked before. Clients wait as long as they like, five sixths of the timeout and more;
 # one that was refused is told to come back later than that explains.
 CAME_BACK_SHARE = 0.2
+CHARGE_ID_BYTES = 8
 
 
 def _always_accepted() -> None:
@@ -131,6 +133,8 @@
     """Calls to engines to read the prompt for another one."""
     prompt_error: EndpointError | None = None
     """Why the latest of them brought nothing."""
+    charge_id: str = field(default_factory=lambda: token_hex(CHARGE_ID_BYTES))
+    """Names its charge at the leader: clients may give several requests one id."""
     is_charged: bool = False
     """Whether its account's limit was charged, or it has none."""
     spent_here: float = 0.0
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -3778,13 +3778,15 @@
     Attributes:
      - account_name
      - amount
+     - charge_id
 
     """
 
 
-    def __init__(self, account_name=None, amount=None,):
+    def __init__(self, account_name=None, amount=None, charge_id=None,):
         self.account_name = account_name
         self.amount = amount
+        self.charge_id = charge_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3805,6 +3807,11 @@
                     self.amount = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.charge_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3823,6 +3830,10 @@
             oprot.writeFieldBegin('amount', TType.DOUBLE, 2)
             oprot.writeDouble(self.amount)
             oprot.writeFieldEnd()
+        if self.charge_id is not None:
+            oprot.writeFieldBegin('charge_id', TType.STRING, 3)
+            oprot.writeString(self.charge_id.encode('utf-8') if sys.version_info[0] == 2 else self.charge_id)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6650,6 +6661,7 @@
     None,  # 0
     (1, TType.STRING, 'account_name', 'UTF8', None, ),  # 1
     (2, TType.DOUBLE, 'amount', None, None, ),  # 2
+    (3, TType.STRING, 'charge_id', 'UTF8', None, ),  # 3
 )
 all_structs.append(AccountState)
 AccountState.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -426,6 +426,8 @@
 struct AccountSpending {
   1: string account_name,
   2: double amount,
+  // Names a charge that is sent again where its answer was late; it counts once.
+  3: optional string charge_id,
 }
 
 struct AccountState {
--- a/tests/forwarding/test_account_limits.py
+++ b/tests/forwarding/test_account_limits.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import signal
+import threading
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -28,6 +30,8 @@
 # PROMPT counts 120 tokens, a plain request 100.
 LIMITED = {"unit": "tokens", "plainTokens": 100, "ratePerS": 100.0, "burst": 600}
 HOSTS = 2
+# How late the leader answers, in seconds: more than a host waits for it.
+LATE_SECONDS = 0.4
 
 
 def accounts(**hot_fields: Any) -> list[dict[str, Any]]:
@@ -35,6 +39,7 @@
         account("hot", "k-hot", **{**LIMITED, **hot_fields}),
         account("streams", "k-streams", **LIMITED),
         account("filled", "k-filled", **{**LIMITED, "plainTokens": 400}),
+        account("late", "k-late", **LIMITED),
         account("free", "k-free"),
     ]
 
@@ -71,6 +76,14 @@
         return list(threads.map(ask, range(count)))
 
 
+def use_by_account(system: PlatformSystem) -> dict[str, dict[str, Any]]:
+    """Return what is left of each account's limit, as the leader tells operators."""
+    address = system.seeds[0]
+    command = ["status", "--control", address, "--peer-secret", SECRET, "--json"]
+    told = CliRunner().invoke(main, command)
+    return {use["account_name"]: use for use in json.loads(told.output)["accounts"]}
+
+
 class TestAccountBeyondItsLimit:
     """One account asks for many times its limit, at two hosts at once."""
 
@@ -140,10 +153,7 @@
         assert "its limit is used" in self.cause(system, tmp_path)
 
     def test_what_is_left_is_shown(self, system: PlatformSystem) -> None:
-        address = system.seeds[0]
-        command = ["status", "--control", address, "--peer-secret", SECRET, "--json"]
-        told = CliRunner().invoke(main, command)
-        uses = {use["account_name"]: use for use in json.loads(told.output)["accounts"]}
+        uses = use_by_account(system)
         assert uses["hot"]["per_second"] == 100
         assert uses["hot"]["left"] <= 600
 
@@ -155,6 +165,29 @@
         assert any('account="hot"' in name for name in names)
 
 
+class TestLeaderThatAnswersLate:
+    """Guards against refusals of what the leader allows, for one late answer of it."""
+
+    def test_is_asked_again(self, system: PlatformSystem) -> None:
+        wait_until(
+            lambda: system.ask(CLOSED, headers=key("k-late")).status == 200,
+            "the account may ask",
+        )
+        wait_until(
+            lambda: use_by_account(system)["late"]["left"] >= 300, "the account fills"
+        )
+        leader = system.controls[0]
+        leader.signal(signal.SIGSTOP)
+        resumed = threading.Timer(LATE_SECONDS, leader.signal, [signal.SIGCONT])
+        resumed.start()
+        try:
+            replies = ask_many(system, CLOSED, "k-late", 24)
+        finally:
+            resumed.join()
+        assert {reply.status for reply in replies} <= {200, 429}
+        assert 1 <= sum(reply.status == 200 for reply in replies) <= 10
+
+
 class TestChangeOfALimit:
     """An operator raises an account's limit, or takes it away."""
 
