Count crashes one after another though hosts are told of them at different times

What callers saw: a content that ended an endpoint, was sent again at once and ended the next one, counted as one crash at other hosts, so that it was held back there one or more crashes later.

Cause: a crash counts if its request was sent after the crash before. Instants are told as "so long ago", and come out later by the time on the way. The first crash was told with one such error, the second with another; a second send that follows within a tenth of a millisecond then seemed to be sent before the first crash. Of a start that was known already the first account was kept, also where a later one was truer.

Ruled out: a tolerance for the time on the way, which is as long as the slowest call.

Change: of each start the earliest account counts. Both crashes are told together with the second, with one error, and rounding down keeps their order. An account that is earlier, and changes nothing that is counted, is kept and not told on.

Tests: TestCrashesThatAreToldApart; the first of its two tests failed before (1 for 2). The second guards the new rule against news without end.

--- a/src/jujubeslip/quarantine/_book.py
+++ b/src/jujubeslip/quarantine/_book.py
@@ -25,8 +25,8 @@
     """Crash histories by fingerprint, and a version for each change.
 
     Hosts tell each other what has changed, in any order and more than once: of each
-    start the first account counts, and a content that was answered whole is cleared of
-    the crashes before that. May be used by many threads.
+    start the earliest account counts, and a content that was answered whole is cleared
+    of the crashes before that. May be used by many threads.
     """
 
     def __init__(self, on_news: Callable[[], None] = _tell_nobody) -> None:
@@ -111,9 +111,13 @@
         if known is None:
             known = CrashHistory(told.fingerprint)
         merged = _merged(known, told)
-        # A clearing alone is no change: told from host to host, its instant grows by
-        # the time on the way, and would be told for ever.
-        if merged.crashes != known.crashes:
+        if merged.crashes == known.crashes:
+            # A clearing alone is no change: told from host to host, its instant grows
+            # by the time on the way, and would be told for ever.
+            return
+        if merged.says_as_much_as(known):
+            self._history_by_fingerprint[told.fingerprint] = merged
+        else:
             self._store(known, merged)
 
     def _store(self, known: CrashHistory, history: CrashHistory) -> None:
@@ -141,15 +145,20 @@
     return history.is_suspect or not history.crashes
 
 
+def _instant(crash: Crash) -> float:
+    return crash.crashed_at
+
+
 def _merged(known: CrashHistory, told: CrashHistory) -> CrashHistory:
     cleared_at = max(known.cleared_at, told.cleared_at)
-    # Of a start that both know, the account that is known already counts.
-    crash_by_start = {
-        crash.start_id: crash
-        for crash in (*told.crashes, *known.crashes)
-        if crash.crashed_at > cleared_at
-    }
-    crashes = sorted(crash_by_start.values(), key=lambda crash: crash.crashed_at)
+    crash_by_start: dict[str, Crash] = {}
+    for crash in (*known.crashes, *told.crashes):
+        if crash.crashed_at > cleared_at:
+            # Instants that are told come out later by the time on the way: the earliest
+            # account of a start is the truest.
+            other = crash_by_start.get(crash.start_id, crash)
+            crash_by_start[crash.start_id] = min(crash, other, key=_instant)
+    crashes = sorted(crash_by_start.values(), key=_instant)
     latest = tuple(crashes[-MAXIMUM_CRASHES:])
     return CrashHistory(known.fingerprint, latest, cleared_at)
 
--- a/src/jujubeslip/quarantine/_models.py
+++ b/src/jujubeslip/quarantine/_models.py
@@ -58,6 +58,12 @@
                 crashed_at = crash.crashed_at
         return count
 
+    def says_as_much_as(self, other: CrashHistory) -> bool:
+        """Say whether both tell of the same crashes, maybe with other instants."""
+        starts = {crash.start_id for crash in self.crashes}
+        others = {crash.start_id for crash in other.crashes}
+        return starts == others and self.count == other.count
+
     @property
     def latest_at(self) -> float:
         """Return when the latest crash came, or the content was cleared."""
--- a/tests/quarantine/test_book.py
+++ b/tests/quarantine/test_book.py
@@ -56,6 +56,34 @@
     return [history.fingerprint for history in book.held_back()]
 
 
+class TestCrashesThatAreToldApart:
+    """Guards against crashes that don't count, as each was told after another time."""
+
+    def test_count_one_after_another(self, clock: Clock) -> None:
+        first = crash("first", clock.now)
+        second = Crash("second", first.crashed_at, first.crashed_at + RUN_SECONDS)
+        book = CrashBook()
+        for way_seconds, known in ((0.004, (first,)), (0.001, (first, second))):
+            record = to_crash_record(CrashHistory(FATAL, known))
+            clock.now += way_seconds
+            book.take(usable_histories("host", [record]))
+            clock.now += RUN_SECONDS
+        history = book.find(FATAL)
+        assert history is not None
+        assert history.count == 2
+
+    def test_are_no_news_when_told_again(self, clock: Clock) -> None:
+        book = CrashBook()
+        history = CrashHistory(FATAL, (crash("first", clock.now),))
+        book.take([history])
+        version = book.version
+        record = to_crash_record(history)
+        for _ in range(3):
+            clock.now += 0.002
+            book.take(usable_histories("host", [record]))
+        assert book.version == version
+
+
 class TestContentThatCrashesEndpoints:
     def test_is_held_back_from_the_third_crash_on(self, clock: Clock) -> None:
         book = CrashBook()
