Keep a backoff, or that an endpoint leaves, while the endpoint is unknown

What callers would see: an endpoint that asked a host for a long backoff, or said that it leaves, and was out of reach of the control hosts for a minute, is sent requests as soon as it is announced again.

Cause: notices of a start that no host announces were dropped a minute after the last of them, to bound how many are kept.

Change: a notice is kept as long as anything of it counts: a backoff until it ends, leaving for good. Notices of unknown starts are bounded by their number, 1,000; the oldest go first.

--- a/src/jujubeslip/notices/_book.py
+++ b/src/jujubeslip/notices/_book.py
@@ -12,6 +12,8 @@
 
 logger = logging.getLogger(__name__)
 
+# Starts that are not known, and whose notices are kept, at most.
+MAXIMUM_UNKNOWN = 1000
 NOTHING_SAID = Notice()
 
 
@@ -128,10 +130,21 @@
                     unlimited.append(start_id)
                     told = told.with_limit(None, steady_seconds())
                     self._notice_by_start[start_id] = told
-                if told.can_be_dropped(self._is_known(start_id)):
+                if not told.counts:
                     del self._notice_by_start[start_id]
+            self._forget_unknown()
         return unlimited
 
+    def _forget_unknown(self) -> None:
+        """Drop notices of starts that are not known, the oldest ones, if too many.
+
+        A start that was out of reach may be announced again; what it said counts then.
+        """
+        unknown = [item for item in self._notice_by_start if not self._is_known(item)]
+        unknown.sort(key=lambda item: self._notice_by_start[item].heard_at)
+        for start_id in unknown[: max(0, len(unknown) - MAXIMUM_UNKNOWN)]:
+            del self._notice_by_start[start_id]
+
     def _get(self, start_id: str) -> Notice:
         return self._notice_by_start.get(start_id, NOTHING_SAID)
 
