Soak: need no word to an endpoint that ends just after its client has left

Cause: the check. The endpoint ended at 2.12 s, by a fatal request that it ran beside it; the host saw the run cut off ("endpoint_ended": true, 321 ms after it began at 1.80 s) before it saw that the client had left. The check excuses an endpoint that is disturbed until the client leaves, and not one that ends in the moment after it.

Change: an endpoint that is disturbed within 0.5 s after the client left is excused. That is the time in which a host has to see it; one that goes on for longer has to be told as before.

Tests: one that ends after 0.07 s is excused (failed before), one that ends after 0.6 s isn't.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -37,6 +37,9 @@
 # How long after its client has left an endpoint is told, in seconds; a stream that
 # lasts for longer must not be worked on to its end.
 GONE_SECONDS = 4.0
+# How long a host may take to see that a client has left, in seconds. An endpoint that
+# ends in that time need not be told.
+NOTICE_SECONDS = 0.5
 # A stop may cut off what began early in it and is not done by now, in its limits.
 LATE_SHARE = 5 / 6
 EARLY_SECONDS = 3.0
@@ -332,6 +335,9 @@
             continue
         if _is_excused(seen, call, runs):
             continue
+        noticed_by = call.ended_at + NOTICE_SECONDS
+        if any(_is_endpoint_disturbed(seen, run, noticed_by) for run in runs):
+            continue
         yield Violation(
             "callers that are gone",
             call.request_id,
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -296,6 +296,16 @@
         seen.gone_by_request_id["stream-1"] = LONG_AGO + 1.2
         assert promises(_checks.check_gone, seen) == []
 
+    @pytest.mark.parametrize(("after_seconds", "excuses"), [(0.07, True), (0.6, False)])
+    def test_endpoint_that_ends_soon_need_not_be_told(
+        self, seen: Observations, after_seconds: float, excuses: bool
+    ) -> None:
+        self.leave(seen)
+        ended_at = seen.calls[-1].ended_at + after_seconds
+        end = Disturbance("plain-0", "a crash", False, ended_at, ended_at + 1)
+        seen.disturbances = [end]
+        assert (promises(_checks.check_gone, seen) == []) is excuses
+
 
 class TestEnds:
     @pytest.mark.parametrize(
