--- a/Makefile
+++ b/Makefile
@@ -50,15 +50,17 @@
 LOAD ?= 1.0
 SEED ?= 1
 SECONDS ?= 30
+ENTRIES ?= 3
 
 bench: $(VENV)/.installed
 	$(BIN)/python -m bench --scenario $(SCENARIO) --policy $(POLICY) \
 		--load $(LOAD) --seed $(SEED) --seconds $(SECONDS) $(if $(FAULTS),--faults)
 
 # Real processes on loopback under faults that the seed draws, and checks of what is
-# promised; the logs of a run that broke a promise stay in build/soak/.
+# promised; the logs of a run that broke a promise stay in build/soak/. With ENTRIES it
+# starts so many entry hosts.
 soak: $(VENV)/.installed
-	$(BIN)/python -m soak --seed $(SEED) --seconds $(SECONDS)
+	SOAK_ENTRIES=$(ENTRIES) $(BIN)/python -m soak --seed $(SEED) --seconds $(SECONDS)
 
 # Each seed that failed once.
 soak-regressions: $(VENV)/.installed
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -22,6 +22,7 @@
     CONTROLS,
     ENDPOINTS,
     ENTRIES,
+    FIRST_ENTRIES,
     GAP_SECONDS,
     describe,
     make_schedule,
@@ -150,7 +151,7 @@
                 RECOVERY_SECONDS,
             )
 
-        with ThreadPoolExecutor(len(Kind) * len(ENTRIES)) as pool:
+        with ThreadPoolExecutor(len(Kind) * len(FIRST_ENTRIES)) as pool:
             kinds = [kind for kind in Kind for _ in ENTRIES]
             list(pool.map(wait, kinds, ENTRIES * len(Kind)))
 
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -7,12 +7,19 @@
 
 from __future__ import annotations
 
+import os
 import random
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, fields
 
 CONTROLS = ("control-0", "control-1", "control-2")
-ENTRIES = ("entry-0", "entry-1", "entry-2")
+FIRST_ENTRIES = ("entry-0", "entry-1", "entry-2")
+# Further entry hosts, for runs with as many processes as a machine bears.
+MORE_ENTRIES = tuple(
+    f"entry-{number}"
+    for number in range(len(FIRST_ENTRIES), int(os.environ.get("SOAK_ENTRIES", "0")))
+)
+ENTRIES = (*FIRST_ENTRIES, *MORE_ENTRIES)
 PLAIN_ENDPOINTS = ("plain-0", "plain-1", "plain-2")
 PREFILL_ENDPOINTS = ("prefill-0", "prefill-1")
 DECODE_ENDPOINTS = ("decode-0", "decode-1", "decode-2")
@@ -24,7 +31,11 @@
 # recovery, so that many of them meet a system that has not come to rest.
 GAP_SECONDS = {
     "control": (1.5, 5.0),
-    **dict.fromkeys(ENTRIES, (2.0, 9.0)),
+    **dict.fromkeys(FIRST_ENTRIES, (2.0, 9.0)),
+    # Together as often as the first ones: each start takes half a second of a core.
+    **dict.fromkeys(
+        MORE_ENTRIES, (2.0 * len(MORE_ENTRIES) / 3, 9.0 * len(MORE_ENTRIES) / 3)
+    ),
     "plain": (0.5, 3.0),
     "engines": (0.5, 3.0),
     "answers": (0.3, 2.5),
