Note a caller that is gone where a write to it fails, in the stand-in for a worker

Cause, suspected: the stand-in looks after each event whether its caller is there, and notes it if not. Where the connection was reset between that look and the next write, the write failed, and nothing was noted. The proxy between them resets its side when it can't pass bytes on.

Change: a write that fails counts as being told, unless the worker itself has been closed. The check stands as it was: an endpoint whose connection isn't ended is found as before.

Test: TestCallerThatResetsItsConnection, in which the look never sees it; it failed before.

--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -313,7 +313,7 @@
         elif self.worker.stage and faults.take("lose"):
             self.close_connection = True
         elif self.worker.stage:
-            self._stream(request_id)
+            self._stream_until_gone(request_id)
         else:
             self._answer(request_id)
 
@@ -387,6 +387,15 @@
             lines.append(f"Content-Length: {length}")
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
+    def _stream_until_gone(self, request_id: str) -> None:
+        """Stream; a write that fails tells that the caller has gone, too."""
+        try:
+            self._stream(request_id)
+        except OSError:
+            if not self.worker.closed.is_set():
+                self.worker.gone_clients.append(request_id)
+            raise
+
     def _stream(self, request_id: str) -> None:
         """Stream events 1 to `events`, or go on behind Last-Event-Id."""
         time.sleep(self.worker.run_seconds)
--- a/tests/fakes/test_platform_worker.py
+++ b/tests/fakes/test_platform_worker.py
@@ -3,13 +3,20 @@
 from __future__ import annotations
 
 import http.client
+import socket
+import struct
 import time
 from types import SimpleNamespace
 
 import pytest
 
 from tests.fakes import platform_worker
-from tests.fakes.platform_worker import EVENT_PAUSE_SECONDS, PlatformWorker
+from tests.fakes.platform_worker import (
+    EVENT_PAUSE_SECONDS,
+    PlatformWorker,
+    WorkerHandler,
+)
+from tests.fakes.processes import wait_until
 
 EVENTS = 50
 # How much longer than asked for a thread sleeps on a busy machine.
@@ -36,3 +43,19 @@
             connection.close()
         assert body.count(b"id: ") == EVENTS
         assert lasted < EVENTS * EVENT_PAUSE_SECONDS * OVERSLEEP_FACTOR / 2
+
+
+class TestCallerThatResetsItsConnection:
+    """Guards against callers that left, and were not noted since a write found out."""
+
+    def test_is_noted(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(WorkerHandler, "peer_is_open", lambda _: True)
+        with PlatformWorker("engine-1", "model", "decode", events=EVENTS) as worker:
+            host, _, port = worker.address.rpartition(":")
+            caller = socket.create_connection((host, int(port)))
+            caller.sendall(b"POST / HTTP/1.1\r\nRequest-Id: request-1\r\n\r\n")
+            assert caller.recv(1)
+            reset_on_close = struct.pack("ii", 1, 0)
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset_on_close)
+            caller.close()
+            wait_until(lambda: worker.gone_clients == ["request-1"], "it is noted")
