Test backoff and leaving behind a real cut of the network, too

What was missing: a zone that is cut off was tested with suspended control hosts. A host that is suspended answers nothing and changes nothing; one behind a cut goes on, and connections to it stay open and silent.

Change: control hosts may listen at another address than they are reached at (`peer_listen_address`, as entry hosts of the native interface have it), so that tests put proxies before them. The tests of endpoints on hold that ran with and without a leader run behind a cut as well: plain requests, all endpoints in backoff, engines that answer and that read, endpoints that leave, with the leader and without.

--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -111,7 +111,7 @@
             self._endpoint_limits,
         )
         self._server = PeerServer(
-            settings.peer_address,
+            settings.peer_listen_address or settings.peer_address,
             ControlPeer.Processor,
             handler,
             settings.peer_secret,
--- a/src/jujubeslip/kernel/_settings.py
+++ b/src/jujubeslip/kernel/_settings.py
@@ -135,6 +135,8 @@
     """Secret of all processes of the system, and of operators."""
     data_folder: Path
     """Folder on the disk that survives; used by this process only."""
+    peer_listen_address: Address | None = None
+    """Where it listens for other processes, if that is not where they reach it."""
     replicas: tuple[PeerAddress, ...] = ()
     """All control hosts, this one among them, where they are known beforehand."""
     seeds: tuple[Address, ...] = ()
--- a/tests/fakes/endpoint_holds.py
+++ b/tests/fakes/endpoint_holds.py
@@ -6,8 +6,8 @@
 import signal
 import time
 from collections import defaultdict
-from collections.abc import Iterator, Sequence
-from contextlib import contextmanager
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import AbstractContextManager, contextmanager
 from dataclasses import dataclass
 
 from tests.fakes import steady_load
@@ -27,6 +27,12 @@
 PAUSE_SECONDS = 0.05
 
 
+@contextmanager
+def with_leader(system: PlatformSystem) -> Iterator[None]:
+    """Leave all as it is."""
+    yield
+
+
 @contextmanager
 def without_leader(system: PlatformSystem) -> Iterator[None]:
     """Leave the entry hosts one control host, which can't lead by itself."""
@@ -40,6 +46,23 @@
         wait_until(lambda: system.put(system.read()[1]) == 200, "a leader is there")
 
 
+@contextmanager
+def cut_off(system: PlatformSystem) -> Iterator[None]:
+    """Leave the entry hosts one control host, by a cut of the network."""
+    for proxy in system.proxies[1:]:
+        proxy.cut()
+    try:
+        yield
+    finally:
+        for proxy in system.proxies[1:]:
+            proxy.heal()
+        wait_until(lambda: system.put(system.read()[1]) == 200, "a leader is there")
+
+
+Situation = Callable[[PlatformSystem], AbstractContextManager[None]]
+SITUATIONS: tuple[Situation, ...] = (with_leader, without_leader, cut_off)
+
+
 @dataclass(frozen=True)
 class Timed:
     """An answer, and how long it took."""
@@ -78,13 +101,13 @@
     )
 
 
-def offer_with(
-    system: PlatformSystem, target: str, seconds: float, has_leader: bool
+def offer_in(
+    situation: Situation, system: PlatformSystem, target: str, seconds: float
 ) -> list[Timed]:
     """Send requests to all entry hosts, or without a leader to the first one."""
-    if has_leader:
-        return offer(system, target, seconds)
-    with without_leader(system):
+    with situation(system):
+        if situation is with_leader:
+            return offer(system, target, seconds)
         return offer(system, target, seconds, [0], clients=ENTRIES)
 
 
--- a/tests/fakes/platform_system.py
+++ b/tests/fakes/platform_system.py
@@ -13,6 +13,7 @@
 from types import TracebackType
 from typing import Any, Self
 
+from tests.fakes.fault_proxy import FaultProxy
 from tests.fakes.platform_worker import PlatformWorker
 from tests.fakes.processes import ManagedProcess, free_address, wait_until
 
@@ -124,8 +125,14 @@
     """Some control hosts and some forwarding hosts, with workers that announce."""
 
     def __init__(
-        self, folder: Path, controls: int = 1, entries: int = 1, **entry: Any
+        self,
+        folder: Path,
+        controls: int = 1,
+        entries: int = 1,
+        has_proxies: bool = False,
+        **entry: Any,
     ) -> None:
+        """Prepare the hosts; with proxies, others reach control hosts through them."""
         self.folder = folder
         self._entry_settings = entry
         self._ids = itertools.count(1)
@@ -133,6 +140,12 @@
         self._workers: list[PlatformWorker] = []
         self._stopped = threading.Event()
         self.seeds = [free_address() for _ in range(controls)]
+        self._listened = list(self.seeds)
+        self.proxies: list[FaultProxy] = []
+        """In front of the control hosts, for other processes of the system."""
+        if has_proxies:
+            self.proxies = [FaultProxy(address) for address in self._listened]
+            self.seeds = [proxy.address for proxy in self.proxies]
         self.control_http = [free_address() for _ in range(controls)]
         self.control_metrics = [free_address() for _ in range(controls)]
         self.controls = [self._control(number) for number in range(controls)]
@@ -149,6 +162,7 @@
             self.control_settings(
                 f"control-{number}", self.seeds[number], self.control_http[number]
             )
+            + f'peer_listen_address = "{self._listened[number]}"\n'
             + f'[telemetry]\nmetrics_address = "{self.control_metrics[number]}"\n',
         )
 
@@ -199,6 +213,8 @@
             host.kill()
         for worker in self._workers:
             worker.close()
+        for proxy in self.proxies:
+            proxy.stop()
 
     # The operator and the workers
 
--- a/tests/forwarding/test_endpoint_holds.py
+++ b/tests/forwarding/test_endpoint_holds.py
@@ -16,14 +16,17 @@
     DRAIN_SECONDS,
     ENTRIES,
     MOST_IN_A_BACKOFF,
+    SITUATIONS,
+    Situation,
     ask,
     ask_for_backoff,
     by_sender,
+    cut_off,
     is_spared,
     late_after_leaving,
     most_in_a_backoff,
     offer,
-    offer_with,
+    offer_in,
     restarted,
     say_leaving,
     served_share,
@@ -56,7 +59,9 @@
         route("resumed", "/resumed/", "model", **shape, maxAttempts=3, resumable=True),
     ]
     folder = tmp_path_factory.mktemp("endpoint-holds")
-    with PlatformSystem(folder, controls=3, entries=ENTRIES) as running:
+    with PlatformSystem(
+        folder, controls=3, entries=ENTRIES, has_proxies=True
+    ) as running:
         running.put_until_accepted(configuration(1, routes, [PLAIN, ENGINE]))
         running.wait_ready()
         yield running
@@ -79,8 +84,11 @@
             assert served_share(replies) > 0.95
             assert len(free.arrivals) > 100
 
-    def test_is_kept_without_a_leader(self, system: PlatformSystem) -> None:
-        with workers(system, 2) as (refusing, _), without_leader(system):
+    @pytest.mark.parametrize("situation", [without_leader, cut_off])
+    def test_is_kept_without_a_leader(
+        self, system: PlatformSystem, situation: Situation
+    ) -> None:
+        with workers(system, 2) as (refusing, _), situation(system):
             refusing.backoff = "3"
             replies = offer(system, "/safe/x", 4.0)
             assert any(arrival.backoff for arrival in refusing.arrivals)
@@ -135,9 +143,9 @@
     """Guards against requests that wait in vain for endpoints in backoff."""
 
     @pytest.mark.parametrize("target", [*PLAIN_ROUTES, STREAM])
-    @pytest.mark.parametrize("has_leader", [True, False])
+    @pytest.mark.parametrize("situation", SITUATIONS)
     def test_is_refused_at_once_with_the_time_of_return(
-        self, system: PlatformSystem, target: str, has_leader: bool
+        self, system: PlatformSystem, target: str, situation: Situation
     ) -> None:
         service, stage = ("model", "decode") if target == STREAM else ("plain", "")
         with workers(system, 2, service, stage) as refusing:
@@ -145,7 +153,7 @@
             system.wait_served(target, method="POST", body=b"p", headers=headers)
             for worker in refusing:
                 worker.backoff = "20"
-            replies = offer_with(system, target, 2.0, has_leader)
+            replies = offer_in(situation, system, target, 2.0)
             for worker in refusing:
                 assert most_in_a_backoff(worker) <= MOST_IN_A_BACKOFF
             latest = replies[len(replies) // 2 :]
@@ -177,9 +185,9 @@
 class TestBackoffOfAnEngine:
     """Guards against prompts, answers and reservations within an engine's backoff."""
 
-    @pytest.mark.parametrize("has_leader", [True, False])
+    @pytest.mark.parametrize("situation", SITUATIONS)
     def test_is_kept_by_those_that_answer_and_those_that_read(
-        self, system: PlatformSystem, has_leader: bool
+        self, system: PlatformSystem, situation: Situation
     ) -> None:
         with (
             workers(system, 2, "model", "decode") as (refusing, _),
@@ -187,7 +195,7 @@
         ):
             system.wait_served(STREAM, method="POST", headers=PROMPT, body=b"p")
             refusing.backoff = refusing_reader.backoff = "3"
-            replies = offer_with(system, STREAM, 4.0, has_leader)
+            replies = offer_in(situation, system, STREAM, 4.0)
             for worker in (refusing, refusing_reader):
                 assert any(arrival.backoff for arrival in worker.arrivals)
                 assert most_in_a_backoff(worker) <= MOST_IN_A_BACKOFF
@@ -278,9 +286,9 @@
             assert late_after_leaving(leaving) == 0
             assert served_share(replies) > 0.99
 
-    @pytest.mark.parametrize("has_leader", [True, False])
+    @pytest.mark.parametrize("situation", SITUATIONS)
     def test_gets_no_prompts_and_no_answers(
-        self, system: PlatformSystem, has_leader: bool
+        self, system: PlatformSystem, situation: Situation
     ) -> None:
         with (
             workers(system, 2, "model", "decode") as (leaving, _),
@@ -288,7 +296,7 @@
         ):
             system.wait_served(STREAM, method="POST", headers=PROMPT, body=b"p")
             leaving.leaves = leaving_reader.leaves = True
-            replies = offer_with(system, STREAM, DRAIN_SECONDS + 2.0, has_leader)
+            replies = offer_in(situation, system, STREAM, DRAIN_SECONDS + 2.0)
             assert late_after_leaving(leaving) == 0
             assert late_after_leaving(leaving_reader) == 0
             assert served_share(replies) > 0.9
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import Any
 
 import pytest
 
@@ -42,7 +43,7 @@
         route("resumed", "/resumed/", "model", **shape, resumable=True),
     ]
     folder = tmp_path_factory.mktemp("streams")
-    entry = {"retry_allowance": 500, "asks_leader": asks_leader}
+    entry: dict[str, Any] = {"retry_allowance": 500, "asks_leader": asks_leader}
     with PlatformSystem(folder, **entry) as running:
         running.put_until_accepted(configuration(1, routes, [ENGINE]))
         running.wait_ready()
