Let stand-ins have more than a thousand connections

Cause: proxies and stand-ins ask by select whether a socket is readable, which takes no descriptor beyond 1,023.

Change: they ask by poll, in one place.

--- a/tests/fakes/_http.py
+++ b/tests/fakes/_http.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import select
 import socket
 import sys
 import time
@@ -12,6 +11,7 @@
 
 from tests.fakes._faults import Faults
 from tests.fakes._records import RefusalError
+from tests.fakes._sockets import is_readable
 
 
 class StandInServer(ThreadingHTTPServer):
@@ -116,8 +116,7 @@
 
     def peer_is_open(self) -> bool:
         """Say whether the caller still has its side of the connection open."""
-        readable, _, _ = select.select([self.connection], [], [], 0)
-        if not readable:
+        if not is_readable(self.connection, 0):
             return True
         try:
             return bool(self.connection.recv(1, socket.MSG_PEEK))
--- a/tests/fakes/fault_proxy.py
+++ b/tests/fakes/fault_proxy.py
@@ -9,7 +9,6 @@
 import argparse
 import enum
 import json
-import select
 import socket
 import socketserver
 import struct
@@ -19,6 +18,8 @@
 from collections import deque
 from dataclasses import dataclass
 
+from tests.fakes._sockets import is_readable
+
 CHUNK_BYTES = 65_536
 MAXIMUM_PENDING_BYTES = 4_194_304
 POLL_SECONDS = 0.05
@@ -285,7 +286,7 @@
     if sum(len(data) for _, data in pending) > MAXIMUM_PENDING_BYTES:
         time.sleep(timeout)
         return False
-    return bool(select.select([source], [], [], timeout)[0])
+    return is_readable(source, timeout)
 
 
 def _close_listener(listener: socket.socket) -> None:
