--- a/src/jujubeslip/control/_account_keeper.py
+++ b/src/jujubeslip/control/_account_keeper.py
@@ -50,7 +50,7 @@
     def _charge_once(
         self, charge_id: str | None, spending: AccountSpending
     ) -> LedgerAnswer:
-        """Charge what has not been charged under this id; hosts may send none."""
+        """Charge what was not charged under this id before; hosts may send none."""
         ledger = self._current_ledger()
         now = steady_seconds()
         self._forget_old(now)
--- a/src/jujubeslip/forwarding/_leader_contact.py
+++ b/src/jujubeslip/forwarding/_leader_contact.py
@@ -39,9 +39,9 @@
 
     @property
     def is_late(self) -> bool:
-        """Say whether a leader is there that is not asked, for an answer came late.
+        """Say whether a reachable leader is passed over since an answer was late.
 
-        It is soon asked again. Beyond a network partition none is there.
+        It is soon asked again. One beyond a network partition isn't reachable.
         """
         with self._lock:
             named = set(self._leader_by_teller.values()) & self._silent_addresses
