--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -20,6 +20,7 @@
     for number in range(len(FIRST_ENTRIES), int(os.environ.get("SOAK_ENTRIES", "0")))
 )
 ENTRIES = (*FIRST_ENTRIES, *MORE_ENTRIES)
+MORE_SHARE = len(MORE_ENTRIES) / len(FIRST_ENTRIES)
 PLAIN_ENDPOINTS = ("plain-0", "plain-1", "plain-2")
 PREFILL_ENDPOINTS = ("prefill-0", "prefill-1")
 DECODE_ENDPOINTS = ("decode-0", "decode-1", "decode-2")
@@ -32,10 +33,8 @@
 GAP_SECONDS = {
     "control": (1.5, 5.0),
     **dict.fromkeys(FIRST_ENTRIES, (2.0, 9.0)),
-    # Together as often as the first ones: each start takes half a second of a core.
-    **dict.fromkeys(
-        MORE_ENTRIES, (2.0 * len(MORE_ENTRIES) / 3, 9.0 * len(MORE_ENTRIES) / 3)
-    ),
+    # Together as often as the first ones, since each start takes processor time.
+    **dict.fromkeys(MORE_ENTRIES, (2.0 * MORE_SHARE, 9.0 * MORE_SHARE)),
     "plain": (0.5, 3.0),
     "engines": (0.5, 3.0),
     "answers": (0.3, 2.5),
--- a/src/jujubeslip/forwarding/_crash_news.py
+++ b/src/jujubeslip/forwarding/_crash_news.py
@@ -20,7 +20,7 @@
 
 
 class CrashNews:
-    """Tells of crashes before the next watch does, which may wait for 0.7 s.
+    """Tells of crashes before the next watch, which may wait for most of a second.
 
     One control host is enough: it tells those that watch it, and these are all hosts
     that it reaches. Hosts that it doesn't reach hear of the crashes by other watches.
