--- a/src/jujubeslip/admission/_engines.py
+++ b/src/jujubeslip/admission/_engines.py
@@ -211,7 +211,10 @@
         """
         best: Grant | None = None
         best_cost = math.inf
-        for bound in sorted(self._bounds(search, may_read)):
+        bounds = sorted(self._bounds(search, may_read))
+        if not bounds and may_read is not None and any(self._bounds(search, None)):
+            search.lacks = Lack.MAY_READ
+        for bound in bounds:
             if bound.cost >= best_cost:
                 break
             grant = self._grant_at(bound, search)
--- a/src/jujubeslip/admission/_models.py
+++ b/src/jujubeslip/admission/_models.py
@@ -60,6 +60,8 @@
 
     READER = "reader"
     MEMORY = "memory"
+    MAY_READ = "may read"
+    """No engine reads for others, and none that answers may read this prompt now."""
 
 
 @dataclass(frozen=True)
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -15,6 +15,7 @@
 from jujubeslip.admission import EngineUse
 from jujubeslip.control._given_orders import ORDER_SECONDS, GivenOrders
 from jujubeslip.control._leadership import Fence
+from jujubeslip.control._order_log import BalanceInputs, NoOrderLog, NoOrderReason
 from jujubeslip.control._replica import Replica
 from jujubeslip.control._role_balance import (
     Engines,
@@ -94,6 +95,7 @@
         self._short_since_by_service: dict[str, float] = {}
         self._next_order_by_service: dict[str, Deadline] = {}
         self._load_by_service: dict[str, PromptLoad] = {}
+        self._no_order_log = NoOrderLog()
 
     def look(self) -> None:
         """Order the engines of each service that are to change, if this host leads."""
@@ -113,13 +115,40 @@
         fence = self._fence()
         if fence is None:
             self._short_since_by_service.clear()
+            for name in services:
+                inputs = self._inputs(name, 0.0)
+                self._no_order_log.note(name, NoOrderReason.LEADS_TOO_SHORTLY, inputs)
             return
         for name in services:
-            pressure = self._watches.pressure_of(name)
-            short_for = self._short_for(name, pressure)
-            self._order_idle_readers(name, short_for, pressure, fence)
-            self._order_missing_readers(name, pressure, fence)
-            self._order_what_is_short(name, short_for, pressure, fence)
+            self._balance(name, fence)
+
+    def _balance(self, service_name: str, fence: Fence) -> None:
+        pressure = self._watches.pressure_of(service_name)
+        short_for = self._short_for(service_name, pressure)
+        orders = self._order_idle_readers(service_name, short_for, pressure, fence)
+        orders += self._order_missing_readers(service_name, pressure, fence)
+        orders += self._order_what_is_short(service_name, short_for, pressure, fence)
+        if not orders:
+            inputs = self._inputs(service_name, short_for)
+            self._no_order_log.note(service_name, _no_order_reason(inputs), inputs)
+
+    def _inputs(self, service_name: str, short_for: float) -> BalanceInputs:
+        load, now = self._load(service_name), steady_seconds()
+        engines = self._engines(service_name)
+        pressure = self._watches.pressure_of(service_name)
+        lacks_memory = answers_lack_memory(engines, pressure, short_for)
+        useful = self._useful_readers(service_name, engines)
+        return BalanceInputs(
+            len(engines.prefill),
+            len(engines.decode),
+            self._orders.count(self._all_engines(service_name)),
+            readers_to_keep(needed_readers(load, now, lacks_memory), useful),
+            useful,
+            load.busiest(now),
+            load.least(now),
+            lacks_memory,
+            pressure.waited,
+        )
 
     def _leads(self) -> bool:
         with self._replica.lock:
@@ -141,21 +170,22 @@
         short_for: float,
         pressure: ServicePressure,
         fence: Fence,
-    ) -> None:
-        """Order readers to answer that would be idle in a burst, several at once.
+    ) -> int:
+        """Order readers to answer that would be idle in a burst; return how many.
 
         None while an engine still changes to read: it reads for nobody yet, and may be
         replaced before it does. The one that prompts rely on meanwhile would be gone.
         """
         if self._changes_to(service_name, EndpointRole.PREFILL):
-            return
+            return 0
         load, now = self._load(service_name), steady_seconds()
         engines = self._engines(service_name)
         lacks_memory = answers_lack_memory(engines, pressure, short_for)
         useful = self._useful_readers(service_name, engines)
         kept = readers_to_keep(needed_readers(load, now, lacks_memory), useful)
         if kept is None:
-            return
+            return 0
+        ordered = 0
         allowed = self._allowed_changes(service_name, engines)
         for reader in idle_readers(engines, kept)[:allowed]:
             extra = {
@@ -166,12 +196,13 @@
                 "lacks_memory": lacks_memory,
             }
             logger.info("reader would be idle in a burst", extra=extra)
-            self._order(reader, EndpointRole.DECODE, fence, pressure)
+            ordered += self._order(reader, EndpointRole.DECODE, fence, pressure)
+        return ordered
 
     def _order_missing_readers(
         self, service_name: str, pressure: ServicePressure, fence: Fence
-    ) -> None:
-        """Order engines to read that prompts need for long, several at once."""
+    ) -> int:
+        """Order engines to read that prompts need for long; return how many."""
         engines = self._engines(service_name)
         now = steady_seconds()
         least = self._load(service_name).least(now)
@@ -179,6 +210,7 @@
         useful = self._shares(service_name).useful_readers(engines, now, least=1)
         missing = missing_readers(engines, least, useful)
         allowed = self._allowed_changes(service_name, engines)
+        ordered = 0
         for answering in engines.decode[: min(missing, allowed)]:
             extra = {
                 "endpoint_id": answering.endpoint_id,
@@ -186,7 +218,8 @@
                 "missing_readers": missing,
             }
             logger.info("prompts need a further reader", extra=extra)
-            self._order(answering, EndpointRole.PREFILL, fence, pressure)
+            ordered += self._order(answering, EndpointRole.PREFILL, fence, pressure)
+        return ordered
 
     def _changes_to(self, service_name: str, role: EndpointRole) -> bool:
         """Say whether any engine may still be carrying out an order to this role."""
@@ -203,16 +236,21 @@
         short_for: float,
         pressure: ServicePressure,
         fence: Fence,
-    ) -> None:
-        """Order one engine where all readers are gone, or memory is short."""
+    ) -> int:
+        """Order one engine where all readers are gone, or memory is short.
+
+        Return how many were ordered.
+        """
         engines = self._engines(service_name)
         useful = self._useful_readers(service_name, engines)
         wanted = wanted_change(engines, pressure, short_for, useful)
         paused = self._next_order_by_service.get(service_name)
         if wanted is None or (paused is not None and not paused.expired):
-            return
-        if self._order(*wanted, fence, pressure):
-            self._next_order_by_service[service_name] = Deadline.after(ORDER_SECONDS)
+            return 0
+        if not self._order(*wanted, fence, pressure):
+            return 0
+        self._next_order_by_service[service_name] = Deadline.after(ORDER_SECONDS)
+        return 1
 
     def _short_for(self, service_name: str, pressure: ServicePressure) -> float:
         now = steady_seconds()
@@ -343,3 +381,11 @@
             question,
             deadline,
         )
+
+
+def _no_order_reason(inputs: BalanceInputs) -> NoOrderReason:
+    if inputs.changing:
+        return NoOrderReason.ORDERS_UNDER_WAY
+    if inputs.kept_readers is None:
+        return NoOrderReason.LOAD_UNKNOWN
+    return NoOrderReason.BALANCED
--- a/tests/admission/test_pool.py
+++ b/tests/admission/test_pool.py
@@ -10,7 +10,12 @@
 from jujubeslip.admission._engine_memory import REST_SECONDS
 from jujubeslip.admission._lengths import lengths_of
 from jujubeslip.admission._memory_forecast import MemoryOptions
-from jujubeslip.admission._models import DEFAULT_WAITING, Applicant, WaitingOptions
+from jujubeslip.admission._models import (
+    DEFAULT_WAITING,
+    Applicant,
+    Lack,
+    WaitingOptions,
+)
 from jujubeslip.admission._pool import Decision, EnginePool
 from jujubeslip.kernel import Deadline
 from jujubeslip.routes import EngineReport, RunningAnswer
@@ -384,7 +389,8 @@
         pool = pool_of("engine", readers=())
         pool.take_report("engine", engine_report(RunningAnswer(9000, 10, "other")))
         long = applicant("long", prompt_tokens=10_000, limit=0)
-        assert pool.ask(long, (), at_once()).refused
+        refusal = pool.ask(long, (), at_once())
+        assert refusal.refused and refusal.lacked is Lack.MAY_READ
         short = applicant("short", prompt_tokens=2_000, limit=0)
         assert pool.ask(short, (), at_once()).grant is not None
         alone = pool_of("engine", readers=())
--- a/tests/tools/test_losses.py
+++ b/tests/tools/test_losses.py
@@ -67,6 +67,8 @@
             "lacked": "reader",
         }
         assert cause(lacked, REFUSED) is Cause.NO_READER
+        lacked["lacked"] = "may read"
+        assert cause(lacked, REFUSED) is Cause.MAY_NOT_READ
 
     def test_is_told_by_the_wait_for_a_configuration(self) -> None:
         waited: dict[str, object] = {
--- a/tools/losses.py
+++ b/tools/losses.py
@@ -39,6 +39,7 @@
     PAUSED = "late by a pause between events"
     NO_READER = "refused: no reader had time"
     NO_MEMORY = "refused: no engine had memory"
+    MAY_NOT_READ = "refused: no engine that answers may read its prompt"
     NO_LEADER = "refused: no room by the host alone"
     ENDPOINT_SILENT = "no answer in the endpoint's time"
     SLOW_ANSWER = "late by the endpoint's answer"
@@ -109,6 +110,7 @@
     (lambda ended: ended.outcome == "no_answer_in_time", Cause.ENDPOINT_SILENT),
     (lambda ended: ended.has_step("ran=False"), Cause.ENGINE_LOST),
     (lambda ended: ended.lacked == "reader", Cause.NO_READER),
+    (lambda ended: ended.lacked == "may read", Cause.MAY_NOT_READ),
     (lambda ended: ended.has_step("no room in time"), Cause.NO_LEADER),
     (lambda ended: ended.has_step("no grant in time"), Cause.NO_MEMORY),
     (lambda ended: ended.outcome == "no_configuration", Cause.NO_CONFIGURATION),
