--- a/bench/replay/__main__.py
+++ b/bench/replay/__main__.py
@@ -6,7 +6,7 @@
 
 import click
 
-from bench.replay._patterns import PATTERNS
+from bench.replay._patterns import FEW_ENGINES_PATTERNS, PATTERNS
 from bench.replay._play import Outcome, Play, Ways
 from jujubeslip.admission import MemoryOptions, WaitingOptions
 
@@ -34,7 +34,7 @@
     """Play each pattern once for each seed."""
     ways = Ways(MemoryOptions(margin, caution), WaitingOptions(passed, reader_wait))
     click.echo(HEAD)
-    for one in PATTERNS:
+    for one in (*PATTERNS, *FEW_ENGINES_PATTERNS):
         if one.name.startswith(pattern):
             outcomes = [Play(one, ways, seed).run() for seed in range(1, seeds + 1)]
             click.echo(_line(one.name, outcomes))
--- a/bench/replay/_engines.py
+++ b/bench/replay/_engines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -9,11 +10,10 @@
 
 # Events a second of an answer, less this for each that the engine makes.
 PACE_ALONE, PACE_LESS_BY = 25.8, 0.65
-PROMPT_TOKENS_A_SECOND = 33_333.0
 # An engine that answers reads at half the speed, and its answers wait meanwhile.
-OWN_TOKENS_A_SECOND = PROMPT_TOKENS_A_SECOND / 2
+OWN_SPEED_SHARE = 0.5
 # How old the state is that a report tells, in seconds.
-REPORT_LAG_SECONDS = 0.4
+REPORT_LAG_SECONDS = 0.9
 
 
 @dataclass
@@ -42,7 +42,10 @@
 
     name: str
     capacity: int
+    read_tokens_a_second: float
     lost_until: float = 0.0
+    leaves_at: float = math.inf
+    """When it ends what it makes still, after it said that it leaves."""
     running: list[Answer] = field(default_factory=list)
     pushed_out: deque[Answer] = field(default_factory=deque)
     stands_still_until: float = 0.0
@@ -114,7 +117,8 @@
 
     def _read(self, answer: Answer, now: float) -> None:
         begins = max(now, self.stands_still_until)
-        self.stands_still_until = begins + answer.memory / OWN_TOKENS_A_SECOND
+        own_speed = self.read_tokens_a_second * OWN_SPEED_SHARE
+        self.stands_still_until = begins + answer.memory / own_speed
 
 
 @dataclass
@@ -122,10 +126,11 @@
     """Reads one prompt after the other."""
 
     name: str
+    read_tokens_a_second: float
     lost_until: float = 0.0
     free_at: float = 0.0
 
     def read(self, tokens: int, now: float) -> float:
         """Return when a prompt will have been read."""
-        self.free_at = max(now, self.free_at) + tokens / PROMPT_TOKENS_A_SECOND
+        self.free_at = max(now, self.free_at) + tokens / self.read_tokens_a_second
         return self.free_at
--- a/bench/replay/_play.py
+++ b/bench/replay/_play.py
@@ -4,32 +4,36 @@
 
 import heapq
 import itertools
+import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 from functools import partial
 
 from bench.replay._clock import VirtualClock
 from bench.replay._engines import Answer, AnsweringEngine, ReadingEngine
-from bench.replay._patterns import Loss, Pattern
+from bench.replay._patterns import Loss, Pattern, Workload
+from bench.replay._roles import ReplayedRoles
 from jujubeslip.admission import MemoryOptions, WaitingOptions, lengths_of
 from jujubeslip.admission._models import Applicant, Grant
 from jujubeslip.admission._pool import EnginePool
 from jujubeslip.discovery import Endpoint
+from jujubeslip.forwarding._pressure import WAITED_SECONDS
 from jujubeslip.forwarding._return_times import return_seconds
 from jujubeslip.kernel import Deadline
 from jujubeslip.peers import EndpointRole
 from jujubeslip.routes import EngineReport
 
-CAPACITY_TOKENS, EVENT_TOKENS, MAXIMUM_EVENTS, SLOTS = 34_009, 13, 160, 64
+SLOTS = 64
 TARGET_SECONDS, MAXIMUM_GAP_SECONDS, PATIENCE_SECONDS = 0.9, 0.3, 3.6
 # What a request has left of its target when no further grant helps, and before its
 # client leaves, as a forwarding host counts.
 START_SECONDS, LEAVING_SECONDS = 0.25, 0.4
 STEP_SECONDS, ASK_SECONDS, REPORT_SECONDS, LOOK_SECONDS = 0.01, 0.05, 0.25, 0.05
-# Tokens of a usual request, answer tokens counted tenfold, and the prompt that one
-# in ten is longer than.
-USUAL_TOKENS, LARGE_TOKENS = 11_000, 5_400
+# How often the leader looks at the roles, and how long an idle engine takes to change.
+ROLES_SECONDS, SWITCH_SECONDS = 0.5, 6.0
+# How long an engine that leaves goes on with the answers that it makes, in seconds.
+LEAVING_ENGINE_SECONDS = 3.5
 # What an answer that comes late is worth, as a share.
 LATE_WORTH = 0.2
 
@@ -91,6 +95,7 @@
     prompt_tokens: int
     events: int
     expected_events: int
+    workload: Workload
     first_asked_at: float
     asked_at: float
     came_back: bool = False
@@ -104,12 +109,13 @@
     @property
     def size(self) -> float:
         """What its answer is worth, 1 for one of the usual size."""
-        tokens = self.prompt_tokens + 10 * self.events * EVENT_TOKENS
-        return 0.3 + 0.7 * tokens / USUAL_TOKENS
+        answer_tokens = self.events * self.workload.event_tokens
+        tokens = self.prompt_tokens + 10 * answer_tokens
+        return 0.3 + 0.7 * tokens / self.workload.usual_tokens
 
     @property
     def is_large(self) -> bool:
-        return self.prompt_tokens > LARGE_TOKENS
+        return self.prompt_tokens > self.workload.large_prompt
 
     @property
     def target_by(self) -> float:
@@ -134,14 +140,23 @@
         self._turns = itertools.count()
         self._request_by_id: dict[str, _Request] = {}
         self._answering = {
-            name: AnsweringEngine(name, CAPACITY_TOKENS)
+            name: self._answering_engine(name)
             for name in (f"engine-{n}" for n in range(pattern.answering))
         }
         self._reading = {
-            name: ReadingEngine(name)
+            name: self._reading_engine(name)
             for name in (f"reader-{n}" for n in range(pattern.reading))
         }
         self._ways = ways
+        self._roles: ReplayedRoles | None = None
+        self._changing_to: dict[str, EndpointRole] = {}
+
+    def _answering_engine(self, name: str) -> AnsweringEngine:
+        load = self._pattern.workload
+        return AnsweringEngine(name, load.capacity_tokens, load.read_tokens_a_second)
+
+    def _reading_engine(self, name: str) -> ReadingEngine:
+        return ReadingEngine(name, self._pattern.workload.read_tokens_a_second)
 
     def run(self) -> Outcome:
         """Play it to the end of its last answer."""
@@ -156,6 +171,9 @@
                 self._at(self._begun_at + loss.at, partial(self._lose, loss))
             self._report()
             self._look()
+            if self._pattern.changes_roles:
+                self._roles = ReplayedRoles(self._pool, self._order)
+                self._look_at_roles()
             end = self._begun_at + self._pattern.seconds + 15
             while clock.now < end:
                 clock.now += STEP_SECONDS
@@ -172,19 +190,25 @@
 
     # Engines
 
-    def _announce(self) -> None:
+    def _engines(self) -> Iterator[Endpoint]:
+        """Yield the engines that are there, as they announce themselves."""
         now = self._clock.now
+        for engine in self._answering.values():
+            if engine.lost_until <= now and engine.leaves_at == math.inf:
+                yield _endpoint(engine.name, EndpointRole.DECODE, now)
+        for reader in self._reading.values():
+            if reader.lost_until <= now:
+                yield _endpoint(reader.name, EndpointRole.PREFILL, now)
+
+    def _announce(self) -> None:
+        staying = [
+            engine
+            for engine in self._engines()
+            if engine.endpoint_id not in self._changing_to
+        ]
         self._pool.set_engines(
-            [
-                _endpoint(engine.name, EndpointRole.DECODE, now)
-                for engine in self._answering.values()
-                if engine.lost_until <= now
-            ],
-            [
-                _endpoint(reader.name, EndpointRole.PREFILL, now)
-                for reader in self._reading.values()
-                if reader.lost_until <= now
-            ],
+            [engine for engine in staying if engine.role is EndpointRole.DECODE],
+            [engine for engine in staying if engine.role is EndpointRole.PREFILL],
         )
 
     def _report(self) -> None:
@@ -192,7 +216,8 @@
         for engine in self._answering.values():
             if engine.lost_until <= now:
                 self._pool.take_report(engine.name, engine.report(now))
-        reads = EngineReport(CAPACITY_TOKENS, 0, 0, (), reads_prompts=True)
+        capacity = self._pattern.workload.capacity_tokens
+        reads = EngineReport(capacity, 0, 0, (), reads_prompts=True)
         for reader in self._reading.values():
             if reader.lost_until <= now:
                 self._pool.take_report(reader.name, reads)
@@ -203,15 +228,63 @@
         self._after(LOOK_SECONDS, self._look)
 
     def _lose(self, loss: Loss) -> None:
+        """Take away the first engines that are there, whatever their names."""
         now = self._clock.now
         until = now + loss.seconds
-        for engine in list(self._answering.values())[: loss.answering]:
-            for answer in engine.lose(until):
-                self._note_ended(answer, whole=False)
-        for reader in list(self._reading.values())[: loss.reading]:
+        answering = [item for item in self._answering.values() if item.lost_until < now]
+        for engine in answering[: loss.answering]:
+            if loss.is_announced:
+                engine.leaves_at = now + LEAVING_ENGINE_SECONDS
+                self._at(engine.leaves_at, partial(self._end_engine, engine, until))
+            else:
+                self._end_engine(engine, until)
+        reading = [item for item in self._reading.values() if item.lost_until < now]
+        for reader in reading[: loss.reading]:
             reader.lost_until = until
         self._announce()
-        self._at(until, self._announce)
+        if until < math.inf:
+            self._at(until, self._announce)
+
+    def _end_engine(self, engine: AnsweringEngine, until: float) -> None:
+        for answer in engine.lose(until):
+            self._note_ended(answer, whole=False)
+
+    # Roles
+
+    def _look_at_roles(self) -> None:
+        now = self._clock.now - self._begun_at
+        spans = self._pattern.without_leader
+        if self._roles is not None:
+            may_order = not any(span.begins <= now < span.ends for span in spans)
+            self._roles.look(list(self._engines()), may_order)
+            self._announce()
+        self._after(ROLES_SECONDS, self._look_at_roles)
+
+    def _order(self, name: str, role: EndpointRole) -> None:
+        """Let an engine end what it is at, and change to the role."""
+        self._changing_to[name] = role
+        self._change_when_idle(name)
+
+    def _change_when_idle(self, name: str) -> None:
+        now = self._clock.now
+        engine, reader = self._answering.get(name), self._reading.get(name)
+        works = engine is not None and bool(engine.running)
+        works = works or (reader is not None and reader.free_at > now)
+        next_step = self._change_when_idle if works else self._change
+        self._after(STEP_SECONDS if works else SWITCH_SECONDS, partial(next_step, name))
+
+    def _change(self, name: str) -> None:
+        role = self._changing_to.pop(name)
+        if role is EndpointRole.DECODE and name in self._reading:
+            lost_until = self._reading.pop(name).lost_until
+            self._answering[name] = self._answering_engine(name)
+            self._answering[name].lost_until = lost_until
+        elif role is EndpointRole.PREFILL and name in self._answering:
+            before = self._answering.pop(name)
+            self._reading[name] = self._reading_engine(name)
+            is_gone = before.leaves_at < math.inf
+            self._reading[name].lost_until = math.inf if is_gone else before.lost_until
+        self._announce()
 
     def _step(self) -> None:
         now = self._clock.now
@@ -236,10 +309,14 @@
         return self._pattern.streams_a_second * max([1.0, *times])
 
     def _drawn(self, number: int, at: float) -> _Request:
-        prompt_tokens = int(min(9_000, max(400, self._draw.lognormvariate(7.95, 0.5))))
-        events = int(min(MAXIMUM_EVENTS, max(5, self._draw.lognormvariate(3.95, 0.55))))
+        load = self._pattern.workload
+        prompts_by, events_by = load.log_deviations
+        drawn = self._draw.lognormvariate(load.log_prompt_tokens, prompts_by)
+        prompt_tokens = int(min(load.largest_prompt, max(load.smallest_prompt, drawn)))
+        drawn = self._draw.lognormvariate(load.log_events, events_by)
+        events = int(min(load.maximum_events, max(5, drawn)))
         expected = max(1, int(events * self._draw.lognormvariate(0.0, 0.5)))
-        return _Request(number, prompt_tokens, events, expected, at, at)
+        return _Request(number, prompt_tokens, events, expected, load, at, at)
 
     def _arrive(self, request: _Request) -> None:
         if not request.came_back:
@@ -255,8 +332,8 @@
             request.request_id,
             request.attempt,
             request.prompt_tokens,
-            EVENT_TOKENS,
-            lengths_of(MAXIMUM_EVENTS, request.expected_events),
+            request.workload.event_tokens,
+            lengths_of(request.workload.maximum_events, request.expected_events),
             SLOTS,
             Deadline(request.target_by),
             Deadline(request.limit),
@@ -265,6 +342,10 @@
             MAXIMUM_GAP_SECONDS,
         )
         decision = self._pool.ask(applicant, (), Deadline.after(0))
+        is_decided = decision.grant is not None or decision.refused
+        if self._roles is not None and is_decided:
+            waited = self._clock.now - request.asked_at
+            self._roles.note_wait(waited if decision.grant else WAITED_SECONDS)
         if decision.grant is not None:
             self._send(request, decision.grant)
         elif decision.refused:
@@ -287,22 +368,27 @@
         if grant.reader is None:
             self._begin(request, grant, True)
             return
-        reader = self._reading[grant.reader.start_id]
-        if reader.lost_until > self._clock.now:
+        reader = self._reading.get(grant.reader.start_id)
+        if reader is None or reader.lost_until > self._clock.now:
             self._again(request, reads_itself=False)
             return
         read_at = reader.read(request.prompt_tokens, self._clock.now)
+        if self._roles is not None:
+            self._roles.note_prompt(read_at - self._clock.now)
         self._at(read_at, lambda: self._begin(request, grant, False))
 
     def _begin(self, request: _Request, grant: Grant, reads_itself: bool) -> None:
-        engine = self._answering[grant.endpoint.start_id]
+        engine = self._answering.get(grant.endpoint.start_id)
         if not reads_itself:
             self._pool.note_read(request.request_id, request.attempt)
         answer = Answer(
-            request.request_id, request.prompt_tokens, request.events, EVENT_TOKENS
+            request.request_id,
+            request.prompt_tokens,
+            request.events,
+            request.workload.event_tokens,
         )
-        is_there = engine.lost_until <= self._clock.now
-        if is_there and engine.begin(answer, self._clock.now, reads_itself):
+        is_there = engine is not None and engine.lost_until <= self._clock.now
+        if engine and is_there and engine.begin(answer, self._clock.now, reads_itself):
             self._request_by_id[request.request_id] = request
             return
         self.outcome.read_for_nothing += not reads_itself
--- /dev/null
+++ b/bench/replay/_roles.py
@@ -0,0 +1,115 @@
+"""The leader's orders to engines, over the engines of a replay."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from contextlib import nullcontext
+from types import SimpleNamespace
+from typing import Any
+
+from returns.result import Result, Success
+
+from jujubeslip.admission._pool import EnginePool
+from jujubeslip.control._given_orders import GivenOrders
+from jujubeslip.control._leadership import Fence
+from jujubeslip.control._roles import RoleKeeper
+from jujubeslip.discovery import Endpoint
+from jujubeslip.forwarding._pressure import Pressures
+from jujubeslip.interfaces import EndpointQuestion, RoleOrder
+from jujubeslip.kernel import Deadline
+from jujubeslip.peers import EndpointRole, ServicePressure
+from jujubeslip.routes import EngineReport
+
+SERVICE_NAME = "model"
+LEASE_SECONDS = 10.0
+ACCEPTED = 202
+REPORTED = 200
+
+
+class ReplayedRoles:
+    """Gives orders as a leader does that has led for long."""
+
+    def __init__(
+        self, pool: EnginePool, on_order: Callable[[str, EndpointRole], None]
+    ) -> None:
+        self.orders = 0
+        self._on_order = on_order
+        self._pressures = Pressures()
+        self._engines: Sequence[Endpoint] = ()
+        self._may_order = True
+        self._ordered: RoleOrder | None = None
+        replica: Any = SimpleNamespace(
+            settings=SimpleNamespace(host_id="control-1"),
+            lock=nullcontext(),
+            fence=self._fence,
+            leadership=SimpleNamespace(started_at=float("-inf")),
+        )
+        book: Any = SimpleNamespace(
+            engines=self._with_role, engine_services=lambda: {SERVICE_NAME}
+        )
+        watches: Any = SimpleNamespace(pressure_of=self._pressure)
+        interface: Any = SimpleNamespace(
+            ask_report=lambda _: None,
+            read_report=self._read_report,
+            order_role=self._note_order,
+        )
+        self._keeper = _Keeper(
+            replica,
+            book,
+            watches,
+            interface,
+            0.0,
+            lambda: {SERVICE_NAME},
+            GivenOrders(),
+            lambda _: pool.busy_readers,
+            lambda: None,
+            lambda _: pool.use,
+        )
+        self._keeper.answer = self._answer
+
+    def look(self, engines: Sequence[Endpoint], may_order: bool) -> None:
+        """Order engines to change, if that is allowed now."""
+        self._engines, self._may_order = engines, may_order
+        self._keeper.look()
+
+    def note_wait(self, seconds: float) -> None:
+        """Note how long a request waited for a grant, found or not."""
+        self._pressures.note_wait(SERVICE_NAME, seconds)
+
+    def note_prompt(self, seconds: float) -> None:
+        """Note how long an engine takes for a prompt."""
+        self._pressures.note_prompt(SERVICE_NAME, seconds)
+
+    def _fence(self) -> Fence | None:
+        return Fence(1, Deadline.after(LEASE_SECONDS)) if self._may_order else None
+
+    def _with_role(self, _: str, role: EndpointRole) -> list[Endpoint]:
+        return [engine for engine in self._engines if engine.role is role]
+
+    def _pressure(self, _: str) -> ServicePressure:
+        told = self._pressures.told()
+        return told[0] if told else ServicePressure(SERVICE_NAME, 0, 0)
+
+    def _read_report(self, _: bytes) -> Result[EngineReport, str]:
+        return Success(EngineReport(1, 0, 0, ()))
+
+    def _note_order(self, order: RoleOrder) -> RoleOrder:
+        self._ordered = order
+        return order
+
+    def _answer(self) -> tuple[int, bytes]:
+        order, self._ordered = self._ordered, None
+        if order is None:
+            return REPORTED, b""
+        self.orders += 1
+        self._on_order(order.endpoint_id, order.role)
+        return ACCEPTED, b""
+
+
+class _Keeper(RoleKeeper):
+    """Gives its orders to the engines of the replay, without a connection."""
+
+    answer: Callable[[], tuple[int, bytes]]
+
+    def _ask(self, endpoint: Endpoint, question: EndpointQuestion) -> tuple[int, bytes]:
+        return self.answer()
