Keep a spare reader only where it costs no answer

Of three engines that were left two read, each idle nine tenths of the time, and one answered at 92 % of its memory; nobody was ordered.

Cause: LEAST_READERS = 2, a bound for services of many engines, held whatever was left. It stood in what is needed and in what is useful, so that no load and no shortage could change it.

Change: the readers that stay at least follow from what is known: two, unless the engines would serve more of the load that is expected with one, counting the share of the time for which a reader is missing, and engines that read for themselves meanwhile.

Why it works: an engine that answers serves as many requests as fit its memory, and a reader keeps up with four of them; the reader's loss costs seconds, in which the others read at half the speed.

--- a/src/jujubeslip/control/_role_balance.py
+++ b/src/jujubeslip/control/_role_balance.py
@@ -13,6 +13,11 @@
 from dataclasses import dataclass
 
 from jujubeslip.admission import EngineNeed, EngineUse
+from jujubeslip.control._spare_readers import (
+    LEAST_READERS,
+    EngineBalance,
+    least_readers,
+)
 from jujubeslip.discovery import Endpoint
 from jujubeslip.peers import EndpointRole, ServicePressure
 
@@ -29,8 +34,6 @@
 # Readers are kept for about so many times the busiest moment that was watched: requests
 # come twice as often in a burst, and a change back takes longer than a burst.
 SPARE_TIMES = 2.0
-# Readers that stay whatever the load, so that the loss of one leaves another.
-LEAST_READERS = 2
 # Readers are short while prompts took this share of their time for that long, in
 # seconds: a change takes several seconds itself, and a burst may be over by then.
 BUSY_SHARE = 0.9
@@ -52,6 +55,11 @@
     prefill: tuple[Endpoint, ...]
     decode: tuple[Endpoint, ...]
 
+    @property
+    def count(self) -> int:
+        """Return how many engines there are."""
+        return len(self.prefill) + len(self.decode)
+
 
 class PromptLoad:
     """How busy the readers of one service were lately."""
@@ -124,8 +132,15 @@
         share = self._reading_share(now)
         if share is None:
             return None
-        known = len(engines.prefill) + len(engines.decode)
-        return max(least, round(known * share))
+        return max(least, round(engines.count * share))
+
+    def least_readers(self, engines: Engines, load: PromptLoad, now: float) -> int:
+        """Return how many readers stay, whatever they do now."""
+        share, busiest = self._reading_share(now), load.busiest(now)
+        if share is None or busiest is None:
+            return LEAST_READERS
+        balance = EngineBalance(engines.count, share)
+        return least_readers(balance, busiest * SPARE_TIMES)
 
     def _reading_share(self, now: float) -> float | None:
         """Return the share of engines that reads while the others answer."""
@@ -162,7 +177,9 @@
     return engines.prefill[0], EndpointRole.DECODE
 
 
-def needed_readers(load: PromptLoad, now: float, lacks_memory: bool) -> int | None:
+def needed_readers(
+    load: PromptLoad, now: float, lacks_memory: bool, least: int = LEAST_READERS
+) -> int | None:
     """Return how many readers are to stay, None before the load was watched enough.
 
     While answers lack memory, a reader that prompts leave idle some of the time serves
@@ -172,8 +189,8 @@
     if busiest is None:
         return None
     if lacks_memory:
-        return max(LEAST_READERS, math.ceil(busiest / PROMPT_SHARE))
-    return max(LEAST_READERS, round(busiest * SPARE_TIMES))
+        return max(least, math.ceil(busiest / PROMPT_SHARE))
+    return max(least, round(busiest * SPARE_TIMES))
 
 
 def readers_to_keep(needed: int | None, useful: int | None) -> int | None:
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -137,12 +137,14 @@
         engines = self._engines(service_name)
         pressure = self._watches.pressure_of(service_name)
         lacks_memory = answers_lack_memory(engines, pressure, short_for)
-        useful = self._useful_readers(service_name, engines)
+        least = self._least_readers(service_name, engines)
+        useful = self._shares(service_name).useful_readers(engines, now, least)
+        needed = needed_readers(load, now, lacks_memory, least)
         return BalanceInputs(
             len(engines.prefill),
             len(engines.decode),
             self._orders.count(self._all_engines(service_name)),
-            readers_to_keep(needed_readers(load, now, lacks_memory), useful),
+            readers_to_keep(needed, useful),
             useful,
             load.busiest(now),
             load.least(now),
@@ -181,8 +183,10 @@
         load, now = self._load(service_name), steady_seconds()
         engines = self._engines(service_name)
         lacks_memory = answers_lack_memory(engines, pressure, short_for)
-        useful = self._useful_readers(service_name, engines)
-        kept = readers_to_keep(needed_readers(load, now, lacks_memory), useful)
+        least = self._least_readers(service_name, engines)
+        useful = self._shares(service_name).useful_readers(engines, now, least)
+        needed = needed_readers(load, now, lacks_memory, least)
+        kept = readers_to_keep(needed, useful)
         if kept is None:
             return 0
         ordered = 0
@@ -193,6 +197,7 @@
                 "kept_readers": kept,
                 "busiest_readers": load.busiest(now),
                 "useful_readers": useful,
+                "least_readers": least,
                 "lacks_memory": lacks_memory,
             }
             logger.info("reader would be idle in a burst", extra=extra)
@@ -270,6 +275,10 @@
     def _load(self, service_name: str) -> PromptLoad:
         return self._load_by_service.setdefault(service_name, PromptLoad())
 
+    def _least_readers(self, service_name: str, engines: Engines) -> int:
+        load = self._load(service_name)
+        return self._shares(service_name).least_readers(engines, load, steady_seconds())
+
     def _useful_readers(self, service_name: str, engines: Engines) -> int | None:
         return self._shares(service_name).useful_readers(engines, steady_seconds())
 
--- /dev/null
+++ b/src/jujubeslip/control/_spare_readers.py
@@ -0,0 +1,60 @@
+"""How many readers are kept as a spare; knows no clock, thread or engine.
+
+The load that this answers: few engines, of which some are lost, and bursts. A second
+reader is there if the first one is lost; an engine that answers in its place serves a
+third or a half more until then.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+# Readers that stay where the spare one costs nobody an answer.
+LEAST_READERS = 2
+# How much faster an engine that only reads does so than one that answers, too.
+OWN_READING_TIMES = 2.0
+# Share of the time for which a reader is expected to be missing.
+MISSING_SHARE = 0.1
+
+
+@dataclass(frozen=True)
+class EngineBalance:
+    """Engines of one service, and what requests take of them."""
+
+    engines: int
+    reading_share: float
+    """Share of engines that reads while the others answer."""
+
+    def served(self, readers: int) -> float:
+        """Return the load that is served, in readers' whole time.
+
+        What readers have no time for is read by the engines that answer, whose answers
+        stand still meanwhile.
+        """
+        answering = (1 - self.reading_share) / self.reading_share
+        shared_load = (self.engines + readers) / (answering + OWN_READING_TIMES)
+        answered = max(0, self.engines - readers) / answering
+        return min(answered, max(readers, shared_load))
+
+    def without_one(self) -> EngineBalance:
+        """Return the balance with one engine less."""
+        return EngineBalance(self.engines - 1, self.reading_share)
+
+
+def least_readers(balance: EngineBalance, busiest: float) -> int:
+    """Return how many readers stay at least, whatever they do now.
+
+    `busiest` is the load that has to be expected, in readers' whole time. One reader,
+    where the spare one would serve more by answering, the time included in which the
+    only one is missing.
+    """
+    with_spare = _expected(balance, LEAST_READERS, busiest)
+    return LEAST_READERS if with_spare >= _expected(balance, 1, busiest) else 1
+
+
+def _expected(balance: EngineBalance, readers: int, busiest: float) -> float:
+    """Return the load that is served in the mean, one reader missing now and then."""
+    missing = min(1.0, readers * MISSING_SHARE)
+    whole = min(busiest, balance.served(readers))
+    lost = min(busiest, balance.without_one().served(readers - 1))
+    return (1 - missing) * whole + missing * lost
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -103,6 +103,8 @@
     capacity: int = 100_000
     started_at_ms: int | None = None
     """The start that it tells of itself, None if it doesn't tell."""
+    switch_seconds: float = 0.5
+    """How long it needs to change its stage when it is ordered to."""
     listens_at: str = "127.0.0.1:0"
     limit: str = ""
     """Requests a second that it says it takes, empty without a limit."""
@@ -129,6 +131,7 @@
         self.killed = threading.Event()
         self.sequence = 0
         self.orders = 0
+        self.is_switching = False
         self.sockets: set[socket.socket] = set()
         self.reservations: dict[str, int] = {}
         self.handles: set[str] = set()
@@ -151,6 +154,16 @@
     ) -> None:
         self.close()
 
+    def switch_after(self, seconds: float, stage: str) -> None:
+        """Have another stage after this time, as an order asks for."""
+
+        def switch() -> None:
+            if not self.closed.wait(seconds):
+                self.stage = stage
+                self.is_switching = False
+
+        threading.Thread(target=switch, daemon=True).start()
+
     def close(self) -> None:
         """Stop serving."""
         self.closed.set()
@@ -239,6 +252,8 @@
                 self.reply(200, {})
             elif self.path == "/report":
                 self._report()
+            elif self.path == "/order":
+                self._order(json.loads(body))
             else:
                 self._request(method, body)
         except OSError:
@@ -261,7 +276,7 @@
             {
                 **self.worker.told_start(),
                 "stage": self.worker.stage,
-                "busy": False,
+                "busy": self.worker.is_switching,
                 "seq": self.worker.orders,
                 "queued": 0,
                 "running": 0,
@@ -272,6 +287,18 @@
             self._said_of_itself(),
         )
 
+    def _order(self, fields: dict[str, Any]) -> None:
+        """Change the stage, unless another order is expected to have come before."""
+        worker = self.worker
+        worker.questions.append("order")
+        if worker.is_switching or fields.get("expect", worker.orders) != worker.orders:
+            self.reply(409, {})
+            return
+        worker.orders += 1
+        worker.is_switching = True
+        worker.switch_after(worker.switch_seconds, fields["stage"])
+        self.reply(202, {})
+
     def _arrive(self) -> None:
         """Note a call, before it is answered."""
         arrival = Arrival(
@@ -287,7 +314,8 @@
     def _request(self, method: str, body: bytes) -> None:
         faults = self.worker.faults
         self._arrive()
-        if self.worker.backoff or faults.take("refuse"):
+        refuses = bool(self.worker.backoff) or self.worker.is_switching
+        if refuses or faults.take("refuse"):
             said = self._said_of_itself(is_refusal=True)
             self.reply(503, {}, {"Not-Run": "1", **said})
             return
--- /dev/null
+++ b/tests/forwarding/test_few_engines.py
@@ -0,0 +1,62 @@
+"""Streams of a service whose engines leave until few are left."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from tests.fakes.platform_system import (
+    ENGINE,
+    PROMPT,
+    PlatformSystem,
+    Reply,
+    configuration,
+    route,
+)
+from tests.fakes.platform_worker import PlatformWorker
+from tests.fakes.processes import wait_until
+from tests.fakes.steady_load import offer
+
+# Prompts whose reading takes half of one reader's time, with answers that take more.
+LONG_PROMPT = {**PROMPT, "Token-Count": "8000,6500", "Length-Hint": "4500"}
+SERVICE = {**ENGINE, "engine": {**ENGINE["engine"], "slots": 64, "stride": 65}}  # type: ignore[dict-item]
+CLIENTS = 3
+PAUSE_SECONDS = 0.3
+# The leader watches its load for four seconds, after five in which it may not order.
+ORDER_SECONDS = 15.0
+
+
+@pytest.fixture
+def system(tmp_path_factory: pytest.TempPathFactory) -> Iterator[PlatformSystem]:
+    shape = {"kind": "stream", "timeoutMs": 8000, "sloMs": 900, "gapSloMs": 300}
+    routes = [route("stream", "/stream/", "model", **shape, maxAttempts=1)]
+    folder = tmp_path_factory.mktemp("few")
+    with PlatformSystem(folder) as running:
+        running.put_until_accepted(configuration(1, routes, [SERVICE]))
+        yield running
+
+
+def ask(system: PlatformSystem, _: int = 0) -> Reply:
+    return system.ask("/stream/x", "POST", b"prompt", LONG_PROMPT, deadline_ms=8000)
+
+
+class TestThreeEnginesOfWhichTwoRead:
+    """Guards against two idle readers beside the only engine that answers."""
+
+    def test_one_of_them_is_ordered_to_answer(self, system: PlatformSystem) -> None:
+        readers = [PlatformWorker(f"reader-{n}", "model", "prefill") for n in (1, 2)]
+        answering = [PlatformWorker(f"engine-{n}", "model", "decode") for n in (1, 2)]
+        for worker in (*readers, *answering):
+            system.add(worker)
+        system.wait_served("/stream/x", method="POST", headers=LONG_PROMPT)
+        system.withdraw(answering[1])
+        assert system.leave(answering[1]) == 200
+        replies = offer(lambda n: ask(system, n), ORDER_SECONDS, [0] * CLIENTS, PAUSE_SECONDS)
+        assert [worker.orders for worker in readers].count(1) == 1
+        wait_until(
+            lambda: sorted(worker.stage for worker in readers) == ["decode", "prefill"],
+            "one of the readers answers",
+        )
+        assert all(reply.status in (200, 503) for reply in replies)
+        assert sum(reply.status == 200 for reply in replies) >= 0.9 * len(replies)
