Learn how old the state is that an engine's reports tell

What callers saw: the same pauses as of answers that are pushed out.

Cause: the leader took the state in a report for half a second old, whatever the engine.

Ruled out: another constant, which would be wrong for the next engine.

Change: the age is learned from answers whose beginning the hosts tell, by the events that the engine's report shows of them. An answer that no report shows yet has made what it can have made since it began, and nothing before.

--- a/src/jujubeslip/admission/_engine_memory.py
+++ b/src/jujubeslip/admission/_engine_memory.py
@@ -17,9 +17,13 @@
 from jujubeslip.kernel import steady_seconds
 from jujubeslip.routes import EngineReport, RunningAnswer
 
-# How old an engine's report is when it comes, in seconds. With it, what the leader
-# believes is in use and what a later report says differ by 3 % in the mean.
-REPORT_LAG_SECONDS = 0.5
+# How old the state is that an engine's report tells, before answers have shown it, and
+# at most, in seconds; and how much the latest report counts for it.
+FIRST_LAG_SECONDS = 0.5
+MAXIMUM_LAG_SECONDS = 2.0
+LAG_WEIGHT = 0.1
+# Answers show the age by their first events only, while the pace is known for sure.
+LAG_EVENTS = 15
 # A request that has had its grant for longer than this and is in no report has ended
 # without its host's word, in seconds: prompts are read within 1.5, reports lag by one.
 UNSEEN_SECONDS = 4.0
@@ -51,6 +55,8 @@
         self.capacity_tokens = 0
         """Tokens that fit, less what something other than answers takes."""
         self._pace = FIRST_PACE
+        self._lag = FIRST_LAG_SECONDS
+        self._begun_at_by_id: dict[str, float] = {}
         self._admitted_by_id: dict[str, Admitted] = {}
         self._ended_at_by_id: dict[str, float] = {}
         self._reading: set[str] = set()
@@ -86,6 +92,11 @@
         """Return the events that it adds to each answer in a second."""
         return self._pace
 
+    @property
+    def report_lag(self) -> float:
+        """Return how old the state is that its reports tell, in seconds."""
+        return self._lag
+
     @property
     def reads_prompt(self) -> bool:
         """Say whether it reads a prompt by itself, while its answers stand still."""
@@ -104,6 +115,7 @@
         now = steady_seconds()
         if self._report is not None:
             self._learn_pace(self._report, report, now - self._reported_at)
+        self._learn_lag(report, now)
         self._report = report
         self._reported_at = now
         listed = sum(item.memory_tokens for item in report.running)
@@ -121,6 +133,7 @@
         """Note a request that was given a grant."""
         request_id = admitted.applicant.request_id
         self._ended_at_by_id.pop(request_id, None)
+        self._begun_at_by_id.pop(request_id, None)
         self._admitted_by_id[request_id] = admitted
         self._profile_by_key.clear()
         if admitted.grant.reader is None:
@@ -129,6 +142,7 @@
     def note_read(self, request_id: str, attempt: int) -> None:
         """Note that the prompt of this attempt of a request has been read."""
         if self.find(request_id, attempt) is not None:
+            self._begun_at_by_id.setdefault(request_id, steady_seconds())
             self._end_reading(request_id)
 
     def _end_reading(self, request_id: str) -> None:
@@ -148,6 +162,7 @@
         if self.find(request_id, attempt) is None:
             return
         del self._admitted_by_id[request_id]
+        self._begun_at_by_id.pop(request_id, None)
         self._end_reading(request_id)
         self._ended_at_by_id[request_id] = steady_seconds()
         self._profile_by_key.clear()
@@ -173,18 +188,18 @@
         now = steady_seconds()
         running = self._report.running if self._report else ()
         reported = {item.request_id: item for item in running}
-        since_state = now - self._reported_at + REPORT_LAG_SECONDS
+        since_state = now - self._reported_at + self._lag
         answers = [
             self._reported(item, since_state, asking)
             for item in running
             if item.request_id not in self._ended_at_by_id
         ]
         unseen = [
-            admitted
+            self._unseen(admitted, since_state, now)
             for request_id, admitted in self._admitted_by_id.items()
             if request_id not in reported
         ]
-        return answers + [self._unseen(admitted, now) for admitted in unseen]
+        return answers + unseen
 
     def _reported(
         self, item: RunningAnswer, since_state: float, asking: Applicant
@@ -200,10 +215,13 @@
         grown = max(0, events - item.events) * event_tokens
         return GrowingAnswer(item.memory_tokens + grown, events, event_tokens, lengths)
 
-    def _unseen(self, admitted: Admitted, now: float) -> GrowingAnswer:
+    def _unseen(
+        self, admitted: Admitted, since_state: float, now: float
+    ) -> GrowingAnswer:
         """Return an answer that no report shows yet."""
         applicant = admitted.applicant
-        events = int(self._pace * max(0.0, now - admitted.since - REPORT_LAG_SECONDS))
+        begun_at = self._begun_at_by_id.get(applicant.request_id, now)
+        events = int(self._pace * min(since_state, now - begun_at))
         events = min(events, applicant.lengths.maximum - 1)
         memory = applicant.prompt_tokens + events * applicant.event_tokens
         return GrowingAnswer(memory, events, applicant.event_tokens, applicant.lengths)
@@ -221,6 +239,18 @@
             latest = sum(made) / len(made) / seconds
             self._pace += PACE_WEIGHT * (latest - self._pace)
 
+    def _learn_lag(self, report: EngineReport, now: float) -> None:
+        """Compare how long answers have run with the events that the report tells."""
+        lags = [
+            now - self._begun_at_by_id[item.request_id] - item.events / self._pace
+            for item in report.running
+            if item.request_id in self._begun_at_by_id
+            and 0 < item.events <= LAG_EVENTS
+        ]
+        if lags:
+            latest = min(MAXIMUM_LAG_SECONDS, max(0.0, sum(lags) / len(lags)))
+            self._lag += LAG_WEIGHT * (latest - self._lag)
+
     def _forget_ended(self, now: float) -> None:
         self._ended_at_by_id = {
             request_id: ended_at
@@ -231,6 +261,7 @@
         for request_id, admitted in list(self._admitted_by_id.items()):
             if request_id not in listed and now - admitted.since > UNSEEN_SECONDS:
                 del self._admitted_by_id[request_id]
+                self._begun_at_by_id.pop(request_id, None)
                 self._reading.discard(request_id)
 
 
