Count only readers that report as ones that stay

What callers saw: prompts that nobody read for two seconds, or four, beside a reader that had just been ordered to answer.

Cause: announcements keep an engine known for five seconds after it ended, and the order to an idle reader counted it as one that stays. The leader's own reports said at once that it was gone.

Ruled out: a shorter time for which announcements keep an engine, which are seconds late at times; orders back, which take six seconds.

Change: of the engines that an idle reader is weighed against, those count that reported within 0.55 s and can be reached.

The tests failed before: the order was given.

--- a/bench/replay/_engines.py
+++ b/bench/replay/_engines.py
@@ -44,6 +44,8 @@
     capacity: int
     read_tokens_a_second: float
     lost_until: float = 0.0
+    heard_at: float = math.inf
+    """When it announced itself last, if it crashed; infinite while it runs."""
     leaves_at: float = math.inf
     """When it ends what it makes still, after it said that it leaves."""
     running: list[Answer] = field(default_factory=list)
@@ -128,6 +130,8 @@
     name: str
     read_tokens_a_second: float
     lost_until: float = 0.0
+    heard_at: float = math.inf
+    """When it announced itself last, if it crashed; infinite while it runs."""
     free_at: float = 0.0
 
     def read(self, tokens: int, now: float) -> float:
--- a/bench/replay/_play.py
+++ b/bench/replay/_play.py
@@ -30,6 +30,8 @@
 # client leaves, as a forwarding host counts.
 START_SECONDS, LEAVING_SECONDS = 0.25, 0.4
 STEP_SECONDS, ASK_SECONDS, REPORT_SECONDS, LOOK_SECONDS = 0.01, 0.05, 0.25, 0.05
+# How long an engine that announces itself no more is told of, in seconds.
+SILENT_SECONDS = 5.0
 # How often the leader looks at the roles, and how long an idle engine takes to change.
 ROLES_SECONDS, SWITCH_SECONDS = 0.5, 6.0
 # How long an engine that leaves goes on with the answers that it makes, in seconds.
@@ -191,20 +193,31 @@
     # Engines
 
     def _engines(self) -> Iterator[Endpoint]:
-        """Yield the engines that are there, as they announce themselves."""
+        """Yield the engines that are there, as they announce themselves.
+
+        One that crashed is told of until it was not heard for some seconds.
+        """
         now = self._clock.now
         for engine in self._answering.values():
-            if engine.lost_until <= now and engine.leaves_at == math.inf:
-                yield _endpoint(engine.name, EndpointRole.DECODE, now)
+            heard_at = min(now, engine.heard_at)
+            if engine.leaves_at == math.inf and heard_at > now - SILENT_SECONDS:
+                yield _endpoint(engine.name, EndpointRole.DECODE, heard_at)
         for reader in self._reading.values():
-            if reader.lost_until <= now:
-                yield _endpoint(reader.name, EndpointRole.PREFILL, now)
+            heard_at = min(now, reader.heard_at)
+            is_gone = reader.lost_until == math.inf
+            if not is_gone and heard_at > now - SILENT_SECONDS:
+                yield _endpoint(reader.name, EndpointRole.PREFILL, heard_at)
+
+    def _runs(self, name: str) -> bool:
+        engine = self._answering.get(name) or self._reading[name]
+        return engine.lost_until <= self._clock.now
 
     def _announce(self) -> None:
         staying = [
             engine
             for engine in self._engines()
             if engine.endpoint_id not in self._changing_to
+            and self._runs(engine.endpoint_id)
         ]
         self._pool.set_engines(
             [engine for engine in staying if engine.role is EndpointRole.DECODE],
@@ -238,17 +251,28 @@
                 self._at(engine.leaves_at, partial(self._end_engine, engine, until))
             else:
                 self._end_engine(engine, until)
+                self._crash(engine, until)
         reading = [item for item in self._reading.values() if item.lost_until < now]
         for reader in reading[: loss.reading]:
             reader.lost_until = until
+            if not loss.is_announced:
+                self._crash(reader, until)
         self._announce()
-        if until < math.inf:
-            self._at(until, self._announce)
 
     def _end_engine(self, engine: AnsweringEngine, until: float) -> None:
         for answer in engine.lose(until):
             self._note_ended(answer, whole=False)
 
+    def _crash(self, engine: AnsweringEngine | ReadingEngine, until: float) -> None:
+        """Let it announce itself no more until it is back."""
+        engine.heard_at = self._clock.now
+        if until < math.inf:
+            self._at(until, partial(self._come_back, engine))
+
+    def _come_back(self, engine: AnsweringEngine | ReadingEngine) -> None:
+        engine.heard_at = math.inf
+        self._announce()
+
     # Roles
 
     def _look_at_roles(self) -> None:
@@ -279,6 +303,8 @@
             lost_until = self._reading.pop(name).lost_until
             self._answering[name] = self._answering_engine(name)
             self._answering[name].lost_until = lost_until
+            if lost_until == math.inf:
+                self._answering[name].leaves_at = self._clock.now
         elif role is EndpointRole.PREFILL and name in self._answering:
             before = self._answering.pop(name)
             self._reading[name] = self._reading_engine(name)
--- a/bench/replay/_roles.py
+++ b/bench/replay/_roles.py
@@ -9,6 +9,7 @@
 
 from returns.result import Result, Success
 
+from jujubeslip.admission._home import REPORTS_NOW_SECONDS
 from jujubeslip.admission._pool import EnginePool
 from jujubeslip.control._given_orders import GivenOrders
 from jujubeslip.control._leadership import Fence
@@ -64,6 +65,9 @@
             lambda _: pool.busy_readers,
             lambda: None,
             lambda _: pool.use,
+            reports_now=lambda engine: pool.reported_within(
+                engine.start_id, REPORTS_NOW_SECONDS
+            ),
         )
         self._keeper.answer = self._answer
 
--- a/src/jujubeslip/admission/_engine_memory.py
+++ b/src/jujubeslip/admission/_engine_memory.py
@@ -244,8 +244,7 @@
         lags = [
             now - self._begun_at_by_id[item.request_id] - item.events / self._pace
             for item in report.running
-            if item.request_id in self._begun_at_by_id
-            and 0 < item.events <= LAG_EVENTS
+            if item.request_id in self._begun_at_by_id and 0 < item.events <= LAG_EVENTS
         ]
         if lags:
             latest = min(MAXIMUM_LAG_SECONDS, max(0.0, sum(lags) / len(lags)))
--- a/src/jujubeslip/admission/_engines.py
+++ b/src/jujubeslip/admission/_engines.py
@@ -94,6 +94,16 @@
             reader.take_report(report)
             self._demand.read_speed = reader.speed
 
+    def reported_within(self, start_id: str, seconds: float) -> bool:
+        """Say whether a start has reported lately and can be reached."""
+        reader = self._reader_by_start.get(start_id)
+        if reader is not None:
+            return reader.report_age < seconds and not reader.contact.is_lost
+        engine = self._engine_by_start.get(start_id)
+        if engine is None or engine.contact.is_lost:
+            return False
+        return engine.report_age < seconds
+
     @property
     def busy_readers(self) -> float:
         """Return how many readers the prompts of the last seconds would keep busy."""
--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -41,6 +41,9 @@
 # How often waiting requests are looked at without news of their engines, in seconds: a
 # reader that was busy has time for a further prompt by then.
 DECIDE_SECONDS = 0.05
+# An engine whose last report is older than this may have crashed, in seconds: two of
+# its reports are missing.
+REPORTS_NOW_SECONDS = 0.55
 # Engines are asked for reports while requests came within this time, in seconds.
 ACTIVE_SECONDS = 5.0
 # How long a call may wait at most, in seconds, whatever its host asks for: each one
@@ -150,6 +153,11 @@
         """Return how many engines a service's granted requests keep busy."""
         return self._pool(service_name).use
 
+    def reports_now(self, engine: Endpoint) -> bool:
+        """Say whether an engine answers questions for its state at this moment."""
+        pool = self._pool(engine.service_name)
+        return pool.reported_within(engine.start_id, REPORTS_NOW_SECONDS)
+
     def look(self) -> None:
         """Follow the engines that there are now, if this host is asked."""
         active = steady_seconds() - self._asked_at < ACTIVE_SECONDS
--- a/src/jujubeslip/admission/_pool.py
+++ b/src/jujubeslip/admission/_pool.py
@@ -144,6 +144,11 @@
         with self._lock:
             return self._engines.usable
 
+    def reported_within(self, start_id: str, seconds: float) -> bool:
+        """Say whether a start of an engine has reported lately and can be reached."""
+        with self._lock:
+            return self._engines.reported_within(start_id, seconds)
+
     @property
     def busy_readers(self) -> float:
         """Return how many readers the prompts asked for lately would keep busy."""
--- a/src/jujubeslip/admission/_prompt_queue.py
+++ b/src/jujubeslip/admission/_prompt_queue.py
@@ -63,9 +63,14 @@
         One that has not reported yet is waited for: engines that answer would read the
         prompts meanwhile, and stop all their answers for that.
         """
-        fresh = steady_seconds() - self._heard_at < USABLE_SECONDS
+        fresh = self.report_age < USABLE_SECONDS
         return fresh and self._takes_prompts and not self.contact.is_lost
 
+    @property
+    def report_age(self) -> float:
+        """Return how long ago it reported, or was heard of, in seconds."""
+        return steady_seconds() - self._heard_at
+
     @property
     def speed(self) -> float:
         """Return how many tokens the engine reads in a second."""
--- a/src/jujubeslip/control/_role_balance.py
+++ b/src/jujubeslip/control/_role_balance.py
@@ -10,6 +10,7 @@
 
 import math
 from collections import Counter, deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from jujubeslip.admission import EngineNeed, EngineUse
@@ -55,6 +56,13 @@
     prefill: tuple[Endpoint, ...]
     decode: tuple[Endpoint, ...]
 
+    def that(self, test: Callable[[Endpoint], bool]) -> Engines:
+        """Return those of which this is true."""
+        return Engines(
+            tuple(engine for engine in self.prefill if test(engine)),
+            tuple(engine for engine in self.decode if test(engine)),
+        )
+
     @property
     def count(self) -> int:
         """Return how many engines there are."""
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -78,8 +78,10 @@
         on_order: Callable[[], None],
         engine_use: Callable[[str], EngineUse],
         notices: EndpointNotices | None = None,
+        reports_now: Callable[[Endpoint], bool] = lambda _: True,
     ) -> None:
         self._notices = notices or EndpointNotices()
+        self._reports_now = reports_now
         self._engine_use = engine_use
         self._shares_by_service: dict[str, EngineShares] = {}
         self._orders = orders
@@ -177,11 +179,12 @@
 
         None while an engine still changes to read: it reads for nobody yet, and may be
         replaced before it does. The one that prompts rely on meanwhile would be gone.
+        For the same reason, only those that report now count as readers.
         """
         if self._changes_to(service_name, EndpointRole.PREFILL):
             return 0
         load, now = self._load(service_name), steady_seconds()
-        engines = self._engines(service_name)
+        engines = self._engines(service_name).that(self._reports_now)
         lacks_memory = answers_lack_memory(engines, pressure, short_for)
         least = self._least_readers(service_name, engines)
         useful = self._shares(service_name).useful_readers(engines, now, least)
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -225,6 +225,7 @@
             admissions.look if admissions else lambda: None,
             admissions.engine_use if admissions else lambda _: EngineUse(0.0, 0.0),
             self._notices,
+            admissions.reports_now if admissions else lambda _: True,
         )
         self._process.repeat(LOOK_SECONDS, keeper.look)
 
--- a/tests/admission/test_pool.py
+++ b/tests/admission/test_pool.py
@@ -485,6 +485,26 @@
         assert [turn.request_id for turn in first] == ["broke off"]
 
 
+class TestEnginesThatReportNow:
+    """Guards against engines that are taken for there since they were heard of."""
+
+    def test_are_those_that_reported_lately_and_are_not_lost(self) -> None:
+        pool = pool_of("engine")
+        assert pool.reported_within("engine", 1.0)
+        assert pool.reported_within("reader", 1.0)
+        assert not pool.reported_within("unknown", 1.0)
+        pool.note_lost("engine")
+        pool.note_lost("reader")
+        assert not pool.reported_within("engine", 1.0)
+        assert not pool.reported_within("reader", 1.0)
+
+    def test_are_not_those_whose_report_is_old(self) -> None:
+        pool = pool_of("engine")
+        time.sleep(0.05)
+        assert not pool.reported_within("engine", 0.04)
+        assert not pool.reported_within("reader", 0.04)
+
+
 class TestReaderThatIsLost:
     """One of two readers is lost in a burst; the other can read half of the prompts.
 
--- a/tests/control/test_roles.py
+++ b/tests/control/test_roles.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from contextlib import nullcontext
 from dataclasses import replace
 from types import SimpleNamespace
@@ -159,6 +160,7 @@
     book: EndpointBook,
     named: set[str],
     notices: EndpointNotices | None = None,
+    reports_now: Callable[[Endpoint], bool] = lambda _: True,
 ) -> tuple[RoleKeeper, Asked]:
     """Return a keeper of these services' roles, and what engines are asked by it."""
     watches: Any = SimpleNamespace(pressure_of=lambda name: pressure())
@@ -182,6 +184,7 @@
         lambda: None,
         lambda _: EngineUse(0.0, 0.0),
         notices,
+        reports_now,
     )
     asked = Asked()
     monkeypatch.setattr(keeper, "_ask", asked)
@@ -328,6 +331,32 @@
         assert asked.orders == orders
 
 
+class TestReaderThatHasCrashed:
+    """Guards against an order to the last reader beside one that is only remembered."""
+
+    @pytest.mark.parametrize(("reports", "orders"), [(True, 1), (False, 0)])
+    def test_does_not_count_as_one_that_stays(
+        self, monkeypatch: pytest.MonkeyPatch, reports: bool, orders: int
+    ) -> None:
+        group = engines(3, 9)
+        crashed = group.prefill[2].start_id
+        book = EndpointBook()
+        book.take([*group.prefill, *group.decode])
+        keeper, asked = role_keeper(
+            monkeypatch,
+            book,
+            {"model"},
+            reports_now=lambda item: reports or item.start_id != crashed,
+        )
+        monkeypatch.setattr(keeper, "_fence", lambda: Fence(1, Deadline.after(10)))
+        load = SimpleNamespace(
+            note=lambda *_: None, busiest=lambda _: 1.0, least=lambda _: 0.0
+        )
+        monkeypatch.setattr(keeper, "_load", lambda _: load)
+        keeper.look()
+        assert asked.orders == orders
+
+
 class TestReadersThatAreMissing:
     """One engine was ordered to read, and takes ten seconds to begin.
 
