Let a spare reader go for a sure gain, or while answers lack memory

What callers saw: with all five engines there, one of two readers was ordered to answer before a burst that three engines serve; prompts then waited for the one that was left, and its loss left nobody who reads.

Cause: the model took an engine that reads beside its answers for half a reader, though its answers stand still meanwhile, and gave the spare reader up for a gain of a few hundredths, which a change of six seconds and a queue at one reader cost again.

Change: before answers lack memory the engines have to serve 1.3 times as much without the spare reader; a prompt read beside answers costs four times a reader's time.

--- a/src/jujubeslip/control/_role_balance.py
+++ b/src/jujubeslip/control/_role_balance.py
@@ -142,13 +142,15 @@
             return None
         return max(least, round(engines.count * share))
 
-    def least_readers(self, engines: Engines, load: PromptLoad, now: float) -> int:
+    def least_readers(
+        self, engines: Engines, load: PromptLoad, now: float, lacks_memory: bool
+    ) -> int:
         """Return how many readers stay, whatever they do now."""
         share, busiest = self._reading_share(now), load.busiest(now)
         if share is None or busiest is None:
             return LEAST_READERS
         balance = EngineBalance(engines.count, share)
-        return least_readers(balance, busiest * SPARE_TIMES)
+        return least_readers(balance, busiest * SPARE_TIMES, lacks_memory)
 
     def _reading_share(self, now: float) -> float | None:
         """Return the share of engines that reads while the others answer."""
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -139,7 +139,7 @@
         engines = self._engines(service_name)
         pressure = self._watches.pressure_of(service_name)
         lacks_memory = answers_lack_memory(engines, pressure, short_for)
-        least = self._least_readers(service_name, engines)
+        least = self._least_readers(service_name, engines, lacks_memory)
         useful = self._shares(service_name).useful_readers(engines, now, least)
         needed = needed_readers(load, now, lacks_memory, least)
         return BalanceInputs(
@@ -186,7 +186,7 @@
         load, now = self._load(service_name), steady_seconds()
         engines = self._engines(service_name).that(self._reports_now)
         lacks_memory = answers_lack_memory(engines, pressure, short_for)
-        least = self._least_readers(service_name, engines)
+        least = self._least_readers(service_name, engines, lacks_memory)
         useful = self._shares(service_name).useful_readers(engines, now, least)
         needed = needed_readers(load, now, lacks_memory, least)
         kept = readers_to_keep(needed, useful)
@@ -278,9 +278,12 @@
     def _load(self, service_name: str) -> PromptLoad:
         return self._load_by_service.setdefault(service_name, PromptLoad())
 
-    def _least_readers(self, service_name: str, engines: Engines) -> int:
-        load = self._load(service_name)
-        return self._shares(service_name).least_readers(engines, load, steady_seconds())
+    def _least_readers(
+        self, service_name: str, engines: Engines, lacks_memory: bool
+    ) -> int:
+        load, now = self._load(service_name), steady_seconds()
+        shares = self._shares(service_name)
+        return shares.least_readers(engines, load, now, lacks_memory)
 
     def _useful_readers(self, service_name: str, engines: Engines) -> int | None:
         return self._shares(service_name).useful_readers(engines, steady_seconds())
--- a/src/jujubeslip/control/_spare_readers.py
+++ b/src/jujubeslip/control/_spare_readers.py
@@ -11,10 +11,14 @@
 
 # Readers that stay where the spare one costs nobody an answer.
 LEAST_READERS = 2
-# How much faster an engine that only reads does so than one that answers, too.
-OWN_READING_TIMES = 2.0
+# What a prompt costs an engine that answers, too, in a reader's time: it reads at half
+# the speed, and all its answers stand still meanwhile.
+OWN_READING_COST = 4.0
 # Share of the time for which a reader is expected to be missing.
 MISSING_SHARE = 0.1
+# How many times as much has to be served without the spare one, before answers lack
+# memory: the change itself takes seconds, and one reader's prompts wait in a burst.
+SURE_GAIN = 1.3
 
 
 @dataclass(frozen=True)
@@ -32,7 +36,7 @@
         stand still meanwhile.
         """
         answering = (1 - self.reading_share) / self.reading_share
-        shared_load = (self.engines + readers) / (answering + OWN_READING_TIMES)
+        shared_load = (self.engines + readers) / (answering + OWN_READING_COST)
         answered = max(0, self.engines - readers) / answering
         return min(answered, max(readers, shared_load))
 
@@ -41,7 +45,7 @@
         return EngineBalance(self.engines - 1, self.reading_share)
 
 
-def least_readers(balance: EngineBalance, busiest: float) -> int:
+def least_readers(balance: EngineBalance, busiest: float, lacks_memory: bool) -> int:
     """Return how many readers stay at least, whatever they do now.
 
     `busiest` is the load that has to be expected, in readers' whole time. One reader,
@@ -49,7 +53,8 @@
     only one is missing.
     """
     with_spare = _expected(balance, LEAST_READERS, busiest)
-    return LEAST_READERS if with_spare >= _expected(balance, 1, busiest) else 1
+    gain = 1.0 if lacks_memory else SURE_GAIN
+    return 1 if _expected(balance, 1, busiest) > gain * with_spare else LEAST_READERS
 
 
 def _expected(balance: EngineBalance, readers: int, busiest: float) -> float:
