--- a/src/jujubeslip/control/_order_log.py
+++ b/src/jujubeslip/control/_order_log.py
@@ -37,6 +37,8 @@
     useful_readers: int | None
     busiest_readers: float | None
     least_readers: float
+    reading_share: float | None
+    """Share of engines that reads while the others answer, None while unknown."""
     lacks_memory: bool
     waited: int
     """Requests of all hosts that waited for room lately."""
@@ -75,6 +77,7 @@
             "useful_readers": inputs.useful_readers,
             "busiest_readers": inputs.busiest_readers,
             "least_readers": inputs.least_readers,
+            "reading_share": inputs.reading_share,
             "lacks_memory": inputs.lacks_memory,
             "waited": inputs.waited,
         }
--- a/src/jujubeslip/control/_role_balance.py
+++ b/src/jujubeslip/control/_role_balance.py
@@ -137,7 +137,7 @@
         reader, whatever is asked for. None before enough was seen. `least` are kept
         whatever is useful: one that reads already is there if another is lost.
         """
-        share = self._reading_share(now)
+        share = self.reading_share(now)
         if share is None:
             return None
         return max(least, round(engines.count * share))
@@ -146,13 +146,13 @@
         self, engines: Engines, load: PromptLoad, now: float, lacks_memory: bool
     ) -> int:
         """Return how many readers stay, whatever they do now."""
-        share, busiest = self._reading_share(now), load.busiest(now)
+        share, busiest = self.reading_share(now), load.busiest(now)
         if share is None or busiest is None:
             return LEAST_READERS
         balance = EngineBalance(engines.count, share)
         return least_readers(balance, busiest * SPARE_TIMES, lacks_memory)
 
-    def _reading_share(self, now: float) -> float | None:
+    def reading_share(self, now: float) -> float | None:
         """Return the share of engines that reads while the others answer."""
         begun_at, need = self._begun_at, self._usual_need
         is_watched = begun_at is not None and now - begun_at >= WATCHED_SECONDS
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -150,6 +150,7 @@
             useful,
             load.busiest(now),
             load.least(now),
+            self._shares(service_name).reading_share(now),
             lacks_memory,
             pressure.waited,
         )
