Ask the leader that the own replica knows for what operators send

Cause: the client in a control host begins at whoever answered last. One attempt at a silent host, tried on two connections, takes all of the 0.85 s in which an answer is due, though the replica in the same process knew who leads: itself.

Ruled out: shorter attempts, which would cut off commits that a slow disk takes longer for; a memory that is cleared with each change of term, which knows less than the replica does.

Change: the client asks its process first who leads: the address that its replica follows, or its own. Without one it begins as before.

Not mended: clients without a replica (command line, the product's own entry hosts) begin where they were answered last; forwarding hosts go by what control hosts tell them.

--- a/src/jujubeslip/control/_client.py
+++ b/src/jujubeslip/control/_client.py
@@ -49,9 +49,18 @@
     """
 
     def __init__(
-        self, addresses: Sequence[PeerAddress], identity: PeerIdentity
+        self,
+        addresses: Sequence[PeerAddress],
+        identity: PeerIdentity,
+        known_leader: Callable[[], str] = lambda: "",
     ) -> None:
+        """Call the hosts at these addresses.
+
+        `known_leader` returns the peer address of the leader where this process knows
+        it, else nothing: then the host that answered last is asked first.
+        """
         self._identity = identity
+        self._known_leader = known_leader
         self._clients = [
             PeerClient(ControlPeer.Client, peer.address, identity) for peer in addresses
         ]
@@ -181,7 +190,7 @@
         deadline: Deadline,
         attempt_seconds: float = ATTEMPT_SECONDS,
     ) -> T:
-        search = _LeaderSearch(self._leader_position, len(self._clients))
+        search = _LeaderSearch(self._first_position(), len(self._clients))
         failure = "no replica has been asked"
         while not deadline.expired:
             # Half of what is left: a client tries twice, the second time over a
@@ -208,6 +217,15 @@
             "Check that a majority of the control hosts runs and can be reached.",
         )
 
+    def _first_position(self) -> int:
+        """Return where the leader is, as far as is known, or who answered last.
+
+        Whoever answered last may have been suspended since: an attempt there can take
+        all of the time that a caller has.
+        """
+        address = self._known_leader()
+        return self._position_at(address) if address else self._leader_position
+
     def _position_of(self, leader_id: str, leader_address: str) -> int | None:
         """Return which client reaches the leader: by its address, else by its host.
 
--- a/src/jujubeslip/control/_replica.py
+++ b/src/jujubeslip/control/_replica.py
@@ -379,6 +379,11 @@
                 return NotLeader(self.leader.replica_id, self.leader.address)
             return NotLeader("", "")
 
+    def known_leader_address(self) -> str:
+        """Return where the leader is, this replica itself if it leads, else nothing."""
+        with self.lock:
+            return self.leader.address if self.hears_leader else ""
+
     @contextmanager
     def promising(self) -> Iterator[None]:
         """Refuse to promise anything once a write or sync has failed.
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -166,7 +166,9 @@
         if settings.http_address is None:
             return None
         own = PeerAddress(settings.host_id, settings.peer_address)
-        client = ControlClient([own], self._identity)
+        client = ControlClient(
+            [own], self._identity, self._replica.known_leader_address
+        )
         client.learn(settings.seed_addresses)
         gateway = LeaderGateway(client, self._book, self._watches)
         app = interfaces.get(settings.interface).control_app(gateway)
