One place for the bounds of readers; instants of a forecast as one type

Two places computed the same bounds of readers, for the order and for the line that says why there is none; the forecast kept three tuples side by side. A field of a line had the name of another one: readers_at_least are those that stay, steadily_busy_readers what prompts take all the time.

--- a/src/jujubeslip/admission/_engines.py
+++ b/src/jujubeslip/admission/_engines.py
@@ -250,7 +250,7 @@
                 continue
             profile = engine.profile(applicant)
             capacity = max(1, engine.capacity_tokens)
-            fill = (profile.means[0] + applicant.prompt_tokens) / capacity
+            fill = (profile.used_now + applicant.prompt_tokens) / capacity
             if fill > 1 - self._options.margin or profile.answers >= applicant.slots:
                 continue
             is_near = engine.endpoint.availability_zone == applicant.availability_zone
--- a/src/jujubeslip/admission/_memory_forecast.py
+++ b/src/jujubeslip/admission/_memory_forecast.py
@@ -11,6 +11,7 @@
 import math
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from jujubeslip.admission._lengths import AnswerLengths, lengths_of
 from jujubeslip.routes import EngineReport
@@ -43,6 +44,23 @@
     """Standard deviations above the mean that have to fit."""
 
 
+class Expected(NamedTuple):
+    """The tokens that answers take together at one instant."""
+
+    mean: float
+    variance: float
+    most: float
+    """What they take if none of those ends that may still run."""
+
+    def with_caution(self, caution: float) -> float:
+        """Return the tokens `caution` deviations above the mean.
+
+        No more than all answers take: where nearly all still run, some deviations
+        above the mean lie beyond that.
+        """
+        return min(self.most, self.mean + caution * math.sqrt(self.variance))
+
+
 @dataclass(frozen=True)
 class MemoryProfile:
     """What answers are expected to take together at each instant of the future."""
@@ -50,22 +68,16 @@
     answers: int
     longest: int
     """Events of the longest answer, over which the instants are spread."""
-    means: tuple[float, ...]
-    variances: tuple[float, ...]
-    most: tuple[float, ...]
-    """What they take if none of those ends that may still run."""
+    instants: tuple[Expected, ...]
 
-    def peak(self, caution: float) -> float:
-        """Return the tokens in use at the peak, `caution` deviations above the mean.
+    @property
+    def used_now(self) -> float:
+        """Return the tokens in use at the first instant."""
+        return self.instants[0].mean
 
-        No more than all answers take together: where nearly all still run, some
-        deviations above the mean lie beyond that.
-        """
-        parts = zip(self.means, self.variances, self.most, strict=True)
-        return max(
-            min(most, mean + caution * math.sqrt(variance))
-            for mean, variance, most in parts
-        )
+    def peak(self, caution: float) -> float:
+        """Return the tokens in use at the peak, `caution` deviations above the mean."""
+        return max(expected.with_caution(caution) for expected in self.instants)
 
     def peak_with(
         self, other: MemoryProfile, caution: float, limit: float
@@ -76,20 +88,16 @@
         burst nearly all engines are full.
         """
         peak = 0.0
-        for mean, more, variance, further, most, own in zip(
-            self.means,
-            other.means,
-            self.variances,
-            other.variances,
-            self.most,
-            other.most,
-            strict=True,
-        ):
-            tokens = mean + more + caution * math.sqrt(variance + further)
-            tokens = min(tokens, most + own)
+        for here, further in zip(self.instants, other.instants, strict=True):
+            mean, variance, most = here
+            more, added_variance, own = further
+            tokens = mean + more + caution * math.sqrt(variance + added_variance)
+            if tokens > most + own:
+                tokens = most + own
             if tokens > limit:
                 return None
-            peak = max(peak, tokens)
+            if tokens > peak:
+                peak = tokens
         return peak
 
 
@@ -105,13 +113,7 @@
     sums = _Sums.of(len(instants))
     for answer in answers:
         _add(answer, instants, sums)
-    return MemoryProfile(
-        len(answers),
-        longest,
-        tuple(sums.means),
-        tuple(sums.variances),
-        tuple(sums.most),
-    )
+    return MemoryProfile(len(answers), longest, sums.expected())
 
 
 def forecast_peak(answers: Sequence[GrowingAnswer], caution: float = 0.0) -> float:
@@ -152,8 +154,14 @@
 
     @classmethod
     def of(cls, instants: int) -> _Sums:
+        """Return the sums of no answers."""
         return cls([0.0] * instants, [0.0] * instants, [0.0] * instants)
 
+    def expected(self) -> tuple[Expected, ...]:
+        """Return what is expected at each instant."""
+        parts = zip(self.means, self.variances, self.most, strict=True)
+        return tuple(Expected(*part) for part in parts)
+
 
 def _add(answer: GrowingAnswer, instants: range, sums: _Sums) -> None:
     """Add an answer's tokens at instants, in events ahead."""
--- a/src/jujubeslip/control/_order_log.py
+++ b/src/jujubeslip/control/_order_log.py
@@ -35,8 +35,13 @@
     kept_readers: int | None
     """Readers that are to stay, None before that is known."""
     useful_readers: int | None
+    """The most for whose prompts answers find memory."""
+    readers_at_least: int
+    """Those that stay whatever they do now."""
     busiest_readers: float | None
-    least_readers: float
+    """Readers' whole time that prompts took at the busiest moment."""
+    steadily_busy_readers: float
+    """The same at the least busy moment of the last seconds."""
     reading_share: float | None
     """Share of engines that reads while the others answer, None while unknown."""
     lacks_memory: bool
@@ -75,8 +80,9 @@
             "changing": inputs.changing,
             "kept_readers": inputs.kept_readers,
             "useful_readers": inputs.useful_readers,
+            "readers_at_least": inputs.readers_at_least,
             "busiest_readers": inputs.busiest_readers,
-            "least_readers": inputs.least_readers,
+            "steadily_busy_readers": inputs.steadily_busy_readers,
             "reading_share": inputs.reading_share,
             "lacks_memory": inputs.lacks_memory,
             "waited": inputs.waited,
--- a/src/jujubeslip/control/_role_balance.py
+++ b/src/jujubeslip/control/_role_balance.py
@@ -56,8 +56,8 @@
     prefill: tuple[Endpoint, ...]
     decode: tuple[Endpoint, ...]
 
-    def that(self, test: Callable[[Endpoint], bool]) -> Engines:
-        """Return those of which this is true."""
+    def where(self, test: Callable[[Endpoint], bool]) -> Engines:
+        """Return the engines that pass the test."""
         return Engines(
             tuple(engine for engine in self.prefill if test(engine)),
             tuple(engine for engine in self.decode if test(engine)),
@@ -203,6 +203,33 @@
     return max(least, round(busiest * SPARE_TIMES))
 
 
+@dataclass(frozen=True)
+class ReaderBounds:
+    """How many readers are to stay, and why."""
+
+    kept: int | None
+    """None while nothing is known."""
+    useful: int | None
+    """The most for whose prompts answers find memory."""
+    least: int
+    """Those that stay whatever they do now."""
+    lacks_memory: bool
+
+
+def reader_bounds(
+    engines: Engines,
+    load: PromptLoad,
+    shares: EngineShares,
+    now: float,
+    lacks_memory: bool,
+) -> ReaderBounds:
+    """Return how many readers are to stay, by the load and what answers need."""
+    least = shares.least_readers(engines, load, now, lacks_memory)
+    useful = shares.useful_readers(engines, now, least)
+    needed = needed_readers(load, now, lacks_memory, least)
+    return ReaderBounds(readers_to_keep(needed, useful), useful, least, lacks_memory)
+
+
 def readers_to_keep(needed: int | None, useful: int | None) -> int | None:
     """Return how many readers stay, None while nothing is known.
 
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -21,12 +21,12 @@
     Engines,
     EngineShares,
     PromptLoad,
+    ReaderBounds,
     allowed_changes,
     answers_lack_memory,
     idle_readers,
     missing_readers,
-    needed_readers,
-    readers_to_keep,
+    reader_bounds,
     wanted_change,
 )
 from jujubeslip.control._watches import Watches
@@ -138,23 +138,32 @@
         load, now = self._load(service_name), steady_seconds()
         engines = self._engines(service_name)
         pressure = self._watches.pressure_of(service_name)
-        lacks_memory = answers_lack_memory(engines, pressure, short_for)
-        least = self._least_readers(service_name, engines, lacks_memory)
-        useful = self._shares(service_name).useful_readers(engines, now, least)
-        needed = needed_readers(load, now, lacks_memory, least)
+        bounds = self._reader_bounds(service_name, engines, pressure, short_for)
         return BalanceInputs(
             len(engines.prefill),
             len(engines.decode),
             self._orders.count(self._all_engines(service_name)),
-            readers_to_keep(needed, useful),
-            useful,
+            bounds.kept,
+            bounds.useful,
+            bounds.least,
             load.busiest(now),
             load.least(now),
             self._shares(service_name).reading_share(now),
-            lacks_memory,
+            bounds.lacks_memory,
             pressure.waited,
         )
 
+    def _reader_bounds(
+        self,
+        service_name: str,
+        engines: Engines,
+        pressure: ServicePressure,
+        short_for: float,
+    ) -> ReaderBounds:
+        lacks_memory = answers_lack_memory(engines, pressure, short_for)
+        load, shares = self._load(service_name), self._shares(service_name)
+        return reader_bounds(engines, load, shares, steady_seconds(), lacks_memory)
+
     def _leads(self) -> bool:
         with self._replica.lock:
             return self._replica.fence() is not None
@@ -184,25 +193,21 @@
         """
         if self._changes_to(service_name, EndpointRole.PREFILL):
             return 0
-        load, now = self._load(service_name), steady_seconds()
-        engines = self._engines(service_name).that(self._reports_now)
-        lacks_memory = answers_lack_memory(engines, pressure, short_for)
-        least = self._least_readers(service_name, engines, lacks_memory)
-        useful = self._shares(service_name).useful_readers(engines, now, least)
-        needed = needed_readers(load, now, lacks_memory, least)
-        kept = readers_to_keep(needed, useful)
-        if kept is None:
+        engines = self._engines(service_name).where(self._reports_now)
+        bounds = self._reader_bounds(service_name, engines, pressure, short_for)
+        if bounds.kept is None:
             return 0
         ordered = 0
+        busiest = self._load(service_name).busiest(steady_seconds())
         allowed = self._allowed_changes(service_name, engines)
-        for reader in idle_readers(engines, kept)[:allowed]:
+        for reader in idle_readers(engines, bounds.kept)[:allowed]:
             extra = {
                 "endpoint_id": reader.endpoint_id,
-                "kept_readers": kept,
-                "busiest_readers": load.busiest(now),
-                "useful_readers": useful,
-                "least_readers": least,
-                "lacks_memory": lacks_memory,
+                "kept_readers": bounds.kept,
+                "busiest_readers": busiest,
+                "useful_readers": bounds.useful,
+                "readers_at_least": bounds.least,
+                "lacks_memory": bounds.lacks_memory,
             }
             logger.info("reader would be idle in a burst", extra=extra)
             ordered += self._order(reader, EndpointRole.DECODE, fence, pressure)
@@ -279,13 +284,6 @@
     def _load(self, service_name: str) -> PromptLoad:
         return self._load_by_service.setdefault(service_name, PromptLoad())
 
-    def _least_readers(
-        self, service_name: str, engines: Engines, lacks_memory: bool
-    ) -> int:
-        load, now = self._load(service_name), steady_seconds()
-        shares = self._shares(service_name)
-        return shares.least_readers(engines, load, now, lacks_memory)
-
     def _useful_readers(self, service_name: str, engines: Engines) -> int | None:
         return self._shares(service_name).useful_readers(engines, steady_seconds())
 
--- a/tests/control/test_order_log.py
+++ b/tests/control/test_order_log.py
@@ -8,7 +8,7 @@
 
 from jujubeslip.control._order_log import BalanceInputs, NoOrderLog, NoOrderReason
 
-INPUTS = BalanceInputs(2, 1, 0, 2, 2, 0.5, 0.1, 0.2, True, 5)
+INPUTS = BalanceInputs(2, 1, 0, 2, 2, 2, 0.5, 0.1, 0.2, True, 5)
 
 
 class TestNoOrderLog:
