--- a/bench/replay/_patterns.py
+++ b/bench/replay/_patterns.py
@@ -31,9 +31,28 @@
     """Of prompts and of answers."""
 
 
-SHORT_ANSWERS = Workload(34_009, 13, 160, 33_333.0, 7.95, 9_000, 3.95, 5_400, 11_000)
+SHORT_ANSWERS = Workload(
+    capacity_tokens=34_009,
+    event_tokens=13,
+    maximum_events=160,
+    read_tokens_a_second=33_333.0,
+    log_prompt_tokens=7.95,
+    largest_prompt=9_000,
+    log_events=3.95,
+    large_prompt=5_400,
+    usual_tokens=11_000,
+)
 LONG_ANSWERS = Workload(
-    103_755, 65, 130, 55_555.0, 8.39, 11_000, 4.12, 8_400, 50_500, 400, (0.5, 0.5)
+    capacity_tokens=103_755,
+    event_tokens=65,
+    maximum_events=130,
+    read_tokens_a_second=55_555.0,
+    log_prompt_tokens=8.39,
+    largest_prompt=11_000,
+    log_events=4.12,
+    large_prompt=8_400,
+    usual_tokens=50_500,
+    log_deviations=(0.5, 0.5),
 )
 
 
