Choose spare readers where one role does nothing, too

What callers would have seen: no orders to engines any more from a leader that saw prompts read and nothing answered for four seconds, or prompts of no tokens.

Change: engines that answer nothing serve what readers read; without a share the spare reader stays.

Three tests failed before with ZeroDivisionError. Nothing else is changed.

--- a/src/jujubeslip/control/_role_balance.py
+++ b/src/jujubeslip/control/_role_balance.py
@@ -147,7 +147,7 @@
     ) -> int:
         """Return how many readers stay, whatever they do now."""
         share, busiest = self.reading_share(now), load.busiest(now)
-        if share is None or busiest is None:
+        if not share or busiest is None:
             return LEAST_READERS
         balance = EngineBalance(engines.count, share)
         return least_readers(balance, busiest * SPARE_TIMES, lacks_memory)
--- a/src/jujubeslip/control/_spare_readers.py
+++ b/src/jujubeslip/control/_spare_readers.py
@@ -27,7 +27,7 @@
 
     engines: int
     reading_share: float
-    """Share of engines that reads while the others answer."""
+    """Share of engines that reads while the others answer, above 0."""
 
     def served(self, readers: int) -> float:
         """Return the load that is served, in readers' whole time.
@@ -37,6 +37,8 @@
         """
         answering = (1 - self.reading_share) / self.reading_share
         shared_load = (self.engines + readers) / (answering + OWN_READING_COST)
+        if not answering:
+            return max(readers, shared_load)
         answered = max(0, self.engines - readers) / answering
         return min(answered, max(readers, shared_load))
 
--- a/tests/control/test_spare_readers.py
+++ b/tests/control/test_spare_readers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from jujubeslip.admission import EngineNeed, EngineUse
 from jujubeslip.control._role_balance import (
     WATCHED_SECONDS,
     EngineShares,
@@ -66,6 +67,24 @@
         assert least == LEAST_READERS
 
 
+class TestSharesWithoutOneRole:
+    """Guards against a division by zero, which would end the orders of a leader."""
+
+    def test_engines_that_answer_nothing_serve_what_readers_read(self) -> None:
+        assert EngineBalance(3, 1.0).served(2) == 2
+        assert least_readers(EngineBalance(3, 1.0), 1.0, True) == LEAST_READERS
+
+    @pytest.mark.parametrize("use", [EngineUse(0.5, 0.0), EngineUse(0.0, 0.5)])
+    def test_are_no_reason_to_give_up_the_spare_reader(self, use: EngineUse) -> None:
+        need = EngineNeed(reading_seconds=0.0, answering_seconds=0.4)
+        shares, load, now = EngineShares(), PromptLoad(), 0.0
+        while now <= 2 * WATCHED_SECONDS:
+            shares.note(now, EngineUse(use.reading, use.answering, need))
+            load.note(now, 0.5)
+            now += 0.5
+        assert shares.least_readers(engines(2, 1), load, now, True) == LEAST_READERS
+
+
 class TestThreeEnginesOfWhichTwoRead:
     """Guards against a second idle reader beside the only engine that answers."""
 
