--- a/tests/platform/test_known_leader.py
+++ b/tests/platform/test_known_leader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import signal
 import time
 from pathlib import Path
@@ -21,11 +22,14 @@
 
 def leader_of(system: PlatformSystem) -> int:
     """Return the control host that began to lead last, by its own lines."""
-    terms = []
-    for number, host in enumerate(system.controls):
-        lines = [line for line in host.output().splitlines() if '"leading"' in line]
-        terms.append((len(lines) and int(lines[-1].split('"term": ')[1][:-1]), number))
-    return max(terms)[1]
+    terms = [_latest_term(host.output()) for host in system.controls]
+    return terms.index(max(terms))
+
+
+def _latest_term(output: str) -> int:
+    """Return the last term in which a control host led, 0 if it never did."""
+    lines = [json.loads(line) for line in output.splitlines() if '"leading"' in line]
+    return max((line["term"] for line in lines), default=0)
 
 
 class TestLeaderThatIsSuspended:
