Replay leaders that are lost: tests that fail now

The replay played a change of leader as a span whose keeper had led for ever afterwards.

A span in `leaders_lost` ends with a new RoleKeeper: it leads from then on, has seen no load and given no orders, and waits as long as on the platform (`order_lease_ms` and the takeover). Engines that change say in their reports that they are busy.

--- a/bench/replay/_patterns.py
+++ b/bench/replay/_patterns.py
@@ -75,6 +75,8 @@
     reading: int = 0
     is_announced: bool = False
     """Whether they say that they leave, and end the answers that they make."""
+    spares_changing: bool = False
+    """Whether it takes none that carries out an order."""
 
 
 @dataclass(frozen=True)
@@ -101,6 +103,8 @@
     """Whether the leader orders engines to another role."""
     without_leader: tuple[Span, ...] = ()
     """While nobody may order engines; grants go on."""
+    leaders_lost: tuple[Span, ...] = ()
+    """The same, and another host leads from the end of each on."""
 
 
 BURSTS = tuple(Burst(at, at + 5, 2.3) for at in (5.0, 15.0, 25.0))
@@ -210,3 +214,63 @@
     losses.append(Loss(at, seconds, int(not reads), int(reads)))
     name = f"few engines, drawn by {seed}"
     return replace(FEW_ENGINES, name=name, losses=tuple(losses))
+
+
+LOST_LEADERS_PATTERNS = (
+    replace(
+        FEW_ENGINES,
+        name="one that answers leaves before and one after a leader is lost",
+        losses=(_leaves(8.2, answering=1), _leaves(13.0, answering=1)),
+        leaders_lost=(Span(8.3, 12.0),),
+    ),
+    replace(
+        FEW_ENGINES,
+        name="both readers leave before and one engine crashes after a leader is lost",
+        losses=(
+            _leaves(8.2, reading=1),
+            _leaves(8.3, reading=1),
+            Loss(13.0, 5.0, answering=1),
+        ),
+        leaders_lost=(Span(8.4, 12.0),),
+    ),
+    replace(
+        FEW_ENGINES,
+        name="a leader is lost while its order is carried out",
+        losses=(
+            _leaves(8.0, reading=1),
+            _leaves(8.1, reading=1),
+            Loss(11.5, 4.0, answering=1),
+        ),
+        leaders_lost=(Span(9.0, 11.0),),
+    ),
+    replace(
+        FEW_ENGINES,
+        name="both readers leave while two engines change to answer",
+        answering=2,
+        reading=4,
+        losses=(replace(_leaves(4.0, reading=2), spares_changing=True),),
+    ),
+)
+
+
+def drawn_pattern_with_lost_leader(seed: int) -> Pattern:
+    """Return five engines of which one leaves before and one after a leader is lost.
+
+    A third one crashes at any moment, and is back seconds later.
+    """
+    draw = random.Random(f"lost leader {seed}")
+    begins = draw.uniform(5.0, 25.0)
+    ends = begins + draw.uniform(1.0, 6.0)
+    losses = []
+    for at in (begins - draw.uniform(0.0, 2.0), ends + draw.uniform(0.0, 5.0)):
+        reads = draw.random() < 0.4
+        losses.append(_leaves(at, answering=int(not reads), reading=int(reads)))
+    reads = draw.random() < 0.4
+    at, seconds = draw.uniform(3.0, 35.0), draw.uniform(2.0, 5.0)
+    losses.append(Loss(at, seconds, int(not reads), int(reads)))
+    return replace(
+        FEW_ENGINES,
+        name=f"few engines and a lost leader, drawn by {seed}",
+        losses=tuple(losses),
+        leaders_lost=(Span(begins, ends),),
+    )
--- a/bench/replay/_play.py
+++ b/bench/replay/_play.py
@@ -7,7 +7,7 @@
 import math
 import random
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from functools import partial
 
 from bench.replay._clock import VirtualClock
@@ -65,6 +65,8 @@
     large_owed: float = 0.0
     """Of the tenth with the largest prompts."""
     large_earned: float = 0.0
+    orders: list[tuple[float, EndpointRole]] = field(default_factory=list)
+    """When engines were ordered to a role, in seconds from the start."""
 
     @property
     def worth(self) -> float:
@@ -162,6 +164,7 @@
 
     def run(self) -> Outcome:
         """Play it to the end of its last answer."""
+        pattern = self._pattern
         random.seed(self._draw.random())
         with self._clock as clock:
             self._begun_at = clock.now
@@ -169,14 +172,16 @@
             self._pool = EnginePool("model", memory, waiting)
             self._announce()
             self._draw_requests()
-            for loss in self._pattern.losses:
+            for loss in pattern.losses:
                 self._at(self._begun_at + loss.at, partial(self._lose, loss))
             self._report()
             self._look()
-            if self._pattern.changes_roles:
-                self._roles = ReplayedRoles(self._pool, self._order)
+            if pattern.changes_roles:
+                self._roles = ReplayedRoles(self._pool, self._order, self._changing_to)
+                for span in pattern.leaders_lost:
+                    self._at(self._begun_at + span.ends, self._roles.take_over)
                 self._look_at_roles()
-            end = self._begun_at + self._pattern.seconds + 15
+            end = self._begun_at + pattern.seconds + 15
             while clock.now < end:
                 clock.now += STEP_SECONDS
                 while self._events and self._events[0][0] <= clock.now:
@@ -244,7 +249,12 @@
         """Take away the first engines that are there, whatever their names."""
         now = self._clock.now
         until = now + loss.seconds
-        answering = [item for item in self._answering.values() if item.lost_until < now]
+        spared = self._changing_to if loss.spares_changing else {}
+        answering = [
+            item
+            for name, item in self._answering.items()
+            if item.lost_until < now and name not in spared
+        ]
         for engine in answering[: loss.answering]:
             if loss.is_announced:
                 engine.leaves_at = now + LEAVING_ENGINE_SECONDS
@@ -252,7 +262,11 @@
             else:
                 self._end_engine(engine, until)
                 self._crash(engine, until)
-        reading = [item for item in self._reading.values() if item.lost_until < now]
+        reading = [
+            item
+            for name, item in self._reading.items()
+            if item.lost_until < now and name not in spared
+        ]
         for reader in reading[: loss.reading]:
             reader.lost_until = until
             if not loss.is_announced:
@@ -277,7 +291,7 @@
 
     def _look_at_roles(self) -> None:
         now = self._clock.now - self._begun_at
-        spans = self._pattern.without_leader
+        spans = (*self._pattern.without_leader, *self._pattern.leaders_lost)
         if self._roles is not None:
             may_order = not any(span.begins <= now < span.ends for span in spans)
             self._roles.look(list(self._engines()), may_order)
@@ -287,6 +301,7 @@
     def _order(self, name: str, role: EndpointRole) -> None:
         """Let an engine end what it is at, and change to the role."""
         self._changing_to[name] = role
+        self.outcome.orders.append((self._clock.now - self._begun_at, role))
         self._change_when_idle(name)
 
     def _change_when_idle(self, name: str) -> None:
--- a/bench/replay/_roles.py
+++ b/bench/replay/_roles.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from contextlib import nullcontext
 from types import SimpleNamespace
 from typing import Any
@@ -17,7 +17,7 @@
 from jujubeslip.discovery import Endpoint
 from jujubeslip.forwarding._pressure import Pressures
 from jujubeslip.interfaces import EndpointQuestion, RoleOrder
-from jujubeslip.kernel import Deadline
+from jujubeslip.kernel import ControlSettings, Deadline, steady_seconds
 from jujubeslip.peers import EndpointRole, ServicePressure
 from jujubeslip.routes import EngineReport
 
@@ -28,38 +28,52 @@
 
 
 class ReplayedRoles:
-    """Gives orders as a leader does that has led for long."""
+    """Gives orders as a leader does that has led for long, and as those after it."""
 
     def __init__(
-        self, pool: EnginePool, on_order: Callable[[str, EndpointRole], None]
+        self,
+        pool: EnginePool,
+        on_order: Callable[[str, EndpointRole], None],
+        changing: Collection[str],
     ) -> None:
         self.orders = 0
+        self._pool = pool
         self._on_order = on_order
+        self._changing = changing
         self._pressures = Pressures()
         self._engines: Sequence[Endpoint] = ()
         self._may_order = True
+        self._asked = ""
         self._ordered: RoleOrder | None = None
+        self._keeper = self._new_keeper(float("-inf"))
+
+    def take_over(self) -> None:
+        """Let another host lead from now on, which has seen and ordered nothing."""
+        self._keeper = self._new_keeper(steady_seconds())
+
+    def _new_keeper(self, started_at: float) -> _Keeper:
+        pool = self._pool
         replica: Any = SimpleNamespace(
             settings=SimpleNamespace(host_id="control-1"),
             lock=nullcontext(),
             fence=self._fence,
-            leadership=SimpleNamespace(started_at=float("-inf")),
+            leadership=SimpleNamespace(started_at=started_at),
         )
         book: Any = SimpleNamespace(
             engines=self._with_role, engine_services=lambda: {SERVICE_NAME}
         )
         watches: Any = SimpleNamespace(pressure_of=self._pressure)
         interface: Any = SimpleNamespace(
-            ask_report=lambda _: None,
+            ask_report=self._note_asked,
             read_report=self._read_report,
             order_role=self._note_order,
         )
-        self._keeper = _Keeper(
+        keeper = _Keeper(
             replica,
             book,
             watches,
             interface,
-            0.0,
+            ControlSettings.order_lease_ms / 1000,
             lambda: {SERVICE_NAME},
             GivenOrders(),
             lambda _: pool.busy_readers,
@@ -69,7 +83,8 @@
                 engine.start_id, REPORTS_NOW_SECONDS
             ),
         )
-        self._keeper.answer = self._answer
+        keeper.answer = self._answer
+        return keeper
 
     def look(self, engines: Sequence[Endpoint], may_order: bool) -> None:
         """Order engines to change, if that is allowed now."""
@@ -94,8 +109,11 @@
         told = self._pressures.told()
         return told[0] if told else ServicePressure(SERVICE_NAME, 0, 0)
 
+    def _note_asked(self, name: str) -> None:
+        self._asked = name
+
     def _read_report(self, _: bytes) -> Result[EngineReport, str]:
-        return Success(EngineReport(1, 0, 0, ()))
+        return Success(EngineReport(1, 0, 0, (), busy=self._asked in self._changing))
 
     def _note_order(self, order: RoleOrder) -> RoleOrder:
         self._ordered = order
