Orders behind one that is under way: unit tests that fail now

Engines that still show their earlier role come first among those of the ordered one, so that `decode[0]` is one that can't be ordered, and `_order` returns False for it at each look. `_order_missing_readers` slices the same list.

All three fail on with `assert 0 == 1` orders.

--- a/tests/control/test_roles.py
+++ b/tests/control/test_roles.py
@@ -15,12 +15,12 @@
 from jujubeslip.admission import EngineUse
 from jujubeslip.control._given_orders import GivenOrders
 from jujubeslip.control._leadership import Fence
-from jujubeslip.control._role_balance import WATCHED_SECONDS
+from jujubeslip.control._role_balance import SHORT_SECONDS, WATCHED_SECONDS
 from jujubeslip.control._roles import Engines, RoleKeeper, wanted_change
 from jujubeslip.discovery import Endpoint, EndpointBook
 from jujubeslip.endpoints import EndpointOnHoldError
 from jujubeslip.interfaces import EndpointQuestion, RoleOrder
-from jujubeslip.kernel import Deadline
+from jujubeslip.kernel import Deadline, steady_seconds
 from jujubeslip.notices import EndpointNotices
 from jujubeslip.peers import EndpointRole, ServicePressure
 from jujubeslip.platform._endpoint_answers import read_report
@@ -425,3 +425,58 @@
         monkeypatch.undo()
         with pytest.raises(EndpointOnHoldError):
             keeper._ask(refusing, ask_report("refusing"))
+
+
+class TestChosenEngineThatStillChanges:
+    """Guards against an earlier order that keeps another engine from being ordered."""
+
+    def keeper(
+        self, monkeypatch: pytest.MonkeyPatch, group: Engines
+    ) -> tuple[RoleKeeper, Asked]:
+        """Return a keeper whose first engine that reads is ordered to answer."""
+        book = EndpointBook()
+        book.take([*group.prefill, *group.decode])
+        keeper, asked = role_keeper(monkeypatch, book, {"model"})
+        monkeypatch.setattr(keeper, "_fence", lambda: Fence(1, Deadline.after(10)))
+        keeper._orders.note(group.prefill[0], EndpointRole.DECODE)
+        return keeper, asked
+
+    def test_another_one_replaces_the_last_reader(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        keeper, asked = self.keeper(monkeypatch, engines(1, 2))
+        for _ in range(2):
+            keeper.look()
+        assert asked.orders == 1
+
+    def test_another_one_is_the_further_reader_that_prompts_need(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        keeper, asked = self.keeper(monkeypatch, engines(3, 12))
+        load = SimpleNamespace(
+            note=lambda *_: None, busiest=lambda _: None, least=lambda _: 2.0
+        )
+        monkeypatch.setattr(keeper, "_load", lambda _: load)
+        for _ in range(2):
+            keeper.look()
+        assert asked.orders == 1
+
+
+class TestShortageThatBeganBeforeTheHostMayOrder:
+    """Guards against a shortage that counts only from the end of a takeover."""
+
+    def test_is_answered_at_the_first_look_that_may_order(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        group = engines(2, 2)
+        book = EndpointBook()
+        book.take([*group.prefill, *group.decode])
+        keeper, asked = role_keeper(monkeypatch, book, {"model"})
+        now = steady_seconds()
+        monkeypatch.setattr("jujubeslip.control._roles.steady_seconds", lambda: now)
+        monkeypatch.setattr(keeper, "_fence", lambda: None)
+        keeper.look()
+        now += 2 * SHORT_SECONDS
+        monkeypatch.setattr(keeper, "_fence", lambda: Fence(1, Deadline.after(10)))
+        keeper.look()
+        assert asked.orders == 1
