--- /dev/null
+++ b/tests/forwarding/test_orders_of_the_next_leader.py
@@ -0,0 +1,129 @@
+"""Orders to engines after the leader was killed, with processes."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from datetime import datetime
+from typing import Any
+
+import pytest
+
+from jujubeslip.control._role_balance import WATCHED_SECONDS
+from tests.fakes.platform_system import (
+    PROMPT,
+    PlatformSystem,
+    Reply,
+    configuration,
+    route,
+)
+from tests.fakes.platform_worker import PlatformWorker
+from tests.fakes.processes import wait_until
+from tests.fakes.steady_load import offer
+from tests.forwarding.test_few_engines import (
+    CLIENTS,
+    EVENTS,
+    LONG_PROMPT,
+    PAUSE_SECONDS,
+    READ_SECONDS,
+    SERVICE,
+)
+
+CONTROLS = 3
+# An order takes a look, a question to the engine and the order itself.
+ORDER_SECONDS = 2.0
+LOAD_SECONDS = 20.0
+
+
+@pytest.fixture
+def system(tmp_path_factory: pytest.TempPathFactory) -> Iterator[PlatformSystem]:
+    shape = {"kind": "stream", "timeoutMs": 8000, "sloMs": 900, "gapSloMs": 300}
+    routes = [route("stream", "/stream/", "model", **shape, maxAttempts=1)]
+    folder = tmp_path_factory.mktemp("orders")
+    with PlatformSystem(folder, controls=CONTROLS) as running:
+        running.put_until_accepted(configuration(1, routes, [SERVICE]))
+        yield running
+
+
+def ask(system: PlatformSystem) -> Reply:
+    return system.ask("/stream/x", "POST", b"prompt", LONG_PROMPT, deadline_ms=8000)
+
+
+def last_lead(system: PlatformSystem) -> dict[str, Any]:
+    """Return the line with which the leader of the latest term began to lead."""
+    return max(system.logged("leading"), key=lambda line: int(line["term"]))
+
+
+def leader_of(system: PlatformSystem) -> int:
+    """Return the control host that leads in the latest term."""
+    line = json.dumps(last_lead(system)["time"])
+    written = [line in host.output() for host in system.controls]
+    return written.index(True)
+
+
+def seconds_between(earlier: dict[str, Any], later: dict[str, Any]) -> float:
+    """Return the seconds between two lines."""
+    moments = [datetime.fromisoformat(line["time"]) for line in (earlier, later)]
+    return (moments[1] - moments[0]).total_seconds()
+
+
+class TestLastReaderThatLeavesBesideTheLeader:
+    """Guards against engines that all answer until a new leader may order them."""
+
+    def test_is_replaced_as_soon_as_a_host_leads(self, system: PlatformSystem) -> None:
+        reader = PlatformWorker("reader", "model", "prefill")
+        workers = [PlatformWorker(f"engine-{n}", "model", "decode") for n in range(3)]
+        for worker in (reader, *workers):
+            system.add(worker)
+        system.wait_served("/stream/x", method="POST", headers=PROMPT)
+        killed = leader_of(system)
+        before = last_lead(system)["term"]
+        system.controls[killed].kill()
+        system.withdraw(reader)
+        others = [number for number in range(CONTROLS) if number != killed]
+        for number in others:
+            system.leave(reader, control=number)
+        wait_until(lambda: last_lead(system)["term"] > before, "another host leads")
+        wait_until(lambda: system.logged("engine ordered"), "an engine is ordered")
+        ordered = system.logged("engine ordered")
+        assert [line["role"] for line in ordered] == ["PREFILL"]
+        assert seconds_between(last_lead(system), ordered[0]) <= ORDER_SECONDS
+
+
+class TestEngineThatLeavesBesideTheLeader:
+    """Guards against two idle readers beside the only engine that answers."""
+
+    def test_reader_takes_its_place_as_soon_as_a_host_leads(
+        self, system: PlatformSystem
+    ) -> None:
+        readers = [
+            PlatformWorker(f"reader-{n}", "model", "prefill", read_seconds=READ_SECONDS)
+            for n in (1, 2)
+        ]
+        answering = [
+            PlatformWorker(f"engine-{n}", "model", "decode", events=EVENTS)
+            for n in (1, 2)
+        ]
+        for worker in (*readers, *answering):
+            system.add(worker)
+        system.wait_served("/stream/x", method="POST", headers=LONG_PROMPT)
+        with ThreadPoolExecutor(1) as pool:
+            replies = pool.submit(
+                offer, lambda _: ask(system), LOAD_SECONDS, [0] * CLIENTS, PAUSE_SECONDS
+            )
+            time.sleep(WATCHED_SECONDS + ORDER_SECONDS)
+            assert not system.logged("engine ordered")
+            killed = leader_of(system)
+            before = last_lead(system)["term"]
+            system.controls[killed].kill()
+            system.withdraw(answering[1])
+            for number in range(CONTROLS):
+                if number != killed:
+                    system.leave(answering[1], control=number)
+            wait_until(lambda: last_lead(system)["term"] > before, "another host leads")
+            assert replies.result()
+        ordered = system.logged("engine ordered")
+        assert [line["role"] for line in ordered] == ["DECODE"]
+        assert seconds_between(last_lead(system), ordered[0]) <= ORDER_SECONDS
