--- a/bench/replay/_roles.py
+++ b/bench/replay/_roles.py
@@ -11,6 +11,8 @@
 
 from jujubeslip.admission._home import REPORTS_NOW_SECONDS
 from jujubeslip.admission._pool import EnginePool
+from jujubeslip.control._engine_log import EngineLog
+from jujubeslip.control._engine_table import EngineTable
 from jujubeslip.control._given_orders import GivenOrders
 from jujubeslip.control._leadership import Fence
 from jujubeslip.control._roles import RoleKeeper
@@ -18,7 +20,7 @@
 from jujubeslip.forwarding._pressure import Pressures
 from jujubeslip.interfaces import EndpointQuestion, RoleOrder
 from jujubeslip.kernel import ControlSettings, Deadline, steady_seconds
-from jujubeslip.peers import EndpointRole, ServicePressure
+from jujubeslip.peers import EndpointRole, EngineLoads, EngineOrder, ServicePressure
 from jujubeslip.routes import EngineReport
 
 SERVICE_NAME = "model"
@@ -45,19 +47,31 @@
         self._may_order = True
         self._asked = ""
         self._ordered: RoleOrder | None = None
-        self._keeper = self._new_keeper(float("-inf"))
+        self._engine_table = EngineTable()
+        self._term = 1
+        self._keeper = self._new_keeper()
 
     def take_over(self) -> None:
-        """Let another host lead from now on, which has seen and ordered nothing."""
-        self._keeper = self._new_keeper(steady_seconds())
+        """Let another host lead from now on, which knows the log alone."""
+        self._term += 1
+        self._keeper = self._new_keeper()
 
-    def _new_keeper(self, started_at: float) -> _Keeper:
+    def _commit(self, command: EngineOrder | EngineLoads) -> None:
+        if isinstance(command, EngineOrder):
+            self._engine_table.note_order(command, _stamp_ms())
+        else:
+            self._engine_table.note_loads(command)
+
+    def _new_keeper(self) -> _Keeper:
         pool = self._pool
         replica: Any = SimpleNamespace(
             settings=SimpleNamespace(host_id="control-1"),
             lock=nullcontext(),
             fence=self._fence,
-            leadership=SimpleNamespace(started_at=started_at),
+            require_leader=lambda: SimpleNamespace(stamp_ms=_stamp_ms),
+            machine=SimpleNamespace(engines=self._engine_table),
+            propose=lambda command, _: self._commit(command),
+            submit=self._commit,
         )
         book: Any = SimpleNamespace(
             engines=self._with_role, engine_services=lambda: {SERVICE_NAME}
@@ -70,6 +84,7 @@
         )
         keeper = _Keeper(
             replica,
+            EngineLog(replica),
             book,
             watches,
             interface,
@@ -100,7 +115,9 @@
         self._pressures.note_prompt(SERVICE_NAME, seconds)
 
     def _fence(self) -> Fence | None:
-        return Fence(1, Deadline.after(LEASE_SECONDS)) if self._may_order else None
+        if not self._may_order:
+            return None
+        return Fence(self._term, Deadline.after(LEASE_SECONDS))
 
     def _with_role(self, _: str, role: EndpointRole) -> list[Endpoint]:
         return [engine for engine in self._engines if engine.role is role]
@@ -128,6 +145,10 @@
         return ACCEPTED, b""
 
 
+def _stamp_ms() -> int:
+    return int(steady_seconds() * 1000)
+
+
 class _Keeper(RoleKeeper):
     """Gives its orders to the engines of the replay, without a connection."""
 
--- a/src/jujubeslip/control/_commands.py
+++ b/src/jujubeslip/control/_commands.py
@@ -10,6 +10,8 @@
 from jujubeslip.peers import (
     AbandonCommand,
     ApplyRequest,
+    EngineLoads,
+    EngineOrder,
     EntryKind,
     FinishCommand,
     KeyClaim,
@@ -32,6 +34,8 @@
     | AbandonCommand
     | Membership
     | VersionedCommand
+    | EngineOrder
+    | EngineLoads
 )
 
 _TYPE_BY_KIND: dict[EntryKind, type] = {
@@ -41,6 +45,8 @@
     EntryKind.MEMBERSHIP: Membership,
     EntryKind.ABANDON: AbandonCommand,
     EntryKind.VERSIONED_CONFIGURATION: VersionedCommand,
+    EntryKind.ENGINE_ORDER: EngineOrder,
+    EntryKind.ENGINE_LOADS: EngineLoads,
 }
 
 
@@ -85,6 +91,16 @@
     return EntryKind.VERSIONED_CONFIGURATION
 
 
+@kind_of.register(EngineOrder)
+def _(command: EngineOrder) -> EntryKind:
+    return EntryKind.ENGINE_ORDER
+
+
+@kind_of.register(EngineLoads)
+def _(command: EngineLoads) -> EntryKind:
+    return EntryKind.ENGINE_LOADS
+
+
 def make_entry(index: int, term: int, stamp_ms: int, command: Command) -> LogEntry:
     """Return the log entry that carries the command."""
     kind = kind_of(command)
--- /dev/null
+++ b/src/jujubeslip/control/_engine_log.py
@@ -0,0 +1,101 @@
+"""What a leader writes to the log of its engines, and finds there of earlier ones."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from jujubeslip.control._engine_table import ORDER_SECONDS
+from jujubeslip.control._replica import Replica
+from jujubeslip.kernel import Deadline
+from jujubeslip.peers import (
+    EndpointRole,
+    EngineLoad,
+    EngineLoads,
+    EngineOrder,
+    EngineOrderRecord,
+    NotLeader,
+    PeerRefusal,
+)
+
+logger = logging.getLogger(__name__)
+
+MILLISECONDS = 1000
+# How often the leader records the load of its services, in seconds: its successor has
+# seen none before its first requests.
+LOADS_SECONDS = 2.0
+
+
+@dataclass(frozen=True)
+class PendingOrder:
+    """An order of an earlier leader that may still be carried out."""
+
+    start_id: str
+    role: EndpointRole
+    until: Deadline
+
+
+class EngineLog:
+    """Reads and writes the log's part on engines, as leader."""
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+        self._next_loads_at = Deadline.after(0)
+
+    def record_order(self, start_id: str, role: EndpointRole, by: Deadline) -> bool:
+        """Commit an order; say whether it may be sent.
+
+        One that isn't confirmed by the deadline may be committed later, and counts as
+        given then.
+        """
+        try:
+            self._replica.propose(EngineOrder(start_id, role), by)
+        except (NotLeader, PeerRefusal) as error:
+            extra = {"start_id": start_id, "role": role.name, "error": repr(error)}
+            logger.info("order not recorded", extra=extra)
+            return False
+        return True
+
+    def record_loads(self, loads: Collection[EngineLoad]) -> None:
+        """Record the load of all services now and then; nobody waits for it."""
+        if not loads or not self._next_loads_at.expired:
+            return
+        self._next_loads_at = Deadline.after(LOADS_SECONDS)
+        try:
+            self._replica.submit(EngineLoads(list(loads)))
+        except NotLeader:
+            logger.info("load not recorded", extra={"services": len(loads)})
+
+    def pending_orders(self) -> list[PendingOrder]:
+        """Return the orders of earlier leaders that may still be carried out.
+
+        Log time stands still while nobody leads: an order ends no sooner than it says.
+        Raises NotLeader on a host that doesn't lead any more.
+        """
+        with self._replica.lock:
+            now_ms = self._replica.require_leader().stamp_ms()
+            records = self._replica.machine.engines.orders_at(now_ms)
+        return [_pending(record, now_ms) for record in records]
+
+    def age_seconds(self) -> float:
+        """Return for how long the log has been led since it was founded, in seconds.
+
+        Raises NotLeader on a host that doesn't lead any more.
+        """
+        with self._replica.lock:
+            return self._replica.require_leader().stamp_ms() / MILLISECONDS
+
+    def load_of(self, service_name: str) -> EngineLoad | None:
+        """Return the load of a service that was recorded last, None without one."""
+        with self._replica.lock:
+            return self._replica.machine.engines.load_of(service_name)
+
+
+def _pending(record: EngineOrderRecord, now_ms: int) -> PendingOrder:
+    passed_seconds = (now_ms - record.stamp_ms) / MILLISECONDS
+    return PendingOrder(
+        record.order.start_id,
+        EndpointRole(record.order.role),
+        Deadline.after(ORDER_SECONDS - passed_seconds),
+    )
--- /dev/null
+++ b/src/jujubeslip/control/_engine_table.py
@@ -0,0 +1,65 @@
+"""What the log carries of engines: orders to change role, and the load they bear."""
+
+from __future__ import annotations
+
+from jujubeslip.peers import (
+    EngineLoad,
+    EngineLoads,
+    EngineOrder,
+    EngineOrderRecord,
+    SnapshotPart,
+)
+
+# How long an order may take to be carried out, in seconds: one without an answer may
+# still be, up to twelve seconds later.
+ORDER_SECONDS = 13.0
+ORDER_MS = int(ORDER_SECONDS * 1000)
+
+
+class EngineTable:
+    """The orders that may still be carried out, and the newest load of each service.
+
+    A leader commits an order before it sends it: whoever leads next has it in its log,
+    and each engine without one may be ordered at once.
+    """
+
+    def __init__(self) -> None:
+        self._record_by_start: dict[str, EngineOrderRecord] = {}
+        self._load_by_service: dict[str, EngineLoad] = {}
+
+    def note_order(self, order: EngineOrder, stamp_ms: int) -> None:
+        """Note an order at this log time, and forget those that are over."""
+        for record in self.orders_at(stamp_ms, are_over=True):
+            del self._record_by_start[record.order.start_id]
+        self._record_by_start[order.start_id] = EngineOrderRecord(order, stamp_ms)
+
+    def orders_at(
+        self, stamp_ms: int, *, are_over: bool = False
+    ) -> list[EngineOrderRecord]:
+        """Return the orders that may be carried out at this log time, or no more."""
+        return [
+            record
+            for record in self._record_by_start.values()
+            if (record.stamp_ms + ORDER_MS <= stamp_ms) is are_over
+        ]
+
+    def note_loads(self, told: EngineLoads) -> None:
+        """Note the loads of all services, in place of those before."""
+        self._load_by_service = {load.service_name: load for load in told.loads}
+
+    def load_of(self, service_name: str) -> EngineLoad | None:
+        """Return the load of a service that was noted last, None without one."""
+        return self._load_by_service.get(service_name)
+
+    def part(self) -> SnapshotPart:
+        """Return all of it as a part of a snapshot."""
+        orders = list(self._record_by_start.values())
+        loads = list(self._load_by_service.values())
+        return SnapshotPart([], [], [], False, orders, loads)
+
+    def load_part(self, part: SnapshotPart) -> None:
+        """Take over what a part of a snapshot holds; an older version wrote none."""
+        for record in part.orders or ():
+            self._record_by_start[record.order.start_id] = record
+        for load in part.loads or ():
+            self._load_by_service[load.service_name] = load
--- a/src/jujubeslip/control/_given_orders.py
+++ b/src/jujubeslip/control/_given_orders.py
@@ -6,19 +6,19 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from jujubeslip.control._engine_log import PendingOrder
+from jujubeslip.control._engine_table import ORDER_SECONDS
 from jujubeslip.discovery import Endpoint
 from jujubeslip.kernel import Deadline
 from jujubeslip.peers import EndpointRole
 
-# How long an order may take to be carried out, in seconds: one without an answer may
-# still be, up to twelve seconds later.
-ORDER_SECONDS = 13.0
-
 
 @dataclass(frozen=True)
 class _Order:
     role: EndpointRole
     until: Deadline
+    settled_after: Deadline
+    """Counts until then, whatever role its engine announces."""
 
 
 class GivenOrders:
@@ -34,10 +34,22 @@
 
     def note(self, endpoint: Endpoint, role: EndpointRole) -> None:
         """Note an order that is about to be sent."""
-        order = _Order(role, Deadline.after(ORDER_SECONDS))
+        order = _Order(role, Deadline.after(ORDER_SECONDS), Deadline.after(0))
         with self._lock:
             self._order_by_start[endpoint.start_id] = order
 
+    def take_over(self, orders: Iterable[PendingOrder], excluded: Deadline) -> None:
+        """Note the orders of earlier leaders.
+
+        Until `excluded`, their engines get no order of this host: an engine must not
+        be ordered by two hosts within the lease of orders.
+        """
+        with self._lock:
+            for order in orders:
+                self._order_by_start[order.start_id] = _Order(
+                    order.role, order.until, excluded
+                )
+
     def drop(self, endpoint: Endpoint) -> None:
         """Note that the engine has refused its order."""
         with self._lock:
@@ -52,7 +64,9 @@
         with self._lock:
             for engine in engines:
                 order = self._order_by_start.get(engine.start_id)
-                if order is not None and order.role == engine.role:
+                if order is None or not order.settled_after.expired:
+                    continue
+                if order.role == engine.role:
                     del self._order_by_start[engine.start_id]
 
     def count(self, engines: Iterable[Endpoint]) -> int:
--- a/src/jujubeslip/control/_machine.py
+++ b/src/jujubeslip/control/_machine.py
@@ -4,16 +4,19 @@
 
 from collections.abc import Iterable, Iterator
 from functools import singledispatchmethod
-from itertools import islice
+from itertools import chain, islice
 from typing import Any, TypeAlias, TypeVar
 
 from jujubeslip.control._claims import ClaimsFull, ClaimTable
 from jujubeslip.control._commands import NoOp, command_of
 from jujubeslip.control._configurations import ChangeIdReused, ConfigurationTable
+from jujubeslip.control._engine_table import EngineTable
 from jujubeslip.peers import (
     AbandonCommand,
     ApplyReply,
     ApplyRequest,
+    EngineLoads,
+    EngineOrder,
     FinishCommand,
     KeyClaim,
     KeyReply,
@@ -33,11 +36,12 @@
 
 
 class StateMachine:
-    """Configurations and claims; equal on all replicas at the same index."""
+    """Configurations, claims, engines; equal on all replicas at the same index."""
 
     def __init__(self) -> None:
         self.configurations = ConfigurationTable()
         self.claims = ClaimTable()
+        self.engines = EngineTable()
         self.stamp_ms = 0
 
     def apply(self, entry: LogEntry) -> Outcome:
@@ -78,6 +82,16 @@
         self.claims.abandon(command)
         return None
 
+    @_apply.register(EngineOrder)
+    def _(self, command: EngineOrder) -> Outcome:
+        self.engines.note_order(command, self.stamp_ms)
+        return None
+
+    @_apply.register(EngineLoads)
+    def _(self, command: EngineLoads) -> Outcome:
+        self.engines.note_loads(command)
+        return None
+
     def find_claim(self, claim: KeyClaim) -> KeyReply | None:
         """Return what is known of a claimed key, None when it may be claimed."""
         return self.claims.find(claim, self.stamp_ms)
@@ -87,8 +101,10 @@
         configurations = self.configurations.configurations()
         changes = self.configurations.changes()
         claims = self.claims.records()
-        return _to_parts(
-            (stored.unpack() for stored in configurations), changes, claims
+        engines = self.engines.part()
+        return chain(
+            _to_parts((stored.unpack() for stored in configurations), changes, claims),
+            [engines, SnapshotPart([], [], [], True)],
         )
 
     def load_part(self, part: SnapshotPart) -> None:
@@ -99,6 +115,7 @@
             self.configurations.load_change(change)
         for claim in part.claims:
             self.claims.load(claim)
+        self.engines.load_part(part)
         if part.end:
             self.claims.finish_load()
 
@@ -112,7 +129,6 @@
         yield SnapshotPart([], batch, [], False)
     for batch in _batches(claims, PART_SIZE):
         yield SnapshotPart([], [], batch, False)
-    yield SnapshotPart([], [], [], True)
 
 
 def _batches(items: Iterable[T], size: int) -> Iterator[list[T]]:
--- a/src/jujubeslip/control/_order_log.py
+++ b/src/jujubeslip/control/_order_log.py
@@ -17,7 +17,7 @@
 class NoOrderReason(StrEnum):
     """Why the leader orders no engine of a service."""
 
-    LEADS_TOO_SHORTLY = "the leader before may still order"
+    LOG_TOO_YOUNG = "orders that this log doesn't know may still be carried out"
     ORDERS_UNDER_WAY = "engines still change"
     LOAD_UNKNOWN = "the load is not known yet"
     BALANCED = "no other balance serves more"
--- a/src/jujubeslip/control/_role_balance.py
+++ b/src/jujubeslip/control/_role_balance.py
@@ -76,6 +76,14 @@
         self._samples: deque[tuple[float, float]] = deque()
         self._begun_at: float | None = None
 
+    @classmethod
+    def continued(cls, now: float, busiest: float) -> PromptLoad:
+        """Return a load that was watched until now, with this busiest moment."""
+        load = cls()
+        load._begun_at = now - WATCHED_SECONDS
+        load._samples.append((now, busiest))
+        return load
+
     def note(self, now: float, busy_readers: float) -> None:
         """Note how many readers' whole time prompts take at this moment."""
         if self._begun_at is None and busy_readers > 0:
@@ -116,6 +124,19 @@
         self._begun_at: float | None = None
         self._noted_at = 0.0
 
+    @classmethod
+    def continued(cls, now: float, use: EngineUse) -> EngineShares:
+        """Return shares that were watched until now, with this mean use."""
+        shares = cls()
+        shares._begun_at, shares._noted_at = now - WATCHED_SECONDS, now
+        shares._reading, shares._answering = use.reading, use.answering
+        return shares
+
+    @property
+    def mean_use(self) -> EngineUse:
+        """Return how many engines were busy in the mean of the last seconds."""
+        return EngineUse(self._reading, self._answering)
+
     def note(self, now: float, use: EngineUse) -> None:
         """Note how many engines were busy at this moment."""
         self._usual_need = use.usual_need
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -8,12 +8,14 @@
 
 import logging
 from collections import defaultdict
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 
 from returns.result import Failure
 
 from jujubeslip.admission import EngineUse
-from jujubeslip.control._given_orders import ORDER_SECONDS, GivenOrders
+from jujubeslip.control._engine_log import EngineLog
+from jujubeslip.control._engine_table import ORDER_SECONDS
+from jujubeslip.control._given_orders import GivenOrders
 from jujubeslip.control._leadership import Fence
 from jujubeslip.control._order_log import BalanceInputs, NoOrderLog, NoOrderReason
 from jujubeslip.control._replica import Replica
@@ -40,7 +42,7 @@
 )
 from jujubeslip.kernel import Deadline, steady_seconds
 from jujubeslip.notices import EndpointNotices
-from jujubeslip.peers import EndpointRole, ServicePressure
+from jujubeslip.peers import EndpointRole, EngineLoad, NotLeader, ServicePressure
 
 logger = logging.getLogger(__name__)
 
@@ -48,9 +50,9 @@
 LOOK_SECONDS = 0.5
 # Entry hosts that waited for room lately, over all hosts, to call that short.
 WAITED_REQUESTS = 3
-# How much longer than the holder's lease a new leader waits, in seconds, for orders of
-# the one before that are still on their way.
-TAKEOVER_SECONDS = 2.0
+# For how much longer than the lease of orders a log has to be led before its first
+# order, in seconds: one that was founded anew knows no orders of the one before.
+FOUNDING_SECONDS = 2.0
 # How long an engine may take to answer, in seconds; it needs a millisecond or two. An
 # order is sent only while the lease lasts for longer than this.
 ANSWER_SECONDS = 0.25
@@ -61,13 +63,14 @@
     """Gives the orders, on the leader only.
 
     An engine must never have two that order it. The leader's term is the fencing
-    number; no order is sent whose answer could come after the lease; and a new leader
-    waits out the lease of the one before.
+    number; no order is sent whose answer could come after the lease; and each is in the
+    log before it is sent, so that the next leader leaves that engine alone.
     """
 
     def __init__(
         self,
         replica: Replica,
+        engine_log: EngineLog,
         book: EndpointBook,
         watches: Watches,
         interface: Interface,
@@ -88,6 +91,8 @@
         self._busy_readers = busy_readers
         self._on_order = on_order
         self._replica = replica
+        self._engine_log = engine_log
+        self._known_term: int | None = None
         self._book = book
         self._watches = watches
         self._interface = interface
@@ -101,28 +106,55 @@
 
     def look(self) -> None:
         """Order the engines of each service that are to change, if this host leads."""
-        if not self._leads():
+        fence = self._fence()
+        if fence is None:
             # What it saw before says nothing of the load when it leads again.
             self._load_by_service.clear()
             self._shares_by_service.clear()
             self._short_since_by_service.clear()
+            self._known_term = None
+            return
+        try:
+            if fence.number != self._known_term:
+                self._take_over(fence.number)
+            log_seconds = self._engine_log.age_seconds()
+        except NotLeader:
+            self._follow()
             return
         services = self._services()
         for name in services:
-            # Also before this host may order: it knows the load by then.
             now = steady_seconds()
             self._load(name).note(now, self._busy_readers(name))
             self._shares(name).note(now, self._engine_use(name))
             self._orders.settle(self._all_engines(name))
-        fence = self._fence()
-        if fence is None:
-            self._short_since_by_service.clear()
-            for name in services:
-                inputs = self._inputs(name, 0.0)
-                self._no_order_log.note(name, NoOrderReason.LEADS_TOO_SHORTLY, inputs)
-            return
+        self._engine_log.record_loads(self._known_loads(services))
+        may_order = log_seconds >= self._order_lease_seconds + FOUNDING_SECONDS
         for name in services:
-            self._balance(name, fence)
+            if may_order:
+                self._balance(name, fence)
+            else:
+                self._note_young_log(name)
+
+    def _note_young_log(self, service_name: str) -> None:
+        inputs = self._inputs(service_name, 0.0)
+        self._no_order_log.note(service_name, NoOrderReason.LOG_TOO_YOUNG, inputs)
+
+    def _take_over(self, term: int) -> None:
+        """Begin a term with the orders and the load that earlier leaders recorded."""
+        pending = self._engine_log.pending_orders()
+        excluded = Deadline.after(self._order_lease_seconds)
+        self._orders.take_over(pending, excluded)
+        self._known_term = term
+        extra = {"term": term, "pending": [order.start_id for order in pending]}
+        logger.info("orders taken over", extra=extra)
+
+    def _known_loads(self, services: Iterable[str]) -> list[EngineLoad]:
+        now, loads = steady_seconds(), []
+        for name in services:
+            busiest, use = self._load(name).busiest(now), self._shares(name).mean_use
+            if busiest is not None:
+                loads.append(EngineLoad(name, busiest, use.reading, use.answering))
+        return loads
 
     def _balance(self, service_name: str, fence: Fence) -> None:
         pressure = self._watches.pressure_of(service_name)
@@ -164,19 +196,13 @@
         load, shares = self._load(service_name), self._shares(service_name)
         return reader_bounds(engines, load, shares, steady_seconds(), lacks_memory)
 
-    def _leads(self) -> bool:
-        with self._replica.lock:
-            return self._replica.fence() is not None
-
     def _fence(self) -> Fence | None:
-        """Return the right to give orders, None before a takeover is complete."""
-        with self._replica.lock:
-            fence = self._replica.fence()
-            leadership = self._replica.leadership
-            if fence is None or leadership is None:
-                return None
-            led_for = steady_seconds() - leadership.started_at
-        return fence if led_for > self._order_lease_seconds + TAKEOVER_SECONDS else None
+        """Return the right to give orders, None on a host that doesn't lead for sure.
+
+        A host leads for sure once it has applied an entry of its own term, and with it
+        all orders of earlier leaders.
+        """
+        return self._replica.fence()
 
     def _order_idle_readers(
         self,
@@ -282,13 +308,26 @@
         return self._book.engine_services().intersection(self._configured_services())
 
     def _load(self, service_name: str) -> PromptLoad:
-        return self._load_by_service.setdefault(service_name, PromptLoad())
+        if service_name not in self._load_by_service:
+            told = self._engine_log.load_of(service_name)
+            load = PromptLoad()
+            if told is not None:
+                load = PromptLoad.continued(steady_seconds(), told.busiest_readers)
+            self._load_by_service[service_name] = load
+        return self._load_by_service[service_name]
 
     def _useful_readers(self, service_name: str, engines: Engines) -> int | None:
         return self._shares(service_name).useful_readers(engines, steady_seconds())
 
     def _shares(self, service_name: str) -> EngineShares:
-        return self._shares_by_service.setdefault(service_name, EngineShares())
+        if service_name not in self._shares_by_service:
+            told = self._engine_log.load_of(service_name)
+            shares = EngineShares()
+            if told is not None and told.reading > 0:
+                use = EngineUse(told.reading, told.answering)
+                shares = EngineShares.continued(steady_seconds(), use)
+            self._shares_by_service[service_name] = shares
+        return self._shares_by_service[service_name]
 
     def _engines(self, service_name: str) -> Engines:
         """Return a service's engines by the roles that they have or are ordered to.
@@ -338,7 +377,7 @@
         }
         try:
             known_orders = self._known_orders(endpoint)
-            if known_orders is None or fence.lease.remaining() < ANSWER_SECONDS:
+            if known_orders is None or not self._may_send(endpoint, role, fence):
                 logger.info("engine not ordered", extra=extra)
                 return False
             order = RoleOrder(
@@ -364,6 +403,15 @@
         )
         return True
 
+    def _may_send(self, endpoint: Endpoint, role: EndpointRole, fence: Fence) -> bool:
+        """Record an order; say whether the lease still lasts for its answer."""
+        if fence.lease.remaining() < ANSWER_SECONDS:
+            return False
+        recorded_by = Deadline.after(fence.lease.remaining() - ANSWER_SECONDS)
+        if not self._engine_log.record_order(endpoint.start_id, role, recorded_by):
+            return False
+        return fence.lease.remaining() >= ANSWER_SECONDS
+
     def _known_orders(self, endpoint: Endpoint) -> int | None:
         """Return how many orders the engine has accepted, None while it is at one."""
         question = self._interface.ask_report(endpoint.endpoint_id)
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -19,6 +19,7 @@
 from jujubeslip.control._disk_probe import PROBE_SECONDS, DiskProbe
 from jujubeslip.control._election import Elections
 from jujubeslip.control._endpoint_limit_keeper import EndpointLimitKeeper
+from jujubeslip.control._engine_log import EngineLog
 from jujubeslip.control._gateway import LeaderGateway
 from jujubeslip.control._given_orders import GivenOrders
 from jujubeslip.control._handler import ControlHandler
@@ -217,6 +218,7 @@
         admissions = self._admissions
         keeper = RoleKeeper(
             self._replica,
+            EngineLog(self._replica),
             self._book,
             self._watches,
             interfaces.get(settings.interface),
--- a/src/jujubeslip/peers/gen/ControlPeer.py
+++ b/src/jujubeslip/peers/gen/ControlPeer.py
@@ -3771,11 +3771,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.news = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = AdmissionNews()
-                        _elem180.read(iprot)
-                        self.news.append(_elem180)
+                    (_etype199, _size196) = iprot.readListBegin()
+                    for _i200 in range(_size196):
+                        _elem201 = AdmissionNews()
+                        _elem201.read(iprot)
+                        self.news.append(_elem201)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3792,8 +3792,8 @@
         if self.news is not None:
             oprot.writeFieldBegin('news', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.news))
-            for iter181 in self.news:
-                iter181.write(oprot)
+            for iter202 in self.news:
+                iter202.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4065,11 +4065,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.spent = []
-                    (_etype185, _size182) = iprot.readListBegin()
-                    for _i186 in range(_size182):
-                        _elem187 = AccountSpending()
-                        _elem187.read(iprot)
-                        self.spent.append(_elem187)
+                    (_etype206, _size203) = iprot.readListBegin()
+                    for _i207 in range(_size203):
+                        _elem208 = AccountSpending()
+                        _elem208.read(iprot)
+                        self.spent.append(_elem208)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4086,8 +4086,8 @@
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.spent))
-            for iter188 in self.spent:
-                iter188.write(oprot)
+            for iter209 in self.spent:
+                iter209.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4140,11 +4140,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype192, _size189) = iprot.readListBegin()
-                    for _i193 in range(_size189):
-                        _elem194 = AccountState()
-                        _elem194.read(iprot)
-                        self.success.append(_elem194)
+                    (_etype213, _size210) = iprot.readListBegin()
+                    for _i214 in range(_size210):
+                        _elem215 = AccountState()
+                        _elem215.read(iprot)
+                        self.success.append(_elem215)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4171,8 +4171,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter195 in self.success:
-                iter195.write(oprot)
+            for iter216 in self.success:
+                iter216.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
@@ -4706,11 +4706,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype199, _size196) = iprot.readListBegin()
-                    for _i200 in range(_size196):
-                        _elem201 = CrashRecord()
-                        _elem201.read(iprot)
-                        self.crashes.append(_elem201)
+                    (_etype220, _size217) = iprot.readListBegin()
+                    for _i221 in range(_size217):
+                        _elem222 = CrashRecord()
+                        _elem222.read(iprot)
+                        self.crashes.append(_elem222)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4731,8 +4731,8 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter202 in self.crashes:
-                iter202.write(oprot)
+            for iter223 in self.crashes:
+                iter223.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4889,11 +4889,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype206, _size203) = iprot.readListBegin()
-                    for _i207 in range(_size203):
-                        _elem208 = CrashRecord()
-                        _elem208.read(iprot)
-                        self.success.append(_elem208)
+                    (_etype227, _size224) = iprot.readListBegin()
+                    for _i228 in range(_size224):
+                        _elem229 = CrashRecord()
+                        _elem229.read(iprot)
+                        self.success.append(_elem229)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4915,8 +4915,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter209 in self.success:
-                iter209.write(oprot)
+            for iter230 in self.success:
+                iter230.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
@@ -5168,11 +5168,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype213, _size210) = iprot.readListBegin()
-                    for _i214 in range(_size210):
-                        _elem215 = Configuration()
-                        _elem215.read(iprot)
-                        self.success.append(_elem215)
+                    (_etype234, _size231) = iprot.readListBegin()
+                    for _i235 in range(_size231):
+                        _elem236 = Configuration()
+                        _elem236.read(iprot)
+                        self.success.append(_elem236)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5194,8 +5194,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter216 in self.success:
-                iter216.write(oprot)
+            for iter237 in self.success:
+                iter237.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -63,6 +63,8 @@
     MEMBERSHIP = 5
     ABANDON = 6
     VERSIONED_CONFIGURATION = 7
+    ENGINE_ORDER = 8
+    ENGINE_LOADS = 9
 
 
 
@@ -3084,6 +3086,230 @@
         return not (self == other)
 
 
+class EngineOrder(object):
+    """
+    Attributes:
+     - start_id
+     - role
+
+    """
+
+
+    def __init__(self, start_id=None, role=None,):
+        self.start_id = start_id
+        self.role = role
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.start_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.role = EndpointRole(iprot.readI32()).name
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineOrder')
+        if self.start_id is not None:
+            oprot.writeFieldBegin('start_id', TType.STRING, 1)
+            oprot.writeString(self.start_id.encode('utf-8') if sys.version_info[0] == 2 else self.start_id)
+            oprot.writeFieldEnd()
+        if self.role is not None:
+            oprot.writeFieldBegin('role', TType.I32, 2)
+            oprot.writeI32(EndpointRole[self.role].value)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EngineLoad(object):
+    """
+    Attributes:
+     - service_name
+     - busiest_readers
+     - reading
+     - answering
+
+    """
+
+
+    def __init__(self, service_name=None, busiest_readers=None, reading=None, answering=None,):
+        self.service_name = service_name
+        self.busiest_readers = busiest_readers
+        self.reading = reading
+        self.answering = answering
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.busiest_readers = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.reading = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.answering = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineLoad')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.busiest_readers is not None:
+            oprot.writeFieldBegin('busiest_readers', TType.DOUBLE, 2)
+            oprot.writeDouble(self.busiest_readers)
+            oprot.writeFieldEnd()
+        if self.reading is not None:
+            oprot.writeFieldBegin('reading', TType.DOUBLE, 3)
+            oprot.writeDouble(self.reading)
+            oprot.writeFieldEnd()
+        if self.answering is not None:
+            oprot.writeFieldBegin('answering', TType.DOUBLE, 4)
+            oprot.writeDouble(self.answering)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EngineLoads(object):
+    """
+    Attributes:
+     - loads
+
+    """
+
+
+    def __init__(self, loads=None,):
+        self.loads = loads
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = EngineLoad()
+                        _elem54.read(iprot)
+                        self.loads.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineLoads')
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.loads))
+            for iter55 in self.loads:
+                iter55.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EndpointRecord(object):
     """
     Attributes:
@@ -3536,10 +3762,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.avoided_start_ids = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.avoided_start_ids.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.avoided_start_ids.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3626,8 +3852,8 @@
         if self.avoided_start_ids is not None:
             oprot.writeFieldBegin('avoided_start_ids', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.avoided_start_ids))
-            for iter55 in self.avoided_start_ids:
-                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            for iter62 in self.avoided_start_ids:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reads_itself is not None:
@@ -4301,11 +4527,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = RequestCrash()
-                        _elem61.read(iprot)
-                        self.crashes.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = RequestCrash()
+                        _elem68.read(iprot)
+                        self.crashes.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4331,8 +4557,8 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter62 in self.crashes:
-                iter62.write(oprot)
+            for iter69 in self.crashes:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cleared_ago_ms is not None:
@@ -4426,11 +4652,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.pressures = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = ServicePressure()
-                        _elem68.read(iprot)
-                        self.pressures.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = ServicePressure()
+                        _elem75.read(iprot)
+                        self.pressures.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4442,11 +4668,11 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = CrashRecord()
-                        _elem74.read(iprot)
-                        self.crashes.append(_elem74)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = CrashRecord()
+                        _elem81.read(iprot)
+                        self.crashes.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4487,8 +4713,8 @@
         if self.pressures is not None:
             oprot.writeFieldBegin('pressures', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.pressures))
-            for iter75 in self.pressures:
-                iter75.write(oprot)
+            for iter82 in self.pressures:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.known_crash_version is not None:
@@ -4498,8 +4724,8 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter76 in self.crashes:
-                iter76.write(oprot)
+            for iter83 in self.crashes:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4571,11 +4797,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.endpoints = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = EndpointRecord()
-                        _elem82.read(iprot)
-                        self.endpoints.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = EndpointRecord()
+                        _elem89.read(iprot)
+                        self.endpoints.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4587,10 +4813,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.control_addresses = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.control_addresses.append(_elem88)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.control_addresses.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4612,22 +4838,22 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype92, _size89) = iprot.readListBegin()
-                    for _i93 in range(_size89):
-                        _elem94 = CrashRecord()
-                        _elem94.read(iprot)
-                        self.crashes.append(_elem94)
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = CrashRecord()
+                        _elem101.read(iprot)
+                        self.crashes.append(_elem101)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.removals = []
-                    (_etype98, _size95) = iprot.readListBegin()
-                    for _i99 in range(_size95):
-                        _elem100 = EndpointRemoval()
-                        _elem100.read(iprot)
-                        self.removals.append(_elem100)
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = EndpointRemoval()
+                        _elem107.read(iprot)
+                        self.removals.append(_elem107)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4652,8 +4878,8 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
-            for iter101 in self.endpoints:
-                iter101.write(oprot)
+            for iter108 in self.endpoints:
+                iter108.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -4663,8 +4889,8 @@
         if self.control_addresses is not None:
             oprot.writeFieldBegin('control_addresses', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.control_addresses))
-            for iter102 in self.control_addresses:
-                oprot.writeString(iter102.encode('utf-8') if sys.version_info[0] == 2 else iter102)
+            for iter109 in self.control_addresses:
+                oprot.writeString(iter109.encode('utf-8') if sys.version_info[0] == 2 else iter109)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entry_hosts is not None:
@@ -4682,15 +4908,15 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter103 in self.crashes:
-                iter103.write(oprot)
+            for iter110 in self.crashes:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.removals is not None:
             oprot.writeFieldBegin('removals', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.removals))
-            for iter104 in self.removals:
-                iter104.write(oprot)
+            for iter111 in self.removals:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4833,21 +5059,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = Member()
-                        _elem110.read(iprot)
-                        self.members.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = Member()
+                        _elem117.read(iprot)
+                        self.members.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.admitted_host_ids = []
-                    (_etype114, _size111) = iprot.readListBegin()
-                    for _i115 in range(_size111):
-                        _elem116 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.admitted_host_ids.append(_elem116)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.admitted_host_ids.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4868,15 +5094,15 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter117 in self.members:
-                iter117.write(oprot)
+            for iter124 in self.members:
+                iter124.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_host_ids is not None:
             oprot.writeFieldBegin('admitted_host_ids', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.admitted_host_ids))
-            for iter118 in self.admitted_host_ids:
-                oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
+            for iter125 in self.admitted_host_ids:
+                oprot.writeString(iter125.encode('utf-8') if sys.version_info[0] == 2 else iter125)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5438,6 +5664,75 @@
         return not (self == other)
 
 
+class EngineOrderRecord(object):
+    """
+    Attributes:
+     - order
+     - stamp_ms
+
+    """
+
+
+    def __init__(self, order=None, stamp_ms=None,):
+        self.order = order
+        self.stamp_ms = stamp_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.order = EngineOrder()
+                    self.order.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.stamp_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineOrderRecord')
+        if self.order is not None:
+            oprot.writeFieldBegin('order', TType.STRUCT, 1)
+            self.order.write(oprot)
+            oprot.writeFieldEnd()
+        if self.stamp_ms is not None:
+            oprot.writeFieldBegin('stamp_ms', TType.I64, 2)
+            oprot.writeI64(self.stamp_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class SnapshotPart(object):
     """
     Attributes:
@@ -5445,15 +5740,19 @@
      - changes
      - claims
      - end
+     - orders
+     - loads
 
     """
 
 
-    def __init__(self, configurations=None, changes=None, claims=None, end=None,):
+    def __init__(self, configurations=None, changes=None, claims=None, end=None, orders=None, loads=None,):
         self.configurations = configurations
         self.changes = changes
         self.claims = claims
         self.end = end
+        self.orders = orders
+        self.loads = loads
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5467,33 +5766,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.configurations = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = Configuration()
-                        _elem124.read(iprot)
-                        self.configurations.append(_elem124)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = Configuration()
+                        _elem131.read(iprot)
+                        self.configurations.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype128, _size125) = iprot.readListBegin()
-                    for _i129 in range(_size125):
-                        _elem130 = ChangeRecord()
-                        _elem130.read(iprot)
-                        self.changes.append(_elem130)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = ChangeRecord()
+                        _elem137.read(iprot)
+                        self.changes.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.claims = []
-                    (_etype134, _size131) = iprot.readListBegin()
-                    for _i135 in range(_size131):
-                        _elem136 = ClaimRecord()
-                        _elem136.read(iprot)
-                        self.claims.append(_elem136)
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = ClaimRecord()
+                        _elem143.read(iprot)
+                        self.claims.append(_elem143)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5502,6 +5801,28 @@
                     self.end = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.orders = []
+                    (_etype147, _size144) = iprot.readListBegin()
+                    for _i148 in range(_size144):
+                        _elem149 = EngineOrderRecord()
+                        _elem149.read(iprot)
+                        self.orders.append(_elem149)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype153, _size150) = iprot.readListBegin()
+                    for _i154 in range(_size150):
+                        _elem155 = EngineLoad()
+                        _elem155.read(iprot)
+                        self.loads.append(_elem155)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5515,28 +5836,42 @@
         if self.configurations is not None:
             oprot.writeFieldBegin('configurations', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.configurations))
-            for iter137 in self.configurations:
-                iter137.write(oprot)
+            for iter156 in self.configurations:
+                iter156.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter138 in self.changes:
-                iter138.write(oprot)
+            for iter157 in self.changes:
+                iter157.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.claims is not None:
             oprot.writeFieldBegin('claims', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.claims))
-            for iter139 in self.claims:
-                iter139.write(oprot)
+            for iter158 in self.claims:
+                iter158.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.end is not None:
             oprot.writeFieldBegin('end', TType.BOOL, 4)
             oprot.writeBool(self.end)
             oprot.writeFieldEnd()
+        if self.orders is not None:
+            oprot.writeFieldBegin('orders', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.orders))
+            for iter159 in self.orders:
+                iter159.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.loads))
+            for iter160 in self.loads:
+                iter160.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5932,11 +6267,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype143, _size140) = iprot.readListBegin()
-                    for _i144 in range(_size140):
-                        _elem145 = LogEntry()
-                        _elem145.read(iprot)
-                        self.entries.append(_elem145)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = LogEntry()
+                        _elem166.read(iprot)
+                        self.entries.append(_elem166)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5986,8 +6321,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter146 in self.entries:
-                iter146.write(oprot)
+            for iter167 in self.entries:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commit_index is not None:
@@ -6595,6 +6930,25 @@
     (1, TType.I64, 'version', None, None, ),  # 1
     (2, TType.STRING, 'content', 'UTF8', None, ),  # 2
 )
+all_structs.append(EngineOrder)
+EngineOrder.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'start_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'role', None, None, ),  # 2
+)
+all_structs.append(EngineLoad)
+EngineLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'busiest_readers', None, None, ),  # 2
+    (3, TType.DOUBLE, 'reading', None, None, ),  # 3
+    (4, TType.DOUBLE, 'answering', None, None, ),  # 4
+)
+all_structs.append(EngineLoads)
+EngineLoads.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'loads', (TType.STRUCT, [EngineLoad, None], False), None, ),  # 1
+)
 all_structs.append(EndpointRecord)
 EndpointRecord.thrift_spec = (
     None,  # 0
@@ -6797,6 +7151,12 @@
     (8, TType.I64, 'outcome_number', None, None, ),  # 8
     (9, TType.BOOL, 'abandoned', None, None, ),  # 9
 )
+all_structs.append(EngineOrderRecord)
+EngineOrderRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'order', [EngineOrder, None], None, ),  # 1
+    (2, TType.I64, 'stamp_ms', None, None, ),  # 2
+)
 all_structs.append(SnapshotPart)
 SnapshotPart.thrift_spec = (
     None,  # 0
@@ -6804,6 +7164,8 @@
     (2, TType.LIST, 'changes', (TType.STRUCT, [ChangeRecord, None], False), None, ),  # 2
     (3, TType.LIST, 'claims', (TType.STRUCT, [ClaimRecord, None], False), None, ),  # 3
     (4, TType.BOOL, 'end', None, None, ),  # 4
+    (5, TType.LIST, 'orders', (TType.STRUCT, [EngineOrderRecord, None], False), None, ),  # 5
+    (6, TType.LIST, 'loads', (TType.STRUCT, [EngineLoad, None], False), None, ),  # 6
 )
 all_structs.append(ReplicaDescription)
 ReplicaDescription.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -308,6 +308,8 @@
   MEMBERSHIP = 5,
   ABANDON = 6,
   VERSIONED_CONFIGURATION = 7,
+  ENGINE_ORDER = 8,
+  ENGINE_LOADS = 9,
 }
 
 // One entry of the replicated log. `stamp_ms` is log time: it only grows, and
@@ -338,6 +340,29 @@
   2: string content,
 }
 
+// Payload of ENGINE_ORDER: one start of an engine is about to be ordered to a role.
+struct EngineOrder {
+  1: string start_id,
+  2: EndpointRole role,
+}
+
+// What requests lately asked of a service's engines, each as a number of engines that
+// were busy all the time.
+struct EngineLoad {
+  1: string service_name,
+  // The most that were busy with prompts at any moment.
+  2: double busiest_readers,
+  // Busy with prompts, and with answers, in the mean.
+  3: double reading,
+  4: double answering,
+}
+
+// Payload of ENGINE_LOADS: the load of each service that has any, in place of all that
+// was told before.
+struct EngineLoads {
+  1: list<EngineLoad> loads,
+}
+
 // What one host knows of an endpoint's latest start. `sequence` grows with each
 // announcement of that start; `leaving` stays true once it is true.
 struct EndpointRecord {
@@ -581,12 +606,20 @@
   9: bool abandoned,
 }
 
-// One part of a snapshot file; the last part has `end` set.
+struct EngineOrderRecord {
+  1: EngineOrder order,
+  2: i64 stamp_ms,
+}
+
+// One part of a snapshot file; the last part has `end` set. Parts that an earlier
+// version wrote have neither orders nor loads.
 struct SnapshotPart {
   1: list<Configuration> configurations,
   2: list<ChangeRecord> changes,
   3: list<ClaimRecord> claims,
   4: bool end,
+  5: optional list<EngineOrderRecord> orders,
+  6: optional list<EngineLoad> loads,
 }
 
 // What a replica is, asked by one that has no cluster yet.
--- a/tests/control/test_machine.py
+++ b/tests/control/test_machine.py
@@ -10,6 +10,7 @@
 from jujubeslip.control._claims import ClaimsFull, ClaimTable
 from jujubeslip.control._commands import Command, make_entry
 from jujubeslip.control._configurations import ChangeIdReused
+from jujubeslip.control._engine_table import ORDER_MS
 from jujubeslip.control._errors import StorageDamagedError
 from jujubeslip.control._machine import StateMachine
 from jujubeslip.control._snapshots import (
@@ -22,6 +23,10 @@
     AbandonCommand,
     ApplyReply,
     ApplyRequest,
+    EndpointRole,
+    EngineLoad,
+    EngineLoads,
+    EngineOrder,
     FinishCommand,
     KeyClaim,
     KeyReply,
@@ -253,3 +258,40 @@
 
 def state_of(applier: Applier) -> list[object]:
     return list(applier.machine.parts())
+
+
+class TestEngines:
+    """Guards against orders and loads that the next leader doesn't find."""
+
+    def test_orders_are_kept_until_they_are_over(self) -> None:
+        applier = Applier()
+        applier.apply(EngineOrder("e-1", EndpointRole.DECODE), 1000)
+        table = applier.machine.engines
+        [record] = table.orders_at(1000 + ORDER_MS - 1)
+        assert record.order.start_id == "e-1"
+        assert not table.orders_at(1000 + ORDER_MS)
+
+    def test_orders_that_are_over_take_no_memory(self) -> None:
+        applier = Applier()
+        for number in range(100):
+            order = EngineOrder(f"e-{number}", EndpointRole.DECODE)
+            applier.apply(order, number * ORDER_MS)
+        [part] = [part for part in applier.machine.parts() if part.orders or part.loads]
+        assert [record.order.start_id for record in part.orders] == ["e-99"]
+
+    def test_loads_take_the_place_of_those_before(self) -> None:
+        applier = Applier()
+        applier.apply(EngineLoads([EngineLoad("a", 1, 1, 2)]))
+        applier.apply(EngineLoads([EngineLoad("b", 2, 1, 2)]))
+        assert applier.machine.engines.load_of("a") is None
+        load = applier.machine.engines.load_of("b")
+        assert load is not None and load.busiest_readers == 2
+
+    def test_snapshots_hold_both(self, tmp_path: Path) -> None:
+        applier = Applier()
+        applier.apply(EngineOrder("e-1", EndpointRole.DECODE), 1000)
+        applier.apply(EngineLoads([EngineLoad("a", 0.5, 1, 2)]), 1000)
+        header = SnapshotHeader(2, 1, 1000, Membership("cluster", [], []))
+        loaded = load_machine(write_snapshot(tmp_path, header, applier.machine.parts()))
+        assert loaded.engines.orders_at(1000) == applier.machine.engines.orders_at(1000)
+        assert loaded.engines.load_of("a") == EngineLoad("a", 0.5, 1, 2)
--- a/tests/control/test_roles.py
+++ b/tests/control/test_roles.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Sequence
 from contextlib import nullcontext
 from dataclasses import replace
 from types import SimpleNamespace
@@ -13,16 +13,23 @@
 from returns.result import Failure
 
 from jujubeslip.admission import EngineUse
+from jujubeslip.control._engine_log import EngineLog, PendingOrder
+from jujubeslip.control._engine_table import ORDER_SECONDS
 from jujubeslip.control._given_orders import GivenOrders
 from jujubeslip.control._leadership import Fence
 from jujubeslip.control._role_balance import SHORT_SECONDS, WATCHED_SECONDS
-from jujubeslip.control._roles import Engines, RoleKeeper, wanted_change
+from jujubeslip.control._roles import (
+    FOUNDING_SECONDS,
+    Engines,
+    RoleKeeper,
+    wanted_change,
+)
 from jujubeslip.discovery import Endpoint, EndpointBook
 from jujubeslip.endpoints import EndpointOnHoldError
 from jujubeslip.interfaces import EndpointQuestion, RoleOrder
 from jujubeslip.kernel import Deadline, steady_seconds
 from jujubeslip.notices import EndpointNotices
-from jujubeslip.peers import EndpointRole, ServicePressure
+from jujubeslip.peers import EndpointRole, EngineLoad, ServicePressure
 from jujubeslip.platform._endpoint_answers import read_report
 from jujubeslip.platform._endpoint_calls import ask_report, order_role, read_head
 from tests.fakes.engines import engine
@@ -106,6 +113,35 @@
         return self.status, b""
 
 
+class NotedOrders(EngineLog):
+    """Stands in for the log's part on engines: holds what an earlier leader wrote."""
+
+    def __init__(
+        self, pending: Sequence[PendingOrder] = (), load: EngineLoad | None = None
+    ) -> None:
+        self.recorded: list[str] = []
+        self.commits = True
+        self.age = 3600.0
+        self._pending = pending
+        self._load = load
+
+    def record_order(self, start_id: str, role: EndpointRole, by: Deadline) -> bool:
+        self.recorded.append(start_id)
+        return self.commits
+
+    def record_loads(self, loads: Collection[EngineLoad]) -> None:
+        pass
+
+    def pending_orders(self) -> list[PendingOrder]:
+        return list(self._pending)
+
+    def age_seconds(self) -> float:
+        return self.age
+
+    def load_of(self, service_name: str) -> EngineLoad | None:
+        return self._load
+
+
 REPORT: dict[str, object] = {
     "stage": "prefill",
     "queued": 0,
@@ -161,6 +197,7 @@
     named: set[str],
     notices: EndpointNotices | None = None,
     reports_now: Callable[[Endpoint], bool] = lambda _: True,
+    engine_log: NotedOrders | None = None,
 ) -> tuple[RoleKeeper, Asked]:
     """Return a keeper of these services' roles, and what engines are asked by it."""
     watches: Any = SimpleNamespace(pressure_of=lambda name: pressure())
@@ -174,6 +211,7 @@
     )
     keeper = RoleKeeper(
         replica,
+        engine_log or NotedOrders(),
         book,
         watches,
         interface,
@@ -480,3 +518,76 @@
         monkeypatch.setattr(keeper, "_fence", lambda: Fence(1, Deadline.after(10)))
         keeper.look()
         assert asked.orders == 1
+
+
+class TestNextLeader:
+    """Guards against a next leader that waits, or repeats orders of the last one."""
+
+    def keeper(
+        self, monkeypatch: pytest.MonkeyPatch, engine_log: NotedOrders
+    ) -> tuple[RoleKeeper, Asked]:
+        """Return the keeper of a host that has led for a moment, of three engines."""
+        book = EndpointBook()
+        book.take(engines(0, 3).decode)
+        keeper, asked = role_keeper(monkeypatch, book, {"model"}, engine_log=engine_log)
+        return keeper, asked
+
+    def test_orders_at_its_first_look(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        keeper, asked = self.keeper(monkeypatch, NotedOrders())
+        keeper.look()
+        assert asked.orders == 1
+
+    def test_leaves_an_engine_that_was_ordered(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        until = Deadline.after(ORDER_SECONDS)
+        pending = PendingOrder("d-0", EndpointRole.PREFILL, until)
+        keeper, asked = self.keeper(monkeypatch, NotedOrders([pending]))
+        keeper.look()
+        assert asked.orders == 0
+
+    def test_leaves_it_though_it_has_the_role(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Two hosts must not order one engine within the lease of orders."""
+        until = Deadline.after(ORDER_SECONDS)
+        pending = [
+            PendingOrder(f"d-{number}", EndpointRole.DECODE, until)
+            for number in range(3)
+        ]
+        keeper, asked = self.keeper(monkeypatch, NotedOrders(pending))
+        keeper.look()
+        assert asked.orders == 0
+
+    def test_sends_no_order_that_is_not_in_the_log(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        engine_log = NotedOrders()
+        engine_log.commits = False
+        keeper, asked = self.keeper(monkeypatch, engine_log)
+        keeper.look()
+        assert engine_log.recorded and asked.orders == 0
+
+    def test_waits_where_the_log_was_founded_anew(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        engine_log = NotedOrders()
+        keeper, asked = self.keeper(monkeypatch, engine_log)
+        engine_log.age = 3.0
+        keeper.look()
+        assert asked.orders == 0
+        engine_log.age = 3.0 + FOUNDING_SECONDS
+        keeper.look()
+        assert asked.orders == 1
+
+    def test_knows_the_load_that_the_last_one_saw(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        load = EngineLoad("model", 0.2, 0.1, 1.9)
+        keeper, _ = self.keeper(monkeypatch, NotedOrders(load=load))
+        keeper.look()
+        now = steady_seconds()
+        assert keeper._load("model").busiest(now) == load.busiest_readers
+        assert keeper._shares("model").reading_share(now) == pytest.approx(
+            load.reading / (load.reading + load.answering), abs=0.01
+        )
