Pass over engines that still change when one is chosen for an order

Engines that change to answer come first among those of that role, as they still announce the one before; the leader chose the first one at each look, and gave no order, since it had one already.

The choice is made among engines without an order under way, for readers that are gone and for readers that are missing. The only engine that answers meanwhile is not ordered to read.

--- a/src/jujubeslip/control/_role_balance.py
+++ b/src/jujubeslip/control/_role_balance.py
@@ -189,23 +189,31 @@
     pressure: ServicePressure,
     short_for: float,
     useful: int | None = None,
+    steady: Engines | None = None,
 ) -> tuple[Endpoint, EndpointRole] | None:
     """Return the engine to order and its new role, None if all is well.
 
     `short_for` is for how long answers have lacked memory, in seconds. Once it is known
-    how many readers are useful, those beyond them are ordered for that alone.
+    how many readers are useful, those beyond them are ordered for that alone. Only
+    engines of `steady` are ordered, the first ones before others: all that aren't
+    carrying out an order.
     """
+    steady = steady or engines
     if not engines.prefill and len(engines.decode) > 2:
         # Engines that answer read prompts at half the speed, and stall while they do.
-        return engines.decode[0], EndpointRole.PREFILL
+        # The last one that answers now goes on until another one has changed.
+        can_spare = len(steady.decode) > 1
+        return (steady.decode[0], EndpointRole.PREFILL) if can_spare else None
     if useful is not None or short_for < SHORT_SECONDS or len(engines.prefill) < 2:
         return None
+    if not steady.prefill:
+        return None
     remaining = len(engines.prefill) - 1
     if len(engines.decode) + 1 > DECODE_PER_PREFILL * remaining:
         return None
     if pressure.prompt_ms_per_second > 1000 * remaining * PROMPT_SHARE:
         return None
-    return engines.prefill[0], EndpointRole.DECODE
+    return steady.prefill[0], EndpointRole.DECODE
 
 
 def needed_readers(
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -251,7 +251,8 @@
         missing = missing_readers(engines, least, useful)
         allowed = self._allowed_changes(service_name, engines)
         ordered = 0
-        for answering in engines.decode[: min(missing, allowed)]:
+        steady = self._steady(engines)
+        for answering in steady.decode[: min(missing, allowed)]:
             extra = {
                 "endpoint_id": answering.endpoint_id,
                 "least_readers": least,
@@ -283,7 +284,8 @@
         """
         engines = self._engines(service_name)
         useful = self._useful_readers(service_name, engines)
-        wanted = wanted_change(engines, pressure, short_for, useful)
+        steady = self._steady(engines)
+        wanted = wanted_change(engines, pressure, short_for, useful, steady)
         paused = self._next_order_by_service.get(service_name)
         if wanted is None or (paused is not None and not paused.expired):
             return 0
@@ -342,6 +344,10 @@
             tuple(by_role[EndpointRole.PREFILL]), tuple(by_role[EndpointRole.DECODE])
         )
 
+    def _steady(self, engines: Engines) -> Engines:
+        """Return those that aren't carrying out an order."""
+        return engines.where(lambda engine: self._orders.role_of(engine) is None)
+
     def _all_engines(self, service_name: str) -> tuple[Endpoint, ...]:
         return self._with_role(service_name, EndpointRole.PREFILL) + self._with_role(
             service_name, EndpointRole.DECODE
--- a/tests/control/test_roles.py
+++ b/tests/control/test_roles.py
@@ -78,6 +78,22 @@
         assert change is not None and change[1] is EndpointRole.PREFILL
 
 
+class TestEnginesThatChangeToAnswer:
+    """Guards against an order to the only engine that answers meanwhile."""
+
+    def test_leaves_the_last_one_that_answers(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        group = engines(2, 1)
+        book = EndpointBook()
+        book.take([*group.prefill, *group.decode])
+        keeper, asked = role_keeper(monkeypatch, book, {"model"})
+        for changing in group.prefill:
+            keeper._orders.note(changing, EndpointRole.DECODE)
+        keeper.look()
+        assert asked.orders == 0
+
+
 class TestOrder:
     def test_carries_its_fencing_number_and_what_is_known(self) -> None:
         order = RoleOrder("e-1", EndpointRole.DECODE, "control-1", 41, 2)
