Order the engine to read whose answers end first

An engine changes its role once its answers have ended, and is given none meanwhile.

TestEngineWithFewestAnswers failed before (the first by name was ordered).

--- a/bench/replay/_roles.py
+++ b/bench/replay/_roles.py
@@ -97,6 +97,7 @@
             reports_now=lambda engine: pool.reported_within(
                 engine.start_id, REPORTS_NOW_SECONDS
             ),
+            answer_count=lambda engine: pool.answer_count(engine.start_id),
         )
         keeper.answer = self._answer
         return keeper
--- a/src/jujubeslip/admission/_engine_memory.py
+++ b/src/jujubeslip/admission/_engine_memory.py
@@ -180,6 +180,14 @@
             self._profile_by_key[key] = known
         return known
 
+    @property
+    def answer_count(self) -> int:
+        """Return how many answers it makes now, or is about to make."""
+        running = _request_ids(self._report.running if self._report else ())
+        return len(
+            (running | self._admitted_by_id.keys()) - self._ended_at_by_id.keys()
+        )
+
     def answers(self, asking: Applicant) -> list[GrowingAnswer]:
         """Return what the engine makes now, and is about to make beside one who asks.
 
--- a/src/jujubeslip/admission/_engines.py
+++ b/src/jujubeslip/admission/_engines.py
@@ -104,6 +104,11 @@
             return False
         return engine.report_age < seconds
 
+    def answer_count(self, start_id: str) -> int:
+        """Return how many answers an engine makes now, 0 if it isn't known."""
+        engine = self._engine_by_start.get(start_id)
+        return engine.answer_count if engine is not None else 0
+
     @property
     def busy_readers(self) -> float:
         """Return how many readers the prompts of the last seconds would keep busy."""
--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -153,6 +153,10 @@
         """Return how many engines a service's granted requests keep busy."""
         return self._pool(service_name).use
 
+    def answer_count(self, engine: Endpoint) -> int:
+        """Return how many answers an engine makes now, 0 if it isn't known."""
+        return self._pool(engine.service_name).answer_count(engine.start_id)
+
     def reports_now(self, engine: Endpoint) -> bool:
         """Say whether an engine answers questions for its state at this moment."""
         pool = self._pool(engine.service_name)
--- a/src/jujubeslip/admission/_pool.py
+++ b/src/jujubeslip/admission/_pool.py
@@ -149,6 +149,11 @@
         with self._lock:
             return self._engines.reported_within(start_id, seconds)
 
+    def answer_count(self, start_id: str) -> int:
+        """Return how many answers an engine makes now, 0 if it isn't known."""
+        with self._lock:
+            return self._engines.answer_count(start_id)
+
     @property
     def busy_readers(self) -> float:
         """Return how many readers the prompts asked for lately would keep busy."""
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -82,9 +82,11 @@
         engine_use: Callable[[str], EngineUse],
         notices: EndpointNotices | None = None,
         reports_now: Callable[[Endpoint], bool] = lambda _: True,
+        answer_count: Callable[[Endpoint], int] = lambda _: 0,
     ) -> None:
         self._notices = notices or EndpointNotices()
         self._reports_now = reports_now
+        self._answer_count = answer_count
         self._engine_use = engine_use
         self._shares_by_service: dict[str, EngineShares] = {}
         self._orders = orders
@@ -345,8 +347,13 @@
         )
 
     def _steady(self, engines: Engines) -> Engines:
-        """Return those that aren't carrying out an order."""
-        return engines.where(lambda engine: self._orders.role_of(engine) is None)
+        """Return those that aren't carrying out an order, least busy ones first.
+
+        An engine changes its role once all its answers have ended.
+        """
+        steady = engines.where(lambda engine: self._orders.role_of(engine) is None)
+        decode = sorted(steady.decode, key=self._answer_count)
+        return Engines(steady.prefill, tuple(decode))
 
     def _all_engines(self, service_name: str) -> tuple[Endpoint, ...]:
         return self._with_role(service_name, EndpointRole.PREFILL) + self._with_role(
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -230,6 +230,7 @@
             admissions.engine_use if admissions else lambda _: EngineUse(0.0, 0.0),
             self._notices,
             admissions.reports_now if admissions else lambda _: True,
+            admissions.answer_count if admissions else lambda _: 0,
         )
         self._process.repeat(LOOK_SECONDS, keeper.look)
 
--- a/tests/control/test_roles.py
+++ b/tests/control/test_roles.py
@@ -94,6 +94,24 @@
         assert asked.orders == 0
 
 
+class TestEngineWithFewestAnswers:
+    """Guards against prompts that nobody reads until a full engine's answers end."""
+
+    def test_is_ordered_to_read(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        group = engines(0, 3)
+        book = EndpointBook()
+        book.take(group.decode)
+        answers_by_id = {"d-0": 9, "d-1": 1, "d-2": 4}
+        keeper, _ = role_keeper(
+            monkeypatch,
+            book,
+            {"model"},
+            answer_count=lambda item: answers_by_id[item.endpoint_id],
+        )
+        keeper.look()
+        assert keeper._orders.role_of(group.decode[1]) is EndpointRole.PREFILL
+
+
 class TestOrder:
     def test_carries_its_fencing_number_and_what_is_known(self) -> None:
         order = RoleOrder("e-1", EndpointRole.DECODE, "control-1", 41, 2)
@@ -214,6 +232,7 @@
     notices: EndpointNotices | None = None,
     reports_now: Callable[[Endpoint], bool] = lambda _: True,
     engine_log: NotedOrders | None = None,
+    answer_count: Callable[[Endpoint], int] = lambda _: 0,
 ) -> tuple[RoleKeeper, Asked]:
     """Return a keeper of these services' roles, and what engines are asked by it."""
     watches: Any = SimpleNamespace(pressure_of=lambda name: pressure())
@@ -239,6 +258,7 @@
         lambda _: EngineUse(0.0, 0.0),
         notices,
         reports_now,
+        answer_count,
     )
     asked = Asked()
     monkeypatch.setattr(keeper, "_ask", asked)
