Count a shortage of memory on each control host, whoever leads

Hosts tell what they lack to all control hosts, so that each one can count it.

TestShortageThatBeganBeforeTheHostMayOrder failed before (`assert 0 == 1` orders).

--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -110,11 +110,7 @@
         """Order the engines of each service that are to change, if this host leads."""
         fence = self._fence()
         if fence is None:
-            # What it saw before says nothing of the load when it leads again.
-            self._load_by_service.clear()
-            self._shares_by_service.clear()
-            self._short_since_by_service.clear()
-            self._known_term = None
+            self._follow()
             return
         try:
             if fence.number != self._known_term:
@@ -141,6 +137,17 @@
         inputs = self._inputs(service_name, 0.0)
         self._no_order_log.note(service_name, NoOrderReason.LOG_TOO_YOUNG, inputs)
 
+    def _follow(self) -> None:
+        """Watch what all hosts tell to each control host, and forget the rest.
+
+        What this host saw when it led says nothing of the load when it leads again.
+        """
+        self._load_by_service.clear()
+        self._shares_by_service.clear()
+        self._known_term = None
+        for name in self._services():
+            self._short_for(name, self._watches.pressure_of(name))
+
     def _take_over(self, term: int) -> None:
         """Begin a term with the orders and the load that earlier leaders recorded."""
         pending = self._engine_log.pending_orders()
@@ -297,6 +304,7 @@
         return 1
 
     def _short_for(self, service_name: str, pressure: ServicePressure) -> float:
+        """Return for how long requests have lacked memory, in seconds."""
         now = steady_seconds()
         if pressure.waited < WAITED_REQUESTS:
             self._short_since_by_service.pop(service_name, None)
