--- a/tests/forwarding/test_endpoint_holds.py
+++ b/tests/forwarding/test_endpoint_holds.py
@@ -172,11 +172,16 @@
                 lambda: ask(system, "/safe/x").error == "endpoint_backoff", "backoff"
             )
             ask(system, "/safe/x")
+            request_id = system.last_request_id
             path = system.folder / "backoff.log"
-            path.write_text(system.entries[0].output())
-            cause = cause_of(lines_about(system.last_request_id, [path]))
-            assert "asked this host for backoff" in cause
-            assert worker.worker_id in cause
+
+            def cause() -> str:
+                path.write_text(system.entries[0].output())
+                return cause_of(lines_about(request_id, [path]))
+
+            wait_until(lambda: "asked this host for backoff" in cause(), "the cause")
+            assert worker.worker_id in cause()
+            # Written before the request's own lines.
             asked = lines(system, 0, "endpoint asked for backoff")[-1]
             assert asked["start_id"] == worker.worker_id
             assert 19 < asked["seconds"] <= 20
