Wait for lines of hosts in tests that read them after an answer

Not seen to fail. TestKeysInOutput asserts what is not in the output, and could pass because the lines of its requests were not there yet: it waits for them now, and is stricter than before.

--- a/tests/control/test_disks.py
+++ b/tests/control/test_disks.py
@@ -187,7 +187,11 @@
             wait_until(lambda: trimmed(cluster) > 10, "the trim", BOUND_SECONDS)
             behind.start()
             cluster.wait_applied(behind, 80)
-            assert "snapshot installed" in behind.output()
+            wait_until(
+                lambda: "snapshot installed" in behind.output(),
+                "the line of the snapshot",
+                BOUND_SECONDS,
+            )
             others = cluster.others(behind)
             others[0].kill()
             assert cluster.apply(80, 80).revision == 81
--- a/tests/control/test_fresh_election.py
+++ b/tests/control/test_fresh_election.py
@@ -14,7 +14,7 @@
 from jujubeslip.control._replica import Replica
 from jujubeslip.kernel import Deadline, PeerUnavailableError
 from jujubeslip.peers import VoteReply, VoteRequest
-from tests.control.cluster import ControlCluster
+from tests.control.cluster import BOUND_SECONDS, ControlCluster
 from tests.control.test_votes import (
     CANDIDATE,
     ELECTION_SECONDS,
@@ -22,6 +22,7 @@
     request,
     voter,
 )
+from tests.fakes.processes import wait_until
 
 START = 4711
 
@@ -166,8 +167,15 @@
             for host in cluster.hosts:
                 host.start()
             cluster.leader()
+            wait_until(
+                lambda: any(
+                    "all voters have just started" in host.output()
+                    for host in cluster.hosts
+                ),
+                "the line of the election",
+                BOUND_SECONDS,
+            )
             logs = [host.output() for host in cluster.hosts]
-        assert any("all voters have just started" in log for log in logs)
         assert not any("no leader heard" in _after_restart(log) for log in logs)
 
 
--- a/tests/forwarding/test_account_limits.py
+++ b/tests/forwarding/test_account_limits.py
@@ -119,11 +119,19 @@
     def test_is_named_in_the_logs(self, system: PlatformSystem) -> None:
         ask_many(system, CLOSED, "k-hot", 12)
         message = "request not within its account's limit"
-        output = "".join(host.output() for host in system.entries)
-        assert message in output
-        told = system.logged("account has used its limit")
-        assert "hot" in {line["account"] for line in told}
-        assert {line["per_second"] for line in told} == {100}
+        wait_until(
+            lambda: any(message in host.output() for host in system.entries),
+            "the line of a refusal",
+        )
+
+        def told() -> list[dict[str, Any]]:
+            return system.logged("account has used its limit")
+
+        wait_until(
+            lambda: "hot" in {line["account"] for line in told()},
+            "the line of the account",
+        )
+        assert {line["per_second"] for line in told()} == {100}
 
 
 class TestCauseOfARefusal:
--- a/tests/forwarding/test_accounts.py
+++ b/tests/forwarding/test_accounts.py
@@ -196,18 +196,33 @@
             assert "tenant" not in got
 
 
+def ask_as(system: PlatformSystem, api_key: str) -> str:
+    """Send a request with a key; return its id."""
+    system.ask(CLOSED, headers=key(api_key))
+    return system.last_request_id
+
+
 class TestKeysInOutput:
     """A key in a log line would be a key for everybody who reads logs."""
 
     def test_there_is_none(self, system: PlatformSystem) -> None:
-        system.ask(CLOSED, headers=key(FIRST_KEY))
-        system.ask(CLOSED, headers=key("k-nobody-55aa"))
+        served = ask_as(system, FIRST_KEY)
+        refused = ask_as(system, "k-nobody-55aa")
         doubled = [account("a", OTHER_KEY), account("b", OTHER_KEY)]
         assert system.put(with_accounts(9, doubled)) == 400
         wrong = [account("a", OTHER_KEY, ratePerS="k-wrong-11bb")]
         assert system.put(with_accounts(9, wrong)) == 400
         hosts = (*system.controls, *system.entries)
-        written = "".join(host.output() for host in hosts)
+
+        def written_by_all() -> str:
+            return "".join(host.output() for host in hosts)
+
+        for request_id in (served, refused):
+            wait_until(
+                lambda request_id=request_id: request_id in written_by_all(),  # type: ignore[misc]
+                "the lines of the request",
+            )
+        written = written_by_all()
         metrics = str(system.metrics(system.entry_metrics[0]))
         for text in (FIRST_KEY, OTHER_KEY, "k-nobody-55aa", "k-wrong-11bb"):
             assert text not in written
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -116,8 +116,13 @@
         assert reply.whole and event_ids(reply) == [1, 2, 3, 4, 5]
         assert len(engines.prefill.prompts_read) == 1
         runner = next(worker for worker in engines.decode if worker.runs)
-        given = [line["endpoint_id"] for line in system.logged("grant at an engine")]
-        assert "reserve" in runner.questions or given[-1] == runner.worker_id
+
+        def was_granted() -> bool:
+            given = system.logged("grant at an engine")
+            return bool(given) and given[-1]["endpoint_id"] == runner.worker_id
+
+        if "reserve" not in runner.questions:
+            wait_until(was_granted, "the grant is on record")
         assert runner.runs[0].headers["Kv-From"].startswith(engines.prefill.address)
 
     def test_no_prompt_is_read_while_no_engine_has_room(
