Test a removed host and a disk lost at the same moment

What callers see: a host is replaced; its successor has run for four seconds, so that the removed one counts as no loss any more. It is ended (SIGTERM or SIGKILL), and in the same moment one disk, the tolerated number, is lost while all others lose power. Two of four voters are left: no configuration is read and nothing is served again.

--- a/tests/control/test_power_loss.py
+++ b/tests/control/test_power_loss.py
@@ -21,6 +21,8 @@
 # All that was acknowledged is there, and served by, so long after the power is back.
 RECOVERY_SECONDS = 12.0
 CHANGES = 12
+# A host that is removed counts as no loss once its successor has run for so long.
+CATCH_UP_SECONDS = 4.0
 
 
 def lose_all(hosts: Sequence[ControlHost], lost: Sequence[ControlHost]) -> None:
@@ -198,3 +200,20 @@
             lost = system.controls[number]
             lose_power(system, lost, gone=[stopping])
             check_recovered(system, 2, survivor(system, stopping, lost))
+
+    @pytest.mark.parametrize("ended_by", [signal.SIGTERM, signal.SIGKILL])
+    def test_removed_beside_a_successor_that_has_caught_up(
+        self, tmp_path: Path, ended_by: signal.Signals
+    ) -> None:
+        """Its vote is left behind: two of four remain, and nothing is read any more."""
+        with PlatformSystem(tmp_path, 3, 1) as system:
+            system.add(PlatformWorker("w-1", "plain"))
+            replace_first(system)
+            system.wait_served("/a/x")
+            time.sleep(CATCH_UP_SECONDS)
+            removed = system.controls[0]
+            removed.signal(ended_by)
+            lost = system.controls[1]
+            lose_power(system, lost, gone=[removed])
+            removed.kill()
+            check_recovered(system, 1, survivor(system, removed, lost))
