--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -1,16 +1,16 @@
 """Print the pytest options that pass over just the tests listed in KNOWN-RED.txt.
 
-Each line of that file is `TEST; CAUSE; ISSUE`, TEST being a pytest node id; three
-lines at most. The list goes to standard error, so that nobody takes a passed-over
+Each line of that file is `TEST; CAUSE; ISSUE`, TEST being a pytest node id that no
+other line names. The list goes to standard error, so that nobody takes a passed-over
 test for a green one; the options go to standard output.
 """
 
 from __future__ import annotations
 
 import sys
+from collections import Counter
 from pathlib import Path
 
-MAXIMUM_LINES = 3
 FIELDS = ("test", "cause", "issue")
 
 
@@ -23,12 +23,13 @@
     if not path.exists():
         return ()
     lines = [line for line in path.read_text().splitlines() if line.strip()]
-    if len(lines) > MAXIMUM_LINES:
-        raise KnownRedError(
-            f"{path.name} lists {len(lines)} tests; mend some until at most "
-            f"{MAXIMUM_LINES} are left."
-        )
-    return tuple(_test_of(path, line) for line in lines)
+    tests = tuple(_test_of(path, line) for line in lines)
+    for test, times in Counter(tests).items():
+        if times > 1:
+            raise KnownRedError(
+                f"{path.name} lists {test!r} {times} times; leave one line for it."
+            )
+    return tests
 
 
 def _test_of(path: Path, line: str) -> str:
