--- a/src/jujubeslip/control/_recovery.py
+++ b/src/jujubeslip/control/_recovery.py
@@ -86,7 +86,7 @@
         term = replica.term + 1
         replica.save_metadata(ReplicaMetadata(cluster_id, term, ""))
         entry = make_entry(
-            replica.log.last_index + 1, term, replica.machine.stamp_ms, membership
+            replica.log.last_index + 1, term, replica.newest_stamp_ms, membership
         )
         replica.append_entry(entry)
         replica.write_pending()
--- a/src/jujubeslip/control/_replica.py
+++ b/src/jujubeslip/control/_replica.py
@@ -130,6 +130,14 @@
             or self.applied_bytes >= SNAPSHOT_BYTES
         )
 
+    @property
+    def newest_stamp_ms(self) -> int:
+        """Return the log time of the newest entry, applied or not."""
+        if self.log.last_index == self.log.base_index:
+            return self.machine.stamp_ms
+        newest = self.log.entry(self.log.last_index)
+        return max(self.machine.stamp_ms, newest.stamp_ms)
+
     def lease(self) -> Deadline:
         """Return until when this leader's reads and orders are the only ones."""
         assert self.leadership is not None
@@ -208,10 +216,9 @@
         self.is_fresh = False
         self.role = Role.LEADER
         self.leader = LeaderContact(self.replica_id, self.settings.peer_address)
-        stamp_ms = self.machine.stamp_ms
-        if last_index > self.log.base_index:
-            stamp_ms = max(stamp_ms, self.log.entry(last_index).stamp_ms)
-        self.leadership = Leadership(self.term, self.replica_id, last_index, stamp_ms)
+        self.leadership = Leadership(
+            self.term, self.replica_id, last_index, self.newest_stamp_ms
+        )
         self.leadership.follow_membership(self.membership, last_index)
         logger.info("leading", extra={"term": self.term})
         self.append_command(NoOp())
