Weigh recorded orders by what became of them, and let the log say how old its records are

The age of the log counts from its first entry about engines. - A quiet log didn't age, so that each takeover waited anew. Loads are recorded every two seconds, also where there are none. - An engine that has crashed has no answers and was preferred. One that doesn't report comes last. - Where the only engine ordered to read left or refused, nobody was ordered for 13 s. That pause is gone: an engine's own order keeps it from the next. - Orders that were carried out held up all others after a takeover. They exclude their engine for the lease since they were given, and don't count as changes. - Refused and unsent orders lived on in the log. The role that the engine keeps is recorded in their place. - A record that took longer than a lease was never sent. The right to order is asked for anew after it. - The first look of a leader ordered a further reader for the prompts of one moment. What was not noted for three seconds says nothing. - A load of long ago passed from leader to leader. Each records what it has seen by itself, and a successor weighs it with what hosts tell of prompts.

--- a/bench/replay/_roles.py
+++ b/bench/replay/_roles.py
@@ -48,6 +48,7 @@
         self._asked = ""
         self._ordered: RoleOrder | None = None
         self._engine_table = EngineTable()
+        self._engine_table.note_loads(EngineLoads([]), 0)
         self._term = 1
         self._keeper = self._new_keeper()
 
@@ -60,7 +61,7 @@
         if isinstance(command, EngineOrder):
             self._engine_table.note_order(command, _stamp_ms())
         else:
-            self._engine_table.note_loads(command)
+            self._engine_table.note_loads(command, _stamp_ms())
 
     def _new_keeper(self) -> _Keeper:
         pool = self._pool
--- a/src/jujubeslip/control/_engine_log.py
+++ b/src/jujubeslip/control/_engine_log.py
@@ -33,6 +33,8 @@
 
     start_id: str
     role: EndpointRole
+    given: Deadline
+    """When it was given, or later."""
     until: Deadline
 
 
@@ -44,7 +46,7 @@
         self._next_loads_at = Deadline.after(0)
 
     def record_order(self, start_id: str, role: EndpointRole, by: Deadline) -> bool:
-        """Commit an order; say whether it may be sent.
+        """Commit an order; say whether it is known to be in the log.
 
         One that isn't confirmed by the deadline may be committed later, and counts as
         given then.
@@ -57,15 +59,30 @@
             return False
         return True
 
+    def withdraw_order(self, start_id: str, role: EndpointRole) -> None:
+        """Record that an engine keeps its role; nobody waits for it."""
+        self._submit(EngineOrder(start_id, role))
+
     def record_loads(self, loads: Collection[EngineLoad]) -> None:
-        """Record the load of all services now and then; nobody waits for it."""
-        if not loads or not self._next_loads_at.expired:
+        """Record the load of all services every two seconds; nobody waits for it.
+
+        Also where there is none: what was recorded before is over, and the log ages.
+        """
+        if not self._next_loads_at.expired:
             return
         self._next_loads_at = Deadline.after(LOADS_SECONDS)
+        self._submit(EngineLoads(list(loads)))
+
+    def begin_term(self) -> None:
+        """Give a host that begins to lead time to see the load by itself."""
+        if self._replica.machine.engines.since_ms is not None:
+            self._next_loads_at = Deadline.after(LOADS_SECONDS)
+
+    def _submit(self, command: EngineOrder | EngineLoads) -> None:
         try:
-            self._replica.submit(EngineLoads(list(loads)))
+            self._replica.submit(command)
         except NotLeader:
-            logger.info("load not recorded", extra={"services": len(loads)})
+            logger.info("not recorded", extra={"command": type(command).__name__})
 
     def pending_orders(self) -> list[PendingOrder]:
         """Return the orders of earlier leaders that may still be carried out.
@@ -79,12 +96,14 @@
         return [_pending(record, now_ms) for record in records]
 
     def age_seconds(self) -> float:
-        """Return for how long the log has been led since it was founded, in seconds.
+        """Return for how long leaders have recorded their orders, in seconds.
 
         Raises NotLeader on a host that doesn't lead any more.
         """
         with self._replica.lock:
-            return self._replica.require_leader().stamp_ms() / MILLISECONDS
+            now_ms = self._replica.require_leader().stamp_ms()
+            since_ms = self._replica.machine.engines.since_ms
+        return 0.0 if since_ms is None else (now_ms - since_ms) / MILLISECONDS
 
     def load_of(self, service_name: str) -> EngineLoad | None:
         """Return the load of a service that was recorded last, None without one."""
@@ -97,5 +116,6 @@
     return PendingOrder(
         record.order.start_id,
         EndpointRole(record.order.role),
+        Deadline.after(-passed_seconds),
         Deadline.after(ORDER_SECONDS - passed_seconds),
     )
--- a/src/jujubeslip/control/_engine_table.py
+++ b/src/jujubeslip/control/_engine_table.py
@@ -26,25 +26,27 @@
     def __init__(self) -> None:
         self._record_by_start: dict[str, EngineOrderRecord] = {}
         self._load_by_service: dict[str, EngineLoad] = {}
+        self.since_ms: int | None = None
+        """Log time of the first entry; None while no leader has recorded any."""
 
     def note_order(self, order: EngineOrder, stamp_ms: int) -> None:
         """Note an order at this log time, and forget those that are over."""
-        for record in self.orders_at(stamp_ms, are_over=True):
-            del self._record_by_start[record.order.start_id]
+        self._note_first(stamp_ms)
+        pending = self.orders_at(stamp_ms)
+        self._record_by_start = {record.order.start_id: record for record in pending}
         self._record_by_start[order.start_id] = EngineOrderRecord(order, stamp_ms)
 
-    def orders_at(
-        self, stamp_ms: int, *, are_over: bool = False
-    ) -> list[EngineOrderRecord]:
-        """Return the orders that may be carried out at this log time, or no more."""
+    def orders_at(self, stamp_ms: int) -> list[EngineOrderRecord]:
+        """Return the orders that may still be carried out at this log time."""
         return [
             record
             for record in self._record_by_start.values()
-            if (record.stamp_ms + ORDER_MS <= stamp_ms) is are_over
+            if stamp_ms < record.stamp_ms + ORDER_MS
         ]
 
-    def note_loads(self, told: EngineLoads) -> None:
+    def note_loads(self, told: EngineLoads, stamp_ms: int) -> None:
         """Note the loads of all services, in place of those before."""
+        self._note_first(stamp_ms)
         self._load_by_service = {load.service_name: load for load in told.loads}
 
     def load_of(self, service_name: str) -> EngineLoad | None:
@@ -55,11 +57,17 @@
         """Return all of it as a part of a snapshot."""
         orders = list(self._record_by_start.values())
         loads = list(self._load_by_service.values())
-        return SnapshotPart([], [], [], False, orders, loads)
+        return SnapshotPart([], [], [], False, orders, loads, self.since_ms)
 
     def load_part(self, part: SnapshotPart) -> None:
         """Take over what a part of a snapshot holds; an older version wrote none."""
+        if part.engines_since_ms is not None:
+            self.since_ms = part.engines_since_ms
         for record in part.orders or ():
             self._record_by_start[record.order.start_id] = record
         for load in part.loads or ():
             self._load_by_service[load.service_name] = load
+
+    def _note_first(self, stamp_ms: int) -> None:
+        if self.since_ms is None:
+            self.since_ms = stamp_ms
--- a/src/jujubeslip/control/_given_orders.py
+++ b/src/jujubeslip/control/_given_orders.py
@@ -38,16 +38,18 @@
         with self._lock:
             self._order_by_start[endpoint.start_id] = order
 
-    def take_over(self, orders: Iterable[PendingOrder], excluded: Deadline) -> None:
+    def take_over(self, orders: Iterable[PendingOrder], lease_seconds: float) -> None:
         """Note the orders of earlier leaders.
 
-        Until `excluded`, their engines get no order of this host: an engine must not
-        be ordered by two hosts within the lease of orders.
+        An engine must not be ordered by two hosts within the lease of orders.
         """
         with self._lock:
+            self._forget_old()
             for order in orders:
                 self._order_by_start[order.start_id] = _Order(
-                    order.role, order.until, excluded
+                    order.role,
+                    order.until,
+                    Deadline(order.given.instant + lease_seconds),
                 )
 
     def drop(self, endpoint: Endpoint) -> None:
@@ -69,9 +71,16 @@
                 if order.role == engine.role:
                     del self._order_by_start[engine.start_id]
 
+    def _forget_old(self) -> None:
+        for start_id, order in list(self._order_by_start.items()):
+            if order.until.expired:
+                del self._order_by_start[start_id]
+
     def count(self, engines: Iterable[Endpoint]) -> int:
-        """Return how many of these may still be carrying out an order."""
-        return sum(self.role_of(engine) is not None for engine in engines)
+        """Return how many of these may still be changing their role."""
+        return sum(
+            self.role_of(engine) not in (None, engine.role) for engine in engines
+        )
 
     def role_of(self, endpoint: Endpoint) -> EndpointRole | None:
         """Return the role that this start was ordered to, None without an order."""
--- a/src/jujubeslip/control/_machine.py
+++ b/src/jujubeslip/control/_machine.py
@@ -89,7 +89,7 @@
 
     @_apply.register(EngineLoads)
     def _(self, command: EngineLoads) -> Outcome:
-        self.engines.note_loads(command)
+        self.engines.note_loads(command, self.stamp_ms)
         return None
 
     def find_claim(self, claim: KeyClaim) -> KeyReply | None:
--- a/src/jujubeslip/control/_role_balance.py
+++ b/src/jujubeslip/control/_role_balance.py
@@ -75,19 +75,23 @@
     def __init__(self) -> None:
         self._samples: deque[tuple[float, float]] = deque()
         self._begun_at: float | None = None
+        self._noted_since: float | None = None
+        self._continued = (-math.inf, 0.0)
 
     @classmethod
     def continued(cls, now: float, busiest: float) -> PromptLoad:
         """Return a load that was watched until now, with this busiest moment."""
         load = cls()
         load._begun_at = now - WATCHED_SECONDS
-        load._samples.append((now, busiest))
+        load._continued = (now, busiest)
         return load
 
     def note(self, now: float, busy_readers: float) -> None:
         """Note how many readers' whole time prompts take at this moment."""
         if self._begun_at is None and busy_readers > 0:
             self._begun_at = now
+        if self._noted_since is None:
+            self._noted_since = now
         self._samples.append((now, busy_readers))
         while self._samples[0][0] < now - WATCHED_SECONDS:
             self._samples.popleft()
@@ -100,10 +104,24 @@
         """
         if self._begun_at is None or now - self._begun_at < WATCHED_SECONDS:
             return None
-        return max(busy for _, busy in self._samples) or None
+        told_at, told = self._continued
+        known = [busy for _, busy in self._samples]
+        if told_at >= now - WATCHED_SECONDS:
+            known.append(told)
+        return max(known, default=0.0) or None
+
+    @property
+    def busiest_noted(self) -> float | None:
+        """Return the most readers that were noted, None where none was busy."""
+        return max((busy for _, busy in self._samples), default=0.0) or None
 
     def least(self, now: float) -> float:
-        """Return how many readers were busy all the time lately."""
+        """Return how many readers were busy all the time lately.
+
+        None were where that was not noted for long enough: a moment says nothing.
+        """
+        if self._noted_since is None or now - self._noted_since < BUSY_SECONDS:
+            return 0.0
         recent = [busy for at, busy in self._samples if at > now - BUSY_SECONDS]
         return min(recent, default=0.0)
 
--- a/src/jujubeslip/control/_roles.py
+++ b/src/jujubeslip/control/_roles.py
@@ -14,7 +14,6 @@
 
 from jujubeslip.admission import EngineUse
 from jujubeslip.control._engine_log import EngineLog
-from jujubeslip.control._engine_table import ORDER_SECONDS
 from jujubeslip.control._given_orders import GivenOrders
 from jujubeslip.control._leadership import Fence
 from jujubeslip.control._order_log import BalanceInputs, NoOrderLog, NoOrderReason
@@ -56,6 +55,8 @@
 # How long an engine may take to answer, in seconds; it needs a millisecond or two. An
 # order is sent only while the lease lasts for longer than this.
 ANSWER_SECONDS = 0.25
+# How long an order may take to get into the log, in seconds.
+RECORD_SECONDS = 0.5
 ACCEPTED = (200, 202)
 
 
@@ -102,8 +103,8 @@
         self._configured_services = configured_services
         self._connections = ConnectionPool()
         self._short_since_by_service: dict[str, float] = {}
-        self._next_order_by_service: dict[str, Deadline] = {}
         self._load_by_service: dict[str, PromptLoad] = {}
+        self._own_load_by_service: dict[str, PromptLoad] = {}
         self._no_order_log = NoOrderLog()
 
     def look(self) -> None:
@@ -122,10 +123,13 @@
         services = self._services()
         for name in services:
             now = steady_seconds()
-            self._load(name).note(now, self._busy_readers(name))
+            busy_readers = self._busy_readers(name)
+            self._load(name).note(now, busy_readers)
+            self._own_load(name).note(now, busy_readers)
             self._shares(name).note(now, self._engine_use(name))
             self._orders.settle(self._all_engines(name))
-        self._engine_log.record_loads(self._known_loads(services))
+        if services:
+            self._engine_log.record_loads(self._known_loads(services))
         may_order = log_seconds >= self._order_lease_seconds + FOUNDING_SECONDS
         for name in services:
             if may_order:
@@ -143,6 +147,7 @@
         What this host saw when it led says nothing of the load when it leads again.
         """
         self._load_by_service.clear()
+        self._own_load_by_service.clear()
         self._shares_by_service.clear()
         self._known_term = None
         for name in self._services():
@@ -151,16 +156,19 @@
     def _take_over(self, term: int) -> None:
         """Begin a term with the orders and the load that earlier leaders recorded."""
         pending = self._engine_log.pending_orders()
-        excluded = Deadline.after(self._order_lease_seconds)
-        self._orders.take_over(pending, excluded)
+        self._orders.take_over(pending, self._order_lease_seconds)
+        self._engine_log.begin_term()
         self._known_term = term
         extra = {"term": term, "pending": [order.start_id for order in pending]}
         logger.info("orders taken over", extra=extra)
 
     def _known_loads(self, services: Iterable[str]) -> list[EngineLoad]:
-        now, loads = steady_seconds(), []
+        loads = []
         for name in services:
-            busiest, use = self._load(name).busiest(now), self._shares(name).mean_use
+            busiest, use = (
+                self._own_load(name).busiest_noted,
+                self._shares(name).mean_use,
+            )
             if busiest is not None:
                 loads.append(EngineLoad(name, busiest, use.reading, use.answering))
         return loads
@@ -274,7 +282,10 @@
     def _changes_to(self, service_name: str, role: EndpointRole) -> bool:
         """Say whether any engine may still be carrying out an order to this role."""
         engines = self._all_engines(service_name)
-        return any(self._orders.role_of(engine) is role for engine in engines)
+        return any(
+            self._orders.role_of(engine) is role and engine.role is not role
+            for engine in engines
+        )
 
     def _allowed_changes(self, service_name: str, engines: Engines) -> int:
         changing = self._orders.count(self._all_engines(service_name))
@@ -295,13 +306,9 @@
         useful = self._useful_readers(service_name, engines)
         steady = self._steady(engines)
         wanted = wanted_change(engines, pressure, short_for, useful, steady)
-        paused = self._next_order_by_service.get(service_name)
-        if wanted is None or (paused is not None and not paused.expired):
-            return 0
-        if not self._order(*wanted, fence, pressure):
+        if wanted is None:
             return 0
-        self._next_order_by_service[service_name] = Deadline.after(ORDER_SECONDS)
-        return 1
+        return int(self._order(*wanted, fence, pressure))
 
     def _short_for(self, service_name: str, pressure: ServicePressure) -> float:
         """Return for how long requests have lacked memory, in seconds."""
@@ -324,10 +331,19 @@
             told = self._engine_log.load_of(service_name)
             load = PromptLoad()
             if told is not None:
-                load = PromptLoad.continued(steady_seconds(), told.busiest_readers)
+                # Hosts tell what prompts take also while nobody leads.
+                pressure = self._watches.pressure_of(service_name)
+                busiest = max(
+                    told.busiest_readers, pressure.prompt_ms_per_second / 1000
+                )
+                load = PromptLoad.continued(steady_seconds(), busiest)
             self._load_by_service[service_name] = load
         return self._load_by_service[service_name]
 
+    def _own_load(self, service_name: str) -> PromptLoad:
+        """Return the load that this host has seen by itself."""
+        return self._own_load_by_service.setdefault(service_name, PromptLoad())
+
     def _useful_readers(self, service_name: str, engines: Engines) -> int | None:
         return self._shares(service_name).useful_readers(engines, steady_seconds())
 
@@ -357,10 +373,17 @@
     def _steady(self, engines: Engines) -> Engines:
         """Return those that aren't carrying out an order, least busy ones first.
 
-        An engine changes its role once all its answers have ended.
+        An engine changes its role once all its answers have ended. One that reports
+        nothing may have crashed: it comes last.
         """
         steady = engines.where(lambda engine: self._orders.role_of(engine) is None)
-        decode = sorted(steady.decode, key=self._answer_count)
+        decode = sorted(
+            steady.decode,
+            key=lambda engine: (
+                not self._reports_now(engine),
+                self._answer_count(engine),
+            ),
+        )
         return Engines(steady.prefill, tuple(decode))
 
     def _all_engines(self, service_name: str) -> tuple[Endpoint, ...]:
@@ -418,6 +441,7 @@
         accepted = status in ACCEPTED
         if not accepted:
             self._orders.drop(endpoint)
+            self._engine_log.withdraw_order(endpoint.start_id, endpoint.role)
         logger.info(
             "engine ordered" if accepted else "order refused",
             extra={**extra, "status": status},
@@ -425,13 +449,18 @@
         return True
 
     def _may_send(self, endpoint: Endpoint, role: EndpointRole, fence: Fence) -> bool:
-        """Record an order; say whether the lease still lasts for its answer."""
+        """Record an order; say whether the lease lasts for its answer after that."""
         if fence.lease.remaining() < ANSWER_SECONDS:
             return False
-        recorded_by = Deadline.after(fence.lease.remaining() - ANSWER_SECONDS)
+        recorded_by = Deadline.after(RECORD_SECONDS)
         if not self._engine_log.record_order(endpoint.start_id, role, recorded_by):
             return False
-        return fence.lease.remaining() >= ANSWER_SECONDS
+        now = self._replica.fence()
+        if now is not None and now.number == fence.number:
+            if now.lease.remaining() >= ANSWER_SECONDS:
+                return True
+        self._engine_log.withdraw_order(endpoint.start_id, endpoint.role)
+        return False
 
     def _known_orders(self, endpoint: Endpoint) -> int | None:
         """Return how many orders the engine has accepted, None while it is at one."""
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -5742,17 +5742,19 @@
      - end
      - orders
      - loads
+     - engines_since_ms
 
     """
 
 
-    def __init__(self, configurations=None, changes=None, claims=None, end=None, orders=None, loads=None,):
+    def __init__(self, configurations=None, changes=None, claims=None, end=None, orders=None, loads=None, engines_since_ms=None,):
         self.configurations = configurations
         self.changes = changes
         self.claims = claims
         self.end = end
         self.orders = orders
         self.loads = loads
+        self.engines_since_ms = engines_since_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5823,6 +5825,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.engines_since_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5872,6 +5879,10 @@
                 iter160.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.engines_since_ms is not None:
+            oprot.writeFieldBegin('engines_since_ms', TType.I64, 7)
+            oprot.writeI64(self.engines_since_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -7166,6 +7177,7 @@
     (4, TType.BOOL, 'end', None, None, ),  # 4
     (5, TType.LIST, 'orders', (TType.STRUCT, [EngineOrderRecord, None], False), None, ),  # 5
     (6, TType.LIST, 'loads', (TType.STRUCT, [EngineLoad, None], False), None, ),  # 6
+    (7, TType.I64, 'engines_since_ms', None, None, ),  # 7
 )
 all_structs.append(ReplicaDescription)
 ReplicaDescription.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -350,7 +350,7 @@
 // were busy all the time.
 struct EngineLoad {
   1: string service_name,
-  // The most that were busy with prompts at any moment.
+  // The most that were busy with prompts at a moment of the last seconds.
   2: double busiest_readers,
   // Busy with prompts, and with answers, in the mean.
   3: double reading,
@@ -620,6 +620,8 @@
   4: bool end,
   5: optional list<EngineOrderRecord> orders,
   6: optional list<EngineLoad> loads,
+  // Log time of the first entry about engines.
+  7: optional i64 engines_since_ms,
 }
 
 // What a replica is, asked by one that has no cluster yet.
--- a/tests/control/test_orders_across_leads.py
+++ b/tests/control/test_orders_across_leads.py
@@ -55,7 +55,7 @@
         if isinstance(command, EngineOrder):
             self.engines.note_order(command, stamp_ms)
         else:
-            self.engines.note_loads(command)
+            self.engines.note_loads(command, stamp_ms)
 
 
 class Host:
--- a/tests/control/test_roles.py
+++ b/tests/control/test_roles.py
@@ -169,6 +169,12 @@
     def pending_orders(self) -> list[PendingOrder]:
         return list(self._pending)
 
+    def withdraw_order(self, start_id: str, role: EndpointRole) -> None:
+        self.recorded.append(start_id)
+
+    def begin_term(self) -> None:
+        pass
+
     def age_seconds(self) -> float:
         return self.age
 
@@ -577,7 +583,7 @@
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         until = Deadline.after(ORDER_SECONDS)
-        pending = PendingOrder("d-0", EndpointRole.PREFILL, until)
+        pending = PendingOrder("d-0", EndpointRole.PREFILL, Deadline.after(0), until)
         keeper, asked = self.keeper(monkeypatch, NotedOrders([pending]))
         keeper.look()
         assert asked.orders == 0
@@ -588,7 +594,7 @@
         """Two hosts must not order one engine within the lease of orders."""
         until = Deadline.after(ORDER_SECONDS)
         pending = [
-            PendingOrder(f"d-{number}", EndpointRole.DECODE, until)
+            PendingOrder(f"d-{number}", EndpointRole.DECODE, Deadline.after(0), until)
             for number in range(3)
         ]
         keeper, asked = self.keeper(monkeypatch, NotedOrders(pending))
@@ -619,7 +625,7 @@
     def test_knows_the_load_that_the_last_one_saw(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        load = EngineLoad("model", 0.2, 0.1, 1.9)
+        load = EngineLoad("model", 0.7, 0.1, 1.9)
         keeper, _ = self.keeper(monkeypatch, NotedOrders(load=load))
         keeper.look()
         now = steady_seconds()
--- a/tests/forwarding/test_orders_of_the_next_leader.py
+++ b/tests/forwarding/test_orders_of_the_next_leader.py
@@ -32,8 +32,9 @@
 )
 
 CONTROLS = 3
-# No order is given before a log has been led for so long since it was founded.
-FOUNDED_SECONDS = 5.0
+# No order is given before leaders have recorded their orders for five seconds, and each
+# two seconds tell the next one how long that was.
+RECORDED_SECONDS = 8.0
 # An order takes a look, a question to the engine and the order itself.
 ORDER_SECONDS = 2.0
 LOAD_SECONDS = 20.0
@@ -46,9 +47,6 @@
     folder = tmp_path_factory.mktemp("orders")
     with PlatformSystem(folder, controls=CONTROLS) as running:
         running.put_until_accepted(configuration(1, routes, [SERVICE]))
-        time.sleep(FOUNDED_SECONDS)
-        # The newest entry tells the next leader how old the log is.
-        running.put_until_accepted(configuration(2, routes, [SERVICE]))
         yield running
 
 
@@ -83,6 +81,7 @@
         for worker in (reader, *workers):
             system.add(worker)
         system.wait_served("/stream/x", method="POST", headers=PROMPT)
+        time.sleep(RECORDED_SECONDS)
         killed = leader_of(system)
         before = last_lead(system)["term"]
         system.controls[killed].kill()
