Cover a second takeover, and a change whose leader is lost right after its answer

The search for the leader in the lines of control hosts is shared with the test of a suspended leader.

--- a/tests/platform/test_known_leader.py
+++ b/tests/platform/test_known_leader.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import signal
 import time
 from pathlib import Path
@@ -11,6 +10,7 @@
 
 from tests.fakes.platform_system import PlatformSystem, configuration, route
 from tests.fakes.processes import wait_until
+from tests.fakes.takeover import leader_of
 
 CONTROLS = 3
 # An answer of a control host has to be on its way by then; a silent leader takes all of
@@ -20,18 +20,6 @@
 KNOWN_LEADER_SECONDS = ANSWER_SECONDS / 2
 
 
-def leader_of(system: PlatformSystem) -> int:
-    """Return the control host that began to lead last, by its own lines."""
-    terms = [_latest_term(host.output()) for host in system.controls]
-    return terms.index(max(terms))
-
-
-def _latest_term(output: str) -> int:
-    """Return the last term in which a control host led, 0 if it never did."""
-    lines = [json.loads(line) for line in output.splitlines() if '"leading"' in line]
-    return max((line["term"] for line in lines), default=0)
-
-
 class TestLeaderThatIsSuspended:
     """Guards against a configuration that waits for a leader that is gone."""
 
--- /dev/null
+++ b/tests/platform/test_takeover.py
@@ -0,0 +1,110 @@
+"""Configurations while one leader follows another."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.fakes.platform_system import PLAIN, PlatformSystem, configuration, route
+from tests.fakes.processes import wait_until
+from tests.fakes.takeover import (
+    leader_of,
+    suspended_leader,
+    wait_for_next_leader,
+    wait_until_followed,
+)
+
+CONTROLS = 3
+ROUTES = [route("plain", "/plain/", "plain")]
+# An answer of a control host has to be on its way by then.
+ANSWER_SECONDS = 0.85
+# An operator's call needs a few milliseconds of the leader and one sync of its disk.
+KNOWN_LEADER_SECONDS = ANSWER_SECONDS / 2
+# An acknowledged configuration has to be in force at all hosts after this time.
+APPLY_SECONDS = 2.0
+
+
+def version(number: int) -> dict[str, Any]:
+    return configuration(number, ROUTES, [PLAIN])
+
+
+@pytest.fixture
+def system(tmp_path: Path) -> Iterator[PlatformSystem]:
+    """Return a system in which each control host has asked the leader."""
+    with PlatformSystem(tmp_path, controls=CONTROLS) as running:
+        running.put_until_accepted(version(1))
+        for number in range(CONTROLS):
+            running.put_until_accepted(version(2 + number), number)
+        running.wait_ready()
+        yield running
+
+
+def timed_put(system: PlatformSystem, number: int, control: int) -> tuple[Any, float]:
+    """Send a configuration once; return the status and how long it took."""
+    began = time.monotonic()
+    return system.put(version(number), control), time.monotonic() - began
+
+
+class TestSecondTakeover:
+    """Guards against a change that goes to the leader before the last one."""
+
+    def test_next_one_is_asked_first(self, system: PlatformSystem) -> None:
+        for round_number in range(3):
+            with suspended_leader(system) as suspended:
+                leader = wait_for_next_leader(system, suspended)
+                others = [item for item in range(CONTROLS) if item != suspended]
+                for other in sorted(others, key=lambda item: item != leader):
+                    number = 10 * (round_number + 1) + other
+                    status, seconds = timed_put(system, number, other)
+                    assert status == 200 and seconds < KNOWN_LEADER_SECONDS
+            wait_until_followed(system, suspended, leader)
+            status, seconds = timed_put(system, 10 * (round_number + 1) + 5, suspended)
+            assert status == 200 and seconds < KNOWN_LEADER_SECONDS
+
+
+class TestConfigurationOfALeaderThatIsLost:
+    """Guards against an acknowledged change that hosts don't obey in time."""
+
+    def test_is_in_force_at_entry_hosts(self, system: PlatformSystem) -> None:
+        for number in range(20, 23):
+            system.put_until_accepted(version(number), leader_of(system))
+            acknowledged = time.monotonic()
+            with suspended_leader(system) as suspended:
+                wait_until(
+                    lambda number=number: version_in_force(system) >= number,  # type: ignore[misc]
+                    "the change is in force",
+                )
+                assert time.monotonic() - acknowledged < APPLY_SECONDS
+                leader = wait_for_next_leader(system, suspended)
+            wait_until_followed(system, suspended, leader)
+
+    def test_is_read_at_other_control_hosts(self, system: PlatformSystem) -> None:
+        for number in range(20, 23):
+            system.put_until_accepted(version(number), leader_of(system))
+            acknowledged = time.monotonic()
+            with suspended_leader(system) as suspended:
+                for other in range(CONTROLS):
+                    if other == suspended:
+                        continue
+                    status, content = system.read(other)
+                    assert status == 503 or content["version"] >= number
+                leader = wait_for_next_leader(system, suspended)
+                status, content = system.read(leader)
+                assert (status, content["version"]) == (200, number)
+                assert time.monotonic() - acknowledged < APPLY_SECONDS
+            wait_until_followed(system, suspended, leader)
+
+
+def version_in_force(system: PlatformSystem) -> int:
+    """Return the version that the entry host obeys, by its own lines."""
+    lines = [
+        line
+        for line in system.entries[0].output().splitlines()
+        if '"configuration in force"' in line
+    ]
+    numbers = [int(line.split('"version": ')[1].split(",")[0]) for line in lines]
+    return max(numbers, default=0)
