--- a/tests/control/test_leader_loss.py
+++ b/tests/control/test_leader_loss.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import time
 from pathlib import Path
 
 from jujubeslip.kernel import Deadline
@@ -17,6 +18,11 @@
 from tests.fakes.fault_proxy import Direction
 from tests.fakes.processes import wait_until
 
+# What a caller waits for an answer of the control hosts before it goes on elsewhere.
+ANSWER_SECONDS = 0.85
+# How long a claim may be tried for.
+CLAIM_SECONDS = 4.0
+
 
 class TestKilledLeader:
     """What was answered outlives the leader."""
@@ -81,6 +87,30 @@
             cluster.wait_applied(frozen, 2)
 
 
+class TestClaimAfterALeaderThatIsFrozen:
+    """Guards against claims and commands that wait for a leader that was replaced."""
+
+    def test_goes_to_the_next_one(self, tmp_path: Path) -> None:
+        with ControlCluster(tmp_path, 3) as cluster:
+            client = cluster.client
+            asked = [
+                lambda number: client.claim_key(
+                    make_claim(f"key-{number}"), Deadline.after(CLAIM_SECONDS)
+                ),
+                lambda _: client.newest_configuration(Deadline.after(CLAIM_SECONDS)),
+            ]
+            for number, ask in enumerate(asked):
+                cluster.leader()
+                ask(number)
+                frozen = cluster.leader()
+                frozen.freeze()
+                cluster.leader(cluster.others(frozen))
+                began = time.monotonic()
+                ask(10 + number)
+                assert time.monotonic() - began < ANSWER_SECONDS
+                frozen.signal(signal.SIGCONT)
+
+
 class TestCutOffLeader:
     """A leader without a quorum promises nothing and steps down by itself."""
 
