Log who was asked in vain for a leader, and whom an entry host asks

A refusal named the last host only, so that one silent attempt could not be told from hosts that were passed over; and no line said which leader an entry host believes in, who told it, and which hosts it passes over. One line a call that did not find the leader at once, one line a change. No logic is changed.

--- a/src/jujubeslip/control/_client.py
+++ b/src/jujubeslip/control/_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import threading
 import time
 from collections.abc import Callable, Iterable, Sequence
@@ -24,6 +25,8 @@
     VersionedCommand,
 )
 
+logger = logging.getLogger(__name__)
+
 T = TypeVar("T")
 
 # A replica that does not answer in this time is left for the next one, in seconds,
@@ -34,6 +37,8 @@
 PAUSE_SECONDS = 0.05
 READ_SECONDS = 3.0
 MILLISECONDS = 1000
+# How many hosts that were asked in vain are written to the log for one call.
+MAXIMUM_LOGGED = 8
 # A change of the replicas first waits for a majority of the next ones to answer.
 CHANGE_SECONDS = 6.0
 # Refusals that say nothing about the request: it may be accepted later, or elsewhere.
@@ -192,13 +197,17 @@
     ) -> T:
         search = _LeaderSearch(self._first_position(), len(self._clients))
         failure = "no replica has been asked"
+        failures: list[str] = []
         while not deadline.expired:
             # Half of what is left: a client tries twice, the second time over a
             # fresh connection.
             attempt = min(attempt_seconds, deadline.remaining() / 2)
+            address = self._clients[search.position].address
             try:
                 answer = self._clients[search.position].call(operation, attempt)
                 self._leader_position = search.position
+                if failures:
+                    _log_search(address, failures, deadline)
                 return answer
             except NotLeader as error:
                 failure = "no replica leads"
@@ -212,6 +221,8 @@
                     raise
                 failure = error.message
                 search.go_on(deadline)
+            failures.append(f"{address}: {failure}")
+        _log_search("", failures, deadline)
         raise PeerUnavailableError(
             f"No leader of the control hosts answered in time: {failure}",
             "Check that a majority of the control hosts runs and can be reached.",
@@ -273,6 +284,17 @@
         )
 
 
+def _log_search(found: str, failures: Sequence[str], deadline: Deadline) -> None:
+    """Write which hosts were asked in vain, one after the other."""
+    extra = {
+        "found": found,
+        "asked_in_vain": list(failures[:MAXIMUM_LOGGED]),
+        "attempts": len(failures),
+        "left_ms": deadline.remaining_ms(),
+    }
+    logger.info("leader searched", extra=extra)
+
+
 class _LeaderSearch:
     """Which replica one request asks next.
 
--- a/src/jujubeslip/forwarding/_leader_contact.py
+++ b/src/jujubeslip/forwarding/_leader_contact.py
@@ -30,6 +30,7 @@
         self._paused_until_by_address: dict[str, Deadline] = {}
         self._silent_addresses: set[str] = set()
         """Hosts that did not answer when last asked."""
+        self._logged_address: str | None = None
         self._lock = threading.Lock()
 
     def take(self, news: News) -> None:
@@ -60,7 +61,24 @@
             )
             # Each request would wait anew for a host beyond a network partition.
             named = Counter({key: n for key, n in named.items() if self._reaches(key)})
-        return named.most_common(1)[0][0] if named else None
+            address = named.most_common(1)[0][0] if named else None
+            self._log_change(address)
+        return address
+
+    def _log_change(self, address: str | None) -> None:
+        """Write which host is asked from now on, and what each one told; needs lock."""
+        if address == self._logged_address:
+            return
+        self._logged_address = address
+        paused = [
+            item for item in self._paused_until_by_address if self._is_paused(item)
+        ]
+        extra = {
+            "address": address or "",
+            "told": dict(self._leader_by_teller),
+            "paused": paused,
+        }
+        logger.info("leader to ask changed", extra=extra)
 
     def call(
         self,
