Tell watchers of another leader at once, with its term

Cause: a watch waited for endpoints, configurations and crashes alone. An election was told with the next answer, at the end of the wait, and without a term, so that what hosts said before it could not be told from what they say since.

Change: a host keeps the term in which the leader it follows leads, apart from its own, which a vote raises while the old leader is still named. It is told by watches and by the refusal of a host that doesn't lead. A watch names the leader that it was told of last; it is answered once this host hears of another one, or of another term. That no leader is heard is no news. A watcher that names none is told of changes during its wait.

Why it works: the answer and the question name the same two facts, so that there is one answer a change for each watcher, also if an answer was lost. Those who wait are woken when a host begins to lead, or to follow another leader, or hears it again.

--- a/src/jujubeslip/control/_leadership.py
+++ b/src/jujubeslip/control/_leadership.py
@@ -29,6 +29,8 @@
 
     replica_id: str = ""
     address: str = ""
+    term: int = 0
+    """The term in which it leads; the replica's own may be higher."""
 
 
 @dataclass
--- a/src/jujubeslip/control/_replica.py
+++ b/src/jujubeslip/control/_replica.py
@@ -14,6 +14,7 @@
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from contextlib import contextmanager
+from dataclasses import replace
 
 from jujubeslip.control._commands import Command, NoOp, make_entry
 from jujubeslip.control._errors import LeadershipLostError, StorageFailedError
@@ -61,7 +62,7 @@
         self.lock = threading.RLock()
         # Notified when there is something to write or to send.
         self.work = threading.Condition(self.lock)
-        # Notified when the role or the membership changes.
+        # Notified when the role, the leader or the membership changes.
         self.role_changed = threading.Condition(self.lock)
         # Notified when a newer configuration is applied.
         self.configuration_changed = threading.Condition(self.lock)
@@ -195,11 +196,15 @@
         self.adopt_term(term)
         if self.role is not Role.FOLLOWER:
             self.step_down("another replica leads")
+        leader = replace(leader, term=term)
+        is_news = leader != self.leader or not self.hears_leader
         if leader != self.leader:
             logger.info("following", extra={"leader": leader.replica_id, "term": term})
         self.leader = leader
         self.is_fresh = False
         self.heard_leader_until = Deadline.after(self.election_seconds)
+        if is_news:
+            self.role_changed.notify_all()
         self.election_deadline = self.random_election_deadline()
 
     def lead(self) -> None:
@@ -207,7 +212,9 @@
         last_index = self.log.last_index
         self.is_fresh = False
         self.role = Role.LEADER
-        self.leader = LeaderContact(self.replica_id, self.settings.peer_address)
+        self.leader = LeaderContact(
+            self.replica_id, self.settings.peer_address, self.term
+        )
         stamp_ms = self.machine.stamp_ms
         if last_index > self.log.base_index:
             stamp_ms = max(stamp_ms, self.log.entry(last_index).stamp_ms)
@@ -376,7 +383,8 @@
         """Return the refusal that names the leader, if one was heard lately."""
         with self.lock:
             if self.role is not Role.LEADER and self.hears_leader:
-                return NotLeader(self.leader.replica_id, self.leader.address)
+                leader = self.leader
+                return NotLeader(leader.replica_id, leader.address, leader.term)
             return NotLeader("", "")
 
     def known_leader_address(self) -> str:
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -189,6 +189,7 @@
         process.start_task(Elections(self._replica, self._clients).run)
         process.start_task(Joining(self._replica, self._clients).run)
         process.start_task(self._watches.follow_configuration)
+        process.start_task(self._watches.follow_leader)
         process.repeat(MEMBERSHIP_CHECK_SECONDS, self._changes.promote_learners)
         process.repeat(PROBE_SECONDS, DiskProbe(self._replica).look)
         process.repeat(FORGET_SECONDS, self._crash_book.forget_old)
--- a/src/jujubeslip/control/_watches.py
+++ b/src/jujubeslip/control/_watches.py
@@ -41,6 +41,17 @@
     pressures: tuple[ServicePressure, ...]
 
 
+@dataclass(frozen=True)
+class _Leader:
+    """The control host that leads, and in which term."""
+
+    address: str
+    term: int
+
+
+NO_LEADER = _Leader("", 0)
+
+
 class _ToldPressure(StrictModel):
     """The fields of a load, none of which Thrift itself insists on."""
 
@@ -99,11 +110,13 @@
         self._crash_book.take(told)
         wait = Deadline.from_remaining_ms(request.wait_ms or 0)
         known_configuration = request.known_configuration_version or 0
+        known_leader = self._known_leader(request)
         self._book.wait_for_news(
             known,
             lambda: (
                 self._configuration_version() > known_configuration
                 or self._crash_version(request) > known_crashes
+                or self._leader() not in (known_leader, NO_LEADER)
             ),
             wait.earlier_of(Deadline.after(MAXIMUM_WAIT_SECONDS)),
         )
@@ -112,6 +125,8 @@
         crash_version, crashes = self._crash_book.changes_since(
             known_crashes, suspects_only=bool(request.is_entry_host)
         )
+        with self._replica.lock:
+            leader = self._leader()
         return WatchReply(
             self._book.book_id,
             version,
@@ -119,10 +134,11 @@
             self._configuration_version(),
             self._addresses(),
             self._count_entry_hosts(),
-            self._leader_address(),
+            leader.address,
             crash_version,
             [to_crash_record(history) for history in crashes],
             [to_removal_record(removal) for removal in removals],
+            leader.term,
         )
 
     def _crash_version(self, request: WatchRequest) -> int:
@@ -143,6 +159,23 @@
             known = self._configuration_version()
             self._book.wake()
 
+    def follow_leader(self) -> None:
+        """Wake those who wait whenever this host hears of another leader."""
+        replica = self._replica
+        known = NO_LEADER
+        while not replica.process.stopped.is_set():
+            with replica.lock:
+                if self._leader() == known:
+                    replica.role_changed.wait(MAXIMUM_WAIT_SECONDS)
+                known = self._leader()
+            self._book.wake()
+
+    def _known_leader(self, request: WatchRequest) -> _Leader:
+        """Return the leader that the watcher knows, by its own word if it gives one."""
+        if request.known_leader_term is None:
+            return self._leader()
+        return _Leader(request.known_leader_address or "", request.known_leader_term)
+
     def wait_until_told(self, version: int, deadline: Deadline) -> bool:
         """Wait until each live watcher has confirmed this version of the book.
 
@@ -212,12 +245,13 @@
         with self._changed:
             return sum(watcher.is_entry_host for watcher in self._live())
 
-    def _leader_address(self) -> str:
+    def _leader(self) -> _Leader:
+        # Without the replica's lock, as below; an answer is made with it.
         replica = self._replica
-        with replica.lock:
-            if replica.leadership is not None:
-                return str(replica.settings.peer_address)
-            return str(replica.leader.address) if replica.hears_leader else ""
+        if not replica.hears_leader:
+            return NO_LEADER
+        contact = replica.leader
+        return _Leader(contact.address, contact.term) if contact.address else NO_LEADER
 
     def _configuration_version(self) -> int:
         # Without the replica's lock: those who wait ask this inside the book's.
--- a/src/jujubeslip/discovery/_follower.py
+++ b/src/jujubeslip/discovery/_follower.py
@@ -52,6 +52,8 @@
     """How many entry hosts ask it; it knows no other way to count them."""
     leader_address: str = ""
     """Peer address of the control host that leads, empty while none is known."""
+    leader_term: int = 0
+    """The term in which it leads, 0 where that was not told."""
 
 
 @dataclass(frozen=True)
@@ -62,6 +64,8 @@
     book_version: int = 0
     configuration_version: int = 0
     crash_version: int = 0
+    leader_address: str = ""
+    leader_term: int = 0
 
 
 class ControlFollowers:
@@ -150,6 +154,8 @@
             self._pressures(),
             known.crash_version,
             [to_crash_record(history) for history in crashes],
+            known.leader_address,
+            known.leader_term,
         )
         return request, crash_version
 
@@ -164,6 +170,7 @@
             reply.configuration_version or 0,
             reply.entry_hosts or 0,
             reply.leader_address or "",
+            reply.leader_term or 0,
         )
         self._on_news(news)
 
@@ -227,6 +234,8 @@
             reply.version or 0,
             reply.configuration_version or 0,
             reply.crash_version or 0,
+            reply.leader_address or "",
+            reply.leader_term or 0,
         )
 
     def _note_answered(self, asked_at: float) -> None:
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -262,16 +262,18 @@
     Attributes:
      - leader_id
      - leader_address
+     - leader_term
 
     """
 
 
-    def __init__(self, leader_id=None, leader_address=None,):
+    def __init__(self, leader_id=None, leader_address=None, leader_term=None,):
         super(NotLeader, self).__setattr__('leader_id', leader_id)
         super(NotLeader, self).__setattr__('leader_address', leader_address)
+        super(NotLeader, self).__setattr__('leader_term', leader_term)
 
     def __hash__(self):
-        return hash(self.__class__) ^ hash((self.leader_id, self.leader_address, ))
+        return hash(self.__class__) ^ hash((self.leader_id, self.leader_address, self.leader_term, ))
 
     @classmethod
     def read(cls, iprot):
@@ -280,6 +282,7 @@
         iprot.readStructBegin()
         leader_id = None
         leader_address = None
+        leader_term = None
         while True:
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
@@ -294,6 +297,11 @@
                     leader_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    leader_term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -301,6 +309,7 @@
         return cls(
             leader_id=leader_id,
             leader_address=leader_address,
+            leader_term=leader_term,
         )
 
     def write(self, oprot):
@@ -316,6 +325,10 @@
             oprot.writeFieldBegin('leader_address', TType.STRING, 2)
             oprot.writeString(self.leader_address.encode('utf-8') if sys.version_info[0] == 2 else self.leader_address)
             oprot.writeFieldEnd()
+        if self.leader_term is not None:
+            oprot.writeFieldBegin('leader_term', TType.I64, 3)
+            oprot.writeI64(self.leader_term)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4369,11 +4382,13 @@
      - pressures
      - known_crash_version
      - crashes
+     - known_leader_address
+     - known_leader_term
 
     """
 
 
-    def __init__(self, book_id=None, known_version=None, wait_ms=None, is_entry_host=None, watcher_id=None, known_configuration_version=None, pressures=None, known_crash_version=None, crashes=None,):
+    def __init__(self, book_id=None, known_version=None, wait_ms=None, is_entry_host=None, watcher_id=None, known_configuration_version=None, pressures=None, known_crash_version=None, crashes=None, known_leader_address=None, known_leader_term=None,):
         self.book_id = book_id
         self.known_version = known_version
         self.wait_ms = wait_ms
@@ -4383,6 +4398,8 @@
         self.pressures = pressures
         self.known_crash_version = known_crash_version
         self.crashes = crashes
+        self.known_leader_address = known_leader_address
+        self.known_leader_term = known_leader_term
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4450,6 +4467,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.known_leader_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.known_leader_term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4502,6 +4529,14 @@
                 iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.known_leader_address is not None:
+            oprot.writeFieldBegin('known_leader_address', TType.STRING, 10)
+            oprot.writeString(self.known_leader_address.encode('utf-8') if sys.version_info[0] == 2 else self.known_leader_address)
+            oprot.writeFieldEnd()
+        if self.known_leader_term is not None:
+            oprot.writeFieldBegin('known_leader_term', TType.I64, 11)
+            oprot.writeI64(self.known_leader_term)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4533,11 +4568,12 @@
      - crash_version
      - crashes
      - removals
+     - leader_term
 
     """
 
 
-    def __init__(self, book_id=None, version=None, endpoints=None, configuration_version=None, control_addresses=None, entry_hosts=None, leader_address=None, crash_version=None, crashes=None, removals=None,):
+    def __init__(self, book_id=None, version=None, endpoints=None, configuration_version=None, control_addresses=None, entry_hosts=None, leader_address=None, crash_version=None, crashes=None, removals=None, leader_term=None,):
         self.book_id = book_id
         self.version = version
         self.endpoints = endpoints
@@ -4548,6 +4584,7 @@
         self.crash_version = crash_version
         self.crashes = crashes
         self.removals = removals
+        self.leader_term = leader_term
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4631,6 +4668,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.leader_term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4693,6 +4735,10 @@
                 iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.leader_term is not None:
+            oprot.writeFieldBegin('leader_term', TType.I64, 11)
+            oprot.writeI64(self.leader_term)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6355,6 +6401,7 @@
     None,  # 0
     (1, TType.STRING, 'leader_id', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'leader_address', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'leader_term', None, None, ),  # 3
 )
 all_structs.append(HostState)
 HostState.thrift_spec = (
@@ -6719,6 +6766,8 @@
     (7, TType.LIST, 'pressures', (TType.STRUCT, [ServicePressure, None], False), None, ),  # 7
     (8, TType.I64, 'known_crash_version', None, None, ),  # 8
     (9, TType.LIST, 'crashes', (TType.STRUCT, [CrashRecord, None], False), None, ),  # 9
+    (10, TType.STRING, 'known_leader_address', 'UTF8', None, ),  # 10
+    (11, TType.I64, 'known_leader_term', None, None, ),  # 11
 )
 all_structs.append(WatchReply)
 WatchReply.thrift_spec = (
@@ -6733,6 +6782,7 @@
     (8, TType.I64, 'crash_version', None, None, ),  # 8
     (9, TType.LIST, 'crashes', (TType.STRUCT, [CrashRecord, None], False), None, ),  # 9
     (10, TType.LIST, 'removals', (TType.STRUCT, [EndpointRemoval, None], False), None, ),  # 10
+    (11, TType.I64, 'leader_term', None, None, ),  # 11
 )
 all_structs.append(Member)
 Member.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -61,6 +61,7 @@
 exception NotLeader {
   1: string leader_id,
   2: string leader_address,
+  3: optional i64 leader_term,
 }
 
 struct HostState {
@@ -501,6 +502,10 @@
   // the watcher's own.
   8: i64 known_crash_version,
   9: list<CrashRecord> crashes,
+  // The leader that the host told of last; without them only a change during the wait
+  // is news.
+  10: optional string known_leader_address,
+  11: optional i64 known_leader_term,
 }
 
 struct WatchReply {
@@ -518,6 +523,8 @@
   9: list<CrashRecord> crashes,
   // Control hosts are told of removals of endpoints that are not known yet.
   10: list<EndpointRemoval> removals,
+  // The term in which that host leads.
+  11: optional i64 leader_term,
 }
 
 // `replica_id` is HOST/DISK: a host that lost its disk is another replica.
