Ask the leader of the newest term for charges and grants

Cause: an entry host asked whom most control hosts named, each by its last answer. A host that had gone kept its vote, and so did hosts that had told nothing since an election. A leader that refused or was late was passed over, and the one before it, still named, was asked instead. A host that did not lead when asked was passed over also once it led.

Change: what each control host told is kept with its term, and only words of the newest term count, whoever told them. Where their leader is passed over, nobody is asked. What a host was passed over for is forgotten once it is heard to lead in a newer term, also when it was being asked then. The refusal of a host that doesn't lead is such a word. A host that hears no leader any more keeps the term of the one it heard: an earlier one is not asked. Where no terms are told, most words decide, as before.

Why it works: a term has one leader, and one of a higher term was elected later. A word holds only while its teller or the host that it names is reached, so that a cluster that starts anew with lower terms is believed.

--- a/src/jujubeslip/forwarding/_leader_contact.py
+++ b/src/jujubeslip/forwarding/_leader_contact.py
@@ -6,6 +6,7 @@
 import threading
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, TypeVar
 
 from jujubeslip.discovery import News
@@ -20,13 +21,24 @@
 PAUSE_SECONDS = 0.7
 
 
+@dataclass(frozen=True)
+class _Word:
+    """Who leads, as one control host told last, and in which term."""
+
+    address: str
+    term: int
+
+
 class LeaderContact:
-    """Finds the leader among what control hosts tell, and calls it."""
+    """Finds the leader among what control hosts tell, and calls it.
+
+    The newest term counts, whoever told it: what others said of an earlier one is over.
+    """
 
     def __init__(self, identity: PeerIdentity, reaches: Callable[[str], bool]) -> None:
         self._reaches = reaches
         self._clients = ControlClients(identity)
-        self._leader_by_teller: dict[str, str] = {}
+        self._word_by_teller: dict[str, _Word] = {}
         self._paused_until_by_address: dict[str, Deadline] = {}
         self._silent_addresses: set[str] = set()
         """Hosts that did not answer when last asked."""
@@ -35,8 +47,39 @@
 
     def take(self, news: News) -> None:
         """Note who leads, as one control host sees it."""
+        # Hosts of another version tell no term.
+        term = getattr(news, "leader_term", 0)
         with self._lock:
-            self._leader_by_teller[news.address] = news.leader_address
+            self._take_word(news.address, _Word(news.leader_address, term))
+
+    def _take_word(self, teller: str, word: _Word) -> None:
+        """Note what a host told; needs the lock."""
+        if word.term > self._newest_term():
+            # It was elected since it was passed over.
+            self._paused_until_by_address.pop(word.address, None)
+            self._silent_addresses.discard(word.address)
+        before = self._word_by_teller.get(teller)
+        if not word.address and before is not None:
+            # It hears no leader now; the one of an earlier term leads no more.
+            word = _Word("", max(before.term, word.term))
+        self._word_by_teller[teller] = word
+
+    def _newest_words(self) -> list[_Word]:
+        """Return what was told of the newest term; needs the lock.
+
+        A word holds while its teller or the host that it names is reached: the control
+        hosts may all have been replaced, and count their terms anew.
+        """
+        words = [
+            word
+            for teller, word in self._word_by_teller.items()
+            if self._reaches(teller) or self._reaches(word.address)
+        ]
+        newest = max((word.term for word in words), default=0)
+        return [word for word in words if word.term == newest]
+
+    def _newest_term(self) -> int:
+        return max((word.term for word in self._newest_words()), default=0)
 
     @property
     def is_late(self) -> bool:
@@ -45,19 +88,21 @@
         It is soon asked again. One beyond a network partition isn't reachable.
         """
         with self._lock:
-            named = set(self._leader_by_teller.values()) & self._silent_addresses
+            named = {word.address for word in self._newest_words()}
+            named &= self._silent_addresses
             return any(self._reaches(address) for address in named)
 
     def address(self) -> str | None:
-        """Return the address that most control hosts name, None if none may be asked.
+        """Return the address of the newest leader, None if it may not be asked.
 
-        One that is cut off from the others may still name the leader of before.
+        One that is cut off from the others may still name the leader of before; most
+        of them decide where they tell no terms.
         """
         with self._lock:
             named = Counter(
-                address
-                for address in self._leader_by_teller.values()
-                if address and not self._is_paused(address)
+                word.address
+                for word in self._newest_words()
+                if word.address and not self._is_paused(word.address)
             )
             # Each request would wait anew for a host beyond a network partition.
             named = Counter({key: n for key, n in named.items() if self._reaches(key)})
@@ -75,7 +120,10 @@
         ]
         extra = {
             "address": address or "",
-            "told": dict(self._leader_by_teller),
+            "told": {
+                teller: [word.address, word.term]
+                for teller, word in self._word_by_teller.items()
+            },
             "paused": paused,
         }
         logger.info("leader to ask changed", extra=extra)
@@ -118,22 +166,21 @@
     def _answer(
         self, address: str, request_id: str, timeout: float, ask: Callable[[], T]
     ) -> T | None:
-        self._note_asked(address, timeout)
+        term = self._note_asked(address, timeout)
         try:
             answer = ask()
         except NotLeader as error:
-            self._pause(address, request_id, "it does not lead")
+            self._pause(address, term, request_id, "it does not lead")
             if error.leader_address:
+                word = _Word(error.leader_address, error.leader_term or 0)
                 with self._lock:
-                    self._leader_by_teller[address] = error.leader_address
+                    self._take_word(address, word)
             return None
         except PeerRefusal as error:
-            self._pause(address, request_id, str(error))
+            self._pause(address, term, request_id, str(error))
             return None
         except PeerUnavailableError as error:
-            self._pause(address, request_id, str(error))
-            with self._lock:
-                self._silent_addresses.add(address)
+            self._pause(address, term, request_id, str(error), is_silent=True)
             return None
         self._note_answered(address)
         return answer
@@ -152,7 +199,7 @@
     def first_reachable(self) -> str | None:
         """Return the control host that hosts with the same view agree on."""
         with self._lock:
-            tellers = sorted(self._leader_by_teller)
+            tellers = sorted(self._word_by_teller)
         return next((item for item in tellers if self._reaches(item)), None)
 
     def tell(self, say: Callable[[Any], Any], timeout: float) -> str:
@@ -166,15 +213,18 @@
             return f"{address}: {failure}"
         return ""
 
-    def _note_asked(self, address: str, timeout: float) -> None:
+    def _note_asked(self, address: str, timeout: float) -> int:
         """Let nobody else ask a silent host while one request waits for its answer.
 
+        Return the term in which it is asked.
+
         A host beyond a network partition is known to be lost after two seconds. Until
         then each request that comes once its pause is over would wait in vain.
         """
         with self._lock:
             if address in self._silent_addresses:
                 self._paused_until_by_address[address] = Deadline.after(timeout)
+            return self._newest_term()
 
     def _note_answered(self, address: str) -> None:
         with self._lock:
@@ -182,9 +232,21 @@
                 self._silent_addresses.discard(address)
                 self._paused_until_by_address.pop(address, None)
 
-    def _pause(self, address: str, request_id: str, reason: str) -> None:
+    def _pause(
+        self,
+        address: str,
+        term: int,
+        request_id: str,
+        reason: str,
+        is_silent: bool = False,
+    ) -> None:
+        """Pass over a host for what it answered, or not, in this term."""
         with self._lock:
-            self._paused_until_by_address[address] = Deadline.after(PAUSE_SECONDS)
+            # It may have been elected while it was asked.
+            if term == self._newest_term():
+                self._paused_until_by_address[address] = Deadline.after(PAUSE_SECONDS)
+                if is_silent:
+                    self._silent_addresses.add(address)
         extra = {"address": address, "request_id": request_id, "reason": reason}
         logger.info("leader grants no engines", extra=extra)
 
