Ask the next leader within the time of a call

Cause: a call that needs the leader gave a silent host two tries of half the time left, all of 0.85 s, and never asked its own replica again, which hears of the next leader meanwhile. A host that had not answered was passed over for 1 s, longer than most calls last, also one that refused connections for a moment.

Callers saw 503 to valid configurations although a leader was there long before the answer was due, and claims that took 1.25 s (the commits of the tests).

Change: a host is asked for a third of the time left at most, 0.45 s the first time, of which a pooled connection gets two thirds. After each attempt the leader that the own replica hears is looked up: where it changed, it is asked next, whatever it did before. A host that did not answer is passed over until each other host that may answer was asked. Changes of the replicas keep their time, since they wait for a majority.

Why it works: calls are idempotent, and a configuration that is in force is answered without a write. An attempt that gave up on a slow leader is answered by a later one.

--- a/src/jujubeslip/control/_client.py
+++ b/src/jujubeslip/control/_client.py
@@ -32,7 +32,14 @@
 # A replica that does not answer in this time is left for the next one, in seconds,
 # and is not asked again for the same request before the others had their turn.
 ATTEMPT_SECONDS = 0.6
-UNANSWERED_SECONDS = 1.0
+# How long a call that needs the leader asks one replica, over a pooled and a fresh
+# connection, for the first time and later ones, in seconds: another may lead by now.
+FIRST_SEARCH_SECONDS = 0.45
+SEARCH_SECONDS = 1.2
+# It takes no more than this share of the time left: other replicas need theirs.
+SEARCH_SHARE = 1 / 3
+# Of that, what a pooled connection gets; the leader may have to wait for its disk.
+POOLED_SHARE = 2 / 3
 # Between two rounds over all replicas, while an election goes on.
 PAUSE_SECONDS = 0.05
 READ_SECONDS = 3.0
@@ -193,18 +200,25 @@
         self,
         operation: Callable[[Any], T],
         deadline: Deadline,
-        attempt_seconds: float = ATTEMPT_SECONDS,
+        change_seconds: float | None = None,
     ) -> T:
-        search = _LeaderSearch(self._first_position(), len(self._clients))
+        known = self._known_position()
+        first = self._leader_position if known is None else known
+        search = _LeaderSearch(first, known, len(self._clients))
         failure = "no replica has been asked"
         failures: list[str] = []
         while not deadline.expired:
-            # Half of what is left: a client tries twice, the second time over a
-            # fresh connection.
-            attempt = min(attempt_seconds, deadline.remaining() / 2)
-            address = self._clients[search.position].address
+            attempt = search.attempt_seconds(deadline)
+            search.note_asked()
+            client = self._clients[search.position]
+            address = client.address
             try:
-                answer = self._clients[search.position].call(operation, attempt)
+                if change_seconds is None:
+                    answer = client.call_within(operation, attempt, POOLED_SHARE)
+                else:
+                    # It waits for a majority of the replicas.
+                    longest = min(change_seconds, deadline.remaining() / 2)
+                    answer = client.call(operation, longest)
                 self._leader_position = search.position
                 if failures:
                     _log_search(address, failures, deadline)
@@ -215,27 +229,28 @@
                 search.follow(leader, deadline)
             except PeerUnavailableError as error:
                 failure = error.message
-                search.note_unanswered(deadline)
+                search.note_unanswered()
+                search.go_on(deadline)
             except PeerRefusal as error:
                 if error.error_id not in PASSING:
                     raise
                 failure = error.message
                 search.go_on(deadline)
             failures.append(f"{address}: {failure}")
+            search.take_known(self._known_position())
         _log_search("", failures, deadline)
         raise PeerUnavailableError(
             f"No leader of the control hosts answered in time: {failure}",
             "Check that a majority of the control hosts runs and can be reached.",
         )
 
-    def _first_position(self) -> int:
-        """Return where the leader is, as far as is known, or who answered last.
+    def _known_position(self) -> int | None:
+        """Return where the leader is, None where this process knows none.
 
-        Whoever answered last may have been suspended since: an attempt there can take
-        all of the time that a caller has.
+        Whoever answered last may have been suspended since.
         """
         address = self._known_leader()
-        return self._position_at(address) if address else self._leader_position
+        return self._position_at(address) if address else None
 
     def _position_of(self, leader_id: str, leader_address: str) -> int | None:
         """Return which client reaches the leader: by its address, else by its host.
@@ -299,13 +314,38 @@
     """Which replica one request asks next.
 
     A frozen leader is still named by its followers until they elect another: it is
-    passed over for a while, or the request would wait for it again and again.
+    passed over until all others were asked, or the request would wait for it again and
+    again. One that was out of reach for a moment is asked again then.
     """
 
-    def __init__(self, position: int, count: int) -> None:
+    def __init__(self, position: int, known: int | None, count: int) -> None:
         self.position = position
+        self._known = known
         self._count = count
-        self._passed_over_until: dict[int, Deadline] = {}
+        self._asked: set[int] = set()
+        self._unasked_by_unanswered: dict[int, set[int]] = {}
+        """For each replica that did not answer, who was not asked since."""
+
+    def attempt_seconds(self, deadline: Deadline) -> float:
+        """Return how long the next attempt may take, over all connections."""
+        is_first = self.position not in self._asked
+        longest = FIRST_SEARCH_SECONDS if is_first else SEARCH_SECONDS
+        return min(longest, deadline.remaining() * SEARCH_SHARE)
+
+    def note_asked(self) -> None:
+        """Note that the replica at this position is asked."""
+        self._asked.add(self.position)
+        for unasked in self._unasked_by_unanswered.values():
+            unasked.discard(self.position)
+
+    def take_known(self, known: int | None) -> None:
+        """Go to the leader that this process has heard of since the last attempt."""
+        if known == self._known:
+            return
+        self._known = known
+        if known is not None:
+            self._unasked_by_unanswered.pop(known, None)
+            self.position = known
 
     def follow(self, leader: int | None, deadline: Deadline) -> None:
         """Go to the named leader, or on to the next replica."""
@@ -314,11 +354,14 @@
             return
         self.position = leader
 
-    def note_unanswered(self, deadline: Deadline) -> None:
-        """Pass over the replica that did not answer."""
-        until = Deadline.after(UNANSWERED_SECONDS)
-        self._passed_over_until[self.position] = until
-        self.go_on(deadline)
+    def note_unanswered(self) -> None:
+        """Pass over the replica that did not answer, until all others were asked.
+
+        Not until those that did not answer either: each may cost an attempt again.
+        """
+        others = set(range(self._count)) - {self.position}
+        others.difference_update(self._unasked_by_unanswered)
+        self._unasked_by_unanswered[self.position] = others
 
     def go_on(self, deadline: Deadline) -> None:
         """Go on to the next replica, after a pause in which one may be elected."""
@@ -328,5 +371,4 @@
         self.position = next(iter([*fresh, *order]), self.position)
 
     def _is_passed_over(self, position: int) -> bool:
-        until = self._passed_over_until.get(position)
-        return until is not None and not until.expired
+        return bool(self._unasked_by_unanswered.get(position))
--- a/src/jujubeslip/peers/_client.py
+++ b/src/jujubeslip/peers/_client.py
@@ -99,17 +99,20 @@
                 return self._call_pooled(pooled, operation, timeout)
         return self._call_fresh(operation, timeout)
 
-    def call_within(self, operation: Callable[[Any], T], timeout: float) -> T:
+    def call_within(
+        self, operation: Callable[[Any], T], timeout: float, pooled_share: float = 1.0
+    ) -> T:
         """Run the operation with a client; `timeout` in seconds bounds all tries.
 
         For a caller who has another way to go on: where the peer's zone was cut off,
-        the pooled connection is silent, and so would a fresh one be.
+        the pooled connection is silent, and so would a fresh one be. With a share below
+        one, a pooled connection that stays silent leaves the rest for a fresh one.
         """
         deadline = Deadline.after(timeout)
         pooled = self._take_idle()
         if pooled is not None:
             try:
-                return self._call_pooled(pooled, operation, timeout)
+                return self._call_pooled(pooled, operation, timeout * pooled_share)
             except PeerUnavailableError:
                 if deadline.expired:
                     raise
