Tests: contents held back beside one that ends endpoints (failing)

Hosts in virtual time, with the classes of the forwarding path, show two reasons. All hosts have lost their memory: a crash counts against a content that was being answered as against the one that was not. One host has started anew: what it doesn't know counts at all hosts, although others have seen the content run, before the first crash or between the first two; a run is told only where the host that saw it has two crashes in its book.

The seven that guard the bound of three endpoints, and one of a run between the second crash and the third, pass. A content that no endpoint answered and nobody saw run can't be told from the fatal one; no test claims that it is.

--- /dev/null
+++ b/tests/quarantine/test_side_by_side.py
@@ -0,0 +1,272 @@
+"""Contents that run at the same endpoints as one that ends them, in virtual time.
+
+Hosts note runs by the classes of the forwarding path and tell each other by records,
+as they do over the network.
+"""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from jujubeslip.forwarding._crashes import BEGIN_SECONDS, CrashWatch
+from jujubeslip.forwarding._models import Attempts
+from jujubeslip.forwarding._quarantine import Quarantine
+from jujubeslip.kernel import Deadline, RequestRefusedError
+from jujubeslip.quarantine import (
+    CrashBook,
+    HarmlessContents,
+    to_crash_record,
+    usable_histories,
+)
+from tests.fakes.clock import Clock
+
+FATAL = "f" * 16
+STREAM, OTHER_STREAM, POLL = "0" * 16, "1" * 16, "2" * 16
+ENDPOINTS = 3
+# Between two crashes, and from the first event of a stream to the end of its endpoint,
+# in seconds.
+PAUSE_SECONDS = 0.6
+ANSWERED_SECONDS = BEGIN_SECONDS / 2
+CLOCKS = (
+    "jujubeslip.kernel._deadlines",
+    "jujubeslip.quarantine._book",
+    "jujubeslip.quarantine._harmless",
+    "jujubeslip.quarantine._records",
+    "jujubeslip.forwarding._crashes",
+)
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    clock = Clock()
+    for module in CLOCKS:
+        monkeypatch.setattr(f"{module}.steady_seconds", clock.steady_seconds)
+    return clock
+
+
+def context_of(content: str) -> Any:
+    request = SimpleNamespace(request_id=f"request-{content[0]}")
+    return SimpleNamespace(fingerprint=content, service_name="model", request=request)
+
+
+class EndedEndpoints:
+    """Knows each endpoint whose run was cut as one that has ended."""
+
+    def is_over(self, endpoint: object) -> bool:
+        return True
+
+
+class Host:
+    """An entry host: what it has noted, and its verdict on a content."""
+
+    def __init__(self) -> None:
+        endpoints: Any = EndedEndpoints()
+        self.book = CrashBook()
+        self._harmless = HarmlessContents()
+        self.crashes = CrashWatch(endpoints, self.book, self._harmless, lambda: None)
+        self.quarantine = Quarantine(self.book, self._harmless)
+
+    def refuses(self, content: str) -> bool:
+        try:
+            self.quarantine.check(context_of(content))
+        except RequestRefusedError:
+            return True
+        return False
+
+
+@dataclass
+class Run:
+    """One request at an endpoint, sent by a host."""
+
+    host: Host
+    content: str
+    start_id: str
+    attempts: Attempts = field(default_factory=Attempts)
+
+    def begin_answer(self) -> None:
+        self.attempts.answered_from = Deadline.after(0)
+
+    def go_on(self) -> None:
+        """Let a further event come, or the end of the answer."""
+        self.host.quarantine.note_harmless(context_of(self.content))
+
+    def cut(self) -> None:
+        endpoint: Any = SimpleNamespace(start_id=self.start_id, address="")
+        self.host.crashes.note_cut(context_of(self.content), self.attempts, endpoint)
+
+
+class Hosts:
+    """Three entry hosts and a control host, none of which knows anything at first."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.all = [Host() for _ in range(3)]
+        self._control = CrashBook()
+        self._starts = itertools.count()
+
+    def restart(self, number: int) -> None:
+        self.all[number] = Host()
+
+    def end_endpoint(
+        self, answered: list[str], silent: list[str], first_host: int = 0
+    ) -> None:
+        """Let an endpoint end that answers some contents and others not yet.
+
+        Each content is sent by the next host, from the first one on.
+        """
+        start_id = f"start-{next(self._starts)}"
+        runs = [
+            Run(self.all[number % len(self.all)], content, start_id)
+            for number, content in enumerate([*answered, *silent], first_host)
+        ]
+        for run in runs[: len(answered)]:
+            run.begin_answer()
+        self.clock.now += ANSWERED_SECONDS
+        for run in runs:
+            run.cut()
+        self.clock.now += PAUSE_SECONDS
+        self.tell_all()
+
+    def run_harmlessly(self, content: str, number: int) -> None:
+        """Let one host see a stream that is answered for longer than a crash needs."""
+        run = Run(self.all[number], content, f"start-{next(self._starts)}")
+        run.begin_answer()
+        self.clock.now += 2 * BEGIN_SECONDS
+        run.go_on()
+
+    def tell_all(self) -> None:
+        for host in self.all:
+            _tell(host.book, self._control, suspects_only=False)
+        for host in self.all:
+            _tell(self._control, host.book, suspects_only=True)
+
+    def refusing(self, content: str) -> list[int]:
+        return [n for n, host in enumerate(self.all) if host.refuses(content)]
+
+
+def _tell(teller: CrashBook, hearer: CrashBook, suspects_only: bool) -> None:
+    _, found = teller.changes_since(0, suspects_only)
+    records = [to_crash_record(history) for history in found]
+    hearer.take(usable_histories("host", records))
+
+
+@pytest.fixture
+def hosts(clock: Clock) -> Hosts:
+    return Hosts(clock)
+
+
+class TestStreamBesideFatalContentAfterLossOfMemory:
+    """Guards against holding back a stream since nobody knows any more that it ran."""
+
+    @pytest.mark.parametrize("answered_at", [1, 2, 3])
+    def test_is_served_if_an_endpoint_answered_it(
+        self, hosts: Hosts, answered_at: int
+    ) -> None:
+        for number in range(ENDPOINTS):
+            is_answered = number < answered_at
+            hosts.end_endpoint(
+                [STREAM] if is_answered else [],
+                [FATAL] if is_answered else [FATAL, STREAM],
+            )
+        assert hosts.refusing(STREAM) == []
+
+    def test_is_served_if_the_last_endpoint_alone_answered_it(
+        self, hosts: Hosts
+    ) -> None:
+        for _ in range(ENDPOINTS - 1):
+            hosts.end_endpoint([], [FATAL, STREAM])
+        hosts.end_endpoint([STREAM], [FATAL])
+        assert hosts.refusing(STREAM) == []
+
+    def test_two_of_them_are_served(self, hosts: Hosts) -> None:
+        for _ in range(ENDPOINTS):
+            hosts.end_endpoint([STREAM, OTHER_STREAM], [FATAL])
+        assert hosts.refusing(STREAM) == hosts.refusing(OTHER_STREAM) == []
+
+    def test_two_that_are_answered_in_turn_are_served(self, hosts: Hosts) -> None:
+        for content, other in itertools.islice(
+            itertools.cycle([(STREAM, OTHER_STREAM), (OTHER_STREAM, STREAM)]), ENDPOINTS
+        ):
+            hosts.end_endpoint([content], [FATAL, other])
+        assert hosts.refusing(STREAM) == hosts.refusing(OTHER_STREAM) == []
+
+
+class TestContentThatAnotherHostHasSeenRun:
+    """Guards against blame by a host that has started anew, where another one knows."""
+
+    def test_is_served_if_it_ran_before_the_first_crash(self, hosts: Hosts) -> None:
+        for number in range(3):
+            hosts.run_harmlessly(POLL, number)
+        hosts.tell_all()
+        hosts.restart(0)
+        for _ in range(ENDPOINTS):
+            hosts.end_endpoint([], [POLL, FATAL])
+        assert hosts.refusing(POLL) == []
+
+    def test_is_served_by_the_host_that_knows(self, hosts: Hosts) -> None:
+        hosts.run_harmlessly(POLL, 2)
+        for _ in range(ENDPOINTS):
+            hosts.end_endpoint([], [POLL, FATAL])
+        assert 2 not in hosts.refusing(POLL)
+
+    @pytest.mark.parametrize("crashes_before", [1, 2])
+    def test_is_served_if_it_ran_between_crashes(
+        self, hosts: Hosts, crashes_before: int
+    ) -> None:
+        for number in range(ENDPOINTS):
+            if number == crashes_before:
+                hosts.run_harmlessly(POLL, 2)
+                hosts.tell_all()
+            hosts.end_endpoint([], [POLL, FATAL])
+        # The host that saw it run is asked last: its request tells the others.
+        assert [host.refuses(POLL) for host in hosts.all] == [False] * 3
+
+    def test_is_served_if_hosts_start_anew_in_turn(self, hosts: Hosts) -> None:
+        for number in range(3):
+            hosts.run_harmlessly(POLL, number)
+        for number in range(ENDPOINTS):
+            hosts.restart(number)
+            hosts.tell_all()
+            hosts.end_endpoint([], [POLL, FATAL], first_host=number)
+        assert hosts.refusing(POLL) == []
+
+
+class TestFatalContent:
+    """Guards against sparing what ends endpoints, for the sake of what runs beside."""
+
+    @pytest.mark.parametrize("beside", [[], [STREAM], [STREAM, OTHER_STREAM]])
+    def test_is_refused_after_three_endpoints(
+        self, hosts: Hosts, beside: list[str]
+    ) -> None:
+        for _ in range(ENDPOINTS):
+            hosts.end_endpoint(beside, [FATAL])
+        assert hosts.refusing(FATAL) == [0, 1, 2]
+
+    def test_is_refused_if_another_one_waits_beside_it(self, hosts: Hosts) -> None:
+        for _ in range(ENDPOINTS):
+            hosts.end_endpoint([], [FATAL, STREAM])
+        assert hosts.refusing(FATAL) == [0, 1, 2]
+
+    def test_is_refused_if_it_is_answered_for_a_moment(self, hosts: Hosts) -> None:
+        for _ in range(ENDPOINTS):
+            hosts.end_endpoint([FATAL], [])
+        assert hosts.refusing(FATAL) == [0, 1, 2]
+
+    def test_is_refused_if_answered_beside_others_that_wait_once_each(
+        self, hosts: Hosts
+    ) -> None:
+        for number in range(ENDPOINTS):
+            hosts.end_endpoint([FATAL], [f"{number + 3:016x}"])
+        assert hosts.refusing(FATAL) == [0, 1, 2]
+
+    def test_is_refused_once_it_ran_without_the_other(self, hosts: Hosts) -> None:
+        for _ in range(ENDPOINTS):
+            hosts.end_endpoint([FATAL], [STREAM])
+        for _ in range(ENDPOINTS):
+            hosts.end_endpoint([FATAL], [])
+        assert hosts.refusing(FATAL) == [0, 1, 2]
