Log lines: what a host knew as harmless, and since when followers have answered

'run cut off' could not tell a run with its first event at 0 ms from one without; neither it nor 'request quarantined' said whether the host had seen the content run before. 'no longer leading' did not say how long the leader led nor since when each follower was silent, 'replica does not answer' not how long it was waited for. No logic is changed.

--- a/src/jujubeslip/control/_leadership.py
+++ b/src/jujubeslip/control/_leadership.py
@@ -13,6 +13,7 @@
 from jujubeslip.peers import Membership
 
 NEVER = float("-inf")
+MILLISECONDS = 1000
 
 
 class Role(enum.Enum):
@@ -126,6 +127,19 @@
             future.set_exception(error)
         self._waiter_by_index.clear()
 
+    def led_for_ms(self) -> int:
+        """Return for how long this replica has led."""
+        return int((steady_seconds() - self.started_at) * MILLISECONDS)
+
+    def acknowledged_ago_ms(self) -> dict[str, int]:
+        """Return when each follower was asked what it last answered, by its id."""
+        now = steady_seconds()
+        return {
+            replica_id: int((now - progress.acknowledged_at) * MILLISECONDS)
+            for replica_id, progress in self.progress_by_id.items()
+            if progress.acknowledged_at > NEVER
+        }
+
     def quorum_instant(self, membership: Membership, earliest: float = NEVER) -> float:
         """Return the latest instant since which a majority has answered."""
         instants = []
--- a/src/jujubeslip/control/_replica.py
+++ b/src/jujubeslip/control/_replica.py
@@ -178,9 +178,14 @@
     def step_down(self, reason: str) -> None:
         """Stop leading or campaigning; needs `lock`."""
         if self.role is Role.LEADER:
-            logger.warning(
-                "no longer leading", extra={"reason": reason, "term": self.term}
-            )
+            led = self.leadership
+            extra = {
+                "reason": reason,
+                "term": self.term,
+                "led_for_ms": led.led_for_ms() if led else None,
+                "acknowledged_ago_ms": led.acknowledged_ago_ms() if led else None,
+            }
+            logger.warning("no longer leading", extra=extra)
             self.leader = LeaderContact()
         self.role = Role.FOLLOWER
         if self.leadership is not None:
--- a/src/jujubeslip/control/_replication.py
+++ b/src/jujubeslip/control/_replication.py
@@ -135,9 +135,9 @@
             reply = self._send(message)
             self._replica.observe_term(reply.term)
         except (PeerUnavailableError, PeerRefusal) as error:
-            self._note_reachable(False, error)
+            self._note_reachable(False, sent_at, error)
             return
-        self._note_reachable(True)
+        self._note_reachable(True, sent_at)
         with self._replica.lock:
             current = self._replica.leadership is leadership
             if current and reply.term == leadership.term:
@@ -195,12 +195,17 @@
         progress.next_index = progress.match_index + 1
         self._drop_reader()
 
-    def _note_reachable(self, reachable: bool, error: Exception | None = None) -> None:
+    def _note_reachable(
+        self, reachable: bool, sent_at: float, error: Exception | None = None
+    ) -> None:
         if reachable != self._reachable:
-            logger.info(
-                "replica answers" if reachable else "replica does not answer",
-                extra={"replica": self._member.replica_id, "error": str(error or "")},
-            )
+            extra = {
+                "replica": self._member.replica_id,
+                "error": str(error or ""),
+                "took_ms": int((steady_seconds() - sent_at) * MILLISECONDS),
+            }
+            message = "replica answers" if reachable else "replica does not answer"
+            logger.info(message, extra=extra)
         self._reachable = reachable
 
     def _drop_reader(self) -> None:
--- a/src/jujubeslip/forwarding/_crashes.py
+++ b/src/jujubeslip/forwarding/_crashes.py
@@ -58,7 +58,9 @@
             "start_id": endpoint.start_id,
             "endpoint_ended": crashed,
             "harmless": is_harmless,
+            "harmless_ago_ms": self._harmless.ran_ago_ms(context.fingerprint),
             "sent_ago_ms": int(attempts.latest_sent_at.overdue() * 1000),
+            "answered": attempts.answered_from is not None,
             "answered_ms": int(attempts.answered_seconds * 1000),
         }
         logger.info("run cut off", extra=extra)
--- a/src/jujubeslip/forwarding/_quarantine.py
+++ b/src/jujubeslip/forwarding/_quarantine.py
@@ -33,6 +33,7 @@
             "crashes": history.count,
             "start_ids": [crash.start_id for crash in history.crashes],
             "held_for_ms": history.held_until.remaining_ms(),
+            "harmless_ago_ms": self._harmless.ran_ago_ms(history.fingerprint),
         }
         logger.info("request quarantined", extra=extra)
         raise RequestRefusedError(
--- a/src/jujubeslip/quarantine/_harmless.py
+++ b/src/jujubeslip/quarantine/_harmless.py
@@ -8,6 +8,7 @@
 
 from jujubeslip.kernel import steady_seconds
 
+MILLISECONDS = 1000
 # Contents that are remembered at most, the latest ones.
 MAXIMUM_CONTENTS = 1000
 # How long a content counts as harmless after a run of it, in seconds. A version of an
@@ -38,6 +39,13 @@
         """Return when it ran last, in seconds; long ago if that is not known."""
         return self._ran_at_by_fingerprint.get(fingerprint, -math.inf)
 
+    def ran_ago_ms(self, fingerprint: str) -> int | None:
+        """Return the milliseconds since it ran last, None if that is not known."""
+        ran_at = self._ran_at_by_fingerprint.get(fingerprint)
+        if ran_at is None:
+            return None
+        return int((steady_seconds() - ran_at) * MILLISECONDS)
+
     def holds(self, fingerprint: str) -> bool:
         """Say whether the content counts as harmless now."""
         return self.ran_at(fingerprint) > steady_seconds() - HARMLESS_SECONDS
