Tests: run this tree's code in started processes

Processes of tests and of the soak were started with the root alone on their path, so that they ran the package that the interpreter has installed.

--- a/tests/fakes/processes.py
+++ b/tests/fakes/processes.py
@@ -89,7 +89,9 @@
         self.log_path = folder / f"{name}.log"
         self._lines: list[str] = []
         self._changed = threading.Condition()
-        environment = {**os.environ, "PYTHONPATH": str(ROOT), "PYTHONUNBUFFERED": "1"}
+        # This tree's code, also where the interpreter has another one installed.
+        path = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
+        environment = {**os.environ, "PYTHONPATH": path, "PYTHONUNBUFFERED": "1"}
         with self.log_path.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", module, *arguments],
