Tests: equal streams after all hosts have started anew (failing)

Callers of a stream that had been served for minutes were refused with request_quarantined for ten minutes at all hosts: all hosts had been killed, and a fatal content ended three endpoints that were answering the stream.

--- /dev/null
+++ b/tests/forwarding/test_streams_after_restart.py
@@ -0,0 +1,102 @@
+"""Equal streams beside a fatal content, just after all hosts have started anew."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from tests.fakes.fleet import Fleet
+from tests.fakes.platform_system import (
+    ENGINE,
+    PROMPT,
+    PlatformSystem,
+    Reply,
+    configuration,
+    route,
+)
+from tests.fakes.platform_worker import PlatformWorker
+from tests.fakes.processes import wait_until
+
+FATAL, EQUAL = b"this ends the process", b"poll"
+ENTRIES = 3
+CRASHES = 3
+# Events of a stream that lasts for more than a second.
+LONG_STREAM = 130
+# From the first run of a stream to the fatal request beside it, in seconds: its first
+# event has come then, and it has not been answered for long.
+BESIDE_SECONDS = 0.1
+
+
+@pytest.fixture
+def system(tmp_path_factory: pytest.TempPathFactory) -> Iterator[PlatformSystem]:
+    shape = {"kind": "stream", "timeoutMs": 4000, "sloMs": 900, "gapSloMs": 300}
+    routes = [route("stream", "/stream/", "model", **shape, maxAttempts=1)]
+    folder = tmp_path_factory.mktemp("anew")
+    with PlatformSystem(folder, controls=3, entries=ENTRIES) as running:
+        running.put_until_accepted(configuration(1, routes, [ENGINE]))
+        running.wait_ready()
+        running.add(PlatformWorker("reader", "model", "prefill"))
+        yield running
+
+
+@pytest.fixture
+def engine(system: PlatformSystem) -> Iterator[Fleet]:
+    """Return one engine, which is started anew each time it has ended."""
+    with Fleet(
+        system, 1, "model", stage="decode", crashes_on=FATAL, events=LONG_STREAM
+    ) as fleet:
+        yield fleet
+
+
+def send(system: PlatformSystem, body: bytes, entry: int) -> Reply:
+    return system.ask("/stream/x", "POST", body, PROMPT, entry, deadline_ms=4000)
+
+
+def wait_served(system: PlatformSystem, body: bytes) -> None:
+    for entry in range(ENTRIES):
+        wait_until(
+            lambda entry=entry: send(system, body, entry).whole,  # type: ignore[misc]
+            "a stream is served",
+        )
+
+
+def start_all_anew(system: PlatformSystem) -> None:
+    hosts = [*system.controls, *system.entries]
+    for host in hosts:
+        host.kill()
+    for host in hosts:
+        host.start()
+    for entry in range(ENTRIES):
+        wait_until(lambda entry=entry: system.ready(entry), "the host is ready")  # type: ignore[misc]
+
+
+def end_engine(system: PlatformSystem, engine: Fleet, entry: int) -> None:
+    """Send the fatal content while the engine answers one of the equal streams."""
+    runs = len(engine.run_ids())
+    with ThreadPoolExecutor(1) as pool:
+        stream = pool.submit(send, system, EQUAL, entry)
+        wait_until(lambda: len(engine.run_ids()) > runs, "the stream runs")
+        time.sleep(BESIDE_SECONDS)
+        send(system, FATAL, (entry + 1) % ENTRIES)
+        assert not stream.result().whole
+
+
+class TestEqualStreamsAfterAllHostsStartedAnew:
+    """Guards against holding back a stream that ran well before the loss of memory."""
+
+    def test_are_served_on(self, system: PlatformSystem, engine: Fleet) -> None:
+        wait_served(system, EQUAL)
+        start_all_anew(system)
+        for number in range(CRASHES):
+            wait_served(system, b"other-%d" % number)
+            end_engine(system, engine, number)
+        wait_until(
+            lambda: b"request_quarantined" in send(system, FATAL, 0).body,
+            "the fatal content is refused",
+        )
+        replies = [send(system, EQUAL, entry) for entry in range(ENTRIES)]
+        refused = [b"request_quarantined" in reply.body for reply in replies]
+        assert refused == [False] * ENTRIES
