--- a/tests/quarantine/test_side_by_side.py
+++ b/tests/quarantine/test_side_by_side.py
@@ -129,6 +129,7 @@
         self.clock.now += ANSWERED_SECONDS
         for run in runs:
             run.cut()
+        self.tell_all()
         self.clock.now += PAUSE_SECONDS
         self.tell_all()
 
