Count no crash against a content that was being answered beside a fatal one

Cause: a run that is cut off counted against its content whether an event of its answer had come or not. Once all hosts have lost their memory, nobody knows that a stream ran for minutes, and a content that ends three endpoints before its first event takes down in the same crashes the stream that these were answering.

Change: hosts tell with a crash whether the run was being answered (a new optional field; none from older hosts counts as before). Each host decides on all that it was told: a crash during an answer is excused while another content was unanswered at that start and has two such crashes. Entry hosts are told of those as before.

Why it works: what ends endpoints before its first event still counts each time, and is refused at its third; the excuse is worked out anew with each change, so that it ends when the other content turns out to be harmless. One that is answered for a moment and runs alone, or beside contents that wait once each, counts as before.

--- a/src/jujubeslip/forwarding/_crashes.py
+++ b/src/jujubeslip/forwarding/_crashes.py
@@ -49,7 +49,8 @@
         is_harmless = self._harmless.holds(context.fingerprint)
         if crashed and not is_harmless and attempts.answered_seconds < BEGIN_SECONDS:
             sent_at = attempts.latest_sent_at.instant
-            crash = Crash(endpoint.start_id, sent_at, steady_seconds())
+            was_answered = attempts.answered_from is not None
+            crash = Crash(endpoint.start_id, sent_at, steady_seconds(), was_answered)
             self._crash_book.note_crash(context.fingerprint, crash)
             self._tell()
         extra = {
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -4196,14 +4196,16 @@
      - start_id
      - sent_ago_ms
      - crashed_ago_ms
+     - answered
 
     """
 
 
-    def __init__(self, start_id=None, sent_ago_ms=None, crashed_ago_ms=None,):
+    def __init__(self, start_id=None, sent_ago_ms=None, crashed_ago_ms=None, answered=None,):
         self.start_id = start_id
         self.sent_ago_ms = sent_ago_ms
         self.crashed_ago_ms = crashed_ago_ms
+        self.answered = answered
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4229,6 +4231,11 @@
                     self.crashed_ago_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.answered = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4251,6 +4258,10 @@
             oprot.writeFieldBegin('crashed_ago_ms', TType.I64, 3)
             oprot.writeI64(self.crashed_ago_ms)
             oprot.writeFieldEnd()
+        if self.answered is not None:
+            oprot.writeFieldBegin('answered', TType.BOOL, 4)
+            oprot.writeBool(self.answered)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6699,6 +6710,7 @@
     (1, TType.STRING, 'start_id', 'UTF8', None, ),  # 1
     (2, TType.I64, 'sent_ago_ms', None, None, ),  # 2
     (3, TType.I64, 'crashed_ago_ms', None, None, ),  # 3
+    (4, TType.BOOL, 'answered', None, None, ),  # 4
 )
 all_structs.append(CrashRecord)
 CrashRecord.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -475,6 +475,8 @@
   // How long ago the request was sent there, and how long ago the start ended.
   2: i64 sent_ago_ms,
   3: i64 crashed_ago_ms,
+  // Whether an event of an answer to such a request had come from there.
+  4: optional bool answered,
 }
 
 // The crashes during requests of one content, since it was answered whole.
--- a/src/jujubeslip/quarantine/_book.py
+++ b/src/jujubeslip/quarantine/_book.py
@@ -5,9 +5,16 @@
 import logging
 import threading
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from jujubeslip.kernel import steady_seconds
-from jujubeslip.quarantine._models import QUARANTINE_SECONDS, Crash, CrashHistory
+from jujubeslip.quarantine._models import (
+    QUARANTINE_CRASHES,
+    QUARANTINE_SECONDS,
+    SUSPECT_CRASHES,
+    Crash,
+    CrashHistory,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -60,6 +67,7 @@
                 return False
             cleared = CrashHistory(fingerprint, cleared_at=steady_seconds())
             self._store(known, cleared)
+            self._excuse()
         self._on_news()
         return True
 
@@ -70,6 +78,8 @@
             for history in told:
                 self._take_one(history)
             is_news = self.version > before
+            if is_news:
+                self._excuse()
         if is_news:
             self._on_news()
 
@@ -120,6 +130,28 @@
         else:
             self._store(known, merged)
 
+    def _excuse(self) -> None:
+        """Decide anew which crashes don't count against contents that were answered.
+
+        Such a crash is put down to another content that had not been answered there,
+        if that one ended endpoints before: what waits once beside proves nothing.
+        """
+        histories = list(self._history_by_fingerprint.values())
+        ended = {
+            crash.start_id
+            for history in histories
+            if history.unanswered_count >= SUSPECT_CRASHES
+            for crash in history.crashes
+            if not crash.answered
+        }
+        for known in histories:
+            answering = {crash.start_id for crash in known.crashes if crash.answered}
+            history = replace(known, excused=frozenset(answering & ended))
+            if history.count > known.count:
+                self._store(known, history)
+            else:
+                self._history_by_fingerprint[known.fingerprint] = history
+
     def _store(self, known: CrashHistory, history: CrashHistory) -> None:
         fingerprint = history.fingerprint
         self.version += 1
@@ -157,10 +189,12 @@
             # Instants that are told come out later by the time on the way: the earliest
             # account of a start is the truest.
             other = crash_by_start.get(crash.start_id, crash)
-            crash_by_start[crash.start_id] = min(crash, other, key=_instant)
+            answered = crash.answered or other.answered
+            earliest = min(crash, other, key=_instant)
+            crash_by_start[crash.start_id] = replace(earliest, answered=answered)
     crashes = sorted(crash_by_start.values(), key=_instant)
     latest = tuple(crashes[-MAXIMUM_CRASHES:])
-    return CrashHistory(known.fingerprint, latest, cleared_at)
+    return CrashHistory(known.fingerprint, latest, cleared_at, known.excused)
 
 
 def _log_change(known: CrashHistory, history: CrashHistory) -> None:
@@ -169,7 +203,7 @@
         "crashes": history.count,
         "start_ids": [crash.start_id for crash in history.crashes],
     }
-    if history.held_until is not None and known.held_until is None:
+    if known.count < QUARANTINE_CRASHES <= history.count:
         logger.warning(
             "content quarantined", extra={**extra, "for_s": QUARANTINE_SECONDS}
         )
--- a/src/jujubeslip/quarantine/_records.py
+++ b/src/jujubeslip/quarantine/_records.py
@@ -29,6 +29,8 @@
     start_id: Text
     sent_ago_ms: Whole
     crashed_ago_ms: Whole
+    answered: bool | None = None
+    """None where a host of an older version tells it."""
 
 
 class _ToldHistory(StrictModel):
@@ -47,6 +49,7 @@
             crash.start_id,
             _milliseconds(now - crash.sent_at),
             _milliseconds(now - crash.crashed_at),
+            crash.answered,
         )
         for crash in history.crashes
     ]
@@ -85,6 +88,7 @@
             crash.start_id,
             now - crash.sent_ago_ms / MILLISECONDS,
             now - crash.crashed_ago_ms / MILLISECONDS,
+            bool(crash.answered),
         )
         for crash in told.crashes
     )
