Let what one host has seen run hold at all hosts, with the first crash that is told

Cause: that a content runs without harm is kept by the host that saw it. A host that has started anew doesn't know, and its crashes count at all hosts; the others tell what they know only when they serve the content once more, and are told of it with its second crash.

Change: a host that is told of crashes of a content which it counts as harmless clears it, and an entry host tells a control host of each clearing at once. Control hosts tell entry hosts of contents with any count: suspects at once, as before, of others the latest twenty with the next answer, so that a crash under many contents wakes nobody and its records stay few.

Why it works: the content is cleared by any host that knows, one exchange after the first or second crash, and before the third where news travel faster than crashes follow each other. A content that no host has seen run within a minute is never cleared so: its bound stays three endpoints.

The price: for a minute after any host has seen it run, not only that host alone spares a content that begins to end endpoints.

--- a/src/jujubeslip/control/_watches.py
+++ b/src/jujubeslip/control/_watches.py
@@ -109,8 +109,10 @@
         )
         version, changed = self._book.changes_since(known)
         removals = [] if request.is_entry_host else self._book.removals_since(known)
-        crash_version, crashes = self._crash_book.changes_since(
-            known_crashes, suspects_only=bool(request.is_entry_host)
+        crash_version, crashes = (
+            self._crash_book.changes_for_entry_host(known_crashes)
+            if request.is_entry_host
+            else self._crash_book.changes_since(known_crashes)
         )
         return WatchReply(
             self._book.book_id,
@@ -126,7 +128,10 @@
         )
 
     def _crash_version(self, request: WatchRequest) -> int:
-        """Return the version of the newest crash that concerns the watcher."""
+        """Return the version of the newest crash that the watcher is told of at once.
+
+        Entry hosts hear of others with the next answer.
+        """
         book = self._crash_book
         return book.suspects_version if request.is_entry_host else book.version
 
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -109,6 +109,7 @@
             self._followers,
             self._leader,
         )
+        self._crash_book.tell_cleared(self._crash_news.tell)
         # With pauses of its own: a leader that knows no engines yet, and is not asked
         # for grants for a moment, does know the limits.
         self._limit_leader = LeaderContact(identity, self._followers.reaches)
--- a/src/jujubeslip/forwarding/_quarantine.py
+++ b/src/jujubeslip/forwarding/_quarantine.py
@@ -17,6 +17,7 @@
     def __init__(self, crash_book: CrashBook, harmless: HarmlessContents) -> None:
         self._crash_book = crash_book
         self._harmless = harmless
+        crash_book.clear_harmless(harmless.holds)
 
     def holds(self, context: ForwardContext) -> bool:
         """Say whether the request's content is held back now."""
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -515,7 +515,8 @@
   6: i32 entry_hosts,
   // Peer address of the control host that leads, empty while the teller knows none.
   7: string leader_address,
-  // An entry host is told of crash histories that are suspect, a control host of all.
+  // An entry host is told of crash histories that are suspect and of a few others, a
+  // control host of all.
   8: i64 crash_version,
   9: list<CrashRecord> crashes,
   // Control hosts are told of removals of endpoints that are not known yet.
--- a/src/jujubeslip/quarantine/_book.py
+++ b/src/jujubeslip/quarantine/_book.py
@@ -22,12 +22,19 @@
 MAXIMUM_CONTENTS = 500
 # Crashes of one content that are remembered, the latest ones.
 MAXIMUM_CRASHES = 8
+# Contents with too few crashes to be suspected that an entry host is told of with each
+# answer at most, the latest ones: any host may have seen them run without harm.
+MAXIMUM_TOLD = 20
 
 
 def _tell_nobody() -> None:
     pass
 
 
+def _knows_none(fingerprint: str) -> bool:
+    return False
+
+
 class CrashBook:
     """Crash histories by fingerprint, and a version for each change.
 
@@ -38,6 +45,8 @@
 
     def __init__(self, on_news: Callable[[], None] = _tell_nobody) -> None:
         self._on_news = on_news
+        self._is_harmless: Callable[[str], bool] = _knows_none
+        self._on_cleared: Callable[[], None] = _tell_nobody
         self._history_by_fingerprint: dict[str, CrashHistory] = {}
         self._version_by_fingerprint: dict[str, int] = {}
         self._lock = threading.Lock()
@@ -51,6 +60,17 @@
         """Say whether no content is remembered."""
         return not self._history_by_fingerprint
 
+    def clear_harmless(self, is_harmless: Callable[[str], bool]) -> None:
+        """Clear what this host has seen run, whenever crashes of it are told.
+
+        What a host has seen run is known to it alone, and crashes are told by another.
+        """
+        self._is_harmless = is_harmless
+
+    def tell_cleared(self, on_cleared: Callable[[], None]) -> None:
+        """Call this whenever this host has cleared a content."""
+        self._on_cleared = on_cleared
+
     def find(self, fingerprint: str) -> CrashHistory | None:
         """Return what is known of a content, None if nothing is."""
         return self._history_by_fingerprint.get(fingerprint)
@@ -69,19 +89,25 @@
             self._store(known, cleared)
             self._excuse()
         self._on_news()
+        self._on_cleared()
         return True
 
     def take(self, told: Iterable[CrashHistory]) -> None:
         """Take over what is new of what another host tells."""
+        harmless = []
         with self._lock:
             before = self.version
             for history in told:
                 self._take_one(history)
+                if history.crashes and self._is_harmless(history.fingerprint):
+                    harmless.append(history.fingerprint)
             is_news = self.version > before
             if is_news:
                 self._excuse()
         if is_news:
             self._on_news()
+        for fingerprint in harmless:
+            self.clear(fingerprint)
 
     def changes_since(
         self, version: int, suspects_only: bool = False
@@ -90,14 +116,18 @@
 
         With `suspects_only`, leave out those with too few crashes to be suspected.
         """
-        with self._lock:
-            changed = [
-                history
-                for fingerprint, history in self._history_by_fingerprint.items()
-                if self._version_by_fingerprint[fingerprint] > version
-                and (not suspects_only or _concerns_entry_hosts(history))
-            ]
-            return self.version, changed
+        newest, changed = self._changed_since(version)
+        if suspects_only:
+            changed = list(filter(_concerns_entry_hosts, changed))
+        return newest, changed
+
+    def changes_for_entry_host(self, version: int) -> tuple[int, list[CrashHistory]]:
+        """Return the same, of those with few crashes the latest ones alone."""
+        newest, changed = self._changed_since(version)
+        suspects = [history for history in changed if _concerns_entry_hosts(history)]
+        others = [history for history in changed if not _concerns_entry_hosts(history)]
+        others.sort(key=lambda history: history.latest_at)
+        return newest, suspects + others[-MAXIMUM_TOLD:]
 
     def held_back(self) -> list[CrashHistory]:
         """Return the histories of the contents that are held back now."""
@@ -116,6 +146,15 @@
                 if history.forgotten_at.expired:
                     self._drop(fingerprint)
 
+    def _changed_since(self, version: int) -> tuple[int, list[CrashHistory]]:
+        with self._lock:
+            changed = [
+                history
+                for fingerprint, history in self._history_by_fingerprint.items()
+                if self._version_by_fingerprint[fingerprint] > version
+            ]
+            return self.version, changed
+
     def _take_one(self, told: CrashHistory) -> None:
         known = self._history_by_fingerprint.get(told.fingerprint)
         if known is None:
--- a/tests/control/test_watches.py
+++ b/tests/control/test_watches.py
@@ -12,6 +12,7 @@
 from jujubeslip.discovery import EndpointBook
 from jujubeslip.kernel import Deadline
 from jujubeslip.peers import ServicePressure, WatchRequest
+from jujubeslip.quarantine import Crash, CrashBook, CrashHistory
 from tests.fakes.broken_fields import received
 from tests.fakes.clock import Clock
 from tests.fakes.engines import engine
@@ -111,3 +112,16 @@
     def test_do_not_count_control_hosts(self, watches: Watches) -> None:
         ask(watches, watcher_id="control/1", is_entry_host=False)
         assert watches.heard_share() == 1
+
+
+class TestCrashOfOneContent:
+    """Guards against a content that another host saw run, and was not asked about."""
+
+    def test_is_told_to_entry_hosts(self, watches: Watches) -> None:
+        crash_book = CrashBook()
+        watches._crash_book = crash_book
+        crash = Crash("start-1", 0.0, 1.0)
+        crash_book.take([CrashHistory("f" * 16, (crash,))])
+        request = WatchRequest(0, 0, 0, True, "entry-1/1", 0, [])
+        reply = watches.answer(received(request))
+        assert [record.fingerprint for record in reply.crashes] == ["f" * 16]
--- /dev/null
+++ b/tests/quarantine/test_told_contents.py
@@ -0,0 +1,102 @@
+"""What a host makes of crashes that others tell, of contents it has seen run."""
+
+from __future__ import annotations
+
+import pytest
+
+from jujubeslip.forwarding._quarantine import Quarantine
+from jujubeslip.quarantine import Crash, CrashBook, CrashHistory, HarmlessContents
+from jujubeslip.quarantine import _book as book_module
+from jujubeslip.quarantine import _harmless as harmless_module
+from jujubeslip.quarantine._book import MAXIMUM_TOLD
+from jujubeslip.quarantine._harmless import HARMLESS_SECONDS
+from tests.fakes.clock import Clock
+
+POLL = "0" * 16
+RUN_SECONDS = 0.1
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    clock = Clock()
+    for module in (
+        book_module.__name__,
+        harmless_module.__name__,
+        "jujubeslip.kernel._deadlines",
+    ):
+        monkeypatch.setattr(f"{module}.steady_seconds", clock.steady_seconds)
+    return clock
+
+
+def crashes(clock: Clock, count: int) -> tuple[Crash, ...]:
+    """Return crashes one after another, the latest of them now."""
+    instants = [clock.now - number for number in reversed(range(count))]
+    return tuple(Crash(f"start-{at}", at - RUN_SECONDS, at) for at in instants)
+
+
+class Host:
+    """What an entry host knows, and how often it has cleared a content."""
+
+    def __init__(self) -> None:
+        self.book = CrashBook()
+        self.harmless = HarmlessContents()
+        Quarantine(self.book, self.harmless)
+        self.cleared = 0
+        self.book.tell_cleared(self._count)
+
+    def _count(self) -> None:
+        self.cleared += 1
+
+
+class TestContentThatThisHostHasSeenRun:
+    """Guards against holding back what a host knows well that was not asked."""
+
+    @pytest.mark.parametrize("count", [1, 2, 3])
+    def test_is_cleared_whatever_count_is_told(self, clock: Clock, count: int) -> None:
+        host = Host()
+        host.harmless.note(POLL)
+        clock.now += count
+        host.book.take([CrashHistory(POLL, crashes(clock, count))])
+        _, (history,) = host.book.changes_since(0)
+        assert not history.crashes
+        assert host.cleared == 1
+
+    def test_is_told_once_of_crashes_that_come_again(self, clock: Clock) -> None:
+        """Guards against hosts that tell each other the same for ever."""
+        host = Host()
+        host.harmless.note(POLL)
+        found = crashes(clock, 1)
+        for _ in range(5):
+            clock.now += 1
+            host.book.take([CrashHistory(POLL, found)])
+        assert host.cleared == 1
+
+    def test_is_not_cleared_later(self, clock: Clock) -> None:
+        """Guards against sparing what a new version of endpoints can't bear."""
+        host = Host()
+        host.harmless.note(POLL)
+        clock.now += HARMLESS_SECONDS + 1
+        host.book.take([CrashHistory(POLL, crashes(clock, 1))])
+        assert host.cleared == 0
+
+    def test_another_one_is_not_cleared(self, clock: Clock) -> None:
+        host = Host()
+        host.harmless.note("1" * 16)
+        host.book.take([CrashHistory(POLL, crashes(clock, 3))])
+        assert host.cleared == 0
+        assert host.book.held_back()
+
+
+class TestWhatEntryHostsAreTold:
+    def test_suspects_and_the_latest_of_the_others(self, clock: Clock) -> None:
+        """Guards against answers that grow with what ran at an endpoint."""
+        book = CrashBook()
+        book.take([CrashHistory(POLL, crashes(clock, 2))])
+        others = [f"{number:016x}" for number in range(1, 2 * MAXIMUM_TOLD)]
+        for content in others:
+            clock.now += 1
+            book.take([CrashHistory(content, crashes(clock, 1))])
+        version, found = book.changes_for_entry_host(0)
+        told = {history.fingerprint for history in found}
+        assert told == {POLL, *others[-MAXIMUM_TOLD:]}
+        assert book.changes_for_entry_host(version) == (version, [])
