--- a/src/jujubeslip/forwarding/_crashes.py
+++ b/src/jujubeslip/forwarding/_crashes.py
@@ -49,7 +49,8 @@
         is_harmless = self._harmless.holds(context.fingerprint)
         if crashed and not is_harmless and attempts.answered_seconds < BEGIN_SECONDS:
             sent_at = attempts.latest_sent_at.instant
-            crash = Crash(endpoint.start_id, sent_at, steady_seconds())
+            was_answered = attempts.answered_from is not None
+            crash = Crash(endpoint.start_id, sent_at, steady_seconds(), was_answered)
             self._crash_book.note_crash(context.fingerprint, crash)
             self._tell()
         extra = {
@@ -58,7 +59,9 @@
             "start_id": endpoint.start_id,
             "endpoint_ended": crashed,
             "harmless": is_harmless,
+            "harmless_ago_ms": self._harmless.ran_ago_ms(context.fingerprint),
             "sent_ago_ms": int(attempts.latest_sent_at.overdue() * 1000),
+            "answered": attempts.answered_from is not None,
             "answered_ms": int(attempts.answered_seconds * 1000),
         }
         logger.info("run cut off", extra=extra)
--- a/src/jujubeslip/forwarding/_quarantine.py
+++ b/src/jujubeslip/forwarding/_quarantine.py
@@ -17,6 +17,7 @@
     def __init__(self, crash_book: CrashBook, harmless: HarmlessContents) -> None:
         self._crash_book = crash_book
         self._harmless = harmless
+        crash_book.clear_harmless(harmless.holds)
 
     def holds(self, context: ForwardContext) -> bool:
         """Say whether the request's content is held back now."""
@@ -33,6 +34,7 @@
             "crashes": history.count,
             "start_ids": [crash.start_id for crash in history.crashes],
             "held_for_ms": history.held_until.remaining_ms(),
+            "harmless_ago_ms": self._harmless.ran_ago_ms(history.fingerprint),
         }
         logger.info("request quarantined", extra=extra)
         raise RequestRefusedError(
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -501,6 +501,8 @@
   // How long ago the request was sent there, and how long ago the start ended.
   2: i64 sent_ago_ms,
   3: i64 crashed_ago_ms,
+  // Whether an event of an answer to such a request had come from there.
+  4: optional bool answered,
 }
 
 // The crashes during requests of one content, since it was answered whole.
@@ -543,7 +545,8 @@
   6: i32 entry_hosts,
   // Peer address of the control host that leads, empty while the teller knows none.
   7: string leader_address,
-  // An entry host is told of crash histories that are suspect, a control host of all.
+  // An entry host is told of crash histories that are suspect and of a few others, a
+  // control host of all.
   8: i64 crash_version,
   9: list<CrashRecord> crashes,
   // Control hosts are told of removals of endpoints that are not known yet.
