Read the term of news as the field that it is

A stand-in of one test lacked the field, so that the code asked for it by name with a default; the stand-in has it now, as hosts that tell no term are read.

--- a/src/jujubeslip/forwarding/_leader_contact.py
+++ b/src/jujubeslip/forwarding/_leader_contact.py
@@ -47,10 +47,9 @@
 
     def take(self, news: News) -> None:
         """Note who leads, as one control host sees it."""
-        # Hosts of another version tell no term.
-        term = getattr(news, "leader_term", 0)
+        word = _Word(news.leader_address, news.leader_term)
         with self._lock:
-            self._take_word(news.address, _Word(news.leader_address, term))
+            self._take_word(news.address, word)
 
     def _take_word(self, teller: str, word: _Word) -> None:
         """Note what a host told; needs the lock."""
--- a/tests/forwarding/test_leader_contact.py
+++ b/tests/forwarding/test_leader_contact.py
@@ -54,7 +54,9 @@
     contact = LeaderContact(PeerIdentity("host", 1, "secret-of-tests"), lambda _: True)
     clients: Any = SimpleNamespace(get=lambda _: peer)
     contact._clients = clients
-    news: Any = SimpleNamespace(address="10.0.0.2:7000", leader_address=LEADER)
+    news: Any = SimpleNamespace(
+        address="10.0.0.2:7000", leader_address=LEADER, leader_term=0
+    )
     contact.take(news)
     peer.contact = contact
     return contact
