Record removals of endpoints in the replicated log before they are acknowledged

Cause: the acknowledgement promised what only the memory of the processes that gave it held. Beside it, a book kept one removal for each endpoint, dropped it where another start was known, and forgot it once the endpoint was heard of.

Evidence: tests/platform/test_recorded_removals.py tells a removal in each way (signed off, with and without its start, announced as leaving) before all hosts are killed.

Removals are kept by the start that the endpoint tells; the age of one that names none is taken from log time, which is never ahead. Without a majority there is no acknowledgement, and the watchers are told all the same.

Why it works: what was acknowledged is on the disks of a majority, and a start is told apart by what it says of itself; no clock decides whether it is a later one. An endpoint that repeats itself costs no write.

--- a/src/jujubeslip/control/_client.py
+++ b/src/jujubeslip/control/_client.py
@@ -16,6 +16,7 @@
     ControlPeer,
     ControlStatus,
     CrashRecord,
+    EndpointRemoval,
     KeyClaim,
     KeyReply,
     NotLeader,
@@ -111,6 +112,15 @@
             lambda peer: peer.put_version(command, deadline.remaining_ms()), deadline
         )
 
+    def record_removal(self, removal: EndpointRemoval, deadline: Deadline) -> None:
+        """Record that an endpoint has left.
+
+        Raises PeerUnavailableError when it is unknown whether a majority has it.
+        """
+        self._call_leader(
+            lambda peer: peer.record_removal(removal, deadline.remaining_ms()), deadline
+        )
+
     def newest_configuration(self, deadline: Deadline) -> Configuration:
         """Return what the leader has in force, or raise PeerUnavailableError."""
         return self._call_leader(lambda peer: peer.get_configuration(-1, 0), deadline)
--- a/src/jujubeslip/control/_commands.py
+++ b/src/jujubeslip/control/_commands.py
@@ -10,6 +10,7 @@
 from jujubeslip.peers import (
     AbandonCommand,
     ApplyRequest,
+    EndpointRemoval,
     EngineLoads,
     EngineOrder,
     EntryKind,
@@ -36,6 +37,7 @@
     | VersionedCommand
     | EngineOrder
     | EngineLoads
+    | EndpointRemoval
 )
 
 _TYPE_BY_KIND: dict[EntryKind, type] = {
@@ -47,6 +49,7 @@
     EntryKind.VERSIONED_CONFIGURATION: VersionedCommand,
     EntryKind.ENGINE_ORDER: EngineOrder,
     EntryKind.ENGINE_LOADS: EngineLoads,
+    EntryKind.ENDPOINT_REMOVAL: EndpointRemoval,
 }
 
 
@@ -101,6 +104,11 @@
     return EntryKind.ENGINE_LOADS
 
 
+@kind_of.register(EndpointRemoval)
+def _(command: EndpointRemoval) -> EntryKind:
+    return EntryKind.ENDPOINT_REMOVAL
+
+
 def make_entry(index: int, term: int, stamp_ms: int, command: Command) -> LogEntry:
     """Return the log entry that carries the command."""
     kind = kind_of(command)
--- a/src/jujubeslip/control/_handler.py
+++ b/src/jujubeslip/control/_handler.py
@@ -18,6 +18,7 @@
 from jujubeslip.control._validation import (
     check_claim,
     check_declaration,
+    check_removal,
     check_version,
 )
 from jujubeslip.control._watches import Watches
@@ -38,6 +39,7 @@
     ControlStatus,
     CrashRecord,
     EndpointLimitState,
+    EndpointRemoval,
     EndpointSpending,
     FinishCommand,
     KeyClaim,
@@ -146,6 +148,17 @@
         version: int = to_reply(replica.propose(command, deadline))
         return version
 
+    def record_removal(self, removal: EndpointRemoval, remaining_ms: int) -> None:
+        """Commit that an endpoint has left; one that is known costs no write."""
+        check_removal(removal)
+        replica = self._replica
+        with replica.lock:
+            stamp_ms = replica.require_leader().stamp_ms()
+            is_current = replica.reads_are_current()
+            if is_current and replica.machine.removals.holds(removal, stamp_ms):
+                return
+        replica.propose(removal, Deadline.from_remaining_ms(remaining_ms))
+
     def watch(self, request: WatchRequest) -> WatchReply:
         """See Watches.answer."""
         return self._watches.answer(request)
--- a/src/jujubeslip/control/_machine.py
+++ b/src/jujubeslip/control/_machine.py
@@ -11,10 +11,13 @@
 from jujubeslip.control._commands import NoOp, command_of
 from jujubeslip.control._configurations import ChangeIdReused, ConfigurationTable
 from jujubeslip.control._engine_table import EngineTable
+from jujubeslip.control._removal_table import RemovalTable
 from jujubeslip.peers import (
     AbandonCommand,
     ApplyReply,
     ApplyRequest,
+    EndpointRemoval,
+    EndpointRemovalRecord,
     EngineLoads,
     EngineOrder,
     FinishCommand,
@@ -36,12 +39,16 @@
 
 
 class StateMachine:
-    """Configurations, claims, engines; equal on all replicas at the same index."""
+    """What the log has made of configurations, claims, engines and removals.
+
+    Equal on all replicas at the same index.
+    """
 
     def __init__(self) -> None:
         self.configurations = ConfigurationTable()
         self.claims = ClaimTable()
         self.engines = EngineTable()
+        self.removals = RemovalTable()
         self.stamp_ms = 0
 
     def apply(self, entry: LogEntry) -> Outcome:
@@ -92,6 +99,11 @@
         self.engines.note_loads(command, self.stamp_ms)
         return None
 
+    @_apply.register(EndpointRemoval)
+    def _(self, command: EndpointRemoval) -> Outcome:
+        self.removals.note(command, self.stamp_ms)
+        return None
+
     def find_claim(self, claim: KeyClaim) -> KeyReply | None:
         """Return what is known of a claimed key, None when it may be claimed."""
         return self.claims.find(claim, self.stamp_ms)
@@ -104,6 +116,7 @@
         engines = self.engines.part()
         return chain(
             _to_parts((stored.unpack() for stored in configurations), changes, claims),
+            _removal_parts(self.removals.records()),
             [engines, SnapshotPart([], [], [], True)],
         )
 
@@ -116,6 +129,8 @@
         for claim in part.claims:
             self.claims.load(claim)
         self.engines.load_part(part)
+        for removal in part.removals or ():
+            self.removals.load(removal)
         if part.end:
             self.claims.finish_load()
 
@@ -131,6 +146,11 @@
         yield SnapshotPart([], [], batch, False)
 
 
+def _removal_parts(removals: Iterator[EndpointRemovalRecord]) -> Iterator[SnapshotPart]:
+    for batch in _batches(removals, PART_SIZE):
+        yield SnapshotPart([], [], [], False, removals=batch)
+
+
 def _batches(items: Iterable[T], size: int) -> Iterator[list[T]]:
     iterator = iter(items)
     while batch := list(islice(iterator, size)):
--- a/src/jujubeslip/control/_receiver.py
+++ b/src/jujubeslip/control/_receiver.py
@@ -213,4 +213,5 @@
         remove_older_snapshots(snapshot)
         replica.membership_changed()
         replica.configuration_changed.notify_all()
+        replica.removals_changed.notify_all()
         logger.info("snapshot installed", extra={"index": header.last_index})
--- a/src/jujubeslip/control/_replica.py
+++ b/src/jujubeslip/control/_replica.py
@@ -66,6 +66,8 @@
         self.role_changed = threading.Condition(self.lock)
         # Notified when a newer configuration is applied.
         self.configuration_changed = threading.Condition(self.lock)
+        # Notified when a removal of an endpoint is applied.
+        self.removals_changed = threading.Condition(self.lock)
         # Notified when enough was applied since the last snapshot.
         self.snapshot_due = threading.Condition(self.lock)
         self.role = Role.FOLLOWER
@@ -359,6 +361,7 @@
             return
         self.commit_index = index
         revision = self.machine.configurations.current.revision
+        removals = self.machine.removals.version
         while self.applied_index < index:
             entry = self.log.entry(self.applied_index + 1)
             outcome = self.machine.apply(entry)
@@ -368,6 +371,8 @@
                 self.leadership.answer_waiter(entry.index, outcome)
         if self.machine.configurations.current.revision != revision:
             self.configuration_changed.notify_all()
+        if self.machine.removals.version != removals:
+            self.removals_changed.notify_all()
         if self.needs_snapshot:
             self.snapshot_due.notify_all()
         if self.role is Role.LEADER and self._is_removed():
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -27,6 +27,7 @@
 from jujubeslip.control._meters import observe_replica
 from jujubeslip.control._peers import ReplicaClients
 from jujubeslip.control._receiver import Receiver
+from jujubeslip.control._removal_log import RemovalLog
 from jujubeslip.control._replica import Replica
 from jujubeslip.control._replication import Replication
 from jujubeslip.control._roles import LOOK_SECONDS, RoleKeeper
@@ -118,6 +119,8 @@
             settings.peer_secret,
             self._process,
         )
+        self._client = self._build_client()
+        self._removals = RemovalLog(self._replica, self._book, self._client)
         self._http = self._build_http()
 
     def _read_routes(self, content: str) -> Result[RouteTable, str]:
@@ -162,16 +165,23 @@
             self._notices,
         )
 
-    def _build_http(self) -> HttpServer | None:
+    def _build_client(self) -> ControlClient:
+        """Return what reaches the leader, this host itself if it leads."""
         settings = self._settings
-        if settings.http_address is None:
-            return None
         own = PeerAddress(settings.host_id, settings.peer_address)
         client = ControlClient(
             [own], self._identity, self._replica.known_leader_address
         )
         client.learn(settings.seed_addresses)
-        gateway = LeaderGateway(client, self._book, self._watches)
+        return client
+
+    def _build_http(self) -> HttpServer | None:
+        settings = self._settings
+        if settings.http_address is None:
+            return None
+        gateway = LeaderGateway(
+            self._client, self._book, self._watches, self._removals.record
+        )
         app = interfaces.get(settings.interface).control_app(gateway)
         options = HttpServerOptions(settings.http_address, threads=HTTP_THREADS)
         return HttpServer(options, app)
@@ -197,6 +207,8 @@
         process.repeat(FORGET_SECONDS, self._endpoint_limits.forget_old)
         process.repeat(FORGET_SECONDS, self._notices.forget_old)
         if self._http is not None:
+            self._removals.load()
+            process.start_task(self._removals.follow)
             self._followers.learn(self._settings.seed_addresses)
             process.repeat(MEMBERSHIP_CHECK_SECONDS, self._follow_members)
             self._http.start(process)
--- a/src/jujubeslip/control/_validation.py
+++ b/src/jujubeslip/control/_validation.py
@@ -11,8 +11,15 @@
 # Imported so that their checks of a declaration register themselves.
 from jujubeslip import rules as rules
 from jujubeslip.declaration import parse_declaration
+from jujubeslip.discovery import removal_problem
 from jujubeslip.kernel import CheckLevel, run_checks
-from jujubeslip.peers import ApplyRequest, KeyClaim, PeerRefusal, VersionedCommand
+from jujubeslip.peers import (
+    ApplyRequest,
+    EndpointRemoval,
+    KeyClaim,
+    PeerRefusal,
+    VersionedCommand,
+)
 
 MAXIMUM_DECLARATION_BYTES = 1024 * 1024
 # What fits into one call between hosts with room to spare; 350 routes need 0.1 MB.
@@ -69,6 +76,18 @@
         )
 
 
+def check_removal(removal: EndpointRemoval) -> None:
+    """Raise PeerRefusal when the removal must not be proposed at all."""
+    problem = removal_problem(removal)
+    if problem or removal.scope is None:
+        raise PeerRefusal(
+            "removal_invalid",
+            f"The removal can't be recorded: {problem or 'it has no scope'}.",
+            "Have the endpoint send its id and start as its protocol says.",
+            0,
+        )
+
+
 def _are_names(values: tuple[str | None, ...]) -> bool:
     return all(value and len(value) <= MAXIMUM_NAME_LENGTH for value in values)
 
--- a/src/jujubeslip/discovery/__init__.py
+++ b/src/jujubeslip/discovery/__init__.py
@@ -5,6 +5,8 @@
 from jujubeslip.discovery._models import Endpoint, endpoint_from_record, to_record
 from jujubeslip.discovery._records import (
     Slots,
+    removal_from_record,
+    removal_problem,
     to_removal_record,
     usable_endpoints,
     usable_removals,
@@ -19,6 +21,8 @@
     "Removal",
     "Slots",
     "endpoint_from_record",
+    "removal_from_record",
+    "removal_problem",
     "to_record",
     "to_removal_record",
     "usable_endpoints",
--- a/src/jujubeslip/discovery/_book.py
+++ b/src/jujubeslip/discovery/_book.py
@@ -16,7 +16,7 @@
     latest_removal,
 )
 from jujubeslip.kernel import Deadline, new_incarnation, steady_seconds
-from jujubeslip.peers import EndpointRole
+from jujubeslip.peers import EndpointRole, RemovalScope
 
 logger = logging.getLogger(__name__)
 
@@ -141,24 +141,32 @@
 
         One that says which start it is for is final, and nothing to other starts.
         """
-        with self._changed:
-            known = self._entry_by_id.get(endpoint_id)
-            removal = Removal(endpoint_id, steady_seconds(), started_at_ms)
-            if known is None:
-                self._keep(removal)
-            elif not known.endpoint.leaving:
-                self._remove(known.endpoint, removal)
-            return self._version
+        return self.take_removals([self.removal_of(endpoint_id, started_at_ms)])
+
+    def removal_of(self, endpoint_id: str, started_at_ms: int = 0) -> Removal:
+        """Return the removal of an endpoint that signs off now.
+
+        It is for the start that is named, else for the one that is known.
+        """
+        now = steady_seconds()
+        if started_at_ms:
+            scope = RemovalScope.NAMED_START
+            return Removal(endpoint_id, now, started_at_ms, scope=scope)
+        unbound = Removal(endpoint_id, now, 0)
+        known = self.find(endpoint_id)
+        if known is None:
+            return unbound
+        scope = (
+            RemovalScope.LATEST_START if known.restarted else RemovalScope.ONLY_START
+        )
+        return replace(unbound, started_at_ms=known.started_at_ms, scope=scope)
 
-    def take_removals(self, told: Iterable[Removal]) -> None:
-        """Take over removals that another host keeps."""
+    def take_removals(self, told: Iterable[Removal]) -> int:
+        """Take over removals, and return the version that includes them."""
         with self._changed:
             for removal in told:
-                known = self._entry_by_id.get(removal.endpoint_id)
-                if known is None:
-                    self._keep(removal)
-                elif not known.endpoint.leaving and not removal.is_old:
-                    self._replace(known.endpoint, removal.apply_to(known.endpoint))
+                self._take_removal(removal)
+            return self._version
 
     def removals_since(self, version: int) -> Sequence[Removal]:
         """Return removals kept since a version, the latest where they are many."""
@@ -196,49 +204,46 @@
     def _take_one(self, told: Endpoint) -> None:
         known = self._entry_by_id.get(told.endpoint_id)
         if known is None:
-            early = self._removals.take(told.endpoint_id)
-            first = told if early is None else early.apply_to(told)
-            self._store(first, material=True)
+            unbound = self._removals.take_unbound(told.endpoint_id)
+            if unbound is not None:
+                self._take_removal(unbound.for_start(told))
+            self._store(self._with_removal(told), material=True)
             return
         older = known.endpoint
         same_start = told.started_at_ms == older.started_at_ms
         newer = _merged(older, told) if same_start else _latest(older, told)
-        self._replace(older, newer)
+        self._replace(older, self._with_removal(newer))
+
+    def _with_removal(self, endpoint: Endpoint) -> Endpoint:
+        removal = self._removals.find(endpoint)
+        return endpoint if removal is None else removal.apply_to(endpoint)
 
-    def _keep(self, removal: Removal) -> None:
-        """Keep a removal until the endpoint is heard of, by another way.
+    def _take_removal(self, removal: Removal) -> None:
+        """Keep a removal, and apply it to its endpoint where that is known.
 
-        A host that has started anew, or hears of endpoints from other hosts alone, is
-        the first to be told. Acknowledged and forgotten, the removal would be undone by
-        the announcement that comes after it: requests go to an endpoint that exits.
-        Other control hosts are told: that announcement may come to one of them, and
-        this host may have ended by then.
+        A host that has started anew, or hears of endpoints from other hosts alone, may
+        be told of a removal first. Forgotten, it would be undone by the announcement
+        that comes after it: requests go to an endpoint that exits. Other control hosts
+        are told: that announcement may come to one of them.
         """
-        if not self._removals.keep(replace(removal, version=self._version + 1)):
+        entry = self._entry_by_id.get(removal.endpoint_id)
+        known = entry.endpoint if entry else None
+        bound = removal.for_start(known) if known else removal
+        if not self._removals.keep(replace(bound, version=self._version + 1)):
             return
         self._version += 1
         self._material_version = self._version
         self._changed.notify_all()
         extra = {
-            "endpoint_id": removal.endpoint_id,
-            "removed_start_ms": removal.started_at_ms,
+            "endpoint_id": bound.endpoint_id,
+            "removed_start_ms": bound.started_at_ms,
+            "scope": bound.scope.name,
+            "known_start_ms": known.started_at_ms if known else None,
+            "book_version": self._version,
         }
-        logger.info("removal of an endpoint not heard of", extra=extra)
-
-    def _remove(self, known: Endpoint, removal: Removal) -> None:
-        if not known.may_be(removal.started_at_ms):
-            extra = {
-                "endpoint_id": known.endpoint_id,
-                "started_at_ms": known.started_at_ms,
-                "removed_start_ms": removal.started_at_ms,
-            }
-            logger.info("removal of another start", extra=extra)
-            return
-        if removal.started_at_ms:
-            removed = replace(known, leaving=True)
-        else:
-            removed = replace(known, removed_at=removal.removed_at)
-        self._replace(known, removed)
+        logger.info("endpoint removed", extra=extra)
+        if known:
+            self._replace(known, bound.apply_to(known))
 
     def _replace(self, older: Endpoint, newer: Endpoint) -> None:
         if newer != older:
--- a/src/jujubeslip/discovery/_records.py
+++ b/src/jujubeslip/discovery/_records.py
@@ -24,7 +24,12 @@
     read_fields,
     steady_seconds,
 )
-from jujubeslip.peers import EndpointRecord, EndpointRemoval, EndpointRole
+from jujubeslip.peers import (
+    EndpointRecord,
+    EndpointRemoval,
+    EndpointRole,
+    RemovalScope,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -62,6 +67,8 @@
     endpoint_id: Id
     started_at_ms: Whole
     removed_ago_ms: Whole
+    # Hosts of an earlier version don't tell it.
+    scope: Annotated[int, Field(ge=min(RemovalScope), le=max(RemovalScope))] | None
 
 
 def usable_endpoints(
@@ -95,19 +102,37 @@
     teller: str, records: Sequence[EndpointRemoval]
 ) -> Iterator[Removal]:
     """Yield the removals of an answer that can be used; each other one is logged."""
-    now = steady_seconds()
     for record in records:
-        read = read_fields(_ToldRemoval, vars(record))
-        if isinstance(read, Failure):
-            _note_unusable(teller, record, read.failure())
+        problem = removal_problem(record)
+        if problem:
+            _note_unusable(teller, record, problem)
             continue
-        removed_at = now - record.removed_ago_ms / MILLISECONDS
-        yield Removal(record.endpoint_id, removed_at, record.started_at_ms)
+        yield removal_from_record(record, record.removed_ago_ms)
+
+
+def removal_problem(record: EndpointRemoval) -> str:
+    """Return what is wrong with the fields of a removal, nothing if it can be used."""
+    read = read_fields(_ToldRemoval, vars(record))
+    return read.failure() if isinstance(read, Failure) else ""
+
+
+def removal_from_record(record: EndpointRemoval, removed_ago_ms: int) -> Removal:
+    """Return a removal of this age, in milliseconds, by this host's clock."""
+    named = RemovalScope.NAMED_START if record.started_at_ms else RemovalScope.ANY_START
+    return Removal(
+        record.endpoint_id,
+        steady_seconds() - removed_ago_ms / MILLISECONDS,
+        record.started_at_ms,
+        scope=named if record.scope is None else RemovalScope(record.scope),
+    )
 
 
 def to_removal_record(removal: Removal) -> EndpointRemoval:
     """Return what this host tells others of a removal."""
     removed_ago = max(0.0, steady_seconds() - removal.removed_at)
     return EndpointRemoval(
-        removal.endpoint_id, removal.started_at_ms, int(removed_ago * MILLISECONDS)
+        removal.endpoint_id,
+        removal.started_at_ms,
+        int(removed_ago * MILLISECONDS),
+        removal.scope,
     )
--- a/src/jujubeslip/peers/gen/ControlPeer.py
+++ b/src/jujubeslip/peers/gen/ControlPeer.py
@@ -90,6 +90,15 @@
         """
         pass
 
+    def record_removal(self, removal, remaining_ms):
+        """
+        Parameters:
+         - removal
+         - remaining_ms
+
+        """
+        pass
+
     def watch(self, request):
         """
         Parameters:
@@ -565,6 +574,42 @@
             raise result.not_leader
         raise TApplicationException(TApplicationException.MISSING_RESULT, "put_version failed: unknown result")
 
+    def record_removal(self, removal, remaining_ms):
+        """
+        Parameters:
+         - removal
+         - remaining_ms
+
+        """
+        self.send_record_removal(removal, remaining_ms)
+        self.recv_record_removal()
+
+    def send_record_removal(self, removal, remaining_ms):
+        self._oprot.writeMessageBegin('record_removal', TMessageType.CALL, self._seqid)
+        args = record_removal_args()
+        args.removal = removal
+        args.remaining_ms = remaining_ms
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_record_removal(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = record_removal_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.refusal is not None:
+            raise result.refusal
+        if result.not_leader is not None:
+            raise result.not_leader
+        return
+
     def watch(self, request):
         """
         Parameters:
@@ -1362,6 +1407,7 @@
         self._processMap["finish_key"] = Processor.process_finish_key
         self._processMap["abandon_key"] = Processor.process_abandon_key
         self._processMap["put_version"] = Processor.process_put_version
+        self._processMap["record_removal"] = Processor.process_record_removal
         self._processMap["watch"] = Processor.process_watch
         self._processMap["admit"] = Processor.process_admit
         self._processMap["tell_admissions"] = Processor.process_tell_admissions
@@ -1633,6 +1679,35 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_record_removal(self, seqid, iprot, oprot):
+        args = record_removal_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = record_removal_result()
+        try:
+            self._handler.record_removal(args.removal, args.remaining_ms)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerRefusal as refusal:
+            msg_type = TMessageType.REPLY
+            result.refusal = refusal
+        except NotLeader as not_leader:
+            msg_type = TMessageType.REPLY
+            result.not_leader = not_leader
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("record_removal", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_watch(self, seqid, iprot, oprot):
         args = watch_args()
         args.read(iprot)
@@ -3462,6 +3537,155 @@
 )
 
 
+class record_removal_args(object):
+    """
+    Attributes:
+     - removal
+     - remaining_ms
+
+    """
+
+
+    def __init__(self, removal=None, remaining_ms=None,):
+        self.removal = removal
+        self.remaining_ms = remaining_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.removal = EndpointRemoval()
+                    self.removal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.remaining_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('record_removal_args')
+        if self.removal is not None:
+            oprot.writeFieldBegin('removal', TType.STRUCT, 1)
+            self.removal.write(oprot)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I64, 2)
+            oprot.writeI64(self.remaining_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(record_removal_args)
+record_removal_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'removal', [EndpointRemoval, None], None, ),  # 1
+    (2, TType.I64, 'remaining_ms', None, None, ),  # 2
+)
+
+
+class record_removal_result(object):
+    """
+    Attributes:
+     - refusal
+     - not_leader
+
+    """
+
+
+    def __init__(self, refusal=None, not_leader=None,):
+        self.refusal = refusal
+        self.not_leader = not_leader
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refusal = PeerRefusal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.not_leader = NotLeader.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('record_removal_result')
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRUCT, 1)
+            self.refusal.write(oprot)
+            oprot.writeFieldEnd()
+        if self.not_leader is not None:
+            oprot.writeFieldBegin('not_leader', TType.STRUCT, 2)
+            self.not_leader.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(record_removal_result)
+record_removal_result.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'refusal', [PeerRefusal, None], None, ),  # 1
+    (2, TType.STRUCT, 'not_leader', [NotLeader, None], None, ),  # 2
+)
+
+
 class watch_args(object):
     """
     Attributes:
@@ -3771,11 +3995,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.news = []
-                    (_etype199, _size196) = iprot.readListBegin()
-                    for _i200 in range(_size196):
-                        _elem201 = AdmissionNews()
-                        _elem201.read(iprot)
-                        self.news.append(_elem201)
+                    (_etype206, _size203) = iprot.readListBegin()
+                    for _i207 in range(_size203):
+                        _elem208 = AdmissionNews()
+                        _elem208.read(iprot)
+                        self.news.append(_elem208)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3792,8 +4016,8 @@
         if self.news is not None:
             oprot.writeFieldBegin('news', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.news))
-            for iter202 in self.news:
-                iter202.write(oprot)
+            for iter209 in self.news:
+                iter209.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4065,11 +4289,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.spent = []
-                    (_etype206, _size203) = iprot.readListBegin()
-                    for _i207 in range(_size203):
-                        _elem208 = AccountSpending()
-                        _elem208.read(iprot)
-                        self.spent.append(_elem208)
+                    (_etype213, _size210) = iprot.readListBegin()
+                    for _i214 in range(_size210):
+                        _elem215 = AccountSpending()
+                        _elem215.read(iprot)
+                        self.spent.append(_elem215)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4086,8 +4310,8 @@
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.spent))
-            for iter209 in self.spent:
-                iter209.write(oprot)
+            for iter216 in self.spent:
+                iter216.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4140,11 +4364,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype213, _size210) = iprot.readListBegin()
-                    for _i214 in range(_size210):
-                        _elem215 = AccountState()
-                        _elem215.read(iprot)
-                        self.success.append(_elem215)
+                    (_etype220, _size217) = iprot.readListBegin()
+                    for _i221 in range(_size217):
+                        _elem222 = AccountState()
+                        _elem222.read(iprot)
+                        self.success.append(_elem222)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4171,8 +4395,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter216 in self.success:
-                iter216.write(oprot)
+            for iter223 in self.success:
+                iter223.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
@@ -4706,11 +4930,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype220, _size217) = iprot.readListBegin()
-                    for _i221 in range(_size217):
-                        _elem222 = CrashRecord()
-                        _elem222.read(iprot)
-                        self.crashes.append(_elem222)
+                    (_etype227, _size224) = iprot.readListBegin()
+                    for _i228 in range(_size224):
+                        _elem229 = CrashRecord()
+                        _elem229.read(iprot)
+                        self.crashes.append(_elem229)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4731,8 +4955,8 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter223 in self.crashes:
-                iter223.write(oprot)
+            for iter230 in self.crashes:
+                iter230.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4889,11 +5113,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype227, _size224) = iprot.readListBegin()
-                    for _i228 in range(_size224):
-                        _elem229 = CrashRecord()
-                        _elem229.read(iprot)
-                        self.success.append(_elem229)
+                    (_etype234, _size231) = iprot.readListBegin()
+                    for _i235 in range(_size231):
+                        _elem236 = CrashRecord()
+                        _elem236.read(iprot)
+                        self.success.append(_elem236)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4915,8 +5139,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter230 in self.success:
-                iter230.write(oprot)
+            for iter237 in self.success:
+                iter237.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
@@ -5168,11 +5392,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype234, _size231) = iprot.readListBegin()
-                    for _i235 in range(_size231):
-                        _elem236 = Configuration()
-                        _elem236.read(iprot)
-                        self.success.append(_elem236)
+                    (_etype241, _size238) = iprot.readListBegin()
+                    for _i242 in range(_size238):
+                        _elem243 = Configuration()
+                        _elem243.read(iprot)
+                        self.success.append(_elem243)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5194,8 +5418,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter237 in self.success:
-                iter237.write(oprot)
+            for iter244 in self.success:
+                iter244.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -65,6 +65,15 @@
     VERSIONED_CONFIGURATION = 7
     ENGINE_ORDER = 8
     ENGINE_LOADS = 9
+    ENDPOINT_REMOVAL = 10
+
+
+
+class RemovalScope(IntEnum):
+    ANY_START = 1
+    ONLY_START = 2
+    LATEST_START = 3
+    NAMED_START = 4
 
 
 
@@ -3518,14 +3527,16 @@
      - endpoint_id
      - started_at_ms
      - removed_ago_ms
+     - scope
 
     """
 
 
-    def __init__(self, endpoint_id=None, started_at_ms=None, removed_ago_ms=None,):
+    def __init__(self, endpoint_id=None, started_at_ms=None, removed_ago_ms=None, scope=None,):
         self.endpoint_id = endpoint_id
         self.started_at_ms = started_at_ms
         self.removed_ago_ms = removed_ago_ms
+        self.scope = scope
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3551,6 +3562,11 @@
                     self.removed_ago_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.scope = RemovalScope(iprot.readI32()).name
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3573,6 +3589,10 @@
             oprot.writeFieldBegin('removed_ago_ms', TType.I64, 3)
             oprot.writeI64(self.removed_ago_ms)
             oprot.writeFieldEnd()
+        if self.scope is not None:
+            oprot.writeFieldBegin('scope', TType.I32, 4)
+            oprot.writeI32(RemovalScope[self.scope].value)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5790,6 +5810,75 @@
         return not (self == other)
 
 
+class EndpointRemovalRecord(object):
+    """
+    Attributes:
+     - removal
+     - stamp_ms
+
+    """
+
+
+    def __init__(self, removal=None, stamp_ms=None,):
+        self.removal = removal
+        self.stamp_ms = stamp_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.removal = EndpointRemoval()
+                    self.removal.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.stamp_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointRemovalRecord')
+        if self.removal is not None:
+            oprot.writeFieldBegin('removal', TType.STRUCT, 1)
+            self.removal.write(oprot)
+            oprot.writeFieldEnd()
+        if self.stamp_ms is not None:
+            oprot.writeFieldBegin('stamp_ms', TType.I64, 2)
+            oprot.writeI64(self.stamp_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class SnapshotPart(object):
     """
     Attributes:
@@ -5800,11 +5889,12 @@
      - orders
      - loads
      - engines_since_ms
+     - removals
 
     """
 
 
-    def __init__(self, configurations=None, changes=None, claims=None, end=None, orders=None, loads=None, engines_since_ms=None,):
+    def __init__(self, configurations=None, changes=None, claims=None, end=None, orders=None, loads=None, engines_since_ms=None, removals=None,):
         self.configurations = configurations
         self.changes = changes
         self.claims = claims
@@ -5812,6 +5902,7 @@
         self.orders = orders
         self.loads = loads
         self.engines_since_ms = engines_since_ms
+        self.removals = removals
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5887,6 +5978,17 @@
                     self.engines_since_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.removals = []
+                    (_etype159, _size156) = iprot.readListBegin()
+                    for _i160 in range(_size156):
+                        _elem161 = EndpointRemovalRecord()
+                        _elem161.read(iprot)
+                        self.removals.append(_elem161)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5900,22 +6002,22 @@
         if self.configurations is not None:
             oprot.writeFieldBegin('configurations', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.configurations))
-            for iter156 in self.configurations:
-                iter156.write(oprot)
+            for iter162 in self.configurations:
+                iter162.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter157 in self.changes:
-                iter157.write(oprot)
+            for iter163 in self.changes:
+                iter163.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.claims is not None:
             oprot.writeFieldBegin('claims', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.claims))
-            for iter158 in self.claims:
-                iter158.write(oprot)
+            for iter164 in self.claims:
+                iter164.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.end is not None:
@@ -5925,21 +6027,28 @@
         if self.orders is not None:
             oprot.writeFieldBegin('orders', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.orders))
-            for iter159 in self.orders:
-                iter159.write(oprot)
+            for iter165 in self.orders:
+                iter165.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter160 in self.loads:
-                iter160.write(oprot)
+            for iter166 in self.loads:
+                iter166.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.engines_since_ms is not None:
             oprot.writeFieldBegin('engines_since_ms', TType.I64, 7)
             oprot.writeI64(self.engines_since_ms)
             oprot.writeFieldEnd()
+        if self.removals is not None:
+            oprot.writeFieldBegin('removals', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.removals))
+            for iter167 in self.removals:
+                iter167.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6335,11 +6444,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = LogEntry()
-                        _elem166.read(iprot)
-                        self.entries.append(_elem166)
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = LogEntry()
+                        _elem173.read(iprot)
+                        self.entries.append(_elem173)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6389,8 +6498,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter167 in self.entries:
-                iter167.write(oprot)
+            for iter174 in self.entries:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commit_index is not None:
@@ -7041,6 +7150,7 @@
     (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
     (2, TType.I64, 'started_at_ms', None, None, ),  # 2
     (3, TType.I64, 'removed_ago_ms', None, None, ),  # 3
+    (4, TType.I32, 'scope', None, None, ),  # 4
 )
 all_structs.append(ServicePressure)
 ServicePressure.thrift_spec = (
@@ -7230,6 +7340,12 @@
     (1, TType.STRUCT, 'order', [EngineOrder, None], None, ),  # 1
     (2, TType.I64, 'stamp_ms', None, None, ),  # 2
 )
+all_structs.append(EndpointRemovalRecord)
+EndpointRemovalRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'removal', [EndpointRemoval, None], None, ),  # 1
+    (2, TType.I64, 'stamp_ms', None, None, ),  # 2
+)
 all_structs.append(SnapshotPart)
 SnapshotPart.thrift_spec = (
     None,  # 0
@@ -7240,6 +7356,7 @@
     (5, TType.LIST, 'orders', (TType.STRUCT, [EngineOrderRecord, None], False), None, ),  # 5
     (6, TType.LIST, 'loads', (TType.STRUCT, [EngineLoad, None], False), None, ),  # 6
     (7, TType.I64, 'engines_since_ms', None, None, ),  # 7
+    (8, TType.LIST, 'removals', (TType.STRUCT, [EndpointRemovalRecord, None], False), None, ),  # 8
 )
 all_structs.append(ReplicaDescription)
 ReplicaDescription.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -311,6 +311,7 @@
   VERSIONED_CONFIGURATION = 7,
   ENGINE_ORDER = 8,
   ENGINE_LOADS = 9,
+  ENDPOINT_REMOVAL = 10,
 }
 
 // One entry of the replicated log. `stamp_ms` is log time: it only grows, and
@@ -387,12 +388,27 @@
   13: optional i64 removed_ago_ms,
 }
 
-// A removal of an endpoint that the teller has not heard of.
+// Which starts of an endpoint a removal is for.
+enum RemovalScope {
+  // It names none, and none was known: it may be for any.
+  ANY_START = 1,
+  // It names none; the start is the one that was known, which had no earlier one.
+  ONLY_START = 2,
+  // The same, but the removal may be a late one of an earlier start.
+  LATEST_START = 3,
+  // The start said so itself, or the removal names it.
+  NAMED_START = 4,
+}
+
+// A removal of an endpoint; also the payload of ENDPOINT_REMOVAL, whose age follows from
+// its log time.
 struct EndpointRemoval {
   1: string endpoint_id,
-  // The start that it is for, 0 where it names none.
+  // The start that it is for, 0 where that is not known or the endpoint tells none.
   2: i64 started_at_ms,
   3: i64 removed_ago_ms,
+  // Absent in what an earlier version tells: a start is named there unless it is 0.
+  4: optional RemovalScope scope,
 }
 
 // What one entry host met at the engines of a service in the last seconds.
@@ -549,7 +565,7 @@
   // control host of all.
   8: i64 crash_version,
   9: list<CrashRecord> crashes,
-  // Control hosts are told of removals of endpoints that are not known yet.
+  // Control hosts are told of removals, also of endpoints that are not known yet.
   10: list<EndpointRemoval> removals,
   // The term in which that host leads.
   11: optional i64 leader_term,
@@ -621,8 +637,13 @@
   2: i64 stamp_ms,
 }
 
+struct EndpointRemovalRecord {
+  1: EndpointRemoval removal,
+  2: i64 stamp_ms,
+}
+
 // One part of a snapshot file; the last part has `end` set. Parts that an earlier
-// version wrote have neither orders nor loads.
+// version wrote have no orders, loads or removals.
 struct SnapshotPart {
   1: list<Configuration> configurations,
   2: list<ChangeRecord> changes,
@@ -632,6 +653,7 @@
   6: optional list<EngineLoad> loads,
   // Log time of the first entry about engines.
   7: optional i64 engines_since_ms,
+  8: optional list<EndpointRemovalRecord> removals,
 }
 
 // What a replica is, asked by one that has no cluster yet.
@@ -729,6 +751,9 @@
   // version in force then.
   i64 put_version(1: VersionedCommand command, 2: i64 remaining_ms)
     throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
+  // Answers once the removal is in the log of a majority; the same one may be sent again.
+  void record_removal(1: EndpointRemoval removal, 2: i64 remaining_ms)
+    throws (1: PeerRefusal refusal, 2: NotLeader not_leader),
   // Answers when the host's book of endpoints or its configuration is newer than
   // what is known, or wait_ms has passed. Asking again tells it that the answer
   // before has arrived.
--- /dev/null
+++ b/tests/platform/test_recorded_removals.py
@@ -0,0 +1,189 @@
+"""Removals in each way that endpoints tell them, before all hosts are killed."""
+
+from __future__ import annotations
+
+import shutil
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any, TypeAlias
+
+import pytest
+
+from tests.fakes.platform_system import (
+    PLAIN,
+    Host,
+    PlatformSystem,
+    configuration,
+    route,
+)
+from tests.fakes.platform_worker import PlatformWorker
+from tests.fakes.processes import wait_until
+from tests.platform.test_removals_after_restarts import (
+    ASKED_SECONDS,
+    CONTACT_SECONDS,
+    PAUSE_SECONDS,
+    check_gets_nothing,
+    restart,
+)
+
+FIRST, SECOND = 1_700_000_000_000, 1_700_000_005_000
+# A later start gets requests within this time of its announcement.
+USED_SECONDS = 2.0
+
+Leave: TypeAlias = Callable[[PlatformSystem, PlatformWorker], int]
+
+
+@pytest.fixture
+def system(tmp_path: Path) -> Iterator[PlatformSystem]:
+    with PlatformSystem(tmp_path, controls=3, entries=1) as system:
+        routes = [route("safe", "/safe/", "plain")]
+        system.put_until_accepted(configuration(1, routes, [PLAIN]))
+        system.add(PlatformWorker("other", "plain"))
+        system.wait_served("/safe/x")
+        yield system
+
+
+def started(worker_id: str = "leaving", start: int | None = FIRST) -> PlatformWorker:
+    return PlatformWorker(worker_id, "plain", started_at_ms=start)
+
+
+def sign_off(system: PlatformSystem, worker: PlatformWorker) -> int:
+    return system.leave(worker)
+
+
+def sign_off_by_start(system: PlatformSystem, worker: PlatformWorker) -> int:
+    return system.leave(worker, tells_start=True)
+
+
+def announce_that_it_leaves(system: PlatformSystem, worker: PlatformWorker) -> int:
+    return system.beat(worker, "draining")
+
+
+def hear_of(system: PlatformSystem, worker: PlatformWorker) -> dict[str, Any]:
+    """Have an endpoint known; return an announcement that is still on its way."""
+    system.add(worker)
+    system.withdraw(worker)
+    return worker.beat()
+
+
+def count_runs(system: PlatformSystem, worker: PlatformWorker) -> int:
+    """Ask for some seconds; return how often the endpoint was asked."""
+    worker.runs.clear()
+    until = time.monotonic() + ASKED_SECONDS
+    while time.monotonic() < until:
+        assert system.ask("/safe/x").status == 200
+        time.sleep(PAUSE_SECONDS)
+    return len(worker.runs)
+
+
+def wait_used(system: PlatformSystem, worker: PlatformWorker) -> None:
+    def is_asked() -> bool:
+        system.ask("/safe/x")
+        return len(worker.runs) > 0
+
+    wait_until(is_asked, "the later start is used", USED_SECONDS)
+
+
+@pytest.mark.parametrize(
+    ("leave", "start"),
+    [
+        (sign_off, FIRST),
+        (sign_off_by_start, FIRST),
+        (announce_that_it_leaves, FIRST),
+        (announce_that_it_leaves, None),
+    ],
+)
+class TestRemovalBeforeAllHostsAreKilled:
+    """Guards against requests to a start that has left, from any way to say so."""
+
+    def test_holds_for_a_late_announcement(
+        self, system: PlatformSystem, leave: Leave, start: int | None
+    ) -> None:
+        leaving = started(start=start)
+        earlier = hear_of(system, leaving)
+        assert leave(system, leaving) == 200
+        restart([*system.controls, *system.entries])
+        check_gets_nothing(system, leaving, earlier)
+
+    def test_says_nothing_of_a_later_start(
+        self, system: PlatformSystem, leave: Leave, start: int | None
+    ) -> None:
+        leaving = started(start=start)
+        hear_of(system, leaving)
+        assert leave(system, leaving) == 200
+        restart([*system.controls, *system.entries])
+        later = leaving.killed_and_back(SECOND)
+        system.wait_served("/safe/x")
+        system.add(later)
+        wait_used(system, later)
+
+
+class TestRemovalOfALaterStart:
+    """Guards against a start that signs off with a host that knows the one before."""
+
+    def test_holds_for_its_late_announcement(self, system: PlatformSystem) -> None:
+        first = started()
+        hear_of(system, first)
+        later = first.killed_and_back(SECOND)
+        earlier = later.beat()
+        assert system.leave(later, tells_start=True) == 200
+        assert system.tell("leaving", earlier, control=1) == 200
+        assert count_runs(system, later) == 0
+
+
+class TestRemovalWithoutAMajority:
+    """Guards against requests to an endpoint that leaves in a zone that is cut off."""
+
+    @pytest.mark.parametrize("is_heard_of", [True, False])
+    def test_holds_without_an_acknowledgement(
+        self, system: PlatformSystem, is_heard_of: bool
+    ) -> None:
+        leaving = started()
+        earlier = hear_of(system, leaving) if is_heard_of else leaving.beat()
+        for host in system.controls[1:]:
+            host.kill()
+        assert system.leave(leaving) == 503
+        assert system.tell("leaving", earlier) == 200
+        assert count_runs(system, leaving) == 0
+
+    def test_is_acknowledged_once_there_is_a_majority(
+        self, system: PlatformSystem
+    ) -> None:
+        leaving = started()
+        earlier = hear_of(system, leaving)
+        for host in system.controls[1:]:
+            host.kill()
+        assert system.leave(leaving) == 503
+        for host in system.controls[1:]:
+            host.start()
+        wait_until(lambda: system.leave(leaving) == 200, "it is acknowledged")
+        restart([*system.controls, *system.entries])
+        check_gets_nothing(system, leaving, earlier)
+
+
+class TestHostThatLostItsDiskAfterARemoval:
+    """Guards against a removal that only the host that acknowledged it has kept."""
+
+    def test_learns_it_from_the_log(self, system: PlatformSystem) -> None:
+        leaving = started()
+        earlier = hear_of(system, leaving)
+        assert system.leave(leaving, control=0) == 200
+        lost = system.controls[0]
+        kill_all(system)
+        shutil.rmtree(system.folder / lost.name)
+        settings = lost.settings_path.read_text()
+        lost.settings_path.write_text(settings.replace("found = true", "found = false"))
+        for host in (*system.controls, *system.entries):
+            host.start()
+        time.sleep(CONTACT_SECONDS)
+        arrived = "it arrives at the host with the new disk"
+        wait_until(lambda: system.tell("leaving", earlier, control=0) == 200, arrived)
+        system.wait_served("/safe/x")
+        assert count_runs(system, leaving) == 0
+
+
+def kill_all(system: PlatformSystem) -> None:
+    hosts: list[Host] = [*system.controls, *system.entries]
+    for host in hosts:
+        host.kill()
