Count a voter out whose host answers with a new disk

What callers saw: after a control host was replaced, and another one lost its disk as the rest lost power, no change and no read was answered any more.

Cause: of four voters three are a majority. The predecessor that is switched off and the disk that is lost are two losses, and two of four remain. That the lost disk never votes again is known to its host, and nobody used it.

Change: a candidate counts out a voter whose own host, at its own address, has another disk. Of four or more voters, an even number, it needs half of all and a majority of those left; its first entry removes the lost replica. Only where the log tells that the membership is committed: leaders repeat the entry of a change once it is. A change of such a membership needs majorities of both, which the voters of the one before would otherwise not meet. A first try asked for both of each change; it left two of three voters without a commit after a growth from two, and a stopped predecessor without a successor (test_disks, test_replacement), and was narrowed.

Why it works: each vote beside lost disks shares a replica that still has its disk with each majority that committed, and a voter with each other election; test_lost_voters.py tries all sets of three to eight voters.

--- a/src/jujubeslip/control/_changes.py
+++ b/src/jujubeslip/control/_changes.py
@@ -131,6 +131,12 @@
             logger.warning("changing the replicas", extra={"to": str(following)})
             waiting = replica.submit(following)
         replica.wait_for(waiting, deadline)
+        with replica.lock:
+            # Who stops after its change may be needed to have it told.
+            replica.role_changed.wait_for(
+                lambda: replica.is_settled or replica.leadership is None,
+                deadline.remaining(),
+            )
         return True
 
     def _settle(
--- a/src/jujubeslip/control/_election.py
+++ b/src/jujubeslip/control/_election.py
@@ -4,13 +4,14 @@
 
 import logging
 import threading
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 from jujubeslip.control._fresh_election import FreshElection
 from jujubeslip.control._leadership import Role
-from jujubeslip.control._members import other_voters, quorum_size
+from jujubeslip.control._members import VoteQuorum, other_voters, vote_quorum
 from jujubeslip.control._peers import ReplicaClients
+from jujubeslip.control._receiver import WRONG_REPLICA
 from jujubeslip.control._replica import Replica
 from jujubeslip.kernel import Deadline, PeerUnavailableError
 from jujubeslip.peers import (
@@ -30,24 +31,39 @@
 
 
 class Ballot:
-    """Votes that come in from the tasks that ask for them."""
+    """Votes that come in from the tasks that ask for them; the candidate's is one."""
 
-    def __init__(self, needed: int) -> None:
-        self._missing = needed
+    def __init__(self, quorum: VoteQuorum) -> None:
+        self._quorum = quorum
+        self._votes = 1
+        self._lost_ids: set[str] = set()
         self._changed = threading.Condition()
 
     def grant(self) -> None:
         """Count one vote."""
         with self._changed:
-            self._missing -= 1
+            self._votes += 1
+            self._changed.notify_all()
+
+    def note_lost(self, replica_id: str) -> None:
+        """Note a voter whose disk is lost."""
+        with self._changed:
+            self._lost_ids.add(replica_id)
             self._changed.notify_all()
 
     def won(self, deadline: Deadline) -> bool:
         """Wait until the votes are enough; False when the deadline passes first."""
         with self._changed:
-            return self._changed.wait_for(
-                lambda: self._missing <= 0, deadline.remaining()
-            )
+            return self._changed.wait_for(self._is_won, deadline.remaining())
+
+    def needless_ids(self) -> set[str]:
+        """Return the voters with lost disks without whom alone it is won."""
+        with self._changed:
+            is_majority = self._votes >= self._quorum.votes_needed(0)
+            return set() if is_majority else set(self._lost_ids)
+
+    def _is_won(self) -> bool:
+        return self._votes >= self._quorum.votes_needed(len(self._lost_ids))
 
 
 @dataclass(frozen=True)
@@ -65,7 +81,7 @@
     term: int
     questions: tuple[Question, ...]
     pre_vote: bool
-    needed: int
+    quorum: VoteQuorum
     until: Deadline
     """How long votes are waited for."""
 
@@ -125,14 +141,13 @@
             term = self._replica.term + 1
             pre_vote = self._prepare(term, True, transfer, until)
             logger.info("no leader heard", extra={"term": self._replica.term})
-        if not transfer and not self._wins(pre_vote):
+        if not transfer and self._win(pre_vote) is None:
             return
         try:
             campaign = self._begin_term(transfer, next_campaign)
         except PeerRefusal:
             return
-        if campaign is not None and self._wins(campaign):
-            self._lead(campaign.term)
+        self._lead_if_won(campaign)
 
     def campaign_fresh(self, start_by_id: Mapping[str, int]) -> None:
         """Campaign without a wait: all voters have told that they just started."""
@@ -143,8 +158,7 @@
             campaign = self._begin_term(False, next_campaign, start_by_id)
         except PeerRefusal:
             return
-        if campaign is not None and self._wins(campaign):
-            self._lead(campaign.term)
+        self._lead_if_won(campaign)
 
     def _prepare(
         self,
@@ -160,8 +174,8 @@
             request = replica.vote_request(member.replica_id, term, transfer)
             request.fresh_start = (start_by_id or {}).get(member.replica_id)
             questions.append(Question(member, request))
-        needed = quorum_size(replica.membership) - 1
-        return Campaign(term, tuple(questions), pre_vote, needed, until)
+        quorum = vote_quorum(replica.memberships)
+        return Campaign(term, tuple(questions), pre_vote, quorum, until)
 
     def _begin_term(
         self,
@@ -191,11 +205,17 @@
             logger.info("campaigning", extra={"term": term})
             return self._prepare(term, False, transfer, next_campaign, start_by_id)
 
-    def _wins(self, campaign: Campaign) -> bool:
-        ballot = Ballot(campaign.needed)
+    def _lead_if_won(self, campaign: Campaign | None) -> None:
+        ballot = self._win(campaign) if campaign is not None else None
+        if campaign is not None and ballot is not None:
+            self._lead(campaign.term, ballot.needless_ids())
+
+    def _win(self, campaign: Campaign) -> Ballot | None:
+        """Ask for votes; return the ballot if it is won."""
+        ballot = Ballot(campaign.quorum)
         for question in campaign.questions:
             self._replica.process.start_task(self._ask, campaign, question, ballot)
-        return ballot.won(campaign.until)
+        return ballot if ballot.won(campaign.until) else None
 
     def _ask(self, campaign: Campaign, question: Question, ballot: Ballot) -> None:
         member, request = question.voter, question.request
@@ -207,6 +227,8 @@
             )
         except (PeerUnavailableError, PeerRefusal) as error:
             logger.debug("no vote", extra={"member": member.replica_id, "why": error})
+            if isinstance(error, PeerRefusal) and error.error_id == WRONG_REPLICA:
+                self._note_if_lost(member, campaign, ballot)
             return
         if reply.granted:
             ballot.grant()
@@ -216,9 +238,27 @@
         except PeerRefusal:
             return
 
-    def _lead(self, term: int) -> None:
+    def _note_if_lost(self, member: Member, campaign: Campaign, ballot: Ballot) -> None:
+        """Count a voter out if its own host answers from another disk.
+
+        The host answers at the voter's address, where only one of its processes can
+        listen: the disk that the voter wrote to is used no more.
+        """
+        try:
+            found = self._clients.to_member(member).call(
+                lambda client: client.describe(), campaign.until.remaining()
+            )
+        except (PeerUnavailableError, PeerRefusal):
+            return
+        if found.host_id != member.host_id or found.replica_id == member.replica_id:
+            return
+        extra = {"member": member.replica_id, "answers_as": found.replica_id}
+        logger.info("voter has lost its disk", extra=extra)
+        ballot.note_lost(member.replica_id)
+
+    def _lead(self, term: int, lost_ids: Collection[str]) -> None:
         replica = self._replica
         with replica.lock:
             still_candidate = replica.role is Role.CANDIDATE and replica.term == term
             if still_candidate and not replica.failure:
-                replica.lead()
+                replica.lead(lost_ids)
--- a/src/jujubeslip/control/_leadership.py
+++ b/src/jujubeslip/control/_leadership.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping, Sequence
 from concurrent.futures import Future
 from dataclasses import dataclass
 
@@ -11,7 +11,7 @@
 from jujubeslip.control._machine import Outcome
 from jujubeslip.control._members import quorum_size, voters
 from jujubeslip.kernel import Deadline, steady_seconds
-from jujubeslip.peers import Membership
+from jujubeslip.peers import Member, Membership
 
 NEVER = float("-inf")
 MILLISECONDS = 1000
@@ -83,14 +83,14 @@
         """
         return self._stamp_ms + int((steady_seconds() - self.started_at) * 1000)
 
-    def follow_membership(self, membership: Membership, last_index: int) -> None:
+    def follow_members(self, members: Sequence[Member], last_index: int) -> None:
         """Begin to track new members and forget those that left."""
-        for member in membership.members:
+        for member in members:
             if member.replica_id != self._replica_id:
                 self.progress_by_id.setdefault(
                     member.replica_id, Progress(last_index + 1)
                 )
-        kept = {member.replica_id for member in membership.members}
+        kept = {member.replica_id for member in members}
         for replica_id in self.progress_by_id.keys() - kept:
             del self.progress_by_id[replica_id]
 
@@ -110,16 +110,24 @@
         }
         return Deadline(self._quorum_instant(membership, heard_at_by_id) + seconds)
 
-    def committable(self, membership: Membership, durable_index: int) -> int:
-        """Return the highest index that a majority of the voters has synced."""
+    def committable(
+        self, membership: Membership, durable_index: int, lost_ids: Collection[str] = ()
+    ) -> int:
+        """Return the highest index that a majority of the voters has synced.
+
+        Voters whose disks are lost are left out.
+        """
         matches = []
         for member in voters(membership):
+            if member.replica_id in lost_ids:
+                continue
             if member.replica_id == self._replica_id:
                 matches.append(durable_index)
             else:
-                matches.append(self.progress_by_id[member.replica_id].match_index)
+                progress = self.progress_by_id.get(member.replica_id)
+                matches.append(progress.match_index if progress else 0)
         matches.sort(reverse=True)
-        return matches[quorum_size(membership) - 1]
+        return matches[len(matches) // 2]
 
     def add_waiter(self, index: int) -> Future[Outcome]:
         """Return the future that gets the outcome of the entry with this index."""
--- a/src/jujubeslip/control/_members.py
+++ b/src/jujubeslip/control/_members.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
+from dataclasses import dataclass
 
 from jujubeslip.control._commands import command_of
 from jujubeslip.peers import EntryKind, LogEntry, Member, Membership
 
+# Of two voters, one is no majority whatever became of the other.
+LEAST_SPARING_VOTERS = 4
+
 NO_MEMBERSHIP = Membership("", [], [])
 
 
@@ -27,6 +31,46 @@
     return len(voters(membership)) // 2 + 1
 
 
+@dataclass(frozen=True)
+class VoteQuorum:
+    """How many votes, the candidate's own among them, elect a leader."""
+
+    voters: int
+    spares_lost: bool
+    """Whether voters whose disks are lost may count for nothing."""
+
+    def votes_needed(self, lost: int) -> int:
+        """Return the number of votes needed beside so many voters with lost disks.
+
+        Of an even number of voters, one more than half has synced what is committed.
+        Half of all, and a majority of those that are not lost, meets each such majority
+        in a replica that still has it, and each other election in one that votes once.
+        """
+        majority = self.voters // 2 + 1
+        if not self.spares_lost or lost == 0:
+            return majority
+        left = self.voters - lost
+        half = self.voters // 2
+        return max(half, left // 2 + 1)
+
+
+def vote_quorum(memberships: MembershipLog) -> VoteQuorum:
+    """Return the quorum of the newest membership.
+
+    One that is not known to be committed may have been replaced by another, whose
+    majorities it need not meet.
+    """
+    current = memberships.current
+    spares_lost = memberships.is_confirmed and may_spare_lost(current)
+    return VoteQuorum(len(voters(current)), spares_lost)
+
+
+def may_spare_lost(membership: Membership) -> bool:
+    """Say whether its voters elect a leader with a vote less beside lost disks."""
+    count = len(voters(membership))
+    return count >= LEAST_SPARING_VOTERS and count % 2 == 0
+
+
 def find_member(membership: Membership, replica_id: str) -> Member | None:
     """Return the member with this replica id."""
     for member in membership.members:
@@ -73,6 +117,14 @@
     return _replace(membership, kept)
 
 
+def without_lost(membership: Membership, lost_ids: Collection[str]) -> Membership:
+    """Return the membership without the replicas whose disks are lost."""
+    kept = [item for item in membership.members if item.replica_id not in lost_ids]
+    left = _replace(membership, kept)
+    left.lost_replica_ids = sorted(lost_ids)
+    return left
+
+
 def with_admitted(membership: Membership, host_id: str) -> Membership:
     """Return the membership in which a new host may join."""
     admitted = sorted({*membership.admitted_host_ids, host_id})
@@ -103,6 +155,38 @@
         """Return the newest membership."""
         return self._by_index[-1][1]
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Say whether the log tells that the newest membership is committed.
+
+        What a snapshot holds is committed, and what an entry repeats.
+        """
+        if len(self._by_index) == 1:
+            return True
+        return self._by_index[-1][1] == self._by_index[-2][1]
+
+    @property
+    def needs_confirmation(self) -> bool:
+        """Say whether the log has to tell that the newest membership is committed."""
+        may_spare = map(may_spare_lost, (self.current, self.previous))
+        return any(may_spare) and not self.is_confirmed
+
+    @property
+    def meets_previous(self) -> bool:
+        """Say whether the newest membership commits by majorities of both.
+
+        Voters that elect a leader without those whose disks are lost have to find it.
+        A declared recovery begins anew.
+        """
+        previous = self.previous
+        is_same_cluster = previous.cluster_id == self.current.cluster_id
+        return may_spare_lost(previous) and is_same_cluster
+
+    @property
+    def previous(self) -> Membership:
+        """Return the membership before the newest one."""
+        return self._by_index[max(0, len(self._by_index) - 2)][1]
+
     @property
     def current_index(self) -> int:
         """Return the index of the entry that holds the newest membership."""
--- a/src/jujubeslip/control/_receiver.py
+++ b/src/jujubeslip/control/_receiver.py
@@ -29,6 +29,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Error id of a message for a replica that this host does not have any more.
+WRONG_REPLICA = "wrong_replica"
+
 
 class Receiver:
     """Handles calls between replicas; each promise is durable before its answer."""
@@ -127,7 +130,7 @@
         with replica.disk_lock, replica.lock, replica.promising():
             if message.target_id != replica.replica_id:
                 raise PeerRefusal(
-                    "wrong_replica",
+                    WRONG_REPLICA,
                     f"This is {replica.replica_id}, not {message.target_id}.",
                     "A replica whose disk was lost joins anew by itself.",
                     0,
--- a/src/jujubeslip/control/_replica.py
+++ b/src/jujubeslip/control/_replica.py
@@ -10,7 +10,7 @@
 import logging
 import random
 import threading
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from contextlib import contextmanager
@@ -21,11 +21,12 @@
 from jujubeslip.control._leadership import Fence, LeaderContact, Leadership, Role
 from jujubeslip.control._loading import load_state
 from jujubeslip.control._machine import Outcome
-from jujubeslip.control._members import is_voter, voters
+from jujubeslip.control._members import is_voter, voters, without_lost
 from jujubeslip.control._storage import Storage
 from jujubeslip.kernel import ControlSettings, Deadline, Process, new_incarnation
 from jujubeslip.peers import (
     LogEntry,
+    Member,
     Membership,
     NotLeader,
     PeerRefusal,
@@ -222,8 +223,12 @@
             self.role_changed.notify_all()
         self.election_deadline = self.random_election_deadline()
 
-    def lead(self) -> None:
-        """Begin to lead the current term; needs `lock`."""
+    def lead(self, lost_ids: Collection[str] = ()) -> None:
+        """Begin to lead the current term; needs `lock`.
+
+        Voters whose disks are lost, and without whom this replica was elected, are
+        removed with its first entry: the others alone may be no majority with them.
+        """
         last_index = self.log.last_index
         self.is_fresh = False
         self.role = Role.LEADER
@@ -233,9 +238,10 @@
         self.leadership = Leadership(
             self.term, self.replica_id, last_index, self.newest_stamp_ms
         )
-        self.leadership.follow_membership(self.membership, last_index)
-        logger.info("leading", extra={"term": self.term})
-        self.append_command(NoOp())
+        self.leadership.follow_members(self.members_to_reach(), last_index)
+        logger.info("leading", extra={"term": self.term, "lost_ids": sorted(lost_ids)})
+        without = without_lost(self.membership, lost_ids)
+        self.append_command(without if lost_ids else NoOp())
         self.role_changed.notify_all()
 
     def vote_request(self, target_id: str, term: int, transfer: bool) -> VoteRequest:
@@ -352,6 +358,11 @@
         if leadership is None:
             return
         index = leadership.committable(self.membership, self.written_index)
+        if self._has_open_change and self.memberships.meets_previous:
+            before = self.memberships.previous
+            lost_ids = self.membership.lost_replica_ids or ()
+            earlier = leadership.committable(before, self.written_index, lost_ids)
+            index = min(index, earlier)
         if index >= leadership.first_index:
             self.commit_to(index)
 
@@ -359,6 +370,7 @@
         """Apply everything up to the index; needs `lock`."""
         if index <= self.commit_index:
             return
+        was_settled = self.is_settled
         self.commit_index = index
         revision = self.machine.configurations.current.revision
         removals = self.machine.removals.version
@@ -375,17 +387,51 @@
             self.removals_changed.notify_all()
         if self.needs_snapshot:
             self.snapshot_due.notify_all()
-        if self.role is Role.LEADER and self._is_removed():
+        if self.is_settled and not was_settled:
+            self.role_changed.notify_all()
+        if self.role is Role.LEADER:
+            self._follow_own_change()
+
+    def _follow_own_change(self) -> None:
+        """Have the log tell that a change is committed, and obey it."""
+        if not self._has_open_change and self.memberships.needs_confirmation:
+            self.append_command(self.membership)
+        elif self._is_removed():
             self.step_down("this replica was removed")
 
     def _is_removed(self) -> bool:
         committed = self.memberships.current_index <= self.commit_index
         return committed and not is_voter(self.membership, self.replica_id)
 
+    @property
+    def is_settled(self) -> bool:
+        """Say whether the log tells that the newest membership is committed."""
+        return not (self._has_open_change or self.memberships.needs_confirmation)
+
+    @property
+    def _has_open_change(self) -> bool:
+        """Say whether the newest membership is not committed yet."""
+        return self.memberships.current_index > self.commit_index
+
+    def members_to_reach(self) -> list[Member]:
+        """Return the members that get the log; needs `lock`.
+
+        One that a change removes gets that change.
+        """
+        members = {member.replica_id: member for member in self.membership.members}
+        if self._has_open_change:
+            for member in self.memberships.previous.members:
+                members.setdefault(member.replica_id, member)
+        return list(members.values())
+
+    def is_reached(self, replica_id: str) -> bool:
+        """Say whether a replica gets the log; needs `lock`."""
+        return any(item.replica_id == replica_id for item in self.members_to_reach())
+
     def membership_changed(self) -> None:
         """Let tasks and progress follow a new membership; needs `lock`."""
         if self.leadership is not None:
-            self.leadership.follow_membership(self.membership, self.log.last_index)
+            self.leadership.follow_members(self.members_to_reach(), self.log.last_index)
         self.role_changed.notify_all()
 
     # Refusals.
--- a/src/jujubeslip/control/_replication.py
+++ b/src/jujubeslip/control/_replication.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from jujubeslip.control._leadership import Leadership, Progress
-from jujubeslip.control._members import find_member
 from jujubeslip.control._peers import ReplicaClients
 from jujubeslip.control._replica import MILLISECONDS, Replica
 from jujubeslip.control._snapshots import SnapshotReader
@@ -57,7 +56,7 @@
         replica = self._replica
         while not replica.process.stopped.is_set():
             with replica.lock:
-                if find_member(replica.membership, self._member.replica_id) is None:
+                if not replica.is_reached(self._member.replica_id):
                     break
                 leadership = self._wait_for_work()
                 if leadership is None:
@@ -272,7 +271,7 @@
 
     def _start_missing(self) -> None:
         replica = self._replica
-        for member in replica.membership.members:
+        for member in replica.members_to_reach():
             is_self = member.replica_id == replica.replica_id
             if not is_self and member.replica_id not in self._running_ids:
                 self._running_ids.add(member.replica_id)
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -5110,14 +5110,16 @@
      - cluster_id
      - members
      - admitted_host_ids
+     - lost_replica_ids
 
     """
 
 
-    def __init__(self, cluster_id=None, members=None, admitted_host_ids=None,):
+    def __init__(self, cluster_id=None, members=None, admitted_host_ids=None, lost_replica_ids=None,):
         self.cluster_id = cluster_id
         self.members = members
         self.admitted_host_ids = admitted_host_ids
+        self.lost_replica_ids = lost_replica_ids
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5154,6 +5156,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.lost_replica_ids = []
+                    (_etype127, _size124) = iprot.readListBegin()
+                    for _i128 in range(_size124):
+                        _elem129 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lost_replica_ids.append(_elem129)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5171,15 +5183,22 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter124 in self.members:
-                iter124.write(oprot)
+            for iter130 in self.members:
+                iter130.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_host_ids is not None:
             oprot.writeFieldBegin('admitted_host_ids', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.admitted_host_ids))
-            for iter125 in self.admitted_host_ids:
-                oprot.writeString(iter125.encode('utf-8') if sys.version_info[0] == 2 else iter125)
+            for iter131 in self.admitted_host_ids:
+                oprot.writeString(iter131.encode('utf-8') if sys.version_info[0] == 2 else iter131)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.lost_replica_ids is not None:
+            oprot.writeFieldBegin('lost_replica_ids', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.lost_replica_ids))
+            for iter132 in self.lost_replica_ids:
+                oprot.writeString(iter132.encode('utf-8') if sys.version_info[0] == 2 else iter132)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5916,33 +5935,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.configurations = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = Configuration()
-                        _elem131.read(iprot)
-                        self.configurations.append(_elem131)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = Configuration()
+                        _elem138.read(iprot)
+                        self.configurations.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = ChangeRecord()
-                        _elem137.read(iprot)
-                        self.changes.append(_elem137)
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = ChangeRecord()
+                        _elem144.read(iprot)
+                        self.changes.append(_elem144)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.claims = []
-                    (_etype141, _size138) = iprot.readListBegin()
-                    for _i142 in range(_size138):
-                        _elem143 = ClaimRecord()
-                        _elem143.read(iprot)
-                        self.claims.append(_elem143)
+                    (_etype148, _size145) = iprot.readListBegin()
+                    for _i149 in range(_size145):
+                        _elem150 = ClaimRecord()
+                        _elem150.read(iprot)
+                        self.claims.append(_elem150)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5954,22 +5973,22 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.orders = []
-                    (_etype147, _size144) = iprot.readListBegin()
-                    for _i148 in range(_size144):
-                        _elem149 = EngineOrderRecord()
-                        _elem149.read(iprot)
-                        self.orders.append(_elem149)
+                    (_etype154, _size151) = iprot.readListBegin()
+                    for _i155 in range(_size151):
+                        _elem156 = EngineOrderRecord()
+                        _elem156.read(iprot)
+                        self.orders.append(_elem156)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype153, _size150) = iprot.readListBegin()
-                    for _i154 in range(_size150):
-                        _elem155 = EngineLoad()
-                        _elem155.read(iprot)
-                        self.loads.append(_elem155)
+                    (_etype160, _size157) = iprot.readListBegin()
+                    for _i161 in range(_size157):
+                        _elem162 = EngineLoad()
+                        _elem162.read(iprot)
+                        self.loads.append(_elem162)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5981,11 +6000,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.removals = []
-                    (_etype159, _size156) = iprot.readListBegin()
-                    for _i160 in range(_size156):
-                        _elem161 = EndpointRemovalRecord()
-                        _elem161.read(iprot)
-                        self.removals.append(_elem161)
+                    (_etype166, _size163) = iprot.readListBegin()
+                    for _i167 in range(_size163):
+                        _elem168 = EndpointRemovalRecord()
+                        _elem168.read(iprot)
+                        self.removals.append(_elem168)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6002,22 +6021,22 @@
         if self.configurations is not None:
             oprot.writeFieldBegin('configurations', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.configurations))
-            for iter162 in self.configurations:
-                iter162.write(oprot)
+            for iter169 in self.configurations:
+                iter169.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter163 in self.changes:
-                iter163.write(oprot)
+            for iter170 in self.changes:
+                iter170.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.claims is not None:
             oprot.writeFieldBegin('claims', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.claims))
-            for iter164 in self.claims:
-                iter164.write(oprot)
+            for iter171 in self.claims:
+                iter171.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.end is not None:
@@ -6027,15 +6046,15 @@
         if self.orders is not None:
             oprot.writeFieldBegin('orders', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.orders))
-            for iter165 in self.orders:
-                iter165.write(oprot)
+            for iter172 in self.orders:
+                iter172.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter166 in self.loads:
-                iter166.write(oprot)
+            for iter173 in self.loads:
+                iter173.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.engines_since_ms is not None:
@@ -6045,8 +6064,8 @@
         if self.removals is not None:
             oprot.writeFieldBegin('removals', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.removals))
-            for iter167 in self.removals:
-                iter167.write(oprot)
+            for iter174 in self.removals:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6444,11 +6463,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype171, _size168) = iprot.readListBegin()
-                    for _i172 in range(_size168):
-                        _elem173 = LogEntry()
-                        _elem173.read(iprot)
-                        self.entries.append(_elem173)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = LogEntry()
+                        _elem180.read(iprot)
+                        self.entries.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6498,8 +6517,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter174 in self.entries:
-                iter174.write(oprot)
+            for iter181 in self.entries:
+                iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commit_index is not None:
@@ -7285,6 +7304,7 @@
     (1, TType.STRING, 'cluster_id', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 2
     (3, TType.LIST, 'admitted_host_ids', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.LIST, 'lost_replica_ids', (TType.STRING, 'UTF8', False), None, ),  # 4
 )
 all_structs.append(ReplicaIdentity)
 ReplicaIdentity.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -579,11 +579,15 @@
   4: bool voter,
 }
 
-// Payload of MEMBERSHIP. An admitted host may join, but has not done so yet.
+// Payload of MEMBERSHIP. An admitted host may join, but has not done so yet. An entry
+// that repeats the membership before it tells that this one is committed.
 struct Membership {
   1: string cluster_id,
   2: list<Member> members,
   3: list<string> admitted_host_ids,
+  // Voters of the membership before whose disks are lost: they count for no majority of
+  // that one.
+  4: optional list<string> lost_replica_ids,
 }
 
 // Which replica a data folder belongs to; written once, before anything else.
--- /dev/null
+++ b/tests/control/test_lost_voters.py
@@ -0,0 +1,224 @@
+"""Elections beside voters whose disks are lost, and changes of the voters."""
+
+from __future__ import annotations
+
+from itertools import combinations
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from jujubeslip.control._commands import make_entry
+from jujubeslip.control._election import Elections
+from jujubeslip.control._members import (
+    MembershipLog,
+    VoteQuorum,
+    vote_quorum,
+    without_lost,
+    without_replica,
+)
+from jujubeslip.control._replica import Replica
+from jujubeslip.control._storage import Storage
+from jujubeslip.kernel import ControlSettings, Process
+from jujubeslip.peers import (
+    EntryKind,
+    Member,
+    Membership,
+    PeerRefusal,
+    ReplicaDescription,
+    ReplicaMetadata,
+    VoteReply,
+)
+
+VOTERS = 4
+
+
+def members(count: int = VOTERS) -> list[Member]:
+    return [
+        Member(f"control-{number}/disk", f"control-{number}", f"h:{number}", True)
+        for number in range(count)
+    ]
+
+
+def membership(count: int = VOTERS) -> Membership:
+    return Membership("cluster", members(count), [])
+
+
+def log_with(*memberships: Membership) -> MembershipLog:
+    """Return a log in which the first one is founded and the others follow."""
+    found = MembershipLog(0, Membership("", [], []))
+    for index, item in enumerate(memberships, 1):
+        found.append(make_entry(index, 1, 0, item))
+    return found
+
+
+class TestQuorumBesideLostDisks:
+    """Guards against two leaders, and one that lacks what was acknowledged."""
+
+    @pytest.mark.parametrize("voters", range(3, 9))
+    @pytest.mark.parametrize("lost_count", [1, 2, 3])
+    def test_meets_each_majority_and_each_other_quorum(
+        self, voters: int, lost_count: int
+    ) -> None:
+        everyone = range(voters)
+        left = set(range(lost_count, voters))
+        found = membership(voters)
+        quorum = vote_quorum(log_with(found, found))
+        needed = quorum.votes_needed(lost_count)
+        elections = [set(item) for item in combinations(left, needed)]
+        majorities = [set(item) for item in combinations(everyone, voters // 2 + 1)]
+        for election in elections:
+            assert all(election & other for other in elections)
+            assert all(election & majority & left for majority in majorities)
+
+    def test_is_half_of_an_even_number(self) -> None:
+        assert VoteQuorum(4, True).votes_needed(1) == 2
+        assert VoteQuorum(4, True).votes_needed(0) == 3
+
+    def test_is_a_majority_where_the_voters_may_have_changed(self) -> None:
+        """The newest membership in the log may have been replaced elsewhere."""
+        earlier, newest = membership(3), membership(4)
+        open_change = vote_quorum(log_with(earlier, earlier, newest))
+        assert open_change.votes_needed(1) == 3
+        confirmed = vote_quorum(log_with(earlier, earlier, newest, newest))
+        assert confirmed.votes_needed(1) == 2
+
+    def test_of_two_voters_is_both(self) -> None:
+        two = membership(2)
+        assert vote_quorum(log_with(two, two)).votes_needed(1) == 2
+
+
+class Others:
+    """The other voters: one has lost its disk, one votes, one is gone."""
+
+    def __init__(self, answers_as: str) -> None:
+        self._answers_as = answers_as
+
+    def to_member(self, member: Member) -> Voter:
+        return Voter(member, self._answers_as)
+
+
+class Voter:
+    def __init__(self, member: Member, answers_as: str) -> None:
+        self._member = member
+        self._answers_as = answers_as
+
+    def call(self, operation: Any, timeout: float) -> Any:
+        return operation(self)
+
+    def pre_vote(self, request: Any) -> VoteReply:
+        return self._vote(request, request.term - 1)
+
+    def request_vote(self, request: Any) -> VoteReply:
+        return self._vote(request, request.term)
+
+    def describe(self) -> ReplicaDescription:
+        return ReplicaDescription(
+            self._answers_as, self._answers_as.partition("/")[0], "h:1", ""
+        )
+
+    def _vote(self, request: Any, term: int) -> VoteReply:
+        if self._member.host_id == "control-1":
+            raise PeerRefusal("wrong_replica", "Another disk.", "", 0)
+        if self._member.host_id == "control-2":
+            raise PeerRefusal("gone", "It is switched off.", "", 0)
+        return VoteReply(term, True)
+
+
+@pytest.fixture
+def replica(tmp_path: Path) -> Any:
+    folder = tmp_path / "data"
+    storage = Storage(folder, "control-0")
+    found = Replica(
+        ControlSettings(
+            host_id="control-0",
+            availability_zone="zone-1",
+            region="region",
+            peer_address="127.0.0.1:1",
+            peer_secret="x" * 16,
+            data_folder=folder,
+            seeds=("127.0.0.1:1",),
+            election_timeout_ms=200,
+            heartbeat_ms=40,
+        ),
+        storage,
+        Process("test"),
+    )
+    own = Member(found.replica_id, "control-0", "127.0.0.1:1", True)
+    voters = Membership("cluster", [own, *members()[1:]], [])
+    with found.disk_lock, found.lock:
+        found.save_metadata(ReplicaMetadata("cluster", 1, ""))
+        for index in (1, 2):
+            found.append_entry(make_entry(index, 1, 0, voters))
+        found.write_pending()
+    yield found
+    storage.close()
+
+
+class TestElectionBesideALostDisk:
+    """Guards against a rest of two of four that never elects a leader."""
+
+    def test_removes_the_lost_replica_first(self, replica: Replica) -> None:
+        Elections(replica, Others("control-1/new"))._campaign()  # type: ignore[arg-type]
+        assert replica.leadership is not None
+        first = replica.log.entry(replica.leadership.first_index)
+        assert first.kind == EntryKind.MEMBERSHIP
+        assert [item.host_id for item in replica.membership.members] == [
+            "control-0",
+            "control-2",
+            "control-3",
+        ]
+
+    @pytest.mark.parametrize("answers_as", ["control-1/disk", "other/new"])
+    def test_needs_the_voter_s_own_host_to_say_so(
+        self, replica: Replica, answers_as: str
+    ) -> None:
+        Elections(replica, Others(answers_as))._campaign()  # type: ignore[arg-type]
+        assert replica.leadership is None
+
+
+class TestCommitOfAChange:
+    """Guards against voters that elect a leader without the change that ended them."""
+
+    def lead(self, replica: Replica, change: Membership, lost: tuple[str, ...]) -> int:
+        """Append a change as leader; return how far it is once one has answered."""
+        with replica.disk_lock, replica.lock:
+            replica.lead(lost)
+            if not lost:
+                replica.append_command(change)
+            replica.write_pending()
+        self.answer(replica, "control-3/disk")
+        return replica.memberships.current_index
+
+    def answer(self, replica: Replica, replica_id: str) -> None:
+        """Let a follower have all that is in the log so far."""
+        with replica.lock:
+            assert replica.leadership is not None
+            progress = replica.leadership.progress_by_id[replica_id]
+            progress.match_index = replica.log.last_index
+            replica.advance_commit()
+
+    def test_needs_a_majority_of_the_voters_before(self, replica: Replica) -> None:
+        removed = without_replica(replica.membership, "control-2/disk")
+        index = self.lead(replica, removed, ())
+        assert replica.commit_index < index
+        # The removed replica gets the change, too, and counts for it.
+        self.answer(replica, "control-2/disk")
+        assert replica.commit_index >= index
+
+    def test_counts_without_the_lost_ones(self, replica: Replica) -> None:
+        lost = ("control-1/disk",)
+        self.lead(replica, without_lost(replica.membership, lost), lost)
+        [first] = [item.kind for item in replica.log.entries_from(3) if item.index == 3]
+        assert first == EntryKind.MEMBERSHIP
+        assert replica.commit_index >= 3
+
+    def test_is_repeated_once_it_is_committed(self, replica: Replica) -> None:
+        lost = ("control-1/disk",)
+        self.lead(replica, without_lost(replica.membership, lost), lost)
+        assert not replica.is_settled
+        replica.write_pending()
+        self.answer(replica, "control-3/disk")
+        assert replica.is_settled
+        kinds = [item.kind for item in replica.log.entries_from(3)]
+        assert kinds == [EntryKind.MEMBERSHIP, EntryKind.MEMBERSHIP]
