Ask a leader again soon whose lease has lapsed

Cause: a leader without a lease answers like a host that doesn't lead, was passed over for 0.7 s, and the charge refused in the same millisecond. Beside it, a wait for a leader went on over a second connection though the next one was known.

Provoked by followers whose answers take 0.7 of the election timeout: `it does not lead` and `request not within its account's limit` in one millisecond. With answers that count when they come in, such leaders keep their lead, so that this had to follow.

Change: a host that is named as the newest leader and knows no other one is asked again after 0.1 s, and a charge waits for it for a second at most, as for one that is late; a second connection is tried only while the host is still named. An append counts for two election timeouts, since a new connection needs a second exchange.

--- a/src/jujubeslip/control/_replication.py
+++ b/src/jujubeslip/control/_replication.py
@@ -27,6 +27,9 @@
 # How long an answer to an append is waited for before the next one is sent over another
 # connection, as a share of the election timeout.
 APPEND_SHARE = 0.5
+# How long an answer counts, as a share of it: one over a new connection comes after a
+# second exchange.
+ANSWER_SHARE = 2.0
 # Appends that one follower is sent at a time.
 MAXIMUM_IN_FLIGHT = 3
 # How long a follower may take over a piece of a snapshot, in seconds: its last piece
@@ -186,8 +189,8 @@
 
     @_send.register(AppendRequest)
     def _(self, message: AppendRequest) -> AppendReply:
-        seconds = self._replica.election_seconds
-        timeout = seconds if self._reachable else seconds * APPEND_SHARE
+        share = ANSWER_SHARE if self._reachable else APPEND_SHARE
+        timeout = self._replica.election_seconds * share
         return self._client.call(lambda peer: peer.append_entries(message), timeout)
 
     @_send.register(SnapshotPiece)
--- a/src/jujubeslip/forwarding/_leader_contact.py
+++ b/src/jujubeslip/forwarding/_leader_contact.py
@@ -19,6 +19,9 @@
 
 # How long a host that did not answer, or does not lead, is not asked, in seconds.
 PAUSE_SECONDS = 0.7
+# The same for one that leads and may promise nothing at the moment, in seconds: its
+# followers answer late, and the next answer renews its lease.
+LAPSED_PAUSE_SECONDS = 0.1
 
 
 @dataclass(frozen=True)
@@ -42,6 +45,8 @@
         self._paused_until_by_address: dict[str, Deadline] = {}
         self._silent_addresses: set[str] = set()
         """Hosts that did not answer when last asked."""
+        self._lapsed_addresses: set[str] = set()
+        """Leaders that could promise nothing when last asked."""
         self._logged_address: str | None = None
         self._lock = threading.Lock()
 
@@ -55,14 +60,19 @@
         """Note what a host told; needs the lock."""
         if word.term > self._newest_term():
             # It was elected since it was passed over.
-            self._paused_until_by_address.pop(word.address, None)
-            self._silent_addresses.discard(word.address)
+            self._forget_failures(word.address)
         before = self._word_by_teller.get(teller)
         if not word.address and before is not None:
             # It hears no leader now; the one of an earlier term leads no more.
             word = _Word("", max(before.term, word.term))
         self._word_by_teller[teller] = word
 
+    def _forget_failures(self, address: str) -> None:
+        """Let a host be asked at once; needs the lock."""
+        self._paused_until_by_address.pop(address, None)
+        self._silent_addresses.discard(address)
+        self._lapsed_addresses.discard(address)
+
     def _newest_words(self) -> list[_Word]:
         """Return what was told of the newest term; needs the lock.
 
@@ -84,11 +94,12 @@
     def is_late(self) -> bool:
         """Say whether a reachable leader is passed over since an answer was late.
 
-        It is soon asked again. One beyond a network partition isn't reachable.
+        Its own, or one that renews its lease. It is soon asked again. One beyond a
+        network partition isn't reachable.
         """
         with self._lock:
             named = {word.address for word in self._newest_words()}
-            named &= self._silent_addresses
+            named &= self._silent_addresses | self._lapsed_addresses
             return any(self._reaches(address) for address in named)
 
     def address(self) -> str | None:
@@ -138,12 +149,23 @@
 
         One that does not answer in time, in seconds, or refuses, is not asked for a
         while either. A connection that stays silent is followed by a fresh one, which
-        gets as long.
+        gets as long, unless another host leads by then.
         """
         client = self._clients.get(address)
-        return self._answer(
-            address, request_id, timeout, lambda: client.call(ask, timeout)
-        )
+
+        def ask_twice() -> T:
+            try:
+                return client.call_within(ask, timeout)
+            except PeerUnavailableError:
+                if not self._is_named(address):
+                    raise
+            return client.call_within(ask, timeout)
+
+        return self._answer(address, request_id, timeout, ask_twice)
+
+    def _is_named(self, address: str) -> bool:
+        with self._lock:
+            return address in {word.address for word in self._newest_words()}
 
     def call_within(
         self,
@@ -169,7 +191,7 @@
         try:
             answer = ask()
         except NotLeader as error:
-            self._pause(address, term, request_id, "it does not lead")
+            self._pause_not_leading(address, term, request_id, error)
             if error.leader_address:
                 word = _Word(error.leader_address, error.leader_term or 0)
                 with self._lock:
@@ -227,9 +249,28 @@
 
     def _note_answered(self, address: str) -> None:
         with self._lock:
-            if address in self._silent_addresses:
-                self._silent_addresses.discard(address)
-                self._paused_until_by_address.pop(address, None)
+            if address in self._silent_addresses | self._lapsed_addresses:
+                self._forget_failures(address)
+
+    def _pause_not_leading(
+        self, address: str, term: int, request_id: str, error: NotLeader
+    ) -> None:
+        """Pass over a host that says that it doesn't lead.
+
+        One that knows no other leader, and is still named as the newest one, leads
+        without a lease: it may be asked again soon.
+        """
+        is_lapsed = not error.leader_address and self._is_named(address)
+        with self._lock:
+            if is_lapsed and term == self._newest_term():
+                paused = Deadline.after(LAPSED_PAUSE_SECONDS)
+                self._paused_until_by_address[address] = paused
+                self._lapsed_addresses.add(address)
+        if not is_lapsed:
+            self._pause(address, term, request_id, "it does not lead")
+            return
+        extra = {"address": address, "request_id": request_id, "term": term}
+        logger.info("leader has no lease", extra=extra)
 
     def _pause(
         self,
--- a/tests/forwarding/test_leader_contact.py
+++ b/tests/forwarding/test_leader_contact.py
@@ -166,3 +166,26 @@
     """Let a control host tell who leads, and in which term."""
     news: Any = SimpleNamespace(address=teller, leader_address=leader, leader_term=term)
     contact.take(news)
+
+
+class TestElectionWhileTheLeaderBeforeIsAsked:
+    """Guards against a second wait for a leader that was replaced during the first."""
+
+    @pytest.mark.parametrize("is_elected", [True, False])
+    def test_ends_with_the_first_wait(
+        self, contact: LeaderContact, peer: Peer, is_elected: bool
+    ) -> None:
+        successor = "10.0.0.2:7000"
+        news: Any = SimpleNamespace(
+            address=successor, leader_address=successor, leader_term=7
+        )
+
+        def ask(_: object, timeout: float) -> str:
+            peer.asked += 1
+            if is_elected:
+                contact.take(news)
+            raise PeerUnavailableError("No answer.")
+
+        peer.call_within = ask  # type: ignore[assignment]
+        assert contact.call(LEADER, "r", TIMEOUT, lambda _: "granted") is None
+        assert peer.asked == (1 if is_elected else 2)
