Give a campaign up whose replica is in a later term than its pre-votes

What callers saw: a leader that had been elected was deposed 15 to 19 ms later, so that a takeover held two elections; calls between them met a host that did not lead, or waited for the second.

Cause: pre-votes were asked for one term, and the campaign took whatever term came next: a candidate that voted for another one meanwhile went on one term higher.

Change: the campaign is given up if the term has moved since its pre-votes.

Why it works: a vote moves the term, and whoever has voted waits for its next deadline. test_two_candidates.py failed before ((3, True) for (2, False)).

--- a/src/jujubeslip/control/_election.py
+++ b/src/jujubeslip/control/_election.py
@@ -144,7 +144,8 @@
         if not transfer and self._win(pre_vote) is None:
             return
         try:
-            campaign = self._begin_term(transfer, next_campaign)
+            pre_voted = None if transfer else term
+            campaign = self._begin_term(transfer, next_campaign, pre_voted)
         except PeerRefusal:
             return
         self._lead_if_won(campaign)
@@ -155,7 +156,7 @@
             next_campaign = self._replica.random_election_deadline()
             self._replica.election_deadline = next_campaign
         try:
-            campaign = self._begin_term(False, next_campaign, start_by_id)
+            campaign = self._begin_term(False, next_campaign, start_by_id=start_by_id)
         except PeerRefusal:
             return
         self._lead_if_won(campaign)
@@ -181,6 +182,7 @@
         self,
         transfer: bool,
         next_campaign: Deadline,
+        pre_voted_term: int | None = None,
         start_by_id: Mapping[str, int] | None = None,
     ) -> Campaign | None:
         """Vote for itself in the next term, durably before anyone is asked.
@@ -189,15 +191,21 @@
         which takes long on a busy disk; left earlier, each campaign would ask for
         another term to be saved, and none would be won.
 
-        None where a campaign by the starts of all voters comes too late: this replica
-        has answered a leader since, whose lease a vote for itself would break.
+        None where it comes too late. A campaign by the starts of all voters does once
+        this replica has answered a leader, whose lease a vote for itself would break;
+        one by pre-votes once it is in a later term. It may have voted in that one, and
+        would depose who was elected a moment ago.
         """
         replica = self._replica
         with replica.disk_lock, replica.lock, replica.promising():
             if start_by_id is not None and not replica.is_fresh:
                 return None
-            replica.write_pending()
             term = replica.term + 1
+            if pre_voted_term not in (None, term):
+                extra = {"pre_voted_term": pre_voted_term, "term": replica.term}
+                logger.info("campaign given up", extra=extra)
+                return None
+            replica.write_pending()
             replica.save_metadata(
                 ReplicaMetadata(replica.cluster_id, term, replica.replica_id)
             )
