Answer heartbeats without the disk

Cause: a follower answered a heartbeat behind the sync of its disk. Syncs that last longer than the election timeout end the lead, and each new term needs another one.

Change: an append without entries in a known term takes no lock of the disk, and is answered for what is synced; entries are synced with the lock of the disk alone. The leader sends heartbeats beside entries that have no answer yet.

--- a/src/jujubeslip/control/_receiver.py
+++ b/src/jujubeslip/control/_receiver.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-from jujubeslip.control._leadership import LeaderContact
+from jujubeslip.control._leadership import LeaderContact, Role
 from jujubeslip.control._machine import StateMachine
 from jujubeslip.control._members import MembershipLog
 from jujubeslip.control._replica import Replica
@@ -62,19 +62,51 @@
             return VoteReply(replica.term, granted)
 
     def append_entries(self, request: AppendRequest) -> AppendReply:
-        """Take over the leader's entries, synced before the answer."""
+        """Take over the leader's entries, synced before the answer.
+
+        One without entries waits for no disk: a leader keeps its lead while those of
+        its followers are slow.
+        """
         replica = self._replica
-        with self._addressed(request):
-            if request.term < replica.term:
-                return AppendReply(replica.term, False, 0)
-            leader = LeaderContact(request.leader_id, request.leader_address)
-            replica.follow(request.term, leader)
-            replica.write_pending()
-            if not self._fits(request):
-                return AppendReply(replica.term, False, self._next_try(request))
-            last_index = self._store(request)
-            replica.commit_to(min(request.commit_index, last_index))
-            return AppendReply(replica.term, True, last_index)
+        with replica.lock, replica.promising():
+            if self._is_heartbeat(request):
+                return self._take_heartbeat(request)
+        with replica.disk_lock:
+            with replica.lock, replica.promising():
+                self._check_addressed(request)
+                if request.term < replica.term:
+                    return AppendReply(replica.term, False, 0)
+                leader = LeaderContact(request.leader_id, request.leader_address)
+                replica.follow(request.term, leader)
+                if not self._fits(request):
+                    return AppendReply(replica.term, False, self._next_try(request))
+                last_index = self._store(request)
+            with replica.promising():
+                replica.write_pending()
+            with replica.lock:
+                replica.commit_to(min(request.commit_index, last_index))
+                return AppendReply(replica.term, True, last_index)
+
+    def _is_heartbeat(self, request: AppendRequest) -> bool:
+        """Say whether a message has nothing for the disk."""
+        replica = self._replica
+        is_addressed = request.target_id == replica.replica_id
+        is_in_cluster = request.cluster_id == replica.cluster_id
+        if not (is_addressed and is_in_cluster) or request.entries:
+            return False
+        is_followed = replica.role is Role.FOLLOWER and request.term == replica.term
+        known = replica.log.term_at(request.previous_index)
+        fits = known is not None and known == request.previous_term
+        return is_followed and fits
+
+    def _take_heartbeat(self, request: AppendRequest) -> AppendReply:
+        """Answer for what is synced; the rest is still being written."""
+        replica = self._replica
+        leader = LeaderContact(request.leader_id, request.leader_address)
+        replica.follow(request.term, leader)
+        synced_index = min(request.previous_index, replica.written_index)
+        replica.commit_to(min(request.commit_index, synced_index))
+        return AppendReply(replica.term, True, synced_index)
 
     def install_snapshot(self, piece: SnapshotPiece) -> SnapshotReply:
         """Take over a piece of the leader's snapshot; the last one installs it."""
@@ -121,32 +153,37 @@
     def _addressed(
         self, message: VoteRequest | AppendRequest | SnapshotPiece
     ) -> Iterator[None]:
-        """Hold both locks for a message that is meant for this replica.
+        """Hold both locks for a message that is meant for this replica."""
+        replica = self._replica
+        with replica.disk_lock, replica.lock, replica.promising():
+            self._check_addressed(message)
+            yield
+
+    def _check_addressed(
+        self, message: VoteRequest | AppendRequest | SnapshotPiece
+    ) -> None:
+        """Raise PeerRefusal for a message that is meant for another replica.
 
         A replica with a new disk is not the one that its leader knew at this address:
         it must neither vote nor acknowledge in that one's name.
         """
         replica = self._replica
-        with replica.disk_lock, replica.lock, replica.promising():
-            if message.target_id != replica.replica_id:
-                raise PeerRefusal(
-                    WRONG_REPLICA,
-                    f"This is {replica.replica_id}, not {message.target_id}.",
-                    "A replica whose disk was lost joins anew by itself.",
-                    0,
-                )
-            if not replica.cluster_id:
-                replica.save_metadata(
-                    ReplicaMetadata(message.cluster_id, replica.term, "")
-                )
-            if message.cluster_id != replica.cluster_id:
-                raise PeerRefusal(
-                    "wrong_cluster",
-                    f"{replica.replica_id} belongs to another cluster.",
-                    "Empty the data folder of the host that should join the other.",
-                    0,
-                )
-            yield
+        if message.target_id != replica.replica_id:
+            raise PeerRefusal(
+                WRONG_REPLICA,
+                f"This is {replica.replica_id}, not {message.target_id}.",
+                "A replica whose disk was lost joins anew by itself.",
+                0,
+            )
+        if not replica.cluster_id:
+            replica.save_metadata(ReplicaMetadata(message.cluster_id, replica.term, ""))
+        if message.cluster_id != replica.cluster_id:
+            raise PeerRefusal(
+                "wrong_cluster",
+                f"{replica.replica_id} belongs to another cluster.",
+                "Empty the data folder of the host that should join the other.",
+                0,
+            )
 
     def _must_wait(self, request: VoteRequest) -> bool:
         """Say whether a live leader's lease forbids any vote.
@@ -189,7 +226,7 @@
         return max(first - 1, replica.commit_index)
 
     def _store(self, request: AppendRequest) -> int:
-        """Add the entries that are new, after removing those that conflict."""
+        """Add the entries that are new in memory, and remove those that conflict."""
         replica = self._replica
         for entry in request.entries:
             if entry.index <= replica.commit_index:
@@ -199,7 +236,6 @@
             if entry.index <= replica.log.last_index:
                 replica.truncate_from(entry.index)
             replica.append_entry(entry)
-        replica.write_pending()
         return int(request.previous_index + len(request.entries))
 
     def _install(self, snapshot: SnapshotFile, machine: StateMachine) -> None:
--- a/src/jujubeslip/control/_replication.py
+++ b/src/jujubeslip/control/_replication.py
@@ -30,8 +30,9 @@
 # How long an answer counts, as a share of it: one over a new connection comes after a
 # second exchange.
 ANSWER_SHARE = 2.0
-# Appends that one follower is sent at a time.
-MAXIMUM_IN_FLIGHT = 3
+# Appends that one follower is sent at a time, and those with entries among them.
+MAXIMUM_IN_FLIGHT = 4
+MAXIMUM_COPIES = 2
 # How long a follower may take over a piece of a snapshot, in seconds: its last piece
 # loads the whole state.
 PIECE_SECONDS = 5.0
@@ -51,6 +52,9 @@
         self._reachable = True
         self._is_late = False
         self._in_flight: set[Future[None]] = set()
+        self._entries_in_flight: set[Future[None]] = set()
+        self._is_heard = True
+        """Whether the last message was answered before the next one was due."""
         self._reader: SnapshotReader | None = None
         self._offset = 0
 
@@ -74,23 +78,34 @@
         """Send a message, and wait until it is time for the next one.
 
         An append without an answer stays in flight: the connection may have gone
-        silent, which a further one shows, or the follower may answer late.
+        silent, which a further one shows, or the follower's disk may be slow.
         """
-        patience = self._replica.election_seconds * APPEND_SHARE
         start_task = self._replica.process.start_task
-        self._in_flight.add(start_task(self._exchange, leadership, message))
-        may_overlap = self._reachable and isinstance(message, AppendRequest)
-        self._wait_for_answer(patience if may_overlap else None)
-        if self._in_flight:
-            self._note_late(True)
-        if len(self._in_flight) >= MAXIMUM_IN_FLIGHT:
-            self._wait_for_answer(None)
-
-    def _wait_for_answer(self, patience: float | None) -> None:
-        """Wait for an answer to any message in flight, in seconds, or however long."""
-        answered, self._in_flight = wait(self._in_flight, patience, FIRST_COMPLETED)
-        if answered and not self._in_flight:
-            self._note_late(False)
+        exchange = start_task(self._exchange, leadership, message)
+        self._in_flight.add(exchange)
+        patience = None
+        if isinstance(message, AppendRequest):
+            if message.entries:
+                self._entries_in_flight.add(exchange)
+            if self._reachable:
+                patience = self._replica.election_seconds * APPEND_SHARE
+        wait([exchange], patience)
+        self._is_heard = exchange.done()
+        if len(self._in_flight) >= MAXIMUM_IN_FLIGHT and not self._is_heard:
+            wait(self._in_flight, return_when=FIRST_COMPLETED)
+        self._in_flight = {item for item in self._in_flight if not item.done()}
+        self._entries_in_flight &= self._in_flight
+        self._note_late(bool(self._in_flight))
+
+    def _may_send_entries(self) -> bool:
+        """Say whether entries are sent, and not only a sign that this leader lives.
+
+        Those that have no answer yet are sent once more, over another connection, if
+        the follower answers meanwhile.
+        """
+        if not self._entries_in_flight:
+            return True
+        return self._is_heard and len(self._entries_in_flight) < MAXIMUM_COPIES
 
     def _note_late(self, is_late: bool) -> None:
         if is_late != self._is_late:
@@ -108,7 +123,8 @@
             self._next_contact = Deadline.after(0)
             replica.work.wait(1.0)
             return None
-        if self._next_contact.expired or (self._reachable and self._has_entries()):
+        may_send = self._reachable and self._may_send_entries()
+        if self._next_contact.expired or (may_send and self._has_entries()):
             self._next_contact = Deadline.after(self._heartbeat_seconds)
             return leadership
         replica.work.wait(self._next_contact.remaining())
@@ -137,7 +153,9 @@
             leadership.term,
             previous_index,
             previous_term or 0,
-            replica.log.batch_from(previous_index + 1),
+            replica.log.batch_from(previous_index + 1)
+            if self._may_send_entries()
+            else [],
             replica.commit_index,
         )
 
