Tell the age of removals by the book's clock

Cause: a book took the instant of a removal from its own clock, and KeptRemovals asked another reference to it whether the removal was too old. Tests that set the book's clock to 1,000 s differ from the machine's once that has run for 1,300 s: the removal counted as old and was dropped. In the product both are one clock.

Change: the book hands its instant over.

--- a/src/jujubeslip/discovery/_book.py
+++ b/src/jujubeslip/discovery/_book.py
@@ -229,7 +229,8 @@
         entry = self._entry_by_id.get(removal.endpoint_id)
         known = entry.endpoint if entry else None
         bound = removal.for_start(known) if known else removal
-        if not self._removals.keep(replace(bound, version=self._version + 1)):
+        numbered = replace(bound, version=self._version + 1)
+        if not self._removals.keep(numbered, steady_seconds()):
             return
         self._version += 1
         self._material_version = self._version
--- a/src/jujubeslip/discovery/_removals.py
+++ b/src/jujubeslip/discovery/_removals.py
@@ -60,10 +60,9 @@
         is_any = self.scope == RemovalScope.ANY_START
         return RemovalKey(self.endpoint_id, None if is_any else self.started_at_ms)
 
-    @property
-    def is_old(self) -> bool:
-        """Say whether it is kept no more."""
-        return self.removed_at < steady_seconds() - REMEMBERED_SECONDS
+    def is_old(self, now: float) -> bool:
+        """Say whether it is kept no more at this instant of the steady clock."""
+        return self.removed_at < now - REMEMBERED_SECONDS
 
     def supersedes(self, kept: Removal | None) -> bool:
         """Say whether it says more than the one that is kept for the same start."""
@@ -111,21 +110,21 @@
     def __init__(self) -> None:
         self._removal_by_key: dict[RemovalKey, Removal] = {}
 
-    def keep(self, removal: Removal) -> bool:
+    def keep(self, removal: Removal, now: float) -> bool:
         """Keep a removal; say whether it was not kept before."""
         kept = self._removal_by_key
-        if removal.is_old or not removal.supersedes(kept.get(removal.key)):
+        if removal.is_old(now) or not removal.supersedes(kept.get(removal.key)):
             return False
         kept.pop(removal.key, None)
         kept[removal.key] = removal
-        self._drop_oldest()
+        self._drop_oldest(now)
         return True
 
-    def _drop_oldest(self) -> None:
+    def _drop_oldest(self, now: float) -> None:
         kept = self._removal_by_key
         while kept:
             oldest = next(iter(kept.values()))
-            if len(kept) <= MAXIMUM_KEPT and not oldest.is_old:
+            if len(kept) <= MAXIMUM_KEPT and not oldest.is_old(now):
                 return
             del kept[oldest.key]
 
--- a/tests/forwarding/test_leader_contact.py
+++ b/tests/forwarding/test_leader_contact.py
@@ -7,7 +7,11 @@
 
 import pytest
 
-from jujubeslip.forwarding._leader_contact import PAUSE_SECONDS, LeaderContact
+from jujubeslip.forwarding._leader_contact import (
+    LAPSED_PAUSE_SECONDS,
+    PAUSE_SECONDS,
+    LeaderContact,
+)
 from jujubeslip.kernel import PeerUnavailableError
 from jujubeslip.peers import NotLeader, PeerIdentity, PeerRefusal
 from tests.fakes.clock import Clock
@@ -189,3 +193,27 @@
         peer.call_within = ask  # type: ignore[assignment]
         assert contact.call(LEADER, "r", TIMEOUT, lambda _: "granted") is None
         assert peer.asked == (1 if is_elected else 2)
+
+
+class TestLeaderWithoutALease:
+    """Guards against a leader that is passed over, since its lease has lapsed."""
+
+    def test_is_asked_again_soon(
+        self, contact: LeaderContact, peer: Peer, clock: Clock
+    ) -> None:
+        peer.error = NotLeader("", "")
+        assert contact.call(LEADER, "r", TIMEOUT, lambda _: "granted") is None
+        assert contact.address() is None and contact.is_late
+        clock.now += LAPSED_PAUSE_SECONDS
+        peer.error = None
+        assert contact.address() == LEADER
+        assert contact.call(LEADER, "r", TIMEOUT, lambda _: "granted") == "granted"
+        assert not contact.is_late
+
+    def test_that_names_another_one_is_passed_over(
+        self, contact: LeaderContact, peer: Peer, clock: Clock
+    ) -> None:
+        peer.error = NotLeader("control-9/disk", "10.0.0.9:7000", 5)
+        assert contact.call(LEADER, "r", TIMEOUT, lambda _: "granted") is None
+        clock.now += LAPSED_PAUSE_SECONDS
+        assert contact.address() == "10.0.0.9:7000"
