Hosts tell when they have lost their links to all endpoints, and why they skip one

Callers of partitioned entry hosts were refused, and no line told whether a host had lost its own links or endpoints were lost: one had to compare the lines of all hosts, and `endpoint skipped` had no reason. A host now tries several endpoints, of different services and zones, when a connection can't be opened or awaited answers stay silent, writes `links to all endpoints lost` and `links to endpoints restored` with the outcome of each try, and has a gauge jujubeslip.forward.reaches_endpoints. No decision about a request uses it yet.

--- a/src/jujubeslip/endpoints/__init__.py
+++ b/src/jujubeslip/endpoints/__init__.py
@@ -2,6 +2,7 @@
 
 from jujubeslip.endpoints._announcements import announcement_from_json
 from jujubeslip.endpoints._connections import (
+    ConnectionObserver,
     ConnectionPool,
     EndpointConnection,
     has_ended,
@@ -35,6 +36,7 @@
     "AnswerCutError",
     "CacheEvent",
     "ClientDisconnectedError",
+    "ConnectionObserver",
     "ConnectionPool",
     "EndpointAnswerError",
     "EndpointConnection",
--- a/src/jujubeslip/endpoints/_connections.py
+++ b/src/jujubeslip/endpoints/_connections.py
@@ -7,7 +7,7 @@
 import socket
 import threading
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, Protocol
 
 from jujubeslip.endpoints._errors import (
     AnswerCutError,
@@ -17,7 +17,7 @@
     EndpointUnreachableError,
 )
 from jujubeslip.endpoints._http import Interrupted, never_interrupted
-from jujubeslip.kernel import Deadline, Ran
+from jujubeslip.kernel import Deadline, Ran, steady_seconds
 
 # Timeout for opening a connection, in seconds. It takes two round trips; an endpoint
 # that takes longer is partitioned or dead, and nothing has been sent to it yet.
@@ -39,16 +39,48 @@
 IDLE_MARGIN_SECONDS = 0.7
 
 
+class ConnectionObserver(Protocol):
+    """Is told what a host's connections show about its links to endpoints."""
+
+    def note_answer(self) -> None:
+        """Record that an endpoint has sent something."""
+
+    def note_silence(self, seconds: float) -> None:
+        """Record that an awaited answer has been silent for these seconds."""
+
+    def note_unreachable(self) -> None:
+        """Record that a connection could not be opened."""
+
+
+class _NoObserver:
+    """Ignores what connections show."""
+
+    def note_answer(self) -> None:
+        """See ConnectionObserver."""
+
+    def note_silence(self, seconds: float) -> None:
+        """See ConnectionObserver."""
+
+    def note_unreachable(self) -> None:
+        """See ConnectionObserver."""
+
+
+NO_OBSERVER: ConnectionObserver = _NoObserver()
+
+
 class _BoundedReader(io.RawIOBase):
     """Reads from a socket until a deadline or until the client disconnects."""
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: socket.socket, observer: ConnectionObserver) -> None:
         self._socket = sock
+        self._observer = observer
+        self._silent_since = steady_seconds()
         self._deadline = Deadline.after(0)
         self._interrupted: Interrupted = never_interrupted
 
     def watch(self, deadline: Deadline, interrupted: Interrupted) -> None:
         """Bound the reads from now on."""
+        self._silent_since = steady_seconds()
         self._deadline = deadline
         self._interrupted = interrupted
 
@@ -60,11 +92,17 @@
         """Read available bytes; wait for them unless the socket is non-blocking."""
         while True:
             try:
-                return self._socket.recv_into(buffer)
+                size = self._socket.recv_into(buffer)
             except TimeoutError:
+                self._observer.note_silence(steady_seconds() - self._silent_since)
                 self._check_limits()
             except BlockingIOError:
                 return None
+            else:
+                if size:
+                    self._silent_since = steady_seconds()
+                    self._observer.note_answer()
+                return size
 
     def _check_limits(self) -> None:
         if self._interrupted():
@@ -103,7 +141,9 @@
 class EndpointConnection:
     """A connection that carries one request at a time."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, observer: ConnectionObserver = NO_OBSERVER
+    ) -> None:
         host, port = address.rsplit(":", 1)
         self.address = address
         self.used = False
@@ -115,9 +155,10 @@
             self._http.connect()
         except OSError as error:
             self._http.close()
+            observer.note_unreachable()
             raise EndpointUnreachableError(f"{address}: {error}.") from error
         self._socket: socket.socket = self._http.sock
-        self._raw = _BoundedReader(self._socket)
+        self._raw = _BoundedReader(self._socket, observer)
         self._reader = io.BufferedReader(self._raw, READ_BYTES)
         self._shared = _SharedBuffer(self._reader)
         self._method = ""
@@ -238,7 +279,8 @@
     it has not run.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, observer: ConnectionObserver = NO_OBSERVER) -> None:
+        self._observer = observer
         self._idle_by_start: dict[str, list[EndpointConnection]] = {}
         self._lock = threading.Lock()
 
@@ -251,7 +293,7 @@
             if not kept.idle_until.expired and kept.is_clean():
                 return kept
             kept.close()
-        return EndpointConnection(address)
+        return EndpointConnection(address, self._observer)
 
     def give_back(
         self,
--- a/src/jujubeslip/forwarding/_health.py
+++ b/src/jujubeslip/forwarding/_health.py
@@ -87,7 +87,7 @@
         """Record an answer that failed or was incomplete."""
         self._note(start_id, failed=True)
 
-    def note_unreachable(self, start_id: str) -> None:
+    def note_unreachable(self, start_id: str, reason: str = "") -> None:
         """Skip the endpoint for a while, longer after each failure in a row.
 
         Failures while it is skipped belong to requests that were sent before: if they
@@ -110,6 +110,7 @@
             "start_id": start_id,
             "seconds": pause,
             "failures_in_a_row": failures,
+            "reason": reason,
         }
         logger.info("endpoint skipped", extra=extra)
 
--- a/src/jujubeslip/forwarding/_meters.py
+++ b/src/jujubeslip/forwarding/_meters.py
@@ -39,6 +39,8 @@
     """Endpoints that have announced a limit."""
     held_endpoints: int
     """Endpoints that are in backoff, or have announced that they are leaving."""
+    reaches_endpoints: bool
+    """Whether the host's own links to endpoints work."""
 
 
 class ForwardMeters:
@@ -184,6 +186,12 @@
         description="Endpoints that are in backoff, or have said that they leave.",
     )
 
+    meter.create_observable_gauge(
+        "jujubeslip.forward.reaches_endpoints",
+        [gauge_callback(lambda: int(read().reaches_endpoints))],
+        description="1 while this host's own links to endpoints work, else 0.",
+    )
+
     def retries_left(_: CallbackOptions) -> Iterable[Observation]:
         left = read().retries_left_by_service
         return [Observation(value, {"service": name}) for name, value in left.items()]
--- a/src/jujubeslip/forwarding/_prefill.py
+++ b/src/jujubeslip/forwarding/_prefill.py
@@ -217,7 +217,7 @@
         call = Attempts(latest_sent_at=Deadline(asked_at))
         self._sender.note_request_error(context, call, endpoint, error)
         if not isinstance(error, _ERRORS_WITHOUT_SKIP):
-            self._sender.health.note_unreachable(endpoint.start_id)
+            self._sender.health.note_unreachable(endpoint.start_id, error.message)
         attempts.note(endpoint.start_id, f"prompt not read, {error.error_id}")
 
 
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -48,6 +48,7 @@
 from jujubeslip.notices import EndpointNotices
 from jujubeslip.peers import PeerIdentity
 from jujubeslip.quarantine import CrashRegistry, HarmlessContents
+from jujubeslip.relays import EndpointReach
 from jujubeslip.telemetry import (
     configure_logging,
     configure_telemetry,
@@ -85,9 +86,10 @@
         )
         interface = interfaces.get(settings.interface)
         self._entry_hosts = 1
-        self._connection_pool = ConnectionPool()
         self._pressures = Pressures()
         self._registry = EndpointRegistry()
+        self._reach = EndpointReach(self._registry)
+        self._connection_pool = ConnectionPool(self._reach)
         self._crash_registry = CrashRegistry()
         self._harmless_contents = HarmlessContents()
         quarantine = Quarantine(self._crash_registry, self._harmless_contents)
@@ -179,6 +181,7 @@
             len(self._crash_registry.quarantined_contents()),
             self._endpoint_limits.count,
             self._endpoint_limits.notices.held_count,
+            not self._reach.is_lost,
         )
 
     def _build_sending(self, quarantine: Quarantine) -> EndpointSender:
@@ -247,6 +250,7 @@
         self._followers.learn(self._settings.seed_addresses)
         process.repeat(CLEANUP_SECONDS, self._connection_pool.close_expired)
         process.repeat(FORGET_SECONDS, self._crash_registry.forget_old)
+        self._reach.start(process)
         self._account_limits.start()
         self._endpoint_limits.start(process)
         if self._admissions is not None:
--- a/src/jujubeslip/forwarding/_sender.py
+++ b/src/jujubeslip/forwarding/_sender.py
@@ -207,16 +207,16 @@
         """Record that a call to an endpoint brought no answer."""
         attempts.note_error(endpoint.start_id, error)
         if isinstance(error, EndpointUnreachableError):
-            self.health.note_unreachable(endpoint.start_id)
+            self.health.note_unreachable(endpoint.start_id, error.message)
         elif isinstance(error, EndpointReplacedError):
             self.health.note_replaced(endpoint.start_id)
         elif isinstance(error, EndpointRoleError):
             # Its next announcement reports the new role.
-            self.health.note_unreachable(endpoint.start_id)
+            self.health.note_unreachable(endpoint.start_id, error.message)
         elif not isinstance(error, EndpointRefusedError | EndpointOnHoldError):
             self.health.note_failure(endpoint.start_id)
             if isinstance(error, EndpointTimeoutError):
-                self.health.note_unreachable(endpoint.start_id)
+                self.health.note_unreachable(endpoint.start_id, error.message)
 
 
 def _hold_refusal(
--- /dev/null
+++ b/src/jujubeslip/relays/_reach.py
@@ -0,0 +1,178 @@
+"""Whether this host reaches the endpoints over its own links."""
+
+from __future__ import annotations
+
+import itertools
+import logging
+import random
+import threading
+from collections.abc import Callable
+
+from jujubeslip.discovery import Endpoint, EndpointRegistry
+from jujubeslip.kernel import Deadline, Process, steady_seconds
+from jujubeslip.relays._link_check import ACCEPTED, check_addresses
+
+logger = logging.getLogger(__name__)
+
+# How long an awaited answer may stay silent, while no endpoint sends anything, before
+# the links are checked, in seconds.
+SILENCE_SECONDS = 0.4
+# Shortest interval between two checks that are caused by silence, in seconds.
+SILENCE_CHECK_SECONDS = 1.0
+# Timeout of one round of connection attempts, in seconds. It exceeds the round trip
+# between zones; a lost SYN is resent only after a second.
+ROUND_SECONDS = 0.25
+# Number of rounds, and of endpoints that are tried in each.
+ROUNDS = 2
+ENDPOINTS_PER_ROUND = 2
+# How long after a contact with an endpoint the links count as working, in seconds.
+CONTACT_SECONDS = 0.3
+# Interval between checks while no endpoint is reached, in seconds.
+RECHECK_SECONDS = 0.5
+# Endpoints that announced themselves within this many seconds are tried first.
+HEARD_SECONDS = 3.0
+
+
+class EndpointReach:
+    """Detects that this host has lost its links to all endpoints; thread-safe.
+
+    A failed call alone doesn't show it: the endpoint may have ended. The links count as
+    lost if no connection can be opened to several endpoints, of different services and
+    availability zones where possible, and as restored once connections can be opened.
+    """
+
+    def __init__(self, registry: EndpointRegistry) -> None:
+        self._registry = registry
+        self._contact_at = float("-inf")
+        """When an endpoint last sent something or accepted a connection."""
+        self._checked_at = float("-inf")
+        self._lost_at: float | None = None
+        """When the links were last found to be lost."""
+        self._is_lost = False
+        self._wanted = threading.Event()
+        self._check_lock = threading.Lock()
+        self._on_change: Callable[[], None] = lambda: None
+
+    def start(self, process: Process) -> None:
+        """Check the links when necessary until the process stops."""
+        process.start_task(self._run, process)
+
+    def set_change_handler(self, on_change: Callable[[], None]) -> None:
+        """Set the function to call when the links are lost or restored."""
+        self._on_change = on_change
+
+    @property
+    def is_lost(self) -> bool:
+        """Return whether this host reaches no endpoint."""
+        return self._is_lost
+
+    def was_lost_since(self, timestamp: float) -> bool:
+        """Return whether the links were found to be lost after this time."""
+        return self._lost_at is not None and self._lost_at >= timestamp
+
+    def note_answer(self) -> None:
+        """Record that an endpoint has sent something over a direct connection."""
+        self._contact_at = steady_seconds()
+
+    def note_silence(self, seconds: float) -> None:
+        """Record that an awaited answer has been silent for these seconds."""
+        if seconds < SILENCE_SECONDS or self._is_lost:
+            return
+        now = steady_seconds()
+        if now - self._contact_at < SILENCE_SECONDS:
+            return
+        if now - self._checked_at >= SILENCE_CHECK_SECONDS:
+            self._wanted.set()
+
+    def note_unreachable(self) -> None:
+        """Record that a connection to an endpoint could not be opened."""
+        if not self._is_lost and not self._has_contact():
+            self._wanted.set()
+
+    def _has_contact(self) -> bool:
+        return steady_seconds() - self._contact_at < CONTACT_SECONDS
+
+    def confirm_lost(self) -> bool:
+        """Check the links, after a connection could not be opened.
+
+        Return whether this host reaches no endpoint.
+        """
+        asked_at = steady_seconds()
+        with self._check_lock:
+            if self._is_lost or self._checked_at >= asked_at:
+                return self._is_lost
+            if not self._has_contact():
+                self._check()
+            return self._is_lost
+
+    def _run(self, process: Process) -> None:
+        while not process.stopped.is_set():
+            interval = RECHECK_SECONDS * random.uniform(0.8, 1.2)
+            was_wanted = self._wanted.wait(interval)
+            self._wanted.clear()
+            if was_wanted or self._is_lost:
+                with self._check_lock:
+                    self._check()
+
+    def _check(self) -> None:
+        """Try endpoints in rounds, until one accepts; the caller holds the lock."""
+        outcome_by_address: dict[str, str] = {}
+        sample = self._sample()
+        for number in range(ROUNDS):
+            tried = sample[number * ENDPOINTS_PER_ROUND :][:ENDPOINTS_PER_ROUND]
+            # Links are restored once all that are tried accept: a single one may be
+            # reached while the others are still cut off.
+            enough = len(tried) if self._is_lost else 1
+            outcomes = check_addresses(tried, Deadline.after(ROUND_SECONDS), enough)
+            outcome_by_address |= outcomes
+            accepted = list(outcomes.values()).count(ACCEPTED)
+            if accepted:
+                self._contact_at = steady_seconds()
+                if accepted >= enough:
+                    self._set_lost(False, outcome_by_address)
+                break
+        else:
+            # Without endpoints to try, nothing shows that the links are lost.
+            self._set_lost(bool(sample), outcome_by_address)
+        self._checked_at = steady_seconds()
+
+    def _set_lost(self, is_lost: bool, outcome_by_address: dict[str, str]) -> None:
+        if is_lost == self._is_lost:
+            return
+        now = steady_seconds()
+        extra: dict[str, object] = {"outcomes": outcome_by_address}
+        if is_lost:
+            extra["contact_ago_ms"] = _milliseconds(now - self._contact_at)
+            logger.warning("links to all endpoints lost", extra=extra)
+            self._lost_at = now
+        else:
+            assert self._lost_at is not None
+            extra["lost_ms"] = _milliseconds(now - self._lost_at)
+            logger.info("links to endpoints restored", extra=extra)
+        self._is_lost = is_lost
+        self._on_change()
+
+    def _sample(self) -> list[str]:
+        """Return the addresses to try, in random order.
+
+        Those of different services and availability zones come first.
+        """
+        known = [item for item in self._registry.endpoints() if item.accepts_work]
+        heard_since = steady_seconds() - HEARD_SECONDS
+        heard = [item for item in known if item.heard_at >= heard_since]
+        endpoints = heard or known
+        random.shuffle(endpoints)
+        by_group: dict[tuple[str, str], list[Endpoint]] = {}
+        for endpoint in endpoints:
+            group = (endpoint.service_name, endpoint.availability_zone)
+            by_group.setdefault(group, []).append(endpoint)
+        ordered = itertools.chain.from_iterable(
+            itertools.zip_longest(*by_group.values())
+        )
+        addresses = [item.address for item in ordered if item is not None]
+        return addresses[: ROUNDS * ENDPOINTS_PER_ROUND]
+
+
+def _milliseconds(seconds: float) -> int | None:
+    """Return whole milliseconds, None if the time is unknown."""
+    return None if seconds == float("inf") else int(seconds * 1000)
