Failing test: entry hosts without links to endpoints serve no first attempts

Four entry hosts in processes of their own; one or three of them lose their links to all workers (silent, reset, or old connections live on while new ones are refused) while clients and the other hosts reach them.

`tests.fakes.routed_host` runs the program with its connections redirected, so that one host's links can be cut without those of others.

--- /dev/null
+++ b/tests/fakes/endpoint_links.py
@@ -0,0 +1,94 @@
+"""The links of one entry host to the workers, which can be cut without other hosts'."""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+from collections.abc import Sequence
+from pathlib import Path
+
+from tests.fakes.fault_proxy import FaultProxy
+from tests.fakes.platform_system import Host
+from tests.fakes.processes import free_address
+
+FILL_SECONDS = 0.1
+FILL_CONNECTIONS = 3
+
+CUTS = ("silent", "reset", "new-refused")
+"""How links are cut: connections stay silent and new ones are not answered; they are
+reset and new ones are refused; or they continue, and new ones are refused."""
+
+
+class UnansweredAddress:
+    """An address that answers no SYN packet, as one beyond a network partition.
+
+    The kernel drops SYN packets while the listener's queue is full.
+    """
+
+    def __init__(self) -> None:
+        self._listener = socket.socket()
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(0)
+        host, port = self._listener.getsockname()
+        self.address = f"{host}:{port}"
+        self._queued = [self._fill() for _ in range(FILL_CONNECTIONS)]
+
+    def _fill(self) -> socket.socket:
+        queued = socket.socket()
+        queued.settimeout(FILL_SECONDS)
+        queued.connect_ex(self._listener.getsockname())
+        return queued
+
+    def close(self) -> None:
+        """Close all sockets."""
+        for sock in (*self._queued, self._listener):
+            sock.close()
+
+
+class EndpointLinks:
+    """Links of one entry host, each through a proxy of its own."""
+
+    def __init__(self, host: Host, folder: Path, addresses: Sequence[str]) -> None:
+        """Route the host's connections to these addresses from its next start."""
+        self._path = folder / f"{host.name}.routes.json"
+        self._proxy_by_address = {item: FaultProxy(item) for item in addresses}
+        self._unanswered = UnansweredAddress()
+        self._refusing = free_address()
+        self._write_proxies()
+        host.route_by(self._path)
+
+    def cut(self, how: str) -> None:
+        """Cut all links in one of the ways of CUTS, until `heal`."""
+        target = self._unanswered.address if how == "silent" else self._refusing
+        self._write(dict.fromkeys(self._proxy_by_address, target))
+        for proxy in self._proxy_by_address.values():
+            if how == "silent":
+                proxy.cut()
+            elif how == "reset":
+                proxy.reset()
+
+    def heal(self) -> None:
+        """Restore the links; connections that were silent continue."""
+        for proxy in self._proxy_by_address.values():
+            proxy.heal()
+        self._write_proxies()
+
+    @property
+    def accepted(self) -> int:
+        """Return the number of connections that the host has opened."""
+        return sum(proxy.accepted for proxy in self._proxy_by_address.values())
+
+    def close(self) -> None:
+        """Close all connections."""
+        for proxy in self._proxy_by_address.values():
+            proxy.stop()
+        self._unanswered.close()
+
+    def _write_proxies(self) -> None:
+        self._write({key: item.address for key, item in self._proxy_by_address.items()})
+
+    def _write(self, target_by_address: dict[str, str]) -> None:
+        written = self._path.with_suffix(".new")
+        written.write_text(json.dumps(target_by_address))
+        os.replace(written, self._path)
--- a/tests/fakes/platform_system.py
+++ b/tests/fakes/platform_system.py
@@ -96,13 +96,20 @@
         self.settings_path = folder / f"{name}.toml"
         self.settings_path.write_text(settings)
         self.process: ManagedProcess | None = None
+        self._routes_path: Path | None = None
+
+    def route_by(self, routes_path: Path) -> None:
+        """Redirect the outgoing connections of later starts as this file says."""
+        self._routes_path = routes_path
 
     def start(self) -> None:
         """Start the process."""
+        module = "jujubeslip.cli"
         arguments = [self._command, "--settings", str(self.settings_path)]
-        self.process = ManagedProcess(
-            self.name, "jujubeslip.cli", arguments, self._folder
-        )
+        if self._routes_path is not None:
+            module = "tests.fakes.routed_host"
+            arguments.insert(0, str(self._routes_path))
+        self.process = ManagedProcess(self.name, module, arguments, self._folder)
 
     def kill(self) -> None:
         """Kill the process."""
