--- a/src/jujubeslip/control/_watches.py
+++ b/src/jujubeslip/control/_watches.py
@@ -9,6 +9,7 @@
 
 from returns.result import Success
 
+from jujubeslip.control._relay_list import RelayList
 from jujubeslip.control._replica import Replica
 from jujubeslip.discovery import EndpointRegistry, to_record, to_removal_record
 from jujubeslip.kernel import (
@@ -19,7 +20,12 @@
     read_fields,
     steady_seconds,
 )
-from jujubeslip.peers import ServicePressure, WatchReply, WatchRequest
+from jujubeslip.peers import (
+    RelayRecord,
+    ServicePressure,
+    WatchReply,
+    WatchRequest,
+)
 from jujubeslip.quarantine import CrashRegistry, to_crash_record, usable_histories
 
 logger = logging.getLogger(__name__)
@@ -39,6 +45,7 @@
     known_version: int
     is_entry_host: bool
     pressures: tuple[ServicePressure, ...]
+    relay: RelayRecord | None
 
 
 @dataclass(frozen=True)
@@ -95,6 +102,7 @@
         self._addresses = addresses
         self._watcher_by_id: dict[str, _Watcher] = {}
         self._entry_asked_at_by_host: dict[str, float] = {}
+        self._relay_list = RelayList()
         self._changed = threading.Condition()
 
     def answer(self, request: WatchRequest) -> WatchReply:
@@ -127,6 +135,8 @@
             if request.is_entry_host
             else self._crash_registry.changes_since(known_crashes)
         )
+        known_relays = (request.known_relay_version or 0) if is_same_start else 0
+        relay_version, relays = self._relays_since(known_relays, request)
         with self._replica.lock:
             leader = self._leader()
         return WatchReply(
@@ -141,8 +151,23 @@
             [to_crash_record(history) for history in crashes],
             [to_removal_record(removal) for removal in removals],
             leader.term,
+            relay_version,
+            relays,
         )
 
+    def _relays_since(
+        self, known_version: int, request: WatchRequest
+    ) -> tuple[int, list[RelayRecord] | None]:
+        """Return the version and the relays for the watcher, None if it has them."""
+        if not request.is_entry_host:
+            return 0, None
+        with self._changed:
+            self._update_relays()
+            version = self._relay_list.version
+            if version == known_version:
+                return version, None
+            return version, self._relay_list.chosen_for(_host_of(request.watcher_id))
+
     def _crash_version(self, request: WatchRequest) -> int:
         """Return the version of the newest crash that the watcher must get at once.
 
@@ -196,18 +221,27 @@
     def _record_watcher(self, request: WatchRequest, known_version: int) -> None:
         pressures = usable_pressures(request.watcher_id, request.pressures or ())
         with self._changed:
+            before = self._watcher_by_id.get(request.watcher_id)
+            # The same object is kept, so that lists of relays compare by identity.
+            is_same_relay = before is not None and before.relay == request.relay
+            relay = before.relay if before and is_same_relay else request.relay
             self._watcher_by_id[request.watcher_id] = _Watcher(
                 steady_seconds(),
                 known_version,
                 request.is_entry_host,
                 tuple(pressures),
+                relay,
             )
             if request.is_entry_host:
-                # Each start of a host's process watches under another id.
-                host_id = request.watcher_id.partition("/")[0]
+                host_id = _host_of(request.watcher_id)
                 self._entry_asked_at_by_host[host_id] = steady_seconds()
             self._changed.notify_all()
 
+    def _update_relays(self) -> None:
+        """List the relays among the live watchers; the caller holds the lock."""
+        relays = (watcher.relay for watcher in self._live())
+        self._relay_list.replace(relay for relay in relays if relay is not None)
+
     def heard_share(self) -> float:
         """Return the share of the known entry hosts that are currently heard from."""
         now = steady_seconds()
@@ -262,3 +296,8 @@
         # Without the replica's lock: waiting watches call this while they hold the
         # registry's lock.
         return int(self._replica.machine.configurations.current.revision)
+
+
+def _host_of(watcher_id: str) -> str:
+    """Return the host of a watcher: each start of its process has another id."""
+    return watcher_id.partition("/")[0]
--- a/src/jujubeslip/discovery/__init__.py
+++ b/src/jujubeslip/discovery/__init__.py
@@ -1,13 +1,19 @@
 """The registry of endpoints on control and entry hosts, and how it is kept current."""
 
 from jujubeslip.discovery._control_followers import ControlFollowers, ControlUpdate
-from jujubeslip.discovery._models import Endpoint, endpoint_from_record, to_record
+from jujubeslip.discovery._models import (
+    Endpoint,
+    RelayHost,
+    endpoint_from_record,
+    to_record,
+)
 from jujubeslip.discovery._records import (
     Slots,
     removal_from_record,
     removal_problem,
     to_removal_record,
     usable_endpoints,
+    usable_relays,
     usable_removals,
 )
 from jujubeslip.discovery._registry import EndpointRegistry
@@ -18,6 +24,7 @@
     "Endpoint",
     "EndpointRegistry",
     "ControlUpdate",
+    "RelayHost",
     "Removal",
     "Slots",
     "endpoint_from_record",
@@ -26,5 +33,6 @@
     "to_record",
     "to_removal_record",
     "usable_endpoints",
+    "usable_relays",
     "usable_removals",
 ]
--- a/src/jujubeslip/discovery/_control_followers.py
+++ b/src/jujubeslip/discovery/_control_followers.py
@@ -7,7 +7,12 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from jujubeslip.discovery._records import usable_endpoints, usable_removals
+from jujubeslip.discovery._models import RelayHost
+from jujubeslip.discovery._records import (
+    usable_endpoints,
+    usable_relays,
+    usable_removals,
+)
 from jujubeslip.discovery._registry import EndpointRegistry
 from jujubeslip.kernel import (
     Deadline,
@@ -20,6 +25,7 @@
     PeerClient,
     PeerIdentity,
     PeerRefusal,
+    RelayRecord,
     ServicePressure,
     WatchReply,
     WatchRequest,
@@ -54,6 +60,8 @@
     """Peer address of the leader, empty while none is known."""
     leader_term: int = 0
     """Term of the leader, 0 if it was not reported."""
+    relays: tuple[RelayHost, ...] | None = None
+    """Some entry hosts that relay requests, None if they are those of before."""
 
 
 @dataclass(frozen=True)
@@ -66,6 +74,7 @@
     crash_version: int = 0
     leader_address: str = ""
     leader_term: int = 0
+    relay_version: int = 0
 
 
 class ControlFollowers:
@@ -86,7 +95,9 @@
         is_entry_host: bool = False,
         pressures: Callable[[], list[ServicePressure]] = list,
         crash_registry: CrashRegistry | None = None,
+        relay: Callable[[], RelayRecord | None] = lambda: None,
     ) -> None:
+        self._relay = relay
         self._crash_registry = crash_registry or CrashRegistry()
         self._process = process
         self._identity = identity
@@ -157,6 +168,8 @@
             [to_crash_record(history) for history in crashes],
             known.leader_address,
             known.leader_term,
+            self._relay(),
+            known.relay_version,
         )
         return request, crash_version
 
@@ -172,6 +185,9 @@
             reply.entry_hosts or 0,
             reply.leader_address or "",
             reply.leader_term or 0,
+            None
+            if reply.relays is None
+            else tuple(usable_relays(address, reply.relays)),
         )
         self._on_update(update)
 
@@ -237,6 +253,7 @@
             reply.crash_version or 0,
             reply.leader_address or "",
             reply.leader_term or 0,
+            reply.relay_version or 0,
         )
 
     def _record_reply(self, sent_at: float) -> None:
--- a/src/jujubeslip/discovery/_models.py
+++ b/src/jujubeslip/discovery/_models.py
@@ -79,6 +79,16 @@
         return self.restarted and self.heard_at > self.removed_at + REMOVAL_SECONDS
 
 
+@dataclass(frozen=True)
+class RelayHost:
+    """An entry host that relays requests of hosts that reach no endpoint."""
+
+    host_id: str
+    address: str
+    """IP:port at which it takes them."""
+    availability_zone: str
+
+
 def endpoint_from_record(record: EndpointRecord) -> Endpoint:
     """Return the endpoint of a record, with times converted to this host's clock."""
     now = steady_seconds()
--- a/src/jujubeslip/discovery/_records.py
+++ b/src/jujubeslip/discovery/_records.py
@@ -12,6 +12,7 @@
 from jujubeslip.discovery._models import (
     MILLISECONDS,
     Endpoint,
+    RelayHost,
     endpoint_from_record,
 )
 from jujubeslip.discovery._removals import Removal
@@ -28,6 +29,7 @@
     EndpointRecord,
     EndpointRemoval,
     EndpointRole,
+    RelayRecord,
     RemovalScope,
 )
 
@@ -71,6 +73,14 @@
     scope: Annotated[int, Field(ge=min(RemovalScope), le=max(RemovalScope))] | None
 
 
+class _RelayFields(StrictModel):
+    """The fields of the record of a relay."""
+
+    host_id: Text
+    address: EndpointAddress
+    availability_zone: Text
+
+
 def usable_endpoints(
     sender: str, records: Sequence[EndpointRecord]
 ) -> Iterator[Endpoint]:
@@ -98,6 +108,17 @@
     logger.info("endpoint record invalid", extra=extra)
 
 
+def usable_relays(sender: str, records: Sequence[RelayRecord]) -> Iterator[RelayHost]:
+    """Yield the relays of the valid records; invalid ones are logged."""
+    for record in records:
+        read = read_fields(_RelayFields, vars(record))
+        if isinstance(read, Failure):
+            extra = {"teller": sender, "problem": read.failure()}
+            logger.info("relay record invalid", extra=extra)
+        else:
+            yield RelayHost(record.host_id, record.address, record.availability_zone)
+
+
 def usable_removals(
     sender: str, records: Sequence[EndpointRemoval]
 ) -> Iterator[Removal]:
--- a/src/jujubeslip/endpoints/__init__.py
+++ b/src/jujubeslip/endpoints/__init__.py
@@ -2,8 +2,10 @@
 
 from jujubeslip.endpoints._announcements import announcement_from_json
 from jujubeslip.endpoints._connections import (
+    Connection,
     ConnectionObserver,
     ConnectionPool,
+    Connections,
     EndpointConnection,
     has_ended,
 )
@@ -17,6 +19,7 @@
     EndpointRefusedError,
     EndpointReplacedError,
     EndpointRoleError,
+    EndpointsOutOfReachError,
     EndpointTimeoutError,
     EndpointUnreachableError,
 )
@@ -36,8 +39,10 @@
     "AnswerCutError",
     "CacheEvent",
     "ClientDisconnectedError",
+    "Connection",
     "ConnectionObserver",
     "ConnectionPool",
+    "Connections",
     "EndpointAnswerError",
     "EndpointConnection",
     "EndpointError",
@@ -47,6 +52,7 @@
     "EndpointRoleError",
     "EndpointMonitor",
     "EndpointStatus",
+    "EndpointsOutOfReachError",
     "EndpointTimeoutError",
     "EndpointUnreachableError",
     "EngineAdapter",
--- a/src/jujubeslip/endpoints/_connections.py
+++ b/src/jujubeslip/endpoints/_connections.py
@@ -6,6 +6,7 @@
 import io
 import socket
 import threading
+from abc import ABC, abstractmethod
 from collections.abc import Iterable
 from typing import Any, Protocol
 
@@ -48,8 +49,8 @@
     def note_silence(self, seconds: float) -> None:
         """Record that an awaited answer has been silent for these seconds."""
 
-    def note_unreachable(self) -> None:
-        """Record that a connection could not be opened."""
+    def note_connected(self) -> None:
+        """Record that a connection was opened."""
 
 
 class _NoObserver:
@@ -61,7 +62,7 @@
     def note_silence(self, seconds: float) -> None:
         """See ConnectionObserver."""
 
-    def note_unreachable(self) -> None:
+    def note_connected(self) -> None:
         """See ConnectionObserver."""
 
 
@@ -138,8 +139,48 @@
         return getattr(self._reader, name)
 
 
-class EndpointConnection:
-    """A connection that carries one request at a time."""
+class Connection(ABC):
+    """A way to one endpoint that carries one request at a time."""
+
+    relayed_by: str = ""
+    """The host that relays the requests, empty for a direct connection."""
+
+    @abstractmethod
+    def send(
+        self, method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes
+    ) -> None:
+        """Send a complete request, after which its answer can be read."""
+
+    @abstractmethod
+    def watch(self, deadline: Deadline, interrupted: Interrupted) -> None:
+        """Bound the reads from now on."""
+
+    @abstractmethod
+    def read_head(self) -> http.client.HTTPResponse:
+        """Wait for the status line and headers of the next answer."""
+
+    @abstractmethod
+    def read_some(self, response: http.client.HTTPResponse) -> bytes:
+        """Return the next bytes of a body, or nothing at its regular end."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close the connection, even if an answer is unread."""
+
+    def read_rest(self, response: http.client.HTTPResponse) -> bytes:
+        """Return the complete rest of a body."""
+        parts = []
+        size = 0
+        while part := self.read_some(response):
+            parts.append(part)
+            size += len(part)
+            if size > MAXIMUM_ANSWER_BYTES:
+                raise EndpointAnswerError("The endpoint's answer is too long.")
+        return b"".join(parts)
+
+
+class EndpointConnection(Connection):
+    """A direct connection to an endpoint."""
 
     def __init__(
         self, address: str, observer: ConnectionObserver = NO_OBSERVER
@@ -155,8 +196,8 @@
             self._http.connect()
         except OSError as error:
             self._http.close()
-            observer.note_unreachable()
             raise EndpointUnreachableError(f"{address}: {error}.") from error
+        observer.note_connected()
         self._socket: socket.socket = self._http.sock
         self._raw = _BoundedReader(self._socket, observer)
         self._reader = io.BufferedReader(self._raw, READ_BYTES)
@@ -219,17 +260,6 @@
             )
         return part
 
-    def read_rest(self, response: http.client.HTTPResponse) -> bytes:
-        """Return the complete rest of a body."""
-        parts = []
-        size = 0
-        while part := self.read_some(response):
-            parts.append(part)
-            size += len(part)
-            if size > MAXIMUM_ANSWER_BYTES:
-                raise EndpointAnswerError(f"{self.address}: the answer is too long.")
-        return b"".join(parts)
-
     def is_clean(self) -> bool:
         """Return whether the connection is open and has no unread bytes.
 
@@ -271,6 +301,21 @@
     return False
 
 
+class Connections(Protocol):
+    """Where connections to endpoints are taken from, and given back."""
+
+    def take(self, start_id: str, address: str) -> Connection:
+        """Return a usable connection.
+
+        Raises EndpointUnreachableError when the endpoint can't be reached.
+        """
+
+    def give_back(
+        self, start_id: str, connection: Connection, idle_seconds: float | None
+    ) -> None:
+        """Keep a connection whose answer was read completely."""
+
+
 class ConnectionPool:
     """Keeps idle connections for each start of an endpoint, most recently used first.
 
@@ -298,10 +343,11 @@
     def give_back(
         self,
         start_id: str,
-        connection: EndpointConnection,
+        connection: Connection,
         idle_seconds: float | None,
     ) -> None:
         """Keep a connection whose answer was read completely."""
+        assert isinstance(connection, EndpointConnection)
         given = IDLE_SECONDS if idle_seconds is None else idle_seconds
         usable = given - IDLE_MARGIN_SECONDS
         if usable <= 0 or not connection.is_clean():
--- a/src/jujubeslip/endpoints/_errors.py
+++ b/src/jujubeslip/endpoints/_errors.py
@@ -25,6 +25,14 @@
     may_have_run = False
 
 
+class EndpointsOutOfReachError(EndpointError):
+    """No endpoint is in reach of this host, nor a host that relays requests."""
+
+    error_id = "endpoints_out_of_reach"
+    default_remedy = "Check this host's links to endpoints and to other entry hosts."
+    may_have_run = False
+
+
 class EndpointTimeoutError(EndpointError):
     """The endpoint did not answer before the deadline."""
 
--- a/src/jujubeslip/forwarding/_app.py
+++ b/src/jujubeslip/forwarding/_app.py
@@ -6,18 +6,16 @@
 import logging
 import threading
 from collections.abc import Callable, Iterable, Iterator
-from typing import Any
 
 from jujubeslip.endpoints import ClientDisconnectedError
 from jujubeslip.forwarding._models import StreamedAnswer
 from jujubeslip.forwarding._service import ForwardService
 from jujubeslip.http_server import AnswerAbandonedError
-from jujubeslip.interfaces import Environ, Interface
+from jujubeslip.interfaces import Environ, Interface, StartResponse
 from jujubeslip.kernel import JujubeslipError, Ran, RequestRefusedError
 
 logger = logging.getLogger(__name__)
 
-StartResponse = Callable[..., Any]
 # When a client should retry after a host had no free thread, in seconds.
 FULL_RETRY_SECONDS = 0.5
 # When a client should retry after it reached a stopping host, in seconds; another host
@@ -49,6 +47,16 @@
         with self._changed:
             self._closed = True
 
+    @property
+    def maximum(self) -> int:
+        """Return how many requests may be served at a time."""
+        return self._maximum
+
+    @property
+    def used_share(self) -> float:
+        """Return the share of the maximum that is being served."""
+        return self._count / self._maximum
+
     def try_enter(self) -> bool:
         """Count one more request, unless the maximum is reached or this is closed."""
         with self._changed:
@@ -97,7 +105,7 @@
         is_streamed = False
         try:
             body = self._answer(environ, start_response, request_id)
-            is_streamed = isinstance(body, _StreamedBody)
+            is_streamed = isinstance(body, StreamedBody)
             return body
         finally:
             if not is_streamed:
@@ -120,10 +128,10 @@
             logger.exception("request failed", extra={"request_id": request_id})
             return self._refuse(start_response, _internal_error_refusal(), request_id)
         if isinstance(answer, StreamedAnswer):
-            _start_answer(start_response, answer.status, list(answer.headers))
-            return _StreamedBody(answer, self._open_requests)
+            start_answer(start_response, answer.status, list(answer.headers))
+            return StreamedBody(answer.events, self._open_requests)
         length = ("Content-Length", str(len(answer.body)))
-        _start_answer(start_response, answer.status, [*answer.headers, length])
+        start_answer(start_response, answer.status, [*answer.headers, length])
         return [answer.body]
 
     def _refuse(
@@ -134,21 +142,21 @@
     ) -> Iterable[bytes]:
         encoded = self._interface.refusal(refusal, request_id)
         length = ("Content-Length", str(len(encoded.body)))
-        _start_answer(start_response, encoded.status, [*encoded.headers, length])
+        start_answer(start_response, encoded.status, [*encoded.headers, length])
         return [encoded.body]
 
 
-class _StreamedBody:
-    """The events of an answer; closing it counts the request as ended."""
+class StreamedBody:
+    """The parts of an answer; closing it counts the request as ended."""
 
-    def __init__(self, answer: StreamedAnswer, open_requests: OpenRequests) -> None:
-        self._events = answer.events
+    def __init__(self, parts: Iterator[bytes], open_requests: OpenRequests) -> None:
+        self._parts = parts
         self._open_requests = open_requests
         self._is_open = True
 
     def __iter__(self) -> Iterator[bytes]:
         try:
-            yield from self._events
+            yield from self._parts
         except JujubeslipError as error:
             raise AnswerAbandonedError(error.message) from error
 
@@ -158,7 +166,7 @@
             return
         self._is_open = False
         try:
-            self._events.close()  # type: ignore[attr-defined]
+            self._parts.close()  # type: ignore[attr-defined]
         finally:
             self._open_requests.leave()
 
@@ -173,13 +181,14 @@
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answer 200 if the host accepts requests, 503 otherwise."""
-        _start_answer(start_response, 200 if self._is_ready() else 503, [])
+        start_answer(start_response, 200 if self._is_ready() else 503, [])
         return [b""]
 
 
-def _start_answer(
+def start_answer(
     start_response: StartResponse, status: int, headers: list[tuple[str, str]]
 ) -> None:
+    """Start an answer with this status, which may be one without a known phrase."""
     try:
         reason = http.HTTPStatus(status).phrase
     except ValueError:
--- a/src/jujubeslip/forwarding/_crash_detector.py
+++ b/src/jujubeslip/forwarding/_crash_detector.py
@@ -20,6 +20,10 @@
 CRASH_WINDOW_SECONDS = 0.5
 
 
+def _refuses_connections(_: str, address: str) -> bool:
+    return has_ended(address)
+
+
 class CrashDetector:
     """Distinguishes endpoints that have crashed from answers lost in transit."""
 
@@ -29,7 +33,10 @@
         crash_registry: CrashRegistry,
         harmless_contents: HarmlessContents,
         report_crashes: Callable[[], None],
+        has_ended: Callable[[str, str], bool] = _refuses_connections,
     ) -> None:
+        """Create the detector; `has_ended` takes a start and its address."""
+        self._has_ended = has_ended
         self._registry = registry
         self._crash_registry = crash_registry
         self._harmless_contents = harmless_contents
@@ -43,7 +50,9 @@
         self, context: ForwardContext, attempts: Attempts, endpoint: Endpoint
     ) -> None:
         """Record a run whose connection ended before its answer was complete."""
-        crashed = self._registry.is_superseded(endpoint) or has_ended(endpoint.address)
+        crashed = self._registry.is_superseded(endpoint) or self._has_ended(
+            endpoint.start_id, endpoint.address
+        )
         if crashed:
             self._crashes.add(1, {"service": context.service_name})
         is_harmless = self._harmless_contents.holds(context.fingerprint)
--- a/src/jujubeslip/forwarding/_exchange.py
+++ b/src/jujubeslip/forwarding/_exchange.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import http.client
+import logging
+from collections.abc import Callable
+from functools import partial
 
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import (
-    ConnectionPool,
+    Connection,
+    Connections,
     EndpointAnswerError,
-    EndpointConnection,
     EndpointOnHoldError,
     EndpointRefusedError,
     EndpointReplacedError,
@@ -18,12 +21,15 @@
 from jujubeslip.interfaces import (
     EndpointCall,
     EndpointHead,
+    Headers,
     Interface,
 )
 from jujubeslip.kernel import Deadline, steady_seconds
 from jujubeslip.notices import EndpointNotices
 from jujubeslip.routes import ForwardedRequest
 
+logger = logging.getLogger(__name__)
+
 SUCCESS = range(200, 300)
 
 
@@ -37,7 +43,7 @@
 
     def __init__(
         self,
-        pool: ConnectionPool,
+        pool: Connections,
         interface: Interface,
         endpoint: Endpoint,
         request: ForwardedRequest,
@@ -50,9 +56,11 @@
         self._endpoint = endpoint
         self._request = request
         self._client_disconnected = client_disconnected
-        self._connection: EndpointConnection | None = None
+        self._connection: Connection | None = None
         self._response: http.client.HTTPResponse | None = None
         self._head: EndpointHead | None = None
+        self.sent_at = float("-inf")
+        """When the request was sent, on the steady clock in seconds."""
 
     def __enter__(self) -> Exchange:
         return self
@@ -66,20 +74,10 @@
         Raises EndpointRefusedError if the endpoint reports that it did not run the
         request, and EndpointOnHoldError if it accepts no requests by now.
         """
-        start_id = self._endpoint.start_id
-        connection = self._pool.take(start_id, self._endpoint.address)
-        if self._notices.hold_of(start_id) is not None:
-            self._pool.give_back(start_id, connection, None)
-            raise EndpointOnHoldError(self._endpoint.address)
-        self._connection = connection
-        request = self._request
-        headers = self._interface.endpoint_headers(request, call)
-        sent_at = steady_seconds()
-        connection.send(request.method, request.target, headers, request.body)
-        connection.watch(deadline, self._client_disconnected)
-        head = self._read_own_head(connection)
+        encode = partial(self._interface.endpoint_headers, self._request, call)
+        head = self.pass_on(encode, deadline)
         if not head.misdirected:
-            self._notices.record_answer(self._endpoint, head, sent_at)
+            self._notices.record_answer(self._endpoint, head, self.sent_at)
         if head.not_run:
             self.read_rest()
             raise _refusal(head, self._endpoint)
@@ -90,6 +88,36 @@
                 )
         return head
 
+    def pass_on(
+        self, encode_headers: Callable[[], Headers], deadline: Deadline
+    ) -> EndpointHead:
+        """Send the request and return the head of any answer.
+
+        The headers are encoded once the connection is open. Raises EndpointOnHoldError
+        if the endpoint accepts no requests by then.
+        """
+        start_id = self._endpoint.start_id
+        connection = self._pool.take(start_id, self._endpoint.address)
+        if self._notices.hold_of(start_id) is not None:
+            self._pool.give_back(start_id, connection, None)
+            raise EndpointOnHoldError(self._endpoint.address)
+        self._connection = connection
+        request = self._request
+        if connection.relayed_by:
+            self._log_relayed(connection)
+        self.sent_at = steady_seconds()
+        connection.send(request.method, request.target, encode_headers(), request.body)
+        connection.watch(deadline, self._client_disconnected)
+        return self._read_own_head(connection)
+
+    def _log_relayed(self, connection: Connection) -> None:
+        extra = {
+            "request_id": self._request.request_id,
+            "start_id": self._endpoint.start_id,
+            "relay": connection.relayed_by,
+        }
+        logger.info("request sent through another host", extra=extra)
+
     def watch(self, deadline: Deadline) -> None:
         """Set the deadline of the following reads."""
         assert self._connection is not None
@@ -123,7 +151,7 @@
         if connection is not None:
             connection.close()
 
-    def _read_own_head(self, connection: EndpointConnection) -> EndpointHead:
+    def _read_own_head(self, connection: Connection) -> EndpointHead:
         """Return the head of this request's answer, skipping late answers to others.
 
         An endpoint may answer an earlier request a second time, just where this
--- a/src/jujubeslip/forwarding/_health.py
+++ b/src/jujubeslip/forwarding/_health.py
@@ -114,6 +114,17 @@
         }
         logger.info("endpoint skipped", extra=extra)
 
+    def forget_failures(self) -> None:
+        """Forget failures and pauses, whose cause was not the endpoints."""
+        with self._lock:
+            for start_id, health in self._health_by_start.items():
+                self._health_by_start[start_id] = replace(
+                    health,
+                    failures_in_a_row=0,
+                    paused_until=Deadline(float("-inf")),
+                    failure_share=0.0,
+                )
+
     def note_replaced(self, start_id: str) -> None:
         """Never use this start again, since another one answers at its address."""
         with self._lock:
--- a/src/jujubeslip/forwarding/_meters.py
+++ b/src/jujubeslip/forwarding/_meters.py
@@ -41,6 +41,8 @@
     """Endpoints that are in backoff, or have announced that they are leaving."""
     reaches_endpoints: bool
     """Whether the host's own links to endpoints work."""
+    relays: int
+    """Other entry hosts that may relay requests for this one."""
 
 
 class ForwardMeters:
@@ -192,6 +194,12 @@
         description="1 while this host's own links to endpoints work, else 0.",
     )
 
+    meter.create_observable_gauge(
+        "jujubeslip.forward.relays",
+        [gauge_callback(lambda: read().relays)],
+        description="Other entry hosts that may relay requests for this one.",
+    )
+
     def retries_left(_: CallbackOptions) -> Iterable[Observation]:
         left = read().retries_left_by_service
         return [Observation(value, {"service": name}) for name, value in left.items()]
--- a/src/jujubeslip/forwarding/_plain_path.py
+++ b/src/jujubeslip/forwarding/_plain_path.py
@@ -25,7 +25,7 @@
     def answer(self, context: ForwardContext, attempts: Attempts) -> WholeAnswer:
         """Return the answer; raise RequestRefusedError or ClientDisconnectedError."""
         failed: WholeAnswer | None = None
-        while True:
+        while self._sender.is_open(context, attempts):
             endpoint = self._sender.choose(context, EndpointRole.PLAIN, attempts.tried)
             if endpoint is None:
                 break
--- a/src/jujubeslip/forwarding/_prefill.py
+++ b/src/jujubeslip/forwarding/_prefill.py
@@ -216,7 +216,8 @@
         self._sender.budgets.charge(context.service_name)
         call = Attempts(latest_sent_at=Deadline(asked_at))
         self._sender.note_request_error(context, call, endpoint, error)
-        if not isinstance(error, _ERRORS_WITHOUT_SKIP):
+        is_skipped = not isinstance(error, _ERRORS_WITHOUT_SKIP)
+        if is_skipped and not self._sender.lost_links_since(Deadline(asked_at), error):
             self._sender.health.note_unreachable(endpoint.start_id, error.message)
         attempts.note(endpoint.start_id, f"prompt not read, {error.error_id}")
 
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from functools import partial
 from pathlib import Path
 
 from returns.result import Failure
@@ -27,6 +28,7 @@
 from jujubeslip.forwarding._prefill import Prefiller
 from jujubeslip.forwarding._pressure import Pressures
 from jujubeslip.forwarding._quarantine import Quarantine
+from jujubeslip.forwarding._relay_app import RelayApp, RelayServices
 from jujubeslip.forwarding._reservations import Reservations
 from jujubeslip.forwarding._retry_budgets import BudgetOptions, RetryBudgets
 from jujubeslip.forwarding._routes_follower import RoutesFollower
@@ -46,9 +48,14 @@
     steady_seconds,
 )
 from jujubeslip.notices import EndpointNotices
-from jujubeslip.peers import PeerIdentity
+from jujubeslip.peers import PeerIdentity, RelayRecord
 from jujubeslip.quarantine import CrashRegistry, HarmlessContents
-from jujubeslip.relays import EndpointReach
+from jujubeslip.relays import (
+    EndpointReach,
+    RelayDirectory,
+    RelayHops,
+    RelayingPool,
+)
 from jujubeslip.telemetry import (
     configure_logging,
     configure_telemetry,
@@ -62,6 +69,13 @@
 # Interval between scans for contents whose quarantine has ended, in seconds.
 FORGET_SECONDS = 10.0
 READY_THREADS = 2
+# Calls relayed for other hosts at a time, as a share of the threads for clients, and
+# further threads that only refuse calls.
+RELAYED_SHARE = 1 / 3
+REFUSING_THREADS = 4
+MAXIMUM_RELAY_CONNECTIONS = 400
+# Share of the threads for clients above which no calls of other hosts are relayed.
+OWN_CLIENTS_SHARE = 3 / 4
 # How long new connections are accepted after the stop begins, in seconds. A load
 # balancer sends no more requests after two failed health checks, a second apart.
 BALANCER_SECONDS = 2.6
@@ -89,7 +103,6 @@
         self._pressures = Pressures()
         self._registry = EndpointRegistry()
         self._reach = EndpointReach(self._registry)
-        self._connection_pool = ConnectionPool(self._reach)
         self._crash_registry = CrashRegistry()
         self._harmless_contents = HarmlessContents()
         quarantine = Quarantine(self._crash_registry, self._harmless_contents)
@@ -102,7 +115,9 @@
             is_entry_host=True,
             pressures=self._pressures.report,
             crash_registry=self._crash_registry,
+            relay=self._relay_record,
         )
+        self._connection_pool = self._build_connection_pool()
         self._leader_contact = LeaderContact(identity, self._followers.reaches)
         self._crash_reporter = CrashReporter(
             self._process,
@@ -156,6 +171,7 @@
             self._account_limits,
             InitialDiscovery(self._registry),
             quarantine,
+            self._connection_pool.check_in_reach,
         )
         self._http = HttpServer(
             HttpServerOptions(
@@ -169,11 +185,59 @@
             HttpServerOptions(settings.ready_address, READY_THREADS),
             ReadyApp(self._is_ready),
         )
+        self._relayed_calls = OpenRequests(
+            max(1, int(settings.http_threads * RELAYED_SHARE))
+        )
+        self._relay_http = self._build_relay_server(settings.relay_address)
+
+    def _build_connection_pool(self) -> RelayingPool:
+        settings = self._settings
+        self._relay_directory = RelayDirectory(
+            settings.availability_zone, self._followers.reaches
+        )
+        hops = RelayHops(
+            self._relay_directory,
+            ConnectionPool(),
+            settings.host_id,
+            settings.peer_secret,
+        )
+        return RelayingPool(self._reach, hops)
+
+    def _build_relay_server(self, address: str | None) -> HttpServer | None:
+        if address is None:
+            return None
+        services = RelayServices(
+            interfaces.get(self._settings.interface),
+            self._connection_pool.direct,
+            self._registry,
+            self._reach,
+            self._endpoint_limits.notices,
+            self._relayed_calls,
+            lambda: self._open_requests.used_share < OWN_CLIENTS_SHARE,
+            self._settings.peer_secret,
+        )
+        options = HttpServerOptions(
+            address,
+            self._relayed_calls.maximum + REFUSING_THREADS,
+            MAXIMUM_RELAY_CONNECTIONS,
+        )
+        return HttpServer(options, RelayApp(services))
+
+    def _relay_record(self) -> RelayRecord | None:
+        """Return how other hosts reach this one as a relay, None if it relays none."""
+        settings = self._settings
+        if settings.relay_address is None or self._reach.is_lost:
+            return None
+        if self._process.stopping.is_set():
+            return None
+        return RelayRecord(
+            settings.host_id, settings.relay_address, settings.availability_zone
+        )
 
     def _host_state(self) -> HostState:
         return HostState(
             self._open_requests.count,
-            self._connection_pool.idle_count,
+            self._connection_pool.direct.idle_count,
             self._followers.count_reachable(),
             self._routes_follower.version,
             self._routes_follower.age_seconds,
@@ -182,11 +246,13 @@
             self._endpoint_limits.count,
             self._endpoint_limits.notices.held_count,
             not self._reach.is_lost,
+            self._relay_directory.count(),
         )
 
     def _build_sending(self, quarantine: Quarantine) -> EndpointSender:
         settings = self._settings
         health = EndpointHealth()
+        self._reach.set_change_handler(partial(self._forget_endpoint_failures, health))
         policy = policies.get(settings.policy)(health, settings.availability_zone)
         budget = BudgetOptions(
             settings.retry_ratio,
@@ -211,11 +277,18 @@
                 self._crash_registry,
                 self._harmless_contents,
                 self._crash_reporter.report,
+                self._connection_pool.has_ended,
             ),
             quarantine,
             self._endpoint_limits,
+            self._reach,
         )
 
+    def _forget_endpoint_failures(self, health: EndpointHealth) -> None:
+        """Forget what calls over lost links showed, and connections over these."""
+        health.forget_failures()
+        self._connection_pool.direct.close_all()
+
     def _build_endpoint_limits(self) -> EndpointLimits:
         spending = HostSpending(
             ENDPOINT_BOUNDS, lambda: self._entry_hosts, steady_seconds()
@@ -259,6 +332,8 @@
         serve_metrics(self._settings.telemetry, self._telemetry, process)
         self._http.start(process)
         self._ready_http.start(process)
+        if self._relay_http is not None:
+            self._relay_http.start(process)
         extra = {"http": self._settings.http_address, "host": self._settings.host_id}
         logger.info("forwarding host serves", extra=extra)
         process.run(self._drain)
@@ -268,6 +343,7 @@
         self._routes_follower.apply_update(update)
         self._leader_contact.apply_update(update)
         self._limit_leader_contact.apply_update(update)
+        self._relay_directory.apply_update(update)
 
     def _is_ready(self) -> bool:
         return self._routes_follower.version > 0 and not self._process.stopping.is_set()
@@ -297,9 +373,11 @@
         # longer than the remaining time. A refused request has not run, and another
         # host can serve it at once.
         self._open_requests.close()
+        self._relayed_calls.close()
         extra = {"open_requests": self._open_requests.count}
         logger.info("forwarding host accepts no further requests", extra=extra)
         self._open_requests.wait_until_none(limit.remaining())
+        self._relayed_calls.wait_until_none(limit.remaining())
         self._http.stop_listening()
         self._http.wait_until_flushed(FLUSH_SECONDS)
         self._telemetry.shutdown()
--- a/src/jujubeslip/forwarding/_sender.py
+++ b/src/jujubeslip/forwarding/_sender.py
@@ -10,12 +10,13 @@
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import (
     AnswerCutError,
-    ConnectionPool,
+    Connections,
     EndpointError,
     EndpointOnHoldError,
     EndpointRefusedError,
     EndpointReplacedError,
     EndpointRoleError,
+    EndpointsOutOfReachError,
     EndpointTimeoutError,
     EndpointUnreachableError,
     Interrupted,
@@ -33,6 +34,7 @@
 from jujubeslip.kernel import Deadline, RequestRefusedError
 from jujubeslip.notices import EndpointNotices, Hold, HoldReason, ServiceHolds
 from jujubeslip.peers import EndpointRole
+from jujubeslip.relays import EndpointReach, out_of_reach_refusal
 
 logger = logging.getLogger(__name__)
 
@@ -54,13 +56,14 @@
     """Sends requests to endpoints and records the outcomes for later choices."""
 
     interface: Interface
-    pool: ConnectionPool
+    pool: Connections
     chooser: Chooser
     health: EndpointHealth
     budgets: RetryBudgets
     crashes: CrashDetector
     quarantine: Quarantine
     limits: EndpointLimits
+    reach: EndpointReach
 
     @property
     def notices(self) -> EndpointNotices:
@@ -131,6 +134,8 @@
         An endpoint that refused the request may accept it a moment later, so the client
         need not wait until the holds of other endpoints end.
         """
+        if _is_out_of_reach(attempts) and not attempts.may_have_run:
+            return out_of_reach_refusal()
         holds = self.chooser.holds(context.service_name, role)
         first = holds.first_to_end
         was_refused = attempts.last_error is not None
@@ -179,6 +184,8 @@
         Callers check this before they wait for anything, so that a request that must
         not be sent again is answered at once.
         """
+        if _is_out_of_reach(attempts):
+            return False
         if attempts.sends == 0:
             return True
         if attempts.sends >= MAXIMUM_SENDS or context.end_by.expired:
@@ -189,6 +196,11 @@
             return False
         return attempts.runs < context.route.maximum_attempts
 
+    def lost_links_since(self, sent_at: Deadline, error: EndpointError) -> bool:
+        """Return whether this host's own links explain the error of a call."""
+        is_out_of_reach = isinstance(error, EndpointsOutOfReachError)
+        return is_out_of_reach or self.reach.was_lost_since(sent_at.timestamp)
+
     def note_request_error(
         self,
         context: ForwardContext,
@@ -204,8 +216,13 @@
     def note_error(
         self, attempts: Attempts, endpoint: Endpoint, error: EndpointError
     ) -> None:
-        """Record that a call to an endpoint brought no answer."""
+        """Record that a call to an endpoint brought no answer.
+
+        The endpoint is not skipped if this host lost its own links meanwhile.
+        """
         attempts.note_error(endpoint.start_id, error)
+        if self.lost_links_since(attempts.latest_sent_at, error):
+            return
         if isinstance(error, EndpointUnreachableError):
             self.health.note_unreachable(endpoint.start_id, error.message)
         elif isinstance(error, EndpointReplacedError):
@@ -219,6 +236,10 @@
                 self.health.note_unreachable(endpoint.start_id, error.message)
 
 
+def _is_out_of_reach(attempts: Attempts) -> bool:
+    return isinstance(attempts.last_error, EndpointsOutOfReachError)
+
+
 def _hold_refusal(
     context: ForwardContext, holds: ServiceHolds, first: Hold
 ) -> RequestRefusedError:
--- a/src/jujubeslip/forwarding/_service.py
+++ b/src/jujubeslip/forwarding/_service.py
@@ -4,7 +4,7 @@
 
 import logging
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from functools import partial
 
 from jujubeslip.endpoints import ClientDisconnectedError, Interrupted
@@ -57,7 +57,10 @@
         limits: AccountLimits | None = None,
         initial_discovery: InitialDiscovery | None = None,
         quarantine: Quarantine | None = None,
+        check_in_reach: Callable[[], None] = lambda: None,
     ) -> None:
+        """Create the service; `check_in_reach` raises while endpoints are not."""
+        self._check_in_reach = check_in_reach
         self._quarantine = quarantine or Quarantine(CrashRegistry(), HarmlessContents())
         self._limits = limits
         self._initial_discovery = initial_discovery
@@ -74,6 +77,7 @@
         attempts = Attempts()
         try:
             self._quarantine.check(context)
+            self._check_in_reach()
             if self._initial_discovery is not None:
                 self._initial_discovery.wait_for(context)
             if context.route.kind is RouteKind.STREAM:
--- a/src/jujubeslip/interfaces/__init__.py
+++ b/src/jujubeslip/interfaces/__init__.py
@@ -10,6 +10,7 @@
     Interface,
     InternalRequest,
     RoleOrder,
+    StartResponse,
     WsgiApp,
     interfaces,
 )
@@ -23,6 +24,7 @@
     "Headers",
     "Interface",
     "RoleOrder",
+    "StartResponse",
     "WsgiApp",
     "send_internal_request",
     "interfaces",
--- a/src/jujubeslip/interfaces/_internal_requests.py
+++ b/src/jujubeslip/interfaces/_internal_requests.py
@@ -6,7 +6,7 @@
 
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import (
-    ConnectionPool,
+    Connections,
     EndpointOnHoldError,
     Interrupted,
     never_interrupted,
@@ -26,7 +26,7 @@
 
 
 def send_internal_request(
-    pool: ConnectionPool,
+    pool: Connections,
     interface: Interface,
     notices: Notices,
     endpoint: Endpoint,
--- a/src/jujubeslip/interfaces/_models.py
+++ b/src/jujubeslip/interfaces/_models.py
@@ -19,7 +19,8 @@
 )
 
 Environ = dict[str, Any]
-WsgiApp = Callable[[Environ, Callable[..., Any]], Iterable[bytes]]
+StartResponse = Callable[..., Any]
+WsgiApp = Callable[[Environ, StartResponse], Iterable[bytes]]
 Headers = list[tuple[str, str]]
 
 
@@ -122,6 +123,12 @@
     def read_request(self, environ: Environ) -> ForwardedRequest:
         """Parse a client's request, or raise RequestRefusedError."""
 
+    def read_call(self, environ: Environ) -> ForwardedRequest:
+        """Parse a call to an endpoint that another host has encoded."""
+
+    def call_headers(self, request: ForwardedRequest) -> Headers:
+        """Return the headers of such a call, with the time that is left by now."""
+
     def endpoint_headers(
         self, request: ForwardedRequest, call: EndpointCall
     ) -> Headers:
--- a/src/jujubeslip/kernel/_settings.py
+++ b/src/jujubeslip/kernel/_settings.py
@@ -218,6 +218,9 @@
     """Protocol of clients and endpoints."""
     seed_port: Annotated[int, Field(ge=0, le=MAXIMUM_PORT)] = 0
     """Peer port of the control hosts, if it differs from the one in `seeds`."""
+    relay_address: Address | None = None
+    """Where other entry hosts that reach no endpoint send their requests; without it
+    this host relays none."""
     http_threads: Annotated[int, Field(ge=8, le=1000)] = 112
     """Requests served at a time, each in a thread."""
     reserved_threads: Annotated[int, Field(ge=1)] = 16
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -4627,6 +4627,85 @@
         return not (self == other)
 
 
+class RelayRecord(object):
+    """
+    Attributes:
+     - host_id
+     - address
+     - availability_zone
+
+    """
+
+
+    def __init__(self, host_id=None, address=None, availability_zone=None,):
+        self.host_id = host_id
+        self.address = address
+        self.availability_zone = availability_zone
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.availability_zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayRecord')
+        if self.host_id is not None:
+            oprot.writeFieldBegin('host_id', TType.STRING, 1)
+            oprot.writeString(self.host_id.encode('utf-8') if sys.version_info[0] == 2 else self.host_id)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 2)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.availability_zone is not None:
+            oprot.writeFieldBegin('availability_zone', TType.STRING, 3)
+            oprot.writeString(self.availability_zone.encode('utf-8') if sys.version_info[0] == 2 else self.availability_zone)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class WatchRequest(object):
     """
     Attributes:
@@ -4641,11 +4720,13 @@
      - crashes
      - known_leader_address
      - known_leader_term
+     - relay
+     - known_relay_version
 
     """
 
 
-    def __init__(self, book_id=None, known_version=None, wait_ms=None, is_entry_host=None, watcher_id=None, known_configuration_version=None, pressures=None, known_crash_version=None, crashes=None, known_leader_address=None, known_leader_term=None,):
+    def __init__(self, book_id=None, known_version=None, wait_ms=None, is_entry_host=None, watcher_id=None, known_configuration_version=None, pressures=None, known_crash_version=None, crashes=None, known_leader_address=None, known_leader_term=None, relay=None, known_relay_version=None,):
         self.book_id = book_id
         self.known_version = known_version
         self.wait_ms = wait_ms
@@ -4657,6 +4738,8 @@
         self.crashes = crashes
         self.known_leader_address = known_leader_address
         self.known_leader_term = known_leader_term
+        self.relay = relay
+        self.known_relay_version = known_relay_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4734,6 +4817,17 @@
                     self.known_leader_term = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRUCT:
+                    self.relay = RelayRecord()
+                    self.relay.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.known_relay_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4794,6 +4888,14 @@
             oprot.writeFieldBegin('known_leader_term', TType.I64, 11)
             oprot.writeI64(self.known_leader_term)
             oprot.writeFieldEnd()
+        if self.relay is not None:
+            oprot.writeFieldBegin('relay', TType.STRUCT, 12)
+            self.relay.write(oprot)
+            oprot.writeFieldEnd()
+        if self.known_relay_version is not None:
+            oprot.writeFieldBegin('known_relay_version', TType.I64, 13)
+            oprot.writeI64(self.known_relay_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4826,11 +4928,13 @@
      - crashes
      - removals
      - leader_term
+     - relay_version
+     - relays
 
     """
 
 
-    def __init__(self, book_id=None, version=None, endpoints=None, configuration_version=None, control_addresses=None, entry_hosts=None, leader_address=None, crash_version=None, crashes=None, removals=None, leader_term=None,):
+    def __init__(self, book_id=None, version=None, endpoints=None, configuration_version=None, control_addresses=None, entry_hosts=None, leader_address=None, crash_version=None, crashes=None, removals=None, leader_term=None, relay_version=None, relays=None,):
         self.book_id = book_id
         self.version = version
         self.endpoints = endpoints
@@ -4842,6 +4946,8 @@
         self.crashes = crashes
         self.removals = removals
         self.leader_term = leader_term
+        self.relay_version = relay_version
+        self.relays = relays
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4930,6 +5036,22 @@
                     self.leader_term = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.relay_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.relays = []
+                    (_etype111, _size108) = iprot.readListBegin()
+                    for _i112 in range(_size108):
+                        _elem113 = RelayRecord()
+                        _elem113.read(iprot)
+                        self.relays.append(_elem113)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4951,8 +5073,8 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
-            for iter108 in self.endpoints:
-                iter108.write(oprot)
+            for iter114 in self.endpoints:
+                iter114.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -4962,8 +5084,8 @@
         if self.control_addresses is not None:
             oprot.writeFieldBegin('control_addresses', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.control_addresses))
-            for iter109 in self.control_addresses:
-                oprot.writeString(iter109.encode('utf-8') if sys.version_info[0] == 2 else iter109)
+            for iter115 in self.control_addresses:
+                oprot.writeString(iter115.encode('utf-8') if sys.version_info[0] == 2 else iter115)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entry_hosts is not None:
@@ -4981,21 +5103,32 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter110 in self.crashes:
-                iter110.write(oprot)
+            for iter116 in self.crashes:
+                iter116.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.removals is not None:
             oprot.writeFieldBegin('removals', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.removals))
-            for iter111 in self.removals:
-                iter111.write(oprot)
+            for iter117 in self.removals:
+                iter117.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leader_term is not None:
             oprot.writeFieldBegin('leader_term', TType.I64, 11)
             oprot.writeI64(self.leader_term)
             oprot.writeFieldEnd()
+        if self.relay_version is not None:
+            oprot.writeFieldBegin('relay_version', TType.I64, 12)
+            oprot.writeI64(self.relay_version)
+            oprot.writeFieldEnd()
+        if self.relays is not None:
+            oprot.writeFieldBegin('relays', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.relays))
+            for iter118 in self.relays:
+                iter118.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5138,31 +5271,31 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = Member()
-                        _elem117.read(iprot)
-                        self.members.append(_elem117)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = Member()
+                        _elem124.read(iprot)
+                        self.members.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.admitted_host_ids = []
-                    (_etype121, _size118) = iprot.readListBegin()
-                    for _i122 in range(_size118):
-                        _elem123 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.admitted_host_ids.append(_elem123)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.admitted_host_ids.append(_elem130)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.lost_replica_ids = []
-                    (_etype127, _size124) = iprot.readListBegin()
-                    for _i128 in range(_size124):
-                        _elem129 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.lost_replica_ids.append(_elem129)
+                    (_etype134, _size131) = iprot.readListBegin()
+                    for _i135 in range(_size131):
+                        _elem136 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lost_replica_ids.append(_elem136)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5183,22 +5316,22 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter130 in self.members:
-                iter130.write(oprot)
+            for iter137 in self.members:
+                iter137.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_host_ids is not None:
             oprot.writeFieldBegin('admitted_host_ids', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.admitted_host_ids))
-            for iter131 in self.admitted_host_ids:
-                oprot.writeString(iter131.encode('utf-8') if sys.version_info[0] == 2 else iter131)
+            for iter138 in self.admitted_host_ids:
+                oprot.writeString(iter138.encode('utf-8') if sys.version_info[0] == 2 else iter138)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lost_replica_ids is not None:
             oprot.writeFieldBegin('lost_replica_ids', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.lost_replica_ids))
-            for iter132 in self.lost_replica_ids:
-                oprot.writeString(iter132.encode('utf-8') if sys.version_info[0] == 2 else iter132)
+            for iter139 in self.lost_replica_ids:
+                oprot.writeString(iter139.encode('utf-8') if sys.version_info[0] == 2 else iter139)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5935,33 +6068,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.configurations = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = Configuration()
-                        _elem138.read(iprot)
-                        self.configurations.append(_elem138)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = Configuration()
+                        _elem145.read(iprot)
+                        self.configurations.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype142, _size139) = iprot.readListBegin()
-                    for _i143 in range(_size139):
-                        _elem144 = ChangeRecord()
-                        _elem144.read(iprot)
-                        self.changes.append(_elem144)
+                    (_etype149, _size146) = iprot.readListBegin()
+                    for _i150 in range(_size146):
+                        _elem151 = ChangeRecord()
+                        _elem151.read(iprot)
+                        self.changes.append(_elem151)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.claims = []
-                    (_etype148, _size145) = iprot.readListBegin()
-                    for _i149 in range(_size145):
-                        _elem150 = ClaimRecord()
-                        _elem150.read(iprot)
-                        self.claims.append(_elem150)
+                    (_etype155, _size152) = iprot.readListBegin()
+                    for _i156 in range(_size152):
+                        _elem157 = ClaimRecord()
+                        _elem157.read(iprot)
+                        self.claims.append(_elem157)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5973,22 +6106,22 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.orders = []
-                    (_etype154, _size151) = iprot.readListBegin()
-                    for _i155 in range(_size151):
-                        _elem156 = EngineOrderRecord()
-                        _elem156.read(iprot)
-                        self.orders.append(_elem156)
+                    (_etype161, _size158) = iprot.readListBegin()
+                    for _i162 in range(_size158):
+                        _elem163 = EngineOrderRecord()
+                        _elem163.read(iprot)
+                        self.orders.append(_elem163)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype160, _size157) = iprot.readListBegin()
-                    for _i161 in range(_size157):
-                        _elem162 = EngineLoad()
-                        _elem162.read(iprot)
-                        self.loads.append(_elem162)
+                    (_etype167, _size164) = iprot.readListBegin()
+                    for _i168 in range(_size164):
+                        _elem169 = EngineLoad()
+                        _elem169.read(iprot)
+                        self.loads.append(_elem169)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6000,11 +6133,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.removals = []
-                    (_etype166, _size163) = iprot.readListBegin()
-                    for _i167 in range(_size163):
-                        _elem168 = EndpointRemovalRecord()
-                        _elem168.read(iprot)
-                        self.removals.append(_elem168)
+                    (_etype173, _size170) = iprot.readListBegin()
+                    for _i174 in range(_size170):
+                        _elem175 = EndpointRemovalRecord()
+                        _elem175.read(iprot)
+                        self.removals.append(_elem175)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6021,22 +6154,22 @@
         if self.configurations is not None:
             oprot.writeFieldBegin('configurations', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.configurations))
-            for iter169 in self.configurations:
-                iter169.write(oprot)
+            for iter176 in self.configurations:
+                iter176.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter170 in self.changes:
-                iter170.write(oprot)
+            for iter177 in self.changes:
+                iter177.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.claims is not None:
             oprot.writeFieldBegin('claims', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.claims))
-            for iter171 in self.claims:
-                iter171.write(oprot)
+            for iter178 in self.claims:
+                iter178.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.end is not None:
@@ -6046,15 +6179,15 @@
         if self.orders is not None:
             oprot.writeFieldBegin('orders', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.orders))
-            for iter172 in self.orders:
-                iter172.write(oprot)
+            for iter179 in self.orders:
+                iter179.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter173 in self.loads:
-                iter173.write(oprot)
+            for iter180 in self.loads:
+                iter180.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.engines_since_ms is not None:
@@ -6064,8 +6197,8 @@
         if self.removals is not None:
             oprot.writeFieldBegin('removals', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.removals))
-            for iter174 in self.removals:
-                iter174.write(oprot)
+            for iter181 in self.removals:
+                iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6463,11 +6596,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = LogEntry()
-                        _elem180.read(iprot)
-                        self.entries.append(_elem180)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = LogEntry()
+                        _elem187.read(iprot)
+                        self.entries.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6517,8 +6650,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter181 in self.entries:
-                iter181.write(oprot)
+            for iter188 in self.entries:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commit_index is not None:
@@ -7260,6 +7393,13 @@
     (2, TType.LIST, 'crashes', (TType.STRUCT, [RequestCrash, None], False), None, ),  # 2
     (3, TType.I64, 'cleared_ago_ms', None, None, ),  # 3
 )
+all_structs.append(RelayRecord)
+RelayRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 3
+)
 all_structs.append(WatchRequest)
 WatchRequest.thrift_spec = (
     None,  # 0
@@ -7274,6 +7414,8 @@
     (9, TType.LIST, 'crashes', (TType.STRUCT, [CrashRecord, None], False), None, ),  # 9
     (10, TType.STRING, 'known_leader_address', 'UTF8', None, ),  # 10
     (11, TType.I64, 'known_leader_term', None, None, ),  # 11
+    (12, TType.STRUCT, 'relay', [RelayRecord, None], None, ),  # 12
+    (13, TType.I64, 'known_relay_version', None, None, ),  # 13
 )
 all_structs.append(WatchReply)
 WatchReply.thrift_spec = (
@@ -7289,6 +7431,8 @@
     (9, TType.LIST, 'crashes', (TType.STRUCT, [CrashRecord, None], False), None, ),  # 9
     (10, TType.LIST, 'removals', (TType.STRUCT, [EndpointRemoval, None], False), None, ),  # 10
     (11, TType.I64, 'leader_term', None, None, ),  # 11
+    (12, TType.I64, 'relay_version', None, None, ),  # 12
+    (13, TType.LIST, 'relays', (TType.STRUCT, [RelayRecord, None], False), None, ),  # 13
 )
 all_structs.append(Member)
 Member.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -529,6 +529,13 @@
   3: optional i64 cleared_ago_ms,
 }
 
+// An entry host that relays requests to endpoints for hosts that reach none themselves.
+struct RelayRecord {
+  1: string host_id,
+  2: string address,
+  3: string availability_zone,
+}
+
 // Asks a control host for what is new there since `known_version` of its book.
 // `book_id` names the start of the control host that the version belongs to.
 struct WatchRequest {
@@ -549,6 +556,10 @@
   // is news.
   10: optional string known_leader_address,
   11: optional i64 known_leader_term,
+  // The entry host that asks, while it relays requests.
+  12: optional RelayRecord relay,
+  // The version of the list of relays that the watcher has.
+  13: optional i64 known_relay_version,
 }
 
 struct WatchReply {
@@ -569,6 +580,9 @@
   10: list<EndpointRemoval> removals,
   // The term in which that host leads.
   11: optional i64 leader_term,
+  // Some other entry hosts that relay requests, if the watcher has another version.
+  12: optional i64 relay_version,
+  13: optional list<RelayRecord> relays,
 }
 
 // `replica_id` is HOST/DISK: a host that lost its disk is another replica.
--- a/src/jujubeslip/platform/_plugin.py
+++ b/src/jujubeslip/platform/_plugin.py
@@ -34,7 +34,12 @@
     release,
     reserve,
 )
-from jujubeslip.platform._requests import encode_refusal, read_request
+from jujubeslip.platform._requests import (
+    call_headers,
+    encode_refusal,
+    read_call,
+    read_request,
+)
 from jujubeslip.routes import (
     EngineReport,
     ForwardedRequest,
@@ -58,6 +63,14 @@
         """See Interface."""
         return read_request(environ)
 
+    def read_call(self, environ: dict[str, Any]) -> ForwardedRequest:
+        """See Interface."""
+        return read_call(environ)
+
+    def call_headers(self, request: ForwardedRequest) -> Headers:
+        """See Interface."""
+        return call_headers(request)
+
     def endpoint_headers(
         self, request: ForwardedRequest, call: EndpointCall
     ) -> Headers:
--- a/src/jujubeslip/platform/_requests.py
+++ b/src/jujubeslip/platform/_requests.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 from typing import Any
 
-from jujubeslip.interfaces import EncodedRefusal
+from jujubeslip.interfaces import EncodedRefusal, Headers
 from jujubeslip.kernel import Deadline, RequestRefusedError
 from jujubeslip.platform._accounts import read_key
-from jujubeslip.platform._headers import AUTHORIZATION, HOP_BY_HOP, SET_BY_SYSTEM
+from jujubeslip.platform._headers import (
+    AUTHORIZATION,
+    DEADLINE,
+    HOP_BY_HOP,
+    SET_BY_SYSTEM,
+)
 from jujubeslip.routes import ForwardedRequest, PromptPart, PromptShape
 
 # WSGI keys of headers that don't begin with HTTP_.
@@ -40,6 +46,22 @@
     )
 
 
+def read_call(environ: dict[str, Any]) -> ForwardedRequest:
+    """Return a call that another host has encoded, with the headers of the system."""
+    dropped = HOP_BY_HOP | _named_by_connection(environ)
+    headers = (item for item in _headers(environ) if item[0].lower() not in dropped)
+    return replace(read_request(environ), headers=tuple(headers))
+
+
+def call_headers(request: ForwardedRequest) -> Headers:
+    """Return the headers of such a call, with the client's remaining time."""
+    if request.client_deadline is None:
+        return list(request.headers)
+    others = [item for item in request.headers if item[0].lower() != DEADLINE.lower()]
+    remaining_ms = max(1, request.client_deadline.remaining_ms())
+    return [*others, (DEADLINE, str(remaining_ms))]
+
+
 def encode_refusal(refusal: RequestRefusedError, request_id: str) -> EncodedRefusal:
     """Encode a refusal; clients accept Retry-After with fractions of a second."""
     headers = [("Content-Type", "application/json")]
--- a/src/jujubeslip/relays/__init__.py
+++ b/src/jujubeslip/relays/__init__.py
@@ -1,5 +1,22 @@
 """How requests reach endpoints when a host has lost its links to them."""
 
+from jujubeslip.relays._connection import RelayHops
+from jujubeslip.relays._directory import RelayDirectory
+from jujubeslip.relays._pool import RelayingPool, out_of_reach_refusal
 from jujubeslip.relays._reach import EndpointReach
+from jujubeslip.relays._wire import (
+    RelayHeaders,
+    RelayRefusal,
+    without_relay_headers,
+)
 
-__all__ = ["EndpointReach"]
+__all__ = [
+    "EndpointReach",
+    "RelayDirectory",
+    "RelayHeaders",
+    "RelayHops",
+    "RelayRefusal",
+    "RelayingPool",
+    "out_of_reach_refusal",
+    "without_relay_headers",
+]
--- /dev/null
+++ b/src/jujubeslip/relays/_connection.py
@@ -0,0 +1,150 @@
+"""A way to an endpoint by another entry host."""
+
+from __future__ import annotations
+
+import http.client
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from jujubeslip.discovery import RelayHost
+from jujubeslip.endpoints import (
+    Connection,
+    ConnectionPool,
+    EndpointConnection,
+    EndpointOnHoldError,
+    EndpointsOutOfReachError,
+    EndpointUnreachableError,
+    Interrupted,
+    never_interrupted,
+)
+from jujubeslip.kernel import Deadline
+from jujubeslip.relays import _wire as wire
+from jujubeslip.relays._directory import RelayDirectory
+from jujubeslip.relays._wire import RelayRefusal
+
+# Maximum number of relays that are tried for one send.
+MAXIMUM_RELAYS = 3
+
+
+@dataclass(frozen=True)
+class RelayHops:
+    """What relayed connections of this host have in common."""
+
+    directory: RelayDirectory
+    connections: ConnectionPool
+    """Connections to relays, by their address."""
+    host_id: str
+    secret: str
+
+
+@dataclass(frozen=True)
+class _Request:
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class RelayedConnection(Connection):
+    """Carries one request to an endpoint through another entry host.
+
+    A relay that refuses has sent nothing to the endpoint, so the request then goes to
+    another relay. One whose answer is cut off may have sent it.
+    """
+
+    def __init__(self, hops: RelayHops, start_id: str, address: str) -> None:
+        """Connect to a relay, or raise EndpointsOutOfReachError."""
+        self._hops = hops
+        self._start_id = start_id
+        self._address = address
+        self._tried: set[str] = set()
+        self._request = _Request("", "", (), b"")
+        self._deadline = Deadline.after(0)
+        self._interrupted: Interrupted = never_interrupted
+        self._relay, self._connection = self._connect()
+
+    def _connect(self) -> tuple[RelayHost, EndpointConnection]:
+        directory, connections = self._hops.directory, self._hops.connections
+        while len(self._tried) < MAXIMUM_RELAYS:
+            relay = directory.choose(self._tried)
+            if relay is None:
+                break
+            self._tried.add(relay.address)
+            try:
+                connection = connections.take(relay.address, relay.address)
+            except EndpointUnreachableError:
+                directory.note_unreachable(relay)
+                continue
+            assert isinstance(connection, EndpointConnection)
+            directory.begin(relay)
+            self.relayed_by = relay.host_id
+            return relay, connection
+        raise EndpointsOutOfReachError("No entry host relays the request.")
+
+    def send(
+        self, method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes
+    ) -> None:
+        """Send a complete request, after which its answer can be read."""
+        sent_headers = (
+            *wire.without_relay_headers(headers),
+            (wire.SECRET, self._hops.secret),
+            (wire.SENDER, self._hops.host_id),
+            (wire.START, self._start_id),
+        )
+        self._request = _Request(method, target, sent_headers, body)
+        self._send()
+
+    def _send(self) -> None:
+        request = self._request
+        self._connection.send(
+            request.method, request.target, request.headers, request.body
+        )
+        self._connection.watch(self._deadline, self._interrupted)
+
+    def watch(self, deadline: Deadline, interrupted: Interrupted) -> None:
+        """Bound the reads from now on."""
+        self._deadline, self._interrupted = deadline, interrupted
+        self._connection.watch(deadline, interrupted)
+
+    def read_head(self) -> http.client.HTTPResponse:
+        """Wait for the head of the answer; change the relay if this one refuses."""
+        while True:
+            response = self._connection.read_head()
+            refusal = response.getheader(wire.REFUSAL)
+            if refusal is None:
+                return response
+            self._connection.read_rest(response)
+            relay, will_close = self._relay, response.will_close
+            self._release(is_reusable=not will_close)
+            if refusal == RelayRefusal.UNREACHABLE.value:
+                raise EndpointUnreachableError(
+                    f"{self._address}: {relay.host_id} can't connect to it."
+                )
+            if refusal == RelayRefusal.ON_HOLD.value:
+                raise EndpointOnHoldError(self._address)
+            self._hops.directory.note_refused(relay)
+            self._relay, self._connection = self._connect()
+            self._send()
+
+    def read_some(self, response: http.client.HTTPResponse) -> bytes:
+        """Return the next bytes of a body, or nothing at its regular end."""
+        return self._connection.read_some(response)
+
+    def keep(self) -> None:
+        """Keep the connection to the relay for other requests."""
+        self._release(is_reusable=True)
+
+    def close(self) -> None:
+        """Close the connection to the relay, which then stops the endpoint."""
+        self._release(is_reusable=False)
+
+    def _release(self, is_reusable: bool) -> None:
+        if not self.relayed_by:
+            return
+        self.relayed_by = ""
+        self._hops.directory.end(self._relay)
+        if is_reusable:
+            address = self._relay.address
+            self._hops.connections.give_back(address, self._connection, None)
+        else:
+            self._connection.close()
--- a/src/jujubeslip/relays/_reach.py
+++ b/src/jujubeslip/relays/_reach.py
@@ -25,8 +25,8 @@
 # Number of rounds, and of endpoints that are tried in each.
 ROUNDS = 2
 ENDPOINTS_PER_ROUND = 2
-# How long after a contact with an endpoint the links count as working, in seconds.
-CONTACT_SECONDS = 0.3
+# How long after a connection was opened the links count as working, in seconds.
+CONNECTED_SECONDS = 0.3
 # Interval between checks while no endpoint is reached, in seconds.
 RECHECK_SECONDS = 0.5
 # Endpoints that announced themselves within this many seconds are tried first.
@@ -45,6 +45,9 @@
         self._registry = registry
         self._contact_at = float("-inf")
         """When an endpoint last sent something or accepted a connection."""
+        self._connected_at = float("-inf")
+        """When one last accepted. Its answers don't show that others do: connections
+        that are open may live on while new ones are refused."""
         self._checked_at = float("-inf")
         self._lost_at: float | None = None
         """When the links were last found to be lost."""
@@ -84,24 +87,21 @@
         if now - self._checked_at >= SILENCE_CHECK_SECONDS:
             self._wanted.set()
 
-    def note_unreachable(self) -> None:
-        """Record that a connection to an endpoint could not be opened."""
-        if not self._is_lost and not self._has_contact():
-            self._wanted.set()
-
-    def _has_contact(self) -> bool:
-        return steady_seconds() - self._contact_at < CONTACT_SECONDS
+    def note_connected(self) -> None:
+        """Record that an endpoint has accepted a connection."""
+        self._contact_at = self._connected_at = steady_seconds()
 
-    def confirm_lost(self) -> bool:
+    def confirm_lost(self, connected_seconds: float = CONNECTED_SECONDS) -> bool:
         """Check the links, after a connection could not be opened.
 
-        Return whether this host reaches no endpoint.
+        Return whether this host reaches no endpoint. The check is omitted if an
+        endpoint has accepted a connection within `connected_seconds`.
         """
         asked_at = steady_seconds()
         with self._check_lock:
             if self._is_lost or self._checked_at >= asked_at:
                 return self._is_lost
-            if not self._has_contact():
+            if steady_seconds() - self._connected_at >= connected_seconds:
                 self._check()
             return self._is_lost
 
@@ -127,7 +127,7 @@
             outcome_by_address |= outcomes
             accepted = list(outcomes.values()).count(ACCEPTED)
             if accepted:
-                self._contact_at = steady_seconds()
+                self.note_connected()
                 if accepted >= enough:
                     self._set_lost(False, outcome_by_address)
                 break
--- /dev/null
+++ b/src/jujubeslip/relays/_wire.py
@@ -0,0 +1,69 @@
+"""The headers of requests that one entry host relays for another."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+PREFIX = "jujubeslip-"
+# Proves that the sender is a host of this system.
+SECRET = "Jujubeslip-Secret"
+# The host that sends the request.
+SENDER = "Jujubeslip-Sender"
+# The start of the endpoint that is to get the request.
+START = "Jujubeslip-Start"
+# Set, without a request to relay, to ask whether the endpoint's process has ended.
+CHECK = "Jujubeslip-Check"
+# Set in the answer to such a question: "1" if the process has ended.
+ENDED = "Jujubeslip-Ended"
+# Set in the answer of a relay that has sent nothing to the endpoint.
+REFUSAL = "Jujubeslip-Refusal"
+
+
+class RelayRefusal(enum.Enum):
+    """Why a relay has sent nothing to the endpoint."""
+
+    ELSEWHERE = "elsewhere"
+    """Another relay may send the request: this one can't, or has no capacity."""
+    UNREACHABLE = "unreachable"
+    """The endpoint can't be reached although others can."""
+    ON_HOLD = "on hold"
+    """The endpoint has asked for backoff, or is leaving."""
+
+
+def without_relay_headers(
+    headers: Iterable[tuple[str, str]],
+) -> list[tuple[str, str]]:
+    """Return the headers except for those between entry hosts."""
+    return [item for item in headers if not item[0].lower().startswith(PREFIX)]
+
+
+@dataclass(frozen=True)
+class RelayHeaders:
+    """The headers of a relayed call, as its relay reads them."""
+
+    secret: str
+    sender: str
+    start_id: str
+    is_check: bool
+
+    @classmethod
+    def read(cls, environ: Mapping[str, Any]) -> RelayHeaders:
+        """Read the headers from a WSGI environment."""
+
+        def value(name: str) -> str:
+            return str(environ.get("HTTP_" + name.upper().replace("-", "_"), ""))
+
+        return cls(value(SECRET), value(SENDER), value(START), value(CHECK) == "1")
+
+    @staticmethod
+    def of_refusal(refusal: RelayRefusal) -> list[tuple[str, str]]:
+        """Return the headers of an answer that refuses."""
+        return [(REFUSAL, refusal.value)]
+
+    @staticmethod
+    def of_check(ended: bool) -> list[tuple[str, str]]:
+        """Return the headers of an answer to the question whether a process ended."""
+        return [(ENDED, "1" if ended else "0")]
--- a/tests/fakes/platform_system.py
+++ b/tests/fakes/platform_system.py
@@ -158,6 +158,7 @@
         self.controls = [self._control(number) for number in range(controls)]
         self.entry_http = [free_address() for _ in range(entries)]
         self.ready_http = [free_address() for _ in range(entries)]
+        self.relay_http = [free_address() for _ in range(entries)]
         self.entry_metrics = [free_address() for _ in range(entries)]
         self.entries = [self._entry(number) for number in range(entries)]
 
@@ -195,6 +196,7 @@
             f'host_id = "entry-{number}"\navailability_zone = "zone-1"\n'
             f'http_address = "{self.entry_http[number]}"\n'
             f'ready_address = "{self.ready_http[number]}"\n'
+            f'relay_address = "{self.relay_http[number]}"\n'
             f'peer_secret = "{SECRET}"\nseeds = {json.dumps(self.seeds)}\n'
             f'interface = "platform"\n{extra}'
             f'[telemetry]\nmetrics_address = "{self.entry_metrics[number]}"\n'
--- a/tests/forwarding/test_endpoint_starts.py
+++ b/tests/forwarding/test_endpoint_starts.py
@@ -33,6 +33,7 @@
 from jujubeslip.kernel import Deadline, RequestRefusedError, load_plugins
 from jujubeslip.peers import EndpointRole, PeerIdentity
 from jujubeslip.quarantine import CrashRegistry, HarmlessContents
+from jujubeslip.relays import EndpointReach
 from tests.fakes.engines import engine
 from tests.fakes.platform_worker import PlatformWorker
 from tests.forwarding.test_grants import Leader, find
@@ -75,6 +76,7 @@
         CrashDetector(registry, crash_registry, harmless, lambda: None),
         Quarantine(crash_registry, harmless),
         EndpointLimits(charges, "host", lambda: 1),
+        EndpointReach(registry),
     )
 
 
@@ -185,6 +187,7 @@
                 asked = start(started_at_ms, address=worker.address)
                 internal_request = sender.interface.ask_report("engine")
                 sender.ask(asked, internal_request, Deadline.after(2))
+            assert isinstance(sender.pool, ConnectionPool)
             assert sender.pool.idle_count == len(worker.sockets) == 2
             sender.pool.close_all()
 
--- a/tests/forwarding/test_partitioned_hosts.py
+++ b/tests/forwarding/test_partitioned_hosts.py
@@ -4,27 +4,13 @@
 
 import time
 from collections.abc import Iterator, Sequence
-from contextlib import contextmanager
-from dataclasses import dataclass
 
 import pytest
 
-from tests.fakes.endpoint_links import CUTS, EndpointLinks
+from tests.fakes.endpoint_links import CUTS
 from tests.fakes.first_tries import FirstTries, FirstTry
-from tests.fakes.platform_system import (
-    ENGINE,
-    PLAIN,
-    PROMPT,
-    PlatformSystem,
-    configuration,
-    route,
-)
-from tests.fakes.platform_worker import PlatformWorker
-from tests.fakes.processes import wait_until
-
-ENTRIES = 4
-SAFE, UNSAFE, STREAM = "/safe/x", "/unsafe/x", "/stream/x"
-PATHS = (SAFE, UNSAFE, STREAM)
+from tests.fakes.partitions import PATHS, Partitions, partitionable_system
+
 # The users' bounds: from how long after a partition began the first tries count, in
 # seconds, and how often they are served compared with those at other hosts.
 CONTACT_SECONDS = 3.0
@@ -34,79 +20,11 @@
 IDLE_SECONDS = 5.5
 
 
-@dataclass(frozen=True)
-class Partitions:
-    """A system whose entry hosts can lose their links to all workers."""
-
-    system: PlatformSystem
-    workers: tuple[PlatformWorker, ...]
-    links: tuple[EndpointLinks, ...]
-    """The links of each entry host."""
-
-    @contextmanager
-    def cut(self, entries: Sequence[int], how: str) -> Iterator[None]:
-        """Return a context within which these hosts are cut off from all workers."""
-        for entry in entries:
-            self.links[entry].cut(how)
-        try:
-            yield
-        finally:
-            for entry in entries:
-                self.links[entry].heal()
-            self.wait_served()
-
-    def wait_served(self) -> None:
-        """Wait until all hosts serve all kinds of requests."""
-        for entry in range(ENTRIES):
-            for path in PATHS:
-                wait_until(
-                    lambda entry=entry, path=path: self.is_served(entry, path),  # type: ignore[misc]
-                    f"{path} is served by entry host {entry}",
-                )
-
-    def is_served(self, entry: int, path: str) -> bool:
-        """Return whether one request is served."""
-        reply = self.system.ask(path, headers=PROMPT, entry=entry)
-        return reply.status == 200 and reply.complete
-
-    def run_ids(self) -> list[str]:
-        """Return the ids of all requests that workers have run."""
-        return [item for worker in self.workers for item in worker.run_ids()]
-
-
-def add_workers() -> tuple[PlatformWorker, ...]:
-    plain = [PlatformWorker(f"plain-{number}", "plain") for number in range(2)]
-    stages = ("prefill", "decode", "decode")
-    engines = [
-        PlatformWorker(f"engine-{number}", "model", stage)
-        for number, stage in enumerate(stages)
-    ]
-    return (*plain, *engines)
-
-
 @pytest.fixture(scope="module")
 def partitions(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Partitions]:
-    shape = {"kind": "stream", "timeoutMs": 8000, "sloMs": 900, "gapSloMs": 300}
-    routes = [
-        route("safe", "/safe/", "plain"),
-        route("unsafe", "/unsafe/", "plain", kind="unsafe", maxAttempts=1),
-        route("stream", "/stream/", "model", **shape, maxAttempts=1),
-    ]
     folder = tmp_path_factory.mktemp("partitions")
-    system = PlatformSystem(folder, entries=ENTRIES)
-    workers = add_workers()
-    addresses = [worker.address for worker in workers]
-    links = tuple(EndpointLinks(host, folder, addresses) for host in system.entries)
-    with system:
-        system.put_until_accepted(configuration(1, routes, [PLAIN, ENGINE]))
-        for worker in workers:
-            system.add(worker)
-        system.wait_ready()
-        found = Partitions(system, workers, links)
-        found.wait_served()
-        yield found
-    for host_links in links:
-        host_links.close()
+    with partitionable_system(folder, entries=4) as running:
+        yield running
 
 
 def served_share(tries: Sequence[FirstTry]) -> float:
@@ -130,7 +48,7 @@
 
 
 def check_ran_once(partitions: Partitions) -> None:
-    runs = partitions.run_ids()
+    runs = partitions.unrepeatable_runs()
     assert len(set(runs)) == len(runs)
 
 
