Relays: the question whether an endpoint has ended stays between hosts; holds are told

A host without links asks a relay whether an endpoint's process has ended; the header that marks the question was dropped with those that clients may not set, so the relay passed the request on. The connection adds the header itself now.

The refusal says for how long, and the origin skips the endpoint meanwhile.

The soak: entry hosts lose their links to all endpoints, one to all of them, in the three ways, and a check compares calls there with those at other hosts by the users' rule.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -22,6 +22,7 @@
     Violation,
 )
 from soak._operator import MAXIMUM_ATTEMPTS
+from soak._partition_checks import check_partitions
 from soak._system import (
     RETRY_ALLOWANCE,
     RETRY_RATIO,
@@ -413,5 +414,6 @@
     check_limits,
     check_backoff,
     check_leaving,
+    check_partitions,
     check_recovery,
 )
--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -167,6 +167,8 @@
         self._system.proxy_by_link[link] = proxy
         if previous is not None:
             previous.stop()
+        previous_address = previous.address if previous is not None else ""
+        self._system.link_endpoint(previous_address, proxy.address)
         # The announced address: entry hosts reach the endpoint only through the proxy.
         worker.address = proxy.address
         self._silenced.clear()
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -11,7 +11,7 @@
 from soak import _schedule
 from soak._clients import Client
 from soak._endpoints import SoakEndpoint
-from soak._observations import Kind, NamedLimit, Observations
+from soak._observations import Kind, NamedLimit, Observations, Partition
 from soak._schedule import Fault, HostFault, LinkFault, describe
 from soak._system import SoakSystem
 from tests.fakes.fault_proxy import Direction, FaultProxy
@@ -144,6 +144,20 @@
             system.start(slot)
 
 
+@carry_out.register
+def _(fault: _schedule.HostsPartitioned, faults: Faults) -> None:
+    links = [faults.system.endpoint_links_by_slot[slot] for slot in fault.hosts]
+    partition = Partition(describe(fault), fault.hosts, time.monotonic())
+    partitions = faults.observations.partitions
+    with faults.observations.disturbing(describe(fault), *fault.hosts):
+        for link in links:
+            link.cut(fault.how)
+        faults.pause(fault.seconds)
+        partitions.append(replace(partition, ended_at=time.monotonic()))
+        for link in links:
+            link.heal()
+
+
 @carry_out.register
 def _(fault: LinkFault, faults: Faults) -> None:
     proxy = faults.system.proxy_by_link[fault.link]
--- a/soak/_observations.py
+++ b/soak/_observations.py
@@ -127,6 +127,17 @@
         return self.begun_at <= timestamp <= self.ended_at
 
 
+@dataclass(frozen=True)
+class Partition:
+    """Entry hosts that were cut off from all endpoints."""
+
+    fault: str
+    """The fault, as disturbances name it."""
+    hosts: tuple[str, ...]
+    begun_at: float
+    ended_at: float = math.inf
+
+
 @dataclass(frozen=True)
 class EndpointArrival:
     """A request that reached an endpoint, and the notices in its response."""
@@ -192,6 +203,8 @@
     endpoint_crashes: list[EndpointCrash] = field(default_factory=list)
     limits: list[NamedLimit] = field(default_factory=list)
     arrivals: list[EndpointArrival] = field(default_factory=list)
+    partitions: list[Partition] = field(default_factory=list)
+    """Partitions that have ended."""
     stalls: list[tuple[float, float]] = field(default_factory=list)
     disconnected_at_by_request_id: dict[str, float] = field(default_factory=dict)
     answer_by_endpoint: dict[str, bytes] = field(default_factory=dict)
@@ -223,15 +236,23 @@
                     self.disturbances[position] = ended
 
     def disturbed(
-        self, target: str, begun_at: float, ended_at: float, *, planned: bool = True
+        self,
+        target: str,
+        begun_at: float,
+        ended_at: float,
+        *,
+        planned: bool = True,
+        except_for: str | None = None,
     ) -> bool:
         """Return whether the target was disturbed at any time in this period.
 
-        Planned stops count as well, unless `planned` is false.
+        Planned stops count as well, unless `planned` is false; disturbances by the
+        fault `except_for` don't.
         """
         with self._lock:
             return any(
                 item.target == target
+                and item.what != except_for
                 and item.begun_at <= ended_at
                 and item.ended_at >= begun_at
                 and (planned or not item.planned)
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, fields
 
+from tests.fakes.endpoint_links import CUTS
+
 CONTROLS = ("control-0", "control-1", "control-2")
 BASE_ENTRIES = ("entry-0", "entry-1", "entry-2")
 # Further entry hosts, for runs with as many processes as the machine can run.
@@ -42,6 +44,7 @@
     "fatal": (0.3, 2.0),
     "limits": (1.0, 6.0),
     "notices": (0.5, 4.0),
+    "partitions": (1.0, 8.0),
 }
 # How long a host is down or paused, in seconds: the range includes times shorter and
 # longer than an election and than the 1.2 s after which a silent connection is closed.
@@ -62,6 +65,9 @@
 REFUSING_SECONDS = (0.5, 6.0)
 BACKOFFS = ("1", "2.5", "4")
 LEAVING_NOTICE_SECONDS = (3.0, 6.0)
+# How long entry hosts are cut off from all endpoints, in seconds: from shorter than
+# their detection of it to several times longer.
+PARTITION_SECONDS = (0.5, 9.0)
 # How long a link is disturbed, and the delay it adds, in seconds.
 LINK_SECONDS = (0.2, 4.0)
 DELAY_SECONDS = (0.02, 0.5)
@@ -114,6 +120,15 @@
     seconds: float
 
 
+@dataclass(frozen=True)
+class HostsPartitioned(Fault):
+    """Entry hosts lose their links to all endpoints for these seconds."""
+
+    hosts: tuple[str, ...]
+    how: str
+    seconds: float
+
+
 @dataclass(frozen=True)
 class LinkFault(Fault):
     """A fault of the connections on one link."""
@@ -313,6 +328,12 @@
     return BackoffAsked(at, track, endpoint, seconds, rng.choice(BACKOFFS))
 
 
+def _partition(rng: random.Random, at: float, track: str) -> Fault:
+    hosts = tuple(rng.sample(ENTRIES, rng.randint(1, len(ENTRIES))))
+    seconds = round(rng.uniform(*PARTITION_SECONDS), 2)
+    return HostsPartitioned(at, track, hosts, rng.choice(CUTS), seconds)
+
+
 _DRAW_BY_TRACK: dict[str, Callable[[random.Random, float, str], Fault]] = {
     "control": _control_fault,
     **dict.fromkeys(ENTRIES, _entry_fault),
@@ -323,4 +344,5 @@
     "fatal": _fatal_requests,
     "limits": _limit,
     "notices": _notice,
+    "partitions": _partition,
 }
--- a/soak/_system.py
+++ b/soak/_system.py
@@ -27,6 +27,7 @@
 )
 from soak._observations import Observations, ProcessEnd
 from soak._schedule import CONTROLS, ENTRIES
+from tests.fakes.endpoint_links import EndpointLinks
 from tests.fakes.fault_proxy import FaultProxy
 from tests.fakes.platform_system import SECRET, Host, PlatformSystem
 from tests.fakes.processes import free_address, wait_until
@@ -89,8 +90,17 @@
             address = platform.entry_http[number]
             self.host_by_slot[slot] = SoakHost(slot, platform.entries[number], address)
             self.proxy_by_link[f"client>{slot}"] = FaultProxy(address)
+        self.endpoint_links_by_slot = {
+            slot: EndpointLinks(self.host_by_slot[slot].host, folder)
+            for slot in ENTRIES
+        }
         self._link_controls()
 
+    def link_endpoint(self, previous: str, address: str) -> None:
+        """Link all entry hosts to an endpoint's address instead of the previous one."""
+        for links in self.endpoint_links_by_slot.values():
+            links.replace(previous, address)
+
     def start_all(self) -> None:
         """Start all processes; return once the control hosts form one cluster."""
         for slot in self.host_by_slot:
@@ -113,6 +123,8 @@
                 soak_host.host.kill()
         for proxy in self.proxy_by_link.values():
             proxy.stop()
+        for links in self.endpoint_links_by_slot.values():
+            links.close()
 
     # Processes
 
--- a/src/jujubeslip/endpoints/_errors.py
+++ b/src/jujubeslip/endpoints/_errors.py
@@ -88,8 +88,10 @@
     default_remedy = "Check which notices the endpoint sent shortly before."
     may_have_run = False
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, hold_seconds: float = 0.0) -> None:
         super().__init__(f"{address}: the endpoint asked for backoff or is leaving.")
+        self.hold_seconds = hold_seconds
+        """For how long another host that relays requests knows that, in seconds."""
 
 
 class ClientDisconnectedError(JujubeslipError):
--- a/src/jujubeslip/forwarding/_relay_app.py
+++ b/src/jujubeslip/forwarding/_relay_app.py
@@ -36,6 +36,8 @@
 
 # Maximum duration of a call that names no deadline, in seconds.
 UNBOUNDED_CALL_SECONDS = 5.0
+# Longest time for which another host is told to skip an endpoint, in seconds.
+MAXIMUM_HOLD_SECONDS = 2.0
 
 
 @dataclass(frozen=True)
@@ -102,7 +104,7 @@
         if headers.is_check:
             return self._answer_check(start_response, endpoint)
         if not endpoint.accepts_work:
-            return self._refuse(start_response, headers, RelayRefusal.ON_HOLD)
+            return self._refuse_on_hold(start_response, headers)
         request = self._services.interface.read_call(environ)
         exchange = Exchange(
             self._services.connections,
@@ -115,7 +117,7 @@
         try:
             head = self._send(exchange, request)
         except EndpointOnHoldError:
-            return self._refuse(start_response, headers, RelayRefusal.ON_HOLD)
+            return self._refuse_on_hold(start_response, headers)
         except EndpointUnreachableError:
             refusal = self._refusal_of_unreachable()
             return self._refuse(start_response, headers, refusal)
@@ -165,11 +167,24 @@
         start_answer(start_response, 200, RelayHeaders.of_check(ended))
         return [b""]
 
+    def _refuse_on_hold(
+        self, start_response: StartResponse, headers: RelayHeaders
+    ) -> Iterable[bytes]:
+        hold = self._services.notices.hold_of(headers.start_id)
+        remaining = hold.until.remaining() if hold else MAXIMUM_HOLD_SECONDS
+        seconds = min(MAXIMUM_HOLD_SECONDS, remaining)
+        return self._refuse(start_response, headers, RelayRefusal.ON_HOLD, seconds)
+
     def _refuse(
-        self, start_response: StartResponse, headers: RelayHeaders, why: RelayRefusal
+        self,
+        start_response: StartResponse,
+        headers: RelayHeaders,
+        why: RelayRefusal,
+        hold_seconds: float = 0.0,
     ) -> Iterable[bytes]:
         self._log(headers, "", why.value)
-        start_answer(start_response, 503, RelayHeaders.of_refusal(why))
+        answer_headers = RelayHeaders.of_refusal(why, hold_seconds)
+        start_answer(start_response, 503, answer_headers)
         return [b""]
 
     def _log(self, headers: RelayHeaders, request_id: str, outcome: str) -> None:
--- a/src/jujubeslip/forwarding/_sender.py
+++ b/src/jujubeslip/forwarding/_sender.py
@@ -221,6 +221,8 @@
         The endpoint is not skipped if this host lost its own links meanwhile.
         """
         attempts.note_error(endpoint.start_id, error)
+        if isinstance(error, EndpointOnHoldError) and error.hold_seconds:
+            self.notices.record_hold(endpoint.start_id, error.hold_seconds)
         if self.lost_links_since(attempts.latest_sent_at, error):
             return
         if isinstance(error, EndpointUnreachableError):
--- a/src/jujubeslip/notices/_registry.py
+++ b/src/jujubeslip/notices/_registry.py
@@ -4,10 +4,11 @@
 
 import logging
 import threading
+from dataclasses import replace
 
 from jujubeslip.discovery import Endpoint, EndpointRegistry
 from jujubeslip.interfaces import EndpointHead
-from jujubeslip.kernel import steady_seconds
+from jujubeslip.kernel import Deadline, steady_seconds
 from jujubeslip.notices._models import Hold, HoldReason, NamedLimit, Notice
 
 logger = logging.getLogger(__name__)
@@ -69,6 +70,15 @@
             self._notice_by_start[endpoint.start_id] = updated
         _log_change(endpoint.start_id, known, updated)
 
+    def record_hold(self, start_id: str, seconds: float) -> None:
+        """Record that another host has to wait before it asks a start again."""
+        with self._lock:
+            known = self._get(start_id)
+            until = max(known.backoff_until, Deadline.after(seconds))
+            updated = replace(known, backoff_until=until, received_at=steady_seconds())
+            self._notice_by_start[start_id] = updated
+        _log_change(start_id, known, updated)
+
     # Queries
 
     def hold_of(self, start_id: str) -> Hold | None:
--- a/src/jujubeslip/relays/_connection.py
+++ b/src/jujubeslip/relays/_connection.py
@@ -85,14 +85,27 @@
         self, method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes
     ) -> None:
         """Send a complete request, after which its answer can be read."""
-        sent_headers = (
-            *wire.without_relay_headers(headers),
+        kept = wire.without_relay_headers(headers)
+        self._request = _Request(method, target, (*kept, *self._headers()), body)
+        self._send()
+
+    def ask_whether_ended(self, deadline: Deadline) -> bool:
+        """Ask the relay whether the endpoint's process has ended, and keep the way."""
+        headers = (("Host", self._address), (wire.CHECK, "1"), *self._headers())
+        self._request = _Request("GET", "/", headers, b"")
+        self.watch(deadline, never_interrupted)
+        self._send()
+        response = self.read_head()
+        self.read_rest(response)
+        self.keep()
+        return response.getheader(wire.ENDED) == "1"
+
+    def _headers(self) -> tuple[tuple[str, str], ...]:
+        return (
             (wire.SECRET, self._hops.secret),
             (wire.SENDER, self._hops.host_id),
             (wire.START, self._start_id),
         )
-        self._request = _Request(method, target, sent_headers, body)
-        self._send()
 
     def _send(self) -> None:
         request = self._request
@@ -121,7 +134,8 @@
                     f"{self._address}: {relay.host_id} can't connect to it."
                 )
             if refusal == RelayRefusal.ON_HOLD.value:
-                raise EndpointOnHoldError(self._address)
+                hold_seconds = response.getheader(wire.HOLD_SECONDS, "0")
+                raise EndpointOnHoldError(self._address, float(hold_seconds))
             self._hops.directory.note_refused(relay)
             self._relay, self._connection = self._connect()
             self._send()
--- a/src/jujubeslip/relays/_pool.py
+++ b/src/jujubeslip/relays/_pool.py
@@ -12,10 +12,8 @@
     EndpointError,
     EndpointUnreachableError,
     has_ended,
-    never_interrupted,
 )
 from jujubeslip.kernel import Deadline, RequestRefusedError
-from jujubeslip.relays import _wire as wire
 from jujubeslip.relays._connection import RelayedConnection, RelayHops
 from jujubeslip.relays._reach import EndpointReach
 
@@ -96,17 +94,12 @@
             # No other host can tell, so what this one sees counts.
             return has_ended(address)
         try:
-            relayed.send("GET", "/", [("Host", address), (wire.CHECK, "1")], b"")
-            relayed.watch(Deadline.after(ENDED_ANSWER_SECONDS), never_interrupted)
-            response = relayed.read_head()
-            relayed.read_rest(response)
+            return relayed.ask_whether_ended(Deadline.after(ENDED_ANSWER_SECONDS))
         except EndpointError as error:
             relayed.close()
             extra = {"start_id": start_id, "error": str(error)}
             logger.info("end of endpoint not known", extra=extra)
             return False
-        relayed.keep()
-        return response.getheader(wire.ENDED) == "1"
 
 
 def out_of_reach_refusal() -> RequestRefusedError:
--- a/src/jujubeslip/relays/_wire.py
+++ b/src/jujubeslip/relays/_wire.py
@@ -20,6 +20,8 @@
 ENDED = "Jujubeslip-Ended"
 # Set in the answer of a relay that has sent nothing to the endpoint.
 REFUSAL = "Jujubeslip-Refusal"
+# For how long the endpoint accepts no requests, in seconds, if that is the reason.
+HOLD_SECONDS = "Jujubeslip-Hold-Seconds"
 
 
 class RelayRefusal(enum.Enum):
@@ -59,9 +61,9 @@
         return cls(value(SECRET), value(SENDER), value(START), value(CHECK) == "1")
 
     @staticmethod
-    def of_refusal(refusal: RelayRefusal) -> list[tuple[str, str]]:
+    def of_refusal(refusal: RelayRefusal, hold_seconds: float) -> list[tuple[str, str]]:
         """Return the headers of an answer that refuses."""
-        return [(REFUSAL, refusal.value)]
+        return [(REFUSAL, refusal.value), (HOLD_SECONDS, f"{hold_seconds:.2f}")]
 
     @staticmethod
     def of_check(ended: bool) -> list[tuple[str, str]]:
--- a/tests/fakes/endpoint_links.py
+++ b/tests/fakes/endpoint_links.py
@@ -5,6 +5,7 @@
 import json
 import os
 import socket
+import threading
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -49,35 +50,46 @@
 class EndpointLinks:
     """Links of one entry host, each through a proxy of its own."""
 
-    def __init__(self, host: Host, folder: Path, addresses: Sequence[str]) -> None:
+    def __init__(self, host: Host, folder: Path, addresses: Sequence[str] = ()) -> None:
         """Route the host's connections to these addresses from its next start."""
         self._path = folder / f"{host.name}.routes.json"
+        self._lock = threading.RLock()
         self._proxy_by_address = {item: FaultProxy(item) for item in addresses}
         self._unanswered = UnansweredAddress()
         self._refusing = free_address()
-        self._write_proxies()
+        self._cut_target = ""
+        """Where new connections are routed, empty while the links work."""
+        self._write()
         host.route_by(self._path)
 
+    def replace(self, previous: str, address: str) -> None:
+        """Add the link to an address in place of the one to a previous address."""
+        with self._lock:
+            removed = self._proxy_by_address.pop(previous, None)
+            self._proxy_by_address[address] = FaultProxy(address)
+            self._write()
+        if removed is not None:
+            removed.stop()
+
     def cut(self, how: str) -> None:
         """Cut all links in one of the ways of CUTS, until `heal`."""
-        target = self._unanswered.address if how == "silent" else self._refusing
-        self._write(dict.fromkeys(self._proxy_by_address, target))
-        for proxy in self._proxy_by_address.values():
-            if how == "silent":
-                proxy.cut()
-            elif how == "reset":
-                proxy.reset()
+        is_silent = how == "silent"
+        with self._lock:
+            self._cut_target = self._unanswered.address if is_silent else self._refusing
+            self._write()
+            for proxy in self._proxy_by_address.values():
+                if is_silent:
+                    proxy.cut()
+                elif how == "reset":
+                    proxy.reset()
 
     def heal(self) -> None:
         """Restore the links; connections that were silent continue."""
-        for proxy in self._proxy_by_address.values():
-            proxy.heal()
-        self._write_proxies()
-
-    @property
-    def accepted(self) -> int:
-        """Return the number of connections that the host has opened."""
-        return sum(proxy.accepted for proxy in self._proxy_by_address.values())
+        with self._lock:
+            self._cut_target = ""
+            for proxy in self._proxy_by_address.values():
+                proxy.heal()
+            self._write()
 
     def close(self) -> None:
         """Close all connections."""
@@ -85,10 +97,11 @@
             proxy.stop()
         self._unanswered.close()
 
-    def _write_proxies(self) -> None:
-        self._write({key: item.address for key, item in self._proxy_by_address.items()})
-
-    def _write(self, target_by_address: dict[str, str]) -> None:
+    def _write(self) -> None:
+        target_by_address = {
+            address: self._cut_target or proxy.address
+            for address, proxy in self._proxy_by_address.items()
+        }
         written = self._path.with_suffix(".new")
         written.write_text(json.dumps(target_by_address))
         os.replace(written, self._path)
--- a/tests/forwarding/test_relayed_requests.py
+++ b/tests/forwarding/test_relayed_requests.py
@@ -342,6 +342,32 @@
             assert metric(running, entry, QUARANTINED) == 0
         assert running.is_served(CUT, SAFE)
 
+    def test_question_whether_an_endpoint_has_ended_does_not_reach_it(
+        self, partitions: Partitions
+    ) -> None:
+        with fault(plain(partitions), "cut", 1):
+            assert partitions.system.ask(UNSAFE, entry=CUT).status == 502
+        assert all(run.request_id for item in partitions.workers for run in item.runs)
+
+
+class TestEndpointInBackoff:
+    """Guards against requests that are tried in vain at what their relay must skip."""
+
+    def test_is_skipped_once_a_relay_says_so(self, partitions: Partitions) -> None:
+        refusing, other = plain(partitions)
+        refusing.backoff = "2"
+        try:
+            for entry in OTHERS:
+                for _ in range(6):
+                    assert partitions.is_served(entry, SAFE)
+            arrived = len(refusing.arrivals)
+            for _ in range(12):
+                assert partitions.is_served(CUT, UNSAFE)
+        finally:
+            refusing.backoff = ""
+        assert len(refusing.arrivals) - arrived <= 1
+        assert other.runs
+
 
 class TestRelayAddress:
     """Guards against others who use a host as a proxy, and against loops."""
