--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -167,8 +167,7 @@
         self._system.proxy_by_link[link] = proxy
         if previous is not None:
             previous.stop()
-        previous_address = previous.address if previous is not None else ""
-        self._system.link_endpoint(previous_address, proxy.address)
+        self._system.link_endpoint(proxy.address)
         # The announced address: entry hosts reach the endpoint only through the proxy.
         worker.address = proxy.address
         self._silenced.clear()
@@ -180,6 +179,7 @@
         proxy = self._system.proxy_by_link[f"entry>{self.slot}"]
         proxy.refuse()
         proxy.reset()
+        self._system.end_endpoint(proxy.address)
         self.worker.close()
 
     def announce(self) -> None:
--- a/soak/_system.py
+++ b/soak/_system.py
@@ -96,10 +96,15 @@
         }
         self._link_controls()
 
-    def link_endpoint(self, previous: str, address: str) -> None:
-        """Link all entry hosts to an endpoint's address instead of the previous one."""
+    def link_endpoint(self, address: str) -> None:
+        """Link all entry hosts to an endpoint's address."""
         for links in self.endpoint_links_by_slot.values():
-            links.replace(previous, address)
+            links.add(address)
+
+    def end_endpoint(self, address: str) -> None:
+        """Let entry hosts see that the endpoint at this address has ended."""
+        for links in self.endpoint_links_by_slot.values():
+            links.end(address)
 
     def start_all(self) -> None:
         """Start all processes; return once the control hosts form one cluster."""
--- a/tests/fakes/endpoint_links.py
+++ b/tests/fakes/endpoint_links.py
@@ -57,19 +57,27 @@
         self._proxy_by_address = {item: FaultProxy(item) for item in addresses}
         self._unanswered = UnansweredAddress()
         self._refusing = free_address()
+        self._ended: set[str] = set()
         self._cut_target = ""
         """Where new connections are routed, empty while the links work."""
         self._write()
         host.route_by(self._path)
 
-    def replace(self, previous: str, address: str) -> None:
-        """Add the link to an address in place of the one to a previous address."""
+    def add(self, address: str) -> None:
+        """Add a link to an address."""
         with self._lock:
-            removed = self._proxy_by_address.pop(previous, None)
+            self._ended.discard(address)
             self._proxy_by_address[address] = FaultProxy(address)
             self._write()
-        if removed is not None:
-            removed.stop()
+
+    def end(self, address: str) -> None:
+        """Reset connections to an address whose process has ended; refuse new ones."""
+        with self._lock:
+            proxy = self._proxy_by_address.pop(address, None)
+            self._ended.add(address)
+            self._write()
+        if proxy is not None:
+            proxy.stop()
 
     def cut(self, how: str) -> None:
         """Cut all links in one of the ways of CUTS, until `heal`."""
@@ -102,6 +110,9 @@
             address: self._cut_target or proxy.address
             for address, proxy in self._proxy_by_address.items()
         }
+        target_by_address |= dict.fromkeys(
+            self._ended, self._cut_target or self._refusing
+        )
         written = self._path.with_suffix(".new")
         written.write_text(json.dumps(target_by_address))
         os.replace(written, self._path)
