Sends that never reach an endpoint cost no retry budget

Beside it any host whose endpoints end refuses requests although another endpoint runs. Cause: the second send of a request was charged also when no byte of the first had left. The bound is on what arrives at endpoints beyond the first arrival of each request, so a refused or timed out connection and a call that a relay did not pass on are none.

--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -8,7 +8,13 @@
 from secrets import token_hex
 
 from jujubeslip.accounts import ClientAccount
-from jujubeslip.endpoints import EndpointError, Interrupted
+from jujubeslip.endpoints import (
+    EndpointError,
+    EndpointOnHoldError,
+    EndpointsOutOfReachError,
+    EndpointUnreachableError,
+    Interrupted,
+)
 from jujubeslip.kernel import Deadline, Ran, RequestRefusedError
 from jujubeslip.quarantine import fingerprint_of
 from jujubeslip.routes import (
@@ -26,6 +32,14 @@
 CHARGE_ID_BYTES = 8
 
 
+# Errors of calls of which no byte was sent.
+NOT_SENT = (
+    EndpointUnreachableError,
+    EndpointOnHoldError,
+    EndpointsOutOfReachError,
+)
+
+
 def _always_accepted() -> None:
     pass
 
@@ -114,6 +128,8 @@
     """When the endpoint of the latest send began to answer, None before that."""
     runs: int = 0
     """Sends whose endpoint may have run the request."""
+    has_arrived: bool = False
+    """Whether a send may have reached an endpoint, which may have refused it."""
     tried: set[str] = field(default_factory=set)
     """Starts of endpoints that must not be asked again."""
     steps: list[str] = field(default_factory=list)
@@ -176,6 +192,7 @@
         self.tried.add(start_id)
         self.last_error = error
         self.runs += error.may_have_run
+        self.has_arrived |= not isinstance(error, NOT_SENT)
         self.note(start_id, f"{error.error_id} ran={error.may_have_run}")
 
     @property
--- a/src/jujubeslip/forwarding/_sender.py
+++ b/src/jujubeslip/forwarding/_sender.py
@@ -162,6 +162,8 @@
     def may_send(self, context: ForwardContext, attempts: Attempts) -> bool:
         """Return whether limits and retry budget allow one more send, and count it.
 
+        Sends that can't have reached an endpoint cost no retry budget.
+
         Raises RequestRefusedError if the request has not run and is quarantined.
         """
         if not attempts.may_have_run:
@@ -170,7 +172,7 @@
             self.budgets.note_request(context.service_name)
         elif not self.is_open(context, attempts):
             return False
-        elif not self.budgets.spend(context.service_name):
+        elif not self._may_arrive_again(context, attempts):
             attempts.note("-", "no retry budget left")
             return False
         attempts.sends += 1
@@ -178,6 +180,11 @@
         attempts.answer_started = None
         return True
 
+    def _may_arrive_again(self, context: ForwardContext, attempts: Attempts) -> bool:
+        if not attempts.has_arrived and not attempts.may_have_run:
+            return True
+        return self.budgets.spend(context.service_name)
+
     def is_open(self, context: ForwardContext, attempts: Attempts) -> bool:
         """Return whether the route's limits allow one more send.
 
