Relays: links count as restored with one endpoint; relays that lose answers come last

While all endpoints that a check tried had to accept, a few that had just ended kept a host from the ones that were left; with no other host that reaches one it refused requests that it could have sent. A relay that freezes is listed for up to 3 s, and each request through it would have waited in vain: after a lost answer the others are preferred for a second.

The soak's check of partitions has tests of its own, and trace explains endpoints_out_of_reach.

--- a/src/jujubeslip/relays/_connection.py
+++ b/src/jujubeslip/relays/_connection.py
@@ -8,11 +8,13 @@
 
 from jujubeslip.discovery import RelayHost
 from jujubeslip.endpoints import (
+    AnswerCutError,
     Connection,
     ConnectionPool,
     EndpointConnection,
     EndpointOnHoldError,
     EndpointsOutOfReachError,
+    EndpointTimeoutError,
     EndpointUnreachableError,
     Interrupted,
     never_interrupted,
@@ -122,7 +124,7 @@
     def read_head(self) -> http.client.HTTPResponse:
         """Wait for the head of the answer; change the relay if this one refuses."""
         while True:
-            response = self._connection.read_head()
+            response = self._read_head()
             refusal = response.getheader(wire.REFUSAL)
             if refusal is None:
                 return response
@@ -140,6 +142,13 @@
             self._relay, self._connection = self._connect()
             self._send()
 
+    def _read_head(self) -> http.client.HTTPResponse:
+        try:
+            return self._connection.read_head()
+        except (AnswerCutError, EndpointTimeoutError):
+            self._hops.directory.note_lost_answer(self._relay)
+            raise
+
     def read_some(self, response: http.client.HTTPResponse) -> bytes:
         """Return the next bytes of a body, or nothing at its regular end."""
         return self._connection.read_some(response)
--- a/src/jujubeslip/relays/_directory.py
+++ b/src/jujubeslip/relays/_directory.py
@@ -15,8 +15,12 @@
 
 # How long a relay is skipped that could not be reached, and one that refused because it
 # reaches no endpoint either or has no capacity, in seconds.
-UNREACHABLE_PAUSE_SECONDS = 2.0
+UNREACHABLE_PAUSE_SECONDS = 1.0
 REFUSED_PAUSE_SECONDS = 0.3
+# How long a relay is used only rarely after an answer through it was lost, in seconds,
+# and its cost in open requests: the relay or the endpoint may have failed.
+DOUBT_SECONDS = 1.0
+DOUBT_COST = 4.0
 # Cost of a relay in another availability zone, in open requests.
 OTHER_ZONE_COST = 1.0
 
@@ -31,6 +35,7 @@
         self._reaches_control = reaches_control
         self._relays_by_control: dict[str, tuple[RelayHost, ...]] = {}
         self._paused_until_by_address: dict[str, Deadline] = {}
+        self._doubted_until_by_address: dict[str, Deadline] = {}
         self._open_by_address: Counter[str] = Counter()
         self._lock = threading.Lock()
 
@@ -75,6 +80,12 @@
         """Skip a relay for a moment that can't relay requests now."""
         self._pause(relay, REFUSED_PAUSE_SECONDS, "refused")
 
+    def note_lost_answer(self, relay: RelayHost) -> None:
+        """Prefer other relays for a while, as an answer through this one was lost."""
+        with self._lock:
+            until = Deadline.after(DOUBT_SECONDS)
+            self._doubted_until_by_address[relay.address] = until
+
     def _pause(self, relay: RelayHost, seconds: float, reason: str) -> None:
         with self._lock:
             self._paused_until_by_address[relay.address] = Deadline.after(seconds)
@@ -106,7 +117,12 @@
         paused = self._paused_until_by_address.get(relay.address)
         return paused is not None and not paused.expired
 
+    def _is_doubted(self, relay: RelayHost) -> bool:
+        doubted = self._doubted_until_by_address.get(relay.address)
+        return doubted is not None and not doubted.expired
+
     def _cost(self, relay: RelayHost) -> float:
         is_in_zone = relay.availability_zone == self._availability_zone
         zone_cost = 0.0 if is_in_zone else OTHER_ZONE_COST
-        return self._open_by_address[relay.address] + zone_cost
+        doubt_cost = DOUBT_COST if self._is_doubted(relay) else 0.0
+        return self._open_by_address[relay.address] + zone_cost + doubt_cost
--- a/src/jujubeslip/relays/_link_check.py
+++ b/src/jujubeslip/relays/_link_check.py
@@ -16,13 +16,11 @@
 STARTED = (0, errno.EINPROGRESS)
 
 
-def check_addresses(
-    addresses: Sequence[str], limit: Deadline, enough: int
-) -> dict[str, str]:
+def check_addresses(addresses: Sequence[str], limit: Deadline) -> dict[str, str]:
     """Open a connection to each address and close it again.
 
     Return the outcome by address: ACCEPTED, NO_ANSWER, or the error. Returns at the
-    deadline, or once `enough` addresses have accepted.
+    deadline, or once an address has accepted.
     """
     outcome_by_address = dict.fromkeys(addresses, NO_ANSWER)
     with ExitStack() as stack:
@@ -38,7 +36,7 @@
                 outcome_by_address[address] = os.strerror(error)
         while selector.get_map() and not limit.expired:
             _take_outcomes(selector, outcome_by_address, limit)
-            if list(outcome_by_address.values()).count(ACCEPTED) >= enough:
+            if ACCEPTED in outcome_by_address.values():
                 break
     return outcome_by_address
 
--- a/src/jujubeslip/relays/_reach.py
+++ b/src/jujubeslip/relays/_reach.py
@@ -38,7 +38,7 @@
 
     A failed call alone doesn't show it: the endpoint may have ended. The links count as
     lost if no connection can be opened to several endpoints, of different services and
-    availability zones where possible, and as restored once connections can be opened.
+    availability zones where possible, and as restored once one can be opened.
     """
 
     def __init__(self, registry: EndpointRegistry) -> None:
@@ -120,16 +120,11 @@
         sample = self._sample()
         for number in range(ROUNDS):
             tried = sample[number * ENDPOINTS_PER_ROUND :][:ENDPOINTS_PER_ROUND]
-            # Links are restored once all that are tried accept: a single one may be
-            # reached while the others are still cut off.
-            enough = len(tried) if self._is_lost else 1
-            outcomes = check_addresses(tried, Deadline.after(ROUND_SECONDS), enough)
+            outcomes = check_addresses(tried, Deadline.after(ROUND_SECONDS))
             outcome_by_address |= outcomes
-            accepted = list(outcomes.values()).count(ACCEPTED)
-            if accepted:
+            if ACCEPTED in outcomes.values():
                 self.note_connected()
-                if accepted >= enough:
-                    self._set_lost(False, outcome_by_address)
+                self._set_lost(False, outcome_by_address)
                 break
         else:
             # Without endpoints to try, nothing shows that the links are lost.
--- a/src/jujubeslip/tracing/_causes.py
+++ b/src/jujubeslip/tracing/_causes.py
@@ -167,6 +167,14 @@
     )
 
 
+def _out_of_reach(end: RequestEnd, lines: Sequence[Line]) -> str:
+    return (
+        "Refused, not run: its host had lost its links to all endpoints and knew no "
+        "other entry host that relays requests; see its earlier lines `links to all "
+        "endpoints lost` and `relay skipped`."
+    )
+
+
 def _client_left(end: RequestEnd, lines: Sequence[Line]) -> str:
     return f"Its client closed the connection; before that: {_last_step(end)}."
 
@@ -260,6 +268,7 @@
     "no_answer_in_time": _no_answer,
     "endpoints_refused": _refused_by_endpoints,
     "no_endpoint": _no_endpoint,
+    "endpoints_out_of_reach": _out_of_reach,
     "caller_gone": _client_left,
     "left": _client_left,
     "answer_cut": _answer_cut,
--- a/tests/relays/test_directory.py
+++ b/tests/relays/test_directory.py
@@ -50,6 +50,14 @@
         assert directory.choose(()) is None
         assert directory.count() == 0
 
+    def test_prefers_others_to_one_through_which_an_answer_was_lost(self) -> None:
+        first, second = relay("first"), relay("second")
+        directory = directory_of(first, second)
+        directory.note_lost_answer(first)
+        assert {directory.choose(()) for _ in range(20)} == {second}
+        directory.note_unreachable(second)
+        assert directory.choose(()) == first
+
     def test_excludes_relays_that_were_tried(self) -> None:
         directory = directory_of(relay("only"))
         assert directory.choose({"only:1"}) is None
--- a/tests/relays/test_reach.py
+++ b/tests/relays/test_reach.py
@@ -73,6 +73,19 @@
         assert not reach.is_lost
         assert changes == [True, False]
 
+    def test_are_restored_by_one_endpoint_beside_others_that_have_ended(
+        self, accepting: str
+    ) -> None:
+        """Guards against refusals while the endpoints that are left could serve."""
+        registry = EndpointRegistry()
+        ended = [endpoint(f"e-{number}", free_address()) for number in range(3)]
+        registry.merge(ended)
+        reach = EndpointReach(registry)
+        assert reach.confirm_lost()
+        registry.merge([endpoint("new", accepting)])
+        reach._check()
+        assert not reach.is_lost
+
     def test_errors_of_calls_sent_before_are_explained(self) -> None:
         reach = reach_of(endpoint("a", free_address()))
         sent_at = steady_seconds()
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -25,9 +25,11 @@
     NamedLimit,
     Observations,
     Outcome,
+    Partition,
     ProcessEnd,
     Run,
 )
+from soak._partition_checks import check_partitions
 from soak._system import RETRY_ALLOWANCE
 
 ANSWER = b"the whole answer"
@@ -483,3 +485,54 @@
         assert violated_guarantees(_checks.check_limits, observations) == [
             "limits of endpoints"
         ]
+
+
+class TestPartitions:
+    """Partitions of entry-0, with calls there and at entry-1."""
+
+    def record(
+        self, observations: Observations, failed: int, entry: str = "entry-0"
+    ) -> None:
+        partition = Partition("it", ("entry-0",), LONG_AGO - 9, LONG_AGO + 1)
+        observations.partitions = [partition]
+        observations.disturbances = [
+            Disturbance("entry-0", "it", False, LONG_AGO - 9, LONG_AGO + 1)
+        ]
+        others = [call(f"safe-{number}", Kind.SAFE) for number in range(20)]
+        observations.calls = [replace(item, entry="entry-1") for item in others]
+        for number in range(20):
+            status = 503 if number < failed else 200
+            refused = call(f"unsafe-{number}", Kind.UNSAFE, status=status)
+            observations.calls.append(replace(refused, entry=entry))
+
+    def test_host_that_serves_less_often(self, observations: Observations) -> None:
+        self.record(observations, failed=20)
+        assert violated_guarantees(check_partitions, observations) == [
+            "service without links to endpoints"
+        ]
+
+    def test_few_failures(self, observations: Observations) -> None:
+        self.record(observations, failed=10)
+        assert violated_guarantees(check_partitions, observations) == []
+
+    def test_failures_before_hosts_must_have_noticed(
+        self, observations: Observations
+    ) -> None:
+        self.record(observations, failed=20)
+        begun_at = LONG_AGO - 2
+        observations.partitions = [
+            replace(item, begun_at=begun_at) for item in observations.partitions
+        ]
+        assert violated_guarantees(check_partitions, observations) == []
+
+    @pytest.mark.parametrize("target", ["entry-0", "entry-1", "entry-2"])
+    def test_hosts_that_have_other_faults(
+        self, observations: Observations, target: str
+    ) -> None:
+        """Without calls that count, or a host that can help, nothing is shown."""
+        self.record(observations, failed=20)
+        observations.disturbances.append(
+            Disturbance(target, "else", False, LONG_AGO - 1, LONG_AGO + 1)
+        )
+        found = violated_guarantees(check_partitions, observations)
+        assert bool(found) is (target == "entry-2")
