Relays: a host without free descriptors goes on checking its links

Found on reading the change: an error while a socket is opened would have ended the task that finds links restored, and the host would have relayed until its next start. The test failed before.

--- a/src/jujubeslip/relays/_link_check.py
+++ b/src/jujubeslip/relays/_link_check.py
@@ -26,14 +26,12 @@
     with ExitStack() as stack:
         selector = stack.enter_context(selectors.PollSelector())
         for address in addresses:
-            connection = stack.enter_context(socket.socket())
-            connection.setblocking(False)
-            host, port = address.rsplit(":", 1)
-            error = connection.connect_ex((host, int(port)))
-            if error in STARTED:
-                selector.register(connection, selectors.EVENT_WRITE, address)
+            try:
+                connection = stack.enter_context(_begin_connect(address))
+            except OSError as error:
+                outcome_by_address[address] = str(error)
             else:
-                outcome_by_address[address] = os.strerror(error)
+                selector.register(connection, selectors.EVENT_WRITE, address)
         while selector.get_map() and not limit.expired:
             _take_outcomes(selector, outcome_by_address, limit)
             if ACCEPTED in outcome_by_address.values():
@@ -41,6 +39,18 @@
     return outcome_by_address
 
 
+def _begin_connect(address: str) -> socket.socket:
+    """Return a socket that begins to connect, or raise OSError."""
+    host, port = address.rsplit(":", 1)
+    connection = socket.socket()
+    connection.setblocking(False)
+    error = connection.connect_ex((host, int(port)))
+    if error in STARTED:
+        return connection
+    connection.close()
+    raise OSError(error, os.strerror(error))
+
+
 def _take_outcomes(
     selector: selectors.BaseSelector,
     outcome_by_address: dict[str, str],
--- a/tests/relays/test_reach.py
+++ b/tests/relays/test_reach.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from collections.abc import Iterator
 from contextlib import ExitStack
@@ -95,6 +96,24 @@
         assert not reach.was_lost_since(steady_seconds())
 
 
+class TestHostWithoutDescriptors:
+    """Guards against the end of the task that finds out when links are restored."""
+
+    def test_check_goes_on(
+        self, accepting: str, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        reach = reach_of(endpoint("a", accepting))
+
+        def fail() -> None:
+            raise OSError(errno.EMFILE, "Too many open files")
+
+        with monkeypatch.context() as patched:
+            patched.setattr(socket, "socket", fail)
+            assert reach.confirm_lost()
+        reach._check()
+        assert not reach.is_lost
+
+
 class TestLostEndpoints:
     """Guards against hosts that relay requests although their own links work."""
 
