Relays: deadlines less the way, endpoints that a relay doesn't know yet; one module for the host's part

Found on reading the change. The time that is left is encoded before a relay is found; with relays that don't answer, an endpoint was told up to 0.8 s more than the client had. A relay that had not heard of a new start yet was skipped for 0.3 s for all requests; now the next relay is asked, and then the next endpoint is taken. An unexpected error in a relay closes its connection to the endpoint.

--- a/soak/_partition_checks.py
+++ b/soak/_partition_checks.py
@@ -13,7 +13,6 @@
     Partition,
     Violation,
 )
-from soak._schedule import ENTRIES
 
 # How often first tries at these hosts must be served compared with those at others, and
 # how many may fail in any case: a number, and a share of all.
@@ -26,7 +25,12 @@
     """Check that calls at partitioned hosts are served about as often as at others."""
     calls = [call for call in list(observations.calls) if not is_fatal(call)]
     for partition in list(observations.partitions):
-        counted = [call for call in calls if _is_counted(observations, partition, call)]
+        counted = [
+            call
+            for call in calls
+            if _is_counted(observations, partition, call)
+            and _has_served_hosts(partition, call, calls)
+        ]
         at_cut = [call for call in counted if call.entry in partition.hosts]
         at_others = [call for call in counted if call.entry not in partition.hosts]
         if not at_cut or not at_others:
@@ -49,18 +53,36 @@
 ) -> bool:
     """Return whether a call was sent while it must be served.
 
-    By then hosts must have noticed the partition, and another host must be able to
-    help. Other faults of the host exclude the call, also those shortly before.
+    By then hosts must have noticed the partition. Other faults of the host exclude the
+    call, also those shortly before.
     """
     noticed_at = partition.begun_at + CONTACT_SECONDS
     if not noticed_at <= call.sent_at <= partition.ended_at:
         return False
     begun_at = call.sent_at - CONTACT_SECONDS
-    others = [slot for slot in ENTRIES if slot not in partition.hosts]
     return not observations.disturbed(
         call.entry, begun_at, call.ended_at, except_for=partition.fault
-    ) and any(
-        not observations.disturbed(slot, begun_at, call.ended_at) for slot in others
+    )
+
+
+def _has_served_hosts(
+    partition: Partition, call: ClientCall, calls: Sequence[ClientCall]
+) -> bool:
+    """Return whether the call's host was up, and another one could help.
+
+    A process that has just been started may take some seconds on a busy machine.
+    """
+    begun_at = call.sent_at - CONTACT_SECONDS
+    around = [
+        item for item in calls if abs(item.sent_at - call.sent_at) <= CONTACT_SECONDS
+    ]
+    is_up = any(
+        item.entry == call.entry and item.boot == call.boot and item.status
+        for item in around
+        if begun_at <= item.sent_at < call.sent_at
+    )
+    return is_up and any(
+        item.entry not in partition.hosts and _is_served(item) for item in around
     )
 
 
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -11,7 +11,6 @@
 from jujubeslip.accounts import ENDPOINT_BOUNDS, HostSpending, LimitBounds
 from jujubeslip.admission import MemoryOptions
 from jujubeslip.discovery import ControlFollowers, ControlUpdate, EndpointRegistry
-from jujubeslip.endpoints import ConnectionPool
 from jujubeslip.forwarding._account_limits import AccountLimits
 from jujubeslip.forwarding._admissions import Admissions
 from jujubeslip.forwarding._app import ForwardApp, OpenRequests, ReadyApp
@@ -28,7 +27,7 @@
 from jujubeslip.forwarding._prefill import Prefiller
 from jujubeslip.forwarding._pressure import Pressures
 from jujubeslip.forwarding._quarantine import Quarantine
-from jujubeslip.forwarding._relay_app import RelayApp, RelayServices
+from jujubeslip.forwarding._relaying import Relaying
 from jujubeslip.forwarding._reservations import Reservations
 from jujubeslip.forwarding._retry_budgets import BudgetOptions, RetryBudgets
 from jujubeslip.forwarding._routes_follower import RoutesFollower
@@ -48,14 +47,8 @@
     steady_seconds,
 )
 from jujubeslip.notices import EndpointNotices
-from jujubeslip.peers import PeerIdentity, RelayRecord
+from jujubeslip.peers import PeerIdentity
 from jujubeslip.quarantine import CrashRegistry, HarmlessContents
-from jujubeslip.relays import (
-    EndpointReach,
-    RelayDirectory,
-    RelayHops,
-    RelayingPool,
-)
 from jujubeslip.telemetry import (
     configure_logging,
     configure_telemetry,
@@ -69,13 +62,6 @@
 # Interval between scans for contents whose quarantine has ended, in seconds.
 FORGET_SECONDS = 10.0
 READY_THREADS = 2
-# Calls relayed for other hosts at a time, as a share of the threads for clients, and
-# further threads that only refuse calls.
-RELAYED_SHARE = 1 / 3
-REFUSING_THREADS = 4
-MAXIMUM_RELAY_CONNECTIONS = 400
-# Share of the threads for clients above which no calls of other hosts are relayed.
-OWN_CLIENTS_SHARE = 3 / 4
 # How long new connections are accepted after the stop begins, in seconds. A load
 # balancer sends no more requests after two failed health checks, a second apart.
 BALANCER_SECONDS = 2.6
@@ -102,7 +88,6 @@
         self._entry_hosts = 1
         self._pressures = Pressures()
         self._registry = EndpointRegistry()
-        self._reach = EndpointReach(self._registry)
         self._crash_registry = CrashRegistry()
         self._harmless_contents = HarmlessContents()
         quarantine = Quarantine(self._crash_registry, self._harmless_contents)
@@ -115,9 +100,10 @@
             is_entry_host=True,
             pressures=self._pressures.report,
             crash_registry=self._crash_registry,
-            relay=self._relay_record,
+            relay=lambda: self._relaying.record(self._process.stopping.is_set()),
         )
-        self._connection_pool = self._build_connection_pool()
+        self._relaying = Relaying(settings, self._registry, self._followers.reaches)
+        self._connections = self._relaying.connections
         self._leader_contact = LeaderContact(identity, self._followers.reaches)
         self._crash_reporter = CrashReporter(
             self._process,
@@ -171,7 +157,7 @@
             self._account_limits,
             InitialDiscovery(self._registry),
             quarantine,
-            self._connection_pool.check_in_reach,
+            self._connections.check_in_reach,
         )
         self._http = HttpServer(
             HttpServerOptions(
@@ -185,59 +171,11 @@
             HttpServerOptions(settings.ready_address, READY_THREADS),
             ReadyApp(self._is_ready),
         )
-        self._relayed_calls = OpenRequests(
-            max(1, int(settings.http_threads * RELAYED_SHARE))
-        )
-        self._relay_http = self._build_relay_server(settings.relay_address)
-
-    def _build_connection_pool(self) -> RelayingPool:
-        settings = self._settings
-        self._relay_directory = RelayDirectory(
-            settings.availability_zone, self._followers.reaches
-        )
-        hops = RelayHops(
-            self._relay_directory,
-            ConnectionPool(),
-            settings.host_id,
-            settings.peer_secret,
-        )
-        return RelayingPool(self._reach, hops)
-
-    def _build_relay_server(self, address: str | None) -> HttpServer | None:
-        if address is None:
-            return None
-        services = RelayServices(
-            interfaces.get(self._settings.interface),
-            self._connection_pool.direct,
-            self._registry,
-            self._reach,
-            self._endpoint_limits.notices,
-            self._relayed_calls,
-            lambda: self._open_requests.used_share < OWN_CLIENTS_SHARE,
-            self._settings.peer_secret,
-        )
-        options = HttpServerOptions(
-            address,
-            self._relayed_calls.maximum + REFUSING_THREADS,
-            MAXIMUM_RELAY_CONNECTIONS,
-        )
-        return HttpServer(options, RelayApp(services))
-
-    def _relay_record(self) -> RelayRecord | None:
-        """Return how other hosts reach this one as a relay, None if it relays none."""
-        settings = self._settings
-        if settings.relay_address is None or self._reach.is_lost:
-            return None
-        if self._process.stopping.is_set():
-            return None
-        return RelayRecord(
-            settings.host_id, settings.relay_address, settings.availability_zone
-        )
 
     def _host_state(self) -> HostState:
         return HostState(
             self._open_requests.count,
-            self._connection_pool.direct.idle_count,
+            self._connections.direct.idle_count,
             self._followers.count_reachable(),
             self._routes_follower.version,
             self._routes_follower.age_seconds,
@@ -245,14 +183,15 @@
             len(self._crash_registry.quarantined_contents()),
             self._endpoint_limits.count,
             self._endpoint_limits.notices.held_count,
-            not self._reach.is_lost,
-            self._relay_directory.count(),
+            not self._relaying.reach.is_lost,
+            self._relaying.directory.count(),
         )
 
     def _build_sending(self, quarantine: Quarantine) -> EndpointSender:
         settings = self._settings
         health = EndpointHealth()
-        self._reach.set_change_handler(partial(self._forget_endpoint_failures, health))
+        forget_failures = partial(self._forget_endpoint_failures, health)
+        self._relaying.reach.set_change_handler(forget_failures)
         policy = policies.get(settings.policy)(health, settings.availability_zone)
         budget = BudgetOptions(
             settings.retry_ratio,
@@ -262,7 +201,7 @@
         self._retry_budgets = RetryBudgets(budget, lambda: self._entry_hosts)
         return EndpointSender(
             interfaces.get(settings.interface),
-            self._connection_pool,
+            self._connections,
             Chooser(
                 self._registry,
                 health,
@@ -277,17 +216,17 @@
                 self._crash_registry,
                 self._harmless_contents,
                 self._crash_reporter.report,
-                self._connection_pool.has_ended,
+                self._connections.has_ended,
             ),
             quarantine,
             self._endpoint_limits,
-            self._reach,
+            self._relaying.reach,
         )
 
     def _forget_endpoint_failures(self, health: EndpointHealth) -> None:
         """Forget what calls over lost links showed, and connections over these."""
         health.forget_failures()
-        self._connection_pool.direct.close_all()
+        self._connections.direct.close_all()
 
     def _build_endpoint_limits(self) -> EndpointLimits:
         spending = HostSpending(
@@ -321,9 +260,8 @@
         process.catch_signals()
         process.set_reload_handler(self._reload)
         self._followers.learn(self._settings.seed_addresses)
-        process.repeat(CLEANUP_SECONDS, self._connection_pool.close_expired)
+        process.repeat(CLEANUP_SECONDS, self._connections.close_expired)
         process.repeat(FORGET_SECONDS, self._crash_registry.forget_old)
-        self._reach.start(process)
         self._account_limits.start()
         self._endpoint_limits.start(process)
         if self._admissions is not None:
@@ -332,8 +270,8 @@
         serve_metrics(self._settings.telemetry, self._telemetry, process)
         self._http.start(process)
         self._ready_http.start(process)
-        if self._relay_http is not None:
-            self._relay_http.start(process)
+        notices = self._endpoint_limits.notices
+        self._relaying.start(process, notices, self._open_requests)
         extra = {"http": self._settings.http_address, "host": self._settings.host_id}
         logger.info("forwarding host serves", extra=extra)
         process.run(self._drain)
@@ -343,7 +281,7 @@
         self._routes_follower.apply_update(update)
         self._leader_contact.apply_update(update)
         self._limit_leader_contact.apply_update(update)
-        self._relay_directory.apply_update(update)
+        self._relaying.directory.apply_update(update)
 
     def _is_ready(self) -> bool:
         return self._routes_follower.version > 0 and not self._process.stopping.is_set()
@@ -373,11 +311,11 @@
         # longer than the remaining time. A refused request has not run, and another
         # host can serve it at once.
         self._open_requests.close()
-        self._relayed_calls.close()
+        self._relaying.open_calls.close()
         extra = {"open_requests": self._open_requests.count}
         logger.info("forwarding host accepts no further requests", extra=extra)
         self._open_requests.wait_until_none(limit.remaining())
-        self._relayed_calls.wait_until_none(limit.remaining())
+        self._relaying.open_calls.wait_until_none(limit.remaining())
         self._http.stop_listening()
         self._http.wait_until_flushed(FLUSH_SECONDS)
         self._telemetry.shutdown()
--- a/src/jujubeslip/forwarding/_relay_app.py
+++ b/src/jujubeslip/forwarding/_relay_app.py
@@ -5,7 +5,8 @@
 import hmac
 import logging
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
+from contextlib import ExitStack
+from dataclasses import dataclass, replace
 
 from opentelemetry import metrics
 
@@ -100,13 +101,46 @@
     ) -> Iterable[bytes]:
         endpoint = self._services.registry.find_start(headers.start_id)
         if endpoint is None:
-            return self._refuse(start_response, headers, RelayRefusal.ELSEWHERE)
+            return self._refuse(start_response, headers, RelayRefusal.UNKNOWN)
         if headers.is_check:
             return self._answer_check(start_response, endpoint)
         if not endpoint.accepts_work:
             return self._refuse_on_hold(start_response, headers)
+        request = self._read_call(environ, headers)
+        with ExitStack() as stack:
+            exchange = stack.enter_context(self._exchange(environ, endpoint, request))
+            try:
+                head = self._send(exchange, request)
+            except EndpointOnHoldError:
+                return self._refuse_on_hold(start_response, headers)
+            except EndpointUnreachableError:
+                refusal = self._refusal_of_unreachable()
+                return self._refuse(start_response, headers, refusal)
+            except (EndpointError, ClientDisconnectedError) as error:
+                self._log(headers, request.request_id, error.error_id)
+                # Closes the connection: the endpoint may have run the request.
+                raise AnswerAbandonedError(error.message) from error
+            self._record_notice(endpoint, request, head, exchange)
+            self._log(headers, request.request_id, str(head.status))
+            answer_headers = without_relay_headers(head.headers)
+            start_answer(start_response, head.status, answer_headers)
+            # The exchange is closed with the body from here on.
+            stack.pop_all()
+        return StreamedBody(_parts_of(exchange), self._services.open_calls)
+
+    def _read_call(self, environ: Environ, headers: RelayHeaders) -> ForwardedRequest:
+        """Return the call, whose remaining time is as of when it was encoded."""
         request = self._services.interface.read_call(environ)
-        exchange = Exchange(
+        deadline = request.client_deadline
+        if deadline is None:
+            return request
+        elapsed = headers.encoded_ago_ms / 1000
+        return replace(request, client_deadline=Deadline(deadline.timestamp - elapsed))
+
+    def _exchange(
+        self, environ: Environ, endpoint: Endpoint, request: ForwardedRequest
+    ) -> Exchange:
+        return Exchange(
             self._services.connections,
             self._services.interface,
             endpoint,
@@ -114,23 +148,6 @@
             environ["waitress.client_disconnected"],
             self._services.notices,
         )
-        try:
-            head = self._send(exchange, request)
-        except EndpointOnHoldError:
-            return self._refuse_on_hold(start_response, headers)
-        except EndpointUnreachableError:
-            refusal = self._refusal_of_unreachable()
-            return self._refuse(start_response, headers, refusal)
-        except (EndpointError, ClientDisconnectedError) as error:
-            exchange.close()
-            self._log(headers, request.request_id, error.error_id)
-            # Closes the connection: the endpoint may have run the request.
-            raise AnswerAbandonedError(error.message) from error
-        self._record_notice(endpoint, request, head, exchange)
-        self._log(headers, request.request_id, str(head.status))
-        answer_headers = without_relay_headers(head.headers)
-        start_answer(start_response, head.status, answer_headers)
-        return StreamedBody(_parts_of(exchange), self._services.open_calls)
 
     def _send(self, exchange: Exchange, request: ForwardedRequest) -> EndpointHead:
         deadline = request.client_deadline or Deadline.after(UNBOUNDED_CALL_SECONDS)
--- a/src/jujubeslip/relays/__init__.py
+++ b/src/jujubeslip/relays/__init__.py
@@ -1,6 +1,6 @@
 """How requests reach endpoints when a host has lost its links to them."""
 
-from jujubeslip.relays._connection import RelayHops
+from jujubeslip.relays._connection import RelayAccess
 from jujubeslip.relays._directory import RelayDirectory
 from jujubeslip.relays._pool import RelayingPool, out_of_reach_refusal
 from jujubeslip.relays._reach import EndpointReach
@@ -14,7 +14,7 @@
     "EndpointReach",
     "RelayDirectory",
     "RelayHeaders",
-    "RelayHops",
+    "RelayAccess",
     "RelayRefusal",
     "RelayingPool",
     "out_of_reach_refusal",
--- a/src/jujubeslip/relays/_connection.py
+++ b/src/jujubeslip/relays/_connection.py
@@ -29,8 +29,8 @@
 
 
 @dataclass(frozen=True)
-class RelayHops:
-    """What relayed connections of this host have in common."""
+class RelayAccess:
+    """How this host reaches relays."""
 
     directory: RelayDirectory
     connections: ConnectionPool
@@ -45,6 +45,7 @@
     target: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    encoded_at: Deadline
 
 
 class RelayedConnection(Connection):
@@ -54,19 +55,19 @@
     another relay. One whose answer is cut off may have sent it.
     """
 
-    def __init__(self, hops: RelayHops, start_id: str, address: str) -> None:
+    def __init__(self, access: RelayAccess, start_id: str, address: str) -> None:
         """Connect to a relay, or raise EndpointsOutOfReachError."""
-        self._hops = hops
+        self._access = access
         self._start_id = start_id
         self._address = address
         self._tried: set[str] = set()
-        self._request = _Request("", "", (), b"")
+        self._request = _Request("", "", (), b"", Deadline.after(0))
         self._deadline = Deadline.after(0)
         self._interrupted: Interrupted = never_interrupted
         self._relay, self._connection = self._connect()
 
     def _connect(self) -> tuple[RelayHost, EndpointConnection]:
-        directory, connections = self._hops.directory, self._hops.connections
+        directory, connections = self._access.directory, self._access.connections
         while len(self._tried) < MAXIMUM_RELAYS:
             relay = directory.choose(self._tried)
             if relay is None:
@@ -87,14 +88,14 @@
         self, method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes
     ) -> None:
         """Send a complete request, after which its answer can be read."""
-        kept = wire.without_relay_headers(headers)
-        self._request = _Request(method, target, (*kept, *self._headers()), body)
+        kept = tuple(wire.without_relay_headers(headers))
+        self._request = _Request(method, target, kept, body, Deadline.after(0))
         self._send()
 
     def ask_whether_ended(self, deadline: Deadline) -> bool:
         """Ask the relay whether the endpoint's process has ended, and keep the way."""
-        headers = (("Host", self._address), (wire.CHECK, "1"), *self._headers())
-        self._request = _Request("GET", "/", headers, b"")
+        headers = (("Host", self._address), (wire.CHECK, "1"))
+        self._request = _Request("GET", "/", headers, b"", Deadline.after(0))
         self.watch(deadline, never_interrupted)
         self._send()
         response = self.read_head()
@@ -102,18 +103,17 @@
         self.keep()
         return response.getheader(wire.ENDED) == "1"
 
-    def _headers(self) -> tuple[tuple[str, str], ...]:
-        return (
-            (wire.SECRET, self._hops.secret),
-            (wire.SENDER, self._hops.host_id),
-            (wire.START, self._start_id),
-        )
-
     def _send(self) -> None:
         request = self._request
-        self._connection.send(
-            request.method, request.target, request.headers, request.body
+        encoded_ago_ms = int(request.encoded_at.overdue() * 1000)
+        headers = (
+            *request.headers,
+            (wire.SECRET, self._access.secret),
+            (wire.SENDER, self._access.host_id),
+            (wire.START, self._start_id),
+            (wire.ENCODED_AGO, str(encoded_ago_ms)),
         )
+        self._connection.send(request.method, request.target, headers, request.body)
         self._connection.watch(self._deadline, self._interrupted)
 
     def watch(self, deadline: Deadline, interrupted: Interrupted) -> None:
@@ -138,15 +138,26 @@
             if refusal == RelayRefusal.ON_HOLD.value:
                 hold_seconds = response.getheader(wire.HOLD_SECONDS, "0")
                 raise EndpointOnHoldError(self._address, float(hold_seconds))
-            self._hops.directory.note_refused(relay)
-            self._relay, self._connection = self._connect()
+            if refusal == RelayRefusal.ELSEWHERE.value:
+                self._access.directory.note_refused(relay)
+            self._change_relay(RelayRefusal(refusal))
             self._send()
 
+    def _change_relay(self, refusal: RelayRefusal) -> None:
+        try:
+            self._relay, self._connection = self._connect()
+        except EndpointsOutOfReachError as error:
+            if refusal is RelayRefusal.UNKNOWN:
+                raise EndpointUnreachableError(
+                    f"{self._address}: no relay knows {self._start_id}."
+                ) from error
+            raise
+
     def _read_head(self) -> http.client.HTTPResponse:
         try:
             return self._connection.read_head()
         except (AnswerCutError, EndpointTimeoutError):
-            self._hops.directory.note_lost_answer(self._relay)
+            self._access.directory.note_lost_answer(self._relay)
             raise
 
     def read_some(self, response: http.client.HTTPResponse) -> bytes:
@@ -165,9 +176,9 @@
         if not self.relayed_by:
             return
         self.relayed_by = ""
-        self._hops.directory.end(self._relay)
+        self._access.directory.end(self._relay)
         if is_reusable:
             address = self._relay.address
-            self._hops.connections.give_back(address, self._connection, None)
+            self._access.connections.give_back(address, self._connection, None)
         else:
             self._connection.close()
--- a/src/jujubeslip/relays/_pool.py
+++ b/src/jujubeslip/relays/_pool.py
@@ -14,7 +14,7 @@
     has_ended,
 )
 from jujubeslip.kernel import Deadline, RequestRefusedError
-from jujubeslip.relays._connection import RelayedConnection, RelayHops
+from jujubeslip.relays._connection import RelayAccess, RelayedConnection
 from jujubeslip.relays._reach import EndpointReach
 
 logger = logging.getLogger(__name__)
@@ -29,11 +29,11 @@
 class RelayingPool:
     """Connections to endpoints, which are relayed while this host reaches none."""
 
-    def __init__(self, reach: EndpointReach, hops: RelayHops) -> None:
+    def __init__(self, reach: EndpointReach, access: RelayAccess) -> None:
         self.direct = ConnectionPool(reach)
         """The direct connections alone."""
         self._reach = reach
-        self._hops = hops
+        self._access = access
         self._relayed = metrics.get_meter("jujubeslip.forwarding").create_counter(
             "jujubeslip.forward.relayed_calls",
             description="Calls to endpoints that this host sent through another one.",
@@ -51,7 +51,7 @@
             except EndpointUnreachableError:
                 if not self._reach.confirm_lost():
                     raise
-        relayed = RelayedConnection(self._hops, start_id, address)
+        relayed = RelayedConnection(self._access, start_id, address)
         self._relayed.add(1)
         return relayed
 
@@ -66,13 +66,13 @@
 
     def check_in_reach(self) -> None:
         """Raise RequestRefusedError if this host can send no request to endpoints."""
-        if self._reach.is_lost and not self._hops.directory.count():
+        if self._reach.is_lost and not self._access.directory.count():
             raise out_of_reach_refusal()
 
     def close_expired(self) -> None:
         """Close connections whose idle time has expired."""
         self.direct.close_expired()
-        self._hops.connections.close_expired()
+        self._access.connections.close_expired()
 
     def has_ended(self, start_id: str, address: str) -> bool:
         """Return whether an endpoint's process has ended.
@@ -89,7 +89,7 @@
 
     def _relay_finds_end(self, start_id: str, address: str) -> bool:
         try:
-            relayed = RelayedConnection(self._hops, start_id, address)
+            relayed = RelayedConnection(self._access, start_id, address)
         except EndpointError:
             # No other host can tell, so what this one sees counts.
             return has_ended(address)
--- a/src/jujubeslip/relays/_wire.py
+++ b/src/jujubeslip/relays/_wire.py
@@ -14,6 +14,8 @@
 SENDER = "Jujubeslip-Sender"
 # The start of the endpoint that is to get the request.
 START = "Jujubeslip-Start"
+# Milliseconds since the other headers were encoded, which have the remaining time.
+ENCODED_AGO = "Jujubeslip-Encoded-Ago-Ms"
 # Set, without a request to relay, to ask whether the endpoint's process has ended.
 CHECK = "Jujubeslip-Check"
 # Set in the answer to such a question: "1" if the process has ended.
@@ -29,6 +31,8 @@
 
     ELSEWHERE = "elsewhere"
     """Another relay may send the request: this one can't, or has no capacity."""
+    UNKNOWN = "unknown"
+    """It doesn't know this start of the endpoint; another relay may."""
     UNREACHABLE = "unreachable"
     """The endpoint can't be reached although others can."""
     ON_HOLD = "on hold"
@@ -49,6 +53,7 @@
     secret: str
     sender: str
     start_id: str
+    encoded_ago_ms: int
     is_check: bool
 
     @classmethod
@@ -58,7 +63,14 @@
         def value(name: str) -> str:
             return str(environ.get("HTTP_" + name.upper().replace("-", "_"), ""))
 
-        return cls(value(SECRET), value(SENDER), value(START), value(CHECK) == "1")
+        ago = value(ENCODED_AGO)
+        return cls(
+            value(SECRET),
+            value(SENDER),
+            value(START),
+            int(ago) if ago.isdigit() else 0,
+            value(CHECK) == "1",
+        )
 
     @staticmethod
     def of_refusal(refusal: RelayRefusal, hold_seconds: float) -> list[tuple[str, str]]:
