Soak: hosts that are being stopped don't count as able to help

The users' rule compares calls at any host; the case is one of a stop beside a partition of all others, and the refusals are true. Left: a host that stops could relay for some of that time.

--- a/soak/_partition_checks.py
+++ b/soak/_partition_checks.py
@@ -29,7 +29,7 @@
             call
             for call in calls
             if _is_counted(observations, partition, call)
-            and _has_served_hosts(partition, call, calls)
+            and _has_served_hosts(observations, partition, call, calls)
         ]
         at_cut = [call for call in counted if call.entry in partition.hosts]
         at_others = [call for call in counted if call.entry not in partition.hosts]
@@ -66,11 +66,15 @@
 
 
 def _has_served_hosts(
-    partition: Partition, call: ClientCall, calls: Sequence[ClientCall]
+    observations: Observations,
+    partition: Partition,
+    call: ClientCall,
+    calls: Sequence[ClientCall],
 ) -> bool:
     """Return whether the call's host was up, and another one could help.
 
-    A process that has just been started may take some seconds on a busy machine.
+    A process that has just been started may take some seconds on a busy machine, and
+    one that stops answers its own clients but relays no calls.
     """
     begun_at = call.sent_at - CONTACT_SECONDS
     around = [
@@ -81,8 +85,13 @@
         for item in around
         if begun_at <= item.sent_at < call.sent_at
     )
+    helpers = {
+        item.entry
+        for item in around
+        if item.entry not in partition.hosts and _is_served(item)
+    }
     return is_up and any(
-        item.entry not in partition.hosts and _is_served(item) for item in around
+        not observations.disturbed(slot, begun_at, call.ended_at) for slot in helpers
     )
 
 
