Relays: pauses and lists of hosts that are gone are dropped

Found on reading the change: a host kept an entry for each relay address that was ever paused, and the list of each control host that ever sent one.

--- a/src/jujubeslip/relays/_directory.py
+++ b/src/jujubeslip/relays/_directory.py
@@ -32,7 +32,7 @@
         self, availability_zone: str, reaches_control: Callable[[str], bool]
     ) -> None:
         self._availability_zone = availability_zone
-        self._reaches_control = reaches_control
+        self._reaches = reaches_control
         self._relays_by_control: dict[str, tuple[RelayHost, ...]] = {}
         self._paused_until_by_address: dict[str, Deadline] = {}
         self._doubted_until_by_address: dict[str, Deadline] = {}
@@ -40,10 +40,13 @@
         self._lock = threading.Lock()
 
     def apply_update(self, update: ControlUpdate) -> None:
-        """Record the relays that a control host lists."""
-        if update.relays is not None:
-            with self._lock:
-                self._relays_by_control[update.address] = update.relays
+        """Record the relays that a control host lists; drop unreachable hosts' lists."""
+        if update.relays is None:
+            return
+        with self._lock:
+            lists = self._relays_by_control
+            kept = {key: item for key, item in lists.items() if self._reaches(key)}
+            self._relays_by_control = {**kept, update.address: update.relays}
 
     def count(self) -> int:
         """Return how many relays may be used now."""
@@ -83,12 +86,15 @@
     def note_lost_answer(self, relay: RelayHost) -> None:
         """Prefer other relays for a while, as an answer through this one was lost."""
         with self._lock:
-            until = Deadline.after(DOUBT_SECONDS)
-            self._doubted_until_by_address[relay.address] = until
+            doubted = _unexpired(self._doubted_until_by_address)
+            doubted[relay.address] = Deadline.after(DOUBT_SECONDS)
+            self._doubted_until_by_address = doubted
 
     def _pause(self, relay: RelayHost, seconds: float, reason: str) -> None:
         with self._lock:
-            self._paused_until_by_address[relay.address] = Deadline.after(seconds)
+            paused = _unexpired(self._paused_until_by_address)
+            paused[relay.address] = Deadline.after(seconds)
+            self._paused_until_by_address = paused
         extra = {"host": relay.host_id, "seconds": seconds, "reason": reason}
         logger.info("relay skipped", extra=extra)
 
@@ -105,7 +111,7 @@
         Without a reachable control host, the last lists still count.
         """
         lists = self._relays_by_control
-        reached = [item for key, item in lists.items() if self._reaches_control(key)]
+        reached = [item for key, item in lists.items() if self._reaches(key)]
         relay_by_address = {
             relay.address: relay
             for relays in reached or lists.values()
@@ -126,3 +132,8 @@
         zone_cost = 0.0 if is_in_zone else OTHER_ZONE_COST
         doubt_cost = DOUBT_COST if self._is_doubted(relay) else 0.0
         return self._open_by_address[relay.address] + zone_cost + doubt_cost
+
+
+def _unexpired(deadline_by_address: dict[str, Deadline]) -> dict[str, Deadline]:
+    """Return the entries that still count: addresses of replaced hosts don't return."""
+    return {key: item for key, item in deadline_by_address.items() if not item.expired}
