--- a/src/jujubeslip/relays/_directory.py
+++ b/src/jujubeslip/relays/_directory.py
@@ -40,7 +40,7 @@
         self._lock = threading.Lock()
 
     def apply_update(self, update: ControlUpdate) -> None:
-        """Record the relays that a control host lists; drop unreachable hosts' lists."""
+        """Record the relays that a control host lists; drop those of lost ones."""
         if update.relays is None:
             return
         with self._lock:
