Crash detection: lines of interrupted runs name the parts of their prompts

What operators saw: crash after crash by requests whose contents differ, and no line from which one could tell whether they have a part of their prompts in common, are equal but for a field, or only ran at engines that ended by themselves. `run cut off` now has `part_fingerprints`, of the parts that other prompts may share (the last one belongs to one request). No decision reads them yet.

--- a/src/jujubeslip/forwarding/_crash_detector.py
+++ b/src/jujubeslip/forwarding/_crash_detector.py
@@ -69,6 +69,7 @@
         extra = {
             "request_id": context.request.request_id,
             "fingerprint": context.fingerprint,
+            "part_fingerprints": list(context.part_fingerprints),
             "start_id": endpoint.start_id,
             "endpoint_ended": crashed,
             "harmless": is_harmless,
--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -16,7 +16,7 @@
     Interrupted,
 )
 from jujubeslip.kernel import Deadline, Ran, RequestRefusedError
-from jujubeslip.quarantine import fingerprint_of
+from jujubeslip.quarantine import fingerprint_of, part_fingerprints_of
 from jujubeslip.routes import (
     EngineService,
     ForwardedRequest,
@@ -85,6 +85,16 @@
             request.body,
         )
 
+    @cached_property
+    def part_fingerprints(self) -> tuple[str, ...]:
+        """Return the fingerprints of the parts that other prompts may share."""
+        return part_fingerprints_of(self._part_ids)
+
+    @property
+    def _part_ids(self) -> tuple[str, ...]:
+        prompt = self.request.prompt
+        return tuple(part.part_id for part in prompt.parts) if prompt else ()
+
     @property
     def is_client_retry(self) -> bool:
         """Return whether the client is retrying after a refusal."""
--- a/tests/forwarding/test_refused_prefills.py
+++ b/tests/forwarding/test_refused_prefills.py
@@ -86,6 +86,7 @@
             service_name="model",
             request=SimpleNamespace(prompt="a prompt", request_id="r-1"),
             fingerprint="f-1",
+            part_fingerprints=(),
             check_account=lambda: None,
         )
         with pytest.raises(SentError):
--- a/tests/quarantine/test_concurrent_contents.py
+++ b/tests/quarantine/test_concurrent_contents.py
@@ -51,7 +51,12 @@
 
 def context_of(content: str) -> Any:
     request = SimpleNamespace(request_id=f"request-{content[0]}")
-    return SimpleNamespace(fingerprint=content, service_name="model", request=request)
+    return SimpleNamespace(
+        fingerprint=content,
+        part_fingerprints=(),
+        service_name="model",
+        request=request,
+    )
 
 
 class EndedEndpoints:
