--- a/src/jujubeslip/quarantine/_fingerprints.py
+++ b/src/jujubeslip/quarantine/_fingerprints.py
@@ -4,14 +4,11 @@
 
 import hashlib
 from collections.abc import Iterable
-from functools import lru_cache
 
 # The length of a fingerprint in hexadecimal digits: 64 bits.
 FINGERPRINT_DIGITS = 16
 # The maximum number of parts of one prompt that have a fingerprint: the first ones.
 MAXIMUM_PROMPT_PARTS = 16
-# The number of fingerprints of parts that are kept so as not to hash them again.
-CACHED_PARTS = 1024
 # Distinguishes the fingerprint of a part from that of a request without a target.
 PART_PREFIX = b"prompt part "
 
@@ -39,7 +36,6 @@
     return tuple(map(part_fingerprint_of, shared[:MAXIMUM_PROMPT_PARTS]))
 
 
-@lru_cache(CACHED_PARTS)
 def part_fingerprint_of(part_id: str) -> str:
     """Return the fingerprint of one part, which is equal in all prompts with it."""
     digest = hashlib.sha256(PART_PREFIX + part_id.encode())
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -114,6 +114,10 @@
     """Whether all its responses report that it leaves."""
     crashes_on: bytes = b""
     """A request whose body contains this crashes the worker; none if it is empty."""
+    crashes_on_parts: frozenset[str] = frozenset()
+    """Parts of prompts on which the worker crashes when it begins to answer."""
+    crashes_after_events: int | None = None
+    """The events that it sends before such a crash, None if not even the head."""
     on_crash: Callable[[], bool] = lambda: True
     """Called before the crash; if it returns false, only the request is lost."""
     faults: WorkerFaults = field(default_factory=WorkerFaults)
@@ -332,12 +336,10 @@
             WorkerRun(request_id, method, self.path, dict(self.headers.items()), body)
         )
         if self.worker.crashes_on and self.worker.crashes_on in body:
-            self.close_connection = True
-            if not self.worker.on_crash():
-                return
-            # In a separate thread, since closing the server waits for this one.
-            threading.Thread(target=self.worker.kill).start()
-            self.worker.killed.wait()
+            self._crash()
+        elif self._has_fatal_part():
+            self._begin_answer(request_id)
+            self._crash()
         elif self.worker.stage and faults.take("lose"):
             self.close_connection = True
         elif self.worker.stage:
@@ -345,6 +347,33 @@
         else:
             self._answer(request_id)
 
+    def _has_fatal_part(self) -> bool:
+        """Return whether the worker crashes on a part of the prompt."""
+        items = self.headers.get("Prompt-Prefix", "").split(",")
+        parts = {item.partition(":")[0] for item in items}
+        return not parts.isdisjoint(self.worker.crashes_on_parts)
+
+    def _begin_answer(self, request_id: str) -> None:
+        """Send the head and the first events, as many as the worker sends."""
+        count = self.worker.crashes_after_events
+        if count is None:
+            return
+        self.wfile.write(self._head(200, request_id, None).removesuffix(b"\r\n"))
+        self.wfile.write(b"Transfer-Encoding: chunked\r\n\r\n")
+        for number in range(1, count + 1):
+            event = f"id: {number}\ndata: token-{number}\n\n".encode()
+            self.wfile.write(b"%x\r\n" % len(event) + event + b"\r\n")
+            time.sleep(EVENT_PAUSE_SECONDS)
+
+    def _crash(self) -> None:
+        """End the worker as a killed process ends, unless a test prevents it."""
+        self.close_connection = True
+        if not self.worker.on_crash():
+            return
+        # In a separate thread, since closing the server waits for this one.
+        threading.Thread(target=self.worker.kill).start()
+        self.worker.killed.wait()
+
     def _prefill(self) -> None:
         request_id = self.headers.get("Request-Id", "")
         self.worker.prefilled_requests.append(request_id)
