Quarantine: crashes count for the parts of prompts, as for contents

What callers saw: on the rota site, requests that share one part of their prompts ended engine after engine (17 and 18), and took the streams beside them with 502; after the fifth crash they were sent 8 and 12 times more.

Cause: crashes were counted by the fingerprint of the whole content. Requests that differ in anything else are other contents, so none of them was ever counted twice. The class is a fact bound to one body where its cause is wider.

Change: one registry for both, keyed by fingerprint. A crash is recorded for the content and for each part that other prompts may share. A part is quarantined after three successive crashes of three or more contents while the service ran requests without it; after five otherwise, and after five if it had run within a minute before. Any complete answer with the part clears it at all hosts; one that merely began does not. Crashes are attributed to the likeliest cause (what didn't run shortly before, then what has most crashes), so that a shared first part isn't blamed beside fatal ones; parts that nothing distinguishes are held only together. Equal bodies with unlike prompts are unlike contents. Crashes that leave an invalid head are counted, too. New optional fields of the crash records; older hosts ignore them.

--- a/src/jujubeslip/forwarding/_crash_detector.py
+++ b/src/jujubeslip/forwarding/_crash_detector.py
@@ -46,26 +46,22 @@
             description="Requests whose endpoint ended while it ran them, by service.",
         )
 
+    def has_crashed(self, endpoint: Endpoint) -> bool:
+        """Return whether the endpoint's start has ended."""
+        return self._registry.is_superseded(endpoint) or self._has_ended(
+            endpoint.start_id, endpoint.address
+        )
+
     def record_cut_off(
         self, context: ForwardContext, attempts: Attempts, endpoint: Endpoint
     ) -> None:
         """Record a run whose connection ended before its answer was complete."""
-        crashed = self._registry.is_superseded(endpoint) or self._has_ended(
-            endpoint.start_id, endpoint.address
-        )
+        crashed = self.has_crashed(endpoint)
         if crashed:
             self._crashes.add(1, {"service": context.service_name})
         is_harmless = self._harmless_contents.holds(context.fingerprint)
-        if (
-            crashed
-            and not is_harmless
-            and attempts.answered_seconds < CRASH_WINDOW_SECONDS
-        ):
-            sent_at = attempts.latest_sent_at.timestamp
-            was_answered = attempts.answer_started is not None
-            crash = Crash(endpoint.start_id, sent_at, steady_seconds(), was_answered)
-            self._crash_registry.record_crash(context.fingerprint, crash)
-            self._report_crashes()
+        if crashed and attempts.answered_seconds < CRASH_WINDOW_SECONDS:
+            self._record_crash(context, attempts, endpoint, is_harmless)
         extra = {
             "request_id": context.request.request_id,
             "fingerprint": context.fingerprint,
@@ -79,3 +75,26 @@
             "answered_ms": int(attempts.answered_seconds * 1000),
         }
         logger.info("run cut off", extra=extra)
+
+    def _record_crash(
+        self,
+        context: ForwardContext,
+        attempts: Attempts,
+        endpoint: Endpoint,
+        is_harmless: bool,
+    ) -> None:
+        fingerprints = list(context.part_fingerprints)
+        if not is_harmless:
+            fingerprints.append(context.fingerprint)
+        if not fingerprints:
+            return
+        crash = Crash(
+            endpoint.start_id,
+            attempts.latest_sent_at.timestamp,
+            steady_seconds(),
+            attempts.answer_started is not None,
+            context.fingerprint,
+            context.service_name,
+        )
+        self._crash_registry.record_crashes(fingerprints, crash)
+        self._report_crashes()
--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -83,6 +83,7 @@
             request.host,
             request.target,
             request.body,
+            self._part_ids,
         )
 
     @cached_property
--- a/src/jujubeslip/forwarding/_sender.py
+++ b/src/jujubeslip/forwarding/_sender.py
@@ -11,6 +11,7 @@
 from jujubeslip.endpoints import (
     AnswerCutError,
     Connections,
+    EndpointAnswerError,
     EndpointError,
     EndpointOnHoldError,
     EndpointRefusedError,
@@ -216,7 +217,8 @@
         error: EndpointError,
     ) -> None:
         """Record that a request to an endpoint, which may have run it, failed."""
-        if isinstance(error, AnswerCutError):
+        if isinstance(error, AnswerCutError | EndpointAnswerError):
+            # A process that ends while it sends a head leaves an invalid one.
             self.crashes.record_cut_off(context, attempts, endpoint)
         self.note_error(attempts, endpoint, error)
 
--- a/src/jujubeslip/forwarding/_service.py
+++ b/src/jujubeslip/forwarding/_service.py
@@ -9,6 +9,7 @@
 
 from jujubeslip.endpoints import ClientDisconnectedError, Interrupted
 from jujubeslip.forwarding._account_limits import AccountLimits
+from jujubeslip.forwarding._exchange import SUCCESS
 from jujubeslip.forwarding._identification import check_account, identify
 from jujubeslip.forwarding._initial_discovery import InitialDiscovery
 from jujubeslip.forwarding._meters import ForwardMeters
@@ -92,7 +93,9 @@
         if isinstance(answer, StreamedAnswer):
             events = self._logged(context, attempts, answer.events)
             return StreamedAnswer(answer.status, answer.headers, events)
-        if answer.status < SERVER_ERROR:
+        if answer.status in SUCCESS:
+            self._quarantine.note_answered(context)
+        elif answer.status < SERVER_ERROR:
             self._quarantine.note_harmless(context)
         self._log(context, attempts, str(answer.status))
         return answer
@@ -162,7 +165,7 @@
         try:
             yield from events
             outcome = "whole"
-            self._quarantine.note_harmless(context)
+            self._quarantine.note_answered(context)
         except JujubeslipError as error:
             outcome = error.error_id
             raise
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -328,7 +328,7 @@
                     not is_harmless
                     and attempts.answered_seconds >= CRASH_WINDOW_SECONDS
                 ):
-                    self._sender.quarantine.note_harmless(context)
+                    self._sender.quarantine.note_answered(context)
                     is_harmless = True
                 yield events
         if run.splitter.has_partial_event:
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -4456,15 +4456,19 @@
      - sent_ago_ms
      - crashed_ago_ms
      - answered
+     - content
+     - service_name
 
     """
 
 
-    def __init__(self, start_id=None, sent_ago_ms=None, crashed_ago_ms=None, answered=None,):
+    def __init__(self, start_id=None, sent_ago_ms=None, crashed_ago_ms=None, answered=None, content=None, service_name=None,):
         self.start_id = start_id
         self.sent_ago_ms = sent_ago_ms
         self.crashed_ago_ms = crashed_ago_ms
         self.answered = answered
+        self.content = content
+        self.service_name = service_name
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4495,6 +4499,16 @@
                     self.answered = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.content = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4521,6 +4535,14 @@
             oprot.writeFieldBegin('answered', TType.BOOL, 4)
             oprot.writeBool(self.answered)
             oprot.writeFieldEnd()
+        if self.content is not None:
+            oprot.writeFieldBegin('content', TType.STRING, 5)
+            oprot.writeString(self.content.encode('utf-8') if sys.version_info[0] == 2 else self.content)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 6)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4545,14 +4567,18 @@
      - fingerprint
      - crashes
      - cleared_ago_ms
+     - others_ran_ago_ms
+     - companions
 
     """
 
 
-    def __init__(self, fingerprint=None, crashes=None, cleared_ago_ms=None,):
+    def __init__(self, fingerprint=None, crashes=None, cleared_ago_ms=None, others_ran_ago_ms=None, companions=None,):
         self.fingerprint = fingerprint
         self.crashes = crashes
         self.cleared_ago_ms = cleared_ago_ms
+        self.others_ran_ago_ms = others_ran_ago_ms
+        self.companions = companions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4584,6 +4610,21 @@
                     self.cleared_ago_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.others_ran_ago_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.companions = []
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.companions.append(_elem74)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4601,14 +4642,25 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter69 in self.crashes:
-                iter69.write(oprot)
+            for iter75 in self.crashes:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cleared_ago_ms is not None:
             oprot.writeFieldBegin('cleared_ago_ms', TType.I64, 3)
             oprot.writeI64(self.cleared_ago_ms)
             oprot.writeFieldEnd()
+        if self.others_ran_ago_ms is not None:
+            oprot.writeFieldBegin('others_ran_ago_ms', TType.I64, 4)
+            oprot.writeI64(self.others_ran_ago_ms)
+            oprot.writeFieldEnd()
+        if self.companions is not None:
+            oprot.writeFieldBegin('companions', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.companions))
+            for iter76 in self.companions:
+                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4783,11 +4835,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.pressures = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = ServicePressure()
-                        _elem75.read(iprot)
-                        self.pressures.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = ServicePressure()
+                        _elem82.read(iprot)
+                        self.pressures.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4799,11 +4851,11 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype79, _size76) = iprot.readListBegin()
-                    for _i80 in range(_size76):
-                        _elem81 = CrashRecord()
-                        _elem81.read(iprot)
-                        self.crashes.append(_elem81)
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = CrashRecord()
+                        _elem88.read(iprot)
+                        self.crashes.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4865,8 +4917,8 @@
         if self.pressures is not None:
             oprot.writeFieldBegin('pressures', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.pressures))
-            for iter82 in self.pressures:
-                iter82.write(oprot)
+            for iter89 in self.pressures:
+                iter89.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.known_crash_version is not None:
@@ -4876,8 +4928,8 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter83 in self.crashes:
-                iter83.write(oprot)
+            for iter90 in self.crashes:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.known_leader_address is not None:
@@ -4971,11 +5023,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.endpoints = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = EndpointRecord()
-                        _elem89.read(iprot)
-                        self.endpoints.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = EndpointRecord()
+                        _elem96.read(iprot)
+                        self.endpoints.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4987,10 +5039,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.control_addresses = []
-                    (_etype93, _size90) = iprot.readListBegin()
-                    for _i94 in range(_size90):
-                        _elem95 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.control_addresses.append(_elem95)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.control_addresses.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5012,22 +5064,22 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype99, _size96) = iprot.readListBegin()
-                    for _i100 in range(_size96):
-                        _elem101 = CrashRecord()
-                        _elem101.read(iprot)
-                        self.crashes.append(_elem101)
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = CrashRecord()
+                        _elem108.read(iprot)
+                        self.crashes.append(_elem108)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.removals = []
-                    (_etype105, _size102) = iprot.readListBegin()
-                    for _i106 in range(_size102):
-                        _elem107 = EndpointRemoval()
-                        _elem107.read(iprot)
-                        self.removals.append(_elem107)
+                    (_etype112, _size109) = iprot.readListBegin()
+                    for _i113 in range(_size109):
+                        _elem114 = EndpointRemoval()
+                        _elem114.read(iprot)
+                        self.removals.append(_elem114)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5044,11 +5096,11 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.relays = []
-                    (_etype111, _size108) = iprot.readListBegin()
-                    for _i112 in range(_size108):
-                        _elem113 = RelayRecord()
-                        _elem113.read(iprot)
-                        self.relays.append(_elem113)
+                    (_etype118, _size115) = iprot.readListBegin()
+                    for _i119 in range(_size115):
+                        _elem120 = RelayRecord()
+                        _elem120.read(iprot)
+                        self.relays.append(_elem120)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5073,8 +5125,8 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
-            for iter114 in self.endpoints:
-                iter114.write(oprot)
+            for iter121 in self.endpoints:
+                iter121.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -5084,8 +5136,8 @@
         if self.control_addresses is not None:
             oprot.writeFieldBegin('control_addresses', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.control_addresses))
-            for iter115 in self.control_addresses:
-                oprot.writeString(iter115.encode('utf-8') if sys.version_info[0] == 2 else iter115)
+            for iter122 in self.control_addresses:
+                oprot.writeString(iter122.encode('utf-8') if sys.version_info[0] == 2 else iter122)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entry_hosts is not None:
@@ -5103,15 +5155,15 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter116 in self.crashes:
-                iter116.write(oprot)
+            for iter123 in self.crashes:
+                iter123.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.removals is not None:
             oprot.writeFieldBegin('removals', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.removals))
-            for iter117 in self.removals:
-                iter117.write(oprot)
+            for iter124 in self.removals:
+                iter124.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leader_term is not None:
@@ -5125,8 +5177,8 @@
         if self.relays is not None:
             oprot.writeFieldBegin('relays', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.relays))
-            for iter118 in self.relays:
-                iter118.write(oprot)
+            for iter125 in self.relays:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5271,31 +5323,31 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = Member()
-                        _elem124.read(iprot)
-                        self.members.append(_elem124)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = Member()
+                        _elem131.read(iprot)
+                        self.members.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.admitted_host_ids = []
-                    (_etype128, _size125) = iprot.readListBegin()
-                    for _i129 in range(_size125):
-                        _elem130 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.admitted_host_ids.append(_elem130)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.admitted_host_ids.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.lost_replica_ids = []
-                    (_etype134, _size131) = iprot.readListBegin()
-                    for _i135 in range(_size131):
-                        _elem136 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.lost_replica_ids.append(_elem136)
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lost_replica_ids.append(_elem143)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5316,22 +5368,22 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter137 in self.members:
-                iter137.write(oprot)
+            for iter144 in self.members:
+                iter144.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_host_ids is not None:
             oprot.writeFieldBegin('admitted_host_ids', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.admitted_host_ids))
-            for iter138 in self.admitted_host_ids:
-                oprot.writeString(iter138.encode('utf-8') if sys.version_info[0] == 2 else iter138)
+            for iter145 in self.admitted_host_ids:
+                oprot.writeString(iter145.encode('utf-8') if sys.version_info[0] == 2 else iter145)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lost_replica_ids is not None:
             oprot.writeFieldBegin('lost_replica_ids', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.lost_replica_ids))
-            for iter139 in self.lost_replica_ids:
-                oprot.writeString(iter139.encode('utf-8') if sys.version_info[0] == 2 else iter139)
+            for iter146 in self.lost_replica_ids:
+                oprot.writeString(iter146.encode('utf-8') if sys.version_info[0] == 2 else iter146)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6068,33 +6120,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.configurations = []
-                    (_etype143, _size140) = iprot.readListBegin()
-                    for _i144 in range(_size140):
-                        _elem145 = Configuration()
-                        _elem145.read(iprot)
-                        self.configurations.append(_elem145)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = Configuration()
+                        _elem152.read(iprot)
+                        self.configurations.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype149, _size146) = iprot.readListBegin()
-                    for _i150 in range(_size146):
-                        _elem151 = ChangeRecord()
-                        _elem151.read(iprot)
-                        self.changes.append(_elem151)
+                    (_etype156, _size153) = iprot.readListBegin()
+                    for _i157 in range(_size153):
+                        _elem158 = ChangeRecord()
+                        _elem158.read(iprot)
+                        self.changes.append(_elem158)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.claims = []
-                    (_etype155, _size152) = iprot.readListBegin()
-                    for _i156 in range(_size152):
-                        _elem157 = ClaimRecord()
-                        _elem157.read(iprot)
-                        self.claims.append(_elem157)
+                    (_etype162, _size159) = iprot.readListBegin()
+                    for _i163 in range(_size159):
+                        _elem164 = ClaimRecord()
+                        _elem164.read(iprot)
+                        self.claims.append(_elem164)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6106,22 +6158,22 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.orders = []
-                    (_etype161, _size158) = iprot.readListBegin()
-                    for _i162 in range(_size158):
-                        _elem163 = EngineOrderRecord()
-                        _elem163.read(iprot)
-                        self.orders.append(_elem163)
+                    (_etype168, _size165) = iprot.readListBegin()
+                    for _i169 in range(_size165):
+                        _elem170 = EngineOrderRecord()
+                        _elem170.read(iprot)
+                        self.orders.append(_elem170)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype167, _size164) = iprot.readListBegin()
-                    for _i168 in range(_size164):
-                        _elem169 = EngineLoad()
-                        _elem169.read(iprot)
-                        self.loads.append(_elem169)
+                    (_etype174, _size171) = iprot.readListBegin()
+                    for _i175 in range(_size171):
+                        _elem176 = EngineLoad()
+                        _elem176.read(iprot)
+                        self.loads.append(_elem176)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6133,11 +6185,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.removals = []
-                    (_etype173, _size170) = iprot.readListBegin()
-                    for _i174 in range(_size170):
-                        _elem175 = EndpointRemovalRecord()
-                        _elem175.read(iprot)
-                        self.removals.append(_elem175)
+                    (_etype180, _size177) = iprot.readListBegin()
+                    for _i181 in range(_size177):
+                        _elem182 = EndpointRemovalRecord()
+                        _elem182.read(iprot)
+                        self.removals.append(_elem182)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6154,22 +6206,22 @@
         if self.configurations is not None:
             oprot.writeFieldBegin('configurations', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.configurations))
-            for iter176 in self.configurations:
-                iter176.write(oprot)
+            for iter183 in self.configurations:
+                iter183.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter177 in self.changes:
-                iter177.write(oprot)
+            for iter184 in self.changes:
+                iter184.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.claims is not None:
             oprot.writeFieldBegin('claims', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.claims))
-            for iter178 in self.claims:
-                iter178.write(oprot)
+            for iter185 in self.claims:
+                iter185.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.end is not None:
@@ -6179,15 +6231,15 @@
         if self.orders is not None:
             oprot.writeFieldBegin('orders', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.orders))
-            for iter179 in self.orders:
-                iter179.write(oprot)
+            for iter186 in self.orders:
+                iter186.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter180 in self.loads:
-                iter180.write(oprot)
+            for iter187 in self.loads:
+                iter187.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.engines_since_ms is not None:
@@ -6197,8 +6249,8 @@
         if self.removals is not None:
             oprot.writeFieldBegin('removals', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.removals))
-            for iter181 in self.removals:
-                iter181.write(oprot)
+            for iter188 in self.removals:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6596,11 +6648,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype185, _size182) = iprot.readListBegin()
-                    for _i186 in range(_size182):
-                        _elem187 = LogEntry()
-                        _elem187.read(iprot)
-                        self.entries.append(_elem187)
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = LogEntry()
+                        _elem194.read(iprot)
+                        self.entries.append(_elem194)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6650,8 +6702,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter188 in self.entries:
-                iter188.write(oprot)
+            for iter195 in self.entries:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commit_index is not None:
@@ -7385,6 +7437,8 @@
     (2, TType.I64, 'sent_ago_ms', None, None, ),  # 2
     (3, TType.I64, 'crashed_ago_ms', None, None, ),  # 3
     (4, TType.BOOL, 'answered', None, None, ),  # 4
+    (5, TType.STRING, 'content', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'service_name', 'UTF8', None, ),  # 6
 )
 all_structs.append(CrashRecord)
 CrashRecord.thrift_spec = (
@@ -7392,6 +7446,8 @@
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'crashes', (TType.STRUCT, [RequestCrash, None], False), None, ),  # 2
     (3, TType.I64, 'cleared_ago_ms', None, None, ),  # 3
+    (4, TType.I64, 'others_ran_ago_ms', None, None, ),  # 4
+    (5, TType.LIST, 'companions', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
 all_structs.append(RelayRecord)
 RelayRecord.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -519,14 +519,22 @@
   3: i64 crashed_ago_ms,
   // Whether an event of an answer to such a request had come from there.
   4: optional bool answered,
+  // The fingerprint of the content that ran, and the service of the endpoint.
+  5: optional string content,
+  6: optional string service_name,
 }
 
-// The crashes during requests of one content, since it was answered whole.
+// The crashes during requests of one content, since it was answered whole, or during
+// requests whose prompts share one part: then their contents are other fingerprints.
 struct CrashRecord {
   1: string fingerprint,
   2: list<RequestCrash> crashes,
   // How long ago a request of it was answered whole, or its quarantine lifted.
   3: optional i64 cleared_ago_ms,
+  // How long ago a request without this part was answered whole by the same service.
+  4: optional i64 others_ran_ago_ms,
+  // Parts that have the same crashes: only prompts with all of them are held back.
+  5: optional list<string> companions,
 }
 
 // An entry host that relays requests to endpoints for hosts that reach none themselves.
--- /dev/null
+++ b/src/jujubeslip/quarantine/_attribution.py
@@ -0,0 +1,130 @@
+"""Decides which content or part of prompts the crash of an endpoint is attributed to.
+
+An endpoint that crashes ends all its requests, so their contents and all parts of their
+prompts have a crash in common. Only one of these is the cause.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from jujubeslip.quarantine._models import (
+    QUARANTINE_CRASHES,
+    SUSPECT_CRASHES,
+    CrashHistory,
+)
+
+
+@dataclass(frozen=True)
+class _Suspect:
+    """A content, or the parts with the same crashes, which nothing distinguishes."""
+
+    start_ids: frozenset[str]
+    members: tuple[CrashHistory, ...]
+
+    @property
+    def rank(self) -> tuple[bool, int, bool, str]:
+        """Return the key by which suspects are sorted, the likeliest cause first.
+
+        What ran shortly before is a less likely cause; then the one with the most
+        crashes comes first, and a content before a part.
+        """
+        first = self.members[0]
+        return first.ran_recently, -first.count, first.is_part, first.fingerprint
+
+
+def attributed(histories: Iterable[CrashHistory]) -> list[CrashHistory]:
+    """Return the histories with the crashes that are attributed to others excused."""
+    found = _with_excused_answers(list(histories))
+    excused_by_part: dict[str, frozenset[str]] = {}
+    companions_by_part: dict[str, frozenset[str]] = {}
+    explained: set[str] = set()
+    for suspect in sorted(_suspects(found), key=lambda item: item.rank):
+        if suspect.members[0].is_part:
+            excused = suspect.start_ids & explained
+            for member in suspect.members:
+                excused_by_part[member.fingerprint] = excused
+                companions_by_part[member.fingerprint] = _others(suspect, member)
+            if not _is_still_fatal(suspect, excused):
+                continue
+        explained |= suspect.start_ids
+    return [
+        _with_attribution(
+            history,
+            history.excused | excused_by_part.get(history.fingerprint, frozenset()),
+            companions_by_part.get(history.fingerprint, frozenset()),
+        )
+        for history in found
+    ]
+
+
+def _with_excused_answers(histories: list[CrashHistory]) -> list[CrashHistory]:
+    """Excuse requests that were being answered when their endpoint crashed.
+
+    The crash is attributed to what had no answer there yet, provided that this has
+    enough such crashes to be a suspect. A single crash is not enough.
+    """
+    crashed_by_suspects = {
+        crash.start_id
+        for history in histories
+        if len(history.crashes) >= SUSPECT_CRASHES
+        and history.unanswered_count >= SUSPECT_CRASHES
+        and not (history.is_part and history.ran_recently)
+        for crash in history.crashes
+        if not crash.answered
+    }
+    return [
+        _with_attribution(
+            history,
+            frozenset(
+                crash.start_id
+                for crash in history.crashes
+                if crash.answered and crash.start_id in crashed_by_suspects
+            ),
+            frozenset(),
+        )
+        for history in histories
+    ]
+
+
+def _with_attribution(
+    history: CrashHistory, excused: frozenset[str], companions: frozenset[str]
+) -> CrashHistory:
+    if (excused, companions) == (history.excused, history.companions):
+        return history
+    return replace(history, excused=excused, companions=companions)
+
+
+def _suspects(histories: list[CrashHistory]) -> list[_Suspect]:
+    """Return what has enough crashes to be in quarantine."""
+    suspects = []
+    parts_by_crashes: dict[tuple[bool, frozenset[str]], list[CrashHistory]]
+    parts_by_crashes = defaultdict(list)
+    for history in histories:
+        if len(history.crashes) < QUARANTINE_CRASHES:
+            continue
+        if not history.is_fatal(history.successive_crashes):
+            continue
+        start_ids = frozenset(crash.start_id for crash in history.crashes)
+        start_ids -= history.excused
+        if history.is_part:
+            parts_by_crashes[history.ran_recently, start_ids].append(history)
+        else:
+            suspects.append(_Suspect(start_ids, (history,)))
+    for (_, start_ids), parts in parts_by_crashes.items():
+        parts.sort(key=lambda part: part.fingerprint)
+        suspects.append(_Suspect(start_ids, tuple(parts)))
+    return suspects
+
+
+def _is_still_fatal(suspect: _Suspect, excused: frozenset[str]) -> bool:
+    first = suspect.members[0]
+    left = replace(first, excused=first.excused | excused)
+    return left.is_fatal(left.successive_crashes)
+
+
+def _others(suspect: _Suspect, member: CrashHistory) -> frozenset[str]:
+    fingerprints = frozenset(part.fingerprint for part in suspect.members)
+    return fingerprints - {member.fingerprint}
--- a/src/jujubeslip/quarantine/_fingerprints.py
+++ b/src/jujubeslip/quarantine/_fingerprints.py
@@ -14,14 +14,20 @@
 
 
 def fingerprint_of(
-    account: str, method: str, host: str, target: str, body: bytes
+    account: str,
+    method: str,
+    host: str,
+    target: str,
+    body: bytes,
+    part_ids: Iterable[str] = (),
 ) -> str:
     """Return the fingerprint of a request's content, which is equal for equal requests.
 
-    The client's key is not included, since fingerprints are written to logs.
+    `part_ids` names the parts of its prompt. The client's key is not included, since
+    fingerprints are written to logs.
     """
     digest = hashlib.sha256(body).digest()
-    for part in (account, method, host, target):
+    for part in (account, method, host, target, *part_ids):
         digest = hashlib.sha256(digest + part.encode()).digest()
     return digest.hex()[:FINGERPRINT_DIGITS]
 
--- a/src/jujubeslip/quarantine/_harmless_contents.py
+++ b/src/jujubeslip/quarantine/_harmless_contents.py
@@ -1,4 +1,4 @@
-"""Request contents that endpoints have recently run without a crash."""
+"""Contents and parts of prompts that endpoints have recently run without a crash."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 class HarmlessContents:
-    """The contents that this host has seen run, by fingerprint; thread-safe.
+    """The contents, or the parts, that this host has seen run; thread-safe.
 
     Equal requests that are sent often run at every endpoint, so also at each endpoint
     that another request crashes. In a series of crashes, none of them may get a
--- a/src/jujubeslip/quarantine/_models.py
+++ b/src/jujubeslip/quarantine/_models.py
@@ -1,4 +1,4 @@
-"""Data classes of crashes during requests of one content."""
+"""Data classes of crashes during requests of one content or with one prompt part."""
 
 from __future__ import annotations
 
@@ -12,6 +12,15 @@
 # content that runs concurrently with the one that crashes endpoints is present at one
 # or two of these crashes, and gets a complete answer in between.
 QUARANTINE_CRASHES = 3
+# The number of successive crashes after which a part of prompts is quarantined although
+# no request without it was answered meanwhile, or although it ran shortly before. Then
+# endpoints may crash by another cause while all requests have the part.
+CERTAIN_CRASHES = 5
+# The number of contents among these crashes. Crashes of fewer contents are attributed
+# to the contents.
+PART_CONTENTS = 3
+# How long a run of a part is evidence against the next crashes, in seconds.
+RECENT_RUN_SECONDS = 60.0
 # The number of crashes from which a content is a suspect, which is reported to entry
 # hosts so that any of them can report a complete answer to it.
 SUSPECT_CRASHES = 2
@@ -39,19 +48,34 @@
     crashed_at: float
     answered: bool = False
     """Whether an event of the answer to a request of the content had arrived."""
+    content: str = ""
+    """The fingerprint of the content that ran, empty if the reporter gives none."""
+    service_name: str = ""
+    """The service of the endpoint, empty if the reporter gives none."""
 
 
 @dataclass(frozen=True)
 class CrashHistory:
-    """The crashes during requests of one content since its last complete answer."""
+    """The crashes of one content, or of one part of prompts, since it ran last."""
 
     fingerprint: str
     crashes: tuple[Crash, ...] = ()
     """The crashes in order of time, one for each start."""
     cleared_at: float = -math.inf
-    """When a request of this content got a complete answer or was released."""
+    """When a request with it got a complete answer or was released."""
     excused: frozenset[str] = frozenset()
-    """Starts that answered it and whose crash is attributed to another content."""
+    """Starts whose crash is attributed to another content or part."""
+    others_ran_at: float = -math.inf
+    """When a request without this part ran completely at the same service."""
+    companions: frozenset[str] = frozenset()
+    """Parts with the same crashes; only requests with all of them are quarantined."""
+
+    @property
+    def is_part(self) -> bool:
+        """Return whether this is the history of a part of prompts."""
+        return any(
+            crash.content not in ("", self.fingerprint) for crash in self.crashes
+        )
 
     @property
     def count(self) -> int:
@@ -61,17 +85,50 @@
         that run at several endpoints concurrently may all be affected by the content
         that crashes these endpoints.
         """
-        return _count(self._counted_crashes)
+        return len(self.successive_crashes)
 
     @property
     def unanswered_count(self) -> int:
         """Return the number of successive crashes before any event of an answer."""
-        return _count(crash for crash in self.crashes if not crash.answered)
+        return len(_successive(crash for crash in self.crashes if not crash.answered))
+
+    @property
+    def successive_crashes(self) -> list[Crash]:
+        """Return the successive crashes that are attributed to it."""
+        return _successive(self._counted_crashes)
 
     @property
     def _counted_crashes(self) -> list[Crash]:
         return [crash for crash in self.crashes if crash.start_id not in self.excused]
 
+    @property
+    def ran_recently(self) -> bool:
+        """Return whether it ran completely shortly before the first crash."""
+        if not self.crashes:
+            return False
+        return self.cleared_at > self.crashes[0].crashed_at - RECENT_RUN_SECONDS
+
+    @property
+    def others_ran(self) -> bool:
+        """Return whether requests without this part ran after its first crash."""
+        return bool(self.crashes) and self.others_ran_at > self.crashes[0].crashed_at
+
+    def is_fatal(self, crashes: list[Crash]) -> bool:
+        """Return whether successive crashes are enough evidence for a quarantine.
+
+        A part that ran shortly before is in quarantine only if requests without it run
+        meanwhile: otherwise all requests may have it, whatever crashes the endpoints.
+        """
+        if len(crashes) < QUARANTINE_CRASHES:
+            return False
+        if not self.is_part:
+            return True
+        if len({crash.content for crash in crashes}) < PART_CONTENTS:
+            return False
+        if self.ran_recently:
+            return self.others_ran and len(crashes) >= CERTAIN_CRASHES
+        return self.others_ran or len(crashes) >= CERTAIN_CRASHES
+
     def has_same_crashes_as(self, other: CrashHistory) -> bool:
         """Return whether both have the same crashes, possibly with different times."""
         own = {(crash.start_id, crash.answered) for crash in self.crashes}
@@ -97,7 +154,7 @@
             if not crash.answered
             or Deadline(crash.crashed_at + PROPAGATION_SECONDS).expired
         )
-        if _count(settled) < QUARANTINE_CRASHES:
+        if not self.is_fatal(_successive(settled)):
             return None
         return Deadline(self.latest_at + QUARANTINE_SECONDS)
 
@@ -108,10 +165,12 @@
         return Deadline(self.latest_at + kept)
 
 
-def _count(crashes: Iterable[Crash]) -> int:
-    count, crashed_at = 0, -math.inf
+def _successive(crashes: Iterable[Crash]) -> list[Crash]:
+    """Return each crash whose request was sent after the previous returned one."""
+    found: list[Crash] = []
+    crashed_at = -math.inf
     for crash in crashes:
         if crash.sent_at >= crashed_at:
-            count += 1
+            found.append(crash)
             crashed_at = crash.crashed_at
-    return count
+    return found
--- a/src/jujubeslip/quarantine/_records.py
+++ b/src/jujubeslip/quarantine/_records.py
@@ -32,7 +32,9 @@
     sent_ago_ms: Whole
     crashed_ago_ms: Whole
     answered: bool | None = None
-    """None if the record is from a host of an older version."""
+    """None, like the following, if the record is from a host of an older version."""
+    content: _Fingerprint | None = None
+    service_name: Text | None = None
 
 
 class _ReportedHistory(StrictModel):
@@ -41,6 +43,7 @@
     fingerprint: _Fingerprint
     crashes: Annotated[list[_ReportedCrash], Field(max_length=MAXIMUM_CRASHES)]
     cleared_ago_ms: Whole | None
+    others_ran_ago_ms: Whole | None = None
 
 
 def to_crash_record(history: CrashHistory) -> CrashRecord:
@@ -52,12 +55,18 @@
             _milliseconds(now - crash.sent_at),
             _milliseconds(now - crash.crashed_at),
             crash.answered,
+            crash.content or None,
+            crash.service_name or None,
         )
         for crash in history.crashes
     ]
-    is_cleared = history.cleared_at > -math.inf
-    cleared_ago = _milliseconds(now - history.cleared_at) if is_cleared else None
-    return CrashRecord(history.fingerprint, crashes, cleared_ago)
+    return CrashRecord(
+        history.fingerprint,
+        crashes,
+        _milliseconds_since(history.cleared_at, now),
+        _milliseconds_since(history.others_ran_at, now),
+        sorted(history.companions) or None,
+    )
 
 
 def usable_histories(
@@ -91,12 +100,25 @@
             now - crash.sent_ago_ms / MILLISECONDS,
             now - crash.crashed_ago_ms / MILLISECONDS,
             bool(crash.answered),
+            crash.content or "",
+            crash.service_name or "",
         )
         for crash in reported.crashes
     )
-    cleared_ago = reported.cleared_ago_ms
-    cleared_at = -math.inf if cleared_ago is None else now - cleared_ago / MILLISECONDS
-    return CrashHistory(reported.fingerprint, crashes, cleared_at)
+    return CrashHistory(
+        reported.fingerprint,
+        crashes,
+        _time_before(reported.cleared_ago_ms, now),
+        others_ran_at=_time_before(reported.others_ran_ago_ms, now),
+    )
+
+
+def _milliseconds_since(at: float, now: float) -> int | None:
+    return None if at == -math.inf else _milliseconds(now - at)
+
+
+def _time_before(ago_ms: int | None, now: float) -> float:
+    return -math.inf if ago_ms is None else now - ago_ms / MILLISECONDS
 
 
 def _milliseconds(seconds: float) -> int:
--- a/tests/quarantine/test_fingerprints.py
+++ b/tests/quarantine/test_fingerprints.py
@@ -40,6 +40,11 @@
         moved = ("accountP", "OST", *FIRST[2:])
         assert fingerprint_of(*moved) != fingerprint_of(*FIRST)
 
+    def test_depends_on_the_prompt(self) -> None:
+        """Guards against equal bodies of unlike prompts that count as one content."""
+        assert fingerprint_of(*FIRST, ["one"]) != fingerprint_of(*FIRST, ["other"])
+        assert fingerprint_of(*FIRST, ["one"]) != fingerprint_of(*FIRST)
+
 
 class TestPartFingerprints:
     def test_the_last_part_has_none(self) -> None:
