Endpoints: deadlines hold while bytes keep coming

What callers saw: a client that waits 1.5 s got no end of its answer (20 s and more) where an endpoint kept sending: informational heads, a header, chunks, a body of a vast length or of none, answers to others, trailers, events. The endpoint's connection stayed open as long.

Cause: a read looked at its deadline, and at whether the client is still there, only when a poll of the socket had timed out. Bytes that arrive more often than every 0.1 s kept both from being looked at. The same in the client of the product's own interface, where each read had two seconds of its own.

Change: one reader for both (`endpoints/_bounded_reader.py`), which checks the deadline and the client whatever comes. What had arrived by the deadline may still be read for 0.1 s, so that a host that was held up delivers an answer that is ready. Sending a request ends at its deadline, too. An event or line has a longest length, the search for its end no longer begins anew with each part, and at most 256 KiB of a stream wait for a client that reads slowly (16 MiB before). Bytes that complete no event no longer extend the time that a resumable stream may pause.

--- a/src/jujubeslip/endpoints/__init__.py
+++ b/src/jujubeslip/endpoints/__init__.py
@@ -1,9 +1,13 @@
 """Clients of endpoints: announcements, connections, status, the engine protocol."""
 
 from jujubeslip.endpoints._announcements import announcement_from_json
+from jujubeslip.endpoints._bounded_reader import (
+    ConnectionObserver,
+    Interrupted,
+    never_interrupted,
+)
 from jujubeslip.endpoints._connections import (
     Connection,
-    ConnectionObserver,
     ConnectionPool,
     Connections,
     EndpointConnection,
@@ -23,7 +27,6 @@
     EndpointTimeoutError,
     EndpointUnreachableError,
 )
-from jujubeslip.endpoints._http import Interrupted, never_interrupted
 from jujubeslip.endpoints._models import (
     CacheEvent,
     EndpointStatus,
--- /dev/null
+++ b/src/jujubeslip/endpoints/_bounded_reader.py
@@ -0,0 +1,174 @@
+"""Reads an endpoint's answer until a deadline, whatever the endpoint sends."""
+
+from __future__ import annotations
+
+import io
+import math
+import socket
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from jujubeslip.endpoints._errors import (
+    ClientDisconnectedError,
+    EndpointTimeoutError,
+)
+from jujubeslip.kernel import Deadline, Ran, steady_seconds
+
+# Interval at which a read checks that the client is still connected, in seconds. Work
+# for a client that has disconnected is to be stopped within half a second.
+POLL_SECONDS = 0.1
+# How long bytes that have arrived by the deadline may be read after it, in seconds: a
+# host that was held up still delivers an answer that is ready.
+LATE_READ_SECONDS = 0.1
+# The shortest timeout of a socket operation, in seconds; zero means non-blocking.
+MINIMUM_TIMEOUT_SECONDS = 0.001
+
+# Returns whether the caller no longer needs the answer.
+Interrupted = Callable[[], bool]
+
+
+def never_interrupted() -> bool:
+    """Return False, for callers that never disconnect, such as internal tasks."""
+    return False
+
+
+class ConnectionObserver(Protocol):
+    """Is told what a host's connections show about its links to endpoints."""
+
+    def note_answer(self) -> None:
+        """Record that an endpoint has sent something."""
+
+    def note_silence(self, seconds: float) -> None:
+        """Record that an awaited answer has been silent for these seconds."""
+
+    def note_connected(self) -> None:
+        """Record that a connection was opened."""
+
+
+class _NoObserver:
+    """Ignores what connections show."""
+
+    def note_answer(self) -> None:
+        """See ConnectionObserver."""
+
+    def note_silence(self, seconds: float) -> None:
+        """See ConnectionObserver."""
+
+    def note_connected(self) -> None:
+        """See ConnectionObserver."""
+
+
+NO_OBSERVER: ConnectionObserver = _NoObserver()
+
+
+class BoundedReader(io.RawIOBase):
+    """Reads from a socket until a deadline or until the client disconnects.
+
+    Both hold while bytes keep coming, too.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        observer: ConnectionObserver = NO_OBSERVER,
+        stall_seconds: float = math.inf,
+    ) -> None:
+        """Create the reader; `stall_seconds` limits a pause within an answer."""
+        self._socket = sock
+        self._observer = observer
+        self._stall_seconds = stall_seconds
+        self._silent_since = steady_seconds()
+        self._deadline = Deadline.after(0)
+        self._interrupted: Interrupted = never_interrupted
+        self._next_check = Deadline.after(0)
+        self._late_until: Deadline | None = None
+
+    def watch(self, deadline: Deadline, interrupted: Interrupted) -> None:
+        """Bound the reads from now on."""
+        self._silent_since = steady_seconds()
+        self._interrupted = interrupted
+        if deadline != self._deadline:
+            self._deadline = deadline
+            self._late_until = None
+
+    def limited(self, seconds: float) -> float:
+        """Return the timeout of an operation that must end by the deadline."""
+        return max(MINIMUM_TIMEOUT_SECONDS, min(seconds, self._deadline.remaining()))
+
+    def readable(self) -> bool:
+        """Return that reading is supported."""
+        return True
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Read available bytes; wait for them unless the socket is non-blocking."""
+        while True:
+            try:
+                size = self._socket.recv_into(buffer)
+            except TimeoutError:
+                self._note_silence()
+            except BlockingIOError:
+                return None
+            else:
+                if size:
+                    self._note_bytes()
+                return size
+
+    def _note_silence(self) -> None:
+        silent_seconds = steady_seconds() - self._silent_since
+        self._observer.note_silence(silent_seconds)
+        self._check_client()
+        if self._deadline.expired:
+            raise EndpointTimeoutError("The endpoint did not answer in time.")
+        if silent_seconds > self._stall_seconds:
+            raise TimeoutError("the answer stalled")
+
+    def _note_bytes(self) -> None:
+        self._silent_since = steady_seconds()
+        self._observer.note_answer()
+        if self._socket.gettimeout() == 0:
+            # The check of an idle connection, which no request waits for.
+            return
+        if self._next_check.expired:
+            self._next_check = Deadline.after(POLL_SECONDS)
+            self._check_client()
+        self.limit_late_reads()
+
+    def limit_late_reads(self) -> None:
+        """Raise EndpointTimeoutError if an answer has been read for too long."""
+        if not self._deadline.expired:
+            return
+        if self._late_until is None:
+            self._late_until = Deadline.after(LATE_READ_SECONDS)
+        if self._late_until.expired:
+            raise EndpointTimeoutError("The endpoint's answer did not end in time.")
+
+    def _check_client(self) -> None:
+        if self._interrupted():
+            raise ClientDisconnectedError(
+                "The client closed its connection.", Ran.UNKNOWN
+            )
+
+
+class SharedBuffer:
+    """Makes all answers on a connection read from the same buffer.
+
+    http.client opens a separate buffer for each answer and closes it at its end. Bytes
+    after that end would be lost, and with them the evidence that an endpoint sent more
+    than one answer.
+    """
+
+    def __init__(self, reader: Any) -> None:
+        self._reader = reader
+
+    def makefile(self, *_: object) -> SharedBuffer:
+        """Return the shared buffer instead of a new one."""
+        return self
+
+    def close(self) -> None:
+        """Keep the buffer open for the next answer."""
+
+    def flush(self) -> None:
+        """Do nothing, since the buffer is read-only."""
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._reader, name)
--- a/src/jujubeslip/endpoints/_connections.py
+++ b/src/jujubeslip/endpoints/_connections.py
@@ -8,17 +8,22 @@
 import threading
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
-from typing import Any, Protocol
-
+from typing import Protocol
+
+from jujubeslip.endpoints._bounded_reader import (
+    NO_OBSERVER,
+    POLL_SECONDS,
+    BoundedReader,
+    ConnectionObserver,
+    Interrupted,
+    SharedBuffer,
+)
 from jujubeslip.endpoints._errors import (
     AnswerCutError,
-    ClientDisconnectedError,
     EndpointAnswerError,
-    EndpointTimeoutError,
     EndpointUnreachableError,
 )
-from jujubeslip.endpoints._http import Interrupted, never_interrupted
-from jujubeslip.kernel import Deadline, Ran, steady_seconds
+from jujubeslip.kernel import Deadline
 
 # Timeout for opening a connection, in seconds. It takes two round trips; an endpoint
 # that takes longer is partitioned or dead, and nothing has been sent to it yet.
@@ -28,9 +33,6 @@
 END_CHECK_SECONDS = 0.1
 # Timeout for sending a request, in seconds.
 SEND_SECONDS = 2.0
-# Interval at which a wait checks that the client is still connected, in seconds. Work
-# for a client that has disconnected is to be stopped within half a second.
-POLL_SECONDS = 0.1
 READ_BYTES = 65536
 MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
 # How long an idle connection is kept if its endpoint names no limit, in seconds.
@@ -40,105 +42,6 @@
 IDLE_MARGIN_SECONDS = 0.7
 
 
-class ConnectionObserver(Protocol):
-    """Is told what a host's connections show about its links to endpoints."""
-
-    def note_answer(self) -> None:
-        """Record that an endpoint has sent something."""
-
-    def note_silence(self, seconds: float) -> None:
-        """Record that an awaited answer has been silent for these seconds."""
-
-    def note_connected(self) -> None:
-        """Record that a connection was opened."""
-
-
-class _NoObserver:
-    """Ignores what connections show."""
-
-    def note_answer(self) -> None:
-        """See ConnectionObserver."""
-
-    def note_silence(self, seconds: float) -> None:
-        """See ConnectionObserver."""
-
-    def note_connected(self) -> None:
-        """See ConnectionObserver."""
-
-
-NO_OBSERVER: ConnectionObserver = _NoObserver()
-
-
-class _BoundedReader(io.RawIOBase):
-    """Reads from a socket until a deadline or until the client disconnects."""
-
-    def __init__(self, sock: socket.socket, observer: ConnectionObserver) -> None:
-        self._socket = sock
-        self._observer = observer
-        self._silent_since = steady_seconds()
-        self._deadline = Deadline.after(0)
-        self._interrupted: Interrupted = never_interrupted
-
-    def watch(self, deadline: Deadline, interrupted: Interrupted) -> None:
-        """Bound the reads from now on."""
-        self._silent_since = steady_seconds()
-        self._deadline = deadline
-        self._interrupted = interrupted
-
-    def readable(self) -> bool:
-        """Return that reading is supported."""
-        return True
-
-    def readinto(self, buffer: Any) -> int | None:
-        """Read available bytes; wait for them unless the socket is non-blocking."""
-        while True:
-            try:
-                size = self._socket.recv_into(buffer)
-            except TimeoutError:
-                self._observer.note_silence(steady_seconds() - self._silent_since)
-                self._check_limits()
-            except BlockingIOError:
-                return None
-            else:
-                if size:
-                    self._silent_since = steady_seconds()
-                    self._observer.note_answer()
-                return size
-
-    def _check_limits(self) -> None:
-        if self._interrupted():
-            raise ClientDisconnectedError(
-                "The client closed its connection.", Ran.UNKNOWN
-            )
-        if self._deadline.expired:
-            raise EndpointTimeoutError("The endpoint did not answer in time.")
-
-
-class _SharedBuffer:
-    """Makes all answers on a connection read from the same buffer.
-
-    http.client opens a separate buffer for each answer and closes it at its end. Bytes
-    after that end would be lost, and with them the evidence that an endpoint sent more
-    than one answer.
-    """
-
-    def __init__(self, reader: Any) -> None:
-        self._reader = reader
-
-    def makefile(self, *_: object) -> _SharedBuffer:
-        """Return the shared buffer instead of a new one."""
-        return self
-
-    def close(self) -> None:
-        """Keep the buffer open for the next answer."""
-
-    def flush(self) -> None:
-        """Do nothing, since the buffer is read-only."""
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self._reader, name)
-
-
 class Connection(ABC):
     """A way to one endpoint that carries one request at a time."""
 
@@ -153,7 +56,7 @@
 
     @abstractmethod
     def watch(self, deadline: Deadline, interrupted: Interrupted) -> None:
-        """Bound the reads from now on."""
+        """Bound the sending and the reads from now on."""
 
     @abstractmethod
     def read_head(self) -> http.client.HTTPResponse:
@@ -199,9 +102,9 @@
             raise EndpointUnreachableError(f"{address}: {error}.") from error
         observer.note_connected()
         self._socket: socket.socket = self._http.sock
-        self._raw = _BoundedReader(self._socket, observer)
+        self._raw = BoundedReader(self._socket, observer)
         self._reader = io.BufferedReader(self._raw, READ_BYTES)
-        self._shared = _SharedBuffer(self._reader)
+        self._shared = SharedBuffer(self._reader)
         self._method = ""
 
     def send(
@@ -213,7 +116,7 @@
         http_call = http.client.HTTPConnection(self.address)
         http_call.sock = self._socket
         try:
-            self._socket.settimeout(SEND_SECONDS)
+            self._socket.settimeout(self._raw.limited(SEND_SECONDS))
             http_call.putrequest(
                 method, target, skip_host=True, skip_accept_encoding=True
             )
@@ -250,6 +153,8 @@
 
     def read_some(self, response: http.client.HTTPResponse) -> bytes:
         """Return the next bytes of a body, or nothing at its regular end."""
+        # Bytes that are buffered already are read without the reader.
+        self._raw.limit_late_reads()
         try:
             part = response.read1(READ_BYTES)
         except (OSError, http.client.HTTPException, ValueError) as error:
--- a/src/jujubeslip/endpoints/_http.py
+++ b/src/jujubeslip/endpoints/_http.py
@@ -3,12 +3,19 @@
 from __future__ import annotations
 
 import http.client
+import io
 import json
 import select
 import socket
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
+from jujubeslip.endpoints._bounded_reader import (
+    BoundedReader,
+    Interrupted,
+    SharedBuffer,
+    never_interrupted,
+)
 from jujubeslip.endpoints._errors import (
     AnswerCutError,
     ClientDisconnectedError,
@@ -33,18 +40,12 @@
 # an endpoint that no longer holds the attempt may have an answer in transit.
 FAILED_PROBES = 2
 MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024
+MAXIMUM_LINE_BYTES = 1024 * 1024
 
-# Returns whether the caller no longer needs the answer.
-Interrupted = Callable[[], bool]
 # Returns if the endpoint still works on the attempt, else raises EndpointError.
 Probe = Callable[[], None]
 
 
-def never_interrupted() -> bool:
-    """Return False, for callers that never disconnect, such as internal tasks."""
-    return False
-
-
 class Call:
     """One HTTP exchange on its own connection.
 
@@ -62,6 +63,7 @@
         self._connection = http.client.HTTPConnection(
             host, int(port), timeout=min(CONNECT_SECONDS, deadline.remaining() or 0.001)
         )
+        self._method = ""
         self._socket: socket.socket | None = None
         self._response: http.client.HTTPResponse | None = None
 
@@ -78,6 +80,7 @@
         sock = self._socket = self._connection.sock
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(self._limited(SEND_SECONDS))
+        self._method = method
         try:
             self._connection.request(
                 method, path, body, {"Connection": "close", **headers}
@@ -95,13 +98,19 @@
         """
         self._await_answer(probe)
         assert self._socket is not None
-        self._socket.settimeout(self._limited(STALL_SECONDS))
+        self._socket.settimeout(POLL_INTERVAL_SECONDS)
+        reader = BoundedReader(self._socket, stall_seconds=STALL_SECONDS)
+        reader.watch(self._deadline, self._interrupted)
+        response = self._response = http.client.HTTPResponse(
+            SharedBuffer(io.BufferedReader(reader)),  # type: ignore[arg-type]
+            method=self._method,
+        )
         try:
-            self._response = self._connection.getresponse()
+            response.begin()
         except (OSError, http.client.HTTPException) as error:
             self.close()
             raise AnswerCutError(f"{self.address}: no answer: {error!r}.") from error
-        return self._response
+        return response
 
     def read_some(self) -> bytes:
         """Return the next bytes of the body, or nothing at its end."""
@@ -145,6 +154,8 @@
                 return
             *complete_lines, pending = (pending + part).split(b"\n")
             yield from complete_lines
+            if len(pending) > MAXIMUM_LINE_BYTES:
+                raise EndpointAnswerError(f"{self.address}: a line is too long.")
             self._wait_readable(silence_timeout)
 
     def _limited(self, seconds: float) -> float:
--- a/src/jujubeslip/forwarding/_event_splitter.py
+++ b/src/jujubeslip/forwarding/_event_splitter.py
@@ -4,7 +4,12 @@
 
 import re
 
+from jujubeslip.endpoints import EndpointAnswerError
+
+MAXIMUM_EVENT_BYTES = 1024 * 1024
 END_OF_EVENT = re.compile(rb"\r?\n\r?\n")
+# How far before a new part the end of an event may begin, in bytes.
+END_OVERLAP_BYTES = 3
 EVENT_ID = re.compile(rb"^id:[ ]?(.*?)\r?$", re.MULTILINE)
 
 
@@ -16,16 +21,24 @@
     """
 
     def __init__(self) -> None:
-        self._pending = b""
+        self._pending = bytearray()
         self.last_event_id = ""
 
     def take(self, part: bytes) -> bytes:
-        """Return the events that the part completes, as one byte string."""
-        pending = self._pending + part
+        """Return the events that the part completes, as one byte string.
+
+        Raises EndpointAnswerError if an event is too long.
+        """
+        pending = self._pending
+        searched = max(0, len(pending) - END_OVERLAP_BYTES)
+        pending += part
         end = 0
-        for found in END_OF_EVENT.finditer(pending):
+        for found in END_OF_EVENT.finditer(pending, searched):
             end = found.end()
-        whole, self._pending = pending[:end], pending[end:]
+        whole = bytes(pending[:end])
+        del pending[:end]
+        if len(pending) > MAXIMUM_EVENT_BYTES:
+            raise EndpointAnswerError("An event of the endpoint's stream is too long.")
         ids = EVENT_ID.findall(whole)
         if ids:
             self.last_event_id = ids[-1].decode("latin-1")
@@ -38,4 +51,4 @@
 
     def drop_partial_event(self) -> None:
         """Discard an incomplete event."""
-        self._pending = b""
+        self._pending.clear()
--- a/src/jujubeslip/forwarding/_exchange.py
+++ b/src/jujubeslip/forwarding/_exchange.py
@@ -106,8 +106,8 @@
         if connection.relayed_by:
             self._log_relayed(connection)
         self.sent_at = steady_seconds()
-        connection.send(request.method, request.target, encode_headers(), request.body)
         connection.watch(deadline, self._client_disconnected)
+        connection.send(request.method, request.target, encode_headers(), request.body)
         return self._read_own_head(connection)
 
     def _log_relayed(self, connection: Connection) -> None:
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -314,8 +314,8 @@
         yield run.first_events
         latest_at = steady_seconds()
         is_harmless = False
+        run.exchange.watch(self._silence_deadline(context, attempts))
         while True:
-            run.exchange.watch(self._silence_deadline(context, attempts))
             part = run.exchange.read_some()
             if not part:
                 break
@@ -331,6 +331,8 @@
                     self._sender.quarantine.note_answered(context)
                     is_harmless = True
                 yield events
+                # Bytes that complete no event don't extend the time for the next one.
+                run.exchange.watch(self._silence_deadline(context, attempts))
         if run.splitter.has_partial_event:
             raise AnswerCutError(
                 f"{run.endpoint.address}: the stream ended in the middle of an event."
--- a/src/jujubeslip/http_server/_server.py
+++ b/src/jujubeslip/http_server/_server.py
@@ -24,6 +24,9 @@
 # No request is being served and no byte is unsent.
 FLUSHED = (0, 0)
 MAXIMUM_BACKLOG = 1024
+# How much of a streamed answer is kept for a client that reads slowly, in bytes; then
+# the stream waits for the client.
+MAXIMUM_UNSENT_BYTES = 256 * 1024
 
 
 class AnswerAbandonedError(ClientDisconnected):
@@ -93,6 +96,7 @@
             # disconnected client until the next token is written.
             channel_request_lookahead=1,
             send_bytes=1,
+            outbuf_high_watermark=MAXIMUM_UNSENT_BYTES,
             ident=None,
             clear_untrusted_proxy_headers=True,
         )
--- a/src/jujubeslip/interfaces/_internal_requests.py
+++ b/src/jujubeslip/interfaces/_internal_requests.py
@@ -45,13 +45,13 @@
     is_complete = False
     try:
         headers = [("Host", endpoint.address), *internal_request.headers]
+        connection.watch(deadline, interrupted)
         connection.send(
             internal_request.method,
             internal_request.target,
             headers,
             internal_request.body,
         )
-        connection.watch(deadline, interrupted)
         response = connection.read_head()
         head = interface.read_head(response.status, response.getheaders())
         if not head.misdirected:
--- a/src/jujubeslip/relays/_connection.py
+++ b/src/jujubeslip/relays/_connection.py
@@ -113,8 +113,8 @@
             (wire.START, self._start_id),
             (wire.ENCODED_AGO, str(encoded_ago_ms)),
         )
-        self._connection.send(request.method, request.target, headers, request.body)
         self._connection.watch(self._deadline, self._interrupted)
+        self._connection.send(request.method, request.target, headers, request.body)
 
     def watch(self, deadline: Deadline, interrupted: Interrupted) -> None:
         """Bound the reads from now on."""
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -87,6 +87,16 @@
         return bool(left)
 
 
+@dataclass(frozen=True)
+class EndlessAnswer:
+    """An answer that repeats some bytes until the caller closes the connection."""
+
+    beginning: bytes
+    """What is sent first; `{id}` stands for the id of the request."""
+    repeated: bytes
+    pause_seconds: float = 0.0
+
+
 @dataclass
 class PlatformWorker:
     """A worker with its own port; `stage` is empty for a plain service."""
@@ -118,6 +128,8 @@
     """Parts of prompts on which the worker crashes when it begins to answer."""
     crashes_after_events: int | None = None
     """The events that it sends before such a crash, None if not even the head."""
+    endless: EndlessAnswer | None = None
+    """Sent instead of each answer."""
     on_crash: Callable[[], bool] = lambda: True
     """Called before the crash; if it returns false, only the request is lost."""
     faults: WorkerFaults = field(default_factory=WorkerFaults)
@@ -337,6 +349,8 @@
         )
         if self.worker.crashes_on and self.worker.crashes_on in body:
             self._crash()
+        elif self.worker.endless is not None:
+            self._repeat(request_id, self.worker.endless)
         elif self._has_fatal_part():
             self._begin_answer(request_id)
             self._crash()
@@ -347,6 +361,15 @@
         else:
             self._answer(request_id)
 
+    def _repeat(self, request_id: str, endless: EndlessAnswer) -> None:
+        self.close_connection = True
+        try:
+            self.wfile.write(endless.beginning.replace(b"{id}", request_id.encode()))
+            while not self.worker.closed.wait(endless.pause_seconds):
+                self.wfile.write(endless.repeated)
+        except OSError:
+            self.worker.disconnected_clients.append(request_id)
+
     def _has_fatal_part(self) -> bool:
         """Return whether the worker crashes on a part of the prompt."""
         items = self.headers.get("Prompt-Prefix", "").split(",")
