Answers that end with their connection: broken off where the endpoint has ended

What callers saw: a stream with neither a length nor chunks, whose engine crashed between two events, ended as if it were whole; and a fatal part whose crashes look so would have been cleared by them. Cause: the end of the connection is the only end of such an answer, and a process that ends closes its connections, too. Now the host asks whether the endpoint's start has ended, and takes the answer for broken off unless that endpoint was leaving. An engine that ends streams so and goes on running is served as before.

--- a/src/jujubeslip/forwarding/_exchange.py
+++ b/src/jujubeslip/forwarding/_exchange.py
@@ -135,6 +135,12 @@
         self.keep_connection()
         return body
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether only the end of the connection ends the answer."""
+        response = self._response
+        return response is not None and not response.chunked and response.length is None
+
     def keep_connection(self) -> None:
         """Keep the connection for the next request, after the answer was read whole."""
         connection, self._connection = self._connection, None
--- a/src/jujubeslip/forwarding/_plain_path.py
+++ b/src/jujubeslip/forwarding/_plain_path.py
@@ -64,6 +64,7 @@
         with tracked, self._sender.exchange(context, endpoint) as exchange:
             head = exchange.call(call, deadline)
             body = exchange.read_rest()
+            self._sender.check_end(endpoint, exchange)
         attempts.note(endpoint.start_id, str(head.status))
         return WholeAnswer(head.status, head.headers, body)
 
--- a/src/jujubeslip/forwarding/_sender.py
+++ b/src/jujubeslip/forwarding/_sender.py
@@ -209,6 +209,19 @@
         is_out_of_reach = isinstance(error, EndpointsOutOfReachError)
         return is_out_of_reach or self.reach.was_lost_since(sent_at.timestamp)
 
+    def check_end(self, endpoint: Endpoint, exchange: Exchange) -> None:
+        """Raise AnswerCutError if the answer ended only because its endpoint did.
+
+        An answer with neither a length nor chunks ends with its connection, also when
+        the endpoint's process ends in the middle of it.
+        """
+        if not exchange.ends_with_connection:
+            return
+        hold = self.notices.hold_of(endpoint.start_id)
+        is_leaving = hold is not None and hold.reason is HoldReason.LEAVING
+        if not is_leaving and self.crashes.has_ended_unannounced(endpoint):
+            raise AnswerCutError(f"{endpoint.address}: ended during its answer.")
+
     def note_request_error(
         self,
         context: ForwardContext,
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -337,6 +337,7 @@
             raise AnswerCutError(
                 f"{run.endpoint.address}: the stream ended in the middle of an event."
             )
+        self._sender.check_end(run.endpoint, run.exchange)
         run.exchange.keep_connection()
 
 
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -67,7 +67,7 @@
     answer_twice: int = 0
     """Send a second complete response after the first."""
     unframed: int = 0
-    """Send no length: the response ends with its connection."""
+    """Send neither a length nor chunks: the response ends with its connection."""
     hang: int = 0
     """Run, and send no response until the worker is closed."""
     lapse: int = 0
@@ -128,6 +128,8 @@
     """Parts of prompts on which the worker crashes when it begins to answer."""
     crashes_after_events: int | None = None
     """The events that it sends before such a crash, None if not even the head."""
+    crashes_unframed: bool = False
+    """Whether these events come without chunks."""
     endless: EndlessAnswer | None = None
     """Sent instead of each answer."""
     on_crash: Callable[[], bool] = lambda: True
@@ -381,11 +383,10 @@
         count = self.worker.crashes_after_events
         if count is None:
             return
-        self.wfile.write(self._head(200, request_id, None).removesuffix(b"\r\n"))
-        self.wfile.write(b"Transfer-Encoding: chunked\r\n\r\n")
+        self._begin_stream(request_id, self.worker.crashes_unframed)
         for number in range(1, count + 1):
             event = f"id: {number}\ndata: token-{number}\n\n".encode()
-            self.wfile.write(b"%x\r\n" % len(event) + event + b"\r\n")
+            self._write_event(event, self.worker.crashes_unframed)
             time.sleep(EVENT_PAUSE_SECONDS)
 
     def _crash(self) -> None:
@@ -481,21 +482,19 @@
         time.sleep(self.worker.run_seconds)
         worker = self.worker
         first = int(self.headers.get("Last-Event-Id") or 0) + 1
-        head = self._head(200, request_id, None).removesuffix(b"\r\n")
-        self.wfile.write(
-            head
-            + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-        )
+        is_unframed = worker.faults.take("unframed")
+        self._begin_stream(request_id, is_unframed)
         cut_after = worker.faults.cut_stream_after
         worker.faults.cut_stream_after = 0
         due_at = time.monotonic()
         for number in range(first, worker.events + 1):
             event = f"id: {number}\ndata: token-{number}\n\n".encode()
             if cut_after and number > cut_after:
-                self.wfile.write(b"%x\r\n" % len(event) + event[:6])
+                size = b"" if is_unframed else b"%x\r\n" % len(event)
+                self.wfile.write(size + event[:6])
                 self.close_connection = True
                 return
-            self.wfile.write(b"%x\r\n" % len(event) + event + b"\r\n")
+            self._write_event(event, is_unframed)
             if number == first + 1 and worker.faults.pause_stream_seconds:
                 time.sleep(worker.faults.pause_stream_seconds)
                 due_at += worker.faults.pause_stream_seconds
@@ -507,4 +506,21 @@
             # Scheduled by absolute times, so that a thread that wakes late catches up.
             due_at += EVENT_PAUSE_SECONDS
             time.sleep(max(0.0, due_at - time.monotonic()))
-        self.wfile.write(b"0\r\n\r\n")
+        self._end_stream(is_unframed)
+
+    def _begin_stream(self, request_id: str, is_unframed: bool) -> None:
+        head = self._head(200, request_id, None).removesuffix(b"\r\n")
+        head += b"Content-Type: text/event-stream\r\n"
+        if not is_unframed:
+            head += b"Transfer-Encoding: chunked\r\n"
+        self.wfile.write(head + b"\r\n")
+
+    def _write_event(self, event: bytes, is_unframed: bool) -> None:
+        chunk = b"%x\r\n" % len(event) + event + b"\r\n"
+        self.wfile.write(event if is_unframed else chunk)
+
+    def _end_stream(self, is_unframed: bool) -> None:
+        if is_unframed:
+            self.close_connection = True
+        else:
+            self.wfile.write(b"0\r\n\r\n")
--- a/tests/forwarding/test_fatal_prompt_parts.py
+++ b/tests/forwarding/test_fatal_prompt_parts.py
@@ -118,7 +118,11 @@
         return sent
 
 
-@pytest.fixture(scope="module", params=[None, 0, 3], ids=["headless", "head", "events"])
+@pytest.fixture(
+    scope="module",
+    params=[(None, False), (0, False), (3, False), (3, True)],
+    ids=["headless", "head", "events", "unframed"],
+)
 def fatal(
     request: pytest.FixtureRequest, tmp_path_factory: pytest.TempPathFactory
 ) -> Iterator[FatalSystem]:
@@ -135,7 +139,8 @@
             down_seconds=DOWN_SECONDS,
             stage="decode",
             crashes_on_parts=FATAL_PARTS,
-            crashes_after_events=request.param,
+            crashes_after_events=request.param[0],
+            crashes_unframed=request.param[1],
         ) as engines:
             reader = system.add(PlatformWorker("reader", "model", "prefill"))
             clients = Clients(system)
