--- a/src/jujubeslip/cli/_quarantine_commands.py
+++ b/src/jujubeslip/cli/_quarantine_commands.py
@@ -1,12 +1,16 @@
-"""Commands for the quarantine of request contents that crash endpoints."""
+"""Commands for the quarantine of contents and prompt parts that crash endpoints."""
 
 from __future__ import annotations
 
+from typing import Any
+
 import click
 
 from jujubeslip.cli._connection import control_options, json_option, open_control
 from jujubeslip.cli._output import exit_on_refusal, print_fields, thrift_fields
 from jujubeslip.kernel import JujubeslipError
+from jujubeslip.peers import CrashRecord
+from jujubeslip.quarantine import part_fingerprint_of
 
 
 class ContentUnknownError(JujubeslipError):
@@ -18,20 +22,33 @@
 
 @click.group()
 def quarantine() -> None:
-    """Show and lift the quarantine of contents that crash endpoints."""
+    """Show and lift the quarantine of what crashes endpoints."""
 
 
 @quarantine.command("list")
+@click.option("--part", default="", help="Show only the prompt part with this id.")
 @control_options
 @json_option
 def list_quarantined(
-    control_addresses: tuple[str, ...], peer_secret: str, as_json: bool
+    part: str, control_addresses: tuple[str, ...], peer_secret: str, as_json: bool
 ) -> None:
-    """Show the request contents in quarantine, with their crashes."""
+    """Show the contents and prompt parts in quarantine, with their crashes."""
     control = open_control(control_addresses, peer_secret)
     with exit_on_refusal():
-        contents = [thrift_fields(item) for item in control.quarantined()]
-        print_fields({"contents": contents}, as_json)
+        records = control.quarantined()
+    if part:
+        fingerprint = part_fingerprint_of(part)
+        records = [item for item in records if item.fingerprint == fingerprint]
+    shown: dict[str, list[dict[str, Any]]] = {"contents": [], "parts": []}
+    for record in records:
+        shown["parts" if _is_part(record) else "contents"].append(thrift_fields(record))
+    print_fields(shown, as_json)
+
+
+def _is_part(record: CrashRecord) -> bool:
+    """Return whether the record is of a part: contents that hold it have crashed."""
+    contents = {crash.content for crash in record.crashes}
+    return not contents <= {None, "", record.fingerprint}
 
 
 @quarantine.command()
@@ -40,7 +57,7 @@
 def lift(
     fingerprint: str, control_addresses: tuple[str, ...], peer_secret: str
 ) -> None:
-    """Lift the quarantine of this content and forget its crashes."""
+    """Lift the quarantine of this content or part and forget its crashes."""
     control = open_control(control_addresses, peer_secret)
     with exit_on_refusal():
         if not control.lift_quarantine(fingerprint):
--- a/src/jujubeslip/control/_meters.py
+++ b/src/jujubeslip/control/_meters.py
@@ -47,9 +47,14 @@
 
     meter.create_observable_gauge(
         "jujubeslip.control.quarantined_contents",
-        [gauge_callback(lambda: len(crash_registry.quarantined_contents()))],
+        [gauge_callback(lambda: crash_registry.count_quarantined(is_part=False))],
         description="Contents of requests that are held back, as they crash endpoints.",
     )
+    meter.create_observable_gauge(
+        "jujubeslip.control.quarantined_parts",
+        [gauge_callback(lambda: crash_registry.count_quarantined(is_part=True))],
+        description="Parts of prompts that are held back, as they crash endpoints.",
+    )
 
     def endpoints(_: CallbackOptions) -> Iterable[Observation]:
         known = Counter(
--- a/src/jujubeslip/forwarding/_meters.py
+++ b/src/jujubeslip/forwarding/_meters.py
@@ -35,6 +35,8 @@
     """Retries left in this host's budget."""
     quarantined_contents: int
     """Contents of requests that are quarantined."""
+    quarantined_parts: int
+    """Parts of prompts that are quarantined."""
     limited_endpoints: int
     """Endpoints that have announced a limit."""
     held_endpoints: int
@@ -175,6 +177,11 @@
         [gauge_callback(lambda: read().quarantined_contents)],
         description="Contents of requests that are held back, as they crash endpoints.",
     )
+    meter.create_observable_gauge(
+        "jujubeslip.forward.quarantined_parts",
+        [gauge_callback(lambda: read().quarantined_parts)],
+        description="Parts of prompts that are held back, as they crash endpoints.",
+    )
 
     meter.create_observable_gauge(
         "jujubeslip.forward.limited_endpoints",
--- a/src/jujubeslip/quarantine/_registry.py
+++ b/src/jujubeslip/quarantine/_registry.py
@@ -187,8 +187,14 @@
         others.sort(key=lambda history: history.latest_at)
         return newest, suspects_and_cleared + others[-MAXIMUM_UNSUSPECTED:]
 
+    def count_quarantined(self, is_part: bool) -> int:
+        """Return how many parts of prompts, or contents, are currently quarantined."""
+        return sum(
+            history.is_part == is_part for history in self.quarantined_contents()
+        )
+
     def quarantined_contents(self) -> list[CrashHistory]:
-        """Return the histories of the contents that are currently quarantined."""
+        """Return the histories of the contents and parts that are now quarantined."""
         with self._lock:
             histories = list(self._history_by_fingerprint.values())
         return [
--- a/src/jujubeslip/tracing/_causes.py
+++ b/src/jujubeslip/tracing/_causes.py
@@ -109,9 +109,14 @@
             "Refused, not run: its content is in quarantine; no line has the details."
         )
     fields = refusals[-1].fields
+    what, requests = (
+        ("a part of its prompt,", "requests with this part")
+        if fields.get("is_part")
+        else ("its content", "equal requests")
+    )
     return (
-        f"Refused, not run: its content {fields.get('fingerprint')} is in quarantine "
-        f"for {fields.get('held_for_ms')} ms more, since equal requests have ended "
+        f"Refused, not run: {what} {fields.get('fingerprint')} is in quarantine "
+        f"for {fields.get('held_for_ms')} ms more, since {requests} have ended "
         f"{fields.get('crashes')} endpoints in succession; "
         "`jujubeslip quarantine lift` ends the quarantine."
     )
