Entry hosts: connections beyond their threads are closed unread

What callers saw: while most new connections go to one entry host, it read what it had no thread for and refused it with 503 and half a second's wait, though other hosts were idle. Cause: the bound was applied after the request had been read. Now a host that serves as many requests as it may closes new connections unread; a client may then send at once to another host, also what is not idempotent. Requests on kept connections are refused as before.

--- a/src/jujubeslip/forwarding/_app.py
+++ b/src/jujubeslip/forwarding/_app.py
@@ -52,6 +52,11 @@
         """Return how many requests may be served at a time."""
         return self._maximum
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether the maximum is being served."""
+        return not self._closed and self._count >= self._maximum
+
     @property
     def used_share(self) -> float:
         """Return the share of the maximum that is being served."""
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -164,6 +164,7 @@
                 settings.http_address,
                 settings.http_threads,
                 settings.maximum_connections,
+                is_full=lambda: self._open_requests.is_full,
             ),
             ForwardApp(interface, service, self._open_requests),
         )
--- a/src/jujubeslip/http_server/_server.py
+++ b/src/jujubeslip/http_server/_server.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -29,6 +30,14 @@
 MAXIMUM_UNSENT_BYTES = 256 * 1024
 
 
+# How often closed connections are logged at most, in seconds.
+LOG_INTERVAL_SECONDS = 1.0
+
+
+def _never_full() -> bool:
+    return False
+
+
 class AnswerAbandonedError(ClientDisconnected):
     """Raised by an answer's iterator: the connection closes before the answer's end.
 
@@ -73,6 +82,8 @@
     """The connection closes if a request is incomplete after this time."""
     channel_class: type[HTTPChannel] = ClosingChannel
     """Class that serves one connection."""
+    is_full: Callable[[], bool] = _never_full
+    """Whether new connections are closed unread, so that clients go elsewhere."""
 
 
 class HttpServer:
@@ -101,6 +112,11 @@
             clear_untrusted_proxy_headers=True,
         )
         self._server.channel_class = options.channel_class
+        self._is_full = options.is_full
+        self._accept_next = self._server.accept
+        self._server.accept = self._accept
+        self._closed_unread = 0
+        self._next_log = Deadline.after(0)
         self._first_seen_by_parser: dict[int, float] = {}
 
     def start(self, process: Process) -> None:
@@ -108,6 +124,25 @@
         process.start_task(self._server.run)
         process.repeat(SCAN_INTERVAL_SECONDS, self._close_slow_senders)
 
+    def _accept(self) -> Any:
+        """Accept a connection; close it unread and return None if the host is full.
+
+        A client may send a request again at once if its connection was closed before
+        the request was read, and another host can serve it then.
+        """
+        accepted = self._accept_next()
+        if accepted is None or not self._is_full():
+            return accepted
+        connection, _ = accepted
+        connection.close()
+        self._closed_unread += 1
+        if self._next_log.expired:
+            self._next_log = Deadline.after(LOG_INTERVAL_SECONDS)
+            extra = {"connections": self._closed_unread}
+            logger.warning("connections closed unread, the host is full", extra=extra)
+            self._closed_unread = 0
+        return None
+
     def announce_close(self) -> None:
         """Close each connection after its next answer, which announces it."""
         self._server.announces_close = True
