--- a/tests/forwarding/test_fatal_prompt_parts.py
+++ b/tests/forwarding/test_fatal_prompt_parts.py
@@ -2,120 +2,18 @@
 
 from __future__ import annotations
 
-import itertools
 import time
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 
 import pytest
 
-from tests.fakes.fleet import Fleet
-from tests.fakes.platform_system import (
-    ENGINE,
-    PlatformSystem,
-    Reply,
-    configuration,
-    route,
+from tests.fakes.fatal_parts import (
+    LEAST_SERVED_SHARE,
+    MAXIMUM_LATE_REQUESTS,
+    SYSTEM_PART,
+    FatalSystem,
+    fatal_system,
 )
-from tests.fakes.platform_worker import PlatformWorker
-from tests.fakes.processes import wait_until
-
-ENTRIES = 3
-ENGINES = 4
-# How long crashed engines are down, in seconds.
-DOWN_SECONDS = 0.3
-# The crashes after which a part counts as fatal, the time within which all hosts know
-# it, in seconds, and the number of requests with it that may still reach an engine.
-FATAL_CRASHES = 5
-CONTACT_SECONDS = 3.0
-MAXIMUM_LATE_REQUESTS = 3
-# The least share of sound requests that are served, of those served without crashes.
-LEAST_SERVED_SHARE = 0.5
-SYSTEM_PART = "5157e3"
-FATAL_PARTS = frozenset(f"fa7a1{number}" for number in range(8))
-
-
-@dataclass
-class Sent:
-    """One request of a client, with its reply."""
-
-    request_id: str
-    sent_at: float
-    reply: Reply
-
-
-@dataclass
-class Clients:
-    """Sends requests to the entry hosts in turn, no two of them with equal contents."""
-
-    system: PlatformSystem
-    numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
-
-    def send(
-        self, shared_parts: list[str], path: str = "/stream/", entry: int | None = None
-    ) -> Sent:
-        """Send a request whose prompt has these parts and one of its own."""
-        number = next(self.numbers)
-        parts = [f"{part}:40" for part in shared_parts] + [f"{number:08x}:60"]
-        headers = {
-            "Model": "m",
-            "Token-Count": "100,20",
-            "Prompt-Prefix": ",".join(parts),
-        }
-        sent_at = time.monotonic()
-        reply = self.system.ask(
-            f"{path}{number}",
-            "POST",
-            f"request {number}".encode(),
-            headers,
-            number % ENTRIES if entry is None else entry,
-            deadline_ms=4000,
-        )
-        return Sent(self.system.last_request_id, sent_at, reply)
-
-
-@dataclass
-class FatalSystem:
-    """A system whose engines crash on some parts of prompts."""
-
-    system: PlatformSystem
-    engines: Fleet
-    reader: PlatformWorker
-    clients: Clients
-
-    def reached(self, sent: list[Sent]) -> list[Sent]:
-        """Return the requests that reached an engine, if only for their prefill."""
-        ids = {*self.engines.run_ids(), *self.reader.prefilled_requests}
-        return [item for item in sent if item.request_id in ids]
-
-    def crash_times(self, sent: list[Sent]) -> list[float]:
-        """Return when the requests that ran were answered, in order."""
-        ids = set(self.engines.run_ids())
-        return [item.sent_at for item in sent if item.request_id in ids]
-
-    def send_until_known(
-        self, *shared_parts: str, path: str = "/stream/"
-    ) -> list[Sent]:
-        """Send unlike requests with the parts until all hosts should know of them."""
-        sent: list[Sent] = []
-
-        def crashed() -> bool:
-            sent.append(self.clients.send(list(shared_parts), path))
-            return len(self.crash_times(sent)) >= FATAL_CRASHES
-
-        wait_until(crashed, "the fifth crash")
-        return sent + self.send_for(CONTACT_SECONDS, *shared_parts, path=path)
-
-    def send_for(
-        self, seconds: float, *shared_parts: str, path: str = "/stream/"
-    ) -> list[Sent]:
-        """Send unlike requests with the parts, ten a second."""
-        end = time.monotonic() + seconds
-        sent = []
-        while time.monotonic() < end:
-            sent.append(self.clients.send(list(shared_parts), path))
-            time.sleep(0.1)
-        return sent
 
 
 @pytest.fixture(
@@ -126,32 +24,9 @@
 def fatal(
     request: pytest.FixtureRequest, tmp_path_factory: pytest.TempPathFactory
 ) -> Iterator[FatalSystem]:
-    shape = {"kind": "stream", "timeoutMs": 4000, "sloMs": 900, "gapSloMs": 300}
-    routes = [route("stream", "/stream/", "model", **shape, maxAttempts=1)]
     folder = tmp_path_factory.mktemp("fatal-parts")
-    with PlatformSystem(folder, controls=3, entries=ENTRIES) as system:
-        system.put_until_accepted(configuration(1, routes, [ENGINE]))
-        system.wait_ready()
-        with Fleet(
-            system,
-            ENGINES,
-            "model",
-            down_seconds=DOWN_SECONDS,
-            stage="decode",
-            crashes_on_parts=FATAL_PARTS,
-            crashes_after_events=request.param[0],
-            crashes_unframed=request.param[1],
-        ) as engines:
-            reader = system.add(PlatformWorker("reader", "model", "prefill"))
-            clients = Clients(system)
-            for entry in range(ENTRIES):
-                wait_until(
-                    lambda entry=entry: (  # type: ignore[misc]
-                        clients.send([SYSTEM_PART], entry=entry).reply.complete
-                    ),
-                    "sound requests are served",
-                )
-            yield FatalSystem(system, engines, reader, clients)
+    with fatal_system(folder, *request.param) as running:
+        yield running
 
 
 class TestUnlikeRequestsWithAFatalPart:
