--- a/src/jujubeslip/quarantine/_harmless_contents.py
+++ b/src/jujubeslip/quarantine/_harmless_contents.py
@@ -9,7 +9,7 @@
 from jujubeslip.kernel import steady_seconds
 
 MILLISECONDS = 1000
-# The maximum number of stored contents; the latest ones are kept.
+# The maximum number of stored contents or parts; the latest ones are kept.
 MAXIMUM_CONTENTS = 1000
 # How long a content is considered harmless after a run of it, in seconds. A new version
 # of an endpoint may crash on a content that the previous version ran.
--- a/src/jujubeslip/quarantine/_registry.py
+++ b/src/jujubeslip/quarantine/_registry.py
@@ -86,7 +86,10 @@
         self._part_ran_at = part_ran_at
 
     def set_cleared_callback(self, on_cleared: Callable[[], None]) -> None:
-        """Set the callback for when this host has cleared a content."""
+        """Set the callback for runs seen by this host that others should know of.
+
+        These have cleared a content or a part, or are evidence about a suspect.
+        """
         self._on_cleared = on_cleared
 
     def find(self, fingerprint: str) -> CrashHistory | None:
