--- a/src/jujubeslip/quarantine/_registry.py
+++ b/src/jujubeslip/quarantine/_registry.py
@@ -13,6 +13,7 @@
 from jujubeslip.quarantine._attribution import attributed
 from jujubeslip.quarantine._models import (
     QUARANTINE_SECONDS,
+    SUSPECT_CRASHES,
     Crash,
     CrashHistory,
 )
@@ -116,7 +117,8 @@
             suspects = [
                 history
                 for fingerprint, history in self._history_by_fingerprint.items()
-                if fingerprint not in parts
+                if len(history.crashes) >= SUSPECT_CRASHES
+                and fingerprint not in parts
                 and history.is_part
                 and history.is_suspect
                 and not history.others_ran
