Quarantine: the first crash of a series is kept

By reading, with a test that failed before: after more than eight crashes over more than a minute the first ones were dropped, so that a part which all requests share counted as one that had not run before the series, and was held back though the endpoints crashed by another cause. The first crash is now kept beside the latest seven.

--- a/src/jujubeslip/quarantine/_registry.py
+++ b/src/jujubeslip/quarantine/_registry.py
@@ -23,7 +23,7 @@
 # The maximum number of stored contents and parts; those with the fewest crashes are
 # evicted first.
 MAXIMUM_CONTENTS = 500
-# The maximum number of stored crashes of each; the latest ones are kept.
+# The maximum number of stored crashes of each: the first and the latest ones.
 MAXIMUM_CRASHES = 8
 # A later run of a part is reported if the known one is older by this many seconds. A
 # reported time grows by the network delay, which must not cause further reports.
@@ -314,10 +314,11 @@
                 crash if other is None else _combined(crash, other)
             )
     crashes = sorted(crash_by_start.values(), key=_crash_time)
-    latest = tuple(crashes[-MAXIMUM_CRASHES:])
+    # The first crash tells whether a part ran shortly before the series.
+    kept = crashes[:1] + crashes[1:][1 - MAXIMUM_CRASHES :]
     return replace(
         known,
-        crashes=latest,
+        crashes=tuple(kept),
         cleared_at=cleared_at,
         others_ran_at=max(known.others_ran_at, reported.others_ran_at),
     )
--- a/tests/quarantine/test_prompt_parts.py
+++ b/tests/quarantine/test_prompt_parts.py
@@ -298,6 +298,15 @@
             hosts.crash_endpoint([SYSTEM, TENANT], [SYSTEM, TENANT])
         assert hosts.refusing(SYSTEM, TENANT) == []
 
+    def test_parts_that_all_requests_share_are_served_for_minutes(
+        self, hosts: Hosts
+    ) -> None:
+        """Guards against forgetting a run because its crashes are many."""
+        hosts.run(SYSTEM, TENANT)
+        for _ in range(20):
+            hosts.crash_endpoint([SYSTEM, TENANT], pause=10.0)
+        assert hosts.refusing(SYSTEM, TENANT) == []
+
     def test_parts_that_run_in_between_are_served(self, hosts: Hosts) -> None:
         for _ in range(20):
             hosts.crash_endpoint([SYSTEM, TENANT], [SYSTEM, OTHER])
