Quarantine: crashes that narrower parts share don't count for a wider part

Cause: where no request without a part has run meanwhile, five crashes quarantined it. A part that the prompts of several fatal parts share has the crashes of all of them, so it came to five before any fatal part did, and came first. Nothing could clear it, as its sound requests were refused too.

Evidence: in virtual time, test_shared_part_that_never_ran_is_served (five orders of two and three fatal parts) and ..._after_concurrent_crashes (two to four requests at each crash) failed on the code before, all eight; so did test_is_refused_with_recurring_companions, which holds the part a step longer. With real processes on the code before, three runs of TestSoundRequests at once beside 16 busy processes passed, but in one of them the shared part had four and five crashes, `others_ran` false, when its first run cleared it: the order that the failure needs, by a hair.

Change: a part's crashes that recurring narrower parts share (two crashes or more, none without the wider part, but not all of its) don't count for it. They do once it has five, requests without it ran meanwhile and it didn't run in the minute before: then a fatal part with recurring companions is refused as the limit asks. Parts are reported to entry hosts by all their crashes, also those attributed to others, since hosts compare them.

After: tests/quarantine passes (116, 9 of which failed before). With real processes, beside 16 busy processes: three runs at once of test_sound_prompt_parts and test_fatal_prompt_parts passed (18 tests each).

--- a/src/jujubeslip/quarantine/_attribution.py
+++ b/src/jujubeslip/quarantine/_attribution.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, replace
 
 from jujubeslip.quarantine._models import (
+    CERTAIN_CRASHES,
     QUARANTINE_CRASHES,
     SUSPECT_CRASHES,
     CrashHistory,
@@ -34,6 +35,16 @@
         first = self.members[0]
         return first.ran_recently, -first.count, first.is_part, first.fingerprint
 
+    @property
+    def is_certain(self) -> bool:
+        """Return whether narrower parts are no likelier cause of its crashes."""
+        return all(
+            member.others_ran
+            and not member.ran_recently
+            and member.count >= CERTAIN_CRASHES
+            for member in self.members
+        )
+
 
 def attributed(histories: Iterable[CrashHistory]) -> list[CrashHistory]:
     """Return the histories with the crashes that are attributed to others excused."""
@@ -41,9 +52,12 @@
     excused_by_part: dict[str, frozenset[str]] = {}
     companions_by_part: dict[str, frozenset[str]] = {}
     explained: set[str] = set()
+    recurring = _recurring_parts(found)
     for suspect in sorted(_suspects(found), key=lambda item: item.rank):
         if suspect.members[0].is_part:
             excused = suspect.start_ids & explained
+            if not suspect.is_certain:
+                excused |= _shared_with_narrower(suspect, recurring)
             for member in suspect.members:
                 excused_by_part[member.fingerprint] = excused
                 companions_by_part[member.fingerprint] = _others(suspect, member)
@@ -119,6 +133,32 @@
     return suspects
 
 
+def _recurring_parts(histories: list[CrashHistory]) -> list[CrashHistory]:
+    """Return the parts that may be the cause of several crashes."""
+    return [
+        history
+        for history in histories
+        if history.is_part
+        and not history.ran_recently
+        and len(history.crashes) >= SUSPECT_CRASHES
+    ]
+
+
+def _shared_with_narrower(
+    suspect: _Suspect, recurring: list[CrashHistory]
+) -> frozenset[str]:
+    """Return the starts that crashed with parts which only some of its requests have.
+
+    Several such parts may be the cause, while requests that have none of them are
+    harmless.
+    """
+    shared: set[str] = set()
+    for part in recurring:
+        if part.is_narrower_than(suspect.members[0]):
+            shared |= {crash.start_id for crash in part.crashes}
+    return suspect.start_ids & shared
+
+
 def _is_still_fatal(suspect: _Suspect, excused: frozenset[str]) -> bool:
     first = suspect.members[0]
     left = replace(first, excused=first.excused | excused)
--- a/src/jujubeslip/quarantine/_models.py
+++ b/src/jujubeslip/quarantine/_models.py
@@ -33,6 +33,9 @@
 # How long a content is stored after its latest crash, in seconds. It is longer than the
 # quarantine, so that a single further crash is enough to quarantine the content again.
 REMEMBERED_SECONDS = 3600.0
+# The maximum number of stored crashes of each content or part: the first and the latest
+# ones.
+MAXIMUM_CRASHES = 8
 # How long a content with a complete answer is stored, in seconds: until late reports of
 # earlier crashes have arrived.
 CLEARED_SECONDS = 60.0
@@ -135,6 +138,29 @@
         others = {(crash.start_id, crash.answered) for crash in other.crashes}
         return own == others and self.count == other.count
 
+    def is_narrower_than(self, other: CrashHistory) -> bool:
+        """Return whether this crashed only with the other one, but not always.
+
+        Crashes that one of them no longer stores are left out.
+        """
+        return not self._crashes_without(other) and bool(other._crashes_without(self))
+
+    def _crashes_without(self, other: CrashHistory) -> list[Crash]:
+        start_ids = {crash.start_id for crash in other.crashes}
+        return [
+            crash
+            for crash in self.crashes
+            if crash.start_id not in start_ids
+            and crash.crashed_at > other._complete_since
+        ]
+
+    @property
+    def _complete_since(self) -> float:
+        """Return the time since which all crashes are stored."""
+        if len(self.crashes) < MAXIMUM_CRASHES:
+            return self.cleared_at
+        return self.crashes[1].crashed_at
+
     @property
     def latest_at(self) -> float:
         """Return the time of the latest crash, or else when the content was cleared."""
@@ -142,8 +168,12 @@
 
     @property
     def is_suspect(self) -> bool:
-        """Return whether entry hosts should report complete answers to the content."""
-        return self.count >= SUSPECT_CRASHES
+        """Return whether entry hosts should know of it and report complete answers.
+
+        They compare the crashes of parts, so they need those attributed to others, too.
+        """
+        count = len(self.crashes) if self.is_part else self.count
+        return count >= SUSPECT_CRASHES
 
     @property
     def quarantined_until(self) -> Deadline | None:
--- a/src/jujubeslip/quarantine/_registry.py
+++ b/src/jujubeslip/quarantine/_registry.py
@@ -12,6 +12,7 @@
 from jujubeslip.kernel import steady_seconds
 from jujubeslip.quarantine._attribution import attributed
 from jujubeslip.quarantine._models import (
+    MAXIMUM_CRASHES,
     QUARANTINE_SECONDS,
     SUSPECT_CRASHES,
     Crash,
@@ -23,8 +24,6 @@
 # The maximum number of stored contents and parts; those with the fewest crashes are
 # evicted first.
 MAXIMUM_CONTENTS = 500
-# The maximum number of stored crashes of each: the first and the latest ones.
-MAXIMUM_CRASHES = 8
 # A later run of a part is reported if the known one is older by this many seconds. A
 # reported time grows by the network delay, which must not cause further reports.
 RUN_RESOLUTION_SECONDS = 1.0
--- a/tests/quarantine/test_prompt_parts.py
+++ b/tests/quarantine/test_prompt_parts.py
@@ -183,6 +183,17 @@
         assert hosts.refusing(FATAL, OTHER) == EVERYWHERE
         assert hosts.refusing("0" * 15 + "1") == []
 
+    def test_is_refused_with_recurring_companions(self, hosts: Hosts) -> None:
+        hosts.run(SYSTEM)
+        for _, companion in zip(
+            range(CERTAIN_CRASHES), itertools.cycle("cd"), strict=False
+        ):
+            assert hosts.refusing(FATAL) == []
+            hosts.crash_endpoint([SYSTEM, FATAL, companion * 16])
+            hosts.run(SYSTEM)
+        assert hosts.refusing(SYSTEM, FATAL) == EVERYWHERE
+        assert hosts.refusing(SYSTEM, "c" * 16) == []
+
     def test_is_refused_if_no_other_request_runs(self, hosts: Hosts) -> None:
         for _ in range(CERTAIN_CRASHES):
             assert hosts.refusing(FATAL) == []
@@ -262,6 +273,39 @@
             for part in fatal_parts:
                 assert hosts.refusing(SYSTEM, TENANT, part) == EVERYWHERE
 
+    @pytest.mark.parametrize("order", ["abab", "aabb", "aabbcc", "abcabc", "aabcbc"])
+    def test_shared_part_that_never_ran_is_served(
+        self, hosts: Hosts, order: str
+    ) -> None:
+        part_by_letter = {"a": FATAL, "b": SECOND_FATAL, "c": THIRD_FATAL}
+        hosts.run(SYSTEM)
+        for letter in order * 2:
+            hosts.crash_endpoint([SYSTEM, TENANT, part_by_letter[letter]])
+            assert hosts.refusing(SYSTEM, TENANT) == []
+        for _ in range(CERTAIN_CRASHES):
+            for letter in sorted(set(order)):
+                if hosts.refusing(SYSTEM, TENANT, part_by_letter[letter]) == []:
+                    hosts.crash_endpoint([SYSTEM, TENANT, part_by_letter[letter]])
+        for letter in set(order):
+            parts = SYSTEM, TENANT, part_by_letter[letter]
+            assert hosts.refusing(*parts) == EVERYWHERE
+        assert hosts.refusing(SYSTEM, TENANT) == []
+
+    @pytest.mark.parametrize("at_once", [2, 3, 4])
+    def test_shared_part_that_never_ran_is_served_after_concurrent_crashes(
+        self, hosts: Hosts, at_once: int
+    ) -> None:
+        sound = [SYSTEM, TENANT]
+        fatal = [[*sound, part] for part in (FATAL, SECOND_FATAL, THIRD_FATAL)]
+        hosts.run(SYSTEM)
+        for prompts in itertools.combinations_with_replacement(
+            [*fatal, sound], at_once
+        ):
+            sent = [prompt for prompt in prompts if not hosts.refusing(*prompt)]
+            if any(prompt in fatal for prompt in sent):
+                hosts.crash_endpoint(*sent)
+            assert hosts.refusing(*sound) == []
+
 
 class TestSoundPartBesideAFatalOne:
     """Guards against refusing requests that only ran at endpoints that crashed."""
