Tests: fatal parts with slow series, a single engine, and a relaying host

Cause: a stand-in engine counts as ended when its end begins, and its next start came 0.3 s later, also if the connections of the old one were not closed by then. An answer that ends with its connection passed for whole, since the port answered, and cleared the part. No process that ends does that. Change: the next start waits until the connections are closed, and fleets have reserved ports.

--- a/tests/fakes/fatal_parts.py
+++ b/tests/fakes/fatal_parts.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from tests.fakes.endpoint_links import EndpointLinks
 from tests.fakes.fleet import Fleet
 from tests.fakes.platform_system import (
     ENGINE,
@@ -127,20 +128,39 @@
             time.sleep(0.1)
         return sent
 
+    def kill_engines(self, count: int, pause_seconds: float) -> None:
+        """Kill engines from outside, one after the other."""
+        for _ in range(count):
+            running = [item for item in self.engines.starts if not item.closed.is_set()]
+            if running:
+                running[0].kill()
+            time.sleep(pause_seconds)
+
 
 @contextmanager
 def fatal_system(
-    folder: Path, events: int | None = None, is_unframed: bool = False
+    folder: Path,
+    events: int | None = None,
+    is_unframed: bool = False,
+    engines_count: int = ENGINES,
+    relaying_entry: int | None = None,
 ) -> Iterator[FatalSystem]:
-    """Run the system; its engines send so many events before they crash."""
+    """Run the system; its engines send so many events before they crash.
+
+    The relaying entry host has no links to engines, so it sends through the others.
+    """
     shape = {"kind": "stream", "timeoutMs": 4000, "sloMs": 900, "gapSloMs": 300}
     routes = [route("stream", "/stream/", "model", **shape, maxAttempts=1)]
-    with PlatformSystem(folder, controls=3, entries=ENTRIES) as system:
+    system = PlatformSystem(folder, controls=3, entries=ENTRIES)
+    links = None
+    if relaying_entry is not None:
+        links = EndpointLinks(system.entries[relaying_entry], folder)
+    with system:
         system.put_until_accepted(configuration(1, routes, [ENGINE]))
         system.wait_ready()
         with Fleet(
             system,
-            ENGINES,
+            engines_count,
             "model",
             down_seconds=DOWN_SECONDS,
             stage="decode",
@@ -150,9 +170,20 @@
         ) as engines:
             reader = system.add(PlatformWorker("reader", "model", "prefill"))
             fatal = FatalSystem(system, engines, reader, Clients(system))
+            if links is not None:
+                cut_off(links, [reader, *engines.starts])
             for entry in range(ENTRIES):
                 wait_until(
                     lambda entry=entry: fatal.is_served([SYSTEM_PART], entry),  # type: ignore[misc]
                     "sound requests are served",
                 )
             yield fatal
+    if links is not None:
+        links.close()
+
+
+def cut_off(links: EndpointLinks, workers: list[PlatformWorker]) -> None:
+    """Let a host's connections to these workers be refused, also to later starts."""
+    for worker in workers:
+        links.add(worker.address)
+    links.cut("reset")
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -9,6 +9,7 @@
 
 from tests.fakes.platform_system import PlatformSystem
 from tests.fakes.platform_worker import PlatformWorker
+from tests.fakes.processes import free_address
 
 POLL_SECONDS = 0.02
 
@@ -34,7 +35,9 @@
         self._stopped = threading.Event()
         self._threads = [
             threading.Thread(
-                target=self._restart_when_closed, args=(self._add(),), daemon=True
+                target=self._restart_when_killed,
+                args=(self._add(listens_at=free_address()),),
+                daemon=True,
             )
             for _ in range(size)
         ]
@@ -64,10 +67,10 @@
         self.starts.append(self._system.add(worker))
         return worker
 
-    def _restart_when_closed(self, worker: PlatformWorker) -> None:
-        """Restart the worker whenever it has ended."""
+    def _restart_when_killed(self, worker: PlatformWorker) -> None:
+        """Restart the worker whenever it has ended and its connections are closed."""
         while not self._stopped.wait(POLL_SECONDS):
-            if not worker.closed.is_set():
+            if not worker.killed.is_set():
                 continue
             self._system.withdraw(worker)
             if self._stopped.wait(self._down_seconds):
--- a/tests/forwarding/test_sound_prompt_parts.py
+++ b/tests/forwarding/test_sound_prompt_parts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 
@@ -82,15 +81,7 @@
                 )
                 for _ in range(ENTRIES)
             ]
-            for _ in range(KILLS):
-                running = [
-                    worker
-                    for worker in fatal.engines.starts
-                    if not worker.closed.is_set()
-                ]
-                if running:
-                    running[0].kill()
-                time.sleep(KILL_PAUSE_SECONDS)
+            fatal.kill_engines(KILLS, KILL_PAUSE_SECONDS)
             sent = [item for client in clients for item in client.result()]
         assert refused(sent) == []
         wait_until(
