Tests: one harness for hosts that record crashes in virtual time

test_prompt_parts.py and test_concurrent_contents.py each had the same hosts, clocks and contexts. They are in tests/fakes/quarantine_hosts.py now; no check or bound changes.

--- a/tests/quarantine/test_concurrent_contents.py
+++ b/tests/quarantine/test_concurrent_contents.py
@@ -13,17 +13,16 @@
 
 import pytest
 
-from jujubeslip.forwarding._crash_detector import CRASH_WINDOW_SECONDS, CrashDetector
+from jujubeslip.forwarding._crash_detector import CRASH_WINDOW_SECONDS
 from jujubeslip.forwarding._models import Attempts
-from jujubeslip.forwarding._quarantine import Quarantine
-from jujubeslip.kernel import Deadline, RequestRefusedError
+from jujubeslip.kernel import Deadline
 from jujubeslip.quarantine import (
     CrashRegistry,
-    HarmlessContents,
     to_crash_record,
     usable_histories,
 )
 from tests.fakes.clock import Clock
+from tests.fakes.quarantine_hosts import Host, context_of, use_clock
 
 FATAL = "f" * 16
 STREAM, OTHER_STREAM, POLL = "0" * 16, "1" * 16, "2" * 16
@@ -32,58 +31,11 @@
 # endpoint, in seconds.
 PAUSE_SECONDS = 0.6
 ANSWERED_SECONDS = CRASH_WINDOW_SECONDS / 2
-CLOCKS = (
-    "jujubeslip.kernel._deadlines",
-    "jujubeslip.quarantine._registry",
-    "jujubeslip.quarantine._harmless_contents",
-    "jujubeslip.quarantine._records",
-    "jujubeslip.forwarding._crash_detector",
-)
 
 
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
-    clock = Clock()
-    for module in CLOCKS:
-        monkeypatch.setattr(f"{module}.steady_seconds", clock.steady_seconds)
-    return clock
-
-
-def context_of(content: str) -> Any:
-    request = SimpleNamespace(request_id=f"request-{content[0]}")
-    return SimpleNamespace(
-        fingerprint=content,
-        part_fingerprints=(),
-        service_name="model",
-        request=request,
-    )
-
-
-class EndedEndpoints:
-    """Reports each endpoint with an interrupted run as ended."""
-
-    def is_superseded(self, endpoint: object) -> bool:
-        return True
-
-
-class Host:
-    """An entry host, with its crash registry and its quarantine."""
-
-    def __init__(self) -> None:
-        endpoints: Any = EndedEndpoints()
-        self.registry = CrashRegistry()
-        self._harmless = HarmlessContents()
-        self.crashes = CrashDetector(
-            endpoints, self.registry, self._harmless, lambda: None
-        )
-        self.quarantine = Quarantine(self.registry, self._harmless)
-
-    def refuses(self, content: str) -> bool:
-        try:
-            self.quarantine.check(context_of(content))
-        except RequestRefusedError:
-            return True
-        return False
+    return use_clock(monkeypatch)
 
 
 @dataclass
--- a/tests/quarantine/test_prompt_parts.py
+++ b/tests/quarantine/test_prompt_parts.py
@@ -14,16 +14,9 @@
 
 import pytest
 
-from jujubeslip.forwarding._crash_detector import CrashDetector
 from jujubeslip.forwarding._models import Attempts
-from jujubeslip.forwarding._quarantine import Quarantine
-from jujubeslip.kernel import Deadline, RequestRefusedError
-from jujubeslip.quarantine import (
-    CrashRegistry,
-    HarmlessContents,
-    to_crash_record,
-    usable_histories,
-)
+from jujubeslip.kernel import Deadline
+from jujubeslip.quarantine import CrashRegistry, to_crash_record, usable_histories
 from jujubeslip.quarantine._models import (
     CERTAIN_CRASHES,
     QUARANTINE_CRASHES,
@@ -32,66 +25,26 @@
 from jujubeslip.quarantine._registry import MAXIMUM_CONTENTS
 from tests.fakes.broken_fields import received
 from tests.fakes.clock import Clock
+from tests.fakes.quarantine_hosts import Host, context_of, use_clock
 
 SYSTEM, TENANT, OTHER = "5" * 16, "7" * 16, "0" * 16
 FATAL, SECOND_FATAL, THIRD_FATAL = "f1" * 8, "f2" * 8, "f3" * 8
 ENTRIES = 3
 RUN_SECONDS = 0.1
 PAUSE_SECONDS = 0.6
-CLOCKS = (
-    "jujubeslip.kernel._deadlines",
-    "jujubeslip.quarantine._registry",
-    "jujubeslip.quarantine._harmless_contents",
-    "jujubeslip.quarantine._records",
-    "jujubeslip.forwarding._crash_detector",
-)
 
 
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
-    clock = Clock()
-    for module in CLOCKS:
-        monkeypatch.setattr(f"{module}.steady_seconds", clock.steady_seconds)
-    return clock
-
-
-class EndedEndpoints:
-    """Reports each endpoint with an interrupted run as ended."""
-
-    def is_superseded(self, endpoint: object) -> bool:
-        return True
-
-
-class Host:
-    """An entry host, with its crash registry and its quarantine."""
-
-    def __init__(self) -> None:
-        endpoints: Any = EndedEndpoints()
-        self.registry = CrashRegistry()
-        harmless = HarmlessContents()
-        self.quarantine = Quarantine(self.registry, harmless)
-        self.crashes = CrashDetector(endpoints, self.registry, harmless, lambda: None)
-
-    def refuses(self, *parts: str) -> bool:
-        try:
-            self.quarantine.check(context_of(parts))
-        except RequestRefusedError:
-            return True
-        return False
+    return use_clock(monkeypatch)
 
 
 _contents = itertools.count(1)
 
 
-def context_of(parts: Sequence[str], content: str = "") -> Any:
-    """Return the context of a request that is equal to no other one."""
-    request = SimpleNamespace(request_id="request", prompt=SimpleNamespace())
-    return SimpleNamespace(
-        fingerprint=content or f"{next(_contents):016x}",
-        part_fingerprints=tuple(parts),
-        service_name="model",
-        request=request,
-    )
+def unlike_content() -> str:
+    """Return the fingerprint of a request that is equal to no other one."""
+    return f"{next(_contents):016x}"
 
 
 @dataclass
@@ -121,7 +74,13 @@
             attempts = Attempts()
             if parts in answered:
                 attempts.answer_started = Deadline.after(0)
-            runs.append((self.next_host(), context_of(parts, content), attempts))
+            runs.append(
+                (
+                    self.next_host(),
+                    context_of(content or unlike_content(), parts),
+                    attempts,
+                )
+            )
         self.clock.now += RUN_SECONDS
         for host, context, attempts in runs:
             host.crashes.record_cut_off(context, attempts, endpoint)
@@ -131,7 +90,7 @@
 
     def run(self, *parts: str) -> None:
         """Let the next host get a complete answer to an unlike request."""
-        self.next_host().quarantine.note_answered(context_of(parts))
+        self.next_host().quarantine.note_answered(context_of(unlike_content(), parts))
         self.clock.now += RUN_SECONDS
         self.report_all()
 
@@ -142,7 +101,11 @@
             report(self.control, host.registry, only_suspects=True)
 
     def refusing(self, *parts: str) -> list[int]:
-        return [n for n, host in enumerate(self.all) if host.refuses(*parts)]
+        return [
+            n
+            for n, host in enumerate(self.all)
+            if host.refuses(unlike_content(), parts)
+        ]
 
 
 def report(sender: CrashRegistry, receiver: CrashRegistry, only_suspects: bool) -> None:
@@ -221,7 +184,9 @@
         hosts.run(SYSTEM)
         for _ in range(QUARANTINE_CRASHES):
             hosts.crash_endpoint([SYSTEM, FATAL])
-            hosts.next_host().quarantine.note_harmless(context_of([SYSTEM, FATAL]))
+            hosts.next_host().quarantine.note_harmless(
+                context_of(unlike_content(), [SYSTEM, FATAL])
+            )
             hosts.run(SYSTEM)
         assert hosts.refusing(SYSTEM, FATAL) == EVERYWHERE
 
@@ -360,7 +325,7 @@
 
     def test_concurrent_crashes_count_once(self, hosts: Hosts) -> None:
         for number in range(8):
-            context = context_of([SYSTEM])
+            context = context_of(unlike_content(), [SYSTEM])
             attempts = Attempts()
             endpoint: Any = SimpleNamespace(start_id=f"start-{number}", address="")
             hosts.clock.now += RUN_SECONDS / 100
