Quarantine: compare a suspected part only with those that crashed last with it

What was seen: in a profile of the registry with 480 stored parts that recur in any mix of sixteen, each further crash took 2.8 s, all of it in the comparison of each suspect with each recurring part, with the registry locked, so requests would have waited. Parts are the clients' to name.

Change: recurring parts are found by the start that crashed last with them, which is one of the wider part's, and their crashes are collected once. Same decisions.

--- a/src/jujubeslip/quarantine/_attribution.py
+++ b/src/jujubeslip/quarantine/_attribution.py
@@ -46,6 +46,34 @@
         )
 
 
+@dataclass(frozen=True)
+class _RecurringPart:
+    """The stored crashes of a part, to be compared with those of others."""
+
+    crashed_at_by_start: dict[str, float]
+    complete_since: float
+    """The time since which all crashes are stored."""
+
+    @classmethod
+    def of(cls, history: CrashHistory) -> _RecurringPart:
+        crashed_at = {crash.start_id: crash.crashed_at for crash in history.crashes}
+        return cls(crashed_at, history.complete_since)
+
+    def is_narrower_than(self, other: _RecurringPart) -> bool:
+        """Return whether this crashed only with the other one, but not always.
+
+        Crashes that one of them no longer stores are left out.
+        """
+        return not self._has_crash_without(other) and other._has_crash_without(self)
+
+    def _has_crash_without(self, other: _RecurringPart) -> bool:
+        missing = self.crashed_at_by_start.keys() - other.crashed_at_by_start.keys()
+        return any(
+            self.crashed_at_by_start[start_id] > other.complete_since
+            for start_id in missing
+        )
+
+
 def attributed(histories: Iterable[CrashHistory]) -> list[CrashHistory]:
     """Return the histories with the crashes that are attributed to others excused."""
     found = _with_excused_answers(list(histories))
@@ -133,29 +161,37 @@
     return suspects
 
 
-def _recurring_parts(histories: list[CrashHistory]) -> list[CrashHistory]:
-    """Return the parts that may be the cause of several crashes."""
-    return [
-        history
-        for history in histories
-        if history.is_part
-        and not history.ran_recently
-        and len(history.crashes) >= SUSPECT_CRASHES
-    ]
+def _recurring_parts(
+    histories: list[CrashHistory],
+) -> dict[str, list[_RecurringPart]]:
+    """Return the parts that may cause several crashes, by the start that crashed last.
+
+    The registry is locked meanwhile, so that a suspect must not be compared with all of
+    them: a narrower part crashed last together with it.
+    """
+    parts_by_latest_start: dict[str, list[_RecurringPart]] = defaultdict(list)
+    for history in histories:
+        is_recurring = len(history.crashes) >= SUSPECT_CRASHES
+        if history.is_part and is_recurring and not history.ran_recently:
+            latest = history.crashes[-1].start_id
+            parts_by_latest_start[latest].append(_RecurringPart.of(history))
+    return parts_by_latest_start
 
 
 def _shared_with_narrower(
-    suspect: _Suspect, recurring: list[CrashHistory]
+    suspect: _Suspect, parts_by_latest_start: dict[str, list[_RecurringPart]]
 ) -> frozenset[str]:
     """Return the starts that crashed with parts which only some of its requests have.
 
     Several such parts may be the cause, while requests that have none of them are
     harmless.
     """
+    wider = _RecurringPart.of(suspect.members[0])
     shared: set[str] = set()
-    for part in recurring:
-        if part.is_narrower_than(suspect.members[0]):
-            shared |= {crash.start_id for crash in part.crashes}
+    for start_id in wider.crashed_at_by_start:
+        for part in parts_by_latest_start.get(start_id, ()):
+            if part.is_narrower_than(wider):
+                shared |= part.crashed_at_by_start.keys()
     return suspect.start_ids & shared
 
 
--- a/src/jujubeslip/quarantine/_models.py
+++ b/src/jujubeslip/quarantine/_models.py
@@ -138,24 +138,8 @@
         others = {(crash.start_id, crash.answered) for crash in other.crashes}
         return own == others and self.count == other.count
 
-    def is_narrower_than(self, other: CrashHistory) -> bool:
-        """Return whether this crashed only with the other one, but not always.
-
-        Crashes that one of them no longer stores are left out.
-        """
-        return not self._crashes_without(other) and bool(other._crashes_without(self))
-
-    def _crashes_without(self, other: CrashHistory) -> list[Crash]:
-        start_ids = {crash.start_id for crash in other.crashes}
-        return [
-            crash
-            for crash in self.crashes
-            if crash.start_id not in start_ids
-            and crash.crashed_at > other._complete_since
-        ]
-
     @property
-    def _complete_since(self) -> float:
+    def complete_since(self) -> float:
         """Return the time since which all crashes are stored."""
         if len(self.crashes) < MAXIMUM_CRASHES:
             return self.cleared_at
