--- a/src/jujubeslip/quarantine/_attribution.py
+++ b/src/jujubeslip/quarantine/_attribution.py
@@ -47,7 +47,7 @@
 
 
 @dataclass(frozen=True)
-class _RecurringPart:
+class _PartCrashes:
     """The stored crashes of a part, to be compared with those of others."""
 
     crashed_at_by_start: dict[str, float]
@@ -55,18 +55,18 @@
     """The time since which all crashes are stored."""
 
     @classmethod
-    def of(cls, history: CrashHistory) -> _RecurringPart:
+    def of(cls, history: CrashHistory) -> _PartCrashes:
         crashed_at = {crash.start_id: crash.crashed_at for crash in history.crashes}
         return cls(crashed_at, history.complete_since)
 
-    def is_narrower_than(self, other: _RecurringPart) -> bool:
+    def is_narrower_than(self, other: _PartCrashes) -> bool:
         """Return whether this crashed only with the other one, but not always.
 
         Crashes that one of them no longer stores are left out.
         """
         return not self._has_crash_without(other) and other._has_crash_without(self)
 
-    def _has_crash_without(self, other: _RecurringPart) -> bool:
+    def _has_crash_without(self, other: _PartCrashes) -> bool:
         missing = self.crashed_at_by_start.keys() - other.crashed_at_by_start.keys()
         return any(
             self.crashed_at_by_start[start_id] > other.complete_since
@@ -80,12 +80,12 @@
     excused_by_part: dict[str, frozenset[str]] = {}
     companions_by_part: dict[str, frozenset[str]] = {}
     explained: set[str] = set()
-    recurring = _recurring_parts(found)
+    parts_by_latest_start = _recurring_parts(found)
     for suspect in sorted(_suspects(found), key=lambda item: item.rank):
         if suspect.members[0].is_part:
             excused = suspect.start_ids & explained
             if not suspect.is_certain:
-                excused |= _shared_with_narrower(suspect, recurring)
+                excused |= _shared_with_narrower(suspect, parts_by_latest_start)
             for member in suspect.members:
                 excused_by_part[member.fingerprint] = excused
                 companions_by_part[member.fingerprint] = _others(suspect, member)
@@ -163,30 +163,30 @@
 
 def _recurring_parts(
     histories: list[CrashHistory],
-) -> dict[str, list[_RecurringPart]]:
+) -> dict[str, list[_PartCrashes]]:
     """Return the parts that may cause several crashes, by the start that crashed last.
 
     The registry is locked meanwhile, so that a suspect must not be compared with all of
     them: a narrower part crashed last together with it.
     """
-    parts_by_latest_start: dict[str, list[_RecurringPart]] = defaultdict(list)
+    parts_by_latest_start: dict[str, list[_PartCrashes]] = defaultdict(list)
     for history in histories:
         is_recurring = len(history.crashes) >= SUSPECT_CRASHES
         if history.is_part and is_recurring and not history.ran_recently:
             latest = history.crashes[-1].start_id
-            parts_by_latest_start[latest].append(_RecurringPart.of(history))
+            parts_by_latest_start[latest].append(_PartCrashes.of(history))
     return parts_by_latest_start
 
 
 def _shared_with_narrower(
-    suspect: _Suspect, parts_by_latest_start: dict[str, list[_RecurringPart]]
+    suspect: _Suspect, parts_by_latest_start: dict[str, list[_PartCrashes]]
 ) -> frozenset[str]:
     """Return the starts that crashed with parts which only some of its requests have.
 
     Several such parts may be the cause, while requests that have none of them are
     harmless.
     """
-    wider = _RecurringPart.of(suspect.members[0])
+    wider = _PartCrashes.of(suspect.members[0])
     shared: set[str] = set()
     for start_id in wider.crashed_at_by_start:
         for part in parts_by_latest_start.get(start_id, ()):
