Admission: measure the speed of each start of an engine at the leader

Cause: engines of one service differ in speed by up to two and a half times and turn slow for seconds; nothing measured it but the forecast of memory. The demand for prefill engines took the speed of whichever engine reported last, and a prefill engine whose prompt was overdue looked idle, so that it got the next one. Evidence (the classes of, called directly): a prompt overdue by 0.25 s left 0.0 s and accepted more; twenty notes after 1 ms gave 75,000 tokens a second and more. Change: decode speed from the events in reports against the time of an event with as many answers, prefill speed robust against single notes, mean over engines by their work for the demand, gauges and fields of the grant's line. Placement is unchanged. Tests: new; those of an overdue prompt and of early notes fail on the code before.

--- a/src/jujubeslip/admission/_engine_pool.py
+++ b/src/jujubeslip/admission/_engine_pool.py
@@ -15,6 +15,7 @@
     EngineUse,
     Grant,
     GrantRequest,
+    MeasuredEngine,
     MissingResource,
     WaitingOptions,
 )
@@ -163,6 +164,12 @@
         with self._lock:
             return self._engines.answer_count(start_id)
 
+    @property
+    def speeds(self) -> tuple[MeasuredEngine, ...]:
+        """Return the measured speed of each engine."""
+        with self._lock:
+            return self._engines.speeds
+
     @property
     def busy_prefill_engines(self) -> float:
         """Return how many prefill engines the recently requested prompts keep busy."""
--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -11,10 +11,11 @@
 from jujubeslip.admission._engine_pool import Decision, EnginePool
 from jujubeslip.admission._engine_report_poller import EngineReportPoller
 from jujubeslip.admission._memory_forecast import MemoryOptions
-from jujubeslip.admission._meters import AdmissionMeters
+from jujubeslip.admission._meters import AdmissionMeters, observe_speeds
 from jujubeslip.admission._models import (
     DEFAULT_WAITING,
     EngineUse,
+    MeasuredEngine,
     WaitingOptions,
     grant_request_of,
 )
@@ -99,6 +100,7 @@
 
     def start(self) -> None:
         """Poll the engines until the process stops."""
+        observe_speeds(self._measured_engines)
         self._process.repeat(SCAN_SECONDS, self.run_once)
         self._process.repeat(RETRY_SECONDS, self._retry_waiting)
 
@@ -185,6 +187,9 @@
         for pool in self._pools():
             pool.look_again()
 
+    def _measured_engines(self) -> list[MeasuredEngine]:
+        return [engine for pool in self._pools() for engine in pool.speeds]
+
     def _pools(self) -> list[EnginePool]:
         with self._lock:
             return list(self._pool_by_service.values())
@@ -269,12 +274,19 @@
             extra["lacked"] = decision.missing_resource
             logger.info("no grant at an engine", extra=extra)
             return
-        prefill_engine = decision.grant.prefill_engine
-        extra["endpoint_id"] = decision.grant.endpoint.endpoint_id
-        extra["started_at_ms"] = decision.grant.endpoint.started_at_ms
-        extra["reader_id"] = prefill_engine.endpoint_id if prefill_engine else ""
-        extra["fill"] = round(decision.grant.fill, 3)
-        extra["report_age_ms"] = decision.grant.report_age_ms
+        grant = decision.grant
+        extra["endpoint_id"] = grant.endpoint.endpoint_id
+        extra["started_at_ms"] = grant.endpoint.started_at_ms
+        extra["reader_id"] = (
+            grant.prefill_engine.endpoint_id if grant.prefill_engine else ""
+        )
+        extra["fill"] = round(grant.fill, 3)
+        extra["report_age_ms"] = grant.report_age_ms
+        if grant.speed.measured_at is not None:
+            extra["speed"] = round(grant.speed.factor, 2)
+            extra["speed_age_ms"] = int(grant.speed.age(steady_seconds()) * 1000)
+        if grant.prefill_speed.measured_at is not None:
+            extra["reader_speed"] = round(grant.prefill_speed.factor, 2)
         logger.info("grant at an engine", extra=extra)
 
 
--- a/src/jujubeslip/admission/_meters.py
+++ b/src/jujubeslip/admission/_meters.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterable, Iterator
+
 from opentelemetry import metrics
+from opentelemetry.metrics import CallbackOptions, Observation
 
 from jujubeslip.admission._engine_pool import Decision
+from jujubeslip.admission._models import MeasuredEngine
+from jujubeslip.kernel import steady_seconds
 
 # Histogram bucket boundaries for shares of an engine's memory.
 SHARE_BUCKETS = (0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.85, 0.9, 0.95)
@@ -32,3 +37,42 @@
             self._fill.record(decision.grant.fill, {"service": service_name})
         elif decision.refused:
             self._decisions.add(1, {"service": service_name, "outcome": "refused"})
+
+
+def observe_speeds(
+    measured_engines: Callable[[], Iterable[MeasuredEngine]],
+    provider: metrics.MeterProvider | None = None,
+) -> None:
+    """Register gauges of the known engines' speeds, which are read with the metrics."""
+    meter = metrics.get_meter("jujubeslip.admission", meter_provider=provider)
+
+    def speeds(_: CallbackOptions) -> Iterator[Observation]:
+        for engine in measured_engines():
+            yield Observation(engine.speed.factor, _labels(engine))
+
+    def ages(_: CallbackOptions) -> Iterator[Observation]:
+        now = steady_seconds()
+        for engine in measured_engines():
+            if engine.speed.measured_at is not None:
+                yield Observation(engine.speed.age(now), _labels(engine))
+
+    meter.create_observable_gauge(
+        "jujubeslip.admission.engine_speed",
+        [speeds],
+        description="Measured speed of each engine, 1 for the median of its role.",
+    )
+    meter.create_observable_gauge(
+        "jujubeslip.admission.engine_speed_age",
+        [ages],
+        unit="s",
+        description="Time since the speed was measured, by engine; none if unknown.",
+    )
+
+
+def _labels(engine: MeasuredEngine) -> dict[str, str]:
+    endpoint = engine.endpoint
+    return {
+        "service": endpoint.service_name,
+        "endpoint": endpoint.endpoint_id,
+        "role": endpoint.role.name.lower(),
+    }
--- a/src/jujubeslip/admission/_models.py
+++ b/src/jujubeslip/admission/_models.py
@@ -7,6 +7,7 @@
 from enum import StrEnum
 
 from jujubeslip.admission._answer_lengths import AnswerLengths, lengths_of
+from jujubeslip.admission._speed_measure import UNKNOWN_SPEED, EngineSpeed
 from jujubeslip.discovery import Endpoint
 from jujubeslip.kernel import Deadline
 from jujubeslip.peers import AdmissionRequest
@@ -102,6 +103,18 @@
     """The engine that prefills the prompt, None if the decode engine does."""
     prefill_seconds: float = 0.0
     """Expected time until the prompt is prefilled."""
+    speed: EngineSpeed = UNKNOWN_SPEED
+    """Measured speed of the decode engine at the time of the decision."""
+    prefill_speed: EngineSpeed = UNKNOWN_SPEED
+    """The same of the engine that prefills the prompt."""
+
+
+@dataclass(frozen=True)
+class MeasuredEngine:
+    """An engine with its measured speed, in its role."""
+
+    endpoint: Endpoint
+    speed: EngineSpeed
 
 
 @dataclass(frozen=True)
--- a/src/jujubeslip/admission/_prefill_queue.py
+++ b/src/jujubeslip/admission/_prefill_queue.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from jujubeslip.admission._engine_reachability import EngineReachability
 from jujubeslip.admission._models import USABLE_SECONDS, GrantRequest
@@ -23,6 +25,28 @@
 # this, in seconds. It covers the network delay to the next prompt's host and adds
 # little waiting time.
 PREFILL_AHEAD_SECONDS = 0.1
+# A prompt that is clearly overdue is expected to need as much time again, until it is
+# overdue by this much, in seconds. Then its note is assumed to be lost.
+MAXIMUM_OVERDUE_SECONDS = 0.5
+# A note counts for at most this many times the expected time: one slow prompt, or one
+# host that reports late, does not decide the speed.
+MAXIMUM_TIME_FACTOR = 4.0
+# A prompt that had the engine to itself and is reported to have taken less than this
+# share of the expected time was not prefilled.
+MINIMUM_TIME_FACTOR = 0.1
+
+
+# Time constant of the weight of an engine's work among that of others, in seconds.
+# The weight does not fall below its minimum: old measurements count where there are no
+# newer ones.
+WORK_SECONDS, MINIMUM_WORK_WEIGHT = 5.0, 0.001
+
+
+class PrefillWork(NamedTuple):
+    """The tokens that an engine has prefilled, and the seconds that this took."""
+
+    tokens: float
+    seconds: float
 
 
 @dataclass(frozen=True)
@@ -48,6 +72,7 @@
         self._prefill_seconds = SPEED_SECONDS
         self._prefilled_tokens = INITIAL_TOKENS_PER_SECOND * SPEED_SECONDS
         self._prefilling_since = steady_seconds()
+        self._measured_at: float | None = None
         self._last_contact_at = steady_seconds()
         self._has_reported = False
         self._accepts_prompts = True
@@ -77,13 +102,33 @@
         """Return how many tokens the engine prefills in a second."""
         return self._prefilled_tokens / self._prefill_seconds
 
+    @property
+    def measured_at(self) -> float | None:
+        """Return when the speed was last measured; None if it is the initial one."""
+        return self._measured_at
+
+    @property
+    def work(self) -> PrefillWork:
+        """Return what the engine has prefilled recently, none if that is long ago."""
+        if self._measured_at is None:
+            return PrefillWork(0.0, 0.0)
+        age = steady_seconds() - self._measured_at
+        kept = max(MINIMUM_WORK_WEIGHT, math.exp(-age / WORK_SECONDS))
+        return PrefillWork(kept * self._prefilled_tokens, kept * self._prefill_seconds)
+
     @property
     def seconds_left(self) -> float:
-        """Return how long the engine still needs for its assigned prompts."""
+        """Return how long the engine still needs for its assigned prompts.
+
+        An engine whose prompts are overdue has turned slow rather than idle.
+        """
         if not self._assigned_by_request:
             return 0.0
         total = self._assigned_tokens / self.speed
-        return max(0.0, total - (steady_seconds() - self._prefilling_since))
+        left = total - (steady_seconds() - self._prefilling_since)
+        if left < -PREFILL_AHEAD_SECONDS and left >= -MAXIMUM_OVERDUE_SECONDS:
+            return -left
+        return max(0.0, left)
 
     def seconds_for(self, prompt_tokens: int) -> float:
         """Return how long it would take until one more prompt is prefilled."""
@@ -128,7 +173,8 @@
         now = steady_seconds()
         seconds = now - max(assigned.assigned_at, self._prefilling_since)
         if updates_speed:
-            self._update_speed(assigned.tokens, seconds)
+            had_engine_alone = assigned.assigned_at >= self._prefilling_since
+            self._update_speed(assigned.tokens, seconds, had_engine_alone)
         self._prefilling_since = now
 
     def _remove(self, request_id: str) -> None:
@@ -136,7 +182,14 @@
         if assigned is not None:
             self._assigned_tokens -= assigned.tokens
 
-    def _update_speed(self, tokens: int, seconds: float) -> None:
+    def _update_speed(
+        self, tokens: int, seconds: float, had_engine_alone: bool
+    ) -> None:
+        expected = tokens / self.speed
+        if had_engine_alone and seconds < MINIMUM_TIME_FACTOR * expected:
+            return
+        seconds = min(seconds, MAXIMUM_TIME_FACTOR * expected)
+        self._measured_at = steady_seconds()
         decay = SPEED_SECONDS / (SPEED_SECONDS + seconds)
         self._prefill_seconds = decay * (self._prefill_seconds + seconds)
         self._prefilled_tokens = decay * (self._prefilled_tokens + tokens)
--- a/src/jujubeslip/admission/_service_engines.py
+++ b/src/jujubeslip/admission/_service_engines.py
@@ -12,15 +12,17 @@
 from jujubeslip.admission._capacity_search import CapacitySearch
 from jujubeslip.admission._engine_demand import EngineDemand
 from jujubeslip.admission._engine_memory import EngineMemory
+from jujubeslip.admission._engine_speed import DecodeSpeeds
 from jujubeslip.admission._memory_forecast import MemoryOptions, MemoryProfile
 from jujubeslip.admission._models import (
     EngineUse,
     Grant,
     GrantedRequest,
     GrantRequest,
+    MeasuredEngine,
     MissingResource,
 )
-from jujubeslip.admission._prefill_candidates import PrefillCandidates
+from jujubeslip.admission._prefill_candidates import PrefillCandidates, mean_speed
 from jujubeslip.admission._prefill_queue import PrefillQueue
 from jujubeslip.discovery import Endpoint
 from jujubeslip.kernel import steady_seconds
@@ -63,6 +65,7 @@
         self._capacity_changes = CapacityChanges()
         self._grant_by_key: dict[_GrantKey, Grant] = {}
         self._demand = EngineDemand(options)
+        self._decode_speeds = DecodeSpeeds()
 
     def retain_only(
         self,
@@ -76,6 +79,7 @@
         _retain_only(self._engine_by_start, decode_engines, EngineMemory)
         _retain_only(self._prefill_queue_by_start, prefill_engines, PrefillQueue)
         self._capacity_changes.retain_only(self._engine_by_start)
+        self._decode_speeds.retain_only(self._engine_by_start)
         self._remove_stale_grants()
 
     def _remove_stale_grants(self) -> None:
@@ -92,10 +96,27 @@
             engine.take_report(report)
             self._demand.note_report(engine)
             self._capacity_changes.note(start_id)
+            self._decode_speeds.note_report(start_id, report, steady_seconds())
         prefill_queue = self._prefill_queue_by_start.get(start_id)
         if prefill_queue is not None:
             prefill_queue.take_report(report)
-            self._demand.prefill_speed = prefill_queue.speed
+            self._demand.prefill_speed = mean_speed(
+                self._prefill_queue_by_start.values(), self._demand.prefill_speed
+            )
+
+    @property
+    def speeds(self) -> tuple[MeasuredEngine, ...]:
+        """Return the measured speed of each engine."""
+        candidates = self.prefill_candidates()
+        decode_engines = (
+            MeasuredEngine(engine.endpoint, self._decode_speeds.speed_of(start_id))
+            for start_id, engine in self._engine_by_start.items()
+        )
+        prefill_engines = (
+            MeasuredEngine(queue.endpoint, candidates.relative_speed(queue))
+            for queue in candidates.queues
+        )
+        return (*decode_engines, *prefill_engines)
 
     def reported_within(self, start_id: str, seconds: float) -> bool:
         """Return whether a start has reported within this time and is reachable."""
@@ -231,6 +252,7 @@
             found,
             prefill_engine=prefill_queue.endpoint,
             prefill_seconds=prefill_queue.seconds_for(grant_request.prompt_tokens),
+            prefill_speed=prefill_candidates.relative_speed(prefill_queue),
         )
 
     def _cheapest_grant(
@@ -336,7 +358,12 @@
         peak = profile.peak_with(own_profile, self._options.safety_deviations, limit)
         if peak is None:
             return None
-        return Grant(engine.endpoint, peak / capacity, int(engine.report_age * 1000))
+        return Grant(
+            engine.endpoint,
+            peak / capacity,
+            int(engine.report_age * 1000),
+            speed=self._decode_speeds.speed_of(engine.endpoint.start_id),
+        )
 
 
 class _Candidate(NamedTuple):
--- a/tests/admission/test_prefill_queue.py
+++ b/tests/admission/test_prefill_queue.py
@@ -7,8 +7,10 @@
 from jujubeslip.admission import _prefill_queue
 from jujubeslip.admission._answer_lengths import lengths_of
 from jujubeslip.admission._models import USABLE_SECONDS, GrantRequest
-from jujubeslip.admission._prefill_queue import PrefillQueue
+from jujubeslip.admission._prefill_candidates import mean_speed
+from jujubeslip.admission._prefill_queue import INITIAL_TOKENS_PER_SECOND, PrefillQueue
 from jujubeslip.kernel import Deadline
+from jujubeslip.routes import EngineReport
 from tests.fakes.clock import Clock
 from tests.fakes.engines import engine
 
@@ -88,3 +90,80 @@
 
 def _report() -> _prefill_queue.EngineReport:
     return _prefill_queue.EngineReport(100_000, 0, 0, (), is_prefill_engine=True)
+
+    def test_of_an_engine_that_turned_slow_is_not_zero(self, clock: Clock) -> None:
+        """Guards against giving each next prompt to the engine that takes longest."""
+        queue = reporting_queue(clock)
+        queue.add(prompt("slow", 4000))
+        clock.now += 0.35
+        assert queue.seconds_left > 0.2
+        assert not queue.accepts_more
+
+    def test_of_a_prompt_whose_note_is_lost_is_zero(self, clock: Clock) -> None:
+        queue = reporting_queue(clock)
+        queue.add(prompt("lost", 4000))
+        clock.now += 0.8
+        assert queue.accepts_more
+
+
+class TestSpeed:
+    def test_ignores_a_note_of_a_prompt_that_was_not_prefilled(
+        self, clock: Clock
+    ) -> None:
+        """Guards against one host whose notes come too early."""
+        queue = PrefillQueue(engine("reader"))
+        for number in range(20):
+            queue.add(prompt(str(number), 4000))
+            clock.now += 0.001
+            queue.note_prefilled(str(number), 1)
+        assert queue.speed == INITIAL_TOKENS_PER_SECOND
+        assert queue.measured_at is None
+
+    def test_one_late_note_changes_it_little(self, clock: Clock) -> None:
+        queue = reporting_queue(clock)
+        queue.add(prompt("late", 4000))
+        clock.now += 2.5
+        queue.note_prefilled("late", 1)
+        assert queue.speed > 0.8 * INITIAL_TOKENS_PER_SECOND
+
+    def test_of_a_slow_engine_is_seen_within_two_seconds(self, clock: Clock) -> None:
+        queue = reporting_queue(clock)
+        for number in range(4):
+            queue.add(prompt(str(number), 4000))
+            clock.now += 0.5
+            queue.note_prefilled(str(number), 1)
+        assert queue.speed < 0.6 * INITIAL_TOKENS_PER_SECOND
+
+
+class TestMeanSpeed:
+    def test_does_not_depend_on_which_engine_reported_last(self, clock: Clock) -> None:
+        """Guards against demand that jumps with each report of uneven engines."""
+        queues = [queue_with_speed(clock, speed) for speed in (30_000, 30_000, 70_000)]
+        assert 30_000 < mean_speed(queues, 1.0) < 70_000
+        assert mean_speed(queues, 1.0) == pytest.approx(mean_speed(queues[::-1], 1.0))
+
+    def test_counts_engines_by_their_work(self, clock: Clock) -> None:
+        idle = queue_with_speed(clock, 30_000)
+        clock.now += 60
+        busy = queue_with_speed(clock, 70_000)
+        assert mean_speed([idle, busy], 1.0) == pytest.approx(busy.speed, rel=0.01)
+
+    def test_is_unknown_without_a_measurement(self, clock: Clock) -> None:
+        assert mean_speed([], 41_000.0) == 41_000.0
+        assert mean_speed([PrefillQueue(engine("reader"))], 41_000.0) == 41_000.0
+
+
+def reporting_queue(clock: Clock) -> PrefillQueue:
+    queue = PrefillQueue(engine("reader"))
+    queue.take_report(EngineReport(1, 0, 0, (), is_prefill_engine=True))
+    return queue
+
+
+def queue_with_speed(clock: Clock, tokens_per_second: float) -> PrefillQueue:
+    """Return a queue after ten seconds of prompts at this speed."""
+    queue = PrefillQueue(engine("reader"))
+    for number in range(100):
+        queue.add(prompt(str(number), int(tokens_per_second / 10)))
+        clock.now += 0.1
+        queue.note_prefilled(str(number), 1)
+    return queue
