Admission: order between the priorities of routes and accounts

Cause: priorities were decoded and decided nothing. The queue of a service ordered by target alone and put all late requests last, whatever their priority; refused callers of all priorities drew from one range; engines were told no priority.

Change: routes and accounts have a rank (`routes.rank_of`), which entry hosts send with their admission call (thrift fields 18 and 19, optional). `admission/_priority_order.py` puts the higher priority first, keeps a share of the granted tokens for lower ones with a credit (setting `lower_priority_share`), and lets a late request go before lower priorities that can wait for it. Refusal on arrival uses the place in this order. `Request-Priority` goes to engines where requests of the service differ, Retry-After has a part of the range for each priority. New line and metric say behind whom a request waited. A priority below 0 is refused in configurations.

Stand-ins of contexts in three test modules got the new attributes.

--- a/src/jujubeslip/accounts/_checks.py
+++ b/src/jujubeslip/accounts/_checks.py
@@ -49,6 +49,11 @@
             f"The limit of account {account.name!r} is below 0 or not finite; give "
             "numbers of 0 or more."
         )
+    if account.priority is not None and account.priority < 0:
+        yield (
+            f"The priority of account {account.name!r} is {account.priority}; give 0, "
+            "the highest, or more."
+        )
     if account.plain_tokens < 0:
         yield (
             f"A request of account {account.name!r} would count fewer than 0 tokens; "
--- a/src/jujubeslip/admission/_engine_pool.py
+++ b/src/jujubeslip/admission/_engine_pool.py
@@ -6,21 +6,22 @@
 import math
 import threading
 from collections.abc import Collection
-from dataclasses import dataclass, field
+from dataclasses import replace
 
 from jujubeslip.admission._capacity_search import CapacitySearch
+from jujubeslip.admission._grant_counts import GrantCounts
 from jujubeslip.admission._memory_forecast import MemoryOptions
 from jujubeslip.admission._models import (
     DEFAULT_WAITING,
     EngineUse,
     Grant,
     GrantRequest,
-    MissingResource,
     WaitingOptions,
 )
+from jujubeslip.admission._priority_order import PriorityOrder
 from jujubeslip.admission._service_engines import ServiceEngines
 from jujubeslip.admission._unservable_waits import is_wait_unservable
-from jujubeslip.admission._waiting_queue import QueueEntry, WaitingQueue
+from jujubeslip.admission._waiting_request import Decision, WaitingRequest, entry_of
 from jujubeslip.discovery import Endpoint
 from jujubeslip.kernel import Deadline, steady_seconds
 from jujubeslip.routes import EngineReport
@@ -42,58 +43,8 @@
 INITIAL_INTERVAL_SECONDS = 0.1
 
 
-@dataclass(frozen=True)
-class Decision:
-    """The outcome for a request: a grant, a refusal, or neither (it asks again)."""
-
-    grant: Grant | None
-    refused: bool
-    forecast: float
-    """Expected wait at the time when the request arrived, in seconds."""
-    missing_resource: MissingResource | None = None
-    """What the request lacked, if it is refused."""
-
-
-@dataclass
-class _WaitingRequest:
-    grant_request: GrantRequest
-    search: CapacitySearch
-    since: float
-    last_asked_at: float
-    forecast: float
-    is_unservable: bool
-    """Whether it certainly gets no grant before its limit."""
-    decision: Decision | None = None
-    decided: threading.Event = field(default_factory=threading.Event)
-    open_calls: int = 0
-    """Number of calls that currently wait for this request's decision."""
-
-    @property
-    def entry(self) -> QueueEntry:
-        return QueueEntry(
-            self.grant_request.target_by.timestamp, self.grant_request.request_id
-        )
-
-    @property
-    def prompt_tokens(self) -> int:
-        return self.grant_request.prompt_tokens
-
-    @property
-    def accepts_any_engine(self) -> bool:
-        """Return whether the request may run on any engine, like most others.
-
-        A request that avoids some engines, or needs a decode engine that also prefills
-        its prompt, may wait for seconds while there is capacity for all others.
-        """
-        return not self.search.avoided and not self.grant_request.reads_itself
-
-    def blocks_others(self, now: float, bypass_seconds: float) -> bool:
-        """Return whether freed capacity may go to no other request before this one."""
-        return self.accepts_any_engine and now - self.since >= bypass_seconds
-
-
 class EnginePool:
-    """Grants requests by earliest target time; those past their target come last.
+    """Grants requests in the order of their priorities and targets.
 
     The requests of all hosts wait in one queue. If each host polled the engines on its
     own, freed capacity would go to the host that happened to poll next, whichever
@@ -114,8 +65,9 @@
         self._service_name = service_name
         self._options = waiting
         self._engines = ServiceEngines(options)
-        self._waiting_by_id: dict[str, _WaitingRequest] = {}
-        self._queue = WaitingQueue()
+        self._waiting_by_id: dict[str, WaitingRequest] = {}
+        self._queue = PriorityOrder(waiting.lower_priority_share)
+        self._grant_counts = GrantCounts()
         self._interval = INITIAL_INTERVAL_SECONDS
         self._interval_began_at = steady_seconds()
         self._lock = threading.Lock()
@@ -236,7 +188,7 @@
             self._refuse(waiting)
 
     def _update_target(
-        self, waiting: _WaitingRequest, grant_request: GrantRequest
+        self, waiting: WaitingRequest, grant_request: GrantRequest
     ) -> None:
         """Reorder a request whose host now states a later target than before.
 
@@ -254,7 +206,7 @@
 
     def _enqueue(
         self, grant_request: GrantRequest, avoided: Collection[str]
-    ) -> _WaitingRequest:
+    ) -> WaitingRequest:
         """Add a request to the queue."""
         now = steady_seconds()
         if not self._waiting_by_id:
@@ -262,16 +214,22 @@
         forecast = self._forecast(grant_request, now)
         is_unservable = is_wait_unservable(forecast, grant_request.limit.remaining())
         search = CapacitySearch(grant_request, avoided)
-        waiting = _WaitingRequest(
-            grant_request, search, now, now, forecast, is_unservable
+        waiting = WaitingRequest(
+            grant_request,
+            search,
+            now,
+            now,
+            forecast,
+            is_unservable,
+            self._grant_counts.counts(),
         )
         self._waiting_by_id[grant_request.request_id] = waiting
         self._queue.add(waiting.entry)
         return waiting
 
     def _forecast(self, grant_request: GrantRequest, now: float) -> float:
-        entry = QueueEntry(grant_request.target_by.timestamp, grant_request.request_id)
-        return (self._queue.count_ahead(entry, now) + 1) * self._interval
+        ahead = self._queue.count_ahead(entry_of(grant_request), now)
+        return (ahead + 1) * self._interval
 
     def _grant_waiting(self) -> None:
         """Give grants to the requests at the head of the queue while capacity lasts."""
@@ -280,7 +238,7 @@
         now = steady_seconds()
         prefill_candidates = self._engines.prefill_candidates()
         smallest_ungranted = math.inf
-        for entry in self._queue.head(now, MAXIMUM_TRIED):
+        for entry in self._queue.head(now, MAXIMUM_TRIED, self._interval):
             waiting = self._waiting_by_id[entry.request_id]
             if (
                 self._drop_if_abandoned(waiting, now)
@@ -301,7 +259,7 @@
             elif waiting.accepts_any_engine:
                 smallest_ungranted = waiting.prompt_tokens
 
-    def _drop_if_abandoned(self, waiting: _WaitingRequest, now: float) -> bool:
+    def _drop_if_abandoned(self, waiting: WaitingRequest, now: float) -> bool:
         """Drop a request whose host no longer asks; it would block all others."""
         if waiting.open_calls or waiting.last_asked_at >= now - ABANDONED_SECONDS:
             return False
@@ -313,28 +271,37 @@
         logger.info("request dropped from the grant queue", extra=extra)
         return True
 
-    def _admit(self, waiting: _WaitingRequest, grant: Grant, now: float) -> None:
+    def _admit(self, waiting: WaitingRequest, grant: Grant, now: float) -> None:
         self._engines.admit(waiting.grant_request, grant)
         self._interval += INTERVAL_WEIGHT * (
             now - self._interval_began_at - self._interval
         )
         self._interval_began_at = now
+        self._queue.note_granted(waiting.entry)
         self._decide(waiting, Decision(grant, False, waiting.forecast))
+        self._grant_counts.note(waiting.entry)
 
-    def _refuse(self, waiting: _WaitingRequest) -> None:
+    def _refuse(self, waiting: WaitingRequest) -> None:
         missing_resource = waiting.search.last_missing
         self._decide(waiting, Decision(None, True, waiting.forecast, missing_resource))
 
-    def _decide(self, waiting: _WaitingRequest, decision: Decision) -> None:
+    def _decide(self, waiting: WaitingRequest, decision: Decision) -> None:
         """End all calls for the request with this decision."""
-        waiting.decision = decision
+        entry = waiting.entry
+        waiting.decision = replace(
+            decision,
+            waited=steady_seconds() - waiting.since,
+            granted_meanwhile=self._grant_counts.since(
+                waiting.granted_before, entry.priority
+            ),
+        )
         del self._waiting_by_id[waiting.grant_request.request_id]
-        self._queue.remove(waiting.entry)
+        self._queue.remove(entry)
         waiting.decided.set()
 
     # Called without the lock, in the thread of one host's call.
 
-    def _wait(self, waiting: _WaitingRequest, until: Deadline) -> Decision:
+    def _wait(self, waiting: WaitingRequest, until: Deadline) -> Decision:
         """Return the decision, or an undecided one if none is made in time."""
         limit = waiting.grant_request.limit
         while True:
--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Collection, Sequence
 from typing import Protocol
 
-from jujubeslip.admission._engine_pool import Decision, EnginePool
+from jujubeslip.admission._engine_pool import EnginePool
 from jujubeslip.admission._engine_report_poller import EngineReportPoller
 from jujubeslip.admission._memory_forecast import MemoryOptions
 from jujubeslip.admission._meters import AdmissionMeters
@@ -18,6 +18,7 @@
     WaitingOptions,
     grant_request_of,
 )
+from jujubeslip.admission._waiting_request import Decision
 from jujubeslip.discovery import Endpoint, EndpointRegistry
 from jujubeslip.interfaces import Interface
 from jujubeslip.kernel import Deadline, Process, steady_seconds
@@ -119,8 +120,9 @@
         decision = pool.ask(grant_request, request.avoided_start_ids or (), until)
         if decision.refused and self._charges is not None:
             self._charges.give_back(request.request_id)
-        self._meters.note(request.service_name, decision)
+        self._meters.note(request.service_name, grant_request.priority, decision)
         self._log(request, decision)
+        self._log_wait(request, decision)
         return _reply(decision)
 
     def _charge(self, request: AdmissionRequest) -> float:
@@ -255,6 +257,24 @@
                 self._pool_by_service[service_name] = pool
             return pool
 
+    def _log_wait(self, request: AdmissionRequest, decision: Decision) -> None:
+        """Log which requests of other priorities were granted while this one waited."""
+        granted = decision.granted_meanwhile
+        if granted is None or not granted.priorities_differ:
+            return
+        extra = {
+            "request_id": request.request_id,
+            "service": request.service_name,
+            "priority": request.priority or 0,
+            "waited_ms": int(decision.waited * 1000),
+            "granted_higher": granted.higher,
+            "granted_same": granted.same,
+            "granted_lower": granted.lower,
+            "latest_granted": granted.latest_id,
+            "latest_priority": granted.latest_priority,
+        }
+        logger.info("request waited behind other priorities", extra=extra)
+
     def _log(self, request: AdmissionRequest, decision: Decision) -> None:
         if decision.grant is None and not decision.refused:
             return
@@ -264,6 +284,7 @@
             "prompt_tokens": request.prompt_tokens,
             "expected_events": request.expected_events,
             "forecast_ms": int(decision.forecast * 1000),
+            "priority": request.priority or 0,
         }
         if decision.grant is None:
             extra["lacked"] = decision.missing_resource
--- a/src/jujubeslip/admission/_models.py
+++ b/src/jujubeslip/admission/_models.py
@@ -5,6 +5,7 @@
 import math
 from dataclasses import dataclass
 from enum import StrEnum
+from functools import cached_property
 
 from jujubeslip.admission._answer_lengths import AnswerLengths, lengths_of
 from jujubeslip.discovery import Endpoint
@@ -31,6 +32,8 @@
 
     In seconds. The decode engine's other answers pause during the prefill.
     """
+    lower_priority_share: float = 0.2
+    """Share of the granted tokens that lower priorities keep while they wait."""
 
 
 DEFAULT_WAITING = WaitingOptions()
@@ -86,6 +89,15 @@
     """Availability zone of its entry host."""
     maximum_gap: float = 0.0
     """Longest pause between two events of an answer that is in time, in seconds."""
+    priority: int = 0
+    """Priority among the requests of the service; 0 is the highest."""
+    sharing_account: str = ""
+    """The client account that uses the engine, empty if there is none."""
+
+    @cached_property
+    def expected_tokens(self) -> int:
+        """Return the memory that its prompt and its expected answer use, in tokens."""
+        return self.prompt_tokens + int(self.lengths.mean * self.event_tokens)
 
 
 @dataclass(frozen=True)
@@ -128,4 +140,6 @@
         bool(request.reads_itself),
         request.availability_zone or "",
         (request.maximum_gap_ms or 0) / 1000,
+        max(0, request.priority or 0),
+        request.sharing_account or "",
     )
--- a/src/jujubeslip/admission/_waiting_queue.py
+++ b/src/jujubeslip/admission/_waiting_queue.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left, insort
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True, order=True)
@@ -13,10 +13,14 @@
     target: float
     """Time until which its answer is in time, by the steady clock in seconds."""
     request_id: str
+    priority: int = field(default=0, compare=False)
+    """Priority among the requests of the service; 0 is the highest."""
+    tokens: int = field(default=0, compare=False)
+    """Memory that its prompt and its expected answer use, in tokens."""
 
 
 class WaitingQueue:
-    """Requests that are still in time, by earliest target; late ones follow.
+    """Requests of one priority: those still in time by earliest target, then late ones.
 
     The list is sorted by target, so that at any time the late requests are at its
     beginning and those in time at its end. Each change and each position query costs
@@ -49,6 +53,19 @@
             return before - in_time_from
         return len(self._entries) - in_time_from + before
 
+    def in_time_count(self, now: float) -> int:
+        """Return how many requests are still in time."""
+        return len(self._entries) - self._in_time_from(now)
+
+    def in_time(self, now: float, maximum: int) -> list[QueueEntry]:
+        """Return the first requests that are still in time, `maximum` at most."""
+        start = self._in_time_from(now)
+        return self._entries[start : start + maximum]
+
+    def late(self, now: float, maximum: int) -> list[QueueEntry]:
+        """Return the first late requests, `maximum` at most."""
+        return self._entries[: min(self._in_time_from(now), maximum)]
+
     def head(self, now: float, maximum: int) -> list[QueueEntry]:
         """Return the first requests in order, `maximum` at most."""
         in_time_from = self._in_time_from(now)
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -164,7 +164,11 @@
             self._routes.engine_services,
             self._orders.role_of,
             self._account_limits,
-            WaitingOptions(settings.passed_ms / 1000, settings.reader_wait_ms / 1000),
+            WaitingOptions(
+                settings.passed_ms / 1000,
+                settings.reader_wait_ms / 1000,
+                settings.lower_priority_share,
+            ),
             self._notices,
         )
 
--- a/src/jujubeslip/forwarding/_admissions.py
+++ b/src/jujubeslip/forwarding/_admissions.py
@@ -163,6 +163,8 @@
             maximum_gap_ms=context.route.maximum_gap_ms,
             account_name=account_name,
             account_cost=context.cost,
+            priority=context.rank,
+            sharing_account=context.request.account_name,
         )
 
     def _skipped_starts(self) -> list[str]:
--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -23,6 +23,7 @@
     PromptShape,
     Route,
     RouteTable,
+    rank_of,
 )
 
 # A client whose deadline is shorter than its route's timeout by more than this share of
@@ -73,6 +74,17 @@
             return self.account.cost_of(None)
         return self.account.cost_of(prompt.prompt_tokens + prompt.maximum_output_tokens)
 
+    @property
+    def rank(self) -> int:
+        """Return the priority among the requests of the service; 0 is the highest."""
+        return rank_of(self.route, self.account)
+
+    @property
+    def endpoint_priority(self) -> int | None:
+        """Return the priority sent to endpoints, None if all requests have the same."""
+        ranks = self.table.ranks_by_service.get(self.service_name, ())
+        return self.rank if len(ranks) > 1 else None
+
     @cached_property
     def fingerprint(self) -> str:
         """Return the fingerprint that requests of the same content share."""
--- a/src/jujubeslip/forwarding/_prefill.py
+++ b/src/jujubeslip/forwarding/_prefill.py
@@ -184,7 +184,12 @@
     def _ask(self, context: ForwardContext, endpoint: Endpoint, limit: Deadline) -> str:
         """Return the handle of the prompt that the endpoint has prefilled."""
         remaining = context.end_by.remaining_ms()
-        call = EndpointCall(endpoint.endpoint_id, remaining, prefill_only=True)
+        call = EndpointCall(
+            endpoint.endpoint_id,
+            remaining,
+            prefill_only=True,
+            priority=context.endpoint_priority,
+        )
         deadline = context.end_by.earlier_of(limit)
         tracked = self._sender.health.track_request(endpoint.start_id)
         with tracked, self._sender.exchange(context, endpoint) as exchange:
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -28,7 +28,11 @@
     WholeAnswer,
 )
 from jujubeslip.forwarding._prefill import NOT_PREFILLED, Prefiller, PromptLocation
-from jujubeslip.forwarding._retry_after import retry_after_seconds
+from jujubeslip.forwarding._retry_after import (
+    ONLY_PRIORITY,
+    Caller,
+    retry_after_seconds,
+)
 from jujubeslip.forwarding._sender import EndpointSender
 from jujubeslip.interfaces import EndpointCall, EndpointHead
 from jujubeslip.kernel import (
@@ -203,7 +207,7 @@
         """
         grant = self._grants.find(context, attempts, reads_itself)
         if grant is None and attempts.found_no_capacity and not attempts.may_have_run:
-            raise no_capacity_refusal(attempts)
+            raise no_capacity_refusal(attempts, _caller(context))
         if grant is not None and not attempts.may_have_run:
             self._recheck_request(context, grant)
         return grant
@@ -352,6 +356,7 @@
         context.end_by.remaining_ms(),
         prefilled_at=prompt_location.location if prompt_location else "",
         resume_after=resume_after,
+        priority=context.endpoint_priority,
     )
 
 
@@ -369,10 +374,18 @@
     return isinstance(error, kinds)
 
 
-def no_capacity_refusal(attempts: Attempts) -> RequestRefusedError:
+def _caller(context: ForwardContext) -> Caller:
+    ranks = context.table.ranks_by_service.get(context.service_name, (context.rank,))
+    place = sum(rank < context.rank for rank in ranks)
+    return Caller(place, len(ranks), context.end_by.remaining())
+
+
+def no_capacity_refusal(
+    attempts: Attempts, caller: Caller = ONLY_PRIORITY
+) -> RequestRefusedError:
     """Return the refusal of a request that found no free capacity and has not run."""
     return RequestRefusedError(
         "no_room",
         "No engine had free capacity for the request in time.",
-        retry_after=retry_after_seconds(attempts.capacity_wait_forecast),
+        retry_after=retry_after_seconds(attempts.capacity_wait_forecast, caller=caller),
     )
--- a/src/jujubeslip/forwarding/_waiting_queue.py
+++ b/src/jujubeslip/forwarding/_waiting_queue.py
@@ -22,13 +22,13 @@
 class WaitingQueue:
     """Requests of one service that wait for capacity; one at a time asks the engines.
 
-    Requests that can still meet their target go first, ordered by target; late ones
-    follow. Without the queue all of them would ask repeatedly, and the engines would
-    spend their time on refusals.
+    Requests that can still meet their target go first, ordered by priority and target;
+    late ones follow. Without the queue all of them would ask repeatedly, and the
+    engines would spend their time on refusals.
     """
 
     def __init__(self) -> None:
-        self._targets_by_ticket: dict[int, float] = {}
+        self._context_by_ticket: dict[int, ForwardContext] = {}
         self._last_ticket = 0
         self._interval = FIRST_INTERVAL_SECONDS
         self._interval_began_at = steady_seconds()
@@ -38,26 +38,26 @@
     def enter(self, context: ForwardContext) -> Iterator[int]:
         """Hold a place in the queue; yield its ticket number."""
         with self._changed:
-            if not self._targets_by_ticket:
+            if not self._context_by_ticket:
                 self._interval_began_at = steady_seconds()
             self._last_ticket += 1
             ticket = self._last_ticket
-            self._targets_by_ticket[ticket] = context.target_by.timestamp
+            self._context_by_ticket[ticket] = context
         try:
             yield ticket
         finally:
             with self._changed:
-                del self._targets_by_ticket[ticket]
+                del self._context_by_ticket[ticket]
                 self._changed.notify_all()
 
     def forecast(self, context: ForwardContext) -> float:
         """Return the expected wait of a request that arrives now, in seconds."""
         now = steady_seconds()
-        own_urgency = urgency(context.target_by.timestamp, now)
+        own_urgency = _urgency(context, now)
         with self._changed:
             ahead = sum(
-                urgency(target, now) <= own_urgency
-                for target in self._targets_by_ticket.values()
+                _urgency(other, now) <= own_urgency
+                for other in self._context_by_ticket.values()
             )
             return ahead * self._interval
 
@@ -89,7 +89,11 @@
     def _is_next(self, ticket: int) -> bool:
         now = steady_seconds()
         ranked = min(
-            (urgency(target, now), queued)
-            for queued, target in self._targets_by_ticket.items()
+            (_urgency(context, now), queued)
+            for queued, context in self._context_by_ticket.items()
         )
         return ranked[1] == ticket
+
+
+def _urgency(context: ForwardContext, now: float) -> tuple[bool, int, float]:
+    return urgency(context.target_by.timestamp, now, context.rank)
--- a/src/jujubeslip/interfaces/_models.py
+++ b/src/jujubeslip/interfaces/_models.py
@@ -40,6 +40,8 @@
     """Id of the slot and memory that are reserved for the request."""
     resume_after: str = ""
     """Id of the last event that the client received; the answer continues after it."""
+    priority: int | None = None
+    """Priority at the endpoint, 0 is the highest; None where all have the same."""
 
 
 @dataclass(frozen=True)
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -3710,11 +3710,13 @@
      - maximum_gap_ms
      - account_name
      - account_cost
+     - priority
+     - sharing_account
 
     """
 
 
-    def __init__(self, request_id=None, service_name=None, prompt_tokens=None, maximum_events=None, event_tokens=None, expected_events=None, slots=None, target_remaining_ms=None, limit_remaining_ms=None, wait_ms=None, avoided_start_ids=None, reads_itself=None, attempt=None, availability_zone=None, maximum_gap_ms=None, account_name=None, account_cost=None,):
+    def __init__(self, request_id=None, service_name=None, prompt_tokens=None, maximum_events=None, event_tokens=None, expected_events=None, slots=None, target_remaining_ms=None, limit_remaining_ms=None, wait_ms=None, avoided_start_ids=None, reads_itself=None, attempt=None, availability_zone=None, maximum_gap_ms=None, account_name=None, account_cost=None, priority=None, sharing_account=None,):
         self.request_id = request_id
         self.service_name = service_name
         self.prompt_tokens = prompt_tokens
@@ -3732,6 +3734,8 @@
         self.maximum_gap_ms = maximum_gap_ms
         self.account_name = account_name
         self.account_cost = account_cost
+        self.priority = priority
+        self.sharing_account = sharing_account
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3832,6 +3836,16 @@
                     self.account_cost = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.STRING:
+                    self.sharing_account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3913,6 +3927,14 @@
             oprot.writeFieldBegin('account_cost', TType.DOUBLE, 17)
             oprot.writeDouble(self.account_cost)
             oprot.writeFieldEnd()
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 18)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
+        if self.sharing_account is not None:
+            oprot.writeFieldBegin('sharing_account', TType.STRING, 19)
+            oprot.writeString(self.sharing_account.encode('utf-8') if sys.version_info[0] == 2 else self.sharing_account)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -7383,6 +7405,8 @@
     (15, TType.I32, 'maximum_gap_ms', None, None, ),  # 15
     (16, TType.STRING, 'account_name', 'UTF8', None, ),  # 16
     (17, TType.DOUBLE, 'account_cost', None, None, ),  # 17
+    (18, TType.I32, 'priority', None, None, ),  # 18
+    (19, TType.STRING, 'sharing_account', 'UTF8', None, ),  # 19
 )
 all_structs.append(AdmissionReply)
 AdmissionReply.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -450,6 +450,10 @@
   // empty where it has no limit, or was charged before.
   16: string account_name,
   17: double account_cost,
+  // Priority among the requests of the service, 0 is the highest.
+  18: optional i32 priority,
+  // The client account among which engines are shared; empty where there is none.
+  19: optional string sharing_account,
 }
 
 struct AdmissionReply {
--- a/src/jujubeslip/platform/_accounts.py
+++ b/src/jujubeslip/platform/_accounts.py
@@ -41,7 +41,7 @@
         limit=_limit(fields),
         counts_tokens=fields.get("unit") == TOKEN_UNIT,
         plain_tokens=int(_number(fields.get("plainTokens", 0))),
-        priority=None if priority is None else int(_number(priority)),
+        priority=None if priority is None else _whole_number(priority),
     )
 
 
@@ -64,6 +64,13 @@
     return value
 
 
+def _whole_number(value: Any) -> int:
+    number = _number(value)
+    if not float(number).is_integer():
+        raise ValueError("an account's priority is not a whole number")
+    return int(number)
+
+
 def _number(value: Any) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise ValueError("an account's limit or priority is not a number")
--- a/src/jujubeslip/platform/_configurations.py
+++ b/src/jujubeslip/platform/_configurations.py
@@ -71,6 +71,7 @@
         client_timeout_ms=max(MINIMUM_CLIENT_TIMEOUT_MS, 4 * target_ms, 8 * gap_ms),
         maximum_gap_ms=gap_ms,
         public=bool(fields.get("public", False)),
+        priority=_integer(fields.get("priority", 0)),
     )
 
 
@@ -106,8 +107,6 @@
     The operator learns of the mistake at once, instead of from a fault after a later
     version starts to use the field.
     """
-    for route in fields["routes"]:
-        _integer(route.get("priority", 0))
     for service in fields["services"]:
         _integer(service.get("maxConns", 0))
         engine = service.get("engine")
--- a/src/jujubeslip/platform/_endpoint_calls.py
+++ b/src/jujubeslip/platform/_endpoint_calls.py
@@ -19,6 +19,8 @@
 
 PREFILL_STAGE = "prefill"
 STAGE_BY_ROLE = {EndpointRole.PREFILL: PREFILL_STAGE, EndpointRole.DECODE: "decode"}
+# The lowest priority that endpoints know.
+LOWEST_PRIORITY = 9
 MISDIRECTED = 421
 UNAVAILABLE = 503
 # Lowest limit of an endpoint, in requests per second. One that accepts nothing still
@@ -39,6 +41,9 @@
         headers.append((names.ACCOUNT, request.account_name))
     headers.append((names.DEADLINE, str(max(1, call.remaining_ms))))
     headers.append((names.EXPECTED_ENDPOINT, call.endpoint_id))
+    if call.priority is not None:
+        priority = min(LOWEST_PRIORITY, max(0, call.priority))
+        headers.append((names.PRIORITY, str(priority)))
     if call.prefill_only:
         headers.append((names.STAGE, PREFILL_STAGE))
     if call.prefilled_at:
--- a/src/jujubeslip/platform/_headers.py
+++ b/src/jujubeslip/platform/_headers.py
@@ -11,6 +11,8 @@
 # The id of the endpoint that answers.
 ENDPOINT_ID = "Instance-Id"
 STAGE = "Stage"
+# Priority of the request at an engine, from 0, the highest, to 9.
+PRIORITY = "Request-Priority"
 # Where the KV cache of a prefilled prompt is fetched: "IP:port/handle".
 PREFILLED_AT = "Kv-From"
 # Proof of origin: only answers of endpoints have this header.
--- a/src/jujubeslip/routes/__init__.py
+++ b/src/jujubeslip/routes/__init__.py
@@ -14,6 +14,7 @@
     RouteTable,
     RunningAnswer,
     ServiceShare,
+    rank_of,
 )
 
 __all__ = [
@@ -30,4 +31,5 @@
     "RunningAnswer",
     "ServiceShare",
     "find_problem",
+    "rank_of",
 ]
--- a/src/jujubeslip/routes/_checks.py
+++ b/src/jujubeslip/routes/_checks.py
@@ -45,5 +45,10 @@
         yield f"The weights of route {route.name!r} add up to 0; give one above 0."
     if route.timeout_ms <= 0:
         yield f"The timeout of route {route.name!r} is 0; give one in milliseconds."
+    if route.priority < 0:
+        yield (
+            f"The priority of route {route.name!r} is {route.priority}; give 0, the "
+            "highest, or more."
+        )
     if route.maximum_attempts < 1:
         yield f"Route {route.name!r} allows no attempt; allow 1 or more."
--- a/src/jujubeslip/routes/_models.py
+++ b/src/jujubeslip/routes/_models.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from functools import cached_property
 
-from jujubeslip.accounts import ClientAccounts
+from jujubeslip.accounts import ClientAccount, ClientAccounts
 from jujubeslip.kernel import Deadline
 
 
@@ -52,6 +52,8 @@
     """Target for the pause between two events of a stream."""
     public: bool = False
     """Whether requests need no key of a client account."""
+    priority: int = 0
+    """Priority of its requests at a service; 0 is the highest."""
 
     @property
     def repeatable(self) -> bool:
@@ -103,6 +105,24 @@
             for host, routes in routes_by_host.items()
         }
 
+    @cached_property
+    def ranks_by_service(self) -> dict[str, tuple[int, ...]]:
+        """Return the ranks that requests of each service may have, the highest first.
+
+        An account's priority overrides that of every route.
+        """
+        of_accounts = {
+            account.priority
+            for account in (self.accounts.accounts if self.accounts else ())
+            if account.priority is not None
+        }
+        ranks_by_service: dict[str, set[int]] = {}
+        for route in self.routes:
+            for share in route.shares:
+                ranks = ranks_by_service.setdefault(share.service_name, set())
+                ranks.update(of_accounts, (route.priority,))
+        return {name: tuple(sorted(ranks)) for name, ranks in ranks_by_service.items()}
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of this host with the longest matching prefix, if any."""
         for route in self.routes_by_host.get(host, ()):
@@ -111,6 +131,13 @@
         return None
 
 
+def rank_of(route: Route, account: ClientAccount | None) -> int:
+    """Return the priority of a request; the account's one overrides the route's."""
+    if account is not None and account.priority is not None:
+        return account.priority
+    return route.priority
+
+
 @dataclass(frozen=True)
 class PromptPart:
     """A part of a prompt that other requests may have in common."""
--- a/src/jujubeslip/tracing/_causes.py
+++ b/src/jujubeslip/tracing/_causes.py
@@ -9,6 +9,7 @@
 
 END_MESSAGE = "request ended"
 NO_GRANT_MESSAGE = "no grant at an engine"
+WAIT_MESSAGE = "request waited behind other priorities"
 KEY_MESSAGE = "key not accepted"
 LIMIT_MESSAGE = "request not within its account's limit"
 ENDPOINT_LIMIT_MESSAGE = "request not within its endpoint's limit"
@@ -130,6 +131,7 @@
             "Refused, not run: the leader found no engine with enough free memory for "
             f"its {fields.get('prompt_tokens')} prompt tokens and for the growth of "
             f"all answers there; it forecast a wait of {fields.get('forecast_ms')} ms."
+            f"{_wait_behind_others(lines)}"
         )
     return (
         "Refused, not run: no engine had free capacity in time, and no leader was "
@@ -137,6 +139,19 @@
     )
 
 
+def _wait_behind_others(lines: Sequence[Line]) -> str:
+    waits = [line for line in lines if line.message == WAIT_MESSAGE]
+    if not waits:
+        return ""
+    fields = waits[-1].fields
+    return (
+        f" It has priority {fields.get('priority')} and waited for "
+        f"{fields.get('waited_ms')} ms, in which {fields.get('granted_higher')} "
+        f"requests of higher priorities, {fields.get('granted_same')} of its own and "
+        f"{fields.get('granted_lower')} of lower ones got an engine."
+    )
+
+
 def _answer_lost(end: RequestEnd, lines: Sequence[Line]) -> str:
     endpoint, result = _failed_step(end)
     return (
--- a/tests/admission/test_engine_pool.py
+++ b/tests/admission/test_engine_pool.py
@@ -9,7 +9,7 @@
 
 from jujubeslip.admission._answer_lengths import lengths_of
 from jujubeslip.admission._engine_memory import DECODE_SECONDS_BETWEEN_PREFILLS
-from jujubeslip.admission._engine_pool import Decision, EnginePool
+from jujubeslip.admission._engine_pool import EnginePool
 from jujubeslip.admission._memory_forecast import MemoryOptions
 from jujubeslip.admission._models import (
     DEFAULT_WAITING,
@@ -17,6 +17,7 @@
     MissingResource,
     WaitingOptions,
 )
+from jujubeslip.admission._waiting_request import Decision
 from jujubeslip.kernel import Deadline
 from jujubeslip.routes import EngineReport, RunningAnswer
 from tests.fakes.engines import engine
@@ -44,6 +45,7 @@
     reads_itself: bool = False,
     prompt_tokens: int = 4000,
     availability_zone: str = "zone-1",
+    priority: int = 0,
 ) -> GrantRequest:
     return GrantRequest(
         request_id,
@@ -57,6 +59,7 @@
         reads_itself=reads_itself,
         availability_zone=availability_zone,
         maximum_gap=0.3,
+        priority=priority,
     )
 
 
@@ -222,6 +225,37 @@
         full_pool.note_prefilled("later", 1)
         assert endpoint_of(late.result(10)) == "engine"
 
+    def test_higher_priority_goes_first(self, full_pool: EnginePool) -> None:
+        callers = Callers(full_pool)
+        lower = callers.ask(grant_request("lower", target=10, priority=2))
+        higher = callers.ask(grant_request("higher", target=20, priority=1))
+        full_pool.take_report("engine", engine_report())
+        assert endpoint_of(higher.result(10)) == "engine"
+        full_pool.note_prefilled("higher", 1)
+        granted = lower.result(10).granted_meanwhile
+        assert granted is not None and granted.priorities_differ
+        assert (granted.higher, granted.same, granted.lower) == (1, 0, 0)
+        assert (granted.latest_id, granted.latest_priority) == ("higher", 1)
+        meanwhile = higher.result(10).granted_meanwhile
+        assert meanwhile is not None and not meanwhile.priorities_differ
+
+    def test_lower_priority_is_refused_at_once_by_its_own_place(
+        self, full_pool: EnginePool
+    ) -> None:
+        """Its target is the earliest, but all of the higher priority go first."""
+        callers = Callers(full_pool)
+        for number in range(4):
+            callers.ask(grant_request(f"higher-{number}", target=5, priority=1))
+        for priority, refused in ((1, False), (2, True)):
+            decision = full_pool.ask(
+                grant_request(
+                    f"next-{priority}", target=4, limit=0.15, priority=priority
+                ),
+                (),
+                already_expired(),
+            )
+            assert decision.refused is refused
+
     def test_request_of_a_lost_host_blocks_no_others(
         self, full_pool: EnginePool
     ) -> None:
--- a/tests/forwarding/test_endpoint_starts.py
+++ b/tests/forwarding/test_endpoint_starts.py
@@ -264,6 +264,7 @@
             request=SimpleNamespace(prompt=None),
             route=SimpleNamespace(repeatable=False, maximum_attempts=1),
             check_account=lambda: None,
+            endpoint_priority=None,
         )
         path = StreamPath(stubbed, prefiller, grants)
         with pytest.raises(RequestRefusedError):
@@ -327,6 +328,7 @@
             request=SimpleNamespace(prompt=None),
             route=SimpleNamespace(repeatable=False, maximum_attempts=1),
             check_account=lambda: None,
+            endpoint_priority=None,
         )
         with pytest.raises(RequestRefusedError):
             StreamPath(stubbed, prefiller, grants).answer(context, Attempts())
--- a/tests/forwarding/test_refused_prefills.py
+++ b/tests/forwarding/test_refused_prefills.py
@@ -88,6 +88,7 @@
             fingerprint="f-1",
             part_fingerprints=(),
             check_account=lambda: None,
+            endpoint_priority=None,
         )
         with pytest.raises(SentError):
             self._path.answer(context, Attempts())
--- a/tests/forwarding/test_reservations.py
+++ b/tests/forwarding/test_reservations.py
@@ -66,6 +66,7 @@
         request=SimpleNamespace(request_id="r-1"),
         service_name="model",
         target_by=Deadline.after(0.9),
+        rank=0,
         client_disconnected=lambda: False,
     )
     engine_service = EngineService(slots=8, reservation_ms=2000)
--- a/tests/forwarding/test_retry_after.py
+++ b/tests/forwarding/test_retry_after.py
@@ -9,9 +9,12 @@
 
 from jujubeslip.forwarding._models import CLIENT_RETRY_SHARE, Attempts
 from jujubeslip.forwarding._retry_after import (
+    EARLIEST_SECONDS,
+    HONORED_SHARE,
     MAXIMUM_SECONDS,
     MINIMUM_SECONDS,
     SPREAD_SHARE,
+    Caller,
     retry_after_seconds,
 )
 from jujubeslip.forwarding._stream_path import no_capacity_refusal
@@ -67,3 +70,41 @@
         timeout_seconds = 14.0
         earliest = retry_after_seconds(0.0, 0.0)
         assert earliest >= CLIENT_RETRY_SHARE * timeout_seconds
+
+
+class TestCallersOfSeveralPriorities:
+    """Guards against callers of a lower priority that retry before the others.
+
+    They are refused together, and the first to retry get the engines that are free.
+    """
+
+    REMAINING = 13.8
+
+    def seconds(self, place: int, forecast: float, position: float) -> float:
+        caller = Caller(place, 2, self.REMAINING)
+        return retry_after_seconds(forecast, position, caller)
+
+    def test_retry_by_priority(self) -> None:
+        first = [self.seconds(0, wait, at) for wait in FORECASTS for at in (0.0, 1.0)]
+        second = [self.seconds(1, wait, at) for wait in FORECASTS for at in (0.0, 1.0)]
+        assert EARLIEST_SECONDS <= min(first) < max(first) <= min(second)
+        assert max(second) <= self.REMAINING * HONORED_SHARE
+
+    def test_retry_the_later_the_longer_the_forecast(self) -> None:
+        seconds = [self.seconds(0, wait, 0.5) for wait in FORECASTS]
+        assert seconds == sorted(seconds)
+
+    @pytest.mark.parametrize("remaining", [0.0, 1.0, 5.0, 8.4])
+    def test_keep_their_order_with_little_time_left(self, remaining: float) -> None:
+        times = [
+            retry_after_seconds(4.0, 0.5, Caller(place, 3, remaining))
+            for place in range(3)
+        ]
+        assert times == sorted(times)
+        assert 0 <= times[0] and times[-1] <= remaining * HONORED_SHARE
+
+    @pytest.mark.parametrize("forecast", [0.0, 3.9, 60.0])
+    def test_of_one_priority_retry_as_before(self, forecast: float) -> None:
+        caller = Caller(0, 1, self.REMAINING)
+        expected = retry_after_seconds(forecast, 0.3)
+        assert retry_after_seconds(forecast, 0.3, caller) == expected
--- a/tests/platform/test_configurations.py
+++ b/tests/platform/test_configurations.py
@@ -12,7 +12,7 @@
 from returns.result import Failure
 
 from jujubeslip.platform._configurations import read_routes
-from jujubeslip.routes import RouteKind
+from jujubeslip.routes import RouteKind, rank_of
 from tests.fakes.platform_system import (
     ENGINE,
     PLAIN,
@@ -72,6 +72,11 @@
     "text for a rate": with_accounts({**ACCOUNT, "ratePerS": "9"}),
     "truth for a rate": with_accounts({**ACCOUNT, "ratePerS": True}),
     "text for a priority of an account": with_accounts({**ACCOUNT, "priority": "1"}),
+    "a priority of an account below 0": with_accounts({**ACCOUNT, "priority": -1}),
+    "a fraction for a priority": with_accounts({**ACCOUNT, "priority": 1.5}),
+    "a priority that is no number": with_accounts(
+        {**ACCOUNT, "priority": float("nan")}
+    ),
     "fewer than 0 tokens": with_accounts({**ACCOUNT, "plainTokens": -1}),
 }
 INVALID: dict[str, Any] = {
@@ -87,6 +92,9 @@
     "no routes": {name: VALID[name] for name in VALID if name != "routes"},
     "list": [VALID],
     "text for a priority": changed(priority="high"),
+    "a priority below 0": changed(priority=-1),
+    "a fraction for the priority of a route": changed(priority=0.5),
+    "truth for a priority": changed(priority=True),
     "fraction of a connection": {**VALID, "services": [{**PLAIN, "maxConns": 0.5}]},
     "text for an engine's memory": with_engine(kvTokens="100"),
     "no time for a prompt": with_engine(kvTtlS=None),
@@ -123,6 +131,27 @@
         assert read_routes(json.dumps(VALID)).unwrap().accounts is None
         assert read_routes(json.dumps(with_accounts())).unwrap().accounts is not None
 
+    def test_priorities_are_read(self) -> None:
+        routes = [
+            route("a", "/a/", "plain", priority=2),
+            {k: v for k, v in route("b", "/b/", "plain").items() if k != "priority"},
+        ]
+        fields = configuration(7, routes, [PLAIN])
+        table = read_routes(json.dumps(fields)).unwrap()
+        assert [item.priority for item in table.routes] == [2, 0]
+        assert table.ranks_by_service == {"plain": (0, 2)}
+
+    def test_priority_of_an_account_overrides_that_of_routes(self) -> None:
+        urgent = {**ACCOUNT, "priority": 3}
+        fields = with_accounts(urgent, {"name": "desks", "apiKeys": ["k2"]})
+        table = read_routes(json.dumps(fields)).unwrap()
+        assert table.accounts is not None
+        ranks = [
+            rank_of(table.routes[0], account) for account in table.accounts.accounts
+        ]
+        assert [*ranks, rank_of(table.routes[0], None)] == [3, 1, 1]
+        assert table.ranks_by_service == {"plain": (1, 3)}
+
     @pytest.mark.parametrize("name", INVALID_ACCOUNTS)
     def test_problem_of_an_account_names_no_key(self, name: str) -> None:
         fields = json.loads(json.dumps(INVALID_ACCOUNTS[name]))
