Second sends: slow repeatable requests go to another endpoint, too, within a share

Cause: a repeatable request at a slow endpoint waits for twice its target before it is sent elsewhere; answers of the slowest endpoints make up p99 and p99.9. Change: package hedging (when: a percentile of the route's recent answers; how many: a share of the host's own requests, within the bound on all repeats; reasons to keep back), SecondSends on the path of whole answers, settings second_send_share (0, off), second_send_percentile and second_send_floor_ms, counters, log lines, trace. EndpointSender.exchange and Exchange.send take what cancels a send; Exchange.call is the same for all others.

--- /dev/null
+++ b/bench/second_sends/__init__.py
@@ -0,0 +1,1 @@
+"""Replays loads with slow endpoints, with and without second sends."""
--- a/src/jujubeslip/accounts/_spending.py
+++ b/src/jujubeslip/accounts/_spending.py
@@ -103,6 +103,11 @@
         account = self._by_name.get(name)
         return max(0.0, account.refused_until - now) if account else 0.0
 
+    def is_near_limit(self, name: str) -> bool:
+        """Return whether the leader said that little is left of an account's limit."""
+        account = self._by_name.get(name)
+        return account is not None and account.near_limit
+
     def forget(self, name: str) -> None:
         """Remove the state of a limit that no longer exists."""
         self._by_name.pop(name, None)
--- a/src/jujubeslip/endpoints/_bounded_reader.py
+++ b/src/jujubeslip/endpoints/_bounded_reader.py
@@ -116,7 +116,7 @@
     def _note_silence(self) -> None:
         silent_seconds = steady_seconds() - self._silent_since
         self._observer.note_silence(silent_seconds)
-        self._check_client()
+        self.check_client()
         if self._deadline.expired:
             raise EndpointTimeoutError("The endpoint did not answer in time.")
         if silent_seconds > self._stall_seconds:
@@ -130,7 +130,7 @@
             return
         if self._next_check.expired:
             self._next_check = Deadline.after(POLL_SECONDS)
-            self._check_client()
+            self.check_client()
         self.limit_late_reads()
 
     def limit_late_reads(self) -> None:
@@ -142,7 +142,8 @@
         if self._late_until.expired:
             raise EndpointTimeoutError("The endpoint's answer did not end in time.")
 
-    def _check_client(self) -> None:
+    def check_client(self) -> None:
+        """Raise ClientDisconnectedError if the answer is no longer needed."""
         if self._interrupted():
             raise ClientDisconnectedError(
                 "The client closed its connection.", Ran.UNKNOWN
--- a/src/jujubeslip/endpoints/_connections.py
+++ b/src/jujubeslip/endpoints/_connections.py
@@ -4,6 +4,8 @@
 
 import http.client
 import io
+import math
+import select
 import socket
 import threading
 from abc import ABC, abstractmethod
@@ -70,6 +72,13 @@
     def close(self) -> None:
         """Close the connection, even if an answer is unread."""
 
+    def wait_for_answer(self, limit: Deadline) -> bool:
+        """Wait until the next answer begins; return False if it doesn't by the limit.
+
+        Nothing is read. A connection that can't tell returns True at once.
+        """
+        return True
+
     def read_rest(self, response: http.client.HTTPResponse) -> bytes:
         """Return the complete rest of a body."""
         parts = []
@@ -135,6 +144,17 @@
         """Bound the reads from now on."""
         self._raw.watch(deadline, interrupted)
 
+    def wait_for_answer(self, limit: Deadline) -> bool:
+        """Wait until the next answer begins; return False at the limit."""
+        poll = select.poll()
+        poll.register(self._socket, select.POLLIN)
+        while not limit.expired:
+            self._raw.check_client()
+            seconds = min(POLL_SECONDS, limit.remaining())
+            if poll.poll(math.ceil(seconds * 1000)):
+                return True
+        return False
+
     def read_head(self) -> http.client.HTTPResponse:
         """Wait for the status line and headers of the next answer."""
         response = http.client.HTTPResponse(
--- a/src/jujubeslip/forwarding/_account_limits.py
+++ b/src/jujubeslip/forwarding/_account_limits.py
@@ -160,6 +160,11 @@
             retry_after=NO_LEADER_RETRY_SECONDS,
         )
 
+    def is_near_limit(self, context: ForwardContext) -> bool:
+        """Return whether the request's account has little left of its limit."""
+        with self._lock:
+            return self._spending.is_near_limit(context.request.account_name)
+
     def give_back(self, context: ForwardContext, attempts: Attempts) -> None:
         """Refund the amount that this host spent for a request that has not run."""
         if not attempts.charged_locally or attempts.may_have_run:
--- a/src/jujubeslip/forwarding/_exchange.py
+++ b/src/jujubeslip/forwarding/_exchange.py
@@ -9,6 +9,7 @@
 
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import (
+    ClientDisconnectedError,
     Connection,
     Connections,
     EndpointAnswerError,
@@ -17,6 +18,7 @@
     EndpointReplacedError,
     EndpointRoleError,
     Interrupted,
+    never_interrupted,
 )
 from jujubeslip.interfaces import (
     EndpointCall,
@@ -24,7 +26,7 @@
     Headers,
     Interface,
 )
-from jujubeslip.kernel import Deadline, steady_seconds
+from jujubeslip.kernel import Deadline, Ran, steady_seconds
 from jujubeslip.notices import EndpointNotices
 from jujubeslip.routes import ForwardedRequest
 
@@ -74,8 +76,31 @@
         Raises EndpointRefusedError if the endpoint reports that it did not run the
         request, and EndpointOnHoldError if it accepts no requests by now.
         """
+        self.send(call, deadline)
+        return self.read_head(call)
+
+    def send(
+        self,
+        call: EndpointCall,
+        deadline: Deadline,
+        is_cancelled: Interrupted = never_interrupted,
+    ) -> None:
+        """Send the request; raise EndpointOnHoldError if the endpoint accepts none.
+
+        Raises ClientDisconnectedError if it was cancelled while a connection opened.
+        """
         encode = partial(self._interface.endpoint_headers, self._request, call)
-        head = self.pass_on(encode, deadline)
+        self._send(encode, deadline, is_cancelled)
+
+    def wait_for_answer(self, limit: Deadline) -> bool:
+        """Wait until the answer begins; return False if it doesn't by the limit."""
+        assert self._connection is not None
+        return self._connection.wait_for_answer(limit)
+
+    def read_head(self, call: EndpointCall) -> EndpointHead:
+        """Return the head of the answer to the request that was sent; see `call`."""
+        assert self._connection is not None
+        head = self._read_own_head(self._connection)
         if not head.misdirected:
             self._notices.record_answer(self._endpoint, head, self.sent_at)
         if head.not_run:
@@ -96,11 +121,22 @@
         The headers are encoded once the connection is open. Raises EndpointOnHoldError
         if the endpoint accepts no requests by then.
         """
+        return self._read_own_head(self._send(encode_headers, deadline))
+
+    def _send(
+        self,
+        encode_headers: Callable[[], Headers],
+        deadline: Deadline,
+        is_cancelled: Interrupted = never_interrupted,
+    ) -> Connection:
         start_id = self._endpoint.start_id
         connection = self._pool.take(start_id, self._endpoint.address)
         if self._notices.hold_of(start_id) is not None:
             self._pool.give_back(start_id, connection, None)
             raise EndpointOnHoldError(self._endpoint.address)
+        if is_cancelled():
+            self._pool.give_back(start_id, connection, None)
+            raise ClientDisconnectedError("The answer is not needed any more.", Ran.NO)
         self._connection = connection
         request = self._request
         if connection.relayed_by:
@@ -108,7 +144,7 @@
         self.sent_at = steady_seconds()
         connection.watch(deadline, self._client_disconnected)
         connection.send(request.method, request.target, encode_headers(), request.body)
-        return self._read_own_head(connection)
+        return connection
 
     def _log_relayed(self, connection: Connection) -> None:
         extra = {
@@ -135,6 +171,11 @@
         self.keep_connection()
         return body
 
+    @property
+    def is_relayed(self) -> bool:
+        """Return whether another entry host relays the request."""
+        return self._connection is not None and bool(self._connection.relayed_by)
+
     @property
     def ends_with_connection(self) -> bool:
         """Return whether only the end of the connection ends the answer."""
--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -137,6 +137,8 @@
     """When the latest send began."""
     answer_started: Deadline | None = None
     """When the endpoint of the latest send began to answer, None before that."""
+    has_second_send: bool = False
+    """Whether it was sent to a second endpoint while the first one had it."""
     runs: int = 0
     """Sends whose endpoint may have run the request."""
     has_arrived: bool = False
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -31,10 +31,12 @@
 from jujubeslip.forwarding._reservations import Reservations
 from jujubeslip.forwarding._retry_budgets import BudgetOptions, RetryBudgets
 from jujubeslip.forwarding._routes_follower import RoutesFollower
+from jujubeslip.forwarding._second_sends import SecondSends
 from jujubeslip.forwarding._sender import EndpointSender
 from jujubeslip.forwarding._service import ForwardService
 from jujubeslip.forwarding._shared_charges import SharedCharges
 from jujubeslip.forwarding._stream_path import StreamPath
+from jujubeslip.hedging import SecondSendOptions
 from jujubeslip.http_server import HttpServer, HttpServerOptions
 from jujubeslip.interfaces import interfaces
 from jujubeslip.kernel import (
@@ -136,7 +138,7 @@
         )
         service = ForwardService(
             self._routes_follower,
-            PlainPath(sender),
+            PlainPath(sender, self._build_second_sends(sender)),
             StreamPath(
                 sender,
                 Prefiller(sender, settings.reads_prompts_apart, self._pressures),
@@ -199,6 +201,7 @@
             settings.retry_ratio,
             settings.retry_window_ms / 1000,
             settings.retry_allowance,
+            settings.second_send_share,
         )
         self._retry_budgets = RetryBudgets(budget, lambda: self._entry_hosts)
         return EndpointSender(
@@ -225,6 +228,18 @@
             self._relaying.reach,
         )
 
+    def _build_second_sends(self, sender: EndpointSender) -> SecondSends | None:
+        """Return what sends slow requests a second time, None if nothing does."""
+        settings = self._settings
+        options = SecondSendOptions(
+            settings.second_send_share,
+            settings.second_send_percentile,
+            settings.second_send_floor_ms / 1000,
+        )
+        if not options.is_enabled:
+            return None
+        return SecondSends(sender, options, self._account_limits.is_near_limit)
+
     def _forget_endpoint_failures(self, health: EndpointHealth) -> None:
         """Forget what calls over lost links showed, and connections over these."""
         health.forget_failures()
--- a/src/jujubeslip/forwarding/_quarantine.py
+++ b/src/jujubeslip/forwarding/_quarantine.py
@@ -27,6 +27,13 @@
         """Return whether the request is quarantined now."""
         return self._find_held(context) is not None
 
+    def has_crashed(self, context: ForwardContext) -> bool:
+        """Return whether an endpoint is known to have crashed on the content."""
+        if self._crash_registry.is_empty:
+            return False
+        fingerprints = (context.fingerprint, *context.part_fingerprints)
+        return any(self._crash_registry.find(item) for item in fingerprints)
+
     def check(self, context: ForwardContext) -> None:
         """Raise RequestRefusedError if the request is quarantined now."""
         history = self._find_held(context)
--- a/src/jujubeslip/forwarding/_retry_budgets.py
+++ b/src/jujubeslip/forwarding/_retry_budgets.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from jujubeslip.hedging import RecentSends
 from jujubeslip.kernel import steady_seconds
 
 # Share of the bound that is used, so that the sum over hosts stays below the bound also
@@ -19,16 +20,19 @@
     """The bound that all hosts share, for any period of the window's length."""
 
     ratio: float
-    """Retries per request."""
+    """Retries and second sends per request."""
     window_seconds: float
     allowance: float
     """Additional retries of all hosts together."""
+    second_send_share: float = 0.0
+    """The part of the ratio that second sends may always use."""
 
 
 @dataclass
 class _ServiceSends:
     requests: deque[float] = field(default_factory=deque)
     retries: deque[float] = field(default_factory=deque)
+    second_sends: deque[float] = field(default_factory=deque)
 
 
 class RetryBudgets:
@@ -77,6 +81,21 @@
                 if (sends := self._sends(name))
             }
 
+    def recent_sends(self, service_name: str) -> RecentSends:
+        """Return this host's sends in the window, and the bound on its repeats."""
+        with self._lock:
+            sends = self._sends(service_name)
+            return RecentSends(
+                len(sends.requests),
+                len(sends.retries) + len(sends.second_sends),
+                self._bound(sends, self._options.ratio),
+            )
+
+    def note_second_send(self, service_name: str) -> None:
+        """Count a second send, which costs no retry unless its share is borrowed."""
+        with self._lock:
+            self._sends(service_name).second_sends.append(steady_seconds())
+
     def charge(self, service_name: str) -> None:
         """Count a retry that was sent, whether one was left or not."""
         with self._lock:
@@ -86,16 +105,21 @@
         return len(sends.retries) + 1 <= self._limit(sends)
 
     def _limit(self, sends: _ServiceSends) -> float:
+        """Return the bound on retries, which may borrow unused second sends."""
+        ratio, second_send_share = self._options.ratio, self._options.second_send_share
+        unused = self._bound(sends, ratio) - len(sends.second_sends)
+        return max(unused, self._bound(sends, ratio - second_send_share))
+
+    def _bound(self, sends: _ServiceSends, ratio: float) -> float:
         share = self._options.allowance / max(1, self._entry_hosts())
         if steady_seconds() < self._full_share_from:
             share /= 2
-        from_requests = self._options.ratio * len(sends.requests)
-        return SAFETY_SHARE * (from_requests + share)
+        return SAFETY_SHARE * (ratio * len(sends.requests) + share)
 
     def _sends(self, service_name: str) -> _ServiceSends:
         sends = self._sends_by_service.setdefault(service_name, _ServiceSends())
         oldest = steady_seconds() - self._options.window_seconds
-        for send_times in (sends.requests, sends.retries):
+        for send_times in (sends.requests, sends.retries, sends.second_sends):
             while send_times and send_times[0] < oldest:
                 send_times.popleft()
         return sends
--- a/src/jujubeslip/forwarding/_sender.py
+++ b/src/jujubeslip/forwarding/_sender.py
@@ -77,14 +77,22 @@
         """Return an endpoint for the request, None if none is usable."""
         return self.chooser.choose(context.service_name, role, excluded)
 
-    def exchange(self, context: ForwardContext, endpoint: Endpoint) -> Exchange:
-        """Return an exchange with the endpoint, to be used as a context manager."""
+    def exchange(
+        self,
+        context: ForwardContext,
+        endpoint: Endpoint,
+        interrupted: Interrupted | None = None,
+    ) -> Exchange:
+        """Return an exchange with the endpoint, to be used as a context manager.
+
+        Without `interrupted`, it ends when the client disconnects.
+        """
         return Exchange(
             self.pool,
             self.interface,
             endpoint,
             context.request,
-            context.client_disconnected,
+            interrupted or context.client_disconnected,
             self.notices,
         )
 
--- a/src/jujubeslip/forwarding/_service.py
+++ b/src/jujubeslip/forwarding/_service.py
@@ -20,10 +20,11 @@
     ForwardContext,
     StreamedAnswer,
 )
-from jujubeslip.forwarding._plain_path import SERVER_ERROR, PlainPath
+from jujubeslip.forwarding._plain_path import PlainPath
 from jujubeslip.forwarding._quarantine import Quarantine
 from jujubeslip.forwarding._routes_follower import RoutesFollower
 from jujubeslip.forwarding._stream_path import StreamPath
+from jujubeslip.forwarding._whole_send import SERVER_ERROR
 from jujubeslip.kernel import (
     Deadline,
     JujubeslipError,
--- a/src/jujubeslip/kernel/_settings.py
+++ b/src/jujubeslip/kernel/_settings.py
@@ -235,6 +235,13 @@
     """Time window in which retries are counted."""
     retry_allowance: Annotated[float, Field(ge=0)] = 50.0
     """Retries allowed in the window in addition to the ratio, over all hosts."""
+    second_send_share: Annotated[float, Field(ge=0, le=1)] = 0.0
+    """Second sends of slow requests per request of a service, over all hosts: a part
+    of `retry_ratio`, which retries may use as far as they leave it. 0 for none."""
+    second_send_percentile: Annotated[float, Field(ge=50, lt=100)] = 95.0
+    """Percentage of a route's recent answers that came sooner than a second send."""
+    second_send_floor_ms: Annotated[int, Field(ge=1)] = 20
+    """Shortest wait for an answer before a second send."""
     limit_window_ms: Annotated[int, Field(ge=100)] = 8000
     """Time window in which an account's limit holds, over all hosts."""
     limit_overage: Annotated[float, Field(ge=0)] = 0.1
@@ -267,7 +274,15 @@
     path: Path,
 ) -> Result[ForwardSettings, tuple[SettingsProblem, ...]]:
     """Read the settings of a forwarding host, or return all problems."""
-    return read_toml_as(ForwardSettings, path)
+    loaded = read_toml_as(ForwardSettings, path)
+    if isinstance(loaded, Failure):
+        return loaded
+    settings = loaded.unwrap()
+    if settings.second_send_share <= settings.retry_ratio:
+        return loaded
+    message = f"Second sends are a part of retry_ratio, {settings.retry_ratio}."
+    remedy = "Lower second_send_share to that, or raise retry_ratio."
+    return Failure((_problem(path, "second_send_share", message, remedy),))
 
 
 def load_entry_settings(
--- a/src/jujubeslip/tracing/_causes.py
+++ b/src/jujubeslip/tracing/_causes.py
@@ -15,6 +15,8 @@
 BACKOFF_MESSAGE = "request refused during backoff"
 QUARANTINE_MESSAGE = "request quarantined"
 INTERRUPTION_MESSAGE = "run cut off"
+SECOND_SEND_MESSAGE = "request sent a second time"
+SECOND_END_MESSAGE = "second send ended"
 _STEP = re.compile(r"(?P<ms>\d+) ms (?P<endpoint>\S+): (?P<result>.*)")
 
 CauseFunction = Callable[[RequestEnd, Sequence[Line]], str]
@@ -27,7 +29,23 @@
         return _cause_without_end(lines)
     end = read_end(ends[-1])
     explain = _EXPLAIN_BY_OUTCOME.get(end.outcome, _other_outcome)
-    return explain(end, lines)
+    return explain(end, lines) + _second_send(lines)
+
+
+def _second_send(lines: Sequence[Line]) -> str:
+    """Return a sentence about a second send, empty if there was none."""
+    sent = [line.fields for line in lines if line.message == SECOND_SEND_MESSAGE]
+    ended = [line.fields for line in lines if line.message == SECOND_END_MESSAGE]
+    if not sent:
+        return ""
+    answered_by = ended[-1].get("answered_by") if ended else "none"
+    who = "neither send" if answered_by == "none" else f"the {answered_by} send"
+    fields = sent[-1]
+    return (
+        f" It was sent a second time after {fields.get('waited_ms')} ms without an "
+        f"answer from {fields.get('start_id')}, to {fields.get('second_start_id')}; "
+        f"{who} was answered first."
+    )
 
 
 def _cause_without_end(lines: Sequence[Line]) -> str:
--- a/tests/platform/test_deployment.py
+++ b/tests/platform/test_deployment.py
@@ -110,6 +110,24 @@
         assert (read.limit_overage, read.limit_slack) == (0.2, 5000)
         assert without.unwrap().limit_slack == 0
 
+    def test_second_sends_are_off(self, tmp_path: Path) -> None:
+        path = tmp_path / "entry.toml"
+        path.write_text(filled("entry.toml"))
+        assert load_forward_settings(path).unwrap().second_send_share == 0
+
+    def test_second_sends_beyond_the_retry_ratio_are_named_with_the_remedy(
+        self, tmp_path: Path
+    ) -> None:
+        """All repeats together would break the platform's bound otherwise."""
+        path = tmp_path / "entry.toml"
+        text = filled("entry.toml")
+        path.write_text(f"second_send_share = 0.2\n{text}")
+        assert isinstance(load_forward_settings(path), Success)
+        path.write_text(f"second_send_share = 0.21\n{text}")
+        (problem,) = load_forward_settings(path).failure()
+        assert problem.key == "second_send_share"
+        assert "retry_ratio" in problem.remedy
+
     def test_setting_that_is_missing_is_named_with_the_remedy(
         self, tmp_path: Path
     ) -> None:
