Limits: no repeated questions to a leader without a lease, no wait before the pool

Callers: with client accounts, 136 of 428 requests ended limit_unknown while the control hosts were split, 89 of them after 500 ms. Cause, by reading: a lapsed leader was called again every 0.1 s by all requests, as other control hosts went on naming it; a host counted that moment as having a leader and didn't lend its shares; streams went to the pool only after their whole wait. Now one request at a time asks, at growing intervals; a replica without the leader role says so with its term, which ends the questions until a later term; the pool is asked at once. The tests of the back-off, of the former leader and of joining failed before.

--- a/src/jujubeslip/control/_replica.py
+++ b/src/jujubeslip/control/_replica.py
@@ -463,12 +463,19 @@
         return self.leadership
 
     def not_leader(self) -> NotLeader:
-        """Return the NotLeader error, which names the leader if one was heard."""
+        """Return the NotLeader error, which names the leader if one was heard.
+
+        Without a leader it has the newest term in which this replica will not lead any
+        more, and no term from a leader whose lease may become valid again.
+        """
         with self.lock:
-            if self.role is not Role.LEADER and self.hears_leader:
-                leader = self.leader
+            if self.role is Role.LEADER:
+                return NotLeader("", "")
+            leader = self.leader
+            if self.hears_leader and leader.address:
                 return NotLeader(leader.replica_id, leader.address, leader.term)
-            return NotLeader("", "")
+            is_candidate = self.role is Role.CANDIDATE
+            return NotLeader("", "", self.term - is_candidate)
 
     def known_leader_address(self) -> str:
         """Return the leader's address, this replica's own if it leads, else ''."""
--- a/src/jujubeslip/forwarding/_account_limits.py
+++ b/src/jujubeslip/forwarding/_account_limits.py
@@ -101,26 +101,39 @@
         """Charge at the leader, whose answer may be late once, or without a leader."""
         limit = context.end_by.earlier_of(Deadline.after(LATE_LEADER_SECONDS))
         while not self.charge_at_leader(context, attempts):
-            if self._try_charge_without_leader(context, attempts):
+            if not self.wait_for_leader(context, attempts, limit):
                 return
-            if not self._leader.has_skipped_leader or not self.wait_for_leader(
-                context, limit
-            ):
-                raise self._limit_unknown_refusal(context)
 
-    def wait_for_leader(self, context: ForwardContext, limit: Deadline) -> bool:
-        """Wait for a leader to call; return whether there may be one.
+    def wait_for_leader(
+        self,
+        context: ForwardContext,
+        attempts: Attempts,
+        limit: Deadline,
+        awaits_election: bool = False,
+    ) -> bool:
+        """Charge without a leader at once, or wait until there may be a leader.
+
+        Returns whether there may be one; otherwise the request has been charged. A
+        leader that was late or has no valid lease may answer soon. The election of
+        another one takes longer than most requests may wait, so that they are refused
+        at once unless `awaits_election` is set.
 
-        Raises ClientDisconnectedError if the client disconnects during the wait.
+        Raises RequestRefusedError, and ClientDisconnectedError if the client
+        disconnects during the wait.
         """
-        while self._leader.address() is None:
-            if limit.expired or self._process.stopped.wait(LEADER_POLL_SECONDS):
-                return False
+        while not self._try_charge_without_leader(context, attempts):
+            may_wait = awaits_election or self._leader.has_skipped_leader
+            if not may_wait or limit.expired:
+                raise self._limit_unknown_refusal(context)
+            if self._process.stopped.wait(LEADER_POLL_SECONDS):
+                raise self._limit_unknown_refusal(context)
             if context.client_disconnected():
                 raise ClientDisconnectedError(
                     "The client closed its connection.", Ran.NO
                 )
-        return True
+            if self._leader.address() is not None:
+                return True
+        return False
 
     def charge_without_leader(
         self, context: ForwardContext, attempts: Attempts
--- a/src/jujubeslip/forwarding/_grants.py
+++ b/src/jujubeslip/forwarding/_grants.py
@@ -145,9 +145,9 @@
     ) -> AdmissionAnswer | None:
         """Return the leader's decision, None without a leader that gives grants.
 
-        Raises RequestRefusedError if the client account has used up its limit. A
-        request of an account with a limit waits for a leader that can charge it: only
-        the leader knows what is left, and without it hosts may admit few requests.
+        Raises RequestRefusedError if the client account has used up its limit, or if
+        nobody can tell. A request of an account with a limit is charged without a
+        leader where the hosts that find none may admit it together.
         """
         context, attempts, limits = (
             capacity_request.context,
@@ -158,7 +158,8 @@
         if limits is None or not context.cost or attempts.is_charged:
             return answer
         while answer is None and not limits.charge_at_leader(context, attempts):
-            if not limits.wait_for_leader(context, capacity_request.limit):
+            limit = capacity_request.limit
+            if not limits.wait_for_leader(context, attempts, limit, True):
                 break
             answer = admissions.ask(capacity_request)
         if answer is not None and answer.over_limit_seconds > 0:
--- a/src/jujubeslip/forwarding/_leader_contact.py
+++ b/src/jujubeslip/forwarding/_leader_contact.py
@@ -10,19 +10,14 @@
 from typing import Any, TypeVar
 
 from jujubeslip.discovery import ControlUpdate
-from jujubeslip.kernel import Deadline, PeerUnavailableError
+from jujubeslip.forwarding._leader_pauses import LeaderPauses
+from jujubeslip.kernel import PeerUnavailableError
 from jujubeslip.peers import ControlClients, NotLeader, PeerIdentity, PeerRefusal
 
 logger = logging.getLogger(__name__)
 
 T = TypeVar("T")
 
-# How long a host that did not answer, or does not lead, is skipped, in seconds.
-PAUSE_SECONDS = 0.7
-# How long a leader whose lease has lapsed is skipped, in seconds. The pause is short,
-# since the next answer of its delayed followers renews the lease.
-LAPSED_PAUSE_SECONDS = 0.1
-
 
 @dataclass(frozen=True)
 class _LeaderReport:
@@ -43,11 +38,9 @@
         self._reaches = reaches
         self._clients = ControlClients(identity)
         self._report_by_sender: dict[str, _LeaderReport] = {}
-        self._paused_until_by_address: dict[str, Deadline] = {}
-        self._unresponsive_addresses: set[str] = set()
-        """Hosts that did not answer the latest call."""
-        self._lapsed_addresses: set[str] = set()
-        """Leaders that had no valid lease at the latest call."""
+        self._pauses = LeaderPauses()
+        self._resigned_term_by_address: dict[str, int] = {}
+        """Newest term in which hosts said themselves that they do not lead."""
         self._last_logged_address: str | None = None
         self._lock = threading.Lock()
 
@@ -61,7 +54,9 @@
         """Record what a host reported; the caller holds the lock."""
         if report.term > self._newest_term():
             # The host was elected after calls to it failed.
-            self._forget_failures(report.address)
+            self._pauses.forget(report.address)
+        elif sender == report.address:
+            self._pauses.forget_lapsed(report.address)
         before = self._report_by_sender.get(sender)
         if not report.address and before is not None:
             # The sender hears from no leader any more, so the leader that it reported
@@ -69,12 +64,6 @@
             report = _LeaderReport("", max(before.term, report.term))
         self._report_by_sender[sender] = report
 
-    def _forget_failures(self, address: str) -> None:
-        """Allow calls to a host at once; the caller holds the lock."""
-        self._paused_until_by_address.pop(address, None)
-        self._unresponsive_addresses.discard(address)
-        self._lapsed_addresses.discard(address)
-
     def _newest_reports(self) -> list[_LeaderReport]:
         """Return the reports of the newest term; the caller holds the lock.
 
@@ -101,9 +90,17 @@
         soon. A leader beyond a network partition isn't reachable.
         """
         with self._lock:
-            candidates = {report.address for report in self._newest_reports()}
-            candidates &= self._unresponsive_addresses | self._lapsed_addresses
-            return any(self._reaches(address) for address in candidates)
+            return any(
+                self._reaches(address) and self._pauses.has_failed(address)
+                for address in self._named_addresses()
+            )
+
+    @property
+    def has_leader(self) -> bool:
+        """Return whether a leader is known that has not failed the latest call."""
+        address = self.address()
+        with self._lock:
+            return address is not None and not self._pauses.has_failed(address)
 
     def address(self) -> str | None:
         """Return the address of the newest leader, None if it may not be called.
@@ -113,9 +110,9 @@
         """
         with self._lock:
             candidates = Counter(
-                report.address
-                for report in self._newest_reports()
-                if report.address and not self._is_paused(report.address)
+                address
+                for address in self._named_addresses()
+                if not self._pauses.is_paused(address)
             )
             # Otherwise each request would wait for a host beyond a network partition.
             candidates = Counter(
@@ -125,21 +122,34 @@
             self._log_change(address)
         return address
 
+    def _named_addresses(self) -> list[str]:
+        """Return the hosts that the newest reports name; the caller holds the lock.
+
+        A host that has said itself that it no longer leads in that term is left out,
+        although others may go on naming it until they miss it.
+        """
+        return [
+            report.address
+            for report in self._newest_reports()
+            if report.address and not self._has_resigned(report)
+        ]
+
+    def _has_resigned(self, report: _LeaderReport) -> bool:
+        resigned_term = self._resigned_term_by_address.get(report.address, 0)
+        return 0 < report.term <= resigned_term
+
     def _log_change(self, address: str | None) -> None:
         """Log which host is called from now on; the caller holds the lock."""
         if address == self._last_logged_address:
             return
         self._last_logged_address = address
-        paused = [
-            item for item in self._paused_until_by_address if self._is_paused(item)
-        ]
         extra = {
             "address": address or "",
             "told": {
                 sender: [report.address, report.term]
                 for sender, report in self._report_by_sender.items()
             },
-            "paused": paused,
+            "paused": self._pauses.paused_addresses,
         }
         logger.info("leader to call changed", extra=extra)
 
@@ -171,7 +181,7 @@
 
     def _is_named(self, address: str) -> bool:
         with self._lock:
-            return address in {report.address for report in self._newest_reports()}
+            return address in self._named_addresses()
 
     def call_within(
         self,
@@ -193,15 +203,13 @@
     def _call_and_record(
         self, address: str, request_id: str, timeout: float, rpc: Callable[[], T]
     ) -> T | None:
-        term = self._record_call(address, timeout)
+        with self._lock:
+            was_probe = self._pauses.begin_call(address, timeout)
+            term = self._newest_term()
         try:
             answer = rpc()
         except NotLeader as error:
-            self._pause_not_leading(address, term, request_id, error)
-            if error.leader_address:
-                report = _LeaderReport(error.leader_address, error.leader_term or 0)
-                with self._lock:
-                    self._record_report(address, report)
+            self._record_not_leading(address, term, request_id, error, was_probe)
             return None
         except PeerRefusal as error:
             self._pause(address, term, request_id, str(error))
@@ -209,7 +217,8 @@
         except PeerUnavailableError as error:
             self._pause(address, term, request_id, str(error), is_unresponsive=True)
             return None
-        self._record_answer(address)
+        with self._lock:
+            self._pauses.forget_answered(address)
         return answer
 
     def call_control_host(
@@ -243,43 +252,38 @@
             return f"{address}: {failure}"
         return ""
 
-    def _record_call(self, address: str, timeout: float) -> int:
-        """Record a call and return the term in which it is made.
-
-        While one request waits for a host that did not answer before, the others skip
-        that host. A host beyond a network partition counts as reachable until a watch
-        request to it fails, which takes up to two seconds. In that time, each request
-        that comes after the pause would wait for a call that cannot succeed.
-        """
-        with self._lock:
-            if address in self._unresponsive_addresses:
-                self._paused_until_by_address[address] = Deadline.after(timeout)
-            return self._newest_term()
-
-    def _record_answer(self, address: str) -> None:
-        with self._lock:
-            if address in self._unresponsive_addresses | self._lapsed_addresses:
-                self._forget_failures(address)
-
-    def _pause_not_leading(
-        self, address: str, term: int, request_id: str, error: NotLeader
+    def _record_not_leading(
+        self,
+        address: str,
+        term: int,
+        request_id: str,
+        error: NotLeader,
+        was_probe: bool,
     ) -> None:
         """Skip a host that says that it doesn't lead.
 
-        If it knows no other leader and is still reported as the newest one, it leads
-        without a valid lease and is called again soon.
+        If it names neither another leader nor a term and is still reported as the
+        newest leader, it leads without a valid lease and is called again soon. With a
+        term, it has stepped down, and is called again once it leads in a later one.
         """
-        is_lapsed = not error.leader_address and self._is_named(address)
-        with self._lock:
-            if is_lapsed and term == self._newest_term():
-                paused = Deadline.after(LAPSED_PAUSE_SECONDS)
-                self._paused_until_by_address[address] = paused
-                self._lapsed_addresses.add(address)
-        if not is_lapsed:
-            self._pause(address, term, request_id, "it does not lead")
+        resigned_term = 0 if error.leader_address else error.leader_term or 0
+        is_lapsed = not (error.leader_address or resigned_term)
+        if is_lapsed and self._is_named(address):
+            with self._lock:
+                if term == self._newest_term():
+                    self._pauses.pause_lapsed(address, was_probe)
+            extra = {"address": address, "request_id": request_id, "term": term}
+            logger.info("leader has no lease", extra=extra)
             return
-        extra = {"address": address, "request_id": request_id, "term": term}
-        logger.info("leader has no lease", extra=extra)
+        self._pause(address, term, request_id, "it does not lead")
+        with self._lock:
+            if error.leader_address:
+                report = _LeaderReport(error.leader_address, error.leader_term or 0)
+                self._record_report(address, report)
+            resigned_before = self._resigned_term_by_address.get(address, 0)
+            self._resigned_term_by_address[address] = max(
+                resigned_before, resigned_term
+            )
 
     def _pause(
         self,
@@ -293,12 +297,6 @@
         with self._lock:
             # The host may have been elected during the call.
             if term == self._newest_term():
-                self._paused_until_by_address[address] = Deadline.after(PAUSE_SECONDS)
-                if is_unresponsive:
-                    self._unresponsive_addresses.add(address)
+                self._pauses.pause(address, is_unresponsive)
         extra = {"address": address, "request_id": request_id, "reason": reason}
         logger.info("leader skipped after a failed call", extra=extra)
-
-    def _is_paused(self, address: str) -> bool:
-        paused = self._paused_until_by_address.get(address)
-        return paused is not None and not paused.expired
--- a/src/jujubeslip/forwarding/_shared_charges.py
+++ b/src/jujubeslip/forwarding/_shared_charges.py
@@ -33,8 +33,8 @@
 
     @property
     def has_leader(self) -> bool:
-        """Return whether there may be a leader to call."""
-        return self._leader.address() is not None
+        """Return whether there is a leader to call that has not just failed."""
+        return self._leader.has_leader
 
     def charge_at_leader(self, request_id: str, rpc: Callable[[Any], T]) -> T | None:
         """Charge at the leader and return its answer, None if no leader is found."""
--- /dev/null
+++ b/tests/forwarding/test_charges_without_leader.py
@@ -0,0 +1,182 @@
+"""Charges at a host whose leader is lost, has no lease or has stepped down."""
+
+from __future__ import annotations
+
+import threading
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from jujubeslip.accounts import HostSpending, LimitBounds
+from jujubeslip.forwarding._account_limits import AccountLimits
+from jujubeslip.forwarding._leader_contact import LeaderContact
+from jujubeslip.forwarding._models import Attempts
+from jujubeslip.kernel import Deadline, RequestRefusedError
+from jujubeslip.peers import AccountSpending, AccountState, NotLeader, PeerIdentity
+from tests.fakes.clock import Clock
+
+LEADER, KEEPER = "10.0.0.2:7000", "10.0.0.1:7000"
+COST = 200.0
+HOSTS = 79
+BOUNDS = LimitBounds(8.0, 0.1, 73_000.0)
+
+
+class Controls:
+    """Stands in for the leader and for the control host that keeps the pool."""
+
+    def __init__(self) -> None:
+        self.leader_error: NotLeader | None = None
+        self.pool_admits = True
+        self.leader_calls = 0
+        self.pool_calls = 0
+        self.joins = 0
+
+    def call_within(self, rpc: Any, timeout: float) -> Any:
+        return rpc(self)
+
+    call = call_within
+
+    def charge_account(self, spending: AccountSpending) -> AccountState:
+        self.leader_calls += 1
+        if self.leader_error is not None:
+            raise self.leader_error
+        return AccountState(spending.account_name, 0.0, False)
+
+    def charge_alone(self, host_id: str, hosts: int, spending: Any) -> bool:
+        self.pool_calls += spending.amount > 0
+        self.joins += spending.amount == 0
+        return self.pool_admits
+
+
+class Stopped(threading.Event):
+    """Advances the clock instead of waiting."""
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__()
+        self._clock = clock
+
+    def wait(self, timeout: float | None = None) -> bool:
+        self._clock.now += timeout or 0.0
+        return False
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    clock = Clock()
+    for module in (
+        "kernel._deadlines",
+        "forwarding._account_limits",
+        "forwarding._shared_charges",
+    ):
+        monkeypatch.setattr(f"jujubeslip.{module}.steady_seconds", clock.steady_seconds)
+    return clock
+
+
+@pytest.fixture
+def controls() -> Controls:
+    return Controls()
+
+
+@pytest.fixture
+def contact(controls: Controls) -> LeaderContact:
+    contact = LeaderContact(PeerIdentity("host", 1, "secret-of-tests"), lambda _: True)
+    clients: Any = SimpleNamespace(get=lambda _: controls)
+    contact._clients = clients
+    for sender in (KEEPER, LEADER):
+        update: Any = SimpleNamespace(
+            address=sender, leader_address=LEADER, leader_term=3
+        )
+        contact.apply_update(update)
+    return contact
+
+
+@pytest.fixture
+def limits(clock: Clock, contact: LeaderContact) -> AccountLimits:
+    process: Any = SimpleNamespace(stopped=Stopped(clock))
+    spending = HostSpending(BOUNDS, lambda: HOSTS, began_at=0.0)
+    return AccountLimits(
+        process, contact, spending, "host", lambda: HOSTS, lambda: True
+    )
+
+
+def context() -> Any:
+    request = SimpleNamespace(request_id="r-1", account_name="a")
+    return SimpleNamespace(
+        cost=COST,
+        request=request,
+        end_by=Deadline.after(1.5),
+        client_disconnected=lambda: False,
+        table=SimpleNamespace(version=1),
+        account=None,
+    )
+
+
+class TestLeaderWithoutALease:
+    """Guards against requests that wait for a leader although the pool admits them.
+
+    While the control hosts were split for 4 s, requests of accounts far below their
+    limits waited for half a second and were refused then.
+    """
+
+    def test_requests_are_charged_to_the_pool_at_once(
+        self, limits: AccountLimits, controls: Controls, clock: Clock
+    ) -> None:
+        controls.leader_error = NotLeader("", "")
+        began_at = clock.now
+        for _ in range(20):
+            limits.charge(context(), Attempts())
+        assert clock.now == began_at
+        assert (controls.leader_calls, controls.pool_calls) == (1, 20)
+
+    def test_that_renews_it_charges_the_waiting_request(
+        self, limits: AccountLimits, controls: Controls, clock: Clock
+    ) -> None:
+        controls.leader_error = NotLeader("", "")
+        controls.pool_admits = False
+        renewed_at = clock.now + 0.3
+        waits: Any = limits._process.stopped
+        advance = waits.wait
+
+        def wait(timeout: float) -> bool:
+            advance(timeout)
+            if clock.now >= renewed_at:
+                controls.leader_error = None
+            return False
+
+        waits.wait = wait
+        attempts = Attempts()
+        limits.charge(context(), attempts)
+        assert attempts.is_charged
+        assert clock.now < renewed_at + 0.5
+
+
+class TestLeaderThatHasSteppedDown:
+    """Guards against a refusal after half a second that was certain at once."""
+
+    def test_request_that_the_pool_refuses_is_refused_at_once(
+        self, limits: AccountLimits, controls: Controls, clock: Clock
+    ) -> None:
+        controls.leader_error = NotLeader("", "", 3)
+        controls.pool_admits = False
+        began_at = clock.now
+        for _ in range(3):
+            with pytest.raises(RequestRefusedError) as refused:
+                limits.charge(context(), Attempts())
+            assert refused.value.error_id == "limit_unknown"
+        assert clock.now == began_at
+        assert controls.leader_calls == 1
+
+
+class TestJoiningThePool:
+    """Guards against a pool that lacks the shares of hosts that were about to ask."""
+
+    def test_continues_while_the_leader_has_no_lease(
+        self, limits: AccountLimits, controls: Controls, clock: Clock
+    ) -> None:
+        controls.leader_error = NotLeader("", "")
+        limits.charge(context(), Attempts())
+        for _ in range(8):
+            clock.now += 0.25
+            limits._join_pool()
+        assert controls.joins == 8
--- a/tests/forwarding/test_leader_contact.py
+++ b/tests/forwarding/test_leader_contact.py
@@ -7,10 +7,11 @@
 
 import pytest
 
-from jujubeslip.forwarding._leader_contact import (
+from jujubeslip.forwarding._leader_contact import LeaderContact
+from jujubeslip.forwarding._leader_pauses import (
     LAPSED_PAUSE_SECONDS,
+    MAXIMUM_LAPSED_PAUSE_SECONDS,
     PAUSE_SECONDS,
-    LeaderContact,
 )
 from jujubeslip.kernel import PeerUnavailableError
 from jujubeslip.peers import NotLeader, PeerIdentity, PeerRefusal
@@ -221,3 +222,75 @@
         assert contact.call(LEADER, "r", TIMEOUT, lambda _: "granted") is None
         clock.now += LAPSED_PAUSE_SECONDS
         assert contact.address() == "10.0.0.9:7000"
+
+    def test_is_called_by_few_requests_however_many_come(
+        self, contact: LeaderContact, peer: Peer, clock: Clock
+    ) -> None:
+        """Each request called it, as other control hosts went on naming it."""
+        peer.error = NotLeader("", "")
+        for _ in range(400):
+            call_leader(contact)
+            report(contact, "10.0.0.3:7000", LEADER, 0)
+            clock.now += 0.01
+        assert peer.calls <= 3 + 4 / MAXIMUM_LAPSED_PAUSE_SECONDS
+        assert not contact.has_leader
+
+    def test_calls_under_way_at_the_first_lapse_count_as_one(
+        self, contact: LeaderContact, peer: Peer, clock: Clock
+    ) -> None:
+        peer.error = NotLeader("", "")
+        for _ in range(5):
+            contact.call(LEADER, "r", TIMEOUT, lambda _: "granted")
+        clock.now += LAPSED_PAUSE_SECONDS
+        assert contact.address() == LEADER
+
+    def test_is_called_at_once_when_it_reports_that_it_leads(
+        self, contact: LeaderContact, peer: Peer
+    ) -> None:
+        peer.error = NotLeader("", "")
+        assert call_leader(contact) is None
+        report(contact, "10.0.0.3:7000", LEADER, 0)
+        assert contact.address() is None
+        report(contact, LEADER, LEADER, 0)
+        assert contact.address() == LEADER
+
+
+class TestLeaderThatHasSteppedDown:
+    """Guards against calls to a former leader that others still name.
+
+    Followers name it for an election timeout after its last message; each host called
+    it again every tenth of a second, and requests waited for it.
+    """
+
+    @pytest.fixture(autouse=True)
+    def stepped_down(self, contact: LeaderContact, peer: Peer) -> None:
+        report(contact, "10.0.0.3:7000", LEADER, 4)
+        peer.error = NotLeader("", "", 4)
+        assert call_leader(contact) is None
+
+    def test_is_not_called_for_that_term(
+        self, contact: LeaderContact, peer: Peer, clock: Clock
+    ) -> None:
+        for _ in range(20):
+            report(contact, "10.0.0.3:7000", LEADER, 4)
+            assert call_leader(contact) is None
+            clock.now += PAUSE_SECONDS
+        assert peer.calls == 1
+        assert not contact.has_skipped_leader
+
+    def test_is_called_in_a_later_term(
+        self, contact: LeaderContact, peer: Peer
+    ) -> None:
+        report(contact, "10.0.0.3:7000", LEADER, 5)
+        peer.error = None
+        assert call_leader(contact) == "granted"
+
+    def test_that_campaigns_in_that_term_may_still_win_it(
+        self, contact: LeaderContact, peer: Peer, clock: Clock
+    ) -> None:
+        """A candidate names the term before the one in which it may lead."""
+        report(contact, LEADER, LEADER, 5)
+        peer.error = NotLeader("", "", 4)
+        assert call_leader(contact) is None
+        clock.now += PAUSE_SECONDS
+        assert contact.address() == LEADER
