Admission: parts of client accounts, and no other order while all start in time

Cause: below its limit an account could fill the queue and the memory of a service, and the requests of all others were refused with its own.

Change: admission/_account_shares.py keeps what each account holds in the engines' memory. Requests of accounts above their part follow the others of their priority, only while not all can start in time. Weights are the limits of the configuration. New setting shares_between_accounts, line `account above its part of the engines`, metrics account_wait, held_tokens and account_held_tokens; trace tells both.

--- a/src/jujubeslip/admission/__init__.py
+++ b/src/jujubeslip/admission/__init__.py
@@ -5,6 +5,7 @@
 the requests of all hosts in one queue.
 """
 
+from jujubeslip.admission._account_shares import SharingWeights
 from jujubeslip.admission._answer_lengths import AnswerLengths, lengths_of
 from jujubeslip.admission._home import AdmissionHome
 from jujubeslip.admission._memory_forecast import (
@@ -24,6 +25,7 @@
     "EngineUse",
     "GrowingAnswer",
     "MemoryOptions",
+    "SharingWeights",
     "WaitingOptions",
     "forecast_peak",
     "growth_of",
--- a/src/jujubeslip/admission/_engine_pool.py
+++ b/src/jujubeslip/admission/_engine_pool.py
@@ -8,6 +8,11 @@
 from collections.abc import Collection
 from dataclasses import replace
 
+from jujubeslip.admission._account_shares import (
+    AccountShares,
+    GrantKey,
+    HeldMemory,
+)
 from jujubeslip.admission._capacity_search import CapacitySearch
 from jujubeslip.admission._grant_counts import GrantCounts
 from jujubeslip.admission._memory_forecast import MemoryOptions
@@ -69,6 +74,7 @@
         self._waiting_by_id: dict[str, WaitingRequest] = {}
         self._queue = PriorityOrder(waiting.lower_priority_share)
         self._grant_counts = GrantCounts()
+        self._shares = AccountShares(waiting.sharing_weights)
         self._interval = INITIAL_INTERVAL_SECONDS
         self._interval_began_at = steady_seconds()
         self._lock = threading.Lock()
@@ -88,6 +94,7 @@
         """
         with self._lock:
             self._engines.retain_only(decode_engines, prefill_engines)
+            self._shares.retain_only(self._engines.granted)
 
     def take_report(self, start_id: str, report: EngineReport) -> None:
         """Store the report of an engine's start and decide the waiting requests."""
@@ -134,6 +141,11 @@
         with self._lock:
             return self._engines.use
 
+    def held_memories(self) -> list[HeldMemory]:
+        """Return what each granted request holds of the engines' memory."""
+        with self._lock:
+            return self._shares.held_memories()
+
     # Requests
 
     def ask(
@@ -176,6 +188,7 @@
             if waiting is not None and waited:
                 self._refuse(waiting)
             self._engines.end(request_id, attempt)
+            self._shares.note_ended(GrantKey(request_id, attempt))
             self._grant_waiting()
         return waited
 
@@ -235,9 +248,19 @@
         return waiting
 
     def _forecast(self, grant_request: GrantRequest, now: float) -> float:
-        ahead = self._queue.count_ahead(entry_of(grant_request), now)
+        entry = entry_of(grant_request)
+        above_part = self._shares.above_part(
+            self._waiting_accounts() | {entry.account_name}
+        )
+        ahead = self._queue.count_ahead(entry, now, above_part)
         return (ahead + 1) * self._interval
 
+    def _waiting_accounts(self) -> set[str]:
+        return {
+            waiting.grant_request.sharing_account
+            for waiting in self._waiting_by_id.values()
+        }
+
     def _grant_waiting(self) -> None:
         """Give grants to the requests at the head of the queue while capacity lasts."""
         if not self._waiting_by_id:
@@ -245,7 +268,8 @@
         now = steady_seconds()
         prefill_candidates = self._engines.prefill_candidates()
         smallest_ungranted = math.inf
-        for entry in self._queue.head(now, MAXIMUM_TRIED, self._interval):
+        above_part = self._shares.above_part(self._waiting_accounts())
+        for entry in self._queue.head(now, MAXIMUM_TRIED, self._interval, above_part):
             waiting = self._waiting_by_id[entry.request_id]
             if (
                 self._drop_if_abandoned(waiting, now)
@@ -287,6 +311,14 @@
         self._queue.note_granted(waiting.entry)
         self._decide(waiting, Decision(grant, False, waiting.forecast))
         self._grant_counts.note(waiting.entry)
+        self._shares.note_granted(
+            GrantKey(waiting.grant_request.request_id, waiting.grant_request.attempt),
+            HeldMemory(
+                waiting.grant_request.sharing_account,
+                waiting.grant_request.expected_tokens,
+                waiting.entry.priority,
+            ),
+        )
 
     def _refuse(self, waiting: WaitingRequest) -> None:
         missing_resource = waiting.search.last_missing
@@ -295,12 +327,17 @@
     def _decide(self, waiting: WaitingRequest, decision: Decision) -> None:
         """End all calls for the request with this decision."""
         entry = waiting.entry
+        accounts = self._waiting_accounts()
+        is_above_part = entry.account_name in self._shares.above_part(accounts)
         waiting.decision = replace(
             decision,
             waited=steady_seconds() - waiting.since,
             granted_meanwhile=self._grant_counts.since(
                 waiting.granted_before, entry.priority
             ),
+            account_part=self._shares.part_of(entry.account_name, accounts)
+            if is_above_part
+            else None,
         )
         del self._waiting_by_id[waiting.grant_request.request_id]
         self._queue.remove(entry)
--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -5,9 +5,10 @@
 import logging
 import math
 import threading
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Iterator, Sequence
 from typing import Protocol
 
+from jujubeslip.admission._account_shares import HeldMemory
 from jujubeslip.admission._engine_pool import EnginePool
 from jujubeslip.admission._engine_report_poller import EngineReportPoller
 from jujubeslip.admission._memory_forecast import MemoryOptions
@@ -19,6 +20,7 @@
     WaitingOptions,
     grant_request_of,
 )
+from jujubeslip.admission._share_meters import ShareMeters, observe_held
 from jujubeslip.admission._waiting_request import Decision
 from jujubeslip.discovery import Endpoint, EndpointRegistry
 from jujubeslip.interfaces import Interface
@@ -97,14 +99,23 @@
         self._poller_by_start: dict[str, EngineReportPoller] = {}
         self._last_request_at = float("-inf")
         self._meters = AdmissionMeters()
+        self._share_meters = ShareMeters()
         self._lock = threading.Lock()
 
     def start(self) -> None:
         """Poll the engines until the process stops."""
         observe_speeds(self._measured_engines)
+        observe_held(self._held_memories)
         self._process.repeat(SCAN_SECONDS, self.run_once)
         self._process.repeat(RETRY_SECONDS, self._retry_waiting)
 
+    def _held_memories(self) -> Iterator[tuple[str, HeldMemory]]:
+        with self._lock:
+            pools = list(self._pool_by_service.items())
+        for service_name, pool in pools:
+            for held in pool.held_memories():
+                yield service_name, held
+
     def admit(self, request: AdmissionRequest) -> AdmissionReply:
         """Reply once the request is granted or refused, or when it must ask again."""
         wait = Deadline.from_remaining_ms(request.wait_ms)
@@ -122,9 +133,11 @@
         decision = pool.ask(grant_request, request.avoided_start_ids or (), until)
         if decision.refused and self._charges is not None:
             self._charges.give_back(request.request_id)
-        self._meters.note(request.service_name, grant_request.priority, decision)
+        self._meters.note(request.service_name, decision)
+        self._share_meters.note(request.service_name, grant_request, decision)
         self._log(request, decision)
         self._log_wait(request, decision)
+        self._log_part(request, decision)
         return _reply(decision)
 
     def _charge(self, request: AdmissionRequest) -> float:
@@ -280,6 +293,21 @@
         }
         logger.info("request waited behind other priorities", extra=extra)
 
+    def _log_part(self, request: AdmissionRequest, decision: Decision) -> None:
+        """Log that others went first, as the account holds more than its part."""
+        part = decision.account_part
+        if part is None:
+            return
+        extra = {
+            "request_id": request.request_id,
+            "service": request.service_name,
+            "account": request.sharing_account or "",
+            "waited_ms": int(decision.waited * 1000),
+            "held_tokens": part.held_tokens,
+            "part_tokens": part.part_tokens,
+        }
+        logger.info("account above its part of the engines", extra=extra)
+
     def _log(self, request: AdmissionRequest, decision: Decision) -> None:
         if decision.grant is None and not decision.refused:
             return
--- a/src/jujubeslip/admission/_meters.py
+++ b/src/jujubeslip/admission/_meters.py
@@ -8,12 +8,9 @@
 from opentelemetry.metrics import CallbackOptions, Observation
 
 from jujubeslip.admission._models import MeasuredEngine
-from jujubeslip.admission._priority_order import LOWEST_PRIORITY
 from jujubeslip.admission._waiting_request import Decision
 from jujubeslip.kernel import steady_seconds
 
-# Histogram bucket boundaries for waits, in seconds.
-SECOND_BUCKETS = (0.01, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 1.5, 2.0, 3.0, 5.0, 8.0)
 # Histogram bucket boundaries for shares of an engine's memory.
 SHARE_BUCKETS = (0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.85, 0.9, 0.95)
 
@@ -32,22 +29,9 @@
             description="Share of an engine's memory that was forecast at a grant.",
             explicit_bucket_boundaries_advisory=SHARE_BUCKETS,
         )
-        self._wait = meter.create_histogram(
-            "jujubeslip.admission.wait",
-            unit="s",
-            description="Wait until a decision, by service, priority and outcome.",
-            explicit_bucket_boundaries_advisory=SECOND_BUCKETS,
-        )
 
-    def note(self, service_name: str, priority: int, decision: Decision) -> None:
+    def note(self, service_name: str, decision: Decision) -> None:
         """Count a decision, unless it only says to ask again."""
-        if decision.grant is not None or decision.refused:
-            labels = {
-                "service": service_name,
-                "priority": str(min(LOWEST_PRIORITY, priority)),
-                "outcome": "refused" if decision.refused else "granted",
-            }
-            self._wait.record(decision.waited, labels)
         if decision.grant is not None:
             self._decisions.add(1, {"service": service_name, "outcome": "granted"})
             self._fill.record(decision.grant.fill, {"service": service_name})
--- a/src/jujubeslip/admission/_priority_order.py
+++ b/src/jujubeslip/admission/_priority_order.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 from jujubeslip.admission._waiting_queue import QueueEntry, WaitingQueue
 
@@ -30,18 +30,25 @@
 class PriorityOrder:
     """The waiting requests of one service, in the order in which they get grants.
 
-    Requests that are still in time go first, the highest priority first and within a
-    priority the earliest target. While a lower priority waits, it keeps a share of the
-    granted tokens: each grant to a higher one adds to its credit, and it goes first as
-    soon as the credit pays for its next request. Each priority has a credit for all
-    lower ones together, so that these share it in the same way.
+    Requests that are still in time go first. While all of them can start in time, the
+    earliest target is first: another order would only make some of them late.
+
+    Otherwise the highest priority is first, and within a priority the earliest target.
+    While a lower priority waits, it keeps a share of the granted tokens: each grant to
+    a higher one adds to its credit, and it goes first as soon as the credit pays for
+    its next request. Each priority has a credit for all lower ones together, so that
+    these share it in the same way.
 
     Late requests follow, in the same order. A late answer is still worth something, so
     a late request goes before those of lower priorities in time if all of these have
     enough time left to wait for it. Late requests of one priority never go before
     requests in time of the same or of a higher priority.
 
-    If all requests have the same priority, the order is that of `WaitingQueue`.
+    Where the order goes by priority, requests of the accounts in `above_part` follow
+    the others of their priority, in time or late.
+
+    If all requests have the same priority and no account is above its part, the order
+    is that of `WaitingQueue`.
     """
 
     def __init__(self, lower_priority_share: float = 0.0) -> None:
@@ -82,34 +89,41 @@
         lowest = max(self._queue_by_priority, default=-1)
         _settle(self._credit_by_priority, entry, self._share, lowest)
 
-    def head(self, now: float, maximum: int, interval: float = 0.0) -> list[QueueEntry]:
+    def head(
+        self,
+        now: float,
+        maximum: int,
+        interval: float = 0.0,
+        above_part: Collection[str] = (),
+    ) -> list[QueueEntry]:
         """Return the first requests in order, `maximum` at most.
 
         `interval` is the expected time between two grants, in seconds.
         """
-        if len(self._queue_by_priority) == 1:
+        if len(self._queue_by_priority) == 1 and not above_part:
             (queue,) = self._queue_by_priority.values()
             return queue.head(now, maximum)
-        selection = _Selection(self._queue_by_priority, now, maximum, interval)
+        selection = _Selection(
+            self._queue_by_priority, now, maximum, interval, above_part
+        )
         return list(selection.take(dict(self._credit_by_priority), self._share))
 
-    def count_ahead(self, entry: QueueEntry, now: float) -> int:
+    def count_ahead(
+        self, entry: QueueEntry, now: float, above_part: Collection[str] = ()
+    ) -> int:
         """Return how many of the waiting requests are granted before this one.
 
         Requests that arrive later, and grants that late requests get before those in
         time, are not counted.
         """
-        own = self._queue_by_priority.get(entry.priority)
-        same = own.count_ahead(entry, now) if own is not None else 0
-        if not any(item != entry.priority for item in self._queue_by_priority):
-            return same
         is_late = entry.target < now
+        own = self._queue_by_priority.get(entry.priority)
+        same = _same_ahead(own, entry, now, above_part) if own is not None else 0
         ahead_of_late = 0
         if is_late:
             ahead_of_late = sum(
                 queue.in_time_count(now) for queue in self._queue_by_priority.values()
             )
-            same -= own.in_time_count(now) if own is not None else 0
         return ahead_of_late + self._ahead_in_group(entry, same, now, is_late)
 
     def _ahead_in_group(
@@ -142,19 +156,42 @@
         now: float,
         maximum: int,
         interval: float,
+        above_part: Collection[str],
     ) -> None:
         self._now = now
         self._maximum = maximum
         self._interval = interval
         self._in_time = {
-            priority: queue.in_time(now, max(maximum, MAXIMUM_CHECKED))
+            priority: queue.in_time(now)
             for priority, queue in sorted(queue_by_priority.items())
         }
         self._late = {
-            priority: queue.late(now, maximum)
+            priority: _by_part(queue.late(now), above_part)
             for priority, queue in sorted(queue_by_priority.items())
         }
+        self._all_start_in_time = self._can_all_start_in_time()
+        if not self._all_start_in_time:
+            for priority, entries in self._in_time.items():
+                self._in_time[priority] = _by_part(entries, above_part)
         self._taken = 0
+        self._late_allowance: float | None = None
+
+    def _can_all_start_in_time(self) -> bool:
+        """Return whether all would start in time by target, at the latest interval.
+
+        Requests that can't start in time any more are left out.
+        """
+        latest_start = self._now + FIRST_EVENT_SECONDS
+        waiting = sorted(
+            entry.target
+            for entries in self._in_time.values()
+            for entry in entries
+            if entry.target >= latest_start
+        )
+        return all(
+            target - latest_start >= self._interval * (position + 1)
+            for position, target in enumerate(waiting)
+        )
 
     def take(
         self, credit_by_priority: dict[int, float], share: float
@@ -165,9 +202,12 @@
             priorities = [item for item, entries in group.items() if entries]
             if not priorities:
                 return
-            chosen = _next_priority(group, priorities, credit_by_priority, share)
-            if group is self._in_time and chosen == priorities[0]:
-                group, chosen = self._late_before(chosen) or (group, chosen)
+            if group is self._in_time and self._all_start_in_time:
+                chosen = min(priorities, key=lambda item: self._in_time[item][0])
+                late = self._late_before(priorities[0])
+                group, chosen = late or (group, chosen)
+            else:
+                chosen = _next_priority(group, priorities, credit_by_priority, share)
             entry = group[chosen].pop(0)
             self._taken += 1
             lowest = max(item for item in self._all_priorities(entry))
@@ -184,24 +224,34 @@
     ) -> tuple[dict[int, list[QueueEntry]], int] | None:
         """Return the late requests, and the priority that goes before `chosen`, if any.
 
-        Called when no request of a higher priority is in time.
+        `chosen` is the highest priority with requests in time.
         """
         for priority, entries in self._late.items():
             if priority >= chosen:
                 return None
             if entries:
-                return (self._late, priority) if self._all_can_wait() else None
+                if self._late_allowance is None:
+                    self._late_allowance = self._compute_late_allowance()
+                if self._late_allowance < 1:
+                    return None
+                self._late_allowance -= 1
+                return self._late, priority
         return None
 
-    def _all_can_wait(self) -> bool:
-        """Return whether all requests in time would start in time after a late one."""
+    def _compute_late_allowance(self) -> float:
+        """Return how many late requests may go before all that are in time.
+
+        All of these must still start in time.
+        """
         waiting = sorted(
-            entry for entries in self._in_time.values() for entry in entries
+            entry
+            for entries in self._in_time.values()
+            for entry in entries[:MAXIMUM_CHECKED]
         )
         latest_start = self._now + FIRST_EVENT_SECONDS
-        return all(
-            entry.target - latest_start
-            >= SAFETY_FACTOR * self._interval * (position + self._taken + 2)
+        seconds = max(EPSILON, SAFETY_FACTOR * self._interval)
+        return min(
+            (entry.target - latest_start) / seconds - (position + self._taken + 1)
             for position, entry in enumerate(waiting[:MAXIMUM_CHECKED])
         )
 
@@ -238,6 +288,28 @@
             credit_by_priority[priority] = max(0.0, left)
 
 
+def _by_part(
+    entries: list[QueueEntry], above_part: Collection[str]
+) -> list[QueueEntry]:
+    """Return the entries with those of accounts above their part at the end."""
+    if not above_part:
+        return entries
+    return sorted(entries, key=lambda entry: entry.account_name in above_part)
+
+
+def _same_ahead(
+    queue: WaitingQueue, entry: QueueEntry, now: float, above_part: Collection[str]
+) -> int:
+    """Return how many entries of its priority, late if it is, go before this one."""
+    is_late = entry.target < now
+    if not above_part:
+        ahead = queue.count_ahead(entry, now)
+        return ahead - queue.in_time_count(now) if is_late else ahead
+    own_key = (entry.account_name in above_part, entry)
+    entries = queue.late(now) if is_late else queue.in_time(now)
+    return sum((item.account_name in above_part, item) < own_key for item in entries)
+
+
 def _count(queue: WaitingQueue, now: float, is_late: bool) -> int:
     in_time = queue.in_time_count(now)
     return len(queue) - in_time if is_late else in_time
--- a/src/jujubeslip/admission/_service_engines.py
+++ b/src/jujubeslip/admission/_service_engines.py
@@ -89,6 +89,11 @@
             if engine is None or engine.find(key.request_id, key.attempt) is None:
                 del self._grant_by_key[key]
 
+    @property
+    def granted(self) -> Collection[tuple[str, int]]:
+        """Return the request and attempt of each grant that an engine still holds."""
+        return self._grant_by_key.keys()
+
     def take_report(self, start_id: str, report: EngineReport) -> None:
         """Store the report of an engine's start."""
         engine = self._engine_by_start.get(start_id)
--- a/src/jujubeslip/admission/_waiting_queue.py
+++ b/src/jujubeslip/admission/_waiting_queue.py
@@ -17,6 +17,8 @@
     """Priority among the requests of the service; 0 is the highest."""
     tokens: int = field(default=0, compare=False)
     """Memory that its prompt and its expected answer use, in tokens."""
+    account_name: str = field(default="", compare=False)
+    """The client account that uses the engine, empty if there is none."""
 
 
 class WaitingQueue:
@@ -57,14 +59,13 @@
         """Return how many requests are still in time."""
         return len(self._entries) - self._in_time_from(now)
 
-    def in_time(self, now: float, maximum: int) -> list[QueueEntry]:
-        """Return the first requests that are still in time, `maximum` at most."""
-        start = self._in_time_from(now)
-        return self._entries[start : start + maximum]
+    def in_time(self, now: float) -> list[QueueEntry]:
+        """Return the requests that are still in time, by earliest target."""
+        return self._entries[self._in_time_from(now) :]
 
-    def late(self, now: float, maximum: int) -> list[QueueEntry]:
-        """Return the first late requests, `maximum` at most."""
-        return self._entries[: min(self._in_time_from(now), maximum)]
+    def late(self, now: float) -> list[QueueEntry]:
+        """Return the late requests, by earliest target."""
+        return self._entries[: self._in_time_from(now)]
 
     def head(self, now: float, maximum: int) -> list[QueueEntry]:
         """Return the first requests in order, `maximum` at most."""
--- a/src/jujubeslip/admission/_waiting_request.py
+++ b/src/jujubeslip/admission/_waiting_request.py
@@ -5,6 +5,7 @@
 import threading
 from dataclasses import dataclass, field
 
+from jujubeslip.admission._account_shares import AccountPart
 from jujubeslip.admission._capacity_search import CapacitySearch
 from jujubeslip.admission._grant_counts import GrantedMeanwhile
 from jujubeslip.admission._models import Grant, GrantRequest, MissingResource
@@ -26,6 +27,8 @@
     """For how long the request has waited, in seconds."""
     granted_meanwhile: GrantedMeanwhile | None = None
     """The grants of other requests during that time, None before a decision."""
+    account_part: AccountPart | None = None
+    """What its account holds, None if that is not above the account's part."""
 
 
 @dataclass
@@ -73,4 +76,5 @@
         grant_request.request_id,
         min(LOWEST_PRIORITY, grant_request.priority),
         grant_request.expected_tokens,
+        grant_request.sharing_account,
     )
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -11,6 +11,7 @@
     AdmissionHome,
     EngineUse,
     MemoryOptions,
+    SharingWeights,
     WaitingOptions,
 )
 from jujubeslip.control._account_limit_manager import AccountLimitManager
@@ -168,6 +169,11 @@
                 settings.passed_ms / 1000,
                 settings.reader_wait_ms / 1000,
                 settings.lower_priority_share,
+                SharingWeights(
+                    self._routes.accounts
+                    if settings.shares_between_accounts
+                    else lambda: None
+                ),
             ),
             self._notices,
         )
--- a/src/jujubeslip/kernel/_settings.py
+++ b/src/jujubeslip/kernel/_settings.py
@@ -170,9 +170,12 @@
     reader_wait_ms: Annotated[int, Field(ge=0)] = 300
     """How long a request waits for a prefill engine before a decode engine prefills
     its prompt, which pauses the other answers of that engine."""
-    lower_priority_share: Annotated[float, Field(ge=0, le=0.5)] = 0.2
+    lower_priority_share: Annotated[float, Field(ge=0, le=0.5)] = 0.1
     """Share of the granted tokens of a service's engines that requests of lower
     priorities keep while they wait and are in time."""
+    shares_between_accounts: bool = True
+    """Whether requests of accounts that hold more than their part of a service's
+    engines go after those of others when not all can be in time."""
     limit_window_ms: Annotated[int, Field(ge=100)] = 8000
     """Time window in which an account's limit holds, over all hosts."""
     limit_overage: Annotated[float, Field(ge=0)] = 0.1
--- a/src/jujubeslip/tracing/_causes.py
+++ b/src/jujubeslip/tracing/_causes.py
@@ -9,6 +9,7 @@
 
 END_MESSAGE = "request ended"
 NO_GRANT_MESSAGE = "no grant at an engine"
+PART_MESSAGE = "account above its part of the engines"
 WAIT_MESSAGE = "request waited behind other priorities"
 KEY_MESSAGE = "key not accepted"
 LIMIT_MESSAGE = "request not within its account's limit"
@@ -149,7 +150,7 @@
             "Refused, not run: the leader found no engine with enough free memory for "
             f"its {fields.get('prompt_tokens')} prompt tokens and for the growth of "
             f"all answers there; it forecast a wait of {fields.get('forecast_ms')} ms."
-            f"{_wait_behind_others(lines)}"
+            f"{_wait_behind_others(lines)}{_account_above_part(lines)}"
         )
     return (
         "Refused, not run: no engine had free capacity in time, and no leader was "
@@ -170,6 +171,18 @@
     )
 
 
+def _account_above_part(lines: Sequence[Line]) -> str:
+    parts = [line for line in lines if line.message == PART_MESSAGE]
+    if not parts:
+        return ""
+    fields = parts[-1].fields
+    return (
+        f" Requests of other accounts went first: account {fields.get('account')!r} "
+        f"held {fields.get('held_tokens')} tokens of the engines' memory, and its part "
+        f"was {fields.get('part_tokens')}."
+    )
+
+
 def _answer_lost(end: RequestEnd, lines: Sequence[Line]) -> str:
     endpoint, result = _failed_step(end)
     return (
