--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -11,6 +11,7 @@
     AdmissionHome,
     EngineUse,
     MemoryOptions,
+    SharingWeights,
     WaitingOptions,
 )
 from jujubeslip.control._absence_probe import PROBE_INTERVAL_SECONDS, AbsenceProbe
@@ -181,6 +182,11 @@
                 settings.passed_ms / 1000,
                 settings.reader_wait_ms / 1000,
                 settings.lower_priority_share,
+                SharingWeights(
+                    self._routes.accounts
+                    if settings.shares_between_accounts
+                    else lambda: None
+                ),
             ),
             self._notices,
         )
