Admission: place answers by when they end where engines differ in speed

Cause: a decode engine was chosen by the fill of its memory and its zone alone, so that an answer held memory at a slow engine while a fast one had room, and an engine that had turned five times slower got as many answers as the others. Change: the fill counts for the time of an event there against the usual one; an engine that has turned slow is tried by one answer now and then, a quarter of a service at most is left out; no further answer where all others would exceed their longest pause; prompts go to the prefill engine that ends them first. Only while speeds differ by 1.5 from the median; otherwise the cost is as before.

--- a/bench/replay/_engines.py
+++ b/bench/replay/_engines.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from jujubeslip.routes import EngineReport, RunningAnswer
@@ -15,6 +16,9 @@
 # Age of the state in a report, in seconds.
 REPORT_LAG_SECONDS = 0.9
 
+# Speed of an engine by time, as a multiple of the specified one.
+SpeedAt = Callable[[float], float]
+
 
 @dataclass
 class Answer:
@@ -51,6 +55,7 @@
     running: list[Answer] = field(default_factory=list)
     evicted: deque[Answer] = field(default_factory=deque)
     stalled_until: float = 0.0
+    speed_at: SpeedAt = lambda _: 1.0
     history: deque[tuple[float, EngineReport]] = field(default_factory=deque)
 
     def start_answer(self, answer: Answer, now: float, reads_itself: bool) -> bool:
@@ -110,9 +115,9 @@
         return finished
 
     def _produce_events(self, now: float, seconds: float) -> None:
-        event_rate = SINGLE_ANSWER_EVENT_RATE - EVENT_RATE_LOSS_PER_ANSWER * len(
-            self.running
-        )
+        answers = len(self.running)
+        event_rate = SINGLE_ANSWER_EVENT_RATE - EVENT_RATE_LOSS_PER_ANSWER * answers
+        event_rate *= self.speed_at(now)
         for answer in self.running:
             before = int(answer.produced_events)
             answer.produced_events += event_rate * seconds
@@ -131,7 +136,9 @@
     def _prefill(self, answer: Answer, now: float) -> None:
         stall_begins = max(now, self.stalled_until)
         prefill_speed = (
-            self.prefill_tokens_per_second * DECODE_ENGINE_PREFILL_SPEED_SHARE
+            self.prefill_tokens_per_second
+            * DECODE_ENGINE_PREFILL_SPEED_SHARE
+            * self.speed_at(now)
         )
         self.stalled_until = stall_begins + answer.memory_tokens / prefill_speed
 
@@ -146,8 +153,10 @@
     heard_at: float = math.inf
     """Time of its last announcement before a crash; infinite while it runs."""
     free_at: float = 0.0
+    speed_at: SpeedAt = lambda _: 1.0
 
     def prefill(self, tokens: int, now: float) -> float:
         """Return when the prefill of a prompt will be complete."""
-        self.free_at = max(now, self.free_at) + tokens / self.prefill_tokens_per_second
+        speed = self.prefill_tokens_per_second * self.speed_at(now)
+        self.free_at = max(now, self.free_at) + tokens / speed
         return self.free_at
--- a/bench/replay/_simulation.py
+++ b/bench/replay/_simulation.py
@@ -110,6 +110,7 @@
     is_retry: bool = False
     attempt: int = 1
     reads_itself: bool = False
+    availability_zone: str = "zone-1"
 
     @property
     def request_id(self) -> str:
@@ -174,7 +175,7 @@
         with self._clock as clock:
             self._begun_at = clock.now
             waiting, memory = self._options.waiting, self._options.memory
-            self._pool = EnginePool("model", memory, waiting)
+            self._pool = self._new_pool(memory, waiting)
             self._announce()
             self._draw_requests()
             for loss in pattern.losses:
@@ -194,6 +195,9 @@
                 self._step()
         return self.outcome
 
+    def _new_pool(self, memory: MemoryOptions, waiting: WaitingOptions) -> EnginePool:
+        return EnginePool("model", memory, waiting)
+
     def _at(self, at: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._events, (at, next(self._event_numbers), action))
 
@@ -202,6 +206,10 @@
 
     # Engines
 
+    def _zone_of(self, name: str) -> str:
+        """Return the availability zone of an engine."""
+        return "zone-1"
+
     def _engines(self) -> Iterator[Endpoint]:
         """Yield the engines that are listed by their announcements.
 
@@ -214,12 +222,28 @@
                 engine.leaves_at == math.inf
                 and heard_at > now - ANNOUNCEMENT_EXPIRY_SECONDS
             ):
-                yield _endpoint(engine.name, EndpointRole.DECODE, heard_at)
+                yield self._endpoint(engine.name, EndpointRole.DECODE, heard_at)
         for prefill_engine in self._prefill_engines.values():
             heard_at = min(now, prefill_engine.heard_at)
             is_removed = prefill_engine.lost_until == math.inf
             if not is_removed and heard_at > now - ANNOUNCEMENT_EXPIRY_SECONDS:
-                yield _endpoint(prefill_engine.name, EndpointRole.PREFILL, heard_at)
+                yield self._endpoint(
+                    prefill_engine.name, EndpointRole.PREFILL, heard_at
+                )
+
+    def _endpoint(self, name: str, role: EndpointRole, now: float) -> Endpoint:
+        return Endpoint(
+            endpoint_id=name,
+            service_name="model",
+            address=f"{name}:1",
+            availability_zone=self._zone_of(name),
+            role=role,
+            slots=SLOTS,
+            sequence=1,
+            leaving=False,
+            heard_at=now,
+            slow_until=Deadline.after(0),
+        )
 
     def _runs(self, name: str) -> bool:
         engine = self._decode_engines.get(name) or self._prefill_engines[name]
@@ -398,7 +422,7 @@
             Deadline(request.target_by),
             Deadline(request.limit),
             request.reads_itself,
-            "zone-1",
+            request.availability_zone,
             MAXIMUM_GAP_SECONDS,
         )
         decision = self._pool.ask(grant_request, (), Deadline.after(0))
@@ -476,18 +500,3 @@
         in_time = answer.first_event_at <= request.target_by
         in_time = in_time and answer.longest_gap <= MAXIMUM_GAP_SECONDS
         self.outcome.note_served(request.size, request.is_large, in_time)
-
-
-def _endpoint(name: str, role: EndpointRole, now: float) -> Endpoint:
-    return Endpoint(
-        endpoint_id=name,
-        service_name="model",
-        address=f"{name}:1",
-        availability_zone="zone-1",
-        role=role,
-        slots=SLOTS,
-        sequence=1,
-        leaving=False,
-        heard_at=now,
-        slow_until=Deadline.after(0),
-    )
--- a/src/jujubeslip/admission/_engine_speed.py
+++ b/src/jujubeslip/admission/_engine_speed.py
@@ -25,8 +25,9 @@
 # The lower factor applies once they are uneven, so that the choice does not alternate.
 EVEN_FACTOR = 1.5
 EVEN_AGAIN_FACTOR = 1.25
-# Engines with this share of the median's speed count as slow.
-SLOW_FACTOR = 0.5
+# Engines below this share of the median's speed have turned slow: engines of one kind
+# differ by less.
+SLOW_FACTOR = 0.35
 # A slow engine without answers gets one, as if its speed were unknown, once its last
 # measurement is this old, in seconds. Its events show whether the engine has recovered.
 TRY_AFTER_SECONDS = 2.0
@@ -102,8 +103,7 @@
     def expected_speed(self, start_id: str, answers: int, now: float) -> EngineSpeed:
         """Return the speed for the next answer; unknown for a try of a slow engine."""
         speed = self.speed_of(start_id)
-        is_slow = speed.factor < SLOW_FACTOR
-        if is_slow and not answers and speed.age(now) >= TRY_AFTER_SECONDS:
+        if self.is_slow(speed) and not answers and speed.age(now) >= TRY_AFTER_SECONDS:
             return UNKNOWN_SPEED
         return speed
 
@@ -113,6 +113,10 @@
             return 0.0
         return self._curve.seconds_with(answers) / speed.factor
 
+    def is_slow(self, speed: EngineSpeed) -> bool:
+        """Return whether an engine of this speed has turned slow."""
+        return speed.factor < SLOW_FACTOR
+
     def may_be_left_out(self, start_id: str) -> bool:
         """Return whether the engine is among the few slowest ones."""
         return start_id in self._slowest
--- a/src/jujubeslip/admission/_prefill_queue.py
+++ b/src/jujubeslip/admission/_prefill_queue.py
@@ -73,6 +73,7 @@
         self._prefilled_tokens = INITIAL_TOKENS_PER_SECOND * SPEED_SECONDS
         self._prefilling_since = steady_seconds()
         self._measured_at: float | None = None
+        self._measured_seconds = 0.0
         self._last_contact_at = steady_seconds()
         self._has_reported = False
         self._accepts_prompts = True
@@ -107,12 +108,24 @@
         """Return when the speed was last measured; None if it is the initial one."""
         return self._measured_at
 
+    @property
+    def seconds_since_measured(self) -> float:
+        """Return the age of the measured speed; infinite if it is the initial one."""
+        if self._measured_at is None:
+            return math.inf
+        return steady_seconds() - self._measured_at
+
+    @property
+    def is_settled(self) -> bool:
+        """Return whether the measured speed outweighs the initial one."""
+        return self._measured_seconds >= SPEED_SECONDS
+
     @property
     def work(self) -> PrefillWork:
         """Return what the engine has prefilled recently, none if that is long ago."""
         if self._measured_at is None:
             return PrefillWork(0.0, 0.0)
-        age = steady_seconds() - self._measured_at
+        age = self.seconds_since_measured
         kept = max(MINIMUM_WORK_WEIGHT, math.exp(-age / WORK_SECONDS))
         return PrefillWork(kept * self._prefilled_tokens, kept * self._prefill_seconds)
 
@@ -190,6 +203,7 @@
             return
         seconds = min(seconds, MAXIMUM_TIME_FACTOR * expected)
         self._measured_at = steady_seconds()
+        self._measured_seconds += seconds
         decay = SPEED_SECONDS / (SPEED_SECONDS + seconds)
         self._prefill_seconds = decay * (self._prefill_seconds + seconds)
         self._prefilled_tokens = decay * (self._prefilled_tokens + tokens)
--- a/src/jujubeslip/admission/_service_engines.py
+++ b/src/jujubeslip/admission/_service_engines.py
@@ -10,6 +10,10 @@
 
 from jujubeslip.admission._capacity_changes import CapacityChanges
 from jujubeslip.admission._capacity_search import CapacitySearch
+from jujubeslip.admission._decode_prefill import (
+    may_prefill,
+    may_prefill_after_pause,
+)
 from jujubeslip.admission._engine_demand import EngineDemand
 from jujubeslip.admission._engine_memory import EngineMemory
 from jujubeslip.admission._engine_speed import DecodeSpeeds
@@ -22,6 +26,7 @@
     MeasuredEngine,
     MissingResource,
 )
+from jujubeslip.admission._placement import Offer, Placement
 from jujubeslip.admission._prefill_candidates import PrefillCandidates, mean_speed
 from jujubeslip.admission._prefill_queue import PrefillQueue
 from jujubeslip.discovery import Endpoint
@@ -29,20 +34,7 @@
 from jujubeslip.routes import EngineReport
 
 T = TypeVar("T", EngineMemory, PrefillQueue)
-MayPrefill = Callable[[EngineMemory, GrantRequest], bool]
-
-# How much fuller an engine in the entry host's own availability zone may be than one
-# in another zone, as a share of its memory. When a zone is partitioned, the answers
-# that cross its border are lost. With this cost and the bound on prompts that a decode
-# engine prefills beside its answers, 49 to 61 of 100 streams are in time during such a
-# partition; without both, 39 to 54.
-OTHER_ZONE_COST = 0.25
-# Prefill speed of a decode engine, as a share of the speed of a prefill engine, as
-# engines are specified.
-DECODE_ENGINE_SPEED_SHARE = 0.5
-# Time that a full engine takes for one event, in seconds. A pause in decoding is longer
-# than the prefill that causes it by this time.
-EVENT_SECONDS = 0.08
+MayPrefill = Callable[[EngineMemory, GrantRequest, float], bool]
 
 
 class _GrantKey(NamedTuple):
@@ -58,7 +50,11 @@
     Finds the best grant for one request. The pool decides which request is next.
     """
 
-    def __init__(self, options: MemoryOptions) -> None:
+    def __init__(
+        self,
+        options: MemoryOptions,
+        placement_by: Callable[[DecodeSpeeds], Placement] = Placement,
+    ) -> None:
         self._options = options
         self._engine_by_start: dict[str, EngineMemory] = {}
         self._prefill_queue_by_start: dict[str, PrefillQueue] = {}
@@ -66,6 +62,7 @@
         self._grant_by_key: dict[_GrantKey, Grant] = {}
         self._demand = EngineDemand(options)
         self._decode_speeds = DecodeSpeeds()
+        self._placement = placement_by(self._decode_speeds)
 
     def retain_only(
         self,
@@ -234,18 +231,19 @@
         if search.tried_at == self._capacity_changes.latest:
             return None
         grant_request = search.grant_request
-        prefill_queue, may_prefill = None, self._may_prefill
+        prefill_queue: PrefillQueue | None = None
+        test: MayPrefill = may_prefill
         if not grant_request.reads_itself and prefill_candidates.any_except(
             search.avoided
         ):
-            prefill_queue, may_prefill = (
-                prefill_candidates.next_except(search.avoided),
-                self._may_prefill_after_pause,
+            prefill_queue = prefill_candidates.next_except(
+                search.avoided, grant_request.prompt_tokens
             )
+            test = may_prefill_after_pause
             if prefill_queue is None and not may_use_decode_engine:
                 search.last_missing = MissingResource.READER
                 return None
-        found = self._cheapest_grant(search, None if prefill_queue else may_prefill)
+        found = self._cheapest_grant(search, None if prefill_queue else test)
         if found is None or prefill_queue is None:
             return found
         return replace(
@@ -279,7 +277,7 @@
             grant = self._grant_at(candidate, search)
             if grant is None:
                 continue
-            cost = candidate.zone_cost + grant.fill
+            cost = candidate.offer.cost(grant.fill)
             if cost < best_cost:
                 best, best_cost = grant, cost
         # An engine that may not prefill now may do so before any of its answers ends,
@@ -296,9 +294,11 @@
         Engines are left out if they had no capacity when the request was last tried,
         or if its prompt alone fills them: the peak is never below the current use.
         """
-        grant_request = search.grant_request
+        grant_request, now = search.grant_request, steady_seconds()
         for engine in self._changed_since(search):
-            if may_prefill is not None and not may_prefill(engine, grant_request):
+            if may_prefill is not None and not may_prefill(
+                engine, grant_request, self._demand.prefill_speed
+            ):
                 continue
             profile = engine.profile(grant_request)
             capacity = max(1, engine.capacity_tokens)
@@ -308,13 +308,13 @@
                 or profile.answers >= grant_request.slots
             ):
                 continue
-            in_same_zone = (
-                engine.endpoint.availability_zone == grant_request.availability_zone
-            )
-            zone_cost = 0.0 if in_same_zone else OTHER_ZONE_COST
-            yield _Candidate(
-                fill + zone_cost, random.random(), zone_cost, engine, profile
+            offer = self._placement.offer(
+                grant_request, engine.endpoint, profile.answers, now
             )
+            if offer is not None:
+                yield _Candidate(
+                    offer.cost(fill), random.random(), offer, engine, profile
+                )
 
     def _changed_since(self, search: CapacitySearch) -> Iterator[EngineMemory]:
         for start_id in self._capacity_changes.since(search.tried_at):
@@ -324,32 +324,6 @@
             if engine.usable:
                 yield engine
 
-    def _may_prefill_after_pause(
-        self, engine: EngineMemory, grant_request: GrantRequest
-    ) -> bool:
-        """Return whether the engine may prefill the prompt if prefill engines are busy.
-
-        Two prefills in a row would be one long pause for its answers, so it must have
-        decoded for a while since its last prefill.
-        """
-        return engine.has_decoded_since_prefill and self._may_prefill(
-            engine, grant_request
-        )
-
-    def _may_prefill(self, engine: EngineMemory, grant_request: GrantRequest) -> bool:
-        """Return whether the decode engine may prefill the prompt beside its answers.
-
-        It prefills one prompt at a time and none that takes too long. Otherwise its
-        dozen answers would exceed their maximum gap, and all of them would be late.
-        """
-        if engine.is_prefilling:
-            return False
-        seconds = grant_request.prompt_tokens / (
-            self._demand.prefill_speed * DECODE_ENGINE_SPEED_SHARE
-        )
-        longest = max(0.0, grant_request.maximum_gap - EVENT_SECONDS)
-        return seconds <= longest or not engine.profile(grant_request).answers
-
     def _grant_at(self, candidate: _Candidate, search: CapacitySearch) -> Grant | None:
         engine, profile = candidate.engine, candidate.profile
         capacity = max(1, engine.capacity_tokens)
@@ -371,7 +345,7 @@
 
     cost: float
     tie_breaker: float
-    zone_cost: float
+    offer: Offer
     engine: EngineMemory
     profile: MemoryProfile
 
--- a/src/jujubeslip/admission/_step_curve.py
+++ b/src/jujubeslip/admission/_step_curve.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 # Weight of the earlier observations at each new one: some hundred observations count.
 KEPT_WEIGHT = 1 - 1 / 512
 # Growth of an event's time with each answer, as a share of its time with one answer,
@@ -17,6 +19,14 @@
 KNOWN_AFTER = 16
 
 
+@dataclass(frozen=True)
+class _Line:
+    """Seconds of an event by the answers of its engine."""
+
+    at_none: float
+    growth: float
+
+
 class StepCurve:
     """Estimates the time of an event at the median engine, by its answers.
 
@@ -30,6 +40,7 @@
         self._answers_squared = 0.0
         self._seconds = 0.0
         self._answers_seconds = 0.0
+        self._fitted: _Line | None = None
 
     @property
     def is_known(self) -> bool:
@@ -43,6 +54,7 @@
 
     def observe(self, answers: int, seconds: float) -> None:
         """Note the time of an event, as it would be at the median engine."""
+        self._fitted = None
         self._count += 1
         self._weight = KEPT_WEIGHT * self._weight + 1
         self._answers = KEPT_WEIGHT * self._answers + answers
@@ -54,9 +66,14 @@
         """Return the time of an event at an engine with this many answers."""
         if not self._weight:
             return 0.0
+        if self._fitted is None:
+            self._fitted = self._fit()
+        return self._fitted.at_none + self._fitted.growth * answers
+
+    def _fit(self) -> _Line:
         mean_answers = self._answers / self._weight
         growth = self._growth(mean_answers)
-        return self.mean_seconds + growth * (answers - mean_answers)
+        return _Line(self.mean_seconds - growth * mean_answers, growth)
 
     def _growth(self, mean_answers: float) -> float:
         """Return the growth with each answer, between none and the whole of the time.
--- a/tests/admission/test_capacity_search.py
+++ b/tests/admission/test_capacity_search.py
@@ -13,7 +13,8 @@
 from jujubeslip.admission._engine_pool import MAXIMUM_TRIED, EnginePool
 from jujubeslip.admission._memory_forecast import MemoryOptions
 from jujubeslip.admission._models import Grant, GrantRequest
-from jujubeslip.admission._service_engines import OTHER_ZONE_COST, ServiceEngines
+from jujubeslip.admission._placement import OTHER_ZONE_COST
+from jujubeslip.admission._service_engines import ServiceEngines
 from jujubeslip.kernel import Deadline
 from jujubeslip.routes import EngineReport, RunningAnswer
 from tests.fakes.engines import engine
--- a/tests/admission/test_engine_speed.py
+++ b/tests/admission/test_engine_speed.py
@@ -136,6 +136,24 @@
                 uneven.append(service.speeds.are_uneven)
         assert sum(uneven) <= 0.01 * len(uneven)
 
+    def test_small_differences_do_not_alternate_the_choice(self) -> None:
+        """Guards against a choice that changes with each report near the threshold."""
+        speeds = [1.7]
+        service = service_of(lambda _: speeds[0], *[constant(1.0)] * 5)
+        service.run(10)
+        assert service.speeds.are_uneven
+        speeds[0] = 1.4
+        for _ in range(40):
+            service.run(0.25)
+            assert service.speeds.are_uneven
+        speeds[0] = 1.0
+        service.run(20)
+        assert not service.speeds.are_uneven
+        speeds[0] = 1.4
+        for _ in range(40):
+            service.run(0.25)
+            assert not service.speeds.are_uneven
+
     def test_one_slow_answer_does_not_make_an_engine_slow(self) -> None:
         service = service_of(*[constant(1.0)] * 4)
         service.engines[0].slow_answer = 2
