Second sends: don't wait for an answer beyond the deadline of the first send

Cause: where the percentile lies beyond the deadline, the wait for a second send held the request until the percentile. Its test failed before.

--- a/src/jujubeslip/forwarding/_whole_send.py
+++ b/src/jujubeslip/forwarding/_whole_send.py
@@ -96,7 +96,7 @@
 
     def wait_for_answer(self, limit: Deadline) -> bool:
         """Wait until the answer begins; return False if it doesn't by the limit."""
-        return self._exchange.wait_for_answer(limit)
+        return self._exchange.wait_for_answer(limit.earlier_of(self._deadline))
 
     def close(self) -> None:
         """End a send whose answer is not read."""
--- a/tests/forwarding/test_second_sends.py
+++ b/tests/forwarding/test_second_sends.py
@@ -436,3 +436,21 @@
             send.run()
         assert not system.pool.sends
         assert system.health.open_requests("a") == 0
+
+
+class TestWaitForAnswer:
+    """Guards against a wait for a second send that goes on beyond the deadline."""
+
+    def test_ends_at_the_deadline_of_the_send(self) -> None:
+        system = ScriptedSystem("a")
+        system.pool.script_by_endpoint["a"] = slow()
+        (endpoint,) = system.registry.endpoints()
+        send = _whole_send.WholeSend(
+            system.sender, system.context("r"), endpoint, Deadline.after(0.1)
+        )
+        assert send.begin() is None
+        began = time.monotonic()
+        assert not send.wait_for_answer(Deadline.after(3.0))
+        assert time.monotonic() - began < 1.0
+        send.close()
+        assert system.health.open_requests("a") == 0
