--- a/src/jujubeslip/forwarding/_health.py
+++ b/src/jujubeslip/forwarding/_health.py
@@ -1,4 +1,4 @@
-"""Failures, pauses and open requests of each endpoint, as seen by this host."""
+"""Failures, pauses, answer times and open requests of endpoints at this host."""
 
 from __future__ import annotations
 
@@ -8,6 +8,9 @@
 from contextlib import AbstractContextManager, contextmanager
 from dataclasses import dataclass, replace
 
+from jujubeslip.forwarding._answer_times import AnswerTimes
+from jujubeslip.forwarding._shared_answer_times import SharedAnswerTimes
+from jujubeslip.forwarding._slow_log import SlowLog
 from jujubeslip.kernel import Deadline, steady_seconds
 
 logger = logging.getLogger(__name__)
@@ -49,6 +52,9 @@
     def __init__(self) -> None:
         self._health_by_start: dict[str, _Health] = {}
         self._lock = threading.Lock()
+        self.answer_times = AnswerTimes()
+        self.shared_times = SharedAnswerTimes(self.answer_times)
+        self.slow_log = SlowLog()
 
     def open_requests(self, start_id: str) -> int:
         """Return how many requests of this host the endpoint works on."""
@@ -75,7 +81,8 @@
     def _track_request(self, start_id: str) -> Iterator[None]:
         self._add_open(start_id, 1)
         try:
-            yield
+            with self.answer_times.measure(start_id):
+                yield
         finally:
             self._add_open(start_id, -1)
 
@@ -85,6 +92,7 @@
 
     def note_failure(self, start_id: str) -> None:
         """Record an answer that failed or was incomplete."""
+        self.answer_times.note_failure(start_id)
         self._note(start_id, failed=True)
 
     def note_unreachable(self, start_id: str, reason: str = "") -> None:
@@ -115,7 +123,8 @@
         logger.info("endpoint skipped", extra=extra)
 
     def forget_failures(self) -> None:
-        """Forget failures and pauses, whose cause was not the endpoints."""
+        """Forget failures, pauses and times, whose cause was not the endpoints."""
+        self.answer_times.forget()
         with self._lock:
             for start_id, health in self._health_by_start.items():
                 self._health_by_start[start_id] = replace(
