Plain endpoints: chosen by measured answer times, shared between hosts

Callers of a plain service with three endpoints and 79 hosts are late or get errors for as long as an endpoint is several times slower or fails in part: each host chose by its own open requests, nearly always none, and by its zone. After a burst, refused clients came back 0.3 s later, all late.

New policy expected-time (forwarding/_expected_time.py): least-cost plus the time beyond the usual that an endpoint takes, as this host measures it (_answer_times.py) or as other hosts report it over the watches that they send anyway (discovery/_slow_endpoints.py, control/_slow_list.py, WatchRequest.answer_times, WatchReply.slow_endpoints; optional, and left out while nothing is slow). Where nothing differs it decides as least-cost does (TestEvenEndpoints).

The edit in forwarding/_sender.py passes the target to the chooser and records refusals.

--- /dev/null
+++ b/bench/plain/__init__.py
@@ -0,0 +1,1 @@
+"""Replays the load of plain endpoints in virtual time."""
--- a/src/jujubeslip/control/_watches.py
+++ b/src/jujubeslip/control/_watches.py
@@ -11,7 +11,14 @@
 
 from jujubeslip.control._relay_list import RelayList
 from jujubeslip.control._replica import Replica
-from jujubeslip.discovery import EndpointRegistry, to_record, to_removal_record
+from jujubeslip.control._slow_list import SlowList
+from jujubeslip.discovery import (
+    EndpointRegistry,
+    to_record,
+    to_removal_record,
+    to_slow_endpoint_record,
+    usable_reports,
+)
 from jujubeslip.kernel import (
     Deadline,
     StrictModel,
@@ -23,6 +30,7 @@
 from jujubeslip.peers import (
     RelayRecord,
     ServicePressure,
+    SlowEndpointRecord,
     WatchReply,
     WatchRequest,
 )
@@ -103,6 +111,7 @@
         self._watcher_by_id: dict[str, _Watcher] = {}
         self._entry_asked_at_by_host: dict[str, float] = {}
         self._relay_list = RelayList()
+        self._slow_list = SlowList()
         self._changed = threading.Condition()
 
     def answer(self, request: WatchRequest) -> WatchReply:
@@ -153,8 +162,14 @@
             leader.term,
             relay_version,
             relays,
+            self._slow_endpoints(request),
         )
 
+    def _slow_endpoints(self, request: WatchRequest) -> list[SlowEndpointRecord] | None:
+        """Return the slow endpoints for an entry host, None if there are none."""
+        listed = self._slow_list.listed() if request.is_entry_host else ()
+        return [to_slow_endpoint_record(item) for item in listed] or None
+
     def _relays_since(
         self, known_version: int, request: WatchRequest
     ) -> tuple[int, list[RelayRecord] | None]:
@@ -220,6 +235,8 @@
 
     def _record_watcher(self, request: WatchRequest, known_version: int) -> None:
         pressures = usable_pressures(request.watcher_id, request.pressures or ())
+        answer_times = usable_reports(request.watcher_id, request.answer_times or ())
+        self._slow_list.record(_host_of(request.watcher_id), tuple(answer_times))
         with self._changed:
             before = self._watcher_by_id.get(request.watcher_id)
             # The same object is kept, so that lists of relays compare by identity.
--- a/src/jujubeslip/discovery/_control_followers.py
+++ b/src/jujubeslip/discovery/_control_followers.py
@@ -14,6 +14,11 @@
     usable_removals,
 )
 from jujubeslip.discovery._registry import EndpointRegistry
+from jujubeslip.discovery._slow_endpoint_records import (
+    to_answer_times_record,
+    usable_slow_endpoints,
+)
+from jujubeslip.discovery._slow_endpoints import AnswerReport, SlowEndpoint
 from jujubeslip.kernel import (
     Deadline,
     PeerUnavailableError,
@@ -62,6 +67,8 @@
     """Term of the leader, 0 if it was not reported."""
     relays: tuple[RelayHost, ...] | None = None
     """Some entry hosts that relay requests, None if they are those of before."""
+    slow_endpoints: tuple[SlowEndpoint, ...] = ()
+    """All starts that many entry hosts find slow or failing."""
 
 
 @dataclass(frozen=True)
@@ -96,7 +103,9 @@
         pressures: Callable[[], list[ServicePressure]] = list,
         crash_registry: CrashRegistry | None = None,
         relay: Callable[[], RelayRecord | None] = lambda: None,
+        answer_reports: Callable[[], list[AnswerReport]] = list,
     ) -> None:
+        self._answer_reports = answer_reports
         self._relay = relay
         self._crash_registry = crash_registry or CrashRegistry()
         self._process = process
@@ -170,6 +179,8 @@
             known.leader_term,
             self._relay(),
             known.relay_version,
+            [to_answer_times_record(report) for report in self._answer_reports()]
+            or None,
         )
         return request, crash_version
 
@@ -188,6 +199,7 @@
             None
             if reply.relays is None
             else tuple(usable_relays(address, reply.relays)),
+            tuple(usable_slow_endpoints(address, reply.slow_endpoints or ())),
         )
         self._on_update(update)
 
--- a/src/jujubeslip/forwarding/_choice.py
+++ b/src/jujubeslip/forwarding/_choice.py
@@ -26,8 +26,10 @@
 class Policy(Protocol):
     """Chooses among usable endpoints, of which there is at least one."""
 
-    def choose(self, candidates: Sequence[Endpoint]) -> Endpoint:
-        """Return one of the candidates."""
+    def choose(
+        self, candidates: Sequence[Endpoint], target_seconds: float | None = None
+    ) -> Endpoint:
+        """Return one of the candidates, for a request with this target if known."""
 
 
 PolicyFactory = Callable[[EndpointHealth, str], Policy]
@@ -42,11 +44,14 @@
         self._health = health
         self._availability_zone = availability_zone
 
-    def choose(self, candidates: Sequence[Endpoint]) -> Endpoint:
+    def choose(
+        self, candidates: Sequence[Endpoint], target_seconds: float | None = None
+    ) -> Endpoint:
         """Return the cheapest, at random among equals so that hosts differ."""
-        return min(candidates, key=lambda item: (self._cost(item), random.random()))
+        return min(candidates, key=lambda item: (self.cost(item), random.random()))
 
-    def _cost(self, endpoint: Endpoint) -> float:
+    def cost(self, endpoint: Endpoint) -> float:
+        """Return the cost of an endpoint, in open requests."""
         cost = float(self._health.open_requests(endpoint.start_id))
         if endpoint.availability_zone != self._availability_zone:
             cost += OTHER_ZONE_COST
@@ -62,7 +67,9 @@
     def __init__(self, health: EndpointHealth, availability_zone: str) -> None:
         self._health = health
 
-    def choose(self, candidates: Sequence[Endpoint]) -> Endpoint:
+    def choose(
+        self, candidates: Sequence[Endpoint], target_seconds: float | None = None
+    ) -> Endpoint:
         """Return the one with the fewest open requests, at random among equals."""
         return min(
             candidates,
@@ -80,7 +87,9 @@
     def __init__(self, health: EndpointHealth, availability_zone: str) -> None:
         self._turns = itertools.count()
 
-    def choose(self, candidates: Sequence[Endpoint]) -> Endpoint:
+    def choose(
+        self, candidates: Sequence[Endpoint], target_seconds: float | None = None
+    ) -> Endpoint:
         """Return the next one by endpoint id."""
         ordered = sorted(candidates, key=lambda item: item.endpoint_id)
         return ordered[next(self._turns) % len(ordered)]
@@ -104,19 +113,26 @@
         self._silence_seconds = silence_seconds
 
     def choose(
-        self, service_name: str, role: EndpointRole, excluded: Collection[str]
+        self,
+        service_name: str,
+        role: EndpointRole,
+        excluded: Collection[str],
+        target_seconds: float | None = None,
     ) -> Endpoint | None:
         """Return an endpoint whose start is not excluded, None if there is none.
 
         An endpoint that is unreachable, or was not heard from for long, is only taken
         if there is no other: a partitioned host continues with the endpoints it knows.
         One that is known to be replaced is never taken, because prompts would be
-        prefilled for it needlessly.
+        prefilled for it needlessly. One that has just refused a request as it was full
+        is only taken if all are.
         """
         usable = self._usable(service_name, role, excluded)
         if not usable:
             return None
-        return self._policy.choose(self._healthy(usable) or usable)
+        healthy = self._healthy(usable)
+        not_full = [item for item in healthy if not self._health.is_full(item.start_id)]
+        return self._policy.choose(not_full or healthy or usable, target_seconds)
 
     def choose_healthy(self, service_name: str, role: EndpointRole) -> Endpoint | None:
         """Return an endpoint that is heard from and reachable, None without one."""
--- a/src/jujubeslip/forwarding/_meters.py
+++ b/src/jujubeslip/forwarding/_meters.py
@@ -45,6 +45,8 @@
     """Whether the host's own links to endpoints work."""
     relays: int
     """Other entry hosts that may relay requests for this one."""
+    slow_endpoints: int
+    """Plain endpoints that the host considers slow or failing."""
 
 
 class ForwardMeters:
@@ -207,6 +209,12 @@
         description="Other entry hosts that may relay requests for this one.",
     )
 
+    meter.create_observable_gauge(
+        "jujubeslip.forward.slow_endpoints",
+        [gauge_callback(lambda: read().slow_endpoints)],
+        description="Plain endpoints that the host considers slow or failing.",
+    )
+
     def retries_left(_: CallbackOptions) -> Iterable[Observation]:
         left = read().retries_left_by_service
         return [Observation(value, {"service": name}) for name, value in left.items()]
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -14,7 +14,7 @@
 from jujubeslip.forwarding._account_limits import AccountLimits
 from jujubeslip.forwarding._admissions import Admissions
 from jujubeslip.forwarding._app import ForwardApp, OpenRequests, ReadyApp
-from jujubeslip.forwarding._choice import Chooser, policies
+from jujubeslip.forwarding._choice import Chooser
 from jujubeslip.forwarding._crash_detector import CrashDetector
 from jujubeslip.forwarding._crash_reporter import CrashReporter
 from jujubeslip.forwarding._endpoint_limits import EndpointLimits
@@ -24,6 +24,7 @@
 from jujubeslip.forwarding._leader_contact import LeaderContact
 from jujubeslip.forwarding._meters import ForwardMeters, HostState, observe_host
 from jujubeslip.forwarding._plain_path import PlainPath
+from jujubeslip.forwarding._policies import policies
 from jujubeslip.forwarding._prefill import Prefiller
 from jujubeslip.forwarding._pressure import Pressures
 from jujubeslip.forwarding._quarantine import Quarantine
@@ -90,6 +91,7 @@
         self._entry_hosts = 1
         self._pressures = Pressures()
         self._registry = EndpointRegistry()
+        self._health = EndpointHealth()
         self._crash_registry = CrashRegistry()
         self._harmless_contents = HarmlessContents()
         quarantine = Quarantine(self._crash_registry, self._harmless_contents)
@@ -103,6 +105,7 @@
             pressures=self._pressures.report,
             crash_registry=self._crash_registry,
             relay=lambda: self._relaying.record(self._process.stopping.is_set()),
+            answer_reports=self._health.shared_times.reports,
         )
         self._relaying = Relaying(settings, self._registry, self._followers.reaches)
         self._connections = self._relaying.connections
@@ -189,11 +192,12 @@
             self._endpoint_limits.notices.held_count,
             not self._relaying.reach.is_lost,
             self._relaying.directory.count(),
+            self._health.slow_log.count,
         )
 
     def _build_sending(self, quarantine: Quarantine) -> EndpointSender:
         settings = self._settings
-        health = EndpointHealth()
+        health = self._health
         forget_failures = partial(self._forget_endpoint_failures, health)
         self._relaying.reach.set_change_handler(forget_failures)
         policy = policies.get(settings.policy)(health, settings.availability_zone)
@@ -299,6 +303,7 @@
         self._leader_contact.apply_update(update)
         self._limit_leader_contact.apply_update(update)
         self._relaying.directory.apply_update(update)
+        self._health.shared_times.apply(update.address, update.slow_endpoints)
 
     def _is_ready(self) -> bool:
         return self._routes_follower.version > 0 and not self._process.stopping.is_set()
--- a/src/jujubeslip/forwarding/_sender.py
+++ b/src/jujubeslip/forwarding/_sender.py
@@ -23,6 +23,7 @@
     Interrupted,
     never_interrupted,
 )
+from jujubeslip.forwarding._busy_retries import busy_retry_seconds
 from jujubeslip.forwarding._choice import Chooser
 from jujubeslip.forwarding._crash_detector import CrashDetector
 from jujubeslip.forwarding._endpoint_limits import EndpointLimits
@@ -75,7 +76,8 @@
         self, context: ForwardContext, role: EndpointRole, excluded: Collection[str]
     ) -> Endpoint | None:
         """Return an endpoint for the request, None if none is usable."""
-        return self.chooser.choose(context.service_name, role, excluded)
+        target = context.route.target_ms / 1000
+        return self.chooser.choose(context.service_name, role, excluded, target)
 
     def exchange(
         self,
@@ -149,11 +151,28 @@
         first = holds.first_to_end
         was_refused = attempts.last_error is not None
         if first is None or attempts.may_have_run:
-            return refusal_of(attempts, context.end_by)
+            return self._busy_refusal(context, attempts, role)
         if was_refused and not holds.cover_all:
-            return refusal_of(attempts, context.end_by)
+            return self._busy_refusal(context, attempts, role)
         return _hold_refusal(context, holds, first)
 
+    def _busy_refusal(
+        self, context: ForwardContext, attempts: Attempts, role: EndpointRole
+    ) -> RequestRefusedError:
+        """Return the refusal, with a time of its own if plain endpoints were full."""
+        refusal = refusal_of(attempts, context.end_by)
+        is_full = isinstance(attempts.last_error, EndpointRefusedError)
+        if role is not EndpointRole.PLAIN or attempts.may_have_run or not is_full:
+            return refusal
+        known = map(self.health.answer_times.expected_seconds, attempts.tried)
+        client_until = context.request.client_deadline or context.end_by
+        refusal.retry_after = busy_retry_seconds(
+            min((seconds for seconds in known if seconds), default=None),
+            context.target_by.remaining(),
+            client_until.remaining(),
+        )
+        return refusal
+
     def check_backoff(
         self, context: ForwardContext, attempts: Attempts, role: EndpointRole
     ) -> None:
@@ -262,7 +281,10 @@
         elif isinstance(error, EndpointRoleError):
             # Its next announcement reports the new role.
             self.health.note_unreachable(endpoint.start_id, error.message)
-        elif not isinstance(error, EndpointRefusedError | EndpointOnHoldError):
+        elif isinstance(error, EndpointRefusedError):
+            if endpoint.role is EndpointRole.PLAIN:
+                self.health.note_full(endpoint.start_id)
+        elif not isinstance(error, EndpointOnHoldError):
             self.health.note_failure(endpoint.start_id)
             if isinstance(error, EndpointTimeoutError):
                 self.health.note_unreachable(endpoint.start_id, error.message)
--- a/src/jujubeslip/kernel/_settings.py
+++ b/src/jujubeslip/kernel/_settings.py
@@ -254,7 +254,8 @@
     endpoint_silence_ms: Annotated[int, Field(ge=100)] = 10_000
     """Silence after which an endpoint is only used if there is no other one."""
     policy: Name = "least-cost"
-    """`least-cost`, or a baseline for comparisons."""
+    """`least-cost`; `expected-time`, which also measures answer times of plain
+    endpoints; or a baseline for comparisons."""
     asks_leader: bool = True
     """Whether the leading control host is asked for grants of engines."""
     reads_prompts_apart: bool = True
--- a/src/jujubeslip/peers/gen/ControlPeer.py
+++ b/src/jujubeslip/peers/gen/ControlPeer.py
@@ -3995,11 +3995,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.news = []
-                    (_etype227, _size224) = iprot.readListBegin()
-                    for _i228 in range(_size224):
-                        _elem229 = AdmissionNews()
-                        _elem229.read(iprot)
-                        self.news.append(_elem229)
+                    (_etype241, _size238) = iprot.readListBegin()
+                    for _i242 in range(_size238):
+                        _elem243 = AdmissionNews()
+                        _elem243.read(iprot)
+                        self.news.append(_elem243)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4016,8 +4016,8 @@
         if self.news is not None:
             oprot.writeFieldBegin('news', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.news))
-            for iter230 in self.news:
-                iter230.write(oprot)
+            for iter244 in self.news:
+                iter244.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4289,11 +4289,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.spent = []
-                    (_etype234, _size231) = iprot.readListBegin()
-                    for _i235 in range(_size231):
-                        _elem236 = AccountSpending()
-                        _elem236.read(iprot)
-                        self.spent.append(_elem236)
+                    (_etype248, _size245) = iprot.readListBegin()
+                    for _i249 in range(_size245):
+                        _elem250 = AccountSpending()
+                        _elem250.read(iprot)
+                        self.spent.append(_elem250)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4310,8 +4310,8 @@
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.spent))
-            for iter237 in self.spent:
-                iter237.write(oprot)
+            for iter251 in self.spent:
+                iter251.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4364,11 +4364,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype241, _size238) = iprot.readListBegin()
-                    for _i242 in range(_size238):
-                        _elem243 = AccountState()
-                        _elem243.read(iprot)
-                        self.success.append(_elem243)
+                    (_etype255, _size252) = iprot.readListBegin()
+                    for _i256 in range(_size252):
+                        _elem257 = AccountState()
+                        _elem257.read(iprot)
+                        self.success.append(_elem257)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4395,8 +4395,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter244 in self.success:
-                iter244.write(oprot)
+            for iter258 in self.success:
+                iter258.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
@@ -4930,11 +4930,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype248, _size245) = iprot.readListBegin()
-                    for _i249 in range(_size245):
-                        _elem250 = CrashRecord()
-                        _elem250.read(iprot)
-                        self.crashes.append(_elem250)
+                    (_etype262, _size259) = iprot.readListBegin()
+                    for _i263 in range(_size259):
+                        _elem264 = CrashRecord()
+                        _elem264.read(iprot)
+                        self.crashes.append(_elem264)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4955,8 +4955,8 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter251 in self.crashes:
-                iter251.write(oprot)
+            for iter265 in self.crashes:
+                iter265.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5113,11 +5113,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype255, _size252) = iprot.readListBegin()
-                    for _i256 in range(_size252):
-                        _elem257 = CrashRecord()
-                        _elem257.read(iprot)
-                        self.success.append(_elem257)
+                    (_etype269, _size266) = iprot.readListBegin()
+                    for _i270 in range(_size266):
+                        _elem271 = CrashRecord()
+                        _elem271.read(iprot)
+                        self.success.append(_elem271)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5139,8 +5139,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter258 in self.success:
-                iter258.write(oprot)
+            for iter272 in self.success:
+                iter272.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
@@ -5392,11 +5392,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype262, _size259) = iprot.readListBegin()
-                    for _i263 in range(_size259):
-                        _elem264 = Configuration()
-                        _elem264.read(iprot)
-                        self.success.append(_elem264)
+                    (_etype276, _size273) = iprot.readListBegin()
+                    for _i277 in range(_size273):
+                        _elem278 = Configuration()
+                        _elem278.read(iprot)
+                        self.success.append(_elem278)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5418,8 +5418,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter265 in self.success:
-                iter265.write(oprot)
+            for iter279 in self.success:
+                iter279.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
--- a/src/jujubeslip/peers/gen/EntryPeer.py
+++ b/src/jujubeslip/peers/gen/EntryPeer.py
@@ -2611,11 +2611,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype199, _size196) = iprot.readListBegin()
-                    for _i200 in range(_size196):
-                        _elem201 = HeldRequest()
-                        _elem201.read(iprot)
-                        self.held.append(_elem201)
+                    (_etype213, _size210) = iprot.readListBegin()
+                    for _i214 in range(_size210):
+                        _elem215 = HeldRequest()
+                        _elem215.read(iprot)
+                        self.held.append(_elem215)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2636,8 +2636,8 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter202 in self.held:
-                iter202.write(oprot)
+            for iter216 in self.held:
+                iter216.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2689,11 +2689,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype206, _size203) = iprot.readListBegin()
-                    for _i207 in range(_size203):
-                        _elem208 = HeldRequest()
-                        _elem208.read(iprot)
-                        self.success.append(_elem208)
+                    (_etype220, _size217) = iprot.readListBegin()
+                    for _i221 in range(_size217):
+                        _elem222 = HeldRequest()
+                        _elem222.read(iprot)
+                        self.success.append(_elem222)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2715,8 +2715,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter209 in self.success:
-                iter209.write(oprot)
+            for iter223 in self.success:
+                iter223.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
@@ -2912,11 +2912,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.usages = []
-                    (_etype213, _size210) = iprot.readListBegin()
-                    for _i214 in range(_size210):
-                        _elem215 = LimitUsage()
-                        _elem215.read(iprot)
-                        self.usages.append(_elem215)
+                    (_etype227, _size224) = iprot.readListBegin()
+                    for _i228 in range(_size224):
+                        _elem229 = LimitUsage()
+                        _elem229.read(iprot)
+                        self.usages.append(_elem229)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2937,8 +2937,8 @@
         if self.usages is not None:
             oprot.writeFieldBegin('usages', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.usages))
-            for iter216 in self.usages:
-                iter216.write(oprot)
+            for iter230 in self.usages:
+                iter230.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2990,11 +2990,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype220, _size217) = iprot.readListBegin()
-                    for _i221 in range(_size217):
-                        _elem222 = LimitShare()
-                        _elem222.read(iprot)
-                        self.success.append(_elem222)
+                    (_etype234, _size231) = iprot.readListBegin()
+                    for _i235 in range(_size231):
+                        _elem236 = LimitShare()
+                        _elem236.read(iprot)
+                        self.success.append(_elem236)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3016,8 +3016,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter223 in self.success:
-                iter223.write(oprot)
+            for iter237 in self.success:
+                iter237.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusal is not None:
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -4780,6 +4780,186 @@
         return not (self == other)
 
 
+class AnswerTimesRecord(object):
+    """
+    Attributes:
+     - start_id
+     - answer_ms
+     - slow_from_ms
+     - answers
+     - failures
+
+    """
+
+
+    def __init__(self, start_id=None, answer_ms=None, slow_from_ms=None, answers=None, failures=None,):
+        self.start_id = start_id
+        self.answer_ms = answer_ms
+        self.slow_from_ms = slow_from_ms
+        self.answers = answers
+        self.failures = failures
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.start_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.answer_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.slow_from_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.answers = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.failures = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AnswerTimesRecord')
+        if self.start_id is not None:
+            oprot.writeFieldBegin('start_id', TType.STRING, 1)
+            oprot.writeString(self.start_id.encode('utf-8') if sys.version_info[0] == 2 else self.start_id)
+            oprot.writeFieldEnd()
+        if self.answer_ms is not None:
+            oprot.writeFieldBegin('answer_ms', TType.I32, 2)
+            oprot.writeI32(self.answer_ms)
+            oprot.writeFieldEnd()
+        if self.slow_from_ms is not None:
+            oprot.writeFieldBegin('slow_from_ms', TType.I32, 3)
+            oprot.writeI32(self.slow_from_ms)
+            oprot.writeFieldEnd()
+        if self.answers is not None:
+            oprot.writeFieldBegin('answers', TType.I32, 4)
+            oprot.writeI32(self.answers)
+            oprot.writeFieldEnd()
+        if self.failures is not None:
+            oprot.writeFieldBegin('failures', TType.I32, 5)
+            oprot.writeI32(self.failures)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SlowEndpointRecord(object):
+    """
+    Attributes:
+     - start_id
+     - answer_ms
+     - failed_percent
+
+    """
+
+
+    def __init__(self, start_id=None, answer_ms=None, failed_percent=None,):
+        self.start_id = start_id
+        self.answer_ms = answer_ms
+        self.failed_percent = failed_percent
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.start_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.answer_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.failed_percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SlowEndpointRecord')
+        if self.start_id is not None:
+            oprot.writeFieldBegin('start_id', TType.STRING, 1)
+            oprot.writeString(self.start_id.encode('utf-8') if sys.version_info[0] == 2 else self.start_id)
+            oprot.writeFieldEnd()
+        if self.answer_ms is not None:
+            oprot.writeFieldBegin('answer_ms', TType.I32, 2)
+            oprot.writeI32(self.answer_ms)
+            oprot.writeFieldEnd()
+        if self.failed_percent is not None:
+            oprot.writeFieldBegin('failed_percent', TType.I32, 3)
+            oprot.writeI32(self.failed_percent)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class WatchRequest(object):
     """
     Attributes:
@@ -4796,11 +4976,12 @@
      - known_leader_term
      - relay
      - known_relay_version
+     - answer_times
 
     """
 
 
-    def __init__(self, book_id=None, known_version=None, wait_ms=None, is_entry_host=None, watcher_id=None, known_configuration_version=None, pressures=None, known_crash_version=None, crashes=None, known_leader_address=None, known_leader_term=None, relay=None, known_relay_version=None,):
+    def __init__(self, book_id=None, known_version=None, wait_ms=None, is_entry_host=None, watcher_id=None, known_configuration_version=None, pressures=None, known_crash_version=None, crashes=None, known_leader_address=None, known_leader_term=None, relay=None, known_relay_version=None, answer_times=None,):
         self.book_id = book_id
         self.known_version = known_version
         self.wait_ms = wait_ms
@@ -4814,6 +4995,7 @@
         self.known_leader_term = known_leader_term
         self.relay = relay
         self.known_relay_version = known_relay_version
+        self.answer_times = answer_times
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4902,6 +5084,17 @@
                     self.known_relay_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.answer_times = []
+                    (_etype92, _size89) = iprot.readListBegin()
+                    for _i93 in range(_size89):
+                        _elem94 = AnswerTimesRecord()
+                        _elem94.read(iprot)
+                        self.answer_times.append(_elem94)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4939,8 +5132,8 @@
         if self.pressures is not None:
             oprot.writeFieldBegin('pressures', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.pressures))
-            for iter89 in self.pressures:
-                iter89.write(oprot)
+            for iter95 in self.pressures:
+                iter95.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.known_crash_version is not None:
@@ -4950,8 +5143,8 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter90 in self.crashes:
-                iter90.write(oprot)
+            for iter96 in self.crashes:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.known_leader_address is not None:
@@ -4970,6 +5163,13 @@
             oprot.writeFieldBegin('known_relay_version', TType.I64, 13)
             oprot.writeI64(self.known_relay_version)
             oprot.writeFieldEnd()
+        if self.answer_times is not None:
+            oprot.writeFieldBegin('answer_times', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRUCT, len(self.answer_times))
+            for iter97 in self.answer_times:
+                iter97.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5004,11 +5204,12 @@
      - leader_term
      - relay_version
      - relays
+     - slow_endpoints
 
     """
 
 
-    def __init__(self, book_id=None, version=None, endpoints=None, configuration_version=None, control_addresses=None, entry_hosts=None, leader_address=None, crash_version=None, crashes=None, removals=None, leader_term=None, relay_version=None, relays=None,):
+    def __init__(self, book_id=None, version=None, endpoints=None, configuration_version=None, control_addresses=None, entry_hosts=None, leader_address=None, crash_version=None, crashes=None, removals=None, leader_term=None, relay_version=None, relays=None, slow_endpoints=None,):
         self.book_id = book_id
         self.version = version
         self.endpoints = endpoints
@@ -5022,6 +5223,7 @@
         self.leader_term = leader_term
         self.relay_version = relay_version
         self.relays = relays
+        self.slow_endpoints = slow_endpoints
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5045,11 +5247,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.endpoints = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = EndpointRecord()
-                        _elem96.read(iprot)
-                        self.endpoints.append(_elem96)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = EndpointRecord()
+                        _elem103.read(iprot)
+                        self.endpoints.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5061,10 +5263,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.control_addresses = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.control_addresses.append(_elem102)
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.control_addresses.append(_elem109)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5086,22 +5288,22 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype106, _size103) = iprot.readListBegin()
-                    for _i107 in range(_size103):
-                        _elem108 = CrashRecord()
-                        _elem108.read(iprot)
-                        self.crashes.append(_elem108)
+                    (_etype113, _size110) = iprot.readListBegin()
+                    for _i114 in range(_size110):
+                        _elem115 = CrashRecord()
+                        _elem115.read(iprot)
+                        self.crashes.append(_elem115)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.removals = []
-                    (_etype112, _size109) = iprot.readListBegin()
-                    for _i113 in range(_size109):
-                        _elem114 = EndpointRemoval()
-                        _elem114.read(iprot)
-                        self.removals.append(_elem114)
+                    (_etype119, _size116) = iprot.readListBegin()
+                    for _i120 in range(_size116):
+                        _elem121 = EndpointRemoval()
+                        _elem121.read(iprot)
+                        self.removals.append(_elem121)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5118,11 +5320,22 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.relays = []
-                    (_etype118, _size115) = iprot.readListBegin()
-                    for _i119 in range(_size115):
-                        _elem120 = RelayRecord()
-                        _elem120.read(iprot)
-                        self.relays.append(_elem120)
+                    (_etype125, _size122) = iprot.readListBegin()
+                    for _i126 in range(_size122):
+                        _elem127 = RelayRecord()
+                        _elem127.read(iprot)
+                        self.relays.append(_elem127)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.slow_endpoints = []
+                    (_etype131, _size128) = iprot.readListBegin()
+                    for _i132 in range(_size128):
+                        _elem133 = SlowEndpointRecord()
+                        _elem133.read(iprot)
+                        self.slow_endpoints.append(_elem133)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5147,8 +5360,8 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
-            for iter121 in self.endpoints:
-                iter121.write(oprot)
+            for iter134 in self.endpoints:
+                iter134.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -5158,8 +5371,8 @@
         if self.control_addresses is not None:
             oprot.writeFieldBegin('control_addresses', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.control_addresses))
-            for iter122 in self.control_addresses:
-                oprot.writeString(iter122.encode('utf-8') if sys.version_info[0] == 2 else iter122)
+            for iter135 in self.control_addresses:
+                oprot.writeString(iter135.encode('utf-8') if sys.version_info[0] == 2 else iter135)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entry_hosts is not None:
@@ -5177,15 +5390,15 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter123 in self.crashes:
-                iter123.write(oprot)
+            for iter136 in self.crashes:
+                iter136.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.removals is not None:
             oprot.writeFieldBegin('removals', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.removals))
-            for iter124 in self.removals:
-                iter124.write(oprot)
+            for iter137 in self.removals:
+                iter137.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leader_term is not None:
@@ -5199,8 +5412,15 @@
         if self.relays is not None:
             oprot.writeFieldBegin('relays', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.relays))
-            for iter125 in self.relays:
-                iter125.write(oprot)
+            for iter138 in self.relays:
+                iter138.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.slow_endpoints is not None:
+            oprot.writeFieldBegin('slow_endpoints', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRUCT, len(self.slow_endpoints))
+            for iter139 in self.slow_endpoints:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5345,31 +5565,31 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = Member()
-                        _elem131.read(iprot)
-                        self.members.append(_elem131)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = Member()
+                        _elem145.read(iprot)
+                        self.members.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.admitted_host_ids = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.admitted_host_ids.append(_elem137)
+                    (_etype149, _size146) = iprot.readListBegin()
+                    for _i150 in range(_size146):
+                        _elem151 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.admitted_host_ids.append(_elem151)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.lost_replica_ids = []
-                    (_etype141, _size138) = iprot.readListBegin()
-                    for _i142 in range(_size138):
-                        _elem143 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.lost_replica_ids.append(_elem143)
+                    (_etype155, _size152) = iprot.readListBegin()
+                    for _i156 in range(_size152):
+                        _elem157 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lost_replica_ids.append(_elem157)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5390,22 +5610,22 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter144 in self.members:
-                iter144.write(oprot)
+            for iter158 in self.members:
+                iter158.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.admitted_host_ids is not None:
             oprot.writeFieldBegin('admitted_host_ids', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.admitted_host_ids))
-            for iter145 in self.admitted_host_ids:
-                oprot.writeString(iter145.encode('utf-8') if sys.version_info[0] == 2 else iter145)
+            for iter159 in self.admitted_host_ids:
+                oprot.writeString(iter159.encode('utf-8') if sys.version_info[0] == 2 else iter159)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lost_replica_ids is not None:
             oprot.writeFieldBegin('lost_replica_ids', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.lost_replica_ids))
-            for iter146 in self.lost_replica_ids:
-                oprot.writeString(iter146.encode('utf-8') if sys.version_info[0] == 2 else iter146)
+            for iter160 in self.lost_replica_ids:
+                oprot.writeString(iter160.encode('utf-8') if sys.version_info[0] == 2 else iter160)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6142,33 +6362,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.configurations = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = Configuration()
-                        _elem152.read(iprot)
-                        self.configurations.append(_elem152)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = Configuration()
+                        _elem166.read(iprot)
+                        self.configurations.append(_elem166)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype156, _size153) = iprot.readListBegin()
-                    for _i157 in range(_size153):
-                        _elem158 = ChangeRecord()
-                        _elem158.read(iprot)
-                        self.changes.append(_elem158)
+                    (_etype170, _size167) = iprot.readListBegin()
+                    for _i171 in range(_size167):
+                        _elem172 = ChangeRecord()
+                        _elem172.read(iprot)
+                        self.changes.append(_elem172)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.claims = []
-                    (_etype162, _size159) = iprot.readListBegin()
-                    for _i163 in range(_size159):
-                        _elem164 = ClaimRecord()
-                        _elem164.read(iprot)
-                        self.claims.append(_elem164)
+                    (_etype176, _size173) = iprot.readListBegin()
+                    for _i177 in range(_size173):
+                        _elem178 = ClaimRecord()
+                        _elem178.read(iprot)
+                        self.claims.append(_elem178)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6180,22 +6400,22 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.orders = []
-                    (_etype168, _size165) = iprot.readListBegin()
-                    for _i169 in range(_size165):
-                        _elem170 = EngineOrderRecord()
-                        _elem170.read(iprot)
-                        self.orders.append(_elem170)
+                    (_etype182, _size179) = iprot.readListBegin()
+                    for _i183 in range(_size179):
+                        _elem184 = EngineOrderRecord()
+                        _elem184.read(iprot)
+                        self.orders.append(_elem184)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype174, _size171) = iprot.readListBegin()
-                    for _i175 in range(_size171):
-                        _elem176 = EngineLoad()
-                        _elem176.read(iprot)
-                        self.loads.append(_elem176)
+                    (_etype188, _size185) = iprot.readListBegin()
+                    for _i189 in range(_size185):
+                        _elem190 = EngineLoad()
+                        _elem190.read(iprot)
+                        self.loads.append(_elem190)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6207,11 +6427,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.removals = []
-                    (_etype180, _size177) = iprot.readListBegin()
-                    for _i181 in range(_size177):
-                        _elem182 = EndpointRemovalRecord()
-                        _elem182.read(iprot)
-                        self.removals.append(_elem182)
+                    (_etype194, _size191) = iprot.readListBegin()
+                    for _i195 in range(_size191):
+                        _elem196 = EndpointRemovalRecord()
+                        _elem196.read(iprot)
+                        self.removals.append(_elem196)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6228,22 +6448,22 @@
         if self.configurations is not None:
             oprot.writeFieldBegin('configurations', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.configurations))
-            for iter183 in self.configurations:
-                iter183.write(oprot)
+            for iter197 in self.configurations:
+                iter197.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter184 in self.changes:
-                iter184.write(oprot)
+            for iter198 in self.changes:
+                iter198.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.claims is not None:
             oprot.writeFieldBegin('claims', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.claims))
-            for iter185 in self.claims:
-                iter185.write(oprot)
+            for iter199 in self.claims:
+                iter199.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.end is not None:
@@ -6253,15 +6473,15 @@
         if self.orders is not None:
             oprot.writeFieldBegin('orders', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.orders))
-            for iter186 in self.orders:
-                iter186.write(oprot)
+            for iter200 in self.orders:
+                iter200.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter187 in self.loads:
-                iter187.write(oprot)
+            for iter201 in self.loads:
+                iter201.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.engines_since_ms is not None:
@@ -6271,8 +6491,8 @@
         if self.removals is not None:
             oprot.writeFieldBegin('removals', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.removals))
-            for iter188 in self.removals:
-                iter188.write(oprot)
+            for iter202 in self.removals:
+                iter202.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6670,11 +6890,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype192, _size189) = iprot.readListBegin()
-                    for _i193 in range(_size189):
-                        _elem194 = LogEntry()
-                        _elem194.read(iprot)
-                        self.entries.append(_elem194)
+                    (_etype206, _size203) = iprot.readListBegin()
+                    for _i207 in range(_size203):
+                        _elem208 = LogEntry()
+                        _elem208.read(iprot)
+                        self.entries.append(_elem208)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6724,8 +6944,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter195 in self.entries:
-                iter195.write(oprot)
+            for iter209 in self.entries:
+                iter209.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commit_index is not None:
@@ -7480,6 +7700,22 @@
     (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 3
 )
+all_structs.append(AnswerTimesRecord)
+AnswerTimesRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'start_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'answer_ms', None, None, ),  # 2
+    (3, TType.I32, 'slow_from_ms', None, None, ),  # 3
+    (4, TType.I32, 'answers', None, None, ),  # 4
+    (5, TType.I32, 'failures', None, None, ),  # 5
+)
+all_structs.append(SlowEndpointRecord)
+SlowEndpointRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'start_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'answer_ms', None, None, ),  # 2
+    (3, TType.I32, 'failed_percent', None, None, ),  # 3
+)
 all_structs.append(WatchRequest)
 WatchRequest.thrift_spec = (
     None,  # 0
@@ -7496,6 +7732,7 @@
     (11, TType.I64, 'known_leader_term', None, None, ),  # 11
     (12, TType.STRUCT, 'relay', [RelayRecord, None], None, ),  # 12
     (13, TType.I64, 'known_relay_version', None, None, ),  # 13
+    (14, TType.LIST, 'answer_times', (TType.STRUCT, [AnswerTimesRecord, None], False), None, ),  # 14
 )
 all_structs.append(WatchReply)
 WatchReply.thrift_spec = (
@@ -7513,6 +7750,7 @@
     (11, TType.I64, 'leader_term', None, None, ),  # 11
     (12, TType.I64, 'relay_version', None, None, ),  # 12
     (13, TType.LIST, 'relays', (TType.STRUCT, [RelayRecord, None], False), None, ),  # 13
+    (14, TType.LIST, 'slow_endpoints', (TType.STRUCT, [SlowEndpointRecord, None], False), None, ),  # 14
 )
 all_structs.append(Member)
 Member.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -548,6 +548,26 @@
   3: string availability_zone,
 }
 
+// What an entry host has seen within the latest seconds of a start of a plain endpoint
+// that looks slow or failing to it, or is listed.
+struct AnswerTimesRecord {
+  1: string start_id,
+  // Median time of its answers, and the one from which on they are slow at this host.
+  2: i32 answer_ms,
+  3: i32 slow_from_ms,
+  4: i32 answers,
+  // How many of the answers failed.
+  5: i32 failures,
+}
+
+// A start that many entry hosts find slow or failing.
+struct SlowEndpointRecord {
+  1: string start_id,
+  // Median over the hosts, 0 if it is not slow.
+  2: i32 answer_ms,
+  3: i32 failed_percent,
+}
+
 // Asks a control host for what is new there since `known_version` of its book.
 // `book_id` names the start of the control host that the version belongs to.
 struct WatchRequest {
@@ -572,6 +592,8 @@
   12: optional RelayRecord relay,
   // The version of the list of relays that the watcher has.
   13: optional i64 known_relay_version,
+  // Starts that look slow or failing to an entry host.
+  14: optional list<AnswerTimesRecord> answer_times,
 }
 
 struct WatchReply {
@@ -595,6 +617,8 @@
   // Some other entry hosts that relay requests, if the watcher has another version.
   12: optional i64 relay_version,
   13: optional list<RelayRecord> relays,
+  // All starts that many entry hosts find slow or failing; only entry hosts are told.
+  14: optional list<SlowEndpointRecord> slow_endpoints,
 }
 
 // `replica_id` is HOST/DISK: a host that lost its disk is another replica.
