--- a/tests/bench/test_plain_replay.py
+++ b/tests/bench/test_plain_replay.py
@@ -72,6 +72,11 @@
         assert min(outcome.second(number) for number in range(17)) > 0.97
         assert outcome.crossings / outcome.sends < 0.2
 
+    def test_surge_of_one_zone_is_followed_within_two_seconds(self) -> None:
+        load = replace(LOADS["1.5 times in one zone"], seconds=14.0)
+        outcome = play(load, SHARED)
+        assert min(outcome.second(number) for number in range(8, 14)) > 0.97
+
 
 class TestReturningClients:
     """Guards against clients that return too late, and all at the same time."""
