Plain endpoints: no pause of an endpoint that refused as full

Tried: each host passes over an endpoint that refused for the time of its queue. A full endpoint frees places all the time, and one that is slow costs more by its measured time.

--- a/src/jujubeslip/forwarding/_choice.py
+++ b/src/jujubeslip/forwarding/_choice.py
@@ -124,15 +124,12 @@
         An endpoint that is unreachable, or was not heard from for long, is only taken
         if there is no other: a partitioned host continues with the endpoints it knows.
         One that is known to be replaced is never taken, because prompts would be
-        prefilled for it needlessly. One that has just refused a request as it was full
-        is only taken if all are.
+        prefilled for it needlessly.
         """
         usable = self._usable(service_name, role, excluded)
         if not usable:
             return None
-        healthy = self._healthy(usable)
-        not_full = [item for item in healthy if not self._health.is_full(item.start_id)]
-        return self._policy.choose(not_full or healthy or usable, target_seconds)
+        return self._policy.choose(self._healthy(usable) or usable, target_seconds)
 
     def choose_healthy(self, service_name: str, role: EndpointRole) -> Endpoint | None:
         """Return an endpoint that is heard from and reachable, None without one."""
--- a/src/jujubeslip/forwarding/_health.py
+++ b/src/jujubeslip/forwarding/_health.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import random
 import threading
 from collections.abc import Iterator
 from contextlib import AbstractContextManager, contextmanager
@@ -28,12 +27,6 @@
 # decay, an endpoint that failed once would get no requests that could show its
 # recovery.
 FAILURE_HALF_LIFE_SECONDS = 5.0
-# Shortest and longest pause of an endpoint that refused a request as it was full, in
-# seconds. Between them it is about the time in which its queue empties, which is what
-# its answers take, and is spread so that hosts don't return at the same moment.
-MINIMUM_FULL_SECONDS = 0.05
-MAXIMUM_FULL_SECONDS = 1.0
-FULL_SPREAD = (0.5, 1.5)
 
 
 @dataclass(frozen=True)
@@ -44,8 +37,6 @@
     answered_at: float = float("-inf")
     """When the share was recorded."""
     open_requests: int = 0
-    full_until: Deadline = Deadline(float("-inf"))
-    """Until when it counts as full, since it refused a request."""
     is_replaced: bool = False
     """Whether another endpoint has answered at its address."""
 
@@ -82,10 +73,6 @@
         """Return whether another endpoint has answered at its address in its place."""
         return self._get(start_id).is_replaced
 
-    def is_full(self, start_id: str) -> bool:
-        """Return whether the endpoint refused a request just now as it was full."""
-        return not self._get(start_id).full_until.expired
-
     def track_request(self, start_id: str) -> AbstractContextManager[None]:
         """Return a context that counts one more open request of the endpoint."""
         return self._track_request(start_id)
@@ -108,16 +95,6 @@
         self.answer_times.note_failure(start_id)
         self._note(start_id, failed=True)
 
-    def note_full(self, start_id: str) -> None:
-        """Prefer other endpoints for about the time in which its queue empties."""
-        seconds = self.answer_times.expected_seconds(start_id) or 0.0
-        seconds = min(MAXIMUM_FULL_SECONDS, max(MINIMUM_FULL_SECONDS, seconds))
-        until = Deadline.after(seconds * random.uniform(*FULL_SPREAD))
-        with self._lock:
-            self._health_by_start[start_id] = replace(
-                self._get(start_id), full_until=until
-            )
-
     def note_unreachable(self, start_id: str, reason: str = "") -> None:
         """Skip the endpoint for a while, longer after each failure in a row.
 
@@ -154,7 +131,6 @@
                     health,
                     failures_in_a_row=0,
                     paused_until=Deadline(float("-inf")),
-                    full_until=Deadline(float("-inf")),
                     failure_share=0.0,
                 )
 
--- a/src/jujubeslip/forwarding/_sender.py
+++ b/src/jujubeslip/forwarding/_sender.py
@@ -281,10 +281,7 @@
         elif isinstance(error, EndpointRoleError):
             # Its next announcement reports the new role.
             self.health.note_unreachable(endpoint.start_id, error.message)
-        elif isinstance(error, EndpointRefusedError):
-            if endpoint.role is EndpointRole.PLAIN:
-                self.health.note_full(endpoint.start_id)
-        elif not isinstance(error, EndpointOnHoldError):
+        elif not isinstance(error, EndpointRefusedError | EndpointOnHoldError):
             self.health.note_failure(endpoint.start_id)
             if isinstance(error, EndpointTimeoutError):
                 self.health.note_unreachable(endpoint.start_id, error.message)
