--- a/src/jujubeslip/forwarding/_account_limits.py
+++ b/src/jujubeslip/forwarding/_account_limits.py
@@ -177,7 +177,9 @@
             self._record_spent(context, attempts)
             attempts.is_charged = True
             return ADMITTED_HERE
-        pool = self._charge_at_pool(AccountSpending(name, context.cost))
+        priority = _priority_within_account(context)
+        spending = AccountSpending(name, context.cost, priority=priority)
+        pool = self._charge_at_pool(spending)
         attempts.is_charged = pool.may_run
         return pool
 
@@ -309,3 +311,15 @@
             "pool": pool,
         }
         logger.info("request not within its account's limit", extra=extra)
+
+
+def _priority_within_account(context: ForwardContext) -> int:
+    """Return the request's priority among those of its account, 0 for the highest.
+
+    Nothing is kept for others where all requests of an account have one priority.
+    """
+    account = context.account
+    if account is None or account.priority is not None:
+        return 0
+    highest = min(route.priority for route in context.table.routes)
+    return max(0, context.rank - highest)
--- a/src/jujubeslip/forwarding/_leader_contact.py
+++ b/src/jujubeslip/forwarding/_leader_contact.py
@@ -119,7 +119,9 @@
                 {key: n for key, n in candidates.items() if self._reaches(key)}
             )
             address = candidates.most_common(1)[0][0] if candidates else None
-            self._log_change(address)
+            # One that has failed is only probed until it answers.
+            if address is None or not self._pauses.has_failed(address):
+                self._log_change(address)
         return address
 
     def _named_addresses(self) -> list[str]:
--- a/tests/forwarding/test_charges_without_leader.py
+++ b/tests/forwarding/test_charges_without_leader.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from jujubeslip.accounts import POOL_USED, HostSpending, LimitBounds
+from jujubeslip.accounts import POOL_USED, ClientAccount, HostSpending, LimitBounds
 from jujubeslip.forwarding._account_limits import AccountLimits
 from jujubeslip.forwarding._leader_contact import LeaderContact
 from jujubeslip.forwarding._models import Attempts
@@ -106,15 +106,18 @@
     )
 
 
-def context() -> Any:
+def context(priority: int = 0, account: ClientAccount | None = None) -> Any:
     request = SimpleNamespace(request_id="r-1", account_name="a")
     return SimpleNamespace(
         cost=COST,
         request=request,
         end_by=Deadline.after(1.5),
         client_disconnected=lambda: False,
-        table=SimpleNamespace(version=1),
-        account=None,
+        table=SimpleNamespace(
+            version=1, routes=[SimpleNamespace(priority=item) for item in (1, 3)]
+        ),
+        rank=priority if account is None else account.priority or priority,
+        account=account,
     )
 
 
@@ -211,6 +214,33 @@
         assert loans[-1].lent_ms == pytest.approx(400, abs=1)
 
 
+class TestPriorities:
+    """Guards against a pool that is used up by an account's less urgent requests."""
+
+    @pytest.mark.parametrize(
+        ("own", "route", "told"), [(None, 1, 0), (None, 3, 2), (2, 3, 0)]
+    )
+    def test_are_told_to_the_pool(
+        self,
+        limits: AccountLimits,
+        controls: Controls,
+        own: int | None,
+        route: int,
+        told: int,
+    ) -> None:
+        controls.leader_error = NotLeader("", "", 3)
+        priorities = []
+
+        def charge_alone(host_id: str, hosts: int, spending: Any) -> bool:
+            priorities.append(spending.priority)
+            return True
+
+        controls.charge_alone = charge_alone  # type: ignore[method-assign]
+        account = ClientAccount("a", (), priority=own)
+        limits.charge(context(route, account), Attempts())
+        assert priorities == [told]
+
+
 class TestPoolThatIsUsed:
     def test_request_waits_if_enough_will_be_free_soon(
         self, limits: AccountLimits, controls: Controls, clock: Clock
--- a/tests/forwarding/test_leader_contact.py
+++ b/tests/forwarding/test_leader_contact.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from types import SimpleNamespace
 from typing import Any
 
@@ -236,6 +237,28 @@
         assert peer.calls <= FREQUENT_PROBES + 3 / MAXIMUM_LAPSED_PAUSE_SECONDS + 2
         assert not contact.has_leader
 
+    def test_is_logged_once_as_left_and_once_as_found(
+        self,
+        contact: LeaderContact,
+        peer: Peer,
+        clock: Clock,
+        caplog: pytest.LogCaptureFixture,
+    ) -> None:
+        """Each probe logged that the leader to call changed, and changed back."""
+        caplog.set_level(logging.INFO)
+        for error in (None, NotLeader("", ""), None):
+            peer.error = error
+            for _ in range(50):
+                call_leader(contact)
+                clock.now += 0.01
+        logged = [item.__dict__ for item in caplog.records]
+        changes = [
+            item["address"]
+            for item in logged
+            if item["msg"] == "leader to call changed"
+        ]
+        assert changes == [LEADER, "", LEADER]
+
     def test_calls_under_way_at_the_first_lapse_count_as_one(
         self, contact: LeaderContact, peer: Peer, clock: Clock
     ) -> None:
