--- a/tests/forwarding/test_limits_while_nobody_leads.py
+++ b/tests/forwarding/test_limits_while_nobody_leads.py
@@ -13,15 +13,14 @@
 
 CONTROLS = 4
 ENTRIES = 2
-# A request counts 100 tokens, so that twenty a second are within the limit.
-LIMITED = {"unit": "tokens", "plainTokens": 100, "ratePerS": 2000.0, "burst": 2000}
+# A request counts what the account may use in a second, and more than what hosts may
+# spend beside the rate.
+LIMITED = {"unit": "tokens", "plainTokens": 1000, "ratePerS": 1000.0, "burst": 100}
 # Hosts lend their shares once this time has passed since their start.
 WINDOW_MS = 1000
-# By then, the remaining control hosts have missed the leader, and asked each other.
+# By then the remaining control hosts have missed the leader for more than a second.
 # Without their answers, rates would count 3.5 s after the loss.
-RULED_OUT_SECONDS = 1.3
-ASKED_SECONDS = 1.2
-PAUSE_SECONDS = 0.1
+RULED_OUT_SECONDS = 2.2
 
 
 class TestHalfOfTheControlHosts:
@@ -47,15 +46,8 @@
             for number in (leader, other):
                 system.controls[number].kill()
             time.sleep(RULED_OUT_SECONDS)
-            statuses: list[int] = []
-            until = time.monotonic() + ASKED_SECONDS
-            while time.monotonic() < until:
-                entry = len(statuses) % ENTRIES
-                headers = key("k-limited")
-                reply = system.ask(CLOSED, headers=headers, entry=entry)
-                statuses.append(reply.status)
-                time.sleep(PAUSE_SECONDS)
-            assert set(statuses) == {200}
+            reply = system.ask(CLOSED, headers=key("k-limited"))
+            assert reply.status == 200
             wait_until(
                 lambda: system.logged("leader's lease ruled out or possible again"),
                 "the line of the silence",
