--- a/src/jujubeslip/accounts/_leaderless_pool.py
+++ b/src/jujubeslip/accounts/_leaderless_pool.py
@@ -95,8 +95,8 @@
     of the overage and the slack, and their equal shares of the limit's rate for the
     times in it in which no leader grants them; a single request may be larger. Each
     host's share is in one pool at a time, and a charge counts for a whole window. Rates
-    that were not spent do not add up: a leader may grant the whole burst in the same
-    window.
+    that were not spent do not add up unless `rates_add_up` is set: a leader may grant
+    the whole burst in the same window.
 
     A pool does not know what a previous process of its host has charged. So rates count
     from its begin on, and other shares once a window has passed since then.
@@ -107,7 +107,9 @@
         bounds: LimitBounds,
         leaderless_spans: Callable[[], Spans] = _never,
         began_at: float = -math.inf,
+        rates_add_up: bool = False,
     ) -> None:
+        self._rates_add_up = rates_add_up
         self._bounds = bounds
         self._began_at = began_at
         self._members = PoolMembers(bounds.window_seconds)
@@ -152,7 +154,7 @@
         missing = used + cost - free * allowed
         # In any part of the window, too, but for one request that is larger than that.
         used = min(cost, free * base)
-        for item in reversed(spent):
+        for item in () if self._rates_add_up else reversed(spent):
             used += item.cost
             allowed = base + rate_share * rates.since(item.spent_at)
             missing = max(missing, used - free * allowed)
--- a/src/jujubeslip/control/_limit_manager.py
+++ b/src/jujubeslip/control/_limit_manager.py
@@ -45,6 +45,8 @@
     """The times in which no leader can have had a valid lease."""
     pool_began_at: float = -math.inf
     """When this host began to keep the charges of its leaderless pool."""
+    rates_add_up: bool = True
+    """Whether the pool may spend rates of a whole window at once."""
 
 
 @dataclass(frozen=True)
@@ -84,7 +86,10 @@
         self._ledger = AccountLedger(bounds, self._ledger_time())
         self._ledger_began_at: float | None = None
         self._leaderless_pool = LeaderlessPool(
-            bounds, lease_times.leaderless_spans, lease_times.pool_began_at
+            bounds,
+            lease_times.leaderless_spans,
+            lease_times.pool_began_at,
+            lease_times.rates_add_up,
         )
         self._logged_at_by_name: dict[str, float] = {}
         self._lock = threading.Lock()
--- a/src/jujubeslip/control/_run.py
+++ b/src/jujubeslip/control/_run.py
@@ -155,7 +155,10 @@
             self._leadership_began_at,
             self._watches.heard_share,
             LeaseTimes(
-                self._replica.leased_time, self._absence_probe.spans, steady_seconds()
+                self._replica.leased_time,
+                self._absence_probe.spans,
+                steady_seconds(),
+                rates_add_up=False,
             ),
         )
 
--- a/tests/accounts/test_leaderless_pool.py
+++ b/tests/accounts/test_leaderless_pool.py
@@ -164,6 +164,15 @@
         assert pool.charge("a", LIMIT, 500, 1, NOW + 6.5).may_run
         assert not pool.charge("a", LIMIT, 200, 1, NOW + 6.5).may_run
 
+    def test_add_up_for_limits_of_endpoints(self) -> None:
+        """Deployments without accounts are served as they were."""
+        bounds = LimitBounds(WINDOW, 0.0, 8000.0)
+        pool = LeaderlessPool(bounds, rates_add_up=True)
+        for tenth in range(65):
+            pool.join("0", NOW + tenth / 10)
+        assert pool.charge("a", LIMIT, 2000, 1, NOW + 6.5).may_run
+        assert pool.charge("a", LIMIT, 1900, 1, NOW + 6.5).may_run
+
     def test_one_request_may_be_larger_than_the_share_of_the_slack(self) -> None:
         """Streams cost more than the shares of a zone's hosts."""
         spans = [(NOW, NOW + 6)]
