Admission: an engine with one overdue prompt gets one further prompt

Cause: a prompt counts as overdue also when its host is late to send the note, and an engine that got nothing meanwhile would be idle for up to half a second, with each host that is lost or paused. Change: engines without overdue prompts go first; one overdue prompt allows one more. Tests: the one of an overdue prompt asked for no further prompt; it now asks for at most one, and a new one that there is one.

--- a/src/jujubeslip/admission/_prefill_queue.py
+++ b/src/jujubeslip/admission/_prefill_queue.py
@@ -135,13 +135,20 @@
 
         An engine whose prompts are overdue has turned slow rather than idle.
         """
+        left = self._planned_seconds_left
+        return -left if self._is_overdue(left) else max(0.0, left)
+
+    @property
+    def _planned_seconds_left(self) -> float:
+        """Return the expected time left; negative while its prompts are overdue."""
         if not self._assigned_by_request:
             return 0.0
         total = self._assigned_tokens / self.speed
-        left = total - (steady_seconds() - self._prefilling_since)
-        if left < -PREFILL_AHEAD_SECONDS and left >= -MAXIMUM_OVERDUE_SECONDS:
-            return -left
-        return max(0.0, left)
+        return total - (steady_seconds() - self._prefilling_since)
+
+    @staticmethod
+    def _is_overdue(seconds_left: float) -> bool:
+        return -MAXIMUM_OVERDUE_SECONDS <= seconds_left < -PREFILL_AHEAD_SECONDS
 
     def seconds_for(self, prompt_tokens: int) -> float:
         """Return how long it would take until one more prompt is prefilled."""
@@ -149,8 +156,15 @@
 
     @property
     def accepts_more(self) -> bool:
-        """Return whether a further prompt should be assigned now."""
-        return self._has_reported and self.seconds_left <= PREFILL_AHEAD_SECONDS
+        """Return whether a further prompt should be assigned now.
+
+        One that is overdue may only lack its note, which its host is late to send. More
+        than one further prompt would wait for long if the engine has turned slow.
+        """
+        left = self._planned_seconds_left
+        if self._is_overdue(left) and len(self._assigned_by_request) > 1:
+            return False
+        return self._has_reported and left <= PREFILL_AHEAD_SECONDS
 
     def take_report(self, report: EngineReport) -> None:
         """Store the engine's report."""
--- a/tests/admission/test_prefill_queue.py
+++ b/tests/admission/test_prefill_queue.py
@@ -97,8 +97,20 @@
         queue.add(prompt("slow", 4000))
         clock.now += 0.35
         assert queue.seconds_left > 0.2
+        queue.add(prompt("next", 4000))
+        clock.now += 0.1
+        assert queue.seconds_left > 0.2
         assert not queue.accepts_more
 
+    def test_of_one_overdue_prompt_does_not_keep_an_engine_idle(
+        self, clock: Clock
+    ) -> None:
+        """Guards against idle engines while a host is late to tell of a prompt."""
+        queue = reporting_queue(clock)
+        queue.add(prompt("late", 4000))
+        clock.now += 0.35
+        assert queue.accepts_more
+
     def test_of_a_prompt_whose_note_is_lost_is_zero(self, clock: Clock) -> None:
         queue = reporting_queue(clock)
         queue.add(prompt("lost", 4000))
