Review: a command that checks a configuration before it is sent

Operators learn of an entry that can never match, of limits that contradict each other and of what changes only once a configuration is in force. jujubeslip review reads a declaration or a numbered configuration, and the one in force from a file or a control host. Warnings are checks in the registry that startup and check use; differences are pure code and name no keys.

--- a/src/jujubeslip/cli/_main.py
+++ b/src/jujubeslip/cli/_main.py
@@ -11,6 +11,7 @@
 from jujubeslip.cli._check_commands import check, explain
 from jujubeslip.cli._quarantine_commands import quarantine
 from jujubeslip.cli._replica_commands import replica
+from jujubeslip.cli._review_commands import review
 from jujubeslip.cli._route_commands import explain_route
 from jujubeslip.cli._run_commands import control, entry, forward
 from jujubeslip.cli._status_commands import drain, status
@@ -23,7 +24,7 @@
     """Route requests to separate prefill and decode pools.
 
     Exit codes: 0 success; 1 refused or host unreachable, with the remedy on standard
-    error; 2 invalid command line; 3 invalid file.
+    error; 2 invalid command line; 3 invalid file; 4 warnings of a review.
     """
     # The thrift library logs each failed connection attempt, and would write before
     # the command's own error, which contains the remedy.
@@ -37,6 +38,7 @@
     check,
     explain,
     explain_route,
+    review,
     apply,
     show,
     history,
--- a/src/jujubeslip/cli/_output.py
+++ b/src/jujubeslip/cli/_output.py
@@ -16,6 +16,7 @@
 
 EXIT_REFUSED = 1
 EXIT_FILE_INVALID = 3
+EXIT_WARNINGS = 4
 
 
 def print_fields(fields: dict[str, Any], as_json: bool) -> None:
--- a/src/jujubeslip/cli/_route_commands.py
+++ b/src/jujubeslip/cli/_route_commands.py
@@ -54,9 +54,14 @@
     except (OSError, UnicodeDecodeError) as error:
         problem = SettingsProblem(str(path), "-", f"{error}.", "Name a readable file.")
         exit_with_problems([problem])
+    return read_routes(content, interface, str(path))
+
+
+def read_routes(content: str, interface: str | None, source: str) -> RouteTable:
+    """Return the routes of a text, or print its problem and exit."""
     result = _interface(interface).read_routes(content)
     if isinstance(result, Failure):
-        problem = SettingsProblem(str(path), "-", result.failure(), "Correct the file.")
+        problem = SettingsProblem(source, "-", result.failure(), "Correct the file.")
         exit_with_problems([problem])
     return result.unwrap()
 
