--- a/src/jujubeslip/forwarding/_answer_times.py
+++ b/src/jujubeslip/forwarding/_answer_times.py
@@ -41,6 +41,13 @@
 MAXIMUM_STARTS = 512
 
 
+@dataclass
+class MeasuredCall:
+    """A call whose time is measured; the caller says if it brought no answer."""
+
+    is_answered: bool = True
+
+
 @dataclass(frozen=True)
 class RecentAnswers:
     """What a host has seen of one start within the latest seconds."""
@@ -103,19 +110,21 @@
                 self._forget_oldest()
 
     @contextmanager
-    def measure(self, start_id: str) -> Iterator[None]:
+    def measure(self, start_id: str) -> Iterator[MeasuredCall]:
         """Return a context that measures one call of the start.
 
-        A call that raises an error counts if it took as long as the answers before: its
-        own would have taken longer still.
+        A call without an answer counts if it took as long as the answers before: its
+        own would have taken longer still. A refusal, which takes no time, doesn't.
         """
+        call = MeasuredCall()
         call_id = self._begin(start_id)
         try:
-            yield
+            yield call
         except BaseException:
-            self._end(start_id, call_id, is_answered=False)
+            call.is_answered = False
             raise
-        self._end(start_id, call_id, is_answered=True)
+        finally:
+            self._end(start_id, call_id, call.is_answered)
 
     def note_failure(self, start_id: str) -> None:
         """Record that an answer of the start failed."""
--- a/src/jujubeslip/forwarding/_health.py
+++ b/src/jujubeslip/forwarding/_health.py
@@ -8,7 +8,7 @@
 from contextlib import AbstractContextManager, contextmanager
 from dataclasses import dataclass, replace
 
-from jujubeslip.forwarding._answer_times import AnswerTimes
+from jujubeslip.forwarding._answer_times import AnswerTimes, MeasuredCall
 from jujubeslip.forwarding._shared_answer_times import SharedAnswerTimes
 from jujubeslip.forwarding._slow_log import SlowLog
 from jujubeslip.kernel import Deadline, steady_seconds
@@ -73,16 +73,16 @@
         """Return whether another endpoint has answered at its address in its place."""
         return self._get(start_id).is_replaced
 
-    def track_request(self, start_id: str) -> AbstractContextManager[None]:
-        """Return a context that counts one more open request of the endpoint."""
+    def track_request(self, start_id: str) -> AbstractContextManager[MeasuredCall]:
+        """Return a context that counts one more open request, and measures its time."""
         return self._track_request(start_id)
 
     @contextmanager
-    def _track_request(self, start_id: str) -> Iterator[None]:
+    def _track_request(self, start_id: str) -> Iterator[MeasuredCall]:
         self._add_open(start_id, 1)
         try:
-            with self.answer_times.measure(start_id):
-                yield
+            with self.answer_times.measure(start_id) as call:
+                yield call
         finally:
             self._add_open(start_id, -1)
 
--- a/src/jujubeslip/forwarding/_sender.py
+++ b/src/jujubeslip/forwarding/_sender.py
@@ -76,8 +76,11 @@
         self, context: ForwardContext, role: EndpointRole, excluded: Collection[str]
     ) -> Endpoint | None:
         """Return an endpoint for the request, None if none is usable."""
-        target = context.route.target_ms / 1000
-        return self.chooser.choose(context.service_name, role, excluded, target)
+        name = context.service_name
+        if role is not EndpointRole.PLAIN:
+            return self.chooser.choose(name, role, excluded)
+        target_seconds = context.route.target_ms / 1000
+        return self.chooser.choose(name, role, excluded, target_seconds)
 
     def exchange(
         self,
--- a/src/jujubeslip/forwarding/_whole_send.py
+++ b/src/jujubeslip/forwarding/_whole_send.py
@@ -77,11 +77,12 @@
         self._call = EndpointCall(self.endpoint.endpoint_id, remaining_ms)
         with ExitStack() as stack:
             health, start_id = self._sender.health, self.endpoint.start_id
-            stack.enter_context(health.track_request(start_id))
+            self._measured = stack.enter_context(health.track_request(start_id))
             self._exchange = stack.enter_context(self._open_exchange())
             try:
                 self._exchange.send(self._call, self._deadline, self._is_cancelled)
             except EndpointError as error:
+                self._measured.is_answered = False
                 return SendEnd(self.endpoint, self.sent_at, error=error)
             self._stack = stack.pop_all()
         return None
@@ -100,6 +101,7 @@
 
     def close(self) -> None:
         """End a send whose answer is not read."""
+        self._measured.is_answered = False
         self._stack.close()
 
     def finish(self) -> SendEnd:
@@ -109,7 +111,9 @@
                 head = self._exchange.read_head(self._call)
                 body = self._exchange.read_rest()
                 self._sender.check_end(self.endpoint, self._exchange)
+                self._measured.is_answered = head.status < SERVER_ERROR
             except EndpointError as error:
+                self._measured.is_answered = False
                 return SendEnd(self.endpoint, self.sent_at, error=error)
         answer = WholeAnswer(head.status, head.headers, body)
         return SendEnd(self.endpoint, self.sent_at, answer)
--- a/tests/forwarding/test_full_endpoints.py
+++ b/tests/forwarding/test_full_endpoints.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from types import SimpleNamespace
 from typing import Any
 
@@ -13,8 +14,10 @@
     EndpointRefusedError,
 )
 from jujubeslip.forwarding._models import BUSY_RETRY_SECONDS, Attempts
-from jujubeslip.kernel import Deadline, load_plugins
+from jujubeslip.forwarding._plain_path import PlainPath
+from jujubeslip.kernel import Deadline, RequestRefusedError, load_plugins
 from jujubeslip.peers import EndpointRole
+from tests.fakes.scripted_endpoints import Script, ScriptedSystem
 from tests.forwarding.test_endpoint_starts import (
     FIRST,
     build_sender,
@@ -69,3 +72,21 @@
 
     def test_request_that_may_have_run_has_none(self) -> None:
         assert retry_after(AnswerCutError("cut")) is None
+
+
+class TestMeasuredTimes:
+    """Guards against an endpoint that looks fast, as it refuses or fails at once."""
+
+    @pytest.mark.parametrize(
+        "script", [Script(error=FULL), Script(status=500)], ids=["refuses", "fails"]
+    )
+    def test_have_none_without_an_answer(self, script: Script) -> None:
+        system = ScriptedSystem("a")
+        times = system.sender.health.answer_times
+        times.note_service("a", "plain")
+        path = PlainPath(system.sender)
+        for number in range(5):
+            system.pool.script_by_endpoint["a"] = Script(0.05) if not number else script
+            with suppress(RequestRefusedError):
+                path.answer(system.context(f"r-{number}"), Attempts())
+        assert times.usual_times("plain").median >= 0.05
--- a/tests/forwarding/test_second_sends.py
+++ b/tests/forwarding/test_second_sends.py
@@ -61,8 +61,8 @@
         self._scripts = (first, second)
         pool = self.system.pool
 
-        def choose(service: str, role: object, excluded: Any) -> Any:
-            endpoint = choose_endpoint(service, role, excluded)
+        def choose(service: str, role: object, excluded: Any, *target: Any) -> Any:
+            endpoint = choose_endpoint(service, role, excluded, *target)
             is_first = not pool.sends
             if endpoint is not None:
                 script = first if is_first else second
