--- a/tests/forwarding/test_second_sends.py
+++ b/tests/forwarding/test_second_sends.py
@@ -61,8 +61,13 @@
         self._scripts = (first, second)
         pool = self.system.pool
 
+<<<<<<< HEAD
         def choose(*arguments: Any) -> Any:
             endpoint = choose_endpoint(*arguments)
+=======
+        def choose(service: str, role: object, excluded: Any, *target: Any) -> Any:
+            endpoint = choose_endpoint(service, role, excluded, *target)
+>>>>>>> 683be7480d08f3b593bb6c17d7a7709c5918d98c
             is_first = not pool.sends
             if endpoint is not None:
                 script = first if is_first else second
