--- a/src/jujubeslip/forwarding/_answer_times.py
+++ b/src/jujubeslip/forwarding/_answer_times.py
@@ -41,8 +41,6 @@
 MAXIMUM_STARTS = 512
 
 
-<<<<<<< HEAD
-=======
 @dataclass
 class MeasuredCall:
     """A call whose time is measured; the caller says if it brought no answer."""
@@ -50,7 +48,6 @@
     is_answered: bool = True
 
 
->>>>>>> 5a376c83bb1a0c79d870cc19647b4fac5e3da5f7
 @dataclass(frozen=True)
 class RecentAnswers:
     """What a host has seen of one start within the latest seconds."""
@@ -113,21 +110,6 @@
                 self._forget_oldest()
 
     @contextmanager
-<<<<<<< HEAD
-    def measure(self, start_id: str) -> Iterator[None]:
-        """Return a context that measures one call of the start.
-
-        A call that raises an error counts if it took as long as the answers before: its
-        own would have taken longer still.
-        """
-        call_id = self._begin(start_id)
-        try:
-            yield
-        except BaseException:
-            self._end(start_id, call_id, is_answered=False)
-            raise
-        self._end(start_id, call_id, is_answered=True)
-=======
     def measure(self, start_id: str) -> Iterator[MeasuredCall]:
         """Return a context that measures one call of the start.
 
@@ -143,7 +125,6 @@
             raise
         finally:
             self._end(start_id, call_id, call.is_answered)
->>>>>>> 5a376c83bb1a0c79d870cc19647b4fac5e3da5f7
 
     def note_failure(self, start_id: str) -> None:
         """Record that an answer of the start failed."""
--- a/src/jujubeslip/forwarding/_health.py
+++ b/src/jujubeslip/forwarding/_health.py
@@ -8,11 +8,7 @@
 from contextlib import AbstractContextManager, contextmanager
 from dataclasses import dataclass, replace
 
-<<<<<<< HEAD
-from jujubeslip.forwarding._answer_times import AnswerTimes
-=======
 from jujubeslip.forwarding._answer_times import AnswerTimes, MeasuredCall
->>>>>>> 5a376c83bb1a0c79d870cc19647b4fac5e3da5f7
 from jujubeslip.forwarding._shared_answer_times import SharedAnswerTimes
 from jujubeslip.forwarding._slow_log import SlowLog
 from jujubeslip.kernel import Deadline, steady_seconds
@@ -85,13 +81,8 @@
     def _track_request(self, start_id: str) -> Iterator[MeasuredCall]:
         self._add_open(start_id, 1)
         try:
-<<<<<<< HEAD
-            with self.answer_times.measure(start_id):
-                yield
-=======
             with self.answer_times.measure(start_id) as call:
                 yield call
->>>>>>> 5a376c83bb1a0c79d870cc19647b4fac5e3da5f7
         finally:
             self._add_open(start_id, -1)
 
--- a/src/jujubeslip/forwarding/_sender.py
+++ b/src/jujubeslip/forwarding/_sender.py
@@ -76,16 +76,11 @@
         self, context: ForwardContext, role: EndpointRole, excluded: Collection[str]
     ) -> Endpoint | None:
         """Return an endpoint for the request, None if none is usable."""
-<<<<<<< HEAD
-        target = context.route.target_ms / 1000
-        return self.chooser.choose(context.service_name, role, excluded, target)
-=======
         name = context.service_name
         if role is not EndpointRole.PLAIN:
             return self.chooser.choose(name, role, excluded)
         target_seconds = context.route.target_ms / 1000
         return self.chooser.choose(name, role, excluded, target_seconds)
->>>>>>> 5a376c83bb1a0c79d870cc19647b4fac5e3da5f7
 
     def exchange(
         self,
--- a/tests/forwarding/test_full_endpoints.py
+++ b/tests/forwarding/test_full_endpoints.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-<<<<<<< HEAD
-=======
 from contextlib import suppress
->>>>>>> 5a376c83bb1a0c79d870cc19647b4fac5e3da5f7
 from types import SimpleNamespace
 from typing import Any
 
@@ -17,15 +14,10 @@
     EndpointRefusedError,
 )
 from jujubeslip.forwarding._models import BUSY_RETRY_SECONDS, Attempts
-<<<<<<< HEAD
-from jujubeslip.kernel import Deadline, load_plugins
-from jujubeslip.peers import EndpointRole
-=======
 from jujubeslip.forwarding._plain_path import PlainPath
 from jujubeslip.kernel import Deadline, RequestRefusedError, load_plugins
 from jujubeslip.peers import EndpointRole
 from tests.fakes.scripted_endpoints import Script, ScriptedSystem
->>>>>>> 5a376c83bb1a0c79d870cc19647b4fac5e3da5f7
 from tests.forwarding.test_endpoint_starts import (
     FIRST,
     build_sender,
@@ -80,8 +72,6 @@
 
     def test_request_that_may_have_run_has_none(self) -> None:
         assert retry_after(AnswerCutError("cut")) is None
-<<<<<<< HEAD
-=======
 
 
 class TestMeasuredTimes:
@@ -100,4 +90,3 @@
             with suppress(RequestRefusedError):
                 path.answer(system.context(f"r-{number}"), Attempts())
         assert times.usual_times("plain").median >= 0.05
->>>>>>> 5a376c83bb1a0c79d870cc19647b4fac5e3da5f7
--- a/tests/forwarding/test_second_sends.py
+++ b/tests/forwarding/test_second_sends.py
@@ -61,13 +61,8 @@
         self._scripts = (first, second)
         pool = self.system.pool
 
-<<<<<<< HEAD
-        def choose(service: str, role: object, excluded: Any, *target: Any) -> Any:
-            endpoint = choose_endpoint(service, role, excluded, *target)
-=======
         def choose(*arguments: Any) -> Any:
             endpoint = choose_endpoint(*arguments)
->>>>>>> 6883947c1de62f98ff9ce4e30246abc657d0ac9c
             is_first = not pool.sends
             if endpoint is not None:
                 script = first if is_first else second
