--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -249,6 +249,15 @@
     worker.backoff = ""
 
 
+@carry_out.register
+def _(fault: _schedule.EndpointSlowed, faults: Faults) -> None:
+    worker = faults.endpoint_by_slot[fault.endpoint].worker
+    usual_seconds = worker.run_seconds
+    worker.run_seconds = fault.answer_seconds
+    faults.pause(fault.seconds)
+    worker.run_seconds = usual_seconds
+
+
 @carry_out.register
 def _(fault: _schedule.LeavingSaid, faults: Faults) -> None:
     endpoint = faults.endpoint_by_slot[fault.endpoint]
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -45,6 +45,7 @@
     "limits": (1.0, 6.0),
     "notices": (0.5, 4.0),
     "partitions": (1.0, 8.0),
+    "slow": (0.5, 4.0),
 }
 # How long a host is down or paused, in seconds: the range includes times shorter and
 # longer than an election and than the 1.2 s after which a silent connection is closed.
@@ -65,6 +66,10 @@
 REFUSING_SECONDS = (0.5, 6.0)
 BACKOFFS = ("1", "2.5", "4")
 LEAVING_NOTICE_SECONDS = (3.0, 6.0)
+# How long an endpoint is slow, and how long each of its answers takes then, in seconds:
+# slow enough for a second send, and too slow for the target.
+SLOW_SECONDS = (0.3, 6.0)
+SLOW_ANSWER_SECONDS = (0.2, 0.9)
 # How long entry hosts are cut off from all endpoints, in seconds: from shorter than
 # their detection of it to several times longer.
 PARTITION_SECONDS = (0.5, 9.0)
@@ -206,6 +211,13 @@
     backoff: str
 
 
+@dataclass(frozen=True)
+class EndpointSlowed(EndpointFault):
+    """The endpoint takes this long for each answer, in seconds."""
+
+    answer_seconds: float
+
+
 class LeavingSaid(EndpointFault):
     """The endpoint reports in responses that it leaves, announces ready, and ends."""
 
@@ -328,6 +340,13 @@
     return BackoffAsked(at, track, endpoint, seconds, rng.choice(BACKOFFS))
 
 
+def _slowness(rng: random.Random, at: float, track: str) -> Fault:
+    endpoint = rng.choice((*PLAIN_ENDPOINTS, *DECODE_ENDPOINTS))
+    seconds = _draw_duration(rng, SLOW_SECONDS)
+    answer_seconds = round(rng.uniform(*SLOW_ANSWER_SECONDS), 2)
+    return EndpointSlowed(at, track, endpoint, seconds, answer_seconds)
+
+
 def _partition(rng: random.Random, at: float, track: str) -> Fault:
     hosts = tuple(rng.sample(ENTRIES, rng.randint(1, len(ENTRIES))))
     seconds = round(rng.uniform(*PARTITION_SECONDS), 2)
@@ -345,4 +364,5 @@
     "limits": _limit,
     "notices": _notice,
     "partitions": _partition,
+    "slow": _slowness,
 }
--- a/soak/_system.py
+++ b/soak/_system.py
@@ -37,6 +37,8 @@
 RETRY_RATIO = 0.1
 RETRY_ALLOWANCE = 12
 RETRY_WINDOW_MS = 10_000
+# Part of the retry ratio; a slow request is sent to a second endpoint, too.
+SECOND_SEND_SHARE = 0.05
 # How long a process may take to end after SIGTERM before it is killed, in seconds: its
 # stop limit and a margin for a busy machine.
 STOP_SECONDS = 40.0
@@ -74,6 +76,8 @@
             retry_ratio=RETRY_RATIO,
             retry_allowance=RETRY_ALLOWANCE,
             retry_window_ms=RETRY_WINDOW_MS,
+            second_send_share=SECOND_SEND_SHARE,
+            policy="expected-time",
         )
         platform = self._platform
         self._folder = folder
