--- a/bench/plain/measure.py
+++ b/bench/plain/measure.py
@@ -16,6 +16,9 @@
 USUAL_RATE = 101 / len(ZONES)
 FULL_RATE = CAPACITY / len(ZONES)
 WAVE_SECONDS = 17.0
+# How long an endpoint is slow at a time, in seconds, and every which time it is.
+BRIEF_SECONDS = 0.6
+BRIEF_PERIODS = 7
 VARIANTS = {
     "least-cost": Variant("least-cost"),
     "least-loaded": Variant("least-loaded"),
@@ -63,6 +66,16 @@
     return FULL_RATE * (1.5 if zone == ZONES[0] and 6 <= now < 12 else 0.4)
 
 
+def brief(zone: str, now: float) -> float:
+    """Return the factor of endpoints of which one is slow for 0.6 s at a time."""
+    return 2.5 if int(now / BRIEF_SECONDS) % BRIEF_PERIODS == ZONES.index(zone) else 1.0
+
+
+def brief_at_once(zone: str, now: float) -> float:
+    """Return the factor of endpoints that are slow for 0.6 s at the same time."""
+    return 1.0 if int(now / BRIEF_SECONDS) % BRIEF_PERIODS else 2.5
+
+
 BURST = Load(lambda zone, now: burst(now, 0.75), seconds=12.0)
 LOADS = {
     "even": Load(usual),
@@ -75,6 +88,12 @@
     "5 times slower for 6 s": one_slow(5.0),
     "5 times slower, load 0.5": one_slow(5.0, 0.5 * FULL_RATE),
     "2.5 times slower for 6 s": one_slow(2.5),
+    "2.5 times slower by turns, load 0.5": Load(
+        lambda zone, now: 0.5 * FULL_RATE, slowness=brief, seconds=12.0
+    ),
+    "2.5 times slower at once, load 0.5": Load(
+        lambda zone, now: 0.5 * FULL_RATE, slowness=brief_at_once, seconds=12.0
+    ),
     "45 % fail for 6 s": Load(
         usual,
         failures=lambda zone, now: 0.45 if zone == ZONES[0] and 6 <= now < 12 else 0.0,
--- a/tests/bench/test_plain_replay.py
+++ b/tests/bench/test_plain_replay.py
@@ -54,6 +54,21 @@
         assert between(play(load, SHARED), 8, 12) > 0.97
 
 
+class TestBriefSlowness:
+    """Guards against hosts that leave an endpoint which is slow for parts of a second.
+
+    They arrive at the others when it is well again, and make these slow.
+    """
+
+    @pytest.mark.parametrize(
+        "how", ["by turns", "at once"], ids=["by_turns", "at_once"]
+    )
+    def test_no_fewer_are_in_time_than_with_the_choice_of_today(self, how: str) -> None:
+        load = LOADS[f"2.5 times slower {how}, load 0.5"]
+        today, found = play(load, TODAY), play(load, SHARED)
+        assert found.in_time / found.sent >= today.in_time / today.sent
+
+
 class TestFailingEndpoint:
     """Guards against an endpoint that fails in part and keeps its work."""
 
