--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -3,7 +3,8 @@
 It follows the platform's pages: it announces itself, echoes ids, refuses requests for
 another instance, keeps channels, stops a run when its channel closes, and logs what it
 ran. SIGUSR1 closes the listening socket (new channels are refused, open ones live on),
-SIGUSR2 opens it again.
+SIGUSR2 opens it again. SIGTERM makes
+the worker leave.
 """
 
 from __future__ import annotations
@@ -40,6 +41,8 @@
         self.unframed_file: str = options.unframed_file
         self.lapsed_file: str = options.lapsed_file
         self.repeats_refusals: bool = options.repeats_refusals
+        self.leave_seconds: float = options.leave_seconds
+        self.is_leaving = False
         self.answers = 0
         self.repeated = 0
         self.born = int(time.time() * 1000)
@@ -79,7 +82,7 @@
             "zone": self.zone,
             "version": "v1",
             "slots": 64,
-            "state": "ready",
+            "state": "draining" if self.is_leaving else "ready",
             "coldLeftMs": 0,
             "born": self.born,
             "seq": self.sequence,
@@ -87,9 +90,23 @@
         if self.stage:
             body["stage"] = self.stage
             body["models"] = [{"name": "m", "version": 1, "adapters": []}]
+        return self._call(control, "PUT", body)
+
+    def leave(self) -> None:
+        """Leave as the pages say: drain, be acknowledged, serve on, sign off, exit."""
+        self.is_leaving = True
+        while not any(map(self._send_heartbeat, self.controls)):
+            time.sleep(0.1)
+        self.log("leaving is acknowledged")
+        time.sleep(self.leave_seconds)
+        any(self._call(item, "DELETE", {"born": self.born}) for item in self.controls)
+        self.log("exits")
+        os._exit(0)
+
+    def _call(self, control: str, method: str, body: dict[str, Any]) -> bool:
         connection = http.client.HTTPConnection(control, timeout=1.0)
         try:
-            connection.request("PUT", f"/instances/{self.id}", json.dumps(body))
+            connection.request(method, f"/instances/{self.id}", json.dumps(body))
             return connection.getresponse().status == 200
         except (OSError, http.client.HTTPException):
             return False
@@ -295,6 +312,7 @@
             f"Request-Id: {request_id}",
             f"Server-Stamp: {self._worker.id}.{request_id}",
             f"Keep-Alive: timeout={KEEP_ALIVE_SECONDS}",
+            *(["Server-Leaving: 1"] if self._worker.is_leaving else []),
             *lines,
         ]
         return ("\r\n".join(head) + "\r\n\r\n").encode()
@@ -333,17 +351,21 @@
     parser.add_argument("--pause", type=float, default=0.03)
     parser.add_argument("--unframed-file", default="")
     parser.add_argument("--lapsed-file", default="")
+    parser.add_argument("--leave-seconds", type=float, default=2.5)
     parser.add_argument("--repeats-refusals", type=int, default=0)
     worker = Worker(parser.parse_args())
     worker.listen()
     threading.Thread(target=worker.announce, daemon=True).start()
-    wanted = {signal.SIGUSR1, signal.SIGUSR2}
+    wanted = {signal.SIGUSR1, signal.SIGUSR2, signal.SIGTERM}
     signal.pthread_sigmask(signal.SIG_BLOCK, wanted)
     while True:
-        if signal.sigwait(wanted) == signal.SIGUSR1:
+        number = signal.sigwait(wanted)
+        if number == signal.SIGUSR1:
             worker.refuse()
-        else:
+        elif number == signal.SIGUSR2:
             worker.listen()
+        else:
+            worker.leave()
 
 
 if __name__ == "__main__":
