--- a/review/2/case.py
+++ b/review/2/case.py
@@ -24,10 +24,10 @@
 EVENTS = 20
 PAUSE_SECONDS = 0.03
 # Streams a second, and how long they come before, while and after handles lapse.
-RATE = 8
+RATE = 9
 CALM_SECONDS = 7.0
 LAPSED_SECONDS = 4.0
-ROUNDS = 4
+ROUNDS = 6
 
 
 class Clients:
