--- a/review/2/case.py
+++ b/review/2/case.py
@@ -100,6 +100,10 @@
     for item in log:
         if item["what"] == "run" and item["request"] in reply_by_id:
             runs.setdefault(item["request"], []).append(item["worker"])
+    for request_id, reply in reply_by_id.items():
+        workers = ", ".join(runs.get(request_id, ["none"]))
+        line = f"{request_id}: answered {reply.status} after {reply.seconds:.2f} s"
+        system.note(f"{line}, run by {workers}", is_printed=False)
     refusals = sum(item["what"] == "refused" for item in log)
     extra = [item for item in log if item["what"] == "sent an extra response"]
     statuses = Counter(reply.status for reply in reply_by_id.values())
--- a/review/common/system.py
+++ b/review/common/system.py
@@ -14,6 +14,7 @@
 import re
 import secrets
 import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -37,6 +38,8 @@
     "retrySlack": 54,
 }
 READY_SECONDS = 40.0
+# After this time a case gives up, with status 2.
+LIMIT_SECONDS = 115
 
 
 class CannotRunError(Exception):
@@ -143,12 +146,13 @@
         if not os.environ.get("REVIEW_KEEP"):
             shutil.rmtree(self.folder, ignore_errors=True)
 
-    def note(self, text: str) -> None:
+    def note(self, text: str, is_printed: bool = True) -> None:
         """Write a line to the record, and to standard output."""
         line = f"{time.strftime('%H:%M:%S')} {text}"
         self._record.write(line + "\n")
         self._record.flush()
-        print(line, flush=True)
+        if is_printed:
+            print(line, flush=True)
 
     # Processes
 
@@ -391,14 +395,22 @@
     return route(name, prefix, LLM, **{**shape, "sticky": True, **fields})
 
 
+def _end(number: int, _: object) -> None:
+    """End all processes that were started, when the case is ended from outside."""
+    raise CannotRunError(f"ended by {signal.Signals(number).name}")
+
+
 def run_case(case: Callable[[System, bool], bool], record: Path, **system: int) -> int:
     """Run a case; return 1 if it saw the rule broken, 0 if not, 2 if it can't run."""
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, _end)
+    signal.signal(signal.SIGALRM, _end)
+    signal.alarm(LIMIT_SECONDS)
     with System(record, **system) as running:
         running.note(f"trouble: {with_trouble}")
         try:
             is_broken = case(running, with_trouble)
-        except CannotRunError as error:
+        except (CannotRunError, OSError) as error:
             running.note(f"can't run: {error}")
             return 2
         running.note("rule broken" if is_broken else "rule held")
--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -22,6 +22,7 @@
 
 KEEP_ALIVE_SECONDS = 30
 HEARTBEAT_SECONDS = 0.6
+SWITCH_SECONDS = 6.0
 # The share of its answers of which a faulty worker sends a second copy.
 REPEATED_SHARE = 0.03
 
@@ -48,6 +49,7 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.orders = 0
+        self.is_busy = False
         self.running: dict[str, int] = {}
         self.handles = 0
         self.holds = 0
@@ -113,6 +115,11 @@
         finally:
             connection.close()
 
+    def switch(self, stage: str) -> None:
+        """Complete an order to change the stage."""
+        self.stage = stage
+        self.is_busy = False
+
     # Channels
 
     def listen(self) -> None:
@@ -199,6 +206,9 @@
             return self._json(200, {})
         if target == "/order":
             return self._order(json.loads(body))
+        if worker.is_busy:
+            request_id = self._headers.get("request-id", "")
+            return self._json(503, {}, {"Request-Id": request_id, "Not-Run": "1"})
         if self._headers.get("stage") == "prefill":
             return self._prefill()
         if worker.stage == "prefill":
@@ -213,7 +223,7 @@
             "born": worker.born,
             "stage": worker.stage,
             "models": [{"name": "m", "version": 1, "adapters": []}],
-            "busy": False,
+            "busy": worker.is_busy,
             "seq": worker.orders,
             "queued": 0,
             "running": len(runs),
@@ -226,9 +236,19 @@
         return self._json(200, fields)
 
     def _order(self, fields: dict[str, Any]) -> bool:
-        """Refuse to change the stage: another order is in progress, as 409 says."""
-        self._worker.log("order", holder=fields["holder"], fence=fields["fence"])
-        return self._json(409, {})
+        """Change the stage, unless an order is in progress or `expect` differs."""
+        worker = self._worker
+        with worker.lock:
+            expected = fields.get("expect", worker.orders)
+            is_refused = worker.is_busy or expected != worker.orders
+            if not is_refused:
+                worker.orders += 1
+                worker.is_busy = True
+        worker.log("order", fields=fields, refused=is_refused)
+        if is_refused:
+            return self._json(409, {})
+        threading.Timer(SWITCH_SECONDS, worker.switch, (fields["stage"],)).start()
+        return self._json(202, {})
 
     def _prefill(self) -> bool:
         worker = self._worker
