--- a/review/common/system.py
+++ b/review/common/system.py
@@ -113,6 +113,7 @@
         self.lapsed_file = self.folder / "lapsed"
         self._roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
         self._workers = 0
+        self._address_by_worker: dict[str, str] = {}
 
     def _free_ports(self, machines: int, count: int) -> list[int]:
         """Return ports that are free now at all addresses of this deployment."""
@@ -156,14 +157,16 @@
 
     # Processes
 
-    def start_role(self, role: str, number: int, bootstrap: bool = True) -> str:
+    def start_role(
+        self, role: str, number: int, bootstrap: bool = True, zone: str = "zone-a"
+    ) -> str:
         """Start a control or entry host; return its name."""
         ips = self.control_ips if role == "control" else self.entry_ips
         ip = ips[number]
         name = f"{role}-{number}"
         values = {
             "nodeName": name,
-            "zone": "zone-a",
+            "zone": zone,
             "region": "region-a",
             "ip": ip,
             "portRange": [self.peer_port, self.relay_port],
@@ -192,7 +195,8 @@
         self._workers += 1
         name = f"w-{stage or 'plain'}-{self._workers}"
         address = f"{self._net}.{40 + self._workers}:{self.worker_port}"
-        command = [sys.executable, str(ROOT / "review/common/worker.py")]
+        program = options.pop("program", ROOT / "review/common/worker.py")
+        command = [sys.executable, str(program)]
         settings = {
             "id": name,
             "service": service,
@@ -206,8 +210,13 @@
         }
         command += [f"--{key}={value}" for key, value in settings.items()]
         self._start(name, command, {})
+        self._address_by_worker[name] = settings["address"]
         return name
 
+    def address_of(self, worker: str) -> str:
+        """Return where a worker serves."""
+        return self._address_by_worker[worker]
+
     def _start(self, name: str, command: list[str], extra: dict[str, str]) -> None:
         environment = {"PATH": os.environ["PATH"], "PYTHONDONTWRITEBYTECODE": "1"}
         with (self.folder / f"{name}.log").open("ab") as log:
