--- a/review/6/worker.py
+++ b/review/6/worker.py
@@ -10,7 +10,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 
-import worker  # noqa: E402
+import worker
 
 CHUNKS = b"2\r\nab\r\n" * 8000
 # A caller that reads nothing for this long is gone, in seconds.
