--- a/review/common/system.py
+++ b/review/common/system.py
@@ -19,6 +19,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import tomllib
 from collections.abc import Callable
@@ -100,6 +101,7 @@
 
     def __init__(self, record: Path, controls: int = 3, entries: int = 2) -> None:
         self._record = record.open("w")
+        self._record_lock = threading.Lock()
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._net = f"127.{random.randrange(20, 220)}.{random.randrange(1, 250)}"
@@ -150,8 +152,10 @@
     def note(self, text: str, is_printed: bool = True) -> None:
         """Write a line to the record, and to standard output."""
         line = f"{time.strftime('%H:%M:%S')} {text}"
-        self._record.write(line + "\n")
-        self._record.flush()
+        with self._record_lock:
+            if not self._record.closed:
+                self._record.write(line + "\n")
+                self._record.flush()
         if is_printed:
             print(line, flush=True)
 
@@ -250,6 +254,12 @@
         """Return what a process wrote."""
         return (self.folder / f"{name}.log").read_text(errors="replace")
 
+    def record_runs(self) -> None:
+        """Write what all workers ran to the record, without the single events."""
+        for line in self.worker_log():
+            if line["what"] != "event":
+                self.note(f"worker: {json.dumps(line)}", is_printed=False)
+
     def worker_log(self) -> list[dict[str, Any]]:
         """Return what all workers logged, in order."""
         path = self.folder / "workers.log"
@@ -297,13 +307,17 @@
     def put(self, body: dict[str, Any], control: int = 0) -> int:
         """Send a configuration; return the status, 0 without a response."""
         connection = http.client.HTTPConnection(self.controls[control], timeout=2)
+        status = 0
         try:
             connection.request("PUT", "/config", json.dumps(body))
-            return connection.getresponse().status
+            status = connection.getresponse().status
         except (OSError, http.client.HTTPException):
-            return 0
+            status = 0
         finally:
             connection.close()
+        change = f"config version {body['version']} to control-{control}"
+        self.note(f"sent: {change}; answered: {status}", False)
+        return status
 
     def put_until_acknowledged(self, body: dict[str, Any]) -> None:
         """Send a configuration to one control host after another until it is taken."""
@@ -340,9 +354,11 @@
     ) -> Reply:
         """Send a request as a client of the platform does; return what came back."""
         began = time.monotonic()
+        request_id = request_id or secrets.token_hex(8)
+        self.note(f"sent: {request_id} {method} {path} to entry-{entry}", False)
         sent = {
             "Host": HOST,
-            "Request-Id": request_id or secrets.token_hex(8),
+            "Request-Id": request_id,
             "Deadline-Ms": str(deadline_ms),
             **(headers or {}),
         }
@@ -365,6 +381,8 @@
         finally:
             connection.close()
         seconds = time.monotonic() - began
+        end = f"{status}, {'whole' if is_whole else 'not whole'}, {seconds:.2f} s"
+        self.note(f"answered: {request_id} {end}", False)
         return Reply(status, names, b"".join(parts), is_whole, seconds)
 
 
@@ -422,5 +440,6 @@
         except (CannotRunError, OSError) as error:
             running.note(f"can't run: {error}")
             return 2
+        running.record_runs()
         running.note("rule broken" if is_broken else "rule held")
         return int(is_broken)
