Control: commit a change whose previous voters have lost a disk

Cause: a change of four voters needs a majority of the voters before it as well, and the leader neither checked that one before the change nor left a voter out that lost its disk once the change was in the log. That is only half of it: with both majorities checked, a disk that is lost between the check and the first append still leaves the entry open for good (test_is_committed_without_the_lost_disk begins there). What told them apart: the log of the leader shows "changing the membership" without a later "following" or commit while the host with the new disk is refused with change_in_progress, and a test that loses the disk after the check fails in the same way.

Fix: the leader's replicator asks a host that answers as another replica for its disk id, as elections do, and notes the voter as lost (log line "voter has lost its disk"). The previous voters count without it for commit and lease. A set that is a majority of the rest still intersects each set of the previous voters that can elect a leader, as that needs half of all of them. A change begins only once both quorums answer. A membership with the same voters as the one before it keeps the right to leave lost disks out: otherwise a learner that is admitted in the same moment takes it away until it is committed, which it then never is.

--- a/src/jujubeslip/control/_cold_start_election.py
+++ b/src/jujubeslip/control/_cold_start_election.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 
-from jujubeslip.control._membership import other_voters
+from jujubeslip.control._membership import all_voters
 from jujubeslip.control._replica import Replica
 from jujubeslip.control._replica_clients import ReplicaClients
 from jujubeslip.kernel import PeerUnavailableError
@@ -56,15 +56,20 @@
         replica = self._replica
         with replica.lock:
             awaits_lease_end = not replica.heard_leader_until.expired
-            others = other_voters(replica.membership, replica.replica_id)
+            others = self._other_voters()
             may_lead = replica.no_leader_since_start and replica.may_campaign
             return bool(may_lead and awaits_lease_end and others)
 
+    def _other_voters(self) -> list[Member]:
+        replica = self._replica
+        found = all_voters(replica.memberships, replica.commit_index)
+        return [item for item in found if item.replica_id != replica.replica_id]
+
     def _ask_all(self) -> dict[str, int] | None:
         """Return each other voter's start number, None if any has not just started."""
         replica = self._replica
         with replica.lock:
-            members = other_voters(replica.membership, replica.replica_id)
+            members = self._other_voters()
         with ThreadPoolExecutor(len(members)) as executor:
             starts = list(executor.map(self._ask, members))
         start_by_id = {
--- a/src/jujubeslip/control/_election.py
+++ b/src/jujubeslip/control/_election.py
@@ -4,13 +4,13 @@
 
 import logging
 import threading
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
 from jujubeslip.control._cold_start_election import ColdStartElection
 from jujubeslip.control._leadership import Role
-from jujubeslip.control._membership import VoteQuorum, other_voters, vote_quorum
-from jujubeslip.control._receiver import WRONG_REPLICA
+from jujubeslip.control._lost_disks import has_lost_disk, suggests_lost_disk
+from jujubeslip.control._membership import Electorate, all_voters, electorates
 from jujubeslip.control._replica import Replica
 from jujubeslip.control._replica_clients import ReplicaClients
 from jujubeslip.kernel import Deadline, PeerUnavailableError
@@ -34,16 +34,17 @@
 class VoteTally:
     """Counts the votes that the asking tasks collect, the candidate's own included."""
 
-    def __init__(self, quorum: VoteQuorum) -> None:
-        self._quorum = quorum
-        self._votes = 1
+    def __init__(self, electorates: Sequence[Electorate], candidate_id: str) -> None:
+        """Create the tally; `electorates` begin with that of the newest membership."""
+        self._electorates = electorates
+        self._vote_ids = {candidate_id}
         self._lost_ids: set[str] = set()
         self._changed = threading.Condition()
 
-    def grant(self) -> None:
-        """Count one vote."""
+    def grant(self, replica_id: str) -> None:
+        """Count the vote of a replica."""
         with self._changed:
-            self._votes += 1
+            self._vote_ids.add(replica_id)
             self._changed.notify_all()
 
     def add_lost(self, replica_id: str) -> None:
@@ -58,16 +59,20 @@
             return self._changed.wait_for(self._is_won, deadline.remaining())
 
     def excluded_lost_ids(self) -> set[str]:
-        """Return the lost voters that had to be left out for these votes to suffice.
+        """Return the newest voters with lost disks that the quorum had to leave out.
 
-        Empty if the votes are a majority of all voters.
+        Empty if the votes are a majority of all newest voters.
         """
         with self._changed:
-            is_majority = self._votes >= self._quorum.votes_needed(0)
-            return set() if is_majority else set(self._lost_ids)
+            newest = self._electorates[0]
+            if newest.is_won(self._vote_ids, ()):
+                return set()
+            return set(newest.voter_ids & self._lost_ids)
 
     def _is_won(self) -> bool:
-        return self._votes >= self._quorum.votes_needed(len(self._lost_ids))
+        return all(
+            item.is_won(self._vote_ids, self._lost_ids) for item in self._electorates
+        )
 
 
 @dataclass(frozen=True)
@@ -85,7 +90,7 @@
     term: int
     vote_requests: tuple[AddressedVoteRequest, ...]
     pre_vote: bool
-    quorum: VoteQuorum
+    electorates: Sequence[Electorate]
     until: Deadline
     """Deadline for the votes."""
 
@@ -127,7 +132,7 @@
         replica = self._replica
         if replica.leadership is not None:
             return replica.leadership.quorum_deadline(
-                replica.membership, replica.election_seconds
+                replica.ack_quorums, replica.election_seconds
             )
         if not replica.may_campaign:
             return Deadline.after(IDLE_SECONDS)
@@ -179,12 +184,20 @@
     ) -> Campaign:
         replica = self._replica
         vote_requests = []
-        for member in other_voters(replica.membership, replica.replica_id):
+        memberships, commit_index = replica.memberships, replica.commit_index
+        for member in all_voters(memberships, commit_index):
+            if member.replica_id == replica.replica_id:
+                continue
             request = replica.vote_request(member.replica_id, term, transfer)
             request.fresh_start = (start_by_id or {}).get(member.replica_id)
             vote_requests.append(AddressedVoteRequest(member, request))
-        quorum = vote_quorum(replica.memberships)
-        return Campaign(term, tuple(vote_requests), pre_vote, quorum, until)
+        return Campaign(
+            term,
+            tuple(vote_requests),
+            pre_vote,
+            electorates(memberships, commit_index),
+            until,
+        )
 
     def _begin_term(
         self,
@@ -231,7 +244,7 @@
 
     def _gather_votes(self, campaign: Campaign) -> VoteTally | None:
         """Ask for votes; return the tally if they suffice."""
-        tally = VoteTally(campaign.quorum)
+        tally = VoteTally(campaign.electorates, self._replica.replica_id)
         for addressed in campaign.vote_requests:
             self._replica.process.start_task(
                 self._request_vote, campaign, addressed, tally
@@ -253,37 +266,18 @@
                 "vote request failed",
                 extra={"member": member.replica_id, "why": error},
             )
-            if isinstance(error, PeerRefusal) and error.error_id == WRONG_REPLICA:
-                self._record_if_lost(member, campaign, tally)
+            if suggests_lost_disk(error):
+                if has_lost_disk(self._clients, member, campaign.until):
+                    tally.add_lost(member.replica_id)
             return
         if reply.granted:
-            tally.grant()
+            tally.grant(member.replica_id)
             return
         try:
             self._replica.observe_term(reply.term)
         except PeerRefusal:
             return
 
-    def _record_if_lost(
-        self, member: Member, campaign: Campaign, tally: VoteTally
-    ) -> None:
-        """Record a voter as lost if its own host answers with another disk id.
-
-        Only one process of the host can listen at the voter's address, so a different
-        disk id there shows that the voter's disk is no longer in use.
-        """
-        try:
-            found = self._clients.to_member(member).call(
-                lambda client: client.describe(), campaign.until.remaining()
-            )
-        except (PeerUnavailableError, PeerRefusal):
-            return
-        if found.host_id != member.host_id or found.replica_id == member.replica_id:
-            return
-        extra = {"member": member.replica_id, "answers_as": found.replica_id}
-        logger.info("voter has lost its disk", extra=extra)
-        tally.add_lost(member.replica_id)
-
     def _lead(self, term: int, lost_ids: Collection[str]) -> None:
         replica = self._replica
         with replica.lock:
--- a/src/jujubeslip/control/_leadership.py
+++ b/src/jujubeslip/control/_leadership.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from concurrent.futures import Future
 from dataclasses import dataclass
 
 from jujubeslip.control._errors import LeadershipLostError
 from jujubeslip.control._lease_clock import LeaseClock
-from jujubeslip.control._membership import quorum_size, voters
+from jujubeslip.control._membership import AckQuorum
 from jujubeslip.control._state_machine import Outcome
 from jujubeslip.kernel import Deadline, steady_seconds
-from jujubeslip.peers import Member, Membership
+from jujubeslip.peers import Member
 
 NEVER = float("-inf")
 MILLISECONDS = 1000
@@ -73,6 +73,8 @@
         self.started_at = steady_seconds()
         self.lease_clock = LeaseClock(self.started_at)
         self.progress_by_id: dict[str, Progress] = {}
+        self.lost_ids: set[str] = set()
+        """Replicas whose hosts have answered with another disk."""
         self._replica_id = replica_id
         self._stamp_ms = stamp_ms
         self._waiter_by_index: dict[int, Future[Outcome]] = {}
@@ -96,11 +98,11 @@
         for replica_id in self.progress_by_id.keys() - kept:
             del self.progress_by_id[replica_id]
 
-    def lease(self, membership: Membership, seconds: float) -> Deadline:
+    def lease(self, quorums: Sequence[AckQuorum], seconds: float) -> Deadline:
         """Return the deadline until which no other leader can be elected."""
-        return Deadline(self.quorum_acknowledged_at(membership) + seconds)
+        return Deadline(self.quorum_acknowledged_at(quorums) + seconds)
 
-    def quorum_deadline(self, membership: Membership, seconds: float) -> Deadline:
+    def quorum_deadline(self, quorums: Sequence[AckQuorum], seconds: float) -> Deadline:
         """Return when the leader will have had no replies of a quorum for this long.
 
         Replies count from their arrival: a late one still shows that its follower is
@@ -110,26 +112,16 @@
             replica_id: max(self.started_at, progress.heard_at)
             for replica_id, progress in self.progress_by_id.items()
         }
-        return Deadline(self._quorum_timestamp(membership, heard_at_by_id) + seconds)
+        return Deadline(self._reached_at(quorums, heard_at_by_id) + seconds)
 
-    def committable(
-        self, membership: Membership, durable_index: int, lost_ids: Collection[str] = ()
-    ) -> int:
-        """Return the highest index that a majority of the voters has synced.
-
-        Voters whose disks are lost are not counted.
-        """
-        matches = []
-        for member in voters(membership):
-            if member.replica_id in lost_ids:
-                continue
-            if member.replica_id == self._replica_id:
-                matches.append(durable_index)
-            else:
-                progress = self.progress_by_id.get(member.replica_id)
-                matches.append(progress.match_index if progress else 0)
-        matches.sort(reverse=True)
-        return matches[len(matches) // 2]
+    def committable(self, quorums: Sequence[AckQuorum], durable_index: int) -> int:
+        """Return the highest index that a majority of each quorum has synced."""
+        index_by_id: dict[str, float] = {
+            replica_id: progress.match_index
+            for replica_id, progress in self.progress_by_id.items()
+        }
+        index_by_id[self._replica_id] = durable_index
+        return int(min(quorum.reached(index_by_id, 0) for quorum in quorums))
 
     def add_waiter(self, index: int) -> Future[Outcome]:
         """Return the future that gets the outcome of the entry with this index."""
@@ -163,21 +155,16 @@
             if progress.acknowledged_at > NEVER
         }
 
-    def quorum_acknowledged_at(self, membership: Membership) -> float:
-        """Return the latest time such that a majority answered requests sent since."""
+    def quorum_acknowledged_at(self, quorums: Sequence[AckQuorum]) -> float:
+        """Return the latest time such that all quorums answered requests sent since."""
         acknowledged_at_by_id = {
             replica_id: progress.acknowledged_at
             for replica_id, progress in self.progress_by_id.items()
         }
-        return self._quorum_timestamp(membership, acknowledged_at_by_id)
+        return self._reached_at(quorums, acknowledged_at_by_id)
 
-    def _quorum_timestamp(
-        self, membership: Membership, timestamp_by_id: Mapping[str, float]
+    def _reached_at(
+        self, quorums: Sequence[AckQuorum], timestamp_by_id: Mapping[str, float]
     ) -> float:
-        own = {self._replica_id: steady_seconds()}
-        timestamps_with_own = {**timestamp_by_id, **own}
-        timestamps = [
-            timestamps_with_own[member.replica_id] for member in voters(membership)
-        ]
-        timestamps.sort(reverse=True)
-        return timestamps[quorum_size(membership) - 1]
+        with_own = {**timestamp_by_id, self._replica_id: steady_seconds()}
+        return min(quorum.reached(with_own, NEVER) for quorum in quorums)
--- a/src/jujubeslip/control/_membership.py
+++ b/src/jujubeslip/control/_membership.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass
+from typing import Self
 
 from jujubeslip.control._commands import command_of
 from jujubeslip.peers import EntryKind, LogEntry, Member, Membership
@@ -26,6 +27,11 @@
     )
 
 
+def _have_same_voters(first: Membership, second: Membership) -> bool:
+    ids = [{item.replica_id for item in voters(each)} for each in (first, second)]
+    return ids[0] == ids[1] and first.cluster_id == second.cluster_id
+
+
 def quorum_size(membership: Membership) -> int:
     """Return how many voters make a majority."""
     return len(voters(membership)) // 2 + 1
@@ -55,18 +61,72 @@
         return max(half, remaining // 2 + 1)
 
 
+@dataclass(frozen=True)
+class Electorate:
+    """The voters of one membership, and how many of their votes elect a leader."""
+
+    voter_ids: frozenset[str]
+    quorum: VoteQuorum
+
+    @classmethod
+    def of(cls, membership: Membership, excludes_lost: bool) -> Self:
+        """Return the electorate of a membership."""
+        voter_ids = frozenset(item.replica_id for item in voters(membership))
+        return cls(voter_ids, VoteQuorum(len(voter_ids), excludes_lost))
+
+    def is_won(self, vote_ids: Collection[str], lost_ids: Collection[str]) -> bool:
+        """Return whether the votes suffice while these replicas' disks are lost."""
+        lost = len(self.voter_ids.intersection(lost_ids))
+        votes = len(self.voter_ids.intersection(vote_ids))
+        return votes >= self.quorum.votes_needed(lost)
+
+
+@dataclass(frozen=True)
+class AckQuorum:
+    """Replicas of which a majority has to acknowledge an entry or a heartbeat."""
+
+    replica_ids: frozenset[str]
+
+    @classmethod
+    def of(cls, membership: Membership, lost_ids: Collection[str] = ()) -> Self:
+        """Return the quorum of the voters, without those whose disks are lost."""
+        voter_ids = {item.replica_id for item in voters(membership)}
+        return cls(frozenset(voter_ids.difference(lost_ids)))
+
+    def reached(self, value_by_id: Mapping[str, float], default: float) -> float:
+        """Return the highest value that a majority has reached.
+
+        `default` is the value of a replica without one.
+        """
+        values = sorted(
+            (value_by_id.get(item, default) for item in self.replica_ids), reverse=True
+        )
+        return values[len(values) // 2]
+
+
 def vote_quorum(memberships: MembershipLog) -> VoteQuorum:
     """Return the quorum of the newest membership.
 
-    Lost voters are left out only if it is known to be committed. Otherwise another
-    membership may have replaced it, with majorities that don't intersect the smaller
-    quorum.
+    Lost voters are left out only if its voters are known to be committed. Otherwise
+    other voters may have replaced them, with majorities that don't intersect the
+    smaller quorum.
     """
     current = memberships.current
     excludes_lost = memberships.is_confirmed and may_exclude_lost(current)
     return VoteQuorum(len(voters(current)), excludes_lost)
 
 
+def electorates(memberships: MembershipLog, commit_index: int) -> list[Electorate]:
+    """Return the electorates that all have to elect a leader."""
+    quorum = vote_quorum(memberships)
+    return [Electorate.of(memberships.current, quorum.excludes_lost)]
+
+
+def all_voters(memberships: MembershipLog, commit_index: int) -> list[Member]:
+    """Return the voters of all electorates."""
+    return voters(memberships.current)
+
+
 def may_exclude_lost(membership: Membership) -> bool:
     """Return whether its voters may elect a leader without those with lost disks."""
     count = len(voters(membership))
@@ -159,14 +219,15 @@
 
     @property
     def is_confirmed(self) -> bool:
-        """Return whether the log shows that the newest membership is committed.
+        """Return whether the log shows that the newest voters are committed.
 
-        It does if the membership comes from a snapshot, or if a second entry repeats
-        it.
+        It does if they come from a snapshot, or if a second entry has the same voters:
+        a leader adds no membership before the previous one is committed, except to
+        remove voters.
         """
         if len(self._by_index) == 1:
             return True
-        return self._by_index[-1][1] == self._by_index[-2][1]
+        return _have_same_voters(self.current, self.previous)
 
     @property
     def needs_confirmation(self) -> bool:
@@ -174,17 +235,18 @@
         may_exclude = map(may_exclude_lost, (self.current, self.previous))
         return any(may_exclude) and not self.is_confirmed
 
-    @property
-    def needs_previous_majority(self) -> bool:
-        """Return whether a majority of the previous membership is needed, too.
+    def needs_previous_quorum(self, commit_index: int) -> bool:
+        """Return whether a quorum of the previous membership is needed, too.
 
-        This is so if the previous voters may elect a leader without those with lost
-        disks: their quorum has to include a replica with the newest membership. It does
-        not apply after a declared recovery, which starts a new cluster.
+        This is so until the newest membership is committed, if the previous voters may
+        elect a leader without those with lost disks: their quorum has to include a
+        replica with the newest membership. It does not apply after a declared recovery,
+        which starts a new cluster.
         """
         previous = self.previous
         is_same_cluster = previous.cluster_id == self.current.cluster_id
-        return may_exclude_lost(previous) and is_same_cluster
+        is_uncommitted = self.current_index > commit_index
+        return is_uncommitted and is_same_cluster and may_exclude_lost(previous)
 
     @property
     def previous(self) -> Membership:
--- a/src/jujubeslip/control/_membership_changes.py
+++ b/src/jujubeslip/control/_membership_changes.py
@@ -150,7 +150,7 @@
     def _wait_until_committable(
         self, change: Callable[[Membership], Membership], deadline: Deadline
     ) -> Membership | None:
-        """Wait until a majority of the next voters answers; return the membership.
+        """Wait until the quorums that the change needs answer; return the membership.
 
         The newest membership takes effect as soon as it is in the log, so a change that
         can't commit would leave the log without a quorum. Only replies to requests that
@@ -172,7 +172,8 @@
                     "Another change of the replicas is not committed yet.",
                     "Ask again in a second.",
                 )
-            if leadership.quorum_acknowledged_at(next_membership) >= started:
+            quorums = replica.ack_quorums_with(next_membership)
+            if leadership.quorum_acknowledged_at(quorums) >= started:
                 return next_membership
             if deadline.expired:
                 raise _no_quorum_left()
--- a/src/jujubeslip/control/_replica.py
+++ b/src/jujubeslip/control/_replica.py
@@ -21,7 +21,9 @@
 from jujubeslip.control._leadership import Fence, KnownLeader, Leadership, Role
 from jujubeslip.control._loading import load_state
 from jujubeslip.control._membership import (
+    AckQuorum,
     is_voter,
+    may_exclude_lost,
     quorum_size,
     voters,
     without_lost,
@@ -158,11 +160,50 @@
         newest = self.log.entry(self.log.last_index)
         return max(self.machine.stamp_ms, newest.stamp_ms)
 
+    @property
+    def ack_quorums(self) -> list[AckQuorum]:
+        """Return the quorums that a leader's entries and lease need.
+
+        Both the newest and the previous voters have to acknowledge while a membership
+        change is not committed and the previous ones may still elect a leader.
+        """
+        if not self.memberships.needs_previous_quorum(self.commit_index):
+            return [AckQuorum.of(self.membership)]
+        return self._joint_quorums(self.memberships.previous, self.membership)
+
+    def ack_quorums_with(self, following: Membership) -> list[AckQuorum]:
+        """Return the quorums that will be needed to commit the next membership."""
+        if not may_exclude_lost(self.membership):
+            return [AckQuorum.of(following)]
+        return self._joint_quorums(self.membership, following)
+
+    def _joint_quorums(
+        self, previous: Membership, following: Membership
+    ) -> list[AckQuorum]:
+        """Return the quorums of both; of the previous one without the lost disks.
+
+        A voter that loses its disk never acknowledges again, and would make a change
+        that has begun impossible to commit.
+        """
+        lost_ids = set(following.lost_replica_ids or ())
+        if self.leadership is not None:
+            lost_ids |= self.leadership.lost_ids
+        return [AckQuorum.of(following), AckQuorum.of(previous, lost_ids)]
+
+    def note_lost_disk(self, leadership: Leadership, replica_id: str) -> None:
+        """Record that a replica's host has answered with another disk."""
+        with self.lock:
+            if self.leadership is not leadership:
+                return
+            leadership.lost_ids.add(replica_id)
+            self.advance_commit()
+            self.role_changed.notify_all()
+
     def lease(self) -> Deadline:
         """Return the deadline until which no other replica can lead."""
         assert self.leadership is not None
         seconds = self.election_seconds * LEASE_SHARE
-        return self.leadership.lease(self.membership, seconds)
+        return self.leadership.lease(self.ack_quorums, seconds)
 
     def reads_are_current(self) -> bool:
         """Return whether the applied state covers every change that was acknowledged.
@@ -403,15 +444,7 @@
         leadership = self.leadership
         if leadership is None:
             return
-        index = leadership.committable(self.membership, self.written_index)
-        if (
-            self._has_uncommitted_membership
-            and self.memberships.needs_previous_majority
-        ):
-            before = self.memberships.previous
-            lost_ids = self.membership.lost_replica_ids or ()
-            earlier = leadership.committable(before, self.written_index, lost_ids)
-            index = min(index, earlier)
+        index = leadership.committable(self.ack_quorums, self.written_index)
         if index >= leadership.first_index:
             self.commit_to(index)
 
--- a/src/jujubeslip/control/_replication.py
+++ b/src/jujubeslip/control/_replication.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from jujubeslip.control._leadership import Leadership, Progress
+from jujubeslip.control._lost_disks import has_lost_disk, suggests_lost_disk
 from jujubeslip.control._replica import MILLISECONDS, Replica
 from jujubeslip.control._replica_clients import ReplicaClients
 from jujubeslip.control._snapshots import SnapshotReader
@@ -46,6 +47,7 @@
     ) -> None:
         self._replica = replica
         self._member = member
+        self._clients = clients
         self._client = clients.to_member(member)
         self._heartbeat_seconds = replica.settings.heartbeat_ms / MILLISECONDS
         self._next_contact = Deadline.after(0)
@@ -196,6 +198,7 @@
             self._replica.observe_term(reply.term)
         except (PeerUnavailableError, PeerRefusal) as error:
             self._set_reachable(False, sent_at, error)
+            self._note_if_lost(leadership, error)
             return
         self._set_reachable(True, sent_at)
         with self._replica.lock:
@@ -203,6 +206,16 @@
             if current and reply.term == leadership.term:
                 self._handle_reply(reply, message, sent_at)
 
+    def _note_if_lost(self, leadership: Leadership, error: Exception) -> None:
+        """Record that the member's disk is lost, if its host says so."""
+        member, replica = self._member, self._replica
+        is_known = member.replica_id in leadership.lost_ids
+        if is_known or not suggests_lost_disk(error):
+            return
+        until = Deadline.after(replica.election_seconds * APPEND_WAIT_SHARE)
+        if has_lost_disk(self._clients, member, until):
+            replica.note_lost_disk(leadership, member.replica_id)
+
     @singledispatchmethod
     def _send(self, message: Any) -> Any:
         raise TypeError(f"{type(message).__name__} can't be sent to a follower")
--- a/tests/control/test_lost_voters.py
+++ b/tests/control/test_lost_voters.py
@@ -14,13 +14,17 @@
     MembershipLog,
     VoteQuorum,
     vote_quorum,
+    with_learner,
     without_lost,
     without_replica,
 )
+from jujubeslip.control._membership_changes import MembershipChanges
 from jujubeslip.control._replica import Replica
+from jujubeslip.control._replication import Replicator
 from jujubeslip.control._storage import Storage
-from jujubeslip.kernel import ControlSettings, Process
+from jujubeslip.kernel import ControlSettings, Deadline, Process, steady_seconds
 from jujubeslip.peers import (
+    AppendReply,
     EntryKind,
     Member,
     Membership,
@@ -112,17 +116,24 @@
     def request_vote(self, request: Any) -> VoteReply:
         return self._vote(request, request.term)
 
+    def append_entries(self, request: Any) -> AppendReply:
+        self._check_disk()
+        return AppendReply(request.term, True, request.previous_index)
+
     def describe(self) -> ReplicaDescription:
         return ReplicaDescription(
             self._answers_as, self._answers_as.partition("/")[0], "h:1", ""
         )
 
     def _vote(self, request: Any, term: int) -> VoteReply:
+        self._check_disk()
+        return VoteReply(term, True)
+
+    def _check_disk(self) -> None:
         if self._member.host_id == "control-1":
             raise PeerRefusal("wrong_replica", "Another disk.", "", 0)
         if self._member.host_id == "control-2":
             raise PeerRefusal("gone", "It is switched off.", "", 0)
-        return VoteReply(term, True)
 
 
 @pytest.fixture
@@ -222,3 +233,95 @@
         assert replica.is_membership_settled
         kinds = [item.kind for item in replica.log.entries_from(3)]
         assert kinds == [EntryKind.MEMBERSHIP, EntryKind.MEMBERSHIP]
+
+
+LEARNER = Member("control-9/disk", "control-9", "h:9", False)
+
+
+def let_answer(replica: Replica, replica_id: str) -> None:
+    """Let a follower acknowledge all entries in the log, and heartbeats from now on."""
+    with replica.disk_lock, replica.lock:
+        replica.write_pending()
+        assert replica.leadership is not None
+        progress = replica.leadership.progress_by_id[replica_id]
+        progress.match_index = replica.log.last_index
+        progress.acknowledged_at = steady_seconds() + 60
+        replica.advance_commit()
+
+
+def find_lost_disk(replica: Replica, answers_as: str) -> None:
+    """Let the leader send to control-1, whose host answers with this disk."""
+    [lost] = [
+        item for item in replica.replication_targets() if item.host_id == "control-1"
+    ]
+    others: Any = OtherVoters(answers_as)
+    leadership = replica.require_leader()
+    replicator = Replicator(replica, others, lost)
+    with replica.lock:
+        message = replicator._next_message(leadership)
+    replicator._exchange(leadership, message)
+
+
+class TestDiskLostDuringAChange:
+    """Guards against a change that begins but can never be committed."""
+
+    def begin_removal(self, replica: Replica) -> int:
+        """Lead, and begin to remove the voter that is switched off."""
+        with replica.disk_lock, replica.lock:
+            replica.lead()
+            replica.append_command(
+                without_replica(replica.membership, "control-2/disk")
+            )
+        let_answer(replica, "control-3/disk")
+        return replica.memberships.current_index
+
+    def test_is_committed_without_the_lost_disk(self, replica: Replica) -> None:
+        index = self.begin_removal(replica)
+        assert replica.commit_index < index
+        find_lost_disk(replica, "control-1/new")
+        assert replica.commit_index >= index
+
+    @pytest.mark.parametrize("answers_as", ["control-1/disk", "other/new"])
+    def test_needs_the_answer_of_the_voters_own_host(
+        self, replica: Replica, answers_as: str
+    ) -> None:
+        index = self.begin_removal(replica)
+        find_lost_disk(replica, answers_as)
+        assert replica.commit_index < index
+
+    def test_is_committed_by_the_next_leader(self, replica: Replica) -> None:
+        index = self.begin_removal(replica)
+        with replica.lock:
+            replica.step_down("test")
+        Elections(replica, OtherVoters("control-1/new"))._campaign()  # type: ignore[arg-type]
+        let_answer(replica, "control-3/disk")
+        find_lost_disk(replica, "control-1/new")
+        assert replica.commit_index > index
+
+    def test_leaves_it_out_of_an_election_after_a_host_was_admitted(
+        self, replica: Replica
+    ) -> None:
+        with replica.disk_lock, replica.lock:
+            admission = with_learner(replica.membership, LEARNER)
+            replica.append_entry(make_entry(3, 1, 0, admission))
+            replica.write_pending()
+        Elections(replica, OtherVoters("control-1/new"))._campaign()  # type: ignore[arg-type]
+        let_answer(replica, "control-3/disk")
+        assert replica.commit_index >= replica.require_leader().first_index
+
+    def test_is_not_begun_while_too_few_previous_voters_answer(
+        self, replica: Replica
+    ) -> None:
+        with replica.disk_lock, replica.lock:
+            replica.lead()
+            replica.write_pending()
+        for host_id in ("control-2", "control-3"):
+            let_answer(replica, f"{host_id}/disk")
+        with replica.lock:
+            leadership = replica.require_leader()
+            leadership.progress_by_id["control-2/disk"].acknowledged_at = 0.0
+        before = replica.membership
+        with pytest.raises(PeerRefusal) as refused:
+            MembershipChanges(replica).remove_host("control-2", Deadline.after(0.2))
+        assert refused.value.error_id == "quorum_would_be_lost"
+        assert replica.membership == before
--- a/tests/control/test_replacement.py
+++ b/tests/control/test_replacement.py
@@ -4,9 +4,12 @@
 
 import shutil
 import signal
+import time
 from pathlib import Path
 
-from tests.control.test_seeds import ROUTES, join, voters
+import pytest
+
+from tests.control.test_seeds import ROUTES, join, status, voters
 from tests.fakes.platform_system import PLAIN, PlatformSystem, configuration
 from tests.fakes.processes import wait_until
 
@@ -41,9 +44,17 @@
     host.start()
 
 
-def accepts_changes(system: PlatformSystem) -> bool:
+def accepts_changes(system: PlatformSystem, control: int = 2) -> bool:
     """Return whether a host that has run throughout accepts a change."""
-    return system.put(configuration(2, ROUTES, [PLAIN]), control=2) == 200
+    return system.put(configuration(2, ROUTES, [PLAIN]), control=control) == 200
+
+
+def followers_first(system: PlatformSystem) -> list[int]:
+    """Return the numbers of the hosts, that of the leader last if it is among them."""
+    found = status(system.seeds[0])
+    assert found is not None
+    leader, _, _ = found.leader_id.partition("/")
+    return sorted(range(3), key=lambda number: f"control-{number}" == leader)
 
 
 class TestDiskLostAfterAReplacement:
@@ -69,6 +80,21 @@
             lose_disk(system, 1)
             wait_until(lambda: accepts_changes(system), "a change is accepted")
 
+    @pytest.mark.parametrize("seconds", [0.65, 0.75, 0.85, 0.95])
+    def test_is_tolerated_while_the_predecessor_is_removed(
+        self, tmp_path: Path, seconds: float
+    ) -> None:
+        """The leader begins the removal 0.8 s after the predecessor was killed."""
+        with PlatformSystem(tmp_path, 3, 0) as system:
+            replace_first(system)
+            gone, wiped, survivor = followers_first(system)
+            system.controls[gone].kill()
+            time.sleep(seconds)
+            lose_disk(system, wiped)
+            wait_until(
+                lambda: accepts_changes(system, survivor), "a change is accepted"
+            )
+
     def test_is_tolerated_right_after_a_planned_stop(self, tmp_path: Path) -> None:
         """The predecessor stops by SIGTERM and is no voter once it has exited."""
         with PlatformSystem(tmp_path, 3, 0) as system:
