Control: elect no leader without the previous voters while a change is open

Callers would have seen two leaders of one term, and so changes that are lost.

Cause: a candidate with an uncommitted removal in its log needed a majority of the next voters only (two of three), while the previous four may elect one by two of them once a voter's disk is lost. The two sets need not intersect if the voter that lost its disk had voted for the first candidate. Since the previous voters have to acknowledge a commit anyway, such a leader could commit nothing.

Fix: until the change is known to be committed, the previous voters elect as well, and are asked.

--- a/src/jujubeslip/control/_membership.py
+++ b/src/jujubeslip/control/_membership.py
@@ -117,14 +117,28 @@
 
 
 def electorates(memberships: MembershipLog, commit_index: int) -> list[Electorate]:
-    """Return the electorates that all have to elect a leader."""
+    """Return the electorates that all have to elect a leader.
+
+    While a change is not known to be committed, the previous voters may still elect a
+    leader without those with lost disks. Their vote is needed as well, so that they
+    don't elect another leader in the same term.
+    """
     quorum = vote_quorum(memberships)
-    return [Electorate.of(memberships.current, quorum.excludes_lost)]
+    found = [Electorate.of(memberships.current, quorum.excludes_lost)]
+    if memberships.needs_previous_quorum(commit_index):
+        # The previous voters were committed before the change began.
+        found.append(Electorate.of(memberships.previous, excludes_lost=True))
+    return found
 
 
 def all_voters(memberships: MembershipLog, commit_index: int) -> list[Member]:
     """Return the voters of all electorates."""
-    return voters(memberships.current)
+    found = voters(memberships.current)
+    if memberships.needs_previous_quorum(commit_index):
+        known_ids = {item.replica_id for item in found}
+        previous = voters(memberships.previous)
+        found += [item for item in previous if item.replica_id not in known_ids]
+    return found
 
 
 def may_exclude_lost(membership: Membership) -> bool:
--- a/tests/control/test_lost_voters.py
+++ b/tests/control/test_lost_voters.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from itertools import combinations
+from itertools import chain, combinations
 from pathlib import Path
 from typing import Any
 
@@ -13,6 +13,7 @@
 from jujubeslip.control._membership import (
     MembershipLog,
     VoteQuorum,
+    electorates,
     vote_quorum,
     with_learner,
     without_lost,
@@ -325,3 +326,39 @@
             MembershipChanges(replica).remove_host("control-2", Deadline.after(0.2))
         assert refused.value.error_id == "quorum_would_be_lost"
         assert replica.membership == before
+
+
+class TestElectionDuringAChange:
+    """Guards against a second leader of the previous voters in the same term."""
+
+    @pytest.mark.parametrize("count", [4, 6])
+    @pytest.mark.parametrize("change", ["removal", "promotion"])
+    @pytest.mark.parametrize("lost_count", [0, 1, 2])
+    def test_needs_votes_of_each_electing_set_of_the_previous_voters(
+        self, count: int, change: str, lost_count: int
+    ) -> None:
+        previous = membership(count)
+        following = membership(count + (1 if change == "promotion" else -1))
+        before = log_with(previous, previous)
+        during = log_with(previous, previous, following)
+        everyone = [item.replica_id for item in membership(count + 1).members]
+        # The last of the remaining voters have lost their disks since the first vote.
+        lost = set(everyone[1 : 1 + lost_count])
+        first = winning_sets(during, 2, everyone, set())
+        second = winning_sets(before, 2, set(everyone) - lost, lost)
+        assert first and second
+        assert all(one & other for one in first for other in second)
+
+
+def winning_sets(
+    log: MembershipLog, commit_index: int, candidates: Any, lost: set[str]
+) -> list[set[str]]:
+    """Return all sets of votes that elect a leader while these disks are lost."""
+    sizes = range(1, len(candidates) + 1)
+    subsets = chain.from_iterable(combinations(sorted(candidates), n) for n in sizes)
+    needed = electorates(log, commit_index)
+    return [
+        set(item)
+        for item in subsets
+        if all(electorate.is_won(item, lost) for electorate in needed)
+    ]
