Forwarding: send no request twice over one connection

Cause: a refused stream may be sent to its endpoint again under the same id. The pool gave it the connection of the refusal, and a late second copy of the refusal, which comes where the next answer is expected, was taken for the answer to the second send: the request's id is all that tells answers apart. The stream was then sent to another endpoint while the first one ran it. By the same cause, an answer without an id passed for that to any request: a copy of a refused reservation, or of a refusal without an id, reached a client's request.

Fix: a connection isn't handed out for a request that it has carried already. It stays for other requests, which read past the copy, so that none has to be closed. The system's own requests have connections of their own, and a connection whose answer named no request is closed. Both kinds of late answers have a log line now.

--- a/src/jujubeslip/endpoints/_connections.py
+++ b/src/jujubeslip/endpoints/_connections.py
@@ -9,6 +9,7 @@
 import socket
 import threading
 from abc import ABC, abstractmethod
+from collections import deque
 from collections.abc import Iterable
 from typing import Protocol
 
@@ -42,6 +43,9 @@
 # A connection is not used during this time before its endpoint would close it, in
 # seconds: a request that crosses the close may or may not have run.
 IDLE_MARGIN_SECONDS = 0.7
+# Number of requests that a connection remembers. An endpoint's late second answer comes
+# where the next answer is expected, so only recent requests can be confused.
+REMEMBERED_REQUESTS = 16
 
 
 class Connection(ABC):
@@ -101,6 +105,7 @@
         self.address = address
         self.used = False
         self.idle_until = Deadline.after(0)
+        self._carried_ids: deque[str] = deque(maxlen=REMEMBERED_REQUESTS)
         self._http = http.client.HTTPConnection(
             host, int(port), timeout=CONNECT_SECONDS
         )
@@ -185,6 +190,21 @@
             )
         return part
 
+    def may_carry(self, request_id: str) -> bool:
+        """Return whether no late answer can pass for the answer to this request.
+
+        Answers to one request look alike however often it was sent, and those to the
+        system's own requests, which have no id, look like answers to any request.
+        """
+        is_own = not request_id
+        if is_own:
+            return all(item == "" for item in self._carried_ids)
+        return request_id not in self._carried_ids and "" not in self._carried_ids
+
+    def note_request(self, request_id: str) -> None:
+        """Record the request that the connection carries next."""
+        self._carried_ids.append(request_id)
+
     def is_clean(self) -> bool:
         """Return whether the connection is open and has no unread bytes.
 
@@ -229,10 +249,11 @@
 class Connections(Protocol):
     """Where connections to endpoints are taken from, and given back."""
 
-    def take(self, start_id: str, address: str) -> Connection:
-        """Return a usable connection.
+    def take(self, start_id: str, address: str, request_id: str = "") -> Connection:
+        """Return a usable connection for one request.
 
-        Raises EndpointUnreachableError when the endpoint can't be reached.
+        `request_id` is empty for the system's own requests. Raises
+        EndpointUnreachableError when the endpoint can't be reached.
         """
 
     def give_back(
@@ -254,16 +275,29 @@
         self._idle_by_start: dict[str, list[EndpointConnection]] = {}
         self._lock = threading.Lock()
 
-    def take(self, start_id: str, address: str) -> EndpointConnection:
+    def take(
+        self, start_id: str, address: str, request_id: str = ""
+    ) -> EndpointConnection:
         """Return a usable idle connection, or else a new one.
 
-        Raises EndpointUnreachableError when no connection can be opened.
+        The connection has not carried the request before: an endpoint may answer an
+        earlier send of it a second time, and that answer would pass for the answer to
+        this one. `request_id` is empty for the system's own requests, which have
+        connections of their own. Raises EndpointUnreachableError when no connection
+        can be opened.
         """
-        while (kept := self._pop(start_id)) is not None:
+        connection = self._take_idle(start_id, request_id)
+        if connection is None:
+            connection = EndpointConnection(address, self._observer)
+        connection.note_request(request_id)
+        return connection
+
+    def _take_idle(self, start_id: str, request_id: str) -> EndpointConnection | None:
+        while (kept := self._pop(start_id, request_id)) is not None:
             if not kept.idle_until.expired and kept.is_clean():
                 return kept
             kept.close()
-        return EndpointConnection(address, self._observer)
+        return None
 
     def give_back(
         self,
@@ -311,7 +345,11 @@
         for connection in idle:
             connection.close()
 
-    def _pop(self, start_id: str) -> EndpointConnection | None:
+    def _pop(self, start_id: str, request_id: str) -> EndpointConnection | None:
+        """Remove and return the latest idle connection that may carry the request."""
         with self._lock:
-            idle = self._idle_by_start.get(start_id)
-            return idle.pop() if idle else None
+            idle = self._idle_by_start.get(start_id, [])
+            for index in reversed(range(len(idle))):
+                if idle[index].may_carry(request_id):
+                    return idle.pop(index)
+        return None
--- a/src/jujubeslip/forwarding/_exchange.py
+++ b/src/jujubeslip/forwarding/_exchange.py
@@ -130,7 +130,10 @@
         is_cancelled: Interrupted = never_interrupted,
     ) -> Connection:
         start_id = self._endpoint.start_id
-        connection = self._pool.take(start_id, self._endpoint.address)
+        request = self._request
+        connection = self._pool.take(
+            start_id, self._endpoint.address, request.request_id
+        )
         if self._notices.hold_of(start_id) is not None:
             self._pool.give_back(start_id, connection, None)
             raise EndpointOnHoldError(self._endpoint.address)
@@ -138,7 +141,6 @@
             self._pool.give_back(start_id, connection, None)
             raise ClientDisconnectedError("The answer is not needed any more.", Ran.NO)
         self._connection = connection
-        request = self._request
         if connection.relayed_by:
             self._log_relayed(connection)
         self.sent_at = steady_seconds()
@@ -146,6 +148,15 @@
         connection.send(request.method, request.target, encode_headers(), request.body)
         return connection
 
+    def _log_answer(self, message: str, head: EndpointHead) -> None:
+        extra = {
+            "request_id": self._request.request_id,
+            "start_id": self._endpoint.start_id,
+            "answers": head.request_id,
+            "status": head.status,
+        }
+        logger.info(message, extra=extra)
+
     def _log_relayed(self, connection: Connection) -> None:
         extra = {
             "request_id": self._request.request_id,
@@ -186,12 +197,21 @@
         """Keep the connection for the next request, after the answer was read whole."""
         connection, self._connection = self._connection, None
         assert connection is not None and self._response is not None
-        if self._response.will_close:
+        if self._response.will_close or not self._is_identified:
             connection.close()
             return
         idle_seconds = self._head.idle_seconds if self._head else None
         self._pool.give_back(self._endpoint.start_id, connection, idle_seconds)
 
+    @property
+    def _is_identified(self) -> bool:
+        """Return whether the answer named its request.
+
+        A late second copy of an answer that doesn't would pass for the answer to the
+        next request.
+        """
+        return self._head is None or self._head.request_id == self._request.request_id
+
     def close(self) -> None:
         """Close the connection, unless it was kept."""
         connection, self._connection = self._connection, None
@@ -209,7 +229,10 @@
             head = self._interface.read_head(response.status, response.getheaders())
             if head.request_id in ("", self._request.request_id):
                 self._head = head
+                if not self._is_identified:
+                    self._log_answer("answer names no request", head)
                 return head
+            self._log_answer("late answer to another request skipped", head)
             connection.read_rest(response)
             if response.will_close:
                 raise EndpointAnswerError(
--- a/src/jujubeslip/relays/_pool.py
+++ b/src/jujubeslip/relays/_pool.py
@@ -39,15 +39,15 @@
             description="Calls to endpoints that this host sent through another one.",
         )
 
-    def take(self, start_id: str, address: str) -> Connection:
-        """Return a usable connection.
+    def take(self, start_id: str, address: str, request_id: str = "") -> Connection:
+        """Return a usable connection for one request.
 
         Raises EndpointUnreachableError when the endpoint can't be reached, and
         EndpointsOutOfReachError when none can, neither directly nor by a relay.
         """
         if not self._reach.is_lost:
             try:
-                return self.direct.take(start_id, address)
+                return self.direct.take(start_id, address, request_id)
             except EndpointUnreachableError:
                 if not self._reach.confirm_lost():
                     raise
--- a/tests/fakes/scripted_endpoints.py
+++ b/tests/fakes/scripted_endpoints.py
@@ -143,7 +143,9 @@
         self.sends: list[tuple[str, ScriptedConnection]] = []
         self._idle: list[ScriptedConnection] = []
 
-    def take(self, start_id: str, address: str) -> ScriptedConnection:
+    def take(
+        self, start_id: str, address: str, request_id: str = ""
+    ) -> ScriptedConnection:
         """Return an idle connection, or a new one."""
         for connection in self._idle:
             if connection.start_id == start_id:
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -108,7 +109,7 @@
                     notices.record_answer(endpoint, refusal, 0.0)
                     return super().take(*where)
 
-            request: Any = None
+            request: Any = SimpleNamespace(request_id="first")
             pool = SlowPool()
             interface = interfaces.get("platform")
             call = EndpointCall("w", 1000)
