--- a/src/jujubeslip/forwarding/_exchange.py
+++ b/src/jujubeslip/forwarding/_exchange.py
@@ -148,15 +148,6 @@
         connection.send(request.method, request.target, encode_headers(), request.body)
         return connection
 
-    def _log_answer(self, message: str, head: EndpointHead) -> None:
-        extra = {
-            "request_id": self._request.request_id,
-            "start_id": self._endpoint.start_id,
-            "answers": head.request_id,
-            "status": head.status,
-        }
-        logger.info(message, extra=extra)
-
     def _log_relayed(self, connection: Connection) -> None:
         extra = {
             "request_id": self._request.request_id,
@@ -227,12 +218,18 @@
         while True:
             response = self._response = connection.read_head()
             head = self._interface.read_head(response.status, response.getheaders())
+            extra = {
+                "request_id": self._request.request_id,
+                "start_id": self._endpoint.start_id,
+                "answers": head.request_id,
+                "status": head.status,
+            }
             if head.request_id in ("", self._request.request_id):
                 self._head = head
                 if not self._is_identified:
-                    self._log_answer("answer names no request", head)
+                    logger.info("answer names no request", extra=extra)
                 return head
-            self._log_answer("late answer to another request skipped", head)
+            logger.info("late answer to another request skipped", extra=extra)
             connection.read_rest(response)
             if response.will_close:
                 raise EndpointAnswerError(
