Control: leave a lost disk out only by answers given since its loss was noted

Callers would have seen an acknowledged change disappear, or two leaders' leases overlap.

Cause: a change of six voters could commit by three of the five whose disks aren't known to be lost, by acknowledgements of any age, and three votes elect a leader once one disk is lost. The two sets need not meet if two disks are lost one after the other: 1. the leader A appends a change; B and E acknowledge it; E loses its disk; 2. C, D and F, which lack the change, elect C, since E's disk is lost; 3. D loses its disk, too; A hears so before it hears of the new term, leaves D out, and commits with B's answer and E's old one. Four voters can do the same with two lost disks. The deployments with five or six control hosts have to bear two.

Fix, the same rule on both sides: whoever leaves a lost disk out counts only answers to requests that were sent after it noted the loss. The leader counts such acknowledgements for commit and lease (a majority of all previous voters still counts at any age). A candidate asks its voters again, once, when it needs the exclusion; a voter repeats its vote without another write to disk. Why this suffices: if no voter is in both sets, the new leader has the vote of one that the old leader left out, and left out one that acknowledged. Its vote came after it had noted its own loss, so after that acknowledgement, so after the old leader had noted the loss of the one that voted: a contradiction.

--- a/src/jujubeslip/control/_election.py
+++ b/src/jujubeslip/control/_election.py
@@ -34,11 +34,20 @@
 class VoteTally:
     """Counts the votes that the asking tasks collect, the candidate's own included."""
 
-    def __init__(self, electorates: Sequence[Electorate], candidate_id: str) -> None:
-        """Create the tally; `electorates` begin with that of the newest membership."""
+    def __init__(
+        self,
+        electorates: Sequence[Electorate],
+        candidate_id: str,
+        lost_ids: Collection[str] = (),
+    ) -> None:
+        """Create the tally; `electorates` begin with that of the newest membership.
+
+        `lost_ids` are the voters whose disks are known to be lost.
+        """
         self._electorates = electorates
         self._vote_ids = {candidate_id}
-        self._lost_ids: set[str] = set()
+        self._lost_ids = set(lost_ids)
+        self._found_lost_ids: set[str] = set()
         self._changed = threading.Condition()
 
     def grant(self, replica_id: str) -> None:
@@ -50,13 +59,28 @@
     def add_lost(self, replica_id: str) -> None:
         """Record a voter whose disk is lost."""
         with self._changed:
-            self._lost_ids.add(replica_id)
+            self._found_lost_ids.add(replica_id)
             self._changed.notify_all()
 
-    def wait_until_won(self, deadline: Deadline) -> bool:
-        """Wait for enough votes; return False when the deadline passes first."""
+    def wait_until_decided(self, deadline: Deadline) -> bool:
+        """Wait until the votes suffice, or would without the disks found lost since.
+
+        Return False when the deadline passes first.
+        """
         with self._changed:
-            return self._changed.wait_for(self._is_won, deadline.remaining())
+            return self._changed.wait_for(
+                lambda: self._suffice(self.all_lost_ids()), deadline.remaining()
+            )
+
+    def is_won(self) -> bool:
+        """Return whether the votes suffice."""
+        with self._changed:
+            return self._suffice(self._lost_ids)
+
+    def all_lost_ids(self) -> set[str]:
+        """Return the voters whose disks are lost, known before or found since."""
+        with self._changed:
+            return self._lost_ids | self._found_lost_ids
 
     def excluded_lost_ids(self) -> set[str]:
         """Return the newest voters with lost disks that the quorum had to leave out.
@@ -69,10 +93,8 @@
                 return set()
             return set(newest.voter_ids & self._lost_ids)
 
-    def _is_won(self) -> bool:
-        return all(
-            item.is_won(self._vote_ids, self._lost_ids) for item in self._electorates
-        )
+    def _suffice(self, lost_ids: Collection[str]) -> bool:
+        return all(item.is_won(self._vote_ids, lost_ids) for item in self._electorates)
 
 
 @dataclass(frozen=True)
@@ -243,13 +265,30 @@
             self._lead(campaign.term, tally.excluded_lost_ids())
 
     def _gather_votes(self, campaign: Campaign) -> VoteTally | None:
-        """Ask for votes; return the tally if they suffice."""
-        tally = VoteTally(campaign.electorates, self._replica.replica_id)
+        """Ask for votes; return the tally if they suffice.
+
+        Votes that suffice only without lost disks are asked for again once the losses
+        are known. A voter that has lost its disk since its vote does not count then: a
+        leader that has noted that loss may have committed entries without it.
+        """
+        lost_ids: set[str] = set()
+        while (tally := self._ask_voters(campaign, lost_ids)) is not None:
+            if tally.is_won():
+                return tally
+            lost_ids = tally.all_lost_ids()
+        return None
+
+    def _ask_voters(
+        self, campaign: Campaign, lost_ids: Collection[str]
+    ) -> VoteTally | None:
+        """Ask all voters but the lost ones; return None if the votes don't suffice."""
+        tally = VoteTally(campaign.electorates, self._replica.replica_id, lost_ids)
         for addressed in campaign.vote_requests:
-            self._replica.process.start_task(
-                self._request_vote, campaign, addressed, tally
-            )
-        return tally if tally.wait_until_won(campaign.until) else None
+            if addressed.voter.replica_id not in lost_ids:
+                self._replica.process.start_task(
+                    self._request_vote, campaign, addressed, tally
+                )
+        return tally if tally.wait_until_decided(campaign.until) else None
 
     def _request_vote(
         self, campaign: Campaign, addressed: AddressedVoteRequest, tally: VoteTally
--- a/src/jujubeslip/control/_leadership.py
+++ b/src/jujubeslip/control/_leadership.py
@@ -9,12 +9,11 @@
 
 from jujubeslip.control._errors import LeadershipLostError
 from jujubeslip.control._lease_clock import LeaseClock
-from jujubeslip.control._membership import AckQuorum
+from jujubeslip.control._membership import NEVER, AckQuorum
 from jujubeslip.control._state_machine import Outcome
 from jujubeslip.kernel import Deadline, steady_seconds
 from jujubeslip.peers import Member
 
-NEVER = float("-inf")
 MILLISECONDS = 1000
 
 
@@ -75,6 +74,8 @@
         self.progress_by_id: dict[str, Progress] = {}
         self.lost_ids: set[str] = set()
         """Replicas whose hosts have answered with another disk."""
+        self.lost_noted_at = self.started_at
+        """When the last of them was noted, on the steady clock in seconds."""
         self._replica_id = replica_id
         self._stamp_ms = stamp_ms
         self._waiter_by_index: dict[int, Future[Outcome]] = {}
@@ -112,7 +113,10 @@
             replica_id: max(self.started_at, progress.heard_at)
             for replica_id, progress in self.progress_by_id.items()
         }
-        return Deadline(self._reached_at(quorums, heard_at_by_id) + seconds)
+        heard_at_by_id[self._replica_id] = steady_seconds()
+        # The time of the reply counts in any case, so it stands for both times.
+        reached_at = self._reached_at(quorums, heard_at_by_id, heard_at_by_id)
+        return Deadline(reached_at + seconds)
 
     def committable(self, quorums: Sequence[AckQuorum], durable_index: int) -> int:
         """Return the highest index that a majority of each quorum has synced."""
@@ -121,7 +125,15 @@
             for replica_id, progress in self.progress_by_id.items()
         }
         index_by_id[self._replica_id] = durable_index
-        return int(min(quorum.reached(index_by_id, 0) for quorum in quorums))
+        acknowledged_at_by_id = self._acknowledged_at_by_id()
+        return int(
+            min(item.reached(index_by_id, acknowledged_at_by_id, 0) for item in quorums)
+        )
+
+    def note_lost(self, replica_id: str) -> None:
+        """Record that a replica's host has answered with another disk."""
+        self.lost_ids.add(replica_id)
+        self.lost_noted_at = steady_seconds()
 
     def add_waiter(self, index: int) -> Future[Outcome]:
         """Return the future that gets the outcome of the entry with this index."""
@@ -157,14 +169,25 @@
 
     def quorum_acknowledged_at(self, quorums: Sequence[AckQuorum]) -> float:
         """Return the latest time such that all quorums answered requests sent since."""
+        acknowledged_at_by_id = self._acknowledged_at_by_id()
+        return self._reached_at(quorums, acknowledged_at_by_id, acknowledged_at_by_id)
+
+    def _acknowledged_at_by_id(self) -> dict[str, float]:
+        """Return when the last answered request to each replica was sent."""
         acknowledged_at_by_id = {
             replica_id: progress.acknowledged_at
             for replica_id, progress in self.progress_by_id.items()
         }
-        return self._reached_at(quorums, acknowledged_at_by_id)
+        acknowledged_at_by_id[self._replica_id] = steady_seconds()
+        return acknowledged_at_by_id
 
     def _reached_at(
-        self, quorums: Sequence[AckQuorum], timestamp_by_id: Mapping[str, float]
+        self,
+        quorums: Sequence[AckQuorum],
+        timestamp_by_id: Mapping[str, float],
+        acknowledged_at_by_id: Mapping[str, float],
     ) -> float:
-        with_own = {**timestamp_by_id, self._replica_id: steady_seconds()}
-        return min(quorum.reached(with_own, NEVER) for quorum in quorums)
+        return min(
+            quorum.reached(timestamp_by_id, acknowledged_at_by_id, NEVER)
+            for quorum in quorums
+        )
--- a/src/jujubeslip/control/_membership.py
+++ b/src/jujubeslip/control/_membership.py
@@ -14,6 +14,8 @@
 
 NO_MEMBERSHIP = Membership("", [], [])
 
+NEVER = float("-inf")
+
 
 def voters(membership: Membership) -> list[Member]:
     """Return the members that vote."""
@@ -83,25 +85,59 @@
 
 @dataclass(frozen=True)
 class AckQuorum:
-    """Replicas of which a majority has to acknowledge an entry or a heartbeat."""
+    """Voters of which a majority has to acknowledge an entry or a heartbeat.
 
-    replica_ids: frozenset[str]
+    Voters with lost disks may be left out. The others then count by acknowledgements of
+    requests that were sent after the losses were noted: a lost voter may have voted for
+    another candidate before, which those that still acknowledge have not.
+    """
 
-    @classmethod
-    def of(cls, membership: Membership, lost_ids: Collection[str] = ()) -> Self:
-        """Return the quorum of the voters, without those whose disks are lost."""
-        voter_ids = {item.replica_id for item in voters(membership)}
-        return cls(frozenset(voter_ids.difference(lost_ids)))
+    voter_ids: frozenset[str]
+    lost_ids: frozenset[str] = frozenset()
+    lost_noted_at: float = NEVER
+    """When the last loss was noted, on the steady clock in seconds."""
 
-    def reached(self, value_by_id: Mapping[str, float], default: float) -> float:
+    @classmethod
+    def of(
+        cls,
+        membership: Membership,
+        lost_ids: Collection[str] = (),
+        lost_noted_at: float = NEVER,
+    ) -> Self:
+        """Return the quorum of the membership's voters."""
+        voter_ids = frozenset(item.replica_id for item in voters(membership))
+        return cls(voter_ids, voter_ids.intersection(lost_ids), lost_noted_at)
+
+    def reached(
+        self,
+        value_by_id: Mapping[str, float],
+        acknowledged_at_by_id: Mapping[str, float],
+        default: float,
+    ) -> float:
         """Return the highest value that a majority has reached.
 
-        `default` is the value of a replica without one.
+        `acknowledged_at_by_id` is when each voter's last answered request was sent,
+        `default` the value of a voter without one.
         """
-        values = sorted(
-            (value_by_id.get(item, default) for item in self.replica_ids), reverse=True
-        )
-        return values[len(values) // 2]
+        of_all = _majority_value(self.voter_ids, value_by_id, default)
+        if not self.lost_ids:
+            return of_all
+        current = {
+            replica_id: value
+            for replica_id, value in value_by_id.items()
+            if acknowledged_at_by_id.get(replica_id, NEVER) >= self.lost_noted_at
+        }
+        remaining = self.voter_ids - self.lost_ids
+        return max(of_all, _majority_value(remaining, current, default))
+
+
+def _majority_value(
+    replica_ids: Collection[str], value_by_id: Mapping[str, float], default: float
+) -> float:
+    """Return the highest value that a majority of the replicas has reached."""
+    values = [value_by_id.get(item, default) for item in replica_ids]
+    values.sort(reverse=True)
+    return values[len(values) // 2] if values else default
 
 
 def vote_quorum(memberships: MembershipLog) -> VoteQuorum:
--- a/src/jujubeslip/control/_replica.py
+++ b/src/jujubeslip/control/_replica.py
@@ -21,6 +21,7 @@
 from jujubeslip.control._leadership import Fence, KnownLeader, Leadership, Role
 from jujubeslip.control._loading import load_state
 from jujubeslip.control._membership import (
+    NEVER,
     AckQuorum,
     is_voter,
     may_exclude_lost,
@@ -185,19 +186,18 @@
         A voter that loses its disk never acknowledges again, and would make a change
         that has begun impossible to commit.
         """
-        lost_ids = set(following.lost_replica_ids or ())
+        lost_ids, noted_at = set(following.lost_replica_ids or ()), NEVER
         if self.leadership is not None:
             lost_ids |= self.leadership.lost_ids
-        return [AckQuorum.of(following), AckQuorum.of(previous, lost_ids)]
+            noted_at = self.leadership.lost_noted_at
+        previous_quorum = AckQuorum.of(previous, lost_ids, noted_at)
+        return [AckQuorum.of(following), previous_quorum]
 
     def note_lost_disk(self, leadership: Leadership, replica_id: str) -> None:
         """Record that a replica's host has answered with another disk."""
         with self.lock:
-            if self.leadership is not leadership:
-                return
-            leadership.lost_ids.add(replica_id)
-            self.advance_commit()
-            self.role_changed.notify_all()
+            if self.leadership is leadership:
+                leadership.note_lost(replica_id)
 
     def lease(self) -> Deadline:
         """Return the deadline until which no other replica can lead."""
@@ -257,7 +257,8 @@
         disk, and on a busy disk the candidate would time out before the second save.
         """
         is_later = term > self.term
-        if is_later or voted_for:
+        has_new_vote = voted_for not in ("", self.storage.metadata.voted_for)
+        if is_later or has_new_vote:
             self.save_metadata(ReplicaMetadata(self.cluster_id, term, voted_for))
         if is_later:
             self.step_down("another replica has a higher term")
--- a/tests/control/test_lost_voters.py
+++ b/tests/control/test_lost_voters.py
@@ -94,19 +94,23 @@
 
 
 class OtherVoters:
-    """The other voters: one has lost its disk, one votes, one is switched off."""
+    """The other voters: one has lost its disk, one votes, one is switched off.
 
-    def __init__(self, answers_as: str) -> None:
-        self._answers_as = answers_as
+    `votes` is how often the one that votes does so before it loses its disk as well.
+    """
+
+    def __init__(self, answers_as: str, votes: int | None = None) -> None:
+        self.answers_as = answers_as
+        self.votes = votes
 
     def to_member(self, member: Member) -> StubVoter:
-        return StubVoter(member, self._answers_as)
+        return StubVoter(member, self)
 
 
 class StubVoter:
-    def __init__(self, member: Member, answers_as: str) -> None:
+    def __init__(self, member: Member, voters: OtherVoters) -> None:
         self._member = member
-        self._answers_as = answers_as
+        self._voters = voters
 
     def call(self, operation: Any, timeout: float) -> Any:
         return operation(self)
@@ -115,16 +119,20 @@
         return self._vote(request, request.term - 1)
 
     def request_vote(self, request: Any) -> VoteReply:
-        return self._vote(request, request.term)
+        reply = self._vote(request, request.term)
+        if self._voters.votes is not None:
+            self._voters.votes -= 1
+            if self._voters.votes < 0:
+                raise PeerRefusal("wrong_replica", "Another disk.", "", 0)
+        return reply
 
     def append_entries(self, request: Any) -> AppendReply:
         self._check_disk()
         return AppendReply(request.term, True, request.previous_index)
 
     def describe(self) -> ReplicaDescription:
-        return ReplicaDescription(
-            self._answers_as, self._answers_as.partition("/")[0], "h:1", ""
-        )
+        answers_as = self._voters.answers_as
+        return ReplicaDescription(answers_as, answers_as.partition("/")[0], "h:1", "")
 
     def _vote(self, request: Any, term: int) -> VoteReply:
         self._check_disk()
@@ -188,6 +196,15 @@
         Elections(replica, OtherVoters(answers_as))._campaign()  # type: ignore[arg-type]
         assert replica.leadership is None
 
+    @pytest.mark.parametrize(("votes", "leads"), [(1, False), (2, True)])
+    def test_needs_votes_given_since_the_loss_was_noted(
+        self, replica: Replica, votes: int, leads: bool
+    ) -> None:
+        """A leader may commit without the one that votes and then loses its disk."""
+        voters: Any = OtherVoters("control-1/new", votes)
+        Elections(replica, voters)._campaign()
+        assert (replica.leadership is not None) == leads
+
 
 class TestCommitOfAChange:
     """Guards against removed voters that elect a leader without that change."""
@@ -208,6 +225,7 @@
             assert replica.leadership is not None
             progress = replica.leadership.progress_by_id[replica_id]
             progress.match_index = replica.log.last_index
+            progress.acknowledged_at = steady_seconds()
             replica.advance_commit()
 
     def test_needs_a_majority_of_the_previous_voters(self, replica: Replica) -> None:
@@ -240,13 +258,13 @@
 
 
 def let_answer(replica: Replica, replica_id: str) -> None:
-    """Let a follower acknowledge all entries in the log, and heartbeats from now on."""
+    """Let a follower acknowledge all entries in the log."""
     with replica.disk_lock, replica.lock:
         replica.write_pending()
         assert replica.leadership is not None
         progress = replica.leadership.progress_by_id[replica_id]
         progress.match_index = replica.log.last_index
-        progress.acknowledged_at = steady_seconds() + 60
+        progress.acknowledged_at = steady_seconds()
         replica.advance_commit()
 
 
@@ -280,14 +298,26 @@
         index = self.begin_removal(replica)
         assert replica.commit_index < index
         find_lost_disk(replica, "control-1/new")
+        let_answer(replica, "control-3/disk")
         assert replica.commit_index >= index
 
+    def test_needs_acknowledgements_given_since_the_loss_was_noted(
+        self, replica: Replica
+    ) -> None:
+        """The lost disk and one lost later may both have voted for a new leader."""
+        index = self.begin_removal(replica)
+        find_lost_disk(replica, "control-1/new")
+        with replica.lock:
+            replica.advance_commit()
+        assert replica.commit_index < index
+
     @pytest.mark.parametrize("answers_as", ["control-1/disk", "other/new"])
     def test_needs_the_answer_of_the_voters_own_host(
         self, replica: Replica, answers_as: str
     ) -> None:
         index = self.begin_removal(replica)
         find_lost_disk(replica, answers_as)
+        let_answer(replica, "control-3/disk")
         assert replica.commit_index < index
 
     def test_is_committed_by_the_next_leader(self, replica: Replica) -> None:
@@ -295,8 +325,8 @@
         with replica.lock:
             replica.step_down("test")
         Elections(replica, OtherVoters("control-1/new"))._campaign()  # type: ignore[arg-type]
-        let_answer(replica, "control-3/disk")
         find_lost_disk(replica, "control-1/new")
+        let_answer(replica, "control-3/disk")
         assert replica.commit_index > index
 
     def test_leaves_it_out_of_an_election_after_a_host_was_admitted(
@@ -321,6 +351,8 @@
         with replica.lock:
             leadership = replica.require_leader()
             leadership.progress_by_id["control-2/disk"].acknowledged_at = 0.0
+            answering = leadership.progress_by_id["control-3/disk"]
+            answering.acknowledged_at = steady_seconds() + 60
         before = replica.membership
         with pytest.raises(PeerRefusal) as refused:
             MembershipChanges(replica).remove_host("control-2", Deadline.after(0.2))
