--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -46,6 +46,7 @@
     "notices": (0.5, 4.0),
     "partitions": (1.0, 8.0),
     "slow": (0.5, 4.0),
+    "late answers": (0.3, 2.0),
 }
 # How long a host is down or paused, in seconds: the range includes times shorter and
 # longer than an election and than the 1.2 s after which a silent connection is closed.
@@ -299,6 +300,11 @@
     return AnswersSpoiled(at, track, endpoint, fault, rng.choice((1, 2, 5, 20)))
 
 
+def _late_answers(rng: random.Random, at: float, track: str) -> Fault:
+    endpoint = rng.choice((*PLAIN_ENDPOINTS, *DECODE_ENDPOINTS))
+    return AnswersSpoiled(at, track, endpoint, "refuse_twice", rng.choice((1, 5, 20)))
+
+
 def _any_link_fault(rng: random.Random, at: float, track: str) -> Fault:
     links = [
         *(f"client>{entry}" for entry in ENTRIES),
@@ -365,4 +371,5 @@
     "notices": _notice,
     "partitions": _partition,
     "slow": _slowness,
+    "late answers": _late_answers,
 }
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -58,6 +58,8 @@
 
     refuse: int = 0
     """Refuse with 503 and "not run"."""
+    refuse_twice: int = 0
+    """Refuse, and send the refusal again where the next response is expected."""
     fail: int = 0
     """Run, and respond with 500."""
     lose: int = 0
@@ -249,6 +251,7 @@
         """Register the connection, which is closed with the worker."""
         super().setup()
         self.worker.sockets.add(self.connection)
+        self._late_response = b""
 
     def finish(self) -> None:
         """Unregister the connection."""
@@ -259,6 +262,8 @@
         expected = self.headers.get("Expect-Instance", self.worker.worker_id)
         try:
             body = self.read_body()
+            self.wfile.write(self._late_response)
+            self._late_response = b""
             if expected != self.worker.worker_id:
                 headers = {"Instance-Id": self.worker.worker_id}
                 self.reply(421, {}, headers)
@@ -337,6 +342,9 @@
             notices = self._notice_headers(is_refusal=True)
             self.reply(503, {}, {"Not-Run": "1", **notices})
             return
+        if faults.take("refuse_twice"):
+            self._refuse_twice()
+            return
         if self.headers.get("Stage") == "prefill":
             self._prefill()
             return
@@ -398,6 +406,17 @@
         threading.Thread(target=self.worker.kill).start()
         self.worker.killed.wait()
 
+    def _refuse_twice(self) -> None:
+        lines = [
+            "HTTP/1.1 503 Status",
+            f"Request-Id: {self.headers.get('Request-Id', '')}",
+            "Not-Run: 1",
+            "Keep-Alive: timeout=5",
+            "Content-Length: 0",
+        ]
+        self._late_response = ("\r\n".join(lines) + "\r\n\r\n").encode()
+        self.wfile.write(self._late_response)
+
     def _prefill(self) -> None:
         request_id = self.headers.get("Request-Id", "")
         self.worker.prefilled_requests.append(request_id)
