Relays: end a relayed answer as cut off if its endpoint's process has ended

Cause: only the relay sees that such an answer ends with its connection. It writes the last chunk at any end, so the other host's check never applies, takes the answer for whole, and counts the content as harmless.

Fix: the relay makes the check of the host that has the client, with the same function (_answer_ends.check_end), and cuts its answer off; a log line tells so.

--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -122,7 +122,7 @@
         # and is skipped for grants, may already know the limits.
         self._limit_leader_contact = LeaderContact(identity, self._followers.reaches)
         self._endpoint_limits = self._build_endpoint_limits()
-        sender = self._build_sending(quarantine)
+        sender = self._sender = self._build_sending(quarantine)
         self._account_limits = self._build_account_limits()
         self._admissions = (
             Admissions(
@@ -291,8 +291,7 @@
         serve_metrics(self._settings.telemetry, self._telemetry, process)
         self._http.start(process)
         self._ready_http.start(process)
-        notices = self._endpoint_limits.notices
-        self._relaying.start(process, notices, self._open_requests)
+        self._relaying.start(process, self._sender, self._open_requests)
         extra = {"http": self._settings.http_address, "host": self._settings.host_id}
         logger.info("forwarding host serves", extra=extra)
         process.run(self._drain)
--- a/src/jujubeslip/forwarding/_relay_app.py
+++ b/src/jujubeslip/forwarding/_relay_app.py
@@ -12,6 +12,7 @@
 
 from jujubeslip.discovery import Endpoint, EndpointRegistry
 from jujubeslip.endpoints import (
+    AnswerCutError,
     ClientDisconnectedError,
     ConnectionPool,
     EndpointError,
@@ -19,6 +20,7 @@
     EndpointUnreachableError,
     has_ended,
 )
+from jujubeslip.forwarding._answer_ends import HasEnded, check_end
 from jujubeslip.forwarding._app import OpenRequests, StreamedBody, start_answer
 from jujubeslip.forwarding._exchange import Exchange
 from jujubeslip.http_server import AnswerAbandonedError
@@ -54,6 +56,7 @@
     open_calls: OpenRequests
     has_capacity: Callable[[], bool]
     """Whether the host's own clients leave capacity for other hosts' calls."""
+    has_ended_unannounced: HasEnded
     secret: str
 
 
@@ -126,7 +129,39 @@
             start_answer(start_response, head.status, answer_headers)
             # The exchange is closed with the body from here on.
             stack.pop_all()
-        return StreamedBody(_parts_of(exchange), self._services.open_calls)
+        parts = self._parts_of(endpoint, request, exchange)
+        return StreamedBody(parts, self._services.open_calls)
+
+    def _parts_of(
+        self, endpoint: Endpoint, request: ForwardedRequest, exchange: Exchange
+    ) -> Iterator[bytes]:
+        """Yield the body of the endpoint's answer as it arrives.
+
+        The other host can't see how the endpoint framed its answer, so it can't tell a
+        regular end from that of the endpoint's process.
+        """
+        with exchange:
+            while part := exchange.read_some():
+                yield part
+            self._check_end(endpoint, request, exchange)
+            exchange.keep_connection()
+
+    def _check_end(
+        self, endpoint: Endpoint, request: ForwardedRequest, exchange: Exchange
+    ) -> None:
+        services = self._services
+        try:
+            check_end(
+                endpoint, exchange, services.notices, services.has_ended_unannounced
+            )
+        except AnswerCutError as error:
+            extra = {
+                "request_id": request.request_id,
+                "start_id": endpoint.start_id,
+                "error": error.message,
+            }
+            logger.info("relayed answer cut off", extra=extra)
+            raise
 
     def _read_call(self, environ: Environ, headers: RelayHeaders) -> ForwardedRequest:
         """Return the call, whose remaining time is as of when it was encoded."""
@@ -213,11 +248,3 @@
             "outcome": outcome,
         }
         logger.info("call relayed", extra=extra)
-
-
-def _parts_of(exchange: Exchange) -> Iterator[bytes]:
-    """Yield the body of the endpoint's answer as it arrives."""
-    with exchange:
-        while part := exchange.read_some():
-            yield part
-        exchange.keep_connection()
--- a/src/jujubeslip/forwarding/_relaying.py
+++ b/src/jujubeslip/forwarding/_relaying.py
@@ -8,10 +8,10 @@
 from jujubeslip.endpoints import ConnectionPool
 from jujubeslip.forwarding._app import OpenRequests
 from jujubeslip.forwarding._relay_app import RelayApp, RelayServices
+from jujubeslip.forwarding._sender import EndpointSender
 from jujubeslip.http_server import HttpServer, HttpServerOptions
 from jujubeslip.interfaces import interfaces
 from jujubeslip.kernel import ForwardSettings, Process
-from jujubeslip.notices import EndpointNotices
 from jujubeslip.peers import RelayRecord
 from jujubeslip.relays import (
     EndpointReach,
@@ -61,7 +61,7 @@
         )
 
     def start(
-        self, process: Process, notices: EndpointNotices, open_requests: OpenRequests
+        self, process: Process, sender: EndpointSender, open_requests: OpenRequests
     ) -> None:
         """Check the links, and relay calls of other hosts, until the process stops."""
         self.reach.start(process)
@@ -73,9 +73,10 @@
             self.connections.direct,
             self._registry,
             self.reach,
-            notices,
+            sender.notices,
             self.open_calls,
             lambda: open_requests.used_share < OWN_CLIENTS_SHARE,
+            sender.crashes.has_ended_unannounced,
             self._settings.peer_secret,
         )
         threads = self.open_calls.maximum + REFUSING_THREADS
--- a/src/jujubeslip/forwarding/_sender.py
+++ b/src/jujubeslip/forwarding/_sender.py
@@ -23,6 +23,7 @@
     Interrupted,
     never_interrupted,
 )
+from jujubeslip.forwarding._answer_ends import check_end
 from jujubeslip.forwarding._busy_retries import busy_retry_seconds
 from jujubeslip.forwarding._choice import Chooser
 from jujubeslip.forwarding._crash_detector import CrashDetector
@@ -240,17 +241,9 @@
         return is_out_of_reach or self.reach.was_lost_since(sent_at.timestamp)
 
     def check_end(self, endpoint: Endpoint, exchange: Exchange) -> None:
-        """Raise AnswerCutError if the answer ended only because its endpoint did.
-
-        An answer with neither a length nor chunks ends with its connection, also when
-        the endpoint's process ends in the middle of it.
-        """
-        if not exchange.ends_with_connection:
-            return
-        hold = self.notices.hold_of(endpoint.start_id)
-        is_leaving = hold is not None and hold.reason is HoldReason.LEAVING
-        if not is_leaving and self.crashes.has_ended_unannounced(endpoint):
-            raise AnswerCutError(f"{endpoint.address}: ended during its answer.")
+        """Raise AnswerCutError if the answer ended only because its endpoint did."""
+        has_ended = self.crashes.has_ended_unannounced
+        check_end(endpoint, exchange, self.notices, has_ended)
 
     def note_request_error(
         self,
--- a/tests/forwarding/test_unframed_answers.py
+++ b/tests/forwarding/test_unframed_answers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from tests.fakes.fatal_parts import fatal_system
 from tests.fakes.platform_system import (
     ENGINE,
     PLAIN,
@@ -78,6 +79,15 @@
         reply = system.ask("/stream/crash", "POST", b"", PROMPT, deadline_ms=4000)
         assert not reply.complete
 
+    def test_is_broken_off_if_another_host_relays_it(
+        self, tmp_path_factory: pytest.TempPathFactory
+    ) -> None:
+        folder = tmp_path_factory.mktemp("relayed")
+        with fatal_system(folder, 2, is_unframed=True, relaying_entry=0) as fatal:
+            sent = fatal.clients.send(["fa7a10"], entry=0)
+            assert fatal.reached([sent])
+            assert not sent.reply.complete
+
 
 class TestPlainAnswerWithoutLength:
     def test_is_delivered(self, system: PlatformSystem) -> None:
