--- a/src/jujubeslip/endpoints/__init__.py
+++ b/src/jujubeslip/endpoints/__init__.py
@@ -11,7 +11,6 @@
     ConnectionPool,
     Connections,
     EndpointConnection,
-    has_ended,
 )
 from jujubeslip.endpoints._engine_adapter import EngineAdapter
 from jujubeslip.endpoints._errors import (
@@ -37,6 +36,7 @@
 )
 from jujubeslip.endpoints._monitor import EndpointMonitor
 from jujubeslip.endpoints._plain_service import call_plain_service
+from jujubeslip.endpoints._process_end import has_ended
 
 __all__ = [
     "AnswerCutError",
--- a/src/jujubeslip/endpoints/_connections.py
+++ b/src/jujubeslip/endpoints/_connections.py
@@ -31,9 +31,6 @@
 # Timeout for opening a connection, in seconds. It takes two round trips; an endpoint
 # that takes longer is partitioned or dead, and nothing has been sent to it yet.
 CONNECT_SECONDS = 0.4
-# Timeout of the check whether a process has ended, in seconds. Its machine then refuses
-# connections within a round trip.
-END_CHECK_SECONDS = 0.1
 # Timeout for sending a request, in seconds.
 SEND_SECONDS = 2.0
 READ_BYTES = 65536
@@ -231,21 +228,6 @@
         self._http.close()
 
 
-def has_ended(address: str) -> bool:
-    """Return whether an endpoint's process has ended: its port refuses connections.
-
-    An endpoint that can't be reached at all may still run.
-    """
-    host, port = address.rsplit(":", 1)
-    try:
-        socket.create_connection((host, int(port)), END_CHECK_SECONDS).close()
-    except ConnectionError:
-        return True
-    except OSError:
-        return False
-    return False
-
-
 class Connections(Protocol):
     """Where connections to endpoints are taken from, and given back."""
 
