Discovery: let a removal of an unknown start stop the use of earlier ones

Cause: a removal that names its start applied to that start alone. The control host knew the earlier start, changed nothing, and told entry hosts nothing, who hear of changed endpoints only. Likewise for an endpoint that no control host knows.

Fix: a removal that names a later start applies to an earlier known one, and to one that is announced late.

--- a/src/jujubeslip/discovery/_removals.py
+++ b/src/jujubeslip/discovery/_removals.py
@@ -85,18 +85,24 @@
         return replace(self, started_at_ms=known.started_at_ms, scope=scope)
 
     def apply_to(self, endpoint: Endpoint) -> Endpoint:
-        """Return the endpoint with the removal applied."""
+        """Return the endpoint with the removal applied.
+
+        A removal that names a later start than the known one shows that this one has
+        ended, unless the clock of its host was set back. If the known start is heard
+        from later, it gets work again.
+        """
         with_start = self.for_start(endpoint)
-        if with_start.started_at_ms != endpoint.started_at_ms:
+        if with_start.started_at_ms < endpoint.started_at_ms:
             return endpoint
-        if with_start.scope == RemovalScope.NAMED_START:
+        is_later = with_start.started_at_ms > endpoint.started_at_ms
+        if with_start.scope == RemovalScope.NAMED_START and not is_later:
             return replace(endpoint, leaving=True)
-        may_be_earlier = with_start.scope == RemovalScope.LATEST_START
+        may_be_another = is_later or with_start.scope == RemovalScope.LATEST_START
         removed_at = latest_removal(endpoint.removed_at, with_start.removed_at)
         return replace(
             endpoint,
             removed_at=removed_at,
-            restarted=endpoint.restarted or may_be_earlier,
+            restarted=endpoint.restarted or may_be_another,
         )
 
 
@@ -109,6 +115,8 @@
 
     def __init__(self) -> None:
         self._removal_by_key: dict[RemovalKey, Removal] = {}
+        self._latest_start_by_id: dict[str, int] = {}
+        """The latest start of each endpoint that a removal names."""
 
     def add(self, removal: Removal, now: float) -> bool:
         """Store a removal; return whether it was not stored before."""
@@ -117,6 +125,9 @@
             return False
         kept.pop(removal.key, None)
         kept[removal.key] = removal
+        latest = self._latest_start_by_id.get(removal.endpoint_id, 0)
+        latest = max(latest, removal.started_at_ms)
+        self._latest_start_by_id[removal.endpoint_id] = latest
         self._drop_oldest(now)
         return True
 
@@ -127,11 +138,17 @@
             if len(kept) <= MAXIMUM_STORED and not oldest.is_expired(now):
                 return
             del kept[oldest.key]
+            if self._latest_start_by_id[oldest.endpoint_id] == oldest.started_at_ms:
+                del self._latest_start_by_id[oldest.endpoint_id]
 
     def find(self, endpoint: Endpoint) -> Removal | None:
-        """Return the removal of this start of an endpoint."""
-        key = RemovalKey(endpoint.endpoint_id, endpoint.started_at_ms)
-        return self._removal_by_key.get(key)
+        """Return the removal of this start of an endpoint, or else of a later one."""
+        endpoint_id, started_at_ms = endpoint.endpoint_id, endpoint.started_at_ms
+        found = self._removal_by_key.get(RemovalKey(endpoint_id, started_at_ms))
+        latest = self._latest_start_by_id.get(endpoint_id, 0)
+        if found is not None or latest <= started_at_ms:
+            return found
+        return self._removal_by_key.get(RemovalKey(endpoint_id, latest))
 
     def pop_without_start(self, endpoint_id: str) -> Removal | None:
         """Remove and return the removal that names no start."""
--- a/tests/control/test_watches.py
+++ b/tests/control/test_watches.py
@@ -70,6 +70,25 @@
         assert watches.pressure_of("model") == sound
 
 
+class TestRemovalOfAnUnknownEndpoint:
+    """Guards against an acknowledged removal that entry hosts never hear of."""
+
+    def removed_ids(self, watches: Watches, is_entry_host: bool) -> list[str]:
+        """Watch as a host without any state; return whose removals it receives."""
+        request = WatchRequest(0, 0, 0, is_entry_host, "entry-1/1", 0, [])
+        reply = watches.answer(received(request))
+        return [item.endpoint_id for item in reply.removals]
+
+    def test_is_told_to_entry_hosts(self, watches: Watches) -> None:
+        watches._registry.remove_endpoint("unknown", 5000)
+        assert self.removed_ids(watches, is_entry_host=True) == ["unknown"]
+
+    def test_of_a_known_endpoint_is_told_as_its_change(self, watches: Watches) -> None:
+        watches._registry.remove_endpoint("a")
+        assert self.removed_ids(watches, is_entry_host=True) == []
+        assert self.removed_ids(watches, is_entry_host=False) == ["a"]
+
+
 class TestWatchWithMissingFields:
     @pytest.mark.parametrize(
         "name",
--- a/tests/discovery/test_removals.py
+++ b/tests/discovery/test_removals.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from jujubeslip.discovery import Endpoint, EndpointRegistry, Removal
+from jujubeslip.discovery._models import REMOVAL_SECONDS
 from jujubeslip.discovery._registry import STALE_START_SECONDS
 from jujubeslip.kernel import steady_seconds
 from jujubeslip.peers import RemovalScope
@@ -30,10 +31,34 @@
         registry = EndpointRegistry()
         registry.merge([start(FIRST)])
         registry.remove_endpoint("e", SECOND)
-        assert accepts_work(registry)
         registry.merge([start(SECOND)])
         assert not accepts_work(registry)
 
+    def test_of_a_later_start_applies_to_the_known_one(self) -> None:
+        """A later start shows that the known one has ended."""
+        registry = EndpointRegistry()
+        registry.merge([start(FIRST)])
+        version = registry.version
+        registry.remove_endpoint("e", SECOND)
+        assert not accepts_work(registry)
+        [changed] = registry.changes_since(version)[1]
+        assert not changed.accepts_work
+
+    def test_of_a_later_start_applies_to_a_late_announcement(self) -> None:
+        registry = EndpointRegistry()
+        registry.remove_endpoint("e", SECOND)
+        registry.merge([start(FIRST)])
+        assert not accepts_work(registry)
+
+    def test_of_a_later_start_ends_if_the_known_one_is_heard_from(self) -> None:
+        """The clock of its host may have been set back between the two starts."""
+        registry = EndpointRegistry()
+        registry.merge([start(FIRST)])
+        registry.remove_endpoint("e", SECOND)
+        heard_at = steady_seconds() + REMOVAL_SECONDS + 1
+        registry.merge([replace(start(FIRST, sequence=2), heard_at=heard_at)])
+        assert accepts_work(registry)
+
     def test_from_another_host_applies_once_the_start_is_announced(self) -> None:
         registry, other = EndpointRegistry(), EndpointRegistry()
         registry.merge([start(FIRST)])
