Control tests: commit beside an election, with disks lost in any order

3,200 random orders of acknowledgements, votes, lost disks and notes of four and six voters: the leader's commit and the candidate's win never both come about.

--- a/tests/control/test_lost_voters.py
+++ b/tests/control/test_lost_voters.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from itertools import chain, combinations
 from pathlib import Path
 from typing import Any
@@ -9,8 +10,10 @@
 import pytest
 
 from jujubeslip.control._commands import make_entry
-from jujubeslip.control._election import Elections
+from jujubeslip.control._election import Elections, VoteTally
+from jujubeslip.control._leadership import Leadership
 from jujubeslip.control._membership import (
+    AckQuorum,
     MembershipLog,
     VoteQuorum,
     electorates,
@@ -394,3 +397,90 @@
         for item in subsets
         if all(electorate.is_won(item, lost) for electorate in needed)
     ]
+
+
+class TestCommitBesideAnElection:
+    """Guards against an acknowledged change that the next leader does not have.
+
+    A leader commits a removal, and a candidate without it asks for votes, while disks
+    are lost, noted and answered for in any order.
+    """
+
+    @pytest.mark.parametrize("count", [4, 6])
+    @pytest.mark.parametrize("seed", range(4))
+    def test_never_both_succeed(self, count: int, seed: int) -> None:
+        chance = random.Random(seed)
+        outcomes = [VotersInAnyOrder(count, chance).run() for _ in range(400)]
+        assert {"committed", "elected"} <= set(outcomes)
+        assert "both" not in outcomes
+
+
+class VotersInAnyOrder:
+    """Voters that acknowledge to the first, vote for the last, and lose their disks."""
+
+    def __init__(self, count: int, chance: random.Random) -> None:
+        self._chance = chance
+        previous = membership(count)
+        self._ids = [item.replica_id for item in previous.members]
+        self._leader_id, *self._others, self._candidate_id = self._ids
+        self._following = without_replica(previous, self._ids[1])
+        self._previous = previous
+        self._electorates = electorates(log_with(previous, previous), 2)
+        self._leadership = Leadership(1, self._leader_id, 2, 0)
+        self._leadership.track_members(previous.members, 2)
+        self._lost: set[str] = set()
+        # Those that have the change don't vote, and those that vote don't get it.
+        self._voters = set(chance.sample(self._others, count // 2 - 1))
+        self._tally = VoteTally(self._electorates, self._candidate_id)
+        self._now = 0
+
+    def run(self) -> str:
+        """Let events happen in random order; return what succeeded."""
+        events = [self._lose_disk, self._note_by_leader, self._note_by_candidate]
+        events += 3 * [self._acknowledge, self._vote]
+        committed = elected = False
+        for self._now in range(60):
+            self._chance.choice(events)(self._chance.choice(self._others))
+            committed = committed or self._is_committed()
+            elected = elected or self._is_elected()
+        if committed and elected:
+            return "both"
+        return "committed" if committed else "elected" if elected else "neither"
+
+    def _lose_disk(self, voter_id: str) -> None:
+        if len(self._lost) < len(self._ids) // 2 - 1:
+            self._lost.add(voter_id)
+
+    def _acknowledge(self, voter_id: str) -> None:
+        if voter_id not in self._lost | self._voters:
+            progress = self._leadership.progress_by_id[voter_id]
+            progress.match_index, progress.acknowledged_at = 3, self._now
+
+    def _note_by_leader(self, voter_id: str) -> None:
+        if voter_id in self._lost - self._leadership.lost_ids:
+            self._leadership.note_lost(voter_id)
+            self._leadership.lost_noted_at = self._now
+
+    def _vote(self, voter_id: str) -> None:
+        if voter_id in self._voters - self._lost:
+            self._tally.grant(voter_id)
+
+    def _note_by_candidate(self, voter_id: str) -> None:
+        if voter_id in self._lost:
+            self._tally.add_lost(voter_id)
+
+    def _is_committed(self) -> bool:
+        leadership = self._leadership
+        previous = AckQuorum.of(
+            self._previous, leadership.lost_ids, leadership.lost_noted_at
+        )
+        quorums = [AckQuorum.of(self._following), previous]
+        return leadership.committable(quorums, 3) == 3
+
+    def _is_elected(self) -> bool:
+        if self._tally.is_won():
+            return True
+        if self._tally.wait_until_decided(Deadline.after(0)):
+            lost_ids = self._tally.all_lost_ids()
+            self._tally = VoteTally(self._electorates, self._candidate_id, lost_ids)
+        return False
