Relays: try further endpoints before links that refuse at once count as lost

Callers saw: 503 (endpoints_refused) for a harmless request while three of twelve endpoints were well (test_crash_reporter.py TestContentThatIsSentToAnotherHost [2], in KNOWN-RED.txt, "suspected that no endpoint is back yet").

Cause: a host that could open no connection tried four of the twelve endpoints, nine of which had crashed. If all four refused, its links counted as lost. That forgets which endpoints had failed, and the relay, in the same state, tried four that had ended.

Ruled out: a quarantined content (the outcome is endpoints_refused), and endpoints that are not back yet (three had never crashed).

Fix: if the first four refuse, which takes no time, the others that were heard from lately are tried at once, forty at most. Silence still counts after two rounds.

Test: test_most_endpoints_of_one_service failed on (the sound one of 21 is among four drawn in one of five runs).

--- a/src/jujubeslip/relays/_reach.py
+++ b/src/jujubeslip/relays/_reach.py
@@ -10,7 +10,7 @@
 
 from jujubeslip.discovery import Endpoint, EndpointRegistry
 from jujubeslip.kernel import Deadline, Process, steady_seconds
-from jujubeslip.relays._link_check import ACCEPTED, check_addresses
+from jujubeslip.relays._link_check import ACCEPTED, NO_ANSWER, check_addresses
 
 logger = logging.getLogger(__name__)
 
@@ -25,6 +25,8 @@
 # Number of rounds, and of endpoints that are tried in each.
 ROUNDS = 2
 ENDPOINTS_PER_ROUND = 2
+# Maximum number of endpoints that are tried in one check, if the first ones refuse.
+MAXIMUM_TRIED = 40
 # How long after a connection was opened the links count as working, in seconds.
 CONNECTED_SECONDS = 0.3
 # Interval between checks while no endpoint is reached, in seconds.
@@ -115,22 +117,31 @@
                     self._check()
 
     def _check(self) -> None:
-        """Try endpoints in rounds, until one accepts; the caller holds the lock."""
+        """Find out whether an endpoint accepts; the caller holds the lock."""
         outcome_by_address: dict[str, str] = {}
         sample = self._sample()
-        for number in range(ROUNDS):
-            tried = sample[number * ENDPOINTS_PER_ROUND :][:ENDPOINTS_PER_ROUND]
-            outcomes = check_addresses(tried, Deadline.after(ROUND_SECONDS))
-            outcome_by_address |= outcomes
-            if ACCEPTED in outcomes.values():
-                self.note_connected()
-                self._set_lost(False, outcome_by_address)
-                break
+        if self._reaches_any(sample, outcome_by_address):
+            self.note_connected()
+            self._set_lost(False, outcome_by_address)
         else:
             # Without endpoints to try, nothing shows that the links are lost.
             self._set_lost(bool(sample), outcome_by_address)
         self._checked_at = steady_seconds()
 
+    def _reaches_any(
+        self, sample: list[str], outcome_by_address: dict[str, str]
+    ) -> bool:
+        """Try endpoints in rounds until one accepts; add the outcome of each."""
+        in_rounds = ROUNDS * ENDPOINTS_PER_ROUND
+        for start in range(0, in_rounds, ENDPOINTS_PER_ROUND):
+            tried = sample[start : start + ENDPOINTS_PER_ROUND]
+            if _try_addresses(tried, outcome_by_address):
+                return True
+        if NO_ANSWER in outcome_by_address.values():
+            return False
+        # Refusals take no time, and most endpoints may have ended.
+        return _try_addresses(sample[in_rounds:], outcome_by_address)
+
     def _set_lost(self, is_lost: bool, outcome_by_address: dict[str, str]) -> None:
         if is_lost == self._is_lost:
             return
@@ -165,7 +176,14 @@
             itertools.zip_longest(*by_group.values())
         )
         addresses = [item.address for item in ordered if item is not None]
-        return addresses[: ROUNDS * ENDPOINTS_PER_ROUND]
+        return addresses[:MAXIMUM_TRIED]
+
+
+def _try_addresses(tried: list[str], outcome_by_address: dict[str, str]) -> bool:
+    """Try addresses at once, and return whether one accepts; add the outcomes."""
+    outcomes = check_addresses(tried, Deadline.after(ROUND_SECONDS))
+    outcome_by_address |= outcomes
+    return ACCEPTED in outcomes.values()
 
 
 def _milliseconds(seconds: float) -> int | None:
--- a/tests/relays/test_reach.py
+++ b/tests/relays/test_reach.py
@@ -126,6 +126,11 @@
         alone = endpoint("other", accepting, "other")
         assert not reach_of(*ended, alone).confirm_lost()
 
+    def test_most_endpoints_of_one_service(self, accepting: str) -> None:
+        """They fill the first rounds, as all are of one service and zone."""
+        ended = [endpoint(f"e-{number}", free_address()) for number in range(20)]
+        assert not reach_of(*ended, endpoint("alone", accepting)).confirm_lost()
+
     def test_endpoints_that_are_no_longer_heard(self, accepting: str) -> None:
         """They ended some time ago, and fill the sample otherwise."""
         ended = [
