Endpoints: give up answers that come in tiny parts without end

Cause: such a body was read until the deadline of the stream (14 s) or 16 MB, eight million chunks; each keeps a thread of its host at work. The client leaves first, so the worker isn't counted as failing, and gets more streams.

Fix: from 4,000 parts on (400 of an error) a body has to have 64 bytes a part; 256 KiB may be received for one head, or one part with its framing; sixteen answers to other requests are skipped. What is beyond counts as a failure, after which the worker is skipped.

--- a/src/jujubeslip/endpoints/_bounded_reader.py
+++ b/src/jujubeslip/endpoints/_bounded_reader.py
@@ -10,6 +10,7 @@
 
 from jujubeslip.endpoints._errors import (
     ClientDisconnectedError,
+    EndpointAnswerError,
     EndpointTimeoutError,
 )
 from jujubeslip.kernel import Deadline, Ran, steady_seconds
@@ -23,6 +24,10 @@
 # The shortest timeout of a socket operation, in seconds; zero means non-blocking.
 MINIMUM_TIMEOUT_SECONDS = 0.001
 
+# Maximum number of bytes that are received for one head, or for one part of a body with
+# its framing. Interim answers and trailers may come without end.
+MAXIMUM_READ_BYTES = 256 * 1024
+
 # Returns whether the caller no longer needs the answer.
 Interrupted = Callable[[], bool]
 
@@ -82,6 +87,11 @@
         self._interrupted: Interrupted = never_interrupted
         self._next_check = Deadline.after(0)
         self._late_until: Deadline | None = None
+        self._bytes_left = math.inf
+
+    def begin_read(self) -> None:
+        """Begin to read a head or a part of a body, whose bytes are bounded."""
+        self._bytes_left = MAXIMUM_READ_BYTES
 
     def watch(self, deadline: Deadline, interrupted: Interrupted) -> None:
         """Bound the reads from now on."""
@@ -110,7 +120,7 @@
                 return None
             else:
                 if size:
-                    self._note_bytes()
+                    self._note_bytes(size)
                 return size
 
     def _note_silence(self) -> None:
@@ -122,7 +132,7 @@
         if silent_seconds > self._stall_seconds:
             raise TimeoutError("the answer stalled")
 
-    def _note_bytes(self) -> None:
+    def _note_bytes(self, size: int) -> None:
         self._silent_since = steady_seconds()
         self._observer.note_answer()
         if self._socket.gettimeout() == 0:
@@ -132,6 +142,9 @@
             self._next_check = Deadline.after(POLL_SECONDS)
             self.check_client()
         self.limit_late_reads()
+        self._bytes_left -= size
+        if self._bytes_left < 0:
+            raise EndpointAnswerError("The endpoint's answer has too many headers.")
 
     def limit_late_reads(self) -> None:
         """Raise EndpointTimeoutError if an answer has been read for too long."""
--- a/src/jujubeslip/endpoints/_connections.py
+++ b/src/jujubeslip/endpoints/_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http
 import http.client
 import io
 import math
@@ -35,6 +36,12 @@
 SEND_SECONDS = 2.0
 READ_BYTES = 65536
 MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
+# Numbers of parts of a body, of an answer or of an error, from which on they must have
+# this many bytes on average: reading tiny parts without end would keep the processor
+# from other requests.
+MAXIMUM_SMALL_PARTS = 4000
+MAXIMUM_SMALL_ERROR_PARTS = 400
+SMALL_PART_BYTES = 64
 # How long an idle connection is kept if its endpoint names no limit, in seconds.
 IDLE_SECONDS = 3.0
 # A connection is not used during this time before its endpoint would close it, in
@@ -84,11 +91,15 @@
         """Return the complete rest of a body."""
         parts = []
         size = 0
+        is_error = response.status >= http.HTTPStatus.BAD_REQUEST
+        maximum = MAXIMUM_SMALL_ERROR_PARTS if is_error else MAXIMUM_SMALL_PARTS
         while part := self.read_some(response):
             parts.append(part)
             size += len(part)
             if size > MAXIMUM_ANSWER_BYTES:
                 raise EndpointAnswerError("The endpoint's answer is too long.")
+            if maximum < len(parts) and size < len(parts) * SMALL_PART_BYTES:
+                raise EndpointAnswerError("The endpoint's answer has too many parts.")
         return b"".join(parts)
 
 
@@ -163,6 +174,7 @@
             self._shared,  # type: ignore[arg-type]
             method=self._method,
         )
+        self._raw.begin_read()
         try:
             response.begin()
         except http.client.RemoteDisconnected as error:
@@ -177,6 +189,7 @@
         """Return the next bytes of a body, or nothing at its regular end."""
         # Bytes that are buffered already are read without the reader.
         self._raw.limit_late_reads()
+        self._raw.begin_read()
         try:
             part = response.read1(READ_BYTES)
         except (OSError, http.client.HTTPException, ValueError) as error:
--- a/src/jujubeslip/forwarding/_exchange.py
+++ b/src/jujubeslip/forwarding/_exchange.py
@@ -33,6 +33,8 @@
 logger = logging.getLogger(__name__)
 
 SUCCESS = range(200, 300)
+# Maximum number of late answers to other requests that are skipped for one answer.
+MAXIMUM_SKIPPED = 16
 
 
 class Exchange:
@@ -215,7 +217,7 @@
         An endpoint may answer an earlier request a second time, just where this
         request's answer is expected. The request id that it echoes tells them apart.
         """
-        while True:
+        for _ in range(MAXIMUM_SKIPPED + 1):
             response = self._response = connection.read_head()
             head = self._interface.read_head(response.status, response.getheaders())
             extra = {
@@ -232,9 +234,10 @@
             logger.info("late answer to another request skipped", extra=extra)
             connection.read_rest(response)
             if response.will_close:
-                raise EndpointAnswerError(
-                    f"{self._endpoint.address}: the answer is for another request."
-                )
+                break
+        raise EndpointAnswerError(
+            f"{self._endpoint.address}: the answer is for another request."
+        )
 
 
 def _refusal(head: EndpointHead, endpoint: Endpoint) -> EndpointRefusedError:
--- a/tests/forwarding/test_endless_answers.py
+++ b/tests/forwarding/test_endless_answers.py
@@ -22,6 +22,7 @@
 from tests.fakes.processes import wait_until
 
 DEADLINE_SECONDS = 1.5
+LONG_DEADLINE_SECONDS = 4.0
 # How long after the deadline a client may wait for its answer, and after that an
 # endpoint for the end of its connection, in seconds.
 ANSWERED_SECONDS = 0.5
@@ -74,15 +75,20 @@
     return int(lines[0].split()[1])
 
 
-def client(system: PlatformSystem, path: str, headers: dict[str, str]) -> socket.socket:
+def client(
+    system: PlatformSystem,
+    path: str,
+    headers: dict[str, str],
+    deadline_seconds: float = DEADLINE_SECONDS,
+) -> socket.socket:
     """Send a request on a new connection, which reads faster than HTTP libraries."""
     host, port = system.entry_http[0].rsplit(":", 1)
     connection = socket.create_connection((host, int(port)), 1)
-    connection.settimeout(DEADLINE_SECONDS + ANSWERED_SECONDS)
+    connection.settimeout(deadline_seconds + ANSWERED_SECONDS)
     sent = {
         "Host": HOST,
         "Request-Id": f"{time.monotonic_ns():016x}",
-        "Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
+        "Deadline-Ms": str(int(deadline_seconds * 1000)),
         "Connection": "close",
         "Content-Length": "0",
         **headers,
@@ -133,3 +139,28 @@
             system.heartbeat(worker, "draining")
             system.withdraw(worker)
             worker.kill()
+
+
+class TestFastAnswerWithoutEnd:
+    """Guards against answers that keep a host at work until their clients leave."""
+
+    @pytest.mark.parametrize(
+        "name", ["before the head", "chunks", "trailers", "other answers"]
+    )
+    def test_is_given_up_before_the_deadline(
+        self, system: PlatformSystem, name: str
+    ) -> None:
+        worker = system.add(PlatformWorker(f"fast-{name.replace(' ', '-')}", "plain"))
+        try:
+            system.wait_served("/plain/warm", method="POST", body=b"")
+            worker.endless = ENDLESS_BY_NAME[name]
+            with client(system, "/plain/", {}, LONG_DEADLINE_SECONDS) as connection:
+                limit = time.monotonic() + LONG_DEADLINE_SECONDS / 2
+                status_line = connection.recv(READ_BYTES).partition(b"\r\n")[0]
+                assert b" 502 " in status_line
+                assert time.monotonic() <= limit
+        finally:
+            worker.endless = None
+            system.heartbeat(worker, "draining")
+            system.withdraw(worker)
+            worker.kill()
