Discovery: forget removals of several starts of one endpoint in any order

A fault of, found by reading its diff: if the removal of a later start was stored before that of an earlier one, both of them had expired, and another removal came, the store raised KeyError, and the announcement or watch that brought the removal failed.

Test: TestRemoval.test_of_the_later_start_may_expire_first failed on (KeyError: 'e').

--- a/src/jujubeslip/discovery/_removals.py
+++ b/src/jujubeslip/discovery/_removals.py
@@ -125,9 +125,8 @@
             return False
         kept.pop(removal.key, None)
         kept[removal.key] = removal
-        latest = self._latest_start_by_id.get(removal.endpoint_id, 0)
-        latest = max(latest, removal.started_at_ms)
-        self._latest_start_by_id[removal.endpoint_id] = latest
+        if removal.started_at_ms > self._latest_start_by_id.get(removal.endpoint_id, 0):
+            self._latest_start_by_id[removal.endpoint_id] = removal.started_at_ms
         self._drop_oldest(now)
         return True
 
@@ -138,7 +137,8 @@
             if len(kept) <= MAXIMUM_STORED and not oldest.is_expired(now):
                 return
             del kept[oldest.key]
-            if self._latest_start_by_id[oldest.endpoint_id] == oldest.started_at_ms:
+            latest = self._latest_start_by_id.get(oldest.endpoint_id)
+            if latest == oldest.started_at_ms:
                 del self._latest_start_by_id[oldest.endpoint_id]
 
     def find(self, endpoint: Endpoint) -> Removal | None:
--- a/tests/discovery/test_starts.py
+++ b/tests/discovery/test_starts.py
@@ -201,6 +201,15 @@
         registry.merge([announced(clock, SECOND, 9)])
         assert not known(registry).accepts_work
 
+    def test_of_the_later_start_may_expire_first(self, clock: Clock) -> None:
+        registry = EndpointRegistry()
+        for started_at_ms in (SECOND, FIRST):
+            registry.remove_endpoint("e", started_at_ms)
+        clock.now += _registry.RETENTION_SECONDS + 1
+        registry.remove_endpoint("another", FIRST)
+        removed_ids = [item.endpoint_id for item in registry.removals_since(0)]
+        assert removed_ids == ["another"]
+
     def test_before_the_new_start_is_announced_does_not_apply_to_it(
         self, clock: Clock
     ) -> None:
