--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import signal
-import threading
 import time
 from collections.abc import Mapping
-from contextlib import AbstractContextManager, ExitStack, nullcontext
 from dataclasses import replace
 from functools import singledispatch
 
@@ -34,8 +32,6 @@
         self.system = system
         self.endpoint_by_slot = endpoint_by_slot
         self.observations: Observations = system.observations
-        self._control_lock = threading.Lock()
-        """Held while a control host is disturbed."""
         self.fatal_client_by_kind = {
             name: Client("fatal", Kind(name), system, 0, fatal=True)
             for name in _schedule.FATAL_KINDS
@@ -47,25 +43,12 @@
             wait = max(0.0, starts_at + fault.at - time.monotonic())
             if self.system.stopping.wait(wait):
                 return
-            with self._exclusion(fault):
-                if not self._may_begin(fault):
-                    return
-                if time.monotonic() > ends_at:
-                    return
-                offset = self.observations.offset(time.monotonic())
-                print(f"{offset}: {describe(fault)}")
-                carry_out(fault, self)
-
-    def _exclusion(self, fault: Fault) -> AbstractContextManager[object]:
-        """Return a context in which no other fault of its kind is carried out."""
-        if fault.track in _schedule.CONTROL_TRACKS:
-            return self._control_lock
-        return nullcontext()
-
-    def _may_begin(self, fault: Fault) -> bool:
-        if fault.track in _schedule.CONTROL_TRACKS:
-            return self._wait_until_ready(fault)
-        return True
+            if fault.track == "control" and not self._wait_until_ready(fault):
+                return
+            if time.monotonic() > ends_at:
+                return
+            print(f"{self.observations.offset(time.monotonic())}: {describe(fault)}")
+            carry_out(fault, self)
 
     def pause(self, seconds: float) -> None:
         """Wait for these seconds, or until the soak ends."""
@@ -149,25 +132,6 @@
     faults.system.replace_control(fault.host)
 
 
-@carry_out.register
-def _(fault: _schedule.PredecessorAndDiskLost, faults: Faults) -> None:
-    system = faults.system
-    slots = (fault.host, fault.other)
-    with ExitStack() as stack:
-        for slot in sorted(slots):
-            stack.enter_context(system.host_by_slot[slot].lock)
-        stack.enter_context(faults.observations.disturbing(describe(fault), *slots))
-        predecessor = system.add_successor(fault.host)
-        stack.callback(predecessor.kill)
-        system.wait_until_voter(fault.host)
-        predecessor.kill()
-        faults.pause(fault.between)
-        system.kill(fault.other)
-        system.remove_data_folder(fault.other)
-        faults.pause(fault.seconds)
-        system.start(fault.other)
-
-
 @carry_out.register
 def _(fault: _schedule.AllKilled, faults: Faults) -> None:
     system = faults.system
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -47,17 +47,10 @@
     "partitions": (1.0, 8.0),
     "slow": (0.5, 4.0),
     "late answers": (0.3, 2.0),
-    # Longer than the other gaps, since the successor has to vote first.
-    "replacements": (16.0, 40.0),
 }
-# The tracks whose faults disturb control hosts, one fault at a time.
-CONTROL_TRACKS = ("control", "replacements")
 # How long a host is down or paused, in seconds: the range includes times shorter and
 # longer than an election and than the 1.2 s after which a silent connection is closed.
 DOWN_SECONDS = (0.0, 3.0)
-# How long after a control host is gone for good another one loses its disk, in seconds:
-# around the time after which a silent voter is removed.
-BETWEEN_SECONDS = (0.0, 2.0)
 # How long after the acknowledgement of an endpoint's removal an announcement that it
 # sent before arrives, and how long it keeps serving: longer than the bound within which
 # it may still get requests.
@@ -126,17 +119,6 @@
     """SIGKILL without a restart; an empty host starts at another address."""
 
 
-@dataclass(frozen=True)
-class PredecessorAndDiskLost(HostFault):
-    """An empty host joins at another address; its predecessor is killed for good.
-
-    Some seconds after that, another host loses its disk.
-    """
-
-    other: str
-    between: float
-
-
 @dataclass(frozen=True)
 class AllKilled(Fault):
     """SIGKILL of all hosts at once, then a start with their data folders."""
@@ -296,13 +278,6 @@
     return kind(at, track, rng.choice(CONTROLS), _draw_duration(rng, DOWN_SECONDS))
 
 
-def _replacement(rng: random.Random, at: float, track: str) -> Fault:
-    host, other = rng.sample(CONTROLS, 2)
-    between = round(rng.uniform(*BETWEEN_SECONDS), 2)
-    seconds = _draw_duration(rng, DOWN_SECONDS)
-    return PredecessorAndDiskLost(at, track, host, seconds, other, between)
-
-
 def _entry_fault(rng: random.Random, at: float, track: str) -> Fault:
     kind = rng.choice((HostStopped, HostStopped, HostKilled, HostPaused))
     return kind(at, track, track, _draw_duration(rng, DOWN_SECONDS))
@@ -397,5 +372,4 @@
     "partitions": _partition,
     "slow": _slowness,
     "late answers": _late_answers,
-    "replacements": _replacement,
 }
--- a/soak/_system.py
+++ b/soak/_system.py
@@ -222,18 +222,12 @@
 
     def replace_control(self, slot: str) -> None:
         """Replace a control host by an empty one at another address."""
-        with self.host_by_slot[slot].lock:
-            self.kill(slot)
-            self.remove_data_folder(slot)
-            self.add_successor(slot)
-
-    def add_successor(self, slot: str) -> Host:
-        """Start an empty control host at another address; return its predecessor."""
         number = CONTROLS.index(slot)
         platform = self._platform
         soak_host = self.host_by_slot[slot]
         with soak_host.lock:
-            predecessor = soak_host.host
+            self.kill(slot)
+            self.remove_data_folder(slot)
             previous, soak_host.address = soak_host.address, free_address()
             name = f"control-{self._replaced}"
             self._replaced += 1
@@ -251,7 +245,6 @@
                 self._write_control_settings(other)
             self._update_entry_seeds(previous, soak_host.address)
             self.start(slot)
-        return predecessor
 
     def _update_entry_seeds(self, previous: str, address: str) -> None:
         """Replace the seed address in the settings of entry hosts and reload them."""
@@ -281,17 +274,6 @@
         """Wait until all control hosts are voters and one of them is the leader."""
         wait_until(self._is_ready, "all control hosts vote", READY_SECONDS)
 
-    def wait_until_voter(self, slot: str) -> None:
-        """Wait until the current replica of a control host is a voter."""
-        wait_until(lambda: self._is_voter(slot), f"{slot} votes", READY_SECONDS)
-
-    def _is_voter(self, slot: str) -> bool:
-        status = self.status(slot)
-        if status is None or self.stopping.is_set():
-            return self.stopping.is_set()
-        voter_ids = [item.replica_id for item in status.replicas if item.voter]
-        return status.replica_id in voter_ids
-
     def _is_ready(self) -> bool:
         """Return whether the current replica of each host is a voter.
 
