--- a/src/jujubeslip/control/_leadership.py
+++ b/src/jujubeslip/control/_leadership.py
@@ -114,7 +114,7 @@
             for replica_id, progress in self.progress_by_id.items()
         }
         heard_at_by_id[self._replica_id] = steady_seconds()
-        # The time of the reply counts in any case, so it stands for both times.
+        # A reply shows that its follower is alive, whenever the request was sent.
         reached_at = self._reached_at(quorums, heard_at_by_id, heard_at_by_id)
         return Deadline(reached_at + seconds)
 
--- a/tests/discovery/test_starts.py
+++ b/tests/discovery/test_starts.py
@@ -202,6 +202,7 @@
         assert not known(registry).accepts_work
 
     def test_of_the_later_start_may_expire_first(self, clock: Clock) -> None:
+        """Guards against a failure of the next removal of any endpoint."""
         registry = EndpointRegistry()
         for started_at_ms in (SECOND, FIRST):
             registry.remove_endpoint("e", started_at_ms)
--- a/tests/endpoints/test_process_end.py
+++ b/tests/endpoints/test_process_end.py
@@ -43,6 +43,7 @@
             assert has_ended(f"{host}:{port}")
 
     def test_is_false_for_a_process_with_too_many_connections(self) -> None:
+        """Guards against whole answers that are taken for cut off."""
         with socket.create_server(("127.0.0.1", 0)) as listener:
             host, port = listener.getsockname()
             closing = threading.Thread(target=close_next, args=(listener, 2))
