Endpoints: prove each answer whole before it passes for one

Cause: http.client ends a head at the end of the connection as it does at the empty line, and repairs what it reads. An endpoint that ended its connection within the head of a success left one with a shortened stamp, without the length that was to follow, and with an empty body that ended "regularly". The same readers counted a last chunk without its empty line, unreadable lengths, unknown codings and joined heads as answers.

AnswerReader now reads all answers, of EndpointConnection (client requests, prefills, the system's own calls, relays) and of Call (our own interface). Nothing that was sound changes: interim answers other than 100 are now skipped as well, chunk extensions, trailers and answers without length are read as before.

--- a/src/jujubeslip/endpoints/__init__.py
+++ b/src/jujubeslip/endpoints/__init__.py
@@ -1,6 +1,7 @@
 """Clients of endpoints: announcements, connections, status, the engine protocol."""
 
 from jujubeslip.endpoints._announcements import announcement_from_json
+from jujubeslip.endpoints._answer_reader import AnswerHead, AnswerReader, Framing
 from jujubeslip.endpoints._bounded_reader import (
     ConnectionObserver,
     Interrupted,
@@ -40,6 +41,8 @@
 
 __all__ = [
     "AnswerCutError",
+    "AnswerHead",
+    "AnswerReader",
     "CacheEvent",
     "ClientDisconnectedError",
     "Connection",
@@ -59,6 +62,7 @@
     "EndpointTimeoutError",
     "EndpointUnreachableError",
     "EngineAdapter",
+    "Framing",
     "HeldItem",
     "Interrupted",
     "PlainAnswer",
--- a/src/jujubeslip/endpoints/_bounded_reader.py
+++ b/src/jujubeslip/endpoints/_bounded_reader.py
@@ -161,28 +161,3 @@
             raise ClientDisconnectedError(
                 "The client closed its connection.", Ran.UNKNOWN
             )
-
-
-class SharedBuffer:
-    """Makes all answers on a connection read from the same buffer.
-
-    http.client opens a separate buffer for each answer and closes it at its end. Bytes
-    after that end would be lost, and with them the evidence that an endpoint sent more
-    than one answer.
-    """
-
-    def __init__(self, reader: Any) -> None:
-        self._reader = reader
-
-    def makefile(self, *_: object) -> SharedBuffer:
-        """Return the shared buffer instead of a new one."""
-        return self
-
-    def close(self) -> None:
-        """Keep the buffer open for the next answer."""
-
-    def flush(self) -> None:
-        """Do nothing, since the buffer is read-only."""
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self._reader, name)
--- a/src/jujubeslip/endpoints/_connections.py
+++ b/src/jujubeslip/endpoints/_connections.py
@@ -14,13 +14,13 @@
 from collections.abc import Iterable
 from typing import Protocol
 
+from jujubeslip.endpoints._answer_reader import READ_BYTES, AnswerHead, AnswerReader
 from jujubeslip.endpoints._bounded_reader import (
     NO_OBSERVER,
     POLL_SECONDS,
     BoundedReader,
     ConnectionObserver,
     Interrupted,
-    SharedBuffer,
 )
 from jujubeslip.endpoints._errors import (
     AnswerCutError,
@@ -34,7 +34,6 @@
 CONNECT_SECONDS = 0.4
 # Timeout for sending a request, in seconds.
 SEND_SECONDS = 2.0
-READ_BYTES = 65536
 MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
 # Numbers of parts of a body, of an answer or of an error, from which on they must have
 # this many bytes on average: reading tiny parts without end would keep the processor
@@ -69,12 +68,12 @@
         """Bound the sending and the reads from now on."""
 
     @abstractmethod
-    def read_head(self) -> http.client.HTTPResponse:
+    def read_head(self) -> AnswerHead:
         """Wait for the status line and headers of the next answer."""
 
     @abstractmethod
-    def read_some(self, response: http.client.HTTPResponse) -> bytes:
-        """Return the next bytes of a body, or nothing at its regular end."""
+    def read_some(self, head: AnswerHead) -> bytes:
+        """Return the next bytes of a body, or nothing once it is proven whole."""
 
     @abstractmethod
     def close(self) -> None:
@@ -87,13 +86,13 @@
         """
         return True
 
-    def read_rest(self, response: http.client.HTTPResponse) -> bytes:
+    def read_rest(self, head: AnswerHead) -> bytes:
         """Return the complete rest of a body."""
         parts = []
         size = 0
-        is_error = response.status >= http.HTTPStatus.BAD_REQUEST
+        is_error = head.status >= http.HTTPStatus.BAD_REQUEST
         maximum = MAXIMUM_SMALL_ERROR_PARTS if is_error else MAXIMUM_SMALL_PARTS
-        while part := self.read_some(response):
+        while part := self.read_some(head):
             parts.append(part)
             size += len(part)
             if size > MAXIMUM_ANSWER_BYTES:
@@ -126,7 +125,7 @@
         self._socket: socket.socket = self._http.sock
         self._raw = BoundedReader(self._socket, observer)
         self._reader = io.BufferedReader(self._raw, READ_BYTES)
-        self._shared = SharedBuffer(self._reader)
+        self._answers = AnswerReader(self._reader, address)
         self._method = ""
 
     def send(
@@ -168,37 +167,17 @@
                 return True
         return False
 
-    def read_head(self) -> http.client.HTTPResponse:
+    def read_head(self) -> AnswerHead:
         """Wait for the status line and headers of the next answer."""
-        response = http.client.HTTPResponse(
-            self._shared,  # type: ignore[arg-type]
-            method=self._method,
-        )
         self._raw.begin_read()
-        try:
-            response.begin()
-        except http.client.RemoteDisconnected as error:
-            raise AnswerCutError(f"{self.address}: closed without answer.") from error
-        except http.client.HTTPException as error:
-            raise EndpointAnswerError(f"{self.address}: {error!r}.") from error
-        except (OSError, ValueError) as error:
-            raise AnswerCutError(f"{self.address}: no answer: {error!r}.") from error
-        return response
-
-    def read_some(self, response: http.client.HTTPResponse) -> bytes:
-        """Return the next bytes of a body, or nothing at its regular end."""
+        return self._answers.read_head(self._method)
+
+    def read_some(self, head: AnswerHead) -> bytes:
+        """Return the next bytes of a body, or nothing once it is proven whole."""
         # Bytes that are buffered already are read without the reader.
         self._raw.limit_late_reads()
         self._raw.begin_read()
-        try:
-            part = response.read1(READ_BYTES)
-        except (OSError, http.client.HTTPException, ValueError) as error:
-            raise AnswerCutError(f"{self.address}: {error!r}.") from error
-        if not part and response.length:
-            raise AnswerCutError(
-                f"{self.address}: the answer is shorter than its length."
-            )
-        return part
+        return self._answers.read_some()
 
     def may_carry(self, request_id: str) -> bool:
         """Return whether no late answer can pass for the answer to this request.
--- a/src/jujubeslip/endpoints/_http.py
+++ b/src/jujubeslip/endpoints/_http.py
@@ -10,10 +10,10 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
+from jujubeslip.endpoints._answer_reader import AnswerHead, AnswerReader
 from jujubeslip.endpoints._bounded_reader import (
     BoundedReader,
     Interrupted,
-    SharedBuffer,
     never_interrupted,
 )
 from jujubeslip.endpoints._errors import (
@@ -29,7 +29,6 @@
 CONNECT_SECONDS = 1.0
 # Interval at which a wait checks that the client is still connected, in seconds.
 POLL_INTERVAL_SECONDS = 0.05
-READ_SIZE = 65536
 # Longest pause within an answer that has begun, and in sending a request, in seconds.
 STALL_SECONDS = 2.0
 SEND_SECONDS = 5.0
@@ -65,7 +64,7 @@
         )
         self._method = ""
         self._socket: socket.socket | None = None
-        self._response: http.client.HTTPResponse | None = None
+        self._answers: AnswerReader | None = None
 
     def send(
         self, method: str, path: str, body: bytes, headers: Mapping[str, str]
@@ -89,7 +88,7 @@
             self.close()
             raise AnswerCutError(f"{self.address}: sending failed: {error}.") from error
 
-    def response(self, probe: Probe | None = None) -> http.client.HTTPResponse:
+    def response(self, probe: Probe | None = None) -> AnswerHead:
         """Wait for the status line and headers of the answer.
 
         A slow answer can't be distinguished from a connection that a device between
@@ -101,42 +100,23 @@
         self._socket.settimeout(POLL_INTERVAL_SECONDS)
         reader = BoundedReader(self._socket, stall_seconds=STALL_SECONDS)
         reader.watch(self._deadline, self._interrupted)
-        response = self._response = http.client.HTTPResponse(
-            SharedBuffer(io.BufferedReader(reader)),  # type: ignore[arg-type]
-            method=self._method,
-        )
-        try:
-            response.begin()
-        except (OSError, http.client.HTTPException) as error:
-            self.close()
-            raise AnswerCutError(f"{self.address}: no answer: {error!r}.") from error
-        return response
+        self._answers = AnswerReader(io.BufferedReader(reader), self.address)
+        return self._answers.read_head(self._method)
 
     def read_some(self) -> bytes:
-        """Return the next bytes of the body, or nothing at its end."""
-        assert self._response is not None
-        try:
-            return self._response.read1(READ_SIZE)
-        except (OSError, http.client.HTTPException, ValueError) as error:
-            raise AnswerCutError(f"{self.address}: {error!r}.") from error
+        """Return the next bytes of the body, or nothing once it is proven whole."""
+        assert self._answers is not None
+        return self._answers.read_some()
 
     def read_rest(self) -> bytes:
-        """Return the rest of the body, whose length the headers give."""
-        assert self._response is not None
+        """Return the complete rest of the body."""
         parts = []
         size = 0
-        while not self._response.isclosed():
-            part = self.read_some()
-            if not part:
-                break
+        while part := self.read_some():
             parts.append(part)
             size += len(part)
             if size > MAXIMUM_ANSWER_BYTES:
                 raise EndpointAnswerError(f"{self.address}: the answer is too long.")
-        if self._response.length:
-            raise AnswerCutError(
-                f"{self.address}: the answer is shorter than its length."
-            )
         return b"".join(parts)
 
     def lines(self, silence_timeout: float) -> Iterator[bytes]:
@@ -200,8 +180,6 @@
 
     def close(self) -> None:
         """Close the connection, even if the answer is unread."""
-        if self._response is not None:
-            self._response.close()
         self._connection.close()
 
 
--- a/src/jujubeslip/endpoints/_plain_service.py
+++ b/src/jujubeslip/endpoints/_plain_service.py
@@ -43,19 +43,19 @@
     call = Call(address, deadline, interrupted)
     try:
         call.send("POST", path, body, headers)
-        response = call.response(partial(_check_running, address, ref))
+        head = call.response(partial(_check_running, address, ref))
         answer = call.read_rest()
     finally:
         call.close()
-    echoed = (response.getheader("X-Request-Id"), response.getheader("X-Attempt"))
+    echoed = (head.value("X-Request-Id"), head.value("X-Attempt"))
     if echoed != (ref.request_id, str(ref.attempt)):
         raise EndpointAnswerError(f"{address}: the answer is for another attempt.")
-    if response.status == HTTP_UNAVAILABLE and response.getheader("X-Ran") == "no":
-        raise EndpointRefusedError(response.status, "not run", may_have_run=False)
-    if response.status >= HTTP_SERVER_ERROR:
-        raise EndpointRefusedError(response.status, "failed", may_have_run=True)
-    content_type = response.getheader("Content-Type") or "application/octet-stream"
-    return PlainAnswer(response.status, content_type, answer)
+    if head.status == HTTP_UNAVAILABLE and head.value("X-Ran") == "no":
+        raise EndpointRefusedError(head.status, "not run", may_have_run=False)
+    if head.status >= HTTP_SERVER_ERROR:
+        raise EndpointRefusedError(head.status, "failed", may_have_run=True)
+    content_type = head.value("Content-Type") or "application/octet-stream"
+    return PlainAnswer(head.status, content_type, answer)
 
 
 def _check_running(address: str, ref: RequestRef) -> None:
--- a/src/jujubeslip/forwarding/_exchange.py
+++ b/src/jujubeslip/forwarding/_exchange.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import http.client
 import logging
 from collections.abc import Callable
 from functools import partial
 
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import (
+    AnswerHead,
     ClientDisconnectedError,
     Connection,
     Connections,
@@ -17,6 +17,7 @@
     EndpointRefusedError,
     EndpointReplacedError,
     EndpointRoleError,
+    Framing,
     Interrupted,
     never_interrupted,
 )
@@ -61,7 +62,7 @@
         self._request = request
         self._client_disconnected = client_disconnected
         self._connection: Connection | None = None
-        self._response: http.client.HTTPResponse | None = None
+        self._answer: AnswerHead | None = None
         self._head: EndpointHead | None = None
         self.sent_at = float("-inf")
         """When the request was sent, on the steady clock in seconds."""
@@ -165,13 +166,13 @@
 
     def read_some(self) -> bytes:
         """Return the next bytes of the body, empty at its regular end."""
-        assert self._connection is not None and self._response is not None
-        return self._connection.read_some(self._response)
+        assert self._connection is not None and self._answer is not None
+        return self._connection.read_some(self._answer)
 
     def read_rest(self) -> bytes:
         """Return the rest of the body, and keep the connection if it is reusable."""
-        assert self._connection is not None and self._response is not None
-        body = self._connection.read_rest(self._response)
+        assert self._connection is not None and self._answer is not None
+        body = self._connection.read_rest(self._answer)
         self.keep_connection()
         return body
 
@@ -183,14 +184,14 @@
     @property
     def ends_with_connection(self) -> bool:
         """Return whether only the end of the connection ends the answer."""
-        response = self._response
-        return response is not None and not response.chunked and response.length is None
+        answer = self._answer
+        return answer is not None and answer.framing is Framing.CONNECTION
 
     def keep_connection(self) -> None:
         """Keep the connection for the next request, after the answer was read whole."""
         connection, self._connection = self._connection, None
-        assert connection is not None and self._response is not None
-        if self._response.will_close or not self._is_identified:
+        assert connection is not None and self._answer is not None
+        if self._answer.will_close or not self._is_identified:
             connection.close()
             return
         idle_seconds = self._head.idle_seconds if self._head else None
@@ -218,8 +219,8 @@
         request's answer is expected. The request id that it echoes tells them apart.
         """
         for _ in range(MAXIMUM_SKIPPED + 1):
-            response = self._response = connection.read_head()
-            head = self._interface.read_head(response.status, response.getheaders())
+            answer = self._answer = connection.read_head()
+            head = self._interface.read_head(answer.status, answer.headers)
             extra = {
                 "request_id": self._request.request_id,
                 "start_id": self._endpoint.start_id,
@@ -232,8 +233,8 @@
                     logger.info("answer names no request", extra=extra)
                 return head
             logger.info("late answer to another request skipped", extra=extra)
-            connection.read_rest(response)
-            if response.will_close:
+            connection.read_rest(answer)
+            if answer.will_close:
                 break
         raise EndpointAnswerError(
             f"{self._endpoint.address}: the answer is for another request."
--- a/src/jujubeslip/interfaces/_internal_requests.py
+++ b/src/jujubeslip/interfaces/_internal_requests.py
@@ -52,16 +52,16 @@
             headers,
             internal_request.body,
         )
-        response = connection.read_head()
-        head = interface.read_head(response.status, response.getheaders())
+        answer = connection.read_head()
+        head = interface.read_head(answer.status, answer.headers)
         if not head.misdirected:
             notices.record_internal_answer(endpoint, head)
-        body = connection.read_rest(response)
-        is_complete = not response.will_close
+        body = connection.read_rest(answer)
+        is_complete = not answer.will_close
     finally:
         # The rest of this answer would be read as the answer to the next request.
         if not is_complete:
             connection.close()
     if is_complete:
         pool.give_back(endpoint.start_id, connection, head.idle_seconds)
-    return response.status, body
+    return answer.status, body
--- a/src/jujubeslip/relays/_connection.py
+++ b/src/jujubeslip/relays/_connection.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import http.client
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from jujubeslip.discovery import RelayHost
 from jujubeslip.endpoints import (
     AnswerCutError,
+    AnswerHead,
     Connection,
     ConnectionPool,
     EndpointConnection,
@@ -98,10 +98,10 @@
         self._request = _Request("GET", "/", headers, b"", Deadline.after(0))
         self.watch(deadline, never_interrupted)
         self._send()
-        response = self.read_head()
-        self.read_rest(response)
+        head = self.read_head()
+        self.read_rest(head)
         self.keep()
-        return response.getheader(wire.ENDED) == "1"
+        return head.value(wire.ENDED) == "1"
 
     def _send(self) -> None:
         request = self._request
@@ -121,22 +121,22 @@
         self._deadline, self._interrupted = deadline, interrupted
         self._connection.watch(deadline, interrupted)
 
-    def read_head(self) -> http.client.HTTPResponse:
+    def read_head(self) -> AnswerHead:
         """Wait for the head of the answer; change the relay if this one refuses."""
         while True:
-            response = self._read_head()
-            refusal = response.getheader(wire.REFUSAL)
+            head = self._read_head()
+            refusal = head.value(wire.REFUSAL)
             if refusal is None:
-                return response
-            self._connection.read_rest(response)
-            relay, will_close = self._relay, response.will_close
+                return head
+            self._connection.read_rest(head)
+            relay, will_close = self._relay, head.will_close
             self._release(is_reusable=not will_close)
             if refusal == RelayRefusal.UNREACHABLE.value:
                 raise EndpointUnreachableError(
                     f"{self._address}: {relay.host_id} can't connect to it."
                 )
             if refusal == RelayRefusal.ON_HOLD.value:
-                hold_seconds = response.getheader(wire.HOLD_SECONDS, "0")
+                hold_seconds = head.value(wire.HOLD_SECONDS) or "0"
                 raise EndpointOnHoldError(self._address, float(hold_seconds))
             if refusal == RelayRefusal.ELSEWHERE.value:
                 self._access.directory.note_refused(relay)
@@ -153,16 +153,16 @@
                 ) from error
             raise
 
-    def _read_head(self) -> http.client.HTTPResponse:
+    def _read_head(self) -> AnswerHead:
         try:
             return self._connection.read_head()
         except (AnswerCutError, EndpointTimeoutError):
             self._access.directory.note_lost_answer(self._relay)
             raise
 
-    def read_some(self, response: http.client.HTTPResponse) -> bytes:
-        """Return the next bytes of a body, or nothing at its regular end."""
-        return self._connection.read_some(response)
+    def read_some(self, head: AnswerHead) -> bytes:
+        """Return the next bytes of a body, or nothing once it is proven whole."""
+        return self._connection.read_some(head)
 
     def keep(self) -> None:
         """Keep the connection to the relay for other requests."""
--- a/tests/fakes/scripted_endpoints.py
+++ b/tests/fakes/scripted_endpoints.py
@@ -6,16 +6,17 @@
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
-from types import SimpleNamespace
 from typing import Any
 
 from jujubeslip.accounts import ENDPOINT_BOUNDS, HostSpending
 from jujubeslip.discovery import EndpointRegistry
 from jujubeslip.endpoints import (
+    AnswerHead,
     ClientDisconnectedError,
     Connection,
     EndpointError,
     EndpointTimeoutError,
+    Framing,
 )
 from jujubeslip.forwarding._choice import Chooser, LeastCost
 from jujubeslip.forwarding._crash_detector import CrashDetector
@@ -98,7 +99,7 @@
             time.sleep(STEP_SECONDS)
         return self._is_due
 
-    def read_head(self) -> Any:
+    def read_head(self) -> AnswerHead:
         """Return the head of the answer when it is due, or raise its error."""
         while not self._is_due:
             self._check()
@@ -114,19 +115,19 @@
             "Server-Stamp": f"{self.start_id}.{request_id}",
             **self._script.headers,
         }
-        return SimpleNamespace(
-            status=self._script.status,
-            getheaders=lambda: list(headers.items()),
-            chunked=False,
-            length=len(BODY),
+        return AnswerHead(
+            self._script.status,
+            tuple(headers.items()),
+            Framing.LENGTH,
             will_close=False,
+            length=len(BODY),
         )
 
     def _check(self) -> None:
         if self._interrupted():
             raise ClientDisconnectedError("not needed any more")
 
-    def read_some(self, response: Any) -> bytes:
+    def read_some(self, head: AnswerHead) -> bytes:
         """Return the body, then nothing."""
         return self._unread.pop() if self._unread else b""
 
