Exchange: accept no answer that may be another request's

An answer that is whole can still be another request's. Found by reading each place that identifies answers, with the incident's question: what proves that this one is this request's?

- Two heads of which the first is cut off, as a late second answer that is followed by this request's, could pass for one head if all its lines are well formed.
Headers that an answer has once (request id, stamp, endpoint id) now make it invalid if they are repeated.
- An answer without a request id was taken for this request's.
A success on a connection that has carried others is accepted only by its id now.
Refusals without id still count there: endpoints may refuse without naming the request, and a connection is kept only after answers that named theirs.
- A late second answer that is sent while the body of this one is on its way counted as part of it, by its length.
A body that holds a status line and the id of a request of this connection in the head below it is invalid.
- An empty stamp counted as a stamp.

"answer not accepted" tells the hypotheses of the incident apart: the error (where the answer ended or what can't be read), how it was framed, whether its connection had carried other requests, and the relay.

--- a/src/jujubeslip/endpoints/_connections.py
+++ b/src/jujubeslip/endpoints/_connections.py
@@ -27,6 +27,7 @@
     EndpointAnswerError,
     EndpointUnreachableError,
 )
+from jujubeslip.endpoints._stray_answers import StrayAnswerFinder
 from jujubeslip.kernel import Deadline
 
 # Timeout for opening a connection, in seconds. It takes two round trips; an endpoint
@@ -57,6 +58,11 @@
     relayed_by: str = ""
     """The host that relays the requests, empty for a direct connection."""
 
+    @property
+    def has_carried_others(self) -> bool:
+        """Return whether an answer to an earlier request may still arrive."""
+        return False
+
     @abstractmethod
     def send(
         self, method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes
@@ -126,6 +132,7 @@
         self._raw = BoundedReader(self._socket, observer)
         self._reader = io.BufferedReader(self._raw, READ_BYTES)
         self._answers = AnswerReader(self._reader, address)
+        self._stray_answers = StrayAnswerFinder(())
         self._method = ""
 
     def send(
@@ -170,6 +177,7 @@
     def read_head(self) -> AnswerHead:
         """Wait for the status line and headers of the next answer."""
         self._raw.begin_read()
+        self._stray_answers = StrayAnswerFinder(self._carried_ids)
         return self._answers.read_head(self._method)
 
     def read_some(self, head: AnswerHead) -> bytes:
@@ -177,7 +185,12 @@
         # Bytes that are buffered already are read without the reader.
         self._raw.limit_late_reads()
         self._raw.begin_read()
-        return self._answers.read_some()
+        part = self._answers.read_some()
+        if self._stray_answers.finds_one(part):
+            raise EndpointAnswerError(
+                f"{self.address}: another answer stands within the body."
+            )
+        return part
 
     def may_carry(self, request_id: str) -> bool:
         """Return whether no late answer can pass for the answer to this request.
@@ -190,6 +203,11 @@
             return all(item == "" for item in self._carried_ids)
         return request_id not in self._carried_ids and "" not in self._carried_ids
 
+    @property
+    def has_carried_others(self) -> bool:
+        """Return whether an answer to an earlier request may still arrive."""
+        return len(self._carried_ids) > 1
+
     def note_request(self, request_id: str) -> None:
         """Record the request that the connection carries next."""
         self._carried_ids.append(request_id)
--- a/src/jujubeslip/forwarding/_exchange.py
+++ b/src/jujubeslip/forwarding/_exchange.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from functools import partial
 
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import (
+    AnswerCutError,
     AnswerHead,
     ClientDisconnectedError,
     Connection,
@@ -21,6 +23,7 @@
     Interrupted,
     never_interrupted,
 )
+from jujubeslip.forwarding._unproven_answers import record_unproven_answer
 from jujubeslip.interfaces import (
     EndpointCall,
     EndpointHead,
@@ -109,11 +112,9 @@
         if head.not_run:
             self.read_rest()
             raise _refusal(head, self._endpoint)
-        if head.status in SUCCESS and not head.proves_origin:
-            if not call.prefill_only:
-                raise EndpointAnswerError(
-                    f"{self._endpoint.address}: the answer has no proof of its origin."
-                )
+        if head.status in SUCCESS and not head.proves_origin and not call.prefill_only:
+            with self._recorded_errors(self._connection):
+                raise self._not_accepted("the answer has no proof of its origin")
         return head
 
     def pass_on(
@@ -167,12 +168,14 @@
     def read_some(self) -> bytes:
         """Return the next bytes of the body, empty at its regular end."""
         assert self._connection is not None and self._answer is not None
-        return self._connection.read_some(self._answer)
+        with self._recorded_errors(self._connection):
+            return self._connection.read_some(self._answer)
 
     def read_rest(self) -> bytes:
         """Return the rest of the body, and keep the connection if it is reusable."""
         assert self._connection is not None and self._answer is not None
-        body = self._connection.read_rest(self._answer)
+        with self._recorded_errors(self._connection):
+            body = self._connection.read_rest(self._answer)
         self.keep_connection()
         return body
 
@@ -218,27 +221,63 @@
         An endpoint may answer an earlier request a second time, just where this
         request's answer is expected. The request id that it echoes tells them apart.
         """
-        for _ in range(MAXIMUM_SKIPPED + 1):
-            answer = self._answer = connection.read_head()
-            head = self._interface.read_head(answer.status, answer.headers)
-            extra = {
-                "request_id": self._request.request_id,
-                "start_id": self._endpoint.start_id,
-                "answers": head.request_id,
-                "status": head.status,
-            }
-            if head.request_id in ("", self._request.request_id):
-                self._head = head
-                if not self._is_identified:
-                    logger.info("answer names no request", extra=extra)
-                return head
-            logger.info("late answer to another request skipped", extra=extra)
-            connection.read_rest(answer)
-            if answer.will_close:
-                break
-        raise EndpointAnswerError(
-            f"{self._endpoint.address}: the answer is for another request."
-        )
+        with self._recorded_errors(connection):
+            for _ in range(MAXIMUM_SKIPPED + 1):
+                answer = self._read_any_head(connection)
+                head = self._interface.read_head(answer.status, answer.headers)
+                if self._is_own(connection, head):
+                    self._head = head
+                    return head
+                extra = {
+                    "request_id": self._request.request_id,
+                    "start_id": self._endpoint.start_id,
+                    "answers": head.request_id,
+                    "status": head.status,
+                }
+                logger.info("late answer to another request skipped", extra=extra)
+                connection.read_rest(answer)
+                if answer.will_close:
+                    break
+            raise self._not_accepted("the answer is for another request")
+
+    def _read_any_head(self, connection: Connection) -> AnswerHead:
+        self._answer = None
+        self._answer = connection.read_head()
+        return self._answer
+
+    def _is_own(self, connection: Connection, head: EndpointHead) -> bool:
+        """Return whether the answer is this request's; raise if that can't be told.
+
+        Endpoints may refuse without naming the request, but name it in a success. All
+        earlier answers on a kept connection have named theirs.
+        """
+        if head.is_ambiguous:
+            raise self._not_accepted("the answer repeats a header that identifies it")
+        if head.request_id:
+            return head.request_id == self._request.request_id
+        if head.status in SUCCESS and connection.has_carried_others:
+            raise self._not_accepted("the answer may be for an earlier request")
+        extra = {
+            "request_id": self._request.request_id,
+            "start_id": self._endpoint.start_id,
+            "status": head.status,
+        }
+        logger.info("answer names no request", extra=extra)
+        return True
+
+    def _not_accepted(self, reason: str) -> EndpointAnswerError:
+        return EndpointAnswerError(f"{self._endpoint.address}: {reason}.")
+
+    @contextmanager
+    def _recorded_errors(self, connection: Connection) -> Iterator[None]:
+        """Record an answer that turns out not to be whole, valid or this request's."""
+        try:
+            yield
+        except (AnswerCutError, EndpointAnswerError) as error:
+            record_unproven_answer(
+                self._request, self._endpoint, connection, self._answer, error
+            )
+            raise
 
 
 def _refusal(head: EndpointHead, endpoint: Endpoint) -> EndpointRefusedError:
--- a/src/jujubeslip/interfaces/_models.py
+++ b/src/jujubeslip/interfaces/_models.py
@@ -59,6 +59,8 @@
     """Whether the call was for another endpoint, or for a role that it doesn't have."""
     proves_origin: bool
     """Whether it has the header that only endpoints set."""
+    is_ambiguous: bool
+    """Whether it repeats a header that answers have once, as two joined heads do."""
     idle_seconds: float | None
     """How long the connection may be idle, None if not reported."""
     headers: tuple[tuple[str, str], ...]
--- a/src/jujubeslip/platform/_endpoint_calls.py
+++ b/src/jujubeslip/platform/_endpoint_calls.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+from collections import Counter
 from collections.abc import Iterable
 
 from jujubeslip.interfaces import (
@@ -59,6 +60,7 @@
     """Decode the status and headers of an endpoint's answer."""
     received = list(headers)
     value_by_name = {name.lower(): value for name, value in received}
+    count_by_name = Counter(name.lower() for name, _ in received)
     connection_headers = value_by_name.get(names.CONNECTION.lower(), "")
     dropped = names.HOP_BY_HOP | {
         name.strip().lower() for name in connection_headers.split(",")
@@ -69,8 +71,9 @@
         not_run=names.NOT_RUN.lower() in value_by_name or status == MISDIRECTED,
         answered_by=value_by_name.get(names.ENDPOINT_ID.lower(), ""),
         misdirected=status == MISDIRECTED,
-        proves_origin=names.ORIGIN_MARK.lower() in value_by_name
+        proves_origin=value_by_name.get(names.ORIGIN_MARK.lower(), "") != ""
         and names.CONTENT_ENCODING.lower() not in value_by_name,
+        is_ambiguous=any(count_by_name[name] > 1 for name in names.SINGLE),
         idle_seconds=_idle_seconds(value_by_name.get(names.KEEP_ALIVE.lower(), "")),
         headers=tuple(item for item in received if item[0].lower() not in dropped),
         limit_per_second=_limit(value_by_name.get(names.ENDPOINT_LIMIT.lower(), "")),
--- a/src/jujubeslip/platform/_headers.py
+++ b/src/jujubeslip/platform/_headers.py
@@ -35,6 +35,8 @@
 KEEP_ALIVE = "Keep-Alive"
 CONNECTION = "Connection"
 
+# Headers of which an answer has one at most, in lower case.
+SINGLE = frozenset({REQUEST_ID.lower(), ENDPOINT_ID.lower(), ORIGIN_MARK.lower()})
 # Hop-by-hop headers, in lower case; they are not forwarded.
 HOP_BY_HOP = frozenset(
     {
--- /dev/null
+++ b/tests/forwarding/test_unidentified_answers.py
@@ -0,0 +1,215 @@
+"""Answers that don't tell which request they are for."""
+
+from __future__ import annotations
+
+import logging
+import socket
+import threading
+from collections.abc import Iterator
+from dataclasses import dataclass, field, replace
+
+import pytest
+
+from jujubeslip.endpoints import (
+    AnswerCutError,
+    ConnectionPool,
+    EndpointAnswerError,
+    EndpointRefusedError,
+    never_interrupted,
+)
+from jujubeslip.forwarding._exchange import Exchange
+from jujubeslip.interfaces import EndpointCall, EndpointHead, interfaces
+from jujubeslip.kernel import Deadline, load_plugins
+from jujubeslip.notices import EndpointNotices
+from jujubeslip.routes import ForwardedRequest
+from tests.fakes.engines import engine
+
+WAIT_SECONDS = 2.0
+FIRST = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: first\r\nServer-Stamp: s.first\r\n"
+    b"Keep-Alive: timeout=30\r\nContent-Length: 2\r\n\r\n{}"
+)
+SECOND = FIRST.replace(b"first", b"second")
+UNNAMED = SECOND.replace(b"Request-Id: second\r\n", b"")
+UNNAMED_REFUSAL = (
+    b"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nKeep-Alive: timeout=30\r\n"
+    b"Content-Length: 2\r\n\r\n{}"
+)
+
+
+@dataclass
+class AnswersInTurn:
+    """An endpoint that sends one of its answers for each request it gets."""
+
+    answers: list[bytes] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        while True:
+            try:
+                connection = self._listener.accept()[0]
+            except OSError:
+                return
+            with connection:
+                while connection.recv(65536):
+                    connection.sendall(self.answers.pop(0))
+                    if not self.answers:
+                        break
+
+    def close(self) -> None:
+        self._listener.close()
+
+
+@pytest.fixture
+def endpoint() -> Iterator[AnswersInTurn]:
+    load_plugins()
+    found = AnswersInTurn()
+    yield found
+    found.close()
+
+
+class Host:
+    """The connections of an entry host to one endpoint."""
+
+    def __init__(self, endpoint: AnswersInTurn) -> None:
+        self._pool = ConnectionPool()
+        self._endpoint = replace(engine("engine"), address=endpoint.address)
+
+    def send(self, request_id: str) -> EndpointHead:
+        """Send a client's request and read its whole answer."""
+        request = ForwardedRequest(
+            request_id=request_id,
+            method="POST",
+            target="/x",
+            host="host",
+            headers=(("Request-Id", request_id),),
+            body=b"",
+            client_deadline=None,
+        )
+        exchange = Exchange(
+            self._pool,
+            interfaces.get("platform"),
+            self._endpoint,
+            request,
+            never_interrupted,
+            EndpointNotices(),
+        )
+        with exchange:
+            head = exchange.call(
+                EndpointCall("engine", 1000), Deadline.after(WAIT_SECONDS)
+            )
+            exchange.read_rest()
+            return head
+
+
+class TestAnswerWithoutRequestId:
+    """Guards against an answer to an earlier request that passes for another's."""
+
+    def test_proves_no_success_where_earlier_requests_went(
+        self, endpoint: AnswersInTurn
+    ) -> None:
+        endpoint.answers += [FIRST, UNNAMED]
+        host = Host(endpoint)
+        host.send("first")
+        with pytest.raises(EndpointAnswerError) as raised:
+            host.send("second")
+        assert raised.value.may_have_run
+
+    def test_refuses_where_all_earlier_ones_were_named(
+        self, endpoint: AnswersInTurn
+    ) -> None:
+        endpoint.answers += [FIRST, UNNAMED_REFUSAL]
+        host = Host(endpoint)
+        host.send("first")
+        with pytest.raises(EndpointRefusedError) as raised:
+            host.send("second")
+        assert not raised.value.may_have_run
+
+    def test_counts_as_first_answer_of_a_connection(
+        self, endpoint: AnswersInTurn
+    ) -> None:
+        endpoint.answers += [UNNAMED, UNNAMED_REFUSAL]
+        host = Host(endpoint)
+        assert host.send("second").status == 200
+        with pytest.raises(EndpointRefusedError):
+            host.send("third")
+
+
+class TestJoinedAnswers:
+    """Guards against two heads, the first one cut off, that are read as one."""
+
+    @pytest.mark.parametrize("size", range(1, FIRST.index(b"Content-Length")))
+    def test_are_no_success(self, endpoint: AnswersInTurn, size: int) -> None:
+        endpoint.answers += [FIRST, FIRST[:size] + SECOND]
+        host = Host(endpoint)
+        host.send("first")
+        with pytest.raises((EndpointAnswerError, AnswerCutError)):
+            host.send("second")
+
+    @pytest.mark.parametrize("name", [b"Request-Id", b"Server-Stamp", b"Instance-Id"])
+    def test_show_by_headers_that_an_answer_has_once(
+        self, endpoint: AnswersInTurn, name: bytes
+    ) -> None:
+        line = name + b": of another\r\n"
+        again = SECOND.replace(b"Request-Id", line + line + b"Request-Id")
+        endpoint.answers += [again]
+        with pytest.raises(EndpointAnswerError):
+            Host(endpoint).send("second")
+
+
+class TestEmptyStamp:
+    """Guards against a success without the proof that an endpoint made it."""
+
+    def test_proves_no_origin(self, endpoint: AnswersInTurn) -> None:
+        endpoint.answers.append(SECOND.replace(b"s.second", b""))
+        with pytest.raises(EndpointAnswerError):
+            Host(endpoint).send("second")
+
+
+class TestLogOfAnAnswer:
+    """Guards against answers that are not accepted without a trace of the reason."""
+
+    def test_names_framing_and_earlier_requests(
+        self, endpoint: AnswersInTurn, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        caplog.set_level(logging.INFO)
+        endpoint.answers += [FIRST, SECOND[:-1]]
+        host = Host(endpoint)
+        host.send("first")
+        with pytest.raises(AnswerCutError):
+            host.send("second")
+        (line,) = (
+            vars(record)
+            for record in caplog.records
+            if record.message == "answer not accepted"
+        )
+        assert line["request_id"] == "second"
+        assert line["framing"] == "length"
+        assert line["carried_others"]
+        assert "shorter than its length" in line["error"]
+
+
+class TestAnswerWithinABody:
+    """Guards against a late second answer that a body's length counts as its own."""
+
+    @pytest.mark.parametrize("at", range(0, 160, 20))
+    def test_makes_the_body_no_answer(self, endpoint: AnswersInTurn, at: int) -> None:
+        sized = SECOND.replace(b"Length: 2", b"Length: 200")
+        body = b"x" * at + FIRST + b"x" * (200 - at)
+        endpoint.answers += [FIRST, sized[:-2] + body]
+        host = Host(endpoint)
+        host.send("first")
+        with pytest.raises(EndpointAnswerError):
+            host.send("second")
+
+    def test_is_no_fault_if_it_names_no_request(self, endpoint: AnswersInTurn) -> None:
+        quoted = FIRST.replace(b"first", b"of a manual page")
+        length = b"Length: %d" % len(quoted)
+        endpoint.answers += [FIRST, SECOND.replace(b"Length: 2", length)[:-2] + quoted]
+        host = Host(endpoint)
+        host.send("first")
+        assert host.send("second").status == 200
