Relays: a refusal that can't be read says nothing about the request

Cause: a host looked at the value of a relay's refusal only after it had given the connection back, and took what it got. An unknown reason or a hold that is no number raised ValueError, outside of the errors that tell whether a request may have run; a hold of "inf", "1e9" or "200" was taken as it stood; of two reasons the first counted; a refusal counted with any status; an answer about the end of a process that said neither yes nor no counted as "it runs".

The refusal is now read once, strictly, before anything follows from it: status 503, one known reason, one hold as relays write it. All else is EndpointAnswerError, by which the request may have run, with the new line `answer of relay not accepted`; the relay is used rarely for a second, as after a lost answer. Headers between hosts are taken off endpoints' answers, too.

--- a/src/jujubeslip/relays/__init__.py
+++ b/src/jujubeslip/relays/__init__.py
@@ -5,12 +5,14 @@
 from jujubeslip.relays._pool import RelayingPool, out_of_reach_refusal
 from jujubeslip.relays._reach import EndpointReach
 from jujubeslip.relays._wire import (
+    REFUSAL_STATUS,
     RelayHeaders,
     RelayRefusal,
     without_relay_headers,
 )
 
 __all__ = [
+    "REFUSAL_STATUS",
     "EndpointReach",
     "RelayDirectory",
     "RelayHeaders",
--- a/src/jujubeslip/relays/_connection.py
+++ b/src/jujubeslip/relays/_connection.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+
+from returns.result import Failure
 
 from jujubeslip.discovery import RelayHost
 from jujubeslip.endpoints import (
@@ -11,6 +14,7 @@
     AnswerHead,
     Connection,
     ConnectionPool,
+    EndpointAnswerError,
     EndpointConnection,
     EndpointOnHoldError,
     EndpointsOutOfReachError,
@@ -24,6 +28,8 @@
 from jujubeslip.relays._directory import RelayDirectory
 from jujubeslip.relays._wire import RelayRefusal
 
+logger = logging.getLogger(__name__)
+
 # Maximum number of relays that are tried for one send.
 MAXIMUM_RELAYS = 3
 
@@ -98,10 +104,13 @@
         self._request = _Request("GET", "/", headers, b"", Deadline.after(0))
         self.watch(deadline, never_interrupted)
         self._send()
-        head = self.read_head()
+        head = self._read_answer()
         self.read_rest(head)
+        ended = wire.header_values(head.headers, wire.ENDED)
+        if ended not in (["0"], ["1"]):
+            raise self._not_proven("it doesn't say whether the endpoint has ended")
         self.keep()
-        return head.value(wire.ENDED) == "1"
+        return ended == ["1"]
 
     def _send(self) -> None:
         request = self._request
@@ -122,27 +131,52 @@
         self._connection.watch(deadline, interrupted)
 
     def read_head(self) -> AnswerHead:
-        """Wait for the head of the answer; change the relay if this one refuses."""
+        """Wait for the head of the answer; change the relay if this one refuses.
+
+        Raises EndpointAnswerError if a refusal can't be read: the request may have run.
+        """
+        head = self._read_answer()
+        return replace(head, headers=tuple(wire.without_relay_headers(head.headers)))
+
+    def _read_answer(self) -> AnswerHead:
+        """Return the head of the first answer that is no refusal."""
         while True:
             head = self._read_head()
-            refusal = head.value(wire.REFUSAL)
-            if refusal is None:
+            refused = self._read_refusal(head)
+            if refused is None:
                 return head
             self._connection.read_rest(head)
             relay, will_close = self._relay, head.will_close
             self._release(is_reusable=not will_close)
-            if refusal == RelayRefusal.UNREACHABLE.value:
+            if refused.why is RelayRefusal.UNREACHABLE:
                 raise EndpointUnreachableError(
                     f"{self._address}: {relay.host_id} can't connect to it."
                 )
-            if refusal == RelayRefusal.ON_HOLD.value:
-                hold_seconds = head.value(wire.HOLD_SECONDS) or "0"
-                raise EndpointOnHoldError(self._address, float(hold_seconds))
-            if refusal == RelayRefusal.ELSEWHERE.value:
+            if refused.why is RelayRefusal.ON_HOLD:
+                raise EndpointOnHoldError(self._address, refused.hold_seconds)
+            if refused.why is RelayRefusal.ELSEWHERE:
                 self._access.directory.note_refused(relay)
-            self._change_relay(RelayRefusal(refusal))
+            self._change_relay(refused.why)
             self._send()
 
+    def _read_refusal(self, head: AnswerHead) -> wire.Refused | None:
+        refused = wire.read_refusal(head.status, head.headers)
+        if isinstance(refused, Failure):
+            raise self._not_proven(refused.failure())
+        return refused.unwrap()
+
+    def _not_proven(self, reason: str) -> EndpointAnswerError:
+        """Return the error of an answer that this host doesn't accept."""
+        self._access.directory.note_lost_answer(self._relay)
+        extra = {
+            "host": self._relay.host_id,
+            "start_id": self._start_id,
+            "reason": reason,
+        }
+        logger.warning("answer of relay not accepted", extra=extra)
+        relay = self._relay.host_id
+        return EndpointAnswerError(f"{relay}: not an answer of a relay, {reason}.")
+
     def _change_relay(self, refusal: RelayRefusal) -> None:
         try:
             self._relay, self._connection = self._connect()
--- a/src/jujubeslip/relays/_wire.py
+++ b/src/jujubeslip/relays/_wire.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import enum
+import http
+import re
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
+from returns.result import Failure, Result, Success
+
 PREFIX = "jujubeslip-"
 # Proves that the sender is a host of this system.
 SECRET = "Jujubeslip-Secret"
@@ -25,6 +29,9 @@
 # For how long the endpoint accepts no requests, in seconds, if that is the reason.
 HOLD_SECONDS = "Jujubeslip-Hold-Seconds"
 
+REFUSAL_STATUS = http.HTTPStatus.SERVICE_UNAVAILABLE
+_HOLD_SECONDS_TEXT = re.compile(r"[0-9]\.[0-9]{2}")
+
 
 class RelayRefusal(enum.Enum):
     """Why a relay has sent nothing to the endpoint."""
@@ -39,6 +46,44 @@
     """The endpoint has asked for backoff, or is leaving."""
 
 
+@dataclass(frozen=True)
+class Refused:
+    """A refusal of a relay, which has sent nothing to the endpoint."""
+
+    why: RelayRefusal
+    hold_seconds: float = 0.0
+    """For how long the endpoint accepts no requests, if that is the reason."""
+
+
+def read_refusal(
+    status: int, headers: Iterable[tuple[str, str]]
+) -> Result[Refused | None, str]:
+    """Return the refusal in an answer, None if it is the endpoint's, or what is wrong.
+
+    What can't be read proves nothing: neither that the request wasn't sent, nor that
+    the endpoint gave the answer.
+    """
+    received = list(headers)
+    refusals = header_values(received, REFUSAL)
+    if not refusals:
+        return Success(None)
+    is_known = refusals[0] in {item.value for item in RelayRefusal}
+    if status != REFUSAL_STATUS or len(refusals) > 1 or not is_known:
+        return Failure(f"the refusal {refusals} with {status} can't be read")
+    why = RelayRefusal(refusals[0])
+    if why is not RelayRefusal.ON_HOLD:
+        return Success(Refused(why))
+    holds = header_values(received, HOLD_SECONDS)
+    if len(holds) != 1 or not _HOLD_SECONDS_TEXT.fullmatch(holds[0]):
+        return Failure(f"the hold {holds} can't be read")
+    return Success(Refused(why, float(holds[0])))
+
+
+def header_values(headers: Iterable[tuple[str, str]], name: str) -> list[str]:
+    """Return the values of a header, whose name is in any case."""
+    return [value for key, value in headers if key.lower() == name.lower()]
+
+
 def without_relay_headers(
     headers: Iterable[tuple[str, str]],
 ) -> list[tuple[str, str]]:
