Relays: an answer names its call, or is none

Cause: an answer without the header of a refusal counted as the endpoint's. Nothing showed that a relay had given it, or to this call. Answers to the system's own requests have no id at all, and one without an id is accepted for a client's request, too. So what the relay's server says by itself (400, 431, and 500 when its thread raises before the first byte of a body) passed for the endpoint's own failure, and so did any answer of another process that has the relay's address by now, also a copied refusal, which says "not run".

Each call now has an id of its own (`Jujubeslip-Call`, new for each relay that is tried), and the relay repeats it with the endpoint's answer, a refusal, and the answer whether a process has ended. An answer without it is EndpointAnswerError, by which the request may have run. An endpoint can't set it: headers between hosts are taken off its answers. Nothing of it reaches endpoints or clients.

Weighed: the request's own id, as between host and endpoint: own requests have none, a client's id stays the same when the call goes to the next relay. The connection to a relay used once only: says nothing on who answers.

--- a/src/jujubeslip/forwarding/_relay_app.py
+++ b/src/jujubeslip/forwarding/_relay_app.py
@@ -28,6 +28,7 @@
 from jujubeslip.kernel import Deadline
 from jujubeslip.notices import EndpointNotices
 from jujubeslip.relays import (
+    REFUSAL_STATUS,
     EndpointReach,
     RelayHeaders,
     RelayRefusal,
@@ -106,7 +107,7 @@
         if endpoint is None:
             return self._refuse(start_response, headers, RelayRefusal.UNKNOWN)
         if headers.is_check:
-            return self._answer_check(start_response, endpoint)
+            return self._answer_check(start_response, headers, endpoint)
         if not endpoint.accepts_work:
             return self._refuse_on_hold(start_response, headers)
         request = self._read_call(environ, headers)
@@ -125,7 +126,7 @@
                 raise AnswerAbandonedError(error.message) from error
             self._record_notice(endpoint, request, head, exchange)
             self._log(headers, request.request_id, str(head.status))
-            answer_headers = without_relay_headers(head.headers)
+            answer_headers = headers.of_answer(head.headers)
             start_answer(start_response, head.status, answer_headers)
             # The exchange is closed with the body from here on.
             stack.pop_all()
@@ -213,10 +214,10 @@
             notices.record_internal_answer(endpoint, head)
 
     def _answer_check(
-        self, start_response: StartResponse, endpoint: Endpoint
+        self, start_response: StartResponse, headers: RelayHeaders, endpoint: Endpoint
     ) -> Iterable[bytes]:
         ended = has_ended(endpoint.address)
-        start_answer(start_response, 200, RelayHeaders.of_check(ended))
+        start_answer(start_response, 200, headers.of_check(ended))
         return [b""]
 
     def _refuse_on_hold(
@@ -235,8 +236,8 @@
         hold_seconds: float = 0.0,
     ) -> Iterable[bytes]:
         self._log(headers, "", why.value)
-        answer_headers = RelayHeaders.of_refusal(why, hold_seconds)
-        start_answer(start_response, 503, answer_headers)
+        answer_headers = headers.of_refusal(why, hold_seconds)
+        start_answer(start_response, REFUSAL_STATUS, answer_headers)
         return [b""]
 
     def _log(self, headers: RelayHeaders, request_id: str, outcome: str) -> None:
--- a/src/jujubeslip/relays/_connection.py
+++ b/src/jujubeslip/relays/_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import secrets
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
@@ -32,6 +33,7 @@
 
 # Maximum number of relays that are tried for one send.
 MAXIMUM_RELAYS = 3
+CALL_ID_BYTES = 8
 
 
 @dataclass(frozen=True)
@@ -68,6 +70,7 @@
         self._address = address
         self._tried: set[str] = set()
         self._request = _Request("", "", (), b"", Deadline.after(0))
+        self._call_id = ""
         self._deadline = Deadline.after(0)
         self._interrupted: Interrupted = never_interrupted
         self._relay, self._connection = self._connect()
@@ -115,11 +118,13 @@
     def _send(self) -> None:
         request = self._request
         encoded_ago_ms = int(request.encoded_at.overdue() * 1000)
+        self._call_id = secrets.token_hex(CALL_ID_BYTES)
         headers = (
             *request.headers,
             (wire.SECRET, self._access.secret),
             (wire.SENDER, self._access.host_id),
             (wire.START, self._start_id),
+            (wire.CALL, self._call_id),
             (wire.ENCODED_AGO, str(encoded_ago_ms)),
         )
         self._connection.watch(self._deadline, self._interrupted)
@@ -133,7 +138,8 @@
     def read_head(self) -> AnswerHead:
         """Wait for the head of the answer; change the relay if this one refuses.
 
-        Raises EndpointAnswerError if a refusal can't be read: the request may have run.
+        Raises EndpointAnswerError if the answer isn't proven to be the relay's, and to
+        this call. The request may have run then.
         """
         head = self._read_answer()
         return replace(head, headers=tuple(wire.without_relay_headers(head.headers)))
@@ -160,6 +166,8 @@
             self._send()
 
     def _read_refusal(self, head: AnswerHead) -> wire.Refused | None:
+        if wire.header_values(head.headers, wire.CALL) != [self._call_id]:
+            raise self._not_proven("it doesn't name this call")
         refused = wire.read_refusal(head.status, head.headers)
         if isinstance(refused, Failure):
             raise self._not_proven(refused.failure())
--- a/src/jujubeslip/relays/_wire.py
+++ b/src/jujubeslip/relays/_wire.py
@@ -18,6 +18,9 @@
 SENDER = "Jujubeslip-Sender"
 # The start of the endpoint that is to get the request.
 START = "Jujubeslip-Start"
+# Tells the calls of a host apart. An answer has the one of its call, which proves that
+# a relay gave it, and to this call.
+CALL = "Jujubeslip-Call"
 # Milliseconds since the other headers were encoded, which have the remaining time.
 ENCODED_AGO = "Jujubeslip-Encoded-Ago-Ms"
 # Set, without a request to relay, to ask whether the endpoint's process has ended.
@@ -100,6 +103,7 @@
     start_id: str
     encoded_ago_ms: int
     is_check: bool
+    call_id: str
 
     @classmethod
     def read(cls, environ: Mapping[str, Any]) -> RelayHeaders:
@@ -115,14 +119,23 @@
             value(START),
             int(ago) if ago.isdigit() else 0,
             value(CHECK) == "1",
+            value(CALL),
         )
 
-    @staticmethod
-    def of_refusal(refusal: RelayRefusal, hold_seconds: float) -> list[tuple[str, str]]:
+    def of_answer(self, headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
+        """Return the headers of the endpoint's answer, as they are passed on."""
+        return [*without_relay_headers(headers), (CALL, self.call_id)]
+
+    def of_refusal(
+        self, refusal: RelayRefusal, hold_seconds: float
+    ) -> list[tuple[str, str]]:
         """Return the headers of an answer that refuses."""
-        return [(REFUSAL, refusal.value), (HOLD_SECONDS, f"{hold_seconds:.2f}")]
+        return [
+            (CALL, self.call_id),
+            (REFUSAL, refusal.value),
+            (HOLD_SECONDS, f"{hold_seconds:.2f}"),
+        ]
 
-    @staticmethod
-    def of_check(ended: bool) -> list[tuple[str, str]]:
+    def of_check(self, ended: bool) -> list[tuple[str, str]]:
         """Return the headers of an answer to the question whether a process ended."""
-        return [(ENDED, "1" if ended else "0")]
+        return [(CALL, self.call_id), (ENDED, "1" if ended else "0")]
--- a/tests/relays/test_relay_answers.py
+++ b/tests/relays/test_relay_answers.py
@@ -22,10 +22,11 @@
 from jujubeslip.relays._connection import RelayedConnection
 
 SECONDS = 5.0
+CALL = "Jujubeslip-Call"
 
 
 class Relay(socketserver.ThreadingTCPServer):
-    """Gives the same answer to each call."""
+    """Gives the same answer to each call, with the call's id unless told otherwise."""
 
     daemon_threads = True
 
@@ -33,15 +34,19 @@
         super().__init__(("127.0.0.1", 0), _Handler)
         self.status = 503
         self.lines: list[str] = []
+        self.echoes_calls = True
 
 
 class _Handler(socketserver.StreamRequestHandler):
     def handle(self) -> None:
         relay: Any = self.server
         while self.rfile.readline():
-            while self.rfile.readline().strip():
-                pass
-            head = [f"HTTP/1.1 {relay.status} Status", *relay.lines]
+            call = ""
+            while line := self.rfile.readline().decode().strip():
+                name, _, value = line.partition(": ")
+                call = value if name == CALL else call
+            echo = [f"{CALL}: {call}"] if relay.echoes_calls else []
+            head = [f"HTTP/1.1 {relay.status} Status", *echo, *relay.lines]
             text = "\r\n".join([*head, "Content-Length: 4", "", "body"])
             self.wfile.write(text.encode())
 
@@ -75,6 +80,30 @@
         connection.close()
 
 
+class TestAnswerOfAnotherProcess:
+    """Guards against answers to other calls, or by other processes, at a relay."""
+
+    @pytest.mark.parametrize("status", [200, 404, 431, 500, 503])
+    def test_is_no_answer_without_the_id_of_the_call(
+        self, relay: Relay, status: int
+    ) -> None:
+        relay.status, relay.echoes_calls = status, False
+        with pytest.raises(EndpointAnswerError) as caught:
+            ask(relay)
+        assert caught.value.may_have_run
+
+    def test_is_no_answer_with_the_id_of_another_call(self, relay: Relay) -> None:
+        relay.echoes_calls, relay.lines = False, [f"{CALL}: 3e1b"]
+        with pytest.raises(EndpointAnswerError):
+            ask(relay)
+
+    def test_is_no_refusal_without_the_id_of_the_call(self, relay: Relay) -> None:
+        relay.echoes_calls, relay.lines = False, ["Jujubeslip-Refusal: unreachable"]
+        with pytest.raises(EndpointAnswerError) as caught:
+            ask(relay)
+        assert caught.value.may_have_run
+
+
 class TestAnswerOfTheEndpoint:
     def test_is_given_out_without_the_headers_between_hosts(self, relay: Relay) -> None:
         relay.status, relay.lines = 200, ["Server-Stamp: s", "Jujubeslip-Next: 1"]
