Own requests: an answer that names a client's request is none

Cause: the system's own requests have no id, and their answers were taken whatever id they named, so an answer to a client's request passed for a report, a reservation or the acceptance of an order. An endpoint echoes the id that it got, none here; a relay skips such answers already.

Own requests never share a connection with clients' ones, so it can't be a late one that is worth to be skipped.

Evidence: tests/interfaces/test_internal_requests.py, TestAnswerToAClient failed before (status 200).

--- a/src/jujubeslip/interfaces/_internal_requests.py
+++ b/src/jujubeslip/interfaces/_internal_requests.py
@@ -7,6 +7,7 @@
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import (
     Connections,
+    EndpointAnswerError,
     EndpointOnHoldError,
     Interrupted,
     never_interrupted,
@@ -54,6 +55,10 @@
         )
         answer = connection.read_head()
         head = interface.read_head(answer.status, answer.headers)
+        if head.request_id:
+            raise EndpointAnswerError(
+                f"{endpoint.address}: the answer is for request {head.request_id}."
+            )
         if not head.misdirected:
             notices.record_internal_answer(endpoint, head)
         body = connection.read_rest(answer)
