Own requests: nothing is sent once the time for its answer is over

Cause: the timeout of an own request didn't bound the opening of its connection, which takes up to 0.4 s, longer than most of these timeouts (0.2 and 0.25 s). The request was sent all the same, and then timed out: a reservation that nobody used, an order to an engine that arrived up to 0.4 s later than the lease, which the timeout is to be within.

A connection that opens too late is kept for the next request, and this one fails as unreachable: nothing was sent.

Evidence: tests/interfaces/test_internal_requests.py, TestConnectionThatOpensTooLate failed before.

--- a/src/jujubeslip/interfaces/_internal_requests.py
+++ b/src/jujubeslip/interfaces/_internal_requests.py
@@ -9,6 +9,7 @@
     Connections,
     EndpointAnswerError,
     EndpointOnHoldError,
+    EndpointUnreachableError,
     Interrupted,
     never_interrupted,
 )
@@ -38,11 +39,16 @@
     """Return status and body of an endpoint's answer; its connection is kept.
 
     Raises EndpointError if no answer arrives in time or the endpoint has asked for
-    backoff, and ClientDisconnectedError once `interrupted` returns True.
+    backoff, EndpointUnreachableError if the connection opens too late to send it, and
+    ClientDisconnectedError once `interrupted` returns True.
     """
     if notices.in_backoff(endpoint.start_id):
         raise EndpointOnHoldError(endpoint.address)
     connection = pool.take(endpoint.start_id, endpoint.address)
+    if deadline.expired:
+        pool.give_back(endpoint.start_id, connection, None)
+        message = f"{endpoint.address}: the connection opened too late."
+        raise EndpointUnreachableError(message)
     is_complete = False
     try:
         headers = [("Host", endpoint.address), *internal_request.headers]
--- a/tests/interfaces/test_internal_requests.py
+++ b/tests/interfaces/test_internal_requests.py
@@ -15,6 +15,8 @@
 from jujubeslip.endpoints import (
     ConnectionPool,
     EndpointAnswerError,
+    EndpointConnection,
+    EndpointError,
 )
 from jujubeslip.interfaces import interfaces, send_internal_request
 from jujubeslip.kernel import Deadline, load_plugins
@@ -109,3 +111,24 @@
         running.lines = ["Request-Id: 9c41"]
         with pytest.raises(EndpointAnswerError):
             Host(running).report()
+
+
+class TestConnectionThatOpensTooLate:
+    """Guards against calls that arrive after the time for which they were decided."""
+
+    def test_carries_no_call(
+        self, running: Engine, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        take = ConnectionPool.take
+
+        def take_slowly(*arguments: Any) -> EndpointConnection:
+            threading.Event().wait(0.05)
+            return take(*arguments)
+
+        monkeypatch.setattr(ConnectionPool, "take", take_slowly)
+        host = Host(running)
+        with pytest.raises(EndpointError) as caught:
+            host.report(seconds=0.02)
+        assert not caught.value.may_have_run
+        assert host.report() == 200
+        assert (running.calls, running.connections) == (["GET"], 1)
