Own requests: a reservation is never given to two requests

Cause: the answers to the system's own requests have no id, and its connections carry one after the other. An endpoint's late second answer to a reservation came where the answer to the next one was expected: two requests with the token of one, the capacity of the other held for nobody. The connection is found to be unclean only after that.

The connection is closed after an answer that grants something: a success of a POST without an id, by the host that asks and by a relay alike. Copies of all other answers fail on the safe side: that of a refusal makes the next reservation fail, and one that the engine made meanwhile expires (2 s at most); a report is read strictly and has no token; the answer to a release is not used, and is no report.

Weighed: - a connection of its own for each such request: also for refused ones, which are asked every 50 ms while all engines are full; - connections by kind of request: the next one of the same kind is the one that is confused; - tokens that were seen before are copies: no connection, but proves only what looks exactly alike, and a relay would have to read bodies; - ids of our own: no endpoint may get a request whose id no client sent. Price: one new connection for each reservation that is granted, and none with the leader's grants: reservations are taken by hosts that decide by themselves only. Reports, refused reservations, and releases share connections as before (tests count them).

Evidence: the tests of TestReservation and TestRelayedReservation failed before, with tokens h-1, h-1, h-3 instead of h-1, h-2, h-3.

--- a/src/jujubeslip/forwarding/_relay_app.py
+++ b/src/jujubeslip/forwarding/_relay_app.py
@@ -24,7 +24,13 @@
 from jujubeslip.forwarding._app import OpenRequests, StreamedBody, start_answer
 from jujubeslip.forwarding._exchange import Exchange
 from jujubeslip.http_server import AnswerAbandonedError
-from jujubeslip.interfaces import EndpointHead, Environ, Interface, StartResponse
+from jujubeslip.interfaces import (
+    EndpointHead,
+    Environ,
+    Interface,
+    StartResponse,
+    is_grant,
+)
 from jujubeslip.kernel import Deadline
 from jujubeslip.notices import EndpointNotices
 from jujubeslip.relays import (
@@ -130,11 +136,15 @@
             start_answer(start_response, head.status, answer_headers)
             # The exchange is closed with the body from here on.
             stack.pop_all()
-        parts = self._parts_of(endpoint, request, exchange)
+        parts = self._parts_of(endpoint, request, head, exchange)
         return StreamedBody(parts, self._services.open_calls)
 
     def _parts_of(
-        self, endpoint: Endpoint, request: ForwardedRequest, exchange: Exchange
+        self,
+        endpoint: Endpoint,
+        request: ForwardedRequest,
+        head: EndpointHead,
+        exchange: Exchange,
     ) -> Iterator[bytes]:
         """Yield the body of the endpoint's answer as it arrives.
 
@@ -145,7 +155,8 @@
             while part := exchange.read_some():
                 yield part
             self._check_end(endpoint, request, exchange)
-            exchange.keep_connection()
+            if request.request_id or not is_grant(request.method, head.status):
+                exchange.keep_connection()
 
     def _check_end(
         self, endpoint: Endpoint, request: ForwardedRequest, exchange: Exchange
--- a/src/jujubeslip/interfaces/_internal_requests.py
+++ b/src/jujubeslip/interfaces/_internal_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http
 from typing import Protocol
 
 from jujubeslip.discovery import Endpoint
@@ -27,6 +28,17 @@
         """Record the notices in an answer to a request that isn't a client's."""
 
 
+def is_grant(method: str, status: int) -> bool:
+    """Return whether an answer without a request id grants what only one may use.
+
+    An endpoint may send it a second time, and the copy would grant the same to the next
+    request, so its connection must be closed. Copies of other answers do no harm: that
+    of a refusal makes the next request fail, a report can't be read as a grant, and
+    requests that may be repeated are granted nothing.
+    """
+    return method == "POST" and status < http.HTTPStatus.MULTIPLE_CHOICES
+
+
 def send_internal_request(
     pool: Connections,
     interface: Interface,
@@ -36,7 +48,7 @@
     deadline: Deadline,
     interrupted: Interrupted = never_interrupted,
 ) -> tuple[int, bytes]:
-    """Return status and body of an endpoint's answer; its connection is kept.
+    """Return status and body of an endpoint's answer; keep its connection if possible.
 
     Raises EndpointError if no answer arrives in time or the endpoint has asked for
     backoff, EndpointUnreachableError if the connection opens too late to send it, and
@@ -49,7 +61,7 @@
         pool.give_back(endpoint.start_id, connection, None)
         message = f"{endpoint.address}: the connection opened too late."
         raise EndpointUnreachableError(message)
-    is_complete = False
+    may_be_kept = False
     try:
         headers = [("Host", endpoint.address), *internal_request.headers]
         connection.watch(deadline, interrupted)
@@ -68,11 +80,12 @@
         if not head.misdirected:
             notices.record_internal_answer(endpoint, head)
         body = connection.read_rest(answer)
-        is_complete = not answer.will_close
+        grants = is_grant(internal_request.method, answer.status)
+        may_be_kept = not answer.will_close and not grants
     finally:
         # The rest of this answer would be read as the answer to the next request.
-        if not is_complete:
+        if not may_be_kept:
             connection.close()
-    if is_complete:
+    if may_be_kept:
         pool.give_back(endpoint.start_id, connection, head.idle_seconds)
     return answer.status, body
--- a/tests/interfaces/test_internal_requests.py
+++ b/tests/interfaces/test_internal_requests.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import http.client
-import json
-import socketserver
 import threading
 from collections.abc import Iterator
 from dataclasses import replace
@@ -21,65 +18,33 @@
 from jujubeslip.interfaces import interfaces, send_internal_request
 from jujubeslip.kernel import Deadline, load_plugins
 from jujubeslip.notices import EndpointNotices
+from tests.fakes.copying_engine import CopyingEngine, copying_engine
 from tests.fakes.engines import engine
 
 SECONDS = 2.0
 
 
-class Engine(socketserver.ThreadingTCPServer):
-    """Grants or refuses reservations, and may send its answers a second time, late."""
-
-    daemon_threads = True
-
-    def __init__(self) -> None:
-        super().__init__(("127.0.0.1", 0), _Handler)
-        self.calls: list[str] = []
-        self.refuses = False
-        self.answers_twice = False
-        self.lines: list[str] = []
-        self.connections = 0
-
-    def answer_to(self, method: str) -> bytes:
-        """Return the answer, which is another one for each reservation."""
-        self.calls.append(method)
-        status = 503 if method == "POST" and self.refuses else 200
-        body = json.dumps({"hold": f"h-{len(self.calls)}"} if method == "POST" else {})
-        lines = [f"HTTP/1.1 {status} Status", *self.lines, "Keep-Alive: timeout=30"]
-        head = "\r\n".join([*lines, f"Content-Length: {len(body)}"])
-        return f"{head}\r\n\r\n{body}".encode()
-
-
-class _Handler(socketserver.StreamRequestHandler):
-    def handle(self) -> None:
-        engine: Any = self.server
-        engine.connections += 1
-        late = b""
-        while first := self.rfile.readline().decode():
-            headers = http.client.parse_headers(self.rfile)
-            self.rfile.read(int(headers.get("Content-Length", 0)))
-            answer = engine.answer_to(first.split()[0])
-            self.wfile.write(late + answer)
-            late = answer if engine.answers_twice else b""
-
-
 @pytest.fixture
-def running() -> Iterator[Engine]:
+def running() -> Iterator[CopyingEngine]:
     load_plugins()
-    with Engine() as found:
-        threading.Thread(target=found.serve_forever, daemon=True).start()
+    with copying_engine() as found:
         yield found
-        found.shutdown()
 
 
 class Host:
     """A host that calls one engine."""
 
-    def __init__(self, running: Engine) -> None:
+    def __init__(self, running: CopyingEngine) -> None:
         self.interface = interfaces.get("platform")
-        address = "{}:{}".format(*running.server_address)
-        self._endpoint = replace(engine("engine"), address=address)
+        self._endpoint = replace(engine("engine"), address=running.address)
         self._pool = ConnectionPool()
 
+    def reserve(self) -> str:
+        """Return the token of a reservation, or raise AssertionError if refused."""
+        status, body = self._send(self.interface.reserve("engine", 100, 1000))
+        assert status == 200
+        return self.interface.read_reservation(body).unwrap()
+
     def report(self, seconds: float = SECONDS) -> int:
         """Ask for a report; return the status of the answer."""
         return self._send(self.interface.ask_report("engine"), seconds)[0]
@@ -95,8 +60,25 @@
         )
 
 
+class TestReservation:
+    """Guards against two requests with the reservation of one."""
+
+    def test_is_not_that_of_another_request(self, running: CopyingEngine) -> None:
+        running.answers_twice = True
+        host = Host(running)
+        assert [host.reserve() for _ in range(3)] == ["h-1", "h-2", "h-3"]
+
+    def test_costs_no_connection_if_it_is_refused(self, running: CopyingEngine) -> None:
+        running.has_room = False
+        host = Host(running)
+        for _ in range(5):
+            with pytest.raises(AssertionError):
+                host.reserve()
+        assert running.connections == 1
+
+
 class TestReport:
-    def test_costs_no_connection(self, running: Engine) -> None:
+    def test_costs_no_connection(self, running: CopyingEngine) -> None:
         """Guards against a connection for each of the calls that are made most."""
         host = Host(running)
         for _ in range(5):
@@ -107,7 +89,7 @@
 class TestAnswerToAClient:
     """Guards against an answer to a client that passes for one to this host."""
 
-    def test_is_no_answer(self, running: Engine) -> None:
+    def test_is_no_answer(self, running: CopyingEngine) -> None:
         running.lines = ["Request-Id: 9c41"]
         with pytest.raises(EndpointAnswerError):
             Host(running).report()
@@ -117,7 +99,7 @@
     """Guards against calls that arrive after the time for which they were decided."""
 
     def test_carries_no_call(
-        self, running: Engine, monkeypatch: pytest.MonkeyPatch
+        self, running: CopyingEngine, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         take = ConnectionPool.take
 
@@ -131,4 +113,4 @@
             host.report(seconds=0.02)
         assert not caught.value.may_have_run
         assert host.report() == 200
-        assert (running.calls, running.connections) == (["GET"], 1)
+        assert (running.calls, running.connections) == (["/report"], 1)
--- a/tests/relays/test_relayed_framing.py
+++ b/tests/relays/test_relayed_framing.py
@@ -11,7 +11,7 @@
 import pytest
 from waitress import wasyncore
 
-from jujubeslip.discovery import ControlUpdate, EndpointRegistry, RelayHost
+from jujubeslip.discovery import ControlUpdate, Endpoint, EndpointRegistry, RelayHost
 from jujubeslip.endpoints import (
     ConnectionPool,
     EndpointAnswerError,
@@ -22,7 +22,7 @@
 from jujubeslip.forwarding._app import OpenRequests
 from jujubeslip.forwarding._relay_app import RelayApp, RelayServices
 from jujubeslip.http_server import HttpServer, HttpServerOptions
-from jujubeslip.interfaces import interfaces
+from jujubeslip.interfaces import Headers, interfaces
 from jujubeslip.kernel import Deadline, Process, load_plugins
 from jujubeslip.notices import EndpointNotices
 from jujubeslip.relays import EndpointReach, RelayAccess, RelayDirectory
@@ -35,6 +35,7 @@
     UNFRAMED,
     answered_by,
 )
+from tests.fakes.copying_engine import copying_engine
 from tests.fakes.engines import engine
 from tests.fakes.processes import free_address
 
@@ -74,18 +75,24 @@
         inner.trigger.pull_trigger(lambda: wasyncore.close_all(inner._map, True))
 
     def ask(self, address: str, method: str = "GET") -> tuple[int, bytes]:
-        """Return the whole answer of the endpoint at an address, by the relay."""
+        """Return the whole answer of a new endpoint at an address, by the relay."""
         self._starts += 1
         endpoint = replace(engine(f"e-{self._starts}"), address=address)
         self.registry.merge([endpoint])
+        return self.call(endpoint, method, "/", HEADERS)
+
+    def call(
+        self, endpoint: Endpoint, method: str, target: str, headers: Headers
+    ) -> tuple[int, bytes]:
+        """Return the whole answer of a known endpoint, by the relay."""
         directory = RelayDirectory("zone-1", lambda _: True)
         host = RelayHost("relay", self.address, "zone-1")
         directory.apply_update(ControlUpdate("control", 1, 1, relays=(host,)))
         access = RelayAccess(directory, ConnectionPool(), "host", SECRET)
-        connection = RelayedConnection(access, endpoint.start_id, address)
+        connection = RelayedConnection(access, endpoint.start_id, endpoint.address)
         try:
             connection.watch(Deadline.after(SECONDS), never_interrupted)
-            connection.send(method, "/", HEADERS, b"")
+            connection.send(method, target, headers, b"")
             head = connection.read_head()
             return head.status, connection.read_rest(head)
         finally:
@@ -167,3 +174,16 @@
         assert relay.ask(answered_by(none)) == (204, b"")
         only_head = SIZED.removesuffix(BODY)
         assert relay.ask(answered_by(only_head), "HEAD") == (200, b"")
+
+
+class TestRelayedReservation:
+    """Guards against two requests with the reservation of one, behind a relay."""
+
+    def test_is_not_that_of_another_request(self, relay: Relay) -> None:
+        with copying_engine() as running:
+            running.answers_twice = True
+            endpoint = replace(engine("reserving"), address=running.address)
+            relay.registry.merge([endpoint])
+            take = (endpoint, "POST", "/hold-take", [("Host", "host")])
+            bodies = [relay.call(*take)[1] for _ in range(3)]
+        assert bodies == [b'{"hold": "h-%d"}' % number for number in (1, 2, 3)]
