Control: the copy of a report accepts no order

Cause: before each order the leader asks the engine for its report, and sent the order on the same connection. Only the status answers an order: 200 and 202 accept it. A late second copy of the report has 200, so a refused order counted as accepted, and the engine as one that changes its role until the order expired. A copy of a refusal would withdraw an order that the engine carries out.

Each order has a connection that has carried nothing, and that nothing else uses. Its time runs from before the connection opens, and nothing is sent after it, so it still arrives within the lease.

Price: one new connection for each order, of which there is at most one in a scan and service beside those for missing engines; reports share theirs as before.

Evidence: tests/control/test_role_manager.py, TestReportThatIsSentTwice failed before: the order that the engine refused with 409 was outstanding.

--- a/src/jujubeslip/control/_role_manager.py
+++ b/src/jujubeslip/control/_role_manager.py
@@ -509,10 +509,25 @@
 
     def _ask(
         self, endpoint: Endpoint, internal_request: InternalRequest
+    ) -> tuple[int, bytes]:
+        if internal_request.method == "GET":
+            return self._ask_over(self._connections, endpoint, internal_request)
+        # Only its status answers an order, and a late copy of a report has one, too.
+        unused = ConnectionPool()
+        try:
+            return self._ask_over(unused, endpoint, internal_request)
+        finally:
+            unused.close_all()
+
+    def _ask_over(
+        self,
+        connections: ConnectionPool,
+        endpoint: Endpoint,
+        internal_request: InternalRequest,
     ) -> tuple[int, bytes]:
         deadline = Deadline.after(ENGINE_RESPONSE_TIMEOUT_SECONDS)
         return send_internal_request(
-            self._connections,
+            connections,
             self._interface,
             self._notices,
             endpoint,
--- a/tests/control/test_role_manager.py
+++ b/tests/control/test_role_manager.py
@@ -29,12 +29,13 @@
 )
 from jujubeslip.discovery import Endpoint, EndpointRegistry
 from jujubeslip.endpoints import EndpointOnHoldError
-from jujubeslip.interfaces import InternalRequest, RoleOrder
-from jujubeslip.kernel import Deadline, steady_seconds
+from jujubeslip.interfaces import InternalRequest, RoleOrder, interfaces
+from jujubeslip.kernel import Deadline, load_plugins, steady_seconds
 from jujubeslip.notices import EndpointNotices
 from jujubeslip.peers import EndpointRole, EngineLoad, ServicePressure
 from jujubeslip.platform._endpoint_answers import read_report
 from jujubeslip.platform._endpoint_calls import ask_report, order_role, read_head
+from tests.fakes.copying_engine import copying_engine
 from tests.fakes.engines import engine
 
 
@@ -328,6 +329,27 @@
         assert fake_engines.orders == orders
 
 
+class TestReportThatIsSentTwice:
+    """Guards against the acceptance of an order that is the copy of a report."""
+
+    def test_accepts_no_order(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        load_plugins()
+        with copying_engine() as running:
+            running.answers_twice = True
+            group = [
+                replace(item, address=running.address) for item in engines(0, 3).decode
+            ]
+            registry = EndpointRegistry()
+            registry.merge(group)
+            manager, _ = role_manager(monkeypatch, registry, {"model"})
+            monkeypatch.delattr(manager, "_ask")
+            monkeypatch.setattr(manager, "_interface", interfaces.get("platform"))
+            monkeypatch.setattr(manager, "_fence", lambda: Fence(1, Deadline.after(10)))
+            manager.scan()
+        assert running.calls == ["/report", "/order"]
+        assert not [item for item in group if manager._orders.role_of(item)]
+
+
 class TestIdlePrefillEngines:
     """Guards against orders that leave no prefill engine.
 
