--- a/src/jujubeslip/relays/_wire.py
+++ b/src/jujubeslip/relays/_wire.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import enum
+import http
+import re
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
+from returns.result import Failure, Result, Success
+
 PREFIX = "jujubeslip-"
 # Proves that the sender is a host of this system.
 SECRET = "Jujubeslip-Secret"
@@ -14,6 +18,9 @@
 SENDER = "Jujubeslip-Sender"
 # The start of the endpoint that is to get the request.
 START = "Jujubeslip-Start"
+# Tells the calls of a host apart. An answer has the one of its call, which proves that
+# a relay gave it, and to this call.
+CALL = "Jujubeslip-Call"
 # Milliseconds since the other headers were encoded, which have the remaining time.
 ENCODED_AGO = "Jujubeslip-Encoded-Ago-Ms"
 # Set, without a request to relay, to ask whether the endpoint's process has ended.
@@ -25,6 +32,9 @@
 # For how long the endpoint accepts no requests, in seconds, if that is the reason.
 HOLD_SECONDS = "Jujubeslip-Hold-Seconds"
 
+REFUSAL_STATUS = http.HTTPStatus.SERVICE_UNAVAILABLE
+_HOLD_SECONDS_TEXT = re.compile(r"[0-9]\.[0-9]{2}")
+
 
 class RelayRefusal(enum.Enum):
     """Why a relay has sent nothing to the endpoint."""
@@ -39,6 +49,44 @@
     """The endpoint has asked for backoff, or is leaving."""
 
 
+@dataclass(frozen=True)
+class Refused:
+    """A refusal of a relay, which has sent nothing to the endpoint."""
+
+    why: RelayRefusal
+    hold_seconds: float = 0.0
+    """For how long the endpoint accepts no requests, if that is the reason."""
+
+
+def read_refusal(
+    status: int, headers: Iterable[tuple[str, str]]
+) -> Result[Refused | None, str]:
+    """Return the refusal in an answer, None if it is the endpoint's, or what is wrong.
+
+    What can't be read proves nothing: neither that the request wasn't sent, nor that
+    the endpoint gave the answer.
+    """
+    received = list(headers)
+    refusals = header_values(received, REFUSAL)
+    if not refusals:
+        return Success(None)
+    is_known = refusals[0] in {item.value for item in RelayRefusal}
+    if status != REFUSAL_STATUS or len(refusals) > 1 or not is_known:
+        return Failure(f"the refusal {refusals} with {status} can't be read")
+    why = RelayRefusal(refusals[0])
+    if why is not RelayRefusal.ON_HOLD:
+        return Success(Refused(why))
+    holds = header_values(received, HOLD_SECONDS)
+    if len(holds) != 1 or not _HOLD_SECONDS_TEXT.fullmatch(holds[0]):
+        return Failure(f"the hold {holds} can't be read")
+    return Success(Refused(why, float(holds[0])))
+
+
+def header_values(headers: Iterable[tuple[str, str]], name: str) -> list[str]:
+    """Return the values of a header, whose name is in any case."""
+    return [value for key, value in headers if key.lower() == name.lower()]
+
+
 def without_relay_headers(
     headers: Iterable[tuple[str, str]],
 ) -> list[tuple[str, str]]:
@@ -55,6 +103,7 @@
     start_id: str
     encoded_ago_ms: int
     is_check: bool
+    call_id: str
 
     @classmethod
     def read(cls, environ: Mapping[str, Any]) -> RelayHeaders:
@@ -70,14 +119,23 @@
             value(START),
             int(ago) if ago.isdigit() else 0,
             value(CHECK) == "1",
+            value(CALL),
         )
 
-    @staticmethod
-    def of_refusal(refusal: RelayRefusal, hold_seconds: float) -> list[tuple[str, str]]:
+    def of_answer(self, headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
+        """Return the headers of the endpoint's answer, as they are passed on."""
+        return [*without_relay_headers(headers), (CALL, self.call_id)]
+
+    def of_refusal(
+        self, refusal: RelayRefusal, hold_seconds: float
+    ) -> list[tuple[str, str]]:
         """Return the headers of an answer that refuses."""
-        return [(REFUSAL, refusal.value), (HOLD_SECONDS, f"{hold_seconds:.2f}")]
+        return [
+            (CALL, self.call_id),
+            (REFUSAL, refusal.value),
+            (HOLD_SECONDS, f"{hold_seconds:.2f}"),
+        ]
 
-    @staticmethod
-    def of_check(ended: bool) -> list[tuple[str, str]]:
+    def of_check(self, ended: bool) -> list[tuple[str, str]]:
         """Return the headers of an answer to the question whether a process ended."""
-        return [(ENDED, "1" if ended else "0")]
+        return [(CALL, self.call_id), (ENDED, "1" if ended else "0")]
