Endpoints: a failed probe says nothing about the request that was sent

A client was told `ran: no` for a request to a plain service that had run (one that is not repeatable was therefore also sent to a second service and ran there again).

Cause: while an answer is pending, `Call` asks over new connections whether the endpoint still works on it. After two failures it raised the probe's own error. A refused connection or a refused status call is "not run" for the probe, and so became "not run" for the request that had been sent before.

The call now fails as one whose answer was lost: it may have run.

Evidence: TestPendingAnswer failed before in both cases (connections refused; status refused with 503). Through an entry host, with the plain services' ports refusing new connections after the run, the client got `no` before and `unknown` now, and there is one run (test_complete_answers.py, one run each).

TestTruncatedAnswer passed before: plain answers that are cut at every 23rd byte end as 502 `unknown`, and answers of engines that aren't streamed are completed elsewhere.

--- a/src/jujubeslip/endpoints/_http.py
+++ b/src/jujubeslip/endpoints/_http.py
@@ -156,10 +156,13 @@
             try:
                 probe()
                 failed = 0
-            except EndpointError:
+            except EndpointError as error:
                 failed += 1
                 if failed == FAILED_PROBES:
-                    raise
+                    # The error tells about the probe; the request was sent before it.
+                    raise EndpointTimeoutError(
+                        f"{self.address}: the answer was lost: {error.message}"
+                    ) from error
 
     def _wait_readable(self, silence_timeout: float | None = None) -> None:
         """Wait for bytes, until the deadline or until the client disconnects."""
--- /dev/null
+++ b/tests/endpoints/test_own_interface.py
@@ -0,0 +1,141 @@
+"""Answers of engines and plain services that are damaged, late or another request's."""
+
+from __future__ import annotations
+
+import json
+import socket
+import threading
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import pytest
+
+from jujubeslip.endpoints import (
+    AnswerCutError,
+    EndpointError,
+    EndpointMonitor,
+    PlainAnswer,
+    RequestRef,
+    call_plain_service,
+    never_interrupted,
+)
+from jujubeslip.kernel import Deadline
+
+REF = RequestRef("request-1", 1, "entry-1/1")
+ECHO = {"request_id": REF.request_id, "attempt": REF.attempt}
+IDS = b"X-Request-Id: request-1\r\nX-Attempt: 1\r\n"
+PAUSE_SECONDS = 0.1
+SECONDS = 1.0
+
+# What an endpoint sends for one request; a pause follows each part.
+Sent = Sequence[bytes]
+
+
+@dataclass
+class RawEndpoint:
+    """Sends on each connection what a test says, a list for each of its requests.
+
+    It stays silent afterwards, and refuses connections beyond those of the test.
+    """
+
+    sent_by_connection: Sequence[Sequence[Sent]]
+    accepted: int = 0
+    address: str = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with self._listener:
+            for answers in self.sent_by_connection:
+                connection, _ = self._listener.accept()
+                self.accepted += 1
+                arguments = (connection, answers)
+                threading.Thread(target=_answer, args=arguments, daemon=True).start()
+
+
+def _answer(connection: socket.socket, answers: Sequence[Sent]) -> None:
+    with connection:
+        try:
+            for parts in answers:
+                connection.recv(65536)
+                for part in parts:
+                    connection.sendall(part)
+                    time.sleep(PAUSE_SECONDS)
+            while connection.recv(65536):
+                pass
+        except OSError:
+            return
+
+
+def answer(
+    fields: object, status: bytes = b"200 OK", headers: bytes = b"Server: x\r\n"
+) -> bytes:
+    """Return an answer with a JSON body."""
+    body = json.dumps(fields).encode()
+    length = b"Content-Length: %d\r\n" % len(body)
+    return b"HTTP/1.1 " + status + b"\r\n" + headers + length + b"\r\n" + body
+
+
+def status_answer(incarnation: int) -> bytes:
+    """Return a status, which an endpoint's incarnation tells from others."""
+    return answer(
+        {
+            "endpoint_id": "decode-1",
+            "incarnation": incarnation,
+            "role": "decode",
+            "leaving": False,
+            "slots": 4,
+            "held": [],
+        }
+    )
+
+
+FIRST, SECOND, THIRD = (status_answer(number) for number in (1, 2, 3))
+EVENTS = answer({"events": [], "next": 0})
+
+
+def monitored(*sent_by_connection: Sequence[Sent], polls: int = 2) -> list[int]:
+    """Return the incarnations that a monitor reads in some polls."""
+    monitor = EndpointMonitor(RawEndpoint(sent_by_connection).address)
+    seen = []
+    for _ in range(polls):
+        seen.append(monitor.status(Deadline.after(SECONDS)).incarnation)
+        time.sleep(2 * PAUSE_SECONDS)
+    monitor.close()
+    return seen
+
+
+def plain_answer(sent: bytes) -> PlainAnswer:
+    endpoint = RawEndpoint([[[sent]]])
+    deadline = Deadline.after(SECONDS)
+    return call_plain_service(
+        endpoint.address, "/run", REF, b"{}", "", deadline, never_interrupted
+    )
+
+
+class TestPendingAnswer:
+    """Guards against a failed question about a request that is read as "not run"."""
+
+    @pytest.mark.parametrize(
+        "probes", [[], [[[answer({}, b"503 Stopping")]]] * 2], ids=["refused", "503"]
+    )
+    def test_may_have_run_whatever_the_probes_return(
+        self, probes: Sequence[Sequence[Sent]]
+    ) -> None:
+        endpoint = RawEndpoint([[], *probes])
+        with pytest.raises(EndpointError) as failed:
+            call_plain_service(
+                endpoint.address,
+                "/run",
+                REF,
+                b"{}",
+                "",
+                Deadline.after(10 * SECONDS),
+                never_interrupted,
+            )
+        assert failed.value.may_have_run
+        assert not isinstance(failed.value, AnswerCutError)
--- a/tests/requests/test_complete_answers.py
+++ b/tests/requests/test_complete_answers.py
@@ -128,6 +128,37 @@
         assert "".join(tokens) == expected_text()
 
 
+class TestTruncatedAnswer:
+    """Guards against the beginning of an answer that clients get as a whole one."""
+
+    def test_of_engines_is_completed_where_no_stream_is_asked_for(
+        self, cluster: Cluster, entry: str
+    ) -> None:
+        message = model_message(stream=False)
+        for offset in range(0, 1400, 233):
+            for proxy in decode_proxies(cluster):
+                proxy.end_next(offset, Direction.TO_CLIENT)
+            answer = open_call(cluster, entry, f"json-{offset}", message).answer()
+            for proxy in decode_proxies(cluster):
+                proxy.heal()
+            assert_complete(answer)
+            refill_retries(cluster, entry)
+
+    def test_of_a_plain_service_is_no_success(
+        self, cluster: Cluster, entry: str
+    ) -> None:
+        message = {"repeatable": False}
+        for offset in range(0, 290, 23):
+            for name in engines(cluster, "plain"):
+                # Sticky, since the home's own calls pass through the proxies too.
+                proxy = cluster.proxy_by_hop[("*", name)]
+                proxy.end_next(offset, Direction.TO_CLIENT, sticky=True)
+            name = f"plain-{offset}"
+            answer = open_call(cluster, entry, name, message, "confirmations").answer()
+            heal(cluster)
+            assert (answer.status, answer.ran) == (502, "unknown")
+
+
 class TestMisdirectedReply:
     """An engine sends the reply to another request, or a reply arrives late.
 
@@ -218,18 +249,32 @@
         message = {"repeatable": False}
         call = open_call(cluster, entry, "silent-plain", message, "confirmations")
         answer = in_background(call.answer)
-        wait_until(lambda: self._plain_runs(cluster) == 1, "the service runs it")
+        wait_until(lambda: self._plain_runs(cluster, "silent-plain"), "it has run")
         for name in engines(cluster, "plain"):
             cluster.proxy_by_hop[("*", name)].freeze()
             cluster.set_faults(name, resume_phase="after")
         assert answer.result(15).ran == "unknown"
-        assert self._plain_runs(cluster) == 1
+        assert self._plain_runs(cluster, "silent-plain") == 1
+
+    def test_is_not_run_again_if_the_service_accepts_no_connection(
+        self, cluster: Cluster, entry: str
+    ) -> None:
+        """A refused connection tells that nothing was sent over it, not before it."""
+        for name in engines(cluster, "plain"):
+            cluster.set_faults(name, pause_phase="after")
+        message = {"repeatable": False}
+        call = open_call(cluster, entry, "refusing-plain", message, "confirmations")
+        answer = in_background(call.answer)
+        wait_until(lambda: self._plain_runs(cluster, "refusing-plain"), "it has run")
+        for name in engines(cluster, "plain"):
+            cluster.proxy_by_hop[("*", name)].refuse()
+        assert answer.result(15).ran == "unknown"
+        assert self._plain_runs(cluster, "refusing-plain") == 1
 
     @staticmethod
-    def _plain_runs(cluster: Cluster) -> int:
+    def _plain_runs(cluster: Cluster, name: str) -> int:
         return sum(
-            len(runs_named(cluster, name, "silent-plain"))
-            for name in engines(cluster, "plain")
+            len(runs_named(cluster, plain, name)) for plain in engines(cluster, "plain")
         )
 
     def test_is_abandoned_between_hosts(self, cluster: Cluster, entry: str) -> None:
