Engines: a refusal is "not run" only for the attempt that it names

A refusal with `ran: "no"` that belonged to another attempt would have been passed on to a client as `ran: no`, though its request may have run.

Cause: only answers with status 200 were checked for the ids.

A refusal with other ids is now invalid; one without them still refuses, with its reason, and may have run. The stand-ins' refusals bear neither ids nor `ran`, so nothing changes for them.

--- a/src/jujubeslip/endpoints/_engine_adapter.py
+++ b/src/jujubeslip/endpoints/_engine_adapter.py
@@ -117,7 +117,8 @@
             )
             response = call.response()
             if response.status != HTTP_OK:
-                raise _refusal(response.status, call.read_rest(), self.address)
+                refusal = parse_object(call.read_rest(), self.address)
+                raise _refusal(response.status, refusal, ref, self.address)
             yield from self._tokens(ref, call.lines(silence_timeout), offset)
         finally:
             call.close()
@@ -192,7 +193,7 @@
             probe,
         )
         if status != HTTP_OK:
-            raise _refusal_from(status, answer)
+            raise _refusal(status, answer, ref, self.address)
         _check_ref(answer, ref, self.address)
         return answer
 
@@ -245,10 +246,17 @@
         raise EndpointAnswerError(f"{address}: the answer is for another attempt.")
 
 
-def _refusal(status: int, body: bytes, address: str) -> EndpointRefusedError:
-    return _refusal_from(status, parse_object(body, address))
+def _refusal(
+    status: int, answer: Mapping[str, Any], ref: RequestRef, address: str
+) -> EndpointRefusedError:
+    """Return the refusal, which says "not run" only if it names the attempt.
 
-
-def _refusal_from(status: int, answer: Mapping[str, Any]) -> EndpointRefusedError:
+    An engine may refuse a call before it has read the ids. That refusal could as well
+    be one of another attempt, so this one may have run.
+    """
+    has_ids = "request_id" in answer and "attempt" in answer
+    if has_ids:
+        _check_ref(answer, ref, address)
     reason = str(answer.get("reason", "no reason given"))
-    return EndpointRefusedError(status, reason, may_have_run=answer.get("ran") != "no")
+    not_run = has_ids and answer.get("ran") == "no"
+    return EndpointRefusedError(status, reason, may_have_run=not not_run)
--- a/tests/endpoints/test_own_interface.py
+++ b/tests/endpoints/test_own_interface.py
@@ -13,8 +13,11 @@
 
 from jujubeslip.endpoints import (
     AnswerCutError,
+    EndpointAnswerError,
     EndpointError,
     EndpointMonitor,
+    EndpointRefusedError,
+    EngineAdapter,
     PlainAnswer,
     RequestRef,
     call_plain_service,
@@ -117,6 +120,35 @@
     )
 
 
+class TestRefusalOfAnEngine:
+    """Guards against a refusal of another request that is read as "not run"."""
+
+    @pytest.mark.parametrize(
+        ("echo", "may_have_run"), [(ECHO, False), ({}, True), ({"attempt": 1}, True)]
+    )
+    def test_says_not_run_only_with_both_ids(
+        self, echo: dict[str, object], may_have_run: bool
+    ) -> None:
+        sent = answer({"reason": "full", "ran": "no", **echo}, b"409 Conflict")
+        adapter = EngineAdapter(RawEndpoint([[[sent]], [[sent]]]).address)
+        deadline = Deadline.after(SECONDS)
+        for call in (
+            lambda: adapter.prefill(REF, "model", "prompt", 1, deadline),
+            lambda: list(adapter.decode(REF, "kv", 0, 1, deadline, SECONDS)),
+        ):
+            with pytest.raises(EndpointRefusedError) as refused:
+                call()
+            assert refused.value.may_have_run is may_have_run
+
+    def test_is_invalid_with_the_ids_of_another_request(self) -> None:
+        fields = {"reason": "full", "ran": "no", **ECHO, "request_id": "request-2"}
+        endpoint = RawEndpoint([[[answer(fields, b"409 Conflict")]]])
+        with pytest.raises(EndpointAnswerError):
+            EngineAdapter(endpoint.address).prefill(
+                REF, "model", "prompt", 1, Deadline.after(SECONDS)
+            )
+
+
 class TestPendingAnswer:
     """Guards against a failed question about a request that is read as "not run"."""
 
