Plain services: a repeated header proves nothing

An answer whose head named two requests would have been passed on to a client if its own id came first, and a 503 with two different `X-Ran` counted as "not run".

Cause: of a repeated header the first value was taken. Which of two values belongs to the answer can't be told, so `X-Request-Id`, `X-Attempt` and `X-Ran` now count only where they come once; else the answer is invalid, and the request may have run.

Evidence: TestAnswerOfAPlainService; the three cases of repeated ids and the one of a repeated `X-Ran` failed before, the others passed.

--- a/src/jujubeslip/endpoints/_plain_service.py
+++ b/src/jujubeslip/endpoints/_plain_service.py
@@ -4,6 +4,7 @@
 
 from functools import partial
 
+from jujubeslip.endpoints._answer_reader import AnswerHead
 from jujubeslip.endpoints._engine_adapter import EngineAdapter
 from jujubeslip.endpoints._errors import (
     EndpointAnswerError,
@@ -47,10 +48,10 @@
         answer = call.read_rest()
     finally:
         call.close()
-    echoed = (head.value("X-Request-Id"), head.value("X-Attempt"))
+    echoed = (_only_value(head, "X-Request-Id"), _only_value(head, "X-Attempt"))
     if echoed != (ref.request_id, str(ref.attempt)):
         raise EndpointAnswerError(f"{address}: the answer is for another attempt.")
-    if head.status == HTTP_UNAVAILABLE and head.value("X-Ran") == "no":
+    if head.status == HTTP_UNAVAILABLE and _only_value(head, "X-Ran") == "no":
         raise EndpointRefusedError(head.status, "not run", may_have_run=False)
     if head.status >= HTTP_SERVER_ERROR:
         raise EndpointRefusedError(head.status, "failed", may_have_run=True)
@@ -58,6 +59,15 @@
     return PlainAnswer(head.status, content_type, answer)
 
 
+def _only_value(head: AnswerHead, name: str) -> str | None:
+    """Return the value of a header, or None if it is missing or repeated.
+
+    Of a repeated header, either value may belong to another answer.
+    """
+    values = [value for given, value in head.headers if given.lower() == name.lower()]
+    return values[0] if len(values) == 1 else None
+
+
 def _check_running(address: str, ref: RequestRef) -> None:
     if EngineAdapter(address).phase_of(ref) != RUNNING:
         raise EndpointTimeoutError(f"{address}: the answer was lost.")
--- a/tests/endpoints/test_own_interface.py
+++ b/tests/endpoints/test_own_interface.py
@@ -120,6 +120,40 @@
     )
 
 
+class TestAnswerOfAPlainService:
+    """Guards against answers to other requests, and refusals that promise too much."""
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            IDS + b"X-Request-Id: request-2\r\n",
+            IDS + b"X-Attempt: 2\r\n",
+            IDS + IDS,
+            IDS.replace(b"request-1", b"request-2"),
+            IDS.replace(b"X-Attempt: 1", b"X-Attempt: 2"),
+            b"X-Attempt: 1\r\n",
+        ],
+    )
+    def test_is_invalid_unless_it_echoes_its_ids_once(self, headers: bytes) -> None:
+        for status in (b"200 OK", b"503 Full"):
+            with pytest.raises(EndpointAnswerError):
+                plain_answer(answer(ECHO, status, headers + b"X-Ran: no\r\n"))
+
+    @pytest.mark.parametrize(
+        ("headers", "may_have_run"),
+        [
+            (b"X-Ran: no\r\n", False),
+            (b"X-Ran: no\r\nX-Ran: yes\r\n", True),
+            (b"X-Ran: yes\r\n", True),
+            (b"", True),
+        ],
+    )
+    def test_says_whether_it_ran(self, headers: bytes, may_have_run: bool) -> None:
+        with pytest.raises(EndpointRefusedError) as refused:
+            plain_answer(answer(ECHO, b"503 Full", IDS + headers))
+        assert refused.value.may_have_run is may_have_run
+
+
 class TestRefusalOfAnEngine:
     """Guards against a refusal of another request that is read as "not run"."""
 
