Plain services: an encoded answer is not the service's body

Clients would have got the compressed bytes of a service as its body: only status, content type and body are passed on, so nothing told them of the encoding.

The calls ask for no encoding (`Accept-Encoding: identity`); an answer with one is now invalid.

Evidence: test_is_invalid_if_it_is_encoded failed before.

--- a/src/jujubeslip/endpoints/_plain_service.py
+++ b/src/jujubeslip/endpoints/_plain_service.py
@@ -16,6 +16,7 @@
 from jujubeslip.kernel import Deadline
 
 RUNNING = "run"
+IDENTITY = "identity"
 HTTP_UNAVAILABLE = 503
 HTTP_SERVER_ERROR = 500
 
@@ -55,6 +56,8 @@
         raise EndpointRefusedError(head.status, "not run", may_have_run=False)
     if head.status >= HTTP_SERVER_ERROR:
         raise EndpointRefusedError(head.status, "failed", may_have_run=True)
+    if head.value("Content-Encoding", IDENTITY) != IDENTITY:
+        raise EndpointAnswerError(f"{address}: the answer is encoded, unasked.")
     content_type = head.value("Content-Type") or "application/octet-stream"
     return PlainAnswer(head.status, content_type, answer)
 
--- a/tests/endpoints/test_own_interface.py
+++ b/tests/endpoints/test_own_interface.py
@@ -153,6 +153,10 @@
             plain_answer(answer(ECHO, b"503 Full", IDS + headers))
         assert refused.value.may_have_run is may_have_run
 
+    def test_is_invalid_if_it_is_encoded(self) -> None:
+        with pytest.raises(EndpointAnswerError):
+            plain_answer(answer(ECHO, headers=IDS + b"Content-Encoding: gzip\r\n"))
+
 
 class TestRefusalOfAnEngine:
     """Guards against a refusal of another request that is read as "not run"."""
