--- a/tests/endpoints/test_own_interface.py
+++ b/tests/endpoints/test_own_interface.py
@@ -120,6 +120,48 @@
     )
 
 
+class TestMonitorOnAKeptConnection:
+    """Guards against an answer to an earlier call that passes for the next one's."""
+
+    def test_reads_no_answer_that_came_unasked(self) -> None:
+        assert monitored([[FIRST, SECOND]], [[THIRD]]) == [1, 3]
+
+    def test_reads_no_answer_that_another_one_follows(self) -> None:
+        assert monitored([[FIRST], [SECOND + FIRST]], [[THIRD]]) == [1, 3]
+
+    def test_reads_no_answer_to_another_call(self) -> None:
+        assert monitored([[FIRST], [EVENTS]], [[THIRD]]) == [1, 3]
+
+    def test_asks_again_when_it_is_silent(self) -> None:
+        assert monitored([[FIRST]], [[SECOND]]) == [1, 2]
+
+    def test_uses_it_for_many_calls(self) -> None:
+        assert monitored([[FIRST], [SECOND], [THIRD]], polls=3) == [1, 2, 3]
+
+
+class TestMonitor:
+    """Guards against damaged answers that are repaired, and reads without an end."""
+
+    @pytest.mark.parametrize(
+        "sent",
+        [
+            b"HTTP/1.1 200 OK\r\nServer: 3e" + FIRST,
+            FIRST.replace(b"Server: x", b"Content-Length: 4"),
+            FIRST.replace(b"Server: x", b"Server: x\ry"),
+        ],
+    )
+    def test_reads_no_damaged_answer(self, sent: bytes) -> None:
+        with pytest.raises(EndpointAnswerError):
+            monitored([[sent]])
+
+    def test_ends_at_its_deadline_while_bytes_keep_coming(self) -> None:
+        parts = [FIRST[index : index + 1] for index in range(40)]
+        end = Deadline.after(2 * SECONDS)
+        with pytest.raises(EndpointError):
+            monitored([parts])
+        assert not end.expired
+
+
 class TestAnswerOfAPlainService:
     """Guards against answers to other requests, and refusals that promise too much."""
 
