Calls: bound the bytes of a head and of the framing of a body

An endpoint that sends interim answers, headers or chunk extensions without end kept a call, and its thread, until the request's deadline.

Cause: BoundedReader bounds these only from begin_read() on, which EndpointConnection calls and Call did not.

Evidence: test_is_invalid_if_its_head_does_not_end failed before: 20,000 interim answers (500 KB) were read, and the answer after them accepted. test_is_left_when_the_client_disconnects passed before: what BoundedReader raises still gets through AnswerReader.

--- a/src/jujubeslip/endpoints/_http.py
+++ b/src/jujubeslip/endpoints/_http.py
@@ -64,6 +64,7 @@
         )
         self._method = ""
         self._socket: socket.socket | None = None
+        self._raw: BoundedReader | None = None
         self._answers: AnswerReader | None = None
 
     def send(
@@ -98,14 +99,17 @@
         self._await_answer(probe)
         assert self._socket is not None
         self._socket.settimeout(POLL_INTERVAL_SECONDS)
-        reader = BoundedReader(self._socket, stall_seconds=STALL_SECONDS)
-        reader.watch(self._deadline, self._interrupted)
-        self._answers = AnswerReader(io.BufferedReader(reader), self.address)
+        self._raw = BoundedReader(self._socket, stall_seconds=STALL_SECONDS)
+        self._raw.watch(self._deadline, self._interrupted)
+        self._raw.begin_read()
+        self._answers = AnswerReader(io.BufferedReader(self._raw), self.address)
         return self._answers.read_head(self._method)
 
     def read_some(self) -> bytes:
         """Return the next bytes of the body, or nothing once it is proven whole."""
+        assert self._raw is not None
         assert self._answers is not None
+        self._raw.begin_read()
         return self._answers.read_some()
 
     def read_rest(self) -> bytes:
--- a/tests/endpoints/test_own_interface.py
+++ b/tests/endpoints/test_own_interface.py
@@ -13,6 +13,7 @@
 
 from jujubeslip.endpoints import (
     AnswerCutError,
+    ClientDisconnectedError,
     EndpointAnswerError,
     EndpointError,
     EndpointMonitor,
@@ -162,6 +163,29 @@
         assert not end.expired
 
 
+class TestAnswerWithoutEnd:
+    """Guards against answers that are read for as long as their sender likes."""
+
+    def test_is_invalid_if_its_head_does_not_end(self) -> None:
+        interim = b"HTTP/1.1 102 Processing\r\n\r\n" * 20_000
+        with pytest.raises(EndpointAnswerError):
+            plain_answer(interim + answer(ECHO, headers=IDS))
+
+    def test_is_left_when_the_client_disconnects(self) -> None:
+        endpoint = RawEndpoint([[[answer(ECHO, headers=IDS)[:-1]]]])
+        left = Deadline.after(SECONDS / 4)
+        with pytest.raises(ClientDisconnectedError):
+            call_plain_service(
+                endpoint.address,
+                "/run",
+                REF,
+                b"{}",
+                "",
+                Deadline.after(SECONDS),
+                lambda: left.expired,
+            )
+
+
 class TestAnswerOfAPlainService:
     """Guards against answers to other requests, and refusals that promise too much."""
 
