Calls: don't wait for a packet while lines of a stream are unread

A decode stream in chunks whose lines came in one packet was delayed until the next packet, and if none came it was given up as silent after the silence timeout, with its tokens and its end already received.

Cause: between two parts of the body, `lines()` waited for the socket. The bytes that the reader had buffered don't show there. That was so with http.client's buffer too. A stream without chunks was read whole each time.

The silence is now bounded where the bytes are awaited, in BoundedReader, anew for each part: the time that the caller takes over a line doesn't count. An answer that stalls is now an EndpointTimeoutError everywhere, as in `lines()` before; a stalled head or plain body was an AnswerCutError.

Evidence: TestLinesOfAStream failed before (EndpointTimeoutError after the silence timeout).

--- a/src/jujubeslip/endpoints/_bounded_reader.py
+++ b/src/jujubeslip/endpoints/_bounded_reader.py
@@ -101,6 +101,11 @@
             self._deadline = deadline
             self._late_until = None
 
+    def limit_silence(self, seconds: float) -> None:
+        """Bound each pause within an answer from now on."""
+        self._silent_since = steady_seconds()
+        self._stall_seconds = seconds
+
     def limited(self, seconds: float) -> float:
         """Return the timeout of an operation that must end by the deadline."""
         return max(MINIMUM_TIMEOUT_SECONDS, min(seconds, self._deadline.remaining()))
@@ -130,7 +135,7 @@
         if self._deadline.expired:
             raise EndpointTimeoutError("The endpoint did not answer in time.")
         if silent_seconds > self._stall_seconds:
-            raise TimeoutError("the answer stalled")
+            raise EndpointTimeoutError("The endpoint's answer stalled.")
 
     def _note_bytes(self, size: int) -> None:
         self._silent_since = steady_seconds()
--- a/src/jujubeslip/endpoints/_http.py
+++ b/src/jujubeslip/endpoints/_http.py
@@ -129,8 +129,11 @@
         If a device between the hosts has dropped the connection, the stream stays
         silent, and the call would otherwise wait until the request's deadline.
         """
+        assert self._raw is not None
         pending = b""
         while True:
+            # The caller may have taken its time over the lines before.
+            self._raw.limit_silence(silence_timeout)
             part = self.read_some()
             if not part:
                 if pending:
@@ -140,7 +143,6 @@
             yield from complete_lines
             if len(pending) > MAXIMUM_LINE_BYTES:
                 raise EndpointAnswerError(f"{self.address}: a line is too long.")
-            self._wait_readable(silence_timeout)
 
     def _limited(self, seconds: float) -> float:
         return max(0.001, min(seconds, self._deadline.remaining()))
@@ -169,7 +171,7 @@
                     ) from error
 
     def _wait_readable(self, silence_timeout: float | None = None) -> None:
-        """Wait for bytes, until the deadline or until the client disconnects."""
+        """Wait for the answer, until the deadline or until the client disconnects."""
         if self._socket is None or self._socket.fileno() < 0:
             return
         limit = self._deadline
--- a/tests/endpoints/test_own_interface.py
+++ b/tests/endpoints/test_own_interface.py
@@ -163,6 +163,21 @@
         assert not end.expired
 
 
+class TestLinesOfAStream:
+    """Guards against lines that have arrived and wait for the next packet."""
+
+    def test_are_read_although_they_came_at_once(self) -> None:
+        items: list[dict[str, object]] = [{"accepted": True}]
+        items += [{"index": index, "token": f"w{index} "} for index in range(3)]
+        items += [{"end": True, "tokens": 3}]
+        lines = (json.dumps({**ECHO, **item}).encode() + b"\n" for item in items)
+        chunks = b"".join(b"%x\r\n%b\r\n" % (len(line), line) for line in lines)
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        adapter = EngineAdapter(RawEndpoint([[[head + chunks]]]).address)
+        tokens = adapter.decode(REF, "kv", 0, 3, Deadline.after(SECONDS), SECONDS / 2)
+        assert list(tokens) == ["w0 ", "w1 ", "w2 "]
+
+
 class TestAnswerWithoutEnd:
     """Guards against answers that are read for as long as their sender likes."""
 
