HTTP server: reset the connection of an unframed answer that fails

A client of HTTP/1.0 got the beginning of a streamed answer as a whole one.

Cause: an answer without length goes to such a client without chunks, so the regular end of its connection is all that ends it, and the server ended the connection regularly after an answer that was abandoned, too. Its connection is now reset. With a length or in chunks nothing changes: these ended before their end already, which the other tests of the class show.

Not covered: a process that is killed, or whose stop reaches its limit, while it writes such an answer.

--- a/src/jujubeslip/http_server/_server.py
+++ b/src/jujubeslip/http_server/_server.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
+import socket
+import struct
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -25,6 +28,8 @@
 # No request is being served and no byte is unsent.
 FLUSHED = (0, 0)
 MAXIMUM_BACKLOG = 1024
+# Value of SO_LINGER: closing drops what is unsent and resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # How much of a streamed answer is kept for a client that reads slowly, in bytes; then
 # the stream waits for the client.
 MAXIMUM_UNSENT_BYTES = 256 * 1024
@@ -46,7 +51,26 @@
 
 
 class ClosingTask(WSGITask):
-    """Adds `Connection: close` to its answer once the server is stopping."""
+    """Adds `Connection: close` to its answer once the server is stopping.
+
+    An answer that fails midway never looks whole: one with a length or in chunks ends
+    before its end, and the connection of any other one, to a client of HTTP/1.0, is
+    reset.
+    """
+
+    def service(self) -> None:
+        """Write the answer."""
+        try:
+            super().service()
+        except Exception:
+            if self._ends_with_connection:
+                _reset_when_closed(self.channel.socket)
+            raise
+
+    @property
+    def _ends_with_connection(self) -> bool:
+        is_framed = self.chunked_response or self.content_length is not None
+        return bool(self.wrote_header and not is_framed)
 
     def build_response_header(self) -> bytes:
         """Return the status line and headers of the answer."""
@@ -56,6 +80,14 @@
         return header
 
 
+def _reset_when_closed(connection: socket.socket | None) -> None:
+    if connection is None:
+        # Its client has left, and the server's task has closed it.
+        return
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
 class ClosingChannel(HTTPChannel):
     """A connection that, during a stop, closes after an answer that announces it.
 
