Entry hosts: an answer without tokens has no text

A client that asks for no stream got the text "None", counted as one token, as a success, where a model's answer ended without a token. A stream was right.

Evidence: TestAnswerWithoutTokens::test_has_no_text failed before.

--- a/src/jujubeslip/entry/_client_call.py
+++ b/src/jujubeslip/entry/_client_call.py
@@ -171,8 +171,9 @@
         headers: list[tuple[str, str]],
     ) -> Iterable[bytes]:
         try:
-            rest = self._until_abandoned(answer_parts)
-            tokens = [str(first), *(str(step) for step in rest)]
+            # An answer without tokens has no first step.
+            tokens = [] if first is None else [str(first)]
+            tokens += [str(step) for step in self._until_abandoned(answer_parts)]
         except RequestRefusedError as refusal:
             self._record_refusal(refusal)
             return refuse(start_response, refusal, self._request.request_id)
