Plain services: an unframed answer is cut off if its service has ended

Clients got the beginning of a body as a whole one, with a length of the entry host's own, where a service answers without length or chunks and its process ended within the answer.

Cause: such an answer ends with its connection, which ends in the same way when the process does. After one, the service's port is now asked, as forwarding hosts do: where it refuses connections, the answer counts as cut off, and the request may have run. A service that leaves and stops right after such an answer loses it: it was whole then, but nothing proves it.

Evidence: test_is_cut_off_if_the_service_has_ended failed before.

--- a/src/jujubeslip/endpoints/_plain_service.py
+++ b/src/jujubeslip/endpoints/_plain_service.py
@@ -4,15 +4,17 @@
 
 from functools import partial
 
-from jujubeslip.endpoints._answer_reader import AnswerHead
+from jujubeslip.endpoints._answer_reader import AnswerHead, Framing
 from jujubeslip.endpoints._engine_adapter import EngineAdapter
 from jujubeslip.endpoints._errors import (
+    AnswerCutError,
     EndpointAnswerError,
     EndpointRefusedError,
     EndpointTimeoutError,
 )
 from jujubeslip.endpoints._http import Call, Interrupted
 from jujubeslip.endpoints._models import PlainAnswer, RequestRef
+from jujubeslip.endpoints._process_end import has_ended
 from jujubeslip.kernel import Deadline
 
 RUNNING = "run"
@@ -58,6 +60,9 @@
         raise EndpointRefusedError(head.status, "failed", may_have_run=True)
     if head.value("Content-Encoding", IDENTITY) != IDENTITY:
         raise EndpointAnswerError(f"{address}: the answer is encoded, unasked.")
+    if head.framing is Framing.CONNECTION and has_ended(address):
+        # The end of its process would have ended the answer just so.
+        raise AnswerCutError(f"{address}: ended during its answer.")
     content_type = head.value("Content-Type") or "application/octet-stream"
     return PlainAnswer(head.status, content_type, answer)
 
--- a/tests/endpoints/test_own_interface.py
+++ b/tests/endpoints/test_own_interface.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import socket
 import threading
@@ -40,10 +41,12 @@
 class RawEndpoint:
     """Sends on each connection what a test says, a list for each of its requests.
 
-    It stays silent afterwards, and refuses connections beyond those of the test.
+    Afterwards it stays silent or closes the connection. It refuses connections beyond
+    those of the test.
     """
 
     sent_by_connection: Sequence[Sequence[Sent]]
+    closes: bool = False
     accepted: int = 0
     address: str = field(init=False)
 
@@ -58,21 +61,18 @@
                 connection, _ = self._listener.accept()
                 self.accepted += 1
                 arguments = (connection, answers)
-                threading.Thread(target=_answer, args=arguments, daemon=True).start()
+                target = self._answer
+                threading.Thread(target=target, args=arguments, daemon=True).start()
 
-
-def _answer(connection: socket.socket, answers: Sequence[Sent]) -> None:
-    with connection:
-        try:
+    def _answer(self, connection: socket.socket, answers: Sequence[Sent]) -> None:
+        with connection, contextlib.suppress(OSError):
             for parts in answers:
                 connection.recv(65536)
                 for part in parts:
                     connection.sendall(part)
                     time.sleep(PAUSE_SECONDS)
-            while connection.recv(65536):
+            while not self.closes and connection.recv(65536):
                 pass
-        except OSError:
-            return
 
 
 def answer(
@@ -113,8 +113,8 @@
     return seen
 
 
-def plain_answer(sent: bytes) -> PlainAnswer:
-    endpoint = RawEndpoint([[[sent]]])
+def plain_answer(sent: bytes, *others: Sequence[Sent]) -> PlainAnswer:
+    endpoint = RawEndpoint([[[sent]], *others], closes=True)
     deadline = Deadline.after(SECONDS)
     return call_plain_service(
         endpoint.address, "/run", REF, b"{}", "", deadline, never_interrupted
@@ -239,6 +239,19 @@
             plain_answer(answer(ECHO, headers=IDS + b"Content-Encoding: gzip\r\n"))
 
 
+class TestUnframedAnswerOfAPlainService:
+    """Guards against the beginning of an answer whose sender ended within it."""
+
+    SENT = b"HTTP/1.1 200 OK\r\n" + IDS + b"\r\nthe beginning"
+
+    def test_is_cut_off_if_the_service_has_ended(self) -> None:
+        with pytest.raises(AnswerCutError):
+            plain_answer(self.SENT)
+
+    def test_is_whole_if_the_service_still_accepts_connections(self) -> None:
+        assert plain_answer(self.SENT, [[]]).body == b"the beginning"
+
+
 class TestRefusalOfAnEngine:
     """Guards against a refusal of another request that is read as "not run"."""
 
