--- a/src/jujubeslip/endpoints/_http.py
+++ b/src/jujubeslip/endpoints/_http.py
@@ -64,6 +64,7 @@
         )
         self._method = ""
         self._socket: socket.socket | None = None
+        self._raw: BoundedReader | None = None
         self._answers: AnswerReader | None = None
 
     def send(
@@ -98,14 +99,17 @@
         self._await_answer(probe)
         assert self._socket is not None
         self._socket.settimeout(POLL_INTERVAL_SECONDS)
-        reader = BoundedReader(self._socket, stall_seconds=STALL_SECONDS)
-        reader.watch(self._deadline, self._interrupted)
-        self._answers = AnswerReader(io.BufferedReader(reader), self.address)
+        self._raw = BoundedReader(self._socket, stall_seconds=STALL_SECONDS)
+        self._raw.watch(self._deadline, self._interrupted)
+        self._raw.begin_read()
+        self._answers = AnswerReader(io.BufferedReader(self._raw), self.address)
         return self._answers.read_head(self._method)
 
     def read_some(self) -> bytes:
         """Return the next bytes of the body, or nothing once it is proven whole."""
+        assert self._raw is not None
         assert self._answers is not None
+        self._raw.begin_read()
         return self._answers.read_some()
 
     def read_rest(self) -> bytes:
@@ -125,8 +129,11 @@
         If a device between the hosts has dropped the connection, the stream stays
         silent, and the call would otherwise wait until the request's deadline.
         """
+        assert self._raw is not None
         pending = b""
         while True:
+            # The caller may have taken its time over the lines before.
+            self._raw.limit_silence(silence_timeout)
             part = self.read_some()
             if not part:
                 if pending:
@@ -136,7 +143,6 @@
             yield from complete_lines
             if len(pending) > MAXIMUM_LINE_BYTES:
                 raise EndpointAnswerError(f"{self.address}: a line is too long.")
-            self._wait_readable(silence_timeout)
 
     def _limited(self, seconds: float) -> float:
         return max(0.001, min(seconds, self._deadline.remaining()))
@@ -156,13 +162,16 @@
             try:
                 probe()
                 failed = 0
-            except EndpointError:
+            except EndpointError as error:
                 failed += 1
                 if failed == FAILED_PROBES:
-                    raise
+                    # The error tells about the probe; the request was sent before it.
+                    raise EndpointTimeoutError(
+                        f"{self.address}: the answer was lost: {error.message}"
+                    ) from error
 
     def _wait_readable(self, silence_timeout: float | None = None) -> None:
-        """Wait for bytes, until the deadline or until the client disconnects."""
+        """Wait for the answer, until the deadline or until the client disconnects."""
         if self._socket is None or self._socket.fileno() < 0:
             return
         limit = self._deadline
