--- a/src/jujubeslip/relays/_wire.py
+++ b/src/jujubeslip/relays/_wire.py
@@ -124,7 +124,9 @@
 
     def of_answer(self, headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
         """Return the headers of the endpoint's answer, as they are passed on."""
-        return [*without_relay_headers(headers), (CALL, self.call_id)]
+        kept = without_relay_headers(headers)
+        # Hosts of earlier versions name no call, and pass on all headers.
+        return [*kept, (CALL, self.call_id)] if self.call_id else kept
 
     def of_refusal(
         self, refusal: RelayRefusal, hold_seconds: float
