Keys: a long answer doesn't free the key of a request that may run only once

A resend with the same Idempotency-Key ran a request a second time that is not repeatable, where the first answer had been longer than what is recorded.

Cause: such an answer freed the key, which is meant for runs that certainly did not happen. The outcome is now recorded as unknown, so resends get 409 `outcome_unknown`. Keys of repeatable requests are freed as before.

Evidence: the test failed before: the resend got a 200 of a second run.

--- a/src/jujubeslip/requests/_service.py
+++ b/src/jujubeslip/requests/_service.py
@@ -212,8 +212,11 @@
         if len(outcome) > MAXIMUM_OUTCOME_BYTES:
             extra = {"request_id": claim.request_id}
             logger.warning("answer of request too long to be recorded", extra=extra)
-            keys.abandon(claim)
-            return
+            if keys is self._in_memory_keys:
+                keys.abandon(claim)
+                return
+            # A free key would let a resend run what may run only once.
+            outcome = encode_answer(UnknownAnswer("Its answer was too long to keep."))
         try:
             keys.finish(claim, outcome)
         except JujubeslipError as error:
--- a/tests/requests/test_idempotency_keys.py
+++ b/tests/requests/test_idempotency_keys.py
@@ -211,6 +211,16 @@
             assert answer.status == 200
         assert plain_runs(cluster, "confirmed") == 1
 
+    def test_is_not_run_again_after_an_answer_too_long_to_record(
+        self, cluster: Cluster
+    ) -> None:
+        message = {**CONFIRMATION, "note": "x" * 1_000_000}
+        first, other, _ = cluster.entry_ids
+        assert plain_call(cluster, first, "long", message).answer().status == 200
+        resend = plain_call(cluster, other, "long", message).answer()
+        assert (resend.status, resend.ran) == (409, "unknown")
+        assert plain_runs(cluster, "long") == 1
+
     @pytest.mark.parametrize("phase", ["before", "after"])
     def test_is_unknown_when_the_service_dies(
         self, cluster: Cluster, phase: str
