Fault proxy: pass a reset on as a reset

A server that reset its connection was seen by its client as a regular end, since the proxy closed its own side regularly. An answer with neither length nor chunks then looked whole to every host behind a proxy, and no soak could tell the two apart.

The proxy closes both sides with a reset when one of them ends so.

--- a/tests/fakes/fault_proxy.py
+++ b/tests/fakes/fault_proxy.py
@@ -207,6 +207,8 @@
     def _forward(self, link: _Link, direction: Direction) -> None:
         try:
             self._pump(link, direction)
+        except ConnectionResetError:
+            self._drop(link, reset=True)
         except (OSError, ValueError):
             self._drop(link, reset=False)
 
--- a/tests/fakes/test_fault_proxy.py
+++ b/tests/fakes/test_fault_proxy.py
@@ -15,7 +15,7 @@
 from opentelemetry.sdk.trace.export import SimpleSpanProcessor
 
 from tests.fakes.collector import Collector
-from tests.fakes.fault_proxy import Direction, FaultProxy
+from tests.fakes.fault_proxy import RESET_ON_CLOSE, Direction, FaultProxy
 from tests.fakes.processes import ManagedProcess, call_json
 
 
@@ -82,6 +82,17 @@
             with pytest.raises(ConnectionResetError):
                 connection.recv(4096)
 
+    def test_reset_by_the_server_reaches_the_client_as_one(self) -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        found = FaultProxy(f"127.0.0.1:{listener.getsockname()[1]}")
+        with listener, connect(found) as connection:
+            accepted, _ = listener.accept()
+            accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            accepted.close()
+            with pytest.raises(ConnectionResetError):
+                connection.recv(4096)
+        found.stop()
+
     def test_one_connection_is_truncated_once(self, proxy: FaultProxy) -> None:
         proxy.end_next(4)
         with connect(proxy) as connection:
