--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -29,6 +29,7 @@
     RETRY_WINDOW_MS,
     STOP_LIMIT_MS,
 )
+from tests.fakes.platform_worker import stamp
 
 # How long after a control host acknowledged its removal an endpoint may still receive
 # requests, and how long a connected host may not know an acknowledged configuration, in
@@ -115,11 +116,15 @@
 def _find_problem(observations: Observations, call: ClientCall, runs: list[Run]) -> str:
     if call.status == 404 and call.kind is not Kind.PROBE:
         return "404 for a route that every configuration contains"
-    if call.status != 200:
-        return ""
-    if call.echoed_id != call.request_id:
+    if call.echoed_id not in ("", call.request_id):
         return f"the response has the request id {call.echoed_id!r}"
     endpoint_id = call.stamp.partition(".")[0]
+    if call.stamp and call.stamp != stamp(endpoint_id, call.request_id, call.status):
+        return f"the stamp of a {call.status} for the request is {call.stamp!r}"
+    if call.status != 200:
+        return ""
+    if not call.echoed_id:
+        return "the response has no request id"
     if endpoint_id not in {run.endpoint_id for run in runs}:
         return f"{endpoint_id!r} answered without having run the request"
     complete = call.outcome is Outcome.ANSWERED
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -14,6 +14,7 @@
 from soak._observations import Kind, NamedLimit, Observations, Partition
 from soak._schedule import Fault, HostFault, LinkFault, describe
 from soak._system import SoakSystem
+from tests.fakes._spoiled_answers import AnswerSpoiler
 from tests.fakes.fault_proxy import Direction, FaultProxy
 
 # How long a fault of responses waits for the requests that it applies to, in seconds.
@@ -258,6 +259,17 @@
     worker.run_seconds = usual_seconds
 
 
+@carry_out.register
+def _(fault: _schedule.AnswersDamaged, faults: Faults) -> None:
+    workers = [faults.endpoint_by_slot[slot].worker for slot in fault.endpoints]
+    with faults.observations.disturbing(describe(fault), *fault.endpoints):
+        for number, worker in enumerate(workers):
+            worker.spoiler = AnswerSpoiler(fault.seed + number, fault.share)
+        faults.pause(fault.seconds)
+        for worker in workers:
+            worker.spoiler = None
+
+
 @carry_out.register
 def _(fault: _schedule.LeavingSaid, faults: Faults) -> None:
     endpoint = faults.endpoint_by_slot[fault.endpoint]
--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -47,6 +47,7 @@
     "partitions": (1.0, 8.0),
     "slow": (0.5, 4.0),
     "late answers": (0.3, 2.0),
+    "spoiled answers": (0.3, 2.0),
 }
 # How long a host is down or paused, in seconds: the range includes times shorter and
 # longer than an election and than the 1.2 s after which a silent connection is closed.
@@ -71,6 +72,9 @@
 # slow enough for a second send, and too slow for the target.
 SLOW_SECONDS = (0.3, 6.0)
 SLOW_ANSWER_SECONDS = (0.2, 0.9)
+# How long answers of endpoints are spoiled, in seconds, and the share of them.
+SPOILED_SECONDS = (0.3, 4.0)
+SPOILED_SHARES = (0.1, 0.3, 0.8)
 # How long entry hosts are cut off from all endpoints, in seconds: from shorter than
 # their detection of it to several times longer.
 PARTITION_SECONDS = (0.5, 9.0)
@@ -219,6 +223,17 @@
     answer_seconds: float
 
 
+@dataclass(frozen=True)
+class AnswersDamaged(Fault):
+    """A share of the endpoints' answers end early, are damaged or come twice."""
+
+    endpoints: tuple[str, ...]
+    seconds: float
+    share: float
+    seed: int
+    """Draws the answers, what happens to each, and where."""
+
+
 class LeavingSaid(EndpointFault):
     """The endpoint reports in responses that it leaves, announces ready, and ends."""
 
@@ -353,6 +368,12 @@
     return EndpointSlowed(at, track, endpoint, seconds, answer_seconds)
 
 
+def _damaged_answers(rng: random.Random, at: float, track: str) -> Fault:
+    endpoints = tuple(rng.sample(ENDPOINTS, rng.randint(1, len(ENDPOINTS) // 2)))
+    seconds, share = _draw_duration(rng, SPOILED_SECONDS), rng.choice(SPOILED_SHARES)
+    return AnswersDamaged(at, track, endpoints, seconds, share, rng.getrandbits(32))
+
+
 def _partition(rng: random.Random, at: float, track: str) -> Fault:
     hosts = tuple(rng.sample(ENTRIES, rng.randint(1, len(ENTRIES))))
     seconds = round(rng.uniform(*PARTITION_SECONDS), 2)
@@ -372,4 +393,5 @@
     "partitions": _partition,
     "slow": _slowness,
     "late answers": _late_answers,
+    "spoiled answers": _damaged_answers,
 }
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -19,12 +19,18 @@
 from typing import Any, Self
 
 from tests.fakes._http import JsonHandler, StandInServer, listen
+from tests.fakes._spoiled_answers import AnswerEndedError, AnswerSpoiler, AnswerWriter
 
 EVENT_PAUSE_SECONDS = 0.01
 # How often the server checks whether it should stop.
 POLL_SECONDS = 0.05
 
 
+def stamp(worker_id: str, request_id: str, status: int) -> str:
+    """Return the stamp that the worker gives its answer to a request."""
+    return f"{worker_id}.{status}.{request_id}"
+
+
 @dataclass(frozen=True)
 class WorkerRun:
     """A request that the worker began to run."""
@@ -136,6 +142,8 @@
     """Sent instead of each answer."""
     on_crash: Callable[[], bool] = lambda: True
     """Called before the crash; if it returns false, only the request is lost."""
+    spoiler: AnswerSpoiler | None = None
+    """Spoils a share of all answers, also of those to calls by the system."""
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     runs: list[WorkerRun] = field(default_factory=list)
     prefilled_requests: list[str] = field(default_factory=list)
@@ -251,7 +259,7 @@
         """Register the connection, which is closed with the worker."""
         super().setup()
         self.worker.sockets.add(self.connection)
-        self._late_response = b""
+        self.wfile = self._answers = AnswerWriter(self.connection)
 
     def finish(self) -> None:
         """Unregister the connection."""
@@ -259,29 +267,33 @@
         super().finish()
 
     def _dispatch(self, method: str) -> None:
-        expected = self.headers.get("Expect-Instance", self.worker.worker_id)
+        spoiler = self.worker.spoiler
+        spoiling = None if spoiler is None else spoiler.draw()
         try:
             body = self.read_body()
-            self.wfile.write(self._late_response)
-            self._late_response = b""
-            if expected != self.worker.worker_id:
-                headers = {"Instance-Id": self.worker.worker_id}
-                self.reply(421, {}, headers)
-            elif self.path == "/hold-take":
-                self._record_arrival()
-                self._reserve(json.loads(body))
-            elif self.path.startswith("/hold-drop/"):
-                self.worker.reservations.pop(self.path.rpartition("/")[2], None)
-                self.reply(200, {})
-            elif self.path == "/report":
-                self._report()
-            elif self.path == "/order":
-                self._order(json.loads(body))
-            else:
-                self._request(method, body)
-        except OSError:
+            with self._answers.answering(spoiling, self.worker.events):
+                self._serve(method, body)
+        except (OSError, AnswerEndedError):
             self.close_connection = True
 
+    def _serve(self, method: str, body: bytes) -> None:
+        expected = self.headers.get("Expect-Instance", self.worker.worker_id)
+        if expected != self.worker.worker_id:
+            headers = {"Instance-Id": self.worker.worker_id}
+            self.reply(421, {}, headers)
+        elif self.path == "/hold-take":
+            self._record_arrival()
+            self._reserve(json.loads(body))
+        elif self.path.startswith("/hold-drop/"):
+            self.worker.reservations.pop(self.path.rpartition("/")[2], None)
+            self.reply(200, {})
+        elif self.path == "/report":
+            self._report()
+        elif self.path == "/order":
+            self._order(json.loads(body))
+        else:
+            self._request(method, body)
+
     def _reserve(self, fields: dict[str, Any]) -> None:
         self.worker.system_calls.append("reserve")
         if self.worker.backoff or self.worker.faults.take("no_room"):
@@ -323,14 +335,15 @@
         self.reply(202, {})
 
     def _record_arrival(self) -> None:
-        """Record a call before the response."""
+        """Record a call before the response; a spoiled one brings no notices."""
+        notifies = not self._answers.is_spoiled
         arrival = Arrival(
             time.monotonic(),
             self.headers.get("X-Entry", ""),
             self.path,
             self.headers.get("Request-Id", ""),
-            self.worker.backoff,
-            self.worker.leaves,
+            self.worker.backoff if notifies else "",
+            notifies and self.worker.leaves,
         )
         self.worker.arrivals.append(arrival)
 
@@ -414,8 +427,9 @@
             "Keep-Alive: timeout=5",
             "Content-Length: 0",
         ]
-        self._late_response = ("\r\n".join(lines) + "\r\n\r\n").encode()
-        self.wfile.write(self._late_response)
+        refusal = ("\r\n".join(lines) + "\r\n\r\n").encode()
+        self.wfile.write(refusal)
+        self._answers.before_next += refusal
 
     def _prefill(self) -> None:
         request_id = self.headers.get("Request-Id", "")
@@ -479,7 +493,7 @@
         lines = [
             f"HTTP/1.1 {status} Status",
             f"Request-Id: {request_id}",
-            f"Server-Stamp: {self.worker.worker_id}.{request_id}",
+            f"Server-Stamp: {stamp(self.worker.worker_id, request_id, status)}",
             "Keep-Alive: timeout=5",
         ]
         lines += [f"{name}: {value}" for name, value in self._notice_headers().items()]
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -31,6 +31,7 @@
 )
 from soak._partition_checks import check_partitions
 from soak._system import RETRY_ALLOWANCE
+from tests.fakes.platform_worker import stamp
 
 ANSWER = b"the whole answer"
 EVENTS = b"".join(
@@ -56,7 +57,7 @@
 def call(request_id: str, kind: Kind, **fields: object) -> ClientCall:
     found = ClientCall(
         *(request_id, kind, "entry-0", 1, LONG_AGO, LONG_AGO + 1, Outcome.ANSWERED),
-        *(200, request_id, f"plain-0-1.{request_id}", ANSWER),
+        *(200, request_id, stamp("plain-0-1", request_id, 200), ANSWER),
         connected_at=LONG_AGO,
     )
     return replace(found, **fields)  # type: ignore[arg-type]
@@ -120,8 +121,15 @@
         [
             {"body": ANSWER[:-1]},
             {"echoed_id": "safe-1"},
-            {"stamp": "plain-0-2.safe-2"},
+            {"echoed_id": ""},
+            {"stamp": ""},
+            {"stamp": stamp("plain-0-2", "safe-2", 200)},
+            {"stamp": stamp("plain-0-1", "safe-2", 200)[:-1]},
+            {"stamp": stamp("plain-0-1", "safe-1", 200)},
+            {"stamp": stamp("plain-0-1", "safe-2", 500)},
             {"status": 404},
+            {"status": 502},
+            {"status": 502, "stamp": "", "echoed_id": "safe-1"},
         ],
     )
     def test_wrong_response(
