--- a/tests/endpoints/test_own_interface.py
+++ b/tests/endpoints/test_own_interface.py
@@ -71,7 +71,10 @@
                 for part in parts:
                     connection.sendall(part)
                     time.sleep(PAUSE_SECONDS)
-            while not self.closes and connection.recv(65536):
+            if self.closes:
+                connection.shutdown(socket.SHUT_WR)
+            # A part of the request that is left unread would reset the connection.
+            while connection.recv(65536):
                 pass
 
 
