Connections: find a second answer that only begins within a body

The evidence was there: the end of the body and the bytes that follow it form the head of an answer to a request of this connection. Bytes that follow a whole body still harm none.

It now takes linear time, an id counts only as the value of a header in a whole head, and a body with more than 32 status lines is a text.

A size of a chunk that is joined with a status line is no extension.

--- a/src/jujubeslip/endpoints/_answer_reader.py
+++ b/src/jujubeslip/endpoints/_answer_reader.py
@@ -278,8 +278,9 @@
         # The end of the chunk before is read here, so that its bytes don't wait for it.
         if self._left == 0 and self._lines.read() != LINE_END:
             raise self._lines.invalid("a chunk is longer than its size")
-        match = _CHUNK_SIZE_LINE.fullmatch(self._lines.read())
-        if match is None:
+        line = self._lines.read()
+        match = _CHUNK_SIZE_LINE.fullmatch(line)
+        if match is None or _STATUS_WITHIN_LINE.search(line):
             raise self._lines.invalid("the size of a chunk can't be read")
         self._left = int(match[1], 16)
         if not self._left:
--- a/src/jujubeslip/endpoints/_stray_answers.py
+++ b/src/jujubeslip/endpoints/_stray_answers.py
@@ -1,7 +1,8 @@
 """Finds answers that stand within the body of another one.
 
 An endpoint that answers a request twice may send the second answer while it is sending
-the body of the next one. A length then counts bytes of both.
+the body of the next one, or after a body that ended early. A length then counts bytes
+of both.
 """
 
 from __future__ import annotations
@@ -11,34 +12,81 @@
 
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}[ \r]")
 _LONGEST_STATUS_START = len("HTTP/1.1 200 ")
+_FIRST_BYTE = b"H"
+_LINE_END = b"\r\n"
 _END_OF_HEAD = b"\r\n\r\n"
 # Maximum bytes of a head within a body that are searched for an id.
 MAXIMUM_HEAD_BYTES = 8192
+# Maximum number of status lines within a body that are followed up. A body that has
+# more of them is a text about answers.
+MAXIMUM_STATUS_LINES = 32
 
 
 class StrayAnswerFinder:
-    """Looks through the parts of one body for the head of another answer."""
+    """Looks through the parts of one body for the head of another answer.
+
+    A head counts if it is whole, and one of its headers has the id of a request that
+    the connection has carried.
+    """
 
     def __init__(self, request_ids: Collection[str]) -> None:
         """Create the finder of answers that name one of these requests."""
-        self._request_ids = [item.encode("latin-1") for item in request_ids if item]
+        self._request_ids = {item.encode("latin-1") for item in request_ids if item}
         self._kept = b""
+        """The latest bytes, from a status line on if its head is not whole yet."""
+        self._in_head = False
+        self._status_lines_left = MAXIMUM_STATUS_LINES
+
+    @property
+    def may_have_begun(self) -> bool:
+        """Return whether the bytes that follow the body may continue such a head."""
+        return self._in_head or self._is_active and _FIRST_BYTE in self._kept
 
     def finds_one(self, part: bytes) -> bool:
-        """Return whether an answer to one of the requests stands in the body so far."""
-        if not self._request_ids:
+        """Return whether such a head stands in the body so far."""
+        if not self._is_active:
             return False
+        searched_until = len(self._kept)
         seen = self._kept + part
         begin = 0
-        while (match := _STATUS_LINE.search(seen, begin)) is not None:
+        if self._in_head:
+            # The status line is at the beginning; look only for the end of its head.
+            is_whole = _END_OF_HEAD in seen[max(0, searched_until - 3) :]
+            if not is_whole and len(seen) < MAXIMUM_HEAD_BYTES:
+                self._kept = seen
+                return False
+        while self._is_active and (match := _STATUS_LINE.search(seen, begin)):
             begin = match.start()
-            end = seen.find(_END_OF_HEAD, begin)
-            head = seen[begin : end if end >= 0 else None]
-            if any(request_id in head for request_id in self._request_ids):
-                return True
-            if end < 0 and len(head) < MAXIMUM_HEAD_BYTES:
-                self._kept = head
+            end = seen.find(_END_OF_HEAD, begin, begin + MAXIMUM_HEAD_BYTES)
+            if end < 0 and len(seen) - begin < MAXIMUM_HEAD_BYTES:
+                self._kept, self._in_head = seen[begin:], True
                 return False
+            self._status_lines_left -= 1
+            if end >= 0 and self._names_request(seen[begin:end]):
+                return True
             begin = match.end()
-        self._kept = seen[-_LONGEST_STATUS_START:]
+        self._kept, self._in_head = seen[-_LONGEST_STATUS_START:], False
         return False
+
+    def is_continued_by(self, following: bytes) -> bool:
+        """Return whether one that began within the body goes on in what follows it.
+
+        One that begins after the body belongs to no request, and harms none.
+        """
+        within = len(self._kept)
+        seen = self._kept + following
+        match = _STATUS_LINE.search(seen)
+        if match is None or match.start() >= within:
+            return False
+        end = seen.find(_END_OF_HEAD, match.start())
+        # The rest of its head may be on its way.
+        lines = seen[match.start() : end] if end >= 0 else seen[match.start() :]
+        return self._names_request(lines)
+
+    @property
+    def _is_active(self) -> bool:
+        return bool(self._request_ids) and self._status_lines_left > 0
+
+    def _names_request(self, head: bytes) -> bool:
+        values = (line.partition(b":")[2] for line in head.split(_LINE_END)[1:])
+        return any(value.strip() in self._request_ids for value in values)
--- a/tests/forwarding/test_unidentified_answers.py
+++ b/tests/forwarding/test_unidentified_answers.py
@@ -5,6 +5,7 @@
 import logging
 import socket
 import threading
+import time
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 
@@ -17,6 +18,7 @@
     EndpointRefusedError,
     never_interrupted,
 )
+from jujubeslip.endpoints._stray_answers import StrayAnswerFinder
 from jujubeslip.forwarding._exchange import Exchange
 from jujubeslip.interfaces import EndpointCall, EndpointHead, interfaces
 from jujubeslip.kernel import Deadline, load_plugins
@@ -25,6 +27,8 @@
 from tests.fakes.engines import engine
 
 WAIT_SECONDS = 2.0
+# Processor time to look through 250 KB; a byte at a time, most of it goes to the calls.
+LINEAR_SECONDS = 2.0
 FIRST = (
     b"HTTP/1.1 200 OK\r\nRequest-Id: first\r\nServer-Stamp: s.first\r\n"
     b"Keep-Alive: timeout=30\r\nContent-Length: 2\r\n\r\n{}"
@@ -194,9 +198,9 @@
 
 
 class TestAnswerWithinABody:
-    """Guards against a late second answer that a body's length counts as its own."""
+    """Guards against a second answer that a body's length counts as its own."""
 
-    @pytest.mark.parametrize("at", range(0, 160, 20))
+    @pytest.mark.parametrize("at", range(0, 200, 9))
     def test_makes_the_body_no_answer(self, endpoint: AnswersInTurn, at: int) -> None:
         sized = SECOND.replace(b"Length: 2", b"Length: 200")
         body = b"x" * at + FIRST + b"x" * (200 - at)
@@ -206,10 +210,50 @@
         with pytest.raises(EndpointAnswerError):
             host.send("second")
 
-    def test_is_no_fault_if_it_names_no_request(self, endpoint: AnswersInTurn) -> None:
-        quoted = FIRST.replace(b"first", b"of a manual page")
-        length = b"Length: %d" % len(quoted)
-        endpoint.answers += [FIRST, SECOND.replace(b"Length: 2", length)[:-2] + quoted]
+    @pytest.mark.parametrize("missing", range(1, 140, 6))
+    def test_makes_no_body_whole_that_ended_early(
+        self, endpoint: AnswersInTurn, missing: int
+    ) -> None:
+        head = SECOND[:-2].replace(b"Length: 2", b"Length: 200")
+        head = head.replace(b"Request-Id", b"Date: x\r\nServer: y\r\nRequest-Id")
+        answer = head + b"0" * 200
+        endpoint.answers += [FIRST, answer[:-missing] + answer]
+        host = Host(endpoint)
+        host.send("first")
+        with pytest.raises(EndpointAnswerError):
+            host.send("second")
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            FIRST.replace(b"first", b"of a manual page"),
+            b"HTTP/1.1 200 OK is the answer to first, and to second, too.\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\n" * 1000,
+            b"HTTP/1.1 200 OK\n\n" * 1000,
+            b"ends in H",
+            b"HTTP/1.1 200 OK\r\nRequest-Id: seco",
+        ],
+    )
+    def test_is_none_if_it_names_no_request(
+        self, endpoint: AnswersInTurn, body: bytes
+    ) -> None:
+        length = b"Length: %d" % len(body)
+        endpoint.answers += [FIRST, SECOND.replace(b"Length: 2", length)[:-2] + body]
+        host = Host(endpoint)
+        host.send("first")
+        assert host.send("second").status == 200
+
+    def test_is_none_if_it_follows_the_body(self, endpoint: AnswersInTurn) -> None:
+        endpoint.answers += [FIRST, SECOND + FIRST]
         host = Host(endpoint)
         host.send("first")
         assert host.send("second").status == 200
+
+    @pytest.mark.parametrize("size", [1, 65536])
+    def test_is_looked_for_in_linear_time(self, size: int) -> None:
+        finder = StrayAnswerFinder([f"request-{number}" for number in range(16)])
+        body = b"HTTP/1.1 200 OK\r\nServer: name\r\n" * 8192
+        started = time.process_time()
+        for at in range(0, len(body), size):
+            assert not finder.finds_one(body[at : at + size])
+        assert time.process_time() - started < LINEAR_SECONDS
