Plain services: no second answer completes a body that ended early

Where a service of our own interface sent a part of a body and then a whole answer, the beginning of the second head filled the length, and the client got both as one body. The search for such answers was part of the kept connections to endpoints alone; AnswerReader makes it now, for all that read by it, so one place decides what a whole answer is.

TestBodyOfAPlainService failed for all twelve lengths before.

--- a/src/jujubeslip/endpoints/_answer_reader.py
+++ b/src/jujubeslip/endpoints/_answer_reader.py
@@ -11,11 +11,12 @@
 import http
 import re
 from abc import ABC, abstractmethod
-from collections.abc import Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
 from jujubeslip.endpoints._errors import AnswerCutError, EndpointAnswerError
+from jujubeslip.endpoints._stray_answers import StrayAnswerFinder
 
 READ_BYTES = 65536
 MAXIMUM_LINE_BYTES = 65536
@@ -80,12 +81,24 @@
     where the bytes are none.
     """
 
-    def __init__(self, reader: BinaryReader, address: str) -> None:
+    def __init__(
+        self,
+        reader: BinaryReader,
+        address: str,
+        unread: Callable[[], bytes] = bytes,
+    ) -> None:
+        """Create the reader; `unread` returns what has arrived after a body."""
         self._lines = _LineReader(reader, address)
         self._body: _Body = _NoBody()
+        self._unread = unread
+        self._stray_answers = StrayAnswerFinder(())
+
+    def read_head(self, method: str, request_ids: Collection[str] = ()) -> AnswerHead:
+        """Return the next final head, in answer to a request by `method`.
 
-    def read_head(self, method: str) -> AnswerHead:
-        """Return the next final head, in answer to a request by `method`."""
+        No answer to one of the requests may stand within the body that follows.
+        """
+        self._stray_answers = StrayAnswerFinder(request_ids)
         while True:
             head = self._read_any_head(method)
             if head.status >= http.HTTPStatus.OK:
@@ -97,7 +110,16 @@
 
     def read_some(self) -> bytes:
         """Return the next bytes of the body, or nothing once it is proven whole."""
-        return self._body.read_some()
+        part = self._body.read_some()
+        if self._stray_answers.finds_one(part) or not part and self._ends_in_another():
+            raise self._lines.invalid("another answer stands within its body")
+        return part
+
+    def _ends_in_another(self) -> bool:
+        """Return whether another answer began in the body and goes on after its end."""
+        if not self._stray_answers.may_have_begun:
+            return False
+        return self._stray_answers.is_continued_by(self._unread())
 
     def _read_any_head(self, method: str) -> AnswerHead:
         line = self._lines.read(is_first=True)
--- a/src/jujubeslip/endpoints/_bounded_reader.py
+++ b/src/jujubeslip/endpoints/_bounded_reader.py
@@ -4,6 +4,7 @@
 
 import io
 import math
+import select
 import socket
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -28,6 +29,9 @@
 # its framing. Interim answers and trailers may come without end.
 MAXIMUM_READ_BYTES = 256 * 1024
 
+# How long bytes are awaited that may follow a body, in milliseconds.
+FOLLOWING_BYTES_MS = 20
+
 # Returns whether the caller no longer needs the answer.
 Interrupted = Callable[[], bool]
 
@@ -166,3 +170,20 @@
             raise ClientDisconnectedError(
                 "The client closed its connection.", Ran.UNKNOWN
             )
+
+
+def unread_bytes(sock: socket.socket, reader: io.BufferedReader[Any]) -> bytes:
+    """Return bytes that have arrived, or arrive at once, and stay unread."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    timeout = sock.gettimeout()
+    sock.settimeout(0)
+    try:
+        unread = reader.peek(1)
+        if not unread and poll.poll(FOLLOWING_BYTES_MS):
+            unread = reader.peek(1)
+        return unread
+    except (OSError, ValueError):
+        return b""
+    finally:
+        sock.settimeout(timeout)
--- a/src/jujubeslip/endpoints/_connections.py
+++ b/src/jujubeslip/endpoints/_connections.py
@@ -21,13 +21,13 @@
     BoundedReader,
     ConnectionObserver,
     Interrupted,
+    unread_bytes,
 )
 from jujubeslip.endpoints._errors import (
     AnswerCutError,
     EndpointAnswerError,
     EndpointUnreachableError,
 )
-from jujubeslip.endpoints._stray_answers import StrayAnswerFinder
 from jujubeslip.kernel import Deadline
 
 # Timeout for opening a connection, in seconds. It takes two round trips; an endpoint
@@ -42,9 +42,6 @@
 MAXIMUM_SMALL_PARTS = 4000
 MAXIMUM_SMALL_ERROR_PARTS = 400
 SMALL_PART_BYTES = 64
-# How long the bytes are awaited that may follow a body which seems to end within
-# another answer, in milliseconds.
-FOLLOWING_BYTES_MS = 20
 # How long an idle connection is kept if its endpoint names no limit, in seconds.
 IDLE_SECONDS = 3.0
 # A connection is not used during this time before its endpoint would close it, in
@@ -134,8 +131,11 @@
         self._socket: socket.socket = self._http.sock
         self._raw = BoundedReader(self._socket, observer)
         self._reader = io.BufferedReader(self._raw, READ_BYTES)
-        self._answers = AnswerReader(self._reader, address)
-        self._stray_answers = StrayAnswerFinder(())
+        self._answers = AnswerReader(
+            self._reader,
+            address,
+            lambda: unread_bytes(self._socket, self._reader),
+        )
         self._method = ""
 
     def send(
@@ -180,42 +180,14 @@
     def read_head(self) -> AnswerHead:
         """Wait for the status line and headers of the next answer."""
         self._raw.begin_read()
-        self._stray_answers = StrayAnswerFinder(self._carried_ids)
-        return self._answers.read_head(self._method)
+        return self._answers.read_head(self._method, self._carried_ids)
 
     def read_some(self, head: AnswerHead) -> bytes:
         """Return the next bytes of a body, or nothing once it is proven whole."""
         # Bytes that are buffered already are read without the reader.
         self._raw.limit_late_reads()
         self._raw.begin_read()
-        part = self._answers.read_some()
-        if self._stray_answers.finds_one(part) or not part and self._ends_in_another():
-            raise EndpointAnswerError(
-                f"{self.address}: another answer stands within the body."
-            )
-        return part
-
-    def _ends_in_another(self) -> bool:
-        """Return whether another answer began in the body and goes on after its end."""
-        if not self._stray_answers.may_have_begun:
-            return False
-        return self._stray_answers.is_continued_by(self._unread())
-
-    def _unread(self) -> bytes:
-        """Return bytes that have arrived, or arrive at once, and were not read."""
-        poll = select.poll()
-        poll.register(self._socket, select.POLLIN)
-        timeout = self._socket.gettimeout()
-        self._socket.settimeout(0)
-        try:
-            unread = self._reader.peek(1)
-            if not unread and poll.poll(FOLLOWING_BYTES_MS):
-                unread = self._reader.peek(1)
-            return unread
-        except (OSError, ValueError):
-            return b""
-        finally:
-            self._socket.settimeout(timeout)
+        return self._answers.read_some()
 
     def may_carry(self, request_id: str) -> bool:
         """Return whether no late answer can pass for the answer to this request.
--- a/src/jujubeslip/endpoints/_http.py
+++ b/src/jujubeslip/endpoints/_http.py
@@ -8,6 +8,7 @@
 import select
 import socket
 from collections.abc import Callable, Iterator, Mapping
+from functools import partial
 from typing import Any
 
 from jujubeslip.endpoints._answer_reader import AnswerHead, AnswerReader
@@ -15,6 +16,7 @@
     BoundedReader,
     Interrupted,
     never_interrupted,
+    unread_bytes,
 )
 from jujubeslip.endpoints._errors import (
     AnswerCutError,
@@ -26,6 +28,7 @@
 )
 from jujubeslip.kernel import Deadline
 
+REQUEST_ID = "X-Request-Id"
 CONNECT_SECONDS = 1.0
 # Interval at which a wait checks that the client is still connected, in seconds.
 POLL_INTERVAL_SECONDS = 0.05
@@ -63,6 +66,7 @@
             host, int(port), timeout=min(CONNECT_SECONDS, deadline.remaining() or 0.001)
         )
         self._method = ""
+        self._request_id = ""
         self._socket: socket.socket | None = None
         self._raw: BoundedReader | None = None
         self._answers: AnswerReader | None = None
@@ -81,6 +85,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(self._limited(SEND_SECONDS))
         self._method = method
+        self._request_id = headers.get(REQUEST_ID, "")
         try:
             self._connection.request(
                 method, path, body, {"Connection": "close", **headers}
@@ -102,8 +107,10 @@
         self._raw = BoundedReader(self._socket, stall_seconds=STALL_SECONDS)
         self._raw.watch(self._deadline, self._interrupted)
         self._raw.begin_read()
-        self._answers = AnswerReader(io.BufferedReader(self._raw), self.address)
-        return self._answers.read_head(self._method)
+        reader = io.BufferedReader(self._raw)
+        unread = partial(unread_bytes, self._socket, reader)
+        self._answers = AnswerReader(reader, self.address, unread)
+        return self._answers.read_head(self._method, [self._request_id])
 
     def read_some(self) -> bytes:
         """Return the next bytes of the body, or nothing once it is proven whole."""
--- a/src/jujubeslip/endpoints/_plain_service.py
+++ b/src/jujubeslip/endpoints/_plain_service.py
@@ -12,7 +12,7 @@
     EndpointRefusedError,
     EndpointTimeoutError,
 )
-from jujubeslip.endpoints._http import Call, Interrupted
+from jujubeslip.endpoints._http import REQUEST_ID, Call, Interrupted
 from jujubeslip.endpoints._models import PlainAnswer, RequestRef
 from jujubeslip.endpoints._process_end import has_ended
 from jujubeslip.kernel import Deadline
@@ -39,7 +39,7 @@
     """
     headers = {
         "Content-Type": "application/json",
-        "X-Request-Id": ref.request_id,
+        REQUEST_ID: ref.request_id,
         "X-Attempt": str(ref.attempt),
     }
     if idempotency_key:
@@ -51,7 +51,7 @@
         answer = call.read_rest()
     finally:
         call.close()
-    echoed = (_only_value(head, "X-Request-Id"), _only_value(head, "X-Attempt"))
+    echoed = (_only_value(head, REQUEST_ID), _only_value(head, "X-Attempt"))
     if echoed != (ref.request_id, str(ref.attempt)):
         raise EndpointAnswerError(f"{address}: the answer is for another attempt.")
     if head.status == HTTP_UNAVAILABLE and _only_value(head, "X-Ran") == "no":
--- a/tests/endpoints/test_own_interface.py
+++ b/tests/endpoints/test_own_interface.py
@@ -242,6 +242,16 @@
             plain_answer(answer(ECHO, headers=IDS + b"Content-Encoding: gzip\r\n"))
 
 
+class TestBodyOfAPlainService:
+    """Guards against a body whose end is the beginning of a second answer."""
+
+    @pytest.mark.parametrize("missing", range(1, 60, 5))
+    def test_is_not_completed_by_a_second_answer(self, missing: int) -> None:
+        whole = answer({"text": "0" * 200}, headers=IDS)
+        with pytest.raises(EndpointAnswerError):
+            plain_answer(whole[:-missing] + whole)
+
+
 class TestUnframedAnswerOfAPlainService:
     """Guards against the beginning of an answer whose sender ended within it."""
 
