--- a/src/jujubeslip/endpoints/_answer_reader.py
+++ b/src/jujubeslip/endpoints/_answer_reader.py
@@ -58,9 +58,17 @@
     length: int | None = None
     """Bytes of the body if the framing is by length."""
 
-    def value(self, name: str, default: str | None = None) -> str | None:
-        """Return the first value of a header, whose name is in any case."""
-        return next(iter(_values(self.headers, name.lower())), default)
+    def values(self, name: str) -> list[str]:
+        """Return the values of a header, whose name is in any case."""
+        return _values(self.headers, name.lower())
+
+    def only_value(self, name: str) -> str | None:
+        """Return the value of a header, None if it is missing or repeated.
+
+        Of a repeated header, either value may belong to another answer.
+        """
+        values = self.values(name)
+        return values[0] if len(values) == 1 else None
 
 
 class BinaryReader(Protocol):
--- a/src/jujubeslip/endpoints/_plain_service.py
+++ b/src/jujubeslip/endpoints/_plain_service.py
@@ -4,7 +4,7 @@
 
 from functools import partial
 
-from jujubeslip.endpoints._answer_reader import AnswerHead, Framing
+from jujubeslip.endpoints._answer_reader import Framing
 from jujubeslip.endpoints._engine_adapter import EngineAdapter
 from jujubeslip.endpoints._errors import (
     AnswerCutError,
@@ -51,31 +51,22 @@
         answer = call.read_rest()
     finally:
         call.close()
-    echoed = (_only_value(head, REQUEST_ID), _only_value(head, "X-Attempt"))
+    echoed = (head.only_value(REQUEST_ID), head.only_value("X-Attempt"))
     if echoed != (ref.request_id, str(ref.attempt)):
         raise EndpointAnswerError(f"{address}: the answer is for another attempt.")
-    if head.status == HTTP_UNAVAILABLE and _only_value(head, "X-Ran") == "no":
+    if head.status == HTTP_UNAVAILABLE and head.only_value("X-Ran") == "no":
         raise EndpointRefusedError(head.status, "not run", may_have_run=False)
     if head.status >= HTTP_SERVER_ERROR:
         raise EndpointRefusedError(head.status, "failed", may_have_run=True)
-    if head.value("Content-Encoding", IDENTITY) != IDENTITY:
+    if any(value != IDENTITY for value in head.values("Content-Encoding")):
         raise EndpointAnswerError(f"{address}: the answer is encoded, unasked.")
     if head.framing is Framing.CONNECTION and has_ended(address):
         # The end of its process would have ended the answer just so.
         raise AnswerCutError(f"{address}: ended during its answer.")
-    content_type = head.value("Content-Type") or "application/octet-stream"
+    content_type = head.only_value("Content-Type") or "application/octet-stream"
     return PlainAnswer(head.status, content_type, answer)
 
 
-def _only_value(head: AnswerHead, name: str) -> str | None:
-    """Return the value of a header, or None if it is missing or repeated.
-
-    Of a repeated header, either value may belong to another answer.
-    """
-    values = [value for given, value in head.headers if given.lower() == name.lower()]
-    return values[0] if len(values) == 1 else None
-
-
 def _check_running(address: str, ref: RequestRef) -> None:
     if EngineAdapter(address).phase_of(ref) != RUNNING:
         raise EndpointTimeoutError(f"{address}: the answer was lost.")
--- a/src/jujubeslip/endpoints/_stray_answers.py
+++ b/src/jujubeslip/endpoints/_stray_answers.py
@@ -46,27 +46,11 @@
         """Return whether such a head stands in the body so far."""
         if not self._is_active:
             return False
-        searched_until = len(self._kept)
         seen = self._kept + part
-        begin = 0
-        if self._in_head:
-            # The status line is at the beginning; look only for the end of its head.
-            is_whole = _END_OF_HEAD in seen[max(0, searched_until - 3) :]
-            if not is_whole and len(seen) < MAXIMUM_HEAD_BYTES:
-                self._kept = seen
-                return False
-        while self._is_active and (match := _STATUS_LINE.search(seen, begin)):
-            begin = match.start()
-            end = seen.find(_END_OF_HEAD, begin, begin + MAXIMUM_HEAD_BYTES)
-            if end < 0 and len(seen) - begin < MAXIMUM_HEAD_BYTES:
-                self._kept, self._in_head = seen[begin:], True
-                return False
-            self._status_lines_left -= 1
-            if end >= 0 and self._names_request(seen[begin:end]):
-                return True
-            begin = match.end()
-        self._kept, self._in_head = seen[-_LONGEST_STATUS_START:], False
-        return False
+        if self._in_head and not _may_end_head(seen, len(part)):
+            self._kept = seen
+            return False
+        return self._search(seen)
 
     def is_continued_by(self, following: bytes) -> bool:
         """Return whether one that began within the body goes on in what follows it.
@@ -83,6 +67,21 @@
         lines = seen[match.start() : end] if end >= 0 else seen[match.start() :]
         return self._names_request(lines)
 
+    def _search(self, seen: bytes) -> bool:
+        begin = 0
+        while self._is_active and (match := _STATUS_LINE.search(seen, begin)):
+            begin = match.start()
+            end = seen.find(_END_OF_HEAD, begin, begin + MAXIMUM_HEAD_BYTES)
+            if end < 0 and len(seen) - begin < MAXIMUM_HEAD_BYTES:
+                self._kept, self._in_head = seen[begin:], True
+                return False
+            self._status_lines_left -= 1
+            if end >= 0 and self._names_request(seen[begin:end]):
+                return True
+            begin = match.end()
+        self._kept, self._in_head = seen[-_LONGEST_STATUS_START:], False
+        return False
+
     @property
     def _is_active(self) -> bool:
         return bool(self._request_ids) and self._status_lines_left > 0
@@ -90,3 +89,9 @@
     def _names_request(self, head: bytes) -> bool:
         values = (line.partition(b":")[2] for line in head.split(_LINE_END)[1:])
         return any(value.strip() in self._request_ids for value in values)
+
+
+def _may_end_head(seen: bytes, new_size: int) -> bool:
+    """Return whether the latest bytes end a head, or make it too long for one."""
+    latest = seen[-new_size - len(_END_OF_HEAD) + 1 :]
+    return _END_OF_HEAD in latest or len(seen) >= MAXIMUM_HEAD_BYTES
--- a/src/jujubeslip/relays/_connection.py
+++ b/src/jujubeslip/relays/_connection.py
@@ -109,7 +109,7 @@
         self._send()
         head = self._read_answer()
         self.read_rest(head)
-        ended = wire.header_values(head.headers, wire.ENDED)
+        ended = head.values(wire.ENDED)
         if ended not in (["0"], ["1"]):
             raise self._not_proven("it doesn't say whether the endpoint has ended")
         self.keep()
@@ -166,9 +166,9 @@
             self._send()
 
     def _read_refusal(self, head: AnswerHead) -> wire.Refused | None:
-        if wire.header_values(head.headers, wire.CALL) != [self._call_id]:
+        if head.values(wire.CALL) != [self._call_id]:
             raise self._not_proven("it doesn't name this call")
-        refused = wire.read_refusal(head.status, head.headers)
+        refused = wire.read_refusal(head)
         if isinstance(refused, Failure):
             raise self._not_proven(refused.failure())
         return refused.unwrap()
--- a/src/jujubeslip/relays/_wire.py
+++ b/src/jujubeslip/relays/_wire.py
@@ -11,6 +11,8 @@
 
 from returns.result import Failure, Result, Success
 
+from jujubeslip.endpoints import AnswerHead
+
 PREFIX = "jujubeslip-"
 # Proves that the sender is a host of this system.
 SECRET = "Jujubeslip-Secret"
@@ -58,33 +60,25 @@
     """For how long the endpoint accepts no requests, if that is the reason."""
 
 
-def read_refusal(
-    status: int, headers: Iterable[tuple[str, str]]
-) -> Result[Refused | None, str]:
+def read_refusal(head: AnswerHead) -> Result[Refused | None, str]:
     """Return the refusal in an answer, None if it is the endpoint's, or what is wrong.
 
     What can't be read proves nothing: neither that the request wasn't sent, nor that
     the endpoint gave the answer.
     """
-    received = list(headers)
-    refusals = header_values(received, REFUSAL)
+    refusals = head.values(REFUSAL)
     if not refusals:
         return Success(None)
     is_known = refusals[0] in {item.value for item in RelayRefusal}
-    if status != REFUSAL_STATUS or len(refusals) > 1 or not is_known:
-        return Failure(f"the refusal {refusals} with {status} can't be read")
+    if head.status != REFUSAL_STATUS or len(refusals) > 1 or not is_known:
+        return Failure(f"the refusal {refusals} with {head.status} can't be read")
     why = RelayRefusal(refusals[0])
     if why is not RelayRefusal.ON_HOLD:
         return Success(Refused(why))
-    holds = header_values(received, HOLD_SECONDS)
-    if len(holds) != 1 or not _HOLD_SECONDS_TEXT.fullmatch(holds[0]):
-        return Failure(f"the hold {holds} can't be read")
-    return Success(Refused(why, float(holds[0])))
-
-
-def header_values(headers: Iterable[tuple[str, str]], name: str) -> list[str]:
-    """Return the values of a header, whose name is in any case."""
-    return [value for key, value in headers if key.lower() == name.lower()]
+    hold = head.only_value(HOLD_SECONDS) or ""
+    if not _HOLD_SECONDS_TEXT.fullmatch(hold):
+        return Failure(f"the hold {hold!r} can't be read")
+    return Success(Refused(why, float(hold)))
 
 
 def without_relay_headers(
