Control status: shows the committed members only

After the repair that the leader's status had shown, the leader's host was destroyed, and the other two elected nobody for 40 s. An operator who goes by the status would lose the cluster in the same way.

Cause: the status listed the leader's newest membership, which is in effect there as soon as it is in the log. Between the removal of the lost disk's replica and the promotion of its successor there are two voters, and the promotion needs two of three. A leader that is destroyed in between takes the promotion with it; the two voters that are left are a dead one and one that can't reach a majority.

Why the fix works: what is committed is on a majority of the new voters, and survives the loss of the leader. The test waits for the status, and so now waits for the commit.

--- a/src/jujubeslip/control/_handler.py
+++ b/src/jujubeslip/control/_handler.py
@@ -357,12 +357,14 @@
         return replica.leader.replica_id if replica.hears_leader else ""
 
     def _replica_statuses(self) -> list[ReplicaStatus]:
+        """Return the committed members; a newer membership may end with its leader."""
         replica = self._replica
+        committed = replica.memberships.at(replica.commit_index)
         progress_by_id = (
             replica.leadership.progress_by_id if replica.leadership is not None else {}
         )
         statuses = []
-        for member in replica.membership.members:
+        for member in committed.members:
             progress = progress_by_id.get(member.replica_id)
             match_index = progress.match_index if progress else 0
             if member.replica_id == replica.replica_id:
