Soak: an endpoint that a request ends refuses connections before it resets them

Cause: in the soak, not in the product. The connections were reset first, and the links of the entry hosts were ended one after the other afterwards. A host whose connection is reset tries a new one to find out whether the endpoint has ended, and its link still accepted it, which no process that has ended does.

Evidence: tests/soak/test_endpoints.py with links that take 0.1 s to end: the new connection was accepted before this change ("DID NOT RAISE"), and is refused after it.

--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -176,11 +176,19 @@
     def close(self) -> None:
         """Stop the endpoint and reset the connections to it."""
         self._silenced.set()
+        self._refuse_connections()
+        self._system.proxy_by_link[f"entry>{self.slot}"].reset()
+        self.worker.close()
+
+    def _refuse_connections(self) -> None:
+        """Refuse new connections on the links to the endpoint, which then are reset.
+
+        In this order, as the end of a process does: a host that has lost a connection
+        tries another one to find out whether the endpoint has ended.
+        """
         proxy = self._system.proxy_by_link[f"entry>{self.slot}"]
         proxy.refuse()
-        proxy.reset()
         self._system.end_endpoint(proxy.address)
-        self.worker.close()
 
     def announce(self) -> None:
         """Announce the endpoint until the soak ends."""
@@ -200,6 +208,8 @@
             return False
         kind = "stream" if self.service == "model" else "unsafe"
         self.observations.endpoint_crashes.append(EndpointCrash(kind, time.monotonic()))
+        # The worker ends its connections as soon as this returns.
+        self._refuse_connections()
         threading.Thread(target=self._restart_after_crash, daemon=True).start()
         return True
 
