Forwarding: sends that reached no endpoint don't count against the maximum

What callers saw: 503 `endpoints_refused`, "No endpoint accepted the request", while most endpoints were well. After one host's requests had ended several endpoints, another host sent a request to four of these in a row, was refused each connection, and gave up within milliseconds. Nothing had run anywhere.

Cause: MAXIMUM_SENDS bounds what one request may cost others (load, and retry budget). It counted each try in the same way, also those that failed before a byte was sent, which cost a round trip and no budget. The number of endpoints that have ended grows with the crash, the bound doesn't. Streams count by the same code, and so do sends through a relay that can't connect, and sends to endpoints that are on hold by the time a connection is open.

Change: after the fourth send, a request goes on while fewer than four of its sends may have reached an endpoint. What bounds it then: - each start is tried once (`Attempts.tried`), and within `end_by`; - only while an endpoint is left that this host doesn't skip. One that can't be reached is skipped from then on, so that one request tries a pool that has ended whole, and the following ones are refused after four as before. A content that ends endpoints gets no more runs: sends that arrived count as before, as do the route's attempts and the quarantine.

--- a/src/jujubeslip/endpoints/__init__.py
+++ b/src/jujubeslip/endpoints/__init__.py
@@ -8,6 +8,7 @@
     never_interrupted,
 )
 from jujubeslip.endpoints._connections import (
+    CONNECT_SECONDS,
     Connection,
     ConnectionPool,
     Connections,
@@ -40,6 +41,7 @@
 from jujubeslip.endpoints._process_end import has_ended
 
 __all__ = [
+    "CONNECT_SECONDS",
     "AnswerCutError",
     "AnswerHead",
     "AnswerReader",
--- a/src/jujubeslip/forwarding/_choice.py
+++ b/src/jujubeslip/forwarding/_choice.py
@@ -136,6 +136,12 @@
         healthy = self._healthy(self._usable(service_name, role, ()))
         return self._policy.choose(healthy) if healthy else None
 
+    def has_healthy(
+        self, service_name: str, role: EndpointRole, excluded: Collection[str]
+    ) -> bool:
+        """Return whether an endpoint is heard from, reachable and not excluded."""
+        return bool(self._healthy(self._usable(service_name, role, excluded)))
+
     def choose_in_zone(
         self,
         service_name: str,
--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -147,6 +147,10 @@
     sends: int = 0
     latest_sent_at: Deadline = field(default_factory=lambda: Deadline.after(0))
     """When the latest send began."""
+    unsent: int = 0
+    """Sends that failed before a byte was sent."""
+    unsent_seconds: float = 0.0
+    """The time that these took."""
     answer_started: Deadline | None = None
     """When the endpoint of the latest send began to answer, None before that."""
     has_second_send: bool = False
@@ -217,7 +221,11 @@
         self.tried.add(start_id)
         self.last_error = error
         self.runs += error.may_have_run
-        self.has_arrived |= not isinstance(error, NOT_SENT)
+        if isinstance(error, NOT_SENT):
+            self.unsent += 1
+            self.unsent_seconds += self.latest_sent_at.overdue()
+        else:
+            self.has_arrived = True
         self.note(start_id, f"{error.error_id} ran={error.may_have_run}")
 
     @property
--- a/src/jujubeslip/forwarding/_second_sends.py
+++ b/src/jujubeslip/forwarding/_second_sends.py
@@ -13,7 +13,7 @@
 )
 from jujubeslip.forwarding._models import Attempts, ForwardContext
 from jujubeslip.forwarding._second_send_meters import SecondSendMeters
-from jujubeslip.forwarding._sender import MAXIMUM_SENDS, EndpointSender
+from jujubeslip.forwarding._sender import EndpointSender, has_sends_left
 from jujubeslip.forwarding._whole_send import SendEnd, WholeSend
 from jujubeslip.hedging import (
     AnswerTimes,
@@ -213,7 +213,7 @@
         runs = attempts.runs + SENDS_AT_A_TIME
         return Situation(
             has_attempts_left=runs <= context.route.maximum_attempts
-            and attempts.sends < MAXIMUM_SENDS,
+            and has_sends_left(attempts),
             seconds_to_target=context.target_by.remaining(),
             seconds_to_end=context.end_by.remaining(),
             usual_seconds=usual,
--- a/src/jujubeslip/forwarding/_sender.py
+++ b/src/jujubeslip/forwarding/_sender.py
@@ -9,6 +9,7 @@
 
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import (
+    CONNECT_SECONDS,
     AnswerCutError,
     Connections,
     EndpointAnswerError,
@@ -38,12 +39,15 @@
 from jujubeslip.notices import EndpointNotices, Hold, HoldReason, ServiceHolds
 from jujubeslip.peers import EndpointRole
 from jujubeslip.relays import EndpointReach, out_of_reach_refusal
+from jujubeslip.routes import RouteKind
 
 logger = logging.getLogger(__name__)
 
 # Maximum sends of one request, including those that endpoints refused: more would only
-# spend the retry budget that other requests need.
+# spend the retry budget that other requests need. Those of which nothing was sent don't
+# count, unless they take as long as if the connection timed out each time.
 MAXIMUM_SENDS = 4
+MAXIMUM_UNSENT_SECONDS = MAXIMUM_SENDS * CONNECT_SECONDS
 # Minimum Retry-After for a request refused by an endpoint's limit, in seconds.
 MINIMUM_RETRY_SECONDS = 0.1
 # Retry-After times of clients refused during a backoff are spread over this many
@@ -227,13 +231,25 @@
             return False
         if attempts.sends == 0:
             return True
-        if attempts.sends >= MAXIMUM_SENDS or context.end_by.expired:
+        if not has_sends_left(attempts) or context.end_by.expired:
             return False
         if attempts.may_have_run and not context.route.repeatable:
             return False
         if attempts.may_have_run and self.quarantine.holds(context):
             return False
-        return attempts.runs < context.route.maximum_attempts
+        if attempts.runs >= context.route.maximum_attempts:
+            return False
+        return attempts.sends < MAXIMUM_SENDS or self._knows_another(context, attempts)
+
+    def _knows_another(self, context: ForwardContext, attempts: Attempts) -> bool:
+        """Return whether an endpoint is left that isn't skipped.
+
+        While all are unreachable, each request would try the whole pool otherwise, or
+        wait for the capacity of an engine that it can't get.
+        """
+        is_stream = context.route.kind is RouteKind.STREAM
+        role = EndpointRole.DECODE if is_stream else EndpointRole.PLAIN
+        return self.chooser.has_healthy(context.service_name, role, attempts.tried)
 
     def lost_links_since(self, sent_at: Deadline, error: EndpointError) -> bool:
         """Return whether this host's own links explain the error of a call."""
@@ -283,6 +299,19 @@
                 self.health.note_unreachable(endpoint.start_id, error.message)
 
 
+def has_sends_left(attempts: Attempts) -> bool:
+    """Return whether the maximum of sends allows one more.
+
+    An endpoint that refuses connections costs a round trip and runs nothing, and after
+    a crash of several there may be many. One that is silent costs a connect timeout.
+    """
+    if attempts.sends < MAXIMUM_SENDS:
+        return True
+    if attempts.unsent_seconds >= MAXIMUM_UNSENT_SECONDS:
+        return False
+    return attempts.sends - attempts.unsent < MAXIMUM_SENDS
+
+
 def _is_out_of_reach(attempts: Attempts) -> bool:
     return isinstance(attempts.last_error, EndpointsOutOfReachError)
 
--- a/tests/fakes/scripted_endpoints.py
+++ b/tests/fakes/scripted_endpoints.py
@@ -58,6 +58,11 @@
     headers: dict[str, str] = field(default_factory=dict)
     answers: threading.Event | None = None
     """Answers once this is set, in place of a time."""
+    body: bytes | None = None
+    """The answer's body, None for one that names the start."""
+    connect_seconds: float = 0.0
+    connect_error: EndpointError | None = None
+    """Why no connection can be opened."""
 
 
 class ScriptedConnection(Connection):
@@ -108,7 +113,8 @@
             time.sleep(STEP_SECONDS)
         if self._script.error is not None:
             raise self._script.error
-        self._unread = [BODY + self.start_id.encode()]
+        body = self._script.body
+        self._unread = [BODY + self.start_id.encode() if body is None else body]
         request_id = self.headers["Request-Id"]
         headers = {
             "Request-Id": request_id,
@@ -142,6 +148,8 @@
     def __init__(self, names: Iterable[str]) -> None:
         self.script_by_endpoint = {name: Script() for name in names}
         self.sends: list[tuple[str, ScriptedConnection]] = []
+        self.connects: list[str] = []
+        """The starts to which connections were opened, or could not be."""
         self._idle: list[ScriptedConnection] = []
 
     def take(
@@ -153,7 +161,12 @@
                 self._idle.remove(connection)
                 connection.is_kept = False
                 return connection
-        return ScriptedConnection(self, start_id, self.script_by_endpoint[start_id])
+        script = self.script_by_endpoint[start_id]
+        self.connects.append(start_id)
+        time.sleep(script.connect_seconds)
+        if script.connect_error is not None:
+            raise script.connect_error
+        return ScriptedConnection(self, start_id, script)
 
     def give_back(self, start_id: str, connection: Any, _: float | None) -> None:
         """Keep a connection."""
@@ -168,13 +181,13 @@
 class ScriptedSystem:
     """The sending parts of a host, and endpoints with scripts."""
 
-    def __init__(self, *names: str) -> None:
+    def __init__(self, *names: str, role: EndpointRole = EndpointRole.PLAIN) -> None:
         load_plugins()
         self.pool = ScriptedPool(names)
         self.registry = EndpointRegistry()
         self.registry.merge(
             replace(
-                engine(name, EndpointRole.PLAIN),
+                engine(name, role),
                 service_name=SERVICE,
                 address=f"10.0.0.{number}:80",
             )
--- a/tests/forwarding/test_unreachable_endpoints.py
+++ b/tests/forwarding/test_unreachable_endpoints.py
@@ -9,7 +9,7 @@
 from tests.fakes.platform_system import PLAIN, PlatformSystem, configuration, route
 from tests.fakes.platform_worker import PlatformWorker
 
-ENDED = 3
+ENDED = 6
 REQUESTS = 20
 
 
