Answers without framing: cut off if their endpoint has ended, also one that leaves

What callers could see: an answer with neither a length nor chunks whose endpoint ended in the middle of it came out as a complete success, if the endpoint had said that it leaves (Server-Leaving, or its announcement). The new case of test_unframed_answers.py shows it with a forwarding host in its own process: two of more events, status 200, the last chunk sent.

Cause: check_end asked whether the endpoint had ended only for those that don't leave.

Fix: the proof is that the endpoint still accepts connections after the end of its answer, for all endpoints alike, as the product's own interface asks already (endpoints/_plain_service.py). The relays ask the same. An endpoint that leaves and still serves gets its answers through (test_is_whole_if_its_engine_runs with the notice).

The price: an endpoint that closes its port before it ends an answer without framing fails that answer as "may have run". Nothing tells it from one whose process has ended; one that names a length or sends chunks isn't affected.

--- a/src/jujubeslip/forwarding/_crash_detector.py
+++ b/src/jujubeslip/forwarding/_crash_detector.py
@@ -46,13 +46,8 @@
             description="Requests whose endpoint ended while it ran them, by service.",
         )
 
-    def has_ended_unannounced(self, endpoint: Endpoint) -> bool:
-        """Return whether the endpoint's start has ended without leaving first."""
-        known = self._registry.find_start(endpoint.start_id)
-        is_leaving = known is not None and not known.accepts_work
-        return not is_leaving and self._has_crashed(endpoint)
-
-    def _has_crashed(self, endpoint: Endpoint) -> bool:
+    def has_ended(self, endpoint: Endpoint) -> bool:
+        """Return whether the endpoint's start has ended."""
         return self._registry.is_superseded(endpoint) or self._has_ended(
             endpoint.start_id, endpoint.address
         )
@@ -61,7 +56,7 @@
         self, context: ForwardContext, attempts: Attempts, endpoint: Endpoint
     ) -> None:
         """Record a run whose connection ended before its answer was complete."""
-        crashed = self._has_crashed(endpoint)
+        crashed = self.has_ended(endpoint)
         if crashed:
             self._crashes.add(1, {"service": context.service_name})
         is_harmless = self._harmless_contents.holds(context.fingerprint)
--- a/src/jujubeslip/forwarding/_relay_app.py
+++ b/src/jujubeslip/forwarding/_relay_app.py
@@ -63,7 +63,7 @@
     open_calls: OpenRequests
     has_capacity: Callable[[], bool]
     """Whether the host's own clients leave capacity for other hosts' calls."""
-    has_ended_unannounced: HasEnded
+    has_ended: HasEnded
     secret: str
 
 
@@ -161,11 +161,8 @@
     def _check_end(
         self, endpoint: Endpoint, request: ForwardedRequest, exchange: Exchange
     ) -> None:
-        services = self._services
         try:
-            check_end(
-                endpoint, exchange, services.notices, services.has_ended_unannounced
-            )
+            check_end(endpoint, exchange, self._services.has_ended)
         except AnswerCutError as error:
             extra = {
                 "request_id": request.request_id,
--- a/src/jujubeslip/forwarding/_relaying.py
+++ b/src/jujubeslip/forwarding/_relaying.py
@@ -76,7 +76,7 @@
             sender.notices,
             self.open_calls,
             lambda: open_requests.used_share < OWN_CLIENTS_SHARE,
-            sender.crashes.has_ended_unannounced,
+            sender.crashes.has_ended,
             self._settings.peer_secret,
         )
         threads = self.open_calls.maximum + REFUSING_THREADS
--- a/src/jujubeslip/forwarding/_sender.py
+++ b/src/jujubeslip/forwarding/_sender.py
@@ -241,9 +241,8 @@
         return is_out_of_reach or self.reach.was_lost_since(sent_at.timestamp)
 
     def check_end(self, endpoint: Endpoint, exchange: Exchange) -> None:
-        """Raise AnswerCutError if the answer ended only because its endpoint did."""
-        has_ended = self.crashes.has_ended_unannounced
-        check_end(endpoint, exchange, self.notices, has_ended)
+        """Raise AnswerCutError if it may have ended only because its endpoint did."""
+        check_end(endpoint, exchange, self.crashes.has_ended)
 
     def note_request_error(
         self,
--- a/tests/forwarding/test_failures_without_length.py
+++ b/tests/forwarding/test_failures_without_length.py
@@ -21,13 +21,15 @@
 FAILURE = (
     b"HTTP/1.1 500 Failed\r\nRequest-Id: r1\r\nServer-Stamp: e.r1\r\n\r\nthe beginning"
 )
+LEAVING_FAILURE = FAILURE.replace(b"Request-Id", b"Server-Leaving: 1\r\nRequest-Id")
 SECONDS = 2.0
 
 
 class FailingEngine:
     """Fails one request; its process may end with that answer."""
 
-    def __init__(self, ends: bool) -> None:
+    def __init__(self, ends: bool, failure: bytes = FAILURE) -> None:
+        self._failure = failure
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         threading.Thread(target=self._answer, args=(ends,), daemon=True).start()
@@ -37,14 +39,18 @@
         connection.recv(65536)
         if ends:
             self._listener.close()
-        connection.sendall(FAILURE)
+        connection.sendall(self._failure)
         connection.close()
 
-    def fail_stream(self) -> object:
+    def fail_stream(self, announces_leaving: bool = False) -> object:
         """Return how a stream begins at this engine."""
         sender = replace(ScriptedSystem("e").sender, pool=ConnectionPool())
         sender.crashes._has_ended = lambda _, address: has_ended(address)
         endpoint = replace(engine("e"), address=self.address)
+        if announces_leaving:
+            sender.crashes._registry.merge(
+                [replace(endpoint, sequence=2, leaving=True)]
+            )
         path = StreamPath(sender, Mock(), Mock())
         context = replace(
             ScriptedSystem("e").context("r1"), end_by=Deadline.after(SECONDS)
@@ -60,7 +66,16 @@
         with pytest.raises(AnswerCutError):
             FailingEngine(ends=True).fail_stream()
 
-    def test_is_whole_if_its_engine_runs(self) -> None:
-        answer = FailingEngine(ends=False).fail_stream()
+    def test_is_cut_off_if_its_engine_has_said_that_it_leaves(self) -> None:
+        with pytest.raises(AnswerCutError):
+            FailingEngine(ends=True, failure=LEAVING_FAILURE).fail_stream()
+
+    def test_is_cut_off_if_its_engine_has_announced_that_it_leaves(self) -> None:
+        with pytest.raises(AnswerCutError):
+            FailingEngine(ends=True).fail_stream(announces_leaving=True)
+
+    @pytest.mark.parametrize("failure", [FAILURE, LEAVING_FAILURE])
+    def test_is_whole_if_its_engine_runs(self, failure: bytes) -> None:
+        answer = FailingEngine(ends=False, failure=failure).fail_stream()
         assert isinstance(answer, WholeAnswer)
         assert (answer.status, answer.body) == (500, b"the beginning")
--- a/tests/forwarding/test_unframed_answers.py
+++ b/tests/forwarding/test_unframed_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Iterator
 
 import pytest
@@ -18,6 +19,8 @@
 from tests.fakes.platform_worker import PlatformWorker
 
 EVENTS = 5
+# Until the forwarding host knows what an endpoint has announced.
+KNOWN_SECONDS = 0.5
 
 
 @pytest.fixture(scope="module")
@@ -70,9 +73,12 @@
 class TestStreamOfAnEndpointThatEnds:
     """Guards against partial streams that look whole as their endpoint has crashed."""
 
+    @pytest.mark.parametrize("leaves", [False, True], ids=["unannounced", "leaving"])
     def test_is_broken_off(
-        self, system: PlatformSystem, engine: PlatformWorker
+        self, system: PlatformSystem, engine: PlatformWorker, leaves: bool
     ) -> None:
+        if leaves:
+            engine.on_crash = lambda: _leave(system, engine)
         engine.crashes_on_parts = frozenset({"aa"})
         engine.crashes_after_events = 2
         engine.crashes_unframed = True
@@ -89,6 +95,13 @@
             assert not sent.reply.complete
 
 
+def _leave(system: PlatformSystem, engine: PlatformWorker) -> bool:
+    """Announce that an engine leaves, and wait until the forwarding host knows."""
+    assert system.heartbeat(engine, state="draining") == 200
+    time.sleep(KNOWN_SECONDS)
+    return True
+
+
 class TestPlainAnswerWithoutLength:
     def test_is_delivered(self, system: PlatformSystem) -> None:
         with PlatformWorker("plain", "plain") as worker:
