Relays: a relayed report no longer fails because the relay has asked for another

What hosts saw: while a host has lost its links, every second report that it asked an engine for by the same relay failed as cut off.

Cause: Exchange accepts an answer without an id only on a connection that has carried no other request. Answers to requests without an id never have one, and the relay kept their connections.

Fix: an exchange keeps no connection whose request has no id. That holds for relayed reservations, which the relay closed by a rule of its own (is_grant, now private), and for clients' requests without an id, whose late answers could be read as the answers to the system's own requests. The price is a new connection from the relay for each relayed report. Direct reports keep theirs.

--- a/src/jujubeslip/forwarding/_exchange.py
+++ b/src/jujubeslip/forwarding/_exchange.py
@@ -205,9 +205,10 @@
         """Return whether the answer named its request.
 
         A late second copy of an answer that doesn't would pass for the answer to the
-        next request.
+        next request. Answers to a request without an id never do.
         """
-        return self._head is None or self._head.request_id == self._request.request_id
+        request_id = self._request.request_id
+        return self._head is not None and self._head.request_id == request_id != ""
 
     def close(self) -> None:
         """Close the connection, unless it was kept."""
--- a/src/jujubeslip/forwarding/_relay_app.py
+++ b/src/jujubeslip/forwarding/_relay_app.py
@@ -29,7 +29,6 @@
     Environ,
     Interface,
     StartResponse,
-    is_grant,
 )
 from jujubeslip.kernel import Deadline
 from jujubeslip.notices import EndpointNotices
@@ -136,14 +135,13 @@
             start_answer(start_response, head.status, answer_headers)
             # The exchange is closed with the body from here on.
             stack.pop_all()
-        parts = self._parts_of(endpoint, request, head, exchange)
+        parts = self._parts_of(endpoint, request, exchange)
         return StreamedBody(parts, self._services.open_calls)
 
     def _parts_of(
         self,
         endpoint: Endpoint,
         request: ForwardedRequest,
-        head: EndpointHead,
         exchange: Exchange,
     ) -> Iterator[bytes]:
         """Yield the body of the endpoint's answer as it arrives.
@@ -155,8 +153,7 @@
             while part := exchange.read_some():
                 yield part
             self._check_end(endpoint, request, exchange)
-            if request.request_id or not is_grant(request.method, head.status):
-                exchange.keep_connection()
+            exchange.keep_connection()
 
     def _check_end(
         self, endpoint: Endpoint, request: ForwardedRequest, exchange: Exchange
--- a/src/jujubeslip/interfaces/__init__.py
+++ b/src/jujubeslip/interfaces/__init__.py
@@ -1,6 +1,6 @@
 """Plug-ins that translate between an HTTP interface and the project's own types."""
 
-from jujubeslip.interfaces._internal_requests import is_grant, send_internal_request
+from jujubeslip.interfaces._internal_requests import send_internal_request
 from jujubeslip.interfaces._models import (
     EncodedRefusal,
     EndpointCall,
@@ -26,7 +26,6 @@
     "RoleOrder",
     "StartResponse",
     "WsgiApp",
-    "is_grant",
     "send_internal_request",
     "interfaces",
 ]
--- a/src/jujubeslip/interfaces/_internal_requests.py
+++ b/src/jujubeslip/interfaces/_internal_requests.py
@@ -28,7 +28,7 @@
         """Record the notices in an answer to a request that isn't a client's."""
 
 
-def is_grant(method: str, status: int) -> bool:
+def _is_grant(method: str, status: int) -> bool:
     """Return whether an answer without a request id grants what only one may use.
 
     An endpoint may send it a second time, and the copy would grant the same to the next
@@ -80,7 +80,7 @@
         if not head.misdirected:
             notices.record_internal_answer(endpoint, head)
         body = connection.read_rest(answer)
-        grants = is_grant(internal_request.method, answer.status)
+        grants = _is_grant(internal_request.method, answer.status)
         may_be_kept = not answer.will_close and not grants
     finally:
         # The rest of this answer would be read as the answer to the next request.
--- a/tests/relays/test_relayed_framing.py
+++ b/tests/relays/test_relayed_framing.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 from collections.abc import Iterator
+from contextlib import suppress
 from dataclasses import replace
 from unittest.mock import Mock
 
@@ -176,6 +177,21 @@
         assert relay.ask(answered_by(only_head), "HEAD") == (200, b"")
 
 
+class TestRelayedReport:
+    """Guards against a report that fails because the relay has asked for another."""
+
+    def test_is_answered_each_time(self, relay: Relay) -> None:
+        with copying_engine() as running:
+            endpoint = replace(engine("reporting"), address=running.address)
+            relay.registry.merge([endpoint])
+            ask = (endpoint, "GET", "/report", [("Host", "host")])
+            found = []
+            for _ in range(3):
+                with suppress(EndpointError):
+                    found.append(relay.call(*ask)[0])
+        assert found == [200] * 3
+
+
 class TestRelayedReservation:
     """Guards against two requests with the reservation of one, behind a relay."""
 
