Answers without an id: none counts on a connection that has carried other requests

What callers could see: a request that "has not run" and was sent to another endpoint while the first one ran it, or a failure that was another request's. An endpoint that names its successes but not its refusals or failures may send one of these a second time, late; on a kept connection it was read as the answer to the next request.

Cause: without an id, only a success was refused there. What the refusal promises was taken on trust: "all earlier answers on a kept connection have named theirs" says nothing of a second answer to one of them.

Fix: any answer without an id on a connection that has carried other requests is an error, the connection is closed and the request may have run: it is sent again if it may be repeated, and ends with 502 otherwise. Its notices (backoff, leaving) are recorded, since they come from the endpoint whatever request it answers. On a new connection such a refusal is proven as before.

So that an endpoint that names no refusal fails its callers no more than needed, the pool notes a start that has sent an answer without an id, and lets each of its connections carry one request for a minute: at most its first such refusal on a kept connection, and those that run beside it, are unproven at a host.

With the same proof, a request without an id gets a new connection (take with "" in place of None, which now stands for the system's own). Before, a relayed report failed also if the relay had asked the engine itself.

TestAnswerWithoutRequestId.test_refuses_where_all_earlier_ones_were_named demanded "not run" of a refusal without an id on a kept connection. That is the fault. test_proves_no_refusal_where_earlier_requests_went replaces it, as strict the other way round, and test_refuses_once_its_endpoint_is_known_to_name_none keeps the true refusal.

Tests, each failed before (EndpointRefusedError 503 "not run", "DID NOT RAISE"): the four of TestAnswerWithoutRequestId, and TestRelayedReport.test_is_answered_after_a_report_to_the_relay_itself (None, not 200).

--- a/src/jujubeslip/endpoints/_connections.py
+++ b/src/jujubeslip/endpoints/_connections.py
@@ -50,6 +50,9 @@
 # Number of requests that a connection remembers. An endpoint's late second answer comes
 # where the next answer is expected, so only recent requests can be confused.
 REMEMBERED_REQUESTS = 16
+# How long an endpoint's connections carry one request each after it has sent an answer
+# that names none, in seconds.
+UNNAMED_SECONDS = 60.0
 
 
 class Connection(ABC):
@@ -189,14 +192,13 @@
         self._raw.begin_read()
         return self._answers.read_some()
 
-    def may_carry(self, request_id: str) -> bool:
+    def may_carry(self, request_id: str | None) -> bool:
         """Return whether no late answer can pass for the answer to this request.
 
         Answers to one request look alike however often it was sent, and those to the
         system's own requests, which have no id, look like answers to any request.
         """
-        is_own = not request_id
-        if is_own:
+        if request_id is None:
             return all(item == "" for item in self._carried_ids)
         return request_id not in self._carried_ids and "" not in self._carried_ids
 
@@ -205,9 +207,9 @@
         """Return whether an answer to an earlier request may still arrive."""
         return len(self._carried_ids) > 1
 
-    def note_request(self, request_id: str) -> None:
+    def note_request(self, request_id: str | None) -> None:
         """Record the request that the connection carries next."""
-        self._carried_ids.append(request_id)
+        self._carried_ids.append(request_id or "")
 
     def is_clean(self) -> bool:
         """Return whether the connection is open and has no unread bytes.
@@ -238,11 +240,13 @@
 class Connections(Protocol):
     """Where connections to endpoints are taken from, and given back."""
 
-    def take(self, start_id: str, address: str, request_id: str = "") -> Connection:
+    def take(
+        self, start_id: str, address: str, request_id: str | None = None
+    ) -> Connection:
         """Return a usable connection for one request.
 
-        `request_id` is empty for the system's own requests. Raises
-        EndpointUnreachableError when the endpoint can't be reached.
+        `request_id` is None for the system's own requests, and empty for others that
+        have no id. Raises EndpointUnreachableError when the endpoint can't be reached.
         """
 
     def give_back(
@@ -250,6 +254,9 @@
     ) -> None:
         """Keep a connection whose answer was read completely."""
 
+    def note_unnamed(self, start_id: str) -> None:
+        """Record that a start of an endpoint has not named the request it answers."""
+
 
 class ConnectionPool:
     """Keeps idle connections for each start of an endpoint, most recently used first.
@@ -262,16 +269,19 @@
     def __init__(self, observer: ConnectionObserver = NO_OBSERVER) -> None:
         self._observer = observer
         self._idle_by_start: dict[str, list[EndpointConnection]] = {}
+        self._unnamed_until_by_start: dict[str, Deadline] = {}
+        """Starts that don't name all requests that they answer, so that each of their
+        connections carries one."""
         self._lock = threading.Lock()
 
     def take(
-        self, start_id: str, address: str, request_id: str = ""
+        self, start_id: str, address: str, request_id: str | None = None
     ) -> EndpointConnection:
         """Return a usable idle connection, or else a new one.
 
         The connection has not carried the request before: an endpoint may answer an
         earlier send of it a second time, and that answer would pass for the answer to
-        this one. `request_id` is empty for the system's own requests, which have
+        this one. `request_id` is None for the system's own requests, which have
         connections of their own. Raises EndpointUnreachableError when no connection
         can be opened.
         """
@@ -281,7 +291,12 @@
         connection.note_request(request_id)
         return connection
 
-    def _take_idle(self, start_id: str, request_id: str) -> EndpointConnection | None:
+    def _take_idle(
+        self, start_id: str, request_id: str | None
+    ) -> EndpointConnection | None:
+        if request_id == "":
+            # No answer to it can be told from one to an earlier request.
+            return None
         while (kept := self._pop(start_id, request_id)) is not None:
             if not kept.idle_until.expired and kept.is_clean():
                 return kept
@@ -298,7 +313,7 @@
         assert isinstance(connection, EndpointConnection)
         given = IDLE_SECONDS if idle_seconds is None else idle_seconds
         usable = given - IDLE_MARGIN_SECONDS
-        if usable <= 0 or not connection.is_clean():
+        if usable <= 0 or self._is_unnamed(start_id) or not connection.is_clean():
             connection.close()
             return
         connection.used = True
@@ -306,6 +321,22 @@
         with self._lock:
             self._idle_by_start.setdefault(start_id, []).append(connection)
 
+    def note_unnamed(self, start_id: str) -> None:
+        """Let each connection to this start carry one request for a while.
+
+        An answer without an id proves nothing on a connection that has carried others,
+        so a refusal would not tell that the request has not run.
+        """
+        with self._lock:
+            self._unnamed_until_by_start[start_id] = Deadline.after(UNNAMED_SECONDS)
+            idle = self._idle_by_start.pop(start_id, [])
+        for connection in idle:
+            connection.close()
+
+    def _is_unnamed(self, start_id: str) -> bool:
+        until = self._unnamed_until_by_start.get(start_id)
+        return until is not None and not until.expired
+
     @property
     def idle_count(self) -> int:
         """Return the number of idle connections."""
@@ -323,6 +354,9 @@
                     self._idle_by_start[start_id] = kept
                 else:
                     del self._idle_by_start[start_id]
+            for start_id, until in list(self._unnamed_until_by_start.items()):
+                if until.expired:
+                    del self._unnamed_until_by_start[start_id]
         for connection in expired:
             connection.close()
 
@@ -334,7 +368,7 @@
         for connection in idle:
             connection.close()
 
-    def _pop(self, start_id: str, request_id: str) -> EndpointConnection | None:
+    def _pop(self, start_id: str, request_id: str | None) -> EndpointConnection | None:
         """Remove and return the latest idle connection that may carry the request."""
         with self._lock:
             idle = self._idle_by_start.get(start_id, [])
--- a/src/jujubeslip/forwarding/_exchange.py
+++ b/src/jujubeslip/forwarding/_exchange.py
@@ -249,22 +249,30 @@
     def _is_own(self, connection: Connection, head: EndpointHead) -> bool:
         """Return whether the answer is this request's; raise if that can't be told.
 
-        Endpoints may refuse without naming the request, but name it in a success. All
-        earlier answers on a kept connection have named theirs.
+        Some endpoints name no request in a refusal or failure. On a connection that has
+        carried others, it may be a late second answer to one of these.
         """
         if head.is_ambiguous:
             raise self._not_accepted("the answer repeats a header that identifies it")
         if head.request_id:
             return head.request_id == self._request.request_id
-        if head.status in SUCCESS and connection.has_carried_others:
+        self._note_unnamed(head)
+        if connection.has_carried_others:
+            if not head.misdirected:
+                self._notices.record_internal_answer(self._endpoint, head)
             raise self._not_accepted("the answer may be for an earlier request")
+        return True
+
+    def _note_unnamed(self, head: EndpointHead) -> None:
+        if not self._request.request_id:
+            return
+        self._pool.note_unnamed(self._endpoint.start_id)
         extra = {
             "request_id": self._request.request_id,
             "start_id": self._endpoint.start_id,
             "status": head.status,
         }
         logger.info("answer names no request", extra=extra)
-        return True
 
     def _not_accepted(self, reason: str) -> EndpointAnswerError:
         return EndpointAnswerError(f"{self._endpoint.address}: {reason}.")
--- a/src/jujubeslip/relays/_pool.py
+++ b/src/jujubeslip/relays/_pool.py
@@ -39,7 +39,9 @@
             description="Calls to endpoints that this host sent through another one.",
         )
 
-    def take(self, start_id: str, address: str, request_id: str = "") -> Connection:
+    def take(
+        self, start_id: str, address: str, request_id: str | None = None
+    ) -> Connection:
         """Return a usable connection for one request.
 
         Raises EndpointUnreachableError when the endpoint can't be reached, and
@@ -64,6 +66,10 @@
         else:
             self.direct.give_back(start_id, connection, idle_seconds)
 
+    def note_unnamed(self, start_id: str) -> None:
+        """Let each direct connection to this start carry one request for a while."""
+        self.direct.note_unnamed(start_id)
+
     def check_in_reach(self) -> None:
         """Raise RequestRefusedError if this host can send no request to endpoints."""
         if self._reach.is_lost and not self._access.directory.count():
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -352,8 +352,7 @@
         self._record_arrival()
         refuses = bool(self.worker.backoff) or self.worker.is_switching
         if refuses or faults.take("refuse"):
-            notices = self._notice_headers(is_refusal=True)
-            self.reply(503, {}, {"Not-Run": "1", **notices})
+            self._refuse(self._notice_headers(is_refusal=True))
             return
         if faults.take("refuse_twice"):
             self._refuse_twice()
@@ -362,7 +361,7 @@
             self._prefill()
             return
         if self.headers.get("Kv-From") and faults.take("lapse"):
-            self.reply(503, {}, {"Not-Run": "1"})
+            self._refuse({})
             return
         request_id = self.headers.get("Request-Id", "")
         # A reservation can be used only once.
@@ -419,6 +418,10 @@
         threading.Thread(target=self.worker.kill).start()
         self.worker.killed.wait()
 
+    def _refuse(self, notices: dict[str, str]) -> None:
+        request_id = self.headers.get("Request-Id", "")
+        self.reply(503, {}, {"Not-Run": "1", "Request-Id": request_id, **notices})
+
     def _refuse_twice(self) -> None:
         lines = [
             "HTTP/1.1 503 Status",
--- a/tests/fakes/scripted_endpoints.py
+++ b/tests/fakes/scripted_endpoints.py
@@ -145,7 +145,7 @@
         self._idle: list[ScriptedConnection] = []
 
     def take(
-        self, start_id: str, address: str, request_id: str = ""
+        self, start_id: str, address: str, request_id: str | None = None
     ) -> ScriptedConnection:
         """Return an idle connection, or a new one."""
         for connection in self._idle:
@@ -160,6 +160,9 @@
         connection.is_kept = True
         self._idle.append(connection)
 
+    def note_unnamed(self, start_id: str) -> None:
+        """Do nothing, as the endpoints name the requests."""
+
     def sends_of(self, request_id: str) -> list[ScriptedConnection]:
         """Return the connections over which a request was sent."""
         return [item for sent_id, item in self.sends if sent_id == request_id]
--- a/tests/forwarding/test_choice.py
+++ b/tests/forwarding/test_choice.py
@@ -104,7 +104,7 @@
             notices = EndpointNotices()
 
             class SlowPool(ConnectionPool):
-                def take(self, *where: str) -> EndpointConnection:
+                def take(self, *where: Any) -> EndpointConnection:
                     refusal = read_head(503, [("Retry-After", "3")])
                     notices.record_answer(endpoint, refusal, 0.0)
                     return super().take(*where)
--- a/tests/forwarding/test_unidentified_answers.py
+++ b/tests/forwarding/test_unidentified_answers.py
@@ -15,6 +15,7 @@
     AnswerCutError,
     ConnectionPool,
     EndpointAnswerError,
+    EndpointOnHoldError,
     EndpointRefusedError,
     never_interrupted,
 )
@@ -40,6 +41,8 @@
     b"Content-Length: 2\r\n\r\n{}"
 )
 
+UNNAMED_FAILURE = UNNAMED.replace(b"200 OK", b"500 Failed")
+
 
 @dataclass
 class AnswersInTurn:
@@ -82,6 +85,7 @@
     def __init__(self, endpoint: AnswersInTurn) -> None:
         self._pool = ConnectionPool()
         self._endpoint = replace(engine("engine"), address=endpoint.address)
+        self._notices = EndpointNotices()
 
     def send(self, request_id: str) -> EndpointHead:
         """Send a client's request and read its whole answer."""
@@ -100,7 +104,7 @@
             self._endpoint,
             request,
             never_interrupted,
-            EndpointNotices(),
+            self._notices,
         )
         with exchange:
             head = exchange.call(
@@ -123,16 +127,40 @@
             host.send("second")
         assert raised.value.may_have_run
 
-    def test_refuses_where_all_earlier_ones_were_named(
+    @pytest.mark.parametrize("answer", [UNNAMED_REFUSAL, UNNAMED_FAILURE])
+    def test_proves_no_refusal_where_earlier_requests_went(
+        self, endpoint: AnswersInTurn, answer: bytes
+    ) -> None:
+        endpoint.answers += [FIRST, answer]
+        host = Host(endpoint)
+        host.send("first")
+        with pytest.raises(EndpointAnswerError) as raised:
+            host.send("second")
+        assert raised.value.may_have_run
+
+    def test_refuses_once_its_endpoint_is_known_to_name_none(
         self, endpoint: AnswersInTurn
     ) -> None:
-        endpoint.answers += [FIRST, UNNAMED_REFUSAL]
+        endpoint.answers += [FIRST, UNNAMED_REFUSAL, FIRST, UNNAMED_REFUSAL]
         host = Host(endpoint)
         host.send("first")
+        with pytest.raises(EndpointAnswerError):
+            host.send("second")
+        assert host.send("first").status == 200
         with pytest.raises(EndpointRefusedError) as raised:
             host.send("second")
         assert not raised.value.may_have_run
 
+    def test_asks_for_backoff_all_the_same(self, endpoint: AnswersInTurn) -> None:
+        refusal = UNNAMED_REFUSAL.replace(b"Not-Run", b"Retry-After: 5\r\nNot-Run")
+        endpoint.answers += [FIRST, refusal]
+        host = Host(endpoint)
+        host.send("first")
+        with pytest.raises(EndpointAnswerError):
+            host.send("second")
+        with pytest.raises(EndpointOnHoldError):
+            host.send("third")
+
     def test_counts_as_first_answer_of_a_connection(
         self, endpoint: AnswersInTurn
     ) -> None:
--- a/tests/relays/test_relayed_framing.py
+++ b/tests/relays/test_relayed_framing.py
@@ -23,7 +23,7 @@
 from jujubeslip.forwarding._app import OpenRequests
 from jujubeslip.forwarding._relay_app import RelayApp, RelayServices
 from jujubeslip.http_server import HttpServer, HttpServerOptions
-from jujubeslip.interfaces import Headers, interfaces
+from jujubeslip.interfaces import Headers, interfaces, send_internal_request
 from jujubeslip.kernel import Deadline, Process, load_plugins
 from jujubeslip.notices import EndpointNotices
 from jujubeslip.relays import EndpointReach, RelayAccess, RelayDirectory
@@ -51,10 +51,11 @@
     def __init__(self) -> None:
         self.registry = EndpointRegistry()
         self.has_ended = False
+        self.connections = ConnectionPool()
         self.address = free_address()
         services = RelayServices(
             interfaces.get("platform"),
-            ConnectionPool(),
+            self.connections,
             self.registry,
             EndpointReach(self.registry),
             EndpointNotices(),
@@ -191,6 +192,24 @@
                     found.append(relay.call(*ask)[0])
         assert found == [200] * 3
 
+    def test_is_answered_after_a_report_to_the_relay_itself(self, relay: Relay) -> None:
+        with copying_engine() as running:
+            endpoint = replace(engine("asked"), address=running.address)
+            relay.registry.merge([endpoint])
+            interface = interfaces.get("platform")
+            send_internal_request(
+                relay.connections,
+                interface,
+                EndpointNotices(),
+                endpoint,
+                interface.ask_report("asked"),
+                Deadline.after(SECONDS),
+            )
+            found = None
+            with suppress(EndpointError):
+                found, _ = relay.call(endpoint, "GET", "/report", [("Host", "host")])
+        assert found == 200
+
 
 class TestRelayedReservation:
     """Guards against two requests with the reservation of one, behind a relay."""
