Answers cut off by their endpoint's end or within an event: logged and counted as others

What operators missed: an answer that was cut off since its endpoint had ended, or a stream that ended before or within an event, left no line "answer not accepted", and jujubeslip.forward.unproven_answers didn't count it. Whoever looked for answers that were not whole found only those that the reader had refused.

Cause: the record was made where the exchange reads; these three, and an event that is too long, are found above it.

Fix: Exchange.recorded_errors is public, and the checks above the exchange raise within it. The exchange remembers the connection that it sent over, which is closed or kept by then. At a relay, the line stands beside "relayed answer cut off", which tells that the host with the client sees the cut as well.

--- a/src/jujubeslip/forwarding/_answer_ends.py
+++ b/src/jujubeslip/forwarding/_answer_ends.py
@@ -19,4 +19,5 @@
     endpoint's process ends in the middle of it, as that of an endpoint that leaves may.
     """
     if exchange.ends_with_connection and has_ended(endpoint):
-        raise AnswerCutError(f"{endpoint.address}: ended during its answer.")
+        with exchange.recorded_errors():
+            raise AnswerCutError(f"{endpoint.address}: ended during its answer.")
--- a/src/jujubeslip/forwarding/_exchange.py
+++ b/src/jujubeslip/forwarding/_exchange.py
@@ -65,6 +65,8 @@
         self._request = request
         self._client_disconnected = client_disconnected
         self._connection: Connection | None = None
+        self._sent_over: Connection | None = None
+        """The connection of the request, also once it is closed or kept."""
         self._answer: AnswerHead | None = None
         self._head: EndpointHead | None = None
         self.sent_at = float("-inf")
@@ -113,7 +115,7 @@
             self.read_rest()
             raise _refusal(head, self._endpoint)
         if head.status in SUCCESS and not head.proves_origin and not call.prefill_only:
-            with self._recorded_errors(self._connection):
+            with self.recorded_errors():
                 raise self._not_accepted("the answer has no proof of its origin")
         return head
 
@@ -144,7 +146,7 @@
         if is_cancelled():
             self._pool.give_back(start_id, connection, None)
             raise ClientDisconnectedError("The answer is not needed any more.", Ran.NO)
-        self._connection = connection
+        self._connection = self._sent_over = connection
         if connection.relayed_by:
             self._log_relayed(connection)
         self.sent_at = steady_seconds()
@@ -168,13 +170,13 @@
     def read_some(self) -> bytes:
         """Return the next bytes of the body, empty at its regular end."""
         assert self._connection is not None and self._answer is not None
-        with self._recorded_errors(self._connection):
+        with self.recorded_errors():
             return self._connection.read_some(self._answer)
 
     def read_rest(self) -> bytes:
         """Return the rest of the body, and keep the connection if it is reusable."""
         assert self._connection is not None and self._answer is not None
-        with self._recorded_errors(self._connection):
+        with self.recorded_errors():
             body = self._connection.read_rest(self._answer)
         self.keep_connection()
         return body
@@ -222,7 +224,7 @@
         An endpoint may answer an earlier request a second time, just where this
         request's answer is expected. The request id that it echoes tells them apart.
         """
-        with self._recorded_errors(connection):
+        with self.recorded_errors():
             for _ in range(MAXIMUM_SKIPPED + 1):
                 answer = self._read_any_head(connection)
                 head = self._interface.read_head(answer.status, answer.headers)
@@ -278,13 +280,14 @@
         return EndpointAnswerError(f"{self._endpoint.address}: {reason}.")
 
     @contextmanager
-    def _recorded_errors(self, connection: Connection) -> Iterator[None]:
+    def recorded_errors(self) -> Iterator[None]:
         """Record an answer that turns out not to be whole, valid or this request's."""
         try:
             yield
         except (AnswerCutError, EndpointAnswerError) as error:
+            assert self._sent_over is not None
             record_unproven_answer(
-                self._request, self._endpoint, connection, self._answer, error
+                self._request, self._endpoint, self._sent_over, self._answer, error
             )
             raise
 
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -257,11 +257,10 @@
             first_events = b""
             while not first_events:
                 part = exchange.read_some()
-                if not part:
-                    raise AnswerCutError(
-                        f"{endpoint.address}: the stream ended before its first event."
-                    )
-                first_events = splitter.take(part)
+                with exchange.recorded_errors():
+                    if not part:
+                        raise _cut_off(endpoint, "before its first event")
+                    first_events = splitter.take(part)
             attempts.note(endpoint.start_id, "streams")
             attempts.answer_started = Deadline.after(0)
             if attempts.first_event_ms is None:
@@ -325,7 +324,8 @@
             part = run.exchange.read_some()
             if not part:
                 break
-            events = run.splitter.take(part)
+            with run.exchange.recorded_errors():
+                events = run.splitter.take(part)
             if events:
                 now = steady_seconds()
                 attempts.note_events(now - latest_at)
@@ -340,9 +340,8 @@
                 # Bytes that complete no event don't extend the time for the next one.
                 run.exchange.watch(self._silence_deadline(context, attempts))
         if run.splitter.has_partial_event:
-            raise AnswerCutError(
-                f"{run.endpoint.address}: the stream ended in the middle of an event."
-            )
+            with run.exchange.recorded_errors():
+                raise _cut_off(run.endpoint, "in the middle of an event")
         self._sender.check_end(run.endpoint, run.exchange)
         run.exchange.keep_connection()
 
@@ -362,6 +361,10 @@
     )
 
 
+def _cut_off(endpoint: Endpoint, where: str) -> AnswerCutError:
+    return AnswerCutError(f"{endpoint.address}: the stream ended {where}.")
+
+
 def _left_prompt_unused(error: EndpointError) -> bool:
     """Return whether the error proves that the prompt's KV cache was not fetched.
 
