--- a/src/jujubeslip/forwarding/_relay_app.py
+++ b/src/jujubeslip/forwarding/_relay_app.py
@@ -29,7 +29,6 @@
     Environ,
     Interface,
     StartResponse,
-    is_grant,
 )
 from jujubeslip.kernel import Deadline
 from jujubeslip.notices import EndpointNotices
@@ -63,7 +62,7 @@
     open_calls: OpenRequests
     has_capacity: Callable[[], bool]
     """Whether the host's own clients leave capacity for other hosts' calls."""
-    has_ended_unannounced: HasEnded
+    has_ended: HasEnded
     secret: str
 
 
@@ -136,14 +135,13 @@
             start_answer(start_response, head.status, answer_headers)
             # The exchange is closed with the body from here on.
             stack.pop_all()
-        parts = self._parts_of(endpoint, request, head, exchange)
+        parts = self._parts_of(endpoint, request, exchange)
         return StreamedBody(parts, self._services.open_calls)
 
     def _parts_of(
         self,
         endpoint: Endpoint,
         request: ForwardedRequest,
-        head: EndpointHead,
         exchange: Exchange,
     ) -> Iterator[bytes]:
         """Yield the body of the endpoint's answer as it arrives.
@@ -155,17 +153,13 @@
             while part := exchange.read_some():
                 yield part
             self._check_end(endpoint, request, exchange)
-            if request.request_id or not is_grant(request.method, head.status):
-                exchange.keep_connection()
+            exchange.keep_connection()
 
     def _check_end(
         self, endpoint: Endpoint, request: ForwardedRequest, exchange: Exchange
     ) -> None:
-        services = self._services
         try:
-            check_end(
-                endpoint, exchange, services.notices, services.has_ended_unannounced
-            )
+            check_end(endpoint, exchange, self._services.has_ended)
         except AnswerCutError as error:
             extra = {
                 "request_id": request.request_id,
--- a/tests/relays/test_relayed_framing.py
+++ b/tests/relays/test_relayed_framing.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 from collections.abc import Iterator
+from contextlib import suppress
 from dataclasses import replace
 from unittest.mock import Mock
 
@@ -22,7 +23,7 @@
 from jujubeslip.forwarding._app import OpenRequests
 from jujubeslip.forwarding._relay_app import RelayApp, RelayServices
 from jujubeslip.http_server import HttpServer, HttpServerOptions
-from jujubeslip.interfaces import Headers, interfaces
+from jujubeslip.interfaces import Headers, interfaces, send_internal_request
 from jujubeslip.kernel import Deadline, Process, load_plugins
 from jujubeslip.notices import EndpointNotices
 from jujubeslip.relays import EndpointReach, RelayAccess, RelayDirectory
@@ -50,10 +51,11 @@
     def __init__(self) -> None:
         self.registry = EndpointRegistry()
         self.has_ended = False
+        self.connections = ConnectionPool()
         self.address = free_address()
         services = RelayServices(
             interfaces.get("platform"),
-            ConnectionPool(),
+            self.connections,
             self.registry,
             EndpointReach(self.registry),
             EndpointNotices(),
@@ -176,6 +178,39 @@
         assert relay.ask(answered_by(only_head), "HEAD") == (200, b"")
 
 
+class TestRelayedReport:
+    """Guards against a report that fails because the relay has asked for another."""
+
+    def test_is_answered_each_time(self, relay: Relay) -> None:
+        with copying_engine() as running:
+            endpoint = replace(engine("reporting"), address=running.address)
+            relay.registry.merge([endpoint])
+            ask = (endpoint, "GET", "/report", [("Host", "host")])
+            found = []
+            for _ in range(3):
+                with suppress(EndpointError):
+                    found.append(relay.call(*ask)[0])
+        assert found == [200] * 3
+
+    def test_is_answered_after_a_report_to_the_relay_itself(self, relay: Relay) -> None:
+        with copying_engine() as running:
+            endpoint = replace(engine("asked"), address=running.address)
+            relay.registry.merge([endpoint])
+            interface = interfaces.get("platform")
+            send_internal_request(
+                relay.connections,
+                interface,
+                EndpointNotices(),
+                endpoint,
+                interface.ask_report("asked"),
+                Deadline.after(SECONDS),
+            )
+            found = None
+            with suppress(EndpointError):
+                found, _ = relay.call(endpoint, "GET", "/report", [("Host", "host")])
+        assert found == 200
+
+
 class TestRelayedReservation:
     """Guards against two requests with the reservation of one, behind a relay."""
 
