tests/forwarding: Endpoints of the chooser's test on the test's clock

Cause: the test's endpoints are a constant of the module, dated by the machine's clock when pytest collects the tests; the registry that the test fills reads the machine's clock, too, and forgets a start that it has not heard from for 300 s. The first assertion let that pass: of 40 answers None, fewer than 10 are the first endpoint.

Change: the test is wrong, the product is not: an endpoint that has been silent for 300 s is to be forgotten. Endpoints, registry and chooser now go by the test's own clock. Stricter in two points: the chooser's limit of silence is 5 s, as in service, instead of a billion, and each of the 40 requests has to get an endpoint.

--- a/tests/forwarding/test_expected_time.py
+++ b/tests/forwarding/test_expected_time.py
@@ -9,13 +9,13 @@
 
 import pytest
 
-from jujubeslip.discovery import Endpoint, EndpointRegistry, SlowEndpoint
-from jujubeslip.forwarding import _answer_times, _health
+from jujubeslip.discovery import Endpoint, EndpointRegistry, SlowEndpoint, _registry
+from jujubeslip.forwarding import _answer_times, _choice, _health
 from jujubeslip.forwarding._choice import Chooser, LeastCost
 from jujubeslip.forwarding._expected_time import TRY_SHARE
 from jujubeslip.forwarding._health import EndpointHealth
 from jujubeslip.forwarding._policies import ExpectedTime, policies
-from jujubeslip.kernel import _deadlines
+from jujubeslip.kernel import Deadline, _deadlines
 from jujubeslip.peers import EndpointRole
 from tests.fakes.clock import Clock
 from tests.fakes.engines import engine
@@ -24,13 +24,14 @@
 TARGET = 0.155
 USUAL = 0.022
 CHOICES = 2000
+SILENCE_SECONDS = 5.0
 
 
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
     clock = Clock()
-    monkeypatch.setattr(_deadlines, "steady_seconds", clock.steady_seconds)
-    monkeypatch.setattr(_health, "steady_seconds", clock.steady_seconds)
+    for module in (_deadlines, _health, _choice, _registry):
+        monkeypatch.setattr(module, "steady_seconds", clock.steady_seconds)
     defaults = (clock.steady_seconds,)
     for kind in (_answer_times.AnswerTimes, _health.SharedAnswerTimes, _health.SlowLog):
         monkeypatch.setattr(kind.__init__, "__defaults__", defaults)
@@ -38,8 +39,13 @@
 
 
 def plain(zone: str, role: EndpointRole = EndpointRole.PLAIN) -> Endpoint:
-    endpoint = engine(zone, role, availability_zone=zone)
-    return replace(endpoint, address=f"10.0.0.{zone[-1]}:80")
+    """Return an endpoint that was announced when the test's clock began."""
+    return replace(
+        engine(zone, role, availability_zone=zone),
+        address=f"10.0.0.{zone[-1]}:80",
+        heard_at=Clock().now,
+        slow_until=Deadline(Clock().now),
+    )
 
 
 ENDPOINTS = [plain(OWN), plain(SECOND), plain(THIRD)]
@@ -223,8 +229,9 @@
         registry = EndpointRegistry()
         registry.merge(ENDPOINTS)
         policy = policies.get("expected-time")(health, OWN)
-        chooser = Chooser(registry, health, policy, 1e9)
+        chooser = Chooser(registry, health, policy, SILENCE_SECONDS)
         chosen = [chooser.choose("model", EndpointRole.PLAIN, ()) for _ in range(40)]
+        assert None not in chosen
         assert sum(item == ENDPOINTS[0] for item in chosen) < 10
         excluded = {item.start_id for item in ENDPOINTS[1:]}
         assert chooser.choose("model", EndpointRole.PLAIN, excluded) == ENDPOINTS[0]
