control: Send the next append as soon as an earlier one is answered

Seen: tests/forwarding/test_lapsed_leases.py failed once beside load, `assert 2 == 0`: clients were refused for want of a leader (`no leader available`) after the followers of a working leader had turned late.

Trace (T is the election timeout, 400 ms; replies take 0.7 T; times in ms after the first late append): 0 append over the only open connection 210 not answered in T/2: `replica replies late`; the next append opens a connection, whose hello takes a reply's time before the append leaves 290 the first append is answered; its connection is free 410 not answered in another T/2; the third append, over that connection 690 its reply is due; the last one came T ago: `no longer leading`, "no quorum has answered" Both replicators are woken by the same entry, so that both followers' replies miss the deadline together. The suspicion in the list, that followers had elected another one, was wrong: the leader stepped down first.

Cause: the replicator waited for the reply of the append that it had just sent, not of any that is on its way. Two waits of T/2 make a whole T between two replies, for any reply time from 0.5 to 1.0 T.

Change: the wait ends with the first reply. The next append then goes over the connection that is free again, at once or at the next heartbeat: the longest time between two replies is the reply time, or 0.7 T if that is longer. What is sent to a follower that replies in time, or is unreachable, stays the same.

A shorter wait instead (T/4) would have left a whole T at 0.8 T (reckoned, not run); a second connection kept open would go silent with the first one.

--- a/src/jujubeslip/control/_replication.py
+++ b/src/jujubeslip/control/_replication.py
@@ -25,8 +25,8 @@
 logger = logging.getLogger(__name__)
 
 PIECE_BYTES = 256 * 1024
-# How long to wait for the reply to an append before the next one is sent over another
-# connection, as a share of the election timeout.
+# How long to wait for a reply before the next append is sent over another connection,
+# as a share of the election timeout.
 APPEND_WAIT_SHARE = 0.5
 # Timeout of an append, as a share of the election timeout: a reply over a new
 # connection arrives only after a second exchange.
@@ -86,13 +86,16 @@
         start_task = self._replica.process.start_task
         exchange = start_task(self._exchange, leadership, message)
         self._in_flight.add(exchange)
-        timeout = None
-        if isinstance(message, AppendRequest):
-            if message.entries:
-                self._entries_in_flight.add(exchange)
-            if self._reachable:
-                timeout = self._replica.election_seconds * APPEND_WAIT_SHARE
-        wait([exchange], timeout)
+        is_append = isinstance(message, AppendRequest)
+        if is_append and message.entries:
+            self._entries_in_flight.add(exchange)
+        if is_append and self._reachable:
+            # The connection of an earlier append is free again once its reply arrives;
+            # a new one takes another exchange before it carries an append.
+            timeout = self._replica.election_seconds * APPEND_WAIT_SHARE
+            wait(self._in_flight, timeout, FIRST_COMPLETED)
+        else:
+            wait([exchange])
         self._is_prompt = exchange.done()
         if len(self._in_flight) >= MAXIMUM_IN_FLIGHT and not self._is_prompt:
             wait(self._in_flight, return_when=FIRST_COMPLETED)
