Soak: an endpoint that a request ends counts as disturbed before its links end

The disturbance began only in the thread that starts the endpoint again, after its links had ended; a resumable stream that was cut in between, and had no retry budget left, seemed to be lost by an undisturbed engine.

The disturbance now begins before the links end. The test failed before (`assert [] == ['plain-0']`).

--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -7,6 +7,7 @@
 import random
 import threading
 import time
+from contextlib import ExitStack
 from typing import Any
 
 from soak._observations import (
@@ -208,17 +209,21 @@
             return False
         kind = "stream" if self.service == "model" else "unsafe"
         self.observations.endpoint_crashes.append(EndpointCrash(kind, time.monotonic()))
+        disturbance = ExitStack()
+        disturbance.callback(self.lock.release)
+        disturbance.enter_context(
+            self.observations.disturbing("ended by a request", self.slot)
+        )
         # The worker ends its connections as soon as this returns.
         self._refuse_connections()
-        threading.Thread(target=self._restart_after_crash, daemon=True).start()
+        threading.Thread(
+            target=self._restart_after_crash, args=(disturbance,), daemon=True
+        ).start()
         return True
 
-    def _restart_after_crash(self) -> None:
-        try:
-            with self.observations.disturbing("ended by a request", self.slot):
-                self.crash(CRASHED_SECONDS)
-        finally:
-            self.lock.release()
+    def _restart_after_crash(self, disturbance: ExitStack) -> None:
+        with disturbance:
+            self.crash(CRASHED_SECONDS)
 
     def leave(self, seconds: float, what: str) -> None:
         """Leave, keep serving for a while, end, and start again after these seconds.
--- a/tests/soak/test_endpoints.py
+++ b/tests/soak/test_endpoints.py
@@ -58,3 +58,20 @@
             connection.getresponse()
         with pytest.raises(ConnectionRefusedError):
             socket.create_connection(routed_address(tmp_path, system, address), 5)
+
+    def test_disturbs_the_endpoint_before_its_links_end(
+        self, system: SoakSystem, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        targets: list[list[str]] = []
+
+        def end_endpoint(_: str) -> None:
+            targets.append([item.target for item in system.observations.disturbances])
+
+        endpoint = SoakEndpoint("plain-0", 0, system, 1)
+        monkeypatch.setattr(system, "end_endpoint", end_endpoint)
+        address = endpoint.worker.address
+        connection = http.client.HTTPConnection(address, timeout=5)
+        with pytest.raises((OSError, http.client.HTTPException)):
+            connection.request("POST", "/", FATAL_BODY)
+            connection.getresponse()
+        assert targets[0] == ["plain-0"]
