Tests: one host for the tests of exchanges with one endpoint

Three files of tests/forwarding set up the same request, connections and exchange. That is tests/fakes/endpoint_host.py now; the host of test_answer_properties.py extends it. No test is renamed, changed or left out.

The properties' host gets a new pool for each example: since the pool remembers endpoints that name no request, an example with such an answer would have kept later ones from using a connection twice.

--- a/tests/forwarding/test_answer_properties.py
+++ b/tests/forwarding/test_answer_properties.py
@@ -11,19 +11,17 @@
 import threading
 from collections.abc import Iterator, Sequence
 from contextlib import suppress
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from jujubeslip.endpoints import ConnectionPool, EndpointError, never_interrupted
+from jujubeslip.endpoints import ConnectionPool, EndpointError
 from jujubeslip.forwarding._event_splitter import EventSplitter
 from jujubeslip.forwarding._exchange import Exchange
-from jujubeslip.interfaces import EndpointCall, interfaces
-from jujubeslip.kernel import Deadline, load_plugins
+from jujubeslip.kernel import Deadline
 from jujubeslip.notices import EndpointNotices
-from jujubeslip.routes import ForwardedRequest
 from tests.fakes.answer_damages import broken_copies, damaged_copies
 from tests.fakes.answer_meaning import meaning_of
 from tests.fakes.drawn_answers import (
@@ -35,7 +33,7 @@
     answers,
     event_bodies,
 )
-from tests.fakes.engines import engine
+from tests.fakes.endpoint_host import CALL, EndpointHost
 
 WAIT_SECONDS = 20.0
 # A busy machine draws slowly.
@@ -133,27 +131,24 @@
     return True
 
 
-class Host:
-    """The connections of a forwarding host to one endpoint."""
+class Host(EndpointHost):
+    """The connections of a forwarding host to a scripted endpoint."""
 
     def __init__(self, endpoint: ScriptedEndpoint) -> None:
-        load_plugins()
+        super().__init__(endpoint)
         self.endpoint = endpoint
-        self._pool = ConnectionPool()
-        self._interface = interfaces.get("platform")
-        self._engine = replace(engine("engine"), address=endpoint.address)
 
     def begin(self, *scripts: Script) -> None:
-        """Forget all connections; play these scripts on the next ones."""
-        self._pool.close_all()
+        """Forget all that is known; play these scripts on the next connections."""
+        self.pool.close_all()
+        self.pool = ConnectionPool()
         self.endpoint.play(*scripts)
 
     def read(self, request_id: str) -> Read | None:
         """Return the status, stamps and body of a whole answer, None without one."""
         try:
-            with self._exchange(request_id) as exchange:
-                call = EndpointCall("engine", 1000)
-                head = exchange.call(call, Deadline.after(WAIT_SECONDS))
+            with self._fresh_exchange(request_id) as exchange:
+                head = exchange.call(CALL, Deadline.after(WAIT_SECONDS))
                 read = Read(head.status, tuple(head.headers), exchange.read_rest())
         except EndpointError:
             return None
@@ -164,33 +159,18 @@
         splitter = EventSplitter()
         events = b""
         try:
-            with self._exchange(request_id) as exchange:
-                call = EndpointCall("engine", 1000)
-                exchange.call(call, Deadline.after(WAIT_SECONDS))
+            with self._fresh_exchange(request_id) as exchange:
+                exchange.call(CALL, Deadline.after(WAIT_SECONDS))
                 while part := exchange.read_some():
                     events += splitter.take(part)
         except EndpointError:
             return events, False
         return events, not splitter.has_partial_event
 
-    def _exchange(self, request_id: str) -> Exchange:
-        request = ForwardedRequest(
-            request_id=request_id,
-            method="POST",
-            target="/x",
-            host="host",
-            headers=(("Request-Id", request_id),),
-            body=b"",
-            client_deadline=None,
-        )
-        return Exchange(
-            self._pool,
-            self._interface,
-            self._engine,
-            request,
-            never_interrupted,
-            EndpointNotices(),
-        )
+    def _fresh_exchange(self, request_id: str) -> Exchange:
+        """Return an exchange that no notice in an earlier answer holds up."""
+        self.notices = EndpointNotices()
+        return self.exchange(request_id)
 
 
 def _shown(read: Read) -> Read:
--- a/tests/forwarding/test_late_second_answers.py
+++ b/tests/forwarding/test_late_second_answers.py
@@ -5,29 +5,13 @@
 import socketserver
 import threading
 from collections.abc import Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any
 
 import pytest
 
-from jujubeslip.endpoints import (
-    ConnectionPool,
-    EndpointRefusedError,
-    never_interrupted,
-)
-from jujubeslip.forwarding._exchange import Exchange
-from jujubeslip.interfaces import (
-    EndpointCall,
-    EndpointHead,
-    interfaces,
-    send_internal_request,
-)
-from jujubeslip.kernel import Deadline, load_plugins
-from jujubeslip.notices import EndpointNotices
-from jujubeslip.routes import ForwardedRequest
-from tests.fakes.engines import engine
-
-WAIT_SECONDS = 2.0
+from jujubeslip.endpoints import EndpointRefusedError
+from tests.fakes.endpoint_host import EndpointHost
 
 
 @dataclass
@@ -87,54 +71,6 @@
         return value_by_name.get("request-id", "")
 
 
-class Host:
-    """The connections of an entry host to one endpoint."""
-
-    def __init__(self, endpoint: LateSecondAnswers) -> None:
-        load_plugins()
-        self.pool = ConnectionPool()
-        self._interface = interfaces.get("platform")
-        self._notices = EndpointNotices()
-        self._endpoint = replace(engine("engine"), address=endpoint.address)
-
-    def send(self, request_id: str) -> EndpointHead:
-        """Send a client's request and read its whole answer."""
-        request = ForwardedRequest(
-            request_id=request_id,
-            method="POST",
-            target="/x",
-            host="host",
-            headers=(("Request-Id", request_id),),
-            body=b"",
-            client_deadline=None,
-        )
-        exchange = Exchange(
-            self.pool,
-            self._interface,
-            self._endpoint,
-            request,
-            never_interrupted,
-            self._notices,
-        )
-        with exchange:
-            call = EndpointCall("engine", 1000)
-            head = exchange.call(call, Deadline.after(WAIT_SECONDS))
-            exchange.read_rest()
-            return head
-
-    def ask(self) -> int:
-        """Send a request of the system itself; return the status of the answer."""
-        status, _ = send_internal_request(
-            self.pool,
-            self._interface,
-            self._notices,
-            self._endpoint,
-            self._interface.ask_report("engine"),
-            Deadline.after(WAIT_SECONDS),
-        )
-        return status
-
-
 @pytest.fixture
 def endpoint() -> Iterator[LateSecondAnswers]:
     with LateSecondAnswers() as found:
@@ -149,7 +85,7 @@
     def test_reads_no_copy_of_the_first_answer(
         self, endpoint: LateSecondAnswers
     ) -> None:
-        host = Host(endpoint)
+        host = EndpointHost(endpoint)
         endpoint.refused_ids.append("first")
         with pytest.raises(EndpointRefusedError):
             host.send("first")
@@ -159,7 +95,7 @@
     def test_reads_no_copy_after_other_requests(
         self, endpoint: LateSecondAnswers
     ) -> None:
-        host = Host(endpoint)
+        host = EndpointHost(endpoint)
         endpoint.refused_ids += ["first", "second", "first"]
         for request_id in ("first", "second", "first"):
             with pytest.raises(EndpointRefusedError):
@@ -167,7 +103,7 @@
         assert host.send("first").status == 200
 
     def test_leaves_its_connection_to_others(self, endpoint: LateSecondAnswers) -> None:
-        host = Host(endpoint)
+        host = EndpointHost(endpoint)
         endpoint.refused_ids.append("first")
         with pytest.raises(EndpointRefusedError):
             host.send("first")
@@ -180,7 +116,7 @@
     """Guards against an answer that passes for that to any request."""
 
     def test_to_the_system_reaches_no_client(self, endpoint: LateSecondAnswers) -> None:
-        host = Host(endpoint)
+        host = EndpointHost(endpoint)
         endpoint.refused_ids.append("")
         assert host.ask() == 503
         assert host.send("first").status == 200
@@ -188,7 +124,7 @@
     def test_to_a_client_reaches_no_other_client(
         self, endpoint: LateSecondAnswers
     ) -> None:
-        host = Host(endpoint)
+        host = EndpointHost(endpoint)
         endpoint.echoes_ids = False
         endpoint.refused_ids.append("first")
         with pytest.raises(EndpointRefusedError):
--- a/tests/forwarding/test_unidentified_answers.py
+++ b/tests/forwarding/test_unidentified_answers.py
@@ -7,27 +7,19 @@
 import threading
 import time
 from collections.abc import Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 import pytest
 
 from jujubeslip.endpoints import (
     AnswerCutError,
-    ConnectionPool,
     EndpointAnswerError,
     EndpointOnHoldError,
     EndpointRefusedError,
-    never_interrupted,
 )
 from jujubeslip.endpoints._stray_answers import StrayAnswerFinder
-from jujubeslip.forwarding._exchange import Exchange
-from jujubeslip.interfaces import EndpointCall, EndpointHead, interfaces
-from jujubeslip.kernel import Deadline, load_plugins
-from jujubeslip.notices import EndpointNotices
-from jujubeslip.routes import ForwardedRequest
-from tests.fakes.engines import engine
-
-WAIT_SECONDS = 2.0
+from tests.fakes.endpoint_host import EndpointHost
+
 # Processor time to look through 250 KB; a byte at a time, most of it goes to the calls.
 LINEAR_SECONDS = 2.0
 FIRST = (
@@ -73,47 +65,11 @@
 
 @pytest.fixture
 def endpoint() -> Iterator[AnswersInTurn]:
-    load_plugins()
     found = AnswersInTurn()
     yield found
     found.close()
 
 
-class Host:
-    """The connections of an entry host to one endpoint."""
-
-    def __init__(self, endpoint: AnswersInTurn) -> None:
-        self._pool = ConnectionPool()
-        self._endpoint = replace(engine("engine"), address=endpoint.address)
-        self._notices = EndpointNotices()
-
-    def send(self, request_id: str) -> EndpointHead:
-        """Send a client's request and read its whole answer."""
-        request = ForwardedRequest(
-            request_id=request_id,
-            method="POST",
-            target="/x",
-            host="host",
-            headers=(("Request-Id", request_id),),
-            body=b"",
-            client_deadline=None,
-        )
-        exchange = Exchange(
-            self._pool,
-            interfaces.get("platform"),
-            self._endpoint,
-            request,
-            never_interrupted,
-            self._notices,
-        )
-        with exchange:
-            head = exchange.call(
-                EndpointCall("engine", 1000), Deadline.after(WAIT_SECONDS)
-            )
-            exchange.read_rest()
-            return head
-
-
 class TestAnswerWithoutRequestId:
     """Guards against an answer to an earlier request that passes for another's."""
 
@@ -121,7 +77,7 @@
         self, endpoint: AnswersInTurn
     ) -> None:
         endpoint.answers += [FIRST, UNNAMED]
-        host = Host(endpoint)
+        host = EndpointHost(endpoint)
         host.send("first")
         with pytest.raises(EndpointAnswerError) as raised:
             host.send("second")
@@ -132,7 +88,7 @@
         self, endpoint: AnswersInTurn, answer: bytes
     ) -> None:
         endpoint.answers += [FIRST, answer]
-        host = Host(endpoint)
+        host = EndpointHost(endpoint)
         host.send("first")
         with pytest.raises(EndpointAnswerError) as raised:
             host.send("second")
@@ -142,7 +98,7 @@
         self, endpoint: AnswersInTurn
     ) -> None:
         endpoint.answers += [FIRST, UNNAMED_REFUSAL, FIRST, UNNAMED_REFUSAL]
-        host = Host(endpoint)
+        host = EndpointHost(endpoint)
         host.send("first")
         with pytest.raises(EndpointAnswerError):
             host.send("second")
@@ -154,7 +110,7 @@
     def test_asks_for_backoff_all_the_same(self, endpoint: AnswersInTurn) -> None:
         refusal = UNNAMED_REFUSAL.replace(b"Not-Run", b"Retry-After: 5\r\nNot-Run")
         endpoint.answers += [FIRST, refusal]
-        host = Host(endpoint)
+        host = EndpointHost(endpoint)
         host.send("first")
         with pytest.raises(EndpointAnswerError):
             host.send("second")
@@ -165,7 +121,7 @@
         self, endpoint: AnswersInTurn
     ) -> None:
         endpoint.answers += [UNNAMED, UNNAMED_REFUSAL]
-        host = Host(endpoint)
+        host = EndpointHost(endpoint)
         assert host.send("second").status == 200
         with pytest.raises(EndpointRefusedError):
             host.send("third")
@@ -177,7 +133,7 @@
     @pytest.mark.parametrize("size", range(1, FIRST.index(b"Content-Length")))
     def test_are_no_success(self, endpoint: AnswersInTurn, size: int) -> None:
         endpoint.answers += [FIRST, FIRST[:size] + SECOND]
-        host = Host(endpoint)
+        host = EndpointHost(endpoint)
         host.send("first")
         with pytest.raises((EndpointAnswerError, AnswerCutError)):
             host.send("second")
@@ -190,7 +146,7 @@
         again = SECOND.replace(b"Request-Id", line + line + b"Request-Id")
         endpoint.answers += [again]
         with pytest.raises(EndpointAnswerError):
-            Host(endpoint).send("second")
+            EndpointHost(endpoint).send("second")
 
 
 class TestEmptyStamp:
@@ -199,7 +155,7 @@
     def test_proves_no_origin(self, endpoint: AnswersInTurn) -> None:
         endpoint.answers.append(SECOND.replace(b"s.second", b""))
         with pytest.raises(EndpointAnswerError):
-            Host(endpoint).send("second")
+            EndpointHost(endpoint).send("second")
 
 
 class TestLogOfAnAnswer:
@@ -210,7 +166,7 @@
     ) -> None:
         caplog.set_level(logging.INFO)
         endpoint.answers += [FIRST, SECOND[:-1]]
-        host = Host(endpoint)
+        host = EndpointHost(endpoint)
         host.send("first")
         with pytest.raises(AnswerCutError):
             host.send("second")
@@ -233,7 +189,7 @@
         sized = SECOND.replace(b"Length: 2", b"Length: 200")
         body = b"x" * at + FIRST + b"x" * (200 - at)
         endpoint.answers += [FIRST, sized[:-2] + body]
-        host = Host(endpoint)
+        host = EndpointHost(endpoint)
         host.send("first")
         with pytest.raises(EndpointAnswerError):
             host.send("second")
@@ -246,7 +202,7 @@
         head = head.replace(b"Request-Id", b"Date: x\r\nServer: y\r\nRequest-Id")
         answer = head + b"0" * 200
         endpoint.answers += [FIRST, answer[:-missing] + answer]
-        host = Host(endpoint)
+        host = EndpointHost(endpoint)
         host.send("first")
         with pytest.raises(EndpointAnswerError):
             host.send("second")
@@ -267,13 +223,13 @@
     ) -> None:
         length = b"Length: %d" % len(body)
         endpoint.answers += [FIRST, SECOND.replace(b"Length: 2", length)[:-2] + body]
-        host = Host(endpoint)
+        host = EndpointHost(endpoint)
         host.send("first")
         assert host.send("second").status == 200
 
     def test_is_none_if_it_follows_the_body(self, endpoint: AnswersInTurn) -> None:
         endpoint.answers += [FIRST, SECOND + FIRST]
-        host = Host(endpoint)
+        host = EndpointHost(endpoint)
         host.send("first")
         assert host.send("second").status == 200
 
