tests/forwarding: Record started threads in place of counting all of them

Seen: TestWithoutTheSetting::test_slow_request_is_sent_once_and_no_thread_starts failed once in a run of a part of tests/forwarding (load 30 to 50); its output was not kept.

Cause: the test compares the number of all threads of the process before and after a request of 0.3 s. Earlier tests of the file leave idle threads of second sends (36 of them in the trial), which end when the garbage collector frees the hosts that own them, at any time, also during that request.

That the one failure on record was this is likely, not shown.

Change: the test was wrong in what it counted. A fixture records each thread that the test's own thread starts. That is stricter: a thread that starts and ends within the request was not noticed before. A further test shows that the record does notice the two threads of a slow request with second sends.

--- a/tests/forwarding/test_second_sends.py
+++ b/tests/forwarding/test_second_sends.py
@@ -97,6 +97,25 @@
     return Host()
 
 
+@pytest.fixture
+def thread_starts(monkeypatch: pytest.MonkeyPatch) -> list[threading.Thread]:
+    """Return a list of the threads that the test's own thread starts from now on.
+
+    Threads of earlier tests may end at any time, with the objects that own them.
+    """
+    started: list[threading.Thread] = []
+    test_thread = threading.current_thread()
+    start = threading.Thread.start
+
+    def record(thread: threading.Thread) -> None:
+        if threading.current_thread() is test_thread:
+            started.append(thread)
+        start(thread)
+
+    monkeypatch.setattr(threading.Thread, "start", record)
+    return started
+
+
 def slow(seconds: float = 5.0, **fields: Any) -> Script:
     return Script(seconds, **fields)
 
@@ -375,19 +394,31 @@
 class TestWithoutTheSetting:
     """Guards against a feature that changes hosts which don't use it."""
 
-    def test_slow_request_is_sent_once_and_no_thread_starts(self) -> None:
+    def test_slow_request_is_sent_once_and_no_thread_starts(
+        self, thread_starts: list[threading.Thread]
+    ) -> None:
         system = ScriptedSystem("a", "b")
         for script in system.pool.script_by_endpoint.values():
             script.seconds = 0.3
-        threads = threading.active_count()
         attempts = Attempts()
         answer = PlainPath(system.sender).answer(system.context("r"), attempts)
         assert answer.status == 200
         assert (attempts.sends, attempts.has_second_send) == (1, False)
-        assert threading.active_count() == threads
+        assert thread_starts == []
         assert not any("second" in step for step in attempts.steps)
 
 
+class TestThreads:
+    """Guards against a record of started threads that always stays empty."""
+
+    def test_of_second_sends_are_started_for_a_slow_request(
+        self, host: Host, thread_starts: list[threading.Thread]
+    ) -> None:
+        host.set_scripts(slow(), Script())
+        host.ask()
+        assert len(thread_starts) == 2
+
+
 class TestLeader:
     """Guards against second sends that need a leader, which may be lost meanwhile."""
 
