control: Wait for a reply that comes after the append

What callers would see since: after a follower had replied late once, a change was committed only at the next heartbeat, though the follower replied within milliseconds again; until then the leader's log kept saying `replica replies late`.

Cause: the wait ends with the first reply of any append in flight. A reply that came between two appends, while the replicator waited for work, was still among these, so that the wait for the next append ended at once. That one's reply was then the stale one of the following wait, and so on. Entries that were answered meanwhile counted as in flight, so that the next ones waited for a heartbeat.

Change: answered appends are left out of the wait.

Tried and given up: forgetting entries in flight before each look for work, and waking the replicator by each late reply. Not run on the final code: the rest of tests/control.

--- a/src/jujubeslip/control/_replication.py
+++ b/src/jujubeslip/control/_replication.py
@@ -83,6 +83,8 @@
         carrying data, which the next append over another one reveals, or the
         follower's disk is slow.
         """
+        # The wait would end at once with a reply that came since the last append.
+        self._in_flight = {item for item in self._in_flight if not item.done()}
         start_task = self._replica.process.start_task
         exchange = start_task(self._exchange, leadership, message)
         self._in_flight.add(exchange)
--- a/tests/control/test_late_replies.py
+++ b/tests/control/test_late_replies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -12,11 +13,12 @@
 
 import pytest
 
+from jujubeslip.control._commands import NoOp
 from jujubeslip.control._election import Elections
 from jujubeslip.control._replica import Replica
 from jujubeslip.control._replication import Replication
 from jujubeslip.control._storage import Storage
-from jujubeslip.kernel import PeerUnavailableError
+from jujubeslip.kernel import Deadline, PeerUnavailableError
 from jujubeslip.peers import (
     AppendReply,
     AppendRequest,
@@ -28,6 +30,9 @@
 
 # For how long the leader is observed, in election timeouts.
 WATCHED_TIMEOUTS = 3
+# How long a prompt reply takes, in seconds.
+PROMPT_SECONDS = 0.01
+COMMITS = 10
 
 
 class LateFollower:
@@ -161,3 +166,28 @@
         assert "no longer leading" not in caplog.messages
         for follower in followers.by_id.values():
             assert follower.longest_silence() < ELECTION_SECONDS
+
+
+class TestLeaderWhoseFollowersWereLate:
+    """Guards against commits that wait for heartbeats once replies have been late."""
+
+    def test_commits_at_once(
+        self, replica: Replica, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        caplog.set_level(logging.INFO)
+        follower = LateFollower(0.0)
+        lead(replica, follower)
+        follower.seconds = 0.7 * ELECTION_SECONDS
+        time.sleep(2 * ELECTION_SECONDS)
+        assert "replica replies late" in caplog.messages
+        follower.seconds = PROMPT_SECONDS
+        time.sleep(ELECTION_SECONDS)
+        assert "replica replies in time" in caplog.messages
+        for _ in range(COMMITS):
+            started = time.monotonic()
+            waiter = replica.submit(NoOp())
+            with replica.disk_lock:
+                replica.write_pending()
+            replica.wait_for(waiter, Deadline.after(ELECTION_SECONDS))
+            took = time.monotonic() - started
+            assert took < replica.settings.heartbeat_ms / 1000 / 2
