Forwarding: a send of which nothing was sent costs no retry, also after a refusal

What callers saw: 503 `endpoints_refused` while an endpoint would have run the request, and other requests without retries. Once an endpoint had refused a request, each endpoint after it that could not be connected to cost a retry.

Cause: a retry is spent before the send, whether it then arrives or not; only requests of which nothing had arrived were free of it.

Change: the retry is restored when nothing was sent.

Evidence: TestRetryBudget, a full endpoint, five that refuse connections, one that works, and one retry left: failed before ("No endpoint accepted the request."), passes now and leaves no retry. test_refused_connections, test_retry_budgets, test_second_sends, test_unreachable_endpoints, test_refused_prefills and test_busy_retries pass (81 tests, load 30).

--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -159,6 +159,8 @@
     """Sends whose endpoint may have run the request."""
     has_arrived: bool = False
     """Whether a send may have reached an endpoint, which may have refused it."""
+    has_spent_retry: bool = False
+    """Whether the latest send has spent a retry, and may not have reached any."""
     tried: set[str] = field(default_factory=set)
     """Starts of endpoints that must not be asked again."""
     steps: list[str] = field(default_factory=list)
--- a/src/jujubeslip/forwarding/_retry_budgets.py
+++ b/src/jujubeslip/forwarding/_retry_budgets.py
@@ -66,6 +66,13 @@
             sends.retries.append(steady_seconds())
             return True
 
+    def restore(self, service_name: str) -> None:
+        """Restore a retry that was spent on a send of which nothing was sent."""
+        with self._lock:
+            retries = self._sends(service_name).retries
+            if retries:
+                retries.pop()
+
     def has_retry_left(self, service_name: str) -> bool:
         """Return whether a retry is left, without spending it."""
         with self._lock:
--- a/src/jujubeslip/forwarding/_second_sends.py
+++ b/src/jujubeslip/forwarding/_second_sends.py
@@ -257,6 +257,8 @@
         wait: float,
     ) -> None:
         attempts.has_second_send = True
+        # The first send has reached its endpoint.
+        attempts.has_spent_retry = False
         attempts.sends += 1
         attempts.latest_sent_at = Deadline.after(0)
         attempts.note(endpoint.start_id, "second send")
--- a/src/jujubeslip/forwarding/_sender.py
+++ b/src/jujubeslip/forwarding/_sender.py
@@ -31,7 +31,12 @@
 from jujubeslip.forwarding._endpoint_limits import EndpointLimits
 from jujubeslip.forwarding._exchange import Exchange
 from jujubeslip.forwarding._health import EndpointHealth
-from jujubeslip.forwarding._models import Attempts, ForwardContext, refusal_of
+from jujubeslip.forwarding._models import (
+    NOT_SENT,
+    Attempts,
+    ForwardContext,
+    refusal_of,
+)
 from jujubeslip.forwarding._quarantine import Quarantine
 from jujubeslip.forwarding._retry_budgets import RetryBudgets
 from jujubeslip.interfaces import Interface, InternalRequest, send_internal_request
@@ -219,7 +224,16 @@
     def _may_arrive_again(self, context: ForwardContext, attempts: Attempts) -> bool:
         if not attempts.has_arrived and not attempts.may_have_run:
             return True
-        return self.budgets.spend(context.service_name)
+        attempts.has_spent_retry = self.budgets.spend(context.service_name)
+        return attempts.has_spent_retry
+
+    def _restore_retry(
+        self, context: ForwardContext, attempts: Attempts, error: EndpointError
+    ) -> None:
+        """Restore the retry that was spent on a send of which nothing was sent."""
+        if attempts.has_spent_retry and isinstance(error, NOT_SENT):
+            self.budgets.restore(context.service_name)
+        attempts.has_spent_retry = False
 
     def is_open(self, context: ForwardContext, attempts: Attempts) -> bool:
         """Return whether the route's limits allow one more send.
@@ -271,6 +285,7 @@
         if isinstance(error, AnswerCutError | EndpointAnswerError):
             # A process that ends while it sends a head leaves an invalid one.
             self.crashes.record_cut_off(context, attempts, endpoint)
+        self._restore_retry(context, attempts, error)
         self.note_error(attempts, endpoint, error)
 
     def note_error(
--- a/tests/forwarding/test_refused_connections.py
+++ b/tests/forwarding/test_refused_connections.py
@@ -32,7 +32,7 @@
 from jujubeslip.kernel import Ran, RequestRefusedError
 from jujubeslip.peers import EndpointRole
 from jujubeslip.routes import RouteKind
-from tests.fakes.scripted_endpoints import BODY, Script, ScriptedSystem
+from tests.fakes.scripted_endpoints import BODY, SERVICE, Script, ScriptedSystem
 
 REFUSED = EndpointUnreachableError("connection refused")
 TIMED_OUT = EndpointUnreachableError("timed out")
@@ -171,3 +171,24 @@
                 ask(system, maximum_attempts=attempts)
         assert len(system.pool.connects) == len(ENDED) + expected
         assert len(system.pool.sends) == expected
+
+
+class TestRetryBudget:
+    """Guards against a budget that requests spend on endpoints they don't reach.
+
+    A full endpoint refuses the request. It then spends a retry on each ended endpoint,
+    and the client gets 503 for want of retries while an endpoint would have run it.
+    """
+
+    def test_one_retry_is_enough_for_one_that_arrives(self) -> None:
+        system = system_of(Script(connect_error=REFUSED), "full", "works")
+        system.pool.script_by_endpoint["full"] = Script(error=FULL)
+        while system.budgets.left_by_service().get(SERVICE, 2.0) >= 2.0:
+            assert system.budgets.spend(SERVICE)
+        with ExitStack() as stack:
+            for name in [*ENDED, "works", "works"]:
+                stack.enter_context(system.health.track_request(name))
+            answer = ask(system)
+        assert answer.body == BODY + b"works"
+        assert sorted(system.pool.connects) == [*ENDED, "full", "works"]
+        assert not system.budgets.has_retry_left(SERVICE)
