Control status: lists the members of the log while no leader can be elected

What operators saw since: `jujubeslip status` without any replica, after the control hosts had restarted and too few of them for a leader.

Change: a replica that knows of no committed members, and neither leads nor hears a leader, lists those of its log, as before. A leader, and a replica that hears one, still show committed members only.

Not run: the rest of tests/control.

--- a/src/jujubeslip/control/_handler.py
+++ b/src/jujubeslip/control/_handler.py
@@ -357,14 +357,20 @@
         return replica.leader.replica_id if replica.hears_leader else ""
 
     def _replica_statuses(self) -> list[ReplicaStatus]:
-        """Return the committed members; a newer membership may end with its leader."""
+        """Return the members by the newest membership that is known to be committed.
+
+        A newer one may end with its leader. Without a leader, a replica that has
+        restarted may know of no committed one, and returns the newest in its log.
+        """
         replica = self._replica
-        committed = replica.memberships.at(replica.commit_index)
+        shown = replica.memberships.at(replica.commit_index)
+        if not shown.members and not replica.hears_leader:
+            shown = replica.membership
         progress_by_id = (
             replica.leadership.progress_by_id if replica.leadership is not None else {}
         )
         statuses = []
-        for member in committed.members:
+        for member in shown.members:
             progress = progress_by_id.get(member.replica_id)
             match_index = progress.match_index if progress else 0
             if member.replica_id == replica.replica_id:
--- a/tests/control/test_status.py
+++ b/tests/control/test_status.py
@@ -11,8 +11,11 @@
 from jujubeslip.control._membership import with_promoted
 from jujubeslip.control._membership_changes import MembershipChanges
 from jujubeslip.control._receiver import Receiver
+from jujubeslip.control._replica import Replica
+from jujubeslip.control._storage import Storage
 from jujubeslip.control._watches import Watches
 from jujubeslip.discovery import EndpointRegistry
+from jujubeslip.kernel import Deadline, Process
 from tests.control.test_membership_planner import LEARNER, Subject
 
 
@@ -23,12 +26,6 @@
         super().__init__(folder)
         self.lead(2, learners=1)
         self.commit()
-        self._handler = ControlHandler(
-            self.replica,
-            Receiver(self.replica),
-            MembershipChanges(self.replica),
-            Watches(self.replica, EndpointRegistry(), list),
-        )
 
     def commit(self) -> None:
         with self.replica.disk_lock, self.replica.lock:
@@ -41,8 +38,17 @@
             self.replica.submit(with_promoted(self.replica.membership, LEARNER))
 
     def reported_voter_ids(self) -> set[str]:
-        replicas = self._handler.status().replicas
-        return {item.replica_id for item in replicas if item.voter}
+        return reported_voter_ids(self.replica)
+
+
+def reported_voter_ids(replica: Replica) -> set[str]:
+    handler = ControlHandler(
+        replica,
+        Receiver(replica),
+        MembershipChanges(replica),
+        Watches(replica, EndpointRegistry(), list),
+    )
+    return {item.replica_id for item in handler.status().replicas if item.voter}
 
 
 @pytest.fixture
@@ -68,3 +74,17 @@
         subject.promote_learner()
         subject.commit()
         assert subject.reported_voter_ids() == before | {LEARNER}
+
+
+class TestRestartWithoutAQuorum:
+    """Guards against a status without members while no leader can be elected."""
+
+    def test_reports_the_members_in_the_log(self, tmp_path: Path) -> None:
+        subject = ReportingSubject(tmp_path / "data")
+        before, settings = subject.voter_ids(), subject.replica.settings
+        subject.replica.storage.close()
+        storage = Storage(tmp_path / "data", settings.host_id)
+        restarted = Replica(settings, storage, Process("test"))
+        restarted.heard_leader_until = Deadline.after(0)
+        assert reported_voter_ids(restarted) == before
+        storage.close()
