Endpoint connections: keep the system's own, and none that is just given back

What callers could see: one more refusal that proves nothing ("may have run" in place of "not run").

Cause: note_unnamed closed, and give_back refused, all connections to the start. give_back looked at the note before it took the lock, so that a connection that was given back in the same moment was kept.

Evidence: TestConnectionsToAnEndpointThatNamesNoRequest, 2 of 2 fail on (1 idle connection in place of none; a new connection), pass here, as does the rest of test_unidentified_answers.py. The race is brought about in the test.

--- a/src/jujubeslip/endpoints/_connections.py
+++ b/src/jujubeslip/endpoints/_connections.py
@@ -199,9 +199,14 @@
         system's own requests, which have no id, look like answers to any request.
         """
         if request_id is None:
-            return all(item == "" for item in self._carried_ids)
+            return self.is_own
         return request_id not in self._carried_ids and "" not in self._carried_ids
 
+    @property
+    def is_own(self) -> bool:
+        """Return whether it has carried only requests without an id."""
+        return all(item == "" for item in self._carried_ids)
+
     @property
     def has_carried_others(self) -> bool:
         """Return whether an answer to an earlier request may still arrive."""
@@ -270,8 +275,8 @@
         self._observer = observer
         self._idle_by_start: dict[str, list[EndpointConnection]] = {}
         self._unnamed_until_by_start: dict[str, Deadline] = {}
-        """Starts that don't name all requests that they answer, so that each of their
-        connections carries one."""
+        """Starts that don't name all requests that they answer, so that each connection
+        to them carries one of a client."""
         self._lock = threading.Lock()
 
     def take(
@@ -313,25 +318,34 @@
         assert isinstance(connection, EndpointConnection)
         given = IDLE_SECONDS if idle_seconds is None else idle_seconds
         usable = given - IDLE_MARGIN_SECONDS
-        if usable <= 0 or self._is_unnamed(start_id) or not connection.is_clean():
+        if usable <= 0 or not connection.is_clean():
             connection.close()
             return
         connection.used = True
         connection.idle_until = Deadline.after(usable)
         with self._lock:
-            self._idle_by_start.setdefault(start_id, []).append(connection)
+            is_kept = connection.is_own or not self._is_unnamed(start_id)
+            if is_kept:
+                self._idle_by_start.setdefault(start_id, []).append(connection)
+        if not is_kept:
+            connection.close()
 
     def note_unnamed(self, start_id: str) -> None:
         """Let each connection to this start carry one request for a while.
 
         An answer without an id proves nothing on a connection that has carried others,
-        so a refusal would not tell that the request has not run.
+        so a refusal would not tell that the request has not run. The connections of
+        the system's own requests, whose answers never have an id, are kept.
         """
         with self._lock:
             self._unnamed_until_by_start[start_id] = Deadline.after(UNNAMED_SECONDS)
             idle = self._idle_by_start.pop(start_id, [])
+            own = [connection for connection in idle if connection.is_own]
+            if own:
+                self._idle_by_start[start_id] = own
         for connection in idle:
-            connection.close()
+            if not connection.is_own:
+                connection.close()
 
     def _is_unnamed(self, start_id: str) -> bool:
         until = self._unnamed_until_by_start.get(start_id)
--- a/tests/forwarding/test_unidentified_answers.py
+++ b/tests/forwarding/test_unidentified_answers.py
@@ -285,3 +285,31 @@
         for at in range(0, len(body), size):
             assert not finder.finds_one(body[at : at + size])
         assert time.process_time() - started < LINEAR_SECONDS
+
+
+class TestConnectionsToAnEndpointThatNamesNoRequest:
+    """Guards against refusals that prove nothing, and against needless connections."""
+
+    def test_one_that_is_just_given_back_is_not_kept(
+        self, endpoint: AnswersInTurn, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        pool = ConnectionPool()
+        connection = pool.take("start", endpoint.address, "first")
+
+        def is_clean() -> bool:
+            pool.note_unnamed("start")
+            return True
+
+        monkeypatch.setattr(connection, "is_clean", is_clean)
+        pool.give_back("start", connection, None)
+        assert pool.idle_count == 0
+
+    def test_those_of_the_system_are_kept(self, endpoint: AnswersInTurn) -> None:
+        pool = ConnectionPool()
+        connection = pool.take("start", endpoint.address)
+        pool.give_back("start", connection, None)
+        pool.note_unnamed("start")
+        assert pool.take("start", endpoint.address) is connection
+        pool.give_back("start", connection, None)
+        assert pool.idle_count == 1
+        pool.close_all()
