--- a/src/jujubeslip/control/_replication.py
+++ b/src/jujubeslip/control/_replication.py
@@ -67,7 +67,6 @@
             with replica.lock:
                 if not replica.is_replication_target(self._member.replica_id):
                     break
-                self._forget_answered()
                 leadership = self._wait_for_work()
                 if leadership is None:
                     continue
@@ -100,25 +99,11 @@
         else:
             wait([exchange])
         self._is_prompt = exchange.done()
-        if not self._is_prompt:
-            exchange.add_done_callback(self._wake)
         if len(self._in_flight) >= MAXIMUM_IN_FLIGHT and not self._is_prompt:
             wait(self._in_flight, return_when=FIRST_COMPLETED)
-        self._forget_answered()
-        self._set_late(bool(self._in_flight))
-
-    def _wake(self, _: Future[None]) -> None:
-        """Let entries that wait for the reply to earlier ones be sent."""
-        with self._replica.lock:
-            self._replica.work.notify_all()
-
-    def _forget_answered(self) -> None:
-        """Forget the appends that are no longer in flight.
-
-        The wait for a reply would end at once with one that came before the append.
-        """
         self._in_flight = {item for item in self._in_flight if not item.done()}
         self._entries_in_flight &= self._in_flight
+        self._set_late(bool(self._in_flight))
 
     def _may_send_entries(self) -> bool:
         """Return whether the next append carries entries or is only a heartbeat.
