--- a/tests/forwarding/test_unidentified_answers.py
+++ b/tests/forwarding/test_unidentified_answers.py
@@ -13,6 +13,7 @@
 
 from jujubeslip.endpoints import (
     AnswerCutError,
+    ConnectionPool,
     EndpointAnswerError,
     EndpointOnHoldError,
     EndpointRefusedError,
