Tests of notices: the known endpoint was heard from just now

Cause: the endpoint is a constant of the module, dated when pytest collects the tests. The registry forgets a start that it has not heard from for 300 s, so that a run that comes to the file later counts it among the unknown ones.

Evidence: dated 301 s ago, the test fails with just that line. Dated when the registry is filled, it passes.

--- a/tests/notices/test_registry.py
+++ b/tests/notices/test_registry.py
@@ -8,6 +8,7 @@
 
 from jujubeslip.discovery import Endpoint, EndpointRegistry
 from jujubeslip.interfaces import EndpointHead
+from jujubeslip.kernel import steady_seconds
 from jujubeslip.notices import EndpointNotices, HoldReason, _models, _registry
 from jujubeslip.notices._models import LONGEST_BACKOFF_SECONDS
 from jujubeslip.notices._registry import MAXIMUM_UNKNOWN_STARTS
@@ -39,7 +40,8 @@
 
 def after_refusal(backoff: str, known: Endpoint = ENDPOINT) -> EndpointNotices:
     endpoint_registry = EndpointRegistry()
-    endpoint_registry.merge([known])
+    # The registry forgets a start that it has not heard from for some minutes.
+    endpoint_registry.merge([replace(known, heard_at=steady_seconds())])
     notices = EndpointNotices(endpoint_registry)
     notices.record_answer(ENDPOINT, head(Retry_After=backoff), 999.0)
     return notices
