Test of the leader's silence: wait until each host names the leader

Trace (its logs): control-1 leads at 05.996 s, control-2 follows at 05.998 s, which gives the leader its lease, so that the test goes on; control-3 follows at 06.005 s and was asked before. It had acknowledged no leader for 324 ms, and rightly said so.

The test is wrong: it asked a host that could not have heard from the leader.

--- a/tests/control/test_leader_silence.py
+++ b/tests/control/test_leader_silence.py
@@ -16,12 +16,19 @@
     return answer
 
 
+def names_leader(host: ControlHost) -> bool:
+    status = host.status()
+    return status is not None and status.leader_id != ""
+
+
 class TestVoters:
     """Guards against an account's rate that a pool and a leader both grant."""
 
     def test_are_silent_only_without_a_leader(self, tmp_path: Path) -> None:
         with ControlCluster(tmp_path, 3) as cluster:
             leader = cluster.leader()
+            # The leader has its lease before the last host has heard from it.
+            wait_until(lambda: all(map(names_leader, cluster.hosts)), "a known leader")
             assert [silent_ms(host) for host in cluster.hosts] == [None] * 3
             one, other = cluster.others(leader)
             leader.kill()
