Read-through: one rule for ends of unframed answers, shared test set-up

- Whether the end of an answer without framing proves anything was decided twice, for forwarded calls and for plain services of the own interface.
Both use `check_regular_end` now.
- The stand-in that resets its connection, and a plain service that has run and not answered, were set up twice in the tests.

--- a/src/jujubeslip/endpoints/__init__.py
+++ b/src/jujubeslip/endpoints/__init__.py
@@ -38,7 +38,7 @@
 )
 from jujubeslip.endpoints._monitor import EndpointMonitor
 from jujubeslip.endpoints._plain_service import call_plain_service
-from jujubeslip.endpoints._process_end import has_ended
+from jujubeslip.endpoints._process_end import check_regular_end, has_ended
 
 __all__ = [
     "CONNECT_SECONDS",
@@ -72,6 +72,7 @@
     "RequestRef",
     "announcement_from_json",
     "call_plain_service",
+    "check_regular_end",
     "has_ended",
     "never_interrupted",
 ]
--- a/src/jujubeslip/endpoints/_plain_service.py
+++ b/src/jujubeslip/endpoints/_plain_service.py
@@ -4,17 +4,15 @@
 
 from functools import partial
 
-from jujubeslip.endpoints._answer_reader import Framing
 from jujubeslip.endpoints._engine_adapter import EngineAdapter
 from jujubeslip.endpoints._errors import (
-    AnswerCutError,
     EndpointAnswerError,
     EndpointRefusedError,
     EndpointTimeoutError,
 )
 from jujubeslip.endpoints._http import REQUEST_ID, Call, Interrupted
 from jujubeslip.endpoints._models import PlainAnswer, RequestRef
-from jujubeslip.endpoints._process_end import has_ended
+from jujubeslip.endpoints._process_end import check_regular_end, has_ended
 from jujubeslip.kernel import Deadline
 
 RUNNING = "run"
@@ -60,9 +58,7 @@
         raise EndpointRefusedError(head.status, "failed", may_have_run=True)
     if any(value != IDENTITY for value in head.values("Content-Encoding")):
         raise EndpointAnswerError(f"{address}: the answer is encoded, unasked.")
-    if head.framing is Framing.CONNECTION and has_ended(address):
-        # The end of its process would have ended the answer just so.
-        raise AnswerCutError(f"{address}: ended during its answer.")
+    check_regular_end(head, address, partial(has_ended, address))
     content_type = head.only_value("Content-Type") or "application/octet-stream"
     return PlainAnswer(head.status, content_type, answer)
 
--- a/src/jujubeslip/endpoints/_process_end.py
+++ b/src/jujubeslip/endpoints/_process_end.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
+
+from jujubeslip.endpoints._answer_reader import AnswerHead, Framing
+from jujubeslip.endpoints._errors import AnswerCutError
 
 # Timeout for opening a connection, in seconds. The machine of a process that has ended
 # refuses connections within a round trip.
@@ -12,6 +16,18 @@
 CLOSING_SECONDS = 0.02
 
 
+def check_regular_end(
+    head: AnswerHead, address: str, process_has_ended: Callable[[], bool]
+) -> None:
+    """Raise AnswerCutError if the answer may have ended only because its sender did.
+
+    An answer with neither a length nor chunks ends with its connection, also when the
+    endpoint's process ends in the middle of it, as that of an endpoint that leaves may.
+    """
+    if head.framing is Framing.CONNECTION and process_has_ended():
+        raise AnswerCutError(f"{address}: ended during its answer.")
+
+
 def has_ended(address: str) -> bool:
     """Return whether an endpoint's process has ended: its port refuses connections.
 
--- a/src/jujubeslip/forwarding/_answer_ends.py
+++ b/src/jujubeslip/forwarding/_answer_ends.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from jujubeslip.discovery import Endpoint
-from jujubeslip.endpoints import AnswerCutError
+from jujubeslip.endpoints import check_regular_end
 from jujubeslip.forwarding._exchange import Exchange
 
 HasEnded = Callable[[Endpoint], bool]
@@ -15,9 +15,9 @@
 def check_end(endpoint: Endpoint, exchange: Exchange, has_ended: HasEnded) -> None:
     """Raise AnswerCutError if the answer may have ended only because its endpoint did.
 
-    An answer with neither a length nor chunks ends with its connection, also when the
-    endpoint's process ends in the middle of it, as that of an endpoint that leaves may.
+    Such an answer is recorded.
     """
-    if exchange.ends_with_connection and has_ended(endpoint):
-        with exchange.recorded_errors():
-            raise AnswerCutError(f"{endpoint.address}: ended during its answer.")
+    with exchange.recorded_errors():
+        check_regular_end(
+            exchange.answer, endpoint.address, lambda: has_ended(endpoint)
+        )
--- a/src/jujubeslip/forwarding/_exchange.py
+++ b/src/jujubeslip/forwarding/_exchange.py
@@ -19,7 +19,6 @@
     EndpointRefusedError,
     EndpointReplacedError,
     EndpointRoleError,
-    Framing,
     Interrupted,
     never_interrupted,
 )
@@ -187,10 +186,10 @@
         return self._connection is not None and bool(self._connection.relayed_by)
 
     @property
-    def ends_with_connection(self) -> bool:
-        """Return whether only the end of the connection ends the answer."""
-        answer = self._answer
-        return answer is not None and answer.framing is Framing.CONNECTION
+    def answer(self) -> AnswerHead:
+        """Return the status line and headers of the answer, once they were read."""
+        assert self._answer is not None
+        return self._answer
 
     def keep_connection(self) -> None:
         """Keep the connection for the next request, after the answer was read whole."""
--- a/tests/control/test_operators.py
+++ b/tests/control/test_operators.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -10,6 +11,7 @@
 import pytest
 
 from jujubeslip.control import ControlClient
+from jujubeslip.control._client import REPLICA_TIMEOUT_SECONDS
 from jujubeslip.kernel import Deadline, PeerAddress, PeerUnavailableError
 from jujubeslip.peers import (
     ApplyReply,
@@ -28,6 +30,9 @@
 )
 from tests.fakes.processes import wait_until
 
+# How long a poll waits for a newer revision, in milliseconds.
+POLL_MS = 200
+
 
 @pytest.fixture(scope="module")
 def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[ControlCluster]:
@@ -189,8 +194,8 @@
 def polls_if_outdated(cluster: ControlCluster, stale: ControlHost) -> list[int] | None:
     """Return the revisions of a new client's polls, the first one from the stale host.
 
-    Returns None if the stale host did not answer the first poll in time, after which
-    the client asks another one for that reason alone.
+    Returns None if the first poll took as long as a replica may take to answer, after
+    which the client asks another one for that reason alone.
     """
     client = ControlClient(
         [
@@ -199,5 +204,10 @@
         ],
         PeerIdentity("test", 1, cluster.secret),
     )
-    polls = [client.get_configuration(1, 200).revision for _ in range(3)]
-    return polls if polls[0] == 1 else None
+    began = time.monotonic()
+    first = client.get_configuration(1, POLL_MS).revision
+    may_be_late = time.monotonic() - began >= POLL_MS / 1000 + REPLICA_TIMEOUT_SECONDS
+    if first != 1 and may_be_late:
+        return None
+    assert first == 1
+    return [first] + [client.get_configuration(1, POLL_MS).revision for _ in range(2)]
--- a/tests/endpoints/test_partial_answers.py
+++ b/tests/endpoints/test_partial_answers.py
@@ -19,6 +19,8 @@
 from jujubeslip.kernel import Deadline
 
 SECONDS = 5.0
+# How long an endpoint that resets leaves its answer to be read, in seconds.
+RESET_SECONDS = 0.2
 HEAD = (
     b"HTTP/1.1 200 OK\r\n"
     b"Request-Id: 9c41\r\n"
@@ -51,6 +53,20 @@
     return f"127.0.0.1:{listener.getsockname()[1]}"
 
 
+def reset_after(sent: bytes) -> str:
+    """Return the address of an endpoint that sends these bytes and resets."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def answer() -> None:
+        with listener, listener.accept()[0] as connection:
+            connection.sendall(sent)
+            # The request stays unread, so closing resets the connection.
+            threading.Event().wait(RESET_SECONDS)
+
+    threading.Thread(target=answer, daemon=True).start()
+    return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
 def read_directly(address: str) -> Read:
     connection = EndpointConnection(address)
     try:
@@ -162,14 +178,5 @@
         assert read(answered_by(sent))[2] == b""
 
     def test_is_not_whole_if_its_connection_is_reset(self, read: Reader) -> None:
-        listener = socket.create_server(("127.0.0.1", 0))
-
-        def answer() -> None:
-            with listener, listener.accept()[0] as connection:
-                connection.sendall(UNFRAMED)
-                # The request stays unread, so closing resets the connection.
-                threading.Event().wait(0.2)
-
-        threading.Thread(target=answer, daemon=True).start()
         with pytest.raises(EndpointError):
-            read(f"127.0.0.1:{listener.getsockname()[1]}")
+            read(reset_after(UNFRAMED))
--- a/tests/relays/test_relayed_framing.py
+++ b/tests/relays/test_relayed_framing.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import socket
-import threading
 from collections.abc import Iterator
 from contextlib import suppress
 from dataclasses import replace
@@ -35,6 +33,7 @@
     SIZED,
     UNFRAMED,
     answered_by,
+    reset_after,
 )
 from tests.fakes.copying_engine import copying_engine
 from tests.fakes.engines import engine
@@ -131,17 +130,8 @@
             relay.ask(answered_by(UNFRAMED))
 
     def test_is_not_complete_if_its_connection_is_reset(self, relay: Relay) -> None:
-        listener = socket.create_server(("127.0.0.1", 0))
-
-        def answer() -> None:
-            with listener, listener.accept()[0] as connection:
-                connection.sendall(UNFRAMED)
-                # The request stays unread, so closing resets the connection.
-                threading.Event().wait(0.2)
-
-        threading.Thread(target=answer, daemon=True).start()
         with pytest.raises(EndpointError):
-            relay.ask(f"127.0.0.1:{listener.getsockname()[1]}")
+            relay.ask(reset_after(UNFRAMED))
 
 
 class TestRelayThatFails:
--- a/tests/requests/test_complete_answers.py
+++ b/tests/requests/test_complete_answers.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from concurrent.futures import Future
 
 import pytest
 
-from tests.fakes.client import OpenCall
+from tests.fakes.client import ClientAnswer, OpenCall
 from tests.fakes.cluster import Cluster, EngineSpec, PlainSpec
 from tests.fakes.fault_proxy import Direction, FaultProxy
 from tests.fakes.processes import wait_until
@@ -244,12 +245,7 @@
     def test_is_abandoned_after_a_plain_service_has_run(
         self, cluster: Cluster, entry: str
     ) -> None:
-        for name in engines(cluster, "plain"):
-            cluster.set_faults(name, pause_phase="after")
-        message = {"repeatable": False}
-        call = open_call(cluster, entry, "silent-plain", message, "confirmations")
-        answer = in_background(call.answer)
-        wait_until(lambda: self._plain_runs(cluster, "silent-plain"), "it has run")
+        answer = self._run_plain(cluster, entry, "silent-plain")
         for name in engines(cluster, "plain"):
             cluster.proxy_by_hop[("*", name)].freeze()
             cluster.set_faults(name, resume_phase="after")
@@ -260,17 +256,24 @@
         self, cluster: Cluster, entry: str
     ) -> None:
         """A refused connection tells that nothing was sent over it, not before it."""
-        for name in engines(cluster, "plain"):
-            cluster.set_faults(name, pause_phase="after")
-        message = {"repeatable": False}
-        call = open_call(cluster, entry, "refusing-plain", message, "confirmations")
-        answer = in_background(call.answer)
-        wait_until(lambda: self._plain_runs(cluster, "refusing-plain"), "it has run")
+        answer = self._run_plain(cluster, entry, "refusing-plain")
         for name in engines(cluster, "plain"):
             cluster.proxy_by_hop[("*", name)].refuse()
         assert answer.result(15).ran == "unknown"
         assert self._plain_runs(cluster, "refusing-plain") == 1
 
+    def _run_plain(
+        self, cluster: Cluster, entry: str, name: str
+    ) -> Future[ClientAnswer]:
+        """Return the answer to a request that a service has run and not answered."""
+        for engine in engines(cluster, "plain"):
+            cluster.set_faults(engine, pause_phase="after")
+        message = {"repeatable": False}
+        call = open_call(cluster, entry, name, message, "confirmations")
+        answer = in_background(call.answer)
+        wait_until(lambda: self._plain_runs(cluster, name), "it has run")
+        return answer
+
     @staticmethod
     def _plain_runs(cluster: Cluster, name: str) -> int:
         return sum(
