Replay: patterns with any losses; prefills of decode engines end when they do

The replay told the leader of a prefill on a decode engine only by a report 0.9 s later, where a host tells it with the first event. So a decode engine prefilled one prompt a second there, and two prefills in a row never came close enough to be one pause. A send that was refused was repeated in the same instant, which recursed without end at a full engine.

The patterns lost at most two engines for good and one for seconds; a leader was lost once, between two losses. random_pattern_with_any_losses loses one to three for good, some at once, up to two for seconds, and up to two leaders.

--- a/bench/replay/_patterns.py
+++ b/bench/replay/_patterns.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
 
@@ -283,3 +284,49 @@
         losses=tuple(losses),
         leaders_lost=(Span(begins, ends),),
     )
+
+
+def random_pattern_with_any_losses(seed: int) -> Pattern:
+    """Return a pattern that loses engines in any order and number, and leaders.
+
+    One to three of five engines leave, some of them at once; up to two crash for some
+    seconds, and up to two leaders are lost around one of these losses.
+    """
+    draw = random.Random(f"any losses {seed}")
+    losses = []
+    count = draw.randint(1, 3)
+    at = draw.uniform(3.0, 25.0)
+    for _ in range(count):
+        is_prefill = draw.random() < 0.4
+        losses.append(
+            _leaves(
+                at, decode_engines=int(not is_prefill), prefill_engines=int(is_prefill)
+            )
+        )
+        at += draw.choice([0.0, draw.uniform(0.0, 3.0), draw.uniform(3.0, 15.0)])
+        if at > 38.0:
+            at = draw.uniform(3.0, 38.0)
+    for _ in range(draw.randint(0, 2)):
+        is_prefill = draw.random() < 0.4
+        at, seconds = draw.uniform(3.0, 36.0), draw.uniform(2.0, 6.0)
+        losses.append(Loss(at, seconds, int(not is_prefill), int(is_prefill)))
+    return replace(
+        FEW_ENGINES,
+        name=f"few engines and any losses, drawn by {seed}",
+        losses=tuple(losses),
+        leaders_lost=_spans_without_leader(draw, [loss.at for loss in losses]),
+    )
+
+
+def _spans_without_leader(
+    draw: random.Random, lost_at: Sequence[float]
+) -> tuple[Span, ...]:
+    """Return up to two spans, which do not overlap, around times of losses."""
+    spans = []
+    for _ in range(draw.randint(0, 2)):
+        begins = draw.choice(lost_at) - draw.uniform(-1.0, 2.0)
+        spans.append(Span(begins, begins + draw.uniform(1.0, 6.0)))
+    spans.sort(key=lambda span: span.begins)
+    if len(spans) == 2 and spans[1].begins < spans[0].ends:
+        return (spans[0],)
+    return tuple(spans)
--- a/bench/replay/_simulation.py
+++ b/bench/replay/_simulation.py
@@ -480,15 +480,19 @@
             and engine.start_answer(answer, self._clock.now, reads_itself)
         ):
             self._request_by_id[request.request_id] = request
+            if reads_itself:
+                note = partial(
+                    self._pool.note_prefilled, request.request_id, request.attempt
+                )
+                self._at(engine.stalled_until, note)
             return
         self.outcome.wasted_prefills += not reads_itself
         self._retry_grant(request, reads_itself=False)
 
     def _retry_grant(self, request: _Request, reads_itself: bool) -> None:
         self._pool.end(request.request_id, request.attempt)
-        self._request_grant(
-            replace(request, attempt=request.attempt + 1, reads_itself=reads_itself)
-        )
+        again = replace(request, attempt=request.attempt + 1, reads_itself=reads_itself)
+        self._after(STEP_SECONDS, partial(self._request_grant, again))
 
     def _note_ended(self, answer: Answer, is_complete: bool) -> None:
         request = self._request_by_id.pop(answer.request_id)
