Grants: a prompt that no engine may prefill blocks no others

A request that waits for more than 0.3 s keeps freed memory for itself, so that small ones don't pass it for ever. A long prompt that no decode engine may prefill beside its answers lacks no memory: what is kept for it serves nobody until it is refused. It is passed over now. A refusal also said 'memory' where one engine may prefill but is full and another has memory and may not; it says 'may read' now, which tells the two apart for each request.

tests/admission/test_engine_pool.py, TestPromptThatNoEngineMayPrefill: fails on (test_blocks_no_shorter_one).

--- a/src/jujubeslip/admission/_engine_pool.py
+++ b/src/jujubeslip/admission/_engine_pool.py
@@ -22,6 +22,7 @@
     Grant,
     GrantRequest,
     MeasuredEngine,
+    MissingResource,
     WaitingOptions,
 )
 from jujubeslip.admission._priority_order import PriorityOrder
@@ -285,9 +286,13 @@
             if grant is not None:
                 self._admit(waiting, grant, now)
                 prefill_candidates = self._engines.prefill_candidates()
-            elif waiting.blocks_others(now, self._options.bypass_seconds):
+                continue
+            if waiting.search.last_missing is MissingResource.MAY_READ:
+                # Others whose prompts are shorter may be prefilled meanwhile.
+                continue
+            if waiting.blocks_others(now, self._options.bypass_seconds):
                 return
-            elif waiting.accepts_any_engine:
+            if waiting.accepts_any_engine:
                 smallest_ungranted = waiting.prompt_tokens
 
     def _drop_if_abandoned(self, waiting: WaitingRequest, now: float) -> bool:
--- a/src/jujubeslip/admission/_service_engines.py
+++ b/src/jujubeslip/admission/_service_engines.py
@@ -269,14 +269,7 @@
         """
         best: Grant | None = None
         best_cost = math.inf
-        candidates = sorted(self._candidates(search, may_prefill))
-        if (
-            not candidates
-            and may_prefill is not None
-            and any(self._candidates(search, None))
-        ):
-            search.last_missing = MissingResource.MAY_READ
-        for candidate in candidates:
+        for candidate in sorted(self._candidates(search, may_prefill)):
             if candidate.cost >= best_cost:
                 break
             grant = self._grant_at(candidate, search)
@@ -285,12 +278,23 @@
             cost = candidate.offer.cost(grant.fill)
             if cost < best_cost:
                 best, best_cost = grant, cost
-        # An engine that may not prefill now may do so before any of its answers ends,
-        # so the search is marked as failed only if a prefill engine was found.
-        if best is None and may_prefill is None:
-            search.note_no_capacity(self._capacity_changes.latest)
+        if best is None:
+            self._note_no_grant(search, is_prefilled=may_prefill is None)
         return best
 
+    def _note_no_grant(self, search: CapacitySearch, is_prefilled: bool) -> None:
+        """Note what the request lacks.
+
+        An engine that may not prefill now may do so before any of its answers ends, so
+        the search is marked as failed only if a prefill engine was found.
+        """
+        if is_prefilled:
+            search.note_no_capacity(self._capacity_changes.latest)
+            return
+        candidates = self._candidates(search, None)
+        if any(self._grant_at(candidate, search) for candidate in candidates):
+            search.last_missing = MissingResource.MAY_READ
+
     def _candidates(
         self, search: CapacitySearch, may_prefill: MayPrefill | None
     ) -> Iterator[_Candidate]:
--- a/tests/admission/test_engine_pool.py
+++ b/tests/admission/test_engine_pool.py
@@ -658,3 +658,35 @@
         time.sleep(0.11)
         pool.look_again()
         assert pool.ask(large, (), already_expired()).grant is None
+
+
+class TestPromptThatNoEngineMayPrefill:
+    """Guards against a long prompt that stops all grants without a prefill engine.
+
+    Decode engines may not prefill it beside their answers, and had free memory (fill
+    0.5), while shorter prompts behind it were refused.
+    """
+
+    @pytest.fixture
+    def pool(self) -> EnginePool:
+        """Return a pool without a prefill engine, whose only engine has an answer."""
+        pool = EnginePool("model", MemoryOptions(margin=0.05, safety_deviations=1.5))
+        pool.set_engines([engine("engine")], [])
+        pool.take_report("engine", engine_report(RunningAnswer(5000, 10, "running")))
+        return pool
+
+    def test_blocks_no_shorter_one(self, pool: EnginePool) -> None:
+        long = grant_request("long", prompt_tokens=9000)
+        assert pool.ask(long, (), already_expired()).grant is None
+        time.sleep(DEFAULT_WAITING.bypass_seconds + 0.05)
+        pool.look_again()
+        short = pool.ask(
+            grant_request("short", prompt_tokens=2000), (), already_expired()
+        )
+        assert short.grant is not None and short.grant.prefill_engine is None
+
+    def test_lacks_an_engine_and_not_memory(self, pool: EnginePool) -> None:
+        long = grant_request("long", prompt_tokens=9000, limit=0.0)
+        decision = pool.ask(long, (), already_expired())
+        assert decision.refused
+        assert decision.missing_resource is MissingResource.MAY_READ
