Prefills of decode engines: one pause for those without an event between them

Callers saw answers with pauses of 300 to 400 ms at engines that prefilled short prompts only, and refusals of all prompts above 4,400 tokens where 6,100 keep the maximum gap.

Without a prefill engine, a decode engine got the next prompt as soon as the last one was prefilled: both were one pause of its answers. The engine's own prefills are recorded now (OwnPrefills): those less than an event apart count together against the maximum gap. And the speed that the bound follows from was that of prefill engines, 40,000 tokens a second where none was ever measured, as after a takeover; the engine's own prefills are measured now.

--- a/src/jujubeslip/admission/_decode_prefill.py
+++ b/src/jujubeslip/admission/_decode_prefill.py
@@ -4,13 +4,12 @@
 
 from jujubeslip.admission._engine_memory import EngineMemory
 from jujubeslip.admission._models import GrantRequest
+from jujubeslip.admission._own_prefills import EVENT_SECONDS
+from jujubeslip.kernel import steady_seconds
 
 # Prefill speed of a decode engine, as a share of the speed of a prefill engine, as
 # engines are specified.
 DECODE_ENGINE_SPEED_SHARE = 0.5
-# Time that a full engine takes for one event, in seconds. A pause in decoding is longer
-# than the prefill that causes it by this time.
-EVENT_SECONDS = 0.08
 
 
 def may_prefill_after_pause(
@@ -18,8 +17,7 @@
 ) -> bool:
     """Return whether the engine may prefill the prompt if prefill engines are busy.
 
-    Two prefills in a row would be one long pause for its answers, so it must have
-    decoded for a while since its last prefill.
+    One of them takes the prompt soon, so the answers pause less often.
     """
     return engine.has_decoded_since_prefill and may_prefill(
         engine, grant_request, prefill_speed
@@ -31,12 +29,17 @@
 ) -> bool:
     """Return whether the decode engine may prefill the prompt beside its answers.
 
-    It prefills one prompt at a time and none that takes too long. Otherwise its dozen
-    answers would exceed their maximum gap, and all of them would be late.
-    `prefill_speed` is that of a prefill engine, in tokens a second.
+    It prefills one prompt at a time, and none that would make the pause of its dozen
+    answers exceed their maximum gap, together with the prefills since their latest
+    event. `prefill_speed` is that of a prefill engine, in tokens a second; it counts
+    until the engine's own speed is measured.
     """
     if engine.is_prefilling:
         return False
-    seconds = grant_request.prompt_tokens / (prefill_speed * DECODE_ENGINE_SPEED_SHARE)
-    longest = max(0.0, grant_request.maximum_gap - EVENT_SECONDS)
-    return seconds <= longest or not engine.profile(grant_request).answers
+    if not engine.profile(grant_request).answers:
+        return True
+    own_prefills = engine.own_prefills
+    speed = own_prefills.tokens_per_second(prefill_speed * DECODE_ENGINE_SPEED_SHARE)
+    pause = own_prefills.pause_seconds(steady_seconds())
+    pause += grant_request.prompt_tokens / speed
+    return pause <= max(0.0, grant_request.maximum_gap - EVENT_SECONDS)
--- a/src/jujubeslip/admission/_engine_memory.py
+++ b/src/jujubeslip/admission/_engine_memory.py
@@ -13,6 +13,7 @@
     profile_of,
 )
 from jujubeslip.admission._models import USABLE_SECONDS, GrantedRequest, GrantRequest
+from jujubeslip.admission._own_prefills import OwnPrefills
 from jujubeslip.discovery import Endpoint
 from jujubeslip.kernel import steady_seconds
 from jujubeslip.routes import EngineReport, RunningAnswer
@@ -32,7 +33,7 @@
 # Reports may list an ended request for at most this long after its end, in seconds.
 ENDED_KEPT_SECONDS = 4.0
 # Minimum time for which a decode engine decodes between two prompts that it prefills
-# itself, in seconds. Each of its answers gets some events in this time.
+# itself while there are prefill engines, in seconds.
 DECODE_SECONDS_BETWEEN_PREFILLS = 0.3
 # Events that an engine adds to each answer in a second: the initial value, used until
 # there are two reports (an engine with a dozen answers adds 15 to 18), and the weight
@@ -63,7 +64,7 @@
         self._granted_by_id: dict[str, GrantedRequest] = {}
         self._ended_at_by_id: dict[str, float] = {}
         self._prefilling: set[str] = set()
-        self._prefilled_at = float("-inf")
+        self._own_prefills = OwnPrefills()
         self._profile_by_key: dict[_ProfileKey, MemoryProfile] = {}
 
     @property
@@ -107,11 +108,14 @@
 
     @property
     def has_decoded_since_prefill(self) -> bool:
-        """Return whether its answers have continued since the last prompt it prefilled.
+        """Return whether it has decoded for a while since its last own prefill."""
+        seconds = self._own_prefills.seconds_since(steady_seconds())
+        return seconds >= DECODE_SECONDS_BETWEEN_PREFILLS
 
-        Two prefills in a row are one long pause, which makes all of its answers late.
-        """
-        return steady_seconds() - self._prefilled_at >= DECODE_SECONDS_BETWEEN_PREFILLS
+    @property
+    def own_prefills(self) -> OwnPrefills:
+        """Return the prompts that it prefilled itself."""
+        return self._own_prefills
 
     def take_report(self, report: EngineReport) -> None:
         """Store the engine's report."""
@@ -140,18 +144,25 @@
         self._granted_by_id[request_id] = granted_request
         self._profile_by_key.clear()
         if granted_request.grant.prefill_engine is None:
+            if not self._prefilling:
+                self._own_prefills.begin(granted_request.since)
             self._prefilling.add(request_id)
 
     def note_prefilled(self, request_id: str, attempt: int) -> None:
         """Note that the prompt of this attempt of a request has been prefilled."""
-        if self.find(request_id, attempt) is not None:
-            self._decode_start_by_id.setdefault(request_id, steady_seconds())
-            self._end_prefill(request_id)
+        granted_request = self.find(request_id, attempt)
+        if granted_request is None:
+            return
+        self._decode_start_by_id.setdefault(request_id, steady_seconds())
+        if self._prefilling == {request_id}:
+            tokens = granted_request.grant_request.prompt_tokens
+            self._own_prefills.measure(tokens, steady_seconds())
+        self._end_prefill(request_id)
 
     def _end_prefill(self, request_id: str) -> None:
         if request_id in self._prefilling:
             self._prefilling.discard(request_id)
-            self._prefilled_at = steady_seconds()
+            self._own_prefills.end(steady_seconds())
 
     def find(self, request_id: str, attempt: int) -> GrantedRequest | None:
         """Return the request granted here for this attempt, None if there is none."""
--- a/tests/admission/test_engine_pool.py
+++ b/tests/admission/test_engine_pool.py
@@ -18,6 +18,7 @@
     MissingResource,
     WaitingOptions,
 )
+from jujubeslip.admission._own_prefills import EVENT_SECONDS
 from jujubeslip.admission._waiting_request import Decision
 from jujubeslip.kernel import Deadline
 from jujubeslip.routes import EngineReport, RunningAnswer
@@ -690,3 +691,15 @@
         decision = pool.ask(long, (), already_expired())
         assert decision.refused
         assert decision.missing_resource is MissingResource.MAY_READ
+
+    def test_two_short_ones_in_a_row_are_one_pause(self, pool: EnginePool) -> None:
+        for request_id, is_granted in (("first", True), ("second", False)):
+            request = grant_request(request_id, prompt_tokens=3000)
+            decision = pool.ask(request, (), already_expired())
+            assert (decision.grant is not None) is is_granted
+            time.sleep(0.15)
+            pool.note_prefilled(request_id, 1)
+        time.sleep(EVENT_SECONDS)
+        pool.look_again()
+        request = grant_request("second", prompt_tokens=3000)
+        assert pool.ask(request, (), already_expired()).grant is not None
