Grants: late requests leave memory for those in time after a shortage

With one decode engine left, a quarter of the grants went to requests that had come back late (a fifth of their worth), whenever no request in time happened to wait; the next one in time found no memory, was refused, and came back late itself.

For a second after a request in time lacked memory, late ones of the same or a lower priority get a grant only where a request of that size would still fit.

--- a/src/jujubeslip/admission/_capacity_search.py
+++ b/src/jujubeslip/admission/_capacity_search.py
@@ -23,6 +23,8 @@
         """Number of the capacity change up to which no engine fitted, 0 for none."""
         self.last_missing = MissingResource.MEMORY
         """What the request lacked when it was last tried."""
+        self.spare_tokens = 0
+        """Memory that its engine must have left for others, in tokens."""
         self._answer = GrowingAnswer(
             grant_request.prompt_tokens,
             0,
--- a/src/jujubeslip/admission/_engine_pool.py
+++ b/src/jujubeslip/admission/_engine_pool.py
@@ -6,7 +6,7 @@
 import math
 import threading
 from collections.abc import Collection
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from jujubeslip.admission._account_shares import (
     AccountShares,
@@ -44,12 +44,25 @@
 # Number of requests that are tried in one pass over the queue. Further ones are
 # unlikely to find free capacity.
 MAXIMUM_TRIED = 16
+# For how long after a request in time lacked memory late ones leave enough of it for
+# such a request, in seconds. The next one in time arrives sooner than that.
+SHORTAGE_SECONDS = 1.0
 # Weight of the latest interval between two grants in the moving average, and the
 # initial value of that average in seconds.
 INTERVAL_WEIGHT = 0.2
 INITIAL_INTERVAL_SECONDS = 0.1
 
 
+@dataclass(frozen=True)
+class _Shortage:
+    """A request that was still in time and lacked memory."""
+
+    at: float
+    """When it was tried last, by the steady clock in seconds."""
+    tokens: int
+    """Memory that its prompt and its expected answer use."""
+
+
 class EnginePool:
     """Grants requests in the order of their priorities and targets.
 
@@ -77,6 +90,7 @@
         self._grant_counts = GrantCounts()
         self._shares = AccountShares(waiting.sharing_weights)
         self._interval = INITIAL_INTERVAL_SECONDS
+        self._shortage_by_priority: dict[int, _Shortage] = {}
         self._interval_began_at = steady_seconds()
         self._lock = threading.Lock()
 
@@ -272,11 +286,15 @@
         above_part = self._shares.above_part(self._waiting_accounts())
         for entry in self._queue.head(now, MAXIMUM_TRIED, self._interval, above_part):
             waiting = self._waiting_by_id[entry.request_id]
+            is_late = entry.target < now
             if (
                 self._drop_if_abandoned(waiting, now)
                 or waiting.prompt_tokens >= smallest_ungranted
             ):
                 continue
+            waiting.search.spare_tokens = (
+                self._tokens_for_requests_in_time(entry.priority, now) if is_late else 0
+            )
             may_use_decode_engine = (
                 now - waiting.since >= self._options.prefill_wait_seconds
             )
@@ -290,11 +308,29 @@
             if waiting.search.last_missing is MissingResource.MAY_READ:
                 # Others whose prompts are shorter may be prefilled meanwhile.
                 continue
+            if not is_late and waiting.search.last_missing is MissingResource.MEMORY:
+                self._shortage_by_priority[entry.priority] = _Shortage(
+                    now, entry.tokens
+                )
             if waiting.blocks_others(now, self._options.bypass_seconds):
                 return
             if waiting.accepts_any_engine:
                 smallest_ungranted = waiting.prompt_tokens
 
+    def _tokens_for_requests_in_time(self, priority: int, now: float) -> int:
+        """Return the memory that late requests of this priority leave free, in tokens.
+
+        It is what requests in time of the same or of a higher priority lacked lately.
+        """
+        return max(
+            (
+                shortage.tokens
+                for higher, shortage in self._shortage_by_priority.items()
+                if higher <= priority and now - shortage.at < SHORTAGE_SECONDS
+            ),
+            default=0,
+        )
+
     def _drop_if_abandoned(self, waiting: WaitingRequest, now: float) -> bool:
         """Drop a request whose host no longer asks; it would block all others."""
         if waiting.open_calls or waiting.last_asked_at >= now - ABANDONED_SECONDS:
--- a/src/jujubeslip/admission/_service_engines.py
+++ b/src/jujubeslip/admission/_service_engines.py
@@ -336,7 +336,7 @@
     def _grant_at(self, candidate: _Candidate, search: CapacitySearch) -> Grant | None:
         engine, profile = candidate.engine, candidate.profile
         capacity = max(1, engine.capacity_tokens)
-        limit = (1 - self._options.margin) * capacity
+        limit = (1 - self._options.margin) * capacity - search.spare_tokens
         own_profile = search.own_profile(profile.longest)
         peak = profile.peak_with(own_profile, self._options.safety_deviations, limit)
         if peak is None:
--- a/tests/admission/test_engine_pool.py
+++ b/tests/admission/test_engine_pool.py
@@ -10,7 +10,7 @@
 
 from jujubeslip.admission._answer_lengths import lengths_of
 from jujubeslip.admission._engine_memory import DECODE_SECONDS_BETWEEN_PREFILLS
-from jujubeslip.admission._engine_pool import EnginePool
+from jujubeslip.admission._engine_pool import SHORTAGE_SECONDS, EnginePool
 from jujubeslip.admission._memory_forecast import MemoryOptions
 from jujubeslip.admission._models import (
     DEFAULT_WAITING,
@@ -26,6 +26,8 @@
 from tests.fakes.processes import wait_until
 
 CAPACITY = 100_000
+# Tokens of a prompt of which two do not fit beside eight answers.
+LARGE = 12_000
 EVENT_TOKENS, MAXIMUM_EVENTS = 65, 130
 PREFILL_REPORT = EngineReport(CAPACITY, 0, 0, (), is_prefill_engine=True)
 
@@ -703,3 +705,49 @@
         pool.look_again()
         request = grant_request("second", prompt_tokens=3000)
         assert pool.ask(request, (), already_expired()).grant is not None
+
+
+class TestLateRequestsInAShortage:
+    """Guards against late answers that take the memory of those still in time.
+
+    With two of five engines left, late requests got a quarter of the grants, and as
+    many in time were refused until they were late, too.
+    """
+
+    @pytest.fixture
+    def pool(self) -> EnginePool:
+        """Return a pool in which a request that was in time has just lacked memory."""
+        pool = pool_of("engine")
+        pool.take_report("engine", FULL)
+        request = grant_request("in time", limit=0.05, prompt_tokens=LARGE)
+        assert pool.ask(request, (), already_expired()).grant is None
+        time.sleep(0.06)
+        assert pool.ask(request, (), already_expired()).refused
+        return pool
+
+    def with_room_for_one(self, pool: EnginePool) -> None:
+        running = [RunningAnswer(9_000, 60, f"old-{n}") for n in range(8)]
+        pool.take_report("engine", engine_report(*running))
+
+    def test_leave_memory_for_one_in_time(self, pool: EnginePool) -> None:
+        late = grant_request("late", target=-1, prompt_tokens=LARGE)
+        assert pool.ask(late, (), already_expired()).grant is None
+        self.with_room_for_one(pool)
+        assert pool.ask(late, (), already_expired()).grant is None
+        new = grant_request("new", prompt_tokens=LARGE)
+        assert pool.ask(new, (), already_expired()).grant is not None
+
+    def test_get_it_once_none_in_time_lacks_any(self, pool: EnginePool) -> None:
+        late = grant_request("late", target=-1, prompt_tokens=LARGE)
+        assert pool.ask(late, (), already_expired()).grant is None
+        time.sleep(SHORTAGE_SECONDS)
+        self.with_room_for_one(pool)
+        assert pool.ask(late, (), already_expired()).grant is not None
+
+    def test_of_a_higher_priority_leave_nothing(self, pool: EnginePool) -> None:
+        time.sleep(SHORTAGE_SECONDS)
+        lower = grant_request("lower", prompt_tokens=LARGE, priority=2, limit=0.0)
+        assert pool.ask(lower, (), already_expired()).refused
+        self.with_room_for_one(pool)
+        late = grant_request("late", target=-1, prompt_tokens=LARGE, priority=1)
+        assert pool.ask(late, (), already_expired()).grant is not None
