--- a/src/jujubeslip/control/_role_balance.py
+++ b/src/jujubeslip/control/_role_balance.py
@@ -232,6 +232,10 @@
     an order, are chosen, the first ones before others.
     """
     orderable = orderable or engines
+    if not engines.decode:
+        # Prefill engines alone answer no request, not even the last one of them.
+        first = next(iter(orderable.prefill), None)
+        return (first, EndpointRole.DECODE) if first is not None else None
     if not engines.prefill and len(engines.decode) > 2:
         # A decode engine runs prefill at half the speed, and its decodes stall
         # meanwhile. The last decode engine without an order stays until another one has
--- a/tests/bench/test_few_engines.py
+++ b/tests/bench/test_few_engines.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from bench.replay._patterns import FEW_ENGINES_PATTERNS, Pattern, random_pattern
+from bench.replay._patterns import (
+    FEW_ENGINES_PATTERNS,
+    Pattern,
+    random_pattern,
+    random_pattern_with_any_losses,
+)
 from bench.replay._simulation import DecisionOptions, Outcome, Simulation
 from jujubeslip.admission import MemoryOptions, WaitingOptions
 from jujubeslip.kernel import ControlSettings
@@ -15,6 +20,7 @@
 SEEDS = (1, 2, 3)
 # Seeds whose patterns lose two engines permanently, at least one a decode engine.
 PATTERN_SEEDS = (7, 9, 11, 13, 32, 39, 46)
+ANY_LOSSES_SEEDS = range(72)
 
 
 def default_options() -> DecisionOptions:
@@ -42,3 +48,13 @@
     @pytest.mark.parametrize("seed", PATTERN_SEEDS)
     def test_earns_half_of_the_worth_with_random_losses(self, seed: int) -> None:
         assert simulate(random_pattern(seed), seed).worth >= MINIMUM_WORTH
+
+
+class TestLossOfAnyEngines:
+    """Guards against prompts that nobody serves while decode engines have memory."""
+
+    @pytest.mark.parametrize("seed", ANY_LOSSES_SEEDS)
+    def test_earns_half_of_the_worth(self, seed: int) -> None:
+        assert simulate(random_pattern_with_any_losses(seed), seed).worth >= (
+            MINIMUM_WORTH
+        )
--- a/tests/control/test_role_manager.py
+++ b/tests/control/test_role_manager.py
@@ -87,6 +87,12 @@
         )
         assert change is not None and change[1] is EndpointRole.PREFILL
 
+    @pytest.mark.parametrize("prefill", [1, 2])
+    def test_lost_decode_engines_are_replaced(self, prefill: int) -> None:
+        """Guards against prefill engines that stay while no engine decodes."""
+        change = choose_role_change(engines(prefill, 0), pressure(), 0.0, useful=2)
+        assert change is not None and change[1] is EndpointRole.DECODE
+
 
 class TestEnginesChangingToDecode:
     """Guards against an order to the only engine that currently decodes."""
