Test of processes: short prompts are served beside long ones without prefill engines

Two decode engines, six clients with prompts that no engine may prefill beside its answers and two with short ones: on most of the short requests are refused with 503, now nine of ten or more are served.

--- a/tests/forwarding/test_few_engines.py
+++ b/tests/forwarding/test_few_engines.py
@@ -75,3 +75,42 @@
         )
         assert all(reply.status in (200, 503) for reply in replies)
         assert sum(reply.status == 200 for reply in replies) >= 0.9 * len(replies)
+
+
+# Prompts that a decode engine may prefill beside its answers, and may not.
+SHORT_PROMPT = {**PROMPT, "Token-Count": "1000,2600", "Prompt-Prefix": "5c1e07a2:1000"}
+OVERLONG_PROMPT = {
+    **PROMPT,
+    "Token-Count": "11000,2600",
+    "Prompt-Prefix": "91bd3f06:11000",
+}
+LONG_CLIENTS, SHORT_CLIENTS = 6, 2
+LOAD_SECONDS = 8.0
+
+
+class TestDecodeEnginesAlone:
+    """Guards against long prompts that stop the grants of all shorter ones.
+
+    Without a prefill engine, decode engines may not prefill a long prompt beside their
+    answers, but have memory for others.
+    """
+
+    def test_short_prompts_are_served_beside_long_ones(
+        self, system: PlatformSystem
+    ) -> None:
+        for n in (1, 2):
+            system.add(PlatformWorker(f"engine-{n}", "model", "decode", events=EVENTS))
+        system.wait_served("/stream/x", method="POST", headers=SHORT_PROMPT)
+
+        def send(entry: int) -> tuple[int, int]:
+            is_long = entry >= SHORT_CLIENTS
+            headers = OVERLONG_PROMPT if is_long else SHORT_PROMPT
+            reply = system.ask(
+                "/stream/x", "POST", b"prompt", headers, deadline_ms=8000
+            )
+            return entry, reply.status
+
+        clients = range(SHORT_CLIENTS + LONG_CLIENTS)
+        replies = offer(send, LOAD_SECONDS, clients, 0.01)
+        short = [status for entry, status in replies if entry < SHORT_CLIENTS]
+        assert short.count(200) >= 0.9 * len(short)
