Roles: a prefill engine replaces lost decode engines only after three seconds

Engines announce themselves every second or so. A leader gives that order once it has known no decode engine for three seconds.

--- a/src/jujubeslip/control/_role_manager.py
+++ b/src/jujubeslip/control/_role_manager.py
@@ -60,6 +60,10 @@
 # How long the commit of an order may take, in seconds.
 COMMIT_TIMEOUT_SECONDS = 0.5
 ACCEPTED_STATUSES = (200, 202)
+# How long a service must have had no decode engine before a prefill engine replaces it,
+# in seconds. Engines announce themselves every second or so, and a host that has just
+# started knows only those that it has heard.
+DECODE_ABSENCE_SECONDS = 3.0
 
 
 class RoleManager:
@@ -105,6 +109,7 @@
         self._configured_services = configured_services
         self._connections = ConnectionPool()
         self._shortage_began_by_service: dict[str, float] = {}
+        self._decode_absent_since_by_service: dict[str, float] = {}
         self._prefill_load_by_service: dict[str, PrefillLoad] = {}
         self._own_prefill_load_by_service: dict[str, PrefillLoad] = {}
         self._balance_log = BalanceLog()
@@ -152,6 +157,7 @@
         self._prefill_load_by_service.clear()
         self._own_prefill_load_by_service.clear()
         self._role_shares_by_service.clear()
+        self._decode_absent_since_by_service.clear()
         self._known_term = None
         for name in self._services():
             self._shortage_seconds(name, self._watches.pressure_of(name))
@@ -317,6 +323,8 @@
         Return how many were ordered.
         """
         engines = self._engines(service_name)
+        if self._may_only_lack_announcements(service_name, engines):
+            return 0
         useful = self._useful_prefill_engines(service_name, engines)
         orderable = self._orderable(engines)
         wanted = choose_role_change(
@@ -326,6 +334,17 @@
             return 0
         return int(self._order(*wanted, fence, pressure))
 
+    def _may_only_lack_announcements(
+        self, service_name: str, engines: EnginesByRole
+    ) -> bool:
+        """Return whether a decode engine may run that this host has not heard yet."""
+        absent_since = self._decode_absent_since_by_service
+        if engines.decode:
+            absent_since.pop(service_name, None)
+            return False
+        now = steady_seconds()
+        return now - absent_since.setdefault(service_name, now) < DECODE_ABSENCE_SECONDS
+
     def _shortage_seconds(self, service_name: str, pressure: ServicePressure) -> float:
         """Return for how long requests have lacked decode memory, in seconds."""
         now = steady_seconds()
