Roles: three decode engines alone stay, unless prefill engines are missing for long

What callers are owed with the engines that are left, whichever die: an engine is taken out of service for a change of role only where enough others serve meanwhile.

The leader orders at once with four; with three, once no prefill engine was known for fifteen seconds, which followers track, too. New reason in the line 'no engine ordered'.

--- a/src/jujubeslip/control/_role_balance.py
+++ b/src/jujubeslip/control/_role_balance.py
@@ -49,6 +49,10 @@
 # role for seconds, and clients tolerate a tenth of the engines missing for that long.
 MAXIMUM_CHANGING_SHARE = 0.1
 MINIMUM_CHANGING = 2
+# From this many decode engines on, one of them replaces lost prefill engines at once.
+# With three, the change takes a third of what is left out of service for about ten
+# seconds, while the decode engines prefill most prompts themselves.
+DECODE_ENGINES_FOR_A_CHANGE = 4
 
 
 @dataclass(frozen=True)
@@ -223,20 +227,23 @@
     shortage_seconds: float,
     useful: int | None = None,
     orderable: EnginesByRole | None = None,
+    lacks_prefill_for_long: bool = False,
 ) -> tuple[Endpoint, EndpointRole] | None:
     """Return the engine to order and its new role, None if no change is needed.
 
     `shortage_seconds` is how long decodes have lacked memory. Once the `useful` number
     of prefill engines is known, a shortage orders none of them, since those beyond that
     number are ordered anyway. Only engines in `orderable`, which are not carrying out
-    an order, are chosen, the first ones before others.
+    an order, are chosen, the first ones before others. `lacks_prefill_for_long` says
+    that lost prefill engines have not been replaced meanwhile.
     """
     orderable = orderable or engines
     if not engines.decode:
         # Prefill engines alone answer no request, not even the last one of them.
         first = next(iter(orderable.prefill), None)
         return (first, EndpointRole.DECODE) if first is not None else None
-    if not engines.prefill and len(engines.decode) > 2:
+    enough = 3 if lacks_prefill_for_long else DECODE_ENGINES_FOR_A_CHANGE
+    if not engines.prefill and len(engines.decode) >= enough:
         # A decode engine runs prefill at half the speed, and its decodes stall
         # meanwhile. The last decode engine without an order stays until another one has
         # changed.
--- a/src/jujubeslip/control/_role_manager.py
+++ b/src/jujubeslip/control/_role_manager.py
@@ -64,6 +64,10 @@
 # in seconds. Engines announce themselves every second or so, and a host that has just
 # started knows only those that it has heard.
 DECODE_ABSENCE_SECONDS = 3.0
+# How long a service must have had no prefill engine before one of three decode engines
+# replaces it, in seconds: longer than crashed engines take to return, or replaced ones
+# to join.
+PREFILL_ABSENCE_SECONDS = 15.0
 
 
 class RoleManager:
@@ -109,7 +113,8 @@
         self._configured_services = configured_services
         self._connections = ConnectionPool()
         self._shortage_began_by_service: dict[str, float] = {}
-        self._decode_absent_since_by_service: dict[str, float] = {}
+        self._absent_since: dict[tuple[str, EndpointRole], float] = {}
+        """Since when a service has had no engine of a role."""
         self._prefill_load_by_service: dict[str, PrefillLoad] = {}
         self._own_prefill_load_by_service: dict[str, PrefillLoad] = {}
         self._balance_log = BalanceLog()
@@ -157,10 +162,10 @@
         self._prefill_load_by_service.clear()
         self._own_prefill_load_by_service.clear()
         self._role_shares_by_service.clear()
-        self._decode_absent_since_by_service.clear()
         self._known_term = None
         for name in self._services():
             self._shortage_seconds(name, self._watches.pressure_of(name))
+            self._absences(name, self._engines(name))
 
     def _take_over(self, term: int) -> None:
         """Begin a term with the orders and loads that earlier leaders recorded."""
@@ -323,27 +328,42 @@
         Return how many were ordered.
         """
         engines = self._engines(service_name)
-        if self._may_only_lack_announcements(service_name, engines):
+        decode_absence, prefill_absence = self._absences(service_name, engines)
+        if not engines.decode and decode_absence < DECODE_ABSENCE_SECONDS:
             return 0
         useful = self._useful_prefill_engines(service_name, engines)
         orderable = self._orderable(engines)
         wanted = choose_role_change(
-            engines, pressure, shortage_seconds, useful, orderable
+            engines,
+            pressure,
+            shortage_seconds,
+            useful,
+            orderable,
+            prefill_absence >= PREFILL_ABSENCE_SECONDS,
         )
         if wanted is None:
             return 0
         return int(self._order(*wanted, fence, pressure))
 
-    def _may_only_lack_announcements(
+    def _absences(
         self, service_name: str, engines: EnginesByRole
-    ) -> bool:
-        """Return whether a decode engine may run that this host has not heard yet."""
-        absent_since = self._decode_absent_since_by_service
-        if engines.decode:
-            absent_since.pop(service_name, None)
-            return False
+    ) -> tuple[float, float]:
+        """Return how long no decode and no prefill engine was known, in seconds.
+
+        Followers track this, too, so that it does not begin anew with each leader.
+        """
+        return (
+            self._absence(service_name, EndpointRole.DECODE, bool(engines.decode)),
+            self._absence(service_name, EndpointRole.PREFILL, bool(engines.prefill)),
+        )
+
+    def _absence(self, service_name: str, role: EndpointRole, is_known: bool) -> float:
+        key = (service_name, role)
+        if is_known:
+            self._absent_since.pop(key, None)
+            return 0.0
         now = steady_seconds()
-        return now - absent_since.setdefault(service_name, now) < DECODE_ABSENCE_SECONDS
+        return now - self._absent_since.setdefault(key, now)
 
     def _shortage_seconds(self, service_name: str, pressure: ServicePressure) -> float:
         """Return for how long requests have lacked decode memory, in seconds."""
@@ -560,4 +580,6 @@
         return NoOrderReason.ORDERS_UNDER_WAY
     if inputs.kept_prefill_engines is None:
         return NoOrderReason.LOAD_UNKNOWN
+    if not (inputs.prefill_engines and inputs.decode_engines):
+        return NoOrderReason.ROLE_MAY_RETURN
     return NoOrderReason.BALANCED
