Grants: a late request that leaves memory for others keeps it from nobody

Found on reading the change again: a late request of a higher priority goes before those of a lower one that are in time. And what a request lacks is told from eight engines at most: with prefill engines busy and sixty engines full, each try weighed all of them again.

Test: test_keep_it_from_no_request_of_a_lower_priority, fails without it.

--- a/src/jujubeslip/admission/_engine_pool.py
+++ b/src/jujubeslip/admission/_engine_pool.py
@@ -312,6 +312,9 @@
                 self._shortage_by_priority[entry.priority] = _Shortage(
                     now, entry.tokens
                 )
+            if waiting.search.spare_tokens:
+                # It leaves memory for others, so it must not keep it from them.
+                continue
             if waiting.blocks_others(now, self._options.bypass_seconds):
                 return
             if waiting.accepts_any_engine:
--- a/src/jujubeslip/admission/_service_engines.py
+++ b/src/jujubeslip/admission/_service_engines.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Callable, Collection, Iterator
 from dataclasses import replace
+from itertools import islice
 from typing import NamedTuple, TypeVar
 
 from jujubeslip.admission._capacity_changes import CapacityChanges
@@ -34,6 +35,9 @@
 from jujubeslip.routes import EngineReport
 
 T = TypeVar("T", EngineMemory, PrefillQueue)
+# Number of engines that are checked for memory to tell what a request lacks.
+MAXIMUM_CHECKED = 8
+
 MayPrefill = Callable[[EngineMemory, GrantRequest, float], bool]
 
 
@@ -291,7 +295,7 @@
         if is_prefilled:
             search.note_no_capacity(self._capacity_changes.latest)
             return
-        candidates = self._candidates(search, None)
+        candidates = islice(self._candidates(search, None), MAXIMUM_CHECKED)
         if any(self._grant_at(candidate, search) for candidate in candidates):
             search.last_missing = MissingResource.MAY_READ
 
--- a/tests/admission/test_engine_pool.py
+++ b/tests/admission/test_engine_pool.py
@@ -751,3 +751,14 @@
         self.with_room_for_one(pool)
         late = grant_request("late", target=-1, prompt_tokens=LARGE, priority=1)
         assert pool.ask(late, (), already_expired()).grant is not None
+
+    def test_keep_it_from_no_request_of_a_lower_priority(
+        self, pool: EnginePool
+    ) -> None:
+        """A late request of a higher priority goes first, but leaves the memory."""
+        late = grant_request("late", target=-1, prompt_tokens=LARGE)
+        assert pool.ask(late, (), already_expired()).grant is None
+        time.sleep(DEFAULT_WAITING.bypass_seconds)
+        self.with_room_for_one(pool)
+        lower = grant_request("lower", target=20, prompt_tokens=LARGE, priority=2)
+        assert pool.ask(lower, (), already_expired()).grant is not None
