--- a/src/jujubeslip/kernel/_settings.py
+++ b/src/jujubeslip/kernel/_settings.py
@@ -162,7 +162,7 @@
     """Whether the leader grants engines to the requests of all hosts."""
     memory_margin: Annotated[float, Field(ge=-1, le=1)] = 0.05
     """Share of an engine's memory that the leader leaves free."""
-    memory_caution: Annotated[float, Field(ge=0, le=5)] = 2.0
+    memory_caution: Annotated[float, Field(ge=0, le=5)] = 1.5
     """Safety margin: standard deviations above its mean at which the forecast of
     memory use must still fit."""
     passed_ms: Annotated[int, Field(ge=0)] = 300
@@ -265,7 +265,7 @@
     """Whether prefill engines prefill prompts; otherwise decode engines do it."""
     memory_margin: Annotated[float, Field(ge=-1, le=1)] = 0.05
     """Share of an engine's memory that the forecast leaves free; see docs/design."""
-    memory_caution: Annotated[float, Field(ge=0, le=5)] = 2.0
+    memory_caution: Annotated[float, Field(ge=0, le=5)] = 1.5
     """Safety margin: standard deviations above its mean at which the forecast of
     memory use must still fit."""
     telemetry: TelemetrySettings = field(default_factory=TelemetrySettings)
