Roles: the last prefill engine waits as long for decode engines

Three seconds are less than a replaced engine may take to join, on the users' platform, too.

One time for both roles now: engines that are missing may return for fifteen seconds.

--- a/src/jujubeslip/control/_role_manager.py
+++ b/src/jujubeslip/control/_role_manager.py
@@ -60,14 +60,10 @@
 # How long the commit of an order may take, in seconds.
 COMMIT_TIMEOUT_SECONDS = 0.5
 ACCEPTED_STATUSES = (200, 202)
-# How long a service must have had no decode engine before a prefill engine replaces it,
-# in seconds. Engines announce themselves every second or so, and a host that has just
-# started knows only those that it has heard.
-DECODE_ABSENCE_SECONDS = 3.0
-# How long a service must have had no prefill engine before one of three decode engines
-# replaces it, in seconds: longer than crashed engines take to return, or replaced ones
-# to join.
-PREFILL_ABSENCE_SECONDS = 15.0
+# How long a service must have had no engine of a role before one of few others replaces
+# it, in seconds: longer than crashed engines take to return, replaced ones to join, or
+# all to announce themselves to a host that has just started.
+ROLE_ABSENCE_SECONDS = 15.0
 
 
 class RoleManager:
@@ -329,7 +325,7 @@
         """
         engines = self._engines(service_name)
         decode_absence, prefill_absence = self._absences(service_name, engines)
-        if not engines.decode and decode_absence < DECODE_ABSENCE_SECONDS:
+        if not engines.decode and decode_absence < ROLE_ABSENCE_SECONDS:
             return 0
         useful = self._useful_prefill_engines(service_name, engines)
         orderable = self._orderable(engines)
@@ -339,7 +335,7 @@
             shortage_seconds,
             useful,
             orderable,
-            prefill_absence >= PREFILL_ABSENCE_SECONDS,
+            prefill_absence >= ROLE_ABSENCE_SECONDS,
         )
         if wanted is None:
             return 0
--- a/tests/control/test_role_manager.py
+++ b/tests/control/test_role_manager.py
@@ -23,8 +23,7 @@
 )
 from jujubeslip.control._role_manager import (
     BOOTSTRAP_MARGIN_SECONDS,
-    DECODE_ABSENCE_SECONDS,
-    PREFILL_ABSENCE_SECONDS,
+    ROLE_ABSENCE_SECONDS,
     EnginesByRole,
     RoleManager,
     choose_role_change,
@@ -136,7 +135,7 @@
 
     @pytest.mark.parametrize(
         ("absent_seconds", "orders"),
-        [(0.9 * DECODE_ABSENCE_SECONDS, 0), (DECODE_ABSENCE_SECONDS, 1)],
+        [(0.9 * ROLE_ABSENCE_SECONDS, 0), (ROLE_ABSENCE_SECONDS, 1)],
     )
     def test_are_ordered_once_others_had_time_to_announce_themselves(
         self, monkeypatch: pytest.MonkeyPatch, absent_seconds: float, orders: int
@@ -171,7 +170,7 @@
 
     @pytest.mark.parametrize(
         ("absent_seconds", "orders"),
-        [(0.9 * PREFILL_ABSENCE_SECONDS, 0), (PREFILL_ABSENCE_SECONDS, 1)],
+        [(0.9 * ROLE_ABSENCE_SECONDS, 0), (ROLE_ABSENCE_SECONDS, 1)],
     )
     def test_are_ordered_by_how_long_followers_knew_none(
         self, monkeypatch: pytest.MonkeyPatch, absent_seconds: float, orders: int
