--- a/src/jujubeslip/control/_balance_log.py
+++ b/src/jujubeslip/control/_balance_log.py
@@ -20,7 +20,7 @@
     LOG_TOO_YOUNG = "orders that this log doesn't know may still be carried out"
     ORDERS_UNDER_WAY = "engines are still changing role"
     LOAD_UNKNOWN = "the load is not known yet"
-    ROLE_MAY_RETURN = "engines of the missing role may return"
+    PREFILL_MAY_RETURN = "prefill engines may return"
     BALANCED = "no other balance serves more"
 
 
--- a/src/jujubeslip/control/_role_balance.py
+++ b/src/jujubeslip/control/_role_balance.py
@@ -238,10 +238,6 @@
     that lost prefill engines have not been replaced meanwhile.
     """
     orderable = orderable or engines
-    if not engines.decode:
-        # Prefill engines alone answer no request, not even the last one of them.
-        first = next(iter(orderable.prefill), None)
-        return (first, EndpointRole.DECODE) if first is not None else None
     enough = 3 if lacks_prefill_for_long else DECODE_ENGINES_FOR_A_CHANGE
     if not engines.prefill and len(engines.decode) >= enough:
         # A decode engine runs prefill at half the speed, and its decodes stall
--- a/src/jujubeslip/control/_role_manager.py
+++ b/src/jujubeslip/control/_role_manager.py
@@ -60,10 +60,10 @@
 # How long the commit of an order may take, in seconds.
 COMMIT_TIMEOUT_SECONDS = 0.5
 ACCEPTED_STATUSES = (200, 202)
-# How long a service must have had no engine of a role before one of few others replaces
-# it, in seconds: longer than crashed engines take to return, replaced ones to join, or
-# all to announce themselves to a host that has just started.
-ROLE_ABSENCE_SECONDS = 15.0
+# How long a service must have had no prefill engine before one of three decode engines
+# replaces it, in seconds: longer than crashed engines take to return, or replaced ones
+# to join.
+PREFILL_ABSENCE_SECONDS = 15.0
 
 
 class RoleManager:
@@ -109,8 +109,7 @@
         self._configured_services = configured_services
         self._connections = ConnectionPool()
         self._shortage_began_by_service: dict[str, float] = {}
-        self._absent_since: dict[tuple[str, EndpointRole], float] = {}
-        """Since when a service has had no engine of a role."""
+        self._prefill_absent_since_by_service: dict[str, float] = {}
         self._prefill_load_by_service: dict[str, PrefillLoad] = {}
         self._own_prefill_load_by_service: dict[str, PrefillLoad] = {}
         self._balance_log = BalanceLog()
@@ -161,7 +160,7 @@
         self._known_term = None
         for name in self._services():
             self._shortage_seconds(name, self._watches.pressure_of(name))
-            self._absences(name, self._engines(name))
+            self._prefill_absence(name, self._engines(name))
 
     def _take_over(self, term: int) -> None:
         """Begin a term with the orders and loads that earlier leaders recorded."""
@@ -324,9 +323,7 @@
         Return how many were ordered.
         """
         engines = self._engines(service_name)
-        decode_absence, prefill_absence = self._absences(service_name, engines)
-        if not engines.decode and decode_absence < ROLE_ABSENCE_SECONDS:
-            return 0
+        prefill_absence = self._prefill_absence(service_name, engines)
         useful = self._useful_prefill_engines(service_name, engines)
         orderable = self._orderable(engines)
         wanted = choose_role_change(
@@ -335,31 +332,22 @@
             shortage_seconds,
             useful,
             orderable,
-            prefill_absence >= ROLE_ABSENCE_SECONDS,
+            prefill_absence >= PREFILL_ABSENCE_SECONDS,
         )
         if wanted is None:
             return 0
         return int(self._order(*wanted, fence, pressure))
 
-    def _absences(
-        self, service_name: str, engines: EnginesByRole
-    ) -> tuple[float, float]:
-        """Return how long no decode and no prefill engine was known, in seconds.
+    def _prefill_absence(self, service_name: str, engines: EnginesByRole) -> float:
+        """Return for how long no prefill engine was known, in seconds.
 
         Followers track this, too, so that it does not begin anew with each leader.
         """
-        return (
-            self._absence(service_name, EndpointRole.DECODE, bool(engines.decode)),
-            self._absence(service_name, EndpointRole.PREFILL, bool(engines.prefill)),
-        )
-
-    def _absence(self, service_name: str, role: EndpointRole, is_known: bool) -> float:
-        key = (service_name, role)
-        if is_known:
-            self._absent_since.pop(key, None)
+        if engines.prefill:
+            self._prefill_absent_since_by_service.pop(service_name, None)
             return 0.0
         now = steady_seconds()
-        return now - self._absent_since.setdefault(key, now)
+        return now - self._prefill_absent_since_by_service.setdefault(service_name, now)
 
     def _shortage_seconds(self, service_name: str, pressure: ServicePressure) -> float:
         """Return for how long requests have lacked decode memory, in seconds."""
@@ -576,6 +564,6 @@
         return NoOrderReason.ORDERS_UNDER_WAY
     if inputs.kept_prefill_engines is None:
         return NoOrderReason.LOAD_UNKNOWN
-    if not (inputs.prefill_engines and inputs.decode_engines):
-        return NoOrderReason.ROLE_MAY_RETURN
+    if not inputs.prefill_engines:
+        return NoOrderReason.PREFILL_MAY_RETURN
     return NoOrderReason.BALANCED
