--- a/bench/replay/_patterns.py
+++ b/bench/replay/_patterns.py
@@ -199,6 +199,13 @@
 )
 
 
+def _random_engine_leaves(draw: random.Random, at: float) -> Loss:
+    is_prefill = draw.random() < 0.4
+    return _leaves(
+        at, decode_engines=int(not is_prefill), prefill_engines=int(is_prefill)
+    )
+
+
 def random_pattern(seed: int) -> Pattern:
     """Return a pattern of five engines of which random ones are lost at random times.
 
@@ -269,12 +276,7 @@
     ends = begins + draw.uniform(1.0, 6.0)
     losses = []
     for at in (begins - draw.uniform(0.0, 2.0), ends + draw.uniform(0.0, 5.0)):
-        is_prefill = draw.random() < 0.4
-        losses.append(
-            _leaves(
-                at, decode_engines=int(not is_prefill), prefill_engines=int(is_prefill)
-            )
-        )
+        losses.append(_random_engine_leaves(draw, at))
     is_prefill = draw.random() < 0.4
     at, seconds = draw.uniform(3.0, 35.0), draw.uniform(2.0, 5.0)
     losses.append(Loss(at, seconds, int(not is_prefill), int(is_prefill)))
@@ -297,12 +299,7 @@
     count = draw.randint(1, 3)
     at = draw.uniform(3.0, 25.0)
     for _ in range(count):
-        is_prefill = draw.random() < 0.4
-        losses.append(
-            _leaves(
-                at, decode_engines=int(not is_prefill), prefill_engines=int(is_prefill)
-            )
-        )
+        losses.append(_random_engine_leaves(draw, at))
         at += draw.choice([0.0, draw.uniform(0.0, 3.0), draw.uniform(3.0, 15.0)])
         if at > 38.0:
             at = draw.uniform(3.0, 38.0)
