Grants: a control host that begins to decide waits for reports, and lets engines confirm

Callers saw seconds without a grant after each change of the leader, and pauses of answers after the first grants. A leader refused its first call since no engine had reported yet (`engines_unknown`); that host then left the queue for 0.7 s and asked engines by itself. And it granted memory that other hosts had taken in the second before, which no report shows yet.

A grant at an engine that the home has followed for less than two seconds is confirmed by a reservation at the engine, which knows what it runs; an engine that refuses gets no grants until it reports again.

--- a/src/jujubeslip/admission/_engine_memory.py
+++ b/src/jujubeslip/admission/_engine_memory.py
@@ -15,7 +15,7 @@
 from jujubeslip.admission._models import USABLE_SECONDS, GrantedRequest, GrantRequest
 from jujubeslip.admission._own_prefills import OwnPrefills
 from jujubeslip.discovery import Endpoint
-from jujubeslip.kernel import steady_seconds
+from jujubeslip.kernel import Deadline, steady_seconds
 from jujubeslip.routes import EngineReport, RunningAnswer
 
 # The age of the state in an engine's report: the initial estimate and its maximum, in
@@ -30,6 +30,9 @@
 # notice from its host, in seconds. Prompts are prefilled within 1.5 seconds, and
 # reports lag by one.
 UNREPORTED_SECONDS = 4.0
+# How long after an engine was found it may run requests of other hosts that no report
+# has listed yet, in seconds: their prompts are prefilled first, and reports lag by one.
+UNLISTED_SECONDS = 2.0
 # Reports may list an ended request for at most this long after its end, in seconds.
 ENDED_KEPT_SECONDS = 4.0
 # Minimum time for which a decode engine decodes between two prompts that it prefills
@@ -66,6 +69,8 @@
         self._prefilling: set[str] = set()
         self._own_prefills = OwnPrefills()
         self._profile_by_key: dict[_ProfileKey, MemoryProfile] = {}
+        self._new_until = Deadline.after(UNLISTED_SECONDS)
+        self._has_refused = False
 
     @property
     def endpoint(self) -> Endpoint:
@@ -91,6 +96,20 @@
             return False
         return not report.busy and not report.is_prefill_engine
 
+    @property
+    def is_new(self) -> bool:
+        """Return whether it may run requests that no report has listed yet."""
+        return not self._new_until.expired
+
+    @property
+    def has_refused(self) -> bool:
+        """Return whether it has refused a reservation since the last change here."""
+        return self._has_refused
+
+    def note_refused(self) -> None:
+        """Note that it has refused a reservation, so that its state is not as known."""
+        self._has_refused = True
+
     @property
     def event_rate(self) -> float:
         """Return the events that the engine adds to each answer in a second."""
@@ -125,6 +144,7 @@
         self._update_lag(report, now)
         self._report = report
         self._reported_at = now
+        self._has_refused = False
         listed = sum(item.memory_tokens for item in report.running)
         self.capacity_tokens = report.capacity_tokens - max(
             0, report.used_tokens - listed
@@ -176,6 +196,7 @@
         if self.find(request_id, attempt) is None:
             return
         del self._granted_by_id[request_id]
+        self._has_refused = False
         self._decode_start_by_id.pop(request_id, None)
         self._end_prefill(request_id)
         self._ended_at_by_id[request_id] = steady_seconds()
--- a/src/jujubeslip/admission/_models.py
+++ b/src/jujubeslip/admission/_models.py
@@ -97,6 +97,8 @@
     """Priority among the requests of the service; 0 is the highest."""
     sharing_account: str = ""
     """The client account that uses the engine, empty if there is none."""
+    refused_start_id: str = ""
+    """The engine that refused the reservation for the attempt before, if any."""
 
     @cached_property
     def expected_tokens(self) -> int:
@@ -122,6 +124,8 @@
     """Measured speed of the decode engine at the time of the decision."""
     prefill_speed: EngineSpeed = UNKNOWN_SPEED
     """The same of the engine that prefills the prompt."""
+    is_engine_new: bool = False
+    """Whether the decode engine may run requests that no report has listed yet."""
 
 
 @dataclass(frozen=True)
@@ -158,4 +162,5 @@
         (request.maximum_gap_ms or 0) / 1000,
         max(0, request.priority or 0),
         request.sharing_account or "",
+        request.refused_start_id or "",
     )
