Waiting requests: one queue, whether a leader leads, is gone or has just come back

A host that found no leader asked the engines by itself until the request ended, also once a leader was there: no order bound it, late requests took what others in time lacked, and the queue of the next leader lost to whoever asked every 50 ms.

A request that waits at engines joins the queue of a control host as soon as one answers. While none leads, that is the first reachable control host by address, which is the same for all hosts that reach the same ones. The first call to it only takes a place in its queue, with a short timeout, as it may be beyond a partition. A host that declines a grant, or whose reservation is refused, waits in the queue again instead of asking engines. A leader without a report of any engine is asked again after 0.1 s, not 0.7 s. `sends` of `request ended` has a step for each change of where a request waits.

Stand-ins of a leader in two tests granted declined engines again, which no leader does; they refuse now.

--- a/src/jujubeslip/forwarding/_leader_contact.py
+++ b/src/jujubeslip/forwarding/_leader_contact.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
+from jujubeslip.admission import ENGINES_UNKNOWN
 from jujubeslip.discovery import ControlUpdate
 from jujubeslip.forwarding._leader_pauses import LeaderPauses
 from jujubeslip.kernel import PeerUnavailableError
@@ -57,6 +58,7 @@
             self._pauses.forget(report.address)
         elif sender == report.address:
             self._pauses.forget_lapsed(report.address)
+            self._pauses.note_heard(report.address)
         before = self._report_by_sender.get(sender)
         if not report.address and before is not None:
             # The sender hears from no leader any more, so the leader that it reported
@@ -102,6 +104,17 @@
         with self._lock:
             return address is not None and not self._pauses.has_failed(address)
 
+    @property
+    def is_answering(self) -> bool:
+        """Return whether a leader may be called that was not silent at the last call.
+
+        One without a valid lease counts: it refuses at once, so that asking it again
+        costs no time.
+        """
+        address = self.address()
+        with self._lock:
+            return address is not None and not self._pauses.is_silent(address)
+
     def address(self) -> str | None:
         """Return the address of the newest leader, None if it may not be called.
 
@@ -214,7 +227,10 @@
             self._record_not_leading(address, term, request_id, error, was_probe)
             return None
         except PeerRefusal as error:
-            self._pause(address, term, request_id, str(error))
+            if error.error_id == ENGINES_UNKNOWN:
+                self._record_no_engines(address, term, request_id, was_probe)
+            else:
+                self._pause(address, term, request_id, str(error))
             return None
         except PeerUnavailableError as error:
             self._pause(address, term, request_id, str(error), is_unresponsive=True)
@@ -223,6 +239,36 @@
             self._pauses.forget_answered(address)
         return answer
 
+    def is_silent(self, address: str) -> bool:
+        """Return whether a host did not answer as leader, nor was heard since."""
+        with self._lock:
+            return self._pauses.is_silent(address)
+
+    def call_interim(
+        self,
+        address: str,
+        request_id: str,
+        timeout: float,
+        rpc: Callable[[Any], T],
+    ) -> T | None:
+        """Call a control host once that decides while none leads.
+
+        Returns None if it does not answer or refuses. A leader that it names is noted.
+        """
+        try:
+            return self._clients.get(address).call_within(rpc, timeout)
+        except NotLeader as error:
+            reason = f"it hears the leader {error.leader_address}"
+            if error.leader_address:
+                report = _LeaderReport(error.leader_address, error.leader_term or 0)
+                with self._lock:
+                    self._record_report(address, report)
+        except (PeerRefusal, PeerUnavailableError) as error:
+            reason = str(error)
+        extra = {"address": address, "request_id": request_id, "reason": reason}
+        logger.info("interim home skipped after a failed call", extra=extra)
+        return None
+
     def call_control_host(
         self, address: str, timeout: float, rpc: Callable[[Any], T]
     ) -> T | PeerRefusal | None:
@@ -248,17 +294,28 @@
             senders = sorted(self._report_by_sender)
         return [sender for sender in senders if self._reaches(sender)]
 
-    def notify(self, rpc: Callable[[Any], Any], timeout: float) -> str:
-        """Send the leader a notification; return why it failed, empty if it did not."""
-        address = self.address()
-        if address is None:
-            return "no leader is known"
+    def notify(self, address: str, rpc: Callable[[Any], Any], timeout: float) -> str:
+        """Send a control host a notification; return why it failed, empty if not."""
         try:
             self._clients.get(address).call(rpc, timeout)
         except (PeerUnavailableError, PeerRefusal, NotLeader) as failure:
             return f"{address}: {failure}"
         return ""
 
+    def _record_no_engines(
+        self, address: str, term: int, request_id: str, was_probe: bool
+    ) -> None:
+        """Skip a leader that has no report of any engine, and ask it again soon.
+
+        It refuses at once. Once an engine reports, all requests have to join its queue
+        before their hosts use up what is free.
+        """
+        with self._lock:
+            if term == self._newest_term():
+                self._pauses.pause_lapsed(address, was_probe)
+        extra = {"address": address, "request_id": request_id, "term": term}
+        logger.info("leader has no report of an engine", extra=extra)
+
     def _record_not_leading(
         self,
         address: str,
--- a/src/jujubeslip/forwarding/_leader_pauses.py
+++ b/src/jujubeslip/forwarding/_leader_pauses.py
@@ -17,7 +17,8 @@
 # How long a leader whose lease has lapsed is skipped, in seconds: the next answer of
 # its delayed followers renews the lease, perhaps for a tenth of a second only. A leader
 # that has lost its followers steps down within a second. If it goes on without a lease,
-# each further such answer doubles the pause, up to a maximum.
+# each further such answer doubles the pause, up to a maximum. The same holds for one
+# that no engine has reported to.
 LAPSED_PAUSE_SECONDS = 0.1
 FREQUENT_PROBES = 10
 MAXIMUM_LAPSED_PAUSE_SECONDS = 0.4
@@ -28,6 +29,8 @@
     paused_until: Deadline
     is_unresponsive: bool = False
     """Whether the latest call got no answer."""
+    was_heard_since: bool = False
+    """Whether the host has reported since then that it leads."""
     lapses: int = 0
     """Consecutive calls that were answered without a valid lease."""
 
@@ -63,6 +66,7 @@
         failure = self._failure_of(address)
         failure.paused_until = Deadline.after(PAUSE_SECONDS)
         failure.is_unresponsive |= is_unresponsive
+        failure.was_heard_since = False
 
     def pause_lapsed(self, address: str, was_probe: bool) -> None:
         """Skip a leader that has no valid lease, longer with each probe.
@@ -83,6 +87,12 @@
         """Allow calls to a host at once."""
         self._failure_by_address.pop(address, None)
 
+    def note_heard(self, address: str) -> None:
+        """Note that a host has reported by itself that it leads."""
+        failure = self._failure_by_address.get(address)
+        if failure is not None:
+            failure.was_heard_since = True
+
     def forget_lapsed(self, address: str) -> None:
         """Allow calls to a host whose latest answer was that it has no valid lease."""
         failure = self._failure_by_address.get(address)
@@ -104,6 +114,13 @@
         failure = self._failure_by_address.get(address)
         return failure is not None and failure.has_failed_as_leader
 
+    def is_silent(self, address: str) -> bool:
+        """Return whether a host did not answer the latest call, nor was heard since."""
+        failure = self._failure_by_address.get(address)
+        if failure is None:
+            return False
+        return failure.is_unresponsive and not failure.was_heard_since
+
     @property
     def paused_addresses(self) -> list[str]:
         """Return the hosts that are skipped now."""
--- a/src/jujubeslip/forwarding/_reservations.py
+++ b/src/jujubeslip/forwarding/_reservations.py
@@ -1,5 +1,8 @@
 """Reserves a slot and memory at a decode engine before the prompt is prefilled.
 
+Used while no control host answers, and to confirm a grant whose engine may run requests
+that the granting host does not know of.
+
 The engines' memory is the resource that runs out first. Prefilling a prompt for an
 engine without free capacity is wasted work, and a request admitted without capacity
 evicts another one in the middle of its answer, whose prompt is then prefilled again.
@@ -9,8 +12,9 @@
 
 import logging
 import threading
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
+from enum import Enum, auto
 
 from returns.result import Success
 
@@ -18,7 +22,7 @@
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import ClientDisconnectedError, EndpointError
 from jujubeslip.forwarding._engine_reports import EngineReports
-from jujubeslip.forwarding._models import Attempts, ForwardContext
+from jujubeslip.forwarding._models import Attempts, CapacityRequest, ForwardContext
 from jujubeslip.forwarding._sender import EndpointSender
 from jujubeslip.forwarding._waiting_queue import WaitingQueue
 from jujubeslip.kernel import Deadline, Ran
@@ -45,6 +49,14 @@
     token: str
 
 
+class WaitEnd(Enum):
+    """Why a wait at the engines ended without a reservation."""
+
+    NO_CAPACITY = auto()
+    HOME_ANSWERS = auto()
+    """A control host keeps the queue for capacity again, which is to be joined."""
+
+
 class Reservations:
     """Takes reservations for requests, in the order of their queue."""
 
@@ -65,8 +77,12 @@
         engine: EngineService,
         prompt: PromptShape,
         limit: Deadline,
-    ) -> Reservation | None:
-        """Return a reservation, None if there is no capacity before the limit.
+        home_answers: Callable[[], bool] = lambda: False,
+    ) -> Reservation | WaitEnd:
+        """Return a reservation, or why there is none.
+
+        The wait ends at the limit, or once a control host answers: a request that went
+        on asking engines beside the queue would take capacity from those in it.
 
         Raises RequestRefusedError once all engines are in backoff.
         """
@@ -75,12 +91,12 @@
         if is_wait_unservable(forecast, limit.remaining()):
             # Refused at once: waiting until the limit would only delay the refusal.
             attempts.note_no_capacity("no room in time", forecast)
-            return None
+            return WaitEnd.NO_CAPACITY
         with queue.enter(context) as ticket:
-            while queue.wait_for_turn(ticket, context, limit):
+            while queue.wait_for_turn(ticket, context, limit, home_answers):
                 self._sender.check_backoff(context, attempts, EndpointRole.DECODE)
                 if self._has_no_engine(context, attempts):
-                    return None
+                    return WaitEnd.NO_CAPACITY
                 reservation = self._ask_round(context, attempts, engine, prompt)
                 if reservation is not None:
                     queue.note_capacity_found()
@@ -92,8 +108,17 @@
                     message = "The client closed its connection."
                     raise ClientDisconnectedError(message, Ran.NO)
                 self._pause()
+        if not limit.expired:
+            return WaitEnd.HOME_ANSWERS
         attempts.note_no_capacity("no room in time", forecast)
-        return None
+        return WaitEnd.NO_CAPACITY
+
+    def confirm(
+        self, capacity_request: CapacityRequest, endpoint: Endpoint
+    ) -> Reservation | None:
+        """Return a reservation at the engine of a grant, None if it refuses."""
+        context, engine = capacity_request.context, capacity_request.engine
+        return self._reserve_at(context, endpoint, engine, capacity_request.prompt)
 
     def _queue_for(self, service_name: str) -> WaitingQueue:
         with self._lock:
@@ -144,17 +169,27 @@
             if endpoint is None:
                 return None
             asked.add(endpoint.start_id)
-            was_paused = self._sender.health.is_paused(endpoint.start_id)
-            growth = self._growth(context, endpoint, engine, prompt)
-            if not was_paused and self._sender.health.is_paused(endpoint.start_id):
-                # It just failed to report its state, so a reservation would fail, too.
-                continue
-            tokens = prompt.prompt_tokens + growth
-            token = self._ask(context, endpoint, tokens, engine.reservation_ms)
-            if token:
-                return Reservation(endpoint, token)
+            reservation = self._reserve_at(context, endpoint, engine, prompt)
+            if reservation is not None:
+                return reservation
         return None
 
+    def _reserve_at(
+        self,
+        context: ForwardContext,
+        endpoint: Endpoint,
+        engine: EngineService,
+        prompt: PromptShape,
+    ) -> Reservation | None:
+        was_paused = self._sender.health.is_paused(endpoint.start_id)
+        growth = self._growth(context, endpoint, engine, prompt)
+        if not was_paused and self._sender.health.is_paused(endpoint.start_id):
+            # It just failed to report its state, so a reservation would fail, too.
+            return None
+        tokens = prompt.prompt_tokens + growth
+        token = self._ask(context, endpoint, tokens, engine.reservation_ms)
+        return Reservation(endpoint, token) if token else None
+
     def _next_engine(
         self, context: ForwardContext, asked: Collection[str]
     ) -> Endpoint | None:
--- a/tests/forwarding/test_reservations.py
+++ b/tests/forwarding/test_reservations.py
@@ -77,7 +77,8 @@
         sender.health.note_unreachable(paused)
     began = time.monotonic()
     found = reservations.take(context, Attempts(), engine_service, PROMPT, limit)
-    return found, time.monotonic() - began
+    seconds = time.monotonic() - began
+    return (found if isinstance(found, Reservation) else None), seconds
 
 
 class TestPartitionedZone:
