Reservations: late requests leave memory for those in time while no control host answers

While all control hosts are gone, each host asks the engines for the first request of its own queue. A late request took the memory that one in time at the same host had just been refused, and others of its kind at other hosts lacked.

For a second after a request in time found no capacity, late ones of that host take only an engine whose report shows memory for both, as the leader's queue does.

--- a/src/jujubeslip/forwarding/_reservations.py
+++ b/src/jujubeslip/forwarding/_reservations.py
@@ -39,6 +39,9 @@
 ROUND_PAUSE_SECONDS = 0.05
 # Maximum engines asked in one round.
 ENGINES_PER_ROUND = 3
+# For how long after a request in time found no capacity late ones leave enough memory
+# for such a request, in seconds.
+SHORTAGE_SECONDS = 1.0
 
 
 @dataclass(frozen=True)
@@ -49,6 +52,14 @@
     token: str
 
 
+@dataclass(frozen=True)
+class _Shortage:
+    """A request in time that found no capacity here."""
+
+    tokens: int
+    until: Deadline
+
+
 class WaitEnd(Enum):
     """Why a wait at the engines ended without a reservation."""
 
@@ -68,6 +79,7 @@
         self._options = options
         self._reports = EngineReports(sender)
         self._queue_by_service: dict[str, WaitingQueue] = {}
+        self._shortage_by_service: dict[str, _Shortage] = {}
         self._lock = threading.Lock()
 
     def take(
@@ -98,6 +110,8 @@
                 if self._has_no_engine(context, attempts):
                     return WaitEnd.NO_CAPACITY
                 reservation = self._ask_round(context, attempts, engine, prompt)
+                if reservation is None and not context.target_by.expired:
+                    self._note_shortage(context, prompt)
                 if reservation is not None:
                     queue.note_capacity_found()
                     attempts.note(reservation.endpoint.start_id, "room")
@@ -164,16 +178,52 @@
         prompt: PromptShape,
     ) -> Reservation | None:
         asked = set(attempts.tried)
+        is_late = context.target_by.expired
+        spare_tokens = self._spare_tokens(context) if is_late else 0
         for _ in range(ENGINES_PER_ROUND):
             endpoint = self._next_engine(context, asked)
             if endpoint is None:
                 return None
             asked.add(endpoint.start_id)
+            if spare_tokens and not self._has_spare(
+                context, endpoint, prompt, spare_tokens
+            ):
+                continue
             reservation = self._reserve_at(context, endpoint, engine, prompt)
             if reservation is not None:
                 return reservation
         return None
 
+    def _note_shortage(self, context: ForwardContext, prompt: PromptShape) -> None:
+        tokens = prompt.prompt_tokens + prompt.expected_output_tokens
+        shortage = _Shortage(tokens, Deadline.after(SHORTAGE_SECONDS))
+        with self._lock:
+            self._shortage_by_service[context.service_name] = shortage
+
+    def _spare_tokens(self, context: ForwardContext) -> int:
+        """Return the memory that late requests leave free, in tokens."""
+        with self._lock:
+            shortage = self._shortage_by_service.get(context.service_name)
+        return 0 if shortage is None or shortage.until.expired else shortage.tokens
+
+    def _has_spare(
+        self,
+        context: ForwardContext,
+        endpoint: Endpoint,
+        prompt: PromptShape,
+        spare_tokens: int,
+    ) -> bool:
+        """Return whether an engine has memory for a prompt and for a request in time.
+
+        The other hosts' requests in time ask the same engine, and it can't tell late
+        requests from them.
+        """
+        report = self._reports.get(context, endpoint)
+        if report is None:
+            return False
+        free = report.capacity_tokens - report.used_tokens
+        return free >= prompt.prompt_tokens + spare_tokens
+
     def _reserve_at(
         self,
         context: ForwardContext,
