Waiting requests: a refused confirmation gives its grant back; a leader without reports is asked again soon

A request whose grant an engine refused to confirm, and which then ended without asking again (all engines in backoff), left its grant at the leader: its engine counted as prefilling for four seconds, and requests of other hosts were refused after 650 ms (`no_room`, `lacked` "may read") instead of at once with the time of return. `TestAllEndpointsInBackoff` failed in two cases; the grant is now given back with the refusal, and a refusal counts for a quarter of a second at most, as engines in backoff don't report.

`TestLeaderThatRefuses` failed as a leader without reports was asked by one request at a time, like one without a lease. It refuses within a millisecond: all requests ask it again after 0.2 s.

--- a/src/jujubeslip/admission/_engine_memory.py
+++ b/src/jujubeslip/admission/_engine_memory.py
@@ -33,6 +33,9 @@
 # How long after an engine was found it may run requests of other hosts that no report
 # has listed yet, in seconds: their prompts are prefilled first, and reports lag by one.
 UNLISTED_SECONDS = 2.0
+# How long an engine that refused a reservation gets no grants unless it reports before,
+# in seconds: reports come as often.
+REFUSAL_SECONDS = 0.25
 # Reports may list an ended request for at most this long after its end, in seconds.
 ENDED_KEPT_SECONDS = 4.0
 # Minimum time for which a decode engine decodes between two prompts that it prefills
@@ -70,7 +73,7 @@
         self._own_prefills = OwnPrefills()
         self._profile_by_key: dict[_ProfileKey, MemoryProfile] = {}
         self._new_until = Deadline.after(UNLISTED_SECONDS)
-        self._has_refused = False
+        self._refused_until = Deadline.after(0)
 
     @property
     def endpoint(self) -> Endpoint:
@@ -103,12 +106,15 @@
 
     @property
     def has_refused(self) -> bool:
-        """Return whether it has refused a reservation since the last change here."""
-        return self._has_refused
+        """Return whether it has refused a reservation since the last change here.
+
+        An engine in backoff sends no reports, so the refusal counts for a while only.
+        """
+        return not self._refused_until.expired
 
     def note_refused(self) -> None:
         """Note that it has refused a reservation, so that its state is not as known."""
-        self._has_refused = True
+        self._refused_until = Deadline.after(REFUSAL_SECONDS)
 
     @property
     def event_rate(self) -> float:
@@ -144,7 +150,7 @@
         self._update_lag(report, now)
         self._report = report
         self._reported_at = now
-        self._has_refused = False
+        self._refused_until = Deadline.after(0)
         listed = sum(item.memory_tokens for item in report.running)
         self.capacity_tokens = report.capacity_tokens - max(
             0, report.used_tokens - listed
@@ -196,7 +202,7 @@
         if self.find(request_id, attempt) is None:
             return
         del self._granted_by_id[request_id]
-        self._has_refused = False
+        self._refused_until = Deadline.after(0)
         self._decode_start_by_id.pop(request_id, None)
         self._end_prefill(request_id)
         self._ended_at_by_id[request_id] = steady_seconds()
--- a/src/jujubeslip/forwarding/_grants.py
+++ b/src/jujubeslip/forwarding/_grants.py
@@ -233,9 +233,10 @@
         if answer.needs_reservation:
             reservation = self._reservations.confirm(capacity_request, endpoint)
             if reservation is None:
-                # The queue is told with the next call, in which this one waits again.
+                # The next call tells the queue, too, but this request may not make one.
                 attempts.note(answer.start_id, "grant not confirmed")
                 attempts.refused_start_id = answer.start_id
+                admissions.end(request_id, attempt, home)
                 return None
             release_reservation = self._releasing(capacity_request, reservation)
         attempts.note(answer.start_id, "grant")
--- a/src/jujubeslip/forwarding/_leader_contact.py
+++ b/src/jujubeslip/forwarding/_leader_contact.py
@@ -11,7 +11,11 @@
 
 from jujubeslip.admission import ENGINES_UNKNOWN
 from jujubeslip.discovery import ControlUpdate
-from jujubeslip.forwarding._leader_pauses import LeaderPauses
+from jujubeslip.forwarding._leader_pauses import (
+    NO_ENGINES_PAUSE_SECONDS,
+    PAUSE_SECONDS,
+    LeaderPauses,
+)
 from jujubeslip.kernel import PeerUnavailableError
 from jujubeslip.peers import ControlClients, NotLeader, PeerIdentity, PeerRefusal
 
@@ -227,10 +231,12 @@
             self._record_not_leading(address, term, request_id, error, was_probe)
             return None
         except PeerRefusal as error:
+            seconds = PAUSE_SECONDS
             if error.error_id == ENGINES_UNKNOWN:
-                self._record_no_engines(address, term, request_id, was_probe)
-            else:
-                self._pause(address, term, request_id, str(error))
+                # Once an engine reports, all requests have to join the leader's queue
+                # before their hosts use up what is free.
+                seconds = NO_ENGINES_PAUSE_SECONDS
+            self._pause(address, term, request_id, str(error), seconds=seconds)
             return None
         except PeerUnavailableError as error:
             self._pause(address, term, request_id, str(error), is_unresponsive=True)
@@ -302,20 +308,6 @@
             return f"{address}: {failure}"
         return ""
 
-    def _record_no_engines(
-        self, address: str, term: int, request_id: str, was_probe: bool
-    ) -> None:
-        """Skip a leader that has no report of any engine, and ask it again soon.
-
-        It refuses at once. Once an engine reports, all requests have to join its queue
-        before their hosts use up what is free.
-        """
-        with self._lock:
-            if term == self._newest_term():
-                self._pauses.pause_lapsed(address, was_probe)
-        extra = {"address": address, "request_id": request_id, "term": term}
-        logger.info("leader has no report of an engine", extra=extra)
-
     def _record_not_leading(
         self,
         address: str,
@@ -356,11 +348,12 @@
         request_id: str,
         reason: str,
         is_unresponsive: bool = False,
+        seconds: float = PAUSE_SECONDS,
     ) -> None:
         """Skip a host whose call in this term failed."""
         with self._lock:
             # The host may have been elected during the call.
             if term == self._newest_term():
-                self._pauses.pause(address, is_unresponsive)
+                self._pauses.pause(address, is_unresponsive, seconds)
         extra = {"address": address, "request_id": request_id, "reason": reason}
         logger.info("leader skipped after a failed call", extra=extra)
--- a/src/jujubeslip/forwarding/_leader_pauses.py
+++ b/src/jujubeslip/forwarding/_leader_pauses.py
@@ -14,11 +14,13 @@
 
 # How long a host that did not answer, or does not lead, is skipped, in seconds.
 PAUSE_SECONDS = 0.7
+# How long a leader that no engine has reported to is skipped, in seconds. It refuses at
+# once, and reports come four times a second.
+NO_ENGINES_PAUSE_SECONDS = 0.2
 # How long a leader whose lease has lapsed is skipped, in seconds: the next answer of
 # its delayed followers renews the lease, perhaps for a tenth of a second only. A leader
 # that has lost its followers steps down within a second. If it goes on without a lease,
-# each further such answer doubles the pause, up to a maximum. The same holds for one
-# that no engine has reported to.
+# each further such answer doubles the pause, up to a maximum.
 LAPSED_PAUSE_SECONDS = 0.1
 FREQUENT_PROBES = 10
 MAXIMUM_LAPSED_PAUSE_SECONDS = 0.4
@@ -61,10 +63,15 @@
             failure.paused_until = Deadline.after(timeout)
         return is_probe
 
-    def pause(self, address: str, is_unresponsive: bool = False) -> None:
+    def pause(
+        self,
+        address: str,
+        is_unresponsive: bool = False,
+        seconds: float = PAUSE_SECONDS,
+    ) -> None:
         """Skip a host that refused, does not lead or did not answer."""
         failure = self._failure_of(address)
-        failure.paused_until = Deadline.after(PAUSE_SECONDS)
+        failure.paused_until = Deadline.after(seconds)
         failure.is_unresponsive |= is_unresponsive
         failure.was_heard_since = False
 
