--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -397,7 +397,7 @@
 
 def _engines_unknown() -> PeerRefusal:
     return PeerRefusal(
-        ENGINES_UNKNOWN,
+        "engines_unknown",
         "This control host has not received a report from any engine yet.",
         "Reserve capacity directly at the engines, as if there were no leader.",
         0,
