Followers: control hosts that come back together are heard of within 0.3 s

A host that reaches no control host at all tries again every 0.3 s, and the first one that answers lets it try the others at once. With one reachable, delays grow as before.

--- a/src/jujubeslip/discovery/_control_followers.py
+++ b/src/jujubeslip/discovery/_control_followers.py
@@ -48,6 +48,8 @@
 # Initial and maximum delay between attempts to reach a control host, in seconds.
 RETRY_SECONDS = 0.3
 MAXIMUM_RETRY_SECONDS = 1.2
+# How often a waiting attempt checks whether it is to be made at once, in seconds.
+RETRY_CHECK_SECONDS = 0.05
 # A control host that no other host lists and that has not replied for this long is no
 # longer watched, in seconds: a replaced host never returns to its address.
 DROP_AFTER_SECONDS = 60.0
@@ -203,6 +205,17 @@
         )
         self._on_update(update)
 
+    def retry_all(self) -> None:
+        """Let the followers of unreachable control hosts try again at once.
+
+        Control hosts that were lost together come back together. Requests wait outside
+        the leader's queue until its own follower reaches it.
+        """
+        with self._lock:
+            followers = list(self._follower_by_address.values())
+        for follower in followers:
+            follower.retry()
+
     def drop(self, address: str) -> None:
         """Stop following the control host at this address."""
         with self._lock:
@@ -220,6 +233,7 @@
         self._sent_crash_version = 0
         """Version of the local crash registry that the control host has received."""
         self._retry_seconds = RETRY_SECONDS
+        self._retry_by = Deadline.after(0)
         self.reachable = False
         self._listed_at = steady_seconds()
         self.answered_at = float("-inf")
@@ -251,8 +265,7 @@
             reply = self._client.call(lambda peer: peer.watch(request), timeout)
         except (PeerUnavailableError, PeerRefusal) as error:
             self._record_failure(error)
-            self._owner.stopped.wait(self._retry_seconds)
-            self._retry_seconds = min(self._retry_seconds * 2, MAXIMUM_RETRY_SECONDS)
+            self._wait_for_retry()
             return
         self._record_reply(started.timestamp)
         self._owner.apply_reply(self._address, reply)
@@ -268,9 +281,24 @@
             reply.relay_version or 0,
         )
 
+    def retry(self) -> None:
+        """Try to reach the host at once if an attempt has failed."""
+        self._retry_by = Deadline.after(0)
+
+    def _wait_for_retry(self) -> None:
+        self._retry_by = Deadline.after(self._retry_seconds)
+        while not self._retry_by.expired:
+            pause = min(RETRY_CHECK_SECONDS, self._retry_by.remaining())
+            if self._owner.stopped.wait(pause):
+                return
+        # While none is reachable, requests wait outside the leader's queue.
+        if self._owner.count_reachable():
+            self._retry_seconds = min(self._retry_seconds * 2, MAXIMUM_RETRY_SECONDS)
+
     def _record_reply(self, sent_at: float) -> None:
         if not self.reachable:
             logger.info("control host answers", extra={"address": self._address})
+            self._owner.retry_all()
         self.reachable = True
         self._retry_seconds = RETRY_SECONDS
         self.answered_at = sent_at
