Interim queue: a silent leader whose pause has ended doesn't end it

Each time the pause of the silent leader ended, the interim home counted as replaced: the progress of requests was not sent to it ("it decides no longer"), so that an engine counted as prefilling for four seconds ("may read"), and the requests that waited there left its queue.

The interim home keeps the queue until a leader answers, and is told of its requests as long as it is reachable.

--- a/src/jujubeslip/forwarding/_admissions.py
+++ b/src/jujubeslip/forwarding/_admissions.py
@@ -282,11 +282,11 @@
     def _notify_home(self, address: str, news: list[AdmissionNews]) -> None:
         """Send updates to the control host that granted their requests.
 
-        Updates that are lost are replaced by the engines' own reports. They are not
-        sent to a host that decides no longer, which may be silent.
+        Updates that are lost are replaced by the engines' own reports. Those for a
+        silent host would delay the others.
         """
-        error = "it decides no longer"
-        if address in (self._leader.address(), self._interim_homes.address()):
+        error = "it does not answer"
+        if self._interim_homes.may_answer(address):
             error = self._leader.notify(
                 address, lambda peer: peer.tell_admissions(news), UPDATE_TIMEOUT_SECONDS
             )
--- a/src/jujubeslip/forwarding/_interim_homes.py
+++ b/src/jujubeslip/forwarding/_interim_homes.py
@@ -27,8 +27,11 @@
         self._lock = threading.Lock()
 
     def address(self) -> str | None:
-        """Return the control host to ask, None if there is none or a leader."""
-        if self._leader.address() is not None:
+        """Return the control host to ask, None if there is none or a leader answers.
+
+        A silent leader is asked again by single requests; the others stay here.
+        """
+        if self._leader.is_answering:
             return None
         return self._first_usable()
 
@@ -46,6 +49,12 @@
         with self._lock:
             return address in self._answering
 
+    def may_answer(self, address: str) -> bool:
+        """Return whether a control host that has granted a request may be notified."""
+        with self._lock:
+            is_skipped = self._pauses.is_silent(address)
+        return not is_skipped and self._leader.may_answer(address)
+
     def _first_usable(self) -> str | None:
         with self._lock:
             for address in self._leader.reachable_control_hosts():
--- a/src/jujubeslip/forwarding/_leader_contact.py
+++ b/src/jujubeslip/forwarding/_leader_contact.py
@@ -250,6 +250,10 @@
         with self._lock:
             return self._pauses.is_silent(address)
 
+    def may_answer(self, address: str) -> bool:
+        """Return whether a control host is reachable and was not silent as leader."""
+        return self._reaches(address) and not self.is_silent(address)
+
     def call_interim(
         self,
         address: str,
