Followers, admissions: short delays again once all control hosts are lost; wording

A delay that had grown while one control host was reachable stayed long once that one was lost, too. The rest are docstrings and a needless alias.

--- a/src/jujubeslip/admission/_engine_memory.py
+++ b/src/jujubeslip/admission/_engine_memory.py
@@ -113,7 +113,7 @@
         return not self._refused_until.expired
 
     def note_refused(self) -> None:
-        """Note that it has refused a reservation, so that its state is not as known."""
+        """Note that it refused a reservation: it has less memory than is known here."""
         self._refused_until = Deadline.after(REFUSAL_SECONDS)
 
     @property
--- a/src/jujubeslip/discovery/_control_followers.py
+++ b/src/jujubeslip/discovery/_control_followers.py
@@ -291,9 +291,11 @@
             pause = min(RETRY_CHECK_SECONDS, self._retry_by.remaining())
             if self._owner.stopped.wait(pause):
                 return
-        # While none is reachable, requests wait outside the leader's queue.
         if self._owner.count_reachable():
             self._retry_seconds = min(self._retry_seconds * 2, MAXIMUM_RETRY_SECONDS)
+        else:
+            # Until one answers, requests wait outside the leader's queue.
+            self._retry_seconds = RETRY_SECONDS
 
     def _record_reply(self, sent_at: float) -> None:
         if not self.reachable:
--- a/src/jujubeslip/forwarding/_admissions.py
+++ b/src/jujubeslip/forwarding/_admissions.py
@@ -78,7 +78,7 @@
 
 @dataclass(frozen=True)
 class _Update:
-    """Progress of a request, for the control host that granted it."""
+    """Progress of a request, for the home that granted it."""
 
     home_address: str
     news: AdmissionNews
@@ -109,7 +109,7 @@
         self._pending_updates: queue.SimpleQueue[_Update] = queue.SimpleQueue()
 
     def start(self) -> None:
-        """Report the progress of requests to the leader until the process stops."""
+        """Report the progress of requests to their homes until the process stops."""
         self._process.start_task(self._send_updates)
 
     def ask(self, capacity_request: CapacityRequest) -> AdmissionAnswer | None:
@@ -144,8 +144,7 @@
         """Wait in the queue of a control host; return None once it does not answer."""
         context, attempts = capacity_request.context, capacity_request.attempts
         attempts.grant_requests += 1
-        is_current = self._is_current
-        while is_current(home):
+        while self._is_current(home):
             self._check_backoff(capacity_request, home)
             wait_ms, timeout = self._times_of(home)
             request = self._to_request(capacity_request, home, wait_ms)
