Interim queue: decode engines of a partitioned zone may prefill long prompts beside answers

A host that has just begun to decide assumes 20,000 tokens a second for own prefills, where engines do 27,800, so that prompts of more than 4,400 tokens would pause answers for too long.

While none leads, the bound on the pause does not apply; an engine still prefills one prompt at a time. `admission/test_unlisted_requests.py` `test_may_pause_answers` fails without it.

--- a/src/jujubeslip/admission/_models.py
+++ b/src/jujubeslip/admission/_models.py
@@ -99,6 +99,8 @@
     """The client account that uses the engine, empty if there is none."""
     refused_start_id: str = ""
     """The engine that refused the reservation for the attempt before, if any."""
+    may_pause_answers: bool = False
+    """Whether a decode engine may prefill its prompt however long its answers pause."""
 
     @cached_property
     def expected_tokens(self) -> int:
@@ -163,4 +165,5 @@
         max(0, request.priority or 0),
         request.sharing_account or "",
         request.refused_start_id or "",
+        may_pause_answers=bool(request.interim),
     )
--- a/tests/admission/test_unlisted_requests.py
+++ b/tests/admission/test_unlisted_requests.py
@@ -23,7 +23,7 @@
     AdmissionStep,
     PeerRefusal,
 )
-from jujubeslip.routes import EngineReport
+from jujubeslip.routes import EngineReport, RunningAnswer
 from tests.admission.test_home import ImmediatePoller, ImmediateProcess
 from tests.fakes.engines import engine
 
@@ -150,3 +150,33 @@
             pool.take_report("engine", FREE)
             again = replace(again, refused_start_id="")
             assert pool.ask(again, (), Deadline.after(0)).grant is not None
+
+
+class TestOwnPrefillsWhileNoneLeads:
+    """Guards against prompts that a partitioned zone refuses beside a few answers.
+
+    A host that has just begun to decide has measured no speed, and assumes one at which
+    most prompts would pause the answers for too long.
+    """
+
+    @pytest.mark.parametrize(
+        ("interim", "status"),
+        [(True, AdmissionStatus.ADMITTED), (False, AdmissionStatus.WAITING)],
+    )
+    def test_may_pause_answers(
+        self, monkeypatch: pytest.MonkeyPatch, interim: bool, status: AdmissionStatus
+    ) -> None:
+        monkeypatch.setattr(_home, "EngineReportPoller", ImmediatePoller)
+        with VirtualClock():
+            home = build_home(leads=not interim)
+            ask(home, "r-1", interim)
+            home.take([AdmissionNews("r-1", 1, AdmissionStep.ENDED)])
+            running = (RunningAnswer(5_000, 20, "r-0"),)
+            home._take_report(
+                engine("engine"), EngineReport(100_000, 5_000, 0, running)
+            )
+            request = AdmissionRequest(
+                "r-2", "model", 9_000, 130, 65, 0, 64, 900, 600, 0, [], attempt=1
+            )
+            request.interim, request.maximum_gap_ms = interim, 300
+            assert home.admit(request).status == status
