Grants: a further attempt ends the grant before; only refusals for lack of memory mark an engine

The mark is for engines that lack memory; one in backoff is left out by the host itself. The home ends the grant of the attempt before with the next call, as its own end may come later, or never if the reply was lost.

--- a/src/jujubeslip/admission/_engine_pool.py
+++ b/src/jujubeslip/admission/_engine_pool.py
@@ -183,7 +183,7 @@
             self._engines.note_requested(grant_request)
             self._end_earlier_attempt(grant_request)
             if grant_request.refused_start_id:
-                self._end_refused_attempt(grant_request)
+                self._engines.note_refused(grant_request.refused_start_id)
             waiting = self._waiting_by_id.get(grant_request.request_id)
             is_new = waiting is None
             if waiting is None:
@@ -228,12 +228,12 @@
         self._engines.end(request_id, attempt)
         self._shares.note_ended(GrantKey(request_id, attempt))
 
-    def _end_refused_attempt(self, grant_request: GrantRequest) -> None:
-        """End the grant before, whose engine has less memory than is known here."""
-        self._end_grant(grant_request.request_id, grant_request.attempt - 1)
-        self._engines.note_refused(grant_request.refused_start_id)
-
     def _end_earlier_attempt(self, grant_request: GrantRequest) -> None:
+        """End the wait or the grant of the attempt before, which is not used any more.
+
+        Its end may be on its way, behind this call, or its grant may have been lost.
+        """
+        self._end_grant(grant_request.request_id, grant_request.attempt - 1)
         waiting = self._waiting_by_id.get(grant_request.request_id)
         if (
             waiting is not None
--- a/src/jujubeslip/forwarding/_grants.py
+++ b/src/jujubeslip/forwarding/_grants.py
@@ -233,10 +233,11 @@
         if answer.needs_reservation:
             reservation = self._reservations.confirm(capacity_request, endpoint)
             if reservation is None:
-                # The next call tells the queue, too, but this request may not make one.
                 attempts.note(answer.start_id, "grant not confirmed")
-                attempts.refused_start_id = answer.start_id
                 admissions.end(request_id, attempt, home)
+                if not self._sender.is_on_hold(attempts, endpoint):
+                    # The next call tells the queue that the engine lacks memory.
+                    attempts.refused_start_id = answer.start_id
                 return None
             release_reservation = self._releasing(capacity_request, reservation)
         attempts.note(answer.start_id, "grant")
