Admissions: a silent home delays no updates for another

Requests were refused beside free engines (`no_room`, "may read") after the leader had been suspended: the one task that reports the progress of requests waited for the silent leader, up to a second at a time, and the interim home counted engines as prefilling that had refused a confirmation long before. Each home now has a queue and a task of its own.

--- a/src/jujubeslip/forwarding/_admissions.py
+++ b/src/jujubeslip/forwarding/_admissions.py
@@ -8,7 +8,7 @@
 import contextlib
 import logging
 import queue
-from collections import defaultdict
+import threading
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -76,14 +76,6 @@
     is_interim: bool
 
 
-@dataclass(frozen=True)
-class _Update:
-    """Progress of a request, for the home that granted it."""
-
-    home_address: str
-    news: AdmissionNews
-
-
 class Admissions:
     """Asks for grants, and reports the progress of their requests.
 
@@ -106,11 +98,8 @@
         self._health = health
         self._leader = leader
         self._interim_homes = InterimHomes(leader)
-        self._pending_updates: queue.SimpleQueue[_Update] = queue.SimpleQueue()
-
-    def start(self) -> None:
-        """Report the progress of requests to their homes until the process stops."""
-        self._process.start_task(self._send_updates)
+        self._pending_by_home: dict[str, queue.SimpleQueue[AdmissionNews]] = {}
+        self._lock = threading.Lock()
 
     def ask(self, capacity_request: CapacityRequest) -> AdmissionAnswer | None:
         """Return the leader's decision, None without a leader that answers.
@@ -205,12 +194,12 @@
     def report_prefilled(self, request_id: str, attempt: int, address: str) -> None:
         """Report to the granting host that a prompt was prefilled, or will not be."""
         news = AdmissionNews(request_id, attempt, AdmissionStep.PROMPT_READ)
-        self._pending_updates.put(_Update(address, news))
+        self._notify(address, news)
 
     def end(self, request_id: str, attempt: int, address: str) -> None:
         """Report to the granting host that a request no longer needs its grant."""
         news = AdmissionNews(request_id, attempt, AdmissionStep.ENDED)
-        self._pending_updates.put(_Update(address, news))
+        self._notify(address, news)
 
     def _to_request(
         self, capacity_request: CapacityRequest, home: _Home, wait_ms: int
@@ -269,20 +258,27 @@
         call = partial(caller, home.address, request.request_id, timeout)
         return call(lambda peer: peer.admit(request))
 
-    def _send_updates(self) -> None:
+    def _notify(self, address: str, news: AdmissionNews) -> None:
+        """Pass an update to the task of its home; a silent home delays no other."""
+        with self._lock:
+            pending = self._pending_by_home.get(address)
+            if pending is None:
+                pending = self._pending_by_home[address] = queue.SimpleQueue()
+                self._process.start_task(partial(self._send_updates, address, pending))
+        pending.put(news)
+
+    def _send_updates(
+        self, address: str, pending: queue.SimpleQueue[AdmissionNews]
+    ) -> None:
         while not self._process.stopped.is_set():
-            updates = self._next_updates()
-            news_by_home: defaultdict[str, list[AdmissionNews]] = defaultdict(list)
-            for update in updates:
-                news_by_home[update.home_address].append(update.news)
-            for address, news in news_by_home.items():
-                self._notify_home(address, news)
+            updates = _next_updates(pending)
+            if updates:
+                self._notify_home(address, updates)
 
     def _notify_home(self, address: str, news: list[AdmissionNews]) -> None:
         """Send updates to the control host that granted their requests.
 
-        Updates that are lost are replaced by the engines' own reports. Those for a
-        silent host would delay the others.
+        Updates that are lost are replaced by the engines' own reports.
         """
         error = "it does not answer"
         if self._interim_homes.may_answer(address):
@@ -293,11 +289,12 @@
             extra = {"news": len(news), "address": address, "error": error}
             logger.info("leader not notified of request progress", extra=extra)
 
-    def _next_updates(self) -> list[_Update]:
-        """Wait for updates, and return those that are to be sent."""
-        updates: list[_Update] = []
-        with contextlib.suppress(queue.Empty):
-            updates.append(self._pending_updates.get(timeout=UPDATE_TIMEOUT_SECONDS))
-            while len(updates) < MAXIMUM_UPDATES_PER_CALL:
-                updates.append(self._pending_updates.get_nowait())
-        return updates
+
+def _next_updates(pending: queue.SimpleQueue[AdmissionNews]) -> list[AdmissionNews]:
+    """Wait for updates, and return those that are to be sent."""
+    updates: list[AdmissionNews] = []
+    with contextlib.suppress(queue.Empty):
+        updates.append(pending.get(timeout=UPDATE_TIMEOUT_SECONDS))
+        while len(updates) < MAXIMUM_UPDATES_PER_CALL:
+            updates.append(pending.get_nowait())
+    return updates
