--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -77,8 +77,8 @@
     """Gives grants at all services' engines while this host leads, or none does.
 
     Two homes give too many grants at worst: a full engine refuses requests, and its
-    report shows those that the other home granted. While another home may give grants,
-    or has given some that no report shows yet, each grant needs a reservation.
+    report shows those that the other home granted. Grants of a home that does not lead
+    need a reservation.
     """
 
     def __init__(
@@ -388,7 +388,7 @@
             forecast_ms,
             grant.prefill_engine.start_id if grant.prefill_engine else "",
             int(grant.prefill_seconds * 1000),
-            needs_reservation=grant.is_engine_new or not is_only_home,
+            needs_reservation=not is_only_home,
         )
     refused = decision.refused
     status = AdmissionStatus.REFUSED if refused else AdmissionStatus.WAITING
