--- a/bench/replay/_role_orders.py
+++ b/bench/replay/_role_orders.py
@@ -52,11 +52,6 @@
         self._term = 1
         self._role_manager = self._new_role_manager()
 
-    def use_pool(self, pool: EnginePool) -> None:
-        """Observe the grants of another control host from now on."""
-        self._pool = pool
-        self._role_manager = self._new_role_manager()
-
     def take_over(self) -> None:
         """Make another host the leader; it knows only what the log contains."""
         self._term += 1
--- a/bench/replay/_simulation.py
+++ b/bench/replay/_simulation.py
@@ -412,20 +412,7 @@
             self.outcome.unserved += 1
             self._pool.end(request.request_id, request.attempt)
             return
-        decision = self._pool.ask(self._grant_request(request), (), Deadline.after(0))
-        is_decided = decision.grant is not None or decision.refused
-        if self._roles is not None and is_decided:
-            waited = self._clock.now - request.requested_at
-            self._roles.note_wait(waited if decision.grant else MINIMUM_WAIT_SECONDS)
-        if decision.grant is not None:
-            self._start_prefill(request, decision.grant)
-        elif decision.refused:
-            self._refuse(request, decision.forecast)
-        else:
-            self._after(GRANT_RETRY_SECONDS, lambda: self._request_grant(request))
-
-    def _grant_request(self, request: _Request) -> GrantRequest:
-        return GrantRequest(
+        grant_request = GrantRequest(
             request.request_id,
             request.attempt,
             request.prompt_tokens,
@@ -438,6 +425,17 @@
             request.availability_zone,
             MAXIMUM_GAP_SECONDS,
         )
+        decision = self._pool.ask(grant_request, (), Deadline.after(0))
+        is_decided = decision.grant is not None or decision.refused
+        if self._roles is not None and is_decided:
+            waited = self._clock.now - request.requested_at
+            self._roles.note_wait(waited if decision.grant else MINIMUM_WAIT_SECONDS)
+        if decision.grant is not None:
+            self._start_prefill(request, decision.grant)
+        elif decision.refused:
+            self._refuse(request, decision.forecast)
+        else:
+            self._after(GRANT_RETRY_SECONDS, lambda: self._request_grant(request))
 
     def _refuse(self, request: _Request, forecast: float) -> None:
         self.outcome.refused += 1
--- a/src/jujubeslip/admission/__init__.py
+++ b/src/jujubeslip/admission/__init__.py
@@ -7,7 +7,7 @@
 
 from jujubeslip.admission._account_shares import SharingWeights
 from jujubeslip.admission._answer_lengths import AnswerLengths, lengths_of
-from jujubeslip.admission._home import ENGINES_UNKNOWN, AdmissionHome
+from jujubeslip.admission._home import AdmissionHome
 from jujubeslip.admission._memory_forecast import (
     GrowingAnswer,
     MemoryOptions,
@@ -19,7 +19,6 @@
 from jujubeslip.admission._urgency import urgency
 
 __all__ = [
-    "ENGINES_UNKNOWN",
     "AdmissionHome",
     "AnswerLengths",
     "EngineNeed",
--- a/src/jujubeslip/admission/_decode_prefill.py
+++ b/src/jujubeslip/admission/_decode_prefill.py
@@ -29,13 +29,10 @@
     answers exceed their maximum gap, together with the prefills since their latest
     event. `prefill_speed` is that of a prefill engine, in tokens a second; it counts
     until the engine's own speed is measured.
-
-    While none leads, only the first part holds: a host that has just begun to decide
-    has measured no speed, and beyond a partition there may be no other engine.
     """
     if engine.is_prefilling:
         return False
-    if grant_request.may_pause_answers or not engine.profile(grant_request).answers:
+    if not engine.profile(grant_request).answers:
         return True
     own_prefills = engine.own_prefills
     pause = own_prefills.pause_seconds(steady_seconds())
--- a/src/jujubeslip/admission/_engine_memory.py
+++ b/src/jujubeslip/admission/_engine_memory.py
@@ -15,7 +15,7 @@
 from jujubeslip.admission._models import USABLE_SECONDS, GrantedRequest, GrantRequest
 from jujubeslip.admission._own_prefills import OwnPrefills
 from jujubeslip.discovery import Endpoint
-from jujubeslip.kernel import Deadline, steady_seconds
+from jujubeslip.kernel import steady_seconds
 from jujubeslip.routes import EngineReport, RunningAnswer
 
 # The age of the state in an engine's report: the initial estimate and its maximum, in
@@ -30,12 +30,6 @@
 # notice from its host, in seconds. Prompts are prefilled within 1.5 seconds, and
 # reports lag by one.
 UNREPORTED_SECONDS = 4.0
-# How long after an engine was found it may run requests of other hosts that no report
-# has listed yet, in seconds: their prompts are prefilled first, and reports lag by one.
-UNLISTED_SECONDS = 2.0
-# How long an engine that refused a reservation gets no grants unless it reports before,
-# in seconds: reports come as often.
-REFUSAL_SECONDS = 0.25
 # Reports may list an ended request for at most this long after its end, in seconds.
 ENDED_KEPT_SECONDS = 4.0
 # Minimum time for which a decode engine decodes between two prompts that it prefills
@@ -72,8 +66,6 @@
         self._prefilling: set[str] = set()
         self._own_prefills = OwnPrefills()
         self._profile_by_key: dict[_ProfileKey, MemoryProfile] = {}
-        self._new_until = Deadline.after(UNLISTED_SECONDS)
-        self._refused_until = Deadline.after(0)
 
     @property
     def endpoint(self) -> Endpoint:
@@ -99,23 +91,6 @@
             return False
         return not report.busy and not report.is_prefill_engine
 
-    @property
-    def is_new(self) -> bool:
-        """Return whether it may run requests that no report has listed yet."""
-        return not self._new_until.expired
-
-    @property
-    def has_refused(self) -> bool:
-        """Return whether it has refused a reservation since the last change here.
-
-        An engine in backoff sends no reports, so the refusal counts for a while only.
-        """
-        return not self._refused_until.expired
-
-    def note_refused(self) -> None:
-        """Note that it refused a reservation: it has less memory than is known here."""
-        self._refused_until = Deadline.after(REFUSAL_SECONDS)
-
     @property
     def event_rate(self) -> float:
         """Return the events that the engine adds to each answer in a second."""
@@ -150,7 +125,6 @@
         self._update_lag(report, now)
         self._report = report
         self._reported_at = now
-        self._refused_until = Deadline.after(0)
         listed = sum(item.memory_tokens for item in report.running)
         self.capacity_tokens = report.capacity_tokens - max(
             0, report.used_tokens - listed
@@ -202,7 +176,6 @@
         if self.find(request_id, attempt) is None:
             return
         del self._granted_by_id[request_id]
-        self._refused_until = Deadline.after(0)
         self._decode_start_by_id.pop(request_id, None)
         self._end_prefill(request_id)
         self._ended_at_by_id[request_id] = steady_seconds()
--- a/src/jujubeslip/admission/_engine_pool.py
+++ b/src/jujubeslip/admission/_engine_pool.py
@@ -93,7 +93,6 @@
         self._shortage_by_priority: dict[int, _Shortage] = {}
         self._interval_began_at = steady_seconds()
         self._lock = threading.Lock()
-        self._became_usable = threading.Condition(self._lock)
 
     # Engines
 
@@ -116,7 +115,6 @@
         """Store the report of an engine's start and decide the waiting requests."""
         with self._lock:
             self._engines.take_report(start_id, report)
-            self._became_usable.notify_all()
             self._grant_waiting()
 
     def note_unreachable(self, start_id: str) -> None:
@@ -130,13 +128,6 @@
         with self._lock:
             return self._engines.usable
 
-    def wait_until_usable(self, until: Deadline) -> bool:
-        """Wait for the first report of an engine; return whether any is usable."""
-        with self._became_usable:
-            return self._became_usable.wait_for(
-                lambda: self._engines.usable, until.remaining()
-            )
-
     def reported_within(self, start_id: str, seconds: float) -> bool:
         """Return whether a start has reported within this time and is reachable."""
         with self._lock:
@@ -182,8 +173,6 @@
                 return Decision(grant, False, 0.0)
             self._engines.note_requested(grant_request)
             self._end_earlier_attempt(grant_request)
-            if grant_request.refused_start_id:
-                self._engines.note_refused(grant_request.refused_start_id)
             waiting = self._waiting_by_id.get(grant_request.request_id)
             is_new = waiting is None
             if waiting is None:
@@ -213,7 +202,8 @@
             waited = waiting is not None and waiting.grant_request.attempt == attempt
             if waiting is not None and waited:
                 self._refuse(waiting)
-            self._end_grant(request_id, attempt)
+            self._engines.end(request_id, attempt)
+            self._shares.note_ended(GrantKey(request_id, attempt))
             self._grant_waiting()
         return waited
 
@@ -224,16 +214,7 @@
 
     # Waiting requests; the caller of each method holds the lock.
 
-    def _end_grant(self, request_id: str, attempt: int) -> None:
-        self._engines.end(request_id, attempt)
-        self._shares.note_ended(GrantKey(request_id, attempt))
-
     def _end_earlier_attempt(self, grant_request: GrantRequest) -> None:
-        """End the wait or the grant of the attempt before, which is not used any more.
-
-        Its end may be on its way, behind this call, or its grant may have been lost.
-        """
-        self._end_grant(grant_request.request_id, grant_request.attempt - 1)
         waiting = self._waiting_by_id.get(grant_request.request_id)
         if (
             waiting is not None
--- a/src/jujubeslip/admission/_home.py
+++ b/src/jujubeslip/admission/_home.py
@@ -1,7 +1,4 @@
-"""The home of all admissions, on the leading control host.
-
-While none leads, entry hosts choose another control host for it.
-"""
+"""The home of all admissions, on the leading control host."""
 
 from __future__ import annotations
 
@@ -53,11 +50,6 @@
 RECENT_REPORT_SECONDS = 0.55
 # Engines are polled for reports only if a request came within this time, in seconds.
 ACTIVE_SECONDS = 5.0
-# Time within which the first engine reports after polling has begun, in seconds: two
-# polls, the first of which may meet a connection that was lost.
-FIRST_REPORT_SECONDS = 0.5
-# The error of a control host that no engine has reported to.
-ENGINES_UNKNOWN = "engines_unknown"
 # Upper bound for the wait of a call, in seconds, whatever its host asks for: each
 # waiting call occupies a task.
 MAXIMUM_WAIT_SECONDS = 2.0
@@ -74,11 +66,10 @@
 
 
 class AdmissionHome:
-    """Gives grants at all services' engines while this host leads, or none does.
+    """Gives grants at all services' engines while this host leads.
 
-    Two homes give too many grants at worst: a full engine refuses requests, and its
-    report shows those that the other home granted. Grants of a home that does not lead
-    need a reservation.
+    If two hosts both believe that they lead, they give too many grants at worst: a full
+    engine refuses requests, and its report shows those that the other host granted.
     """
 
     def __init__(
@@ -107,9 +98,6 @@
         self._pool_by_service: dict[str, EnginePool] = {}
         self._poller_by_start: dict[str, EngineReportPoller] = {}
         self._last_request_at = float("-inf")
-        self._interim_until = Deadline.after(0)
-        self._first_reports_by: dict[str, Deadline] = {}
-        """When a service's engines should have reported, while none has."""
         self._meters = AdmissionMeters()
         self._share_meters = ShareMeters()
         self._lock = threading.Lock()
@@ -132,13 +120,11 @@
         """Reply once the request is granted or refused, or when it must ask again."""
         wait = Deadline.from_remaining_ms(request.wait_ms)
         until = wait.earlier_of(Deadline.after(MAXIMUM_WAIT_SECONDS))
-        if not self._is_active:
-            self._first_reports_by.clear()
         self._last_request_at = steady_seconds()
-        if request.interim:
-            self._interim_until = Deadline.after(ACTIVE_SECONDS)
         pool = self._pool(request.service_name)
-        self._require_reports(request.service_name, pool, until)
+        if not pool.usable:
+            self.run_once()
+            raise _engines_unknown()
         retry_seconds = self._charge(request)
         if retry_seconds > 0:
             wait_ms = math.ceil(retry_seconds * 1000)
@@ -152,25 +138,7 @@
         self._log(request, decision)
         self._log_wait(request, decision)
         self._log_part(request, decision)
-        return _reply(decision, is_only_home=self._leads())
-
-    def _require_reports(
-        self, service_name: str, pool: EnginePool, until: Deadline
-    ) -> None:
-        """Wait for the first report of an engine; raise PeerRefusal if none comes.
-
-        Until it is due, requests wait in the queue. Refused, they would ask the engines
-        by themselves, and take capacity out of order.
-        """
-        if pool.usable:
-            self._first_reports_by.pop(service_name, None)
-            return
-        due = self._first_reports_by.setdefault(
-            service_name, Deadline.after(FIRST_REPORT_SECONDS)
-        )
-        self.run_once()
-        if not pool.wait_until_usable(until.earlier_of(due)) and due.expired:
-            raise _engines_unknown()
+        return _reply(decision)
 
     def _charge(self, request: AdmissionRequest) -> float:
         """Charge the account; return after how many seconds to retry, 0 if it may run.
@@ -214,9 +182,9 @@
 
     def run_once(self) -> None:
         """Update the set of polled engines; poll none unless this host is in use."""
-        decides = self._leads() or not self._interim_until.expired
+        active = steady_seconds() - self._last_request_at < ACTIVE_SECONDS
         services = (
-            self._configured_engine_services() if self._is_active and decides else set()
+            self._configured_engine_services() if active and self._leads() else set()
         )
         polled: list[Endpoint] = []
         for service_name in services | self._pool_by_service.keys():
@@ -230,10 +198,6 @@
         for poller in added:
             self._process.start_task(poller.run)
 
-    @property
-    def _is_active(self) -> bool:
-        return steady_seconds() - self._last_request_at < ACTIVE_SECONDS
-
     def _retry_waiting(self) -> None:
         for pool in self._pools():
             pool.look_again()
@@ -354,8 +318,6 @@
             "expected_events": request.expected_events,
             "forecast_ms": int(decision.forecast * 1000),
             "priority": request.priority or 0,
-            "waited_ms": int(decision.waited * 1000),
-            "interim": bool(request.interim),
         }
         if decision.grant is None:
             extra["lacked"] = decision.missing_resource
@@ -369,7 +331,6 @@
         )
         extra["fill"] = round(grant.fill, 3)
         extra["report_age_ms"] = grant.report_age_ms
-        extra["engine_new"] = grant.is_engine_new
         if grant.speed.measured_at is not None:
             extra["speed"] = round(grant.speed.factor, 2)
             extra["speed_age_ms"] = int(grant.speed.age(steady_seconds()) * 1000)
@@ -378,7 +339,7 @@
         logger.info("grant at an engine", extra=extra)
 
 
-def _reply(decision: Decision, is_only_home: bool) -> AdmissionReply:
+def _reply(decision: Decision) -> AdmissionReply:
     forecast_ms = int(decision.forecast * 1000)
     if decision.grant is not None:
         grant = decision.grant
@@ -388,7 +349,6 @@
             forecast_ms,
             grant.prefill_engine.start_id if grant.prefill_engine else "",
             int(grant.prefill_seconds * 1000),
-            needs_reservation=not is_only_home,
         )
     refused = decision.refused
     status = AdmissionStatus.REFUSED if refused else AdmissionStatus.WAITING
--- a/src/jujubeslip/admission/_models.py
+++ b/src/jujubeslip/admission/_models.py
@@ -97,10 +97,6 @@
     """Priority among the requests of the service; 0 is the highest."""
     sharing_account: str = ""
     """The client account that uses the engine, empty if there is none."""
-    refused_start_id: str = ""
-    """The engine that refused the reservation for the attempt before, if any."""
-    may_pause_answers: bool = False
-    """Whether a decode engine may prefill its prompt however long its answers pause."""
 
     @cached_property
     def expected_tokens(self) -> int:
@@ -126,8 +122,6 @@
     """Measured speed of the decode engine at the time of the decision."""
     prefill_speed: EngineSpeed = UNKNOWN_SPEED
     """The same of the engine that prefills the prompt."""
-    is_engine_new: bool = False
-    """Whether the decode engine may run requests that no report has listed yet."""
 
 
 @dataclass(frozen=True)
@@ -164,6 +158,4 @@
         (request.maximum_gap_ms or 0) / 1000,
         max(0, request.priority or 0),
         request.sharing_account or "",
-        request.refused_start_id or "",
-        may_pause_answers=bool(request.interim),
     )
--- a/src/jujubeslip/admission/_service_engines.py
+++ b/src/jujubeslip/admission/_service_engines.py
@@ -220,12 +220,6 @@
             engine.end(request_id, attempt)
             self._capacity_changes.note(grant.endpoint.start_id)
 
-    def note_refused(self, start_id: str) -> None:
-        """Grant nothing at an engine that refused a reservation until it changes."""
-        engine = self._engine_by_start.get(start_id)
-        if engine is not None:
-            engine.note_refused()
-
     def prefill_candidates(self) -> PrefillCandidates:
         """Return the prefill engines' queues as they are until the next grant."""
         return PrefillCandidates(tuple(self._prefill_queue_by_start.values()))
@@ -340,7 +334,7 @@
             engine = self._engine_by_start.get(start_id)
             if engine is None or start_id in search.avoided:
                 continue
-            if engine.usable and not engine.has_refused:
+            if engine.usable:
                 yield engine
 
     def _grant_at(self, candidate: _Candidate, search: CapacitySearch) -> Grant | None:
@@ -356,7 +350,6 @@
             peak / capacity,
             int(engine.report_age * 1000),
             speed=self._decode_speeds.speed_of(engine.endpoint.start_id),
-            is_engine_new=engine.is_new,
         )
 
 
--- a/src/jujubeslip/control/_handler.py
+++ b/src/jujubeslip/control/_handler.py
@@ -165,16 +165,12 @@
         return self._watches.answer(request)
 
     def admit(self, request: AdmissionRequest) -> AdmissionReply:
-        """See AdmissionHome.admit; the leader decides, any host while none leads."""
-        if request.interim:
-            return self._interim_admissions().admit(request)
+        """See AdmissionHome.admit; only the leader grants engines."""
         return self._leader_admissions().admit(request)
 
     def tell_admissions(self, updates: list[AdmissionNews]) -> None:
-        """See AdmissionHome.take; requests that were not granted here are ignored."""
-        if self._admissions is None:
-            raise self._replica.not_leader()
-        self._admissions.take(updates)
+        """See AdmissionHome.take."""
+        self._leader_admissions().take(updates)
 
     def charge_account(self, spending: AccountSpending) -> AccountState:
         """See AccountLimitManager.charge; only the leader knows what is left."""
@@ -226,14 +222,6 @@
             raise self._replica.not_leader()
         return self._admissions
 
-    def _interim_admissions(self) -> AdmissionHome:
-        """Return the home that grants engines, or raise NotLeader if another leads."""
-        leads = self._replica.fence() is not None
-        is_led = not leads and bool(self._replica.known_leader_address())
-        if self._admissions is None or is_led:
-            raise self._replica.not_leader()
-        return self._admissions
-
     def claim_key(self, claim: KeyClaim, remaining_ms: int) -> KeyReply:
         """Claim (client, key), durably on a quorum before the answer."""
         check_claim(claim)
--- a/src/jujubeslip/forwarding/_grants.py
+++ b/src/jujubeslip/forwarding/_grants.py
@@ -1,8 +1,6 @@
 """Obtains a grant at an engine for each request.
 
-All requests that wait for capacity wait in one queue, that of the leader, or while none
-leads that of another control host. Only while no control host answers do hosts ask the
-engines for reservations by themselves.
+The leader gives it; without a leader, the engines' reservations take its place.
 """
 
 from __future__ import annotations
@@ -17,7 +15,7 @@
 from jujubeslip.forwarding._admissions import AdmissionAnswer, Admissions
 from jujubeslip.forwarding._models import Attempts, CapacityRequest, ForwardContext
 from jujubeslip.forwarding._pressure import MINIMUM_WAIT_SECONDS, Pressures
-from jujubeslip.forwarding._reservations import Reservation, Reservations, WaitEnd
+from jujubeslip.forwarding._reservations import Reservations
 from jujubeslip.forwarding._sender import EndpointSender
 from jujubeslip.kernel import Deadline
 from jujubeslip.peers import EndpointRole
@@ -112,78 +110,34 @@
 
     def _find_capacity(self, capacity_request: CapacityRequest) -> Grant | None:
         context, attempts = capacity_request.context, capacity_request.attempts
-        if self._admissions is None:
-            if self._limits is not None:
-                self._limits.charge(context, attempts)
-            found = self._wait_at_engines(capacity_request, lambda: False)
-            return found if isinstance(found, Grant) else None
-        while True:
-            answer = self._ask_home(self._admissions, capacity_request)
-            if answer is None:
-                attempts.note("-", "no control host answers, engines are asked")
-                found = self._wait_at_engines(
-                    capacity_request, self._admissions.is_answering
-                )
-                if found is WaitEnd.HOME_ANSWERS:
-                    attempts.note("-", "a control host answers, its queue is joined")
-                    continue
-                return found if isinstance(found, Grant) else None
-            if not answer.start_id:
-                attempts.note_no_capacity("no grant in time", answer.forecast)
-                return None
-            attempts.is_charged = True
-            grant = self._accept_grant(capacity_request, self._admissions, answer)
-            if grant is not None:
-                return grant
-            if capacity_request.limit.expired:
+        if self._admissions is not None:
+            answer = self._ask_leader(self._admissions, capacity_request)
+            if answer is not None and not answer.start_id:
                 attempts.note_no_capacity("no grant in time", answer.forecast)
                 return None
-
-    def _ask_home(
-        self, admissions: Admissions, capacity_request: CapacityRequest
-    ) -> AdmissionAnswer | None:
-        """Return the decision of the leader, or without one of the interim home.
-
-        Returns None without a control host that decides.
-        """
-        context, attempts = capacity_request.context, capacity_request.attempts
-        answer = self._ask_leader(admissions, capacity_request)
-        if answer is not None:
-            return answer
+            if answer is not None:
+                attempts.is_charged = True
+                grant = self._accept_grant(context, attempts, self._admissions, answer)
+                if grant is not None:
+                    return grant
         if self._limits is not None:
-            self._limits.charge_without_leader(context, attempts)
-        return admissions.ask_interim(capacity_request)
-
-    def _wait_at_engines(
-        self, capacity_request: CapacityRequest, home_answers: Callable[[], bool]
-    ) -> Grant | WaitEnd:
-        """Return a grant by an engine's reservation, or why the wait has ended."""
-        found = self._reservations.take(
-            capacity_request.context,
-            capacity_request.attempts,
+            self._charge_without_grant(self._limits, context, attempts)
+        reservation = self._reservations.take(
+            context,
+            attempts,
             capacity_request.engine,
             capacity_request.prompt,
             capacity_request.limit,
-            home_answers,
         )
-        if isinstance(found, WaitEnd):
-            return found
+        if reservation is None:
+            return None
+        # During the run, the reserved memory that the request does not need would count
+        # as used, and displace other answers.
+        release_reservation = partial(self._reservations.release, context, reservation)
         return Grant(
-            found.endpoint,
+            reservation.endpoint,
             reads_itself=capacity_request.reads_itself,
-            release_before_run=self._releasing(capacity_request, found),
-        )
-
-    def _releasing(
-        self, capacity_request: CapacityRequest, reservation: Reservation
-    ) -> Callable[[], None]:
-        """Return what releases the reservation.
-
-        During the run, the reserved memory that the request does not need would count
-        as used, and displace other answers.
-        """
-        return partial(
-            self._reservations.release, capacity_request.context, reservation
+            release_before_run=release_reservation,
         )
 
     def _ask_leader(
@@ -212,45 +166,38 @@
             raise limits.over_limit_refusal(context, answer.over_limit_seconds)
         return answer
 
+    def _charge_without_grant(
+        self, limits: AccountLimits, context: ForwardContext, attempts: Attempts
+    ) -> None:
+        if self._admissions is None:
+            limits.charge(context, attempts)
+        else:
+            limits.charge_without_leader(context, attempts)
+
     def _accept_grant(
         self,
-        capacity_request: CapacityRequest,
+        context: ForwardContext,
+        attempts: Attempts,
         admissions: Admissions,
         answer: AdmissionAnswer,
     ) -> Grant | None:
-        """Return the grant, None if its engine is not usable here or has no room."""
-        context, attempts = capacity_request.context, capacity_request.attempts
-        request_id, attempt = context.request.request_id, attempts.grant_requests
-        home = answer.home_address
+        """Return the leader's grant, None if its engine is not usable on this host."""
+        request_id = context.request.request_id
+        attempt = attempts.grant_requests
         endpoint = self._usable_endpoint(answer.start_id)
         if endpoint is None:
             extra = {"request_id": request_id, "start_id": answer.start_id}
             logger.info("grant declined: engine not usable on this host", extra=extra)
-            admissions.end(request_id, attempt, home)
-            capacity_request.declined_start_ids.add(answer.start_id)
+            admissions.end(request_id, attempt)
             return None
-        release_reservation = _release_nothing
-        if answer.needs_reservation:
-            reservation = self._reservations.confirm(capacity_request, endpoint)
-            if reservation is None:
-                attempts.note(answer.start_id, "grant not confirmed")
-                admissions.end(request_id, attempt, home)
-                if not self._sender.is_on_hold(attempts, endpoint):
-                    # The next call tells the queue that the engine lacks memory.
-                    attempts.refused_start_id = answer.start_id
-                return None
-            release_reservation = self._releasing(capacity_request, reservation)
         attempts.note(answer.start_id, "grant")
         return Grant(
             endpoint,
             prefill_engine=self._usable_endpoint(answer.prefill_start_id),
             prefill_seconds=answer.prefill_seconds,
             reads_itself=not answer.prefill_start_id,
-            release_before_run=release_reservation,
-            report_prefilled=partial(
-                admissions.report_prefilled, request_id, attempt, home
-            ),
-            release_at_end=partial(admissions.end, request_id, attempt, home),
+            report_prefilled=partial(admissions.report_prefilled, request_id, attempt),
+            release_at_end=partial(admissions.end, request_id, attempt),
         )
 
     def _usable_endpoint(self, start_id: str) -> Endpoint | None:
--- a/src/jujubeslip/forwarding/_leader_contact.py
+++ b/src/jujubeslip/forwarding/_leader_contact.py
@@ -9,13 +9,8 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-from jujubeslip.admission import ENGINES_UNKNOWN
 from jujubeslip.discovery import ControlUpdate
-from jujubeslip.forwarding._leader_pauses import (
-    NO_ENGINES_PAUSE_SECONDS,
-    PAUSE_SECONDS,
-    LeaderPauses,
-)
+from jujubeslip.forwarding._leader_pauses import LeaderPauses
 from jujubeslip.kernel import PeerUnavailableError
 from jujubeslip.peers import ControlClients, NotLeader, PeerIdentity, PeerRefusal
 
@@ -62,7 +57,6 @@
             self._pauses.forget(report.address)
         elif sender == report.address:
             self._pauses.forget_lapsed(report.address)
-            self._pauses.note_heard(report.address)
         before = self._report_by_sender.get(sender)
         if not report.address and before is not None:
             # The sender hears from no leader any more, so the leader that it reported
@@ -108,17 +102,6 @@
         with self._lock:
             return address is not None and not self._pauses.has_failed(address)
 
-    @property
-    def is_answering(self) -> bool:
-        """Return whether a leader may be called that was not silent at the last call.
-
-        One without a valid lease counts: it refuses at once, so that asking it again
-        costs no time.
-        """
-        address = self.address()
-        with self._lock:
-            return address is not None and not self._pauses.is_silent(address)
-
     def address(self) -> str | None:
         """Return the address of the newest leader, None if it may not be called.
 
@@ -231,12 +214,7 @@
             self._record_not_leading(address, term, request_id, error, was_probe)
             return None
         except PeerRefusal as error:
-            seconds = PAUSE_SECONDS
-            if error.error_id == ENGINES_UNKNOWN:
-                # Once an engine reports, all requests have to join the leader's queue
-                # before their hosts use up what is free.
-                seconds = NO_ENGINES_PAUSE_SECONDS
-            self._pause(address, term, request_id, str(error), seconds=seconds)
+            self._pause(address, term, request_id, str(error))
             return None
         except PeerUnavailableError as error:
             self._pause(address, term, request_id, str(error), is_unresponsive=True)
@@ -245,40 +223,6 @@
             self._pauses.forget_answered(address)
         return answer
 
-    def is_silent(self, address: str) -> bool:
-        """Return whether a host did not answer as leader, nor was heard since."""
-        with self._lock:
-            return self._pauses.is_silent(address)
-
-    def may_answer(self, address: str) -> bool:
-        """Return whether a control host is reachable and was not silent as leader."""
-        return self._reaches(address) and not self.is_silent(address)
-
-    def call_interim(
-        self,
-        address: str,
-        request_id: str,
-        timeout: float,
-        rpc: Callable[[Any], T],
-    ) -> T | None:
-        """Call a control host once that decides while none leads.
-
-        Returns None if it does not answer or refuses. A leader that it names is noted.
-        """
-        try:
-            return self._clients.get(address).call_within(rpc, timeout)
-        except NotLeader as error:
-            reason = f"it hears the leader {error.leader_address}"
-            if error.leader_address:
-                report = _LeaderReport(error.leader_address, error.leader_term or 0)
-                with self._lock:
-                    self._record_report(address, report)
-        except (PeerRefusal, PeerUnavailableError) as error:
-            reason = str(error)
-        extra = {"address": address, "request_id": request_id, "reason": reason}
-        logger.info("interim home skipped after a failed call", extra=extra)
-        return None
-
     def call_control_host(
         self, address: str, timeout: float, rpc: Callable[[Any], T]
     ) -> T | PeerRefusal | None:
@@ -304,8 +248,11 @@
             senders = sorted(self._report_by_sender)
         return [sender for sender in senders if self._reaches(sender)]
 
-    def notify(self, address: str, rpc: Callable[[Any], Any], timeout: float) -> str:
-        """Send a control host a notification; return why it failed, empty if not."""
+    def notify(self, rpc: Callable[[Any], Any], timeout: float) -> str:
+        """Send the leader a notification; return why it failed, empty if it did not."""
+        address = self.address()
+        if address is None:
+            return "no leader is known"
         try:
             self._clients.get(address).call(rpc, timeout)
         except (PeerUnavailableError, PeerRefusal, NotLeader) as failure:
@@ -352,12 +299,11 @@
         request_id: str,
         reason: str,
         is_unresponsive: bool = False,
-        seconds: float = PAUSE_SECONDS,
     ) -> None:
         """Skip a host whose call in this term failed."""
         with self._lock:
             # The host may have been elected during the call.
             if term == self._newest_term():
-                self._pauses.pause(address, is_unresponsive, seconds)
+                self._pauses.pause(address, is_unresponsive)
         extra = {"address": address, "request_id": request_id, "reason": reason}
         logger.info("leader skipped after a failed call", extra=extra)
--- a/src/jujubeslip/forwarding/_leader_pauses.py
+++ b/src/jujubeslip/forwarding/_leader_pauses.py
@@ -14,9 +14,6 @@
 
 # How long a host that did not answer, or does not lead, is skipped, in seconds.
 PAUSE_SECONDS = 0.7
-# How long a leader that no engine has reported to is skipped, in seconds. It refuses at
-# once, and reports come four times a second.
-NO_ENGINES_PAUSE_SECONDS = 0.2
 # How long a leader whose lease has lapsed is skipped, in seconds: the next answer of
 # its delayed followers renews the lease, perhaps for a tenth of a second only. A leader
 # that has lost its followers steps down within a second. If it goes on without a lease,
@@ -31,8 +28,6 @@
     paused_until: Deadline
     is_unresponsive: bool = False
     """Whether the latest call got no answer."""
-    was_heard_since: bool = False
-    """Whether the host has reported since then that it leads."""
     lapses: int = 0
     """Consecutive calls that were answered without a valid lease."""
 
@@ -63,17 +58,11 @@
             failure.paused_until = Deadline.after(timeout)
         return is_probe
 
-    def pause(
-        self,
-        address: str,
-        is_unresponsive: bool = False,
-        seconds: float = PAUSE_SECONDS,
-    ) -> None:
+    def pause(self, address: str, is_unresponsive: bool = False) -> None:
         """Skip a host that refused, does not lead or did not answer."""
         failure = self._failure_of(address)
-        failure.paused_until = Deadline.after(seconds)
+        failure.paused_until = Deadline.after(PAUSE_SECONDS)
         failure.is_unresponsive |= is_unresponsive
-        failure.was_heard_since = False
 
     def pause_lapsed(self, address: str, was_probe: bool) -> None:
         """Skip a leader that has no valid lease, longer with each probe.
@@ -94,12 +83,6 @@
         """Allow calls to a host at once."""
         self._failure_by_address.pop(address, None)
 
-    def note_heard(self, address: str) -> None:
-        """Note that a host has reported by itself that it leads."""
-        failure = self._failure_by_address.get(address)
-        if failure is not None:
-            failure.was_heard_since = True
-
     def forget_lapsed(self, address: str) -> None:
         """Allow calls to a host whose latest answer was that it has no valid lease."""
         failure = self._failure_by_address.get(address)
@@ -121,13 +104,6 @@
         failure = self._failure_by_address.get(address)
         return failure is not None and failure.has_failed_as_leader
 
-    def is_silent(self, address: str) -> bool:
-        """Return whether a host did not answer the latest call, nor was heard since."""
-        failure = self._failure_by_address.get(address)
-        if failure is None:
-            return False
-        return failure.is_unresponsive and not failure.was_heard_since
-
     @property
     def paused_addresses(self) -> list[str]:
         """Return the hosts that are skipped now."""
--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -188,8 +188,6 @@
     """Cost that this host charged to the account without asking the leader."""
     grant_requests: int = 0
     """Number of grants requested from the leader."""
-    refused_start_id: str = ""
-    """The engine that refused the reservation for the latest grant, if any."""
     found_no_capacity: bool = False
     """Whether engines were usable but had no free capacity in time."""
     capacity_wait_forecast: float = 0.0
@@ -255,8 +253,6 @@
     pause, so that the engines' work so far would be lost."""
     check_backoff: Callable[[], None] = _always_accepted
     """Raises RequestRefusedError while all engines are in backoff."""
-    declined_start_ids: set[str] = field(default_factory=set)
-    """Granted engines that are not usable on this host."""
 
 
 # Retry-After in seconds if endpoints refused the request, within which an endpoint
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -285,6 +285,8 @@
         process.repeat(FORGET_SECONDS, self._crash_registry.forget_old)
         self._account_limits.start()
         self._endpoint_limits.start(process)
+        if self._admissions is not None:
+            self._admissions.start()
         observe_host(self._host_state)
         serve_metrics(self._settings.telemetry, self._telemetry, process)
         self._http.start(process)
--- a/src/jujubeslip/forwarding/_reservations.py
+++ b/src/jujubeslip/forwarding/_reservations.py
@@ -1,8 +1,5 @@
 """Reserves a slot and memory at a decode engine before the prompt is prefilled.
 
-Used while no control host answers, and to confirm a grant whose engine may run requests
-that the granting host does not know of.
-
 The engines' memory is the resource that runs out first. Prefilling a prompt for an
 engine without free capacity is wasted work, and a request admitted without capacity
 evicts another one in the middle of its answer, whose prompt is then prefilled again.
@@ -12,9 +9,8 @@
 
 import logging
 import threading
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 from dataclasses import dataclass
-from enum import Enum, auto
 
 from returns.result import Success
 
@@ -22,7 +18,7 @@
 from jujubeslip.discovery import Endpoint
 from jujubeslip.endpoints import ClientDisconnectedError, EndpointError
 from jujubeslip.forwarding._engine_reports import EngineReports
-from jujubeslip.forwarding._models import Attempts, CapacityRequest, ForwardContext
+from jujubeslip.forwarding._models import Attempts, ForwardContext
 from jujubeslip.forwarding._sender import EndpointSender
 from jujubeslip.forwarding._waiting_queue import WaitingQueue
 from jujubeslip.kernel import Deadline, Ran
@@ -39,9 +35,6 @@
 ROUND_PAUSE_SECONDS = 0.05
 # Maximum engines asked in one round.
 ENGINES_PER_ROUND = 3
-# For how long after a request in time found no capacity late ones leave enough memory
-# for such a request, in seconds.
-SHORTAGE_SECONDS = 1.0
 
 
 @dataclass(frozen=True)
@@ -52,22 +45,6 @@
     token: str
 
 
-@dataclass(frozen=True)
-class _Shortage:
-    """A request in time that found no capacity here."""
-
-    tokens: int
-    until: Deadline
-
-
-class WaitEnd(Enum):
-    """Why a wait at the engines ended without a reservation."""
-
-    NO_CAPACITY = auto()
-    HOME_ANSWERS = auto()
-    """A control host keeps the queue for capacity again, which is to be joined."""
-
-
 class Reservations:
     """Takes reservations for requests, in the order of their queue."""
 
@@ -79,7 +56,6 @@
         self._options = options
         self._reports = EngineReports(sender)
         self._queue_by_service: dict[str, WaitingQueue] = {}
-        self._shortage_by_service: dict[str, _Shortage] = {}
         self._lock = threading.Lock()
 
     def take(
@@ -89,12 +65,8 @@
         engine: EngineService,
         prompt: PromptShape,
         limit: Deadline,
-        home_answers: Callable[[], bool] = lambda: False,
-    ) -> Reservation | WaitEnd:
-        """Return a reservation, or why there is none.
-
-        The wait ends at the limit, or once a control host answers: a request that went
-        on asking engines beside the queue would take capacity from those in it.
+    ) -> Reservation | None:
+        """Return a reservation, None if there is no capacity before the limit.
 
         Raises RequestRefusedError once all engines are in backoff.
         """
@@ -103,15 +75,13 @@
         if is_wait_unservable(forecast, limit.remaining()):
             # Refused at once: waiting until the limit would only delay the refusal.
             attempts.note_no_capacity("no room in time", forecast)
-            return WaitEnd.NO_CAPACITY
+            return None
         with queue.enter(context) as ticket:
-            while queue.wait_for_turn(ticket, context, limit, home_answers):
+            while queue.wait_for_turn(ticket, context, limit):
                 self._sender.check_backoff(context, attempts, EndpointRole.DECODE)
                 if self._has_no_engine(context, attempts):
-                    return WaitEnd.NO_CAPACITY
+                    return None
                 reservation = self._ask_round(context, attempts, engine, prompt)
-                if reservation is None and not context.target_by.expired:
-                    self._note_shortage(context, prompt)
                 if reservation is not None:
                     queue.note_capacity_found()
                     attempts.note(reservation.endpoint.start_id, "room")
@@ -122,17 +92,8 @@
                     message = "The client closed its connection."
                     raise ClientDisconnectedError(message, Ran.NO)
                 self._pause()
-        if not limit.expired:
-            return WaitEnd.HOME_ANSWERS
         attempts.note_no_capacity("no room in time", forecast)
-        return WaitEnd.NO_CAPACITY
-
-    def confirm(
-        self, capacity_request: CapacityRequest, endpoint: Endpoint
-    ) -> Reservation | None:
-        """Return a reservation at the engine of a grant, None if it refuses."""
-        context, engine = capacity_request.context, capacity_request.engine
-        return self._reserve_at(context, endpoint, engine, capacity_request.prompt)
+        return None
 
     def _queue_for(self, service_name: str) -> WaitingQueue:
         with self._lock:
@@ -178,68 +139,22 @@
         prompt: PromptShape,
     ) -> Reservation | None:
         asked = set(attempts.tried)
-        is_late = context.target_by.expired
-        spare_tokens = self._spare_tokens(context) if is_late else 0
         for _ in range(ENGINES_PER_ROUND):
             endpoint = self._next_engine(context, asked)
             if endpoint is None:
                 return None
             asked.add(endpoint.start_id)
-            if spare_tokens and not self._has_spare(
-                context, endpoint, prompt, spare_tokens
-            ):
+            was_paused = self._sender.health.is_paused(endpoint.start_id)
+            growth = self._growth(context, endpoint, engine, prompt)
+            if not was_paused and self._sender.health.is_paused(endpoint.start_id):
+                # It just failed to report its state, so a reservation would fail, too.
                 continue
-            reservation = self._reserve_at(context, endpoint, engine, prompt)
-            if reservation is not None:
-                return reservation
+            tokens = prompt.prompt_tokens + growth
+            token = self._ask(context, endpoint, tokens, engine.reservation_ms)
+            if token:
+                return Reservation(endpoint, token)
         return None
 
-    def _note_shortage(self, context: ForwardContext, prompt: PromptShape) -> None:
-        tokens = prompt.prompt_tokens + prompt.expected_output_tokens
-        shortage = _Shortage(tokens, Deadline.after(SHORTAGE_SECONDS))
-        with self._lock:
-            self._shortage_by_service[context.service_name] = shortage
-
-    def _spare_tokens(self, context: ForwardContext) -> int:
-        """Return the memory that late requests leave free, in tokens."""
-        with self._lock:
-            shortage = self._shortage_by_service.get(context.service_name)
-        return 0 if shortage is None or shortage.until.expired else shortage.tokens
-
-    def _has_spare(
-        self,
-        context: ForwardContext,
-        endpoint: Endpoint,
-        prompt: PromptShape,
-        spare_tokens: int,
-    ) -> bool:
-        """Return whether an engine has memory for a prompt and for a request in time.
-
-        The other hosts' requests in time ask the same engine, and it can't tell late
-        requests from them.
-        """
-        report = self._reports.get(context, endpoint)
-        if report is None:
-            return False
-        free = report.capacity_tokens - report.used_tokens
-        return free >= prompt.prompt_tokens + spare_tokens
-
-    def _reserve_at(
-        self,
-        context: ForwardContext,
-        endpoint: Endpoint,
-        engine: EngineService,
-        prompt: PromptShape,
-    ) -> Reservation | None:
-        was_paused = self._sender.health.is_paused(endpoint.start_id)
-        growth = self._growth(context, endpoint, engine, prompt)
-        if not was_paused and self._sender.health.is_paused(endpoint.start_id):
-            # It just failed to report its state, so a reservation would fail, too.
-            return None
-        tokens = prompt.prompt_tokens + growth
-        token = self._ask(context, endpoint, tokens, engine.reservation_ms)
-        return Reservation(endpoint, token) if token else None
-
     def _next_engine(
         self, context: ForwardContext, asked: Collection[str]
     ) -> Endpoint | None:
--- a/src/jujubeslip/forwarding/_waiting_queue.py
+++ b/src/jujubeslip/forwarding/_waiting_queue.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 
 from jujubeslip.admission import urgency
@@ -62,29 +62,21 @@
             return ahead * self._interval
 
     def wait_for_turn(
-        self,
-        ticket: int,
-        context: ForwardContext,
-        limit: Deadline,
-        home_answers: Callable[[], bool],
+        self, ticket: int, context: ForwardContext, limit: Deadline
     ) -> bool:
-        """Wait until this request is next; return False if it has to stop waiting.
-
-        It stops at the limit, or once a control host answers, whose queue it joins.
+        """Wait until this request is next; return False if the limit comes first.
 
         Raises ClientDisconnectedError if the client disconnects.
         """
-        while not home_answers():
-            with self._changed:
-                if self._is_next(ticket):
-                    return True
+        with self._changed:
+            while not self._is_next(ticket):
                 self._changed.wait(CLIENT_CHECK_SECONDS)
                 if context.client_disconnected():
                     message = "The client closed its connection."
                     raise ClientDisconnectedError(message, Ran.NO)
                 if limit.expired:
                     return False
-        return False
+        return True
 
     def note_capacity_found(self) -> None:
         """Record that a request has found capacity, for the forecast."""
--- a/src/jujubeslip/peers/gen/ttypes.py
+++ b/src/jujubeslip/peers/gen/ttypes.py
@@ -3712,13 +3712,11 @@
      - account_cost
      - priority
      - sharing_account
-     - interim
-     - refused_start_id
 
     """
 
 
-    def __init__(self, request_id=None, service_name=None, prompt_tokens=None, maximum_events=None, event_tokens=None, expected_events=None, slots=None, target_remaining_ms=None, limit_remaining_ms=None, wait_ms=None, avoided_start_ids=None, reads_itself=None, attempt=None, availability_zone=None, maximum_gap_ms=None, account_name=None, account_cost=None, priority=None, sharing_account=None, interim=None, refused_start_id=None,):
+    def __init__(self, request_id=None, service_name=None, prompt_tokens=None, maximum_events=None, event_tokens=None, expected_events=None, slots=None, target_remaining_ms=None, limit_remaining_ms=None, wait_ms=None, avoided_start_ids=None, reads_itself=None, attempt=None, availability_zone=None, maximum_gap_ms=None, account_name=None, account_cost=None, priority=None, sharing_account=None,):
         self.request_id = request_id
         self.service_name = service_name
         self.prompt_tokens = prompt_tokens
@@ -3738,8 +3736,6 @@
         self.account_cost = account_cost
         self.priority = priority
         self.sharing_account = sharing_account
-        self.interim = interim
-        self.refused_start_id = refused_start_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3850,16 +3846,6 @@
                     self.sharing_account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 20:
-                if ftype == TType.BOOL:
-                    self.interim = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 21:
-                if ftype == TType.STRING:
-                    self.refused_start_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3949,14 +3935,6 @@
             oprot.writeFieldBegin('sharing_account', TType.STRING, 19)
             oprot.writeString(self.sharing_account.encode('utf-8') if sys.version_info[0] == 2 else self.sharing_account)
             oprot.writeFieldEnd()
-        if self.interim is not None:
-            oprot.writeFieldBegin('interim', TType.BOOL, 20)
-            oprot.writeBool(self.interim)
-            oprot.writeFieldEnd()
-        if self.refused_start_id is not None:
-            oprot.writeFieldBegin('refused_start_id', TType.STRING, 21)
-            oprot.writeString(self.refused_start_id.encode('utf-8') if sys.version_info[0] == 2 else self.refused_start_id)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3983,18 +3961,16 @@
      - forecast_ms
      - reader_start_id
      - read_ms
-     - needs_reservation
 
     """
 
 
-    def __init__(self, status=None, start_id=None, forecast_ms=None, reader_start_id=None, read_ms=None, needs_reservation=None,):
+    def __init__(self, status=None, start_id=None, forecast_ms=None, reader_start_id=None, read_ms=None,):
         self.status = status
         self.start_id = start_id
         self.forecast_ms = forecast_ms
         self.reader_start_id = reader_start_id
         self.read_ms = read_ms
-        self.needs_reservation = needs_reservation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4030,11 +4006,6 @@
                     self.read_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.BOOL:
-                    self.needs_reservation = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4065,10 +4036,6 @@
             oprot.writeFieldBegin('read_ms', TType.I32, 5)
             oprot.writeI32(self.read_ms)
             oprot.writeFieldEnd()
-        if self.needs_reservation is not None:
-            oprot.writeFieldBegin('needs_reservation', TType.BOOL, 6)
-            oprot.writeBool(self.needs_reservation)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -7830,8 +7797,6 @@
     (17, TType.DOUBLE, 'account_cost', None, None, ),  # 17
     (18, TType.I32, 'priority', None, None, ),  # 18
     (19, TType.STRING, 'sharing_account', 'UTF8', None, ),  # 19
-    (20, TType.BOOL, 'interim', None, None, ),  # 20
-    (21, TType.STRING, 'refused_start_id', 'UTF8', None, ),  # 21
 )
 all_structs.append(AdmissionReply)
 AdmissionReply.thrift_spec = (
@@ -7841,7 +7806,6 @@
     (3, TType.I32, 'forecast_ms', None, None, ),  # 3
     (4, TType.STRING, 'reader_start_id', 'UTF8', None, ),  # 4
     (5, TType.I32, 'read_ms', None, None, ),  # 5
-    (6, TType.BOOL, 'needs_reservation', None, None, ),  # 6
 )
 all_structs.append(PoolLoan)
 PoolLoan.thrift_spec = (
--- a/src/jujubeslip/peers/jujubeslip.thrift
+++ b/src/jujubeslip/peers/jujubeslip.thrift
@@ -420,7 +420,7 @@
   3: i32 prompt_ms_per_second,
 }
 
-// Asks the leader, or without one another control host, for a grant at an engine.
+// Asks the leader for a grant at an engine that answers.
 struct AdmissionRequest {
   1: string request_id,
   2: string service_name,
@@ -454,10 +454,6 @@
   18: optional i32 priority,
   // The client account among which engines are shared; empty where there is none.
   19: optional string sharing_account,
-  // Its host finds no leader: a control host that hears none may decide.
-  20: optional bool interim,
-  // The engine that refused the reservation for the attempt before, empty if none did.
-  21: optional string refused_start_id,
 }
 
 struct AdmissionReply {
@@ -470,9 +466,6 @@
   4: string reader_start_id,
   // How long that should take.
   5: i32 read_ms,
-  // Requests that this control host doesn't know of may run at the engine: a
-  // reservation there has to confirm the grant.
-  6: optional bool needs_reservation,
 }
 
 // What a host let an account spend, in the limit's unit; below 0 it gives back.
--- a/tests/admission/test_home.py
+++ b/tests/admission/test_home.py
@@ -77,8 +77,8 @@
         request = AdmissionRequest(
             "r-1", "model", 100, 130, 65, 0, 64, 900, 600, 0, [], attempt=1
         )
-        # The first call waits for the reports, as a refusal would make its host skip
-        # this one.
+        with pytest.raises(PeerRefusal):
+            home.admit(request)
         reply = home.admit(request)
         assert reply.status == AdmissionStatus.ADMITTED
         assert (reply.start_id, reply.reader_start_id) == ("engine", "reader")
@@ -111,7 +111,8 @@
         request = AdmissionRequest(
             "r-1", "model", 100, 130, 65, 0, 64, 900, 600, 0, [], attempt=1
         )
-        assert home.admit(request).status == AdmissionStatus.WAITING
+        with pytest.raises(PeerRefusal):
+            home.admit(request)
         assert polled == ["known"]
 
 
--- a/tests/forwarding/test_endpoint_starts.py
+++ b/tests/forwarding/test_endpoint_starts.py
@@ -20,7 +20,7 @@
 from jujubeslip.forwarding._grants import Grant
 from jujubeslip.forwarding._health import EndpointHealth
 from jujubeslip.forwarding._leader_contact import LeaderContact
-from jujubeslip.forwarding._models import Attempts, CapacityRequest
+from jujubeslip.forwarding._models import Attempts
 from jujubeslip.forwarding._prefill import Prefiller, PromptLocation
 from jujubeslip.forwarding._pressure import Pressures
 from jujubeslip.forwarding._quarantine import Quarantine
@@ -119,9 +119,7 @@
     @pytest.mark.parametrize(("granted", "known"), [(FIRST, SECOND), (SECOND, FIRST)])
     def test_is_returned(self, granted: int, known: int) -> None:
         class LeaderOfThatStart(Leader):
-            def ask(self, asked: CapacityRequest) -> AdmissionAnswer:
-                if asked.declined_start_ids:
-                    return AdmissionAnswer("", "", 0.0)
+            def ask(self, *_: object) -> AdmissionAnswer:
                 return AdmissionAnswer(start(granted).start_id, "", 0.0, 0.1)
 
         leader = LeaderOfThatStart()
--- a/tests/forwarding/test_grants.py
+++ b/tests/forwarding/test_grants.py
@@ -11,7 +11,7 @@
 from jujubeslip.discovery import Endpoint, EndpointRegistry
 from jujubeslip.forwarding._admissions import AdmissionAnswer
 from jujubeslip.forwarding._grants import Grant, Grants, _wait_limit
-from jujubeslip.forwarding._models import Attempts, CapacityRequest
+from jujubeslip.forwarding._models import Attempts
 from jujubeslip.kernel import Deadline
 from jujubeslip.peers import EndpointRole
 from tests.fakes.engines import engine
@@ -26,20 +26,18 @@
 
 
 class Leader:
-    """Grants the same engines to every request, unless its host has declined them."""
+    """Grants the same decode and prefill engine to every request."""
 
     def __init__(self) -> None:
         self.ended: list[tuple[str, int]] = []
 
-    def ask(self, asked: CapacityRequest) -> AdmissionAnswer:
-        if "engine" in asked.declined_start_ids:
-            return AdmissionAnswer("", "", 0.0)
+    def ask(self, *_: object) -> AdmissionAnswer:
         return AdmissionAnswer("engine", "reader", 0.0, 0.1)
 
-    def report_prefilled(self, request_id: str, attempt: int, address: str) -> None:
+    def report_prefilled(self, request_id: str, attempt: int) -> None:
         raise AssertionError("no prompt was prefilled")
 
-    def end(self, request_id: str, attempt: int, address: str) -> None:
+    def end(self, request_id: str, attempt: int) -> None:
         self.ended.append((request_id, attempt))
 
 
--- a/tests/forwarding/test_reservations.py
+++ b/tests/forwarding/test_reservations.py
@@ -14,7 +14,7 @@
 from jujubeslip.admission import MemoryOptions
 from jujubeslip.discovery import Endpoint, EndpointRegistry
 from jujubeslip.forwarding._models import Attempts
-from jujubeslip.forwarding._reservations import Reservation, Reservations, WaitEnd
+from jujubeslip.forwarding._reservations import Reservation, Reservations
 from jujubeslip.kernel import Deadline, load_plugins
 from jujubeslip.peers import EndpointRole
 from jujubeslip.platform._endpoint_calls import read_head
@@ -77,8 +77,7 @@
         sender.health.note_unreachable(paused)
     began = time.monotonic()
     found = reservations.take(context, Attempts(), engine_service, PROMPT, limit)
-    seconds = time.monotonic() - began
-    return (found if isinstance(found, Reservation) else None), seconds
+    return found, time.monotonic() - began
 
 
 class TestPartitionedZone:
@@ -152,50 +151,3 @@
         context: Any = SimpleNamespace(request=request)
         reservations.release(context, Reservation(own, "r1"))
         assert ("r1" in near.reservations) == bool(backoff)
-
-
-class TestLateRequestWithoutALeader:
-    """Guards against late requests that take memory from those in time at other hosts.
-
-    Hosts that find no control host ask the engines in no common order.
-    """
-
-    def reserve_late(
-        self, near: PlatformWorker, free: int, after_shortage: bool
-    ) -> Reservation | WaitEnd:
-        registry = EndpointRegistry()
-        registry.merge([at(near.address, "near", OWN_ZONE)])
-        reservations = Reservations(build_sender(registry), OPTIONS, OWN_ZONE)
-        near.reservations["others"] = near.capacity - free
-        if after_shortage:
-            near.faults.no_room = 1_000_000
-            assert self.take(reservations, target_seconds=0.9) is WaitEnd.NO_CAPACITY
-            near.faults.no_room = 0
-        return self.take(reservations, target_seconds=-1.0)
-
-    def take(
-        self, reservations: Reservations, target_seconds: float
-    ) -> Reservation | WaitEnd:
-        context: Any = SimpleNamespace(
-            request=SimpleNamespace(request_id="r-1"),
-            service_name="model",
-            target_by=Deadline.after(target_seconds),
-            rank=0,
-            client_disconnected=lambda: False,
-        )
-        engine_service = EngineService(slots=8, reservation_ms=2000)
-        return reservations.take(
-            context, Attempts(), engine_service, PROMPT, Deadline.after(0.3)
-        )
-
-    def test_leaves_memory_for_one_in_time(self, near: PlatformWorker) -> None:
-        free = 2 * PROMPT.prompt_tokens - 1
-        assert self.reserve_late(near, free, True) is WaitEnd.NO_CAPACITY
-
-    def test_takes_memory_beyond_that(self, near: PlatformWorker) -> None:
-        free = 2 * PROMPT.prompt_tokens
-        assert isinstance(self.reserve_late(near, free, True), Reservation)
-
-    def test_takes_memory_that_nobody_lacked(self, near: PlatformWorker) -> None:
-        free = PROMPT.prompt_tokens
-        assert isinstance(self.reserve_late(near, free, False), Reservation)
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -317,8 +317,7 @@
 
         def asked() -> int:
             own = [worker.system_calls.count("reserve") for worker in engines.decode]
-            # Reservations may confirm the grants of the leader.
-            return max(sum(own), grants_at(system, engines) - given_before)
+            return sum(own) + grants_at(system, engines) - given_before
 
         wait_until(lambda: asked() >= 2, "capacity for both is on record")
         assert asked() == 2
