--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -214,15 +214,35 @@
         assert self.process is not None
         self.process.send_signal(number)
 
+    def change_settings(self, old: str, new: str) -> None:
+        """Change a line of the settings file, for the next start."""
+        text = self._settings_path.read_text(encoding="utf-8")
+        assert old in text
+        self._settings_path.write_text(text.replace(old, new), encoding="utf-8")
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
     def kill(self) -> None:
         """End the process, if it runs."""
         if self.process is not None:
             self.process.kill()
             self.process.wait()
 
-    def log_lines(self, text: str) -> int:
-        """Return how many lines of its log hold the text."""
-        return self._log_path.read_text(encoding="utf-8").count(text)
+    def memory_mb(self) -> float:
+        """Return the memory that the process uses, 0 if it doesn't run."""
+        if self.process is None or self.process.poll() is not None:
+            return 0.0
+        try:
+            status = Path(f"/proc/{self.process.pid}/status").read_text()
+        except OSError:
+            return 0.0
+        for line in status.splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / 1024
+        return 0.0
 
 
 CONTROL_SETTINGS = """\
@@ -404,6 +424,24 @@
             time.sleep(0.2)
         raise CaseNotRunError(f"config {config['version']} was not acknowledged")
 
+    def try_config(self, config: dict[str, Any], number: int) -> int:
+        """Send a config to one control machine; return the status, 0 without one."""
+        body = json.dumps(config).encode()
+        address = self.control_addresses[number]
+        try:
+            answer = call(address, "PUT", "/config", body, seconds=1.0)
+        except OSError:
+            answer = None
+        status = 0 if answer is None else answer.status
+        self.record.note(
+            f"operator sends config {config['version']} to core-{number}: {status}"
+        )
+        return status
+
+    def ready_count(self) -> int:
+        """Return how many front machines say that they are ready."""
+        return sum(map(_is_ready, self.ready_addresses))
+
     def wait_until_ready(self, seconds: float = 20.0) -> None:
         """Wait until each front machine says that it is ready."""
         until = time.monotonic() + seconds
