--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -497,6 +497,10 @@
         line = request.first_line.removesuffix(" HTTP/1.1")
         self._system.record.note(f"worker {self.worker_id} runs {request_id} {line}")
 
+    def note(self, text: str) -> None:
+        """Add a line to the record."""
+        self._system.record.note(text)
+
     def _send_heartbeats(self) -> None:
         turn = 0
         while True:
