--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,9 +1,11 @@
-"""A route that a later config adds is never served: a stream of a plain service."""
+"""A worker that has signed off is taken up again from a machine that is cut off."""
 
 from __future__ import annotations
 
+import json
 import socket
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -11,96 +13,207 @@
 sys.path.insert(0, str(FOLDER.parent / "common-2"))
 
 from stand_ins import (  # noqa: E402
-    CONFIG_APPLY_SECONDS,
-    STAMP,
+    BEAT_SECONDS,
+    CONTACT_SECONDS,
     CaseNotRunError,
     Message,
     Record,
     System,
     Worker,
     answer_at_once,
-    ask,
+    call,
+    client_headers,
     plain_config,
-    route,
     run_case,
 )
 
 CORE_MACHINES = 3
 FRONT_MACHINES = 7
-WORKERS = 3
-REQUESTS = 42
-EVENTS = 5
-# Workers have announced themselves several times by then.
-STEADY_SECONDS = 10.0
+# One worker of seven crashes, a share of 0.14.
+WORKERS = 7
+ORDERS_PER_SECOND = 23.0
+WORK_SECONDS = 0.09
+DRAIN_SECONDS = 2.0
+# All times are in seconds after the cut.
+CUT_SECONDS = 6.1
+STARTS_AGAIN_AT = 2.5
+LEAVES_AT = CONTACT_SECONDS + 0.2
+LATEST_ACK_AT = CUT_SECONDS - DRAIN_SECONDS - 0.3
+HEARTBEAT_ARRIVES_AT = 4.5
+EXITS_AT = 6.0
+
+
+def work(worker: Worker, connection: socket.socket, request: Message) -> bool:
+    """Work on a request for a moment and answer it."""
+    time.sleep(WORK_SECONDS)
+    return answer_at_once(worker, connection, request)
+
+
+class Case:
+    """One worker that starts again and leaves, beside six that stay."""
+
+    def __init__(self, system: System, with_trouble: bool) -> None:
+        self._system = system
+        self._with_trouble = with_trouble
+        self._leaves = threading.Event()
+        self._cut_at = 0.0
+        self._acked_at = 0.0
+        self._born = int(time.time() * 1000)
+
+    def play(self) -> bool:
+        """Play the case; return whether no request came too late."""
+        self._start()
+        orders = threading.Thread(target=self._place_orders, daemon=True)
+        worker = Worker(
+            self._system, "rota-desk", work, "i-leaves", self._born, beats=False
+        )
+        self._beat(worker)
+        time.sleep(3.0)
+        self._cut_at = self._system.record.now + 1.0
+        orders.start()
+        if self._with_trouble:
+            worker = self._start_again(worker)
+        self._wait_until(LEAVES_AT)
+        self._sign_off(worker)
+        self._wait_until(EXITS_AT)
+        worker.end()
+        self._system.record.note("worker i-leaves exits")
+        self._heal()
+        orders.join()
+        return self._check(worker)
+
+    def _start(self) -> None:
+        self._system.start()
+        config = plain_config(1, ["/kept/"])
+        order = {"name": "r-order", "pathPrefix": "/order/", "kind": "unsafe"}
+        config["routes"].append({**config["routes"][0], **order, "maxAttempts": 1})
+        self._system.put_config(config)
+        for _ in range(WORKERS - 1):
+            Worker(self._system, "rota-desk", work)
+        self._system.wait_until_ready()
+
+    def _wait_until(self, seconds: float) -> None:
+        time.sleep(max(self._cut_at + seconds - self._system.record.now, 0.0))
+
+    def _beat(self, worker: Worker) -> None:
+        """Let a worker send its heartbeats until it crashes or leaves."""
+
+        def send() -> None:
+            while not self._leaves.is_set():
+                body = worker.next_entry()
+                for number in range(CORE_MACHINES):
+                    if worker.send_heartbeat(number, body):
+                        break
+                self._leaves.wait(BEAT_SECONDS)
+
+        threading.Thread(target=send, daemon=True).start()
+
+    def _start_again(self, worker: Worker) -> Worker:
+        """Crash the worker, cut core-2 off, and start the worker under its id."""
+        record = self._system.record
+        self._leaves.set()
+        worker.end()
+        record.note("worker i-leaves crashes")
+        self._wait_until(0.0)
+        first, second, third = self._system.links
+        first.cut = second.cut = {"core-2"}
+        third.cut = {"core-0", "core-1"}
+        record.note("core-2 is cut off from core-0 and core-1")
+        self._wait_until(STARTS_AGAIN_AT)
+        self._born = int(time.time() * 1000)
+        again = Worker(
+            self._system, "rota-desk", work, "i-leaves", self._born, beats=False
+        )
+        late = threading.Thread(
+            target=self._deliver, args=(again, again.next_entry()), daemon=True
+        )
+        late.start()
+        record.note("worker i-leaves starts again, sends its heartbeat to core-2")
+        return again
+
+    def _deliver(self, worker: Worker, body: bytes) -> None:
+        """Let the first heartbeat of the worker arrive late."""
+        self._wait_until(HEARTBEAT_ARRIVES_AT)
+        acked = worker.send_heartbeat(2, body)
+        self._system.record.note(f"heartbeat of i-leaves arrives at core-2: {acked}")
+
+    def _sign_off(self, worker: Worker) -> None:
+        """Sign off at a control machine, the next one after a second without ack."""
+        self._leaves.set()
+        record = self._system.record
+        body = json.dumps({"born": self._born}).encode()
+        for number in (0, 1, 0, 1):
+            record.note(f"worker i-leaves signs off at core-{number}")
+            address = self._system.control_addresses[number]
+            path = f"/instances/{worker.worker_id}"
+            try:
+                answer = call(address, "DELETE", path, body, seconds=1.0)
+            except OSError:
+                answer = None
+            if answer is not None and answer.status == 200:
+                break
+        else:
+            raise CaseNotRunError("the sign-off was not acknowledged")
+        self._acked_at = record.now
+        record.note("sign-off acknowledged")
+        if self._acked_at - self._cut_at > LATEST_ACK_AT:
+            raise CaseNotRunError("the sign-off was acknowledged too late")
+
+    def _heal(self) -> None:
+        self._wait_until(CUT_SECONDS)
+        for link in self._system.links:
+            link.cut = set()
+        self._system.record.note("the cut is over")
+
+    def _place_orders(self) -> None:
+        """Place orders, one machine after the other, until the worker has left."""
+        until = self._cut_at + EXITS_AT
+        number = 0
+        while self._system.record.now < until:
+            number += 1
+            threading.Thread(target=self._place, args=(number,), daemon=True).start()
+            time.sleep(1 / ORDERS_PER_SECOND)
+        time.sleep(2.0)
+
+    def _place(self, number: int) -> None:
+        headers = client_headers()
+        request_id = headers[1][1]
+        record, front = self._system.record, number % FRONT_MACHINES
+        record.note(f"client sends {request_id} POST /order/{number} to front-{front}")
+        address = self._system.front_addresses[front]
+        path = f"/order/{number}"
+        try:
+            answer = call(address, "POST", path, b"order", headers, 3.0)
+        except OSError:
+            answer = None
+        status = 0 if answer is None else answer.status
+        record.note(f"client gets {request_id} {status}")
+
+    def _check(self, worker: Worker) -> bool:
+        """Record which requests came too late; return whether none did.
+
+        Runs are recorded after the work on them.
+        """
+        late_from = self._acked_at + DRAIN_SECONDS
+        late = [
+            f"{request_id} {at - WORK_SECONDS - self._acked_at:.2f} s after the ack"
+            for request_id, at in zip(worker.runs, worker.run_times, strict=True)
+            if at - WORK_SECONDS > late_from
+        ]
+        for line in late:
+            self._system.record.note(f"too late: {line}")
+        self._system.record.note(f"requests too late: {len(late)}")
+        return not late
 
 
 def case(record: Record, with_trouble: bool) -> bool:
-    """Return whether routes that were added later are served like the first ones."""
+    """Return whether no request reached the worker later than `drainMs`."""
     system = System(record, CORE_MACHINES, FRONT_MACHINES)
     try:
-        system.start()
-        return play(system, with_trouble)
+        return Case(system, with_trouble).play()
     finally:
         system.close()
 
 
-def play(system: System, with_trouble: bool) -> bool:
-    """Serve the first route, add one by a config, and count what is served."""
-    system.put_config(plain_config(1, ["/kept/"]))
-    for _ in range(WORKERS):
-        Worker(system, "rota-desk", answer)
-    system.wait_until_ready()
-    time.sleep(STEADY_SECONDS)
-    if with_trouble:
-        system.put_config(later_config())
-        time.sleep(CONFIG_APPLY_SECONDS + STEADY_SECONDS)
-    first = count_served(system, "/kept/x")
-    if first < REQUESTS:
-        raise CaseNotRunError(f"only {first} requests on the first route were served")
-    later = count_served(system, "/events/x") if with_trouble else first
-    system.record.note(f"served of {REQUESTS}: first {first}, later {later}")
-    return later >= first / 4
-
-
-def later_config() -> dict[str, object]:
-    """Return the first config with one more route to the same service."""
-    config = plain_config(2, ["/kept/"])
-    stream = route("r-events", "/events/", "rota-desk", "stream")
-    stream |= {"timeoutMs": 14000, "sloMs": 900, "gapSloMs": 300}
-    config["routes"].append(stream)
-    return config
-
-
-def answer(worker: Worker, connection: socket.socket, request: Message) -> bool:
-    """Answer at once, on the added route with a series of events."""
-    if " /events/" not in request.first_line:
-        return answer_at_once(worker, connection, request)
-    request_id = request.header("Request-Id")
-    worker.note_run(request_id, request)
-    head = (
-        "HTTP/1.1 200 OK",
-        f"Request-Id: {request_id}",
-        f"Server-Stamp: {STAMP}",
-        "Content-Type: text/event-stream",
-        "Transfer-Encoding: chunked",
-    )
-    connection.sendall(("\r\n".join(head) + "\r\n\r\n").encode())
-    for number in range(EVENTS):
-        event = f"id: {number + 1}\ndata: arrival\n\n".encode()
-        connection.sendall(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-        time.sleep(0.02)
-    connection.sendall(b"0\r\n\r\n")
-    return True
-
-
-def count_served(system: System, path: str) -> int:
-    """Send requests to all front machines in turn; return how many succeed."""
-    served = 0
-    for number in range(REQUESTS):
-        served += ask(system, number % FRONT_MACHINES, path) == 200
-        time.sleep(0.1)
-    return served
-
-
 if __name__ == "__main__":
     sys.exit(run_case(FOLDER, case))
--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -357,15 +357,16 @@
     control_addresses: list[str] = field(default_factory=list)
     front_addresses: list[str] = field(default_factory=list)
     ready_addresses: list[str] = field(default_factory=list)
+    peers: list[str] = field(default_factory=list)
     links: list[Link] = field(default_factory=list)
     controls: list[Machine] = field(default_factory=list)
     fronts: list[Machine] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         """Write the settings of all machines."""
-        peers = [free_address() for _ in range(self.core)]
-        seeds = json.dumps(peers[:3])
-        for number, peer in enumerate(peers):
+        self.peers = [free_address() for _ in range(self.core)]
+        seeds = json.dumps(self.peers[:3])
+        for number, peer in enumerate(self.peers):
             listen, http = free_address(), free_address()
             self.links.append(Link(peer, listen))
             self.control_addresses.append(http)
@@ -478,22 +479,46 @@
     """A worker of a plain service, which sends heartbeats and serves requests."""
 
     def __init__(
-        self, system: System, service: str, answer: Answer = answer_at_once
+        self,
+        system: System,
+        service: str,
+        answer: Answer = answer_at_once,
+        worker_id: str = "",
+        born: int = 0,
+        beats: bool = True,
     ) -> None:
-        self.worker_id = f"i-{uuid.uuid4().hex[:8]}"
+        """Start the worker; without `beats` it sends no heartbeats by itself."""
+        self.worker_id = worker_id or f"i-{uuid.uuid4().hex[:8]}"
         self.service = service
+        self._born = born
         self._system = system
         self._answer = answer
         self._listener = socket.create_server((HOST, 0), backlog=256)
         self.address = f"{HOST}:{self._listener.getsockname()[1]}"
         self._sequence = 0
+        self._is_open = True
+        self._connections: set[socket.socket] = set()
         self.runs: list[str] = []
+        self.run_times: list[float] = []
+        """When each run began, in seconds since the case began."""
         threading.Thread(target=self._accept, daemon=True).start()
-        threading.Thread(target=self._send_heartbeats, daemon=True).start()
+        if beats:
+            threading.Thread(target=self._send_heartbeats, daemon=True).start()
+
+    def end(self) -> None:
+        """End the process: its port and its connections close."""
+        self._is_open = False
+        self._listener.close()
+        for connection in list(self._connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
 
     def note_run(self, request_id: str, request: Message) -> None:
         """Record that the worker has begun to work on a request."""
         self.runs.append(request_id)
+        self.run_times.append(self._system.record.now)
         line = request.first_line.removesuffix(" HTTP/1.1")
         self._system.record.note(f"worker {self.worker_id} runs {request_id} {line}")
 
@@ -501,39 +526,51 @@
         """Add a line to the record."""
         self._system.record.note(text)
 
+    def next_entry(self) -> bytes:
+        """Return the body of the next heartbeat."""
+        self._sequence += 1
+        entry = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self._system.zones[0],
+            "version": "v1",
+            "slots": 6,
+            "state": "ready",
+            "coldLeftMs": 0,
+            "seq": self._sequence,
+        }
+        return json.dumps(entry | ({"born": self._born} if self._born else {})).encode()
+
+    def send_heartbeat(self, number: int, body: bytes) -> bool:
+        """Send a heartbeat to one control machine; return whether it acknowledges."""
+        path = f"/instances/{self.worker_id}"
+        address = self._system.control_addresses[number]
+        try:
+            answer = call(address, "PUT", path, body, seconds=1.0)
+        except OSError:
+            return False
+        return answer is not None and answer.status == 200
+
     def _send_heartbeats(self) -> None:
-        turn = 0
-        while True:
-            self._sequence += 1
-            entry = {
-                "service": self.service,
-                "address": self.address,
-                "zone": self._system.zones[0],
-                "version": "v1",
-                "slots": 6,
-                "state": "ready",
-                "coldLeftMs": 0,
-                "seq": self._sequence,
-            }
-            body = json.dumps(entry).encode()
+        number = 0
+        while self._is_open:
+            body = self.next_entry()
             for _ in self._system.control_addresses:
-                address = self._system.control_addresses[turn % self._system.core]
-                try:
-                    path = f"/instances/{self.worker_id}"
-                    answer = call(address, "PUT", path, body, seconds=1.0)
-                except OSError:
-                    answer = None
-                if answer is not None and answer.status == 200:
+                if self.send_heartbeat(number % self._system.core, body):
                     break
-                turn += 1
+                number += 1
             time.sleep(BEAT_SECONDS)
 
     def _accept(self) -> None:
-        while True:
-            caller, _ = self._listener.accept()
+        while self._is_open:
+            try:
+                caller, _ = self._listener.accept()
+            except OSError:
+                return
             threading.Thread(target=self._serve, args=(caller,), daemon=True).start()
 
     def _serve(self, connection: socket.socket) -> None:
+        self._connections.add(connection)
         with connection, connection.makefile("rb") as file:
             try:
                 while (request := read_message(file, False)) is not None:
