--- a/review/6/case.py
+++ b/review/6/case.py
@@ -29,8 +29,8 @@
 
 CORE_MACHINES = 4
 FRONT_MACHINES = 7
-# One worker of seven is grey, a share of 0.14, and fails 0.4 of its requests.
-WORKERS = 7
+# One worker of eight is grey, a share of 0.125, and fails 0.4 of its requests.
+WORKERS = 8
 FAILED_SHARE = 0.4
 TROUBLE_SECONDS = 6.0
 DEADLINE_MS = 1500
--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -679,9 +679,9 @@
     record.note(f"disruption: {'yes' if with_trouble else 'no'}")
     try:
         held = case(record, with_trouble)
-    except (CaseNotRunError, OSError) as error:
-        record.note(f"not run: {error}")
-        print(f"not run: {error}")
+    except Exception as error:
+        record.note(f"not run: {error!r}")
+        print(f"not run: {error!r}")
         return 2
     record.note("the rule held" if held else "the rule was broken")
     print("the rule held" if held else "the rule was broken")
