Forwarding: an endpoint's 408, 429 or 503 promises "not run" only if it says so

What callers saw: a worker ran an order of an unsafe route and answered 503 without Not-Run.

Cause: whether a request has run was decided by the header of the answer, and what the client is told by its status. An answer without the header was delivered with whatever status it had, on whole answers and on streams before their first event, direct and relayed; 408 and 429 even counted as successes. Ruled out: a refusal of the host itself (the 503 bears the worker's stamp), a late second answer (each request has one answer in the record), the relay (direct requests fail, too).

Change: the adapter says which statuses clients read as "not run". An answer with one of them that doesn't state it raises RefusalUnprovenError, as any error after which the request may have run: another endpoint gets it if the route allows that, else the client gets 502 without a stamp and Retry-After.

Why it works: the 503 of the host itself is given only if no endpoint may have run the request, and no answer of an endpoint with such a status is delivered any more.

--- a/soak/_schedule.py
+++ b/soak/_schedule.py
@@ -48,6 +48,7 @@
     "slow": (0.5, 4.0),
     "late answers": (0.3, 2.0),
     "spoiled answers": (0.3, 2.0),
+    "busy answers": (0.3, 2.0),
 }
 # How long a host is down or paused, in seconds: the range includes times shorter and
 # longer than an election and than the 1.2 s after which a silent connection is closed.
@@ -320,6 +321,11 @@
     return AnswersSpoiled(at, track, endpoint, "refuse_twice", rng.choice((1, 5, 20)))
 
 
+def _busy_answers(rng: random.Random, at: float, track: str) -> Fault:
+    endpoint = rng.choice((*PLAIN_ENDPOINTS, *DECODE_ENDPOINTS))
+    return AnswersSpoiled(at, track, endpoint, "busy", rng.choice((1, 5, 20)))
+
+
 def _any_link_fault(rng: random.Random, at: float, track: str) -> Fault:
     links = [
         *(f"client>{entry}" for entry in ENTRIES),
@@ -394,4 +400,5 @@
     "slow": _slowness,
     "late answers": _late_answers,
     "spoiled answers": _damaged_answers,
+    "busy answers": _busy_answers,
 }
--- a/src/jujubeslip/endpoints/__init__.py
+++ b/src/jujubeslip/endpoints/__init__.py
@@ -27,6 +27,7 @@
     EndpointsOutOfReachError,
     EndpointTimeoutError,
     EndpointUnreachableError,
+    RefusalUnprovenError,
 )
 from jujubeslip.endpoints._models import (
     CacheEvent,
@@ -69,6 +70,7 @@
     "Interrupted",
     "PlainAnswer",
     "PrefillResult",
+    "RefusalUnprovenError",
     "RequestRef",
     "announcement_from_json",
     "call_plain_service",
--- a/src/jujubeslip/endpoints/_errors.py
+++ b/src/jujubeslip/endpoints/_errors.py
@@ -63,6 +63,19 @@
         self.may_have_run = may_have_run
 
 
+class RefusalUnprovenError(EndpointError):
+    """The status tells clients that nothing ran, but the endpoint doesn't state it."""
+
+    error_id = "refusal_unproven"
+    default_remedy = "Look in the endpoint's log whether it has run the request."
+
+    def __init__(self, address: str, status: int) -> None:
+        super().__init__(
+            f"{address}: it answered {status}, and may have run the request."
+        )
+        self.status = status
+
+
 class EndpointReplacedError(EndpointRefusedError):
     """Another endpoint, or another start of it, answers at the address."""
 
--- a/src/jujubeslip/forwarding/_exchange.py
+++ b/src/jujubeslip/forwarding/_exchange.py
@@ -20,6 +20,7 @@
     EndpointReplacedError,
     EndpointRoleError,
     Interrupted,
+    RefusalUnprovenError,
     never_interrupted,
 )
 from jujubeslip.forwarding._unproven_answers import record_unproven_answer
@@ -180,6 +181,17 @@
         self.keep_connection()
         return body
 
+    def check_refusal(self) -> None:
+        """Raise RefusalUnprovenError if the status alone tells that nothing ran.
+
+        The client would send its request again, and the endpoint may have run it.
+        """
+        head = self._head
+        if head is None or head.not_run or not head.reads_as_not_run:
+            return
+        with self.recorded_errors():
+            raise RefusalUnprovenError(self._endpoint.address, head.status)
+
     @property
     def is_relayed(self) -> bool:
         """Return whether another entry host relays the request."""
@@ -280,10 +292,13 @@
 
     @contextmanager
     def recorded_errors(self) -> Iterator[None]:
-        """Record an answer that turns out not to be whole, valid or this request's."""
+        """Record an answer that turns out not to be whole, valid or this request's.
+
+        An unproven refusal is recorded, too.
+        """
         try:
             yield
-        except (AnswerCutError, EndpointAnswerError) as error:
+        except (AnswerCutError, EndpointAnswerError, RefusalUnprovenError) as error:
             assert self._sent_over is not None
             record_unproven_answer(
                 self._request, self._endpoint, self._sent_over, self._answer, error
--- a/src/jujubeslip/forwarding/_sender.py
+++ b/src/jujubeslip/forwarding/_sender.py
@@ -274,6 +274,17 @@
         """Raise AnswerCutError if it may have ended only because its endpoint did."""
         check_end(endpoint, exchange, self.crashes.has_ended)
 
+    def read_deliverable(self, endpoint: Endpoint, exchange: Exchange) -> bytes:
+        """Return the body of an answer that may be delivered to the client.
+
+        Raises EndpointError if the answer isn't whole, or if it would tell the client
+        that the request has not run although the endpoint doesn't state that.
+        """
+        body = exchange.read_rest()
+        self.check_end(endpoint, exchange)
+        exchange.check_refusal()
+        return body
+
     def note_request_error(
         self,
         context: ForwardContext,
--- a/src/jujubeslip/forwarding/_stream_path.py
+++ b/src/jujubeslip/forwarding/_stream_path.py
@@ -249,8 +249,7 @@
             exchange = stack.enter_context(self._sender.exchange(context, endpoint))
             head = exchange.call(call, self._silence_deadline(context, attempts))
             if head.status not in SUCCESS:
-                body = exchange.read_rest()
-                self._sender.check_end(endpoint, exchange)
+                body = self._sender.read_deliverable(endpoint, exchange)
                 attempts.note(endpoint.start_id, str(head.status))
                 return WholeAnswer(head.status, head.headers, body)
             splitter = EventSplitter()
--- a/src/jujubeslip/forwarding/_unproven_answers.py
+++ b/src/jujubeslip/forwarding/_unproven_answers.py
@@ -18,7 +18,7 @@
 
 _answers = metrics.get_meter("jujubeslip.forwarding").create_counter(
     "jujubeslip.forward.unproven_answers",
-    description="Answers of endpoints that were not whole or not valid, by error.",
+    description="Answers of endpoints that were not whole, valid or proven, by error.",
 )
 
 
--- a/src/jujubeslip/forwarding/_whole_send.py
+++ b/src/jujubeslip/forwarding/_whole_send.py
@@ -109,8 +109,7 @@
         with self._stack:
             try:
                 head = self._exchange.read_head(self._call)
-                body = self._exchange.read_rest()
-                self._sender.check_end(self.endpoint, self._exchange)
+                body = self._sender.read_deliverable(self.endpoint, self._exchange)
                 self._measured.is_answered = head.status < SERVER_ERROR
             except EndpointError as error:
                 self._measured.is_answered = False
--- a/src/jujubeslip/interfaces/_models.py
+++ b/src/jujubeslip/interfaces/_models.py
@@ -65,6 +65,8 @@
     """How long the connection may be idle, None if not reported."""
     headers: tuple[tuple[str, str], ...]
     """The headers that are forwarded to the client."""
+    reads_as_not_run: bool = False
+    """Whether clients take the status for a promise that the request has not run."""
     limit_per_second: float | None = None
     """Limit on the requests from all hosts together, None if there is none."""
     backoff_seconds: float = 0.0
--- a/src/jujubeslip/platform/_endpoint_calls.py
+++ b/src/jujubeslip/platform/_endpoint_calls.py
@@ -24,6 +24,8 @@
 LOWEST_PRIORITY = 9
 MISDIRECTED = 421
 UNAVAILABLE = 503
+# Statuses that promise a client that its request has not run and will not run.
+NOT_RUN_STATUSES = frozenset({408, MISDIRECTED, 429, UNAVAILABLE})
 # Lowest limit of an endpoint, in requests per second. One that accepts nothing still
 # gets an occasional request, which shows when it accepts requests again.
 MINIMUM_LIMIT_PER_SECOND = 0.05
@@ -76,6 +78,7 @@
         is_ambiguous=any(count_by_name[name] > 1 for name in names.SINGLE),
         idle_seconds=_idle_seconds(value_by_name.get(names.KEEP_ALIVE.lower(), "")),
         headers=tuple(item for item in received if item[0].lower() not in dropped),
+        reads_as_not_run=status in NOT_RUN_STATUSES,
         limit_per_second=_limit(value_by_name.get(names.ENDPOINT_LIMIT.lower(), "")),
         backoff_seconds=_backoff(
             status, value_by_name.get(names.RETRY_AFTER.lower(), "")
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -68,6 +68,9 @@
     """Refuse, and send the refusal again where the next response is expected."""
     fail: int = 0
     """Run, and respond with 500."""
+    busy: int = 0
+    """Run, and respond with `busy_status`, without "not run"."""
+    busy_status: int = 503
     lose: int = 0
     """Run, or prefill for another worker, and close without a response."""
     cut: int = 0
@@ -376,13 +379,17 @@
         elif self._has_fatal_part():
             self._begin_answer(request_id)
             self._crash()
-        elif self.worker.stage and faults.take("lose"):
-            self.close_connection = True
         elif self.worker.stage:
-            self._stream_until_disconnect(request_id)
+            self._answer_as_engine(request_id)
         else:
             self._answer(request_id)
 
+    def _answer_as_engine(self, request_id: str) -> None:
+        if self.worker.faults.take("lose"):
+            self.close_connection = True
+        elif not self._fail(request_id):
+            self._stream_until_disconnect(request_id)
+
     def _repeat(self, request_id: str, endless: EndlessAnswer) -> None:
         self.close_connection = True
         try:
@@ -478,20 +485,31 @@
         if faults.take("lose"):
             self.close_connection = True
             return
-        status = 500 if faults.take("fail") else 200
+        if self._fail(request_id):
+            return
         content = self.worker.answer
         if faults.take("cut"):
             self.close_connection = True
-            self.wfile.write(self._head(status, request_id, len(content)) + content[:2])
+            self.wfile.write(self._head(200, request_id, len(content)) + content[:2])
             return
         if faults.take("unframed"):
             self.close_connection = True
-            self.wfile.write(self._head(status, request_id, None) + content)
+            self.wfile.write(self._head(200, request_id, None) + content)
             return
-        whole = self._head(status, request_id, len(content)) + content
+        whole = self._head(200, request_id, len(content)) + content
         twice = faults.take("answer_twice")
         self.wfile.write(whole * 2 if twice else whole)
 
+    def _fail(self, request_id: str) -> bool:
+        """Respond with a failure if a fault says so; return whether one did."""
+        faults, content = self.worker.faults, self.worker.answer
+        status = 500 if faults.take("fail") else 0
+        if not status and faults.take("busy"):
+            status = faults.busy_status
+        if status:
+            self.wfile.write(self._head(status, request_id, len(content)) + content)
+        return bool(status)
+
     def _head(self, status: int, request_id: str, length: int | None) -> bytes:
         lines = [
             f"HTTP/1.1 {status} Status",
