Discovery: entry hosts are told all removals, also of starts unknown to the teller

What callers saw: a worker crashed, started again under its id, and was heard by a control host that was cut off from the others.

Cause: entry hosts heard of removals as changes of the endpoints that the control host knows, and as removals of those that it doesn't. It knew the id by the earlier start, changed that one, and told the change. Entry hosts had the later start from the host that was cut off, and a change of the earlier one doesn't apply to it. All had confirmed the change, so the removal was acknowledged. Ruled out: a heartbeat that brings the start back, and an acknowledgement that doesn't wait (both would show a pause after the acknowledgement; the record has none).

Change: entry hosts get all removals, as control hosts do. An announcement that a start leaves, at a host that holds another start for the valid one, is told as a removal before it is acknowledged. A reply's removals are applied before its endpoints.

Why it works: a host that has stored the removal of a start applies it to that start whenever it hears of it, before or after, and the acknowledgement waits until the watching hosts have it.

test_of_a_known_endpoint_is_told_as_its_change asserted that entry hosts get no removal of a known endpoint: that is the fault. Its successor asks for both, the removal and the change.

--- a/src/jujubeslip/control/_gateway.py
+++ b/src/jujubeslip/control/_gateway.py
@@ -57,7 +57,7 @@
         """See ControlGateway."""
         version = self._registry.merge([endpoint])
         if endpoint.leaving:
-            self._confirm(version, Removal.of_start(endpoint))
+            self._confirm_leaving(version, endpoint)
         elif not self._is_staying(endpoint.endpoint_id):
             self._watches.wait_until_confirmed(version, Deadline.after(CONFIRM_SECONDS))
 
@@ -66,6 +66,14 @@
         removal = self._registry.removal_of(endpoint_id, started_at_ms)
         self._confirm(self._registry.apply_removals([removal]), removal)
 
+    def _confirm_leaving(self, version: int, endpoint: Endpoint) -> None:
+        removal = Removal.of_start(endpoint)
+        known = self._registry.find(endpoint.endpoint_id)
+        if known is None or known.start_id != endpoint.start_id:
+            # The announcement had no effect here; other hosts may use this start.
+            version = self._registry.apply_removals([removal])
+        self._confirm(version, removal)
+
     def _is_staying(self, endpoint_id: str) -> bool:
         known = self._registry.find(endpoint_id)
         return known is not None and known.accepts_work
--- a/src/jujubeslip/control/_watches.py
+++ b/src/jujubeslip/control/_watches.py
@@ -14,7 +14,6 @@
 from jujubeslip.control._slow_list import SlowList
 from jujubeslip.discovery import (
     EndpointRegistry,
-    Removal,
     to_record,
     to_removal_record,
     to_slow_endpoint_record,
@@ -139,7 +138,9 @@
             wait.earlier_of(Deadline.after(MAXIMUM_WAIT_SECONDS)),
         )
         version, changed = self._registry.changes_since(known)
-        removals = self._removals_since(known, request)
+        # With the changed endpoints alone, a host that knows a later start than this
+        # one would not learn of its removal.
+        removals = self._registry.removals_since(known)
         crash_version, crashes = (
             self._crash_registry.changes_for_entry_host(known_crashes)
             if request.is_entry_host
@@ -166,18 +167,6 @@
             self._slow_endpoints(request),
         )
 
-    def _removals_since(
-        self, known_version: int, request: WatchRequest
-    ) -> Sequence[Removal]:
-        """Return the removals that the watcher does not get as changed endpoints.
-
-        An entry host may use an endpoint that this host does not know: it has heard of
-        it from a host that has ended since.
-        """
-        if request.is_entry_host:
-            return self._registry.removals_of_unknown_since(known_version)
-        return self._registry.removals_since(known_version)
-
     def _slow_endpoints(self, request: WatchRequest) -> list[SlowEndpointRecord] | None:
         """Return the slow endpoints for an entry host, None if there are none."""
         listed = self._slow_list.listed() if request.is_entry_host else ()
--- a/src/jujubeslip/discovery/_control_followers.py
+++ b/src/jujubeslip/discovery/_control_followers.py
@@ -188,8 +188,9 @@
 
     def apply_reply(self, address: str, reply: WatchReply) -> None:
         """Apply a watch reply."""
-        self._registry.merge(list(usable_endpoints(address, reply.endpoints or ())))
+        # First, so that no removed start is used between the two steps.
         self._registry.apply_removals(usable_removals(address, reply.removals or ()))
+        self._registry.merge(list(usable_endpoints(address, reply.endpoints or ())))
         self._crash_registry.merge(usable_histories(address, reply.crashes or ()))
         self.learn(reply.control_addresses or ())
         update = ControlUpdate(
--- a/src/jujubeslip/discovery/_registry.py
+++ b/src/jujubeslip/discovery/_registry.py
@@ -175,18 +175,6 @@
         with self._changed:
             return self._removals.since(version)
 
-    def removals_of_unknown_since(self, version: int) -> Sequence[Removal]:
-        """Return those of the removals whose endpoints are not known.
-
-        The changes of the others tell of their removal.
-        """
-        with self._changed:
-            return [
-                removal
-                for removal in self._removals.since(version)
-                if removal.endpoint_id not in self._entry_by_id
-            ]
-
     def changes_since(self, version: int) -> tuple[int, list[Endpoint]]:
         """Return the current version and the endpoints changed since the given one."""
         with self._changed:
--- a/tests/control/test_watches.py
+++ b/tests/control/test_watches.py
@@ -70,23 +70,36 @@
         assert watches.pressure_of("model") == sound
 
 
-class TestRemovalOfAnUnknownEndpoint:
-    """Guards against an acknowledged removal that entry hosts never hear of."""
+@pytest.mark.parametrize("is_entry_host", [True, False])
+class TestRemoval:
+    """Guards against an acknowledged removal that a watching host never hears of."""
 
-    def removed_ids(self, watches: Watches, is_entry_host: bool) -> list[str]:
-        """Watch as a host without any state; return whose removals it receives."""
+    def removed(self, watches: Watches, is_entry_host: bool) -> list[tuple[str, int]]:
+        """Watch as a host without any state; return the starts that are removed."""
         request = WatchRequest(0, 0, 0, is_entry_host, "entry-1/1", 0, [])
         reply = watches.answer(received(request))
-        return [item.endpoint_id for item in reply.removals]
+        return [(item.endpoint_id, item.started_at_ms) for item in reply.removals]
 
-    def test_is_told_to_entry_hosts(self, watches: Watches) -> None:
+    def test_of_an_unknown_endpoint_is_told(
+        self, watches: Watches, is_entry_host: bool
+    ) -> None:
         watches._registry.remove_endpoint("unknown", 5000)
-        assert self.removed_ids(watches, is_entry_host=True) == ["unknown"]
+        assert self.removed(watches, is_entry_host) == [("unknown", 5000)]
+
+    def test_of_an_unknown_start_of_a_known_endpoint_is_told(
+        self, watches: Watches, is_entry_host: bool
+    ) -> None:
+        watches._registry.remove_endpoint("a", 5000)
+        assert self.removed(watches, is_entry_host) == [("a", 5000)]
 
-    def test_of_a_known_endpoint_is_told_as_its_change(self, watches: Watches) -> None:
+    def test_of_a_known_endpoint_is_told_beside_its_change(
+        self, watches: Watches, is_entry_host: bool
+    ) -> None:
+        known = watches._registry.version
         watches._registry.remove_endpoint("a")
-        assert self.removed_ids(watches, is_entry_host=True) == []
-        assert self.removed_ids(watches, is_entry_host=False) == ["a"]
+        assert self.removed(watches, is_entry_host) == [("a", 0)]
+        [changed] = watches._registry.changes_since(known)[1]
+        assert not changed.accepts_work
 
 
 class TestWatchWithMissingFields:
