Discovery: a removal without a start applies to a later start that ran by then

The control host that received it knew an earlier start; entry hosts used the later one and went on. Found by a test of the related path, not reported.

Cause: the receiving host turned the removal into one of the start that it knew. Told to hosts that knew the later start it had no effect, as the removal of an earlier start. Where a removal that names that start was stored, it was dropped.

Change: a removal that names no start also applies to a later start that the host knew to run before the removal, by the times of its own clock. It is stored beside the removal that names the same start.

--- a/src/jujubeslip/discovery/_registry.py
+++ b/src/jujubeslip/discovery/_registry.py
@@ -141,7 +141,7 @@
     def remove_endpoint(self, endpoint_id: str, started_at_ms: int = 0) -> int:
         """Record the removal of an endpoint and return the version that includes it.
 
-        A removal that names its start is final, and doesn't affect other starts.
+        A removal that names its start is final, and doesn't affect later starts.
         """
         return self.apply_removals([self.removal_of(endpoint_id, started_at_ms)])
 
@@ -223,7 +223,16 @@
 
     def _with_removal(self, endpoint: Endpoint) -> Endpoint:
         removal = self._removals.find(endpoint)
-        return endpoint if removal is None else removal.apply_to(endpoint)
+        if removal is None:
+            return endpoint
+        return removal.apply_to(endpoint, self._known_since(endpoint))
+
+    def _known_since(self, endpoint: Endpoint) -> float:
+        """Return since when this start is known to run, on the steady clock."""
+        entry = self._entry_by_id.get(endpoint.endpoint_id)
+        if entry is None or entry.endpoint.start_id != endpoint.start_id:
+            return endpoint.heard_at
+        return min(entry.claim.since, endpoint.heard_at)
 
     def _add_removal(self, removal: Removal) -> None:
         """Store a removal and apply it to its endpoint if that is known.
@@ -252,7 +261,8 @@
         }
         logger.info("endpoint removed", extra=extra)
         if known:
-            self._replace(known, with_start.apply_to(known))
+            applied = with_start.apply_to(known, self._known_since(known))
+            self._replace(known, applied)
 
     def _replace(self, older: Endpoint, newer: Endpoint) -> None:
         if newer != older:
--- a/src/jujubeslip/discovery/_removals.py
+++ b/src/jujubeslip/discovery/_removals.py
@@ -30,6 +30,8 @@
     endpoint_id: str
     started_at_ms: int | None
     """0 for an endpoint that reports no starts, None if the start is not known."""
+    names_start: bool
+    """Whether the endpoint named the start; otherwise it may be of a later one, too."""
 
 
 @dataclass(frozen=True)
@@ -58,7 +60,13 @@
     def key(self) -> RemovalKey:
         """Return the start that it applies to."""
         is_any = self.scope == RemovalScope.ANY_START
-        return RemovalKey(self.endpoint_id, None if is_any else self.started_at_ms)
+        started_at_ms = None if is_any else self.started_at_ms
+        return RemovalKey(self.endpoint_id, started_at_ms, self.names_start)
+
+    @property
+    def names_start(self) -> bool:
+        """Return whether the endpoint named the start that has left."""
+        return self.scope == RemovalScope.NAMED_START
 
     def is_expired(self, now: float) -> bool:
         """Return whether its retention has expired at this time of the steady clock."""
@@ -84,20 +92,23 @@
         scope = RemovalScope.ONLY_START if is_only else RemovalScope.LATEST_START
         return replace(self, started_at_ms=known.started_at_ms, scope=scope)
 
-    def apply_to(self, endpoint: Endpoint) -> Endpoint:
+    def apply_to(self, endpoint: Endpoint, known_since: float) -> Endpoint:
         """Return the endpoint with the removal applied.
 
-        A removal that names a later start than the known one shows that this one has
-        ended, unless the clock of its host was set back. If the known start is heard
-        from later, it gets work again.
+        A removal of a later start than the known one shows that this one has ended,
+        unless the clock of its host was set back. One that names no start may be of a
+        later start than the host that received it knew, if that one was known to run
+        by then, at `known_since` on the steady clock. In both cases the known start
+        gets work again if it is heard from later.
         """
         with_start = self.for_start(endpoint)
-        if with_start.started_at_ms < endpoint.started_at_ms:
+        is_earlier = with_start.started_at_ms < endpoint.started_at_ms
+        if is_earlier and (self.names_start or known_since >= self.removed_at):
             return endpoint
-        is_later = with_start.started_at_ms > endpoint.started_at_ms
-        if with_start.scope == RemovalScope.NAMED_START and not is_later:
+        is_same = with_start.started_at_ms == endpoint.started_at_ms
+        if with_start.names_start and is_same:
             return replace(endpoint, leaving=True)
-        may_be_another = is_later or with_start.scope == RemovalScope.LATEST_START
+        may_be_another = not is_same or with_start.scope == RemovalScope.LATEST_START
         removed_at = latest_removal(endpoint.removed_at, with_start.removed_at)
         return replace(
             endpoint,
@@ -116,7 +127,9 @@
     def __init__(self) -> None:
         self._removal_by_key: dict[RemovalKey, Removal] = {}
         self._latest_start_by_id: dict[str, int] = {}
-        """The latest start of each endpoint that a removal names."""
+        """The latest start of each endpoint that a removal applies to."""
+        self._latest_unnamed_by_id: dict[str, Removal] = {}
+        """The latest removal of each endpoint that names no start."""
 
     def add(self, removal: Removal, now: float) -> bool:
         """Store a removal; return whether it was not stored before."""
@@ -127,9 +140,16 @@
         kept[removal.key] = removal
         if removal.started_at_ms > self._latest_start_by_id.get(removal.endpoint_id, 0):
             self._latest_start_by_id[removal.endpoint_id] = removal.started_at_ms
+        if not removal.names_start:
+            self._add_unnamed(removal)
         self._drop_oldest(now)
         return True
 
+    def _add_unnamed(self, removal: Removal) -> None:
+        latest = self._latest_unnamed_by_id.get(removal.endpoint_id)
+        if latest is None or removal.removed_at >= latest.removed_at:
+            self._latest_unnamed_by_id[removal.endpoint_id] = removal
+
     def _drop_oldest(self, now: float) -> None:
         kept = self._removal_by_key
         while kept:
@@ -140,19 +160,36 @@
             latest = self._latest_start_by_id.get(oldest.endpoint_id)
             if latest == oldest.started_at_ms:
                 del self._latest_start_by_id[oldest.endpoint_id]
+            if self._latest_unnamed_by_id.get(oldest.endpoint_id) == oldest:
+                del self._latest_unnamed_by_id[oldest.endpoint_id]
 
     def find(self, endpoint: Endpoint) -> Removal | None:
-        """Return the removal of this start of an endpoint, or else of a later one."""
+        """Return the removal that may apply to this start of an endpoint.
+
+        It is that of this start, or else of a later one, or else the latest one that
+        names no start.
+        """
         endpoint_id, started_at_ms = endpoint.endpoint_id, endpoint.started_at_ms
-        found = self._removal_by_key.get(RemovalKey(endpoint_id, started_at_ms))
+        found = self._find_start(endpoint_id, started_at_ms)
         latest = self._latest_start_by_id.get(endpoint_id, 0)
-        if found is not None or latest <= started_at_ms:
-            return found
-        return self._removal_by_key.get(RemovalKey(endpoint_id, latest))
+        if found is None and latest > started_at_ms:
+            found = self._find_start(endpoint_id, latest)
+        return found or self._latest_unnamed_by_id.get(endpoint_id)
+
+    def _find_start(self, endpoint_id: str, started_at_ms: int) -> Removal | None:
+        """Return the removal of this start; one that names it is the more certain."""
+        kept = self._removal_by_key
+        return kept.get(RemovalKey(endpoint_id, started_at_ms, True)) or kept.get(
+            RemovalKey(endpoint_id, started_at_ms, False)
+        )
 
     def pop_without_start(self, endpoint_id: str) -> Removal | None:
-        """Remove and return the removal that names no start."""
-        return self._removal_by_key.pop(RemovalKey(endpoint_id, None), None)
+        """Remove and return the removal of an endpoint that was not known."""
+        key = RemovalKey(endpoint_id, None, False)
+        removal = self._removal_by_key.pop(key, None)
+        if self._latest_unnamed_by_id.get(endpoint_id) == removal:
+            self._latest_unnamed_by_id.pop(endpoint_id, None)
+        return removal
 
     def since(self, version: int) -> Sequence[Removal]:
         """Return the removals added since a version, only the latest of many."""
--- a/tests/discovery/test_removals.py
+++ b/tests/discovery/test_removals.py
@@ -105,3 +105,68 @@
         assert not accepts_work(other)
         other.merge([start(SECOND)])
         assert accepts_work(other)
+
+
+class TestRemovalThatNamesNoStart:
+    """Guards against a removal that misses a start which only another host has heard.
+
+    The host that receives it takes it for one of the earlier start that it knows.
+    """
+
+    def receive(self, age: float = 0.0) -> Removal:
+        """Return the removal as another host, which knows the first start, has it."""
+        other = EndpointRegistry()
+        other.merge([start(FIRST)])
+        removal = other.removal_of("e")
+        return replace(removal, removed_at=removal.removed_at - age)
+
+    def test_applies_to_a_later_start_that_ran_by_then(self) -> None:
+        registry = EndpointRegistry()
+        registry.merge([start(SECOND)])
+        registry.apply_removals([self.receive()])
+        assert not accepts_work(registry)
+        registry.merge([start(SECOND, sequence=2)])
+        assert not accepts_work(registry)
+
+    def test_applies_to_a_later_start_that_is_renewed_before_it_arrives(self) -> None:
+        registry = EndpointRegistry()
+        registry.merge([start(SECOND)])
+        removal = self.receive()
+        registry.merge([start(SECOND, sequence=2)])
+        registry.apply_removals([removal])
+        assert not accepts_work(registry)
+
+    def test_applies_to_a_late_report_of_a_later_start(self) -> None:
+        registry = EndpointRegistry()
+        report = start(SECOND)
+        registry.apply_removals([self.receive()])
+        registry.merge([report])
+        assert not accepts_work(registry)
+
+    def test_applies_beside_an_earlier_one_that_named_its_start(self) -> None:
+        registry = EndpointRegistry()
+        registry.remove_endpoint("e", FIRST)
+        registry.merge([start(SECOND)])
+        registry.apply_removals([self.receive()])
+        assert not accepts_work(registry)
+
+    def test_does_not_apply_to_a_start_after_it(self) -> None:
+        registry = EndpointRegistry()
+        registry.merge([start(FIRST)])
+        registry.apply_removals([self.receive()])
+        registry.merge([start(SECOND)])
+        assert accepts_work(registry)
+
+    def test_that_is_late_does_not_apply_to_a_start_after_it(self) -> None:
+        registry = EndpointRegistry()
+        registry.merge([start(SECOND)])
+        registry.apply_removals([self.receive(age=5.0)])
+        assert accepts_work(registry)
+
+    def test_ends_for_a_start_that_goes_on(self) -> None:
+        registry = EndpointRegistry()
+        registry.merge([start(SECOND)])
+        registry.apply_removals([self.receive()])
+        heard_at = steady_seconds() + REMOVAL_SECONDS + 1
+        registry.merge([replace(start(SECOND, sequence=2), heard_at=heard_at)])
+        assert accepts_work(registry)
--- a/tests/platform/test_partitioned_removals.py
+++ b/tests/platform/test_partitioned_removals.py
@@ -20,6 +20,7 @@
     announce_leaving,
     count_runs,
     make_known,
+    sign_off,
     sign_off_by_start,
     started,
     wait_used,
@@ -29,7 +30,7 @@
 PARTITIONED = 2
 # An endpoint that has left serves on for this long before it ends.
 SERVES_ON_SECONDS = 2.0
-WAYS_TO_LEAVE = (sign_off_by_start, announce_leaving)
+WAYS_TO_LEAVE = (sign_off, sign_off_by_start, announce_leaving)
 
 
 @dataclass(frozen=True)
