--- a/tests/endpoints/test_own_interface.py
+++ b/tests/endpoints/test_own_interface.py
@@ -26,6 +26,7 @@
     never_interrupted,
 )
 from jujubeslip.kernel import Deadline
+from tests.fakes.fault_proxy import RESET_ON_CLOSE
 
 REF = RequestRef("request-1", 1, "entry-1/1")
 ECHO = {"request_id": REF.request_id, "attempt": REF.attempt}
@@ -265,6 +266,53 @@
         assert plain_answer(self.SENT, [[]]).body == b"the beginning"
 
 
+def reset_early(upload_bytes: int) -> str:
+    """Return the address of a service that answers a part, and resets, at once."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve() -> None:
+        with listener, listener.accept()[0] as connection:
+            connection.recv(upload_bytes // 3)
+            connection.sendall(TestUnframedAnswerOfAPlainService.SENT)
+            time.sleep(PAUSE_SECONDS)
+            option = (socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            connection.setsockopt(*option)
+        # A service that goes on: new connections are accepted.
+        threading.Thread(target=again.accept, daemon=True).start()
+
+    again = listener.dup()
+    threading.Thread(target=serve, daemon=True).start()
+    host, port = listener.getsockname()
+    return f"{host}:{port}"
+
+
+class TestAnswerThatIsResetDuringTheUpload:
+    """Guards against a part of an answer that passes for the whole one."""
+
+    @pytest.mark.parametrize("upload_bytes", [30, 150_000, 3_000_000])
+    def test_is_cut_off(self, upload_bytes: int) -> None:
+        address, deadline = reset_early(upload_bytes), Deadline.after(SECONDS)
+        with pytest.raises(AnswerCutError):
+            call_plain_service(
+                address,
+                "/run",
+                REF,
+                bytes(upload_bytes),
+                "",
+                deadline,
+                never_interrupted,
+            )
+
+
+class TestStatusThatIsNone:
+    """Guards against an answer of a status that no answer has."""
+
+    @pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999", b"20", b"abc"])
+    def test_is_invalid(self, status: bytes) -> None:
+        with pytest.raises(EndpointAnswerError):
+            plain_answer(answer(ECHO, status + b" Status", IDS))
+
+
 class TestRefusalOfAnEngine:
     """Guards against a refusal of another request that is read as "not run"."""
 
--- a/tests/fakes/platform_worker.py
+++ b/tests/fakes/platform_worker.py
@@ -10,6 +10,7 @@
 
 import contextlib
 import json
+import os
 import socket
 import threading
 import time
@@ -20,6 +21,7 @@
 
 from tests.fakes._http import JsonHandler, StandInServer, listen
 from tests.fakes._spoiled_answers import AnswerEndedError, AnswerSpoiler, AnswerWriter
+from tests.fakes.fault_proxy import RESET_ON_CLOSE
 
 EVENT_PAUSE_SECONDS = 0.01
 # How often the server checks whether it should stop.
@@ -108,6 +110,21 @@
     pause_seconds: float = 0.0
 
 
+@dataclass(frozen=True)
+class EarlyAnswer:
+    """Bytes that are sent before the request is read whole.
+
+    The connection is reset after them.
+    """
+
+    content: bytes
+    """What is sent; `{id}` stands for the id of the request."""
+    pause_seconds: float = 0.0
+    """How long the connection stays open after it."""
+    reads_bytes: int = 0
+    """How much of the request's body is read before."""
+
+
 @dataclass
 class PlatformWorker:
     """A worker with its own port; `stage` is empty for a plain service."""
@@ -143,12 +160,15 @@
     """Whether these events come without chunks."""
     endless: EndlessAnswer | None = None
     """Sent instead of each answer."""
+    early: EarlyAnswer | None = None
+    """Sent instead of each answer to a client's request, or to a prefill."""
     on_crash: Callable[[], bool] = lambda: True
     """Called before the crash; if it returns false, only the request is lost."""
     spoiler: AnswerSpoiler | None = None
     """Spoils a share of all answers, also of those to calls by the system."""
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     runs: list[WorkerRun] = field(default_factory=list)
+    answered_early: list[str] = field(default_factory=list)
     prefilled_requests: list[str] = field(default_factory=list)
     prefill_headers: list[dict[str, str]] = field(default_factory=list)
     """The headers of the prefill calls, in order."""
@@ -273,12 +293,26 @@
         spoiler = self.worker.spoiler
         spoiling = None if spoiler is None else spoiler.draw()
         try:
+            if self.worker.early is not None and "Request-Id" in self.headers:
+                self._answer_early(self.worker.early)
+                return
             body = self.read_body()
             with self._answers.answering(spoiling, self.worker.events):
                 self._serve(method, body)
         except (OSError, AnswerEndedError):
             self.close_connection = True
 
+    def _answer_early(self, early: EarlyAnswer) -> None:
+        request_id = self.headers["Request-Id"]
+        self.rfile.read(early.reads_bytes)
+        self.worker.answered_early.append(request_id)
+        self.connection.sendall(early.content.replace(b"{id}", request_id.encode()))
+        time.sleep(early.pause_seconds)
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        # At once: the server would shut the connection down first, a regular end.
+        os.close(self.connection.detach())
+        self.close_connection = True
+
     def _serve(self, method: str, body: bytes) -> None:
         expected = self.headers.get("Expect-Instance", self.worker.worker_id)
         if expected != self.worker.worker_id:
