HTTP server: requests that can be read in two ways are refused before they are read

Two request ids were joined to a third one.

Cause: the HTTP library alone decided where a request ends and what a repeated header means. It prefers chunks to a length, ignores codings in versions other than 1.1, and joins repeated values. What stands before a host may decide otherwise.

Change: one parser before the library's, for every server of every process. It refuses with 400 and closes where more than one header ends the body, a coding is named twice or has no meaning in the version, or a header of which one value decides is repeated or folded. Each interface says which headers these are; the calls between entry hosts add their own. On the platform's interface the refusal is JSON that names the header and says that nothing ran.

Why it works: a request that gets through names one end and one value of what decides; what is refused reaches no app, and the connection closes before the next bytes are read.

--- a/src/jujubeslip/entry/_process.py
+++ b/src/jujubeslip/entry/_process.py
@@ -47,6 +47,10 @@
 
 logger = logging.getLogger(__name__)
 
+# Headers of which one value decides something, in lower case.
+SINGLE_HEADERS = frozenset(
+    {"authorization", "host", "idempotency-key", "traceparent", "x-request-id"}
+)
 # Time for the other hosts to learn by gossip that this host is leaving.
 LEAVE_SECONDS = 1.0
 
@@ -204,6 +208,7 @@
         maximum_body_bytes=settings.maximum_body_bytes,
         receive_seconds=settings.receive_timeout_ms / 1000,
         channel_class=RefusingChannel,
+        single_headers=SINGLE_HEADERS,
     )
 
 
--- a/src/jujubeslip/forwarding/_app.py
+++ b/src/jujubeslip/forwarding/_app.py
@@ -190,6 +190,23 @@
         return [b""]
 
 
+def encode_http_error(interface: Interface, status: int, detail: str) -> bytes:
+    """Return the body for a request that the HTTP server itself has ended.
+
+    One that the server can't read has not run.
+    """
+    if status == http.HTTPStatus.INTERNAL_SERVER_ERROR:
+        refusal = _internal_error_refusal()
+    else:
+        refusal = RequestRefusedError(
+            "http_invalid",
+            f"The request is not valid HTTP: {detail}",
+            status=status,
+            remedy="Correct the client, or what stands between it and this host.",
+        )
+    return interface.refusal(refusal, "").body
+
+
 def start_answer(
     start_response: StartResponse, status: int, headers: list[tuple[str, str]]
 ) -> None:
--- a/src/jujubeslip/forwarding/_process.py
+++ b/src/jujubeslip/forwarding/_process.py
@@ -13,7 +13,12 @@
 from jujubeslip.discovery import ControlFollowers, ControlUpdate, EndpointRegistry
 from jujubeslip.forwarding._account_limits import AccountLimits
 from jujubeslip.forwarding._admissions import Admissions
-from jujubeslip.forwarding._app import ForwardApp, OpenRequests, ReadyApp
+from jujubeslip.forwarding._app import (
+    ForwardApp,
+    OpenRequests,
+    ReadyApp,
+    encode_http_error,
+)
 from jujubeslip.forwarding._choice import Chooser
 from jujubeslip.forwarding._crash_detector import CrashDetector
 from jujubeslip.forwarding._crash_reporter import CrashReporter
@@ -169,6 +174,8 @@
                 settings.http_address,
                 settings.http_threads,
                 settings.maximum_connections,
+                single_headers=interface.single_request_headers,
+                encode_error=partial(encode_http_error, interface),
                 is_full=lambda: self._open_requests.is_full,
             ),
             ForwardApp(interface, service, self._open_requests),
--- a/src/jujubeslip/forwarding/_relaying.py
+++ b/src/jujubeslip/forwarding/_relaying.py
@@ -14,6 +14,7 @@
 from jujubeslip.kernel import ForwardSettings, Process
 from jujubeslip.peers import RelayRecord
 from jujubeslip.relays import (
+    RELAY_HEADERS,
     EndpointReach,
     RelayAccess,
     RelayDirectory,
@@ -80,5 +81,10 @@
             self._settings.peer_secret,
         )
         threads = self.open_calls.maximum + REFUSING_THREADS
-        options = HttpServerOptions(address, threads, MAXIMUM_RELAY_CONNECTIONS)
+        options = HttpServerOptions(
+            address,
+            threads,
+            MAXIMUM_RELAY_CONNECTIONS,
+            single_headers=services.interface.single_request_headers | RELAY_HEADERS,
+        )
         HttpServer(options, RelayApp(services)).start(process)
--- a/src/jujubeslip/http_server/_server.py
+++ b/src/jujubeslip/http_server/_server.py
@@ -9,13 +9,15 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 from waitress import wasyncore
 from waitress.channel import ClientDisconnected, HTTPChannel
 from waitress.server import create_server
-from waitress.task import WSGITask
+from waitress.task import ErrorTask, WSGITask
 
+from jujubeslip.http_server._request_parser import RequestParser
 from jujubeslip.http_server._threads import CallThreads
 from jujubeslip.kernel import Deadline, Process, steady_seconds
 
@@ -39,6 +41,10 @@
 LOG_INTERVAL_SECONDS = 1.0
 
 
+# Headers of which all servers read one value only.
+SINGLE_HEADERS = frozenset({"host", "authorization"})
+
+
 def _never_full() -> bool:
     return False
 
@@ -88,6 +94,20 @@
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
 
+class EncodedErrorTask(ErrorTask):
+    """Sends an error of the HTTP library as the server's options encode it."""
+
+    def execute(self) -> None:
+        """Write the answer and close the connection."""
+        error = self.request.error
+        body = self.channel.server.encode_error(error.code, str(error.body))
+        self.status = f"{error.code} {error.reason}"
+        self.response_headers.append(("Content-Type", "application/json"))
+        self.set_close_on_finish()
+        self.content_length = len(body)
+        self.write(body)
+
+
 class ClosingChannel(HTTPChannel):
     """A connection that, during a stop, closes after an answer that announces it.
 
@@ -114,6 +134,11 @@
     """The connection closes if a request is incomplete after this time."""
     channel_class: type[HTTPChannel] = ClosingChannel
     """Class that serves one connection."""
+    single_headers: frozenset[str] = SINGLE_HEADERS
+    """Headers, in lower case, that a request has once at most, else it is refused."""
+    encode_error: Callable[[int, str], bytes] | None = None
+    """Returns the JSON body of an error, of which status and reason are given; the HTTP
+    library's text if it is None."""
     is_full: Callable[[], bool] = _never_full
     """Whether new connections are closed unread, so that clients go elsewhere."""
 
@@ -143,7 +168,8 @@
             ident=None,
             clear_untrusted_proxy_headers=True,
         )
-        self._server.channel_class = options.channel_class
+        self._server.channel_class = _channel_class(options)
+        self._server.encode_error = options.encode_error
         self._is_full = options.is_full
         self._accept_next = self._server.accept
         self._server.accept = self._accept
@@ -241,3 +267,14 @@
                 channel.will_close = True
         self._first_seen_by_parser = first_seen_by_parser
         self._server.pull_trigger()
+
+
+def _channel_class(options: HttpServerOptions) -> type[HTTPChannel]:
+    """Return the class of the options' channel with their parser and error task."""
+    single_headers = SINGLE_HEADERS | options.single_headers
+    attributes: dict[str, Any] = {
+        "parser_class": partial(RequestParser, single_headers=single_headers)
+    }
+    if options.encode_error is not None:
+        attributes["error_task_class"] = EncodedErrorTask
+    return type("Channel", (options.channel_class,), attributes)
--- a/src/jujubeslip/interfaces/_models.py
+++ b/src/jujubeslip/interfaces/_models.py
@@ -126,6 +126,13 @@
     def read_routes(self, content: str) -> Result[RouteTable, str]:
         """Parse the routes of a configuration, or return what is wrong with it."""
 
+    @property
+    def single_request_headers(self) -> frozenset[str]:
+        """Return the headers, in lower case, of which one value decides something.
+
+        A request that repeats one of them is refused.
+        """
+
     def read_request(self, environ: Environ) -> ForwardedRequest:
         """Parse a client's request, or raise RequestRefusedError."""
 
--- a/src/jujubeslip/platform/_headers.py
+++ b/src/jujubeslip/platform/_headers.py
@@ -70,3 +70,14 @@
         "tenant",
     }
 )
+# Headers of a request of which one value decides something, in lower case.
+SINGLE_IN_REQUESTS = SET_BY_SYSTEM | {
+    "authorization",
+    "host",
+    "last-event-id",
+    "length-hint",
+    "model",
+    "prompt-prefix",
+    "request-id",
+    "token-count",
+}
--- a/src/jujubeslip/platform/_plugin.py
+++ b/src/jujubeslip/platform/_plugin.py
@@ -34,6 +34,7 @@
     release,
     reserve,
 )
+from jujubeslip.platform._headers import SINGLE_IN_REQUESTS
 from jujubeslip.platform._requests import (
     call_headers,
     encode_refusal,
@@ -59,6 +60,11 @@
         """See Interface."""
         return read_routes(content)
 
+    @property
+    def single_request_headers(self) -> frozenset[str]:
+        """See Interface."""
+        return SINGLE_IN_REQUESTS
+
     def read_request(self, environ: dict[str, Any]) -> ForwardedRequest:
         """See Interface."""
         return read_request(environ)
--- a/src/jujubeslip/relays/__init__.py
+++ b/src/jujubeslip/relays/__init__.py
@@ -6,6 +6,7 @@
 from jujubeslip.relays._reach import EndpointReach
 from jujubeslip.relays._wire import (
     REFUSAL_STATUS,
+    RELAY_HEADERS,
     RelayHeaders,
     RelayRefusal,
     without_relay_headers,
@@ -13,6 +14,7 @@
 
 __all__ = [
     "REFUSAL_STATUS",
+    "RELAY_HEADERS",
     "EndpointReach",
     "RelayDirectory",
     "RelayHeaders",
--- a/src/jujubeslip/relays/_wire.py
+++ b/src/jujubeslip/relays/_wire.py
@@ -34,6 +34,11 @@
 # For how long the endpoint accepts no requests, in seconds, if that is the reason.
 HOLD_SECONDS = "Jujubeslip-Hold-Seconds"
 
+# The headers of a relayed call, in lower case.
+RELAY_HEADERS = frozenset(
+    name.lower() for name in (SECRET, SENDER, START, CALL, ENCODED_AGO, CHECK)
+)
+
 REFUSAL_STATUS = http.HTTPStatus.SERVICE_UNAVAILABLE
 _HOLD_SECONDS_TEXT = re.compile(r"[0-9]\.[0-9]{2}")
 
--- a/tests/forwarding/test_plain_requests.py
+++ b/tests/forwarding/test_plain_requests.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 import itertools
+import json
+import socket
 from collections.abc import Iterator
 
 import pytest
 
-from tests.fakes.platform_system import PLAIN, PlatformSystem, configuration, route
+from tests.fakes.platform_system import (
+    HOST,
+    PLAIN,
+    PlatformSystem,
+    configuration,
+    route,
+)
 from tests.fakes.platform_worker import PlatformWorker
 from tests.fakes.processes import wait_until
 
@@ -208,3 +216,46 @@
 class TestNoRoute:
     def test_is_answered_with_404(self, system: PlatformSystem) -> None:
         assert system.ask("/nowhere/x").status == 404
+
+
+class TestRequestThatCanBeReadInTwoWays:
+    """Guards against one client's bytes that run as another's request."""
+
+    @pytest.mark.parametrize(
+        ("header", "named"),
+        [
+            ("Transfer-Encoding: chunked", "transfer-encoding"),
+            ("Request-Id: another", "request-id"),
+            ("Deadline-Ms: 900", "deadline-ms"),
+            ("Host: other.example", "host"),
+        ],
+    )
+    def test_is_refused_and_runs_nowhere(
+        self,
+        system: PlatformSystem,
+        workers: list[PlatformWorker],
+        header: str,
+        named: str,
+    ) -> None:
+        inner = f"POST {UNSAFE} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: inner\r\n\r\n"
+        body = f"0\r\n\r\n{inner}"
+        head = (
+            f"POST {SAFE} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: outer\r\n"
+            f"Deadline-Ms: 1500\r\nContent-Length: {len(body)}\r\n{header}\r\n\r\n"
+        )
+        status, refusal = send(system.entry_http[0], (head + body).encode())
+        assert (status, refusal["ran"]) == (400, "no")
+        assert named in refusal["message"]
+        assert run_ids(workers) == []
+
+
+def send(address: str, sent: bytes) -> tuple[int, dict[str, str]]:
+    """Send bytes; return the status and the body of the only answer."""
+    host, port = address.rsplit(":", 1)
+    with socket.create_connection((host, int(port)), 5.0) as connection:
+        connection.sendall(sent)
+        received = b""
+        while part := connection.recv(65536):
+            received += part
+    head, _, body = received.partition(b"\r\n\r\n")
+    return int(head.split()[1]), json.loads(body)
