Discovery: a removal without a start applies to later starts when it is first heard

Cause: the time of a removal in the log is the latest possible one. Log time stands still between entries, so that the time moves on at each restart of a control host, and the removal is told again with it. A start that ran before that time, but began after the removal, was taken for the one that left.

Change: a later start is concerned only when a host first hears of the removal, and not from the log. Starts that are heard of later are not compared any more. The key of a stored removal is what it was before.

What is given up: an entry host that hears of the later start after the removal, an earlier start that has left as well, and one that has announced it, each without a start named.

Discovery and five files of removals: 294 passed.

--- a/src/jujubeslip/control/_removal_log.py
+++ b/src/jujubeslip/control/_removal_log.py
@@ -66,7 +66,7 @@
             for entry in entries
             if entry.kind == EntryKind.ENDPOINT_REMOVAL
         ]
-        self._registry.apply_removals(_removals(pending, now_ms))
+        self._registry.apply_removals(_removals(pending, now_ms), are_dated=False)
 
     def follow(self) -> None:
         """Apply each new removal to the registry until the process stops."""
@@ -90,7 +90,7 @@
             records = machine.removals.since(known)
             now_ms = machine.stamp_ms
             self._machine, self._applied_version = machine, machine.removals.version
-        self._registry.apply_removals(_removals(records, now_ms))
+        self._registry.apply_removals(_removals(records, now_ms), are_dated=False)
 
 
 def _removals(
--- a/src/jujubeslip/discovery/_registry.py
+++ b/src/jujubeslip/discovery/_registry.py
@@ -163,11 +163,16 @@
         )
         return replace(without_start, started_at_ms=known.started_at_ms, scope=scope)
 
-    def apply_removals(self, reported: Iterable[Removal]) -> int:
-        """Apply removals and return the version that includes them."""
+    def apply_removals(
+        self, reported: Iterable[Removal], are_dated: bool = True
+    ) -> int:
+        """Apply removals and return the version that includes them.
+
+        `are_dated` says that their times are exact, and not only the latest possible.
+        """
         with self._changed:
             for removal in reported:
-                self._add_removal(removal)
+                self._add_removal(removal, are_dated)
             return self._version
 
     def removals_since(self, version: int) -> Sequence[Removal]:
@@ -223,18 +228,9 @@
 
     def _with_removal(self, endpoint: Endpoint) -> Endpoint:
         removal = self._removals.find(endpoint)
-        if removal is None:
-            return endpoint
-        return removal.apply_to(endpoint, self._known_since(endpoint))
-
-    def _known_since(self, endpoint: Endpoint) -> float:
-        """Return since when this start is known to run, on the steady clock."""
-        entry = self._entry_by_id.get(endpoint.endpoint_id)
-        if entry is None or entry.endpoint.start_id != endpoint.start_id:
-            return endpoint.heard_at
-        return min(entry.claim.since, endpoint.heard_at)
-
-    def _add_removal(self, removal: Removal) -> None:
+        return endpoint if removal is None else removal.apply_to(endpoint)
+
+    def _add_removal(self, removal: Removal, is_dated: bool = True) -> None:
         """Store a removal and apply it to its endpoint if that is known.
 
         A host that has restarted, or that learns of endpoints only from other hosts,
@@ -247,6 +243,7 @@
         known = entry.endpoint if entry else None
         with_start = removal.for_start(known) if known else removal
         versioned = replace(with_start, version=self._version + 1)
+        is_first = not self._removals.holds(versioned.key)
         if not self._removals.add(versioned, steady_seconds()):
             return
         self._version += 1
@@ -260,9 +257,14 @@
             "book_version": self._version,
         }
         logger.info("endpoint removed", extra=extra)
-        if known:
-            applied = with_start.apply_to(known, self._known_since(known))
-            self._replace(known, applied)
+        if entry is None or known is None:
+            return
+        known_since = min(entry.claim.since, known.heard_at)
+        # A repeated removal may have a later time, after which the start has begun.
+        includes_later = (
+            is_first and is_dated and with_start.may_be_of_later(known_since)
+        )
+        self._replace(known, with_start.apply_to(known, includes_later))
 
     def _replace(self, older: Endpoint, newer: Endpoint) -> None:
         if newer != older:
--- a/src/jujubeslip/discovery/_removals.py
+++ b/src/jujubeslip/discovery/_removals.py
@@ -30,8 +30,6 @@
     endpoint_id: str
     started_at_ms: int | None
     """0 for an endpoint that reports no starts, None if the start is not known."""
-    names_start: bool
-    """Whether the endpoint named the start; otherwise it may be of a later one, too."""
 
 
 @dataclass(frozen=True)
@@ -60,13 +58,7 @@
     def key(self) -> RemovalKey:
         """Return the start that it applies to."""
         is_any = self.scope == RemovalScope.ANY_START
-        started_at_ms = None if is_any else self.started_at_ms
-        return RemovalKey(self.endpoint_id, started_at_ms, self.names_start)
-
-    @property
-    def names_start(self) -> bool:
-        """Return whether the endpoint named the start that has left."""
-        return self.scope == RemovalScope.NAMED_START
+        return RemovalKey(self.endpoint_id, None if is_any else self.started_at_ms)
 
     def is_expired(self, now: float) -> bool:
         """Return whether its retention has expired at this time of the steady clock."""
@@ -92,21 +84,29 @@
         scope = RemovalScope.ONLY_START if is_only else RemovalScope.LATEST_START
         return replace(self, started_at_ms=known.started_at_ms, scope=scope)
 
-    def apply_to(self, endpoint: Endpoint, known_since: float) -> Endpoint:
+    def may_be_of_later(self, known_since: float) -> bool:
+        """Return whether it may be of a later start than the one that it applies to.
+
+        The host that received it may know an earlier start only. The later one has to
+        be known to run before it, since `known_since` on the steady clock.
+        """
+        names_start = self.scope == RemovalScope.NAMED_START
+        return not names_start and known_since < self.removed_at
+
+    def apply_to(self, endpoint: Endpoint, includes_later: bool = False) -> Endpoint:
         """Return the endpoint with the removal applied.
 
         A removal of a later start than the known one shows that this one has ended,
-        unless the clock of its host was set back. One that names no start may be of a
-        later start than the host that received it knew, if that one was known to run
-        by then, at `known_since` on the steady clock. In both cases the known start
-        gets work again if it is heard from later.
+        unless the clock of its host was set back. One of an earlier start applies if
+        `includes_later` is set. In both cases the known start gets work again if it is
+        heard from later.
         """
         with_start = self.for_start(endpoint)
         is_earlier = with_start.started_at_ms < endpoint.started_at_ms
-        if is_earlier and (self.names_start or known_since >= self.removed_at):
+        if is_earlier and not includes_later:
             return endpoint
         is_same = with_start.started_at_ms == endpoint.started_at_ms
-        if with_start.names_start and is_same:
+        if with_start.scope == RemovalScope.NAMED_START and is_same:
             return replace(endpoint, leaving=True)
         may_be_another = not is_same or with_start.scope == RemovalScope.LATEST_START
         removed_at = latest_removal(endpoint.removed_at, with_start.removed_at)
@@ -127,9 +127,7 @@
     def __init__(self) -> None:
         self._removal_by_key: dict[RemovalKey, Removal] = {}
         self._latest_start_by_id: dict[str, int] = {}
-        """The latest start of each endpoint that a removal applies to."""
-        self._latest_unnamed_by_id: dict[str, Removal] = {}
-        """The latest removal of each endpoint that names no start."""
+        """The latest start of each endpoint that a removal names."""
 
     def add(self, removal: Removal, now: float) -> bool:
         """Store a removal; return whether it was not stored before."""
@@ -140,15 +138,12 @@
         kept[removal.key] = removal
         if removal.started_at_ms > self._latest_start_by_id.get(removal.endpoint_id, 0):
             self._latest_start_by_id[removal.endpoint_id] = removal.started_at_ms
-        if not removal.names_start:
-            self._add_unnamed(removal)
         self._drop_oldest(now)
         return True
 
-    def _add_unnamed(self, removal: Removal) -> None:
-        latest = self._latest_unnamed_by_id.get(removal.endpoint_id)
-        if latest is None or removal.removed_at >= latest.removed_at:
-            self._latest_unnamed_by_id[removal.endpoint_id] = removal
+    def holds(self, key: RemovalKey) -> bool:
+        """Return whether a removal of this start is stored."""
+        return key in self._removal_by_key
 
     def _drop_oldest(self, now: float) -> None:
         kept = self._removal_by_key
@@ -160,36 +155,19 @@
             latest = self._latest_start_by_id.get(oldest.endpoint_id)
             if latest == oldest.started_at_ms:
                 del self._latest_start_by_id[oldest.endpoint_id]
-            if self._latest_unnamed_by_id.get(oldest.endpoint_id) == oldest:
-                del self._latest_unnamed_by_id[oldest.endpoint_id]
 
     def find(self, endpoint: Endpoint) -> Removal | None:
-        """Return the removal that may apply to this start of an endpoint.
-
-        It is that of this start, or else of a later one, or else the latest one that
-        names no start.
-        """
+        """Return the removal of this start of an endpoint, or else of a later one."""
         endpoint_id, started_at_ms = endpoint.endpoint_id, endpoint.started_at_ms
-        found = self._find_start(endpoint_id, started_at_ms)
+        found = self._removal_by_key.get(RemovalKey(endpoint_id, started_at_ms))
         latest = self._latest_start_by_id.get(endpoint_id, 0)
-        if found is None and latest > started_at_ms:
-            found = self._find_start(endpoint_id, latest)
-        return found or self._latest_unnamed_by_id.get(endpoint_id)
-
-    def _find_start(self, endpoint_id: str, started_at_ms: int) -> Removal | None:
-        """Return the removal of this start; one that names it is the more certain."""
-        kept = self._removal_by_key
-        return kept.get(RemovalKey(endpoint_id, started_at_ms, True)) or kept.get(
-            RemovalKey(endpoint_id, started_at_ms, False)
-        )
+        if found is not None or latest <= started_at_ms:
+            return found
+        return self._removal_by_key.get(RemovalKey(endpoint_id, latest))
 
     def pop_without_start(self, endpoint_id: str) -> Removal | None:
-        """Remove and return the removal of an endpoint that was not known."""
-        key = RemovalKey(endpoint_id, None, False)
-        removal = self._removal_by_key.pop(key, None)
-        if self._latest_unnamed_by_id.get(endpoint_id) == removal:
-            self._latest_unnamed_by_id.pop(endpoint_id, None)
-        return removal
+        """Remove and return the removal that names no start."""
+        return self._removal_by_key.pop(RemovalKey(endpoint_id, None), None)
 
     def since(self, version: int) -> Sequence[Removal]:
         """Return the removals added since a version, only the latest of many."""
