HTTP server: the headers of a request as data classes; a message in one line

After a newcomer's read of the diff: the parser's tuples of name, value and folding were hard to follow. Only headers that decide something become objects. No change of behaviour; tests/http_server and forwarding/test_plain_requests.py pass.

--- a/src/jujubeslip/forwarding/_models.py
+++ b/src/jujubeslip/forwarding/_models.py
@@ -279,8 +279,7 @@
     late = deadline.expired
     return RequestRefusedError(
         "no_answer_in_time" if late else "answer_lost",
-        f"An endpoint may have run the request, but no answer can be given: "
-        f"{error.message}",
+        f"An endpoint may have run the request; there is no answer: {error.message}",
         status=504 if late else 502,
         ran=Ran.UNKNOWN,
         remedy="Send it again only if it may be repeated.",
--- a/src/jujubeslip/http_server/_request_parser.py
+++ b/src/jujubeslip/http_server/_request_parser.py
@@ -10,6 +10,7 @@
 import logging
 from collections import Counter
 from collections.abc import Collection, Iterator
+from dataclasses import dataclass
 from typing import Any
 
 from opentelemetry import metrics
@@ -17,16 +18,14 @@
 
 logger = logging.getLogger(__name__)
 
-CONTENT_LENGTH = b"content-length"
-TRANSFER_ENCODING = b"transfer-encoding"
+CONTENT_LENGTH = "content-length"
+TRANSFER_ENCODING = "transfer-encoding"
 FRAMING = (CONTENT_LENGTH, TRANSFER_ENCODING)
 CHUNKED = b"chunked"
 VERSION_WITH_CHUNKS = b"HTTP/1.1"
 LINE_END = b"\r\n"
 # A line that begins with one of these continues the one before.
 FOLDED = (b" ", b"\t")
-# Longest header name in an error, in bytes.
-MAXIMUM_NAME_BYTES = 100
 
 _requests = metrics.get_meter("jujubeslip.http_server").create_counter(
     "jujubeslip.http.ambiguous_requests",
@@ -72,50 +71,56 @@
         super().parse_header(header_plus)
 
 
+@dataclass(frozen=True)
+class _Field:
+    """One header of a request."""
+
+    name: str
+    """In lower case."""
+    value: bytes
+    is_folded: bool
+    """Whether its value goes on in a second line."""
+
+
 def find_ambiguity(
     first_line: bytes, headers: bytes, single_headers: Collection[str]
 ) -> tuple[Ambiguity, str] | None:
-    """Return why a request can be read in two ways, and where, or None."""
-    fields = list(_fields(headers))
-    deciding = [
-        item
-        for item in fields
-        if item[0] in FRAMING or _text(item[0]) in single_headers
-    ]
-    count_by_name = Counter(name for name, _, _ in deciding)
+    """Return why a request can be read in two ways, and a sentence on it, or None."""
+    deciding = list(_deciding_fields(headers, single_headers))
+    count_by_name = Counter(item.name for item in deciding)
     framings = [name for name in FRAMING if count_by_name[name]]
     if sum(count_by_name[name] for name in framings) > 1:
-        names = " and ".join(map(_text, framings))
+        names = " and ".join(framings)
         return Ambiguity.TWO_FRAMINGS, f"More than one header ends the body: {names}"
-    for name, value, is_folded in deciding:
-        if count_by_name[name] > 1:
-            return Ambiguity.REPEATED, f"{_text(name)} is sent more than once"
-        if is_folded:
-            return Ambiguity.FOLDED, f"{_text(name)} stands on more than one line"
-        if name == TRANSFER_ENCODING and not _is_coded_once(first_line, value):
-            return Ambiguity.CODING, f"{_text(name)} is not a coding of HTTP/1.1, once"
+    for item in deciding:
+        if count_by_name[item.name] > 1:
+            return Ambiguity.REPEATED, f"{item.name} is sent more than once"
+        if item.is_folded:
+            return Ambiguity.FOLDED, f"{item.name} stands on more than one line"
+        if item.name == TRANSFER_ENCODING and not _is_coded_once(first_line, item):
+            return Ambiguity.CODING, f"{item.name} is not a coding of HTTP/1.1, once"
     return None
 
 
-def _fields(headers: bytes) -> Iterator[tuple[bytes, bytes, bool]]:
-    """Yield name, value and whether it is folded, for each header."""
+def _deciding_fields(
+    headers: bytes, single_headers: Collection[str]
+) -> Iterator[_Field]:
+    """Yield the headers that end the body or of which one value decides."""
     lines = headers.split(LINE_END)
     for line, next_line in zip(lines, [*lines[1:], b""], strict=True):
-        if line and not line.startswith(FOLDED):
-            name, _, value = line.partition(b":")
-            is_folded = next_line.startswith(FOLDED)
-            yield name.lower(), value.strip(b" \t"), is_folded
+        if line.startswith(FOLDED):
+            continue
+        received_name, _, value = line.partition(b":")
+        name = received_name.lower().decode("latin-1")
+        if name in FRAMING or name in single_headers:
+            yield _Field(name, value.strip(b" \t"), next_line.startswith(FOLDED))
 
 
-def _is_coded_once(first_line: bytes, value: bytes) -> bool:
+def _is_coded_once(first_line: bytes, coding: _Field) -> bool:
     """Return whether a transfer coding is named once, in a version that has codings.
 
     The HTTP library refuses the codings that it doesn't know.
     """
-    codings = [item.strip(b" \t").lower() for item in value.split(b",")]
+    codings = [item.strip(b" \t").lower() for item in coding.value.split(b",")]
     is_once = codings.count(CHUNKED) <= 1 and b"" not in codings
     return is_once and first_line.rstrip().endswith(VERSION_WITH_CHUNKS)
-
-
-def _text(name: bytes) -> str:
-    return name[:MAXIMUM_NAME_BYTES].decode("latin-1")
