HTTP server: two client keys are an invalid key again, not an ambiguous request

Neither of the two keys counted before, and none does now, so that nothing was read in two ways there.

--- a/src/jujubeslip/entry/_process.py
+++ b/src/jujubeslip/entry/_process.py
@@ -48,9 +48,7 @@
 logger = logging.getLogger(__name__)
 
 # Headers of which one value decides something, in lower case.
-SINGLE_HEADERS = frozenset(
-    {"authorization", "host", "idempotency-key", "traceparent", "x-request-id"}
-)
+SINGLE_HEADERS = frozenset({"host", "idempotency-key", "traceparent", "x-request-id"})
 # Time for the other hosts to learn by gossip that this host is leaving.
 LEAVE_SECONDS = 1.0
 
--- a/src/jujubeslip/http_server/_server.py
+++ b/src/jujubeslip/http_server/_server.py
@@ -42,7 +42,7 @@
 
 
 # Headers of which all servers read one value only.
-SINGLE_HEADERS = frozenset({"host", "authorization"})
+SINGLE_HEADERS = frozenset({"host"})
 
 
 def _never_full() -> bool:
--- a/src/jujubeslip/platform/_headers.py
+++ b/src/jujubeslip/platform/_headers.py
@@ -70,9 +70,9 @@
         "tenant",
     }
 )
-# Headers of a request of which one value decides something, in lower case.
+# Headers of a request of which one value decides something, in lower case. Without
+# Authorization: more than one key is an invalid one, which has a status of its own.
 SINGLE_IN_REQUESTS = SET_BY_SYSTEM | {
-    "authorization",
     "host",
     "last-event-id",
     "length-hint",
